--- /dev/null
+++ b/cmd/simhost/main_test.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"cobaltward/policy"
+)
+
+const conf = `["configure",N,7,{"position":0,"groupSize":2,"zone":"a",` +
+	`"services":[{"name":"x","aim":250,"deadline":600,"repeat":"free"}],"limits":{"maxAttempts":3}}]`
+
+const list = `["list",0,[[null,"Running",1,"k","a",0,"s1"],[null,"Running",1,"k","a",0,"s2"]]]`
+
+func configure(node string) string { return strings.Replace(conf, "N", node, 1) }
+
+func lines(l ...string) string { return strings.Join(l, "\n") + "\n" }
+
+func TestServesABatch(t *testing.T) {
+	in := lines(`["mark",0]`, `["eob"]`, `["mark",5]`, list, configure("3"), `["peersKnown",3,"restored",1,0]`,
+		`["ingress",3,"r1","x",null,null,300]`, `["eob"]`)
+	var out bytes.Buffer
+	if err := serve(strings.NewReader(in), &out); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"[\"yield\"]\n[\"handOff\",3,\"r1\",\"s1\",255]\n", "[\"wakeMe\",3,"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no %q in\n%s", want, out.String())
+		}
+	}
+}
+
+func TestErrorsNameTheLine(t *testing.T) {
+	for in, want := range map[string]string{
+		lines(`["mark",0]`, `["ingress",3,"id"]`): "line 2: ingress: cls",
+		lines(`["eob"]`):                                               "line 1",
+		lines(`["mark",0]`):                                            "line 2: input ended inside a batch",
+		lines(`["mark",0]`, `["configure",1,2,{}]`):                    "classes",
+		lines(`["mark",0]`, `["surprise",1]`):                          "line 2: surprise: unknown message",
+		lines(`["mark",0]`, `["reminder",1,"x"]`):                      "line 2: reminder: token: want number",
+		lines(`["mark",0]`, `["completed",1,"r",0,"s","odd",1,false]`): "line 2: completed: rc: unknown outcome code",
+		lines(`["mark",0]`, `["peersKnown",3,"replace",1,9]`):          "line 2: peersKnown: buffer: list 9 was never sent",
+		lines(`["mark",0]`, `["mark",5]`):                              "line 2: message outside of a batch, or a batch inside",
+		lines(`["reminder",1,7]`):                                      "line 1: message outside of a batch",
+		lines(`["mark",0]`, `[`):                                       "line 2: not JSON",
+		lines(`["mark",0]`, strings.Replace(configure("1"), `"limits":{`, `"guarantees":{"budgetShare":0.1},"limits":{`, 1)): "attempt budget: span",
+		lines(`["mark",0]`, strings.Replace(configure("1"), "0", "9", 1)):                                                    "node 9",
+	} {
+		err := serve(strings.NewReader(in), &bytes.Buffer{})
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: got %v, want it to name %q", in, err, want)
+		}
+	}
+}
+
+// Instances act alike whether they share a process or not.
+func TestInstancesAreIndependent(t *testing.T) {
+	run := func(nodes ...string) string {
+		l := []string{`["mark",1]`, list}
+		for _, n := range nodes {
+			l = append(l, configure(n), `["peersKnown",`+n+`,"restored",1,0]`)
+		}
+		for _, n := range nodes {
+			l = append(l, `["ingress",`+n+`,"r`+n+`","x",null,null,300]`)
+		}
+		var out bytes.Buffer
+		if err := serve(strings.NewReader(lines(append(l, `["eob"]`)...)), &out); err != nil {
+			t.Fatal(err)
+		}
+		return strings.TrimSuffix(out.String(), "[\"yield\"]\n")
+	}
+	if got, want := run("1", "2"), run("1")+run("2"); got != want {
+		t.Errorf("together\n%sapart\n%s", got, want)
+	}
+}
+
+func TestRestartInOneBatchForgets(t *testing.T) {
+	in := lines(`["mark",0]`, list, configure("3"), `["peersKnown",3,"restored",1,0]`,
+		`["ingress",3,"r1","x",null,null,300]`, `["shutdown",3]`, `["lapsed",3,"r1"]`, configure("3"),
+		`["peersKnown",3,"restored",1,0]`, `["completed",3,"r1",0,"s1","err",1,false]`, `["eob"]`)
+	var out bytes.Buffer
+	if err := serve(strings.NewReader(in), &out); err != nil {
+		t.Fatal(err)
+	}
+	if n := strings.Count(out.String(), `"handOff"`); n != 1 {
+		t.Errorf("%d sends, want 1: the new life knows no r1\n%s", n, out.String())
+	}
+}
+
+// A crash in one instance is reported with its text; the others go on.
+func TestPanicIsReported(t *testing.T) {
+	h := host{nodes: map[int]*policy.Balancer{3: nil}}
+	h.deliver(3, nil, policy.Timer{})
+	if got := string(h.out); !strings.HasPrefix(got, `["broken",3,"`) || !strings.Contains(got, "nil pointer") {
+		t.Errorf("got %s", got)
+	}
+	if _, kept := h.nodes[3]; kept {
+		t.Error("the broken instance is still there")
+	}
+}
--- /dev/null
+++ b/policy/api.go
@@ -0,0 +1,248 @@
+// Package policy decides, for one node of a reverse proxy, which requests to admit, which server
+// gets each attempt, and when to retry, hedge, refuse or fail. It is an event-driven state machine:
+// time and the random seed are handed in, and it starts no goroutines and does no I/O.
+//
+// This file is the interface (settings, events, actions); policy.go holds every decision.
+package policy
+
+import "time"
+
+// Time is a moment on the host's monotonic clock, measured from any fixed origin.
+type Time = time.Duration
+
+// Repeat says how far a request of a class may be sent again once it may have run.
+type Repeat uint8
+
+// The zero value is the strictest: a class nobody described is never repeated.
+const (
+	Never   Repeat = iota // must never run twice
+	Guarded               // a group of servers drops repeats for a window
+	Free                  // safe to repeat
+)
+
+// Group names the servers that drop the repeats of a Guarded request.
+type Group uint8
+
+// The zero value is the narrowest group.
+const (
+	GroupCell Group = iota
+	GroupZone
+	GroupAll
+)
+
+// Class describes one kind of request.
+type Class struct {
+	Name       string
+	Aim        time.Duration // an answer within Aim earns the full worth
+	AimStretch float64       // Aim grows by this multiple of the request's own work; 0 for none
+	Deadline   time.Duration // how long a client waits in all, over all its tries
+	Repeat     Repeat
+	Group      Group         // for Guarded
+	Window     time.Duration // for Guarded: counted from the first attempt that may have run
+	LateWorth  float64       // part of the worth left between Aim and Deadline
+	Worth      float64
+	Stream     bool     // the answer is a stream, announced by FirstByte
+	Kinds      []string // the only kinds of server it may be sent to; empty for any
+	Zones      []string // the only zones it may be sent to; empty for any
+}
+
+// Tenant is one customer with its agreed share, over all nodes.
+type Tenant struct {
+	Name  string
+	Quota float64 // requests per second over the whole fleet of nodes
+	Share float64 // part of the service, 0 to 1
+}
+
+// Limit is one layer of rate limits: PerWindow requests each Window, and a burst on top.
+type Limit struct {
+	PerWindow float64
+	Window    time.Duration
+	Burst     int64
+}
+
+// RateLimits holds the layers that apply to every tenant. All are optional.
+type RateLimits struct {
+	Default  *Limit           // for tenants without a quota; nil: the smallest quota, or no limit
+	PerClass map[string]Limit // override; such a class has a bucket of its own for each tenant
+	Max      float64          // platform maximum for PerWindow and Burst; 0 for none
+}
+
+// Allowed says what the site lets a node do.
+type Allowed struct {
+	Cancel, Hedge, Probe, Peers, RetryAfter bool
+	MaxAttempts                             int           // for one request; 0 counts as 1
+	MaxRetryAfter                           time.Duration // longest wait a client follows
+	ConnIdle                                time.Duration // idle connections are closed after this; 0 if not told
+}
+
+// Budget rations a node's attempts beyond each request's first: in any Span they number at most
+// Least plus Share of the requests that the node took in it.
+type Budget struct {
+	Least float64
+	Share float64
+	Span  time.Duration
+}
+
+// Rules holds the figures of the rules.
+type Rules struct {
+	AnswerGrace  time.Duration // a final answer is still in time this long after the deadline
+	DrainGrace   time.Duration // sends to a draining server must end within this time
+	ColdShare    float64       // a server starts at this part of its capacity or more
+	ColdFor      time.Duration // and is warm within this time
+	FallMultiple float64       // sent more than this multiple of its present capacity
+	FallFor      time.Duration // for this long, a cold server falls over
+	AskWithin    time.Duration // an unsubscribed node must ask for the list this often
+	Attempts     *Budget       // of further attempts; nil where none is stated
+}
+
+// Settings is what a node is told at its start.
+type Settings struct {
+	Node, Nodes int // this node's number, and how many there are
+	Zone        string
+	Classes     []Class
+	Tenants     []Tenant
+	Limits      RateLimits
+	Allowed     Allowed
+	Rules       Rules
+	Subscribe   bool // the list of servers must be asked for
+	WarmKeys    bool // a server that lately served a key serves it with less work
+	WorthByWork bool // worth is counted for each unit of work, not for each request
+	// Report names the values in load reports, in order. No decision reads them.
+	Report []string
+}
+
+// Availability is what the list says of a server's process.
+type Availability uint8
+
+// States of a listed server.
+const (
+	Running Availability = iota
+	Draining
+	Removed
+)
+
+// Member is one entry of the list of servers.
+type Member struct {
+	Server       string
+	Zone         string
+	Kind         string
+	Cell         int64
+	Weight       float64
+	OnlineSince  Time // when it last started; 0: long ago
+	Availability Availability
+}
+
+// Event is anything a node can be told. The types below are all there are.
+type Event any
+
+// ListKind says how a MemberList is to be read.
+type ListKind uint8
+
+// Kinds of list events.
+const (
+	ListReplace     ListKind = iota // the whole list
+	ListUpdate                      // only what changed
+	ListRestored                    // the whole list as last seen, perhaps stale
+	ListUnavailable                 // a call failed or a subscription dropped; no entries
+)
+
+// MemberList is news of the servers. Members may be shared between nodes: it is only read.
+type MemberList struct {
+	Kind    ListKind
+	Members []Member
+}
+
+// Request is a client's request; the node owes it exactly one final answer.
+type Request struct {
+	ID, Class, Tenant, Key string
+	ExpiresIn              time.Duration // until the client gives this try up
+	Hint                   time.Duration // guess of its cost in core time; 0 if unknown
+	Retry, Write           bool
+}
+
+// FirstByte says that a streamed answer has begun: the attempt now belongs to the client.
+type FirstByte struct {
+	ID, Server string
+	Attempt    int
+	Latency    time.Duration
+}
+
+// Code says how an attempt ended.
+type Code uint8
+
+// The outcome codes. NotRun tells which of them prove that the request never ran.
+const (
+	OK Code = iota
+	ServerError
+	Full
+	TimedOut
+	ConnectFailed
+	Reset
+	Cancelled
+	Moot
+)
+
+// NotRun reports whether the code proves that the request never ran.
+func (c Code) NotRun() bool { return c == Full || c == ConnectFailed || c == Moot }
+
+// Outcome is the end of one attempt. Ended tells that the request has its final answer.
+type Outcome struct {
+	ID, Server string
+	Attempt    int
+	Code       Code
+	Latency    time.Duration
+	Ended      bool
+	Report     []float64 // load report in the order of Settings.Report; nil for none
+}
+
+// Lapsed says that the client has left; no answer is owed any more.
+type Lapsed struct{ ID string }
+
+// Timer is a timer that came due.
+type Timer struct{ Token uint64 }
+
+// ProbeResult is the end of one Probe.
+type ProbeResult struct {
+	Server  string
+	Code    Code
+	Latency time.Duration
+	Report  []float64
+}
+
+// PeerMessage is bytes from another node; they may be lost, old or broken.
+type PeerMessage struct {
+	From int
+	Body string
+}
+
+// ActionKind names what an Action does.
+type ActionKind uint8
+
+// What a node can do; the comments name the fields of Action that count.
+const (
+	Send      ActionKind = iota // ID, Server, Until
+	Refuse                      // ID, Wait: the client may safely come again
+	Fail                        // ID: promises nothing
+	Cancel                      // ID, Attempt
+	SetTimer                    // Wait, Token
+	Probe                       // Server
+	Tell                        // Peer (-1 for all), Text
+	CloseIdle                   // Server
+	Log                         // Text
+	WatchList                   // On
+	FetchList                   // no fields
+)
+
+// Action is one thing the node wants done now.
+type Action struct {
+	Kind    ActionKind
+	ID      string
+	Server  string
+	Until   Time // when the attempt times out; 0: with the client's deadline
+	Wait    time.Duration
+	Token   uint64
+	Attempt int
+	Peer    int
+	Text    string
+	On      bool
+}
--- /dev/null
+++ b/policy/rules_test.go
@@ -0,0 +1,732 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// site is a small deployment with one class of each kind.
+func site(nodes int) Settings {
+	return Settings{
+		Nodes: nodes, Zone: "a",
+		Classes: []Class{
+			{Name: "free", Aim: 250 * ms, Deadline: 600 * ms, Repeat: Free},
+			{Name: "once", Aim: 250 * ms, Deadline: 600 * ms, LateWorth: 0.2},
+			{Name: "all", Aim: 250 * ms, Deadline: 600 * ms, Repeat: Guarded, Group: GroupAll, Window: 300 * ms},
+			{Name: "zone", Aim: 250 * ms, Deadline: 600 * ms, Repeat: Guarded, Group: GroupZone, Window: 300 * ms},
+			{Name: "cell", Aim: 250 * ms, Deadline: 600 * ms, Repeat: Guarded, Group: GroupCell, Window: 300 * ms},
+		},
+		Tenants: []Tenant{{Name: "t", Quota: 1000}, {Name: "u", Quota: 10}},
+		Allowed: Allowed{Cancel: true, Hedge: true, MaxAttempts: 4},
+		Rules: Rules{DrainGrace: time.Second, ColdShare: 0.2, ColdFor: 10 * time.Second,
+			FallMultiple: 3, FallFor: 2 * time.Second},
+	}
+}
+
+func members(n int) []Member {
+	var list []Member
+	for i := range n {
+		list = append(list, Member{Server: fmt.Sprintf("s%02d", i), Zone: []string{"a", "b"}[i%2],
+			Kind: fmt.Sprint("k", i%3), Cell: int64(i % 4), Weight: 1})
+	}
+	return list
+}
+
+func start(t *testing.T, set Settings, list []Member) *Balancer {
+	t.Helper()
+	b, err := New(set, 0, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Handle(0, MemberList{Kind: ListRestored, Members: list})
+	return b
+}
+
+// of returns the actions of one kind.
+func of(acts []Action, kind ActionKind) []Action {
+	var out []Action
+	for _, a := range acts {
+		if a.Kind == kind {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func ask(id, class string) Request {
+	return Request{ID: id, Class: class, Tenant: "t", ExpiresIn: 600 * ms}
+}
+
+func sentTo(t *testing.T, acts []Action) string {
+	t.Helper()
+	s := of(acts, Send)
+	if len(s) != 1 {
+		t.Fatalf("want one send, got %+v", acts)
+	}
+	return s[0].Server
+}
+
+func TestSettingsThatMakeNoSense(t *testing.T) {
+	nan := math.NaN()
+	for _, c := range []struct {
+		names string // what the error must name
+		spoil func(*Settings)
+	}{
+		{"classes", func(s *Settings) { s.Classes = nil }},
+		{"deadline", func(s *Settings) { s.Classes[0].Deadline = -1 }},
+		{"deadline", func(s *Settings) { s.Classes[0].Deadline = 0 }},
+		{`class "once": aim`, func(s *Settings) { s.Classes[1].Aim = -1 }},
+		{"aim stretch", func(s *Settings) { s.Classes[0].AimStretch = nan }},
+		{"window", func(s *Settings) { s.Classes[2].Window = -1 }},
+		{"late worth", func(s *Settings) { s.Classes[0].LateWorth = -0.1 }},
+		{"worth", func(s *Settings) { s.Classes[0].Worth = math.Inf(1) }},
+		{"twice", func(s *Settings) { s.Classes[1].Name = "free" }},
+		{"node 2", func(s *Settings) { s.Node = 2 }},
+		{"group of 0", func(s *Settings) { s.Nodes = 0 }},
+		{`tenant "t": quota`, func(s *Settings) { s.Tenants[0].Quota = -1 }},
+		{`tenant "t": quota`, func(s *Settings) { s.Tenants[0].Quota = nan }},
+		{"share", func(s *Settings) { s.Tenants[0].Share = -1 }},
+		{"answer grace", func(s *Settings) { s.Rules.AnswerGrace = -1 }},
+		{"drain grace", func(s *Settings) { s.Rules.DrainGrace = -1 }},
+		{"cold share", func(s *Settings) { s.Rules.ColdShare = 1.1 }},
+		{"cold share", func(s *Settings) { s.Rules.ColdShare = nan }},
+		{"fall multiple", func(s *Settings) { s.Rules.FallMultiple = -1 }},
+		{"attempt budget: span", func(s *Settings) { s.Rules.Attempts = &Budget{Share: 0.1} }},
+		{"attempt budget: share", func(s *Settings) { s.Rules.Attempts = &Budget{Share: nan, Span: 1} }},
+		{"attempt budget: least", func(s *Settings) { s.Rules.Attempts = &Budget{Least: -1, Span: 1} }},
+		{"max attempts", func(s *Settings) { s.Allowed.MaxAttempts = -1 }},
+		{"max retry-after", func(s *Settings) { s.Allowed.MaxRetryAfter = -1 }},
+		{"idle", func(s *Settings) { s.Allowed.ConnIdle = -1 }},
+	} {
+		set := site(2)
+		c.spoil(&set)
+		if _, err := New(set, 0, 1); err == nil || !strings.Contains(err.Error(), c.names) {
+			t.Errorf("got %v, want an error that names %q", err, c.names)
+		}
+	}
+}
+
+// A bound class goes to its servers only, at every attempt, even when they are all out; then it is
+// held and refused in time. The cap on ejections holds for its few servers by themselves.
+func TestPlacementIsKept(t *testing.T) {
+	set := site(1)
+	set.Classes[0].Kinds = []string{"k1"} // s01, s04, s07 of nine
+	b := start(t, set, members(9))
+	open := map[string]bool{"s01": true, "s04": true, "s07": true}
+	for i, code := range []Code{ServerError, Full, ConnectFailed} {
+		id := fmt.Sprint(i)
+		s := sentTo(t, b.Handle(ms, ask(id, "free")))
+		if !open[s] {
+			t.Fatalf("sent to %s", s)
+		}
+		if s = sentTo(t, b.Handle(2*ms, outcome(id, 0, s, code, ms))); !open[s] {
+			t.Fatalf("sent again to %s", s)
+		}
+		b.Handle(3*ms, outcome(id, 1, s, OK, ms))
+	}
+	for _, id := range []string{"s01", "s04", "s07"} {
+		b.servers[id].health.score = 0.6
+		b.strike(b.servers[id], failWeight)
+	}
+	if b.ranked[0].open.ejected != 1 {
+		t.Errorf("%d of the class's 3 servers are ejected, want 1", b.ranked[0].open.ejected)
+	}
+	for id := range open {
+		b.Handle(4*ms, MemberList{Kind: ListUpdate, Members: []Member{{Server: id, Zone: "a", Kind: "k1", Availability: Draining}}})
+	}
+	acts := slices.Clone(b.Handle(5*ms, ask("x", "free")))
+	for now := 6 * ms; now < 600*ms; now += holdPoll {
+		acts = append(acts, b.Handle(now, Timer{Token: holdToken})...)
+	}
+	if len(of(acts, Send)) != 0 || len(of(acts, Refuse)) != 1 {
+		t.Errorf("with its servers gone: got %+v, want one refusal and no send", acts)
+	}
+}
+
+// The budget counts every request taken, those refused too, and each further attempt itself.
+func TestBudgetOfAttemptsIsExact(t *testing.T) {
+	set := site(1)
+	set.Rules.Attempts = &Budget{Least: 2, Share: 0.5, Span: time.Second}
+	b := start(t, set, members(9))
+	extras := func(now Time, from, n int) (sent int) {
+		for i := range n {
+			id := fmt.Sprint(from + i)
+			for _, a := range of(slices.Clone(b.Handle(now, ask(id, "free"))), Send) {
+				sent += len(of(b.Handle(now, outcome(id, 0, a.Server, ServerError, ms)), Send))
+			}
+		}
+		return sent
+	}
+	if got := extras(ms, 0, 4); got > 4 { // two, and half of four
+		t.Errorf("%d further attempts for 4 requests, at most 4 allowed", got)
+	}
+	b.extra, b.took = nil, []Time{0, 1, 2, 3}
+	b.now = 500 * ms
+	for n := range 10 {
+		if may := b.mayRepeat(); may != (n < 3) { // on the safe side of the exact 4
+			t.Fatalf("after %d further attempts: may repeat %v", n, may)
+		}
+		if !b.mayRepeat() {
+			break
+		}
+		b.extra = append(b.extra, b.now)
+	}
+	b.now = time.Second + 4 // the requests have left the window, the attempts have not
+	if b.mayRepeat() {
+		t.Error("more than the least is allowed for requests that have left the window")
+	}
+	b.now = 2 * time.Second
+	if !b.mayRepeat() || len(b.extra)+len(b.took) != 0 {
+		t.Error("the window was not emptied")
+	}
+}
+
+func TestPacksOwnZoneInIDOrderThenSpills(t *testing.T) {
+	b := start(t, site(1), members(4))
+	for _, s := range b.order {
+		s.threshold = 1
+	}
+	var got []string
+	for i := range 4 {
+		got = append(got, sentTo(t, b.Handle(ms, ask(fmt.Sprint(i), "free"))))
+	}
+	if want := []string{"s00", "s02", "s01", "s03"}; !reflect.DeepEqual(got, want) {
+		t.Errorf("with a threshold of one: sent to %v, want %v", got, want)
+	}
+}
+
+func TestFullBucketRefusesWithRetryAfter(t *testing.T) {
+	b := start(t, site(1), members(4))
+	b.set.Allowed.RetryAfter = true
+	for i := 0; ; i++ {
+		r := ask(fmt.Sprint(i), "free")
+		r.Tenant = "u"
+		if ref := of(b.Handle(ms, r), Refuse); len(ref) == 1 {
+			if i != 8 { // 10 a second / ln 2, half a second of burst
+				t.Errorf("refused after %d, want 8", i)
+			}
+			if ref[0].Wait != time.Second {
+				t.Errorf("retry-after %v, want 1 s", ref[0].Wait)
+			}
+			break
+		}
+	}
+}
+
+func TestOverrideByClassHasItsOwnBucketAndMaximum(t *testing.T) {
+	set := site(1)
+	set.Limits = RateLimits{PerClass: map[string]Limit{"free": {PerWindow: 50, Window: time.Second, Burst: 50}}, Max: 2}
+	b := start(t, set, members(8))
+	refused := 0
+	for i := range 5 {
+		refused += len(of(b.Handle(ms, ask(fmt.Sprint("f", i), "free")), Refuse))
+	}
+	if refused != 3 {
+		t.Errorf("refused %d of 5, want 3: the maximum cuts the burst to 2", refused)
+	}
+	if len(of(b.Handle(ms, ask("x", "once")), Refuse)) != 0 {
+		t.Error("another class was refused by the override's bucket")
+	}
+}
+
+func outcome(id string, attempt int, server string, code Code, latency time.Duration) Outcome {
+	return Outcome{ID: id, Attempt: attempt, Server: server, Code: code, Latency: latency, Ended: code == OK}
+}
+
+func TestRepeatsKeepToTheirClass(t *testing.T) {
+	for _, c := range []struct {
+		class      string
+		code       Code
+		after      time.Duration
+		resent     bool
+		sameZone   bool
+		sameCell   bool
+		mayRefuse  bool
+		wantAction ActionKind
+	}{
+		{class: "free", code: ServerError, resent: true},
+		{class: "once", code: ServerError, wantAction: Fail},
+		{class: "once", code: Reset, wantAction: Fail},
+		{class: "once", code: TimedOut, wantAction: Fail},
+		{class: "once", code: Full, resent: true},
+		{class: "once", code: ConnectFailed, resent: true},
+		{class: "all", code: ServerError, resent: true},
+		{class: "zone", code: ServerError, resent: true, sameZone: true},
+		{class: "cell", code: ServerError, resent: true, sameCell: true},
+		{class: "all", code: ServerError, after: 301 * ms, wantAction: Refuse},
+		{class: "zone", code: ServerError, after: 301 * ms, wantAction: Fail},
+		{class: "cell", code: ServerError, after: 301 * ms, wantAction: Fail},
+	} {
+		list := members(8)
+		b := start(t, site(1), list)
+		first := sentTo(t, b.Handle(ms, ask("x", c.class)))
+		acts := b.Handle(2*ms+c.after, outcome("x", 0, first, c.code, c.after))
+		if !c.resent {
+			if len(of(acts, Send)) != 0 || len(of(acts, c.wantAction)) != 1 {
+				t.Errorf("%s after %v at %v: got %+v", c.class, c.code, c.after, acts)
+			}
+			continue
+		}
+		second := sentTo(t, acts)
+		zone, cell := map[string]string{}, map[string]int64{}
+		for _, m := range list {
+			zone[m.Server], cell[m.Server] = m.Zone, m.Cell
+		}
+		if c.sameZone && zone[first] != zone[second] || c.sameCell && cell[first] != cell[second] {
+			t.Errorf("%s: first %s, then %s outside its group", c.class, first, second)
+		}
+	}
+}
+
+// A trial that its second copy outran must not block later trials.
+func TestOutrunTrialIsFollowedByAnother(t *testing.T) {
+	b := start(t, site(1), members(6))
+	s := b.servers["s00"]
+	b.eject(s)
+	now := s.health.until
+	if got := sentTo(t, b.Handle(now, ask("x", "free"))); got != "s00" {
+		t.Fatalf("trial went to %s", got)
+	}
+	b.Handle(now+100*ms, outcome("x", 0, "s00", Cancelled, 100*ms))
+	if s.health.trialOut {
+		t.Error("the trial still counts as out")
+	}
+	now = s.health.until
+	if got := sentTo(t, b.Handle(now, ask("y", "free"))); got != "s00" {
+		t.Errorf("next trial went to %s, want s00", got)
+	}
+}
+
+// A hung server that is full turns trials away at once: that must not invite the next trial.
+func TestFullTrialPutsTheNextOff(t *testing.T) {
+	b := start(t, site(1), members(6))
+	s := b.servers["s00"]
+	b.eject(s)
+	now := s.health.until
+	b.Handle(now, ask("x", "free"))
+	b.Handle(now+ms, outcome("x", 0, "s00", Full, ms))
+	if got := sentTo(t, b.Handle(now+2*ms, ask("y", "free"))); got == "s00" {
+		t.Error("tried again at once")
+	}
+}
+
+// A slow request at a server that answers others is no sign of a hang.
+func TestTimeOutAtAnAnsweringServerIsNoStrike(t *testing.T) {
+	b := start(t, site(1), members(6))
+	s := b.servers["s00"]
+	b.Handle(ms, ask("x", "once"))
+	s.lastDone = 100 * ms
+	b.Handle(600*ms, outcome("x", 0, "s00", TimedOut, 600*ms))
+	if s.health.score != 0 {
+		t.Errorf("score %v, want 0", s.health.score)
+	}
+}
+
+func TestRatesFollowRoom(t *testing.T) {
+	b := start(t, site(1), members(2))
+	for range 100 {
+		b.follow(false)
+	}
+	if b.pace >= 0.5 || b.pace < paceLeast {
+		t.Errorf("after 100 choices without room the scale is %v", b.pace)
+	}
+	was := b.pace
+	b.follow(true)
+	if b.pace != was {
+		t.Error("the scale rose though no bucket refused")
+	}
+	b.refused = true
+	b.follow(true)
+	if b.pace <= was {
+		t.Error("the scale did not rise though a bucket refused and there was room")
+	}
+}
+
+// A request that is held for long tells once that servers had no room, not at each look.
+func TestHeldRequestMovesTheRatesOnce(t *testing.T) {
+	b := start(t, site(1), members(1))
+	s := b.order[0]
+	s.threshold, s.felt, s.inflight = 1, true, 3
+	b.Handle(ms, ask("x", "free"))
+	was := b.pace
+	for now := 2 * ms; now < 80*ms; now += holdPoll {
+		b.Handle(now, Timer{Token: holdToken})
+	}
+	if len(b.held) != 1 || was >= 1 || b.pace != was {
+		t.Errorf("%d held, the scale went from %v to %v", len(b.held), was, b.pace)
+	}
+}
+
+// Nodes begin their walks apart, and a key has one home for all nodes of a zone.
+func TestStaggerAndHome(t *testing.T) {
+	firsts := map[string]bool{}
+	homes := map[string]bool{}
+	for n := range 6 {
+		set := site(6)
+		set.Node, set.WarmKeys = n, true
+		b := start(t, set, members(24))
+		firsts[b.order[0].Server] = true
+		homes[b.homes(&request{class: b.ranked[0], key: hash("acct/1")})[0].Server] = true
+	}
+	if len(firsts) < 5 {
+		t.Errorf("6 nodes begin at only %d servers", len(firsts))
+	}
+	if len(homes) != 1 {
+		t.Errorf("one key has %d homes", len(homes))
+	}
+}
+
+// A cold server gets a small part of what a warm one gets, over all nodes.
+func TestColdServerIsNotPushedOver(t *testing.T) {
+	list := members(8)
+	list[0].OnlineSince = 1000 * ms
+	const nodes = 8
+	sends, rate := 0, 0
+	for n := range nodes {
+		set := site(nodes)
+		set.Node = n
+		b := start(t, set, list)
+		for i := range 3000 {
+			now := 1000*ms + time.Duration(i)*ms
+			id := fmt.Sprint(i)
+			for _, a := range of(b.Handle(now, ask(id, "free")), Send) {
+				rate++
+				if a.Server == "s00" {
+					sends++
+				}
+				b.Handle(now, outcome(id, 0, a.Server, OK, ms))
+			}
+		}
+	}
+	if most := rate / len(list) / 2; sends > most || sends == 0 {
+		t.Errorf("%d of %d went to the cold server, want some but at most %d", sends, rate, most)
+	}
+}
+
+// When the list changes, the servers at the start of a node's walk change: new ones there must not keep
+// the small part that others' servers get, or a release leaves the node with nothing it may use.
+func TestServersThatBecomeOwnAreTrusted(t *testing.T) {
+	list := members(12)
+	b := start(t, site(12), list)
+	first := b.order[0].Server
+	b.Handle(ms, MemberList{Kind: ListUpdate, Members: []Member{{Server: first, Zone: "a", Availability: Draining}}})
+	for _, s := range b.order {
+		if s.own && s.threshold < b.start(s) {
+			t.Errorf("%s is the node's own with a threshold of %v, want at least %v", s.Server, s.threshold, b.start(s))
+		}
+	}
+	if b.order[0].Server == first || !b.order[0].own {
+		t.Errorf("walk begins at %s, own %v", b.order[0].Server, b.order[0].own)
+	}
+}
+
+// Servers that other nodes mostly use are learned of together: a node sees too little of each.
+func TestTrustInOthersIsLearnedTogether(t *testing.T) {
+	b := start(t, site(12), members(12))
+	var others []*server
+	for _, s := range b.order {
+		if !s.own {
+			others = append(others, s)
+		}
+	}
+	learn := func(code Code, n int) {
+		for range n {
+			b.learn(others[0], b.ranked[0], code, ms)
+		}
+	}
+	was := b.limit(others[1])
+	learn(OK, 40)
+	if b.limit(others[1]) <= was {
+		t.Error("good answers of one did not raise the limit of another")
+	}
+	raised := b.limit(others[1])
+	learn(Full, 10)
+	if b.limit(others[1]) < raised {
+		t.Error("full answers of one lowered the limit of another: they do no harm, the request goes elsewhere")
+	}
+	learn(TimedOut, 100)
+	if got := b.limit(others[1]); got != was {
+		t.Errorf("after many time-outs the limit is %v, want the %v of the start", got, was)
+	}
+	if own := b.order[0]; b.limit(own) != own.threshold {
+		t.Error("the node's own servers are scaled too")
+	}
+}
+
+// Where servers turn work away early, a full answer is cheap: nothing is refused unasked, the rates stay
+// at the shares and nobody is ejected for it. A late answer weighs against that, as does a hung server.
+func TestOffersWhereServersShedEarly(t *testing.T) {
+	b := start(t, site(1), members(2))
+	s := b.order[0]
+	for range 40 {
+		b.learn(s, b.ranked[0], Full, ms)
+		b.judge(&attempt{server: s}, OK)
+	}
+	if !b.shedEarly() {
+		t.Fatal("40 full answers and none late: not seen to shed early")
+	}
+	for _, s := range b.order {
+		s.inflight = 20
+	}
+	sentTo(t, b.Handle(ms, ask("x", "free")))
+	b.follow(false)
+	if b.pace != 1 {
+		t.Errorf("rates at %v of the shares", b.pace)
+	}
+	for range 10 {
+		b.judge(&attempt{server: s}, Full)
+	}
+	if s.health.out {
+		t.Error("ejected for full answers")
+	}
+	for range 120 {
+		b.learn(s, b.ranked[0], TimedOut, ms)
+	}
+	s.health.score = 0.4
+	for range 40 {
+		b.learn(s, b.ranked[0], Full, ms) // of a hung server: they don't count
+	}
+	if b.shedEarly() {
+		t.Error("still held to shed early after many time-outs")
+	}
+	if acts := b.Handle(2*ms, ask("y", "free")); len(of(acts, Send)) != 0 {
+		t.Error("sent past the crowd limit")
+	}
+}
+
+// Traffic far beyond the shares passes only while next to no answer is bad: other nodes may lack the room.
+func TestRatesFarOverTheSharesNeedGoodAnswers(t *testing.T) {
+	b := start(t, site(1), members(2))
+	grow := func() {
+		for range 200 {
+			b.refused = true
+			b.follow(true)
+		}
+	}
+	grow()
+	if b.pace != paceMost {
+		t.Errorf("with good answers the scale is %v, want %v", b.pace, paceMost)
+	}
+	for range 20 {
+		b.learn(b.order[0], b.ranked[0], TimedOut, ms)
+	}
+	grow()
+	if b.pace > paceShare*(1+paceGrow) {
+		t.Errorf("with bad answers the scale is %v, want about %v", b.pace, paceShare)
+	}
+}
+
+// Connections idle for as long as those that went unanswered are closed before a send; a server is not
+// blamed for what was lost on them. Short gaps, and a site whose sends all fail alike, change nothing.
+func TestConnectionsDroppedUnseenAreOpenedAnew(t *testing.T) {
+	b := start(t, site(1), members(2))
+	s, now := b.order[0], Time(0)
+	try := func(gap time.Duration, code Code) (closed int) {
+		now += gap
+		id := fmt.Sprint("r", now)
+		acts := slices.Clone(b.Handle(now, ask(id, "once")))
+		closed = len(of(acts, CloseIdle))
+		to := sentTo(t, acts)
+		if to != s.Server {
+			t.Fatalf("sent to %s", to)
+		}
+		now += 100 * ms
+		b.Handle(now, Outcome{ID: id, Server: to, Code: code, Latency: 100 * ms, Ended: code == OK})
+		return closed
+	}
+	for range 20 {
+		try(50*ms, OK)
+	}
+	for range 2 {
+		if try(900*ms, TimedOut) > 0 {
+			t.Fatal("closed before it was known")
+		}
+		try(50*ms, OK)
+	}
+	if s.health.score != 0 || s.health.out {
+		t.Errorf("the server has a score of %v", s.health.score)
+	}
+	if try(900*ms, OK) != 1 {
+		t.Error("not closed before a send on a connection that was idle for as long as the lost ones")
+	}
+	if try(50*ms, OK) != 0 {
+		t.Error("closed though it was in use")
+	}
+	closes := 0
+	for range 80 {
+		closes += try(900*ms, OK)
+	}
+	if closes == 80 {
+		t.Error("the suspicion never wears off")
+	}
+	try(900*ms, TimedOut)
+	for range 2 { // on a fresh connection now
+		try(50*ms, TimedOut)
+	}
+	if !s.health.out && s.health.score == 0 {
+		t.Error("a server silent on fresh connections isn't blamed")
+	}
+}
+
+// A key's second home takes over in the same order at every node of a zone.
+func TestSecondHomeTakesWhatTheFirstCannot(t *testing.T) {
+	seen := map[string]bool{}
+	for n := range 6 {
+		set := site(6)
+		set.Node, set.WarmKeys = n, true
+		b := start(t, set, members(24))
+		homes := b.homes(&request{class: b.ranked[0], key: hash("acct/1")})
+		homes[0].health.out = true
+		r := ask("x", "free")
+		r.Key = "acct/1"
+		seen[sentTo(t, b.Handle(time.Second, r))] = true
+		if homes[0] == homes[1] || homes[1] == homes[2] {
+			t.Error("a server is home twice")
+		}
+	}
+	if len(seen) != 1 {
+		t.Errorf("without its home the key goes to %d servers, want one", len(seen))
+	}
+}
+
+// Full answers of servers that jam are no sign that they shed early: the others they give time out.
+func TestJammedServersDontShedEarly(t *testing.T) {
+	b := start(t, site(1), members(2))
+	s := b.order[0]
+	for range 30 {
+		for range 9 {
+			b.learn(s, b.ranked[0], Full, ms)
+		}
+		b.learn(s, b.ranked[0], TimedOut, ms)
+		b.learn(s, b.ranked[0], OK, ms)
+		s.health.score = 0
+	}
+	if b.shedEarly() {
+		t.Error("held to shed early though half of the other answers time out")
+	}
+}
+
+// A second copy is for an attempt whose server has gone silent; one that answers others has a heavy
+// request, and a copy would be as heavy elsewhere.
+func TestOnlySilentServersAreHedged(t *testing.T) {
+	for _, silent := range []bool{true, false} {
+		b := start(t, site(1), members(4))
+		s := b.servers[sentTo(t, b.Handle(ms, ask("x", "free")))]
+		if !silent {
+			s.lastDone = 50 * ms
+		}
+		acts := b.Handle(240*ms, Timer{Token: watchToken})
+		if got := len(of(acts, Send)) == 1; got != silent {
+			t.Errorf("silent %v: second copy sent %v", silent, got)
+		}
+	}
+}
+
+// The rate to a cold server leaves one multiple of its capacity to chance, whatever multiple is allowed.
+func TestColdRateLeavesOneMultipleToChance(t *testing.T) {
+	for multiple, want := range map[float64]float64{1: 0.35, 2: 0.7, 3: 1.4} {
+		set := site(1)
+		set.Rules.FallMultiple, set.Rules.ColdShare, set.Rules.ColdFor = multiple, 0.5, time.Hour
+		b := start(t, set, members(1))
+		b.done, b.doneAt, b.now = 100, time.Second, time.Second // a hundred answers a second at one server
+		s := b.order[0]
+		s.OnlineSince = b.now
+		s.cold = coldBudget{last: b.now - 10*ms}
+		b.coldRoom(s)
+		if got, rate := s.cold.tokens, want*0.5*100*0.01; math.Abs(got-rate) > 0.01 {
+			t.Errorf("multiple %v: %v requests in 10 ms, want %v", multiple, got, rate)
+		}
+	}
+}
+
+// What all nodes together first trust a server with stays the same where nodes are few: four of each of
+// three nodes jam the first server in the order.
+func TestStartIsSharedByFewNodes(t *testing.T) {
+	for nodes := 1; nodes <= manyNodes; nodes++ {
+		b := start(t, site(nodes), members(4))
+		if all := b.order[0].threshold * float64(nodes); math.Abs(all-startFew) > 1e-9 {
+			t.Errorf("%d nodes: %v attempts in all, want %v", nodes, all, startFew)
+		}
+	}
+}
+
+// A failed call for the list, or a lost subscription, is repeated soon enough to count as asking, and not
+// by all nodes at once.
+func TestFailedListCallsAreRepeatedApart(t *testing.T) {
+	waits := map[time.Duration]bool{}
+	for n := range 8 {
+		set := site(8)
+		set.Node, set.Subscribe = n, true
+		b, err := New(set, 0, 7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(of(b.Handle(0, MemberList{Kind: ListRestored}), WatchList)) != 1 {
+			t.Fatal("no subscription at the start")
+		}
+		timers := of(b.Handle(ms, MemberList{Kind: ListUnavailable}), SetTimer)
+		if len(timers) != 1 || timers[0].Wait < askAgain/2 || timers[0].Wait > askAgain*3/2 {
+			t.Fatalf("after a failed call: %+v", timers)
+		}
+		waits[timers[0].Wait] = true
+		if len(of(b.Handle(time.Second, Timer{Token: timers[0].Token}), WatchList)) != 1 {
+			t.Error("not asked again")
+		}
+	}
+	if len(waits) < 8 {
+		t.Errorf("8 nodes wait only %d different times", len(waits))
+	}
+}
+
+// A hung server fills up: its full answers don't show that servers shed early.
+func TestFullAnswersOfSuspectsDontCount(t *testing.T) {
+	for score, want := range map[float64]bool{0: true, 0.4: false} {
+		b := start(t, site(1), members(2))
+		b.order[0].health.score = score
+		for range 40 {
+			b.learn(b.order[0], b.ranked[0], Full, ms)
+		}
+		if b.shedEarly() != want {
+			t.Errorf("with a score of %v: sheds early %v, want %v", score, !want, want)
+		}
+	}
+}
+
+// Offers after full answers cost a part of a further attempt, but only where servers shed early, nothing
+// ran, and the site states no budget.
+func TestOffersAreCheapWhereServersShedEarly(t *testing.T) {
+	for _, c := range []struct {
+		early, ran bool
+		budget     *Budget
+		want       int
+	}{
+		{early: true, want: 3}, // 20 times 0.15
+		{early: false, want: 20},
+		{early: true, ran: true, want: 20},
+		{early: true, budget: &Budget{Least: 50, Span: time.Second}, want: 20},
+	} {
+		set := site(1)
+		set.Rules.Attempts = c.budget
+		b := start(t, set, members(2))
+		if c.early {
+			b.fullPart = 1
+		}
+		r := &request{}
+		if c.ran {
+			r.ranOn = &attempt{}
+		}
+		for range 20 {
+			b.charge(r)
+		}
+		if got := len(b.extra); got < c.want-1 || got > c.want {
+			t.Errorf("%+v: %d attempts booked", c, got)
+		}
+	}
+}
--- /dev/null
+++ b/policy/settings.go
@@ -0,0 +1,90 @@
+package policy
+
+import (
+	"errors"
+	"fmt"
+	"math"
+)
+
+// validate says which of the settings makes no sense, if one does.
+func validate(set Settings) error {
+	if len(set.Classes) == 0 {
+		return errors.New("classes: there are none")
+	}
+	if set.Nodes < 1 || set.Node < 0 || set.Node >= set.Nodes {
+		return fmt.Errorf("node %d: outside the group of %d", set.Node, set.Nodes)
+	}
+	seen := make(map[string]bool)
+	for _, c := range set.Classes {
+		if err := validateClass(c); err != nil {
+			return fmt.Errorf("class %q: %w", c.Name, err)
+		}
+		if seen[c.Name] {
+			return fmt.Errorf("class %q: named twice", c.Name)
+		}
+		seen[c.Name] = true
+	}
+	for _, t := range set.Tenants {
+		if err := firstError(notBelowZero("quota", t.Quota), notBelowZero("share", t.Share)); err != nil {
+			return fmt.Errorf("tenant %q: %w", t.Name, err)
+		}
+	}
+	if err := validateRules(set.Rules); err != nil {
+		return fmt.Errorf("rules: %w", err)
+	}
+	a := set.Allowed
+	err := firstError(notBelowZero("max attempts", float64(a.MaxAttempts)),
+		notBelowZero("max retry-after", a.MaxRetryAfter.Seconds()),
+		notBelowZero("connection idle time", a.ConnIdle.Seconds()))
+	if err != nil {
+		return fmt.Errorf("allowed: %w", err)
+	}
+	return nil
+}
+
+func validateClass(c Class) error {
+	if c.Deadline <= 0 {
+		return errors.New("deadline: missing or negative")
+	}
+	return firstError(notBelowZero("aim", c.Aim.Seconds()), notBelowZero("aim stretch", c.AimStretch),
+		notBelowZero("window", c.Window.Seconds()), notBelowZero("late worth", c.LateWorth),
+		notBelowZero("worth", c.Worth))
+}
+
+func validateRules(r Rules) error {
+	err := firstError(notBelowZero("answer grace", r.AnswerGrace.Seconds()),
+		notBelowZero("drain grace", r.DrainGrace.Seconds()), notBelowZero("cold share", r.ColdShare),
+		notBelowZero("cold for", r.ColdFor.Seconds()), notBelowZero("fall multiple", r.FallMultiple),
+		notBelowZero("fall for", r.FallFor.Seconds()), notBelowZero("ask within", r.AskWithin.Seconds()))
+	if err != nil {
+		return err
+	}
+	if r.ColdShare > 1 {
+		return fmt.Errorf("cold share: want at most 1, got %v", r.ColdShare)
+	}
+	if r.Attempts == nil {
+		return nil
+	}
+	if r.Attempts.Span <= 0 {
+		return errors.New("attempt budget: span: missing or negative")
+	}
+	return firstError(notBelowZero("attempt budget: least", r.Attempts.Least),
+		notBelowZero("attempt budget: share", r.Attempts.Share))
+}
+
+// notBelowZero names a field whose figure is negative, infinite or no number.
+func notBelowZero(field string, v float64) error {
+	if v < 0 || math.IsNaN(v) || math.IsInf(v, 0) {
+		return fmt.Errorf("%s: want a figure of 0 or more, got %v", field, v)
+	}
+	return nil
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,130 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// The state that the decisions in policy.go keep; no decisions here.
+
+// Balancer is one node's decisions. It isn't safe for concurrent use. Make one with New.
+type Balancer struct {
+	set      Settings
+	now      Time
+	rng      *rand.Rand
+	out      []Action
+	classes  map[string]*class
+	tenants  map[string]Limit
+	ranked   []*class // in the order of the settings
+	other    *Limit   // for tenants without a quota; nil: no limit
+	buckets  map[bucketKey]*bucket
+	pace     float64 // scale of all bucket rates
+	trust    float64 // scale of the thresholds of servers that other nodes mostly use
+	fullPart float64 // part of full answers among the bad ones lately
+	bad      float64 // part of bad answers lately
+	lost     float64 // part of time-outs among all but full answers lately
+	refused  bool    // a bucket refused since the last choice
+	servers  map[string]*server
+	pool         // all servers in service
+	zones    int // zones that have servers
+	reqs     map[string]*request
+	held     []*request // waiting for a usable server, oldest first
+	holding  bool       // the hold timer is set
+	budget   Budget     // of attempts beyond the first of each request
+	owed     float64    // part of an attempt not yet booked
+	took     []Time     // requests taken in the span of the budget of attempts, oldest first
+	extra    []Time     // attempts beyond a request's first in it
+	done     float64    // answers a second, as of doneAt
+	doneAt   Time
+	silent   [6]float64 // part of sends unanswered, by how long the connection was idle, in octaves
+}
+
+// pool is a set of servers in packing order.
+type pool struct {
+	order   []*server // own zone first, each part in id order
+	zoned   int       // servers of order in the own zone
+	ejected int       // servers of order that are ejected
+}
+
+// class is a request class with what was learned of it.
+type class struct {
+	Class
+	open    *pool // the servers that it may be sent to
+	index   int
+	tail    time.Duration // estimate of a high quantile of its latency
+	watched []watch       // attempts to look at when they are slow, oldest first
+	armed   bool          // the timer for the head of watched is set
+}
+
+// server is one listed server as this node sees it.
+type server struct {
+	Member
+	hash      uint64
+	safest    Repeat  // of the classes that it is open to: those give the trials
+	inflight  int     // this node's attempts out
+	threshold float64 // packing threshold, in attempts in flight
+	own       bool    // at the start of this node's own walk
+	felt      bool    // the threshold was cut at least once
+	used      []Time  // when so many connections were last in use
+	lastSend  Time
+	lastDone  Time    // when it last answered anything
+	latency   float64 // mean latency of its answers, in seconds
+	health    health
+	cold      coldBudget
+}
+
+// request is one client request until its answer is given and its attempts are over.
+type request struct {
+	id       string
+	class    *class
+	deadline Time
+	worthTo  Time   // later answers earn nothing
+	giveUp   Time   // when it is refused if still held
+	key      uint64 // hash of what the request is about; 0 for none
+	attempts []attempt
+	pending  int
+	ranOn    *attempt // the first attempt that may have run
+	ended    bool     // the final answer is given
+	stream   bool     // the answer has begun
+	held     bool     // it waited for a server at least once
+}
+
+type attempt struct {
+	server *server
+	sent   Time
+	over   bool
+	notRun bool // an outcome proved that it never ran
+	trial  bool
+	idle   int // octave of the time that its connection was idle; 0 for one in use
+}
+
+type bucketKey struct{ tenant, class string }
+
+// bucket holds whole tokens and the time they were last added.
+type bucket struct {
+	tokens int64
+	last   Time
+}
+
+// watch is one attempt to look at when it has been out for long.
+type watch struct {
+	req     *request
+	attempt int
+	due     Time
+}
+
+// health is the state of one server's circuit breaker.
+type health struct {
+	score    float64
+	out      bool // ejected, or half-open once until has passed
+	until    Time
+	times    int // ejections in a row
+	trials   int // good trials in a row
+	trialOut bool
+}
+
+// coldBudget is a token bucket in fractions, which fills as fast as this node may send.
+type coldBudget struct {
+	tokens float64
+	last   Time
+}
