--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,154 @@
+// Package node puts the decision module on real sockets. It decides nothing: events go in to a
+// policy.Balancer, and the actions that come out are carried out.
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"cobaltward/internal/wire"
+	"cobaltward/policy"
+)
+
+// Config is all that a node is told at its start.
+type Config struct {
+	Name      string
+	Listen    string // the only address to listen on
+	Discovery string
+	Seed      uint64
+	Cores     float64
+	MemoryMB  int64
+	Sockets   int
+	Known     list // the servers as this node last had them, perhaps stale
+	Settings  policy.Settings
+
+	// Figures of the settings that bind the node and not the module.
+	MaxOpen        int           // unanswered requests; 0: no limit
+	ConnectTimeout time.Duration // for a new connection to a server
+}
+
+// leastSockets is what a node can work with at all: a few for itself, and some for each side.
+const leastSockets = 64
+
+// defaultConnectTimeout stands in where the settings name none.
+const defaultConnectTimeout = 250 * time.Millisecond
+
+// LoadConfig reads the file that ROUTER_CONFIG names. The other variables, where set, go before what
+// the file says. Errors name the field.
+func LoadConfig(getenv func(string) string) (Config, error) {
+	path := getenv("ROUTER_CONFIG")
+	if path == "" {
+		return Config{}, errors.New("ROUTER_CONFIG: not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	c, err := parseConfig(raw)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	for name, field := range map[string]*string{
+		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery,
+	} {
+		if v := getenv(name); v != "" {
+			*field = v
+		}
+	}
+	if err := checkAddress(c.Listen); err != nil {
+		return Config{}, fmt.Errorf("configuration: listen: %w", err)
+	}
+	if err := checkAddress(c.Discovery); err != nil {
+		return Config{}, fmt.Errorf("configuration: discovery: %w", err)
+	}
+	return c, nil
+}
+
+func parseConfig(raw []byte) (Config, error) {
+	var f struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        struct {
+			Cores    float64
+			MemoryMB float64 `json:"memory_mb"`
+			Sockets  int
+		}
+		Known    json.RawMessage
+		Settings json.RawMessage
+	}
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return Config{}, err // encoding/json names the field
+	}
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil {
+		return Config{}, fmt.Errorf("seed: want up to 16 hexadecimal digits, got %q", f.Seed)
+	}
+	switch l := f.Limits; {
+	case !(l.Cores > 0) || l.Cores > 1024:
+		return Config{}, fmt.Errorf("limits.cores: want more than 0, got %v", l.Cores)
+	case !(l.MemoryMB >= 1) || l.MemoryMB > math.MaxInt32:
+		return Config{}, fmt.Errorf("limits.memory_mb: want 1 or more, got %v", l.MemoryMB)
+	case l.Sockets < leastSockets:
+		return Config{}, fmt.Errorf("limits.sockets: want %d or more, got %d", leastSockets, l.Sockets)
+	}
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Seed: seed,
+		Cores: f.Limits.Cores, MemoryMB: int64(f.Limits.MemoryMB), Sockets: f.Limits.Sockets}
+	if len(f.Known) > 0 { // a node that never had a list has none to restore
+		if c.Known, err = parseList(f.Known); err != nil {
+			return Config{}, fmt.Errorf("known: %w", err)
+		}
+	}
+	if len(f.Settings) == 0 {
+		return Config{}, errors.New("settings: missing")
+	}
+	if c.Settings, err = wire.ParseSettings(f.Settings); err != nil {
+		return Config{}, fmt.Errorf("settings.%w", err)
+	}
+	if _, err := policy.New(c.Settings, 0, 0); err != nil { // the module checks what it is given
+		return Config{}, fmt.Errorf("settings: %w", err)
+	}
+	err = nodeLimits(f.Settings, &c)
+	return c, err
+}
+
+// nodeLimits reads those settings that the module leaves to its host.
+func nodeLimits(settings []byte, c *Config) error {
+	var s struct {
+		Limits struct {
+			MaxOpen        float64 `json:"maxOpen"`
+			ConnectTimeout float64 `json:"connectTimeout"`
+		} `json:"limits"`
+	}
+	if err := json.Unmarshal(settings, &s); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	switch l := s.Limits; {
+	case l.MaxOpen < 0 || l.MaxOpen > math.MaxInt32:
+		return fmt.Errorf("settings.limits.maxOpen: want 0 or more, got %v", l.MaxOpen)
+	case l.ConnectTimeout < 0 || l.ConnectTimeout > math.MaxInt32:
+		return fmt.Errorf("settings.limits.connectTimeout: want 0 or more, got %v", l.ConnectTimeout)
+	}
+	c.MaxOpen, c.ConnectTimeout = int(s.Limits.MaxOpen), millis(s.Limits.ConnectTimeout)
+	if c.ConnectTimeout == 0 {
+		c.ConnectTimeout = defaultConnectTimeout
+	}
+	return nil
+}
+
+func checkAddress(addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return fmt.Errorf("want host:port, got %q", addr)
+	}
+	if _, err := strconv.ParseUint(port, 10, 16); err != nil || host == "" {
+		return fmt.Errorf("want host:port, got %q", addr)
+	}
+	return nil
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/internal/node/discovery.go
@@ -0,0 +1,230 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"cobaltward/policy"
+)
+
+const (
+	watchWait   = 5 * time.Second // a silent discovery is noticed soon after
+	watchGrace  = 2 * time.Second // beyond watchWait, the call has failed
+	backoffMin  = 50 * time.Millisecond
+	backoffMax  = time.Second
+	maxListSize = 8 << 20 // bytes of one answer; a longer one isn't a list
+)
+
+// list is the whole list of servers, or what changed in it.
+type list struct {
+	Revision int64
+	Complete bool
+	Members  []member
+}
+
+// member is one entry; UpSince is in Unix milliseconds, and 0 means long ago.
+type member struct {
+	policy.Member
+	Addr    string
+	UpSince int64
+}
+
+var phases = map[string]policy.Availability{
+	"up": policy.Running, "draining": policy.Draining, "removed": policy.Removed,
+}
+
+// parseList reads discovery's form. A list with one bad entry is bad as a whole: what it would
+// otherwise leave out might be a drain.
+func parseList(raw []byte) (list, error) {
+	var f struct {
+		Revision *int64
+		Complete bool
+		Members  []struct {
+			ID       string
+			HostPort string `json:"host_port"`
+			Locality string
+			Flavor   string
+			Cell     int64
+			Phase    string
+			Size     *float64
+			UpSince  float64 `json:"up_since_ms"`
+		}
+	}
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return list{}, err
+	}
+	if f.Revision == nil {
+		return list{}, errors.New("revision: missing")
+	}
+	l := list{Revision: *f.Revision, Complete: f.Complete}
+	for i, e := range f.Members {
+		phase, ok := phases[e.Phase]
+		switch {
+		case e.ID == "":
+			return list{}, fmt.Errorf("members[%d].id: missing", i)
+		case !ok:
+			return list{}, fmt.Errorf("members[%d].phase: unknown word %q", i, e.Phase)
+		case !(e.UpSince >= 0 && e.UpSince < 1<<53):
+			return list{}, fmt.Errorf("members[%d].up_since_ms: out of range", i)
+		}
+		if phase != policy.Removed {
+			if err := checkAddress(e.HostPort); err != nil {
+				return list{}, fmt.Errorf("members[%d].host_port: %w", i, err)
+			}
+		}
+		m := member{Addr: e.HostPort, UpSince: int64(e.UpSince), Member: policy.Member{Server: e.ID,
+			Zone: e.Locality, Kind: e.Flavor, Cell: e.Cell, Weight: 1, Availability: phase}}
+		if e.Size != nil {
+			m.Weight = *e.Size
+		}
+		l.Members = append(l.Members, m)
+	}
+	return l, nil
+}
+
+// news is what discovery has to tell the loop.
+type news struct {
+	kind    policy.ListKind
+	members []member
+}
+
+// discovery watches the list of servers from a connection of its own.
+type discovery struct {
+	url       string
+	client    *http.Client
+	subscribe bool // watch only when the module has asked, and tell it of failures
+	revision  int64
+	asks      chan bool // the module's newest wish to be kept told
+	tell      func(any)
+}
+
+func newDiscovery(c Config, tell func(any)) *discovery {
+	return &discovery{
+		url: "http://" + c.Discovery + "/registry/instances", subscribe: c.Settings.Subscribe,
+		revision: c.Known.Revision, asks: make(chan bool, 1), tell: tell,
+		client: &http.Client{
+			// A Transport of its own, so neither a proxy nor the requests share its connection.
+			Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 1,
+				DialContext: (&net.Dialer{Timeout: watchGrace}).DialContext},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// ask passes the module's wish on; a newer one takes the place of one not yet heard. Only the loop
+// calls it, and it never blocks.
+func (d *discovery) ask(on bool) {
+	select {
+	case <-d.asks:
+	default:
+	}
+	d.asks <- on
+}
+
+// run watches until ctx ends.
+func (d *discovery) run(ctx context.Context) {
+	defer d.client.CloseIdleConnections()
+	watching, backoff := !d.subscribe, time.Duration(0)
+	for ctx.Err() == nil {
+		if d.subscribe {
+			watching = d.heed(ctx, watching)
+		}
+		if !watching {
+			continue
+		}
+		l, err := d.watch(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err == nil:
+			backoff = 0
+			d.learn(l)
+		case d.subscribe: // the module says when to try again
+			slog.Warn("discovery: a watch failed", "err", err)
+			watching = false
+			d.tell(news{kind: policy.ListUnavailable})
+		default: // pushed lists: the last one stays, and the module need not know
+			if backoff == 0 {
+				slog.Warn("discovery: out of reach, keeping the last list", "err", err)
+			}
+			backoff = min(backoffMax, max(backoffMin, 2*backoff))
+			pause(ctx, backoff)
+		}
+	}
+}
+
+// heed takes the module's newest wish; it waits for one only while there is nothing to watch.
+func (d *discovery) heed(ctx context.Context, watching bool) bool {
+	if watching {
+		select {
+		case on := <-d.asks:
+			return on
+		default:
+			return true
+		}
+	}
+	select {
+	case on := <-d.asks:
+		return on
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// watch makes one call, which waits for something newer than the revision held.
+func (d *discovery) watch(ctx context.Context) (list, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
+	defer cancel()
+	url := fmt.Sprintf("%s?index=%d&wait=%d", d.url, d.revision, watchWait.Milliseconds())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return list{}, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return list{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return list{}, fmt.Errorf("answered %s", resp.Status)
+	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxListSize+1))
+	if err != nil {
+		return list{}, err
+	}
+	if len(raw) > maxListSize {
+		return list{}, fmt.Errorf("the list is over %d bytes", maxListSize)
+	}
+	l, err := parseList(raw)
+	if err != nil {
+		return list{}, fmt.Errorf("malformed list skipped: %w", err)
+	}
+	return l, nil
+}
+
+// learn passes on what a watch brought. An empty delta is told only where the module awaits an answer.
+func (d *discovery) learn(l list) {
+	d.revision = l.Revision
+	switch {
+	case l.Complete:
+		d.tell(news{policy.ListReplace, l.Members})
+	case len(l.Members) > 0 || d.subscribe:
+		d.tell(news{policy.ListUpdate, l.Members})
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -124,6 +124,18 @@
 	worths = map[string]bool{"": false, "request": false, "work": true}
 )
 
+// ParseSettings reads the settings object on its own, as a node's configuration holds it.
+func ParseSettings(raw []byte) (policy.Settings, error) {
+	v, err := fastjson.ParseBytes(raw)
+	if err != nil {
+		return policy.Settings{}, fmt.Errorf("not JSON: %w", firstLine(err))
+	}
+	if v.Type() != fastjson.TypeObject {
+		return policy.Settings{}, fmt.Errorf("want an object, got %s", v.Type())
+	}
+	return settings(v)
+}
+
 // settings reads the object of a configure message.
 func settings(conf *fastjson.Value) (policy.Settings, error) {
 	var err error
