--- a/cmd/wayhold/main.go
+++ b/cmd/wayhold/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -20,18 +21,25 @@
 
 func main() {
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	c, err := node.LoadConfig(os.Getenv)
-	if err != nil {
+	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "wayhold:", err)
 		os.Exit(1)
 	}
+}
+
+func run() error {
+	c, err := node.LoadConfig(os.Getenv)
+	if err != nil {
+		return err
+	}
 	debug.SetMemoryLimit(int64(heapPart * float64(c.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(int(max(1, math.Ceil(c.Cores))))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	slog.Info("starting", "name", c.Name, "listen", c.Listen, "servers", len(c.Known.Members))
-	if err := node.Run(ctx, c); err != nil {
-		fmt.Fprintln(os.Stderr, "wayhold:", err)
-		os.Exit(1)
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
 	}
+	slog.Info("listening", "name", c.Name, "address", listener.Addr(), "servers", len(c.Known.Members))
+	return node.Run(ctx, c, listener)
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -98,13 +98,13 @@
 	}
 	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Seed: seed,
 		Cores: f.Limits.Cores, MemoryMB: int64(f.Limits.MemoryMB), Sockets: f.Limits.Sockets}
-	if len(f.Known) > 0 { // a node that never had a list has none to restore
-		if c.Known, err = parseList(f.Known); err != nil {
-			return Config{}, fmt.Errorf("known: %w", err)
+	for name, field := range map[string]json.RawMessage{"known": f.Known, "settings": f.Settings} {
+		if len(field) == 0 {
+			return Config{}, fmt.Errorf("%s: missing", name)
 		}
 	}
-	if len(f.Settings) == 0 {
-		return Config{}, errors.New("settings: missing")
+	if c.Known, err = parseList(f.Known); err != nil {
+		return Config{}, fmt.Errorf("known: %w", err)
 	}
 	if c.Settings, err = wire.ParseSettings(f.Settings); err != nil {
 		return Config{}, fmt.Errorf("settings.%w", err)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -41,11 +41,16 @@
 	return max(0, timeOrigin-time.Duration(ago)*time.Millisecond)
 }
 
+// module is the policy.Balancer.
+type module interface {
+	Handle(now policy.Time, ev policy.Event) []policy.Action
+}
+
 // loop owns the module, the open requests and the timers, in one goroutine. All else sends it events;
 // it waits for nothing but the next of them.
 type loop struct {
 	clock   clock
-	module  *policy.Balancer
+	module  module
 	allowed policy.Allowed
 	maxOpen int
 	up      *upstream
@@ -65,6 +70,7 @@
 type request struct {
 	*exchange
 	deadline policy.Time
+	backstop *timer
 	ended    bool
 	attempts []attempt
 	pending  int
@@ -89,11 +95,11 @@
 )
 
 func newLoop(c Config, ck clock, up *upstream) (*loop, error) {
-	module, err := policy.New(c.Settings, ck.now(), c.Seed)
+	balancer, err := policy.New(c.Settings, ck.now(), c.Seed)
 	if err != nil {
 		return nil, err
 	}
-	l := &loop{clock: ck, module: module, allowed: c.Settings.Allowed, maxOpen: c.MaxOpen, up: up,
+	l := &loop{clock: ck, module: balancer, allowed: c.Settings.Allowed, maxOpen: c.MaxOpen, up: up,
 		events: make(chan any, eventBuffer), done: make(chan struct{}), ready: make(chan struct{}),
 		requests: make(map[string]*request)}
 	l.disc = newDiscovery(c, l.send)
@@ -143,14 +149,11 @@
 // fire handles the timers that are due.
 func (l *loop) fire(ctx context.Context) {
 	for now := l.clock.now(); len(l.timers) > 0 && l.timers[0].due <= now; {
-		t := heap.Pop(&l.timers).(timer)
-		if t.backstop == nil {
+		t := heap.Pop(&l.timers).(*timer)
+		if r := t.backstop; r == nil {
 			l.tell(ctx, policy.Timer{Token: t.token})
-		} else if r := t.backstop; !r.ended {
-			// The module has said nothing: the client gets its one answer all the same.
-			l.answer(r, answer{status: http.StatusGatewayTimeout})
-			l.tell(ctx, policy.Lapsed{ID: r.req.ID})
-			l.drop(r)
+		} else {
+			l.fail(ctx, r, http.StatusGatewayTimeout) // the module has said nothing
 		}
 	}
 }
@@ -173,8 +176,7 @@
 	case finish:
 		for _, r := range l.requests {
 			if !r.ended {
-				l.answer(r, answer{status: http.StatusBadGateway})
-				l.tell(ctx, policy.Lapsed{ID: r.req.ID})
+				l.fail(ctx, r, http.StatusBadGateway)
 			}
 		}
 	}
@@ -194,7 +196,8 @@
 	r := &request{exchange: x, deadline: end - margin}
 	l.requests[x.req.ID] = r
 	l.owed++
-	heap.Push(&l.timers, timer{due: end - margin/2, backstop: r})
+	r.backstop = &timer{due: end - margin/2, backstop: r}
+	heap.Push(&l.timers, r.backstop)
 	req := x.req
 	req.ExpiresIn = max(0, r.deadline-l.clock.now())
 	l.tell(ctx, req)
@@ -262,7 +265,7 @@
 			r.attempts[a.Attempt].cancel()
 		}
 	case policy.SetTimer:
-		heap.Push(&l.timers, timer{due: l.clock.now() + a.Wait, token: a.Token})
+		heap.Push(&l.timers, &timer{due: l.clock.now() + a.Wait, token: a.Token})
 	case policy.CloseIdle:
 		l.up.closeIdle(a.Server)
 	case policy.WatchList:
@@ -314,9 +317,19 @@
 	}
 }
 
+// fail gives the client its one answer where the module has none in time, and tells it so.
+func (l *loop) fail(ctx context.Context, r *request, status int) {
+	l.answer(r, answer{status: status})
+	l.tell(ctx, policy.Lapsed{ID: r.req.ID})
+	l.drop(r)
+}
+
 func (l *loop) close(r *request) {
 	r.ended = true
 	l.owed--
+	if r.backstop.at >= 0 { // else it would keep the request until a deadline that may be far off
+		heap.Remove(&l.timers, r.backstop.at)
+	}
 }
 
 // drop forgets a request that is answered and has no attempt out.
@@ -331,19 +344,28 @@
 	due      policy.Time
 	token    uint64
 	backstop *request
+	at       int // its place among the timers; -1 once it is out
 }
 
-type timers []timer
+type timers []*timer
 
 func (t timers) Len() int           { return len(t) }
 func (t timers) Less(i, j int) bool { return t[i].due < t[j].due }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].at, t[j].at = i, j
+}
+
+func (t *timers) Push(x any) {
+	x.(*timer).at = len(*t)
+	*t = append(*t, x.(*timer))
+}
 
 func (t *timers) Pop() any {
 	last := len(*t) - 1
 	x := (*t)[last]
-	(*t)[last] = timer{}
+	x.at, (*t)[last] = -1, nil
 	*t = (*t)[:last]
 	return x
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,20 +6,22 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"sync"
 	"time"
+
+	"golang.org/x/net/netutil"
 )
 
 const (
 	ownSockets   = 32                     // descriptors for the log, discovery, the runtime and the like
 	acceptFor    = 500 * time.Millisecond // after the signal to stop, while clients still come
 	longestDrain = 3 * time.Second        // no client waits longer once a node is told to stop
+	lastAnswers  = 100 * time.Millisecond // for what is failed then to reach its clients
 )
 
-// Run serves until ctx ends, then drains: it goes on accepting for a moment, answers what it has
-// taken, and returns.
-func Run(ctx context.Context, c Config) error {
+// Run serves clients on the listener until ctx ends. Then it goes on accepting for a moment, answers
+// what it has taken, and returns.
+func Run(ctx context.Context, c Config, listener net.Listener) error {
 	ck := clock{start: time.Now()}
 	// Each request in hand needs a descriptor on either side.
 	side := (c.Sockets - ownSockets) / 2
@@ -29,10 +31,6 @@
 	if err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
 	s := newServer(c, l, side)
 	s.http.ErrorLog = slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn)
 
@@ -44,6 +42,9 @@
 	parts.Go(func() { l.disc.run(running) })
 
 	failed := make(chan error, 1)
+	// The server refuses requests on connections over its side; the listener makes sure that even
+	// clients who connect and say nothing leave the servers' side its descriptors.
+	listener = netutil.LimitListener(listener, side+ownSockets/2)
 	parts.Go(func() { failed <- s.http.Serve(listener) })
 	select {
 	case err := <-failed:
@@ -63,14 +64,13 @@
 	for _, class := range c.Settings.Classes {
 		longest = max(longest, class.Deadline)
 	}
-	late := time.AfterFunc(min(longest, longestDrain), func() { s.loop.send(finish{}) })
+	longest = min(longest, longestDrain)
+	late := time.AfterFunc(longest, func() { s.loop.send(finish{}) })
 	defer late.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), longestDrain+100*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), longest+lastAnswers)
 	defer cancel()
 	if err := s.http.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return err
 	}
 	return s.http.Close()
 }
-
-var _ http.Handler = (*server)(nil)
