--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -72,17 +72,20 @@
 
 func parseConfig(raw []byte) (Config, error) {
 	var f struct {
-		Name, Listen, Discovery, Seed string
-		Limits                        struct {
-			Cores    float64
+		Name      string `json:"name"`
+		Listen    string `json:"listen"`
+		Discovery string `json:"discovery"`
+		Seed      string `json:"seed"`
+		Limits    struct {
+			Cores    float64 `json:"cores"`
 			MemoryMB float64 `json:"memory_mb"`
-			Sockets  int
-		}
-		Known    json.RawMessage
-		Settings json.RawMessage
+			Sockets  int     `json:"sockets"`
+		} `json:"limits"`
+		Known    json.RawMessage `json:"known"`
+		Settings json.RawMessage `json:"settings"`
 	}
-	if err := json.Unmarshal(raw, &f); err != nil {
-		return Config{}, err // encoding/json names the field
+	if err := unmarshal(raw, &f); err != nil {
+		return Config{}, err
 	}
 	seed, err := strconv.ParseUint(f.Seed, 16, 64)
 	if err != nil {
@@ -124,8 +127,8 @@
 			ConnectTimeout float64 `json:"connectTimeout"`
 		} `json:"limits"`
 	}
-	if err := json.Unmarshal(settings, &s); err != nil {
-		return fmt.Errorf("settings: %w", err)
+	if err := unmarshal(settings, &s); err != nil {
+		return fmt.Errorf("settings.%w", err)
 	}
 	switch l := s.Limits; {
 	case l.MaxOpen < 0 || l.MaxOpen > math.MaxInt32:
@@ -140,6 +143,15 @@
 	return nil
 }
 
+// unmarshal names the field that can't be read as the configuration and the protocol name it.
+func unmarshal(raw []byte, to any) error {
+	err := json.Unmarshal(raw, to)
+	if bad := (*json.UnmarshalTypeError)(nil); errors.As(err, &bad) && bad.Field != "" {
+		return fmt.Errorf("%s: want %s, got %s", bad.Field, bad.Type, bad.Value)
+	}
+	return err
+}
+
 func checkAddress(addr string) error {
 	host, port, err := net.SplitHostPort(addr)
 	if err != nil {
--- /dev/null
+++ b/internal/node/config_test.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const goodConfig = `{"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+	"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":KNOWN,"settings":SETTINGS}`
+
+func configFile(t *testing.T, text string) func(string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	text = strings.NewReplacer("KNOWN", knownList("127.0.0.1:9"), "SETTINGS", testSettings).Replace(text)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return func(name string) string {
+		return map[string]string{"ROUTER_CONFIG": path, "ROUTER_LISTEN": "127.0.0.1:1"}[name]
+	}
+}
+
+func TestLoadsConfig(t *testing.T) {
+	c, err := LoadConfig(configFile(t, goodConfig))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n3" || c.Listen != "127.0.0.1:1" || c.Discovery != "127.0.0.1:8500" || c.Seed != 0x8c1f30d27a5be964 ||
+		c.MemoryMB != 192 || c.Sockets != 1024 || c.MaxOpen != 100 || c.ConnectTimeout != 2*time.Second ||
+		len(c.Known.Members) != 1 || c.Known.Revision != 7 || c.Settings.Zone != "a" {
+		t.Errorf("got %+v", c)
+	}
+}
+
+func TestBadConfigNamesTheField(t *testing.T) {
+	if _, err := LoadConfig(func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), "ROUTER_CONFIG") {
+		t.Errorf("no file: %v", err)
+	}
+	for _, c := range []struct{ old, new, want string }{
+		{`"seed":"8c1f30d27a5be964"`, `"seed":"xyz"`, "seed"},
+		{`"seed"`, `"other"`, "seed"},
+		{`"cores":1.0`, `"cores":0`, "limits.cores"},
+		{`"memory_mb":192`, `"memory_mb":-1`, "limits.memory_mb"},
+		{`"sockets":1024`, `"sockets":3`, "limits.sockets"},
+		{`"sockets":1024`, `"sockets":"x"`, "limits.sockets"},
+		{`"discovery":"127.0.0.1:8500"`, `"discovery":"nowhere"`, "discovery"},
+		{`"known":KNOWN`, `"known":{"members":[]}`, "known: revision"},
+		{`"known":KNOWN,`, ``, "known: missing"},
+		{`,"settings":SETTINGS`, ``, "settings: missing"},
+		{`SETTINGS`, `[]`, "settings"},
+		{`SETTINGS`, `{"groupSize":1}`, "classes"},
+		{`SETTINGS`, strings.Replace(testSettings, `"deadline":9000`, `"deadline":"x"`, 1), "services[0].deadline"},
+		{`SETTINGS`, strings.Replace(testSettings, `"maxOpen":100`, `"maxOpen":-1`, 1), "maxOpen"},
+		{`SETTINGS`, strings.Replace(testSettings, `"connectTimeout":2000`, `"connectTimeout":-1`, 1), "connectTimeout"},
+		{`{`, ``, ""},
+	} {
+		_, err := LoadConfig(configFile(t, strings.Replace(goodConfig, c.old, c.new, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s for %s: got %v, want one line that names %q", c.new, c.old, err, c.want)
+		}
+	}
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -44,20 +43,20 @@
 // otherwise leave out might be a drain.
 func parseList(raw []byte) (list, error) {
 	var f struct {
-		Revision *int64
-		Complete bool
+		Revision *int64 `json:"revision"`
+		Complete bool   `json:"complete"`
 		Members  []struct {
-			ID       string
-			HostPort string `json:"host_port"`
-			Locality string
-			Flavor   string
-			Cell     int64
-			Phase    string
-			Size     *float64
-			UpSince  float64 `json:"up_since_ms"`
-		}
-	}
-	if err := json.Unmarshal(raw, &f); err != nil {
+			ID       string   `json:"id"`
+			HostPort string   `json:"host_port"`
+			Locality string   `json:"locality"`
+			Flavor   string   `json:"flavor"`
+			Cell     int64    `json:"cell"`
+			Phase    string   `json:"phase"`
+			Size     *float64 `json:"size"`
+			UpSince  float64  `json:"up_since_ms"`
+		} `json:"members"`
+	}
+	if err := unmarshal(raw, &f); err != nil {
 		return list{}, err
 	}
 	if f.Revision == nil {
--- /dev/null
+++ b/internal/node/discovery_test.go
@@ -0,0 +1,126 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"cobaltward/policy"
+)
+
+func entry(id, phase string) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":"127.0.0.1:9","phase":%q,"up_since_ms":0}`, id, phase)
+}
+
+func delta(revision int, entries ...string) string {
+	return fmt.Sprintf(`{"revision":%d,"complete":false,"members":[%s]}`, revision, strings.Join(entries, ","))
+}
+
+// watched plays answers to the calls in turn, then holds the rest, and returns what discovery told
+// and the queries that it made. An answer that is no JSON object is sent with status 503.
+func watched(t *testing.T, subscribe bool, answers ...string) (d *discovery, told chan news, queries chan string) {
+	t.Helper()
+	queries, told = make(chan string, 100), make(chan news, 100)
+	calls := make(chan string, len(answers))
+	for _, a := range answers {
+		calls <- a
+	}
+	addr := httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+		queries <- r.URL.Query().Get("index")
+		select {
+		case a := <-calls:
+			if !strings.HasPrefix(a, "{") {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			_, _ = io.WriteString(w, a)
+		default:
+			<-r.Context().Done()
+		}
+	})
+	c := testConfig(t, knownList("127.0.0.1:9"))
+	c.Discovery, c.Settings.Subscribe = addr, subscribe
+	d = newDiscovery(c, func(ev any) { told <- ev.(news) })
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { d.run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); receive(t, "the end of discovery", ended) })
+	return d, told, queries
+}
+
+func indexes(t *testing.T, queries chan string, want ...string) {
+	t.Helper()
+	for i, w := range want {
+		if got := receive(t, "a call", queries); got != w {
+			t.Errorf("call %d asked for what is newer than %s, want %s", i, got, w)
+		}
+	}
+}
+
+func TestDeltasComeInOrder(t *testing.T) {
+	_, told, queries := watched(t, false, delta(8, entry("s1", "up")), delta(9), delta(10, entry("s1", "draining")),
+		`{"revision":11,"complete":true,"members":[`+entry("s2", "up")+`]}`)
+	for i, want := range []struct {
+		kind   policy.ListKind
+		server string
+		phase  policy.Availability
+	}{{policy.ListUpdate, "s1", policy.Running}, {policy.ListUpdate, "s1", policy.Draining},
+		{policy.ListReplace, "s2", policy.Running}} {
+		n := receive(t, "news", told)
+		if n.kind != want.kind || len(n.members) != 1 || n.members[0].Server != want.server ||
+			n.members[0].Availability != want.phase {
+			t.Errorf("news %d: %+v", i, n)
+		}
+	}
+	indexes(t, queries, "7", "8", "9", "10", "11")
+}
+
+// A pushed list that can't be had, or read, leaves the last one in force, and says nothing.
+func TestFailuresKeepTheLastList(t *testing.T) {
+	_, told, queries := watched(t, false, "down", `{"revision":`, delta(9, entry("s1", "odd")), `{"members":[]}`,
+		delta(8, entry("s1", "up")))
+	if n := receive(t, "news", told); n.kind != policy.ListUpdate || n.members[0].Server != "s1" {
+		t.Errorf("news %+v", n)
+	}
+	indexes(t, queries, "7", "7", "7", "7", "7", "8")
+	if len(told) != 0 {
+		t.Errorf("told also %+v", <-told)
+	}
+}
+
+// Where lists are asked for, the module says when, and hears of each failure once.
+func TestAskedListsTellFailures(t *testing.T) {
+	d, told, queries := watched(t, true, "down", delta(8, entry("s1", "up")), delta(8))
+	d.ask(true)
+	if n := receive(t, "the failure", told); n.kind != policy.ListUnavailable {
+		t.Errorf("news %+v", n)
+	}
+	indexes(t, queries, "7")
+	if len(queries) != 0 {
+		t.Error("called again before the module asked")
+	}
+	d.ask(true)
+	if n := receive(t, "the change", told); n.kind != policy.ListUpdate || len(n.members) != 1 {
+		t.Errorf("news %+v", n)
+	}
+	indexes(t, queries, "7", "8", "8")
+}
+
+func TestMalformedListsNameTheField(t *testing.T) {
+	for raw, want := range map[string]string{
+		`[]`:                      "array",
+		`{"members":[]}`:          "revision: missing",
+		`{"revision":"x"}`:        "revision",
+		delta(1, entry("", "up")): "members[0].id",
+		delta(1, entry("a", "x")): "members[0].phase",
+		delta(1, `{"id":"a","phase":"up","host_port":"nowhere"}`):                        "members[0].host_port",
+		delta(1, `{"id":"a","phase":"up","host_port":"127.0.0.1:9","up_since_ms":-1}`):   "members[0].up_since_ms",
+		delta(1, `{"id":"a","phase":"up","host_port":"127.0.0.1:9","up_since_ms":1e99}`): "members[0].up_since_ms",
+	} {
+		if _, err := parseList([]byte(raw)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: got %v, want it to name %q", raw, err, want)
+		}
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -37,8 +37,9 @@
 	if ms == 0 {
 		return 0
 	}
-	ago := min(c.start.UnixMilli()-ms, timeOrigin.Milliseconds())
-	return max(0, timeOrigin-time.Duration(ago)*time.Millisecond)
+	most := timeOrigin.Milliseconds() // nor may a start far ahead overflow
+	ago := min(max(c.start.UnixMilli()-ms, -most), most)
+	return timeOrigin - time.Duration(ago)*time.Millisecond
 }
 
 // module is the policy.Balancer.
--- /dev/null
+++ b/internal/node/server_test.go
@@ -0,0 +1,251 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// A request goes through the whole node and back, in each class's form.
+func TestServesEachClass(t *testing.T) {
+	addr := httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("Content-Type", "application/x-test")
+		fmt.Fprintf(w, "%s %s %s key=%s %s", r.Method, r.RequestURI, r.Header.Get("X-Request-Id"),
+			r.Header.Get("Idempotency-Key"), body)
+	})
+	node, _ := startNode(t, testConfig(t, knownList(addr)))
+	for _, c := range []struct{ method, class, body, want string }{
+		{"GET", "read", "", "GET /api/x?q=a%20b r-read key= "},
+		{"POST", "pay", "sum", "POST /api/x?q=a%20b r-pay key= sum"},
+		{"POST", "undo", "", "POST /api/x?q=a%20b r-undo key=key-r-undo "},
+	} {
+		resp, body := do(t, clientRequest(t, node, c.method, c.class, "r-"+c.class, c.body))
+		if resp.StatusCode != 200 || body != c.want || resp.Header.Get("Content-Type") != "application/x-test" {
+			t.Errorf("%s: %d %q, header %v", c.class, resp.StatusCode, body, resp.Header)
+		}
+	}
+}
+
+// What is wrong with a request is the client's fault, promises nothing, and reaches no server.
+func TestBadRequestsReachNoServer(t *testing.T) {
+	var reached atomic.Int32
+	addr := httpServer(t, func(http.ResponseWriter, *http.Request) { reached.Add(1) })
+	node, _ := startNode(t, testConfig(t, knownList(addr)))
+	big := strings.Repeat("x", maxBody+1)
+	for name, c := range map[string]struct {
+		method, class, body string
+		headers             []string
+		want                int
+	}{
+		"no id":          {"GET", "read", "", []string{"X-Request-Id", ""}, 400},
+		"long id":        {"GET", "read", "", []string{"X-Request-Id", big[:maxID+1]}, 400},
+		"spaced id":      {"GET", "read", "", []string{"X-Request-Id", "a b"}, 400},
+		"no class":       {"GET", "read", "", []string{"X-Class", ""}, 400},
+		"unknown class":  {"GET", "read", "", []string{"X-Class", "other"}, 400},
+		"no deadline":    {"GET", "read", "", []string{"X-Deadline-Ms", ""}, 400},
+		"zero deadline":  {"GET", "read", "", []string{"X-Deadline-Ms", "0"}, 400},
+		"minus deadline": {"GET", "read", "", []string{"X-Deadline-Ms", "-5"}, 400},
+		"word deadline":  {"GET", "read", "", []string{"X-Deadline-Ms", "soon"}, 400},
+		"far deadline":   {"GET", "read", "", []string{"X-Deadline-Ms", "99999999999999999999"}, 400},
+		"POST for read":  {"POST", "read", "x", nil, 405},
+		"GET for pay":    {"GET", "pay", "", nil, 405},
+		"PUT for undo":   {"PUT", "undo", "x", nil, 405},
+		"undo, no key":   {"POST", "undo", "x", []string{"Idempotency-Key", ""}, 400},
+		"GET with body":  {"GET", "read", "x", nil, 400},
+		"big body":       {"POST", "pay", big, nil, 413},
+	} {
+		resp, _ := do(t, clientRequest(t, node, c.method, c.class, "r1", c.body, c.headers...))
+		if resp.StatusCode != c.want {
+			t.Errorf("%s: %d, want %d", name, resp.StatusCode, c.want)
+		}
+	}
+	if n := reached.Load(); n != 0 {
+		t.Errorf("%d requests reached the server", n)
+	}
+	if resp, _ := do(t, clientRequest(t, node, "GET", "read", "r1", "")); resp.StatusCode != 200 {
+		t.Errorf("a good request with that id afterwards: %d", resp.StatusCode)
+	}
+}
+
+// A tenant past its share is told at once when to come back.
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	addr := httpServer(t, func(http.ResponseWriter, *http.Request) {})
+	node, _ := startNode(t, testConfig(t, knownList(addr)))
+	for i := range 20 {
+		resp, _ := do(t, clientRequest(t, node, "GET", "read", fmt.Sprint("r", i), "", "X-Tenant", "tiny"))
+		if resp.StatusCode == http.StatusOK {
+			continue
+		}
+		wait, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		if resp.StatusCode != http.StatusTooManyRequests || err != nil || wait < 1 {
+			t.Errorf("%d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+		}
+		return
+	}
+	t.Error("a tenant with next to no share was never refused")
+}
+
+// An unsafe request that may have run is neither sent again nor refused.
+func TestUnsafeRequestThatMayHaveRunFails(t *testing.T) {
+	var reached atomic.Int32
+	addr := rawServer(t, func(_ net.Conn, r *bufio.Reader) {
+		if swallow(r) {
+			reached.Add(1)
+		}
+	})
+	node, _ := startNode(t, testConfig(t, knownList(addr, addr)))
+	resp, _ := do(t, clientRequest(t, node, "POST", "pay", "r1", "sum"))
+	if s := resp.StatusCode; s < 400 || s == http.StatusTooManyRequests || s == http.StatusServiceUnavailable {
+		t.Errorf("status %d, want a failure that promises nothing", s)
+	}
+	if n := reached.Load(); n != 1 {
+		t.Errorf("sent %d times", n)
+	}
+}
+
+// The client's leaving calls its attempt off.
+func TestDepartureClosesTheAttempt(t *testing.T) {
+	got, closed := make(chan struct{}), make(chan struct{})
+	addr := httpServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(got)
+		<-r.Context().Done()
+		close(closed)
+	})
+	node, _ := startNode(t, testConfig(t, knownList(addr)))
+	c, err := net.Dial("tcp", node)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := clientRequest(t, node, "POST", "pay", "r1", "sum").Write(c); err != nil {
+		t.Fatal(err)
+	}
+	receive(t, "the attempt", got)
+	c.Close()
+	receive(t, "its end", closed)
+}
+
+// Over its part of the descriptors a node refuses, and gives the connection up.
+func TestClientsOverTheLimitAreRefused(t *testing.T) {
+	var reached atomic.Int32
+	addr := httpServer(t, func(http.ResponseWriter, *http.Request) { reached.Add(1) })
+	c := testConfig(t, knownList(addr))
+	c.Sockets = leastSockets
+	node, _ := startNode(t, c)
+	side := (leastSockets - ownSockets) / 2
+	var held []net.Conn
+	defer func() {
+		for _, c := range held {
+			c.Close()
+		}
+	}()
+	for range side {
+		c, err := net.Dial("tcp", node)
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, c)
+	}
+	await(t, "a refusal", func() bool {
+		resp, _ := do(t, clientRequest(t, node, "GET", "read", fmt.Sprint(time.Now().UnixNano()), ""))
+		return resp.StatusCode == http.StatusServiceUnavailable && resp.Close
+	})
+	for _, c := range held {
+		c.Close()
+	}
+	before := reached.Load()
+	await(t, "service again", func() bool {
+		resp, _ := do(t, clientRequest(t, node, "GET", "read", fmt.Sprint(time.Now().UnixNano()), ""))
+		return resp.StatusCode == 200
+	})
+	if reached.Load() == before {
+		t.Error("served without a server")
+	}
+}
+
+// A node that is told to stop takes in what comes for a while, answers it with the close of its
+// connection, answers what it held, and ends.
+func TestStopsInOrder(t *testing.T) {
+	hold, held := make(chan struct{}), make(chan struct{}, 2)
+	addr := httpServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Request-Id") == "slow" {
+			held <- struct{}{}
+			<-hold
+		}
+	})
+	node, stop := startNode(t, testConfig(t, knownList(addr)))
+	slow := make(chan int, 1)
+	go func() {
+		resp, err := http.DefaultClient.Do(clientRequest(t, node, "GET", "read", "slow", ""))
+		if err != nil {
+			slow <- 0
+			return
+		}
+		resp.Body.Close()
+		slow <- resp.StatusCode
+	}()
+	receive(t, "the slow request", held)
+	ended := make(chan error, 1)
+	go func() { ended <- stop() }()
+	await(t, "answers that end their connections", func() bool {
+		resp, _ := do(t, clientRequest(t, node, "GET", "read", fmt.Sprint(time.Now().UnixNano()), ""))
+		return resp.StatusCode == 200 && resp.Close
+	})
+	await(t, "the end of accepting", func() bool {
+		c, err := net.Dial("tcp", node)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	select {
+	case err := <-ended:
+		t.Fatalf("ended with a request open: %v", err)
+	default:
+	}
+	close(hold)
+	if status := receive(t, "the slow answer", slow); status != 200 {
+		t.Errorf("status %d", status)
+	}
+	if err := receive(t, "the end", ended); err != nil {
+		t.Error(err)
+	}
+}
+
+// No input panics the node: after noise of each kind it still serves.
+func TestNoiseFromClients(t *testing.T) {
+	addr := httpServer(t, func(http.ResponseWriter, *http.Request) {})
+	node, _ := startNode(t, testConfig(t, knownList(addr)))
+	for _, noise := range []string{"", "\r\n\r\n", "\x00\x01\x02\r\n\r\n", "GET", "GET / HTTP/9.9\r\n\r\n",
+		"GET / HTTP/1.1\r\n\r\n", "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n",
+		"OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n", "CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\nX-Class: pay\r\nX-Deadline-Ms: 9\r\nContent-Length: 5\r\n\r\nab",
+		"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 1<<20)} {
+		c, err := net.Dial("tcp", node)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(c, noise) // the node may close before all is written
+		_ = c.(*net.TCPConn).CloseWrite()
+		_ = c.SetReadDeadline(time.Now().Add(long))
+		got, err := io.ReadAll(c)
+		c.Close()
+		if ne, ok := err.(net.Error); ok && ne.Timeout() {
+			t.Errorf("%.40q: the connection stays open", noise)
+		}
+		if len(got) > 0 && !strings.HasPrefix(string(got), "HTTP/1.1 4") && !strings.HasPrefix(string(got), "HTTP/1.1 5") {
+			t.Errorf("%.40q: answered %.60q", noise, got)
+		}
+	}
+	if resp, _ := do(t, clientRequest(t, node, "GET", "read", "r1", "")); resp.StatusCode != 200 {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
