Keep pauses of discovery within the grace of drains

Seen by reading PROTOCOL against discovery.go's backoff: what a pushed list's agent has counts as told, and a pause could reach 1 s where drains allow 550 ms. It is bound to 200 ms all the same, with a test.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -14,10 +14,12 @@
 )
 
 const (
-	watchWait   = 5 * time.Second // a silent discovery is noticed soon after
-	watchGrace  = 2 * time.Second // beyond watchWait, the call has failed
-	backoffMin  = 50 * time.Millisecond
-	backoffMax  = time.Second
+	watchWait  = 5 * time.Second // a silent discovery is noticed soon after
+	watchGrace = 2 * time.Second // beyond watchWait, the call has failed
+	backoffMin = 25 * time.Millisecond
+	// backoffMax guards the rule on drains: what a pushed list's agent has counts as told, also while
+	// the node pauses after a failed call.
+	backoffMax  = 200 * time.Millisecond
 	maxListSize = 8 << 20 // bytes of one answer; a longer one isn't a list
 )
 
@@ -153,7 +155,7 @@
 			if backoff == 0 {
 				slog.Warn("discovery: out of reach, keeping the last list", "err", err)
 			}
-			backoff = min(backoffMax, max(backoffMin, 2*backoff))
+			backoff = nextBackoff(backoff)
 			pause(ctx, backoff)
 		}
 	}
@@ -219,6 +221,11 @@
 	}
 }
 
+// nextBackoff is how long to pause after one more failure in a row.
+func nextBackoff(last time.Duration) time.Duration {
+	return min(backoffMax, max(backoffMin, 2*last))
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"cobaltward/policy"
 )
@@ -108,6 +109,19 @@
 	indexes(t, queries, "7", "8", "8")
 }
 
+// The agent of a pushed list may hold a drain as soon as it is back; a node that pauses past the
+// rule's grace would go on sending to that server.
+func TestPausesStayWithinTheGraceOfDrains(t *testing.T) {
+	last := time.Duration(0)
+	for i := range 20 {
+		next := nextBackoff(last)
+		if next < last || next <= 0 || next > 200*time.Millisecond {
+			t.Fatalf("pause %d: %v after %v", i, next, last)
+		}
+		last = next
+	}
+}
+
 func TestMalformedListsNameTheField(t *testing.T) {
 	for raw, want := range map[string]string{
 		`[]`:                      "array",
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -166,7 +166,7 @@
 	case departure:
 		// Another request may bear the id by now.
 		if r := l.requests[e.x.req.ID]; r != nil && r.exchange == e.x && !r.ended {
-			l.close(r)
+			l.settle(r)
 			l.tell(ctx, policy.Lapsed{ID: r.req.ID})
 			l.drop(r)
 		}
@@ -313,7 +313,7 @@
 // answer gives the client its one answer; whatever comes later is not passed on.
 func (l *loop) answer(r *request, a answer) {
 	if !r.ended {
-		l.close(r)
+		l.settle(r)
 		r.reply <- a
 	}
 }
@@ -325,7 +325,8 @@
 	l.drop(r)
 }
 
-func (l *loop) close(r *request) {
+// settle marks r as answered, or given up by its client: the first to do so wins.
+func (l *loop) settle(r *request) {
 	r.ended = true
 	l.owed--
 	if r.backstop.at >= 0 { // else it would keep the request until a deadline that may be far off
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -16,12 +17,33 @@
 	maxID         = 128 // bytes; the protocol's own ids are far shorter
 	maxDeadlineMs = 3_600_000
 	maxHeader     = 16 << 10
-	headerTimeout = 10 * time.Second // for a request's header, and the same again for its body
-	clientIdle    = 90 * time.Second
+	headerTimeout = 5 * time.Second // for a request's header, and the same again for its body
+	clientIdle    = 60 * time.Second
 	writeTimeout  = 5 * time.Second // for an answer to a client that doesn't read
 	readyPath     = "/health/ready"
 )
 
+// exchange is one client request, which is not changed once the loop has it.
+type exchange struct {
+	req         policy.Request
+	method      string
+	url         *url.URL
+	host        string
+	header      http.Header
+	body        []byte
+	came        policy.Time // when its last byte had been read
+	clientWaits time.Duration
+	reply       chan answer // holds one, so the loop never waits for the client
+}
+
+// answer is what a client gets.
+type answer struct {
+	status      int
+	body        []byte
+	contentType string
+	retryAfter  time.Duration
+}
+
 // server takes requests from clients, hands them to the loop, and writes the loop's answers.
 type server struct {
 	loop     *loop
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -347,24 +346,3 @@
 	}
 	return row
 }
-
-// exchange is one client request, which is not changed once the loop has it.
-type exchange struct {
-	req         policy.Request
-	method      string
-	url         *url.URL
-	host        string
-	header      http.Header
-	body        []byte
-	came        policy.Time // when its last byte had been read
-	clientWaits time.Duration
-	reply       chan answer // holds one, so the loop never waits for the client
-}
-
-// answer is what a client gets.
-type answer struct {
-	status      int
-	body        []byte
-	contentType string
-	retryAfter  time.Duration
-}
