Reload on SIGHUP, and refuse transfer codings

Ruled out: a slow or lost list, for discovery's calls at the old address ended as they should.

Requests with a transfer coding, of HTTP/1.0, or with an id, class, tenant, deadline or key given twice get 400 and their connection ends. SIGHUP reads the file again; discovery drops the call in flight and its connection and asks the new address for the whole list.

--- a/cmd/wayhold/main.go
+++ b/cmd/wayhold/main.go
@@ -29,6 +29,9 @@
 }
 
 func run() error {
+	hup := make(chan os.Signal, 1) // one more that is waiting stands for all: the file is read after it
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	c, err := node.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -42,5 +45,29 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	slog.Info("listening", "name", c.Name, "address", listener.Addr(), "servers", len(c.Known.Members))
-	return node.Run(ctx, c, listener)
+	moves, done := make(chan string, 1), make(chan struct{})
+	defer close(done)
+	go reload(hup, moves, done)
+	return node.Run(ctx, c, listener, moves)
+}
+
+// reload reads the configuration again at each SIGHUP until done; the newest address stands in moves.
+func reload(hup <-chan os.Signal, moves chan string, done <-chan struct{}) {
+	for {
+		select {
+		case <-hup:
+		case <-done:
+			return
+		}
+		addr, err := node.ReloadDiscovery(os.Getenv)
+		if err != nil {
+			slog.Error("reload: keeping the old configuration", "err", err)
+			continue
+		}
+		select {
+		case <-moves:
+		default:
+		}
+		moves <- addr
+	}
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -42,17 +42,9 @@
 // LoadConfig reads the file that ROUTER_CONFIG names. The other variables, where set, go before what
 // the file says. Errors name the field.
 func LoadConfig(getenv func(string) string) (Config, error) {
-	path := getenv("ROUTER_CONFIG")
-	if path == "" {
-		return Config{}, errors.New("ROUTER_CONFIG: not set")
-	}
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
-	}
-	c, err := parseConfig(raw)
+	c, err := readConfig(getenv)
 	if err != nil {
-		return Config{}, fmt.Errorf("configuration: %w", err)
+		return Config{}, err
 	}
 	for name, field := range map[string]*string{
 		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery,
@@ -70,6 +62,35 @@
 	return c, nil
 }
 
+// ReloadDiscovery reads the file again and returns the address of discovery in it, the one thing that
+// changes while a node runs. ROUTER_DISCOVERY tells what held at the start, so the file goes before it.
+func ReloadDiscovery(getenv func(string) string) (string, error) {
+	c, err := readConfig(getenv)
+	if err != nil {
+		return "", err
+	}
+	if err := checkAddress(c.Discovery); err != nil {
+		return "", fmt.Errorf("configuration: discovery: %w", err)
+	}
+	return c.Discovery, nil
+}
+
+func readConfig(getenv func(string) string) (Config, error) {
+	path := getenv("ROUTER_CONFIG")
+	if path == "" {
+		return Config{}, errors.New("ROUTER_CONFIG: not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	c, err := parseConfig(raw)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	return c, nil
+}
+
 func parseConfig(raw []byte) (Config, error) {
 	var f struct {
 		Name      string `json:"name"`
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -8,6 +8,9 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
 	"time"
 
 	"cobaltward/policy"
@@ -98,18 +101,25 @@
 
 // discovery watches the list of servers from a connection of its own.
 type discovery struct {
-	url       string
 	client    *http.Client
-	subscribe bool // watch only when the module has asked, and tell it of failures
-	revision  int64
+	subscribe bool      // watch only when the module has asked, and tell it of failures
 	asks      chan bool // the module's newest wish to be kept told
 	tell      func(any)
+
+	// Only run touches these.
+	addr     string
+	revision int64
+	whole    bool // the next call asks for the whole list
+
+	mu        sync.Mutex
+	moved     string             // the address to go on at, until run has taken it up
+	interrupt context.CancelFunc // ends the call in flight, or the pause between two
 }
 
 func newDiscovery(c Config, tell func(any)) *discovery {
 	return &discovery{
-		url: "http://" + c.Discovery + "/registry/instances", subscribe: c.Settings.Subscribe,
-		revision: c.Known.Revision, asks: make(chan bool, 1), tell: tell,
+		addr: c.Discovery, subscribe: c.Settings.Subscribe,
+		revision: c.Known.Revision, asks: make(chan bool, 1), tell: tell, interrupt: func() {},
 		client: &http.Client{
 			// A Transport of its own, so neither a proxy nor the requests share its connection.
 			Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 1,
@@ -129,36 +139,69 @@
 	d.asks <- on
 }
 
+// move goes on at another address at once: what the old one still has to say may never come.
+func (d *discovery) move(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.moved = addr
+	d.interrupt()
+}
+
+// settle takes up a move, if there was one, and returns what the next call or pause runs under.
+func (d *discovery) settle(ctx context.Context) (context.Context, context.CancelFunc, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	moved := d.moved != ""
+	if moved {
+		slog.Info("discovery: moved", "address", d.moved)
+		d.addr, d.moved = d.moved, ""
+		d.whole = true // revisions of another address need not compare
+		d.client.CloseIdleConnections()
+	}
+	ctx, d.interrupt = context.WithCancel(ctx)
+	return ctx, d.interrupt, moved
+}
+
 // run watches until ctx ends.
 func (d *discovery) run(ctx context.Context) {
 	defer d.client.CloseIdleConnections()
 	watching, backoff := !d.subscribe, time.Duration(0)
 	for ctx.Err() == nil {
-		if d.subscribe {
-			watching = d.heed(ctx, watching)
+		call, cancel, moved := d.settle(ctx)
+		if moved {
+			backoff = 0
 		}
-		if !watching {
-			continue
+		if d.subscribe {
+			watching = d.heed(call, watching)
 		}
-		l, err := d.watch(ctx)
-		switch {
-		case ctx.Err() != nil:
-			return
-		case err == nil:
-			backoff = 0
-			d.learn(l)
-		case d.subscribe: // the module says when to try again
-			slog.Warn("discovery: a watch failed", "err", err)
-			watching = false
-			d.tell(news{kind: policy.ListUnavailable})
-		default: // pushed lists: the last one stays, and the module need not know
-			if backoff == 0 {
-				slog.Warn("discovery: out of reach, keeping the last list", "err", err)
-			}
-			backoff = nextBackoff(backoff)
-			pause(ctx, backoff)
+		if watching && call.Err() == nil {
+			watching, backoff = d.turn(call, backoff)
 		}
+		cancel()
+	}
+}
+
+// turn makes one call, and pauses after one that failed.
+func (d *discovery) turn(ctx context.Context, backoff time.Duration) (bool, time.Duration) {
+	l, err := d.watch(ctx)
+	switch {
+	case err == nil:
+		d.learn(l)
+		return true, 0
+	case ctx.Err() != nil: // moved, or the end
+		return true, 0
+	case d.subscribe: // the module says when to try again
+		slog.Warn("discovery: a watch failed", "err", err)
+		d.tell(news{kind: policy.ListUnavailable})
+		return false, 0
+	}
+	// Pushed lists: the last one stays, and the module need not know.
+	if backoff == 0 {
+		slog.Warn("discovery: out of reach, keeping the last list", "err", err)
 	}
+	backoff = nextBackoff(backoff)
+	pause(ctx, backoff)
+	return true, backoff
 }
 
 // heed takes the module's newest wish; it waits for one only while there is nothing to watch.
@@ -179,12 +222,20 @@
 	}
 }
 
-// watch makes one call, which waits for something newer than the revision held.
+// watch makes one call, which waits for something newer than the revision held, or asks for the whole
+// list.
 func (d *discovery) watch(ctx context.Context) (list, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
+	wait, query := watchWait, url.Values{}
+	if d.whole {
+		wait = 0
+	} else {
+		query.Set("index", strconv.FormatInt(d.revision, 10))
+		query.Set("wait", strconv.FormatInt(wait.Milliseconds(), 10))
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watchGrace)
 	defer cancel()
-	url := fmt.Sprintf("%s?index=%d&wait=%d", d.url, d.revision, watchWait.Milliseconds())
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	to := url.URL{Scheme: "http", Host: d.addr, Path: "/registry/instances", RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, to.String(), nil)
 	if err != nil {
 		return list{}, err
 	}
@@ -207,12 +258,15 @@
 	if err != nil {
 		return list{}, fmt.Errorf("malformed list skipped: %w", err)
 	}
+	if d.whole && !l.Complete {
+		return list{}, errors.New("asked for the whole list, got a part")
+	}
 	return l, nil
 }
 
 // learn passes on what a watch brought. An empty delta is told only where the module awaits an answer.
 func (d *discovery) learn(l list) {
-	d.revision = l.Revision
+	d.revision, d.whole = l.Revision, false
 	switch {
 	case l.Complete:
 		d.tell(news{policy.ListReplace, l.Members})
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -138,3 +138,65 @@
 		}
 	}
 }
+
+// A move ends the call in flight and its connection, and asks the new address for everything: its
+// revisions need not compare with those of the old one. Two in a row end on the newest.
+func TestMoveAsksTheNewAddressForTheWholeList(t *testing.T) {
+	for _, subscribe := range []bool{false, true} {
+		closed := make(chan struct{}, 10)
+		silent := httpServer(t, func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+			closed <- struct{}{}
+		})
+		queries := make(chan string, 10)
+		next := httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+			queries <- r.URL.RawQuery
+			if r.URL.Query().Has("index") {
+				<-r.Context().Done()
+				return
+			}
+			_, _ = io.WriteString(w, `{"revision":2,"complete":true,"members":[`+entry("s9", "up")+`]}`)
+		})
+		d, told, first := watched(t, subscribe)
+		if subscribe {
+			d.ask(true)
+		}
+		receive(t, "the call at the old address", first)
+		d.move(silent)
+		d.move(next)
+		if n := receive(t, "the list of the new address", told); n.kind != policy.ListReplace || n.members[0].Server != "s9" {
+			t.Errorf("subscribe %v: news %+v", subscribe, n)
+		}
+		if q := receive(t, "the first call", queries); q != "" {
+			t.Errorf("subscribe %v: the first call asks for %q, not for the whole list", subscribe, q)
+		}
+		if q := receive(t, "the second call", queries); q != "index=2&wait=5000" {
+			t.Errorf("subscribe %v: the second call asks for %q", subscribe, q)
+		}
+		if len(told) != 0 {
+			t.Errorf("subscribe %v: told also %+v", subscribe, <-told)
+		}
+	}
+}
+
+// The old address may be silent for good: the call there is ended, not waited for.
+func TestMoveEndsTheCallInFlight(t *testing.T) {
+	called, closed := make(chan struct{}), make(chan struct{})
+	old := httpServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(called)
+		<-r.Context().Done()
+		close(closed)
+	})
+	next := make(chan struct{}, 10)
+	c := testConfig(t, knownList("127.0.0.1:9"))
+	c.Discovery = old
+	d := newDiscovery(c, func(any) {})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { d.run(ctx); close(ended) }()
+	defer func() { cancel(); receive(t, "the end of discovery", ended) }()
+	receive(t, "the call", called)
+	d.move(httpServer(t, func(_ http.ResponseWriter, r *http.Request) { next <- struct{}{}; <-r.Context().Done() }))
+	receive(t, "the end of the old call", closed)
+	receive(t, "the new call", next)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,8 +20,8 @@
 )
 
 // Run serves clients on the listener until ctx ends. Then it goes on accepting for a moment, answers
-// what it has taken, and returns.
-func Run(ctx context.Context, c Config, listener net.Listener) error {
+// what it has taken, and returns. Discovery follows the addresses that come from moves.
+func Run(ctx context.Context, c Config, listener net.Listener, moves <-chan string) error {
 	ck := clock{start: time.Now()}
 	// Each request in hand needs a descriptor on either side.
 	side := (c.Sockets - ownSockets) / 2
@@ -40,6 +40,16 @@
 	defer stop()
 	parts.Go(func() { l.run(running, c.Known.Members) })
 	parts.Go(func() { l.disc.run(running) })
+	parts.Go(func() {
+		for {
+			select {
+			case addr := <-moves:
+				l.disc.move(addr)
+			case <-running.Done():
+				return
+			}
+		}
+	})
 
 	failed := make(chan error, 1)
 	// The server refuses requests on connections over its side; the listener makes sure that even
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -75,6 +75,13 @@
 }
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// net/http takes the length from a transfer coding and drops what Content-Length says, and ignores
+	// the coding in HTTP/1.0: what one side takes for a body, the other may take for a request. Clients
+	// of the protocol send lengths, so whatever else comes is refused, and nothing behind it is read.
+	if len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
+		reject(w, http.StatusBadRequest, "want version 1.1, and Content-Length for a body")
+		return
+	}
 	// Over its part of the descriptors the node still answers, and gets the descriptor back.
 	full := s.conns.Load() > s.maxConns
 	if full || s.draining.Load() {
@@ -90,7 +97,7 @@
 	}
 	x, status, problem := s.read(w, r)
 	if x == nil {
-		http.Error(w, problem, status)
+		reject(w, status, problem)
 		return
 	}
 	s.loop.send(arrival{x})
@@ -104,6 +111,15 @@
 	}
 }
 
+// reject answers a request that is not to be served, and ends its connection: where its body ends is
+// in doubt, and what follows it is not to be trusted.
+func reject(w http.ResponseWriter, status int, problem string) {
+	w.Header().Set("Connection", "close")
+	// Nor is the rest of the body waited for. An error here means that the connection is gone.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	http.Error(w, problem, status)
+}
+
 // health tells the front that the node may be taken in.
 func (s *server) health(w http.ResponseWriter) {
 	select {
@@ -119,6 +135,11 @@
 // read takes in a whole request, or says what is wrong with it. What it lets through reaches servers.
 func (s *server) read(w http.ResponseWriter, r *http.Request) (x *exchange, status int, problem string) {
 	h := r.Header
+	for _, name := range []string{"X-Request-Id", "X-Class", "X-Tenant", "X-Deadline-Ms", "Idempotency-Key"} {
+		if len(h[name]) > 1 { // this node and a server might each go by another
+			return nil, http.StatusBadRequest, name + ": given twice"
+		}
+	}
 	id := h.Get("X-Request-Id")
 	if !usableID(id) {
 		return nil, http.StatusBadRequest, "X-Request-Id: missing or malformed"
--- a/internal/node/server_test.go
+++ b/internal/node/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -302,3 +303,43 @@
 		t.Errorf("status %d", resp.StatusCode)
 	}
 }
+
+// net/http drops Content-Length where a transfer coding is given too, and reads a request out of what
+// the other length calls the body. Nothing of such a connection may reach a server.
+func TestHiddenRequestsReachNoServer(t *testing.T) {
+	var reached atomic.Int32
+	addr := httpServer(t, func(http.ResponseWriter, *http.Request) { reached.Add(1) })
+	node, _ := startNode(t, testConfig(t, knownList(addr)))
+	refusal := regexp.MustCompile(`^HTTP/1\.[01] [45]`)
+	head := "Host: a\r\nX-Request-Id: outer\r\nX-Class: pay\r\nX-Tenant: t\r\nX-Deadline-Ms: 8000\r\n"
+	hidden := "GET /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: inner\r\nX-Class: read\r\nX-Tenant: t\r\nX-Deadline-Ms: 8000\r\n\r\n"
+	for name, raw := range map[string]string{
+		"chunked": "POST /api HTTP/1.1\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+		"chunked and length": fmt.Sprintf("POST /api HTTP/1.1\r\n%sContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s",
+			head, len(hidden)+5, hidden),
+		"coding in HTTP/1.0":  "POST /api HTTP/1.0\r\n" + head + "Connection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n" + hidden,
+		"coding at readiness": "GET " + readyPath + " HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+		"other coding":        "POST /api HTTP/1.1\r\n" + head + "Transfer-Encoding: identity\r\nContent-Length: 0\r\n\r\n" + hidden,
+		"two lengths":         "POST /api HTTP/1.1\r\n" + head + "Content-Length: 0\r\nContent-Length: 5\r\n\r\n" + hidden,
+		"behind an error":     "POST /api HTTP/1.1\r\nHost: a\r\nX-Class: pay\r\nContent-Length: 0\r\n\r\n" + hidden,
+		"two ids":             "POST /api HTTP/1.1\r\n" + head + "X-Request-Id: other\r\nContent-Length: 0\r\n\r\n" + hidden,
+	} {
+		c, err := net.Dial("tcp", node)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(c, raw)
+		_ = c.SetReadDeadline(time.Now().Add(long))
+		got, err := io.ReadAll(c)
+		c.Close()
+		if ne, ok := err.(net.Error); ok && ne.Timeout() {
+			t.Errorf("%s: the connection stays open", name)
+		}
+		if len(got) > 0 && !refusal.Match(got) || strings.Count(string(got), "HTTP/1.") > 1 {
+			t.Errorf("%s: answered %.120q", name, got)
+		}
+	}
+	if n := reached.Load(); n != 0 {
+		t.Errorf("%d requests reached the server", n)
+	}
+}
--- a/internal/node/testing_test.go
+++ b/internal/node/testing_test.go
@@ -118,7 +118,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- Run(ctx, c, ln) }()
+	go func() { ended <- Run(ctx, c, ln, nil) }()
 	stopped := false
 	stop = func() error {
 		if stopped {
