Own connections to servers, room among the clients' connections, drains that serve on

To blame was server.go: clients that ask once and stay held their connections for 60 s, until the node answered 503 to all above half of the descriptors.

- clients: a listener that bounds connections and closes the longest quiet one to make room, never one with a request or unread bytes; heads and bodies have 2.5 s each, deadlines are bound by their class.
- upstream: net/http's parser on own connections.
A connection rests before it is used again and must be quiet; a body without a length, of the wrong length, over 64 KiB, or behind endless heads or 1xx is a server error that may have run.
Two servers at one address: the newest has it.
No descriptor left is no fault of the server.
Load reports count whole or not at all.
- loop: ids that were used lately are refused (409); the node's own refusals carry Retry-After.
- drain: serves as before for 0.6 of the longest deadline (3 s at most), not ready; then answers end their connections.

--- a/cmd/wayhold/main.go
+++ b/cmd/wayhold/main.go
@@ -17,7 +17,7 @@
 )
 
 // heapPart of the memory limit is the runtime's; stacks of the system and the sockets take the rest.
-const heapPart = 0.75
+const heapPart = 0.6
 
 func main() {
 	slog.SetLogLoggerLevel(slog.LevelDebug) // net/http would log a line for each server's stray byte
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"hash/maphash"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -22,6 +23,9 @@
 	answerMargin     = 20 * time.Millisecond
 	answerMarginPart = 5
 	sweepEvery       = time.Second // idle connections to servers
+	ownRetryAfter    = time.Second // told to clients that the node refuses without the module
+	idsFor           = 10 * time.Second
+	maxIDs           = 1 << 15
 )
 
 // clock turns the machine's clocks into policy.Time. The wall clock is read once, at the start.
@@ -61,6 +65,7 @@
 	done     chan struct{} // closed when the loop has ended
 	ready    chan struct{} // closed when the known list is in
 	requests map[string]*request
+	used     ids
 	owed     int // requests without their answer
 	timers   timers
 	skipped  []policy.Outcome // of attempts that were not made; told once all actions are done
@@ -102,7 +107,7 @@
 	}
 	l := &loop{clock: ck, module: balancer, allowed: c.Settings.Allowed, maxOpen: c.MaxOpen, up: up,
 		events: make(chan any, eventBuffer), done: make(chan struct{}), ready: make(chan struct{}),
-		requests: make(map[string]*request)}
+		requests: make(map[string]*request), used: ids{seed: maphash.MakeSeed()}}
 	l.disc = newDiscovery(c, l.send)
 	return l, nil
 }
@@ -184,12 +189,14 @@
 }
 
 func (l *loop) arrive(ctx context.Context, x *exchange) {
-	if l.requests[x.req.ID] != nil { // the module would wait for the first, and never answer this one
+	// The module would wait for the first of an id and never answer this one; and what came under an
+	// id before may have run, also when it is over.
+	if l.requests[x.req.ID] != nil || !l.used.add(x.req.ID, l.clock.now()) {
 		x.reply <- answer{status: http.StatusConflict}
 		return
 	}
 	if l.maxOpen > 0 && l.owed >= l.maxOpen {
-		x.reply <- answer{status: http.StatusServiceUnavailable}
+		x.reply <- answer{status: http.StatusServiceUnavailable, retryAfter: ownRetryAfter}
 		return
 	}
 	margin := min(answerMargin, x.clientWaits/answerMarginPart)
@@ -371,3 +378,24 @@
 	*t = (*t)[:last]
 	return x
 }
+
+// ids remembers for a while, between idsFor and twice that, which ids requests came under: two
+// halves, of which the older is dropped whole, so that it neither grows nor needs to be searched.
+// At very many a second the while is shorter. Hashes stand for the ids, to keep it small.
+type ids struct {
+	seed       maphash.Seed
+	began      policy.Time
+	now, older map[uint64]struct{}
+}
+
+// add takes an id in, or reports false where it is there already.
+func (s *ids) add(id string, now policy.Time) bool {
+	if s.now == nil || now-s.began >= idsFor || len(s.now) >= maxIDs {
+		s.older, s.now, s.began = s.now, make(map[uint64]struct{}), now
+	}
+	h := maphash.String(s.seed, id)
+	_, fresh := s.now[h]
+	_, old := s.older[h]
+	s.now[h] = struct{}{}
+	return !fresh && !old
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,14 +8,13 @@
 	"net"
 	"sync"
 	"time"
-
-	"golang.org/x/net/netutil"
 )
 
 const (
-	ownSockets   = 32                     // descriptors for the log, discovery, the runtime and the like
-	acceptFor    = 500 * time.Millisecond // after the signal to stop, while clients still come
+	ownSockets   = 24                     // descriptors for the log, discovery, the runtime and the like
+	clientsPart  = 0.4                    // of the others for clients: the third that their requests take, and some room
 	longestDrain = 3 * time.Second        // no client waits longer once a node is told to stop
+	leavingPart  = 0.6                    // of that, in which the node still takes in what comes
 	lastAnswers  = 100 * time.Millisecond // for what is failed then to reach its clients
 )
 
@@ -23,15 +22,14 @@
 // what it has taken, and returns. Discovery follows the addresses that come from moves.
 func Run(ctx context.Context, c Config, listener net.Listener, moves <-chan string) error {
 	ck := clock{start: time.Now()}
-	// Each request in hand needs a descriptor on either side.
-	side := (c.Sockets - ownSockets) / 2
-	up := newUpstream(c, side)
+	most := int(clientsPart * float64(c.Sockets-ownSockets))
+	up := newUpstream(c, c.Sockets-ownSockets-most)
 	defer up.close()
 	l, err := newLoop(c, ck, up)
 	if err != nil {
 		return err
 	}
-	s := newServer(c, l, side)
+	s := newServer(c, l)
 	s.http.ErrorLog = slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn)
 
 	running, stop := context.WithCancel(context.Background())
@@ -52,10 +50,7 @@
 	})
 
 	failed := make(chan error, 1)
-	// The server refuses requests on connections over its side; the listener makes sure that even
-	// clients who connect and say nothing leave the servers' side its descriptors.
-	listener = netutil.LimitListener(listener, side+ownSockets/2)
-	parts.Go(func() { failed <- s.http.Serve(listener) })
+	parts.Go(func() { failed <- s.http.Serve(newClients(listener, most)) })
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serving: %w", err)
@@ -64,20 +59,23 @@
 	return s.drain(c)
 }
 
-// drain ends the service. Connections go on coming for a while after the signal, and what sits in
-// them unread counts as taken, so the listener stays open until then.
+// drain ends the service. Clients go on coming for a while, and go on using the connections that they
+// have: there may be no other node for them yet. So the node serves as before at first, and says only
+// that it isn't ready; then it ends each connection with its answer, early enough for what it took last.
 func (s *server) drain(c Config) error {
 	slog.Info("stopping")
-	s.draining.Store(true)
-	time.Sleep(acceptFor)
 	var longest time.Duration
 	for _, class := range c.Settings.Classes {
 		longest = max(longest, class.Deadline)
 	}
 	longest = min(longest, longestDrain)
-	late := time.AfterFunc(longest, func() { s.loop.send(finish{}) })
+	leave := time.Duration(leavingPart * float64(longest))
+	s.phase.Store(leaving)
+	time.Sleep(leave)
+	s.phase.Store(closing)
+	late := time.AfterFunc(longest-leave, func() { s.loop.send(finish{}) })
 	defer late.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), longest+lastAnswers)
+	ctx, cancel := context.WithTimeout(context.Background(), longest-leave+lastAnswers)
 	defer cancel()
 	if err := s.http.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return err
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -1,12 +1,13 @@
 package node
 
 import (
-	"errors"
+	linked "container/list"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,9 +18,9 @@
 	maxID         = 128 // bytes; the protocol's own ids are far shorter
 	maxDeadlineMs = 3_600_000
 	maxHeader     = 16 << 10
-	headerTimeout = 5 * time.Second // for a request's header, and the same again for its body
-	clientIdle    = 60 * time.Second
-	writeTimeout  = 5 * time.Second // for an answer to a client that doesn't read
+	headerTimeout = 2500 * time.Millisecond // for a request's head, and the same again for its body
+	clientIdle    = 15 * time.Second        // without a request; under pressure it is less
+	writeTimeout  = 5 * time.Second         // for an answer to a client that doesn't read
 	readyPath     = "/health/ready"
 )
 
@@ -29,7 +30,8 @@
 	method      string
 	url         *url.URL
 	host        string
-	header      http.Header
+	key         string // Idempotency-Key
+	contentType string
 	body        []byte
 	came        policy.Time // when its last byte had been read
 	clientWaits time.Duration
@@ -46,28 +48,30 @@
 
 // server takes requests from clients, hands them to the loop, and writes the loop's answers.
 type server struct {
-	loop     *loop
-	classes  map[string]policy.Class
-	draining atomic.Bool // answers end their connections
-	conns    atomic.Int64
-	maxConns int64
-	http     http.Server
+	loop    *loop
+	classes map[string]policy.Class
+	phase   atomic.Int32 // of the end: serving, leaving or closing
+	http    http.Server
 }
 
-func newServer(c Config, l *loop, maxConns int) *server {
-	s := &server{loop: l, classes: make(map[string]policy.Class), maxConns: int64(maxConns)}
+// The phases of a node's end.
+const (
+	serving int32 = iota
+	leaving       // new clients should go elsewhere; those that are here are still served
+	closing       // answers end their connections
+)
+
+func newServer(c Config, l *loop) *server {
+	s := &server{loop: l, classes: make(map[string]policy.Class)}
 	for _, class := range c.Settings.Classes {
 		s.classes[class.Name] = class
 	}
 	s.http = http.Server{
-		Handler: s, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout, ReadTimeout: 2 * headerTimeout,
-		IdleTimeout: clientIdle, DisableGeneralOptionsHandler: true,
-		ConnState: func(_ net.Conn, state http.ConnState) {
-			switch state {
-			case http.StateNew:
-				s.conns.Add(1)
-			case http.StateClosed, http.StateHijacked:
-				s.conns.Add(-1)
+		Handler: s, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdle,
+		DisableGeneralOptionsHandler: true,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if c, ok := c.(*clientConn); ok {
+				c.change(state)
 			}
 		},
 	}
@@ -82,19 +86,13 @@
 		reject(w, http.StatusBadRequest, "want version 1.1, and Content-Length for a body")
 		return
 	}
-	// Over its part of the descriptors the node still answers, and gets the descriptor back.
-	full := s.conns.Load() > s.maxConns
-	if full || s.draining.Load() {
+	if s.phase.Load() == closing {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == readyPath && r.Method == http.MethodGet {
 		s.health(w)
 		return
 	}
-	if full {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	x, status, problem := s.read(w, r)
 	if x == nil {
 		reject(w, status, problem)
@@ -124,7 +122,7 @@
 func (s *server) health(w http.ResponseWriter) {
 	select {
 	case <-s.loop.ready:
-		if !s.draining.Load() {
+		if s.phase.Load() == serving {
 			return
 		}
 	default:
@@ -164,13 +162,17 @@
 	if class.Repeat == policy.Guarded && h.Get("Idempotency-Key") == "" {
 		return nil, http.StatusBadRequest, "Idempotency-Key: missing"
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
+	if r.ContentLength > maxBody { // not a byte of it need be read
 		return nil, http.StatusRequestEntityTooLarge, "the body is over 64 KiB"
 	}
+	conn := http.NewResponseController(w)
+	_ = conn.SetReadDeadline(time.Now().Add(headerTimeout)) // fails only on connections that are gone
+	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return nil, http.StatusBadRequest, "the body can't be read"
 	}
+	// From now on net/http reads on to notice a client that leaves, which may take as long as the answer.
+	_ = conn.SetReadDeadline(time.Time{})
 	if method == http.MethodGet && len(body) > 0 {
 		return nil, http.StatusBadRequest, "a GET has no body"
 	}
@@ -178,8 +180,10 @@
 	return &exchange{
 		req: policy.Request{ID: id, Class: class.Name, Tenant: h.Get("X-Tenant"), Key: h.Get("X-Key"),
 			Hint: time.Duration(hint) * time.Microsecond, Retry: h.Get("X-Retry") == "1"},
-		method: method, url: r.URL, host: r.Host, header: h, body: body, came: s.loop.clock.now(),
-		clientWaits: time.Duration(waits) * time.Millisecond, reply: make(chan answer, 1),
+		method: method, url: r.URL, host: r.Host, key: h.Get("Idempotency-Key"),
+		contentType: h.Get("Content-Type"), body: body, came: s.loop.clock.now(),
+		// No client waits longer than its class allows, whatever it says.
+		clientWaits: min(time.Duration(waits)*time.Millisecond, class.Deadline), reply: make(chan answer, 1),
 	}, 0, ""
 }
 
@@ -207,3 +211,107 @@
 	w.WriteHeader(a.status)
 	_, _ = w.Write(a.body) // the client may have left; the request is over either way
 }
+
+// clients is the listener for clients. It bounds their connections, and where they get too many it
+// makes room by closing those that have been without a request for longest: clients who connect and
+// say nothing, or keep what they don't use, must not keep others out.
+type clients struct {
+	net.Listener
+	most int
+
+	mu     sync.Mutex
+	room   sync.Cond
+	open   int
+	quiet  linked.List // of the *clientConn without a request, the longest so in front
+	closed bool
+}
+
+// clientConn is one connection of a client.
+type clientConn struct {
+	*net.TCPConn
+	owner *clients
+
+	// Under the owner's mutex.
+	quiet *linked.Element // its place there; nil while a request is in it
+	gone  bool
+}
+
+func newClients(l net.Listener, most int) *clients {
+	c := &clients{Listener: l, most: most}
+	c.room.L = &c.mu
+	return c
+}
+
+func (l *clients) Accept() (net.Conn, error) {
+	tcp, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &clientConn{TCPConn: tcp.(*net.TCPConn), owner: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.open++; l.open > l.most && !l.evict() && !l.closed; {
+		l.room.Wait() // each has a request in it: one will end
+	}
+	c.quiet = l.quiet.PushBack(c)
+	return c, nil
+}
+
+func (l *clients) Close() error {
+	l.mu.Lock()
+	l.closed = true
+	l.room.Broadcast()
+	l.mu.Unlock()
+	return l.Listener.Close()
+}
+
+// evict closes the connection that has been quiet for longest, if there is one.
+func (l *clients) evict() bool {
+	for e := l.quiet.Front(); e != nil; e = e.Next() {
+		// A request may have come that nobody has read yet: one that meets a close has failed.
+		if c := e.Value.(*clientConn); quiet(c.TCPConn) {
+			c.forget()
+			c.TCPConn.Close()
+			return true
+		}
+	}
+	return false
+}
+
+// Read also notes that a request begins: net/http says so only once it has the whole head.
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.change(http.StateActive)
+	}
+	return n, err
+}
+
+// change follows the connection's state.
+func (c *clientConn) change(state http.ConnState) {
+	l := c.owner
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case c.gone || state == http.StateNew:
+		return
+	case state == http.StateClosed || state == http.StateHijacked:
+		c.forget()
+	case state == http.StateIdle && c.quiet == nil:
+		c.quiet = l.quiet.PushBack(c)
+	case state == http.StateActive && c.quiet != nil:
+		l.quiet.Remove(c.quiet)
+		c.quiet = nil
+	}
+	l.room.Signal()
+}
+
+// forget takes the connection out of the count.
+func (c *clientConn) forget() {
+	if c.quiet != nil {
+		c.owner.quiet.Remove(c.quiet)
+		c.quiet = nil
+	}
+	c.gone = true
+	c.owner.open--
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -1,42 +1,47 @@
 package node
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"cobaltward/policy"
 )
 
-// maxBody is the most that a request or an answer may hold.
-const maxBody = 64 << 10
-
-// defaultConnIdle is how long a connection is kept unused where the settings name no limit.
-const defaultConnIdle = 60 * time.Second
+const (
+	maxBody         = 64 << 10 // bytes that a request or an answer may hold
+	maxInterim      = 8        // 1xx answers ahead of the final one
+	defaultConnIdle = 60 * time.Second
+	// restFor is how long a connection rests after an answer. Answers carry no id: what comes right
+	// behind one would be taken for the next one's, were the connection used again at once.
+	restFor = 3 * time.Millisecond
+)
 
 var (
 	errUnknown   = errors.New("not in the list")
 	errNoSockets = errors.New("no descriptor is left for another connection")
+	errSpoilt    = errors.New("the answer can't be read")
 )
 
-// upstream makes attempts at servers, over connections that it holds itself: http.Transport's own
-// pool sends a GET, or a request with an Idempotency-Key, again on its own when a reused connection
-// breaks, and each such copy would be an attempt that the module never decided on.
+// upstream makes attempts at servers, over connections that it holds itself. It writes and reads with
+// net/http's own functions and not with its Transport, which sends some requests again by itself, each
+// an attempt that the module never decided on, and which may read what was left behind one answer as
+// the next one's.
 type upstream struct {
-	dialer    net.Dialer
-	transport *http.Transport // makes connections, and pools none
-	idleFor   time.Duration   // an idle connection is dropped after this
-	report    []string        // names of the figures of a load report, in order
+	dialer  net.Dialer
+	idleFor time.Duration // an idle connection is dropped after this
+	report  []string      // names of the figures of a load report, in order
+	readers sync.Pool     // of *bufio.Reader
+	writers sync.Pool     // of *bytes.Buffer
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -52,29 +57,11 @@
 }
 
 type conn struct {
-	*http.ClientConn
-	raw  *rawConn
+	*net.TCPConn
 	pool *pool
 	used time.Time
 }
 
-// rawConn remembers whether a write failed. net/http says that a request was written before it
-// flushes the buffer that holds its end, so WroteRequest alone doesn't tell.
-type rawConn struct {
-	net.Conn
-	failed atomic.Bool
-}
-
-func (c *rawConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	if err != nil {
-		c.failed.Store(true)
-	}
-	return n, err
-}
-
-type rawConnKey struct{}
-
 func newUpstream(c Config, most int) *upstream {
 	idle := c.Settings.Allowed.ConnIdle
 	if idle == 0 {
@@ -84,10 +71,8 @@
 		dialer:  net.Dialer{Timeout: c.ConnectTimeout, KeepAlive: -1},
 		idleFor: idle / 2, // what is written just as the server closes would end as a reset
 		report:  c.Settings.Report, pools: make(map[string]*pool), most: most,
-		transport: &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: maxHeader,
-			DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-				return ctx.Value(rawConnKey{}).(*rawConn), nil
-			}},
+		readers: sync.Pool{New: func() any { return bufio.NewReader(nil) }},
+		writers: sync.Pool{New: func() any { return new(bytes.Buffer) }},
 	}
 }
 
@@ -105,7 +90,7 @@
 			u.forget(m.Server)
 		case p == nil || p.addr != m.Addr || p.upSince != m.UpSince:
 			u.forget(m.Server)
-			u.pools[m.Server] = &pool{addr: m.Addr, upSince: m.UpSince}
+			u.take(m)
 		}
 	}
 	if n.kind == policy.ListUpdate {
@@ -118,6 +103,20 @@
 	}
 }
 
+// take makes a pool for m, unless another server has its address by now: of two at one address the
+// one that started last is there, and what is meant for the other must not reach it.
+func (u *upstream) take(m member) {
+	for id, p := range u.pools {
+		if p.addr == m.Addr {
+			if p.upSince > m.UpSince {
+				return
+			}
+			u.forget(id)
+		}
+	}
+	u.pools[m.Server] = &pool{addr: m.Addr, upSince: m.UpSince}
+}
+
 func (u *upstream) forget(id string) {
 	if p := u.pools[id]; p != nil {
 		u.trim(p, len(p.idle))
@@ -143,14 +142,14 @@
 	}
 }
 
-// sweep drops the connections that were idle for too long, and those that the server closed.
+// sweep drops the connections that were idle for too long, and those that are quiet no more.
 func (u *upstream) sweep(now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, p := range u.pools {
 		var kept []*conn
 		for _, c := range p.idle {
-			if now.Sub(c.used) < u.idleFor && c.Available() > 0 {
+			if now.Sub(c.used) < u.idleFor && quiet(c.TCPConn) {
 				kept = append(kept, c)
 				continue
 			}
@@ -164,6 +163,22 @@
 // close drops all idle connections; those in use end with their attempts.
 func (u *upstream) close() { u.update(news{kind: policy.ListReplace}) }
 
+// quiet tells whether a connection is open and has brought nothing that is still to be read. It
+// doesn't wait for whoever is reading.
+func quiet(c *net.TCPConn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+	})
+	return quiet && err == nil
+}
+
 // acquire takes an idle connection to the server, or makes one.
 func (u *upstream) acquire(ctx context.Context, id string) (*conn, error) {
 	p, c, err := u.reserve(id)
@@ -173,19 +188,16 @@
 	tcp, err := u.dialer.DialContext(ctx, "tcp", p.addr)
 	if err != nil {
 		u.unreserve()
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
+			return nil, errNoSockets
+		}
 		return nil, err
 	}
-	raw := &rawConn{Conn: tcp}
-	cc, err := u.transport.NewClientConn(context.WithValue(ctx, rawConnKey{}, raw), "http", p.addr)
-	if err != nil {
-		tcp.Close()
-		u.unreserve()
-		return nil, err
-	}
-	return &conn{ClientConn: cc, raw: raw, pool: p}, nil
+	return &conn{TCPConn: tcp.(*net.TCPConn), pool: p}, nil
 }
 
-// reserve returns an idle connection, or counts one that the caller is to make.
+// reserve returns the idle connection last used of those that have rested, or counts one that the
+// caller is to make.
 func (u *upstream) reserve(id string) (*pool, *conn, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -193,10 +205,17 @@
 	if p == nil {
 		return nil, nil, errUnknown
 	}
-	for n := len(p.idle); n > 0; n = len(p.idle) {
-		c := p.idle[n-1]
-		p.idle[n-1], p.idle = nil, p.idle[:n-1]
-		if c.Available() > 0 && time.Since(c.used) < u.idleFor {
+	now := time.Now()
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		idle := now.Sub(c.used)
+		if idle < restFor {
+			continue
+		}
+		last := len(p.idle) - 1
+		copy(p.idle[i:], p.idle[i+1:])
+		p.idle[last], p.idle = nil, p.idle[:last]
+		if idle < u.idleFor && quiet(c.TCPConn) {
 			return p, c, nil
 		}
 		c.Close()
@@ -234,7 +253,7 @@
 func (u *upstream) release(c *conn, id string, reusable bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if reusable && c.Available() > 0 && u.pools[id] == c.pool {
+	if reusable && u.pools[id] == c.pool {
 		c.used = time.Now()
 		c.pool.idle = append(c.pool.idle, c)
 		return
@@ -254,32 +273,37 @@
 // closes the connection, which is how a server learns that nobody waits.
 func (u *upstream) attempt(ctx context.Context, id string, x *exchange) result {
 	c, err := u.acquire(ctx, id)
-	if err != nil {
-		return result{code: broken(ctx, false)}
+	switch {
+	case errors.Is(err, errNoSockets) && ctx.Err() == nil:
+		return result{code: policy.Moot} // nothing was sent, and the server is not to blame
+	case err != nil:
+		return result{code: broken(ctx, err, false)}
 	}
-	var wrote atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteRequest: func(info httptrace.WroteRequestInfo) { wrote.Store(info.Err == nil) },
-	})
-	resp, err := c.RoundTrip(u.request(ctx, c.pool.addr, x))
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	r, reusable := u.exchange(ctx, c, x)
+	u.release(c, id, stop() && reusable)
+	return r
+}
+
+// exchange writes x and reads its answer. The request can't have run before its last byte is written.
+func (u *upstream) exchange(ctx context.Context, c *conn, x *exchange) (r result, reusable bool) {
+	out := u.writers.Get().(*bytes.Buffer)
+	defer u.writers.Put(out)
+	out.Reset()
+	if err := u.request(ctx, c.pool.addr, x).Write(out); err != nil {
+		return result{code: broken(ctx, err, false)}, false
+	}
+	if _, err := c.Write(out.Bytes()); err != nil {
+		return result{code: broken(ctx, err, false)}, false
+	}
+	in := u.readers.Get().(*bufio.Reader)
+	defer u.readers.Put(in)
+	resp, body, err := read(in, c, x.method)
+	in.Reset(nil)
 	if err != nil {
-		// RoundTrip returns only once nothing is being written any more, so failed is final.
-		mayRun := wrote.Load() && !c.raw.failed.Load()
-		u.release(c, id, false)
-		return result{code: broken(ctx, mayRun)}
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	if err != nil || len(body) > maxBody {
-		u.release(c, id, false)
-		resp.Body.Close()
-		if err == nil {
-			return result{code: policy.ServerError}
-		}
-		return result{code: broken(ctx, true)}
+		return result{code: broken(ctx, err, true)}, false
 	}
-	resp.Body.Close()
-	u.release(c, id, true)
-	r := result{code: policy.ServerError, report: loadReport(resp.Header.Get("X-Load"), u.report)}
+	r = result{code: policy.ServerError, report: loadReport(resp.Header.Get("X-Load"), u.report)}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		r.code = policy.OK
@@ -289,12 +313,63 @@
 			r.code = policy.Full
 		}
 	}
-	return r
+	return r, !resp.Close
+}
+
+// read takes one whole answer from the connection, within bounds on its head and its body; resp.Close
+// tells that the connection serves no other. What doesn't fit its framing is no answer: a body
+// without a length could have lost its end unseen, and bytes behind a body that begin no answer may
+// be its rest.
+func read(in *bufio.Reader, c io.Reader, method string) (resp *http.Response, body []byte, err error) {
+	limit := &io.LimitedReader{R: c}
+	in.Reset(limit)
+	for i := 0; ; i++ {
+		limit.N = maxHeader
+		resp, err = http.ReadResponse(in, &http.Request{Method: method})
+		if err != nil {
+			return nil, nil, spoilt(err, limit.N == 0)
+		}
+		if resp.StatusCode >= 200 {
+			break
+		}
+		if i == maxInterim || resp.StatusCode < 100 || resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, nil, errSpoilt
+		}
+	}
+	if resp.ContentLength > maxBody || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, nil, errSpoilt
+	}
+	limit.N = 2 * maxBody // a chunked body brings the lengths of its parts
+	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	if err != nil {
+		return nil, nil, spoilt(err, limit.N == 0)
+	}
+	if len(body) > maxBody {
+		return nil, nil, errSpoilt
+	}
+	if n := in.Buffered(); n > 0 {
+		resp.Close = true
+		if behind, _ := in.Peek(min(n, len(statusLine))); string(behind) != statusLine[:len(behind)] {
+			return nil, nil, errSpoilt
+		}
+	}
+	return resp, body, nil
+}
+
+// statusLine is how an answer begins.
+const statusLine = "HTTP/1."
+
+// spoilt tells an answer that can't be read, or doesn't end, from a connection that broke.
+func spoilt(err error, tooLong bool) error {
+	if ne := net.Error(nil); errors.As(err, &ne) || !tooLong && errors.Is(err, io.ErrUnexpectedEOF) {
+		return err
+	}
+	return errSpoilt
 }
 
 // broken names the outcome of an attempt that brought no answer. One whose last byte was never
 // written can't have run, also where its time is up; when unsure, it may have run.
-func broken(ctx context.Context, mayRun bool) policy.Code {
+func broken(ctx context.Context, err error, mayRun bool) policy.Code {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		return policy.Cancelled
@@ -302,6 +377,8 @@
 		return policy.ConnectFailed
 	case ctx.Err() != nil:
 		return policy.TimedOut
+	case errors.Is(err, errSpoilt):
+		return policy.ServerError
 	}
 	return policy.Reset
 }
@@ -310,12 +387,12 @@
 func (u *upstream) request(ctx context.Context, addr string, x *exchange) *http.Request {
 	to := *x.url
 	to.Scheme, to.Host = "http", addr
-	req := (&http.Request{Method: x.method, URL: &to, Host: x.host, Proto: "HTTP/1.1", ProtoMajor: 1,
-		ProtoMinor: 1, Header: make(http.Header)}).WithContext(ctx)
+	req := &http.Request{Method: x.method, URL: &to, Host: x.host, Proto: "HTTP/1.1", ProtoMajor: 1,
+		ProtoMinor: 1, Header: make(http.Header)}
 	req.Header["User-Agent"] = []string{""} // nothing is added in the client's name
 	req.Header.Set("X-Request-Id", x.req.ID)
-	for _, name := range []string{"Idempotency-Key", "Content-Type"} {
-		if v := x.header.Get(name); v != "" {
+	for name, v := range map[string]string{"Idempotency-Key": x.key, "Content-Type": x.contentType} {
+		if v != "" {
 			req.Header.Set(name, v)
 		}
 	}
@@ -329,20 +406,31 @@
 	return req
 }
 
-// loadReport reads `name=value,name=value` into the order of names; nil where there is none.
+// maxReported is more than any figure of a load report can be.
+const maxReported = 1e9
+
+// loadReport reads `name=value,name=value` into the order of names; nil where there is none, or where
+// a part of it is missing or makes no sense: the rest is then not to be trusted either.
 func loadReport(text string, names []string) []float64 {
 	if text == "" || len(names) == 0 {
 		return nil
 	}
+	figures := make(map[string]float64)
+	for _, pair := range strings.Split(text, ",") {
+		name, v, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		n, err := strconv.ParseFloat(v, 64)
+		if _, twice := figures[name]; twice || err != nil || !(n >= 0 && n <= maxReported) {
+			return nil
+		}
+		figures[name] = n
+	}
 	row := make([]float64, len(names))
 	for i, name := range names {
-		row[i] = math.NaN() // absent
-		for _, pair := range strings.Split(text, ",") {
-			k, v, _ := strings.Cut(strings.TrimSpace(pair), "=")
-			if n, err := strconv.ParseFloat(v, 64); k == name && err == nil {
-				row[i] = n
-			}
+		n, ok := figures[name]
+		if !ok {
+			return nil
 		}
+		row[i] = n
 	}
 	return row
 }
