--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -90,6 +90,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == readyPath && r.Method == http.MethodGet {
+		if r.ContentLength != 0 { // net/http would wait for it, with no end
+			reject(w, http.StatusBadRequest, "no body is wanted here")
+			return
+		}
 		s.health(w)
 		return
 	}
@@ -142,6 +146,9 @@
 	if !usableID(id) {
 		return nil, http.StatusBadRequest, "X-Request-Id: missing or malformed"
 	}
+	if len(h.Get("X-Tenant")) > maxID { // the module remembers it
+		return nil, http.StatusBadRequest, "X-Tenant: too long"
+	}
 	class, ok := s.classes[h.Get("X-Class")]
 	if !ok {
 		return nil, http.StatusBadRequest, "X-Class: unknown"
--- a/internal/node/server_test.go
+++ b/internal/node/server_test.go
@@ -53,6 +53,7 @@
 		"no id":          {"GET", "read", "", []string{"X-Request-Id", ""}, 400},
 		"long id":        {"GET", "read", "", []string{"X-Request-Id", big[:maxID+1]}, 400},
 		"spaced id":      {"GET", "read", "", []string{"X-Request-Id", "a b"}, 400},
+		"long tenant":    {"GET", "read", "", []string{"X-Tenant", big[:maxID+1]}, 400},
 		"no class":       {"GET", "read", "", []string{"X-Class", ""}, 400},
 		"unknown class":  {"GET", "read", "", []string{"X-Class", "other"}, 400},
 		"no deadline":    {"GET", "read", "", []string{"X-Deadline-Ms", ""}, 400},
@@ -214,7 +215,7 @@
 	node, _ := startNode(t, testConfig(t, knownList(addr)))
 	head := "POST /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: r%d\r\nX-Class: pay\r\nX-Tenant: t\r\nX-Deadline-Ms: 8000\r\n"
 	ended := make(chan string, 10)
-	bad := []string{"", "POST /api HT", head, head + "Content-Length: 10\r\n\r\nabc", head + "Content-Length: 60000000\r\n\r\nabc"}
+	bad := []string{"", "POST /api HT", head, "GET " + readyPath + " HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n", head + "Content-Length: 10\r\n\r\nabc", head + "Content-Length: 60000000\r\n\r\nabc"}
 	for i, raw := range bad {
 		c, err := net.Dial("tcp", node)
 		if err != nil {
@@ -298,6 +299,23 @@
 	receive(t, "the slow request", held)
 	ended, began := make(chan error, 1), time.Now()
 	go func() { ended <- stop() }()
+	await(t, "a node that isn't ready", func() bool {
+		resp, err := http.Get("http://" + node + readyPath)
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusServiceUnavailable
+	})
+	// There may be no other node yet: who is here is served, and keeps the connection.
+	resp, err := http.DefaultClient.Do(clientRequest(t, node, "GET", "read", "late", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK || resp.Close {
+		t.Errorf("a request to a node that stops: %d, ends its connection: %v", resp.StatusCode, resp.Close)
+	}
 	await(t, "the end of accepting", func() bool {
 		c, err := net.Dial("tcp", node)
 		if err == nil {
