--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -21,6 +21,7 @@
 	headerTimeout = 2500 * time.Millisecond // for a request's head, and the same again for its body
 	clientIdle    = 15 * time.Second        // without a request; under pressure it is less
 	writeTimeout  = 5 * time.Second         // for an answer to a client that doesn't read
+	lingerFor     = 500 * time.Millisecond  // for the body of a request that was refused unread
 	readyPath     = "/health/ready"
 )
 
@@ -117,8 +118,10 @@
 // in doubt, and what follows it is not to be trusted.
 func reject(w http.ResponseWriter, status int, problem string) {
 	w.Header().Set("Connection", "close")
-	// Nor is the rest of the body waited for. An error here means that the connection is gone.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	// Behind the answer net/http reads what is left of the body, for a close with bytes unread would
+	// reset the connection before the client has read the answer; but not for long. An error here
+	// means that the connection is gone.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerFor))
 	http.Error(w, problem, status)
 }
 
