Common faults: failed connects too, and no longer pauses for trials

Failed connects count as faults like resets, a trial ended by a common one is repeated after the first pause, and common ones are no sign of a crowd.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -217,7 +217,7 @@
 	failureCut        = 0.3           // attempts a full answer or a failure takes off
 	faultGain         = 0.05          // weight of one outcome in a server's part of faults
 	faultCommon       = 0.08          // part at every other server from which faults tell nothing,
-	blameLeast        = 0.4           // so that each counts for so much less
+	blameLeast        = 0.25          // so that each counts for so much less
 	fullEnough        = 0.2           // part of full answers among bad ones from which servers shed early
 	lostMost          = 0.1           // part of the other answers that may time out there
 	fullGain, badGain = 0.02, 0.01    // weight of one answer in these parts, and in that of bad answers
@@ -358,7 +358,7 @@
 // learn moves the threshold of s by one outcome. Steps shrink with a threshold under one, so that it
 // settles where thresholdGrow/(thresholdGrow+slowCut) of the answers are slow, at any size.
 func (b *Balancer) learn(s *server, c *class, code Code, latency time.Duration) {
-	step, fault := 0.0, code == ServerError || code == Reset
+	step, fault := 0.0, code.fault()
 	track(&s.faults, faultGain, fault)
 	switch {
 	case fault:
@@ -371,25 +371,25 @@
 	case float64(s.inflight+1) >= b.limit(s): // answered well, and the threshold was felt
 		step = thresholdGrow
 	}
-	if step < 0 && (code != Full || s.health.score < silenceWeight) { // a hung server fills up too
+	bad := step <= -slowCut                                      // not what all servers have alike
+	if bad && (code != Full || s.health.score < silenceWeight) { // a hung server fills up too
 		track(&b.fullPart, fullGain, code == Full)
 	}
-	track(&b.bad, badGain, step < 0)
+	track(&b.bad, badGain, bad)
 	if code != Full {
 		track(&b.lost, badGain, code == TimedOut)
 	}
 	if b.shared(s) && step > 0 {
 		b.trust = min(trustMost, b.trust*(1+trustGrow))
-	} else if b.shared(s) && step < 0 && code != Full {
+	} else if b.shared(s) && bad && code != Full {
 		b.trust = max(1, b.trust*(1-trustCut))
 	}
-	s.felt = s.felt || step < 0
+	s.felt = s.felt || bad
 	s.threshold = max(leastPart*b.start(s), s.threshold+step*min(1, s.threshold))
 }
 
-// compare sets errors and resets against what is usual: where the median server has them too, they come
-// from what stands between, or from the requests, and a server that has no more isn't to blame. Without
-// it, faults strewn over all servers would close one threshold after the other and eject at random.
+// compare sets faults against the median server's: what all have alike, none of them is to blame for.
+// Unweighed it would close one threshold after the other, and eject at random.
 func (b *Balancer) compare() {
 	var parts []float64
 	for _, s := range b.order {
@@ -765,16 +765,18 @@
 			b.countEjected()
 		}
 	case h.out && a.trial: // full too: a hung server turns away what it has no room for
+		if code.fault() && b.blame < 1 { // it may be well, so it is not put off for longer each time
+			h.times = 0
+		}
 		b.eject(s)
 	case code == OK:
 		h.score -= failWeight * b.blame * h.score
+	case code == Full && b.shedEarly():
 	case code == Full:
-		if !b.shedEarly() {
-			b.strike(s, fullWeight)
-		}
-	case code == ServerError || code == Reset:
+		b.strike(s, fullWeight)
+	case code.fault():
 		b.strike(s, failWeight*b.blame)
-	case code != TimedOut || s.lastDone < a.sent: // a server that answers others isn't hung
+	case s.lastDone < a.sent: // a server that answers others isn't hung
 		b.strike(s, failWeight)
 	}
 }
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -759,6 +759,17 @@
 			t.Errorf("%s: threshold %v, was %v", s.Server, s.threshold, first)
 		}
 	}
+	b.eject(b.order[0]) // for once
+	now += 5 * time.Second
+	b.reqs["trial"] = &request{id: "trial", class: b.classes["free"], deadline: now + time.Second}
+	b.send(b.reqs["trial"], b.order[0], true)
+	b.Handle(now, outcome("trial", 0, "s00", ConnectFailed, 0))
+	if h := b.order[0].health; !h.out || h.until != now+ejectFirst {
+		t.Errorf("a trial that failed by what all have alike puts the next off by %v", h.until-now)
+	}
+	if b.bad > paceBad {
+		t.Errorf("%v of the answers count as bad", b.bad)
+	}
 	bad := b.servers["s03"]
 	for range 10 {
 		now += 25 * ms
--- a/policy/state.go
+++ b/policy/state.go
@@ -163,3 +163,6 @@
 func (b *Balancer) doneRate() float64 {
 	return b.done * math.Exp(-(b.now-b.doneAt).Seconds()/doneSpan.Seconds())
 }
+
+// fault tells whether an attempt ended by an error, or by a connection that broke or never came up.
+func (c Code) fault() bool { return c == ServerError || c == Reset || c == ConnectFailed }
