--- /dev/null
+++ b/policy/reconfigure_test.go
@@ -0,0 +1,266 @@
+package policy
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// reconfigured puts set in force and returns the actions, copied.
+func reconfigured(t *testing.T, b *Balancer, now Time, set Settings) []Action {
+	t.Helper()
+	acts, err := b.Reconfigure(now, set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return append([]Action(nil), acts...)
+}
+
+func handled(b *Balancer, now Time, ev Event) []Action {
+	return append([]Action(nil), b.Handle(now, ev)...)
+}
+
+func reconfigurable() Settings {
+	return Settings{Nodes: 1, Zone: "a",
+		Classes: []Class{{Name: "read", Aim: 200 * ms, Deadline: time.Second, LateWorth: 0.5, Repeat: Free},
+			{Name: "pay", Aim: 200 * ms, Deadline: time.Second, LateWorth: 0.5, Repeat: Never}},
+		Tenants: []Tenant{{Name: "t", Quota: 1000}},
+		Allowed: Allowed{Cancel: true, MaxAttempts: 3},
+		Rules:   Rules{DrainGrace: 500 * ms},
+	}
+}
+
+func oneAndTwo() MemberList {
+	return MemberList{Members: []Member{{Server: "one", Zone: "a"}, {Server: "two", Zone: "a"}}}
+}
+
+func kinds(acts []Action, kind ActionKind) (n int) {
+	for _, a := range acts {
+		if a.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// A request ends under the rules that it was taken under, whatever its class is called or allowed by
+// then: one that must never run twice is not sent again though the class of its name may be.
+func TestRequestsKeepTheRulesTheyWereTakenUnder(t *testing.T) {
+	b, err := New(reconfigurable(), 0, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Handle(0, oneAndTwo())
+	for _, class := range []string{"pay", "read"} {
+		if n := kinds(handled(b, ms, Request{ID: class, Class: class, Tenant: "t", ExpiresIn: time.Second}), Send); n != 1 {
+			t.Fatalf("%s: %d sends", class, n)
+		}
+	}
+	swapped := reconfigurable()
+	swapped.Classes[0].Repeat, swapped.Classes[1].Repeat = Never, Free
+	reconfigured(t, b, 2*ms, swapped)
+	acts := handled(b, 3*ms, Outcome{ID: "pay", Server: b.reqs["pay"].attempts[0].server.Server, Code: Reset, Latency: ms})
+	if kinds(acts, Send) != 0 || kinds(acts, Fail) != 1 {
+		t.Errorf("a booking that may have run: %+v", acts)
+	}
+	acts = handled(b, 3*ms, Outcome{ID: "read", Server: b.reqs["read"].attempts[0].server.Server, Code: Reset, Latency: ms})
+	if kinds(acts, Send) != 1 {
+		t.Errorf("a search that was safe to repeat when it was taken: %+v", acts)
+	}
+	for _, r := range []string{"pay2", "read2"} { // those that come now go by the new rules
+		class := strings.TrimSuffix(r, "2")
+		handled(b, 4*ms, Request{ID: r, Class: class, Tenant: "t", ExpiresIn: time.Second})
+		acts := handled(b, 5*ms, Outcome{ID: r, Server: b.reqs[r].attempts[0].server.Server, Code: Reset, Latency: ms})
+		if want := map[string]int{"pay": 1, "read": 0}[class]; kinds(acts, Send) != want {
+			t.Errorf("%s: %+v, want %d sends", r, acts, want)
+		}
+	}
+}
+
+// The budget of further attempts holds over both generations, also where the new one counts over a
+// longer span than the old one remembered.
+func TestAttemptBudgetHoldsOverReloads(t *testing.T) {
+	set := reconfigurable()
+	set.Rules.Attempts = &Budget{Least: 4.5, Span: time.Second}
+	b, _ := New(set, 0, 1)
+	b.Handle(0, oneAndTwo())
+	retries, now := 0, Time(0)
+	retry := func(n int) {
+		for i := range n {
+			id := fmt.Sprint("r", now, i)
+			handled(b, now, Request{ID: id, Class: "read", Tenant: "t", ExpiresIn: time.Second})
+			r := b.reqs[id]
+			for r != nil && !r.ended && len(r.attempts) < 2 && r.pending > 0 {
+				a := len(r.attempts) - 1
+				acts := handled(b, now, Outcome{ID: id, Attempt: a, Server: r.attempts[a].server.Server, Code: Full, Latency: ms})
+				retries += kinds(acts, Send)
+			}
+			if r != nil && r.pending > 0 {
+				handled(b, now, Outcome{ID: id, Attempt: 1, Server: r.attempts[1].server.Server, Code: OK, Latency: ms, Ended: true})
+			}
+		}
+	}
+	retry(10)
+	if retries != 4 {
+		t.Fatalf("%d further attempts under the old budget, want 4", retries)
+	}
+	reconfigured(t, b, now, set)
+	retry(10)
+	if retries != 4 {
+		t.Errorf("%d further attempts after a reload with the same budget, want 4", retries)
+	}
+	now = 1500 * ms
+	retry(10) // the old span has passed
+	if retries != 8 {
+		t.Fatalf("%d further attempts in two spans, want 8", retries)
+	}
+	now = 2900 * ms
+	retry(1) // by now the old budget has forgotten all but this one
+	longer := set
+	longer.Rules.Attempts = &Budget{Least: 9.5, Span: 10 * time.Second}
+	reconfigured(t, b, now, longer)
+	retry(10)
+	if retries != 9 {
+		t.Errorf("%d further attempts within the longer span, 9 are allowed", retries)
+	}
+}
+
+// A cold server gets no fresh budget by a reload.
+func TestColdBudgetHoldsOverReloads(t *testing.T) {
+	sent := func(reloads bool) (n int) {
+		set := reconfigurable()
+		set.Rules.ColdShare, set.Rules.ColdFor, set.Rules.FallMultiple, set.Rules.FallFor = 0.3, 10*time.Second, 3, time.Second
+		b, _ := New(set, time.Hour, 1)
+		b.Handle(time.Hour, MemberList{Members: []Member{{Server: "young", Zone: "a", OnlineSince: time.Hour - ms}}})
+		for i := range 200 {
+			now := time.Hour + Time(i)*ms
+			if reloads {
+				set.Classes[0].Deadline += ms
+				reconfigured(t, b, now, set)
+			}
+			acts := handled(b, now, Request{ID: fmt.Sprint(i), Class: "read", Tenant: "t", ExpiresIn: time.Second})
+			n += kinds(acts, Send)
+		}
+		return n
+	}
+	if with, without := sent(true), sent(false); with > without {
+		t.Errorf("%d sends to a cold server with reloads, %d without", with, without)
+	}
+}
+
+// A drain that comes after a reload binds what was taken before it, in a class bound to a zone as well.
+func TestDrainsBindRetiredClasses(t *testing.T) {
+	set := reconfigurable()
+	set.Classes[0].Zones = []string{"a"}
+	b, _ := New(set, 0, 1)
+	b.Handle(0, oneAndTwo())
+	handled(b, ms, Request{ID: "r", Class: "read", Tenant: "t", ExpiresIn: time.Second})
+	first := b.reqs["r"].attempts[0].server.Server
+	other := map[string]string{"one": "two", "two": "one"}[first]
+	next := reconfigurable()
+	next.Classes = next.Classes[1:]
+	reconfigured(t, b, 2*ms, next)
+	handled(b, 3*ms, MemberList{Kind: ListUpdate, Members: []Member{{Server: other, Zone: "a", Availability: Draining}}})
+	acts := handled(b, 4*ms, Outcome{ID: "r", Server: first, Code: Reset, Latency: ms})
+	if kinds(acts, Send) != 0 {
+		t.Errorf("sent to a server that drains: %+v", acts)
+	}
+}
+
+// Buckets go on: what was used stays used, a lower burst cuts what is there, and a layer that is gone
+// leaves nothing behind.
+func TestBucketsGoOnOverReloads(t *testing.T) {
+	set := reconfigurable()
+	set.Tenants = []Tenant{{Name: "t", Quota: 0}}
+	set.Limits.Default = &Limit{PerWindow: 10, Window: time.Second, Burst: 100}
+	set.Limits.PerClass = map[string]Limit{"pay": {PerWindow: 1, Window: time.Second, Burst: 2}}
+	b, _ := New(set, 0, 1)
+	b.Handle(0, oneAndTwo())
+	admitted := func(now Time, class, tenant string, n int) (ok int) {
+		b.now = now
+		for range n {
+			if may, _ := b.admit(tenant, class); may {
+				ok++
+			}
+		}
+		return ok
+	}
+	if n := admitted(0, "pay", "x", 5); n != 2 {
+		t.Fatalf("%d of pay at first, want its burst of 2", n)
+	}
+	if n := admitted(0, "read", "x", 60); n != 60 {
+		t.Fatalf("%d of read", n)
+	}
+	reconfigured(t, b, 0, set)
+	if n := admitted(0, "pay", "x", 5); n != 0 {
+		t.Errorf("%d of pay right after a reload: the burst was handed out again", n)
+	}
+	lower := set
+	lower.Limits.Default = &Limit{PerWindow: 10, Window: time.Second, Burst: 5}
+	lower.Limits.PerClass = nil
+	reconfigured(t, b, 0, lower)
+	if n := admitted(0, "read", "x", 60); n != 5 {
+		t.Errorf("%d of read under a burst of 5", n)
+	}
+	if _, ok := b.buckets[bucketKey{"x", "pay"}]; ok {
+		t.Error("the bucket of a layer that is gone is still there")
+	}
+}
+
+// Settings that make no sense change nothing, and classes without requests are not kept.
+func TestReconfigureChecksAndForgets(t *testing.T) {
+	b, _ := New(reconfigurable(), 0, 1)
+	b.Handle(0, oneAndTwo())
+	bad := reconfigurable()
+	bad.Classes[1].Deadline = -1
+	if _, err := b.Reconfigure(0, bad); err == nil || !strings.Contains(err.Error(), `class "pay": deadline`) {
+		t.Errorf("got %v", err)
+	}
+	if b.classes["pay"].Deadline != time.Second {
+		t.Error("a bad configuration changed something")
+	}
+	same := b.classes["read"]
+	reconfigured(t, b, 0, reconfigurable())
+	if b.classes["read"] != same || len(b.retired) != 0 {
+		t.Error("a class that is as it was has been replaced")
+	}
+	for i := range 200 {
+		set := reconfigurable()
+		set.Classes[0].Deadline += Time(i+1) * ms
+		now := Time(i) * ms
+		handled(b, now, Request{ID: fmt.Sprint(i), Class: "read", Tenant: "t", ExpiresIn: time.Second})
+		reconfigured(t, b, now, set)
+		server := b.reqs[fmt.Sprint(i)].attempts[0].server.Server
+		handled(b, now, Outcome{ID: fmt.Sprint(i), Server: server, Code: OK, Ended: true, Latency: ms})
+	}
+	reconfigured(t, b, time.Second, reconfigurable())
+	if len(b.retired) != 0 {
+		t.Errorf("%d classes of former settings are kept without a request", len(b.retired))
+	}
+}
+
+// The watch on slow attempts of a class goes on after its settings have gone: a second copy is sent.
+func TestSecondCopiesOfRetiredClasses(t *testing.T) {
+	set := reconfigurable()
+	set.Allowed.Hedge = true
+	b, _ := New(set, 0, 1)
+	b.Handle(0, oneAndTwo())
+	acts := handled(b, ms, Request{ID: "r", Class: "read", Tenant: "t", ExpiresIn: time.Second})
+	var timer Action
+	for _, a := range acts {
+		if a.Kind == SetTimer && a.Token >= watchToken {
+			timer = a
+		}
+	}
+	if timer.Token == 0 {
+		t.Fatalf("no watch was set: %+v", acts)
+	}
+	next := set
+	next.Classes = append([]Class(nil), set.Classes...)
+	next.Classes[0].Aim, next.Allowed.Hedge = 100*ms, false
+	reconfigured(t, b, 2*ms, next)
+	if acts := handled(b, ms+timer.Wait, Timer{Token: timer.Token}); kinds(acts, Send) != 1 {
+		t.Errorf("no second copy: %+v", acts)
+	}
+}
