Tests of the engine: a blocked host, reloads and Close under load, drains, bounds

Need: the engine now lives in hosts that stall, reload and end as they like.

Change: tests in bubbles of testing/synctest, so that ten seconds of reloads at twenty a second cost no real time; goleak over the package.

--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,518 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"cobaltward/policy"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// A host that keeps the router from running for 300 ms: what has run out of time by then gets its one
+// answer and goes nowhere, news of a drain goes ahead of the requests that piled up before it, and the
+// lag is shown.
+func TestHostThatBlocksTheRouter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var order []string
+		f := &fake{attempt: serves}
+		source := &told{changes: make(chan Change)}
+		var r *Router
+		r, s := newTest(t, f, func(_ policy.Time, ev policy.Event) []policy.Action {
+			switch e := ev.(type) {
+			case policy.Request:
+				order = append(order, e.ID)
+				if e.ID == "stall" {
+					time.Sleep(300 * ms) // the loop stands still, as it does where no thread runs it
+				}
+				return sends(e.ID, 1)
+			case policy.MemberList:
+				order = append(order, "list")
+			}
+			return nil
+		}, WithMembership(source))
+		first := begin(t.Context(), r, read("stall"))
+		synctest.Wait()
+		var late, patient []chan ending
+		for i := range 20 {
+			req := read(fmt.Sprint("late", i))
+			req.Wait = 100 * ms
+			late = append(late, begin(t.Context(), r, req))
+			patient = append(patient, begin(t.Context(), r, read(fmt.Sprint("patient", i))))
+		}
+		synctest.Wait()
+		go func() { source.changes <- Change{Kind: policy.ListUpdate} }()
+		for _, c := range late {
+			if e := <-c; e.err != nil || e.Outcome != Refused {
+				t.Errorf("one whose time had passed: %v, error %v", e.Outcome, e.err)
+			}
+		}
+		for _, c := range append(patient, first) {
+			if e := <-c; e.err != nil || e.Outcome != Served {
+				t.Errorf("one that had time left: %v, error %v", e.Outcome, e.err)
+			}
+		}
+		for _, sent := range f.reached() {
+			if strings.HasPrefix(sent, "late") {
+				t.Errorf("%s went out after its time", sent)
+			}
+		}
+		if len(order) < 3 || order[1] != "stall" || order[2] != "list" {
+			t.Errorf("the news of the list did not go ahead: %v", order[:min(4, len(order))])
+		}
+		st := r.Stats()
+		if st.Lag.Max < 299*ms || st.Lag.Mean <= 0 {
+			t.Errorf("lag %+v, want 300 ms", st.Lag)
+		}
+		for _, ev := range s.events() {
+			if strings.Contains(ev, "late") {
+				t.Errorf("the module was told: %s", ev)
+			}
+		}
+	})
+}
+
+// told is a membership that tells what a test hands it.
+type told struct{ changes chan Change }
+
+func (s *told) Run(ctx context.Context, tell func(Change)) {
+	for {
+		select {
+		case c := <-s.changes:
+			tell(c)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *told) Ask(bool) {}
+
+// ledger is a transport that keeps the rules' books: which attempts may have run, and what came of
+// them. Ends are drawn from a seed.
+type ledger struct {
+	mu     sync.Mutex
+	rng    *rand.Rand
+	mayRun map[string]int // attempts of a request that may have run
+	broken []string
+	drains map[string]bool
+}
+
+func (l *ledger) attempt(ctx context.Context, server string, r *Request) Result {
+	l.mu.Lock()
+	n := l.rng.Float64()
+	took := time.Duration(l.rng.IntN(20)) * ms
+	if r.Class == "pay" && l.mayRun[r.ID] > 0 {
+		l.broken = append(l.broken, r.ID+" was sent again though it may have run")
+	}
+	code := policy.OK
+	switch {
+	case n < 0.05:
+		code = policy.Full
+	case n < 0.08:
+		code = policy.ConnectFailed
+	case n < 0.10:
+		code = policy.Reset
+	case n < 0.12:
+		code = policy.ServerError
+	}
+	if !code.NotRun() {
+		l.mayRun[r.ID]++
+	}
+	l.mu.Unlock()
+	select {
+	case <-time.After(took):
+		return Result{Code: code}
+	case <-ctx.Done():
+		return Result{Code: policy.Cancelled}
+	}
+}
+
+// Twenty reloads a second for ten seconds, under load, with classes, tenants, limits and servers
+// changing: each request gets one answer, no booking runs twice, and the newest configuration holds at
+// the end with nothing left behind.
+func TestReloadsUnderLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		books := &ledger{rng: rand.New(rand.NewPCG(1, 2)), mayRun: make(map[string]int)}
+		c := testConfig()
+		c.Members = testMembers(6)
+		r, _ := newTestOf(t, c, &fake{attempt: books.attempt}, nil)
+		var clients sync.WaitGroup
+		var answers [8]atomic.Int64
+		stop := make(chan struct{})
+		for i := range 16 {
+			clients.Go(func() {
+				for n := 0; ; n++ {
+					select {
+					case <-stop:
+						return
+					case <-time.After(5 * ms):
+					}
+					class := []string{"read", "pay", "undo"}[n%3]
+					a, err := r.Do(t.Context(), Request{ID: fmt.Sprint(i, "-", n), Class: class, Tenant: "t",
+						IdempotencyKey: "k", Target: "/"})
+					if err != nil {
+						t.Errorf("%s: %v", class, err)
+						return
+					}
+					answers[a.Outcome].Add(1)
+				}
+			})
+		}
+		var newest Config
+		for i := range 200 {
+			newest = testConfig()
+			newest.Members = testMembers(3 + i%4)
+			newest.MaxOpen = 50 + i
+			newest.Settings.Classes[i%3].Deadline += time.Duration(i+1) * ms
+			newest.Settings.Allowed.MaxAttempts = 1 + i%4
+			newest.Settings.Tenants = []policy.Tenant{{Name: "t", Quota: float64(50_000 + i)}}
+			if err := r.Reload(newest); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(50 * ms)
+		}
+		close(stop)
+		clients.Wait()
+		for _, b := range books.broken {
+			t.Error(b)
+		}
+		if served := answers[Served].Load(); served < 5_000 {
+			t.Errorf("%d served", served)
+		}
+		if class, _ := r.Class("pay"); class.Deadline != newest.Settings.Classes[1].Deadline {
+			t.Errorf("pay has the deadline %v, want the newest's %v", class.Deadline, newest.Settings.Classes[1].Deadline)
+		}
+		time.Sleep(time.Minute) // all timers that are the module's own have come due
+		s := r.Stats()
+		if s.Reloads != 200 || s.Kept != 0 || s.Out != 0 || len(s.Open) != 0 || s.Servers[policy.Running] != len(newest.Members) {
+			t.Errorf("left behind: %+v", s)
+		}
+		if s.Timers > 8 {
+			t.Errorf("%d timers are left", s.Timers)
+		}
+	})
+}
+
+// A bad configuration changes nothing, and the error names the field.
+func TestBadReloadsChangeNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, _ := newTest(t, &fake{attempt: serves}, nil)
+		for want, spoil := range map[string]func(*Config){
+			"MaxOpen":            func(c *Config) { c.MaxOpen = -1 },
+			"Members[1].ID":      func(c *Config) { c.Members = append(c.Members, c.Members[0]) },
+			"Members[0].Addr":    func(c *Config) { c.Members = []Member{{ID: "x"}} },
+			`class "pay"`:        func(c *Config) { c.Settings.Classes[1].Deadline = 0 },
+			"classes: there are": func(c *Config) { c.Settings.Classes = nil },
+			"node 7":             func(c *Config) { c.Settings.Node = 7 },
+		} {
+			c := testConfig()
+			spoil(&c)
+			if err := r.Reload(c); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("got %v, want one line that names %s", err, want)
+			}
+		}
+		if a, err := r.Do(t.Context(), Request{ID: "r", Class: "pay", Tenant: "t"}); err != nil || a.Outcome != Served {
+			t.Errorf("after bad reloads: %v, %v", a.Outcome, err)
+		}
+		if s := r.Stats(); s.Reloads != 0 || s.Servers[policy.Running] != 1 {
+			t.Errorf("%+v", s)
+		}
+	})
+}
+
+// An id that was used before a reload stays used after it.
+func TestIDsStayUsedOverReloads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, _ := newTest(t, &fake{attempt: serves}, nil)
+		pay := Request{ID: "r", Class: "pay", Tenant: "t"}
+		if a, err := r.Do(t.Context(), pay); err != nil || a.Outcome != Served {
+			t.Fatal(a.Outcome, err)
+		}
+		c := testConfig()
+		c.Settings.Classes[1].Deadline += ms
+		if err := r.Reload(c); err != nil {
+			t.Fatal(err)
+		}
+		if a, err := r.Do(t.Context(), pay); err != nil || a.Outcome != Conflict {
+			t.Errorf("the same id after a reload: %v, %v", a.Outcome, err)
+		}
+	})
+}
+
+// A class that a reload took away is unknown to those who come, and its requests end as they would.
+func TestReloadTakesAClassAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		f := &fake{attempt: func(context.Context, string, *Request) Result {
+			<-release
+			return Result{Code: policy.OK}
+		}}
+		r, _ := newTest(t, f, nil)
+		open := begin(t.Context(), r, Request{ID: "open", Class: "pay", Tenant: "t"})
+		synctest.Wait()
+		c := testConfig()
+		c.Settings.Classes = c.Settings.Classes[:1]
+		if err := r.Reload(c); err != nil {
+			t.Fatal(err)
+		}
+		invalid := (*InvalidError)(nil)
+		if _, err := r.Do(t.Context(), Request{ID: "new", Class: "pay", Tenant: "t"}); !errors.As(err, &invalid) || invalid.Field != "Class" {
+			t.Errorf("a class that is gone: %v", err)
+		}
+		close(release)
+		if e := <-open; e.err != nil || e.Outcome != Served {
+			t.Errorf("the one that was open: %v, %v", e.Outcome, e.err)
+		}
+	})
+}
+
+func TestMalformedRequestsAreNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fake{attempt: serves}
+		r, _ := newTest(t, f, nil)
+		for field, req := range map[string]Request{
+			"ID":             {Class: "read"},
+			"Class":          {ID: "a", Class: "other"},
+			"Tenant":         {ID: "a", Class: "read", Tenant: strings.Repeat("x", MaxName+1)},
+			"Wait":           {ID: "a", Class: "read", Wait: -1},
+			"IdempotencyKey": {ID: "a", Class: "undo"},
+		} {
+			invalid := (*InvalidError)(nil)
+			if _, err := r.Do(t.Context(), req); !errors.As(err, &invalid) || invalid.Field != field {
+				t.Errorf("%s: got %v", field, err)
+			}
+		}
+		if n := len(f.reached()); n != 0 {
+			t.Errorf("%d attempts", n)
+		}
+	})
+}
+
+// A context that has ended takes nothing in; one with a deadline binds the request, and one without
+// leaves it to its class.
+func TestContextsOfDo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fake{attempt: hangs}
+		r, _ := newTest(t, f, sendOnce)
+		over, cancel := context.WithCancel(t.Context())
+		cancel()
+		if _, err := r.Do(over, read("over")); !errors.Is(err, context.Canceled) || len(f.reached()) != 0 {
+			t.Errorf("ended: %v after %d attempts", err, len(f.reached()))
+		}
+		short, cancel := context.WithTimeout(t.Context(), 300*ms)
+		defer cancel()
+		began := time.Now()
+		if a, err := r.Do(short, read("short")); err != nil || a.Outcome != Failed || time.Since(began) >= 300*ms {
+			t.Errorf("with a deadline: %v, %v after %v", a.Outcome, err, time.Since(began))
+		}
+		began = time.Now()
+		if a, err := r.Do(t.Context(), read("long")); err != nil || a.Outcome != Failed || time.Since(began) >= long {
+			t.Errorf("without: %v, %v after %v", a.Outcome, err, time.Since(began))
+		}
+	})
+}
+
+// Ten thousand at once against a bound of a hundred: the surplus is refused at once, and no goroutine
+// of the router's stays.
+func TestManyAtOnceAgainstTheBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		f := &fake{attempt: func(context.Context, string, *Request) Result {
+			<-release
+			return Result{Code: policy.OK}
+		}}
+		c := testConfig()
+		r, _ := newTestOf(t, c, f, func(_ policy.Time, ev policy.Event) []policy.Action {
+			if e, ok := ev.(policy.Request); ok {
+				return sends(e.ID, 1)
+			}
+			return nil
+		})
+		var outcomes [8]atomic.Int64
+		var all sync.WaitGroup
+		for i := range 10_000 {
+			all.Go(func() {
+				a, err := r.Do(t.Context(), read(fmt.Sprint("r", i)))
+				if err != nil {
+					t.Error(err)
+				}
+				outcomes[a.Outcome].Add(1)
+			})
+		}
+		synctest.Wait()
+		if s := r.Stats(); s.Open["read"] != 100 || s.Out != 100 {
+			t.Errorf("%d open, %d attempts out, want 100", s.Open["read"], s.Out)
+		}
+		close(release)
+		all.Wait()
+		if served, over := outcomes[Served].Load(), outcomes[Overloaded].Load(); served != 100 || over != 9_900 {
+			t.Errorf("%d served, %d refused", served, over)
+		}
+	})
+}
+
+// A drain serves on, has its fronts end their intake, and is through when the last request is.
+func TestDrainInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		f := &fake{attempt: func(context.Context, string, *Request) Result {
+			<-release
+			return Result{Code: policy.OK}
+		}}
+		shut := &front{until: make(chan struct{})}
+		r, _ := newTest(t, f, nil, WithFront(shut), WithLeave(time.Second))
+		open := begin(t.Context(), r, read("open"))
+		synctest.Wait()
+		drained := make(chan error, 2)
+		for range 2 { // who asks again waits for the same
+			go func() { drained <- r.Drain(t.Context()) }()
+		}
+		time.Sleep(500 * ms)
+		if p := r.Phase(); p != Leaving || shut.called.Load() != 0 {
+			t.Errorf("phase %v, the front was told %d times", p, shut.called.Load())
+		}
+		late := begin(t.Context(), r, read("late"))
+		time.Sleep(time.Second)
+		if p := r.Phase(); p != Closing || shut.called.Load() != 1 {
+			t.Errorf("phase %v, the front was told %d times", p, shut.called.Load())
+		}
+		close(shut.until)
+		synctest.Wait()
+		if p := r.Phase(); p != Closing {
+			t.Errorf("phase %v with requests open", p)
+		}
+		close(release)
+		for range 2 {
+			if err := <-drained; err != nil {
+				t.Error(err)
+			}
+		}
+		for _, c := range []chan ending{open, late} {
+			if e := <-c; e.err != nil || e.Outcome != Served {
+				t.Errorf("%v, %v", e.Outcome, e.err)
+			}
+		}
+		if _, err := r.Do(t.Context(), read("after")); !errors.Is(err, ErrDrained) {
+			t.Errorf("after the drain: %v", err)
+		}
+	})
+}
+
+// Where the drain's time is up first, what is open is answered once: failed where it may have run.
+func TestDrainDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, _ := newTest(t, &fake{attempt: hangs}, func(now policy.Time, ev policy.Event) []policy.Action {
+			if e, ok := ev.(policy.Request); ok && e.ID == "held" {
+				return nil
+			}
+			return sendOnce(now, ev)
+		}, WithLeave(0))
+		sent, held := begin(t.Context(), r, read("sent")), begin(t.Context(), r, read("held"))
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := r.Drain(ctx); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("drain: %v", err)
+		}
+		if e := <-sent; e.Outcome != Failed {
+			t.Errorf("sent: %v, %v", e.Outcome, e.err)
+		}
+		if e := <-held; e.Outcome != Refused {
+			t.Errorf("held: %v, %v", e.Outcome, e.err)
+		}
+		synctest.Wait()
+		if s := r.Stats(); s.Out != 0 || s.Kept != 0 || s.Phase != Drained {
+			t.Errorf("%+v", s)
+		}
+	})
+}
+
+type front struct {
+	called atomic.Int32
+	until  chan struct{}
+}
+
+func (f *front) Shutdown(ctx context.Context) error {
+	f.called.Add(1)
+	select {
+	case <-f.until:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Two routers in one process share nothing: the end of one is not felt by the other, and neither are
+// its ids.
+func TestTwoRoutersDoNotDisturbEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, _ := newTest(t, &fake{attempt: serves}, nil)
+		b, _ := newTest(t, &fake{attempt: serves}, nil)
+		for _, r := range []*Router{a, b} {
+			if ans, err := r.Do(t.Context(), read("same")); err != nil || ans.Outcome != Served {
+				t.Errorf("%v, %v", ans.Outcome, err)
+			}
+		}
+		a.Close()
+		if ans, err := b.Do(t.Context(), read("next")); err != nil || ans.Outcome != Served {
+			t.Errorf("after the other's end: %v, %v", ans.Outcome, err)
+		}
+		if s := b.Stats(); s.Answers[Served] != 2 {
+			t.Errorf("%d answers counted", s.Answers[Served])
+		}
+	})
+}
+
+// Close while requests come, leave and end: each call returns once, with an answer or an error.
+func TestCloseUnderLoad(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			books := &ledger{rng: rand.New(rand.NewPCG(3, 4)), mayRun: make(map[string]int)}
+			c := testConfig()
+			c.Members = testMembers(4)
+			r, _ := newTestOf(t, c, &fake{attempt: books.attempt}, nil)
+			var all sync.WaitGroup
+			for i := range 200 {
+				all.Go(func() {
+					time.Sleep(time.Duration(i%20) * ms)
+					ctx, cancel := context.WithTimeout(t.Context(), time.Duration(1+i%30)*ms)
+					defer cancel()
+					_, err := r.Do(ctx, read(fmt.Sprint("r", i)))
+					if err != nil && !errors.Is(err, ErrClosed) && !errors.Is(err, context.DeadlineExceeded) {
+						t.Error(err)
+					}
+				})
+			}
+			time.Sleep(10 * ms)
+			if err := r.Close(); err != nil {
+				t.Error(err)
+			}
+			all.Wait()
+			if s := r.Stats(); s.Phase != Closed || len(s.Open) != 0 {
+				t.Errorf("%+v", s)
+			}
+		})
+	}
+}
+
+func TestNewNeedsATransport(t *testing.T) {
+	if _, err := New(testConfig()); err == nil || !strings.Contains(err.Error(), "transport") {
+		t.Errorf("got %v", err)
+	}
+	bad := testConfig()
+	bad.Settings.Classes[0].Aim = -1
+	if _, err := New(bad, WithTransport(&fake{attempt: serves})); err == nil || !strings.Contains(err.Error(), `class "read": aim`) {
+		t.Errorf("got %v", err)
+	}
+}
