The middleware does what net/http does not already do, and no more

Need: tests showed that two lines guarded against nothing: net/http lifts a body's read deadline itself when it begins to watch for the client's departure, and no write deadline outlives its answer.

Change: both lines are gone. The test of late attempts now has an idle connection, without which a dial noticed the time.

--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -154,9 +154,7 @@
 		}
 		req.Body = body
 	}
-	// From now on net/http reads on to notice a client that leaves, which may take as long as the
-	// answer: a time-out of the body, the host's own as well, would count as its leaving.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	// From now on net/http reads on to notice a client that leaves, and lifts the body's time-out itself.
 	req.Came = time.Now()
 	return nil
 }
@@ -172,7 +170,6 @@
 	// reset the connection before the client has read the answer; but not for long. An error here
 	// means that the connection is gone.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerFor))
-	f.hurry(w)
 	http.Error(w, p.text, p.status)
 }
 
@@ -182,7 +179,6 @@
 		f.reject(w, bad("no body is wanted here"))
 		return
 	}
-	f.hurry(w)
 	status := http.StatusOK // said in so many words: frameworks may have put a 404 in its place
 	if f.engine.Phase() != router.Serving {
 		status = http.StatusServiceUnavailable
@@ -190,14 +186,6 @@
 	w.WriteHeader(status)
 }
 
-// hurry guards against a client that reads nothing and would hold the handler for ever. The deadline
-// of an earlier answer on the connection must not bind this one, so each answer sets its own.
-func (f *Front) hurry(w http.ResponseWriter) {
-	if f.writeTimeout > 0 {
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(f.writeTimeout))
-	}
-}
-
 // Status is the protocol's status of an answer.
 func Status(a router.Answer) int {
 	switch a.Outcome {
@@ -230,7 +218,9 @@
 }
 
 func (f *Front) write(w http.ResponseWriter, a router.Answer) {
-	f.hurry(w)
+	if f.writeTimeout > 0 { // a client that reads nothing must not hold the handler for ever
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(f.writeTimeout))
+	}
 	describe(w.Header(), a)
 	w.WriteHeader(Status(a))
 	_, _ = w.Write(a.Body) // the client may have left; the request is over either way
--- a/transport/http1/http1_test.go
+++ b/transport/http1/http1_test.go
@@ -456,6 +456,7 @@
 	if r := ended(t, u, testRequest(http.MethodGet, "r1", "")); r.Code != policy.OK {
 		t.Fatalf("code %v", r.Code)
 	}
+	time.Sleep(2 * restFor) // so that a connection is there, and no dial notices the time
 	if r := u.Attempt(lateContext{t.Context()}, "s0", testRequest(http.MethodPost, "late", "")); r.Code != policy.ConnectFailed {
 		t.Errorf("after its time: code %v, want one that proves it never ran", r.Code)
 	}
