Command line with serve, check, demo and version, and the operator's own file

Need: a newcomer has two commands, and what later subsystems offer needs a file that the platform does not own.

The daemon's test of SIGHUP listens on a port that the system picks and reads it from the log: the port that it took and gave back could be another test's by then, the likely cause of the one failure on a fresh machine.

--- a/cmd/wayhold/main.go
+++ b/cmd/wayhold/main.go
@@ -1,73 +1,63 @@
-// Command wayhold is one request-routing node on real sockets. ROUTER_CONFIG names its configuration.
+// Command wayhold is one request-routing node on real sockets, and the tools for who operates it.
 package main
 
 import (
 	"context"
 	"fmt"
-	"log/slog"
-	"math"
-	"net"
 	"os"
 	"os/signal"
-	"runtime"
-	"runtime/debug"
 	"syscall"
 
-	"cobaltward/internal/node"
+	"github.com/spf13/cobra"
 )
 
-// heapPart of the memory limit is the runtime's; stacks of the system and the sockets take the rest.
-const heapPart = 0.6
-
 func main() {
-	slog.SetLogLoggerLevel(slog.LevelDebug) // net/http would log a line for each server's stray byte
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	if err := run(); err != nil {
+	if err := command().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "wayhold:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
-	hup := make(chan os.Signal, 1) // one more that is waiting stands for all: the file is read after it
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	c, err := node.LoadConfig(os.Getenv)
-	if err != nil {
-		return err
-	}
-	debug.SetMemoryLimit(int64(heapPart * float64(c.MemoryMB) * (1 << 20)))
-	runtime.GOMAXPROCS(int(max(1, math.Ceil(c.Cores))))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	listener, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+// command is the whole command line. Without a subcommand it serves, as the platform's line has it.
+func command() *cobra.Command {
+	var own string
+	root := &cobra.Command{
+		Use:   "wayhold",
+		Short: "Route booking requests to app servers",
+		Long: `wayhold passes clients' requests on to app servers, and answers each exactly once.
+Without a subcommand it serves, as "wayhold serve" does.`,
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(c *cobra.Command, _ []string) error { return serve(own, c.ErrOrStderr()) },
 	}
-	slog.Info("listening", "name", c.Name, "address", listener.Addr(), "servers", len(c.Known.Members))
-	reloads, done := make(chan node.Config, 1), make(chan struct{})
-	defer close(done)
-	go reload(hup, reloads, done)
-	return node.Run(ctx, c, listener, reloads, slog.Default())
+	root.PersistentFlags().StringVar(&own, "config", os.Getenv("WAYHOLD_CONFIG"),
+		"the operator's own file, as deploy/wayhold.toml; WAYHOLD_CONFIG names it too")
+	root.AddCommand(
+		&cobra.Command{
+			Use:   "serve",
+			Short: "Serve clients until SIGTERM",
+			Long: `Serve clients until SIGTERM, by the platform's configuration: the JSON file that
+ROUTER_CONFIG names, with ROUTER_NAME, ROUTER_LISTEN and ROUTER_DISCOVERY ahead of it where set.
+SIGHUP reads it again: discovery's address and the settings take effect at once, the rest at the next
+start. SIGTERM ends the node in order.`,
+			Args: cobra.NoArgs,
+			RunE: func(c *cobra.Command, _ []string) error { return serve(own, c.ErrOrStderr()) },
+		},
+		checkCommand(&own), demoCommand(),
+		&cobra.Command{
+			Use:   "version",
+			Short: "Print the version",
+			Args:  cobra.NoArgs,
+			RunE: func(c *cobra.Command, _ []string) error {
+				_, err := fmt.Fprintln(c.OutOrStdout(), version())
+				return err
+			},
+		})
+	return root
 }
 
-// reload reads the configuration again at each SIGHUP until done; the newest stands in reloads.
-func reload(hup <-chan os.Signal, reloads chan node.Config, done <-chan struct{}) {
-	for {
-		select {
-		case <-hup:
-		case <-done:
-			return
-		}
-		c, err := node.ReloadConfig(os.Getenv)
-		if err != nil {
-			slog.Error("reload: keeping the old configuration", "err", err)
-			continue
-		}
-		select {
-		case <-reloads:
-		default:
-		}
-		reloads <- c
-	}
+// interrupted is a context that SIGTERM and SIGINT end.
+func interrupted() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 }
--- a/cmd/wayhold/main_test.go
+++ b/cmd/wayhold/main_test.go
@@ -2,17 +2,18 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
-	"time"
-)
 
-const long = 30 * time.Second // more than any step takes; nothing waits for it unless the test fails
+	"cobaltward/internal/testkit"
+)
 
 // agent is a discovery that has no servers to tell of, and passes on each query.
 func agent(t *testing.T) (addr string, queries chan string) {
@@ -29,15 +30,25 @@
 	return s.Listener.Addr().String(), queries
 }
 
-func receive[T any](t *testing.T, what string, from <-chan T) T {
-	t.Helper()
-	select {
-	case v := <-from:
-		return v
-	case <-time.After(long):
-		t.Fatalf("waited in vain for %s", what)
-		panic("unreachable")
+// logs keeps what a program logs, and tells the address that it listens on.
+type logs struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *logs) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *logs) address() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if m := regexp.MustCompile(`msg=listening.* address=(\S+)`).FindStringSubmatch(l.text.String()); m != nil {
+		return m[1]
 	}
+	return ""
 }
 
 // SIGHUP moves discovery to what the file names then, also where ROUTER_DISCOVERY said otherwise at
@@ -46,12 +57,6 @@
 	first, atFirst := agent(t)
 	second, atSecond := agent(t)
 	third, atThird := agent(t)
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	listen := free.Addr().String()
-	free.Close()
 	path := filepath.Join(t.TempDir(), "config.json")
 	write := func(text string) {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -59,9 +64,9 @@
 		}
 	}
 	config := func(discovery string) string {
-		return fmt.Sprintf(`{"name":"n","listen":%q,"discovery":%q,"seed":"1",
+		return fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":%q,"seed":"1",
 			"limits":{"cores":1,"memory_mb":64,"sockets":256},"known":{"revision":1,"complete":true,"members":[]},
-			"settings":{"position":0,"groupSize":1,"services":[{"name":"x","deadline":600,"repeat":"free"}]}}`, listen, discovery)
+			"settings":{"position":0,"groupSize":1,"services":[{"name":"x","deadline":600,"repeat":"free"}]}}`, discovery)
 	}
 	write(config(first))
 	t.Setenv("ROUTER_CONFIG", path)
@@ -72,13 +77,19 @@
 		}
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- run() }()
-	if q := receive(t, "the first call", atFirst); q != "index=1&wait=5000" {
+	log := &logs{}
+	go func() {
+		c := command()
+		c.SetArgs(nil) // as the platform starts it
+		c.SetErr(log)
+		ended <- c.Execute()
+	}()
+	if q := testkit.Receive(t, "the first call", atFirst); q != "index=1&wait=5000" {
 		t.Errorf("first call: %q", q)
 	}
 	write(config(second))
 	signal(syscall.SIGHUP)
-	if q := receive(t, "the call at the second address", atSecond); q != "" {
+	if q := testkit.Receive(t, "the call at the second address", atSecond); q != "" {
 		t.Errorf("asks for %q, not for the whole list", q)
 	}
 	write(`{"discovery":`)
@@ -86,14 +97,14 @@
 	write(config(third))
 	signal(syscall.SIGHUP)
 	signal(syscall.SIGHUP)
-	receive(t, "the call at the third address", atThird)
-	resp, err := http.Get("http://" + listen + "/health/ready")
+	testkit.Receive(t, "the call at the third address", atThird)
+	resp, err := http.Get("http://" + log.address() + "/health/ready")
 	if err != nil || resp.StatusCode != http.StatusOK {
 		t.Errorf("after the reloads: %v, %v", resp, err)
 	}
 	signal(syscall.SIGTERM)
 	signal(syscall.SIGHUP) // harmless during a drain
-	if err := receive(t, "the end", ended); err != nil {
+	if err := testkit.Receive(t, "the end", ended); err != nil {
 		t.Error(err)
 	}
 	select {
@@ -102,3 +113,59 @@
 	default:
 	}
 }
+
+// run runs the command line, and returns what it prints.
+func run(t *testing.T, args ...string) (string, error) {
+	t.Helper()
+	var out strings.Builder
+	c := command()
+	c.SetArgs(args)
+	c.SetOut(&out)
+	c.SetErr(&out)
+	err := c.Execute()
+	return out.String(), err
+}
+
+// check reads both files, and names the one that is wrong in one line.
+func TestCheck(t *testing.T) {
+	t.Setenv("ROUTER_CONFIG", "")
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	own := write("own.toml", "[log]\nlevel = \"warn\"\n")
+	platform := `{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1",
+		"limits":{"cores":1,"memory_mb":64,"sockets":256},"known":{"revision":1,"complete":true,"members":[]},
+		"settings":{"position":0,"groupSize":1,"services":[{"name":"pay","deadline":600}]}}`
+	out, err := run(t, "check", own, "--platform", write("good.json", platform))
+	if err != nil || !strings.Contains(out, "own.toml: good") || !strings.Contains(out, "only if it never ran") {
+		t.Errorf("good files: %v\n%s", err, out)
+	}
+	for want, args := range map[string][]string{
+		"own2.toml:1: log.level":           {"check", write("own2.toml", "log.level = 3")},
+		"settings.services[0].deadline":    {"check", "--platform", write("bad.json", strings.Replace(platform, "600", `"x"`, 1))},
+		"nothing to check":                 {"check"},
+		"no such file":                     {"check", own + "x"},
+		"unknown command":                  {"frobnicate"},
+		"unknown flag":                     {"--frobnicate"},
+		"accepts at most 1 arg":            {"check", own, own},
+		"own3.toml:2: log.colour: unknown": {"--config", write("own3.toml", "[log]\ncolour = \"red\""), "serve"},
+	} {
+		if _, err := run(t, args...); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%v: got %v, want one line with %q", args, err, want)
+		}
+	}
+}
+
+func TestHelpAndVersion(t *testing.T) {
+	if out, err := run(t, "--help"); err != nil || !strings.Contains(out, "demo") || !strings.Contains(out, "check") || !strings.Contains(out, "--config") {
+		t.Errorf("%v\n%s", err, out)
+	}
+	if out, err := run(t, "version"); err != nil || !strings.HasPrefix(out, "wayhold ") {
+		t.Errorf("%v\n%s", err, out)
+	}
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -33,6 +33,10 @@
 	// Figures of the settings that bind the node and not the module.
 	MaxOpen        int           // unanswered requests; 0: no limit
 	ConnectTimeout time.Duration // for a new connection to a server
+
+	// What the operator's own file may say of the end; nil where it does not.
+	Leave    *time.Duration // serving on as before
+	DrainFor *time.Duration // in all
 }
 
 // leastSockets is what a node can work with at all: a few for itself, and some for each side.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,9 +45,12 @@
 			}
 		},
 	}
-	engine, err := router.New(c.router(), router.WithLogger(log), router.WithMembership(source),
-		router.WithTransport(http1.New(http1.Config{MaxConns: c.Sockets - ownSockets - most, ConnectTimeout: c.ConnectTimeout})),
-		router.WithFront(server))
+	options := []router.Option{router.WithLogger(log), router.WithMembership(source), router.WithFront(server),
+		router.WithTransport(http1.New(http1.Config{MaxConns: c.Sockets - ownSockets - most, ConnectTimeout: c.ConnectTimeout}))}
+	if c.Leave != nil {
+		options = append(options, router.WithLeave(*c.Leave))
+	}
+	engine, err := router.New(c.router(), options...)
 	if err != nil {
 		return err
 	}
@@ -104,7 +107,11 @@
 	for _, class := range c.Settings.Classes {
 		longest = max(longest, class.Deadline)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), min(longest, longestDrain))
+	longest = min(longest, longestDrain)
+	if c.DrainFor != nil {
+		longest = *c.DrainFor
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), longest)
 	defer cancel()
 	if err := engine.Drain(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return err
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,179 @@
+// Package operator reads the operator's own file, deploy/wayhold.toml: what the platform's
+// configuration does not say. All of it is optional, and an empty file changes nothing.
+package operator
+
+import (
+	"bytes"
+	"encoding"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// File is the whole file. Subsystems add their tables here.
+type File struct {
+	Log   Log
+	Drain Drain
+}
+
+// Log says how the daemon logs.
+type Log struct {
+	Level  Level  // debug, info, warn or error; info where it is not set
+	Format Format // text or json; text where it is not set
+}
+
+// Drain says how the daemon ends after SIGTERM.
+type Drain struct {
+	Leave    Duration // serving on as before while readiness says no; not set: 0.6 of the deadline
+	Deadline Duration // for the whole drain; not set: the longest deadline of a class, 3s at most
+}
+
+// Duration is a time with its unit, as in "1.5s". Set tells it from one that is left out.
+type Duration struct {
+	time.Duration
+	Set bool
+}
+
+// UnmarshalText reads a duration of 0 to 24 h.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf(`want a time with its unit, as in "1.5s", got %q`, text)
+	}
+	if v < 0 || v > 24*time.Hour {
+		return fmt.Errorf("want 0s to 24h, got %q", text)
+	}
+	d.Duration, d.Set = v, true
+	return nil
+}
+
+// Level is a log level.
+type Level struct{ slog.Level }
+
+// UnmarshalText reads one of four words.
+func (l *Level) UnmarshalText(text []byte) error {
+	levels := map[string]slog.Level{"debug": slog.LevelDebug, "info": slog.LevelInfo, "warn": slog.LevelWarn, "error": slog.LevelError}
+	v, ok := levels[string(text)]
+	if !ok {
+		return fmt.Errorf("want debug, info, warn or error, got %q", text)
+	}
+	l.Level = v
+	return nil
+}
+
+// Format is a form of log lines.
+type Format string
+
+// UnmarshalText reads one of two words.
+func (f *Format) UnmarshalText(text []byte) error {
+	if s := string(text); s != "text" && s != "json" {
+		return fmt.Errorf("want text or json, got %q", text)
+	}
+	*f = Format(text)
+	return nil
+}
+
+// Load reads the file at path; an empty path is an empty file. Errors are one line that names the
+// file, the line and the key.
+func Load(path string) (File, error) {
+	if path == "" {
+		return File{}, nil
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return File{}, err
+	}
+	f, err := Parse(raw)
+	if err != nil {
+		return File{}, fmt.Errorf("%s:%w", path, err)
+	}
+	return f, nil
+}
+
+// raw is the file as TOML has it. Its values are any, and read by the types that they are for: the
+// decoder gives no line for an error of theirs.
+type raw struct {
+	Log struct {
+		Level  any `toml:"level"`
+		Format any `toml:"format"`
+	} `toml:"log"`
+	Drain struct {
+		Leave    any `toml:"leave"`
+		Deadline any `toml:"deadline"`
+	} `toml:"drain"`
+}
+
+// Parse reads the text of a file. Errors begin with the line.
+func Parse(text []byte) (File, error) {
+	var r raw
+	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(&r)
+	if strict := (*toml.StrictMissingError)(nil); errors.As(err, &strict) && len(strict.Errors) > 0 {
+		row, _ := strict.Errors[0].Position()
+		return File{}, fmt.Errorf("%d: %s: unknown key", row, strings.Join(strict.Errors[0].Key(), "."))
+	}
+	if bad := (*toml.DecodeError)(nil); errors.As(err, &bad) {
+		row, _ := bad.Position()
+		what := strings.TrimPrefix(bad.Error(), "toml: ")
+		if key := strings.Join(bad.Key(), "."); key != "" {
+			what = key + ": " + what
+		}
+		return File{}, fmt.Errorf("%d: %s", row, firstLine(what))
+	}
+	if err != nil {
+		return File{}, fmt.Errorf("1: %s", firstLine(strings.TrimPrefix(err.Error(), "toml: ")))
+	}
+	var f File
+	for _, field := range []struct {
+		table, key string
+		from       any
+		to         encoding.TextUnmarshaler
+	}{
+		{"log", "level", r.Log.Level, &f.Log.Level}, {"log", "format", r.Log.Format, &f.Log.Format},
+		{"drain", "leave", r.Drain.Leave, &f.Drain.Leave}, {"drain", "deadline", r.Drain.Deadline, &f.Drain.Deadline},
+	} {
+		if field.from == nil {
+			continue
+		}
+		value, ok := field.from.(string)
+		if !ok {
+			value = fmt.Sprint(field.from)
+			err = fmt.Errorf("want a text in quotes, got %s", value)
+		} else {
+			err = field.to.UnmarshalText([]byte(value))
+		}
+		if err != nil {
+			return File{}, fmt.Errorf("%d: %s.%s: %w", lineOf(text, field.table, field.key), field.table, field.key, err)
+		}
+	}
+	if f.Drain.Leave.Set && f.Drain.Deadline.Set && f.Drain.Leave.Duration > f.Drain.Deadline.Duration {
+		return File{}, fmt.Errorf("%d: drain.leave: want at most drain.deadline, %v, got %v",
+			lineOf(text, "drain", "leave"), f.Drain.Deadline.Duration, f.Drain.Leave.Duration)
+	}
+	return f, nil
+}
+
+// lineOf is the line on which a key of a table is set; 1 where it is written in a way of its own.
+func lineOf(text []byte, table, key string) int {
+	in := ""
+	for i, line := range strings.Split(string(text), "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") {
+			in, _, _ = strings.Cut(strings.TrimPrefix(line, "["), "]")
+			in = strings.TrimSpace(in)
+		}
+		if name, _, ok := strings.Cut(line, "="); ok && in == table && strings.TrimSpace(name) == key {
+			return i + 1
+		}
+	}
+	return 1
+}
+
+func firstLine(s string) string {
+	s, _, _ = strings.Cut(s, "\n")
+	return s
+}
