--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -333,12 +333,20 @@
 	case err != nil:
 		return router.Result{Code: broken(ctx, err, false)}
 	}
-	stop := context.AfterFunc(ctx, func() { c.Close() })
+	stop := after(ctx, func() { c.Close() })
 	result, reusable := u.exchange(ctx, c, r)
 	u.release(c, server, stop() && reusable)
 	return result
 }
 
+// after is context.AfterFunc, without its cost where the context has one of its own, as the router's.
+func after(ctx context.Context, f func()) (stop func() bool) {
+	if own, ok := ctx.(interface{ AfterFunc(func()) func() bool }); ok {
+		return own.AfterFunc(f)
+	}
+	return context.AfterFunc(ctx, f)
+}
+
 // exchange writes r and reads its answer. The request can't have run before its last byte is written.
 func (u *Transport) exchange(ctx context.Context, c *conn, r *router.Request) (_ router.Result, reusable bool) {
 	out := u.writers.Get().(*bytes.Buffer)
