--- /dev/null
+++ b/middleware/example_test.go
@@ -0,0 +1,88 @@
+package middleware_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"cobaltward/middleware"
+	"cobaltward/policy"
+	"cobaltward/router"
+	"cobaltward/transport/http1"
+)
+
+// newExample returns a router to one server.
+func newExample(server *httptest.Server) (*router.Router, error) {
+	return router.New(router.Config{
+		Settings: policy.Settings{Nodes: 1, Classes: []policy.Class{
+			{Name: "hladanie", Aim: 600 * time.Millisecond, Deadline: 3 * time.Second, Repeat: policy.Free}},
+			Allowed: policy.Allowed{MaxAttempts: 3}},
+		Members: []router.Member{{ID: "one", Addr: server.Listener.Addr().String(), Weight: 1}},
+	}, router.WithTransport(http1.New(http1.Config{})))
+}
+
+// Booking requests go through the engine, and the application keeps its own pages.
+func ExampleFront_Handler() {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "two rooms are free") }))
+	defer server.Close()
+	r, err := newExample(server)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer r.Close()
+	front := middleware.New(r, middleware.WithMatcher(middleware.Path("/api")), middleware.WithReady("/health/ready"))
+	pages := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "welcome") })
+	app := httptest.NewServer(front.Handler(pages))
+	defer app.Close()
+
+	get := func(path string) {
+		req, _ := http.NewRequest(http.MethodGet, app.URL+path, nil)
+		req.Header.Set("X-Request-Id", "r1")
+		req.Header.Set("X-Class", "hladanie")
+		req.Header.Set("X-Deadline-Ms", "2000")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		defer resp.Body.Close()
+		body, _ := io.ReadAll(resp.Body)
+		fmt.Println(path, resp.StatusCode, string(body))
+	}
+	get("/")
+	get("/api/rooms?town=nitra")
+	// Output:
+	// / 200 welcome
+	// /api/rooms?town=nitra 200 two rooms are free
+}
+
+// The application's own calls go the same way: an id and a deadline come by themselves.
+func ExampleFront_RoundTripper() {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, "%s for %s", r.URL.Path, strings.ToUpper(r.Host))
+	}))
+	defer server.Close()
+	r, err := newExample(server)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer r.Close()
+	client := &http.Client{Transport: middleware.New(r).RoundTripper()}
+	req, _ := http.NewRequest(http.MethodGet, "http://rooms.svc/api/rooms", nil)
+	req.Header.Set("X-Class", "hladanie")
+	resp, err := client.Do(req)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	fmt.Println(resp.StatusCode, string(body))
+	// Output:
+	// 200 /api/rooms for ROOMS.SVC
+}
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -16,7 +16,6 @@
 const (
 	// DefaultBodyTimeout bounds how long a request's body may take to come.
 	DefaultBodyTimeout = 2500 * time.Millisecond
-	lingerFor          = 500 * time.Millisecond // for the body of a request that was refused unread
 )
 
 // Engine is what a front needs of a *router.Router.
@@ -167,9 +166,9 @@
 		w.Header().Set("Allow", p.allow)
 	}
 	// Behind the answer net/http reads what is left of the body, for a close with bytes unread would
-	// reset the connection before the client has read the answer; but not for long. An error here
+	// reset the connection before the client has read the answer; no longer than a body may take. An error here
 	// means that the connection is gone.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerFor))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(DefaultBodyTimeout))
 	http.Error(w, p.text, p.status)
 }
 
--- a/middleware/middleware_test.go
+++ b/middleware/middleware_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -448,3 +449,56 @@
 	ended.Wait()
 	testkit.Await(t, "the end of the attempt", func() bool { s := r.Stats(); return s.Out == 0 && s.Kept == 0 })
 }
+
+// A host whose threads are all taken, with garbage to collect: each request has one answer, no booking
+// runs twice, and the lag is shown.
+func TestHostWithoutThreadsToSpare(t *testing.T) {
+	var mu sync.Mutex
+	ran := make(map[string]int)
+	addr := testkit.HTTPServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		mu.Lock()
+		ran[r.Header.Get("X-Request-Id")]++
+		mu.Unlock()
+	})
+	r := newRouter(t, addr, addr, addr)
+	f := middleware.New(r)
+	url := serve(t, f)
+	var spinning, clients sync.WaitGroup
+	var kept atomic.Pointer[[]byte]
+	end := time.Now().Add(1200 * time.Millisecond)
+	for range 2 * runtime.GOMAXPROCS(0) {
+		spinning.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				b := make([]byte, 32<<10)
+				for i := range b {
+					b[i] = byte(n * i)
+				}
+				kept.Store(&b)
+			}
+		})
+	}
+	var codes [600]atomic.Int32
+	for i := range 8 {
+		clients.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				id := fmt.Sprint("r", i, "-", n)
+				status, _ := get(t, fresh(), request(t, url, "POST", "pay", id, "sum", "X-Deadline-Ms", "150"))
+				codes[status].Add(1)
+				mu.Lock()
+				if ran[id] > 1 || status == 200 && ran[id] != 1 || (status == 429 || status == 503) && ran[id] != 0 {
+					t.Errorf("%s: %d, and it ran %d times", id, status, ran[id])
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	clients.Wait()
+	spinning.Wait()
+	if s := r.Stats(); s.Lag.Max <= 0 || s.Kept != 0 || len(s.Open) != 0 {
+		t.Errorf("%+v", s)
+	}
+	if codes[200].Load() == 0 {
+		t.Error("not one was served")
+	}
+}
