--- /dev/null
+++ b/membership/xds/resource/resource_test.go
@@ -0,0 +1,192 @@
+package resource
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/structpb"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"cobaltward/membership/xds/xdspb"
+)
+
+func address(host string, port uint32) *xdspb.Address {
+	return &xdspb.Address{Address: &xdspb.Address_SocketAddress{SocketAddress: &xdspb.SocketAddress{
+		Address: host, PortSpecifier: &xdspb.SocketAddress_PortValue{PortValue: port}}}}
+}
+
+func endpoint(host string, port uint32) *xdspb.LbEndpoint {
+	return &xdspb.LbEndpoint{HostIdentifier: &xdspb.LbEndpoint_Endpoint{Endpoint: &xdspb.Endpoint{Address: address(host, port)}}}
+}
+
+func good() *xdspb.ClusterLoadAssignment {
+	return &xdspb.ClusterLoadAssignment{ClusterName: "rooms", Endpoints: []*xdspb.LocalityLbEndpoints{
+		{Locality: &xdspb.Locality{Region: "sk", Zone: "nitra"}, LbEndpoints: []*xdspb.LbEndpoint{endpoint("10.0.0.1", 9000), endpoint("fd00::1", 9000)}},
+		{Locality: &xdspb.Locality{Region: "sk"}, Priority: 1, LbEndpoints: []*xdspb.LbEndpoint{endpoint("10.0.0.2", 9000)}},
+	}}
+}
+
+// own puts keys into the router's own namespace of an endpoint's metadata.
+func own(t *testing.T, e *xdspb.LbEndpoint, keys map[string]any) {
+	t.Helper()
+	s, err := structpb.NewStruct(keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Metadata = &xdspb.Metadata{FilterMetadata: map[string]*structpb.Struct{Namespace: s}}
+}
+
+func TestReadsAnAssignment(t *testing.T) {
+	p := good()
+	e := p.Endpoints[0].LbEndpoints[0]
+	own(t, e, map[string]any{"kind": "vykonny-4j", "cell": 3, "started_ms": "1700000000000"})
+	e.HealthStatus, e.LoadBalancingWeight = xdspb.HealthStatus_DRAINING, wrapperspb.UInt32(7)
+	p.Policy = &xdspb.ClusterLoadAssignment_Policy{OverprovisioningFactor: wrapperspb.UInt32(200), EndpointStaleAfter: durationpb.New(time.Minute),
+		DropOverloads: []*xdspb.ClusterLoadAssignment_Policy_DropOverload{
+			{DropPercentage: &xdspb.FractionalPercent{Numerator: 50}},
+			{DropPercentage: &xdspb.FractionalPercent{Numerator: 500_000, Denominator: xdspb.FractionalPercent_MILLION}}}}
+	a, err := ParseAssignment(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a.Name != "rooms" || a.Drop != 0.75 || a.Overprovisioning != 2 || a.StaleAfter != time.Minute || len(a.Endpoints) != 3 {
+		t.Errorf("%+v", a)
+	}
+	want := Endpoint{Addr: "10.0.0.1:9000", Zone: "nitra", Weight: 7, Health: Draining, Kind: "vykonny-4j", Cell: 3, Started: time.UnixMilli(1700000000000)}
+	if a.Endpoints[0] != want {
+		t.Errorf("%+v, want %+v", a.Endpoints[0], want)
+	}
+	if e := a.Endpoints[1]; e.Addr != "[fd00::1]:9000" || e.Weight != 1 || e.Health != Unknown || !e.Started.IsZero() {
+		t.Errorf("%+v", e)
+	}
+	if e := a.Endpoints[2]; e.Zone != "sk" || e.Priority != 1 {
+		t.Errorf("%+v", e)
+	}
+	plain, err := ParseAssignment(good())
+	if err != nil || plain.Overprovisioning != 1.4 || plain.Drop != 0 {
+		t.Errorf("defaults: %+v, %v", plain, err)
+	}
+}
+
+// Each row of the mapping that refuses: the message names the endpoint and the field.
+func TestRefusesAssignments(t *testing.T) {
+	first := func(p *xdspb.ClusterLoadAssignment) *xdspb.LbEndpoint { return p.Endpoints[0].LbEndpoints[0] }
+	socket := func(p *xdspb.ClusterLoadAssignment) *xdspb.SocketAddress {
+		return first(p).GetEndpoint().Address.GetSocketAddress()
+	}
+	const at = "endpoints[0].lb_endpoints[0]."
+	for want, spoil := range map[string]func(*xdspb.ClusterLoadAssignment){
+		"cluster_name: missing":                                   func(p *xdspb.ClusterLoadAssignment) { p.ClusterName = "" },
+		"cluster_name: over 512 bytes":                            func(p *xdspb.ClusterLoadAssignment) { p.ClusterName = strings.Repeat("x", 513) },
+		at + "endpoint.address.socket_address.port_value: want 1": func(p *xdspb.ClusterLoadAssignment) { first(p).HostIdentifier = endpoint("10.0.0.1", 0).HostIdentifier },
+		at + "endpoint.address.socket_address.port_value: want 1 to": func(p *xdspb.ClusterLoadAssignment) {
+			first(p).HostIdentifier = endpoint("10.0.0.1", 70000).HostIdentifier
+		},
+		at + "endpoint.address.socket_address.address: want an IP address, got \"rooms.svc\"":    func(p *xdspb.ClusterLoadAssignment) { socket(p).Address = "rooms.svc" },
+		at + "endpoint.address.socket_address.address: want an IP address, got \"fe80::1%eth0\"": func(p *xdspb.ClusterLoadAssignment) { socket(p).Address = "fe80::1%eth0" },
+		at + "endpoint.address.socket_address.named_port": func(p *xdspb.ClusterLoadAssignment) {
+			socket(p).PortSpecifier = &xdspb.SocketAddress_NamedPort{NamedPort: "http"}
+		},
+		at + "endpoint.address.socket_address.protocol":      func(p *xdspb.ClusterLoadAssignment) { socket(p).Protocol = xdspb.SocketAddress_UDP },
+		at + "endpoint.address.socket_address.resolver_name": func(p *xdspb.ClusterLoadAssignment) { socket(p).ResolverName = "dns" },
+		at + "endpoint.address.pipe": func(p *xdspb.ClusterLoadAssignment) {
+			first(p).GetEndpoint().Address = &xdspb.Address{Address: &xdspb.Address_Pipe{Pipe: &xdspb.Pipe{Path: "/run/a"}}}
+		},
+		at + "endpoint.address: missing": func(p *xdspb.ClusterLoadAssignment) { first(p).GetEndpoint().Address = nil },
+		at + "endpoint_name": func(p *xdspb.ClusterLoadAssignment) {
+			first(p).HostIdentifier = &xdspb.LbEndpoint_EndpointName{EndpointName: "x"}
+		},
+		at + "load_balancing_weight":                                  func(p *xdspb.ClusterLoadAssignment) { first(p).LoadBalancingWeight = wrapperspb.UInt32(0) },
+		at + "health_status":                                          func(p *xdspb.ClusterLoadAssignment) { first(p).HealthStatus = 17 },
+		at + "metadata.filter_metadata.wayhold.kindd: unknown key":    func(p *xdspb.ClusterLoadAssignment) { own(t, first(p), map[string]any{"kindd": "x"}) },
+		at + "metadata.filter_metadata.wayhold.kind":                  func(p *xdspb.ClusterLoadAssignment) { own(t, first(p), map[string]any{"kind": 3}) },
+		at + "metadata.filter_metadata.wayhold.cell":                  func(p *xdspb.ClusterLoadAssignment) { own(t, first(p), map[string]any{"cell": 1.5}) },
+		at + "metadata.filter_metadata.wayhold.started_ms: want Unix": func(p *xdspb.ClusterLoadAssignment) { own(t, first(p), map[string]any{"started_ms": -1}) },
+		at + "metadata.filter_metadata.wayhold.started_ms":            func(p *xdspb.ClusterLoadAssignment) { own(t, first(p), map[string]any{"started_ms": "soon"}) },
+		"endpoints[1].lb_endpoints[0].endpoint.address: 10.0.0.1:9000 is there twice": func(p *xdspb.ClusterLoadAssignment) {
+			p.Endpoints[1].LbEndpoints[0] = endpoint("::ffff:10.0.0.1", 9000)
+		},
+		"endpoints[1].priority: want at most 127":  func(p *xdspb.ClusterLoadAssignment) { p.Endpoints[1].Priority = 128 },
+		"priority 1 is missing, though there is 2": func(p *xdspb.ClusterLoadAssignment) { p.Endpoints[1].Priority = 2 },
+		"policy: overprovisioning_factor": func(p *xdspb.ClusterLoadAssignment) {
+			p.Policy = &xdspb.ClusterLoadAssignment_Policy{OverprovisioningFactor: wrapperspb.UInt32(0)}
+		},
+		"policy: endpoint_stale_after: want above 0": func(p *xdspb.ClusterLoadAssignment) {
+			p.Policy = &xdspb.ClusterLoadAssignment_Policy{EndpointStaleAfter: durationpb.New(-1)}
+		},
+		"policy: drop_overloads[0]": func(p *xdspb.ClusterLoadAssignment) {
+			p.Policy = &xdspb.ClusterLoadAssignment_Policy{DropOverloads: []*xdspb.ClusterLoadAssignment_Policy_DropOverload{
+				{DropPercentage: &xdspb.FractionalPercent{Numerator: 1, Denominator: 9}}}}
+		},
+	} {
+		p := good()
+		spoil(p)
+		if _, err := ParseAssignment(p); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want %q", err, want)
+		}
+	}
+}
+
+func TestClusters(t *testing.T) {
+	typed := func(d xdspb.Cluster_DiscoveryType) *xdspb.Cluster {
+		return &xdspb.Cluster{Name: "rooms", ClusterDiscoveryType: &xdspb.Cluster_Type{Type: d}}
+	}
+	named := typed(xdspb.Cluster_EDS)
+	named.EdsClusterConfig = &xdspb.Cluster_EdsClusterConfig{ServiceName: "rooms-v2"}
+	static := typed(xdspb.Cluster_STATIC)
+	static.LoadAssignment = good()
+	for want, p := range map[string]*xdspb.Cluster{"rooms": typed(xdspb.Cluster_EDS), "rooms-v2": named} {
+		if c, err := ParseCluster(p); err != nil || !c.EDS || c.Service != want || c.Static != nil {
+			t.Errorf("%+v, %v", c, err)
+		}
+	}
+	if c, err := ParseCluster(static); err != nil || c.EDS || len(c.Static.Endpoints) != 3 {
+		t.Errorf("%+v, %v", c, err)
+	}
+	both, bare, spoilt := typed(xdspb.Cluster_EDS), typed(xdspb.Cluster_STATIC), typed(xdspb.Cluster_STATIC)
+	both.LoadAssignment, spoilt.LoadAssignment = good(), good()
+	spoilt.LoadAssignment.Endpoints[0].LbEndpoints[1] = endpoint("10.0.0.1", 0)
+	for want, p := range map[string]*xdspb.Cluster{
+		"name: missing":                      {},
+		"type: STRICT_DNS is refused":        typed(xdspb.Cluster_STRICT_DNS),
+		"type: LOGICAL_DNS is refused":       typed(xdspb.Cluster_LOGICAL_DNS),
+		"type: ORIGINAL_DST is not taken":    typed(xdspb.Cluster_ORIGINAL_DST),
+		"load_assignment: a cluster of type": both,
+		"load_assignment: missing":           bare,
+		"endpoints[0].lb_endpoints[1].endpoint.address.socket_address.port_value": spoilt,
+		"cluster_type: custom types": {Name: "x", ClusterDiscoveryType: &xdspb.Cluster_ClusterType{
+			ClusterType: &xdspb.Cluster_CustomClusterType{Name: "envoy.clusters.aggregate"}}},
+	} {
+		if _, err := ParseCluster(p); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want %q", err, want)
+		}
+	}
+}
+
+// No bytes panic the readers.
+func FuzzResources(f *testing.F) {
+	for _, m := range []proto.Message{good(), &xdspb.Cluster{Name: "c", LoadAssignment: good()}} {
+		raw, err := proto.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var a xdspb.ClusterLoadAssignment
+		if proto.Unmarshal(raw, &a) == nil {
+			if got, err := ParseAssignment(&a); err == nil && (got.Name == "" || got.Drop < 0 || got.Drop > 1) {
+				t.Errorf("%+v", got)
+			}
+		}
+		var c xdspb.Cluster
+		if proto.Unmarshal(raw, &c) == nil {
+			if got, err := ParseCluster(&c); err == nil && got.EDS == (got.Static != nil) {
+				t.Errorf("%+v", got)
+			}
+		}
+	})
+}
