xDS: files, the standard bootstrap, and the last whole list on disk

Change: DiscoveryResponse files in JSON or YAML, looked at every 100 ms and put in force whole or not at all; the bootstrap of gRPC's clients; the last whole list kept under a checksum, written by a goroutine of its own, synced and renamed, and laid under what is in force until the first list is whole.

--- a/cmd/wayhold/zz_link.go
+++ /dev/null
@@ -1,3 +0,0 @@
-package main
-
-import _ "cobaltward/membership/xds"
--- /dev/null
+++ b/membership/xds/file.go
@@ -0,0 +1,241 @@
+package xds
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/reflect/protoreflect"
+	"google.golang.org/protobuf/reflect/protoregistry"
+	"sigs.k8s.io/yaml"
+
+	"cobaltward/membership/xds/ads"
+	"cobaltward/membership/xds/resource"
+	"cobaltward/membership/xds/xdspb"
+	"cobaltward/policy"
+	"cobaltward/router"
+)
+
+const (
+	maxFile  = 64 << 20               // bytes
+	lookEach = 100 * time.Millisecond // at the files: a drain in them must hold within its grace
+)
+
+// resolver finds this package's types under the names of Envoy's, for Any in JSON.
+type resolver struct{ *protoregistry.Types }
+
+func (r resolver) FindMessageByURL(url string) (protoreflect.MessageType, error) {
+	switch url {
+	case resource.ClusterURL:
+		return (*xdspb.Cluster)(nil).ProtoReflect().Type(), nil
+	case resource.AssignmentURL:
+		return (*xdspb.ClusterLoadAssignment)(nil).ProtoReflect().Type(), nil
+	}
+	return r.Types.FindMessageByURL(url)
+}
+
+// Resources are those of one DiscoveryResponse file.
+type Resources struct {
+	Clusters  []ads.Resource
+	Endpoints []ads.Resource
+}
+
+// ParseFile reads a DiscoveryResponse as JSON or YAML, as Envoy's path_config_source has it. All of it
+// must be good: the error names the resource and the field.
+func ParseFile(text []byte) (Resources, error) {
+	var out Resources
+	raw, err := yaml.YAMLToJSONStrict(text) // JSON is YAML
+	if err != nil {
+		return out, fmt.Errorf("neither JSON nor YAML: %s", oneLine(err))
+	}
+	var p xdspb.DiscoveryResponse
+	options := protojson.UnmarshalOptions{DiscardUnknown: true, Resolver: resolver{protoregistry.GlobalTypes}}
+	if err := options.Unmarshal(raw, &p); err != nil {
+		return out, fmt.Errorf("not a DiscoveryResponse: %s", oneLine(err))
+	}
+	for i, any := range p.GetResources() {
+		t, ok := typeOf(any.GetTypeUrl())
+		if !ok {
+			return out, fmt.Errorf("resources[%d]: %s is not taken", i, any.GetTypeUrl())
+		}
+		in, err := decode(t, any)
+		if err = errors.Join(err, in.Err); err != nil {
+			return out, fmt.Errorf("resources[%d]: %s", i, oneLine(err))
+		}
+		if t == ads.Clusters {
+			out.Clusters = append(out.Clusters, in)
+		} else {
+			out.Endpoints = append(out.Endpoints, in)
+		}
+	}
+	if err := errors.Join(twice(out.Clusters), twice(out.Endpoints)); err != nil {
+		return Resources{}, err
+	}
+	return out, nil
+}
+
+func oneLine(err error) string {
+	s := strings.ReplaceAll(err.Error(), "\u00a0", " ") // protobuf varies its texts by it
+	s, _, _ = strings.Cut(s, "\n")
+	return s
+}
+
+// readFiles reads and checks files together.
+func readFiles(paths []string) (Resources, error) {
+	var all Resources
+	for _, path := range paths {
+		f, err := os.Open(path)
+		if err != nil {
+			return all, err
+		}
+		raw, err := io.ReadAll(io.LimitReader(f, maxFile+1))
+		_ = f.Close() // it was only read
+		if err == nil && len(raw) > maxFile {
+			err = fmt.Errorf("over %d bytes", maxFile)
+		}
+		if err != nil {
+			return all, fmt.Errorf("%s: %w", path, err)
+		}
+		r, err := ParseFile(raw)
+		if err != nil {
+			return all, fmt.Errorf("%s: %w", path, err)
+		}
+		all.Clusters, all.Endpoints = append(all.Clusters, r.Clusters...), append(all.Endpoints, r.Endpoints...)
+	}
+	if err := errors.Join(twice(all.Clusters), twice(all.Endpoints)); err != nil {
+		return all, err
+	}
+	// Files without clusters speak for themselves: each assignment is one.
+	if len(all.Clusters) == 0 {
+		for _, e := range all.Endpoints {
+			all.Clusters = append(all.Clusters, ads.Resource{Name: e.Name, Value: &resource.Cluster{Name: e.Name, EDS: true, Service: e.Name}})
+		}
+	}
+	for _, c := range all.Clusters {
+		v := c.Value.(*resource.Cluster)
+		if v.EDS && !slices.ContainsFunc(all.Endpoints, func(e ads.Resource) bool { return e.Name == v.Service }) {
+			return all, fmt.Errorf("cluster %q: no file has the endpoints of %q", c.Name, v.Service)
+		}
+	}
+	return all, nil
+}
+
+// FileSource takes the servers from DiscoveryResponse files, for sites without a control plane. It
+// looks at them all the time, and puts what they say in force whole or not at all.
+type FileSource struct {
+	paths []string
+	log   *slog.Logger
+
+	mu      sync.Mutex
+	book    *book
+	refused error // why the files as they are now are not in force
+	taken   time.Time
+}
+
+var _ router.Membership = (*FileSource)(nil)
+
+// NewFiles returns a source of the files; those that are bad at the start are an error.
+func NewFiles(paths []string, log *slog.Logger) (*FileSource, error) {
+	if len(paths) == 0 {
+		return nil, errors.New("xds: no file is named")
+	}
+	if log == nil {
+		log = slog.New(slog.DiscardHandler)
+	}
+	if _, err := readFiles(paths); err != nil {
+		return nil, fmt.Errorf("xds: %w", err)
+	}
+	return &FileSource{paths: paths, log: log, book: newBook()}, nil
+}
+
+// Ask has nothing to ask.
+func (s *FileSource) Ask(bool) {}
+
+// Run follows the files until ctx ends.
+func (s *FileSource) Run(ctx context.Context, tell func(router.Change)) {
+	tick := time.NewTicker(lookEach)
+	defer tick.Stop()
+	var seen []byte
+	for {
+		if now := s.stamp(); !bytes.Equal(now, seen) {
+			seen = now
+			if c := s.read(); c != nil {
+				tell(*c)
+			}
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// stamp changes whenever a file is replaced or written to.
+func (s *FileSource) stamp() []byte {
+	var b bytes.Buffer
+	for _, path := range s.paths {
+		info, err := os.Stat(path)
+		if err != nil {
+			fmt.Fprintln(&b, path, "missing")
+			continue
+		}
+		fmt.Fprintln(&b, path, info.Size(), info.ModTime().UnixNano(), inode(info))
+	}
+	return b.Bytes()
+}
+
+// read puts the files in force, if they are good.
+func (s *FileSource) read() *router.Change {
+	r, err := readFiles(s.paths)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refused = err; err != nil {
+		s.log.Error("xds: the files are refused, keeping the last list", "err", err)
+		return nil
+	}
+	s.taken = time.Now()
+	had := len(s.book.members) > 0
+	members := s.book.update(inForce(r))
+	if len(members) == 0 {
+		return nil
+	}
+	if had && len(s.book.members) == 0 {
+		s.log.Error("xds: the files name no server any more")
+	}
+	return &router.Change{Kind: policy.ListUpdate, Members: members}
+}
+
+// inForce is what resources come to where all of them are there.
+func inForce(r Resources) map[string]ads.Applied {
+	m := ads.New(ads.SotW)
+	m.Connected()
+	m.Handle(time.Now(), ads.Response{Type: ads.Clusters, Resources: r.Clusters})
+	m.Handle(time.Now(), ads.Response{Type: ads.Endpoints, Resources: r.Endpoints})
+	return m.Applied()
+}
+
+// Members are the servers that files come to, in order of id.
+func Members(r Resources) []router.Member {
+	b := newBook()
+	b.update(inForce(r))
+	return b.whole()
+}
+
+// CheckFiles reads files together, and returns the servers that they come to.
+func CheckFiles(paths []string) ([]router.Member, error) {
+	r, err := readFiles(paths)
+	if err != nil {
+		return nil, err
+	}
+	return Members(r), nil
+}
--- /dev/null
+++ b/membership/xds/file_test.go
@@ -0,0 +1,229 @@
+package xds
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoregistry"
+	"google.golang.org/protobuf/types/known/anypb"
+
+	"cobaltward/internal/testkit"
+	"cobaltward/membership/xds/resource"
+	"cobaltward/membership/xds/xdspb"
+	"cobaltward/router"
+)
+
+// pack is resources as a file has them.
+func pack(t testing.TB, all ...proto.Message) string {
+	t.Helper()
+	p := &xdspb.DiscoveryResponse{VersionInfo: "1"}
+	for _, m := range all {
+		url := resource.ClusterURL
+		if _, ok := m.(*xdspb.ClusterLoadAssignment); ok {
+			url = resource.AssignmentURL
+		}
+		raw, err := proto.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Resources = append(p.Resources, &anypb.Any{TypeUrl: url, Value: raw})
+	}
+	text, err := protojson.MarshalOptions{Resolver: resolver{protoregistry.GlobalTypes}}.Marshal(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// put replaces a file whole, as Envoy asks of its users: by a rename.
+func put(t testing.TB, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		t.Fatal(err)
+	}
+}
+
+const yamlFile = `
+version_info: "7"
+resources:
+- "@type": type.googleapis.com/envoy.config.cluster.v3.Cluster
+  name: rooms
+  type: EDS
+  connect_timeout: 1s            # read by others
+  eds_cluster_config: {service_name: rooms-v2}
+- "@type": type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment
+  cluster_name: rooms-v2
+  endpoints:
+  - locality: {zone: nitra}
+    lb_endpoints:
+    - endpoint: {address: {socket_address: {address: 10.0.0.1, port_value: 9000}}}
+      metadata: {filter_metadata: {wayhold: {kind: usporny-4j, cell: 2}}}
+    - endpoint: {address: {socket_address: {address: 10.0.0.2, port_value: 9000}}}
+      health_status: DRAINING
+`
+
+func TestReadsYAML(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "all.yaml")
+	put(t, path, yamlFile)
+	members, err := CheckFiles([]string{path})
+	if err != nil || len(members) != 2 {
+		t.Fatalf("%v, %v", members, err)
+	}
+	if m := members[0]; m.ID != "10.0.0.1:9000" || m.Zone != "nitra" || m.Kind != "usporny-4j" || m.Cell != 2 || m.State != 0 || m.Pools[0] != "rooms" {
+		t.Errorf("%+v", m)
+	}
+	if m := members[1]; m.State != 1 {
+		t.Errorf("%+v", m)
+	}
+}
+
+// Files are put in force whole or not at all, and one that is bad is one line that names what is.
+func TestFilesAreTakenWhole(t *testing.T) {
+	dir := t.TempDir()
+	clusters, endpoints := filepath.Join(dir, "cds.json"), filepath.Join(dir, "eds.json")
+	put(t, clusters, pack(t, cluster("rooms")))
+	put(t, endpoints, pack(t, assignment("rooms", "10.0.0.1:1")))
+	s, err := NewFiles([]string{clusters, endpoints}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &list{members: make(map[string]router.Member)}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { s.Run(ctx, l.tell); close(ended) }()
+	defer func() { cancel(); testkit.Receive(t, "the end", ended) }()
+	l.await(t, "10.0.0.1:1")
+	for want, text := range map[string]string{
+		"neither JSON nor YAML":                "{",
+		"not a DiscoveryResponse":              `{"resources":3}`,
+		"port_value: want 1 to 65535, got 0":   pack(t, assignment("rooms", "10.0.0.2:1", "10.0.0.3:0")),
+		"is there twice":                       pack(t, assignment("rooms", "10.0.0.2:1"), assignment("rooms", "10.0.0.3:1")),
+		`no file has the endpoints of "rooms"`: pack(t, assignment("other", "10.0.0.2:1")),
+	} {
+		put(t, endpoints, text)
+		testkit.Await(t, want, func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.refused != nil && strings.Contains(s.refused.Error(), want) && !strings.Contains(s.refused.Error(), "\n")
+		})
+		if got := l.running(); got != "10.0.0.1:1" {
+			t.Errorf("%s: in force %q", want, got)
+		}
+	}
+	if err := os.Remove(endpoints); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Await(t, "the loss to be noticed", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return os.IsNotExist(s.refused) })
+	put(t, endpoints, pack(t, assignment("rooms", "10.0.0.4:1")))
+	l.await(t, "10.0.0.4:1")
+}
+
+// What was kept serves after a restart without a control plane, and goes once the first list is whole.
+func TestTheListIsKept(t *testing.T) {
+	dir, p := t.TempDir(), plane(t)
+	p.Set(cluster("rooms"), assignment("rooms", "10.0.0.1:1", "10.0.0.2:1"))
+	_, l := run(t, Config{Servers: []Server{{Addr: p.Addr}}, Dir: dir})
+	l.await(t, "10.0.0.1:1 10.0.0.2:1")
+	testkit.Await(t, "the file", func() bool { k, err := load(dir); return err == nil && len(k.Clusters["rooms"].Endpoints) == 2 })
+	other := plane(t)
+	other.Mute(true)
+	_, again := run(t, Config{Servers: []Server{{Addr: other.Addr}}, Dir: dir})
+	again.await(t, "10.0.0.1:1 10.0.0.2:1")
+	other.Set(cluster("rooms"), assignment("rooms", "10.0.0.2:1"))
+	other.Mute(false)
+	again.await(t, "10.0.0.2:1")
+}
+
+// A file that is torn, altered or foreign is refused, and does no harm.
+func TestKeptFilesThatAreRefused(t *testing.T) {
+	dir := t.TempDir()
+	if err := save(dir, kept{Saved: time.Now(), Clusters: map[string]*resource.Assignment{"rooms": {Name: "rooms",
+		Endpoints: []resource.Endpoint{{Addr: "10.0.0.1:1", Health: resource.Healthy}}}}}); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, keptName)
+	good, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := load(dir); err != nil {
+		t.Fatal(err)
+	}
+	for want, text := range map[string]string{
+		"torn or altered":         string(good[:len(good)-5]),
+		"its checksum":            strings.Replace(string(good), "10.0.0.1", "10.0.0.9", 1),
+		"not a list of this form": "hello\n" + string(good),
+		"of this form":            "",
+	} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := load(dir); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("got %v, want one line with %q", err, want)
+		}
+	}
+	p := plane(t)
+	p.Set(cluster("rooms"), assignment("rooms", "10.0.0.5:1"))
+	_, l := run(t, Config{Servers: []Server{{Addr: p.Addr}}, Dir: dir})
+	l.await(t, "10.0.0.5:1")
+	left, err := filepath.Glob(filepath.Join(dir, "*"))
+	if err != nil || len(left) > 2 {
+		t.Errorf("left behind: %v, %v", left, err)
+	}
+}
+
+func TestBootstrap(t *testing.T) {
+	c, err := ParseBootstrap([]byte(`{"xds_servers":[{"server_uri":"10.0.0.1:18000","channel_creds":[{"type":"google_default"},{"type":"insecure"}],"server_features":["xds_v3"]},
+		{"server_uri":"[fd00::1]:18000","channel_creds":[{"type":"tls"}]}],
+		"node":{"id":"n1","cluster":"rooms","locality":{"zone":"nitra"},"metadata":{"a":"b"}},"authorities":{}}`), "")
+	if err != nil || len(c.Servers) != 2 || c.Servers[0].TLS != nil || c.Servers[1].TLS == nil || c.Node.GetId() != "n1" ||
+		c.Node.GetLocality().GetZone() != "nitra" || c.Node.GetMetadata().GetFields()["a"].GetStringValue() != "b" {
+		t.Errorf("%+v, %v", c, err)
+	}
+	for want, text := range map[string]string{
+		"xds_servers: there are none":                `{}`,
+		"xds_servers[0].server_uri: want host:port":  `{"xds_servers":[{"server_uri":"nowhere"}]}`,
+		"xds_servers[0].channel_creds: want insecur": `{"xds_servers":[{"server_uri":"a:1","channel_creds":[{"type":"alts"}]}]}`,
+		"xds_servers": `{"xds_servers":3}`,
+		"node":        `{"xds_servers":[{"server_uri":"a:1","channel_creds":[{"type":"insecure"}]}],"node":{"id":3}}`,
+	} {
+		if _, err := ParseBootstrap([]byte(text), ""); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: got %v", text, err)
+		}
+	}
+	if _, err := ParseBootstrap([]byte(`{"xds_servers":[{"server_uri":"a:1","channel_creds":[{"type":"tls"}]}]}`), filepath.Join(t.TempDir(), "none")); err == nil || !strings.Contains(err.Error(), "ca_file") {
+		t.Errorf("got %v", err)
+	}
+}
+
+// No text panics the reader of files.
+func FuzzFile(f *testing.F) {
+	f.Add([]byte(yamlFile))
+	f.Add([]byte(pack(f, cluster("c"), assignment("c", "10.0.0.1:1"))))
+	f.Add([]byte("resources: [&a {x: *a}]"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r, err := ParseFile(text)
+		if err != nil {
+			if strings.Contains(err.Error(), "\n") {
+				t.Errorf("%q: more than a line: %v", text, err)
+			}
+			return
+		}
+		for _, m := range Members(r) {
+			if m.ID == "" || m.Addr == "" {
+				t.Errorf("%q: %+v", text, m)
+			}
+		}
+		_ = fmt.Sprint(r)
+	})
+}
--- /dev/null
+++ b/membership/xds/keep.go
@@ -0,0 +1,135 @@
+package xds
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"cobaltward/membership/xds/ads"
+	"cobaltward/membership/xds/resource"
+)
+
+const (
+	keptName    = "xds-last.json"
+	keptVersion = "wayhold-xds 1" // of the file's form
+	maxKept     = 256 << 20       // bytes
+)
+
+// kept is the last whole list as it lies on disk: a line with the form's version and a checksum of the
+// rest, then JSON.
+type kept struct {
+	Saved    time.Time
+	Clusters map[string]*resource.Assignment
+}
+
+// save writes the list whole: under another name, synced, then renamed, so that a reader finds the old
+// one or the new one and never a part.
+func save(dir string, k kept) error {
+	body, err := json.Marshal(k)
+	if err != nil {
+		return err
+	}
+	sum := sha256.Sum256(body)
+	// One name for all tries: what a crash leaves half-written is written over by the next.
+	f, err := os.OpenFile(filepath.Join(dir, keptName+".new"), os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	defer os.Remove(f.Name()) // once it is renamed there is nothing of that name
+	_, err = fmt.Fprintf(f, "%s %s\n", keptVersion, hex.EncodeToString(sum[:]))
+	if err == nil {
+		_, err = f.Write(body)
+	}
+	if err == nil {
+		err = f.Sync()
+	}
+	if err = errors.Join(err, f.Close()); err != nil {
+		return err
+	}
+	if err := os.Rename(f.Name(), filepath.Join(dir, keptName)); err != nil {
+		return err
+	}
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
+
+// load reads the list that was saved last. One that is torn, altered or another's is refused.
+func load(dir string) (k kept, err error) {
+	f, err := os.Open(filepath.Join(dir, keptName))
+	if err != nil {
+		return k, err
+	}
+	defer f.Close()
+	raw, err := io.ReadAll(io.LimitReader(f, maxKept+1))
+	if err != nil {
+		return k, err
+	}
+	if len(raw) > maxKept {
+		return k, fmt.Errorf("%s: over %d bytes", f.Name(), maxKept)
+	}
+	head, body, _ := bytes.Cut(raw, []byte("\n"))
+	sum := sha256.Sum256(body)
+	switch want := keptVersion + " " + hex.EncodeToString(sum[:]); {
+	case !bytes.HasPrefix(head, []byte(keptVersion+" ")):
+		return k, fmt.Errorf("%s: not a list of this form", f.Name())
+	case string(head) != want:
+		return k, fmt.Errorf("%s: torn or altered: its checksum does not fit", f.Name())
+	}
+	if err := json.Unmarshal(body, &k); err != nil {
+		return k, fmt.Errorf("%s: %v", f.Name(), err)
+	}
+	for name, a := range k.Clusters {
+		if a == nil {
+			return kept{}, fmt.Errorf("%s: cluster %q: empty", f.Name(), name)
+		}
+	}
+	return k, nil
+}
+
+// under lays what was kept under what is in force, where that has nothing yet.
+func (k kept) under(applied map[string]ads.Applied) map[string]ads.Applied {
+	all := make(map[string]ads.Applied, len(applied)+len(k.Clusters))
+	for name, a := range k.Clusters {
+		all[name] = ads.Applied{Assignment: a, Warming: true}
+	}
+	for name, a := range applied {
+		if a.Assignment != nil || all[name].Assignment == nil {
+			all[name] = a
+		}
+	}
+	return all
+}
+
+// keeper writes lists to disk in a goroutine of its own, the newest only: a disk that stalls must not
+// hold up the news of a drain.
+type keeper struct {
+	dir  string
+	next chan kept
+}
+
+func (k *keeper) offer(list kept) {
+	select {
+	case <-k.next:
+	default:
+	}
+	k.next <- list
+}
+
+// run writes until next is closed.
+func (k *keeper) run(failed func(error)) {
+	for list := range k.next {
+		if err := save(k.dir, list); err != nil {
+			failed(err)
+		}
+	}
+}
--- a/membership/xds/xds.go
+++ b/membership/xds/xds.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io/fs"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -17,6 +18,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"cobaltward/membership/xds/ads"
+	"cobaltward/membership/xds/resource"
 	"cobaltward/membership/xds/xdspb"
 	"cobaltward/policy"
 	"cobaltward/router"
@@ -47,7 +49,9 @@
 	Servers []Server // in order of preference
 	Node    *xdspb.Node
 	Delta   bool // the incremental variant
-	Log     *slog.Logger
+	// Dir, where it is not empty, is where the last whole list is kept, and where a start begins.
+	Dir string
+	Log *slog.Logger
 
 	// For tests: what the defaults above say otherwise.
 	backoffFirst, backoffMost, answerWithin, preferAgainIn time.Duration
@@ -62,6 +66,8 @@
 	mu      sync.Mutex // over what Status reads; Run alone writes
 	machine *ads.Machine
 	book    *book
+	kept    kept // from Dir, until the first list is whole
+	keeper  *keeper
 	at      int // the server in use
 	open    bool
 	since   time.Time // the stream's state
@@ -88,7 +94,19 @@
 	if c.Delta {
 		v = ads.Delta
 	}
-	return &Source{c: c, log: c.Log, machine: ads.New(v), book: newBook(), since: time.Now()}, nil
+	s := &Source{c: c, log: c.Log, machine: ads.New(v), book: newBook(), since: time.Now()}
+	if c.Dir != "" {
+		s.keeper = &keeper{c.Dir, make(chan kept, 1)}
+		k, err := load(c.Dir)
+		switch {
+		case err == nil:
+			s.kept = k
+			c.Log.Info("xds: beginning with the list that was kept", "clusters", len(k.Clusters), "age", time.Since(k.Saved).Round(time.Second))
+		case !errors.Is(err, fs.ErrNotExist):
+			c.Log.Error("xds: the list that was kept is refused", "err", err)
+		}
+	}
+	return s, nil
 }
 
 func ptr[T any](v T) *T { return &v }
@@ -98,6 +116,20 @@
 
 // Run follows the control planes until ctx ends.
 func (s *Source) Run(ctx context.Context, tell func(router.Change)) {
+	if s.keeper != nil {
+		var writing sync.WaitGroup
+		writing.Go(func() {
+			s.keeper.run(func(err error) { s.log.Error("xds: the list could not be kept", "dir", s.c.Dir, "err", err) })
+		})
+		defer writing.Wait()
+		defer close(s.keeper.next)
+	}
+	s.mu.Lock()
+	begin := s.changed()
+	s.mu.Unlock()
+	if begin != nil {
+		tell(*begin)
+	}
 	conns := make([]*grpc.ClientConn, len(s.c.Servers))
 	defer func() {
 		for _, c := range conns {
@@ -349,10 +381,23 @@
 // changed is what the servers' list lacks of what is in force; nil for nothing.
 func (s *Source) changed() *router.Change {
 	had := len(s.book.members) > 0
-	members := s.book.update(s.machine.Applied())
+	applied, whole := s.machine.Applied(), s.machine.Whole()
+	if whole {
+		s.kept = kept{}
+	} else if len(s.kept.Clusters) > 0 {
+		applied = s.kept.under(applied)
+	}
+	members := s.book.update(applied)
 	if len(members) == 0 {
 		return nil
 	}
+	if whole && s.keeper != nil {
+		k := kept{Saved: time.Now(), Clusters: make(map[string]*resource.Assignment, len(applied))}
+		for name, a := range applied {
+			k.Clusters[name] = a.Assignment
+		}
+		s.keeper.offer(k)
+	}
 	if had && len(s.book.members) == 0 {
 		s.log.Error("xds: the control plane has taken every server away")
 	}
