--- a/policy/api.go
+++ b/policy/api.go
@@ -44,6 +44,7 @@
 	Stream     bool     // the answer is a stream, announced by FirstByte
 	Kinds      []string // the only kinds of server it may be sent to; empty for any
 	Zones      []string // the only zones it may be sent to; empty for any
+	Pool       string   // the only pool it may be sent to; empty for any
 }
 
 // Tenant is one customer with its agreed share, over all nodes.
@@ -126,6 +127,7 @@
 	Server       string
 	Zone         string
 	Kind         string
+	Pools        []string
 	Cell         int64
 	Weight       float64
 	OnlineSince  Time // when it last started; 0: long ago
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -385,9 +385,10 @@
 	return !s.health.out && b.mayRun(r, s) && b.coldRoom(s)
 }
 
-// permits guards the fifth rule: a class bound to zones or kinds of server goes nowhere else.
+// permits guards the fifth rule: a class bound to zones, kinds or a pool of servers goes nowhere else.
 func (c *class) permits(s *server) bool {
-	return (len(c.Kinds) == 0 || slices.Contains(c.Kinds, s.Kind)) &&
+	return (c.Pool == "" || slices.Contains(s.Pools, c.Pool)) &&
+		(len(c.Kinds) == 0 || slices.Contains(c.Kinds, s.Kind)) &&
 		(len(c.Zones) == 0 || slices.Contains(c.Zones, s.Zone))
 }
 
@@ -1039,7 +1040,7 @@
 		s.safest = Never
 	}
 	for i, c := range slices.Concat(b.ranked, b.retired) {
-		bound, current := len(c.Kinds)+len(c.Zones) > 0, i < len(b.ranked)
+		bound, current := len(c.Kinds)+len(c.Zones)+len(c.Pool) > 0, i < len(b.ranked)
 		if bound {
 			c.open = &pool{}
 		}
--- a/policy/reconfigure_test.go
+++ b/policy/reconfigure_test.go
@@ -264,3 +264,36 @@
 		t.Errorf("no second copy: %+v", acts)
 	}
 }
+
+// A class that is bound to a pool goes to servers of that pool and no other, however they change.
+func TestPoolsBindTheirClasses(t *testing.T) {
+	set := reconfigurable()
+	set.Classes[0].Pool = "rooms"
+	b, err := New(set, 0, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := func(one, two []string) {
+		b.Handle(0, MemberList{Members: []Member{{Server: "one", Zone: "a", Pools: one}, {Server: "two", Zone: "a", Pools: two}}})
+	}
+	to := func(id string) string {
+		for _, a := range handled(b, 0, Request{ID: id, Class: "read", Tenant: "t", ExpiresIn: time.Second}) {
+			if a.Kind == Send {
+				return a.Server
+			}
+		}
+		return ""
+	}
+	list(nil, []string{"other", "rooms"})
+	if s := to("r1"); s != "two" {
+		t.Errorf("sent to %q", s)
+	}
+	list([]string{"rooms"}, []string{"other"})
+	if s := to("r2"); s != "one" {
+		t.Errorf("sent to %q", s)
+	}
+	list(nil, []string{"other"})
+	if s := to("r3"); s != "" {
+		t.Errorf("sent to %q, which is not of the pool", s)
+	}
+}
--- a/router/loop.go
+++ b/router/loop.go
@@ -351,7 +351,7 @@
 	}
 	members := make([]policy.Member, len(c.Members))
 	for i, m := range c.Members {
-		members[i] = policy.Member{Server: m.ID, Zone: m.Zone, Kind: m.Kind, Cell: m.Cell, Weight: m.Weight,
+		members[i] = policy.Member{Server: m.ID, Zone: m.Zone, Kind: m.Kind, Pools: m.Pools, Cell: m.Cell, Weight: m.Weight,
 			OnlineSince: l.clock.unix(m.Started), Availability: m.State}
 	}
 	l.tell(policy.MemberList{Kind: c.Kind, Members: members})
--- a/router/ports.go
+++ b/router/ports.go
@@ -49,8 +49,8 @@
 
 // Member is one server.
 type Member struct {
-	ID      string // the same across updates, and at every node
-	Addr    string // host:port, or what else the transport takes
+	ID      string   // the same across updates, and at every node
+	Addr    string   // host:port, or what else the transport takes
 	Pools   []string // the clusters that it belongs to; nil where there are none
 	Zone    string
 	Kind    string
