--- a/.ci/checks.sh
+++ b/.ci/checks.sh
@@ -124,6 +124,9 @@
 	if grep -q gin-gonic <<<"$packages"; then
 		fail "gin is linked outside middleware/ginmw"
 	fi
+	if go list -deps ./cmd/wayhold | grep -q '^google.golang.org/'; then
+		fail "gRPC is linked into wayhold, which keeps it out of a node's memory"
+	fi
 	if go list -deps ./router | grep -q '^net/http$'; then
 		fail "the engine links net/http"
 	fi
--- /dev/null
+++ b/cmd/wayhold-xds/main.go
@@ -0,0 +1,66 @@
+// Command wayhold-xds is wayhold with xDS linked: clusters and endpoints from an Envoy control plane or
+// from files, as the table [xds] of the operator's own file says. It is a program of its own, for gRPC
+// costs a node at rest about 5 MB that it may not have.
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"cobaltward/internal/cli"
+	"cobaltward/internal/node"
+	"cobaltward/internal/operator"
+	"cobaltward/membership/merge"
+	"cobaltward/membership/xds"
+	"cobaltward/router"
+)
+
+func main() { os.Exit(cli.Main(extra())) }
+
+func extra() cli.Extra {
+	return cli.Extra{XDS: membership, Commands: []*cobra.Command{xdsCommand()}}
+}
+
+// membership is the source that the operator's own file asks for, with the platform's discovery first
+// unless it is to stand alone.
+func membership(o operator.File, c node.Config, own router.Membership, log *slog.Logger) (router.Membership, error) {
+	source, err := open(o.XDS, log)
+	if err != nil {
+		return nil, err
+	}
+	if o.XDS.Alone {
+		return source, nil
+	}
+	both := merge.New(own, source)
+	both.Begin(0, c.Known.Members)
+	return both, nil
+}
+
+// open makes the source of the control planes, or of the files.
+func open(x operator.XDS, log *slog.Logger) (router.Membership, error) {
+	if len(x.Files) > 0 {
+		return xds.NewFiles(x.Files, log)
+	}
+	c, err := bootstrap(x)
+	if err != nil {
+		return nil, err
+	}
+	c.Log = log
+	return xds.New(c)
+}
+
+func bootstrap(x operator.XDS) (xds.Config, error) {
+	raw, err := os.ReadFile(x.Bootstrap)
+	if err != nil {
+		return xds.Config{}, fmt.Errorf("xds.bootstrap: %w", err)
+	}
+	c, err := xds.ParseBootstrap(raw, x.CAFile)
+	if err != nil {
+		return xds.Config{}, fmt.Errorf("%s: %w", x.Bootstrap, err)
+	}
+	c.Delta, c.Dir = x.Delta, x.Dir
+	return c, nil
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,82 @@
+// Package cli is the command line of the programs in cmd: wayhold, and wayhold-xds, which links what
+// costs a node memory that it may not have.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"cobaltward/internal/node"
+	"cobaltward/internal/operator"
+	"cobaltward/router"
+)
+
+// Membership makes the source of the servers that the operator's own file asks for. own is the
+// protocol's discovery, which it may take in. nil stands for own alone.
+type Membership func(o operator.File, c node.Config, own router.Membership, log *slog.Logger) (router.Membership, error)
+
+// Extra is what a program has beyond wayhold. The zero value is nothing.
+type Extra struct {
+	XDS      Membership
+	Commands []*cobra.Command
+}
+
+// Main runs a program, and returns its exit status.
+func Main(e Extra) int {
+	if err := command(e).Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "wayhold:", err)
+		return 1
+	}
+	return 0
+}
+
+// command is the whole command line. Without a subcommand it serves, as the platform's line has it.
+func command(e Extra) *cobra.Command {
+	var own string
+	root := &cobra.Command{
+		Use:   "wayhold",
+		Short: "Route booking requests to app servers",
+		Long: `wayhold passes clients' requests on to app servers, and answers each exactly once.
+Without a subcommand it serves, as "wayhold serve" does.`,
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(c *cobra.Command, _ []string) error { return serve(own, c.ErrOrStderr(), e) },
+	}
+	root.PersistentFlags().StringVar(&own, "config", os.Getenv("WAYHOLD_CONFIG"),
+		"the operator's own file, as deploy/wayhold.toml; WAYHOLD_CONFIG names it too")
+	root.AddCommand(
+		&cobra.Command{
+			Use:   "serve",
+			Short: "Serve clients until SIGTERM",
+			Long: `Serve clients until SIGTERM, by the platform's configuration: the JSON file that
+ROUTER_CONFIG names, with ROUTER_NAME, ROUTER_LISTEN and ROUTER_DISCOVERY ahead of it where set.
+SIGHUP reads it again: discovery's address and the settings take effect at once, the rest at the next
+start. SIGTERM ends the node in order.`,
+			Args: cobra.NoArgs,
+			RunE: func(c *cobra.Command, _ []string) error { return serve(own, c.ErrOrStderr(), e) },
+		},
+		checkCommand(&own, e), demoCommand(),
+		&cobra.Command{
+			Use:   "version",
+			Short: "Print the version",
+			Args:  cobra.NoArgs,
+			RunE: func(c *cobra.Command, _ []string) error {
+				_, err := fmt.Fprintln(c.OutOrStdout(), version())
+				return err
+			},
+		})
+	root.AddCommand(e.Commands...)
+	return root
+}
+
+// interrupted is a context that SIGTERM and SIGINT end.
+func interrupted() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+}
--- a/cmd/wayhold/main_test.go
+++ b/internal/cli/cli_test.go
@@ -1,4 +1,4 @@
-package main
+package cli
 
 import (
 	"fmt"
@@ -79,7 +79,7 @@
 	ended := make(chan error, 1)
 	log := &logs{}
 	go func() {
-		c := command()
+		c := command(Extra{})
 		c.SetArgs(nil) // as the platform starts it
 		c.SetErr(log)
 		ended <- c.Execute()
@@ -118,7 +118,7 @@
 func run(t *testing.T, args ...string) (string, error) {
 	t.Helper()
 	var out strings.Builder
-	c := command()
+	c := command(Extra{})
 	c.SetArgs(args)
 	c.SetOut(&out)
 	c.SetErr(&out)
@@ -150,6 +150,7 @@
 		"settings.services[0].deadline":    {"check", "--platform", write("bad.json", strings.Replace(platform, "600", `"x"`, 1))},
 		"nothing to check":                 {"check"},
 		"no such file":                     {"check", own + "x"},
+		"run wayhold-xds":                  {"check", write("xds.toml", "[xds]\nfiles = [\"a.yaml\"]\n")},
 		"unknown command":                  {"frobnicate"},
 		"unknown flag":                     {"--frobnicate"},
 		"accepts at most 1 arg":            {"check", own, own},
--- a/cmd/wayhold/serve.go
+++ b/internal/cli/serve.go
@@ -1,6 +1,7 @@
-package main
+package cli
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -10,10 +11,13 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"syscall"
 
 	"cobaltward/internal/node"
 	"cobaltward/internal/operator"
+	"cobaltward/policy"
+	"cobaltward/router"
 )
 
 // heapPart of the memory limit is the runtime's; stacks of the system and the sockets take the rest.
@@ -21,7 +25,7 @@
 
 // serve runs the node, with own as the operator's own file. What it sets in the process is the
 // daemon's to set: a library leaves it to its host.
-func serve(own string, logs io.Writer) error {
+func serve(own string, logs io.Writer, e Extra) error {
 	hup := make(chan os.Signal, 1) // one more that is waiting stands for all: the file is read after it
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
@@ -35,6 +39,9 @@
 	}
 	apply(o, &c)
 	log := logger(o.Log, logs)
+	if err := useXDS(o, &c, e, log); err != nil {
+		return err
+	}
 	debug.SetMemoryLimit(int64(heapPart * float64(c.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(int(max(1, math.Ceil(c.Cores))))
 	ctx, stop := interrupted()
@@ -60,6 +67,36 @@
 	}
 }
 
+// errNoXDS tells who asks for xDS of a program that does not link it.
+var errNoXDS = errors.New("xds: this program has none; run wayhold-xds in its place")
+
+// useXDS puts in place what the table [xds] asks for.
+func useXDS(o operator.File, c *node.Config, e Extra, log *slog.Logger) error {
+	if !o.XDS.On() {
+		return nil
+	}
+	if e.XDS == nil {
+		return errNoXDS
+	}
+	if err := bindPools(o, c); err != nil {
+		return err
+	}
+	c.Membership = func(own router.Membership) (router.Membership, error) { return e.XDS(o, *c, own, log) }
+	return nil
+}
+
+// bindPools binds classes to clusters as the table [xds.pools] says.
+func bindPools(o operator.File, c *node.Config) error {
+	for class, cluster := range o.XDS.Pools {
+		i := slices.IndexFunc(c.Settings.Classes, func(k policy.Class) bool { return k.Name == class })
+		if i < 0 {
+			return fmt.Errorf("xds.pools.%s: the settings have no such class", class)
+		}
+		c.Settings.Classes[i].Pool = cluster
+	}
+	return nil
+}
+
 func logger(l operator.Log, to io.Writer) *slog.Logger {
 	options := &slog.HandlerOptions{Level: l.Level.Level}
 	if l.Format == "json" {
@@ -82,6 +119,10 @@
 			continue
 		}
 		apply(o, &c)
+		if err := bindPools(o, &c); err != nil {
+			log.Error("reload: keeping the old configuration", "err", err)
+			continue
+		}
 		select {
 		case <-reloads:
 		default:
--- a/cmd/wayhold/tools.go
+++ b/internal/cli/tools.go
@@ -1,4 +1,4 @@
-package main
+package cli
 
 import (
 	"fmt"
@@ -16,7 +16,7 @@
 )
 
 // checkCommand reads configurations without serving.
-func checkCommand(own *string) *cobra.Command {
+func checkCommand(own *string, e Extra) *cobra.Command {
 	var platform string
 	c := &cobra.Command{
 		Use:   "check [FILE]",
@@ -37,10 +37,15 @@
 				return fmt.Errorf("check: nothing to check: name a FILE, --platform or ROUTER_CONFIG")
 			}
 			out := c.OutOrStdout()
+			var o operator.File
 			if path != "" {
-				if _, err := operator.Load(path); err != nil {
+				var err error
+				if o, err = operator.Load(path); err != nil {
 					return err
 				}
+				if o.XDS.On() && e.XDS == nil {
+					return errNoXDS
+				}
 				fmt.Fprintf(out, "%s: good\n", path)
 			}
 			if platform == "" {
@@ -55,6 +60,9 @@
 			if err != nil {
 				return fmt.Errorf("%s: %w", platform, err)
 			}
+			if err := bindPools(o, &conf); err != nil {
+				return err
+			}
 			fmt.Fprintf(out, "%s: good; listens on %s, asks %s, knows %d servers\n", platform, conf.Listen, conf.Discovery, len(conf.Known.Members))
 			table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 			fmt.Fprintln(table, "class\taim\tdeadline\tmay be sent again")
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -37,6 +37,9 @@
 	// What the operator's own file may say of the end; nil where it does not.
 	Leave    *time.Duration // serving on as before
 	DrainFor *time.Duration // in all
+
+	// Membership makes the source of the servers out of the protocol's discovery; nil: that alone.
+	Membership func(own router.Membership) (router.Membership, error)
 }
 
 // leastSockets is what a node can work with at all: a few for itself, and some for each side.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,7 +45,14 @@
 			}
 		},
 	}
-	options := []router.Option{router.WithLogger(log), router.WithMembership(source), router.WithFront(server),
+	membership := router.Membership(source)
+	if c.Membership != nil {
+		var err error
+		if membership, err = c.Membership(source); err != nil {
+			return err
+		}
+	}
+	options := []router.Option{router.WithLogger(log), router.WithMembership(membership), router.WithFront(server),
 		router.WithTransport(http1.New(http1.Config{MaxConns: c.Sockets - ownSockets - most, ConnectTimeout: c.ConnectTimeout}))}
 	if c.Leave != nil {
 		options = append(options, router.WithLeave(*c.Leave))
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -19,6 +19,7 @@
 type File struct {
 	Log   Log
 	Drain Drain
+	XDS   XDS
 }
 
 // Log says how the daemon logs.
@@ -33,6 +34,21 @@
 	Deadline Duration // for the whole drain; not set: the longest deadline of a class, 3s at most
 }
 
+// XDS says where the servers come from beside the platform's discovery: a control plane or files, not
+// both.
+type XDS struct {
+	Bootstrap string            // the standard bootstrap JSON, a file
+	CAFile    string            // PEM, for control planes with channel_creds tls; else the system's
+	Delta     bool              // the incremental variant
+	Dir       string            // where the last list is kept
+	Files     []string          // DiscoveryResponse files, in place of a control plane
+	Alone     bool              // without the platform's discovery
+	Pools     map[string]string // the cluster that a class is bound to
+}
+
+// On tells whether xDS is asked for.
+func (x XDS) On() bool { return x.Bootstrap != "" || len(x.Files) > 0 }
+
 // Duration is a time with its unit, as in "1.5s". Set tells it from one that is left out.
 type Duration struct {
 	time.Duration
@@ -106,6 +122,15 @@
 		Leave    any `toml:"leave"`
 		Deadline any `toml:"deadline"`
 	} `toml:"drain"`
+	XDS struct {
+		Bootstrap any            `toml:"bootstrap"`
+		CAFile    any            `toml:"ca_file"`
+		Delta     any            `toml:"delta"`
+		Dir       any            `toml:"dir"`
+		Files     any            `toml:"files"`
+		Alone     any            `toml:"alone"`
+		Pools     map[string]any `toml:"pools"`
+	} `toml:"xds"`
 }
 
 // Parse reads the text of a file. Errors begin with the line.
@@ -135,6 +160,8 @@
 	}{
 		{"log", "level", r.Log.Level, &f.Log.Level}, {"log", "format", r.Log.Format, &f.Log.Format},
 		{"drain", "leave", r.Drain.Leave, &f.Drain.Leave}, {"drain", "deadline", r.Drain.Deadline, &f.Drain.Deadline},
+		{"xds", "bootstrap", r.XDS.Bootstrap, (*path)(&f.XDS.Bootstrap)}, {"xds", "ca_file", r.XDS.CAFile, (*path)(&f.XDS.CAFile)},
+		{"xds", "dir", r.XDS.Dir, (*path)(&f.XDS.Dir)},
 	} {
 		if field.from == nil {
 			continue
@@ -150,6 +177,9 @@
 			return File{}, fmt.Errorf("%d: %s.%s: %w", lineOf(text, field.table, field.key), field.table, field.key, err)
 		}
 	}
+	if err := f.XDS.rest(text, r); err != nil {
+		return File{}, err
+	}
 	if f.Drain.Leave.Set && f.Drain.Deadline.Set && f.Drain.Leave.Duration > f.Drain.Deadline.Duration {
 		return File{}, fmt.Errorf("%d: drain.leave: want at most drain.deadline, %v, got %v",
 			lineOf(text, "drain", "leave"), f.Drain.Deadline.Duration, f.Drain.Leave.Duration)
@@ -157,6 +187,68 @@
 	return f, nil
 }
 
+// path is the name of a file or directory.
+type path string
+
+// UnmarshalText takes any text but an empty one.
+func (p *path) UnmarshalText(text []byte) error {
+	if len(text) == 0 {
+		return errors.New("want a path, got none")
+	}
+	*p = path(text)
+	return nil
+}
+
+// rest reads what of the table [xds] is no text, and checks it as a whole.
+func (x *XDS) rest(text []byte, r raw) error {
+	fail := func(key, format string, args ...any) error {
+		return fmt.Errorf("%d: xds.%s: %s", lineOf(text, "xds", key), key, fmt.Sprintf(format, args...))
+	}
+	for _, flag := range []struct {
+		key  string
+		from any
+		to   *bool
+	}{{"delta", r.XDS.Delta, &x.Delta}, {"alone", r.XDS.Alone, &x.Alone}} {
+		if v, ok := flag.from.(bool); ok {
+			*flag.to = v
+		} else if flag.from != nil {
+			return fail(flag.key, "want true or false, got %v", flag.from)
+		}
+	}
+	if r.XDS.Files != nil {
+		list, ok := r.XDS.Files.([]any)
+		if !ok || len(list) == 0 {
+			return fail("files", "want a list of paths, got %v", r.XDS.Files)
+		}
+		for _, v := range list {
+			name, ok := v.(string)
+			if !ok || name == "" {
+				return fail("files", "want paths in quotes, got %v", v)
+			}
+			x.Files = append(x.Files, name)
+		}
+	}
+	for class, v := range r.XDS.Pools {
+		cluster, ok := v.(string)
+		if !ok || cluster == "" {
+			return fmt.Errorf("%d: xds.pools.%s: want the name of a cluster in quotes, got %v", lineOf(text, "xds.pools", class), class, v)
+		}
+		if x.Pools == nil {
+			x.Pools = make(map[string]string)
+		}
+		x.Pools[class] = cluster
+	}
+	switch {
+	case x.Bootstrap != "" && len(x.Files) > 0:
+		return fail("files", "want either files or bootstrap, got both")
+	case !x.On() && (x.CAFile != "" || x.Delta || x.Dir != "" || x.Alone || len(x.Pools) > 0):
+		return fmt.Errorf("%d: xds: neither bootstrap nor files is named, so the rest of the table does nothing", lineOf(text, "xds", ""))
+	case len(x.Files) > 0 && (x.CAFile != "" || x.Delta || x.Dir != ""):
+		return fail("files", "ca_file, delta and dir are for a control plane")
+	}
+	return nil
+}
+
 // lineOf is the line on which a key of a table is set; 1 where it is written in a way of its own.
 func lineOf(text []byte, table, key string) int {
 	in := ""
@@ -164,7 +256,9 @@
 		line = strings.TrimSpace(line)
 		if strings.HasPrefix(line, "[") {
 			in, _, _ = strings.Cut(strings.TrimPrefix(line, "["), "]")
-			in = strings.TrimSpace(in)
+			if in = strings.TrimSpace(in); in == table && key == "" {
+				return i + 1
+			}
 		}
 		if name, _, ok := strings.Cut(line, "="); ok && in == table && strings.TrimSpace(name) == key {
 			return i + 1
--- a/membership/xds/book.go
+++ b/membership/xds/book.go
@@ -1,6 +1,7 @@
 package xds
 
 import (
+	"cmp"
 	"slices"
 
 	"cobaltward/membership/xds/ads"
@@ -64,12 +65,7 @@
 			b.members[addr] = m
 		}
 	}
-	slices.SortFunc(changed, func(a, b router.Member) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(changed, func(a, b router.Member) int { return cmp.Compare(a.ID, b.ID) })
 	return changed
 }
 
@@ -92,12 +88,7 @@
 		e.addrs[i] = ep.Addr
 		touched[ep.Addr] = true
 		all := append(b.listed[ep.Addr], listing{name, ep, open[i]})
-		slices.SortFunc(all, func(x, y listing) int {
-			if x.cluster < y.cluster {
-				return -1
-			}
-			return 1
-		})
+		slices.SortFunc(all, func(x, y listing) int { return cmp.Compare(x.cluster, y.cluster) })
 		b.listed[ep.Addr] = all
 	}
 	return e
@@ -145,11 +136,30 @@
 	for _, m := range b.members {
 		all = append(all, m)
 	}
-	slices.SortFunc(all, func(a, b router.Member) int {
-		if a.ID < b.ID {
-			return -1
+	slices.SortFunc(all, func(a, b router.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// endpoints tells of each endpoint of each cluster whether it is used, or why not.
+func (b *book) endpoints() (all []EndpointStatus) {
+	for addr, listed := range b.listed {
+		for _, l := range listed {
+			use := "yes"
+			switch {
+			case l.e.Health == resource.Draining || l.e.Health == resource.Unhealthy || l.e.Health == resource.Timeout:
+				use = "no: " + l.e.Health.String()
+			case b.members[addr].State == policy.Draining && l.open:
+				use = "no: another cluster bars it"
+			case !l.open && l.e.Health == resource.Degraded:
+				use = "no: enough others are healthy"
+			case !l.open:
+				use = "no: a higher priority has enough"
+			}
+			all = append(all, EndpointStatus{l.cluster, l.e, use})
 		}
-		return 1
+	}
+	slices.SortFunc(all, func(x, y EndpointStatus) int {
+		return cmp.Or(cmp.Compare(x.Cluster, y.Cluster), cmp.Compare(x.Addr, y.Addr))
 	})
 	return all
 }
--- a/membership/xds/xds.go
+++ b/membership/xds/xds.go
@@ -420,6 +420,15 @@
 	Whole   bool
 	Types   [2]ads.Status // by ads.Type
 	Members []router.Member
+	// Endpoints are those of all clusters, in order of cluster and address.
+	Endpoints []EndpointStatus
+}
+
+// EndpointStatus is an endpoint in a cluster, and whether it is used.
+type EndpointStatus struct {
+	Cluster string
+	resource.Endpoint
+	Use string // "yes", or why not
 }
 
 // Status tells how the source stands. It may be called at any time.
@@ -428,7 +437,7 @@
 	defer s.mu.Unlock()
 	return Status{Server: s.c.Servers[s.at].Addr, Open: s.open, Since: s.since, Last: s.last, Whole: s.machine.Whole(),
 		Types:   [2]ads.Status{s.machine.Status(ads.Clusters), s.machine.Status(ads.Endpoints)},
-		Members: s.book.whole()}
+		Members: s.book.whole(), Endpoints: s.book.endpoints()}
 }
 
 // String is for logs.
