--- a/policy/policy.go
+++ b/policy/policy.go
@@ -304,15 +304,29 @@
 		}
 	}
 	var least *server
-	for _, s := range r.class.open.order {
-		if !b.usable(r, s) {
+	open := r.class.open
+	indexed, crowded := len(open.order) > manyServers && !b.plain, math.Inf(1)
+	var blocks []block
+	if indexed {
+		blocks = open.index()
+	}
+	for i := range (len(open.order) + blockSize - 1) / blockSize {
+		if indexed && b.passOver(&blocks[i], crowded) {
 			continue
 		}
-		if b.hasRoom(s) {
-			return s, true
+		for _, s := range open.run(i) {
+			if !b.usable(r, s) {
+				continue
+			}
+			if b.hasRoom(s) {
+				return s, true
+			}
+			if crowding := b.crowding(s); least == nil || crowding < crowded {
+				least, crowded = s, crowding
+			}
 		}
-		if least == nil || b.crowding(s) < b.crowding(least) {
-			least = s
+		if indexed {
+			b.look(open, i)
 		}
 	}
 	if least != nil && b.crowding(least) > crowdLimit && !b.shedEarly() {
@@ -392,6 +406,8 @@
 		(len(c.Zones) == 0 || slices.Contains(c.Zones, s.Zone))
 }
 
+func (c *class) bound() bool { return len(c.Kinds)+len(c.Zones)+len(c.Pool) > 0 }
+
 // mayRun guards the fifth rule, and the second: what may have run only goes where repeats are dropped.
 func (b *Balancer) mayRun(r *request, s *server) bool {
 	if !r.class.permits(s) {
@@ -551,6 +567,7 @@
 	s.use(b.now)
 	s.lastSend = b.now
 	s.cold.tokens--
+	b.touch(s)
 	r.settle()
 	b.watch(r)
 }
@@ -758,6 +775,7 @@
 	a.server.inflight--
 	r.settle()
 	b.observe(r, a, e)
+	b.touch(a.server)
 	switch {
 	case e.Ended || r.ended || e.Code == OK:
 		b.end(r)
@@ -883,6 +901,7 @@
 	h := &s.health
 	span := min(ejectMost, ejectFirst<<min(h.times, 10))
 	h.out, h.until, h.trials, h.times = true, b.now+span, 0, h.times+1
+	b.touch(s)
 	b.countEjected()
 }
 
@@ -972,10 +991,12 @@
 			}
 		}
 	}
-	for _, m := range e.Members {
-		b.listed(m)
+	if e.Kind != ListUpdate || !b.change(e.Members) {
+		for _, m := range e.Members {
+			b.listed(m)
+		}
+		b.reorder()
 	}
-	b.reorder()
 	b.release()
 }
 
@@ -999,48 +1020,55 @@
 // servers are left out at once, well within the grace of the third rule.
 func (b *Balancer) reorder() {
 	b.forgetRetired()
-	var own, others []*server
-	zones := make(map[string]bool)
+	b.own, b.others, b.running = nil, nil, make(map[string]int)
 	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
 		s := b.servers[id]
-		switch {
-		case s.Availability != Running:
+		if s.Availability != Running {
 			continue
-		case s.Zone == b.set.Zone:
-			own = append(own, s)
-		default:
-			others = append(others, s)
 		}
-		zones[s.Zone] = true
+		part := b.part(s.Zone)
+		*part = append(*part, s)
+		b.running[s.Zone]++
 	}
-	b.order = append(b.stagger(own), b.stagger(others)...)
-	b.zoned, b.zones = len(own), len(zones)
+	b.arrange()
 	b.place()
-	stretch := float64(len(own)*len(zones)) / float64(b.set.Nodes)
-	if b.set.WarmKeys { // a key has the same home for all nodes of a zone
-		stretch = float64(len(own))
-	}
+	end := b.ownEnd()
 	for i, s := range b.order {
-		was := s.own
-		s.own = i < len(own) && float64(i) < stretch
-		if s.own && !was { // its former main user drains, died or moved on with the list
-			s.threshold = max(s.threshold, b.start(s))
-		}
-		if s.threshold == 0 {
-			s.threshold = b.start(s)
-			s.lastSend = b.now - seconds(b.rng.Float64()*s.latency/s.threshold)
-		}
+		b.settleAt(s, i < end)
 	}
+	b.ownUntil, b.ownAll = end, b.zoned
 	b.countEjected()
 }
 
+// ownEnd is how many servers of the order are at the start of the own walk.
+func (b *Balancer) ownEnd() int {
+	stretch := float64(b.zoned*b.zones) / float64(b.set.Nodes)
+	if b.set.WarmKeys { // a key has the same home for all nodes of a zone
+		stretch = float64(b.zoned)
+	}
+	return min(b.zoned, int(math.Ceil(stretch)))
+}
+
+// settleAt says whether s is at the start of the own walk, and gives it its first threshold.
+func (b *Balancer) settleAt(s *server, own bool) {
+	was := s.own
+	s.own = own
+	if s.own && !was { // its former main user drains, died or moved on with the list
+		s.threshold = max(s.threshold, b.start(s))
+	}
+	if s.threshold == 0 {
+		s.threshold = b.start(s)
+		s.lastSend = b.now - seconds(b.rng.Float64()*s.latency/s.threshold)
+	}
+}
+
 // place lays down which servers each bound class is open to, in packing order.
 func (b *Balancer) place() {
 	for _, s := range b.order {
 		s.safest = Never
 	}
 	for i, c := range slices.Concat(b.ranked, b.retired) {
-		bound, current := len(c.Kinds)+len(c.Zones)+len(c.Pool) > 0, i < len(b.ranked)
+		bound, current := c.bound(), i < len(b.ranked)
 		if bound {
 			c.open = &pool{}
 		}
@@ -1063,13 +1091,12 @@
 
 func (b *Balancer) staggered() bool { return b.set.Nodes > manyNodes }
 
-// stagger turns a part of the order so that this node's walk begins at its own place in it, where
+// startAt is where this node's walk through a part of the order begins: at its own place in it, where
 // nodes are many. Steps of the golden ratio lie evenly whichever of the nodes share a zone.
-func (b *Balancer) stagger(part []*server) []*server {
+func (b *Balancer) startAt(n int) int {
 	if !b.staggered() {
-		return part
+		return 0
 	}
 	_, at := math.Modf(float64(b.set.Node) / math.Phi)
-	k := int(at * float64(len(part)))
-	return slices.Concat(part[k:], part[:k])
+	return int(at * float64(n))
 }
--- /dev/null
+++ b/policy/scale_test.go
@@ -0,0 +1,74 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// fleet is a node with n servers, of which the first busy are held at their thresholds.
+func fleet(b testing.TB, n, busy int) *Balancer {
+	b.Helper()
+	set := reconfigurable()
+	set.Tenants, set.Classes = nil, set.Classes[:1]
+	set.Classes[0].Deadline = time.Hour
+	node, err := New(set, 0, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	all := make([]Member, n)
+	for i := range all {
+		all[i] = Member{Server: fmt.Sprintf("s%06d", i), Zone: "a", Weight: 1}
+	}
+	node.Handle(0, MemberList{Members: all})
+	for i := 0; i < busy; i++ {
+		s := node.order[i]
+		s.inflight = int(node.limit(s)) + 1
+	}
+	return node
+}
+
+// variants runs a benchmark as the module works, and as it would by walking over all servers.
+func variants(b *testing.B, sizes []int, run func(b *testing.B, n int, plain bool)) {
+	for _, n := range sizes {
+		for _, plain := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d/plain=%v", n, plain), func(b *testing.B) { run(b, n, plain) })
+		}
+	}
+}
+
+// BenchmarkOneChange is one server's drain or return in a list of many.
+func BenchmarkOneChange(b *testing.B) {
+	variants(b, []int{20, 100, 1000, 10_000, 100_000}, func(b *testing.B, n int, plain bool) {
+		node := fleet(b, n, 0)
+		node.plain = plain
+		m := Member{Server: fmt.Sprintf("s%06d", n/2), Zone: "a", Weight: 1}
+		for i := range b.N {
+			m.Availability = Availability(i % 2)
+			node.Handle(Time(i), MemberList{Kind: ListUpdate, Members: []Member{m}})
+		}
+	})
+}
+
+// BenchmarkRequestAmongBusy is a request and its end where all servers are over their thresholds, and
+// stay so: nothing is learnt.
+func BenchmarkRequestAmongBusy(b *testing.B) {
+	variants(b, []int{20, 1000, 10_000}, func(b *testing.B, n int, plain bool) {
+		node := fleet(b, n, n)
+		node.plain = plain
+		now := Time(0)
+		for i := range b.N {
+			now += time.Microsecond
+			id := fmt.Sprint(i)
+			for _, a := range node.Handle(now, Request{ID: id, Class: "read", Tenant: "t", ExpiresIn: time.Hour}) {
+				if a.Kind == Send {
+					node.Handle(now, Outcome{ID: id, Server: a.Server, Code: Cancelled, Latency: 50 * ms, Ended: true})
+					break
+				}
+			}
+		}
+		if len(node.held) > 0 || len(node.reqs) > 0 {
+			b.Fatalf("%d held, %d open", len(node.held), len(node.reqs))
+		}
+	})
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -30,8 +30,15 @@
 	lost     float64 // part of time-outs among all but full answers lately
 	refused  bool    // a bucket refused since the last choice
 	servers  map[string]*server
-	pool         // all servers in service
-	zones    int // zones that have servers
+	pool                    // all servers in service
+	zones    int            // zones that have servers
+	own      []*server      // servers in service in the own zone, in id order
+	others   []*server      // and elsewhere
+	running  map[string]int // their number in each zone
+	spare    []*server      // memory for the next order
+	ownUntil int            // servers of the order at the start of the own walk
+	ownAll   int            // servers of the own zone then
+	plain    bool           // of tests: walk over all servers, and make the order anew each time
 	reqs     map[string]*request
 	held     []*request // waiting for a usable server, oldest first
 	holding  bool       // the hold timer is set
@@ -50,6 +57,7 @@
 	order   []*server // own zone first, each part in id order
 	zoned   int       // servers of order in the own zone
 	ejected int       // servers of order that are ejected
+	blocks  []block   // of order, where it is long
 }
 
 // class is a request class with what was learned of it.
@@ -72,6 +80,7 @@
 	threshold float64 // packing threshold, in attempts in flight
 	own       bool    // at the start of this node's own walk
 	felt      bool    // the threshold was cut at least once
+	mark      bool    // of fit
 	used      []Time  // when so many connections were last in use
 	lastSend  Time
 	lastDone  Time    // when it last answered anything
