--- a/.ci/checks.sh
+++ b/.ci/checks.sh
@@ -133,6 +133,16 @@
 	echo "ci: the engine links no HTTP, and gin stays in its package"
 }
 
+# No bytes from outside panic their readers, or are read in two ways: some seconds each, beyond the seeds
+# that the tests run.
+check_fuzz() {
+	local target
+	for target in ./membership/xds:FuzzFile ./membership/xds/resource:FuzzResources ./transport/http1:FuzzHead; do
+		go test -run '^$' -fuzz "^${target#*:}\$" -fuzztime 4s "${target%:*}" >/dev/null || fail "${target#*:} found something; run it by hand"
+	done
+	echo "ci: fuzzing found nothing"
+}
+
 # The test command is the one that README.md names.
 check_tests() {
 	local tests
