The first list from xDS takes the place of the one that the router began with

Need: with xDS alone, the servers that the platform's file knew were never taken away: nobody told of them again.

Change: a source's first change is a whole list; its test fails without that (three servers in place of two). The stand-in gives each plane versions of its own and sends after a mute what it held back: a restarted plane that counted from one again took other content for what the client had named, and a test failed by it once under -race.

--- a/membership/xds/book.go
+++ b/membership/xds/book.go
@@ -17,6 +17,7 @@
 	clusters map[string]entry
 	members  map[string]router.Member // as told
 	listed   map[string][]listing     // by address, in the order of the clusters' names
+	told     bool
 }
 
 // entry is a cluster as it was last looked at.
@@ -69,6 +70,16 @@
 	return changed
 }
 
+// change is what to tell of the servers that changed. The first takes the place of whatever list the
+// router began with, which nobody would ever take away otherwise.
+func (b *book) change(members []router.Member) *router.Change {
+	kind := policy.ListUpdate
+	if !b.told {
+		b.told, kind = true, policy.ListReplace
+	}
+	return &router.Change{Kind: kind, Members: members}
+}
+
 func (b *book) unlist(name string, old entry, touched map[string]bool) {
 	for _, addr := range old.addrs {
 		touched[addr] = true
--- a/membership/xds/file.go
+++ b/membership/xds/file.go
@@ -21,7 +21,6 @@
 	"cobaltward/membership/xds/ads"
 	"cobaltward/membership/xds/resource"
 	"cobaltward/membership/xds/xdspb"
-	"cobaltward/policy"
 	"cobaltward/router"
 )
 
@@ -212,7 +211,7 @@
 	if had && len(s.book.members) == 0 {
 		s.log.Error("xds: the files name no server any more")
 	}
-	return &router.Change{Kind: policy.ListUpdate, Members: members}
+	return s.book.change(members)
 }
 
 // inForce is what resources come to where all of them are there.
--- a/membership/xds/standin/standin.go
+++ b/membership/xds/standin/standin.go
@@ -41,6 +41,9 @@
 	Acks    atomic.Int64
 }
 
+// started counts planes, so that each has versions of its own.
+var started atomic.Int64
+
 type versioned struct {
 	version int
 	body    *anypb.Any
@@ -55,7 +58,9 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Plane{Addr: ln.Addr().String(), served: make(chan struct{}), changed: make(chan struct{}),
+	// Versions of one plane are not those of another: in the incremental variant a client names what it
+	// holds, and a restarted plane that counts from one again would take other content for its own.
+	p := &Plane{version: int(started.Add(1)) * 1_000_000, Addr: ln.Addr().String(), served: make(chan struct{}), changed: make(chan struct{}),
 		all:    map[string]map[string]versioned{resource.ClusterURL: {}, resource.AssignmentURL: {}},
 		server: grpc.NewServer(grpc.MaxSendMsgSize(256 << 20))}
 	p.server.RegisterService(&grpc.ServiceDesc{
@@ -206,7 +211,10 @@
 			return err
 		}
 		for _, url := range []string{resource.ClusterURL, resource.AssignmentURL} {
-			if r := p.whole(url, subs[url]); r != nil && !mute {
+			if mute { // what it does not send is not sent, and goes out once it answers again
+				continue
+			}
+			if r := p.whole(url, subs[url]); r != nil {
 				nonce++
 				r.Nonce = fmt.Sprint(nonce)
 				if err := s.SendMsg(r); err != nil {
@@ -280,7 +288,10 @@
 			return err
 		}
 		for _, url := range []string{resource.ClusterURL, resource.AssignmentURL} {
-			if r := p.part(url, subs[url]); r != nil && !mute {
+			if mute {
+				continue
+			}
+			if r := p.part(url, subs[url]); r != nil {
 				nonce++
 				r.Nonce = fmt.Sprint(nonce)
 				if err := s.SendMsg(r); err != nil {
--- a/membership/xds/xds.go
+++ b/membership/xds/xds.go
@@ -20,7 +20,6 @@
 	"cobaltward/membership/xds/ads"
 	"cobaltward/membership/xds/resource"
 	"cobaltward/membership/xds/xdspb"
-	"cobaltward/policy"
 	"cobaltward/router"
 )
 
@@ -401,7 +400,7 @@
 	if had && len(s.book.members) == 0 {
 		s.log.Error("xds: the control plane has taken every server away")
 	}
-	return &router.Change{Kind: policy.ListUpdate, Members: members}
+	return s.book.change(members)
 }
 
 func (s *Source) closed(err error) {
--- a/membership/xds/xds_test.go
+++ b/membership/xds/xds_test.go
@@ -77,6 +77,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.changes++
+	if c.Kind == policy.ListReplace {
+		clear(l.members)
+	}
 	for _, m := range c.Members {
 		if m.State == policy.Removed {
 			delete(l.members, m.ID)
@@ -320,6 +323,33 @@
 	})
 }
 
+// The list that a router begins with serves until the control plane has told its own, and is gone then.
+func TestTheFirstListTakesThePlaceOfTheOld(t *testing.T) {
+	p := plane(t)
+	p.Mute(true)
+	p.Set(cluster("rooms"), assignment("rooms", "10.0.0.1:1", "10.0.0.2:1"))
+	source, err := New(Config{Servers: []Server{{Addr: p.Addr}}, Node: &xdspb.Node{Id: "first"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := router.New(router.Config{Members: []router.Member{{ID: "old", Addr: "10.0.0.9:1", Weight: 1}},
+		Settings: policy.Settings{Nodes: 1, Classes: []policy.Class{{Name: "read", Deadline: time.Second}}}},
+		router.WithMembership(source), router.WithTransport(http1.New(http1.Config{})))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	testkit.Await(t, "the stream", func() bool { return source.Status().Open })
+	if n := r.Stats().Servers[policy.Running]; n != 1 {
+		t.Errorf("%d servers before the control plane has told its own", n)
+	}
+	p.Mute(false)
+	testkit.Await(t, "the list", func() bool { return r.Stats().Pools["rooms"] == 2 })
+	if n := r.Stats().Servers[policy.Running]; n != 2 {
+		t.Errorf("%d servers, want those of the control plane alone", n)
+	}
+}
+
 // sites is app servers on loopback that note every request they get.
 type sites struct {
 	addrs []string
