xDS: a working stream is not left for a control plane that may not come up

Need: on the second control plane, the source dropped its stream each minute to try the first, and waited up to 15 s where that one was silent: drains were heard of from neither meanwhile.

Change: the preferred one is connected to beside the stream, which is left only once that connection is ready.

--- a/membership/xds/xds.go
+++ b/membership/xds/xds.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
@@ -149,7 +150,7 @@
 		}
 		answered, err := false, errors.New("it can't be called")
 		if conn != nil {
-			answered, err = s.follow(ctx, conn, at, tell)
+			answered, err = s.follow(ctx, conn, conns[0], at, tell)
 		}
 		if ctx.Err() != nil {
 			return
@@ -248,7 +249,7 @@
 }
 
 // follow runs one stream to its end, and tells whether anything came on it.
-func (s *Source) follow(ctx context.Context, conn *grpc.ClientConn, at int, tell func(router.Change)) (answered bool, _ error) {
+func (s *Source) follow(ctx context.Context, conn, preferred *grpc.ClientConn, at int, tell func(router.Change)) (answered bool, _ error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	desc, method := &grpc.StreamDesc{ServerStreams: true, ClientStreams: true}, sotwMethod
@@ -289,8 +290,8 @@
 		return false, because(ctx, err)
 	}
 	var better <-chan time.Time
-	if at != 0 {
-		t := time.NewTimer(s.c.preferAgainIn)
+	if at != 0 && preferred != nil {
+		t := time.NewTicker(s.c.preferAgainIn)
 		defer t.Stop()
 		better = t.C
 	}
@@ -325,7 +326,12 @@
 				expiry.Reset(time.Until(next))
 			}
 		case <-better:
-			return answered, errBetter
+			// A stream that works is not left for one that may not come up: until the preferred control
+			// plane is connected, drains would not be heard of from either.
+			if preferred.GetState() == connectivity.Ready {
+				return answered, errBetter
+			}
+			preferred.Connect()
 		case err := <-failed:
 			return answered, because(ctx, err)
 		case <-ctx.Done():
--- a/membership/xds/xds_test.go
+++ b/membership/xds/xds_test.go
@@ -1,8 +1,10 @@
 package xds
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -267,6 +269,21 @@
 	}
 }
 
+// A stream that works is not left for a preferred control plane that accepts connections and says
+// nothing: meanwhile a drain would be heard of from neither.
+func TestAWorkingStreamIsNotLeftForASilentOne(t *testing.T) {
+	silent := testkit.RawServer(t, func(_ net.Conn, in *bufio.Reader) { _, _ = io.Copy(io.Discard, in) })
+	second := plane(t)
+	second.Set(cluster("rooms"), assignment("rooms", "10.0.0.2:1"))
+	_, l := run(t, Config{Servers: []Server{{Addr: silent}, {Addr: second.Addr}},
+		answerWithin: 300 * time.Millisecond, preferAgainIn: 20 * time.Millisecond})
+	l.await(t, "10.0.0.2:1")
+	time.Sleep(500 * time.Millisecond) // many times the wait before the preferred one is thought of again
+	if n := second.Streams.Load(); n != 1 {
+		t.Errorf("%d streams to the one that works, want the first to stay", n)
+	}
+}
+
 // Two hundred clients that lose a control plane together do not come back together, and none of them
 // tries in a busy loop.
 func TestReconnectionsAreSpread(t *testing.T) {
