--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,6 +43,9 @@
 		k := old[c.Name]
 		if k == nil || !same || !reflect.DeepEqual(k.Class, c) {
 			k = &class{Class: c, allowed: set.Allowed, token: b.token, open: &b.pool, tail: c.Aim / 2}
+			if k.bound() {
+				k.open = &pool{class: k}
+			}
 			if was := old[c.Name]; was != nil {
 				k.tail = min(was.tail, c.Aim)
 			}
@@ -83,11 +86,10 @@
 		}
 	}
 	for key, k := range b.buckets {
-		switch l, at, ok := b.limitFor(key.tenant, key.class); {
-		case !ok || at != key: // its layer is gone
-			delete(b.buckets, key)
-		default:
+		if l, at, ok := b.limitFor(key.tenant, key.class); ok && at == key {
 			k.tokens = min(k.tokens, l.Burst)
+		} else { // its layer is gone
+			delete(b.buckets, key)
 		}
 	}
 	b.extra = append(since(b.older, b.now-b.budget.Span), b.extra...)
@@ -305,13 +307,9 @@
 	}
 	var least *server
 	open := r.class.open
-	indexed, crowded := len(open.order) > manyServers && !b.plain, math.Inf(1)
-	var blocks []block
-	if indexed {
-		blocks = open.index()
-	}
-	for i := range (len(open.order) + blockSize - 1) / blockSize {
-		if indexed && b.passOver(&blocks[i], crowded) {
+	blocks, crowded := b.index(open), math.Inf(1)
+	for i := 0; i*blockSize < len(open.order); i++ {
+		if blocks != nil && b.passOver(&blocks[i], crowded) {
 			continue
 		}
 		for _, s := range open.run(i) {
@@ -325,8 +323,8 @@
 				least, crowded = s, crowding
 			}
 		}
-		if indexed {
-			b.look(open, i)
+		if blocks != nil {
+			b.look(&blocks[i], open.run(i))
 		}
 	}
 	if least != nil && b.crowding(least) > crowdLimit && !b.shedEarly() {
@@ -567,7 +565,7 @@
 	s.use(b.now)
 	s.lastSend = b.now
 	s.cold.tokens--
-	b.touch(s)
+	b.touch(s, 0)
 	r.settle()
 	b.watch(r)
 }
@@ -662,12 +660,9 @@
 	case token == listToken:
 		b.askList()
 	case token >= watchToken:
-		for _, ranked := range [...][]*class{b.ranked, b.retired} {
-			for _, c := range ranked {
-				if c.token == token {
-					b.sweep(c)
-					return
-				}
+		for _, c := range slices.Concat(b.ranked, b.retired) {
+			if c.token == token {
+				b.sweep(c)
 			}
 		}
 	}
@@ -775,7 +770,7 @@
 	a.server.inflight--
 	r.settle()
 	b.observe(r, a, e)
-	b.touch(a.server)
+	b.touch(a.server, 0)
 	switch {
 	case e.Ended || r.ended || e.Code == OK:
 		b.end(r)
@@ -858,7 +853,7 @@
 	case h.out && a.trial && code == OK:
 		if h.trials++; h.trials >= trialsNeeded {
 			*h, s.threshold = health{}, b.start(s)
-			b.countEjected()
+			b.touch(s, -1)
 		}
 	case h.out && a.trial: // full too: a hung server turns away what it has no room for
 		if code.fault() && b.blame < 1 { // it may be well, so it is not put off for longer each time
@@ -899,21 +894,11 @@
 
 func (b *Balancer) eject(s *server) {
 	h := &s.health
+	if !h.out {
+		b.touch(s, 1)
+	}
 	span := min(ejectMost, ejectFirst<<min(h.times, 10))
 	h.out, h.until, h.trials, h.times = true, b.now+span, 0, h.times+1
-	b.touch(s)
-	b.countEjected()
-}
-
-func (b *Balancer) countEjected() {
-	for _, c := range slices.Concat(b.ranked, b.retired) {
-		c.open.ejected = 0
-		for _, s := range c.open.order {
-			if s.health.out {
-				c.open.ejected++
-			}
-		}
-	}
 }
 
 // trial returns an ejected server whose time is up, if r can safely try it out: of the classes that
@@ -991,7 +976,9 @@
 			}
 		}
 	}
-	if e.Kind != ListUpdate || !b.change(e.Members) {
+	if e.Kind == ListUpdate && len(e.Members) <= fewChanges && !b.plain && b.running != nil {
+		b.change(e.Members)
+	} else {
 		for _, m := range e.Members {
 			b.listed(m)
 		}
@@ -1016,37 +1003,89 @@
 	s.Member = m
 }
 
-// reorder rebuilds the packing order: own zone first, since crossing costs, then by id. Draining
+// reorder makes the packing order anew: own zone first, since crossing costs, then by id. Draining
 // servers are left out at once, well within the grace of the third rule.
 func (b *Balancer) reorder() {
-	b.forgetRetired()
-	b.own, b.others, b.running = nil, nil, make(map[string]int)
+	b.running = make(map[string]int)
+	for p := range b.pools {
+		p.parts, p.ejected = [2][]*server{}, 0
+	}
 	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
-		s := b.servers[id]
-		if s.Availability != Running {
+		if s := b.servers[id]; s.inService() {
+			b.enter(s)
+		}
+	}
+	b.settle(nil)
+}
+
+// change takes over a few entries of the list, and puts the order right where they touch it.
+func (b *Balancer) change(members []Member) {
+	came, moved := make([]*server, 0, fewChanges), false
+	for _, m := range members {
+		old := b.servers[m.Server]
+		was := old.inService()
+		if was && m.Availability == Running && old.OnlineSince == m.OnlineSince && old.Zone == m.Zone &&
+			old.Kind == m.Kind && slices.Equal(old.Pools, m.Pools) {
+			old.Member = m // its weight and cell count for nothing in the order
 			continue
 		}
-		part := b.part(s.Zone)
-		*part = append(*part, s)
-		b.running[s.Zone]++
-	}
-	b.arrange()
-	b.place()
-	end := b.ownEnd()
-	for i, s := range b.order {
-		b.settleAt(s, i < end)
-	}
-	b.ownUntil, b.ownAll = end, b.zoned
-	b.countEjected()
+		if was {
+			b.leave(old)
+			came = slices.DeleteFunc(came, func(c *server) bool { return c == old })
+		}
+		b.listed(m)
+		s := b.servers[m.Server]
+		if s.inService() {
+			b.enter(s)
+			came = append(came, s)
+		}
+		moved = moved || was || s.inService()
+	}
+	if moved {
+		b.settle(came)
+	}
 }
 
-// ownEnd is how many servers of the order are at the start of the own walk.
-func (b *Balancer) ownEnd() int {
+// settle arranges the order after servers have come to its parts, nil for all, or left them, and says
+// where the own walk starts: for those that came, and those that the start has gained or lost.
+func (b *Balancer) settle(came []*server) {
+	b.forgetRetired()
+	former, allOwn := b.order[:b.ownUntil], b.ownUntil == b.zoned
+	for p := range b.pools {
+		b.arrange(p)
+	}
+	b.zones = len(b.running)
 	stretch := float64(b.zoned*b.zones) / float64(b.set.Nodes)
 	if b.set.WarmKeys { // a key has the same home for all nodes of a zone
 		stretch = float64(b.zoned)
 	}
-	return min(b.zoned, int(math.Ceil(stretch)))
+	b.ownUntil = min(b.zoned, int(math.Ceil(stretch)))
+	start := b.order[:b.ownUntil]
+	if came == nil {
+		for i, s := range b.order {
+			b.settleAt(s, i < len(start))
+		}
+		return
+	}
+	if !allOwn || len(start) < b.zoned { // else all of the own zone were in it, and still are
+		for _, s := range start {
+			s.mark = true
+		}
+		for _, s := range former {
+			if !s.mark && b.servers[s.Server] == s && s.inService() { // a former process stays as it was
+				s.own = false
+			}
+		}
+		for _, s := range start {
+			s.mark = false
+			b.settleAt(s, true)
+		}
+	}
+	at := func(s *server) int { i, _ := b.place(s); return i }
+	slices.SortFunc(came, func(x, y *server) int { return at(x) - at(y) })
+	for _, s := range came {
+		b.settleAt(s, at(s) < len(start))
+	}
 }
 
 // settleAt says whether s is at the start of the own walk, and gives it its first threshold.
@@ -1062,33 +1101,6 @@
 	}
 }
 
-// place lays down which servers each bound class is open to, in packing order.
-func (b *Balancer) place() {
-	for _, s := range b.order {
-		s.safest = Never
-	}
-	for i, c := range slices.Concat(b.ranked, b.retired) {
-		bound, current := c.bound(), i < len(b.ranked)
-		if bound {
-			c.open = &pool{}
-		}
-		for i, s := range b.order {
-			if !c.permits(s) {
-				continue
-			}
-			if current {
-				s.safest = max(s.safest, c.Repeat)
-			}
-			if bound {
-				c.open.order = append(c.open.order, s)
-				if i < b.zoned {
-					c.open.zoned++
-				}
-			}
-		}
-	}
-}
-
 func (b *Balancer) staggered() bool { return b.set.Nodes > manyNodes }
 
 // startAt is where this node's walk through a part of the order begins: at its own place in it, where
--- a/policy/scale_test.go
+++ b/policy/scale_test.go
@@ -6,11 +6,13 @@
 	"time"
 )
 
-// fleet is a node with n servers, of which the first busy are held at their thresholds.
-func fleet(b testing.TB, n, busy int) *Balancer {
+// fleet is a node with n servers, of which the first busy are held at their thresholds. Its one class is
+// bound to zones where these are named.
+func fleet(b testing.TB, n, busy int, zones ...string) *Balancer {
 	b.Helper()
 	set := reconfigurable()
 	set.Tenants, set.Classes = nil, set.Classes[:1]
+	set.Classes[0].Zones = zones
 	set.Classes[0].Deadline = time.Hour
 	node, err := New(set, 0, 1)
 	if err != nil {
@@ -40,13 +42,23 @@
 // BenchmarkOneChange is one server's drain or return in a list of many.
 func BenchmarkOneChange(b *testing.B) {
 	variants(b, []int{20, 100, 1000, 10_000, 100_000}, func(b *testing.B, n int, plain bool) {
-		node := fleet(b, n, 0)
-		node.plain = plain
-		m := Member{Server: fmt.Sprintf("s%06d", n/2), Zone: "a", Weight: 1}
-		for i := range b.N {
-			m.Availability = Availability(i % 2)
-			node.Handle(Time(i), MemberList{Kind: ListUpdate, Members: []Member{m}})
-		}
+		oneChange(b, fleet(b, n, 0), n, plain)
+	})
+}
+
+func oneChange(b *testing.B, node *Balancer, n int, plain bool) {
+	node.plain = plain
+	m := Member{Server: fmt.Sprintf("s%06d", n/2), Zone: "a", Weight: 1}
+	for i := range b.N {
+		m.Availability = Availability(i % 2)
+		node.Handle(Time(i), MemberList{Kind: ListUpdate, Members: []Member{m}})
+	}
+}
+
+// BenchmarkOneChangeBound is the same where a class is bound to a part of the servers, here all.
+func BenchmarkOneChangeBound(b *testing.B) {
+	variants(b, []int{1000, 10_000}, func(b *testing.B, n int, plain bool) {
+		oneChange(b, fleet(b, n, 0, "a"), n, plain)
 	})
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -32,12 +32,8 @@
 	servers  map[string]*server
 	pool                    // all servers in service
 	zones    int            // zones that have servers
-	own      []*server      // servers in service in the own zone, in id order
-	others   []*server      // and elsewhere
 	running  map[string]int // their number in each zone
-	spare    []*server      // memory for the next order
 	ownUntil int            // servers of the order at the start of the own walk
-	ownAll   int            // servers of the own zone then
 	plain    bool           // of tests: walk over all servers, and make the order anew each time
 	reqs     map[string]*request
 	held     []*request // waiting for a usable server, oldest first
@@ -52,12 +48,16 @@
 	silent   [6]float64 // part of sends unanswered, by how long the connection was idle, in octaves
 }
 
-// pool is a set of servers in packing order.
+// pool is a set of servers in packing order: all of them, or those that a class is bound to.
 type pool struct {
-	order   []*server // own zone first, each part in id order
-	zoned   int       // servers of order in the own zone
-	ejected int       // servers of order that are ejected
-	blocks  []block   // of order, where it is long
+	class   *class       // that is bound to it
+	parts   [2][]*server // in id order: those of the own zone, and all others
+	turns   [2]int       // where the walk through each part begins
+	order   []*server    // own zone first, each part from its turn on
+	spare   []*server    // memory for the next order
+	zoned   int          // servers of order in the own zone
+	ejected int          // servers of order that are ejected
+	blocks  []block      // of order, where it is long
 }
 
 // class is a request class with what was learned of it.
@@ -90,6 +90,9 @@
 	cold      coldBudget
 }
 
+// inService tells whether s is listed and runs.
+func (s *server) inService() bool { return s != nil && s.Availability == Running }
+
 // request is one client request until its answer is given and its attempts are over.
 type request struct {
 	id       string
