xDS: dropped shares, scripts of the stand-in, cheap updates, the operator's file on SIGHUP

Change: drop_overloads is applied to classes bound to the cluster, by a module of its own (drops); the stand-in control plane plays scripts and records requests (cmd/xds-standin); endpoints are read in place from the wire and an update costs what changed in it; large updates rest between parts (internal/pace); SIGHUP reads the operator's own file, too; tests over TLS and of a 16 MB answer; tools/xdsbench measures against a process of its own.

--- a/cmd/wayhold-xds/xds.go
+++ b/cmd/wayhold-xds/xds.go
@@ -166,6 +166,9 @@
 			fmt.Fprintf(out, "  %s: refused, the one before serves: %s\n", refused, s.Refused[refused])
 		}
 	}
+	for _, name := range slices.Sorted(maps.Keys(st.Drops)) {
+		fmt.Fprintf(out, "%s: %.4g%% of the requests of classes bound to it are dropped\n", name, 100*st.Drops[name])
+	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "cluster\tendpoint\tzone\tpriority\thealth\tused")
 	for _, e := range st.Endpoints {
--- /dev/null
+++ b/drops/drops.go
@@ -0,0 +1,54 @@
+// Package drops decides which requests are turned away because whoever runs the servers has asked for a
+// part of a pool's requests to be dropped (Envoy's drop_overloads). It does no I/O and keeps no state: the
+// same id meets the same fate at every node.
+package drops
+
+import "math"
+
+// Parts are the parts of the requests to be dropped, 0 to 1, by pool.
+type Parts map[string]float64
+
+// Drops tells whether the request of that id, of a class that is bound to pool, is to be dropped. Classes
+// bound to no pool have none of it.
+func (p Parts) Drops(pool, id string) bool {
+	part := p[pool]
+	return part > 0 && pool != "" && fraction(id) < part
+}
+
+// Same tells whether two tables say the same.
+func (p Parts) Same(q Parts) bool {
+	for pool, part := range p {
+		if q[pool] != part {
+			return false
+		}
+	}
+	for pool, part := range q {
+		if p[pool] != part {
+			return false
+		}
+	}
+	return true
+}
+
+// Join is what several sources ask for together: of a pool that more than one speaks of, the most.
+func Join(all ...Parts) Parts {
+	joined := make(Parts)
+	for _, p := range all {
+		for pool, part := range p {
+			joined[pool] = max(joined[pool], part)
+		}
+	}
+	return joined
+}
+
+// fraction spreads ids evenly over 0 to 1: FNV-1a, then the finalizer of MurmurHash3, for ids that count
+// up differ in their last bits only.
+func fraction(id string) float64 {
+	h := uint64(14695981039346656037)
+	for i := 0; i < len(id); i++ {
+		h = (h ^ uint64(id[i])) * 1099511628211
+	}
+	h = (h ^ h>>33) * 0xff51afd7ed558ccd
+	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
+	return math.Ldexp(float64((h^h>>33)>>11), -53)
+}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -12,6 +13,7 @@
 	"syscall"
 	"testing"
 
+	"cobaltward/internal/operator"
 	"cobaltward/internal/testkit"
 )
 
@@ -170,3 +172,47 @@
 		t.Errorf("%v\n%s", err, out)
 	}
 }
+
+// SIGHUP reads the operator's own file again: what can change at once does, what can't is named, and a
+// file that is wrong changes nothing, in the platform's either.
+func TestReloadReadsTheOperatorsFile(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "config.json")
+	t.Setenv("ROUTER_CONFIG", path)
+	if err := os.WriteFile(path, []byte(`{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1",
+		"limits":{"cores":1,"memory_mb":64,"sockets":256},"known":{"revision":1,"complete":true,"members":[]},
+		"settings":{"position":0,"groupSize":1,"services":[{"name":"pay","deadline":600}]}}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var logs strings.Builder
+	level := new(slog.LevelVar)
+	running := operator.File{XDS: operator.XDS{Files: []string{"a.yaml"}}}
+	r := reloader{own: filepath.Join(dir, "own.toml"), running: running, level: level, log: logger(operator.Log{}, level, &logs)}
+	for _, c := range []struct{ own, err, next, pool string }{
+		{"[log]\nlevel = \"error\"\n[drain]\ndeadline = \"2s\"\n[xds]\nfiles = [\"a.yaml\"]\n[xds.pools]\npay = \"rooms\"", "", "", "rooms"},
+		{"[log]\nlevel = \"info\"\nformat = \"json\"\n[xds]\nfiles = [\"b.yaml\"]", "", "log.format xds.files", ""},
+		{"[log]\nlevel = \"debug\"\n[xds]\nfiles = [\"a.yaml\"]\n[xds.pools]\nsearch = \"rooms\"", "xds.pools.search: the settings have no such class", "", ""},
+		{"[log]\nlevel = 3", "own.toml:2: log.level", "", ""},
+	} {
+		if err := os.WriteFile(r.own, []byte(c.own), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		logs.Reset()
+		was := level.Level()
+		conf, err := r.read()
+		if c.err != "" {
+			if err == nil || !strings.Contains(err.Error(), c.err) || level.Level() != was {
+				t.Errorf("%s: got %v, level %v", c.own, err, level.Level())
+			}
+			continue
+		}
+		if err != nil || conf.Settings.Classes[0].Pool != c.pool || (conf.DrainFor != nil) != strings.Contains(c.own, "deadline") || level.Level() == was {
+			t.Errorf("%s: %+v, %v, level %v", c.own, conf, err, level.Level())
+		}
+		for _, key := range strings.Fields(c.next) {
+			if !strings.Contains(logs.String(), "key="+key) {
+				t.Errorf("%s is not named in %s", key, logs.String())
+			}
+		}
+	}
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -38,7 +38,8 @@
 		return err
 	}
 	apply(o, &c)
-	log := logger(o.Log, logs)
+	level := new(slog.LevelVar)
+	log := logger(o.Log, level, logs)
 	if err := useXDS(o, &c, e, log); err != nil {
 		return err
 	}
@@ -53,7 +54,8 @@
 	log.Info("listening", "name", c.Name, "address", listener.Addr(), "servers", len(c.Known.Members))
 	reloads, done := make(chan node.Config, 1), make(chan struct{})
 	defer close(done)
-	go reload(hup, reloads, done, o, log)
+	r := reloader{own: own, running: o, level: level, log: log}
+	go r.run(hup, reloads, done)
 	return node.Run(ctx, c, listener, reloads, log)
 }
 
@@ -97,30 +99,34 @@
 	return nil
 }
 
-func logger(l operator.Log, to io.Writer) *slog.Logger {
-	options := &slog.HandlerOptions{Level: l.Level.Level}
+func logger(l operator.Log, level *slog.LevelVar, to io.Writer) *slog.Logger {
+	level.Set(l.Level.Level)
+	options := &slog.HandlerOptions{Level: level}
 	if l.Format == "json" {
 		return slog.New(slog.NewJSONHandler(to, options))
 	}
 	return slog.New(slog.NewTextHandler(to, options))
 }
 
-// reload reads the configuration again at each SIGHUP until done; the newest stands in reloads.
-func reload(hup <-chan os.Signal, reloads chan node.Config, done <-chan struct{}, o operator.File, log *slog.Logger) {
+// reloader reads both files again, and puts them in force together or not at all.
+type reloader struct {
+	own     string        // the operator's own file
+	running operator.File // as it was at the start
+	level   *slog.LevelVar
+	log     *slog.Logger
+}
+
+// run reads at each SIGHUP until done; the newest configuration stands in reloads.
+func (r *reloader) run(hup <-chan os.Signal, reloads chan node.Config, done <-chan struct{}) {
 	for {
 		select {
 		case <-hup:
 		case <-done:
 			return
 		}
-		c, err := node.ReloadConfig(os.Getenv)
+		c, err := r.read()
 		if err != nil {
-			log.Error("reload: keeping the old configuration", "err", err)
-			continue
-		}
-		apply(o, &c)
-		if err := bindPools(o, &c); err != nil {
-			log.Error("reload: keeping the old configuration", "err", err)
+			r.log.Error("reload: keeping the old configuration", "err", err)
 			continue
 		}
 		select {
@@ -130,3 +136,25 @@
 		reloads <- c
 	}
 }
+
+func (r *reloader) read() (node.Config, error) {
+	o, err := operator.Load(r.own)
+	if err != nil {
+		return node.Config{}, err
+	}
+	c, err := node.ReloadConfig(os.Getenv)
+	if err != nil {
+		return node.Config{}, err
+	}
+	apply(o, &c)
+	if r.running.XDS.On() { // else there is no source whose clusters classes could be bound to
+		if err := bindPools(o, &c); err != nil {
+			return node.Config{}, err
+		}
+	}
+	r.level.Set(o.Log.Level.Level)
+	for _, key := range operator.AtNextStart(r.running, o) {
+		r.log.Warn("reload: takes effect at the next start", "key", key)
+	}
+	return c, nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"reflect"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cobaltward/membership/registry"
@@ -69,7 +70,9 @@
 	var parts sync.WaitGroup
 	defer parts.Wait()
 	defer stop()
-	parts.Go(func() { follow(running, reloads, c, engine, source, log) })
+	var newest atomic.Pointer[Config]
+	newest.Store(&c)
+	parts.Go(func() { follow(running, reloads, &newest, engine, source, log) })
 	failed := make(chan error, 1)
 	parts.Go(func() { failed <- server.Serve(newClients(listener, most)) })
 	select {
@@ -78,16 +81,18 @@
 	case <-ctx.Done():
 	}
 	log.Info("stopping")
-	return drain(c, engine, server)
+	return drain(*newest.Load(), engine, server)
 }
 
-// follow puts new configurations in force.
-func follow(ctx context.Context, reloads <-chan Config, c Config, engine *router.Router, source *registry.Source, log *slog.Logger) {
+// follow puts new configurations in force, and keeps the one that is in newest.
+func follow(ctx context.Context, reloads <-chan Config, newest *atomic.Pointer[Config], engine *router.Router, source *registry.Source, log *slog.Logger) {
 	for {
 		select {
 		case next := <-reloads:
+			c := newest.Load()
 			source.Move(next.Discovery)
 			if next.MaxOpen == c.MaxOpen && reflect.DeepEqual(next.Settings, c.Settings) {
+				newest.Store(&next)
 				continue
 			}
 			if next.Settings.Subscribe != c.Settings.Subscribe {
@@ -99,7 +104,7 @@
 				continue
 			}
 			log.Info("reload: new settings in force")
-			c = next
+			newest.Store(&next)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"reflect"
 	"strings"
 	"time"
 
@@ -111,6 +112,25 @@
 	return f, nil
 }
 
+// AtNextStart names the keys in which a file that is read again differs from the one of the start, and
+// which have their effect at a start alone.
+func AtNextStart(running, now File) (keys []string) {
+	for _, k := range []struct {
+		key  string
+		a, b any
+	}{
+		{"log.format", running.Log.Format, now.Log.Format}, {"drain.leave", running.Drain.Leave, now.Drain.Leave},
+		{"xds.bootstrap", running.XDS.Bootstrap, now.XDS.Bootstrap}, {"xds.ca_file", running.XDS.CAFile, now.XDS.CAFile},
+		{"xds.delta", running.XDS.Delta, now.XDS.Delta}, {"xds.dir", running.XDS.Dir, now.XDS.Dir},
+		{"xds.files", running.XDS.Files, now.XDS.Files}, {"xds.alone", running.XDS.Alone, now.XDS.Alone},
+	} {
+		if !reflect.DeepEqual(k.a, k.b) {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
 // raw is the file as TOML has it. Its values are any, and read by the types that they are for: the
 // decoder gives no line for an error of theirs.
 type raw struct {
--- a/membership/merge/merge.go
+++ b/membership/merge/merge.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"cobaltward/drops"
 	"cobaltward/policy"
 	"cobaltward/router"
 )
@@ -22,6 +23,7 @@
 	mu      sync.Mutex
 	servers map[string]*server  // by address
 	ids     []map[string]string // by source: the address of each id that it lists
+	drops   []drops.Parts       // by source
 }
 
 // server is what the sources say of the one at an address.
@@ -36,7 +38,7 @@
 
 // New merges sources, the first of which names the servers that several list.
 func New(sources ...router.Membership) *Source {
-	s := &Source{sources: sources, servers: make(map[string]*server)}
+	s := &Source{sources: sources, servers: make(map[string]*server), drops: make([]drops.Parts, len(sources))}
 	for range sources {
 		s.ids = append(s.ids, make(map[string]string))
 	}
@@ -102,8 +104,13 @@
 		v.said[source], v.has[source] = m, true
 		touched[addr] = true
 	}
-	if out := s.settle(touched); len(out) > 0 {
-		tell(router.Change{Kind: policy.ListUpdate, Members: out})
+	out := router.Change{Kind: policy.ListUpdate, Members: s.settle(touched)}
+	if c.Drops != nil {
+		s.drops[source] = c.Drops
+		out.Drops = drops.Join(s.drops...)
+	}
+	if len(out.Members) > 0 || out.Drops != nil {
+		tell(out)
 	}
 }
 
--- a/membership/xds/book.go
+++ b/membership/xds/book.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
+	"cobaltward/drops"
+	"cobaltward/internal/pace"
 	"cobaltward/membership/xds/ads"
 	"cobaltward/membership/xds/priority"
 	"cobaltward/membership/xds/resource"
@@ -18,12 +21,14 @@
 	members  map[string]router.Member // as told
 	listed   map[string][]listing     // by address, in the order of the clusters' names
 	told     bool
+	drops    drops.Parts // as told
+	pace     pace.Pacer
 }
 
 // entry is a cluster as it was last looked at.
 type entry struct {
 	assignment *resource.Assignment
-	addrs      []string
+	open       []bool // by endpoint
 }
 
 // listing is what one cluster says of a server.
@@ -38,22 +43,28 @@
 }
 
 // update takes over what is in force, and returns the servers that changed; those that are gone are
-// Removed. Clusters whose endpoints are as they were cost nothing.
+// Removed. Clusters whose endpoints are as they were cost nothing, and of others those that changed.
 func (b *book) update(applied map[string]ads.Applied) []router.Member {
 	touched := make(map[string]bool)
 	for name, old := range b.clusters {
-		if a, ok := applied[name]; !ok || a.Assignment != old.assignment {
-			b.unlist(name, old, touched)
+		if applied[name].Assignment == nil {
+			for _, e := range old.assignment.Endpoints {
+				b.unlist(name, e.Addr)
+				touched[e.Addr] = true
+			}
 			delete(b.clusters, name)
 		}
 	}
 	for name, a := range applied {
-		if _, same := b.clusters[name]; !same && a.Assignment != nil {
-			b.clusters[name] = b.list(name, a.Assignment, touched)
+		if old := b.clusters[name]; a.Assignment != nil && a.Assignment != old.assignment {
+			b.clusters[name] = b.list(name, old, a.Assignment, touched)
 		}
 	}
 	var changed []router.Member
-	for addr := range touched {
+	for i, addr := range slices.Sorted(maps.Keys(touched)) { // ids are addresses
+		if i%pauseEvery == pauseEvery-1 {
+			b.pace.Pause()
+		}
 		old, had := b.members[addr]
 		m, has := b.member(addr)
 		switch {
@@ -66,43 +77,95 @@
 			b.members[addr] = m
 		}
 	}
-	slices.SortFunc(changed, func(a, b router.Member) int { return cmp.Compare(a.ID, b.ID) })
 	return changed
 }
 
-// change is what to tell of the servers that changed. The first takes the place of whatever list the
-// router began with, which nobody would ever take away otherwise.
+// pauseEvery is after how many servers a large change may pause, as the reader of the resources does.
+const pauseEvery = 32
+
+// asked is what the clusters in force want dropped.
+func (b *book) asked() drops.Parts {
+	asked := make(drops.Parts)
+	for name, e := range b.clusters {
+		if e.assignment.Drop > 0 {
+			asked[name] = e.assignment.Drop
+		}
+	}
+	return asked
+}
+
+// change is what to tell of the servers that changed, and of requests to be dropped; nil for nothing. The
+// first takes the place of whatever list the router began with, which nobody would ever take away
+// otherwise.
 func (b *book) change(members []router.Member) *router.Change {
-	kind := policy.ListUpdate
-	if !b.told {
-		b.told, kind = true, policy.ListReplace
+	c := &router.Change{Kind: policy.ListUpdate, Members: members}
+	if asked := b.asked(); !asked.Same(b.drops) {
+		b.drops, c.Drops = asked, asked
+	}
+	if len(members) == 0 && c.Drops == nil {
+		return nil
 	}
-	return &router.Change{Kind: kind, Members: members}
+	if !b.told && len(members) > 0 {
+		b.told, c.Kind = true, policy.ListReplace
+	}
+	return c
 }
 
-func (b *book) unlist(name string, old entry, touched map[string]bool) {
-	for _, addr := range old.addrs {
-		touched[addr] = true
-		left := slices.DeleteFunc(b.listed[addr], func(l listing) bool { return l.cluster == name })
-		if len(left) == 0 {
-			delete(b.listed, addr)
-		} else {
-			b.listed[addr] = left
-		}
+// unlist takes away what a cluster says of the server at an address.
+func (b *book) unlist(name, addr string) {
+	left := slices.DeleteFunc(b.listed[addr], func(l listing) bool { return l.cluster == name })
+	if len(left) == 0 {
+		delete(b.listed, addr)
+	} else {
+		b.listed[addr] = left
 	}
 }
 
-func (b *book) list(name string, a *resource.Assignment, touched map[string]bool) entry {
-	e := entry{assignment: a, addrs: make([]string, len(a.Endpoints))}
-	open := priority.Open(a)
-	for i, ep := range a.Endpoints {
-		e.addrs[i] = ep.Addr
-		touched[ep.Addr] = true
-		all := append(b.listed[ep.Addr], listing{name, ep, open[i]})
+// list takes over the endpoints of a cluster; old is what it had.
+func (b *book) list(name string, old entry, a *resource.Assignment, touched map[string]bool) entry {
+	next := entry{assignment: a, open: priority.Open(a)}
+	var before []resource.Endpoint
+	if old.assignment != nil {
+		before = old.assignment.Endpoints
+	}
+	var places map[string]int // of those before, made where the order is another
+	still := make([]bool, len(before))
+	for i, e := range a.Endpoints {
+		if i%pauseEvery == pauseEvery-1 {
+			b.pace.Pause()
+		}
+		at, had := i, i < len(before) && before[i].Addr == e.Addr
+		if !had && len(before) > 0 {
+			if places == nil {
+				places = make(map[string]int, len(before))
+				for j := range before {
+					places[before[j].Addr] = j
+				}
+			}
+			at, had = places[e.Addr]
+		}
+		if had {
+			still[at] = true
+			if before[at] == e && old.open[at] == next.open[i] {
+				continue
+			}
+			b.unlist(name, e.Addr)
+		}
+		all := append(b.listed[e.Addr], listing{name, e, next.open[i]})
 		slices.SortFunc(all, func(x, y listing) int { return cmp.Compare(x.cluster, y.cluster) })
-		b.listed[ep.Addr] = all
+		b.listed[e.Addr] = all
+		touched[e.Addr] = true
+	}
+	for j, e := range before {
+		if j%pauseEvery == pauseEvery-1 {
+			b.pace.Pause()
+		}
+		if !still[j] {
+			b.unlist(name, e.Addr)
+			touched[e.Addr] = true
+		}
 	}
-	return e
+	return next
 }
 
 // member puts together what the clusters say of a server. It drains where any of them says so, or where
--- a/membership/xds/decode.go
+++ b/membership/xds/decode.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
 
+	"cobaltward/internal/pace"
 	"cobaltward/membership/xds/ads"
 	"cobaltward/membership/xds/resource"
 	"cobaltward/membership/xds/xdspb"
@@ -106,18 +107,14 @@
 		}
 		return ads.Resource{Name: c.Name, Value: c}, nil
 	}
-	var p xdspb.ClusterLoadAssignment
-	if err := proto.Unmarshal(any.GetValue(), &p); err != nil {
-		return ads.Resource{}, errors.New("not a ClusterLoadAssignment")
+	name, a, err := resource.DecodeAssignment(any.GetValue(), new(pace.Pacer).Pause)
+	switch {
+	case err != nil && name == "":
+		return ads.Resource{}, err
+	case err != nil:
+		return ads.Resource{Name: name, Err: err}, nil
 	}
-	if p.GetClusterName() == "" {
-		return ads.Resource{}, errors.New("cluster_name: missing")
-	}
-	a, err := resource.ParseAssignment(&p)
-	if err != nil {
-		return ads.Resource{Name: p.GetClusterName(), Err: err}, nil
-	}
-	return ads.Resource{Name: a.Name, Value: a}, nil
+	return ads.Resource{Name: name, Value: a}, nil
 }
 
 // encode turns the machine's requests into those of the wire.
--- a/membership/xds/file.go
+++ b/membership/xds/file.go
@@ -204,14 +204,11 @@
 	}
 	s.taken = time.Now()
 	had := len(s.book.members) > 0
-	members := s.book.update(inForce(r))
-	if len(members) == 0 {
-		return nil
-	}
+	change := s.book.change(s.book.update(inForce(r)))
 	if had && len(s.book.members) == 0 {
 		s.log.Error("xds: the files name no server any more")
 	}
-	return s.book.change(members)
+	return change
 }
 
 // inForce is what resources come to where all of them are there.
--- a/membership/xds/resource/resource.go
+++ b/membership/xds/resource/resource.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"cobaltward/membership/xds/xdspb"
 )
 
@@ -41,7 +43,7 @@
 // Assignment is the endpoints of a cluster.
 type Assignment struct {
 	Name             string
-	Endpoints        []Endpoint // each address once, sorted by it
+	Endpoints        []Endpoint // each address once
 	Drop             float64    // part of the requests to be refused, 0 to 1
 	Overprovisioning float64    // as a factor: 1.4
 	StaleAfter       time.Duration
@@ -120,53 +122,12 @@
 // ParseAssignment reads the endpoints of a cluster, or says by which endpoint and field the whole is
 // refused.
 func ParseAssignment(p *xdspb.ClusterLoadAssignment) (*Assignment, error) {
-	if err := checkName("cluster_name", p.GetClusterName()); err != nil {
-		return nil, err
-	}
-	a := &Assignment{Name: p.GetClusterName(), Overprovisioning: defaultPercent / 100.0}
-	fail := func(field string, err error) (*Assignment, error) {
-		return nil, fmt.Errorf("assignment %q: %s: %w", a.Name, field, err)
-	}
-	if err := a.policy(p.GetPolicy()); err != nil {
-		return fail("policy", err)
-	}
-	total := 0
-	for _, l := range p.GetEndpoints() {
-		total += len(l.GetLbEndpoints())
-	}
-	if total > MaxEndpoints {
-		return fail("endpoints", fmt.Errorf("%d of them, %d are allowed", total, MaxEndpoints))
-	}
-	a.Endpoints = make([]Endpoint, 0, total)
-	seen := make(map[string]bool, total)
-	highest, used := uint32(0), make(map[uint32]bool)
-	for i, l := range p.GetEndpoints() {
-		at := fmt.Sprintf("endpoints[%d]", i)
-		if l.GetPriority() > maxPriority {
-			return fail(at+".priority", fmt.Errorf("want at most %d, got %d", maxPriority, l.GetPriority()))
-		}
-		// Envoy leaves a locality without a weight out where localities are weighed; here the module
-		// weighs servers, and zones come by its own order, so the weight of a locality is not read.
-		highest, used[l.GetPriority()] = max(highest, l.GetPriority()), true
-		for j, lb := range l.GetLbEndpoints() {
-			e, field, err := parseEndpoint(lb)
-			if err != nil {
-				return fail(fmt.Sprintf("%s.lb_endpoints[%d].%s", at, j, field), err)
-			}
-			if seen[e.Addr] {
-				return fail(fmt.Sprintf("%s.lb_endpoints[%d].endpoint.address", at, j), fmt.Errorf("%s is there twice", e.Addr))
-			}
-			seen[e.Addr] = true
-			e.Zone, e.Priority = zone(l.GetLocality()), l.GetPriority()
-			a.Endpoints = append(a.Endpoints, e)
-		}
-	}
-	for n := range highest {
-		if !used[n] {
-			return fail("endpoints", fmt.Errorf("priority %d is missing, though there is %d", n, highest))
-		}
+	raw, err := proto.Marshal(p)
+	if err != nil {
+		return nil, errWire
 	}
-	return a, nil
+	_, a, err := DecodeAssignment(raw, nil)
+	return a, err
 }
 
 // policy reads what holds for the whole assignment.
--- a/membership/xds/resource/resource_test.go
+++ b/membership/xds/resource/resource_test.go
@@ -1,6 +1,7 @@
 package resource
 
 import (
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -166,9 +167,9 @@
 	}
 }
 
-// No bytes panic the readers.
+// No bytes panic the readers, and what is read in place is read as the generated reader would.
 func FuzzResources(f *testing.F) {
-	for _, m := range []proto.Message{good(), &xdspb.Cluster{Name: "c", LoadAssignment: good()}} {
+	for _, m := range []proto.Message{good(), &xdspb.Cluster{Name: "c", LoadAssignment: good()}, good().Endpoints[0].LbEndpoints[0]} {
 		raw, err := proto.Marshal(m)
 		if err != nil {
 			f.Fatal(err)
@@ -177,9 +178,21 @@
 	}
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		var a xdspb.ClusterLoadAssignment
-		if proto.Unmarshal(raw, &a) == nil {
-			if got, err := ParseAssignment(&a); err == nil && (got.Name == "" || got.Drop < 0 || got.Drop > 1) {
-				t.Errorf("%+v", got)
+		whole := proto.Unmarshal(raw, &a) == nil
+		name, got, err := DecodeAssignment(raw, nil)
+		if err == nil && (!whole || name != a.GetClusterName() || got.Name == "" || got.Drop < 0 || got.Drop > 1) {
+			t.Errorf("%q, %+v", name, got)
+		}
+		if whole && err != nil && errors.Is(err, errWire) {
+			t.Errorf("%v of what the generated reader takes", err)
+		}
+		var e xdspb.LbEndpoint
+		if plain, ok := plainEndpoint(raw); ok {
+			if err := proto.Unmarshal(raw, &e); err != nil {
+				t.Fatalf("%+v of what the generated reader refuses: %v", plain, err)
+			}
+			if want, _, err := parseEndpoint(&e); err != nil || plain != want {
+				t.Errorf("%+v, and by the generated reader %+v, %v", plain, want, err)
 			}
 		}
 		var c xdspb.Cluster
--- /dev/null
+++ b/membership/xds/script_test.go
@@ -0,0 +1,233 @@
+package xds
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"cobaltward/internal/testkit"
+	"cobaltward/membership/xds/standin"
+	"cobaltward/policy"
+	"cobaltward/router"
+	"cobaltward/transport/http1"
+)
+
+// What control planes do wrong, as scripts of the stand-in. Between the two parts of a script the servers
+// in force are looked at, and again at its end; from the first list on a cluster that has servers is never
+// without unless the script says so.
+func TestScripts(t *testing.T) {
+	const rooms = "cluster rooms\nendpoints rooms 10.0.0.1:1 10.0.0.2:1\npush\nexpect acks 2 within 20s\n"
+	for _, c := range []struct{ name, first, then, held, end string }{
+		{"half of a change", rooms + "stall endpoints\ncluster more\nendpoints more 10.0.0.3:1\nendpoints rooms 10.0.0.2:1\npush\nexpect acks 3 within 20s",
+			"answer", "10.0.0.1:1 10.0.0.2:1", "10.0.0.2:1 10.0.0.3:1"},
+		{"endpoints before their cluster", rooms + "order endpoints-first\ncluster more\nendpoints more 10.0.0.3:1\nendpoints rooms 10.0.0.1:1\npush",
+			"", "10.0.0.1:1 10.0.0.3:1", "10.0.0.1:1 10.0.0.3:1"},
+		{"a cluster replaced by another of its name", rooms + "stall endpoints\nwithdraw cluster rooms\nwithdraw endpoints rooms\ncluster rooms\nendpoints rooms 10.0.0.4:1\npush\nwait 50ms",
+			"answer", "10.0.0.1:1 10.0.0.2:1", "10.0.0.4:1"},
+		{"a response twice", rooms + "again\nexpect acks 3 within 20s\nagain\nexpect acks 4 within 20s", "endpoints rooms 10.0.0.5:1\npush", "10.0.0.1:1 10.0.0.2:1", "10.0.0.5:1"},
+		{"a version that goes back", "version 9\n" + rooms + "version 3\nendpoints rooms 10.0.0.2:1\npush", "version 3\nendpoints rooms 10.0.0.6:1\npush", "10.0.0.2:1", "10.0.0.6:1"},
+		{"a nonce of another response", rooms + "nonce 1\nendpoints rooms 10.0.0.2:1\npush\nexpect acks 3 within 20s", "endpoints rooms 10.0.0.1:1\npush\nexpect acks 4 within 20s", "10.0.0.2:1", "10.0.0.1:1"},
+		{"streams that end", rooms + "close INTERNAL\nexpect streams 2 within 20s", "endpoints rooms 10.0.0.7:1\npush", "10.0.0.1:1 10.0.0.2:1", "10.0.0.7:1"},
+		{"refused for a while", rooms + "refuse RESOURCE_EXHAUSTED\nclose\nexpect streams 4 within 20s\nendpoints rooms 10.0.0.8:1\npush", "accept", "10.0.0.1:1 10.0.0.2:1", "10.0.0.8:1"},
+		{"one bad endpoint", rooms + "endpoints rooms 10.0.0.3:1 10.0.0.3:1\npush\nexpect nack 10.0.0.3:1 is there twice within 20s", "endpoints rooms 10.0.0.3:1\npush", "10.0.0.1:1 10.0.0.2:1", "10.0.0.3:1"},
+		{"a flood", rooms + "cluster flood\npush\nflood flood 500 100 200ms DRAINING", "withdraw cluster flood\nwithdraw endpoints flood\nendpoints rooms 10.0.0.9:1\npush", "10.0.0.1:1 10.0.0.2:1", "10.0.0.9:1"},
+		{"options of endpoints", "cluster rooms\nendpoints rooms 10.0.0.1:1/health=TIMEOUT 10.0.0.2:1/priority=1,zone=b,weight=3,kind=k,cell=2,started=1700000000000\npush",
+			"withdraw cluster rooms", "10.0.0.2:1", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			both(t, func(t *testing.T, delta bool) {
+				t.Parallel()
+				p := plane(t)
+				_, l := run(t, Config{Servers: []Server{{Addr: p.Addr}}, Delta: delta})
+				for i, part := range []string{c.first, c.then} {
+					s, err := standin.Parse(strings.NewReader(part))
+					if err == nil {
+						err = s.Run(t.Context(), p, io.Discard)
+					}
+					if err != nil {
+						t.Fatal(err)
+					}
+					l.await(t, []string{c.held, c.end}[i])
+				}
+				if seen := p.Requests(); len(seen) < 2 || seen[0].Node != "test" || seen[0].Stream != 1 {
+					t.Errorf("the requests are not on record: %+v", seen)
+				}
+			})
+		})
+	}
+}
+
+// What a script gets wrong is told with its line, before anything is served; an expectation that is not
+// met fails.
+func TestScriptsThatAreWrong(t *testing.T) {
+	for text, want := range map[string]string{
+		"push\npussh":                      "line 2: pussh: no such step",
+		"endpoints rooms host:1":           `line 1: endpoints: want IP:port, got "host:1"`,
+		"endpoints rooms 10.0.0.1:1/cel=1": `no such option: "cel"`,
+		"endpoints r 10.0.0.1:1/health=UP": `health: no such state: "UP"`,
+		"# a remark\n\nwait long":          "line 3: wait: want a time",
+		"close SOME_CODE":                  "want a code of gRPC",
+		"drop 130%":                        "want 0% to 100%",
+		"flood rooms 10 0 1s":              "1 to 1000 times a second",
+		"withdraw server s":                "want cluster NAME or endpoints NAME",
+		"expect acks 1":                    `want acks N, streams N, or nack TEXT, then "within TIME"`,
+		"stall servers":                    "want clusters, endpoints or nothing",
+	} {
+		if _, err := standin.Parse(strings.NewReader(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: got %v, want %q", text, err, want)
+		}
+	}
+	p := plane(t)
+	s, err := standin.Parse(strings.NewReader("push\nexpect streams 1 within 10ms"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Run(t.Context(), p, io.Discard); err == nil || !strings.Contains(err.Error(), "line 2: expect streams 1 within 10ms: not so") {
+		t.Errorf("got %v", err)
+	}
+}
+
+// certificate makes a certificate for 127.0.0.1 that signs itself, and writes it and its key.
+func certificate(t *testing.T) (cert, key string) {
+	t.Helper()
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &k.PublicKey, k)
+	if err != nil {
+		t.Fatal(err)
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(k)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	for name, b := range map[string]*pem.Block{"cert.pem": {Type: "CERTIFICATE", Bytes: der}, "key.pem": {Type: "PRIVATE KEY", Bytes: private}} {
+		if err := os.WriteFile(filepath.Join(dir, name), pem.EncodeToMemory(b), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
+}
+
+// Over TLS, an answer of 16 MB and more is taken whole. A control plane that the CA does not vouch for is
+// not believed.
+func TestTLSAndALargeAnswer(t *testing.T) {
+	cert, key := certificate(t)
+	other, _ := certificate(t)
+	creds, err := credentials.NewServerTLSFromFile(cert, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := standin.Start("", grpc.Creds(creds))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Stop()
+	// Hostnames, which the router does not read, make the answer large.
+	const n = 20_000
+	addrs := make([]string, n)
+	for i := range addrs {
+		addrs[i] = fmt.Sprintf("10.0.%d.%d:1", i>>8, i&255)
+	}
+	a := assignment("rooms", addrs...)
+	for _, e := range a.Endpoints[0].LbEndpoints {
+		e.GetEndpoint().Hostname = strings.Repeat("h", 900)
+	}
+	p.Set(cluster("rooms"), a)
+	boot := fmt.Sprintf(`{"xds_servers":[{"server_uri":%q,"channel_creds":[{"type":"tls"}]}],"node":{"id":"n"}}`, p.Addr)
+	for ca, want := range map[string]int{cert: n, other: 0} {
+		c, err := ParseBootstrap([]byte(boot), ca)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, l := run(t, c)
+		if want == 0 {
+			testkit.Await(t, "the refusal", func() bool { return s.Status().Last != nil })
+			if err := s.Status().Last.Error(); !strings.Contains(err, "certificate") {
+				t.Errorf("refused for %s", err)
+			}
+		} else {
+			testkit.Await(t, "the whole list", func() bool { return s.Status().Whole })
+		}
+		l.mu.Lock()
+		if len(l.members) != want {
+			t.Errorf("%d servers, want %d", len(l.members), want)
+		}
+		l.mu.Unlock()
+	}
+}
+
+// drop_overloads: the part of the requests of classes that are bound to the cluster is refused and reaches
+// no server, others are none of its business, and all go through once it is withdrawn.
+func TestDropOverloads(t *testing.T) {
+	p, app := plane(t), newSites(t, 1)
+	source, err := New(Config{Servers: []Server{{Addr: p.Addr}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := router.New(router.Config{Settings: policy.Settings{Nodes: 1, Allowed: policy.Allowed{RetryAfter: true}, Classes: []policy.Class{
+		{Name: "bound", Deadline: 10 * time.Second, Repeat: policy.Free, Pool: "rooms"}, {Name: "free", Deadline: 10 * time.Second, Repeat: policy.Free}}}},
+		router.WithMembership(source), router.WithTransport(http1.New(http1.Config{})))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	ids := 0
+	served := func(class string, n int) (got int) {
+		for range n {
+			ids++
+			a, err := r.Do(t.Context(), router.Request{ID: fmt.Sprint(ids), Class: class, Tenant: "t"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			switch {
+			case a.Outcome == router.Served:
+				got++
+			case a.Outcome != router.Refused || a.RetryAfter <= 0:
+				t.Errorf("%+v", a)
+			}
+		}
+		return got
+	}
+	for _, c := range []struct {
+		percent     string
+		least, most int
+	}{{"0%", 200, 200}, {"30%", 100, 180}, {"100%", 0, 0}, {"0%", 200, 200}} {
+		s, err := standin.Parse(strings.NewReader("cluster rooms\nendpoints rooms " + app.addrs[0] + "\ndrop " + c.percent + "\npush"))
+		if err == nil {
+			err = s.Run(t.Context(), p, io.Discard)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		testkit.Await(t, "the part "+c.percent, func() bool {
+			st := r.Stats()
+			return st.Servers[policy.Running] == 1 && fmt.Sprintf("%.0f%%", 100*st.Drops["rooms"]) == c.percent
+		})
+		before := r.Stats().Dropped
+		if got := served("bound", 200); got < c.least || got > c.most || int(r.Stats().Dropped-before) != 200-got {
+			t.Errorf("%s: %d of 200 served, %d dropped", c.percent, got, r.Stats().Dropped-before)
+		}
+		if got := served("free", 50); got != 50 {
+			t.Errorf("%s: %d of 50 of another class served", c.percent, got)
+		}
+	}
+}
--- a/membership/xds/xds.go
+++ b/membership/xds/xds.go
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
+	"cobaltward/drops"
 	"cobaltward/membership/xds/ads"
 	"cobaltward/membership/xds/resource"
 	"cobaltward/membership/xds/xdspb"
@@ -392,8 +393,8 @@
 	} else if len(s.kept.Clusters) > 0 {
 		applied = s.kept.under(applied)
 	}
-	members := s.book.update(applied)
-	if len(members) == 0 {
+	change := s.book.change(s.book.update(applied))
+	if change == nil {
 		return nil
 	}
 	if whole && s.keeper != nil {
@@ -406,7 +407,10 @@
 	if had && len(s.book.members) == 0 {
 		s.log.Error("xds: the control plane has taken every server away")
 	}
-	return s.book.change(members)
+	if change.Drops != nil {
+		s.log.Warn("xds: the control plane asks for requests to be dropped", "parts", change.Drops)
+	}
+	return change
 }
 
 func (s *Source) closed(err error) {
@@ -425,6 +429,7 @@
 	Whole   bool
 	Types   [2]ads.Status // by ads.Type
 	Members []router.Member
+	Drops   drops.Parts // of the requests of classes bound to a cluster, by cluster
 	// Endpoints are those of all clusters, in order of cluster and address.
 	Endpoints []EndpointStatus
 }
@@ -442,7 +447,7 @@
 	defer s.mu.Unlock()
 	return Status{Server: s.c.Servers[s.at].Addr, Open: s.open, Since: s.since, Last: s.last, Whole: s.machine.Whole(),
 		Types:   [2]ads.Status{s.machine.Status(ads.Clusters), s.machine.Status(ads.Endpoints)},
-		Members: s.book.whole(), Endpoints: s.book.endpoints()}
+		Members: s.book.whole(), Drops: s.book.drops, Endpoints: s.book.endpoints()}
 }
 
 // String is for logs.
--- a/router/loop.go
+++ b/router/loop.go
@@ -5,10 +5,11 @@
 	"context"
 	"hash/maphash"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
+	"cobaltward/drops"
+	"cobaltward/internal/pace"
 	"cobaltward/policy"
 )
 
@@ -55,6 +56,8 @@
 	idle     []chan struct{}
 	stats    Stats
 	servers  map[string]listed // for Stats
+	drops    drops.Parts
+	members  []policy.Member // memory for small changes
 }
 
 // listed is what Stats tells of a server.
@@ -130,23 +133,31 @@
 
 // changePart is how many entries of a change the loop takes in at a time: few enough for the module to
 // put them into its order in place, and for requests to come in between.
-const changePart = 16
+const changePart = 4
 
 // tellChange hands the loop news of the servers. A large change comes in parts, servers that are open to
 // new work first: at no moment are there fewer of them than before and after.
 func (l *loop) tellChange(c Change) {
 	members := c.Members
 	if c.Kind == policy.ListUpdate && len(members) > changePart {
-		members = slices.Clone(members)
-		slices.SortStableFunc(members, func(a, b Member) int { return int(a.State) - int(b.State) })
+		members = make([]Member, 0, len(c.Members))
+		for state := policy.Running; state <= policy.Removed; state++ {
+			for i := range c.Members {
+				if c.Members[i].State == state {
+					members = append(members, c.Members[i])
+				}
+			}
+		}
+		var rest pace.Pacer
 		for len(members) > changePart {
-			if !l.sendChange(Change{c.Kind, members[:changePart]}) {
+			if !l.sendChange(Change{Kind: c.Kind, Members: members[:changePart]}) {
 				return
 			}
 			members = members[changePart:]
+			rest.Pause()
 		}
 	}
-	l.sendChange(Change{c.Kind, members})
+	l.sendChange(Change{Kind: c.Kind, Members: members, Drops: c.Drops})
 }
 
 func (l *loop) sendChange(c Change) bool {
@@ -164,7 +175,7 @@
 	defer l.attempts.Wait()
 	defer l.callOff()
 	defer close(l.done)
-	l.listed(Change{policy.ListRestored, l.config.Members})
+	l.listed(Change{Kind: policy.ListRestored, Members: l.config.Members})
 	close(l.ready)
 	wake := time.NewTimer(0)
 	defer wake.Stop()
@@ -318,6 +329,15 @@
 		l.reply(c, Answer{Outcome: Refused})
 		return
 	}
+	if len(l.drops) > 0 && l.drops.Drops(l.pool(c.req.Class), c.req.ID) {
+		l.stats.Dropped++
+		a := Answer{Outcome: Refused}
+		if r.allowed.RetryAfter {
+			a.RetryAfter = ownRetryAfter
+		}
+		l.reply(c, a)
+		return
+	}
 	l.requests[c.req.ID] = r
 	l.owed++
 	r.backstop = timer{due: end - margin/2, backstop: r}
@@ -326,6 +346,16 @@
 		ExpiresIn: r.deadline - now, Hint: c.req.Hint, Retry: c.req.Retry})
 }
 
+// pool is the one that a class is bound to, if it is.
+func (l *loop) pool(class string) string {
+	for i := range l.config.Settings.Classes {
+		if c := &l.config.Settings.Classes[i]; c.Name == class {
+			return c.Pool
+		}
+	}
+	return ""
+}
+
 func (l *loop) end(a *attempt) {
 	r, code := a.r, a.result.Code
 	if a.late.at >= 0 {
@@ -359,7 +389,7 @@
 	l.transport.Configure(c.Settings)
 	l.stats.Reloads++
 	if _, fixed := l.membership.(Static); fixed {
-		l.listed(Change{policy.ListReplace, c.Members})
+		l.listed(Change{Kind: policy.ListReplace, Members: c.Members})
 	}
 	return nil
 }
@@ -372,13 +402,20 @@
 		l.stats.List.Changes++
 		l.stats.List.Changed = time.Now()
 		l.note(c)
+		if c.Drops != nil {
+			l.drops = c.Drops
+		}
 	}
-	members := make([]policy.Member, len(c.Members))
-	for i, m := range c.Members {
-		members[i] = policy.Member{Server: m.ID, Zone: m.Zone, Kind: m.Kind, Pools: m.Pools, Cell: m.Cell, Weight: m.Weight,
-			OnlineSince: l.clock.unix(m.Started), Availability: m.State}
+	members := l.members[:0]
+	for i := range c.Members {
+		m := &c.Members[i]
+		members = append(members, policy.Member{Server: m.ID, Zone: m.Zone, Kind: m.Kind, Pools: m.Pools, Cell: m.Cell, Weight: m.Weight,
+			OnlineSince: l.clock.unix(m.Started), Availability: m.State})
 	}
 	l.tell(policy.MemberList{Kind: c.Kind, Members: members})
+	if cap(members) <= 4*changePart {
+		l.members = members
+	}
 }
 
 // note keeps what Stats tells of the servers.
--- a/router/ports.go
+++ b/router/ports.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"cobaltward/drops"
 	"cobaltward/policy"
 )
 
@@ -45,6 +46,9 @@
 type Change struct {
 	Kind    policy.ListKind
 	Members []Member // only read by the router
+	// Drops, where it is not nil, takes the place of the parts of requests that are to be dropped, by
+	// pool: the router refuses them before the module is asked. It is only read.
+	Drops drops.Parts
 }
 
 // Member is one server.
--- a/router/stats.go
+++ b/router/stats.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cobaltward/drops"
 	"cobaltward/policy"
 )
 
@@ -14,6 +15,7 @@
 	Open     map[string]int            // requests without their answer now, by class
 	Attempts uint64                    // made
 	Repeats  uint64                    // of them, beyond a request's first
+	Dropped  uint64                    // requests refused since a part is to be dropped; of Answers[Refused]
 	Skipped  uint64                    // that the module wanted and the rules did not allow
 	Out      int                       // attempts that are out now
 	Kept     int                       // requests in memory, those with attempts still out among them
@@ -21,6 +23,7 @@
 	Reloads  uint64
 	Servers  map[policy.Availability]int // listed now
 	Pools    map[string]int              // servers listed now, by pool
+	Drops    drops.Parts                 // of the requests of classes bound to a pool, in force now
 	List     ListStats
 	Lag      Lag
 }
@@ -51,6 +54,7 @@
 			s.Open[r.req.Class]++
 		}
 	}
+	s.Drops = l.drops // nobody changes it
 	s.Out, s.Kept, s.Timers = l.out, len(l.requests), len(l.timers)
 	s.Servers, s.Pools = make(map[policy.Availability]int), make(map[string]int)
 	for _, m := range l.servers {
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -136,10 +136,8 @@
 func (u *Transport) Update(c router.Change) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	listed := make(map[string]bool, len(c.Members))
 	for _, m := range c.Members {
 		p := u.pools[m.ID]
-		listed[m.ID] = true
 		switch {
 		case m.State == policy.Removed:
 			u.forget(m.ID)
@@ -152,6 +150,10 @@
 	if c.Kind == policy.ListUpdate {
 		return
 	}
+	listed := make(map[string]bool, len(c.Members))
+	for i := range c.Members {
+		listed[c.Members[i].ID] = true
+	}
 	for id := range u.pools {
 		if !listed[id] {
 			u.forget(id)
