--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -29,11 +30,15 @@
 
 // Main runs a program, and returns its exit status.
 func Main(e Extra) int {
-	if err := command(e).Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "wayhold:", err)
-		return 1
+	err := command(e).Execute()
+	if err == nil {
+		return 0
 	}
-	return 0
+	fmt.Fprintln(os.Stderr, "wayhold:", err)
+	if status := exitStatus(0); errors.As(err, &status) {
+		return int(status)
+	}
+	return 1
 }
 
 // command is the whole command line. Without a subcommand it serves, as the platform's line has it.
@@ -62,7 +67,7 @@
 			Args: cobra.NoArgs,
 			RunE: func(c *cobra.Command, _ []string) error { return serve(own, c.ErrOrStderr(), e) },
 		},
-		checkCommand(&own, e), demoCommand(),
+		checkCommand(&own, e), demoCommand(), callCommand(),
 		&cobra.Command{
 			Use:   "version",
 			Short: "Print the version",
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -12,6 +12,7 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"strings"
 	"syscall"
 
 	"cobaltward/internal/node"
@@ -43,6 +44,9 @@
 	if err := useXDS(o, &c, e, log); err != nil {
 		return err
 	}
+	if c.Msgpack, err = msgpack(o.Msgpack); err != nil {
+		return err
+	}
 	debug.SetMemoryLimit(int64(heapPart * float64(c.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(int(max(1, math.Ceil(c.Cores))))
 	ctx, stop := interrupted()
@@ -69,6 +73,31 @@
 	}
 }
 
+// msgpack opens what the table [msgpack] asks for. A socket that nobody listens on any more is in the way,
+// and goes.
+func msgpack(m operator.Msgpack) (node.Msgpack, error) {
+	c := node.Msgpack{Connections: m.Connections, Calls: m.Calls, Servers: m.Servers}
+	if m.Listen == "" {
+		return c, nil
+	}
+	network := "tcp"
+	if strings.HasPrefix(m.Listen, "/") {
+		network = "unix"
+		if other, err := net.Dial(network, m.Listen); err == nil {
+			other.Close()
+			return c, fmt.Errorf("msgpack.listen: %s: another process listens there", m.Listen)
+		} else if errors.Is(err, syscall.ECONNREFUSED) {
+			_ = os.Remove(m.Listen) // Listen says what is wrong, if this did not help
+		}
+	}
+	ln, err := net.Listen(network, m.Listen)
+	if err != nil {
+		return c, fmt.Errorf("msgpack.listen: %w", err)
+	}
+	c.Listener = ln
+	return c, nil
+}
+
 // errNoXDS tells who asks for xDS of a program that does not link it.
 var errNoXDS = errors.New("xds: this program has none; run wayhold-xds in its place")
 
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"net"
 	"os"
 	"strconv"
 	"time"
@@ -38,10 +39,24 @@
 	Leave    *time.Duration // serving on as before
 	DrainFor *time.Duration // in all
 
+	// Msgpack says who is spoken to by MessagePack-RPC beside HTTP; the zero value is nobody.
+	Msgpack Msgpack
+
 	// Membership makes the source of the servers out of the protocol's discovery; nil: that alone.
 	Membership func(own router.Membership) (router.Membership, error)
 }
 
+// Msgpack is a listener for callers by MessagePack-RPC, and the app servers that speak it.
+type Msgpack struct {
+	Listener    net.Listener // nil: none; the node closes it
+	Connections int          // 0: defaultMsgpackConns
+	Calls       int          // open on a connection; 0: the front's default
+	Servers     []string     // kinds
+}
+
+// defaultMsgpackConns is how many callers are let in where nobody says.
+const defaultMsgpackConns = 64
+
 // leastSockets is what a node can work with at all: a few for itself, and some for each side.
 const leastSockets = 64
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,14 +8,18 @@
 	"net"
 	"net/http"
 	"reflect"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	msgpackfront "cobaltward/front/msgpack"
 	"cobaltward/membership/registry"
 	"cobaltward/middleware"
 	"cobaltward/router"
 	"cobaltward/transport/http1"
+	"cobaltward/transport/mixed"
+	msgpacktransport "cobaltward/transport/msgpack"
 )
 
 const (
@@ -34,7 +38,15 @@
 // what it has taken, and returns. Configurations that come from reloads take effect at once, as far as
 // ReloadConfig says.
 func Run(ctx context.Context, c Config, listener net.Listener, reloads <-chan Config, log *slog.Logger) error {
-	most := int(clientsPart * float64(c.Sockets-ownSockets))
+	sockets, callers := c.Sockets-ownSockets, 0
+	if c.Msgpack.Listener != nil {
+		if callers = c.Msgpack.Connections; callers == 0 {
+			callers = defaultMsgpackConns
+		}
+		callers = min(callers, sockets/4) // the rest must do for HTTP and for the servers
+		sockets -= callers
+	}
+	most := int(clientsPart * float64(sockets))
 	source := registry.New(registry.Config{Addr: c.Discovery, Revision: c.Known.Revision,
 		Subscribe: c.Settings.Subscribe, Log: log})
 	server := &http.Server{
@@ -54,7 +66,11 @@
 		}
 	}
 	options := []router.Option{router.WithLogger(log), router.WithMembership(membership), router.WithFront(server),
-		router.WithTransport(http1.New(http1.Config{MaxConns: c.Sockets - ownSockets - most, ConnectTimeout: c.ConnectTimeout}))}
+		router.WithTransport(transport(c, sockets-most))}
+	var rpc lateFront
+	if c.Msgpack.Listener != nil {
+		options = append(options, router.WithFront(&rpc))
+	}
 	if c.Leave != nil {
 		options = append(options, router.WithLeave(*c.Leave))
 	}
@@ -66,6 +82,9 @@
 	server.Handler = middleware.New(engine, middleware.WithMatcher(middleware.Any), middleware.WithReady(readyPath),
 		middleware.WithBodyTimeout(headerTimeout), middleware.WithWriteTimeout(writeTimeout))
 
+	rpc.Front = msgpackfront.New(engine, msgpackfront.Config{MaxConns: callers, MaxCalls: c.Msgpack.Calls, Idle: clientIdle,
+		MessageTimeout: headerTimeout, WriteTimeout: writeTimeout})
+
 	running, stop := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
 	defer parts.Wait()
@@ -73,8 +92,12 @@
 	var newest atomic.Pointer[Config]
 	newest.Store(&c)
 	parts.Go(func() { follow(running, reloads, &newest, engine, source, log) })
-	failed := make(chan error, 1)
+	failed := make(chan error, 2)
 	parts.Go(func() { failed <- server.Serve(newClients(listener, most)) })
+	if c.Msgpack.Listener != nil {
+		parts.Go(func() { failed <- rpc.Serve(c.Msgpack.Listener) })
+		defer rpc.Close()
+	}
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serving: %w", err)
@@ -84,6 +107,24 @@
 	return drain(*newest.Load(), engine, server)
 }
 
+// lateFront is a front that is made after its engine.
+type lateFront struct{ *msgpackfront.Front }
+
+// transport speaks to each server in the protocol of its kind, over so many connections in all.
+func transport(c Config, conns int) router.Transport {
+	if len(c.Msgpack.Servers) == 0 {
+		return http1.New(http1.Config{MaxConns: conns, ConnectTimeout: c.ConnectTimeout})
+	}
+	few := max(1, conns/4) // they carry many calls each
+	return mixed.New(func(m router.Member) int {
+		if slices.Contains(c.Msgpack.Servers, m.Kind) {
+			return 1
+		}
+		return 0
+	}, http1.New(http1.Config{MaxConns: conns - few, ConnectTimeout: c.ConnectTimeout}),
+		msgpacktransport.New(msgpacktransport.Config{MaxConns: few, ConnectTimeout: c.ConnectTimeout}))
+}
+
 // follow puts new configurations in force, and keeps the one that is in newest.
 func follow(ctx context.Context, reloads <-chan Config, newest *atomic.Pointer[Config], engine *router.Router, source *registry.Source, log *slog.Logger) {
 	for {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net/netip"
 	"os"
 	"reflect"
 	"strings"
@@ -18,11 +19,23 @@
 
 // File is the whole file. Subsystems add their tables here.
 type File struct {
-	Log   Log
-	Drain Drain
-	XDS   XDS
+	Log     Log
+	Drain   Drain
+	XDS     XDS
+	Msgpack Msgpack
 }
 
+// Msgpack says who is spoken to by MessagePack-RPC.
+type Msgpack struct {
+	Listen      string   // host:port, or the path of a Unix socket; none: no callers
+	Connections int      // 0: the front's default
+	Calls       int      // open on a connection; 0: the front's default
+	Servers     []string // kinds of app servers that speak it
+}
+
+// On tells whether anybody is.
+func (m Msgpack) On() bool { return m.Listen != "" || len(m.Servers) > 0 }
+
 // Log says how the daemon logs.
 type Log struct {
 	Level  Level  // debug, info, warn or error; info where it is not set
@@ -122,7 +135,7 @@
 		{"log.format", running.Log.Format, now.Log.Format}, {"drain.leave", running.Drain.Leave, now.Drain.Leave},
 		{"xds.bootstrap", running.XDS.Bootstrap, now.XDS.Bootstrap}, {"xds.ca_file", running.XDS.CAFile, now.XDS.CAFile},
 		{"xds.delta", running.XDS.Delta, now.XDS.Delta}, {"xds.dir", running.XDS.Dir, now.XDS.Dir},
-		{"xds.files", running.XDS.Files, now.XDS.Files}, {"xds.alone", running.XDS.Alone, now.XDS.Alone},
+		{"msgpack", running.Msgpack, now.Msgpack}, {"xds.files", running.XDS.Files, now.XDS.Files}, {"xds.alone", running.XDS.Alone, now.XDS.Alone},
 	} {
 		if !reflect.DeepEqual(k.a, k.b) {
 			keys = append(keys, k.key)
@@ -151,6 +164,12 @@
 		Alone     any            `toml:"alone"`
 		Pools     map[string]any `toml:"pools"`
 	} `toml:"xds"`
+	Msgpack struct {
+		Listen      any `toml:"listen"`
+		Connections any `toml:"connections"`
+		Calls       any `toml:"calls"`
+		Servers     any `toml:"servers"`
+	} `toml:"msgpack"`
 }
 
 // Parse reads the text of a file. Errors begin with the line.
@@ -181,7 +200,7 @@
 		{"log", "level", r.Log.Level, &f.Log.Level}, {"log", "format", r.Log.Format, &f.Log.Format},
 		{"drain", "leave", r.Drain.Leave, &f.Drain.Leave}, {"drain", "deadline", r.Drain.Deadline, &f.Drain.Deadline},
 		{"xds", "bootstrap", r.XDS.Bootstrap, (*path)(&f.XDS.Bootstrap)}, {"xds", "ca_file", r.XDS.CAFile, (*path)(&f.XDS.CAFile)},
-		{"xds", "dir", r.XDS.Dir, (*path)(&f.XDS.Dir)},
+		{"xds", "dir", r.XDS.Dir, (*path)(&f.XDS.Dir)}, {"msgpack", "listen", r.Msgpack.Listen, (*listener)(&f.Msgpack.Listen)},
 	} {
 		if field.from == nil {
 			continue
@@ -197,8 +216,8 @@
 			return File{}, fmt.Errorf("%d: %s.%s: %w", lineOf(text, field.table, field.key), field.table, field.key, err)
 		}
 	}
-	if err := f.XDS.rest(text, r); err != nil {
-		return File{}, err
+	if err := errors.Join(f.XDS.rest(text, r), f.Msgpack.rest(text, r)); err != nil {
+		return File{}, errors.New(firstLine(err.Error()))
 	}
 	if f.Drain.Leave.Set && f.Drain.Deadline.Set && f.Drain.Leave.Duration > f.Drain.Deadline.Duration {
 		return File{}, fmt.Errorf("%d: drain.leave: want at most drain.deadline, %v, got %v",
@@ -235,18 +254,9 @@
 			return fail(flag.key, "want true or false, got %v", flag.from)
 		}
 	}
-	if r.XDS.Files != nil {
-		list, ok := r.XDS.Files.([]any)
-		if !ok || len(list) == 0 {
-			return fail("files", "want a list of paths, got %v", r.XDS.Files)
-		}
-		for _, v := range list {
-			name, ok := v.(string)
-			if !ok || name == "" {
-				return fail("files", "want paths in quotes, got %v", v)
-			}
-			x.Files = append(x.Files, name)
-		}
+	var err error
+	if x.Files, err = texts(r.XDS.Files); err != nil {
+		return fail("files", "%v", err)
 	}
 	for class, v := range r.XDS.Pools {
 		cluster, ok := v.(string)
@@ -269,6 +279,71 @@
 	return nil
 }
 
+// rest reads what of the table [msgpack] is no text.
+func (m *Msgpack) rest(text []byte, r raw) error {
+	fail := func(key, format string, args ...any) error {
+		return fmt.Errorf("%d: msgpack.%s: %s", lineOf(text, "msgpack", key), key, fmt.Sprintf(format, args...))
+	}
+	for _, number := range []struct {
+		key  string
+		from any
+		to   *int
+	}{{"connections", r.Msgpack.Connections, &m.Connections}, {"calls", r.Msgpack.Calls, &m.Calls}} {
+		if number.from == nil {
+			continue
+		}
+		n, ok := number.from.(int64)
+		if !ok || n < 1 || n > maxNumber {
+			return fail(number.key, "want 1 to %d, got %v", maxNumber, number.from)
+		}
+		*number.to = int(n)
+	}
+	var err error
+	if m.Servers, err = texts(r.Msgpack.Servers); err != nil {
+		return fail("servers", "%v", err)
+	}
+	if m.Listen == "" && m.Connections+m.Calls > 0 {
+		return fail("listen", "missing: connections and calls are a listener's")
+	}
+	return nil
+}
+
+const maxNumber = 10_000 // of connections, and of calls on one
+
+// texts reads a list of texts; nil where the key is not there.
+func texts(from any) (all []string, err error) {
+	if from == nil {
+		return nil, nil
+	}
+	list, ok := from.([]any)
+	if !ok || len(list) == 0 {
+		return nil, fmt.Errorf("want a list in brackets, got %v", from)
+	}
+	for _, v := range list {
+		s, ok := v.(string)
+		if !ok || s == "" {
+			return nil, fmt.Errorf("want texts in quotes, got %v", v)
+		}
+		all = append(all, s)
+	}
+	return all, nil
+}
+
+// listener is where to listen: host:port, or the path of a Unix socket.
+type listener string
+
+// UnmarshalText takes an address whose port is a number, or a path that begins at the root.
+func (l *listener) UnmarshalText(text []byte) error {
+	s := string(text)
+	if !strings.HasPrefix(s, "/") {
+		if _, err := netip.ParseAddrPort(s); err != nil {
+			return fmt.Errorf("want IP:port, or a path from /, got %q", s)
+		}
+	}
+	*l = listener(s)
+	return nil
+}
+
 // lineOf is the line on which a key of a table is set; 1 where it is written in a way of its own.
 func lineOf(text []byte, table, key string) int {
 	in := ""
--- /dev/null
+++ b/internal/pairs/pairs_test.go
@@ -0,0 +1,537 @@
+// Package pairs runs the same failures over every pair of a front and a transport: whichever protocols
+// are spoken, each request has the same outcome, and runs at the servers as often.
+package pairs
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	msgpackfront "cobaltward/front/msgpack"
+	"cobaltward/internal/testkit"
+	"cobaltward/middleware"
+	"cobaltward/msgpackrpc"
+	"cobaltward/msgpackrpc/client"
+	"cobaltward/policy"
+	"cobaltward/router"
+	"cobaltward/transport/http1"
+	"cobaltward/transport/mixed"
+	msgpacktransport "cobaltward/transport/msgpack"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// window is for how long servers remember a key.
+const window = 4 * time.Second
+
+// app is a server that speaks both protocols, each at an address of its own, and does what its script
+// says with the requests that reach it whole.
+type app struct {
+	http, msgpack string
+	cut           func() int // bytes after which a connection breaks; 0: never
+
+	mu     sync.Mutex
+	script []string             // of the next requests; then ok
+	ran    map[string]int       // executions by id
+	first  map[string]time.Time // by idempotency key
+}
+
+func newApp(t testing.TB, cut func() int, script ...string) *app {
+	a := &app{cut: cut, script: script, ran: make(map[string]int), first: make(map[string]time.Time)}
+	if len(script) > 0 && script[0] == "refuse" {
+		a.http = refusing(t)
+		a.msgpack = a.http
+		return a
+	}
+	a.http = testkit.RawServer(t, a.serveHTTP)
+	a.msgpack = testkit.RawServer(t, a.serveMsgpack)
+	return a
+}
+
+// refusing is an address that refuses connections: bound, so that nobody else comes to have it, and not
+// listened on.
+func refusing(t testing.TB) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+}
+
+// next is what to do with a request that has come whole, and counts it where that is to run it.
+func (a *app) next(id, key string) string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	do := "ok"
+	if len(a.script) > 0 {
+		do, a.script = a.script[0], a.script[1:]
+	}
+	if do != "not_run" && do != "drain" {
+		a.ran[id]++
+		if _, again := a.first[key]; !again && key != "" {
+			a.first[key] = time.Now()
+		}
+	}
+	return do
+}
+
+func (a *app) total() (n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, times := range a.ran {
+		n += times
+	}
+	return n
+}
+
+// cutter breaks a connection after so many bytes, wherever that is.
+type cutter struct {
+	net.Conn
+	left atomic.Int64
+}
+
+func (c *cutter) take(n int) (int, bool) {
+	if left := c.left.Add(int64(-n)); left < 0 {
+		return max(0, n+int(left)), true
+	}
+	return n, false
+}
+
+func (c *cutter) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n, cut := c.take(n); cut {
+		c.Conn.Close()
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func (c *cutter) Write(p []byte) (int, error) {
+	n, cut := c.take(len(p))
+	if !cut {
+		return c.Conn.Write(p)
+	}
+	_, _ = c.Conn.Write(p[:n])
+	c.Conn.Close()
+	return n, io.ErrClosedPipe
+}
+
+func (a *app) conn(c net.Conn) net.Conn {
+	if a.cut == nil {
+		return c
+	}
+	cut := &cutter{Conn: c}
+	cut.left.Store(int64(a.cut()))
+	return cut
+}
+
+func (a *app) serveHTTP(nc net.Conn, _ *bufio.Reader) {
+	c := a.conn(nc)
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		answer := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+		switch a.next(r.Header.Get("X-Request-Id"), r.Header.Get("Idempotency-Key")) {
+		case "error":
+			answer = "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+		case "not_run", "drain":
+			answer = "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+		case "unknown":
+			answer = "HTTP/1.1 418 Teapot\r\nContent-Length: 0\r\n\r\n"
+		case "nonsense":
+			answer = "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\ndone"
+		case "large":
+			answer = "HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000)
+		case "reset":
+			return
+		case "half":
+			answer = answer[:len(answer)-2]
+			_, _ = io.WriteString(c, answer)
+			return
+		case "hang":
+			_, _ = in.Peek(1) // until the node gives up
+			return
+		case "slow":
+			time.Sleep(50 * time.Millisecond)
+		}
+		if _, err := io.WriteString(c, answer); err != nil {
+			return
+		}
+	}
+}
+
+func (a *app) serveMsgpack(nc net.Conn, _ *bufio.Reader) {
+	c := a.conn(nc)
+	in := msgpackrpc.NewReader(c)
+	var writing sync.Mutex
+	var slow sync.WaitGroup
+	defer slow.Wait()
+	write := func(b []byte) {
+		writing.Lock()
+		defer writing.Unlock()
+		_, _ = c.Write(b)
+	}
+	for {
+		raw, err := in.Next()
+		if err != nil {
+			return
+		}
+		m, err := msgpackrpc.Parse(raw)
+		if err != nil || m.Kind != msgpackrpc.Request {
+			continue // a cancel
+		}
+		q, err := msgpackrpc.ParseCall(m.Params)
+		if err != nil {
+			return
+		}
+		r := msgpackrpc.Reply{Body: []byte("done")}
+		answer := msgpackrpc.AppendReply(nil, m.ID, &r)
+		code := func(code msgpackrpc.Code) { answer = msgpackrpc.AppendReply(nil, m.ID, &msgpackrpc.Reply{Code: code}) }
+		switch a.next(q.ID, q.IdempotencyKey) {
+		case "error":
+			code(msgpackrpc.ServerErr)
+		case "not_run":
+			code(msgpackrpc.NotRun)
+		case "drain":
+			code(msgpackrpc.NotRun)
+			answer = append(msgpackrpc.AppendDrain(nil), answer...)
+		case "unknown":
+			code("teapot")
+		case "nonsense":
+			answer = append(answer[:3:3], 0x80, 0x80) // an error and a result
+		case "large": // over the bound of a message
+			r.Body = make([]byte, msgpackrpc.MaxMessage)
+			answer = msgpackrpc.AppendReply(nil, m.ID, &r)
+		case "reset":
+			return
+		case "half":
+			write(answer[:len(answer)-2])
+			return
+		case "hang":
+			continue
+		case "slow":
+			slow.Go(func() { time.Sleep(50 * time.Millisecond); write(answer) })
+			continue
+		}
+		write(answer)
+	}
+}
+
+// pair is a node with one front and one transport.
+type pair struct {
+	name  string
+	front string // "http" or "msgpack"
+	of    func(router.Member) int
+}
+
+var pairs = []pair{
+	{"http to http", "http", func(router.Member) int { return 0 }},
+	{"http to msgpack", "http", func(router.Member) int { return 1 }},
+	{"msgpack to http", "msgpack", func(router.Member) int { return 0 }},
+	{"msgpack to msgpack", "msgpack", func(router.Member) int { return 1 }},
+	{"msgpack to one of each", "msgpack", func(m router.Member) int { return int(m.Cell % 2) }},
+}
+
+// caller asks a node, and returns what became of it in the words of the outcomes.
+type caller func(ctx context.Context, q msgpackrpc.Call) string
+
+// start runs the node over the servers until the test ends.
+func (p pair) start(t testing.TB, apps ...*app) caller {
+	t.Helper()
+	var members []router.Member
+	for i, a := range apps {
+		m := router.Member{ID: fmt.Sprint("s", i), Zone: "a", Cell: int64(i), Weight: 1}
+		m.Addr = []string{a.http, a.msgpack}[p.of(m)]
+		members = append(members, m)
+	}
+	class := func(name string, repeat policy.Repeat) policy.Class {
+		return policy.Class{Name: name, Aim: 4 * time.Second, Deadline: 10 * time.Second, Repeat: repeat, Group: policy.GroupAll, Window: window, Worth: 1}
+	}
+	// A budget of attempts that is never the reason for an outcome.
+	set := policy.Settings{Nodes: 1, Zone: "a", Classes: []policy.Class{class("read", policy.Free), class("pay", policy.Never), class("undo", policy.Guarded)},
+		Allowed: policy.Allowed{Cancel: true, MaxAttempts: 3, RetryAfter: true},
+		Rules:   policy.Rules{DrainGrace: 500 * time.Millisecond, Attempts: &policy.Budget{Least: 1e6, Span: time.Second}}}
+	r, err := router.New(router.Config{Settings: set, Members: members},
+		router.WithTransport(mixed.New(p.of, http1.New(http1.Config{}), msgpacktransport.New(msgpacktransport.Config{}))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { r.Close() })
+	testkit.Await(t, "the node", func() bool { return r.Phase() == router.Serving })
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.front == "http" {
+		server := &http.Server{Handler: middleware.New(r, middleware.WithMatcher(middleware.Any))}
+		served := make(chan struct{})
+		go func() { _ = server.Serve(ln); close(served) }()
+		t.Cleanup(func() { server.Close(); <-served })
+		return callHTTP(t, ln.Addr().String())
+	}
+	front := msgpackfront.New(r, msgpackfront.Config{})
+	served := make(chan error, 1)
+	go func() { served <- front.Serve(ln) }()
+	c := client.New("tcp", ln.Addr().String())
+	t.Cleanup(func() {
+		c.Close()
+		front.Close()
+		if err := <-served; !errors.Is(err, msgpackfront.ErrClosed) {
+			t.Error(err)
+		}
+	})
+	return func(ctx context.Context, q msgpackrpc.Call) string {
+		reply, err := c.Call(ctx, q)
+		switch {
+		case ctx.Err() != nil:
+			return "left"
+		case err != nil:
+			return err.Error()
+		case reply.Code == "":
+			return "served " + string(reply.Body)
+		case reply.Code == msgpackrpc.Expired: // it promises as little
+			return "failed"
+		case reply.Code == msgpackrpc.Overloaded:
+			return "refused"
+		}
+		return string(reply.Code)
+	}
+}
+
+func callHTTP(t testing.TB, addr string) caller {
+	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	t.Cleanup(c.CloseIdleConnections)
+	return func(ctx context.Context, q msgpackrpc.Call) string {
+		method := "POST"
+		if q.Class == "read" {
+			method = "GET"
+		}
+		if q.Method != "" {
+			method = q.Method
+		}
+		req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+"/api", bytes.NewReader(q.Body))
+		if err != nil {
+			return err.Error()
+		}
+		req.GetBody = nil // or the client would repeat by itself
+		for k, v := range map[string]string{"X-Request-Id": q.ID, "X-Class": q.Class, "X-Tenant": q.Tenant, "Idempotency-Key": q.IdempotencyKey,
+			"X-Deadline-Ms": strconv.FormatInt(q.Wait.Milliseconds(), 10)} {
+			if v != "" {
+				req.Header.Set(k, v)
+			}
+		}
+		resp, err := c.Do(req)
+		if err != nil {
+			if ctx.Err() != nil {
+				return "left"
+			}
+			return err.Error()
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return err.Error()
+		}
+		switch resp.StatusCode {
+		case 200:
+			return "served " + string(body)
+		case 429, 503:
+			return "refused"
+		case 502, 504:
+			return "failed"
+		case 409:
+			return "conflict"
+		}
+		return "malformed"
+	}
+}
+
+// The table of failures: what the first server does with what it is sent, and what becomes of a request of
+// each class. The second server is well.
+func TestFailures(t *testing.T) {
+	type end struct {
+		outcome string
+		ran     [2]int // at the first and at the second
+	}
+	first, second, both, none := [2]int{1, 0}, [2]int{0, 1}, [2]int{1, 1}, [2]int{0, 0}
+	for _, c := range []struct {
+		does             string
+		read, pay, undo  end
+		shorter, earlier time.Duration // the wait, and when the client leaves
+	}{
+		{does: "ok", read: end{"served done", first}, pay: end{"served done", first}, undo: end{"served done", first}},
+		{does: "slow", read: end{"served done", first}, pay: end{"served done", first}, undo: end{"served done", first}},
+		{does: "refuse", read: end{"served done", second}, pay: end{"served done", second}, undo: end{"served done", second}},
+		{does: "not_run", read: end{"served done", second}, pay: end{"served done", second}, undo: end{"served done", second}},
+		{does: "drain", read: end{"served done", second}, pay: end{"served done", second}, undo: end{"served done", second}},
+		{does: "error", read: end{"served done", both}, pay: end{"failed", first}, undo: end{"served done", both}},
+		{does: "unknown", read: end{"served done", both}, pay: end{"failed", first}, undo: end{"served done", both}},
+		{does: "nonsense", read: end{"served done", both}, pay: end{"failed", first}, undo: end{"served done", both}},
+		{does: "large", read: end{"served done", both}, pay: end{"failed", first}, undo: end{"served done", both}},
+		{does: "reset", read: end{"served done", both}, pay: end{"failed", first}, undo: end{"served done", both}},
+		{does: "half", read: end{"served done", both}, pay: end{"failed", first}, undo: end{"served done", both}},
+		{does: "hang", read: end{"refused", first}, pay: end{"failed", first}, undo: end{"refused", first}, shorter: 300 * time.Millisecond},
+		{does: "hang", read: end{"left", first}, pay: end{"left", first}, undo: end{"left", first}, earlier: 150 * time.Millisecond},
+		{does: "bad class", read: end{"malformed", none}, pay: end{"malformed", none}, undo: end{"malformed", none}},
+		{does: "no key", read: end{"served done", first}, pay: end{"served done", first}, undo: end{"malformed", none}},
+		{does: "no id", read: end{"malformed", none}, pay: end{"malformed", none}, undo: end{"malformed", none}},
+		{does: "wrong method", read: end{"malformed", none}, pay: end{"malformed", none}, undo: end{"malformed", none}},
+		{does: "the same id again", read: end{"conflict", first}, pay: end{"conflict", first}, undo: end{"conflict", first}},
+		{does: "a large body", read: end{"malformed", none}, pay: end{"malformed", none}, undo: end{"malformed", none}},
+	} {
+		for class, want := range map[string]end{"read": c.read, "pay": c.pay, "undo": c.undo} {
+			for _, p := range pairs {
+				t.Run(fmt.Sprint(c.does, "/", class, "/", p.name), func(t *testing.T) {
+					t.Parallel()
+					apps := []*app{newApp(t, nil, c.does), newApp(t, nil)}
+					call := p.start(t, apps...)
+					q := msgpackrpc.Call{ID: "r1", Class: class, Tenant: "t", Wait: 8 * time.Second, Target: "/api"}
+					if class == "undo" {
+						q.IdempotencyKey = "k1"
+					}
+					switch c.does {
+					case "bad class":
+						q.Class = "none"
+					case "no key":
+						q.IdempotencyKey = ""
+					case "no id":
+						q.ID = ""
+					case "wrong method":
+						q.Method = "PUT"
+					case "a large body":
+						q.Body = make([]byte, 64<<10+1)
+					case "the same id again":
+						if got := call(t.Context(), q); got != "served done" {
+							t.Fatalf("the first: %s", got)
+						}
+					}
+					ctx := t.Context()
+					if c.shorter > 0 {
+						q.Wait = c.shorter
+					}
+					if c.earlier > 0 {
+						var cancel context.CancelFunc
+						ctx, cancel = context.WithCancel(ctx)
+						time.AfterFunc(c.earlier, cancel)
+						defer cancel()
+					}
+					got := call(ctx, q)
+					if ran := [2]int{apps[0].total(), apps[1].total()}; got != want.outcome || ran != want.ran {
+						t.Errorf("%s, ran %v; want %s, %v", got, ran, want.outcome, want.ran)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Many calls at once while connections to the servers are cut at random bytes: each has one answer, no
+// unsafe one runs twice, and no keyed one has its effect twice. EXACTLY_ONCE in the environment asks for
+// more calls a pair, SEED for other cuts.
+func TestExactlyOnce(t *testing.T) {
+	calls, seed := 400, uint64(1)
+	if n, err := strconv.Atoi(os.Getenv("EXACTLY_ONCE")); err == nil && n > 0 {
+		calls = n
+	}
+	if n, err := strconv.ParseUint(os.Getenv("SEED"), 10, 64); err == nil {
+		seed = n
+	}
+	for i, p := range pairs {
+		t.Run(p.name, func(t *testing.T) {
+			t.Parallel()
+			var mu sync.Mutex
+			r := rand.New(rand.NewPCG(seed, uint64(i)))
+			draw := func(n int) int { mu.Lock(); defer mu.Unlock(); return r.IntN(n) }
+			var apps []*app
+			for range 4 {
+				apps = append(apps, newApp(t, func() int { return 200 + draw(6000) }))
+			}
+			call := p.start(t, apps...)
+			var ends sync.Map
+			var asked atomic.Int64
+			var workers sync.WaitGroup
+			for range 16 {
+				workers.Go(func() {
+					for n := asked.Add(1); n <= int64(calls); n = asked.Add(1) {
+						q := msgpackrpc.Call{ID: fmt.Sprint("r", n), Class: []string{"read", "pay", "undo"}[n%3], Tenant: "t", Wait: 8 * time.Second,
+							Target: "/api"}
+						if q.Class != "read" {
+							q.Body = make([]byte, draw(300))
+						}
+						if q.Class == "undo" {
+							q.IdempotencyKey = fmt.Sprint("k", n)
+						}
+						if _, twice := ends.LoadOrStore(q.ID, call(t.Context(), q)); twice {
+							t.Errorf("%s was answered twice", q.ID)
+						}
+					}
+				})
+			}
+			workers.Wait()
+			counts := make(map[string]int)
+			for n := 1; n <= calls; n++ {
+				id := fmt.Sprint("r", n)
+				got, _ := ends.Load(id)
+				outcome := got.(string)
+				counts[outcome]++
+				ran := 0
+				var begun []time.Time // of a keyed one, at each server
+				for _, a := range apps {
+					a.mu.Lock()
+					ran += a.ran[id]
+					if at, ok := a.first[fmt.Sprint("k", n)]; ok {
+						begun = append(begun, at)
+					}
+					a.mu.Unlock()
+				}
+				slices.SortFunc(begun, time.Time.Compare)
+				switch {
+				case len(begun) > 1 && begun[len(begun)-1].Sub(begun[0]) > window:
+					t.Errorf("%s was sent again %v later, when its key was forgotten", id, begun[len(begun)-1].Sub(begun[0]))
+				case n%3 == 1 && ran > 1:
+					t.Errorf("%s of the unsafe class ran %d times: %s", id, ran, outcome)
+				case outcome == "served done" && ran == 0, outcome == "refused" && n%3 == 1 && ran > 0:
+					t.Errorf("%s ran %d times and is %s", id, ran, outcome)
+				case outcome != "served done" && outcome != "failed" && outcome != "refused":
+					t.Errorf("%s: %s", id, outcome)
+				}
+			}
+			t.Logf("%v", counts)
+			if counts["served done"] < calls/2 {
+				t.Errorf("only %d of %d served", counts["served done"], calls)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/msgpackrpc/message_test.go
@@ -0,0 +1,289 @@
+package msgpackrpc
+
+import (
+	"bytes"
+	"encoding/hex"
+	"errors"
+	"io"
+	"os"
+	"reflect"
+	"regexp"
+	"runtime"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+)
+
+// The examples of the protocol page, byte for byte, both ways.
+func TestThePagesExamples(t *testing.T) {
+	page, err := os.ReadFile("../docs/msgpack-rpc.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dumps := make(map[string][]byte)
+	for _, m := range regexp.MustCompile("(?s)<!-- (\\w+) -->\n\n((?:    [^\n]*\n)+)").FindAllSubmatch(page, -1) {
+		raw, err := hex.DecodeString(strings.Join(strings.Fields(regexp.MustCompile(`\|[^\n]*`).ReplaceAllString(string(m[2]), "")), ""))
+		if err != nil {
+			t.Fatalf("%s: %v", m[1], err)
+		}
+		dumps[string(m[1])] = raw
+	}
+	call := Call{ID: "a1", Class: "rezervacia", Tenant: "stol-nitra", Wait: 1500 * time.Millisecond, Target: "/api", Body: []byte("{}")}
+	served := Reply{Body: []byte("ok"), ContentType: "text/plain"}
+	refused := Reply{Code: Refused, RetryAfter: 2 * time.Second}
+	for name, want := range map[string][]byte{"call": AppendCall(nil, 1, &call), "served": AppendReply(nil, 1, &served),
+		"refused": AppendReply(nil, 1, &refused), "cancel": AppendCancel(nil, 1), "drain": AppendDrain(nil)} {
+		if !bytes.Equal(dumps[name], want) {
+			t.Errorf("%s: the page has %x, want %x", name, dumps[name], want)
+		}
+	}
+	if len(dumps) != 5 {
+		t.Errorf("%d dumps on the page", len(dumps))
+	}
+	m, err := Parse(dumps["call"])
+	if err != nil || m.Kind != Request || m.ID != 1 || m.Method != MethodCall {
+		t.Fatalf("%+v, %v", m, err)
+	}
+	if got, err := ParseCall(m.Params); err != nil || !reflect.DeepEqual(got, call) {
+		t.Errorf("%+v, %v", got, err)
+	}
+	for name, want := range map[string]Reply{"served": served, "refused": refused} {
+		m, err := Parse(dumps[name])
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := ParseReply(m); err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: %+v, %v", name, got, err)
+		}
+	}
+	if m, err := Parse(dumps["cancel"]); err != nil || m.Method != NoticeCancel {
+		t.Errorf("%+v, %v", m, err)
+	} else if id, ok := Cancelled(m); !ok || id != 1 {
+		t.Errorf("cancels %d, %v", id, ok)
+	}
+}
+
+// What is written is read as it was, whatever the pieces that it comes in, and the other library reads the
+// same.
+func TestReadsWhatItWrites(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringN(0, 40, 400)
+		var stream []byte
+		var calls []Call
+		for i := range rapid.IntRange(1, 5).Draw(t, "calls") {
+			c := Call{ID: text.Draw(t, "id"), Class: text.Draw(t, "class"), Key: text.Draw(t, "key"), Retry: rapid.Bool().Draw(t, "retry"),
+				Wait: time.Duration(rapid.Int64Range(0, 1e9).Draw(t, "wait")) * time.Millisecond, Body: rapid.SliceOfN(rapid.Byte(), 1, 70_000).Draw(t, "body")}
+			raw := AppendCall(nil, uint32(i), &c)
+			var other []any
+			if err := msgpack.Unmarshal(raw, &other); err != nil {
+				t.Fatal(err)
+			}
+			m := other[3].([]any)[0].(map[string]any)
+			if got, _ := m["id"].(string); got != c.ID {
+				t.Fatalf("the other library reads %q, want %q", got, c.ID)
+			}
+			if got, _ := m["body"].([]byte); !bytes.Equal(got, c.Body) {
+				t.Fatal("the other library reads another body")
+			}
+			stream, calls = append(stream, raw...), append(calls, c)
+		}
+		var from io.Reader = bytes.NewReader(stream)
+		if rapid.Bool().Draw(t, "bytewise") && len(stream) < 2000 {
+			from = iotest.OneByteReader(from)
+		}
+		r := NewReader(from)
+		for i, want := range calls {
+			raw, err := r.Next()
+			if err != nil {
+				t.Fatal(err)
+			}
+			m, err := Parse(raw)
+			if err != nil || m.ID != uint32(i) {
+				t.Fatalf("%+v, %v", m, err)
+			}
+			if got, err := ParseCall(m.Params); err != nil || !reflect.DeepEqual(got, want) {
+				t.Fatalf("%+v, %v", got, err)
+			}
+		}
+		if _, err := r.Next(); !errors.Is(err, io.EOF) {
+			t.Fatalf("behind the last: %v", err)
+		}
+	})
+}
+
+// Hostile bytes are refused with a reason, before anything is made room for.
+func TestHostileBytes(t *testing.T) {
+	deep := bytes.Repeat([]byte{0x91}, 10_000)
+	for name, c := range map[string]struct {
+		raw  []byte
+		want string
+	}{
+		"an array of 4 billion":   {[]byte{0xdd, 0xff, 0xff, 0xff, 0xff}, "elements"},
+		"a map of 2 billion":      {[]byte{0xdf, 0x80, 0, 0, 0}, "elements"},
+		"10,000 levels":           {deep, "levels"},
+		"a text of 4 GB":          {[]byte{0x94, 0, 1, 0xdb, 0xff, 0xff, 0xff, 0xff}, "bytes"},
+		"bytes that never end":    {append([]byte{0x94, 0, 1, 0xc6, 0, 1, 0x7f, 0xff}, make([]byte, 200_000)...), "bytes"},
+		"many texts":              {append([]byte{0xdc, 0, 200}, bytes.Repeat(append([]byte{0xda, 4, 0}, make([]byte, 1024)...), 200)...), "bytes"},
+		"a byte without a use":    {[]byte{0xc1}, "0xc1"},
+		"an extension of 4 GB":    {[]byte{0xc9, 0xff, 0xff, 0xff, 0xff, 1}, "bytes"},
+		"the end within a text":   {[]byte{0x94, 0, 1, 0xa4, 'c'}, "unexpected EOF"},
+		"the end within a length": {[]byte{0xdd, 0}, "unexpected EOF"},
+	} {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, err := NewReader(bytes.NewReader(c.raw)).Next()
+		runtime.ReadMemStats(&after)
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: got %v, want %q", name, err, c.want)
+		}
+		if used := after.TotalAlloc - before.TotalAlloc; used > 4*MaxMessage {
+			t.Errorf("%s: %d bytes were allocated", name, used)
+		}
+	}
+}
+
+// What is no message of the protocol is told by its part.
+func TestMessagesThatAreWrong(t *testing.T) {
+	enc := func(v any) []byte {
+		raw, err := msgpack.Marshal(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return raw
+	}
+	for want, v := range map[string]any{
+		"no array":                       7,
+		"no known type":                  []any{3, 1, "call", []any{}},
+		"has 3 parts, want 4":            []any{0, 1, "call"},
+		"msgid":                          []any{0, "x", "call", []any{}},
+		"method: want a text":            []any{0, 1, 5, []any{}},
+		"params: want an array":          []any{0, 1, "call", map[string]any{}},
+		"has 4 parts, want 3":            []any{2, 1, "cancel", []any{}},
+		"an array of one map":            []any{0, 1, "call", []any{}},
+		"params: want a map":             []any{0, 1, "call", []any{5}},
+		"params.id: want a text":         []any{0, 1, "call", []any{map[string]any{"id": 5}}},
+		"params.wait_ms: want a whole":   []any{0, 1, "call", []any{map[string]any{"wait_ms": -5}}},
+		"params.retry: want true":        []any{0, 1, "call", []any{map[string]any{"retry": "yes"}}},
+		"params.body: want bytes":        []any{0, 1, "call", []any{map[string]any{"body": 5}}},
+		"a name is no text":              []any{0, 1, "call", []any{map[int]any{5: 5}}},
+		"either an error or a result":    []any{1, 1, nil, nil},
+		"needs either an error or a":     []any{1, 1, map[string]any{"code": "x"}, map[string]any{}},
+		"error.code: missing":            []any{1, 1, map[string]any{}, nil},
+		"result: want a map":             []any{1, 1, nil, 7},
+		"error: want a map":              []any{1, 1, "bad", nil},
+		"result.content_type: want a te": []any{1, 1, nil, map[string]any{"content_type": 7}},
+	} {
+		m, err := Parse(enc(v))
+		if err == nil && m.Kind == Request {
+			_, err = ParseCall(m.Params)
+		} else if err == nil {
+			_, err = ParseReply(m)
+		}
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v: got %v, want %q", v, err, want)
+		}
+	}
+	twice := append([]byte{0x94, 0, 1, 0xa4}, "call\x91\x82\xa2id\xa1a\xa2id\xa1b"...)
+	if m, err := Parse(twice); err != nil {
+		t.Error(err)
+	} else if _, err := ParseCall(m.Params); err == nil || !strings.Contains(err.Error(), "params.id: given twice") {
+		t.Errorf("got %v", err)
+	}
+	later := enc([]any{0, 1, "call", []any{map[string]any{"id": "a", "of_a_later_version": []any{1, 2}}}})
+	if m, err := Parse(later); err != nil {
+		t.Error(err)
+	} else if c, err := ParseCall(m.Params); err != nil || c.ID != "a" {
+		t.Errorf("%+v, %v", c, err)
+	}
+}
+
+// No bytes panic the readers, and a message ends where the other library says it does.
+func FuzzMessages(f *testing.F) {
+	f.Add(AppendCall(nil, 1, &Call{ID: "a", Body: []byte("b")}))
+	f.Add(AppendReply(nil, 1, &Reply{Code: Refused}))
+	f.Add(append(AppendCancel(nil, 1), AppendDrain(nil)...))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		r := NewReader(bytes.NewReader(raw))
+		other := msgpack.NewDecoder(bytes.NewReader(raw))
+		for {
+			got, err := r.Next()
+			if err != nil {
+				return
+			}
+			if want, err := other.DecodeRaw(); err == nil && !bytes.Equal(got, want) {
+				t.Fatalf("a message of %x, the other library's is %x", got, want)
+			}
+			m, err := Parse(got)
+			if err != nil {
+				continue
+			}
+			if m.Kind == Request {
+				if c, err := ParseCall(m.Params); err == nil {
+					again, err := Parse(AppendCall(nil, m.ID, &c))
+					if err != nil {
+						t.Fatal(err)
+					}
+					if d, err := ParseCall(again.Params); err != nil || d.ID != c.ID || !bytes.Equal(d.Body, c.Body) {
+						t.Fatalf("%+v, written and read again %+v, %v", c, d, err)
+					}
+				}
+			}
+			_, _ = ParseReply(m)
+			_, _ = Cancelled(m)
+		}
+	})
+}
+
+// The two libraries, and the reader in front of them, side by side.
+func BenchmarkDecode(b *testing.B) {
+	raw := AppendCall(nil, 7, &Call{ID: "9b1f03aa5c7e2d41", Class: "hladanie", Tenant: "stol-nitra", Wait: time.Second, Target: "/api/x", Body: make([]byte, 200)})
+	b.Run("scan", func(b *testing.B) {
+		b.ReportAllocs()
+		var s scanner
+		for range b.N {
+			if _, done, err := s.scan(raw); !done || err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("msgp", func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			m, err := Parse(raw)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if _, err := ParseCall(m.Params); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	type params struct {
+		ID     string `msgpack:"id"`
+		Class  string `msgpack:"class"`
+		Tenant string `msgpack:"tenant"`
+		Wait   uint64 `msgpack:"wait_ms"`
+		Target string `msgpack:"target"`
+		Body   []byte `msgpack:"body"`
+	}
+	type request struct {
+		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // how the library is told
+		Kind     uint8
+		ID       uint32
+		Method   string
+		Params   []params
+	}
+	b.Run("vmihailenco", func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			var q request
+			if err := msgpack.Unmarshal(raw, &q); err != nil || q.Params[0].ID == "" {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -19,6 +19,7 @@
 	"cobaltward/internal/sockets"
 	"cobaltward/policy"
 	"cobaltward/router"
+	"cobaltward/transport/servers"
 )
 
 const (
@@ -62,13 +63,12 @@
 	swept   sync.WaitGroup
 
 	mu      sync.Mutex
-	pools   map[string]*pool
-	at      map[string]string // the server at each address
-	open    int               // connections, those being made among them
-	most    int               // that may be open
-	idleFor time.Duration     // an idle connection is dropped after this
-	grace   time.Duration     // after the news that a server drains, nothing is written to it
-	report  []string          // names of the figures of a load report, in order
+	pools   servers.Table[[]*conn]
+	open    int           // connections, those being made among them
+	most    int           // that may be open
+	idleFor time.Duration // an idle connection is dropped after this
+	grace   time.Duration // after the news that a server drains, nothing is written to it
+	report  []string      // names of the figures of a load report, in order
 	closed  bool
 }
 
@@ -84,10 +84,11 @@
 	}
 	t := &Transport{
 		dialer: net.Dialer{Timeout: c.ConnectTimeout, KeepAlive: -1},
-		pools:  make(map[string]*pool), at: make(map[string]string), most: c.MaxConns, idleFor: defaultConnIdle / 2, stop: make(chan struct{}),
+		most:   c.MaxConns, idleFor: defaultConnIdle / 2, stop: make(chan struct{}),
 		readers: sync.Pool{New: func() any { return bufio.NewReader(nil) }},
 		writers: sync.Pool{New: func() any { return new(bytes.Buffer) }},
 	}
+	t.pools = servers.New(func(p *pool) { t.trim(p, len(p.Pool)) })
 	t.swept.Go(func() {
 		tick := time.NewTicker(sweepEvery)
 		defer tick.Stop()
@@ -117,13 +118,8 @@
 	u.report = s.Report
 }
 
-// pool holds the idle connections to one process of one server, the last used at the end.
-type pool struct {
-	addr    string
-	started time.Time
-	idle    []*conn
-	drained time.Time // when the list said that the server drains; zero while it runs
-}
+// pool is one process of one server with its idle connections, the last used at the end.
+type pool = servers.Server[[]*conn]
 
 type conn struct {
 	*net.TCPConn
@@ -131,74 +127,19 @@
 	used time.Time
 }
 
-// Update follows the list. A server that moved or started anew gets a new pool: what was open to its
-// former process is of no use.
+// Update follows the list.
 func (u *Transport) Update(c router.Change) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for _, m := range c.Members {
-		p := u.pools[m.ID]
-		switch {
-		case m.State == policy.Removed:
-			u.forget(m.ID)
-		case p == nil || p.addr != m.Addr || !p.started.Equal(m.Started):
-			u.forget(m.ID)
-			u.take(m)
-		}
-		u.drain(m)
-	}
-	if c.Kind == policy.ListUpdate {
-		return
-	}
-	listed := make(map[string]bool, len(c.Members))
-	for i := range c.Members {
-		listed[c.Members[i].ID] = true
-	}
-	for id := range u.pools {
-		if !listed[id] {
-			u.forget(id)
-		}
-	}
-}
-
-// take makes a pool for m, unless another server has its address by now: of two at one address the
-// one that started last is there, and what is meant for the other must not reach it.
-func (u *Transport) take(m router.Member) {
-	if id, taken := u.at[m.Addr]; taken {
-		if u.pools[id].started.After(m.Started) {
-			return
-		}
-		u.forget(id)
-	}
-	u.pools[m.ID], u.at[m.Addr] = &pool{addr: m.Addr, started: m.Started}, m.ID
-}
-
-// drain notes since when m drains.
-func (u *Transport) drain(m router.Member) {
-	p := u.pools[m.ID]
-	switch {
-	case p == nil:
-	case m.State != policy.Draining:
-		p.drained = time.Time{}
-	case p.drained.IsZero():
-		p.drained = time.Now()
-	}
-}
-
-func (u *Transport) forget(id string) {
-	if p := u.pools[id]; p != nil {
-		u.trim(p, len(p.idle))
-		delete(u.pools, id)
-		delete(u.at, p.addr) // no two of them have one address
-	}
+	u.pools.Update(c)
 }
 
 // trim closes the n connections of p that were idle longest.
 func (u *Transport) trim(p *pool, n int) {
-	for _, c := range p.idle[:n] {
+	for _, c := range p.Pool[:n] {
 		c.Close()
 	}
-	p.idle = append([]*conn(nil), p.idle[n:]...)
+	p.Pool = append([]*conn(nil), p.Pool[n:]...)
 	u.open -= n
 }
 
@@ -206,8 +147,8 @@
 func (u *Transport) CloseIdle(id string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if p := u.pools[id]; p != nil {
-		u.trim(p, len(p.idle))
+	if p := u.pools.Get(id); p != nil {
+		u.trim(p, len(p.Pool))
 	}
 }
 
@@ -215,9 +156,9 @@
 func (u *Transport) sweep(now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for _, p := range u.pools {
+	for _, p := range u.pools.All() {
 		var kept []*conn
-		for _, c := range p.idle {
+		for _, c := range p.Pool {
 			if now.Sub(c.used) < u.idleFor && sockets.Quiet(c.TCPConn) {
 				kept = append(kept, c)
 				continue
@@ -225,7 +166,7 @@
 			c.Close()
 			u.open--
 		}
-		p.idle = kept
+		p.Pool = kept
 	}
 }
 
@@ -248,7 +189,7 @@
 	if c != nil || err != nil {
 		return c, err
 	}
-	tcp, err := u.dialer.DialContext(ctx, "tcp", p.addr)
+	tcp, err := u.dialer.DialContext(ctx, "tcp", p.Addr)
 	if err != nil {
 		u.unreserve()
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
@@ -264,20 +205,20 @@
 func (u *Transport) reserve(id string) (*pool, *conn, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	p := u.pools[id]
+	p := u.pools.Get(id)
 	if p == nil {
 		return nil, nil, errUnknown
 	}
 	now := time.Now()
-	for i := len(p.idle) - 1; i >= 0; i-- {
-		c := p.idle[i]
+	for i := len(p.Pool) - 1; i >= 0; i-- {
+		c := p.Pool[i]
 		idle := now.Sub(c.used)
 		if idle < restFor {
 			continue
 		}
-		last := len(p.idle) - 1
-		copy(p.idle[i:], p.idle[i+1:])
-		p.idle[last], p.idle = nil, p.idle[:last]
+		last := len(p.Pool) - 1
+		copy(p.Pool[i:], p.Pool[i+1:])
+		p.Pool[last], p.Pool = nil, p.Pool[:last]
 		if idle < u.idleFor && sockets.Quiet(c.TCPConn) {
 			return p, c, nil
 		}
@@ -300,8 +241,8 @@
 // evict closes the connection that was idle longest, if there is one.
 func (u *Transport) evict() bool {
 	var oldest *pool
-	for _, p := range u.pools {
-		if len(p.idle) > 0 && (oldest == nil || p.idle[0].used.Before(oldest.idle[0].used)) {
+	for _, p := range u.pools.All() {
+		if len(p.Pool) > 0 && (oldest == nil || p.Pool[0].used.Before(oldest.Pool[0].used)) {
 			oldest = p
 		}
 	}
@@ -316,9 +257,9 @@
 func (u *Transport) release(c *conn, id string, reusable bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if reusable && u.pools[id] == c.pool {
+	if reusable && u.pools.Get(id) == c.pool {
 		c.used = time.Now()
-		c.pool.idle = append(c.pool.idle, c)
+		c.pool.Pool = append(c.pool.Pool, c)
 		return
 	}
 	c.Close()
@@ -354,7 +295,7 @@
 	out := u.writers.Get().(*bytes.Buffer)
 	defer u.writers.Put(out)
 	out.Reset()
-	if !write(ctx, out, c.pool.addr, r) {
+	if !write(ctx, out, c.pool.Addr, r) {
 		return router.Result{Code: policy.Moot}, true // no server is to blame, and none would take it
 	}
 	// The host may have kept this goroutine from running since the engine decided: what is late by now
@@ -393,13 +334,12 @@
 	if err := ctx.Err(); err != nil {
 		return err
 	}
-	now := time.Now()
-	if end, ok := ctx.Deadline(); ok && !now.Before(end) { // its timer may be late as well
+	if end, ok := ctx.Deadline(); ok && !time.Now().Before(end) { // its timer may be late as well
 		return context.DeadlineExceeded
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !p.drained.IsZero() && now.Sub(p.drained) >= u.grace {
+	if p.Closed(u.grace) {
 		return errDrained
 	}
 	return nil
--- a/transport/http1/http1_test.go
+++ b/transport/http1/http1_test.go
@@ -64,8 +64,8 @@
 func (u *Transport) counts(id string) (open, idle int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if p := u.pools[id]; p != nil {
-		idle = len(p.idle)
+	if p := u.pools.Get(id); p != nil {
+		idle = len(p.Pool)
 	}
 	return u.open, idle
 }
@@ -188,8 +188,8 @@
 	if err := tcp.(*net.TCPConn).CloseWrite(); err != nil {
 		t.Fatal(err)
 	}
-	p := u.pools["s0"]
-	p.idle, u.open = []*conn{{TCPConn: tcp.(*net.TCPConn), pool: p, used: time.Now().Add(-time.Second)}}, 1
+	p := u.pools.Get("s0")
+	p.Pool, u.open = []*conn{{TCPConn: tcp.(*net.TCPConn), pool: p, used: time.Now().Add(-time.Second)}}, 1
 	if r := ended(t, u, testRequest(http.MethodPost, "r1", "body")); r.Code != policy.ConnectFailed {
 		t.Errorf("code %v, want could not connect", r.Code)
 	}
@@ -298,8 +298,8 @@
 	testkit.Await(t, "the close to be noticed", func() bool {
 		u.mu.Lock()
 		defer u.mu.Unlock()
-		idle := u.pools["s0"].idle
-		return len(idle) == 0 || !sockets.Quiet(u.pools["s0"].idle[0].TCPConn)
+		idle := u.pools.Get("s0").Pool
+		return len(idle) == 0 || !sockets.Quiet(u.pools.Get("s0").Pool[0].TCPConn)
 	})
 	if r := ended(t, u, testRequest(http.MethodGet, "r2", "")); r.Code != policy.OK {
 		t.Errorf("code %v", r.Code)
@@ -390,7 +390,7 @@
 		testkit.Await(t, "what nobody asked for", func() bool {
 			u.mu.Lock()
 			defer u.mu.Unlock()
-			return !sockets.Quiet(u.pools["s0"].idle[0].TCPConn)
+			return !sockets.Quiet(u.pools.Get("s0").Pool[0].TCPConn)
 		})
 		time.Sleep(2 * restFor)
 		if r := ended(t, u, testRequest(http.MethodGet, "r2", "")); string(r.Answer.Body) != "2" {
@@ -467,7 +467,7 @@
 		t.Errorf("within the grace: code %v", r.Code)
 	}
 	u.mu.Lock()
-	u.pools["s0"].drained = time.Now().Add(-u.grace)
+	u.pools.Get("s0").Drained = time.Now().Add(-u.grace)
 	u.mu.Unlock()
 	u.Update(router.Change{Kind: policy.ListUpdate, Members: drains}) // the same news again gives no new grace
 	if r := ended(t, u, testRequest(http.MethodPost, "r3", "")); r.Code != policy.ConnectFailed {
--- /dev/null
+++ b/transport/mixed/mixed.go
@@ -0,0 +1,90 @@
+// Package mixed is a router.Transport of several: each server is spoken to in the protocol that it speaks.
+package mixed
+
+import (
+	"context"
+	"sync"
+
+	"cobaltward/policy"
+	"cobaltward/router"
+)
+
+// Transport hands each server to one of several transports.
+type Transport struct {
+	of         func(router.Member) int
+	transports []router.Transport
+
+	mu sync.RWMutex
+	at map[string]int // by server
+}
+
+var _ router.Transport = (*Transport)(nil)
+
+// New returns a transport that has server m spoken to by transports[of(m)]. It closes them all.
+func New(of func(m router.Member) int, transports ...router.Transport) *Transport {
+	return &Transport{of: of, transports: transports, at: make(map[string]int)}
+}
+
+// Attempt has the server's own transport make the attempt.
+func (t *Transport) Attempt(ctx context.Context, server string, r *router.Request) router.Result {
+	t.mu.RLock()
+	i, ok := t.at[server]
+	t.mu.RUnlock()
+	if !ok {
+		return router.Result{Code: policy.ConnectFailed} // not in the list
+	}
+	return t.transports[i].Attempt(ctx, server, r)
+}
+
+// Configure tells all of them.
+func (t *Transport) Configure(s policy.Settings) {
+	for _, x := range t.transports {
+		x.Configure(s)
+	}
+}
+
+// Update tells each of its servers. One that comes to speak another protocol leaves the former transport.
+func (t *Transport) Update(c router.Change) {
+	parts := make([][]router.Member, len(t.transports))
+	t.mu.Lock()
+	if c.Kind != policy.ListUpdate {
+		clear(t.at)
+	}
+	for _, m := range c.Members {
+		i := t.of(m)
+		if was, ok := t.at[m.ID]; ok && was != i {
+			gone := m
+			gone.State = policy.Removed
+			parts[was] = append(parts[was], gone)
+		}
+		if m.State == policy.Removed {
+			delete(t.at, m.ID)
+		} else {
+			t.at[m.ID] = i
+		}
+		parts[i] = append(parts[i], m)
+	}
+	t.mu.Unlock()
+	for i, x := range t.transports {
+		if len(parts[i]) > 0 || c.Kind != policy.ListUpdate {
+			x.Update(router.Change{Kind: c.Kind, Members: parts[i]})
+		}
+	}
+}
+
+// CloseIdle passes it on to the server's own.
+func (t *Transport) CloseIdle(server string) {
+	t.mu.RLock()
+	i, ok := t.at[server]
+	t.mu.RUnlock()
+	if ok {
+		t.transports[i].CloseIdle(server)
+	}
+}
+
+// Close closes all of them.
+func (t *Transport) Close() {
+	for _, x := range t.transports {
+		x.Close()
+	}
+}
