--- a/.ci/checks.sh
+++ b/.ci/checks.sh
@@ -120,7 +120,7 @@
 # Who does not use gin does not link it.
 check_links() {
 	local packages
-	packages=$(go list -deps ./cmd/... ./router ./middleware ./transport/... ./membership/...)
+	packages=$(go list -deps ./cmd/... ./router ./middleware ./front/... ./transport/... ./membership/...)
 	if grep -q gin-gonic <<<"$packages"; then
 		fail "gin is linked outside middleware/ginmw"
 	fi
@@ -137,7 +137,7 @@
 # that the tests run.
 check_fuzz() {
 	local target
-	for target in ./membership/xds:FuzzFile ./membership/xds/resource:FuzzResources ./transport/http1:FuzzHead; do
+	for target in ./membership/xds:FuzzFile ./membership/xds/resource:FuzzResources ./transport/http1:FuzzHead ./msgpackrpc:FuzzMessages; do
 		go test -run '^$' -fuzz "^${target#*:}\$" -fuzztime 4s "${target%:*}" >/dev/null || fail "${target#*:} found something; run it by hand"
 	done
 	echo "ci: fuzzing found nothing"
--- a/front/msgpack/msgpack.go
+++ b/front/msgpack/msgpack.go
@@ -129,7 +129,7 @@
 // admit takes a connection in. Where there are too many, the one that has been quiet for longest makes
 // room; where none is quiet, the next waits.
 func (f *Front) admit(nc net.Conn) bool {
-	c := &conn{f: f, nc: nc, out: make(chan answer, f.c.MaxCalls), slots: make(chan struct{}, f.c.MaxCalls),
+	c := &conn{f: f, nc: nc, slots: make(chan struct{}, f.c.MaxCalls),
 		open: make(map[uint32]context.CancelFunc), quiet: time.Now(), wrote: make(chan struct{}), wake: make(chan struct{}, 1)}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -233,15 +233,15 @@
 type conn struct {
 	f     *Front
 	nc    net.Conn
-	out   chan answer   // has room for each call that has a slot
 	slots chan struct{} // of open calls, and of answers not yet written
-	wake  chan struct{} // something but an answer is to be written
+	wake  chan struct{} // something is to be written
 	wrote chan struct{} // closed when the writer has ended
 	calls sync.WaitGroup
 
 	mu      sync.Mutex
 	open    map[uint32]context.CancelFunc
-	pending int // answers not yet written
+	queue   []answer // bounded by the slots
+	pending int      // answers not yet written
 	quiet   time.Time
 	partial bool // part of a message has come
 	notices []byte
@@ -400,15 +400,14 @@
 		delete(c.open, m.ID)
 		if answers {
 			c.pending++
+			c.queue = append(c.queue, answer{m.ID, r})
 		}
 		c.quiet = time.Now()
 		c.mu.Unlock()
 		cancel()
-		if answers {
-			c.out <- answer{m.ID, r} // it has the call's slot, so there is room
-		} else {
+		c.signal() // without an answer too: the connection may be waiting for its last call
+		if !answers {
 			<-c.slots
-			c.signal() // the connection may be waiting for its last call
 			c.f.madeQuiet()
 		}
 	}
@@ -479,34 +478,35 @@
 func (c *conn) write() {
 	defer close(c.wrote)
 	var buf []byte
+	var batch []answer
 	for {
-		buf, taken := buf[:0], 0
-		select {
-		case a := <-c.out:
-			buf, taken = msgpackrpc.AppendReply(buf, a.msgid, &a.reply), 1
-		case <-c.wake:
-		}
-		for more := true; more && len(buf) < maxBatch; {
-			select {
-			case a := <-c.out:
-				buf = msgpackrpc.AppendReply(buf, a.msgid, &a.reply)
-				taken++
-			default:
-				more = false
-			}
-		}
+		<-c.wake
 		c.mu.Lock()
-		buf = append(buf, c.notices...)
+		batch, c.queue = c.queue, batch[:0]
+		buf = append(buf[:0], c.notices...)
 		c.notices = nil
 		c.mu.Unlock()
+		taken := 0
+		for i := range batch {
+			buf = msgpackrpc.AppendReply(buf, batch[i].msgid, &batch[i].reply)
+			batch[i] = answer{}
+			if taken++; len(buf) >= maxBatch || i == len(batch)-1 {
+				if !c.flush(buf, taken) {
+					return
+				}
+				buf, taken = buf[:0], 0
+			}
+		}
 		if !c.flush(buf, taken) {
-			c.nc.Close() // and the reader ends
 			return
 		}
 		if c.over() {
 			c.hangUp()
 			return
 		}
+		if cap(buf) > 2*maxBatch {
+			buf = nil
+		}
 	}
 }
 
@@ -530,6 +530,9 @@
 	if quiet {
 		c.f.madeQuiet()
 	}
+	if err != nil {
+		c.nc.Close() // and the reader ends
+	}
 	return err == nil
 }
 
--- a/msgpackrpc/message.go
+++ b/msgpackrpc/message.go
@@ -162,44 +162,31 @@
 	return [...]field{{name: "body", bytes: &r.Body}, {name: "content_type", text: &r.ContentType}, {name: "load", text: &r.Load}}
 }
 
-func (f *field) zero() bool {
-	switch {
-	case f.text != nil:
-		return *f.text == ""
-	case f.span != nil:
-		return *f.span < f.unit
-	case f.truth != nil:
-		return !*f.truth
+// entry begins an entry of the map of under 16 that begins at b[at]. What is zero is left out.
+func entry(b []byte, at int, name string) []byte {
+	b[at]++
+	return msgp.AppendString(b, name)
+}
+
+func appendText(b []byte, at int, name, v string) []byte {
+	if v == "" {
+		return b
 	}
-	return len(*f.bytes) == 0
+	return msgp.AppendString(entry(b, at, name), v)
 }
 
-func appendFields(b []byte, fields []field) []byte {
-	n := uint32(0)
-	for i := range fields {
-		if !fields[i].zero() {
-			n++
-		}
+func appendSpan(b []byte, at int, name string, v, unit time.Duration) []byte {
+	if v < unit {
+		return b
 	}
-	b = msgp.AppendMapHeader(b, n)
-	for i := range fields {
-		f := &fields[i]
-		if f.zero() {
-			continue
-		}
-		b = msgp.AppendString(b, f.name)
-		switch {
-		case f.text != nil:
-			b = msgp.AppendString(b, *f.text)
-		case f.span != nil:
-			b = msgp.AppendUint64(b, uint64(*f.span/f.unit))
-		case f.truth != nil:
-			b = msgp.AppendBool(b, true)
-		default:
-			b = msgp.AppendBytes(b, *f.bytes)
-		}
+	return msgp.AppendUint64(entry(b, at, name), uint64(v/unit))
+}
+
+func appendBody(b []byte, at int, v []byte) []byte {
+	if len(v) == 0 {
+		return b
 	}
-	return b
+	return msgp.AppendBytes(entry(b, at, "body"), v)
 }
 
 // parseFields reads a map. Names that are not known are passed over, so that a later version may add some;
@@ -269,9 +256,23 @@
 	b = msgp.AppendUint8(b, uint8(Request))
 	b = msgp.AppendUint32(b, msgid)
 	b = msgp.AppendString(b, MethodCall)
-	b = msgp.AppendArrayHeader(b, 1)
-	fields := c.fields()
-	return appendFields(b, fields[:])
+	b = msgp.AppendMapHeader(msgp.AppendArrayHeader(b, 1), 0)
+	at := len(b) - 1
+	b = appendText(b, at, "id", c.ID)
+	b = appendText(b, at, "class", c.Class)
+	b = appendText(b, at, "tenant", c.Tenant)
+	b = appendText(b, at, "key", c.Key)
+	b = appendText(b, at, "idempotency_key", c.IdempotencyKey)
+	b = appendSpan(b, at, "wait_ms", c.Wait, time.Millisecond)
+	b = appendSpan(b, at, "hint_us", c.Hint, time.Microsecond)
+	if c.Retry {
+		b = msgp.AppendBool(entry(b, at, "retry"), true)
+	}
+	b = appendText(b, at, "method", c.Method)
+	b = appendText(b, at, "target", c.Target)
+	b = appendText(b, at, "authority", c.Authority)
+	b = appendText(b, at, "content_type", c.ContentType)
+	return appendBody(b, at, c.Body)
 }
 
 // ParseCall reads the parameters of a call. An error names the field.
@@ -293,12 +294,19 @@
 	b = msgp.AppendArrayHeader(b, 4)
 	b = msgp.AppendUint8(b, uint8(Response))
 	b = msgp.AppendUint32(b, msgid)
-	if r.Code != "" {
-		fields := r.failure()
-		return msgp.AppendNil(appendFields(b, fields[:]))
+	if r.Code == "" {
+		b = msgp.AppendNil(b)
+	}
+	b = msgp.AppendMapHeader(b, 0)
+	at := len(b) - 1
+	if r.Code == "" {
+		b = appendBody(b, at, r.Body)
+		b = appendText(b, at, "content_type", r.ContentType)
+		return appendText(b, at, "load", r.Load)
 	}
-	fields := r.success()
-	return appendFields(msgp.AppendNil(b), fields[:])
+	b = appendText(b, at, "code", string(r.Code))
+	b = appendText(b, at, "text", r.Text)
+	return msgp.AppendNil(appendSpan(b, at, "retry_after_ms", r.RetryAfter, time.Millisecond))
 }
 
 // ParseReply reads a response to a call. One with both an error and a result, or with neither, says
