--- a/membership/xds/script_test.go
+++ b/membership/xds/script_test.go
@@ -36,7 +36,7 @@
 			"answer", "10.0.0.1:1 10.0.0.2:1", "10.0.0.2:1 10.0.0.3:1"},
 		{"endpoints before their cluster", rooms + "order endpoints-first\ncluster more\nendpoints more 10.0.0.3:1\nendpoints rooms 10.0.0.1:1\npush",
 			"", "10.0.0.1:1 10.0.0.3:1", "10.0.0.1:1 10.0.0.3:1"},
-		{"a cluster replaced by another of its name", rooms + "stall endpoints\nwithdraw cluster rooms\nwithdraw endpoints rooms\ncluster rooms\nendpoints rooms 10.0.0.4:1\npush\nwait 50ms",
+		{"a cluster replaced by another of its name", rooms + "stall endpoints\ncluster rooms others\nendpoints others 10.0.0.4:1\npush\nexpect acks 3 within 20s",
 			"answer", "10.0.0.1:1 10.0.0.2:1", "10.0.0.4:1"},
 		{"a response twice", rooms + "again\nexpect acks 3 within 20s\nagain\nexpect acks 4 within 20s", "endpoints rooms 10.0.0.5:1\npush", "10.0.0.1:1 10.0.0.2:1", "10.0.0.5:1"},
 		{"a version that goes back", "version 9\n" + rooms + "version 3\nendpoints rooms 10.0.0.2:1\npush", "version 3\nendpoints rooms 10.0.0.6:1\npush", "10.0.0.2:1", "10.0.0.6:1"},
--- a/membership/xds/standin/script.go
+++ b/membership/xds/standin/script.go
@@ -97,8 +97,12 @@
 // verbs makes the steps, by their first word.
 var verbs = map[string]func(a args) (func(*run) error, error){
 	"cluster": func(a args) (func(*run) error, error) {
-		return stage(a, 1, 1, "NAME", func(a args) (proto.Message, error) {
-			return &xdspb.Cluster{Name: a.words[0], ClusterDiscoveryType: &xdspb.Cluster_Type{Type: xdspb.Cluster_EDS}}, nil
+		return stage(a, 1, 2, "NAME [SERVICE]", func(a args) (proto.Message, error) {
+			c := &xdspb.Cluster{Name: a.words[0], ClusterDiscoveryType: &xdspb.Cluster_Type{Type: xdspb.Cluster_EDS}}
+			if len(a.words) == 2 {
+				c.EdsClusterConfig = &xdspb.Cluster_EdsClusterConfig{ServiceName: a.words[1]}
+			}
+			return c, nil
 		})
 	},
 	"endpoints": func(a args) (func(*run) error, error) {
