--- a/emulator/model/model.go
+++ b/emulator/model/model.go
@@ -58,6 +58,12 @@
 	Grow   float64 // part by which a request a core held at its beginning makes it longer
 }
 
+// Repeats tells whether a key was there lately, in a group of servers that discard its repeats: *Keys, or one
+// that several share.
+type Repeats interface {
+	Repeat(key string, now time.Duration) bool
+}
+
 // Request is what a server is sent.
 type Request struct {
 	ID       string
@@ -94,7 +100,7 @@
 // Server is one server. It isn't safe for concurrent use. Times must not go back.
 type Server struct {
 	c     Config
-	group *Keys
+	group Repeats
 
 	now     time.Duration
 	started time.Duration
@@ -156,7 +162,7 @@
 }
 
 // New starts a server. group may be shared by several, or nil.
-func New(c Config, group *Keys, now time.Duration) *Server {
+func New(c Config, group Repeats, now time.Duration) *Server {
 	c.Cores, c.Slots = max(1, c.Cores), max(1, c.Slots)
 	if c.Speed <= 0 {
 		c.Speed = 1
