The demo runs on the emulator

Change: nine emulated servers behind the HTTP face, one slow, one that fails at once for a while (a face may be told to); bookings that ran twice are read from the servers' ledgers.

--- a/emulator/face/face_test.go
+++ b/emulator/face/face_test.go
@@ -28,7 +28,7 @@
 	transport func() router.Transport
 }{
 	"http": {func(ln net.Listener, h *host.Host, w Work) (string, func()) {
-		f := ServeHTTP1(ln, h, w)
+		f := ServeHTTP1(ln, h, w, nil)
 		return f.Addr, f.Close
 	},
 		func() router.Transport { return http1.New(http1.Config{}) }},
--- a/emulator/face/http.go
+++ b/emulator/face/http.go
@@ -27,6 +27,7 @@
 
 	host   *host.Host
 	work   Work
+	fails  func() bool
 	server *http.Server
 	ended  sync.WaitGroup
 
@@ -34,9 +35,10 @@
 	conns map[net.Conn]bool // that the host has counted
 }
 
-// ServeHTTP1 runs the face on a listener. The host's end is the caller's to see to.
-func ServeHTTP1(ln net.Listener, h *host.Host, work Work) *HTTP {
-	f := &HTTP{Addr: ln.Addr().String(), host: h, work: work, conns: make(map[net.Conn]bool)}
+// ServeHTTP1 runs the face on a listener. The host's end is the caller's to see to. fails, where it is not
+// nil, says of each request whether it is to fail at once: answered 500, though it may have had its effect.
+func ServeHTTP1(ln net.Listener, h *host.Host, work Work, fails func() bool) *HTTP {
+	f := &HTTP{Addr: ln.Addr().String(), host: h, work: work, fails: fails, conns: make(map[net.Conn]bool)}
 	f.server = &http.Server{Handler: http.HandlerFunc(f.answer), ConnState: f.state, ConnContext: withConn,
 		ReadHeaderTimeout: time.Minute, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
 	f.ended.Go(func() { _ = f.server.Serve(ln) }) // ends with Close
@@ -90,6 +92,10 @@
 		return
 	}
 	q := model.Request{ID: id, Key: r.Header.Get("Idempotency-Key"), Work: f.work(r.URL.Path, id)}
+	failing := f.fails != nil && f.fails()
+	if failing {
+		q.Work = 0
+	}
 	_, verdict, err := f.host.Do(q, r.Context().Done())
 	switch {
 	case verdict == model.Full:
@@ -98,6 +104,8 @@
 	case verdict == model.Down || errors.Is(err, host.ErrLost):
 		reset(r.Context().Value(connKey{}).(net.Conn))
 		panic(http.ErrAbortHandler) // no answer
+	case failing:
+		w.WriteHeader(http.StatusInternalServerError)
 	default:
 		body := "done " + id
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -1,4 +1,4 @@
-// Package demo shows a node at work on loopback: stand-in app servers in three zones, one of them slow
+// Package demo shows a node at work on loopback: emulated app servers in three zones, one of them slow
 // and one failing for a while, a stand-in for discovery, and some seconds of mixed traffic.
 package demo
 
@@ -17,6 +17,7 @@
 	"text/tabwriter"
 	"time"
 
+	"cobaltward/emulator/host"
 	"cobaltward/internal/node"
 	"cobaltward/membership/registry"
 	"cobaltward/policy"
@@ -67,15 +68,29 @@
 	c       Config
 	began   time.Time
 	servers []*server
-	ledger  *ledger
 	addr    string // of the node
 
 	mu      sync.Mutex
 	classes map[string]*tally
+	tries   map[string]int  // attempts by id
+	booked  map[string]bool // ids of bookings
+	ran     map[string]int  // executions by id, once the servers have ended
+	dropped int             // repeats of a key
 	open    int
 	sent    int
 }
 
+func newWorld(c Config) *world {
+	return &world{c: c, classes: make(map[string]*tally), tries: make(map[string]int), booked: make(map[string]bool), ran: make(map[string]int)}
+}
+
+// attempt books that a request has reached a server.
+func (w *world) attempt(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tries[id]++
+}
+
 // Run plays a demonstration and writes its progress and its result to out; on a terminal, progress
 // stays on one line. An error says which of the rules did not hold, or what could not be started.
 func Run(ctx context.Context, c Config, out io.Writer, terminal bool) error {
@@ -85,7 +100,7 @@
 	if c.Rate <= 0 {
 		c.Rate = 300
 	}
-	w := &world{c: c, ledger: newLedger(), classes: make(map[string]*tally)}
+	w := newWorld(c)
 	for _, class := range Settings().Classes {
 		w.classes[class.Name] = &tally{}
 	}
@@ -116,16 +131,16 @@
 		}
 	}()
 	w.began = time.Now()
+	group := host.NewGroup(keyWindow)
 	var members []router.Member
 	for i := range 9 {
-		s := newServer(i, w)
-		addr, end, err := serve(s)
+		s, err := startServer(i, w, group)
 		if err != nil {
 			return nil, err
 		}
-		closers = append(closers, end)
+		closers = append(closers, func() { s.stop(w) })
 		w.servers = append(w.servers, s)
-		members = append(members, router.Member{ID: s.id, Addr: addr, Zone: s.zone, Kind: "demo", Weight: 1})
+		members = append(members, router.Member{ID: s.id, Addr: s.face.Addr, Zone: s.zone, Kind: "demo", Weight: 1})
 	}
 	discovery, end, err := serve(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		select { // the list never changes
@@ -243,6 +258,9 @@
 	w.mu.Lock()
 	w.open++
 	w.sent++
+	if r.class == "rezervacia" {
+		w.booked[r.id] = true
+	}
 	w.mu.Unlock()
 	method := http.MethodPost
 	if r.class == "hladanie" {
@@ -284,7 +302,7 @@
 	default:
 		t.failed++
 	}
-	if w.ledger.attempts(r.id) > 1 {
+	if w.tries[r.id] > 1 {
 		t.retried++
 	}
 }
@@ -321,10 +339,18 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
-	bookings, twice := w.ledger.bookings()
+	bookings, twice := 0, []string(nil)
+	for id, ran := range w.ran {
+		if !w.booked[id] {
+			continue
+		}
+		if bookings++; ran > 1 {
+			twice = append(twice, id)
+		}
+	}
 	fmt.Fprintf(out, "\n%d bookings reached a server, and %d of them ran twice.\n", bookings, len(twice))
-	if repeats := w.ledger.droppedRepeats(); repeats > 0 {
-		fmt.Fprintf(out, "Servers dropped %d repeats of a cancellation by its key.\n", repeats)
+	if w.dropped > 0 {
+		fmt.Fprintf(out, "Servers dropped %d repeats of a cancellation by its key.\n", w.dropped)
 	}
 	if len(twice) > 0 || lost > 0 {
 		return fmt.Errorf("demo: %d requests without an answer, bookings that ran twice: %v", lost, twice)
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -28,10 +28,11 @@
 // The proof can fail: a booking that ran twice, and an answer that is missing, are errors.
 func TestReportTellsOfABreach(t *testing.T) {
 	for name, spoil := range map[string]func(*world){
-		"twice": func(w *world) { w.ledger.run("b1", "", true); w.ledger.run("b1", "", true) },
+		"twice": func(w *world) { w.booked["b1"], w.ran["b1"] = true, 2 },
 		"lost":  func(w *world) { w.classes["hladanie"].lost++ },
 	} {
-		w := &world{ledger: newLedger(), classes: map[string]*tally{"hladanie": {}, "rezervacia": {}, "zrusenie": {}}}
+		w := newWorld(Config{})
+		w.classes = map[string]*tally{"hladanie": {}, "rezervacia": {}, "zrusenie": {}}
 		var out bytes.Buffer
 		if err := w.report(&out); err != nil {
 			t.Fatal(err)
--- a/internal/demo/servers.go
+++ b/internal/demo/servers.go
@@ -5,8 +5,11 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync"
 	"time"
+
+	"cobaltward/emulator/face"
+	"cobaltward/emulator/host"
+	"cobaltward/emulator/model"
 )
 
 const (
@@ -20,53 +23,51 @@
 	keyWindow             = 4 * time.Second        // in which all servers drop a cancellation's repeat
 )
 
-// server is a stand-in app server.
+// server is an emulated app server.
 type server struct {
-	world    *world
-	n        int
 	id, zone string
-	slots    chan struct{}
-	waiting  chan struct{}
-}
-
-func newServer(n int, w *world) *server {
-	zones := []string{"bystrica", "presov", "nitra"}
-	return &server{world: w, n: n, id: fmt.Sprintf("server-%d", n), zone: zones[n/3],
-		slots: make(chan struct{}, slots), waiting: make(chan struct{}, slots+queue)}
+	host     *host.Host
+	face     *face.HTTP
 }
 
-func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id, key := r.Header.Get("X-Request-Id"), r.Header.Get("Idempotency-Key")
-	s.world.ledger.attempt(id)
-	select {
-	case s.waiting <- struct{}{}:
-		defer func() { <-s.waiting }()
-	default:
-		w.Header().Set("X-Not-Run", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	select {
-	case s.slots <- struct{}{}:
-		defer func() { <-s.slots }()
-	case <-r.Context().Done():
-		return
+// startServer runs the n-th server on loopback. Those of one group drop each other's repeats.
+func startServer(n int, w *world, group *host.Group) (*server, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
 	}
-	s.world.ledger.run(id, key, r.Method == http.MethodPost && key == "")
-	since := time.Since(s.world.began).Seconds() / s.world.c.For.Seconds()
-	if s.n == badServer && since >= badFrom && since < badTo && rand.Float64() < badShare {
-		w.WriteHeader(http.StatusInternalServerError)
-		return
+	s := &server{id: fmt.Sprintf("server-%d", n), zone: []string{"bystrica", "presov", "nitra"}[n/3]}
+	s.host = host.Start(model.Config{Cores: slots, Slots: slots, Queue: queue, Cancel: model.CancelAll}, group)
+	costs := model.Work{Dist: model.Exponential, Mean: work.Seconds()}
+	if n == slowServer {
+		costs.Mean = slowWork.Seconds()
 	}
-	mean := work
-	if s.n == slowServer {
-		mean = slowWork
+	var fails func() bool
+	if n == badServer {
+		fails = func() bool {
+			since := time.Since(w.began).Seconds() / w.c.For.Seconds()
+			return since >= badFrom && since < badTo && rand.Float64() < badShare
+		}
 	}
-	select {
-	case <-time.After(time.Duration(rand.ExpFloat64() * float64(mean))):
-	case <-r.Context().Done():
+	s.face = face.ServeHTTP1(ln, s.host, func(_, id string) float64 {
+		w.attempt(id)
+		return costs.Draw(w.c.Seed, id)
+	}, fails)
+	return s, nil
+}
+
+// stop ends the server, and books what it has run.
+func (s *server) stop(w *world) {
+	s.face.Close()
+	s.host.Stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range s.host.Ledger() {
+		w.ran[e.ID]++
+		if e.Discarded {
+			w.dropped++
+		}
 	}
-	fmt.Fprintf(w, "done by %s in %s", s.id, s.zone)
 }
 
 // serve runs h on loopback.
@@ -80,62 +81,3 @@
 	go func() { _ = s.Serve(ln); close(ended) }() // it ends with Close, and has nothing else to tell
 	return ln.Addr().String(), func() { _ = s.Close(); <-ended }, nil
 }
-
-// ledger books every execution, as members' credit would.
-type ledger struct {
-	mu      sync.Mutex
-	tries   map[string]int
-	booked  map[string]int // executions of what must never run twice, by id
-	keys    map[string]time.Time
-	dropped int
-}
-
-func newLedger() *ledger {
-	return &ledger{tries: make(map[string]int), booked: make(map[string]int), keys: make(map[string]time.Time)}
-}
-
-func (l *ledger) attempt(id string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.tries[id]++
-}
-
-func (l *ledger) attempts(id string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.tries[id]
-}
-
-func (l *ledger) run(id, key string, once bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if once {
-		l.booked[id]++
-	}
-	if key == "" {
-		return
-	}
-	if at, ok := l.keys[key]; ok && time.Since(at) < keyWindow {
-		l.dropped++
-		return
-	}
-	l.keys[key] = time.Now()
-}
-
-// bookings tells how many ran, and which ran twice.
-func (l *ledger) bookings() (n int, twice []string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for id, ran := range l.booked {
-		if ran > 1 {
-			twice = append(twice, id)
-		}
-	}
-	return len(l.booked), twice
-}
-
-func (l *ledger) droppedRepeats() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.dropped
-}
