What transports say alike of an attempt is said once

Need: the second transport wrote again what the first had: when nothing may go out any more, what an attempt without an answer came to, and how a load report reads (the second one's reader was laxer). Change: transport/outcome has it; both use it.

--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -19,6 +18,7 @@
 	"cobaltward/internal/sockets"
 	"cobaltward/policy"
 	"cobaltward/router"
+	"cobaltward/transport/outcome"
 	"cobaltward/transport/servers"
 )
 
@@ -315,7 +315,7 @@
 	}
 	result := router.Result{Code: policy.ServerError}
 	if h.load != "" {
-		result.Report = loadReport(h.load, u.reported())
+		result.Report = outcome.LoadReport(h.load, u.reported())
 	}
 	switch h.status {
 	case http.StatusOK:
@@ -331,12 +331,9 @@
 
 // late tells why nothing may be written to p any more.
 func (u *Transport) late(ctx context.Context, p *pool) error {
-	if err := ctx.Err(); err != nil {
+	if err := outcome.Over(ctx); err != nil {
 		return err
 	}
-	if end, ok := ctx.Deadline(); ok && !time.Now().Before(end) { // its timer may be late as well
-		return context.DeadlineExceeded
-	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if p.Closed(u.grace) {
@@ -396,20 +393,13 @@
 	return errSpoilt
 }
 
-// broken names the outcome of an attempt that brought no answer. One whose last byte was never
-// written can't have run, also where its time is up; when unsure, it may have run.
+// broken names the outcome of an attempt that brought no answer.
 func broken(ctx context.Context, err error, mayRun bool) policy.Code {
-	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
-		return policy.Cancelled
-	case !mayRun:
-		return policy.ConnectFailed
-	case ctx.Err() != nil:
-		return policy.TimedOut
-	case errors.Is(err, errSpoilt):
+	code := outcome.Lost(ctx, mayRun)
+	if code == policy.Reset && errors.Is(err, errSpoilt) {
 		return policy.ServerError
 	}
-	return policy.Reset
+	return code
 }
 
 // write puts the copy of r that a server gets into out, and nothing in the client's name that it did
@@ -480,32 +470,3 @@
 	}
 	return true
 }
-
-// maxReported is more than any figure of a load report can be.
-const maxReported = 1e9
-
-// loadReport reads `name=value,name=value` into the order of names; nil where there is none, or where
-// a part of it is missing or makes no sense: the rest is then not to be trusted either.
-func loadReport(text string, names []string) []float64 {
-	if text == "" || len(names) == 0 {
-		return nil
-	}
-	figures := make(map[string]float64)
-	for _, pair := range strings.Split(text, ",") {
-		name, v, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		n, err := strconv.ParseFloat(v, 64)
-		if _, twice := figures[name]; twice || err != nil || !(n >= 0 && n <= maxReported) {
-			return nil
-		}
-		figures[name] = n
-	}
-	row := make([]float64, len(names))
-	for i, name := range names {
-		n, ok := figures[name]
-		if !ok {
-			return nil
-		}
-		row[i] = n
-	}
-	return row
-}
--- a/transport/http1/http1_test.go
+++ b/transport/http1/http1_test.go
@@ -19,6 +19,7 @@
 	"cobaltward/internal/testkit"
 	"cobaltward/policy"
 	"cobaltward/router"
+	"cobaltward/transport/outcome"
 )
 
 // long is more than any step of a test takes; nothing waits for it unless the test fails.
@@ -356,12 +357,12 @@
 
 func TestReadsLoadReports(t *testing.T) {
 	names := []string{"util", "queue"}
-	if got := loadReport("inflight=7, queue=2,util=0.61", names); got[0] != 0.61 || got[1] != 2 {
+	if got := outcome.LoadReport("inflight=7, queue=2,util=0.61", names); got[0] != 0.61 || got[1] != 2 {
 		t.Errorf("got %v", got)
 	}
 	for _, text := range []string{"", "util=x,,=", "util=0.5", "util=NaN,queue=1", "util=Inf,queue=1",
 		"util=0.5,queue=-1", "util=0.5,queue=1e300", "util=0.5,util=0.6,queue=1", "util=0.5,queue=1,x=?"} {
-		if got := loadReport(text, names); got != nil {
+		if got := outcome.LoadReport(text, names); got != nil {
 			t.Errorf("%q: got %v, want none", text, got)
 		}
 	}
--- a/transport/msgpack/msgpack.go
+++ b/transport/msgpack/msgpack.go
@@ -6,8 +6,6 @@
 	"context"
 	"errors"
 	"net"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -15,6 +13,7 @@
 	"cobaltward/msgpackrpc/mux"
 	"cobaltward/policy"
 	"cobaltward/router"
+	"cobaltward/transport/outcome"
 	"cobaltward/transport/servers"
 )
 
@@ -300,12 +299,9 @@
 
 // may says why nothing may be written to s any more.
 func (t *Transport) may(ctx context.Context, s *server) error {
-	if err := ctx.Err(); err != nil {
+	if err := outcome.Over(ctx); err != nil {
 		return err
 	}
-	if end, ok := ctx.Deadline(); ok && !time.Now().Before(end) { // its timer may be late as well
-		return context.DeadlineExceeded
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s.Closed(t.grace) || !s.Pool.drained.IsZero() && time.Since(s.Pool.drained) < drainKept {
@@ -326,7 +322,7 @@
 		case errors.Is(err, errFull):
 			return router.Result{Code: policy.Moot} // the server is not to blame
 		case err != nil:
-			return router.Result{Code: lost(ctx, false)}
+			return router.Result{Code: outcome.Lost(ctx, false)}
 		}
 		if end, ok := ctx.Deadline(); ok {
 			q.Wait = max(time.Millisecond, time.Until(end))
@@ -346,21 +342,8 @@
 		case errors.As(err, &spoilt):
 			return router.Result{Code: policy.ServerError}
 		}
-		return router.Result{Code: lost(ctx, notSent == nil)}
-	}
-}
-
-// lost names the outcome of an attempt that brought no answer.
-func lost(ctx context.Context, mayRun bool) policy.Code {
-	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
-		return policy.Cancelled
-	case !mayRun:
-		return policy.ConnectFailed
-	case ctx.Err() != nil:
-		return policy.TimedOut
+		return router.Result{Code: outcome.Lost(ctx, notSent == nil)}
 	}
-	return policy.Reset
 }
 
 // result is what an answer says.
@@ -370,31 +353,9 @@
 		t.mu.Lock()
 		names := t.report
 		t.mu.Unlock()
-		return router.Result{Code: policy.OK, Answer: router.Answer{Body: r.Body, ContentType: r.ContentType}, Report: loadReport(r.Load, names)}
+		return router.Result{Code: policy.OK, Answer: router.Answer{Body: r.Body, ContentType: r.ContentType}, Report: outcome.LoadReport(r.Load, names)}
 	case msgpackrpc.NotRun, msgpackrpc.Refused, msgpackrpc.Overloaded:
 		return router.Result{Code: policy.Full}
 	}
 	return router.Result{Code: policy.ServerError}
 }
-
-// loadReport reads `name=value,…` into the order of names; nil where one is missing or makes no sense.
-func loadReport(text string, names []string) []float64 {
-	if text == "" || len(names) == 0 {
-		return nil
-	}
-	row := make([]float64, 0, len(names))
-	for _, name := range names {
-		for pair := range strings.SplitSeq(text, ",") {
-			if key, v, _ := strings.Cut(strings.TrimSpace(pair), "="); key == name {
-				if n, err := strconv.ParseFloat(v, 64); err == nil && n >= 0 && n <= 1e9 {
-					row = append(row, n)
-				}
-				break
-			}
-		}
-	}
-	if len(row) != len(names) {
-		return nil
-	}
-	return row
-}
