--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -62,8 +62,8 @@
 			Short: "Serve clients until SIGTERM",
 			Long: `Serve clients until SIGTERM, by the platform's configuration: the JSON file that
 ROUTER_CONFIG names, with ROUTER_NAME, ROUTER_LISTEN and ROUTER_DISCOVERY ahead of it where set.
-SIGHUP reads it again: discovery's address and the settings take effect at once, the rest at the next
-start. SIGTERM ends the node in order.`,
+SIGHUP reads it and the operator's own file again, both or neither: discovery's address, the settings, log.level,
+drain.deadline and xds.pools take effect at once, the rest at the next start. SIGTERM ends the node in order.`,
 			Args: cobra.NoArgs,
 			RunE: func(c *cobra.Command, _ []string) error { return serve(own, c.ErrOrStderr(), e) },
 		},
--- a/membership/xds/xds.go
+++ b/membership/xds/xds.go
@@ -407,8 +407,11 @@
 	if had && len(s.book.members) == 0 {
 		s.log.Error("xds: the control plane has taken every server away")
 	}
-	if change.Drops != nil {
+	switch {
+	case len(change.Drops) > 0:
 		s.log.Warn("xds: the control plane asks for requests to be dropped", "parts", change.Drops)
+	case change.Drops != nil:
+		s.log.Info("xds: the control plane asks for no requests to be dropped any more")
 	}
 	return change
 }
