Emulator: scripts, draws, a judge of the four rules, and whole sites in virtual time

Rehearsals need a site, its traffic and its faults from one script, and an end that is the same each time. The engine can now be stepped (router.Stepped): the same loop, timers and module without a goroutine or a clock. Around it emulator/script reads strict TOML (internal/strict names line, key and what is allowed), emulator/plan draws servers, faults and requests, emulator/sim plays servers, network, discovery, front and clients as events, emulator/judge holds them against the four rules, and emulator/result keeps the books.

--- /dev/null
+++ b/emulator/sim/client.go
@@ -0,0 +1,229 @@
+package sim
+
+import (
+	"time"
+
+	"cobaltward/emulator/plan"
+	"cobaltward/emulator/result"
+	"cobaltward/router"
+)
+
+// request is one of a client's, with all its tries.
+type request struct {
+	plan.Request
+	work     float64
+	ranWork  float64 // of the attempt that was answered last
+	tries    int
+	attempts int
+	faults   []int // that it met
+	at       *node // where its present try is
+	live     bool  // the try is out
+	lost     bool  // it went with its node: it may have run
+	honours  bool
+	id       string // of the present try
+	sent     time.Duration
+	wait     time.Duration
+}
+
+func (r *request) meet(fault int) {
+	for i, f := range r.faults {
+		if f == fault {
+			return
+		}
+		if f > fault {
+			r.faults = append(r.faults[:i], append([]int{fault}, r.faults[i:]...)...)
+			return
+		}
+	}
+	r.faults = append(r.faults, fault)
+}
+
+// arrive has the next request come, at its time whatever became of those before.
+func (w *world) arrive(a *plan.Arrivals) {
+	next, ok := a.Next()
+	if !ok {
+		w.traffic = false
+		return
+	}
+	w.flying++
+	w.q.put(next.At, func() {
+		r := &request{Request: next, work: w.p.Work(&next)}
+		if r.CostlyBy >= 0 {
+			r.meet(r.CostlyBy)
+		}
+		w.book.Offered(&r.Request)
+		var leaves float64
+		r.honours, leaves = w.p.Client(&r.Request)
+		w.try(r, leaves)
+		w.arrive(a)
+	})
+}
+
+// node is where the front sends a client of a zone.
+func (w *world) node(r *request) *node {
+	if r.Node >= 0 && r.tries == 0 {
+		return w.nodes[r.Node]
+	}
+	all := w.zones[r.Zone]
+	if len(all) == 0 {
+		all = w.nodes
+	}
+	for range all {
+		w.turn[r.Zone]++
+		if n := all[w.turn[r.Zone]%len(all)]; !n.noticed {
+			return n
+		}
+	}
+	for range w.nodes { // none of its own zone: the front looks further
+		w.turn[""]++
+		if n := w.nodes[w.turn[""]%len(w.nodes)]; !n.noticed {
+			return n
+		}
+	}
+	return nil
+}
+
+// try sends a request once.
+func (w *world) try(r *request, leaves float64) {
+	class := w.p.Script.Classes[r.Class]
+	r.sent = w.now
+	r.wait = min(time.Duration(w.p.Script.Clients.TryShare*float64(class.Deadline)), class.Deadline-(w.now-r.At))
+	r.id = r.Try(r.tries)
+	r.at = w.node(r)
+	r.tries++
+	r.live, r.lost = true, false
+	w.book.Try()
+	n, id := r.at, r.id
+	if w.requests == nil {
+		w.requests = make(map[string]*request)
+	}
+	w.requests[id] = r
+	way := w.delay(w.p.Script.Net.Client, "client", id)
+	if n == nil {
+		w.after(2*way, func() { w.tried(r, id, result.Missed, 0) })
+		return
+	}
+	times := 1
+	if w.p.Chance("duplicate", id) < w.p.Script.Clients.DuplicateIDs {
+		times = 2
+	}
+	for i := range times {
+		w.after(way+time.Duration(i)*time.Millisecond, func() { w.deliver(r, n, id, way, i) })
+	}
+	w.after(r.wait, func() { w.leave(r, n, id, way, result.GaveUp) })
+	if leaves > 0 {
+		w.after(time.Duration(leaves*float64(r.wait)), func() {
+			if r.live && r.id == id {
+				w.judge.Left(n.spec.Name, id, 0)
+				w.leave(r, n, id, way, result.GaveUp)
+			}
+		})
+	}
+}
+
+// deliver hands a try to its node; i counts those under one id.
+func (w *world) deliver(r *request, n *node, id string, way time.Duration, i int) {
+	if n.engine == nil {
+		if i == 0 {
+			w.after(way, func() { w.tried(r, id, result.Missed, 0) })
+		}
+		return
+	}
+	s := w.p.Script
+	due := r.sent + r.wait
+	w.judge.Taken(w.now, n.spec.Name, id, s.Classes[r.Class].Name, due)
+	life := n.lives
+	n.step(func(now time.Duration) {
+		err := n.engine.Offer(now, router.Request{ID: id, Class: s.Classes[r.Class].Name, Tenant: s.Tenants[r.Tenant].Name,
+			IdempotencyKey: r.Key, Wait: due - w.now, Retry: r.tries > 1}, func(a router.Answer) {
+			w.after(way, func() {
+				if n.lives == life { // else the connection went with the node
+					w.answered(r, n, id, i, a)
+				}
+			})
+		})
+		if err != nil {
+			w.engines = err
+		}
+	})
+}
+
+func (w *world) answered(r *request, n *node, id string, i int, a router.Answer) {
+	refused := a.Outcome == router.Refused || a.Outcome == router.Overloaded
+	w.judge.Answer(w.now, n.spec.Name, id, i, refused)
+	if i > 0 {
+		return
+	}
+	end := result.Failed
+	switch {
+	case refused:
+		end = result.Refused
+	case a.Outcome == router.Served:
+		end = result.Served
+	}
+	w.tried(r, id, end, a.RetryAfter)
+}
+
+// leave has a client close its connection.
+func (w *world) leave(r *request, n *node, id string, way time.Duration, end result.End) {
+	if !r.live || r.id != id {
+		return
+	}
+	life := n.lives
+	w.after(way, func() {
+		if n.lives == life {
+			n.step(func(now time.Duration) { n.engine.Leave(now, id) })
+		}
+	})
+	w.tried(r, id, end, 0)
+}
+
+// lose has the clients of a node that died learn of it.
+func (w *world) lose(n *node, f *plan.Fault) {
+	for _, id := range sortedKeys(w.requests) {
+		r := w.requests[id]
+		if r.live && r.at == n && r.id == id {
+			r.meet(f.Index)
+			r.lost = true
+			w.after(w.p.Script.Net.Client, func() { w.tried(r, id, result.Missed, 0) })
+		}
+	}
+}
+
+// tried is the end of a try: the client's end, or its next try.
+func (w *world) tried(r *request, id string, end result.End, retryAfter time.Duration) {
+	if !r.live || r.id != id {
+		return
+	}
+	r.live = false
+	// The engine may still send for it, so it is known by its id for a while.
+	w.after(longest(w.p), func() {
+		if w.requests[id] == r {
+			delete(w.requests, id)
+		}
+	})
+	s := w.p.Script
+	class := s.Classes[r.Class]
+	again := end == result.Refused || end == result.Missed || end == result.Failed
+	if mayHaveRun := end == result.Failed || r.lost; mayHaveRun && class.Repeat == "never" {
+		again = false
+	}
+	if again && r.tries <= s.Clients.Retries {
+		wait := w.p.Wait(r.tries)
+		if end == result.Refused && r.honours && retryAfter > 0 {
+			wait = max(wait, min(retryAfter, s.Clients.MaxRetryAfter))
+		}
+		if left := class.Deadline - (w.now + wait - r.At); left > shortestTry {
+			w.after(wait, func() { w.try(r, 0) })
+			return
+		}
+	}
+	if end == result.Served {
+		w.book.Useful(r.ranWork)
+	}
+	w.flying--
+	w.book.Done(w.now, &r.Request, result.Outcome{End: end, Took: w.now - r.At, Tries: r.tries, Attempts: r.attempts, Met: r.faults})
+}
+
+// shortestTry is the time below which a client does not try again.
+const shortestTry = 50 * time.Millisecond
--- /dev/null
+++ b/emulator/sim/node.go
@@ -0,0 +1,488 @@
+package sim
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"cobaltward/emulator/plan"
+	"cobaltward/policy"
+	"cobaltward/router"
+)
+
+// node is one instance of the router with its machine: its engine, its connections, and the agent by which
+// discovery reaches it.
+type node struct {
+	w       *world
+	index   int
+	spec    *plan.Node
+	engine  *router.Stepped // nil while the process is dead
+	born    time.Duration
+	lives   int
+	wake    time.Duration // when the engine's next timer is due; 0: none is
+	conns   int
+	idle    map[string][]*conn // by server, the last used at the end
+	out     map[router.Try]*try
+	known   map[string]router.Member // as last told
+	drained map[string]time.Duration // since when it knows
+	agent   []router.Member          // news that the process has not heard
+	ready   time.Duration            // of the newest news: it never overtakes
+	noticed bool                     // the front knows that it is dead
+}
+
+// conn is a connection to a process.
+type conn struct {
+	p      *process
+	used   time.Duration
+	broken bool // by a cut or a silence: what goes over it comes to nothing
+}
+
+func (w *world) addNode(i int) error {
+	n := &node{w: w, index: i, spec: &w.p.Nodes[i], known: make(map[string]router.Member)}
+	for _, s := range w.servers {
+		n.known[s.id] = s.member(policy.Running)
+	}
+	w.nodes = append(w.nodes, n)
+	w.zones[n.spec.Zone] = append(w.zones[n.spec.Zone], n)
+	return n.start()
+}
+
+// start runs the process, which begins with the list as last held.
+func (n *node) start() error {
+	seed := fnv.New64a()
+	seed.Write([]byte{byte(n.index), byte(n.index >> 8), byte(n.lives)})
+	c := router.Config{Settings: n.w.p.SettingsOf(n.index), MaxOpen: n.w.p.Script.Nodes.MaxOpen, Seed: n.w.p.Seed ^ seed.Sum64()}
+	for _, id := range sortedKeys(n.known) {
+		c.Members = append(c.Members, n.known[id])
+	}
+	var opts []router.Option
+	if n.w.o.Without != nil {
+		opts = append(opts, router.WithoutGuards(n.w.o.Without()))
+	}
+	engine, err := router.NewStepped(c, n, epoch.Add(n.w.now), opts...)
+	if err != nil {
+		return err
+	}
+	n.engine, n.born, n.wake, n.noticed = engine, n.w.now, 0, false
+	n.idle, n.conns, n.out = make(map[string][]*conn), 0, make(map[router.Try]*try)
+	n.drained = make(map[string]time.Duration)
+	for id, m := range n.known {
+		if m.State != policy.Running {
+			n.drained[id] = n.w.now
+			n.w.judge.Told(n.w.now, n.spec.Name, id, false)
+		}
+	}
+	n.step(func(now time.Duration) { engine.Advance(now) })
+	return nil
+}
+
+// step has the engine do something, and sees to its next timer.
+func (n *node) step(do func(now time.Duration)) {
+	if n.engine == nil {
+		return
+	}
+	do(n.w.now - n.born)
+	at, ok := n.engine.Next()
+	if !ok {
+		return
+	}
+	if at = max(n.born+at, n.w.now+1); n.wake <= n.w.now || at < n.wake {
+		n.wake = at
+		life := n.lives
+		n.w.q.put(at, func() {
+			if n.wake == at && n.lives == life {
+				n.step(func(now time.Duration) { n.engine.Advance(now) })
+			}
+		})
+	}
+}
+
+// crash kills the process: all its connections are reset, and what it held is lost.
+func (n *node) crash(f *plan.Fault) {
+	if n.engine == nil {
+		return
+	}
+	n.w.judge.NodeDown(n.spec.Name)
+	n.engine = nil
+	n.lives++
+	for _, t := range sortedTries(n.out) {
+		t.over = true
+		t.conn.hangUp(t)
+	}
+	for _, id := range sortedKeys(n.idle) {
+		for _, c := range n.idle[id] {
+			c.hangUp(nil)
+		}
+	}
+	n.w.lose(n, f)
+	life := n.lives
+	n.w.after(n.w.p.Script.Nodes.Notice, func() {
+		if n.lives == life && n.engine == nil {
+			n.noticed = true
+		}
+	})
+}
+
+// restart runs the process again, with the list as it last held it; then it asks its agent.
+func (n *node) restart() error {
+	if n.engine != nil {
+		return nil
+	}
+	if err := n.start(); err != nil {
+		return err
+	}
+	n.listen()
+	return nil
+}
+
+// news has the agent learn of a server, late.
+func (n *node) news(m router.Member) {
+	at := n.w.now + n.spec.Delay
+	for _, d := range n.w.late {
+		at += d
+	}
+	n.ready = max(n.ready, at)
+	n.w.q.put(n.ready, func() {
+		n.agent = append(n.agent, m)
+		n.listen()
+	})
+}
+
+// listen has the process hear what the agent has, unless either is out of reach.
+func (n *node) listen() {
+	if n.w.unheard > 0 || n.engine == nil || len(n.agent) == 0 {
+		return
+	}
+	news := n.agent
+	n.agent = nil
+	for _, m := range news {
+		open := m.State == policy.Running
+		n.w.judge.Told(n.w.now, n.spec.Name, m.ID, open)
+		if m.State == policy.Removed {
+			delete(n.known, m.ID)
+		} else {
+			n.known[m.ID] = m
+		}
+		if open {
+			delete(n.drained, m.ID)
+		} else if _, there := n.drained[m.ID]; !there {
+			n.drained[m.ID] = n.w.now
+		}
+	}
+	n.step(func(now time.Duration) { n.engine.Tell(now, router.Change{Kind: policy.ListUpdate, Members: news}) })
+}
+
+// unstick ends the connections over which nothing went for a while, once something does again.
+func (n *node) unstick() {
+	for _, t := range sortedTries(n.out) {
+		if t.stuck && !t.blocked() {
+			t.broken(t.delay)
+		}
+	}
+}
+
+// Launch begins an attempt, as the transport over HTTP/1.1 does.
+func (n *node) Launch(e router.Try) {
+	w := n.w
+	s := w.byID[e.Server]
+	r := w.requests[e.Request.ID]
+	t := &try{n: n, e: e, server: s, request: r, id: e.Request.ID + "/" + string(rune('0'+e.N%10)), until: n.born + e.Until, key: e.Request.IdempotencyKey, class: e.Request.Class}
+	if e.N >= 10 {
+		t.id += "+"
+	}
+	n.out[e] = t
+	if r != nil {
+		r.attempts++
+		t.work = r.work
+	}
+	if s == nil {
+		w.after(0, func() { t.end(policy.ConnectFailed) })
+		return
+	}
+	t.delay = w.delay(w.between(n.spec.Zone, s.spec.Zone), "way", t.id)
+	idle := n.idle[s.id]
+	for len(idle) > 0 {
+		c := idle[len(idle)-1]
+		idle = idle[:len(idle)-1]
+		if w.now-c.used < w.p.Script.Allow.ConnIdle/2 && !c.p.dead && !c.broken {
+			n.idle[s.id] = idle
+			t.conn = c
+			t.send()
+			return
+		}
+		n.conns--
+		c.hangUp(nil)
+	}
+	n.idle[s.id] = idle
+	if n.conns >= w.p.Script.Nodes.MaxConns && !n.evict() {
+		w.after(0, func() { t.end(policy.Moot) })
+		return
+	}
+	n.conns++
+	t.connect()
+}
+
+// evict closes an idle connection to make room.
+func (n *node) evict() bool {
+	var oldest string
+	for _, id := range sortedKeys(n.idle) {
+		if len(n.idle[id]) > 0 && (oldest == "" || n.idle[id][0].used < n.idle[oldest][0].used) {
+			oldest = id
+		}
+	}
+	if oldest == "" {
+		return false
+	}
+	n.idle[oldest][0].hangUp(nil)
+	n.idle[oldest] = n.idle[oldest][1:]
+	n.conns--
+	return true
+}
+
+// CallOff ends an attempt from the node's side: its connection is closed.
+func (n *node) CallOff(e router.Try) {
+	t := n.out[e]
+	if t == nil {
+		return
+	}
+	code := policy.TimedOut
+	switch {
+	case !e.Expired():
+		code = policy.Cancelled
+	case !t.sent:
+		code = policy.ConnectFailed
+	}
+	t.off = true
+	n.w.after(0, func() { t.end(code) })
+}
+
+// CloseIdle drops the idle connections to a server.
+func (n *node) CloseIdle(id string) {
+	for _, c := range n.idle[id] {
+		n.conns--
+		c.hangUp(nil)
+	}
+	delete(n.idle, id)
+}
+
+// try is one attempt on its way.
+type try struct {
+	n       *node
+	e       router.Try
+	request *request
+	server  *server
+	conn    *conn
+	id      string // of the attempt, at the server
+	key     string
+	class   string
+	work    float64
+	until   time.Duration
+	delay   time.Duration
+	sent    bool // its last byte is written
+	off     bool // called off
+	over    bool
+	stuck   bool // nothing comes of it until the way is free again, when it is reset
+	fails   bool
+	half    bool
+	garbled bool
+}
+
+func (t *try) met(f *plan.Fault) {
+	if t.request != nil {
+		t.request.meet(f.Index)
+	}
+}
+
+// blocked tells whether nothing passes between the node and the server, and by which faults.
+func (t *try) blocked() bool {
+	w := t.n.w
+	for _, f := range t.server.silent {
+		t.met(f)
+	}
+	if !w.parted(t.n.spec.Zone, t.server.spec.Zone) {
+		return len(t.server.silent) > 0
+	}
+	for i := range w.p.Faults {
+		if f := &w.p.Faults[i]; f.Kind == "zone-cut" && f.At <= w.now && w.now < f.Until() {
+			t.met(f)
+		}
+	}
+	return true
+}
+
+// connect makes a connection, and sends over it.
+func (t *try) connect() {
+	w, s := t.n.w, t.server
+	w.book.Connect()
+	if t.blocked() {
+		w.after(w.p.Script.Net.Connect, func() { t.end(policy.ConnectFailed) })
+		return
+	}
+	w.after(t.delay, func() {
+		if t.over {
+			return
+		}
+		p := s.up
+		if p == nil || !p.m.Connect(w.now) { // refused
+			if p != nil {
+				p.run()
+			}
+			w.after(t.delay, func() { t.end(policy.ConnectFailed) })
+			return
+		}
+		p.run()
+		t.conn = &conn{p: p}
+		w.after(t.delay*time.Duration(2*w.p.Script.Net.RTTs-1), func() {
+			if !t.over {
+				t.send()
+			}
+		})
+	})
+}
+
+// send writes the request, unless that is not allowed any more.
+func (t *try) send() {
+	w, n := t.n.w, t.n
+	if since, there := n.drained[t.server.id]; there && !w.o.Careless && w.now-since >= w.p.Settings.Rules.DrainGrace/2 {
+		w.after(0, func() { t.end(policy.ConnectFailed) })
+		return
+	}
+	if t.off || w.now >= t.until {
+		w.after(0, func() { t.end(policy.ConnectFailed) })
+		return
+	}
+	t.sent = true
+	w.book.Attempt(w.now, t.e.N, t.server.spec.Zone != n.spec.Zone)
+	w.judge.Sent(w.now, n.spec.Name, t.e.Request.ID, t.e.N, t.server.id)
+	if t.blocked() {
+		t.stuck = true
+		return
+	}
+	p := t.conn.p
+	w.after(t.delay, func() {
+		p.receive(t)
+	})
+}
+
+// reply has an end of the attempt come back to the node.
+func (t *try) reply(do func()) {
+	if t.blocked() {
+		t.stuck = true
+		return
+	}
+	t.n.w.after(t.delay, func() {
+		if !t.over {
+			do()
+		}
+	})
+}
+
+func (t *try) done(discarded bool) {
+	t.reply(func() {
+		switch {
+		case t.half || t.garbled:
+			t.end(policy.Reset)
+		case t.fails:
+			t.end(policy.ServerError)
+		default:
+			t.end(policy.OK)
+		}
+	})
+}
+
+// turnedAway is the server's word that the request never ran.
+func (t *try) turnedAway() {
+	t.reply(func() {
+		t.n.w.judge.Proved(t.n.spec.Name, t.e.Request.ID, t.e.N)
+		t.end(policy.Full)
+	})
+}
+
+// broken has the connection break; the node learns of it after a while.
+func (t *try) broken(after time.Duration) {
+	if t.conn != nil {
+		t.conn.broken = true
+	}
+	t.n.w.after(after, func() {
+		if t.n.w.o.Lying {
+			t.end(policy.ConnectFailed)
+		} else {
+			t.end(policy.Reset)
+		}
+	})
+}
+
+// end tells the node, once, and sees to the connection.
+func (t *try) end(code policy.Code) {
+	n := t.n
+	if t.over || n.out[t.e] != t {
+		return
+	}
+	t.over = true
+	delete(n.out, t.e)
+	if c := t.conn; c != nil {
+		if t.sent && (code == policy.OK || code == policy.Full || code == policy.ServerError) && !c.p.dead && !c.broken {
+			c.used = n.w.now
+			n.idle[t.server.id] = append(n.idle[t.server.id], c)
+		} else {
+			n.conns--
+			c.hangUp(t)
+		}
+	} else if t.server != nil && code != policy.Moot {
+		n.conns--
+	}
+	if code == policy.OK && t.request != nil {
+		t.request.ranWork = t.work
+	}
+	n.step(func(now time.Duration) {
+		n.engine.End(now, t.e, router.Result{Code: code, Answer: router.Answer{Body: done}})
+	})
+}
+
+var done = []byte("done")
+
+// hangUp closes a connection from the node's side; the server learns of it after a while.
+func (c *conn) hangUp(t *try) {
+	if c == nil {
+		return
+	}
+	p := c.p
+	d := p.s.w.p.Script.Net.Same
+	if t != nil {
+		d = t.delay
+	}
+	p.s.w.after(d, func() {
+		if t != nil {
+			p.cancel(t)
+		} else if !p.dead {
+			p.m.Disconnect(p.s.w.now)
+			p.run()
+		}
+	})
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func sortedTries(m map[router.Try]*try) []*try {
+	all := make([]*try, 0, len(m))
+	for _, t := range m {
+		all = append(all, t)
+	}
+	slices.SortFunc(all, func(a, b *try) int {
+		switch {
+		case a.id < b.id:
+			return -1
+		case a.id > b.id:
+			return 1
+		}
+		return 0
+	})
+	return all
+}
--- /dev/null
+++ b/emulator/sim/world.go
@@ -0,0 +1,244 @@
+// Package sim plays a plan in virtual time: the engine and its module as they are, around them models of the
+// servers, the network, discovery, the front and the clients. One goroutine, no clock, no socket: the same
+// plan comes to the same end every time, byte for byte.
+package sim
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"cobaltward/emulator/judge"
+	"cobaltward/emulator/plan"
+	"cobaltward/emulator/result"
+	"cobaltward/internal/guards"
+	"cobaltward/policy"
+	"cobaltward/router"
+)
+
+// epoch is the wall clock at a rehearsal's beginning.
+var epoch = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+// Options are what a rehearsal may be told beside its plan.
+type Options struct {
+	// Without is what the engines lack, by node; nil for nothing. Each engine has a module of its own.
+	Without func() guards.Without
+	// Careless transports send to drained servers, and Lying ones take every reset for proof that nothing ran.
+	Careless, Lying bool
+	Progress        func(at time.Duration)
+	Detail          func(*plan.Request, result.Outcome)
+}
+
+// world is everything that there is.
+type world struct {
+	p     *plan.Plan
+	o     Options
+	q     queue
+	now   time.Duration
+	judge *judge.Judge
+	book  *result.Book
+
+	servers []*server
+	byID    map[string]*server
+	nodes   []*node
+	zones   map[string][]*node
+	turn    map[string]int
+	cut     map[string]int // zones that are cut off
+	keys    keyTables
+
+	unheard  int                 // faults that keep discovery silent
+	late     []time.Duration     // delays that the list has on top
+	flying   int                 // requests without their end
+	traffic  bool                // more is to come
+	requests map[string]*request // by the id of a try
+	engines  error
+}
+
+// Run plays a plan to its end.
+func Run(ctx context.Context, p *plan.Plan, o Options) (*result.Result, error) {
+	w := &world{p: p, o: o, byID: make(map[string]*server), zones: make(map[string][]*node), turn: make(map[string]int),
+		cut: make(map[string]int), book: result.NewBook(p, "virtual", o.Detail), traffic: true}
+	w.keys.world = w
+	w.judge = judge.New(Rulebook(p, w.place))
+	for i := range p.Servers {
+		w.addServer(&p.Servers[i], p.Servers[i].ID, i, true)
+	}
+	for i := range p.Nodes {
+		if err := w.addNode(i); err != nil {
+			return nil, err
+		}
+	}
+	for i := range p.Faults {
+		w.schedule(&p.Faults[i])
+	}
+	w.arrive(p.Arrivals())
+	w.sample()
+	var progress time.Duration
+	for n := 0; len(w.q.heap) > 0; n++ {
+		if !w.traffic && w.flying == 0 && w.now > p.Script.Length+longest(p) {
+			break
+		}
+		e := w.q.take()
+		w.now = max(w.now, e.at)
+		e.do()
+		if w.engines != nil {
+			return nil, w.engines
+		}
+		if n&0xfff == 0 {
+			if err := ctx.Err(); err != nil {
+				return nil, err
+			}
+			if o.Progress != nil && w.now >= progress {
+				o.Progress(w.now)
+				progress = w.now + time.Second
+			}
+		}
+	}
+	return w.book.End(w.judge.End()), nil
+}
+
+// Rulebook is what a judge must know of a plan.
+func Rulebook(p *plan.Plan, place func(server string) (string, int64)) judge.Rulebook {
+	b := judge.Rulebook{Classes: make(map[string]judge.Class), AnswerGrace: p.Settings.Rules.AnswerGrace, DrainGrace: p.Settings.Rules.DrainGrace, Place: place}
+	for _, c := range p.Settings.Classes {
+		b.Classes[c.Name] = judge.Class{Repeat: c.Repeat, Group: c.Group, Window: c.Window}
+	}
+	return b
+}
+
+func longest(p *plan.Plan) (d time.Duration) {
+	for _, c := range p.Settings.Classes {
+		d = max(d, c.Deadline+c.Window)
+	}
+	return d
+}
+
+func (w *world) after(d time.Duration, do func()) { w.q.put(w.now+d, do) }
+
+// delay is a one-way delay, drawn for an id and a matter.
+func (w *world) delay(base time.Duration, matter, id string) time.Duration {
+	if w.p.Script.Net.Jitter == 0 {
+		return base
+	}
+	return base + time.Duration(float64(base)*w.p.Script.Net.Jitter*w.p.Chance(matter, id))
+}
+
+func (w *world) between(a, b string) time.Duration {
+	if a == b {
+		return w.p.Script.Net.Same
+	}
+	return w.p.Script.Net.Cross
+}
+
+// parted tells whether nothing passes between two zones.
+func (w *world) parted(a, b string) bool { return a != b && (w.cut[a] > 0 || w.cut[b] > 0) }
+
+func (w *world) place(id string) (string, int64) {
+	if s := w.byID[id]; s != nil {
+		return s.spec.Zone, s.spec.Cell
+	}
+	return "", 0
+}
+
+// sample books what the first node has learned, by the second.
+func (w *world) sample() {
+	if n := w.nodes[0]; n.engine != nil {
+		w.book.Sample(n.engine.Views())
+	} else {
+		w.book.Sample(nil)
+	}
+	if w.now < w.p.Script.Length {
+		w.after(time.Second, w.sample)
+	}
+}
+
+// schedule puts a fault on the timeline.
+func (w *world) schedule(f *plan.Fault) {
+	w.q.put(f.At, func() { w.begin(f) })
+	w.q.put(f.Until(), func() { w.end(f) })
+}
+
+func (w *world) begin(f *plan.Fault) {
+	for _, i := range f.Servers {
+		s := w.servers[i]
+		switch f.Kind {
+		case "crash", "replaced":
+			s.crash()
+			s.heard(policy.Removed)
+		case "drain":
+			s.heard(policy.Draining)
+		case "list-wrong":
+			s.heard(policy.Removed)
+		case "silent":
+			s.silence(f)
+		default:
+			s.faults = append(s.faults, f)
+		}
+	}
+	switch f.Kind {
+	case "discovery-down":
+		w.unheard++
+	case "list-late":
+		w.late = append(w.late, f.Delay)
+	case "zone-cut":
+		w.cut[f.Zone]++
+	case "node-crash":
+		for _, i := range f.Nodes {
+			w.nodes[i].crash(f)
+		}
+	}
+}
+
+func (w *world) end(f *plan.Fault) {
+	for _, i := range f.Servers {
+		s := w.servers[i]
+		switch f.Kind {
+		case "crash":
+			s.restart()
+		case "replaced":
+			w.servers[i] = w.addServer(s.spec, s.id+"r", i, false)
+			w.servers[i].heard(policy.Running)
+		case "drain":
+			s.crash()
+			s.restart()
+		case "list-wrong":
+			s.heard(policy.Running)
+		case "silent":
+			s.speak(f)
+		default:
+			s.faults = slices.DeleteFunc(s.faults, func(g *plan.Fault) bool { return g == f })
+		}
+	}
+	switch f.Kind {
+	case "discovery-down":
+		if w.unheard--; w.unheard == 0 {
+			for _, n := range w.nodes {
+				n.listen()
+			}
+		}
+	case "list-late":
+		w.late = slices.Delete(w.late, slices.Index(w.late, f.Delay), slices.Index(w.late, f.Delay)+1)
+	case "zone-cut":
+		if w.cut[f.Zone]--; w.cut[f.Zone] == 0 {
+			for _, n := range w.nodes {
+				n.unstick()
+			}
+		}
+	case "node-crash":
+		for _, i := range f.Nodes {
+			if err := w.nodes[i].restart(); err != nil {
+				w.engines = fmt.Errorf("sim: %s: %w", w.nodes[i].spec.Name, err)
+			}
+		}
+	}
+}
+
+// memberOf is what discovery tells of a server.
+func (s *server) member(state policy.Availability) router.Member {
+	m := router.Member{ID: s.id, Addr: s.addr, Zone: s.spec.Zone, Kind: s.spec.Kind, Cell: s.spec.Cell, Weight: s.spec.Weight, State: state}
+	if s.started > 0 {
+		m.Started = epoch.Add(s.started)
+	}
+	return m
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -4,6 +4,8 @@
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -182,3 +184,23 @@
 
 // fault tells whether an attempt ended by an error, or by a connection that broke or never came up.
 func (c Code) fault() bool { return c == ServerError || c == Reset || c == ConnectFailed }
+
+// View is what this node has learned of a server.
+type View struct {
+	Server    string
+	Inflight  int // attempts of this node that are out
+	Threshold float64
+	Ejected   bool
+}
+
+// Views shows all servers in service, in the order of their ids.
+func (b *Balancer) Views() []View {
+	var all []View
+	for _, s := range b.servers {
+		if s.inService() {
+			all = append(all, View{s.Server, s.inflight, s.threshold, s.health.out})
+		}
+	}
+	slices.SortFunc(all, func(a, c View) int { return strings.Compare(a.Server, c.Server) })
+	return all
+}
--- a/router/config.go
+++ b/router/config.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"cobaltward/internal/guards"
 	"cobaltward/policy"
 )
 
@@ -69,6 +70,7 @@
 	fronts     []Front
 	leave      time.Duration
 	leaveSet   bool
+	without    guards.Without
 }
 
 // WithTransport sets what makes the attempts. There is no default. The router closes it.
@@ -88,3 +90,7 @@
 func WithLeave(d time.Duration) Option {
 	return func(o *options) { o.leave, o.leaveSet = max(0, d), true }
 }
+
+// WithoutGuards takes guards away, so that a rehearsal can show that its verdict finds out. Its parameter's
+// type keeps it inside this module.
+func WithoutGuards(w guards.Without) Option { return func(o *options) { o.without = w } }
--- a/router/loop.go
+++ b/router/loop.go
@@ -1,14 +1,18 @@
 package router
 
 import (
+	"cmp"
 	"container/heap"
 	"context"
 	"hash/maphash"
 	"log/slog"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"cobaltward/drops"
+	"cobaltward/internal/guards"
 	"cobaltward/internal/pace"
 	"cobaltward/policy"
 )
@@ -24,10 +28,10 @@
 	lagGain          = 0.05        // weight of one event in the mean lag
 )
 
-// module is the policy.Balancer.
-type module interface {
-	Handle(now policy.Time, ev policy.Event) []policy.Action
-	Reconfigure(now policy.Time, set policy.Settings) ([]policy.Action, error)
+// launcher has attempts made. Its methods must not wait, nor call the loop.
+type launcher interface {
+	launch(a *attempt)  // once; its end comes back by loop.end
+	calledOff(*attempt) // its context has ended
 }
 
 // loop owns the module, the open requests and the timers, in one goroutine. All else sends it events;
@@ -35,7 +39,9 @@
 type loop struct {
 	clock      clock
 	log        *slog.Logger
-	module     module
+	module     guards.Module // the policy.Balancer
+	launcher   launcher
+	without    guards.Without
 	config     Config
 	transport  Transport
 	membership Membership
@@ -72,7 +78,8 @@
 	entered policy.Time // when Do was called
 	came    policy.Time // when its last byte was read
 	waits   time.Duration
-	reply   chan Answer // holds one, so the loop never waits for whoever asked
+	reply   chan Answer  // holds one, so the loop never waits for whoever asked
+	told    func(Answer) // in place of reply; it must not call the loop
 }
 
 // request is kept until it is answered and all its attempts are over.
@@ -115,10 +122,33 @@
 	if err != nil {
 		return nil, err
 	}
-	return &loop{clock: ck, log: o.log, module: balancer, config: c, transport: o.transport,
+	l := &loop{clock: ck, log: o.log, module: balancer, without: o.without, config: c, transport: o.transport,
 		membership: o.membership, events: make(chan any, eventBuffer), changes: make(chan Change, 1),
 		done: make(chan struct{}), ready: make(chan struct{}), requests: make(map[string]*request),
-		used: ids{seed: maphash.MakeSeed()}, servers: make(map[string]listed)}, nil
+		used: ids{seed: maphash.MakeSeed()}, servers: make(map[string]listed)}
+	l.launcher = spawner{l}
+	if o.without.Wrap != nil {
+		l.module = o.without.Wrap(balancer)
+	}
+	return l, nil
+}
+
+// spawner has each attempt made in a goroutine of its own.
+type spawner struct{ l *loop }
+
+func (s spawner) launch(a *attempt) {
+	s.l.attempts.Go(func() {
+		a.result = s.l.transport.Attempt(&a.ctx, a.server, &a.r.req)
+		s.l.send(a)
+	})
+}
+
+func (spawner) calledOff(*attempt) {}
+
+// callOff ends an attempt that is out.
+func (l *loop) callOff(a *attempt, why error) {
+	a.ctx.end(why)
+	l.launcher.calledOff(a)
 }
 
 // send hands the loop an event, unless the loop has ended: then there is nobody to tell.
@@ -173,7 +203,7 @@
 // for it. The list as last held comes before all else, as the module expects.
 func (l *loop) run(ctx context.Context) {
 	defer l.attempts.Wait()
-	defer l.callOff()
+	defer l.callOffAll()
 	defer close(l.done)
 	l.listed(Change{Kind: policy.ListRestored, Members: l.config.Members})
 	close(l.ready)
@@ -202,12 +232,12 @@
 	}
 }
 
-// callOff ends all attempts that are out.
-func (l *loop) callOff() {
+// callOffAll ends all attempts that are out.
+func (l *loop) callOffAll() {
 	for _, r := range l.requests {
 		for _, a := range r.attempts {
 			if a.out {
-				a.ctx.end(context.Canceled)
+				l.callOff(a, context.Canceled)
 			}
 		}
 	}
@@ -230,9 +260,11 @@
 		l.lag(now - t.due)
 		switch {
 		case t.attempt != nil:
-			t.attempt.ctx.end(context.DeadlineExceeded)
+			l.callOff(t.attempt, context.DeadlineExceeded)
 		case t.backstop != nil:
-			l.fail(t.backstop, Expired) // the module has said nothing
+			if l.without.Has(guards.Backstop) {
+				l.fail(t.backstop, Expired) // the module has said nothing
+			}
 		default:
 			l.tell(policy.Timer{Token: t.token})
 		}
@@ -287,7 +319,17 @@
 
 // finish answers what is open: what may have run has failed, and the rest is refused.
 func (l *loop) finish() {
+	open := make([]*request, 0, len(l.requests))
 	for _, r := range l.requests {
+		if !r.ended {
+			open = append(open, r)
+		}
+	}
+	// Oldest first, lest the order in which the module hears of them be that of a map.
+	slices.SortFunc(open, func(a, b *request) int {
+		return cmp.Or(cmp.Compare(a.entered, b.entered), strings.Compare(a.req.ID, b.req.ID))
+	})
+	for _, r := range open {
 		if r.ended {
 			continue
 		}
@@ -314,7 +356,7 @@
 	l.lag(now - c.entered)
 	// The module would wait for the first of an id and never answer this one; and what came under an
 	// id before may have run, also when it is over.
-	if l.requests[c.req.ID] != nil || !l.used.add(c.req.ID, now) {
+	if (l.requests[c.req.ID] != nil || !l.used.add(c.req.ID, now)) && l.without.Has(guards.FreshID) {
 		l.reply(c, Answer{Outcome: Conflict})
 		return
 	}
@@ -323,6 +365,9 @@
 		return
 	}
 	margin := min(answerMargin, c.waits/answerMarginPart)
+	if !l.without.Has(guards.AnswerTime) {
+		margin = -time.Second
+	}
 	end := c.came + c.waits
 	r := &request{call: c, allowed: l.config.Settings.Allowed, deadline: end - margin}
 	if now >= r.deadline { // the host kept the router from it: nothing may go out any more
@@ -365,7 +410,7 @@
 	a.out, a.notRun = false, code.NotRun()
 	r.pending--
 	l.out--
-	if code == policy.OK && !r.ended {
+	if code == policy.OK && (!r.ended || !l.without.Has(guards.OneAnswer)) {
 		answer := a.result.Answer
 		answer.Outcome = Served
 		l.answer(r, answer)
@@ -468,12 +513,16 @@
 		}
 	case policy.Fail:
 		if r := l.requests[a.ID]; r != nil {
-			l.answer(r, Answer{Outcome: Failed})
+			outcome := Failed
+			if !l.without.Has(guards.RefuseRan) {
+				outcome = Refused
+			}
+			l.answer(r, Answer{Outcome: outcome})
 			l.drop(r)
 		}
 	case policy.Cancel:
 		if r := l.requests[a.ID]; r != nil && a.Attempt < len(r.attempts) && r.attempts[a.Attempt].out {
-			r.attempts[a.Attempt].ctx.end(context.Canceled)
+			l.callOff(r.attempts[a.Attempt], context.Canceled)
 		}
 	case policy.SetTimer:
 		heap.Push(&l.timers, &timer{due: l.clock.now() + a.Wait, token: a.Token})
@@ -498,7 +547,7 @@
 	at := &attempt{r: r, n: len(r.attempts), server: a.Server, sent: now}
 	r.attempts = append(r.attempts, at)
 	r.pending++
-	if r.ended || now >= r.deadline || at.n >= max(1, r.allowed.MaxAttempts) {
+	if r.ended && l.without.Has(guards.AfterEnd) || now >= r.deadline || at.n >= max(1, r.allowed.MaxAttempts) {
 		at.notRun = true
 		l.stats.Skipped++
 		l.skipped = append(l.skipped, policy.Outcome{ID: a.ID, Server: a.Server, Attempt: at.n, Code: policy.Moot})
@@ -517,10 +566,7 @@
 	at.ctx.deadline = l.clock.at(until)
 	at.late = timer{due: until, attempt: at}
 	heap.Push(&l.timers, &at.late)
-	l.attempts.Go(func() {
-		at.result = l.transport.Attempt(&at.ctx, at.server, &r.req)
-		l.send(at)
-	})
+	l.launcher.launch(at)
 }
 
 func (l *loop) refuse(r *request, wait time.Duration) {
@@ -536,11 +582,17 @@
 	if !r.ended {
 		l.settle(r)
 		l.reply(r.call, a)
+	} else if !l.without.Has(guards.OneAnswer) {
+		l.reply(r.call, a)
 	}
 }
 
 func (l *loop) reply(c *call, a Answer) {
 	l.stats.Answers[a.Outcome]++
+	if c.told != nil {
+		c.told(a)
+		return
+	}
 	c.reply <- a
 }
 
--- a/router/timers.go
+++ b/router/timers.go
@@ -15,10 +15,19 @@
 	maxIDs     = 1 << 15
 )
 
-// clock turns the machine's clocks into policy.Time. The wall clock is read once, at the start.
-type clock struct{ start time.Time }
+// clock turns the machine's clocks into policy.Time. The wall clock is read once, at the start. A stepped
+// engine's shows what it is set to.
+type clock struct {
+	start time.Time
+	set   *policy.Time
+}
 
-func (c clock) now() policy.Time { return timeOrigin + time.Since(c.start) }
+func (c clock) now() policy.Time {
+	if c.set != nil {
+		return *c.set
+	}
+	return timeOrigin + time.Since(c.start)
+}
 
 func (c clock) at(t policy.Time) time.Time { return c.start.Add(t - timeOrigin) }
 
