--- a/emulator/sim/client.go
+++ b/emulator/sim/client.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"slices"
 	"time"
 
 	"cobaltward/emulator/plan"
@@ -48,9 +49,7 @@
 	w.flying++
 	w.q.put(next.At, func() {
 		r := &request{Request: next, work: w.p.Work(&next)}
-		if r.CostlyBy >= 0 {
-			r.meet(r.CostlyBy)
-		}
+		w.meetTraffic(r)
 		w.book.Offered(&r.Request)
 		var leaves float64
 		r.honours, leaves = w.p.Client(&r.Request)
@@ -59,6 +58,23 @@
 	})
 }
 
+// meetTraffic notes the faults of traffic that a request is part of.
+func (w *world) meetTraffic(r *request) {
+	if r.CostlyBy >= 0 {
+		r.meet(r.CostlyBy)
+	}
+	for i := range w.p.Faults {
+		f := &w.p.Faults[i]
+		if r.At < f.At || r.At >= f.Until() {
+			continue
+		}
+		if f.Kind == "surge" || f.Kind == "tenant-burst" && f.Tenant == w.p.Script.Tenants[r.Tenant].Name ||
+			f.Kind == "hot-node" && r.Node >= 0 && slices.Contains(f.Nodes, r.Node) {
+			r.meet(i)
+		}
+	}
+}
+
 // node is where the front sends a client of a zone.
 func (w *world) node(r *request) *node {
 	if r.Node >= 0 && r.tries == 0 {
--- a/emulator/sim/node.go
+++ b/emulator/sim/node.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"slices"
+	"strings"
 	"time"
 
 	"cobaltward/emulator/plan"
@@ -199,6 +200,13 @@
 		w.after(0, func() { t.end(policy.ConnectFailed) })
 		return
 	}
+	if s.state != policy.Running { // the node knows no better, by fault of the list
+		for i := range w.p.Faults {
+			if f := &w.p.Faults[i]; (f.Kind == "discovery-down" || f.Kind == "list-late" || f.Kind == "list-wrong") && f.At <= w.now && w.now < f.Until() {
+				t.met(f)
+			}
+		}
+	}
 	t.delay = w.delay(w.between(n.spec.Zone, s.spec.Zone), "way", t.id)
 	idle := n.idle[s.id]
 	for len(idle) > 0 {
@@ -295,6 +303,18 @@
 	}
 }
 
+// metEnd notes the faults that have ended the server's process.
+func (t *try) metEnd() {
+	w := t.n.w
+	for i := range w.p.Faults {
+		f := &w.p.Faults[i]
+		if (f.Kind == "crash" || f.Kind == "replaced" || f.Kind == "drain") && f.At <= w.now && w.now < f.Until()+time.Second &&
+			slices.ContainsFunc(f.Servers, func(n int) bool { return w.p.Servers[n].ID == strings.TrimRight(t.server.id, "r") }) {
+			t.met(f)
+		}
+	}
+}
+
 // blocked tells whether nothing passes between the node and the server, and by which faults.
 func (t *try) blocked() bool {
 	w := t.n.w
@@ -326,6 +346,7 @@
 		}
 		p := s.up
 		if p == nil || !p.m.Connect(w.now) { // refused
+			t.metEnd()
 			if p != nil {
 				p.run()
 			}
--- a/emulator/sim/server.go
+++ b/emulator/sim/server.go
@@ -84,6 +84,7 @@
 	p.dead = true
 	p.run()
 	for _, id := range sortedKeys(p.tries) {
+		p.tries[id].metEnd()
 		p.tries[id].broken(p.tries[id].delay)
 	}
 	p.tries = nil
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -13,6 +14,7 @@
 
 	"github.com/spf13/cobra"
 
+	"cobaltward/emulator/result"
 	"cobaltward/internal/node"
 	"cobaltward/internal/operator"
 	"cobaltward/router"
@@ -25,6 +27,7 @@
 // Extra is what a program has beyond wayhold. The zero value is nothing.
 type Extra struct {
 	XDS      Membership
+	Page     func(w io.Writer, r *result.Result) error // of a rehearsal, with plots
 	Commands []*cobra.Command
 }
 
@@ -67,7 +70,7 @@
 			Args: cobra.NoArgs,
 			RunE: func(c *cobra.Command, _ []string) error { return serve(own, c.ErrOrStderr(), e) },
 		},
-		checkCommand(&own, e), demoCommand(), callCommand(),
+		checkCommand(&own, e), demoCommand(), callCommand(), rehearseCommand(e),
 		&cobra.Command{
 			Use:   "version",
 			Short: "Print the version",
