Rehearsals on real sockets: nodes as processes, servers with a face for each node

Virtual time shows the engine and its module; the daemon, its transport and its front need sockets. emulator/live plays the same plan with processes of wayhold (killed by SIGKILL), emulated servers at an address for each node, discovery in its own form by node, and open-loop clients that say when they could not keep up (void).

--- a/emulator/face/http.go
+++ b/emulator/face/http.go
@@ -20,14 +20,30 @@
 // Work says what a request costs a server, by its path and its id.
 type Work func(target, id string) float64
 
+// Treatment is what becomes of one request. The zero value is an answer without work.
+type Treatment struct {
+	Work  float64       // seconds of a core of speed 1
+	ID    string        // for the ledger; empty: the request's own
+	Key   string        // that repeats are dropped by; empty: the request's own
+	Way   time.Duration // to the server, and the same back
+	Fail  bool          // answered 500 at once, though it may have had its effect
+	Hang  bool          // read, and never answered
+	Reset bool          // the connection is reset once the request has come whole; it runs all the same
+	Half  bool          // the answer breaks off
+	Spoil bool          // the answer's framing is wrong
+}
+
+// Treat says what becomes of a request, once its last byte has come.
+type Treat func(r *http.Request, id string) Treatment
+
 // HTTP is a server that speaks HTTP/1.1. It answers 200 once the request's work is done, 503 with X-Not-Run
 // where the server turns it away, and resets the connection where the server falls over.
 type HTTP struct {
 	Addr string
 
 	host   *host.Host
-	work   Work
-	fails  func() bool
+	treat  Treat
+	turned func(id string)
 	server *http.Server
 	ended  sync.WaitGroup
 
@@ -38,7 +54,19 @@
 // ServeHTTP1 runs the face on a listener. The host's end is the caller's to see to. fails, where it is not
 // nil, says of each request whether it is to fail at once: answered 500, though it may have had its effect.
 func ServeHTTP1(ln net.Listener, h *host.Host, work Work, fails func() bool) *HTTP {
-	f := &HTTP{Addr: ln.Addr().String(), host: h, work: work, fails: fails, conns: make(map[net.Conn]bool)}
+	return TreatHTTP1(ln, h, func(r *http.Request, id string) Treatment {
+		t := Treatment{Work: work(r.URL.Path, id)}
+		if t.Fail = fails != nil && fails(); t.Fail {
+			t.Work = 0
+		}
+		return t
+	}, nil)
+}
+
+// TreatHTTP1 is ServeHTTP1 with a treatment for each request. turned, where it is not nil, is told of requests
+// that the server turns away.
+func TreatHTTP1(ln net.Listener, h *host.Host, treat Treat, turned func(id string)) *HTTP {
+	f := &HTTP{Addr: ln.Addr().String(), host: h, treat: treat, turned: turned, conns: make(map[net.Conn]bool)}
 	f.server = &http.Server{Handler: http.HandlerFunc(f.answer), ConnState: f.state, ConnContext: withConn,
 		ReadHeaderTimeout: time.Minute, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
 	f.ended.Go(func() { _ = f.server.Serve(ln) }) // ends with Close
@@ -91,21 +119,53 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil { // a request begins when its last byte has come
 		return
 	}
-	q := model.Request{ID: id, Key: r.Header.Get("Idempotency-Key"), Work: f.work(r.URL.Path, id)}
-	failing := f.fails != nil && f.fails()
-	if failing {
-		q.Work = 0
+	t := f.treat(r, id)
+	q := model.Request{ID: t.ID, Key: t.Key, Work: t.Work}
+	if q.ID == "" {
+		q.ID = id
+	}
+	if q.Key == "" {
+		q.Key = r.Header.Get("Idempotency-Key")
+	}
+	gone := r.Context().Done()
+	if !pause(t.Way, gone) {
+		return
+	}
+	if t.Hang {
+		<-gone
+		return
+	}
+	if t.Reset {
+		go f.host.Do(q, nil) // it ends with the host
+		f.abort(r)
+	}
+	_, verdict, err := f.host.Do(q, gone)
+	if verdict == model.Full && f.turned != nil {
+		f.turned(id)
+	}
+	if !pause(t.Way, gone) {
+		return
 	}
-	_, verdict, err := f.host.Do(q, r.Context().Done())
 	switch {
 	case verdict == model.Full:
 		w.Header().Set("X-Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case verdict == model.Down || errors.Is(err, host.ErrLost):
-		reset(r.Context().Value(connKey{}).(net.Conn))
-		panic(http.ErrAbortHandler) // no answer
-	case failing:
+		f.abort(r)
+	case t.Fail:
 		w.WriteHeader(http.StatusInternalServerError)
+	case t.Half, t.Spoil:
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		length := "1000"
+		if t.Spoil {
+			length = "1x"
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: "+length+"\r\n\r\ndone") // whoever asked may have left
+		c.Close()
+		f.forget(c)
 	default:
 		body := "done " + id
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -113,6 +173,38 @@
 	}
 }
 
+// abort resets the connection of a request, without an answer.
+func (f *HTTP) abort(r *http.Request) {
+	reset(r.Context().Value(connKey{}).(net.Conn))
+	panic(http.ErrAbortHandler)
+}
+
+// forget counts a connection out that the server does not see the end of.
+func (f *HTTP) forget(c net.Conn) {
+	f.mu.Lock()
+	counted := f.conns[c]
+	delete(f.conns, c)
+	f.mu.Unlock()
+	if counted {
+		f.host.Disconnect()
+	}
+}
+
+// pause waits, unless whoever asked leaves before.
+func pause(d time.Duration, gone <-chan struct{}) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-gone:
+		return false
+	}
+}
+
 // Close ends the face: connections are reset.
 func (f *HTTP) Close() {
 	_ = f.server.Close()
--- a/emulator/host/host.go
+++ b/emulator/host/host.go
@@ -27,13 +27,22 @@
 
 // Start runs a server of a kind, which starts now. group may be shared by several hosts, or nil.
 func Start(c model.Config, group *Group) *Host {
-	h := &Host{calls: make(chan func(time.Duration)), stop: make(chan struct{}), began: time.Now(),
-		waiting: make(map[string]chan model.Completion)}
 	var repeats model.Repeats
 	if group != nil {
 		repeats = group
 	}
+	return StartWatched(c, repeats, nil)
+}
+
+// StartWatched is Start with any table of keys, and with each execution told to watch, where it is not nil,
+// in place of the ledger. watch must not call the host.
+func StartWatched(c model.Config, repeats model.Repeats, watch func(model.Execution)) *Host {
+	h := &Host{calls: make(chan func(time.Duration)), stop: make(chan struct{}), began: time.Now(),
+		waiting: make(map[string]chan model.Completion)}
 	h.server = model.New(c, repeats, 0)
+	if watch != nil {
+		h.server.Watch(watch)
+	}
 	h.parts.Go(h.run)
 	return h
 }
@@ -157,6 +166,12 @@
 	return down
 }
 
+// Pushed names the requests that pushed a cold server over; none where it was not.
+func (h *Host) Pushed() (ids []string) {
+	h.ask(func(time.Duration) { ids = h.server.Pushed() })
+	return ids
+}
+
 // Held is the number of requests that the server has.
 func (h *Host) Held() (n int) {
 	h.ask(func(time.Duration) { n = h.server.Held() })
--- a/emulator/judge/judge.go
+++ b/emulator/judge/judge.go
@@ -261,6 +261,14 @@
 	r.mayRun = slices.IndexFunc(r.attempts, func(a attempt) bool { return !a.over || !a.notRun })
 }
 
+// Attempts is the number of attempts so far that went out for an id.
+func (j *Judge) Attempts(id string) int {
+	if r := j.byID[id]; r != nil {
+		return len(r.attempts)
+	}
+	return 0
+}
+
 // Proved says that an attempt can't have run, as the server or the network has shown the node.
 func (j *Judge) Proved(node, id string, n int) {
 	if r := j.byID[id]; r != nil && r.node == node && n < len(r.attempts) {
--- /dev/null
+++ b/emulator/live/config.go
@@ -0,0 +1,52 @@
+package live
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"cobaltward/emulator/plan"
+	"cobaltward/policy"
+)
+
+// obj is an object of JSON.
+type obj = map[string]any
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// configOf is the platform's configuration file for a node, in the form of its ROUTER_CONFIG.
+func configOf(p *plan.Plan, node int, listen, discovery string, known []entry, revision int64, life int) ([]byte, error) {
+	s := p.Script
+	set := p.SettingsOf(node)
+	var classes, tenants []obj
+	for _, c := range set.Classes {
+		classes = append(classes, obj{"name": c.Name, "aim": ms(c.Aim), "deadline": ms(c.Deadline), "window": ms(c.Window), "lateWorth": c.LateWorth, "value": c.Worth,
+			"repeat": map[policy.Repeat]string{policy.Free: "free", policy.Guarded: "guarded", policy.Never: "single_shot"}[c.Repeat],
+			"group":  map[policy.Group]string{policy.GroupAll: "all", policy.GroupZone: "zone", policy.GroupCell: "cell"}[c.Group]})
+	}
+	for _, t := range set.Tenants {
+		tenants = append(tenants, obj{"name": t.Name, "quotaRps": t.Quota, "fraction": t.Share})
+	}
+	return json.Marshal(obj{
+		"name": p.Nodes[node].Name, "listen": listen, "discovery": discovery, "seed": fmt.Sprintf("%x", p.Seed+uint64(node)*1000+uint64(life)),
+		"limits": obj{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"known":  obj{"revision": revision, "complete": true, "members": known},
+		"settings": obj{"position": node, "groupSize": set.Nodes, "zone": set.Zone, "services": classes, "tenants": tenants,
+			"limits": obj{"cancelling": set.Allowed.Cancel, "secondCopies": set.Allowed.Hedge, "retryAfter": set.Allowed.RetryAfter,
+				"maxAttempts": set.Allowed.MaxAttempts, "maxRetryAfter": ms(set.Allowed.MaxRetryAfter), "connIdle": ms(set.Allowed.ConnIdle),
+				"maxOpen": s.Nodes.MaxOpen, "connectTimeout": ms(s.Net.Connect)},
+			"guarantees": obj{"graceToAnswer": ms(set.Rules.AnswerGrace), "drainGrace": ms(set.Rules.DrainGrace), "coldShare": set.Rules.ColdShare,
+				"cold": ms(set.Rules.ColdFor), "fallMultiple": set.Rules.FallMultiple, "overloadFor": ms(set.Rules.FallFor)}}})
+}
+
+// entry is one server in discovery's form.
+type entry struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int64   `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"`
+}
--- /dev/null
+++ b/emulator/live/live_test.go
@@ -0,0 +1,147 @@
+package live_test
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"cobaltward/emulator/live"
+	"cobaltward/emulator/plan"
+	"cobaltward/emulator/script"
+	"cobaltward/internal/cli"
+)
+
+const asNode = "WAYHOLD_TEST_NODE"
+
+// The test's own binary is a node where its environment says so: no build, no path.
+func TestMain(m *testing.M) {
+	if os.Getenv(asNode) != "" {
+		os.Exit(cli.Main(cli.Extra{}))
+	}
+	os.Setenv(asNode, "1")
+	goleak.VerifyTestMain(m)
+}
+
+const site = `
+seed = 5
+length = "4s"
+[net]
+cross = "4ms"
+[nodes]
+count = 2
+notice = "300ms"
+[discovery]
+delay = "200ms"
+spread = "100ms"
+[[kind]]
+name = "small"
+count = 5
+cores = 4
+cold_from = 0.4
+cold_for = "2s"
+[[class]]
+name = "hladanie"
+share = 0.5
+work = "30ms"
+aim = "600ms"
+deadline = "2s"
+repeat = "free"
+[[class]]
+name = "rezervacia"
+share = 0.3
+work = "30ms"
+aim = "500ms"
+deadline = "1500ms"
+repeat = "never"
+[[class]]
+name = "zrusenie"
+share = 0.2
+work = "40ms"
+aim = "1s"
+deadline = "2s"
+repeat = "guarded"
+window = "4s"
+[[tenant]]
+name = "all"
+share = 1
+[traffic]
+rate = 120
+[clients]
+retries = 1
+impatient = 0.02
+[[fault]]
+kind = "fast-errors"
+servers = ["s-0001"]
+part = 0.8
+at = "500ms"
+for = "2s"
+[[fault]]
+kind = "reset"
+servers = ["s-0002"]
+part = 0.3
+at = "1s"
+for = "2s"
+[[fault]]
+kind = "half-answer"
+servers = ["s-0003"]
+part = 0.2
+at = "1s"
+for = "1s"
+[[fault]]
+kind = "garbled"
+servers = ["s-0003"]
+part = 0.2
+at = "2s"
+for = "1s"
+[[fault]]
+kind = "crash"
+servers = ["s-0004"]
+at = "1s"
+for = "700ms"
+[[fault]]
+kind = "drain"
+servers = ["s-0005"]
+at = "1500ms"
+for = "1200ms"
+[[fault]]
+kind = "node-crash"
+nodes = ["n2"]
+at = "1500ms"
+for = "800ms"
+[[fault]]
+kind = "discovery-down"
+at = "2s"
+for = "1s"
+`
+
+// A small site on sockets, with a node killed and many faults at once: every rule is kept, each fault is met,
+// and nothing is left running.
+func TestRealTime(t *testing.T) {
+	s, err := script.Parse("site.toml", []byte(site))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := plan.New(s, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	r, err := live.Run(t.Context(), p, live.Options{Command: []string{os.Args[0], "serve"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%v: %+v, %d attempts, verdict %v of %v", time.Since(began), r.All, r.Attempts, r.Verdict.Count, r.Verdict.Checked)
+	if !r.Verdict.Kept() {
+		t.Errorf("broken: %+v", r.Verdict.Breaches)
+	}
+	if r.All.InAim+r.All.Late < r.All.Offered/2 { // on however busy a machine
+		t.Errorf("%d of %d were served", r.All.InAim+r.All.Late, r.All.Offered)
+	}
+	for _, f := range r.Faults {
+		if (f.Kind == "fast-errors" || f.Kind == "reset" || f.Kind == "half-answer") && f.Met == 0 {
+			t.Errorf("nobody met %s", f.Label)
+		}
+	}
+}
--- a/emulator/plan/plan.go
+++ b/emulator/plan/plan.go
@@ -440,3 +440,77 @@
 		return c.Wait
 	}
 }
+
+// ShortestTry is the time below which a client does not try again.
+const ShortestTry = 50 * time.Millisecond
+
+// Again is what a client does after its n-th try: whether it tries again, and after which wait. refused says
+// that the node did; mayHaveRun, that the client can't know. spent is the time since the request came.
+func (p *Plan) Again(r *Request, n int, refused, mayHaveRun bool, retryAfter, spent time.Duration) (wait time.Duration, again bool) {
+	class := &p.Script.Classes[r.Class]
+	if n > p.Script.Clients.Retries || mayHaveRun && class.Repeat == "never" {
+		return 0, false
+	}
+	wait = p.Wait(n)
+	if honours, _ := p.Client(r); refused && honours && retryAfter > 0 {
+		wait = max(wait, min(retryAfter, p.Script.Clients.MaxRetryAfter))
+	}
+	return wait, class.Deadline-spent-wait > ShortestTry
+}
+
+// Patience is how long a client waits for a try that it begins when so much time is spent.
+func (p *Plan) Patience(r *Request, spent time.Duration) time.Duration {
+	deadline := p.Script.Classes[r.Class].Deadline
+	return min(time.Duration(p.Script.Clients.TryShare*float64(deadline)), deadline-spent)
+}
+
+// Front deals clients out among the nodes of their zone. It isn't safe for concurrent use.
+type Front struct {
+	p     *Plan
+	turn  map[string]int
+	zones map[string][]int
+	dead  []bool // and known to be
+}
+
+// Front returns a front that takes all nodes for alive.
+func (p *Plan) Front() *Front {
+	f := &Front{p: p, turn: make(map[string]int), zones: make(map[string][]int), dead: make([]bool, len(p.Nodes))}
+	for i, n := range p.Nodes {
+		f.zones[n.Zone] = append(f.zones[n.Zone], i)
+		f.zones[""] = append(f.zones[""], i)
+	}
+	return f
+}
+
+// Notice has the front learn that a node is dead, or alive.
+func (f *Front) Notice(node int, dead bool) { f.dead[node] = dead }
+
+// Next is the node for a client of a zone: one of its own zone, else any; -1 where all are dead.
+func (f *Front) Next(zone string) int {
+	for _, z := range []string{zone, ""} {
+		for range f.zones[z] {
+			f.turn[z]++
+			if n := f.zones[z][f.turn[z]%len(f.zones[z])]; !f.dead[n] {
+				return n
+			}
+		}
+	}
+	return -1
+}
+
+// KeyScope names the table in which a server looks up the repeats of a class's keys.
+func (p *Plan) KeyScope(class string, s *Server) (scope string, window time.Duration) {
+	for _, c := range p.Settings.Classes {
+		if c.Name != class {
+			continue
+		}
+		switch c.Group {
+		case policy.GroupZone:
+			class += "/" + s.Zone
+		case policy.GroupCell:
+			class += fmt.Sprintf("/%s/%d", s.Zone, s.Cell)
+		}
+		return class, c.Window
+	}
+	return class, 0
+}
--- a/emulator/sim/client.go
+++ b/emulator/sim/client.go
@@ -16,11 +16,10 @@
 	ranWork  float64 // of the attempt that was answered last
 	tries    int
 	attempts int
-	faults   []int // that it met
-	at       *node // where its present try is
-	live     bool  // the try is out
-	lost     bool  // it went with its node: it may have run
-	honours  bool
+	faults   []int  // that it met
+	at       *node  // where its present try is
+	live     bool   // the try is out
+	lost     bool   // it went with its node: it may have run
 	id       string // of the present try
 	sent     time.Duration
 	wait     time.Duration
@@ -51,8 +50,7 @@
 		r := &request{Request: next, work: w.p.Work(&next)}
 		w.meetTraffic(r)
 		w.book.Offered(&r.Request)
-		var leaves float64
-		r.honours, leaves = w.p.Client(&r.Request)
+		_, leaves := w.p.Client(&r.Request)
 		w.try(r, leaves)
 		w.arrive(a)
 	})
@@ -75,35 +73,22 @@
 	}
 }
 
-// node is where the front sends a client of a zone.
+// node is where the front sends a client; nil where it knows of none that lives.
 func (w *world) node(r *request) *node {
-	if r.Node >= 0 && r.tries == 0 {
-		return w.nodes[r.Node]
+	n := r.Node
+	if n < 0 || r.tries > 0 {
+		n = w.front.Next(r.Zone)
 	}
-	all := w.zones[r.Zone]
-	if len(all) == 0 {
-		all = w.nodes
+	if n < 0 {
+		return nil
 	}
-	for range all {
-		w.turn[r.Zone]++
-		if n := all[w.turn[r.Zone]%len(all)]; !n.noticed {
-			return n
-		}
-	}
-	for range w.nodes { // none of its own zone: the front looks further
-		w.turn[""]++
-		if n := w.nodes[w.turn[""]%len(w.nodes)]; !n.noticed {
-			return n
-		}
-	}
-	return nil
+	return w.nodes[n]
 }
 
 // try sends a request once.
 func (w *world) try(r *request, leaves float64) {
-	class := w.p.Script.Classes[r.Class]
 	r.sent = w.now
-	r.wait = min(time.Duration(w.p.Script.Clients.TryShare*float64(class.Deadline)), class.Deadline-(w.now-r.At))
+	r.wait = w.p.Patience(&r.Request, w.now-r.At)
 	r.id = r.Try(r.tries)
 	r.at = w.node(r)
 	r.tries++
@@ -221,18 +206,9 @@
 			delete(w.requests, id)
 		}
 	})
-	s := w.p.Script
-	class := s.Classes[r.Class]
-	again := end == result.Refused || end == result.Missed || end == result.Failed
-	if mayHaveRun := end == result.Failed || r.lost; mayHaveRun && class.Repeat == "never" {
-		again = false
-	}
-	if again && r.tries <= s.Clients.Retries {
-		wait := w.p.Wait(r.tries)
-		if end == result.Refused && r.honours && retryAfter > 0 {
-			wait = max(wait, min(retryAfter, s.Clients.MaxRetryAfter))
-		}
-		if left := class.Deadline - (w.now + wait - r.At); left > shortestTry {
+	if end == result.Refused || end == result.Missed || end == result.Failed {
+		wait, again := w.p.Again(&r.Request, r.tries, end == result.Refused, end == result.Failed || r.lost, retryAfter, w.now-r.At)
+		if again {
 			w.after(wait, func() { w.try(r, 0) })
 			return
 		}
@@ -243,6 +219,3 @@
 	w.flying--
 	w.book.Done(w.now, &r.Request, result.Outcome{End: end, Took: w.now - r.At, Tries: r.tries, Attempts: r.attempts, Met: r.faults})
 }
-
-// shortestTry is the time below which a client does not try again.
-const shortestTry = 50 * time.Millisecond
--- a/emulator/sim/node.go
+++ b/emulator/sim/node.go
@@ -28,7 +28,6 @@
 	drained map[string]time.Duration // since when it knows
 	agent   []router.Member          // news that the process has not heard
 	ready   time.Duration            // of the newest news: it never overtakes
-	noticed bool                     // the front knows that it is dead
 }
 
 // conn is a connection to a process.
@@ -44,7 +43,6 @@
 		n.known[s.id] = s.member(policy.Running)
 	}
 	w.nodes = append(w.nodes, n)
-	w.zones[n.spec.Zone] = append(w.zones[n.spec.Zone], n)
 	return n.start()
 }
 
@@ -64,7 +62,8 @@
 	if err != nil {
 		return err
 	}
-	n.engine, n.born, n.wake, n.noticed = engine, n.w.now, 0, false
+	n.engine, n.born, n.wake = engine, n.w.now, 0
+	n.w.front.Notice(n.index, false)
 	n.idle, n.conns, n.out = make(map[string][]*conn), 0, make(map[router.Try]*try)
 	n.drained = make(map[string]time.Duration)
 	for id, m := range n.known {
@@ -119,7 +118,7 @@
 	life := n.lives
 	n.w.after(n.w.p.Script.Nodes.Notice, func() {
 		if n.lives == life && n.engine == nil {
-			n.noticed = true
+			n.w.front.Notice(n.index, true)
 		}
 	})
 }
--- a/emulator/sim/server.go
+++ b/emulator/sim/server.go
@@ -262,27 +262,15 @@
 
 // Repeat tells whether a key was there within its class's window.
 func (g *group) Repeat(key string, now time.Duration) bool {
-	name, key, _ := strings.Cut(key, "\x00")
-	for _, c := range g.s.w.p.Settings.Classes {
-		if c.Name != name {
-			continue
-		}
-		scope := name
-		switch c.Group {
-		case policy.GroupZone:
-			scope += "/" + g.s.spec.Zone
-		case policy.GroupCell:
-			scope += fmt.Sprintf("/%s/%d", g.s.spec.Zone, g.s.spec.Cell)
-		}
-		if g.k.tables == nil {
-			g.k.tables = make(map[string]*model.Keys)
-		}
-		t := g.k.tables[scope]
-		if t == nil {
-			t = &model.Keys{Window: c.Window}
-			g.k.tables[scope] = t
-		}
-		return t.Repeat(key, now)
+	class, key, _ := strings.Cut(key, "\x00")
+	scope, window := g.k.world.p.KeyScope(class, g.s.spec)
+	if g.k.tables == nil {
+		g.k.tables = make(map[string]*model.Keys)
 	}
-	return false
+	t := g.k.tables[scope]
+	if t == nil {
+		t = &model.Keys{Window: window}
+		g.k.tables[scope] = t
+	}
+	return t.Repeat(key, now)
 }
--- a/emulator/sim/world.go
+++ b/emulator/sim/world.go
@@ -42,8 +42,7 @@
 	servers []*server
 	byID    map[string]*server
 	nodes   []*node
-	zones   map[string][]*node
-	turn    map[string]int
+	front   *plan.Front
 	cut     map[string]int // zones that are cut off
 	keys    keyTables
 
@@ -57,7 +56,7 @@
 
 // Run plays a plan to its end.
 func Run(ctx context.Context, p *plan.Plan, o Options) (*result.Result, error) {
-	w := &world{p: p, o: o, byID: make(map[string]*server), zones: make(map[string][]*node), turn: make(map[string]int),
+	w := &world{p: p, o: o, byID: make(map[string]*server), front: p.Front(),
 		cut: make(map[string]int), book: result.NewBook(p, "virtual", o.Detail), traffic: true}
 	w.keys.world = w
 	w.judge = judge.New(Rulebook(p, w.place))
--- a/internal/cli/rehearse.go
+++ b/internal/cli/rehearse.go
@@ -12,6 +12,7 @@
 	"github.com/schollz/progressbar/v3"
 	"github.com/spf13/cobra"
 
+	"cobaltward/emulator/live"
 	"cobaltward/emulator/plan"
 	"cobaltward/emulator/report"
 	"cobaltward/emulator/result"
@@ -27,6 +28,7 @@
 	seed                 uint64
 	json, html, outcomes string
 	mutant               string
+	real                 bool
 	compare, quiet       bool
 }
 
@@ -36,7 +38,8 @@
 		Use:   "rehearse SCRIPT | rehearse --compare A B",
 		Short: "Play a site and its incidents by a script, and judge the four rules",
 		Long: `Play SCRIPT, a site with its traffic and faults (docs/rehearse.md), in virtual time: nodes with the engine
-and module of this build among emulated servers, clients and discovery. It ends with the service by class,
+and module of this build among emulated servers, clients and discovery. With --real, nodes are processes of
+this program on loopback, among servers and clients on sockets, in real time. It ends with the service by class,
 workspace and zone, and a verdict on the four rules with its evidence. The exit status is 0 if all were kept.
 
 With --compare, A and B are results that --json wrote; they are set side by side.`,
@@ -62,6 +65,7 @@
 		},
 	}
 	c.Flags().Uint64Var(&o.seed, "seed", 0, "for the draws, in place of the script's own")
+	c.Flags().BoolVar(&o.real, "real", false, "on real sockets and in real time, with nodes as processes")
 	c.Flags().StringVar(&o.json, "json", "", "write the result to this file, for machines and --compare")
 	c.Flags().StringVar(&o.html, "html", "", "write a page with plots to this file (wayhold-xds)")
 	c.Flags().StringVar(&o.outcomes, "outcomes", "", "write what became of each request to this file")
@@ -75,6 +79,9 @@
 	if o.html != "" && e.Page == nil {
 		return errNoPage
 	}
+	if o.real && o.mutant != "" {
+		return errors.New("rehearse: --mutant: with virtual time only")
+	}
 	s, err := script.Load(path)
 	if err != nil {
 		return err
@@ -103,10 +110,27 @@
 	}
 	ctx, stop := interrupted()
 	defer stop()
-	r, err := sim.Run(ctx, p, options)
+	var r *result.Result
+	if o.real {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		r, err = live.Run(ctx, p, live.Options{Command: []string{self, "serve"}, Progress: options.Progress, Detail: options.Detail})
+		if err := errors.Join(err, finish()); err != nil {
+			return err
+		}
+		return o.tell(c, r, e)
+	}
+	r, err = sim.Run(ctx, p, options)
 	if err := errors.Join(err, finish()); err != nil {
 		return err
 	}
+	return o.tell(c, r, e)
+}
+
+// tell writes a result wherever it is wanted, and returns an error where it is no good one.
+func (o *rehearsal) tell(c *cobra.Command, r *result.Result, e Extra) error {
 	if err := report.Text(c.OutOrStdout(), r); err != nil {
 		return err
 	}
