Rehearsals speak MessagePack-RPC and xDS, and servers report their load

Sites whose servers speak MessagePack-RPC, or whose list is a control plane's, can be rehearsed on sockets: kinds with protocol = "msgpack", discovery with form = "xds" (wayhold-xds), reports in answers.

--- a/cmd/wayhold-xds/main.go
+++ b/cmd/wayhold-xds/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"cobaltward/emulator/live/control"
 	"cobaltward/emulator/report/page"
 	"cobaltward/internal/cli"
 	"cobaltward/internal/node"
@@ -22,7 +23,7 @@
 func main() { os.Exit(cli.Main(extra())) }
 
 func extra() cli.Extra {
-	return cli.Extra{XDS: membership, Page: page.Write, Commands: []*cobra.Command{xdsCommand()}}
+	return cli.Extra{XDS: membership, Page: page.Write, Control: control.New, Commands: []*cobra.Command{xdsCommand()}}
 }
 
 // membership is the source that the operator's own file asks for, with the platform's discovery first
--- a/cmd/wayhold-xds/main_test.go
+++ b/cmd/wayhold-xds/main_test.go
@@ -9,12 +9,14 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	"go.uber.org/goleak"
 
+	"cobaltward/internal/cli"
 	"cobaltward/internal/node"
 	"cobaltward/internal/operator"
 	"cobaltward/internal/testkit"
@@ -23,7 +25,65 @@
 	"cobaltward/router"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+// asProgram has the test's own binary be the program: for nodes of a rehearsal.
+const asProgram = "WAYHOLD_TEST_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		os.Exit(cli.Main(extra()))
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// A rehearsal whose nodes hear of their servers by xDS alone, with crashes, drains and a control plane that
+// falls silent: every rule is kept.
+func TestRehearsalByXDS(t *testing.T) {
+	t.Setenv(asProgram, "1")
+	site := `base = "calm.toml"
+length = "4s"
+[discovery]
+form = "xds"
+delay = "200ms"
+[traffic]
+rate = 100
+[[fault]]
+kind = "crash"
+count = 2
+at = "500ms"
+for = "1s"
+[[fault]]
+kind = "drain"
+count = 2
+at = "1s"
+for = "1500ms"
+[[fault]]
+kind = "discovery-down"
+at = "1500ms"
+for = "1s"
+[[fault]]
+kind = "node-crash"
+count = 1
+at = "1s"
+for = "1s"
+`
+	calm, err := filepath.Abs("../../scenarios/calm.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path, page := filepath.Join(t.TempDir(), "site.toml"), filepath.Join(t.TempDir(), "page.html")
+	if err := os.WriteFile(path, []byte(strings.Replace(site, "calm.toml", calm, 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out, err := exec.Command(os.Args[0], "rehearse", "--real", "--quiet", "--html", page, path).CombinedOutput()
+	if err != nil || !strings.Contains(string(out), "drains kept: kept") {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	t.Logf("%s", out)
+	html, err := os.ReadFile(page)
+	if err != nil || !strings.Contains(string(html), "</svg>") || strings.Contains(string(html), "src=") {
+		t.Errorf("the page of %d bytes has no plot, or needs a network: %v", len(html), err)
+	}
+}
 
 func endpoint(t testing.TB, addr string) *xdspb.LbEndpoint {
 	t.Helper()
--- a/emulator/face/http.go
+++ b/emulator/face/http.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,8 +35,58 @@
 	Spoil bool          // the answer's framing is wrong
 }
 
-// Treat says what becomes of a request, once its last byte has come.
-type Treat func(r *http.Request, id string) Treatment
+// Treat says what becomes of a request, by its path and its id, once its last byte has come.
+type Treat func(target, id string) Treatment
+
+// Options are what a face is told beside its server.
+type Options struct {
+	Treat   Treat
+	Turned  func(id string) // is told of requests that the server turns away; nil: nobody is
+	Reports []string        // figures of the load report in answers: inflight, queue, util; nil: there is none
+}
+
+// report is a server's load report, as X-Load has it.
+func (o *Options) report(h *host.Host) string {
+	if len(o.Reports) == 0 {
+		return ""
+	}
+	inflight, queue, util := h.Load()
+	var parts []string
+	for _, name := range o.Reports {
+		switch name {
+		case "inflight":
+			parts = append(parts, fmt.Sprintf("inflight=%d", inflight))
+		case "queue":
+			parts = append(parts, fmt.Sprintf("queue=%d", queue))
+		case "util":
+			parts = append(parts, fmt.Sprintf("util=%.2f", util))
+		}
+	}
+	return strings.Join(parts, ",")
+}
+
+// treatAs is the treatment of a plain server.
+func treatAs(work Work, fails func() bool) Treat {
+	return func(target, id string) Treatment {
+		t := Treatment{Work: work(target, id)}
+		if t.Fail = fails != nil && fails(); t.Fail {
+			t.Work = 0
+		}
+		return t
+	}
+}
+
+// request is what a request with a treatment is to the model.
+func (t *Treatment) request(id, key string) model.Request {
+	q := model.Request{ID: t.ID, Key: t.Key, Work: t.Work}
+	if q.ID == "" {
+		q.ID = id
+	}
+	if q.Key == "" {
+		q.Key = key
+	}
+	return q
+}
 
 // HTTP is a server that speaks HTTP/1.1. It answers 200 once the request's work is done, 503 with X-Not-Run
 // where the server turns it away, and resets the connection where the server falls over.
@@ -42,8 +94,7 @@
 	Addr string
 
 	host   *host.Host
-	treat  Treat
-	turned func(id string)
+	o      Options
 	server *http.Server
 	ended  sync.WaitGroup
 
@@ -54,19 +105,12 @@
 // ServeHTTP1 runs the face on a listener. The host's end is the caller's to see to. fails, where it is not
 // nil, says of each request whether it is to fail at once: answered 500, though it may have had its effect.
 func ServeHTTP1(ln net.Listener, h *host.Host, work Work, fails func() bool) *HTTP {
-	return TreatHTTP1(ln, h, func(r *http.Request, id string) Treatment {
-		t := Treatment{Work: work(r.URL.Path, id)}
-		if t.Fail = fails != nil && fails(); t.Fail {
-			t.Work = 0
-		}
-		return t
-	}, nil)
+	return TreatHTTP1(ln, h, Options{Treat: treatAs(work, fails)})
 }
 
-// TreatHTTP1 is ServeHTTP1 with a treatment for each request. turned, where it is not nil, is told of requests
-// that the server turns away.
-func TreatHTTP1(ln net.Listener, h *host.Host, treat Treat, turned func(id string)) *HTTP {
-	f := &HTTP{Addr: ln.Addr().String(), host: h, treat: treat, turned: turned, conns: make(map[net.Conn]bool)}
+// TreatHTTP1 is ServeHTTP1 with a treatment for each request.
+func TreatHTTP1(ln net.Listener, h *host.Host, o Options) *HTTP {
+	f := &HTTP{Addr: ln.Addr().String(), host: h, o: o, conns: make(map[net.Conn]bool)}
 	f.server = &http.Server{Handler: http.HandlerFunc(f.answer), ConnState: f.state, ConnContext: withConn,
 		ReadHeaderTimeout: time.Minute, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
 	f.ended.Go(func() { _ = f.server.Serve(ln) }) // ends with Close
@@ -119,14 +163,8 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil { // a request begins when its last byte has come
 		return
 	}
-	t := f.treat(r, id)
-	q := model.Request{ID: t.ID, Key: t.Key, Work: t.Work}
-	if q.ID == "" {
-		q.ID = id
-	}
-	if q.Key == "" {
-		q.Key = r.Header.Get("Idempotency-Key")
-	}
+	t := f.o.Treat(r.URL.Path, id)
+	q := t.request(id, r.Header.Get("Idempotency-Key"))
 	gone := r.Context().Done()
 	if !pause(t.Way, gone) {
 		return
@@ -140,12 +178,15 @@
 		f.abort(r)
 	}
 	_, verdict, err := f.host.Do(q, gone)
-	if verdict == model.Full && f.turned != nil {
-		f.turned(id)
+	if verdict == model.Full && f.o.Turned != nil {
+		f.o.Turned(id)
 	}
 	if !pause(t.Way, gone) {
 		return
 	}
+	if load := f.o.report(f.host); load != "" {
+		w.Header().Set("X-Load", load)
+	}
 	switch {
 	case verdict == model.Full:
 		w.Header().Set("X-Not-Run", "1")
--- a/emulator/face/msgpack.go
+++ b/emulator/face/msgpack.go
@@ -15,7 +15,7 @@
 	Addr string
 
 	host  *host.Host
-	work  Work
+	o     Options
 	ln    net.Listener
 	ended sync.WaitGroup
 
@@ -26,7 +26,12 @@
 
 // ServeMsgpack runs the face on a listener. The host's end is the caller's to see to.
 func ServeMsgpack(ln net.Listener, h *host.Host, work Work) *Msgpack {
-	f := &Msgpack{Addr: ln.Addr().String(), host: h, work: work, ln: ln, conns: make(map[net.Conn]bool)}
+	return TreatMsgpack(ln, h, Options{Treat: treatAs(work, nil)})
+}
+
+// TreatMsgpack is ServeMsgpack with a treatment for each call.
+func TreatMsgpack(ln net.Listener, h *host.Host, o Options) *Msgpack {
+	f := &Msgpack{Addr: ln.Addr().String(), host: h, o: o, ln: ln, conns: make(map[net.Conn]bool)}
 	f.ended.Go(func() {
 		for {
 			c, err := ln.Accept()
@@ -100,12 +105,27 @@
 		gone[m.ID] = g
 		open.Unlock()
 		calls.Go(func() {
-			_, verdict, err := f.host.Do(model.Request{ID: q.ID, Key: q.IdempotencyKey, Work: f.work(q.Target, q.ID)}, g)
+			t := f.o.Treat(q.Target, q.ID)
+			todo := t.request(q.ID, q.IdempotencyKey)
+			verdict, err := model.Taken, error(nil)
+			switch {
+			case !pause(t.Way, g):
+			case t.Hang:
+				<-g
+			case t.Reset:
+				calls.Go(func() { f.host.Do(todo, nil) }) // it ends with the host
+				err = host.ErrLost
+			default:
+				if _, verdict, err = f.host.Do(todo, g); verdict == model.Full && f.o.Turned != nil {
+					f.o.Turned(q.ID)
+				}
+				pause(t.Way, g)
+			}
 			open.Lock()
 			waited := gone[m.ID] == g
 			delete(gone, m.ID)
 			open.Unlock()
-			r := msgpackrpc.Reply{Body: []byte("done " + q.ID)}
+			r := msgpackrpc.Reply{Body: []byte("done " + q.ID), Load: f.o.report(f.host)}
 			switch {
 			case !waited: // given up
 				return
@@ -114,10 +134,19 @@
 			case verdict == model.Down || errors.Is(err, host.ErrLost):
 				reset(c)
 				return
+			case t.Fail:
+				r = msgpackrpc.Reply{Code: msgpackrpc.Failed}
 			}
+			raw := msgpackrpc.AppendReply(nil, m.ID, &r)
 			writing.Lock()
 			defer writing.Unlock()
-			_, _ = c.Write(msgpackrpc.AppendReply(nil, m.ID, &r)) // whoever asked may have left
+			if t.Half || t.Spoil { // the connection is no good any more
+				if raw = raw[:len(raw)/2]; t.Spoil {
+					raw = []byte{0xc1}
+				}
+				defer reset(c)
+			}
+			_, _ = c.Write(raw) // whoever asked may have left
 		})
 	}
 }
--- a/emulator/host/host.go
+++ b/emulator/host/host.go
@@ -172,6 +172,13 @@
 	return ids
 }
 
+// Load is what a load report tells: requests that the server has, those of them that wait, and the part of its
+// cores that is busy.
+func (h *Host) Load() (inflight, queue int, util float64) {
+	h.ask(func(time.Duration) { inflight, queue, util = h.server.Load() })
+	return inflight, queue, util
+}
+
 // Held is the number of requests that the server has.
 func (h *Host) Held() (n int) {
 	h.ask(func(time.Duration) { n = h.server.Held() })
--- a/emulator/live/config.go
+++ b/emulator/live/config.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"cobaltward/emulator/plan"
@@ -15,7 +17,7 @@
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // configOf is the platform's configuration file for a node, in the form of its ROUTER_CONFIG.
-func configOf(p *plan.Plan, node int, listen, discovery string, known []entry, revision int64, life int) ([]byte, error) {
+func configOf(p *plan.Plan, node int, listen, discovery string, known []Entry, revision int64, life int) ([]byte, error) {
 	s := p.Script
 	set := p.SettingsOf(node)
 	var classes, tenants []obj
@@ -31,7 +33,7 @@
 		"name": p.Nodes[node].Name, "listen": listen, "discovery": discovery, "seed": fmt.Sprintf("%x", p.Seed+uint64(node)*1000+uint64(life)),
 		"limits": obj{"cores": 1, "memory_mb": 192, "sockets": 1024},
 		"known":  obj{"revision": revision, "complete": true, "members": known},
-		"settings": obj{"position": node, "groupSize": set.Nodes, "zone": set.Zone, "services": classes, "tenants": tenants,
+		"settings": obj{"position": node, "groupSize": set.Nodes, "zone": set.Zone, "services": classes, "tenants": tenants, "report": obj{"fields": set.Report},
 			"limits": obj{"cancelling": set.Allowed.Cancel, "secondCopies": set.Allowed.Hedge, "retryAfter": set.Allowed.RetryAfter,
 				"maxAttempts": set.Allowed.MaxAttempts, "maxRetryAfter": ms(set.Allowed.MaxRetryAfter), "connIdle": ms(set.Allowed.ConnIdle),
 				"maxOpen": s.Nodes.MaxOpen, "connectTimeout": ms(s.Net.Connect)},
@@ -39,8 +41,8 @@
 				"cold": ms(set.Rules.ColdFor), "fallMultiple": set.Rules.FallMultiple, "overloadFor": ms(set.Rules.FallFor)}}})
 }
 
-// entry is one server in discovery's form.
-type entry struct {
+// Entry is one server in discovery's form.
+type Entry struct {
 	ID       string  `json:"id"`
 	HostPort string  `json:"host_port"`
 	Locality string  `json:"locality"`
@@ -50,3 +52,17 @@
 	Size     float64 `json:"size"`
 	UpSince  int64   `json:"up_since_ms"`
 }
+
+// operatorOf is the operator's own file for a node.
+func operatorOf(p *plan.Plan, more string) string {
+	var kinds []string
+	for _, k := range p.Script.Kinds {
+		if k.Protocol == "msgpack" {
+			kinds = append(kinds, strconv.Quote(k.Name))
+		}
+	}
+	if len(kinds) > 0 {
+		more += "\n[msgpack]\nservers = [" + strings.Join(kinds, ", ") + "]\n"
+	}
+	return more
+}
--- a/emulator/live/live.go
+++ b/emulator/live/live.go
@@ -36,6 +36,7 @@
 // Options are what a rehearsal is told beside its plan.
 type Options struct {
 	Command  []string // starts a node, as `wayhold serve`; what it is told is in the environment
+	XDS      NewAgent // discovery as a control plane; nil where this program has none
 	Progress func(at time.Duration)
 	Detail   func(*plan.Request, result.Outcome)
 }
@@ -88,6 +89,9 @@
 		return nil, fmt.Errorf("live: %d servers and %d nodes: real time takes %d and %d at most; virtual time takes more",
 			len(p.Servers), len(p.Nodes), mostServers, mostNodes)
 	}
+	if p.Script.Discovery.Form == "xds" && o.XDS == nil {
+		return nil, errors.New(`live: discovery.form = "xds": this program has no xDS; run wayhold-xds in its place`)
+	}
 	dir, err := os.MkdirTemp("", "rehearse")
 	if err != nil {
 		return nil, err
@@ -123,7 +127,7 @@
 	for i := range p.Nodes {
 		n, err := w.addNode(ctx, i)
 		if n != nil {
-			defer n.agent.stop()
+			defer n.agent.Stop()
 			defer n.kill()
 		}
 		if err != nil {
@@ -161,12 +165,16 @@
 
 func (w *world) addNode(ctx context.Context, i int) (*node, error) {
 	n := &node{w: w, index: i, spec: &w.p.Nodes[i]}
-	var first []entry
+	var first []Entry
 	for _, s := range w.servers {
 		first = append(first, s.entry(i, "up"))
 	}
 	var err error
-	if n.agent, err = startAgent(first, func(id string, open bool) { w.court.told(n.spec.Name, id, open) }); err != nil {
+	start := NewAgent(startAgent)
+	if w.p.Script.Discovery.Form == "xds" {
+		start = w.o.XDS
+	}
+	if n.agent, err = start(w.dir, first, func(id string, open bool) { w.court.told(n.spec.Name, id, open) }); err != nil {
 		return nil, err
 	}
 	w.nodes = append(w.nodes, n)
@@ -217,7 +225,7 @@
 	w.lateMu.Unlock()
 	for i, n := range w.nodes {
 		e := s.entry(i, phase)
-		w.at(w.now()+n.spec.Delay+more, func() { n.agent.set(e) })
+		w.at(w.now()+n.spec.Delay+more, func() { n.agent.Set(e) })
 	}
 }
 
@@ -237,7 +245,7 @@
 	switch f.Kind {
 	case "discovery-down":
 		for _, n := range w.nodes {
-			n.agent.silence(true)
+			n.agent.Silence(true)
 		}
 	case "list-late":
 		w.lateMu.Lock()
@@ -287,7 +295,7 @@
 	switch f.Kind {
 	case "discovery-down":
 		for _, n := range w.nodes {
-			n.agent.silence(false)
+			n.agent.Silence(false)
 		}
 	case "list-late":
 		w.lateMu.Lock()
--- a/emulator/live/live_test.go
+++ b/emulator/live/live_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -116,10 +117,18 @@
 for = "1s"
 `
 
-// A small site on sockets, with a node killed and many faults at once: every rule is kept, each fault is met,
-// and nothing is left running.
+// A small site on sockets, with a node killed and many faults at once, in each protocol: every rule is kept,
+// each fault is met, and nothing is left running.
 func TestRealTime(t *testing.T) {
-	s, err := script.Parse("site.toml", []byte(site))
+	t.Run("http", func(t *testing.T) { t.Parallel(); rehearse(t, site) })
+	t.Run("msgpack", func(t *testing.T) {
+		t.Parallel()
+		rehearse(t, "reports = [\"inflight\", \"queue\", \"util\"]\n"+strings.Replace(site, `name = "small"`, "name = \"small\"\nprotocol = \"msgpack\"", 1))
+	})
+}
+
+func rehearse(t *testing.T, text string) {
+	s, err := script.Parse("site.toml", []byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/emulator/live/node.go
+++ b/emulator/live/node.go
@@ -28,7 +28,7 @@
 	w     *world
 	index int
 	spec  *plan.Node
-	agent *agent
+	agent Agent
 
 	mu     sync.Mutex
 	addr   string
@@ -44,7 +44,7 @@
 
 // start runs the process, and waits until it is ready.
 func (n *node) start(ctx context.Context) error {
-	known, revision := n.agent.known()
+	known, revision := n.agent.Known()
 	n.mu.Lock()
 	addr, life := n.addr, n.lives
 	n.mu.Unlock()
@@ -52,7 +52,7 @@
 	if listen == "" {
 		listen = fmt.Sprintf("127.10.%d.%d:0", n.index/200, n.index%200+1)
 	}
-	config, err := configOf(n.w.p, n.index, listen, n.agent.addr, known, revision, life)
+	config, err := configOf(n.w.p, n.index, listen, n.agent.Addr(), known, revision, life)
 	if err != nil {
 		return err
 	}
@@ -60,8 +60,12 @@
 	if err := os.WriteFile(path, config, 0o600); err != nil {
 		return err
 	}
+	own := filepath.Join(n.w.dir, n.spec.Name+".toml")
+	if err := os.WriteFile(own, []byte(operatorOf(n.w.p, n.agent.Operator())), 0o600); err != nil {
+		return err
+	}
 	cmd := exec.Command(n.w.o.Command[0], n.w.o.Command[1:]...)
-	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+path, "ROUTER_LISTEN=", "ROUTER_DISCOVERY=", "ROUTER_NAME=", "GOMAXPROCS=")
+	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+path, "WAYHOLD_CONFIG="+own, "ROUTER_LISTEN=", "ROUTER_DISCOVERY=", "ROUTER_NAME=", "GOMAXPROCS=")
 	logs, err := cmd.StderrPipe()
 	if err != nil {
 		return err
--- a/emulator/live/server.go
+++ b/emulator/live/server.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net"
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -25,7 +24,7 @@
 	id    string
 	addrs []string // by node
 	host  *host.Host
-	faces []*face.HTTP
+	faces []interface{ Close() }
 	life  int
 	fell  bool
 	began int64 // Unix time in milliseconds; 0: long ago
@@ -66,7 +65,12 @@
 		if s.w.p.Nodes[n].Zone != s.spec.Zone {
 			way = s.w.p.Script.Net.Cross
 		}
-		s.faces = append(s.faces, face.TreatHTTP1(ln, s.host, s.treat(n, way), func(id string) { s.w.court.proved(n, id) }))
+		o := face.Options{Treat: s.treat(n, way), Turned: func(id string) { s.w.court.proved(n, id) }, Reports: s.w.p.Script.Reports}
+		if s.spec.Msgpack {
+			s.faces = append(s.faces, face.TreatMsgpack(ln, s.host, o))
+		} else {
+			s.faces = append(s.faces, face.TreatHTTP1(ln, s.host, o))
+		}
 	}
 	return nil
 }
@@ -108,7 +112,7 @@
 
 // treat says what becomes of the requests of one node.
 func (s *server) treat(n int, way time.Duration) face.Treat {
-	return func(r *http.Request, id string) face.Treatment {
+	return func(_, id string) face.Treatment {
 		w := s.w
 		s.mu.Lock()
 		server := s.id
@@ -167,10 +171,10 @@
 }
 
 // entry is what discovery tells a node of the server.
-func (s *server) entry(node int, phase string) entry {
+func (s *server) entry(node int, phase string) Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return entry{ID: s.id, HostPort: s.addrs[node], Locality: s.spec.Zone, Flavor: s.spec.Kind, Cell: s.spec.Cell, Phase: phase, Size: s.spec.Weight, UpSince: s.began}
+	return Entry{ID: s.id, HostPort: s.addrs[node], Locality: s.spec.Zone, Flavor: s.spec.Kind, Cell: s.spec.Cell, Phase: phase, Size: s.spec.Weight, UpSince: s.began}
 }
 
 // group is how one server looks repeats up: in the table of the group that it shares for the key's class.
--- a/emulator/model/model.go
+++ b/emulator/model/model.go
@@ -227,6 +227,12 @@
 // Held is the number of requests that the server has, in work and waiting.
 func (s *Server) Held() int { return len(s.running) + len(s.waiting) }
 
+// Load is what a load report tells: requests that the server has, those of them that wait, and the part of its
+// cores that is busy.
+func (s *Server) Load() (inflight, queue int, util float64) {
+	return s.Held(), len(s.waiting), min(1, float64(len(s.running))/float64(s.c.Cores))
+}
+
 // Down tells whether the server has fallen over or stopped.
 func (s *Server) Down() bool { return s.down }
 
--- a/emulator/plan/plan.go
+++ b/emulator/plan/plan.go
@@ -43,6 +43,7 @@
 	Weight    float64
 	Config    model.Config
 	ErrorRate float64
+	Msgpack   bool // it speaks MessagePack-RPC, in real time
 }
 
 // Node is one instance of the router.
@@ -109,7 +110,7 @@
 				Cancel: map[string]model.Cancel{"nothing": model.CancelNothing, "waiting": model.CancelWaiting, "all": model.CancelAll}[k.Cancel],
 
 				DropExpired: k.DropExpired, ConnWork: k.ConnWork.Seconds(), ConnCap: k.ConnCap * k.Cores, FullTax: k.FullTax}
-			p.Servers = append(p.Servers, Server{ID: names[i], Zone: zone, Kind: k.Name, Cell: cells[zone], Weight: cores, Config: c, ErrorRate: k.ErrorRate})
+			p.Servers = append(p.Servers, Server{ID: names[i], Zone: zone, Kind: k.Name, Cell: cells[zone], Weight: cores, Config: c, ErrorRate: k.ErrorRate, Msgpack: k.Protocol == "msgpack"})
 		}
 	}
 }
@@ -153,7 +154,7 @@
 
 // settings are those that a node of this site would be told.
 func settings(s *script.Script) policy.Settings {
-	set := policy.Settings{Nodes: s.Nodes.Count,
+	set := policy.Settings{Nodes: s.Nodes.Count, Report: s.Reports,
 		Allowed: policy.Allowed{Cancel: s.Allow.Cancel, Hedge: s.Allow.Hedge, RetryAfter: s.Allow.RetryAfter,
 			MaxAttempts: s.Allow.MaxAttempts, MaxRetryAfter: s.Clients.MaxRetryAfter, ConnIdle: s.Allow.ConnIdle},
 		Rules: policy.Rules{DrainGrace: s.Rules.DrainGrace, FallMultiple: s.Rules.FallMultiple, FallFor: s.Rules.FallFor, AnswerGrace: s.Rules.AnswerGrace}}
--- a/emulator/script/script.go
+++ b/emulator/script/script.go
@@ -30,6 +30,7 @@
 	Tenants   []Tenant      `toml:"tenant" need:"1"`
 	Traffic   Traffic       `toml:"traffic" need:"1"`
 	Clients   Clients       `toml:"clients"`
+	Reports   []string      `toml:"reports" one:"inflight|queue|util"` // figures of load reports, in real time
 	Allow     Allow         `toml:"allow"`
 	Rules     Rules         `toml:"rules"`
 	Faults    []Fault       `toml:"fault"`
@@ -61,6 +62,7 @@
 type Discovery struct {
 	Delay  time.Duration `toml:"delay" min:"0s" max:"1m"`
 	Spread time.Duration `toml:"spread" min:"0s" max:"1m"` // a node's may be longer by so much
+	Form   string        `toml:"form" one:"own|xds"`       // in real time; own: the protocol's
 	Silent time.Duration `toml:"silent" min:"0s" max:"1h"` // after which a machine that says nothing is taken off the list; 0: never
 }
 
@@ -87,6 +89,7 @@
 	ConnCap     int                `toml:"conn_cap" min:"0"` // a core; 0: no bound
 	FullTax     float64            `toml:"full_tax" min:"0" max:"0.9"`
 	ErrorRate   float64            `toml:"error_rate" min:"0" max:"1"`
+	Protocol    string             `toml:"protocol" one:"http|msgpack"` // in real time
 }
 
 // Class is one class of requests.
@@ -247,7 +250,10 @@
 	}
 	title := s.Title
 	if base := baseOf(text); base != "" {
-		at := filepath.Join(filepath.Dir(path), filepath.FromSlash(base))
+		at := filepath.FromSlash(base)
+		if !filepath.IsAbs(at) {
+			at = filepath.Join(filepath.Dir(path), at)
+		}
 		under, err := os.ReadFile(at)
 		if err != nil {
 			return nil, fmt.Errorf("%s:1: base: %w", path, err)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -14,6 +14,7 @@
 
 	"github.com/spf13/cobra"
 
+	"cobaltward/emulator/live"
 	"cobaltward/emulator/result"
 	"cobaltward/internal/node"
 	"cobaltward/internal/operator"
@@ -28,6 +29,7 @@
 type Extra struct {
 	XDS      Membership
 	Page     func(w io.Writer, r *result.Result) error // of a rehearsal, with plots
+	Control  live.NewAgent                             // of a rehearsal, a control plane
 	Commands []*cobra.Command
 }
 
--- a/internal/cli/rehearse.go
+++ b/internal/cli/rehearse.go
@@ -116,7 +116,7 @@
 		if err != nil {
 			return err
 		}
-		r, err = live.Run(ctx, p, live.Options{Command: []string{self, "serve"}, Progress: options.Progress, Detail: options.Detail})
+		r, err = live.Run(ctx, p, live.Options{Command: []string{self, "serve"}, XDS: e.Control, Progress: options.Progress, Detail: options.Detail})
 		if err := errors.Join(err, finish()); err != nil {
 			return err
 		}
--- a/membership/xds/standin/script.go
+++ b/membership/xds/standin/script.go
@@ -107,7 +107,7 @@
 	},
 	"endpoints": func(a args) (func(*run) error, error) {
 		return stage(a, 1, many, "CLUSTER [ADDRESS[/zone=Z,priority=N,weight=N,health=H,kind=K,cell=N,started=MS]] ...", func(a args) (proto.Message, error) {
-			return assignment(a.words[0], a.words[1:])
+			return Assignment(a.words[0], a.words[1:])
 		})
 	},
 	"many": manyEndpoints,
@@ -259,7 +259,7 @@
 		for i := range all {
 			all[i] = fmt.Sprintf("10.%d.%d.%d:%s%s", i>>16&255, i>>8&255, i&255, a.words[2], health)
 		}
-		return assignment(a.words[0], all)
+		return Assignment(a.words[0], all)
 	})
 }
 
@@ -343,8 +343,8 @@
 	}, nil
 }
 
-// assignment makes a cluster's endpoints of texts.
-func assignment(name string, texts []string) (*xdspb.ClusterLoadAssignment, error) {
+// Assignment makes a cluster's endpoints of texts.
+func Assignment(name string, texts []string) (*xdspb.ClusterLoadAssignment, error) {
 	cla := &xdspb.ClusterLoadAssignment{ClusterName: name}
 	type where struct {
 		zone     string
