--- a/emulator/sim/node.go
+++ b/emulator/sim/node.go
@@ -24,6 +24,7 @@
 	conns   int
 	idle    map[string][]*conn // by server, the last used at the end
 	out     map[router.Try]*try
+	rests   []rest                   // of connections, oldest first; those in use since are passed over
 	known   map[string]router.Member // as last told
 	drained map[string]time.Duration // since when it knows
 	agent   []router.Member          // news that the process has not heard
@@ -37,6 +38,12 @@
 	broken bool // by a cut or a silence: what goes over it comes to nothing
 }
 
+// rest is since when a connection is idle.
+type rest struct {
+	c     *conn
+	since time.Duration
+}
+
 func (w *world) addNode(i int) error {
 	n := &node{w: w, index: i, spec: &w.p.Nodes[i], known: make(map[string]router.Member)}
 	for _, s := range w.servers {
@@ -64,6 +71,7 @@
 	}
 	n.engine, n.born, n.wake = engine, n.w.now, 0
 	n.w.front.Notice(n.index, false)
+	n.rests = nil
 	n.idle, n.conns, n.out = make(map[string][]*conn), 0, make(map[router.Try]*try)
 	n.drained = make(map[string]time.Duration)
 	for id, m := range n.known {
@@ -230,21 +238,30 @@
 	t.connect()
 }
 
-// evict closes an idle connection to make room.
+// evict closes the connection that was idle longest, to make room.
 func (n *node) evict() bool {
-	var oldest string
-	for _, id := range sortedKeys(n.idle) {
-		if len(n.idle[id]) > 0 && (oldest == "" || n.idle[id][0].used < n.idle[oldest][0].used) {
-			oldest = id
+	for len(n.rests) > 0 {
+		r := n.rests[0]
+		n.rests = n.rests[1:]
+		idle := n.idle[r.c.p.s.id]
+		if i := slices.Index(idle, r.c); i >= 0 && r.c.used == r.since {
+			n.idle[r.c.p.s.id] = slices.Delete(idle, i, i+1)
+			r.c.hangUp(nil)
+			n.conns--
+			return true
 		}
 	}
-	if oldest == "" {
-		return false
-	}
-	n.idle[oldest][0].hangUp(nil)
-	n.idle[oldest] = n.idle[oldest][1:]
-	n.conns--
-	return true
+	return false
+}
+
+// rest puts a connection among the idle ones.
+func (n *node) rest(c *conn) {
+	c.used = n.w.now
+	n.idle[c.p.s.id] = append(n.idle[c.p.s.id], c)
+	if len(n.rests) > 8*n.w.p.Script.Nodes.MaxConns { // most of them have been in use since
+		n.rests = slices.DeleteFunc(n.rests, func(r rest) bool { return r.c.used != r.since })
+	}
+	n.rests = append(n.rests, rest{c, c.used})
 }
 
 // CallOff ends an attempt from the node's side: its connection is closed.
@@ -448,8 +465,7 @@
 	delete(n.out, t.e)
 	if c := t.conn; c != nil {
 		if (!t.sent || code == policy.OK || code == policy.Full || code == policy.ServerError) && !t.off && !c.p.dead && !c.broken {
-			c.used = n.w.now
-			n.idle[t.server.id] = append(n.idle[t.server.id], c)
+			n.rest(c)
 		} else {
 			n.conns--
 			c.hangUp(t)
