Drains go through one state machine, and can be taken back before they are through

SIGTERM alone ended a node, irrevocably and blind. Fronts that can let clients in again are router.Intake: the daemon's HTTP and MessagePack-RPC listeners. Connections without a request are closed with care, and requests that cross the close are counted.

--- a/front/msgpack/msgpack.go
+++ b/front/msgpack/msgpack.go
@@ -214,6 +214,44 @@
 	}
 }
 
+// EndIntake ends the intake as Shutdown does, in a way that can be taken back, and waits for nothing.
+func (f *Front) EndIntake() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.draining = true
+	for ln := range f.listeners {
+		(*ln).Close()
+	}
+	for c := range f.conns {
+		c.drain()
+	}
+	f.room.Broadcast()
+}
+
+// ResumeIntake lets Serve be called again, with another listener. Clients that were told of the drain have
+// gone, or go with their last call.
+func (f *Front) ResumeIntake() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.draining = false
+	return nil
+}
+
+// Clients is the number of connections, and of those of them with a call.
+func (f *Front) Clients() (open, busy int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		open++
+		c.mu.Lock()
+		if len(c.open) > 0 {
+			busy++
+		}
+		c.mu.Unlock()
+	}
+	return open, busy
+}
+
 // Close ends all connections at once; calls that are open have left.
 func (f *Front) Close() {
 	f.mu.Lock()
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -2,9 +2,12 @@
 
 import (
 	linked "container/list"
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"cobaltward/internal/sockets"
 )
@@ -21,8 +24,14 @@
 	open   int
 	quiet  linked.List // of the *clientConn without a request, the longest so in front
 	closed bool
+
+	crossed uint64 // requests that met the close of their connection: their clients send them again
+	parted  uint64 // connections that were closed without a request, for a drain
 }
 
+// partFor is how long a client may take to close its side of a connection that was parted from.
+const partFor = time.Second
+
 // clientConn is one connection of a client.
 type clientConn struct {
 	*net.TCPConn
@@ -31,6 +40,8 @@
 	// Under the owner's mutex.
 	quiet *linked.Element // its place there; nil while a request is in it
 	gone  bool
+
+	parting atomic.Bool // our side is closed: what still comes crossed that
 }
 
 func newClients(l net.Listener, most int) *clients {
@@ -75,9 +86,41 @@
 	return false
 }
 
+// part closes our side of the connections that have no request, with care: one to which a request has come
+// already serves it, and what crosses the close is counted. The client's own close ends them.
+func (l *clients) part() {
+	l.mu.Lock()
+	var quiet []*clientConn
+	for e := l.quiet.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*clientConn); !c.parting.Load() && sockets.Quiet(c.TCPConn) {
+			quiet = append(quiet, c)
+			c.parting.Store(true)
+		}
+	}
+	l.parted += uint64(len(quiet))
+	l.mu.Unlock()
+	for _, c := range quiet {
+		_ = c.CloseWrite() // fails only where the client was faster
+		_ = c.SetReadDeadline(time.Now().Add(partFor))
+	}
+}
+
+// count is the connections, and those of them with a request.
+func (l *clients) count() (open, busy int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open, l.open - l.quiet.Len()
+}
+
 // Read also notes that a request begins: net/http says so only once it has the whole head.
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
+	if n > 0 && c.parting.Load() {
+		c.owner.mu.Lock()
+		c.owner.crossed++
+		c.owner.mu.Unlock()
+		return 0, io.EOF // no answer could reach the client
+	}
 	if n > 0 {
 		c.change(http.StateActive)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,7 @@
 			}
 		},
 	}
+	front := newIntake(server, listener, most)
 	membership := router.Membership(source)
 	if c.Membership != nil {
 		var err error
@@ -65,11 +66,12 @@
 			return err
 		}
 	}
-	options := []router.Option{router.WithLogger(log), router.WithMembership(membership), router.WithFront(server),
+	options := []router.Option{router.WithLogger(log), router.WithMembership(membership), router.WithFront(front),
 		router.WithTransport(transport(c, sockets-most))}
-	var rpc lateFront
+	var rpc *rpcIntake
 	if c.Msgpack.Listener != nil {
-		options = append(options, router.WithFront(&rpc))
+		rpc = newRPCIntake(c.Msgpack.Listener)
+		options = append(options, router.WithFront(rpc))
 	}
 	if c.Leave != nil {
 		options = append(options, router.WithLeave(*c.Leave))
@@ -82,8 +84,10 @@
 	server.Handler = middleware.New(engine, middleware.WithMatcher(middleware.Any), middleware.WithReady(readyPath),
 		middleware.WithBodyTimeout(headerTimeout), middleware.WithWriteTimeout(writeTimeout))
 
-	rpc.Front = msgpackfront.New(engine, msgpackfront.Config{MaxConns: callers, MaxCalls: c.Msgpack.Calls, Idle: clientIdle,
-		MessageTimeout: headerTimeout, WriteTimeout: writeTimeout})
+	if rpc != nil {
+		rpc.Front = msgpackfront.New(engine, msgpackfront.Config{MaxConns: callers, MaxCalls: c.Msgpack.Calls, Idle: clientIdle,
+			MessageTimeout: headerTimeout, WriteTimeout: writeTimeout})
+	}
 
 	running, stop := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
@@ -93,9 +97,9 @@
 	newest.Store(&c)
 	parts.Go(func() { follow(running, reloads, &newest, engine, source, log) })
 	failed := make(chan error, 2)
-	parts.Go(func() { failed <- server.Serve(newClients(listener, most)) })
-	if c.Msgpack.Listener != nil {
-		parts.Go(func() { failed <- rpc.Serve(c.Msgpack.Listener) })
+	parts.Go(func() { failed <- front.Serve() })
+	if rpc != nil {
+		parts.Go(func() { failed <- rpc.Serve() })
 		defer rpc.Close()
 	}
 	select {
@@ -104,12 +108,9 @@
 	case <-ctx.Done():
 	}
 	log.Info("stopping")
-	return drain(*newest.Load(), engine, server)
+	return end(*newest.Load(), engine, front)
 }
 
-// lateFront is a front that is made after its engine.
-type lateFront struct{ *msgpackfront.Front }
-
 // transport speaks to each server in the protocol of its kind, over so many connections in all.
 func transport(c Config, conns int) router.Transport {
 	if len(c.Msgpack.Servers) == 0 {
@@ -152,10 +153,10 @@
 	}
 }
 
-// drain ends the service. Clients go on coming for a while, and go on using the connections that they
+// end ends the service. Clients go on coming for a while, and go on using the connections that they
 // have: there may be no other node for them yet. So the node serves as before at first, and says only
 // that it isn't ready; then it ends each connection with its answer, early enough for what it took last.
-func drain(c Config, engine *router.Router, server *http.Server) error {
+func end(c Config, engine *router.Router, front *intake) error {
 	var longest time.Duration
 	for _, class := range c.Settings.Classes {
 		longest = max(longest, class.Deadline)
@@ -171,8 +172,8 @@
 	}
 	last, cancel := context.WithTimeout(context.Background(), lastAnswers)
 	defer cancel()
-	if err := server.Shutdown(last); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+	if err := front.Shutdown(last); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return err
 	}
-	return server.Close()
+	return front.Close()
 }
--- a/router/loop.go
+++ b/router/loop.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cobaltward/drops"
@@ -57,13 +58,13 @@
 
 	requests map[string]*request
 	used     ids
-	drained  bool // nothing is taken any more
-	owed     int  // requests without their answer
+	drained  bool         // nothing is taken any more
+	owed     int          // requests without their answer
+	open     atomic.Int64 // the same, for others to read
 	timers   timers
 	skipped  []policy.Outcome // of attempts that were not made; told once all actions are done
 	attempts sync.WaitGroup
 	out      int // attempts that are out
-	idle     []chan struct{}
 	stats    Stats
 	servers  map[string]listed // for Stats
 	drops    drops.Parts
@@ -119,8 +120,7 @@
 		reply  chan error
 	}
 	statsQuery struct{ reply chan Stats }
-	idleQuery  struct{ reply chan struct{} } // closed once no request is open
-	finish     struct{}                      // answer what is still open
+	finish     struct{} // answer what is still open
 )
 
 func newLoop(c Config, o options, ck clock) (*loop, error) {
@@ -307,26 +307,12 @@
 		e.reply <- l.reload(e.config)
 	case statsQuery:
 		e.reply <- l.snapshot()
-	case idleQuery:
-		l.idle = append(l.idle, e.reply)
-		l.tellIdle()
 	case finish:
 		l.drained = true
 		l.finish()
 	}
 }
 
-// tellIdle releases those who wait until no request is open.
-func (l *loop) tellIdle() {
-	if l.owed > 0 {
-		return
-	}
-	for _, c := range l.idle {
-		close(c)
-	}
-	l.idle = nil
-}
-
 // finish answers what is open: what may have run has failed, and the rest is refused.
 func (l *loop) finish() {
 	open := make([]*request, 0, len(l.requests))
@@ -399,6 +385,7 @@
 	}
 	l.requests[c.req.ID] = r
 	l.owed++
+	l.open.Store(int64(l.owed))
 	r.backstop = timer{due: end - margin/2, backstop: r}
 	heap.Push(&l.timers, &r.backstop)
 	l.tell(policy.Request{ID: c.req.ID, Class: c.req.Class, Tenant: c.req.Tenant, Key: c.req.Key,
@@ -640,10 +627,10 @@
 func (l *loop) settle(r *request) {
 	r.ended = true
 	l.owed--
+	l.open.Store(int64(l.owed))
 	if r.backstop.at >= 0 { // else it would keep the request until a deadline that may be far off
 		heap.Remove(&l.timers, r.backstop.at)
 	}
-	l.tellIdle()
 }
 
 // drop forgets a request that is answered and has no attempt out.
--- a/router/ports.go
+++ b/router/ports.go
@@ -72,6 +72,18 @@
 	Shutdown(ctx context.Context) error
 }
 
+// Intake is a Front whose end can be taken back, as a drain on request needs it. Its methods must not wait for
+// clients.
+type Intake interface {
+	Front
+	// EndIntake lets nothing new in: listeners are closed, and connections without a request are ended.
+	EndIntake()
+	// ResumeIntake takes that back. An error says that nothing can be let in again.
+	ResumeIntake() error
+	// Clients is the number of connections, and of those of them that have a request.
+	Clients() (open, busy int)
+}
+
 // Static is a Membership whose list never changes by itself; Reload replaces it.
 type Static struct{}
 
--- a/router/router.go
+++ b/router/router.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"cobaltward/drain"
 	"cobaltward/policy"
 )
 
@@ -48,8 +49,9 @@
 	closed sync.Once
 	reload sync.Mutex // one at a time
 
-	mu    sync.Mutex
-	drain *drain
+	mu      sync.Mutex
+	machine *drain.Machine
+	runner  *runner // of the drain that goes on, or of the one that is over
 }
 
 // table is what fronts ask of the configuration in force.
@@ -58,12 +60,6 @@
 	longest time.Duration
 }
 
-// drain is the one drain of a router; those who ask again wait for the same.
-type drain struct {
-	done chan struct{}
-	err  error
-}
-
 // New starts a router. Errors name the field of c that makes no sense.
 func New(c Config, opts ...Option) (*Router, error) {
 	o := options{log: slog.New(slog.DiscardHandler), membership: Static{}}
@@ -84,7 +80,7 @@
 }
 
 func start(l *loop, c Config, o options) *Router {
-	r := &Router{loop: l, fronts: o.fronts}
+	r := &Router{loop: l, fronts: o.fronts, machine: drain.New(time.Now())}
 	r.leave = func() time.Duration {
 		if o.leaveSet {
 			return o.leave
@@ -222,75 +218,6 @@
 	return nil
 }
 
-// Drain takes the router out in order. It is no longer ready at once, serves on as before for a while
-// (WithLeave), has the fronts end their intake, and waits until no request is open; from then on Do
-// takes nothing. Where ctx ends first, what is still open is answered: what may have run has failed,
-// the rest is refused; then Drain returns ctx's error. It can't be taken back. Who calls it again
-// waits for the same drain; the first one's ctx holds.
-func (r *Router) Drain(ctx context.Context) error {
-	r.mu.Lock()
-	d := r.drain
-	if d == nil {
-		d = &drain{done: make(chan struct{})}
-		r.drain = d
-		r.mu.Unlock()
-		d.err = r.runDrain(ctx)
-		close(d.done)
-		return d.err
-	}
-	r.mu.Unlock()
-	select {
-	case <-d.done:
-		return d.err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-func (r *Router) runDrain(ctx context.Context) error {
-	l := r.loop
-	if !r.advance(Leaving) {
-		return ErrClosed
-	}
-	leave := time.NewTimer(r.leave())
-	defer leave.Stop()
-	select {
-	case <-leave.C:
-	case <-ctx.Done():
-	case <-l.done:
-		return ErrClosed
-	}
-	r.advance(Closing)
-	var fronts sync.WaitGroup
-	defer fronts.Wait()
-	for _, f := range r.fronts {
-		fronts.Go(func() {
-			if err := f.Shutdown(ctx); err != nil && ctx.Err() == nil {
-				l.log.Error("a front could not end its intake", "err", err)
-			}
-		})
-	}
-	still := make(chan struct{})
-	go func() { fronts.Wait(); close(still) }()
-	select {
-	case <-still:
-		idle := make(chan struct{})
-		l.send(idleQuery{idle})
-		select {
-		case <-idle:
-		case <-ctx.Done():
-		case <-l.done:
-			return ErrClosed
-		}
-	case <-ctx.Done():
-	case <-l.done:
-		return ErrClosed
-	}
-	r.advance(Drained)
-	l.send(finish{})
-	return ctx.Err()
-}
-
 // advance moves on to a later phase; false where the router is there or beyond.
 func (r *Router) advance(to Phase) bool {
 	for {
