The operators' door, wayhold ctl, and servers drained by hand

Operators had no way in. The door is a Unix socket of mode 0600 (or loopback with a token) with versioned JSON over HTTP: status, drain, undrain, events, servers. wayhold ctl speaks to it, with exit codes for scripts; membership/hold keeps a server out for this node until it is lifted, whatever the list says. Off unless [door] is set.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -72,7 +72,7 @@
 			Args: cobra.NoArgs,
 			RunE: func(c *cobra.Command, _ []string) error { return serve(own, c.ErrOrStderr(), e) },
 		},
-		checkCommand(&own, e), demoCommand(), callCommand(), rehearseCommand(e),
+		checkCommand(&own, e), demoCommand(), callCommand(), rehearseCommand(e), ctlCommand(&own),
 		&cobra.Command{
 			Use:   "version",
 			Short: "Print the version",
--- /dev/null
+++ b/internal/cli/ctl.go
@@ -0,0 +1,323 @@
+package cli
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"cobaltward/drain"
+	"cobaltward/internal/demo"
+	"cobaltward/internal/door"
+	"cobaltward/internal/node"
+	"cobaltward/internal/operator"
+)
+
+// The statuses of ctl that scripts go by, beside 0 and 1.
+const (
+	unreachable exitStatus = 4 // no node answers at the door
+	overdue     exitStatus = 5 // the deadline has passed, and requests were answered for want of time
+	takenBack   exitStatus = 6 // the drain was cancelled
+	conflict    exitStatus = 7 // the node says no, as things stand
+)
+
+const ctlTimeout = 10 * time.Second // for an answer; watching has no end
+
+// statusError is an error with a status.
+type statusError struct {
+	error
+	status exitStatus
+}
+
+func (e statusError) As(to any) bool {
+	if s, ok := to.(*exitStatus); ok {
+		*s = e.status
+		return true
+	}
+	return false
+}
+
+// ctl is what all of its commands share.
+type ctl struct {
+	own             *string // the operator's own file
+	at, token, file string
+}
+
+func ctlCommand(own *string) *cobra.Command {
+	t := ctl{own: own}
+	c := &cobra.Command{
+		Use:   "ctl",
+		Short: "See to a running node by its door: status, drain, undrain, watch, server",
+		Long: `See to a running node by the door that the table [door] of its own file opens. The exit status is 0 if all is
+well (drain --wait: drained), 4 if no node answers, 5 if the deadline passed with requests open, 6 if the drain was
+taken back, 7 if the node says no as things stand, and 1 otherwise.`,
+	}
+	c.PersistentFlags().StringVar(&t.at, "door", os.Getenv("WAYHOLD_DOOR"), "the node's socket, or IP:port; else as --config says; WAYHOLD_DOOR names it too")
+	c.PersistentFlags().StringVar(&t.file, "token-file", "", "the token for IP:port; else as --config says")
+	var asJSON bool
+	status := &cobra.Command{Use: "status", Short: "Print how the node stands", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+		var s node.Status
+		raw, err := t.call(http.MethodGet, "/status", nil, &s)
+		if err != nil {
+			return err
+		}
+		if asJSON {
+			_, err := c.OutOrStdout().Write(raw)
+			return err
+		}
+		return printStatus(c.OutOrStdout(), s)
+	}}
+	status.Flags().BoolVar(&asJSON, "json", false, "as the door tells it")
+	order := node.DrainOrder{Who: os.Getenv("USER")}
+	var deadline time.Duration
+	var wait bool
+	start := &cobra.Command{Use: "drain", Short: "Take the node out in order", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+		order.Deadline = deadline.String()
+		var s node.Status
+		if _, err := t.call(http.MethodPost, "/drain", order, &s); err != nil {
+			return err
+		}
+		if wait {
+			return t.watch(c.OutOrStdout(), true)
+		}
+		return printStatus(c.OutOrStdout(), s)
+	}}
+	start.Flags().DurationVar(&deadline, "deadline", 30*time.Second, "after which what is open is answered, and nothing is taken")
+	start.Flags().StringVar(&order.Reason, "reason", "", "for those who find the node drained")
+	start.Flags().StringVar(&order.Who, "who", order.Who, "who asks")
+	start.Flags().BoolVar(&order.Force, "force", false, "shorten the deadline of a drain that goes on")
+	start.Flags().BoolVar(&wait, "wait", false, "show progress until the drain is over, or taken back")
+	undo := &cobra.Command{Use: "undrain", Short: "Take a drain back: the node serves again at once", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+		var s node.Status
+		if _, err := t.call(http.MethodDelete, "/drain", node.DrainOrder{Who: order.Who}, &s); err != nil {
+			return err
+		}
+		return printStatus(c.OutOrStdout(), s)
+	}}
+	watch := &cobra.Command{Use: "watch", Short: "Show what the node does, until interrupted", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return t.watch(c.OutOrStdout(), false) }}
+	server := &cobra.Command{Use: "server", Short: "Take a server out for this node alone"}
+	for use, s := range map[string]struct{ method, short string }{
+		"drain":   {http.MethodPost, "Send a server nothing new, whatever the list says, until undrain"},
+		"undrain": {http.MethodDelete, "Go by the list again"},
+	} {
+		server.AddCommand(&cobra.Command{Use: use + " ID", Short: s.short, Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			raw, err := t.call(s.method, "/servers/"+url.PathEscape(args[0])+"/drain", nil, nil)
+			if err == nil {
+				_, err = c.OutOrStdout().Write(raw)
+			}
+			return err
+		}})
+	}
+	c.AddCommand(status, start, undo, watch, server)
+	return c
+}
+
+// dial finds the door.
+func (t *ctl) dial() (*http.Client, string, error) {
+	at, file := t.at, t.file
+	if at == "" && *t.own != "" {
+		o, err := operator.Load(*t.own)
+		if err != nil {
+			return nil, "", err
+		}
+		if at, file = o.Door.Socket, ""; at == "" {
+			at, file = o.Door.Listen, o.Door.TokenFile
+		}
+	}
+	if at == "" {
+		return nil, "", errors.New("ctl: which node? Name its door by --door or WAYHOLD_DOOR, or its own file by --config")
+	}
+	secret := ""
+	if file != "" {
+		var err error
+		if secret, err = token(file); err != nil {
+			return nil, "", err
+		}
+	}
+	c, base := door.Dial(at, secret)
+	return c, base, nil
+}
+
+// call asks the door, and reads its answer.
+func (t *ctl) call(method, path string, body, to any) ([]byte, error) {
+	c, base, err := t.dial()
+	if err != nil {
+		return nil, err
+	}
+	defer c.CloseIdleConnections()
+	c.Timeout = ctlTimeout
+	raw := []byte(nil)
+	if body != nil {
+		if raw, err = json.Marshal(body); err != nil {
+			return nil, err
+		}
+	}
+	req, err := http.NewRequest(method, base+path, bytes.NewReader(raw))
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return nil, statusError{fmt.Errorf("ctl: no node answers: %w", errors.Unwrap(err)), unreachable}
+	}
+	defer resp.Body.Close()
+	raw, err = io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, statusError{fmt.Errorf("ctl: the answer broke off: %w", err), unreachable}
+	}
+	if resp.StatusCode >= 300 {
+		var e door.Error
+		if json.Unmarshal(raw, &e) != nil || e.Error == "" {
+			e.Error = resp.Status
+		}
+		err := fmt.Errorf("ctl: %s", e.Error)
+		if resp.StatusCode == http.StatusConflict {
+			return nil, statusError{err, conflict}
+		}
+		return nil, err
+	}
+	if to != nil {
+		if err := json.Unmarshal(raw, to); err != nil {
+			return nil, fmt.Errorf("ctl: the answer is not this version's: %w", err)
+		}
+	}
+	return raw, nil
+}
+
+// watch shows events: a line that changes on a terminal, else a line of JSON each. With until it returns when
+// the drain is over.
+func (t *ctl) watch(out io.Writer, until bool) error {
+	c, base, err := t.dial()
+	if err != nil {
+		return err
+	}
+	defer c.CloseIdleConnections()
+	ctx, stop := interrupted()
+	defer stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/events", nil)
+	if err != nil {
+		return err
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return statusError{fmt.Errorf("ctl: no node answers: %w", errors.Unwrap(err)), unreachable}
+	}
+	defer resp.Body.Close()
+	terminal := demo.Terminal(os.Stdout)
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, 1<<20)
+	event := ""
+	for lines.Scan() {
+		if name, ok := strings.CutPrefix(lines.Text(), "event: "); ok {
+			event = name
+			continue
+		}
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if !terminal {
+			fmt.Fprintf(out, "{\"event\":%q,\"data\":%s}\n", event, data)
+		}
+		switch event {
+		case "drain":
+			var e drain.Event
+			if err := json.Unmarshal([]byte(data), &e); err != nil {
+				return err
+			}
+			if terminal {
+				fmt.Fprintf(out, "\r\x1b[K%s  %s: %s to %s, %d open %s\n", e.At.Local().Format(time.TimeOnly), e.What, e.From, e.To, e.Open, e.Reason)
+			}
+		case "status":
+			var s node.Status
+			if err := json.Unmarshal([]byte(data), &s); err != nil {
+				return err
+			}
+			if terminal {
+				fmt.Fprintf(out, "\r\x1b[K%s", progressLine(s))
+			}
+			if until {
+				if over, err := outcome(s); over {
+					if terminal {
+						fmt.Fprintln(out)
+					}
+					return err
+				}
+			}
+		}
+	}
+	if ctx.Err() != nil && !until {
+		return nil
+	}
+	return statusError{errors.New("ctl: the node went away"), unreachable}
+}
+
+// outcome is what a drain has come to, once it is over.
+func outcome(s node.Status) (over bool, err error) {
+	switch s.Drain.State {
+	case drain.Drained:
+		return true, nil
+	case drain.Forced:
+		return true, statusError{fmt.Errorf("ctl: the deadline passed with %d requests open; they were answered", s.Drain.Failed), overdue}
+	case drain.Serving:
+		return true, statusError{errors.New("ctl: the drain was taken back"), takenBack}
+	}
+	return false, nil
+}
+
+func progressLine(s node.Status) string {
+	var classes []string
+	for name, n := range s.Requests.ByClass {
+		classes = append(classes, fmt.Sprintf("%s %d", name, n))
+	}
+	slices.Sort(classes)
+	line := fmt.Sprintf("%s  %d in flight", s.Drain.State, s.Requests.Open)
+	if len(classes) > 0 {
+		line += " (" + strings.Join(classes, ", ") + ")"
+	}
+	if s.Requests.Open > 0 {
+		line += fmt.Sprintf(", oldest %.1f s with %.1f s left, %d held, %d retrying", float64(s.Requests.OldestMs)/1e3,
+			float64(s.Requests.OldestLeft)/1e3, s.Requests.Held, s.Requests.Retrying)
+	}
+	line += fmt.Sprintf("; connections: %d of clients, %d to servers", s.Connections.Clients, s.Connections.Servers)
+	if !s.Drain.Deadline.IsZero() && !s.Drain.State.Over() {
+		line += fmt.Sprintf("; %.0f s until the deadline", max(0, s.Drain.Deadline.Sub(s.At).Seconds()))
+	}
+	return line
+}
+
+func printStatus(out io.Writer, s node.Status) error {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "node\t%s\n", s.Name)
+	fmt.Fprintf(t, "state\t%s\n", s.Drain.State)
+	if s.Drain.State != drain.Serving {
+		fmt.Fprintf(t, "drain\tordered at %s by %q, until %s: %s\n", s.Drain.Began.Local().Format(time.TimeOnly), s.Drain.Who, s.Drain.Deadline.Local().Format(time.TimeOnly), s.Drain.Reason)
+	}
+	fmt.Fprintf(t, "now\t%s\n", progressLine(s))
+	fmt.Fprintf(t, "servers\t%d running, %d draining; list changed %d times, failed %d times\n", s.Servers["running"], s.Servers["draining"], s.List.Changes, s.List.Failures)
+	if len(s.ByHand) > 0 {
+		fmt.Fprintf(t, "drained by hand\t%s\n", strings.Join(s.ByHand, " "))
+	}
+	var answers []string
+	for name, n := range s.Answers {
+		if n > 0 {
+			answers = append(answers, fmt.Sprintf("%d %s", n, name))
+		}
+	}
+	slices.Sort(answers)
+	fmt.Fprintf(t, "answers\t%s\n", strings.Join(answers, ", "))
+	fmt.Fprintf(t, "closed for drains\t%d connections, crossed by %d requests\n", s.Connections.Parted, s.Connections.Crossed)
+	return t.Flush()
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -15,6 +15,7 @@
 	"strings"
 	"syscall"
 
+	"cobaltward/internal/door"
 	"cobaltward/internal/node"
 	"cobaltward/internal/operator"
 	"cobaltward/policy"
@@ -47,6 +48,10 @@
 	if c.Msgpack, err = msgpack(o.Msgpack); err != nil {
 		return err
 	}
+	if c.Door, err = doorOf(o.Door); err != nil {
+		return err
+	}
+	c.DrainMark = o.Drain.Remember
 	debug.SetMemoryLimit(int64(heapPart * float64(c.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(int(max(1, math.Ceil(c.Cores))))
 	ctx, stop := interrupted()
@@ -63,6 +68,40 @@
 	return node.Run(ctx, c, listener, reloads, log)
 }
 
+// doorOf is the door that the table [door] asks for.
+func doorOf(d operator.Door) (door.Config, error) {
+	c := door.Config{Socket: d.Socket, Listen: d.Listen}
+	if d.TokenFile == "" {
+		return c, nil
+	}
+	var err error
+	c.Token, err = token(d.TokenFile)
+	if err != nil {
+		return c, fmt.Errorf("door.token_file: %w", err)
+	}
+	return c, nil
+}
+
+// token is the first line of a file that nobody else may read.
+func token(path string) (string, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return "", err
+	}
+	if info.Mode().Perm()&0o077 != 0 {
+		return "", fmt.Errorf("%s: others may read it: want mode 0600, got %04o", path, info.Mode().Perm())
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return "", err
+	}
+	line, _, _ := strings.Cut(string(raw), "\n")
+	if line = strings.TrimSpace(line); len(line) < 16 {
+		return "", fmt.Errorf("%s: want a token of 16 characters or more in its first line", path)
+	}
+	return line, nil
+}
+
 // apply puts what the operator's own file says into the node's configuration.
 func apply(o operator.File, c *node.Config) {
 	if o.Drain.Leave.Set {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"cobaltward/internal/door"
 	"cobaltward/internal/fields"
 	"cobaltward/internal/wire"
 	"cobaltward/membership/registry"
@@ -42,6 +43,11 @@
 	// Msgpack says who is spoken to by MessagePack-RPC beside HTTP; the zero value is nobody.
 	Msgpack Msgpack
 
+	// Door is the operators' way in; the zero value is none. DrainMark is a file that stands while a drain on
+	// request does, so that a restart goes on with it; empty: a restart serves.
+	Door      door.Config
+	DrainMark string
+
 	// Membership makes the source of the servers out of the protocol's discovery; nil: that alone.
 	Membership func(own router.Membership) (router.Membership, error)
 }
--- /dev/null
+++ b/internal/node/control.go
@@ -0,0 +1,220 @@
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"cobaltward/drain"
+	"cobaltward/internal/door"
+	"cobaltward/membership/hold"
+	"cobaltward/router"
+)
+
+const (
+	statusFor    = 100 * time.Millisecond // that a status is shown again: many who watch cost as one
+	watchEvery   = 250 * time.Millisecond
+	drainFor     = 30 * time.Second // where the operator names no deadline
+	drainLeave   = time.Second      // of Leaving
+	longestOrder = 24 * time.Hour
+)
+
+// Status is what the door tells of a node.
+type Status struct {
+	Version     int               `json:"version"`
+	Name        string            `json:"name"`
+	At          time.Time         `json:"at"`
+	Phase       string            `json:"phase"`
+	Drain       drain.Status      `json:"drain"`
+	Requests    RequestStatus     `json:"requests"`
+	Connections ConnectionStatus  `json:"connections"`
+	Servers     map[string]int    `json:"servers"`
+	ByHand      []string          `json:"servers_drained_by_hand"`
+	List        router.ListStats  `json:"list"`
+	Answers     map[string]uint64 `json:"answers"`
+	Attempts    uint64            `json:"attempts"`
+}
+
+// RequestStatus tells of the requests without their answer. Times are in milliseconds.
+type RequestStatus struct {
+	Open       int            `json:"open"`
+	ByClass    map[string]int `json:"by_class"`
+	OldestMs   int64          `json:"oldest_ms"`
+	OldestLeft int64          `json:"oldest_left_ms"`
+	Held       int            `json:"held"`
+	Retrying   int            `json:"retrying"`
+	Attempts   int            `json:"attempts_out"`
+}
+
+// ConnectionStatus tells of the node's connections.
+type ConnectionStatus struct {
+	Clients int    `json:"clients"`
+	Busy    int    `json:"clients_with_a_request"`
+	Servers int    `json:"servers"`
+	Parted  uint64 `json:"parted"`  // of clients, ended without a request for a drain
+	Crossed uint64 `json:"crossed"` // requests that crossed that
+}
+
+// DrainOrder is the body of POST /v1/drain.
+type DrainOrder struct {
+	Deadline string `json:"deadline"` // as in "30s"
+	Reason   string `json:"reason"`
+	Who      string `json:"who"`
+	Force    bool   `json:"force"`
+}
+
+// control is what the door of a node shows and takes.
+type control struct {
+	name   string
+	engine *router.Router
+	hold   *hold.Source
+	intake *intake
+	leave  time.Duration
+	mark   string // file that stands while a drain on request does; empty: none
+
+	mu     sync.Mutex
+	status Status
+	taken  time.Time
+}
+
+func (c *control) mount(d *door.Door) {
+	d.Handle(http.MethodGet, "/status", func(w http.ResponseWriter, _ *http.Request) { door.Reply(w, http.StatusOK, c.now()) })
+	d.Handle(http.MethodPost, "/drain", c.drain)
+	d.Handle(http.MethodDelete, "/drain", c.undrain)
+	d.Handle(http.MethodGet, "/events", func(w http.ResponseWriter, r *http.Request) { c.watch(d, w, r) })
+	d.Handle(http.MethodPost, "/servers/{id}/drain", func(w http.ResponseWriter, r *http.Request) { c.byHand(w, r, c.hold.Drain) })
+	d.Handle(http.MethodDelete, "/servers/{id}/drain", func(w http.ResponseWriter, r *http.Request) { c.byHand(w, r, c.hold.Lift) })
+}
+
+// now is the node's status, at most statusFor old.
+func (c *control) now() Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Since(c.taken) < statusFor {
+		s := c.status
+		s.Drain = c.engine.DrainStatus() // that is never old
+		return s
+	}
+	c.status, c.taken = c.look(), time.Now()
+	return c.status
+}
+
+func (c *control) look() Status {
+	st := c.engine.Stats()
+	s := Status{Version: 1, Name: c.name, At: time.Now(), Phase: st.Phase.String(), Drain: c.engine.DrainStatus(),
+		Requests: RequestStatus{ByClass: st.Open, OldestMs: st.Oldest.Milliseconds(), OldestLeft: st.Left.Milliseconds(), Held: st.Held,
+			Retrying: st.Retrying, Attempts: st.Out},
+		Servers: make(map[string]int), ByHand: c.hold.Held(), List: st.List, Answers: make(map[string]uint64), Attempts: st.Attempts}
+	for _, n := range st.Open {
+		s.Requests.Open += n
+	}
+	for state, n := range st.Servers {
+		s.Servers[[...]string{"running", "draining", "removed"}[state]] = n
+	}
+	for o, n := range st.Answers {
+		s.Answers[router.Outcome(o).String()] = n
+	}
+	s.Connections.Clients, s.Connections.Busy = c.engine.Clients()
+	s.Connections.Servers = st.Conns
+	s.Connections.Parted, s.Connections.Crossed = c.intake.partings()
+	return s
+}
+
+func (c *control) drain(w http.ResponseWriter, r *http.Request) {
+	var body DrainOrder
+	if !door.Read(w, r, &body) {
+		return
+	}
+	o := drain.Order{Announce: c.leave, Leave: drainLeave, For: drainFor, Reason: body.Reason, Who: body.Who, Force: body.Force}
+	if body.Deadline != "" {
+		d, err := time.ParseDuration(body.Deadline)
+		if err != nil || d <= 0 || d > longestOrder {
+			door.Fail(w, http.StatusBadRequest, `deadline: want a time of more than 0s and at most 24h, as in "30s"`)
+			return
+		}
+		o.For = d
+	}
+	// Clients must have left before the end: what is announced for longer than there is time helps nobody.
+	o.Announce, o.Leave = min(o.Announce, o.For/4), min(o.Leave, o.For/4)
+	err := c.engine.StartDrain(o)
+	busy := (*drain.BusyError)(nil)
+	switch {
+	case err == nil:
+		if c.mark != "" {
+			raw, _ := json.Marshal(body) // texts and a flag
+			if err := os.WriteFile(c.mark, raw, 0o600); err != nil {
+				door.Reply(w, http.StatusAccepted, door.Error{Error: "it drains, but a restart will not know: " + err.Error(), More: c.now()})
+				return
+			}
+		}
+		door.Reply(w, http.StatusAccepted, c.now())
+	case errors.As(err, &busy):
+		door.Reply(w, http.StatusConflict, door.Error{Error: err.Error(), More: busy.Status})
+	default:
+		door.Fail(w, http.StatusConflict, err.Error())
+	}
+}
+
+func (c *control) undrain(w http.ResponseWriter, r *http.Request) {
+	var body DrainOrder
+	if !door.Read(w, r, &body) {
+		return
+	}
+	if err := c.engine.CancelDrain(body.Who); err != nil {
+		door.Fail(w, http.StatusConflict, err.Error())
+		return
+	}
+	c.unmark()
+	door.Reply(w, http.StatusOK, c.now())
+}
+
+// unmark has a restart serve.
+func (c *control) unmark() {
+	if c.mark != "" {
+		_ = os.Remove(c.mark) // it may not be there
+	}
+}
+
+// remembered begins the drain again that stood when the process before this one ended.
+func (c *control) remembered() {
+	if c.mark == "" {
+		return
+	}
+	raw, err := os.ReadFile(c.mark)
+	if err != nil {
+		return
+	}
+	var o DrainOrder
+	_ = json.Unmarshal(raw, &o) // a torn file still says that a drain stood
+	_ = c.engine.StartDrain(drain.Order{For: drainFor, Reason: "drained before the restart: " + o.Reason, Who: o.Who})
+}
+
+// watch sends what the drain comes to, and the status as it goes on.
+func (c *control) watch(d *door.Door, w http.ResponseWriter, r *http.Request) {
+	var last uint64
+	d.Watch(w, r, watchEvery, func() (all []door.Event, more bool) {
+		for _, e := range c.engine.DrainEvents(last) {
+			if e.N > last+1 && last > 0 {
+				all = append(all, door.Event{Name: "lost", Data: e.N - last - 1})
+			}
+			last = e.N
+			all = append(all, door.Event{Name: "drain", Data: e})
+		}
+		return append(all, door.Event{Name: "status", Data: c.now()}), true
+	})
+}
+
+// byHand drains or lifts one server, for this node alone.
+func (c *control) byHand(w http.ResponseWriter, r *http.Request, do func(id string) error) {
+	switch err := do(r.PathValue("id")); {
+	case errors.Is(err, hold.ErrUnknown):
+		door.Fail(w, http.StatusNotFound, err.Error())
+	case err != nil:
+		door.Fail(w, http.StatusConflict, err.Error())
+	default:
+		door.Reply(w, http.StatusOK, map[string][]string{"servers_drained_by_hand": c.hold.Held()})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,8 @@
 	"time"
 
 	msgpackfront "cobaltward/front/msgpack"
+	"cobaltward/internal/door"
+	"cobaltward/membership/hold"
 	"cobaltward/membership/registry"
 	"cobaltward/middleware"
 	"cobaltward/router"
@@ -29,6 +31,7 @@
 	headerTimeout = 2500 * time.Millisecond // for a request's head, and the same again for its body
 	clientIdle    = 15 * time.Second        // without a request; under pressure it is less
 	writeTimeout  = 5 * time.Second         // for an answer to a client that doesn't read
+	leavePart     = 0.6                     // of the time for the drain, in which the node serves on as before
 	longestDrain  = 3 * time.Second         // no client waits longer once a node is told to stop
 	lastAnswers   = 100 * time.Millisecond  // for what is failed then to reach its clients
 	readyPath     = "/health/ready"
@@ -66,6 +69,18 @@
 			return err
 		}
 	}
+	var way *door.Door
+	var held *hold.Source
+	if c.Door != (door.Config{}) {
+		var err error
+		if way, err = door.Open(c.Door, log); err != nil {
+			return err
+		}
+		defer way.Close()
+		held = hold.New(membership)
+		held.Begin(c.Known.Members)
+		membership = held
+	}
 	options := []router.Option{router.WithLogger(log), router.WithMembership(membership), router.WithFront(front),
 		router.WithTransport(transport(c, sockets-most))}
 	var rpc *rpcIntake
@@ -89,6 +104,12 @@
 			MessageTimeout: headerTimeout, WriteTimeout: writeTimeout})
 	}
 
+	if way != nil {
+		ctl := &control{name: c.Name, engine: engine, hold: held, intake: front, leave: c.leave(), mark: c.DrainMark}
+		ctl.mount(way)
+		ctl.remembered()
+		way.Start()
+	}
 	running, stop := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
 	defer parts.Wait()
@@ -153,19 +174,31 @@
 	}
 }
 
-// end ends the service. Clients go on coming for a while, and go on using the connections that they
-// have: there may be no other node for them yet. So the node serves as before at first, and says only
-// that it isn't ready; then it ends each connection with its answer, early enough for what it took last.
-func end(c Config, engine *router.Router, front *intake) error {
+// leave is for how long a node serves on as before while readiness says no.
+func (c Config) leave() time.Duration {
+	if c.Leave != nil {
+		return *c.Leave
+	}
+	return time.Duration(leavePart * float64(c.drainFor()))
+}
+
+// drainFor bounds the drain at the end.
+func (c Config) drainFor() time.Duration {
+	if c.DrainFor != nil {
+		return *c.DrainFor
+	}
 	var longest time.Duration
 	for _, class := range c.Settings.Classes {
 		longest = max(longest, class.Deadline)
 	}
-	longest = min(longest, longestDrain)
-	if c.DrainFor != nil {
-		longest = *c.DrainFor
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), longest)
+	return min(longest, longestDrain)
+}
+
+// end ends the service. Clients go on coming for a while, and go on using the connections that they
+// have: there may be no other node for them yet. So the node serves as before at first, and says only
+// that it isn't ready; then it ends each connection with its answer, early enough for what it took last.
+func end(c Config, engine *router.Router, front *intake) error {
+	ctx, cancel := context.WithTimeout(context.Background(), c.drainFor())
 	defer cancel()
 	if err := engine.Drain(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return err
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -23,6 +23,14 @@
 	Drain   Drain
 	XDS     XDS
 	Msgpack Msgpack
+	Door    Door
+}
+
+// Door is the operators' way in.
+type Door struct {
+	Socket    string // path of a Unix socket
+	Listen    string // IP:port on loopback
+	TokenFile string // whose first line requests over Listen bear
 }
 
 // Msgpack says who is spoken to by MessagePack-RPC.
@@ -46,6 +54,7 @@
 type Drain struct {
 	Leave    Duration // serving on as before while readiness says no; not set: 0.6 of the deadline
 	Deadline Duration // for the whole drain; not set: the longest deadline of a class, 3s at most
+	Remember string   // file that stands while a drain on request does, so that a restart goes on with it
 }
 
 // XDS says where the servers come from beside the platform's discovery: a control plane or files, not
@@ -135,7 +144,7 @@
 		{"log.format", running.Log.Format, now.Log.Format}, {"drain.leave", running.Drain.Leave, now.Drain.Leave},
 		{"xds.bootstrap", running.XDS.Bootstrap, now.XDS.Bootstrap}, {"xds.ca_file", running.XDS.CAFile, now.XDS.CAFile},
 		{"xds.delta", running.XDS.Delta, now.XDS.Delta}, {"xds.dir", running.XDS.Dir, now.XDS.Dir},
-		{"msgpack", running.Msgpack, now.Msgpack}, {"xds.files", running.XDS.Files, now.XDS.Files}, {"xds.alone", running.XDS.Alone, now.XDS.Alone},
+		{"msgpack", running.Msgpack, now.Msgpack}, {"door", running.Door, now.Door}, {"drain.remember", running.Drain.Remember, now.Drain.Remember}, {"xds.files", running.XDS.Files, now.XDS.Files}, {"xds.alone", running.XDS.Alone, now.XDS.Alone},
 	} {
 		if !reflect.DeepEqual(k.a, k.b) {
 			keys = append(keys, k.key)
@@ -154,7 +163,13 @@
 	Drain struct {
 		Leave    any `toml:"leave"`
 		Deadline any `toml:"deadline"`
+		Remember any `toml:"remember"`
 	} `toml:"drain"`
+	Door struct {
+		Socket    any `toml:"socket"`
+		Listen    any `toml:"listen"`
+		TokenFile any `toml:"token_file"`
+	} `toml:"door"`
 	XDS struct {
 		Bootstrap any            `toml:"bootstrap"`
 		CAFile    any            `toml:"ca_file"`
@@ -201,6 +216,8 @@
 		{"drain", "leave", r.Drain.Leave, &f.Drain.Leave}, {"drain", "deadline", r.Drain.Deadline, &f.Drain.Deadline},
 		{"xds", "bootstrap", r.XDS.Bootstrap, (*path)(&f.XDS.Bootstrap)}, {"xds", "ca_file", r.XDS.CAFile, (*path)(&f.XDS.CAFile)},
 		{"xds", "dir", r.XDS.Dir, (*path)(&f.XDS.Dir)}, {"msgpack", "listen", r.Msgpack.Listen, (*listener)(&f.Msgpack.Listen)},
+		{"drain", "remember", r.Drain.Remember, (*path)(&f.Drain.Remember)}, {"door", "socket", r.Door.Socket, (*rooted)(&f.Door.Socket)},
+		{"door", "listen", r.Door.Listen, (*loopback)(&f.Door.Listen)}, {"door", "token_file", r.Door.TokenFile, (*path)(&f.Door.TokenFile)},
 	} {
 		if field.from == nil {
 			continue
@@ -219,6 +236,14 @@
 	if err := errors.Join(f.XDS.rest(text, r), f.Msgpack.rest(text, r)); err != nil {
 		return File{}, errors.New(firstLine(err.Error()))
 	}
+	switch d := f.Door; {
+	case d.Listen != "" && d.TokenFile == "":
+		return File{}, fmt.Errorf("%d: door.listen: want token_file beside it", lineOf(text, "door", "listen"))
+	case d.Listen == "" && d.TokenFile != "":
+		return File{}, fmt.Errorf("%d: door.token_file: without listen it does nothing", lineOf(text, "door", "token_file"))
+	case f.Drain.Remember != "" && d == (Door{}):
+		return File{}, fmt.Errorf("%d: drain.remember: without [door] there are no drains on request", lineOf(text, "drain", "remember"))
+	}
 	if f.Drain.Leave.Set && f.Drain.Deadline.Set && f.Drain.Leave.Duration > f.Drain.Deadline.Duration {
 		return File{}, fmt.Errorf("%d: drain.leave: want at most drain.deadline, %v, got %v",
 			lineOf(text, "drain", "leave"), f.Drain.Deadline.Duration, f.Drain.Leave.Duration)
@@ -226,6 +251,31 @@
 	return f, nil
 }
 
+// rooted is the path of a socket, from the root.
+type rooted string
+
+// UnmarshalText takes a path that begins at the root.
+func (p *rooted) UnmarshalText(text []byte) error {
+	if !strings.HasPrefix(string(text), "/") {
+		return fmt.Errorf("want a path from /, got %q", text)
+	}
+	*p = rooted(text)
+	return nil
+}
+
+// loopback is an address of this machine alone.
+type loopback string
+
+// UnmarshalText takes IP:port on loopback.
+func (l *loopback) UnmarshalText(text []byte) error {
+	at, err := netip.ParseAddrPort(string(text))
+	if err != nil || !at.Addr().IsLoopback() {
+		return fmt.Errorf("want IP:port on loopback, got %q", text)
+	}
+	*l = loopback(text)
+	return nil
+}
+
 // path is the name of a file or directory.
 type path string
 
--- a/router/stats.go
+++ b/router/stats.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"cobaltward/drops"
@@ -13,6 +14,11 @@
 	Answers  [len(outcomeNames)]uint64 // final answers, by Outcome
 	Departed uint64                    // requests whose caller left before the answer
 	Open     map[string]int            // requests without their answer now, by class
+	Oldest   time.Duration             // since the oldest request without its answer was handed in
+	Left     time.Duration             // that it is still waited for
+	Held     int                       // requests without their answer that have no attempt out
+	Retrying int                       // requests without their answer that have had more than one attempt
+	Conns    int                       // to servers, where the transport tells
 	Attempts uint64                    // made
 	Repeats  uint64                    // of them, beyond a request's first
 	Dropped  uint64                    // requests refused since a part is to be dropped; of Answers[Refused]
@@ -49,10 +55,24 @@
 func (l *loop) snapshot() Stats {
 	s := l.stats
 	s.Open = make(map[string]int)
+	now := l.clock.now()
 	for _, r := range l.requests {
-		if !r.ended {
-			s.Open[r.req.Class]++
+		if r.ended {
+			continue
 		}
+		s.Open[r.req.Class]++
+		if age := now - r.entered; age >= s.Oldest {
+			s.Oldest, s.Left = age, max(0, r.came+r.waits-now)
+		}
+		if !slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.out }) {
+			s.Held++
+		}
+		if len(r.attempts) > 1 {
+			s.Retrying++
+		}
+	}
+	if t, ok := l.transport.(interface{ Conns() int }); ok {
+		s.Conns = t.Conns()
 	}
 	s.Drops = l.drops // nobody changes it
 	s.Out, s.Kept, s.Timers = l.out, len(l.requests), len(l.timers)
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -152,6 +152,13 @@
 	}
 }
 
+// Conns is the number of connections to all servers, those being made among them.
+func (u *Transport) Conns() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.open
+}
+
 // sweep drops the connections that were idle for too long, and those that are quiet no more.
 func (u *Transport) sweep(now time.Time) {
 	u.mu.Lock()
--- a/transport/mixed/mixed.go
+++ b/transport/mixed/mixed.go
@@ -82,6 +82,16 @@
 	}
 }
 
+// Conns is the number of connections of those that tell.
+func (t *Transport) Conns() (n int) {
+	for _, x := range t.transports {
+		if c, ok := x.(interface{ Conns() int }); ok {
+			n += c.Conns()
+		}
+	}
+	return n
+}
+
 // Close closes all of them.
 func (t *Transport) Close() {
 	for _, x := range t.transports {
