--- /dev/null
+++ b/internal/node/drains_test.go
@@ -0,0 +1,353 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"cobaltward/drain"
+	"cobaltward/emulator/face"
+	"cobaltward/emulator/host"
+	"cobaltward/emulator/judge"
+	"cobaltward/emulator/model"
+	"cobaltward/internal/door"
+	"cobaltward/membership/registry"
+	"cobaltward/policy"
+	"cobaltward/router"
+)
+
+// site is a node with its door among emulated servers, and clients that never stop.
+type site struct {
+	t     *testing.T
+	addr  string
+	sock  string
+	known registry.List
+	set   policy.Settings
+
+	mu    sync.Mutex
+	judge *judge.Judge
+	ran   map[string]bool
+	began time.Time
+	sick  atomic.Int64 // which server fails its requests, from 1; 0: none
+
+	served, refused, failed, conflicts, crossed, missed atomic.Int64
+	flying                                              atomic.Int64
+}
+
+const drainMs = time.Millisecond
+
+func drainSettings() policy.Settings {
+	return policy.Settings{Nodes: 1, Classes: []policy.Class{
+		{Name: "hladanie", Aim: 300 * drainMs, Deadline: 1500 * drainMs, Repeat: policy.Free, Worth: 1},
+		{Name: "rezervacia", Aim: 300 * drainMs, Deadline: 1200 * drainMs, Repeat: policy.Never, Worth: 1},
+		{Name: "zrusenie", Aim: 300 * drainMs, Deadline: 1500 * drainMs, Repeat: policy.Guarded, Group: policy.GroupAll, Window: 4 * time.Second, Worth: 1}},
+		Allowed: policy.Allowed{Cancel: true, Hedge: true, RetryAfter: true, MaxAttempts: 4, MaxRetryAfter: time.Second, ConnIdle: 10 * time.Second},
+		Rules:   policy.Rules{DrainGrace: 500 * drainMs, AnswerGrace: 50 * drainMs, ColdShare: 1, FallMultiple: 3, FallFor: time.Second}}
+}
+
+func newSite(t *testing.T, servers int) *site {
+	w := &site{t: t, ran: make(map[string]bool), began: time.Now(), sock: filepath.Join(t.TempDir(), "door.sock")}
+	w.set = drainSettings()
+	set := w.set
+	book := judge.Rulebook{Classes: make(map[string]judge.Class), AnswerGrace: set.Rules.AnswerGrace, DrainGrace: set.Rules.DrainGrace, Slack: 150 * drainMs}
+	for _, c := range set.Classes {
+		book.Classes[c.Name] = judge.Class{Repeat: c.Repeat, Group: c.Group, Window: c.Window}
+	}
+	w.judge = judge.New(book)
+	group := host.NewGroup(4 * time.Second)
+	for i := range servers {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		id := fmt.Sprintf("s%d", i)
+		h := host.StartWatched(model.Config{Cores: 8, Slots: 16, Queue: 32, Cancel: model.CancelAll}, group, func(e model.Execution) {
+			w.do(func(now time.Duration) { w.ran[e.ID] = true; w.judge.Ran(now, id, e.ID, e.Discarded) })
+		})
+		work := model.Work{Dist: model.Lognormal, Mean: 0.06, CV: 1.5}
+		f := face.TreatHTTP1(ln, h, face.Options{
+			Treat: func(_, id string) face.Treatment {
+				var n int
+				w.do(func(now time.Duration) {
+					n = w.judge.Attempts(id)
+					w.judge.Sent(now, "n", id, n, fmt.Sprintf("s%d", i))
+				})
+				x := face.Treatment{Work: work.Draw(1, id)}
+				if w.sick.Load() == int64(i+1) {
+					x.Fail, x.Reset = model.Uniform(2, id) < 0.3, model.Uniform(3, id) < 0.2
+				}
+				return x
+			},
+			Turned: func(id string) {
+				w.do(func(time.Duration) { w.judge.Proved("n", id, w.judge.Attempts(id)-1) })
+			}})
+		t.Cleanup(func() { h.Stop(); f.Close() })
+		w.known.Members = append(w.known.Members, router.Member{ID: id, Addr: f.Addr, Zone: "a", Kind: "k", Weight: 1})
+	}
+	w.known.Revision, w.known.Complete = 1, true
+	return w
+}
+
+func (w *site) do(f func(now time.Duration)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f(time.Since(w.began))
+}
+
+// start runs a node until stop is called; ended gets its error.
+func (w *site) start() (stop context.CancelFunc, ended chan error) {
+	w.t.Helper()
+	at := w.addr
+	if at == "" {
+		at = "127.0.0.1:0"
+	}
+	ln, err := net.Listen("tcp", at)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if w.addr == "" {
+		w.addr = ln.Addr().String()
+	}
+	leave, whole := 150*drainMs, 1200*drainMs
+	ctx, stop := context.WithCancel(context.Background())
+	ended = make(chan error, 1)
+	go func() {
+		ended <- Run(ctx, Config{Name: "n", Discovery: "127.0.0.1:9", Seed: 1, Sockets: 512, Known: w.known, Settings: w.set, ConnectTimeout: 250 * drainMs,
+			Leave: &leave, DrainFor: &whole, Door: door.Config{Socket: w.sock}}, ln, nil, slog.New(slog.DiscardHandler))
+	}()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * drainMs) {
+		if resp, err := http.Get("http://" + w.addr + "/health/ready"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return stop, ended
+			}
+		}
+	}
+	w.t.Fatal("the node never became ready")
+	return nil, nil
+}
+
+// order asks the door, and returns the status of its answer and what it says.
+func (w *site) order(method, path string, body any) (int, Status) {
+	w.t.Helper()
+	c, base := door.Dial(w.sock, "")
+	defer c.CloseIdleConnections()
+	raw, err := json.Marshal(body)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	req, err := http.NewRequest(method, base+path, bytes.NewReader(raw))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, Status{}
+	}
+	defer resp.Body.Close()
+	var s Status
+	_ = json.NewDecoder(resp.Body).Decode(&s) // errors have another form
+	return resp.StatusCode, s
+}
+
+// clients send until ctx ends; they keep connections and open more when all are busy.
+func (w *site) clients(ctx context.Context, n int) *sync.WaitGroup {
+	var all sync.WaitGroup
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: n}}
+	for i := range n {
+		all.Go(func() {
+			rng := rand.New(rand.NewPCG(7, uint64(i)))
+			for k := 0; ctx.Err() == nil; k++ {
+				w.request(client, rng, fmt.Sprintf("c%d-%d", i, k))
+				time.Sleep(time.Duration(rng.IntN(40)) * drainMs)
+			}
+		})
+	}
+	go func() { <-ctx.Done(); all.Wait(); client.CloseIdleConnections() }()
+	return &all
+}
+
+func (w *site) request(client *http.Client, rng *rand.Rand, id string) {
+	class := drainSettings().Classes[rng.IntN(3)]
+	status, reused, err := w.send(client, class, id, true)
+	if err != nil && reused && !errors.Is(err, context.DeadlineExceeded) {
+		// The close of its connection crossed it: a client sends it once more. Where the node had taken it, it
+		// says so now: then its answer was lost.
+		w.crossed.Add(1)
+		if status, _, err = w.send(client, class, id, false); status == http.StatusConflict {
+			w.do(func(now time.Duration) {
+				w.t.Errorf("%v: %s was taken, and its connection closed without its answer", now, id)
+			})
+		}
+	}
+	w.do(func(now time.Duration) {
+		if err == nil {
+			w.judge.Answer(now, "n", id, 0, status == 429 || status == 503)
+			return
+		}
+		w.missed.Add(1)
+		if w.ran[id] && !errors.Is(err, syscall.ECONNREFUSED) || w.ran[id] && reused {
+			w.t.Errorf("%v: %s ran, and has no answer: %v", now, id, err)
+		}
+		w.judge.Left("n", id, 0) // it was never taken
+	})
+	switch {
+	case err != nil:
+	case status == 200:
+		w.served.Add(1)
+	case status == 429 || status == 503:
+		w.refused.Add(1)
+	case status == 409:
+		w.conflicts.Add(1)
+	default:
+		w.failed.Add(1)
+	}
+}
+
+func (w *site) send(client *http.Client, class policy.Class, id string, first bool) (status int, reused bool, err error) {
+	method := http.MethodPost
+	if class.Repeat == policy.Free {
+		method = http.MethodGet
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), class.Deadline+500*drainMs)
+	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused = i.Reused }})
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+w.addr+"/api", http.NoBody)
+	if err != nil {
+		return 0, false, err
+	}
+	for k, v := range map[string]string{"X-Request-Id": id, "X-Class": class.Name, "X-Tenant": "t", "X-Deadline-Ms": strconv.FormatInt(class.Deadline.Milliseconds(), 10)} {
+		req.Header.Set(k, v)
+	}
+	if class.Repeat == policy.Guarded {
+		req.Header.Set("Idempotency-Key", "k-"+id)
+	}
+	if first {
+		w.do(func(now time.Duration) { w.judge.Taken(now, "n", id, class.Name, now+class.Deadline) })
+	}
+	w.flying.Add(1)
+	defer w.flying.Add(-1)
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, reused, err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	return resp.StatusCode, reused, err
+}
+
+// Drains under load from a seeded script: random moments of drain, undrain, a shorter deadline, SIGTERM, servers
+// drained by hand and sick ones. Nothing is lost, nothing is answered twice, nothing runs twice, and what the
+// door counts lies between what the clients count before and after. DRAINS=300 for the long form.
+func TestDrainsUnderLoad(t *testing.T) {
+	drains := 12
+	if n, err := strconv.Atoi(os.Getenv("DRAINS")); err == nil {
+		drains = n
+	}
+	w := newSite(t, 4)
+	stop, ended := w.start()
+	ctx, end := context.WithCancel(t.Context())
+	defer end()
+	all := w.clients(ctx, 24)
+	rng := rand.New(rand.NewPCG(11, 12))
+	nap := func(least, most int) { time.Sleep(time.Duration(least+rng.IntN(most-least)) * drainMs) }
+	ends := make(map[string]int)
+	for n := range drains {
+		nap(20, 200)
+		w.sick.Store(int64(rng.IntN(8))) // from 5 on: none
+		if rng.IntN(3) == 0 {
+			id := w.known.Members[rng.IntN(4)].ID
+			w.order(http.MethodPost, "/servers/"+id+"/drain", nil)
+			defer w.order(http.MethodDelete, "/servers/"+id+"/drain", nil)
+			if rng.IntN(2) == 0 {
+				w.order(http.MethodDelete, "/servers/"+id+"/drain", nil)
+			}
+		}
+		deadline := []string{"400ms", "1s", "3s"}[rng.IntN(3)]
+		if code, s := w.order(http.MethodPost, "/drain", DrainOrder{Deadline: deadline, Who: "a", Reason: fmt.Sprint(n)}); code != http.StatusAccepted || s.Drain.State == drain.Serving {
+			t.Fatalf("drain %d: %d %+v", n, code, s)
+		}
+		if code, _ := w.order(http.MethodPost, "/drain", DrainOrder{Deadline: "300ms", Who: "b"}); code != http.StatusConflict {
+			t.Errorf("a second operator was not told of the first: %d", code)
+		}
+		nap(0, 700)
+		before := w.flying.Load()
+		if code, s := w.order(http.MethodGet, "/status", nil); code == http.StatusOK {
+			if most := max(before, w.flying.Load()) + 24; int64(s.Requests.Open) > most { // each of 24 may have begun another
+				t.Errorf("%d in flight, %d at the clients", s.Requests.Open, most)
+			}
+		}
+		how := ""
+		switch rng.IntN(4) {
+		case 0:
+			code, s := w.order(http.MethodDelete, "/drain", DrainOrder{Who: "a"})
+			if how = "cancelled"; code == http.StatusConflict {
+				how = "too late to cancel"
+			} else if code != http.StatusOK || s.Drain.State != drain.Serving {
+				t.Errorf("cancel: %d %+v", code, s.Drain)
+			} else if resp, err := http.Get("http://" + w.addr + "/health/ready"); err != nil || resp.StatusCode != http.StatusOK {
+				t.Errorf("not ready at once after a cancel: %v", err)
+			} else {
+				resp.Body.Close()
+			}
+		case 1:
+			how = "shortened"
+			w.order(http.MethodPost, "/drain", DrainOrder{Deadline: "50ms", Who: "b", Force: true})
+		case 2:
+			how = "SIGTERM"
+			stop()
+		default:
+			how = "left alone"
+		}
+		if how != "cancelled" {
+			for how != "SIGTERM" {
+				_, s := w.order(http.MethodGet, "/status", nil)
+				if s.Drain.State.Over() {
+					how += ", " + s.Drain.State.String()
+					break
+				}
+				time.Sleep(10 * drainMs)
+			}
+			stop()
+			if err := <-ended; err != nil {
+				t.Fatalf("drain %d, %s: the node ended: %v", n, how, err)
+			}
+			stop, ended = w.start()
+		}
+		ends[how]++
+	}
+	nap(200, 400)
+	end()
+	all.Wait()
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	w.mu.Lock()
+	v := w.judge.End()
+	w.mu.Unlock()
+	t.Logf("%d drains: %v; %d served, %d refused, %d failed, %d crossed a close, %d found nobody; facts %v", drains, ends,
+		w.served.Load(), w.refused.Load(), w.failed.Load(), w.crossed.Load(), w.missed.Load(), v.Checked)
+	if !v.Kept() {
+		t.Errorf("broken: %v %+v", v.Count, v.Breaches[:min(5, len(v.Breaches))])
+	}
+	if w.served.Load() == 0 || w.conflicts.Load() > 0 {
+		t.Errorf("%d served, %d conflicts", w.served.Load(), w.conflicts.Load())
+	}
+}
--- /dev/null
+++ b/internal/node/progress_test.go
@@ -0,0 +1,227 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"cobaltward/drain"
+	"cobaltward/internal/door"
+	"cobaltward/internal/testkit"
+	"cobaltward/router"
+)
+
+// gate is an app server whose answers wait for the test.
+type gate struct {
+	mu   sync.Mutex
+	open []chan struct{}
+}
+
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := make(chan struct{})
+	g.mu.Lock()
+	g.open = append(g.open, c)
+	g.mu.Unlock()
+	select {
+	case <-c:
+		fmt.Fprint(w, "done")
+	case <-r.Context().Done():
+	}
+}
+
+func (g *gate) held() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.open)
+}
+
+func (g *gate) release() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.open[0])
+	g.open = g.open[1:]
+}
+
+// patient has clients wait for long, and no second copies.
+func (w *site) patient() {
+	for i := range w.set.Classes {
+		w.set.Classes[i].Deadline, w.set.Classes[i].Aim = 30*time.Second, 20*time.Second
+	}
+	w.set.Allowed.Hedge = false
+}
+
+// While requests wait at a server and are let go one by one, a drain's progress counts exactly those that the
+// server still has, to the last; and the drain is through with it.
+func TestProgressIsExact(t *testing.T) {
+	g := new(gate)
+	w := newSite(t, 0)
+	w.known.Members = []router.Member{{ID: "s0", Addr: testkit.HTTPServer(t, g.ServeHTTP), Zone: "a", Kind: "k", Weight: 1}}
+	w.patient()
+	stop, ended := w.start()
+	const n = 12
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	var all sync.WaitGroup
+	class := w.set.Classes[1]
+	for i := range n {
+		all.Go(func() {
+			if status, _, err := w.send(client, class, fmt.Sprint("r", i), false); err != nil || status != http.StatusOK {
+				t.Errorf("request %d: %d, %v", i, status, err)
+			}
+		})
+	}
+	testkit.Await(t, "all requests at the server", func() bool { return g.held() == n })
+	if code, _ := w.order(http.MethodPost, "/drain", DrainOrder{Deadline: "1m"}); code != http.StatusAccepted {
+		t.Fatal(code)
+	}
+	for left := n; left > 0; left-- {
+		var s Status
+		testkit.Await(t, fmt.Sprintf("%d in flight", left), func() bool {
+			_, s = w.order(http.MethodGet, "/status", nil)
+			return s.Requests.Open <= left
+		})
+		if s.Requests.Open != left || s.Requests.ByClass["rezervacia"] != left || s.Requests.Attempts != left || s.Connections.Busy != left || s.Drain.State.Over() {
+			t.Errorf("%d are at the server; the door says %+v, %+v, %v", left, s.Requests, s.Connections, s.Drain.State)
+		}
+		g.release()
+	}
+	testkit.Await(t, "the end of the drain", func() bool {
+		_, s := w.order(http.MethodGet, "/status", nil)
+		return s.Drain.State == drain.Drained
+	})
+	all.Wait()
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// A drain that is taken back while clients come again: they are let in at once, by the same address, over old
+// connections that are open still and over new ones.
+func TestCancelledHalfWay(t *testing.T) {
+	g := new(gate)
+	w := newSite(t, 0)
+	w.known.Members = []router.Member{{ID: "s0", Addr: testkit.HTTPServer(t, g.ServeHTTP), Zone: "a", Kind: "k", Weight: 1}}
+	w.patient()
+	stop, ended := w.start()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	class := w.set.Classes[0]
+	for round := range 3 {
+		kept := make(chan int, 1)
+		go func() {
+			status, _, _ := w.send(client, class, fmt.Sprint("long", round), false)
+			kept <- status
+		}()
+		testkit.Await(t, "the request at the server", func() bool { return g.held() == 1 })
+		w.order(http.MethodPost, "/drain", DrainOrder{Deadline: "20s"}) // announced for 150 ms, leaving for 1 s
+		testkit.Await(t, "the listener closed", func() bool {
+			c, err := net.Dial("tcp", w.addr)
+			if err == nil {
+				c.Close()
+			}
+			return err != nil
+		})
+		if code, s := w.order(http.MethodDelete, "/drain", DrainOrder{Who: "x"}); code != http.StatusOK || s.Drain.State != drain.Serving {
+			t.Fatalf("round %d: %d %+v", round, code, s.Drain)
+		}
+		g.release()
+		if status := <-kept; status != http.StatusOK {
+			t.Errorf("round %d: the request that was open: %d", round, status)
+		}
+		again := make(chan int, 1)
+		go func() {
+			status, _, _ := w.send(client, class, fmt.Sprint("new", round), false)
+			again <- status
+		}()
+		testkit.Await(t, "a new request at the server", func() bool { return g.held() == 1 })
+		g.release()
+		if status := <-again; status != http.StatusOK {
+			t.Errorf("round %d: a new request: %d", round, status)
+		}
+	}
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// Figures, not a check: DRAIN_FIGURES=1 go test -run DrainFigures -v ./internal/node
+func TestDrainFigures(t *testing.T) {
+	if os.Getenv("DRAIN_FIGURES") == "" {
+		t.Skip("figures are made on request")
+	}
+	for _, n := range []int{10, 100, 200} {
+		w := newSite(t, 4)
+		stop, ended := w.start()
+		ctx, end := context.WithCancel(t.Context())
+		all := w.clients(ctx, n)
+		time.Sleep(time.Second)
+		_, s := w.order(http.MethodGet, "/status", nil)
+		began := time.Now()
+		w.order(http.MethodPost, "/drain", DrainOrder{Deadline: "10s"})
+		for s.Drain.State != drain.Drained {
+			_, s = w.order(http.MethodGet, "/status", nil)
+			time.Sleep(5 * time.Millisecond)
+		}
+		events := fmt.Sprint(time.Since(began).Round(time.Millisecond))
+		t.Logf("%d clients: drained %s after the order (150 ms announced, 1 s leaving); %d connections parted, %d requests crossed", n, events, s.Connections.Parted, s.Connections.Crossed)
+		end()
+		all.Wait()
+		stop()
+		<-ended
+	}
+	w := newSite(t, 4)
+	stop, ended := w.start()
+	defer func() { stop(); <-ended }()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+	defer client.CloseIdleConnections()
+	rng := rand.New(rand.NewPCG(1, 1))
+	id := 0
+	p99 := func() time.Duration {
+		var took []time.Duration
+		for range 400 {
+			id++
+			at := time.Now()
+			_, _, _ = w.send(client, drainSettings().Classes[0], fmt.Sprint("p", id), false)
+			took = append(took, time.Since(at))
+			time.Sleep(time.Duration(rng.IntN(2)) * time.Millisecond)
+		}
+		slices.Sort(took)
+		return took[len(took)*99/100]
+	}
+	var ratios []float64
+	for range 5 {
+		plain := p99()
+		ctx, end := context.WithCancel(t.Context())
+		c, base := door.Dial(w.sock, "")
+		for range 50 {
+			req, _ := http.NewRequestWithContext(ctx, http.MethodGet, base+"/events", nil)
+			resp, err := c.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				buf := make([]byte, 4096)
+				for {
+					if _, err := resp.Body.Read(buf); err != nil {
+						resp.Body.Close()
+						return
+					}
+				}
+			}()
+		}
+		ratios = append(ratios, float64(p99())/float64(plain))
+		end()
+		c.CloseIdleConnections()
+	}
+	slices.Sort(ratios)
+	t.Logf("p99 with 50 watchers over p99 with none: %.2f", ratios)
+}
