A request that crosses the end of its connection is not taken; reading a lone node's file

What is read is now noted under the lock that parts connections, and making room for others is guarded alike; a test holds that very moment. internal/site reads listeners, classes, tenants, servers, routes and identities from the operator's own file; not yet served.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"cobaltward/internal/sockets"
@@ -38,10 +37,9 @@
 	owner *clients
 
 	// Under the owner's mutex.
-	quiet *linked.Element // its place there; nil while a request is in it
-	gone  bool
-
-	parting atomic.Bool // our side is closed: what still comes crossed that
+	quiet   *linked.Element // its place there; nil while a request is in it
+	gone    bool
+	parting bool // our side is closed: what still comes crossed that
 }
 
 func newClients(l net.Listener, most int) *clients {
@@ -90,14 +88,7 @@
 // already serves it, and what crosses the close is counted. The client's own close ends them.
 func (l *clients) part() {
 	l.mu.Lock()
-	var quiet []*clientConn
-	for e := l.quiet.Front(); e != nil; e = e.Next() {
-		if c := e.Value.(*clientConn); !c.parting.Load() && sockets.Quiet(c.TCPConn) {
-			quiet = append(quiet, c)
-			c.parting.Store(true)
-		}
-	}
-	l.parted += uint64(len(quiet))
+	quiet := l.partLocked()
 	l.mu.Unlock()
 	for _, c := range quiet {
 		_ = c.CloseWrite() // fails only where the client was faster
@@ -105,6 +96,18 @@
 	}
 }
 
+// partLocked marks the connections that can be parted from.
+func (l *clients) partLocked() (quiet []*clientConn) {
+	for e := l.quiet.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*clientConn); !c.parting && sockets.Quiet(c.TCPConn) {
+			quiet = append(quiet, c)
+			c.parting = true
+		}
+	}
+	l.parted += uint64(len(quiet))
+	return quiet
+}
+
 // count is the connections, and those of them with a request.
 func (l *clients) count() (open, busy int) {
 	l.mu.Lock()
@@ -115,18 +118,30 @@
 // Read also notes that a request begins: net/http says so only once it has the whole head.
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if n > 0 && c.parting.Load() {
-		c.owner.mu.Lock()
-		c.owner.crossed++
-		c.owner.mu.Unlock()
+	if n > 0 && !c.begin() {
 		return 0, io.EOF // no answer could reach the client
 	}
-	if n > 0 {
-		c.change(http.StateActive)
-	}
 	return n, err
 }
 
+// begin notes that bytes of a request have come; false where the connection is being ended on our side. It guards
+// what has been read and not yet noted as a request: a drain, or whoever makes room, finds the socket quiet then.
+func (c *clientConn) begin() bool {
+	l := c.owner
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.parting || c.gone {
+		l.crossed++
+		return false
+	}
+	if c.quiet != nil {
+		l.quiet.Remove(c.quiet)
+		c.quiet = nil
+		l.room.Signal()
+	}
+	return true
+}
+
 // change follows the connection's state.
 func (c *clientConn) change(state http.ConnState) {
 	l := c.owner
--- a/internal/node/progress_test.go
+++ b/internal/node/progress_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 
 	"cobaltward/drain"
 	"cobaltward/internal/door"
+	"cobaltward/internal/sockets"
 	"cobaltward/internal/testkit"
 	"cobaltward/router"
 )
@@ -103,6 +105,47 @@
 	}
 }
 
+// Bytes that have been read, and not yet noted as a request, when a drain parts from quiet connections: the request
+// is not taken, for its answer could not go out any more.
+func TestRequestThatCrossesThePart(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newClients(ln, 4)
+	defer l.Close()
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	nc, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := nc.(*clientConn)
+	defer c.Close()
+	fmt.Fprint(client, "GET / HTTP/1.1\r\n")
+	testkit.Await(t, "the bytes", func() bool { return !sockets.Quiet(c.TCPConn) })
+	l.mu.Lock()
+	read := make(chan error, 1)
+	go func() {
+		_, err := c.Read(make([]byte, 64))
+		read <- err
+	}()
+	testkit.Await(t, "the bytes to be read", func() bool { return sockets.Quiet(c.TCPConn) })
+	if n := len(l.partLocked()); n != 1 {
+		t.Errorf("%d connections parted from", n)
+	}
+	l.mu.Unlock()
+	if err := <-read; err != io.EOF {
+		t.Errorf("the request is read all the same: %v", err)
+	}
+	if l.crossed != 1 {
+		t.Errorf("%d crossed", l.crossed)
+	}
+}
+
 // A drain that is taken back while clients come again: they are let in at once, by the same address, over old
 // connections that are open still and over new ones.
 func TestCancelledHalfWay(t *testing.T) {
--- /dev/null
+++ b/internal/site/site.go
@@ -0,0 +1,426 @@
+// Package site reads what a node needs to stand alone from the operator's own file: where it listens, its classes,
+// tenants and servers, the routes that turn requests into classes, and the layers by which it knows tenants. With
+// it a node needs no platform.
+package site
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"cobaltward/identity"
+	"cobaltward/internal/strict"
+	"cobaltward/policy"
+	"cobaltward/router"
+	"cobaltward/routes"
+)
+
+// File is the part of the operator's own file that this package reads. What other subsystems read is left to them.
+type File struct {
+	Node    Node     `toml:"node"`
+	Listen  []Listen `toml:"listen"`
+	Limits  Limits   `toml:"limits"`
+	Classes []Class  `toml:"class"`
+	Tenants []Tenant `toml:"tenant"`
+	Buckets Buckets  `toml:"buckets"`
+	Servers []Server `toml:"server"`
+	From    Servers  `toml:"servers"`
+	Routes  []Route  `toml:"route"`
+	Who     Who      `toml:"identity"`
+
+	Log     any `toml:"log"`
+	Drain   any `toml:"drain"`
+	XDS     any `toml:"xds"`
+	Msgpack any `toml:"msgpack"`
+	Door    any `toml:"door"`
+
+	lines strict.Lines
+	path  string
+}
+
+// Node is this node among others.
+type Node struct {
+	Name  string `toml:"name"`
+	Zone  string `toml:"zone"`
+	Place int    `toml:"place" min:"0"`          // among the nodes, from 0
+	Of    int    `toml:"of" min:"1" max:"10000"` // how many nodes there are; 0: 1
+}
+
+// Listen is one listener for HTTP/1.1.
+type Listen struct {
+	Name    string `toml:"name"`
+	Address string `toml:"address" need:"1"`
+}
+
+// Limits are those of the process.
+type Limits struct {
+	Sockets    int           `toml:"sockets" min:"64" max:"1000000"` // descriptors; 0: 1024
+	MemoryMB   int           `toml:"memory_mb" min:"16"`             // 0: 192
+	Cores      float64       `toml:"cores" min:"0.1" max:"1024"`     // 0: 1
+	Open       int           `toml:"open" min:"1"`                   // unanswered requests
+	Connect    time.Duration `toml:"connect" min:"1ms" max:"1m"`     // for a new connection to a server; 0: 250ms
+	Attempts   int           `toml:"attempts" min:"1" max:"100"`     // of one request; 0: 4
+	RetryAfter time.Duration `toml:"retry_after" min:"0s" max:"1h"`  // the longest that clients are told; 0: 10s
+	Copies     bool          `toml:"second_copies"`
+	ConnIdle   time.Duration `toml:"conn_idle" min:"1s" max:"1h"` // servers close connections after this; 0: 60s
+	DrainGrace time.Duration `toml:"drain_grace" min:"0s" max:"1m"`
+}
+
+// Class is one class of requests.
+type Class struct {
+	Name      string        `toml:"name" need:"1"`
+	Aim       time.Duration `toml:"aim" min:"1ms" max:"1h"`
+	Deadline  time.Duration `toml:"deadline" need:"1" min:"10ms" max:"1h"`
+	Repeat    string        `toml:"repeat" need:"1" one:"free|guarded|never"`
+	Group     string        `toml:"group" one:"all|zone|cell"`
+	Window    time.Duration `toml:"window" min:"0s" max:"24h"`
+	Worth     float64       `toml:"worth" min:"0"`
+	LateWorth float64       `toml:"late_worth" min:"0" max:"1"`
+	Zones     []string      `toml:"zones"`
+	Kinds     []string      `toml:"kinds"`
+	Pool      string        `toml:"pool"`
+}
+
+// Tenant is one customer.
+type Tenant struct {
+	Name  string  `toml:"name" need:"1"`
+	Quota float64 `toml:"quota" min:"0"` // requests a second, over all nodes
+	Share float64 `toml:"share" min:"0" max:"1"`
+}
+
+// Buckets are the layers of limits.
+type Buckets struct {
+	Default *Bucket           `toml:"default"` // of tenants without a quota
+	Classes map[string]Bucket `toml:"classes"`
+	Max     float64           `toml:"max" min:"0"` // the platform's ceiling for rates and bursts; 0: none
+}
+
+// Bucket is a rate and a burst.
+type Bucket struct {
+	Rate  float64       `toml:"rate" need:"1" min:"0"` // each Per
+	Per   time.Duration `toml:"per" min:"1ms" max:"24h"`
+	Burst int64         `toml:"burst" need:"1" min:"1"`
+}
+
+// Server is one app server.
+type Server struct {
+	ID      string   `toml:"id"` // none: its address
+	Address string   `toml:"address" need:"1"`
+	Zone    string   `toml:"zone"`
+	Kind    string   `toml:"kind"`
+	Cell    int64    `toml:"cell"`
+	Weight  float64  `toml:"weight" min:"0.001"`
+	Pools   []string `toml:"pools"`
+	Drain   bool     `toml:"drain"`
+}
+
+// Servers is where more servers come from.
+type Servers struct {
+	File string `toml:"file"` // TOML with [[server]]; read again where it has changed
+}
+
+// Route is one line of the table of routes.
+type Route struct {
+	Listener string            `toml:"listener"`
+	Host     string            `toml:"host"`
+	Methods  []string          `toml:"methods" one:"GET|HEAD|POST|PUT|PATCH|DELETE|OPTIONS"`
+	Path     string            `toml:"path"`
+	Prefix   string            `toml:"prefix"`
+	Segments string            `toml:"segments"`
+	Regexp   string            `toml:"regexp"`
+	Headers  map[string]string `toml:"headers"` // "*": it need only be there; "!": it must not be
+	Query    map[string]string `toml:"query"`
+	Share    float64           `toml:"share" min:"0" max:"1"`
+	By       string            `toml:"by" one:"tenant|key|id"`
+	Salt     string            `toml:"salt"`
+	Class    string            `toml:"class" need:"1"`
+	Budget   time.Duration     `toml:"budget" min:"0s" max:"1h"`
+}
+
+// Who is how tenants are known.
+type Who struct {
+	Trusted   []string `toml:"trusted"`
+	Forwarded string   `toml:"forwarded" one:"X-Forwarded-For|Forwarded"`
+	Layers    []Layer  `toml:"layer"`
+	Anonymous int      `toml:"anonymous" min:"16" max:"1000000"` // names for clients that nobody listed; 0: 10000
+}
+
+// Layer is one way to know a tenant.
+type Layer struct {
+	By      string            `toml:"by" need:"1" one:"header|cookie|bearer|api_key|address"`
+	Name    string            `toml:"name"`
+	Secrets map[string]string `toml:"secrets"` // SHA-256 in hexadecimal to tenant
+	Nets    map[string]string `toml:"nets"`
+}
+
+// On tells whether the file has a node stand alone.
+func (f *File) On() bool { return len(f.Listen) > 0 }
+
+// Load reads the file at path. Errors are one line that names file, line and key.
+func Load(path string) (*File, error) {
+	if path == "" {
+		return &File{}, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	f := &File{path: path}
+	if f.lines, err = strict.Decode(text, f); err != nil {
+		return nil, fmt.Errorf("%s:%w", path, err)
+	}
+	if err := f.check(); err != nil {
+		return nil, fmt.Errorf("%s:%w", path, err)
+	}
+	return f, nil
+}
+
+func (f *File) check() error {
+	if !f.On() {
+		for key, set := range map[string]bool{"class": len(f.Classes) > 0, "tenant": len(f.Tenants) > 0, "server": len(f.Servers) > 0, "route": len(f.Routes) > 0,
+			"identity": len(f.Who.Layers) > 0, "servers": f.From != (Servers{}), "node": f.Node != (Node{}), "limits": f.Limits != (Limits{})} {
+			if set {
+				return f.lines.Errorf(key, "is for a node that stands alone: name a listener by [[listen]], or leave this to the platform")
+			}
+		}
+		return nil
+	}
+	if len(f.Listen) > 1 {
+		return f.lines.Errorf("listen[1]", "one listener is taken so far")
+	}
+	names := make([]string, 0, len(f.Classes))
+	for i, c := range f.Classes {
+		at := fmt.Sprintf("class[%d]", i)
+		if slices.Contains(names, c.Name) {
+			return f.lines.Errorf(at+".name", "%q is there twice", c.Name)
+		}
+		names = append(names, c.Name)
+		if c.Repeat == "guarded" && c.Window == 0 {
+			return f.lines.Errorf(at, "window: missing: for how long do servers drop the repeats of a key?")
+		}
+		if c.Aim > c.Deadline {
+			return f.lines.Errorf(at+".aim", "want at most the deadline, %v, got %v", c.Deadline, c.Aim)
+		}
+	}
+	if len(names) == 0 {
+		return f.lines.Errorf("class", "there are none: a node that stands alone wants one [[class]] or more")
+	}
+	if len(f.Servers) == 0 && f.From.File == "" && f.XDS == nil {
+		return f.lines.Errorf("server", "there are none: name them by [[server]], by servers.file or by [xds]")
+	}
+	for i, r := range f.Routes {
+		if !slices.Contains(names, r.Class) {
+			return f.lines.Errorf(fmt.Sprintf("route[%d].class", i), "there is no class %q; there are %s", r.Class, strings.Join(names, ", "))
+		}
+	}
+	for class := range f.Buckets.Classes {
+		if !slices.Contains(names, class) {
+			return f.lines.Errorf("buckets.classes."+class, "there is no such class; there are %s", strings.Join(names, ", "))
+		}
+	}
+	if _, err := f.Table(); err != nil {
+		return err
+	}
+	if _, err := f.Finder(); err != nil {
+		return f.lines.Errorf("identity", "%s", err)
+	}
+	if _, err := f.List(); err != nil {
+		return err
+	}
+	if _, err := policy.New(f.Settings(), 0, 0); err != nil {
+		return f.lines.Errorf("class", "%s", err)
+	}
+	return nil
+}
+
+// Table is the compiled table of routes. Without routes every request is of the first class.
+func (f *File) Table() (*routes.Table, error) {
+	all := make([]routes.Route, 0, len(f.Routes))
+	for i, r := range f.Routes {
+		at := fmt.Sprintf("route[%d]", i)
+		class := f.class(r.Class)
+		methods := r.Methods
+		if len(methods) == 0 { // the method that the class takes
+			methods = []string{router.Method(class)}
+		}
+		for _, m := range methods {
+			if m != router.Method(class) {
+				return nil, f.lines.Errorf(at+".methods", "class %s takes %s alone, since its repeat is %q; got %s", r.Class, router.Method(class), f.repeat(r.Class), m)
+			}
+		}
+		all = append(all, routes.Route{Line: f.lines.At(at), Listener: r.Listener, Host: r.Host, Methods: methods, Path: r.Path, Prefix: r.Prefix, Segments: r.Segments,
+			Regexp: r.Regexp, Headers: conditions(r.Headers), Query: conditions(r.Query), Share: r.Share, Salt: r.Salt,
+			By: map[string]routes.By{"key": routes.ByKey, "id": routes.ByID}[r.By], Class: r.Class, Budget: r.Budget})
+	}
+	if len(all) == 0 {
+		all = []routes.Route{{Class: f.Classes[0].Name}}
+	}
+	t, err := routes.New(all)
+	if e := (*routes.Error)(nil); err != nil {
+		e = err.(*routes.Error)
+		what := e.What
+		if e.Other >= 0 {
+			what += fmt.Sprintf(" line %d", e.Before)
+		}
+		return nil, &strict.Error{Line: e.Line, Key: fmt.Sprintf("route[%d]", e.Route), What: what}
+	}
+	return t, nil
+}
+
+func conditions(m map[string]string) (all []routes.Field) {
+	for name, v := range m {
+		c := routes.Field{Name: name, Is: v}
+		switch v {
+		case "*":
+			c = routes.Field{Name: name, Any: true}
+		case "!":
+			c = routes.Field{Name: name, Missing: true}
+		}
+		all = append(all, c)
+	}
+	slices.SortFunc(all, func(a, b routes.Field) int { return strings.Compare(a.Name, b.Name) })
+	return all
+}
+
+func (f *File) repeat(class string) string {
+	for _, c := range f.Classes {
+		if c.Name == class {
+			return c.Repeat
+		}
+	}
+	return ""
+}
+
+func (f *File) class(name string) policy.Class {
+	for _, c := range f.Settings().Classes {
+		if c.Name == name {
+			return c
+		}
+	}
+	return policy.Class{}
+}
+
+// Finder is the compiled order of identities.
+func (f *File) Finder() (*identity.Finder, error) {
+	c := identity.Config{Trusted: f.Who.Trusted, Forwarded: f.Who.Forwarded}
+	for _, t := range f.Tenants {
+		c.Tenants = append(c.Tenants, t.Name)
+	}
+	for _, l := range f.Who.Layers {
+		c.Layers = append(c.Layers, identity.Layer{Name: l.Name, Secrets: l.Secrets, Nets: l.Nets,
+			Kind: map[string]identity.Kind{"header": identity.Header, "cookie": identity.Cookie, "bearer": identity.Bearer, "api_key": identity.APIKey, "address": identity.Address}[l.By]})
+	}
+	return identity.New(c)
+}
+
+// Anonymous is how many names there are for clients that nobody listed.
+func (f *File) Anonymous() int {
+	if f.Who.Anonymous == 0 {
+		return 10_000
+	}
+	return f.Who.Anonymous
+}
+
+func or[T comparable](v, otherwise T) T {
+	var zero T
+	if v == zero {
+		return otherwise
+	}
+	return v
+}
+
+// Settings are those that the module goes by.
+func (f *File) Settings() policy.Settings {
+	s := policy.Settings{Node: f.Node.Place, Nodes: or(f.Node.Of, 1), Zone: f.Node.Zone,
+		Allowed: policy.Allowed{Cancel: true, Hedge: f.Limits.Copies, RetryAfter: true, MaxAttempts: or(f.Limits.Attempts, 4),
+			MaxRetryAfter: or(f.Limits.RetryAfter, 10*time.Second), ConnIdle: or(f.Limits.ConnIdle, time.Minute)},
+		Rules: policy.Rules{AnswerGrace: 50 * time.Millisecond, DrainGrace: or(f.Limits.DrainGrace, 500*time.Millisecond), ColdShare: 1, FallMultiple: 3, FallFor: time.Second}}
+	for _, c := range f.Classes {
+		s.Classes = append(s.Classes, policy.Class{Name: c.Name, Aim: c.Aim, Deadline: c.Deadline, Window: c.Window, Worth: or(c.Worth, 1), LateWorth: c.LateWorth,
+			Zones: c.Zones, Kinds: c.Kinds, Pool: c.Pool,
+			Repeat: map[string]policy.Repeat{"free": policy.Free, "guarded": policy.Guarded, "never": policy.Never}[c.Repeat],
+			Group:  map[string]policy.Group{"": policy.GroupAll, "all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell}[c.Group]})
+	}
+	for _, t := range f.Tenants {
+		s.Tenants = append(s.Tenants, policy.Tenant{Name: t.Name, Quota: t.Quota, Share: t.Share})
+	}
+	limit := func(b Bucket) policy.Limit {
+		return policy.Limit{PerWindow: b.Rate, Window: or(b.Per, time.Second), Burst: b.Burst}
+	}
+	if f.Buckets.Default != nil {
+		l := limit(*f.Buckets.Default)
+		s.Limits.Default = &l
+	}
+	for class, b := range f.Buckets.Classes {
+		if s.Limits.PerClass == nil {
+			s.Limits.PerClass = make(map[string]policy.Limit)
+		}
+		s.Limits.PerClass[class] = limit(b)
+	}
+	s.Limits.Max = f.Buckets.Max
+	return s
+}
+
+// List is the servers of the file, and of the one that it names.
+func (f *File) List() ([]router.Member, error) {
+	members, err := list(f.lines, f.Servers)
+	if err != nil || f.From.File == "" {
+		return members, err
+	}
+	more, err := ReadServers(f.ServersFile())
+	if err != nil {
+		return nil, f.lines.Errorf("servers.file", "%s", err)
+	}
+	for _, m := range more {
+		if slices.ContainsFunc(members, func(o router.Member) bool { return o.ID == m.ID }) {
+			return nil, f.lines.Errorf("servers.file", "server %q is there and in this file", m.ID)
+		}
+	}
+	return append(members, more...), nil
+}
+
+// ServersFile is the file of servers; empty where there is none. A relative name counts from the operator's file.
+func (f *File) ServersFile() string {
+	if f.From.File == "" || filepath.IsAbs(f.From.File) {
+		return f.From.File
+	}
+	return filepath.Join(filepath.Dir(f.path), f.From.File)
+}
+
+// ReadServers reads a file of [[server]] tables.
+func ReadServers(path string) ([]router.Member, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var f struct {
+		Servers []Server `toml:"server"`
+	}
+	lines, err := strict.Decode(text, &f)
+	if err == nil {
+		var members []router.Member
+		if members, err = list(lines, f.Servers); err == nil {
+			return members, nil
+		}
+	}
+	return nil, fmt.Errorf("%s:%w", path, err)
+}
+
+func list(lines strict.Lines, servers []Server) ([]router.Member, error) {
+	var all []router.Member
+	for i, s := range servers {
+		id := or(s.ID, s.Address)
+		if slices.ContainsFunc(all, func(m router.Member) bool { return m.ID == id }) {
+			return nil, lines.Errorf(fmt.Sprintf("server[%d]", i), "server %q is there twice", id)
+		}
+		m := router.Member{ID: id, Addr: s.Address, Zone: s.Zone, Kind: s.Kind, Cell: s.Cell, Weight: or(s.Weight, 1), Pools: s.Pools}
+		if s.Drain {
+			m.State = policy.Draining
+		}
+		all = append(all, m)
+	}
+	return all, nil
+}
