--- a/identity/identity.go
+++ b/identity/identity.go
@@ -89,6 +89,7 @@
 type Found struct {
 	Tenant string       // of the list; empty for an anonymous one
 	Layer  int          // that found it; -1 for an anonymous one
+	By     Kind         // of that layer
 	Client netip.Addr   // the address that the last trusted hop has seen
 	Net    netip.Prefix // of an anonymous one: what counts of its address
 }
@@ -183,7 +184,7 @@
 	}
 	for i := range f.layers {
 		if t := f.layers[i].find(f, r, trusted, found.Client); t != "" {
-			found.Tenant, found.Layer = t, i
+			found.Tenant, found.Layer, found.By = t, i, f.layers[i].Kind
 			return found
 		}
 	}
--- /dev/null
+++ b/internal/cli/alone.go
@@ -0,0 +1,107 @@
+package cli
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+
+	"cobaltward/internal/node"
+	"cobaltward/internal/site"
+	"cobaltward/membership/file"
+	"cobaltward/membership/registry"
+	"cobaltward/router"
+)
+
+var errNoListener = errors.New("listen: there is none any more: a node that stands alone keeps to that until its next start")
+
+// alone is a node without a platform: its configuration is the operator's own file. The zero value is a node with
+// one.
+type alone struct {
+	file  *site.File // nil: the platform's configuration holds
+	front *site.Front
+	list  *file.Source
+}
+
+// standAlone reads the operator's own file, and tells by it whether the node stands alone.
+func standAlone(own string) (*alone, error) {
+	f, err := site.Load(own)
+	if err != nil {
+		return nil, err
+	}
+	if !f.On() {
+		return &alone{}, nil
+	}
+	front, err := site.NewFront(f)
+	return &alone{file: f, front: front}, err
+}
+
+// config is the node's configuration.
+func (a *alone) config() (node.Config, error) {
+	if a.file == nil {
+		return node.LoadConfig(os.Getenv)
+	}
+	return configOf(a.file)
+}
+
+func configOf(f *site.File) (node.Config, error) {
+	members, err := f.List()
+	if err != nil {
+		return node.Config{}, err
+	}
+	c := node.Config{Name: f.Node.Name, Listen: f.Listen[0].Address, Discovery: "127.0.0.1:9", Seed: uint64(os.Getpid()), Cores: f.Limits.Cores,
+		MemoryMB: int64(f.Limits.MemoryMB), Sockets: f.Limits.Sockets, MaxOpen: f.Limits.Open, ConnectTimeout: f.Limits.Connect,
+		Settings: f.Settings(), Known: registry.List{Complete: true, Members: members}}
+	if c.Name == "" {
+		c.Name, _ = os.Hostname() // without one it has none
+	}
+	if c.Cores == 0 {
+		c.Cores = 1
+	}
+	if c.MemoryMB == 0 {
+		c.MemoryMB = 192
+	}
+	if c.Sockets == 0 {
+		c.Sockets = 1024
+	}
+	if c.ConnectTimeout == 0 {
+		c.ConnectTimeout = node.DefaultConnectTimeout
+	}
+	_, _, err = net.SplitHostPort(c.Listen)
+	return c, err
+}
+
+// serve puts the front and the list of servers in place.
+func (a *alone) serve(c *node.Config, log *slog.Logger) {
+	if a.file == nil {
+		return
+	}
+	c.Front = func(next http.Handler, ready string) http.Handler { return a.front.Handler(next, ready) }
+	a.list = file.New(a.file.ServersFile(), a.file.List, log)
+	c.Membership = func(router.Membership) (router.Membership, error) { return a.list, nil }
+}
+
+// reload reads the configuration again, and puts routes, identities and servers in force. A node does not come to
+// stand alone, or cease to, while it runs.
+func (a *alone) reload(own string) (node.Config, error) {
+	if a == nil || a.file == nil {
+		return node.ReloadConfig(os.Getenv)
+	}
+	f, err := site.Load(own)
+	if err != nil {
+		return node.Config{}, err
+	}
+	if !f.On() {
+		return node.Config{}, errNoListener
+	}
+	c, err := configOf(f)
+	if err != nil {
+		return node.Config{}, err
+	}
+	if err := a.front.Adopt(f); err != nil {
+		return node.Config{}, err
+	}
+	a.list.Again(f.List)
+	return c, nil
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -65,14 +65,15 @@
 		&cobra.Command{
 			Use:   "serve",
 			Short: "Serve clients until SIGTERM",
-			Long: `Serve clients until SIGTERM, by the platform's configuration: the JSON file that
-ROUTER_CONFIG names, with ROUTER_NAME, ROUTER_LISTEN and ROUTER_DISCOVERY ahead of it where set.
+			Long: `Serve clients until SIGTERM, by the operator's own file where that has a listener (wayhold init writes one), else
+by the platform's configuration: the JSON file that ROUTER_CONFIG names, with ROUTER_NAME, ROUTER_LISTEN and
+ROUTER_DISCOVERY ahead of it where set.
 SIGHUP reads it and the operator's own file again, both or neither: discovery's address, the settings, log.level,
 drain.deadline and xds.pools take effect at once, the rest at the next start. SIGTERM ends the node in order.`,
 			Args: cobra.NoArgs,
 			RunE: func(c *cobra.Command, _ []string) error { return serve(own, c.ErrOrStderr(), e) },
 		},
-		checkCommand(&own, e), demoCommand(), callCommand(), rehearseCommand(e), ctlCommand(&own),
+		checkCommand(&own, e), demoCommand(), callCommand(), rehearseCommand(e), ctlCommand(&own), initCommand(), routeCommand(&own),
 		&cobra.Command{
 			Use:   "version",
 			Short: "Print the version",
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -35,13 +35,18 @@
 	if err != nil {
 		return err
 	}
-	c, err := node.LoadConfig(os.Getenv)
+	alone, err := standAlone(own)
+	if err != nil {
+		return err
+	}
+	c, err := alone.config()
 	if err != nil {
 		return err
 	}
 	apply(o, &c)
 	level := new(slog.LevelVar)
 	log := logger(o.Log, level, logs)
+	alone.serve(&c, log)
 	if err := useXDS(o, &c, e, log); err != nil {
 		return err
 	}
@@ -63,7 +68,7 @@
 	log.Info("listening", "name", c.Name, "address", listener.Addr(), "servers", len(c.Known.Members))
 	reloads, done := make(chan node.Config, 1), make(chan struct{})
 	defer close(done)
-	r := reloader{own: own, running: o, level: level, log: log}
+	r := reloader{own: own, running: o, level: level, log: log, alone: alone}
 	go r.run(hup, reloads, done)
 	return node.Run(ctx, c, listener, reloads, log)
 }
@@ -182,6 +187,7 @@
 	running operator.File // as it was at the start
 	level   *slog.LevelVar
 	log     *slog.Logger
+	alone   *alone
 }
 
 // run reads at each SIGHUP until done; the newest configuration stands in reloads.
@@ -210,7 +216,7 @@
 	if err != nil {
 		return node.Config{}, err
 	}
-	c, err := node.ReloadConfig(os.Getenv)
+	c, err := r.alone.reload(r.own)
 	if err != nil {
 		return node.Config{}, err
 	}
--- a/internal/cli/tools.go
+++ b/internal/cli/tools.go
@@ -12,6 +12,7 @@
 	"cobaltward/internal/demo"
 	"cobaltward/internal/node"
 	"cobaltward/internal/operator"
+	"cobaltward/internal/site"
 	"cobaltward/policy"
 )
 
@@ -46,7 +47,14 @@
 				if o.XDS.On() && e.XDS == nil {
 					return errNoXDS
 				}
+				alone, err := site.Load(path)
+				if err != nil {
+					return err
+				}
 				fmt.Fprintf(out, "%s: good\n", path)
+				if alone.On() {
+					return describe(out, alone)
+				}
 			}
 			if platform == "" {
 				return nil
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math"
 	"net"
+	"net/http"
 	"os"
 	"strconv"
 	"time"
@@ -48,6 +49,10 @@
 	Door      door.Config
 	DrainMark string
 
+	// Front puts requests from outside into the protocol's form; nil: they come in it. ready is a path that goes on
+	// as it is.
+	Front func(next http.Handler, ready string) http.Handler
+
 	// Membership makes the source of the servers out of the protocol's discovery; nil: that alone.
 	Membership func(own router.Membership) (router.Membership, error)
 }
@@ -66,8 +71,8 @@
 // leastSockets is what a node can work with at all: a few for itself, and some for each side.
 const leastSockets = 64
 
-// defaultConnectTimeout stands in where the settings name none.
-const defaultConnectTimeout = 250 * time.Millisecond
+// DefaultConnectTimeout stands in where the settings name none.
+const DefaultConnectTimeout = 250 * time.Millisecond
 
 // LoadConfig reads the file that ROUTER_CONFIG names. The other variables, where set, go before what
 // the file says. Errors name the field.
@@ -195,7 +200,7 @@
 	}
 	c.MaxOpen, c.ConnectTimeout = int(s.Limits.MaxOpen), millis(s.Limits.ConnectTimeout)
 	if c.ConnectTimeout == 0 {
-		c.ConnectTimeout = defaultConnectTimeout
+		c.ConnectTimeout = DefaultConnectTimeout
 	}
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,6 +98,9 @@
 	defer engine.Close()
 	server.Handler = middleware.New(engine, middleware.WithMatcher(middleware.Any), middleware.WithReady(readyPath),
 		middleware.WithBodyTimeout(headerTimeout), middleware.WithWriteTimeout(writeTimeout))
+	if c.Front != nil {
+		server.Handler = c.Front(server.Handler, readyPath)
+	}
 
 	if rpc != nil {
 		rpc.Front = msgpackfront.New(engine, msgpackfront.Config{MaxConns: callers, MaxCalls: c.Msgpack.Calls, Idle: clientIdle,
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -156,6 +156,18 @@
 // raw is the file as TOML has it. Its values are any, and read by the types that they are for: the
 // decoder gives no line for an error of theirs.
 type raw struct {
+	// What package site reads, for a node that stands alone.
+	Node     any `toml:"node"`
+	Listen   any `toml:"listen"`
+	Limits   any `toml:"limits"`
+	Class    any `toml:"class"`
+	Tenant   any `toml:"tenant"`
+	Buckets  any `toml:"buckets"`
+	Server   any `toml:"server"`
+	Servers  any `toml:"servers"`
+	Route    any `toml:"route"`
+	Identity any `toml:"identity"`
+
 	Log struct {
 		Level  any `toml:"level"`
 		Format any `toml:"format"`
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -224,6 +224,11 @@
 		return d.bounds(path, show(from), r.Hi, tag, figure)
 	}
 	switch to.Kind() {
+	case reflect.Interface: // it is for another to read
+		to.Set(reflect.ValueOf(from))
+	case reflect.Pointer:
+		to.Set(reflect.New(to.Type().Elem()))
+		return d.value(path, from, to.Elem(), tag)
 	case reflect.String:
 		text, ok := from.(string)
 		if !ok {
