Levels of reduced service: a module that gives up in the right order and does not swing

On a Monday work exceeds what servers carry. Package levels decides, free of I/O and clock, from each second's counts which level is in force, one step at a time, no two changes within 30 s, twice as long where a level is entered again soon after its end. A ladder that sheds guarded classes first, or can't be reached or left, is refused.

--- /dev/null
+++ b/levels/levels_test.go
@@ -0,0 +1,226 @@
+package levels
+
+import (
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var classes = []Class{{Name: "hladanie"}, {Name: "rezervacia", Guarded: true}, {Name: "zrusenie"}}
+
+// ladder sheds searches first, then cancellations with them, and bookings never.
+func ladder() Config {
+	slow := func(bound float64, d time.Duration) []Condition {
+		return []Condition{{Signal: Slow, Bound: bound, For: d}}
+	}
+	calm := []Condition{{Signal: Slow, Bound: 0.05, For: 10 * time.Second}}
+	return Config{Classes: classes, Levels: []Level{
+		{Name: "fewer searches", Enter: slow(0.15, 3*time.Second), Exit: calm, Measures: []Measure{{Class: "hladanie", Shed: 0.4, NoCopies: true}}},
+		{Name: "bookings first", Enter: slow(0.2, 3*time.Second), Exit: calm, Measures: []Measure{{Class: "hladanie", Shed: 0.8}, {Class: "zrusenie", Shed: 0.3, Attempts: 1}}},
+	}}
+}
+
+// plant is servers that carry so much work a second: what is more comes late, whichever class it is of, and leaves a
+// backlog that makes what follows late as well.
+type plant struct{ carries, backlog float64 }
+
+// second plays one second of load, in requests of each class, under a ladder; nil: without one.
+func (p *plant) second(l *Ladder, load map[string]float64, work map[string]float64) map[string]Second {
+	out, asked := make(map[string]Second), p.backlog
+	for _, c := range classes {
+		s := Second{Offered: load[c.Name], Work: work[c.Name]}
+		if l != nil {
+			s.Shed = s.Offered * l.Effect(c.Name, "t").Shed
+		}
+		asked += (s.Offered - s.Shed) * s.Work
+		out[c.Name] = s
+	}
+	late := math.Max(0, 1-p.carries/math.Max(asked, 1e-9))
+	p.backlog = math.Min(math.Max(0, asked-p.carries), p.carries) // deadlines bound it
+	for name, s := range out {
+		n := s.Offered - s.Shed
+		s.OnTime, s.Late, s.Open = n*(1-late), n*late, n
+		out[name] = s
+	}
+	return out
+}
+
+func load(total float64) map[string]float64 {
+	return map[string]float64{"hladanie": total * 0.5, "rezervacia": total * 0.3, "zrusenie": total * 0.2}
+}
+
+var work = map[string]float64{"hladanie": 1, "rezervacia": 1, "zrusenie": 1}
+
+// play plays seconds of a load, and returns the part of bookings and of all requests that were served in time.
+func play(l *Ladder, seconds int, of func(i int) (map[string]float64, map[string]float64)) (booked, all float64) {
+	p := plant{carries: 100}
+	var onTime, offered, any, ever float64
+	for i := range seconds {
+		amount, cost := of(i)
+		s := p.second(l, amount, cost)
+		for name, x := range s {
+			any, ever = any+x.OnTime, ever+x.Offered
+			if name == "rezervacia" {
+				onTime, offered = onTime+x.OnTime, offered+x.Offered
+			}
+		}
+		if l != nil {
+			l.Step(time.Duration(i+1)*time.Second, s)
+		}
+	}
+	return onTime / offered, any / ever
+}
+
+// Loads that hover at the bound, that swing across it, and that hold far beyond it, for twenty minutes: never more
+// than one change in 30 s, ever fewer where it swings, and bookings are served better than without levels.
+func TestDoesNotSwing(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for name, of := range map[string]func(i int) float64{
+		"hovers":           func(int) float64 { return 100 + 10*rng.Float64() },
+		"slow swing":       func(i int) float64 { return 100 + 25*math.Sin(2*math.Pi*float64(i)/60) },
+		"fast swing":       func(i int) float64 { return 110 + 30*math.Sin(2*math.Pi*float64(i)/7) },
+		"square":           func(i int) float64 { return 85 + 60*float64(i/45%2) },
+		"far beyond":       func(int) float64 { return 180 },
+		"a long Monday":    func(i int) float64 { return 80 + 60*math.Sin(math.Pi*float64(i)/1200) },
+		"hovers just over": func(int) float64 { return 118 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := New(ladder())
+			if err != nil {
+				t.Fatal(err)
+			}
+			with := func(i int) (map[string]float64, map[string]float64) { return load(of(i)), work }
+			booked, all := play(l, 1200, with)
+			without, allWithout := play(nil, 1200, with)
+			last := -time.Hour
+			for _, e := range l.Events() {
+				if e.At-last < 30*time.Second {
+					t.Errorf("%v after the change before: %+v", e.At-last, e)
+				}
+				last = e.At
+			}
+			t.Logf("%d changes; bookings in time %.3f (%.3f without levels), all %.3f (%.3f)", len(l.Events()), booked, without, all, allWithout)
+			if booked < without-0.005 {
+				t.Errorf("bookings in time %.3f, %.3f without levels", booked, without)
+			}
+			if len(l.Events()) > 24 { // twenty minutes of one change each 50 s
+				t.Errorf("%d changes", len(l.Events()))
+			}
+		})
+	}
+}
+
+// One class becomes costly while the number of requests is as ever: the level is entered for what the work is, and
+// left once it is over.
+func TestCostlyClass(t *testing.T) {
+	l, err := New(ladder())
+	if err != nil {
+		t.Fatal(err)
+	}
+	dear := map[string]float64{"hladanie": 3, "rezervacia": 1, "zrusenie": 1}
+	of := func(i int) (map[string]float64, map[string]float64) {
+		if i >= 60 && i < 240 {
+			return load(70), dear
+		}
+		return load(70), work
+	}
+	booked, _ := play(l, 600, of)
+	without, _ := play(nil, 600, of)
+	if len(l.Events()) == 0 || l.Events()[0].At < time.Minute || l.Events()[0].At > 80*time.Second {
+		t.Errorf("not entered when searches became costly: %+v", l.Events())
+	}
+	if n, _, why := l.Level(); n != 0 {
+		t.Errorf("at level %d at the end: %s", n, why)
+	}
+	if booked < without+0.05 {
+		t.Errorf("bookings in time %.3f, %.3f without levels", booked, without)
+	}
+	t.Logf("bookings in time %.3f (%.3f without levels), %+v", booked, without, l.Events())
+}
+
+// Whatever is counted: one step at a time, no two changes within the least time but by hand, each an event that says
+// why, guarded classes never shed more than others, and the level by hand holds while it is to.
+func TestModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, err := New(ladder())
+		if err != nil {
+			t.Fatal(err)
+		}
+		last, events := -time.Hour, 0
+		var hand time.Duration
+		for i := range rapid.IntRange(1, 300).Draw(t, "seconds") {
+			now := time.Duration(i+1) * time.Second
+			before, _, _ := l.Level()
+			byHand := rapid.IntRange(0, 40).Draw(t, "hand") == 0
+			if byHand {
+				d := time.Duration(rapid.IntRange(1, 60).Draw(t, "for")) * time.Second
+				if err := l.Set(now, rapid.IntRange(0, 2).Draw(t, "level"), d, "x", "y"); err != nil {
+					t.Fatal(err)
+				}
+				hand = now + d
+			} else {
+				s := make(map[string]Second)
+				for _, c := range classes {
+					n := rapid.Float64Range(0, 100).Draw(t, "n")
+					s[c.Name] = Second{Offered: n, Work: 1, OnTime: n * rapid.Float64Range(0, 1).Draw(t, "on time"), Late: n * rapid.Float64Range(0, 1).Draw(t, "late"), Open: n}
+				}
+				l.Step(now, s)
+			}
+			after, name, why := l.Level()
+			switch {
+			case !byHand && (after > before+1 || after < before-1):
+				t.Fatalf("from %d to %d in one step", before, after)
+			case !byHand && after != before && now < hand:
+				t.Fatalf("moved to %d, though a level by hand holds until %v", after, hand)
+			case !byHand && after != before && now-last < 30*time.Second:
+				t.Fatalf("moved %v after the change before", now-last)
+			case why == "" || name == "":
+				t.Fatal("no reason")
+			}
+			if after != before {
+				last = now
+				events++
+				if e := l.Events()[len(l.Events())-1]; e.To != after || e.From != before || e.Reason != why || e.Name != name {
+					t.Fatalf("%+v", e)
+				}
+			}
+			if l.Effect("rezervacia", "t").Shed > min(l.Effect("hladanie", "t").Shed, l.Effect("zrusenie", "t").Shed) {
+				t.Fatal("bookings are shed first")
+			}
+		}
+	})
+}
+
+func TestErrors(t *testing.T) {
+	enter, exit := []Condition{{Signal: Slow, Bound: 0.2}}, []Condition{{Signal: Slow, Bound: 0.1}}
+	measure := []Measure{{Class: "hladanie", Shed: 0.5}}
+	good := Level{"a", enter, exit, measure}
+	change := func(f func(*Level)) []Level { l := good; f(&l); return []Level{l} }
+	for says, all := range map[string][]Level{
+		"level 2: name: \"a\" is there twice": {good, good},
+		"name: want one of its own":           change(func(l *Level) { l.Name = "full" }),
+		"it is never entered":                 change(func(l *Level) { l.Enter = nil }),
+		"it is never left":                    change(func(l *Level) { l.Exit = nil }),
+		"it does nothing":                     change(func(l *Level) { l.Measures = nil }),
+		"want the exit below the entry":       change(func(l *Level) { l.Exit = enter }),
+		"there is no such class":              change(func(l *Level) { l.Enter = []Condition{{Class: "x", Bound: 1}} }),
+		`a measure for class "x"`:             change(func(l *Level) { l.Measures = []Measure{{Class: "x", Shed: 1}} }),
+		"shed: want 0 to 1":                   change(func(l *Level) { l.Measures = []Measure{{Class: "hladanie", Shed: 2}} }),
+		"the measure does nothing":            change(func(l *Level) { l.Measures = []Measure{{Class: "hladanie"}} }),
+		"0.5 of rezervacia, which is guarded": change(func(l *Level) {
+			l.Measures = []Measure{{Class: "rezervacia", Shed: 0.5}, {Class: "hladanie", Shed: 0.9}}
+		}),
+		"it can't be reached on its own": {good, {"b", []Condition{{Signal: Slow, Bound: 0.15}}, exit, measure}},
+	} {
+		if _, err := New(Config{Levels: all, Classes: classes}); err == nil || !strings.Contains(err.Error(), says) {
+			t.Errorf("%v, want %q", err, says)
+		}
+	}
+	if _, err := New(ladder()); err != nil {
+		t.Error(err)
+	}
+}
