Levels of service in the router, in the operator's file, over the door and in rehearsals

router.WithLevels counts each second by class, steps the ladder, and sheds before the module is asked; further attempts and second copies are spared by the level. A client that was shed and comes again under another id is shed again, else a half shed is an eighth. [service] and [[level]] in the operator's own file, off without; wayhold ctl level shows the level with its reason, and sets it by hand.

--- a/drops/drops.go
+++ b/drops/drops.go
@@ -41,6 +41,9 @@
 	return joined
 }
 
+// Fraction is where an id falls between 0 and 1: the same at every node.
+func Fraction(id string) float64 { return fraction(id) }
+
 // fraction spreads ids evenly over 0 to 1: FNV-1a, then the finalizer of MurmurHash3, for ids that count
 // up differ in their last bits only.
 func fraction(id string) float64 {
--- a/emulator/result/result.go
+++ b/emulator/result/result.go
@@ -84,6 +84,13 @@
 	Ejected   bool    `json:"ejected,omitempty"`
 }
 
+// Level is the level of service at a node, and what it goes by.
+type Level struct {
+	Level  int     `json:"level"`
+	Demand float64 `json:"demand"`
+	Slow   float64 `json:"slow"`
+}
+
 // Fault is one fault of the script and what it did.
 type Fault struct {
 	Label   string        `json:"label"`
@@ -121,7 +128,8 @@
 	Waste    float64             `json:"waste_s"` // of it, for nobody
 	Offered  float64             `json:"work_offered_s"`
 	Seconds  []Second            `json:"seconds"`
-	Samples  [][]Sample          `json:"samples"` // of the first node, by the second
+	Samples  [][]Sample          `json:"samples"`          // of the first node, by the second
+	Levels   []Level             `json:"levels,omitempty"` // of service at the first node, by the second
 	Faults   []Fault             `json:"faults"`
 	Digest   string              `json:"digest"` // of what became of every request
 	LagMax   time.Duration       `json:"generator_lag_max"`
@@ -295,6 +303,9 @@
 	b.r.Samples = append(b.r.Samples, row)
 }
 
+// Level books a node's level of service.
+func (b *Book) Level(l Level) { b.r.Levels = append(b.r.Levels, l) }
+
 // Lag books how late the traffic was sent.
 func (b *Book) Lag(d time.Duration) { b.r.LagMax = max(b.r.LagMax, d) }
 
--- /dev/null
+++ b/emulator/sim/levels_test.go
@@ -0,0 +1,51 @@
+package sim
+
+import (
+	"testing"
+	"time"
+
+	"cobaltward/emulator/plan"
+	"cobaltward/emulator/script"
+	"cobaltward/levels"
+)
+
+// ladder sheds what workspaces send beyond their shares, then searches.
+func ladder() *levels.Config {
+	over := func(bound float64) []levels.Condition {
+		return []levels.Condition{{Signal: levels.Demand, Bound: bound, For: 2 * time.Second}}
+	}
+	calm := []levels.Condition{{Signal: levels.Demand, Bound: 0.95, For: 10 * time.Second}}
+	return &levels.Config{Classes: []levels.Class{{Name: "hladanie"}, {Name: "rezervacia", Guarded: true}, {Name: "zrusenie"}}, Levels: []levels.Level{
+		{Name: "fewer searches", Enter: over(1.1), Exit: calm, Measures: []levels.Measure{{Class: "hladanie", Shed: 0.5, NoCopies: true}}},
+		{Name: "bookings first", Enter: over(1.3), Exit: calm, Measures: []levels.Measure{{Class: "hladanie", Shed: 0.9}, {Class: "zrusenie", Shed: 0.4}}},
+	}}
+}
+
+// On a Monday on which shares were promised that the servers can't carry, so that no bucket holds the work back,
+// bookings are served better under levels than without, and every rule is kept.
+func TestLevelsOnAMonday(t *testing.T) {
+	monday := func() *plan.Plan {
+		s, err := script.Load("../../scenarios/monday.toml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Traffic.Quota, s.Length = 3000, 2*time.Minute
+		p, err := plan.New(s, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+	with := play(t, monday(), Options{Levels: ladder()})
+	without := play(t, monday(), Options{})
+	if !with.Verdict.Kept() {
+		t.Errorf("%v", with.Verdict.Breaches)
+	}
+	for name, s := range with.Classes {
+		t.Logf("%s: worth kept %.3f (%.3f without levels), in aim %d (%d)", name, s.Share(), without.Classes[name].Share(), s.InAim, without.Classes[name].InAim)
+	}
+	t.Logf("all: %.3f (%.3f)", with.All.Share(), without.All.Share())
+	if a, b := with.Classes["rezervacia"].Share(), without.Classes["rezervacia"].Share(); a < b+0.02 {
+		t.Errorf("bookings: %.3f with levels, %.3f without", a, b)
+	}
+}
--- a/emulator/sim/node.go
+++ b/emulator/sim/node.go
@@ -65,6 +65,9 @@
 	if n.w.o.Without != nil {
 		opts = append(opts, router.WithoutGuards(n.w.o.Without()))
 	}
+	if n.w.o.Levels != nil {
+		opts = append(opts, router.WithLevels(*n.w.o.Levels))
+	}
 	engine, err := router.NewStepped(c, n, epoch.Add(n.w.now), opts...)
 	if err != nil {
 		return err
--- a/emulator/sim/world.go
+++ b/emulator/sim/world.go
@@ -13,6 +13,7 @@
 	"cobaltward/emulator/plan"
 	"cobaltward/emulator/result"
 	"cobaltward/internal/guards"
+	"cobaltward/levels"
 	"cobaltward/policy"
 	"cobaltward/router"
 )
@@ -26,6 +27,7 @@
 	Without func() guards.Without
 	// Careless transports send to drained servers, and Lying ones take every reset for proof that nothing ran.
 	Careless, Lying bool
+	Levels          *levels.Config // of every node; nil: full service always
 	Progress        func(at time.Duration)
 	Detail          func(*plan.Request, result.Outcome)
 }
@@ -144,6 +146,9 @@
 func (w *world) sample() {
 	if n := w.nodes[0]; n.engine != nil {
 		w.book.Sample(n.engine.Views())
+		if st, err := n.engine.Level(); err == nil {
+			w.book.Level(result.Level{Level: st.Level, Demand: st.Demand, Slow: st.Slow})
+		}
 	} else {
 		w.book.Sample(nil)
 	}
--- a/internal/cli/alone.go
+++ b/internal/cli/alone.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -19,6 +20,7 @@
 // alone is a node without a platform: its configuration is the operator's own file. The zero value is a node with
 // one.
 type alone struct {
+	own   *site.File // the operator's own file, whatever it has
 	file  *site.File // nil: the platform's configuration holds
 	front *site.Front
 	list  *file.Source
@@ -31,18 +33,25 @@
 		return nil, err
 	}
 	if !f.On() {
-		return &alone{}, nil
+		return &alone{own: f}, nil
 	}
 	front, err := site.NewFront(f)
-	return &alone{file: f, front: front}, err
+	return &alone{own: f, file: f, front: front}, err
 }
 
 // config is the node's configuration.
-func (a *alone) config() (node.Config, error) {
+func (a *alone) config() (c node.Config, err error) {
 	if a.file == nil {
-		return node.LoadConfig(os.Getenv)
+		c, err = node.LoadConfig(os.Getenv)
+	} else {
+		c, err = configOf(a.file)
 	}
-	return configOf(a.file)
+	if err == nil {
+		if c.Levels, err = a.own.Ladder(c.Settings.Classes); err != nil {
+			err = fmt.Errorf("%s:%w", a.own.Path(), err)
+		}
+	}
+	return c, err
 }
 
 func configOf(f *site.File) (node.Config, error) {
--- a/internal/cli/alone_test.go
+++ b/internal/cli/alone_test.go
@@ -180,3 +180,64 @@
 		}
 	}
 }
+
+// Levels of service in the operator's own file: the ladder is printed as a table, set by hand over the door, and a
+// ladder that makes no sense is refused with its line.
+func TestLevels(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	path, sock := filepath.Join(dir, "w.toml"), filepath.Join(dir, "d.sock")
+	text := strings.NewReplacer("127.0.0.1:8080", "127.0.0.1:0").Replace(site.Example) + `
+[door]
+socket = "` + sock + `"
+[service]
+guarded = ["write"]
+[[level]]
+name = "fewer reads"
+enter = [{signal = "demand", bound = 1.1, for = "3s"}]
+exit = [{signal = "demand", bound = 0.9, for = "10s"}]
+measure = [{class = "read", shed = 1.0}]
+`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	do := func(args ...string) string {
+		cmd := exec.Command(os.Args[0], args...)
+		cmd.Env = append(os.Environ(), program+"=1", "WAYHOLD_DOOR="+sock)
+		out, _ := cmd.CombinedOutput()
+		return string(out)
+	}
+	if out := do("check", path); !strings.Contains(out, "fewer reads") || !strings.Contains(out, "read shed 1") {
+		t.Error(out)
+	}
+	addr, _ := runProgram(t, "serve", "--config", path)
+	get := func() int {
+		resp, err := http.Get("http://" + addr + "/x")
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	if out := do("ctl", "level"); !strings.Contains(out, "level 0, full") {
+		t.Error(out)
+	}
+	if out := do("ctl", "level", "set", "1", "--reason", "a test"); !strings.Contains(out, "level 1, fewer reads: by hand") {
+		t.Error(out)
+	}
+	if status := get(); status != http.StatusTooManyRequests {
+		t.Errorf("a read at level 1: %d", status)
+	}
+	if out := do("ctl", "level", "set", "7"); !strings.Contains(out, "want a level from 0 to 1") {
+		t.Error(out)
+	}
+	if out := do("ctl", "level", "set", "0"); !strings.Contains(out, "level 0") || get() == http.StatusTooManyRequests {
+		t.Error(out)
+	}
+	if err := os.WriteFile(path, []byte(strings.Replace(text, "bound = 0.9", "bound = 1.2", 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if out := do("check", path); !strings.Contains(out, "level[0]: it is left below 1.2 of demand and entered above 1.1") || strings.Count(out, "\n") != 1 {
+		t.Error(out)
+	}
+}
--- a/internal/cli/ctl.go
+++ b/internal/cli/ctl.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -22,6 +23,7 @@
 	"cobaltward/internal/door"
 	"cobaltward/internal/node"
 	"cobaltward/internal/operator"
+	"cobaltward/router"
 )
 
 // The statuses of ctl that scripts go by, beside 0 and 1.
@@ -120,7 +122,42 @@
 			return err
 		}})
 	}
-	c.AddCommand(status, start, undo, watch, server)
+	c.AddCommand(status, start, undo, watch, server, t.levelCommand(&order.Who))
+	return c
+}
+
+// levelCommand shows the level of service, and sets it by hand.
+func (t *ctl) levelCommand(who *string) *cobra.Command {
+	show := func(c *cobra.Command, method string, body any) error {
+		var st router.LevelStatus
+		if _, err := t.call(method, "/level", body, &st); err != nil {
+			return err
+		}
+		out := c.OutOrStdout()
+		fmt.Fprintf(out, "level %d, %s: %s\ndemand %.2f, slow %.3f, held %.3f\n", st.Level, st.Name, st.Reason, st.Demand, st.Slow, st.Held)
+		for _, e := range st.Events {
+			fmt.Fprintf(out, "  from %d to %d, %s: %s\n", e.From, e.To, e.Name, e.Reason)
+		}
+		return nil
+	}
+	c := &cobra.Command{Use: "level", Short: "Print the level of service, and why it is in force", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return show(c, http.MethodGet, nil) }}
+	var o node.LevelOrder
+	var d time.Duration
+	set := &cobra.Command{Use: "set N", Short: "Put a level in force by hand: 0 is full service", Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+		n, err := strconv.Atoi(args[0])
+		if err != nil {
+			return fmt.Errorf("ctl: want the number of a level, got %q", args[0])
+		}
+		if o.Level, o.Who = n, *who; d > 0 {
+			o.For = d.String()
+		}
+		return show(c, http.MethodPost, o)
+	}}
+	set.Flags().DurationVar(&d, "for", 0, "for how long; else until release")
+	set.Flags().StringVar(&o.Reason, "reason", "", "for those who find it")
+	c.AddCommand(set, &cobra.Command{Use: "release", Short: "Give the level back to its conditions", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return show(c, http.MethodDelete, nil) }})
 	return c
 }
 
--- a/internal/cli/init.go
+++ b/internal/cli/init.go
@@ -15,6 +15,7 @@
 
 	"cobaltward/identity"
 	"cobaltward/internal/site"
+	"cobaltward/policy"
 	"cobaltward/routes"
 )
 
@@ -60,6 +61,43 @@
 	for _, m := range members {
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", m.ID, m.Addr, m.Zone, [...]string{"running", "draining", "removed"}[m.State])
 	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	return describeLevels(out, f, f.Settings().Classes)
+}
+
+// describeLevels prints the ladder of levels as a table.
+func describeLevels(out io.Writer, f *site.File, classes []policy.Class) error {
+	c, err := f.Ladder(classes)
+	if err != nil {
+		return fmt.Errorf("%s:%w", f.Path(), err)
+	}
+	if c == nil {
+		return nil
+	}
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "\nlevel\tname\tentered above\tleft below\tmeasures\n")
+	for i, l := range c.Levels {
+		var measures []string
+		for _, m := range l.Measures {
+			what := m.Class
+			if m.Shed > 0 {
+				what += fmt.Sprintf(" shed %.4g", m.Shed)
+			}
+			if m.NoCopies {
+				what += " no copies"
+			}
+			if m.Attempts > 0 {
+				what += fmt.Sprintf(" %d attempts", m.Attempts)
+			}
+			if m.InShare {
+				what += " in share"
+			}
+			measures = append(measures, what)
+		}
+		fmt.Fprintf(t, "%d\t%s\t%v\t%v\t%s\n", i+1, l.Name, l.Enter, l.Exit, strings.Join(measures, ", "))
+	}
 	return t.Flush()
 }
 
--- a/internal/cli/tools.go
+++ b/internal/cli/tools.go
@@ -39,6 +39,7 @@
 			}
 			out := c.OutOrStdout()
 			var o operator.File
+			own := &site.File{}
 			if path != "" {
 				var err error
 				if o, err = operator.Load(path); err != nil {
@@ -55,6 +56,7 @@
 				if alone.On() {
 					return describe(out, alone)
 				}
+				own = alone
 			}
 			if platform == "" {
 				return nil
@@ -77,7 +79,10 @@
 			for _, class := range conf.Settings.Classes {
 				fmt.Fprintf(table, "%s\t%v\t%v\t%s\n", class.Name, class.Aim, class.Deadline, repeats(class))
 			}
-			return table.Flush()
+			if err := table.Flush(); err != nil {
+				return err
+			}
+			return describeLevels(out, own, conf.Settings.Classes)
 		},
 	}
 	c.Flags().StringVar(&platform, "platform", "", "the platform's configuration, a JSON file; ROUTER_CONFIG names it too")
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -16,6 +16,7 @@
 	"cobaltward/internal/door"
 	"cobaltward/internal/fields"
 	"cobaltward/internal/wire"
+	"cobaltward/levels"
 	"cobaltward/membership/registry"
 	"cobaltward/policy"
 	"cobaltward/router"
@@ -49,6 +50,9 @@
 	Door      door.Config
 	DrainMark string
 
+	// Levels is the ladder of reduced service; nil: full service always.
+	Levels *levels.Config
+
 	// Front puts requests from outside into the protocol's form; nil: they come in it. ready is a path that goes on
 	// as it is.
 	Front func(next http.Handler, ready string) http.Handler
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -85,6 +85,15 @@
 	d.Handle(http.MethodPost, "/drain", c.drain)
 	d.Handle(http.MethodDelete, "/drain", c.undrain)
 	d.Handle(http.MethodGet, "/events", func(w http.ResponseWriter, r *http.Request) { c.watch(d, w, r) })
+	d.Handle(http.MethodGet, "/level", c.level)
+	d.Handle(http.MethodPost, "/level", c.setLevel)
+	d.Handle(http.MethodDelete, "/level", func(w http.ResponseWriter, r *http.Request) {
+		if err := c.engine.ReleaseLevel(); err != nil {
+			door.Fail(w, http.StatusConflict, err.Error())
+			return
+		}
+		c.level(w, r)
+	})
 	d.Handle(http.MethodPost, "/servers/{id}/drain", func(w http.ResponseWriter, r *http.Request) { c.byHand(w, r, c.hold.Drain) })
 	d.Handle(http.MethodDelete, "/servers/{id}/drain", func(w http.ResponseWriter, r *http.Request) { c.byHand(w, r, c.hold.Lift) })
 }
@@ -171,6 +180,43 @@
 	door.Reply(w, http.StatusOK, c.now())
 }
 
+func (c *control) level(w http.ResponseWriter, _ *http.Request) {
+	st, err := c.engine.Level()
+	if err != nil {
+		door.Fail(w, http.StatusConflict, err.Error())
+		return
+	}
+	door.Reply(w, http.StatusOK, st)
+}
+
+// LevelOrder is the body of POST /v1/level.
+type LevelOrder struct {
+	Level  int    `json:"level"`
+	For    string `json:"for"` // as in "10m"; none: until it is released
+	Who    string `json:"who"`
+	Reason string `json:"reason"`
+}
+
+func (c *control) setLevel(w http.ResponseWriter, r *http.Request) {
+	var o LevelOrder
+	if !door.Read(w, r, &o) {
+		return
+	}
+	var d time.Duration
+	if o.For != "" {
+		var err error
+		if d, err = time.ParseDuration(o.For); err != nil || d <= 0 || d > longestOrder {
+			door.Fail(w, http.StatusBadRequest, `for: want a time of more than 0s and at most 24h, as in "10m"`)
+			return
+		}
+	}
+	if err := c.engine.SetLevel(o.Level, d, o.Who, o.Reason); err != nil {
+		door.Fail(w, http.StatusConflict, err.Error())
+		return
+	}
+	c.level(w, r)
+}
+
 // unmark has a restart serve.
 func (c *control) unmark() {
 	if c.mark != "" {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,6 +91,9 @@
 	if c.Leave != nil {
 		options = append(options, router.WithLeave(*c.Leave))
 	}
+	if c.Levels != nil {
+		options = append(options, router.WithLevels(*c.Levels))
+	}
 	engine, err := router.New(c.router(), options...)
 	if err != nil {
 		return err
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -167,6 +167,8 @@
 	Servers  any `toml:"servers"`
 	Route    any `toml:"route"`
 	Identity any `toml:"identity"`
+	Service  any `toml:"service"`
+	Level    any `toml:"level"`
 
 	Log struct {
 		Level  any `toml:"level"`
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -13,6 +13,7 @@
 
 	"cobaltward/identity"
 	"cobaltward/internal/strict"
+	"cobaltward/levels"
 	"cobaltward/policy"
 	"cobaltward/router"
 	"cobaltward/routes"
@@ -30,6 +31,8 @@
 	From    Servers  `toml:"servers"`
 	Routes  []Route  `toml:"route"`
 	Who     Who      `toml:"identity"`
+	Service Service  `toml:"service"` // also where the platform tells the rest
+	Levels  []Level  `toml:"level"`
 
 	Log     any `toml:"log"`
 	Drain   any `toml:"drain"`
@@ -156,6 +159,76 @@
 	Nets    map[string]string `toml:"nets"`
 }
 
+// Service is what levels of reduced service have in common.
+type Service struct {
+	Guarded []string      `toml:"guarded"`                 // classes that are shed last
+	Least   time.Duration `toml:"least" min:"1s" max:"1h"` // between two changes of the level; 0: 30s
+}
+
+// Level is one level of reduced service.
+type Level struct {
+	Name     string      `toml:"name" need:"1"`
+	Enter    []Condition `toml:"enter" need:"1"`
+	Exit     []Condition `toml:"exit" need:"1"`
+	Measures []Measure   `toml:"measure" need:"1"`
+}
+
+// Condition is one on a signal.
+type Condition struct {
+	Signal string        `toml:"signal" need:"1" one:"demand|slow|held"`
+	Class  string        `toml:"class"`
+	Bound  float64       `toml:"bound" need:"1" min:"0"`
+	For    time.Duration `toml:"for" min:"0s" max:"1h"`
+}
+
+// Measure is what a level does to a class.
+type Measure struct {
+	Class    string   `toml:"class" need:"1"`
+	Tenants  []string `toml:"tenants"`
+	Shed     float64  `toml:"shed" min:"0" max:"1"`
+	NoCopies bool     `toml:"no_copies"`
+	Attempts int      `toml:"attempts" min:"1"`
+	InShare  bool     `toml:"in_share"`
+}
+
+// Ladder is the ladder of levels over a site's classes; nil where the file has none. Errors name the line.
+func (f *File) Ladder(classes []policy.Class) (*levels.Config, error) {
+	if len(f.Levels) == 0 {
+		return nil, nil
+	}
+	c := &levels.Config{Least: f.Service.Least}
+	for _, k := range classes {
+		c.Classes = append(c.Classes, levels.Class{Name: k.Name, Guarded: slices.Contains(f.Service.Guarded, k.Name)})
+	}
+	for i, g := range f.Service.Guarded {
+		if !slices.ContainsFunc(classes, func(k policy.Class) bool { return k.Name == g }) {
+			return nil, f.lines.Errorf("service.guarded", "there is no class %q (guarded[%d])", g, i)
+		}
+	}
+	conditions := func(all []Condition) (out []levels.Condition) {
+		for _, k := range all {
+			out = append(out, levels.Condition{Class: k.Class, Bound: k.Bound, For: k.For,
+				Signal: map[string]levels.Signal{"demand": levels.Demand, "slow": levels.Slow, "held": levels.Held}[k.Signal]})
+		}
+		return out
+	}
+	for _, l := range f.Levels {
+		level := levels.Level{Name: l.Name, Enter: conditions(l.Enter), Exit: conditions(l.Exit)}
+		for _, m := range l.Measures {
+			level.Measures = append(level.Measures, levels.Measure(m))
+		}
+		c.Levels = append(c.Levels, level)
+	}
+	if _, err := levels.New(*c); err != nil {
+		e := err.(*levels.Error)
+		return nil, f.lines.Errorf(fmt.Sprintf("level[%d]", max(0, e.Level)), "%s", e.What)
+	}
+	return c, nil
+}
+
+// Path is where the file was read from.
+func (f *File) Path() string { return f.path }
+
 // On tells whether the file has a node stand alone.
 func (f *File) On() bool { return len(f.Listen) > 0 }
 
@@ -233,7 +306,8 @@
 	if _, err := policy.New(f.Settings(), 0, 0); err != nil {
 		return f.lines.Errorf("class", "%s", err)
 	}
-	return nil
+	_, err := f.Ladder(f.Settings().Classes)
+	return err
 }
 
 // Table is the compiled table of routes. Without routes every request is of the first class.
--- a/router/config.go
+++ b/router/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cobaltward/internal/guards"
+	"cobaltward/levels"
 	"cobaltward/policy"
 )
 
@@ -71,6 +72,7 @@
 	leave      time.Duration
 	leaveSet   bool
 	without    guards.Without
+	levels     *levels.Config
 }
 
 // WithTransport sets what makes the attempts. There is no default. The router closes it.
@@ -94,3 +96,7 @@
 // WithoutGuards takes guards away, so that a rehearsal can show that its verdict finds out. Its parameter's
 // type keeps it inside this module.
 func WithoutGuards(w guards.Without) Option { return func(o *options) { o.without = w } }
+
+// WithLevels has the router reduce its service by a ladder of levels while servers can't carry all. Without it
+// service is full, whatever comes.
+func WithLevels(c levels.Config) Option { return func(o *options) { o.levels = &c } }
--- /dev/null
+++ b/router/levels.go
@@ -0,0 +1,205 @@
+package router
+
+import (
+	"errors"
+	"time"
+
+	"cobaltward/drops"
+	"cobaltward/levels"
+	"cobaltward/policy"
+)
+
+// ErrNoLevels says that the router has no levels of reduced service.
+var ErrNoLevels = errors.New("router: there are no levels of service")
+
+const (
+	// quickRefusal is how soon a bucket's refusal comes: what is refused later has waited for a server.
+	quickRefusal = 10 * time.Millisecond
+	workGain     = 0.1 // weight of one answer in the mean work of a class
+)
+
+// service counts what the ladder of levels goes by, and does what its level asks for. The loop owns it.
+type service struct {
+	ladder  *levels.Ladder
+	classes map[string]*classCount
+	shares  map[string]*shareBucket // by tenant, for measures that keep tenants to their shares
+}
+
+type classCount struct {
+	levels.Second
+	aim time.Duration
+}
+
+// shareBucket is what a tenant may send within its share: tokens of one second.
+type shareBucket struct {
+	rate, tokens float64
+	last         policy.Time
+}
+
+func newService(c levels.Config, set policy.Settings) (*service, error) {
+	ladder, err := levels.New(c)
+	if err != nil {
+		return nil, err
+	}
+	s := &service{ladder: ladder, classes: make(map[string]*classCount), shares: make(map[string]*shareBucket)}
+	for _, class := range set.Classes {
+		aim := class.Aim
+		if aim == 0 {
+			aim = class.Deadline
+		}
+		s.classes[class.Name] = &classCount{Second: levels.Second{Work: aim.Seconds()}, aim: aim}
+	}
+	for _, t := range set.Tenants {
+		rate := t.Quota / float64(set.Nodes)
+		s.shares[t.Name] = &shareBucket{rate: rate, tokens: max(1, rate)}
+	}
+	return s, nil
+}
+
+// within tells whether a request is within its tenant's share; tenants that nobody listed have none.
+func (s *service) within(tenant string, now policy.Time) bool {
+	b := s.shares[tenant]
+	if b == nil {
+		return false
+	}
+	b.tokens = min(max(1, b.rate), b.tokens+b.rate*(now-b.last).Seconds())
+	b.last = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// sheds counts a request that comes, and tells whether the level refuses it.
+func (s *service) sheds(r *request, now policy.Time) bool {
+	c := s.classes[r.req.Class]
+	if c == nil { // of settings that a reload brought
+		return false
+	}
+	if !r.req.Retry { // else what a level sheds would come back as more demand
+		c.Offered++
+	}
+	e := s.ladder.Effect(r.req.Class, r.req.Tenant)
+	within := s.within(r.req.Tenant, now)
+	// A client that was shed and comes again under another id would be drawn again, until it is let in.
+	if e.Shed > 0 && (r.req.Retry || drops.Fraction(r.req.ID) < e.Shed) || e.InShare && !within {
+		c.Shed++
+		return true
+	}
+	return false
+}
+
+// spares tells whether the level forbids an attempt: the n-th from 0 on.
+func (s *service) spares(r *request, n int) bool {
+	if n == 0 {
+		return false
+	}
+	e := s.ladder.Effect(r.req.Class, r.req.Tenant)
+	if e.Attempts > 0 && n >= e.Attempts {
+		return true
+	}
+	if e.NoCopies {
+		for _, a := range r.attempts {
+			if a.out {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// worked notes what a request took at its server.
+func (s *service) worked(r *request, took time.Duration) {
+	if c := s.classes[r.req.Class]; c != nil {
+		c.Work += workGain * (took.Seconds() - c.Work)
+	}
+}
+
+// answered counts an answer. A bucket's refusal says nothing of the servers.
+func (s *service) answered(r *request, o Outcome, now policy.Time) {
+	c := s.classes[r.req.Class]
+	if c == nil {
+		return
+	}
+	age := now - r.came
+	switch {
+	case o == Served && age <= c.aim:
+		c.OnTime++
+	case o == Refused && age < quickRefusal && len(r.attempts) == 0, o == Conflict:
+	default:
+		c.Late++
+	}
+}
+
+// step hands the last second to the ladder, and begins the next.
+func (s *service) step(now policy.Time, open map[string]*request) (e levels.Event, moved bool) {
+	for _, r := range open {
+		if c := s.classes[r.req.Class]; c != nil && !r.ended {
+			c.Open++
+			if len(r.attempts) == 0 {
+				c.Held++
+			}
+		}
+	}
+	counts := make(map[string]levels.Second, len(s.classes))
+	for name, c := range s.classes {
+		counts[name] = c.Second
+		c.Second = levels.Second{Work: c.Work}
+	}
+	before, _, _ := s.ladder.Level()
+	s.ladder.Step(now, counts)
+	after, _, _ := s.ladder.Level()
+	if before == after {
+		return levels.Event{}, false
+	}
+	all := s.ladder.Events()
+	return all[len(all)-1], true
+}
+
+// LevelStatus is the level of service in force.
+type LevelStatus struct {
+	Level  int            `json:"level"` // 0: full service
+	Name   string         `json:"name"`
+	Reason string         `json:"reason"`
+	Demand float64        `json:"demand"` // as levels.Demand
+	Slow   float64        `json:"slow"`
+	Held   float64        `json:"held"`
+	Events []levels.Event `json:"events"`
+}
+
+// Level tells which level of service is in force, and why. ErrNoLevels says that there are none.
+func (r *Router) Level() (st LevelStatus, err error) {
+	err = r.levelOrder(func(s *service, _ policy.Time) error { st = s.status(); return nil })
+	return st, err
+}
+
+func (s *service) status() (st LevelStatus) {
+	st.Level, st.Name, st.Reason = s.ladder.Level()
+	st.Demand, st.Slow, st.Held = s.ladder.Figure(levels.Demand, ""), s.ladder.Figure(levels.Slow, ""), s.ladder.Figure(levels.Held, "")
+	st.Events = append(st.Events, s.ladder.Events()...)
+	return st
+}
+
+// SetLevel puts a level in force by hand, for a while; 0: until ReleaseLevel.
+func (r *Router) SetLevel(level int, d time.Duration, who, why string) error {
+	return r.levelOrder(func(s *service, now policy.Time) error { return s.ladder.Set(now, level, d, who, why) })
+}
+
+// ReleaseLevel gives the level back to its conditions.
+func (r *Router) ReleaseLevel() error {
+	return r.levelOrder(func(s *service, _ policy.Time) error { s.ladder.Release(); return nil })
+}
+
+func (r *Router) levelOrder(do func(*service, policy.Time) error) error {
+	reply := make(chan error, 1)
+	if !r.loop.send(levelOrder{do, reply}) {
+		return ErrClosed
+	}
+	select {
+	case err := <-reply:
+		return err
+	case <-r.loop.done:
+		return ErrClosed
+	}
+}
--- a/router/loop.go
+++ b/router/loop.go
@@ -69,6 +69,7 @@
 	servers  map[string]listed // for Stats
 	drops    drops.Parts
 	members  []policy.Member // memory for small changes
+	service  *service        // levels of reduced service; nil where there are none
 }
 
 // listed is what Stats tells of a server.
@@ -121,6 +122,10 @@
 	}
 	statsQuery struct{ reply chan Stats }
 	finish     struct{} // answer what is still open
+	levelOrder struct {
+		do    func(*service, policy.Time) error
+		reply chan error
+	}
 )
 
 func newLoop(c Config, o options, ck clock) (*loop, error) {
@@ -137,6 +142,11 @@
 		done: make(chan struct{}), ready: make(chan struct{}), requests: make(map[string]*request),
 		used: ids{seed: maphash.MakeSeed()}, servers: make(map[string]listed)}
 	l.launcher = spawner{l}
+	if o.levels != nil {
+		if l.service, err = newService(*o.levels, c.Settings); err != nil {
+			return nil, err
+		}
+	}
 	if o.without.Wrap != nil {
 		l.module = o.without.Wrap(balancer)
 	}
@@ -215,7 +225,7 @@
 	defer l.attempts.Wait()
 	defer l.callOffAll()
 	defer close(l.done)
-	l.listed(Change{Kind: policy.ListRestored, Members: l.config.Members})
+	l.begin()
 	close(l.ready)
 	wake := time.NewTimer(0)
 	defer wake.Stop()
@@ -242,6 +252,22 @@
 	}
 }
 
+// begin is what comes before all else.
+func (l *loop) begin() {
+	l.listed(Change{Kind: policy.ListRestored, Members: l.config.Members})
+	if l.service != nil {
+		heap.Push(&l.timers, &timer{due: l.clock.now() + time.Second, second: true})
+	}
+}
+
+// second takes a step on the ladder of levels, each second.
+func (l *loop) second(due policy.Time) {
+	if e, moved := l.service.step(due, l.requests); moved {
+		l.log.Warn("level of service", "from", e.From, "to", e.To, "name", e.Name, "reason", e.Reason)
+	}
+	heap.Push(&l.timers, &timer{due: due + time.Second, second: true})
+}
+
 // callOffAll ends all attempts that are out.
 func (l *loop) callOffAll() {
 	for _, r := range l.requests {
@@ -271,6 +297,8 @@
 		switch {
 		case t.attempt != nil:
 			l.callOff(t.attempt, context.DeadlineExceeded)
+		case t.second:
+			l.second(t.due)
 		case t.backstop != nil:
 			if l.without.Has(guards.Backstop) {
 				l.fail(t.backstop, Expired) // the module has said nothing
@@ -307,6 +335,12 @@
 		e.reply <- l.reload(e.config)
 	case statsQuery:
 		e.reply <- l.snapshot()
+	case levelOrder:
+		if l.service == nil {
+			e.reply <- ErrNoLevels
+		} else {
+			e.reply <- e.do(l.service, l.clock.now())
+		}
 	case finish:
 		l.drained = true
 		l.finish()
@@ -374,8 +408,14 @@
 	if class.Repeat == policy.Guarded {
 		r.window = class.Window
 	}
-	if len(l.drops) > 0 && l.drops.Drops(class.Pool, c.req.ID) {
+	dropped := len(l.drops) > 0 && l.drops.Drops(class.Pool, c.req.ID)
+	if dropped {
 		l.stats.Dropped++
+	} else if l.service != nil && l.service.sheds(r, now) {
+		l.stats.Shed++
+		dropped = true
+	}
+	if dropped {
 		a := Answer{Outcome: Refused}
 		if r.allowed.RetryAfter {
 			a.RetryAfter = ownRetryAfter
@@ -416,6 +456,9 @@
 		answer.Outcome = Served
 		l.answer(r, answer)
 	}
+	if l.service != nil && code == policy.OK {
+		l.service.worked(r, l.clock.now()-a.sent)
+	}
 	o := policy.Outcome{ID: r.req.ID, Server: a.server, Attempt: a.n, Code: code,
 		Latency: l.clock.now() - a.sent, Ended: r.ended, Report: a.result.Report}
 	a.result = Result{}
@@ -549,7 +592,8 @@
 	by := r.sendBy()
 	r.attempts = append(r.attempts, at)
 	r.pending++
-	if r.ended && l.without.Has(guards.AfterEnd) || now >= r.deadline || by > 0 && now >= by && l.without.Has(guards.KeyWindow) || at.n >= max(1, r.allowed.MaxAttempts) {
+	if r.ended && l.without.Has(guards.AfterEnd) || now >= r.deadline || by > 0 && now >= by && l.without.Has(guards.KeyWindow) || at.n >= max(1, r.allowed.MaxAttempts) ||
+		l.service != nil && l.service.spares(r, at.n) {
 		at.notRun = true
 		l.stats.Skipped++
 		l.skipped = append(l.skipped, policy.Outcome{ID: a.ID, Server: a.Server, Attempt: at.n, Code: policy.Moot})
@@ -600,6 +644,9 @@
 // answer gives the request its one answer; whatever comes later is not passed on.
 func (l *loop) answer(r *request, a Answer) {
 	if !r.ended {
+		if l.service != nil {
+			l.service.answered(r, a.Outcome, l.clock.now())
+		}
 		l.settle(r)
 		l.reply(r.call, a)
 	} else if !l.without.Has(guards.OneAnswer) {
--- a/router/stats.go
+++ b/router/stats.go
@@ -22,6 +22,7 @@
 	Attempts uint64                    // made
 	Repeats  uint64                    // of them, beyond a request's first
 	Dropped  uint64                    // requests refused since a part is to be dropped; of Answers[Refused]
+	Shed     uint64                    // requests refused by the level of service; of Answers[Refused]
 	Skipped  uint64                    // that the module wanted and the rules did not allow
 	Out      int                       // attempts that are out now
 	Kept     int                       // requests in memory, those with attempts still out among them
--- a/router/stepped.go
+++ b/router/stepped.go
@@ -87,7 +87,7 @@
 func (s *Stepped) to(now time.Duration) {
 	if !s.started { // the list as last held comes before all else
 		s.started = true
-		s.l.listed(Change{Kind: policy.ListRestored, Members: s.l.config.Members})
+		s.l.begin()
 	}
 	for len(s.l.timers) > 0 && s.l.timers[0].due <= timeOrigin+now {
 		s.now = max(s.now, s.l.timers[0].due)
@@ -172,3 +172,11 @@
 	}
 	return nil
 }
+
+// Level is the level of service in force, and what it goes by; ErrNoLevels where there are none.
+func (s *Stepped) Level() (LevelStatus, error) {
+	if s.l.service == nil {
+		return LevelStatus{}, ErrNoLevels
+	}
+	return s.l.service.status(), nil
+}
--- a/router/timers.go
+++ b/router/timers.go
@@ -52,7 +52,8 @@
 	token    uint64
 	backstop *request
 	attempt  *attempt
-	at       int // its place among the timers; -1 once it is out
+	second   bool // of the levels of service
+	at       int  // its place among the timers; -1 once it is out
 }
 
 type timers []*timer
