--- a/emulator/sim/node.go
+++ b/emulator/sim/node.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cobaltward/emulator/plan"
+	"cobaltward/knowledge"
 	"cobaltward/policy"
 	"cobaltward/router"
 )
@@ -24,6 +25,7 @@
 	conns   int
 	idle    map[string][]*conn // by server, the last used at the end
 	out     map[router.Try]*try
+	kept    knowledge.Snapshot       // what it last wrote down
 	rests   []rest                   // of connections, oldest first; those in use since are passed over
 	known   map[string]router.Member // as last told
 	drained map[string]time.Duration // since when it knows
@@ -84,7 +86,13 @@
 		}
 	}
 	n.step(func(now time.Duration) { engine.Advance(now) })
-	return nil
+	if n.kept.Version == 0 {
+		return nil
+	}
+	return engine.Adopt(func(prior func(string) (float64, time.Duration, bool)) policy.Knowledge {
+		k, _ := knowledge.Weigh(n.kept, epoch.Add(n.w.now), prior, knowledge.Config{})
+		return k
+	})
 }
 
 // step has the engine do something, and sees to its next timer.
@@ -399,6 +407,9 @@
 	}
 	t.sent = true
 	w.book.Attempt(w.now, t.e.N, t.server.spec.Zone != n.spec.Zone)
+	if w.o.sent != nil {
+		w.o.sent(w.now, n.spec.Name, t.server.id)
+	}
 	w.judge.Sent(w.now, n.spec.Name, t.e.Request.ID, t.e.N, t.server.id)
 	if t.blocked() {
 		t.stuck = true
--- a/emulator/sim/world.go
+++ b/emulator/sim/world.go
@@ -13,6 +13,7 @@
 	"cobaltward/emulator/plan"
 	"cobaltward/emulator/result"
 	"cobaltward/internal/guards"
+	"cobaltward/knowledge"
 	"cobaltward/levels"
 	"cobaltward/policy"
 	"cobaltward/router"
@@ -28,8 +29,11 @@
 	// Careless transports send to drained servers, and Lying ones take every reset for proof that nothing ran.
 	Careless, Lying bool
 	Levels          *levels.Config // of every node; nil: full service always
+	Remember        time.Duration  // how often nodes keep what they know, for their restart; 0: they do not
 	Progress        func(at time.Duration)
 	Detail          func(*plan.Request, result.Outcome)
+
+	sent func(at time.Duration, node, server string) // of tests: an attempt goes out
 }
 
 // world is everything that there is.
@@ -75,6 +79,9 @@
 	}
 	w.arrive(p.Arrivals())
 	w.sample()
+	if o.Remember > 0 {
+		w.remember()
+	}
 	var progress time.Duration
 	for n := 0; len(w.q.heap) > 0; n++ {
 		if !w.traffic && w.flying == 0 && w.now > p.Script.Length+longest(p) {
@@ -157,6 +164,24 @@
 	}
 }
 
+// remember has each node keep what it knows, now and then.
+func (w *world) remember() {
+	for _, n := range w.nodes {
+		if n.engine == nil {
+			continue
+		}
+		k, err := n.engine.Export()
+		if err != nil {
+			w.engines = err
+			return
+		}
+		n.kept = knowledge.Snapshot{Version: knowledge.Version, Node: n.spec.Name, At: epoch.Add(w.now), Knowledge: k}
+	}
+	if w.now < w.p.Script.Length {
+		w.after(w.o.Remember, w.remember)
+	}
+}
+
 // schedule puts a fault on the timeline.
 func (w *world) schedule(f *plan.Fault) {
 	w.q.put(f.At, func() { w.begin(f) })
--- a/internal/cli/alone.go
+++ b/internal/cli/alone.go
@@ -47,6 +47,7 @@
 		c, err = configOf(a.file)
 	}
 	if err == nil {
+		c.State = node.State(a.own.State)
 		if c.Levels, err = a.own.Ladder(c.Settings.Classes); err != nil {
 			err = fmt.Errorf("%s:%w", a.own.Path(), err)
 		}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -50,6 +50,9 @@
 	Door      door.Config
 	DrainMark string
 
+	// State is where the node keeps what it learns; the zero value keeps nothing.
+	State State
+
 	// Levels is the ladder of reduced service; nil: full service always.
 	Levels *levels.Config
 
--- a/internal/node/drains_test.go
+++ b/internal/node/drains_test.go
@@ -39,6 +39,7 @@
 	sock  string
 	known registry.List
 	set   policy.Settings
+	state State
 
 	mu    sync.Mutex
 	judge *judge.Judge
@@ -129,7 +130,7 @@
 	ended = make(chan error, 1)
 	go func() {
 		ended <- Run(ctx, Config{Name: "n", Discovery: "127.0.0.1:9", Seed: 1, Sockets: 512, Known: w.known, Settings: w.set, ConnectTimeout: 250 * drainMs,
-			Leave: &leave, DrainFor: &whole, Door: door.Config{Socket: w.sock}}, ln, nil, slog.New(slog.DiscardHandler))
+			Leave: &leave, DrainFor: &whole, State: w.state, Door: door.Config{Socket: w.sock}}, ln, nil, slog.New(slog.DiscardHandler))
 	}()
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * drainMs) {
 		if resp, err := http.Get("http://" + w.addr + "/health/ready"); err == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -110,7 +110,12 @@
 			MessageTimeout: headerTimeout, WriteTimeout: writeTimeout})
 	}
 
+	state := &keeper{c: c.State, name: c.Name, engine: engine, log: log}
+	if c.State.File != "" {
+		state.restore()
+	}
 	if way != nil {
+		state.mount(way)
 		ctl := &control{name: c.Name, engine: engine, hold: held, intake: front, leave: c.leave(), mark: c.DrainMark}
 		ctl.mount(way)
 		ctl.remembered()
@@ -123,6 +128,9 @@
 	var newest atomic.Pointer[Config]
 	newest.Store(&c)
 	parts.Go(func() { follow(running, reloads, &newest, engine, source, log) })
+	if c.State.File != "" {
+		parts.Go(func() { state.run(running) })
+	}
 	failed := make(chan error, 2)
 	parts.Go(func() { failed <- front.Serve() })
 	if rpc != nil {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -169,6 +169,7 @@
 	Identity any `toml:"identity"`
 	Service  any `toml:"service"`
 	Level    any `toml:"level"`
+	State    any `toml:"state"`
 
 	Log struct {
 		Level  any `toml:"level"`
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -33,6 +33,7 @@
 	Who     Who      `toml:"identity"`
 	Service Service  `toml:"service"` // also where the platform tells the rest
 	Levels  []Level  `toml:"level"`
+	State   State    `toml:"state"`
 
 	Log     any `toml:"log"`
 	Drain   any `toml:"drain"`
@@ -165,6 +166,14 @@
 	Least   time.Duration `toml:"least" min:"1s" max:"1h"` // between two changes of the level; 0: 30s
 }
 
+// State is where a node keeps what it has learned, for its next start.
+type State struct {
+	File  string        `toml:"file"`
+	Every time.Duration `toml:"every" min:"100ms" max:"1h"` // 0: 2s
+	Half  time.Duration `toml:"half" min:"1s" max:"24h"`    // after which half of it is believed; 0: 1m
+	Most  time.Duration `toml:"most" min:"1s" max:"24h"`    // beyond which none is; 0: 10m
+}
+
 // Level is one level of reduced service.
 type Level struct {
 	Name     string      `toml:"name" need:"1"`
--- /dev/null
+++ b/knowledge/knowledge_test.go
@@ -0,0 +1,131 @@
+package knowledge
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cobaltward/policy"
+)
+
+var then = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+func snapshot(n int) Snapshot {
+	s := Snapshot{Version: Version, Node: "n1", At: then, Knowledge: policy.Knowledge{Pace: 1.5, Trust: 2}}
+	for i := range n {
+		s.Knowledge.Servers = append(s.Knowledge.Servers, policy.ServerKnowledge{Server: fmt.Sprint("s", i), Threshold: 8, Latency: 0.1, Out: i%3 == 0, For: time.Duration(i) * time.Second, Times: 2})
+	}
+	s.Knowledge.Buckets = []policy.BucketKnowledge{{Tenant: "t", Tokens: 3}}
+	return s
+}
+
+func known(string) (float64, time.Duration, bool) { return 2, 0, true }
+
+// What was written is what is read; each byte that is changed, and each end that is missing, is found.
+func TestEncode(t *testing.T) {
+	s := snapshot(3)
+	raw, err := Encode(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if back, err := Decode(raw); err != nil || !reflect.DeepEqual(back, s) {
+		t.Fatalf("%+v, %v", back, err)
+	}
+	for i := range raw {
+		if _, err := Decode(raw[:i]); err == nil {
+			t.Fatalf("the first %d of %d bytes are taken", i, len(raw))
+		}
+		bad := append([]byte(nil), raw...)
+		bad[i] ^= 0x20
+		if back, err := Decode(bad); err == nil && !reflect.DeepEqual(back, s) {
+			t.Fatalf("byte %d changed, and taken", i)
+		}
+	}
+	if _, err := Decode([]byte("wayhold-knowledge 00000000\n")); !errors.Is(err, ErrTorn) && !errors.Is(err, ErrForeign) {
+		t.Error(err)
+	}
+	s.Version = 9
+	if raw, _ = Encode(s); !strings.Contains(string(raw), `"version":1`) {
+		t.Error("Encode writes another version than its own")
+	}
+}
+
+// Thresholds go back to the prior by half each half-life, ejections run out and stay ejected to be tried out,
+// buckets fill, and what is too old, of the future, or of another process is not believed.
+func TestWeigh(t *testing.T) {
+	for age, want := range map[time.Duration]float64{0: 8, time.Minute: 5, 2 * time.Minute: 3.5} {
+		k, r := Weigh(snapshot(4), then.Add(age), known, Config{})
+		if got := k.Servers[1].Threshold; math.Abs(got-want) > 1e-9 {
+			t.Errorf("after %v: threshold %v, want %v", age, got, want)
+		}
+		if s := k.Servers[3]; !s.Out || s.For != max(0, 3*time.Second-age) {
+			t.Errorf("after %v: %+v", age, s)
+		}
+		if b := k.Buckets[0]; b.Tokens != 3 || b.Idle != age {
+			t.Errorf("after %v: %+v", age, b)
+		}
+		if r.Servers != 4 || r.Ejected != 2 || r.Refused != "" {
+			t.Errorf("after %v: %+v", age, r)
+		}
+	}
+	for age, want := range map[time.Duration]string{time.Hour: "older", -time.Minute: "future"} {
+		if k, r := Weigh(snapshot(4), then.Add(age), known, Config{}); !strings.Contains(r.Refused, want) || len(k.Servers) > 0 {
+			t.Errorf("%v: %+v", age, r)
+		}
+	}
+	s := snapshot(2)
+	s.Knowledge.Servers[1].Up = time.Minute
+	for up, replaced := range map[time.Duration]int{time.Minute + 10*time.Second: 0, time.Second: 1, 0: 1} {
+		_, r := Weigh(s, then.Add(10*time.Second), func(id string) (float64, time.Duration, bool) {
+			if id == "s1" {
+				return 2, up, true
+			}
+			return 0, 0, false
+		}, Config{})
+		if r.Replaced != replaced || r.Unknown != 1 {
+			t.Errorf("up for %v: %+v", up, r)
+		}
+	}
+	if k, _ := Weigh(snapshot(4), then, known, Config{Foreign: true}); len(k.Buckets) > 0 || k.Servers[1].Threshold != 5 {
+		t.Errorf("of another node: %+v", k)
+	}
+}
+
+// Whatever a snapshot says, what is adopted are figures that a node can have, and never are too many servers ejected.
+func TestNonsense(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Snapshot{At: then}
+		figure := rapid.Float64()
+		n := rapid.IntRange(0, 12).Draw(t, "servers")
+		for i := range n {
+			s.Knowledge.Servers = append(s.Knowledge.Servers, policy.ServerKnowledge{Server: fmt.Sprint(i), Threshold: figure.Draw(t, "threshold"), Latency: figure.Draw(t, "latency"),
+				Faults: figure.Draw(t, "faults"), Score: figure.Draw(t, "score"), Out: rapid.Bool().Draw(t, "out"), For: time.Duration(rapid.Int64().Draw(t, "for")), Times: rapid.Int().Draw(t, "times")})
+		}
+		s.Knowledge.Pace, s.Knowledge.Trust = figure.Draw(t, "pace"), figure.Draw(t, "trust")
+		s.Knowledge.Buckets = []policy.BucketKnowledge{{Tokens: rapid.Int64().Draw(t, "tokens"), Idle: time.Duration(rapid.Int64().Draw(t, "idle"))}}
+		k, r := Weigh(s, then.Add(time.Duration(rapid.Int64Range(-int64(time.Hour), int64(time.Hour)).Draw(t, "age"))), known, Config{})
+		out := 0
+		for _, e := range k.Servers {
+			if e.Out {
+				out++
+			}
+			if !(e.Threshold >= 0 && e.Threshold <= 1e6 && e.Latency >= 0 && e.Latency <= 3600 && e.Faults >= 0 && e.Faults <= 1 && e.Score >= 0) || e.For < 0 || e.For > 10*time.Minute || e.Times < 0 || e.Times > 10 {
+				t.Fatalf("%+v", e)
+			}
+		}
+		if out > n/2 || r.Refused == "" && !(k.Pace > 0 && k.Trust >= 1) {
+			t.Fatalf("%d of %d ejected; %+v", out, n, k)
+		}
+		for _, b := range k.Buckets {
+			if b.Tokens < 0 || b.Idle < 0 {
+				t.Fatalf("%+v", b)
+			}
+		}
+	})
+}
--- a/router/loop.go
+++ b/router/loop.go
@@ -335,6 +335,8 @@
 		e.reply <- l.reload(e.config)
 	case statsQuery:
 		e.reply <- l.snapshot()
+	case moduleOrder:
+		e.reply <- l.moduleOrder(e)
 	case levelOrder:
 		if l.service == nil {
 			e.reply <- ErrNoLevels
