A reload that is refused half-way changes no routes; the loop is asked in one place

On a last reading: SIGHUP put routes, identities and servers in force before the rest of the file was found good; now they come last. Two ways of asking the loop were the same and are one. In real-time rehearsals a server that fell over at the very end could start a timer while timers were waited for. Tests of router, live and cli pass under -race.

--- a/emulator/live/live.go
+++ b/emulator/live/live.go
@@ -147,7 +147,7 @@
 		w.at(f.At, func() { w.begin(f) })
 		w.at(f.Until(), func() { w.end(ctx, f) })
 	}
-	w.parts.Go(w.watch)
+	w.timers.Go(w.watch) // it starts timers: none may begin once they are waited for
 	w.traffic(ctx)
 	w.failMu.Lock()
 	err = w.failed
--- a/internal/cli/alone.go
+++ b/internal/cli/alone.go
@@ -92,26 +92,26 @@
 	c.Membership = func(router.Membership) (router.Membership, error) { return a.list, nil }
 }
 
-// reload reads the configuration again, and puts routes, identities and servers in force. A node does not come to
-// stand alone, or cease to, while it runs.
-func (a *alone) reload(own string) (node.Config, error) {
+// reload reads the configuration again. adopt puts its routes, identities and servers in force, once nothing else
+// of it is refused. A node does not come to stand alone, or cease to, while it runs.
+func (a *alone) reload(own string) (c node.Config, adopt func() error, err error) {
 	if a == nil || a.file == nil {
-		return node.ReloadConfig(os.Getenv)
+		c, err = node.ReloadConfig(os.Getenv)
+		return c, func() error { return nil }, err
 	}
 	f, err := site.Load(own)
 	if err != nil {
-		return node.Config{}, err
+		return node.Config{}, nil, err
 	}
 	if !f.On() {
-		return node.Config{}, errNoListener
-	}
-	c, err := configOf(f)
-	if err != nil {
-		return node.Config{}, err
+		return node.Config{}, nil, errNoListener
 	}
-	if err := a.front.Adopt(f); err != nil {
-		return node.Config{}, err
-	}
-	a.list.Again(f.List)
-	return c, nil
+	c, err = configOf(f)
+	return c, func() error {
+		if err := a.front.Adopt(f); err != nil {
+			return err
+		}
+		a.list.Again(f.List)
+		return nil
+	}, err
 }
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -216,7 +216,7 @@
 	if err != nil {
 		return node.Config{}, err
 	}
-	c, err := r.alone.reload(r.own)
+	c, adopt, err := r.alone.reload(r.own)
 	if err != nil {
 		return node.Config{}, err
 	}
@@ -226,6 +226,9 @@
 			return node.Config{}, err
 		}
 	}
+	if err := adopt(); err != nil {
+		return node.Config{}, err
+	}
 	r.level.Set(o.Log.Level.Level)
 	for _, key := range operator.AtNextStart(r.running, o) {
 		r.log.Warn("reload: takes effect at the next start", "key", key)
--- a/router/knowledge.go
+++ b/router/knowledge.go
@@ -39,7 +39,12 @@
 
 func (r *Router) module(do func(learned, policy.Time)) error {
 	reply := make(chan error, 1)
-	if !r.loop.send(moduleOrder{do, reply}) {
+	return r.ask(moduleOrder{do, reply}, reply)
+}
+
+// ask hands the loop an event, and waits for what it says of it.
+func (r *Router) ask(ev any, reply <-chan error) error {
+	if !r.loop.send(ev) {
 		return ErrClosed
 	}
 	select {
--- a/router/levels.go
+++ b/router/levels.go
@@ -193,13 +193,5 @@
 
 func (r *Router) levelOrder(do func(*service, policy.Time) error) error {
 	reply := make(chan error, 1)
-	if !r.loop.send(levelOrder{do, reply}) {
-		return ErrClosed
-	}
-	select {
-	case err := <-reply:
-		return err
-	case <-r.loop.done:
-		return ErrClosed
-	}
+	return r.ask(levelOrder{do, reply}, reply)
 }
