Console with status, figures, standby and active; an inherited listening socket

Design: one mechanism stays underneath. The console reads atomics that are counted where each fact arises (final answer, attempt's last byte, list, the module's avoidance), and PUT /standby and /active drive the drain's state machine that the door drives; a drain that is through can be taken back now. The listener stays open during such a drain, so that readiness is answered and who comes is refused, not turned back unheard. Not taken: asking the engine's loop as the door does, for a caller waits 1 s however busy it is; a second drain beside drain/.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -12,14 +12,14 @@
 // State is where a router stands.
 type State uint8
 
-// The states. A drain goes through them in order; Cancel leads back to Serving from any before Drained.
+// The states. A drain goes through them in order; Cancel leads back to Serving from any, unless the drain is final.
 const (
 	Serving   State = iota
 	Announced       // readiness says no; all else is as before, for who asks learns of it late
 	Leaving         // answers end their connections; new ones are still served
 	Closing         // nothing new is let in; what is open is answered
-	Drained         // terminal: nothing is open, and nothing is taken
-	Forced          // terminal: the deadline has passed, and what was open then was answered for want of time
+	Drained         // nothing is open, and nothing is taken, until the drain is taken back
+	Forced          // the same: the deadline has passed, and what was open then was answered for want of time
 )
 
 var stateNames = [...]string{"serving", "announced", "leaving", "closing", "drained", "forced"}
@@ -46,7 +46,7 @@
 	return fmt.Errorf("no such state: %q", text)
 }
 
-// Over tells whether the state is terminal.
+// Over tells whether the drain is through.
 func (s State) Over() bool { return s >= Drained }
 
 // Order is a wish that the router be drained.
@@ -93,7 +93,7 @@
 
 // What an order or a cancel may be refused for.
 var (
-	ErrOver     = errors.New("the router is drained already: it serves again once it is started anew")
+	ErrOver     = errors.New("the router is drained already")
 	ErrNoDrain  = errors.New("no drain goes on")
 	ErrFinal    = errors.New("the process is ending: that can't be taken back")
 	ErrDeadline = errors.New("want a deadline above 0s")
@@ -173,6 +173,10 @@
 	}
 	deadline := now.Add(o.For)
 	switch s := &m.status; {
+	case s.State.Over() && o.Final && !s.Final: // there is nothing left to wait for
+		s.Final, s.Reason, s.Who = true, o.Reason, o.Who
+		m.tell(Event{At: now, From: s.State, To: s.State, What: "took over", Reason: o.Reason, Who: o.Who, Open: c.Open})
+		return ErrOver
 	case s.State.Over():
 		return ErrOver
 	case s.State == Serving:
@@ -195,13 +199,11 @@
 	return &BusyError{m.status}
 }
 
-// Cancel takes a drain back.
+// Cancel takes a drain back, also one that is through.
 func (m *Machine) Cancel(now time.Time, who string, c Counts) error {
 	switch s := m.status; {
 	case s.State == Serving:
 		return ErrNoDrain
-	case s.State.Over():
-		return ErrOver
 	case s.Final:
 		return ErrFinal
 	}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -65,12 +65,22 @@
 
 func (l *clients) Close() error {
 	l.mu.Lock()
+	first := !l.closed
 	l.closed = true
 	l.room.Broadcast()
 	l.mu.Unlock()
+	if !first { // net/http closes it once more
+		return nil
+	}
 	return l.Listener.Close()
 }
 
+func (l *clients) isClosed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed
+}
+
 // evict closes the connection that has been quiet for longest, if there is one.
 func (l *clients) evict() bool {
 	for e := l.quiet.Front(); e != nil; e = e.Next() {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -27,6 +27,7 @@
 	Name      string
 	Listen    string // the only address to listen on
 	Discovery string
+	Console   string // the second address to listen on; empty: none
 	Seed      uint64
 	Cores     float64
 	MemoryMB  int64
@@ -42,6 +43,12 @@
 	Leave    *time.Duration // serving on as before
 	DrainFor *time.Duration // in all
 
+	// ConsoleListener is where the console's calls come in; nil: there is none. The node closes it.
+	ConsoleListener net.Listener
+	// Shared says that the clients' listening socket is held by others, too: what this process does not accept, the
+	// next one will.
+	Shared bool
+
 	// Msgpack says who is spoken to by MessagePack-RPC beside HTTP; the zero value is nobody.
 	Msgpack Msgpack
 
@@ -89,7 +96,7 @@
 		return Config{}, err
 	}
 	for name, field := range map[string]*string{
-		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery,
+		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery, "ROUTER_CONSOLE": &c.Console,
 	} {
 		if v := getenv(name); v != "" {
 			*field = v
@@ -101,6 +108,14 @@
 	if err := fields.CheckAddress(c.Discovery); err != nil {
 		return Config{}, fmt.Errorf("configuration: discovery: %w", err)
 	}
+	if c.Console != "" {
+		if err := fields.CheckAddress(c.Console); err != nil {
+			return Config{}, fmt.Errorf("configuration: console: %w", err)
+		}
+		if c.Console == c.Listen {
+			return Config{}, fmt.Errorf("configuration: console: %s is the address of the clients, too", c.Console)
+		}
+	}
 	return c, nil
 }
 
@@ -144,6 +159,7 @@
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
 		Discovery string `json:"discovery"`
+		Console   string `json:"console"`
 		Seed      string `json:"seed"`
 		Limits    struct {
 			Cores    float64 `json:"cores"`
@@ -168,7 +184,7 @@
 	case l.Sockets < leastSockets:
 		return Config{}, fmt.Errorf("limits.sockets: want %d or more, got %d", leastSockets, l.Sockets)
 	}
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Seed: seed,
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Console: f.Console, Seed: seed,
 		Cores: f.Limits.Cores, MemoryMB: int64(f.Limits.MemoryMB), Sockets: f.Limits.Sockets}
 	for name, field := range map[string]json.RawMessage{"known": f.Known, "settings": f.Settings} {
 		if len(field) == 0 {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -172,11 +172,10 @@
 	if !door.Read(w, r, &body) {
 		return
 	}
-	if err := c.engine.CancelDrain(body.Who); err != nil {
+	if err := c.back(body.Who); err != nil {
 		door.Fail(w, http.StatusConflict, err.Error())
 		return
 	}
-	c.unmark()
 	door.Reply(w, http.StatusOK, c.now())
 }
 
@@ -217,6 +216,15 @@
 	c.level(w, r)
 }
 
+// back takes a drain back, whichever way it was ordered.
+func (c *control) back(who string) error {
+	err := c.engine.CancelDrain(who)
+	if err == nil {
+		c.unmark()
+	}
+	return err
+}
+
 // unmark has a restart serve.
 func (c *control) unmark() {
 	if c.mark != "" {
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -12,159 +12,97 @@
 	"cobaltward/router"
 )
 
-// intake is the daemon's HTTP front: a server whose listener can be closed and opened again, as a drain on
-// request needs it.
+// intake is the daemon's HTTP front. Its listener stays open while a drain on request goes on, so that who asks
+// for readiness is told, and who comes all the same is refused and not turned back unheard.
 type intake struct {
-	server *http.Server
-	most   int // connections
+	server  *http.Server
+	clients *clients
 
-	mu      sync.Mutex
-	address net.Addr
-	now     *clients      // that clients come in by; nil while nothing is let in
-	all     []*clients    // that still have connections
-	closing bool          // for good
-	resumed chan struct{} // closed when clients are let in again, or never will be
-	crossed uint64        // of those that are gone
-	parted  uint64
+	ending  sync.Once
+	closing chan struct{} // closed when the intake ends for good
 }
 
 var _ router.Intake = (*intake)(nil)
 
 func newIntake(server *http.Server, listener net.Listener, most int) *intake {
-	in := &intake{server: server, most: most, address: listener.Addr(), resumed: make(chan struct{})}
-	in.now = newClients(listener, most)
-	in.all = []*clients{in.now}
-	return in
+	return &intake{server: server, clients: newClients(listener, most), closing: make(chan struct{})}
 }
 
 // Serve takes clients in until Shutdown or Close.
 func (in *intake) Serve() error {
-	for {
-		in.mu.Lock()
-		l, resumed := in.now, in.resumed
-		in.mu.Unlock()
-		if l != nil {
-			err := in.server.Serve(l)
-			in.mu.Lock()
-			ended := in.now != l && !in.closing
-			in.mu.Unlock()
-			if !ended {
-				return err
-			}
-			continue
-		}
-		<-resumed
-		in.mu.Lock()
-		closing := in.closing
-		in.mu.Unlock()
-		if closing {
-			return http.ErrServerClosed
-		}
+	err := in.server.Serve(in.clients)
+	if in.clients.isClosed() { // those that were let in are still served
+		<-in.closing
+		return http.ErrServerClosed
 	}
+	return err
 }
 
-// EndIntake closes the listener, and the connections without a request.
-func (in *intake) EndIntake() {
-	in.mu.Lock()
-	l, all := in.now, in.all
-	in.now = nil
-	in.mu.Unlock()
-	if l != nil {
-		l.Close()
-	}
-	for _, l := range all {
-		l.part()
-	}
-}
-
-// againFor bounds how long the address may be in use when clients are to be let in again.
-const againFor = time.Second
+// EndIntake ends the connections without a request. The others end with their answers.
+func (in *intake) EndIntake() { in.clients.part() }
 
-// listenAgain opens a listener where one was.
-func listenAgain(at net.Addr) (net.Listener, error) {
-	for end := time.Now().Add(againFor); ; time.Sleep(10 * time.Millisecond) {
-		ln, err := net.Listen(at.Network(), at.String())
-		if err == nil {
-			return ln, nil
-		}
-		if time.Now().After(end) {
-			return nil, fmt.Errorf("clients can't be let in again: %w", err)
-		}
-	}
-}
+// ResumeIntake has nothing to take back: clients come in all the time.
+func (in *intake) ResumeIntake() error { return nil }
 
-// ResumeIntake opens the listener again, at the same address.
-func (in *intake) ResumeIntake() error {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	if in.now != nil || in.closing {
-		return nil
-	}
-	ln, err := listenAgain(in.address)
-	if err != nil {
-		return err
-	}
-	in.now = newClients(ln, in.most)
-	kept := in.all[:0]
-	for _, l := range in.all {
-		if open, _ := l.count(); open > 0 {
-			kept = append(kept, l)
-			continue
-		}
-		l.mu.Lock()
-		in.crossed, in.parted = in.crossed+l.crossed, in.parted+l.parted
-		l.mu.Unlock()
-	}
-	in.all = append(kept, in.now)
-	close(in.resumed)
-	in.resumed = make(chan struct{})
-	return nil
-}
+// StopAccepting lets nobody in any more; those that were let in are served on. A listening socket that others
+// hold as well stays open in their hands: it is closed here, and never shut down.
+func (in *intake) StopAccepting() { _ = in.clients.Close() } // nobody is left to tell
 
 // Clients is the connections, and those of them with a request.
-func (in *intake) Clients() (open, busy int) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	for _, l := range in.all {
-		o, b := l.count()
-		open, busy = open+o, busy+b
-	}
-	return open, busy
-}
+func (in *intake) Clients() (open, busy int) { return in.clients.count() }
 
 // partings is the connections that were closed without a request, and the requests that crossed that.
 func (in *intake) partings() (parted, crossed uint64) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	parted, crossed = in.parted, in.crossed
-	for _, l := range in.all {
-		l.mu.Lock()
-		parted, crossed = parted+l.parted, crossed+l.crossed
-		l.mu.Unlock()
-	}
-	return parted, crossed
+	in.clients.mu.Lock()
+	defer in.clients.mu.Unlock()
+	return in.clients.parted, in.clients.crossed
 }
 
-// Shutdown ends the intake for good.
+// Shutdown ends the intake for good: it lets nobody in, and parts from connections as they come to be without a
+// request, until none is left or ctx ends.
 func (in *intake) Shutdown(ctx context.Context) error {
+	in.StopAccepting()
+	look := time.NewTicker(partEvery)
+	defer look.Stop()
+	for open := 1; open > 0; {
+		in.clients.part()
+		select {
+		case <-look.C:
+		case <-in.closing:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		open, _ = in.clients.count()
+	}
 	in.end()
 	return in.server.Shutdown(ctx)
 }
 
+// partEvery is how often connections that have come to be without a request are looked for.
+const partEvery = 20 * time.Millisecond
+
 // Close ends the intake and all connections at once.
 func (in *intake) Close() error {
 	in.end()
 	return in.server.Close()
 }
 
-// end lets Serve return, wherever it is.
-func (in *intake) end() {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	if !in.closing {
-		in.closing = true
-		if in.now == nil {
-			close(in.resumed)
+// end lets Serve return.
+func (in *intake) end() { in.ending.Do(func() { close(in.closing) }) }
+
+// againFor bounds how long the address may be in use when clients are to be let in again.
+const againFor = time.Second
+
+// listenAgain opens a listener where one was.
+func listenAgain(at net.Addr) (net.Listener, error) {
+	for end := time.Now().Add(againFor); ; time.Sleep(10 * time.Millisecond) {
+		ln, err := net.Listen(at.Network(), at.String())
+		if err == nil {
+			return ln, nil
+		}
+		if time.Now().After(end) {
+			return nil, fmt.Errorf("clients can't be let in again: %w", err)
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"time"
 
 	msgpackfront "cobaltward/front/msgpack"
+	"cobaltward/internal/console"
 	"cobaltward/internal/door"
 	"cobaltward/membership/hold"
 	"cobaltward/membership/registry"
@@ -42,6 +43,10 @@
 // ReloadConfig says.
 func Run(ctx context.Context, c Config, listener net.Listener, reloads <-chan Config, log *slog.Logger) error {
 	sockets, callers := c.Sockets-ownSockets, 0
+	if c.ConsoleListener != nil {
+		defer c.ConsoleListener.Close()
+		sockets -= console.Slots
+	}
 	if c.Msgpack.Listener != nil {
 		if callers = c.Msgpack.Connections; callers == 0 {
 			callers = defaultMsgpackConns
@@ -99,7 +104,9 @@
 		return err
 	}
 	defer engine.Close()
-	server.Handler = middleware.New(engine, middleware.WithMatcher(middleware.Any), middleware.WithReady(readyPath),
+	var succeeded atomic.Bool // another process takes in clients at the same socket: to them the node goes on
+	up := func() bool { return engine.Phase() == router.Serving || succeeded.Load() }
+	server.Handler = middleware.New(engine, middleware.WithMatcher(middleware.Any), middleware.WithReady(readyPath), middleware.WithReadiness(up),
 		middleware.WithBodyTimeout(headerTimeout), middleware.WithWriteTimeout(writeTimeout))
 	if c.Front != nil {
 		server.Handler = c.Front(server.Handler, readyPath)
@@ -110,17 +117,21 @@
 			MessageTimeout: headerTimeout, WriteTimeout: writeTimeout})
 	}
 
+	ctl := &control{name: c.Name, engine: engine, hold: held, intake: front, leave: c.leave(), mark: c.DrainMark}
 	state := &keeper{c: c.State, name: c.Name, engine: engine, log: log}
 	if c.State.File != "" {
 		state.restore()
 	}
 	if way != nil {
 		state.mount(way)
-		ctl := &control{name: c.Name, engine: engine, hold: held, intake: front, leave: c.leave(), mark: c.DrainMark}
 		ctl.mount(way)
 		ctl.remembered()
 		way.Start()
 	}
+	if c.ConsoleListener != nil {
+		desk := &desk{engine: engine, order: engine.StartDrain, back: ctl.back}
+		defer console.Serve(c.ConsoleListener, desk, log).Close()
+	}
 	running, stop := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
 	defer parts.Wait()
@@ -132,6 +143,8 @@
 		parts.Go(func() { state.run(running) })
 	}
 	failed := make(chan error, 2)
+	// Who is let in finds a node that can serve; of a shared socket, the process before this one does so until then.
+	<-engine.Started()
 	parts.Go(func() { failed <- front.Serve() })
 	if rpc != nil {
 		parts.Go(func() { failed <- rpc.Serve() })
@@ -143,7 +156,15 @@
 	case <-ctx.Done():
 	}
 	log.Info("stopping")
-	return end(*newest.Load(), engine, front)
+	last := newest.Load()
+	announce, leave := last.leave(), time.Duration(0)
+	if c.Shared {
+		// Who connects from now on is let in by the next process. Connections that are here end with their answers.
+		succeeded.Store(engine.Phase() == router.Serving)
+		front.StopAccepting()
+		announce, leave = 0, announce
+	}
+	return end(last.drainFor(), announce, leave, engine, front)
 }
 
 // transport speaks to each server in the protocol of its kind, over so many connections in all.
@@ -211,10 +232,10 @@
 // end ends the service. Clients go on coming for a while, and go on using the connections that they
 // have: there may be no other node for them yet. So the node serves as before at first, and says only
 // that it isn't ready; then it ends each connection with its answer, early enough for what it took last.
-func end(c Config, engine *router.Router, front *intake) error {
-	ctx, cancel := context.WithTimeout(context.Background(), c.drainFor())
+func end(within, announce, leave time.Duration, engine *router.Router, front *intake) error {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
-	if err := engine.Drain(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+	if err := engine.DrainAfter(ctx, announce, leave); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return err
 	}
 	last, cancel := context.WithTimeout(context.Background(), lastAnswers)
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -32,6 +32,7 @@
 	match        func(*http.Request) bool
 	extract      Extractors
 	ready        string
+	isUp         func() bool
 	bodyTimeout  time.Duration
 	writeTimeout time.Duration
 	newID        func() string
@@ -49,6 +50,9 @@
 // WithReady has the front answer GET at the path: 200 while the router serves, else 503.
 func WithReady(path string) Option { return func(f *Front) { f.ready = path } }
 
+// WithReadiness sets what the answer to WithReady's path goes by. The default is that the router serves.
+func WithReadiness(up func() bool) Option { return func(f *Front) { f.isUp = up } }
+
 // WithBodyTimeout sets how long a request's body may take to come; the default is
 // DefaultBodyTimeout, and 0 leaves it to the host's server.
 func WithBodyTimeout(d time.Duration) Option { return func(f *Front) { f.bodyTimeout = d } }
@@ -70,6 +74,7 @@
 func New(e Engine, opts ...Option) *Front {
 	f := &Front{engine: e, extract: Extractors{}.orDefault(), bodyTimeout: DefaultBodyTimeout, newID: newID,
 		match: func(r *http.Request) bool { return len(r.Header["X-Class"]) > 0 }}
+	f.isUp = func() bool { return e.Phase() == router.Serving }
 	for _, set := range opts {
 		set(f)
 	}
@@ -187,7 +192,7 @@
 		return
 	}
 	status := http.StatusOK // said in so many words: frameworks may have put a 404 in its place
-	if f.engine.Phase() != router.Serving {
+	if !f.isUp() {
 		status = http.StatusServiceUnavailable
 	}
 	w.WriteHeader(status)
--- a/policy/state.go
+++ b/policy/state.go
@@ -204,3 +204,6 @@
 	slices.SortFunc(all, func(a, c View) int { return strings.Compare(a.Server, c.Server) })
 	return all
 }
+
+// Avoided is the number of listed servers that get no ordinary work now: they drain, or are ejected.
+func (b *Balancer) Avoided() int { return len(b.servers) - len(b.order) + b.ejected }
--- a/router/drain.go
+++ b/router/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cobaltward/drain"
@@ -19,6 +20,7 @@
 type runner struct {
 	poke chan struct{} // the machine has changed
 	done chan struct{} // closed once the drain is over, or taken back
+	back atomic.Bool   // it was taken back: what it still has to say holds no more
 	// Of final drains: fronts that have not ended their intake for good. Under the router's mutex.
 	shutting int
 	shut     bool
@@ -32,8 +34,12 @@
 // nothing. Where ctx ends first, what is still open is answered: what may have run has failed, the rest is
 // refused; then Drain returns ctx's error. It can't be taken back, and takes over from a drain that was ordered
 // by StartDrain. Who calls it again waits for the same drain; the first one's ctx holds.
-func (r *Router) Drain(ctx context.Context) error {
-	o := drain.Order{Announce: r.leave(), For: withoutDeadline, Reason: "the program is ending", Who: "program", Final: true}
+func (r *Router) Drain(ctx context.Context) error { return r.DrainAfter(ctx, r.leave(), 0) }
+
+// DrainAfter is Drain with other times: for how long the router only says that it isn't ready, and for how long
+// it then still takes what comes while its answers end their connections.
+func (r *Router) DrainAfter(ctx context.Context, announce, leave time.Duration) error {
+	o := drain.Order{Announce: announce, Leave: leave, For: withoutDeadline, Reason: "the program is ending", Who: "program", Final: true}
 	if end, ok := ctx.Deadline(); ok {
 		o.For = max(1, time.Until(end))
 	}
@@ -109,8 +115,14 @@
 		return err
 	}
 	run := r.runner
-	r.phase.CompareAndSwap(uint32(Leaving), uint32(Serving))
-	r.phase.CompareAndSwap(uint32(Closing), uint32(Serving))
+	run.back.Store(true)
+	if !run.isDone() {
+		close(run.done)
+	}
+	r.loop.send(resume{}) // ahead of any request that comes from now on
+	for _, p := range []Phase{Leaving, Closing, Drained} {
+		r.phase.CompareAndSwap(uint32(p), uint32(Serving))
+	}
 	var err error
 	if run.ended {
 		for _, f := range r.fronts {
@@ -119,7 +131,6 @@
 			}
 		}
 	}
-	close(run.done)
 	run.wake()
 	return err
 }
@@ -197,8 +208,12 @@
 		}
 		r.mu.Unlock()
 		if over {
-			r.loop.send(finish{})
-			close(u.done)
+			r.loop.send(finish{u})
+			r.mu.Lock()
+			if !u.isDone() { // else it was taken back meanwhile
+				close(u.done)
+			}
+			r.mu.Unlock()
 			return
 		}
 		wake.Reset(time.Until(at))
--- /dev/null
+++ b/router/figures.go
@@ -0,0 +1,126 @@
+package router
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"cobaltward/policy"
+)
+
+// Figures are what a router tells without waiting for anybody: they are counted where each fact arises, and read
+// however busy the router is. A request whose caller has left before its answer is counted nowhere.
+type Figures struct {
+	Classes  []ClassFigures // of every class that the settings have or had, by name
+	Inflight int            // requests taken and not ended
+	Listed   int            // servers in the list
+	Down     int            // of them, those that the module avoids
+	Written  uint64         // attempts written whole to servers, where the transport tells
+}
+
+// ClassFigures are the final answers of one class.
+type ClassFigures struct {
+	Class                  string
+	Success, Busy, Failure uint64 // served, refused, failed
+}
+
+// maxTallied bounds the classes that are counted, over all reloads: the rest count together, under no name.
+const maxTallied = 256
+
+// tally is where a router's facts are counted. Its methods may be called at once from many goroutines.
+type tally struct {
+	classes  atomic.Pointer[map[string]*classTally]
+	inflight atomic.Int64
+	listed   atomic.Int64
+	down     atomic.Int64
+	adopting sync.Mutex
+}
+
+type classTally struct {
+	answers [len(outcomeNames)]atomic.Uint64
+}
+
+// adopt has every class of the settings counted, from 0 where it is new.
+func (t *tally) adopt(classes []policy.Class) {
+	t.adopting.Lock()
+	defer t.adopting.Unlock()
+	next := map[string]*classTally{"": new(classTally)}
+	if old := t.classes.Load(); old != nil {
+		next = maps.Clone(*old)
+	}
+	for _, c := range classes {
+		if next[c.Name] == nil && len(next) <= maxTallied {
+			next[c.Name] = new(classTally)
+		}
+	}
+	t.classes.Store(&next)
+}
+
+func (t *tally) of(class string) *classTally {
+	all := *t.classes.Load()
+	if c := all[class]; c != nil {
+		return c
+	}
+	return all[""]
+}
+
+// count notes one final answer.
+func (t *tally) count(class string, o Outcome) { t.of(class).answers[o].Add(1) }
+
+// answers sums over the classes.
+func (t *tally) answers() (sum [len(outcomeNames)]uint64) {
+	for _, c := range *t.classes.Load() {
+		for o := range sum {
+			sum[o] += c.answers[o].Load()
+		}
+	}
+	return sum
+}
+
+func (t *tally) figures() Figures {
+	f := Figures{Inflight: int(t.inflight.Load()), Listed: int(t.listed.Load()), Down: int(t.down.Load())}
+	for name, c := range *t.classes.Load() {
+		if name == "" {
+			continue
+		}
+		n := func(o Outcome) uint64 { return c.answers[o].Load() }
+		f.Classes = append(f.Classes, ClassFigures{name, n(Served), n(Refused) + n(Overloaded), n(Failed) + n(Expired) + n(Conflict)})
+	}
+	slices.SortFunc(f.Classes, func(a, b ClassFigures) int { return strings.Compare(a.Class, b.Class) })
+	return f
+}
+
+// Figures tells what the router has counted. It waits for nobody.
+func (r *Router) Figures() Figures {
+	f := r.loop.tally.figures()
+	f.Written = r.loop.written()
+	return f
+}
+
+// CountFailed has a front count a request of a class that it answered as failed itself: it was malformed, and the
+// router never saw it.
+func (r *Router) CountFailed(class string) { r.loop.tally.count(class, Failed) }
+
+// written is the attempts that went out whole, where the transport tells.
+func (l *loop) written() uint64 {
+	if t, ok := l.transport.(interface{ Written() uint64 }); ok {
+		return t.Written()
+	}
+	return 0
+}
+
+// published keeps the figures of the servers up to date, after each event.
+func (l *loop) published() {
+	down := 0
+	if m, ok := l.module.(interface{ Avoided() int }); ok {
+		down = m.Avoided()
+	}
+	if int64(down) != l.tally.down.Load() {
+		l.tally.down.Store(int64(down))
+	}
+	if n := int64(len(l.servers)); n != l.tally.listed.Load() {
+		l.tally.listed.Store(n)
+	}
+}
--- a/router/loop.go
+++ b/router/loop.go
@@ -66,6 +66,7 @@
 	attempts sync.WaitGroup
 	out      int // attempts that are out
 	stats    Stats
+	tally    tally
 	servers  map[string]listed // for Stats
 	drops    drops.Parts
 	members  []policy.Member // memory for small changes
@@ -121,7 +122,8 @@
 		reply  chan error
 	}
 	statsQuery struct{ reply chan Stats }
-	finish     struct{} // answer what is still open
+	finish     struct{ of *runner } // answer what is still open, and take nothing more until the drain is taken back
+	resume     struct{}             // take what comes again
 	levelOrder struct {
 		do    func(*service, policy.Time) error
 		reply chan error
@@ -142,6 +144,7 @@
 		done: make(chan struct{}), ready: make(chan struct{}), requests: make(map[string]*request),
 		used: ids{seed: maphash.MakeSeed()}, servers: make(map[string]listed)}
 	l.launcher = spawner{l}
+	l.tally.adopt(c.Settings.Classes)
 	if o.levels != nil {
 		if l.service, err = newService(*o.levels, c.Settings); err != nil {
 			return nil, err
@@ -226,6 +229,7 @@
 	defer l.callOffAll()
 	defer close(l.done)
 	l.begin()
+	l.published()
 	close(l.ready)
 	wake := time.NewTimer(0)
 	defer wake.Stop()
@@ -249,6 +253,7 @@
 			return
 		}
 		l.fire()
+		l.published()
 	}
 }
 
@@ -344,8 +349,12 @@
 			e.reply <- e.do(l.service, l.clock.now())
 		}
 	case finish:
-		l.drained = true
-		l.finish()
+		if !e.of.back.Load() {
+			l.drained = true
+			l.finish()
+		}
+	case resume:
+		l.drained = false
 	}
 }
 
@@ -476,6 +485,7 @@
 		return err
 	}
 	l.config = c
+	l.tally.adopt(c.Settings.Classes)
 	l.obey(actions)
 	l.transport.Configure(c.Settings)
 	l.stats.Reloads++
@@ -657,7 +667,7 @@
 }
 
 func (l *loop) reply(c *call, a Answer) {
-	l.stats.Answers[a.Outcome]++
+	l.tally.count(c.req.Class, a.Outcome)
 	if c.told != nil {
 		c.told(a)
 		return
--- a/router/router.go
+++ b/router/router.go
@@ -118,6 +118,9 @@
 // Phase tells where the router stands. It is ready for new clients while it is Serving.
 func (r *Router) Phase() Phase { return Phase(r.phase.Load()) }
 
+// Started is closed once the list as last held is in force: from then on requests can be served.
+func (r *Router) Started() <-chan struct{} { return r.loop.ready }
+
 // Do routes one request and waits for its answer. An error says that there is none: *InvalidError,
 // ErrDrained and ErrClosed that the request was not taken and reached no server; ctx's own that the
 // caller has left, in which case it may have run. Where ctx ended before Do was called, nothing ran.
@@ -140,13 +143,16 @@
 	if err := ctx.Err(); err != nil {
 		return Answer{}, err
 	}
+	l := r.loop
+	l.tally.inflight.Add(1)
+	defer l.tally.inflight.Add(-1)
 	switch r.Phase() {
 	case Drained:
+		l.tally.count(req.Class, Overloaded)
 		return Answer{}, ErrDrained
 	case Closed:
 		return Answer{}, ErrClosed
 	}
-	l := r.loop
 	c := &call{req: req, entered: l.clock.now(), waits: class.Deadline, reply: make(chan Answer, 1)}
 	c.came = c.entered
 	if !req.Came.IsZero() {
--- a/router/stats.go
+++ b/router/stats.go
@@ -20,6 +20,7 @@
 	Retrying int                       // requests without their answer that have had more than one attempt
 	Conns    int                       // to servers, where the transport tells
 	Attempts uint64                    // made
+	Written  uint64                    // of them, written whole to servers, where the transport tells
 	Repeats  uint64                    // of them, beyond a request's first
 	Dropped  uint64                    // requests refused since a part is to be dropped; of Answers[Refused]
 	Shed     uint64                    // requests refused by the level of service; of Answers[Refused]
@@ -55,6 +56,7 @@
 
 func (l *loop) snapshot() Stats {
 	s := l.stats
+	s.Answers, s.Written = l.tally.answers(), l.written()
 	s.Open = make(map[string]int)
 	now := l.clock.now()
 	for _, r := range l.requests {
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -61,6 +62,7 @@
 	writers sync.Pool // of *bytes.Buffer
 	stop    chan struct{}
 	swept   sync.WaitGroup
+	written atomic.Uint64 // attempts, whole
 
 	mu      sync.Mutex
 	pools   servers.Table[[]*conn]
@@ -159,6 +161,9 @@
 	return u.open
 }
 
+// Written is the number of attempts that went out whole.
+func (u *Transport) Written() uint64 { return u.written.Load() }
+
 // sweep drops the connections that were idle for too long, and those that are quiet no more.
 func (u *Transport) sweep(now time.Time) {
 	u.mu.Lock()
@@ -313,6 +318,7 @@
 	if _, err := c.Write(out.Bytes()); err != nil {
 		return router.Result{Code: broken(ctx, err, false)}, false
 	}
+	u.written.Add(1)
 	in := u.readers.Get().(*bufio.Reader)
 	defer u.readers.Put(in)
 	h, body, err := read(in, c, r.Method)
--- a/transport/mixed/mixed.go
+++ b/transport/mixed/mixed.go
@@ -92,6 +92,16 @@
 	return n
 }
 
+// Written is the number of attempts that went out whole, by those that tell.
+func (t *Transport) Written() (n uint64) {
+	for _, x := range t.transports {
+		if w, ok := x.(interface{ Written() uint64 }); ok {
+			n += w.Written()
+		}
+	}
+	return n
+}
+
 // Close closes all of them.
 func (t *Transport) Close() {
 	for _, x := range t.transports {
--- a/transport/msgpack/msgpack.go
+++ b/transport/msgpack/msgpack.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cobaltward/msgpackrpc"
@@ -62,6 +63,7 @@
 	grace   time.Duration
 	report  []string
 	closed  bool
+	written atomic.Uint64 // attempts, whole: counted at their end
 }
 
 var _ router.Transport = (*Transport)(nil)
@@ -330,9 +332,13 @@
 		reply, err := l.Call(ctx, &q, func() error { return t.may(ctx, s) })
 		t.release(l)
 		if err == nil {
+			t.written.Add(1)
 			return t.result(&reply)
 		}
 		var notSent *mux.NotSentError
+		if !errors.As(err, &notSent) {
+			t.written.Add(1)
+		}
 		var spoilt *mux.SpoiltError
 		switch {
 		case errors.Is(err, mux.ErrRetired) && errors.As(err, &notSent) && ctx.Err() == nil:
@@ -346,6 +352,9 @@
 	}
 }
 
+// Written is the number of attempts that went out whole.
+func (t *Transport) Written() uint64 { return t.written.Load() }
+
 // result is what an answer says.
 func (t *Transport) result(r *msgpackrpc.Reply) router.Result {
 	switch r.Code {
