A drained node ends the connections whose answers cross its drain

A list of the connections each 0.5 s shows one that was active as the node began to close, answered 1.3 s later, idle ever after, and the machine drained beside it. Ruled out: connections that come late (none), a half-closed one (none left), a request without its last byte. To blame: middleware.go asked for the phase when the request came, so its answer said nothing of the close, and part() looks once. The phase is asked when the answer is written, and a connection that turns idle while the intake has ended is parted from then.

Tests: standby and back with a request that crosses it, the console with stalled callers.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -23,6 +23,7 @@
 	open   int
 	quiet  linked.List // of the *clientConn without a request, the longest so in front
 	closed bool
+	ending bool // the intake has ended: connections without a request are parted from as they come to be so
 
 	crossed uint64 // requests that met the close of their connection: their clients send them again
 	parted  uint64 // connections that were closed without a request, for a drain
@@ -98,14 +99,27 @@
 // already serves it, and what crosses the close is counted. The client's own close ends them.
 func (l *clients) part() {
 	l.mu.Lock()
+	l.ending = true
 	quiet := l.partLocked()
 	l.mu.Unlock()
 	for _, c := range quiet {
-		_ = c.CloseWrite() // fails only where the client was faster
-		_ = c.SetReadDeadline(time.Now().Add(partFor))
+		c.leave()
 	}
 }
 
+// stay has connections without a request kept again.
+func (l *clients) stay() {
+	l.mu.Lock()
+	l.ending = false
+	l.mu.Unlock()
+}
+
+// leave closes our side.
+func (c *clientConn) leave() {
+	_ = c.CloseWrite() // fails only where the client was faster
+	_ = c.SetReadDeadline(time.Now().Add(partFor))
+}
+
 // partLocked marks the connections that can be parted from.
 func (l *clients) partLocked() (quiet []*clientConn) {
 	for e := l.quiet.Front(); e != nil; e = e.Next() {
@@ -154,21 +168,32 @@
 
 // change follows the connection's state.
 func (c *clientConn) change(state http.ConnState) {
+	if c.follow(state) {
+		c.leave()
+	}
+}
+
+// follow reports whether the connection is to be parted from: its last answer was written as the intake ended.
+func (c *clientConn) follow(state http.ConnState) (part bool) {
 	l := c.owner
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	defer l.room.Signal()
 	switch {
 	case c.gone || state == http.StateNew:
-		return
 	case state == http.StateClosed || state == http.StateHijacked:
 		c.forget()
 	case state == http.StateIdle && c.quiet == nil:
 		c.quiet = l.quiet.PushBack(c)
+		if part = l.ending && !c.parting && sockets.Quiet(c.TCPConn); part {
+			c.parting = true
+			l.parted++
+		}
 	case state == http.StateActive && c.quiet != nil:
 		l.quiet.Remove(c.quiet)
 		c.quiet = nil
 	}
-	l.room.Signal()
+	return part
 }
 
 // forget takes the connection out of the count.
--- a/internal/node/drains_test.go
+++ b/internal/node/drains_test.go
@@ -34,12 +34,13 @@
 
 // site is a node with its door among emulated servers, and clients that never stop.
 type site struct {
-	t     *testing.T
-	addr  string
-	sock  string
-	known registry.List
-	set   policy.Settings
-	state State
+	t       *testing.T
+	addr    string
+	sock    string
+	console string
+	known   registry.List
+	set     policy.Settings
+	state   State
 
 	mu    sync.Mutex
 	judge *judge.Judge
@@ -125,12 +126,17 @@
 	if w.addr == "" {
 		w.addr = ln.Addr().String()
 	}
+	desk, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.console = desk.Addr().String()
 	leave, whole := 150*drainMs, 1200*drainMs
 	ctx, stop := context.WithCancel(context.Background())
 	ended = make(chan error, 1)
 	go func() {
 		ended <- Run(ctx, Config{Name: "n", Discovery: "127.0.0.1:9", Seed: 1, Sockets: 512, Known: w.known, Settings: w.set, ConnectTimeout: 250 * drainMs,
-			Leave: &leave, DrainFor: &whole, State: w.state, Door: door.Config{Socket: w.sock}}, ln, nil, slog.New(slog.DiscardHandler))
+			Leave: &leave, DrainFor: &whole, State: w.state, Door: door.Config{Socket: w.sock}, ConsoleListener: desk}, ln, nil, slog.New(slog.DiscardHandler))
 	}()
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * drainMs) {
 		if resp, err := http.Get("http://" + w.addr + "/health/ready"); err == nil {
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -41,8 +41,11 @@
 // EndIntake ends the connections without a request. The others end with their answers.
 func (in *intake) EndIntake() { in.clients.part() }
 
-// ResumeIntake has nothing to take back: clients come in all the time.
-func (in *intake) ResumeIntake() error { return nil }
+// ResumeIntake keeps connections again. Clients could come in all the time.
+func (in *intake) ResumeIntake() error {
+	in.clients.stay()
+	return nil
+}
 
 // StopAccepting lets nobody in any more; those that were let in are served on. A listening socket that others
 // hold as well stays open in their hands: it is closed here, and never shut down.
--- a/internal/node/progress_test.go
+++ b/internal/node/progress_test.go
@@ -165,12 +165,9 @@
 		}()
 		testkit.Await(t, "the request at the server", func() bool { return g.held() == 1 })
 		w.order(http.MethodPost, "/drain", DrainOrder{Deadline: "20s"}) // announced for 150 ms, leaving for 1 s
-		testkit.Await(t, "the listener closed", func() bool {
-			c, err := net.Dial("tcp", w.addr)
-			if err == nil {
-				c.Close()
-			}
-			return err != nil
+		testkit.Await(t, "the intake ended", func() bool {
+			_, s := w.order(http.MethodGet, "/status", nil)
+			return s.Drain.State == drain.Closing
 		})
 		if code, s := w.order(http.MethodDelete, "/drain", DrainOrder{Who: "x"}); code != http.StatusOK || s.Drain.State != drain.Serving {
 			t.Fatalf("round %d: %d %+v", round, code, s.Drain)
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -108,9 +108,6 @@
 		f.reject(w, r, bad("want version 1.1, and Content-Length for a body"))
 		return
 	}
-	if f.engine.Phase() >= router.Closing {
-		w.Header().Set("Connection", "close")
-	}
 	if f.isReady(r) {
 		f.health(w, r)
 		return
@@ -191,6 +188,7 @@
 		f.reject(w, r, bad("no body is wanted here"))
 		return
 	}
+	f.mayClose(w)
 	status := http.StatusOK // said in so many words: frameworks may have put a 404 in its place
 	if !f.isUp() {
 		status = http.StatusServiceUnavailable
@@ -229,7 +227,16 @@
 	h["Content-Length"] = []string{strconv.Itoa(len(a.Body))}
 }
 
+// mayClose has the answer end its connection where the router is closing. It is asked when the answer is there: a
+// drain may have begun since the request came, and would wait for the connection in vain.
+func (f *Front) mayClose(w http.ResponseWriter) {
+	if f.engine.Phase() >= router.Closing {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 func (f *Front) write(w http.ResponseWriter, a router.Answer) {
+	f.mayClose(w)
 	if f.writeTimeout > 0 { // a client that reads nothing must not hold the handler for ever
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(f.writeTimeout))
 	}
