Module: a body that passes through allows one attempt at a time, and is timed from its end

Design: a request whose body is not held is told as Arriving; it may be sent, can't have run, gets no second copy and is not watched; told again when its last byte has come, its time begins. Outcome.Spent says that no further attempt could send it. Not taken: letting the engine skip attempts, which decides outside of the module.

--- a/policy/api.go
+++ b/policy/api.go
@@ -154,12 +154,14 @@
 	Members []Member
 }
 
-// Request is a client's request; the node owes it exactly one final answer.
+// Request is a client's request; the node owes it exactly one final answer. One that is Arriving may be sent, but
+// can't have run: its body passes through as it comes, and one attempt at a time can have it. It is told once more,
+// not Arriving, when its last byte has come, and its time counts from then.
 type Request struct {
 	ID, Class, Tenant, Key string
 	ExpiresIn              time.Duration // until the client gives this try up
 	Hint                   time.Duration // guess of its cost in core time; 0 if unknown
-	Retry, Write           bool
+	Retry, Write, Arriving bool
 }
 
 // FirstByte says that a streamed answer has begun: the attempt now belongs to the client.
@@ -194,6 +196,7 @@
 	Code       Code
 	Latency    time.Duration
 	Ended      bool
+	Spent      bool      // the request's body is no longer held: no further attempt could send it
 	Report     []float64 // load report in the order of Settings.Report; nil for none
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -81,11 +81,8 @@
 	}
 	asked, ranked := b.set.Subscribe, b.ranked
 	b.configure(set)
-	for _, c := range ranked {
-		if b.classes[c.Name] != c {
-			b.retired = append(b.retired, c)
-		}
-	}
+	kept := func(c *class) bool { return b.classes[c.Name] == c }
+	b.retired = append(b.retired, slices.DeleteFunc(ranked, kept)...)
 	for key, k := range b.buckets {
 		if l, at, ok := b.limitFor(key.tenant, key.class); ok && at == key {
 			k.tokens = min(k.tokens, l.Burst)
@@ -222,19 +219,29 @@
 }
 
 func (b *Balancer) onRequest(e Request) {
-	if b.reqs[e.ID] != nil {
+	r, known := b.reqs[e.ID]
+	if known && !r.arriving {
 		return // a duplicate of a request in hand
 	}
-	c := b.classes[e.Class]
-	if c == nil { // not in the settings: one safe try, never repeated
-		c = &class{Class: Class{Aim: e.ExpiresIn, LateWorth: 1}, allowed: b.set.Allowed, open: &b.pool}
+	if !known {
+		r = &request{id: e.ID, class: b.classes[e.Class], once: e.Arriving}
+	}
+	if r.class == nil { // not in the settings: one safe try, never repeated
+		r.class = &class{Class: Class{Aim: e.ExpiresIn, LateWorth: 1}, allowed: b.set.Allowed, open: &b.pool}
 	}
-	r := &request{id: e.ID, class: c, deadline: b.now + e.ExpiresIn}
-	aim := c.Aim + time.Duration(c.AimStretch*float64(e.Hint))
+	r.deadline, r.arriving = b.now+e.ExpiresIn, e.Arriving
+	aim := r.class.Aim + time.Duration(r.class.AimStretch*float64(e.Hint))
 	r.giveUp, r.worthTo = b.now+min(aim, e.ExpiresIn)/2, r.deadline // a late refusal costs the client its time
-	if c.LateWorth <= 0 {
+	if r.class.LateWorth <= 0 {
 		r.worthTo = min(r.deadline, b.now+aim)
 	}
+	if known { // its last byte has come: what is timed begins now
+		for i := range r.attempts {
+			r.attempts[i].sent = b.now
+		}
+		b.watch(r)
+		return
+	}
 	if b.set.WarmKeys && e.Key != "" {
 		r.key = hash(e.Key)
 	}
@@ -412,10 +419,7 @@
 
 // mayRun guards the fifth rule, and the second: what may have run only goes where repeats are dropped.
 func (b *Balancer) mayRun(r *request, s *server) bool {
-	if !r.class.permits(s) {
-		return false
-	}
-	if slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.server == s }) {
+	if !r.class.permits(s) || slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.server == s }) {
 		return false
 	}
 	if r.ranOn == nil || r.class.Repeat == Free {
@@ -628,7 +632,7 @@
 
 // watch queues r's newest attempt: a class waits about equally long, so one timer serves for all.
 func (b *Balancer) watch(r *request) {
-	if c := r.class; c.token > 0 {
+	if c := r.class; c.token > 0 && len(r.attempts) > 0 && !r.arriving {
 		due := b.now + time.Duration(tailMargin*float64(c.tail))
 		c.watched = append(c.watched, watch{r, len(r.attempts) - 1, due})
 		b.arm(c)
@@ -704,7 +708,7 @@
 
 // hedge sends a second copy where the class, the site and the budget allow one.
 func (b *Balancer) hedge(r *request) {
-	if r.class.Repeat == Never || !r.class.allowed.Hedge || !b.mayRepeat() || b.spent(r) {
+	if r.once || r.class.Repeat == Never || !r.class.allowed.Hedge || !b.mayRepeat() || b.spent(r) {
 		return
 	}
 	if s, room := b.pick(r); s != nil && room {
@@ -776,7 +780,7 @@
 	case e.Ended || r.ended || e.Code == OK:
 		b.end(r)
 	case r.pending > 0: // a copy may yet answer
-	case e.Code == Moot || b.now >= r.deadline || r.stream ||
+	case e.Code == Moot || e.Spent || b.now >= r.deadline || r.stream ||
 		r.ranOn != nil && r.class.Repeat == Never:
 		b.giveUp(r)
 	default:
@@ -787,11 +791,8 @@
 // settle works out which attempt of r may have run first; one without an outcome may have.
 func (r *request) settle() {
 	r.ranOn = nil
-	for i := range r.attempts {
-		if !r.attempts[i].notRun {
-			r.ranOn = &r.attempts[i]
-			return
-		}
+	if i := slices.IndexFunc(r.attempts, func(a attempt) bool { return !a.notRun }); i >= 0 {
+		r.ranOn = &r.attempts[i]
 	}
 }
 
@@ -943,8 +944,7 @@
 	if part >= 1 {
 		return true
 	}
-	mean := b.doneRate() / float64(max(1, len(b.order)))
-	mean = max(mean, coldFloor/float64(b.set.Nodes))
+	mean := max(b.doneRate()/float64(max(1, len(b.order))), coldFloor/float64(b.set.Nodes))
 	rate := coldMargin * max(0.5, b.set.Rules.FallMultiple-1) * part * mean
 	k := &s.cold
 	most := max(1, rate*b.set.Rules.FallFor.Seconds()/4)
--- a/policy/state.go
+++ b/policy/state.go
@@ -109,6 +109,8 @@
 	ended    bool     // the final answer is given
 	stream   bool     // the answer has begun
 	held     bool     // it waited for a server at least once
+	arriving bool     // its last byte has not come yet
+	once     bool     // its body passes through: there can be no second copy
 }
 
 type attempt struct {
