Bodies and answers of any size pass through, held within one budget

Design: a body over 16 KiB is held in pieces of one budget (a quarter of the memory); where that has no room the rest passes through to the attempt under way, and Upload.Spent tells the module that no other can have it. Its time counts from its last byte. A guard on the client's connection follows the framing and has what two readers could see differently answered 400, so chunked requests are let in. Not taken: files under $TMPDIR, which count as memory; an HTTP/1.1 server of our own, where a guard of 300 lines ahead of net/http does; buffering whole answers.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -2,12 +2,14 @@
 
 import (
 	linked "container/list"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"cobaltward/front/framing"
 	"cobaltward/internal/sockets"
 )
 
@@ -35,7 +37,9 @@
 // clientConn is one connection of a client.
 type clientConn struct {
 	*net.TCPConn
-	owner *clients
+	owner   *clients
+	guard   framing.Guard // of who reads
+	refused int           // bytes of the line that refuses a head
 
 	// Under the owner's mutex.
 	quiet   *linked.Element // its place there; nil while a request is in it
@@ -139,15 +143,41 @@
 	return l.open, l.open - l.quiet.Len()
 }
 
-// Read also notes that a request begins: net/http says so only once it has the whole head.
+// Read also notes that a request begins: net/http says so only once it has the whole head. What is out of order in
+// the framing of requests never gets to net/http, which would take some of it.
 func (c *clientConn) Read(p []byte) (int, error) {
+	if c.guard.Problem() != "" {
+		return c.refuse(p)
+	}
 	n, err := c.TCPConn.Read(p)
 	if n > 0 && !c.begin() {
 		return 0, io.EOF // no answer could reach the client
 	}
+	if ok := c.guard.Pass(p[:n]); ok < n {
+		if ok == 0 {
+			return c.refuse(p)
+		}
+		return ok, nil
+	}
 	return n, err
 }
 
+var errFraming = errors.New("the framing of the request is out of order")
+
+// refuse has net/http answer a head that is out of order with 400, and end the connection: it is given a line that
+// no reader takes for a header. In a body an error does the same.
+func (c *clientConn) refuse(p []byte) (int, error) {
+	const line = "\r\n:\r\n\r\n"
+	if !c.guard.InHead() {
+		return 0, errFraming
+	}
+	n := copy(p, line[min(c.refused, len(line)):])
+	if c.refused += n; n == 0 {
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
 // begin notes that bytes of a request have come; false where the connection is being ended on our side. It guards
 // what has been read and not yet noted as a request: a drain, or whoever makes room, finds the socket quiet then.
 func (c *clientConn) begin() bool {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"cobaltward/body"
 	msgpackfront "cobaltward/front/msgpack"
 	"cobaltward/internal/console"
 	"cobaltward/internal/door"
@@ -29,7 +30,10 @@
 	ownSockets    = 24  // descriptors for the log, discovery, the runtime and the like
 	clientsPart   = 0.4 // of the others for clients: the third that their requests take, and some room
 	maxHeader     = 16 << 10
-	headerTimeout = 2500 * time.Millisecond // for a request's head, and the same again for its body
+	headerTimeout = 2500 * time.Millisecond // for a request's head
+	bodyTimeout   = 5 * time.Second         // for a body to come, beyond what a slow line takes for it
+	bodiesPart    = 0.25                    // of the memory, for bodies that are held
+	longestBody   = 32 << 20                // bytes of a request's body
 	clientIdle    = 15 * time.Second        // without a request; under pressure it is less
 	writeTimeout  = 5 * time.Second         // for an answer to a client that doesn't read
 	leavePart     = 0.6                     // of the time for the drain, in which the node serves on as before
@@ -107,7 +111,7 @@
 	var succeeded atomic.Bool // another process takes in clients at the same socket: to them the node goes on
 	up := func() bool { return engine.Phase() == router.Serving || succeeded.Load() }
 	server.Handler = middleware.New(engine, middleware.WithMatcher(middleware.Any), middleware.WithReady(readyPath), middleware.WithReadiness(up),
-		middleware.WithBodyTimeout(headerTimeout), middleware.WithWriteTimeout(writeTimeout))
+		middleware.WithBodyTimeout(bodyTimeout), middleware.WithWriteTimeout(writeTimeout), middleware.WithBodies(c.bodies()))
 	if c.Front != nil {
 		server.Handler = c.Front(server.Handler, readyPath)
 	}
@@ -167,6 +171,12 @@
 	return end(last.drainFor(), announce, leave, engine, front)
 }
 
+// bodies is what bodies of requests may have: a part of the memory for all together, and a part of that for one.
+func (c Config) bodies() body.Limits {
+	all := int64(bodiesPart * float64(c.MemoryMB<<20))
+	return body.Limits{Body: longestBody, Hold: all / 4, Budget: body.NewBudget(all)}
+}
+
 // transport speaks to each server in the protocol of its kind, over so many connections in all.
 func transport(c Config, conns int) router.Transport {
 	if len(c.Msgpack.Servers) == 0 {
--- a/middleware/extract.go
+++ b/middleware/extract.go
@@ -98,7 +98,7 @@
 		return req, bad("X-Deadline-Ms: want whole milliseconds above 0")
 	}
 	req.Wait = time.Duration(waits) * time.Millisecond
-	if method := router.Method(class); r.Method != method {
+	if method := router.Method(class); r.Method != method && !(r.Method == http.MethodHead && method == http.MethodGet) {
 		return req, &problem{http.StatusMethodNotAllowed, "this class takes " + method, method}
 	}
 	if class.Repeat == policy.Guarded && req.IdempotencyKey == "" {
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"cobaltward/body"
 	"cobaltward/policy"
 	"cobaltward/router"
 )
@@ -36,6 +37,7 @@
 	bodyTimeout  time.Duration
 	writeTimeout time.Duration
 	newID        func() string
+	bodies       *body.Limits // nil: bodies are short, and held
 }
 
 // Option sets what New can do without.
@@ -61,6 +63,11 @@
 // The default leaves it to the host's server.
 func WithWriteTimeout(d time.Duration) Option { return func(f *Front) { f.writeTimeout = d } }
 
+// WithBodies lets bodies and answers of any size through, within the limits. The host vouches for the framing of
+// requests: net/http takes the length from a transfer coding and drops what Content-Length says, so a request that
+// has both must not get here.
+func WithBodies(l body.Limits) Option { return func(f *Front) { f.bodies = &l } }
+
 // Path matches requests at the path and below it.
 func Path(path string) func(*http.Request) bool {
 	below := strings.TrimSuffix(path, "/") + "/"
@@ -102,10 +109,10 @@
 // ServeHTTP answers r, whatever the matcher says.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// net/http takes the length from a transfer coding and drops what Content-Length says, and ignores
-	// the coding in HTTP/1.0: what one side takes for a body, the other may take for a request. Clients
-	// of the protocol send lengths, so whatever else comes is refused, and nothing behind it is read.
-	if len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
-		f.reject(w, r, bad("want version 1.1, and Content-Length for a body"))
+	// the coding in HTTP/1.0: what one side takes for a body, the other may take for a request. Where nobody
+	// vouches for the framing whatever has no length is refused, and nothing behind it is read.
+	if len(r.TransferEncoding) > 0 && f.bodies == nil || !r.ProtoAtLeast(1, 1) {
+		f.reject(w, r, "", bad("want version 1.1, and Content-Length for a body"))
 		return
 	}
 	if f.isReady(r) {
@@ -113,19 +120,27 @@
 		return
 	}
 	req, p := f.head(r)
-	if p == nil {
+	ctx := r.Context()
+	if p == nil && f.bodies != nil && (r.ContentLength > inline || r.ContentLength < 0) {
+		var up *upload
+		if up, p = f.take(w, r, &req); up != nil {
+			defer up.close()
+			ctx = up.ctx
+		}
+	} else if p == nil {
 		p = f.body(w, r, &req)
 	}
 	if p != nil {
-		f.reject(w, r, p)
+		f.reject(w, r, req.Class, p)
 		return
 	}
-	a, err := f.engine.Do(r.Context(), req)
+	req.Streams = f.bodies != nil
+	a, err := f.engine.Do(ctx, req)
 	switch invalid := (*router.InvalidError)(nil); {
 	case err == nil:
 		f.write(w, a)
 	case errors.As(err, &invalid):
-		f.reject(w, r, bad(invalid.Field+": "+invalid.Problem))
+		f.reject(w, r, req.Class, bad(invalid.Field+": "+invalid.Problem))
 	case errors.Is(err, router.ErrClosed) || errors.Is(err, router.ErrDrained): // it was not taken
 		f.write(w, router.Answer{Outcome: router.Overloaded})
 	default: // the client has left; whoever ended the context otherwise must not read this as served
@@ -163,7 +178,12 @@
 
 // reject answers a request that is not to be served, and ends its connection: where its body ends is
 // in doubt, and what follows it is not to be trusted.
-func (f *Front) reject(w http.ResponseWriter, r *http.Request, p *problem) {
+func (f *Front) reject(w http.ResponseWriter, r *http.Request, class string, p *problem) {
+	if _, known := f.engine.Class(class); known {
+		if c, ok := f.engine.(interface{ CountFailed(class string) }); ok {
+			c.CountFailed(class)
+		}
+	}
 	w.Header().Set("Connection", "close")
 	if p.allow != "" {
 		w.Header().Set("Allow", p.allow)
@@ -185,7 +205,7 @@
 // health tells who asks for readiness whether the router may be taken in.
 func (f *Front) health(w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength != 0 { // net/http would wait for it, with no end
-		f.reject(w, r, bad("no body is wanted here"))
+		f.reject(w, r, "", bad("no body is wanted here"))
 		return
 	}
 	f.mayClose(w)
@@ -237,6 +257,10 @@
 
 func (f *Front) write(w http.ResponseWriter, a router.Answer) {
 	f.mayClose(w)
+	if a.Stream != nil {
+		f.pass(w, a)
+		return
+	}
 	if f.writeTimeout > 0 { // a client that reads nothing must not hold the handler for ever
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(f.writeTimeout))
 	}
--- a/router/context.go
+++ b/router/context.go
@@ -26,7 +26,18 @@
 	return c
 }()
 
-func (c *attemptContext) Deadline() (time.Time, bool) { return c.deadline, true }
+func (c *attemptContext) Deadline() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.deadline, true
+}
+
+// until moves the deadline: the body of the request has come.
+func (c *attemptContext) until(deadline time.Time) {
+	c.mu.Lock()
+	c.deadline = deadline
+	c.mu.Unlock()
+}
 
 // SendBy is the moment from which on nothing may be written for the attempt, since its key may be forgotten
 // by the servers that drop its repeats; zero where there is none. Transports ask right before they write.
--- a/router/loop.go
+++ b/router/loop.go
@@ -29,6 +29,11 @@
 	// it is a part.
 	keyMargin     = 50 * time.Millisecond
 	keyMarginPart = 5
+	// What a body may take that passes through: a client may send so few bytes a second, and begin so late.
+	uploadRate    = 32 << 10
+	uploadLeast   = 5 * time.Second
+	longestUpload = 32 << 20
+
 	ownRetryAfter = time.Second // told to clients that the router refuses without the module
 	lagGain       = 0.05        // weight of one event in the mean lag
 )
@@ -87,6 +92,8 @@
 	waits   time.Duration
 	reply   chan Answer  // holds one, so the loop never waits for whoever asked
 	told    func(Answer) // in place of reply; it must not call the loop
+	gone    atomic.Bool  // nobody waits for reply any more
+	arrives bool         // its last byte has not come: its time counts from then; only the loop goes by it
 }
 
 // request is kept until it is answered and all its attempts are over.
@@ -117,7 +124,11 @@
 // The events of the loop, beside Change. *call is an arrival, and *attempt the end of one.
 type (
 	departure struct{ c *call }
-	reload    struct {
+	arrived   struct { // the last byte of an upload has come
+		c  *call
+		at time.Time
+	}
+	reload struct {
 		config Config
 		reply  chan error
 	}
@@ -334,6 +345,8 @@
 			l.tell(policy.Lapsed{ID: r.req.ID})
 			l.drop(r)
 		}
+	case arrived:
+		l.arrived(e)
 	case *attempt:
 		l.end(e)
 	case reload:
@@ -410,6 +423,9 @@
 		margin = -time.Second
 	}
 	end := c.came + c.waits
+	if c.arrives {
+		end += uploadTime(c.req.Upload.Length())
+	}
 	r := &request{call: c, allowed: l.config.Settings.Allowed, deadline: end - margin}
 	if now >= r.deadline { // the host kept the router from it: nothing may go out any more
 		l.reply(c, Answer{Outcome: Refused})
@@ -440,7 +456,40 @@
 	r.backstop = timer{due: end - margin/2, backstop: r}
 	heap.Push(&l.timers, &r.backstop)
 	l.tell(policy.Request{ID: c.req.ID, Class: c.req.Class, Tenant: c.req.Tenant, Key: c.req.Key,
-		ExpiresIn: r.deadline - now, Hint: c.req.Hint, Retry: c.req.Retry})
+		ExpiresIn: r.deadline - now, Hint: c.req.Hint, Retry: c.req.Retry, Arriving: c.arrives})
+}
+
+// uploadTime bounds how long a body of so many bytes may take; of unknown length it is the longest.
+func uploadTime(length int64) time.Duration {
+	if length < 0 || length > longestUpload {
+		length = longestUpload
+	}
+	return uploadLeast + time.Duration(length)*time.Second/uploadRate
+}
+
+// arrived begins the time of a request whose body has passed through: the client counts from its last byte. Nothing
+// can have run before.
+func (l *loop) arrived(e arrived) {
+	r := l.requests[e.c.req.ID]
+	if r == nil || r.call != e.c || r.ended || !e.c.arrives {
+		return
+	}
+	now := l.clock.now()
+	e.c.arrives = false
+	r.came = min(now, l.clock.since(e.at))
+	margin := min(answerMargin, r.waits/answerMarginPart)
+	end := r.came + r.waits
+	r.deadline = end - margin
+	r.backstop.due = end - margin/2
+	heap.Fix(&l.timers, r.backstop.at)
+	for _, a := range r.attempts {
+		if a.out {
+			a.sent, a.late.due = now, r.deadline
+			a.ctx.until(l.clock.at(r.deadline))
+			heap.Fix(&l.timers, a.late.at)
+		}
+	}
+	l.tell(policy.Request{ID: r.req.ID, Class: r.req.Class, Tenant: r.req.Tenant, Key: r.req.Key, ExpiresIn: r.deadline - now})
 }
 
 // class is one of the settings in force.
@@ -466,12 +515,14 @@
 		answer := a.result.Answer
 		answer.Outcome = Served
 		l.answer(r, answer)
+	} else if s := a.result.Answer.Stream; s != nil { // another copy was the first, or the caller has left
+		s.Close()
 	}
 	if l.service != nil && code == policy.OK {
 		l.service.worked(r, l.clock.now()-a.sent)
 	}
 	o := policy.Outcome{ID: r.req.ID, Server: a.server, Attempt: a.n, Code: code,
-		Latency: l.clock.now() - a.sent, Ended: r.ended, Report: a.result.Report}
+		Latency: l.clock.now() - a.sent, Ended: r.ended, Report: a.result.Report, Spent: r.req.Upload != nil && r.req.Upload.Spent()}
 	a.result = Result{}
 	l.tell(o)
 	l.drop(r)
@@ -667,12 +718,28 @@
 }
 
 func (l *loop) reply(c *call, a Answer) {
-	l.tally.count(c.req.Class, a.Outcome)
+	if a.Stream == nil { // else it counts when the stream has ended
+		l.tally.count(c.req.Class, a.Outcome)
+	}
 	if c.told != nil {
 		c.told(a)
 		return
 	}
 	c.reply <- a
+	if c.gone.Load() {
+		c.discard()
+	}
+}
+
+// discard takes an answer that nobody waits for any more, if there is one: its stream holds a connection.
+func (c *call) discard() {
+	select {
+	case a := <-c.reply:
+		if a.Stream != nil {
+			a.Stream.Close()
+		}
+	default:
+	}
 }
 
 // fail gives the request its one answer where the module has none in time, and tells it so.
--- a/router/request.go
+++ b/router/request.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"time"
 )
 
@@ -31,8 +32,30 @@
 	Authority   string // the host that the client named
 	ContentType string
 	Body        []byte
+	// Upload is the body in place of Body, where it is long. Its owner keeps it open until Do has returned.
+	Upload Upload
+
+	// Streams says that the caller takes Answer.Stream. Without it an answer beyond 64 KiB is none.
+	Streams bool
+}
+
+// Upload is the body of a request that may still be on its way. Its methods may be called at once from many
+// goroutines.
+type Upload interface {
+	// Length is that of the whole body; -1 where nobody has told it.
+	Length() int64
+	// Open returns the body from its first byte on; ErrSpent where that is no longer held. A reader waits for the
+	// client where it has to, and fails where the client breaks off.
+	Open() (io.Reader, error)
+	// Spent tells whether the first byte is no longer held.
+	Spent() bool
+	// OnWhole has f called once, when the last byte has come; at once, and with true, where it has.
+	OnWhole(f func(at time.Time)) bool
 }
 
+// ErrSpent is what Upload.Open returns where the body can't be sent again.
+var ErrSpent = errors.New("the body has been passed on and is not held")
+
 // Outcome says what became of a request.
 type Outcome uint8
 
@@ -63,6 +86,14 @@
 	Body        []byte        // of Served; shared with nobody
 	ContentType string        // of Served
 	RetryAfter  time.Duration // of Refused and Overloaded: when to come back; 0 where nobody can tell
+	Stream      Stream        // of Served, in place of Body: an answer that is passed on as it comes
+}
+
+// Stream is a long answer. Who gets it reads it until io.EOF, or until another error says that it has broken off,
+// and closes it in any case, which may be done while it is read. It counts as served once io.EOF was read.
+type Stream interface {
+	io.ReadCloser
+	Length() int64 // of the whole; -1 where the server doesn't say
 }
 
 var (
--- a/router/router.go
+++ b/router/router.go
@@ -145,7 +145,19 @@
 	}
 	l := r.loop
 	l.tally.inflight.Add(1)
-	defer l.tally.inflight.Add(-1)
+	streams := false
+	defer func() {
+		if !streams {
+			l.tally.inflight.Add(-1)
+		}
+	}()
+	take := func(a Answer) Answer {
+		if a.Stream != nil {
+			streams = true
+			a.Stream = &delivery{Stream: a.Stream, tally: &l.tally, class: req.Class}
+		}
+		return a
+	}
 	switch r.Phase() {
 	case Drained:
 		l.tally.count(req.Class, Overloaded)
@@ -164,6 +176,9 @@
 	if end, ok := ctx.Deadline(); ok {
 		c.waits = min(c.waits, l.clock.since(end)-c.came)
 	}
+	if req.Upload != nil && !req.Upload.OnWhole(func(at time.Time) { l.send(arrived{c, at}) }) {
+		c.arrives = true
+	}
 	select {
 	case l.events <- c:
 	case <-ctx.Done():
@@ -173,14 +188,15 @@
 	}
 	select {
 	case a := <-c.reply:
-		return a, nil
+		return take(a), nil
 	case <-ctx.Done():
 	case <-l.done:
 	}
+	c.gone.Store(true)
 	left := ctx.Err() != nil && l.send(departure{c})
 	select {
 	case a := <-c.reply: // it was there in time
-		return a, nil
+		return take(a), nil
 	default:
 	}
 	if !left {
--- a/transport/http1/head.go
+++ b/transport/http1/head.go
@@ -152,9 +152,8 @@
 	return true
 }
 
-// slow reads a head by net/http, with the 1xx answers ahead of it, and the body with it.
-func slow(in *bufio.Reader, limit *io.LimitedReader, method string) (h head, body []byte, err error) {
-	var resp *http.Response
+// slow reads a head by net/http, with the 1xx answers ahead of it.
+func slow(in *bufio.Reader, limit *io.LimitedReader, method string) (h head, resp *http.Response, err error) {
 	for i := 0; ; i++ {
 		resp, err = http.ReadResponse(in, &http.Request{Method: method})
 		if err != nil {
@@ -168,17 +167,31 @@
 		}
 		limit.N = maxHeader
 	}
-	if resp.ContentLength > maxBody || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return h, nil, errSpoilt
+	return head{status: resp.StatusCode, length: int(resp.ContentLength), closes: resp.Close, contentType: resp.Header.Get("Content-Type"),
+		load: resp.Header.Get("X-Load"), notRun: resp.Header.Get("X-Not-Run") == "1"}, resp, nil
+}
+
+// rest reads a short body by net/http.
+func rest(limit *io.LimitedReader, resp *http.Response) ([]byte, error) {
+	if resp.ContentLength > maxBody {
+		return nil, errSpoilt
 	}
 	limit.N = 2 * maxBody // a chunked body brings the lengths of its parts
-	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	if err != nil {
-		return h, nil, spoilt(err, limit.N == 0)
+		return nil, spoilt(err, limit.N == 0)
 	}
 	if len(body) > maxBody {
-		return h, nil, errSpoilt
+		return nil, errSpoilt
 	}
-	return head{status: resp.StatusCode, length: len(body), closes: resp.Close, contentType: resp.Header.Get("Content-Type"),
-		load: resp.Header.Get("X-Load"), notRun: resp.Header.Get("X-Not-Run") == "1"}, body, nil
+	return body, nil
+}
+
+// lastChunk is how a chunked body without trailers ends.
+var lastChunk = []byte("\r\n0\r\n\r\n")
+
+// there tells whether a chunked body seems to be all in what was read already.
+func there(in *bufio.Reader) bool {
+	held, _ := in.Peek(in.Buffered())
+	return bytes.HasSuffix(held, lastChunk)
 }
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -289,7 +289,14 @@
 		return router.Result{Code: broken(ctx, err, false)}
 	}
 	stop := after(ctx, func() { c.Close() })
-	result, reusable := u.exchange(ctx, c, r)
+	result, reusable := u.exchange(ctx, c, server, r)
+	if s := result.Answer.Stream; s != nil {
+		if stop() {
+			return result
+		}
+		s.Close() // the attempt was called off as its answer began
+		return router.Result{Code: broken(ctx, net.ErrClosed, true)}
+	}
 	u.release(c, server, stop() && reusable)
 	return result
 }
@@ -303,7 +310,7 @@
 }
 
 // exchange writes r and reads its answer. The request can't have run before its last byte is written.
-func (u *Transport) exchange(ctx context.Context, c *conn, r *router.Request) (_ router.Result, reusable bool) {
+func (u *Transport) exchange(ctx context.Context, c *conn, server string, r *router.Request) (_ router.Result, reusable bool) {
 	out := u.writers.Get().(*bytes.Buffer)
 	defer u.writers.Put(out)
 	out.Reset()
@@ -315,14 +322,20 @@
 	if err := u.late(ctx, c.pool); err != nil {
 		return router.Result{Code: broken(ctx, err, false)}, errors.Is(err, errDrained)
 	}
-	if _, err := c.Write(out.Bytes()); err != nil {
+	if r.Upload != nil {
+		if result, ok := u.upload(ctx, c, out, r); !ok {
+			return result, false
+		}
+	} else if _, err := c.Write(out.Bytes()); err != nil {
 		return router.Result{Code: broken(ctx, err, false)}, false
 	}
 	u.written.Add(1)
 	in := u.readers.Get().(*bufio.Reader)
-	defer u.readers.Put(in)
-	h, body, err := read(in, c, r.Method)
-	in.Reset(nil)
+	h, body, long, err := u.read(in, c, server, r)
+	if long == nil {
+		in.Reset(nil)
+		u.readers.Put(in)
+	}
 	if err != nil {
 		return router.Result{Code: broken(ctx, err, true)}, false
 	}
@@ -333,7 +346,7 @@
 	switch h.status {
 	case http.StatusOK:
 		result.Code = policy.OK
-		result.Answer = router.Answer{Body: body, ContentType: h.contentType}
+		result.Answer = router.Answer{Body: body, ContentType: h.contentType, Stream: long}
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		if h.notRun { // without it, it may have run
 			result.Code = policy.Full
@@ -361,38 +374,56 @@
 	return u.report
 }
 
-// read takes one whole answer from the connection, within bounds on its head and its body; head.closes
-// tells that the connection serves no other. What doesn't fit its framing is no answer: a body
-// without a length could have lost its end unseen, and bytes behind a body that begin no answer may
-// be its rest.
-func read(in *bufio.Reader, c io.Reader, method string) (h head, body []byte, err error) {
+// read takes one answer from the connection, within bounds on its head and on what is held of its body; head.closes
+// tells that the connection serves no other. An answer that is longer, or of unknown length and slow, comes as a
+// stream, which then owns the connection and the reader. What doesn't fit its framing is no answer, and bytes
+// behind a body that begin no answer may be its rest.
+func (u *Transport) read(in *bufio.Reader, c *conn, server string, r *router.Request) (h head, body []byte, long router.Stream, err error) {
 	limit := &io.LimitedReader{R: c, N: maxHeader}
 	in.Reset(limit)
-	h, ok := simple(in)
-	switch {
-	case !ok:
-		if h, body, err = slow(in, limit, method); err != nil {
-			return h, nil, err
+	ok := false
+	if r.Method != http.MethodHead { // else a length says nothing of what follows
+		h, ok = simple(in)
+	}
+	if !ok {
+		var resp *http.Response
+		if h, resp, err = slow(in, limit, r.Method); err != nil {
+			return h, nil, nil, err
+		}
+		if !r.Streams || h.status != http.StatusOK || there(in) || resp.ContentLength >= 0 && resp.ContentLength <= maxBody {
+			body, err = rest(limit, resp)
+		} else {
+			body, long, err = u.unknown(in, limit, c, server, resp)
 		}
-	case h.length > maxBody:
-		return h, nil, errSpoilt
-	default:
+	} else if h.length > maxBody {
+		if !r.Streams || h.status != http.StatusOK {
+			return h, nil, nil, errSpoilt
+		}
+		s, err := u.long(in, limit, c, server, h)
+		if err != nil {
+			return h, nil, nil, err
+		}
+		return h, nil, s, nil
+	} else {
 		limit.N = maxBody
 		body = make([]byte, h.length)
-		if _, err := io.ReadFull(in, body); err != nil {
+		if _, err = io.ReadFull(in, body); err != nil {
 			if errors.Is(err, io.EOF) { // not a byte of it came
 				err = io.ErrUnexpectedEOF
 			}
-			return h, nil, spoilt(err, limit.N == 0)
+			err = spoilt(err, limit.N == 0)
 		}
 	}
+	if err != nil || long != nil {
+		return h, nil, long, err
+	}
 	if n := in.Buffered(); n > 0 {
 		h.closes = true
 		if behind, _ := in.Peek(min(n, len(statusLine))); string(behind) != statusLine[:len(behind)] {
-			return h, nil, errSpoilt
+			return h, nil, nil, errSpoilt
 		}
 	}
-	return h, body, nil
+	return h, body, nil, nil
 }
 
 // statusLine is how an answer begins.
@@ -442,12 +473,23 @@
 		out.WriteString(r.ContentType)
 	}
 	if end, ok := ctx.Deadline(); ok {
+		left := time.Until(end)
+		if r.Upload != nil && r.Wait > 0 { // the deadline of a body on its way is that of the body, too
+			left = min(left, r.Wait)
+		}
 		out.WriteString("\r\nX-Deadline-Ms: ")
-		out.Write(strconv.AppendInt(out.AvailableBuffer(), max(1, time.Until(end).Milliseconds()), 10))
+		out.Write(strconv.AppendInt(out.AvailableBuffer(), max(1, left.Milliseconds()), 10))
+	}
+	length := int64(len(r.Body))
+	if r.Upload != nil {
+		length = r.Upload.Length()
 	}
-	if len(r.Body) > 0 || r.Method != http.MethodGet {
+	switch {
+	case length < 0:
+		out.WriteString("\r\nTransfer-Encoding: chunked")
+	case length > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead:
 		out.WriteString("\r\nContent-Length: ")
-		out.Write(strconv.AppendInt(out.AvailableBuffer(), int64(len(r.Body)), 10))
+		out.Write(strconv.AppendInt(out.AvailableBuffer(), length, 10))
 	}
 	out.WriteString("\r\n\r\n")
 	out.Write(r.Body)
--- a/transport/msgpack/msgpack.go
+++ b/transport/msgpack/msgpack.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -316,6 +317,12 @@
 func (t *Transport) Attempt(ctx context.Context, id string, r *router.Request) router.Result {
 	q := msgpackrpc.Call{ID: r.ID, IdempotencyKey: r.IdempotencyKey, Method: r.Method, Target: r.Target,
 		Authority: r.Authority, ContentType: r.ContentType, Body: r.Body}
+	if r.Upload != nil {
+		var ok bool
+		if q.Body, ok = short(r.Upload); !ok {
+			return router.Result{Code: policy.Moot} // a message can't hold it: no server is to blame
+		}
+	}
 	for {
 		s, l, err := t.acquire(ctx, id)
 		switch {
@@ -352,6 +359,22 @@
 	}
 }
 
+// short reads a body that fits a message.
+func short(u router.Upload) ([]byte, bool) {
+	if u.Length() < 0 || u.Length() > maxBody {
+		return nil, false
+	}
+	src, err := u.Open()
+	if err != nil {
+		return nil, false
+	}
+	all, err := io.ReadAll(src)
+	return all, err == nil
+}
+
+// maxBody is the bytes of a body that a message holds.
+const maxBody = 64 << 10
+
 // Written is the number of attempts that went out whole.
 func (t *Transport) Written() uint64 { return t.written.Load() }
 
