A cancelled dial no longer takes an attempt's own cancellation away

Seen: among a hundred long bodies at once a few answers that had come became 502, and one booking ran twice. Traced by printing each attempt's end: 'called off' with a context that had not ended. Ruled out: the server (its answer was there), the deadline (30 s), the module. To blame: attemptContext.AfterFunc, whose stop function took out whatever was registered. net's dialer derives a context with a timer; the timer and the dialer's own cancel both stop that one's registration, the second perhaps after the attempt has registered its own. Then the attempt can't be called off any more, and looked as if it had been. Stop now goes by its registration (TestStopTwice fails without).

What has its last byte written is never counted as not run.

--- a/router/context.go
+++ b/router/context.go
@@ -17,6 +17,7 @@
 	err   error
 	done  chan struct{} // made when somebody asks
 	after func()        // what AfterFunc registered
+	nth   uint64        // registrations of it
 }
 
 // closedChan is what Done returns for a context that had ended before anybody asked.
@@ -83,11 +84,14 @@
 		}
 	}
 	c.after = f
+	c.nth++
+	mine := c.nth
 	c.mu.Unlock()
 	return func() bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if c.after == nil {
+		// A context derived from this one may stop its function again, long after: that must not take out another's.
+		if c.after == nil || c.nth != mine {
 			return false
 		}
 		c.after = nil
--- a/router/context_test.go
+++ b/router/context_test.go
@@ -67,3 +67,23 @@
 		}
 	})
 }
+
+// A derived context's timer and its cancel may both stop what it registered, the second of them when somebody else has
+// registered by then: that one's function stays.
+func TestStopTwice(t *testing.T) {
+	c := new(attemptContext)
+	first := c.AfterFunc(func() { t.Error("the first was stopped") })
+	if !first() {
+		t.Fatal("not stopped")
+	}
+	ran := make(chan struct{})
+	second := c.AfterFunc(func() { close(ran) })
+	if first() {
+		t.Error("stopped twice")
+	}
+	c.end(context.Canceled)
+	<-ran
+	if second() {
+		t.Error("stopped after it ran")
+	}
+}
--- a/transport/http1/upload.go
+++ b/transport/http1/upload.go
@@ -38,12 +38,15 @@
 	}
 	buf := chunks.Get().(*[uploadChunk]byte)
 	defer chunks.Put(buf)
-	for {
+	for left := r.Upload.Length(); ; {
 		n, err := src.Read(buf[:])
+		if left -= int64(n); left == 0 && n == 0 {
+			return router.Result{}, true // its last byte is written already, and the answer may be there
+		}
 		if !sockets.Quiet(c.TCPConn) { // the server has seen enough
 			return u.early(ctx, c, errRequest), false
 		}
-		end := errors.Is(err, io.EOF)
+		end := errors.Is(err, io.EOF) || !chunked && left == 0
 		if err != nil && !end {
 			return router.Result{Code: policy.Moot}, false // the client has broken off, or the body is lost
 		}
