Two processes of one node share its limits, its knowledge and its standby

Need: while one process takes the place of another both are one node to rules and limits. Design: with ROUTER_ACCEPT_FD and TMPDIR each holds a lock file there, which the system gives back with the process, writes a report each 100 ms, and what it has learned each 250 ms; handover/ decides from the reports the part of the tenants' buckets (by who takes how many requests), of memory, and the connections left by the other. The last order of standby stands in a file that all follow. Files are replaced whole, bounded and versioned; what is torn, stale or foreign costs one log line and nothing else.

A cold server's room goes by each process's own rate of answers, which the traffic splits; both at once stay under it.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -60,6 +60,8 @@
 	}
 	c.DrainMark = o.Drain.Remember
 	debug.SetMemoryLimit(int64(heapPart * float64(c.MemoryMB) * (1 << 20)))
+	c.Common = os.Getenv("TMPDIR")
+	c.Memory = func(part float64) { debug.SetMemoryLimit(int64(part * heapPart * float64(c.MemoryMB) * (1 << 20))) }
 	runtime.GOMAXPROCS(int(max(1, math.Ceil(c.Cores))))
 	ctx, stop := interrupted()
 	defer stop()
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -80,6 +80,14 @@
 	return l.Listener.Close()
 }
 
+// setMost changes the connections that may be open.
+func (l *clients) setMost(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.most = max(1, n)
+	l.room.Broadcast()
+}
+
 func (l *clients) isClosed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -49,6 +49,11 @@
 	// next one will.
 	Shared bool
 
+	// Shared processes of one node know of each other through this directory; empty: they do not.
+	Common string
+	// Memory has the process use a part of the node's memory; nil: it can't.
+	Memory func(part float64)
+
 	// Msgpack says who is spoken to by MessagePack-RPC beside HTTP; the zero value is nobody.
 	Msgpack Msgpack
 
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -73,7 +73,8 @@
 	hold   *hold.Source
 	intake *intake
 	leave  time.Duration
-	mark   string // file that stands while a drain on request does; empty: none
+	mark   string             // file that stands while a drain on request does; empty: none
+	told   func(standby bool) // hears of orders, for other processes of this node; nil: there are none
 
 	mu     sync.Mutex
 	status Status
@@ -148,7 +149,7 @@
 	}
 	// Clients must have left before the end: what is announced for longer than there is time helps nobody.
 	o.Announce, o.Leave = min(o.Announce, o.For/4), min(o.Leave, o.For/4)
-	err := c.engine.StartDrain(o)
+	err := c.start(o)
 	busy := (*drain.BusyError)(nil)
 	switch {
 	case err == nil:
@@ -222,6 +223,33 @@
 	if err == nil {
 		c.unmark()
 	}
+	if c.told != nil && (err == nil || errors.Is(err, drain.ErrNoDrain)) {
+		c.told(false)
+	}
+	return err
+}
+
+// start begins a drain, whichever way it was ordered.
+func (c *control) start(o drain.Order) error {
+	err := c.engine.StartDrain(o)
+	if err == nil && c.told != nil {
+		c.told(true)
+	}
+	return err
+}
+
+// obey follows an order that another process of this node was given.
+func (c *control) obey(standby bool) error {
+	if !standby {
+		if err := c.engine.CancelDrain("another process of this node"); !errors.Is(err, drain.ErrNoDrain) {
+			return err
+		}
+		return nil
+	}
+	err := c.engine.StartDrain(drain.Order{Announce: standbyAnnounce, Leave: standbyLeave, For: drainFor, Reason: "standby", Who: "another process of this node"})
+	if busy := (*drain.BusyError)(nil); errors.As(err, &busy) || errors.Is(err, drain.ErrOver) {
+		return nil
+	}
 	return err
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"path/filepath"
 	"reflect"
 	"slices"
 	"sync"
@@ -15,6 +16,7 @@
 
 	"cobaltward/body"
 	msgpackfront "cobaltward/front/msgpack"
+	"cobaltward/handover"
 	"cobaltward/internal/console"
 	"cobaltward/internal/door"
 	"cobaltward/membership/hold"
@@ -90,8 +92,9 @@
 		held.Begin(c.Known.Members)
 		membership = held
 	}
+	out := transport(c, sockets-most)
 	options := []router.Option{router.WithLogger(log), router.WithMembership(membership), router.WithFront(front),
-		router.WithTransport(transport(c, sockets-most))}
+		router.WithTransport(out)}
 	var rpc *rpcIntake
 	if c.Msgpack.Listener != nil {
 		rpc = newRPCIntake(c.Msgpack.Listener)
@@ -108,10 +111,11 @@
 		return err
 	}
 	defer engine.Close()
+	bodies := c.bodies()
 	var succeeded atomic.Bool // another process takes in clients at the same socket: to them the node goes on
 	up := func() bool { return engine.Phase() == router.Serving || succeeded.Load() }
 	server.Handler = middleware.New(engine, middleware.WithMatcher(middleware.Any), middleware.WithReady(readyPath), middleware.WithReadiness(up),
-		middleware.WithBodyTimeout(bodyTimeout), middleware.WithWriteTimeout(writeTimeout), middleware.WithBodies(c.bodies()))
+		middleware.WithBodyTimeout(bodyTimeout), middleware.WithWriteTimeout(writeTimeout), middleware.WithBodies(bodies))
 	if c.Front != nil {
 		server.Handler = c.Front(server.Handler, readyPath)
 	}
@@ -122,6 +126,19 @@
 	}
 
 	ctl := &control{name: c.Name, engine: engine, hold: held, intake: front, leave: c.leave(), mark: c.DrainMark}
+	var next *heir
+	if c.Shared && c.Common != "" {
+		if next = inherit(c.Common, log); next != nil {
+			defer next.place.Leave()
+			next.engine, next.front, next.budget, next.held = engine, front, bodies.Budget, bodies.Budget.Most()
+			next.whole, next.memory, next.obey = handover.Limits{Clients: most, Servers: sockets - most}, c.Memory, ctl.obey
+			next.conns, _ = out.(interface{ SetMaxConns(n int) })
+			ctl.told = next.order
+		}
+		if c.State.File == "" {
+			c.State.File, c.State.Every = filepath.Join(c.Common, heirFile), heirState
+		}
+	}
 	state := &keeper{c: c.State, name: c.Name, engine: engine, log: log}
 	if c.State.File != "" {
 		state.restore()
@@ -133,7 +150,7 @@
 		way.Start()
 	}
 	if c.ConsoleListener != nil {
-		desk := &desk{engine: engine, order: engine.StartDrain, back: ctl.back}
+		desk := &desk{engine: engine, order: ctl.start, back: ctl.back}
 		defer console.Serve(c.ConsoleListener, desk, log).Close()
 	}
 	running, stop := context.WithCancel(context.Background())
@@ -149,6 +166,10 @@
 	failed := make(chan error, 2)
 	// Who is let in finds a node that can serve; of a shared socket, the process before this one does so until then.
 	<-engine.Started()
+	if next != nil {
+		next.look() // what it has, and whether the node is in standby
+		parts.Go(func() { next.run(running) })
+	}
 	parts.Go(func() { failed <- front.Serve() })
 	if rpc != nil {
 		parts.Go(func() { failed <- rpc.Serve() })
@@ -165,6 +186,10 @@
 	if c.Shared {
 		// Who connects from now on is let in by the next process. Connections that are here end with their answers.
 		succeeded.Store(engine.Phase() == router.Serving)
+		state.hushed.Store(true)
+		if next != nil {
+			next.ending.Store(true)
+		}
 		front.StopAccepting()
 		announce, leave = 0, announce
 	}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"cobaltward/internal/door"
@@ -35,7 +36,8 @@
 	name   string
 	engine *router.Router
 	log    *slog.Logger
-	failed bool // the last write did: it is told of once
+	failed bool        // the last write did: it is told of once
+	hushed atomic.Bool // another process keeps what is learned from now on
 }
 
 // restore has the engine adopt what was kept. Nothing that is wrong with it does harm.
@@ -102,6 +104,9 @@
 }
 
 func (k *keeper) keep() {
+	if k.hushed.Load() {
+		return
+	}
 	raw, err := k.snapshot()
 	if errors.Is(err, router.ErrClosed) {
 		return
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,7 +22,7 @@
 	}
 	b := &Balancer{
 		now: now, rng: rand.New(rand.NewPCG(seed, uint64(set.Node))), token: watchToken,
-		buckets: make(map[bucketKey]*bucket), pace: 1, trust: 1, blame: 1,
+		buckets: make(map[bucketKey]*bucket), pace: 1, portion: 1, trust: 1, blame: 1,
 		servers: make(map[string]*server), reqs: make(map[string]*request),
 	}
 	b.configure(set)
@@ -200,7 +200,7 @@
 	if !ok {
 		return true, 0
 	}
-	l.PerWindow *= b.pace
+	l.PerWindow, l.Burst = l.PerWindow*b.pace*b.portion, max(1, int64(math.Ceil(float64(l.Burst)*b.portion)))
 	if b.buckets[key] == nil && len(b.buckets) >= maxBuckets {
 		key = bucketKey{}
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -25,6 +25,7 @@
 	other    *Limit   // for tenants without a quota; nil: no limit
 	buckets  map[bucketKey]*bucket
 	pace     float64 // scale of all bucket rates
+	portion  float64 // of the node's buckets that this process has, where another serves beside it
 	trust    float64 // scale of the thresholds of servers that other nodes mostly use
 	fullPart float64 // part of full answers among the bad ones lately
 	bad      float64 // part of bad answers lately
@@ -209,3 +210,9 @@
 
 // Avoided is the number of listed servers that get no ordinary work now: they drain, or are ejected.
 func (b *Balancer) Avoided() int { return len(b.servers) - len(b.order) + b.ejected }
+
+// SetPart says which part of the node's work comes to this process, where two are one node: its part of the buckets.
+func (b *Balancer) SetPart(now Time, part float64) {
+	b.now = max(now, b.now)
+	b.portion = min(1, max(0, part))
+}
--- a/router/knowledge.go
+++ b/router/knowledge.go
@@ -14,6 +14,7 @@
 	Export() policy.Knowledge
 	Prior(server string) (threshold float64, up policy.Time, ok bool)
 	Adopt(now policy.Time, k policy.Knowledge)
+	SetPart(now policy.Time, part float64)
 }
 
 // Weigher makes of what was kept what may be adopted: it is told what the node would trust each server with, and
@@ -37,6 +38,11 @@
 	return r.module(func(m learned, now policy.Time) { m.Adopt(now, weigh(m.Prior)) })
 }
 
+// SetPart says which part of the node's work comes to this process, from 0 to 1, where two processes are one node.
+func (r *Router) SetPart(part float64) error {
+	return r.module(func(m learned, now policy.Time) { m.SetPart(now, part) })
+}
+
 func (r *Router) module(do func(learned, policy.Time)) error {
 	reply := make(chan error, 1)
 	return r.ask(moduleOrder{do, reply}, reply)
--- a/router/router.go
+++ b/router/router.go
@@ -118,6 +118,14 @@
 // Phase tells where the router stands. It is ready for new clients while it is Serving.
 func (r *Router) Phase() Phase { return Phase(r.phase.Load()) }
 
+// Conns is the number of connections to servers, where the transport tells.
+func (r *Router) Conns() int {
+	if t, ok := r.loop.transport.(interface{ Conns() int }); ok {
+		return t.Conns()
+	}
+	return 0
+}
+
 // Started is closed once the list as last held is in force: from then on requests can be served.
 func (r *Router) Started() <-chan struct{} { return r.loop.ready }
 
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -161,6 +161,13 @@
 	return u.open
 }
 
+// SetMaxConns changes the connections that may be open. Those beyond it go as they come to be idle.
+func (u *Transport) SetMaxConns(n int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.most = max(1, n)
+}
+
 // Written is the number of attempts that went out whole.
 func (u *Transport) Written() uint64 { return u.written.Load() }
 
