Taking a drain back waits for no queue; a model test of the drain with both ways in

Need: no call of the console may wait for the engine's loop. Seen by reading, then in a test with the loop held and 2,000 requests ahead of it: CancelDrain put an event in the loop's queue of 1,024 and would wait, under the router's mutex, for room there. To blame: the resume event. Whether anything is taken is an atomic flag now, set with the drain's state.

TestConsoleBesideStuckLoop (also 20 stalled callers) and TestBothWaysIn (rapid: console, door, the process's end in any order, from any state).

--- a/internal/node/desk_test.go
+++ b/internal/node/desk_test.go
@@ -3,13 +3,21 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
+	"cobaltward/drain"
+	"cobaltward/internal/console"
 	"cobaltward/internal/testkit"
+	"cobaltward/policy"
 	"cobaltward/router"
+	"cobaltward/transport/http1"
 )
 
 // put makes one call to the console.
@@ -65,6 +73,124 @@
 	return status == http.StatusOK
 }
 
+// The engine's loop stands still, with more waiting for it than its queue holds, and callers stall at the console: every
+// call is answered all the same.
+func TestConsoleBesideStuckLoop(t *testing.T) {
+	w := newSite(t, 2)
+	engine, err := router.New(router.Config{Settings: w.set, Members: w.known.Members}, router.WithTransport(http1.New(http1.Config{})))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer engine.Close()
+	<-engine.Started()
+	ln, err := console.Open("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.console = ln.Addr().String()
+	ctl := &control{engine: engine}
+	defer console.Serve(ln, &desk{engine: engine, order: ctl.start, back: ctl.back}, slog.New(slog.DiscardHandler)).Close()
+	release, held := make(chan struct{}), make(chan struct{})
+	var all sync.WaitGroup
+	all.Go(func() {
+		_ = engine.Adopt(func(func(string) (float64, policy.Time, bool)) (k policy.Knowledge) {
+			close(held)
+			<-release
+			return k
+		})
+	})
+	<-held
+	for i := range 2000 {
+		all.Go(func() {
+			_, _ = engine.Do(t.Context(), router.Request{ID: fmt.Sprint("r", i), Class: "hladanie", Tenant: "t"})
+		})
+	}
+	testkit.Await(t, "the queue to be full", func() bool { return engine.Figures().Inflight == 2000 })
+	for range 20 {
+		c, err := net.Dial("tcp", w.console)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprint(c, "GET /sta")
+	}
+	for range 3 {
+		if f := w.figures(); f["inflight"] != 2000 || f["hosts_listed"] != 2 {
+			t.Errorf("figures %v", f)
+		}
+		if w.put("/standby") != http.StatusOK || engine.Phase() == router.Serving {
+			t.Error("standby waits for the loop")
+		}
+		if w.put("/active") != http.StatusOK || engine.Phase() != router.Serving {
+			t.Error("active waits for the loop")
+		}
+	}
+	close(release)
+	all.Wait()
+}
+
+// Whatever order the console and the door are told things in, and however far a drain has come: both speak of one drain,
+// the console's calls may be repeated, the node is ready exactly while none goes on, and a final drain stays.
+func TestBothWaysIn(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		engine, err := router.New(router.Config{Settings: drainSettings()}, router.WithTransport(http1.New(http1.Config{})))
+		if err != nil {
+			rt.Fatal(err)
+		}
+		defer engine.Close()
+		<-engine.Started()
+		for engine.Phase() != router.Serving {
+			time.Sleep(time.Millisecond)
+		}
+		ctl := &control{engine: engine}
+		d := &desk{engine: engine, order: ctl.start, back: ctl.back}
+		draining, final := false, false
+		for range rapid.IntRange(1, 25).Draw(rt, "steps") {
+			was := engine.DrainStatus()
+			switch rapid.IntRange(0, 5).Draw(rt, "what") {
+			case 0:
+				if err := d.Standby(); (err != nil) != final {
+					rt.Fatalf("standby in %+v: %v", was, err)
+				}
+				draining = true
+			case 1:
+				if err := d.Active(); (err != nil) != final {
+					rt.Fatalf("active in %+v: %v", was, err)
+				}
+				draining = final
+			case 2: // the door's drain, through at once
+				if err := ctl.start(drain.Order{For: time.Minute, Who: "door"}); (err != nil) != draining {
+					rt.Fatalf("the door's drain in %+v: %v", was, err)
+				}
+				draining = true
+			case 3:
+				if err := ctl.back("door"); (err == nil) != (draining && !final) {
+					rt.Fatalf("the door's way back in %+v: %v", was, err)
+				}
+				draining = final
+			case 4:
+				for end := time.Now().Add(time.Second); was.State == drain.Closing && engine.DrainStatus().State == drain.Closing && time.Now().Before(end); {
+					time.Sleep(time.Millisecond)
+				}
+			case 5:
+				if rapid.IntRange(0, 9).Draw(rt, "end") == 0 {
+					err := ctl.start(drain.Order{For: time.Minute, Final: true, Who: "program"})
+					if over := was.State.Over(); (err == nil) == (over || final) {
+						rt.Fatalf("the end in %+v: %v", was, err)
+					}
+					draining, final = true, true
+				}
+			}
+			if ready := engine.Phase() == router.Serving; ready == draining {
+				rt.Fatalf("ready %v while draining %v: %+v", ready, draining, engine.DrainStatus())
+			}
+			if s := engine.DrainStatus(); (s.State == drain.Serving) == draining || s.Final != final {
+				rt.Fatalf("draining %v, final %v: %+v", draining, final, s)
+			}
+		}
+	})
+}
+
 // A request that came before the drain and is answered after connections were parted from: its connection ends with
 // it. The node stays, says no, and serves again at once when it is told, however often.
 func TestStandby(t *testing.T) {
--- a/router/drain.go
+++ b/router/drain.go
@@ -119,7 +119,7 @@
 	if !run.isDone() {
 		close(run.done)
 	}
-	r.loop.send(resume{}) // ahead of any request that comes from now on
+	r.loop.drained.Store(false) // the loop may be busy, and who takes a drain back waits for nobody
 	for _, p := range []Phase{Leaving, Closing, Drained} {
 		r.phase.CompareAndSwap(uint32(p), uint32(Serving))
 	}
@@ -244,6 +244,7 @@
 		r.endIntake(u, s)
 	case drain.Drained, drain.Forced:
 		r.endIntake(u, s)
+		r.loop.drained.Store(true)
 		r.advance(Drained)
 		if u.stop != nil {
 			u.stop()
--- a/router/loop.go
+++ b/router/loop.go
@@ -63,7 +63,7 @@
 
 	requests map[string]*request
 	used     ids
-	drained  bool         // nothing is taken any more
+	drained  atomic.Bool  // nothing is taken, until the drain is taken back
 	owed     int          // requests without their answer
 	open     atomic.Int64 // the same, for others to read
 	timers   timers
@@ -133,8 +133,7 @@
 		reply  chan error
 	}
 	statsQuery struct{ reply chan Stats }
-	finish     struct{ of *runner } // answer what is still open, and take nothing more until the drain is taken back
-	resume     struct{}             // take what comes again
+	finish     struct{ of *runner } // answer what is still open, unless the drain was taken back
 	levelOrder struct {
 		do    func(*service, policy.Time) error
 		reply chan error
@@ -363,11 +362,8 @@
 		}
 	case finish:
 		if !e.of.back.Load() {
-			l.drained = true
 			l.finish()
 		}
-	case resume:
-		l.drained = false
 	}
 }
 
@@ -414,7 +410,7 @@
 		l.reply(c, Answer{Outcome: Conflict})
 		return
 	}
-	if l.drained || l.owed >= l.config.maxOpen() {
+	if l.drained.Load() || l.owed >= l.config.maxOpen() {
 		l.reply(c, Answer{Outcome: Overloaded, RetryAfter: ownRetryAfter})
 		return
 	}
