--- a/internal/node/drains_test.go
+++ b/internal/node/drains_test.go
@@ -287,6 +287,18 @@
 				w.order(http.MethodDelete, "/servers/"+id+"/drain", nil)
 			}
 		}
+		if rng.IntN(3) == 0 { // by the console, and back from wherever it has come
+			if code := w.put("/standby"); code != http.StatusOK {
+				t.Errorf("standby: %d", code)
+			}
+			nap(0, 2000)
+			how := "standby and back from " + w.drainState()
+			if code := w.put("/active"); code != http.StatusOK || !w.ready() {
+				t.Errorf("%s: %d, or not ready", how, code)
+			}
+			ends[how]++
+			continue
+		}
 		deadline := []string{"400ms", "1s", "3s"}[rng.IntN(3)]
 		if code, s := w.order(http.MethodPost, "/drain", DrainOrder{Deadline: deadline, Who: "a", Reason: fmt.Sprint(n)}); code != http.StatusAccepted || s.Drain.State == drain.Serving {
 			t.Fatalf("drain %d: %d %+v", n, code, s)
