An answer of unknown length holds less once it goes on; an end in the midst of standby

Once nothing of an answer is held back any more, its pump reads 16 KiB ahead of its client, not 64. TestStandby ends the process while a standby is through.

--- a/internal/node/desk_test.go
+++ b/internal/node/desk_test.go
@@ -257,6 +257,11 @@
 			t.Errorf("class %s is not counted", c.Name)
 		}
 	}
+	// An end in the midst of a standby that is through has nothing left to wait for.
+	if w.put("/standby") != http.StatusOK {
+		t.Error("standby is refused")
+	}
+	testkit.Await(t, "the node empty again", func() bool { return w.drainState() == "drained" })
 	http.DefaultClient.CloseIdleConnections()
 	stop()
 	if err := <-ended; err != nil {
--- a/transport/http1/stream.go
+++ b/transport/http1/stream.go
@@ -106,11 +106,12 @@
 	err    error // how the body ended; nil while it goes on
 	enough chan struct{}
 	told   bool // enough is closed
+	bound  int  // of held
 	ended  bool // nobody reads any more
 }
 
 func newPump(body io.Reader) *pump {
-	p := &pump{body: body, enough: make(chan struct{})}
+	p := &pump{body: body, enough: make(chan struct{}), bound: maxBody}
 	p.moved.L = &p.mu
 	return p
 }
@@ -121,14 +122,14 @@
 	for {
 		n, err := p.body.Read(buf)
 		p.mu.Lock()
-		for len(p.held) >= maxBody && !p.ended {
+		for len(p.held) >= p.bound && !p.ended {
 			p.moved.Wait()
 		}
 		p.held = append(p.held, buf[:n]...)
 		if err != nil {
 			p.err = err
 		}
-		if (err != nil || len(p.held) >= maxBody) && !p.told {
+		if (err != nil || len(p.held) >= p.bound) && !p.told {
 			p.told = true
 			close(p.enough)
 		}
@@ -249,6 +250,7 @@
 	}
 	p.mu.Lock()
 	begun := len(p.held) > 0
+	p.bound = pumpChunk // nothing is held back from now on, so there is no more to hold
 	p.mu.Unlock()
 	if !begun { // nothing of it has come: there is still a choice
 		if err := p.first(); err != nil {
