A connection that was parted from keeps to the time its client has to close

Found by reading: net/http sets its own time for the next request right after it says that a connection is idle, and so a connection parted from at that moment stayed half open for 15 s where its client did not close. The connection clamps that. TestClientThatStays fails without (it waits in vain).

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cobaltward/front/framing"
@@ -38,8 +39,9 @@
 type clientConn struct {
 	*net.TCPConn
 	owner   *clients
-	guard   framing.Guard // of who reads
-	refused int           // bytes of the line that refuses a head
+	guard   framing.Guard             // of who reads
+	refused int                       // bytes of the line that refuses a head
+	by      atomic.Pointer[time.Time] // when a client has to have closed its side; nil: it need not
 
 	// Under the owner's mutex.
 	quiet   *linked.Element // its place there; nil while a request is in it
@@ -129,7 +131,18 @@
 // leave closes our side.
 func (c *clientConn) leave() {
 	_ = c.CloseWrite() // fails only where the client was faster
-	_ = c.SetReadDeadline(time.Now().Add(partFor))
+	by := time.Now().Add(partFor)
+	c.by.Store(&by)
+	_ = c.TCPConn.SetReadDeadline(by)
+}
+
+// SetReadDeadline keeps to the time that a client has to close its side: net/http would wait for its next request as
+// long as for anybody's.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	if by := c.by.Load(); by != nil && (t.IsZero() || t.After(*by)) {
+		t = *by
+	}
+	return c.TCPConn.SetReadDeadline(t)
 }
 
 // partLocked marks the connections that can be parted from.
--- a/internal/node/progress_test.go
+++ b/internal/node/progress_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -146,6 +147,43 @@
 	}
 }
 
+// A connection that turns idle as the intake ends, and whose client does not close its side: it is given up in the time
+// for that, whatever net/http then grants a connection that waits for its next request.
+func TestClientThatStays(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newClients(ln, 4)
+	defer l.Close()
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	nc, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := nc.(*clientConn)
+	defer c.Close()
+	c.change(http.StateActive)
+	l.part() // the request is still being answered
+	c.change(http.StateIdle)
+	_ = c.SetReadDeadline(time.Now().Add(time.Hour))
+	if _, err := client.Read(make([]byte, 1)); err != io.EOF {
+		t.Fatalf("our side is open: %v", err)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.Read(make([]byte, 1))
+		ended <- err
+	}()
+	if ne := net.Error(nil); !errors.As(testkit.Receive(t, "the end of the wait", ended), &ne) || !ne.Timeout() {
+		t.Error("the wait ended otherwise")
+	}
+}
+
 // A drain that is taken back while clients come again: they are let in at once, by the same address, over old
 // connections that are open still and over new ones.
 func TestCancelledHalfWay(t *testing.T) {
