Orders of standby are written outside the lock that looks take; counts of the note set right

On a last reading: heir.order held the mutex that every look of the process takes while it wrote its file; a lock of its own keeps orders apart now. Two tests share one rig.

--- a/internal/node/heir.go
+++ b/internal/node/heir.go
@@ -39,6 +39,8 @@
 	shared  handover.Share
 	problem string
 
+	giving sync.Mutex // one order is written at a time, so that the last one stands; nothing else waits for it
+
 	mu    sync.Mutex
 	since time.Time // of the order that this process goes by
 }
@@ -93,13 +95,15 @@
 
 // order has the others follow what this process was told.
 func (h *heir) order(standby bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+	h.giving.Lock()
+	defer h.giving.Unlock()
 	o := handover.Order{At: time.Now(), Standby: standby}
+	h.mu.Lock()
+	h.since = o.At
+	h.mu.Unlock()
 	if err := h.place.Give(o); err != nil {
 		h.log.Error("succession: other processes of this node will not know of the order", "standby", standby, "err", err)
 	}
-	h.since = o.At
 }
 
 // tell logs what goes wrong, once.
--- a/internal/node/progress_test.go
+++ b/internal/node/progress_test.go
@@ -106,26 +106,31 @@
 	}
 }
 
-// Bytes that have been read, and not yet noted as a request, when a drain parts from quiet connections: the request
-// is not taken, for its answer could not go out any more.
-func TestRequestThatCrossesThePart(t *testing.T) {
+// oneClient is a listener for clients with one connection, and its two ends.
+func oneClient(t *testing.T) (*clients, net.Conn, *clientConn) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	l := newClients(ln, 4)
-	defer l.Close()
+	t.Cleanup(func() { l.Close() })
 	client, err := net.Dial("tcp", ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer client.Close()
-	nc, err := l.Accept()
+	t.Cleanup(func() { client.Close() })
+	c, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := nc.(*clientConn)
-	defer c.Close()
+	t.Cleanup(func() { c.Close() })
+	return l, client, c.(*clientConn)
+}
+
+// Bytes that have been read, and not yet noted as a request, when a drain parts from quiet connections: the request
+// is not taken, for its answer could not go out any more.
+func TestRequestThatCrossesThePart(t *testing.T) {
+	l, client, c := oneClient(t)
 	fmt.Fprint(client, "GET / HTTP/1.1\r\n")
 	testkit.Await(t, "the bytes", func() bool { return !sockets.Quiet(c.TCPConn) })
 	l.mu.Lock()
@@ -150,23 +155,7 @@
 // A connection that turns idle as the intake ends, and whose client does not close its side: it is given up in the time
 // for that, whatever net/http then grants a connection that waits for its next request.
 func TestClientThatStays(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := newClients(ln, 4)
-	defer l.Close()
-	client, err := net.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
-	nc, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	c := nc.(*clientConn)
-	defer c.Close()
+	l, client, c := oneClient(t)
 	c.change(http.StateActive)
 	l.part() // the request is still being answered
 	c.change(http.StateIdle)
