Handshakes have a decider of their own; transports speak TLS to servers

A server that fails gets nothing: the new outcome Untrusted goes elsewhere and blames no load.

Nothing configures it yet.

--- /dev/null
+++ b/handshakes/handshakes_test.go
@@ -0,0 +1,193 @@
+package handshakes
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever comes and goes, no bound is passed, nobody waits where there is room, and who came first goes first.
+func TestGateKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := Limits{AtOnce: rapid.IntRange(1, 6).Draw(t, "all"), PerServer: rapid.IntRange(1, 3).Draw(t, "each"), PerCold: 1, Waiting: rapid.IntRange(1, 8).Draw(t, "waiting")}
+		g := NewGate(l)
+		var going, waiting []*Turn
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			if all := append(slices.Clone(going), waiting...); len(all) > 0 && rapid.Bool().Draw(t, "leave") {
+				x := rapid.SampledFrom(all).Draw(t, "who")
+				now := g.Left(x)
+				if g.Left(x) != nil {
+					t.Fatal("a turn was given back twice")
+				}
+				same := func(y *Turn) bool { return x == y }
+				going, waiting = slices.DeleteFunc(going, same), slices.DeleteFunc(waiting, same)
+				for _, n := range now {
+					if i := slices.Index(waiting, n); i < 0 || slices.ContainsFunc(waiting[:i], func(w *Turn) bool { return w.Server == n.Server && w.Cold == n.Cold }) {
+						t.Fatal("a turn out of order")
+					}
+					waiting = slices.DeleteFunc(waiting, func(y *Turn) bool { return n == y })
+					going = append(going, n)
+				}
+			} else {
+				s := rapid.IntRange(0, 3).Draw(t, "server")
+				x := &Turn{Server: fmt.Sprint(s), Cold: s == 0, Spare: rapid.Bool().Draw(t, "spare")}
+				switch g.Ask(x) {
+				case Begin:
+					if x.Spare && len(waiting) > 0 {
+						t.Fatal("what nobody waits for went ahead of who waits")
+					}
+					going = append(going, x)
+				case Wait:
+					if x.Spare {
+						t.Fatal("what nobody waits for waits")
+					}
+					waiting = append(waiting, x)
+				}
+			}
+			out := make(map[string]int)
+			for _, x := range going {
+				out[x.Server]++
+			}
+			most := func(x *Turn) int {
+				if x.Cold {
+					return 1
+				}
+				return l.PerServer
+			}
+			for _, x := range going {
+				if out[x.Server] > most(x) {
+					t.Fatalf("%d towards one server", out[x.Server])
+				}
+			}
+			if n, w := g.Going(); n != len(going) || n > l.AtOnce || w != len(waiting) || w > l.Waiting {
+				t.Fatalf("%d going and %d waiting of %d and %d", n, w, len(going), len(waiting))
+			}
+			for _, x := range waiting {
+				if len(going) < l.AtOnce && out[x.Server] < most(x) {
+					t.Fatal("somebody waits though there is room")
+				}
+			}
+		}
+	})
+}
+
+// While requests are in flight, arithmetic has its share of the time and no more; else it has all of it.
+func TestPaceKeepsToItsShare(t *testing.T) {
+	for _, c := range []struct {
+		inFlight bool
+		least    time.Duration // until 100 pieces of 2 ms are done, at a share of a quarter
+		most     time.Duration
+	}{{true, 790 * time.Millisecond, 810 * time.Millisecond}, {false, 200 * time.Millisecond, 200 * time.Millisecond}} {
+		p := NewPace(0.25, 1)
+		now := time.Duration(0)
+		for range 100 {
+			wait, ok := p.Begin(now, c.inFlight)
+			if !ok {
+				now += wait
+				if _, ok = p.Begin(now, c.inFlight); !ok {
+					t.Fatal("it has to wait for longer than it was told")
+				}
+			}
+			if _, ok := p.Begin(now, c.inFlight); ok {
+				t.Fatal("two pieces at once on one core")
+			}
+			now += 2 * time.Millisecond
+			p.End(now, 2*time.Millisecond)
+		}
+		if now < c.least || now > c.most {
+			t.Errorf("requests in flight %v: %v", c.inFlight, now)
+		}
+	}
+	p := NewPace(0.01, 1)
+	_, _ = p.Begin(0, true)
+	p.End(time.Second, time.Second)
+	if wait, _ := p.Begin(time.Second, true); wait > mostRest {
+		t.Errorf("a host that kept the process from running holds handshakes up for %v", wait)
+	}
+}
+
+// However many servers are wrong, and for how long: few are looked at together, each again within seconds, and none
+// sooner than its schedule has it.
+func TestRefusedAreLookedAtByASchedule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r, n := NewRefused(), rapid.IntRange(1, 40).Draw(t, "servers")
+		last := make(map[string]time.Duration)
+		for i := range n {
+			id := fmt.Sprint("s", i)
+			if !r.Fail(0, id, "expired") || r.Fail(0, id, "expired") {
+				t.Fatal("the first failure, and it alone, is the first")
+			}
+			last[id] = 0
+		}
+		looks := make(map[string]int)
+		for now := time.Duration(0); now < time.Minute; now += 50 * time.Millisecond {
+			due := r.Due(now)
+			if len(due) > MostLooks {
+				t.Fatalf("%d at once", len(due))
+			}
+			for _, id := range due {
+				least := spread(id, min(mostLook, firstLook<<looks[id]))
+				if gap := now - last[id]; gap < least || gap > least+time.Second+time.Duration(n)*50*time.Millisecond {
+					t.Fatalf("look %d at %s after %v, want about %v", looks[id], id, gap, least)
+				}
+				looks[id]++
+				last[id] = now
+				r.Fail(now, id, "expired")
+			}
+		}
+		r.Again(time.Minute)
+		seen := make(map[string]bool)
+		for now := time.Minute; now < time.Minute+3*time.Second; now += 50 * time.Millisecond {
+			for _, id := range r.Due(now) {
+				if seen[id] = true; !r.Proved(id) {
+					t.Fatal("it was not refused")
+				}
+			}
+		}
+		if len(seen) != n || len(r.List()) != 0 {
+			t.Fatalf("%d of %d were looked at once trust had changed", len(seen), n)
+		}
+		if _, is := r.Is("s0"); is || r.Proved("s0") {
+			t.Fatal("a server that has proved who it is, is refused")
+		}
+	})
+}
+
+// Connections are made ahead only to servers that will need them, and never into the room that requests need.
+func TestWarm(t *testing.T) {
+	now := time.Minute
+	asked := Pooled{Asked: true, Last: now - time.Second}
+	with := func(id string, change func(*Pooled)) Pooled {
+		p := asked
+		p.Server = id
+		change(&p)
+		return p
+	}
+	pools := []Pooled{
+		with("a", func(*Pooled) {}), with("b", func(p *Pooled) { p.Last = now }), with("idle", func(p *Pooled) { p.Idle = 1 }),
+		with("never", func(p *Pooled) { p.Asked = false }), with("long ago", func(p *Pooled) { p.Last = now - wantedFor }),
+		with("closed", func(p *Pooled) { p.Closed = true }), with("opening", func(p *Pooled) { p.Opening = 1 }),
+	}
+	if got := Warm(now, pools, 0, 100); !slices.Equal(got, []string{"b", "a"}) {
+		t.Errorf("got %v", got)
+	}
+	if got := Warm(now, pools, 50, 100); got != nil {
+		t.Errorf("with half of the room taken: %v", got)
+	}
+	early := 0
+	for i := range 100 {
+		id := fmt.Sprint("s", i)
+		if Renew(id, renewOver/2) {
+			early++
+		}
+		if !Renew(id, renewOver) {
+			t.Errorf("%s is never renewed", id)
+		}
+	}
+	if early < 30 || early > 70 {
+		t.Errorf("%d of 100 are renewed in the first half", early)
+	}
+}
--- a/keys/store.go
+++ b/keys/store.go
@@ -26,6 +26,7 @@
 	Trust  []*x509.Certificate
 	Pool   *x509.CertPool // of Trust; nil where none is told
 	Digest string         // of the trust: sessions that were verified under another are not resumed
+	Own    string         // of the pairs: sessions in which another was shown are not resumed
 
 	byName map[string]*Pair
 }
@@ -58,6 +59,11 @@
 			}
 		}
 	}
+	own := sha256.New()
+	for _, p := range s.Pairs {
+		own.Write(p.Leaf.Raw)
+	}
+	s.Own = hex.EncodeToString(own.Sum(nil))
 	if from.Trust != "" {
 		var err error
 		if s.Trust, err = LoadTrust(from.Trust, now); err != nil {
--- a/policy/api.go
+++ b/policy/api.go
@@ -184,10 +184,11 @@
 	Reset
 	Cancelled
 	Moot
+	Untrusted // the server could not prove who it is, so nothing was sent
 )
 
 // NotRun reports whether the code proves that the request never ran.
-func (c Code) NotRun() bool { return c == Full || c == ConnectFailed || c == Moot }
+func (c Code) NotRun() bool { return c == Full || c == ConnectFailed || c == Moot || c == Untrusted }
 
 // Outcome is the end of one attempt. Ended tells that the request has its final answer.
 type Outcome struct {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -803,7 +803,7 @@
 		s.health.trialOut = false
 	}
 	switch e.Code {
-	case Moot:
+	case Moot, Untrusted:
 		return
 	case Cancelled:
 		if !a.trial { // our own doing; but a trial that a second copy had to stand in for has failed
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -20,6 +20,7 @@
 	"cobaltward/policy"
 	"cobaltward/router"
 	"cobaltward/transport/outcome"
+	"cobaltward/transport/secure"
 	"cobaltward/transport/servers"
 )
 
@@ -39,6 +40,7 @@
 )
 
 var (
+	errReady     = errors.New("a connection has come to be idle")
 	errUnknown   = errors.New("not in the list")
 	errDrained   = errors.New("the server drains")
 	errNoSockets = errors.New("no descriptor is left for another connection")
@@ -50,6 +52,7 @@
 type Config struct {
 	MaxConns       int           // connections to all servers together, idle ones too; 0: DefaultMaxConns
 	ConnectTimeout time.Duration // for a new connection; 0: DefaultConnectTimeout
+	Secure         *secure.Layer // says who is spoken to by TLS; nil: nobody. The transport does not close it
 }
 
 // Transport makes attempts over connections that it holds itself. It reads with net/http's own
@@ -58,6 +61,7 @@
 // one's. Its methods may be called at once from many goroutines.
 type Transport struct {
 	dialer  net.Dialer
+	secure  *secure.Layer
 	readers sync.Pool // of *bufio.Reader
 	writers sync.Pool // of *bytes.Buffer
 	stop    chan struct{}
@@ -65,7 +69,7 @@
 	written atomic.Uint64 // attempts, whole
 
 	mu      sync.Mutex
-	pools   servers.Table[[]*conn]
+	pools   servers.Table[held]
 	open    int           // connections, those being made among them
 	most    int           // that may be open
 	idleFor time.Duration // an idle connection is dropped after this
@@ -85,12 +89,17 @@
 		c.ConnectTimeout = DefaultConnectTimeout
 	}
 	t := &Transport{
-		dialer: net.Dialer{Timeout: c.ConnectTimeout, KeepAlive: -1},
-		most:   c.MaxConns, idleFor: defaultConnIdle / 2, stop: make(chan struct{}),
+		dialer: net.Dialer{Timeout: c.ConnectTimeout, KeepAlive: -1}, secure: c.Secure,
+		most: c.MaxConns, idleFor: defaultConnIdle / 2, stop: make(chan struct{}),
 		readers: sync.Pool{New: func() any { return bufio.NewReader(nil) }},
 		writers: sync.Pool{New: func() any { return new(bytes.Buffer) }},
 	}
-	t.pools = servers.New(func(p *pool) { t.trim(p, len(p.Pool)) })
+	t.pools = servers.New(func(p *pool) {
+		t.trim(p, len(p.Pool.idle))
+		if t.secure != nil {
+			t.secure.Forget(p.ID)
+		}
+	})
 	t.swept.Go(func() {
 		tick := time.NewTicker(sweepEvery)
 		defer tick.Stop()
@@ -103,6 +112,9 @@
 			}
 		}
 	})
+	if t.secure != nil {
+		t.swept.Go(t.warm)
+	}
 	return t
 }
 
@@ -120,28 +132,74 @@
 	u.report = s.Report
 }
 
-// pool is one process of one server with its idle connections, the last used at the end.
-type pool = servers.Server[[]*conn]
+// pool is one process of one server with what is held for it.
+type pool = servers.Server[held]
+
+// held is the idle connections of a server, the last used at the end.
+type held struct {
+	idle    []*conn
+	asked   time.Time // when a request last wanted one
+	opening int       // connections that are made ahead
+}
 
+// conn is a connection to a server. It has no more methods of TCP's than it names: some would go past TLS.
 type conn struct {
-	*net.TCPConn
-	pool *pool
-	used time.Time
+	tcp    *net.TCPConn
+	secure *secure.Conn // nil: without TLS
+	pool   *pool
+	used   time.Time
+}
+
+func (c *conn) Read(p []byte) (int, error) {
+	if c.secure != nil {
+		return c.secure.Read(p)
+	}
+	return c.tcp.Read(p)
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	if c.secure != nil {
+		return c.secure.Write(p)
+	}
+	return c.tcp.Write(p)
+}
+
+func (c *conn) Close() error                       { return c.tcp.Close() }
+func (c *conn) SetReadDeadline(t time.Time) error  { return c.tcp.SetReadDeadline(t) }
+func (c *conn) SetWriteDeadline(t time.Time) error { return c.tcp.SetWriteDeadline(t) }
+
+// quiet tells whether the connection is open and nothing is there to be read. Nobody else may be reading.
+func (c *conn) quiet() bool {
+	if c.secure != nil {
+		return c.secure.Quiet()
+	}
+	return sockets.Quiet(c.tcp)
 }
 
+// trusted tells whether the server has proved who it is, as things stand now.
+func (c *conn) trusted(now time.Time) bool { return c.secure == nil || c.secure.Usable(now) }
+
 // Update follows the list.
 func (u *Transport) Update(c router.Change) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.pools.Update(c)
+	if u.secure == nil {
+		return
+	}
+	for i := range c.Members {
+		if p := u.pools.Get(c.Members[i].ID); p != nil {
+			u.secure.Know(p.Member)
+		}
+	}
 }
 
 // trim closes the n connections of p that were idle longest.
 func (u *Transport) trim(p *pool, n int) {
-	for _, c := range p.Pool[:n] {
+	for _, c := range p.Pool.idle[:n] {
 		c.Close()
 	}
-	p.Pool = append([]*conn(nil), p.Pool[n:]...)
+	p.Pool.idle = append([]*conn(nil), p.Pool.idle[n:]...)
 	u.open -= n
 }
 
@@ -150,7 +208,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if p := u.pools.Get(id); p != nil {
-		u.trim(p, len(p.Pool))
+		u.trim(p, len(p.Pool.idle))
 	}
 }
 
@@ -177,15 +235,15 @@
 	defer u.mu.Unlock()
 	for _, p := range u.pools.All() {
 		var kept []*conn
-		for _, c := range p.Pool {
-			if now.Sub(c.used) < u.idleFor && sockets.Quiet(c.TCPConn) {
+		for _, c := range p.Pool.idle {
+			if now.Sub(c.used) < u.idleFor && c.trusted(now) && c.quiet() {
 				kept = append(kept, c)
 				continue
 			}
 			c.Close()
 			u.open--
 		}
-		p.Pool = kept
+		p.Pool.idle = kept
 	}
 }
 
@@ -204,24 +262,79 @@
 
 // acquire takes an idle connection to the server, or makes one.
 func (u *Transport) acquire(ctx context.Context, id string) (*conn, error) {
-	p, c, err := u.reserve(id)
+	p, c, err := u.reserve(id, true)
 	if c != nil || err != nil {
 		return c, err
 	}
-	tcp, err := u.dialer.DialContext(ctx, "tcp", p.Addr)
-	if err != nil {
+	if c, err = u.connect(ctx, p, true); err != nil {
 		u.unreserve()
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) || errors.Is(err, secure.ErrBusy) {
 			return nil, errNoSockets
 		}
 		return nil, err
 	}
-	return &conn{TCPConn: tcp.(*net.TCPConn), pool: p}, nil
+	return c, nil
+}
+
+// connect makes a connection; urgent says that a request waits for it.
+func (u *Transport) connect(ctx context.Context, p *pool, urgent bool) (*conn, error) {
+	var ready *conn
+	dial := func() (*net.TCPConn, error) {
+		if ready = u.meanwhile(p, urgent); ready != nil {
+			return nil, errReady
+		}
+		tcp, err := u.dialer.DialContext(ctx, "tcp", p.Addr)
+		if err != nil {
+			return nil, err
+		}
+		return tcp.(*net.TCPConn), nil
+	}
+	c := &conn{pool: p}
+	var err error
+	if m := u.member(p); u.secure == nil || !u.secure.For(&m) {
+		c.tcp, err = dial()
+	} else if err = u.secure.Refused(&m); err == nil {
+		if c.secure, err = u.secure.Shake(ctx, &m, urgent, dial); err == nil {
+			c.tcp = c.secure.TCP()
+		}
+	}
+	switch {
+	case ready != nil:
+		return ready, nil
+	case err != nil:
+		return nil, err
+	}
+	return c, nil
+}
+
+// meanwhile takes a connection that came to be idle while a request waited for the turn of its handshake, in place of
+// the one that was counted for it.
+func (u *Transport) meanwhile(p *pool, urgent bool) *conn {
+	if u.secure == nil || !urgent {
+		return nil
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.pools.Get(p.ID) != p {
+		return nil
+	}
+	c := u.take(p, time.Now())
+	if c != nil {
+		u.open--
+	}
+	return c
+}
+
+// member is what the list says of a server.
+func (u *Transport) member(p *pool) router.Member {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return p.Member
 }
 
 // reserve returns the idle connection last used of those that have rested, or counts one that the
-// caller is to make.
-func (u *Transport) reserve(id string) (*pool, *conn, error) {
+// caller is to make. asked says that a request wants it.
+func (u *Transport) reserve(id string, asked bool) (*pool, *conn, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	p := u.pools.Get(id)
@@ -229,26 +342,37 @@
 		return nil, nil, errUnknown
 	}
 	now := time.Now()
-	for i := len(p.Pool) - 1; i >= 0; i-- {
-		c := p.Pool[i]
+	if asked {
+		p.Pool.asked = now
+	}
+	if c := u.take(p, now); c != nil {
+		return p, c, nil
+	}
+	if u.open >= u.most && !u.evict() {
+		return nil, nil, errNoSockets
+	}
+	u.open++
+	return p, nil, nil
+}
+
+// take takes the idle connection last used of those that have rested; nil where there is none.
+func (u *Transport) take(p *pool, now time.Time) *conn {
+	for i := len(p.Pool.idle) - 1; i >= 0; i-- {
+		c := p.Pool.idle[i]
 		idle := now.Sub(c.used)
 		if idle < restFor {
 			continue
 		}
-		last := len(p.Pool) - 1
-		copy(p.Pool[i:], p.Pool[i+1:])
-		p.Pool[last], p.Pool = nil, p.Pool[:last]
-		if idle < u.idleFor && sockets.Quiet(c.TCPConn) {
-			return p, c, nil
+		last := len(p.Pool.idle) - 1
+		copy(p.Pool.idle[i:], p.Pool.idle[i+1:])
+		p.Pool.idle[last], p.Pool.idle = nil, p.Pool.idle[:last]
+		if idle < u.idleFor && c.trusted(now) && c.quiet() {
+			return c
 		}
 		c.Close()
 		u.open--
 	}
-	if u.open >= u.most && !u.evict() {
-		return nil, nil, errNoSockets
-	}
-	u.open++
-	return p, nil, nil
+	return nil
 }
 
 func (u *Transport) unreserve() {
@@ -261,7 +385,7 @@
 func (u *Transport) evict() bool {
 	var oldest *pool
 	for _, p := range u.pools.All() {
-		if len(p.Pool) > 0 && (oldest == nil || p.Pool[0].used.Before(oldest.Pool[0].used)) {
+		if len(p.Pool.idle) > 0 && (oldest == nil || p.Pool.idle[0].used.Before(oldest.Pool.idle[0].used)) {
 			oldest = p
 		}
 	}
@@ -278,7 +402,7 @@
 	defer u.mu.Unlock()
 	if reusable && u.pools.Get(id) == c.pool {
 		c.used = time.Now()
-		c.pool.Pool = append(c.pool.Pool, c)
+		c.pool.Pool.idle = append(c.pool.Pool.idle, c)
 		return
 	}
 	c.Close()
@@ -292,6 +416,8 @@
 	switch {
 	case errors.Is(err, errNoSockets) && ctx.Err() == nil:
 		return router.Result{Code: policy.Moot} // nothing was sent, and the server is not to blame
+	case errors.As(err, new(*secure.Untrusted)) && ctx.Err() == nil:
+		return router.Result{Code: policy.Untrusted}
 	case err != nil:
 		return router.Result{Code: broken(ctx, err, false)}
 	}
@@ -329,6 +455,9 @@
 	if err := u.late(ctx, c.pool); err != nil {
 		return router.Result{Code: broken(ctx, err, false)}, errors.Is(err, errDrained)
 	}
+	if !c.trusted(time.Now()) {
+		return router.Result{Code: policy.Untrusted}, false
+	}
 	if r.Upload != nil {
 		if result, ok := u.upload(ctx, c, out, r); !ok {
 			return result, false
--- a/transport/http1/http1_test.go
+++ b/transport/http1/http1_test.go
@@ -66,7 +66,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if p := u.pools.Get(id); p != nil {
-		idle = len(p.Pool)
+		idle = len(p.Pool.idle)
 	}
 	return u.open, idle
 }
@@ -190,7 +190,7 @@
 		t.Fatal(err)
 	}
 	p := u.pools.Get("s0")
-	p.Pool, u.open = []*conn{{TCPConn: tcp.(*net.TCPConn), pool: p, used: time.Now().Add(-time.Second)}}, 1
+	p.Pool.idle, u.open = []*conn{{tcp: tcp.(*net.TCPConn), pool: p, used: time.Now().Add(-time.Second)}}, 1
 	if r := ended(t, u, testRequest(http.MethodPost, "r1", "body")); r.Code != policy.ConnectFailed {
 		t.Errorf("code %v, want could not connect", r.Code)
 	}
@@ -299,8 +299,8 @@
 	testkit.Await(t, "the close to be noticed", func() bool {
 		u.mu.Lock()
 		defer u.mu.Unlock()
-		idle := u.pools.Get("s0").Pool
-		return len(idle) == 0 || !sockets.Quiet(u.pools.Get("s0").Pool[0].TCPConn)
+		idle := u.pools.Get("s0").Pool.idle
+		return len(idle) == 0 || !sockets.Quiet(u.pools.Get("s0").Pool.idle[0].tcp)
 	})
 	if r := ended(t, u, testRequest(http.MethodGet, "r2", "")); r.Code != policy.OK {
 		t.Errorf("code %v", r.Code)
@@ -391,7 +391,7 @@
 		testkit.Await(t, "what nobody asked for", func() bool {
 			u.mu.Lock()
 			defer u.mu.Unlock()
-			return !sockets.Quiet(u.pools.Get("s0").Pool[0].TCPConn)
+			return !sockets.Quiet(u.pools.Get("s0").Pool.idle[0].tcp)
 		})
 		time.Sleep(2 * restFor)
 		if r := ended(t, u, testRequest(http.MethodGet, "r2", "")); string(r.Answer.Body) != "2" {
--- a/transport/http1/stream.go
+++ b/transport/http1/stream.go
@@ -222,7 +222,7 @@
 	if _, err := in.Peek(1); err != nil { // not a byte of it has come: there is still a choice
 		return nil, spoilt(err, false)
 	}
-	_ = c.SetReadBuffer(streamBuffer) // else the system takes in megabytes for who reads slowly
+	_ = c.tcp.SetReadBuffer(streamBuffer) // else the system takes in megabytes for who reads slowly
 	return &stream{u: u, c: c, server: server, in: in, body: &exactly{in, int64(h.length)}, length: int64(h.length), closes: h.closes}, nil
 }
 
@@ -258,7 +258,7 @@
 			return nil, nil, err
 		}
 	}
-	_ = c.SetReadBuffer(streamBuffer)
+	_ = c.tcp.SetReadBuffer(streamBuffer)
 	return nil, &pumped{stream: &stream{u: u, c: c, server: server, in: in, body: p, length: resp.ContentLength, closes: resp.Close}, p: p, over: over}, nil
 }
 
--- a/transport/http1/upload.go
+++ b/transport/http1/upload.go
@@ -11,7 +11,6 @@
 	"sync"
 	"time"
 
-	"cobaltward/internal/sockets"
 	"cobaltward/policy"
 	"cobaltward/router"
 )
@@ -43,7 +42,7 @@
 		if left -= int64(n); left == 0 && n == 0 {
 			return router.Result{}, true // its last byte is written already, and the answer may be there
 		}
-		if !sockets.Quiet(c.TCPConn) { // the server has seen enough
+		if !c.quiet() { // the server has seen enough
 			return u.early(ctx, c, errRequest), false
 		}
 		end := errors.Is(err, io.EOF) || !chunked && left == 0
--- /dev/null
+++ b/transport/http1/warm.go
@@ -0,0 +1,70 @@
+package http1
+
+import (
+	"context"
+	"time"
+
+	"cobaltward/handshakes"
+	"cobaltward/policy"
+)
+
+// warmEvery is how often connections are made ahead of requests.
+const warmEvery = 100 * time.Millisecond
+
+// warm makes connections to servers that will soon need them, where a request would have to wait for a handshake.
+func (u *Transport) warm() {
+	from := time.Now()
+	tick := time.NewTicker(warmEvery)
+	defer tick.Stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for {
+		select {
+		case <-tick.C:
+		case <-u.stop:
+			return
+		}
+		for _, id := range u.cold(from) {
+			p, c, err := u.reserve(id, false)
+			if err != nil {
+				continue
+			}
+			if c != nil { // one has come back meanwhile
+				u.release(c, id, true)
+				continue
+			}
+			u.mu.Lock()
+			p.Pool.opening++
+			u.mu.Unlock()
+			u.swept.Go(func() { u.ahead(ctx, p, id) })
+		}
+	}
+}
+
+// ahead makes one connection that nobody waits for.
+func (u *Transport) ahead(ctx context.Context, p *pool, id string) {
+	c, err := u.connect(ctx, p, false)
+	u.mu.Lock()
+	p.Pool.opening--
+	u.mu.Unlock()
+	if err != nil {
+		u.unreserve()
+		return
+	}
+	u.release(c, id, true)
+}
+
+// cold is the servers to which a connection is to be made.
+func (u *Transport) cold(from time.Time) []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	pools := make([]handshakes.Pooled, 0, len(u.pools.All()))
+	for id, p := range u.pools.All() {
+		if !u.secure.For(&p.Member) {
+			continue
+		}
+		pools = append(pools, handshakes.Pooled{Server: id, Idle: len(p.Pool.idle), Last: p.Pool.asked.Sub(from), Asked: !p.Pool.asked.IsZero(),
+			Closed: p.State != policy.Running || u.secure.Refused(&p.Member) != nil, Opening: p.Pool.opening})
+	}
+	return handshakes.Warm(time.Since(from), pools, u.open, u.most)
+}
--- /dev/null
+++ b/transport/secure/stats.go
@@ -0,0 +1,130 @@
+package secure
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"cobaltward/handshakes"
+	"cobaltward/keys"
+)
+
+// Bounds of the histogram of handshakes, each the most that its count holds; the last count is of what took longer.
+var Bounds = []time.Duration{time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
+	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second}
+
+// Kind is the figures of full handshakes, or of those that took a session up again.
+type Kind struct {
+	Count  uint64        `json:"count"`
+	Time   time.Duration `json:"time_ns"` // of all together, the waiting for the server and for the core among it
+	Worked time.Duration `json:"work_ns"` // that the arithmetic here took
+	Within []uint64      `json:"within"`  // by Bounds
+}
+
+// Add notes one handshake.
+func (k *Kind) Add(took, worked time.Duration) {
+	if k.Within == nil {
+		k.Within = make([]uint64, len(Bounds)+1)
+	}
+	k.Count++
+	k.Time += took
+	k.Worked += worked
+	i, _ := slices.BinarySearch(Bounds, took)
+	k.Within[i]++
+}
+
+func (k Kind) clone() Kind {
+	k.Within = slices.Clone(k.Within)
+	return k
+}
+
+// counts are under the layer's mutex.
+type counts struct {
+	full, resumed Kind
+	busy, waited  uint64
+	failures      map[string]uint64
+}
+
+func newCounts() counts { return counts{failures: make(map[string]uint64)} }
+
+func (c *counts) failed(why string) { c.failures[why]++ } // of few reasons
+
+func (c *counts) shaken(resumed bool, took, worked time.Duration) {
+	if resumed {
+		c.resumed.Add(took, worked)
+	} else {
+		c.full.Add(took, worked)
+	}
+}
+
+// Peer is what a server showed last.
+type Peer struct {
+	Server string    `json:"server"`
+	Serial string    `json:"serial,omitempty"`
+	Ends   time.Time `json:"ends,omitzero"`
+	Why    string    `json:"refused,omitempty"` // why it gets nothing
+	Looks  int       `json:"looks,omitempty"`
+	ForMs  int64     `json:"refused_for_ms,omitempty"`
+}
+
+// Stats is how the layer stands.
+type Stats struct {
+	Full     Kind              `json:"full"`
+	Resumed  Kind              `json:"resumed"`
+	Failures map[string]uint64 `json:"failures,omitempty"` // by reason
+	Going    int               `json:"going"`              // handshakes
+	Waiting  int               `json:"waiting"`
+	Waited   uint64            `json:"waited"`      // handshakes that had to
+	Busy     uint64            `json:"turned_away"` // since too many waited
+	Sessions int               `json:"sessions"`    // kept
+	Refused  int               `json:"refused"`     // servers that get nothing
+	Peers    []Peer            `json:"peers,omitempty"`
+}
+
+// Reuse is the part of the handshakes that took a session up again.
+func (s Stats) Reuse() float64 {
+	if s.Full.Count+s.Resumed.Count == 0 {
+		return 0
+	}
+	return float64(s.Resumed.Count) / float64(s.Full.Count+s.Resumed.Count)
+}
+
+// Stats tells how the layer stands, with every server that was spoken to.
+func (l *Layer) Stats() Stats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := Stats{Full: l.stats.full.clone(), Resumed: l.stats.resumed.clone(), Failures: maps.Clone(l.stats.failures), Busy: l.stats.busy, Waited: l.stats.waited}
+	s.Going, s.Waiting = l.gate.Going()
+	why := make(map[string]handshakes.Refusal)
+	for _, r := range l.refused.List() {
+		why[r.Server] = r
+	}
+	s.Refused = len(why)
+	for id, p := range l.peers {
+		x := Peer{Server: id, Serial: p.shown, Ends: p.ends}
+		if r, ok := why[id]; ok {
+			x.Why, x.Looks, x.ForMs = r.Why, r.Looks, (l.now() - r.Since).Milliseconds()
+		}
+		p.kept.mu.Lock()
+		if p.kept.session != nil {
+			s.Sessions++
+		}
+		p.kept.mu.Unlock()
+		s.Peers = append(s.Peers, x)
+	}
+	slices.SortFunc(s.Peers, func(a, b Peer) int { return cmp.Compare(a.Server, b.Server) })
+	return s
+}
+
+// Stores are all that the rules go by, each once.
+func (l *Layer) Stores() (all []*keys.Store) {
+	for i := range l.c.Rules {
+		for _, s := range []*keys.Store{l.c.Rules[i].Trust, l.c.Rules[i].Own} {
+			if s != nil && !slices.Contains(all, s) {
+				all = append(all, s)
+			}
+		}
+	}
+	return all
+}
