A node speaks TLS on both sides and at its door, with keys that change while it runs

Files are watched, read once they are quiet, and swapped whole; a bad state of them is one line, and the former keys go on. Handshakes with clients are made by whoever reads a connection, so the listener waits for none; their arithmetic has the core in turn. Ticket keys may come from a file that nodes share. A server that can't prove who it is drains for this node alone.

--- a/handshakes/refused.go
+++ b/handshakes/refused.go
@@ -14,7 +14,7 @@
 	allOver   = time.Second            // in which all are looked at again once what is trusted has changed
 	// MostLooks is how many servers are looked at at once.
 	MostLooks = 4
-	// MostRefused bounds the servers that are kept. One more is refused all the same, by its next handshake.
+	// MostRefused bounds the servers that are kept. One more fails each time by its handshake.
 	MostRefused = 10_000
 )
 
@@ -52,7 +52,7 @@
 	x := r.all[server]
 	if x == nil {
 		if len(r.all) >= MostRefused {
-			return true
+			return false
 		}
 		x = &Refusal{Server: server, Since: now}
 		r.all[server] = x
--- a/internal/cli/ctl.go
+++ b/internal/cli/ctl.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -23,6 +24,7 @@
 	"cobaltward/internal/door"
 	"cobaltward/internal/node"
 	"cobaltward/internal/operator"
+	"cobaltward/keys"
 	"cobaltward/router"
 )
 
@@ -54,6 +56,7 @@
 type ctl struct {
 	own             *string // the operator's own file
 	at, token, file string
+	ca, name        string // for a door by TLS
 }
 
 func ctlCommand(own *string) *cobra.Command {
@@ -67,6 +70,8 @@
 	}
 	c.PersistentFlags().StringVar(&t.at, "door", os.Getenv("WAYHOLD_DOOR"), "the node's socket, or IP:port; else as --config says; WAYHOLD_DOOR names it too")
 	c.PersistentFlags().StringVar(&t.file, "token-file", "", "the token for IP:port; else as --config says")
+	c.PersistentFlags().StringVar(&t.ca, "ca", "", "authorities of a door that takes TLS, as PEM")
+	c.PersistentFlags().StringVar(&t.name, "name", "", "that its certificate is for; else its address")
 	var asJSON bool
 	status := &cobra.Command{Use: "status", Short: "Print how the node stands", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 		var s node.Status
@@ -183,10 +188,26 @@
 			return nil, "", err
 		}
 	}
-	c, base := door.Dial(at, secret)
+	conf, err := t.tls()
+	if err != nil {
+		return nil, "", err
+	}
+	c, base := door.Dial(at, secret, conf)
 	return c, base, nil
 }
 
+// tls is how a door by TLS is spoken to; nil: without.
+func (t *ctl) tls() (*tls.Config, error) {
+	if t.ca == "" {
+		return nil, nil
+	}
+	set, err := keys.Load(keys.Sources{Trust: t.ca}, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{RootCAs: set.Pool, ServerName: t.name, MinVersion: tls.VersionTLS13}, nil
+}
+
 // call asks the door, and reads its answer.
 func (t *ctl) call(method, path string, body, to any) ([]byte, error) {
 	c, base, err := t.dial()
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strings"
 	"syscall"
+	"time"
 
 	"cobaltward/internal/console"
 	"cobaltward/internal/door"
@@ -58,6 +59,9 @@
 	if c.Door, err = doorOf(o.Door); err != nil {
 		return err
 	}
+	if c.TLS, err = alone.own.Secure(time.Now()); err != nil {
+		return fmt.Errorf("%s:%w", own, err)
+	}
 	c.DrainMark = o.Drain.Remember
 	debug.SetMemoryLimit(int64(heapPart * float64(c.MemoryMB) * (1 << 20)))
 	c.Common = os.Getenv("TMPDIR")
--- a/internal/cli/tools.go
+++ b/internal/cli/tools.go
@@ -52,6 +52,9 @@
 				if err != nil {
 					return err
 				}
+				if _, err := alone.Secure(time.Now()); err != nil {
+					return fmt.Errorf("%s:%w", path, err)
+				}
 				fmt.Fprintf(out, "%s: good\n", path)
 				if alone.On() {
 					return describe(out, alone)
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -37,8 +38,13 @@
 	Socket string // path of a Unix socket
 	Listen string // IP:port on loopback, with Token
 	Token  string // that requests over Listen bear
+	// Wrap puts TLS on the listener at Listen; nil: it takes plain HTTP.
+	Wrap func(net.Listener) net.Listener
 }
 
+// On tells whether there is a door.
+func (c Config) On() bool { return c.Socket != "" || c.Listen != "" }
+
 // Door is one. Its methods may be called at once from many goroutines.
 type Door struct {
 	mux       *http.ServeMux
@@ -83,6 +89,9 @@
 		if err != nil {
 			return fail(fmt.Errorf("door.listen: %w", err))
 		}
+		if c.Wrap != nil {
+			l = c.Wrap(l)
+		}
 		listeners = append(listeners, l)
 	}
 	for _, l := range listeners {
@@ -307,10 +316,14 @@
 	Data any
 }
 
-// Dial makes a client of a door: at a socket's path, or at IP:port with a token. base is where paths begin.
-func Dial(at, token string) (c *http.Client, base string) {
-	t := &http.Transport{DisableCompression: true}
+// Dial makes a client of a door: at a socket's path, or at IP:port with a token, by TLS where conf says how. base is
+// where paths begin.
+func Dial(at, token string, conf *tls.Config) (c *http.Client, base string) {
+	t := &http.Transport{DisableCompression: true, TLSClientConfig: conf}
 	base = "http://" + at
+	if conf != nil {
+		base = "https://" + at
+	}
 	if len(at) > 0 && at[0] == '/' {
 		base = "http://door"
 		t.DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -46,7 +46,7 @@
 func TestErrors(t *testing.T) {
 	at := filepath.Join(t.TempDir(), "d.sock")
 	open(t, Config{Socket: at, Listen: "127.0.0.1:0", Token: "correct horse battery"})
-	c, base := Dial(at, "")
+	c, base := Dial(at, "", nil)
 	defer c.CloseIdleConnections()
 	if info, err := os.Stat(at); err != nil || info.Mode().Perm() != 0o600 {
 		t.Errorf("%v, %v: want mode 0600", info.Mode(), err)
@@ -84,7 +84,7 @@
 	d := open(t, Config{Listen: "127.0.0.1:0", Token: "correct horse battery"})
 	at := d.listeners[0].Addr().String()
 	for token, want := range map[string]int{"correct horse battery": 200, "correct horse": 401, "": 401} {
-		c, base := Dial(at, token)
+		c, base := Dial(at, token, nil)
 		resp, err := c.Post(base+"/thing", "", nil)
 		if err != nil {
 			t.Fatal(err)
@@ -156,7 +156,7 @@
 			t.Fatalf("%q, %v", line, err)
 		}
 	}
-	c, base := Dial(at, "")
+	c, base := Dial(at, "", nil)
 	defer c.CloseIdleConnections()
 	resp, err := c.Get(base + "/thing")
 	if err != nil {
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -2,6 +2,7 @@
 
 import (
 	linked "container/list"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"time"
 
 	"cobaltward/front/framing"
+	"cobaltward/front/secure"
 	"cobaltward/internal/sockets"
 )
 
@@ -20,6 +22,7 @@
 type clients struct {
 	net.Listener
 	most int
+	wrap func(*net.TCPConn) *secure.Conn // puts TLS on a connection; nil: they come in plain
 
 	mu     sync.Mutex
 	room   sync.Cond
@@ -38,8 +41,10 @@
 // clientConn is one connection of a client.
 type clientConn struct {
 	*net.TCPConn
+	way     way // TLS on it, or itself
 	owner   *clients
 	guard   framing.Guard             // of who reads
+	secure  *secure.Conn              // nil: without TLS
 	refused int                       // bytes of the line that refuses a head
 	by      atomic.Pointer[time.Time] // when a client has to have closed its side; nil: it need not
 
@@ -49,6 +54,41 @@
 	parting bool // our side is closed: what still comes crossed that
 }
 
+// way is how a client's connection is read and ended.
+type way interface {
+	io.Reader
+	CloseWrite() error
+	SetReadDeadline(t time.Time) error
+}
+
+// secureClient is a connection of a client by TLS. It has no methods of TCP's than those that it names: others would
+// go past TLS.
+type secureClient struct {
+	conn   *clientConn
+	secure *secure.Conn
+}
+
+func (c *secureClient) Read(p []byte) (int, error)  { return c.conn.Read(p) }
+func (c *secureClient) Write(p []byte) (int, error) { return c.secure.Write(p) }
+func (c *secureClient) Close() error                { return c.secure.Close() }
+func (c *secureClient) CloseWrite() error           { return c.secure.CloseWrite() }
+func (c *secureClient) LocalAddr() net.Addr         { return c.secure.LocalAddr() }
+func (c *secureClient) RemoteAddr() net.Addr        { return c.secure.RemoteAddr() }
+func (c *secureClient) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+func (c *secureClient) SetReadDeadline(t time.Time) error  { return c.conn.SetReadDeadline(t) }
+func (c *secureClient) SetWriteDeadline(t time.Time) error { return c.secure.SetWriteDeadline(t) }
+func (c *secureClient) change(state http.ConnState)        { c.conn.change(state) }
+
+// withClient has requests know who their client has shown to be.
+func withClient(ctx context.Context, c net.Conn) context.Context {
+	if c, ok := c.(*secureClient); ok {
+		return secure.WithConn(ctx, c.secure)
+	}
+	return ctx
+}
+
 func newClients(l net.Listener, most int) *clients {
 	c := &clients{Listener: l, most: most}
 	c.room.L = &c.mu
@@ -61,13 +101,19 @@
 		return nil, err
 	}
 	c := &clientConn{TCPConn: tcp.(*net.TCPConn), owner: l}
+	c.way = c.TCPConn
+	conn := net.Conn(c)
+	if l.wrap != nil {
+		c.secure = l.wrap(c.TCPConn)
+		c.way, conn = c.secure, &secureClient{c, c.secure}
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for l.open++; l.open > l.most && !l.evict() && !l.closed; {
 		l.room.Wait() // each has a request in it: one will end
 	}
 	c.quiet = l.quiet.PushBack(c)
-	return c, nil
+	return conn, nil
 }
 
 func (l *clients) Close() error {
@@ -96,8 +142,26 @@
 	return l.closed
 }
 
-// evict closes the connection that has been quiet for longest, if there is one.
+// evict closes the connection that has been quiet for longest, if there is one. Where more than half of the room is
+// taken by handshakes that go on, it is the longest of those: a storm of them must not take the room of those who are
+// through.
 func (l *clients) evict() bool {
+	if l.wrap != nil {
+		shaking := 0
+		var first *clientConn
+		for e := l.quiet.Front(); e != nil; e = e.Next() {
+			if c := e.Value.(*clientConn); c.secure.Shaking() {
+				if shaking++; first == nil {
+					first = c
+				}
+			}
+		}
+		if shaking > l.most/2 {
+			first.forget()
+			first.TCPConn.Close()
+			return true
+		}
+	}
 	for e := l.quiet.Front(); e != nil; e = e.Next() {
 		// A request may have come that nobody has read yet: one that meets a close has failed.
 		if c := e.Value.(*clientConn); sockets.Quiet(c.TCPConn) {
@@ -130,10 +194,10 @@
 
 // leave closes our side.
 func (c *clientConn) leave() {
-	_ = c.CloseWrite() // fails only where the client was faster
+	_ = c.way.CloseWrite() // fails only where the client was faster
 	by := time.Now().Add(partFor)
 	c.by.Store(&by)
-	_ = c.TCPConn.SetReadDeadline(by)
+	_ = c.way.SetReadDeadline(by)
 }
 
 // SetReadDeadline keeps to the time that a client has to close its side: net/http would wait for its next request as
@@ -142,7 +206,7 @@
 	if by := c.by.Load(); by != nil && (t.IsZero() || t.After(*by)) {
 		t = *by
 	}
-	return c.TCPConn.SetReadDeadline(t)
+	return c.way.SetReadDeadline(t)
 }
 
 // partLocked marks the connections that can be parted from.
@@ -170,7 +234,7 @@
 	if c.guard.Problem() != "" {
 		return c.refuse(p)
 	}
-	n, err := c.TCPConn.Read(p)
+	n, err := c.way.Read(p)
 	if n > 0 && !c.begin() {
 		return 0, io.EOF // no answer could reach the client
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -68,6 +68,9 @@
 	// Levels is the ladder of reduced service; nil: full service always.
 	Levels *levels.Config
 
+	// TLS is who is spoken to by TLS; nil: nobody.
+	TLS *TLS
+
 	// Front puts requests from outside into the protocol's form; nil: they come in it. ready is a path that goes on
 	// as it is.
 	Front func(next http.Handler, ready string) http.Handler
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -73,6 +73,7 @@
 	hold   *hold.Source
 	intake *intake
 	leave  time.Duration
+	tls    *secured           // nil: a node without
 	mark   string             // file that stands while a drain on request does; empty: none
 	told   func(standby bool) // hears of orders, for other processes of this node; nil: there are none
 
@@ -86,6 +87,13 @@
 	d.Handle(http.MethodPost, "/drain", c.drain)
 	d.Handle(http.MethodDelete, "/drain", c.undrain)
 	d.Handle(http.MethodGet, "/events", func(w http.ResponseWriter, r *http.Request) { c.watch(d, w, r) })
+	d.Handle(http.MethodGet, "/tls", func(w http.ResponseWriter, _ *http.Request) {
+		if c.tls == nil {
+			door.Fail(w, http.StatusConflict, "this node speaks no TLS: its own file has no table [tls]")
+			return
+		}
+		door.Reply(w, http.StatusOK, c.tls.status())
+	})
 	d.Handle(http.MethodGet, "/level", c.level)
 	d.Handle(http.MethodPost, "/level", c.setLevel)
 	d.Handle(http.MethodDelete, "/level", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -113,6 +113,7 @@
 // rpcIntake is the same for MessagePack-RPC. Its Front is made after its engine.
 type rpcIntake struct {
 	*msgpackfront.Front
+	wrap func(net.Listener) net.Listener // puts TLS on a listener, or nothing
 
 	mu      sync.Mutex
 	ln      net.Listener // nil while nothing is let in
@@ -121,8 +122,8 @@
 	resumed chan struct{}
 }
 
-func newRPCIntake(ln net.Listener) *rpcIntake {
-	return &rpcIntake{ln: ln, address: ln.Addr(), resumed: make(chan struct{})}
+func newRPCIntake(ln net.Listener, wrap func(net.Listener) net.Listener) *rpcIntake {
+	return &rpcIntake{ln: wrap(ln), wrap: wrap, address: ln.Addr(), resumed: make(chan struct{})}
 }
 
 // Serve takes clients in until Shutdown or Close.
@@ -165,7 +166,7 @@
 	if err != nil {
 		return err
 	}
-	in.ln = ln
+	in.ln = in.wrap(ln)
 	_ = in.Front.ResumeIntake() // it has nothing to fail at
 	close(in.resumed)
 	in.resumed = make(chan struct{})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"cobaltward/transport/http1"
 	"cobaltward/transport/mixed"
 	msgpacktransport "cobaltward/transport/msgpack"
+	"cobaltward/transport/secure"
 )
 
 const (
@@ -67,37 +68,47 @@
 		MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdle,
 		DisableGeneralOptionsHandler: true, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		ConnState: func(c net.Conn, state http.ConnState) {
-			if c, ok := c.(*clientConn); ok {
+			if c, ok := c.(interface{ change(http.ConnState) }); ok {
 				c.change(state)
 			}
 		},
 	}
+	var held *hold.Source
+	safe, err := secureNode(c, func(id string, refused bool) { held.Refuse(id, refused) }, log)
+	if err != nil {
+		return err
+	}
+	defer safe.close()
 	front := newIntake(server, listener, most)
+	front.clients.wrap = safe.wrapClient()
+	server.ConnContext = withClient
 	membership := router.Membership(source)
 	if c.Membership != nil {
-		var err error
 		if membership, err = c.Membership(source); err != nil {
 			return err
 		}
 	}
 	var way *door.Door
-	var held *hold.Source
-	if c.Door != (door.Config{}) {
-		var err error
+	if c.Door.On() {
+		if safe != nil && safe.door != nil {
+			c.Door.Wrap = safe.door.Listener
+		}
 		if way, err = door.Open(c.Door, log); err != nil {
 			return err
 		}
 		defer way.Close()
+	}
+	if way != nil || safe.towards() != nil {
 		held = hold.New(membership)
 		held.Begin(c.Known.Members)
 		membership = held
 	}
-	out := transport(c, sockets-most)
+	out := transport(c, sockets-most, safe.towards())
 	options := []router.Option{router.WithLogger(log), router.WithMembership(membership), router.WithFront(front),
 		router.WithTransport(out)}
 	var rpc *rpcIntake
 	if c.Msgpack.Listener != nil {
-		rpc = newRPCIntake(c.Msgpack.Listener)
+		rpc = newRPCIntake(c.Msgpack.Listener, safe.wrapMsgpack)
 		options = append(options, router.WithFront(rpc))
 	}
 	if c.Leave != nil {
@@ -111,6 +122,9 @@
 		return err
 	}
 	defer engine.Close()
+	if safe != nil {
+		safe.engine.Store(engine)
+	}
 	bodies := c.bodies()
 	var succeeded atomic.Bool // another process takes in clients at the same socket: to them the node goes on
 	up := func() bool { return engine.Phase() == router.Serving || succeeded.Load() }
@@ -125,7 +139,7 @@
 			MessageTimeout: headerTimeout, WriteTimeout: writeTimeout})
 	}
 
-	ctl := &control{name: c.Name, engine: engine, hold: held, intake: front, leave: c.leave(), mark: c.DrainMark}
+	ctl := &control{name: c.Name, engine: engine, hold: held, tls: safe, intake: front, leave: c.leave(), mark: c.DrainMark}
 	var next *heir
 	brief := false
 	if c.Shared && c.Common != "" {
@@ -160,6 +174,7 @@
 	defer stop()
 	var newest atomic.Pointer[Config]
 	newest.Store(&c)
+	parts.Go(func() { safe.run(running) })
 	parts.Go(func() { follow(running, reloads, &newest, engine, source, log) })
 	if c.State.File != "" {
 		parts.Go(func() { state.run(running) })
@@ -204,9 +219,9 @@
 }
 
 // transport speaks to each server in the protocol of its kind, over so many connections in all.
-func transport(c Config, conns int) router.Transport {
+func transport(c Config, conns int, layer *secure.Layer) router.Transport {
 	if len(c.Msgpack.Servers) == 0 {
-		return http1.New(http1.Config{MaxConns: conns, ConnectTimeout: c.ConnectTimeout})
+		return http1.New(http1.Config{MaxConns: conns, ConnectTimeout: c.ConnectTimeout, Secure: layer})
 	}
 	few := max(1, conns/4) // they carry many calls each
 	return mixed.New(func(m router.Member) int {
@@ -214,8 +229,8 @@
 			return 1
 		}
 		return 0
-	}, http1.New(http1.Config{MaxConns: conns - few, ConnectTimeout: c.ConnectTimeout}),
-		msgpacktransport.New(msgpacktransport.Config{MaxConns: few, ConnectTimeout: c.ConnectTimeout}))
+	}, http1.New(http1.Config{MaxConns: conns - few, ConnectTimeout: c.ConnectTimeout, Secure: layer}),
+		msgpacktransport.New(msgpacktransport.Config{MaxConns: few, ConnectTimeout: c.ConnectTimeout, Secure: layer}))
 }
 
 // follow puts new configurations in force, and keeps the one that is in newest.
--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -17,7 +17,7 @@
 // learned is what the node says that it knows.
 func (w *site) learned() (s knowledge.Snapshot) {
 	w.t.Helper()
-	c, base := door.Dial(w.sock, "")
+	c, base := door.Dial(w.sock, "", nil)
 	defer c.CloseIdleConnections()
 	resp, err := c.Get(base + "/knowledge")
 	if err != nil {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -24,6 +24,7 @@
 	XDS     XDS
 	Msgpack Msgpack
 	Door    Door
+	TLS     any // for package site; here only to tell whether it has changed
 }
 
 // Door is the operators' way in.
@@ -144,7 +145,7 @@
 		{"log.format", running.Log.Format, now.Log.Format}, {"drain.leave", running.Drain.Leave, now.Drain.Leave},
 		{"xds.bootstrap", running.XDS.Bootstrap, now.XDS.Bootstrap}, {"xds.ca_file", running.XDS.CAFile, now.XDS.CAFile},
 		{"xds.delta", running.XDS.Delta, now.XDS.Delta}, {"xds.dir", running.XDS.Dir, now.XDS.Dir},
-		{"msgpack", running.Msgpack, now.Msgpack}, {"door", running.Door, now.Door}, {"drain.remember", running.Drain.Remember, now.Drain.Remember}, {"xds.files", running.XDS.Files, now.XDS.Files}, {"xds.alone", running.XDS.Alone, now.XDS.Alone},
+		{"msgpack", running.Msgpack, now.Msgpack}, {"door", running.Door, now.Door}, {"tls", running.TLS, now.TLS}, {"drain.remember", running.Drain.Remember, now.Drain.Remember}, {"xds.files", running.XDS.Files, now.XDS.Files}, {"xds.alone", running.XDS.Alone, now.XDS.Alone},
 	} {
 		if !reflect.DeepEqual(k.a, k.b) {
 			keys = append(keys, k.key)
@@ -170,6 +171,7 @@
 	Service  any `toml:"service"`
 	Level    any `toml:"level"`
 	State    any `toml:"state"`
+	TLS      any `toml:"tls"`
 
 	Log struct {
 		Level  any `toml:"level"`
@@ -221,7 +223,7 @@
 	if err != nil {
 		return File{}, fmt.Errorf("1: %s", firstLine(strings.TrimPrefix(err.Error(), "toml: ")))
 	}
-	var f File
+	f := File{TLS: r.TLS}
 	for _, field := range []struct {
 		table, key string
 		from       any
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -34,6 +34,7 @@
 	Service Service  `toml:"service"` // also where the platform tells the rest
 	Levels  []Level  `toml:"level"`
 	State   State    `toml:"state"`
+	TLS     *TLS     `toml:"tls"`
 
 	Log     any `toml:"log"`
 	Drain   any `toml:"drain"`
--- /dev/null
+++ b/internal/site/tls.go
@@ -0,0 +1,152 @@
+package site
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"cobaltward/handshakes"
+	"cobaltward/internal/node"
+	"cobaltward/keys"
+	"cobaltward/transport/secure"
+)
+
+// TLS is who is spoken to by TLS, and by which keys.
+type TLS struct {
+	Every   time.Duration   `toml:"every" min:"20ms" max:"1h"` // between looks at the files; 0: 1s
+	Warn    []time.Duration `toml:"warn" min:"1s"`             // before a certificate ends; none: 30 days, 7 days, 1 day
+	Share   float64         `toml:"share" min:"0.01" max:"1"`  // of a core, for the arithmetic of handshakes while requests are in flight
+	Timeout time.Duration   `toml:"timeout" min:"10ms" max:"1m"`
+	AtOnce  int             `toml:"at_once" min:"1" max:"10000"` // handshakes towards all servers
+	Each    int             `toml:"per_server" min:"1" max:"1000"`
+	Cold    int             `toml:"per_cold" min:"1" max:"1000"` // towards one whose process is new
+	Servers []TLSServers    `toml:"servers"`
+	Clients *TLSListener    `toml:"clients"`
+	Door    *TLSListener    `toml:"door"`
+}
+
+// TLSServers is how some app servers are spoken to; the first that fits a server holds for it.
+type TLSServers struct {
+	IDs   []string `toml:"ids"`
+	Zones []string `toml:"zones"`
+	Pools []string `toml:"pools"`
+	Kinds []string `toml:"kinds"`
+	Plain bool     `toml:"plain"`
+	Name  string   `toml:"name"`
+	URIs  []string `toml:"uris"`
+	Pins  []string `toml:"pins"`
+	Trust string   `toml:"trust"`
+	Cert  string   `toml:"cert"`
+	Key   string   `toml:"key"`
+	ALPN  []string `toml:"alpn"`
+	TLS12 bool     `toml:"tls12"`
+}
+
+// TLSListener is how clients come in.
+type TLSListener struct {
+	Dir     string        `toml:"dir"`
+	Cert    string        `toml:"cert"`
+	Key     string        `toml:"key"`
+	Trust   string        `toml:"trust"`
+	Require bool          `toml:"require"` // a certificate of the client's
+	Tickets string        `toml:"tickets"` // file of keys, for nodes that share it
+	TLS12   bool          `toml:"tls12"`
+	Timeout time.Duration `toml:"timeout" min:"100ms" max:"1m"`
+}
+
+// Secure is what the table [tls] asks for, with its files read; nil where there is none. Errors name the line.
+func (f *File) Secure(now time.Time) (*node.TLS, error) {
+	t := f.TLS
+	if t == nil {
+		return nil, nil
+	}
+	c := &node.TLS{Every: or(t.Every, time.Second), Warn: t.Warn, Share: t.Share, Timeout: t.Timeout,
+		Limits: handshakes.Limits{AtOnce: t.AtOnce, PerServer: t.Each, PerCold: t.Cold}}
+	if len(c.Warn) == 0 {
+		c.Warn = []time.Duration{30 * 24 * time.Hour, 7 * 24 * time.Hour, 24 * time.Hour}
+	}
+	open := stores{now: now, at: func(name string) string {
+		if name == "" || filepath.IsAbs(name) {
+			return name
+		}
+		return filepath.Join(filepath.Dir(f.path), name)
+	}, known: make(map[keys.Sources]*keys.Store)}
+	for i, s := range t.Servers {
+		at := fmt.Sprintf("tls.servers[%d]", i)
+		r := secure.Rule{Servers: s.IDs, Zones: s.Zones, Pools: s.Pools, Kinds: s.Kinds, Plain: s.Plain, Name: s.Name, URIs: s.URIs, Pins: s.Pins, TLS12: s.TLS12, ALPN: s.ALPN}
+		var err error
+		if r.Trust, err = open.store(keys.Sources{Trust: s.Trust}); err != nil {
+			return nil, f.lines.Errorf(at+".trust", "%s", err)
+		}
+		if r.Own, err = open.store(keys.Sources{Cert: s.Cert, Key: s.Key}); err != nil {
+			return nil, f.lines.Errorf(at+".cert", "%s", err)
+		}
+		if err := r.Check(); err != nil {
+			return nil, f.lines.Errorf(at, "%s", err)
+		}
+		c.Rules = append(c.Rules, r)
+	}
+	for _, l := range []struct {
+		at   string
+		from *TLSListener
+		to   **node.Listener
+	}{{"tls.clients", t.Clients, &c.Clients}, {"tls.door", t.Door, &c.Door}} {
+		if l.from == nil {
+			continue
+		}
+		var err error
+		if *l.to, err = open.listener(l.from); err != nil {
+			return nil, f.lines.Errorf(l.at, "%s", err)
+		}
+	}
+	if len(c.Rules) == 0 && c.Clients == nil && c.Door == nil {
+		return nil, f.lines.Errorf("tls", "neither servers, nor clients, nor the door: the table does nothing")
+	}
+	c.Stores = open.all
+	return c, nil
+}
+
+// stores opens each source once.
+type stores struct {
+	now   time.Time
+	at    func(string) string
+	known map[keys.Sources]*keys.Store
+	all   []*keys.Store
+}
+
+func (o *stores) store(from keys.Sources) (*keys.Store, error) {
+	from = keys.Sources{Dir: o.at(from.Dir), Cert: o.at(from.Cert), Key: o.at(from.Key), Trust: o.at(from.Trust)}
+	if from == (keys.Sources{}) {
+		return nil, nil
+	}
+	if s := o.known[from]; s != nil {
+		return s, nil
+	}
+	s, err := keys.Open(from, o.now)
+	if err != nil {
+		return nil, err
+	}
+	o.known[from] = s
+	o.all = append(o.all, s)
+	return s, nil
+}
+
+func (o *stores) listener(l *TLSListener) (*node.Listener, error) {
+	k, err := o.store(keys.Sources{Dir: l.Dir, Cert: l.Cert, Key: l.Key, Trust: l.Trust})
+	switch {
+	case err != nil:
+		return nil, err
+	case k == nil || len(k.Set().Pairs) == 0:
+		return nil, errors.New("no certificate: name cert and key, or dir")
+	case l.Require && l.Trust == "":
+		return nil, errors.New("require: by which authorities do clients prove who they are? Name trust")
+	}
+	c := &node.Listener{Keys: k, Require: l.Require, TLS12: l.TLS12, Timeout: l.Timeout}
+	if l.Tickets != "" {
+		if c.Tickets, err = keys.OpenTickets(o.at(l.Tickets)); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
--- /dev/null
+++ b/keys/inode.go
@@ -0,0 +1,14 @@
+package keys
+
+import (
+	"os"
+	"syscall"
+)
+
+// inode tells files apart that were written within the same moment.
+func inode(info os.FileInfo) uint64 {
+	if s, ok := info.Sys().(*syscall.Stat_t); ok {
+		return s.Ino
+	}
+	return 0
+}
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -50,13 +50,9 @@
 	if err != nil {
 		return nil, err
 	}
-	info, err := os.Stat(key)
-	if err != nil {
+	if err := closed(key); err != nil {
 		return nil, err
 	}
-	if info.Mode().Perm()&0o077 != 0 {
-		return nil, fmt.Errorf("%s: others may read it: want mode 0600, got %04o", key, info.Mode().Perm())
-	}
 	raw, err := read(key)
 	if err != nil {
 		return nil, err
@@ -79,6 +75,18 @@
 	return p, nil
 }
 
+// closed tells whether a file of secrets is its owner's alone.
+func closed(file string) error {
+	info, err := os.Stat(file)
+	if err != nil {
+		return err
+	}
+	if info.Mode().Perm()&0o077 != 0 {
+		return fmt.Errorf("%s: others may read it: want mode 0600, got %04o", file, info.Mode().Perm())
+	}
+	return nil
+}
+
 // holds tells what is wrong with a chain at a moment: each certificate has to be in force, and signed by the next.
 func holds(chain []*x509.Certificate, now time.Time) error {
 	for i, c := range chain {
--- a/keys/keys_test.go
+++ b/keys/keys_test.go
@@ -1,70 +1,33 @@
 package keys
 
 import (
-	"crypto/ecdsa"
-	"crypto/ed25519"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
 	"encoding/pem"
 	"io"
-	"math/big"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"cobaltward/internal/pki"
 )
 
 var day = time.Now().Truncate(time.Hour)
 
 // authority signs certificates of tests.
-type authority struct {
-	t    testing.TB
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-	n    int64
-}
+type authority struct{ *pki.Authority }
 
-func newAuthority(t testing.TB, name string, from, to time.Time) *authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	a := &authority{t: t, key: key, n: 100}
-	tmpl := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, NotBefore: from, NotAfter: to, IsCA: true,
-		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
-	raw, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, key.Public(), key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	a.cert, _ = x509.ParseCertificate(raw)
-	return a
-}
+func newAuthority(_ testing.TB, name string, from, to time.Time) authority { return authority{pki.New(name, from, to)} }
 
 // issue returns a certificate and its key, as PEM.
-func (a *authority) issue(from, to time.Time, names ...string) (cert, key []byte) {
-	public, private, err := ed25519.GenerateKey(rand.Reader)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	a.n++
-	tmpl := &x509.Certificate{SerialNumber: big.NewInt(a.n), DNSNames: names, NotBefore: from, NotAfter: to}
-	raw, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, public, a.key)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	der, err := x509.MarshalPKCS8PrivateKey(private)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	return block("CERTIFICATE", raw), block("PRIVATE KEY", der)
+func (a authority) issue(from, to time.Time, names ...string) (cert, key []byte) {
+	p := a.Issue(pki.Leaf{From: from, To: to, Names: names, Kind: pki.Ed25519})
+	return pki.PEM(p.Cert), p.KeyPEM()
 }
 
-func (a *authority) pem() []byte { return block("CERTIFICATE", a.cert.Raw) }
+func (a authority) pem() []byte { return a.PEM() }
 
 func block(kind string, raw []byte) []byte {
 	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: raw})
--- a/membership/hold/hold.go
+++ b/membership/hold/hold.go
@@ -1,5 +1,6 @@
 // Package hold takes servers out for one node alone, whatever the list says of them: what an operator has asked
-// for stays until he lifts it. Source is a router.Membership round another.
+// for stays until he lifts it, and a server that can't prove who it is stays out until it does. Source is a
+// router.Membership round another.
 package hold
 
 import (
@@ -28,7 +29,8 @@
 	router.Membership
 
 	mu      sync.Mutex
-	held    map[string]bool
+	held    map[string]bool          // by hand
+	refused map[string]bool          // they can't prove who they are
 	members map[string]router.Member // as the inner source says
 	wake    chan struct{}            // something is in pending
 	pending []string                 // servers whose state by hand has changed; each once
@@ -36,7 +38,7 @@
 
 // New returns a source that says what inner does, but for servers that are drained by hand.
 func New(inner router.Membership) *Source {
-	return &Source{Membership: inner, held: make(map[string]bool), members: make(map[string]router.Member), wake: make(chan struct{}, 1)}
+	return &Source{Membership: inner, held: make(map[string]bool), refused: make(map[string]bool), members: make(map[string]router.Member), wake: make(chan struct{}, 1)}
 }
 
 // Begin tells which servers the router knows from the start.
@@ -93,7 +95,7 @@
 			s.members[m.ID] = m
 		}
 	}
-	if len(s.held) == 0 {
+	if len(s.held)+len(s.refused) == 0 {
 		return c
 	}
 	c.Members = slices.Clone(c.Members) // only read by the router, and others may hold it
@@ -104,7 +106,7 @@
 }
 
 func (s *Source) over(m router.Member) router.Member {
-	if s.held[m.ID] && m.State == policy.Running {
+	if (s.held[m.ID] || s.refused[m.ID]) && m.State == policy.Running {
 		m.State = policy.Draining
 	}
 	return m
@@ -163,6 +165,18 @@
 	}
 }
 
+// Refuse has a server get nothing new while it can't prove who it is, and takes that back. It waits for nobody.
+func (s *Source) Refuse(id string, refused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if refused {
+		s.refused[id] = true
+	} else {
+		delete(s.refused, id)
+	}
+	s.changed(id)
+}
+
 // Held is the servers that are drained by hand, in order.
 func (s *Source) Held() []string {
 	s.mu.Lock()
--- a/router/figures.go
+++ b/router/figures.go
@@ -99,6 +99,9 @@
 	return f
 }
 
+// Inflight is the requests taken and not ended. It waits for nobody.
+func (r *Router) Inflight() int { return int(r.loop.tally.inflight.Load()) }
+
 // CountFailed has a front count a request of a class that it answered as failed itself: it was malformed, and the
 // router never saw it.
 func (r *Router) CountFailed(class string) { r.loop.tally.count(class, Failed) }
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -164,7 +164,13 @@
 	return c.tcp.Write(p)
 }
 
-func (c *conn) Close() error                       { return c.tcp.Close() }
+func (c *conn) Close() error {
+	if c.secure != nil {
+		return c.secure.Close()
+	}
+	return c.tcp.Close()
+}
+
 func (c *conn) SetReadDeadline(t time.Time) error  { return c.tcp.SetReadDeadline(t) }
 func (c *conn) SetWriteDeadline(t time.Time) error { return c.tcp.SetWriteDeadline(t) }
 
--- a/transport/msgpack/msgpack.go
+++ b/transport/msgpack/msgpack.go
@@ -16,6 +16,7 @@
 	"cobaltward/policy"
 	"cobaltward/router"
 	"cobaltward/transport/outcome"
+	"cobaltward/transport/secure"
 	"cobaltward/transport/servers"
 )
 
@@ -36,9 +37,10 @@
 )
 
 var (
-	errUnknown = errors.New("not in the list")
-	errDrained = errors.New("the server drains")
-	errFull    = errors.New("no connection has room, and none may be opened")
+	errUnknown   = errors.New("not in the list")
+	errDrained   = errors.New("the server drains")
+	errFull      = errors.New("no connection has room, and none may be opened")
+	errUntrusted = errors.New("what the server showed does not hold any more")
 )
 
 // Config is what a Transport is told at its start.
@@ -47,6 +49,7 @@
 	ConnsPerServer int           // 0: DefaultConnsPerServer
 	MaxConns       int           // to all servers together; 0: DefaultMaxConns
 	ConnectTimeout time.Duration // for a new connection; 0: DefaultConnectTimeout
+	Secure         *secure.Layer // says who is spoken to by TLS; nil: nobody. The transport does not close it
 }
 
 // Transport makes attempts over connections that it holds itself. Its methods may be called at once from
@@ -80,9 +83,13 @@
 // link is a connection with the number of calls that were given to it.
 type link struct {
 	*mux.Conn
-	load int // under the transport's mutex
+	secure *secure.Conn // nil: without TLS
+	load   int          // under the transport's mutex
 }
 
+// trusted tells whether the server has proved who it is, as things stand now.
+func (l *link) trusted() bool { return l.secure == nil || l.secure.Usable(time.Now()) }
+
 // dial is a connection being made, which all wait for who need one.
 type dial struct {
 	done chan struct{}
@@ -126,10 +133,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.servers.Update(c)
+	if t.c.Secure == nil {
+		return
+	}
+	for i := range c.Members {
+		if s := t.servers.Get(c.Members[i].ID); s != nil {
+			t.c.Secure.Know(s.Member)
+		}
+	}
 }
 
 // drop ends what is held for a server that is gone: calls that it has may still be answered.
 func (t *Transport) drop(s *server) {
+	if t.c.Secure != nil {
+		t.c.Secure.Forget(s.ID)
+	}
 	if s.Pool == nil {
 		return
 	}
@@ -168,7 +186,7 @@
 				continue
 			}
 			for _, l := range s.Pool.conns {
-				if since, ok := l.Quiet(); ok && l.load == 0 && time.Since(since) >= t.idleFor {
+				if since, ok := l.Quiet(); ok && l.load == 0 && (time.Since(since) >= t.idleFor || !l.trusted()) {
 					l.Retire()
 				}
 			}
@@ -209,6 +227,10 @@
 		}
 		var best *link
 		for _, l := range p.conns {
+			if !l.trusted() {
+				l.Retire() // it ends with the calls that it has
+				continue
+			}
 			if l.load < t.c.Streams && (best == nil || l.load < best.load) && l.Usable() {
 				best = l
 			}
@@ -227,7 +249,8 @@
 			d = &dial{done: make(chan struct{})}
 			p.dial = d
 			t.open++
-			t.parts.Go(func() { t.connect(s, d) })
+			m := s.Member
+			t.parts.Go(func() { t.connect(s, m, d) })
 		}
 		t.mu.Unlock()
 		select {
@@ -242,8 +265,13 @@
 }
 
 // connect makes a connection, whoever waits for it: it is of use to the next.
-func (t *Transport) connect(s *server, d *dial) {
-	ctx, cancel := context.WithTimeout(context.Background(), t.c.ConnectTimeout)
+func (t *Transport) connect(s *server, m router.Member, d *dial) {
+	within := t.c.ConnectTimeout
+	tls := t.c.Secure != nil && t.c.Secure.For(&m)
+	if tls {
+		within += secure.DefaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	t.parts.Go(func() { // Close need not wait for the time-out
 		select {
@@ -252,7 +280,21 @@
 		case <-ctx.Done():
 		}
 	})
-	nc, err := t.dialer.DialContext(ctx, "tcp", s.Addr)
+	l := &link{}
+	var nc net.Conn
+	var err error
+	if !tls {
+		nc, err = t.dialer.DialContext(ctx, "tcp", m.Addr)
+	} else if err = t.c.Secure.Refused(&m); err == nil {
+		l.secure, err = t.c.Secure.Shake(ctx, &m, true, func() (*net.TCPConn, error) {
+			tcp, err := t.dialer.DialContext(ctx, "tcp", m.Addr)
+			if err != nil {
+				return nil, err
+			}
+			return tcp.(*net.TCPConn), nil
+		})
+		nc = l.secure
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer close(d.done)
@@ -263,7 +305,6 @@
 		d.err = err
 		return
 	}
-	l := &link{}
 	l.Conn = mux.New(nc, func() { t.told(p) })
 	p.conns = append(p.conns, l)
 	if p.gone || t.closed {
@@ -301,10 +342,13 @@
 }
 
 // may says why nothing may be written to s any more.
-func (t *Transport) may(ctx context.Context, s *server) error {
+func (t *Transport) may(ctx context.Context, s *server, l *link) error {
 	if err := outcome.Over(ctx); err != nil {
 		return err
 	}
+	if !l.trusted() {
+		return errUntrusted
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s.Closed(t.grace) || !s.Pool.drained.IsZero() && time.Since(s.Pool.drained) < drainKept {
@@ -328,7 +372,9 @@
 		switch {
 		case errors.Is(err, errDrained):
 			return router.Result{Code: policy.Full} // as one that turns away since it drains
-		case errors.Is(err, errFull):
+		case errors.As(err, new(*secure.Untrusted)) && ctx.Err() == nil:
+			return router.Result{Code: policy.Untrusted}
+		case errors.Is(err, errFull) || errors.Is(err, secure.ErrBusy):
 			return router.Result{Code: policy.Moot} // the server is not to blame
 		case err != nil:
 			return router.Result{Code: outcome.Lost(ctx, false)}
@@ -336,7 +382,7 @@
 		if end, ok := ctx.Deadline(); ok {
 			q.Wait = max(time.Millisecond, time.Until(end))
 		}
-		reply, err := l.Call(ctx, &q, func() error { return t.may(ctx, s) })
+		reply, err := l.Call(ctx, &q, func() error { return t.may(ctx, s, l) })
 		t.release(l)
 		if err == nil {
 			t.written.Add(1)
@@ -350,6 +396,8 @@
 		switch {
 		case errors.Is(err, mux.ErrRetired) && errors.As(err, &notSent) && ctx.Err() == nil:
 			continue // it was retired just now: another may have room
+		case errors.Is(err, errUntrusted):
+			return router.Result{Code: policy.Untrusted}
 		case errors.Is(err, errDrained):
 			return router.Result{Code: policy.Full}
 		case errors.As(err, &spoilt):
--- a/transport/secure/conn.go
+++ b/transport/secure/conn.go
@@ -42,9 +42,11 @@
 // Resumed tells whether a session was taken up again.
 func (c *Conn) Resumed() bool { return c.state.DidResume }
 
-// Close closes the connection at once. It says no farewell: that could wait for a server that does not read, and what
-// servers send has its length.
-func (c *Conn) Close() error { return c.wire.TCP.Close() }
+// Close closes the connection. Its farewell is written where there is room for it: it waits for nobody.
+func (c *Conn) Close() error {
+	c.wire.Hurry()
+	return c.tls.Close()
+}
 
 // Quiet tells whether the connection is open and nothing has come that is still to be read. What belongs to TLS alone,
 // as new tickets, is taken in. Nobody else may be reading.
--- a/transport/secure/rules.go
+++ b/transport/secure/rules.go
@@ -34,8 +34,8 @@
 	Own   *keys.Store // the certificate that this node shows; nil: none
 }
 
-// check tells what is wrong with a rule.
-func (r *Rule) check() error {
+// Check tells what is wrong with a rule.
+func (r *Rule) Check() error {
 	if r.Plain {
 		if r.Trust != nil || r.Own != nil || len(r.Pins) > 0 || len(r.URIs) > 0 || r.Name != "" {
 			return errors.New("plain: servers that are spoken to without TLS prove nothing")
--- a/transport/secure/secure.go
+++ b/transport/secure/secure.go
@@ -80,7 +80,7 @@
 // New returns a layer. Close ends it. Errors name the rule by its place, from 0 on.
 func New(c Config) (*Layer, error) {
 	for i := range c.Rules {
-		if err := c.Rules[i].check(); err != nil {
+		if err := c.Rules[i].Check(); err != nil {
 			return nil, fmt.Errorf("rule %d: %w", i, err)
 		}
 	}
--- a/transport/secure/stats.go
+++ b/transport/secure/stats.go
@@ -7,41 +7,13 @@
 	"time"
 
 	"cobaltward/handshakes"
+	"cobaltward/internal/handshaking"
 	"cobaltward/keys"
 )
 
-// Bounds of the histogram of handshakes, each the most that its count holds; the last count is of what took longer.
-var Bounds = []time.Duration{time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
-	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second}
-
-// Kind is the figures of full handshakes, or of those that took a session up again.
-type Kind struct {
-	Count  uint64        `json:"count"`
-	Time   time.Duration `json:"time_ns"` // of all together, the waiting for the server and for the core among it
-	Worked time.Duration `json:"work_ns"` // that the arithmetic here took
-	Within []uint64      `json:"within"`  // by Bounds
-}
-
-// Add notes one handshake.
-func (k *Kind) Add(took, worked time.Duration) {
-	if k.Within == nil {
-		k.Within = make([]uint64, len(Bounds)+1)
-	}
-	k.Count++
-	k.Time += took
-	k.Worked += worked
-	i, _ := slices.BinarySearch(Bounds, took)
-	k.Within[i]++
-}
-
-func (k Kind) clone() Kind {
-	k.Within = slices.Clone(k.Within)
-	return k
-}
-
 // counts are under the layer's mutex.
 type counts struct {
-	full, resumed Kind
+	full, resumed handshaking.Kind
 	busy, waited  uint64
 	failures      map[string]uint64
 }
@@ -70,8 +42,8 @@
 
 // Stats is how the layer stands.
 type Stats struct {
-	Full     Kind              `json:"full"`
-	Resumed  Kind              `json:"resumed"`
+	Full     handshaking.Kind  `json:"full"`
+	Resumed  handshaking.Kind  `json:"resumed"`
 	Failures map[string]uint64 `json:"failures,omitempty"` // by reason
 	Going    int               `json:"going"`              // handshakes
 	Waiting  int               `json:"waiting"`
@@ -94,7 +66,7 @@
 func (l *Layer) Stats() Stats {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := Stats{Full: l.stats.full.clone(), Resumed: l.stats.resumed.clone(), Failures: maps.Clone(l.stats.failures), Busy: l.stats.busy, Waited: l.stats.waited}
+	s := Stats{Full: l.stats.full.Clone(), Resumed: l.stats.resumed.Clone(), Failures: maps.Clone(l.stats.failures), Busy: l.stats.busy, Waited: l.stats.waited}
 	s.Going, s.Waiting = l.gate.Going()
 	why := make(map[string]handshakes.Refusal)
 	for _, r := range l.refused.List() {
