The daemon's suite runs over TLS on both sides

The suite speaks plain HTTP through a tunnel before the node and one behind it; what is between is TLS 1.3 with verification.

--- a/internal/conformance/support_test.go
+++ b/internal/conformance/support_test.go
@@ -53,6 +53,7 @@
 	{name: "daemon", long: true, serve: func(ctx context.Context, c node.Config, ln net.Listener) error {
 		return node.Run(ctx, c, ln, nil, slog.New(slog.DiscardHandler))
 	}},
+	{name: "daemon with TLS", long: true, serve: secured},
 	{name: "middleware", except: hostOwnsTheListener, serve: func(ctx context.Context, c node.Config, ln net.Listener) error {
 		return host(ctx, c, ln, func(f *middleware.Front, app http.Handler) http.Handler { return f.Handler(app) })
 	}},
