--- a/internal/pairs/pairs_test.go
+++ b/internal/pairs/pairs_test.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -25,7 +27,9 @@
 	"go.uber.org/goleak"
 
 	msgpackfront "cobaltward/front/msgpack"
+	"cobaltward/internal/pki"
 	"cobaltward/internal/testkit"
+	"cobaltward/keys"
 	"cobaltward/middleware"
 	"cobaltward/msgpackrpc"
 	"cobaltward/msgpackrpc/client"
@@ -34,6 +38,7 @@
 	"cobaltward/transport/http1"
 	"cobaltward/transport/mixed"
 	msgpacktransport "cobaltward/transport/msgpack"
+	"cobaltward/transport/secure"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -45,7 +50,8 @@
 // says with the requests that reach it whole.
 type app struct {
 	http, msgpack string
-	cut           func() int // bytes after which a connection breaks; 0: never
+	cut           func() int                 // bytes after which a connection breaks; 0: never
+	conf          atomic.Pointer[tls.Config] // of who speaks TLS; set before the first connection
 
 	mu     sync.Mutex
 	script []string             // of the next requests; then ok
@@ -166,8 +172,16 @@
 	return cutting(c, l.cut), nil
 }
 
+// secured is a connection as the app speaks over it.
+func (a *app) secured(c net.Conn) net.Conn {
+	if conf := a.conf.Load(); conf != nil {
+		return tls.Server(c, conf)
+	}
+	return c
+}
+
 func (a *app) serveHTTP(nc net.Conn, _ *bufio.Reader) {
-	c := cutting(nc, a.cut)
+	c := a.secured(cutting(nc, a.cut))
 	in := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(in)
@@ -208,7 +222,7 @@
 }
 
 func (a *app) serveMsgpack(nc net.Conn, _ *bufio.Reader) {
-	c := cutting(nc, a.cut)
+	c := a.secured(cutting(nc, a.cut))
 	in := msgpackrpc.NewReader(c)
 	var writing sync.Mutex
 	var slow sync.WaitGroup
@@ -269,14 +283,17 @@
 	name  string
 	front string // "http" or "msgpack"
 	of    func(router.Member) int
+	tls   bool // towards the servers
 }
 
 var pairs = []pair{
-	{"http to http", "http", func(router.Member) int { return 0 }},
-	{"http to msgpack", "http", func(router.Member) int { return 1 }},
-	{"msgpack to http", "msgpack", func(router.Member) int { return 0 }},
-	{"msgpack to msgpack", "msgpack", func(router.Member) int { return 1 }},
-	{"msgpack to one of each", "msgpack", func(m router.Member) int { return int(m.Cell % 2) }},
+	{"http to http", "http", func(router.Member) int { return 0 }, false},
+	{"http to msgpack", "http", func(router.Member) int { return 1 }, false},
+	{"msgpack to http", "msgpack", func(router.Member) int { return 0 }, false},
+	{"msgpack to msgpack", "msgpack", func(router.Member) int { return 1 }, false},
+	{"msgpack to one of each", "msgpack", func(m router.Member) int { return int(m.Cell % 2) }, false},
+	{"http to http by TLS", "http", func(router.Member) int { return 0 }, true},
+	{"msgpack to msgpack by TLS", "msgpack", func(router.Member) int { return 1 }, true},
 }
 
 // caller asks a node, and returns what became of it in the words of the outcomes.
@@ -298,8 +315,12 @@
 	set := policy.Settings{Nodes: 1, Zone: "a", Classes: []policy.Class{class("read", policy.Free), class("pay", policy.Never), class("undo", policy.Guarded)},
 		Allowed: policy.Allowed{Cancel: true, MaxAttempts: 3, RetryAfter: true},
 		Rules:   policy.Rules{DrainGrace: 500 * time.Millisecond, Attempts: &policy.Budget{Least: 1e6, Span: time.Second}}}
+	var layer *secure.Layer
+	if p.tls {
+		layer = p.secure(t, apps)
+	}
 	r, err := router.New(router.Config{Settings: set, Members: members},
-		router.WithTransport(mixed.New(p.of, http1.New(http1.Config{}), msgpacktransport.New(msgpacktransport.Config{}))))
+		router.WithTransport(mixed.New(p.of, http1.New(http1.Config{Secure: layer}), msgpacktransport.New(msgpacktransport.Config{Secure: layer}))))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -346,6 +367,30 @@
 	}
 }
 
+// secure has the apps speak TLS, and returns how the node does.
+func (p pair) secure(t testing.TB, apps []*app) *secure.Layer {
+	t.Helper()
+	ca := pki.Year("the apps'")
+	file := filepath.Join(t.TempDir(), "ca.pem")
+	if err := os.WriteFile(file, ca.PEM(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	trust, err := keys.Open(keys.Sources{Trust: file}, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	shown := ca.Issue(pki.Leaf{Names: []string{"127.0.0.1"}}).TLS()
+	for _, a := range apps {
+		a.conf.Store(&tls.Config{Certificates: []tls.Certificate{shown}})
+	}
+	layer, err := secure.New(secure.Config{Rules: []secure.Rule{{Trust: trust}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(layer.Close)
+	return layer
+}
+
 func callHTTP(t testing.TB, addr string) caller {
 	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	t.Cleanup(c.CloseIdleConnections)
