--- a/front/secure/secure.go
+++ b/front/secure/secure.go
@@ -182,7 +182,7 @@
 	began := time.Now()
 	by := began.Add(l.c.Timeout)
 	_ = c.tcp.SetDeadline(by) // fails only once it is closed
-	c.wire = handshaking.NewWire(c.tcp, l.c.Core, by, nil)
+	c.wire = handshaking.NewWire(c.tcp, l.c.Core, false, by, nil)
 	conn := tls.Server(c.wire, l.conf)
 	err := conn.HandshakeContext(context.Background())
 	worked, took := c.wire.Shaken(), time.Since(began)
--- a/handshakes/handshakes_test.go
+++ b/handshakes/handshakes_test.go
@@ -74,39 +74,60 @@
 	})
 }
 
-// While requests are in flight, arithmetic has its share of the time and no more; else it has all of it.
+// While requests are in flight, arithmetic that none waits for has its share of the time and no more; else, and where
+// a request waits for it, it has all of it.
 func TestPaceKeepsToItsShare(t *testing.T) {
 	for _, c := range []struct {
-		inFlight bool
-		least    time.Duration // until 100 pieces of 2 ms are done, at a share of a quarter
-		most     time.Duration
-	}{{true, 790 * time.Millisecond, 810 * time.Millisecond}, {false, 200 * time.Millisecond, 200 * time.Millisecond}} {
+		inFlight, urgent bool
+		least, most      time.Duration // until 100 pieces of 2 ms are done, at a share of a quarter
+	}{{true, false, 790 * time.Millisecond, 810 * time.Millisecond}, {false, false, 200 * time.Millisecond, 200 * time.Millisecond}, {true, true, 200 * time.Millisecond, 200 * time.Millisecond}} {
 		p := NewPace(0.25, 1)
 		now := time.Duration(0)
+		var all []*Piece
 		for range 100 {
-			wait, ok := p.Begin(now, c.inFlight)
-			if !ok {
+			x := &Piece{Urgent: c.urgent}
+			all = append(all, x)
+			p.Ask(x)
+		}
+		for _, x := range all {
+			begin, wait := p.Next(now, c.inFlight)
+			if wait > 0 {
 				now += wait
-				if _, ok = p.Begin(now, c.inFlight); !ok {
-					t.Fatal("it has to wait for longer than it was told")
-				}
+				begin, _ = p.Next(now, c.inFlight)
+			}
+			if len(begin) != 1 || begin[0] != x {
+				t.Fatalf("%d began, want the next one alone", len(begin))
 			}
-			if _, ok := p.Begin(now, c.inFlight); ok {
+			if more, _ := p.Next(now, c.inFlight); more != nil {
 				t.Fatal("two pieces at once on one core")
 			}
 			now += 2 * time.Millisecond
-			p.End(now, 2*time.Millisecond)
+			p.End(now, x, 2*time.Millisecond)
 		}
 		if now < c.least || now > c.most {
-			t.Errorf("requests in flight %v: %v", c.inFlight, now)
+			t.Errorf("in flight %v, urgent %v: %v", c.inFlight, c.urgent, now)
 		}
 	}
 	p := NewPace(0.01, 1)
-	_, _ = p.Begin(0, true)
-	p.End(time.Second, time.Second)
-	if wait, _ := p.Begin(time.Second, true); wait > mostRest {
+	first, second, urgent := &Piece{}, &Piece{}, &Piece{Urgent: true}
+	p.Ask(first)
+	p.Ask(second)
+	_, _ = p.Next(0, true)
+	p.End(time.Second, first, time.Second)
+	if _, wait := p.Next(time.Second, true); wait <= 0 || wait > mostRest {
 		t.Errorf("a host that kept the process from running holds handshakes up for %v", wait)
 	}
+	p.Ask(urgent)
+	if begin, _ := p.Next(time.Second, true); len(begin) != 1 || begin[0] != urgent {
+		t.Error("what a request waits for rests, or waits behind what none does")
+	}
+	if p.Leave(second) || !p.Leave(urgent) {
+		t.Error("one that waited had its turn, or one that had its turn did not")
+	}
+	p.End(time.Second, urgent, 0)
+	if begin, _ := p.Next(2*time.Second, true); begin != nil {
+		t.Error("who has left has a turn")
+	}
 }
 
 // However many servers are wrong, and for how long: few are looked at together, each again within seconds, and none
--- a/handshakes/pace.go
+++ b/handshakes/pace.go
@@ -1,6 +1,9 @@
 package handshakes
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // DefaultShare is the part of a core that the arithmetic of handshakes takes at most while requests are in flight.
 const DefaultShare = 0.25
@@ -9,15 +12,24 @@
 // running, must not stop handshakes.
 const mostRest = 50 * time.Millisecond
 
-// Pace shares a core between the arithmetic of handshakes and all else: so many pieces at a
-// time as there are cores, and behind each a rest as long as the share wants while requests are in flight. It isn't safe for concurrent use.
+// Piece is one piece of arithmetic, from a read to the next.
+type Piece struct {
+	Urgent bool // a request in flight waits for it: it goes ahead, and behind it there is no rest
+
+	begun bool
+}
+
+// Pace shares a core between the arithmetic of handshakes and all else: as many pieces at a time as there are cores,
+// and behind each that no request waits for a rest as long as the share wants while requests are in flight. It isn't
+// safe for concurrent use.
 type Pace struct {
-	share float64
-	cores int
-	busy  int
-	rest  time.Duration // until then nothing begins while requests are in flight
-	count uint64
-	took  time.Duration
+	share   float64
+	cores   int
+	busy    int
+	rest    time.Duration // until then nothing begins that no request waits for, while requests are in flight
+	waiting [2][]*Piece   // the urgent ones, and the others; each in the order of their coming
+	count   uint64
+	took    time.Duration
 }
 
 // NewPace returns one for a share of so many cores; 0 is the default share.
@@ -28,26 +40,57 @@
 	return &Pace{share: share, cores: max(1, cores)}
 }
 
-// Begin asks for the core; inFlight says that requests would wait for it. wait is for how long to ask no more; while
-// another piece goes on it is negative: End says when.
-func (p *Pace) Begin(now time.Duration, inFlight bool) (wait time.Duration, ok bool) {
-	switch {
-	case p.busy >= p.cores:
-		return -1, false
-	case inFlight && now < p.rest:
-		return p.rest - now, false
+func (p *Pace) line(x *Piece) *[]*Piece {
+	if x.Urgent {
+		return &p.waiting[0]
+	}
+	return &p.waiting[1]
+}
+
+// Ask has a piece wait for its turn, which Next tells.
+func (p *Pace) Ask(x *Piece) {
+	line := p.line(x)
+	*line = append(*line, x)
+}
+
+// Next is the pieces whose turn it is; inFlight says that requests would wait for them. Where wait is not 0, it is to
+// be asked again after it.
+func (p *Pace) Next(now time.Duration, inFlight bool) (begin []*Piece, wait time.Duration) {
+	for i := range p.waiting {
+		for line := &p.waiting[i]; len(*line) > 0 && p.busy < p.cores; {
+			if i > 0 && inFlight && now < p.rest {
+				return begin, p.rest - now
+			}
+			x := (*line)[0]
+			(*line)[0], *line = nil, (*line)[1:]
+			x.begun = true
+			p.busy++
+			begin = append(begin, x)
+		}
 	}
-	p.busy++
-	return 0, true
+	return begin, 0
 }
 
 // End gives the core back, after a piece that took so long.
-func (p *Pace) End(now, took time.Duration) {
+func (p *Pace) End(now time.Duration, x *Piece, took time.Duration) {
+	if !x.begun {
+		return
+	}
+	x.begun = false
 	p.busy--
 	took = max(0, took)
 	p.count++
 	p.took += took
-	p.rest = now + min(mostRest, time.Duration(float64(took)*(1/p.share-1)/float64(p.cores)))
+	if !x.Urgent {
+		p.rest = now + min(mostRest, time.Duration(float64(took)*(1/p.share-1)/float64(p.cores)))
+	}
+}
+
+// Leave takes out a piece that nobody waits for any more. begun tells that its turn had come: End is due.
+func (p *Pace) Leave(x *Piece) (begun bool) {
+	line := p.line(x)
+	*line = slices.DeleteFunc(*line, func(y *Piece) bool { return x == y })
+	return x.begun
 }
 
 // Took is how many pieces there were, and the time of them all.
--- a/internal/handshaking/core.go
+++ b/internal/handshaking/core.go
@@ -12,69 +12,89 @@
 )
 
 // Core is the processor as handshakes have it. Its methods may be called at once from many goroutines; nil is one
-// that is free for all.
+// that is free for all. Who waits is bounded by the connections that there are.
 type Core struct {
-	turn chan struct{} // holds one for each piece of arithmetic that goes on; who waits gets it in order
 	busy func() bool
 	from time.Time
 
-	mu   sync.Mutex
-	pace *handshakes.Pace
+	mu    sync.Mutex
+	pace  *handshakes.Pace
+	turns map[*handshakes.Piece]chan struct{} // of those that wait
+	alarm *time.Timer                         // for the end of a rest
 }
 
 // NewCore returns one of so many cores, of which handshakes take a share while busy says that requests are in flight.
 func NewCore(share float64, cores int, busy func() bool) *Core {
-	cores = max(1, cores)
-	return &Core{turn: make(chan struct{}, cores), busy: busy, from: time.Now(), pace: handshakes.NewPace(share, cores)}
+	return &Core{busy: busy, from: time.Now(), pace: handshakes.NewPace(share, cores), turns: make(map[*handshakes.Piece]chan struct{})}
 }
 
-// enter waits for the core until a time, or until gone says that nobody wants the handshake any more.
-func (c *Core) enter(by time.Time, done <-chan struct{}, gone func() bool) error {
+// enter waits for the core until a time, or until done says that nobody wants the piece any more.
+func (c *Core) enter(x *handshakes.Piece, by time.Time, done <-chan struct{}) error {
 	if c == nil {
 		return nil
 	}
+	turn := make(chan struct{})
+	c.mu.Lock()
+	c.turns[x] = turn
+	c.pace.Ask(x)
+	c.next()
+	c.mu.Unlock()
+	select {
+	case <-turn:
+		return nil
+	default:
+	}
 	late := time.NewTimer(time.Until(by))
 	defer late.Stop()
+	err := net.ErrClosed
 	select {
-	case c.turn <- struct{}{}:
+	case <-turn:
+		return nil
 	case <-late.C:
-		return os.ErrDeadlineExceeded
+		err = os.ErrDeadlineExceeded
 	case <-done:
-		return net.ErrClosed
 	}
-	for {
-		if gone() {
-			<-c.turn
-			return net.ErrClosed
-		}
-		c.mu.Lock()
-		wait, ok := c.pace.Begin(time.Since(c.from), c.busy())
-		c.mu.Unlock()
-		if ok {
-			return nil
-		}
-		rest := time.NewTimer(wait)
-		select {
-		case <-rest.C:
-			continue
-		case <-late.C:
-		case <-done:
-		}
-		rest.Stop()
-		<-c.turn
-		return os.ErrDeadlineExceeded
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.turns, x)
+	if c.pace.Leave(x) { // its turn came just now
+		c.pace.End(time.Since(c.from), x, 0)
+		c.next()
 	}
+	return err
 }
 
 // leave gives the core back.
-func (c *Core) leave(began time.Time) {
+func (c *Core) leave(x *handshakes.Piece, began time.Time) {
 	if c == nil {
 		return
 	}
 	c.mu.Lock()
-	c.pace.End(time.Since(c.from), time.Since(began))
-	c.mu.Unlock()
-	<-c.turn
+	defer c.mu.Unlock()
+	c.pace.End(time.Since(c.from), x, time.Since(began))
+	c.next()
+}
+
+// next lets those in whose turn it is. It needs the mutex.
+func (c *Core) next() {
+	begin, wait := c.pace.Next(time.Since(c.from), c.busy())
+	for _, x := range begin {
+		if turn := c.turns[x]; turn != nil {
+			close(turn)
+			delete(c.turns, x)
+		}
+	}
+	switch {
+	case wait <= 0:
+	case c.alarm == nil:
+		c.alarm = time.AfterFunc(wait, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.next()
+		})
+	default:
+		c.alarm.Reset(wait)
+	}
 }
 
 // Took is how many pieces of arithmetic there were, and their time.
--- a/internal/handshaking/wire.go
+++ b/internal/handshaking/wire.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"cobaltward/handshakes"
 )
 
 // MostBytes is what a peer may send before its handshake is over: a chain of certificates that no honest one needs
@@ -34,6 +36,7 @@
 	TCP      *net.TCPConn
 
 	core    *Core
+	piece   handshakes.Piece
 	by      time.Time       // the end of the handshake, at the latest
 	done    <-chan struct{} // nobody wants it any more
 	shaking bool
@@ -45,9 +48,9 @@
 	worked  time.Duration
 }
 
-// NewWire returns the wire of a connection whose handshake begins.
-func NewWire(tcp *net.TCPConn, core *Core, by time.Time, done <-chan struct{}) *Wire {
-	return &Wire{Conn: tcp, TCP: tcp, core: core, by: by, done: done, shaking: true}
+// NewWire returns the wire of a connection whose handshake begins. urgent says that a request waits for it.
+func NewWire(tcp *net.TCPConn, core *Core, urgent bool, by time.Time, done <-chan struct{}) *Wire {
+	return &Wire{Conn: tcp, TCP: tcp, core: core, piece: handshakes.Piece{Urgent: urgent}, by: by, done: done, shaking: true}
 }
 
 // Shaken ends the handshake's part. It returns the time that its arithmetic took.
@@ -59,7 +62,7 @@
 
 // Work has the core for what comes before the first read: a client computes its key then.
 func (w *Wire) Work() error {
-	if err := w.core.enter(w.by, w.done, func() bool { return false }); err != nil {
+	if err := w.core.enter(&w.piece, w.by, w.done); err != nil {
 		return err
 	}
 	w.inside, w.began = true, time.Now()
@@ -71,7 +74,7 @@
 	if w.inside {
 		w.inside = false
 		w.worked += time.Since(w.began)
-		w.core.leave(w.began)
+		w.core.leave(&w.piece, w.began)
 	}
 }
 
@@ -91,10 +94,13 @@
 	if err != nil {
 		return n, err
 	}
-	if err := w.core.enter(w.by, w.done, w.ended); err != nil {
+	if err := w.core.enter(&w.piece, w.by, w.done); err != nil {
 		return 0, err
 	}
 	w.inside, w.began = true, time.Now()
+	if w.ended() { // arithmetic for it helps nobody
+		return 0, net.ErrClosed
+	}
 	return n, nil
 }
 
@@ -156,7 +162,7 @@
 	return len(p), nil
 }
 
-// ended tells whether the other side has closed, or the connection is closed here: arithmetic for it helps nobody.
+// ended tells whether the other side has closed, or the connection is closed here.
 func (w *Wire) ended() bool {
 	raw, err := w.TCP.SyscallConn()
 	if err != nil {
--- a/keys/keys_test.go
+++ b/keys/keys_test.go
@@ -19,7 +19,9 @@
 // authority signs certificates of tests.
 type authority struct{ *pki.Authority }
 
-func newAuthority(_ testing.TB, name string, from, to time.Time) authority { return authority{pki.New(name, from, to)} }
+func newAuthority(_ testing.TB, name string, from, to time.Time) authority {
+	return authority{pki.New(name, from, to)}
+}
 
 // issue returns a certificate and its key, as PEM.
 func (a authority) issue(from, to time.Time, names ...string) (cert, key []byte) {
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -41,6 +41,7 @@
 
 var (
 	errReady     = errors.New("a connection has come to be idle")
+	errLeft      = errors.New("the connection is made for others")
 	errUnknown   = errors.New("not in the list")
 	errDrained   = errors.New("the server drains")
 	errNoSockets = errors.New("no descriptor is left for another connection")
@@ -66,6 +67,9 @@
 	writers sync.Pool // of *bytes.Buffer
 	stop    chan struct{}
 	swept   sync.WaitGroup
+	ahead   sync.WaitGroup  // connections that are made by TLS
+	life    context.Context // ends with the transport
+	end     context.CancelFunc
 	written atomic.Uint64 // attempts, whole
 
 	mu      sync.Mutex
@@ -94,6 +98,7 @@
 		readers: sync.Pool{New: func() any { return bufio.NewReader(nil) }},
 		writers: sync.Pool{New: func() any { return new(bytes.Buffer) }},
 	}
+	t.life, t.end = context.WithCancel(context.Background())
 	t.pools = servers.New(func(p *pool) {
 		t.trim(p, len(p.Pool.idle))
 		if t.secure != nil {
@@ -195,7 +200,7 @@
 	}
 	for i := range c.Members {
 		if p := u.pools.Get(c.Members[i].ID); p != nil {
-			u.secure.Know(p.Member)
+			u.secure.Know(p.Listed)
 		}
 	}
 }
@@ -261,8 +266,10 @@
 	u.mu.Unlock()
 	if first {
 		close(u.stop)
+		u.end()
 	}
 	u.swept.Wait()
+	u.ahead.Wait()
 	u.Update(router.Change{Kind: policy.ListReplace})
 }
 
@@ -272,7 +279,10 @@
 	if c != nil || err != nil {
 		return c, err
 	}
-	if c, err = u.connect(ctx, p, true); err != nil {
+	if c, err = u.begin(ctx, p); err != nil {
+		if errors.Is(err, errLeft) {
+			return nil, ctx.Err()
+		}
 		u.unreserve()
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) || errors.Is(err, secure.ErrBusy) {
 			return nil, errNoSockets
@@ -282,8 +292,8 @@
 	return c, nil
 }
 
-// connect makes a connection; urgent says that a request waits for it.
-func (u *Transport) connect(ctx context.Context, p *pool, urgent bool) (*conn, error) {
+// connect makes a connection; urgent says that a request waits for it. Until it is begun it can be broken off by wait.
+func (u *Transport) connect(wait, ctx context.Context, p *pool, urgent bool) (*conn, error) {
 	var ready *conn
 	dial := func() (*net.TCPConn, error) {
 		if ready = u.meanwhile(p, urgent); ready != nil {
@@ -300,19 +310,49 @@
 	if m := u.member(p); u.secure == nil || !u.secure.For(&m) {
 		c.tcp, err = dial()
 	} else if err = u.secure.Refused(&m); err == nil {
-		if c.secure, err = u.secure.Shake(ctx, &m, urgent, dial); err == nil {
-			c.tcp = c.secure.TCP()
-		}
+		c.secure, err = u.secure.Shake(wait, ctx, &m, urgent, dial)
 	}
 	switch {
 	case ready != nil:
 		return ready, nil
 	case err != nil:
 		return nil, err
+	case c.secure != nil:
+		c.tcp = c.secure.TCP()
 	}
 	return c, nil
 }
 
+// begin makes a connection whether or not the request that wants it waits until it is there: a handshake that was
+// begun is of use to the next.
+func (u *Transport) begin(ctx context.Context, p *pool) (*conn, error) {
+	if u.secure == nil {
+		return u.connect(ctx, ctx, p, true)
+	}
+	type made struct {
+		c   *conn
+		err error
+	}
+	result := make(chan made, 1)
+	u.ahead.Go(func() {
+		c, err := u.connect(ctx, u.life, p, true)
+		result <- made{c, err}
+	})
+	select {
+	case m := <-result:
+		return m.c, m.err
+	case <-ctx.Done():
+	}
+	u.ahead.Go(func() {
+		if m := <-result; m.err != nil {
+			u.unreserve()
+		} else {
+			u.release(m.c, p.ID, true)
+		}
+	})
+	return nil, errLeft
+}
+
 // meanwhile takes a connection that came to be idle while a request waited for the turn of its handshake, in place of
 // the one that was counted for it.
 func (u *Transport) meanwhile(p *pool, urgent bool) *conn {
@@ -335,7 +375,7 @@
 func (u *Transport) member(p *pool) router.Member {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return p.Member
+	return p.Listed
 }
 
 // reserve returns the idle connection last used of those that have rested, or counts one that the
--- a/transport/http1/warm.go
+++ b/transport/http1/warm.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"context"
 	"time"
 
 	"cobaltward/handshakes"
@@ -16,8 +15,6 @@
 	from := time.Now()
 	tick := time.NewTicker(warmEvery)
 	defer tick.Stop()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	for {
 		select {
 		case <-tick.C:
@@ -36,14 +33,14 @@
 			u.mu.Lock()
 			p.Pool.opening++
 			u.mu.Unlock()
-			u.swept.Go(func() { u.ahead(ctx, p, id) })
+			u.ahead.Go(func() { u.spare(p, id) })
 		}
 	}
 }
 
-// ahead makes one connection that nobody waits for.
-func (u *Transport) ahead(ctx context.Context, p *pool, id string) {
-	c, err := u.connect(ctx, p, false)
+// spare makes one connection that nobody waits for.
+func (u *Transport) spare(p *pool, id string) {
+	c, err := u.connect(u.life, u.life, p, false)
 	u.mu.Lock()
 	p.Pool.opening--
 	u.mu.Unlock()
@@ -60,11 +57,11 @@
 	defer u.mu.Unlock()
 	pools := make([]handshakes.Pooled, 0, len(u.pools.All()))
 	for id, p := range u.pools.All() {
-		if !u.secure.For(&p.Member) {
+		if !u.secure.For(&p.Listed) {
 			continue
 		}
 		pools = append(pools, handshakes.Pooled{Server: id, Idle: len(p.Pool.idle), Last: p.Pool.asked.Sub(from), Asked: !p.Pool.asked.IsZero(),
-			Closed: p.State != policy.Running || u.secure.Refused(&p.Member) != nil, Opening: p.Pool.opening})
+			Closed: p.Listed.State != policy.Running || u.secure.Refused(&p.Listed) != nil, Opening: p.Pool.opening})
 	}
 	return handshakes.Warm(time.Since(from), pools, u.open, u.most)
 }
--- a/transport/msgpack/msgpack.go
+++ b/transport/msgpack/msgpack.go
@@ -138,7 +138,7 @@
 	}
 	for i := range c.Members {
 		if s := t.servers.Get(c.Members[i].ID); s != nil {
-			t.c.Secure.Know(s.Member)
+			t.c.Secure.Know(s.Listed)
 		}
 	}
 }
@@ -249,7 +249,7 @@
 			d = &dial{done: make(chan struct{})}
 			p.dial = d
 			t.open++
-			m := s.Member
+			m := s.Listed
 			t.parts.Go(func() { t.connect(s, m, d) })
 		}
 		t.mu.Unlock()
@@ -286,7 +286,7 @@
 	if !tls {
 		nc, err = t.dialer.DialContext(ctx, "tcp", m.Addr)
 	} else if err = t.c.Secure.Refused(&m); err == nil {
-		l.secure, err = t.c.Secure.Shake(ctx, &m, true, func() (*net.TCPConn, error) {
+		l.secure, err = t.c.Secure.Shake(ctx, ctx, &m, true, func() (*net.TCPConn, error) {
 			tcp, err := t.dialer.DialContext(ctx, "tcp", m.Addr)
 			if err != nil {
 				return nil, err
--- a/transport/secure/secure.go
+++ b/transport/secure/secure.go
@@ -192,12 +192,12 @@
 	l.refused.Again(l.now())
 }
 
-// Shake makes the TLS connection of a server over a new one, which it closes on an error. urgent says that a request
-// waits for it. An *Untrusted error says that the server could not prove who it is.
-func (l *Layer) Shake(ctx context.Context, m *router.Member, urgent bool, dial func() (*net.TCPConn, error)) (*Conn, error) {
+// Shake makes the TLS connection of a server over a new one, which it closes on an error. It waits for its turn until
+// wait ends, and is broken off by the end of ctx. urgent says that a request waits for it. An *Untrusted error says that the server could not prove who it is.
+func (l *Layer) Shake(wait, ctx context.Context, m *router.Member, urgent bool, dial func() (*net.TCPConn, error)) (*Conn, error) {
 	rule := l.rule(m)
 	turn := &handshakes.Turn{Server: m.ID, Cold: l.c.ColdFor > 0 && !m.Started.IsZero() && time.Since(m.Started) < l.c.ColdFor, Spare: !urgent}
-	if err := l.admit(ctx, turn); err != nil {
+	if err := l.admit(wait, turn); err != nil {
 		return nil, err
 	}
 	defer l.leave(turn)
@@ -206,7 +206,7 @@
 		return nil, err
 	}
 	p := l.peerOf(m, rule)
-	c, err := l.shake(ctx, m, rule, p, tcp)
+	c, err := l.shake(ctx, m, rule, p, urgent, tcp)
 	if err != nil {
 		tcp.Close()
 		return nil, l.failed(m, p, err)
@@ -259,14 +259,14 @@
 }
 
 // shake is one handshake.
-func (l *Layer) shake(ctx context.Context, m *router.Member, rule *Rule, p *peer, tcp *net.TCPConn) (*Conn, error) {
+func (l *Layer) shake(ctx context.Context, m *router.Member, rule *Rule, p *peer, urgent bool, tcp *net.TCPConn) (*Conn, error) {
 	began := time.Now()
 	by := began.Add(l.c.Timeout)
 	if end, ok := ctx.Deadline(); ok && end.Before(by) {
 		by = end
 	}
 	_ = tcp.SetDeadline(by)
-	wire := handshaking.NewWire(tcp, l.c.Core, by, ctx.Done())
+	wire := handshaking.NewWire(tcp, l.c.Core, urgent, by, ctx.Done())
 	c := &Conn{wire: wire, layer: l, member: *m, rule: rule, peer: p}
 	c.trust, c.own = rule.stamp()
 	conf := &tls.Config{ServerName: rule.name(m), NextProtos: rule.ALPN, MinVersion: tls.VersionTLS13,
@@ -405,7 +405,7 @@
 		case <-ended:
 		}
 	})
-	c, err := l.Shake(ctx, &m, false, func() (*net.TCPConn, error) {
+	c, err := l.Shake(ctx, ctx, &m, false, func() (*net.TCPConn, error) {
 		d := net.Dialer{Timeout: l.c.Connect, KeepAlive: -1}
 		nc, err := d.DialContext(ctx, "tcp", m.Addr)
 		if err != nil {
--- a/transport/servers/servers.go
+++ b/transport/servers/servers.go
@@ -11,9 +11,11 @@
 
 // Server is one process of one server, with what the transport holds for it.
 type Server[P any] struct {
-	router.Member
-	Drained time.Time // when the list said that it drains; zero while it runs
-	Pool    P
+	ID, Addr string
+	Started  time.Time
+	Listed   router.Member // as the list has it now; what is above does not change
+	Drained  time.Time     // when the list said that it drains; zero while it runs
+	Pool     P
 }
 
 // Table is the servers of a list. It isn't safe for concurrent use.
@@ -71,14 +73,14 @@
 		}
 		t.forget(id)
 	}
-	t.byID[m.ID], t.at[m.Addr] = &Server[P]{Member: m}, m.ID
+	t.byID[m.ID], t.at[m.Addr] = &Server[P]{ID: m.ID, Addr: m.Addr, Started: m.Started}, m.ID
 }
 
 // drain notes what else the list says of m, and since when it drains.
 func (t *Table[P]) drain(m router.Member) {
 	s := t.byID[m.ID]
 	if s != nil {
-		s.Member = m
+		s.Listed = m
 	}
 	switch {
 	case s == nil:
