--- a/identity/identity.go
+++ b/identity/identity.go
@@ -20,14 +20,15 @@
 
 // The kinds of layer.
 const (
-	Header  Kind = iota // a header whose value is the tenant's name, from trusted hops alone
-	Cookie              // a session cookie, listed by its hash
-	Bearer              // Authorization: Bearer, listed by its hash
-	APIKey              // a header that holds a key, listed by its hash
-	Address             // the client's address, listed by prefix
+	Header      Kind = iota // a header whose value is the tenant's name, from trusted hops alone
+	Cookie                  // a session cookie, listed by its hash
+	Bearer                  // Authorization: Bearer, listed by its hash
+	APIKey                  // a header that holds a key, listed by its hash
+	Address                 // the client's address, listed by prefix
+	Certificate             // a name of the certificate that the client showed, listed as it is
 )
 
-var kindNames = [...]string{"header", "cookie", "bearer", "api key", "address"}
+var kindNames = [...]string{"header", "cookie", "bearer", "api key", "address", "certificate"}
 
 // String names the kind.
 func (k Kind) String() string { return kindNames[k] }
@@ -38,6 +39,7 @@
 	Name    string            // of the header or the cookie
 	Secrets map[string]string // SHA-256 in hexadecimal to tenant, for Cookie, Bearer and APIKey
 	Nets    map[string]string // prefix to tenant, for Address
+	Names   map[string]string // of a certificate to tenant, for Certificate
 }
 
 // Config is the whole order.
@@ -83,6 +85,7 @@
 type Request struct {
 	Peer   netip.Addr // of the connection
 	Header map[string][]string
+	Names  []string // of the certificate that the client of the connection has proved to be its own
 }
 
 // Found is whose a request is.
@@ -140,6 +143,14 @@
 			}
 			own.secrets[[sha256.Size]byte(raw)] = tenant
 		}
+		if l.Kind == Certificate && len(l.Names) == 0 {
+			return nil, fail("names", errors.New("missing"))
+		}
+		for name, tenant := range l.Names {
+			if name == "" || !f.tenants[tenant] {
+				return nil, fail("names", fmt.Errorf("%q: there is no tenant %q", name, tenant))
+			}
+		}
 		for text, tenant := range l.Nets {
 			prefix, err := parsePrefix(text)
 			if err != nil {
@@ -211,6 +222,17 @@
 		}
 	case APIKey:
 		return l.secret(one(r.Header, l.Name))
+	case Certificate:
+		// Of several tenants' names it would be anybody's guess whose the request is.
+		found := ""
+		for _, n := range r.Names {
+			if t := l.Names[n]; t != "" && found != "" && t != found {
+				return ""
+			} else if t != "" {
+				found = t
+			}
+		}
+		return found
 	case Address:
 		for i := range l.nets {
 			if l.nets[i].prefix.Contains(client) {
--- a/internal/cli/certs.go
+++ b/internal/cli/certs.go
@@ -3,25 +3,27 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"cobaltward/internal/site"
 	"cobaltward/keys"
 )
 
 // certsCommand looks at certificates without a node.
-func certsCommand() *cobra.Command {
-	all := &cobra.Command{Use: "certs", Short: "Check certificates, keys and authorities before a node goes by them"}
+func certsCommand(own *string) *cobra.Command {
+	all := &cobra.Command{Use: "certs", Short: "Certificates, keys and authorities: check them, see what a node holds, probe a server"}
 	var from keys.Sources
 	var asOf string
 	var within time.Duration
 	check := &cobra.Command{
 		Use:   "check",
 		Short: "Read certificates as a node would, and list when each ends",
-		Long: `Read certificates with their keys, and the authorities that are trusted, as a node would: whatever is wrong is one line
-that names the file, and the exit status is then 1. What is in order is listed, the first to end in front. With --within
+		Long: `Read certificates with their keys, and the authorities that are trusted, as a node would, from flags or from the table [tls]
+of the file that --config names: whatever is wrong is one line that names the file, and the exit status is then 1. What is in order is listed, the first to end in front. With --within
 the exit status is 8 where one ends before that.`,
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -32,21 +34,24 @@
 					return fmt.Errorf("--as-of: want a day as in 2027-01-31, got %q", asOf)
 				}
 			}
-			if from == (keys.Sources{}) {
-				return errors.New("nothing to check: give --dir, --cert with --key, or --trust")
-			}
-			set, err := keys.Load(from, now)
+			entries, err := entriesOf(from, *own, now)
 			if err != nil {
 				return err
 			}
-			for _, e := range set.Entries() {
+			for _, e := range entries {
 				names := strings.Join(e.Names, ",")
 				if names == "" {
 					names = "-"
 				}
 				fmt.Fprintf(c.OutOrStdout(), "%s  %d days left  serial %s  %s  %s\n", e.Ends.UTC().Format(time.RFC3339), int(e.Ends.Sub(now).Hours()/24), e.Serial, names, e.Source)
 			}
-			if n := len(set.Ending(now, within)); within > 0 && n > 0 {
+			n := 0
+			for _, e := range entries {
+				if !e.Ends.After(now.Add(within)) {
+					n++
+				}
+			}
+			if within > 0 && n > 0 {
 				fmt.Fprintf(c.ErrOrStderr(), "%d of them end within %v\n", n, within)
 				return exitStatus(8)
 			}
@@ -60,6 +65,37 @@
 	f.StringVar(&from.Trust, "trust", "", "a bundle of authorities")
 	f.StringVar(&asOf, "as-of", "", "the day to check for, as in 2027-01-31; else now")
 	f.DurationVar(&within, "within", 0, "warn of what ends within this time, as in 720h")
-	all.AddCommand(check)
+	all.AddCommand(check, certsShowCommand(own), certsProbeCommand(), certsTicketsCommand())
 	return all
 }
+
+// entriesOf reads what flags name or, where they name nothing, the table [tls] of the operator's own file.
+func entriesOf(from keys.Sources, own string, now time.Time) ([]keys.Entry, error) {
+	if from != (keys.Sources{}) {
+		set, err := keys.Load(from, now)
+		if err != nil {
+			return nil, err
+		}
+		return set.Entries(), nil
+	}
+	if own == "" {
+		return nil, errors.New("nothing to check: give --dir, --cert with --key, --trust, or --config")
+	}
+	f, err := site.Load(own)
+	if err != nil {
+		return nil, err
+	}
+	t, err := f.Secure(now)
+	if err != nil {
+		return nil, fmt.Errorf("%s:%w", own, err)
+	}
+	if t == nil {
+		return nil, fmt.Errorf("%s: it has no table [tls]", own)
+	}
+	var all []keys.Entry
+	for _, s := range t.Stores {
+		all = append(all, s.Set().Entries()...)
+	}
+	slices.SortFunc(all, func(a, b keys.Entry) int { return a.Ends.Compare(b.Ends) })
+	return all, nil
+}
--- a/internal/cli/ctl.go
+++ b/internal/cli/ctl.go
@@ -59,6 +59,15 @@
 	ca, name        string // for a door by TLS
 }
 
+// flags are those by which the door is found.
+func (t *ctl) flags(c *cobra.Command) {
+	f := c.PersistentFlags()
+	f.StringVar(&t.at, "door", os.Getenv("WAYHOLD_DOOR"), "the node's socket, or IP:port; else as --config says; WAYHOLD_DOOR names it too")
+	f.StringVar(&t.file, "token-file", "", "the token for IP:port; else as --config says")
+	f.StringVar(&t.ca, "ca", "", "authorities of a door that takes TLS, as PEM")
+	f.StringVar(&t.name, "name", "", "that its certificate is for; else its address")
+}
+
 func ctlCommand(own *string) *cobra.Command {
 	t := ctl{own: own}
 	c := &cobra.Command{
@@ -68,10 +77,7 @@
 well (drain --wait: drained), 4 if no node answers, 5 if the deadline passed with requests open, 6 if the drain was
 taken back, 7 if the node says no as things stand, and 1 otherwise.`,
 	}
-	c.PersistentFlags().StringVar(&t.at, "door", os.Getenv("WAYHOLD_DOOR"), "the node's socket, or IP:port; else as --config says; WAYHOLD_DOOR names it too")
-	c.PersistentFlags().StringVar(&t.file, "token-file", "", "the token for IP:port; else as --config says")
-	c.PersistentFlags().StringVar(&t.ca, "ca", "", "authorities of a door that takes TLS, as PEM")
-	c.PersistentFlags().StringVar(&t.name, "name", "", "that its certificate is for; else its address")
+	t.flags(c)
 	var asJSON bool
 	status := &cobra.Command{Use: "status", Short: "Print how the node stands", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 		var s node.Status
@@ -368,6 +374,9 @@
 	if len(s.ByHand) > 0 {
 		fmt.Fprintf(t, "drained by hand\t%s\n", strings.Join(s.ByHand, " "))
 	}
+	if len(s.Untrusted) > 0 {
+		fmt.Fprintf(t, "can't prove who they are\t%s (wayhold certs show)\n", strings.Join(s.Untrusted, " "))
+	}
 	var answers []string
 	for name, n := range s.Answers {
 		if n > 0 {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -33,6 +33,7 @@
 	Connections ConnectionStatus  `json:"connections"`
 	Servers     map[string]int    `json:"servers"`
 	ByHand      []string          `json:"servers_drained_by_hand"`
+	Untrusted   []string          `json:"servers_untrusted,omitempty"` // they can't prove who they are
 	List        router.ListStats  `json:"list"`
 	Answers     map[string]uint64 `json:"answers"`
 	Attempts    uint64            `json:"attempts"`
@@ -125,7 +126,7 @@
 	s := Status{Version: 1, Name: c.name, At: time.Now(), Phase: st.Phase.String(), Drain: c.engine.DrainStatus(),
 		Requests: RequestStatus{ByClass: st.Open, OldestMs: st.Oldest.Milliseconds(), OldestLeft: st.Left.Milliseconds(), Held: st.Held,
 			Retrying: st.Retrying, Attempts: st.Out},
-		Servers: make(map[string]int), ByHand: c.hold.Held(), List: st.List, Answers: make(map[string]uint64), Attempts: st.Attempts}
+		Servers: make(map[string]int), ByHand: c.hold.Held(), Untrusted: c.hold.Refused(), List: st.List, Answers: make(map[string]uint64), Attempts: st.Attempts}
 	for _, n := range st.Open {
 		s.Requests.Open += n
 	}
--- a/internal/site/front.go
+++ b/internal/site/front.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"cobaltward/front/secure"
 	"cobaltward/identity"
 	"cobaltward/router"
 	"cobaltward/routes"
@@ -84,7 +85,7 @@
 			host = h
 		}
 		peer, _ := netip.ParseAddrPort(r.RemoteAddr) // of a Unix socket there is none
-		found := t.who.Find(&identity.Request{Peer: peer.Addr(), Header: r.Header})
+		found := t.who.Find(&identity.Request{Peer: peer.Addr(), Header: r.Header, Names: secure.Names(r.Context())})
 		tenant := found.Tenant
 		if tenant == "" {
 			tenant = x.anonymous.Name(found.Net, time.Since(x.began))
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -155,10 +155,11 @@
 
 // Layer is one way to know a tenant.
 type Layer struct {
-	By      string            `toml:"by" need:"1" one:"header|cookie|bearer|api_key|address"`
+	By      string            `toml:"by" need:"1" one:"header|cookie|bearer|api_key|address|certificate"`
 	Name    string            `toml:"name"`
 	Secrets map[string]string `toml:"secrets"` // SHA-256 in hexadecimal to tenant
 	Nets    map[string]string `toml:"nets"`
+	Names   map[string]string `toml:"names"` // of the client's certificate to tenant
 }
 
 // Service is what levels of reduced service have in common.
@@ -307,6 +308,11 @@
 	if _, err := f.Table(); err != nil {
 		return err
 	}
+	for i, l := range f.Who.Layers {
+		if l.By == "certificate" && (f.TLS == nil || f.TLS.Clients == nil || f.TLS.Clients.Trust == "") {
+			return f.lines.Errorf(fmt.Sprintf("identity.layer[%d]", i), "nobody checks certificates of clients: tls.clients.trust names no authorities")
+		}
+	}
 	if _, err := f.Finder(); err != nil {
 		return f.lines.Errorf("identity", "%s", err)
 	}
@@ -394,8 +400,8 @@
 		c.Tenants = append(c.Tenants, t.Name)
 	}
 	for _, l := range f.Who.Layers {
-		c.Layers = append(c.Layers, identity.Layer{Name: l.Name, Secrets: l.Secrets, Nets: l.Nets,
-			Kind: map[string]identity.Kind{"header": identity.Header, "cookie": identity.Cookie, "bearer": identity.Bearer, "api_key": identity.APIKey, "address": identity.Address}[l.By]})
+		c.Layers = append(c.Layers, identity.Layer{Name: l.Name, Secrets: l.Secrets, Nets: l.Nets, Names: l.Names,
+			Kind: map[string]identity.Kind{"header": identity.Header, "cookie": identity.Cookie, "bearer": identity.Bearer, "api_key": identity.APIKey, "address": identity.Address, "certificate": identity.Certificate}[l.By]})
 	}
 	return identity.New(c)
 }
--- a/membership/hold/hold.go
+++ b/membership/hold/hold.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 
@@ -177,6 +178,13 @@
 	s.changed(id)
 }
 
+// Refused is the servers that can't prove who they are, in order.
+func (s *Source) Refused() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.refused))
+}
+
 // Held is the servers that are drained by hand, in order.
 func (s *Source) Held() []string {
 	s.mu.Lock()
--- a/transport/secure/conn.go
+++ b/transport/secure/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"crypto/x509"
 	"net"
 	"sync"
 	"time"
@@ -42,6 +43,11 @@
 // Resumed tells whether a session was taken up again.
 func (c *Conn) Resumed() bool { return c.state.DidResume }
 
+// Agreed is what the handshake came to: the version, the protocol, and the chain that the server showed.
+func (c *Conn) Agreed() (version, protocol string, chain []*x509.Certificate) {
+	return tls.VersionName(c.state.Version), c.state.NegotiatedProtocol, c.state.PeerCertificates
+}
+
 // Close closes the connection. Its farewell is written where there is room for it: it waits for nobody.
 func (c *Conn) Close() error {
 	c.wire.Hurry()
