--- a/front/secure/secure.go
+++ b/front/secure/secure.go
@@ -183,6 +183,7 @@
 	by := began.Add(l.c.Timeout)
 	_ = c.tcp.SetDeadline(by) // fails only once it is closed
 	c.wire = handshaking.NewWire(c.tcp, l.c.Core, false, by, nil)
+	c.wire.Leaves = true
 	conn := tls.Server(c.wire, l.conf)
 	err := conn.HandshakeContext(context.Background())
 	worked, took := c.wire.Shaken(), time.Since(began)
@@ -235,7 +236,7 @@
 		return "not in time"
 	case errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) || errors.Is(err, io.ErrUnexpectedEOF):
 		return "left"
-	case errors.As(err, new(tls.AlertError)):
+	case handshaking.Alert(err) != "":
 		return "the client refused"
 	}
 	return "no agreement"
--- a/internal/handshaking/wire.go
+++ b/internal/handshaking/wire.go
@@ -28,12 +28,21 @@
 func (nothing) Timeout() bool   { return true }
 func (nothing) Temporary() bool { return true }
 
+// Alert is what the other side broke a handshake off with; empty where it did not say.
+func Alert(err error) string {
+	if op := (*net.OpError)(nil); errors.As(err, &op) && op.Op == "remote error" { // crypto/tls has no type for it that others see
+		return op.Err.Error()
+	}
+	return ""
+}
+
 // Wire is a TCP connection under TLS. While its handshake goes on, what the other side sends is worked on only in
 // turn: each piece of arithmetic, from a read to the next, has the core to itself. The rest of the time it adds
 // nothing to its connection.
 type Wire struct {
 	net.Conn // methods below take precedence
 	TCP      *net.TCPConn
+	Leaves   bool // the other side may give up waiting: what it said is worth nothing once it has closed
 
 	core    *Core
 	piece   handshakes.Piece
@@ -98,7 +107,7 @@
 		return 0, err
 	}
 	w.inside, w.began = true, time.Now()
-	if w.ended() { // arithmetic for it helps nobody
+	if w.Leaves && w.ended() { // arithmetic for it helps nobody
 		return 0, net.ErrClosed
 	}
 	return n, nil
--- a/transport/secure/rules.go
+++ b/transport/secure/rules.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"cobaltward/internal/handshaking"
 	"cobaltward/keys"
 	"cobaltward/router"
 )
@@ -210,17 +211,16 @@
 func failure(err error) error {
 	var untrusted *Untrusted
 	var header tls.RecordHeaderError
-	var alert tls.AlertError
 	switch {
 	case errors.As(err, &untrusted):
 		return untrusted
 	case errors.As(err, &header):
 		return &Untrusted{whyNoTLS, header.Msg}
-	case errors.As(err, &alert) && alert != alertInternal:
-		return &Untrusted{whyAlert, alert.Error()}
+	case handshaking.Alert(err) != "" && handshaking.Alert(err) != alertInternal:
+		return &Untrusted{whyAlert, handshaking.Alert(err)}
 	}
 	return err
 }
 
 // alertInternal is a server's own trouble, and nothing of who it is.
-const alertInternal tls.AlertError = 80
+const alertInternal = "tls: internal error"
