--- a/.ci/checks.sh
+++ b/.ci/checks.sh
@@ -153,7 +153,7 @@
 # that the tests run.
 check_fuzz() {
 	local target
-	for target in ./membership/xds:FuzzFile ./membership/xds/resource:FuzzResources ./transport/http1:FuzzHead ./front/framing:FuzzFraming ./msgpackrpc:FuzzMessages; do
+	for target in ./membership/xds:FuzzFile ./membership/xds/resource:FuzzResources ./transport/http1:FuzzHead ./front/framing:FuzzFraming ./msgpackrpc:FuzzMessages ./keys:FuzzKeys; do
 		go test -run '^$' -fuzz "^${target#*:}\$" -fuzztime 4s "${target%:*}" >/dev/null || fail "${target#*:} found something; run it by hand"
 	done
 	echo "ci: fuzzing found nothing"
--- a/front/secure/secure.go
+++ b/front/secure/secure.go
@@ -104,8 +104,11 @@
 	return nil
 }
 
-// Wrap puts TLS on a connection. Nothing is read before its first Read.
-func (l *Layer) Wrap(tcp *net.TCPConn) *Conn { return &Conn{layer: l, tcp: tcp} }
+// Wrap puts TLS on a connection. Nothing is read before its first Read. ended, where it is not nil, hears once of the end
+// of the handshake, however it came.
+func (l *Layer) Wrap(tcp *net.TCPConn, ended func()) *Conn {
+	return &Conn{layer: l, tcp: tcp, ended: ended}
+}
 
 // Listener lets clients in by TLS.
 func (l *Layer) Listener(ln net.Listener) net.Listener { return &listener{ln, l} }
@@ -121,7 +124,7 @@
 		return nil, err
 	}
 	if tcp, ok := c.(*net.TCPConn); ok {
-		return l.layer.Wrap(tcp), nil
+		return l.layer.Wrap(tcp, nil), nil
 	}
 	return c, nil // of a Unix socket: nobody is between
 }
@@ -130,7 +133,8 @@
 type Conn struct {
 	layer *Layer
 	tcp   *net.TCPConn
-	going atomic.Bool // its handshake
+	ended func()                           // hears of the end of its handshake
+	heard atomic.Pointer[handshaking.Wire] // of the handshake, once it has begun
 
 	shaking sync.Mutex
 	tls     *tls.Conn // nil before the handshake
@@ -148,6 +152,12 @@
 // Shaking tells whether the connection has no whole handshake yet.
 func (c *Conn) Shaking() bool { return !c.done.Load() }
 
+// Silent tells whether nothing has come of its handshake.
+func (c *Conn) Silent() bool {
+	w := c.heard.Load()
+	return !c.done.Load() && (w == nil || !w.Heard())
+}
+
 // Names are those of the certificate that the client showed, URIs first; none where it showed none, or before its
 // handshake.
 func (c *Conn) Names() []string {
@@ -170,6 +180,9 @@
 	c.layer.going.Add(1)
 	err := c.handshake()
 	c.layer.going.Add(-1)
+	if c.ended != nil {
+		defer c.ended()
+	}
 	if err != nil {
 		c.err = err
 		c.done.Store(true)
@@ -184,6 +197,7 @@
 	_ = c.tcp.SetDeadline(by) // fails only once it is closed
 	c.wire = handshaking.NewWire(c.tcp, l.c.Core, false, by, nil)
 	c.wire.Leaves = true
+	c.heard.Store(c.wire)
 	conn := tls.Server(c.wire, l.conf)
 	err := conn.HandshakeContext(context.Background())
 	worked, took := c.wire.Shaken(), time.Since(began)
--- a/handshakes/pace.go
+++ b/handshakes/pace.go
@@ -93,5 +93,21 @@
 	return x.begun
 }
 
+const (
+	// mostActive is how many handshakes of clients go on at once: so many keep a core at work, and more would only come
+	// to it together, ahead of requests.
+	mostActive = 8
+	silentPart = 0.25 // of the clients' connections, for those that have said nothing yet
+	// SilentAfter is when a client that has said nothing counts as one that may say nothing.
+	SilentAfter = 20 * time.Millisecond
+)
+
+// Admit tells whether another client may be let in, beside so many whose handshake goes on and so many that have said
+// nothing, of most connections. Those who are not wait outside: to close one that goes on in favour of the next would
+// have each begun and none ended.
+func Admit(active, silent, most int) bool {
+	return active < mostActive && silent < max(mostActive, int(silentPart*float64(most)))
+}
+
 // Took is how many pieces there were, and the time of them all.
 func (p *Pace) Took() (pieces uint64, all time.Duration) { return p.count, p.took }
--- a/internal/handshaking/wire.go
+++ b/internal/handshaking/wire.go
@@ -54,6 +54,7 @@
 	read    int
 	glance  bool // reads do not wait
 	hurry   atomic.Bool
+	heard   atomic.Bool
 	worked  time.Duration
 }
 
@@ -69,6 +70,9 @@
 	return w.worked
 }
 
+// Heard tells whether anything has come in the handshake.
+func (w *Wire) Heard() bool { return w.heard.Load() }
+
 // Work has the core for what comes before the first read: a client computes its key then.
 func (w *Wire) Work() error {
 	if err := w.core.enter(&w.piece, w.by, w.done); err != nil {
@@ -97,6 +101,7 @@
 	}
 	w.pause()
 	n, err := w.TCP.Read(p)
+	w.heard.Store(true)
 	if w.read += n; w.read > MostBytes {
 		return 0, ErrTooLong
 	}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -13,6 +13,7 @@
 
 	"cobaltward/front/framing"
 	"cobaltward/front/secure"
+	"cobaltward/handshakes"
 	"cobaltward/internal/sockets"
 )
 
@@ -21,8 +22,8 @@
 // say nothing, or keep what they don't use, must not keep others out.
 type clients struct {
 	net.Listener
-	most int
-	wrap func(*net.TCPConn) *secure.Conn // puts TLS on a connection; nil: they come in plain
+	most  int
+	layer *secure.Layer // puts TLS on connections; nil: they come in plain
 
 	mu     sync.Mutex
 	room   sync.Cond
@@ -35,6 +36,11 @@
 	parted  uint64 // connections that were closed without a request, for a drain
 }
 
+const (
+	silentFor = 250 * time.Millisecond // after which who has said nothing makes room for others
+	lookAgain = 5 * time.Millisecond   // whether another may be let in
+)
+
 // partFor is how long a client may take to close its side of a connection that was parted from.
 const partFor = time.Second
 
@@ -46,6 +52,7 @@
 	guard   framing.Guard             // of who reads
 	secure  *secure.Conn              // nil: without TLS
 	refused int                       // bytes of the line that refuses a head
+	came    time.Time                 // with TLS: when it was let in
 	by      atomic.Pointer[time.Time] // when a client has to have closed its side; nil: it need not
 
 	// Under the owner's mutex.
@@ -103,13 +110,17 @@
 	c := &clientConn{TCPConn: tcp.(*net.TCPConn), owner: l}
 	c.way = c.TCPConn
 	conn := net.Conn(c)
-	if l.wrap != nil {
-		c.secure = l.wrap(c.TCPConn)
+	if l.layer != nil {
+		c.secure = l.layer.Wrap(c.TCPConn, l.shaken)
+		c.came = time.Now()
 		c.way, conn = c.secure, &secureClient{c, c.secure}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for l.open++; l.open > l.most && !l.evict() && !l.closed; {
+	if l.open++; l.layer != nil {
+		l.admit()
+	}
+	for l.open > l.most && !l.evict() && !l.closed {
 		l.room.Wait() // each has a request in it: one will end
 	}
 	c.quiet = l.quiet.PushBack(c)
@@ -142,29 +153,52 @@
 	return l.closed
 }
 
-// evict closes the connection that has been quiet for longest, if there is one. Where more than half of the room is
-// taken by handshakes that go on, it is the longest of those: a storm of them must not take the room of those who are
-// through.
-func (l *clients) evict() bool {
-	if l.wrap != nil {
-		shaking := 0
-		var first *clientConn
+// admit waits until another handshake may go on.
+func (l *clients) admit() {
+	for !l.closed {
+		active, silent := 0, 0
 		for e := l.quiet.Front(); e != nil; e = e.Next() {
-			if c := e.Value.(*clientConn); c.secure.Shaking() {
-				if shaking++; first == nil {
-					first = c
-				}
+			switch c := e.Value.(*clientConn); {
+			case !c.secure.Shaking():
+			case c.secure.Silent() && time.Since(c.came) > handshakes.SilentAfter:
+				silent++
+			default:
+				active++
 			}
 		}
-		if shaking > l.most/2 {
-			first.forget()
-			first.TCPConn.Close()
+		if handshakes.Admit(active, silent, l.most) || l.hush() {
+			return
+		}
+		wake := time.AfterFunc(lookAgain, l.room.Broadcast)
+		l.room.Wait()
+		wake.Stop()
+	}
+}
+
+// hush closes the connection that has been silent for longest since it was let in, if that is for long.
+func (l *clients) hush() bool {
+	for e := l.quiet.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*clientConn); c.secure.Silent() && time.Since(c.came) > silentFor {
+			c.forget()
+			c.TCPConn.Close()
 			return true
 		}
 	}
+	return false
+}
+
+// shaken notes the end of a handshake.
+func (l *clients) shaken() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.room.Broadcast()
+}
+
+// evict closes the connection that has been quiet for longest, if there is one. A handshake that goes on is not quiet.
+func (l *clients) evict() bool {
 	for e := l.quiet.Front(); e != nil; e = e.Next() {
 		// A request may have come that nobody has read yet: one that meets a close has failed.
-		if c := e.Value.(*clientConn); sockets.Quiet(c.TCPConn) {
+		if c := e.Value.(*clientConn); (c.secure == nil || !c.secure.Shaking() || c.secure.Silent()) && sockets.Quiet(c.TCPConn) {
 			c.forget()
 			c.TCPConn.Close()
 			return true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,7 +80,7 @@
 	}
 	defer safe.close()
 	front := newIntake(server, listener, most)
-	front.clients.wrap = safe.wrapClient()
+	front.clients.layer = safe.fromClients()
 	server.ConnContext = withClient
 	membership := router.Membership(source)
 	if c.Membership != nil {
--- a/internal/node/tls.go
+++ b/internal/node/tls.go
@@ -104,12 +104,12 @@
 	return s.servers
 }
 
-// wrapClient puts TLS on a client's connection; nil where clients come in plain.
-func (s *secured) wrapClient() func(*net.TCPConn) *frontsecure.Conn {
-	if s == nil || s.clients == nil {
+// fromClients is the layer of the clients' listener; nil where they come in plain.
+func (s *secured) fromClients() *frontsecure.Layer {
+	if s == nil {
 		return nil
 	}
-	return s.clients.Wrap
+	return s.clients
 }
 
 // wrapMsgpack puts TLS on a listener for MessagePack-RPC.
