--- a/handshakes/pace.go
+++ b/handshakes/pace.go
@@ -96,7 +96,7 @@
 const (
 	// mostActive is how many handshakes of clients go on at once: so many keep a core at work, and more would only come
 	// to it together, ahead of requests.
-	mostActive = 8
+	mostActive = 4
 	silentPart = 0.25 // of the clients' connections, for those that have said nothing yet
 	// SilentAfter is when a client that has said nothing counts as one that may say nothing.
 	SilentAfter = 20 * time.Millisecond
