--- a/tools/bench/main.go
+++ b/tools/bench/main.go
@@ -4,12 +4,17 @@
 //
 //	go build -o bin/ ./cmd/... && go run ./tools/bench -daemon bin/wayhold
 //
+// With -tls every subject speaks TLS 1.3 on both sides, by the same certificates; the middleware is left out then, since
+// its listener is its host's.
+//
 // Every subject is a process of its own with one thread for Go code. The subjects take turns in each
 // round, so that a drift of the machine meets all.
 package main
 
 import (
 	"bufio"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"flag"
 	"fmt"
@@ -33,6 +38,7 @@
 	"time"
 
 	"cobaltward/internal/node"
+	"cobaltward/internal/pki"
 	"cobaltward/middleware"
 	"cobaltward/router"
 	"cobaltward/transport/http1"
@@ -61,10 +67,11 @@
 		rounds  = flag.Int("rounds", 5, "rounds")
 		each    = flag.Duration("for", 2*time.Second, "how long each subject is loaded in a round")
 		profile = flag.String("profile", "", "file for a CPU profile of the middleware, for go tool pprof")
+		secured = flag.Bool("tls", false, "TLS on both sides")
 		service = flag.Duration("service", time.Millisecond, "how long a stub server takes")
 	)
 	flag.Parse()
-	if err := measure(strings.Split(*daemons, ","), strings.Split(*conns, ","), *rounds, *each, *service, *profile); err != nil {
+	if err := measure(strings.Split(*daemons, ","), strings.Split(*conns, ","), *rounds, *each, *service, *profile, *secured); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
 		os.Exit(1)
 	}
@@ -84,7 +91,7 @@
 	bad           int
 }
 
-func measure(daemons, conns []string, rounds int, each, service time.Duration, profile string) error {
+func measure(daemons, conns []string, rounds int, each, service time.Duration, profile string, secured bool) error {
 	dir, err := os.MkdirTemp("", "bench")
 	if err != nil {
 		return err
@@ -94,6 +101,14 @@
 	if err != nil {
 		return err
 	}
+	if secured {
+		if err := certify(dir); err != nil {
+			return err
+		}
+		if err := os.Setenv(certsIn, dir); err != nil { // for all processes
+			return err
+		}
+	}
 	stub, addrs, err := spawn(exec.Command(self, "as-stubs", service.String()), stubs)
 	if err != nil {
 		return err
@@ -129,12 +144,18 @@
 		return err
 	}
 	for _, d := range daemons {
-		if err := add(d, exec.Command(d)); err != nil {
+		cmd := exec.Command(d)
+		if secured {
+			cmd = exec.Command(d, "--config", filepath.Join(dir, "own.toml"))
+		}
+		if err := add(d, cmd); err != nil {
 			return err
 		}
 	}
-	if err := add("middleware", exec.Command(self, "as-middleware", profile)); err != nil {
-		return err
+	if !secured {
+		if err := add("middleware", exec.Command(self, "as-middleware", profile)); err != nil {
+			return err
+		}
 	}
 	var ids atomic.Int64
 	for _, c := range conns {
@@ -235,7 +256,12 @@
 
 // client asks over one connection until the end.
 func client(addr string, until time.Time, ids *atomic.Int64) (took []time.Duration, bad int, err error) {
-	c, err := net.Dial("tcp", addr)
+	var c net.Conn
+	if _, trust := certificates(); trust != nil {
+		c, err = tls.Dial("tcp", addr, &tls.Config{RootCAs: trust})
+	} else {
+		c, err = net.Dial("tcp", addr)
+	}
 	if err != nil {
 		return nil, 0, err
 	}
@@ -327,6 +353,9 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err == nil {
 		fmt.Fprintf(os.Stderr, "address=%s\n", ln.Addr())
+		if own, _ := certificates(); own != nil {
+			ln = tls.NewListener(ln, &tls.Config{Certificates: []tls.Certificate{*own}, NextProtos: []string{"http/1.1"}})
+		}
 	}
 	return ln, err
 }
@@ -370,10 +399,14 @@
 
 func serveProxy(addrs []string) error {
 	var next atomic.Uint64
+	scheme, conf := "http", (*tls.Config)(nil)
+	if _, trust := certificates(); trust != nil {
+		scheme, conf = "https", &tls.Config{RootCAs: trust}
+	}
 	proxy := &httputil.ReverseProxy{
-		Transport: &http.Transport{MaxIdleConnsPerHost: 512, DisableCompression: true},
+		Transport: &http.Transport{MaxIdleConnsPerHost: 512, DisableCompression: true, TLSClientConfig: conf},
 		Rewrite: func(r *httputil.ProxyRequest) {
-			r.SetURL(&url.URL{Scheme: "http", Host: addrs[next.Add(1)%uint64(len(addrs))]})
+			r.SetURL(&url.URL{Scheme: scheme, Host: addrs[next.Add(1)%uint64(len(addrs))]})
 		},
 	}
 	ln, err := listen()
@@ -418,3 +451,38 @@
 	}
 	return http.Serve(ln, middleware.New(r).Handler(http.NotFoundHandler()))
 }
+
+// certsIn names the directory of the certificates that all processes go by; unset: none speaks TLS.
+const certsIn = "BENCH_CERTIFICATES"
+
+// certify writes them, and the daemon's own file.
+func certify(dir string) error {
+	ca := pki.Year("bench")
+	p := ca.Issue(pki.Leaf{Names: []string{"127.0.0.1"}})
+	own := "[tls]\n[[tls.servers]]\ntrust = \"ca.pem\"\n[tls.clients]\ncert = \"cert.pem\"\nkey = \"key.pem\"\n"
+	for name, text := range map[string][]byte{"cert.pem": pki.PEM(p.Cert), "key.pem": p.KeyPEM(), "ca.pem": ca.PEM(), "own.toml": []byte(own)} {
+		if err := os.WriteFile(filepath.Join(dir, name), text, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// certificates are those of certsIn.
+var certificates = sync.OnceValues(func() (*tls.Certificate, *x509.CertPool) {
+	dir := os.Getenv(certsIn)
+	if dir == "" {
+		return nil, nil
+	}
+	own, err := tls.LoadX509KeyPair(filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem"))
+	if err != nil {
+		panic(err) // this program wrote them
+	}
+	raw, err := os.ReadFile(filepath.Join(dir, "ca.pem"))
+	if err != nil {
+		panic(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(raw)
+	return &own, pool
+})
