Certificates and authorities from the control plane (SDS), by the existing state machine

A store that nothing was handed to yet trusts nobody, where crypto/x509 would have gone by the system's authorities.

--- a/cmd/wayhold-xds/main.go
+++ b/cmd/wayhold-xds/main.go
@@ -15,6 +15,7 @@
 	"cobaltward/internal/cli"
 	"cobaltward/internal/node"
 	"cobaltward/internal/operator"
+	"cobaltward/keys"
 	"cobaltward/membership/merge"
 	"cobaltward/membership/xds"
 	"cobaltward/router"
@@ -29,7 +30,13 @@
 // membership is the source that the operator's own file asks for, with the platform's discovery first
 // unless it is to stand alone.
 func membership(o operator.File, c node.Config, own router.Membership, log *slog.Logger) (router.Membership, error) {
-	source, err := open(o.XDS, log)
+	secrets := make(map[string]func(*keys.Set))
+	if c.TLS != nil {
+		for name, store := range c.TLS.Secrets {
+			secrets[name] = store.Adopt
+		}
+	}
+	source, err := open(o.XDS, secrets, log)
 	if err != nil {
 		return nil, err
 	}
@@ -42,7 +49,7 @@
 }
 
 // open makes the source of the control planes, or of the files.
-func open(x operator.XDS, log *slog.Logger) (router.Membership, error) {
+func open(x operator.XDS, secrets map[string]func(*keys.Set), log *slog.Logger) (router.Membership, error) {
 	if len(x.Files) > 0 {
 		return xds.NewFiles(x.Files, log)
 	}
@@ -50,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.Log = log
+	c.Log, c.Secrets = log, secrets
 	return xds.New(c)
 }
 
--- a/cmd/wayhold-xds/xds.go
+++ b/cmd/wayhold-xds/xds.go
@@ -55,7 +55,7 @@
 			if err != nil {
 				return err
 			}
-			source, err := open(o.XDS, nil)
+			source, err := open(o.XDS, nil, nil)
 			if err != nil {
 				return err
 			}
@@ -154,8 +154,11 @@
 		state = "open"
 	}
 	fmt.Fprintf(out, "control plane %s, stream %s for %v, list whole: %v\n", st.Server, state, time.Since(st.Since).Round(time.Millisecond), st.Whole)
-	for t, name := range map[ads.Type]string{ads.Clusters: "clusters", ads.Endpoints: "endpoints"} {
+	for t, name := range map[ads.Type]string{ads.Clusters: "clusters", ads.Endpoints: "endpoints", ads.Secrets: "secrets"} {
 		s := st.Types[t]
+		if t == ads.Secrets && len(s.Names) == 0 {
+			continue
+		}
 		fmt.Fprintf(out, "%s: version %q, %d held, age %v, ", name, s.Version, len(s.Held), age(s.Updated))
 		if s.Failure == "" {
 			fmt.Fprintln(out, "acknowledged")
--- a/front/secure/secure.go
+++ b/front/secure/secure.go
@@ -25,7 +25,8 @@
 
 // Config is what a Layer is told at its start.
 type Config struct {
-	Keys    *keys.Store // certificates; where it has authorities, clients may show a certificate of theirs
+	Keys    *keys.Store // certificates
+	Trust   *keys.Store // authorities, whose clients may show a certificate; nil: none are asked for
 	Require bool        // clients have to
 	Tickets *keys.Tickets
 	TLS12   bool // 1.2 is taken, too
@@ -49,10 +50,10 @@
 
 // New returns a layer.
 func New(c Config) (*Layer, error) {
-	if c.Keys == nil || len(c.Keys.Set().Pairs) == 0 {
+	if c.Keys == nil {
 		return nil, errors.New("no certificate to show")
 	}
-	if c.Require && c.Keys.Set().Pool == nil {
+	if c.Require && c.Trust == nil {
 		return nil, errors.New("require: by which authorities do clients prove who they are?")
 	}
 	if c.Timeout <= 0 {
@@ -69,7 +70,7 @@
 	switch { // who they are is for verify to say, by what is trusted then; sessions that are taken up again come by it, too
 	case c.Require:
 		l.conf.ClientAuth = tls.RequireAnyClientCert
-	case c.Keys.Set().Pool != nil:
+	case c.Trust != nil:
 		l.conf.ClientAuth = tls.RequestClientCert
 	}
 	l.Retake()
@@ -90,8 +91,8 @@
 	if len(s.PeerCertificates) == 0 {
 		return nil // where one is required, crypto/tls has said so
 	}
-	pool := l.c.Keys.Set().Pool
-	if pool == nil {
+	pool := l.c.Trust.Set().Pool // clients are asked only where there is one
+	if pool == nil {             // nothing was handed yet; crypto/x509 would go by the system's authorities
 		return errStranger
 	}
 	o := x509.VerifyOptions{Roots: pool, Intermediates: x509.NewCertPool(), KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -62,6 +62,9 @@
 	if c.TLS, err = alone.own.Secure(time.Now()); err != nil {
 		return fmt.Errorf("%s:%w", own, err)
 	}
+	if c.TLS != nil && len(c.TLS.Secrets) > 0 && o.XDS.Bootstrap == "" {
+		return fmt.Errorf("%s: tls: a secret is named, but no control plane to hand it: xds.bootstrap", own)
+	}
 	c.DrainMark = o.Drain.Remember
 	debug.SetMemoryLimit(int64(heapPart * float64(c.MemoryMB) * (1 << 20)))
 	c.Common = os.Getenv("TMPDIR")
--- a/internal/node/tls.go
+++ b/internal/node/tls.go
@@ -25,14 +25,16 @@
 	Share   float64       // of a core, for the arithmetic of handshakes while requests are in flight; 0: the default
 	Clients *Listener     // nil: they come in plain
 	Door    *Listener
-	Stores  []*keys.Store // all of the above, each once
-	Every   time.Duration // between looks at the files
+	Stores  []*keys.Store          // all of the above, each once
+	Secrets map[string]*keys.Store // of them, those that a control plane hands, by the name of the secret
+	Every   time.Duration          // between looks at the files
 	Warn    []time.Duration
 }
 
 // Listener is how clients come in.
 type Listener struct {
 	Keys    *keys.Store
+	Trust   *keys.Store   // whose clients may show a certificate; nil: none are asked for
 	Tickets *keys.Tickets // nil: each process has its own
 	Require bool
 	TLS12   bool
@@ -78,7 +80,7 @@
 		if l == nil {
 			return nil, nil
 		}
-		return frontsecure.New(frontsecure.Config{Keys: l.Keys, Require: l.Require, Tickets: l.Tickets, TLS12: l.TLS12, ALPN: alpn, Timeout: l.Timeout, Core: s.core, Log: log})
+		return frontsecure.New(frontsecure.Config{Keys: l.Keys, Trust: l.Trust, Require: l.Require, Tickets: l.Tickets, TLS12: l.TLS12, ALPN: alpn, Timeout: l.Timeout, Core: s.core, Log: log})
 	}
 	var errs [3]error
 	s.clients, errs[0] = listener(s.c.Clients, "http/1.1")
@@ -133,8 +135,14 @@
 		return
 	}
 	var files []*keys.Watched
+	handed := make(map[*keys.Store]*keys.Set)
+	for _, k := range s.c.Secrets {
+		handed[k] = k.Set()
+	}
 	for _, k := range s.c.Stores {
-		files = append(files, k.Watch())
+		if _, ok := handed[k]; !ok {
+			files = append(files, k.Watch())
+		}
 	}
 	for _, l := range []*Listener{s.c.Clients, s.c.Door} {
 		if l != nil && l.Tickets != nil {
@@ -158,13 +166,18 @@
 		case <-ctx.Done():
 			return
 		}
-		s.look(files, bad)
+		s.look(files, handed, bad)
 	}
 }
 
-// look is one look at the files; bad keeps those that are refused.
-func (s *secured) look(files []*keys.Watched, bad map[string]string) {
+// look is one look at the files, and at what a control plane has handed; bad keeps the files that are refused.
+func (s *secured) look(files []*keys.Watched, handed map[*keys.Store]*keys.Set, bad map[string]string) {
 	changed := false
+	for k, was := range handed {
+		if now := k.Set(); now != was {
+			handed[k], changed = now, true
+		}
+	}
 	for _, f := range files {
 		switch l := f.Look(time.Now()); {
 		case l.Err != nil:
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -309,7 +309,7 @@
 		return err
 	}
 	for i, l := range f.Who.Layers {
-		if l.By == "certificate" && (f.TLS == nil || f.TLS.Clients == nil || f.TLS.Clients.Trust == "") {
+		if l.By == "certificate" && (f.TLS == nil || f.TLS.Clients == nil || f.TLS.Clients.Trust+f.TLS.Clients.TrustSDS == "") {
 			return f.lines.Errorf(fmt.Sprintf("identity.layer[%d]", i), "nobody checks certificates of clients: tls.clients.trust names no authorities")
 		}
 	}
--- a/internal/site/tls.go
+++ b/internal/site/tls.go
@@ -39,20 +39,26 @@
 	Trust string   `toml:"trust"`
 	Cert  string   `toml:"cert"`
 	Key   string   `toml:"key"`
+	// Secrets of the control plane, in place of files.
+	TrustSDS string `toml:"trust_sds"`
+	CertSDS  string `toml:"cert_sds"`
+
 	ALPN  []string `toml:"alpn"`
 	TLS12 bool     `toml:"tls12"`
 }
 
 // TLSListener is how clients come in.
 type TLSListener struct {
-	Dir     string        `toml:"dir"`
-	Cert    string        `toml:"cert"`
-	Key     string        `toml:"key"`
-	Trust   string        `toml:"trust"`
-	Require bool          `toml:"require"` // a certificate of the client's
-	Tickets string        `toml:"tickets"` // file of keys, for nodes that share it
-	TLS12   bool          `toml:"tls12"`
-	Timeout time.Duration `toml:"timeout" min:"100ms" max:"1m"`
+	Dir      string        `toml:"dir"`
+	Cert     string        `toml:"cert"`
+	Key      string        `toml:"key"`
+	Trust    string        `toml:"trust"`
+	TrustSDS string        `toml:"trust_sds"`
+	CertSDS  string        `toml:"cert_sds"`
+	Require  bool          `toml:"require"` // a certificate of the client's
+	Tickets  string        `toml:"tickets"` // file of keys, for nodes that share it
+	TLS12    bool          `toml:"tls12"`
+	Timeout  time.Duration `toml:"timeout" min:"100ms" max:"1m"`
 }
 
 // Secure is what the table [tls] asks for, with its files read; nil where there is none. Errors name the line.
@@ -71,15 +77,15 @@
 			return name
 		}
 		return filepath.Join(filepath.Dir(f.path), name)
-	}, known: make(map[keys.Sources]*keys.Store)}
+	}, known: make(map[keys.Sources]*keys.Store), secrets: make(map[string]*keys.Store)}
 	for i, s := range t.Servers {
 		at := fmt.Sprintf("tls.servers[%d]", i)
 		r := secure.Rule{Servers: s.IDs, Zones: s.Zones, Pools: s.Pools, Kinds: s.Kinds, Plain: s.Plain, Name: s.Name, URIs: s.URIs, Pins: s.Pins, TLS12: s.TLS12, ALPN: s.ALPN}
 		var err error
-		if r.Trust, err = open.store(keys.Sources{Trust: s.Trust}); err != nil {
+		if r.Trust, err = open.store(keys.Sources{Trust: s.Trust}, s.TrustSDS); err != nil {
 			return nil, f.lines.Errorf(at+".trust", "%s", err)
 		}
-		if r.Own, err = open.store(keys.Sources{Cert: s.Cert, Key: s.Key}); err != nil {
+		if r.Own, err = open.store(keys.Sources{Cert: s.Cert, Key: s.Key}, s.CertSDS); err != nil {
 			return nil, f.lines.Errorf(at+".cert", "%s", err)
 		}
 		if err := r.Check(); err != nil {
@@ -103,19 +109,31 @@
 	if len(c.Rules) == 0 && c.Clients == nil && c.Door == nil {
 		return nil, f.lines.Errorf("tls", "neither servers, nor clients, nor the door: the table does nothing")
 	}
-	c.Stores = open.all
+	c.Stores, c.Secrets = open.all, open.secrets
 	return c, nil
 }
 
 // stores opens each source once.
 type stores struct {
-	now   time.Time
-	at    func(string) string
-	known map[keys.Sources]*keys.Store
-	all   []*keys.Store
+	now     time.Time
+	at      func(string) string
+	known   map[keys.Sources]*keys.Store
+	all     []*keys.Store
+	secrets map[string]*keys.Store
 }
 
-func (o *stores) store(from keys.Sources) (*keys.Store, error) {
+// store is the one of files, or of a secret; nil where neither is named.
+func (o *stores) store(from keys.Sources, secret string) (*keys.Store, error) {
+	if secret != "" {
+		if from != (keys.Sources{}) {
+			return nil, fmt.Errorf("want either files or the secret %q, got both", secret)
+		}
+		if o.secrets[secret] == nil {
+			o.secrets[secret] = keys.Handed()
+			o.all = append(o.all, o.secrets[secret])
+		}
+		return o.secrets[secret], nil
+	}
 	from = keys.Sources{Dir: o.at(from.Dir), Cert: o.at(from.Cert), Key: o.at(from.Key), Trust: o.at(from.Trust)}
 	if from == (keys.Sources{}) {
 		return nil, nil
@@ -133,16 +151,20 @@
 }
 
 func (o *stores) listener(l *TLSListener) (*node.Listener, error) {
-	k, err := o.store(keys.Sources{Dir: l.Dir, Cert: l.Cert, Key: l.Key, Trust: l.Trust})
+	k, err := o.store(keys.Sources{Dir: l.Dir, Cert: l.Cert, Key: l.Key}, l.CertSDS)
+	if err != nil {
+		return nil, err
+	}
+	trust, err := o.store(keys.Sources{Trust: l.Trust}, l.TrustSDS)
 	switch {
 	case err != nil:
 		return nil, err
-	case k == nil || len(k.Set().Pairs) == 0:
-		return nil, errors.New("no certificate: name cert and key, or dir")
-	case l.Require && l.Trust == "":
+	case k == nil:
+		return nil, errors.New("no certificate: name cert and key, dir, or cert_sds")
+	case l.Require && trust == nil:
 		return nil, errors.New("require: by which authorities do clients prove who they are? Name trust")
 	}
-	c := &node.Listener{Keys: k, Require: l.Require, TLS12: l.TLS12, Timeout: l.Timeout}
+	c := &node.Listener{Keys: k, Trust: trust, Require: l.Require, TLS12: l.TLS12, Timeout: l.Timeout}
 	if l.Tickets != "" {
 		if c.Tickets, err = keys.OpenTickets(o.at(l.Tickets)); err != nil {
 			return nil, err
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -46,7 +46,7 @@
 
 // LoadPair reads a certificate with its chain, and its key, as they have to hold at a moment. Errors name the file.
 func LoadPair(cert, key string, now time.Time) (*Pair, error) {
-	chain, err := certificates(cert)
+	chain, err := read(cert)
 	if err != nil {
 		return nil, err
 	}
@@ -57,7 +57,20 @@
 	if err != nil {
 		return nil, err
 	}
-	signer, err := privateKey(raw)
+	return pairOf(cert, key, chain, raw, now)
+}
+
+// PairOf is LoadPair for what comes from elsewhere than files. Errors name the source.
+func PairOf(source string, cert, key []byte, now time.Time) (*Pair, error) {
+	return pairOf(source, source, cert, key, now)
+}
+
+func pairOf(cert, key string, rawCert, rawKey []byte, now time.Time) (*Pair, error) {
+	chain, err := certificates(cert, rawCert)
+	if err != nil {
+		return nil, err
+	}
+	signer, err := privateKey(rawKey)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", key, err)
 	}
@@ -108,7 +121,16 @@
 // LoadTrust reads the authorities that are trusted: certificates of authorities only, at least one of them in force.
 // One that is not in force any more is left out, since old and new are trusted together in a rotation.
 func LoadTrust(file string, now time.Time) ([]*x509.Certificate, error) {
-	all, err := certificates(file)
+	raw, err := read(file)
+	if err != nil {
+		return nil, err
+	}
+	return TrustOf(file, raw, now)
+}
+
+// TrustOf is LoadTrust for what comes from elsewhere than a file.
+func TrustOf(file string, raw []byte, now time.Time) ([]*x509.Certificate, error) {
+	all, err := certificates(file, raw)
 	if err != nil {
 		return nil, err
 	}
@@ -169,11 +191,7 @@
 
 // certificates reads a file of nothing but certificates. What comes behind the last one, as half of another that is
 // just being written, is refused with all the rest.
-func certificates(file string) ([]*x509.Certificate, error) {
-	raw, err := read(file)
-	if err != nil {
-		return nil, err
-	}
+func certificates(file string, raw []byte) ([]*x509.Certificate, error) {
 	all, err := parse(raw)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", file, err)
--- a/keys/store.go
+++ b/keys/store.go
@@ -33,7 +33,7 @@
 
 // Load reads all sources, as they have to hold at a moment.
 func Load(from Sources, now time.Time) (*Set, error) {
-	s := &Set{byName: make(map[string]*Pair)}
+	s := &Set{}
 	if (from.Cert == "") != (from.Key == "") {
 		return nil, errors.New("a certificate and its key go together")
 	}
@@ -51,7 +51,22 @@
 		}
 		s.Pairs = append(s.Pairs, all...)
 	}
-	for _, p := range s.Pairs {
+	var trust []*x509.Certificate
+	if from.Trust != "" {
+		var err error
+		if trust, err = LoadTrust(from.Trust, now); err != nil {
+			return nil, err
+		}
+	}
+	return NewSet(s.Pairs, trust), nil
+}
+
+// NewSet is a set of what was read before.
+func NewSet(pairs []*Pair, trust []*x509.Certificate) *Set {
+	s := &Set{Pairs: pairs, Trust: trust, byName: make(map[string]*Pair)}
+	own := sha256.New()
+	for _, p := range pairs {
+		own.Write(p.Leaf.Raw)
 		for _, name := range p.names() {
 			// Two certificates for one name are a rotation by two files: the one that holds for longer is meant.
 			if was := s.byName[name]; was == nil || p.Ends().After(was.Ends()) {
@@ -59,25 +74,17 @@
 			}
 		}
 	}
-	own := sha256.New()
-	for _, p := range s.Pairs {
-		own.Write(p.Leaf.Raw)
-	}
 	s.Own = hex.EncodeToString(own.Sum(nil))
-	if from.Trust != "" {
-		var err error
-		if s.Trust, err = LoadTrust(from.Trust, now); err != nil {
-			return nil, err
-		}
+	if len(trust) > 0 {
 		s.Pool = x509.NewCertPool()
 		sum := sha256.New()
-		for _, c := range s.Trust {
+		for _, c := range trust {
 			s.Pool.AddCert(c)
 			sum.Write(c.Raw)
 		}
 		s.Digest = hex.EncodeToString(sum.Sum(nil))
 	}
-	return s, nil
+	return s
 }
 
 // For is the pair for a name that a client asks for: its own, that of its wildcard, or the first one where the client
@@ -119,16 +126,6 @@
 	return all
 }
 
-// Ending lists what ends within a time from now.
-func (s *Set) Ending(now time.Time, within time.Duration) []Entry {
-	all := s.Entries()
-	end := now.Add(within)
-	if i := slices.IndexFunc(all, func(e Entry) bool { return e.Ends.After(end) }); i >= 0 {
-		all = all[:i]
-	}
-	return all
-}
-
 // Store holds the set in force. Its methods may be called at once from many goroutines.
 type Store struct {
 	from Sources
@@ -156,6 +153,16 @@
 	return s.set.Swap(set).Digest != set.Digest, nil
 }
 
+// Handed is a store whose sets are handed to it. Until the first one it holds nothing, and trusts nobody.
+func Handed() *Store {
+	s := &Store{}
+	s.set.Store(NewSet(nil, nil))
+	return s
+}
+
+// Adopt puts a set in force.
+func (s *Store) Adopt(set *Set) { s.set.Store(set) }
+
 // Set is what is in force.
 func (s *Store) Set() *Set { return s.set.Load() }
 
--- a/membership/xds/ads/ads.go
+++ b/membership/xds/ads/ads.go
@@ -21,6 +21,7 @@
 const (
 	Clusters Type = iota
 	Endpoints
+	Secrets // certificates and authorities, by the names that the operator gives
 	types
 )
 
@@ -38,7 +39,7 @@
 	Name    string
 	Version string        // Delta
 	TTL     time.Duration // 0: it does not expire
-	// Value is a *resource.Cluster or a *resource.Assignment; nil for a heartbeat, which only renews the
+	// Value is a *resource.Cluster, a *resource.Assignment or a *keys.Set; nil for a heartbeat, which only renews the
 	// TTL, and for one that could not be read.
 	Value any
 	Err   error // why it was refused
@@ -104,12 +105,13 @@
 	Leaving    bool                 // it is in the newest list no more, and serves until that list is whole
 }
 
-// New returns a machine that holds nothing.
-func New(v Variant) *Machine {
+// New returns a machine that holds nothing, and will ask for these secrets.
+func New(v Variant, secrets ...string) *Machine {
 	m := &Machine{variant: v, applied: make(map[string]Applied)}
 	for t := range m.subs {
 		m.subs[t] = subscription{held: make(map[string]held), absent: make(map[string]bool), refused: make(map[string]string)}
 	}
+	m.subs[Secrets].names = slices.Sorted(slices.Values(secrets))
 	return m
 }
 
@@ -123,6 +125,9 @@
 	if len(m.subs[Endpoints].names) > 0 {
 		out = append(out, m.ask(Endpoints))
 	}
+	if len(m.subs[Secrets].names) > 0 {
+		out = append(out, m.ask(Secrets))
+	}
 	return out
 }
 
--- a/membership/xds/decode.go
+++ b/membership/xds/decode.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
@@ -13,7 +14,7 @@
 	"cobaltward/membership/xds/xdspb"
 )
 
-var urls = [...]string{ads.Clusters: resource.ClusterURL, ads.Endpoints: resource.AssignmentURL}
+var urls = [...]string{ads.Clusters: resource.ClusterURL, ads.Endpoints: resource.AssignmentURL, ads.Secrets: resource.SecretURL}
 
 // typeOf tells which type a URL names.
 func typeOf(url string) (ads.Type, bool) {
@@ -107,6 +108,20 @@
 		}
 		return ads.Resource{Name: c.Name, Value: c}, nil
 	}
+	if t == ads.Secrets {
+		var p xdspb.Secret
+		if err := proto.Unmarshal(any.GetValue(), &p); err != nil {
+			return ads.Resource{}, errors.New("not a Secret")
+		}
+		if p.GetName() == "" {
+			return ads.Resource{}, errors.New("name: missing")
+		}
+		set, err := resource.ParseSecret(&p, time.Now())
+		if err != nil {
+			return ads.Resource{Name: p.GetName(), Err: err}, nil
+		}
+		return ads.Resource{Name: p.GetName(), Value: set}, nil
+	}
 	name, a, err := resource.DecodeAssignment(any.GetValue(), new(pace.Pacer).Pause)
 	switch {
 	case err != nil && name == "":
--- a/membership/xds/standin/standin.go
+++ b/membership/xds/standin/standin.go
@@ -92,7 +92,7 @@
 	// Versions of one plane are not those of another: in the incremental variant a client names what it
 	// holds, and a restarted plane that counts from one again would take other content for its own.
 	p := &Plane{version: int(started.Add(1)) * 1_000_000, Addr: ln.Addr().String(), served: make(chan struct{}), changed: make(chan struct{}),
-		all:    map[string]map[string]versioned{resource.ClusterURL: {}, resource.AssignmentURL: {}},
+		all:    map[string]map[string]versioned{resource.ClusterURL: {}, resource.AssignmentURL: {}, resource.SecretURL: {}},
 		server: grpc.NewServer(append(options, grpc.MaxSendMsgSize(256<<20))...)}
 	p.server.RegisterService(&grpc.ServiceDesc{
 		ServiceName: "envoy.service.discovery.v3.AggregatedDiscoveryService",
@@ -129,6 +129,8 @@
 			name = r.GetName()
 		case *xdspb.ClusterLoadAssignment:
 			url, name = resource.AssignmentURL, r.GetClusterName()
+		case *xdspb.Secret:
+			url, name = resource.SecretURL, r.GetName()
 		default:
 			panic(fmt.Sprintf("standin: not a resource: %T", m))
 		}
@@ -272,7 +274,7 @@
 // serve is one stream of either variant.
 func (p *Plane) serve(s grpc.ServerStream, delta bool) error {
 	id := p.Streams.Add(1)
-	subs := map[string]*subscription{resource.ClusterURL: {sent: make(map[string]int)}, resource.AssignmentURL: {sent: make(map[string]int)}}
+	subs := map[string]*subscription{resource.ClusterURL: {sent: make(map[string]int)}, resource.AssignmentURL: {sent: make(map[string]int)}, resource.SecretURL: {sent: make(map[string]int)}}
 	in, count, last := requests(s, delta), 0, make(map[string]string)
 	var before proto.Message
 	began, _ := p.now()
@@ -290,7 +292,7 @@
 			}
 		}
 		began.again = b.again
-		order := []string{resource.ClusterURL, resource.AssignmentURL}
+		order := []string{resource.ClusterURL, resource.AssignmentURL, resource.SecretURL}
 		if b.backward {
 			slices.Reverse(order)
 		}
--- a/membership/xds/xds.go
+++ b/membership/xds/xds.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"io/fs"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +21,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"cobaltward/drops"
+	"cobaltward/keys"
 	"cobaltward/membership/xds/ads"
 	"cobaltward/membership/xds/resource"
 	"cobaltward/membership/xds/xdspb"
@@ -53,6 +56,9 @@
 	// Dir, where it is not empty, is where the last whole list is kept, and where a start begins.
 	Dir string
 	Log *slog.Logger
+	// Secrets hear of the certificates and authorities of their names, each time that one is accepted. They must not wait.
+	// What goes from the control plane goes on here: the last good one holds.
+	Secrets map[string]func(*keys.Set)
 
 	// For tests: what the defaults above say otherwise.
 	backoffFirst, backoffMost, answerWithin, preferAgainIn time.Duration
@@ -95,7 +101,7 @@
 	if c.Delta {
 		v = ads.Delta
 	}
-	s := &Source{c: c, log: c.Log, machine: ads.New(v), book: newBook(), since: time.Now()}
+	s := &Source{c: c, log: c.Log, machine: ads.New(v, slices.Collect(maps.Keys(c.Secrets))...), book: newBook(), since: time.Now()}
 	if c.Dir != "" {
 		s.keeper = &keeper{c.Dir, make(chan kept, 1)}
 		k, err := load(c.Dir)
@@ -366,6 +372,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	requests := s.machine.Handle(time.Now(), r)
+	if r.Type == ads.Secrets && len(requests) > 0 && r.Err == nil {
+		for _, in := range r.Resources {
+			if set, ok := in.Value.(*keys.Set); ok && in.Err == nil && s.c.Secrets[in.Name] != nil {
+				s.c.Secrets[in.Name](set)
+				s.log.Info("xds: a new secret is in force", "name", in.Name)
+			}
+		}
+	}
 	refused := ""
 	if len(requests) > 0 {
 		refused = requests[0].Error
@@ -430,7 +444,7 @@
 	Since   time.Time // of Open, or of its end
 	Last    error     // why the last stream ended
 	Whole   bool
-	Types   [2]ads.Status // by ads.Type
+	Types   [3]ads.Status // by ads.Type
 	Members []router.Member
 	Drops   drops.Parts // of the requests of classes bound to a cluster, by cluster
 	// Endpoints are those of all clusters, in order of cluster and address.
@@ -449,7 +463,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Status{Server: s.c.Servers[s.at].Addr, Open: s.open, Since: s.since, Last: s.last, Whole: s.machine.Whole(),
-		Types:   [2]ads.Status{s.machine.Status(ads.Clusters), s.machine.Status(ads.Endpoints)},
+		Types:   [3]ads.Status{s.machine.Status(ads.Clusters), s.machine.Status(ads.Endpoints), s.machine.Status(ads.Secrets)},
 		Members: s.book.whole(), Drops: s.book.drops, Endpoints: s.book.endpoints()}
 }
 
--- a/transport/secure/rules.go
+++ b/transport/secure/rules.go
@@ -141,7 +141,11 @@
 		}
 	}
 	if r.Trust != nil {
-		o := x509.VerifyOptions{Roots: r.Trust.Set().Pool, Intermediates: x509.NewCertPool(), CurrentTime: now, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}}
+		pool := r.Trust.Set().Pool
+		if pool == nil { // nothing was handed yet; crypto/x509 would go by the system's authorities
+			return span{}, &Untrusted{whyAuthority, "no authority is known yet"}
+		}
+		o := x509.VerifyOptions{Roots: pool, Intermediates: x509.NewCertPool(), CurrentTime: now, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}}
 		for _, c := range chain[1:] {
 			o.Intermediates.AddCert(c)
 		}
--- a/transport/secure/secure.go
+++ b/transport/secure/secure.go
@@ -281,8 +281,11 @@
 		conf.MinVersion = tls.VersionTLS12
 	}
 	if rule.Own != nil {
-		pair := rule.Own.Set().For("")
-		conf.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &pair.Cert, nil }
+		own := new(tls.Certificate) // none, where nothing was handed yet
+		if pair := rule.Own.Set().For(""); pair != nil {
+			own = &pair.Cert
+		}
+		conf.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return own, nil }
 	}
 	if err := wire.Work(); err != nil {
 		return nil, err
