--- a/emulator/live/config.go
+++ b/emulator/live/config.go
@@ -64,5 +64,5 @@
 	if len(kinds) > 0 {
 		more += "\n[msgpack]\nservers = [" + strings.Join(kinds, ", ") + "]\n"
 	}
-	return more
+	return more + "\n"
 }
--- a/emulator/live/live.go
+++ b/emulator/live/live.go
@@ -37,6 +37,7 @@
 type Options struct {
 	Command  []string // starts a node, as `wayhold serve`; what it is told is in the environment
 	XDS      NewAgent // discovery as a control plane; nil where this program has none
+	Levels   string   // the tables [service] and [[level]] of every node's own file; empty: full service always
 	Progress func(at time.Duration)
 	Detail   func(*plan.Request, result.Outcome)
 }
@@ -147,6 +148,9 @@
 		w.at(f.At, func() { w.begin(f) })
 		w.at(f.Until(), func() { w.end(ctx, f) })
 	}
+	if o.Levels != "" {
+		w.parts.Go(w.levels)
+	}
 	w.timers.Go(w.watch) // it starts timers: none may begin once they are waited for
 	w.traffic(ctx)
 	w.failMu.Lock()
@@ -196,6 +200,26 @@
 	})
 }
 
+// levels books the level of service at the first node, each second.
+func (w *world) levels() {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	last := result.Level{}
+	for {
+		select {
+		case <-tick.C:
+		case <-w.quit:
+			return
+		}
+		if l, ok := w.nodes[0].level(); ok {
+			last = l
+		}
+		w.court.mu.Lock()
+		w.court.book.Level(last)
+		w.court.mu.Unlock()
+	}
+}
+
 // watch sees to servers that have fallen over.
 func (w *world) watch() {
 	tick := time.NewTicker(lookEvery)
--- a/emulator/live/node.go
+++ b/emulator/live/node.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -15,6 +16,9 @@
 	"time"
 
 	"cobaltward/emulator/plan"
+	"cobaltward/emulator/result"
+	"cobaltward/internal/door"
+	"cobaltward/router"
 )
 
 const (
@@ -61,7 +65,7 @@
 		return err
 	}
 	own := filepath.Join(n.w.dir, n.spec.Name+".toml")
-	if err := os.WriteFile(own, []byte(operatorOf(n.w.p, n.agent.Operator())), 0o600); err != nil {
+	if err := os.WriteFile(own, []byte(operatorOf(n.w.p, n.agent.Operator())+n.w.o.Levels+n.door()), 0o600); err != nil {
 		return err
 	}
 	cmd := exec.Command(n.w.o.Command[0], n.w.o.Command[1:]...)
@@ -115,6 +119,33 @@
 	return n.awaitReady(ctx, addr)
 }
 
+// door is the table by which the level of service is asked for; empty where there are none.
+func (n *node) door() string {
+	if n.w.o.Levels == "" {
+		return ""
+	}
+	return fmt.Sprintf("\n[door]\nsocket = %q\n", n.sock())
+}
+
+func (n *node) sock() string { return filepath.Join(n.w.dir, n.spec.Name+".sock") }
+
+// level asks for the level of service; ok is false while the node does not answer.
+func (n *node) level() (l result.Level, ok bool) {
+	c, base := door.Dial(n.sock(), "", nil)
+	defer c.CloseIdleConnections()
+	c.Timeout = time.Second
+	resp, err := c.Get(base + "/level")
+	if err != nil {
+		return l, false
+	}
+	defer resp.Body.Close()
+	var st router.LevelStatus
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&st) != nil {
+		return l, false
+	}
+	return result.Level{Level: st.Level, Demand: st.Demand, Slow: st.Slow}, true
+}
+
 func (n *node) awaitReady(ctx context.Context, addr string) error {
 	client := &http.Client{Timeout: time.Second}
 	defer client.CloseIdleConnections()
--- a/emulator/plan/plan.go
+++ b/emulator/plan/plan.go
@@ -340,7 +340,13 @@
 	x := at.Seconds() / s.Length.Seconds()
 	switch s.Traffic.Shape {
 	case "wave":
-		rate *= 1 + s.Traffic.Swing*math.Sin(4*math.Pi*x)
+		rate *= 1 + s.Traffic.Swing*math.Sin(2*math.Pi*at.Seconds()/s.Traffic.PeriodOf(s.Length).Seconds())
+	case "square":
+		if math.Mod(at.Seconds()/s.Traffic.PeriodOf(s.Length).Seconds(), 1) < 0.5 {
+			rate *= 1 + s.Traffic.Swing
+		} else {
+			rate *= 1 - s.Traffic.Swing
+		}
 	case "ramp":
 		rate *= 1 - s.Traffic.Swing + 2*s.Traffic.Swing*x
 	}
--- a/emulator/script/script.go
+++ b/emulator/script/script.go
@@ -119,8 +119,10 @@
 	Rate  float64            `toml:"rate" need:"1" min:"0.1" max:"1000000"` // first tries a second, by all
 	Quota float64            `toml:"quota" min:"0"`                         // a second that the shares are of; 0: the rate
 	Zones map[string]float64 `toml:"zones" min:"0"`                         // weights; none: evenly
-	Shape string             `toml:"shape" one:"steady|wave|ramp"`
-	Swing float64            `toml:"swing" min:"0" max:"1"` // of the wave: part by which the rate goes up and down; of the ramp: from 1 - swing to 1 + swing
+	Shape string             `toml:"shape" one:"steady|wave|ramp|square"`
+	// Period is that of a wave or a square; 0: half of the script.
+	Period time.Duration `toml:"period" min:"100ms" max:"1h"`
+	Swing  float64       `toml:"swing" min:"0" max:"1"` // of the wave and the square: part by which the rate goes up and down; of the ramp: from 1 - swing to 1 + swing
 }
 
 // Clients are what they do when they are not served.
@@ -559,3 +561,11 @@
 func (s *Script) Errorf(f *Fault, format string, args ...any) error {
 	return fmt.Errorf("%s:%d: %s: %s", s.path, f.line, f.Label(), fmt.Sprintf(format, args...))
 }
+
+// PeriodOf is the period of a wave or a square in a script of a length.
+func (t Traffic) PeriodOf(length time.Duration) time.Duration {
+	if t.Period > 0 {
+		return t.Period
+	}
+	return length / 2
+}
--- a/internal/cli/alone.go
+++ b/internal/cli/alone.go
@@ -10,6 +10,7 @@
 
 	"cobaltward/internal/node"
 	"cobaltward/internal/site"
+	"cobaltward/levels"
 	"cobaltward/membership/file"
 	"cobaltward/membership/registry"
 	"cobaltward/router"
@@ -48,13 +49,20 @@
 	}
 	if err == nil {
 		c.State = node.State(a.own.State)
-		if c.Levels, err = a.own.Ladder(c.Settings.Classes); err != nil {
-			err = fmt.Errorf("%s:%w", a.own.Path(), err)
-		}
+		c.Levels, err = ladderOf(a.own, &c)
 	}
 	return c, err
 }
 
+// ladderOf is the ladder of levels that a file has for a node.
+func ladderOf(f *site.File, c *node.Config) (*levels.Config, error) {
+	ladder, err := f.Ladder(c.Settings.Classes)
+	if err != nil {
+		return nil, fmt.Errorf("%s:%w", f.Path(), err)
+	}
+	return ladder, nil
+}
+
 func configOf(f *site.File) (node.Config, error) {
 	members, err := f.List()
 	if err != nil {
@@ -95,18 +103,22 @@
 // reload reads the configuration again. adopt puts its routes, identities and servers in force, once nothing else
 // of it is refused. A node does not come to stand alone, or cease to, while it runs.
 func (a *alone) reload(own string) (c node.Config, adopt func() error, err error) {
-	if a == nil || a.file == nil {
-		c, err = node.ReloadConfig(os.Getenv)
-		return c, func() error { return nil }, err
-	}
 	f, err := site.Load(own)
 	if err != nil {
 		return node.Config{}, nil, err
 	}
+	if a == nil || a.file == nil {
+		if c, err = node.ReloadConfig(os.Getenv); err == nil {
+			c.Levels, err = ladderOf(f, &c)
+		}
+		return c, func() error { return nil }, err
+	}
 	if !f.On() {
 		return node.Config{}, nil, errNoListener
 	}
-	c, err = configOf(f)
+	if c, err = configOf(f); err == nil {
+		c.Levels, err = ladderOf(f, &c)
+	}
 	return c, func() error {
 		if err := a.front.Adopt(f); err != nil {
 			return err
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -188,7 +188,10 @@
 	level := new(slog.LevelVar)
 	running := operator.File{XDS: operator.XDS{Files: []string{"a.yaml"}}}
 	r := reloader{own: filepath.Join(dir, "own.toml"), running: running, level: level, log: logger(operator.Log{}, level, &logs)}
+	const ladder = "\n[[level]]\nname = \"less\"\nenter = [{signal = \"demand\", bound = 1.1}]\nexit = [{signal = \"demand\", bound = 0.9}]\nmeasure = [{class = \"pay\", shed = 0.5}]\n"
 	for _, c := range []struct{ own, err, next, pool string }{
+		{"[log]\nlevel = \"warn\"\n[xds]\nfiles = [\"a.yaml\"]" + ladder, "", "", ""},
+		{"[log]\nlevel = \"warn\"" + strings.Replace(ladder, "pay", "none", 1), "own.toml:3: level[0]", "", ""},
 		{"[log]\nlevel = \"error\"\n[drain]\ndeadline = \"2s\"\n[xds]\nfiles = [\"a.yaml\"]\n[xds.pools]\npay = \"rooms\"", "", "", "rooms"},
 		{"[log]\nlevel = \"info\"\nformat = \"json\"\n[xds]\nfiles = [\"b.yaml\"]", "", "log.format xds.files", ""},
 		{"[log]\nlevel = \"debug\"\n[xds]\nfiles = [\"a.yaml\"]\n[xds.pools]\nsearch = \"rooms\"", "xds.pools.search: the settings have no such class", "", ""},
@@ -206,6 +209,9 @@
 			}
 			continue
 		}
+		if (conf.Levels != nil) != strings.Contains(c.own, "[[level]]") {
+			t.Errorf("%s: levels %v", c.own, conf.Levels)
+		}
 		if err != nil || conf.Settings.Classes[0].Pool != c.pool || (conf.DrainFor != nil) != strings.Contains(c.own, "deadline") || level.Level() == was {
 			t.Errorf("%s: %+v, %v, level %v", c.own, conf, err, level.Level())
 		}
--- a/internal/cli/rehearse.go
+++ b/internal/cli/rehearse.go
@@ -19,6 +19,8 @@
 	"cobaltward/emulator/script"
 	"cobaltward/emulator/sim"
 	"cobaltward/internal/demo"
+	"cobaltward/internal/site"
+	"cobaltward/levels"
 )
 
 var errNoPage = errors.New("rehearse: --html: pages with plots are made by the full build, wayhold-xds")
@@ -28,6 +30,7 @@
 	seed                 uint64
 	json, html, outcomes string
 	mutant               string
+	levels               string
 	real                 bool
 	compare, quiet       bool
 }
@@ -70,6 +73,7 @@
 	c.Flags().StringVar(&o.html, "html", "", "write a page with plots to this file (wayhold-xds)")
 	c.Flags().StringVar(&o.outcomes, "outcomes", "", "write what became of each request to this file")
 	c.Flags().StringVar(&o.mutant, "mutant", "", "play an engine with a guard taken away, to see it convicted; \"list\" names them")
+	c.Flags().StringVar(&o.levels, "levels", "", "a file with the tables [service] and [[level]], for every node")
 	c.Flags().BoolVar(&o.compare, "compare", false, "set two results side by side")
 	c.Flags().BoolVar(&o.quiet, "quiet", false, "show no progress")
 	return c
@@ -96,6 +100,11 @@
 			return err
 		}
 	}
+	ladder, text, err := o.ladder(p)
+	if err != nil {
+		return err
+	}
+	options.Levels = ladder
 	finish := func() error { return nil }
 	if o.outcomes != "" {
 		if options.Detail, finish, err = outcomes(o.outcomes, p); err != nil {
@@ -116,7 +125,7 @@
 		if err != nil {
 			return err
 		}
-		r, err = live.Run(ctx, p, live.Options{Command: []string{self, "serve"}, XDS: e.Control, Progress: options.Progress, Detail: options.Detail})
+		r, err = live.Run(ctx, p, live.Options{Command: []string{self, "serve"}, XDS: e.Control, Levels: text, Progress: options.Progress, Detail: options.Detail})
 		if err := errors.Join(err, finish()); err != nil {
 			return err
 		}
@@ -129,6 +138,33 @@
 	return o.tell(c, r, e)
 }
 
+// ladder reads the levels of service that every node has: as a ladder over the script's classes, and as text.
+func (o *rehearsal) ladder(p *plan.Plan) (*levels.Config, string, error) {
+	if o.levels == "" {
+		return nil, "", nil
+	}
+	f, err := site.Load(o.levels)
+	if err != nil {
+		return nil, "", err
+	}
+	text, err := os.ReadFile(o.levels)
+	if err != nil {
+		return nil, "", err
+	}
+	only := site.File{Service: f.Service, Levels: f.Levels}
+	switch {
+	case len(f.Levels) == 0:
+		return nil, "", fmt.Errorf("rehearse: --levels: %s has no [[level]]", o.levels)
+	case !f.Same(&only):
+		return nil, "", fmt.Errorf("rehearse: --levels: %s has more than [service] and [[level]]: the script says the rest", o.levels)
+	}
+	ladder, err := f.Ladder(p.Settings.Classes)
+	if err != nil {
+		return nil, "", fmt.Errorf("%s:%w", o.levels, err)
+	}
+	return ladder, "\n" + string(text), nil
+}
+
 // tell writes a result wherever it is wanted, and returns an error where it is no good one.
 func (o *rehearsal) tell(c *cobra.Command, r *result.Result, e Extra) error {
 	if err := report.Text(c.OutOrStdout(), r); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -240,6 +240,14 @@
 		case next := <-reloads:
 			c := newest.Load()
 			source.Move(next.Discovery)
+			if !reflect.DeepEqual(next.Levels, c.Levels) {
+				if err := engine.SetLevels(next.Levels); err != nil {
+					log.Error("reload: keeping the old levels", "err", err)
+					next.Levels = c.Levels
+				} else {
+					log.Info("reload: new levels in force")
+				}
+			}
 			if next.MaxOpen == c.MaxOpen && reflect.DeepEqual(next.Settings, c.Settings) {
 				newest.Store(&next)
 				continue
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -240,6 +241,13 @@
 // Path is where the file was read from.
 func (f *File) Path() string { return f.path }
 
+// Same tells whether two files say the same.
+func (f *File) Same(o *File) bool {
+	a, b := *f, *o
+	a.lines, a.path, b.lines, b.path = nil, "", nil, ""
+	return reflect.DeepEqual(a, b)
+}
+
 // On tells whether the file has a node stand alone.
 func (f *File) On() bool { return len(f.Listen) > 0 }
 
--- a/levels/levels.go
+++ b/levels/levels.go
@@ -104,7 +104,7 @@
 	soon       = 2 * time.Minute // after its end, a level that is entered again was left too early
 	mostFactor = 8
 	leastTime  = 30 * time.Second // default of Config.Least
-	keptEvents = 64
+	keptEvents = 100
 )
 
 // Ladder is the state of one node. It isn't safe for concurrent use. Make one with New.
@@ -147,6 +147,48 @@
 	return l, nil
 }
 
+// Adopt puts another ladder in the place of this one, while it stands. A level goes on if the new ladder has one of its
+// name, else the nearest below it does: a reload sheds no more than what was shed, and no less by accident. What
+// was seen, the time since the last change and what is set by hand go on; the level's conditions begin anew. moved tells
+// that the level is another one now.
+func (l *Ladder) Adopt(now time.Duration, c Config) (moved bool, err error) {
+	next, err := New(c)
+	if err != nil {
+		return false, err
+	}
+	at := func(name string) int {
+		return slices.IndexFunc(c.Levels, func(x Level) bool { return x.Name == name }) + 1
+	}
+	next.changed, next.moved, next.carries, next.figures, next.events, next.reason = l.changed, l.moved, l.carries, l.figures, l.events, l.reason
+	for i := range l.c.Levels {
+		if n := at(l.c.Levels[i].Name); n > 0 {
+			next.factor[n], next.left[n], next.wasLeft[n] = l.factor[i+1], l.left[i+1], l.wasLeft[i+1]
+		}
+	}
+	was := l.name(l.level)
+	for n := l.level; n > 0 && next.level == 0; n-- {
+		next.level = at(l.name(n))
+	}
+	stays := l.level == 0 || next.level > 0 && next.name(next.level) == was
+	if next.byHand = l.byHand && stays; next.byHand {
+		next.handEnds = l.handEnds
+	}
+	if !stays {
+		next.changed, next.moved = now, true
+		next.note(Event{now, l.level, next.level, next.name(next.level), fmt.Sprintf("a reload: there is no level %q any more", was)})
+	}
+	*l = *next
+	return !stays, nil
+}
+
+// note keeps a change.
+func (l *Ladder) note(e Event) {
+	l.reason = e.Reason
+	if l.events = append(l.events, e); len(l.events) > keptEvents {
+		l.events = slices.Clone(l.events[1:])
+	}
+}
+
 // Level is the level in force, 0 for full service, with the reason for it.
 func (l *Ladder) Level() (n int, name, reason string) { return l.level, l.name(l.level), l.reason }
 
@@ -212,15 +254,13 @@
 
 func (l *Ladder) to(now time.Duration, level int, why string) {
 	from := l.level
-	l.reason = why
 	if from == level {
+		l.reason = why
 		return
 	}
 	l.level, l.changed, l.moved = level, now, true
 	clear(l.held) // conditions begin anew: what they saw was under another level
-	if l.events = append(l.events, Event{now, from, level, l.name(level), why}); len(l.events) > keptEvents {
-		l.events = slices.Clone(l.events[1:])
-	}
+	l.note(Event{now, from, level, l.name(level), why})
 }
 
 // measure turns counts into signals.
--- a/levels/levels_test.go
+++ b/levels/levels_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -224,3 +225,68 @@
 		t.Error(err)
 	}
 }
+
+// A reload in the midst of a level: the level goes on if the new ladder has one of its name, else the nearest below it
+// does; nothing is shed that neither ladder sheds, what is set by hand goes with its level, and the time between two
+// changes is kept across it.
+func TestAdopt(t *testing.T) {
+	names := []string{"a", "b", "c", "d"}
+	rapid.Check(t, func(rt *rapid.T) {
+		draw := func(what string) Config {
+			c := Config{Classes: []Class{{Name: "x"}}, Least: 30 * time.Second}
+			for i, n := range rapid.Permutation(names).Draw(rt, what)[:rapid.IntRange(1, len(names)).Draw(rt, what+" levels")] {
+				c.Levels = append(c.Levels, Level{Name: n, Enter: []Condition{{Signal: Demand, Bound: 1.1 + 0.1*float64(i)}}, Exit: []Condition{{Signal: Demand, Bound: 0.9}},
+					Measures: []Measure{{Class: "x", Shed: 0.1 * float64(i+1)}}})
+			}
+			return c
+		}
+		c := draw("first")
+		l, err := New(c)
+		if err != nil {
+			rt.Skip(err)
+		}
+		now, last := time.Duration(0), -time.Hour
+		for range rapid.IntRange(1, 60).Draw(rt, "seconds") {
+			now += time.Second
+			before, name, _ := l.Level()
+			switch rapid.IntRange(0, 9).Draw(rt, "what") {
+			case 0:
+				next := draw("next")
+				moved, err := l.Adopt(now, next)
+				if err != nil {
+					if n, same, _ := l.Level(); n != before || same != name {
+						rt.Fatal("a ladder that was refused has changed the level")
+					}
+					continue
+				}
+				want := 0
+				for n := before; n > 0 && want == 0; n-- {
+					want = slices.IndexFunc(next.Levels, func(x Level) bool { return x.Name == c.Levels[n-1].Name }) + 1
+				}
+				n, now2, _ := l.Level()
+				if n != want || moved != (before > 0 && now2 != name) {
+					rt.Fatalf("from %d, %s, to %d, %s; want %d; moved %v", before, name, n, now2, want, moved)
+				}
+				if c = next; moved {
+					last = now
+				}
+			case 1:
+				if err := l.Set(now, rapid.IntRange(0, len(c.Levels)).Draw(rt, "by hand"), 5*time.Second, "w", "y"); err != nil {
+					rt.Fatal(err)
+				}
+				if n, _, _ := l.Level(); n != before {
+					last = now
+				}
+			default:
+				work := rapid.Float64Range(0, 200).Draw(rt, "offered")
+				l.Step(now, map[string]Second{"x": {Offered: work, Work: 1, OnTime: min(work, 50), Late: max(0, work-50)}})
+				if n, _, _ := l.Level(); n != before {
+					if now-last < 30*time.Second {
+						rt.Fatalf("changed %v after the change before", now-last)
+					}
+					last = now
+				}
+			}
+		}
+	})
+}
--- a/router/levels.go
+++ b/router/levels.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"container/heap"
 	"errors"
 	"time"
 
@@ -41,19 +42,36 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &service{ladder: ladder, classes: make(map[string]*classCount), shares: make(map[string]*shareBucket)}
+	s := &service{ladder: ladder}
+	s.follow(set)
+	return s, nil
+}
+
+// follow goes by other settings. What was counted of classes and tenants that they still have goes on.
+func (s *service) follow(set policy.Settings) {
+	classes, shares := make(map[string]*classCount, len(set.Classes)), make(map[string]*shareBucket, len(set.Tenants))
 	for _, class := range set.Classes {
 		aim := class.Aim
 		if aim == 0 {
 			aim = class.Deadline
 		}
-		s.classes[class.Name] = &classCount{Second: levels.Second{Work: aim.Seconds()}, aim: aim}
+		c := s.classes[class.Name]
+		if c == nil {
+			c = &classCount{Second: levels.Second{Work: aim.Seconds()}}
+		}
+		c.aim = aim
+		classes[class.Name] = c
 	}
 	for _, t := range set.Tenants {
 		rate := t.Quota / float64(set.Nodes)
-		s.shares[t.Name] = &shareBucket{rate: rate, tokens: max(1, rate)}
+		b := s.shares[t.Name]
+		if b == nil {
+			b = &shareBucket{tokens: max(1, rate)}
+		}
+		b.rate = rate
+		shares[t.Name] = b
 	}
-	return s, nil
+	s.classes, s.shares = classes, shares
 }
 
 // within tells whether a request is within its tenant's share; tenants that nobody listed have none.
@@ -186,6 +204,46 @@
 	return r.levelOrder(func(s *service, now policy.Time) error { return s.ladder.Set(now, level, d, who, why) })
 }
 
+// SetLevels puts another ladder of levels in force while the router runs; nil: full service always. A level of the same
+// name goes on. An error says what makes no sense, and nothing has changed then.
+func (r *Router) SetLevels(c *levels.Config) error {
+	reply := make(chan error, 1)
+	return r.ask(ladderOrder{c, reply}, reply)
+}
+
+// adopt is SetLevels in the loop.
+func (l *loop) adopt(c *levels.Config) error {
+	now := l.clock.now()
+	switch {
+	case c == nil:
+		l.service = nil
+	case l.service == nil:
+		s, err := newService(*c, l.config.Settings)
+		if err != nil {
+			return err
+		}
+		l.service = s
+		l.eachSecond(now)
+	default:
+		moved, err := l.service.ladder.Adopt(now, *c)
+		if err != nil {
+			return err
+		}
+		if n, name, reason := l.service.ladder.Level(); moved {
+			l.log.Warn("level of service", "to", n, "name", name, "reason", reason)
+		}
+	}
+	return nil
+}
+
+// eachSecond has the ladder take a step each second, unless it does already.
+func (l *loop) eachSecond(now policy.Time) {
+	if !l.ticking {
+		l.ticking = true
+		heap.Push(&l.timers, &timer{due: now + time.Second, second: true})
+	}
+}
+
 // ReleaseLevel gives the level back to its conditions.
 func (r *Router) ReleaseLevel() error {
 	return r.levelOrder(func(s *service, _ policy.Time) error { s.ladder.Release(); return nil })
--- a/router/loop.go
+++ b/router/loop.go
@@ -15,6 +15,7 @@
 	"cobaltward/drops"
 	"cobaltward/internal/guards"
 	"cobaltward/internal/pace"
+	"cobaltward/levels"
 	"cobaltward/policy"
 )
 
@@ -76,6 +77,7 @@
 	drops    drops.Parts
 	members  []policy.Member // memory for small changes
 	service  *service        // levels of reduced service; nil where there are none
+	ticking  bool            // a step on the ladder is due within a second
 }
 
 // listed is what Stats tells of a server.
@@ -132,8 +134,12 @@
 		config Config
 		reply  chan error
 	}
-	statsQuery struct{ reply chan Stats }
-	finish     struct{ of *runner } // answer what is still open, unless the drain was taken back
+	statsQuery  struct{ reply chan Stats }
+	finish      struct{ of *runner } // answer what is still open, unless the drain was taken back
+	ladderOrder struct {             // another ladder
+		config *levels.Config
+		reply  chan error
+	}
 	levelOrder struct {
 		do    func(*service, policy.Time) error
 		reply chan error
@@ -271,12 +277,16 @@
 func (l *loop) begin() {
 	l.listed(Change{Kind: policy.ListRestored, Members: l.config.Members})
 	if l.service != nil {
-		heap.Push(&l.timers, &timer{due: l.clock.now() + time.Second, second: true})
+		l.eachSecond(l.clock.now())
 	}
 }
 
 // second takes a step on the ladder of levels, each second.
 func (l *loop) second(due policy.Time) {
+	if l.service == nil { // a reload has taken the levels away
+		l.ticking = false
+		return
+	}
 	if e, moved := l.service.step(due, l.requests); moved {
 		l.log.Warn("level of service", "from", e.From, "to", e.To, "name", e.Name, "reason", e.Reason)
 	}
@@ -354,6 +364,8 @@
 		e.reply <- l.snapshot()
 	case moduleOrder:
 		e.reply <- l.moduleOrder(e)
+	case ladderOrder:
+		e.reply <- l.adopt(e.config)
 	case levelOrder:
 		if l.service == nil {
 			e.reply <- ErrNoLevels
@@ -533,6 +545,9 @@
 	}
 	l.config = c
 	l.tally.adopt(c.Settings.Classes)
+	if l.service != nil {
+		l.service.follow(c.Settings)
+	}
 	l.obey(actions)
 	l.transport.Configure(c.Settings)
 	l.stats.Reloads++
