--- a/internal/cli/ctl.go
+++ b/internal/cli/ctl.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"os"
@@ -139,18 +141,42 @@
 
 // levelCommand shows the level of service, and sets it by hand.
 func (t *ctl) levelCommand(who *string) *cobra.Command {
-	show := func(c *cobra.Command, method string, body any) error {
+	showAt := func(c *cobra.Command, method, path string, body any) error {
 		var st router.LevelStatus
-		if _, err := t.call(method, "/level", body, &st); err != nil {
+		if _, err := t.call(method, path, body, &st); err != nil {
 			return err
 		}
 		out := c.OutOrStdout()
 		fmt.Fprintf(out, "level %d, %s: %s\ndemand %.2f, slow %.3f, held %.3f\n", st.Level, st.Name, st.Reason, st.Demand, st.Slow, st.Held)
+		if st.Dry {
+			fmt.Fprintln(out, "a dry run: nothing is shed; what is counted would be")
+		}
+		if st.Most >= 0 {
+			fmt.Fprintf(out, "levels beyond %d are forbidden\n", st.Most)
+		}
+		if st.Trying {
+			fmt.Fprintln(out, "its end is being tried: half of what it sheds is let in")
+		}
+		for _, l := range st.Lifts {
+			fmt.Fprintf(out, "ends with %s\n", l)
+		}
+		for _, cost := range []struct {
+			of string
+			by map[string]uint64
+		}{{"class", st.Shed}, {"tenant", st.ShedBy}} {
+			for _, name := range slices.Sorted(maps.Keys(cost.by)) {
+				fmt.Fprintf(out, "shed of %s %s: %d\n", cost.of, cmp.Or(name, "(others)"), cost.by[name])
+			}
+		}
+		if st.Worth > 0 {
+			fmt.Fprintf(out, "worth shed: %.1f\n", st.Worth)
+		}
 		for _, e := range st.Events {
 			fmt.Fprintf(out, "  from %d to %d, %s: %s\n", e.From, e.To, e.Name, e.Reason)
 		}
 		return nil
 	}
+	show := func(c *cobra.Command, method string, body any) error { return showAt(c, method, "/level", body) }
 	c := &cobra.Command{Use: "level", Short: "Print the level of service, and why it is in force", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return show(c, http.MethodGet, nil) }}
 	var o node.LevelOrder
@@ -167,7 +193,19 @@
 	}}
 	set.Flags().DurationVar(&d, "for", 0, "for how long; else until release")
 	set.Flags().StringVar(&o.Reason, "reason", "", "for those who find it")
-	c.AddCommand(set, &cobra.Command{Use: "release", Short: "Give the level back to its conditions", Args: cobra.NoArgs,
+	forbid := &cobra.Command{Use: "forbid N|none", Short: "Enter no level beyond N; none allows all again", Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+		n, err := strconv.Atoi(args[0])
+		if args[0] == "none" {
+			n, err = -1, nil
+		}
+		if err != nil {
+			return fmt.Errorf("ctl: want the number of a level or none, got %q", args[0])
+		}
+		o.Level, o.Who = n, *who
+		return showAt(c, http.MethodPost, "/level/most", o)
+	}}
+	forbid.Flags().StringVar(&o.Reason, "reason", "", "for those who find it")
+	c.AddCommand(set, forbid, &cobra.Command{Use: "release", Short: "Give the level back to its conditions", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return show(c, http.MethodDelete, nil) }})
 	return c
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -97,6 +97,7 @@
 	})
 	d.Handle(http.MethodGet, "/level", c.level)
 	d.Handle(http.MethodPost, "/level", c.setLevel)
+	d.Handle(http.MethodPost, "/level/most", c.forbidLevels)
 	d.Handle(http.MethodDelete, "/level", func(w http.ResponseWriter, r *http.Request) {
 		if err := c.engine.ReleaseLevel(); err != nil {
 			door.Fail(w, http.StatusConflict, err.Error())
@@ -189,6 +190,19 @@
 	door.Reply(w, http.StatusOK, c.now())
 }
 
+// forbidLevels has no level beyond one entered.
+func (c *control) forbidLevels(w http.ResponseWriter, r *http.Request) {
+	var o LevelOrder
+	if !door.Read(w, r, &o) {
+		return
+	}
+	if err := c.engine.ForbidLevels(o.Level, o.Who, o.Reason); err != nil {
+		door.Fail(w, http.StatusConflict, err.Error())
+		return
+	}
+	c.level(w, r)
+}
+
 func (c *control) level(w http.ResponseWriter, _ *http.Request) {
 	st, err := c.engine.Level()
 	if err != nil {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -167,6 +167,7 @@
 type Service struct {
 	Guarded []string      `toml:"guarded"`                 // classes that are shed last
 	Least   time.Duration `toml:"least" min:"1s" max:"1h"` // between two changes of the level; 0: 30s
+	DryRun  bool          `toml:"dry_run"`                 // levels are decided on and counted, and change nothing
 }
 
 // State is where a node keeps what it has learned, for its next start.
@@ -201,6 +202,9 @@
 	NoCopies bool     `toml:"no_copies"`
 	Attempts int      `toml:"attempts" min:"1"`
 	InShare  bool     `toml:"in_share"`
+
+	Hold    time.Duration `toml:"hold" min:"1ms" max:"1h"` // the longest wait for a server
+	OwnZone bool          `toml:"own_zone"`
 }
 
 // Ladder is the ladder of levels over a site's classes; nil where the file has none. Errors name the line.
@@ -208,7 +212,7 @@
 	if len(f.Levels) == 0 {
 		return nil, nil
 	}
-	c := &levels.Config{Least: f.Service.Least}
+	c := &levels.Config{Least: f.Service.Least, Dry: f.Service.DryRun}
 	for _, k := range classes {
 		c.Classes = append(c.Classes, levels.Class{Name: k.Name, Guarded: slices.Contains(f.Service.Guarded, k.Name)})
 	}
--- a/levels/check.go
+++ b/levels/check.go
@@ -70,9 +70,11 @@
 				return bad("a measure for class %q, which there is not", m.Class)
 			case m.Shed < 0 || m.Shed > 1:
 				return bad("%s: shed: want 0 to 1, got %v", m.Class, m.Shed)
+			case m.Hold < 0:
+				return bad("%s: hold: want 0 or more, got %v", m.Class, m.Hold)
 			case m.Attempts < 0:
 				return bad("%s: attempts: want 0 or more, got %d", m.Class, m.Attempts)
-			case m.Shed == 0 && !m.NoCopies && m.Attempts == 0 && !m.InShare:
+			case m.Shed == 0 && !m.NoCopies && m.Attempts == 0 && !m.InShare && m.Hold == 0 && !m.OwnZone:
 				return bad("%s: the measure does nothing", m.Class)
 			}
 			if m.Tenants == nil {
--- a/levels/levels.go
+++ b/levels/levels.go
@@ -53,6 +53,9 @@
 	NoCopies bool     // no second copies
 	Attempts int      // at most so many; 0: as many as the settings allow
 	InShare  bool     // what a tenant sends beyond its share is refused
+	// Hold is for how long a request waits for a server at most; 0: as ever.
+	Hold    time.Duration
+	OwnZone bool // none crosses zones while the node's own has a server
 }
 
 // Level is one step of reduced service.
@@ -73,6 +76,7 @@
 type Config struct {
 	Levels  []Level
 	Classes []Class
+	Dry     bool // levels are decided on and counted, and change nothing for requests
 	// Least is the time between two changes of the level; 0: 30 s. A level that is entered again soon after its
 	// end stays for twice as long, and so on up to eight times: load that hovers at a bound does not swing it.
 	Least time.Duration
@@ -105,6 +109,9 @@
 	mostFactor = 8
 	leastTime  = 30 * time.Second // default of Config.Least
 	keptEvents = 100
+	// probeFor is how long half of what a level sheds is let in before the level ends: some seconds of the smoothed
+	// figures, so that they show it.
+	probeFor = 5 * time.Second
 )
 
 // Ladder is the state of one node. It isn't safe for concurrent use. Make one with New.
@@ -120,6 +127,9 @@
 	carries  float64 // work a second that servers carry in time
 	figures  map[key]float64
 	events   []Event
+	probing  bool          // the way out is tried: the level in force sheds half of what it adds
+	probed   time.Duration // since when
+	most     int           // levels beyond it are not entered; negative: all may be
 	byHand   bool
 	handEnds time.Duration
 	reason   string
@@ -140,7 +150,7 @@
 	}
 	n := len(c.Levels) + 1
 	l := &Ladder{c: c, held: make(map[string]time.Duration), factor: make([]float64, n), left: make([]time.Duration, n), wasLeft: make([]bool, n),
-		figures: make(map[key]float64), reason: "the start"}
+		figures: make(map[key]float64), reason: "the start", most: -1}
 	for i := range l.factor {
 		l.factor[i] = 1
 	}
@@ -159,6 +169,7 @@
 	at := func(name string) int {
 		return slices.IndexFunc(c.Levels, func(x Level) bool { return x.Name == name }) + 1
 	}
+	next.most = min(l.most, len(c.Levels))
 	next.changed, next.moved, next.carries, next.figures, next.events, next.reason = l.changed, l.moved, l.carries, l.figures, l.events, l.reason
 	for i := range l.c.Levels {
 		if n := at(l.c.Levels[i].Name); n > 0 {
@@ -210,7 +221,7 @@
 	if level < 0 || level > len(l.c.Levels) {
 		return fmt.Errorf("want a level from 0 to %d, got %d", len(l.c.Levels), level)
 	}
-	l.byHand, l.handEnds = true, 0
+	l.byHand, l.handEnds, l.probing = true, 0, false
 	if d > 0 {
 		l.handEnds = now + d
 	}
@@ -221,6 +232,39 @@
 // Release gives the level back to the conditions, from where it stands.
 func (l *Ladder) Release() { l.byHand = false }
 
+// Forbid has no level beyond most entered, by its conditions, and leaves those that are; negative: all are allowed.
+func (l *Ladder) Forbid(now time.Duration, most int, who, why string) error {
+	if most > len(l.c.Levels) {
+		return fmt.Errorf("want a level from 0 to %d, or -1 for none, got %d", len(l.c.Levels), most)
+	}
+	l.most = most
+	if most >= 0 && l.level > most && !l.byHand {
+		l.probing = false
+		l.to(now, most, fmt.Sprintf("levels beyond %d forbidden by %s: %s", most, who, why))
+	}
+	return nil
+}
+
+// Most is the last level that may be entered; -1: all may be.
+func (l *Ladder) Most() int { return l.most }
+
+// Dry tells whether levels change nothing for requests.
+func (l *Ladder) Dry() bool { return l.c.Dry }
+
+// Probing tells whether the way out of the level in force is being tried.
+func (l *Ladder) Probing() bool { return l.probing }
+
+// Lifts says what would end the level in force, a condition each; nothing at full service.
+func (l *Ladder) Lifts() (all []string) {
+	if l.level == 0 {
+		return nil
+	}
+	for _, c := range l.c.Levels[l.level-1].Exit {
+		all = append(all, fmt.Sprintf("%s below %.4g for %v (now %.4g)", c.label(), c.Bound, c.For, l.figures[key{c.Signal, c.Class}]))
+	}
+	return all
+}
+
 // Step takes one second's counts in, by class, and moves by one level at the most.
 func (l *Ladder) Step(now time.Duration, seconds map[string]Second) {
 	l.measure(seconds)
@@ -228,25 +272,38 @@
 		return
 	}
 	l.byHand = false
-	if up := l.level; up < len(l.c.Levels) {
+	if up := l.level; up < len(l.c.Levels) && (l.most < 0 || up < l.most) {
 		if why, ok := l.any(now, l.c.Levels[up].Enter); ok && l.may(now, 1) {
 			if l.wasLeft[up+1] && now-l.left[up+1] < soon {
 				l.factor[up+1] = min(mostFactor, 2*l.factor[up+1])
 			} else if l.wasLeft[up+1] {
 				l.factor[up+1] = 1
 			}
+			l.probing = false
 			l.to(now, up+1, why)
 			return
 		}
 	}
 	if l.level > 0 {
-		if why, ok := l.all(now, l.c.Levels[l.level-1].Exit); ok && l.may(now, l.factor[l.level]) {
+		why, ok := l.all(now, l.c.Levels[l.level-1].Exit)
+		switch {
+		case l.probing && l.beyond(l.c.Levels[l.level-1].Exit): // half was too much: all of it would be
+			l.probing = false
+		case l.probing && now-l.probed >= probeFor && ok:
+			l.probing = false
 			l.left[l.level], l.wasLeft[l.level] = now, true
 			l.to(now, l.level-1, why)
+		case !l.probing && ok && l.may(now, l.factor[l.level]):
+			l.probing, l.probed = true, now
 		}
 	}
 }
 
+// beyond tells whether one of the conditions does not hold at this moment.
+func (l *Ladder) beyond(all []Condition) bool {
+	return slices.ContainsFunc(all, func(c Condition) bool { return l.figures[key{c.Signal, c.Class}] >= c.Bound })
+}
+
 // may tells whether the last change is long enough ago.
 func (l *Ladder) may(now time.Duration, factor float64) bool {
 	return !l.moved || now-l.changed >= time.Duration(factor*float64(l.c.Least))
@@ -355,6 +412,8 @@
 	NoCopies bool
 	Attempts int // 0: no bound of the level's
 	InShare  bool
+	Hold     time.Duration // 0: no bound of the level's
+	OwnZone  bool
 }
 
 // Effect tells what holds for a class and a tenant: of several measures the strictest.
@@ -362,11 +421,20 @@
 	var e Effect
 	keep := 1.0
 	for i := range l.level {
-		for _, m := range l.c.Levels[i].Measures {
+		for j := range l.c.Levels[i].Measures {
+			m := &l.c.Levels[i].Measures[j]
 			if m.Class != class || m.Tenants != nil && !slices.Contains(m.Tenants, tenant) {
 				continue
 			}
-			keep = math.Min(keep, 1-m.Shed)
+			shed := m.Shed
+			if l.probing && i == l.level-1 && 1-shed < keep { // half of what it sheds beyond the levels before it
+				shed -= (shed - (1 - keep)) / 2
+			}
+			keep = math.Min(keep, 1-shed)
+			e.OwnZone = e.OwnZone || m.OwnZone
+			if m.Hold > 0 && (e.Hold == 0 || m.Hold < e.Hold) {
+				e.Hold = m.Hold
+			}
 			e.NoCopies = e.NoCopies || m.NoCopies
 			e.InShare = e.InShare || m.InShare
 			if m.Attempts > 0 && (e.Attempts == 0 || m.Attempts < e.Attempts) {
--- a/levels/levels_test.go
+++ b/levels/levels_test.go
@@ -290,3 +290,63 @@
 		}
 	})
 }
+
+// The way out is tried with half of what the level adds: where that brings the signal back over its bound, the level stays
+// without a change; and what is forbidden is not entered.
+func TestWayOutIsTried(t *testing.T) {
+	c := Config{Classes: []Class{{Name: "x"}}, Least: time.Second, Levels: []Level{{Name: "less", Enter: []Condition{{Signal: Slow, Bound: 0.2}},
+		Exit: []Condition{{Signal: Slow, Bound: 0.1}}, Measures: []Measure{{Class: "x", Shed: 0.8}}}}}
+	for _, bears := range []bool{false, true} { // the half that is let in
+		l, err := New(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := l.Forbid(0, 0, "who", "why"); err != nil {
+			t.Fatal(err)
+		}
+		tried, left := 0, false
+		for i := range 120 {
+			now := time.Duration(i+1) * time.Second
+			if i == 30 {
+				if n, _, _ := l.Level(); n != 0 {
+					t.Fatal("a level that is forbidden was entered")
+				}
+				if err := l.Forbid(now, -1, "who", "why"); err != nil {
+					t.Fatal(err)
+				}
+			}
+			late := 0.5
+			if e := l.Effect("x", ""); e.Shed > 0.7 || bears && e.Shed > 0 || left {
+				late = 0
+			}
+			was := l.Probing()
+			l.Step(now, map[string]Second{"x": {Offered: 10, Work: 1, OnTime: 10 * (1 - late), Late: 10 * late}})
+			if l.Probing() && !was {
+				if tried++; l.Effect("x", "").Shed != 0.4 {
+					t.Errorf("sheds %v while its end is tried, want 0.4", l.Effect("x", "").Shed)
+				}
+			}
+			n, _, _ := l.Level()
+			left = left || i > 60 && n == 0
+		}
+		if bears != left || tried == 0 || !bears && (tried < 2 || len(l.Events()) != 1) {
+			t.Errorf("half is borne: %v; left: %v, after %d tries, %v", bears, left, tried, l.Events())
+		}
+	}
+}
+
+func BenchmarkEffect(b *testing.B) {
+	l, err := New(ladder())
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := l.Set(0, 2, 0, "who", "why"); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if l.Effect("hladanie", "t").Shed == 0 {
+			b.Fatal("nothing is shed")
+		}
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -162,6 +162,16 @@
 	ExpiresIn              time.Duration // until the client gives this try up
 	Hint                   time.Duration // guess of its cost in core time; 0 if unknown
 	Retry, Write, Arriving bool
+	Near                   bool          // it is not to cross zones while this node's own has a server
+	Hold                   time.Duration // it is refused after so long without a server, if not sooner; 0: as ever
+}
+
+// hold is for how long a request is held that would be held for d.
+func (e Request) hold(d time.Duration) time.Duration {
+	if e.Hold > 0 {
+		return min(d, e.Hold)
+	}
+	return d
 }
 
 // FirstByte says that a streamed answer has begun: the attempt now belongs to the client.
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -202,6 +202,44 @@
 	}
 }
 
+// What is not to cross zones goes to the node's own as long as it has a server, however full; what is to wait for less is
+// refused then.
+func TestNarrowedRequests(t *testing.T) {
+	b := start(t, site(1), members(4))
+	for _, s := range b.order {
+		s.threshold = 1
+	}
+	for i := range 4 {
+		r := ask(fmt.Sprint(i), "free")
+		r.Near = true
+		if acts := of(b.Handle(ms, r), Send); len(acts) > 1 || len(acts) == 1 && acts[0].Server != "s00" && acts[0].Server != "s02" {
+			t.Errorf("it crosses zones: %+v", acts)
+		}
+	}
+	far := members(4)
+	b = start(t, site(1), []Member{far[1], far[3]})
+	r := ask("far", "free")
+	if r.Near = true; sentTo(t, b.Handle(ms, r)) != "s01" {
+		t.Error("a zone without a server keeps what is not to cross it")
+	}
+	for hold, want := range map[time.Duration]time.Duration{0: 125 * ms, 30 * ms: 30 * ms, time.Hour: 125 * ms} {
+		b = start(t, site(1), nil)
+		r := ask("held", "free")
+		r.Hold = hold
+		acts, now := b.Handle(ms, r), Time(ms)
+		for len(of(acts, Refuse))+len(of(acts, Fail)) == 0 && now < 600*ms {
+			now += 5 * ms
+			acts = nil
+			for token := range uint64(16) {
+				acts = append(acts, b.Handle(now, Timer{Token: token})...)
+			}
+		}
+		if waited := time.Duration(now - ms); waited < want-25*ms || waited > want+25*ms {
+			t.Errorf("to be held for %v: refused after %v, want %v", hold, waited, want)
+		}
+	}
+}
+
 func TestFullBucketRefusesWithRetryAfter(t *testing.T) {
 	b := start(t, site(1), members(4))
 	b.set.Allowed.RetryAfter = true
--- a/policy/state.go
+++ b/policy/state.go
@@ -112,6 +112,7 @@
 	held     bool     // it waited for a server at least once
 	arriving bool     // its last byte has not come yet
 	once     bool     // its body passes through: there can be no second copy
+	near     bool     // it is not to cross zones while this node's own has a server
 }
 
 type attempt struct {
@@ -188,6 +189,11 @@
 // fault tells whether an attempt ended by an error, or by a connection that broke or never came up.
 func (c Code) fault() bool { return c == ServerError || c == Reset || c == ConnectFailed }
 
+// far tells whether r would cross zones to s, and is not to.
+func (b *Balancer) far(r *request, s *server) bool {
+	return r.near && s.Zone != b.set.Zone && b.running[b.set.Zone] > 0
+}
+
 // View is what this node has learned of a server.
 type View struct {
 	Server    string
--- a/router/levels.go
+++ b/router/levels.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"errors"
+	"maps"
 	"time"
 
 	"cobaltward/drops"
@@ -16,19 +17,24 @@
 const (
 	// quickRefusal is how soon a bucket's refusal comes: what is refused later has waited for a server.
 	quickRefusal = 10 * time.Millisecond
+	shedSpread   = 4   // times ownRetryAfter, over which the shed are told to come back
 	workGain     = 0.1 // weight of one answer in the mean work of a class
 )
 
 // service counts what the ladder of levels goes by, and does what its level asks for. The loop owns it.
 type service struct {
 	ladder  *levels.Ladder
+	shed    map[string]uint64 // by class
+	shedBy  map[string]uint64 // by tenant that the settings list; the others under no name
+	worth   float64           // of what was shed
 	classes map[string]*classCount
 	shares  map[string]*shareBucket // by tenant, for measures that keep tenants to their shares
 }
 
 type classCount struct {
 	levels.Second
-	aim time.Duration
+	aim   time.Duration
+	worth float64
 }
 
 // shareBucket is what a tenant may send within its share: tokens of one second.
@@ -42,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &service{ladder: ladder}
+	s := &service{ladder: ladder, shed: make(map[string]uint64), shedBy: make(map[string]uint64)}
 	s.follow(set)
 	return s, nil
 }
@@ -59,7 +65,7 @@
 		if c == nil {
 			c = &classCount{Second: levels.Second{Work: aim.Seconds()}}
 		}
-		c.aim = aim
+		c.aim, c.worth = aim, class.Worth
 		classes[class.Name] = c
 	}
 	for _, t := range set.Tenants {
@@ -103,14 +109,39 @@
 	// A client that was shed and comes again under another id would be drawn again, until it is let in.
 	if e.Shed > 0 && (r.req.Retry || drops.Fraction(r.req.ID) < e.Shed) || e.InShare && !within {
 		c.Shed++
-		return true
+		s.shed[r.req.Class]++
+		tenant := r.req.Tenant
+		if s.shares[tenant] == nil {
+			tenant = ""
+		}
+		s.shedBy[tenant]++
+		s.worth += c.worth
+		return !s.ladder.Dry()
 	}
 	return false
 }
 
+// shedRetry spreads what the shed are told over some seconds, by their ids, so that they do not come back together.
+func shedRetry(id string, most time.Duration) time.Duration {
+	d := ownRetryAfter + time.Duration(shedSpread*drops.Fraction("again "+id)*float64(ownRetryAfter))
+	if most > 0 {
+		return min(d, most)
+	}
+	return d
+}
+
+// narrowed is what the level asks of the module for a request: to stay in the node's zone, and to wait for less.
+func (s *service) narrowed(r *request) (near bool, hold time.Duration) {
+	if s.ladder.Dry() {
+		return false, 0
+	}
+	e := s.ladder.Effect(r.req.Class, r.req.Tenant)
+	return e.OwnZone, e.Hold
+}
+
 // spares tells whether the level forbids an attempt: the n-th from 0 on.
 func (s *service) spares(r *request, n int) bool {
-	if n == 0 {
+	if n == 0 || s.ladder.Dry() {
 		return false
 	}
 	e := s.ladder.Effect(r.req.Class, r.req.Tenant)
@@ -184,6 +215,14 @@
 	Slow   float64        `json:"slow"`
 	Held   float64        `json:"held"`
 	Events []levels.Event `json:"events"`
+	Lifts  []string       `json:"lifts,omitempty"` // what would end it
+	Trying bool           `json:"trying"`          // its end is being tried with half of what it sheds
+	Most   int            `json:"most"`            // levels beyond it are forbidden; -1: none is
+	Dry    bool           `json:"dry_run"`         // it changes nothing for requests
+	// What it has cost since the start: in a dry run, what it would have.
+	Shed   map[string]uint64 `json:"shed,omitempty"`    // by class
+	ShedBy map[string]uint64 `json:"shed_by,omitempty"` // by tenant
+	Worth  float64           `json:"shed_worth"`
 }
 
 // Level tells which level of service is in force, and why. ErrNoLevels says that there are none.
@@ -196,6 +235,8 @@
 	st.Level, st.Name, st.Reason = s.ladder.Level()
 	st.Demand, st.Slow, st.Held = s.ladder.Figure(levels.Demand, ""), s.ladder.Figure(levels.Slow, ""), s.ladder.Figure(levels.Held, "")
 	st.Events = append(st.Events, s.ladder.Events()...)
+	st.Lifts, st.Trying, st.Most, st.Dry = s.ladder.Lifts(), s.ladder.Probing(), s.ladder.Most(), s.ladder.Dry()
+	st.Shed, st.ShedBy, st.Worth = maps.Clone(s.shed), maps.Clone(s.shedBy), s.worth
 	return st
 }
 
@@ -244,6 +285,11 @@
 	}
 }
 
+// ForbidLevels has no level beyond most entered by its conditions; -1 allows all again.
+func (r *Router) ForbidLevels(most int, who, why string) error {
+	return r.levelOrder(func(s *service, now policy.Time) error { return s.ladder.Forbid(now, most, who, why) })
+}
+
 // ReleaseLevel gives the level back to its conditions.
 func (r *Router) ReleaseLevel() error {
 	return r.levelOrder(func(s *service, _ policy.Time) error { s.ladder.Release(); return nil })
--- a/router/levels_test.go
+++ b/router/levels_test.go
@@ -1,7 +1,9 @@
 package router
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -61,3 +63,53 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// What a level asks for reaches the module and the refused: the shed are told to come back apart from one another and are
+// counted by class and tenant, others wait for less; in a dry run nothing changes but the count.
+func TestLevelsNarrow(t *testing.T) {
+	for _, dry := range []bool{false, true} {
+		set := policy.Settings{Nodes: 1, Allowed: policy.Allowed{RetryAfter: true, MaxRetryAfter: 10 * time.Second},
+			Tenants: []policy.Tenant{{Name: "t", Quota: 1e6, Share: 1}},
+			Classes: []policy.Class{{Name: "read", Aim: 10 * time.Second, Deadline: 20 * time.Second, Repeat: policy.Free, Worth: 2},
+				{Name: "held", Aim: 10 * time.Second, Deadline: 20 * time.Second, Repeat: policy.Free, Worth: 1}}}
+		c := levels.Config{Dry: dry, Classes: []levels.Class{{Name: "read"}, {Name: "held"}}, Levels: []levels.Level{{Name: "less", Enter: []levels.Condition{{Bound: 2}},
+			Exit: []levels.Condition{{Bound: 1}}, Measures: []levels.Measure{{Class: "read", Shed: 1}, {Class: "held", Hold: 20 * time.Millisecond}}}}}
+		r, err := New(Config{Settings: set}, WithTransport(&fake{}), WithLevels(c))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := r.SetLevel(1, 0, "who", "why"); err != nil {
+			t.Fatal(err)
+		}
+		again := make(map[time.Duration]bool)
+		for i := range 20 {
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			a, err := r.Do(ctx, Request{ID: fmt.Sprint("r", i), Class: "read", Tenant: []string{"t", "other"}[i%2]})
+			cancel()
+			if shed := err == nil && a.Outcome == Refused && a.RetryAfter >= time.Second && a.RetryAfter <= 5*time.Second; shed == dry {
+				t.Errorf("dry run %v: %+v, %v", dry, a, err)
+			}
+			again[a.RetryAfter] = true
+		}
+		if !dry {
+			if len(again) < 15 {
+				t.Errorf("20 that were shed are told to come back at %d moments", len(again))
+			}
+			// There is no server: it is held, and for less than the half of its aim that it would be.
+			if a, err := r.Do(t.Context(), Request{ID: "h", Class: "held", Tenant: "t"}); err != nil || a.Outcome != Refused {
+				t.Errorf("%+v, %v", a, err)
+			}
+		}
+		st, err := r.Level()
+		if err != nil || st.Shed["read"] != 20 || st.ShedBy["t"] != 10 || st.ShedBy[""] != 10 || st.Worth != 40 || len(st.Lifts) != 1 || st.Dry != dry {
+			t.Errorf("%+v, %v", st, err)
+		}
+		if err := r.ForbidLevels(0, "who", "why"); err != nil {
+			t.Fatal(err)
+		}
+		if st, _ := r.Level(); st.Most != 0 || st.Level != 1 {
+			t.Errorf("what was set by hand is taken back: %+v", st)
+		}
+		r.Close()
+	}
+}
--- a/router/loop.go
+++ b/router/loop.go
@@ -453,7 +453,7 @@
 	if dropped {
 		a := Answer{Outcome: Refused}
 		if r.allowed.RetryAfter {
-			a.RetryAfter = ownRetryAfter
+			a.RetryAfter = shedRetry(c.req.ID, r.allowed.MaxRetryAfter)
 		}
 		l.reply(c, a)
 		return
@@ -463,8 +463,12 @@
 	l.open.Store(int64(l.owed))
 	r.backstop = timer{due: end - margin/2, backstop: r}
 	heap.Push(&l.timers, &r.backstop)
-	l.tell(policy.Request{ID: c.req.ID, Class: c.req.Class, Tenant: c.req.Tenant, Key: c.req.Key,
-		ExpiresIn: r.deadline - now, Hint: c.req.Hint, Retry: c.req.Retry, Arriving: c.arrives})
+	ask := policy.Request{ID: c.req.ID, Class: c.req.Class, Tenant: c.req.Tenant, Key: c.req.Key,
+		ExpiresIn: r.deadline - now, Hint: c.req.Hint, Retry: c.req.Retry, Arriving: c.arrives}
+	if l.service != nil {
+		ask.Near, ask.Hold = l.service.narrowed(r)
+	}
+	l.tell(ask)
 }
 
 // uploadTime bounds how long a body of so many bytes may take; of unknown length it is the longest.
