--- a/policy/policy.go
+++ b/policy/policy.go
@@ -231,7 +231,7 @@
 	}
 	r.deadline, r.arriving = b.now+e.ExpiresIn, e.Arriving
 	aim := r.class.Aim + time.Duration(r.class.AimStretch*float64(e.Hint))
-	r.giveUp, r.worthTo = b.now+e.hold(min(aim, e.ExpiresIn)/2), r.deadline // a late refusal costs the client its time
+	r.giveUp, r.worthTo = b.now+e.hold(min(aim, e.ExpiresIn)/2), r.deadline // late refusals cost clients time
 	if r.class.LateWorth <= 0 {
 		r.worthTo = min(r.deadline, b.now+aim)
 	}
@@ -419,7 +419,7 @@
 
 // mayRun guards the fifth rule, and the second: what may have run only goes where repeats are dropped.
 func (b *Balancer) mayRun(r *request, s *server) bool {
-	if !r.class.permits(s) || b.far(r, s) || slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.server == s }) {
+	if !r.class.permits(s) || b.far(r, s) || r.tried(s) {
 		return false
 	}
 	if r.ranOn == nil || r.class.Repeat == Free {
--- a/policy/state.go
+++ b/policy/state.go
@@ -189,6 +189,11 @@
 // fault tells whether an attempt ended by an error, or by a connection that broke or never came up.
 func (c Code) fault() bool { return c == ServerError || c == Reset || c == ConnectFailed }
 
+// tried tells whether an attempt of r went to s.
+func (r *request) tried(s *server) bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.server == s })
+}
+
 // far tells whether r would cross zones to s, and is not to.
 func (b *Balancer) far(r *request, s *server) bool {
 	return r.near && s.Zone != b.set.Zone && b.running[b.set.Zone] > 0
