--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -205,6 +205,7 @@
 
 	Hold    time.Duration `toml:"hold" min:"1ms" max:"1h"` // the longest wait for a server
 	OwnZone bool          `toml:"own_zone"`
+	Follow  bool          `toml:"follow"` // shed is the most: so much is shed as demand lacks
 }
 
 // Ladder is the ladder of levels over a site's classes; nil where the file has none. Errors name the line.
--- a/levels/check.go
+++ b/levels/check.go
@@ -70,6 +70,8 @@
 				return bad("a measure for class %q, which there is not", m.Class)
 			case m.Shed < 0 || m.Shed > 1:
 				return bad("%s: shed: want 0 to 1, got %v", m.Class, m.Shed)
+			case m.Follow && m.Shed == 0:
+				return bad("%s: follow: shed says how much it may shed at most", m.Class)
 			case m.Hold < 0:
 				return bad("%s: hold: want 0 or more, got %v", m.Class, m.Hold)
 			case m.Attempts < 0:
--- a/levels/levels.go
+++ b/levels/levels.go
@@ -56,6 +56,9 @@
 	// Hold is for how long a request waits for a server at most; 0: as ever.
 	Hold    time.Duration
 	OwnZone bool // none crosses zones while the node's own has a server
+	// Follow has Shed be the most: of the class so much is shed as demand lacks, second by second, after the measures
+	// before this one. Demand counts what is shed, so it does not swing by that.
+	Follow bool
 }
 
 // Level is one step of reduced service.
@@ -109,6 +112,7 @@
 	mostFactor = 8
 	leastTime  = 30 * time.Second // default of Config.Least
 	keptEvents = 100
+	carried    = 1.0 // demand that measures that follow leave: what servers carry
 	// probeFor is how long half of what a level sheds is let in before the level ends: some seconds of the smoothed
 	// figures, so that they show it.
 	probeFor = 5 * time.Second
@@ -121,6 +125,7 @@
 	changed  time.Duration // of the level; 0 before the first change
 	moved    bool
 	held     map[string]time.Duration // since when conditions hold, by their texts
+	parts    [][]float64              // by level and measure: what it sheds now
 	factor   []float64                // by level: how much longer it stays
 	left     []time.Duration          // by level: when it ended last
 	wasLeft  []bool
@@ -154,6 +159,10 @@
 	for i := range l.factor {
 		l.factor[i] = 1
 	}
+	for _, level := range c.Levels {
+		l.parts = append(l.parts, make([]float64, len(level.Measures)))
+	}
+	l.share()
 	return l, nil
 }
 
@@ -170,6 +179,7 @@
 		return slices.IndexFunc(c.Levels, func(x Level) bool { return x.Name == name }) + 1
 	}
 	next.most = min(l.most, len(c.Levels))
+	defer func() { l.share() }()
 	next.changed, next.moved, next.carries, next.figures, next.events, next.reason = l.changed, l.moved, l.carries, l.figures, l.events, l.reason
 	for i := range l.c.Levels {
 		if n := at(l.c.Levels[i].Name); n > 0 {
@@ -351,6 +361,32 @@
 		s := seconds[c.Name]
 		l.track(key{Demand, c.Name}, ratio(s.Offered*s.Work, l.carries))
 	}
+	l.share()
+}
+
+// share works out what each measure sheds: of those that follow, so much as is left of the demand beyond what servers
+// carry.
+func (l *Ladder) share() {
+	left := l.figures[key{Demand, ""}] - carried
+	done := make(map[string]float64) // part that is shed of a class so far
+	for i := range l.c.Levels {
+		for j := range l.c.Levels[i].Measures {
+			m := &l.c.Levels[i].Measures[j]
+			part := m.Shed
+			offered := l.figures[key{Demand, m.Class}]
+			if m.Follow {
+				part = done[m.Class]
+				if offered > 0 && left > 0 {
+					part = min(m.Shed, part+left/offered)
+				}
+			}
+			if more := part - done[m.Class]; more > 0 && m.Tenants == nil {
+				done[m.Class] = part
+				left -= more * offered
+			}
+			l.parts[i][j] = part
+		}
+	}
 }
 
 func (l *Ladder) track(k key, v float64) { l.figures[k] += smooth * (v - l.figures[k]) }
@@ -426,7 +462,7 @@
 			if m.Class != class || m.Tenants != nil && !slices.Contains(m.Tenants, tenant) {
 				continue
 			}
-			shed := m.Shed
+			shed := l.parts[i][j]
 			if l.probing && i == l.level-1 && 1-shed < keep { // half of what it sheds beyond the levels before it
 				shed -= (shed - (1 - keep)) / 2
 			}
--- a/levels/levels_test.go
+++ b/levels/levels_test.go
@@ -1,6 +1,7 @@
 package levels
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -9,6 +10,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"cobaltward/drops"
 )
 
 var classes = []Class{{Name: "hladanie"}, {Name: "rezervacia", Guarded: true}, {Name: "zrusenie"}}
@@ -189,6 +192,9 @@
 					t.Fatalf("%+v", e)
 				}
 			}
+			if e := l.Effect("x", "t"); e != (Effect{}) {
+				t.Fatalf("a class without a measure: %+v", e)
+			}
 			if l.Effect("rezervacia", "t").Shed > min(l.Effect("hladanie", "t").Shed, l.Effect("zrusenie", "t").Shed) {
 				t.Fatal("bookings are shed first")
 			}
@@ -350,3 +356,73 @@
 		}
 	}
 }
+
+// Load that swings round what servers carry, sinusoidal with noise, at every period from 1 s to 120 s and from 20 seeds: never
+// two changes within 30 s, never two levels at once, and who is let in is the same part of each tenant's requests.
+func TestEveryPeriod(t *testing.T) {
+	for _, period := range []float64{1, 2, 5, 10, 20, 30, 45, 60, 90, 120} {
+		most := 0
+		for seed := range uint64(20) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			l, err := New(ladder())
+			if err != nil {
+				t.Fatal(err)
+			}
+			phase := 2 * math.Pi * rng.Float64()
+			play(l, 1200, func(i int) (map[string]float64, map[string]float64) {
+				return load(105 + 25*math.Sin(2*math.Pi*float64(i)/period+phase) + 8*rng.NormFloat64()), work
+			})
+			last := -time.Hour
+			for _, e := range l.Events() {
+				if e.At-last < 30*time.Second || e.To > e.From+1 || e.To < e.From-1 {
+					t.Fatalf("period %v, seed %d: %+v, %v after the change before", period, seed, e, e.At-last)
+				}
+				last = e.At
+			}
+			most = max(most, len(l.Events()))
+		}
+		if most > 40 {
+			t.Errorf("period %v s: %d changes in 1200 s", period, most)
+		}
+		t.Logf("period %v s: at most %d changes in 20 minutes", period, most)
+	}
+	// By id: Jain's index of the parts of 20 tenants' requests that are let in.
+	var sum, squares float64
+	for tenant := range 20 {
+		in := 0
+		for i := range 2000 {
+			if drops.Fraction(fmt.Sprintf("t%d-%d", tenant, i)) >= 0.5 {
+				in++
+			}
+		}
+		part := float64(in) / 2000
+		sum, squares = sum+part, squares+part*part
+	}
+	if jain := sum * sum / (20 * squares); jain < 0.99 {
+		t.Errorf("Jain's index %.4f", jain)
+	}
+}
+
+// A measure that follows sheds what demand lacks, each second: nothing while servers carry all, never more than its most,
+// and the next one what is left.
+func TestFollow(t *testing.T) {
+	at := func(shed float64, class string) Measure { return Measure{Class: class, Shed: shed, Follow: true} }
+	c := Config{Classes: []Class{{Name: "a"}, {Name: "b"}}, Levels: []Level{
+		{Name: "one", Enter: []Condition{{Bound: 1.1}}, Exit: []Condition{{Bound: 0.5}}, Measures: []Measure{at(0.5, "a")}},
+		{Name: "two", Enter: []Condition{{Bound: 1.2}}, Exit: []Condition{{Bound: 0.5}}, Measures: []Measure{at(0.8, "a"), at(0.4, "b")}}}}
+	l, err := New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Set(0, 2, 0, "who", "why"); err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []struct{ total, a, b, shedA, shedB float64 }{
+		{0.9, 0.5, 0.4, 0, 0}, {1.2, 0.8, 0.4, 0.25, 0}, {1.5, 0.8, 0.7, 0.625, 0}, {1.7, 0.8, 0.9, 0.8, 0.06 / 0.9}, {3, 1, 2, 0.8, 0.4}} {
+		l.figures = map[key]float64{{Demand, ""}: x.total, {Demand, "a"}: x.a, {Demand, "b"}: x.b}
+		l.share()
+		if a, b := l.Effect("a", "").Shed, l.Effect("b", "").Shed; math.Abs(a-x.shedA) > 1e-9 || math.Abs(b-x.shedB) > 1e-9 {
+			t.Errorf("%+v: sheds %.3f and %.3f", x, a, b)
+		}
+	}
+}
