--- a/emulator/sim/levels_test.go
+++ b/emulator/sim/levels_test.go
@@ -49,3 +49,27 @@
 		t.Errorf("bookings: %.3f with levels, %.3f without", a, b)
 	}
 }
+
+// A fault that is no overload enters no level: what healthy servers can carry is not shed.
+func TestNoLevelWithoutOverload(t *testing.T) {
+	for _, name := range []string{"fast-errors", "hot-node"} {
+		s, err := script.Load("../../scenarios/" + name + ".toml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Length = 20 * time.Second
+		p, err := plan.New(s, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := play(t, p, Options{Levels: ladder()})
+		for at, l := range r.Levels {
+			if l.Level != 0 {
+				t.Fatalf("%s: level %d after %d s, demand %.2f", name, l.Level, at, l.Demand)
+			}
+		}
+		if len(r.Levels) < 15 {
+			t.Errorf("%s: %d seconds were looked at", name, len(r.Levels))
+		}
+	}
+}
