--- a/internal/node/rotation_test.go
+++ b/internal/node/rotation_test.go
@@ -34,6 +34,7 @@
 type shown struct {
 	under []*pki.Authority
 	conf  *tls.Config
+	until time.Time // it holds; zero: for long
 }
 
 // rotated is a node and servers whose certificates change under load, with all that was seen of it.
@@ -73,6 +74,9 @@
 // obeyed is how long the node may take to go by new files: they are looked at twice, and what was on its way arrives.
 const obeyed = 400 * time.Millisecond
 
+// onItsWay is how long a request may be under way that left in time.
+const onItsWay = 200 * time.Millisecond
+
 func newRotated(t testing.TB, n int) *rotated {
 	w := &rotated{t: t, dir: t.TempDir(), old: pki.Year("old"), next: pki.Year("new"), front: pki.Year("front"), ran: make(map[string]int), free: make(map[string]bool), others: make(map[string]int)}
 	w.sock = filepath.Join(w.dir, "door.sock")
@@ -121,7 +125,7 @@
 	var key [32]byte // else those of the listener hold, and a session would be taken up again whatever the server shows now
 	_, _ = rand.Read(key[:])
 	conf.SetSessionTicketKeys([][32]byte{key})
-	return shown{under, conf}
+	return shown{under: under, conf: conf}
 }
 
 // ServeHTTP runs a request, and notes over what it came.
@@ -139,6 +143,10 @@
 	if key := r.Header.Get("Idempotency-Key"); key == "" || w.ran[id] == 0 { // servers drop the repeats of a key
 		w.ran[id]++
 	}
+	if end := x.(*shown).until; !end.IsZero() && now.Sub(end) > onItsWay {
+		w.wrong = append(w.wrong, fmt.Sprintf("%s at %s, %v after the end of its certificate", id, s.id, now.Sub(end)))
+		return
+	}
 	for i := len(w.trust) - 1; i >= 0; i-- {
 		for _, a := range w.trust[i].all {
 			if slices.Contains(x.(*shown).under, a) {
@@ -421,6 +429,38 @@
 	w.judge()
 }
 
+// Certificates end while connections are open. Who replaced them in time notices nothing; the others get nothing more from
+// that second on, over connections that are open either.
+func TestCertificatesEnd(t *testing.T) {
+	w := newRotated(t, 6)
+	end := time.Now().Add(2500 * time.Millisecond).Truncate(time.Second).Add(time.Second)
+	for _, s := range w.servers {
+		x := w.show([]*pki.Authority{w.old}, w.old.Issue(pki.Leaf{Names: []string{"127.0.0.1"}, To: end}).TLS())
+		x.until = end.Add(time.Second) // X.509 counts whole seconds
+		s.show(x)
+	}
+	w.start()
+	ctx, stop := context.WithCancel(context.Background())
+	all := w.load(ctx, 8)
+	time.Sleep(time.Until(end.Add(-time.Second)))
+	for _, s := range w.servers[:3] { // in time
+		s.show(w.leaf(w.old))
+	}
+	late := w.servers[3]
+	testkit.Await(t, "the refusal of who is late", func() bool {
+		for _, p := range w.status().Servers.Peers {
+			if p.Server == late.id && p.Why == "expired" {
+				return true
+			}
+		}
+		return time.Since(end) > 3*time.Second && late.came.Load() == 0 // it was never needed
+	})
+	time.Sleep(500 * time.Millisecond)
+	stop()
+	all.Wait()
+	w.judge()
+}
+
 // A certificate that is wrong on one server only has that server refused, and no other; it is back within seconds of
 // the day that it is mended, and nobody is looked at in a storm.
 func TestWrongOnOneServer(t *testing.T) {
