--- a/transport/secure/stats.go
+++ b/transport/secure/stats.go
@@ -8,7 +8,6 @@
 
 	"cobaltward/handshakes"
 	"cobaltward/internal/handshaking"
-	"cobaltward/keys"
 )
 
 // counts are under the layer's mutex.
@@ -88,15 +87,3 @@
 	slices.SortFunc(s.Peers, func(a, b Peer) int { return cmp.Compare(a.Server, b.Server) })
 	return s
 }
-
-// Stores are all that the rules go by, each once.
-func (l *Layer) Stores() (all []*keys.Store) {
-	for i := range l.c.Rules {
-		for _, s := range []*keys.Store{l.c.Rules[i].Trust, l.c.Rules[i].Own} {
-			if s != nil && !slices.Contains(all, s) {
-				all = append(all, s)
-			}
-		}
-	}
-	return all
-}
