Tests of TLS share the stand-in at the level of the connection

Both had a loop that accepts of their own, which testkit has. The listener's own way of handing connections out has a test now.

--- a/front/secure/secure_test.go
+++ b/front/secure/secure_test.go
@@ -79,46 +79,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	raw, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ln := l.Listener(raw)
-	var all sync.WaitGroup
-	var mu sync.Mutex
-	open := make(map[net.Conn]bool)
-	t.Cleanup(func() {
-		ln.Close()
-		mu.Lock()
-		for c := range open {
-			c.Close()
-		}
-		mu.Unlock()
-		all.Wait()
-	})
-	all.Go(func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
+	return l, testkit.RawServer(t, func(nc net.Conn, _ *bufio.Reader) {
+		c := l.Wrap(nc.(*net.TCPConn), nil)
+		defer c.Close()
+		for in := bufio.NewReader(c); ; {
+			if _, err := in.ReadString('\n'); err != nil {
+				return
+			}
+			if _, err := io.WriteString(c, strings.Join(c.Names(), " ")+"\n"); err != nil {
 				return
 			}
-			mu.Lock()
-			open[nc] = true
-			mu.Unlock()
-			all.Go(func() {
-				defer nc.Close()
-				for in := bufio.NewReader(nc); ; {
-					if _, err := in.ReadString('\n'); err != nil {
-						return
-					}
-					if _, err := io.WriteString(nc, strings.Join(nc.(*Conn).Names(), " ")+"\n"); err != nil {
-						return
-					}
-				}
-			})
 		}
 	})
-	return l, raw.Addr().String()
 }
 
 // ask makes a connection and sends a line over it.
@@ -341,3 +313,46 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// A listener hands out connections without waiting for their handshakes.
+func TestListener(t *testing.T) {
+	f := newFiles(t)
+	f.certify("certs/a", "a.example")
+	l, err := New(Config{Keys: f.open()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln := l.Listener(raw)
+	defer ln.Close()
+	silent, err := net.Dial("tcp", raw.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	first, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	served := make(chan error, 1)
+	go func() {
+		c, err := ln.Accept()
+		if err == nil {
+			defer c.Close()
+			_, err = io.CopyN(c, c, int64(len("who am I\n")))
+		}
+		served <- err
+	}()
+	pool := x509.NewCertPool()
+	pool.AddCert(f.ca.Cert)
+	if got, _, err := ask(raw.Addr().String(), &tls.Config{RootCAs: pool, ServerName: "a.example"}); err != nil || got != "who am I" {
+		t.Errorf("%q, %v", got, err)
+	}
+	if err := testkit.Receive(t, "the end", served); err != nil || !first.(*Conn).Silent() {
+		t.Errorf("%v; the silent one is silent: %v", err, first.(*Conn).Silent())
+	}
+}
--- a/transport/secure/secure_test.go
+++ b/transport/secure/secure_test.go
@@ -34,41 +34,12 @@
 // peerServer is a server at the level of the connection: it makes a handshake by conf, then does as do says.
 func peerServer(t testing.TB, conf func() *tls.Config, do func(*tls.Conn)) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var all sync.WaitGroup
-	var mu sync.Mutex
-	open := make(map[net.Conn]bool)
-	t.Cleanup(func() {
-		ln.Close()
-		mu.Lock()
-		for c := range open {
-			c.Close()
-		}
-		mu.Unlock()
-		all.Wait()
-	})
-	all.Go(func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			mu.Lock()
-			open[nc] = true
-			mu.Unlock()
-			all.Go(func() {
-				defer nc.Close()
-				c := tls.Server(nc, conf())
-				if c.Handshake() == nil {
-					do(c)
-				}
-			})
+	return testkit.RawServer(t, func(nc net.Conn, _ *bufio.Reader) {
+		c := tls.Server(nc, conf())
+		if c.Handshake() == nil {
+			do(c)
 		}
 	})
-	return ln.Addr().String()
 }
 
 func echo(c *tls.Conn) { _, _ = io.Copy(c, c) }
