Handshakes that wait for their client hold nobody up, and a server's last word stands

(1) Four handshakes went on at once, whether worked on or waiting for their client: four clients that stall, or four far away, had the listener wait (handshakes/pace.go, Admit; internal/node/clients.go, admit). Only those that the core works on count now; those that wait have a quarter of the connections and make room after a second. (2) Two news of a server could overtake one another on their way to the membership, which then held a good server out for good; and a former process's late handshake lifted the refusal of its successor (transport/secure, tell and Shake). Twelve stalled clients in a test.

--- a/handshakes/pace.go
+++ b/handshakes/pace.go
@@ -94,19 +94,19 @@
 }
 
 const (
-	// mostActive is how many handshakes of clients go on at once: so many keep a core at work, and more would only come
+	// mostActive is how many handshakes of clients are worked on at once: so many keep a core at work, and more would only come
 	// to it together, ahead of requests.
 	mostActive = 4
-	silentPart = 0.25 // of the clients' connections, for those that have said nothing yet
+	waitPart   = 0.25 // of the clients' connections, for handshakes that wait for their client
 	// SilentAfter is when a client that has said nothing counts as one that may say nothing.
 	SilentAfter = 20 * time.Millisecond
 )
 
-// Admit tells whether another client may be let in, beside so many whose handshake goes on and so many that have said
-// nothing, of most connections. Those who are not wait outside: to close one that goes on in favour of the next would
+// Admit tells whether another client may be let in, beside so many handshakes that the core has to work on and so many
+// that wait for their client, of most connections: clients far away, or who stall, hold nobody up until they are many. Those who are not wait outside: to close one that goes on in favour of the next would
 // have each begun and none ended.
-func Admit(active, silent, most int) bool {
-	return active < mostActive && silent < max(mostActive, int(silentPart*float64(most)))
+func Admit(active, waiting, most int) bool {
+	return active < mostActive && waiting < max(mostActive, int(waitPart*float64(most)))
 }
 
 // Took is how many pieces there were, and the time of them all.
--- a/internal/handshaking/wire.go
+++ b/internal/handshaking/wire.go
@@ -55,6 +55,7 @@
 	glance  bool // reads do not wait
 	hurry   atomic.Bool
 	heard   atomic.Bool
+	working atomic.Bool // arithmetic waits for the core, or has it
 	worked  time.Duration
 }
 
@@ -73,6 +74,9 @@
 // Heard tells whether anything has come in the handshake.
 func (w *Wire) Heard() bool { return w.heard.Load() }
 
+// Working tells whether arithmetic of the handshake waits for the core, or has it.
+func (w *Wire) Working() bool { return w.working.Load() }
+
 // Work has the core for what comes before the first read: a client computes its key then.
 func (w *Wire) Work() error {
 	if err := w.core.enter(&w.piece, w.by, w.done); err != nil {
@@ -84,6 +88,7 @@
 
 // pause gives the core back.
 func (w *Wire) pause() {
+	w.working.Store(false)
 	if w.inside {
 		w.inside = false
 		w.worked += time.Since(w.began)
@@ -108,6 +113,7 @@
 	if err != nil {
 		return n, err
 	}
+	w.working.Store(true)
 	if err := w.core.enter(&w.piece, w.by, w.done); err != nil {
 		return 0, err
 	}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -37,8 +37,9 @@
 }
 
 const (
-	silentFor = 250 * time.Millisecond // after which who has said nothing makes room for others
-	lookAgain = 5 * time.Millisecond   // whether another may be let in
+	silentFor  = 250 * time.Millisecond // after which who has said nothing makes room for others
+	stalledFor = time.Second            // and who has begun its handshake, and says no more
+	lookAgain  = 5 * time.Millisecond   // whether another may be let in
 )
 
 // partFor is how long a client may take to close its side of a connection that was parted from.
@@ -156,17 +157,17 @@
 // admit waits until another handshake may go on.
 func (l *clients) admit() {
 	for !l.closed {
-		active, silent := 0, 0
+		active, waiting := 0, 0
 		for e := l.quiet.Front(); e != nil; e = e.Next() {
 			switch c := e.Value.(*clientConn); {
 			case !c.secure.Shaking():
-			case c.secure.Silent() && time.Since(c.came) > handshakes.SilentAfter:
-				silent++
-			default:
+			case c.secure.Working(), c.secure.Silent() && time.Since(c.came) <= handshakes.SilentAfter:
 				active++
+			default: // for its client, who may be far away or mean no good
+				waiting++
 			}
 		}
-		if handshakes.Admit(active, silent, l.most) || l.hush() {
+		if handshakes.Admit(active, waiting, l.most) || l.hush() {
 			return
 		}
 		wake := time.AfterFunc(lookAgain, l.room.Broadcast)
@@ -175,10 +176,12 @@
 	}
 }
 
-// hush closes the connection that has been silent for longest since it was let in, if that is for long.
+// hush closes the handshake that has waited for its client for longest, if that is for long.
 func (l *clients) hush() bool {
 	for e := l.quiet.Front(); e != nil; e = e.Next() {
-		if c := e.Value.(*clientConn); c.secure.Silent() && time.Since(c.came) > silentFor {
+		c := e.Value.(*clientConn)
+		age := time.Since(c.came)
+		if c.secure.Shaking() && !c.secure.Working() && (age > stalledFor || c.secure.Silent() && age > silentFor) {
 			c.forget()
 			c.TCPConn.Close()
 			return true
--- a/internal/node/rotation_test.go
+++ b/internal/node/rotation_test.go
@@ -502,3 +502,27 @@
 	}
 	w.judge()
 }
+
+// Clients that begin a handshake and say no more hold up nobody: they are no work.
+func TestStalledHandshakesHoldNobodyUp(t *testing.T) {
+	w := newRotated(t, 1)
+	w.start()
+	var stalled []net.Conn
+	for range 12 {
+		c, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := c.Write([]byte("\x16\x03\x01\x02\x00\x01")); err != nil { // of a hello of 512 bytes
+			t.Fatal(err)
+		}
+		stalled = append(stalled, c)
+	}
+	testkit.Await(t, "the handshakes", func() bool { return w.status().Clients.Going >= int64(len(stalled)) })
+	w.request(w.client(), "c0", true, drainSettings().Classes[0])
+	if st := w.status(); st.Clients.Going < int64(len(stalled)) {
+		t.Errorf("%d of %d stalled handshakes go on: it was served only once they had ended", st.Clients.Going, len(stalled))
+	}
+	w.judge()
+}
--- a/transport/secure/secure.go
+++ b/transport/secure/secure.go
@@ -48,6 +48,8 @@
 	stop chan struct{}
 	done sync.WaitGroup
 
+	telling sync.Mutex // over Tell, so that its last word is how things stand
+
 	mu      sync.Mutex
 	peers   map[string]*peer // the processes that were spoken to, or are refused
 	gate    *handshakes.Gate
@@ -180,10 +182,20 @@
 	l.refused.Forget(id)
 	l.mu.Unlock()
 	if was {
-		l.c.Tell(id, false)
+		l.tell(id)
 	}
 }
 
+// tell passes on whether a server is refused now: two changes of it must not overtake one another on their way.
+func (l *Layer) tell(id string) {
+	l.telling.Lock()
+	defer l.telling.Unlock()
+	l.mu.Lock()
+	_, refused := l.refused.Is(id)
+	l.mu.Unlock()
+	l.c.Tell(id, refused)
+}
+
 // Reloaded has what is kept judged anew: what is trusted, or shown, may have changed.
 func (l *Layer) Reloaded() {
 	l.mu.Lock()
@@ -212,12 +224,12 @@
 		return nil, l.failed(m, p, err)
 	}
 	l.mu.Lock()
-	back := l.refused.Proved(m.ID)
+	back := l.peers[m.ID] == p && l.refused.Proved(m.ID) // a former process proves nothing for this one
 	p.shown, p.ends = c.state.PeerCertificates[0].SerialNumber.Text(16), c.valid.until
 	l.mu.Unlock()
 	if back {
 		l.c.Log.Info("tls: a server proves who it is again", "server", m.ID)
-		l.c.Tell(m.ID, false)
+		l.tell(m.ID)
 	}
 	return c, nil
 }
@@ -353,7 +365,7 @@
 	l.mu.Unlock()
 	if first {
 		l.c.Log.Warn("tls: a server can't prove who it is, and gets nothing", "server", m.ID, "why", untrusted)
-		l.c.Tell(m.ID, true)
+		l.tell(m.ID)
 	}
 	return err
 }
