--- a/front/secure/secure.go
+++ b/front/secure/secure.go
@@ -153,7 +153,8 @@
 // Shaking tells whether the connection has no whole handshake yet.
 func (c *Conn) Shaking() bool { return !c.done.Load() }
 
-// Working tells whether arithmetic of its handshake waits for the core, or has it; else it waits for the client.
+// Working tells whether arithmetic of its handshake waits for the core, has it or had it just now; else it waits for the
+// client.
 func (c *Conn) Working() bool {
 	w := c.heard.Load()
 	return !c.done.Load() && w != nil && w.Working()
--- a/handshakes/pace.go
+++ b/handshakes/pace.go
@@ -98,7 +98,7 @@
 	// to it together, ahead of requests.
 	mostActive = 4
 	waitPart   = 0.25 // of the clients' connections, for handshakes that wait for their client
-	// SilentAfter is when a client that has said nothing counts as one that may say nothing.
+	// SilentAfter is when a client that is waited for counts as one that may be far away, or say nothing.
 	SilentAfter = 20 * time.Millisecond
 )
 
--- a/internal/handshaking/wire.go
+++ b/internal/handshaking/wire.go
@@ -55,7 +55,8 @@
 	glance  bool // reads do not wait
 	hurry   atomic.Bool
 	heard   atomic.Bool
-	working atomic.Bool // arithmetic waits for the core, or has it
+	working atomic.Bool  // arithmetic waits for the core, or has it
+	rested  atomic.Int64 // when it had it last, Unix nanoseconds
 	worked  time.Duration
 }
 
@@ -74,8 +75,11 @@
 // Heard tells whether anything has come in the handshake.
 func (w *Wire) Heard() bool { return w.heard.Load() }
 
-// Working tells whether arithmetic of the handshake waits for the core, or has it.
-func (w *Wire) Working() bool { return w.working.Load() }
+// Working tells whether arithmetic of the handshake waits for the core, or has it, or had it just now: who is near
+// answers at once.
+func (w *Wire) Working() bool {
+	return w.working.Load() || time.Since(time.Unix(0, w.rested.Load())) < handshakes.SilentAfter
+}
 
 // Work has the core for what comes before the first read: a client computes its key then.
 func (w *Wire) Work() error {
@@ -91,6 +95,7 @@
 	w.working.Store(false)
 	if w.inside {
 		w.inside = false
+		w.rested.Store(time.Now().UnixNano())
 		w.worked += time.Since(w.began)
 		w.core.leave(&w.piece, w.began)
 	}
