Requests answered just before their time is up are played alone

The row of a server that leaves a request hanging has 20 ms of margin and ran beside 150 others under -race: late once in some runs on a loaded machine. It is played by itself now; nothing it asserts has changed.

--- a/internal/pairs/pairs_test.go
+++ b/internal/pairs/pairs_test.go
@@ -483,7 +483,9 @@
 					continue
 				}
 				t.Run(fmt.Sprint(c.does, "/", class, "/", p.name), func(t *testing.T) {
-					t.Parallel()
+					if c.shorter == 0 { // what is answered 20 ms before its time is up is played alone
+						t.Parallel()
+					}
 					apps := []*app{newApp(t, nil, c.does), newApp(t, nil)}
 					call := p.start(t, nil, apps...)
 					q := msgpackrpc.Call{ID: "r1", Class: class, Tenant: "t", Wait: 8 * time.Second, Target: "/api"}
