The fleet's state and ownership as pure modules; a table [fleet] that is checked

Need: work on behalf of the fleet wants one owner at a time, and receivers that take nothing by an old one. Change: fleet/ (entries in, state out), fleet/owner (leases, tokens, what receivers remember), the table [fleet] of the operator's own file with its errors by line, and 'wayhold fleet', which hands over to a program of its own.

--- /dev/null
+++ b/fleet/owner/owner.go
@@ -0,0 +1,237 @@
+// Package owner decides who may act for the fleet, and what a receiver lets through. It does no I/O and reads no clock.
+//
+// It stands processes that stop and wake up, messages that come late, twice or never, and a council that is away: who
+// can't renew stops. It trusts that no clock runs more than Drift faster or slower than another while a lease lasts:
+// then no two owners act at once. Where that is broken, a receiver still takes nothing by an old owner after anything
+// by a newer one: for that no clock is trusted, only the receiver's memory. From an answer that never came nothing
+// follows; a lease is counted from before the asking, so an answer that comes late is worth less, never more.
+package owner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"cobaltward/fleet"
+)
+
+// Drift is how much faster than another a clock may run.
+const Drift = 0.2
+
+// Wait is how long a lease is waited for by the clock of who waits, from when the last renewal was seen.
+func Wait(lease time.Duration) time.Duration {
+	return lease + time.Duration(Drift*float64(lease)) + lease/20
+}
+
+// Guards are what ownership rests on, for rehearsals to take one away. The zero value is whole.
+type Guards struct {
+	NoToken    bool // receivers let any token through
+	NoWait     bool // a lease is over as soon as the council wants it to be: it waits a quarter of it
+	FromAnswer bool // a holder counts its lease from the answer
+}
+
+// Lessor tells which leases are over. Each member of the council has one, so that a new leader need not begin to wait
+// anew: it has seen the renewals itself, at the earliest when they were agreed on, and that is after they were asked for.
+type Lessor struct {
+	Guards Guards
+	seen   map[string]lease
+}
+
+type lease struct {
+	token    fleet.Token
+	renewals uint64
+	since    time.Duration
+	length   time.Duration
+}
+
+// Observe tells of a state. now is of a monotonic clock.
+func (l *Lessor) Observe(s *fleet.State, now time.Duration) {
+	if l.seen == nil {
+		l.seen = make(map[string]lease)
+	}
+	for work := range l.seen {
+		if _, ok := s.Owners[work]; !ok {
+			delete(l.seen, work)
+		}
+	}
+	for work, o := range s.Owners {
+		if v, ok := l.seen[work]; !ok || v.token != o.Token || v.renewals != o.Renewals {
+			l.seen[work] = lease{o.Token, o.Renewals, now, o.Lease}
+		}
+	}
+}
+
+// Due are the entries that end the leases which are over. Only the leader proposes them.
+func (l *Lessor) Due(now time.Duration) (all []fleet.Entry) {
+	for _, work := range slices.Sorted(maps.Keys(l.seen)) {
+		v := l.seen[work]
+		wait := Wait(v.length)
+		if l.Guards.NoWait {
+			wait = v.length / 4
+		}
+		if now-v.since >= wait {
+			all = append(all, fleet.Entry{Kind: fleet.Expire, Work: work, Token: v.token, Seq: v.renewals})
+		}
+	}
+	return all
+}
+
+// Holder is one process that wants, has or has lost a work. Times are of its own monotonic clock.
+type Holder struct {
+	Work   string
+	Name   string // of this run of the process
+	Lease  time.Duration
+	Guards Guards
+
+	token    fleet.Token
+	until    time.Duration // it may act before this
+	asked    time.Duration // when the ask went out that is under way
+	flying   bool
+	next     time.Duration // no ask before this
+	down     bool          // it steps down
+	acquired bool
+}
+
+// Ask is what to propose now; ok is false where nothing is to be asked.
+func (h *Holder) Ask(now time.Duration) (e fleet.Entry, ok bool) {
+	if h.flying && now-h.asked < h.Lease/2 || now < h.next {
+		return e, false
+	}
+	if h.token != 0 && now >= h.until {
+		h.token = 0 // over, whatever the council thinks
+	}
+	if h.token == 0 && h.down {
+		return e, false
+	}
+	h.asked, h.flying = now, true
+	switch {
+	case h.token == 0:
+		return fleet.Entry{Kind: fleet.Acquire, Work: h.Work, Holder: h.Name, Lease: h.Lease}, true
+	case h.down:
+		return fleet.Entry{Kind: fleet.Release, Work: h.Work, Token: h.token}, true
+	}
+	return fleet.Entry{Kind: fleet.Renew, Work: h.Work, Token: h.token}, true
+}
+
+// Answered tells what came of an ask that went out at asked: r of the council, or known false where nobody can tell.
+func (h *Holder) Answered(asked, now time.Duration, e fleet.Entry, r fleet.Result, known bool) {
+	if asked == h.asked {
+		h.flying = false
+	}
+	from := asked
+	if h.Guards.FromAnswer {
+		from = now
+	}
+	switch {
+	case !known:
+		h.next = max(h.next, now+h.Lease/20)
+	case r.Err != nil && e.Kind == fleet.Acquire:
+		h.next = now + h.Lease/4
+	case r.Err != nil: // it has been lost, and it is known
+		if e.Token == h.token {
+			h.token = 0
+		}
+		h.next = now + h.Lease/10
+	case e.Kind == fleet.Acquire:
+		if r.Token > h.token {
+			h.token, h.until = r.Token, from+h.Lease
+			h.next = asked + h.Lease/4
+		}
+	case e.Kind == fleet.Renew && e.Token == h.token:
+		h.until = max(h.until, from+h.Lease)
+		h.next = asked + h.Lease/4
+	case e.Kind == fleet.Release && e.Token == h.token:
+		h.token = 0
+	}
+}
+
+// Token is the one to act under; ok is false where it must not act, or stops itself since little of the lease is left.
+func (h *Holder) Token(now time.Duration) (t fleet.Token, ok bool) {
+	if h.token == 0 || now >= h.until-h.Lease/10 {
+		return 0, false
+	}
+	return h.token, true
+}
+
+// StepDown has the holder give the work back, and not ask for it until it is told to.
+func (h *Holder) StepDown(down bool) {
+	if h.down != down {
+		h.down, h.next = down, 0
+	}
+}
+
+// Has tells whether it has the work as far as it knows.
+func (h *Holder) Has() bool { return h.token != 0 }
+
+// Gate is what a receiver remembers: the highest token of each work that it has seen. It is on the disk before
+// anything is done under a token.
+type Gate struct {
+	Guards Guards                 `json:"-"`
+	Seen   map[string]fleet.Token `json:"seen"`
+}
+
+// Pass says whether an effect under a token may be done, and whether the gate has changed by it, so that it has to be
+// written down first.
+func (g *Gate) Pass(work string, t fleet.Token) (pass, changed bool) {
+	if t < g.Seen[work] {
+		return g.Guards.NoToken, false
+	}
+	if t == g.Seen[work] {
+		return t != 0, false
+	}
+	if g.Seen == nil {
+		g.Seen = make(map[string]fleet.Token)
+	}
+	g.Seen[work] = t
+	return true, true
+}
+
+// Ledger is what a receiver has done, by the key of each effect, so that a repeat gets the first one's outcome.
+type Ledger struct {
+	Effects map[string]Effect `json:"effects"`
+	N       uint64            `json:"n"`
+}
+
+// Effect is one.
+type Effect struct {
+	N       uint64      `json:"n"` // 1, 2, ...: the older ones go first
+	Work    string      `json:"work"`
+	Token   fleet.Token `json:"token"` // the newest under which it was asked for
+	Running bool        `json:"running"`
+	Outcome string      `json:"outcome,omitempty"`
+	Detail  string      `json:"detail,omitempty"`
+}
+
+const mostEffects = 4096
+
+// Begin notes an effect that is about to be done.
+func (l *Ledger) Begin(key, work string, t fleet.Token) {
+	if l.Effects == nil {
+		l.Effects = make(map[string]Effect)
+	}
+	l.N++
+	l.Effects[key] = Effect{N: l.N, Work: work, Token: t, Running: true}
+	if len(l.Effects) > mostEffects {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(l.Effects)), func(a, b string) int { return cmp.Compare(l.Effects[a].N, l.Effects[b].N) })
+		delete(l.Effects, oldest)
+	}
+}
+
+// End notes what came of it.
+func (l *Ledger) End(key, outcome, detail string) {
+	e := l.Effects[key]
+	e.Running, e.Outcome, e.Detail = false, outcome, detail
+	l.Effects[key] = e
+}
+
+// Cut are the effects that were under way when the process ended: what came of them has to be looked at.
+func (l *Ledger) Cut() (keys []string) {
+	for k, e := range l.Effects {
+		if e.Running {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -73,7 +73,7 @@
 			Args: cobra.NoArgs,
 			RunE: func(c *cobra.Command, _ []string) error { return serve(own, c.ErrOrStderr(), e) },
 		},
-		checkCommand(&own, e), demoCommand(), callCommand(), rehearseCommand(e), ctlCommand(&own), certsCommand(&own), initCommand(), routeCommand(&own), expectCommand(&own),
+		checkCommand(&own, e), demoCommand(), callCommand(), rehearseCommand(e), ctlCommand(&own), certsCommand(&own), initCommand(), routeCommand(&own), expectCommand(&own), fleetCommand(),
 		&cobra.Command{
 			Use:   "version",
 			Short: "Print the version",
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -172,6 +172,7 @@
 	Level    any `toml:"level"`
 	State    any `toml:"state"`
 	TLS      any `toml:"tls"`
+	Fleet    any `toml:"fleet"`
 
 	Log struct {
 		Level  any `toml:"level"`
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -36,6 +36,7 @@
 	Levels  []Level  `toml:"level"`
 	State   State    `toml:"state"`
 	TLS     *TLS     `toml:"tls"`
+	Fleet   *Fleet   `toml:"fleet"`
 
 	Log     any `toml:"log"`
 	Drain   any `toml:"drain"`
@@ -276,6 +277,9 @@
 }
 
 func (f *File) check() error {
+	if err := f.Fleet.check(f); err != nil {
+		return err
+	}
 	if !f.On() {
 		for key, set := range map[string]bool{"class": len(f.Classes) > 0, "tenant": len(f.Tenants) > 0, "server": len(f.Servers) > 0, "route": len(f.Routes) > 0,
 			"identity": len(f.Who.Layers) > 0, "servers": f.From != (Servers{}), "node": f.Node != (Node{}), "limits": f.Limits != (Limits{})} {
