A council on raft, followers, stewards, and a round with steps in the log

Need: processes that agree on one log, and an owner of a round whose successor goes on where it was. Not yet shown: anything under faults.

--- a/.ci/checks.sh
+++ b/.ci/checks.sh
@@ -143,6 +143,12 @@
 	if go list -deps ./cmd/wayhold | grep -q '^google.golang.org/'; then
 		fail "gRPC is linked into wayhold, which keeps it out of a node's memory"
 	fi
+	if go list -deps ./cmd/wayhold | grep -q -e '^cobaltward/fleet' -e '^go.etcd.io/'; then
+		fail "something of the fleet is linked into wayhold"
+	fi
+	if go list -deps ./fleet ./fleet/owner ./fleet/jobs | grep -q -e '^net$' -e '^os$'; then
+		fail "a module of the fleet does I/O"
+	fi
 	if go list -deps ./router | grep -q '^net/http$'; then
 		fail "the engine links net/http"
 	fi
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -37,6 +37,7 @@
 // The kinds of level 1.
 const (
 	Raise   Kind = "raise"   // the state's level
+	Speak   Kind = "speak"   // which level a member knows
 	Join    Kind = "join"    // a node with its follower is there
 	Forget  Kind = "forget"  // it is not expected back
 	Acquire Kind = "acquire" // a work is wanted
@@ -55,17 +56,18 @@
 )
 
 // levelOf is the level from which a kind is known.
-var levelOf = map[Kind]int{Raise: 1, Join: 1, Forget: 1, Acquire: 1, Renew: 1, Expire: 1, Release: 1, Ask: 1, Push: 1,
+var levelOf = map[Kind]int{Raise: 1, Speak: 1, Join: 1, Forget: 1, Acquire: 1, Renew: 1, Expire: 1, Release: 1, Ask: 1, Push: 1,
 	Start: 1, Order: 1, Begin: 1, Done: 1, Close: 1, Hold: 1, Lift: 1}
 
 // Entry is one entry of the log. Which fields count depends on the kind.
 type Entry struct {
 	Kind    Kind          `json:"kind"`
 	Level   int           `json:"level,omitempty"` // the state's level from which it holds; 0: 1
+	Knows   int           `json:"knows,omitempty"` // of Speak
 	Work    string        `json:"work,omitempty"`
 	Holder  string        `json:"holder,omitempty"` // one run of a process: its name, a slash, and what no other run has
 	Token   Token         `json:"token,omitempty"`
-	Seq     uint64        `json:"seq,omitempty"` // of Expire: the renewals that were seen
+	Seq     uint64        `json:"seq,omitempty"` // of Expire: the renewals that were seen; of Speak: the member; of Raise: the level
 	Lease   time.Duration `json:"lease,omitempty"`
 	Node    *Node         `json:"node,omitempty"`
 	Job     string        `json:"job,omitempty"`
@@ -94,7 +96,8 @@
 	Zone     string  `json:"zone,omitempty"`
 	Address  string  `json:"address"` // of its follower
 	Capacity float64 `json:"capacity"`
-	Run      string  `json:"run"` // which run of the follower told
+	Owns     bool    `json:"owns,omitempty"` // its follower may own work
+	Run      string  `json:"run"`            // which run of the follower told
 }
 
 // Owner is who has a work.
@@ -173,6 +176,31 @@
 	Detail   string           `json:"detail,omitempty"`
 }
 
+// Round is the kind of work, and of job, by which nodes are taken out, patched, and taken back. The steps of a node
+// follow one another; Out and BackOut take it out, In and BackIn back in.
+const (
+	Round   = "round"
+	Out     = "out"
+	Patch   = "patch"
+	In      = "in"
+	BackOut = "back-out"
+	Revert  = "revert"
+	BackIn  = "back-in"
+)
+
+// Away are the nodes that a job has taken out, or is about to, and that are not back.
+func (j *Job) Away() map[string]bool {
+	away := make(map[string]bool)
+	for _, way := range [][2]string{{Out, In}, {BackOut, BackIn}} {
+		for k, s := range j.Steps {
+			if k.What == way[0] && s.Begun != 0 && j.Steps[StepKey{k.Node, way[1]}].Outcome != OK {
+				away[k.Node] = true
+			}
+		}
+	}
+	return away
+}
+
 // The orders to a job.
 const (
 	Go    = "go"
@@ -197,6 +225,7 @@
 	Name    string `json:"name"`
 	Address string `json:"address"`
 	Learner bool   `json:"learner,omitempty"`
+	Level   int    `json:"level,omitempty"` // that its program knows, once it has said so
 }
 
 // State is what the fleet agrees on. It is not changed once it is there: Apply makes another.
@@ -302,6 +331,13 @@
 			return 0, ErrThere
 		}
 		s.Level = int(e.Seq)
+	case Speak:
+		m, ok := s.Members[e.Seq]
+		if !ok {
+			return 0, ErrUnknown
+		}
+		m.Level = e.Knows
+		s.Members = put(s.Members, e.Seq, m)
 	case Join:
 		if e.Node == nil || e.Node.Name == "" {
 			return 0, ErrBad
@@ -447,6 +483,12 @@
 		if st.Ended != 0 {
 			return ErrThere
 		}
+		if !begun && (e.Step.What == Out || e.Step.What == BackOut) {
+			// An owner whose last entry was never answered may not know that it is in the log.
+			if away := j.Away(); len(away) >= j.Spec.AtOnce && !away[e.Step.Node] {
+				return ErrFull
+			}
+		}
 		if !begun {
 			st.Begun = at
 		}
@@ -504,6 +546,31 @@
 	return &next
 }
 
+// Wanted is what a member, the leader where leads says so, proposes of itself by the state: that members know a newer
+// level, and that all do.
+func (s *State) Wanted(id uint64, leads bool) (all []Entry) {
+	m, ok := s.Members[id]
+	if ok && m.Level != Level {
+		all = append(all, Entry{Kind: Speak, Seq: id, Knows: Level})
+	}
+	least := Level
+	for _, m := range s.Members {
+		least = min(least, m.Level)
+	}
+	if leads && least > s.Level {
+		all = append(all, Entry{Kind: Raise, Seq: uint64(least)})
+	}
+	return all
+}
+
+// Quiet tells whether an entry is none that followers have to hear of at once.
+func (e Entry) Quiet() bool { return e.Kind == Renew }
+
+// Newer tells whether s is ahead of o: a council that was begun anew is ahead of the former one.
+func (s *State) Newer(o *State) bool {
+	return s.Epoch > o.Epoch || s.Epoch == o.Epoch && s.At > o.At
+}
+
 // Marshal is the state as snapshots have it.
 func (s *State) Marshal() []byte {
 	raw, err := json.Marshal(s)
--- /dev/null
+++ b/fleet/follow/agent.go
@@ -0,0 +1,427 @@
+package follow
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"cobaltward/fleet"
+	"cobaltward/fleet/council"
+	"cobaltward/fleet/owner"
+	"cobaltward/internal/door"
+	"cobaltward/internal/keep"
+)
+
+// Node is what a follower drives: the node beside it. It knows nothing of agreement.
+type Node interface {
+	// Serving tells whether the node answers and takes requests.
+	Serving(ctx context.Context) bool
+	// Out takes it out in order; it returns once nothing is open, or an error once that can't be.
+	Out(ctx context.Context, deadline time.Duration, reason string) error
+	// In has it serve again; it returns once it does.
+	In(ctx context.Context) error
+	// Hold and Lift hold one server out, and no longer.
+	Hold(ctx context.Context, server string) error
+	Lift(ctx context.Context, server string) error
+	// Held are the servers that are held out by hand.
+	Held(ctx context.Context) ([]string, error)
+}
+
+// Commands are the operator's. They get WAYHOLD_NODE, WAYHOLD_KEY, WAYHOLD_TOKEN and WAYHOLD_STEP, and end with the
+// process that began them.
+type Commands struct {
+	Patch  []string
+	Look   []string // 0: the patch is in; 1: it is not; else nobody can tell
+	Revert []string
+}
+
+// AgentConfig is what a follower beside a node is told.
+type AgentConfig struct {
+	Self     fleet.Node
+	Dir      string
+	Commands Commands
+	Timeout  time.Duration // of a command, and of a node to come back
+	Clock    council.Clock
+	Guards   owner.Guards
+	Log      *slog.Logger
+	Halt     func(at string) // for rehearsals: what a process stumbles at; nil: nothing
+}
+
+// Order is an effect that an owner asks for.
+type Order struct {
+	Work   string        `json:"work"`
+	Token  fleet.Token   `json:"token"`
+	Job    string        `json:"job"`
+	Step   fleet.StepKey `json:"step"`
+	Key    string        `json:"key"`
+	Again  bool          `json:"again,omitempty"` // an earlier owner may have asked
+	Drain  time.Duration `json:"drain,omitempty"`
+	Reason string        `json:"reason,omitempty"`
+}
+
+// Reply is what became of it so far.
+type Reply struct {
+	Running bool        `json:"running,omitempty"`
+	Outcome string      `json:"outcome,omitempty"`
+	Detail  string      `json:"detail,omitempty"`
+	Seen    fleet.Token `json:"seen"` // the highest token of the work
+}
+
+// Look is what a follower shows of its node.
+type Look struct {
+	Name    string         `json:"name"`
+	Serving bool           `json:"serving"`
+	At      fleet.Position `json:"at"`
+	Owns    bool           `json:"owns"`
+	Refused uint64         `json:"refused"` // effects that came under an old token
+}
+
+// memory is what outlives the process.
+type memory struct {
+	Gate   owner.Gate   `json:"gate"`
+	Ledger owner.Ledger `json:"ledger"`
+	Holds  []string     `json:"holds"` // servers that this follower has held out
+}
+
+// Agent is a follower beside a node: a receiver of effects.
+type Agent struct {
+	c        AgentConfig
+	node     Node
+	client   *Client
+	follower *Follower
+	ctx      context.Context
+	parts    sync.WaitGroup
+
+	mu      sync.Mutex
+	mem     memory
+	cut     map[string]bool // effects that were under way when an earlier process ended
+	holds   []string        // in force
+	refused uint64
+}
+
+const (
+	memoryFile = "receiver.json"
+	holdEvery  = time.Second
+	doorWait   = 2 * time.Second
+)
+
+// NewAgent reads what an earlier process has left.
+func NewAgent(c AgentConfig, node Node, client *Client) (*Agent, error) {
+	a := &Agent{c: c, node: node, client: client, cut: make(map[string]bool)}
+	if err := os.MkdirAll(c.Dir, 0o700); err != nil {
+		return nil, err
+	}
+	raw, err := os.ReadFile(a.file())
+	if err == nil {
+		err = json.Unmarshal(raw, &a.mem)
+	}
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		// Without it an old owner's effect could not be told from a new one's.
+		return nil, fmt.Errorf("%s: %w: see to it before this follower receives anything", a.file(), err)
+	}
+	a.mem.Gate.Guards = c.Guards
+	for _, k := range a.mem.Ledger.Cut() {
+		a.cut[k] = true
+	}
+	a.follower = NewFollower(client, a.report, c.Log)
+	return a, nil
+}
+
+func (a *Agent) file() string { return filepath.Join(a.c.Dir, memoryFile) }
+
+// save writes down what must outlive the process. The caller has the mutex: nothing passes the gate meanwhile.
+func (a *Agent) save() error {
+	raw, err := json.Marshal(a.mem)
+	if err != nil {
+		return err
+	}
+	return keep.File(a.file(), raw)
+}
+
+// Follower is the one that the agent follows by.
+func (a *Agent) Follower() *Follower { return a.follower }
+
+// Run follows, holds and joins until ctx ends, and ends what it has begun.
+func (a *Agent) Run(ctx context.Context) {
+	defer a.parts.Wait()
+	a.mu.Lock()
+	a.ctx = ctx
+	a.mu.Unlock()
+	a.parts.Go(func() { a.follower.Run(ctx) })
+	a.parts.Go(func() { a.join(ctx) })
+	tick := time.NewTicker(holdEvery)
+	defer tick.Stop()
+	for {
+		news := a.follower.News()
+		a.keepHolds(ctx)
+		select {
+		case <-news:
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// join has the fleet know of the node. Another that goes by its name is told of, and left alone.
+func (a *Agent) join(ctx context.Context) {
+	said := false
+	for ctx.Err() == nil {
+		s, heard := a.follower.State()
+		known, ok := s.Nodes[a.c.Self.Name]
+		switch {
+		case heard.IsZero():
+		case ok && known == a.c.Self:
+			said = true
+		case ok && said && known.Run != a.c.Self.Run:
+			a.c.Log.Error("fleet: another process goes by this name", "name", known.Name, "address", known.Address)
+		default:
+			callCtx, stop := context.WithTimeout(ctx, proposeWait)
+			_, err := a.client.Propose(callCtx, fleet.Entry{Kind: fleet.Join, Node: &a.c.Self})
+			stop()
+			if err != nil {
+				a.c.Log.Debug("fleet: joining", "error", err)
+			}
+		}
+		select {
+		case <-time.After(holdEvery):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (a *Agent) report() council.Report {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return council.Report{Name: a.c.Self.Name, Run: a.c.Self.Run, Holds: a.holds}
+}
+
+// keepHolds has the node hold out what the fleet holds, and lifts what it held for the fleet before, and only that.
+func (a *Agent) keepHolds(ctx context.Context) {
+	s, _ := a.follower.State()
+	want := s.Held(a.c.Clock.Wall())
+	a.mu.Lock()
+	mine := slices.Clone(a.mem.Holds)
+	a.mu.Unlock()
+	if len(want) == 0 && len(mine) == 0 {
+		a.setHolds(nil)
+		return
+	}
+	ctx, stop := context.WithTimeout(ctx, doorWait)
+	defer stop()
+	held, err := a.node.Held(ctx)
+	if err != nil {
+		a.setHolds(nil) // nothing can be said of it
+		return
+	}
+	have := make(map[string]bool)
+	for _, id := range held {
+		have[id] = true
+	}
+	var next []string
+	for _, id := range mine {
+		switch {
+		case want[id] || !have[id]:
+		case a.node.Lift(ctx, id) != nil:
+			next = append(next, id) // tried again
+		}
+	}
+	for id := range want {
+		if slices.Contains(mine, id) || !have[id] {
+			next = append(next, id)
+		}
+	}
+	slices.Sort(next)
+	if !slices.Equal(next, mine) { // before it is done: what is held must be lifted by a later process, too
+		a.mu.Lock()
+		a.mem.Holds = next
+		err := a.save()
+		a.mu.Unlock()
+		if err != nil {
+			a.c.Log.Error("fleet: holds can't be remembered, and are not carried out", "error", err)
+			return
+		}
+	}
+	for id := range want {
+		if !have[id] {
+			if err := a.node.Hold(ctx, id); err != nil {
+				a.c.Log.Debug("fleet: a hold is not in force", "server", id, "error", err)
+				continue
+			}
+			have[id] = true
+		}
+	}
+	var force []string
+	for _, id := range slices.Sorted(maps.Keys(s.Holds)) {
+		if h := s.Holds[id]; !slices.ContainsFunc(h.Servers, func(server string) bool { return !have[server] }) && a.c.Clock.Wall().Before(h.Until) {
+			force = append(force, id)
+		}
+	}
+	a.setHolds(force)
+}
+
+func (a *Agent) setHolds(ids []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.holds = ids
+}
+
+// Mount answers owners.
+func (a *Agent) Mount(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/effect", func(w http.ResponseWriter, r *http.Request) {
+		var o Order
+		if !door.Read(w, r, &o) {
+			return
+		}
+		reply, err := a.Take(o)
+		if err != nil {
+			door.Reply(w, http.StatusConflict, door.Error{Error: err.Error(), More: reply})
+			return
+		}
+		door.Reply(w, http.StatusOK, reply)
+	})
+	mux.HandleFunc("GET /v1/node", func(w http.ResponseWriter, r *http.Request) {
+		ctx, stop := context.WithTimeout(r.Context(), doorWait)
+		defer stop()
+		s, _ := a.follower.State()
+		l := Look{Name: a.c.Self.Name, Serving: a.node.Serving(ctx), At: s.At, Owns: a.c.Self.Owns}
+		a.mu.Lock()
+		l.Refused = a.refused
+		a.mu.Unlock()
+		door.Reply(w, http.StatusOK, l)
+	})
+}
+
+// Take lets an effect through or refuses it. What is let through goes on by itself, and is asked for again to learn
+// what became of it. The highest token is on the disk before anything is done under it.
+func (a *Agent) Take(o Order) (Reply, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s, _ := a.follower.State()
+	g := &a.mem.Gate
+	if newest := s.Last[o.Work]; newest > g.Seen[o.Work] { // the log has told of a newer owner already
+		if _, changed := g.Pass(o.Work, newest); changed {
+			if err := a.save(); err != nil {
+				return Reply{}, err
+			}
+		}
+	}
+	pass, changed := g.Pass(o.Work, o.Token)
+	r := Reply{Seen: g.Seen[o.Work]}
+	if !pass {
+		a.refused++
+		a.c.Log.Warn("fleet: an old owner's effect is refused", "work", o.Work, "key", o.Key, "token", o.Token, "newest", r.Seen)
+		return r, fmt.Errorf("the token %d is old: %d has been seen", o.Token, r.Seen)
+	}
+	if changed {
+		if err := a.save(); err != nil {
+			return r, err
+		}
+	}
+	switch e, known := a.mem.Ledger.Effects[o.Key]; {
+	case known && !e.Running:
+		r.Outcome, r.Detail = e.Outcome, e.Detail
+		return r, nil
+	case known && !a.cut[o.Key]:
+		r.Running = true
+		return r, nil
+	}
+	if a.ctx == nil || a.ctx.Err() != nil {
+		return r, errors.New("the follower is not running")
+	}
+	look := a.cut[o.Key] || o.Again // whether it has run is not known here
+	a.mem.Ledger.Begin(o.Key, o.Work, o.Token)
+	if err := a.save(); err != nil {
+		return r, err
+	}
+	delete(a.cut, o.Key)
+	r.Running = true
+	a.parts.Go(func() { a.carry(a.ctx, o, look) })
+	return r, nil
+}
+
+// carry does an effect, and notes what came of it.
+func (a *Agent) carry(ctx context.Context, o Order, look bool) {
+	if a.c.Halt != nil {
+		a.c.Halt("before " + o.Step.What)
+	}
+	doCtx, stop := context.WithTimeout(ctx, a.c.Timeout)
+	defer stop()
+	outcome, detail := a.do(doCtx, o, look)
+	if a.c.Halt != nil {
+		a.c.Halt("after " + o.Step.What)
+	}
+	if ctx.Err() != nil {
+		return // the process ends: the next one looks
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.mem.Ledger.End(o.Key, outcome, detail)
+	if err := a.save(); err != nil {
+		a.c.Log.Error("fleet: an outcome can't be remembered", "key", o.Key, "error", err)
+	}
+	a.c.Log.Info("fleet: an effect has ended", "key", o.Key, "token", o.Token, "outcome", outcome, "detail", detail)
+}
+
+func (a *Agent) do(ctx context.Context, o Order, look bool) (outcome, detail string) {
+	var err error
+	switch o.Step.What {
+	case fleet.Out, fleet.BackOut:
+		err = a.node.Out(ctx, o.Drain, o.Reason)
+	case fleet.In, fleet.BackIn:
+		err = a.node.In(ctx)
+	case fleet.Patch:
+		return a.command(ctx, o, a.c.Commands.Patch, look, 0)
+	case fleet.Revert:
+		return a.command(ctx, o, a.c.Commands.Revert, look, 1)
+	default:
+		return fleet.Failed, "this program knows no step " + o.Step.What
+	}
+	if err != nil {
+		return fleet.Failed, clip(err.Error())
+	}
+	return fleet.OK, ""
+}
+
+// command runs a command of the operator's, which knows no tokens. Where it may have run already, look says: done is
+// its status where it has. What it can't tell is in doubt, and stays so.
+func (a *Agent) command(ctx context.Context, o Order, words []string, look bool, done int) (outcome, detail string) {
+	if len(words) == 0 {
+		return fleet.Failed, "no command is set for " + o.Step.What
+	}
+	env := []string{"WAYHOLD_NODE=" + a.c.Self.Name, "WAYHOLD_KEY=" + o.Key, fmt.Sprintf("WAYHOLD_TOKEN=%d", o.Token), "WAYHOLD_STEP=" + o.Step.What}
+	if look {
+		status, out, err := run(ctx, a.c.Commands.Look, env)
+		switch {
+		case err != nil || status > 1:
+			return fleet.Doubt, clip(fmt.Sprintf("whether it has run can't be told: status %d, %v, %s", status, err, out))
+		case status == done:
+			return fleet.OK, "it had run before it was asked for again"
+		}
+	}
+	status, out, err := run(ctx, words, env)
+	switch {
+	case err != nil:
+		return fleet.Failed, clip(err.Error() + ": " + out)
+	case status != 0:
+		return fleet.Failed, clip(fmt.Sprintf("status %d: %s", status, out))
+	}
+	return fleet.OK, ""
+}
+
+func clip(s string) string {
+	const most = 512
+	if len(s) > most {
+		s = s[:most] + "…"
+	}
+	return s
+}
--- /dev/null
+++ b/fleet/jobs/round.go
@@ -0,0 +1,222 @@
+// Package jobs decides the next steps of work on behalf of the fleet. It does no I/O and reads no clock: a job as the
+// log has it and what can be seen of the nodes in, actions out. Each step is written down before it is begun and after
+// it has ended, so that the next owner goes on where the last one was.
+//
+// A step may be asked of its node again under the same key: the node's follower answers with what came of the first.
+package jobs
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"cobaltward/fleet"
+)
+
+var (
+	forth = []string{fleet.Out, fleet.Patch, fleet.In}
+	back  = []string{fleet.BackOut, fleet.Revert, fleet.BackIn}
+)
+
+// Node is what can be seen of one.
+type Node struct {
+	Zone     string
+	Capacity float64
+	Serving  bool // its follower answers, and says that it serves
+	CanOwn   bool // its follower may own this work
+}
+
+// View is what the owner sees.
+type View struct {
+	Nodes map[string]Node
+	Self  string // the owner's own node
+}
+
+// Do is what to do next.
+type Do uint8
+
+// What there is to do.
+const (
+	Begin    Do = iota // write down that a step begins; then ask for it
+	Ask                // ask the node for a step that was begun; again, where the answer is out
+	Close              // write down that the job is over
+	StepDown           // give the work to another: the owner's own node is next
+)
+
+// Action is one thing to do.
+type Action struct {
+	Do     Do
+	Step   fleet.StepKey
+	Again  bool   // of Ask: an earlier owner may have asked
+	Over   string // of Close
+	Detail string
+}
+
+// Key is the key of a step's effect, the same for all owners.
+func Key(job string, s fleet.StepKey) string { return job + "/" + s.String() }
+
+// Next is what the owner of a job does now. Steps that are under way stand among the actions each time.
+func Next(j *fleet.Job, v View) (all []Action) {
+	if j.Over != "" {
+		return nil
+	}
+	r := round{j: j, v: v, steps: forth, nodes: j.Spec.Nodes}
+	if j.Order == fleet.Back {
+		r.steps, r.nodes = back, nil
+		for _, name := range slices.Backward(j.Spec.Nodes) { // those that the patch has met, the last one first
+			if j.Steps[fleet.StepKey{Node: name, What: fleet.Patch}].Begun != 0 {
+				r.nodes = append(r.nodes, name)
+			}
+		}
+	}
+	for key, s := range j.Steps { // what is in doubt stops all: an operator looks
+		if s.Outcome == fleet.Doubt {
+			return []Action{{Do: Close, Over: "stopped", Detail: "in doubt: " + key.String() + ": " + s.Detail}}
+		}
+	}
+	return r.next()
+}
+
+type round struct {
+	j     *fleet.Job
+	v     View
+	steps []string
+	nodes []string
+}
+
+func (r *round) step(node, what string) fleet.Step {
+	return r.j.Steps[fleet.StepKey{Node: node, What: what}]
+}
+
+// stage is the step that a node is at: its number, len(steps) where it is through, and whether that has begun.
+func (r *round) stage(node string) (n int, begun bool) {
+	for i, what := range r.steps {
+		s := r.step(node, what)
+		if s.Ended == 0 {
+			return i, s.Begun != 0
+		}
+		if s.Outcome != fleet.OK && i == 0 {
+			i++ // what could not be taken out is not patched, only taken back
+			if in := r.step(node, r.steps[2]); in.Ended == 0 {
+				return 2, in.Begun != 0
+			}
+			return 3, false
+		}
+	}
+	return len(r.steps), false
+}
+
+// out tells whether a node is out, or on its way.
+func (r *round) out(node string) bool {
+	n, begun := r.stage(node)
+	if n == 0 {
+		return begun
+	}
+	return n < len(r.steps) || r.step(node, r.steps[2]).Outcome != fleet.OK
+}
+
+func (r *round) next() (all []Action) {
+	stopping := r.j.Order == fleet.Abort || (r.j.Spec.Failures > 0 && r.j.Failures >= r.j.Spec.Failures)
+	lost := ""
+	for _, node := range r.nodes {
+		if s := r.step(node, r.steps[2]); s.Ended != 0 && s.Outcome != fleet.OK {
+			lost, stopping = node, true // it did not come back: no other goes
+		}
+	}
+	paused := r.j.Order == fleet.Pause
+	busy, through := 0, 0
+	var fresh []string
+	for _, node := range r.nodes {
+		n, begun := r.stage(node)
+		switch {
+		case n == len(r.steps):
+			through++
+		case begun:
+			busy++
+			key := fleet.StepKey{Node: node, What: r.steps[n]}
+			all = append(all, Action{Do: Ask, Step: key, Again: r.j.Steps[key].Tries > 1})
+		case n == 0:
+			fresh = append(fresh, node)
+		case paused:
+			busy++
+		default: // what is out is not left out
+			busy++
+			all = append(all, Action{Do: Begin, Step: fleet.StepKey{Node: node, What: r.steps[n]}})
+		}
+	}
+	switch {
+	case busy > 0 && (stopping || paused), paused:
+		return all
+	case stopping:
+		return []Action{{Do: Close, Over: r.why(lost), Detail: r.detail(lost)}}
+	case through == len(r.nodes):
+		over := "done"
+		if r.j.Order == fleet.Back {
+			over = "back"
+		}
+		return []Action{{Do: Close, Over: over, Detail: r.detail("")}}
+	}
+	return append(all, r.begin(fresh, busy)...)
+}
+
+func (r *round) why(lost string) string {
+	if r.j.Order == fleet.Abort && lost == "" {
+		return "aborted"
+	}
+	return "stopped"
+}
+
+func (r *round) detail(lost string) string {
+	if lost != "" {
+		return fmt.Sprintf("%s did not come back: %s", lost, r.step(lost, r.steps[2]).Detail)
+	}
+	if r.j.Failures > 0 {
+		return fmt.Sprintf("%d steps failed", r.j.Failures)
+	}
+	return ""
+}
+
+// begin takes out what may go now: never more at once than the job allows, never so many that those which serve carry
+// less than is needed, one zone after another where it says so, and the owner's own node last, under another owner.
+func (r *round) begin(fresh []string, busy int) (all []Action) {
+	zone := ""
+	if r.j.Spec.ByZone {
+		for _, node := range r.nodes {
+			if n, _ := r.stage(node); n < len(r.steps) {
+				zone = r.v.Nodes[node].Zone
+				break
+			}
+		}
+		fresh = slices.DeleteFunc(fresh, func(n string) bool { return r.v.Nodes[n].Zone != zone })
+	}
+	serving := 0.0
+	for name, n := range r.v.Nodes {
+		if n.Serving && !(slices.Contains(r.nodes, name) && r.out(name)) {
+			serving += n.Capacity
+		}
+	}
+	slices.SortStableFunc(fresh, func(a, b string) int { return cmp.Compare(own(a, r.v.Self), own(b, r.v.Self)) })
+	for _, node := range fresh {
+		n := r.v.Nodes[node]
+		if busy+len(all) >= r.j.Spec.AtOnce || !n.Serving || serving-n.Capacity < r.j.Spec.Need {
+			continue
+		}
+		if node == r.v.Self {
+			for name, o := range r.v.Nodes {
+				if name != node && o.CanOwn && o.Serving {
+					return append(all, Action{Do: StepDown})
+				}
+			}
+		}
+		serving -= n.Capacity
+		all = append(all, Action{Do: Begin, Step: fleet.StepKey{Node: node, What: r.steps[0]}})
+	}
+	return all
+}
+
+func own(node, self string) int {
+	if node == self {
+		return 1
+	}
+	return 0
+}
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -97,7 +97,7 @@
 	for _, l := range listeners {
 		h := http.Handler(d.mux)
 		if l.Addr().Network() == "tcp" {
-			h = guarded(h, c.Token)
+			h = Guarded(h, c.Token)
 		}
 		s := &http.Server{Handler: bounded(h), ReadHeaderTimeout: timeout, ReadTimeout: timeout, IdleTimeout: idleFor,
 			ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
@@ -194,7 +194,8 @@
 	return c.Conn.Close()
 }
 
-func guarded(next http.Handler, token string) http.Handler {
+// Guarded lets through who bears the token.
+func Guarded(next http.Handler, token string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte("Bearer "+token)) != 1 {
 			Fail(w, http.StatusUnauthorized, "want the node's token: Authorization: Bearer TOKEN")
--- /dev/null
+++ b/internal/fleetcli/cli.go
@@ -0,0 +1,514 @@
+package fleetcli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"net/http"
+
+	"github.com/spf13/cobra"
+
+	"cobaltward/fleet"
+	"cobaltward/fleet/council"
+	"cobaltward/fleet/follow"
+)
+
+// The statuses that scripts go by, beside 0 and 1. They are those of wayhold ctl where it has them.
+const (
+	statusAway   = 4 // no member of the council answers
+	statusLate   = 5 // what was waited for did not come in time
+	statusRefuse = 7 // the fleet says no, as things stand
+)
+
+type exitError struct {
+	error
+	status int
+}
+
+// Main runs the program, and returns its exit status.
+func Main(r Rehearsal) int {
+	err := command(r).Execute()
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "wayhold fleet:", err)
+	if e := (exitError{}); errors.As(err, &e) {
+		return e.status
+	}
+	return 1
+}
+
+// tool is what the operators' commands share.
+type tool struct {
+	own    string
+	asJSON bool
+	who    string
+	reason string
+	wait   time.Duration
+	out    io.Writer
+}
+
+const callFor = 8 * time.Second
+
+func command(r Rehearsal) *cobra.Command {
+	t := &tool{}
+	root := &cobra.Command{
+		Use:   "fleet",
+		Short: "What belongs to the fleet and not to a node: its council, owners, rounds and holds",
+		Long: `What belongs to the fleet and not to a node. Who is asked is in the table [fleet] of the file that --config or
+WAYHOLD_CONFIG names. The exit status is 0 if all is well, 4 if no member of the council answers, 5 if what was waited
+for did not come in time, 7 if the fleet says no as things stand, and 1 otherwise.`,
+		SilenceUsage: true, SilenceErrors: true,
+		PersistentPreRun: func(c *cobra.Command, _ []string) { t.out = c.OutOrStdout() },
+	}
+	f := root.PersistentFlags()
+	f.StringVar(&t.own, "config", os.Getenv("WAYHOLD_CONFIG"), "a process's own file, with the table [fleet]; WAYHOLD_CONFIG names it too")
+	f.BoolVar(&t.asJSON, "json", false, "as the council tells it")
+	f.StringVar(&t.who, "who", os.Getenv("USER"), "who asks")
+	f.StringVar(&t.reason, "reason", "", "for those who find what was asked for")
+	serve := func(use, short string, do func(*settings, Rehearsal) error) *cobra.Command {
+		return &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+			s, err := load(t.own, os.Stderr)
+			if err != nil {
+				return err
+			}
+			return do(s, r)
+		}}
+	}
+	root.AddCommand(
+		serve("council", "Be a member of the council, until SIGTERM", member),
+		serve("agent", "Be the follower beside a node, until SIGTERM", agent),
+		serve("init", "Make this process's disk that of the first member of a new council", t.first),
+		serve("recover", "Begin anew on what this member has, once most others are lost for good; wants --reason", t.recover),
+		t.plain("status", "Print how the council, the owners, the jobs and the followers stand", cobra.NoArgs, t.status),
+		t.plain("owners", "Print who owns which work", cobra.NoArgs, t.owners),
+		t.plain("step-down WORK", "Ask the owner of a work to give it back", cobra.ExactArgs(1), t.owned(fleet.Ask)),
+		t.plain("push WORK", "Push the owner of a work out: its lease is not renewed any more", cobra.ExactArgs(1), t.owned(fleet.Push)),
+		t.waitCommand(), t.roundCommand(), t.holdCommand(), t.memberCommand(),
+		t.plain("forget NODE", "Expect a node back no more", cobra.ExactArgs(1), func(c *follow.Client, args []string) error {
+			return t.propose(c, fleet.Entry{Kind: fleet.Forget, Node: &fleet.Node{Name: args[0]}})
+		}),
+		t.plain("lift HOLD", "End a hold", cobra.ExactArgs(1), func(c *follow.Client, args []string) error {
+			return t.propose(c, fleet.Entry{Kind: fleet.Lift, Hold: &fleet.HoldOrder{ID: args[0]}})
+		}),
+	)
+	return root
+}
+
+// plain is a command that asks the council.
+func (t *tool) plain(use, short string, args cobra.PositionalArgs, do func(*follow.Client, []string) error) *cobra.Command {
+	return &cobra.Command{Use: use, Short: short, Args: args, RunE: func(_ *cobra.Command, args []string) error {
+		s, err := load(t.own, os.Stderr)
+		if err != nil {
+			return err
+		}
+		if len(s.Council) == 0 {
+			return errors.New("fleet.council: missing: whom to ask?")
+		}
+		c := follow.NewClient(s.Council, s.Via, s.token)
+		defer c.HTTP.CloseIdleConnections()
+		return do(c, args)
+	}}
+}
+
+// propose puts an entry into the log, whichever member takes it.
+func (t *tool) propose(c *follow.Client, e fleet.Entry) error {
+	r, err := t.put(c, e)
+	if err != nil {
+		return err
+	}
+	return t.said(r)
+}
+
+func (t *tool) said(r fleet.Result) error {
+	if t.asJSON {
+		return json.NewEncoder(t.out).Encode(map[string]any{"position": r.At, "token": r.Token})
+	}
+	_, err := fmt.Fprintf(t.out, "agreed on at position %d\n", r.At)
+	return err
+}
+
+func (t *tool) put(c *follow.Client, e fleet.Entry) (r fleet.Result, err error) {
+	e.Who, e.Reason = t.who, t.reason
+	for range c.Council {
+		ctx, stop := context.WithTimeout(context.Background(), callFor)
+		r, err = c.Propose(ctx, e)
+		stop()
+		switch {
+		case err == nil && r.Err != nil:
+			return r, exitError{r.Err, statusRefuse}
+		case err == nil:
+			return r, nil
+		case errors.Is(err, follow.ErrNo):
+			return r, err
+		}
+	}
+	return r, exitError{fmt.Errorf("no member of the council could say what became of it: %w; look at status before you ask again", err), statusAway}
+}
+
+// newest is what the members that answer say, and the state that is the farthest.
+func (t *tool) newest(c *follow.Client) (map[string]council.Status, *fleet.State, error) {
+	ctx, stop := context.WithTimeout(context.Background(), callFor/2)
+	defer stop()
+	all := c.Statuses(ctx)
+	var s *fleet.State
+	for _, addr := range slices.Sorted(maps.Keys(all)) {
+		if st := all[addr].State; st != nil && (s == nil || st.Newer(s)) {
+			s = st
+		}
+	}
+	if s == nil {
+		return nil, nil, exitError{fmt.Errorf("no member of the council answers; %d were asked", len(c.Council)), statusAway}
+	}
+	return all, s, nil
+}
+
+// reports are what followers have said last, to whichever member.
+func reports(all map[string]council.Status) map[string]council.Report {
+	newest := make(map[string]council.Report)
+	for _, st := range all {
+		for _, r := range st.Reports {
+			if r.Seen.After(newest[r.Name].Seen) {
+				newest[r.Name] = r
+			}
+		}
+	}
+	return newest
+}
+
+func (t *tool) status(c *follow.Client, _ []string) error {
+	all, s, err := t.newest(c)
+	if err != nil {
+		return err
+	}
+	if t.asJSON {
+		return json.NewEncoder(t.out).Encode(map[string]any{"members": all, "state": s})
+	}
+	w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', 0)
+	led := false
+	for _, addr := range c.Council {
+		st, ok := all[addr]
+		switch {
+		case !ok:
+			fmt.Fprintf(w, "member\t%s\tdoes not answer\n", addr)
+			continue
+		case !st.Member && len(st.State.Members) == 0:
+			fmt.Fprintf(w, "member\t%s\t%s (%s) has an empty disk, and is not of the council: member add\n", addr, st.Name, st.ID)
+		case !st.Member:
+			fmt.Fprintf(w, "member\t%s\t%s (%s) is not of the council any more\n", addr, st.Name, st.ID)
+		case st.Leader == "":
+			fmt.Fprintf(w, "member\t%s\t%s has had no leader for %v: too few members answer one another; it stands still at position %d\n", addr, st.Name, st.Silent.Round(time.Second), st.At)
+		case st.Leader == st.ID:
+			led = true
+			fmt.Fprintf(w, "member\t%s\t%s leads, term %d, position %d\n", addr, st.Name, st.Term, st.At)
+		default:
+			fmt.Fprintf(w, "member\t%s\t%s follows %s, position %d\n", addr, st.Name, st.LeaderNow, st.At)
+		}
+	}
+	fmt.Fprintf(w, "state\tposition %d, epoch %d, level %d\t%d nodes, %d holds\n", s.At, s.Epoch, s.Level, len(s.Nodes), len(s.Holds))
+	t.listOwners(w, s)
+	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
+		fmt.Fprintf(w, "job\t%s\t%s\n", id, jobLine(s.Jobs[id]))
+	}
+	said := reports(all)
+	for _, name := range slices.Sorted(maps.Keys(s.Nodes)) {
+		n := s.Nodes[name]
+		r, ok := said[name]
+		line := "has said nothing to the members that answer"
+		if ok {
+			line = fmt.Sprintf("is at position %d, said %v ago, holds %s", r.At, time.Since(r.Seen).Round(time.Second), cmpList(r.Holds))
+		}
+		fmt.Fprintf(w, "node\t%s\tzone %s, %s; %s\n", name, n.Zone, n.Address, line)
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.Holds)) {
+		h := s.Holds[id]
+		fmt.Fprintf(w, "hold\t%s\t%s until %s by %s: %s\n", id, strings.Join(h.Servers, " "), h.Until.Local().Format(time.TimeOnly), h.Who, h.Reason)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if !led {
+		return exitError{errors.New("the council has no leader among those that answer: nothing new is agreed on"), statusAway}
+	}
+	return nil
+}
+
+func cmpList(ids []string) string {
+	if len(ids) == 0 {
+		return "nothing"
+	}
+	return strings.Join(ids, " ")
+}
+
+func (t *tool) listOwners(w io.Writer, s *fleet.State) {
+	for _, work := range slices.Sorted(maps.Keys(s.Owners)) {
+		o := s.Owners[work]
+		line := fmt.Sprintf("%s, token %d, lease %v, %d renewals since position %d", o.Holder, o.Token, o.Lease, o.Renewals, o.Since)
+		if o.Asked != "" {
+			line += "; asked to step down by " + o.Asked
+		}
+		if o.Pushed != "" {
+			line += "; pushed out by " + o.Pushed
+		}
+		fmt.Fprintf(w, "owner\t%s\t%s\n", work, line)
+	}
+}
+
+func (t *tool) owners(c *follow.Client, _ []string) error {
+	_, s, err := t.newest(c)
+	if err != nil {
+		return err
+	}
+	if t.asJSON {
+		return json.NewEncoder(t.out).Encode(s.Owners)
+	}
+	w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', 0)
+	t.listOwners(w, s)
+	return w.Flush()
+}
+
+func jobLine(j *fleet.Job) string {
+	through, away := 0, slices.Sorted(maps.Keys(j.Away()))
+	for _, n := range j.Spec.Nodes {
+		if j.Steps[fleet.StepKey{Node: n, What: fleet.In}].Outcome == fleet.OK {
+			through++
+		}
+	}
+	state := j.Order
+	if j.Over != "" {
+		state = j.Over
+	}
+	line := fmt.Sprintf("%s %s: %d of %d nodes through, %d steps failed", j.Spec.Kind, state, through, len(j.Spec.Nodes), j.Failures)
+	if len(away) > 0 {
+		line += ", away: " + strings.Join(away, " ")
+	}
+	if j.Detail != "" {
+		line += "; " + j.Detail
+	}
+	return line
+}
+
+func (t *tool) owned(k fleet.Kind) func(*follow.Client, []string) error {
+	return func(c *follow.Client, args []string) error {
+		if k == fleet.Push && t.reason == "" {
+			return errors.New("push: want a --reason: the next one on duty will ask")
+		}
+		return t.propose(c, fleet.Entry{Kind: k, Work: args[0]})
+	}
+}
+
+// until asks again and again until ok, or the time is over.
+func (t *tool) until(c *follow.Client, what string, ok func(map[string]council.Status, *fleet.State) (bool, string)) error {
+	last := ""
+	for end := time.Now().Add(t.wait); ; time.Sleep(200 * time.Millisecond) {
+		all, s, err := t.newest(c)
+		if err == nil {
+			over, line := ok(all, s)
+			if line != last {
+				fmt.Fprintln(t.out, line)
+				last = line
+			}
+			if over {
+				return nil
+			}
+		}
+		if time.Now().After(end) {
+			return exitError{fmt.Errorf("%s did not come within %v", what, t.wait), statusLate}
+		}
+	}
+}
+
+func (t *tool) waitCommand() *cobra.Command {
+	c := t.plain("wait [POSITION]", "Wait until all nodes are at a position of the log; else at that of now", cobra.MaximumNArgs(1), func(c *follow.Client, args []string) error {
+		var at fleet.Position
+		if len(args) > 0 {
+			n, err := strconv.ParseUint(args[0], 10, 64)
+			if err != nil {
+				return fmt.Errorf("wait: want a position, got %q", args[0])
+			}
+			at = fleet.Position(n)
+		}
+		return t.until(c, "all nodes at the position", func(all map[string]council.Status, s *fleet.State) (bool, string) {
+			if at == 0 {
+				at = s.At
+			}
+			var behind []string
+			said := reports(all)
+			for _, name := range slices.Sorted(maps.Keys(s.Nodes)) {
+				if said[name].At < at {
+					behind = append(behind, name)
+				}
+			}
+			return len(behind) == 0, fmt.Sprintf("position %d: %d of %d nodes; behind: %s", at, len(s.Nodes)-len(behind), len(s.Nodes), cmpList(behind))
+		})
+	})
+	c.Flags().DurationVar(&t.wait, "for", time.Minute, "how long")
+	return c
+}
+
+func (t *tool) roundCommand() *cobra.Command {
+	c := &cobra.Command{Use: "round", Short: "Take nodes out one after another, hand each to the operator's command, take it back"}
+	spec := fleet.Spec{Kind: fleet.Round}
+	var id string
+	var wait bool
+	start := t.plain("start [NODE ...]", "Begin a round over nodes; none: all", cobra.ArbitraryArgs, func(c *follow.Client, args []string) error {
+		_, s, err := t.newest(c)
+		if err != nil {
+			return err
+		}
+		if spec.Nodes = args; len(args) == 0 {
+			spec.Nodes = slices.Sorted(maps.Keys(s.Nodes))
+		}
+		for i, n := range spec.Nodes {
+			if _, ok := s.Nodes[n]; !ok {
+				return fmt.Errorf("round: there is no node %q; there are %s", n, strings.Join(slices.Sorted(maps.Keys(s.Nodes)), " "))
+			}
+			if slices.Contains(spec.Nodes[:i], n) {
+				return fmt.Errorf("round: %s is named twice", n)
+			}
+		}
+		if id == "" {
+			id = "round-" + strconv.FormatInt(time.Now().Unix(), 10)
+		}
+		if err := t.propose(c, fleet.Entry{Kind: fleet.Start, Job: id, Spec: &spec}); err != nil {
+			return err
+		}
+		fmt.Fprintf(t.out, "%s: %d nodes\n", id, len(spec.Nodes))
+		if !wait {
+			return nil
+		}
+		return t.until(c, "the round's end", func(_ map[string]council.Status, s *fleet.State) (bool, string) {
+			j := s.Jobs[id]
+			if j == nil {
+				return false, id + " is not there yet"
+			}
+			return j.Over != "", jobLine(j)
+		})
+	})
+	f := start.Flags()
+	f.IntVar(&spec.AtOnce, "at-once", 1, "so many nodes out at most")
+	f.Float64Var(&spec.Need, "need", 0, "capacity that has to serve at any time")
+	f.BoolVar(&spec.ByZone, "by-zone", false, "one zone after another")
+	f.IntVar(&spec.Failures, "failures", 1, "after so many failed steps the round stops by itself; 0: never")
+	f.DurationVar(&spec.Drain, "drain", 30*time.Second, "deadline of each drain")
+	f.StringVar(&id, "id", "", "a name for the round")
+	f.BoolVar(&wait, "wait", false, "show progress until it is over")
+	f.DurationVar(&t.wait, "for", time.Hour, "how long to wait")
+	c.AddCommand(start)
+	for use, short := range map[string]string{fleet.Pause: "Begin nothing new", fleet.Go: "Go on", fleet.Abort: "Finish the nodes that are out, and end", fleet.Back: "Take the patch back, the last node first"} {
+		c.AddCommand(t.plain(use+" ROUND", short, cobra.ExactArgs(1), func(c *follow.Client, args []string) error {
+			return t.propose(c, fleet.Entry{Kind: fleet.Order, Job: args[0], Order: use})
+		}))
+	}
+	return c
+}
+
+func (t *tool) holdCommand() *cobra.Command {
+	var id string
+	var length time.Duration
+	c := t.plain("hold SERVER ...", "Hold servers out at all nodes for a time", cobra.MinimumNArgs(1), func(c *follow.Client, args []string) error {
+		if t.reason == "" {
+			return errors.New("hold: want a --reason: the next one on duty will ask")
+		}
+		if id == "" {
+			id = "hold-" + strconv.FormatInt(time.Now().UnixMilli(), 10)
+		}
+		if err := t.propose(c, fleet.Entry{Kind: fleet.Hold, Hold: &fleet.HoldOrder{ID: id, Servers: args, Until: time.Now().Add(length)}}); err != nil {
+			return err
+		}
+		fmt.Fprintln(t.out, id)
+		if t.wait == 0 {
+			return nil
+		}
+		return t.until(c, "the hold at all nodes", func(all map[string]council.Status, s *fleet.State) (bool, string) {
+			var without []string
+			said := reports(all)
+			for _, name := range slices.Sorted(maps.Keys(s.Nodes)) {
+				if !slices.Contains(said[name].Holds, id) {
+					without = append(without, name)
+				}
+			}
+			return len(without) == 0, fmt.Sprintf("%s: in force at %d of %d nodes; not at: %s", id, len(s.Nodes)-len(without), len(s.Nodes), cmpList(without))
+		})
+	})
+	f := c.Flags()
+	f.StringVar(&id, "id", "", "a name for the hold")
+	f.DurationVar(&length, "for", 10*time.Minute, "how long the servers are held out")
+	f.DurationVar(&t.wait, "wait", 0, "how long to wait until it holds everywhere")
+	return c
+}
+
+func (t *tool) memberCommand() *cobra.Command {
+	c := &cobra.Command{Use: "member", Short: "Change the council, one member at a time"}
+	change := func(c *follow.Client, o council.MemberOrder) error {
+		var p council.Proposed
+		var err error
+		for _, addr := range c.Council {
+			ctx, stop := context.WithTimeout(context.Background(), callFor)
+			err = c.Call(ctx, http.MethodPost, addr, "/member", o, &p)
+			stop()
+			switch {
+			case err == nil:
+				return t.said(fleet.Result{At: p.At})
+			case errors.Is(err, follow.ErrNo):
+				return exitError{err, statusRefuse}
+			}
+		}
+		return exitError{err, statusAway}
+	}
+	c.AddCommand(
+		t.plain("add NAME ADDRESS", "Add the member that runs at an address; it votes once it has caught up", cobra.ExactArgs(2), func(c *follow.Client, args []string) error {
+			ctx, stop := context.WithTimeout(context.Background(), callFor)
+			defer stop()
+			var st council.Status
+			if err := c.Call(ctx, http.MethodGet, args[1], "/status", nil, &st); err != nil {
+				return exitError{fmt.Errorf("the new member has to run first: %w", err), statusAway}
+			}
+			if st.Name != args[0] {
+				return fmt.Errorf("member add: at %s is %q, not %q", args[1], st.Name, args[0])
+			}
+			return change(c, council.MemberOrder{Name: args[0], Address: args[1], ID: st.ID})
+		}),
+		t.plain("remove NAME", "Remove a member, by its name or its id", cobra.ExactArgs(1), func(c *follow.Client, args []string) error {
+			return change(c, council.MemberOrder{Name: args[0], Remove: true})
+		}))
+	return c
+}
+
+// first makes the disk of the first member.
+func (t *tool) first(s *settings, _ Rehearsal) error {
+	return council.Reset(filepath.Join(s.Dir, "council"), func(saved council.Saved) (council.Saved, error) {
+		if saved.Snapshot != nil || saved.Hard != nil || len(saved.Entries) > 0 {
+			return saved, fmt.Errorf("%s: this disk has been of a council already", s.Dir)
+		}
+		return council.First(fleet.Member{ID: saved.ID, Name: s.Name, Address: s.Address}), nil
+	})
+}
+
+// recover is the way out once most members have lost their disks: what only they knew is lost, and is not asked for.
+func (t *tool) recover(s *settings, _ Rehearsal) error {
+	if t.reason == "" {
+		return errors.New("recover: want a --reason: what only the lost members knew is lost by this")
+	}
+	err := council.Reset(filepath.Join(s.Dir, "council"), func(saved council.Saved) (council.Saved, error) {
+		if saved.Snapshot == nil {
+			return saved, fmt.Errorf("%s: this disk has never been of a council", s.Dir)
+		}
+		return council.Anew(saved, fleet.Member{ID: saved.ID, Name: s.Name, Address: s.Address})
+	})
+	if err == nil {
+		s.log.Warn("fleet: the council begins anew on what this member has", "name", s.Name, "who", t.who, "reason", t.reason)
+	}
+	return err
+}
--- a/internal/site/fleet.go
+++ b/internal/site/fleet.go
@@ -14,6 +14,7 @@
 	Name      string            `toml:"name" need:"1"`
 	Zone      string            `toml:"zone"`
 	Listen    string            `toml:"listen" need:"1"`     // IP:port for calls of the fleet, never a node's front
+	Address   string            `toml:"address"`             // under which others reach it; none: listen
 	TokenFile string            `toml:"token_file" need:"1"` // whose first line all processes of the fleet bear
 	Dir       string            `toml:"dir" need:"1"`        // what must outlive the process
 	Council   []string          `toml:"council"`             // its members' addresses: 1, 3 or 5
@@ -59,6 +60,12 @@
 	if err := addr("listen", t.Listen); err != nil {
 		return err
 	}
+	if t.Address == "" {
+		t.Address = t.Listen
+	}
+	if err := addr("address", t.Address); err != nil {
+		return err
+	}
 	switch n := len(t.Council); {
 	case n == 0:
 	case n != 1 && n != 3 && n != 5:
--- a/membership/xds/keep.go
+++ b/membership/xds/keep.go
@@ -5,13 +5,13 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"os"
 	"path/filepath"
 	"time"
 
+	"cobaltward/internal/keep"
 	"cobaltward/membership/xds/ads"
 	"cobaltward/membership/xds/resource"
 )
@@ -29,38 +29,15 @@
 	Clusters map[string]*resource.Assignment
 }
 
-// save writes the list whole: under another name, synced, then renamed, so that a reader finds the old
-// one or the new one and never a part.
+// save writes the list, so that a reader finds the old one or the new one and never a part.
 func save(dir string, k kept) error {
 	body, err := json.Marshal(k)
 	if err != nil {
 		return err
 	}
 	sum := sha256.Sum256(body)
-	// One name for all tries: what a crash leaves half-written is written over by the next.
-	f, err := os.OpenFile(filepath.Join(dir, keptName+".new"), os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
-	if err != nil {
-		return err
-	}
-	defer os.Remove(f.Name()) // once it is renamed there is nothing of that name
-	_, err = fmt.Fprintf(f, "%s %s\n", keptVersion, hex.EncodeToString(sum[:]))
-	if err == nil {
-		_, err = f.Write(body)
-	}
-	if err == nil {
-		err = f.Sync()
-	}
-	if err = errors.Join(err, f.Close()); err != nil {
-		return err
-	}
-	if err := os.Rename(f.Name(), filepath.Join(dir, keptName)); err != nil {
-		return err
-	}
-	d, err := os.Open(dir)
-	if err != nil {
-		return err
-	}
-	return errors.Join(d.Sync(), d.Close())
+	head := fmt.Sprintf("%s %s\n", keptVersion, hex.EncodeToString(sum[:]))
+	return keep.File(filepath.Join(dir, keptName), append([]byte(head), body...))
 }
 
 // load reads the list that was saved last. One that is torn, altered or another's is refused.
