--- a/fleet/follow/agent.go
+++ b/fleet/follow/agent.go
@@ -28,7 +28,7 @@
 	// Out takes it out in order; it returns once nothing is open, or an error once that can't be.
 	Out(ctx context.Context, deadline time.Duration, reason string) error
 	// In has it serve again; it returns once it does.
-	In(ctx context.Context) error
+	In(ctx context.Context, who string) error
 	// Hold and Lift hold one server out, and no longer.
 	Hold(ctx context.Context, server string) error
 	Lift(ctx context.Context, server string) error
@@ -376,9 +376,9 @@
 	var err error
 	switch o.Step.What {
 	case fleet.Out, fleet.BackOut:
-		err = a.node.Out(ctx, o.Drain, o.Reason)
+		err = a.node.Out(ctx, o.Drain, fmt.Sprintf("%s, token %d", o.Reason, o.Token))
 	case fleet.In, fleet.BackIn:
-		err = a.node.In(ctx)
+		err = a.node.In(ctx, fmt.Sprintf("fleet, %s, token %d", o.Job, o.Token))
 	case fleet.Patch:
 		return a.command(ctx, o, a.c.Commands.Patch, look, 0)
 	case fleet.Revert:
--- a/fleet/follow/node.go
+++ b/fleet/follow/node.go
@@ -67,14 +67,14 @@
 }
 
 // In implements Node. A node that has been replaced meanwhile serves by itself.
-func (d *Door) In(ctx context.Context) error {
+func (d *Door) In(ctx context.Context, who string) error {
 	for ctx.Err() == nil {
 		s, err := d.status(ctx)
 		switch {
 		case err == nil && s.Drain.State == drain.Serving:
 			return nil
 		case err == nil:
-			_ = d.call(ctx, http.MethodDelete, "/drain", node.DrainOrder{Who: "fleet"}, new(node.Status)) // looked at again
+			_ = d.call(ctx, http.MethodDelete, "/drain", node.DrainOrder{Who: who}, new(node.Status)) // looked at again
 		}
 		rest(ctx)
 	}
--- a/fleet/follow/steward.go
+++ b/fleet/follow/steward.go
@@ -37,8 +37,8 @@
 	Halt   func(at string) // for rehearsals; nil: nothing
 	// Late is a guard that a rehearsal takes away: a step is written down only once it has been done.
 	Late bool
-	// Asked hears of each ask and its answer; nil: nobody does.
-	Asked func(e fleet.Entry, at, back time.Duration, r fleet.Result, known bool)
+	// Asking hears of each ask before it goes out, and what it returns of the answer; nil: nobody does.
+	Asking func(e fleet.Entry) func(r fleet.Result, known bool)
 }
 
 // Steward wants a kind of work, and does it while it owns it.
@@ -54,6 +54,7 @@
 	since  fleet.Position // the newest entry of its own: it decides by nothing older
 	away   time.Duration  // until when it leaves the work to others
 	owns   atomic.Bool
+	asked  map[string]bool // keys of effects that it has asked for; of the job that goes on
 
 	looked time.Time
 	view   jobs.View
@@ -61,7 +62,7 @@
 
 // NewSteward makes one.
 func NewSteward(c StewardConfig, client *Client, f *Follower) *Steward {
-	return &Steward{c: c, client: client, follower: f, holder: owner.Holder{Work: c.Work, Name: c.Name, Lease: c.Lease, Guards: c.Guards}}
+	return &Steward{c: c, client: client, follower: f, asked: make(map[string]bool), holder: owner.Holder{Work: c.Work, Name: c.Name, Lease: c.Lease, Guards: c.Guards}}
 }
 
 // Owns tells whether it owns the work, as far as it knows.
@@ -102,6 +103,10 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, min(proposeWait, s.c.Lease/2))
 	defer stop()
+	var answered func(fleet.Result, bool)
+	if s.c.Asking != nil {
+		answered = s.c.Asking(e)
+	}
 	r, err := s.client.Propose(ctx, e)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -115,8 +120,8 @@
 		s.c.Log.Info("fleet: ownership", "work", s.c.Work, "holder", s.c.Name, "owns", has, "token", s.ours, "position", r.At)
 	}
 	s.owns.Store(s.holder.Has())
-	if s.c.Asked != nil {
-		s.c.Asked(e, at, back, r, err == nil)
+	if answered != nil {
+		answered(r, err == nil)
 	}
 }
 
@@ -168,6 +173,9 @@
 	}
 	job := open(st, s.c.Work)
 	if job == nil {
+		s.mu.Lock()
+		clear(s.asked)
+		s.mu.Unlock()
 		return
 	}
 	var acts sync.WaitGroup
@@ -250,6 +258,10 @@
 	if _, may := s.token(); !may {
 		return
 	}
+	s.mu.Lock()
+	o.Again = o.Again || s.asked[o.Key] // whether the first ask came through, nobody may know
+	s.asked[o.Key] = true
+	s.mu.Unlock()
 	if s.c.Halt != nil { // between the check of the lease and the effect
 		s.c.Halt("effect")
 	}
--- a/internal/fleetcli/serve.go
+++ b/internal/fleetcli/serve.go
@@ -34,7 +34,7 @@
 	Guards owner.Guards
 	Late   bool
 	Halt   func(at string)
-	Asked  func(e fleet.Entry, at, back time.Duration, r fleet.Result, known bool)
+	Asking func(e fleet.Entry, holder string) func(r fleet.Result, known bool)
 }
 
 const (
@@ -210,9 +210,13 @@
 		a.Run(ctx)
 	}()
 	var stewards []*follow.Steward
+	var asking func(fleet.Entry) func(fleet.Result, bool)
+	if r.Asking != nil {
+		asking = func(e fleet.Entry) func(fleet.Result, bool) { return r.Asking(e, s.Name+"/"+run) }
+	}
 	for _, work := range s.Owns {
 		stewards = append(stewards, follow.NewSteward(follow.StewardConfig{Work: work, Name: s.Name + "/" + run, Node: s.Name, Lease: s.Lease, Clock: clock(r),
-			Guards: r.Guards, Log: s.log, Halt: r.Halt, Late: r.Late, Asked: r.Asked}, client, a.Follower()))
+			Guards: r.Guards, Log: s.log, Halt: r.Halt, Late: r.Late, Asking: asking}, client, a.Follower()))
 	}
 	ended := make(chan struct{})
 	for _, st := range stewards {
