--- /dev/null
+++ b/emulator/concert/concert.go
@@ -0,0 +1,829 @@
+// Package concert plays a fleet in virtual time: the cores of a council, stewards and receivers, the same modules as in
+// the processes, on disks, links and clocks that do what a schedule drawn from a seed says. The same seed plays the
+// same schedule.
+//
+// It stands in for processes that die, are stopped, or are cut off, for messages that are lost, late or repeated, and
+// for clocks that run apart by up to owner.Drift, or jump where the schedule says so. What it does not play: HTTP, the
+// file system, and goroutines; the rig of processes does.
+package concert
+
+import (
+	"container/heap"
+	"crypto/rand"
+	"fmt"
+	"hash/fnv"
+	mrand "math/rand/v2"
+	"slices"
+	"time"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"cobaltward/fleet"
+	"cobaltward/fleet/council"
+	"cobaltward/fleet/jobs"
+	"cobaltward/fleet/owner"
+)
+
+const (
+	ms       = time.Millisecond
+	tick     = 100 * ms // of the council
+	lease    = 4 * time.Second
+	poll     = 250 * ms // of followers
+	drive    = 100 * ms // of stewards
+	compact  = 40       // entries between snapshots
+	healFor  = 90 * time.Second
+	lateMost = 20 * time.Second // a repeated message comes so late at most
+)
+
+// Config is what a schedule is drawn for.
+type Config struct {
+	Seed    uint64
+	Members int
+	Nodes   int // each with a receiver
+	Owners  int // nodes whose followers may own the work
+	Length  time.Duration
+	Lie     bool // clocks jump, too: then only receivers' rules are held against the run
+	Guards  owner.Guards
+	Late    bool // steps are written down only afterwards
+	NoSync  bool // votes and terms are not synced
+	Trace   func(string)
+}
+
+// Result is what a schedule came to.
+type Result struct {
+	Broken                                           []string
+	Effects, Tokens, Late, Refused, Rounds, Commits  int
+	Crashes, Stops, Cuts, Lost, Repeated, Jumps, New int
+	Wakes                                            int // stops that were longer than a lease
+	Messages                                         int
+}
+
+// Add sums up.
+func (r *Result) Add(o Result) {
+	r.Broken = append(r.Broken, o.Broken...)
+	for _, p := range []struct {
+		to   *int
+		from int
+	}{{&r.Effects, o.Effects}, {&r.Tokens, o.Tokens}, {&r.Late, o.Late}, {&r.Refused, o.Refused}, {&r.Rounds, o.Rounds}, {&r.Commits, o.Commits},
+		{&r.Crashes, o.Crashes}, {&r.Stops, o.Stops}, {&r.Cuts, o.Cuts}, {&r.Lost, o.Lost}, {&r.Repeated, o.Repeated}, {&r.Jumps, o.Jumps}, {&r.New, o.New},
+		{&r.Wakes, o.Wakes}, {&r.Messages, o.Messages}} {
+		*p.to += p.from
+	}
+}
+
+func (r Result) String() string {
+	return fmt.Sprintf("%d effects under %d tokens (%d late and harmless, %d refused), %d patches in %d rounds; %d crashes, %d stops (%d longer than a lease), %d cuts, %d new disks, %d jumps of clocks; of %d messages %d lost, %d repeated",
+		r.Effects, r.Tokens, r.Late, r.Refused, r.Commits, r.Rounds, r.Crashes, r.Stops, r.Wakes, r.Cuts, r.New, r.Jumps, r.Messages, r.Lost, r.Repeated)
+}
+
+// event is something that happens at a process, or to the world where it has none.
+type event struct {
+	at   time.Duration
+	n    uint64
+	on   *process
+	life int // of the process; another one: it is lost
+	do   func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].n < q[j].n
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(e any)   { *q = append(*q, e.(event)) }
+func (q *queue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// process is one: a member of the council or a node's follower.
+type process struct {
+	w       *world
+	name    string
+	index   int
+	up      bool
+	life    int
+	stopped time.Duration // until then; 0: it runs
+	rate    float64       // of its clock
+	jumped  time.Duration
+
+	// A member.
+	core    *council.Core
+	disk    disk
+	waiting map[uint64]func(fleet.Result)
+
+	// A follower.
+	state   *fleet.State
+	steward *jobs.Steward
+	mem     *owner.Receiver
+	kept    []byte // of the receiver's memory
+	node    *node
+}
+
+// node is what a follower drives: it outlives it.
+type node struct {
+	name    string
+	out     bool
+	drained bool
+	newest  fleet.Token
+	done    map[string]int
+}
+
+// disk is what a member has synced, and what not yet.
+type disk struct {
+	synced council.Saved
+	hard   *pb.HardState // not synced, with the guard away
+}
+
+type world struct {
+	c      Config
+	r      *mrand.Rand
+	now    time.Duration
+	events queue
+	n      uint64
+	res    Result
+
+	members, followers []*process
+	cut                map[[2]int]int // links that are cut, by how many faults
+	loss, repeat       float64
+	slow               time.Duration
+	log                map[fleet.Position]uint64 // what was applied at a position, by whichever member first
+	nodes              []*node
+	atOnce             int
+	newest             fleet.Token
+	tokens             map[fleet.Token]bool
+	job                int
+	jobID              string
+	asked              uint64
+}
+
+// seeded is the source of raft's own draws.
+type seeded struct{ r *mrand.ChaCha8 }
+
+func (s seeded) Read(p []byte) (int, error) { return s.r.Read(p) }
+
+// Run plays one schedule. It has raft draw from the seed, too, by the process's one source of randomness: no two runs
+// go on in a process at a time.
+func Run(c Config) (res Result) {
+	var key [32]byte
+	for i := range 8 {
+		key[i] = byte(c.Seed >> (8 * i))
+	}
+	old := rand.Reader
+	rand.Reader = seeded{mrand.NewChaCha8(key)}
+	defer func() { rand.Reader = old }()
+	w := &world{c: c, r: mrand.New(mrand.NewPCG(c.Seed, 0xf1ee7)), cut: make(map[[2]int]int), log: make(map[fleet.Position]uint64), tokens: make(map[fleet.Token]bool)}
+	defer func() {
+		if p := recover(); p != nil { // raft panics where its own rules are broken
+			w.fail("a member ended by itself: %v", p)
+		}
+		w.res.Tokens = len(w.tokens)
+		res = w.res
+	}()
+	w.build()
+	w.draw()
+	w.play()
+	return w.res
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.res.Broken = append(w.res.Broken, fmt.Sprintf("seed %d at %v: %s", w.c.Seed, w.now, fmt.Sprintf(format, args...)))
+}
+
+func (w *world) trace(format string, args ...any) {
+	if w.c.Trace != nil {
+		w.c.Trace(fmt.Sprintf("%10v %s", w.now.Round(ms), fmt.Sprintf(format, args...)))
+	}
+}
+
+// at has something happen after d; with a process: at that process, in this life of it, once it runs.
+func (w *world) at(d time.Duration, on *process, do func()) {
+	w.n++
+	e := event{at: w.now + d, n: w.n, on: on, do: do}
+	if on != nil {
+		e.life = on.life
+	}
+	heap.Push(&w.events, e)
+}
+
+func (w *world) build() {
+	w.atOnce = 1
+	for i := range w.c.Members + w.c.Nodes {
+		p := &process{w: w, index: i, rate: 1}
+		if !w.c.Lie { // apart by as much as is promised for
+			p.rate = 1 - owner.Drift/2 + owner.Drift*w.r.Float64()
+		} else if w.r.Float64() < 0.3 {
+			p.rate = 0.5 + 1.5*w.r.Float64()
+		}
+		if i < w.c.Members {
+			p.name = fmt.Sprintf("c%d", i+1)
+			w.members = append(w.members, p)
+			continue
+		}
+		p.name = fmt.Sprintf("n%d", i-w.c.Members+1)
+		p.node = &node{name: p.name, done: make(map[string]int)}
+		w.nodes = append(w.nodes, p.node)
+		w.followers = append(w.followers, p)
+	}
+	// The council as it is once all members have been added.
+	all := make(map[uint64]fleet.Member)
+	var voters []uint64
+	for i, p := range w.members {
+		id := uint64(i + 1)
+		all[id] = fleet.Member{ID: id, Name: p.name, Address: p.name, Level: fleet.Level}
+		voters = append(voters, id)
+	}
+	nodes := make(map[string]fleet.Node)
+	for i, p := range w.followers {
+		nodes[p.name] = fleet.Node{Name: p.name, Address: p.name, Capacity: 1, Owns: i < w.c.Owners}
+	}
+	s := fleet.New(1).WithMembers(1, all)
+	s.Nodes = nodes
+	snap := &pb.Snapshot{Data: s.Marshal(), Metadata: &pb.SnapshotMetadata{Index: proto.Uint64(1), Term: proto.Uint64(1), ConfState: &pb.ConfState{Voters: voters}}}
+	for i, p := range w.members {
+		p.disk.synced = council.Saved{ID: uint64(i + 1), Snapshot: snap, Hard: &pb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)}}
+		p.start()
+	}
+	for _, p := range w.followers {
+		p.start()
+	}
+}
+
+// mono is a process's own clock.
+func (p *process) mono() time.Duration {
+	return time.Duration(float64(p.w.now)*p.rate) + p.jumped
+}
+
+func (p *process) start() {
+	p.up, p.stopped = true, 0
+	p.life++
+	w := p.w
+	if p.node == nil {
+		core, err := council.New(p.disk.load(), w.c.Guards, compact, p.mono(), council.Quiet)
+		if err != nil {
+			panic(err)
+		}
+		p.core, p.waiting = core, make(map[uint64]func(fleet.Result))
+		p.every(tick, func() {
+			p.core.Tick(p.mono(), time.Unix(0, 0).Add(w.now))
+			p.work()
+		})
+		return
+	}
+	p.state = fleet.New(0)
+	var m owner.Memory
+	if p.kept != nil {
+		decode(p.kept, &m)
+	}
+	p.mem = owner.Wake(m, w.c.Guards)
+	p.every(poll, p.follow)
+	if p.index-w.c.Members < w.c.Owners {
+		p.steward = jobs.NewSteward(fleet.Round, fmt.Sprintf("%s/%d", p.name, p.life), p.name, lease, w.c.Guards)
+		p.steward.Late = w.c.Late
+		p.every(drive, p.own)
+	}
+}
+
+// every has something done again and again, in this life of the process, by its own clock.
+func (p *process) every(d time.Duration, do func()) {
+	var again func()
+	again = func() {
+		do()
+		p.w.at(time.Duration(float64(d)/p.rate), p, again)
+	}
+	p.w.at(time.Duration(p.w.r.Float64()*float64(d)), p, again)
+}
+
+func (p *process) crash() {
+	if !p.up {
+		return
+	}
+	p.up = false
+	p.life++
+	p.disk.hard = nil // what was not synced is gone
+	p.w.res.Crashes++
+	p.w.trace("%s dies", p.name)
+}
+
+// load is what is there after a start.
+func (d *disk) load() council.Saved { return d.synced }
+
+// save keeps a piece of work. With its guard away, a term and a vote are synced only with the entries that come next.
+func (d *disk) save(w *council.Work, guard bool) {
+	s := &d.synced
+	if w.Snapshot != nil {
+		s.Snapshot, s.Entries = w.Snapshot, nil
+	}
+	if len(w.Entries) > 0 {
+		first := w.Entries[0].GetIndex()
+		kept := s.Entries[:0:0]
+		for _, e := range s.Entries {
+			if e.GetIndex() < first {
+				kept = append(kept, e)
+			}
+		}
+		s.Entries = append(kept, w.Entries...)
+	}
+	if w.Hard != nil {
+		d.hard = w.Hard
+	}
+	if d.hard != nil && (guard || len(w.Entries) > 0 || w.Snapshot != nil) {
+		s.Hard, d.hard = d.hard, nil
+	}
+}
+
+// work does what the core wants.
+func (p *process) work() {
+	w := p.w
+	for x := p.core.Ready(); x != nil; x = p.core.Ready() {
+		p.disk.save(x, !w.c.NoSync)
+		out, err := p.core.Stored(x, p.mono())
+		if err != nil {
+			panic(err)
+		}
+		if out.Compact != nil {
+			s := &p.disk.synced
+			s.Snapshot = out.Compact
+			s.Entries = slices.DeleteFunc(slices.Clone(s.Entries), func(e *pb.Entry) bool { return e.GetIndex() <= out.Compact.GetMetadata().GetIndex() })
+		}
+		for _, m := range x.Messages {
+			to := w.member(m.GetTo())
+			if to == nil {
+				continue
+			}
+			if m.GetType() == pb.MsgSnap { // a link tells what became of it; what is lacking is sent again
+				w.at(300*ms, p, func() { p.core.SnapshotSent(m.GetTo(), true) })
+			}
+			w.send(p, to, func() {
+				if to.core.ID() != m.GetTo() {
+					return // it lost its disk, and is another
+				}
+				_ = to.core.Step(m) // what it does not take is lost
+				to.work()
+			})
+		}
+		for _, a := range out.Applied {
+			h := fnv.New64a()
+			h.Write(a.Raw)
+			if _, ok := w.log[a.Result.At]; !ok && w.c.Trace != nil {
+				w.trace("%s is the first to apply %d: %s: %v", p.name, a.Result.At, a.Raw, a.Result.Err)
+			}
+			if was, ok := w.log[a.Result.At]; ok && was != h.Sum64() {
+				w.fail("the log forks at position %d: %s has applied %s", a.Result.At, p.name, a.Raw)
+			}
+			w.log[a.Result.At] = h.Sum64()
+			if answer := p.waiting[a.ID]; a.ID != 0 && answer != nil {
+				delete(p.waiting, a.ID)
+				answer(a.Result)
+			}
+		}
+	}
+}
+
+// member is the process that goes by an id.
+func (w *world) member(id uint64) *process {
+	for _, p := range w.members {
+		if p.core != nil && p.core.ID() == id {
+			return p
+		}
+	}
+	return nil
+}
+
+// send carries a message: lost, late, or twice.
+func (w *world) send(from, to *process, do func()) {
+	w.res.Messages++
+	if w.cut[[2]int{from.index, to.index}] > 0 || w.r.Float64() < w.loss {
+		w.res.Lost++
+		return
+	}
+	late := func() time.Duration {
+		return ms + time.Duration(w.r.ExpFloat64()*float64(3*ms)) + time.Duration(w.r.ExpFloat64()*float64(w.slow))
+	}
+	w.at(late(), to, do)
+	if w.r.Float64() < w.repeat {
+		w.res.Repeated++
+		w.at(late()+time.Duration(w.r.Float64()*w.r.Float64()*float64(lateMost)), to, do)
+	}
+}
+
+// propose asks a member for an entry; back hears of what came of it, if anything does.
+func (p *process) propose(to *process, e fleet.Entry, back func(fleet.Result)) {
+	w := p.w
+	w.asked++
+	id := w.asked<<1 | 1
+	w.send(p, to, func() {
+		to.waiting[id] = func(r fleet.Result) { w.send(to, p, func() { back(r) }) }
+		if to.core.Propose(id, e) != nil {
+			delete(to.waiting, id)
+		}
+		to.work()
+	})
+}
+
+func (w *world) any() *process { return w.members[w.r.IntN(len(w.members))] }
+
+// follow asks a member for the state.
+func (p *process) follow() {
+	to := p.w.any()
+	p.w.send(p, to, func() {
+		s := to.core.State()
+		p.w.send(to, p, func() {
+			if s.Newer(p.state) {
+				p.state = s
+			}
+		})
+	})
+}
+
+// own is a steward's turn.
+func (p *process) own() {
+	w := p.w
+	asked := p.mono()
+	if e, ok := p.steward.Ask(asked, p.state); ok {
+		p.propose(w.any(), e, func(r fleet.Result) {
+			if p.mono()-asked < lease/2 { // later it is given up
+				p.steward.Answered(asked, p.mono(), e, r, true)
+			}
+		})
+	}
+	v := jobs.View{Nodes: make(map[string]jobs.Node)}
+	for _, f := range w.followers {
+		v.Nodes[f.name] = jobs.Node{Capacity: 1, CanOwn: f.steward != nil, Serving: f.up && f.stopped == 0 && !f.node.out && w.cut[[2]int{p.index, f.index}] == 0}
+	}
+	for _, a := range p.steward.Next(p.mono(), p.state, v) {
+		if a.Entry != nil {
+			p.write(*a.Entry)
+			continue
+		}
+		// A process may be stopped between its check of the lease and the effect.
+		o := *a.Order
+		w.at(time.Duration(w.r.ExpFloat64()*float64(ms)), p, func() { p.effect(o) })
+	}
+}
+
+func (p *process) write(e fleet.Entry) {
+	p.propose(p.w.any(), e, func(r fleet.Result) { p.steward.Wrote(r) })
+}
+
+func (p *process) effect(o owner.Order) {
+	w := p.w
+	to := w.followers[slices.IndexFunc(w.followers, func(f *process) bool { return f.name == o.Step.Node })]
+	w.send(p, to, func() {
+		reply, verdict, changed := to.mem.Take(o, to.state.Last[o.Work])
+		if changed {
+			to.keep()
+		}
+		switch verdict {
+		case owner.Refuse:
+			w.res.Refused++
+			return
+		case owner.Run, owner.Look:
+			to.carry(o, verdict == owner.Look)
+		}
+		w.send(to, p, func() {
+			for _, e := range p.steward.Replied(o, reply) {
+				p.write(e)
+			}
+		})
+	})
+}
+
+func (p *process) keep() { p.kept = encode(p.mem.Memory) }
+
+// carry does an effect to the node, in a while; a crash in between leaves it half done.
+func (p *process) carry(o owner.Order, look bool) {
+	w := p.w
+	took := func() time.Duration { return 20*ms + time.Duration(w.r.ExpFloat64()*float64(300*ms)) }
+	end := func(outcome string) {
+		p.mem.Ledger.End(o.Key, outcome, "")
+		p.keep()
+	}
+	w.at(took(), p, func() {
+		if o.Step.What == fleet.Patch && look && p.node.done[o.Key] > 0 {
+			end(fleet.OK)
+			return
+		}
+		w.effect(p.node, o)
+		w.at(took(), p, func() { end(fleet.OK) })
+	})
+}
+
+// effect is one at a node, held against the rules.
+func (w *world) effect(n *node, o owner.Order) {
+	what := o.Step.What
+	if what == fleet.Out && n.out || what == fleet.In && !n.out {
+		return // it is so already
+	}
+	w.res.Effects++
+	w.tokens[o.Token] = true
+	w.trace("%s: %s under token %d", n.name, o.Key, o.Token)
+	if o.Token < w.newest {
+		w.res.Late++
+	}
+	w.newest = max(w.newest, o.Token)
+	if o.Token < n.newest {
+		w.fail("%s: %s under token %d, after %d", n.name, o.Key, o.Token, n.newest)
+	}
+	n.newest = max(n.newest, o.Token)
+	switch what {
+	case fleet.Out:
+		n.out = true
+		away := 0
+		for _, m := range w.nodes {
+			if m.out {
+				away++
+			}
+		}
+		if away > w.atOnce {
+			w.fail("%d nodes out at once: %s under token %d", away, o.Key, o.Token)
+		}
+	case fleet.Patch:
+		if !n.out {
+			w.fail("%s is patched and not out", n.name)
+		}
+		w.res.Commits++
+		if n.done[o.Key]++; n.done[o.Key] > 1 {
+			w.fail("%s was done %d times", o.Key, n.done[o.Key])
+		}
+	case fleet.In:
+		n.out = false
+	}
+}
+
+// play has the events happen, and looks that no two owners may act at once.
+func (w *world) play() {
+	end := w.c.Length + healFor
+	for len(w.events) > 0 && len(w.res.Broken) == 0 {
+		e := heap.Pop(&w.events).(event)
+		if e.at > end {
+			break
+		}
+		w.now = max(w.now, e.at)
+		if p := e.on; p != nil {
+			if !p.up || p.life != e.life {
+				continue
+			}
+			if p.stopped > w.now {
+				w.at(p.stopped-w.now, p, e.do)
+				continue
+			}
+			p.stopped = 0
+		}
+		e.do()
+		if e.on != nil && e.on.steward != nil && !w.c.Lie {
+			w.owners()
+		}
+		if w.now > w.c.Length && w.over() {
+			return
+		}
+	}
+	if len(w.res.Broken) == 0 && !w.over() {
+		w.fail("the round %s did not end within %v of the last fault; %s", w.jobID, healFor, w.council())
+	}
+}
+
+// council is how the members stand, in words.
+func (w *world) council() (all string) {
+	for _, p := range w.members {
+		st := p.core.Status()
+		all += fmt.Sprintf("%s (%x, up %v): %v in term %d under %x, position %d of %d, voters %v, members %v; ", p.name, p.core.ID(), p.up, st.RaftState, st.GetTerm(), st.Lead,
+			p.core.State().At, st.GetCommit(), st.Config.Voters, p.core.State().Members)
+	}
+	return all
+}
+
+// owners looks that at most one process that runs may act.
+func (w *world) owners() {
+	who := ""
+	for _, p := range w.followers {
+		if p.steward == nil || !p.up || p.stopped > w.now {
+			continue
+		}
+		if t, ok := p.steward.May(p.mono()); ok {
+			if who != "" {
+				w.fail("two owners may act at once: %s and %s under token %d", who, p.name, t)
+			}
+			who = fmt.Sprintf("%s under token %d", p.name, t)
+		}
+	}
+}
+
+// newestState is that of whichever member is the farthest.
+func (w *world) newestState() *fleet.State {
+	var s *fleet.State
+	for _, p := range w.members {
+		if p.core != nil && p.up && (s == nil || p.core.State().Newer(s)) {
+			s = p.core.State()
+		}
+	}
+	return s
+}
+
+// over tells whether the last round has ended, with every node patched once and back.
+func (w *world) over() bool {
+	s := w.newestState()
+	if s == nil || s.Jobs[w.jobID] == nil || s.Jobs[w.jobID].Over == "" {
+		return false
+	}
+	j := s.Jobs[w.jobID]
+	if j.Over != "done" {
+		w.fail("the round %s ended as %s: %s", j.ID, j.Over, j.Detail)
+	}
+	for _, n := range w.nodes {
+		if n.out || n.done[jobs.Key(j.ID, fleet.StepKey{Node: n.name, What: fleet.Patch})] != 1 {
+			w.fail("the round %s is done, and %s is out (%v) or not patched", j.ID, n.name, n.out)
+		}
+	}
+	return true
+}
+
+// draw puts the faults of the seed, and the operator's rounds, into the queue.
+func (w *world) draw() {
+	r := w.r
+	all := slices.Concat(w.members, w.followers)
+	between := func(lo, hi time.Duration) time.Duration { return lo + time.Duration(r.Float64()*float64(hi-lo)) }
+	var admin func()
+	admin = func() {
+		w.operator()
+		w.at(300*ms, nil, admin)
+	}
+	w.at(0, nil, admin)
+	for at := between(0, 3*time.Second); at < w.c.Length; at += between(100*ms, 6*time.Second) {
+		length := between(200*ms, 10*time.Second)
+		if at+length > w.c.Length {
+			length = w.c.Length - at
+		}
+		p := all[r.IntN(len(all))]
+		q := all[r.IntN(len(all))]
+		switch r.IntN(11) {
+		case 0, 1:
+			lost := p.node == nil && r.IntN(3) == 0
+			w.at(at, nil, func() { w.kill(p, lost) })
+			w.at(at+length, nil, func() { w.revive(p) })
+		case 2, 3: // of half a lease, of ten, of a hundred and fifty
+			if span := []time.Duration{lease / 2, 10 * lease, 150 * lease}[r.IntN(3)]; p.node != nil {
+				length = min(length+span, w.c.Length-at)
+			}
+			w.at(at, nil, func() { w.stop(p, length) })
+		case 4, 5: // a part of the processes from the rest, one way or both
+			side := make(map[*process]bool)
+			for _, x := range all {
+				side[x] = r.IntN(3) == 0
+			}
+			w.cutOff(at, length, func(a, b *process) bool { return side[a] != side[b] }, r.IntN(3))
+		case 6: // two that don't see each other
+			w.cutOff(at, length, func(a, b *process) bool { return a == p && b == q || a == q && b == p }, r.IntN(3))
+		case 7:
+			loss := 0.5 * r.Float64()
+			w.at(at, nil, func() { w.loss += loss })
+			w.at(at+length, nil, func() { w.loss -= loss })
+		case 8:
+			slow := between(5*ms, lease/3)
+			w.at(at, nil, func() { w.slow += slow })
+			w.at(at+length, nil, func() { w.slow -= slow })
+		case 9:
+			repeat := 0.4 * r.Float64()
+			w.at(at, nil, func() { w.repeat += repeat })
+			w.at(at+length, nil, func() { w.repeat -= repeat })
+		case 10:
+			if w.c.Lie {
+				jump := between(-5*time.Second, 20*time.Second)
+				w.at(at, nil, func() {
+					p.jumped += max(jump, 0)
+					w.res.Jumps++
+				})
+				continue
+			}
+			w.at(at, nil, func() { // all members at once
+				for _, m := range w.members {
+					w.kill(m, false)
+				}
+			})
+			w.at(at+length, nil, func() {
+				for _, m := range w.members {
+					w.revive(m)
+				}
+			})
+		}
+	}
+}
+
+func (w *world) kill(p *process, lost bool) {
+	p.crash()
+	if !lost || len(w.members) < 3 {
+		return
+	}
+	s := w.newestState()
+	if s == nil || len(s.Members) < len(w.members) || slices.ContainsFunc(w.members, func(m *process) bool { return m != p && m.core != nil && m.disk.synced.Snapshot == nil }) {
+		return // one at a time: more is beyond what is stood
+	}
+	for _, m := range s.Members {
+		if m.Learner {
+			return
+		}
+	}
+	w.res.New++
+	p.disk = disk{synced: council.Saved{ID: w.r.Uint64() | 1}}
+	w.trace("%s has lost its disk", p.name)
+}
+
+func (w *world) revive(p *process) {
+	if !p.up {
+		w.trace("%s starts", p.name)
+		p.start()
+	}
+}
+
+func (w *world) stop(p *process, length time.Duration) {
+	if !p.up || p.stopped > w.now {
+		return
+	}
+	p.stopped = w.now + length
+	w.res.Stops++
+	if length > lease {
+		w.res.Wakes++
+	}
+	w.trace("%s is stopped for %v", p.name, length)
+}
+
+// cutOff cuts links between pairs: 0 both ways, 1 and 2 one way.
+func (w *world) cutOff(at, length time.Duration, pair func(a, b *process) bool, way int) {
+	var links [][2]int
+	all := slices.Concat(w.members, w.followers)
+	for _, a := range all {
+		for _, b := range all {
+			if a != b && pair(a, b) && (way == 0 || (way == 1) == (a.index < b.index)) {
+				links = append(links, [2]int{a.index, b.index})
+			}
+		}
+	}
+	w.at(at, nil, func() {
+		w.res.Cuts++
+		for _, l := range links {
+			w.cut[l]++
+		}
+		w.trace("%d links are cut", len(links))
+	})
+	w.at(at+length, nil, func() {
+		for _, l := range links {
+			w.cut[l]--
+		}
+	})
+}
+
+// operator keeps a round going on, and adds members that have lost their disk, as an operator would.
+func (w *world) operator() {
+	s := w.newestState()
+	if s == nil {
+		return
+	}
+	if w.now <= w.c.Length && (w.jobID == "" || s.Jobs[w.jobID] != nil && s.Jobs[w.jobID].Over != "") {
+		if w.jobID != "" {
+			w.res.Rounds++
+			w.over()
+		}
+		w.job++
+		w.jobID = fmt.Sprintf("r%d", w.job)
+	}
+	lead := w.leader()
+	if lead == nil {
+		return
+	}
+	if s.Jobs[w.jobID] == nil {
+		var names []string
+		for _, f := range w.followers {
+			names = append(names, f.name)
+		}
+		_ = lead.core.Propose(0, fleet.Entry{Kind: fleet.Start, Job: w.jobID, Spec: &fleet.Spec{Kind: fleet.Round, Nodes: names, AtOnce: w.atOnce}}) // again, if need be
+	}
+	for _, p := range w.members {
+		id := p.disk.synced.ID
+		if _, ok := s.Members[id]; ok || !p.up {
+			continue
+		}
+		for old, m := range s.Members {
+			if m.Name == p.name {
+				_ = lead.core.ProposeMember(0, fleet.Member{ID: old}, true)
+			}
+		}
+		_ = lead.core.ProposeMember(0, fleet.Member{ID: id, Name: p.name, Address: p.name, Learner: true}, false) // refused until the old one is gone
+	}
+	lead.work()
+}
+
+// leader is the member that leads, as far as most know.
+func (w *world) leader() *process {
+	var best *process
+	for _, p := range w.members {
+		if p.up && p.stopped <= w.now && p.core.Leader() == p.core.ID() && (best == nil || p.core.Status().GetTerm() > best.core.Status().GetTerm()) {
+			best = p
+		}
+	}
+	return best
+}
--- a/emulator/processes/script.go
+++ b/emulator/processes/script.go
@@ -131,7 +131,7 @@
 		return time.Duration((lo + (hi-lo)*r.Float64()) * float64(time.Second)).Round(time.Millisecond)
 	}
 	lost := false
-	for at := between(0.5, 3); at < length-2*time.Second; at += between(0.5, 5) {
+	for at := between(0.5, 3); at < length-2*time.Second; at += between(0.3, 2.5) {
 		f := Fault{At: at, For: between(0.5, 6)}
 		switch r.IntN(14) {
 		case 0:
--- a/fleet/council/core.go
+++ b/fleet/council/core.go
@@ -28,10 +28,11 @@
 	messageSize    = 256 << 10
 	inFlight       = 64
 	mostUnagreed   = 4 << 20 // bytes of proposals that wait
-	compactAfter   = 2000    // entries, after which a snapshot is taken
-	compactKeep    = 500     // entries before it that slow members may still get
-	dutyTicks      = 5       // between the proposals that a member makes by itself
-	idBytes        = 8
+	// CompactAfter is how many entries come before a snapshot is taken; a quarter of them are kept for slow members.
+	CompactAfter = 2000
+	caughtUp     = 100 // entries that a learner may lack when it becomes a voter
+	dutyTicks    = 5   // between the proposals that a member makes by itself
+	idBytes      = 8
 )
 
 // Saved is what a disk holds.
@@ -64,7 +65,7 @@
 type Outcome struct {
 	Applied  []Applied
 	Restored bool           // the state came whole, or the council has changed
-	Compact  *pb.Snapshot   // to be written in place of what is before it, less compactKeep entries; nil: none
+	Compact  *pb.Snapshot   // to be written in place of what is before it, less what slow members may still get; nil: none
 	First    fleet.Position // the first entry to keep then; 0: all are kept
 }
 
@@ -79,11 +80,12 @@
 	ticks  int
 	now    time.Duration
 	snapAt uint64
+	keep   uint64 // entries before a snapshot that slow members may still get
 }
 
-// New makes a core from what its disk holds. rnd spreads the elections. now is of its monotonic clock.
-func New(saved Saved, guards owner.Guards, now time.Duration, log raft.Logger) (*Core, error) {
-	c := &Core{id: saved.ID, mem: raft.NewMemoryStorage(), state: fleet.New(0), conf: &pb.ConfState{}, now: now, lessor: owner.Lessor{Guards: guards}}
+// New makes a core from what its disk holds, which takes a snapshot after so many entries. now is of its monotonic clock.
+func New(saved Saved, guards owner.Guards, compactAfter int, now time.Duration, log raft.Logger) (*Core, error) {
+	c := &Core{id: saved.ID, keep: uint64(max(compactAfter/4, 1)), mem: raft.NewMemoryStorage(), state: fleet.New(0), conf: &pb.ConfState{}, now: now, lessor: owner.Lessor{Guards: guards}}
 	applied := uint64(0)
 	if saved.Snapshot != nil {
 		if err := c.mem.ApplySnapshot(saved.Snapshot); err != nil {
@@ -123,7 +125,7 @@
 // Anew is what the disk of the one member holds with which an operator begins anew: all that this member knows, in
 // a new epoch. What only the lost members knew is lost.
 func Anew(saved Saved, m fleet.Member) (Saved, error) {
-	c, err := New(saved, owner.Guards{}, 0, quiet)
+	c, err := New(saved, owner.Guards{}, CompactAfter, 0, Quiet)
 	if err != nil {
 		return Saved{}, err
 	}
@@ -211,7 +213,7 @@
 func (c *Core) promote() {
 	st := c.rn.Status()
 	for id, p := range st.Progress {
-		if m, ok := c.state.Members[id]; ok && m.Learner && p.RecentActive && p.Match+compactKeep/5 >= st.GetCommit() && p.Match > 0 {
+		if m, ok := c.state.Members[id]; ok && m.Learner && p.RecentActive && p.Match+caughtUp >= st.GetCommit() && p.Match > 0 {
 			m.Learner = false
 			_ = c.ProposeMember(0, m, false)
 			return
@@ -336,16 +338,16 @@
 	c.lessor.Observe(c.state, c.now)
 	c.rn.Advance(w.ready)
 	// A member that is added can start from no snapshot that does not know it.
-	if at := uint64(c.state.At); at >= c.snapAt+compactAfter || changed {
+	if at := uint64(c.state.At); at >= c.snapAt+4*c.keep || changed {
 		snap, err := c.mem.CreateSnapshot(at, c.conf, c.state.Marshal())
 		if err != nil {
 			return out, err
 		}
 		c.snapAt = at
 		out.Compact = snap
-		if at > compactKeep {
-			out.First = fleet.Position(at - compactKeep)
-			if err := c.mem.Compact(at - compactKeep); err != nil && !errors.Is(err, raft.ErrCompacted) {
+		if at > c.keep {
+			out.First = fleet.Position(at - c.keep)
+			if err := c.mem.Compact(at - c.keep); err != nil && !errors.Is(err, raft.ErrCompacted) {
 				return out, err
 			}
 		}
--- a/fleet/council/member.go
+++ b/fleet/council/member.go
@@ -122,7 +122,7 @@
 	if c.Clock.Mono == nil {
 		c.Clock = RealClock()
 	}
-	core, err := New(saved, c.Guards, c.Clock.Mono(), logger{c.Log})
+	core, err := New(saved, c.Guards, CompactAfter, c.Clock.Mono(), logger{c.Log})
 	if err != nil {
 		return nil, err
 	}
@@ -491,7 +491,8 @@
 // logger has raft's lines at debug, but for its panics, which are real.
 type logger struct{ log *slog.Logger }
 
-var quiet = logger{slog.New(slog.DiscardHandler)}
+// Quiet is a logger for cores that says nothing, but panics where raft would.
+var Quiet raft.Logger = logger{slog.New(slog.DiscardHandler)}
 
 func (l logger) Debug(v ...any)              { l.log.Debug(fmt.Sprint(v...)) }
 func (l logger) Debugf(f string, v ...any)   { l.debug(f, v...) }
--- a/fleet/follow/agent.go
+++ b/fleet/follow/agent.go
@@ -56,26 +56,6 @@
 	Halt     func(at string) // for rehearsals: what a process stumbles at; nil: nothing
 }
 
-// Order is an effect that an owner asks for.
-type Order struct {
-	Work   string        `json:"work"`
-	Token  fleet.Token   `json:"token"`
-	Job    string        `json:"job"`
-	Step   fleet.StepKey `json:"step"`
-	Key    string        `json:"key"`
-	Again  bool          `json:"again,omitempty"` // an earlier owner may have asked
-	Drain  time.Duration `json:"drain,omitempty"`
-	Reason string        `json:"reason,omitempty"`
-}
-
-// Reply is what became of it so far.
-type Reply struct {
-	Running bool        `json:"running,omitempty"`
-	Outcome string      `json:"outcome,omitempty"`
-	Detail  string      `json:"detail,omitempty"`
-	Seen    fleet.Token `json:"seen"` // the highest token of the work
-}
-
 // Look is what a follower shows of its node.
 type Look struct {
 	Name    string         `json:"name"`
@@ -85,13 +65,6 @@
 	Refused uint64         `json:"refused"` // effects that came under an old token
 }
 
-// memory is what outlives the process.
-type memory struct {
-	Gate   owner.Gate   `json:"gate"`
-	Ledger owner.Ledger `json:"ledger"`
-	Holds  []string     `json:"holds"` // servers that this follower has held out
-}
-
 // Agent is a follower beside a node: a receiver of effects.
 type Agent struct {
 	c        AgentConfig
@@ -102,9 +75,8 @@
 	parts    sync.WaitGroup
 
 	mu      sync.Mutex
-	mem     memory
-	cut     map[string]bool // effects that were under way when an earlier process ended
-	holds   []string        // in force
+	mem     *owner.Receiver
+	holds   []string // in force
 	refused uint64
 }
 
@@ -116,22 +88,20 @@
 
 // NewAgent reads what an earlier process has left.
 func NewAgent(c AgentConfig, node Node, client *Client) (*Agent, error) {
-	a := &Agent{c: c, node: node, client: client, cut: make(map[string]bool)}
+	a := &Agent{c: c, node: node, client: client}
+	var kept owner.Memory
 	if err := os.MkdirAll(c.Dir, 0o700); err != nil {
 		return nil, err
 	}
 	raw, err := os.ReadFile(a.file())
 	if err == nil {
-		err = json.Unmarshal(raw, &a.mem)
+		err = json.Unmarshal(raw, &kept)
 	}
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		// Without it an old owner's effect could not be told from a new one's.
 		return nil, fmt.Errorf("%s: %w: see to it before this follower receives anything", a.file(), err)
 	}
-	a.mem.Gate.Guards = c.Guards
-	for _, k := range a.mem.Ledger.Cut() {
-		a.cut[k] = true
-	}
+	a.mem = owner.Wake(kept, c.Guards)
 	a.follower = NewFollower(client, a.report, c.Log)
 	return a, nil
 }
@@ -140,7 +110,7 @@
 
 // save writes down what must outlive the process. The caller has the mutex: nothing passes the gate meanwhile.
 func (a *Agent) save() error {
-	raw, err := json.Marshal(a.mem)
+	raw, err := json.Marshal(a.mem.Memory)
 	if err != nil {
 		return err
 	}
@@ -278,7 +248,7 @@
 // Mount answers owners.
 func (a *Agent) Mount(mux *http.ServeMux) {
 	mux.HandleFunc("POST /v1/effect", func(w http.ResponseWriter, r *http.Request) {
-		var o Order
+		var o owner.Order
 		if !door.Read(w, r, &o) {
 			return
 		}
@@ -302,55 +272,36 @@
 }
 
 // Take lets an effect through or refuses it. What is let through goes on by itself, and is asked for again to learn
-// what became of it. The highest token is on the disk before anything is done under it.
-func (a *Agent) Take(o Order) (Reply, error) {
+// what became of it.
+func (a *Agent) Take(o owner.Order) (owner.Reply, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.ctx == nil || a.ctx.Err() != nil {
+		return owner.Reply{}, errors.New("the follower is not running")
+	}
 	s, _ := a.follower.State()
-	g := &a.mem.Gate
-	if newest := s.Last[o.Work]; newest > g.Seen[o.Work] { // the log has told of a newer owner already
-		if _, changed := g.Pass(o.Work, newest); changed {
-			if err := a.save(); err != nil {
-				return Reply{}, err
+	r, verdict, changed := a.mem.Take(o, s.Last[o.Work])
+	if changed {
+		if err := a.save(); err != nil {
+			if verdict == owner.Run || verdict == owner.Look {
+				a.mem.Unsaved(o.Key)
 			}
+			return owner.Reply{}, err
 		}
 	}
-	pass, changed := g.Pass(o.Work, o.Token)
-	r := Reply{Seen: g.Seen[o.Work]}
-	if !pass {
+	switch verdict {
+	case owner.Refuse:
 		a.refused++
 		a.c.Log.Warn("fleet: an old owner's effect is refused", "work", o.Work, "key", o.Key, "token", o.Token, "newest", r.Seen)
 		return r, fmt.Errorf("the token %d is old: %d has been seen", o.Token, r.Seen)
+	case owner.Run, owner.Look:
+		a.parts.Go(func() { a.carry(a.ctx, o, verdict == owner.Look) })
 	}
-	if changed {
-		if err := a.save(); err != nil {
-			return r, err
-		}
-	}
-	switch e, known := a.mem.Ledger.Effects[o.Key]; {
-	case known && !e.Running:
-		r.Outcome, r.Detail = e.Outcome, e.Detail
-		return r, nil
-	case known && !a.cut[o.Key]:
-		r.Running = true
-		return r, nil
-	}
-	if a.ctx == nil || a.ctx.Err() != nil {
-		return r, errors.New("the follower is not running")
-	}
-	look := a.cut[o.Key] || o.Again // whether it has run is not known here
-	a.mem.Ledger.Begin(o.Key, o.Work, o.Token)
-	if err := a.save(); err != nil {
-		return r, err
-	}
-	delete(a.cut, o.Key)
-	r.Running = true
-	a.parts.Go(func() { a.carry(a.ctx, o, look) })
 	return r, nil
 }
 
 // carry does an effect, and notes what came of it.
-func (a *Agent) carry(ctx context.Context, o Order, look bool) {
+func (a *Agent) carry(ctx context.Context, o owner.Order, look bool) {
 	if a.c.Halt != nil {
 		a.c.Halt("before " + o.Step.What)
 	}
@@ -372,7 +323,7 @@
 	a.c.Log.Info("fleet: an effect has ended", "key", o.Key, "token", o.Token, "outcome", outcome, "detail", detail)
 }
 
-func (a *Agent) do(ctx context.Context, o Order, look bool) (outcome, detail string) {
+func (a *Agent) do(ctx context.Context, o owner.Order, look bool) (outcome, detail string) {
 	var err error
 	switch o.Step.What {
 	case fleet.Out, fleet.BackOut:
@@ -394,7 +345,7 @@
 
 // command runs a command of the operator's, which knows no tokens. Where it may have run already, look says: done is
 // its status where it has. What it can't tell is in doubt, and stays so.
-func (a *Agent) command(ctx context.Context, o Order, words []string, look bool, done int) (outcome, detail string) {
+func (a *Agent) command(ctx context.Context, o owner.Order, words []string, look bool, done int) (outcome, detail string) {
 	if len(words) == 0 {
 		return fleet.Failed, "no command is set for " + o.Step.What
 	}
--- a/fleet/follow/steward.go
+++ b/fleet/follow/steward.go
@@ -4,9 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
-	"maps"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,7 +20,6 @@
 	askWait     = 2 * time.Second // for an answer of a follower
 	lookEvery   = 500 * time.Millisecond
 	lookAtOnce  = 32
-	awayLeases  = 3 // that a steward which gave work to another leaves it to others
 )
 
 // StewardConfig is what a process that may own work is told.
@@ -34,35 +31,32 @@
 	Clock  council.Clock
 	Guards owner.Guards
 	Log    *slog.Logger
-	Halt   func(at string) // for rehearsals; nil: nothing
-	// Late is a guard that a rehearsal takes away: a step is written down only once it has been done.
-	Late bool
+	Late   bool            // of jobs.Steward, for rehearsals
+	Halt   func(at string) // for rehearsals: what a process stumbles at; nil: nothing
 	// Asking hears of each ask before it goes out, and what it returns of the answer; nil: nobody does.
 	Asking func(e fleet.Entry) func(r fleet.Result, known bool)
 }
 
-// Steward wants a kind of work, and does it while it owns it.
+// Steward carries out what a jobs.Steward wants.
 type Steward struct {
 	c        StewardConfig
 	client   *Client
 	follower *Follower
 	parts    sync.WaitGroup
+	owns     atomic.Bool
 
-	mu     sync.Mutex
-	holder owner.Holder
-	ours   fleet.Token    // the newest that it has had
-	since  fleet.Position // the newest entry of its own: it decides by nothing older
-	away   time.Duration  // until when it leaves the work to others
-	owns   atomic.Bool
-	asked  map[string]bool // keys of effects that it has asked for; of the job that goes on
+	mu sync.Mutex
+	s  *jobs.Steward
 
-	looked time.Time
+	looked time.Time // of drive
 	view   jobs.View
 }
 
 // NewSteward makes one.
 func NewSteward(c StewardConfig, client *Client, f *Follower) *Steward {
-	return &Steward{c: c, client: client, follower: f, asked: make(map[string]bool), holder: owner.Holder{Work: c.Work, Name: c.Name, Lease: c.Lease, Guards: c.Guards}}
+	s := jobs.NewSteward(c.Work, c.Name, c.Node, c.Lease, c.Guards)
+	s.Late = c.Late
+	return &Steward{c: c, client: client, follower: f, s: s}
 }
 
 // Owns tells whether it owns the work, as far as it knows.
@@ -72,8 +66,7 @@
 func (s *Steward) Run(ctx context.Context) {
 	defer s.parts.Wait()
 	s.parts.Go(func() { s.drive(ctx) })
-	every := s.c.Lease / 40
-	tick := time.NewTicker(every)
+	tick := time.NewTicker(s.c.Lease / 40)
 	defer tick.Stop()
 	for {
 		s.ask(ctx)
@@ -81,7 +74,7 @@
 		case <-tick.C:
 		case <-ctx.Done():
 			s.mu.Lock()
-			s.holder.StepDown(true)
+			s.s.Leave()
 			s.mu.Unlock()
 			last, stop := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 			defer stop()
@@ -93,10 +86,10 @@
 
 // ask keeps the lease, one ask at a time.
 func (s *Steward) ask(ctx context.Context) {
-	s.heed()
+	st, _ := s.follower.State()
 	s.mu.Lock()
 	at := s.c.Clock.Mono()
-	e, ok := s.holder.Ask(at)
+	e, ok := s.s.Ask(at, st)
 	s.mu.Unlock()
 	if !ok {
 		return
@@ -109,41 +102,19 @@
 	}
 	r, err := s.client.Propose(ctx, e)
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	back := s.c.Clock.Mono()
-	had := s.holder.Has()
-	s.holder.Answered(at, back, e, r, err == nil)
-	if e.Kind == fleet.Acquire && err == nil && r.Err == nil {
-		s.ours, s.since = max(s.ours, r.Token), max(s.since, r.At)
-	}
-	if has := s.holder.Has(); has != had {
-		s.c.Log.Info("fleet: ownership", "work", s.c.Work, "holder", s.c.Name, "owns", has, "token", s.ours, "position", r.At)
+	_, had := s.s.Has()
+	s.s.Answered(at, s.c.Clock.Mono(), e, r, err == nil)
+	token, has := s.s.Has()
+	s.mu.Unlock()
+	if has != had {
+		s.c.Log.Info("fleet: ownership", "work", s.c.Work, "holder", s.c.Name, "owns", has, "token", token, "position", r.At)
 	}
-	s.owns.Store(s.holder.Has())
+	s.owns.Store(has)
 	if answered != nil {
 		answered(r, err == nil)
 	}
 }
 
-// heed gives the work back where the owner is asked to, and comes back after a while.
-func (s *Steward) heed() {
-	st, _ := s.follower.State()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.c.Clock.Mono()
-	if o, ok := st.Owners[s.c.Work]; ok && o.Asked != "" && o.Holder == s.c.Name && now >= s.away {
-		s.away = now + awayLeases*s.c.Lease
-	}
-	s.holder.StepDown(now < s.away)
-}
-
-// token is the one to act under now.
-func (s *Steward) token() (fleet.Token, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.holder.Token(s.c.Clock.Mono())
-}
-
 // drive does what the job asks for while the work is owned.
 func (s *Steward) drive(ctx context.Context) {
 	tick := time.NewTicker(max(s.c.Lease/50, 20*time.Millisecond))
@@ -160,41 +131,30 @@
 
 // pass looks at the job once, and does what comes next.
 func (s *Steward) pass(ctx context.Context) {
-	t, ok := s.token()
-	if !ok {
-		return
-	}
 	st, _ := s.follower.State()
 	s.mu.Lock()
-	since := s.since
+	_, may := s.s.May(s.c.Clock.Mono())
 	s.mu.Unlock()
-	if st.At < since || st.Last[s.c.Work] != t {
-		return // what it has written itself has not come back yet
-	}
-	job := open(st, s.c.Work)
-	if job == nil {
-		s.mu.Lock()
-		clear(s.asked)
-		s.mu.Unlock()
+	if !may || jobs.Open(st, s.c.Work) == nil {
 		return
 	}
+	v := s.look(ctx, st)
+	s.mu.Lock()
+	all := s.s.Next(s.c.Clock.Mono(), st, v)
+	s.mu.Unlock()
 	var acts sync.WaitGroup
-	for _, a := range jobs.Next(job, s.look(ctx, st)) {
-		acts.Go(func() { s.act(ctx, t, job, a) })
+	for _, a := range all {
+		acts.Go(func() {
+			if a.Entry != nil {
+				s.write(ctx, *a.Entry)
+				return
+			}
+			s.effect(ctx, st, *a.Order)
+		})
 	}
 	acts.Wait()
 }
 
-// open is the job of a kind that is not over.
-func open(s *fleet.State, kind string) *fleet.Job {
-	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
-		if j := s.Jobs[id]; j.Over == "" && j.Spec.Kind == kind {
-			return j
-		}
-	}
-	return nil
-}
-
 // look asks all followers how their nodes are, now and then.
 func (s *Steward) look(ctx context.Context, st *fleet.State) jobs.View {
 	if time.Since(s.looked) < lookEvery {
@@ -202,7 +162,7 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, askWait)
 	defer stop()
-	v := jobs.View{Self: s.c.Node, Nodes: make(map[string]jobs.Node)}
+	v := jobs.View{Nodes: make(map[string]jobs.Node)}
 	var mu sync.Mutex
 	var asks sync.WaitGroup
 	room := make(chan struct{}, lookAtOnce)
@@ -222,65 +182,37 @@
 	return v
 }
 
-// act does one thing.
-func (s *Steward) act(ctx context.Context, t fleet.Token, j *fleet.Job, a jobs.Action) {
-	switch a.Do {
-	case jobs.Begin:
-		if s.c.Late {
-			s.effect(ctx, t, j, a)
-			return
-		}
-		s.write(ctx, fleet.Entry{Kind: fleet.Begin, Job: j.ID, Step: a.Step, Token: t})
-	case jobs.Ask:
-		if st := j.Steps[a.Step]; st.Token != t { // an earlier owner's: it is taken up first, in the log
-			s.write(ctx, fleet.Entry{Kind: fleet.Begin, Job: j.ID, Step: a.Step, Token: t})
-			return
-		}
-		s.effect(ctx, t, j, a)
-	case jobs.Close:
-		s.write(ctx, fleet.Entry{Kind: fleet.Close, Job: j.ID, Token: t, Outcome: a.Over, Detail: clip(a.Detail)})
-	case jobs.StepDown:
-		s.mu.Lock()
-		s.away = s.c.Clock.Mono() + awayLeases*s.c.Lease
-		s.mu.Unlock()
-		s.c.Log.Info("fleet: the owner's own node is next, and another may have the work", "work", s.c.Work, "token", t)
-	}
-}
-
-// effect asks a node's follower for a step, and writes down what came of it.
-func (s *Steward) effect(ctx context.Context, t fleet.Token, j *fleet.Job, a jobs.Action) {
-	st, _ := s.follower.State()
-	n, ok := st.Nodes[a.Step.Node]
+// effect asks a node's follower for a step, and writes down what came of it. A node that is not known waits: it has
+// not joined, or is forgotten; the job can be aborted.
+func (s *Steward) effect(ctx context.Context, st *fleet.State, o owner.Order) {
+	n, ok := st.Nodes[o.Step.Node]
 	if !ok {
-		return // it has not joined, or is forgotten: abort the job, or wait
-	}
-	o := Order{Work: s.c.Work, Token: t, Job: j.ID, Step: a.Step, Key: jobs.Key(j.ID, a.Step), Again: a.Again, Drain: j.Spec.Drain, Reason: j.ID + ": " + j.Reason}
-	if _, may := s.token(); !may {
 		return
 	}
 	s.mu.Lock()
-	o.Again = o.Again || s.asked[o.Key] // whether the first ask came through, nobody may know
-	s.asked[o.Key] = true
+	t, may := s.s.May(s.c.Clock.Mono())
 	s.mu.Unlock()
+	if !may || t != o.Token {
+		return
+	}
 	if s.c.Halt != nil { // between the check of the lease and the effect
 		s.c.Halt("effect")
 	}
 	ctx, stop := context.WithTimeout(ctx, askWait)
 	defer stop()
-	var r Reply
+	var r owner.Reply
 	if err := s.client.Call(ctx, http.MethodPost, n.Address, "/effect", o, &r); err != nil {
 		if errors.Is(err, ErrNo) {
-			s.c.Log.Warn("fleet: an effect is refused", "key", o.Key, "token", t, "error", err)
+			s.c.Log.Warn("fleet: an effect is refused", "key", o.Key, "token", o.Token, "error", err)
 		}
 		return // asked again
 	}
-	if r.Running || r.Outcome == "" {
-		return
-	}
-	if s.c.Late {
-		s.write(ctx, fleet.Entry{Kind: fleet.Begin, Job: j.ID, Step: a.Step, Token: t})
+	s.mu.Lock()
+	entries := s.s.Replied(o, r)
+	s.mu.Unlock()
+	for _, e := range entries {
+		s.write(ctx, e)
 	}
-	s.write(ctx, fleet.Entry{Kind: fleet.Done, Job: j.ID, Step: a.Step, Token: t, Outcome: r.Outcome, Detail: clip(r.Detail)})
 }
 
 // write puts an entry into the log. One that was not answered may be there, or come.
@@ -292,9 +224,9 @@
 		return
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.since = max(s.since, r.At)
-	if errors.Is(r.Err, fleet.ErrLost) {
+	lost := s.s.Wrote(r)
+	s.mu.Unlock()
+	if lost {
 		s.c.Log.Warn("fleet: the log refuses a step: the work is another's", "work", s.c.Work, "job", e.Job, "step", e.Step.String(), "token", e.Token)
 	}
 }
--- /dev/null
+++ b/fleet/jobs/steward.go
@@ -0,0 +1,128 @@
+package jobs
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"cobaltward/fleet"
+	"cobaltward/fleet/owner"
+)
+
+// awayLeases is for how many leases a steward that gave its work to another leaves it to others.
+const awayLeases = 3
+
+// Steward is one process that wants a kind of work, and does it while it owns it: what the log says in, entries to
+// propose and effects to ask for out. Times are of the process's own monotonic clock.
+type Steward struct {
+	Work string
+	Node string // that is beside it
+	// Late is a guard that a rehearsal takes away: a step is written down only once it has been done.
+	Late bool
+
+	holder owner.Holder
+	token  fleet.Token     // the newest that it has had
+	since  fleet.Position  // the newest entry of its own: it decides by nothing older
+	away   time.Duration   // until when it leaves the work to others
+	asked  map[string]bool // keys of effects that it has asked for, of the job that goes on
+}
+
+// NewSteward makes one; name is that of this run of the process.
+func NewSteward(work, name, node string, lease time.Duration, g owner.Guards) *Steward {
+	return &Steward{Work: work, Node: node, holder: owner.Holder{Work: work, Name: name, Lease: lease, Guards: g}, asked: make(map[string]bool)}
+}
+
+// Ask is what to propose now for the ownership's sake; ok is false where that is nothing. An owner that is asked to
+// step down does, and comes back after a while.
+func (s *Steward) Ask(now time.Duration, st *fleet.State) (e fleet.Entry, ok bool) {
+	if o, there := st.Owners[s.Work]; there && o.Asked != "" && o.Holder == s.holder.Name && now >= s.away {
+		s.leave(now)
+	}
+	s.holder.StepDown(now < s.away)
+	return s.holder.Ask(now)
+}
+
+// Answered tells what came of an ask that went out at asked; known is false where nobody can tell.
+func (s *Steward) Answered(asked, now time.Duration, e fleet.Entry, r fleet.Result, known bool) {
+	s.holder.Answered(asked, now, e, r, known)
+	if e.Kind == fleet.Acquire && known && r.Err == nil {
+		s.token, s.since = max(s.token, r.Token), max(s.since, r.At)
+	}
+}
+
+// Leave has it give the work back, for good.
+func (s *Steward) Leave() { s.away = 1<<63 - 1 }
+
+func (s *Steward) leave(now time.Duration) { s.away = now + awayLeases*s.holder.Lease }
+
+// Has tells whether it has the work as far as it knows, and its newest token.
+func (s *Steward) Has() (fleet.Token, bool) { return s.token, s.holder.Has() }
+
+// May tells whether it may act now, and under which token. It is asked again right before each effect.
+func (s *Steward) May(now time.Duration) (fleet.Token, bool) { return s.holder.Token(now) }
+
+// Act is one thing that a steward wants done: an entry proposed, or an effect asked for.
+type Act struct {
+	Entry *fleet.Entry
+	Order *owner.Order
+}
+
+// Next is what to do now, by a state and what can be seen of the nodes. It is nothing while this process may not act,
+// or has not seen its own newest entry come back.
+func (s *Steward) Next(now time.Duration, st *fleet.State, v View) (all []Act) {
+	t, ok := s.May(now)
+	if !ok || st.At < s.since || st.Last[s.Work] != t {
+		return nil
+	}
+	job := Open(st, s.Work)
+	if job == nil {
+		clear(s.asked)
+		return nil
+	}
+	v.Self = s.Node
+	for _, a := range Next(job, v) {
+		switch {
+		case a.Do == StepDown:
+			s.leave(now)
+		case a.Do == Close:
+			all = append(all, Act{Entry: &fleet.Entry{Kind: fleet.Close, Job: job.ID, Token: t, Outcome: a.Over, Detail: a.Detail}})
+		case a.Do == Begin && !s.Late, a.Do == Ask && job.Steps[a.Step].Token != t: // an earlier owner's is taken up in the log first
+			all = append(all, Act{Entry: &fleet.Entry{Kind: fleet.Begin, Job: job.ID, Step: a.Step, Token: t}})
+		default:
+			key := Key(job.ID, a.Step)
+			o := &owner.Order{Work: s.Work, Token: t, Job: job.ID, Step: a.Step, Key: key, Drain: job.Spec.Drain, Reason: job.ID + ": " + job.Reason,
+				Again: a.Again || s.asked[key]} // whether the first ask came through, nobody may know
+			s.asked[key] = true
+			all = append(all, Act{Order: o})
+		}
+	}
+	return all
+}
+
+// Wrote tells what came of an entry of Next or Replied that was answered. It says whether the work is another's.
+func (s *Steward) Wrote(r fleet.Result) (lost bool) {
+	s.since = max(s.since, r.At)
+	return errors.Is(r.Err, fleet.ErrLost)
+}
+
+// Replied is what to write down after a reply to an order.
+func (s *Steward) Replied(o owner.Order, r owner.Reply) (all []fleet.Entry) {
+	if r.Running || r.Outcome == "" {
+		return nil
+	}
+	if s.Late {
+		all = append(all, fleet.Entry{Kind: fleet.Begin, Job: o.Job, Step: o.Step, Token: o.Token})
+	}
+	return append(all, fleet.Entry{Kind: fleet.Done, Job: o.Job, Step: o.Step, Token: o.Token, Outcome: r.Outcome, Detail: r.Detail})
+}
+
+// Open is the job of a kind that is not over; nil where there is none.
+func Open(s *fleet.State, kind string) *fleet.Job {
+	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
+		if j := s.Jobs[id]; j.Over == "" && j.Spec.Kind == kind {
+			return j
+		}
+	}
+	return nil
+}
--- a/fleet/owner/owner.go
+++ b/fleet/owner/owner.go
@@ -8,7 +8,6 @@
 package owner
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -84,13 +83,14 @@
 	Lease  time.Duration
 	Guards Guards
 
-	token    fleet.Token
-	until    time.Duration // it may act before this
-	asked    time.Duration // when the ask went out that is under way
-	flying   bool
-	next     time.Duration // no ask before this
-	down     bool          // it steps down
-	acquired bool
+	token  fleet.Token
+	until  time.Duration // it may act before this
+	asked  time.Duration // when the ask went out that is under way
+	flying bool
+	next   time.Duration // no ask before this
+	down   bool          // it steps down
+	past   fleet.Token   // the newest that it has had: an answer that comes late gives it back no older one
+	giving fleet.Token   // that it has given up: the council is told, and nothing is done under it any more
 }
 
 // Ask is what to propose now; ok is false where nothing is to be asked.
@@ -101,15 +101,19 @@
 	if h.token != 0 && now >= h.until {
 		h.token = 0 // over, whatever the council thinks
 	}
-	if h.token == 0 && h.down {
+	if h.down && h.token != 0 { // before the council may hear of it: another may begin at once then
+		h.giving, h.token = h.token, 0
+	}
+	if h.down && (h.giving == 0 || now >= h.until) {
 		return e, false
 	}
 	h.asked, h.flying = now, true
 	switch {
+	case h.down:
+		return fleet.Entry{Kind: fleet.Release, Work: h.Work, Token: h.giving}, true
 	case h.token == 0:
+		h.giving = 0
 		return fleet.Entry{Kind: fleet.Acquire, Work: h.Work, Holder: h.Name, Lease: h.Lease}, true
-	case h.down:
-		return fleet.Entry{Kind: fleet.Release, Work: h.Work, Token: h.token}, true
 	}
 	return fleet.Entry{Kind: fleet.Renew, Work: h.Work, Token: h.token}, true
 }
@@ -126,6 +130,10 @@
 	switch {
 	case !known:
 		h.next = max(h.next, now+h.Lease/20)
+	case e.Kind == fleet.Release: // done, or lost already
+		if e.Token == h.giving {
+			h.giving = 0
+		}
 	case r.Err != nil && e.Kind == fleet.Acquire:
 		h.next = now + h.Lease/4
 	case r.Err != nil: // it has been lost, and it is known
@@ -134,27 +142,25 @@
 		}
 		h.next = now + h.Lease/10
 	case e.Kind == fleet.Acquire:
-		if r.Token > h.token {
-			h.token, h.until = r.Token, from+h.Lease
+		if r.Token > h.past && !h.down {
+			h.past, h.token, h.until = r.Token, r.Token, from+h.Lease
 			h.next = asked + h.Lease/4
 		}
 	case e.Kind == fleet.Renew && e.Token == h.token:
 		h.until = max(h.until, from+h.Lease)
 		h.next = asked + h.Lease/4
-	case e.Kind == fleet.Release && e.Token == h.token:
-		h.token = 0
 	}
 }
 
 // Token is the one to act under; ok is false where it must not act, or stops itself since little of the lease is left.
 func (h *Holder) Token(now time.Duration) (t fleet.Token, ok bool) {
-	if h.token == 0 || now >= h.until-h.Lease/10 {
+	if h.token == 0 || h.down || now >= h.until-h.Lease/10 {
 		return 0, false
 	}
 	return h.token, true
 }
 
-// StepDown has the holder give the work back, and not ask for it until it is told to.
+// StepDown has the holder give the work back, and not ask for it until it is told to. It may not act from then on.
 func (h *Holder) StepDown(down bool) {
 	if h.down != down {
 		h.down, h.next = down, 0
@@ -163,75 +169,3 @@
 
 // Has tells whether it has the work as far as it knows.
 func (h *Holder) Has() bool { return h.token != 0 }
-
-// Gate is what a receiver remembers: the highest token of each work that it has seen. It is on the disk before
-// anything is done under a token.
-type Gate struct {
-	Guards Guards                 `json:"-"`
-	Seen   map[string]fleet.Token `json:"seen"`
-}
-
-// Pass says whether an effect under a token may be done, and whether the gate has changed by it, so that it has to be
-// written down first.
-func (g *Gate) Pass(work string, t fleet.Token) (pass, changed bool) {
-	if t < g.Seen[work] {
-		return g.Guards.NoToken, false
-	}
-	if t == g.Seen[work] {
-		return t != 0, false
-	}
-	if g.Seen == nil {
-		g.Seen = make(map[string]fleet.Token)
-	}
-	g.Seen[work] = t
-	return true, true
-}
-
-// Ledger is what a receiver has done, by the key of each effect, so that a repeat gets the first one's outcome.
-type Ledger struct {
-	Effects map[string]Effect `json:"effects"`
-	N       uint64            `json:"n"`
-}
-
-// Effect is one.
-type Effect struct {
-	N       uint64      `json:"n"` // 1, 2, ...: the older ones go first
-	Work    string      `json:"work"`
-	Token   fleet.Token `json:"token"` // the newest under which it was asked for
-	Running bool        `json:"running"`
-	Outcome string      `json:"outcome,omitempty"`
-	Detail  string      `json:"detail,omitempty"`
-}
-
-const mostEffects = 4096
-
-// Begin notes an effect that is about to be done.
-func (l *Ledger) Begin(key, work string, t fleet.Token) {
-	if l.Effects == nil {
-		l.Effects = make(map[string]Effect)
-	}
-	l.N++
-	l.Effects[key] = Effect{N: l.N, Work: work, Token: t, Running: true}
-	if len(l.Effects) > mostEffects {
-		oldest := slices.MinFunc(slices.Collect(maps.Keys(l.Effects)), func(a, b string) int { return cmp.Compare(l.Effects[a].N, l.Effects[b].N) })
-		delete(l.Effects, oldest)
-	}
-}
-
-// End notes what came of it.
-func (l *Ledger) End(key, outcome, detail string) {
-	e := l.Effects[key]
-	e.Running, e.Outcome, e.Detail = false, outcome, detail
-	l.Effects[key] = e
-}
-
-// Cut are the effects that were under way when the process ended: what came of them has to be looked at.
-func (l *Ledger) Cut() (keys []string) {
-	for k, e := range l.Effects {
-		if e.Running {
-			keys = append(keys, k)
-		}
-	}
-	slices.Sort(keys)
-	return keys
-}
