--- a/emulator/concert/concert.go
+++ b/emulator/concert/concert.go
@@ -45,18 +45,18 @@
 	Length  time.Duration
 	Lie     bool // clocks jump, too: then only receivers' rules are held against the run
 	Guards  owner.Guards
-	Late    bool // steps are written down only afterwards
-	NoSync  bool // votes and terms are not synced
+	NoSync  bool  // votes and terms are not synced
+	Only    []int // of the kinds of faults in draw; nil: all
 	Trace   func(string)
 }
 
 // Result is what a schedule came to.
 type Result struct {
-	Broken                                           []string
-	Effects, Tokens, Late, Refused, Rounds, Commits  int
-	Crashes, Stops, Cuts, Lost, Repeated, Jumps, New int
-	Wakes                                            int // stops that were longer than a lease
-	Messages                                         int
+	Broken                                                []string
+	Effects, Tokens, Late, Refused, Rounds, Commits       int
+	Crashes, Stops, Cuts, Lost, Repeated, Jumps, New, Old int
+	Wakes                                                 int // stops that were longer than a lease
+	Messages                                              int
 }
 
 // Add sums up.
@@ -66,15 +66,15 @@
 		to   *int
 		from int
 	}{{&r.Effects, o.Effects}, {&r.Tokens, o.Tokens}, {&r.Late, o.Late}, {&r.Refused, o.Refused}, {&r.Rounds, o.Rounds}, {&r.Commits, o.Commits},
-		{&r.Crashes, o.Crashes}, {&r.Stops, o.Stops}, {&r.Cuts, o.Cuts}, {&r.Lost, o.Lost}, {&r.Repeated, o.Repeated}, {&r.Jumps, o.Jumps}, {&r.New, o.New},
+		{&r.Crashes, o.Crashes}, {&r.Stops, o.Stops}, {&r.Cuts, o.Cuts}, {&r.Lost, o.Lost}, {&r.Repeated, o.Repeated}, {&r.Jumps, o.Jumps}, {&r.New, o.New}, {&r.Old, o.Old},
 		{&r.Wakes, o.Wakes}, {&r.Messages, o.Messages}} {
 		*p.to += p.from
 	}
 }
 
 func (r Result) String() string {
-	return fmt.Sprintf("%d effects under %d tokens (%d late and harmless, %d refused), %d patches in %d rounds; %d crashes, %d stops (%d longer than a lease), %d cuts, %d new disks, %d jumps of clocks; of %d messages %d lost, %d repeated",
-		r.Effects, r.Tokens, r.Late, r.Refused, r.Commits, r.Rounds, r.Crashes, r.Stops, r.Wakes, r.Cuts, r.New, r.Jumps, r.Messages, r.Lost, r.Repeated)
+	return fmt.Sprintf("%d effects under %d tokens (%d late and harmless, %d refused), %d patches in %d rounds; %d crashes, %d stops (%d longer than a lease), %d cuts, %d new disks, %d older ones of receivers, %d jumps of clocks; of %d messages %d lost, %d repeated",
+		r.Effects, r.Tokens, r.Late, r.Refused, r.Commits, r.Rounds, r.Crashes, r.Stops, r.Wakes, r.Cuts, r.New, r.Old, r.Jumps, r.Messages, r.Lost, r.Repeated)
 }
 
 // event is something that happens at a process, or to the world where it has none.
@@ -82,7 +82,7 @@
 	at   time.Duration
 	n    uint64
 	on   *process
-	life int // of the process; another one: it is lost
+	life int // of the process; another one: it is lost; 0: any
 	do   func()
 }
 
@@ -109,6 +109,7 @@
 	up      bool
 	life    int
 	stopped time.Duration // until then; 0: it runs
+	slow    time.Duration // that messages to it take longer
 	rate    float64       // of its clock
 	jumped  time.Duration
 
@@ -122,6 +123,7 @@
 	steward *jobs.Steward
 	mem     *owner.Receiver
 	kept    []byte // of the receiver's memory
+	older   []byte // a copy of it
 	node    *node
 }
 
@@ -280,11 +282,10 @@
 	if p.kept != nil {
 		decode(p.kept, &m)
 	}
-	p.mem = owner.Wake(m, w.c.Guards)
+	p.mem = owner.Wake(m, p.name, fmt.Sprint(p.life), w.c.Guards)
 	p.every(poll, p.follow)
 	if p.index-w.c.Members < w.c.Owners {
 		p.steward = jobs.NewSteward(fleet.Round, fmt.Sprintf("%s/%d", p.name, p.life), p.name, lease, w.c.Guards)
-		p.steward.Late = w.c.Late
 		p.every(drive, p.own)
 	}
 }
@@ -349,6 +350,9 @@
 		if out.Compact != nil {
 			s := &p.disk.synced
 			s.Snapshot = out.Compact
+			if p.disk.hard != nil {
+				s.Hard, p.disk.hard = p.disk.hard, nil
+			}
 			s.Entries = slices.DeleteFunc(slices.Clone(s.Entries), func(e *pb.Entry) bool { return e.GetIndex() <= out.Compact.GetMetadata().GetIndex() })
 		}
 		for _, m := range x.Messages {
@@ -395,20 +399,30 @@
 	return nil
 }
 
-// send carries a message: lost, late, or twice.
-func (w *world) send(from, to *process, do func()) {
+// send carries a message to a process, whichever life it is in: lost, late, or twice. Answers go to the life that
+// asked, which is why they are sent by reply.
+func (w *world) send(from, to *process, do func()) { w.carry(from, to, 0, do) }
+
+// reply is the way back of what a process in one life has asked.
+func (w *world) reply(from, to *process, life int, do func()) { w.carry(from, to, life, do) }
+
+func (w *world) carry(from, to *process, life int, do func()) {
 	w.res.Messages++
 	if w.cut[[2]int{from.index, to.index}] > 0 || w.r.Float64() < w.loss {
 		w.res.Lost++
 		return
 	}
 	late := func() time.Duration {
-		return ms + time.Duration(w.r.ExpFloat64()*float64(3*ms)) + time.Duration(w.r.ExpFloat64()*float64(w.slow))
+		return ms + time.Duration(w.r.ExpFloat64()*float64(3*ms)) + time.Duration(w.r.ExpFloat64()*float64(w.slow)) + to.slow
 	}
-	w.at(late(), to, do)
+	deliver := func(d time.Duration) {
+		w.n++
+		heap.Push(&w.events, event{at: w.now + d, n: w.n, on: to, life: life, do: do})
+	}
+	deliver(late())
 	if w.r.Float64() < w.repeat {
 		w.res.Repeated++
-		w.at(late()+time.Duration(w.r.Float64()*w.r.Float64()*float64(lateMost)), to, do)
+		deliver(late() + time.Duration(w.r.Float64()*w.r.Float64()*float64(lateMost)))
 	}
 }
 
@@ -416,9 +430,9 @@
 func (p *process) propose(to *process, e fleet.Entry, back func(fleet.Result)) {
 	w := p.w
 	w.asked++
-	id := w.asked<<1 | 1
+	id, life := w.asked<<1|1, p.life
 	w.send(p, to, func() {
-		to.waiting[id] = func(r fleet.Result) { w.send(to, p, func() { back(r) }) }
+		to.waiting[id] = func(r fleet.Result) { w.reply(to, p, life, func() { back(r) }) }
 		if to.core.Propose(id, e) != nil {
 			delete(to.waiting, id)
 		}
@@ -430,13 +444,17 @@
 
 // follow asks a member for the state.
 func (p *process) follow() {
-	to := p.w.any()
+	to, life := p.w.any(), p.life
 	p.w.send(p, to, func() {
 		s := to.core.State()
-		p.w.send(to, p, func() {
+		p.w.reply(to, p, life, func() {
 			if s.Newer(p.state) {
 				p.state = s
 			}
+			if !p.mem.Joined(p.state) {
+				self := fleet.Node{Name: p.name, Address: p.name, Capacity: 1, Owns: p.steward != nil, Run: fmt.Sprint(p.life)}
+				p.propose(p.w.any(), fleet.Entry{Kind: fleet.Join, Node: &self}, func(fleet.Result) {})
+			}
 		})
 	})
 }
@@ -472,10 +490,10 @@
 }
 
 func (p *process) effect(o owner.Order) {
-	w := p.w
+	w, life := p.w, p.life
 	to := w.followers[slices.IndexFunc(w.followers, func(f *process) bool { return f.name == o.Step.Node })]
 	w.send(p, to, func() {
-		reply, verdict, changed := to.mem.Take(o, to.state.Last[o.Work])
+		reply, verdict, changed := to.mem.Take(o, to.state)
 		if changed {
 			to.keep()
 		}
@@ -483,10 +501,12 @@
 		case owner.Refuse:
 			w.res.Refused++
 			return
+		case owner.Later:
+			return
 		case owner.Run, owner.Look:
 			to.carry(o, verdict == owner.Look)
 		}
-		w.send(to, p, func() {
+		w.reply(to, p, life, func() {
 			for _, e := range p.steward.Replied(o, reply) {
 				p.write(e)
 			}
@@ -494,7 +514,12 @@
 	})
 }
 
-func (p *process) keep() { p.kept = encode(p.mem.Memory) }
+func (p *process) keep() {
+	if p.w.r.IntN(8) == 0 {
+		p.older = p.kept
+	}
+	p.kept = encode(p.mem.Memory)
+}
 
 // carry does an effect to the node, in a while; a crash in between leaves it half done.
 func (p *process) carry(o owner.Order, look bool) {
@@ -566,11 +591,12 @@
 		}
 		w.now = max(w.now, e.at)
 		if p := e.on; p != nil {
-			if !p.up || p.life != e.life {
+			if !p.up || e.life != 0 && p.life != e.life {
 				continue
 			}
 			if p.stopped > w.now {
-				w.at(p.stopped-w.now, p, e.do)
+				e.at = p.stopped
+				heap.Push(&w.events, e)
 				continue
 			}
 			p.stopped = 0
@@ -661,9 +687,13 @@
 		}
 		p := all[r.IntN(len(all))]
 		q := all[r.IntN(len(all))]
-		switch r.IntN(11) {
+		kind := r.IntN(12)
+		if w.c.Only != nil {
+			kind = w.c.Only[r.IntN(len(w.c.Only))]
+		}
+		switch kind {
 		case 0, 1:
-			lost := p.node == nil && r.IntN(3) == 0
+			lost := r.IntN(3) == 0
 			w.at(at, nil, func() { w.kill(p, lost) })
 			w.at(at+length, nil, func() { w.revive(p) })
 		case 2, 3: // of half a lease, of ten, of a hundred and fifty
@@ -691,6 +721,13 @@
 			repeat := 0.4 * r.Float64()
 			w.at(at, nil, func() { w.repeat += repeat })
 			w.at(at+length, nil, func() { w.repeat -= repeat })
+		case 11: // a process hears late, and then nothing and nobody hears it
+			slow := time.Duration(0.45 * r.Float64() * float64(lease))
+			w.at(at, nil, func() { p.slow += slow })
+			w.at(at+length, nil, func() { p.slow -= slow })
+			if at+2*length < w.c.Length {
+				w.cutOff(at+length, length, func(a, b *process) bool { return a == p || b == p }, 0)
+			}
 		case 10:
 			if w.c.Lie {
 				jump := between(-5*time.Second, 20*time.Second)
@@ -716,7 +753,12 @@
 
 func (w *world) kill(p *process, lost bool) {
 	p.crash()
-	if !lost || len(w.members) < 3 {
+	if p.node != nil && lost { // its disk is lost, or a copy is put back
+		p.kept = p.older
+		w.res.Old++
+		w.trace("%s finds an older disk", p.name)
+	}
+	if p.node != nil || !lost || len(w.members) < 3 {
 		return
 	}
 	s := w.newestState()
--- a/emulator/processes/child.go
+++ b/emulator/processes/child.go
@@ -51,7 +51,7 @@
 		case "asking":
 			r.Guards.FromAnswer = true
 		case "before":
-			r.Late = true
+			r.Guards.Late = true
 		}
 	}
 	if path := os.Getenv(syncEnv); path != "" {
--- a/fleet/follow/steward.go
+++ b/fleet/follow/steward.go
@@ -31,7 +31,6 @@
 	Clock  council.Clock
 	Guards owner.Guards
 	Log    *slog.Logger
-	Late   bool            // of jobs.Steward, for rehearsals
 	Halt   func(at string) // for rehearsals: what a process stumbles at; nil: nothing
 	// Asking hears of each ask before it goes out, and what it returns of the answer; nil: nobody does.
 	Asking func(e fleet.Entry) func(r fleet.Result, known bool)
@@ -54,9 +53,7 @@
 
 // NewSteward makes one.
 func NewSteward(c StewardConfig, client *Client, f *Follower) *Steward {
-	s := jobs.NewSteward(c.Work, c.Name, c.Node, c.Lease, c.Guards)
-	s.Late = c.Late
-	return &Steward{c: c, client: client, follower: f, s: s}
+	return &Steward{c: c, client: client, follower: f, s: jobs.NewSteward(c.Work, c.Name, c.Node, c.Lease, c.Guards)}
 }
 
 // Owns tells whether it owns the work, as far as it knows.
--- a/fleet/jobs/steward.go
+++ b/fleet/jobs/steward.go
@@ -18,8 +18,6 @@
 type Steward struct {
 	Work string
 	Node string // that is beside it
-	// Late is a guard that a rehearsal takes away: a step is written down only once it has been done.
-	Late bool
 
 	holder owner.Holder
 	token  fleet.Token     // the newest that it has had
@@ -87,7 +85,7 @@
 			s.leave(now)
 		case a.Do == Close:
 			all = append(all, Act{Entry: &fleet.Entry{Kind: fleet.Close, Job: job.ID, Token: t, Outcome: a.Over, Detail: a.Detail}})
-		case a.Do == Begin && !s.Late, a.Do == Ask && job.Steps[a.Step].Token != t: // an earlier owner's is taken up in the log first
+		case a.Do == Begin && !s.holder.Guards.Late, a.Do == Ask && job.Steps[a.Step].Token != t: // an earlier owner's is taken up in the log first
 			all = append(all, Act{Entry: &fleet.Entry{Kind: fleet.Begin, Job: job.ID, Step: a.Step, Token: t}})
 		default:
 			key := Key(job.ID, a.Step)
@@ -111,7 +109,7 @@
 	if r.Running || r.Outcome == "" {
 		return nil
 	}
-	if s.Late {
+	if s.holder.Guards.Late {
 		all = append(all, fleet.Entry{Kind: fleet.Begin, Job: o.Job, Step: o.Step, Token: o.Token})
 	}
 	return append(all, fleet.Entry{Kind: fleet.Done, Job: o.Job, Step: o.Step, Token: o.Token, Outcome: r.Outcome, Detail: r.Detail})
--- a/fleet/owner/owner.go
+++ b/fleet/owner/owner.go
@@ -25,9 +25,10 @@
 
 // Guards are what ownership rests on, for rehearsals to take one away. The zero value is whole.
 type Guards struct {
-	NoToken    bool // receivers let any token through
-	NoWait     bool // a lease is over as soon as the council wants it to be: it waits a quarter of it
+	NoToken    bool // receivers let any token through, and ask nothing of the log
+	NoWait     bool // a lease is over for the council after a quarter of it
 	FromAnswer bool // a holder counts its lease from the answer
+	Late       bool // a step is written down only once it has been done
 }
 
 // Lessor tells which leases are over. Each member of the council has one, so that a new leader need not begin to wait
--- a/fleet/owner/receiver.go
+++ b/fleet/owner/receiver.go
@@ -34,7 +34,8 @@
 
 // The verdicts.
 const (
-	Refuse Verdict = iota // the token is old
+	Refuse Verdict = iota // the token is old, or the job is over
+	Later                 // this process does not know enough yet: it is asked again
 	Tell                  // it is done, or under way
 	Run                   // it is to be done
 	Look                  // it may have been done: look, and do it where it has not
@@ -49,14 +50,20 @@
 
 // Receiver decides which effects are done. Whenever it says that its memory has changed, that is on the disk before
 // anything is done or answered.
+//
+// A memory may be older than what the process before has done: a disk that was lost, or restored. So a process takes
+// nothing before it has seen its own Join in the log: every token granted, and every step ended, before it was started
+// is in the log before that, and is known then.
 type Receiver struct {
 	Memory
-	unsure map[string]bool // effects that were under way when an earlier process ended
+	node, run string
+	joined    fleet.Position  // where its own Join was seen; 0: not yet
+	unsure    map[string]bool // effects that were under way when an earlier process ended
 }
 
-// Wake makes a receiver of what an earlier process has kept.
-func Wake(m Memory, g Guards) *Receiver {
-	r := &Receiver{Memory: m, unsure: make(map[string]bool)}
+// Wake makes a receiver of what an earlier process has kept. node and run are those of the Join of this process.
+func Wake(m Memory, node, run string, g Guards) *Receiver {
+	r := &Receiver{Memory: m, node: node, run: run, unsure: make(map[string]bool)}
 	r.Gate.Guards = g
 	for _, k := range r.Ledger.cut() {
 		r.unsure[k] = true
@@ -64,9 +71,21 @@
 	return r
 }
 
-// Take decides on an order. newest is the newest token of its work that the log has told of.
-func (r *Receiver) Take(o Order, newest fleet.Token) (reply Reply, v Verdict, changed bool) {
-	if newest > r.Gate.Seen[o.Work] {
+// Joined tells whether the process has seen its own Join; st is the state that it follows.
+func (r *Receiver) Joined(st *fleet.State) bool {
+	if r.joined == 0 && st.Nodes[r.node].Run == r.run {
+		r.joined = st.At
+	}
+	return r.joined != 0
+}
+
+// Take decides on an order. st is the state that the process follows; it may be behind.
+func (r *Receiver) Take(o Order, st *fleet.State) (reply Reply, v Verdict, changed bool) {
+	open := r.Gate.Guards.NoToken // a rehearsal: anything is let through
+	if !r.Joined(st) && !open {
+		return reply, Later, false
+	}
+	if newest := st.Last[o.Work]; newest > r.Gate.Seen[o.Work] {
 		_, changed = r.Gate.Pass(o.Work, newest)
 	}
 	pass, raised := r.Gate.Pass(o.Work, o.Token)
@@ -87,6 +106,26 @@
 	if r.unsure[o.Key] || o.Again {
 		v = Look
 	}
+	if !open {
+		j := st.Jobs[o.Job]
+		if j == nil && r.Gate.Guards.Late {
+			j = &fleet.Job{}
+		}
+		if j == nil {
+			return reply, Later, changed
+		}
+		switch step := j.Steps[o.Step]; {
+		case step.Begun == 0 && !r.Gate.Guards.Late: // the intent is in the log first
+			return reply, Later, changed
+		case step.Ended != 0:
+			reply.Outcome, reply.Detail = step.Outcome, step.Detail
+			return reply, Tell, changed
+		case j.Over != "":
+			return reply, Refuse, changed
+		case step.Begun != 0 && step.Begun <= r.joined: // a process before this one may have had it
+			v = Look
+		}
+	}
 	r.Ledger.Begin(o.Key, o.Work, o.Token)
 	delete(r.unsure, o.Key)
 	reply.Running = true
--- a/internal/fleetcli/serve.go
+++ b/internal/fleetcli/serve.go
@@ -32,7 +32,6 @@
 	Clock  council.Clock
 	Disk   func(council.Disk) council.Disk
 	Guards owner.Guards
-	Late   bool
 	Halt   func(at string)
 	Asking func(e fleet.Entry, holder string) func(r fleet.Result, known bool)
 }
@@ -216,7 +215,7 @@
 	}
 	for _, work := range s.Owns {
 		stewards = append(stewards, follow.NewSteward(follow.StewardConfig{Work: work, Name: s.Name + "/" + run, Node: s.Name, Lease: s.Lease, Clock: clock(r),
-			Guards: r.Guards, Log: s.log, Halt: r.Halt, Late: r.Late, Asking: asking}, client, a.Follower()))
+			Guards: r.Guards, Log: s.log, Halt: r.Halt, Asking: asking}, client, a.Follower()))
 	}
 	ended := make(chan struct{})
 	for _, st := range stewards {
