A round over real nodes under load, its owner killed every five seconds

Need: the working end: nodes drained, replaced and taken back by owners that die, with requests going on. Change: the rig runs real nodes, emulated app servers, clients behind a front that looks at readiness; faults name 'owner'.

--- a/emulator/processes/child.go
+++ b/emulator/processes/child.go
@@ -18,12 +18,13 @@
 
 	"cobaltward/fleet"
 	"cobaltward/fleet/council"
+	"cobaltward/internal/cli"
 	"cobaltward/internal/fleetcli"
 )
 
 // What a process of the rig is told in its environment, beside its own file.
 const (
-	roleEnv    = "WAYHOLD_RIG_ROLE"    // council, agent; or patch, look: the operator's commands
+	roleEnv    = "WAYHOLD_RIG_ROLE"    // council, agent, node; or patch, look: the operator's commands
 	courtEnv   = "WAYHOLD_RIG_COURT"   // where effects are told
 	historyEnv = "WAYHOLD_RIG_HISTORY" // file to which asks for ownership are written
 	syncEnv    = "WAYHOLD_RIG_SYNC"    // file which, while it is there, makes the disk fail
@@ -40,6 +41,10 @@
 	case "patch", "look":
 		return operators(role), true
 	}
+	if role == "node" {
+		os.Args = []string{"wayhold", "serve"}
+		return cli.Main(cli.Extra{}), true
+	}
 	os.Args = []string{"wayhold-fleet", role, "--config", os.Getenv("WAYHOLD_CONFIG")}
 	r := fleetcli.Rehearsal{Clock: lyingClock()}
 	for _, g := range strings.Fields(os.Getenv(withoutEnv)) {
@@ -212,7 +217,10 @@
 		return status
 	}
 	time.Sleep(60 * time.Millisecond)
-	status := ask("/commit")
+	status := ask("/replace")
+	if status == 0 {
+		status = ask("/commit")
+	}
 	time.Sleep(20 * time.Millisecond) // in which the process may die, and nobody wrote down that it ran
 	return status
 }
--- a/emulator/processes/court.go
+++ b/emulator/processes/court.go
@@ -63,7 +63,7 @@
 	}
 	c := &court{rig: g, ln: ln, nodes: make(map[string]*standin), done: make(map[string]int)}
 	mux := http.NewServeMux()
-	for path, do := range map[string]func(*http.Request) int{"/begin": c.begin, "/commit": c.commit, "/look": c.look} {
+	for path, do := range map[string]func(*http.Request) int{"/begin": c.begin, "/replace": c.replace, "/commit": c.commit, "/look": c.look} {
 		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(do(r)) })
 	}
 	c.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
@@ -74,12 +74,18 @@
 func (c *court) close() {
 	_ = c.server.Close()
 	for _, n := range c.nodes {
-		n.door.Close()
+		if n.door != nil {
+			n.door.Close()
+		}
 	}
 }
 
 // add opens the door of a node.
 func (c *court) add(name, socket string) error {
+	if c.rig.s.Load > 0 { // the real node opens it
+		c.nodes[name] = &standin{c: c, name: name, held: make(map[string]bool)}
+		return nil
+	}
 	d, err := door.Open(door.Config{Socket: socket}, c.rig.quiet)
 	if err != nil {
 		return err
@@ -183,7 +189,7 @@
 	case "in":
 		n.out = false
 	case "begin", "commit":
-		if n.settle(); n.state != drain.Drained {
+		if n.settle(); n.door != nil && n.state != drain.Drained {
 			fail("a node is patched that is not out (%v)", n.state)
 		}
 		if what == "commit" {
@@ -205,7 +211,23 @@
 	return http.StatusOK
 }
 
-func (c *court) begin(r *http.Request) int  { return c.told(r, "begin") }
+func (c *court) begin(r *http.Request) int {
+	if w := c.rig.traffic; w != nil && !w.drained(r.FormValue("node")) {
+		c.rig.fail(r.FormValue("node") + " is patched and not drained")
+	}
+	return c.told(r, "begin")
+}
+
+// replace has a real node end, and its next version begin.
+func (c *court) replace(r *http.Request) int {
+	if w := c.rig.traffic; w != nil {
+		if err := w.replace(r.FormValue("node")); err != nil {
+			c.rig.fail(err.Error())
+		}
+	}
+	return http.StatusOK
+}
+
 func (c *court) commit(r *http.Request) int { return c.told(r, "commit") }
 
 func (c *court) look(r *http.Request) int {
--- a/emulator/processes/processes_test.go
+++ b/emulator/processes/processes_test.go
@@ -16,6 +16,8 @@
 	first   = flag.Uint64("seed", 1, "the first of them; with -seeds 1 it is played again")
 	length  = flag.Duration("length", 10*time.Second, "of each")
 	atOnce  = flag.Int("at-once", 3, "schedules played at a time")
+	nodes   = flag.Int("nodes", 4, "real nodes under load")
+	load    = flag.Float64("load", 200, "requests a second to them")
 	without = flag.String("without", "", "guards that all processes lack: token, wait, asking, before")
 	smaller = flag.Bool("smaller", false, "leave out what a schedule that fails does not need")
 )
@@ -133,3 +135,22 @@
 		t.Error(err)
 	}
 }
+
+// A round over real nodes under load, with its owner killed every five seconds: each node is patched once, no request
+// is lost, none runs twice, and never fewer serve than are needed.
+func TestRoundUnderLoad(t *testing.T) {
+	if testing.Short() {
+		t.Skip("real time")
+	}
+	s := &Script{Title: "round under load", Seed: *first, Council: 3, Nodes: *nodes, Lease: time.Second, Tick: 25 * time.Millisecond, Length: *length, AtOnce: 2,
+		Need: float64(*nodes - 2), Load: *load}
+	for at := 3 * time.Second; at < *length; at += 5 * time.Second {
+		s.Faults = append(s.Faults, Fault{At: at, For: 1500 * time.Millisecond, Kind: "kill", On: []string{theOwner}, Disk: "same"})
+	}
+	r := verdict(t, s, options())
+	if len(r.Broken) > 0 || r.Rounds == 0 || r.Owners < 2 {
+		t.Errorf("%v, %d rounds", r.Broken, r.Rounds)
+		show(t, s, r)
+	}
+	t.Log(r)
+}
--- a/emulator/processes/rig.go
+++ b/emulator/processes/rig.go
@@ -41,18 +41,19 @@
 
 // Rig is a run.
 type Rig struct {
-	s      *Script
-	o      Options
-	dir    string
-	began  time.Time
-	quiet  *slog.Logger
-	procs  map[string]*proc
-	relays map[[2]string]*relay
-	court  *court
-	client *follow.Client
-	parts  sync.WaitGroup
-	quit   chan struct{}
-	Counts Counts
+	s       *Script
+	o       Options
+	dir     string
+	began   time.Time
+	quiet   *slog.Logger
+	procs   map[string]*proc
+	relays  map[[2]string]*relay
+	court   *court
+	traffic *traffic // nil: nodes are stand-ins
+	client  *follow.Client
+	parts   sync.WaitGroup
+	quit    chan struct{}
+	Counts  Counts
 
 	mu       sync.Mutex
 	injected map[string]int
@@ -62,19 +63,19 @@
 
 // Result is what a run came to.
 type Result struct {
-	Script       *Script
-	Broken       []string // rules, each with the effect that broke it
-	Effects      int
-	Owners       int // tokens under which effects came
-	Late         int // effects under an older token than another node had seen already
-	Refused      uint64
-	Commits      int
-	Rounds       int // that ended
-	Faults       map[string]int
-	Links        string
-	Asks         []Ask
-	Log          string          // the ends of all logs, where something is broken
-	WithoutOwner []time.Duration // between an owner's end and the next one's first effect of ownership
+	Script  *Script
+	Broken  []string // rules, each with the effect that broke it
+	Effects int
+	Owners  int // tokens under which effects came
+	Late    int // effects under an older token than another node had seen already
+	Refused uint64
+	Commits int
+	Rounds  int // that ended
+	Faults  map[string]int
+	Links   string
+	Asks    []Ask
+	Log     string // the ends of all logs, where something is broken
+	Traffic string // of real nodes
 }
 
 func (r *Result) String() string {
@@ -83,7 +84,7 @@
 		faults = append(faults, fmt.Sprintf("%s %d", k, r.Faults[k]))
 	}
 	return fmt.Sprintf("%d effects under %d owners (%d late and harmless, %d refused), %d patches in %d rounds; %s; %s",
-		r.Effects, r.Owners, r.Late, r.Refused, r.Commits, r.Rounds, strings.Join(faults, ", "), r.Links)
+		r.Effects, r.Owners, r.Late, r.Refused, r.Commits, r.Rounds, strings.Join(faults, ", "), r.Links+r.Traffic)
 }
 
 // proc is one process, and what it needs to be started again.
@@ -144,11 +145,20 @@
 		faults.Go(func() { g.play(ctx, i, f) })
 	}
 	work, stop := context.WithCancel(ctx)
-	g.parts.Go(func() { g.rounds_(work) })
+	if g.traffic != nil {
+		g.parts.Go(func() { g.traffic.run(work) })
+	}
+	rounds, last := context.WithCancel(work)
+	defer last()
+	g.parts.Go(func() { g.rounds_(rounds) })
 	wait(ctx, g.began.Add(s.Length))
 	faults.Wait()
-	stop()
+	last()
 	healed := g.heal(ctx)
+	stop()
+	if g.traffic != nil {
+		healed = append(healed, g.traffic.verdict()...)
+	}
 	r := g.result()
 	r.Broken = append(r.Broken, healed...)
 	if len(r.Broken) > 0 {
@@ -201,6 +211,11 @@
 			return err
 		}
 	}
+	if g.s.Load > 0 {
+		if g.traffic, err = newTraffic(g); err != nil {
+			return err
+		}
+	}
 	if out, err := g.tool("c1", "init"); err != nil {
 		return fmt.Errorf("init: %w: %s", err, out)
 	}
@@ -424,6 +439,25 @@
 	<-exited
 }
 
+// stop ends the process in order.
+func (p *proc) stop() {
+	p.life.Lock()
+	defer p.life.Unlock()
+	p.mu.Lock()
+	cmd, exited := p.cmd, p.exited
+	p.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	_ = cmd.Process.Signal(syscall.SIGTERM) // it may have ended by itself
+	select {
+	case <-exited:
+	case <-time.After(startWithin):
+		_ = cmd.Process.Kill()
+		<-exited
+	}
+}
+
 func (p *proc) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -453,6 +487,14 @@
 	g.mu.Lock()
 	g.injected[f.Kind]++
 	g.mu.Unlock()
+	if f.On[0] == theOwner {
+		s, _ := g.look(ctx)
+		if s == nil || s.Owners[fleet.Round].Holder == "" {
+			return
+		}
+		name, _, _ := strings.Cut(s.Owners[fleet.Round].Holder, "/")
+		f.On = []string{name}
+	}
 	switch f.Kind {
 	case "kill":
 		for _, n := range f.On {
@@ -518,6 +560,7 @@
 }
 
 func (g *Rig) fail(what string) {
+	what = fmt.Sprintf("%.3fs: %s", g.since().Seconds(), what)
 	g.court.mu.Lock()
 	defer g.court.mu.Unlock()
 	g.court.broken = append(g.court.broken, what)
@@ -673,6 +716,9 @@
 	if g.court != nil {
 		g.court.close()
 	}
+	if g.traffic != nil {
+		g.traffic.close()
+	}
 	g.parts.Wait()
 	if g.client != nil {
 		g.client.HTTP.CloseIdleConnections()
@@ -681,6 +727,9 @@
 
 func (g *Rig) result() *Result {
 	r := &Result{Script: g.s, Faults: g.injected, Rounds: g.ended}
+	if g.traffic != nil {
+		r.Traffic = g.traffic.String()
+	}
 	ctx, stop := context.WithTimeout(context.Background(), 2*time.Second)
 	defer stop()
 	c := g.direct()
--- a/emulator/processes/script.go
+++ b/emulator/processes/script.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -28,6 +29,7 @@
 	Length  time.Duration `toml:"length" need:"1" min:"1s" max:"1h"`
 	AtOnce  int           `toml:"at_once" min:"1"`
 	Need    float64       `toml:"need" min:"0"`
+	Load    float64       `toml:"load" min:"0" max:"10000"` // requests a second to real nodes; 0: nodes are stand-ins
 	Faults  []Fault       `toml:"fault"`
 }
 
@@ -78,6 +80,9 @@
 	return s
 }
 
+// theOwner stands among processes for whichever has the round when the fault begins.
+const theOwner = "owner"
+
 // Parse reads a script. Errors name the line.
 func Parse(text []byte) (*Script, error) {
 	s := &Script{Lease: time.Second, Tick: 25 * time.Millisecond, AtOnce: 1}
@@ -89,7 +94,7 @@
 	for i, f := range s.Faults {
 		at := fmt.Sprintf("fault[%d]", i)
 		for _, n := range slices.Concat(f.On, f.With) {
-			if !slices.Contains(names, n) {
+			if !slices.Contains(names, n) && n != theOwner {
 				return nil, lines.Errorf(at, "there is no process %q; there are %s", n, strings.Join(names, " "))
 			}
 		}
@@ -174,6 +179,7 @@
 				f.Kind, f.On = "sync", pick(members, 1)
 			}
 		}
+		f.Value = math.Round(f.Value*1000) / 1000
 		s.Faults = append(s.Faults, f)
 	}
 	return s
