--- a/emulator/processes/child.go
+++ b/emulator/processes/child.go
@@ -24,10 +24,11 @@
 
 // What a process of the rig is told in its environment, beside its own file.
 const (
-	roleEnv    = "WAYHOLD_RIG_ROLE"    // council, agent, node; or patch, look: the operator's commands
+	roleEnv    = "WAYHOLD_RIG_ROLE"    // council, agent, node, tool; or patch, look: the operator's commands
 	courtEnv   = "WAYHOLD_RIG_COURT"   // where effects are told
 	historyEnv = "WAYHOLD_RIG_HISTORY" // file to which asks for ownership are written
 	syncEnv    = "WAYHOLD_RIG_SYNC"    // file which, while it is there, makes the disk fail
+	wordsEnv   = "WAYHOLD_RIG_WORDS"   // of the role tool: a command of the operators', a word a line
 	withoutEnv = "WAYHOLD_RIG_WITHOUT" // guards that are taken away
 )
 
@@ -45,6 +46,10 @@
 		os.Args = []string{"wayhold", "serve"}
 		return cli.Main(cli.Extra{}), true
 	}
+	if role == "tool" {
+		os.Args = append([]string{"wayhold-fleet"}, strings.Split(os.Getenv(wordsEnv), "\n")...)
+		return fleetcli.Main(fleetcli.Rehearsal{}), true
+	}
 	os.Args = []string{"wayhold-fleet", role, "--config", os.Getenv("WAYHOLD_CONFIG")}
 	r := fleetcli.Rehearsal{Clock: lyingClock()}
 	for _, g := range strings.Fields(os.Getenv(withoutEnv)) {
--- a/emulator/processes/relay.go
+++ b/emulator/processes/relay.go
@@ -35,9 +35,9 @@
 	rnd     *rand.Rand
 }
 
-// Counts are the messages that met a fault.
+// Counts are the messages on all links (Bytes are those of their bodies, both ways), and those that met a fault.
 type Counts struct {
-	Asks, LostAsks, LostAnswers, Delayed, Repeated, Stalled, Reset atomic.Int64
+	Asks, Bytes, LostAsks, LostAnswers, Delayed, Repeated, Stalled, Reset atomic.Int64
 }
 
 const mostRelayed = 64 << 20
@@ -95,6 +95,7 @@
 	}
 	c := &r.rig.Counts
 	c.Asks.Add(1)
+	c.Bytes.Add(int64(len(body)))
 	state, lose, _, repeat, delay, late := r.now()
 	switch {
 	case state.reset:
@@ -140,6 +141,7 @@
 		r.cut(w)
 		return
 	}
+	c.Bytes.Add(int64(len(answer)))
 	state, _, lose, _, delay, _ = r.now()
 	if delay > 0 {
 		time.Sleep(delay)
--- a/emulator/processes/script.go
+++ b/emulator/processes/script.go
@@ -80,8 +80,11 @@
 	return s
 }
 
-// theOwner stands among processes for whichever has the round when the fault begins.
-const theOwner = "owner"
+// These stand among processes for whichever has the round, or leads the council, when the fault begins.
+const (
+	theOwner  = "owner"
+	theLeader = "leader"
+)
 
 // Parse reads a script. Errors name the line.
 func Parse(text []byte) (*Script, error) {
@@ -94,7 +97,7 @@
 	for i, f := range s.Faults {
 		at := fmt.Sprintf("fault[%d]", i)
 		for _, n := range slices.Concat(f.On, f.With) {
-			if !slices.Contains(names, n) && n != theOwner {
+			if !slices.Contains(names, n) && n != theOwner && n != theLeader {
 				return nil, lines.Errorf(at, "there is no process %q; there are %s", n, strings.Join(names, " "))
 			}
 		}
--- a/emulator/processes/traffic.go
+++ b/emulator/processes/traffic.go
@@ -47,6 +47,7 @@
 	lost, nowhere                 int
 	leastReady                    int
 	booked                        map[string]bool
+	took                          []time.Duration
 	flying                        sync.WaitGroup
 }
 
@@ -184,6 +185,7 @@
 // send sends one request. One that could not be connected to any node goes nowhere, and is counted so; one that was
 // sent and not answered is lost.
 func (t *traffic) send(id string, book bool, at int) {
+	began := time.Now()
 	t.mu.Lock()
 	ready := t.ready
 	t.sent++
@@ -226,6 +228,7 @@
 		t.lost++
 	case status == http.StatusOK:
 		t.served++
+		t.took = append(t.took, time.Since(began))
 	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
 		t.refused++
 	default:
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -191,11 +191,18 @@
 // Away are the nodes that a job has taken out, or is about to, and that are not back.
 func (j *Job) Away() map[string]bool {
 	away := make(map[string]bool)
-	for _, way := range [][2]string{{Out, In}, {BackOut, BackIn}} {
-		for k, s := range j.Steps {
-			if k.What == way[0] && s.Begun != 0 && j.Steps[StepKey{k.Node, way[1]}].Outcome != OK {
-				away[k.Node] = true
-			}
+	for k, s := range j.Steps {
+		in := In
+		switch {
+		case s.Begun == 0 || k.What != Out && k.What != BackOut:
+			continue
+		case k.What == BackOut:
+			in = BackIn
+		case j.Steps[StepKey{k.Node, BackOut}].Begun != 0:
+			continue // its way back counts
+		}
+		if j.Steps[StepKey{k.Node, in}].Outcome != OK {
+			away[k.Node] = true
 		}
 	}
 	return away
@@ -431,6 +438,16 @@
 	return ok && o.Token == t
 }
 
+// Open is the job of a kind that is not over; nil where there is none.
+func (s *State) Open(kind string) *Job {
+	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
+		if j := s.Jobs[id]; j.Over == "" && j.Spec.Kind == kind {
+			return j
+		}
+	}
+	return nil
+}
+
 // job applies what is said of a job. Steps are its owner's to tell of: an old owner's entries are refused here, and
 // its effects at their receivers.
 func (s *State) job(e Entry) error {
@@ -441,10 +458,8 @@
 		case s.Jobs[e.Job] != nil:
 			return ErrThere
 		}
-		for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
-			if j := s.Jobs[id]; j.Over == "" && j.Spec.Kind == e.Spec.Kind {
-				return ErrHeld // of a kind one at a time
-			}
+		if s.Open(e.Spec.Kind) != nil {
+			return ErrHeld // of a kind one at a time
 		}
 		s.Jobs = put(s.Jobs, e.Job, &Job{ID: e.Job, Spec: *e.Spec, Order: Go, Who: e.Who, Reason: e.Reason, Since: s.At})
 		s.forgetJobs()
@@ -456,7 +471,13 @@
 	}
 	j := *old
 	if j.Over != "" {
-		return ErrLost
+		if e.Kind != Order || e.Order != Back || j.Order == Back {
+			return ErrLost
+		}
+		if s.Open(j.Spec.Kind) != nil {
+			return ErrHeld
+		}
+		j.Over, j.Detail = "", "" // what is over may still be taken back
 	}
 	switch e.Kind {
 	case Order:
--- a/fleet/follow/steward.go
+++ b/fleet/follow/steward.go
@@ -132,7 +132,7 @@
 	s.mu.Lock()
 	_, may := s.s.May(s.c.Clock.Mono())
 	s.mu.Unlock()
-	if !may || jobs.Open(st, s.c.Work) == nil {
+	if !may || st.Open(s.c.Work) == nil {
 		return
 	}
 	v := s.look(ctx, st)
--- a/fleet/jobs/round.go
+++ b/fleet/jobs/round.go
@@ -60,7 +60,7 @@
 	if j.Over != "" {
 		return nil
 	}
-	r := round{j: j, v: v, steps: forth, nodes: j.Spec.Nodes}
+	r := round{j: j, v: v, away: j.Away(), steps: forth, nodes: j.Spec.Nodes}
 	if j.Order == fleet.Back {
 		r.steps, r.nodes = back, nil
 		for _, name := range slices.Backward(j.Spec.Nodes) { // those that the patch has met, the last one first
@@ -69,17 +69,42 @@
 			}
 		}
 	}
-	for key, s := range j.Steps { // what is in doubt stops all: an operator looks
-		if s.Outcome == fleet.Doubt {
+	for key, s := range j.Steps { // what is in doubt stops all: an operator looks, and may order the way back
+		if s.Outcome == fleet.Doubt && slices.Contains(r.steps, key.What) {
 			return []Action{{Do: Close, Over: "stopped", Detail: "in doubt: " + key.String() + ": " + s.Detail}}
 		}
 	}
+	if j.Order == fleet.Back {
+		if all = r.settle(); len(all) > 0 {
+			return all
+		}
+	}
 	return r.next()
 }
 
+// settle ends what is under way on the way forth before the way back begins: a step that was begun is waited for, and
+// its node is taken in.
+func (r *round) settle() (all []Action) {
+	for _, node := range r.j.Spec.Nodes {
+		step := func(what string) fleet.Step { return r.step(node, what) }
+		if step(fleet.Out).Begun == 0 || step(fleet.In).Ended != 0 || step(fleet.BackOut).Begun != 0 {
+			continue
+		}
+		next := Action{Do: Begin, Step: fleet.StepKey{Node: node, What: fleet.In}}
+		for _, what := range forth {
+			if s := step(what); s.Begun != 0 && s.Ended == 0 {
+				next = Action{Do: Ask, Step: fleet.StepKey{Node: node, What: what}, Again: s.Tries > 1}
+			}
+		}
+		all = append(all, next)
+	}
+	return all
+}
+
 type round struct {
 	j     *fleet.Job
 	v     View
+	away  map[string]bool
 	steps []string
 	nodes []string
 }
@@ -106,17 +131,8 @@
 	return len(r.steps), false
 }
 
-// out tells whether a node is out, or on its way.
-func (r *round) out(node string) bool {
-	n, begun := r.stage(node)
-	if n == 0 {
-		return begun
-	}
-	return n < len(r.steps) || r.step(node, r.steps[2]).Outcome != fleet.OK
-}
-
 func (r *round) next() (all []Action) {
-	stopping := r.j.Order == fleet.Abort || (r.j.Spec.Failures > 0 && r.j.Failures >= r.j.Spec.Failures)
+	stopping := r.j.Order == fleet.Abort || (r.j.Order != fleet.Back && r.j.Spec.Failures > 0 && r.j.Failures >= r.j.Spec.Failures)
 	lost := ""
 	for _, node := range r.nodes {
 		if s := r.step(node, r.steps[2]); s.Ended != 0 && s.Outcome != fleet.OK {
@@ -156,7 +172,7 @@
 		}
 		return []Action{{Do: Close, Over: over, Detail: r.detail("")}}
 	}
-	return append(all, r.begin(fresh, busy)...)
+	return append(all, r.begin(fresh)...)
 }
 
 func (r *round) why(lost string) string {
@@ -178,7 +194,7 @@
 
 // begin takes out what may go now: never more at once than the job allows, never so many that those which serve carry
 // less than is needed, one zone after another where it says so, and the owner's own node last, under another owner.
-func (r *round) begin(fresh []string, busy int) (all []Action) {
+func (r *round) begin(fresh []string) (all []Action) {
 	zone := ""
 	if r.j.Spec.ByZone {
 		for _, node := range r.nodes {
@@ -191,14 +207,18 @@
 	}
 	serving := 0.0
 	for name, n := range r.v.Nodes {
-		if n.Serving && !(slices.Contains(r.nodes, name) && r.out(name)) {
+		if n.Serving && !r.away[name] {
 			serving += n.Capacity
 		}
 	}
 	slices.SortStableFunc(fresh, func(a, b string) int { return cmp.Compare(own(a, r.v.Self), own(b, r.v.Self)) })
 	for _, node := range fresh {
 		n := r.v.Nodes[node]
-		if busy+len(all) >= r.j.Spec.AtOnce || !n.Serving || serving-n.Capacity < r.j.Spec.Need {
+		if r.away[node] { // it did not come back on the way forth, and is out already
+			all = append(all, Action{Do: Begin, Step: fleet.StepKey{Node: node, What: r.steps[0]}})
+			continue
+		}
+		if len(r.away)+len(all) >= r.j.Spec.AtOnce || !n.Serving || serving-n.Capacity < r.j.Spec.Need {
 			continue
 		}
 		if node == r.v.Self {
--- a/fleet/jobs/steward.go
+++ b/fleet/jobs/steward.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"maps"
-	"slices"
 	"time"
 
 	"cobaltward/fleet"
@@ -73,7 +71,7 @@
 	if !ok || st.At < s.since || st.Last[s.Work] != t {
 		return nil
 	}
-	job := Open(st, s.Work)
+	job := st.Open(s.Work)
 	if job == nil {
 		clear(s.asked)
 		return nil
@@ -114,13 +112,3 @@
 	}
 	return append(all, fleet.Entry{Kind: fleet.Done, Job: o.Job, Step: o.Step, Token: o.Token, Outcome: r.Outcome, Detail: r.Detail})
 }
-
-// Open is the job of a kind that is not over; nil where there is none.
-func Open(s *fleet.State, kind string) *fleet.Job {
-	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
-		if j := s.Jobs[id]; j.Over == "" && j.Spec.Kind == kind {
-			return j
-		}
-	}
-	return nil
-}
