Links of the fleet by TLS 1.3, each side proving who it is, with keys that change

Need: tokens over plain links are for private networks alone. Change: cert, key, trust and tls_name in [fleet], by keys/ as it is.

--- a/emulator/concert/concert_test.go
+++ b/emulator/concert/concert_test.go
@@ -17,11 +17,12 @@
 	first     = flag.Uint64("seed", 1, "the first of them")
 	replay    = flag.Bool("replay", false, "play one, and print what happens")
 	lie       = flag.Bool("lie", false, "with clocks that jump and run at any rate")
+	length    = flag.Duration("length", 30*time.Second, "of each: from 11m on, some processes are stopped for 10 minutes")
 	without   = flag.String("without", "", "a guard that is gone: token, wait, asking, sync, before")
 )
 
 func config(seed uint64, without string, lie bool) Config {
-	c := Config{Seed: seed, Members: 3 + 2*int(seed%4/3), Nodes: 4, Owners: 3, Length: 30 * time.Second, Lie: lie}
+	c := Config{Seed: seed, Members: 3 + 2*int(seed%4/3), Nodes: 4, Owners: 3, Length: *length, Lie: lie}
 	c.Only = mostly[without]
 	switch without {
 	case "token":
@@ -146,7 +147,7 @@
 	n := runtime.NumCPU()
 	done := make(chan error, n)
 	for i := range n {
-		cmd := exec.Command(os.Args[0], "-test.run", "TestMany", "-test.timeout", "3h", "-schedules", strconv.Itoa(*schedules/n), "-without", *without)
+		cmd := exec.Command(os.Args[0], "-test.run", "TestMany", "-test.timeout", "3h", "-schedules", strconv.Itoa(*schedules/n), "-without", *without, "-length", length.String())
 		cmd.Env = append(os.Environ(), fmt.Sprintf("CONCERT_SHARD=%d", *first+uint64(i**schedules/n)), "GOMAXPROCS=1")
 		cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
 		go func() { done <- cmd.Run() }()
--- a/emulator/processes/rig.go
+++ b/emulator/processes/rig.go
@@ -208,7 +208,7 @@
 			}
 		}
 	}
-	g.client = follow.NewClient(nil, make(map[string]string), "a-secret-of-the-rig")
+	g.client = follow.NewClient(nil, make(map[string]string), "a-secret-of-the-rig", nil)
 	for _, n := range names {
 		p := g.procs[n]
 		if err := p.configure(); err != nil {
--- a/fleet/council/member.go
+++ b/fleet/council/member.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -42,6 +43,7 @@
 	Address string            // under which the others reach it
 	Via     map[string]string // where this process reaches an address, where that differs
 	Token   string
+	TLS     *tls.Config // of calls to other members; nil: they are plain
 	Tick    time.Duration
 	Clock   Clock
 	Guards  owner.Guards
@@ -62,19 +64,20 @@
 
 // Member is one of the council: a core with its disk and its links.
 type Member struct {
-	c     Config
-	disk  Disk
-	core  *Core
-	inbox chan *pb.Message
-	asks  chan ask
-	quit  chan struct{}
-	ended chan struct{}
-	err   error
-	parts sync.WaitGroup
-	http  *http.Client
-	links map[uint64]*link // of the loop
-	addrs sync.Map         // by id: addresses that messages came with
-	watch chan struct{}    // holds one for each follower that waits
+	c      Config
+	disk   Disk
+	core   *Core
+	inbox  chan *pb.Message
+	asks   chan ask
+	quit   chan struct{}
+	ended  chan struct{}
+	err    error
+	parts  sync.WaitGroup
+	http   *http.Client
+	scheme string
+	links  map[uint64]*link // of the loop
+	addrs  sync.Map         // by id: addresses that messages came with
+	watch  chan struct{}    // holds one for each follower that waits
 
 	mu      sync.Mutex
 	waiting map[uint64]chan fleet.Result
@@ -127,10 +130,13 @@
 		return nil, err
 	}
 	m := &Member{c: c, disk: d, core: core, inbox: make(chan *pb.Message, inboxSize), asks: make(chan ask), quit: make(chan struct{}),
-		ended: make(chan struct{}), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true}},
+		ended: make(chan struct{}), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true, TLSClientConfig: c.TLS}},
 		links: make(map[uint64]*link), watch: make(chan struct{}, mostWatch), waiting: make(map[uint64]chan fleet.Result),
 		news: make(chan struct{}), reports: make(map[string]Report)}
 	m.view = View{State: core.State(), From: core.State().At, Loud: core.State().At, Raft: core.Status()}
+	if m.scheme = "http://"; c.TLS != nil {
+		m.scheme = "https://"
+	}
 	go m.run()
 	return m, nil
 }
@@ -468,7 +474,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/log", bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, m.scheme+addr+"/v1/log", bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/fleet/follow/client.go
+++ b/fleet/follow/client.go
@@ -10,6 +10,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -29,14 +30,15 @@
 	Via     map[string]string
 	Token   string
 	HTTP    *http.Client
+	Secure  bool // calls go by TLS, as HTTP has it
 
 	good atomic.Int64 // the member that answered last
 }
 
-// NewClient makes one whose connections are its own.
-func NewClient(members []string, via map[string]string, token string) *Client {
-	return &Client{Council: members, Via: via, Token: token,
-		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, MaxConnsPerHost: 32, IdleConnTimeout: 30 * time.Second, DisableCompression: true}}}
+// NewClient makes one whose connections are its own; secure is how TLS is spoken, nil for plain links.
+func NewClient(members []string, via map[string]string, token string, secure *tls.Config) *Client {
+	return &Client{Council: members, Via: via, Token: token, Secure: secure != nil,
+		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, MaxConnsPerHost: 32, IdleConnTimeout: 30 * time.Second, DisableCompression: true, TLSClientConfig: secure}}}
 }
 
 // Errors of calls.
@@ -58,7 +60,11 @@
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+"/v1"+path, bytes.NewReader(raw))
+	scheme := "http://"
+	if c.Secure {
+		scheme = "https://"
+	}
+	req, err := http.NewRequestWithContext(ctx, method, scheme+addr+"/v1"+path, bytes.NewReader(raw))
 	if err != nil {
 		return err
 	}
--- a/internal/fleetcli/cli.go
+++ b/internal/fleetcli/cli.go
@@ -116,7 +116,7 @@
 		if len(s.Council) == 0 {
 			return errors.New("fleet.council: missing: whom to ask?")
 		}
-		c := follow.NewClient(s.Council, s.Via, s.token)
+		c := follow.NewClient(s.Council, s.Via, s.token, s.outward())
 		defer c.HTTP.CloseIdleConnections()
 		return do(c, args)
 	}}
--- a/internal/fleetcli/serve.go
+++ b/internal/fleetcli/serve.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"errors"
 	"fmt"
@@ -24,6 +25,7 @@
 	"cobaltward/internal/door"
 	"cobaltward/internal/operator"
 	"cobaltward/internal/site"
+	"cobaltward/keys"
 )
 
 // Rehearsal is what a rehearsal changes of a process: its clock, its disk, its guards, and where it stumbles. The zero
@@ -46,6 +48,7 @@
 type settings struct {
 	*site.Fleet
 	token string
+	links *links // nil: plain
 	door  operator.Door
 	log   *slog.Logger
 }
@@ -74,9 +77,24 @@
 	if o.Log.Format == "json" {
 		s.log = slog.New(slog.NewJSONHandler(logs, options))
 	}
+	if s.Cert != "" {
+		store, err := keys.Open(keys.Sources{Cert: s.Cert, Key: s.Key, Trust: s.Trust}, time.Now())
+		if err != nil {
+			return nil, fmt.Errorf("%s: fleet: %w", path, err)
+		}
+		s.links = &links{store: store, name: s.TLSName, log: s.log}
+	}
 	return s, nil
 }
 
+// outward is how this process calls others.
+func (s *settings) outward() *tls.Config {
+	if s.links == nil {
+		return nil
+	}
+	return s.links.client()
+}
+
 // tokenOf is the first line of a file that nobody else may read.
 func tokenOf(path string) (string, error) {
 	info, err := os.Stat(path)
@@ -103,6 +121,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet.listen: %w", err)
 	}
+	if s.links != nil {
+		ln = tls.NewListener(ln, s.links.server())
+		go s.links.watch(ctx)
+	}
 	srv := &http.Server{Handler: door.Guarded(h, s.token), ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: mostHeaders,
 		ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug), BaseContext: func(net.Listener) context.Context { return ctx }}
 	done := make(chan struct{})
@@ -139,7 +161,7 @@
 	if r.Disk != nil {
 		d = r.Disk(d)
 	}
-	m, err := council.Start(council.Config{Name: s.Name, Address: s.Address, Via: s.Via, Token: s.token, Tick: s.Tick, Clock: clock(r), Guards: r.Guards, Log: s.log}, d)
+	m, err := council.Start(council.Config{Name: s.Name, Address: s.Address, Via: s.Via, Token: s.token, TLS: s.outward(), Tick: s.Tick, Clock: clock(r), Guards: r.Guards, Log: s.log}, d)
 	if err != nil {
 		return errors.Join(err, d.Close())
 	}
@@ -188,7 +210,7 @@
 		return errors.New("door: missing: a follower drives its node by its door")
 	}
 	self := fleet.Node{Name: s.Name, Zone: s.Zone, Address: s.Address, Capacity: s.Capacity, Owns: len(s.Owns) > 0, Run: run}
-	client := follow.NewClient(s.Council, s.Via, s.token)
+	client := follow.NewClient(s.Council, s.Via, s.token, s.outward())
 	defer client.HTTP.CloseIdleConnections()
 	a, err := follow.NewAgent(follow.AgentConfig{Self: self, Dir: s.Dir, Timeout: s.Timeout, Clock: clock(r), Guards: r.Guards, Log: s.log, Halt: r.Halt,
 		Commands: follow.Commands{Patch: s.Patch, Look: s.Look, Revert: s.Revert}}, follow.NewDoor(at, token), client)
--- a/internal/site/fleet.go
+++ b/internal/site/fleet.go
@@ -16,9 +16,13 @@
 	Listen    string            `toml:"listen" need:"1"`     // IP:port for calls of the fleet, never a node's front
 	Address   string            `toml:"address"`             // under which others reach it; none: listen
 	TokenFile string            `toml:"token_file" need:"1"` // whose first line all processes of the fleet bear
-	Dir       string            `toml:"dir" need:"1"`        // what must outlive the process
-	Council   []string          `toml:"council"`             // its members' addresses: 1, 3 or 5
-	Via       map[string]string `toml:"via"`                 // addresses under which this process reaches others
+	Cert      string            `toml:"cert"`                // by TLS: this process's, with its chain; none: links are plain
+	Key       string            `toml:"key"`
+	Trust     string            `toml:"trust"`        // authorities of the fleet's processes
+	TLSName   string            `toml:"tls_name"`     // that all their certificates are for; none: wayhold-fleet
+	Dir       string            `toml:"dir" need:"1"` // what must outlive the process
+	Council   []string          `toml:"council"`      // its members' addresses: 1, 3 or 5
+	Via       map[string]string `toml:"via"`          // addresses under which this process reaches others
 	Lease     time.Duration     `toml:"lease" min:"500ms" max:"1h"`
 	Tick      time.Duration     `toml:"tick" min:"10ms" max:"10s"`  // of the council: ten without a leader begin a vote
 	Capacity  float64           `toml:"capacity" min:"0"`           // of the node beside; 0: 1
@@ -87,6 +91,12 @@
 			return err
 		}
 	}
+	if some := t.Cert + t.Key + t.Trust; some != "" && (t.Cert == "" || t.Key == "" || t.Trust == "") {
+		return fail("cert", "want cert, key and trust together: each side proves who it is")
+	}
+	if t.TLSName == "" {
+		t.TLSName = "wayhold-fleet"
+	}
 	if t.Look == nil && t.Patch != nil {
 		return fail("patch", "look is missing beside it: after a crash nobody could tell whether the command has run")
 	}
