--- a/fleet/jobs/jobs_test.go
+++ b/fleet/jobs/jobs_test.go
@@ -88,6 +88,7 @@
 		{"back is over", nil, fleet.Back, 0, []string{"a/out ok", "a/patch ok", "a/in ok", "a/back-out ok", "a/revert ok", "a/back-in ok"}, view("x"), "close back"},
 		{"back ends first what is under way", nil, fleet.Back, 2, []string{"a/out ok", "a/patch ok", "b/out", "c/out ok"}, view("x"), "begin a/in, ask b/out, begin c/in"},
 		{"back takes a node that did not come back where it is", nil, fleet.Back, 1, []string{"a/out ok", "a/patch ok", "a/in failed"}, view("x", "a"), "begin a/back-out"},
+		{"back stops where one that did not come back leaves no room", func(s *fleet.Spec) { s.AtOnce = 1 }, fleet.Back, 1, []string{"a/out ok", "a/in failed", "b/out ok", "b/patch ok", "b/in ok"}, view("x", "a"), "close stopped"},
 		{"a zone after another", func(s *fleet.Spec) { s.ByZone, s.Need = true, 0 }, fleet.Go, 0, []string{"a/out ok", "a/patch ok", "a/in ok"}, view("x"), "begin b/out"},
 		{"all are through", nil, fleet.Go, 0, []string{"a/out ok", "a/patch ok", "a/in ok", "b/out ok", "b/patch ok", "b/in ok", "c/out ok", "c/patch ok", "c/in ok", "d/out ok", "d/patch ok", "d/in ok"}, view("x"), "close done"},
 	} {
--- a/fleet/jobs/round.go
+++ b/fleet/jobs/round.go
@@ -8,7 +8,9 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 
 	"cobaltward/fleet"
 )
@@ -172,7 +174,11 @@
 		}
 		return []Action{{Do: Close, Over: over, Detail: r.detail("")}}
 	}
-	return append(all, r.begin(fresh)...)
+	all = append(all, r.begin(fresh)...)
+	if len(all) == 0 && len(r.away) >= r.j.Spec.AtOnce { // nodes that did not come back on the way forth leave no room
+		return []Action{{Do: Close, Over: "stopped", Detail: strings.Join(slices.Sorted(maps.Keys(r.away)), " ") + " did not come back"}}
+	}
+	return all
 }
 
 func (r *round) why(lost string) string {
