A way back that lacks capacity for a lost node says so and stops

Seen: the same model test with more draws: the capacity that is needed left no room beside a node that had not come back.

--- a/fleet/jobs/round.go
+++ b/fleet/jobs/round.go
@@ -175,7 +175,7 @@
 		return []Action{{Do: Close, Over: over, Detail: r.detail("")}}
 	}
 	all = append(all, r.begin(fresh)...)
-	if len(all) == 0 && len(r.away) >= r.j.Spec.AtOnce { // nodes that did not come back on the way forth leave no room
+	if len(all) == 0 && len(r.away) > 0 { // nodes that did not come back on the way forth leave no room, or too little capacity
 		return []Action{{Do: Close, Over: "stopped", Detail: strings.Join(slices.Sorted(maps.Keys(r.away)), " ") + " did not come back"}}
 	}
 	return all
