Versions and rights: at no time do nodes act on more than two versions of a thing

Change: versions of things in the state (the log refuses a third), fleet/audit (rights of limited time, counted from before the asking; when a retired version is over; the next entry of a rollout), confirmed reads in the council's core. In virtual time so far, not in processes: nodes are not told of rights yet.

--- a/emulator/concert/concert.go
+++ b/emulator/concert/concert.go
@@ -20,6 +20,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"cobaltward/fleet"
+	"cobaltward/fleet/audit"
 	"cobaltward/fleet/council"
 	"cobaltward/fleet/jobs"
 	"cobaltward/fleet/owner"
@@ -38,16 +39,18 @@
 
 // Config is what a schedule is drawn for.
 type Config struct {
-	Seed    uint64
-	Members int
-	Nodes   int // each with a receiver
-	Owners  int // nodes whose followers may own the work
-	Length  time.Duration
-	Lie     bool // clocks jump, too: then only receivers' rules are held against the run
-	Guards  owner.Guards
-	NoSync  bool  // votes and terms are not synced
-	Only    []int // of the kinds of faults in draw; nil: all
-	Trace   func(string)
+	Seed     uint64
+	Members  int
+	Nodes    int // each with a receiver
+	Owners   int // nodes whose followers may own the work
+	Length   time.Duration
+	Lie      bool // clocks jump, too: then only receivers' rules are held against the run
+	Guards   owner.Guards
+	NoSync   bool         // votes and terms are not synced
+	Versions bool         // rollouts go on, and nodes act by rights to versions
+	Rights   audit.Guards // with Versions
+	Only     []int        // of the kinds of faults in draw; nil: all
+	Trace    func(string)
 }
 
 // Result is what a schedule came to.
@@ -56,6 +59,7 @@
 	Effects, Tokens, Late, Refused, Rounds, Commits       int
 	Crashes, Stops, Cuts, Lost, Repeated, Jumps, New, Old int
 	Wakes                                                 int // stops that were longer than a lease
+	Acts, Rollouts                                        int // with Versions
 	Messages                                              int
 }
 
@@ -67,13 +71,17 @@
 		from int
 	}{{&r.Effects, o.Effects}, {&r.Tokens, o.Tokens}, {&r.Late, o.Late}, {&r.Refused, o.Refused}, {&r.Rounds, o.Rounds}, {&r.Commits, o.Commits},
 		{&r.Crashes, o.Crashes}, {&r.Stops, o.Stops}, {&r.Cuts, o.Cuts}, {&r.Lost, o.Lost}, {&r.Repeated, o.Repeated}, {&r.Jumps, o.Jumps}, {&r.New, o.New}, {&r.Old, o.Old},
-		{&r.Wakes, o.Wakes}, {&r.Messages, o.Messages}} {
+		{&r.Wakes, o.Wakes}, {&r.Acts, o.Acts}, {&r.Rollouts, o.Rollouts}, {&r.Messages, o.Messages}} {
 		*p.to += p.from
 	}
 }
 
 func (r Result) String() string {
-	return fmt.Sprintf("%d effects under %d tokens (%d late and harmless, %d refused), %d patches in %d rounds; %d crashes, %d stops (%d longer than a lease), %d cuts, %d new disks, %d older ones of receivers, %d jumps of clocks; of %d messages %d lost, %d repeated",
+	versions := ""
+	if r.Acts > 0 {
+		versions = fmt.Sprintf("%d requests decided through %d rollouts; ", r.Acts, r.Rollouts)
+	}
+	return versions + fmt.Sprintf("%d effects under %d tokens (%d late and harmless, %d refused), %d patches in %d rounds; %d crashes, %d stops (%d longer than a lease), %d cuts, %d new disks, %d older ones of receivers, %d jumps of clocks; of %d messages %d lost, %d repeated",
 		r.Effects, r.Tokens, r.Late, r.Refused, r.Commits, r.Rounds, r.Crashes, r.Stops, r.Wakes, r.Cuts, r.New, r.Old, r.Jumps, r.Messages, r.Lost, r.Repeated)
 }
 
@@ -122,8 +130,11 @@
 	state   *fleet.State
 	steward *jobs.Steward
 	mem     *owner.Receiver
-	kept    []byte // of the receiver's memory
-	older   []byte // a copy of it
+	kept    []byte  // of the receiver's memory
+	older   []byte  // a copy of it
+	rights  *rights // with Config.Versions
+	clearer audit.Clearer
+	reads   map[uint64]func()
 	node    *node
 }
 
@@ -161,6 +172,7 @@
 	tokens             map[fleet.Token]bool
 	job                int
 	jobID              string
+	roll               int
 	asked              uint64
 }
 
@@ -270,7 +282,8 @@
 		if err != nil {
 			panic(err)
 		}
-		p.core, p.waiting = core, make(map[uint64]func(fleet.Result))
+		p.core, p.waiting, p.reads = core, make(map[uint64]func(fleet.Result)), make(map[uint64]func())
+		p.clearer = audit.Clearer{Length: rightLength, Guards: w.c.Rights}
 		p.every(tick, func() {
 			p.core.Tick(p.mono(), time.Unix(0, 0).Add(w.now))
 			p.work()
@@ -284,6 +297,9 @@
 	}
 	p.mem = owner.Wake(m, p.name, fmt.Sprint(p.life), w.c.Guards)
 	p.every(poll, p.follow)
+	if w.c.Versions {
+		p.act()
+	}
 	if p.index-w.c.Members < w.c.Owners {
 		p.steward = jobs.NewSteward(fleet.Round, fmt.Sprintf("%s/%d", p.name, p.life), p.name, lease, w.c.Guards)
 		p.every(drive, p.own)
@@ -355,6 +371,13 @@
 			}
 			s.Entries = slices.DeleteFunc(slices.Clone(s.Entries), func(e *pb.Entry) bool { return e.GetIndex() <= out.Compact.GetMetadata().GetIndex() })
 		}
+		p.clearer.Observe(p.core.State(), p.mono())
+		for _, id := range out.Reads {
+			if do := p.reads[id]; do != nil {
+				delete(p.reads, id)
+				do()
+			}
+		}
 		for _, m := range x.Messages {
 			to := w.member(m.GetTo())
 			if to == nil {
@@ -687,7 +710,7 @@
 		}
 		p := all[r.IntN(len(all))]
 		q := all[r.IntN(len(all))]
-		kind := r.IntN(13)
+		kind := r.IntN(14)
 		if w.c.Only != nil {
 			kind = w.c.Only[r.IntN(len(w.c.Only))]
 		}
@@ -729,6 +752,11 @@
 			if at+2*length < w.c.Length {
 				w.cutOff(at+length, length, func(a, b *process) bool { return a == p || b == p }, 0)
 			}
+		case 13: // a node hears late
+			p := w.followers[len(w.followers)-1]
+			slow := time.Duration((0.3 + 0.18*r.Float64()) * float64(lease))
+			w.at(at, nil, func() { p.slow = slow })
+			w.at(at+2*length, nil, func() { p.slow = 0 })
 		case 12: // two members don't see each other, and one that sees both dies and is back at once, again and again
 			order := r.Perm(len(w.members))
 			a, b, c := w.members[order[0]], w.members[order[1]], w.members[order[2]]
@@ -846,6 +874,9 @@
 	if lead == nil {
 		return
 	}
+	if w.c.Versions {
+		w.rollouts(s, lead)
+	}
 	if s.Jobs[w.jobID] == nil {
 		var names []string
 		for _, f := range w.followers {
--- /dev/null
+++ b/fleet/audit/rollout.go
@@ -0,0 +1,94 @@
+package audit
+
+import (
+	"fmt"
+	"slices"
+
+	"cobaltward/fleet"
+)
+
+// Seen is what the owner of a rollout sees of a node.
+type Seen struct {
+	Vector Vector // that it acts on, as it says
+	Late   bool   // it has lagged, or has not been heard of, for longer than the operator's patience
+}
+
+// Next is the entry that a rollout's owner proposes now; ok is false while there is nothing to do but to wait. cleared
+// is the version of which a member says that nobody acts on it any more; stop says that the figures of the nodes on the new version are worse.
+func Next(j *fleet.Job, s *fleet.State, t fleet.Token, nodes map[string]Seen, cleared fleet.Version, stop string) (e fleet.Entry, ok bool) {
+	thing := s.Things[j.Spec.Thing]
+	if j.Over != "" || thing == nil {
+		return e, false
+	}
+	e = fleet.Entry{Thing: thing.Name, Job: j.ID, Token: t}
+	back := j.Order == fleet.Back || j.Order == fleet.Abort || stop != ""
+	switch {
+	case thing.Gone != nil && cleared == *thing.Gone:
+		e.Kind, e.Digest, e.Seq = fleet.Clear, thing.Gone.Digest, uint64(thing.Gone.At)
+	case thing.Gone != nil:
+		return e, false
+	case thing.Now.Digest == j.Spec.Digest:
+		e.Kind, e.Outcome = fleet.Close, "done"
+	case back && thing.Next == nil:
+		e.Kind, e.Outcome, e.Detail = fleet.Close, "back", stop
+	case back:
+		e.Kind, e.Digest = fleet.Retire, thing.Next.Digest
+	case j.Order == fleet.Pause:
+		return e, false
+	case thing.Next == nil:
+		e.Kind, e.Seq = fleet.Stage, 0
+	case !reached(j, thing, s, nodes):
+		return e, false
+	case !thing.All:
+		e.Kind, e.Seq = fleet.Stage, uint64(stages(j, thing))
+	default:
+		e.Kind, e.Digest = fleet.Retire, thing.Now.Digest
+	}
+	return e, true
+}
+
+// reached tells whether the nodes that may act on the new version do, but for so many late ones as may be shut out. A
+// node that is late is not waited for: its right to the old version ends once that is retired, by its own doing.
+func reached(j *fleet.Job, t *fleet.Thing, s *fleet.State, nodes map[string]Seen) bool {
+	late := 0
+	for name := range s.Nodes {
+		if !t.All && !slices.Contains(t.On, name) {
+			continue
+		}
+		n := nodes[name]
+		switch on := n.Vector[t.Name] == t.Next.Digest; {
+		case n.Late:
+			late++
+		case !on:
+			return false
+		}
+	}
+	return late <= j.Spec.Lag
+}
+
+// stages is how many stages of a rollout are in force.
+func stages(j *fleet.Job, t *fleet.Thing) int {
+	n := 0
+	for _, st := range j.Spec.Stages {
+		if !slices.ContainsFunc(st, func(node string) bool { return !slices.Contains(t.On, node) }) {
+			n++
+		}
+	}
+	return n
+}
+
+// Behind names the nodes that lag, each with what it acts on in place of what it should, in order.
+func Behind(s *fleet.State, nodes map[string]Seen) (all []string) {
+	for name := range s.Nodes {
+		for thing, want := range Wanted(s, name) {
+			switch n := nodes[name]; {
+			case n.Vector == nil:
+				all = append(all, name+": has no right, and takes no work")
+			case n.Vector[thing] != want:
+				all = append(all, fmt.Sprintf("%s: %s %s, should be %s", name, thing, n.Vector[thing], want))
+			}
+		}
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
--- a/fleet/council/core.go
+++ b/fleet/council/core.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"go.etcd.io/raft/v3"
@@ -65,6 +66,7 @@
 type Outcome struct {
 	Applied  []Applied
 	Restored bool           // the state came whole, or the council has changed
+	Reads    []uint64       // that were confirmed: the state is at least as new as when they were asked for
 	Compact  *pb.Snapshot   // to be written in place of what is before it, less what slow members may still get; nil: none
 	First    fleet.Position // the first entry to keep then; 0: all are kept
 }
@@ -80,6 +82,7 @@
 	ticks  int
 	now    time.Duration
 	snapAt uint64
+	reads  []read // confirmed by the leader, and not reached yet
 	keep   uint64 // entries before a snapshot that slow members may still get
 }
 
@@ -240,6 +243,13 @@
 	return c.rn.Propose(append(binary.BigEndian.AppendUint64(nil, id), e.Marshal()...))
 }
 
+// read is one that the leader has confirmed for a place of the log.
+type read struct{ id, at uint64 }
+
+// Read asks for a moment at which the state is as new as any that was agreed on by now; Outcome.Reads names it. It may
+// never come.
+func (c *Core) Read(id uint64) { c.rn.ReadIndex(binary.BigEndian.AppendUint64(nil, id)) }
+
 // ErrChange says why the council can't change now.
 type ErrChange string
 
@@ -335,6 +345,16 @@
 		}
 		out.Applied = append(out.Applied, a)
 	}
+	for _, r := range w.ready.ReadStates {
+		c.reads = append(c.reads, read{binary.BigEndian.Uint64(r.RequestCtx), r.Index})
+	}
+	c.reads = slices.DeleteFunc(c.reads, func(r read) bool {
+		if r.at <= uint64(c.state.At) {
+			out.Reads = append(out.Reads, r.id)
+			return true
+		}
+		return false
+	})
 	c.lessor.Observe(c.state, c.now)
 	c.rn.Advance(w.ready)
 	// A member that is added can start from no snapshot that does not know it.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -51,13 +52,17 @@
 	Begin   Kind = "begin"   // a step of a job is about to be done
 	Done    Kind = "done"    // what came of it
 	Close   Kind = "close"   // a job is over
+	Offer   Kind = "offer"   // the first version of a thing that nodes act on
+	Stage   Kind = "stage"   // a job puts a version in force at more nodes
+	Retire  Kind = "retire"  // nobody gets a right to a version any more
+	Clear   Kind = "clear"   // the last right to it is over
 	Hold    Kind = "hold"    // servers are held out at all nodes
 	Lift    Kind = "lift"    // no longer
 )
 
 // levelOf is the level from which a kind is known.
 var levelOf = map[Kind]int{Raise: 1, Speak: 1, Join: 1, Forget: 1, Acquire: 1, Renew: 1, Expire: 1, Release: 1, Ask: 1, Push: 1,
-	Start: 1, Order: 1, Begin: 1, Done: 1, Close: 1, Hold: 1, Lift: 1}
+	Start: 1, Order: 1, Begin: 1, Done: 1, Close: 1, Offer: 1, Stage: 1, Retire: 1, Clear: 1, Hold: 1, Lift: 1}
 
 // Entry is one entry of the log. Which fields count depends on the kind.
 type Entry struct {
@@ -77,6 +82,8 @@
 	Outcome string        `json:"outcome,omitempty"`
 	Detail  string        `json:"detail,omitempty"`
 	Hold    *HoldOrder    `json:"hold,omitempty"`
+	Thing   string        `json:"thing,omitempty"`
+	Digest  string        `json:"digest,omitempty"`
 	Who     string        `json:"who,omitempty"`
 	Reason  string        `json:"reason,omitempty"`
 }
@@ -122,6 +129,12 @@
 	Failures int           `json:"failures"` // after so many failed steps the round stops by itself
 	Deadline time.Duration `json:"deadline"` // of a step; beyond it the step has failed
 	Drain    time.Duration `json:"drain"`    // deadline of the drains
+
+	// Of a rollout.
+	Thing  string     `json:"thing,omitempty"`
+	Digest string     `json:"digest,omitempty"`
+	Stages [][]string `json:"stages,omitempty"` // nodes; a last stage of all the others is understood
+	Lag    int        `json:"lag,omitempty"`    // so many nodes may be shut out for lagging
 }
 
 // StepKey names a step of a job: what is done, and to which node.
@@ -247,6 +260,7 @@
 	Last    map[string]Token      `json:"last"`   // the highest token of each work
 	Jobs    map[string]*Job       `json:"jobs"`
 	Holds   map[string]*HoldOrder `json:"holds"`
+	Things  map[string]*Thing     `json:"things"`
 }
 
 // New is the state before the first entry.
@@ -259,6 +273,7 @@
 	mostHolds = 1_000
 	mostWorks = 64
 	mostText  = 1_024
+	mostName  = 64
 )
 
 // Errors of entries. An entry that is refused changes nothing but the position.
@@ -349,7 +364,7 @@
 		m.Level = e.Knows
 		s.Members = put(s.Members, e.Seq, m)
 	case Join:
-		if e.Node == nil || e.Node.Name == "" {
+		if e.Node == nil || e.Node.Name == "" || len(e.Node.Name) > mostName || strings.Contains(e.Node.Name, "/") {
 			return 0, ErrBad
 		}
 		if _, ok := s.Nodes[e.Node.Name]; !ok && len(s.Nodes) >= mostNodes {
@@ -368,6 +383,8 @@
 		return s.own(e)
 	case Start, Order, Begin, Done, Close:
 		return 0, s.job(e)
+	case Offer, Stage, Retire, Clear:
+		return 0, s.version(e)
 	case Hold:
 		switch h := e.Hold; {
 		case h == nil || h.ID == "" || len(h.Servers)+len(h.Zones) == 0 || h.Until.IsZero():
@@ -456,8 +473,10 @@
 func (s *State) job(e Entry) error {
 	if e.Kind == Start {
 		switch {
-		case e.Job == "" || e.Spec == nil || e.Spec.Kind == "" || len(e.Spec.Nodes) == 0 || e.Spec.AtOnce < 1:
+		case e.Job == "" || e.Spec == nil || e.Spec.Kind != Rollout && (e.Spec.Kind == "" || len(e.Spec.Nodes) == 0 || e.Spec.AtOnce < 1):
 			return ErrBad
+		case e.Spec.Kind == Rollout && !s.mayRoll(e.Spec):
+			return ErrHeld
 		case s.Jobs[e.Job] != nil:
 			return ErrThere
 		}
@@ -492,7 +511,7 @@
 		if !s.owns(j.Spec.Kind, e.Token) {
 			return ErrLost
 		}
-		if err := j.step(e, s.At); err != nil {
+		if err := j.step(s, e, s.At); err != nil {
 			return err
 		}
 	}
@@ -500,7 +519,7 @@
 	return nil
 }
 
-func (j *Job) step(e Entry, at Position) error {
+func (j *Job) step(s *State, e Entry, at Position) error {
 	st, begun := j.Steps[e.Step]
 	switch e.Kind {
 	case Begin:
@@ -531,6 +550,9 @@
 			j.Failures++
 		}
 	case Close:
+		if j.Spec.Kind == Rollout && s.Things[j.Spec.Thing].Two() {
+			return ErrHeld // a version is still to be cleared
+		}
 		j.Over, j.Detail = e.Outcome, e.Detail
 		return nil
 	}
