A follower says at once that a hold is in force; the rig's clock is safe to read

Cause: a follower's question waits up to 10 s for news and had said the holds of before; which of the two came first was luck. Change: a change of what is said has the next question asked at once.

--- a/emulator/processes/relay.go
+++ b/emulator/processes/relay.go
@@ -76,7 +76,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, f := range r.weather {
-		cut := f.flap > 0 && (time.Since(r.rig.began)/f.flap)%2 == 0
+		cut := f.flap > 0 && (r.rig.since()/f.flap)%2 == 0
 		w.lostAsks, w.lostAnswers = w.lostAsks || f.lostAsks || cut, w.lostAnswers || f.lostAnswers || cut
 		w.loss, w.repeat, w.delay = max(w.loss, f.loss), max(w.repeat, f.repeat), max(w.delay, f.delay)
 		w.stall, w.reset = w.stall || f.stall, w.reset || f.reset
--- a/emulator/processes/rig.go
+++ b/emulator/processes/rig.go
@@ -16,6 +16,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -41,10 +42,10 @@
 
 // Rig is a run.
 type Rig struct {
+	clock   atomic.Pointer[time.Time] // when the script began
 	s       *Script
 	o       Options
 	dir     string
-	began   time.Time
 	quiet   *slog.Logger
 	procs   map[string]*proc
 	relays  map[[2]string]*relay
@@ -114,7 +115,15 @@
 	return fmt.Sprintf("127.99.%d.%d:7600", kind, n)
 }
 
-func (g *Rig) since() time.Duration { return time.Since(g.began) }
+func (g *Rig) began() time.Time { return *g.clock.Load() }
+
+func (g *Rig) since() time.Duration { return time.Since(g.began()) }
+
+// begins has the script's time begin now.
+func (g *Rig) begins() {
+	now := time.Now()
+	g.clock.Store(&now)
+}
 
 // where is the real address of a process; empty while it is down.
 func (g *Rig) where(name string) string {
@@ -145,7 +154,7 @@
 	rounds, last := context.WithCancel(work)
 	defer last()
 	g.parts.Go(func() { g.rounds_(rounds) })
-	wait(ctx, g.began.Add(s.Length))
+	wait(ctx, g.began().Add(s.Length))
 	faults.Wait()
 	last()
 	healed := g.heal(ctx)
@@ -164,7 +173,8 @@
 // Start starts all that a script names, and plays none of its faults. Whoever calls it ends it with End.
 func Start(ctx context.Context, s *Script, o Options) (_ *Rig, err error) {
 	g := &Rig{s: s, o: o, procs: make(map[string]*proc), relays: make(map[[2]string]*relay), quit: make(chan struct{}), injected: make(map[string]int),
-		quiet: slog.New(slog.DiscardHandler), began: time.Now()}
+		quiet: slog.New(slog.DiscardHandler)}
+	g.begins()
 	if g.dir, err = os.MkdirTemp("", "fleet"); err != nil {
 		return nil, err
 	}
@@ -172,7 +182,7 @@
 		defer g.End()
 		return nil, fmt.Errorf("%w\n%s", err, g.logs())
 	}
-	g.began = time.Now()
+	g.begins()
 	return g, nil
 }
 
@@ -491,8 +501,8 @@
 
 // play carries out one fault.
 func (g *Rig) play(ctx context.Context, i int, f Fault) {
-	wait(ctx, g.began.Add(f.At))
-	end := g.began.Add(f.At + f.For)
+	wait(ctx, g.began().Add(f.At))
+	end := g.began().Add(f.At + f.For)
 	g.mu.Lock()
 	g.injected[f.Kind]++
 	g.mu.Unlock()
--- a/fleet/follow/agent.go
+++ b/fleet/follow/agent.go
@@ -275,8 +275,12 @@
 
 func (a *Agent) setHolds(ids []string) {
 	a.mu.Lock()
-	defer a.mu.Unlock()
+	changed := !slices.Equal(a.holds, ids)
 	a.holds = ids
+	a.mu.Unlock()
+	if changed {
+		a.follower.Report()
+	}
 }
 
 // Mount answers owners.
--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -25,6 +25,7 @@
 	report func() council.Report // what is said of this process with each question
 	log    *slog.Logger
 	wait   time.Duration
+	again  chan struct{} // holds one where the report has changed
 
 	mu    sync.Mutex
 	state *fleet.State
@@ -34,7 +35,7 @@
 
 // NewFollower makes one that knows nothing yet.
 func NewFollower(c *Client, report func() council.Report, log *slog.Logger) *Follower {
-	return &Follower{client: c, report: report, log: log, wait: longPoll, state: fleet.New(0), news: make(chan struct{})}
+	return &Follower{client: c, report: report, log: log, wait: longPoll, state: fleet.New(0), news: make(chan struct{}), again: make(chan struct{}, 1)}
 }
 
 // State is the newest state, and when a member last answered.
@@ -66,6 +67,15 @@
 	}
 }
 
+// Report has the next question asked at once: what is said of this process has changed, and a question that waits for
+// news has said the former.
+func (f *Follower) Report() {
+	select {
+	case f.again <- struct{}{}:
+	default:
+	}
+}
+
 // Run follows until ctx ends. Members are asked in turn from a place of its own; after a failure it rests, the longer
 // the more have failed, for a time that is spread, so that a council that is back is not met by all at once.
 func (f *Follower) Run(ctx context.Context) {
@@ -87,13 +97,31 @@
 
 // ask asks a member once; ok says that it is worth asking again.
 func (f *Follower) ask(ctx context.Context, addr string) (ok bool) {
+	select {
+	case <-f.again: // this question says it
+	default:
+	}
 	s, _ := f.State()
 	q := council.Question{Report: f.report(), Wait: f.wait}
 	q.Epoch, q.At = s.Epoch, s.At
 	ctx, stop := context.WithTimeout(ctx, f.wait+pollSlack)
 	defer stop()
+	told := make(chan bool, 1)
+	go func() {
+		select {
+		case <-f.again:
+			told <- true
+			stop()
+		case <-ctx.Done():
+		}
+	}()
 	var a council.Answer
 	if err := f.client.Call(ctx, http.MethodPost, addr, "/state", q, &a); err != nil {
+		select {
+		case <-told:
+			return true // it was given up for the next one
+		default:
+		}
 		f.log.Debug("fleet: a member does not answer", "error", err)
 		return false
 	}
