--- a/internal/cli/ctl.go
+++ b/internal/cli/ctl.go
@@ -228,7 +228,7 @@
 	secret := ""
 	if file != "" {
 		var err error
-		if secret, err = token(file); err != nil {
+		if secret, err = operator.Token(file); err != nil {
 			return nil, "", err
 		}
 	}
--- a/internal/fleetcli/serve.go
+++ b/internal/fleetcli/serve.go
@@ -14,7 +14,6 @@
 	"os"
 	"os/signal"
 	"path/filepath"
-	"strings"
 	"syscall"
 	"time"
 
@@ -69,7 +68,7 @@
 		return nil, err
 	}
 	s := &settings{Fleet: f.Fleet, door: o.Door}
-	if s.token, err = tokenOf(f.Fleet.TokenFile); err != nil {
+	if s.token, err = operator.Token(f.Fleet.TokenFile); err != nil {
 		return nil, fmt.Errorf("%s: fleet.token_file: %w", path, err)
 	}
 	options := &slog.HandlerOptions{Level: o.Log.Level.Level}
@@ -95,26 +94,6 @@
 	return s.links.client()
 }
 
-// tokenOf is the first line of a file that nobody else may read.
-func tokenOf(path string) (string, error) {
-	info, err := os.Stat(path)
-	if err != nil {
-		return "", err
-	}
-	if info.Mode().Perm()&0o077 != 0 {
-		return "", fmt.Errorf("%s: others may read it: want mode 0600, got %04o", path, info.Mode().Perm())
-	}
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return "", err
-	}
-	line, _, _ := strings.Cut(string(raw), "\n")
-	if line = strings.TrimSpace(line); len(line) < 16 {
-		return "", fmt.Errorf("%s: want 16 characters or more, got %d", path, len(line))
-	}
-	return line, nil
-}
-
 // serveHTTP answers on an address until ctx ends.
 func serveHTTP(ctx context.Context, s *settings, h http.Handler) (stop func(), err error) {
 	ln, err := net.Listen("tcp", s.Listen)
@@ -202,7 +181,7 @@
 	at, token := s.door.Socket, ""
 	if at == "" && s.door.Listen != "" {
 		at = s.door.Listen
-		if token, err = tokenOf(s.door.TokenFile); err != nil {
+		if token, err = operator.Token(s.door.TokenFile); err != nil {
 			return fmt.Errorf("door.token_file: %w", err)
 		}
 	}
