A follower rests where a member answers at once with nothing that leads on

Seen on a last reading: a member of a former council, a log of a newer program, or an entry of raft's own behind a loud one had the follower ask again without a rest. Lines: Follower.ask went by the member's leader alone; Member.publish took the state's place for that of the last loud entry. Change: both. TestNothingNew counts the asks and that nothing leads back.

--- a/fleet/council/member.go
+++ b/fleet/council/member.go
@@ -271,7 +271,7 @@
 		}
 		v.Ring, v.Raw = append(v.Ring, a.Result.At), append(v.Raw, a.Raw)
 		if !a.Entry.Quiet() {
-			loud = true
+			loud, v.Loud = true, a.Result.At
 			m.tell(a)
 		}
 	}
@@ -283,8 +283,10 @@
 		v.From = v.Ring[n-1]
 		v.Ring, v.Raw = slices.Clone(v.Ring[n:]), slices.Clone(v.Raw[n:])
 	}
-	if loud {
+	if out.Restored {
 		v.Loud = v.State.At
+	}
+	if loud {
 		close(m.news)
 		m.news = make(chan struct{})
 	}
--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -115,6 +115,7 @@
 		case <-ctx.Done():
 		}
 	}()
+	began := time.Now()
 	var a council.Answer
 	if err := f.client.Call(ctx, http.MethodPost, addr, "/state", q, &a); err != nil {
 		select {
@@ -125,12 +126,13 @@
 		f.log.Debug("fleet: a member does not answer", "error", err)
 		return false
 	}
-	f.take(s, a)
-	return a.Leader // one that is cut off knows nothing new
+	// One that is cut off knows nothing new, and one that answers at once with nothing that leads on (of a former
+	// council, or of a newer program) would be asked without a rest.
+	return f.take(s, a) && a.Leader || a.Leader && time.Since(began) >= f.wait/2
 }
 
-// take goes on to what an answer leads to, never back.
-func (f *Follower) take(from *fleet.State, a council.Answer) {
+// take goes on to what an answer leads to, never back; on says that it led on.
+func (f *Follower) take(from *fleet.State, a council.Answer) (on bool) {
 	next := from
 	if a.State != nil && a.State.Newer(from) {
 		next = a.State
@@ -142,7 +144,7 @@
 			s, _, err := next.Apply(e.At, e.Raw)
 			if err != nil {
 				f.log.Error("fleet: the state is of a newer program, and this one goes on with the last it knows", "error", err)
-				return
+				return false
 			}
 			next = s
 		}
@@ -154,5 +156,7 @@
 		f.state = next
 		close(f.news)
 		f.news = make(chan struct{})
+		return true
 	}
+	return false
 }
--- /dev/null
+++ b/fleet/follow/follow_test.go
@@ -0,0 +1,39 @@
+package follow
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cobaltward/fleet"
+	"cobaltward/fleet/council"
+	"cobaltward/internal/door"
+	"cobaltward/internal/testkit"
+)
+
+// A member that answers at once with nothing that leads on is not asked without a rest, and leads a follower never back.
+func TestNothingNew(t *testing.T) {
+	var asks atomic.Int64
+	at := testkit.HTTPServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		s := fleet.New(2).WithMembers(7, nil)
+		if asks.Add(1) > 1 {
+			s = fleet.New(1).WithMembers(9, nil) // of a council that was begun anew without it
+		}
+		door.Reply(w, http.StatusOK, council.Answer{State: s, Leader: true})
+	})
+	c := NewClient([]string{at}, nil, "", nil)
+	defer c.HTTP.CloseIdleConnections()
+	f := NewFollower(c, func() council.Report { return council.Report{} }, slog.New(slog.DiscardHandler))
+	ctx, stop := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer stop()
+	f.Run(ctx)
+	if s, _ := f.State(); s.Epoch != 2 || s.At != 7 {
+		t.Errorf("it went back to epoch %d, position %d", s.Epoch, s.At)
+	}
+	if n := asks.Load(); n < 2 || n > 20 {
+		t.Errorf("asked %d times in half a second", n)
+	}
+}
