--- a/emulator/concert/concert.go
+++ b/emulator/concert/concert.go
@@ -687,7 +687,7 @@
 		}
 		p := all[r.IntN(len(all))]
 		q := all[r.IntN(len(all))]
-		kind := r.IntN(12)
+		kind := r.IntN(13)
 		if w.c.Only != nil {
 			kind = w.c.Only[r.IntN(len(w.c.Only))]
 		}
@@ -721,13 +721,22 @@
 			repeat := 0.4 * r.Float64()
 			w.at(at, nil, func() { w.repeat += repeat })
 			w.at(at+length, nil, func() { w.repeat -= repeat })
-		case 11: // a process hears late, and then nothing and nobody hears it
-			slow := time.Duration(0.45 * r.Float64() * float64(lease))
+		case 11: // one that may own hears late, and then nothing and nobody hears it
+			p := w.followers[r.IntN(w.c.Owners)]
+			slow := time.Duration((0.3 + 0.18*r.Float64()) * float64(lease))
 			w.at(at, nil, func() { p.slow += slow })
 			w.at(at+length, nil, func() { p.slow -= slow })
 			if at+2*length < w.c.Length {
 				w.cutOff(at+length, length, func(a, b *process) bool { return a == p || b == p }, 0)
 			}
+		case 12: // two members don't see each other, and one that sees both dies and is back at once, again and again
+			order := r.Perm(len(w.members))
+			a, b, c := w.members[order[0]], w.members[order[1]], w.members[order[2]]
+			w.cutOff(at, length, func(x, y *process) bool { return x == a && y == b || x == b && y == a }, 0)
+			for t := at; t < at+length; t += between(50*ms, time.Second) {
+				w.at(t, nil, func() { w.kill(c, false) })
+				w.at(t+between(ms, 40*ms), nil, func() { w.revive(c) })
+			}
 		case 10:
 			if w.c.Lie {
 				jump := between(-5*time.Second, 20*time.Second)
--- a/emulator/processes/court.go
+++ b/emulator/processes/court.go
@@ -96,6 +96,9 @@
 	d.Handle(http.MethodDelete, "/drain", n.undrain)
 	d.Handle(http.MethodPost, "/servers/{id}/drain", func(w http.ResponseWriter, r *http.Request) { n.hold(w, r, true) })
 	d.Handle(http.MethodDelete, "/servers/{id}/drain", func(w http.ResponseWriter, r *http.Request) { n.hold(w, r, false) })
+	d.Handle(http.MethodGet, "/servers", func(w http.ResponseWriter, _ *http.Request) {
+		door.Reply(w, http.StatusOK, map[string][]string{"bystrica": {"b-1", "b-2"}, "nitra": {"s-7"}})
+	})
 	d.Start()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/emulator/processes/measure.go
+++ b/emulator/processes/measure.go
@@ -92,3 +92,14 @@
 	system, _ := strconv.ParseInt(f[12], 10, 64)
 	return own, all, time.Duration(user+system) * tick, nil
 }
+
+// Via is where the relays of a process are reached: they stay where they are through restarts of who is asked.
+func (g *Rig) Via(name string) map[string]string {
+	via := make(map[string]string)
+	for key, r := range g.relays {
+		if key[0] == name {
+			via[canonical(key[1])] = r.addr
+		}
+	}
+	return via
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -220,7 +220,8 @@
 type HoldOrder struct {
 	ID      string    `json:"id"`
 	Servers []string  `json:"servers,omitempty"`
-	Until   time.Time `json:"until"` // by the clock of whoever carries it out
+	Zones   []string  `json:"zones,omitempty"` // and all servers of these, as each node's list has them
+	Until   time.Time `json:"until"`           // by the clock of whoever carries it out
 	Who     string    `json:"who,omitempty"`
 	Reason  string    `json:"reason,omitempty"`
 	At      Position  `json:"at"`
@@ -314,8 +315,10 @@
 
 // put is a copy of m in which k is v.
 func put[K comparable, V any](m map[K]V, k K, v V) map[K]V {
-	c := make(map[K]V, len(m)+1)
-	maps.Copy(c, m)
+	c := maps.Clone(m)
+	if c == nil {
+		c = make(map[K]V)
+	}
 	c[k] = v
 	return c
 }
@@ -367,7 +370,7 @@
 		return 0, s.job(e)
 	case Hold:
 		switch h := e.Hold; {
-		case h == nil || h.ID == "" || len(h.Servers) == 0 || h.Until.IsZero():
+		case h == nil || h.ID == "" || len(h.Servers)+len(h.Zones) == 0 || h.Until.IsZero():
 			return 0, ErrBad
 		case len(s.Holds) >= mostHolds:
 			return 0, ErrFull
@@ -613,15 +616,12 @@
 	return s, nil
 }
 
-// Held are the servers that are held out at a moment.
-func (s *State) Held(now time.Time) map[string]bool {
-	out := make(map[string]bool)
-	for _, h := range s.Holds {
-		if now.Before(h.Until) {
-			for _, id := range h.Servers {
-				out[id] = true
-			}
+// Held are the holds that are in force at a moment, in the order of their names.
+func (s *State) Held(now time.Time) (all []*HoldOrder) {
+	for _, id := range slices.Sorted(maps.Keys(s.Holds)) {
+		if h := s.Holds[id]; now.Before(h.Until) {
+			all = append(all, h)
 		}
 	}
-	return out
+	return all
 }
--- a/fleet/follow/agent.go
+++ b/fleet/follow/agent.go
@@ -34,6 +34,8 @@
 	Lift(ctx context.Context, server string) error
 	// Held are the servers that are held out by hand.
 	Held(ctx context.Context) ([]string, error)
+	// Zones are the servers of the node's list by zone.
+	Zones(ctx context.Context) (map[string][]string, error)
 }
 
 // Commands are the operator's. They get WAYHOLD_NODE, WAYHOLD_KEY, WAYHOLD_TOKEN and WAYHOLD_STEP, and end with the
@@ -187,18 +189,19 @@
 // keepHolds has the node hold out what the fleet holds, and lifts what it held for the fleet before, and only that.
 func (a *Agent) keepHolds(ctx context.Context) {
 	s, _ := a.follower.State()
-	want := s.Held(a.c.Clock.Wall())
+	orders := s.Held(a.c.Clock.Wall())
 	a.mu.Lock()
 	mine := slices.Clone(a.mem.Holds)
 	a.mu.Unlock()
-	if len(want) == 0 && len(mine) == 0 {
+	if len(orders) == 0 && len(mine) == 0 {
 		a.setHolds(nil)
 		return
 	}
 	ctx, stop := context.WithTimeout(ctx, doorWait)
 	defer stop()
-	held, err := a.node.Held(ctx)
-	if err != nil {
+	want, err := a.wanted(ctx, orders)
+	held, heldErr := a.node.Held(ctx)
+	if err != nil || heldErr != nil {
 		a.setHolds(nil) // nothing can be said of it
 		return
 	}
@@ -208,14 +211,12 @@
 	}
 	var next []string
 	for _, id := range mine {
-		switch {
-		case want[id] || !have[id]:
-		case a.node.Lift(ctx, id) != nil:
+		if !want[id] && have[id] && a.node.Lift(ctx, id) != nil {
 			next = append(next, id) // tried again
 		}
 	}
 	for id := range want {
-		if slices.Contains(mine, id) || !have[id] {
+		if slices.Contains(mine, id) || !have[id] { // what an operator holds by hand is his to lift
 			next = append(next, id)
 		}
 	}
@@ -240,14 +241,38 @@
 		}
 	}
 	var force []string
-	for _, id := range slices.Sorted(maps.Keys(s.Holds)) {
-		if h := s.Holds[id]; !slices.ContainsFunc(h.Servers, func(server string) bool { return !have[server] }) && a.c.Clock.Wall().Before(h.Until) {
-			force = append(force, id)
+	for _, h := range orders {
+		one, err := a.wanted(ctx, []*fleet.HoldOrder{h})
+		if err == nil && !slices.ContainsFunc(slices.Collect(maps.Keys(one)), func(server string) bool { return !have[server] }) {
+			force = append(force, h.ID)
 		}
 	}
 	a.setHolds(force)
 }
 
+// wanted are the servers that holds ask for, with those that the node's list has in their zones.
+func (a *Agent) wanted(ctx context.Context, orders []*fleet.HoldOrder) (map[string]bool, error) {
+	want := make(map[string]bool)
+	var zones map[string][]string
+	for _, h := range orders {
+		if len(h.Zones) > 0 && zones == nil {
+			var err error
+			if zones, err = a.node.Zones(ctx); err != nil {
+				return nil, err
+			}
+		}
+		for _, id := range h.Servers {
+			want[id] = true
+		}
+		for _, z := range h.Zones {
+			for _, id := range zones[z] {
+				want[id] = true
+			}
+		}
+	}
+	return want, nil
+}
+
 func (a *Agent) setHolds(ids []string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/fleet/follow/node.go
+++ b/fleet/follow/node.go
@@ -109,3 +109,9 @@
 	s, err := d.status(ctx)
 	return s.ByHand, err
 }
+
+// Zones implements Node.
+func (d *Door) Zones(ctx context.Context) (zones map[string][]string, err error) {
+	err = d.call(ctx, http.MethodGet, "/servers", struct{}{}, &zones)
+	return zones, err
+}
--- a/fleet/jobs/steward.go
+++ b/fleet/jobs/steward.go
@@ -30,12 +30,15 @@
 }
 
 // Ask is what to propose now for the ownership's sake; ok is false where that is nothing. An owner that is asked to
-// step down does, and comes back after a while.
+// step down does, and comes back after a while. Who waits for another's work to come free hears of it by the state.
 func (s *Steward) Ask(now time.Duration, st *fleet.State) (e fleet.Entry, ok bool) {
 	if o, there := st.Owners[s.Work]; there && o.Asked != "" && o.Holder == s.holder.Name && now >= s.away {
 		s.leave(now)
 	}
 	s.holder.StepDown(now < s.away)
+	if o, there := st.Owners[s.Work]; there && o.Holder != s.holder.Name && !s.holder.Has() {
+		return e, false // it is another's, as far as is known here: the log is spared
+	}
 	return s.holder.Ask(now)
 }
 
--- a/internal/fleetcli/cli.go
+++ b/internal/fleetcli/cli.go
@@ -233,7 +233,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.Holds)) {
 		h := s.Holds[id]
-		fmt.Fprintf(w, "hold\t%s\t%s until %s by %s: %s\n", id, strings.Join(h.Servers, " "), h.Until.Local().Format(time.TimeOnly), h.Who, h.Reason)
+		fmt.Fprintf(w, "hold\t%s\t%s until %s by %s: %s\n", id, strings.Join(append(slices.Clone(h.Servers), h.Zones...), " "), h.Until.Local().Format(time.TimeOnly), h.Who, h.Reason)
 	}
 	if err := w.Flush(); err != nil {
 		return err
@@ -417,14 +417,18 @@
 func (t *tool) holdCommand() *cobra.Command {
 	var id string
 	var length time.Duration
-	c := t.plain("hold SERVER ...", "Hold servers out at all nodes for a time", cobra.MinimumNArgs(1), func(c *follow.Client, args []string) error {
+	var inZones []string
+	c := t.plain("hold [SERVER ...]", "Hold servers, or zones' servers, out at all nodes for a time", cobra.ArbitraryArgs, func(c *follow.Client, args []string) error {
+		if len(args)+len(inZones) == 0 {
+			return errors.New("hold: want a SERVER, or a --zone")
+		}
 		if t.reason == "" {
 			return errors.New("hold: want a --reason: the next one on duty will ask")
 		}
 		if id == "" {
 			id = "hold-" + strconv.FormatInt(time.Now().UnixMilli(), 10)
 		}
-		if err := t.propose(c, fleet.Entry{Kind: fleet.Hold, Hold: &fleet.HoldOrder{ID: id, Servers: args, Until: time.Now().Add(length)}}); err != nil {
+		if err := t.propose(c, fleet.Entry{Kind: fleet.Hold, Hold: &fleet.HoldOrder{ID: id, Servers: args, Zones: inZones, Until: time.Now().Add(length)}}); err != nil {
 			return err
 		}
 		fmt.Fprintln(t.out, id)
@@ -444,6 +448,7 @@
 	})
 	f := c.Flags()
 	f.StringVar(&id, "id", "", "a name for the hold")
+	f.StringSliceVar(&inZones, "zone", nil, "all servers of a zone, as each node's list has them")
 	f.DurationVar(&length, "for", 10*time.Minute, "how long the servers are held out")
 	f.DurationVar(&t.wait, "wait", 0, "how long to wait until it holds everywhere")
 	return c
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -105,6 +105,7 @@
 		}
 		c.level(w, r)
 	})
+	d.Handle(http.MethodGet, "/servers", func(w http.ResponseWriter, _ *http.Request) { door.Reply(w, http.StatusOK, c.hold.Zones()) })
 	d.Handle(http.MethodPost, "/servers/{id}/drain", func(w http.ResponseWriter, r *http.Request) { c.byHand(w, r, c.hold.Drain) })
 	d.Handle(http.MethodDelete, "/servers/{id}/drain", func(w http.ResponseWriter, r *http.Request) { c.byHand(w, r, c.hold.Lift) })
 }
--- a/membership/hold/hold.go
+++ b/membership/hold/hold.go
@@ -185,6 +185,18 @@
 	return slices.Sorted(maps.Keys(s.refused))
 }
 
+// Zones is the servers of the list by zone, each zone's in order.
+func (s *Source) Zones() map[string][]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make(map[string][]string)
+	for _, id := range slices.Sorted(maps.Keys(s.members)) {
+		zone := s.members[id].Zone
+		all[zone] = append(all[zone], id)
+	}
+	return all
+}
+
 // Held is the servers that are drained by hand, in order.
 func (s *Source) Held() []string {
 	s.mu.Lock()
