--- a/body/upload.go
+++ b/body/upload.go
@@ -120,8 +120,8 @@
 	}
 }
 
-// OnWhole has f called once, when the last byte has come; it returns true, and doesn't call f, where it has.
-func (u *Upload) OnWhole(f func(at time.Time)) bool {
+// OnComplete has f called once, when the last byte has come; it returns true, and doesn't call f, where it has.
+func (u *Upload) OnComplete(f func(at time.Time)) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.whole {
@@ -138,13 +138,13 @@
 	return u.came
 }
 
-// Spent tells whether bytes have been passed on that are not held.
-func (u *Upload) Spent() bool { return u.spent.Load() }
+// Consumed tells whether bytes have been passed on that are not held.
+func (u *Upload) Consumed() bool { return u.spent.Load() }
 
 // Open returns the body from its first byte on.
 func (u *Upload) Open() (io.Reader, error) {
 	if u.spent.Load() {
-		return nil, router.ErrSpent
+		return nil, router.ErrBodyConsumed
 	}
 	return &reader{u: u}, nil
 }
@@ -239,7 +239,7 @@
 	case closed:
 		return 0, ErrClosed
 	case r.at != u.got: // another reader was here
-		return 0, router.ErrSpent
+		return 0, router.ErrBodyConsumed
 	case whole:
 		return 0, io.EOF
 	case u.failed != nil:
--- a/body/upload_test.go
+++ b/body/upload_test.go
@@ -38,10 +38,10 @@
 			t.Fatal(err)
 		}
 		told := 0
-		whole := u.OnWhole(func(time.Time) { told++ })
+		whole := u.OnComplete(func(time.Time) { told++ })
 		for i := range 2 {
 			r, err := u.Open()
-			if errors.Is(err, router.ErrSpent) && i == 1 && u.Spent() {
+			if errors.Is(err, router.ErrBodyConsumed) && i == 1 && u.Consumed() {
 				break
 			}
 			if err != nil {
@@ -58,8 +58,8 @@
 		if whole == (told == 1) || told > 1 || !u.Whole() || u.Came().IsZero() {
 			t.Fatalf("whole at first: %v, told %d times", whole, told)
 		}
-		if short, ok := u.Short(1 << 20); ok == u.Spent() || ok && !bytes.Equal(short, all) {
-			t.Fatalf("short: %v, spent: %v", ok, u.Spent())
+		if short, ok := u.Short(1 << 20); ok == u.Consumed() || ok && !bytes.Equal(short, all) {
+			t.Fatalf("short: %v, spent: %v", ok, u.Consumed())
 		}
 		u.Close(func() { t.Fatal("nobody reads") })
 		if budget.Used() != 0 {
--- a/cmd/wayhold-xds/main.go
+++ b/cmd/wayhold-xds/main.go
@@ -29,7 +29,7 @@
 
 // membership is the source that the operator's own file asks for, with the platform's discovery first
 // unless it is to stand alone.
-func membership(o operator.File, c node.Config, own router.Membership, log *slog.Logger) (router.Membership, error) {
+func membership(o operator.File, c node.Config, own router.EndpointSource, log *slog.Logger) (router.EndpointSource, error) {
 	secrets := make(map[string]func(*keys.Set))
 	if c.TLS != nil {
 		for name, store := range c.TLS.Secrets {
@@ -49,7 +49,7 @@
 }
 
 // open makes the source of the control planes, or of the files.
-func open(x operator.XDS, secrets map[string]func(*keys.Set), log *slog.Logger) (router.Membership, error) {
+func open(x operator.XDS, secrets map[string]func(*keys.Set), log *slog.Logger) (router.EndpointSource, error) {
 	if len(x.Files) > 0 {
 		return xds.NewFiles(x.Files, log)
 	}
--- a/cmd/wayhold-xds/xds.go
+++ b/cmd/wayhold-xds/xds.go
@@ -61,8 +61,8 @@
 			}
 			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, os.Interrupt)
 			defer stop()
-			source.Run(ctx, func(change router.Change) {
-				for _, m := range change.Members {
+			source.Run(ctx, func(change router.EndpointUpdate) {
+				for _, m := range change.Endpoints {
 					fmt.Fprintln(c.OutOrStdout(), time.Now().Format("15:04:05.000"), line(m))
 				}
 			})
@@ -124,7 +124,7 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer stop()
-	running.Go(func() { s.Run(ctx, func(router.Change) {}) })
+	running.Go(func() { s.Run(ctx, func(router.EndpointUpdate) {}) })
 	return f(ctx, s, c.OutOrStdout())
 }
 
@@ -188,7 +188,7 @@
 }
 
 // line is a server on a line.
-func line(m router.Member) string {
-	state := map[policy.Availability]string{policy.Running: "used", policy.Draining: "not used", policy.Removed: "gone"}[m.State]
+func line(m router.Endpoint) string {
+	state := map[policy.Availability]string{policy.Running: "used", policy.Draining: "not used", policy.Removed: "gone"}[m.Availability]
 	return fmt.Sprintf("%-24s %-8s zone %s pools %s", m.Addr, state, m.Zone, strings.Join(m.Pools, ","))
 }
--- a/emulator/face/face_test.go
+++ b/emulator/face/face_test.go
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), wait)
 	defer cancel()
 	r := x.Attempt(ctx, "s", &router.Request{ID: id, IdempotencyKey: key, Method: "POST", Target: "/" + id})
-	return fmt.Sprint(map[policy.Code]string{policy.OK: "ok", policy.Full: "full", policy.Reset: "reset", policy.TimedOut: "timed out",
+	return fmt.Sprint(map[policy.Code]string{policy.OK: "ok", policy.Overloaded: "full", policy.Reset: "reset", policy.TimedOut: "timed out",
 		policy.ConnectFailed: "not connected", policy.Cancelled: "cancelled", policy.ServerError: "error"}[r.Code])
 }
 
@@ -76,7 +76,7 @@
 				})
 			x := p.transport()
 			defer x.Close()
-			x.Update(router.Change{Members: []router.Member{{ID: "s", Addr: addr}}})
+			x.Update(router.EndpointUpdate{Endpoints: []router.Endpoint{{ID: "s", Addr: addr}}})
 			for _, id := range []string{"a", "b"} {
 				if got := attempt(t, x, id, "k", testkit.Long); got != "ok" {
 					t.Errorf("%s: %s", id, got)
@@ -126,21 +126,21 @@
 			warm := model.Config{Cores: 1, Slots: 4, Queue: 40}
 			cold := warm
 			cold.Cold = model.Cold{From: 0.1, For: 60 * time.Second, Multiple: 1.02, Window: time.Second}
-			var members []router.Member
+			var members []router.Endpoint
 			for i := range 3 {
 				_, addr := start(t, "http", warm, nil, cost)
-				members = append(members, router.Member{ID: fmt.Sprint("w", i), Zone: "a", Addr: addr, Weight: 1})
+				members = append(members, router.Endpoint{ID: fmt.Sprint("w", i), Zone: "a", Addr: addr, Weight: 1})
 			}
 			fresh, addr := start(t, "http", cold, nil, cost)
-			young := router.Member{ID: "a-fresh", Zone: "a", Addr: addr, Weight: 1} // first in id order
-			if guarded {                                                            // else its start is not told: it counts as warm
+			young := router.Endpoint{ID: "a-fresh", Zone: "a", Addr: addr, Weight: 1} // first in id order
+			if guarded {                                                              // else its start is not told: it counts as warm
 				young.Started = time.Now()
 			}
 			members = append(members, young)
-			r, err := router.New(router.Config{Members: members, Settings: policy.Settings{Nodes: 1, Zone: "a",
-				Classes: []policy.Class{{Name: "read", Aim: time.Second, Deadline: 4 * time.Second, Repeat: policy.Free}},
-				Allowed: policy.Allowed{Cancel: true, MaxAttempts: 3},
-				Rules:   policy.Rules{DrainGrace: time.Second, ColdShare: 0.1, ColdFor: 60 * time.Second, FallMultiple: 1.02, FallFor: time.Second}}},
+			r, err := router.New(router.Config{Endpoints: members, Settings: policy.Settings{Nodes: 1, Zone: "a",
+				Classes:      []policy.Class{{Name: "read", LatencyObjective: time.Second, Deadline: 4 * time.Second, Idempotency: policy.Idempotent}},
+				Capabilities: policy.Capabilities{Cancel: true, MaxAttempts: 3},
+				Rules:        policy.Rules{DrainGrace: time.Second, SlowStartShare: 0.1, SlowStartWindow: 60 * time.Second, OverloadFactor: 1.02, OverloadDuration: time.Second}}},
 				router.WithTransport(http1.New(http1.Config{})))
 			if err != nil {
 				t.Fatal(err)
--- a/emulator/judge/judge.go
+++ b/emulator/judge/judge.go
@@ -57,8 +57,8 @@
 
 // Class is what the judge must know of a class.
 type Class struct {
-	Repeat policy.Repeat
-	Group  policy.Group
+	Repeat policy.Idempotency
+	Group  policy.DedupScope
 	Window time.Duration
 }
 
@@ -154,7 +154,7 @@
 	}
 	r.answered = true
 	r.refused = r.refused || refused && !r.gone
-	if refused && n == 0 && j.b.Classes[r.class].Repeat == policy.Never {
+	if refused && n == 0 && j.b.Classes[r.class].Repeat == policy.NonIdempotent {
 		j.v.Checked[Once]++
 		if r.ran > 0 || r.mayRun >= 0 {
 			j.breach(Breach{Once, at, id, node, "", "refused, though it may have run: its client will come again"})
@@ -215,11 +215,11 @@
 			continue
 		}
 		j.v.Checked[Once]++
-		if c.Repeat == policy.Never {
+		if c.Repeat == policy.NonIdempotent {
 			j.breach(Breach{Once, at, id, node, server, fmt.Sprintf("sent again, though attempt %d at %s may have run", i+1, a.server)})
 			break
 		}
-		if c.Repeat == policy.Guarded {
+		if c.Repeat == policy.IdempotencyKeyed {
 			if zone, cell := j.place(a.server); !j.same(c.Group, zone, cell, server) {
 				j.breach(Breach{Once, at, id, node, server, fmt.Sprintf("sent outside the group of %s, which alone drops its repeats", a.server)})
 				break
@@ -245,12 +245,12 @@
 	return j.b.Place(server)
 }
 
-func (j *Judge) same(g policy.Group, zone string, cell int64, server string) bool {
+func (j *Judge) same(g policy.DedupScope, zone string, cell int64, server string) bool {
 	z, c := j.place(server)
 	switch g {
-	case policy.GroupAll:
+	case policy.DedupAll:
 		return true
-	case policy.GroupZone:
+	case policy.DedupZone:
 		return z == zone
 	}
 	return z == zone && c == cell
@@ -286,13 +286,13 @@
 	r.ran++
 	c := j.b.Classes[r.class]
 	j.v.Checked[Once]++
-	if c.Repeat == policy.Free {
+	if c.Repeat == policy.Idempotent {
 		return
 	}
 	if r.ran > 1 {
 		j.breach(Breach{Once, at, id, r.node, server, fmt.Sprintf("ran for the %d. time", r.ran)})
 	}
-	if r.refused && c.Repeat == policy.Never {
+	if r.refused && c.Repeat == policy.NonIdempotent {
 		j.breach(Breach{Once, at, id, r.node, server, "ran, though its client was told that it never did"})
 	}
 }
--- a/emulator/plan/plan.go
+++ b/emulator/plan/plan.go
@@ -154,23 +154,23 @@
 
 // settings are those that a node of this site would be told.
 func settings(s *script.Script) policy.Settings {
-	set := policy.Settings{Nodes: s.Nodes.Count, Report: s.Reports,
-		Allowed: policy.Allowed{Cancel: s.Allow.Cancel, Hedge: s.Allow.Hedge, RetryAfter: s.Allow.RetryAfter,
-			MaxAttempts: s.Allow.MaxAttempts, MaxRetryAfter: s.Clients.MaxRetryAfter, ConnIdle: s.Allow.ConnIdle},
-		Rules: policy.Rules{DrainGrace: s.Rules.DrainGrace, FallMultiple: s.Rules.FallMultiple, FallFor: s.Rules.FallFor, AnswerGrace: s.Rules.AnswerGrace}}
+	set := policy.Settings{Nodes: s.Nodes.Count, LoadReportFields: s.Reports,
+		Capabilities: policy.Capabilities{Cancel: s.Allow.Cancel, Hedge: s.Allow.Hedge, RetryAfter: s.Allow.RetryAfter,
+			MaxAttempts: s.Allow.MaxAttempts, MaxRetryAfter: s.Clients.MaxRetryAfter, ConnIdleTimeout: s.Allow.ConnIdle},
+		Rules: policy.Rules{DrainGrace: s.Rules.DrainGrace, OverloadFactor: s.Rules.FallMultiple, OverloadDuration: s.Rules.FallFor, AnswerGrace: s.Rules.AnswerGrace}}
 	for _, c := range s.Classes {
-		set.Classes = append(set.Classes, policy.Class{Name: c.Name, Aim: c.Aim, Deadline: c.Deadline, Worth: 1, LateWorth: c.LateWorth, Window: c.Window,
-			Repeat: map[string]policy.Repeat{"free": policy.Free, "guarded": policy.Guarded, "never": policy.Never}[c.Repeat],
-			Group:  map[string]policy.Group{"all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell}[c.Group]})
+		set.Classes = append(set.Classes, policy.Class{Name: c.Name, LatencyObjective: c.Aim, Deadline: c.Deadline, PriorityWeight: 1, LateWeightFraction: c.LateWorth, DedupWindow: c.Window,
+			Idempotency: map[string]policy.Idempotency{"free": policy.Idempotent, "guarded": policy.IdempotencyKeyed, "never": policy.NonIdempotent}[c.Repeat],
+			DedupScope:  map[string]policy.DedupScope{"all": policy.DedupAll, "zone": policy.DedupZone, "cell": policy.DedupCell}[c.Group]})
 	}
 	for _, t := range s.Tenants {
 		set.Tenants = append(set.Tenants, policy.Tenant{Name: t.Name, Quota: t.Share * s.Traffic.Quota, Share: t.Share})
 	}
-	set.Rules.ColdShare = 1
+	set.Rules.SlowStartShare = 1
 	for _, k := range s.Kinds {
 		if k.ColdFrom.Lo > 0 {
-			set.Rules.ColdShare = min(set.Rules.ColdShare, k.ColdFrom.Lo)
-			set.Rules.ColdFor = max(set.Rules.ColdFor, k.ColdFor)
+			set.Rules.SlowStartShare = min(set.Rules.SlowStartShare, k.ColdFrom.Lo)
+			set.Rules.SlowStartWindow = max(set.Rules.SlowStartWindow, k.ColdFor)
 		}
 	}
 	return set
@@ -511,13 +511,13 @@
 		if c.Name != class {
 			continue
 		}
-		switch c.Group {
-		case policy.GroupZone:
+		switch c.DedupScope {
+		case policy.DedupZone:
 			class += "/" + s.Zone
-		case policy.GroupCell:
+		case policy.DedupCell:
 			class += fmt.Sprintf("/%s/%d", s.Zone, s.Cell)
 		}
-		return class, c.Window
+		return class, c.DedupWindow
 	}
 	return class, 0
 }
--- a/emulator/sim/client.go
+++ b/emulator/sim/client.go
@@ -138,8 +138,8 @@
 	}
 	life := n.lives
 	n.step(func(now time.Duration) {
-		err := n.engine.Offer(now, router.Request{ID: id, Class: s.Classes[r.Class].Name, Tenant: s.Tenants[r.Tenant].Name,
-			IdempotencyKey: r.Key, Wait: due - w.now, Retry: r.tries > 1}, func(a router.Answer) {
+		err := n.engine.Submit(now, router.Request{ID: id, Class: s.Classes[r.Class].Name, Tenant: s.Tenants[r.Tenant].Name,
+			IdempotencyKey: r.Key, Timeout: due - w.now, IsRetry: r.tries > 1}, func(a router.Answer) {
 			w.after(way, func() {
 				if n.lives == life { // else the connection went with the node
 					w.answered(r, n, id, i, a)
@@ -153,7 +153,7 @@
 }
 
 func (w *world) answered(r *request, n *node, id string, i int, a router.Answer) {
-	refused := a.Outcome == router.Refused || a.Outcome == router.Overloaded
+	refused := a.Outcome == router.Rejected || a.Outcome == router.Overloaded
 	w.judge.Answer(w.now, n.spec.Name, id, i, refused)
 	if i > 0 {
 		return
@@ -176,7 +176,7 @@
 	life := n.lives
 	w.after(way, func() {
 		if n.lives == life {
-			n.step(func(now time.Duration) { n.engine.Leave(now, id) })
+			n.step(func(now time.Duration) { n.engine.ClientGone(now, id) })
 		}
 	})
 	w.tried(r, id, end, 0)
--- a/emulator/sim/mutants.go
+++ b/emulator/sim/mutants.go
@@ -50,25 +50,25 @@
 		{"answers late", "sick", judge.Answered, engine(guards.AnswerTime)},
 		{"leaves requests without an answer", "sick", judge.Answered, without(guards.Without{Set: guards.Backstop,
 			Wrap: func(m guards.Module) guards.Module {
-				return &tamper{Module: m, action: func(a policy.Action) bool { return a.Kind != policy.Fail && a.Kind != policy.Refuse }}
+				return &tamper{Module: m, action: func(a policy.Action) bool { return a.Kind != policy.Fail && a.Kind != policy.Reject }}
 			}})},
 		{"sends after the answer", "sick", judge.Answered, without(guards.Without{Set: guards.AfterEnd, Wrap: hears(unended)})},
 		{"takes an id twice", "bad-clients", judge.Once, engine(guards.FreshID)},
 		{"refuses what may have run", "sick", judge.Once, engine(guards.RefuseRan)},
 		{"repeats an unsafe request", "sick", judge.Once, classes(func(c *policy.Class) {
-			if c.Repeat == policy.Never {
-				c.Repeat = policy.Free
+			if c.Idempotency == policy.NonIdempotent {
+				c.Idempotency = policy.Idempotent
 			}
 		})},
 		{"takes a reset for proof", "sick", judge.Once, func() Options { return Options{Lying: true} }},
-		{"forgets the group of a key", "keys", judge.Once, classes(func(c *policy.Class) { c.Group = policy.GroupAll })},
-		{"forgets the window of a key", "keys", judge.Once, without(guards.Without{Set: guards.KeyWindow, Settings: changed(func(c *policy.Class) { c.Window *= 100 })})},
+		{"forgets the group of a key", "keys", judge.Once, classes(func(c *policy.Class) { c.DedupScope = policy.DedupAll })},
+		{"forgets the window of a key", "keys", judge.Once, without(guards.Without{Set: guards.KeyWindow, Settings: changed(func(c *policy.Class) { c.DedupWindow *= 100 })})},
 		{"writes a repeat when its key is forgotten", "keys", judge.Once, engine(guards.KeyWindow)},
 		{"does not hear of drains", "rolling", judge.Drained, careless(undrained)},
 		{"does not hear of servers that are gone", "wrong-list", judge.Drained, careless(unremoved)},
 		{"takes cold servers for warm", "fresh", judge.Cold, without(guards.Without{Wrap: hears(warm)})},
 		{"has no budget for cold servers", "fresh", judge.Cold, without(guards.Without{Settings: func(s policy.Settings) policy.Settings {
-			s.Rules.ColdShare, s.Rules.FallMultiple = 1, 1e6
+			s.Rules.SlowStartShare, s.Rules.OverloadFactor = 1, 1e6
 			return s
 		}})},
 	}
@@ -92,20 +92,20 @@
 	return all
 }
 
-func members(ev policy.Event, change func(*policy.Member)) policy.Event {
-	list, ok := ev.(policy.MemberList)
+func members(ev policy.Event, change func(*policy.Endpoint)) policy.Event {
+	list, ok := ev.(policy.EndpointList)
 	if !ok {
 		return ev
 	}
-	list.Members = slices.Clone(list.Members)
-	for i := range list.Members {
-		change(&list.Members[i])
+	list.Endpoints = slices.Clone(list.Endpoints)
+	for i := range list.Endpoints {
+		change(&list.Endpoints[i])
 	}
 	return list
 }
 
 func undrained(ev policy.Event) policy.Event {
-	return members(ev, func(m *policy.Member) {
+	return members(ev, func(m *policy.Endpoint) {
 		if m.Availability == policy.Draining {
 			m.Availability = policy.Running
 		}
@@ -113,19 +113,19 @@
 }
 
 func unremoved(ev policy.Event) policy.Event {
-	return members(ev, func(m *policy.Member) { m.Availability = policy.Running })
+	return members(ev, func(m *policy.Endpoint) { m.Availability = policy.Running })
 }
 
 func warm(ev policy.Event) policy.Event {
-	return members(ev, func(m *policy.Member) { m.OnlineSince = 0 })
+	return members(ev, func(m *policy.Endpoint) { m.OnlineSince = 0 })
 }
 
 // unended hides that a request has its answer, so that a failed attempt of it is tried again.
 func unended(ev policy.Event) policy.Event {
 	if o, ok := ev.(policy.Outcome); ok {
-		o.Ended = false
+		o.Answered = false
 		if o.Code == policy.OK {
-			o.Code = policy.Full
+			o.Code = policy.Overloaded
 		}
 		return o
 	}
--- a/emulator/sim/node.go
+++ b/emulator/sim/node.go
@@ -24,13 +24,13 @@
 	wake    time.Duration // when the engine's next timer is due; 0: none is
 	conns   int
 	idle    map[string][]*conn // by server, the last used at the end
-	out     map[router.Try]*try
-	kept    knowledge.Snapshot       // what it last wrote down
-	rests   []rest                   // of connections, oldest first; those in use since are passed over
-	known   map[string]router.Member // as last told
-	drained map[string]time.Duration // since when it knows
-	agent   []router.Member          // news that the process has not heard
-	ready   time.Duration            // of the newest news: it never overtakes
+	out     map[router.Attempt]*try
+	kept    knowledge.Snapshot         // what it last wrote down
+	rests   []rest                     // of connections, oldest first; those in use since are passed over
+	known   map[string]router.Endpoint // as last told
+	drained map[string]time.Duration   // since when it knows
+	agent   []router.Endpoint          // news that the process has not heard
+	ready   time.Duration              // of the newest news: it never overtakes
 }
 
 // conn is a connection to a process.
@@ -47,7 +47,7 @@
 }
 
 func (w *world) addNode(i int) error {
-	n := &node{w: w, index: i, spec: &w.p.Nodes[i], known: make(map[string]router.Member)}
+	n := &node{w: w, index: i, spec: &w.p.Nodes[i], known: make(map[string]router.Endpoint)}
 	for _, s := range w.servers {
 		n.known[s.id] = s.member(policy.Running)
 	}
@@ -59,9 +59,9 @@
 func (n *node) start() error {
 	seed := fnv.New64a()
 	seed.Write([]byte{byte(n.index), byte(n.index >> 8), byte(n.lives)})
-	c := router.Config{Settings: n.w.p.SettingsOf(n.index), MaxOpen: n.w.p.Script.Nodes.MaxOpen, Seed: n.w.p.Seed ^ seed.Sum64()}
+	c := router.Config{Settings: n.w.p.SettingsOf(n.index), MaxInFlight: n.w.p.Script.Nodes.MaxOpen, Seed: n.w.p.Seed ^ seed.Sum64()}
 	for _, id := range sortedKeys(n.known) {
-		c.Members = append(c.Members, n.known[id])
+		c.Endpoints = append(c.Endpoints, n.known[id])
 	}
 	var opts []router.Option
 	if n.w.o.Without != nil {
@@ -77,10 +77,10 @@
 	n.engine, n.born, n.wake = engine, n.w.now, 0
 	n.w.front.Notice(n.index, false)
 	n.rests = nil
-	n.idle, n.conns, n.out = make(map[string][]*conn), 0, make(map[router.Try]*try)
+	n.idle, n.conns, n.out = make(map[string][]*conn), 0, make(map[router.Attempt]*try)
 	n.drained = make(map[string]time.Duration)
 	for id, m := range n.known {
-		if m.State != policy.Running {
+		if m.Availability != policy.Running {
 			n.drained[id] = n.w.now
 			n.w.judge.Told(n.w.now, n.spec.Name, id, false)
 		}
@@ -89,7 +89,7 @@
 	if n.kept.Version == 0 {
 		return nil
 	}
-	return engine.Adopt(func(prior func(string) (float64, time.Duration, bool)) policy.Knowledge {
+	return engine.RestoreState(func(prior func(string) (float64, time.Duration, bool)) policy.LearnedState {
 		k, _ := knowledge.Weigh(n.kept, epoch.Add(n.w.now), prior, knowledge.Config{})
 		return k
 	})
@@ -155,7 +155,7 @@
 }
 
 // news has the agent learn of a server, late.
-func (n *node) news(m router.Member) {
+func (n *node) news(m router.Endpoint) {
 	at := n.w.now + n.spec.Delay
 	for _, d := range n.w.late {
 		at += d
@@ -175,9 +175,9 @@
 	news := n.agent
 	n.agent = nil
 	for _, m := range news {
-		open := m.State == policy.Running
+		open := m.Availability == policy.Running
 		n.w.judge.Told(n.w.now, n.spec.Name, m.ID, open)
-		if m.State == policy.Removed {
+		if m.Availability == policy.Removed {
 			delete(n.known, m.ID)
 		} else {
 			n.known[m.ID] = m
@@ -188,7 +188,9 @@
 			n.drained[m.ID] = n.w.now
 		}
 	}
-	n.step(func(now time.Duration) { n.engine.Tell(now, router.Change{Kind: policy.ListUpdate, Members: news}) })
+	n.step(func(now time.Duration) {
+		n.engine.UpdateEndpoints(now, router.EndpointUpdate{Kind: policy.ListUpdate, Endpoints: news})
+	})
 }
 
 // unstick ends the connections over which nothing went for a while, once something does again.
@@ -201,7 +203,7 @@
 }
 
 // Launch begins an attempt, as the transport over HTTP/1.1 does.
-func (n *node) Launch(e router.Try) {
+func (n *node) Launch(e router.Attempt) {
 	w := n.w
 	s := w.byID[e.Server]
 	r := w.requests[e.Request.ID]
@@ -241,7 +243,7 @@
 	}
 	n.idle[s.id] = idle
 	if n.conns >= w.p.Script.Nodes.MaxConns && !n.evict() {
-		w.after(0, func() { t.end(policy.Moot) })
+		w.after(0, func() { t.end(policy.Superseded) })
 		return
 	}
 	n.conns++
@@ -275,8 +277,8 @@
 	n.rests = append(n.rests, rest{c, c.used})
 }
 
-// CallOff ends an attempt from the node's side: its connection is closed.
-func (n *node) CallOff(e router.Try) {
+// Cancel ends an attempt from the node's side: its connection is closed.
+func (n *node) Cancel(e router.Attempt) {
 	t := n.out[e]
 	if t == nil {
 		return
@@ -304,7 +306,7 @@
 // try is one attempt on its way.
 type try struct {
 	n       *node
-	e       router.Try
+	e       router.Attempt
 	request *request
 	server  *server
 	conn    *conn
@@ -402,7 +404,7 @@
 		return
 	}
 	if t.e.SendBy > 0 && w.now >= n.born+t.e.SendBy {
-		w.after(0, func() { t.end(policy.Moot) })
+		w.after(0, func() { t.end(policy.Superseded) })
 		return
 	}
 	t.sent = true
@@ -451,7 +453,7 @@
 func (t *try) turnedAway() {
 	t.reply(func() {
 		t.n.w.judge.Proved(t.n.spec.Name, t.e.Request.ID, t.e.N)
-		t.end(policy.Full)
+		t.end(policy.Overloaded)
 	})
 }
 
@@ -478,7 +480,7 @@
 	t.over = true
 	delete(n.out, t.e)
 	if c := t.conn; c != nil {
-		if (!t.sent || code == policy.OK || code == policy.Full || code == policy.ServerError) && !t.off && !c.p.dead && !c.broken {
+		if (!t.sent || code == policy.OK || code == policy.Overloaded || code == policy.ServerError) && !t.off && !c.p.dead && !c.broken {
 			n.rest(c)
 		} else {
 			n.conns--
@@ -491,7 +493,7 @@
 		t.request.ranWork = t.work
 	}
 	n.step(func(now time.Duration) {
-		n.engine.End(now, t.e, router.Result{Code: code, Answer: router.Answer{Body: done}})
+		n.engine.FinishAttempt(now, t.e, router.Result{Code: code, Answer: router.Answer{Body: done}})
 	})
 }
 
@@ -526,7 +528,7 @@
 	return keys
 }
 
-func sortedTries(m map[router.Try]*try) []*try {
+func sortedTries(m map[router.Attempt]*try) []*try {
 	all := make([]*try, 0, len(m))
 	for _, t := range m {
 		all = append(all, t)
--- a/emulator/sim/world.go
+++ b/emulator/sim/world.go
@@ -110,14 +110,14 @@
 func Rulebook(p *plan.Plan, place func(server string) (string, int64)) judge.Rulebook {
 	b := judge.Rulebook{Classes: make(map[string]judge.Class), AnswerGrace: p.Settings.Rules.AnswerGrace, DrainGrace: p.Settings.Rules.DrainGrace, Place: place}
 	for _, c := range p.Settings.Classes {
-		b.Classes[c.Name] = judge.Class{Repeat: c.Repeat, Group: c.Group, Window: c.Window}
+		b.Classes[c.Name] = judge.Class{Repeat: c.Idempotency, Group: c.DedupScope, Window: c.DedupWindow}
 	}
 	return b
 }
 
 func longest(p *plan.Plan) (d time.Duration) {
 	for _, c := range p.Settings.Classes {
-		d = max(d, c.Deadline+c.Window)
+		d = max(d, c.Deadline+c.DedupWindow)
 	}
 	return d
 }
@@ -170,7 +170,7 @@
 		if n.engine == nil {
 			continue
 		}
-		k, err := n.engine.Export()
+		k, err := n.engine.ExportState()
 		if err != nil {
 			w.engines = err
 			return
@@ -264,8 +264,8 @@
 }
 
 // memberOf is what discovery tells of a server.
-func (s *server) member(state policy.Availability) router.Member {
-	m := router.Member{ID: s.id, Addr: s.addr, Zone: s.spec.Zone, Kind: s.spec.Kind, Cell: s.spec.Cell, Weight: s.spec.Weight, State: state}
+func (s *server) member(state policy.Availability) router.Endpoint {
+	m := router.Endpoint{ID: s.id, Addr: s.addr, Zone: s.spec.Zone, Kind: s.spec.Kind, Cell: s.spec.Cell, Weight: s.spec.Weight, Availability: state}
 	if s.started > 0 {
 		m.Started = epoch.Add(s.started)
 	}
--- a/examples/app/main.go
+++ b/examples/app/main.go
@@ -57,14 +57,14 @@
 	r, err := router.New(router.Config{
 		Settings: policy.Settings{Nodes: 1,
 			Classes: []policy.Class{
-				{Name: "hladanie", Aim: 600 * time.Millisecond, Deadline: 3 * time.Second, Repeat: policy.Free},
-				{Name: "rezervacia", Aim: 500 * time.Millisecond, Deadline: 1500 * time.Millisecond, Repeat: policy.Never},
+				{Name: "hladanie", LatencyObjective: 600 * time.Millisecond, Deadline: 3 * time.Second, Idempotency: policy.Idempotent},
+				{Name: "rezervacia", LatencyObjective: 500 * time.Millisecond, Deadline: 1500 * time.Millisecond, Idempotency: policy.NonIdempotent},
 			},
-			Allowed: policy.Allowed{Cancel: true, RetryAfter: true, MaxAttempts: 3},
-			Rules:   policy.Rules{DrainGrace: 500 * time.Millisecond},
+			Capabilities: policy.Capabilities{Cancel: true, RetryAfter: true, MaxAttempts: 3},
+			Rules:        policy.Rules{DrainGrace: 500 * time.Millisecond},
 		},
-		Members: []router.Member{{ID: "rooms", Addr: rooms.Addr().String(), Weight: 1}},
-	}, router.WithTransport(http1.New(http1.Config{})), router.WithLogger(log), router.WithFront(server))
+		Endpoints: []router.Endpoint{{ID: "rooms", Addr: rooms.Addr().String(), Weight: 1}},
+	}, router.WithTransport(http1.New(http1.Config{})), router.WithLogger(log), router.WithListener(server))
 	if err != nil {
 		return err
 	}
--- a/front/msgpack/msgpack.go
+++ b/front/msgpack/msgpack.go
@@ -526,8 +526,8 @@
 	case len(q.Body) > 0 && router.Method(class) == "GET":
 		return bad("body: a class that is safe to repeat has none")
 	}
-	return router.Request{ID: q.ID, Class: q.Class, Tenant: q.Tenant, Key: q.Key, IdempotencyKey: q.IdempotencyKey, Wait: q.Wait, Came: came, Under: &class,
-		Hint: q.Hint, Retry: q.Retry, Method: q.Method, Target: q.Target, Authority: q.Authority, ContentType: q.ContentType, Body: q.Body}, msgpackrpc.Reply{}
+	return router.Request{ID: q.ID, Class: q.Class, Tenant: q.Tenant, Key: q.Key, IdempotencyKey: q.IdempotencyKey, Timeout: q.Wait, ReceivedAt: came, ClassSnapshot: &class,
+		CostHint: q.Hint, IsRetry: q.Retry, Method: q.Method, Target: q.Target, Authority: q.Authority, ContentType: q.ContentType, Body: q.Body}, msgpackrpc.Reply{}
 }
 
 // Reply is how an engine's answer is told.
@@ -543,7 +543,7 @@
 	case a.Outcome == router.Served:
 		return msgpackrpc.Reply{Body: a.Body, ContentType: a.ContentType}
 	}
-	code := map[router.Outcome]msgpackrpc.Code{router.Refused: msgpackrpc.Refused, router.Overloaded: msgpackrpc.Overloaded,
+	code := map[router.Outcome]msgpackrpc.Code{router.Rejected: msgpackrpc.Refused, router.Overloaded: msgpackrpc.Overloaded,
 		router.Failed: msgpackrpc.Failed, router.Expired: msgpackrpc.Expired, router.Conflict: msgpackrpc.Conflict}[a.Outcome]
 	return msgpackrpc.Reply{Code: code, RetryAfter: a.RetryAfter}
 }
--- a/front/msgpack/msgpack_test.go
+++ b/front/msgpack/msgpack_test.go
@@ -41,7 +41,7 @@
 }
 
 func (e *engine) Class(name string) (policy.Class, bool) {
-	return policy.Class{Name: name, Repeat: policy.Free}, name == "read"
+	return policy.Class{Name: name, Idempotency: policy.Idempotent}, name == "read"
 }
 
 // hold answers once it is closed, or the caller has left.
--- a/internal/cli/alone.go
+++ b/internal/cli/alone.go
@@ -97,7 +97,7 @@
 	}
 	c.Front = func(next http.Handler, ready string) http.Handler { return a.front.Handler(next, ready) }
 	a.list = file.New(a.file.ServersFile(), a.file.List, log)
-	c.Membership = func(router.Membership) (router.Membership, error) { return a.list, nil }
+	c.Membership = func(router.EndpointSource) (router.EndpointSource, error) { return a.list, nil }
 }
 
 // reload reads the configuration again. adopt puts its routes, identities and servers in force, once nothing else
--- a/internal/cli/certs_running.go
+++ b/internal/cli/certs_running.go
@@ -123,7 +123,7 @@
 	var rule secure.Rule
 	var trust string
 	var own keys.Sources
-	var m router.Member
+	var m router.Endpoint
 	c := &cobra.Command{
 		Use:   "probe ADDR",
 		Short: "Make two handshakes with a server as a node would, and tell what they came to",
@@ -179,7 +179,7 @@
 // refusedServer is the exit status where a node would refuse the server.
 const refusedServer exitStatus = 9
 
-func probe(out io.Writer, layer *secure.Layer, m *router.Member) error {
+func probe(out io.Writer, layer *secure.Layer, m *router.Endpoint) error {
 	ctx, cancel := context.WithTimeout(context.Background(), probeFor)
 	defer cancel()
 	began := time.Now()
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -23,7 +23,7 @@
 
 // Membership makes the source of the servers that the operator's own file asks for. own is the
 // protocol's discovery, which it may take in. nil stands for own alone.
-type Membership func(o operator.File, c node.Config, own router.Membership, log *slog.Logger) (router.Membership, error)
+type Membership func(o operator.File, c node.Config, own router.EndpointSource, log *slog.Logger) (router.EndpointSource, error)
 
 // Extra is what a program has beyond wayhold. The zero value is nothing.
 type Extra struct {
--- a/internal/cli/init.go
+++ b/internal/cli/init.go
@@ -51,7 +51,7 @@
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(t, "listens on %s\n\nclass\taim\tdeadline\tmay be sent again\n", f.Listen[0].Address)
 	for _, c := range f.Settings().Classes {
-		fmt.Fprintf(t, "%s\t%v\t%v\t%s\n", c.Name, c.Aim, c.Deadline, repeats(c))
+		fmt.Fprintf(t, "%s\t%v\t%v\t%s\n", c.Name, c.LatencyObjective, c.Deadline, repeats(c))
 	}
 	members, err := f.List()
 	if err != nil {
@@ -59,7 +59,7 @@
 	}
 	fmt.Fprintf(t, "\nserver\taddress\tzone\tstate\n")
 	for _, m := range members {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", m.ID, m.Addr, m.Zone, [...]string{"running", "draining", "removed"}[m.State])
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", m.ID, m.Addr, m.Zone, [...]string{"running", "draining", "removed"}[m.Availability])
 	}
 	if err := t.Flush(); err != nil {
 		return err
@@ -190,7 +190,7 @@
 	}
 	for _, c := range f.Settings().Classes {
 		if c.Name == r.Class {
-			fmt.Fprintf(t, "class\t%s\taim %v, deadline %v, sent again: %s\n", c.Name, c.Aim, c.Deadline, repeats(c))
+			fmt.Fprintf(t, "class\t%s\taim %v, deadline %v, sent again: %s\n", c.Name, c.LatencyObjective, c.Deadline, repeats(c))
 		}
 	}
 	return nil
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -173,7 +173,7 @@
 	if err := bindPools(o, c); err != nil {
 		return err
 	}
-	c.Membership = func(own router.Membership) (router.Membership, error) { return e.XDS(o, *c, own, log) }
+	c.Membership = func(own router.EndpointSource) (router.EndpointSource, error) { return e.XDS(o, *c, own, log) }
 	return nil
 }
 
--- a/internal/cli/tools.go
+++ b/internal/cli/tools.go
@@ -80,7 +80,7 @@
 			table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 			fmt.Fprintln(table, "class\taim\tdeadline\tmay be sent again")
 			for _, class := range conf.Settings.Classes {
-				fmt.Fprintf(table, "%s\t%v\t%v\t%s\n", class.Name, class.Aim, class.Deadline, repeats(class))
+				fmt.Fprintf(table, "%s\t%v\t%v\t%s\n", class.Name, class.LatencyObjective, class.Deadline, repeats(class))
 			}
 			if err := table.Flush(); err != nil {
 				return err
@@ -93,11 +93,11 @@
 }
 
 func repeats(c policy.Class) string {
-	switch c.Repeat {
-	case policy.Free:
+	switch c.Idempotency {
+	case policy.Idempotent:
 		return "yes"
-	case policy.Guarded:
-		return fmt.Sprintf("within %v, under its key", c.Window)
+	case policy.IdempotencyKeyed:
+		return fmt.Sprintf("within %v, under its key", c.DedupWindow)
 	}
 	return "only if it never ran"
 }
--- a/internal/conformance/support_test.go
+++ b/internal/conformance/support_test.go
@@ -77,10 +77,10 @@
 func host(ctx context.Context, c node.Config, ln net.Listener, wrap func(*middleware.Front, http.Handler) http.Handler) error {
 	server := &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: 15 * time.Second, MaxHeaderBytes: maxHeader,
 		DisableGeneralOptionsHandler: true, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelWarn)}
-	r, err := router.New(router.Config{Settings: c.Settings, MaxOpen: c.MaxOpen, Seed: c.Seed, Members: c.Known.Members},
+	r, err := router.New(router.Config{Settings: c.Settings, MaxInFlight: c.MaxOpen, Seed: c.Seed, Endpoints: c.Known.Members},
 		router.WithTransport(http1.New(http1.Config{MaxConns: 100, ConnectTimeout: c.ConnectTimeout})),
-		router.WithMembership(registry.New(registry.Config{Addr: c.Discovery, Revision: c.Known.Revision, Subscribe: c.Settings.Subscribe})),
-		router.WithFront(server))
+		router.WithEndpointSource(registry.New(registry.Config{Addr: c.Discovery, Revision: c.Known.Revision, Subscribe: c.Settings.Subscribe})),
+		router.WithListener(server))
 	if err != nil {
 		return err
 	}
--- a/internal/crossings/end_test.go
+++ b/internal/crossings/end_test.go
@@ -25,7 +25,7 @@
 	return func(c *node.Config) {
 		c.Leave = nil
 		for i := range c.Settings.Classes {
-			c.Settings.Classes[i].Deadline, c.Settings.Classes[i].Aim = d, d*3/4
+			c.Settings.Classes[i].Deadline, c.Settings.Classes[i].LatencyObjective = d, d*3/4
 		}
 	}
 }
@@ -268,7 +268,7 @@
 			reloads := make(chan node.Config, 1)
 			if reload {
 				next := conf
-				next.Settings.Allowed.Hedge = true
+				next.Settings.Capabilities.Hedge = true
 				reloads <- next
 			}
 			stop()
--- a/internal/crossings/leave_test.go
+++ b/internal/crossings/leave_test.go
@@ -89,7 +89,7 @@
 	for _, cancel := range []bool{true, false} {
 		t.Run(fmt.Sprint("call-offs ", cancel), func(t *testing.T) {
 			t.Parallel()
-			g := newRig(t, func(c *node.Config) { c.Settings.Allowed.Cancel = cancel })
+			g := newRig(t, func(c *node.Config) { c.Settings.Capabilities.Cancel = cancel })
 			addr, open := g.silent("s0")
 			g.conf.Known.Members = append(g.conf.Known.Members, known("s0", addr))
 			g.start()
--- a/internal/crossings/list_test.go
+++ b/internal/crossings/list_test.go
@@ -93,7 +93,7 @@
 				t.Parallel()
 				g := newRig(t, func(c *node.Config) {
 					c.Settings.Subscribe = subscribe
-					c.Settings.Rules.AskWithin = 500 * time.Millisecond
+					c.Settings.Rules.MaxPollInterval = 500 * time.Millisecond
 				})
 				g.old, g.young = g.server("s0", nil), g.server("s1", nil)
 				g.conf.Known.Members = append(g.conf.Known.Members, known("s0", g.old))
@@ -143,7 +143,7 @@
 			t.Parallel()
 			g := newRig(t, func(c *node.Config) {
 				c.Settings.Subscribe = subscribe
-				c.Settings.Rules.AskWithin = 500 * time.Millisecond
+				c.Settings.Rules.MaxPollInterval = 500 * time.Millisecond
 			})
 			g.old, g.young = g.server("s0", nil), g.server("s1", nil)
 			g.conf.Known.Members = append(g.conf.Known.Members, known("s0", g.old))
@@ -176,7 +176,7 @@
 				t.Parallel()
 				g := newRig(t, func(c *node.Config) {
 					c.Settings.Subscribe = subscribe
-					c.Settings.Rules.AskWithin = 500 * time.Millisecond
+					c.Settings.Rules.MaxPollInterval = 500 * time.Millisecond
 				})
 				g.old, g.young = g.server("s0", nil), g.server("s1", nil)
 				g.conf.Known.Members = append(g.conf.Known.Members, known("s0", g.old))
--- a/internal/crossings/rig_test.go
+++ b/internal/crossings/rig_test.go
@@ -60,13 +60,13 @@
 
 // settings are long in everything, so that nothing ends but what the test ends.
 func settings() policy.Settings {
-	class := func(name string, repeat policy.Repeat) policy.Class {
-		return policy.Class{Name: name, Aim: 40 * time.Second, Deadline: 60 * time.Second, Repeat: repeat, Group: policy.GroupAll, Window: 50 * time.Second, Worth: 1}
+	class := func(name string, repeat policy.Idempotency) policy.Class {
+		return policy.Class{Name: name, LatencyObjective: 40 * time.Second, Deadline: 60 * time.Second, Idempotency: repeat, DedupScope: policy.DedupAll, DedupWindow: 50 * time.Second, PriorityWeight: 1}
 	}
-	return policy.Settings{Nodes: 1, Zone: "a", Classes: []policy.Class{class("read", policy.Free), class("pay", policy.Never), class("undo", policy.Guarded)},
-		Allowed: policy.Allowed{Cancel: true, RetryAfter: true, MaxAttempts: 4, MaxRetryAfter: time.Second, ConnIdle: time.Minute},
-		Rules: policy.Rules{DrainGrace: 500 * time.Millisecond, ColdShare: 1, FallMultiple: 3, FallFor: time.Second,
-			Attempts: &policy.Budget{Least: 1e6, Span: time.Second}}}
+	return policy.Settings{Nodes: 1, Zone: "a", Classes: []policy.Class{class("read", policy.Idempotent), class("pay", policy.NonIdempotent), class("undo", policy.IdempotencyKeyed)},
+		Capabilities: policy.Capabilities{Cancel: true, RetryAfter: true, MaxAttempts: 4, MaxRetryAfter: time.Second, ConnIdleTimeout: time.Minute},
+		Rules: policy.Rules{DrainGrace: 500 * time.Millisecond, SlowStartShare: 1, OverloadFactor: 3, OverloadDuration: time.Second,
+			RetryBudget: &policy.RetryBudget{MinRetries: 1e6, Window: time.Second}}}
 }
 
 // newRig makes a rig whose node has not been started; change may be nil.
@@ -535,8 +535,8 @@
 }
 
 // known is what a node that restarts has.
-func known(id, addr string) router.Member {
-	return router.Member{ID: id, Addr: addr, Zone: "a", Kind: "k", Cell: 1, Weight: 1}
+func known(id, addr string) router.Endpoint {
+	return router.Endpoint{ID: id, Addr: addr, Zone: "a", Kind: "k", Cell: 1, Weight: 1}
 }
 
 func newReader(c *peer) *bufio.Reader { return bufio.NewReader(c.TCPConn) }
--- a/internal/crossings/servers_test.go
+++ b/internal/crossings/servers_test.go
@@ -244,9 +244,9 @@
 func TestAnswerWithTheTimeOut(t *testing.T) {
 	g := newRig(t, func(c *node.Config) {
 		for i := range c.Settings.Classes {
-			c.Settings.Classes[i].Deadline, c.Settings.Classes[i].Aim = 100*time.Millisecond, 90*time.Millisecond
+			c.Settings.Classes[i].Deadline, c.Settings.Classes[i].LatencyObjective = 100*time.Millisecond, 90*time.Millisecond
 		}
-		c.Settings.Allowed.MaxAttempts = 1
+		c.Settings.Capabilities.MaxAttempts = 1
 	})
 	s0 := g.server("s0", func(h hand) bool {
 		time.Sleep(time.Duration(76+len(h.id)%8) * time.Millisecond) // about when the node gives up
@@ -283,18 +283,18 @@
 // A keyed request that may have run goes on only where its repeat is dropped, and only for as long as it is: its group and
 // its window are the settings'.
 func TestKeyedRepeatsStayInTheirGroup(t *testing.T) {
-	others := map[string]func(m *router.Member){
-		"of its cell":    func(*router.Member) {},
-		"of its zone":    func(m *router.Member) { m.Cell = 2 },
-		"somewhere else": func(m *router.Member) { m.Cell, m.Zone = 3, "b" },
+	others := map[string]func(m *router.Endpoint){
+		"of its cell":    func(*router.Endpoint) {},
+		"of its zone":    func(m *router.Endpoint) { m.Cell = 2 },
+		"somewhere else": func(m *router.Endpoint) { m.Cell, m.Zone = 3, "b" },
 	}
 	groups := map[string]struct {
-		group policy.Group
+		group policy.DedupScope
 		to    []string
 	}{
-		"all":  {policy.GroupAll, []string{"of its cell", "of its zone", "somewhere else"}},
-		"zone": {policy.GroupZone, []string{"of its cell", "of its zone"}},
-		"cell": {policy.GroupCell, []string{"of its cell"}},
+		"all":  {policy.DedupAll, []string{"of its cell", "of its zone", "somewhere else"}},
+		"zone": {policy.DedupZone, []string{"of its cell", "of its zone"}},
+		"cell": {policy.DedupCell, []string{"of its cell"}},
 	}
 	for group, want := range groups {
 		for other, place := range others {
@@ -302,7 +302,9 @@
 				t.Run(fmt.Sprint(group, "/", other, "/", window), func(t *testing.T) {
 					t.Parallel()
 					over := window < time.Second // by the time that the first server breaks off
-					g := newRig(t, func(c *node.Config) { c.Settings.Classes[2].Group, c.Settings.Classes[2].Window = want.group, window })
+					g := newRig(t, func(c *node.Config) {
+						c.Settings.Classes[2].DedupScope, c.Settings.Classes[2].DedupWindow = want.group, window
+					})
 					bad := known("bad", g.server("bad", func(hand) bool {
 						if over {
 							time.Sleep(2 * window) // the window counts from before this
@@ -325,7 +327,7 @@
 						}
 					case !slices.Equal(at, []string{"bad"}):
 						t.Errorf("answered %d, went to %v", status, at)
-					case status == http.StatusOK, want.group != policy.GroupAll && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests):
+					case status == http.StatusOK, want.group != policy.DedupAll && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests):
 						t.Errorf("answered %d: it may have run, and a client's retry may come to another group", status)
 					}
 				})
--- a/internal/crossings/settings_test.go
+++ b/internal/crossings/settings_test.go
@@ -17,26 +17,28 @@
 var customers = map[string]func(s *policy.Settings){
 	"deadlines of 100 ms": func(s *policy.Settings) {
 		for i := range s.Classes {
-			s.Classes[i].Deadline, s.Classes[i].Aim = 100*time.Millisecond, 50*time.Millisecond
+			s.Classes[i].Deadline, s.Classes[i].LatencyObjective = 100*time.Millisecond, 50*time.Millisecond
 		}
 	},
-	"deadlines of 60 s":     func(*policy.Settings) {},
-	"one attempt":           func(s *policy.Settings) { s.Allowed.MaxAttempts = 1 },
-	"second copies":         func(s *policy.Settings) { s.Allowed.Hedge = true },
-	"no call-offs":          func(s *policy.Settings) { s.Allowed.Cancel = false },
-	"no Retry-After":        func(s *policy.Settings) { s.Allowed.RetryAfter = false },
-	"no zones":              func(s *policy.Settings) { s.Zone = "" },
-	"another zone":          func(s *policy.Settings) { s.Zone = "b" },
-	"a grace of 20 ms":      func(s *policy.Settings) { s.Rules.DrainGrace = 20 * time.Millisecond },
-	"no grace":              func(s *policy.Settings) { s.Rules.DrainGrace = 0 },
-	"one tenant":            func(s *policy.Settings) { s.Tenants = []policy.Tenant{{Name: "t", Quota: 1000, Share: 1}} },
-	"idle after 1 s":        func(s *policy.Settings) { s.Allowed.ConnIdle = time.Second },
-	"many nodes":            func(s *policy.Settings) { s.Nodes, s.Node = 300, 17 },
-	"keys by zone":          func(s *policy.Settings) { s.Classes[2].Group = policy.GroupZone },
-	"keys by cell":          func(s *policy.Settings) { s.Classes[2].Group = policy.GroupCell },
-	"a window of 1 ms":      func(s *policy.Settings) { s.Classes[2].Window = time.Millisecond },
-	"no keys":               func(s *policy.Settings) { s.Classes[2].Repeat = policy.Never },
-	"all effects the other": func(s *policy.Settings) { s.Classes[0].Repeat, s.Classes[1].Repeat = policy.Never, policy.Free },
+	"deadlines of 60 s": func(*policy.Settings) {},
+	"one attempt":       func(s *policy.Settings) { s.Capabilities.MaxAttempts = 1 },
+	"second copies":     func(s *policy.Settings) { s.Capabilities.Hedge = true },
+	"no call-offs":      func(s *policy.Settings) { s.Capabilities.Cancel = false },
+	"no Retry-After":    func(s *policy.Settings) { s.Capabilities.RetryAfter = false },
+	"no zones":          func(s *policy.Settings) { s.Zone = "" },
+	"another zone":      func(s *policy.Settings) { s.Zone = "b" },
+	"a grace of 20 ms":  func(s *policy.Settings) { s.Rules.DrainGrace = 20 * time.Millisecond },
+	"no grace":          func(s *policy.Settings) { s.Rules.DrainGrace = 0 },
+	"one tenant":        func(s *policy.Settings) { s.Tenants = []policy.Tenant{{Name: "t", Quota: 1000, Share: 1}} },
+	"idle after 1 s":    func(s *policy.Settings) { s.Capabilities.ConnIdleTimeout = time.Second },
+	"many nodes":        func(s *policy.Settings) { s.Nodes, s.Node = 300, 17 },
+	"keys by zone":      func(s *policy.Settings) { s.Classes[2].DedupScope = policy.DedupZone },
+	"keys by cell":      func(s *policy.Settings) { s.Classes[2].DedupScope = policy.DedupCell },
+	"a window of 1 ms":  func(s *policy.Settings) { s.Classes[2].DedupWindow = time.Millisecond },
+	"no keys":           func(s *policy.Settings) { s.Classes[2].Idempotency = policy.NonIdempotent },
+	"all effects the other": func(s *policy.Settings) {
+		s.Classes[0].Idempotency, s.Classes[1].Idempotency = policy.NonIdempotent, policy.Idempotent
+	},
 }
 
 // Of another customer's settings: a request whose first server does it well, turns it away, or breaks off, comes to what
@@ -67,7 +69,7 @@
 					id := "one"
 					c := g.client()
 					method := "POST"
-					if class.Repeat == policy.Free {
+					if class.Idempotency == policy.Idempotent {
 						method = "GET"
 					}
 					c.write(fmt.Sprintf("%s /api HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: t\r\nX-Deadline-Ms: %d\r\nContent-Length: 0\r\nIdempotency-Key: k\r\n\r\n",
@@ -78,11 +80,11 @@
 					}
 					at := g.times(id)
 					switch {
-					case len(at) > max(1, g.conf.Settings.Allowed.MaxAttempts):
+					case len(at) > max(1, g.conf.Settings.Capabilities.MaxAttempts):
 						t.Errorf("%s: went to %v", class.Name, at)
 					case first == "well" && (status != http.StatusOK || len(at) != 1):
 						t.Errorf("%s: answered %d, went to %v", class.Name, status, at)
-					case first == "broken off" && class.Repeat == policy.Never && (len(at) != 1 || status < 500 || status == http.StatusServiceUnavailable):
+					case first == "broken off" && class.Idempotency == policy.NonIdempotent && (len(at) != 1 || status < 500 || status == http.StatusServiceUnavailable):
 						t.Errorf("%s: answered %d, went to %v", class.Name, status, at)
 					case first == "turned away" && status != http.StatusOK && status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests:
 						t.Errorf("%s never ran, and is answered %d, went to %v", class.Name, status, at)
@@ -97,21 +99,23 @@
 // SIGHUP changes what a class is while requests of it are open: each ends under what it was taken under, and the next
 // goes by the new.
 func TestReloadWhileRequestsAreOpen(t *testing.T) {
-	effect := func(r policy.Repeat) func(s *policy.Settings) {
-		return func(s *policy.Settings) { s.Classes[1].Repeat = r }
+	effect := func(r policy.Idempotency) func(s *policy.Settings) {
+		return func(s *policy.Settings) { s.Classes[1].Idempotency = r }
 	}
 	for name, c := range map[string]struct {
 		before, after func(s *policy.Settings)
 		want          int
 		sent          []string
 	}{
-		"unsafe, then safe":  {effect(policy.Never), effect(policy.Free), http.StatusBadGateway, []string{"s0"}},
-		"unsafe, then keyed": {effect(policy.Never), effect(policy.Guarded), http.StatusBadGateway, []string{"s0"}},
-		"safe, then unsafe":  {effect(policy.Free), effect(policy.Never), http.StatusOK, []string{"s0", "s1"}},
-		"dropped":            {effect(policy.Never), func(s *policy.Settings) { s.Classes = s.Classes[:1] }, http.StatusBadGateway, []string{"s0"}},
-		"safe, then dropped": {effect(policy.Free), func(s *policy.Settings) { s.Classes = s.Classes[:1] }, http.StatusOK, []string{"s0", "s1"}},
-		"a shorter deadline": {effect(policy.Free), func(s *policy.Settings) { s.Classes[1].Deadline, s.Classes[1].Aim = time.Millisecond, time.Millisecond }, http.StatusOK, []string{"s0", "s1"}},
-		"fewer attempts":     {effect(policy.Free), func(s *policy.Settings) { s.Allowed.MaxAttempts = 1 }, http.StatusOK, []string{"s0", "s1"}},
+		"unsafe, then safe":  {effect(policy.NonIdempotent), effect(policy.Idempotent), http.StatusBadGateway, []string{"s0"}},
+		"unsafe, then keyed": {effect(policy.NonIdempotent), effect(policy.IdempotencyKeyed), http.StatusBadGateway, []string{"s0"}},
+		"safe, then unsafe":  {effect(policy.Idempotent), effect(policy.NonIdempotent), http.StatusOK, []string{"s0", "s1"}},
+		"dropped":            {effect(policy.NonIdempotent), func(s *policy.Settings) { s.Classes = s.Classes[:1] }, http.StatusBadGateway, []string{"s0"}},
+		"safe, then dropped": {effect(policy.Idempotent), func(s *policy.Settings) { s.Classes = s.Classes[:1] }, http.StatusOK, []string{"s0", "s1"}},
+		"a shorter deadline": {effect(policy.Idempotent), func(s *policy.Settings) {
+			s.Classes[1].Deadline, s.Classes[1].LatencyObjective = time.Millisecond, time.Millisecond
+		}, http.StatusOK, []string{"s0", "s1"}},
+		"fewer attempts": {effect(policy.Idempotent), func(s *policy.Settings) { s.Capabilities.MaxAttempts = 1 }, http.StatusOK, []string{"s0", "s1"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -122,7 +126,7 @@
 			g.conf.Known.Members = append(g.conf.Known.Members, known("s0", s0), known("s1", s1))
 			g.start()
 			method := "POST"
-			if g.conf.Settings.Classes[1].Repeat == policy.Free {
+			if g.conf.Settings.Classes[1].Idempotency == policy.Idempotent {
 				method = "GET"
 			}
 			one := g.client().write(method + " /api HTTP/1.1\r\nHost: x\r\nX-Request-Id: one\r\nX-Class: pay\r\nX-Tenant: t\r\nX-Deadline-Ms: 30000\r\nContent-Length: 0\r\n\r\n")
@@ -158,7 +162,7 @@
 	g.sees("the client", func(s node.Status) bool { return s.Connections.Busy == 1 })
 	next := g.conf
 	next.Settings.Classes = slices.Clone(next.Settings.Classes)
-	next.Settings.Classes[1].Repeat = policy.Free
+	next.Settings.Classes[1].Idempotency = policy.Idempotent
 	g.reload(next)
 	c.write(whole[len(whole)-4:])
 	status, _, err := c.answer()
@@ -180,7 +184,7 @@
 	for name, spoil := range map[string]func(c *node.Config){
 		"another mode":      func(c *node.Config) { c.Settings.Subscribe = true },
 		"no classes":        func(c *node.Config) { c.Settings.Classes = nil },
-		"a share above one": func(c *node.Config) { c.Settings.Rules.ColdShare = 7 },
+		"a share above one": func(c *node.Config) { c.Settings.Rules.SlowStartShare = 7 },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -193,7 +197,7 @@
 			next := g.conf
 			next.Discovery = other.addr
 			next.Settings.Classes = slices.Clone(next.Settings.Classes)
-			next.Settings.Classes[0].Repeat = policy.Never
+			next.Settings.Classes[0].Idempotency = policy.NonIdempotent
 			spoil(&next)
 			g.reload(next)
 			g.served("one") // a GET, as the old settings have it
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -42,16 +42,16 @@
 	const ms = time.Millisecond
 	return policy.Settings{Nodes: 1, Zone: "bystrica",
 		Classes: []policy.Class{
-			{Name: "hladanie", Aim: 600 * ms, Deadline: 3000 * ms, Repeat: policy.Free, Worth: 1, LateWorth: 0.25},
-			{Name: "rezervacia", Aim: 500 * ms, Deadline: 1500 * ms, Repeat: policy.Never, Worth: 1, LateWorth: 0.25},
-			{Name: "zrusenie", Aim: 1000 * ms, Deadline: longestWait, Repeat: policy.Guarded, Group: policy.GroupAll,
-				Window: 4000 * ms, Worth: 1, LateWorth: 0.25},
+			{Name: "hladanie", LatencyObjective: 600 * ms, Deadline: 3000 * ms, Idempotency: policy.Idempotent, PriorityWeight: 1, LateWeightFraction: 0.25},
+			{Name: "rezervacia", LatencyObjective: 500 * ms, Deadline: 1500 * ms, Idempotency: policy.NonIdempotent, PriorityWeight: 1, LateWeightFraction: 0.25},
+			{Name: "zrusenie", LatencyObjective: 1000 * ms, Deadline: longestWait, Idempotency: policy.IdempotencyKeyed, DedupScope: policy.DedupAll,
+				DedupWindow: 4000 * ms, PriorityWeight: 1, LateWeightFraction: 0.25},
 		},
 		Tenants: []policy.Tenant{{Name: "dielna-bystrica", Quota: 100, Share: 0.43}, {Name: "kancel-presov", Quota: 33, Share: 0.14},
 			{Name: "stol-nitra", Quota: 33, Share: 0.14}, {Name: "podkrovie-zvolen", Quota: 33, Share: 0.14},
 			{Name: "mlyn-poprad", Quota: 33, Share: 0.14}},
-		Allowed: policy.Allowed{Cancel: true, Hedge: true, RetryAfter: true, MaxAttempts: 5, MaxRetryAfter: time.Second, ConnIdle: 15 * time.Second},
-		Rules: policy.Rules{DrainGrace: 500 * ms, ColdShare: 0.34, ColdFor: 8400 * ms, FallMultiple: 3, FallFor: time.Second,
+		Capabilities: policy.Capabilities{Cancel: true, Hedge: true, RetryAfter: true, MaxAttempts: 5, MaxRetryAfter: time.Second, ConnIdleTimeout: 15 * time.Second},
+		Rules: policy.Rules{DrainGrace: 500 * ms, SlowStartShare: 0.34, SlowStartWindow: 8400 * ms, OverloadFactor: 3, OverloadDuration: time.Second,
 			AnswerGrace: 50 * ms},
 	}
 }
@@ -132,7 +132,7 @@
 	}()
 	w.began = time.Now()
 	group := host.NewGroup(keyWindow)
-	var members []router.Member
+	var members []router.Endpoint
 	for i := range 9 {
 		s, err := startServer(i, w, group)
 		if err != nil {
@@ -140,7 +140,7 @@
 		}
 		closers = append(closers, func() { s.stop(w) })
 		w.servers = append(w.servers, s)
-		members = append(members, router.Member{ID: s.id, Addr: s.face.Addr, Zone: s.zone, Kind: "demo", Weight: 1})
+		members = append(members, router.Endpoint{ID: s.id, Addr: s.face.Addr, Zone: s.zone, Kind: "demo", Weight: 1})
 	}
 	discovery, end, err := serve(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		select { // the list never changes
--- a/internal/expect/expect.go
+++ b/internal/expect/expect.go
@@ -188,7 +188,7 @@
 	for i := range draws {
 		id := fmt.Sprintf("expect-%d", i)
 		if m := table.Match(request(id)); m >= 0 { // shares by id may send it elsewhere
-			w.offer(router.Request{ID: id, Class: table.Route(m).Class, Tenant: tenant, IdempotencyKey: unique(key, i), Wait: table.Route(m).Budget})
+			w.offer(router.Request{ID: id, Class: table.Route(m).Class, Tenant: tenant, IdempotencyKey: unique(key, i), Timeout: table.Route(m).Budget})
 		}
 		w.step(every)
 	}
@@ -223,7 +223,7 @@
 
 type end struct {
 	at time.Duration
-	t  router.Try
+	t  router.Attempt
 }
 
 const answerAfter = 10 * time.Millisecond
@@ -234,28 +234,28 @@
 		return nil, err
 	}
 	w := &world{answer: c.State.Answer, zones: make(map[string]string), sent: make(map[string]int), attempts: make(map[string]int), outcomes: make(map[string]int)}
-	known := func(names []string, there func(router.Member) string, what string) error {
+	known := func(names []string, there func(router.Endpoint) string, what string) error {
 		for _, n := range names {
-			if !slices.ContainsFunc(members, func(m router.Member) bool { return there(m) == n }) {
+			if !slices.ContainsFunc(members, func(m router.Endpoint) bool { return there(m) == n }) {
 				return fmt.Errorf("state: there is no %s %q", what, n)
 			}
 		}
 		return nil
 	}
-	id, zone := func(m router.Member) string { return m.ID }, func(m router.Member) string { return m.Zone }
+	id, zone := func(m router.Endpoint) string { return m.ID }, func(m router.Endpoint) string { return m.Zone }
 	for _, check := range []error{known(c.State.ZonesGone, zone, "zone"), known(c.State.ServersGone, id, "server"), known(c.State.Drained, id, "server"),
 		known(c.Want.Never, zone, "zone")} {
 		if check != nil {
 			return nil, check
 		}
 	}
-	var list []router.Member
+	var list []router.Endpoint
 	for _, m := range members {
 		if slices.Contains(c.State.ZonesGone, m.Zone) || slices.Contains(c.State.ServersGone, m.ID) {
 			continue
 		}
 		if slices.Contains(c.State.Drained, m.ID) {
-			m.State = policy.Draining
+			m.Availability = policy.Draining
 		}
 		w.zones[m.ID] = m.Zone
 		list = append(list, m)
@@ -264,12 +264,12 @@
 	if c.State.NodeZone != "" {
 		set.Zone = c.State.NodeZone
 	}
-	w.engine, err = router.NewStepped(router.Config{Settings: set, Seed: c.Seed + 1, Members: list}, w, time.Unix(0, 0))
+	w.engine, err = router.NewStepped(router.Config{Settings: set, Seed: c.Seed + 1, Endpoints: list}, w, time.Unix(0, 0))
 	return w, err
 }
 
 // Launch notes an attempt, which ends as the case says.
-func (w *world) Launch(t router.Try) {
+func (w *world) Launch(t router.Attempt) {
 	if t.N == 0 {
 		w.first = append(w.first, t.Server)
 	}
@@ -278,18 +278,18 @@
 	w.due = append(w.due, end{w.now + answerAfter, t})
 }
 
-// CallOff has nothing to end: what is out ends soon.
-func (w *world) CallOff(router.Try) {}
+// Cancel has nothing to end: what is out ends soon.
+func (w *world) Cancel(router.Attempt) {}
 
 // CloseIdle has nothing to close.
 func (w *world) CloseIdle(string) {}
 
 func (w *world) offer(q router.Request) {
-	err := w.engine.Offer(w.now, q, func(a router.Answer) {
+	err := w.engine.Submit(w.now, q, func(a router.Answer) {
 		switch a.Outcome {
 		case router.Served:
 			w.outcomes["served"]++
-		case router.Refused, router.Overloaded:
+		case router.Rejected, router.Overloaded:
 			w.outcomes["refused"]++
 			w.refusals = append(w.refusals, a.RetryAfter)
 		default:
@@ -308,8 +308,8 @@
 		e := w.due[0]
 		w.due = w.due[1:]
 		w.now = max(w.now, e.at)
-		code := map[string]policy.Code{"": policy.OK, "served": policy.OK, "failing": policy.ServerError, "full": policy.Full}[w.answer]
-		w.engine.End(w.now, e.t, router.Result{Code: code})
+		code := map[string]policy.Code{"": policy.OK, "served": policy.OK, "failing": policy.ServerError, "full": policy.Overloaded}[w.answer]
+		w.engine.FinishAttempt(w.now, e.t, router.Result{Code: code})
 	}
 	w.now = until
 	w.engine.Advance(w.now)
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -76,7 +76,7 @@
 	Front func(next http.Handler, ready string) http.Handler
 
 	// Membership makes the source of the servers out of the protocol's discovery; nil: that alone.
-	Membership func(own router.Membership) (router.Membership, error)
+	Membership func(own router.EndpointSource) (router.EndpointSource, error)
 }
 
 // Msgpack is a listener for callers by MessagePack-RPC, and the app servers that speak it.
@@ -143,7 +143,7 @@
 
 // router is the part of the configuration that the engine takes.
 func (c Config) router() router.Config {
-	return router.Config{Settings: c.Settings, MaxOpen: c.MaxOpen, Seed: c.Seed, Members: c.Known.Members}
+	return router.Config{Settings: c.Settings, MaxInFlight: c.MaxOpen, Seed: c.Seed, Endpoints: c.Known.Members}
 }
 
 func readConfig(getenv func(string) string) (Config, error) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -24,19 +24,19 @@
 
 // Status is what the door tells of a node.
 type Status struct {
-	Version     int               `json:"version"`
-	Name        string            `json:"name"`
-	At          time.Time         `json:"at"`
-	Phase       string            `json:"phase"`
-	Drain       drain.Status      `json:"drain"`
-	Requests    RequestStatus     `json:"requests"`
-	Connections ConnectionStatus  `json:"connections"`
-	Servers     map[string]int    `json:"servers"`
-	ByHand      []string          `json:"servers_drained_by_hand"`
-	Untrusted   []string          `json:"servers_untrusted,omitempty"` // they can't prove who they are
-	List        router.ListStats  `json:"list"`
-	Answers     map[string]uint64 `json:"answers"`
-	Attempts    uint64            `json:"attempts"`
+	Version     int                      `json:"version"`
+	Name        string                   `json:"name"`
+	At          time.Time                `json:"at"`
+	Phase       string                   `json:"phase"`
+	Drain       drain.Status             `json:"drain"`
+	Requests    RequestStatus            `json:"requests"`
+	Connections ConnectionStatus         `json:"connections"`
+	Servers     map[string]int           `json:"servers"`
+	ByHand      []string                 `json:"servers_drained_by_hand"`
+	Untrusted   []string                 `json:"servers_untrusted,omitempty"` // they can't prove who they are
+	List        router.EndpointListStats `json:"list"`
+	Answers     map[string]uint64        `json:"answers"`
+	Attempts    uint64                   `json:"attempts"`
 }
 
 // RequestStatus tells of the requests without their answer. Times are in milliseconds.
--- a/internal/node/desk.go
+++ b/internal/node/desk.go
@@ -52,7 +52,7 @@
 
 // Figures appends the figures, a line each.
 func (d *desk) Figures(page []byte) []byte {
-	f := d.engine.Figures()
+	f := d.engine.Metrics()
 	line := func(name, class string, n uint64) {
 		page = append(page, name...)
 		if class != "" {
--- a/internal/node/desk_test.go
+++ b/internal/node/desk_test.go
@@ -78,7 +78,7 @@
 // call is answered all the same.
 func TestConsoleBesideStuckLoop(t *testing.T) {
 	w := newSite(t, 2)
-	engine, err := router.New(router.Config{Settings: w.set, Members: w.known.Members}, router.WithTransport(http1.New(http1.Config{})))
+	engine, err := router.New(router.Config{Settings: w.set, Endpoints: w.known.Members}, router.WithTransport(http1.New(http1.Config{})))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -94,7 +94,7 @@
 	release, held := make(chan struct{}), make(chan struct{})
 	var all sync.WaitGroup
 	all.Go(func() {
-		_ = engine.Adopt(func(func(string) (float64, policy.Time, bool)) (k policy.Knowledge) {
+		_ = engine.RestoreState(func(func(string) (float64, policy.Time, bool)) (k policy.LearnedState) {
 			close(held)
 			<-release
 			return k
@@ -106,7 +106,7 @@
 			_, _ = engine.Do(t.Context(), router.Request{ID: fmt.Sprint("r", i), Class: "hladanie", Tenant: "t"})
 		})
 	}
-	testkit.Await(t, "the queue to be full", func() bool { return engine.Figures().Inflight == 2000 })
+	testkit.Await(t, "the queue to be full", func() bool { return engine.Metrics().Inflight == 2000 })
 	for range 20 {
 		c, err := net.Dial("tcp", w.console)
 		if err != nil {
@@ -198,7 +198,7 @@
 func TestStandby(t *testing.T) {
 	g := new(gate)
 	w := newSite(t, 0)
-	w.known.Members = []router.Member{{ID: "s0", Addr: testkit.HTTPServer(t, g.ServeHTTP), Zone: "a", Kind: "k", Weight: 1}}
+	w.known.Members = []router.Endpoint{{ID: "s0", Addr: testkit.HTTPServer(t, g.ServeHTTP), Zone: "a", Kind: "k", Weight: 1}}
 	w.patient()
 	stop, ended := w.start()
 	for round := range 2 {
--- a/internal/node/drains_test.go
+++ b/internal/node/drains_test.go
@@ -57,11 +57,11 @@
 
 func drainSettings() policy.Settings {
 	return policy.Settings{Nodes: 1, Classes: []policy.Class{
-		{Name: "hladanie", Aim: 300 * drainMs, Deadline: 1500 * drainMs, Repeat: policy.Free, Worth: 1},
-		{Name: "rezervacia", Aim: 300 * drainMs, Deadline: 1200 * drainMs, Repeat: policy.Never, Worth: 1},
-		{Name: "zrusenie", Aim: 300 * drainMs, Deadline: 1500 * drainMs, Repeat: policy.Guarded, Group: policy.GroupAll, Window: 4 * time.Second, Worth: 1}},
-		Allowed: policy.Allowed{Cancel: true, Hedge: true, RetryAfter: true, MaxAttempts: 4, MaxRetryAfter: time.Second, ConnIdle: 10 * time.Second},
-		Rules:   policy.Rules{DrainGrace: 500 * drainMs, AnswerGrace: 50 * drainMs, ColdShare: 1, FallMultiple: 3, FallFor: time.Second}}
+		{Name: "hladanie", LatencyObjective: 300 * drainMs, Deadline: 1500 * drainMs, Idempotency: policy.Idempotent, PriorityWeight: 1},
+		{Name: "rezervacia", LatencyObjective: 300 * drainMs, Deadline: 1200 * drainMs, Idempotency: policy.NonIdempotent, PriorityWeight: 1},
+		{Name: "zrusenie", LatencyObjective: 300 * drainMs, Deadline: 1500 * drainMs, Idempotency: policy.IdempotencyKeyed, DedupScope: policy.DedupAll, DedupWindow: 4 * time.Second, PriorityWeight: 1}},
+		Capabilities: policy.Capabilities{Cancel: true, Hedge: true, RetryAfter: true, MaxAttempts: 4, MaxRetryAfter: time.Second, ConnIdleTimeout: 10 * time.Second},
+		Rules:        policy.Rules{DrainGrace: 500 * drainMs, AnswerGrace: 50 * drainMs, SlowStartShare: 1, OverloadFactor: 3, OverloadDuration: time.Second}}
 }
 
 func newSite(t *testing.T, servers int) *site {
@@ -70,7 +70,7 @@
 	set := w.set
 	book := judge.Rulebook{Classes: make(map[string]judge.Class), AnswerGrace: set.Rules.AnswerGrace, DrainGrace: set.Rules.DrainGrace, Slack: 150 * drainMs}
 	for _, c := range set.Classes {
-		book.Classes[c.Name] = judge.Class{Repeat: c.Repeat, Group: c.Group, Window: c.Window}
+		book.Classes[c.Name] = judge.Class{Repeat: c.Idempotency, Group: c.DedupScope, Window: c.DedupWindow}
 	}
 	w.judge = judge.New(book)
 	group := host.NewGroup(4 * time.Second)
@@ -101,7 +101,7 @@
 				w.do(func(time.Duration) { w.judge.Proved("n", id, w.judge.Attempts(id)-1) })
 			}})
 		t.Cleanup(func() { h.Stop(); f.Close() })
-		w.known.Members = append(w.known.Members, router.Member{ID: id, Addr: f.Addr, Zone: "a", Kind: "k", Weight: 1})
+		w.known.Members = append(w.known.Members, router.Endpoint{ID: id, Addr: f.Addr, Zone: "a", Kind: "k", Weight: 1})
 	}
 	w.known.Revision, w.known.Complete = 1, true
 	return w
@@ -230,7 +230,7 @@
 
 func (w *site) send(client *http.Client, class policy.Class, id string, first bool) (status int, reused bool, err error) {
 	method := http.MethodPost
-	if class.Repeat == policy.Free {
+	if class.Idempotency == policy.Idempotent {
 		method = http.MethodGet
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), class.Deadline+500*drainMs)
@@ -243,7 +243,7 @@
 	for k, v := range map[string]string{"X-Request-Id": id, "X-Class": class.Name, "X-Tenant": "t", "X-Deadline-Ms": strconv.FormatInt(class.Deadline.Milliseconds(), 10)} {
 		req.Header.Set(k, v)
 	}
-	if class.Repeat == policy.Guarded {
+	if class.Idempotency == policy.IdempotencyKeyed {
 		req.Header.Set("Idempotency-Key", "k-"+id)
 	}
 	if first {
--- a/internal/node/heir.go
+++ b/internal/node/heir.go
@@ -49,12 +49,12 @@
 func (h *heir) look() {
 	others, err := h.place.Others()
 	h.tell(err)
-	f := h.engine.Figures()
+	f := h.engine.Metrics()
 	own := handover.Report{At: time.Now(), Ending: h.ending.Load(), Taken: uint64(max(0, f.Inflight))}
 	for _, c := range f.Classes {
 		own.Taken += c.Success + c.Busy + c.Failure
 	}
-	own.Clients, _ = h.front.Clients()
+	own.Clients, _ = h.front.Connections()
 	own.Servers = h.engine.Conns()
 	h.tell(h.place.Report(own))
 	h.put(h.split.Split(own, others, h.whole))
@@ -80,7 +80,7 @@
 		return
 	}
 	if s.Part != h.shared.Part {
-		h.tell(h.engine.SetPart(s.Part))
+		h.tell(h.engine.SetTrafficShare(s.Part))
 	}
 	h.front.clients.setMost(s.Clients)
 	if h.conns != nil {
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -23,7 +23,7 @@
 	closing chan struct{} // closed when the intake ends for good
 }
 
-var _ router.Intake = (*intake)(nil)
+var _ router.DrainableListener = (*intake)(nil)
 
 func newIntake(server *http.Server, listener net.Listener, most int) *intake {
 	return &intake{server: server, clients: newClients(listener, most), closing: make(chan struct{})}
@@ -39,26 +39,26 @@
 	return err
 }
 
-// EndIntake ends the connections without a request. The others end with their answers.
-func (in *intake) EndIntake() { in.clients.part() }
+// StopAccepting ends the connections without a request. The others end with their answers.
+func (in *intake) StopAccepting() { in.clients.part() }
 
-// ResumeIntake keeps connections again. Clients could come in all the time.
-func (in *intake) ResumeIntake() error {
+// ResumeAccepting keeps connections again. Clients could come in all the time.
+func (in *intake) ResumeAccepting() error {
 	in.clients.stay()
 	return nil
 }
 
-// StopAccepting lets nobody in any more; those that were let in are served on. A listening socket that others
+// CloseListener lets nobody in any more; those that were let in are served on. A listening socket that others
 // hold as well stays open in their hands: it is closed here, and never shut down.
-func (in *intake) StopAccepting() {
+func (in *intake) CloseListener() {
 	if !in.shared {
 		in.clients.lastCall()
 	}
 	_ = in.clients.Close() // nobody is left to tell
 }
 
-// Clients is the connections, and those of them with a request.
-func (in *intake) Clients() (open, busy int) { return in.clients.count() }
+// Connections is the connections, and those of them with a request.
+func (in *intake) Connections() (open, busy int) { return in.clients.count() }
 
 // partings is the connections that were closed without a request, and the requests that crossed that.
 func (in *intake) partings() (parted, crossed uint64) {
@@ -70,7 +70,7 @@
 // Shutdown ends the intake for good: it lets nobody in, and parts from connections as they come to be without a
 // request, until none is left or ctx ends.
 func (in *intake) Shutdown(ctx context.Context) error {
-	in.StopAccepting()
+	in.CloseListener()
 	look := time.NewTicker(partEvery)
 	defer look.Stop()
 	for open := 1; open > 0; {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,7 +88,7 @@
 	front.shared = c.Shared
 	front.clients.layer = safe.fromClients()
 	server.ConnContext = withClient
-	membership := router.Membership(source)
+	membership := router.EndpointSource(source)
 	if c.Membership != nil {
 		if membership, err = c.Membership(source); err != nil {
 			return err
@@ -110,15 +110,15 @@
 		membership = held
 	}
 	out := transport(c, sockets-most, safe.towards())
-	options := []router.Option{router.WithLogger(log), router.WithMembership(membership), router.WithFront(front),
+	options := []router.Option{router.WithLogger(log), router.WithEndpointSource(membership), router.WithListener(front),
 		router.WithTransport(out)}
 	var rpc *rpcIntake
 	if c.Msgpack.Listener != nil {
 		rpc = newRPCIntake(c.Msgpack.Listener, safe.wrapMsgpack)
-		options = append(options, router.WithFront(rpc))
+		options = append(options, router.WithListener(rpc))
 	}
 	if c.Leave != nil {
-		options = append(options, router.WithLeave(*c.Leave))
+		options = append(options, router.WithDrainDelay(*c.Leave))
 	}
 	if c.Levels != nil {
 		options = append(options, router.WithLevels(*c.Levels))
@@ -213,7 +213,7 @@
 		if next != nil {
 			next.ending.Store(true)
 		}
-		front.StopAccepting()
+		front.CloseListener()
 		announce, leave = 0, announce
 	}
 	return end(last.drainFor(), announce, leave, engine, front)
@@ -231,7 +231,7 @@
 		return http1.New(http1.Config{MaxConns: conns, ConnectTimeout: c.ConnectTimeout, Secure: layer})
 	}
 	few := max(1, conns/4) // they carry many calls each
-	return mixed.New(func(m router.Member) int {
+	return mixed.New(func(m router.Endpoint) int {
 		if slices.Contains(c.Msgpack.Servers, m.Kind) {
 			return 1
 		}
--- a/internal/node/progress_test.go
+++ b/internal/node/progress_test.go
@@ -59,9 +59,9 @@
 // patient has clients wait for long, and no second copies.
 func (w *site) patient() {
 	for i := range w.set.Classes {
-		w.set.Classes[i].Deadline, w.set.Classes[i].Aim = 30*time.Second, 20*time.Second
+		w.set.Classes[i].Deadline, w.set.Classes[i].LatencyObjective = 30*time.Second, 20*time.Second
 	}
-	w.set.Allowed.Hedge = false
+	w.set.Capabilities.Hedge = false
 }
 
 // While requests wait at a server and are let go one by one, a drain's progress counts exactly those that the
@@ -69,7 +69,7 @@
 func TestProgressIsExact(t *testing.T) {
 	g := new(gate)
 	w := newSite(t, 0)
-	w.known.Members = []router.Member{{ID: "s0", Addr: testkit.HTTPServer(t, g.ServeHTTP), Zone: "a", Kind: "k", Weight: 1}}
+	w.known.Members = []router.Endpoint{{ID: "s0", Addr: testkit.HTTPServer(t, g.ServeHTTP), Zone: "a", Kind: "k", Weight: 1}}
 	w.patient()
 	stop, ended := w.start()
 	const n = 12
@@ -199,7 +199,7 @@
 func TestCancelledHalfWay(t *testing.T) {
 	g := new(gate)
 	w := newSite(t, 0)
-	w.known.Members = []router.Member{{ID: "s0", Addr: testkit.HTTPServer(t, g.ServeHTTP), Zone: "a", Kind: "k", Weight: 1}}
+	w.known.Members = []router.Endpoint{{ID: "s0", Addr: testkit.HTTPServer(t, g.ServeHTTP), Zone: "a", Kind: "k", Weight: 1}}
 	w.patient()
 	stop, ended := w.start()
 	client := &http.Client{Transport: &http.Transport{}}
--- a/internal/node/rotation_test.go
+++ b/internal/node/rotation_test.go
@@ -207,7 +207,7 @@
 	trust, own := open(keys.Sources{Trust: w.file("ca.pem")}), open(keys.Sources{Cert: w.file("cert.pem"), Key: w.file("key.pem")})
 	known := registry.List{Revision: 1, Complete: true}
 	for _, s := range w.servers {
-		known.Members = append(known.Members, router.Member{ID: s.id, Addr: s.addr, Zone: "a", Kind: "k", Weight: 1})
+		known.Members = append(known.Members, router.Endpoint{ID: s.id, Addr: s.addr, Zone: "a", Kind: "k", Weight: 1})
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -218,10 +218,10 @@
 	for i := range set.Classes {
 		// Of a slow machine. What is not worth an attempt any more once its aim is over is refused, rightly: a handshake
 		// that is refused late on a busy machine would be told as a request that nobody served.
-		set.Classes[i].Deadline, set.Classes[i].Aim = 8*time.Second, 4*time.Second
+		set.Classes[i].Deadline, set.Classes[i].LatencyObjective = 8*time.Second, 4*time.Second
 	}
 	// Requests that find a server refused go elsewhere, as often as there are servers that are.
-	set.Allowed.MaxAttempts, set.Rules.Attempts = 100, &policy.Budget{Least: 1e6, Span: time.Second}
+	set.Capabilities.MaxAttempts, set.Rules.RetryBudget = 100, &policy.RetryBudget{MinRetries: 1e6, Window: time.Second}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	leave, whole := time.Millisecond, time.Second
@@ -281,7 +281,7 @@
 	for k, v := range map[string]string{"X-Request-Id": id, "X-Class": class.Name, "X-Tenant": "t", "X-Deadline-Ms": "7000"} {
 		req.Header.Set(k, v)
 	}
-	if class.Repeat == policy.Guarded {
+	if class.Idempotency == policy.IdempotencyKeyed {
 		req.Header.Set("Idempotency-Key", id)
 	}
 	answer := ""
@@ -298,7 +298,7 @@
 	defer w.mu.Unlock()
 	if answer == "" {
 		w.served++
-		w.free[id] = class.Repeat == policy.Free // of which a copy may be sent
+		w.free[id] = class.Idempotency == policy.Idempotent // of which a copy may be sent
 		if n := w.ran[id]; n == 0 || n > 1 && !w.free[id] {
 			w.wrong = append(w.wrong, fmt.Sprintf("%s was served and ran %d times", id, w.ran[id]))
 		}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -62,7 +62,7 @@
 		return err
 	}
 	var r knowledge.Report
-	if err := k.engine.Adopt(func(prior func(string) (float64, policy.Time, bool)) (all policy.Knowledge) {
+	if err := k.engine.RestoreState(func(prior func(string) (float64, policy.Time, bool)) (all policy.LearnedState) {
 		all, r = knowledge.Weigh(s, time.Now(), prior, knowledge.Config{Half: k.c.Half, Most: k.c.Most, Foreign: foreign, Brief: k.brief})
 		return all
 	}); err != nil {
@@ -97,7 +97,7 @@
 
 // snapshot is what the engine knows, as it is kept.
 func (k *keeper) snapshot() ([]byte, error) {
-	all, err := k.engine.Export()
+	all, err := k.engine.ExportState()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/tls.go
+++ b/internal/node/tls.go
@@ -91,7 +91,7 @@
 	}
 	if len(s.c.Rules) > 0 {
 		var err error
-		s.servers, err = secure.New(secure.Config{Rules: s.c.Rules, Limits: s.c.Limits, ColdFor: c.Settings.Rules.ColdFor, Timeout: s.c.Timeout, Connect: c.ConnectTimeout,
+		s.servers, err = secure.New(secure.Config{Rules: s.c.Rules, Limits: s.c.Limits, ColdFor: c.Settings.Rules.SlowStartWindow, Timeout: s.c.Timeout, Connect: c.ConnectTimeout,
 			Core: s.core, Tell: refuse, Log: log})
 		return s, err
 	}
--- a/internal/pairs/pairs_test.go
+++ b/internal/pairs/pairs_test.go
@@ -282,18 +282,18 @@
 type pair struct {
 	name  string
 	front string // "http" or "msgpack"
-	of    func(router.Member) int
+	of    func(router.Endpoint) int
 	tls   bool // towards the servers
 }
 
 var pairs = []pair{
-	{"http to http", "http", func(router.Member) int { return 0 }, false},
-	{"http to msgpack", "http", func(router.Member) int { return 1 }, false},
-	{"msgpack to http", "msgpack", func(router.Member) int { return 0 }, false},
-	{"msgpack to msgpack", "msgpack", func(router.Member) int { return 1 }, false},
-	{"msgpack to one of each", "msgpack", func(m router.Member) int { return int(m.Cell % 2) }, false},
-	{"http to http by TLS", "http", func(router.Member) int { return 0 }, true},
-	{"msgpack to msgpack by TLS", "msgpack", func(router.Member) int { return 1 }, true},
+	{"http to http", "http", func(router.Endpoint) int { return 0 }, false},
+	{"http to msgpack", "http", func(router.Endpoint) int { return 1 }, false},
+	{"msgpack to http", "msgpack", func(router.Endpoint) int { return 0 }, false},
+	{"msgpack to msgpack", "msgpack", func(router.Endpoint) int { return 1 }, false},
+	{"msgpack to one of each", "msgpack", func(m router.Endpoint) int { return int(m.Cell % 2) }, false},
+	{"http to http by TLS", "http", func(router.Endpoint) int { return 0 }, true},
+	{"msgpack to msgpack by TLS", "msgpack", func(router.Endpoint) int { return 1 }, true},
 }
 
 // caller asks a node, and returns what became of it in the words of the outcomes.
@@ -303,24 +303,24 @@
 // the engine has been so far, since the host kept it from running.
 func (p pair) start(t testing.TB, cut func() int, apps ...*app) (call caller, lag func() time.Duration) {
 	t.Helper()
-	var members []router.Member
+	var members []router.Endpoint
 	for i, a := range apps {
-		m := router.Member{ID: fmt.Sprint("s", i), Zone: "a", Cell: int64(i), Weight: 1}
+		m := router.Endpoint{ID: fmt.Sprint("s", i), Zone: "a", Cell: int64(i), Weight: 1}
 		m.Addr = []string{a.http, a.msgpack}[p.of(m)]
 		members = append(members, m)
 	}
-	class := func(name string, repeat policy.Repeat) policy.Class {
-		return policy.Class{Name: name, Aim: 4 * time.Second, Deadline: 10 * time.Second, Repeat: repeat, Group: policy.GroupAll, Window: window, Worth: 1}
+	class := func(name string, repeat policy.Idempotency) policy.Class {
+		return policy.Class{Name: name, LatencyObjective: 4 * time.Second, Deadline: 10 * time.Second, Idempotency: repeat, DedupScope: policy.DedupAll, DedupWindow: window, PriorityWeight: 1}
 	}
 	// A budget of attempts that is never the reason for an outcome.
-	set := policy.Settings{Nodes: 1, Zone: "a", Classes: []policy.Class{class("read", policy.Free), class("pay", policy.Never), class("undo", policy.Guarded)},
-		Allowed: policy.Allowed{Cancel: true, MaxAttempts: 3, RetryAfter: true},
-		Rules:   policy.Rules{DrainGrace: 500 * time.Millisecond, Attempts: &policy.Budget{Least: 1e6, Span: time.Second}}}
+	set := policy.Settings{Nodes: 1, Zone: "a", Classes: []policy.Class{class("read", policy.Idempotent), class("pay", policy.NonIdempotent), class("undo", policy.IdempotencyKeyed)},
+		Capabilities: policy.Capabilities{Cancel: true, MaxAttempts: 3, RetryAfter: true},
+		Rules:        policy.Rules{DrainGrace: 500 * time.Millisecond, RetryBudget: &policy.RetryBudget{MinRetries: 1e6, Window: time.Second}}}
 	var layer *secure.Layer
 	if p.tls {
 		layer = p.secure(t, apps)
 	}
-	r, err := router.New(router.Config{Settings: set, Members: members},
+	r, err := router.New(router.Config{Settings: set, Endpoints: members},
 		router.WithTransport(mixed.New(p.of, http1.New(http1.Config{Secure: layer}), msgpacktransport.New(msgpacktransport.Config{Secure: layer}))))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/site/front.go
+++ b/internal/site/front.go
@@ -91,7 +91,7 @@
 			tenant = x.anonymous.Name(found.Net, time.Since(x.began))
 		}
 		id := ""
-		if v := r.Header[headerID]; len(v) == 1 && router.UsableID(v[0]) {
+		if v := r.Header[headerID]; len(v) == 1 && router.ValidID(v[0]) {
 			id = v[0]
 		} else {
 			id = rand.Text()
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -442,14 +442,14 @@
 // Settings are those that the module goes by.
 func (f *File) Settings() policy.Settings {
 	s := policy.Settings{Node: f.Node.Place, Nodes: or(f.Node.Of, 1), Zone: f.Node.Zone,
-		Allowed: policy.Allowed{Cancel: true, Hedge: f.Limits.Copies, RetryAfter: true, MaxAttempts: or(f.Limits.Attempts, 4),
-			MaxRetryAfter: or(f.Limits.RetryAfter, 10*time.Second), ConnIdle: or(f.Limits.ConnIdle, time.Minute)},
-		Rules: policy.Rules{AnswerGrace: 50 * time.Millisecond, DrainGrace: or(f.Limits.DrainGrace, 500*time.Millisecond), ColdShare: 1, FallMultiple: 3, FallFor: time.Second}}
+		Capabilities: policy.Capabilities{Cancel: true, Hedge: f.Limits.Copies, RetryAfter: true, MaxAttempts: or(f.Limits.Attempts, 4),
+			MaxRetryAfter: or(f.Limits.RetryAfter, 10*time.Second), ConnIdleTimeout: or(f.Limits.ConnIdle, time.Minute)},
+		Rules: policy.Rules{AnswerGrace: 50 * time.Millisecond, DrainGrace: or(f.Limits.DrainGrace, 500*time.Millisecond), SlowStartShare: 1, OverloadFactor: 3, OverloadDuration: time.Second}}
 	for _, c := range f.Classes {
-		s.Classes = append(s.Classes, policy.Class{Name: c.Name, Aim: c.Aim, Deadline: c.Deadline, Window: c.Window, Worth: or(c.Worth, 1), LateWorth: c.LateWorth,
+		s.Classes = append(s.Classes, policy.Class{Name: c.Name, LatencyObjective: c.Aim, Deadline: c.Deadline, DedupWindow: c.Window, PriorityWeight: or(c.Worth, 1), LateWeightFraction: c.LateWorth,
 			Zones: c.Zones, Kinds: c.Kinds, Pool: c.Pool,
-			Repeat: map[string]policy.Repeat{"free": policy.Free, "guarded": policy.Guarded, "never": policy.Never}[c.Repeat],
-			Group:  map[string]policy.Group{"": policy.GroupAll, "all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell}[c.Group]})
+			Idempotency: map[string]policy.Idempotency{"free": policy.Idempotent, "guarded": policy.IdempotencyKeyed, "never": policy.NonIdempotent}[c.Repeat],
+			DedupScope:  map[string]policy.DedupScope{"": policy.DedupAll, "all": policy.DedupAll, "zone": policy.DedupZone, "cell": policy.DedupCell}[c.Group]})
 	}
 	for _, t := range f.Tenants {
 		s.Tenants = append(s.Tenants, policy.Tenant{Name: t.Name, Quota: t.Quota, Share: t.Share})
@@ -459,20 +459,20 @@
 	}
 	if f.Buckets.Default != nil {
 		l := limit(*f.Buckets.Default)
-		s.Limits.Default = &l
+		s.RateLimits.Default = &l
 	}
 	for class, b := range f.Buckets.Classes {
-		if s.Limits.PerClass == nil {
-			s.Limits.PerClass = make(map[string]policy.Limit)
+		if s.RateLimits.PerClass == nil {
+			s.RateLimits.PerClass = make(map[string]policy.Limit)
 		}
-		s.Limits.PerClass[class] = limit(b)
+		s.RateLimits.PerClass[class] = limit(b)
 	}
-	s.Limits.Max = f.Buckets.Max
+	s.RateLimits.Max = f.Buckets.Max
 	return s
 }
 
 // List is the servers of the file, and of the one that it names.
-func (f *File) List() ([]router.Member, error) {
+func (f *File) List() ([]router.Endpoint, error) {
 	members, err := list(f.lines, f.Servers)
 	if err != nil || f.From.File == "" {
 		return members, err
@@ -482,7 +482,7 @@
 		return nil, f.lines.Errorf("servers.file", "%s", err)
 	}
 	for _, m := range more {
-		if slices.ContainsFunc(members, func(o router.Member) bool { return o.ID == m.ID }) {
+		if slices.ContainsFunc(members, func(o router.Endpoint) bool { return o.ID == m.ID }) {
 			return nil, f.lines.Errorf("servers.file", "server %q is there and in this file", m.ID)
 		}
 	}
@@ -498,7 +498,7 @@
 }
 
 // ReadServers reads a file of [[server]] tables.
-func ReadServers(path string) ([]router.Member, error) {
+func ReadServers(path string) ([]router.Endpoint, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
@@ -508,7 +508,7 @@
 	}
 	lines, err := strict.Decode(text, &f)
 	if err == nil {
-		var members []router.Member
+		var members []router.Endpoint
 		if members, err = list(lines, f.Servers); err == nil {
 			return members, nil
 		}
@@ -516,16 +516,16 @@
 	return nil, fmt.Errorf("%s:%w", path, err)
 }
 
-func list(lines strict.Lines, servers []Server) ([]router.Member, error) {
-	var all []router.Member
+func list(lines strict.Lines, servers []Server) ([]router.Endpoint, error) {
+	var all []router.Endpoint
 	for i, s := range servers {
 		id := or(s.ID, s.Address)
-		if slices.ContainsFunc(all, func(m router.Member) bool { return m.ID == id }) {
+		if slices.ContainsFunc(all, func(m router.Endpoint) bool { return m.ID == id }) {
 			return nil, lines.Errorf(fmt.Sprintf("server[%d]", i), "server %q is there twice", id)
 		}
-		m := router.Member{ID: id, Addr: s.Address, Zone: s.Zone, Kind: s.Kind, Cell: s.Cell, Weight: or(s.Weight, 1), Pools: s.Pools}
+		m := router.Endpoint{ID: id, Addr: s.Address, Zone: s.Zone, Kind: s.Kind, Cell: s.Cell, Weight: or(s.Weight, 1), Pools: s.Pools}
 		if s.Drain {
-			m.State = policy.Draining
+			m.Availability = policy.Draining
 		}
 		all = append(all, m)
 	}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -47,7 +47,7 @@
 // The zero value is ready to use.
 type Decoder struct {
 	parser fastjson.Parser
-	lists  [lists][]policy.Member
+	lists  [lists][]policy.Endpoint
 	known  [lists]bool
 	names  map[string]string
 }
@@ -108,13 +108,13 @@
 	case "reminder":
 		l.Event = policy.Timer{Token: f.uint(1, "token")}
 	case "lapsed":
-		l.Event = policy.Lapsed{ID: f.str(1, "ticket")}
+		l.Event = policy.ClientGone{ID: f.str(1, "ticket")}
 	case "headers":
 		l.Event = policy.FirstByte{ID: f.str(1, "ticket"), Attempt: f.int(2, "roundNo"),
 			Latency: f.ms(3, "waitTime"), Server: f.name(4, "server")}
 	case "healthResult":
 		l.Event = policy.ProbeResult{Latency: f.ms(1, "waitTime"), Code: f.code(2),
-			Server: f.name(3, "server"), Report: f.report(4)}
+			Server: f.name(3, "server"), LoadReport: f.report(4)}
 	case "neighbourSays":
 		l.Event = policy.PeerMessage{From: f.int(1, "from"), Body: f.str(2, "body")}
 	case "peersKnown":
@@ -132,7 +132,7 @@
 func (f *fields) request() policy.Request {
 	return policy.Request{
 		ID: f.str(1, "ticket"), Class: f.name(2, "cls"), Tenant: f.optName(3, "team"),
-		Key: f.optStr(4, "object"), ExpiresIn: f.ms(5, "expiresIn"), Hint: f.optMs(6, "effort"),
+		Key: f.optStr(4, "object"), ExpiresIn: f.ms(5, "expiresIn"), CostHint: f.optMs(6, "effort"),
 		Retry: f.optBool(7, "isRetry"), Write: f.optBool(8, "update"),
 	}
 }
@@ -140,14 +140,14 @@
 func (f *fields) outcome() policy.Outcome {
 	return policy.Outcome{
 		ID: f.str(1, "ticket"), Attempt: f.int(2, "roundNo"), Server: f.name(3, "server"),
-		Code: f.code(4), Latency: f.ms(5, "waitTime"), Ended: f.optBool(6, "doneFlag"), Report: f.report(7),
+		Code: f.code(4), Latency: f.ms(5, "waitTime"), Answered: f.optBool(6, "doneFlag"), LoadReport: f.report(7),
 	}
 }
 
 var codes = map[string]policy.Code{
-	"done": policy.OK, "err": policy.ServerError, "busy": policy.Full, "etimedout": policy.TimedOut,
+	"done": policy.OK, "err": policy.ServerError, "busy": policy.Overloaded, "etimedout": policy.TimedOut,
 	"econnrefused": policy.ConnectFailed, "econnreset": policy.Reset,
-	"ecanceled": policy.Cancelled, "skipped": policy.Moot,
+	"ecanceled": policy.Cancelled, "skipped": policy.Superseded,
 }
 
 func (f *fields) code(i int) policy.Code {
@@ -175,7 +175,7 @@
 		return f.err
 	}
 	// A new slice each time: instances keep reading the old one.
-	entries := make([]policy.Member, 0, len(recs.GetArray()))
+	entries := make([]policy.Endpoint, 0, len(recs.GetArray()))
 	for i, r := range recs.GetArray() {
 		m, err := d.member(r)
 		if err != nil {
@@ -187,12 +187,12 @@
 	return nil
 }
 
-func (d *Decoder) member(v *fastjson.Value) (policy.Member, error) {
+func (d *Decoder) member(v *fastjson.Value) (policy.Endpoint, error) {
 	if v.Type() != fastjson.TypeArray {
-		return policy.Member{}, fmt.Errorf("entry: want an array, got %s", v.Type())
+		return policy.Endpoint{}, fmt.Errorf("entry: want an array, got %s", v.Type())
 	}
 	f := fields{vals: v.GetArray(), d: d}
-	m := policy.Member{OnlineSince: f.optMs(0, "onlineSince"), Weight: 1, Kind: f.optName(3, "classOfHost"),
+	m := policy.Endpoint{OnlineSince: f.optMs(0, "onlineSince"), Weight: 1, Kind: f.optName(3, "classOfHost"),
 		Zone: f.optName(4, "campus"), Server: f.name(6, "server")}
 	switch s := f.name(1, "availability"); s {
 	case "Running":
@@ -217,20 +217,20 @@
 	"restored": policy.ListRestored, "unavailable": policy.ListUnavailable,
 }
 
-func (d *Decoder) members(f *fields) (policy.MemberList, error) {
+func (d *Decoder) members(f *fields) (policy.EndpointList, error) {
 	how := f.name(1, "how")
 	kind, ok := listKinds[how]
 	if f.err == nil && !ok {
 		f.fail("how", "unknown kind %q", how)
 	}
 	if f.err != nil || kind == policy.ListUnavailable {
-		return policy.MemberList{Kind: kind}, f.err
+		return policy.EndpointList{Kind: kind}, f.err
 	}
 	n := d.listNumber(f, 3)
 	if f.err == nil && !d.known[n] {
 		f.fail("buffer", "list %d was never sent", n)
 	}
-	return policy.MemberList{Kind: kind, Members: d.lists[n]}, f.err
+	return policy.EndpointList{Kind: kind, Endpoints: d.lists[n]}, f.err
 }
 
 // fields reads the values of a message by place, keeping the first error.
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -10,9 +10,9 @@
 
 // names of the actions on the wire, by kind.
 var actionNames = [...]string{
-	policy.Send: "handOff", policy.Refuse: "notNow", policy.Fail: "abort", policy.Cancel: "stopAttempt",
-	policy.SetTimer: "wakeMe", policy.Probe: "poll", policy.Tell: "announce", policy.CloseIdle: "freeLinks",
-	policy.Log: "sayLog", policy.WatchList: "listen", policy.FetchList: "readList",
+	policy.Send: "handOff", policy.Reject: "notNow", policy.Fail: "abort", policy.Cancel: "stopAttempt",
+	policy.SetTimer: "wakeMe", policy.Probe: "poll", policy.SendToPeer: "announce", policy.CloseIdle: "freeLinks",
+	policy.Log: "sayLog", policy.WatchEndpoints: "listen", policy.FetchEndpoints: "readList",
 }
 
 // AppendAction appends the line for one action of an instance.
@@ -27,7 +27,7 @@
 		if a.Until > 0 {
 			b = appendMs(b, a.Until)
 		}
-	case policy.Refuse:
+	case policy.Reject:
 		b = appendString(b, a.ID)
 		if a.Wait > 0 {
 			b = appendMs(b, a.Wait)
@@ -40,11 +40,11 @@
 		b = strconv.AppendUint(append(appendMs(b, a.Wait), ','), a.Token, 10)
 	case policy.Probe, policy.CloseIdle:
 		b = appendString(b, a.Server)
-	case policy.Tell:
+	case policy.SendToPeer:
 		b = appendString(strconv.AppendInt(append(b, ','), int64(a.Peer), 10), a.Text)
 	case policy.Log:
 		b = appendString(b, a.Text)
-	case policy.WatchList:
+	case policy.WatchEndpoints:
 		b = strconv.AppendBool(append(b, ','), a.On)
 	}
 	return append(b, "]\n"...)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -116,10 +116,10 @@
 }
 
 var (
-	repeats = map[string]policy.Repeat{"": policy.Never, "single_shot": policy.Never,
-		"guarded": policy.Guarded, "free": policy.Free}
-	groups = map[string]policy.Group{"": policy.GroupCell, "cell": policy.GroupCell,
-		"zone": policy.GroupZone, "all": policy.GroupAll}
+	repeats = map[string]policy.Idempotency{"": policy.NonIdempotent, "single_shot": policy.NonIdempotent,
+		"guarded": policy.IdempotencyKeyed, "free": policy.Idempotent}
+	groups = map[string]policy.DedupScope{"": policy.DedupCell, "cell": policy.DedupCell,
+		"zone": policy.DedupZone, "all": policy.DedupAll}
 	modes  = map[string]bool{"": false, "automatic": false, "subscribe": true}
 	worths = map[string]bool{"": false, "request": false, "work": true}
 )
@@ -142,14 +142,14 @@
 	o := object{v: conf, err: &err}
 	s := policy.Settings{
 		Node: o.whole("position"), Nodes: o.whole("groupSize"), Zone: o.str("zone"),
-		Subscribe: word(o, "registryMode", modes),
-		WarmKeys:  o.sub("familyInfo").flag("warmKeys"), WorthByWork: word(o, "worthBy", worths),
+		Subscribe:   word(o, "registryMode", modes),
+		KeyAffinity: o.sub("familyInfo").flag("warmKeys"), WeightByWork: word(o, "worthBy", worths),
 	}
 	o.each("services", func(c object) {
 		s.Classes = append(s.Classes, policy.Class{
-			Name: c.str("name"), Aim: c.ms("aim"), AimStretch: c.num("aimStretch"), Deadline: c.ms("deadline"),
-			Repeat: word(c, "repeat", repeats), Group: word(c, "group", groups), Window: c.ms("window"),
-			LateWorth: c.num("lateWorth"), Worth: c.num("value"), Stream: c.flag("stream"),
+			Name: c.str("name"), LatencyObjective: c.ms("aim"), ObjectiveWorkFactor: c.num("aimStretch"), Deadline: c.ms("deadline"),
+			Idempotency: word(c, "repeat", repeats), DedupScope: word(c, "group", groups), DedupWindow: c.ms("window"),
+			LateWeightFraction: c.num("lateWorth"), PriorityWeight: c.num("value"), Stream: c.flag("stream"),
 			Kinds: c.strs("servedOn"), Zones: c.strs("localitiesOnly"),
 		})
 	})
@@ -158,27 +158,27 @@
 			Name: t.str("name"), Quota: t.num("quotaRps"), Share: t.num("fraction")})
 	})
 	lim := o.sub("limits")
-	s.Allowed = policy.Allowed{
+	s.Capabilities = policy.Capabilities{
 		Cancel: lim.flag("cancelling"), Hedge: lim.flag("secondCopies"), Probe: lim.flag("probes"),
 		Peers: lim.flag("peerMessages"), RetryAfter: lim.flag("retryAfter"),
 		MaxAttempts: lim.whole("maxAttempts"), MaxRetryAfter: lim.ms("maxRetryAfter"),
-		ConnIdle: lim.ms("connIdle"),
+		ConnIdleTimeout: lim.ms("connIdle"),
 	}
 	g := o.sub("guarantees")
 	s.Rules = policy.Rules{
-		AnswerGrace: g.ms("graceToAnswer"), DrainGrace: g.ms("drainGrace"), ColdShare: g.num("coldShare"),
-		ColdFor: g.ms("cold"), FallMultiple: g.num("fallMultiple"), FallFor: g.ms("overloadFor"),
-		AskWithin: g.ms("mustAskIn"), Attempts: budget(g),
+		AnswerGrace: g.ms("graceToAnswer"), DrainGrace: g.ms("drainGrace"), SlowStartShare: g.num("coldShare"),
+		SlowStartWindow: g.ms("cold"), OverloadFactor: g.num("fallMultiple"), OverloadDuration: g.ms("overloadFor"),
+		MaxPollInterval: g.ms("mustAskIn"), RetryBudget: budget(g),
 	}
-	s.Report = o.sub("report").strs("fields")
+	s.LoadReportFields = o.sub("report").strs("fields")
 	return s, err
 }
 
 // budget reads the rule on further attempts, which holds where any of its figures is present.
-func budget(g object) *policy.Budget {
+func budget(g object) *policy.RetryBudget {
 	number := fastjson.TypeNumber
 	if g.get("minExtra", number) == nil && g.get("budgetShare", number) == nil && g.get("ratioSpan", number) == nil {
 		return nil
 	}
-	return &policy.Budget{Least: g.num("minExtra"), Share: g.num("budgetShare"), Span: g.ms("ratioSpan")}
+	return &policy.RetryBudget{MinRetries: g.num("minExtra"), RetryRatio: g.num("budgetShare"), Window: g.ms("ratioSpan")}
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -24,7 +24,7 @@
 	var d Decoder
 	decode(t, &d, `["list",3,[[null,"Running",1,"k","a",0,"s1"],[6100.5,"Stopping",1.5,"k","b",7,"s2"],`+
 		`[0,"Deleted",1,"k","b",7,"s3",null,"more"]]]`)
-	list := []policy.Member{
+	list := []policy.Endpoint{
 		{Server: "s1", Zone: "a", Kind: "k", Weight: 1},
 		{Server: "s2", Zone: "b", Kind: "k", Cell: 7, Weight: 1.5, OnlineSince: 6100*ms + 500*time.Microsecond,
 			Availability: policy.Draining},
@@ -38,15 +38,15 @@
 		{`["eob"]`, Line{Kind: EndBatch}},
 		{`["shutdown",3]`, Line{Kind: Shutdown, Node: 3}},
 		{`["reminder",3,9223372036854775808]`, Line{Kind: Event, Node: 3, Event: policy.Timer{Token: 1 << 63}}},
-		{`["lapsed",5,"id"]`, Line{Kind: Event, Node: 5, Event: policy.Lapsed{ID: "id"}}},
+		{`["lapsed",5,"id"]`, Line{Kind: Event, Node: 5, Event: policy.ClientGone{ID: "id"}}},
 		{`["ingress",3,"id","c","t","k",240.0,12.0,true,true,"later"]`, Line{Kind: Event, Node: 3,
 			Event: policy.Request{ID: "id", Class: "c", Tenant: "t", Key: "k", ExpiresIn: 240 * ms,
-				Hint: 12 * ms, Retry: true, Write: true}}},
+				CostHint: 12 * ms, Retry: true, Write: true}}},
 		{`["ingress",3,"id","c",null,null,240]`, Line{Kind: Event, Node: 3,
 			Event: policy.Request{ID: "id", Class: "c", ExpiresIn: 240 * ms}}},
 		{`["completed",3,"id",1,"s1","busy",18.5,false,[0.5,14.5]]`, Line{Kind: Event, Node: 3,
-			Event: policy.Outcome{ID: "id", Attempt: 1, Server: "s1", Code: policy.Full,
-				Latency: 18*ms + 500*time.Microsecond, Report: []float64{0.5, 14.5}}}},
+			Event: policy.Outcome{ID: "id", Attempt: 1, Server: "s1", Code: policy.Overloaded,
+				Latency: 18*ms + 500*time.Microsecond, LoadReport: []float64{0.5, 14.5}}}},
 		{`["headers",3,"id",0,9,"s1"]`, Line{Kind: Event, Node: 3,
 			Event: policy.FirstByte{ID: "id", Latency: 9 * ms, Server: "s1"}}},
 		{`["healthResult",3,1,"done","s1",null]`, Line{Kind: Event, Node: 3,
@@ -54,9 +54,9 @@
 		{`["neighbourSays",3,2,"hi \"7\""]`, Line{Kind: Event, Node: 3,
 			Event: policy.PeerMessage{From: 2, Body: `hi "7"`}}},
 		{`["peersKnown",3,"restored",41,3]`, Line{Kind: Event, Node: 3,
-			Event: policy.MemberList{Kind: policy.ListRestored, Members: list}}},
+			Event: policy.EndpointList{Kind: policy.ListRestored, Endpoints: list}}},
 		{`["peersKnown",3,"unavailable",41,null]`, Line{Kind: Event, Node: 3,
-			Event: policy.MemberList{Kind: policy.ListUnavailable}}},
+			Event: policy.EndpointList{Kind: policy.ListUnavailable}}},
 	} {
 		if got := decode(t, &d, c.line); !reflect.DeepEqual(got, c.want) {
 			t.Errorf("%s\n got %+v\nwant %+v", c.line, got, c.want)
@@ -69,7 +69,7 @@
 	var d Decoder
 	for word := range codes {
 		l := decode(t, &d, `["completed",1,"id",0,"s","`+word+`",1,false]`)
-		if got := l.Event.(policy.Outcome).Code.NotRun(); got != notRun[word] {
+		if got := l.Event.(policy.Outcome).Code.NotExecuted(); got != notRun[word] {
 			t.Errorf("%s: NotRun %v", word, got)
 		}
 	}
@@ -82,15 +82,15 @@
 		`"servedOn":["k1","k2"],"localitiesOnly":["a"]},{"name":"y","servedOn":null}],"worthBy":"work",`+
 		`"tenants":[{"name":"t","quotaRps":42,"fraction":0.4}],"limits":{"maxAttempts":4,"cancelling":true,"connIdle":5000},`+
 		`"guarantees":{"coldShare":0.17,"cold":23000,"minExtra":5,"budgetShare":0.15,"ratioSpan":5000},"report":{"fields":["util"]},"familyInfo":{"warmKeys":true}}]`)
-	want := policy.Settings{Node: 1, Nodes: 4, Zone: "a", Subscribe: true, WarmKeys: true,
-		Classes: []policy.Class{{Name: "x", Aim: 250 * ms, Deadline: 600 * ms, Repeat: policy.Guarded,
-			Group: policy.GroupZone, Window: 5 * time.Second, Kinds: []string{"k1", "k2"}, Zones: []string{"a"}},
+	want := policy.Settings{Node: 1, Nodes: 4, Zone: "a", Subscribe: true, KeyAffinity: true,
+		Classes: []policy.Class{{Name: "x", LatencyObjective: 250 * ms, Deadline: 600 * ms, Idempotency: policy.IdempotencyKeyed,
+			DedupScope: policy.DedupZone, DedupWindow: 5 * time.Second, Kinds: []string{"k1", "k2"}, Zones: []string{"a"}},
 			{Name: "y"}},
-		WorthByWork: true,
-		Tenants:     []policy.Tenant{{Name: "t", Quota: 42, Share: 0.4}},
-		Allowed:     policy.Allowed{MaxAttempts: 4, Cancel: true, ConnIdle: 5 * time.Second},
-		Rules: policy.Rules{ColdShare: 0.17, ColdFor: 23 * time.Second,
-			Attempts: &policy.Budget{Least: 5, Share: 0.15, Span: 5 * time.Second}}, Report: []string{"util"}}
+		WeightByWork: true,
+		Tenants:      []policy.Tenant{{Name: "t", Quota: 42, Share: 0.4}},
+		Capabilities: policy.Capabilities{MaxAttempts: 4, Cancel: true, ConnIdleTimeout: 5 * time.Second},
+		Rules: policy.Rules{SlowStartShare: 0.17, SlowStartWindow: 23 * time.Second,
+			RetryBudget: &policy.RetryBudget{MinRetries: 5, RetryRatio: 0.15, Window: 5 * time.Second}}, LoadReportFields: []string{"util"}}
 	if l.Seed != 7 || !reflect.DeepEqual(l.Settings, want) {
 		t.Errorf("got seed %d, %+v\nwant %+v", l.Seed, l.Settings, want)
 	}
@@ -151,9 +151,9 @@
 func TestListsAreNotOverwritten(t *testing.T) {
 	var d Decoder
 	decode(t, &d, `["list",0,[[null,"Running",1,"k","a",0,"s1"]]]`)
-	first := decode(t, &d, `["peersKnown",3,"replace",1,0]`).Event.(policy.MemberList)
+	first := decode(t, &d, `["peersKnown",3,"replace",1,0]`).Event.(policy.EndpointList)
 	decode(t, &d, `["list",0,[[null,"Running",1,"k","a",0,"s2"]]]`)
-	if first.Members[0].Server != "s1" {
+	if first.Endpoints[0].Server != "s1" {
 		t.Error("the older list changed")
 	}
 }
@@ -166,17 +166,17 @@
 		{policy.Action{Kind: policy.Send, ID: "id", Server: "s", Until: 8492*ms + 250*time.Microsecond},
 			`["handOff",3,"id","s",8492.25]`},
 		{policy.Action{Kind: policy.Send, ID: "id", Server: "s"}, `["handOff",3,"id","s"]`},
-		{policy.Action{Kind: policy.Refuse, ID: "id", Wait: 250 * ms}, `["notNow",3,"id",250]`},
-		{policy.Action{Kind: policy.Refuse, ID: "id"}, `["notNow",3,"id"]`},
+		{policy.Action{Kind: policy.Reject, ID: "id", Wait: 250 * ms}, `["notNow",3,"id",250]`},
+		{policy.Action{Kind: policy.Reject, ID: "id"}, `["notNow",3,"id"]`},
 		{policy.Action{Kind: policy.Fail, ID: "id"}, `["abort",3,"id"]`},
 		{policy.Action{Kind: policy.Cancel, ID: "id", Attempt: 2}, `["stopAttempt",3,"id",2]`},
 		{policy.Action{Kind: policy.SetTimer, Wait: 500 * ms, Token: 77}, `["wakeMe",3,500,77]`},
 		{policy.Action{Kind: policy.Probe, Server: "s"}, `["poll",3,"s"]`},
 		{policy.Action{Kind: policy.CloseIdle, Server: "s"}, `["freeLinks",3,"s"]`},
-		{policy.Action{Kind: policy.Tell, Peer: -1, Text: "a\nb"}, `["announce",3,-1,"a\nb"]`},
+		{policy.Action{Kind: policy.SendToPeer, Peer: -1, Text: "a\nb"}, `["announce",3,-1,"a\nb"]`},
 		{policy.Action{Kind: policy.Log, Text: "two"}, `["sayLog",3,"two"]`},
-		{policy.Action{Kind: policy.WatchList, On: true}, `["listen",3,true]`},
-		{policy.Action{Kind: policy.FetchList}, `["readList",3]`},
+		{policy.Action{Kind: policy.WatchEndpoints, On: true}, `["listen",3,true]`},
+		{policy.Action{Kind: policy.FetchEndpoints}, `["readList",3]`},
 	} {
 		if got := string(AppendAction(nil, 3, c.act)); got != c.want+"\n" {
 			t.Errorf("got %swant %s", got, c.want)
--- a/knowledge/knowledge.go
+++ b/knowledge/knowledge.go
@@ -24,10 +24,10 @@
 
 // Snapshot is what one node knew at a moment.
 type Snapshot struct {
-	Version   int              `json:"version"`
-	Node      string           `json:"node"`
-	At        time.Time        `json:"at"`
-	Knowledge policy.Knowledge `json:"knowledge"`
+	Version   int                 `json:"version"`
+	Node      string              `json:"node"`
+	At        time.Time           `json:"at"`
+	Knowledge policy.LearnedState `json:"knowledge"`
 }
 
 var table = crc32.MakeTable(crc32.Castagnoli)
@@ -103,7 +103,7 @@
 // Weigh makes of a snapshot what a node may adopt at a moment. What is false of it is refused: figures that no node
 // can have, times ahead of the clock. Thresholds go back to what the node would start with as the snapshot ages;
 // a server that was ejected begins ejected, for what is left of its time, and is tried out before it is trusted.
-func Weigh(s Snapshot, now time.Time, prior Prior, c Config) (policy.Knowledge, Report) {
+func Weigh(s Snapshot, now time.Time, prior Prior, c Config) (policy.LearnedState, Report) {
 	half, most, out := c.Half, c.Most, c.Out
 	if half == 0 {
 		half = time.Minute
@@ -122,38 +122,38 @@
 		r.Refused = fmt.Sprintf("it is older than %v", most)
 	}
 	if r.Refused != "" {
-		return policy.Knowledge{}, r
+		return policy.LearnedState{}, r
 	}
 	r.Age = max(0, r.Age)
 	r.Weight = math.Exp2(-r.Age.Seconds() / half.Seconds())
 	if c.Foreign {
 		r.Weight /= 2
 	}
-	k := policy.Knowledge{Pace: 1 + r.Weight*(sane(s.Knowledge.Pace, 0.01, 100, 1)-1), Trust: 1 + r.Weight*(sane(s.Knowledge.Trust, 1, 100, 1)-1)}
+	k := policy.LearnedState{RateScale: 1 + r.Weight*(sane(s.Knowledge.RateScale, 0.01, 100, 1)-1), SharedThresholdScale: 1 + r.Weight*(sane(s.Knowledge.SharedThresholdScale, 1, 100, 1)-1)}
 	for _, e := range s.Knowledge.Servers {
 		start, up, ok := prior(e.Server)
-		switch was := e.Up + r.Age; {
+		switch was := e.Uptime + r.Age; {
 		case !ok:
 			r.Unknown++
 			continue
-		case (e.Up == 0) != (up == 0) || e.Up > 0 && (up-was > slackUp || was-up > slackUp):
+		case (e.Uptime == 0) != (up == 0) || e.Uptime > 0 && (up-was > slackUp || was-up > slackUp):
 			r.Replaced++ // nothing that was learned of the one before holds for it
 			continue
 		}
 		e.Threshold = start + r.Weight*(sane(e.Threshold, 0, 1e6, start)-start)
 		e.Latency = r.Weight * sane(e.Latency, 0, 3600, 0)
-		e.Faults, e.Score = r.Weight*sane(e.Faults, 0, 1, 0), r.Weight*sane(e.Score, 0, 1e6, 0)
-		e.Times, e.Up = min(max(0, e.Times), 10), 0
-		if e.For = min(max(0, e.For), most); e.Out {
-			e.For = max(0, e.For-r.Age)
+		e.FaultRate, e.FaultScore = r.Weight*sane(e.FaultRate, 0, 1, 0), r.Weight*sane(e.FaultScore, 0, 1e6, 0)
+		e.Ejections, e.Uptime = min(max(0, e.Ejections), 10), 0
+		if e.EjectedFor = min(max(0, e.EjectedFor), most); e.Ejected {
+			e.EjectedFor = max(0, e.EjectedFor-r.Age)
 		} else {
-			e.For = 0
+			e.EjectedFor = 0
 		}
 		k.Servers = append(k.Servers, e)
 	}
 	if c.Brief {
-		k.Pace, k.Trust = 1, 1
-		k.Servers = slices.DeleteFunc(k.Servers, func(e policy.ServerKnowledge) bool { return !e.Out })
+		k.RateScale, k.SharedThresholdScale = 1, 1
+		k.Servers = slices.DeleteFunc(k.Servers, func(e policy.ServerState) bool { return !e.Ejected })
 	}
 	r.Servers = len(k.Servers)
 	r.spare(k.Servers, out)
@@ -172,18 +172,18 @@
 
 // spare takes servers that are about to be tried out anyway out of the ejected, where there are too many: a node
 // that begins with most of its servers ejected serves nobody.
-func (r *Report) spare(all []policy.ServerKnowledge, part float64) {
+func (r *Report) spare(all []policy.ServerState, part float64) {
 	var out []int
 	for i := range all {
-		if all[i].Out {
+		if all[i].Ejected {
 			out = append(out, i)
 		}
 	}
 	may := int(part * float64(len(all)))
-	slices.SortFunc(out, func(a, b int) int { return int(all[b].For - all[a].For) }) // those that stay longest first
+	slices.SortFunc(out, func(a, b int) int { return int(all[b].EjectedFor - all[a].EjectedFor) }) // those that stay longest first
 	for n, i := range out {
 		if n >= may {
-			all[i].Out, all[i].For, all[i].Times = false, 0, 0
+			all[i].Ejected, all[i].EjectedFor, all[i].Ejections = false, 0, 0
 			r.Spared++
 			continue
 		}
--- a/knowledge/knowledge_test.go
+++ b/knowledge/knowledge_test.go
@@ -17,11 +17,11 @@
 var then = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
 
 func snapshot(n int) Snapshot {
-	s := Snapshot{Version: Version, Node: "n1", At: then, Knowledge: policy.Knowledge{Pace: 1.5, Trust: 2}}
+	s := Snapshot{Version: Version, Node: "n1", At: then, Knowledge: policy.LearnedState{RateScale: 1.5, SharedThresholdScale: 2}}
 	for i := range n {
-		s.Knowledge.Servers = append(s.Knowledge.Servers, policy.ServerKnowledge{Server: fmt.Sprint("s", i), Threshold: 8, Latency: 0.1, Out: i%3 == 0, For: time.Duration(i) * time.Second, Times: 2})
+		s.Knowledge.Servers = append(s.Knowledge.Servers, policy.ServerState{Server: fmt.Sprint("s", i), Threshold: 8, Latency: 0.1, Ejected: i%3 == 0, EjectedFor: time.Duration(i) * time.Second, Ejections: 2})
 	}
-	s.Knowledge.Buckets = []policy.BucketKnowledge{{Tenant: "t", Tokens: 3}}
+	s.Knowledge.Buckets = []policy.BucketState{{Tenant: "t", Tokens: 3}}
 	return s
 }
 
@@ -64,7 +64,7 @@
 		if got := k.Servers[1].Threshold; math.Abs(got-want) > 1e-9 {
 			t.Errorf("after %v: threshold %v, want %v", age, got, want)
 		}
-		if s := k.Servers[3]; !s.Out || s.For != max(0, 3*time.Second-age) {
+		if s := k.Servers[3]; !s.Ejected || s.EjectedFor != max(0, 3*time.Second-age) {
 			t.Errorf("after %v: %+v", age, s)
 		}
 		if b := k.Buckets[0]; b.Tokens != 3 || b.Idle != age {
@@ -80,7 +80,7 @@
 		}
 	}
 	s := snapshot(2)
-	s.Knowledge.Servers[1].Up = time.Minute
+	s.Knowledge.Servers[1].Uptime = time.Minute
 	for up, replaced := range map[time.Duration]int{time.Minute + 10*time.Second: 0, time.Second: 1, 0: 1} {
 		_, r := Weigh(s, then.Add(10*time.Second), func(id string) (float64, time.Duration, bool) {
 			if id == "s1" {
@@ -104,22 +104,22 @@
 		figure := rapid.Float64()
 		n := rapid.IntRange(0, 12).Draw(t, "servers")
 		for i := range n {
-			s.Knowledge.Servers = append(s.Knowledge.Servers, policy.ServerKnowledge{Server: fmt.Sprint(i), Threshold: figure.Draw(t, "threshold"), Latency: figure.Draw(t, "latency"),
-				Faults: figure.Draw(t, "faults"), Score: figure.Draw(t, "score"), Out: rapid.Bool().Draw(t, "out"), For: time.Duration(rapid.Int64().Draw(t, "for")), Times: rapid.Int().Draw(t, "times")})
+			s.Knowledge.Servers = append(s.Knowledge.Servers, policy.ServerState{Server: fmt.Sprint(i), Threshold: figure.Draw(t, "threshold"), Latency: figure.Draw(t, "latency"),
+				FaultRate: figure.Draw(t, "faults"), FaultScore: figure.Draw(t, "score"), Ejected: rapid.Bool().Draw(t, "out"), EjectedFor: time.Duration(rapid.Int64().Draw(t, "for")), Ejections: rapid.Int().Draw(t, "times")})
 		}
-		s.Knowledge.Pace, s.Knowledge.Trust = figure.Draw(t, "pace"), figure.Draw(t, "trust")
-		s.Knowledge.Buckets = []policy.BucketKnowledge{{Tokens: rapid.Int64().Draw(t, "tokens"), Idle: time.Duration(rapid.Int64().Draw(t, "idle"))}}
+		s.Knowledge.RateScale, s.Knowledge.SharedThresholdScale = figure.Draw(t, "pace"), figure.Draw(t, "trust")
+		s.Knowledge.Buckets = []policy.BucketState{{Tokens: rapid.Int64().Draw(t, "tokens"), Idle: time.Duration(rapid.Int64().Draw(t, "idle"))}}
 		k, r := Weigh(s, then.Add(time.Duration(rapid.Int64Range(-int64(time.Hour), int64(time.Hour)).Draw(t, "age"))), known, Config{})
 		out := 0
 		for _, e := range k.Servers {
-			if e.Out {
+			if e.Ejected {
 				out++
 			}
-			if !(e.Threshold >= 0 && e.Threshold <= 1e6 && e.Latency >= 0 && e.Latency <= 3600 && e.Faults >= 0 && e.Faults <= 1 && e.Score >= 0) || e.For < 0 || e.For > 10*time.Minute || e.Times < 0 || e.Times > 10 {
+			if !(e.Threshold >= 0 && e.Threshold <= 1e6 && e.Latency >= 0 && e.Latency <= 3600 && e.FaultRate >= 0 && e.FaultRate <= 1 && e.FaultScore >= 0) || e.EjectedFor < 0 || e.EjectedFor > 10*time.Minute || e.Ejections < 0 || e.Ejections > 10 {
 				t.Fatalf("%+v", e)
 			}
 		}
-		if out > n/2 || r.Refused == "" && !(k.Pace > 0 && k.Trust >= 1) {
+		if out > n/2 || r.Refused == "" && !(k.RateScale > 0 && k.SharedThresholdScale >= 1) {
 			t.Fatalf("%d of %d ejected; %+v", out, n, k)
 		}
 		for _, b := range k.Buckets {
--- a/membership/file/file.go
+++ b/membership/file/file.go
@@ -14,7 +14,7 @@
 )
 
 // Read reads the whole list.
-type Read func() ([]router.Member, error)
+type Read func() ([]router.Endpoint, error)
 
 // lookEvery is how often the file is looked at: a drain in it is obeyed that much later.
 const lookEvery = 200 * time.Millisecond
@@ -48,11 +48,11 @@
 	}
 }
 
-// Ask has nothing to ask: what the file says is told as it changes.
-func (s *Source) Ask(bool) {}
+// SetPolling has nothing to ask: what the file says is told as it changes.
+func (s *Source) SetPolling(bool) {}
 
 // Run tells of the list until ctx ends. A file that can't be read changes nothing, and is told of once.
-func (s *Source) Run(ctx context.Context, tell func(router.Change)) {
+func (s *Source) Run(ctx context.Context, tell func(router.EndpointUpdate)) {
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
 	var seen stamp
@@ -72,20 +72,20 @@
 	}
 }
 
-func (s *Source) tell(tell func(router.Change)) {
+func (s *Source) tell(tell func(router.EndpointUpdate)) {
 	s.mu.Lock()
 	read := s.read
 	s.mu.Unlock()
 	members, err := read()
 	if err != nil {
 		s.log.Error("servers: keeping the last list", "err", err)
-		tell(router.Change{Kind: policy.ListUnavailable})
+		tell(router.EndpointUpdate{Kind: policy.ListUnavailable})
 		return
 	}
 	if len(members) == 0 {
 		s.log.Warn("servers: the list is empty")
 	}
-	tell(router.Change{Kind: policy.ListReplace, Members: members})
+	tell(router.EndpointUpdate{Kind: policy.ListReplace, Endpoints: members})
 }
 
 // stamp tells one state of the file from another.
--- a/membership/file/file_test.go
+++ b/membership/file/file_test.go
@@ -32,13 +32,13 @@
 		}
 	}
 	put("a b")
-	s := New(path, func() (all []router.Member, err error) {
+	s := New(path, func() (all []router.Endpoint, err error) {
 		raw, err := os.ReadFile(path)
 		for _, id := range strings.Fields(string(raw)) {
 			if id == "!" {
 				return nil, errors.New("bad")
 			}
-			all = append(all, router.Member{ID: id})
+			all = append(all, router.Endpoint{ID: id})
 		}
 		return all, err
 	}, slog.New(slog.DiscardHandler))
@@ -46,13 +46,13 @@
 	told, done := make(chan string, 10), make(chan struct{})
 	go func() {
 		defer close(done)
-		s.Run(ctx, func(c router.Change) {
+		s.Run(ctx, func(c router.EndpointUpdate) {
 			if c.Kind == policy.ListUnavailable {
 				told <- "unavailable"
 				return
 			}
 			text := ""
-			for _, m := range c.Members {
+			for _, m := range c.Endpoints {
 				text += m.ID
 			}
 			told <- fmt.Sprint(text)
@@ -64,7 +64,7 @@
 	}{
 		{func() {}, "ab"}, {func() { put("a c") }, "ac"}, {func() { put("a !") }, "unavailable"}, {func() { put("c") }, "c"},
 		{func() { os.Remove(path) }, "unavailable"}, {func() { put("c") }, "c"}, {func() { s.Again(nil) }, "c"}, {func() { put("") }, ""},
-		{func() { s.Again(func() ([]router.Member, error) { return []router.Member{{ID: "z"}}, nil }) }, "z"},
+		{func() { s.Again(func() ([]router.Endpoint, error) { return []router.Endpoint{{ID: "z"}}, nil }) }, "z"},
 	} {
 		step.do()
 		if got := testkit.Receive(t, "news", told); got != step.want {
--- a/membership/hold/hold.go
+++ b/membership/hold/hold.go
@@ -27,23 +27,23 @@
 
 // Source is a membership. Its methods may be called at once from many goroutines.
 type Source struct {
-	router.Membership
+	router.EndpointSource
 
 	mu      sync.Mutex
-	held    map[string]bool          // by hand
-	refused map[string]bool          // they can't prove who they are
-	members map[string]router.Member // as the inner source says
-	wake    chan struct{}            // something is in pending
-	pending []string                 // servers whose state by hand has changed; each once
+	held    map[string]bool            // by hand
+	refused map[string]bool            // they can't prove who they are
+	members map[string]router.Endpoint // as the inner source says
+	wake    chan struct{}              // something is in pending
+	pending []string                   // servers whose state by hand has changed; each once
 }
 
 // New returns a source that says what inner does, but for servers that are drained by hand.
-func New(inner router.Membership) *Source {
-	return &Source{Membership: inner, held: make(map[string]bool), refused: make(map[string]bool), members: make(map[string]router.Member), wake: make(chan struct{}, 1)}
+func New(inner router.EndpointSource) *Source {
+	return &Source{EndpointSource: inner, held: make(map[string]bool), refused: make(map[string]bool), members: make(map[string]router.Endpoint), wake: make(chan struct{}, 1)}
 }
 
 // Begin tells which servers the router knows from the start.
-func (s *Source) Begin(members []router.Member) {
+func (s *Source) Begin(members []router.Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range members {
@@ -53,12 +53,12 @@
 
 // Run passes on what the inner source tells. All goes through this goroutine, so that news by hand and by the
 // list never overtake one another.
-func (s *Source) Run(ctx context.Context, tell func(router.Change)) {
-	news := make(chan router.Change)
+func (s *Source) Run(ctx context.Context, tell func(router.EndpointUpdate)) {
+	news := make(chan router.EndpointUpdate)
 	var inner sync.WaitGroup
 	defer inner.Wait()
 	inner.Go(func() {
-		s.Membership.Run(ctx, func(c router.Change) {
+		s.EndpointSource.Run(ctx, func(c router.EndpointUpdate) {
 			select {
 			case news <- c:
 			case <-ctx.Done():
@@ -70,7 +70,7 @@
 		case c := <-news:
 			tell(s.change(c))
 		case <-s.wake:
-			if c := s.byHand(); len(c.Members) > 0 {
+			if c := s.byHand(); len(c.Endpoints) > 0 {
 				tell(c)
 			}
 		case <-ctx.Done():
@@ -80,7 +80,7 @@
 }
 
 // change notes what the list says, and puts what was asked for by hand over it.
-func (s *Source) change(c router.Change) router.Change {
+func (s *Source) change(c router.EndpointUpdate) router.EndpointUpdate {
 	if c.Kind == policy.ListUnavailable {
 		return c
 	}
@@ -89,8 +89,8 @@
 	if c.Kind != policy.ListUpdate {
 		clear(s.members)
 	}
-	for _, m := range c.Members {
-		if m.State == policy.Removed {
+	for _, m := range c.Endpoints {
+		if m.Availability == policy.Removed {
 			delete(s.members, m.ID)
 		} else {
 			s.members[m.ID] = m
@@ -99,28 +99,28 @@
 	if len(s.held)+len(s.refused) == 0 {
 		return c
 	}
-	c.Members = slices.Clone(c.Members) // only read by the router, and others may hold it
-	for i := range c.Members {
-		c.Members[i] = s.over(c.Members[i])
+	c.Endpoints = slices.Clone(c.Endpoints) // only read by the router, and others may hold it
+	for i := range c.Endpoints {
+		c.Endpoints[i] = s.over(c.Endpoints[i])
 	}
 	return c
 }
 
-func (s *Source) over(m router.Member) router.Member {
-	if (s.held[m.ID] || s.refused[m.ID]) && m.State == policy.Running {
-		m.State = policy.Draining
+func (s *Source) over(m router.Endpoint) router.Endpoint {
+	if (s.held[m.ID] || s.refused[m.ID]) && m.Availability == policy.Running {
+		m.Availability = policy.Draining
 	}
 	return m
 }
 
 // byHand is the news of servers whose state by hand has changed.
-func (s *Source) byHand() router.Change {
+func (s *Source) byHand() router.EndpointUpdate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := router.Change{Kind: policy.ListUpdate}
+	c := router.EndpointUpdate{Kind: policy.ListUpdate}
 	for _, id := range s.pending {
 		if m, ok := s.members[id]; ok {
-			c.Members = append(c.Members, s.over(m))
+			c.Endpoints = append(c.Endpoints, s.over(m))
 		}
 	}
 	s.pending = nil
--- a/membership/hold/hold_test.go
+++ b/membership/hold/hold_test.go
@@ -15,9 +15,9 @@
 	"cobaltward/router"
 )
 
-type told struct{ news chan router.Change }
+type told struct{ news chan router.EndpointUpdate }
 
-func (s *told) Run(ctx context.Context, tell func(router.Change)) {
+func (s *told) Run(ctx context.Context, tell func(router.EndpointUpdate)) {
 	for {
 		select {
 		case c := <-s.news:
@@ -28,14 +28,14 @@
 	}
 }
 
-func (s *told) Ask(bool) {}
+func (s *told) SetPolling(bool) {}
 
 // Whatever the list says and the operator asks for, in any order: the router holds each server in the state of the
 // list, but for those that are drained by hand, which get nothing new.
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		inner := &told{make(chan router.Change)}
+		inner := &told{make(chan router.EndpointUpdate)}
 		s := New(inner)
 		var mu sync.Mutex
 		holds, list, held := map[string]policy.Availability{}, map[string]policy.Availability{}, map[string]bool{}
@@ -43,22 +43,22 @@
 		defer func() { cancel(); <-done }()
 		go func() {
 			defer close(done)
-			s.Run(ctx, func(c router.Change) {
+			s.Run(ctx, func(c router.EndpointUpdate) {
 				mu.Lock()
 				defer mu.Unlock()
 				if c.Kind != policy.ListUpdate {
 					clear(holds)
 				}
-				for _, m := range c.Members {
-					if m.State == policy.Removed {
+				for _, m := range c.Endpoints {
+					if m.Availability == policy.Removed {
 						delete(holds, m.ID)
 					} else {
-						holds[m.ID] = m.State
+						holds[m.ID] = m.Availability
 					}
 				}
 			})
 		}()
-		inner.news <- router.Change{Kind: policy.ListReplace}
+		inner.news <- router.EndpointUpdate{Kind: policy.ListReplace}
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			id := fmt.Sprint("s", rapid.IntRange(0, 4).Draw(t, "server"))
 			switch rapid.IntRange(0, 3).Draw(t, "what") {
@@ -80,12 +80,12 @@
 					kind, state = policy.ListReplace, policy.Running
 					clear(list)
 				}
-				inner.news <- router.Change{Kind: kind, Members: []router.Member{{ID: id, State: state}}}
+				inner.news <- router.EndpointUpdate{Kind: kind, Endpoints: []router.Endpoint{{ID: id, Availability: state}}}
 				if list[id] = state; state == policy.Removed {
 					delete(list, id)
 				}
 				// What comes next finds this in place: the source takes its news in turn.
-				inner.news <- router.Change{Kind: policy.ListUpdate}
+				inner.news <- router.EndpointUpdate{Kind: policy.ListUpdate}
 			}
 			want := maps.Clone(list)
 			for id := range want {
--- a/membership/merge/merge.go
+++ b/membership/merge/merge.go
@@ -18,7 +18,7 @@
 
 // Source is several memberships as one.
 type Source struct {
-	sources []router.Membership
+	sources []router.EndpointSource
 
 	mu      sync.Mutex
 	servers map[string]*server  // by address
@@ -28,16 +28,16 @@
 
 // server is what the sources say of the one at an address.
 type server struct {
-	said []router.Member // by source; State Removed where it has taken it away
-	has  []bool          // whether the source has said anything
-	told router.Member   // as the router knows it
-	is   bool            // it was told
+	said []router.Endpoint // by source; State Removed where it has taken it away
+	has  []bool            // whether the source has said anything
+	told router.Endpoint   // as the router knows it
+	is   bool              // it was told
 }
 
-var _ router.Membership = (*Source)(nil)
+var _ router.EndpointSource = (*Source)(nil)
 
 // New merges sources, the first of which names the servers that several list.
-func New(sources ...router.Membership) *Source {
+func New(sources ...router.EndpointSource) *Source {
 	s := &Source{sources: sources, servers: make(map[string]*server), drops: make([]drops.Parts, len(sources))}
 	for range sources {
 		s.ids = append(s.ids, make(map[string]string))
@@ -45,30 +45,30 @@
 	return s
 }
 
-// Ask passes the wish on to every source.
-func (s *Source) Ask(on bool) {
+// SetPolling passes the wish on to every source.
+func (s *Source) SetPolling(on bool) {
 	for _, m := range s.sources {
-		m.Ask(on)
+		m.SetPolling(on)
 	}
 }
 
 // Begin takes over the list that the router begins with, as if the source of that number had told it.
-func (s *Source) Begin(source int, members []router.Member) {
-	s.learn(source, router.Change{Kind: policy.ListReplace, Members: members}, func(router.Change) {})
+func (s *Source) Begin(source int, members []router.Endpoint) {
+	s.learn(source, router.EndpointUpdate{Kind: policy.ListReplace, Endpoints: members}, func(router.EndpointUpdate) {})
 }
 
 // Run follows all sources until ctx ends.
-func (s *Source) Run(ctx context.Context, tell func(router.Change)) {
+func (s *Source) Run(ctx context.Context, tell func(router.EndpointUpdate)) {
 	var all sync.WaitGroup
 	for i, m := range s.sources {
-		all.Go(func() { m.Run(ctx, func(c router.Change) { s.learn(i, c, tell) }) })
+		all.Go(func() { m.Run(ctx, func(c router.EndpointUpdate) { s.learn(i, c, tell) }) })
 	}
 	all.Wait()
 }
 
 // learn takes over what a source tells, and tells what comes of it. Changes are told in the order in
 // which they were learnt, so the lock is held while telling: it guards nothing else.
-func (s *Source) learn(source int, c router.Change, tell func(router.Change)) {
+func (s *Source) learn(source int, c router.EndpointUpdate, tell func(router.EndpointUpdate)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c.Kind == policy.ListUnavailable {
@@ -77,39 +77,39 @@
 	}
 	touched := make(map[string]bool)
 	if c.Kind != policy.ListUpdate { // what a whole list lacks is gone
-		listed := make(map[string]bool, len(c.Members))
-		for _, m := range c.Members {
+		listed := make(map[string]bool, len(c.Endpoints))
+		for _, m := range c.Endpoints {
 			listed[m.Addr] = true
 		}
 		for addr, v := range s.servers {
-			if v.has[source] && v.said[source].State != policy.Removed && !listed[addr] {
+			if v.has[source] && v.said[source].Availability != policy.Removed && !listed[addr] {
 				s.takeAway(source, addr, touched)
 			}
 		}
 	}
-	for _, m := range c.Members {
+	for _, m := range c.Endpoints {
 		addr := m.Addr
-		if old, had := s.ids[source][m.ID]; had && (m.State == policy.Removed || old != addr) { // gone, or moved
+		if old, had := s.ids[source][m.ID]; had && (m.Availability == policy.Removed || old != addr) { // gone, or moved
 			s.takeAway(source, old, touched)
 		}
-		if m.State == policy.Removed {
+		if m.Availability == policy.Removed {
 			continue
 		}
 		s.ids[source][m.ID] = addr
 		v := s.servers[addr]
 		if v == nil {
-			v = &server{said: make([]router.Member, len(s.sources)), has: make([]bool, len(s.sources))}
+			v = &server{said: make([]router.Endpoint, len(s.sources)), has: make([]bool, len(s.sources))}
 			s.servers[addr] = v
 		}
 		v.said[source], v.has[source] = m, true
 		touched[addr] = true
 	}
-	out := router.Change{Kind: policy.ListUpdate, Members: s.settle(touched)}
+	out := router.EndpointUpdate{Kind: policy.ListUpdate, Endpoints: s.settle(touched)}
 	if c.Drops != nil {
 		s.drops[source] = c.Drops
 		out.Drops = drops.Join(s.drops...)
 	}
-	if len(out.Members) > 0 || out.Drops != nil {
+	if len(out.Endpoints) > 0 || out.Drops != nil {
 		tell(out)
 	}
 }
@@ -117,7 +117,7 @@
 // takeAway notes that a source lists the server at an address no more.
 func (s *Source) takeAway(source int, addr string, touched map[string]bool) {
 	said := &s.servers[addr].said[source]
-	said.State = policy.Removed
+	said.Availability = policy.Removed
 	if s.ids[source][said.ID] == addr {
 		delete(s.ids[source], said.ID)
 	}
@@ -126,14 +126,14 @@
 
 // settle works out what is to be told of the servers at the addresses. Those that are gone come first:
 // another may bear an id by now.
-func (s *Source) settle(touched map[string]bool) []router.Member {
-	var gone, rest []router.Member
+func (s *Source) settle(touched map[string]bool) []router.Endpoint {
+	var gone, rest []router.Endpoint
 	for addr := range touched {
 		v := s.servers[addr]
 		m, ok := v.merged()
 		if v.is && (!ok || m.ID != v.told.ID) {
 			old := v.told
-			old.State = policy.Removed
+			old.Availability = policy.Removed
 			gone = append(gone, old)
 			v.is = false
 		}
@@ -145,17 +145,17 @@
 			v.told, v.is = m, true
 		}
 	}
-	byID := func(a, b router.Member) int { return strings.Compare(a.ID, b.ID) }
+	byID := func(a, b router.Endpoint) int { return strings.Compare(a.ID, b.ID) }
 	slices.SortFunc(gone, byID)
 	slices.SortFunc(rest, byID)
 	return append(gone, rest...)
 }
 
 // merged is what the sources together say; false where none lists it any more.
-func (v *server) merged() (m router.Member, ok bool) {
+func (v *server) merged() (m router.Endpoint, ok bool) {
 	var latest time.Time
 	for i, said := range v.said {
-		if v.has[i] && said.State != policy.Removed && said.Started.After(latest) {
+		if v.has[i] && said.Availability != policy.Removed && said.Started.After(latest) {
 			latest = said.Started
 		}
 	}
@@ -165,10 +165,10 @@
 		switch {
 		case !v.has[i] || said.Started.Before(latest): // of a former process
 			continue
-		case said.State == policy.Removed:
+		case said.Availability == policy.Removed:
 			drains = true
 			continue
-		case said.State == policy.Draining:
+		case said.Availability == policy.Draining:
 			drains = true
 		}
 		if !ok {
@@ -180,14 +180,14 @@
 		return m, false
 	}
 	slices.Sort(pools)
-	m.Pools, m.Started, m.State = slices.Compact(pools), latest, policy.Running
+	m.Pools, m.Started, m.Availability = slices.Compact(pools), latest, policy.Running
 	if drains {
-		m.State = policy.Draining
+		m.Availability = policy.Draining
 	}
 	return m, true
 }
 
-func equal(a, b router.Member) bool {
+func equal(a, b router.Endpoint) bool {
 	return a.ID == b.ID && a.Addr == b.Addr && a.Zone == b.Zone && a.Kind == b.Kind && a.Cell == b.Cell && a.Weight == b.Weight &&
-		a.Started.Equal(b.Started) && a.State == b.State && slices.Equal(a.Pools, b.Pools)
+		a.Started.Equal(b.Started) && a.Availability == b.Availability && slices.Equal(a.Pools, b.Pools)
 }
--- a/membership/merge/merge_test.go
+++ b/membership/merge/merge_test.go
@@ -20,17 +20,17 @@
 type view struct {
 	t       *testing.T
 	s       *Source
-	members map[string]router.Member
+	members map[string]router.Endpoint
 }
 
 func newView(t *testing.T) *view {
-	return &view{t, New(router.Static{}, router.Static{}), make(map[string]router.Member)}
+	return &view{t, New(router.StaticEndpoints{}, router.StaticEndpoints{}), make(map[string]router.Endpoint)}
 }
 
-func (v *view) learn(source int, kind policy.ListKind, members ...router.Member) {
-	v.s.learn(source, router.Change{Kind: kind, Members: members}, func(c router.Change) {
-		for _, m := range c.Members {
-			if m.State == policy.Removed {
+func (v *view) learn(source int, kind policy.ListKind, members ...router.Endpoint) {
+	v.s.learn(source, router.EndpointUpdate{Kind: kind, Endpoints: members}, func(c router.EndpointUpdate) {
+		for _, m := range c.Endpoints {
+			if m.Availability == policy.Removed {
 				delete(v.members, m.ID)
 			} else {
 				v.members[m.ID] = m
@@ -43,7 +43,7 @@
 	v.t.Helper()
 	var all []string
 	for id, m := range v.members {
-		all = append(all, fmt.Sprintf("%s@%s %s", id, m.Addr, map[policy.Availability]string{policy.Running: "runs", policy.Draining: "drains"}[m.State]))
+		all = append(all, fmt.Sprintf("%s@%s %s", id, m.Addr, map[policy.Availability]string{policy.Running: "runs", policy.Draining: "drains"}[m.Availability]))
 	}
 	slices.Sort(all)
 	if got := strings.Join(all, ", "); got != what {
@@ -51,8 +51,8 @@
 	}
 }
 
-func at(id, addr string, state policy.Availability) router.Member {
-	return router.Member{ID: id, Addr: addr, State: state}
+func at(id, addr string, state policy.Availability) router.Endpoint {
+	return router.Endpoint{ID: id, Addr: addr, Availability: state}
 }
 
 const (
@@ -122,7 +122,7 @@
 func TestPassesOn(t *testing.T) {
 	v := newView(t)
 	told := 0
-	v.s.learn(0, router.Change{Kind: policy.ListUnavailable}, func(c router.Change) {
+	v.s.learn(0, router.EndpointUpdate{Kind: policy.ListUnavailable}, func(c router.EndpointUpdate) {
 		if c.Kind == policy.ListUnavailable {
 			told++
 		}
@@ -139,7 +139,7 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
-	go func() { v.s.Run(ctx, func(router.Change) {}); close(ended) }()
+	go func() { v.s.Run(ctx, func(router.EndpointUpdate) {}); close(ended) }()
 	cancel()
 	<-ended
 }
--- a/membership/registry/registry.go
+++ b/membership/registry/registry.go
@@ -47,7 +47,7 @@
 type List struct {
 	Revision int64
 	Complete bool
-	Members  []router.Member
+	Members  []router.Endpoint
 }
 
 var phases = map[string]policy.Availability{
@@ -93,8 +93,8 @@
 				return List{}, fmt.Errorf("members[%d].host_port: %w", i, err)
 			}
 		}
-		m := router.Member{ID: e.ID, Addr: e.HostPort, Zone: e.Locality, Kind: e.Flavor, Cell: e.Cell, Weight: 1,
-			State: phase}
+		m := router.Endpoint{ID: e.ID, Addr: e.HostPort, Zone: e.Locality, Kind: e.Flavor, Cell: e.Cell, Weight: 1,
+			Availability: phase}
 		if e.UpSince > 0 {
 			m.Started = time.UnixMilli(int64(e.UpSince))
 		}
@@ -123,7 +123,7 @@
 	subscribe bool
 	longest   time.Duration // pause after failures
 	asks      chan bool     // the module's newest wish to be kept told
-	tell      func(router.Change)
+	tell      func(router.EndpointUpdate)
 
 	// Only Run touches these.
 	addr     string
@@ -136,7 +136,7 @@
 	interrupt context.CancelFunc // ends the call in flight, or the pause between two
 }
 
-var _ router.Membership = (*Source)(nil)
+var _ router.EndpointSource = (*Source)(nil)
 
 // New returns a source that calls nobody before Run.
 func New(c Config) *Source {
@@ -155,9 +155,9 @@
 	}
 }
 
-// Ask passes the module's wish on; a newer one takes the place of one not yet heard. Only the router
+// SetPolling passes the module's wish on; a newer one takes the place of one not yet heard. Only the router
 // calls it, and it never waits.
-func (d *Source) Ask(on bool) {
+func (d *Source) SetPolling(on bool) {
 	select {
 	case <-d.asks:
 	default:
@@ -189,7 +189,7 @@
 }
 
 // Run watches until ctx ends.
-func (d *Source) Run(ctx context.Context, tell func(router.Change)) {
+func (d *Source) Run(ctx context.Context, tell func(router.EndpointUpdate)) {
 	d.tell = tell
 	defer d.client.CloseIdleConnections()
 	watching, backoff := !d.subscribe, time.Duration(0)
@@ -222,7 +222,7 @@
 		return true, 0
 	case d.subscribe: // the module says when to try again
 		d.log.Warn("discovery: a watch failed", "err", err)
-		d.tell(router.Change{Kind: policy.ListUnavailable})
+		d.tell(router.EndpointUpdate{Kind: policy.ListUnavailable})
 		return false, 0
 	}
 	// Pushed lists: the last one stays, and the module need not know.
@@ -320,9 +320,9 @@
 	d.revision, d.whole = l.Revision, false
 	switch {
 	case l.Complete:
-		d.tell(router.Change{Kind: policy.ListReplace, Members: l.Members})
+		d.tell(router.EndpointUpdate{Kind: policy.ListReplace, Endpoints: l.Members})
 	case len(l.Members) > 0 || d.subscribe:
-		d.tell(router.Change{Kind: policy.ListUpdate, Members: l.Members})
+		d.tell(router.EndpointUpdate{Kind: policy.ListUpdate, Endpoints: l.Members})
 	}
 }
 
--- a/membership/registry/registry_test.go
+++ b/membership/registry/registry_test.go
@@ -27,9 +27,9 @@
 
 // watched plays answers to the calls in turn, then holds the rest, and returns what discovery told
 // and the queries that it made. An answer that is no JSON object is sent with status 503.
-func watched(t *testing.T, subscribe bool, answers ...string) (d *Source, told chan router.Change, queries chan string) {
+func watched(t *testing.T, subscribe bool, answers ...string) (d *Source, told chan router.EndpointUpdate, queries chan string) {
 	t.Helper()
-	queries, told = make(chan string, 100), make(chan router.Change, 100)
+	queries, told = make(chan string, 100), make(chan router.EndpointUpdate, 100)
 	calls := make(chan string, len(answers))
 	for _, a := range answers {
 		calls <- a
@@ -49,7 +49,7 @@
 	d = New(Config{Addr: addr, Revision: 7, Subscribe: subscribe})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	go func() { d.Run(ctx, func(c router.Change) { told <- c }); close(ended) }()
+	go func() { d.Run(ctx, func(c router.EndpointUpdate) { told <- c }); close(ended) }()
 	t.Cleanup(func() { cancel(); testkit.Receive(t, "the end of discovery", ended) })
 	return d, told, queries
 }
@@ -73,8 +73,8 @@
 	}{{policy.ListUpdate, "s1", policy.Running}, {policy.ListUpdate, "s1", policy.Draining},
 		{policy.ListReplace, "s2", policy.Running}} {
 		n := testkit.Receive(t, "news", told)
-		if n.Kind != want.kind || len(n.Members) != 1 || n.Members[0].ID != want.server ||
-			n.Members[0].State != want.phase {
+		if n.Kind != want.kind || len(n.Endpoints) != 1 || n.Endpoints[0].ID != want.server ||
+			n.Endpoints[0].Availability != want.phase {
 			t.Errorf("news %d: %+v", i, n)
 		}
 	}
@@ -85,7 +85,7 @@
 func TestFailuresKeepTheLastList(t *testing.T) {
 	_, told, queries := watched(t, false, "down", `{"revision":`, delta(9, entry("s1", "odd")), `{"members":[]}`,
 		delta(8, entry("s1", "up")))
-	if n := testkit.Receive(t, "news", told); n.Kind != policy.ListUpdate || n.Members[0].ID != "s1" {
+	if n := testkit.Receive(t, "news", told); n.Kind != policy.ListUpdate || n.Endpoints[0].ID != "s1" {
 		t.Errorf("news %+v", n)
 	}
 	indexes(t, queries, "7", "7", "7", "7", "7", "8")
@@ -97,7 +97,7 @@
 // Where lists are asked for, the module says when, and hears of each failure once.
 func TestAskedListsTellFailures(t *testing.T) {
 	d, told, queries := watched(t, true, "down", delta(8, entry("s1", "up")), delta(8))
-	d.Ask(true)
+	d.SetPolling(true)
 	if n := testkit.Receive(t, "the failure", told); n.Kind != policy.ListUnavailable {
 		t.Errorf("news %+v", n)
 	}
@@ -105,8 +105,8 @@
 	if len(queries) != 0 {
 		t.Error("called again before the module asked")
 	}
-	d.Ask(true)
-	if n := testkit.Receive(t, "the change", told); n.Kind != policy.ListUpdate || len(n.Members) != 1 {
+	d.SetPolling(true)
+	if n := testkit.Receive(t, "the change", told); n.Kind != policy.ListUpdate || len(n.Endpoints) != 1 {
 		t.Errorf("news %+v", n)
 	}
 	indexes(t, queries, "7", "8", "8")
@@ -116,7 +116,7 @@
 // rests for the old one's sake, knows of no move.
 func TestMoveWhileTheModuleRests(t *testing.T) {
 	d, told, queries := watched(t, true, "down")
-	d.Ask(true)
+	d.SetPolling(true)
 	if n := testkit.Receive(t, "the failure", told); n.Kind != policy.ListUnavailable {
 		t.Errorf("news %+v", n)
 	}
@@ -149,8 +149,8 @@
 			d := New(Config{Addr: addr, Revision: 7, Subscribe: subscribe})
 			ctx, cancel := context.WithCancel(context.Background())
 			ended := make(chan struct{})
-			d.Ask(true)
-			go func() { d.Run(ctx, func(router.Change) {}); close(ended) }()
+			d.SetPolling(true)
+			go func() { d.Run(ctx, func(router.EndpointUpdate) {}); close(ended) }()
 			wait := testkit.Receive(t, "a call", waits)
 			if seen[wait] = true; subscribe && (wait < sharedWait/2 || wait > sharedWait) {
 				t.Errorf("a watch waits %v", wait)
@@ -188,7 +188,7 @@
 	_, told, queries := watched(t, false, delta(8, entry("s1", "up")), delta(3, entry("s2", "up")),
 		`{"revision":3,"complete":true,"members":[`+entry("s3", "up")+`]}`)
 	for i, want := range []string{"s1", "s3"} {
-		if n := testkit.Receive(t, "news", told); len(n.Members) != 1 || n.Members[0].ID != want {
+		if n := testkit.Receive(t, "news", told); len(n.Endpoints) != 1 || n.Endpoints[0].ID != want {
 			t.Errorf("news %d: %+v, want %s", i, n, want)
 		}
 	}
@@ -226,8 +226,8 @@
 			}
 			ctx, cancel := context.WithCancel(context.Background())
 			ended := make(chan struct{})
-			d.Ask(true)
-			go func() { d.Run(ctx, func(c router.Change) { t.Errorf("told %+v", c) }); close(ended) }()
+			d.SetPolling(true)
+			go func() { d.Run(ctx, func(c router.EndpointUpdate) { t.Errorf("told %+v", c) }); close(ended) }()
 			first := testkit.Receive(t, "a call", calls)
 			second := testkit.Receive(t, "the next call", calls)
 			if late := second.at.Sub(first.at.Add(first.wait)); late < 0 || late > most {
@@ -276,12 +276,12 @@
 		})
 		d, told, first := watched(t, subscribe)
 		if subscribe {
-			d.Ask(true)
+			d.SetPolling(true)
 		}
 		testkit.Receive(t, "the call at the old address", first)
 		d.Move(silent)
 		d.Move(next)
-		if n := testkit.Receive(t, "the list of the new address", told); n.Kind != policy.ListReplace || n.Members[0].ID != "s9" {
+		if n := testkit.Receive(t, "the list of the new address", told); n.Kind != policy.ListReplace || n.Endpoints[0].ID != "s9" {
 			t.Errorf("subscribe %v: news %+v", subscribe, n)
 		}
 		if q := testkit.Receive(t, "the first call", queries); q != "" {
@@ -308,7 +308,7 @@
 	d := New(Config{Addr: old, Revision: 7})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
-	go func() { d.Run(ctx, func(router.Change) {}); close(ended) }()
+	go func() { d.Run(ctx, func(router.EndpointUpdate) {}); close(ended) }()
 	defer func() { cancel(); testkit.Receive(t, "the end of discovery", ended) }()
 	testkit.Receive(t, "the call", called)
 	d.Move(testkit.HTTPServer(t, func(_ http.ResponseWriter, r *http.Request) { next <- struct{}{}; <-r.Context().Done() }))
--- a/membership/xds/book.go
+++ b/membership/xds/book.go
@@ -18,8 +18,8 @@
 // is known by its address: it stays the same whichever clusters and localities list it.
 type book struct {
 	clusters map[string]entry
-	members  map[string]router.Member // as told
-	listed   map[string][]listing     // by address, in the order of the clusters' names
+	members  map[string]router.Endpoint // as told
+	listed   map[string][]listing       // by address, in the order of the clusters' names
 	told     bool
 	drops    drops.Parts // as told
 	pace     pace.Pacer
@@ -39,12 +39,12 @@
 }
 
 func newBook() *book {
-	return &book{clusters: make(map[string]entry), members: make(map[string]router.Member), listed: make(map[string][]listing)}
+	return &book{clusters: make(map[string]entry), members: make(map[string]router.Endpoint), listed: make(map[string][]listing)}
 }
 
 // update takes over what is in force, and returns the servers that changed; those that are gone are
 // Removed. Clusters whose endpoints are as they were cost nothing, and of others those that changed.
-func (b *book) update(applied map[string]ads.Applied) []router.Member {
+func (b *book) update(applied map[string]ads.Applied) []router.Endpoint {
 	touched := make(map[string]bool)
 	for name, old := range b.clusters {
 		if applied[name].Assignment == nil {
@@ -60,7 +60,7 @@
 			b.clusters[name] = b.list(name, old, a.Assignment, touched)
 		}
 	}
-	var changed []router.Member
+	var changed []router.Endpoint
 	for i, addr := range slices.Sorted(maps.Keys(touched)) { // ids are addresses
 		if i%pauseEvery == pauseEvery-1 {
 			b.pace.Pause()
@@ -69,7 +69,7 @@
 		m, has := b.member(addr)
 		switch {
 		case !has && had:
-			old.State = policy.Removed
+			old.Availability = policy.Removed
 			changed = append(changed, old)
 			delete(b.members, addr)
 		case has && (!had || !same(old, m)):
@@ -97,8 +97,8 @@
 // change is what to tell of the servers that changed, and of requests to be dropped; nil for nothing. The
 // first takes the place of whatever list the router began with, which nobody would ever take away
 // otherwise.
-func (b *book) change(members []router.Member) *router.Change {
-	c := &router.Change{Kind: policy.ListUpdate, Members: members}
+func (b *book) change(members []router.Endpoint) *router.EndpointUpdate {
+	c := &router.EndpointUpdate{Kind: policy.ListUpdate, Endpoints: members}
 	if asked := b.asked(); !asked.Same(b.drops) {
 		b.drops, c.Drops = asked, asked
 	}
@@ -171,14 +171,14 @@
 // member puts together what the clusters say of a server. It drains where any of them says so, or where
 // it is unhealthy; where it is merely not needed in one cluster, another may still open it, and it is
 // then of that one's pool. It started when the latest of them says.
-func (b *book) member(addr string) (router.Member, bool) {
+func (b *book) member(addr string) (router.Endpoint, bool) {
 	all := b.listed[addr]
 	if len(all) == 0 {
-		return router.Member{}, false
+		return router.Endpoint{}, false
 	}
 	first := all[0].e
-	m := router.Member{ID: addr, Addr: addr, Zone: first.Zone, Kind: first.Kind, Cell: first.Cell, Weight: first.Weight,
-		Started: first.Started, State: policy.Draining}
+	m := router.Endpoint{ID: addr, Addr: addr, Zone: first.Zone, Kind: first.Kind, Cell: first.Cell, Weight: first.Weight,
+		Started: first.Started, Availability: policy.Draining}
 	barred := false
 	for _, l := range all {
 		if l.e.Started.After(m.Started) {
@@ -189,28 +189,28 @@
 			barred = true
 		}
 		if l.open {
-			m.State = policy.Running
+			m.Availability = policy.Running
 			m.Pools = append(m.Pools, l.cluster)
 		}
 	}
 	if barred {
-		m.State, m.Pools = policy.Draining, nil
+		m.Availability, m.Pools = policy.Draining, nil
 	}
 	return m, true
 }
 
-func same(a, b router.Member) bool {
+func same(a, b router.Endpoint) bool {
 	return a.ID == b.ID && a.Addr == b.Addr && slices.Equal(a.Pools, b.Pools) && a.Zone == b.Zone && a.Kind == b.Kind &&
-		a.Cell == b.Cell && a.Weight == b.Weight && a.Started.Equal(b.Started) && a.State == b.State
+		a.Cell == b.Cell && a.Weight == b.Weight && a.Started.Equal(b.Started) && a.Availability == b.Availability
 }
 
 // whole is all that is told, in order of id.
-func (b *book) whole() []router.Member {
-	all := make([]router.Member, 0, len(b.members))
+func (b *book) whole() []router.Endpoint {
+	all := make([]router.Endpoint, 0, len(b.members))
 	for _, m := range b.members {
 		all = append(all, m)
 	}
-	slices.SortFunc(all, func(a, b router.Member) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(all, func(a, b router.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	return all
 }
 
@@ -222,7 +222,7 @@
 			switch {
 			case l.e.Health == resource.Draining || l.e.Health == resource.Unhealthy || l.e.Health == resource.Timeout:
 				use = "no: " + l.e.Health.String()
-			case b.members[addr].State == policy.Draining && l.open:
+			case b.members[addr].Availability == policy.Draining && l.open:
 				use = "no: another cluster bars it"
 			case !l.open && l.e.Health == resource.Degraded:
 				use = "no: enough others are healthy"
--- a/membership/xds/file.go
+++ b/membership/xds/file.go
@@ -140,7 +140,7 @@
 	taken   time.Time
 }
 
-var _ router.Membership = (*FileSource)(nil)
+var _ router.EndpointSource = (*FileSource)(nil)
 
 // NewFiles returns a source of the files; those that are bad at the start are an error.
 func NewFiles(paths []string, log *slog.Logger) (*FileSource, error) {
@@ -156,11 +156,11 @@
 	return &FileSource{paths: paths, log: log, book: newBook()}, nil
 }
 
-// Ask has nothing to ask.
-func (s *FileSource) Ask(bool) {}
+// SetPolling has nothing to ask.
+func (s *FileSource) SetPolling(bool) {}
 
 // Run follows the files until ctx ends.
-func (s *FileSource) Run(ctx context.Context, tell func(router.Change)) {
+func (s *FileSource) Run(ctx context.Context, tell func(router.EndpointUpdate)) {
 	tick := time.NewTicker(lookEach)
 	defer tick.Stop()
 	var seen []byte
@@ -194,7 +194,7 @@
 }
 
 // read puts the files in force, if they are good.
-func (s *FileSource) read() *router.Change {
+func (s *FileSource) read() *router.EndpointUpdate {
 	r, err := readFiles(s.paths)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -221,14 +221,14 @@
 }
 
 // Members are the servers that files come to, in order of id.
-func Members(r Resources) []router.Member {
+func Members(r Resources) []router.Endpoint {
 	b := newBook()
 	b.update(inForce(r))
 	return b.whole()
 }
 
 // CheckFiles reads files together, and returns the servers that they come to.
-func CheckFiles(paths []string) ([]router.Member, error) {
+func CheckFiles(paths []string) ([]router.Endpoint, error) {
 	r, err := readFiles(paths)
 	if err != nil {
 		return nil, err
--- a/membership/xds/file_test.go
+++ b/membership/xds/file_test.go
@@ -79,10 +79,10 @@
 	if err != nil || len(members) != 2 {
 		t.Fatalf("%v, %v", members, err)
 	}
-	if m := members[0]; m.ID != "10.0.0.1:9000" || m.Zone != "nitra" || m.Kind != "usporny-4j" || m.Cell != 2 || m.State != 0 || m.Pools[0] != "rooms" {
+	if m := members[0]; m.ID != "10.0.0.1:9000" || m.Zone != "nitra" || m.Kind != "usporny-4j" || m.Cell != 2 || m.Availability != 0 || m.Pools[0] != "rooms" {
 		t.Errorf("%+v", m)
 	}
-	if m := members[1]; m.State != 1 {
+	if m := members[1]; m.Availability != 1 {
 		t.Errorf("%+v", m)
 	}
 }
@@ -97,7 +97,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &list{members: make(map[string]router.Member)}
+	l := &list{members: make(map[string]router.Endpoint)}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { s.Run(ctx, l.tell); close(ended) }()
--- a/membership/xds/scale_test.go
+++ b/membership/xds/scale_test.go
@@ -128,9 +128,9 @@
 		t.Fatal(err)
 	}
 	r, err := router.New(router.Config{Settings: policy.Settings{Nodes: 1, Zone: "a",
-		Classes: []policy.Class{{Name: "read", Aim: time.Second, Deadline: 3 * time.Second, Repeat: policy.Free}},
-		Allowed: policy.Allowed{MaxAttempts: 3}, Rules: policy.Rules{DrainGrace: 500 * time.Millisecond}}},
-		router.WithMembership(source), router.WithTransport(http1.New(http1.Config{})))
+		Classes:      []policy.Class{{Name: "read", LatencyObjective: time.Second, Deadline: 3 * time.Second, Idempotency: policy.Idempotent}},
+		Capabilities: policy.Capabilities{MaxAttempts: 3}, Rules: policy.Rules{DrainGrace: 500 * time.Millisecond}}},
+		router.WithEndpointSource(source), router.WithTransport(http1.New(http1.Config{})))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/membership/xds/script_test.go
+++ b/membership/xds/script_test.go
@@ -183,9 +183,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := router.New(router.Config{Settings: policy.Settings{Nodes: 1, Allowed: policy.Allowed{RetryAfter: true}, Classes: []policy.Class{
-		{Name: "bound", Deadline: 10 * time.Second, Repeat: policy.Free, Pool: "rooms"}, {Name: "free", Deadline: 10 * time.Second, Repeat: policy.Free}}}},
-		router.WithMembership(source), router.WithTransport(http1.New(http1.Config{})))
+	r, err := router.New(router.Config{Settings: policy.Settings{Nodes: 1, Capabilities: policy.Capabilities{RetryAfter: true}, Classes: []policy.Class{
+		{Name: "bound", Deadline: 10 * time.Second, Idempotency: policy.Idempotent, Pool: "rooms"}, {Name: "free", Deadline: 10 * time.Second, Idempotency: policy.Idempotent}}}},
+		router.WithEndpointSource(source), router.WithTransport(http1.New(http1.Config{})))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -201,7 +201,7 @@
 			switch {
 			case a.Outcome == router.Served:
 				got++
-			case a.Outcome != router.Refused || a.RetryAfter <= 0:
+			case a.Outcome != router.Rejected || a.RetryAfter <= 0:
 				t.Errorf("%+v", a)
 			}
 		}
--- a/membership/xds/secret_test.go
+++ b/membership/xds/secret_test.go
@@ -42,7 +42,7 @@
 		}
 		ctx, stop := context.WithCancel(t.Context())
 		var running sync.WaitGroup
-		running.Go(func() { s.Run(ctx, func(router.Change) {}) })
+		running.Go(func() { s.Run(ctx, func(router.EndpointUpdate) {}) })
 		testkit.Await(t, "the secrets", func() bool { return trust.Set().Pool != nil && own.Set().For("a") != nil && s.Status().Whole })
 		first := trust.Set().Digest
 		p.Set(authorities("trust", append(ca.PEM(), next.PEM()...)))
--- a/membership/xds/xds.go
+++ b/membership/xds/xds.go
@@ -81,7 +81,7 @@
 	last    error     // why the last stream ended
 }
 
-var _ router.Membership = (*Source)(nil)
+var _ router.EndpointSource = (*Source)(nil)
 
 // New returns a source that calls nobody before Run.
 func New(c Config) (*Source, error) {
@@ -118,11 +118,11 @@
 
 func ptr[T any](v T) *T { return &v }
 
-// Ask has nothing to ask: a control plane tells by itself.
-func (s *Source) Ask(bool) {}
+// SetPolling has nothing to ask: a control plane tells by itself.
+func (s *Source) SetPolling(bool) {}
 
 // Run follows the control planes until ctx ends.
-func (s *Source) Run(ctx context.Context, tell func(router.Change)) {
+func (s *Source) Run(ctx context.Context, tell func(router.EndpointUpdate)) {
 	if s.keeper != nil {
 		var writing sync.WaitGroup
 		writing.Go(func() {
@@ -256,7 +256,7 @@
 }
 
 // follow runs one stream to its end, and tells whether anything came on it.
-func (s *Source) follow(ctx context.Context, conn, preferred *grpc.ClientConn, at int, tell func(router.Change)) (answered bool, _ error) {
+func (s *Source) follow(ctx context.Context, conn, preferred *grpc.ClientConn, at int, tell func(router.EndpointUpdate)) (answered bool, _ error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	desc, method := &grpc.StreamDesc{ServerStreams: true, ClientStreams: true}, sotwMethod
@@ -326,7 +326,7 @@
 		case <-expiry.C:
 			change, next := s.expire()
 			if change != nil {
-				s.log.Error("xds: resources were not renewed within their TTL", "servers", len(change.Members))
+				s.log.Error("xds: resources were not renewed within their TTL", "servers", len(change.Endpoints))
 				tell(*change)
 			}
 			if !next.IsZero() {
@@ -368,7 +368,7 @@
 }
 
 // take has the machine handle a response, and returns what to send, what to tell and what was refused.
-func (s *Source) take(r ads.Response) ([]ads.Request, *router.Change, string) {
+func (s *Source) take(r ads.Response) ([]ads.Request, *router.EndpointUpdate, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	requests := s.machine.Handle(time.Now(), r)
@@ -388,7 +388,7 @@
 }
 
 // expire drops what has outlived its TTL.
-func (s *Source) expire() (*router.Change, time.Time) {
+func (s *Source) expire() (*router.EndpointUpdate, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed, next := s.machine.Tick(time.Now())
@@ -399,7 +399,7 @@
 }
 
 // changed is what the servers' list lacks of what is in force; nil for nothing.
-func (s *Source) changed() *router.Change {
+func (s *Source) changed() *router.EndpointUpdate {
 	had := len(s.book.members) > 0
 	applied, whole := s.machine.Applied(), s.machine.Whole()
 	if whole {
@@ -445,7 +445,7 @@
 	Last    error     // why the last stream ended
 	Whole   bool
 	Types   [3]ads.Status // by ads.Type
-	Members []router.Member
+	Members []router.Endpoint
 	Drops   drops.Parts // of the requests of classes bound to a cluster, by cluster
 	// Endpoints are those of all clusters, in order of cluster and address.
 	Endpoints []EndpointStatus
--- a/membership/xds/xds_test.go
+++ b/membership/xds/xds_test.go
@@ -71,19 +71,19 @@
 // list keeps what a source tells, as the router would.
 type list struct {
 	mu      sync.Mutex
-	members map[string]router.Member
+	members map[string]router.Endpoint
 	changes int
 }
 
-func (l *list) tell(c router.Change) {
+func (l *list) tell(c router.EndpointUpdate) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.changes++
 	if c.Kind == policy.ListReplace {
 		clear(l.members)
 	}
-	for _, m := range c.Members {
-		if m.State == policy.Removed {
+	for _, m := range c.Endpoints {
+		if m.Availability == policy.Removed {
 			delete(l.members, m.ID)
 		} else {
 			l.members[m.ID] = m
@@ -97,7 +97,7 @@
 	defer l.mu.Unlock()
 	var all []string
 	for id, m := range l.members {
-		if m.State == policy.Running {
+		if m.Availability == policy.Running {
 			all = append(all, id)
 		}
 	}
@@ -121,7 +121,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &list{members: make(map[string]router.Member)}
+	l := &list{members: make(map[string]router.Endpoint)}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { s.Run(ctx, l.tell); close(ended) }()
@@ -349,9 +349,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := router.New(router.Config{Members: []router.Member{{ID: "old", Addr: "10.0.0.9:1", Weight: 1}},
+	r, err := router.New(router.Config{Endpoints: []router.Endpoint{{ID: "old", Addr: "10.0.0.9:1", Weight: 1}},
 		Settings: policy.Settings{Nodes: 1, Classes: []policy.Class{{Name: "read", Deadline: time.Second}}}},
-		router.WithMembership(source), router.WithTransport(http1.New(http1.Config{})))
+		router.WithEndpointSource(source), router.WithTransport(http1.New(http1.Config{})))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -417,11 +417,11 @@
 
 // removals takes servers away and puts them back, n times, under load, and holds the last request to
 // each against the moment at which it was taken away.
-func removals(t *testing.T, source router.Membership, app *sites, set func([]string), n int) {
+func removals(t *testing.T, source router.EndpointSource, app *sites, set func([]string), n int) {
 	r, err := router.New(router.Config{Settings: policy.Settings{Nodes: 1, Zone: "a",
-		Classes: []policy.Class{{Name: "read", Aim: time.Second, Deadline: 3 * time.Second, Repeat: policy.Free}},
-		Allowed: policy.Allowed{Cancel: true, MaxAttempts: 3}, Rules: policy.Rules{DrainGrace: 500 * time.Millisecond}}},
-		router.WithMembership(source), router.WithTransport(http1.New(http1.Config{})))
+		Classes:      []policy.Class{{Name: "read", LatencyObjective: time.Second, Deadline: 3 * time.Second, Idempotency: policy.Idempotent}},
+		Capabilities: policy.Capabilities{Cancel: true, MaxAttempts: 3}, Rules: policy.Rules{DrainGrace: 500 * time.Millisecond}}},
+		router.WithEndpointSource(source), router.WithTransport(http1.New(http1.Config{})))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/middleware/extract.go
+++ b/middleware/extract.go
@@ -83,10 +83,10 @@
 		}
 		*field.to = v
 	}
-	if !router.UsableID(req.ID) {
+	if !router.ValidID(req.ID) {
 		return req, bad("X-Request-Id: missing or malformed")
 	}
-	if len(req.Tenant) > router.MaxName { // the module remembers it
+	if len(req.Tenant) > router.MaxNameLength { // the module remembers it
 		return req, bad("X-Tenant: too long")
 	}
 	class, ok := f.engine.Class(req.Class)
@@ -97,19 +97,19 @@
 	if err != nil || waits == 0 || waits > maxWaitMs {
 		return req, bad("X-Deadline-Ms: want whole milliseconds above 0")
 	}
-	req.Wait = time.Duration(waits) * time.Millisecond
+	req.Timeout = time.Duration(waits) * time.Millisecond
 	if method := router.Method(class); r.Method != method && !(r.Method == http.MethodHead && method == http.MethodGet) {
 		return req, &problem{http.StatusMethodNotAllowed, "this class takes " + method, method}
 	}
-	if class.Repeat == policy.Guarded && req.IdempotencyKey == "" {
+	if class.Idempotency == policy.IdempotencyKeyed && req.IdempotencyKey == "" {
 		return req, bad("Idempotency-Key: missing")
 	}
 	if v := r.Header["X-Cost-Hint"]; len(v) > 0 {
 		hint, _ := strconv.ParseUint(v[0], 10, 32) // a guess; none is as good as a bad one
-		req.Hint = time.Duration(hint) * time.Microsecond
+		req.CostHint = time.Duration(hint) * time.Microsecond
 	}
-	req.Under = &class
-	req.Retry = r.Header.Get("X-Retry") == "1"
+	req.ClassSnapshot = &class
+	req.IsRetry = r.Header.Get("X-Retry") == "1"
 	req.Method, req.Authority = r.Method, r.Host
 	req.Target = r.URL.RequestURI()
 	req.ContentType = r.Header.Get("Content-Type")
--- a/middleware/long.go
+++ b/middleware/long.go
@@ -88,10 +88,10 @@
 		if len(short) > 0 && req.Method != http.MethodPost {
 			return nil, bad("a GET has no body")
 		}
-		req.Body, req.Came = short, u.Came()
+		req.Body, req.ReceivedAt = short, u.Came()
 		return nil, nil
 	}
-	req.Upload, req.Came = u, u.Came()
+	req.Upload, req.ReceivedAt = u, u.Came()
 	return u, nil
 }
 
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -141,7 +141,7 @@
 		f.reject(w, r, req.Class, p)
 		return
 	}
-	req.Streams = f.bodies != nil
+	req.AcceptsStream = f.bodies != nil
 	if f.left(ctx) {
 		f.write(w, router.Answer{Outcome: router.Expired}) // nobody reads it, and nobody may read it as served
 		return
@@ -183,7 +183,7 @@
 		req.Body = body
 	}
 	// From now on net/http reads on to notice a client that leaves, and lifts the body's time-out itself.
-	req.Came = time.Now()
+	req.ReceivedAt = time.Now()
 	return nil
 }
 
@@ -232,7 +232,7 @@
 	switch a.Outcome {
 	case router.Served:
 		return http.StatusOK
-	case router.Refused:
+	case router.Rejected:
 		if a.RetryAfter > 0 {
 			return http.StatusTooManyRequests
 		}
--- a/middleware/middleware_test.go
+++ b/middleware/middleware_test.go
@@ -39,12 +39,12 @@
 func settings() policy.Settings {
 	return policy.Settings{Nodes: 1, Zone: "a",
 		Classes: []policy.Class{
-			{Name: "read", Aim: 4 * time.Second, Deadline: 9 * time.Second, Repeat: policy.Free},
-			{Name: "pay", Aim: 4 * time.Second, Deadline: 9 * time.Second, Repeat: policy.Never},
-			{Name: "undo", Aim: 4 * time.Second, Deadline: 9 * time.Second, Repeat: policy.Guarded, Group: policy.GroupAll, Window: 4 * time.Second},
+			{Name: "read", LatencyObjective: 4 * time.Second, Deadline: 9 * time.Second, Idempotency: policy.Idempotent},
+			{Name: "pay", LatencyObjective: 4 * time.Second, Deadline: 9 * time.Second, Idempotency: policy.NonIdempotent},
+			{Name: "undo", LatencyObjective: 4 * time.Second, Deadline: 9 * time.Second, Idempotency: policy.IdempotencyKeyed, DedupScope: policy.DedupAll, DedupWindow: 4 * time.Second},
 		},
-		Allowed: policy.Allowed{Cancel: true, MaxAttempts: 3, RetryAfter: true},
-		Rules:   policy.Rules{DrainGrace: 500 * time.Millisecond},
+		Capabilities: policy.Capabilities{Cancel: true, MaxAttempts: 3, RetryAfter: true},
+		Rules:        policy.Rules{DrainGrace: 500 * time.Millisecond},
 	}
 }
 
@@ -53,7 +53,7 @@
 	t.Helper()
 	c := router.Config{Settings: settings()}
 	for i, a := range addrs {
-		c.Members = append(c.Members, router.Member{ID: fmt.Sprint("s", i), Addr: a, Zone: "a", Weight: 1})
+		c.Endpoints = append(c.Endpoints, router.Endpoint{ID: fmt.Sprint("s", i), Addr: a, Zone: "a", Weight: 1})
 	}
 	r, err := router.New(c, router.WithTransport(http1.New(http1.Config{ConnectTimeout: 2 * time.Second})))
 	if err != nil {
@@ -528,7 +528,7 @@
 		c := router.Config{Settings: settings()}
 		c.Settings.Classes[i%3].Deadline += time.Duration(i) * time.Millisecond
 		for j, a := range addrs[:2+i%3] {
-			c.Members = append(c.Members, router.Member{ID: fmt.Sprint("s", j), Addr: a, Zone: "a", Weight: 1})
+			c.Endpoints = append(c.Endpoints, router.Endpoint{ID: fmt.Sprint("s", j), Addr: a, Zone: "a", Weight: 1})
 		}
 		return c
 	}
--- a/middleware/roundtrip.go
+++ b/middleware/roundtrip.go
@@ -45,7 +45,7 @@
 		return nil, errors.New("middleware: " + p.text)
 	}
 	if out.Header.Get("X-Deadline-Ms") == "" {
-		req.Wait = 0
+		req.Timeout = 0
 	}
 	if out.Body != nil && out.Body != http.NoBody {
 		if req.Body, err = io.ReadAll(io.LimitReader(out.Body, maxBody+1)); err != nil {
@@ -58,7 +58,7 @@
 			return nil, errors.New("middleware: a GET has no body")
 		}
 	}
-	req.Came = time.Now()
+	req.ReceivedAt = time.Now()
 	a, err := t.f.engine.Do(out.Context(), req)
 	if err != nil {
 		return nil, err
--- a/policy/api.go
+++ b/policy/api.go
@@ -10,41 +10,41 @@
 // Time is a moment on the host's monotonic clock, measured from any fixed origin.
 type Time = time.Duration
 
-// Repeat says how far a request of a class may be sent again once it may have run.
-type Repeat uint8
+// Idempotency says how far a request of a class may be sent again once it may have run.
+type Idempotency uint8
 
 // The zero value is the strictest: a class nobody described is never repeated.
 const (
-	Never   Repeat = iota // must never run twice
-	Guarded               // a group of servers drops repeats for a window
-	Free                  // safe to repeat
+	NonIdempotent    Idempotency = iota // must never run twice
+	IdempotencyKeyed                    // a group of servers drops repeats for a window
+	Idempotent                          // safe to repeat
 )
 
-// Group names the servers that drop the repeats of a Guarded request.
-type Group uint8
+// DedupScope names the servers that drop the repeats of a Guarded request.
+type DedupScope uint8
 
 // The zero value is the narrowest group.
 const (
-	GroupCell Group = iota
-	GroupZone
-	GroupAll
+	DedupCell DedupScope = iota
+	DedupZone
+	DedupAll
 )
 
 // Class describes one kind of request.
 type Class struct {
-	Name       string
-	Aim        time.Duration // an answer within Aim earns the full worth
-	AimStretch float64       // Aim grows by this multiple of the request's own work; 0 for none
-	Deadline   time.Duration // how long a client waits in all, over all its tries
-	Repeat     Repeat
-	Group      Group         // for Guarded
-	Window     time.Duration // for Guarded: counted from the first attempt that may have run
-	LateWorth  float64       // part of the worth left between Aim and Deadline
-	Worth      float64
-	Stream     bool     // the answer is a stream, announced by FirstByte
-	Kinds      []string // the only kinds of server it may be sent to; empty for any
-	Zones      []string // the only zones it may be sent to; empty for any
-	Pool       string   // the only pool it may be sent to; empty for any
+	Name                string
+	LatencyObjective    time.Duration // an answer within Aim earns the full worth
+	ObjectiveWorkFactor float64       // Aim grows by this multiple of the request's own work; 0 for none
+	Deadline            time.Duration // how long a client waits in all, over all its tries
+	Idempotency         Idempotency
+	DedupScope          DedupScope    // for Guarded
+	DedupWindow         time.Duration // for Guarded: counted from the first attempt that may have run
+	LateWeightFraction  float64       // part of the worth left between Aim and Deadline
+	PriorityWeight      float64
+	Stream              bool     // the answer is a stream, announced by FirstByte
+	Kinds               []string // the only kinds of server it may be sent to; empty for any
+	Zones               []string // the only zones it may be sent to; empty for any
+	Pool                string   // the only pool it may be sent to; empty for any
 }
 
 // Tenant is one customer with its agreed share, over all nodes.
@@ -68,48 +68,48 @@
 	Max      float64          // platform maximum for PerWindow and Burst; 0 for none
 }
 
-// Allowed says what the site lets a node do.
-type Allowed struct {
+// Capabilities says what the site lets a node do.
+type Capabilities struct {
 	Cancel, Hedge, Probe, Peers, RetryAfter bool
 	MaxAttempts                             int           // for one request; 0 counts as 1
 	MaxRetryAfter                           time.Duration // longest wait a client follows
-	ConnIdle                                time.Duration // idle connections are closed after this; 0 if not told
+	ConnIdleTimeout                         time.Duration // idle connections are closed after this; 0 if not told
 }
 
-// Budget rations a node's attempts beyond each request's first: in any Span they number at most
+// RetryBudget rations a node's attempts beyond each request's first: in any Span they number at most
 // Least plus Share of the requests that the node took in it.
-type Budget struct {
-	Least float64
-	Share float64
-	Span  time.Duration
+type RetryBudget struct {
+	MinRetries float64
+	RetryRatio float64
+	Window     time.Duration
 }
 
 // Rules holds the figures of the rules.
 type Rules struct {
-	AnswerGrace  time.Duration // a final answer is still in time this long after the deadline
-	DrainGrace   time.Duration // sends to a draining server must end within this time
-	ColdShare    float64       // a server starts at this part of its capacity or more
-	ColdFor      time.Duration // and is warm within this time
-	FallMultiple float64       // sent more than this multiple of its present capacity
-	FallFor      time.Duration // for this long, a cold server falls over
-	AskWithin    time.Duration // an unsubscribed node must ask for the list this often
-	Attempts     *Budget       // of further attempts; nil where none is stated
+	AnswerGrace      time.Duration // a final answer is still in time this long after the deadline
+	DrainGrace       time.Duration // sends to a draining server must end within this time
+	SlowStartShare   float64       // a server starts at this part of its capacity or more
+	SlowStartWindow  time.Duration // and is warm within this time
+	OverloadFactor   float64       // sent more than this multiple of its present capacity
+	OverloadDuration time.Duration // for this long, a cold server falls over
+	MaxPollInterval  time.Duration // an unsubscribed node must ask for the list this often
+	RetryBudget      *RetryBudget  // of further attempts; nil where none is stated
 }
 
 // Settings is what a node is told at its start.
 type Settings struct {
-	Node, Nodes int // this node's number, and how many there are
-	Zone        string
-	Classes     []Class
-	Tenants     []Tenant
-	Limits      RateLimits
-	Allowed     Allowed
-	Rules       Rules
-	Subscribe   bool // the list of servers must be asked for
-	WarmKeys    bool // a server that lately served a key serves it with less work
-	WorthByWork bool // worth is counted for each unit of work, not for each request
-	// Report names the values in load reports, in order. No decision reads them.
-	Report []string
+	Node, Nodes  int // this node's number, and how many there are
+	Zone         string
+	Classes      []Class
+	Tenants      []Tenant
+	RateLimits   RateLimits
+	Capabilities Capabilities
+	Rules        Rules
+	Subscribe    bool // the list of servers must be asked for
+	KeyAffinity  bool // a server that lately served a key serves it with less work
+	WeightByWork bool // worth is counted for each unit of work, not for each request
+	// LoadReportFields names the values in load reports, in order. No decision reads them.
+	LoadReportFields []string
 }
 
 // Availability is what the list says of a server's process.
@@ -122,8 +122,8 @@
 	Removed
 )
 
-// Member is one entry of the list of servers.
-type Member struct {
+// Endpoint is one entry of the list of servers.
+type Endpoint struct {
 	Server       string
 	Zone         string
 	Kind         string
@@ -148,28 +148,28 @@
 	ListUnavailable                 // a call failed or a subscription dropped; no entries
 )
 
-// MemberList is news of the servers. Members may be shared between nodes: it is only read.
-type MemberList struct {
-	Kind    ListKind
-	Members []Member
+// EndpointList is news of the servers. Members may be shared between nodes: it is only read.
+type EndpointList struct {
+	Kind      ListKind
+	Endpoints []Endpoint
 }
 
 // Request is a client's request; the node owes it exactly one final answer. One that is Arriving may be sent, but
 // can't have run: its body passes through as it comes, and one attempt at a time can have it. It is told once more,
 // not Arriving, when its last byte has come, and its time counts from then.
 type Request struct {
-	ID, Class, Tenant, Key string
-	ExpiresIn              time.Duration // until the client gives this try up
-	Hint                   time.Duration // guess of its cost in core time; 0 if unknown
-	Retry, Write, Arriving bool
-	Near                   bool          // it is not to cross zones while this node's own has a server
-	Hold                   time.Duration // it is refused after so long without a server, if not sooner; 0: as ever
+	ID, Class, Tenant, Key    string
+	ExpiresIn                 time.Duration // until the client gives this try up
+	CostHint                  time.Duration // guess of its cost in core time; 0 if unknown
+	Retry, Write, BodyPending bool
+	ZoneLocal                 bool          // it is not to cross zones while this node's own has a server
+	MaxQueueTime              time.Duration // it is refused after so long without a server, if not sooner; 0: as ever
 }
 
-// hold is for how long a request is held that would be held for d.
-func (e Request) hold(d time.Duration) time.Duration {
-	if e.Hold > 0 {
-		return min(d, e.Hold)
+// queueTime is for how long a request is held that would be held for d.
+func (e Request) queueTime(d time.Duration) time.Duration {
+	if e.MaxQueueTime > 0 {
+		return min(d, e.MaxQueueTime)
 	}
 	return d
 }
@@ -188,41 +188,43 @@
 const (
 	OK Code = iota
 	ServerError
-	Full
+	Overloaded
 	TimedOut
 	ConnectFailed
 	Reset
 	Cancelled
-	Moot
+	Superseded
 	Untrusted // the server could not prove who it is, so nothing was sent
 )
 
-// NotRun reports whether the code proves that the request never ran.
-func (c Code) NotRun() bool { return c == Full || c == ConnectFailed || c == Moot || c == Untrusted }
+// NotExecuted reports whether the code proves that the request never ran.
+func (c Code) NotExecuted() bool {
+	return c == Overloaded || c == ConnectFailed || c == Superseded || c == Untrusted
+}
 
 // Outcome is the end of one attempt. Ended tells that the request has its final answer.
 type Outcome struct {
-	ID, Server string
-	Attempt    int
-	Code       Code
-	Latency    time.Duration
-	Ended      bool
-	Spent      bool      // the request's body is no longer held: no further attempt could send it
-	Report     []float64 // load report in the order of Settings.Report; nil for none
+	ID, Server   string
+	Attempt      int
+	Code         Code
+	Latency      time.Duration
+	Answered     bool
+	BodyConsumed bool      // the request's body is no longer held: no further attempt could send it
+	LoadReport   []float64 // load report in the order of Settings.Report; nil for none
 }
 
-// Lapsed says that the client has left; no answer is owed any more.
-type Lapsed struct{ ID string }
+// ClientGone says that the client has left; no answer is owed any more.
+type ClientGone struct{ ID string }
 
 // Timer is a timer that came due.
 type Timer struct{ Token uint64 }
 
 // ProbeResult is the end of one Probe.
 type ProbeResult struct {
-	Server  string
-	Code    Code
-	Latency time.Duration
-	Report  []float64
+	Server     string
+	Code       Code
+	Latency    time.Duration
+	LoadReport []float64
 }
 
 // PeerMessage is bytes from another node; they may be lost, old or broken.
@@ -236,17 +238,17 @@
 
 // What a node can do; the comments name the fields of Action that count.
 const (
-	Send      ActionKind = iota // ID, Server, Until
-	Refuse                      // ID, Wait: the client may safely come again
-	Fail                        // ID: promises nothing
-	Cancel                      // ID, Attempt
-	SetTimer                    // Wait, Token
-	Probe                       // Server
-	Tell                        // Peer (-1 for all), Text
-	CloseIdle                   // Server
-	Log                         // Text
-	WatchList                   // On
-	FetchList                   // no fields
+	Send           ActionKind = iota // ID, Server, Until
+	Reject                           // ID, Wait: the client may safely come again
+	Fail                             // ID: promises nothing
+	Cancel                           // ID, Attempt
+	SetTimer                         // Wait, Token
+	Probe                            // Server
+	SendToPeer                       // Peer (-1 for all), Text
+	CloseIdle                        // Server
+	Log                              // Text
+	WatchEndpoints                   // On
+	FetchEndpoints                   // no fields
 )
 
 // Action is one thing the node wants done now.
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -12,10 +12,10 @@
 func Example() {
 	const ms = time.Millisecond
 	b, err := policy.New(policy.Settings{
-		Nodes:   1,
-		Classes: []policy.Class{{Name: "read", Aim: 200 * ms, Deadline: time.Second, Repeat: policy.Free}},
-		Tenants: []policy.Tenant{{Name: "acme", Quota: 50}},
-		Allowed: policy.Allowed{MaxAttempts: 2},
+		Nodes:        1,
+		Classes:      []policy.Class{{Name: "read", LatencyObjective: 200 * ms, Deadline: time.Second, Idempotency: policy.Idempotent}},
+		Tenants:      []policy.Tenant{{Name: "acme", Quota: 50}},
+		Capabilities: policy.Capabilities{MaxAttempts: 2},
 	}, 0, 1)
 	if err != nil {
 		fmt.Println(err)
@@ -27,22 +27,22 @@
 			switch a.Kind {
 			case policy.Send:
 				fmt.Println("send", a.ID, "to", a.Server, "until", a.Until)
-			case policy.Refuse:
+			case policy.Reject:
 				fmt.Println("refuse", a.ID, "for", a.Wait)
 			case policy.SetTimer: // hand policy.Timer{Token: a.Token} back after a.Wait
 			}
 		}
 	}
-	carryOut(b.Handle(0, policy.MemberList{Members: []policy.Member{{Server: "one"}, {Server: "two"}}}))
+	carryOut(b.Handle(0, policy.EndpointList{Endpoints: []policy.Endpoint{{Server: "one"}, {Server: "two"}}}))
 	now := time.Second
 	carryOut(b.Handle(now, policy.Request{ID: "r1", Class: "read", Tenant: "acme", ExpiresIn: time.Second}))
 	now += 100 * ms
 	carryOut(b.Handle(now, policy.Outcome{ID: "r1", Server: "one", Code: policy.ConnectFailed, Latency: 100 * ms}))
 	now += 20 * ms
-	carryOut(b.Handle(now, policy.Outcome{ID: "r1", Attempt: 1, Server: "two", Code: policy.OK, Latency: 20 * ms, Ended: true}))
+	carryOut(b.Handle(now, policy.Outcome{ID: "r1", Attempt: 1, Server: "two", Code: policy.OK, Latency: 20 * ms, Answered: true}))
 
 	// Without a server in service a request is held, and refused while its client still waits.
-	carryOut(b.Handle(now, policy.MemberList{Kind: policy.ListReplace}))
+	carryOut(b.Handle(now, policy.EndpointList{Kind: policy.ListReplace}))
 	carryOut(b.Handle(now, policy.Request{ID: "r2", Class: "read", Tenant: "acme", ExpiresIn: time.Second}))
 	for range 6 {
 		now += 20 * ms
--- a/policy/index.go
+++ b/policy/index.go
@@ -146,10 +146,10 @@
 			}
 		}
 	}
-	s.safest = Never
+	s.safest = NonIdempotent
 	for _, c := range b.ranked {
 		if c.permits(s) {
-			s.safest = max(s.safest, c.Repeat)
+			s.safest = max(s.safest, c.Idempotency)
 		}
 	}
 }
--- a/policy/index_test.go
+++ b/policy/index_test.go
@@ -17,9 +17,9 @@
 		set.Tenants = nil
 		set.Nodes = rapid.SampledFrom([]int{1, 2, 3, 4, 9, 40}).Draw(t, "nodes")
 		set.Node = rapid.IntRange(0, set.Nodes-1).Draw(t, "node")
-		set.Allowed.Hedge, set.Allowed.MaxAttempts = true, 3
-		set.Rules.ColdShare, set.Rules.ColdFor, set.Rules.FallMultiple, set.Rules.FallFor = 0.3, 5*time.Second, 3, time.Second
-		set.WarmKeys = rapid.Bool().Draw(t, "keys")
+		set.Capabilities.Hedge, set.Capabilities.MaxAttempts = true, 3
+		set.Rules.SlowStartShare, set.Rules.SlowStartWindow, set.Rules.OverloadFactor, set.Rules.OverloadDuration = 0.3, 5*time.Second, 3, time.Second
+		set.KeyAffinity = rapid.Bool().Draw(t, "keys")
 		if rapid.Bool().Draw(t, "bound") {
 			set.Classes[1].Kinds = []string{"k1"}
 		}
@@ -44,8 +44,8 @@
 				}
 			}
 		}
-		member := func(i int) Member {
-			m := Member{Server: fmt.Sprintf("s%04d", i), Zone: rapid.SampledFrom([]string{"a", "a", "b", "c"}).Draw(t, "zone"),
+		member := func(i int) Endpoint {
+			m := Endpoint{Server: fmt.Sprintf("s%04d", i), Zone: rapid.SampledFrom([]string{"a", "a", "b", "c"}).Draw(t, "zone"),
 				Kind: rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "kind"), Weight: 1}
 			if rapid.IntRange(0, 9).Draw(t, "young") == 0 {
 				m.OnlineSince = now - time.Second
@@ -53,24 +53,24 @@
 			m.Availability = rapid.SampledFrom([]Availability{Running, Running, Running, Draining, Removed}).Draw(t, "state")
 			return m
 		}
-		var all []Member
+		var all []Endpoint
 		for i := range most {
-			m := Member{Server: fmt.Sprintf("s%04d", i), Zone: string("aabc"[i%4]), Kind: fmt.Sprint("k", 1+i%2), Weight: 1}
+			m := Endpoint{Server: fmt.Sprintf("s%04d", i), Zone: string("aabc"[i%4]), Kind: fmt.Sprint("k", 1+i%2), Weight: 1}
 			all = append(all, m)
 		}
-		tell(MemberList{Members: all})
+		tell(EndpointList{Endpoints: all})
 		for range rapid.IntRange(1, 150).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 40).Draw(t, "ms")) * ms
 			switch rapid.IntRange(0, 9).Draw(t, "step") {
 			case 0:
-				var some []Member
+				var some []Endpoint
 				for range rapid.IntRange(1, 4).Draw(t, "changes") {
 					some = append(some, member(rapid.IntRange(0, most+5).Draw(t, "server")))
 				}
-				tell(MemberList{Kind: ListUpdate, Members: some})
+				tell(EndpointList{Kind: ListUpdate, Endpoints: some})
 			case 1:
 				if rapid.IntRange(0, 9).Draw(t, "whole") == 0 {
-					tell(MemberList{Members: all[rapid.IntRange(0, most/2).Draw(t, "from"):]})
+					tell(EndpointList{Endpoints: all[rapid.IntRange(0, most/2).Draw(t, "from"):]})
 				}
 			case 2:
 				tell(Timer{Token: rapid.SampledFrom([]uint64{holdToken, watchToken, watchToken + 1}).Draw(t, "timer")})
@@ -85,8 +85,8 @@
 					i := rapid.IntRange(0, len(out)-1).Draw(t, "which")
 					a := out[i]
 					out = append(out[:i], out[i+1:]...)
-					code := rapid.SampledFrom([]Code{OK, OK, OK, OK, ServerError, Full, TimedOut, ConnectFailed, Reset}).Draw(t, "code")
-					tell(Outcome{ID: a.ID, Attempt: a.Attempt, Server: a.Server, Code: code, Ended: code == OK,
+					code := rapid.SampledFrom([]Code{OK, OK, OK, OK, ServerError, Overloaded, TimedOut, ConnectFailed, Reset}).Draw(t, "code")
+					tell(Outcome{ID: a.ID, Attempt: a.Attempt, Server: a.Server, Code: code, Answered: code == OK,
 						Latency: time.Duration(rapid.IntRange(1, 300).Draw(t, "latency")) * ms})
 				}
 			}
--- a/policy/knowledge.go
+++ b/policy/knowledge.go
@@ -9,30 +9,30 @@
 // What a balancer has learned, as something that can be kept and taken over; no decisions here. How old or
 // foreign knowledge is weighed is decided elsewhere, before Adopt.
 
-// Knowledge is what a balancer has learned. It holds nothing of what is in flight, and nothing of the list.
-type Knowledge struct {
-	Pace    float64           `json:"pace"`
-	Trust   float64           `json:"trust"`
-	Servers []ServerKnowledge `json:"servers"` // in id order
-	Buckets []BucketKnowledge `json:"buckets"` // by tenant and class
+// LearnedState is what a balancer has learned. It holds nothing of what is in flight, and nothing of the list.
+type LearnedState struct {
+	RateScale            float64       `json:"pace"`
+	SharedThresholdScale float64       `json:"trust"`
+	Servers              []ServerState `json:"servers"` // in id order
+	Buckets              []BucketState `json:"buckets"` // by tenant and class
 }
 
-// ServerKnowledge is what is known of one process of a server.
-type ServerKnowledge struct {
-	Server    string        `json:"server"`
-	Up        time.Duration `json:"up"` // since its start, where the list tells of that; 0: long ago
-	Threshold float64       `json:"threshold"`
-	Felt      bool          `json:"felt"`
-	Latency   float64       `json:"latency"` // seconds
-	Faults    float64       `json:"faults"`
-	Score     float64       `json:"score"`
-	Out       bool          `json:"out"`   // ejected
-	For       time.Duration `json:"for"`   // that it stays so before it is tried out; may be over
-	Times     int           `json:"times"` // ejections in a row
+// ServerState is what is known of one process of a server.
+type ServerState struct {
+	Server           string        `json:"server"`
+	Uptime           time.Duration `json:"up"` // since its start, where the list tells of that; 0: long ago
+	Threshold        float64       `json:"threshold"`
+	ThresholdReduced bool          `json:"felt"`
+	Latency          float64       `json:"latency"` // seconds
+	FaultRate        float64       `json:"faults"`
+	FaultScore       float64       `json:"score"`
+	Ejected          bool          `json:"out"`   // ejected
+	EjectedFor       time.Duration `json:"for"`   // that it stays so before it is tried out; may be over
+	Ejections        int           `json:"times"` // ejections in a row
 }
 
-// BucketKnowledge is the level of one bucket.
-type BucketKnowledge struct {
+// BucketState is the level of one bucket.
+type BucketState struct {
 	Tenant string        `json:"tenant"`
 	Class  string        `json:"class,omitempty"`
 	Tokens int64         `json:"tokens"`
@@ -40,35 +40,35 @@
 }
 
 // Export shows what the balancer has learned, at the moment of its last event.
-func (b *Balancer) Export() Knowledge {
-	k := Knowledge{Pace: b.pace, Trust: b.trust}
+func (b *Balancer) Export() LearnedState {
+	k := LearnedState{RateScale: b.pace, SharedThresholdScale: b.trust}
 	for _, s := range b.servers {
 		if !s.inService() {
 			continue
 		}
-		e := ServerKnowledge{Server: s.Server, Threshold: s.threshold, Felt: s.felt, Latency: s.latency, Faults: s.faults,
-			Score: s.health.score, Out: s.health.out, Times: s.health.times}
+		e := ServerState{Server: s.Server, Threshold: s.threshold, ThresholdReduced: s.felt, Latency: s.latency, FaultRate: s.faults,
+			FaultScore: s.health.score, Ejected: s.health.out, Ejections: s.health.times}
 		if s.OnlineSince > 0 {
-			e.Up = max(1, b.now-s.OnlineSince)
+			e.Uptime = max(1, b.now-s.OnlineSince)
 		}
-		if e.Out {
-			e.For = s.health.until - b.now
+		if e.Ejected {
+			e.EjectedFor = s.health.until - b.now
 		}
 		k.Servers = append(k.Servers, e)
 	}
-	slices.SortFunc(k.Servers, func(a, c ServerKnowledge) int { return strings.Compare(a.Server, c.Server) })
+	slices.SortFunc(k.Servers, func(a, c ServerState) int { return strings.Compare(a.Server, c.Server) })
 	for key, bucket := range b.buckets {
-		k.Buckets = append(k.Buckets, BucketKnowledge{key.tenant, key.class, bucket.tokens, b.now - bucket.last})
+		k.Buckets = append(k.Buckets, BucketState{key.tenant, key.class, bucket.tokens, b.now - bucket.last})
 	}
-	slices.SortFunc(k.Buckets, func(a, c BucketKnowledge) int {
+	slices.SortFunc(k.Buckets, func(a, c BucketState) int {
 		return strings.Compare(a.Tenant+"\x00"+a.Class, c.Tenant+"\x00"+c.Class)
 	})
 	return k
 }
 
-// Prior is what the balancer would first trust a server with, and how long the server's process runs; ok is false
+// InitialThreshold is what the balancer would first trust a server with, and how long the server's process runs; ok is false
 // where it is not in service.
-func (b *Balancer) Prior(id string) (threshold float64, up time.Duration, ok bool) {
+func (b *Balancer) InitialThreshold(id string) (threshold float64, up time.Duration, ok bool) {
 	s := b.servers[id]
 	if !s.inService() {
 		return 0, 0, false
@@ -79,29 +79,29 @@
 	return b.start(s), up, true
 }
 
-// Adopt takes knowledge over as it is. Servers that are not in service, and buckets beyond their bound, are left out.
-func (b *Balancer) Adopt(now Time, k Knowledge) {
+// Restore takes knowledge over as it is. Servers that are not in service, and buckets beyond their bound, are left out.
+func (b *Balancer) Restore(now Time, k LearnedState) {
 	b.now = max(now, b.now)
-	if k.Pace > 0 {
-		b.pace = k.Pace
+	if k.RateScale > 0 {
+		b.pace = k.RateScale
 	}
-	if k.Trust >= 1 {
-		b.trust = min(trustMost, k.Trust)
+	if k.SharedThresholdScale >= 1 {
+		b.trust = min(trustMost, k.SharedThresholdScale)
 	}
 	for _, e := range k.Servers {
 		s := b.servers[e.Server]
 		if !s.inService() {
 			continue
 		}
-		s.threshold, s.felt, s.latency, s.faults = e.Threshold, e.Felt, e.Latency, e.Faults
+		s.threshold, s.felt, s.latency, s.faults = e.Threshold, e.ThresholdReduced, e.Latency, e.FaultRate
 		ejected := 0
-		if e.Out != s.health.out {
+		if e.Ejected != s.health.out {
 			ejected = 1
-			if !e.Out {
+			if !e.Ejected {
 				ejected = -1
 			}
 		}
-		s.health = health{score: e.Score, out: e.Out, until: b.now + e.For, times: e.Times}
+		s.health = health{score: e.FaultScore, out: e.Ejected, until: b.now + e.EjectedFor, times: e.Ejections}
 		b.touch(s, ejected)
 	}
 	for _, e := range k.Buckets {
--- a/policy/part_test.go
+++ b/policy/part_test.go
@@ -28,10 +28,10 @@
 }
 
 func twinSettings() Settings {
-	return Settings{Nodes: 1, Classes: []Class{{Name: "pay", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}},
-		Tenants: []Tenant{{Name: "t", Quota: 100, Share: 0.5}, {Name: "u", Quota: 400, Share: 0.5}},
-		Allowed: Allowed{Cancel: true, RetryAfter: true, MaxAttempts: 3},
-		Rules:   Rules{DrainGrace: 500 * time.Millisecond, ColdShare: 0.34, ColdFor: 8400 * time.Millisecond, FallMultiple: 3, FallFor: time.Second}}
+	return Settings{Nodes: 1, Classes: []Class{{Name: "pay", LatencyObjective: time.Second, Deadline: 2 * time.Second, PriorityWeight: 1}},
+		Tenants:      []Tenant{{Name: "t", Quota: 100, Share: 0.5}, {Name: "u", Quota: 400, Share: 0.5}},
+		Capabilities: Capabilities{Cancel: true, RetryAfter: true, MaxAttempts: 3},
+		Rules:        Rules{DrainGrace: 500 * time.Millisecond, SlowStartShare: 0.34, SlowStartWindow: 8400 * time.Millisecond, OverloadFactor: 3, OverloadDuration: time.Second}}
 }
 
 func (w *twin) offer(now Time, to *Balancer, tenant string) {
@@ -54,9 +54,9 @@
 func playTwin(t *testing.T, perSecond int, tenant string, alone bool) *twin {
 	t.Helper()
 	w := new(twin)
-	list := MemberList{Kind: ListReplace}
+	list := EndpointList{Kind: ListReplace}
 	for i := range 4 {
-		list.Members = append(list.Members, Member{Server: fmt.Sprint("s", i), Weight: 1})
+		list.Endpoints = append(list.Endpoints, Endpoint{Server: fmt.Sprint("s", i), Weight: 1})
 	}
 	start := func(now Time, seed uint64) *Balancer {
 		b, err := New(twinSettings(), now, seed)
@@ -78,18 +78,18 @@
 		}
 		switch {
 		case ms == 2500:
-			list.Members = append(list.Members, Member{Server: "cold", Weight: 1, OnlineSince: now})
+			list.Endpoints = append(list.Endpoints, Endpoint{Server: "cold", Weight: 1, OnlineSince: now})
 			w.a.Handle(now, list)
 		case ms == 3000 && !alone:
 			w.b = start(now, 2)
 			k := w.a.Export()
-			k.Pace, k.Trust, k.Servers = 1, 1, nil
-			w.b.Adopt(now, k)
+			k.RateScale, k.SharedThresholdScale, k.Servers = 1, 1, nil
+			w.b.Restore(now, k)
 		}
 		if w.b != nil && ms%100 == 0 {
 			ra, rb := handover.Report{Taken: w.taken[0]}, handover.Report{Taken: w.taken[1]}
-			w.a.SetPart(now, w.sa.Split(ra, map[string]handover.Report{"b": rb}, whole).Part)
-			w.b.SetPart(now, w.sb.Split(rb, map[string]handover.Report{"a": ra}, whole).Part)
+			w.a.SetTrafficShare(now, w.sa.Split(ra, map[string]handover.Report{"b": rb}, whole).Part)
+			w.b.SetTrafficShare(now, w.sb.Split(rb, map[string]handover.Report{"a": ra}, whole).Part)
 		}
 		for n := ms*perSecond/1000 + 1; n <= (ms+1)*perSecond/1000; n++ {
 			to, i := w.a, 0
@@ -125,17 +125,17 @@
 		for i, from := range w.toCold {
 			n := 0
 			for _, at := range w.toCold[i:] {
-				if at < from+set.FallFor {
+				if at < from+set.OverloadDuration {
 					n++
 				}
 			}
 			age := max(0, (from - 24*time.Hour - 2500*time.Millisecond).Seconds())
-			capacity := (set.ColdShare + (1-set.ColdShare)*age/set.ColdFor.Seconds()) * perSecond / 5
-			most = max(most, float64(n)/(capacity*set.FallFor.Seconds()))
+			capacity := (set.SlowStartShare + (1-set.SlowStartShare)*age/set.SlowStartWindow.Seconds()) * perSecond / 5
+			most = max(most, float64(n)/(capacity*set.OverloadDuration.Seconds()))
 		}
 		t.Logf("alone %v: %d to the cold server, %.2f of its capacity at most", alone, len(w.toCold), most)
-		if most > set.FallMultiple {
-			t.Errorf("alone %v: %.2f of its capacity, %v push it over", alone, most, set.FallMultiple)
+		if most > set.OverloadFactor {
+			t.Errorf("alone %v: %.2f of its capacity, %v push it over", alone, most, set.OverloadFactor)
 		}
 	}
 }
