--- a/internal/cli/call.go
+++ b/internal/cli/call.go
@@ -15,16 +15,16 @@
 	"github.com/spf13/cobra"
 )
 
-// exitStatus is one that scripts go by.
-type exitStatus int
+// exitStatusError is one that scripts go by.
+type exitStatusError int
 
 // The statuses of a call that was not served.
 const (
-	harmless exitStatus = 2 // it has not run: trying again is harmless
-	unsure   exitStatus = 3 // it may have run
+	harmless exitStatusError = 2 // it has not run: trying again is harmless
+	unsure   exitStatusError = 3 // it may have run
 )
 
-func (s exitStatus) Error() string {
+func (s exitStatusError) Error() string {
 	if s == harmless {
 		return "not served; it has not run"
 	}
--- a/internal/cli/certs.go
+++ b/internal/cli/certs.go
@@ -53,7 +53,7 @@
 			}
 			if within > 0 && n > 0 {
 				fmt.Fprintf(c.ErrOrStderr(), "%d of them end within %v\n", n, within)
-				return exitStatus(8)
+				return exitStatusError(8)
 			}
 			return nil
 		},
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -40,7 +40,7 @@
 		return 0
 	}
 	fmt.Fprintln(os.Stderr, "wayhold:", err)
-	if status := exitStatus(0); errors.As(err, &status) {
+	if status := exitStatusError(0); errors.As(err, &status) {
 		return int(status)
 	}
 	return 1
--- a/internal/cli/ctl.go
+++ b/internal/cli/ctl.go
@@ -32,10 +32,10 @@
 
 // The statuses of ctl that scripts go by, beside 0 and 1.
 const (
-	unreachable exitStatus = 4 // no node answers at the door
-	overdue     exitStatus = 5 // the deadline has passed, and requests were answered for want of time
-	takenBack   exitStatus = 6 // the drain was cancelled
-	conflict    exitStatus = 7 // the node says no, as things stand
+	unreachable       exitStatusError = 4 // no node answers at the door
+	overdue           exitStatusError = 5 // the deadline has passed, and requests were answered for want of time
+	errDrainCancelled exitStatusError = 6 // the drain was cancelled
+	conflict          exitStatusError = 7 // the node says no, as things stand
 )
 
 const ctlTimeout = 10 * time.Second // for an answer; watching has no end
@@ -43,11 +43,11 @@
 // statusError is an error with a status.
 type statusError struct {
 	error
-	status exitStatus
+	status exitStatusError
 }
 
 func (e statusError) As(to any) bool {
-	if s, ok := to.(*exitStatus); ok {
+	if s, ok := to.(*exitStatusError); ok {
 		*s = e.status
 		return true
 	}
@@ -56,9 +56,9 @@
 
 // ctl is what all of its commands share.
 type ctl struct {
-	own             *string // the operator's own file
-	at, token, file string
-	ca, name        string // for a door by TLS
+	own      *string // the operator's own file
+	at, file string
+	ca, name string // for a door by TLS
 }
 
 // flags are those by which the door is found.
@@ -380,7 +380,7 @@
 	case drain.Forced:
 		return true, statusError{fmt.Errorf("ctl: the deadline passed with %d requests open; they were answered", s.Drain.Failed), overdue}
 	case drain.Serving:
-		return true, statusError{errors.New("ctl: the drain was taken back"), takenBack}
+		return true, statusError{errors.New("ctl: the drain was taken back"), errDrainCancelled}
 	}
 	return false, nil
 }
--- a/internal/expect/expect.go
+++ b/internal/expect/expect.go
@@ -146,7 +146,8 @@
 		fail("%s: want it refused for its path; it passes", what)
 	}
 	found := finder.Find(&identity.Request{Peer: from, Header: h})
-	tenant, by := found.Tenant, "identity.layer"
+	tenant := found.Tenant
+	var by string
 	if found.Layer >= 0 {
 		by = fmt.Sprintf("identity layer %d (%v)", found.Layer+1, found.By)
 	} else {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -4,6 +4,7 @@
 package site
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -240,8 +241,11 @@
 		c.Levels = append(c.Levels, level)
 	}
 	if _, err := levels.New(*c); err != nil {
-		e := err.(*levels.Error)
-		return nil, f.lines.Errorf(fmt.Sprintf("level[%d]", max(0, e.Level)), "%s", e.What)
+		var invalid *levels.Error
+		if !errors.As(err, &invalid) {
+			return nil, err
+		}
+		return nil, f.lines.Errorf(fmt.Sprintf("level[%d]", max(0, invalid.Level)), "%s", invalid.What)
 	}
 	return c, nil
 }
@@ -372,8 +376,11 @@
 		all = []routes.Route{{Class: f.Classes[0].Name}}
 	}
 	t, err := routes.New(all)
-	if e := (*routes.Error)(nil); err != nil {
-		e = err.(*routes.Error)
+	if err != nil {
+		var e *routes.Error
+		if !errors.As(err, &e) {
+			return nil, err
+		}
 		what := e.What
 		if e.Other >= 0 {
 			what += fmt.Sprintf(" line %d", e.Before)
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -465,7 +465,7 @@
 	switch {
 	case errors.Is(err, errNoSockets) && ctx.Err() == nil:
 		return router.Result{Code: policy.Superseded} // nothing was sent, and the server is not to blame
-	case errors.As(err, new(*secure.Untrusted)) && ctx.Err() == nil:
+	case errors.As(err, new(*secure.UntrustedError)) && ctx.Err() == nil:
 		return router.Result{Code: policy.Untrusted}
 	case err != nil:
 		return router.Result{Code: broken(ctx, err, false)}
--- a/transport/http1/stream.go
+++ b/transport/http1/stream.go
@@ -24,9 +24,6 @@
 	pumpChunk    = 16 << 10
 )
 
-// errWhole says that an answer is all there: it needs no stream.
-var errWhole = errors.New("the answer is whole")
-
 // stream is a long answer on its way: it is read from the server's connection as its reader wants it, so that a
 // slow client holds the server up and not the memory.
 type stream struct {
--- a/transport/msgpack/msgpack.go
+++ b/transport/msgpack/msgpack.go
@@ -374,7 +374,7 @@
 		switch {
 		case errors.Is(err, errDrained):
 			return router.Result{Code: policy.Overloaded} // as one that turns away since it drains
-		case errors.As(err, new(*secure.Untrusted)) && ctx.Err() == nil:
+		case errors.As(err, new(*secure.UntrustedError)) && ctx.Err() == nil:
 			return router.Result{Code: policy.Untrusted}
 		case errors.Is(err, errFull) || errors.Is(err, secure.ErrBusy):
 			return router.Result{Code: policy.Superseded} // the server is not to blame
--- a/transport/secure/rules.go
+++ b/transport/secure/rules.go
@@ -106,14 +106,14 @@
 	whyAlert     = "will not agree"
 )
 
-// Untrusted says that a server could not prove who it is. Nothing was sent to it.
-type Untrusted struct {
+// UntrustedError says that a server could not prove who it is. Nothing was sent to it.
+type UntrustedError struct {
 	Why    string // one of few, for counting
 	Detail string
 }
 
 // Error tells both.
-func (e *Untrusted) Error() string { return e.Why + ": " + e.Detail }
+func (e *UntrustedError) Error() string { return e.Why + ": " + e.Detail }
 
 // span is a time in which something holds.
 type span struct{ from, until time.Time }
@@ -124,26 +124,26 @@
 // verify tells whether the chain that a server showed proves that it is m, and for which time that holds.
 func (r *Rule) verify(m *router.Endpoint, chain []*x509.Certificate, now time.Time) (span, error) {
 	if len(chain) == 0 {
-		return span{}, &Untrusted{whyNone, "it shows none"}
+		return span{}, &UntrustedError{whyNone, "it shows none"}
 	}
 	leaf := chain[0]
 	whole := span{leaf.NotBefore, leaf.NotAfter}
 	switch {
 	case now.Before(leaf.NotBefore):
-		return span{}, &Untrusted{whyNotYet, "valid from " + leaf.NotBefore.UTC().Format(time.RFC3339)}
+		return span{}, &UntrustedError{whyNotYet, "valid from " + leaf.NotBefore.UTC().Format(time.RFC3339)}
 	case now.After(leaf.NotAfter):
-		return span{}, &Untrusted{whyExpired, "it ended at " + leaf.NotAfter.UTC().Format(time.RFC3339)}
+		return span{}, &UntrustedError{whyExpired, "it ended at " + leaf.NotAfter.UTC().Format(time.RFC3339)}
 	}
 	if len(r.Pins) > 0 {
 		sum := sha256.Sum256(leaf.RawSubjectPublicKeyInfo)
 		if pin := hex.EncodeToString(sum[:]); !slices.ContainsFunc(r.Pins, func(p string) bool { return strings.EqualFold(p, pin) }) {
-			return span{}, &Untrusted{whyPin, "its key is " + pin}
+			return span{}, &UntrustedError{whyPin, "its key is " + pin}
 		}
 	}
 	if r.Trust != nil {
 		pool := r.Trust.Set().Pool
 		if pool == nil { // nothing was handed yet; crypto/x509 would go by the system's authorities
-			return span{}, &Untrusted{whyAuthority, "no authority is known yet"}
+			return span{}, &UntrustedError{whyAuthority, "no authority is known yet"}
 		}
 		o := x509.VerifyOptions{Roots: pool, Intermediates: x509.NewCertPool(), CurrentTime: now, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}}
 		for _, c := range chain[1:] {
@@ -161,13 +161,13 @@
 				return whole, nil
 			}
 		}
-		return span{}, &Untrusted{whyURI, fmt.Sprintf("it is %v", leaf.URIs)}
+		return span{}, &UntrustedError{whyURI, fmt.Sprintf("it is %v", leaf.URIs)}
 	}
 	if len(r.Pins) > 0 && r.Name == "" { // the key says who it is
 		return whole, nil
 	}
 	if err := leaf.VerifyHostname(r.name(m)); err != nil {
-		return span{}, &Untrusted{whyName, err.Error()}
+		return span{}, &UntrustedError{whyName, err.Error()}
 	}
 	return whole, nil
 }
@@ -199,29 +199,29 @@
 }
 
 // refusal names what x509 found.
-func refusal(err error) *Untrusted {
+func refusal(err error) *UntrustedError {
 	var unknown x509.UnknownAuthorityError
 	var invalid x509.CertificateInvalidError
 	switch {
 	case errors.As(err, &unknown):
-		return &Untrusted{whyAuthority, err.Error()}
+		return &UntrustedError{whyAuthority, err.Error()}
 	case errors.As(err, &invalid) && invalid.Reason == x509.Expired: // of the chain: the leaf was looked at
-		return &Untrusted{whyExpired, "in its chain: " + err.Error()}
+		return &UntrustedError{whyExpired, "in its chain: " + err.Error()}
 	}
-	return &Untrusted{whyChain, err.Error()}
+	return &UntrustedError{whyChain, err.Error()}
 }
 
 // failure tells a server that could not prove who it is from a connection that failed.
 func failure(err error) error {
-	var untrusted *Untrusted
+	var untrusted *UntrustedError
 	var header tls.RecordHeaderError
 	switch {
 	case errors.As(err, &untrusted):
 		return untrusted
 	case errors.As(err, &header):
-		return &Untrusted{whyNoTLS, header.Msg}
+		return &UntrustedError{whyNoTLS, header.Msg}
 	case handshaking.Alert(err) != "" && handshaking.Alert(err) != alertInternal:
-		return &Untrusted{whyAlert, handshaking.Alert(err)}
+		return &UntrustedError{whyAlert, handshaking.Alert(err)}
 	}
 	return err
 }
--- a/transport/secure/secure.go
+++ b/transport/secure/secure.go
@@ -141,7 +141,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if why, ok := l.refused.Is(m.ID); ok {
-		return &Untrusted{why, "it is refused until it proves who it is"}
+		return &UntrustedError{why, "it is refused until it proves who it is"}
 	}
 	return nil
 }
@@ -353,9 +353,9 @@
 func (l *Layer) failed(m *router.Endpoint, p *peer, err error) error {
 	err = failure(err)
 	if errors.Is(err, handshaking.ErrTooLong) {
-		err = &Untrusted{whyTooLong, err.Error()}
+		err = &UntrustedError{whyTooLong, err.Error()}
 	}
-	var untrusted *Untrusted
+	var untrusted *UntrustedError
 	l.mu.Lock()
 	first := false
 	if errors.As(err, &untrusted) {
