Move: membership/ is discovery/, its hold package is disabled

Need: membership is the field's word for gossip among nodes; what these packages do is service discovery, and hold says nothing of disabled servers.

--- a/.ci/checks.sh
+++ b/.ci/checks.sh
@@ -151,7 +151,7 @@
 # Who does not use gin does not link it.
 check_links() {
 	local packages
-	packages=$(go list -deps ./cmd/... ./router ./middleware ./front/... ./transport/... ./membership/...)
+	packages=$(go list -deps ./cmd/... ./router ./middleware ./front/... ./transport/... ./discovery/...)
 	if grep -q gin-gonic <<<"$packages"; then
 		fail "gin is linked outside middleware/ginmw"
 	fi
@@ -174,7 +174,7 @@
 # that the tests run.
 check_fuzz() {
 	local target
-	for target in ./membership/xds:FuzzFile ./membership/xds/resource:FuzzResources ./transport/http1:FuzzHead ./front/framing:FuzzFraming ./msgpackrpc:FuzzMessages ./keys:FuzzKeys; do
+	for target in ./discovery/xds:FuzzFile ./discovery/xds/resource:FuzzResources ./transport/http1:FuzzHead ./front/framing:FuzzFraming ./msgpackrpc:FuzzMessages ./keys:FuzzKeys; do
 		go test -run '^$' -fuzz "^${target#*:}\$" -fuzztime 4s "${target%:*}" >/dev/null || fail "${target#*:} found something; run it by hand"
 	done
 	echo "ci: fuzzing found nothing"
--- a/cmd/wayhold-xds/main.go
+++ b/cmd/wayhold-xds/main.go
@@ -14,8 +14,8 @@
 	"cobaltward/internal/node"
 	"cobaltward/internal/operator"
 	"cobaltward/keys"
-	"cobaltward/membership/merge"
-	"cobaltward/membership/xds"
+	"cobaltward/discovery/merge"
+	"cobaltward/discovery/xds"
 	"cobaltward/router"
 
 	"github.com/spf13/cobra"
--- a/cmd/wayhold-xds/main_test.go
+++ b/cmd/wayhold-xds/main_test.go
@@ -18,8 +18,8 @@
 	"cobaltward/internal/node"
 	"cobaltward/internal/operator"
 	"cobaltward/internal/testkit"
-	"cobaltward/membership/xds/standin"
-	"cobaltward/membership/xds/xdspb"
+	"cobaltward/discovery/xds/standin"
+	"cobaltward/discovery/xds/xdspb"
 	"cobaltward/router"
 
 	"go.uber.org/goleak"
--- a/cmd/wayhold-xds/xds.go
+++ b/cmd/wayhold-xds/xds.go
@@ -16,8 +16,8 @@
 	"time"
 
 	"cobaltward/internal/operator"
-	"cobaltward/membership/xds"
-	"cobaltward/membership/xds/ads"
+	"cobaltward/discovery/xds"
+	"cobaltward/discovery/xds/ads"
 	"cobaltward/policy"
 	"cobaltward/router"
 
--- a/cmd/xds-standin/main.go
+++ b/cmd/xds-standin/main.go
@@ -14,7 +14,7 @@
 	"os/signal"
 	"syscall"
 
-	"cobaltward/membership/xds/standin"
+	"cobaltward/discovery/xds/standin"
 
 	"github.com/spf13/cobra"
 	"google.golang.org/grpc"
--- a/membership/hold/hold_test.go
+++ b/discovery/disabled/disabled_test.go
@@ -1,4 +1,4 @@
-package hold
+package disabled
 
 import (
 	"context"
--- a/membership/xds/ads/ads.go
+++ b/discovery/xds/ads/ads.go
@@ -11,7 +11,7 @@
 	"slices"
 	"time"
 
-	"cobaltward/membership/xds/resource"
+	"cobaltward/discovery/xds/resource"
 )
 
 // Type is a type of resources.
--- a/membership/xds/ads/ads_test.go
+++ b/discovery/xds/ads/ads_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"cobaltward/membership/xds/resource"
+	"cobaltward/discovery/xds/resource"
 
 	"pgregory.net/rapid"
 )
--- a/membership/xds/bootstrap.go
+++ b/discovery/xds/bootstrap.go
@@ -9,7 +9,7 @@
 	"os"
 
 	"cobaltward/internal/fields"
-	"cobaltward/membership/xds/xdspb"
+	"cobaltward/discovery/xds/xdspb"
 
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/protobuf/encoding/protojson"
--- a/membership/xds/keep.go
+++ b/discovery/xds/cache.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"cobaltward/internal/keep"
-	"cobaltward/membership/xds/ads"
-	"cobaltward/membership/xds/resource"
+	"cobaltward/discovery/xds/ads"
+	"cobaltward/discovery/xds/resource"
 )
 
 const (
--- a/membership/xds/decode.go
+++ b/discovery/xds/decode.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"cobaltward/internal/pace"
-	"cobaltward/membership/xds/ads"
-	"cobaltward/membership/xds/resource"
-	"cobaltward/membership/xds/xdspb"
+	"cobaltward/discovery/xds/ads"
+	"cobaltward/discovery/xds/resource"
+	"cobaltward/discovery/xds/xdspb"
 
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
--- a/membership/xds/file.go
+++ b/discovery/xds/file.go
@@ -13,9 +13,9 @@
 	"sync"
 	"time"
 
-	"cobaltward/membership/xds/ads"
-	"cobaltward/membership/xds/resource"
-	"cobaltward/membership/xds/xdspb"
+	"cobaltward/discovery/xds/ads"
+	"cobaltward/discovery/xds/resource"
+	"cobaltward/discovery/xds/xdspb"
 	"cobaltward/router"
 
 	"google.golang.org/protobuf/encoding/protojson"
--- a/membership/xds/file_test.go
+++ b/discovery/xds/file_test.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"cobaltward/internal/testkit"
-	"cobaltward/membership/xds/resource"
-	"cobaltward/membership/xds/xdspb"
+	"cobaltward/discovery/xds/resource"
+	"cobaltward/discovery/xds/xdspb"
 	"cobaltward/router"
 
 	"google.golang.org/protobuf/encoding/protojson"
--- a/membership/xds/priority/priority.go
+++ b/discovery/xds/priority/priority.go
@@ -7,7 +7,7 @@
 // open servers is the module's to decide.
 package priority
 
-import "cobaltward/membership/xds/resource"
+import "cobaltward/discovery/xds/resource"
 
 // enough allows for rounding: 5 of 7 healthy at a factor of 1.4 are all that is asked for.
 const enough = 1 - 1e-9
--- a/membership/xds/priority/priority_test.go
+++ b/discovery/xds/priority/priority_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"cobaltward/membership/xds/resource"
+	"cobaltward/discovery/xds/resource"
 
 	"pgregory.net/rapid"
 )
--- a/membership/xds/resource/decode.go
+++ b/discovery/xds/resource/decode.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"net/netip"
 
-	"cobaltward/membership/xds/xdspb"
+	"cobaltward/discovery/xds/xdspb"
 
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
--- a/membership/xds/resource/resource.go
+++ b/discovery/xds/resource/resource.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"time"
 
-	"cobaltward/membership/xds/xdspb"
+	"cobaltward/discovery/xds/xdspb"
 
 	"google.golang.org/protobuf/proto"
 )
--- a/membership/xds/resource/resource_test.go
+++ b/discovery/xds/resource/resource_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"cobaltward/membership/xds/xdspb"
+	"cobaltward/discovery/xds/xdspb"
 
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
--- a/membership/xds/resource/secret.go
+++ b/discovery/xds/resource/secret.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"cobaltward/keys"
-	"cobaltward/membership/xds/xdspb"
+	"cobaltward/discovery/xds/xdspb"
 )
 
 // SecretURL names certificates and authorities that a control plane hands out.
--- a/membership/xds/scale_test.go
+++ b/discovery/xds/scale_test.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"cobaltward/internal/testkit"
-	"cobaltward/membership/xds/ads"
-	"cobaltward/membership/xds/resource"
-	"cobaltward/membership/xds/xdspb"
+	"cobaltward/discovery/xds/ads"
+	"cobaltward/discovery/xds/resource"
+	"cobaltward/discovery/xds/xdspb"
 	"cobaltward/policy"
 	"cobaltward/router"
 	"cobaltward/transport/http1"
--- a/membership/xds/script_test.go
+++ b/discovery/xds/script_test.go
@@ -17,7 +17,7 @@
 	"time"
 
 	"cobaltward/internal/testkit"
-	"cobaltward/membership/xds/standin"
+	"cobaltward/discovery/xds/standin"
 	"cobaltward/policy"
 	"cobaltward/router"
 	"cobaltward/transport/http1"
--- a/membership/xds/secret_test.go
+++ b/discovery/xds/secret_test.go
@@ -10,8 +10,8 @@
 	"cobaltward/internal/pki"
 	"cobaltward/internal/testkit"
 	"cobaltward/keys"
-	"cobaltward/membership/xds/resource"
-	"cobaltward/membership/xds/xdspb"
+	"cobaltward/discovery/xds/resource"
+	"cobaltward/discovery/xds/xdspb"
 	"cobaltward/router"
 )
 
--- a/membership/xds/book.go
+++ b/discovery/xds/snapshot.go
@@ -7,9 +7,9 @@
 
 	"cobaltward/drops"
 	"cobaltward/internal/pace"
-	"cobaltward/membership/xds/ads"
-	"cobaltward/membership/xds/priority"
-	"cobaltward/membership/xds/resource"
+	"cobaltward/discovery/xds/ads"
+	"cobaltward/discovery/xds/priority"
+	"cobaltward/discovery/xds/resource"
 	"cobaltward/policy"
 	"cobaltward/router"
 )
--- a/membership/xds/standin/script.go
+++ b/discovery/xds/standin/script.go
@@ -11,8 +11,8 @@
 	"strings"
 	"time"
 
-	"cobaltward/membership/xds/resource"
-	"cobaltward/membership/xds/xdspb"
+	"cobaltward/discovery/xds/resource"
+	"cobaltward/discovery/xds/xdspb"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/protobuf/proto"
--- a/membership/xds/standin/standin.go
+++ b/discovery/xds/standin/standin.go
@@ -12,8 +12,8 @@
 	"sync/atomic"
 	"time"
 
-	"cobaltward/membership/xds/resource"
-	"cobaltward/membership/xds/xdspb"
+	"cobaltward/discovery/xds/resource"
+	"cobaltward/discovery/xds/xdspb"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
--- a/membership/xds/xds.go
+++ b/discovery/xds/xds.go
@@ -16,9 +16,9 @@
 
 	"cobaltward/drops"
 	"cobaltward/keys"
-	"cobaltward/membership/xds/ads"
-	"cobaltward/membership/xds/resource"
-	"cobaltward/membership/xds/xdspb"
+	"cobaltward/discovery/xds/ads"
+	"cobaltward/discovery/xds/resource"
+	"cobaltward/discovery/xds/xdspb"
 	"cobaltward/router"
 
 	"google.golang.org/grpc"
--- a/membership/xds/xds_test.go
+++ b/discovery/xds/xds_test.go
@@ -18,9 +18,9 @@
 	"time"
 
 	"cobaltward/internal/testkit"
-	"cobaltward/membership/xds/resource"
-	"cobaltward/membership/xds/standin"
-	"cobaltward/membership/xds/xdspb"
+	"cobaltward/discovery/xds/resource"
+	"cobaltward/discovery/xds/standin"
+	"cobaltward/discovery/xds/xdspb"
 	"cobaltward/policy"
 	"cobaltward/router"
 	"cobaltward/transport/http1"
--- a/emulator/live/control/control.go
+++ b/emulator/live/control/control.go
@@ -11,8 +11,8 @@
 	"sync"
 
 	"cobaltward/emulator/live"
-	"cobaltward/membership/xds/standin"
-	"cobaltward/membership/xds/xdspb"
+	"cobaltward/discovery/xds/standin"
+	"cobaltward/discovery/xds/xdspb"
 )
 
 const cluster = "site"
--- a/examples/app/main.go
+++ b/examples/app/main.go
@@ -6,7 +6,7 @@
 //	curl 127.0.0.1:8080/
 //
 // Its one app server is a stand-in of its own. A real application would name its servers, or take them
-// from discovery with membership/registry.
+// from discovery with discovery/registry.
 package main
 
 import (
--- a/internal/cli/alone.go
+++ b/internal/cli/alone.go
@@ -11,8 +11,8 @@
 	"cobaltward/internal/node"
 	"cobaltward/internal/site"
 	"cobaltward/levels"
-	"cobaltward/membership/file"
-	"cobaltward/membership/registry"
+	"cobaltward/discovery/file"
+	"cobaltward/discovery/registry"
 	"cobaltward/router"
 )
 
--- a/internal/conformance/support_test.go
+++ b/internal/conformance/support_test.go
@@ -17,7 +17,7 @@
 
 	"cobaltward/internal/node"
 	"cobaltward/internal/testkit"
-	"cobaltward/membership/registry"
+	"cobaltward/discovery/registry"
 	"cobaltward/middleware"
 	"cobaltward/middleware/ginmw"
 	"cobaltward/router"
--- a/internal/crossings/end_test.go
+++ b/internal/crossings/end_test.go
@@ -14,7 +14,7 @@
 
 	"cobaltward/internal/node"
 	"cobaltward/internal/testkit"
-	"cobaltward/membership/registry"
+	"cobaltward/discovery/registry"
 )
 
 // ends are the deadlines, as settings of customers have them, under which a node is told to end.
--- a/internal/crossings/rig_test.go
+++ b/internal/crossings/rig_test.go
@@ -25,7 +25,7 @@
 	"cobaltward/internal/door"
 	"cobaltward/internal/node"
 	"cobaltward/internal/testkit"
-	"cobaltward/membership/registry"
+	"cobaltward/discovery/registry"
 	"cobaltward/policy"
 	"cobaltward/router"
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -19,7 +19,7 @@
 
 	"cobaltward/emulator/host"
 	"cobaltward/internal/node"
-	"cobaltward/membership/registry"
+	"cobaltward/discovery/registry"
 	"cobaltward/policy"
 	"cobaltward/router"
 )
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -17,7 +17,7 @@
 	"cobaltward/internal/fields"
 	"cobaltward/internal/wire"
 	"cobaltward/levels"
-	"cobaltward/membership/registry"
+	"cobaltward/discovery/registry"
 	"cobaltward/policy"
 	"cobaltward/router"
 )
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -10,7 +10,7 @@
 
 	"cobaltward/drain"
 	"cobaltward/internal/door"
-	"cobaltward/membership/hold"
+	"cobaltward/discovery/disabled"
 	"cobaltward/router"
 )
 
@@ -71,7 +71,7 @@
 type control struct {
 	name   string
 	engine *router.Router
-	hold   *hold.Source
+	hold   *disabled.Source
 	intake *intake
 	leave  time.Duration
 	tls    *secured           // nil: a node without
@@ -320,7 +320,7 @@
 // byHand drains or lifts one server, for this node alone.
 func (c *control) byHand(w http.ResponseWriter, r *http.Request, do func(id string) error) {
 	switch err := do(r.PathValue("id")); {
-	case errors.Is(err, hold.ErrUnknown):
+	case errors.Is(err, disabled.ErrUnknown):
 		door.Fail(w, http.StatusNotFound, err.Error())
 	case err != nil:
 		door.Fail(w, http.StatusConflict, err.Error())
--- a/internal/node/drains_test.go
+++ b/internal/node/drains_test.go
@@ -27,7 +27,7 @@
 	"cobaltward/emulator/judge"
 	"cobaltward/emulator/model"
 	"cobaltward/internal/door"
-	"cobaltward/membership/registry"
+	"cobaltward/discovery/registry"
 	"cobaltward/policy"
 	"cobaltward/router"
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,8 +18,8 @@
 	"cobaltward/handover"
 	"cobaltward/internal/console"
 	"cobaltward/internal/door"
-	"cobaltward/membership/hold"
-	"cobaltward/membership/registry"
+	"cobaltward/discovery/disabled"
+	"cobaltward/discovery/registry"
 	"cobaltward/middleware"
 	"cobaltward/router"
 	"cobaltward/transport/http1"
@@ -81,7 +81,7 @@
 			}
 		},
 	}
-	var held *hold.Source
+	var held *disabled.Source
 	safe, err := secureNode(c, func(id string, refused bool) { held.Refuse(id, refused) }, log)
 	if err != nil {
 		return err
@@ -108,7 +108,7 @@
 		defer way.Close()
 	}
 	if way != nil || safe.towards() != nil {
-		held = hold.New(membership)
+		held = disabled.New(membership)
 		held.Begin(c.Known.Members)
 		membership = held
 	}
--- a/internal/node/rotation_test.go
+++ b/internal/node/rotation_test.go
@@ -24,7 +24,7 @@
 	"cobaltward/internal/pki"
 	"cobaltward/internal/testkit"
 	"cobaltward/keys"
-	"cobaltward/membership/registry"
+	"cobaltward/discovery/registry"
 	"cobaltward/policy"
 	"cobaltward/router"
 	"cobaltward/transport/secure"
--- a/router/doc.go
+++ b/router/doc.go
@@ -5,7 +5,7 @@
 // A Router has three ports. Fronts hand requests in through Do (package middleware does so for
 // net/http). A Transport makes one attempt at one server and says how it ended, in policy.Codes
 // (package transport/http1 speaks the protocol's HTTP/1.1). A Membership tells of the servers (package
-// membership/registry asks wayhold's own discovery; Static holds a fixed list). Data flows one way:
+// discovery/registry asks wayhold's own discovery; Static holds a fixed list). Data flows one way:
 // front, engine, module, engine, transport; and membership, engine.
 //
 // One goroutine owns the module, the open requests and the timers. The package knows no HTTP, opens
--- a/tools/xdsbench/main.go
+++ b/tools/xdsbench/main.go
@@ -24,8 +24,8 @@
 	"syscall"
 	"time"
 
-	"cobaltward/membership/xds"
-	"cobaltward/membership/xds/xdspb"
+	"cobaltward/discovery/xds"
+	"cobaltward/discovery/xds/xdspb"
 	"cobaltward/policy"
 	"cobaltward/router"
 	"cobaltward/transport/http1"
