--- a/cmd/wayhold-xds/main.go
+++ b/cmd/wayhold-xds/main.go
@@ -8,14 +8,14 @@
 	"log/slog"
 	"os"
 
+	"cobaltward/discovery/merge"
+	"cobaltward/discovery/xds"
 	"cobaltward/emulator/live/control"
 	"cobaltward/emulator/report/page"
 	"cobaltward/internal/cli"
 	"cobaltward/internal/node"
 	"cobaltward/internal/operator"
 	"cobaltward/keys"
-	"cobaltward/discovery/merge"
-	"cobaltward/discovery/xds"
 	"cobaltward/router"
 
 	"github.com/spf13/cobra"
@@ -44,7 +44,7 @@
 		return source, nil
 	}
 	both := merge.New(own, source)
-	both.Begin(0, c.Known.Members)
+	both.SetInitial(0, c.Known.Endpoints)
 	return both, nil
 }
 
--- a/cmd/wayhold-xds/main_test.go
+++ b/cmd/wayhold-xds/main_test.go
@@ -14,12 +14,12 @@
 	"strings"
 	"testing"
 
+	"cobaltward/discovery/xds/standin"
+	"cobaltward/discovery/xds/xdspb"
 	"cobaltward/internal/cli"
 	"cobaltward/internal/node"
 	"cobaltward/internal/operator"
 	"cobaltward/internal/testkit"
-	"cobaltward/discovery/xds/standin"
-	"cobaltward/discovery/xds/xdspb"
 	"cobaltward/router"
 
 	"go.uber.org/goleak"
--- a/cmd/wayhold-xds/xds.go
+++ b/cmd/wayhold-xds/xds.go
@@ -15,9 +15,9 @@
 	"text/tabwriter"
 	"time"
 
-	"cobaltward/internal/operator"
 	"cobaltward/discovery/xds"
 	"cobaltward/discovery/xds/ads"
+	"cobaltward/internal/operator"
 	"cobaltward/policy"
 	"cobaltward/router"
 
--- a/discovery/disabled/disabled.go
+++ b/discovery/disabled/disabled.go
@@ -1,6 +1,6 @@
-// Package hold takes servers out for one node alone, whatever the list says of them: what an operator has asked
-// for stays until he lifts it, and a server that can't prove who it is stays out until it does. Source is a
-// router.Membership round another.
+// Package disabled takes servers out of service at one node alone, whatever the endpoint list says of them. A server
+// that an operator has disabled stays out until it is enabled; one that could not prove its identity stays out until
+// it can. Source wraps another endpoint source.
 package disabled
 
 import (
@@ -15,63 +15,73 @@
 	"cobaltward/router"
 )
 
-// Most is how many servers may be held out at once.
-const Most = 1000
+// MaxDisabled is how many servers may be disabled at once.
+const MaxDisabled = 1000
 
-// What Drain and Lift may be refused for.
+// Errors of Disable and Enable, which change nothing then.
 var (
-	ErrUnknown = errors.New("no such server in the list")
-	ErrMany    = fmt.Errorf("%d servers are drained by hand, and no more can be", Most)
-	ErrNot     = errors.New("the server is not drained by hand")
+	// ErrUnknownServer says that the endpoint list has no such server.
+	ErrUnknownServer = errors.New("no such server in the list")
+	// ErrTooManyDisabled says that MaxDisabled servers are disabled already.
+	ErrTooManyDisabled = fmt.Errorf("%d servers are drained by hand, and no more can be", MaxDisabled)
+	// ErrNotDisabled says that the server to be enabled is not disabled.
+	ErrNotDisabled = errors.New("the server is not drained by hand")
 )
 
-// Source is a membership. Its methods may be called at once from many goroutines.
+// Source publishes what the wrapped source does, with disabled and untrusted servers shown as draining. Its methods
+// are safe for concurrent use.
 type Source struct {
 	router.EndpointSource
 
-	mu      sync.Mutex
-	held    map[string]bool            // by hand
-	refused map[string]bool            // they can't prove who they are
-	members map[string]router.Endpoint // as the inner source says
-	wake    chan struct{}              // something is in pending
-	pending []string                   // servers whose state by hand has changed; each once
+	mu        sync.Mutex
+	disabled  map[string]bool            // by an operator
+	untrusted map[string]bool            // could not prove their identity
+	endpoints map[string]router.Endpoint // as the wrapped source has published them
+	pending   []string                   // ids whose state was changed here and is not published; each once
+	wake      chan struct{}              // holds a token while pending is not empty
 }
 
-// New returns a source that says what inner does, but for servers that are drained by hand.
-func New(inner router.EndpointSource) *Source {
-	return &Source{EndpointSource: inner, held: make(map[string]bool), refused: make(map[string]bool), members: make(map[string]router.Endpoint), wake: make(chan struct{}, 1)}
+// New returns a source that wraps another.
+func New(wrapped router.EndpointSource) *Source {
+	return &Source{
+		EndpointSource: wrapped,
+		disabled:       make(map[string]bool),
+		untrusted:      make(map[string]bool),
+		endpoints:      make(map[string]router.Endpoint),
+		wake:           make(chan struct{}, 1),
+	}
 }
 
-// Begin tells which servers the router knows from the start.
-func (s *Source) Begin(members []router.Endpoint) {
+// SetInitial says which endpoints the router knows before the wrapped source has published any.
+func (s *Source) SetInitial(endpoints []router.Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, m := range members {
-		s.members[m.ID] = m
+	for _, endpoint := range endpoints {
+		s.endpoints[endpoint.ID] = endpoint
 	}
 }
 
-// Run passes on what the inner source tells. All goes through this goroutine, so that news by hand and by the
-// list never overtake one another.
-func (s *Source) Run(ctx context.Context, tell func(router.EndpointUpdate)) {
-	news := make(chan router.EndpointUpdate)
-	var inner sync.WaitGroup
-	defer inner.Wait()
-	inner.Go(func() {
-		s.EndpointSource.Run(ctx, func(c router.EndpointUpdate) {
+// Run publishes the wrapped source's updates and changes made here until ctx ends. All of them are published by this
+// goroutine, in order; the one that runs the wrapped source has ended when Run returns.
+func (s *Source) Run(ctx context.Context, publish func(router.EndpointUpdate)) {
+	updates := make(chan router.EndpointUpdate)
+	var wrapped sync.WaitGroup
+	defer wrapped.Wait()
+	wrapped.Go(func() {
+		s.EndpointSource.Run(ctx, func(update router.EndpointUpdate) {
 			select {
-			case news <- c:
+			case updates <- update:
 			case <-ctx.Done():
 			}
 		})
 	})
 	for {
 		select {
-		case c := <-news:
-			tell(s.change(c))
+		case update := <-updates:
+			publish(s.applyUpdate(update))
 		case <-s.wake:
-			if c := s.byHand(); len(c.Endpoints) > 0 {
-				tell(c)
+			if update := s.pendingUpdate(); len(update.Endpoints) > 0 {
+				publish(update)
 			}
 		case <-ctx.Done():
 			return
@@ -79,132 +89,136 @@
 	}
 }
 
-// change notes what the list says, and puts what was asked for by hand over it.
-func (s *Source) change(c router.EndpointUpdate) router.EndpointUpdate {
-	if c.Kind == policy.ListUnavailable {
-		return c
+// applyUpdate remembers what the wrapped source says and returns it with the states set here laid over it.
+func (s *Source) applyUpdate(update router.EndpointUpdate) router.EndpointUpdate {
+	if update.Kind == policy.ListUnavailable {
+		return update
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.Kind != policy.ListUpdate {
-		clear(s.members)
+	if update.Kind != policy.ListUpdate {
+		clear(s.endpoints)
 	}
-	for _, m := range c.Endpoints {
-		if m.Availability == policy.Removed {
-			delete(s.members, m.ID)
+	for _, endpoint := range update.Endpoints {
+		if endpoint.Availability == policy.Removed {
+			delete(s.endpoints, endpoint.ID)
 		} else {
-			s.members[m.ID] = m
+			s.endpoints[endpoint.ID] = endpoint
 		}
 	}
-	if len(s.held)+len(s.refused) == 0 {
-		return c
+	if len(s.disabled)+len(s.untrusted) == 0 {
+		return update
 	}
-	c.Endpoints = slices.Clone(c.Endpoints) // only read by the router, and others may hold it
-	for i := range c.Endpoints {
-		c.Endpoints[i] = s.over(c.Endpoints[i])
+	update.Endpoints = slices.Clone(update.Endpoints) // others may hold the slice
+	for i := range update.Endpoints {
+		update.Endpoints[i] = s.override(update.Endpoints[i])
 	}
-	return c
+	return update
 }
 
-func (s *Source) over(m router.Endpoint) router.Endpoint {
-	if (s.held[m.ID] || s.refused[m.ID]) && m.Availability == policy.Running {
-		m.Availability = policy.Draining
+// override returns an endpoint in the state that the router shall see.
+func (s *Source) override(endpoint router.Endpoint) router.Endpoint {
+	if (s.disabled[endpoint.ID] || s.untrusted[endpoint.ID]) && endpoint.Availability == policy.Running {
+		endpoint.Availability = policy.Draining
 	}
-	return m
+	return endpoint
 }
 
-// byHand is the news of servers whose state by hand has changed.
-func (s *Source) byHand() router.EndpointUpdate {
+// pendingUpdate is the update for the endpoints whose state was changed here since the last one.
+func (s *Source) pendingUpdate() router.EndpointUpdate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := router.EndpointUpdate{Kind: policy.ListUpdate}
+	update := router.EndpointUpdate{Kind: policy.ListUpdate}
 	for _, id := range s.pending {
-		if m, ok := s.members[id]; ok {
-			c.Endpoints = append(c.Endpoints, s.over(m))
+		if endpoint, ok := s.endpoints[id]; ok {
+			update.Endpoints = append(update.Endpoints, s.override(endpoint))
 		}
 	}
 	s.pending = nil
-	return c
+	return update
 }
 
-// Drain has the server get nothing new, until Lift.
-func (s *Source) Drain(id string) error {
+// Disable takes a server out of service until Enable. Disabling it again changes nothing.
+func (s *Source) Disable(id string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch _, known := s.members[id]; {
-	case s.held[id]:
+	if s.disabled[id] {
 		return nil
-	case !known:
-		return ErrUnknown
-	case len(s.held) >= Most:
-		return ErrMany
 	}
-	s.held[id] = true
-	s.changed(id)
+	if _, known := s.endpoints[id]; !known {
+		return ErrUnknownServer
+	}
+	if len(s.disabled) >= MaxDisabled {
+		return ErrTooManyDisabled
+	}
+	s.disabled[id] = true
+	s.enqueue(id)
 	return nil
 }
 
-// Lift takes Drain back. The server gets what the list says.
-func (s *Source) Lift(id string) error {
+// Enable takes Disable back: the server is in the state that the endpoint list says.
+func (s *Source) Enable(id string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.held[id] {
-		return ErrNot
+	if !s.disabled[id] {
+		return ErrNotDisabled
 	}
-	delete(s.held, id)
-	s.changed(id)
+	delete(s.disabled, id)
+	s.enqueue(id)
 	return nil
 }
 
-func (s *Source) changed(id string) {
+// SetUntrusted takes a server that could not prove its identity out of service, or takes that back. It does not
+// block.
+func (s *Source) SetUntrusted(id string, untrusted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if untrusted {
+		s.untrusted[id] = true
+	} else {
+		delete(s.untrusted, id)
+	}
+	s.enqueue(id)
+}
+
+// enqueue has Run publish the state of an endpoint. The caller holds mu.
+func (s *Source) enqueue(id string) {
 	if !slices.Contains(s.pending, id) {
 		s.pending = append(s.pending, id)
 	}
 	select {
 	case s.wake <- struct{}{}:
-	default:
-	}
-}
-
-// Refuse has a server get nothing new while it can't prove who it is, and takes that back. It waits for nobody.
-func (s *Source) Refuse(id string, refused bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if refused {
-		s.refused[id] = true
-	} else {
-		delete(s.refused, id)
+	default: // Run has not taken the last token yet
 	}
-	s.changed(id)
 }
 
-// Refused is the servers that can't prove who they are, in order.
-func (s *Source) Refused() []string {
+// Untrusted is the ids of the servers that could not prove their identity, sorted.
+func (s *Source) Untrusted() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Sorted(maps.Keys(s.refused))
+	return slices.Sorted(maps.Keys(s.untrusted))
 }
 
-// Zones is the servers of the list by zone, each zone's in order.
-func (s *Source) Zones() map[string][]string {
+// Disabled is the ids of the servers that operators have disabled, sorted; never nil.
+func (s *Source) Disabled() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	all := make(map[string][]string)
-	for _, id := range slices.Sorted(maps.Keys(s.members)) {
-		zone := s.members[id].Zone
-		all[zone] = append(all[zone], id)
+	ids := make([]string, 0, len(s.disabled))
+	for id := range s.disabled {
+		ids = append(ids, id)
 	}
-	return all
+	slices.Sort(ids)
+	return ids
 }
 
-// Held is the servers that are drained by hand, in order.
-func (s *Source) Held() []string {
+// ServersByZone is the ids of all listed servers by zone, each zone's sorted.
+func (s *Source) ServersByZone() map[string][]string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	all := make([]string, 0, len(s.held))
-	for id := range s.held {
-		all = append(all, id)
+	byZone := make(map[string][]string)
+	for _, id := range slices.Sorted(maps.Keys(s.endpoints)) {
+		zone := s.endpoints[id].Zone
+		byZone[zone] = append(byZone[zone], id)
 	}
-	slices.Sort(all)
-	return all
+	return byZone
 }
--- a/discovery/disabled/disabled_test.go
+++ b/discovery/disabled/disabled_test.go
@@ -15,94 +15,142 @@
 	"pgregory.net/rapid"
 )
 
-type told struct{ news chan router.EndpointUpdate }
+// listSource publishes what the test hands it.
+type listSource struct{ updates chan router.EndpointUpdate }
 
-func (s *told) Run(ctx context.Context, tell func(router.EndpointUpdate)) {
+func (s *listSource) Run(ctx context.Context, publish func(router.EndpointUpdate)) {
 	for {
 		select {
-		case c := <-s.news:
-			tell(c)
+		case update := <-s.updates:
+			publish(update)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (s *told) SetPolling(bool) {}
+func (s *listSource) SetPolling(bool) {}
 
-// Whatever the list says and the operator asks for, in any order: the router holds each server in the state of the
-// list, but for those that are drained by hand, which get nothing new.
-func TestModel(t *testing.T) {
+// routerView keeps the state of each endpoint as the router would.
+type routerView struct {
+	mu     sync.Mutex
+	states map[string]policy.Availability
+}
+
+func (v *routerView) apply(update router.EndpointUpdate) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if update.Kind != policy.ListUpdate {
+		clear(v.states)
+	}
+	for _, endpoint := range update.Endpoints {
+		if endpoint.Availability == policy.Removed {
+			delete(v.states, endpoint.ID)
+		} else {
+			v.states[endpoint.ID] = endpoint.Availability
+		}
+	}
+}
+
+func (v *routerView) equal(want map[string]policy.Availability) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return maps.Equal(v.states, want)
+}
+
+// await waits until the router's view is as wanted.
+func (v *routerView) await(t *rapid.T, want map[string]policy.Availability) {
+	const patience = 10 * time.Second
+	for end := time.Now().Add(patience); !v.equal(want); time.Sleep(50 * time.Microsecond) {
+		if time.Now().After(end) {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			t.Fatalf("the router holds %v, want %v", v.states, want)
+		}
+	}
+}
+
+// model is what a source has to do: the list, and what is disabled.
+type model struct {
+	list     map[string]policy.Availability
+	disabled map[string]bool
+}
+
+// published is what the router has to see.
+func (m *model) published() map[string]policy.Availability {
+	want := maps.Clone(m.list)
+	for id := range want {
+		if m.disabled[id] {
+			want[id] = policy.Draining
+		}
+	}
+	return want
+}
+
+func (m *model) disable(t *rapid.T, source *Source, id string) {
+	err := source.Disable(id)
+	_, known := m.list[id]
+	if !known && !m.disabled[id] != errors.Is(err, ErrUnknownServer) || known && err != nil {
+		t.Fatalf("disable %s: %v", id, err)
+	}
+	m.disabled[id] = m.disabled[id] || err == nil
+}
+
+func (m *model) enable(t *rapid.T, source *Source, id string) {
+	err := source.Enable(id)
+	if m.disabled[id] != (err == nil) {
+		t.Fatalf("enable %s: %v", id, err)
+	}
+	delete(m.disabled, id)
+}
+
+// publish has the list say something of an endpoint.
+func (m *model) publish(t *rapid.T, list *listSource, id string) {
+	state := policy.Availability(rapid.IntRange(0, 2).Draw(t, "state"))
+	kind := policy.ListUpdate
+	if rapid.IntRange(0, 4).Draw(t, "whole") == 0 {
+		kind, state = policy.ListReplace, policy.Running
+		clear(m.list)
+	}
+	list.updates <- router.EndpointUpdate{
+		Kind:      kind,
+		Endpoints: []router.Endpoint{{ID: id, Availability: state}},
+	}
+	m.list[id] = state
+	if state == policy.Removed {
+		delete(m.list, id)
+	}
+	// The source takes its updates in turn: once it has this one, it has applied the one before.
+	list.updates <- router.EndpointUpdate{Kind: policy.ListUpdate}
+}
+
+// TestSource_MatchesModel holds a source against a model: whatever the list says and operators ask for, in any order,
+// the router sees each endpoint in the state of the list, except for disabled ones, which it sees draining.
+func TestSource_MatchesModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		inner := &told{make(chan router.EndpointUpdate)}
-		s := New(inner)
-		var mu sync.Mutex
-		holds, list, held := map[string]policy.Availability{}, map[string]policy.Availability{}, map[string]bool{}
+		list := &listSource{make(chan router.EndpointUpdate)}
+		source := New(list)
+		view := &routerView{states: make(map[string]policy.Availability)}
+		want := &model{list: make(map[string]policy.Availability), disabled: make(map[string]bool)}
 		done := make(chan struct{})
 		defer func() { cancel(); <-done }()
 		go func() {
 			defer close(done)
-			s.Run(ctx, func(c router.EndpointUpdate) {
-				mu.Lock()
-				defer mu.Unlock()
-				if c.Kind != policy.ListUpdate {
-					clear(holds)
-				}
-				for _, m := range c.Endpoints {
-					if m.Availability == policy.Removed {
-						delete(holds, m.ID)
-					} else {
-						holds[m.ID] = m.Availability
-					}
-				}
-			})
+			source.Run(ctx, view.apply)
 		}()
-		inner.news <- router.EndpointUpdate{Kind: policy.ListReplace}
+		list.updates <- router.EndpointUpdate{Kind: policy.ListReplace}
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			id := fmt.Sprint("s", rapid.IntRange(0, 4).Draw(t, "server"))
 			switch rapid.IntRange(0, 3).Draw(t, "what") {
 			case 0:
-				err := s.Drain(id)
-				if _, known := list[id]; !known && !held[id] != errors.Is(err, ErrUnknown) || known && err != nil {
-					t.Fatalf("drain %s: %v", id, err)
-				}
-				held[id] = held[id] || err == nil
+				want.disable(t, source, id)
 			case 1:
-				if err := s.Lift(id); held[id] != (err == nil) {
-					t.Fatalf("lift %s: %v", id, err)
-				}
-				delete(held, id)
+				want.enable(t, source, id)
 			default:
-				state := policy.Availability(rapid.IntRange(0, 2).Draw(t, "state"))
-				kind := policy.ListUpdate
-				if rapid.IntRange(0, 4).Draw(t, "whole") == 0 {
-					kind, state = policy.ListReplace, policy.Running
-					clear(list)
-				}
-				inner.news <- router.EndpointUpdate{Kind: kind, Endpoints: []router.Endpoint{{ID: id, Availability: state}}}
-				if list[id] = state; state == policy.Removed {
-					delete(list, id)
-				}
-				// What comes next finds this in place: the source takes its news in turn.
-				inner.news <- router.EndpointUpdate{Kind: policy.ListUpdate}
-			}
-			want := maps.Clone(list)
-			for id := range want {
-				if held[id] {
-					want[id] = policy.Draining
-				}
-			}
-			same := func() bool {
-				mu.Lock()
-				defer mu.Unlock()
-				return maps.Equal(holds, want)
-			}
-			for end := time.Now().Add(10 * time.Second); !same(); time.Sleep(50 * time.Microsecond) {
-				if time.Now().After(end) {
-					t.Fatalf("the router holds %v, want %v (by hand: %v)", holds, want, held)
-				}
+				want.publish(t, list, id)
 			}
+			view.await(t, want.published())
 		}
 	})
 }
--- /dev/null
+++ b/discovery/discovery_test.go
@@ -0,0 +1,44 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+
+	"cobaltward/policy"
+	"cobaltward/router"
+)
+
+// TestEqual_EveryField changes each field of an endpoint in turn.
+func TestEqual_EveryField(t *testing.T) {
+	started := time.UnixMilli(5000)
+	base := func() router.Endpoint {
+		return router.Endpoint{
+			ID: "s1", Addr: "127.0.0.1:9", Pools: []string{"rooms"}, Zone: "a", Kind: "big", Cell: 1, Weight: 2,
+			Started: started, Availability: policy.Running,
+		}
+	}
+	same := base()
+	same.Started = started.UTC()
+	if !Equal(base(), same) {
+		t.Error("the same instant in another time zone makes a difference")
+	}
+	for name, change := range map[string]func(*router.Endpoint){
+		"id":           func(e *router.Endpoint) { e.ID = "s2" },
+		"address":      func(e *router.Endpoint) { e.Addr = "127.0.0.1:10" },
+		"pools":        func(e *router.Endpoint) { e.Pools = []string{"rooms", "mail"} },
+		"zone":         func(e *router.Endpoint) { e.Zone = "b" },
+		"kind":         func(e *router.Endpoint) { e.Kind = "small" },
+		"cell":         func(e *router.Endpoint) { e.Cell = 2 },
+		"weight":       func(e *router.Endpoint) { e.Weight = 1 },
+		"start":        func(e *router.Endpoint) { e.Started = started.Add(time.Millisecond) },
+		"availability": func(e *router.Endpoint) { e.Availability = policy.Draining },
+	} {
+		t.Run(name, func(t *testing.T) {
+			other := base()
+			change(&other)
+			if Equal(base(), other) {
+				t.Error("a changed field makes no difference")
+			}
+		})
+	}
+}
--- a/discovery/file/file.go
+++ b/discovery/file/file.go
@@ -1,5 +1,4 @@
-// Package file is a list of servers that is read from a file, and read again where it has changed. Source is a
-// router.Membership.
+// Package file is an endpoint source that reads its list from a file and reads it again whenever the file changes.
 package file
 
 import (
@@ -13,96 +12,103 @@
 	"cobaltward/router"
 )
 
-// Read reads the whole list.
-type Read func() ([]router.Endpoint, error)
+// ReadFunc reads the whole list of endpoints. An error keeps the list that is in force.
+type ReadFunc func() ([]router.Endpoint, error)
 
-// lookEvery is how often the file is looked at: a drain in it is obeyed that much later.
-const lookEvery = 200 * time.Millisecond
+// pollInterval is how often the file is checked. A drain written to the file takes effect that much later.
+const pollInterval = 200 * time.Millisecond
 
-// Source is a list. Its methods may be called at once from many goroutines.
+// Source publishes the list of a file. Its methods are safe for concurrent use.
 type Source struct {
-	path string // empty: nothing is watched
-	log  *slog.Logger
-	wake chan struct{}
+	path   string // empty: no file is watched
+	log    *slog.Logger
+	reload chan struct{} // holds one pending Reload
 
 	mu   sync.Mutex
-	read Read
+	read ReadFunc
 }
 
-// New returns a source that begins with nothing: what read returns first is in force from Run on. path is the file
-// that is watched; empty: the list is read at Again alone.
-func New(path string, read Read, log *slog.Logger) *Source {
-	return &Source{path: path, read: read, log: log, wake: make(chan struct{}, 1)}
+var _ router.EndpointSource = (*Source)(nil)
+
+// New returns a source with an empty list. What read returns first takes effect once Run is called. path is the file
+// to watch; where it is empty, the list is read again by Reload alone.
+func New(path string, read ReadFunc, log *slog.Logger) *Source {
+	return &Source{path: path, read: read, log: log, reload: make(chan struct{}, 1)}
 }
 
-// Again has the list read anew, by another function if read is not nil.
-func (s *Source) Again(read Read) {
+// Reload reads the list again, whether or not the file has changed. A read that is not nil replaces the function
+// that reads it. Reload does not wait for the list to be read.
+func (s *Source) Reload(read ReadFunc) {
 	s.mu.Lock()
 	if read != nil {
 		s.read = read
 	}
 	s.mu.Unlock()
 	select {
-	case s.wake <- struct{}{}:
-	default:
+	case s.reload <- struct{}{}:
+	default: // one is pending already, and will use the new function
 	}
 }
 
-// SetPolling has nothing to ask: what the file says is told as it changes.
+// SetPolling does nothing: changes of a file are published without being asked for.
 func (s *Source) SetPolling(bool) {}
 
-// Run tells of the list until ctx ends. A file that can't be read changes nothing, and is told of once.
-func (s *Source) Run(ctx context.Context, tell func(router.EndpointUpdate)) {
-	tick := time.NewTicker(lookEvery)
-	defer tick.Stop()
-	var seen stamp
-	for first := true; ; first = false {
-		now := s.stamp()
-		if first || now != seen {
-			seen = now
-			s.tell(tell)
-		}
+// Run publishes the list, and each change of it, until ctx ends. A file that can't be read keeps the last list; the
+// failure is reported once for each state of the file.
+func (s *Source) Run(ctx context.Context, publish func(router.EndpointUpdate)) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	seen := s.currentStamp()
+	s.publish(publish)
+	for {
 		select {
-		case <-tick.C:
-		case <-s.wake:
-			seen = stamp{} // read it, changed or not
+		case <-ticker.C:
+			if now := s.currentStamp(); now != seen {
+				seen = now
+				s.publish(publish)
+			}
+		case <-s.reload:
+			seen = s.currentStamp()
+			s.publish(publish)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (s *Source) tell(tell func(router.EndpointUpdate)) {
+// publish reads the list and passes it on.
+func (s *Source) publish(publish func(router.EndpointUpdate)) {
 	s.mu.Lock()
 	read := s.read
 	s.mu.Unlock()
-	members, err := read()
+	endpoints, err := read()
 	if err != nil {
 		s.log.Error("servers: keeping the last list", "err", err)
-		tell(router.EndpointUpdate{Kind: policy.ListUnavailable})
+		publish(router.EndpointUpdate{Kind: policy.ListUnavailable})
 		return
 	}
-	if len(members) == 0 {
+	if len(endpoints) == 0 {
 		s.log.Warn("servers: the list is empty")
 	}
-	tell(router.EndpointUpdate{Kind: policy.ListReplace, Endpoints: members})
+	publish(router.EndpointUpdate{Kind: policy.ListReplace, Endpoints: endpoints})
 }
 
-// stamp tells one state of the file from another.
-type stamp struct {
-	there bool
-	size  int64
-	mod   time.Time
-	n     any // the file itself: one that is renamed into its place is another
+// fileStamp distinguishes one state of the file from another.
+type fileStamp struct {
+	exists   bool
+	size     int64 // bytes
+	modified time.Time
+	inode    any // a file that was renamed into place has another one
 }
 
-func (s *Source) stamp() stamp {
+// currentStamp is the state of the watched file.
+func (s *Source) currentStamp() fileStamp {
 	if s.path == "" {
-		return stamp{there: true}
+		return fileStamp{exists: true}
 	}
 	info, err := os.Stat(s.path)
 	if err != nil {
-		return stamp{size: -1}
+		return fileStamp{}
 	}
-	return stamp{there: true, size: info.Size(), mod: info.ModTime(), n: fileID(info)}
+	return fileStamp{exists: true, size: info.Size(), modified: info.ModTime(), inode: inodeOf(info)}
 }
--- a/discovery/file/file_test.go
+++ b/discovery/file/file_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"os"
 	"path/filepath"
@@ -19,9 +18,9 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// The list is told at the start, at each change, and at Again; a file that is gone or makes no sense changes
-// nothing, and what comes after it is told.
-func TestSource(t *testing.T) {
+// The list is published at the start, at each change, and at Reload; a file that is missing or malformed changes
+// nothing, and what follows it is published.
+func TestSource_PublishesChanges(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "servers")
 	put := func(text string) {
 		if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
@@ -31,8 +30,13 @@
 			t.Fatal(err)
 		}
 	}
+	remove := func() {
+		if err := os.Remove(path); err != nil {
+			t.Fatal(err)
+		}
+	}
 	put("a b")
-	s := New(path, func() (all []router.Endpoint, err error) {
+	source := New(path, func() (all []router.Endpoint, err error) {
 		raw, err := os.ReadFile(path)
 		for _, id := range strings.Fields(string(raw)) {
 			if id == "!" {
@@ -42,22 +46,7 @@
 		}
 		return all, err
 	}, slog.New(slog.DiscardHandler))
-	ctx, cancel := context.WithCancel(t.Context())
-	told, done := make(chan string, 10), make(chan struct{})
-	go func() {
-		defer close(done)
-		s.Run(ctx, func(c router.EndpointUpdate) {
-			if c.Kind == policy.ListUnavailable {
-				told <- "unavailable"
-				return
-			}
-			text := ""
-			for _, m := range c.Endpoints {
-				text += m.ID
-			}
-			told <- fmt.Sprint(text)
-		})
-	}()
+	published := run(t, source)
 	for _, step := range []struct {
 		do   func()
 		want string
@@ -66,17 +55,42 @@
 		{func() { put("a c") }, "ac"},
 		{func() { put("a !") }, "unavailable"},
 		{func() { put("c") }, "c"},
-		{func() { os.Remove(path) }, "unavailable"},
+		{remove, "unavailable"},
 		{func() { put("c") }, "c"},
-		{func() { s.Again(nil) }, "c"},
+		{func() { source.Reload(nil) }, "c"},
 		{func() { put("") }, ""},
-		{func() { s.Again(func() ([]router.Endpoint, error) { return []router.Endpoint{{ID: "z"}}, nil }) }, "z"},
+		{func() { source.Reload(func() ([]router.Endpoint, error) { return []router.Endpoint{{ID: "z"}}, nil }) }, "z"},
 	} {
 		step.do()
-		if got := testkit.Receive(t, "news", told); got != step.want {
-			t.Fatalf("told %q, want %q", got, step.want)
+		if got := testkit.Receive(t, "an update", published); got != step.want {
+			t.Fatalf("published %q, want %q", got, step.want)
 		}
 	}
-	cancel()
-	<-done
+}
+
+// run runs a source until the test's end, and returns what it publishes: the ids of the list put together, or
+// "unavailable".
+func run(t *testing.T, source *Source) <-chan string {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	published, done := make(chan string, 10), make(chan struct{})
+	go func() {
+		defer close(done)
+		source.Run(ctx, func(update router.EndpointUpdate) {
+			if update.Kind == policy.ListUnavailable {
+				published <- "unavailable"
+				return
+			}
+			var ids strings.Builder
+			for _, endpoint := range update.Endpoints {
+				ids.WriteString(endpoint.ID)
+			}
+			published <- ids.String()
+		})
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return published
 }
--- a/discovery/merge/merge.go
+++ b/discovery/merge/merge.go
@@ -1,7 +1,7 @@
-// Package merge makes one router.Membership of several. A server is known by its address: where two
-// sources list it, it is one server under the id of the first that does. One that any source drains, or
-// has listed and taken away, gets nothing new: whoever is ahead of the others is right about that. What
-// a source says of a later process at the address begins anew.
+// Package merge makes one endpoint source of several. A server is identified by its address: where two sources list
+// it, it is one server under the id that the first of them gives it. A server that any source drains, or has listed
+// and removed, gets no new work, since the source that is ahead of the others is right about that. What a source says
+// of a later process at the same address replaces what was said of the earlier one.
 package merge
 
 import (
@@ -9,185 +9,155 @@
 	"slices"
 	"strings"
 	"sync"
-	"time"
 
+	"cobaltward/discovery"
 	"cobaltward/drops"
 	"cobaltward/policy"
 	"cobaltward/router"
 )
 
-// Source is several memberships as one.
+// Source merges several endpoint sources. Its methods are safe for concurrent use.
 type Source struct {
 	sources []router.EndpointSource
 
-	mu      sync.Mutex
-	servers map[string]*server  // by address
-	ids     []map[string]string // by source: the address of each id that it lists
-	drops   []drops.Parts       // by source
-}
-
-// server is what the sources say of the one at an address.
-type server struct {
-	said []router.Endpoint // by source; State Removed where it has taken it away
-	has  []bool            // whether the source has said anything
-	told router.Endpoint   // as the router knows it
-	is   bool              // it was told
+	mu        sync.Mutex
+	servers   map[string]*mergedServer // by address
+	addresses []map[string]string      // by source: the address of each id that it lists
+	drops     []drops.Parts            // by source
 }
 
 var _ router.EndpointSource = (*Source)(nil)
 
-// New merges sources, the first of which names the servers that several list.
+// New merges sources. The first of them that lists a server names it.
 func New(sources ...router.EndpointSource) *Source {
-	s := &Source{sources: sources, servers: make(map[string]*server), drops: make([]drops.Parts, len(sources))}
+	s := &Source{
+		sources: sources,
+		servers: make(map[string]*mergedServer),
+		drops:   make([]drops.Parts, len(sources)),
+	}
 	for range sources {
-		s.ids = append(s.ids, make(map[string]string))
+		s.addresses = append(s.addresses, make(map[string]string))
 	}
 	return s
 }
 
-// SetPolling passes the wish on to every source.
+// SetPolling passes the router's wish on to every source.
 func (s *Source) SetPolling(on bool) {
-	for _, m := range s.sources {
-		m.SetPolling(on)
+	for _, source := range s.sources {
+		source.SetPolling(on)
 	}
 }
 
-// Begin takes over the list that the router begins with, as if the source of that number had told it.
-func (s *Source) Begin(source int, members []router.Endpoint) {
-	s.learn(source, router.EndpointUpdate{Kind: policy.ListReplace, Endpoints: members}, func(router.EndpointUpdate) {})
+// SetInitial takes the list that the router starts with as one that the source with this index has published.
+func (s *Source) SetInitial(source int, endpoints []router.Endpoint) {
+	update := router.EndpointUpdate{Kind: policy.ListReplace, Endpoints: endpoints}
+	s.apply(source, update, func(router.EndpointUpdate) {})
 }
 
-// Run follows all sources until ctx ends.
-func (s *Source) Run(ctx context.Context, tell func(router.EndpointUpdate)) {
-	var all sync.WaitGroup
-	for i, m := range s.sources {
-		all.Go(func() { m.Run(ctx, func(c router.EndpointUpdate) { s.learn(i, c, tell) }) })
+// Run runs all sources, each in a goroutine of its own, and returns when ctx has ended and all of them have.
+func (s *Source) Run(ctx context.Context, publish func(router.EndpointUpdate)) {
+	var running sync.WaitGroup
+	for i, source := range s.sources {
+		running.Go(func() {
+			source.Run(ctx, func(update router.EndpointUpdate) { s.apply(i, update, publish) })
+		})
 	}
-	all.Wait()
+	running.Wait()
 }
 
-// learn takes over what a source tells, and tells what comes of it. Changes are told in the order in
-// which they were learnt, so the lock is held while telling: it guards nothing else.
-func (s *Source) learn(source int, c router.EndpointUpdate, tell func(router.EndpointUpdate)) {
+// apply takes over an update of one source and publishes what follows from it. Updates are published in the order in
+// which they were applied, so the lock is held meanwhile; it guards nothing else.
+func (s *Source) apply(source int, update router.EndpointUpdate, publish func(router.EndpointUpdate)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.Kind == policy.ListUnavailable {
-		tell(c)
+	if update.Kind == policy.ListUnavailable {
+		publish(update)
 		return
 	}
-	touched := make(map[string]bool)
-	if c.Kind != policy.ListUpdate { // what a whole list lacks is gone
-		listed := make(map[string]bool, len(c.Endpoints))
-		for _, m := range c.Endpoints {
-			listed[m.Addr] = true
-		}
-		for addr, v := range s.servers {
-			if v.has[source] && v.said[source].Availability != policy.Removed && !listed[addr] {
-				s.takeAway(source, addr, touched)
-			}
-		}
+	touched := make(map[string]bool) // addresses
+	if update.Kind != policy.ListUpdate {
+		s.removeUnlisted(source, update.Endpoints, touched)
 	}
-	for _, m := range c.Endpoints {
-		addr := m.Addr
-		if old, had := s.ids[source][m.ID]; had && (m.Availability == policy.Removed || old != addr) { // gone, or moved
-			s.takeAway(source, old, touched)
-		}
-		if m.Availability == policy.Removed {
-			continue
-		}
-		s.ids[source][m.ID] = addr
-		v := s.servers[addr]
-		if v == nil {
-			v = &server{said: make([]router.Endpoint, len(s.sources)), has: make([]bool, len(s.sources))}
-			s.servers[addr] = v
+	for _, endpoint := range update.Endpoints {
+		s.applyEndpoint(source, endpoint, touched)
+	}
+	merged := router.EndpointUpdate{Kind: policy.ListUpdate, Endpoints: s.changes(touched)}
+	if update.Drops != nil {
+		s.drops[source] = update.Drops
+		merged.Drops = drops.Join(s.drops...)
+	}
+	if len(merged.Endpoints) > 0 || merged.Drops != nil {
+		publish(merged)
+	}
+}
+
+// removeUnlisted removes what a source has listed so far and its new whole list lacks.
+func (s *Source) removeUnlisted(source int, endpoints []router.Endpoint, touched map[string]bool) {
+	listed := make(map[string]bool, len(endpoints))
+	for _, endpoint := range endpoints {
+		listed[endpoint.Addr] = true
+	}
+	for addr, server := range s.servers {
+		report := &server.reports[source]
+		if report.known && report.endpoint.Availability != policy.Removed && !listed[addr] {
+			s.markRemoved(source, addr, touched)
 		}
-		v.said[source], v.has[source] = m, true
-		touched[addr] = true
 	}
-	out := router.EndpointUpdate{Kind: policy.ListUpdate, Endpoints: s.settle(touched)}
-	if c.Drops != nil {
-		s.drops[source] = c.Drops
-		out.Drops = drops.Join(s.drops...)
+}
+
+// applyEndpoint takes over what a source says of one endpoint.
+func (s *Source) applyEndpoint(source int, endpoint router.Endpoint, touched map[string]bool) {
+	removed := endpoint.Availability == policy.Removed
+	former, had := s.addresses[source][endpoint.ID]
+	if had && (removed || former != endpoint.Addr) { // gone, or at another address now
+		s.markRemoved(source, former, touched)
 	}
-	if len(out.Endpoints) > 0 || out.Drops != nil {
-		tell(out)
+	if removed {
+		return
+	}
+	s.addresses[source][endpoint.ID] = endpoint.Addr
+	server := s.servers[endpoint.Addr]
+	if server == nil {
+		server = &mergedServer{reports: make([]sourceReport, len(s.sources))}
+		s.servers[endpoint.Addr] = server
 	}
+	server.reports[source] = sourceReport{known: true, endpoint: endpoint}
+	touched[endpoint.Addr] = true
 }
 
-// takeAway notes that a source lists the server at an address no more.
-func (s *Source) takeAway(source int, addr string, touched map[string]bool) {
-	said := &s.servers[addr].said[source]
-	said.Availability = policy.Removed
-	if s.ids[source][said.ID] == addr {
-		delete(s.ids[source], said.ID)
+// markRemoved notes that a source no longer lists the server at an address.
+func (s *Source) markRemoved(source int, addr string, touched map[string]bool) {
+	endpoint := &s.servers[addr].reports[source].endpoint
+	endpoint.Availability = policy.Removed
+	if s.addresses[source][endpoint.ID] == addr {
+		delete(s.addresses[source], endpoint.ID)
 	}
 	touched[addr] = true
 }
 
-// settle works out what is to be told of the servers at the addresses. Those that are gone come first:
-// another may bear an id by now.
-func (s *Source) settle(touched map[string]bool) []router.Endpoint {
-	var gone, rest []router.Endpoint
+// changes is what has to be published of the servers at the touched addresses. Removals come first, since another
+// server may have taken over an id.
+func (s *Source) changes(touched map[string]bool) []router.Endpoint {
+	var removals, others []router.Endpoint
 	for addr := range touched {
-		v := s.servers[addr]
-		m, ok := v.merged()
-		if v.is && (!ok || m.ID != v.told.ID) {
-			old := v.told
-			old.Availability = policy.Removed
-			gone = append(gone, old)
-			v.is = false
+		server := s.servers[addr]
+		endpoint, listed := server.merge()
+		if server.isPublished && (!listed || endpoint.ID != server.published.ID) {
+			former := server.published
+			former.Availability = policy.Removed
+			removals = append(removals, former)
+			server.isPublished = false
 		}
 		switch {
-		case !ok:
+		case !listed:
 			delete(s.servers, addr)
-		case !v.is || !equal(m, v.told):
-			rest = append(rest, m)
-			v.told, v.is = m, true
+		case !server.isPublished || !discovery.Equal(server.published, endpoint):
+			others = append(others, endpoint)
+			server.published, server.isPublished = endpoint, true
 		}
 	}
 	byID := func(a, b router.Endpoint) int { return strings.Compare(a.ID, b.ID) }
-	slices.SortFunc(gone, byID)
-	slices.SortFunc(rest, byID)
-	return append(gone, rest...)
-}
-
-// merged is what the sources together say; false where none lists it any more.
-func (v *server) merged() (m router.Endpoint, ok bool) {
-	var latest time.Time
-	for i, said := range v.said {
-		if v.has[i] && said.Availability != policy.Removed && said.Started.After(latest) {
-			latest = said.Started
-		}
-	}
-	drains := false
-	var pools []string
-	for i, said := range v.said {
-		switch {
-		case !v.has[i] || said.Started.Before(latest): // of a former process
-			continue
-		case said.Availability == policy.Removed:
-			drains = true
-			continue
-		case said.Availability == policy.Draining:
-			drains = true
-		}
-		if !ok {
-			m, ok = said, true
-		}
-		pools = append(pools, said.Pools...)
-	}
-	if !ok {
-		return m, false
-	}
-	slices.Sort(pools)
-	m.Pools, m.Started, m.Availability = slices.Compact(pools), latest, policy.Running
-	if drains {
-		m.Availability = policy.Draining
-	}
-	return m, true
-}
-
-func equal(a, b router.Endpoint) bool {
-	return a.ID == b.ID && a.Addr == b.Addr && a.Zone == b.Zone && a.Kind == b.Kind && a.Cell == b.Cell && a.Weight == b.Weight &&
-		a.Started.Equal(b.Started) && a.Availability == b.Availability && slices.Equal(a.Pools, b.Pools)
+	slices.SortFunc(removals, byID)
+	slices.SortFunc(others, byID)
+	return append(removals, others...)
 }
--- /dev/null
+++ b/discovery/registry/list.go
@@ -0,0 +1,97 @@
+package registry
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"cobaltward/internal/fields"
+	"cobaltward/policy"
+	"cobaltward/router"
+)
+
+// List is the registry's whole list of endpoints, or what has changed in it since an earlier revision.
+type List struct {
+	Revision  int64
+	Full      bool // Endpoints is the whole list
+	Endpoints []router.Endpoint
+}
+
+// listJSON is a list as the registry sends it.
+type listJSON struct {
+	Revision *int64         `json:"revision"`
+	Complete bool           `json:"complete"`
+	Members  []endpointJSON `json:"members"`
+}
+
+// endpointJSON is an entry of a list as the registry sends it.
+type endpointJSON struct {
+	ID       string   `json:"id"`
+	HostPort string   `json:"host_port"`
+	Locality string   `json:"locality"`
+	Flavor   string   `json:"flavor"`
+	Cell     int64    `json:"cell"`
+	Phase    string   `json:"phase"`
+	Size     *float64 `json:"size"`
+	UpSince  float64  `json:"up_since_ms"`
+}
+
+// availabilities are the registry's phases.
+var availabilities = map[string]policy.Availability{
+	"up":       policy.Running,
+	"draining": policy.Draining,
+	"removed":  policy.Removed,
+}
+
+// maxUpSince bounds a start time, in milliseconds since 1970: larger numbers are not exact in JSON.
+const maxUpSince = 1 << 53
+
+// ParseList reads a list in the registry's JSON form. One invalid entry makes the whole list invalid, since the entry
+// that would be left out might be a drain. Errors name the field.
+func ParseList(raw []byte) (List, error) {
+	var parsed listJSON
+	if err := fields.Unmarshal(raw, &parsed); err != nil {
+		return List{}, err
+	}
+	if parsed.Revision == nil {
+		return List{}, errors.New("revision: missing")
+	}
+	list := List{Revision: *parsed.Revision, Full: parsed.Complete}
+	for i := range parsed.Members {
+		endpoint, err := parsed.Members[i].endpoint()
+		if err != nil {
+			return List{}, fmt.Errorf("members[%d].%w", i, err)
+		}
+		list.Endpoints = append(list.Endpoints, endpoint)
+	}
+	return list, nil
+}
+
+// endpoint checks and converts an entry.
+func (e *endpointJSON) endpoint() (router.Endpoint, error) {
+	availability, known := availabilities[e.Phase]
+	switch {
+	case e.ID == "":
+		return router.Endpoint{}, errors.New("id: missing")
+	case !known:
+		return router.Endpoint{}, fmt.Errorf("phase: unknown word %q", e.Phase)
+	case !(e.UpSince >= 0 && e.UpSince < maxUpSince): // not a number is out of range, too
+		return router.Endpoint{}, errors.New("up_since_ms: out of range")
+	}
+	if availability != policy.Removed {
+		if err := fields.CheckAddress(e.HostPort); err != nil {
+			return router.Endpoint{}, fmt.Errorf("host_port: %w", err)
+		}
+	}
+	endpoint := router.Endpoint{
+		ID: e.ID, Addr: e.HostPort, Zone: e.Locality, Kind: e.Flavor, Cell: e.Cell, Weight: 1,
+		Availability: availability,
+	}
+	if e.UpSince > 0 {
+		endpoint.Started = time.UnixMilli(int64(e.UpSince))
+	}
+	if e.Size != nil {
+		endpoint.Weight = *e.Size
+	}
+	return endpoint, nil
+}
--- a/discovery/registry/registry_test.go
+++ b/discovery/registry/registry_test.go
@@ -25,11 +25,13 @@
 	return fmt.Sprintf(`{"revision":%d,"complete":false,"members":[%s]}`, revision, strings.Join(entries, ","))
 }
 
-// watched plays answers to the calls in turn, then holds the rest, and returns what discovery told
+// watched plays answers to the calls in turn, then holds the rest, and returns what discovery published
 // and the queries that it made. An answer that is no JSON object is sent with status 503.
-func watched(t *testing.T, subscribe bool, answers ...string) (d *Source, told chan router.EndpointUpdate, queries chan string) {
+func watched(
+	t *testing.T, subscribe bool, answers ...string,
+) (d *Source, published chan router.EndpointUpdate, queries chan string) {
 	t.Helper()
-	queries, told = make(chan string, 100), make(chan router.EndpointUpdate, 100)
+	queries, published = make(chan string, 100), make(chan router.EndpointUpdate, 100)
 	calls := make(chan string, len(answers))
 	for _, a := range answers {
 		calls <- a
@@ -49,9 +51,9 @@
 	d = New(Config{Addr: addr, Revision: 7, Subscribe: subscribe})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	go func() { d.Run(ctx, func(c router.EndpointUpdate) { told <- c }); close(ended) }()
+	go func() { d.Run(ctx, func(c router.EndpointUpdate) { published <- c }); close(ended) }()
 	t.Cleanup(func() { cancel(); testkit.Receive(t, "the end of discovery", ended) })
-	return d, told, queries
+	return d, published, queries
 }
 
 func indexes(t *testing.T, queries chan string, want ...string) {
@@ -63,8 +65,8 @@
 	}
 }
 
-func TestDeltasComeInOrder(t *testing.T) {
-	_, told, queries := watched(t, false, delta(8, entry("s1", "up")), delta(9), delta(10, entry("s1", "draining")),
+func TestSource_DeltasInOrder(t *testing.T) {
+	_, published, queries := watched(t, false, delta(8, entry("s1", "up")), delta(9), delta(10, entry("s1", "draining")),
 		`{"revision":11,"complete":true,"members":[`+entry("s2", "up")+`]}`)
 	for i, want := range []struct {
 		kind   policy.ListKind
@@ -75,57 +77,57 @@
 		{policy.ListUpdate, "s1", policy.Draining},
 		{policy.ListReplace, "s2", policy.Running},
 	} {
-		n := testkit.Receive(t, "news", told)
+		n := testkit.Receive(t, "an update", published)
 		if n.Kind != want.kind || len(n.Endpoints) != 1 || n.Endpoints[0].ID != want.server ||
 			n.Endpoints[0].Availability != want.phase {
-			t.Errorf("news %d: %+v", i, n)
+			t.Errorf("update %d: %+v", i, n)
 		}
 	}
 	indexes(t, queries, "7", "8", "9", "10", "11")
 }
 
 // A pushed list that can't be had, or read, leaves the last one in force, and says nothing.
-func TestFailuresKeepTheLastList(t *testing.T) {
-	_, told, queries := watched(t, false, "down", `{"revision":`, delta(9, entry("s1", "odd")), `{"members":[]}`,
+func TestSource_FailuresKeepLastList(t *testing.T) {
+	_, published, queries := watched(t, false, "down", `{"revision":`, delta(9, entry("s1", "odd")), `{"members":[]}`,
 		delta(8, entry("s1", "up")))
-	if n := testkit.Receive(t, "news", told); n.Kind != policy.ListUpdate || n.Endpoints[0].ID != "s1" {
-		t.Errorf("news %+v", n)
+	if n := testkit.Receive(t, "an update", published); n.Kind != policy.ListUpdate || n.Endpoints[0].ID != "s1" {
+		t.Errorf("update %+v", n)
 	}
 	indexes(t, queries, "7", "7", "7", "7", "7", "8")
-	if len(told) != 0 {
-		t.Errorf("told also %+v", <-told)
+	if len(published) != 0 {
+		t.Errorf("published also %+v", <-published)
 	}
 }
 
 // Where lists are asked for, the module says when, and hears of each failure once.
-func TestAskedListsTellFailures(t *testing.T) {
-	d, told, queries := watched(t, true, "down", delta(8, entry("s1", "up")), delta(8))
+func TestSource_SubscribeReportsFailures(t *testing.T) {
+	d, published, queries := watched(t, true, "down", delta(8, entry("s1", "up")), delta(8))
 	d.SetPolling(true)
-	if n := testkit.Receive(t, "the failure", told); n.Kind != policy.ListUnavailable {
-		t.Errorf("news %+v", n)
+	if n := testkit.Receive(t, "the failure", published); n.Kind != policy.ListUnavailable {
+		t.Errorf("update %+v", n)
 	}
 	indexes(t, queries, "7")
 	if len(queries) != 0 {
 		t.Error("called again before the module asked")
 	}
 	d.SetPolling(true)
-	if n := testkit.Receive(t, "the change", told); n.Kind != policy.ListUpdate || len(n.Endpoints) != 1 {
-		t.Errorf("news %+v", n)
+	if n := testkit.Receive(t, "the change", published); n.Kind != policy.ListUpdate || len(n.Endpoints) != 1 {
+		t.Errorf("update %+v", n)
 	}
 	indexes(t, queries, "7", "8", "8")
 }
 
-// A move ends the rest after a failure: what the new address has to say counts as told 4 s later, and the module, which
+// A move ends the rest after a failure: what the new address has to say counts as published 4 s later, and the module, which
 // rests for the old one's sake, knows of no move.
-func TestMoveWhileTheModuleRests(t *testing.T) {
-	d, told, queries := watched(t, true, "down")
+func TestSetAddress_WhileNotPolling(t *testing.T) {
+	d, published, queries := watched(t, true, "down")
 	d.SetPolling(true)
-	if n := testkit.Receive(t, "the failure", told); n.Kind != policy.ListUnavailable {
-		t.Errorf("news %+v", n)
+	if n := testkit.Receive(t, "the failure", published); n.Kind != policy.ListUnavailable {
+		t.Errorf("update %+v", n)
 	}
 	indexes(t, queries, "7")
 	next := make(chan string, 1)
-	d.Move(testkit.HTTPServer(t, func(w http.ResponseWriter, r *http.Request) {
+	d.SetAddress(testkit.HTTPServer(t, func(w http.ResponseWriter, r *http.Request) {
 		next <- r.URL.Query().Get("index")
 		<-r.Context().Done()
 	}))
@@ -136,7 +138,7 @@
 
 // Nodes that start together and call one service must not go on calling together: each watch waits for a
 // time of its own. An agent on the node's own machine may be asked by the clock.
-func TestWatchesOfASharedServiceEndApart(t *testing.T) {
+func TestSharedRegistry_WatchTimeoutsAreSpread(t *testing.T) {
 	for _, subscribe := range []bool{true, false} {
 		waits := make(chan time.Duration, 8)
 		addr := testkit.HTTPServer(t, func(_ http.ResponseWriter, r *http.Request) {
@@ -155,7 +157,7 @@
 			d.SetPolling(true)
 			go func() { d.Run(ctx, func(router.EndpointUpdate) {}); close(ended) }()
 			wait := testkit.Receive(t, "a call", waits)
-			if seen[wait] = true; subscribe && (wait < sharedWait/2 || wait > sharedWait) {
+			if seen[wait] = true; subscribe && (wait < sharedWatchTimeout/2 || wait > sharedWatchTimeout) {
 				t.Errorf("a watch waits %v", wait)
 			}
 			cancel()
@@ -169,10 +171,10 @@
 
 // The agent of a pushed list may hold a drain as soon as it is back; a node that pauses past the
 // rule's grace would go on sending to that server.
-func TestPausesStayWithinTheGraceOfDrains(t *testing.T) {
+func TestBackoff_WithinDrainGrace(t *testing.T) {
 	last := time.Duration(0)
 	for i := range 20 {
-		next := nextBackoff(last, longestPause(0))
+		next := nextBackoff(last, backoffLimit(0))
 		if next < last || next <= 0 || next > 200*time.Millisecond {
 			t.Fatalf("pause %d: %v after %v", i, next, last)
 		}
@@ -182,30 +184,33 @@
 		time.Second: 200 * time.Millisecond, 400 * time.Millisecond: 100 * time.Millisecond,
 		200 * time.Millisecond: 50 * time.Millisecond, time.Millisecond: backoffMin,
 	} {
-		if got := longestPause(grace); got != want {
+		if got := backoffLimit(grace); got != want {
 			t.Errorf("a grace of %v: pauses up to %v, want %v", grace, got, want)
 		}
 	}
 }
 
 // Revisions that begin again say nothing of what changed before: the whole list is asked for.
-func TestRevisionsThatBeginAgain(t *testing.T) {
-	_, told, queries := watched(t, false, delta(8, entry("s1", "up")), delta(3, entry("s2", "up")),
+func TestSource_RevisionsStartOver(t *testing.T) {
+	_, published, queries := watched(t, false, delta(8, entry("s1", "up")), delta(3, entry("s2", "up")),
 		`{"revision":3,"complete":true,"members":[`+entry("s3", "up")+`]}`)
 	for i, want := range []string{"s1", "s3"} {
-		if n := testkit.Receive(t, "news", told); len(n.Endpoints) != 1 || n.Endpoints[0].ID != want {
-			t.Errorf("news %d: %+v, want %s", i, n, want)
+		if n := testkit.Receive(t, "an update", published); len(n.Endpoints) != 1 || n.Endpoints[0].ID != want {
+			t.Errorf("update %d: %+v, want %s", i, n, want)
 		}
 	}
 	indexes(t, queries, "7", "8", "", "3")
 }
 
-// A watch that falls silent is opened anew before what it misses counts as told: 2 s after its wait is over, and 6 s after
-// it fell silent where it asked for the whole list, as after a move. The module hears of no failure, and need not ask.
-// Its connection stays open on the other side.
-func TestSilentWatchIsOpenedAnew(t *testing.T) {
-	for name, c := range map[string]struct{ subscribe, moved bool }{
-		"pushed": {}, "asked for": {subscribe: true}, "asked for, the whole list": {true, true}, "pushed, the whole list": {false, true},
+// A watch that falls silent is opened again before what it misses counts as known to the node: 2 s after its wait is
+// over, and 6 s after it fell silent where it asked for the whole list, as after a new address. The router hears of no
+// failure, and need not ask. The connection stays open on the other side.
+func TestSource_SilentWatchIsReopened(t *testing.T) {
+	for name, test := range map[string]struct{ subscribe, moved bool }{
+		"pushed":                    {},
+		"asked for":                 {subscribe: true},
+		"asked for, the whole list": {subscribe: true, moved: true},
+		"pushed, the whole list":    {moved: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -224,16 +229,16 @@
 				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{") // half of it at most
 				_, _ = io.Copy(io.Discard, r)
 			})
-			d := New(Config{Addr: addr, Revision: 7, Subscribe: c.subscribe})
-			most := 1800 * time.Millisecond // past the wait, 2 s after which the news counts as told
-			if c.moved {
-				d.Move(addr)
+			d := New(Config{Addr: addr, Revision: 7, Subscribe: test.subscribe})
+			most := 1800 * time.Millisecond // past the wait, 2 s after which the update counts as known
+			if test.moved {
+				d.SetAddress(addr)
 				most = 5800 * time.Millisecond // it can't wait: 6 s
 			}
 			ctx, cancel := context.WithCancel(context.Background())
 			ended := make(chan struct{})
 			d.SetPolling(true)
-			go func() { d.Run(ctx, func(c router.EndpointUpdate) { t.Errorf("told %+v", c) }); close(ended) }()
+			go func() { d.Run(ctx, func(c router.EndpointUpdate) { t.Errorf("published %+v", c) }); close(ended) }()
 			first := testkit.Receive(t, "a call", calls)
 			second := testkit.Receive(t, "the next call", calls)
 			if late := second.at.Sub(first.at.Add(first.wait)); late < 0 || late > most {
@@ -245,7 +250,7 @@
 	}
 }
 
-func TestMalformedListsNameTheField(t *testing.T) {
+func TestParseList_ErrorsNameField(t *testing.T) {
 	for raw, want := range map[string]string{
 		`[]`:                      "array",
 		`{"members":[]}`:          "revision: missing",
@@ -264,7 +269,7 @@
 
 // A move ends the call in flight and its connection, and asks the new address for everything: its
 // revisions need not compare with those of the old one. Two in a row end on the newest.
-func TestMoveAsksTheNewAddressForTheWholeList(t *testing.T) {
+func TestSetAddress_RequestsFullList(t *testing.T) {
 	for _, subscribe := range []bool{false, true} {
 		closed := make(chan struct{}, 10)
 		silent := testkit.HTTPServer(t, func(_ http.ResponseWriter, r *http.Request) {
@@ -280,15 +285,16 @@
 			}
 			_, _ = io.WriteString(w, `{"revision":2,"complete":true,"members":[`+entry("s9", "up")+`]}`)
 		})
-		d, told, first := watched(t, subscribe)
+		d, published, first := watched(t, subscribe)
 		if subscribe {
 			d.SetPolling(true)
 		}
 		testkit.Receive(t, "the call at the old address", first)
-		d.Move(silent)
-		d.Move(next)
-		if n := testkit.Receive(t, "the list of the new address", told); n.Kind != policy.ListReplace || n.Endpoints[0].ID != "s9" {
-			t.Errorf("subscribe %v: news %+v", subscribe, n)
+		d.SetAddress(silent)
+		d.SetAddress(next)
+		n := testkit.Receive(t, "the list of the new address", published)
+		if n.Kind != policy.ListReplace || n.Endpoints[0].ID != "s9" {
+			t.Errorf("subscribe %v: update %+v", subscribe, n)
 		}
 		if q := testkit.Receive(t, "the first call", queries); q != "" {
 			t.Errorf("subscribe %v: the first call asks for %q, not for the whole list", subscribe, q)
@@ -296,14 +302,14 @@
 		if q := testkit.Receive(t, "the second call", queries); !strings.HasPrefix(q, "index=2&wait=") {
 			t.Errorf("subscribe %v: the second call asks for %q", subscribe, q)
 		}
-		if len(told) != 0 {
-			t.Errorf("subscribe %v: told also %+v", subscribe, <-told)
+		if len(published) != 0 {
+			t.Errorf("subscribe %v: published also %+v", subscribe, <-published)
 		}
 	}
 }
 
 // The old address may be silent for good: the call there is ended, not waited for.
-func TestMoveEndsTheCallInFlight(t *testing.T) {
+func TestSetAddress_CancelsCallInFlight(t *testing.T) {
 	called, closed := make(chan struct{}), make(chan struct{})
 	old := testkit.HTTPServer(t, func(_ http.ResponseWriter, r *http.Request) {
 		close(called)
@@ -317,7 +323,10 @@
 	go func() { d.Run(ctx, func(router.EndpointUpdate) {}); close(ended) }()
 	defer func() { cancel(); testkit.Receive(t, "the end of discovery", ended) }()
 	testkit.Receive(t, "the call", called)
-	d.Move(testkit.HTTPServer(t, func(_ http.ResponseWriter, r *http.Request) { next <- struct{}{}; <-r.Context().Done() }))
+	d.SetAddress(testkit.HTTPServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		next <- struct{}{}
+		<-r.Context().Done()
+	}))
 	testkit.Receive(t, "the end of the old call", closed)
 	testkit.Receive(t, "the new call", next)
 }
--- a/discovery/xds/bootstrap.go
+++ b/discovery/xds/bootstrap.go
@@ -8,8 +8,8 @@
 	"fmt"
 	"os"
 
-	"cobaltward/internal/fields"
 	"cobaltward/discovery/xds/xdspb"
+	"cobaltward/internal/fields"
 
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/protobuf/encoding/protojson"
--- a/discovery/xds/cache.go
+++ b/discovery/xds/cache.go
@@ -11,9 +11,9 @@
 	"path/filepath"
 	"time"
 
-	"cobaltward/internal/keep"
 	"cobaltward/discovery/xds/ads"
 	"cobaltward/discovery/xds/resource"
+	"cobaltward/internal/keep"
 )
 
 const (
--- a/discovery/xds/decode.go
+++ b/discovery/xds/decode.go
@@ -5,10 +5,10 @@
 	"fmt"
 	"time"
 
-	"cobaltward/internal/pace"
 	"cobaltward/discovery/xds/ads"
 	"cobaltward/discovery/xds/resource"
 	"cobaltward/discovery/xds/xdspb"
+	"cobaltward/internal/pace"
 
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
--- a/discovery/xds/file_test.go
+++ b/discovery/xds/file_test.go
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
-	"cobaltward/internal/testkit"
 	"cobaltward/discovery/xds/resource"
 	"cobaltward/discovery/xds/xdspb"
+	"cobaltward/internal/testkit"
 	"cobaltward/router"
 
 	"google.golang.org/protobuf/encoding/protojson"
--- a/discovery/xds/resource/secret.go
+++ b/discovery/xds/resource/secret.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"time"
 
-	"cobaltward/keys"
 	"cobaltward/discovery/xds/xdspb"
+	"cobaltward/keys"
 )
 
 // SecretURL names certificates and authorities that a control plane hands out.
--- a/discovery/xds/scale_test.go
+++ b/discovery/xds/scale_test.go
@@ -7,10 +7,10 @@
 	"testing"
 	"time"
 
-	"cobaltward/internal/testkit"
 	"cobaltward/discovery/xds/ads"
 	"cobaltward/discovery/xds/resource"
 	"cobaltward/discovery/xds/xdspb"
+	"cobaltward/internal/testkit"
 	"cobaltward/policy"
 	"cobaltward/router"
 	"cobaltward/transport/http1"
--- a/discovery/xds/script_test.go
+++ b/discovery/xds/script_test.go
@@ -16,8 +16,8 @@
 	"testing"
 	"time"
 
-	"cobaltward/internal/testkit"
 	"cobaltward/discovery/xds/standin"
+	"cobaltward/internal/testkit"
 	"cobaltward/policy"
 	"cobaltward/router"
 	"cobaltward/transport/http1"
--- a/discovery/xds/secret_test.go
+++ b/discovery/xds/secret_test.go
@@ -7,11 +7,11 @@
 	"testing"
 	"time"
 
+	"cobaltward/discovery/xds/resource"
+	"cobaltward/discovery/xds/xdspb"
 	"cobaltward/internal/pki"
 	"cobaltward/internal/testkit"
 	"cobaltward/keys"
-	"cobaltward/discovery/xds/resource"
-	"cobaltward/discovery/xds/xdspb"
 	"cobaltward/router"
 )
 
--- a/discovery/xds/snapshot.go
+++ b/discovery/xds/snapshot.go
@@ -5,11 +5,12 @@
 	"maps"
 	"slices"
 
-	"cobaltward/drops"
-	"cobaltward/internal/pace"
+	"cobaltward/discovery"
 	"cobaltward/discovery/xds/ads"
 	"cobaltward/discovery/xds/priority"
 	"cobaltward/discovery/xds/resource"
+	"cobaltward/drops"
+	"cobaltward/internal/pace"
 	"cobaltward/policy"
 	"cobaltward/router"
 )
@@ -72,7 +73,7 @@
 			old.Availability = policy.Removed
 			changed = append(changed, old)
 			delete(b.members, addr)
-		case has && (!had || !same(old, m)):
+		case has && (!had || !discovery.Equal(old, m)):
 			changed = append(changed, m)
 			b.members[addr] = m
 		}
@@ -201,11 +202,6 @@
 	return m, true
 }
 
-func same(a, b router.Endpoint) bool {
-	return a.ID == b.ID && a.Addr == b.Addr && slices.Equal(a.Pools, b.Pools) && a.Zone == b.Zone && a.Kind == b.Kind &&
-		a.Cell == b.Cell && a.Weight == b.Weight && a.Started.Equal(b.Started) && a.Availability == b.Availability
-}
-
 // whole is all that is told, in order of id.
 func (b *book) whole() []router.Endpoint {
 	all := make([]router.Endpoint, 0, len(b.members))
--- a/discovery/xds/xds.go
+++ b/discovery/xds/xds.go
@@ -14,11 +14,11 @@
 	"sync"
 	"time"
 
-	"cobaltward/drops"
-	"cobaltward/keys"
 	"cobaltward/discovery/xds/ads"
 	"cobaltward/discovery/xds/resource"
 	"cobaltward/discovery/xds/xdspb"
+	"cobaltward/drops"
+	"cobaltward/keys"
 	"cobaltward/router"
 
 	"google.golang.org/grpc"
--- a/discovery/xds/xds_test.go
+++ b/discovery/xds/xds_test.go
@@ -17,10 +17,10 @@
 	"testing"
 	"time"
 
-	"cobaltward/internal/testkit"
 	"cobaltward/discovery/xds/resource"
 	"cobaltward/discovery/xds/standin"
 	"cobaltward/discovery/xds/xdspb"
+	"cobaltward/internal/testkit"
 	"cobaltward/policy"
 	"cobaltward/router"
 	"cobaltward/transport/http1"
--- a/emulator/live/control/control.go
+++ b/emulator/live/control/control.go
@@ -10,9 +10,9 @@
 	"strings"
 	"sync"
 
-	"cobaltward/emulator/live"
 	"cobaltward/discovery/xds/standin"
 	"cobaltward/discovery/xds/xdspb"
+	"cobaltward/emulator/live"
 )
 
 const cluster = "site"
--- a/internal/cli/alone.go
+++ b/internal/cli/alone.go
@@ -8,11 +8,11 @@
 	"net/http"
 	"os"
 
+	"cobaltward/discovery/file"
+	"cobaltward/discovery/registry"
 	"cobaltward/internal/node"
 	"cobaltward/internal/site"
 	"cobaltward/levels"
-	"cobaltward/discovery/file"
-	"cobaltward/discovery/registry"
 	"cobaltward/router"
 )
 
@@ -71,7 +71,7 @@
 	c := node.Config{
 		Name: f.Node.Name, Listen: f.Listen[0].Address, Discovery: "127.0.0.1:9", Seed: uint64(os.Getpid()), Cores: f.Limits.Cores,
 		MemoryMB: int64(f.Limits.MemoryMB), Sockets: f.Limits.Sockets, MaxOpen: f.Limits.Open, ConnectTimeout: f.Limits.Connect,
-		Settings: f.Settings(), Known: registry.List{Complete: true, Members: members},
+		Settings: f.Settings(), Known: registry.List{Full: true, Endpoints: members},
 	}
 	if c.Name == "" {
 		c.Name, _ = os.Hostname() // without one it has none
@@ -125,7 +125,7 @@
 		if err := a.front.Adopt(f); err != nil {
 			return err
 		}
-		a.list.Again(f.List)
+		a.list.Reload(f.List)
 		return nil
 	}, err
 }
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -81,7 +81,7 @@
 			return err
 		}
 	}
-	log.Info("listening", "name", c.Name, "address", listener.Addr(), "servers", len(c.Known.Members))
+	log.Info("listening", "name", c.Name, "address", listener.Addr(), "servers", len(c.Known.Endpoints))
 	reloads, done := make(chan node.Config, 1), make(chan struct{})
 	defer close(done)
 	r := reloader{own: own, running: o, level: level, log: log, alone: alone}
--- a/internal/conformance/tls_test.go
+++ b/internal/conformance/tls_test.go
@@ -55,8 +55,8 @@
 	rule := secure.Rule{Trust: trust}
 	var tunnels sync.WaitGroup
 	defer tunnels.Wait()
-	for i := range c.Known.Members {
-		m := &c.Known.Members[i]
+	for i := range c.Known.Endpoints {
+		m := &c.Known.Endpoints[i]
 		behind, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return err
--- a/internal/crossings/end_test.go
+++ b/internal/crossings/end_test.go
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
+	"cobaltward/discovery/registry"
 	"cobaltward/internal/node"
 	"cobaltward/internal/testkit"
-	"cobaltward/discovery/registry"
 )
 
 // ends are the deadlines, as settings of customers have them, under which a node is told to end.
@@ -90,7 +90,7 @@
 						}
 						return h.say("done")
 					})
-					g.conf.Known.Members = append(g.conf.Known.Members, known("s0", s0))
+					g.conf.Known.Endpoints = append(g.conf.Known.Endpoints, known("s0", s0))
 					g.start()
 					g.one = "one"
 					c := g.client()
@@ -141,7 +141,7 @@
 		t.Run(fmt.Sprint(longest), func(t *testing.T) {
 			t.Parallel()
 			g := newRig(t, setDeadlines(longest))
-			g.conf.Known.Members = append(g.conf.Known.Members, known("s0", g.server("s0", nil)))
+			g.conf.Known.Endpoints = append(g.conf.Known.Endpoints, known("s0", g.server("s0", nil)))
 			g.start()
 			var all sync.WaitGroup
 			var mu sync.Mutex
@@ -237,7 +237,7 @@
 		}
 		return h.say("done")
 	})
-	g.conf.Known.Members = append(g.conf.Known.Members, known("s0", s0), known("s1", s0))
+	g.conf.Known.Endpoints = append(g.conf.Known.Endpoints, known("s0", s0), known("s1", s0))
 	g.start()
 	var busy, queued []*peer
 	for i := range 16 {
@@ -270,7 +270,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			conf := node.Config{Name: "n", Discovery: "127.0.0.1:9", Seed: 1, Sockets: 256, MemoryMB: 64, Settings: settings(), Known: registry.List{Revision: 1, Complete: true}}
+			conf := node.Config{Name: "n", Discovery: "127.0.0.1:9", Seed: 1, Sockets: 256, MemoryMB: 64, Settings: settings(), Known: registry.List{Revision: 1, Full: true}}
 			setDeadlines(100 * time.Millisecond)(&conf)
 			ctx, stop := context.WithCancel(context.Background())
 			reloads := make(chan node.Config, 1)
@@ -293,7 +293,7 @@
 // or has one on its way that nobody has read, is closed for another.
 func TestRoomIsMadeAsRequestsCome(t *testing.T) {
 	g := newRig(t, func(c *node.Config) { c.Sockets = 64 })
-	g.conf.Known.Members = append(g.conf.Known.Members, known("s0", g.server("s0", nil)))
+	g.conf.Known.Endpoints = append(g.conf.Known.Endpoints, known("s0", g.server("s0", nil)))
 	g.start()
 	var all sync.WaitGroup
 	var mu sync.Mutex
@@ -348,7 +348,7 @@
 // served beside them, and nothing of theirs stays.
 func TestBadClients(t *testing.T) {
 	g := newRig(t, func(c *node.Config) { c.Sockets = 128 })
-	g.conf.Known.Members = append(g.conf.Known.Members, known("s0", g.server("s0", nil)))
+	g.conf.Known.Endpoints = append(g.conf.Known.Endpoints, known("s0", g.server("s0", nil)))
 	g.start()
 	bad := []func(c *peer, i int){
 		func(c *peer, i int) {
@@ -397,7 +397,7 @@
 				t.Parallel()
 				got, goOn := make(chan string, 2), make(chan bool)
 				g := newRig(t, func(c *node.Config) { c.Sockets = 64 })
-				g.conf.Known.Members = append(g.conf.Known.Members, known("s0", g.server("s0", func(h hand) bool {
+				g.conf.Known.Endpoints = append(g.conf.Known.Endpoints, known("s0", g.server("s0", func(h hand) bool {
 					if h.id == at {
 						got <- h.id
 						<-goOn
--- a/internal/crossings/leave_test.go
+++ b/internal/crossings/leave_test.go
@@ -91,7 +91,7 @@
 			t.Parallel()
 			g := newRig(t, func(c *node.Config) { c.Settings.Capabilities.Cancel = cancel })
 			addr, open := g.silent("s0")
-			g.conf.Known.Members = append(g.conf.Known.Members, known("s0", addr))
+			g.conf.Known.Endpoints = append(g.conf.Known.Endpoints, known("s0", addr))
 			g.start()
 			c := g.client().write(text("gone", "pay", ""))
 			g.sees("the attempt", func(s node.Status) bool { return s.Requests.Attempts == 1 })
@@ -205,7 +205,7 @@
 		}
 		return h.say("done")
 	})
-	g.conf.Known.Members = append(g.conf.Known.Members, known("s0", addr))
+	g.conf.Known.Endpoints = append(g.conf.Known.Endpoints, known("s0", addr))
 	g.start()
 	for i := range 200 {
 		id := fmt.Sprint("r", i)
@@ -279,7 +279,7 @@
 // client's leaving, and the request is read to its end.
 func TestHeadThatLeavesRoomForAByte(t *testing.T) {
 	g := newRig(t, nil)
-	g.conf.Known.Members = append(g.conf.Known.Members, known("s0", g.server("s0", nil)))
+	g.conf.Known.Endpoints = append(g.conf.Known.Endpoints, known("s0", g.server("s0", nil)))
 	g.start()
 	const buffer = 4 << 10
 	for i, before := range []int{0, 1, 3} { // requests on the connection ahead of it
--- a/internal/crossings/rig_test.go
+++ b/internal/crossings/rig_test.go
@@ -22,10 +22,10 @@
 	"testing"
 	"time"
 
+	"cobaltward/discovery/registry"
 	"cobaltward/internal/door"
 	"cobaltward/internal/node"
 	"cobaltward/internal/testkit"
-	"cobaltward/discovery/registry"
 	"cobaltward/policy"
 	"cobaltward/router"
 
@@ -80,7 +80,7 @@
 	atOnce := time.Millisecond // tests that are about the end take it out: the daemon's own time holds there
 	g.conf = node.Config{
 		Name: "n", Discovery: g.disc.addr, Seed: 1, Sockets: 256, MemoryMB: 64, Settings: settings(), ConnectTimeout: 10 * time.Second, Leave: &atOnce,
-		Known: registry.List{Revision: 1, Complete: true}, Door: door.Config{Socket: filepath.Join(t.TempDir(), "door")},
+		Known: registry.List{Revision: 1, Full: true}, Door: door.Config{Socket: filepath.Join(t.TempDir(), "door")},
 	}
 	if change != nil {
 		change(&g.conf)
@@ -501,7 +501,7 @@
 	if len(d.entries) > 0 || d.rev != l.Revision {
 		return
 	}
-	for _, m := range l.Members {
+	for _, m := range l.Endpoints {
 		d.entries = append(d.entries, fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":%q,"flavor":%q,"cell":%d,"phase":"up","size":1,"up_since_ms":0}`, m.ID, m.Addr, m.Zone, m.Kind, m.Cell))
 	}
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -17,9 +17,9 @@
 	"text/tabwriter"
 	"time"
 
+	"cobaltward/discovery/registry"
 	"cobaltward/emulator/host"
 	"cobaltward/internal/node"
-	"cobaltward/discovery/registry"
 	"cobaltward/policy"
 	"cobaltward/router"
 )
@@ -172,7 +172,7 @@
 	go func() {
 		ended <- node.Run(ctx, node.Config{
 			Name: "demo", Discovery: discovery, Seed: w.c.Seed, Sockets: 1024,
-			Known: registry.List{Revision: 1, Complete: true, Members: members}, Settings: Settings(),
+			Known: registry.List{Revision: 1, Full: true, Endpoints: members}, Settings: Settings(),
 			ConnectTimeout: 250 * time.Millisecond,
 		}, listener, nil, slog.New(slog.DiscardHandler))
 	}()
--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -75,7 +75,7 @@
 // backends is a node with the settings of the drain tests, patient, ahead of handlers.
 func (w *site) backends(handlers ...http.HandlerFunc) {
 	for i, h := range handlers {
-		w.known.Members = append(w.known.Members, router.Endpoint{ID: fmt.Sprint("s", i), Addr: testkit.HTTPServer(w.t, h), Zone: "a", Kind: "k", Weight: 1})
+		w.known.Endpoints = append(w.known.Endpoints, router.Endpoint{ID: fmt.Sprint("s", i), Addr: testkit.HTTPServer(w.t, h), Zone: "a", Kind: "k", Weight: 1})
 	}
 	w.patient()
 }
@@ -181,7 +181,7 @@
 			script(c, r)
 		}
 	})
-	w.known.Members = append(w.known.Members, router.Endpoint{ID: fmt.Sprint("s", len(w.known.Members)), Addr: addr, Zone: "a", Kind: "k", Weight: 1})
+	w.known.Endpoints = append(w.known.Endpoints, router.Endpoint{ID: fmt.Sprint("s", len(w.known.Endpoints)), Addr: addr, Zone: "a", Kind: "k", Weight: 1})
 	w.patient()
 }
 
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -13,11 +13,11 @@
 	"strconv"
 	"time"
 
+	"cobaltward/discovery/registry"
 	"cobaltward/internal/door"
 	"cobaltward/internal/fields"
 	"cobaltward/internal/wire"
 	"cobaltward/levels"
-	"cobaltward/discovery/registry"
 	"cobaltward/policy"
 	"cobaltward/router"
 )
@@ -143,7 +143,7 @@
 
 // router is the part of the configuration that the engine takes.
 func (c Config) router() router.Config {
-	return router.Config{Settings: c.Settings, MaxInFlight: c.MaxOpen, Seed: c.Seed, Endpoints: c.Known.Members}
+	return router.Config{Settings: c.Settings, MaxInFlight: c.MaxOpen, Seed: c.Seed, Endpoints: c.Known.Endpoints}
 }
 
 func readConfig(getenv func(string) string) (Config, error) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
+	"cobaltward/discovery/disabled"
 	"cobaltward/drain"
 	"cobaltward/internal/door"
-	"cobaltward/discovery/disabled"
 	"cobaltward/router"
 )
 
@@ -105,9 +105,9 @@
 		}
 		c.level(w, r)
 	})
-	d.Handle(http.MethodGet, "/servers", func(w http.ResponseWriter, _ *http.Request) { door.Reply(w, http.StatusOK, c.hold.Zones()) })
-	d.Handle(http.MethodPost, "/servers/{id}/drain", func(w http.ResponseWriter, r *http.Request) { c.byHand(w, r, c.hold.Drain) })
-	d.Handle(http.MethodDelete, "/servers/{id}/drain", func(w http.ResponseWriter, r *http.Request) { c.byHand(w, r, c.hold.Lift) })
+	d.Handle(http.MethodGet, "/servers", func(w http.ResponseWriter, _ *http.Request) { door.Reply(w, http.StatusOK, c.hold.ServersByZone()) })
+	d.Handle(http.MethodPost, "/servers/{id}/drain", func(w http.ResponseWriter, r *http.Request) { c.byHand(w, r, c.hold.Disable) })
+	d.Handle(http.MethodDelete, "/servers/{id}/drain", func(w http.ResponseWriter, r *http.Request) { c.byHand(w, r, c.hold.Enable) })
 }
 
 // now is the node's status, at most statusFor old.
@@ -131,7 +131,7 @@
 			ByClass: st.Open, OldestMs: st.Oldest.Milliseconds(), OldestLeft: st.Left.Milliseconds(), Held: st.Held,
 			Retrying: st.Retrying, Attempts: st.Out,
 		},
-		Servers: make(map[string]int), ByHand: c.hold.Held(), Untrusted: c.hold.Refused(), List: st.List, Answers: make(map[string]uint64), Attempts: st.Attempts,
+		Servers: make(map[string]int), ByHand: c.hold.Disabled(), Untrusted: c.hold.Untrusted(), List: st.List, Answers: make(map[string]uint64), Attempts: st.Attempts,
 	}
 	for _, n := range st.Open {
 		s.Requests.Open += n
@@ -320,11 +320,11 @@
 // byHand drains or lifts one server, for this node alone.
 func (c *control) byHand(w http.ResponseWriter, r *http.Request, do func(id string) error) {
 	switch err := do(r.PathValue("id")); {
-	case errors.Is(err, disabled.ErrUnknown):
+	case errors.Is(err, disabled.ErrUnknownServer):
 		door.Fail(w, http.StatusNotFound, err.Error())
 	case err != nil:
 		door.Fail(w, http.StatusConflict, err.Error())
 	default:
-		door.Reply(w, http.StatusOK, map[string][]string{"servers_drained_by_hand": c.hold.Held()})
+		door.Reply(w, http.StatusOK, map[string][]string{"servers_drained_by_hand": c.hold.Disabled()})
 	}
 }
--- a/internal/node/desk_test.go
+++ b/internal/node/desk_test.go
@@ -78,7 +78,7 @@
 // call is answered all the same.
 func TestConsoleBesideStuckLoop(t *testing.T) {
 	w := newSite(t, 2)
-	engine, err := router.New(router.Config{Settings: w.set, Endpoints: w.known.Members}, router.WithTransport(http1.New(http1.Config{})))
+	engine, err := router.New(router.Config{Settings: w.set, Endpoints: w.known.Endpoints}, router.WithTransport(http1.New(http1.Config{})))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -198,7 +198,7 @@
 func TestStandby(t *testing.T) {
 	g := new(gate)
 	w := newSite(t, 0)
-	w.known.Members = []router.Endpoint{{ID: "s0", Addr: testkit.HTTPServer(t, g.ServeHTTP), Zone: "a", Kind: "k", Weight: 1}}
+	w.known.Endpoints = []router.Endpoint{{ID: "s0", Addr: testkit.HTTPServer(t, g.ServeHTTP), Zone: "a", Kind: "k", Weight: 1}}
 	w.patient()
 	stop, ended := w.start()
 	for round := range 2 {
--- a/internal/node/drains_test.go
+++ b/internal/node/drains_test.go
@@ -21,13 +21,13 @@
 	"testing"
 	"time"
 
+	"cobaltward/discovery/registry"
 	"cobaltward/drain"
 	"cobaltward/emulator/face"
 	"cobaltward/emulator/host"
 	"cobaltward/emulator/judge"
 	"cobaltward/emulator/model"
 	"cobaltward/internal/door"
-	"cobaltward/discovery/registry"
 	"cobaltward/policy"
 	"cobaltward/router"
 )
@@ -105,9 +105,9 @@
 			},
 		})
 		t.Cleanup(func() { h.Stop(); f.Close() })
-		w.known.Members = append(w.known.Members, router.Endpoint{ID: id, Addr: f.Addr, Zone: "a", Kind: "k", Weight: 1})
+		w.known.Endpoints = append(w.known.Endpoints, router.Endpoint{ID: id, Addr: f.Addr, Zone: "a", Kind: "k", Weight: 1})
 	}
-	w.known.Revision, w.known.Complete = 1, true
+	w.known.Revision, w.known.Full = 1, true
 	return w
 }
 
@@ -286,7 +286,7 @@
 		nap(20, 200)
 		w.sick.Store(int64(rng.IntN(8))) // from 5 on: none
 		if rng.IntN(3) == 0 {
-			id := w.known.Members[rng.IntN(4)].ID
+			id := w.known.Endpoints[rng.IntN(4)].ID
 			w.order(http.MethodPost, "/servers/"+id+"/drain", nil)
 			defer w.order(http.MethodDelete, "/servers/"+id+"/drain", nil)
 			if rng.IntN(2) == 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,11 +15,11 @@
 	"time"
 
 	"cobaltward/body"
+	"cobaltward/discovery/disabled"
+	"cobaltward/discovery/registry"
 	"cobaltward/handover"
 	"cobaltward/internal/console"
 	"cobaltward/internal/door"
-	"cobaltward/discovery/disabled"
-	"cobaltward/discovery/registry"
 	"cobaltward/middleware"
 	"cobaltward/router"
 	"cobaltward/transport/http1"
@@ -70,7 +70,7 @@
 	most := int(clientsPart * float64(sockets))
 	source := registry.New(registry.Config{
 		Addr: c.Discovery, Revision: c.Known.Revision,
-		Subscribe: c.Settings.Subscribe, Grace: c.Settings.Rules.DrainGrace, Log: log,
+		Subscribe: c.Settings.Subscribe, DrainGrace: c.Settings.Rules.DrainGrace, Log: log,
 	})
 	server := &http.Server{
 		MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdle,
@@ -82,7 +82,7 @@
 		},
 	}
 	var held *disabled.Source
-	safe, err := secureNode(c, func(id string, refused bool) { held.Refuse(id, refused) }, log)
+	safe, err := secureNode(c, func(id string, refused bool) { held.SetUntrusted(id, refused) }, log)
 	if err != nil {
 		return err
 	}
@@ -109,7 +109,7 @@
 	}
 	if way != nil || safe.towards() != nil {
 		held = disabled.New(membership)
-		held.Begin(c.Known.Members)
+		held.SetInitial(c.Known.Endpoints)
 		membership = held
 	}
 	out := transport(c, sockets-most, safe.towards())
@@ -256,7 +256,7 @@
 				log.Error("reload: keeping the old configuration", "err", err)
 				continue
 			}
-			source.Move(next.Discovery)
+			source.SetAddress(next.Discovery)
 			newest.Store(&next)
 		case <-ctx.Done():
 			return
--- a/internal/node/progress_test.go
+++ b/internal/node/progress_test.go
@@ -69,7 +69,7 @@
 func TestProgressIsExact(t *testing.T) {
 	g := new(gate)
 	w := newSite(t, 0)
-	w.known.Members = []router.Endpoint{{ID: "s0", Addr: testkit.HTTPServer(t, g.ServeHTTP), Zone: "a", Kind: "k", Weight: 1}}
+	w.known.Endpoints = []router.Endpoint{{ID: "s0", Addr: testkit.HTTPServer(t, g.ServeHTTP), Zone: "a", Kind: "k", Weight: 1}}
 	w.patient()
 	stop, ended := w.start()
 	const n = 12
@@ -199,7 +199,7 @@
 func TestCancelledHalfWay(t *testing.T) {
 	g := new(gate)
 	w := newSite(t, 0)
-	w.known.Members = []router.Endpoint{{ID: "s0", Addr: testkit.HTTPServer(t, g.ServeHTTP), Zone: "a", Kind: "k", Weight: 1}}
+	w.known.Endpoints = []router.Endpoint{{ID: "s0", Addr: testkit.HTTPServer(t, g.ServeHTTP), Zone: "a", Kind: "k", Weight: 1}}
 	w.patient()
 	stop, ended := w.start()
 	client := &http.Client{Transport: &http.Transport{}}
--- a/internal/node/rotation_test.go
+++ b/internal/node/rotation_test.go
@@ -20,11 +20,11 @@
 	"testing"
 	"time"
 
+	"cobaltward/discovery/registry"
 	"cobaltward/internal/door"
 	"cobaltward/internal/pki"
 	"cobaltward/internal/testkit"
 	"cobaltward/keys"
-	"cobaltward/discovery/registry"
 	"cobaltward/policy"
 	"cobaltward/router"
 	"cobaltward/transport/secure"
@@ -207,9 +207,9 @@
 		return s
 	}
 	trust, own := open(keys.Sources{Trust: w.file("ca.pem")}), open(keys.Sources{Cert: w.file("cert.pem"), Key: w.file("key.pem")})
-	known := registry.List{Revision: 1, Complete: true}
+	known := registry.List{Revision: 1, Full: true}
 	for _, s := range w.servers {
-		known.Members = append(known.Members, router.Endpoint{ID: s.id, Addr: s.addr, Zone: "a", Kind: "k", Weight: 1})
+		known.Endpoints = append(known.Endpoints, router.Endpoint{ID: s.id, Addr: s.addr, Zone: "a", Kind: "k", Weight: 1})
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
