--- a/discovery/registry/registry_test.go
+++ b/discovery/registry/registry_test.go
@@ -117,7 +117,7 @@
 	indexes(t, queries, "7", "8", "8")
 }
 
-// A move ends the rest after a failure: what the new address has to say counts as published 4 s later, and the module, which
+// A new address ends the backoff after a failure: what it has to say counts as known 4 s later, and the module, which
 // rests for the old one's sake, knows of no move.
 func TestSetAddress_WhileNotPolling(t *testing.T) {
 	d, published, queries := watched(t, true, "down")
--- /dev/null
+++ b/internal/succession/stored_test.go
@@ -0,0 +1,79 @@
+package succession
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"cobaltward/handover"
+)
+
+// TestRead_FilesOfEarlierVersion reads the files of two processes of one node that an earlier version has written, and
+// writes them again: to the byte the same.
+func TestRead_FilesOfEarlierVersion(t *testing.T) {
+	dir := filepath.Join("testdata", "node")
+	moment := time.Date(2026, 12, 1, 8, 30, 0, 0, time.UTC)
+	for name, want := range map[string]handover.Report{
+		"wayhold-1001-1764570000000000001.report": {
+			Version: 1, At: moment, Taken: 1234567, Clients: 42, Servers: 17, Ending: true,
+		},
+		"wayhold-1002-1764570000000000002.report": {
+			Version: 1, At: moment.Add(100 * time.Millisecond), Taken: 89, Clients: 7, Servers: 3,
+		},
+	} {
+		t.Run(name, func(t *testing.T) { readStored(t, filepath.Join(dir, name), want) })
+	}
+	t.Run(orderFile, func(t *testing.T) {
+		readStored(t, filepath.Join(dir, orderFile), handover.Order{Version: 1, At: moment.Add(-time.Minute), Standby: true})
+	})
+}
+
+func readStored[T handover.Report | handover.Order](t *testing.T, path string, want T) {
+	t.Helper()
+	got, err := read[T](path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != want {
+		t.Errorf("read %+v, want %+v", got, want)
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := json.Marshal(got)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(again, raw) {
+		t.Errorf("written again: %s, want %s", again, raw)
+	}
+}
+
+// TestOthers_OfEarlierVersion finds the process of an earlier version that lives, by its lock, and clears up what a
+// dead one has left.
+func TestOthers_OfEarlierVersion(t *testing.T) {
+	dir := t.TempDir()
+	if err := os.CopyFS(dir, os.DirFS(filepath.Join("testdata", "node"))); err != nil {
+		t.Fatal(err)
+	}
+	place, err := Take(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer place.Leave()
+	others, err := place.Others()
+	if err != nil || len(others) != 0 {
+		t.Errorf("others %+v, %v; want none, since nobody holds their locks", others, err)
+	}
+	if order, err := place.Order(); err != nil || !order.Standby {
+		t.Errorf("order %+v, %v; want standby", order, err)
+	}
+	left, err := filepath.Glob(filepath.Join(dir, "*"+report))
+	if err != nil || len(left) != 0 {
+		t.Errorf("left behind: %v, %v", left, err)
+	}
+}
