Fixtures of the fleet's stored data and messages, read field by field

The Go names of fleet/ are about to change; what is stored and sent must not. The tests decode them field by field, apply the log, and compare what is encoded again byte by byte.

--- /dev/null
+++ b/fleet/council/stored_test.go
@@ -0,0 +1,193 @@
+package council
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"cobaltward/fleet"
+	"cobaltward/fleet/internal/jsontest"
+	"cobaltward/fleet/owner"
+)
+
+// storedDisk opens a copy of the disk that a member wrote before the program's Go names changed.
+func storedDisk(t *testing.T) Disk {
+	t.Helper()
+	raw, err := os.ReadFile(filepath.Join("testdata", diskFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, diskFile), raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	d, err := OpenDisk(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := d.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return d
+}
+
+func loadStored(t *testing.T) Saved {
+	t.Helper()
+	saved, err := storedDisk(t).Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return saved
+}
+
+// storedFile reads a file that the test of package fleet checks field by field.
+func storedFile(t *testing.T, name string) []byte {
+	t.Helper()
+	raw, err := os.ReadFile(filepath.Join("..", "testdata", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+const (
+	storedID       = 17624918467334321323
+	storedProposal = 0xabcd // that each entry was proposed under
+)
+
+// A disk of an earlier program holds what that program has saved: its id, its vote, a snapshot, and the log after it.
+func TestStoredDisk_LoadsUnchanged(t *testing.T) {
+	saved := loadStored(t)
+	if saved.ID != storedID {
+		t.Errorf("the id is %d, want %d", saved.ID, uint64(storedID))
+	}
+	if saved.Hard.GetTerm() != 2 || saved.Hard.GetVote() != storedID || saved.Hard.GetCommit() != 89 {
+		t.Errorf("the hard state is %v", saved.Hard)
+	}
+	meta := saved.Snapshot.GetMetadata()
+	if meta.GetIndex() != 49 || len(meta.GetConfState().GetVoters()) != 1 || meta.GetConfState().GetVoters()[0] != storedID {
+		t.Errorf("the snapshot is %v", meta)
+	}
+	if want := storedFile(t, "snapshot.json"); string(saved.Snapshot.GetData()) != string(want) {
+		t.Errorf("the snapshot is %s, want %s", saved.Snapshot.GetData(), want)
+	}
+	var entries []struct {
+		Raw      string         `json:"raw"`
+		Position fleet.Position `json:"position"`
+	}
+	if err := json.Unmarshal(storedFile(t, "entries.json"), &entries); err != nil {
+		t.Fatal(err)
+	}
+	if len(saved.Entries) != len(entries) {
+		t.Fatalf("%d entries are stored, want %d", len(saved.Entries), len(entries))
+	}
+	for i, e := range saved.Entries {
+		data := e.GetData()
+		if e.GetIndex() != uint64(entries[i].Position) || binary.BigEndian.Uint64(data) != storedProposal || string(data[idBytes:]) != entries[i].Raw {
+			t.Errorf("entry %d is %q, want %s", e.GetIndex(), data, entries[i].Raw)
+		}
+	}
+}
+
+// A member started on a disk of an earlier program comes to the state that program had, and goes on from there.
+func TestStoredDisk_RestoresState(t *testing.T) {
+	d := storedDisk(t)
+	saved, err := d.Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	core, err := New(saved, owner.Guards{}, CompactAfter, 0, Quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	settle := func() {
+		for w := core.Ready(); w != nil; w = core.Ready() {
+			if err := d.Save(w); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := core.Stored(w, 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	settle()
+	for range 10 * electionTicks {
+		if core.Leader() == core.ID() {
+			break
+		}
+		core.rn.Tick()
+		settle()
+	}
+	s := core.State()
+	if s.At != 90 || core.Leader() != storedID { // the last entry is the new leader's own, and empty
+		t.Fatalf("position %d under leader %x", s.At, core.Leader())
+	}
+	last := *s
+	last.At = 89
+	if want := storedFile(t, "state.json"); string(last.Marshal()) != string(want) {
+		t.Errorf("the state is %s, want %s", last.Marshal(), want)
+	}
+	before := s.Last[fleet.Round]
+	if err := core.Propose(1, fleet.Entry{Kind: fleet.Release, Work: fleet.Round, Token: before}); err != nil {
+		t.Fatal(err)
+	}
+	if err := core.Propose(2, fleet.Entry{Kind: fleet.Acquire, Work: fleet.Round, Holder: "n1/run-4", Lease: 1}); err != nil {
+		t.Fatal(err)
+	}
+	settle()
+	if after := core.State().Last[fleet.Round]; after <= before {
+		t.Errorf("the token went from %d to %d", before, after)
+	}
+}
+
+// An operator begins anew on the disk of an earlier program: the state is kept, and tokens grow on.
+func TestStoredDisk_BeginsAnew(t *testing.T) {
+	saved := loadStored(t)
+	anew, err := Anew(saved, fleet.Member{ID: saved.ID, Name: "c1", Address: "10.0.0.1:7600"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := fleet.Unmarshal(anew.Snapshot.GetData())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Epoch != 2 || len(s.Owners) != 0 || len(s.Jobs) != 4 || len(s.Members) != 1 || fleet.MakeToken(s.Epoch, s.At) <= s.Last[fleet.Round] {
+		t.Errorf("the state is %s", s.Marshal())
+	}
+}
+
+// Messages as an earlier program wrote them are read, and written as they were.
+func TestStoredMessages_DecodeAndEncodeUnchanged(t *testing.T) {
+	raw, err := os.ReadFile(filepath.Join("testdata", "wire.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	messages := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(raw, &messages); err != nil {
+		t.Fatal(err)
+	}
+	for name, to := range map[string]any{
+		"question":       new(Question),
+		"answer_state":   new(Answer),
+		"answer_entries": new(Answer),
+		"proposed":       new(Proposed),
+		"status":         new(Status),
+		"member":         new(MemberOrder),
+		"change":         new(change),
+	} {
+		t.Run(name, func(t *testing.T) { jsontest.RoundTrip(t, messages[name], to) })
+	}
+	var texts []string
+	if err := json.Unmarshal(messages["errors"], &texts); err != nil {
+		t.Fatal(err)
+	}
+	for i, err := range []error{fleet.ErrHeld, fleet.ErrLost, fleet.ErrUnknown, fleet.ErrThere, fleet.ErrVoid, fleet.ErrFull, fleet.ErrBad} {
+		if err.Error() != texts[i] {
+			t.Errorf("an error reads %q, want %q", err, texts[i])
+		}
+	}
+}
--- /dev/null
+++ b/fleet/internal/jsontest/jsontest.go
@@ -0,0 +1,31 @@
+// Package jsontest holds checks of stored and transmitted JSON that tests of several packages of the fleet need. It is
+// linked by tests only.
+package jsontest
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+)
+
+// RoundTrip decodes raw into the value that to points at, encodes that value again, and fails the test unless the two
+// encodings are byte-identical. Fields of raw that the value lacks fail it, too; white space does not count.
+func RoundTrip(t testing.TB, raw []byte, to any) {
+	t.Helper()
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(to); err != nil {
+		t.Fatalf("decoding %s: %v", raw, err)
+	}
+	encoded, err := json.Marshal(to)
+	if err != nil {
+		t.Fatalf("encoding %+v: %v", to, err)
+	}
+	var want bytes.Buffer
+	if err := json.Compact(&want, raw); err != nil {
+		t.Fatal(err)
+	}
+	if got := string(encoded); got != want.String() {
+		t.Errorf("%s is encoded again as %s", want.String(), got)
+	}
+}
