Consensus: core, storage, transport, views and HTTP interface in files of their own

The core is split into proposing, advancing and membership, the replica into its loop, proposals, views, the transport to other replicas, and the HTTP interface.

--- /dev/null
+++ b/fleet/consensus/advance.go
@@ -0,0 +1,162 @@
+package consensus
+
+import (
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+
+	"cobaltward/fleet"
+)
+
+// AppliedEntry is one entry of the log that was applied to the state.
+type AppliedEntry struct {
+	ProposalID uint64 // 0: nobody waits for it
+	Entry      fleet.Entry
+	Raw        []byte // the entry as the log has it, without the ID of the proposal; nil: an entry of raft's own
+	Result     fleet.Result
+}
+
+// ApplyResult is what a write batch has brought into the state.
+type ApplyResult struct {
+	Applied  []AppliedEntry
+	Restored bool // the state came as a snapshot, or the membership has changed
+	// ConfirmedReads are the reads since whose request the state is known to be up to date.
+	ConfirmedReads []uint64
+	Snapshot       *raftpb.Snapshot // to be stored in place of the log before it; nil: none
+	FirstKept      fleet.Position   // of the log once Snapshot is stored; 0: all entries are kept
+}
+
+// Ready returns the next write batch; nil if there is none.
+func (c *Core) Ready() *WriteBatch {
+	if !c.node.HasReady() {
+		return nil
+	}
+	ready := c.node.Ready()
+	batch := &WriteBatch{Entries: ready.Entries, Messages: ready.Messages, ready: ready}
+	if !raft.IsEmptyHardState(ready.HardState) {
+		batch.HardState = ready.HardState
+	}
+	if !raft.IsEmptySnap(ready.Snapshot) {
+		batch.Snapshot = ready.Snapshot
+	}
+	return batch
+}
+
+// Advance reports that a write batch is stored, and returns what it has brought into the state. now is the time of
+// the replica's monotonic clock: a replica that was stopped has seen what it applies now no earlier than now. After
+// an error the core must not be used any more.
+func (c *Core) Advance(batch *WriteBatch, now time.Duration) (result ApplyResult, err error) {
+	c.now = now
+	if err := c.persistInMemory(batch, &result); err != nil {
+		return result, err
+	}
+	membershipChanged, err := c.applyCommitted(batch.ready.CommittedEntries, &result)
+	if err != nil {
+		return result, err
+	}
+	c.confirmReads(batch.ready.ReadStates, &result)
+	c.expiry.Observe(c.state, c.now)
+	c.node.Advance(batch.ready)
+	// A learner cannot start from a snapshot that does not know it.
+	if c.snapshotDue() || membershipChanged {
+		err = c.takeSnapshot(&result)
+	}
+	return result, err
+}
+
+// persistInMemory repeats a write batch on the in-memory copy of the storage.
+func (c *Core) persistInMemory(batch *WriteBatch, result *ApplyResult) error {
+	if batch.HardState != nil {
+		if err := c.storage.SetHardState(batch.HardState); err != nil {
+			return err
+		}
+	}
+	if batch.Snapshot != nil {
+		if err := c.restore(batch.Snapshot); err != nil {
+			return err
+		}
+		result.Restored = true
+	}
+	return c.storage.Append(batch.Entries)
+}
+
+// applyCommitted applies entries that are agreed on.
+func (c *Core) applyCommitted(entries []*raftpb.Entry, result *ApplyResult) (membershipChanged bool, err error) {
+	for _, entry := range entries {
+		applied, err := c.applyEntry(entry)
+		if err != nil {
+			return membershipChanged, err
+		}
+		if entry.GetType() != raftpb.EntryNormal {
+			result.Restored, membershipChanged = true, true
+		}
+		result.Applied = append(result.Applied, applied)
+	}
+	return membershipChanged, nil
+}
+
+// applyEntry applies one entry.
+func (c *Core) applyEntry(entry *raftpb.Entry) (AppliedEntry, error) {
+	position := fleet.Position(entry.GetIndex())
+	if entry.GetType() != raftpb.EntryNormal {
+		return c.applyMembership(entry, position)
+	}
+	applied := AppliedEntry{Result: fleet.Result{Position: position}}
+	if len(entry.GetData()) < proposalIDSize { // the empty entry by which a leader begins its term
+		next := *c.state
+		next.Position = position
+		c.state = &next
+		applied.Entry = fleet.Entry{Kind: fleet.KindRenewLease}
+		return applied, nil
+	}
+	applied.ProposalID, applied.Raw = decodeID(entry.GetData()), entry.GetData()[proposalIDSize:]
+	_ = json.Unmarshal(applied.Raw, &applied.Entry) // Apply rejects what cannot be decoded
+	next, result, err := c.state.Apply(position, applied.Raw)
+	if err != nil {
+		return applied, err
+	}
+	c.state, applied.Result = next, result
+	return applied, nil
+}
+
+// confirmReads moves the reads whose position is applied into the result.
+func (c *Core) confirmReads(confirmed []raft.ReadState, result *ApplyResult) {
+	for _, read := range confirmed {
+		c.pendingReads = append(c.pendingReads, pendingRead{decodeID(read.RequestCtx), read.Index})
+	}
+	c.pendingReads = slices.DeleteFunc(c.pendingReads, func(read pendingRead) bool {
+		reached := read.position <= uint64(c.state.Position)
+		if reached {
+			result.ConfirmedReads = append(result.ConfirmedReads, read.id)
+		}
+		return reached
+	})
+}
+
+func (c *Core) snapshotDue() bool {
+	return uint64(c.state.Position) >= c.snapshotIndex+trailingDivisor*c.trailingEntries
+}
+
+// takeSnapshot makes a snapshot of the state, and drops the entries before it but for the trailing ones.
+func (c *Core) takeSnapshot(result *ApplyResult) error {
+	position := uint64(c.state.Position)
+	snapshot, err := c.storage.CreateSnapshot(position, c.confState, c.state.Marshal())
+	if err != nil {
+		return err
+	}
+	c.snapshotIndex = position
+	result.Snapshot = snapshot
+	if position <= c.trailingEntries {
+		return nil
+	}
+	firstKept := position - c.trailingEntries
+	result.FirstKept = fleet.Position(firstKept)
+	if err := c.storage.Compact(firstKept); err != nil && !errors.Is(err, raft.ErrCompacted) {
+		return err
+	}
+	return nil
+}
--- a/fleet/consensus/handler.go
+++ b/fleet/consensus/handler.go
@@ -2,270 +2,171 @@
 
 import (
 	"context"
-	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
-	pb "go.etcd.io/raft/v3/raftpb"
-	"google.golang.org/protobuf/proto"
-
 	"cobaltward/fleet"
 	"cobaltward/internal/door"
 )
 
 const (
-	fromHeader    = "X-Fleet-From"
-	addressHeader = "X-Fleet-Address"
-	epochHeader   = "X-Fleet-Epoch"
-
-	proposeTimeout = 5 * time.Second // that a proposal is waited for at most
-	maxWatchWait   = 30 * time.Second
+	// proposeTimeout is how long a call waits for its proposal to be applied.
+	proposeTimeout = 5 * time.Second
+	// maxRequestBody bounds the bodies of agents and operators, in bytes.
 	maxRequestBody = 64 << 10
 )
 
-// WatchRequest is what a follower asks for.
-type WatchRequest struct {
-	AgentReport
-	Wait time.Duration `json:"wait"` // for something new
-}
-
-// WatchResponse is what it gets: entries that lead on from where it is, or the whole state.
-type WatchResponse struct {
-	Entries   []LogEntry   `json:"entries,omitempty"`
-	State     *fleet.State `json:"state,omitempty"`
-	HasLeader bool         `json:"leader"` // the member has one
-}
-
-// LogEntry is an entry with its place.
-type LogEntry struct {
-	Position fleet.Position  `json:"at"`
-	Raw      json.RawMessage `json:"raw"`
-}
-
 // ProposeResponse is the answer to a proposal.
 type ProposeResponse struct {
 	Position     fleet.Position     `json:"at,omitempty"`
 	FencingToken fleet.FencingToken `json:"token,omitempty"`
-	Error        string             `json:"error,omitempty"` // as the state has it
-}
-
-// Status is what a member tells of the council.
-type Status struct {
-	Name          string         `json:"name"`
-	ID            string         `json:"id"`
-	IsMember      bool           `json:"member"` // it has been added
-	LeaderID      string         `json:"leader"` // id; empty: there is none
-	LeaderName    string         `json:"leader_name"`
-	LeaderlessFor time.Duration  `json:"silent"` // since there was a leader
-	Term          uint64         `json:"term"`
-	Position      fleet.Position `json:"at"`
-	State         *fleet.State   `json:"state"`
-	Reports       []AgentReport  `json:"reports"`
+	Error        string             `json:"error,omitempty"` // the text of one of fleet.RejectionErrors
 }
 
-// MembershipRequest is the body of a change of the council.
+// MembershipRequest asks to add or to remove a member.
 type MembershipRequest struct {
 	Name    string `json:"name"`
 	Address string `json:"address,omitempty"`
-	ID      string `json:"id,omitempty"` // of its disk, in hexadecimal
+	ID      string `json:"id,omitempty"` // of its storage, in hexadecimal
 	Remove  bool   `json:"remove,omitempty"`
 }
 
-// Handler answers members, followers and operators. Who bears no token is refused by whoever wraps it.
-func (m *Replica) Handler() http.Handler {
+// Handler returns the HTTP interface for replicas, agents and operators. It checks no bearer token; who wraps it
+// does.
+func (r *Replica) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/log", m.handleMessages)
-	mux.HandleFunc("POST /v1/propose", m.handlePropose)
-	mux.HandleFunc("POST /v1/state", m.handleWatch)
-	mux.HandleFunc("POST /v1/member", m.handleMembership)
-	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { door.Reply(w, http.StatusOK, m.Status()) })
+	mux.HandleFunc("POST "+messagePath, r.handleMessages)
+	mux.HandleFunc("POST /v1/propose", r.handlePropose)
+	mux.HandleFunc("POST /v1/state", r.handleWatch)
+	mux.HandleFunc("POST /v1/member", r.handleMembership)
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
+		door.Reply(w, http.StatusOK, r.Status())
+	})
 	return mux
 }
 
-// handleMessages takes the messages of another member. They wait in a bounded queue; what finds no room is lost, and repeated.
-func (m *Replica) handleMessages(w http.ResponseWriter, r *http.Request) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBody))
+// handleMessages queues the messages of another replica. What does not fit is dropped, and sent again.
+func (r *Replica) handleMessages(w http.ResponseWriter, req *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxMessageBody))
 	if err != nil {
 		door.Fail(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	// Members of a council that an operator has begun anew without them would still vote, and overwrite its log.
-	if mine, theirs := m.View().State.Epoch, r.Header.Get(epochHeader); mine != 0 && theirs != "0" && theirs != strconv.FormatUint(mine, 10) {
-		door.Fail(w, http.StatusGone, fmt.Sprintf("this council is of epoch %d, and the message of %s", mine, theirs))
+	// Replicas of a cluster that an operator has forced anew without them would still vote, and overwrite its log.
+	mine, theirs := r.View().State.Epoch, req.Header.Get(epochHeader)
+	if mine != 0 && theirs != "0" && theirs != strconv.FormatUint(mine, 10) {
+		door.Fail(w, http.StatusGone, fmt.Sprintf("this cluster is of epoch %d, and the message of %s", mine, theirs))
 		return
 	}
-	if id, err := strconv.ParseUint(r.Header.Get(fromHeader), 16, 64); err == nil {
-		m.learnedAddresses.Store(id, r.Header.Get(addressHeader))
+	if id, err := strconv.ParseUint(req.Header.Get(fromHeader), 16, 64); err == nil {
+		r.transport.learnAddress(id, req.Header.Get(addressHeader))
 	}
-	for len(raw) > 0 {
-		n, used := binary.Uvarint(raw)
-		if used <= 0 || n > uint64(len(raw)-used) {
-			door.Fail(w, http.StatusBadRequest, "the body is cut off")
-			return
-		}
-		msg := new(pb.Message)
-		if err := proto.Unmarshal(raw[used:used+int(n)], msg); err != nil {
-			door.Fail(w, http.StatusBadRequest, err.Error())
-			return
+	if status, err := r.enqueue(body); err != nil {
+		door.Fail(w, status, err.Error())
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// enqueue queues the messages of a body, up to the first one that is invalid or does not fit.
+func (r *Replica) enqueue(body []byte) (status int, err error) {
+	for len(body) > 0 {
+		message, rest, err := decodeMessage(body)
+		if err != nil {
+			return http.StatusBadRequest, err
 		}
-		raw = raw[used+int(n):]
-		if msg.GetTo() != m.core.ID() {
-			door.Fail(w, http.StatusGone, fmt.Sprintf("member %x is not here any more: this is %x; remove the one and add the other", msg.GetTo(), m.core.ID()))
-			return
+		body = rest
+		if message.GetTo() != r.core.ID() {
+			return http.StatusGone, fmt.Errorf("replica %x is not here any more: this is %x; remove the one and add the other",
+				message.GetTo(), r.core.ID())
 		}
 		select {
-		case m.inbox <- msg:
+		case r.inbox <- message:
 		default:
-			door.Fail(w, http.StatusServiceUnavailable, "too much waits already")
-			return
+			return http.StatusServiceUnavailable, errors.New("too many messages are waiting")
 		}
 	}
-	w.WriteHeader(http.StatusNoContent)
+	return 0, nil
 }
 
+// readRequest decodes the body of an agent or operator. If it cannot, it answers, and returns false.
 func readRequest(w http.ResponseWriter, r *http.Request, to any) bool {
 	r.Body = http.MaxBytesReader(w, r.Body, maxRequestBody)
 	return door.Read(w, r, to)
 }
 
-func (m *Replica) handlePropose(w http.ResponseWriter, r *http.Request) {
-	var e fleet.Entry
-	if !readRequest(w, r, &e) {
+func (r *Replica) handlePropose(w http.ResponseWriter, req *http.Request) {
+	var entry fleet.Entry
+	if !readRequest(w, req, &entry) {
 		return
 	}
-	switch e.Kind {
-	case fleet.KindUpgradeFormat, fleet.KindAnnounceFormat, fleet.KindExpireLease: // the council's own
-		door.Fail(w, http.StatusForbidden, fmt.Sprintf("%q is for members alone", e.Kind))
+	switch entry.Kind {
+	case fleet.KindUpgradeFormat, fleet.KindAnnounceFormat, fleet.KindExpireLease: // proposed by replicas alone
+		door.Fail(w, http.StatusForbidden, fmt.Sprintf("%q is for members alone", entry.Kind))
 		return
 	}
-	ctx, stop := context.WithTimeout(r.Context(), proposeTimeout)
-	defer stop()
-	res, err := m.Propose(ctx, e)
-	m.respond(w, res, err)
+	ctx, cancel := context.WithTimeout(req.Context(), proposeTimeout)
+	defer cancel()
+	result, err := r.Propose(ctx, entry)
+	respond(w, result, err)
 }
 
-func (m *Replica) respond(w http.ResponseWriter, res fleet.Result, err error) {
-	switch {
-	case err == nil:
-		p := ProposeResponse{Position: res.Position, FencingToken: res.FencingToken}
-		if res.Err != nil {
-			p.Error = res.Err.Error()
-		}
-		door.Reply(w, http.StatusOK, p)
-	case errors.As(err, new(MembershipError)):
-		door.Fail(w, http.StatusConflict, err.Error())
-	case errors.Is(err, ErrNoLeader):
-		door.Fail(w, http.StatusServiceUnavailable, err.Error())
-	default:
-		door.Fail(w, http.StatusGatewayTimeout, err.Error())
-	}
-}
-
-// handleWatch answers a follower: at once where there is something new, else when there is.
-func (m *Replica) handleWatch(w http.ResponseWriter, r *http.Request) {
-	var q WatchRequest
-	if !readRequest(w, r, &q) {
+func (r *Replica) handleMembership(w http.ResponseWriter, req *http.Request) {
+	var request MembershipRequest
+	if !readRequest(w, req, &request) {
 		return
 	}
-	select {
-	case m.watchers <- struct{}{}:
-		defer func() { <-m.watchers }()
-	default: // it comes again, to another member perhaps
-		w.Header().Set("Retry-After", "1")
-		door.Fail(w, http.StatusServiceUnavailable, "too many followers wait already")
+	id, status, err := r.memberID(request)
+	if err != nil {
+		door.Fail(w, status, err.Error())
 		return
 	}
-	end := time.NewTimer(min(q.Wait, maxWatchWait))
-	defer end.Stop()
-	for over := false; ; {
-		m.mu.Lock()
-		if q.Name != "" && (len(m.reports) < 10_000 || m.reports[q.Name].Name != "") {
-			q.SeenAt = time.Now()
-			m.reports[q.Name] = q.AgentReport
-		}
-		v, news := m.view, m.updated
-		m.mu.Unlock()
-		same := q.Epoch == v.State.Epoch
-		if over || !same || v.NotifyPosition > q.Position {
-			door.Reply(w, http.StatusOK, watchResponse(v, q.Position, same))
-			return
-		}
-		select {
-		case <-news:
-		case <-end.C:
-			over = true
-		case <-r.Context().Done():
-			return
-		case <-m.quit:
-			door.Fail(w, http.StatusServiceUnavailable, "the member ends")
-			return
-		}
-	}
-}
-
-func watchResponse(v View, at fleet.Position, same bool) WatchResponse {
-	a := WatchResponse{HasLeader: v.Raft.Lead != 0}
-	if !same || at < v.RecentAfter {
-		a.State = v.State
-		return a
-	}
-	i, _ := slices.BinarySearch(v.RecentPositions, at+1)
-	for ; i < len(v.RecentPositions); i++ {
-		a.Entries = append(a.Entries, LogEntry{v.RecentPositions[i], v.RecentEntries[i]})
-	}
-	return a
+	member := fleet.Member{ID: id, Name: request.Name, Address: request.Address, Learner: !request.Remove}
+	ctx, cancel := context.WithTimeout(req.Context(), proposeTimeout)
+	defer cancel()
+	result, err := r.ChangeMembership(ctx, member, request.Remove)
+	respond(w, result, err)
 }
 
-func (m *Replica) handleMembership(w http.ResponseWriter, r *http.Request) {
-	var o MembershipRequest
-	if !readRequest(w, r, &o) {
-		return
-	}
-	mem := fleet.Member{Name: o.Name, Address: o.Address, Learner: !o.Remove}
-	if o.ID != "" {
-		id, err := strconv.ParseUint(o.ID, 16, 64)
+// memberID returns the ID that a request is about: the one that it names, or that of the member to be removed.
+func (r *Replica) memberID(request MembershipRequest) (id uint64, status int, err error) {
+	if request.ID != "" {
+		id, err := strconv.ParseUint(request.ID, 16, 64)
 		if err != nil || id == 0 {
-			door.Fail(w, http.StatusBadRequest, fmt.Sprintf("id: want that of a member, in hexadecimal, got %q", o.ID))
-			return
+			err = fmt.Errorf("id: want that of a member, in hexadecimal, got %q", request.ID)
+			return 0, http.StatusBadRequest, err
 		}
-		mem.ID = id
+		return id, 0, nil
 	}
-	for id, known := range m.View().State.Members {
-		if o.Remove && mem.ID == 0 && known.Name == o.Name {
-			mem.ID = id
+	if request.Remove {
+		for id, member := range r.View().State.Members {
+			if member.Name == request.Name {
+				return id, 0, nil
+			}
 		}
 	}
-	if mem.ID == 0 {
-		door.Fail(w, http.StatusConflict, fmt.Sprintf("there is no member %q", o.Name))
-		return
-	}
-	ctx, stop := context.WithTimeout(r.Context(), proposeTimeout)
-	defer stop()
-	res, err := m.ChangeMembership(ctx, mem, o.Remove)
-	m.respond(w, res, err)
+	return 0, http.StatusConflict, fmt.Errorf("there is no member %q", request.Name)
 }
 
-// Status is what the member tells of itself and of the council.
-func (m *Replica) Status() Status {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	v := m.view
-	s := Status{Name: m.config.Name, ID: strconv.FormatUint(m.core.ID(), 16), Term: v.Raft.GetTerm(), Position: v.State.Position, State: v.State}
-	_, s.IsMember = v.State.Members[m.core.ID()]
-	if v.Raft.Lead != 0 {
-		s.LeaderID, s.LeaderName = strconv.FormatUint(v.Raft.Lead, 16), v.State.Members[v.Raft.Lead].Name
-	} else {
-		s.LeaderlessFor = m.config.Clock.Monotonic() - v.LeaderSeen
-	}
-	for _, name := range slices.Sorted(maps.Keys(m.reports)) {
-		s.Reports = append(s.Reports, m.reports[name])
+// respond answers a call with the outcome of its proposal.
+func respond(w http.ResponseWriter, result fleet.Result, err error) {
+	var notPossible *MembershipError
+	switch {
+	case err == nil:
+		response := ProposeResponse{Position: result.Position, FencingToken: result.FencingToken}
+		if result.Err != nil {
+			response.Error = result.Err.Error()
+		}
+		door.Reply(w, http.StatusOK, response)
+	case errors.As(err, &notPossible):
+		door.Fail(w, http.StatusConflict, err.Error())
+	case errors.Is(err, ErrNoLeader):
+		door.Fail(w, http.StatusServiceUnavailable, err.Error())
+	default:
+		door.Fail(w, http.StatusGatewayTimeout, err.Error())
 	}
-	return s
 }
--- /dev/null
+++ b/fleet/consensus/membership.go
@@ -0,0 +1,130 @@
+package consensus
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"cobaltward/fleet"
+)
+
+// maxLearnerLag is how many entries a learner may lack when it becomes a voter.
+const maxLearnerLag = 100
+
+// MembershipError says why the membership cannot change as proposed. Nothing was proposed.
+type MembershipError struct{ Reason string }
+
+func (e *MembershipError) Error() string { return "consensus: " + e.Reason }
+
+// membershipContext is what a change of the membership carries in the log.
+type membershipContext struct {
+	ProposalID uint64       `json:"id"`
+	Member     fleet.Member `json:"member"`
+}
+
+// ProposeMembership proposes to add a member, as a learner first and as a voter then, or to remove it. id is that of
+// the proposal, as of Propose. It returns ErrNoLeader, a *MembershipError, or an error of raft, if nothing was
+// proposed.
+func (c *Core) ProposeMembership(id uint64, member fleet.Member, remove bool) error {
+	if c.Leader() == 0 {
+		return ErrNoLeader
+	}
+	change, err := c.membershipChange(member, remove)
+	if err != nil {
+		return err
+	}
+	context, err := json.Marshal(membershipContext{id, member})
+	if err != nil {
+		return err
+	}
+	return c.node.ProposeConfChange(&raftpb.ConfChangeV2{
+		Changes: []*raftpb.ConfChangeSingle{{Type: change.Enum(), NodeId: &member.ID}},
+		Context: context,
+	})
+}
+
+// membershipChange returns raft's type of a change, or a *MembershipError where the change is not possible.
+func (c *Core) membershipChange(member fleet.Member, remove bool) (raftpb.ConfChangeType, error) {
+	current, exists := c.state.Members[member.ID]
+	switch {
+	case remove && !exists:
+		return 0, &MembershipError{"there is no such member"}
+	case remove && len(c.state.Members) == 1:
+		return 0, &MembershipError{"the last member can't be removed"}
+	case remove:
+		return raftpb.ConfChangeRemoveNode, nil
+	case exists && !current.Learner:
+		return 0, &MembershipError{"it is a member already"}
+	case !member.Learner:
+		return raftpb.ConfChangeAddNode, nil
+	}
+	return raftpb.ConfChangeAddLearnerNode, c.checkLearner(member)
+}
+
+// checkLearner returns a *MembershipError if a learner cannot be added beside the other members.
+func (c *Core) checkLearner(member fleet.Member) error {
+	for _, other := range c.state.Members {
+		switch {
+		case other.ID == member.ID:
+		case other.Address == member.Address || other.Name == member.Name:
+			return &MembershipError{fmt.Sprintf("member %x has this name or address: remove it first", other.ID)}
+		case other.Learner:
+			return &MembershipError{other.Name + " is being added: one at a time"}
+		}
+	}
+	return nil
+}
+
+// promoteLearner proposes to make a voter of a learner that has caught up.
+func (c *Core) promoteLearner() {
+	status := c.node.Status()
+	for id, progress := range status.Progress {
+		member, ok := c.state.Members[id]
+		if !ok || !member.Learner || !progress.RecentActive {
+			continue
+		}
+		if progress.Match > 0 && progress.Match+maxLearnerLag >= status.GetCommit() {
+			member.Learner = false
+			_ = c.ProposeMembership(0, member, false) // proposed again at a later tick
+			return
+		}
+	}
+}
+
+// applyMembership applies a change of the membership.
+func (c *Core) applyMembership(entry *raftpb.Entry, position fleet.Position) (AppliedEntry, error) {
+	applied := AppliedEntry{Result: fleet.Result{Position: position}}
+	if entry.GetType() == raftpb.EntryConfChange {
+		return applied, errors.New("consensus: membership change of a type that no replica proposes")
+	}
+	var change raftpb.ConfChangeV2
+	if err := proto.Unmarshal(entry.GetData(), &change); err != nil {
+		return applied, err
+	}
+	c.confState = c.node.ApplyConfChange(&change)
+	members := maps.Clone(c.state.Members)
+	if len(change.GetContext()) > 0 {
+		var context membershipContext
+		if err := json.Unmarshal(change.GetContext(), &context); err != nil {
+			return applied, err
+		}
+		applied.ProposalID = context.ProposalID
+		if members == nil {
+			members = make(map[uint64]fleet.Member)
+		}
+		members[context.Member.ID] = context.Member
+	}
+	maps.DeleteFunc(members, func(id uint64, _ fleet.Member) bool { return !c.inConfState(id) })
+	c.state = c.state.WithMembers(position, members)
+	return applied, nil
+}
+
+// inConfState reports whether raft has a member, whatever the context of a change says.
+func (c *Core) inConfState(id uint64) bool {
+	return slices.Contains(c.confState.GetVoters(), id) || slices.Contains(c.confState.GetLearners(), id)
+}
--- /dev/null
+++ b/fleet/consensus/propose.go
@@ -0,0 +1,115 @@
+package consensus
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+
+	"cobaltward/fleet"
+)
+
+// Errors of proposals.
+var (
+	// ErrOutcomeUnknown reports that nobody can tell what became of a proposal: it may have been applied, or may yet be.
+	ErrOutcomeUnknown = errors.New("consensus: the outcome of the proposal is unknown")
+	// ErrTooManyProposals reports that too many proposals wait for their outcome. Nothing was proposed.
+	ErrTooManyProposals = errors.New("consensus: too many proposals are waiting")
+	// ErrStopped reports that the replica has ended. Nothing was proposed.
+	ErrStopped = errors.New("consensus: the replica has stopped")
+)
+
+// proposal is a change that a caller wants agreed on.
+type proposal struct {
+	id       uint64
+	submit   func(core *Core, id uint64) error
+	accepted chan error // gets what submit returns; has room for it
+}
+
+// Propose proposes an entry, and waits until it is applied here. Of ErrOutcomeUnknown and of the end of ctx a caller
+// can conclude nothing: the entry may be applied yet.
+func (r *Replica) Propose(ctx context.Context, entry fleet.Entry) (fleet.Result, error) {
+	return r.await(ctx, func(core *Core, id uint64) error { return core.Propose(id, entry) })
+}
+
+// ChangeMembership adds or removes a member, and waits like Propose. It returns a *MembershipError where the change
+// is not possible.
+func (r *Replica) ChangeMembership(ctx context.Context, member fleet.Member, remove bool) (fleet.Result, error) {
+	return r.await(ctx, func(core *Core, id uint64) error { return core.ProposeMembership(id, member, remove) })
+}
+
+// await has the run goroutine submit a proposal, and waits for its outcome.
+func (r *Replica) await(ctx context.Context, submit func(*Core, uint64) error) (fleet.Result, error) {
+	id, err := newProposalID()
+	if err != nil {
+		return fleet.Result{}, err
+	}
+	outcome, err := r.register(id)
+	if err != nil {
+		return fleet.Result{}, err
+	}
+	defer r.unregister(id)
+	next := proposal{id: id, submit: submit, accepted: make(chan error, 1)}
+	select {
+	case r.proposals <- next:
+	case <-ctx.Done():
+		return fleet.Result{}, ctx.Err() // never proposed, but callers need not tell that apart
+	case <-r.done:
+		return fleet.Result{}, ErrStopped
+	}
+	select {
+	case err = <-next.accepted:
+	case <-r.done:
+		err = ErrOutcomeUnknown
+	}
+	if err != nil {
+		return fleet.Result{}, err
+	}
+	select {
+	case result := <-outcome:
+		return result, nil
+	case <-ctx.Done():
+	case <-r.done:
+	}
+	return fleet.Result{}, ErrOutcomeUnknown
+}
+
+// newProposalID returns an ID that no other proposal has; it is never 0.
+func newProposalID() (uint64, error) {
+	raw := encodeID(0)
+	if _, err := rand.Read(raw); err != nil {
+		return 0, err
+	}
+	return decodeID(raw) | 1, nil
+}
+
+// register returns the channel that gets the outcome of a proposal.
+func (r *Replica) register(id uint64) (<-chan fleet.Result, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.pendingResults) >= maxPendingProposals {
+		return nil, ErrTooManyProposals
+	}
+	outcome := make(chan fleet.Result, 1)
+	r.pendingResults[id] = outcome
+	return outcome, nil
+}
+
+func (r *Replica) unregister(id uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.pendingResults, id)
+}
+
+func (r *Replica) submit(next proposal) { next.accepted <- next.submit(r.core, next.id) }
+
+// submitWaiting submits the proposals that wait, up to a batch.
+func (r *Replica) submitWaiting() {
+	for range maxBatch {
+		select {
+		case next := <-r.proposals:
+			r.submit(next)
+		default:
+			return
+		}
+	}
+}
--- a/fleet/consensus/stored_test.go
+++ b/fleet/consensus/stored_test.go
@@ -1,7 +1,6 @@
 package consensus
 
 import (
-	"encoding/binary"
 	"encoding/json"
 	"os"
 	"path/filepath"
@@ -12,8 +11,14 @@
 	"cobaltward/fleet/lease"
 )
 
-// storedDisk opens a copy of the disk that a member wrote before the program's Go names changed.
-func storedDisk(t *testing.T) Storage {
+const (
+	storedID         = 17624918467334321323
+	storedProposalID = 0xabcd // of each entry
+	storedPosition   = 89     // of the last entry
+)
+
+// openStored opens a copy of the storage that a replica wrote before the program's Go names changed.
+func openStored(t *testing.T) Storage {
 	t.Helper()
 	raw, err := os.ReadFile(filepath.Join("testdata", storageFile))
 	if err != nil {
@@ -23,29 +28,29 @@
 	if err := os.WriteFile(filepath.Join(dir, storageFile), raw, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	d, err := OpenStorage(dir)
+	storage, err := OpenStorage(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
-		if err := d.Close(); err != nil {
+		if err := storage.Close(); err != nil {
 			t.Error(err)
 		}
 	})
-	return d
+	return storage
 }
 
 func loadStored(t *testing.T) PersistentState {
 	t.Helper()
-	saved, err := storedDisk(t).Load()
+	persisted, err := openStored(t).Load()
 	if err != nil {
 		t.Fatal(err)
 	}
-	return saved
+	return persisted
 }
 
-// storedFile reads a file that the test of package fleet checks field by field.
-func storedFile(t *testing.T, name string) []byte {
+// readShared reads a file that the tests of package fleet check field by field.
+func readShared(t *testing.T, name string) []byte {
 	t.Helper()
 	raw, err := os.ReadFile(filepath.Join("..", "testdata", name))
 	if err != nil {
@@ -54,109 +59,125 @@
 	return raw
 }
 
-const (
-	storedID       = 17624918467334321323
-	storedProposal = 0xabcd // that each entry was proposed under
-)
-
-// A disk of an earlier program holds what that program has saved: its id, its vote, a snapshot, and the log after it.
-func TestStoredDisk_LoadsUnchanged(t *testing.T) {
-	saved := loadStored(t)
-	if saved.ID != storedID {
-		t.Errorf("the id is %d, want %d", saved.ID, uint64(storedID))
+// Storage of an earlier program holds what that program has saved: its ID, its vote, a snapshot, and the log after it.
+func TestStoredStorage_LoadsUnchanged(t *testing.T) {
+	persisted := loadStored(t)
+	if persisted.ID != storedID {
+		t.Errorf("the ID is %d, want %d", persisted.ID, uint64(storedID))
 	}
-	if saved.HardState.GetTerm() != 2 || saved.HardState.GetVote() != storedID || saved.HardState.GetCommit() != 89 {
-		t.Errorf("the hard state is %v", saved.HardState)
+	hard := persisted.HardState
+	if hard.GetTerm() != 2 || hard.GetVote() != storedID || hard.GetCommit() != storedPosition {
+		t.Errorf("the hard state is %v", hard)
 	}
-	meta := saved.Snapshot.GetMetadata()
-	if meta.GetIndex() != 49 || len(meta.GetConfState().GetVoters()) != 1 || meta.GetConfState().GetVoters()[0] != storedID {
-		t.Errorf("the snapshot is %v", meta)
+	metadata := persisted.Snapshot.GetMetadata()
+	voters := metadata.GetConfState().GetVoters()
+	if metadata.GetIndex() != 49 || len(voters) != 1 || voters[0] != storedID {
+		t.Errorf("the snapshot is %v", metadata)
 	}
-	if want := storedFile(t, "snapshot.json"); string(saved.Snapshot.GetData()) != string(want) {
-		t.Errorf("the snapshot is %s, want %s", saved.Snapshot.GetData(), want)
+	if want := readShared(t, "snapshot.json"); string(persisted.Snapshot.GetData()) != string(want) {
+		t.Errorf("the snapshot is %s, want %s", persisted.Snapshot.GetData(), want)
 	}
-	var entries []struct {
+	var want []struct {
 		Raw      string         `json:"raw"`
 		Position fleet.Position `json:"position"`
 	}
-	if err := json.Unmarshal(storedFile(t, "entries.json"), &entries); err != nil {
+	if err := json.Unmarshal(readShared(t, "entries.json"), &want); err != nil {
 		t.Fatal(err)
 	}
-	if len(saved.Entries) != len(entries) {
-		t.Fatalf("%d entries are stored, want %d", len(saved.Entries), len(entries))
+	if len(persisted.Entries) != len(want) {
+		t.Fatalf("%d entries are stored, want %d", len(persisted.Entries), len(want))
 	}
-	for i, e := range saved.Entries {
-		data := e.GetData()
-		if e.GetIndex() != uint64(entries[i].Position) || binary.BigEndian.Uint64(data) != storedProposal || string(data[proposalIDSize:]) != entries[i].Raw {
-			t.Errorf("entry %d is %q, want %s", e.GetIndex(), data, entries[i].Raw)
+	for i, entry := range persisted.Entries {
+		data := entry.GetData()
+		if entry.GetIndex() != uint64(want[i].Position) || decodeID(data) != storedProposalID {
+			t.Errorf("entry %d of proposal %x, want entry %d", entry.GetIndex(), decodeID(data), want[i].Position)
+		}
+		if raw := string(data[proposalIDSize:]); raw != want[i].Raw {
+			t.Errorf("entry %d is %s, want %s", entry.GetIndex(), raw, want[i].Raw)
 		}
 	}
 }
 
-// A member started on a disk of an earlier program comes to the state that program had, and goes on from there.
-func TestStoredDisk_RestoresState(t *testing.T) {
-	d := storedDisk(t)
-	saved, err := d.Load()
-	if err != nil {
-		t.Fatal(err)
-	}
-	core, err := NewCore(saved, lease.UnsafeOptions{}, CompactAfter, 0, DiscardLogger)
-	if err != nil {
-		t.Fatal(err)
-	}
-	settle := func() {
-		for w := core.Ready(); w != nil; w = core.Ready() {
-			if err := d.Save(w); err != nil {
-				t.Fatal(err)
-			}
-			if _, err := core.Advance(w, 0); err != nil {
-				t.Fatal(err)
-			}
+// settle stores and applies what a core has made.
+func settle(t *testing.T, core *Core, storage Storage) {
+	t.Helper()
+	for batch := core.Ready(); batch != nil; batch = core.Ready() {
+		if err := storage.Save(batch); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := core.Advance(batch, 0); err != nil {
+			t.Fatal(err)
 		}
 	}
-	settle()
+}
+
+// elect has a single replica become the leader.
+func elect(t *testing.T, core *Core, storage Storage) {
+	t.Helper()
+	settle(t, core, storage)
 	for range 10 * electionTicks {
 		if core.Leader() == core.ID() {
-			break
+			return
 		}
 		core.node.Tick()
-		settle()
-	}
-	s := core.State()
-	if s.Position != 90 || core.Leader() != storedID { // the last entry is the new leader's own, and empty
-		t.Fatalf("position %d under leader %x", s.Position, core.Leader())
+		settle(t, core, storage)
 	}
-	last := *s
-	last.Position = 89
-	if want := storedFile(t, "state.json"); string(last.Marshal()) != string(want) {
-		t.Errorf("the state is %s, want %s", last.Marshal(), want)
-	}
-	before := s.HighestTokens[fleet.ResourceRollingUpdate]
-	if err := core.Propose(1, fleet.Entry{Kind: fleet.KindReleaseLease, Resource: fleet.ResourceRollingUpdate, FencingToken: before}); err != nil {
+	t.Fatal("the replica does not become the leader")
+}
+
+// A replica started on storage of an earlier program comes to the state that program had, and goes on from there.
+func TestStoredStorage_RestoresState(t *testing.T) {
+	storage := openStored(t)
+	persisted, err := storage.Load()
+	if err != nil {
 		t.Fatal(err)
 	}
-	if err := core.Propose(2, fleet.Entry{Kind: fleet.KindGrantLease, Resource: fleet.ResourceRollingUpdate, Holder: "n1/run-4", LeaseDuration: 1}); err != nil {
+	core, err := NewCore(persisted, lease.UnsafeOptions{}, CompactAfter, 0, DiscardLogger)
+	if err != nil {
 		t.Fatal(err)
 	}
-	settle()
+	elect(t, core, storage)
+	state := core.State()
+	if state.Position != storedPosition+1 { // the last entry is the new leader's own, and empty
+		t.Fatalf("the state is at position %d", state.Position)
+	}
+	stored := *state
+	stored.Position = storedPosition
+	if want := readShared(t, "state.json"); string(stored.Marshal()) != string(want) {
+		t.Errorf("the state is %s, want %s", stored.Marshal(), want)
+	}
+	before := state.HighestTokens[fleet.ResourceRollingUpdate]
+	for i, entry := range []fleet.Entry{
+		{Kind: fleet.KindReleaseLease, Resource: fleet.ResourceRollingUpdate, FencingToken: before},
+		{Kind: fleet.KindGrantLease, Resource: fleet.ResourceRollingUpdate, Holder: "n1/run-4", LeaseDuration: 1},
+	} {
+		if err := core.Propose(uint64(i+1), entry); err != nil {
+			t.Fatal(err)
+		}
+	}
+	settle(t, core, storage)
 	if after := core.State().HighestTokens[fleet.ResourceRollingUpdate]; after <= before {
 		t.Errorf("the token went from %d to %d", before, after)
 	}
 }
 
-// An operator begins anew on the disk of an earlier program: the state is kept, and tokens grow on.
-func TestStoredDisk_BeginsAnew(t *testing.T) {
-	saved := loadStored(t)
-	anew, err := ForceNewCluster(saved, fleet.Member{ID: saved.ID, Name: "c1", Address: "10.0.0.1:7600"})
+// An operator forces a new cluster on storage of an earlier program: the state is kept, and tokens grow on.
+func TestStoredStorage_ForcesNewCluster(t *testing.T) {
+	persisted := loadStored(t)
+	forced, err := ForceNewCluster(persisted, fleet.Member{ID: persisted.ID, Name: "c1", Address: "10.0.0.1:7600"})
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := fleet.UnmarshalState(anew.Snapshot.GetData())
+	state, err := fleet.UnmarshalState(forced.Snapshot.GetData())
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Epoch != 2 || len(s.Leases) != 0 || len(s.Jobs) != 4 || len(s.Members) != 1 || fleet.NewFencingToken(s.Epoch, s.Position) <= s.HighestTokens[fleet.ResourceRollingUpdate] {
-		t.Errorf("the state is %s", s.Marshal())
+	if state.Epoch != 2 || len(state.Leases) != 0 || len(state.Jobs) != 4 || len(state.Members) != 1 {
+		t.Errorf("the state is %s", state.Marshal())
+	}
+	next := fleet.NewFencingToken(state.Epoch, state.Position)
+	if highest := state.HighestTokens[fleet.ResourceRollingUpdate]; next <= highest {
+		t.Errorf("the next token is %d, after %d", next, highest)
 	}
 }
 
@@ -185,7 +206,7 @@
 	if err := json.Unmarshal(messages["errors"], &texts); err != nil {
 		t.Fatal(err)
 	}
-	for i, err := range []error{fleet.ErrConflict, fleet.ErrLeaseLost, fleet.ErrNotFound, fleet.ErrAlreadyExists, fleet.ErrFormatTooNew, fleet.ErrLimitExceeded, fleet.ErrInvalidEntry} {
+	for i, err := range fleet.RejectionErrors() {
 		if err.Error() != texts[i] {
 			t.Errorf("an error reads %q, want %q", err, texts[i])
 		}
