--- a/fleet/agent/client.go
+++ b/fleet/agent/client.go
@@ -1,9 +1,3 @@
-// Package agent is a process that follows the council: it reads the state, has its node do what is held and what an
-// owner asks for, and may own work itself.
-//
-// It stands a council that is away: it goes on with the last state. It trusts its own monotonic clock for its lease, as
-// package owner says, and its wall clock for the end of a hold. From a proposal that was never answered nothing
-// follows, and it is made again in a form that is harmless twice.
 package agent
 
 import (
@@ -24,120 +18,156 @@
 	"cobaltward/internal/door"
 )
 
-// Client speaks to the council, and to followers.
+// Errors of calls.
+var (
+	// ErrNoResponse reports that no answer came. What was asked for may have been done or not.
+	ErrNoResponse = errors.New("no answer")
+	// ErrRejected reports that what was asked for is rejected, and was not done.
+	ErrRejected = errors.New("refused")
+)
+
+const (
+	maxResponseBody    = 64 << 20 // bytes
+	maxIdleConns       = 4        // to one host
+	maxConns           = 32       // to one host
+	idleConnTimeout    = 30 * time.Second
+	firstErrorStatus   = 300 // of HTTP: what was asked for was not done
+	firstUnknownStatus = 500 // of HTTP: what was asked for may have been done
+)
+
+// Client calls the replicas of the consensus group, and agents. Its methods may be called from several goroutines at
+// once.
 type Client struct {
-	Replicas         []string
+	Replicas []string // addresses
+	// AddressOverrides are the addresses under which this process reaches others, where they differ, by address.
 	AddressOverrides map[string]string
-	AuthToken        string
+	AuthToken        string // bearer token of all calls
 	HTTP             *http.Client
-	UseTLS           bool // calls go by TLS, as HTTP has it
+	UseTLS           bool // calls are encrypted, as HTTP is configured
 
-	lastResponder atomic.Int64 // the member that answered last
+	lastResponder atomic.Int64 // the index of the replica that proposals go to
 }
 
-// NewClient makes one whose connections are its own; secure is how TLS is spoken, nil for plain links.
-func NewClient(members []string, via map[string]string, token string, secure *tls.Config) *Client {
-	return &Client{Replicas: members, AddressOverrides: via, AuthToken: token, UseTLS: secure != nil,
-		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, MaxConnsPerHost: 32, IdleConnTimeout: 30 * time.Second, DisableCompression: true, TLSClientConfig: secure}}}
+// NewClient returns a client with connections of its own; tlsConfig is nil for calls that are not encrypted.
+func NewClient(replicas []string, addressOverrides map[string]string, authToken string, tlsConfig *tls.Config) *Client {
+	return &Client{
+		Replicas:         replicas,
+		AddressOverrides: addressOverrides,
+		AuthToken:        authToken,
+		UseTLS:           tlsConfig != nil,
+		HTTP: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: maxIdleConns,
+			MaxConnsPerHost:     maxConns,
+			IdleConnTimeout:     idleConnTimeout,
+			DisableCompression:  true,
+			TLSClientConfig:     tlsConfig,
+		}},
+	}
 }
 
-// Errors of calls.
-var (
-	// ErrNoResponse says that no answer came: what was asked for may be done or not.
-	ErrNoResponse = errors.New("no answer")
-	// ErrRejected says that what was asked for is refused, and was not done.
-	ErrRejected = errors.New("refused")
-)
-
-const maxResponseBody = 64 << 20
-
-// Call asks an address, and reads its answer into to.
-func (c *Client) Call(ctx context.Context, method, addr, path string, body, to any) error {
-	if via := c.AddressOverrides[addr]; via != "" {
-		addr = via
+// Call sends body, as JSON, to a path of an address, and decodes the answer into the value that to points at. Its
+// errors wrap ErrNoResponse or ErrRejected, but for those of a request that could not be made.
+func (c *Client) Call(ctx context.Context, method, address, path string, body, to any) error {
+	if override := c.AddressOverrides[address]; override != "" {
+		address = override
 	}
-	raw, err := json.Marshal(body)
+	request, err := c.newRequest(ctx, method, address, path, body)
 	if err != nil {
 		return err
 	}
-	scheme := "http://"
-	if c.UseTLS {
-		scheme = "https://"
-	}
-	req, err := http.NewRequestWithContext(ctx, method, scheme+addr+"/v1"+path, bytes.NewReader(raw))
+	response, err := c.HTTP.Do(request)
 	if err != nil {
-		return err
+		return fmt.Errorf("%w from %s: %w", ErrNoResponse, address, err)
 	}
-	req.Header.Set("Authorization", "Bearer "+c.AuthToken)
-	resp, err := c.HTTP.Do(req)
+	defer func() { _ = response.Body.Close() }() // nothing more is read
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBody))
 	if err != nil {
-		return fmt.Errorf("%w from %s: %w", ErrNoResponse, addr, err)
-	}
-	defer resp.Body.Close()
-	raw, err = io.ReadAll(io.LimitReader(resp.Body, maxResponseBody))
-	switch {
-	case err != nil:
-		return fmt.Errorf("%w: that of %s broke off: %w", ErrNoResponse, addr, err)
-	case resp.StatusCode >= 500:
-		return fmt.Errorf("%w: %s says %s: %s", ErrNoResponse, addr, resp.Status, bytes.TrimSpace(raw))
-	case resp.StatusCode >= 300:
-		var e door.Error
-		_ = json.Unmarshal(raw, &e) // the status tells as much
-		return fmt.Errorf("%w by %s: %s", ErrRejected, addr, cmp.Or(e.Error, resp.Status))
+		return fmt.Errorf("%w from %s: reading it: %w", ErrNoResponse, address, err)
+	}
+	if response.StatusCode >= firstErrorStatus {
+		return statusError(address, response, raw)
 	}
 	if err := json.Unmarshal(raw, to); err != nil {
-		return fmt.Errorf("%w: that of %s is none of this version: %w", ErrNoResponse, addr, err)
+		return fmt.Errorf("%w from %s: decoding it: %w", ErrNoResponse, address, err)
 	}
 	return nil
 }
 
-// stateErrors are the state's errors by their texts.
-var stateErrors = func() map[string]error {
-	m := make(map[string]error)
-	for _, err := range []error{fleet.ErrConflict, fleet.ErrLeaseLost, fleet.ErrNotFound, fleet.ErrAlreadyExists, fleet.ErrFormatTooNew, fleet.ErrLimitExceeded, fleet.ErrInvalidEntry} {
-		m[err.Error()] = err
-	}
-	return m
-}()
+func (c *Client) newRequest(ctx context.Context, method, address, path string, body any) (*http.Request, error) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	scheme := "http://"
+	if c.UseTLS {
+		scheme = "https://"
+	}
+	url := scheme + address + "/" + door.Version + path
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(raw))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+c.AuthToken)
+	return request, nil
+}
+
+// statusError returns the error of an answer that reports one.
+func statusError(address string, response *http.Response, raw []byte) error {
+	if response.StatusCode >= firstUnknownStatus {
+		return fmt.Errorf("%w: %s says %s: %s", ErrNoResponse, address, response.Status, bytes.TrimSpace(raw))
+	}
+	var body door.Error
+	_ = json.Unmarshal(raw, &body) // the status tells as much
+	return fmt.Errorf("%w by %s: %s", ErrRejected, address, cmp.Or(body.Error, response.Status))
+}
 
-// Propose asks the member that answered last for an entry. An error says that what became of it is not known; the next
-// call asks another member.
-func (c *Client) Propose(ctx context.Context, e fleet.Entry) (fleet.Result, error) {
-	i := int(c.lastResponder.Load()) % len(c.Replicas)
-	var p consensus.ProposeResponse
-	if err := c.Call(ctx, http.MethodPost, c.Replicas[i], "/propose", e, &p); err != nil {
-		c.lastResponder.CompareAndSwap(int64(i), int64(i+1)%int64(len(c.Replicas)))
+// Propose proposes an entry to the replica that answered last. An error reports that the outcome is unknown, or that
+// the entry was not proposed; the next call goes to another replica then.
+func (c *Client) Propose(ctx context.Context, entry fleet.Entry) (fleet.Result, error) {
+	index := c.lastResponder.Load()
+	address := c.Replicas[int(index)%len(c.Replicas)]
+	var response consensus.ProposeResponse
+	if err := c.Call(ctx, http.MethodPost, address, "/propose", entry, &response); err != nil {
+		c.lastResponder.CompareAndSwap(index, (index+1)%int64(len(c.Replicas)))
 		return fleet.Result{}, err
 	}
-	r := fleet.Result{Position: p.Position, FencingToken: p.FencingToken}
-	if p.Error != "" {
-		if r.Err = stateErrors[p.Error]; r.Err == nil {
-			r.Err = errors.New(p.Error)
+	result := fleet.Result{Position: response.Position, FencingToken: response.FencingToken}
+	if response.Error != "" {
+		result.Err = rejectionError(response.Error)
+	}
+	return result, nil
+}
+
+// rejectionError returns the error of package fleet that has a text, or another one where there is none.
+func rejectionError(text string) error {
+	for _, err := range fleet.RejectionErrors() {
+		if err.Error() == text {
+			return err
 		}
 	}
-	return r, nil
+	return errors.New(text)
 }
 
-// Statuses asks all members; those that don't answer are missing.
+// Statuses asks all replicas for their status. The result has those that answered, by address.
 func (c *Client) Statuses(ctx context.Context) map[string]consensus.Status {
-	type one struct {
-		addr string
-		s    consensus.Status
-		err  error
-	}
-	came := make(chan one, len(c.Replicas))
-	for _, addr := range c.Replicas {
-		go func() {
-			o := one{addr: addr}
-			o.err = c.Call(ctx, http.MethodGet, addr, "/status", nil, &o.s)
-			came <- o
+	type answer struct {
+		address string
+		status  consensus.Status
+		err     error
+	}
+	answers := make(chan answer, len(c.Replicas))
+	for _, address := range c.Replicas {
+		go func() { // ends with ctx at the latest, and is waited for below
+			result := answer{address: address}
+			result.err = c.Call(ctx, http.MethodGet, address, "/status", nil, &result.status)
+			answers <- result
 		}()
 	}
-	all := make(map[string]consensus.Status)
+	statuses := make(map[string]consensus.Status)
 	for range c.Replicas {
-		if o := <-came; o.err == nil {
-			all[o.addr] = o.s
+		if result := <-answers; result.err == nil {
+			statuses[result.address] = result.status
 		}
 	}
-	return all
+	return statuses
 }
--- a/fleet/agent/command.go
+++ b/fleet/agent/command.go
@@ -12,37 +12,40 @@
 )
 
 const (
-	maxOutput = 4 << 10
-	killDelay = 5 * time.Second // SIGKILL after SIGTERM
+	maxOutput = 4 << 10         // bytes of a command's output that are kept
+	killDelay = 5 * time.Second // from SIGTERM to SIGKILL
 )
 
-// tailBuffer keeps the last bytes that are written to it.
-type tailBuffer struct{ b bytes.Buffer }
+// tailBuffer keeps the last maxOutput bytes that are written to it.
+type tailBuffer struct{ buffer bytes.Buffer }
 
+// Write implements io.Writer.
 func (t *tailBuffer) Write(p []byte) (int, error) {
-	t.b.Write(p)
-	if over := t.b.Len() - maxOutput; over > 0 {
-		t.b.Next(over)
+	t.buffer.Write(p)
+	if surplus := t.buffer.Len() - maxOutput; surplus > 0 {
+		t.buffer.Next(surplus)
 	}
 	return len(p), nil
 }
 
-// runCommand runs a command to its end, and returns its status and the end of what it printed. The command gets SIGKILL when
-// this process dies, so that no orphan works on while the next process looks.
-func runCommand(ctx context.Context, words, env []string) (status int, out string, err error) {
-	// The signal comes when the thread that began it dies; so that thread is kept until it has ended.
+// runCommand runs a command to its end, and returns its exit status and the end of its output. If ctx ends first,
+// the command gets SIGTERM, and SIGKILL after killDelay. It gets SIGKILL when this process dies, so that no orphan
+// goes on while the next process verifies what was done.
+func runCommand(ctx context.Context, words, env []string) (status int, output string, err error) {
+	// Pdeathsig is sent when the thread dies that has started the command, so that thread is kept until it has ended.
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
-	cmd := exec.CommandContext(ctx, words[0], words[1:]...)
-	cmd.Env = append(os.Environ(), env...)
-	var t tailBuffer
-	cmd.Stdout, cmd.Stderr = &t, &t
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
-	cmd.Cancel = func() error { return syscall.Kill(-cmd.Process.Pid, syscall.SIGTERM) }
-	cmd.WaitDelay = killDelay
-	err = cmd.Run()
-	if ended := (*exec.ExitError)(nil); errors.As(err, &ended) && ended.ExitCode() >= 0 && ctx.Err() == nil {
-		return ended.ExitCode(), t.b.String(), nil
+	command := exec.CommandContext(ctx, words[0], words[1:]...)
+	command.Env = append(os.Environ(), env...)
+	var tail tailBuffer
+	command.Stdout, command.Stderr = &tail, &tail
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	command.Cancel = func() error { return syscall.Kill(-command.Process.Pid, syscall.SIGTERM) }
+	command.WaitDelay = killDelay
+	err = command.Run()
+	var exited *exec.ExitError
+	if errors.As(err, &exited) && exited.ExitCode() >= 0 && ctx.Err() == nil {
+		return exited.ExitCode(), tail.buffer.String(), nil
 	}
-	return 0, t.b.String(), err
+	return 0, tail.buffer.String(), err
 }
--- /dev/null
+++ b/fleet/agent/effect.go
@@ -0,0 +1,155 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"cobaltward/fleet"
+	"cobaltward/fleet/lease"
+)
+
+// Errors of requests for effects.
+var (
+	// ErrStaleToken reports that an effect is rejected: its token is stale, or its job is closed.
+	ErrStaleToken = errors.New("refused")
+	// ErrNotReady reports that the agent does not know of the step yet, or is not running. The request may be repeated.
+	ErrNotReady = errors.New("the agent is not ready for the effect: ask again")
+)
+
+// maxDetail bounds the detail of an outcome, in bytes.
+const maxDetail = 512
+
+// Exit statuses of the operator's Verify command.
+const (
+	verifyPatched    = 0 // the patch is in
+	verifyNotPatched = 1
+)
+
+// HandleEffect accepts or rejects an effect. An accepted one is carried out in the background, and is asked for
+// again to learn its outcome. Errors wrap ErrStaleToken, ErrNotReady, or the reason why the state could not be
+// stored.
+func (a *Agent) HandleEffect(request lease.EffectRequest) (lease.EffectResponse, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ctx == nil || a.ctx.Err() != nil {
+		return lease.EffectResponse{}, ErrNotReady
+	}
+	state, _ := a.watcher.State()
+	response, decision, changed := a.receiver.Decide(request, state)
+	if changed {
+		if err := a.save(); err != nil {
+			if decision == lease.Execute || decision == lease.VerifyFirst {
+				a.receiver.MarkUnsaved(request.IdempotencyKey)
+			}
+			return lease.EffectResponse{}, err
+		}
+	}
+	switch decision {
+	case lease.Reject:
+		return response, a.reject(request, response)
+	case lease.Defer:
+		return response, ErrNotReady
+	case lease.Execute, lease.VerifyFirst:
+		ctx := a.ctx
+		a.tasks.Go(func() { a.execute(ctx, request, decision == lease.VerifyFirst) })
+	}
+	return response, nil
+}
+
+// reject logs and counts an effect that is rejected. The caller has the mutex.
+func (a *Agent) reject(request lease.EffectRequest, response lease.EffectResponse) error {
+	a.rejected++
+	a.config.Log.Warn("fleet: an old owner's effect is refused", "work", request.Resource,
+		"key", request.IdempotencyKey, "token", request.FencingToken, "newest", response.HighestToken)
+	return fmt.Errorf("%w: the token %d is old (%d has been seen), or the job is over",
+		ErrStaleToken, request.FencingToken, response.HighestToken)
+}
+
+// execute carries out an effect, and stores its outcome. If ctx ends meanwhile it stores none: the next process
+// verifies.
+func (a *Agent) execute(ctx context.Context, request lease.EffectRequest, verifyFirst bool) {
+	action := string(request.Step.Action)
+	a.failPoint("before " + action)
+	timeoutCtx, cancel := context.WithTimeout(ctx, a.config.Timeout)
+	defer cancel()
+	outcome, detail := a.perform(timeoutCtx, request, verifyFirst)
+	a.failPoint("after " + action)
+	if ctx.Err() != nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.receiver.EffectLog.Finish(request.IdempotencyKey, outcome, detail)
+	if err := a.save(); err != nil {
+		a.config.Log.Error("fleet: outcome not stored", "key", request.IdempotencyKey, "error", err)
+	}
+	a.config.Log.Info("fleet: an effect has ended", "key", request.IdempotencyKey, "token", request.FencingToken,
+		"outcome", outcome, "detail", detail)
+}
+
+// perform carries out the action of a request's step.
+func (a *Agent) perform(
+	ctx context.Context, request lease.EffectRequest, verifyFirst bool,
+) (outcome fleet.StepOutcome, detail string) {
+	var err error
+	switch request.Step.Action {
+	case fleet.ActionDrain, fleet.ActionRollbackDrain:
+		reason := fmt.Sprintf("%s, token %d", request.Reason, request.FencingToken)
+		err = a.node.Drain(ctx, request.DrainTimeout, reason)
+	case fleet.ActionResume, fleet.ActionRollbackResume:
+		err = a.node.Resume(ctx, fmt.Sprintf("fleet, %s, token %d", request.JobID, request.FencingToken))
+	case fleet.ActionPatch:
+		return a.performCommand(ctx, request, a.config.Commands.Patch, verifyFirst, verifyPatched)
+	case fleet.ActionRevert:
+		return a.performCommand(ctx, request, a.config.Commands.Revert, verifyFirst, verifyNotPatched)
+	default:
+		return fleet.OutcomeFailed, "this program knows no step " + string(request.Step.Action)
+	}
+	if err != nil {
+		return fleet.OutcomeFailed, clip(err.Error())
+	}
+	return fleet.OutcomeOK, ""
+}
+
+// performCommand runs an operator's command, which knows no fencing tokens. Where it may have run already, the Verify
+// command tells: doneStatus is its exit status where it has. What it cannot tell is unknown, and stays so.
+func (a *Agent) performCommand(
+	ctx context.Context, request lease.EffectRequest, words []string, verifyFirst bool, doneStatus int,
+) (outcome fleet.StepOutcome, detail string) {
+	if len(words) == 0 {
+		return fleet.OutcomeFailed, "no command is set for " + string(request.Step.Action)
+	}
+	env := []string{
+		"WAYHOLD_NODE=" + a.config.Self.Name,
+		"WAYHOLD_KEY=" + request.IdempotencyKey,
+		fmt.Sprintf("WAYHOLD_TOKEN=%d", request.FencingToken),
+		"WAYHOLD_STEP=" + string(request.Step.Action),
+	}
+	if verifyFirst {
+		status, output, err := runCommand(ctx, a.config.Commands.Verify, env)
+		if err != nil || status > verifyNotPatched {
+			detail := fmt.Sprintf("whether it has run can't be told: status %d, %v, %s", status, err, output)
+			return fleet.OutcomeUnknown, clip(detail)
+		}
+		if status == doneStatus {
+			return fleet.OutcomeOK, "it had run before it was asked for again"
+		}
+	}
+	status, output, err := runCommand(ctx, words, env)
+	if err != nil {
+		return fleet.OutcomeFailed, clip(err.Error() + ": " + output)
+	}
+	if status != 0 {
+		return fleet.OutcomeFailed, clip(fmt.Sprintf("status %d: %s", status, output))
+	}
+	return fleet.OutcomeOK, ""
+}
+
+// clip shortens a text to maxDetail.
+func clip(text string) string {
+	if len(text) > maxDetail {
+		return text[:maxDetail] + "…"
+	}
+	return text
+}
--- /dev/null
+++ b/fleet/agent/handler.go
@@ -0,0 +1,58 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"cobaltward/fleet"
+	"cobaltward/fleet/lease"
+	"cobaltward/internal/door"
+)
+
+// Status is what an agent shows of its node.
+type Status struct {
+	Name           string         `json:"name"`
+	Serving        bool           `json:"serving"`
+	Position       fleet.Position `json:"at"` // of the state that the agent knows
+	LeaseCandidate bool           `json:"owns"`
+	Rejected       uint64         `json:"refused"` // effects with a stale token, since the agent was started
+}
+
+// Mount adds the HTTP interface for holders of leases to a mux.
+func (a *Agent) Mount(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/effect", a.handleEffect)
+	mux.HandleFunc("GET /v1/node", a.handleStatus)
+}
+
+func (a *Agent) handleEffect(w http.ResponseWriter, r *http.Request) {
+	var request lease.EffectRequest
+	if !door.Read(w, r, &request) {
+		return
+	}
+	response, err := a.HandleEffect(request)
+	switch {
+	case errors.Is(err, ErrStaleToken):
+		door.Reply(w, http.StatusConflict, door.Error{Error: err.Error(), More: response})
+	case err != nil:
+		door.Reply(w, http.StatusServiceUnavailable, door.Error{Error: err.Error(), More: response})
+	default:
+		door.Reply(w, http.StatusOK, response)
+	}
+}
+
+func (a *Agent) handleStatus(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), nodeTimeout)
+	defer cancel()
+	state, _ := a.watcher.State()
+	status := Status{
+		Name:           a.config.Self.Name,
+		Serving:        a.node.Serving(ctx),
+		Position:       state.Position,
+		LeaseCandidate: a.config.Self.LeaseCandidate,
+	}
+	a.mu.Lock()
+	status.Rejected = a.rejected
+	a.mu.Unlock()
+	door.Reply(w, http.StatusOK, status)
+}
--- a/fleet/agent/nodeclient.go
+++ b/fleet/agent/nodeclient.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"strings"
 	"time"
 
 	"cobaltward/drain"
@@ -14,71 +15,100 @@
 	"cobaltward/internal/node"
 )
 
-// NodeClient is the node behind its door.
+// Node is the node that an agent drives. It knows nothing of the fleet.
+type Node interface {
+	// Serving reports whether the node answers and accepts requests.
+	Serving(ctx context.Context) bool
+	// Drain takes the node out of service. It returns once no request is open, or an error if that cannot be.
+	Drain(ctx context.Context, deadline time.Duration, reason string) error
+	// Resume has the node serve again. It returns once it does, or with the end of ctx.
+	Resume(ctx context.Context, who string) error
+	// DisableServer disables one server at the node.
+	DisableServer(ctx context.Context, server string) error
+	// EnableServer ends what DisableServer began. It is no error if the server is enabled already.
+	EnableServer(ctx context.Context, server string) error
+	// DisabledServers returns the servers that are disabled at the node, by whomever.
+	DisabledServers(ctx context.Context) ([]string, error)
+	// ServersByZone returns the servers of the node's endpoint list.
+	ServersByZone(ctx context.Context) (map[string][]string, error)
+}
+
+// NodeClient implements Node by the admin API of a node.
 type NodeClient struct {
 	client *Client
-	base   string
+	base   string // host of the requests
 }
 
-const pollInterval = 50 * time.Millisecond // between looks at a node's progress
+const (
+	// pollInterval is the time between two looks at the progress of a node.
+	pollInterval = 50 * time.Millisecond
+	// socketHost is the host of requests over a Unix socket, where none is needed.
+	socketHost = "door"
+	// requester is who the node is told has asked for a drain.
+	requester = "fleet"
+)
 
-// NewNodeClient makes a Node of a door at a socket's path, or at IP:port with a token.
-func NewNodeClient(at, token string) *NodeClient {
-	c, _ := door.Dial(at, token, nil)
-	if at[0] == '/' {
-		at = "door"
+// NewNodeClient returns a client of the admin API at the path of a Unix socket, or at IP:port with a bearer token.
+func NewNodeClient(address, authToken string) *NodeClient {
+	httpClient, _ := door.Dial(address, authToken, nil)
+	base := address
+	if strings.HasPrefix(address, "/") {
+		base = socketHost
 	}
-	return &NodeClient{client: &Client{AuthToken: token, HTTP: c}, base: at}
+	return &NodeClient{client: &Client{AuthToken: authToken, HTTP: httpClient}, base: base}
 }
 
-func (d *NodeClient) call(ctx context.Context, method, path string, body, to any) error {
-	return d.client.Call(ctx, method, d.base, path, body, to)
+func (c *NodeClient) call(ctx context.Context, method, path string, body, to any) error {
+	return c.client.Call(ctx, method, c.base, path, body, to)
 }
 
-func (d *NodeClient) status(ctx context.Context) (s node.Status, err error) {
-	err = d.call(ctx, http.MethodGet, "/status", struct{}{}, &s)
-	return s, err
+func (c *NodeClient) status(ctx context.Context) (status node.Status, err error) {
+	err = c.call(ctx, http.MethodGet, "/status", struct{}{}, &status)
+	return status, err
 }
 
 // Serving implements Node.
-func (d *NodeClient) Serving(ctx context.Context) bool {
-	s, err := d.status(ctx)
-	return err == nil && s.Drain.State == drain.Serving
+func (c *NodeClient) Serving(ctx context.Context) bool {
+	status, err := c.status(ctx)
+	return err == nil && status.Drain.State == drain.Serving
 }
 
-// Drain implements Node. A drain that is there already, of an earlier ask or of an operator, is waited for.
-func (d *NodeClient) Drain(ctx context.Context, deadline time.Duration, reason string) error {
-	order := node.DrainOrder{Deadline: deadline.String(), Who: "fleet", Reason: reason}
+// Drain implements Node. A drain that is under way already, of an earlier request or of an operator, is waited for.
+func (c *NodeClient) Drain(ctx context.Context, deadline time.Duration, reason string) error {
+	order := node.DrainOrder{Deadline: deadline.String(), Who: requester, Reason: reason}
 	for ctx.Err() == nil {
-		s, err := d.status(ctx)
+		status, err := c.status(ctx)
 		switch {
-		case err == nil && s.Drain.State == drain.Forced:
-			return fmt.Errorf("the deadline passed with %d requests open; they were answered", s.Drain.Failed)
-		case err == nil && s.Drain.State.Over():
+		case err != nil: // asked again
+		case status.Drain.State == drain.Forced:
+			return fmt.Errorf("the drain deadline passed with %d requests open; they were answered", status.Drain.Failed)
+		case status.Drain.State.Over():
 			return nil
-		case err == nil && s.Drain.State == drain.Serving:
-			if err := d.call(ctx, http.MethodPost, "/drain", order, new(node.Status)); errors.Is(err, ErrRejected) {
+		case status.Drain.State == drain.Serving:
+			err := c.call(ctx, http.MethodPost, "/drain", order, new(node.Status))
+			if errors.Is(err, ErrRejected) {
 				return err
 			}
 		}
 		pause(ctx)
 	}
-	return fmt.Errorf("the node is not out: %w", ctx.Err())
+	return fmt.Errorf("draining the node: %w", ctx.Err())
 }
 
 // Resume implements Node. A node that has been replaced meanwhile serves by itself.
-func (d *NodeClient) Resume(ctx context.Context, who string) error {
+func (c *NodeClient) Resume(ctx context.Context, who string) error {
 	for ctx.Err() == nil {
-		s, err := d.status(ctx)
-		switch {
-		case err == nil && s.Drain.State == drain.Serving:
-			return nil
-		case err == nil:
-			_ = d.call(ctx, http.MethodDelete, "/drain", node.DrainOrder{Who: who}, new(node.Status)) // looked at again
+		status, err := c.status(ctx)
+		if err == nil {
+			if status.Drain.State == drain.Serving {
+				return nil
+			}
+			// What came of it is seen by the next status.
+			_ = c.call(ctx, http.MethodDelete, "/drain", node.DrainOrder{Who: who}, new(node.Status))
 		}
 		pause(ctx)
 	}
-	return fmt.Errorf("the node does not serve: %w", ctx.Err())
+	return fmt.Errorf("resuming the node: %w", ctx.Err())
 }
 
 func pause(ctx context.Context) {
@@ -88,30 +118,34 @@
 	}
 }
 
+func serverDrainPath(server string) string { return "/servers/" + url.PathEscape(server) + "/drain" }
+
 // DisableServer implements Node.
-func (d *NodeClient) DisableServer(ctx context.Context, server string) error {
-	return d.call(ctx, http.MethodPost, "/servers/"+url.PathEscape(server)+"/drain", struct{}{}, new(map[string][]string))
+func (c *NodeClient) DisableServer(ctx context.Context, server string) error {
+	return c.call(ctx, http.MethodPost, serverDrainPath(server), struct{}{}, new(map[string][]string))
 }
 
-// EnableServer implements Node. A server that is not held any more is lifted.
-func (d *NodeClient) EnableServer(ctx context.Context, server string) error {
-	err := d.call(ctx, http.MethodDelete, "/servers/"+url.PathEscape(server)+"/drain", struct{}{}, new(map[string][]string))
-	if errors.Is(err, ErrRejected) {
-		if held, heldErr := d.DisabledServers(ctx); heldErr == nil && !slices.Contains(held, server) {
-			return nil
-		}
+// EnableServer implements Node.
+func (c *NodeClient) EnableServer(ctx context.Context, server string) error {
+	err := c.call(ctx, http.MethodDelete, serverDrainPath(server), struct{}{}, new(map[string][]string))
+	if !errors.Is(err, ErrRejected) {
+		return err
+	}
+	disabled, statusErr := c.DisabledServers(ctx)
+	if statusErr == nil && !slices.Contains(disabled, server) {
+		return nil // enabled already
 	}
 	return err
 }
 
 // DisabledServers implements Node.
-func (d *NodeClient) DisabledServers(ctx context.Context) ([]string, error) {
-	s, err := d.status(ctx)
-	return s.ByHand, err
+func (c *NodeClient) DisabledServers(ctx context.Context) ([]string, error) {
+	status, err := c.status(ctx)
+	return status.ByHand, err
 }
 
 // ServersByZone implements Node.
-func (d *NodeClient) ServersByZone(ctx context.Context) (zones map[string][]string, err error) {
-	err = d.call(ctx, http.MethodGet, "/servers", struct{}{}, &zones)
-	return zones, err
+func (c *NodeClient) ServersByZone(ctx context.Context) (servers map[string][]string, err error) {
+	err = c.call(ctx, http.MethodGet, "/servers", struct{}{}, &servers)
+	return servers, err
 }
--- /dev/null
+++ b/fleet/agent/runner.go
@@ -0,0 +1,264 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cobaltward/fleet"
+	"cobaltward/fleet/consensus"
+	"cobaltward/fleet/lease"
+	"cobaltward/fleet/rollingupdate"
+)
+
+const (
+	agentTimeout   = 2 * time.Second        // of calls to agents
+	releaseTimeout = time.Second            // of the release of the lease when the runner ends
+	viewInterval   = 500 * time.Millisecond // for which a view of the nodes is used
+	maxStatusCalls = 32                     // calls for the status of nodes at a time
+
+	leaseChecksPerDuration = 40 // how often a runner looks after its lease
+	reconcilesPerDuration  = 50 // how often a runner looks after its job
+	minReconcileInterval   = 20 * time.Millisecond
+)
+
+// ControllerConfig configures a ControllerRunner.
+type ControllerConfig struct {
+	Kind          fleet.JobKind
+	Identity      string // of this incarnation of the process; see fleet.Entry.Holder
+	Node          string // beside the process
+	LeaseDuration time.Duration
+	Clock         consensus.Clock
+	Unsafe        lease.UnsafeOptions
+	Log           *slog.Logger
+	// FailPoint is called at points where tests may end or stop the process; nil: it is not.
+	FailPoint func(point string)
+	// ObserveProposal is told of each proposal about the lease before it is sent; what it returns is told of the
+	// outcome. nil: nothing is observed.
+	ObserveProposal func(entry fleet.Entry) func(result fleet.Result, known bool)
+}
+
+// ControllerRunner carries out what a rollingupdate.Controller wants.
+type ControllerRunner struct {
+	config     ControllerConfig
+	client     *Client
+	watcher    *StateWatcher
+	holdsLease atomic.Bool
+
+	mu         sync.Mutex
+	controller *rollingupdate.Controller
+
+	viewedAt time.Time // of reconcileLoop
+	view     rollingupdate.ClusterView
+}
+
+// NewControllerRunner returns a runner that follows the state by a watcher.
+func NewControllerRunner(config ControllerConfig, client *Client, watcher *StateWatcher) *ControllerRunner {
+	return &ControllerRunner{
+		config:  config,
+		client:  client,
+		watcher: watcher,
+		controller: rollingupdate.NewController(
+			config.Kind, config.Identity, config.Node, config.LeaseDuration, config.Unsafe),
+	}
+}
+
+// HoldsLease reports whether the process has the lease, as far as it knows.
+func (r *ControllerRunner) HoldsLease() bool { return r.holdsLease.Load() }
+
+// Run competes for the lease, and runs the job while it has it, until ctx ends. Then it releases the lease.
+func (r *ControllerRunner) Run(ctx context.Context) {
+	var reconciler sync.WaitGroup
+	defer reconciler.Wait()
+	reconciler.Go(func() { r.reconcileLoop(ctx) })
+	ticker := time.NewTicker(r.config.LeaseDuration / leaseChecksPerDuration)
+	defer ticker.Stop()
+	for {
+		r.maintainLease(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			r.release(ctx)
+			return
+		}
+	}
+}
+
+// release gives the lease back, once ctx has ended.
+func (r *ControllerRunner) release(ctx context.Context) {
+	r.mu.Lock()
+	r.controller.Resign()
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	r.maintainLease(ctx)
+}
+
+// maintainLease proposes what the lease needs, one proposal at a time.
+func (r *ControllerRunner) maintainLease(ctx context.Context) {
+	state, _ := r.watcher.State()
+	r.mu.Lock()
+	requestedAt := r.config.Clock.Monotonic()
+	entry, ok := r.controller.NextProposal(requestedAt, state)
+	r.mu.Unlock()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(proposeTimeout, r.config.LeaseDuration/2))
+	defer cancel()
+	observeResult := func(fleet.Result, bool) {}
+	if r.config.ObserveProposal != nil {
+		observeResult = r.config.ObserveProposal(entry)
+	}
+	result, err := r.client.Propose(ctx, entry)
+	r.handleResult(requestedAt, entry, result, err == nil)
+	observeResult(result, err == nil)
+}
+
+// handleResult records the outcome of a proposal about the lease.
+func (r *ControllerRunner) handleResult(requestedAt time.Duration, entry fleet.Entry, result fleet.Result, known bool) {
+	r.mu.Lock()
+	_, held := r.controller.HoldsLease()
+	r.controller.HandleResult(requestedAt, r.config.Clock.Monotonic(), entry, result, known)
+	token, holds := r.controller.HoldsLease()
+	r.mu.Unlock()
+	if holds != held {
+		r.config.Log.Info("fleet: ownership", "work", r.config.Kind, "holder", r.config.Identity, "owns", holds,
+			"token", token, "position", result.Position)
+	}
+	r.holdsLease.Store(holds)
+}
+
+// fencingToken returns the token to act under now; ok is false where the process must not act.
+func (r *ControllerRunner) fencingToken() (token fleet.FencingToken, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.controller.FencingToken(r.config.Clock.Monotonic())
+}
+
+// reconcileLoop does what the job asks for, while the process has the lease, until ctx ends.
+func (r *ControllerRunner) reconcileLoop(ctx context.Context) {
+	ticker := time.NewTicker(max(r.config.LeaseDuration/reconcilesPerDuration, minReconcileInterval))
+	defer ticker.Stop()
+	for {
+		r.reconcile(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// reconcile looks at the job once, and does what comes next.
+func (r *ControllerRunner) reconcile(ctx context.Context) {
+	state, _ := r.watcher.State()
+	if _, ok := r.fencingToken(); !ok || state.OpenJob(r.config.Kind) == nil {
+		return
+	}
+	view := r.observe(ctx, state)
+	r.mu.Lock()
+	tasks := r.controller.Next(r.config.Clock.Monotonic(), state, view)
+	r.mu.Unlock()
+	var running sync.WaitGroup
+	for _, task := range tasks {
+		running.Go(func() {
+			if task.Entry != nil {
+				r.propose(ctx, *task.Entry)
+				return
+			}
+			r.requestEffect(ctx, state, *task.Request)
+		})
+	}
+	running.Wait()
+}
+
+// observe returns a view of the nodes, which is asked of their agents now and then.
+func (r *ControllerRunner) observe(ctx context.Context, state *fleet.State) rollingupdate.ClusterView {
+	if time.Since(r.viewedAt) < viewInterval {
+		return r.view
+	}
+	ctx, cancel := context.WithTimeout(ctx, agentTimeout)
+	defer cancel()
+	view := rollingupdate.ClusterView{Nodes: make(map[string]rollingupdate.NodeStatus)}
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	slots := make(chan struct{}, maxStatusCalls)
+	for name, node := range state.Nodes {
+		slots <- struct{}{}
+		calls.Go(func() {
+			defer func() { <-slots }()
+			status := r.nodeStatus(ctx, node)
+			mu.Lock()
+			defer mu.Unlock()
+			view.Nodes[name] = status
+		})
+	}
+	calls.Wait()
+	r.viewedAt, r.view = time.Now(), view
+	return view
+}
+
+// nodeStatus asks the agent of a node for its status.
+func (r *ControllerRunner) nodeStatus(ctx context.Context, node fleet.Node) rollingupdate.NodeStatus {
+	var status Status
+	err := r.client.Call(ctx, http.MethodGet, node.Address, "/node", struct{}{}, &status)
+	return rollingupdate.NodeStatus{
+		Zone:           node.Zone,
+		Capacity:       node.Capacity,
+		LeaseCandidate: node.LeaseCandidate,
+		Serving:        err == nil && status.Name == node.Name && status.Serving,
+	}
+}
+
+// requestEffect asks the agent of a node for an effect, and proposes its outcome. A node that is not registered is
+// waited for; an operator may abort the job.
+func (r *ControllerRunner) requestEffect(ctx context.Context, state *fleet.State, request lease.EffectRequest) {
+	node, ok := state.Nodes[request.Step.Node]
+	if !ok {
+		return
+	}
+	if token, ok := r.fencingToken(); !ok || token != request.FencingToken {
+		return
+	}
+	if r.config.FailPoint != nil {
+		r.config.FailPoint("effect") // between the check of the lease and the effect
+	}
+	ctx, cancel := context.WithTimeout(ctx, agentTimeout)
+	defer cancel()
+	var response lease.EffectResponse
+	if err := r.client.Call(ctx, http.MethodPost, node.Address, "/effect", request, &response); err != nil {
+		if errors.Is(err, ErrRejected) {
+			r.config.Log.Warn("fleet: effect rejected", "key", request.IdempotencyKey, "token", request.FencingToken,
+				"error", err)
+		}
+		return // requested again
+	}
+	r.mu.Lock()
+	entries := r.controller.HandleResponse(request, response)
+	r.mu.Unlock()
+	for _, entry := range entries {
+		r.propose(ctx, entry)
+	}
+}
+
+// propose proposes an entry of the job. One whose outcome is unknown may be applied, or may yet be.
+func (r *ControllerRunner) propose(ctx context.Context, entry fleet.Entry) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	result, err := r.client.Propose(ctx, entry)
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	leaseLost := r.controller.HandleWrite(result)
+	r.mu.Unlock()
+	if leaseLost {
+		r.config.Log.Warn("fleet: entry rejected: the lease is another's", "resource", r.config.Kind,
+			"job", entry.JobID, "step", entry.Step.String(), "token", entry.FencingToken)
+	}
+}
--- a/fleet/agent/stored_test.go
+++ b/fleet/agent/stored_test.go
@@ -14,8 +14,11 @@
 	"cobaltward/fleet/lease"
 )
 
-// The memory of a receiver that an earlier program wrote is read as it was meant, and written as it was stored.
-func TestStoredMemory_LoadsAndSavesUnchanged(t *testing.T) {
+// storedToken is the fencing token in the stored file.
+const storedToken = 562949953421315
+
+// The state of a receiver that an earlier program stored is read as it was meant, and written as it was stored.
+func TestStoredReceiver_LoadsAndSavesUnchanged(t *testing.T) {
 	raw, err := os.ReadFile(filepath.Join("testdata", stateFile))
 	if err != nil {
 		t.Fatal(err)
@@ -25,34 +28,44 @@
 	if err := os.WriteFile(path, raw, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	c := NewClient([]string{"127.0.0.1:1"}, nil, "a token of the test", nil)
-	t.Cleanup(c.HTTP.CloseIdleConnections)
-	a, err := New(Config{Self: fleet.Node{Name: "n1", Incarnation: "run-2"}, Dir: dir, Clock: consensus.SystemClock(), Log: slog.New(slog.DiscardHandler)}, nil, c)
+	client := NewClient([]string{"127.0.0.1:1"}, nil, "a token of the test", nil)
+	t.Cleanup(client.HTTP.CloseIdleConnections)
+	agent, err := New(Config{
+		Self:  fleet.Node{Name: "n1", Incarnation: "run-2"},
+		Dir:   dir,
+		Clock: consensus.SystemClock(),
+		Log:   slog.New(slog.DiscardHandler),
+	}, nil, client)
 	if err != nil {
 		t.Fatal(err)
 	}
-	const token = 562949953421315
 	want := lease.ReceiverState{
-		Gate: lease.FencingGate{HighestTokens: map[string]fleet.FencingToken{"round": token}},
+		Gate: lease.FencingGate{HighestTokens: map[string]fleet.FencingToken{"round": storedToken}},
 		EffectLog: lease.EffectLog{LastSequence: 3, Effects: map[string]lease.Effect{
-			"r1/n1/out":   {Sequence: 1, Resource: "round", FencingToken: token, Outcome: "ok"},
-			"r1/n1/patch": {Sequence: 2, Resource: "round", FencingToken: token, Outcome: "failed", Detail: "status 3: no room"},
-			"r1/n1/in":    {Sequence: 3, Resource: "round", FencingToken: token, Running: true},
+			"r1/n1/out": {Sequence: 1, Resource: "round", FencingToken: storedToken, Outcome: "ok"},
+			"r1/n1/patch": {
+				Sequence:     2,
+				Resource:     "round",
+				FencingToken: storedToken,
+				Outcome:      "failed",
+				Detail:       "status 3: no room",
+			},
+			"r1/n1/in": {Sequence: 3, Resource: "round", FencingToken: storedToken, Running: true},
 		}},
 		DisabledServers: []string{"s1", "s7"},
 	}
-	if !reflect.DeepEqual(a.receiver.ReceiverState, want) {
-		t.Errorf("the memory reads as %+v, want %+v", a.receiver.ReceiverState, want)
+	if !reflect.DeepEqual(agent.receiver.ReceiverState, want) {
+		t.Errorf("the state reads as %+v, want %+v", agent.receiver.ReceiverState, want)
 	}
-	if err := a.save(); err != nil {
+	if err := agent.save(); err != nil {
 		t.Fatal(err)
 	}
-	again, err := os.ReadFile(path)
+	saved, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if string(again) != string(raw) {
-		t.Errorf("stored %s, written again %s", raw, again)
+	if string(saved) != string(raw) {
+		t.Errorf("stored %s, written again %s", raw, saved)
 	}
 }
 
--- a/fleet/agent/watcher.go
+++ b/fleet/agent/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -13,150 +14,173 @@
 )
 
 const (
-	watchTimeout = 10 * time.Second
-	watchSlack   = 3 * time.Second // beyond it a poll has failed
+	watchTimeout = 10 * time.Second // that a replica may wait for news
+	watchSlack   = 3 * time.Second  // beyond watchTimeout, after which a request has failed
 	minBackoff   = 200 * time.Millisecond
 	maxBackoff   = 10 * time.Second
 )
 
-// StateWatcher keeps the newest state that any member has told. Its methods may be called at once from many goroutines.
+// errReportChanged ends a request whose report is out of date.
+var errReportChanged = errors.New("the report has changed")
+
+// StateWatcher keeps the newest state that any replica has shown. Its methods may be called from several goroutines
+// at once.
 type StateWatcher struct {
 	client        *Client
-	report        func() consensus.AgentReport // what is said of this process with each question
+	report        func() consensus.AgentReport // what is said of this process with each request
 	log           *slog.Logger
 	watchTimeout  time.Duration
-	reportChanged chan struct{} // holds one where the report has changed
+	reportChanged chan struct{} // holds one if the report has changed
 
 	mu           sync.Mutex
 	state        *fleet.State
-	lastResponse time.Time // of the last answer
-	updated      chan struct{}
+	lastResponse time.Time
+	updated      chan struct{} // closed, and replaced, when the state is a newer one
 }
 
-// NewStateWatcher makes one that knows nothing yet.
-func NewStateWatcher(c *Client, report func() consensus.AgentReport, log *slog.Logger) *StateWatcher {
-	return &StateWatcher{client: c, report: report, log: log, watchTimeout: watchTimeout, state: fleet.NewState(0), updated: make(chan struct{}), reportChanged: make(chan struct{}, 1)}
+// NewStateWatcher returns a watcher that knows the empty state. report returns what each request says of this
+// process.
+func NewStateWatcher(client *Client, report func() consensus.AgentReport, log *slog.Logger) *StateWatcher {
+	return &StateWatcher{
+		client:        client,
+		report:        report,
+		log:           log,
+		watchTimeout:  watchTimeout,
+		reportChanged: make(chan struct{}, 1),
+		state:         fleet.NewState(0),
+		updated:       make(chan struct{}),
+	}
 }
 
-// State is the newest state, and when a member last answered.
-func (f *StateWatcher) State() (*fleet.State, time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.state, f.lastResponse
+// State returns the newest state, and when a replica last answered; the zero time if none has.
+func (w *StateWatcher) State() (state *fleet.State, lastResponse time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.state, w.lastResponse
 }
 
-// Updates is closed when a newer state is there.
-func (f *StateWatcher) Updates() <-chan struct{} {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.updated
+// Updates returns a channel that is closed when there is a newer state than that of now.
+func (w *StateWatcher) Updates() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.updated
 }
 
-// WaitFor returns once the state is at a place of the log, or beyond.
-func (f *StateWatcher) WaitFor(ctx context.Context, at fleet.Position) error {
+// WaitFor returns once the state is at a position or beyond, or with the error of ctx.
+func (w *StateWatcher) WaitFor(ctx context.Context, position fleet.Position) error {
 	for {
-		news := f.Updates()
-		if s, _ := f.State(); s.Position >= at {
+		updates := w.Updates()
+		if state, _ := w.State(); state.Position >= position {
 			return nil
 		}
 		select {
-		case <-news:
+		case <-updates:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
-// ReportChanged has the next question asked at once: what is said of this process has changed, and a question that waits for
-// news has said the former.
-func (f *StateWatcher) ReportChanged() {
+// ReportChanged has the next request sent at once: the one that waits for news carries a report that is out of date.
+func (w *StateWatcher) ReportChanged() {
 	select {
-	case f.reportChanged <- struct{}{}:
+	case w.reportChanged <- struct{}{}:
 	default:
 	}
 }
 
-// Run follows until ctx ends. Members are asked in turn from a place of its own; after a failure it rests, the longer
-// the more have failed, for a time that is spread, so that a council that is back is not met by all at once.
-func (f *StateWatcher) Run(ctx context.Context) {
-	pause := minBackoff
-	at := rand.IntN(max(1, len(f.client.Replicas)))
+// Run watches until ctx ends. Replicas are asked in turn, beginning with any. After a failure it backs off, the
+// longer the more have failed, with jitter, so that replicas that are back do not meet all watchers at once.
+func (w *StateWatcher) Run(ctx context.Context) {
+	backoff := minBackoff
+	next := rand.IntN(max(1, len(w.client.Replicas)))
 	for ctx.Err() == nil {
-		if f.poll(ctx, f.client.Replicas[at%len(f.client.Replicas)]) {
-			pause = minBackoff
+		if w.poll(ctx, w.client.Replicas[next%len(w.client.Replicas)]) {
+			backoff = minBackoff
 			continue
 		}
-		at++
+		next++
 		select {
-		case <-time.After(pause/2 + rand.N(pause)):
+		case <-time.After(backoff/2 + rand.N(backoff)):
 		case <-ctx.Done():
 		}
-		pause = min(2*pause, maxBackoff)
+		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
-// poll asks a member once; ok says that it is worth asking again.
-func (f *StateWatcher) poll(ctx context.Context, addr string) (ok bool) {
+// poll asks a replica once; ok reports that it is worth asking again without backing off.
+func (w *StateWatcher) poll(ctx context.Context, address string) (ok bool) {
 	select {
-	case <-f.reportChanged: // this question says it
+	case <-w.reportChanged: // this request carries the new report
 	default:
 	}
-	s, _ := f.State()
-	q := consensus.WatchRequest{AgentReport: f.report(), Wait: f.watchTimeout}
-	q.Epoch, q.Position = s.Epoch, s.Position
-	ctx, stop := context.WithTimeout(ctx, f.watchTimeout+watchSlack)
-	defer stop()
-	told := make(chan bool, 1)
-	go func() {
+	state, _ := w.State()
+	request := consensus.WatchRequest{AgentReport: w.report(), Wait: w.watchTimeout}
+	request.Epoch, request.Position = state.Epoch, state.Position
+	ctx, cancel := context.WithTimeout(ctx, w.watchTimeout+watchSlack)
+	defer cancel()
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	defer cancelCause(nil)
+	go func() { // ends with ctx
 		select {
-		case <-f.reportChanged:
-			told <- true
-			stop()
+		case <-w.reportChanged:
+			cancelCause(errReportChanged)
 		case <-ctx.Done():
 		}
 	}()
-	began := time.Now()
-	var a consensus.WatchResponse
-	if err := f.client.Call(ctx, http.MethodPost, addr, "/state", q, &a); err != nil {
-		select {
-		case <-told:
-			return true // it was given up for the next one
-		default:
+	start := time.Now()
+	var response consensus.WatchResponse
+	if err := w.client.Call(ctx, http.MethodPost, address, "/state", request, &response); err != nil {
+		if errors.Is(context.Cause(ctx), errReportChanged) {
+			return true
 		}
-		f.log.Debug("fleet: a member does not answer", "error", err)
+		w.log.Debug("fleet: watch request failed", "replica", address, "error", err)
 		return false
 	}
-	// One that is cut off knows nothing new, and one that answers at once with nothing that leads on (of a former
-	// council, or of a newer program) would be asked without a rest.
-	return f.advance(s, a) && a.HasLeader || a.HasLeader && time.Since(began) >= f.watchTimeout/2
+	// A replica that is cut off knows nothing new. One that answers at once with nothing that leads on, of a former
+	// epoch or of a newer program, would be asked again and again without backing off.
+	advanced := w.advance(state, response)
+	return response.HasLeader && (advanced || time.Since(start) >= w.watchTimeout/2)
 }
 
-// advance goes on to what an answer leads to, never back; on says that it led on.
-func (f *StateWatcher) advance(from *fleet.State, a consensus.WatchResponse) (on bool) {
-	next := from
-	if a.State != nil && a.State.NewerThan(from) {
-		next = a.State
-	} else if a.State == nil {
-		for _, e := range a.Entries {
-			if e.Position <= next.Position {
-				continue
-			}
-			s, _, err := next.Apply(e.Position, e.Raw)
-			if err != nil {
-				f.log.Error("fleet: the state is of a newer program, and this one goes on with the last it knows", "error", err)
-				return false
-			}
-			next = s
+// advance takes over the state to which a response leads from an earlier state, and reports whether it is a newer
+// one.
+func (w *StateWatcher) advance(from *fleet.State, response consensus.WatchResponse) bool {
+	next, err := successor(from, response)
+	if err != nil {
+		w.log.Error("fleet: state not applied; going on with the last one known", "error", err)
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lastResponse = time.Now()
+	if !next.NewerThan(w.state) {
+		return false
+	}
+	w.state = next
+	close(w.updated)
+	w.updated = make(chan struct{})
+	return true
+}
+
+// successor returns the state to which a response leads; from if it leads nowhere.
+func successor(from *fleet.State, response consensus.WatchResponse) (*fleet.State, error) {
+	if response.State != nil {
+		if response.State.NewerThan(from) {
+			return response.State, nil
 		}
+		return from, nil
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.lastResponse = time.Now()
-	if next.NewerThan(f.state) {
-		f.state = next
-		close(f.updated)
-		f.updated = make(chan struct{})
-		return true
+	next := from
+	for _, entry := range response.Entries {
+		if entry.Position <= next.Position {
+			continue
+		}
+		applied, _, err := next.Apply(entry.Position, entry.Raw)
+		if err != nil {
+			return nil, err
+		}
+		next = applied
 	}
-	return false
+	return next, nil
 }
--- a/fleet/agent/watcher_test.go
+++ b/fleet/agent/watcher_test.go
@@ -14,26 +14,28 @@
 	"cobaltward/internal/testkit"
 )
 
-// A member that answers at once with nothing that leads on is not asked without a rest, and leads a follower never back.
-func TestNothingNew(t *testing.T) {
-	var asks atomic.Int64
-	at := testkit.HTTPServer(t, func(w http.ResponseWriter, _ *http.Request) {
-		s := fleet.NewState(2).WithMembers(7, nil)
-		if asks.Add(1) > 1 {
-			s = fleet.NewState(1).WithMembers(9, nil) // of a council that was begun anew without it
+// A replica that answers at once with nothing that leads on is not asked again without backing off, and never takes a
+// watcher back.
+func TestStateWatcher_BacksOffWithoutNews(t *testing.T) {
+	var requests atomic.Int64
+	address := testkit.HTTPServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		state := fleet.NewState(2).WithMembers(7, nil)
+		if requests.Add(1) > 1 {
+			state = fleet.NewState(1).WithMembers(9, nil) // of a cluster that was forced anew without it
 		}
-		door.Reply(w, http.StatusOK, consensus.WatchResponse{State: s, HasLeader: true})
+		door.Reply(w, http.StatusOK, consensus.WatchResponse{State: state, HasLeader: true})
 	})
-	c := NewClient([]string{at}, nil, "", nil)
-	defer c.HTTP.CloseIdleConnections()
-	f := NewStateWatcher(c, func() consensus.AgentReport { return consensus.AgentReport{} }, slog.New(slog.DiscardHandler))
-	ctx, stop := context.WithTimeout(context.Background(), 500*time.Millisecond)
-	defer stop()
-	f.Run(ctx)
-	if s, _ := f.State(); s.Epoch != 2 || s.Position != 7 {
-		t.Errorf("it went back to epoch %d, position %d", s.Epoch, s.Position)
+	client := NewClient([]string{address}, nil, "", nil)
+	t.Cleanup(client.HTTP.CloseIdleConnections)
+	report := func() consensus.AgentReport { return consensus.AgentReport{} }
+	watcher := NewStateWatcher(client, report, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	watcher.Run(ctx)
+	if state, _ := watcher.State(); state.Epoch != 2 || state.Position != 7 {
+		t.Errorf("it went back to epoch %d, position %d", state.Epoch, state.Position)
 	}
-	if n := asks.Load(); n < 2 || n > 20 {
-		t.Errorf("asked %d times in half a second", n)
+	if count := requests.Load(); count < 2 || count > 20 {
+		t.Errorf("%d requests were sent in half a second", count)
 	}
 }
--- a/internal/fleetcli/serve.go
+++ b/internal/fleetcli/serve.go
@@ -215,7 +215,7 @@
 		asking = func(e fleet.Entry) func(fleet.Result, bool) { return r.ObserveProposal(e, s.Name+"/"+run) }
 	}
 	for _, work := range s.Owns {
-		stewards = append(stewards, agent.NewControllerRunner(agent.ControllerConfig{Resource: fleet.JobKind(work), Identity: s.Name + "/" + run, Node: s.Name, LeaseDuration: s.Lease, Clock: clock(r),
+		stewards = append(stewards, agent.NewControllerRunner(agent.ControllerConfig{Kind: fleet.JobKind(work), Identity: s.Name + "/" + run, Node: s.Name, LeaseDuration: s.Lease, Clock: clock(r),
 			Unsafe: r.Unsafe, Log: s.log, FailPoint: r.FailPoint, ObserveProposal: asking}, client, a.Watcher()))
 	}
 	ended := make(chan struct{})
