wayhold-fleet: a file per command, and the field's names beside the documented ones

Each command has its file and its functions; settings, serving, replica and agent are apart. Documented commands and flags stay, which TestRootCommand_KeepsDocumentedCommands checks; aliases such as replica, leases, revoke, disable, rolling-update stand beside them. Output that cannot be written is an error. JSON output is of typed values with the same fields. Tests: TestLinks is TestMutualTLS_RejectsPeersOutsideTheFleet, a subtest per peer, and TestMutualTLS_FollowsReloadedTrust.

--- /dev/null
+++ b/internal/fleetcli/calls.go
@@ -0,0 +1,131 @@
+package fleetcli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"cobaltward/fleet"
+	"cobaltward/fleet/agent"
+	"cobaltward/fleet/consensus"
+)
+
+const (
+	callTimeout   = 8 * time.Second // of a call that proposes something
+	statusTimeout = 4 * time.Second // of the calls for the status of all replicas
+	pollInterval  = 200 * time.Millisecond
+)
+
+// propose proposes an entry, and prints the outcome.
+func (c *operatorCommands) propose(client *agent.Client, entry fleet.Entry) error {
+	result, err := c.commit(client, entry)
+	if err != nil {
+		return err
+	}
+	return c.printResult(result)
+}
+
+func (c *operatorCommands) printResult(result fleet.Result) error {
+	if c.asJSON {
+		return json.NewEncoder(c.out).Encode(struct {
+			Position     fleet.Position     `json:"position"`
+			FencingToken fleet.FencingToken `json:"token"`
+		}{result.Position, result.FencingToken})
+	}
+	return c.println(fmt.Sprintf("agreed on at position %d", result.Position))
+}
+
+// println prints a line of a command's output.
+func (c *operatorCommands) println(line string) error {
+	_, err := fmt.Fprintln(c.out, line)
+	return err
+}
+
+// commit proposes an entry to one replica after another, until one can tell the outcome.
+func (c *operatorCommands) commit(client *agent.Client, entry fleet.Entry) (fleet.Result, error) {
+	entry.RequestedBy, entry.Reason = c.requestedBy, c.reason
+	var lastErr error
+	for range client.Replicas {
+		result, err := proposeOnce(client, entry)
+		switch {
+		case err == nil && result.Err != nil:
+			return result, exitError{result.Err, exitRejected}
+		case err == nil:
+			return result, nil
+		case errors.Is(err, agent.ErrRejected):
+			return result, err
+		}
+		lastErr = err
+	}
+	err := fmt.Errorf("no member of the council could say what became of it: %w; look at status before you ask again",
+		lastErr)
+	return fleet.Result{}, exitError{err, exitUnavailable}
+}
+
+func proposeOnce(client *agent.Client, entry fleet.Entry) (fleet.Result, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	return client.Propose(ctx, entry)
+}
+
+// newestState returns the status of the replicas that answer, by address, and the newest state that they know.
+func newestState(client *agent.Client) (map[string]consensus.Status, *fleet.State, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	statuses := client.Statuses(ctx)
+	var newest *fleet.State
+	for _, address := range slices.Sorted(maps.Keys(statuses)) {
+		state := statuses[address].State
+		if state != nil && (newest == nil || state.NewerThan(newest)) {
+			newest = state
+		}
+	}
+	if newest == nil {
+		err := fmt.Errorf("no member of the council answers; %d were asked", len(client.Replicas))
+		return nil, nil, exitError{err, exitUnavailable}
+	}
+	return statuses, newest, nil
+}
+
+// newestReports returns the newest report of each agent, whichever replica has it, by the agent's name.
+func newestReports(statuses map[string]consensus.Status) map[string]consensus.AgentReport {
+	newest := make(map[string]consensus.AgentReport)
+	for _, status := range statuses {
+		for _, report := range status.Reports {
+			if report.SeenAt.After(newest[report.Name].SeenAt) {
+				newest[report.Name] = report
+			}
+		}
+	}
+	return newest
+}
+
+// condition reports whether what a command waits for is so, and a line about the progress.
+type condition func(statuses map[string]consensus.Status, state *fleet.State) (met bool, progress string)
+
+// pollUntil looks at the state until a condition is met, or the time to wait is over. It prints the progress where it
+// changes. what names the condition in the error.
+func (c *operatorCommands) pollUntil(client *agent.Client, what string, met condition) error {
+	lastProgress := ""
+	for deadline := time.Now().Add(c.wait); ; time.Sleep(pollInterval) {
+		if statuses, state, err := newestState(client); err == nil {
+			done, progress := met(statuses, state)
+			if progress != lastProgress {
+				if err := c.println(progress); err != nil {
+					return err
+				}
+				lastProgress = progress
+			}
+			if done {
+				return nil
+			}
+		}
+		if time.Now().After(deadline) {
+			return exitError{fmt.Errorf("%s did not come within %v", what, c.wait), exitTimeout}
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleetcli/disable.go
@@ -0,0 +1,78 @@
+package fleetcli
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"cobaltward/fleet"
+	"cobaltward/fleet/agent"
+	"cobaltward/fleet/consensus"
+)
+
+// defaultDisableDuration is how long servers are disabled unless --for says otherwise.
+const defaultDisableDuration = 10 * time.Minute
+
+// disableFlags are the flags of the command that disables servers.
+type disableFlags struct {
+	id       string
+	zones    []string
+	duration time.Duration
+}
+
+func (c *operatorCommands) disableCommand() *cobra.Command {
+	options := &disableFlags{}
+	run := func(client *agent.Client, args []string) error { return c.disableServers(client, args, options) }
+	command := c.clientCommand("hold [SERVER ...]", "Hold servers, or zones' servers, out at all nodes for a time",
+		cobra.ArbitraryArgs, run)
+	flags := command.Flags()
+	flags.StringVar(&options.id, "id", "", "a name for the hold")
+	flags.StringSliceVar(&options.zones, "zone", nil, "all servers of a zone, as each node's list has them")
+	flags.DurationVar(&options.duration, "for", defaultDisableDuration, "how long the servers are held out")
+	flags.DurationVar(&c.wait, "wait", 0, "how long to wait until it holds everywhere")
+	return withAliases(command, "disable")
+}
+
+func (c *operatorCommands) disableServers(client *agent.Client, servers []string, options *disableFlags) error {
+	if len(servers)+len(options.zones) == 0 {
+		return errors.New("hold: want a SERVER, or a --zone")
+	}
+	if c.reason == "" {
+		return errors.New("hold: want a --reason: the next one on duty will ask")
+	}
+	id := options.id
+	if id == "" {
+		id = "hold-" + strconv.FormatInt(time.Now().UnixMilli(), 10)
+	}
+	order := &fleet.DisableOrder{
+		ID:      id,
+		Servers: servers,
+		Zones:   options.zones,
+		Until:   time.Now().Add(options.duration),
+	}
+	if err := c.propose(client, fleet.Entry{Kind: fleet.KindDisableServers, DisableOrder: order}); err != nil {
+		return err
+	}
+	if err := c.println(id); err != nil || c.wait == 0 {
+		return err
+	}
+	met := func(statuses map[string]consensus.Status, state *fleet.State) (bool, string) {
+		inForce := func(report consensus.AgentReport) bool { return slices.Contains(report.ActiveDisableOrders, id) }
+		without := nodesWithout(statuses, state, inForce)
+		return len(without) == 0, fmt.Sprintf("%s: in force at %d of %d nodes; not at: %s",
+			id, len(state.Nodes)-len(without), len(state.Nodes), listOrNothing(without))
+	}
+	return c.pollUntil(client, "the hold at all nodes", met)
+}
+
+func (c *operatorCommands) enableCommand() *cobra.Command {
+	run := func(client *agent.Client, args []string) error {
+		order := &fleet.DisableOrder{ID: args[0]}
+		return c.propose(client, fleet.Entry{Kind: fleet.KindEnableServers, DisableOrder: order})
+	}
+	return withAliases(c.clientCommand("lift HOLD", "End a hold", cobra.ExactArgs(1), run), "enable")
+}
--- /dev/null
+++ b/internal/fleetcli/rollingupdate.go
@@ -0,0 +1,115 @@
+package fleetcli
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"cobaltward/fleet"
+	"cobaltward/fleet/agent"
+	"cobaltward/fleet/consensus"
+)
+
+// Defaults of a rolling update.
+const (
+	defaultMaxUnavailable = 1
+	defaultMaxFailures    = 1
+	defaultDrainTimeout   = 30 * time.Second
+)
+
+// rollingUpdateFlags are the flags of the command that starts a rolling update.
+type rollingUpdateFlags struct {
+	spec fleet.JobSpec
+	id   string
+	wait bool
+}
+
+func (c *operatorCommands) rollingUpdateCommand() *cobra.Command {
+	command := &cobra.Command{
+		Use:     "round",
+		Aliases: []string{"rolling-update"},
+		Short:   "Take nodes out one after another, hand each to the operator's command, take it back",
+	}
+	command.AddCommand(
+		c.startCommand(),
+		c.controlCommand(fleet.CommandPause, "Begin nothing new"),
+		withAliases(c.controlCommand(fleet.CommandRun, "Go on"), "resume"),
+		c.controlCommand(fleet.CommandAbort, "Finish the nodes that are out, and end"),
+		withAliases(c.controlCommand(fleet.CommandRollBack, "Take the patch back, the last node first"), "roll-back"),
+	)
+	return command
+}
+
+func (c *operatorCommands) controlCommand(jobCommand fleet.JobCommand, short string) *cobra.Command {
+	run := func(client *agent.Client, args []string) error {
+		return c.propose(client, fleet.Entry{Kind: fleet.KindControlJob, JobID: args[0], Command: jobCommand})
+	}
+	return c.clientCommand(string(jobCommand)+" ROUND", short, cobra.ExactArgs(1), run)
+}
+
+func (c *operatorCommands) startCommand() *cobra.Command {
+	options := &rollingUpdateFlags{spec: fleet.JobSpec{Kind: fleet.JobRollingUpdate}}
+	run := func(client *agent.Client, args []string) error { return c.startRollingUpdate(client, args, options) }
+	command := c.clientCommand("start [NODE ...]", "Begin a round over nodes; none: all", cobra.ArbitraryArgs, run)
+	flags := command.Flags()
+	flags.IntVar(&options.spec.MaxUnavailable, "at-once", defaultMaxUnavailable, "so many nodes out at most")
+	flags.Float64Var(&options.spec.MinCapacity, "need", 0, "capacity that has to serve at any time")
+	flags.BoolVar(&options.spec.ByZone, "by-zone", false, "one zone after another")
+	flags.IntVar(&options.spec.MaxFailures, "failures", defaultMaxFailures,
+		"after so many failed steps the round stops by itself; 0: never")
+	flags.DurationVar(&options.spec.DrainTimeout, "drain", defaultDrainTimeout, "deadline of each drain")
+	flags.StringVar(&options.id, "id", "", "a name for the round")
+	flags.BoolVar(&options.wait, "wait", false, "show progress until it is over")
+	flags.DurationVar(&c.wait, "for", time.Hour, "how long to wait")
+	return command
+}
+
+func (c *operatorCommands) startRollingUpdate(client *agent.Client, nodes []string, options *rollingUpdateFlags) error {
+	_, state, err := newestState(client)
+	if err != nil {
+		return err
+	}
+	spec, id := options.spec, options.id
+	if spec.Nodes, err = selectNodes(state, nodes); err != nil {
+		return err
+	}
+	if id == "" {
+		id = "round-" + strconv.FormatInt(time.Now().Unix(), 10)
+	}
+	if err := c.propose(client, fleet.Entry{Kind: fleet.KindStartJob, JobID: id, Spec: &spec}); err != nil {
+		return err
+	}
+	err = c.println(fmt.Sprintf("%s: %d nodes", id, len(spec.Nodes)))
+	if err != nil || !options.wait {
+		return err
+	}
+	return c.pollUntil(client, "the round's end", func(_ map[string]consensus.Status, state *fleet.State) (bool, string) {
+		job := state.Jobs[id]
+		if job == nil {
+			return false, id + " is not there yet"
+		}
+		return !job.Open(), jobLine(job)
+	})
+}
+
+// selectNodes returns the nodes that are named, once each and all of them known; without a name it returns all nodes.
+func selectNodes(state *fleet.State, names []string) ([]string, error) {
+	known := slices.Sorted(maps.Keys(state.Nodes))
+	if len(names) == 0 {
+		return known, nil
+	}
+	for i, name := range names {
+		if !slices.Contains(known, name) {
+			return nil, fmt.Errorf("round: there is no node %q; there are %s", name, strings.Join(known, " "))
+		}
+		if slices.Contains(names[:i], name) {
+			return nil, fmt.Errorf("round: %s is named twice", name)
+		}
+	}
+	return names, nil
+}
--- /dev/null
+++ b/internal/fleetcli/settings.go
@@ -0,0 +1,70 @@
+package fleetcli
+
+import (
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"time"
+
+	"cobaltward/internal/operator"
+	"cobaltward/internal/site"
+	"cobaltward/keys"
+)
+
+// settings are those of a process's own file.
+type settings struct {
+	*site.Fleet
+	token     string     // bearer token of all calls of the fleet
+	mutualTLS *mutualTLS // nil: calls are not encrypted
+	nodeAdmin operator.Door
+	log       *slog.Logger
+}
+
+// load reads a process's own file. Its log is written to logs.
+func load(path string, logs io.Writer) (*settings, error) {
+	if path == "" {
+		return nil, errors.New("which process? Name its own file by --config")
+	}
+	file, err := site.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	if file.Fleet == nil {
+		return nil, fmt.Errorf("%s: there is no table [fleet]", path)
+	}
+	options, err := operator.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	loaded := &settings{Fleet: file.Fleet, nodeAdmin: options.Door, log: newLogger(options.Log, logs)}
+	if loaded.token, err = operator.Token(file.Fleet.TokenFile); err != nil {
+		return nil, fmt.Errorf("%s: fleet.token_file: %w", path, err)
+	}
+	if loaded.Cert == "" {
+		return loaded, nil
+	}
+	store, err := keys.Open(keys.Sources{Cert: loaded.Cert, Key: loaded.Key, Trust: loaded.Trust}, time.Now())
+	if err != nil {
+		return nil, fmt.Errorf("%s: fleet: %w", path, err)
+	}
+	loaded.mutualTLS = &mutualTLS{store: store, serverName: loaded.TLSName, log: loaded.log}
+	return loaded, nil
+}
+
+func newLogger(config operator.Log, logs io.Writer) *slog.Logger {
+	options := &slog.HandlerOptions{Level: config.Level.Level}
+	if config.Format == "json" {
+		return slog.New(slog.NewJSONHandler(logs, options))
+	}
+	return slog.New(slog.NewTextHandler(logs, options))
+}
+
+// clientTLS returns how this process encrypts its calls; nil: it does not.
+func (s *settings) clientTLS() *tls.Config {
+	if s.mutualTLS == nil {
+		return nil
+	}
+	return s.mutualTLS.client()
+}
--- a/internal/fleetcli/tls.go
+++ b/internal/fleetcli/tls.go
@@ -11,58 +11,74 @@
 	"cobaltward/keys"
 )
 
-const reloadInterval = time.Second // between looks at the files
+// reloadInterval is the time between two looks at the files of keys and certificates.
+const reloadInterval = time.Second
 
-// mutualTLS is how processes of the fleet prove who they are to one another: each shows a certificate by an authority that
-// all trust, for a name that all have. Keys change while all runs.
+// mutualTLS is how processes of the fleet prove to one another who they are: each shows a certificate by an authority
+// that all trust, for a name that all share. Keys and trust may change while processes run.
 type mutualTLS struct {
 	store      *keys.Store
 	serverName string
 	log        *slog.Logger
 }
 
-// server is what a listener goes by; it lets nobody in who can't prove to be of the fleet.
-func (l *mutualTLS) server() *tls.Config {
-	return &tls.Config{MinVersion: tls.VersionTLS13, GetCertificate: l.store.GetCertificate, ClientAuth: tls.RequireAnyClientCert,
-		VerifyConnection: l.verify(x509.ExtKeyUsageClientAuth), NextProtos: []string{"http/1.1"}}
+// server returns the configuration of a listener. It accepts only peers that prove to be of the fleet.
+func (m *mutualTLS) server() *tls.Config {
+	return &tls.Config{
+		MinVersion:       tls.VersionTLS13,
+		GetCertificate:   m.store.GetCertificate,
+		ClientAuth:       tls.RequireAnyClientCert, // VerifyConnection verifies it
+		VerifyConnection: m.verify(x509.ExtKeyUsageClientAuth),
+		NextProtos:       []string{"http/1.1"},
+	}
 }
 
-// client is what calls go by.
-func (l *mutualTLS) client() *tls.Config {
-	return &tls.Config{MinVersion: tls.VersionTLS13, ServerName: l.serverName,
-		InsecureSkipVerify:   true, // verify does it, by what is trusted at the moment of the handshake
-		VerifyConnection:     l.verify(x509.ExtKeyUsageServerAuth),
-		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &l.store.Set().Pairs[0].Cert, nil }}
+// client returns the configuration of calls.
+func (m *mutualTLS) client() *tls.Config {
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		ServerName:         m.serverName,
+		InsecureSkipVerify: true, // VerifyConnection verifies it, by what is trusted at the time of the handshake
+		VerifyConnection:   m.verify(x509.ExtKeyUsageServerAuth),
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return &m.store.Set().Pairs[0].Cert, nil
+		},
+	}
 }
 
-// verify holds a peer's certificate against what is trusted now, and against the name of the fleet.
-func (l *mutualTLS) verify(use x509.ExtKeyUsage) func(tls.ConnectionState) error {
-	return func(s tls.ConnectionState) error {
-		if len(s.PeerCertificates) == 0 {
+// verify returns a function that verifies the certificate of a peer by what is trusted at the time of the handshake.
+func (m *mutualTLS) verify(usage x509.ExtKeyUsage) func(tls.ConnectionState) error {
+	return func(connection tls.ConnectionState) error {
+		if len(connection.PeerCertificates) == 0 {
 			return errors.New("the peer shows no certificate")
 		}
-		o := x509.VerifyOptions{Roots: l.store.Set().Pool, DNSName: l.serverName, Intermediates: x509.NewCertPool(), KeyUsages: []x509.ExtKeyUsage{use}}
-		for _, c := range s.PeerCertificates[1:] {
-			o.Intermediates.AddCert(c)
+		options := x509.VerifyOptions{
+			Roots:         m.store.Set().Pool,
+			DNSName:       m.serverName,
+			Intermediates: x509.NewCertPool(),
+			KeyUsages:     []x509.ExtKeyUsage{usage},
+		}
+		for _, certificate := range connection.PeerCertificates[1:] {
+			options.Intermediates.AddCert(certificate)
 		}
-		_, err := s.PeerCertificates[0].Verify(o)
+		_, err := connection.PeerCertificates[0].Verify(options)
 		return err
 	}
 }
 
 // watch reads the files again when they change, until ctx ends.
-func (l *mutualTLS) watch(ctx context.Context) {
-	w := l.store.Watch()
-	tick := time.NewTicker(reloadInterval)
-	defer tick.Stop()
+func (m *mutualTLS) watch(ctx context.Context) {
+	watcher := m.store.Watch()
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
 	for {
 		select {
-		case now := <-tick.C:
-			switch look := w.Look(now); {
-			case look.Err != nil:
-				l.log.Error("fleet: keys are refused, and the former ones go on", "error", look.Err)
-			case look.Changed:
-				l.log.Info("fleet: keys have changed", "source", look.Source)
+		case now := <-ticker.C:
+			switch change := watcher.Look(now); {
+			case change.Err != nil:
+				m.log.Error("fleet: keys not reloaded; the former ones stay in use", "error", change.Err)
+			case change.Changed:
+				m.log.Info("fleet: keys reloaded", "source", change.Source)
 			}
 		case <-ctx.Done():
 			return
--- a/internal/fleetcli/tls_test.go
+++ b/internal/fleetcli/tls_test.go
@@ -17,84 +17,133 @@
 	"cobaltward/keys"
 )
 
-// Links by TLS: who shows no certificate, one of another authority, or one for another name is not heard; keys and
-// trust that change while all runs count from the next handshake on.
-func TestLinks(t *testing.T) {
-	dir := t.TempDir()
-	write := func(name string, raw []byte) string {
-		path := filepath.Join(dir, name)
-		if err := os.WriteFile(path, raw, 0o600); err != nil {
-			t.Fatal(err)
-		}
-		return path
-	}
-	linksOf := func(name string, a *pki.Authority, trust *pki.Authority, host string) *mutualTLS {
-		p := a.Issue(pki.Leaf{Names: []string{host}})
-		store, err := keys.Open(keys.Sources{Cert: write(name+".pem", pki.PEM(p.Cert)), Key: write(name+".key", p.KeyPEM()), Trust: write(name+".ca", trust.PEM())}, time.Now())
-		if err != nil {
-			t.Fatal(err)
-		}
-		return &mutualTLS{store: store, serverName: "wayhold-fleet", log: slog.New(slog.DiscardHandler)}
+const (
+	fleetName = "wayhold-fleet" // that certificates of the fleet are for
+	testToken = "a token of the test"
+)
+
+// keyFiles writes keys, certificates and trust into a directory.
+type keyFiles struct {
+	t   *testing.T
+	dir string
+}
+
+func (f keyFiles) write(name string, raw []byte) string {
+	f.t.Helper()
+	path := filepath.Join(f.dir, name)
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		f.t.Fatal(err)
 	}
-	ours, theirs := pki.Year("ours"), pki.Year("theirs")
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	s := &settings{Fleet: &site.Fleet{Listen: "127.0.0.1:0"}, token: "a token of the test", log: slog.New(slog.DiscardHandler), tls: linksOf("server", ours, ours, "wayhold-fleet")}
-	addr := make(chan string, 1)
-	s.log = slog.New(heard{slog.DiscardHandler, addr})
-	end, err := serveHTTP(ctx, s, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { door.Reply(w, http.StatusOK, map[string]int{}) }))
+	return path
+}
+
+// issue returns a process whose certificate is by an authority for a host, and that trusts another authority.
+func (f keyFiles) issue(name string, authority, trusted *pki.Authority, host string) *mutualTLS {
+	f.t.Helper()
+	pair := authority.Issue(pki.Leaf{Names: []string{host}})
+	store, err := keys.Open(keys.Sources{
+		Cert:  f.write(name+".pem", pki.PEM(pair.Cert)),
+		Key:   f.write(name+".key", pair.KeyPEM()),
+		Trust: f.write(name+".ca", trusted.PEM()),
+	}, time.Now())
 	if err != nil {
-		t.Fatal(err)
+		f.t.Fatal(err)
 	}
-	defer end()
-	at := <-addr
-	call := func(conf *tls.Config) error {
-		c := agent.NewClient(nil, nil, s.token, conf)
-		defer c.HTTP.CloseIdleConnections()
-		ctx, stop := context.WithTimeout(ctx, 5*time.Second)
-		defer stop()
-		return c.Call(ctx, http.MethodGet, at, "/x", struct{}{}, new(map[string]int))
+	return &mutualTLS{store: store, serverName: fleetName, log: slog.New(slog.DiscardHandler)}
+}
+
+// startTLSServer serves calls by TLS until the test ends, and returns its address.
+func startTLSServer(t *testing.T, server *mutualTLS) string {
+	t.Helper()
+	addresses := make(chan string, 1)
+	loaded := &settings{
+		Fleet:     &site.Fleet{Listen: "127.0.0.1:0"},
+		token:     testToken,
+		log:       slog.New(addressHandler{slog.DiscardHandler, addresses}),
+		mutualTLS: server,
 	}
-	good := linksOf("good", ours, ours, "wayhold-fleet")
-	if err := call(good.client()); err != nil {
-		t.Error(err)
+	handler := func(w http.ResponseWriter, _ *http.Request) { door.Reply(w, http.StatusOK, map[string]int{}) }
+	stop, err := serveHTTP(t.Context(), loaded, http.HandlerFunc(handler))
+	if err != nil {
+		t.Fatal(err)
 	}
-	for what, conf := range map[string]*tls.Config{
-		"no certificate":             {InsecureSkipVerify: true},
-		"one of another authority":   linksOf("other", theirs, ours, "wayhold-fleet").client(),
-		"one for another name":       linksOf("name", ours, ours, "elsewhere").client(),
-		"a server it does not trust": linksOf("trust", ours, theirs, "wayhold-fleet").client(),
-		"no TLS where TLS is spoken": nil,
+	t.Cleanup(stop)
+	return <-addresses
+}
+
+// call makes one call of its own connection.
+func call(t *testing.T, address string, config *tls.Config) error {
+	t.Helper()
+	client := agent.NewClient(nil, nil, testToken, config)
+	defer client.HTTP.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	return client.Call(ctx, http.MethodGet, address, "/x", struct{}{}, new(map[string]int))
+}
+
+// Calls by TLS: who shows no certificate, one of another authority, or one for another name is rejected, and a server
+// that is not trusted is not called.
+func TestMutualTLS_RejectsPeersOutsideTheFleet(t *testing.T) {
+	files := keyFiles{t, t.TempDir()}
+	ours, theirs := pki.Year("ours"), pki.Year("theirs")
+	address := startTLSServer(t, files.issue("server", ours, ours, fleetName))
+	for _, test := range []struct {
+		name     string
+		config   *tls.Config
+		accepted bool
+	}{
+		{"a process of the fleet", files.issue("good", ours, ours, fleetName).client(), true},
+		{"no certificate", &tls.Config{InsecureSkipVerify: true}, false},
+		{"a certificate of another authority", files.issue("other", theirs, ours, fleetName).client(), false},
+		{"a certificate for another name", files.issue("name", ours, ours, "elsewhere").client(), false},
+		{"a server that is not trusted", files.issue("trust", ours, theirs, fleetName).client(), false},
+		{"no TLS where TLS is spoken", nil, false},
 	} {
-		if call(conf) == nil {
-			t.Errorf("%s was let in", what)
-		}
+		t.Run(test.name, func(t *testing.T) {
+			if err := call(t, address, test.config); (err == nil) != test.accepted {
+				t.Errorf("error %v, accepted should be %v", err, test.accepted)
+			}
+		})
+	}
+}
+
+// Trust that changes while all runs counts from the next handshake on: who was accepted is rejected, and the other way
+// round.
+func TestMutualTLS_FollowsReloadedTrust(t *testing.T) {
+	files := keyFiles{t, t.TempDir()}
+	ours, theirs := pki.Year("ours"), pki.Year("theirs")
+	server := files.issue("server", ours, ours, fleetName)
+	address := startTLSServer(t, server)
+	good := files.issue("good", ours, ours, fleetName)
+	if err := call(t, address, good.client()); err != nil {
+		t.Errorf("before the reload: %v", err)
 	}
-	// Trust moves to the other authority: who was good is out, and who was not is in.
-	write("server.ca", theirs.PEM())
-	if _, err := s.tls.store.Reload(time.Now()); err != nil {
+	files.write("server.ca", theirs.PEM())
+	if _, err := server.store.Reload(time.Now()); err != nil {
 		t.Fatal(err)
 	}
-	if call(good.client()) == nil {
-		t.Error("an authority that is trusted no more still lets in")
+	if call(t, address, good.client()) == nil {
+		t.Error("an authority that is trusted no more is still accepted")
 	}
-	if err := call(linksOf("other", theirs, ours, "wayhold-fleet").client()); err != nil {
-		t.Error(err)
+	if err := call(t, address, files.issue("other", theirs, ours, fleetName).client()); err != nil {
+		t.Errorf("the newly trusted authority: %v", err)
 	}
 }
 
-// heard tells the address that is logged.
-type heard struct {
+// addressHandler hands on the address that is logged.
+type addressHandler struct {
 	slog.Handler
-	addr chan string
+	addresses chan string
 }
 
-func (h heard) Enabled(context.Context, slog.Level) bool { return true }
+// Enabled implements slog.Handler.
+func (h addressHandler) Enabled(context.Context, slog.Level) bool { return true }
 
-func (h heard) Handle(_ context.Context, r slog.Record) error {
-	r.Attrs(func(a slog.Attr) bool {
-		if a.Key == "address" {
-			h.addr <- a.Value.String()
+// Handle implements slog.Handler.
+func (h addressHandler) Handle(_ context.Context, record slog.Record) error {
+	record.Attrs(func(attr slog.Attr) bool {
+		if attr.Key == "address" {
+			h.addresses <- attr.Value.String()
 		}
 		return true
 	})
--- /dev/null
+++ b/internal/fleetcli/wait.go
@@ -0,0 +1,58 @@
+package fleetcli
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"cobaltward/fleet"
+	"cobaltward/fleet/agent"
+	"cobaltward/fleet/consensus"
+)
+
+func (c *operatorCommands) waitCommand() *cobra.Command {
+	command := c.clientCommand("wait [POSITION]",
+		"Wait until all nodes are at a position of the log; else at that of now", cobra.MaximumNArgs(1), c.waitForPosition)
+	command.Flags().DurationVar(&c.wait, "for", time.Minute, "how long")
+	return command
+}
+
+// waitForPosition waits until all agents know the state of a position: the one named, or the newest one.
+func (c *operatorCommands) waitForPosition(client *agent.Client, args []string) error {
+	var position fleet.Position
+	if len(args) > 0 {
+		number, err := strconv.ParseUint(args[0], 10, 64)
+		if err != nil {
+			return fmt.Errorf("wait: want a position, got %q", args[0])
+		}
+		position = fleet.Position(number)
+	}
+	met := func(statuses map[string]consensus.Status, state *fleet.State) (bool, string) {
+		if position == 0 {
+			position = state.Position
+		}
+		caughtUp := func(report consensus.AgentReport) bool { return report.Position >= position }
+		behind := nodesWithout(statuses, state, caughtUp)
+		return len(behind) == 0, fmt.Sprintf("position %d: %d of %d nodes; behind: %s",
+			position, len(state.Nodes)-len(behind), len(state.Nodes), listOrNothing(behind))
+	}
+	return c.pollUntil(client, "all nodes at the position", met)
+}
+
+// nodesWithout returns the nodes, ordered by name, whose agent's newest report does not fulfil a condition.
+func nodesWithout(
+	statuses map[string]consensus.Status, state *fleet.State, fulfils func(consensus.AgentReport) bool,
+) []string {
+	var without []string
+	reports := newestReports(statuses)
+	for _, name := range slices.Sorted(maps.Keys(state.Nodes)) {
+		if !fulfils(reports[name]) {
+			without = append(without, name)
+		}
+	}
+	return without
+}
