--- a/fleet/agent/effect.go
+++ b/fleet/agent/effect.go
@@ -40,7 +40,7 @@
 	if changed {
 		if err := a.save(); err != nil {
 			if decision == lease.Execute || decision == lease.VerifyFirst {
-				a.receiver.MarkUnsaved(request.IdempotencyKey)
+				a.receiver.HandleSaveFailure(request.IdempotencyKey)
 			}
 			return lease.EffectResponse{}, err
 		}
--- a/fleet/agent/stored_test.go
+++ b/fleet/agent/stored_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"encoding/json"
 	"log/slog"
 	"os"
 	"path/filepath"
@@ -71,14 +70,7 @@
 
 // Messages as an earlier program wrote them are read, and written as they were.
 func TestStoredMessages_DecodeAndEncodeUnchanged(t *testing.T) {
-	raw, err := os.ReadFile(filepath.Join("testdata", "wire.json"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	messages := make(map[string]json.RawMessage)
-	if err := json.Unmarshal(raw, &messages); err != nil {
-		t.Fatal(err)
-	}
+	messages := jsontest.ReadMessages(t, filepath.Join("testdata", "wire.json"))
 	for name, to := range map[string]any{
 		"effect_request":  new(lease.EffectRequest),
 		"effect_response": new(lease.EffectResponse),
--- a/fleet/consensus/advance.go
+++ b/fleet/consensus/advance.go
@@ -27,7 +27,7 @@
 	// ConfirmedReads are the reads since whose request the state is known to be up to date.
 	ConfirmedReads []uint64
 	Snapshot       *raftpb.Snapshot // to be stored in place of the log before it; nil: none
-	FirstKept      fleet.Position   // of the log once Snapshot is stored; 0: all entries are kept
+	FirstRetained  fleet.Position   // of the log once Snapshot is stored; 0: all entries are kept
 }
 
 // Ready returns the next write batch; nil if there is none.
@@ -153,9 +153,9 @@
 	if position <= c.trailingEntries {
 		return nil
 	}
-	firstKept := position - c.trailingEntries
-	result.FirstKept = fleet.Position(firstKept)
-	if err := c.storage.Compact(firstKept); err != nil && !errors.Is(err, raft.ErrCompacted) {
+	firstRetained := position - c.trailingEntries
+	result.FirstRetained = fleet.Position(firstRetained)
+	if err := c.storage.Compact(firstRetained); err != nil && !errors.Is(err, raft.ErrCompacted) {
 		return err
 	}
 	return nil
--- a/fleet/consensus/boltstorage.go
+++ b/fleet/consensus/boltstorage.go
@@ -178,15 +178,15 @@
 }
 
 // Compact implements Storage.
-func (s *boltStorage) Compact(snapshot *raftpb.Snapshot, firstKept fleet.Position) error {
+func (s *boltStorage) Compact(snapshot *raftpb.Snapshot, firstRetained fleet.Position) error {
 	return s.db.Update(func(tx *bbolt.Tx) error {
 		if err := putMessage(tx.Bucket(metaBucket), snapshotKey, snapshot); err != nil {
 			return err
 		}
-		if firstKept == 0 {
+		if firstRetained == 0 {
 			return nil
 		}
-		return deleteEntries(tx.Bucket(logBucket), 0, uint64(firstKept)-1)
+		return deleteEntries(tx.Bucket(logBucket), 0, uint64(firstRetained)-1)
 	})
 }
 
--- a/fleet/consensus/replica.go
+++ b/fleet/consensus/replica.go
@@ -182,7 +182,7 @@
 	}
 	r.transport.send(batch.Messages)
 	if result.Snapshot != nil {
-		if err := r.storage.Compact(result.Snapshot, result.FirstKept); err != nil {
+		if err := r.storage.Compact(result.Snapshot, result.FirstRetained); err != nil {
 			return fmt.Errorf("consensus: saving a snapshot: what is stored is unknown: %w", err)
 		}
 	}
--- a/fleet/consensus/storage.go
+++ b/fleet/consensus/storage.go
@@ -39,8 +39,8 @@
 	Load() (PersistentState, error)
 	// Save stores a write batch.
 	Save(batch *WriteBatch) error
-	// Compact stores a snapshot, and drops the entries before firstKept; 0 keeps them all.
-	Compact(snapshot *raftpb.Snapshot, firstKept fleet.Position) error
+	// Compact stores a snapshot, and drops the entries before firstRetained; 0 keeps them all.
+	Compact(snapshot *raftpb.Snapshot, firstRetained fleet.Position) error
 	// Close closes the storage. It must not be used any more.
 	Close() error
 }
--- a/fleet/consensus/stored_test.go
+++ b/fleet/consensus/stored_test.go
@@ -183,14 +183,7 @@
 
 // Messages as an earlier program wrote them are read, and written as they were.
 func TestStoredMessages_DecodeAndEncodeUnchanged(t *testing.T) {
-	raw, err := os.ReadFile(filepath.Join("testdata", "wire.json"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	messages := make(map[string]json.RawMessage)
-	if err := json.Unmarshal(raw, &messages); err != nil {
-		t.Fatal(err)
-	}
+	messages := jsontest.ReadMessages(t, filepath.Join("testdata", "wire.json"))
 	for name, to := range map[string]any{
 		"question":       new(WatchRequest),
 		"answer_state":   new(WatchResponse),
--- a/fleet/internal/jsontest/jsontest.go
+++ b/fleet/internal/jsontest/jsontest.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"os"
 	"testing"
 )
 
@@ -29,3 +30,17 @@
 		t.Errorf("%s is encoded again as %s", want.String(), got)
 	}
 }
+
+// ReadMessages reads a file that holds messages by name.
+func ReadMessages(t testing.TB, path string) map[string]json.RawMessage {
+	t.Helper()
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	messages := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(raw, &messages); err != nil {
+		t.Fatalf("decoding %s: %v", path, err)
+	}
+	return messages
+}
--- a/fleet/lease/receiver.go
+++ b/fleet/lease/receiver.go
@@ -132,8 +132,8 @@
 	return Execute
 }
 
-// MarkUnsaved records that the state could not be stored, so that an effect decided on was not carried out.
-func (r *FencedReceiver) MarkUnsaved(key string) {
+// HandleSaveFailure records that the state could not be stored, so that an effect decided on was not carried out.
+func (r *FencedReceiver) HandleSaveFailure(key string) {
 	if r.EffectLog.Effects[key].Running {
 		r.unverified[key] = true
 	}
--- a/fleet/rollingupdate/plan.go
+++ b/fleet/rollingupdate/plan.go
@@ -170,10 +170,10 @@
 
 // progress is how far the nodes of the plan are.
 type progress struct {
-	actions  []Action // for the nodes under way
-	underWay int
-	done     int
-	fresh    []string // not begun yet
+	actions    []Action // for the nodes under way
+	inProgress int
+	done       int
+	fresh      []string // not begun yet
 }
 
 func (p *planner) progress() progress {
@@ -184,14 +184,14 @@
 		case !pending:
 			result.done++
 		case begun:
-			result.underWay++
+			result.inProgress++
 			result.actions = append(result.actions, p.requestStep(node, action))
 		case action == p.sequence.drain:
 			result.fresh = append(result.fresh, node)
 		case p.job.Command == fleet.CommandPause:
-			result.underWay++
+			result.inProgress++
 		default: // a drained node is not left drained
-			result.underWay++
+			result.inProgress++
 			result.actions = append(result.actions, startStep(node, action))
 		}
 	}
@@ -204,7 +204,7 @@
 	paused := p.job.Command == fleet.CommandPause
 	current := p.progress()
 	switch {
-	case paused, stopping && current.underWay > 0:
+	case paused, stopping && current.inProgress > 0:
 		return current.actions
 	case stopping:
 		return []Action{{Operation: CloseJob, CloseReason: p.stopReason(lost), Detail: p.closeDetail(lost)}}
