--- a/internal/fleetcli/calls.go
+++ b/internal/fleetcli/calls.go
@@ -50,7 +50,7 @@
 	entry.RequestedBy, entry.Reason = c.requestedBy, c.reason
 	var lastErr error
 	for range client.Replicas {
-		result, err := proposeOnce(client, entry)
+		result, err := proposeWithTimeout(client, entry)
 		switch {
 		case err == nil && result.Err != nil:
 			return result, exitError{result.Err, exitRejected}
@@ -66,7 +66,7 @@
 	return fleet.Result{}, exitError{err, exitUnavailable}
 }
 
-func proposeOnce(client *agent.Client, entry fleet.Entry) (fleet.Result, error) {
+func proposeWithTimeout(client *agent.Client, entry fleet.Entry) (fleet.Result, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	return client.Propose(ctx, entry)
@@ -107,11 +107,11 @@
 // condition reports whether what a command waits for is so, and a line about the progress.
 type condition func(statuses map[string]consensus.Status, state *fleet.State) (met bool, progress string)
 
-// pollUntil looks at the state until a condition is met, or the time to wait is over. It prints the progress where it
+// pollUntil looks at the state until a condition is met, or a timeout has passed. It prints the progress where it
 // changes. what names the condition in the error.
-func (c *operatorCommands) pollUntil(client *agent.Client, what string, met condition) error {
+func (c *operatorCommands) pollUntil(client *agent.Client, what string, timeout time.Duration, met condition) error {
 	lastProgress := ""
-	for deadline := time.Now().Add(c.wait); ; time.Sleep(pollInterval) {
+	for deadline := time.Now().Add(timeout); ; time.Sleep(pollInterval) {
 		if statuses, state, err := newestState(client); err == nil {
 			done, progress := met(statuses, state)
 			if progress != lastProgress {
@@ -125,7 +125,7 @@
 			}
 		}
 		if time.Now().After(deadline) {
-			return exitError{fmt.Errorf("%s did not come within %v", what, c.wait), exitTimeout}
+			return exitError{fmt.Errorf("%s did not come within %v", what, timeout), exitTimeout}
 		}
 	}
 }
--- a/internal/fleetcli/disable.go
+++ b/internal/fleetcli/disable.go
@@ -22,6 +22,7 @@
 	id       string
 	zones    []string
 	duration time.Duration
+	timeout  time.Duration // for the order to be in force at all nodes; 0: the command does not wait
 }
 
 func (c *operatorCommands) disableCommand() *cobra.Command {
@@ -33,7 +34,7 @@
 	flags.StringVar(&options.id, "id", "", "a name for the hold")
 	flags.StringSliceVar(&options.zones, "zone", nil, "all servers of a zone, as each node's list has them")
 	flags.DurationVar(&options.duration, "for", defaultDisableDuration, "how long the servers are held out")
-	flags.DurationVar(&c.wait, "wait", 0, "how long to wait until it holds everywhere")
+	flags.DurationVar(&options.timeout, "wait", 0, "how long to wait until it holds everywhere")
 	return withAliases(command, "disable")
 }
 
@@ -57,7 +58,7 @@
 	if err := c.propose(client, fleet.Entry{Kind: fleet.KindDisableServers, DisableOrder: order}); err != nil {
 		return err
 	}
-	if err := c.println(id); err != nil || c.wait == 0 {
+	if err := c.println(id); err != nil || options.timeout == 0 {
 		return err
 	}
 	met := func(statuses map[string]consensus.Status, state *fleet.State) (bool, string) {
@@ -66,7 +67,7 @@
 		return len(without) == 0, fmt.Sprintf("%s: in force at %d of %d nodes; not at: %s",
 			id, len(state.Nodes)-len(without), len(state.Nodes), listOrNothing(without))
 	}
-	return c.pollUntil(client, "the hold at all nodes", met)
+	return c.pollUntil(client, "the hold at all nodes", options.timeout, met)
 }
 
 func (c *operatorCommands) enableCommand() *cobra.Command {
--- a/internal/fleetcli/rollingupdate.go
+++ b/internal/fleetcli/rollingupdate.go
@@ -20,6 +20,7 @@
 	defaultMaxUnavailable = 1
 	defaultMaxFailures    = 1
 	defaultDrainTimeout   = 30 * time.Second
+	defaultUpdateTimeout  = time.Hour
 )
 
 // rollingUpdateFlags are the flags of the command that starts a rolling update.
@@ -27,6 +28,8 @@
 	spec fleet.JobSpec
 	id   string
 	wait bool
+	// timeout is how long wait waits.
+	timeout time.Duration
 }
 
 func (c *operatorCommands) rollingUpdateCommand() *cobra.Command {
@@ -65,7 +68,7 @@
 	flags.DurationVar(&options.spec.DrainTimeout, "drain", defaultDrainTimeout, "deadline of each drain")
 	flags.StringVar(&options.id, "id", "", "a name for the round")
 	flags.BoolVar(&options.wait, "wait", false, "show progress until it is over")
-	flags.DurationVar(&c.wait, "for", time.Hour, "how long to wait")
+	flags.DurationVar(&options.timeout, "for", defaultUpdateTimeout, "how long to wait")
 	return command
 }
 
@@ -88,13 +91,14 @@
 	if err != nil || !options.wait {
 		return err
 	}
-	return c.pollUntil(client, "the round's end", func(_ map[string]consensus.Status, state *fleet.State) (bool, string) {
+	closed := func(_ map[string]consensus.Status, state *fleet.State) (bool, string) {
 		job := state.Jobs[id]
 		if job == nil {
 			return false, id + " is not there yet"
 		}
 		return !job.Open(), jobLine(job)
-	})
+	}
+	return c.pollUntil(client, "the round's end", options.timeout, closed)
 }
 
 // selectNodes returns the nodes that are named, once each and all of them known; without a name it returns all nodes.
--- a/internal/fleetcli/root.go
+++ b/internal/fleetcli/root.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"os"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -49,7 +48,6 @@
 	asJSON      bool
 	requestedBy string
 	reason      string
-	wait        time.Duration
 	out         io.Writer
 }
 
--- a/internal/fleetcli/wait.go
+++ b/internal/fleetcli/wait.go
@@ -14,15 +14,20 @@
 	"cobaltward/fleet/consensus"
 )
 
+// defaultWaitTimeout is how long the wait command waits unless --for says otherwise.
+const defaultWaitTimeout = time.Minute
+
 func (c *operatorCommands) waitCommand() *cobra.Command {
+	var timeout time.Duration
+	run := func(client *agent.Client, args []string) error { return c.waitForPosition(client, args, timeout) }
 	command := c.clientCommand("wait [POSITION]",
-		"Wait until all nodes are at a position of the log; else at that of now", cobra.MaximumNArgs(1), c.waitForPosition)
-	command.Flags().DurationVar(&c.wait, "for", time.Minute, "how long")
+		"Wait until all nodes are at a position of the log; else at that of now", cobra.MaximumNArgs(1), run)
+	command.Flags().DurationVar(&timeout, "for", defaultWaitTimeout, "how long")
 	return command
 }
 
 // waitForPosition waits until all agents know the state of a position: the one named, or the newest one.
-func (c *operatorCommands) waitForPosition(client *agent.Client, args []string) error {
+func (c *operatorCommands) waitForPosition(client *agent.Client, args []string, timeout time.Duration) error {
 	var position fleet.Position
 	if len(args) > 0 {
 		number, err := strconv.ParseUint(args[0], 10, 64)
@@ -40,7 +45,7 @@
 		return len(behind) == 0, fmt.Sprintf("position %d: %d of %d nodes; behind: %s",
 			position, len(state.Nodes)-len(behind), len(state.Nodes), listOrNothing(behind))
 	}
-	return c.pollUntil(client, "all nodes at the position", met)
+	return c.pollUntil(client, "all nodes at the position", timeout, met)
 }
 
 // nodesWithout returns the nodes, ordered by name, whose agent's newest report does not fulfil a condition.
