--- a/internal/fleetcli/agent.go
+++ b/internal/fleetcli/agent.go
@@ -19,7 +19,7 @@
 // runAgent runs the agent beside a node until SIGTERM. It holds leases where its file says that it may.
 func runAgent(loaded *settings, hooks TestHooks) error {
 	if len(loaded.Council) == 0 {
-		return errors.New("fleet.council: missing: a follower asks its members")
+		return errors.New("fleet.council: missing: an agent follows the state of its replicas")
 	}
 	ctx, stop := signalContext()
 	defer stop()
@@ -74,7 +74,7 @@
 		return agent.NewNodeClient(s.nodeAdmin.Socket, ""), nil
 	}
 	if s.nodeAdmin.Listen == "" {
-		return nil, errors.New("door: missing: a follower drives its node by its door")
+		return nil, errors.New("door: missing: an agent drives its node by its admin API")
 	}
 	token, err := operator.Token(s.nodeAdmin.TokenFile)
 	if err != nil {
--- a/internal/fleetcli/disable.go
+++ b/internal/fleetcli/disable.go
@@ -28,13 +28,13 @@
 func (c *operatorCommands) disableCommand() *cobra.Command {
 	options := &disableFlags{}
 	run := func(client *agent.Client, args []string) error { return c.disableServers(client, args, options) }
-	command := c.clientCommand("hold [SERVER ...]", "Hold servers, or zones' servers, out at all nodes for a time",
+	command := c.clientCommand("hold [SERVER ...]", "Disable servers, or the servers of zones, at all nodes for a time",
 		cobra.ArbitraryArgs, run)
 	flags := command.Flags()
-	flags.StringVar(&options.id, "id", "", "a name for the hold")
-	flags.StringSliceVar(&options.zones, "zone", nil, "all servers of a zone, as each node's list has them")
-	flags.DurationVar(&options.duration, "for", defaultDisableDuration, "how long the servers are held out")
-	flags.DurationVar(&options.timeout, "wait", 0, "how long to wait until it holds everywhere")
+	flags.StringVar(&options.id, "id", "", "ID of the disable order; by default one by the time")
+	flags.StringSliceVar(&options.zones, "zone", nil, "all servers of a zone, as each node's endpoint list has them")
+	flags.DurationVar(&options.duration, "for", defaultDisableDuration, "how long the servers are disabled")
+	flags.DurationVar(&options.timeout, "wait", 0, "how long to wait until the order is in force at all nodes")
 	return withAliases(command, "disable")
 }
 
@@ -43,7 +43,7 @@
 		return errors.New("hold: want a SERVER, or a --zone")
 	}
 	if c.reason == "" {
-		return errors.New("hold: want a --reason: the next one on duty will ask")
+		return errors.New("hold: want a --reason, for those who find the servers disabled")
 	}
 	id := options.id
 	if id == "" {
@@ -67,7 +67,7 @@
 		return len(without) == 0, fmt.Sprintf("%s: in force at %d of %d nodes; not at: %s",
 			id, len(state.Nodes)-len(without), len(state.Nodes), listOrNothing(without))
 	}
-	return c.pollUntil(client, "the hold at all nodes", options.timeout, met)
+	return c.pollUntil(client, "the disable order at all nodes", options.timeout, met)
 }
 
 func (c *operatorCommands) enableCommand() *cobra.Command {
@@ -75,5 +75,5 @@
 		order := &fleet.DisableOrder{ID: args[0]}
 		return c.propose(client, fleet.Entry{Kind: fleet.KindEnableServers, DisableOrder: order})
 	}
-	return withAliases(c.clientCommand("lift HOLD", "End a hold", cobra.ExactArgs(1), run), "enable")
+	return withAliases(c.clientCommand("lift HOLD", "End a disable order", cobra.ExactArgs(1), run), "enable")
 }
--- a/internal/fleetcli/membership.go
+++ b/internal/fleetcli/membership.go
@@ -14,7 +14,7 @@
 )
 
 func (c *operatorCommands) membershipCommand() *cobra.Command {
-	command := &cobra.Command{Use: "member", Short: "Change the council, one member at a time"}
+	command := &cobra.Command{Use: "member", Short: "Change the membership, one member at a time"}
 	command.AddCommand(
 		c.clientCommand("add NAME ADDRESS", "Add the member that runs at an address; it votes once it has caught up",
 			cobra.ExactArgs(2), c.addMember),
--- a/internal/fleetcli/rollingupdate.go
+++ b/internal/fleetcli/rollingupdate.go
@@ -36,14 +36,14 @@
 	command := &cobra.Command{
 		Use:     "round",
 		Aliases: []string{"rolling-update"},
-		Short:   "Take nodes out one after another, hand each to the operator's command, take it back",
+		Short:   "Update nodes one after another: drain each, run the operator's command, resume it",
 	}
 	command.AddCommand(
 		c.startCommand(),
-		c.controlCommand(fleet.CommandPause, "Begin nothing new"),
+		c.controlCommand(fleet.CommandPause, "Start nothing new"),
 		withAliases(c.controlCommand(fleet.CommandRun, "Go on"), "resume"),
-		c.controlCommand(fleet.CommandAbort, "Finish the nodes that are out, and end"),
-		withAliases(c.controlCommand(fleet.CommandRollBack, "Take the patch back, the last node first"), "roll-back"),
+		c.controlCommand(fleet.CommandAbort, "Finish the drained nodes, and end"),
+		withAliases(c.controlCommand(fleet.CommandRollBack, "Roll back: revert the patch, the last node first"), "roll-back"),
 	)
 	return command
 }
@@ -58,17 +58,18 @@
 func (c *operatorCommands) startCommand() *cobra.Command {
 	options := &rollingUpdateFlags{spec: fleet.JobSpec{Kind: fleet.JobRollingUpdate}}
 	run := func(client *agent.Client, args []string) error { return c.startRollingUpdate(client, args, options) }
-	command := c.clientCommand("start [NODE ...]", "Begin a round over nodes; none: all", cobra.ArbitraryArgs, run)
+	command := c.clientCommand("start [NODE ...]", "Start a rolling update of nodes; none named: of all",
+		cobra.ArbitraryArgs, run)
 	flags := command.Flags()
-	flags.IntVar(&options.spec.MaxUnavailable, "at-once", defaultMaxUnavailable, "so many nodes out at most")
-	flags.Float64Var(&options.spec.MinCapacity, "need", 0, "capacity that has to serve at any time")
+	flags.IntVar(&options.spec.MaxUnavailable, "at-once", defaultMaxUnavailable, "nodes that may be unavailable at a time")
+	flags.Float64Var(&options.spec.MinCapacity, "need", 0, "capacity that must be serving at any time")
 	flags.BoolVar(&options.spec.ByZone, "by-zone", false, "one zone after another")
 	flags.IntVar(&options.spec.MaxFailures, "failures", defaultMaxFailures,
-		"after so many failed steps the round stops by itself; 0: never")
-	flags.DurationVar(&options.spec.DrainTimeout, "drain", defaultDrainTimeout, "deadline of each drain")
-	flags.StringVar(&options.id, "id", "", "a name for the round")
-	flags.BoolVar(&options.wait, "wait", false, "show progress until it is over")
-	flags.DurationVar(&options.timeout, "for", defaultUpdateTimeout, "how long to wait")
+		"failed steps after which the update stops by itself; 0: never")
+	flags.DurationVar(&options.spec.DrainTimeout, "drain", defaultDrainTimeout, "timeout of each drain")
+	flags.StringVar(&options.id, "id", "", "ID of the job; by default one by the time")
+	flags.BoolVar(&options.wait, "wait", false, "show progress until the job is closed")
+	flags.DurationVar(&options.timeout, "for", defaultUpdateTimeout, "how long --wait waits")
 	return command
 }
 
@@ -98,7 +99,7 @@
 		}
 		return !job.Open(), jobLine(job)
 	}
-	return c.pollUntil(client, "the round's end", options.timeout, closed)
+	return c.pollUntil(client, "the end of the rolling update", options.timeout, closed)
 }
 
 // selectNodes returns the nodes that are named, once each and all of them known; without a name it returns all nodes.
--- a/internal/fleetcli/root.go
+++ b/internal/fleetcli/root.go
@@ -51,15 +51,15 @@
 	out         io.Writer
 }
 
-const rootDescription = `What belongs to the fleet and not to a node. Who is asked is in the table [fleet] of the file
-that --config or WAYHOLD_CONFIG names. The exit status is 0 if all is well, 4 if no member of the council answers, 5 if
-what was waited for did not come in time, 7 if the fleet says no as things stand, and 1 otherwise.`
+const rootDescription = `Operations on the fleet as a whole, not on one node. The replicas to ask are in the table
+[fleet] of the file that --config or WAYHOLD_CONFIG names. The exit status is 0 if all is well, 4 if no replica answers,
+5 if what was waited for did not come in time, 7 if the fleet rejects what was asked for, and 1 otherwise.`
 
 func rootCommand(hooks TestHooks) *cobra.Command {
 	commands := &operatorCommands{}
 	root := &cobra.Command{
 		Use:              "fleet",
-		Short:            "What belongs to the fleet and not to a node: its council, owners, rounds and holds",
+		Short:            "Operate the fleet: its consensus group, leases, rolling updates and disabled servers",
 		Long:             rootDescription,
 		SilenceUsage:     true,
 		SilenceErrors:    true,
@@ -68,9 +68,9 @@
 	flags := root.PersistentFlags()
 	flags.StringVar(&commands.configPath, "config", os.Getenv("WAYHOLD_CONFIG"),
 		"a process's own file, with the table [fleet]; WAYHOLD_CONFIG names it too")
-	flags.BoolVar(&commands.asJSON, "json", false, "as the council tells it")
+	flags.BoolVar(&commands.asJSON, "json", false, "print JSON")
 	flags.StringVar(&commands.requestedBy, "who", os.Getenv("USER"), "who asks")
-	flags.StringVar(&commands.reason, "reason", "", "for those who find what was asked for")
+	flags.StringVar(&commands.reason, "reason", "", "why, for those who find the change later")
 	root.AddCommand(commands.processCommands(hooks)...)
 	root.AddCommand(commands.leaseCommands()...)
 	root.AddCommand(
@@ -97,25 +97,29 @@
 			return run(loaded, hooks)
 		}}
 	}
+	replica := process("council", "Run a replica of the consensus group until SIGTERM", runReplica)
+	agentBeside := process("agent", "Run the agent beside a node until SIGTERM", runAgent)
+	bootstrap := process("init",
+		"Initialize this process's storage as that of the first member of a new cluster", c.bootstrap)
+	force := process("recover",
+		"Force a new cluster on this member's storage, once most others are lost for good; wants --reason",
+		c.forceNewCluster)
 	return []*cobra.Command{
-		withAliases(process("council", "Be a member of the council, until SIGTERM", runReplica), "replica"),
-		process("agent", "Be the follower beside a node, until SIGTERM", runAgent),
-		withAliases(process("init", "Make this process's disk that of the first member of a new council", c.bootstrap),
-			"bootstrap"),
-		withAliases(process("recover",
-			"Begin anew on what this member has, once most others are lost for good; wants --reason", c.forceNewCluster),
-			"force-new-cluster"),
+		withAliases(replica, "replica"),
+		agentBeside,
+		withAliases(bootstrap, "bootstrap"),
+		withAliases(force, "force-new-cluster"),
 	}
 }
 
 // leaseCommands are the commands about leases.
 func (c *operatorCommands) leaseCommands() []*cobra.Command {
-	return []*cobra.Command{
-		withAliases(c.clientCommand("owners", "Print who owns which work", cobra.NoArgs, c.leases), "leases"),
-		c.clientCommand("step-down WORK", "Ask the owner of a work to give it back", cobra.ExactArgs(1), c.requestStepDown),
-		withAliases(c.clientCommand("push WORK",
-			"Push the owner of a work out: its lease is not renewed any more", cobra.ExactArgs(1), c.revokeLease), "revoke"),
-	}
+	list := c.clientCommand("owners", "Print the leases and their holders", cobra.NoArgs, c.leases)
+	stepDown := c.clientCommand("step-down WORK", "Ask the holder of a lease to release it",
+		cobra.ExactArgs(1), c.requestStepDown)
+	revoke := c.clientCommand("push WORK", "Revoke a lease: it can't be renewed any more",
+		cobra.ExactArgs(1), c.revokeLease)
+	return []*cobra.Command{withAliases(list, "leases"), stepDown, withAliases(revoke, "revoke")}
 }
 
 // clientCommand is a command that calls the replicas.
@@ -128,7 +132,7 @@
 			return err
 		}
 		if len(loaded.Council) == 0 {
-			return errors.New("fleet.council: missing: whom to ask?")
+			return errors.New("fleet.council: missing: there is no replica to ask")
 		}
 		client := agent.NewClient(loaded.Council, loaded.Via, loaded.token, loaded.clientTLS())
 		defer client.HTTP.CloseIdleConnections()
@@ -141,7 +145,7 @@
 	run := func(client *agent.Client, args []string) error {
 		return c.propose(client, fleet.Entry{Kind: fleet.KindRemoveNode, Node: &fleet.Node{Name: args[0]}})
 	}
-	return withAliases(c.clientCommand("forget NODE", "Expect a node back no more", cobra.ExactArgs(1), run),
+	return withAliases(c.clientCommand("forget NODE", "Remove a node that will not come back", cobra.ExactArgs(1), run),
 		"remove-node")
 }
 
@@ -151,7 +155,7 @@
 
 func (c *operatorCommands) revokeLease(client *agent.Client, args []string) error {
 	if c.reason == "" {
-		return errors.New("push: want a --reason: the next one on duty will ask")
+		return errors.New("push: want a --reason, for those who find the lease revoked")
 	}
 	return c.propose(client, fleet.Entry{Kind: fleet.KindRevokeLease, Resource: args[0]})
 }
--- a/internal/fleetcli/status.go
+++ b/internal/fleetcli/status.go
@@ -42,7 +42,7 @@
 func (t *table) flush() error { return errors.Join(t.err, t.writer.Flush()) }
 
 func (c *operatorCommands) statusCommand() *cobra.Command {
-	return c.clientCommand("status", "Print how the council, the owners, the jobs and the followers stand", cobra.NoArgs,
+	return c.clientCommand("status", "Print the state of the replicas, leases, jobs and agents", cobra.NoArgs,
 		c.status)
 }
 
--- a/internal/fleetcli/storage.go
+++ b/internal/fleetcli/storage.go
@@ -23,7 +23,7 @@
 func (c *operatorCommands) bootstrap(loaded *settings, _ TestHooks) error {
 	rewrite := func(persisted consensus.PersistentState) (consensus.PersistentState, error) {
 		if !persisted.Empty() {
-			return persisted, fmt.Errorf("%s: this disk has been of a council already", loaded.Dir)
+			return persisted, fmt.Errorf("%s: this storage is of a cluster already", loaded.Dir)
 		}
 		return consensus.Bootstrap(loaded.member(persisted.ID)), nil
 	}
@@ -34,11 +34,11 @@
 // What only they knew is lost, and is not asked for.
 func (c *operatorCommands) forceNewCluster(loaded *settings, _ TestHooks) error {
 	if c.reason == "" {
-		return errors.New("recover: want a --reason: what only the lost members knew is lost by this")
+		return errors.New("recover: want a --reason: what only the lost members know is lost for good")
 	}
 	rewrite := func(persisted consensus.PersistentState) (consensus.PersistentState, error) {
 		if persisted.Snapshot == nil {
-			return persisted, fmt.Errorf("%s: this disk has never been of a council", loaded.Dir)
+			return persisted, fmt.Errorf("%s: this storage has never been of a cluster", loaded.Dir)
 		}
 		return consensus.ForceNewCluster(persisted, loaded.member(persisted.ID))
 	}
--- a/internal/fleetcli/wait.go
+++ b/internal/fleetcli/wait.go
@@ -21,8 +21,9 @@
 	var timeout time.Duration
 	run := func(client *agent.Client, args []string) error { return c.waitForPosition(client, args, timeout) }
 	command := c.clientCommand("wait [POSITION]",
-		"Wait until all nodes are at a position of the log; else at that of now", cobra.MaximumNArgs(1), run)
-	command.Flags().DurationVar(&timeout, "for", defaultWaitTimeout, "how long")
+		"Wait until the agents of all nodes know a position of the log; none named: the newest one",
+		cobra.MaximumNArgs(1), run)
+	command.Flags().DurationVar(&timeout, "for", defaultWaitTimeout, "how long to wait")
 	return command
 }
 
