--- a/emulator/concert/concert.go
+++ b/emulator/concert/concert.go
@@ -20,21 +20,21 @@
 	"google.golang.org/protobuf/proto"
 
 	"cobaltward/fleet"
-	"cobaltward/fleet/audit"
-	"cobaltward/fleet/council"
-	"cobaltward/fleet/jobs"
-	"cobaltward/fleet/owner"
+	"cobaltward/fleet/consensus"
+	"cobaltward/fleet/lease"
+	"cobaltward/fleet/rollingupdate"
+	"cobaltward/fleet/rollout"
 )
 
 const (
-	ms       = time.Millisecond
-	tick     = 100 * ms // of the council
-	lease    = 4 * time.Second
-	poll     = 250 * ms // of followers
-	drive    = 100 * ms // of stewards
-	compact  = 40       // entries between snapshots
-	healFor  = 90 * time.Second
-	lateMost = 20 * time.Second // a repeated message comes so late at most
+	ms            = time.Millisecond
+	tick          = 100 * ms // of the council
+	leaseDuration = 4 * time.Second
+	poll          = 250 * ms // of followers
+	drive         = 100 * ms // of stewards
+	compact       = 40       // entries between snapshots
+	healFor       = 90 * time.Second
+	lateMost      = 20 * time.Second // a repeated message comes so late at most
 )
 
 // Config is what a schedule is drawn for.
@@ -45,11 +45,11 @@
 	Owners   int // nodes whose followers may own the work
 	Length   time.Duration
 	Lie      bool // clocks jump, too: then only receivers' rules are held against the run
-	Guards   owner.Guards
-	NoSync   bool         // votes and terms are not synced
-	Versions bool         // rollouts go on, and nodes act by rights to versions
-	Rights   audit.Guards // with Versions
-	Only     []int        // of the kinds of faults in draw; nil: all
+	Guards   lease.UnsafeOptions
+	NoSync   bool                  // votes and terms are not synced
+	Versions bool                  // rollouts go on, and nodes act by rights to versions
+	Rights   rollout.UnsafeOptions // with Versions
+	Only     []int                 // of the kinds of faults in draw; nil: all
 	Trace    func(string)
 }
 
@@ -122,18 +122,18 @@
 	jumped  time.Duration
 
 	// A member.
-	core    *council.Core
+	core    *consensus.Core
 	disk    disk
 	waiting map[uint64]func(fleet.Result)
 
 	// A follower.
 	state   *fleet.State
-	steward *jobs.Steward
-	mem     *owner.Receiver
+	steward *rollingupdate.Controller
+	mem     *lease.FencedReceiver
 	kept    []byte  // of the receiver's memory
 	older   []byte  // a copy of it
 	rights  *rights // with Config.Versions
-	clearer audit.Clearer
+	clearer rollout.RetirementTracker
 	reads   map[uint64]func()
 	node    *node
 }
@@ -143,13 +143,13 @@
 	name    string
 	out     bool
 	drained bool
-	newest  fleet.Token
+	newest  fleet.FencingToken
 	done    map[string]int
 }
 
 // disk is what a member has synced, and what not yet.
 type disk struct {
-	synced council.Saved
+	synced consensus.PersistentState
 	hard   *pb.HardState // not synced, with the guard away
 }
 
@@ -168,8 +168,8 @@
 	log                map[fleet.Position]uint64 // what was applied at a position, by whichever member first
 	nodes              []*node
 	atOnce             int
-	newest             fleet.Token
-	tokens             map[fleet.Token]bool
+	newest             fleet.FencingToken
+	tokens             map[fleet.FencingToken]bool
 	job                int
 	jobID              string
 	roll               int
@@ -191,7 +191,7 @@
 	old := rand.Reader
 	rand.Reader = seeded{mrand.NewChaCha8(key)}
 	defer func() { rand.Reader = old }()
-	w := &world{c: c, r: mrand.New(mrand.NewPCG(c.Seed, 0xf1ee7)), cut: make(map[[2]int]int), log: make(map[fleet.Position]uint64), tokens: make(map[fleet.Token]bool)}
+	w := &world{c: c, r: mrand.New(mrand.NewPCG(c.Seed, 0xf1ee7)), cut: make(map[[2]int]int), log: make(map[fleet.Position]uint64), tokens: make(map[fleet.FencingToken]bool)}
 	defer func() {
 		if p := recover(); p != nil { // raft panics where its own rules are broken
 			w.fail("a member ended by itself: %v", p)
@@ -230,7 +230,7 @@
 	for i := range w.c.Members + w.c.Nodes {
 		p := &process{w: w, index: i, rate: 1}
 		if !w.c.Lie { // apart by as much as is promised for
-			p.rate = 1 - owner.Drift/2 + owner.Drift*w.r.Float64()
+			p.rate = 1 - lease.MaxClockDrift/2 + lease.MaxClockDrift*w.r.Float64()
 		} else if w.r.Float64() < 0.3 {
 			p.rate = 0.5 + 1.5*w.r.Float64()
 		}
@@ -249,18 +249,18 @@
 	var voters []uint64
 	for i, p := range w.members {
 		id := uint64(i + 1)
-		all[id] = fleet.Member{ID: id, Name: p.name, Address: p.name, Level: fleet.Level}
+		all[id] = fleet.Member{ID: id, Name: p.name, Address: p.name, SupportedFormat: fleet.FormatVersion}
 		voters = append(voters, id)
 	}
 	nodes := make(map[string]fleet.Node)
 	for i, p := range w.followers {
-		nodes[p.name] = fleet.Node{Name: p.name, Address: p.name, Capacity: 1, Owns: i < w.c.Owners}
+		nodes[p.name] = fleet.Node{Name: p.name, Address: p.name, Capacity: 1, LeaseCandidate: i < w.c.Owners}
 	}
-	s := fleet.New(1).WithMembers(1, all)
+	s := fleet.NewState(1).WithMembers(1, all)
 	s.Nodes = nodes
 	snap := &pb.Snapshot{Data: s.Marshal(), Metadata: &pb.SnapshotMetadata{Index: proto.Uint64(1), Term: proto.Uint64(1), ConfState: &pb.ConfState{Voters: voters}}}
 	for i, p := range w.members {
-		p.disk.synced = council.Saved{ID: uint64(i + 1), Snapshot: snap, Hard: &pb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)}}
+		p.disk.synced = consensus.PersistentState{ID: uint64(i + 1), Snapshot: snap, HardState: &pb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)}}
 		p.start()
 	}
 	for _, p := range w.followers {
@@ -278,30 +278,30 @@
 	p.life++
 	w := p.w
 	if p.node == nil {
-		core, err := council.New(p.disk.load(), w.c.Guards, compact, p.mono(), council.Quiet)
+		core, err := consensus.NewCore(p.disk.load(), w.c.Guards, compact, p.mono(), consensus.DiscardLogger)
 		if err != nil {
 			panic(err)
 		}
 		p.core, p.waiting, p.reads = core, make(map[uint64]func(fleet.Result)), make(map[uint64]func())
-		p.clearer = audit.Clearer{Length: rightLength, Guards: w.c.Rights}
+		p.clearer = rollout.RetirementTracker{LeaseDuration: rightLength, Unsafe: w.c.Rights}
 		p.every(tick, func() {
 			p.core.Tick(p.mono(), time.Unix(0, 0).Add(w.now))
 			p.work()
 		})
 		return
 	}
-	p.state = fleet.New(0)
-	var m owner.Memory
+	p.state = fleet.NewState(0)
+	var m lease.ReceiverState
 	if p.kept != nil {
 		decode(p.kept, &m)
 	}
-	p.mem = owner.Wake(m, p.name, fmt.Sprint(p.life), w.c.Guards)
+	p.mem = lease.Restore(m, p.name, fmt.Sprint(p.life), w.c.Guards)
 	p.every(poll, p.follow)
 	if w.c.Versions {
 		p.act()
 	}
 	if p.index-w.c.Members < w.c.Owners {
-		p.steward = jobs.NewSteward(fleet.Round, fmt.Sprintf("%s/%d", p.name, p.life), p.name, lease, w.c.Guards)
+		p.steward = rollingupdate.NewController(fleet.JobRollingUpdate, fmt.Sprintf("%s/%d", p.name, p.life), p.name, leaseDuration, w.c.Guards)
 		p.every(drive, p.own)
 	}
 }
@@ -328,10 +328,10 @@
 }
 
 // load is what is there after a start.
-func (d *disk) load() council.Saved { return d.synced }
+func (d *disk) load() consensus.PersistentState { return d.synced }
 
 // save keeps a piece of work. With its guard away, a term and a vote are synced only with the entries that come next.
-func (d *disk) save(w *council.Work, guard bool) {
+func (d *disk) save(w *consensus.WriteBatch, guard bool) {
 	s := &d.synced
 	if w.Snapshot != nil {
 		s.Snapshot, s.Entries = w.Snapshot, nil
@@ -346,11 +346,11 @@
 		}
 		s.Entries = append(kept, w.Entries...)
 	}
-	if w.Hard != nil {
-		d.hard = w.Hard
+	if w.HardState != nil {
+		d.hard = w.HardState
 	}
 	if d.hard != nil && (guard || len(w.Entries) > 0 || w.Snapshot != nil) {
-		s.Hard, d.hard = d.hard, nil
+		s.HardState, d.hard = d.hard, nil
 	}
 }
 
@@ -359,20 +359,20 @@
 	w := p.w
 	for x := p.core.Ready(); x != nil; x = p.core.Ready() {
 		p.disk.save(x, !w.c.NoSync)
-		out, err := p.core.Stored(x, p.mono())
+		out, err := p.core.Advance(x, p.mono())
 		if err != nil {
 			panic(err)
 		}
-		if out.Compact != nil {
+		if out.Snapshot != nil {
 			s := &p.disk.synced
-			s.Snapshot = out.Compact
+			s.Snapshot = out.Snapshot
 			if p.disk.hard != nil {
-				s.Hard, p.disk.hard = p.disk.hard, nil
+				s.HardState, p.disk.hard = p.disk.hard, nil
 			}
-			s.Entries = slices.DeleteFunc(slices.Clone(s.Entries), func(e *pb.Entry) bool { return e.GetIndex() <= out.Compact.GetMetadata().GetIndex() })
+			s.Entries = slices.DeleteFunc(slices.Clone(s.Entries), func(e *pb.Entry) bool { return e.GetIndex() <= out.Snapshot.GetMetadata().GetIndex() })
 		}
 		p.clearer.Observe(p.core.State(), p.mono())
-		for _, id := range out.Reads {
+		for _, id := range out.ConfirmedReads {
 			if do := p.reads[id]; do != nil {
 				delete(p.reads, id)
 				do()
@@ -384,7 +384,7 @@
 				continue
 			}
 			if m.GetType() == pb.MsgSnap { // a link tells what became of it; what is lacking is sent again
-				w.at(300*ms, p, func() { p.core.SnapshotSent(m.GetTo(), true) })
+				w.at(300*ms, p, func() { p.core.ReportSnapshot(m.GetTo(), true) })
 			}
 			w.send(p, to, func() {
 				if to.core.ID() != m.GetTo() {
@@ -397,15 +397,15 @@
 		for _, a := range out.Applied {
 			h := fnv.New64a()
 			h.Write(a.Raw)
-			if _, ok := w.log[a.Result.At]; !ok && w.c.Trace != nil {
-				w.trace("%s is the first to apply %d: %s: %v", p.name, a.Result.At, a.Raw, a.Result.Err)
+			if _, ok := w.log[a.Result.Position]; !ok && w.c.Trace != nil {
+				w.trace("%s is the first to apply %d: %s: %v", p.name, a.Result.Position, a.Raw, a.Result.Err)
 			}
-			if was, ok := w.log[a.Result.At]; ok && was != h.Sum64() {
-				w.fail("the log forks at position %d: %s has applied %s", a.Result.At, p.name, a.Raw)
+			if was, ok := w.log[a.Result.Position]; ok && was != h.Sum64() {
+				w.fail("the log forks at position %d: %s has applied %s", a.Result.Position, p.name, a.Raw)
 			}
-			w.log[a.Result.At] = h.Sum64()
-			if answer := p.waiting[a.ID]; a.ID != 0 && answer != nil {
-				delete(p.waiting, a.ID)
+			w.log[a.Result.Position] = h.Sum64()
+			if answer := p.waiting[a.ProposalID]; a.ProposalID != 0 && answer != nil {
+				delete(p.waiting, a.ProposalID)
 				answer(a.Result)
 			}
 		}
@@ -471,12 +471,12 @@
 	p.w.send(p, to, func() {
 		s := to.core.State()
 		p.w.reply(to, p, life, func() {
-			if s.Newer(p.state) {
+			if s.NewerThan(p.state) {
 				p.state = s
 			}
-			if !p.mem.Joined(p.state) {
-				self := fleet.Node{Name: p.name, Address: p.name, Capacity: 1, Owns: p.steward != nil, Run: fmt.Sprint(p.life)}
-				p.propose(p.w.any(), fleet.Entry{Kind: fleet.Join, Node: &self}, func(fleet.Result) {})
+			if !p.mem.Registered(p.state) {
+				self := fleet.Node{Name: p.name, Address: p.name, Capacity: 1, LeaseCandidate: p.steward != nil, Incarnation: fmt.Sprint(p.life)}
+				p.propose(p.w.any(), fleet.Entry{Kind: fleet.KindRegisterNode, Node: &self}, func(fleet.Result) {})
 			}
 		})
 	})
@@ -486,16 +486,16 @@
 func (p *process) own() {
 	w := p.w
 	asked := p.mono()
-	if e, ok := p.steward.Ask(asked, p.state); ok {
+	if e, ok := p.steward.NextProposal(asked, p.state); ok {
 		p.propose(w.any(), e, func(r fleet.Result) {
-			if p.mono()-asked < lease/2 { // later it is given up
-				p.steward.Answered(asked, p.mono(), e, r, true)
+			if p.mono()-asked < leaseDuration/2 { // later it is given up
+				p.steward.HandleResult(asked, p.mono(), e, r, true)
 			}
 		})
 	}
-	v := jobs.View{Nodes: make(map[string]jobs.Node)}
+	v := rollingupdate.ClusterView{Nodes: make(map[string]rollingupdate.NodeStatus)}
 	for _, f := range w.followers {
-		v.Nodes[f.name] = jobs.Node{Capacity: 1, CanOwn: f.steward != nil, Serving: f.up && f.stopped == 0 && !f.node.out && w.cut[[2]int{p.index, f.index}] == 0}
+		v.Nodes[f.name] = rollingupdate.NodeStatus{Capacity: 1, LeaseCandidate: f.steward != nil, Serving: f.up && f.stopped == 0 && !f.node.out && w.cut[[2]int{p.index, f.index}] == 0}
 	}
 	for _, a := range p.steward.Next(p.mono(), p.state, v) {
 		if a.Entry != nil {
@@ -503,34 +503,34 @@
 			continue
 		}
 		// A process may be stopped between its check of the lease and the effect.
-		o := *a.Order
+		o := *a.Request
 		w.at(time.Duration(w.r.ExpFloat64()*float64(ms)), p, func() { p.effect(o) })
 	}
 }
 
 func (p *process) write(e fleet.Entry) {
-	p.propose(p.w.any(), e, func(r fleet.Result) { p.steward.Wrote(r) })
+	p.propose(p.w.any(), e, func(r fleet.Result) { p.steward.HandleWrite(r) })
 }
 
-func (p *process) effect(o owner.Order) {
+func (p *process) effect(o lease.EffectRequest) {
 	w, life := p.w, p.life
 	to := w.followers[slices.IndexFunc(w.followers, func(f *process) bool { return f.name == o.Step.Node })]
 	w.send(p, to, func() {
-		reply, verdict, changed := to.mem.Take(o, to.state)
+		reply, verdict, changed := to.mem.Decide(o, to.state)
 		if changed {
 			to.keep()
 		}
 		switch verdict {
-		case owner.Refuse:
+		case lease.Reject:
 			w.res.Refused++
 			return
-		case owner.Later:
+		case lease.Defer:
 			return
-		case owner.Run, owner.Look:
-			to.carry(o, verdict == owner.Look)
+		case lease.Execute, lease.VerifyFirst:
+			to.carry(o, verdict == lease.VerifyFirst)
 		}
 		w.reply(to, p, life, func() {
-			for _, e := range p.steward.Replied(o, reply) {
+			for _, e := range p.steward.HandleResponse(o, reply) {
 				p.write(e)
 			}
 		})
@@ -541,46 +541,46 @@
 	if p.w.r.IntN(8) == 0 {
 		p.older = p.kept
 	}
-	p.kept = encode(p.mem.Memory)
+	p.kept = encode(p.mem.ReceiverState)
 }
 
 // carry does an effect to the node, in a while; a crash in between leaves it half done.
-func (p *process) carry(o owner.Order, look bool) {
+func (p *process) carry(o lease.EffectRequest, look bool) {
 	w := p.w
 	took := func() time.Duration { return 20*ms + time.Duration(w.r.ExpFloat64()*float64(300*ms)) }
-	end := func(outcome string) {
-		p.mem.Ledger.End(o.Key, outcome, "")
+	end := func(outcome fleet.StepOutcome) {
+		p.mem.EffectLog.Finish(o.IdempotencyKey, outcome, "")
 		p.keep()
 	}
 	w.at(took(), p, func() {
-		if o.Step.What == fleet.Patch && look && p.node.done[o.Key] > 0 {
-			end(fleet.OK)
+		if o.Step.Action == fleet.ActionPatch && look && p.node.done[o.IdempotencyKey] > 0 {
+			end(fleet.OutcomeOK)
 			return
 		}
 		w.effect(p.node, o)
-		w.at(took(), p, func() { end(fleet.OK) })
+		w.at(took(), p, func() { end(fleet.OutcomeOK) })
 	})
 }
 
 // effect is one at a node, held against the rules.
-func (w *world) effect(n *node, o owner.Order) {
-	what := o.Step.What
-	if what == fleet.Out && n.out || what == fleet.In && !n.out {
+func (w *world) effect(n *node, o lease.EffectRequest) {
+	what := o.Step.Action
+	if what == fleet.ActionDrain && n.out || what == fleet.ActionResume && !n.out {
 		return // it is so already
 	}
 	w.res.Effects++
-	w.tokens[o.Token] = true
-	w.trace("%s: %s under token %d", n.name, o.Key, o.Token)
-	if o.Token < w.newest {
+	w.tokens[o.FencingToken] = true
+	w.trace("%s: %s under token %d", n.name, o.IdempotencyKey, o.FencingToken)
+	if o.FencingToken < w.newest {
 		w.res.Late++
 	}
-	w.newest = max(w.newest, o.Token)
-	if o.Token < n.newest {
-		w.fail("%s: %s under token %d, after %d", n.name, o.Key, o.Token, n.newest)
+	w.newest = max(w.newest, o.FencingToken)
+	if o.FencingToken < n.newest {
+		w.fail("%s: %s under token %d, after %d", n.name, o.IdempotencyKey, o.FencingToken, n.newest)
 	}
-	n.newest = max(n.newest, o.Token)
+	n.newest = max(n.newest, o.FencingToken)
 	switch what {
-	case fleet.Out:
+	case fleet.ActionDrain:
 		n.out = true
 		away := 0
 		for _, m := range w.nodes {
@@ -589,17 +589,17 @@
 			}
 		}
 		if away > w.atOnce {
-			w.fail("%d nodes out at once: %s under token %d", away, o.Key, o.Token)
+			w.fail("%d nodes out at once: %s under token %d", away, o.IdempotencyKey, o.FencingToken)
 		}
-	case fleet.Patch:
+	case fleet.ActionPatch:
 		if !n.out {
 			w.fail("%s is patched and not out", n.name)
 		}
 		w.res.Commits++
-		if n.done[o.Key]++; n.done[o.Key] > 1 {
-			w.fail("%s was done %d times", o.Key, n.done[o.Key])
+		if n.done[o.IdempotencyKey]++; n.done[o.IdempotencyKey] > 1 {
+			w.fail("%s was done %d times", o.IdempotencyKey, n.done[o.IdempotencyKey])
 		}
-	case fleet.In:
+	case fleet.ActionResume:
 		n.out = false
 	}
 }
@@ -642,7 +642,7 @@
 	for _, p := range w.members {
 		st := p.core.Status()
 		all += fmt.Sprintf("%s (%x, up %v): %v in term %d under %x, position %d of %d, voters %v, members %v; ", p.name, p.core.ID(), p.up, st.RaftState, st.GetTerm(), st.Lead,
-			p.core.State().At, st.GetCommit(), st.Config.Voters, p.core.State().Members)
+			p.core.State().Position, st.GetCommit(), st.Config.Voters, p.core.State().Members)
 	}
 	return all
 }
@@ -654,7 +654,7 @@
 		if p.steward == nil || !p.up || p.stopped > w.now {
 			continue
 		}
-		if t, ok := p.steward.May(p.mono()); ok {
+		if t, ok := p.steward.FencingToken(p.mono()); ok {
 			if who != "" {
 				w.fail("two owners may act at once: %s and %s under token %d", who, p.name, t)
 			}
@@ -667,7 +667,7 @@
 func (w *world) newestState() *fleet.State {
 	var s *fleet.State
 	for _, p := range w.members {
-		if p.core != nil && p.up && (s == nil || p.core.State().Newer(s)) {
+		if p.core != nil && p.up && (s == nil || p.core.State().NewerThan(s)) {
 			s = p.core.State()
 		}
 	}
@@ -677,15 +677,15 @@
 // over tells whether the last round has ended, with every node patched once and back.
 func (w *world) over() bool {
 	s := w.newestState()
-	if s == nil || s.Jobs[w.jobID] == nil || s.Jobs[w.jobID].Over == "" {
+	if s == nil || s.Jobs[w.jobID] == nil || s.Jobs[w.jobID].CloseReason == "" {
 		return false
 	}
 	j := s.Jobs[w.jobID]
-	if j.Over != "done" {
-		w.fail("the round %s ended as %s: %s", j.ID, j.Over, j.Detail)
+	if j.CloseReason != "done" {
+		w.fail("the round %s ended as %s: %s", j.ID, j.CloseReason, j.Detail)
 	}
 	for _, n := range w.nodes {
-		if n.out || n.done[jobs.Key(j.ID, fleet.StepKey{Node: n.name, What: fleet.Patch})] != 1 {
+		if n.out || n.done[rollingupdate.IdempotencyKey(j.ID, fleet.StepKey{Node: n.name, Action: fleet.ActionPatch})] != 1 {
 			w.fail("the round %s is done, and %s is out (%v) or not patched", j.ID, n.name, n.out)
 		}
 	}
@@ -720,7 +720,7 @@
 			w.at(at, nil, func() { w.kill(p, lost) })
 			w.at(at+length, nil, func() { w.revive(p) })
 		case 2, 3: // of half a lease, of ten, of a hundred and fifty
-			if span := []time.Duration{lease / 2, 10 * lease, 150 * lease}[r.IntN(3)]; p.node != nil {
+			if span := []time.Duration{leaseDuration / 2, 10 * leaseDuration, 150 * leaseDuration}[r.IntN(3)]; p.node != nil {
 				length = min(length+span, w.c.Length-at)
 			}
 			w.at(at, nil, func() { w.stop(p, length) })
@@ -737,7 +737,7 @@
 			w.at(at, nil, func() { w.loss += loss })
 			w.at(at+length, nil, func() { w.loss -= loss })
 		case 8:
-			slow := between(5*ms, lease/3)
+			slow := between(5*ms, leaseDuration/3)
 			w.at(at, nil, func() { w.slow += slow })
 			w.at(at+length, nil, func() { w.slow -= slow })
 		case 9:
@@ -746,7 +746,7 @@
 			w.at(at+length, nil, func() { w.repeat -= repeat })
 		case 11: // one that may own hears late, and then nothing and nobody hears it
 			p := w.followers[r.IntN(w.c.Owners)]
-			slow := time.Duration((0.3 + 0.18*r.Float64()) * float64(lease))
+			slow := time.Duration((0.3 + 0.18*r.Float64()) * float64(leaseDuration))
 			w.at(at, nil, func() { p.slow += slow })
 			w.at(at+length, nil, func() { p.slow -= slow })
 			if at+2*length < w.c.Length {
@@ -754,7 +754,7 @@
 			}
 		case 13: // a node hears late
 			p := w.followers[len(w.followers)-1]
-			slow := time.Duration((0.3 + 0.18*r.Float64()) * float64(lease))
+			slow := time.Duration((0.3 + 0.18*r.Float64()) * float64(leaseDuration))
 			w.at(at, nil, func() { p.slow = slow })
 			w.at(at+2*length, nil, func() { p.slow = 0 })
 		case 12: // two members don't see each other, and one that sees both dies and is back at once, again and again
@@ -808,7 +808,7 @@
 		}
 	}
 	w.res.New++
-	p.disk = disk{synced: council.Saved{ID: w.r.Uint64() | 1}}
+	p.disk = disk{synced: consensus.PersistentState{ID: w.r.Uint64() | 1}}
 	w.trace("%s has lost its disk", p.name)
 }
 
@@ -825,7 +825,7 @@
 	}
 	p.stopped = w.now + length
 	w.res.Stops++
-	if length > lease {
+	if length > leaseDuration {
 		w.res.Wakes++
 	}
 	w.trace("%s is stopped for %v", p.name, length)
@@ -862,7 +862,7 @@
 	if s == nil {
 		return
 	}
-	if w.now <= w.c.Length && (w.jobID == "" || s.Jobs[w.jobID] != nil && s.Jobs[w.jobID].Over != "") {
+	if w.now <= w.c.Length && (w.jobID == "" || s.Jobs[w.jobID] != nil && s.Jobs[w.jobID].CloseReason != "") {
 		if w.jobID != "" {
 			w.res.Rounds++
 			w.over()
@@ -882,7 +882,7 @@
 		for _, f := range w.followers {
 			names = append(names, f.name)
 		}
-		_ = lead.core.Propose(0, fleet.Entry{Kind: fleet.Start, Job: w.jobID, Spec: &fleet.Spec{Kind: fleet.Round, Nodes: names, AtOnce: w.atOnce}}) // again, if need be
+		_ = lead.core.Propose(0, fleet.Entry{Kind: fleet.KindStartJob, JobID: w.jobID, Spec: &fleet.JobSpec{Kind: fleet.JobRollingUpdate, Nodes: names, MaxUnavailable: w.atOnce}}) // again, if need be
 	}
 	for _, p := range w.members {
 		id := p.disk.synced.ID
@@ -891,10 +891,10 @@
 		}
 		for old, m := range s.Members {
 			if m.Name == p.name {
-				_ = lead.core.ProposeMember(0, fleet.Member{ID: old}, true)
+				_ = lead.core.ProposeMembership(0, fleet.Member{ID: old}, true)
 			}
 		}
-		_ = lead.core.ProposeMember(0, fleet.Member{ID: id, Name: p.name, Address: p.name, Learner: true}, false) // refused until the old one is gone
+		_ = lead.core.ProposeMembership(0, fleet.Member{ID: id, Name: p.name, Address: p.name, Learner: true}, false) // refused until the old one is gone
 	}
 	lead.work()
 }
--- a/emulator/processes/cases_test.go
+++ b/emulator/processes/cases_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"cobaltward/fleet"
-	"cobaltward/fleet/council"
+	"cobaltward/fleet/consensus"
 	"cobaltward/internal/testkit"
 )
 
@@ -126,7 +126,7 @@
 	}
 	g := rig(t, &Script{Seed: 1, Council: 3, Nodes: 2})
 	ctx := context.Background()
-	testkit.Await(t, "an owner", func() bool { s, _ := g.look(ctx); return s.Owners[fleet.Round].Token != 0 })
+	testkit.Await(t, "an owner", func() bool { s, _ := g.look(ctx); return s.Leases[fleet.ResourceRollingUpdate].FencingToken != 0 })
 	before, _ := g.look(ctx)
 	old := filepath.Join(g.dir, "c1.old")
 	g.procs["c1"].kill()
@@ -140,16 +140,16 @@
 			t.Fatal(err)
 		}
 	}
-	status := func(name string) (st council.Status) {
+	status := func(name string) (st consensus.Status) {
 		c := g.direct()
 		if err := c.Call(ctx, http.MethodGet, canonical(name), "/status", nil, &st); err != nil {
 			t.Fatal(err)
 		}
 		return st
 	}
-	testkit.Await(t, "the third to stand still", func() bool { st := status("c3"); return st.Leader == "" && st.Silent > time.Second })
+	testkit.Await(t, "the third to stand still", func() bool { st := status("c3"); return st.LeaderID == "" && st.LeaderlessFor > time.Second })
 	for _, n := range []string{"c1", "c2"} {
-		if st := status(n); st.Member || st.Leader != "" {
+		if st := status(n); st.IsMember || st.LeaderID != "" {
 			t.Errorf("%s, with an empty disk: %+v", n, st)
 		}
 	}
@@ -172,9 +172,9 @@
 	}
 	testkit.Await(t, "an owner under a higher token", func() bool {
 		s, led := g.look(ctx)
-		return led && s.Epoch == before.Epoch+1 && s.Owners[fleet.Round].Token > before.Last[fleet.Round]
+		return led && s.Epoch == before.Epoch+1 && s.Leases[fleet.ResourceRollingUpdate].FencingToken > before.HighestTokens[fleet.ResourceRollingUpdate]
 	})
-	if s, _ := g.look(ctx); len(s.Nodes) != 2 || s.At <= before.At {
+	if s, _ := g.look(ctx); len(s.Nodes) != 2 || s.Position <= before.Position {
 		t.Errorf("the state did not go on: %+v", s)
 	}
 	// The former self of c1 comes back: it is nobody's member any more.
@@ -188,7 +188,7 @@
 	if err := g.procs["c1"].start(); err != nil {
 		t.Fatal(err)
 	}
-	testkit.Await(t, "it to ask for votes in vain", func() bool { st := status("c1"); return st.Silent > time.Second })
+	testkit.Await(t, "it to ask for votes in vain", func() bool { st := status("c1"); return st.LeaderlessFor > time.Second })
 	if s, led := g.look(ctx); !led || s.Epoch != before.Epoch+1 {
 		t.Errorf("a former self unseated the council: %v", led)
 	}
--- /dev/null
+++ b/fleet/agent/watcher_test.go
@@ -0,0 +1,41 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cobaltward/fleet"
+	"cobaltward/fleet/consensus"
+	"cobaltward/internal/door"
+	"cobaltward/internal/testkit"
+)
+
+// A replica that answers at once with nothing that leads on is not asked again without backing off, and never takes a
+// watcher back.
+func TestStateWatcher_BacksOffWithoutNews(t *testing.T) {
+	var requests atomic.Int64
+	address := testkit.HTTPServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		state := fleet.NewState(2).WithMembers(7, nil)
+		if requests.Add(1) > 1 {
+			state = fleet.NewState(1).WithMembers(9, nil) // of a cluster that was forced anew without it
+		}
+		door.Reply(w, http.StatusOK, consensus.WatchResponse{State: state, HasLeader: true})
+	})
+	client := NewClient([]string{address}, nil, "", nil)
+	t.Cleanup(client.HTTP.CloseIdleConnections)
+	report := func() consensus.AgentReport { return consensus.AgentReport{} }
+	watcher := NewStateWatcher(client, report, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	watcher.Run(ctx)
+	if state, _ := watcher.State(); state.Epoch != 2 || state.Position != 7 {
+		t.Errorf("it went back to epoch %d, position %d", state.Epoch, state.Position)
+	}
+	if count := requests.Load(); count < 2 || count > 20 {
+		t.Errorf("%d requests were sent in half a second", count)
+	}
+}
--- /dev/null
+++ b/fleet/consensus/handler.go
@@ -0,0 +1,172 @@
+package consensus
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cobaltward/fleet"
+	"cobaltward/internal/door"
+)
+
+const (
+	// proposeTimeout is how long a call waits for its proposal to be applied.
+	proposeTimeout = 5 * time.Second
+	// maxRequestBody bounds the bodies of agents and operators, in bytes.
+	maxRequestBody = 64 << 10
+)
+
+// ProposeResponse is the answer to a proposal.
+type ProposeResponse struct {
+	Position     fleet.Position     `json:"at,omitempty"`
+	FencingToken fleet.FencingToken `json:"token,omitempty"`
+	Error        string             `json:"error,omitempty"` // the text of one of fleet.RejectionErrors
+}
+
+// MembershipRequest asks to add or to remove a member.
+type MembershipRequest struct {
+	Name    string `json:"name"`
+	Address string `json:"address,omitempty"`
+	ID      string `json:"id,omitempty"` // of its storage, in hexadecimal
+	Remove  bool   `json:"remove,omitempty"`
+}
+
+// Handler returns the HTTP interface for replicas, agents and operators. It checks no bearer token; who wraps it
+// does.
+func (r *Replica) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+messagePath, r.handleMessages)
+	mux.HandleFunc("POST /v1/propose", r.handlePropose)
+	mux.HandleFunc("POST /v1/state", r.handleWatch)
+	mux.HandleFunc("POST /v1/member", r.handleMembership)
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
+		door.Reply(w, http.StatusOK, r.Status())
+	})
+	return mux
+}
+
+// handleMessages queues the messages of another replica. What does not fit is dropped, and sent again.
+func (r *Replica) handleMessages(w http.ResponseWriter, req *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxMessageBody))
+	if err != nil {
+		door.Fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	// Replicas of a cluster that an operator has forced anew without them would still vote, and overwrite its log.
+	mine, theirs := r.View().State.Epoch, req.Header.Get(epochHeader)
+	if mine != 0 && theirs != "0" && theirs != strconv.FormatUint(mine, 10) {
+		door.Fail(w, http.StatusGone, fmt.Sprintf("this cluster is of epoch %d, and the message of %s", mine, theirs))
+		return
+	}
+	if id, err := strconv.ParseUint(req.Header.Get(fromHeader), 16, 64); err == nil {
+		r.transport.learnAddress(id, req.Header.Get(addressHeader))
+	}
+	if status, err := r.enqueue(body); err != nil {
+		door.Fail(w, status, err.Error())
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// enqueue queues the messages of a body, up to the first one that is invalid or does not fit.
+func (r *Replica) enqueue(body []byte) (status int, err error) {
+	for len(body) > 0 {
+		message, rest, err := decodeMessage(body)
+		if err != nil {
+			return http.StatusBadRequest, err
+		}
+		body = rest
+		if message.GetTo() != r.core.ID() {
+			return http.StatusGone, fmt.Errorf("replica %x is not here any more: this is %x; remove the one and add the other",
+				message.GetTo(), r.core.ID())
+		}
+		select {
+		case r.inbox <- message:
+		default:
+			return http.StatusServiceUnavailable, errors.New("too many messages are waiting")
+		}
+	}
+	return 0, nil
+}
+
+// readRequest decodes the body of an agent or operator. If it cannot, it answers, and returns false.
+func readRequest(w http.ResponseWriter, r *http.Request, to any) bool {
+	r.Body = http.MaxBytesReader(w, r.Body, maxRequestBody)
+	return door.Read(w, r, to)
+}
+
+func (r *Replica) handlePropose(w http.ResponseWriter, req *http.Request) {
+	var entry fleet.Entry
+	if !readRequest(w, req, &entry) {
+		return
+	}
+	switch entry.Kind {
+	case fleet.KindUpgradeFormat, fleet.KindAnnounceFormat, fleet.KindExpireLease: // proposed by replicas alone
+		door.Fail(w, http.StatusForbidden, fmt.Sprintf("%q is for members alone", entry.Kind))
+		return
+	}
+	ctx, cancel := context.WithTimeout(req.Context(), proposeTimeout)
+	defer cancel()
+	result, err := r.Propose(ctx, entry)
+	respond(w, result, err)
+}
+
+func (r *Replica) handleMembership(w http.ResponseWriter, req *http.Request) {
+	var request MembershipRequest
+	if !readRequest(w, req, &request) {
+		return
+	}
+	id, status, err := r.memberID(request)
+	if err != nil {
+		door.Fail(w, status, err.Error())
+		return
+	}
+	member := fleet.Member{ID: id, Name: request.Name, Address: request.Address, Learner: !request.Remove}
+	ctx, cancel := context.WithTimeout(req.Context(), proposeTimeout)
+	defer cancel()
+	result, err := r.ChangeMembership(ctx, member, request.Remove)
+	respond(w, result, err)
+}
+
+// memberID returns the ID that a request is about: the one that it names, or that of the member to be removed.
+func (r *Replica) memberID(request MembershipRequest) (id uint64, status int, err error) {
+	if request.ID != "" {
+		id, err := strconv.ParseUint(request.ID, 16, 64)
+		if err != nil || id == 0 {
+			err = fmt.Errorf("id: want that of a member, in hexadecimal, got %q", request.ID)
+			return 0, http.StatusBadRequest, err
+		}
+		return id, 0, nil
+	}
+	if request.Remove {
+		for id, member := range r.View().State.Members {
+			if member.Name == request.Name {
+				return id, 0, nil
+			}
+		}
+	}
+	return 0, http.StatusConflict, fmt.Errorf("there is no member %q", request.Name)
+}
+
+// respond answers a call with the outcome of its proposal.
+func respond(w http.ResponseWriter, result fleet.Result, err error) {
+	var notPossible *MembershipError
+	switch {
+	case err == nil:
+		response := ProposeResponse{Position: result.Position, FencingToken: result.FencingToken}
+		if result.Err != nil {
+			response.Error = result.Err.Error()
+		}
+		door.Reply(w, http.StatusOK, response)
+	case errors.As(err, &notPossible):
+		door.Fail(w, http.StatusConflict, err.Error())
+	case errors.Is(err, ErrNoLeader):
+		door.Fail(w, http.StatusServiceUnavailable, err.Error())
+	default:
+		door.Fail(w, http.StatusGatewayTimeout, err.Error())
+	}
+}
--- /dev/null
+++ b/fleet/consensus/replica.go
@@ -0,0 +1,191 @@
+package consensus
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"go.etcd.io/raft/v3/raftpb"
+
+	"cobaltward/fleet"
+	"cobaltward/fleet/lease"
+)
+
+// Config configures a replica.
+type Config struct {
+	Name    string
+	Address string // IP:port under which the other replicas reach it
+	// AddressOverrides are the addresses under which this process reaches others, where they differ, by address.
+	AddressOverrides map[string]string
+	AuthToken        string      // bearer token of calls to other replicas
+	TLS              *tls.Config // of calls to other replicas; nil: they are not encrypted
+	Tick             time.Duration
+	Clock            Clock // zero: SystemClock
+	Unsafe           lease.UnsafeOptions
+	Log              *slog.Logger
+}
+
+// Bounds of a replica.
+const (
+	maxInbox            = 1024 // messages that wait for the core; their senders repeat what is dropped
+	maxBatch            = 64   // proposals, or messages of one call, that are handled together
+	maxPendingProposals = 1024
+	maxWatchers         = 2048 // watch requests that wait for news
+	maxReports          = 10_000
+)
+
+// Replica runs one Core on its Storage and its links. Its methods may be called from several goroutines at once.
+type Replica struct {
+	config    Config
+	storage   Storage
+	core      *Core // of the run goroutine
+	inbox     chan *raftpb.Message
+	proposals chan proposal
+	ctx       context.Context // ends with Close
+	cancel    context.CancelFunc
+	done      chan struct{} // closed when the run goroutine has ended
+	err       error         // why it has ended; valid once done is closed
+	transport *transport
+	watchers  chan struct{} // holds one for each watch request that waits
+
+	mu             sync.Mutex
+	pendingResults map[uint64]chan fleet.Result // by ID of the proposal
+	view           View
+	updated        chan struct{}          // closed, and replaced, when watchers should look at the view again
+	reports        map[string]AgentReport // by name of the agent
+}
+
+// Start starts a replica on a storage, which it closes when it ends. The caller ends it with Close.
+func Start(config Config, storage Storage) (*Replica, error) {
+	persisted, err := storage.Load()
+	if err != nil {
+		return nil, err
+	}
+	if config.Clock.Monotonic == nil {
+		config.Clock = SystemClock()
+	}
+	core, err := NewCore(persisted, config.Unsafe, CompactAfter, config.Clock.Monotonic(), raftLogger{config.Log})
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	replica := &Replica{
+		config:         config,
+		storage:        storage,
+		core:           core,
+		inbox:          make(chan *raftpb.Message, maxInbox),
+		proposals:      make(chan proposal),
+		ctx:            ctx,
+		cancel:         cancel,
+		done:           make(chan struct{}),
+		watchers:       make(chan struct{}, maxWatchers),
+		pendingResults: make(map[uint64]chan fleet.Result),
+		view:           newView(core),
+		updated:        make(chan struct{}),
+		reports:        make(map[string]AgentReport),
+	}
+	replica.transport = newTransport(replica)
+	go replica.run()
+	return replica, nil
+}
+
+// ID returns the ID of the replica, as its storage has it.
+func (r *Replica) ID() uint64 { return r.core.ID() }
+
+// Done is closed when the replica has ended, by Close or because its storage has failed.
+func (r *Replica) Done() <-chan struct{} { return r.done }
+
+// Close ends the replica, and returns why it had ended before; nil if it had not.
+func (r *Replica) Close() error {
+	r.cancel()
+	<-r.done
+	return r.err
+}
+
+// run is the goroutine that owns the core.
+func (r *Replica) run() {
+	defer close(r.done)
+	defer r.shutDown()
+	ticker := time.NewTicker(r.config.Tick)
+	defer ticker.Stop()
+	for r.handleNext(ticker.C) {
+		if r.err = r.processReady(); r.err != nil {
+			r.config.Log.Error("fleet: replica stopped", "error", r.err)
+			return
+		}
+		r.updateStatus()
+	}
+}
+
+func (r *Replica) shutDown() {
+	r.cancel()
+	r.transport.close()
+	r.err = errors.Join(r.err, r.storage.Close())
+}
+
+// handleNext waits for the next event and hands it to the core; it returns false once the replica is to end. What
+// else waits by then is handed over, too, so that it shares one write.
+func (r *Replica) handleNext(ticks <-chan time.Time) bool {
+	select {
+	case <-r.ctx.Done():
+		return false
+	case <-ticks:
+		r.core.Tick(r.config.Clock.Monotonic(), r.config.Clock.Wall())
+	case message := <-r.inbox:
+		r.handleMessage(message)
+		for range len(r.inbox) {
+			r.handleMessage(<-r.inbox)
+		}
+	case next := <-r.proposals:
+		r.submit(next)
+		r.submitWaiting()
+	}
+	return true
+}
+
+// handleMessage hands a message to the core: one of another replica, or a report of the transport.
+func (r *Replica) handleMessage(message *raftpb.Message) {
+	switch message.GetType() {
+	case raftpb.MsgSnapStatus:
+		r.core.ReportSnapshot(message.GetFrom(), !message.GetReject())
+		return
+	case raftpb.MsgUnreachable:
+		r.core.ReportUnreachable(message.GetFrom())
+		return
+	}
+	if err := r.core.Step(message); err != nil {
+		r.config.Log.Debug("fleet: message dropped", "error", err)
+	}
+}
+
+// processReady stores, sends and applies what the core has made.
+func (r *Replica) processReady() error {
+	for batch := r.core.Ready(); batch != nil; batch = r.core.Ready() {
+		if err := r.processBatch(batch); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Replica) processBatch(batch *WriteBatch) error {
+	if err := r.storage.Save(batch); err != nil {
+		return fmt.Errorf("consensus: saving a write batch: what is stored is unknown: %w", err)
+	}
+	result, err := r.core.Advance(batch, r.config.Clock.Monotonic())
+	if err != nil {
+		return err
+	}
+	r.transport.send(batch.Messages)
+	if result.Snapshot != nil {
+		if err := r.storage.Compact(result.Snapshot, result.FirstRetained); err != nil {
+			return fmt.Errorf("consensus: saving a snapshot: what is stored is unknown: %w", err)
+		}
+	}
+	r.publish(result)
+	return nil
+}
--- /dev/null
+++ b/fleet/rollingupdate/controller.go
@@ -0,0 +1,172 @@
+package rollingupdate
+
+import (
+	"errors"
+	"math"
+	"time"
+
+	"cobaltward/fleet"
+	"cobaltward/fleet/lease"
+)
+
+// stepDownLeases is for how many durations of its lease a controller that has stepped down leaves it to others.
+const stepDownLeases = 3
+
+// Controller is one process that wants the lease of a kind of job, and runs the job while it has it: the state in,
+// entries to propose and effects to request out. Times are of the process's own monotonic clock. It is not safe for
+// concurrent use.
+type Controller struct {
+	kind fleet.JobKind
+	node string // beside the process
+
+	holder      lease.Holder
+	token       fleet.FencingToken // the newest one that it has had
+	lastWritten fleet.Position     // of its newest entry: it decides by no older state
+	awayUntil   time.Duration      // until then it leaves the lease to others
+	requested   map[string]bool    // idempotency keys of the effects of the open job that it has requested
+}
+
+// NewController returns a controller. identity is that of this incarnation of the process (see fleet.Entry.Holder),
+// node the name of the node beside it, and duration that of the lease.
+func NewController(
+	kind fleet.JobKind, identity, node string, duration time.Duration, unsafe lease.UnsafeOptions,
+) *Controller {
+	return &Controller{
+		kind: kind,
+		node: node,
+		holder: lease.Holder{
+			Resource: kind.Resource(),
+			Identity: identity,
+			Duration: duration,
+			Unsafe:   unsafe,
+		},
+		requested: make(map[string]bool),
+	}
+}
+
+// NextProposal returns the entry to propose now for the sake of the lease; ok is false if there is none. A
+// controller that is asked to step down does, and competes for the lease again after a while. It proposes nothing
+// while the state names another holder: that the lease is free is seen by the state.
+func (c *Controller) NextProposal(now time.Duration, state *fleet.State) (entry fleet.Entry, ok bool) {
+	current, held := state.Leases[c.kind.Resource()]
+	mine := held && current.Holder == c.holder.Identity
+	if mine && current.StepDownRequestedBy != "" && now >= c.awayUntil {
+		c.stepDown(now)
+	}
+	c.holder.SetStepDown(now < c.awayUntil)
+	if held && !mine && !c.holder.HoldsLease() {
+		return entry, false
+	}
+	return c.holder.NextProposal(now)
+}
+
+// HandleResult records the outcome of an entry of NextProposal that was proposed at requestedAt. known is false where
+// the outcome is unknown.
+func (c *Controller) HandleResult(requestedAt, now time.Duration, entry fleet.Entry, result fleet.Result, known bool) {
+	c.holder.HandleResult(requestedAt, now, entry, result, known)
+	if entry.Kind == fleet.KindGrantLease && known && result.Err == nil {
+		c.token = max(c.token, result.FencingToken)
+		c.lastWritten = max(c.lastWritten, result.Position)
+	}
+}
+
+// Resign has the controller release the lease, and never ask for it again.
+func (c *Controller) Resign() { c.awayUntil = math.MaxInt64 }
+
+func (c *Controller) stepDown(now time.Duration) {
+	c.awayUntil = now + stepDownLeases*c.holder.Duration
+}
+
+// HoldsLease reports whether the process has the lease, as far as it knows, and the newest token that it has had.
+func (c *Controller) HoldsLease() (fleet.FencingToken, bool) { return c.token, c.holder.HoldsLease() }
+
+// FencingToken returns the token to act under now; ok is false where the process must not act. Callers ask again
+// right before each effect.
+func (c *Controller) FencingToken(now time.Duration) (token fleet.FencingToken, ok bool) {
+	return c.holder.FencingToken(now)
+}
+
+// Task is one thing that a controller wants done. One of its fields is set.
+type Task struct {
+	Entry   *fleet.Entry         // to propose
+	Request *lease.EffectRequest // to send to the node that its step names
+}
+
+// Next returns what to do now, by a state and by what can be seen of the nodes. It is nothing while the process must
+// not act, or while the state lacks the process's own newest entry.
+func (c *Controller) Next(now time.Duration, state *fleet.State, view ClusterView) []Task {
+	token, ok := c.FencingToken(now)
+	if !ok || state.Position < c.lastWritten || state.HighestTokens[c.kind.Resource()] != token {
+		return nil
+	}
+	job := state.OpenJob(c.kind)
+	if job == nil {
+		clear(c.requested)
+		return nil
+	}
+	view.Self = c.node
+	var tasks []Task
+	for _, action := range Next(job, view) {
+		if action.Operation == ReleaseLease {
+			c.stepDown(now)
+			continue
+		}
+		tasks = append(tasks, c.task(job, token, action))
+	}
+	return tasks
+}
+
+func (c *Controller) task(job *fleet.Job, token fleet.FencingToken, action Action) Task {
+	entry := fleet.Entry{JobID: job.ID, FencingToken: token}
+	// A step begun by an earlier holder is taken over in the log first.
+	takeOver := action.Operation == RequestStep && job.Steps[action.Step].FencingToken != token
+	begin := action.Operation == StartStep && !c.holder.Unsafe.RecordIntentLate
+	switch {
+	case action.Operation == CloseJob:
+		entry.Kind, entry.Outcome, entry.Detail = fleet.KindCloseJob, string(action.CloseReason), action.Detail
+		return Task{Entry: &entry}
+	case begin || takeOver:
+		entry.Kind, entry.Step = fleet.KindBeginStep, action.Step
+		return Task{Entry: &entry}
+	}
+	return Task{Request: c.request(job, token, action)}
+}
+
+func (c *Controller) request(job *fleet.Job, token fleet.FencingToken, action Action) *lease.EffectRequest {
+	key := IdempotencyKey(job.ID, action.Step)
+	request := &lease.EffectRequest{
+		Resource:       c.kind.Resource(),
+		FencingToken:   token,
+		JobID:          job.ID,
+		Step:           action.Step,
+		IdempotencyKey: key,
+		Retry:          action.Retry || c.requested[key], // nobody may know whether the first request arrived
+		DrainTimeout:   job.Spec.DrainTimeout,
+		Reason:         job.ID + ": " + job.Reason,
+	}
+	c.requested[key] = true
+	return request
+}
+
+// HandleWrite records the outcome of an entry of Next or HandleResponse. It reports whether the lease is another's.
+func (c *Controller) HandleWrite(result fleet.Result) (leaseLost bool) {
+	c.lastWritten = max(c.lastWritten, result.Position)
+	return errors.Is(result.Err, fleet.ErrLeaseLost)
+}
+
+// HandleResponse returns the entries to propose after the response to a request: none while the effect has not ended.
+func (c *Controller) HandleResponse(request lease.EffectRequest, response lease.EffectResponse) []fleet.Entry {
+	if response.Running || response.Outcome == "" {
+		return nil
+	}
+	entry := fleet.Entry{JobID: request.JobID, Step: request.Step, FencingToken: request.FencingToken}
+	var entries []fleet.Entry
+	if c.holder.Unsafe.RecordIntentLate {
+		begin := entry
+		begin.Kind = fleet.KindBeginStep
+		entries = append(entries, begin)
+	}
+	finish := entry
+	finish.Kind, finish.Outcome, finish.Detail = fleet.KindFinishStep, string(response.Outcome), response.Detail
+	return append(entries, finish)
+}
--- /dev/null
+++ b/internal/fleetcli/root.go
@@ -0,0 +1,161 @@
+package fleetcli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"cobaltward/fleet"
+	"cobaltward/fleet/agent"
+)
+
+// The exit statuses that scripts go by, beside 0 and 1. They are those of wayhold ctl where it has them.
+const (
+	exitUnavailable = 4 // no replica answers
+	exitTimeout     = 5 // what was waited for did not come in time
+	exitRejected    = 7 // the fleet rejects what was asked for
+)
+
+// exitError is an error with the exit status of the program.
+type exitError struct {
+	error
+	status int
+}
+
+// Unwrap returns the error without its status.
+func (e exitError) Unwrap() error { return e.error }
+
+// Main runs the program, and returns its exit status.
+func Main(hooks TestHooks) int {
+	err := rootCommand(hooks).Execute()
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "wayhold fleet:", err)
+	var exit exitError
+	if errors.As(err, &exit) {
+		return exit.status
+	}
+	return 1
+}
+
+// operatorCommands is what the operators' commands share: their common flags, and where they print.
+type operatorCommands struct {
+	configPath  string
+	asJSON      bool
+	requestedBy string
+	reason      string
+	out         io.Writer
+}
+
+const rootDescription = `Operations on the fleet as a whole, not on one node. The replicas to ask are in the table
+[fleet] of the file that --config or WAYHOLD_CONFIG names. The exit status is 0 if all is well, 4 if no replica answers,
+5 if what was waited for did not come in time, 7 if the fleet rejects what was asked for, and 1 otherwise.`
+
+func rootCommand(hooks TestHooks) *cobra.Command {
+	commands := &operatorCommands{}
+	root := &cobra.Command{
+		Use:              "fleet",
+		Short:            "Operate the fleet: its consensus group, leases, rolling updates and disabled servers",
+		Long:             rootDescription,
+		SilenceUsage:     true,
+		SilenceErrors:    true,
+		PersistentPreRun: func(command *cobra.Command, _ []string) { commands.out = command.OutOrStdout() },
+	}
+	flags := root.PersistentFlags()
+	flags.StringVar(&commands.configPath, "config", os.Getenv("WAYHOLD_CONFIG"),
+		"a process's own file, with the table [fleet]; WAYHOLD_CONFIG names it too")
+	flags.BoolVar(&commands.asJSON, "json", false, "print JSON")
+	flags.StringVar(&commands.requestedBy, "who", os.Getenv("USER"), "who asks")
+	flags.StringVar(&commands.reason, "reason", "", "why, for those who find the change later")
+	root.AddCommand(commands.processCommands(hooks)...)
+	root.AddCommand(commands.leaseCommands()...)
+	root.AddCommand(
+		commands.statusCommand(), commands.waitCommand(), commands.rollingUpdateCommand(), commands.disableCommand(),
+		commands.enableCommand(), commands.membershipCommand(), commands.removeNodeCommand(),
+	)
+	return root
+}
+
+// withAliases gives a command other names. The first one, that of Use, is what documentation and scripts name.
+func withAliases(command *cobra.Command, aliases ...string) *cobra.Command {
+	command.Aliases = aliases
+	return command
+}
+
+// processCommands are the commands that run a process, or write the storage of one.
+func (c *operatorCommands) processCommands(hooks TestHooks) []*cobra.Command {
+	process := func(use, short string, run func(*settings, TestHooks) error) *cobra.Command {
+		return &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+			loaded, err := load(c.configPath, os.Stderr)
+			if err != nil {
+				return err
+			}
+			return run(loaded, hooks)
+		}}
+	}
+	replica := process("council", "Run a replica of the consensus group until SIGTERM", runReplica)
+	agentBeside := process("agent", "Run the agent beside a node until SIGTERM", runAgent)
+	bootstrap := process("init",
+		"Initialize this process's storage as that of the first member of a new cluster", c.bootstrap)
+	force := process("recover",
+		"Force a new cluster on this member's storage, once most others are lost for good; wants --reason",
+		c.forceNewCluster)
+	return []*cobra.Command{
+		withAliases(replica, "replica"),
+		agentBeside,
+		withAliases(bootstrap, "bootstrap"),
+		withAliases(force, "force-new-cluster"),
+	}
+}
+
+// leaseCommands are the commands about leases.
+func (c *operatorCommands) leaseCommands() []*cobra.Command {
+	list := c.clientCommand("owners", "Print the leases and their holders", cobra.NoArgs, c.leases)
+	stepDown := c.clientCommand("step-down WORK", "Ask the holder of a lease to release it",
+		cobra.ExactArgs(1), c.requestStepDown)
+	revoke := c.clientCommand("push WORK", "Revoke a lease: it can't be renewed any more",
+		cobra.ExactArgs(1), c.revokeLease)
+	return []*cobra.Command{withAliases(list, "leases"), stepDown, withAliases(revoke, "revoke")}
+}
+
+// clientCommand is a command that calls the replicas.
+func (c *operatorCommands) clientCommand(
+	use, short string, args cobra.PositionalArgs, run func(*agent.Client, []string) error,
+) *cobra.Command {
+	return &cobra.Command{Use: use, Short: short, Args: args, RunE: func(_ *cobra.Command, args []string) error {
+		loaded, err := load(c.configPath, os.Stderr)
+		if err != nil {
+			return err
+		}
+		if len(loaded.Council) == 0 {
+			return errors.New("fleet.council: missing: there is no replica to ask")
+		}
+		client := agent.NewClient(loaded.Council, loaded.Via, loaded.token, loaded.clientTLS())
+		defer client.HTTP.CloseIdleConnections()
+		return run(client, args)
+	}}
+}
+
+// removeNodeCommand removes a node from the state.
+func (c *operatorCommands) removeNodeCommand() *cobra.Command {
+	run := func(client *agent.Client, args []string) error {
+		return c.propose(client, fleet.Entry{Kind: fleet.KindRemoveNode, Node: &fleet.Node{Name: args[0]}})
+	}
+	return withAliases(c.clientCommand("forget NODE", "Remove a node that will not come back", cobra.ExactArgs(1), run),
+		"remove-node")
+}
+
+func (c *operatorCommands) requestStepDown(client *agent.Client, args []string) error {
+	return c.propose(client, fleet.Entry{Kind: fleet.KindRequestStepDown, Resource: args[0]})
+}
+
+func (c *operatorCommands) revokeLease(client *agent.Client, args []string) error {
+	if c.reason == "" {
+		return errors.New("push: want a --reason, for those who find the lease revoked")
+	}
+	return c.propose(client, fleet.Entry{Kind: fleet.KindRevokeLease, Resource: args[0]})
+}
--- /dev/null
+++ b/internal/fleetcli/tls.go
@@ -0,0 +1,87 @@
+package fleetcli
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"log/slog"
+	"time"
+
+	"cobaltward/keys"
+)
+
+// reloadInterval is the time between two looks at the files of keys and certificates.
+const reloadInterval = time.Second
+
+// mutualTLS is how processes of the fleet prove to one another who they are: each shows a certificate by an authority
+// that all trust, for a name that all share. Keys and trust may change while processes run.
+type mutualTLS struct {
+	store      *keys.Store
+	serverName string
+	log        *slog.Logger
+}
+
+// server returns the configuration of a listener. It accepts only peers that prove to be of the fleet.
+func (m *mutualTLS) server() *tls.Config {
+	return &tls.Config{
+		MinVersion:       tls.VersionTLS13,
+		GetCertificate:   m.store.GetCertificate,
+		ClientAuth:       tls.RequireAnyClientCert, // VerifyConnection verifies it
+		VerifyConnection: m.verify(x509.ExtKeyUsageClientAuth),
+		NextProtos:       []string{"http/1.1"},
+	}
+}
+
+// client returns the configuration of calls.
+func (m *mutualTLS) client() *tls.Config {
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		ServerName:         m.serverName,
+		InsecureSkipVerify: true, // VerifyConnection verifies it, by what is trusted at the time of the handshake
+		VerifyConnection:   m.verify(x509.ExtKeyUsageServerAuth),
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return &m.store.Set().Pairs[0].Cert, nil
+		},
+	}
+}
+
+// verify returns a function that verifies the certificate of a peer by what is trusted at the time of the handshake.
+func (m *mutualTLS) verify(usage x509.ExtKeyUsage) func(tls.ConnectionState) error {
+	return func(connection tls.ConnectionState) error {
+		if len(connection.PeerCertificates) == 0 {
+			return errors.New("the peer shows no certificate")
+		}
+		options := x509.VerifyOptions{
+			Roots:         m.store.Set().Pool,
+			DNSName:       m.serverName,
+			Intermediates: x509.NewCertPool(),
+			KeyUsages:     []x509.ExtKeyUsage{usage},
+		}
+		for _, certificate := range connection.PeerCertificates[1:] {
+			options.Intermediates.AddCert(certificate)
+		}
+		_, err := connection.PeerCertificates[0].Verify(options)
+		return err
+	}
+}
+
+// watch reads the files again when they change, until ctx ends.
+func (m *mutualTLS) watch(ctx context.Context) {
+	watcher := m.store.Watch()
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			switch change := watcher.Look(now); {
+			case change.Err != nil:
+				m.log.Error("fleet: keys not reloaded; the former ones stay in use", "error", change.Err)
+			case change.Changed:
+				m.log.Info("fleet: keys reloaded", "source", change.Source)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
