Learned state, hot restart and atomic files: named for what they do, one job a file

Need: knowledge, handover, succession, keep and heir had to be explained; whole files were written by two pieces of code.

JSON keys and file names unchanged.

Measured: go vet ./... clean; tests of these packages, internal/node, internal/cli, emulator/sim, policy, fleet/agent and discovery/xds pass; stored files of the build of before are read.

--- a/discovery/xds/cache.go
+++ b/discovery/xds/cache.go
@@ -13,7 +13,7 @@
 
 	"cobaltward/discovery/xds/ads"
 	"cobaltward/discovery/xds/resource"
-	"cobaltward/internal/keep"
+	"cobaltward/internal/atomicfile"
 )
 
 const (
@@ -37,7 +37,7 @@
 	}
 	sum := sha256.Sum256(body)
 	head := fmt.Sprintf("%s %s\n", keptVersion, hex.EncodeToString(sum[:]))
-	return keep.File(filepath.Join(dir, keptName), append([]byte(head), body...))
+	return atomicfile.Write(filepath.Join(dir, keptName), append([]byte(head), body...))
 }
 
 // load reads the list that was saved last. One that is torn, altered or another's is refused.
--- a/emulator/sim/node.go
+++ b/emulator/sim/node.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"cobaltward/emulator/plan"
-	"cobaltward/knowledge"
+	"cobaltward/learnedstate"
 	"cobaltward/policy"
 	"cobaltward/router"
 )
@@ -25,7 +25,7 @@
 	conns   int
 	idle    map[string][]*conn // by server, the last used at the end
 	out     map[router.Attempt]*try
-	kept    knowledge.Snapshot         // what it last wrote down
+	kept    learnedstate.Snapshot         // what it last wrote down
 	rests   []rest                     // of connections, oldest first; those in use since are passed over
 	known   map[string]router.Endpoint // as last told
 	drained map[string]time.Duration   // since when it knows
@@ -90,7 +90,7 @@
 		return nil
 	}
 	return engine.RestoreState(func(prior func(string) (float64, time.Duration, bool)) policy.LearnedState {
-		k, _ := knowledge.Weigh(n.kept, epoch.Add(n.w.now), prior, knowledge.Config{})
+		k, _ := learnedstate.Decay(n.kept, epoch.Add(n.w.now), prior, learnedstate.Config{})
 		return k
 	})
 }
--- a/emulator/sim/world.go
+++ b/emulator/sim/world.go
@@ -13,7 +13,7 @@
 	"cobaltward/emulator/plan"
 	"cobaltward/emulator/result"
 	"cobaltward/internal/guards"
-	"cobaltward/knowledge"
+	"cobaltward/learnedstate"
 	"cobaltward/levels"
 	"cobaltward/policy"
 	"cobaltward/router"
@@ -177,7 +177,7 @@
 			w.engines = err
 			return
 		}
-		n.kept = knowledge.Snapshot{Version: knowledge.Version, Node: n.spec.Name, At: epoch.Add(w.now), Knowledge: k}
+		n.kept = learnedstate.Snapshot{Version: learnedstate.Version, Node: n.spec.Name, At: epoch.Add(w.now), State: k}
 	}
 	if w.now < w.p.Script.Length {
 		w.after(w.o.Remember, w.remember)
--- a/fleet/agent/agent.go
+++ b/fleet/agent/agent.go
@@ -14,7 +14,7 @@
 	"cobaltward/fleet"
 	"cobaltward/fleet/consensus"
 	"cobaltward/fleet/lease"
-	"cobaltward/internal/keep"
+	"cobaltward/internal/atomicfile"
 )
 
 // Commands are the operator's commands. They get WAYHOLD_NODE, WAYHOLD_KEY, WAYHOLD_TOKEN and WAYHOLD_STEP, and are
@@ -104,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	return keep.File(a.stateFile(), raw)
+	return atomicfile.Write(a.stateFile(), raw)
 }
 
 // Watcher returns the watcher by which the agent follows the state.
--- /dev/null
+++ b/internal/atomicfile/atomicfile.go
@@ -0,0 +1,57 @@
+// Package atomicfile replaces small files so that a reader, and a restart after a crash, finds the former content or
+// the new one, and never a part.
+package atomicfile
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+)
+
+// Write replaces the file at path, with mode 0600, and returns once the content and the file's name are on the disk.
+// It goes by way of path.new, which a later call overwrites if a crash has left it: one process writes a path at a time.
+func Write(path string, content []byte) error {
+	temporary, err := os.OpenFile(path+".new", os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	if err := replace(path, temporary, content); err != nil {
+		return err
+	}
+	return syncDir(filepath.Dir(path))
+}
+
+// WriteShared replaces the file at path, with mode 0600, and returns once the content is on the disk. Several processes
+// may write a path at the same time: each goes by way of a file of its own.
+func WriteShared(path string, content []byte) error {
+	temporary, err := os.CreateTemp(filepath.Dir(path), "."+filepath.Base(path)+"-*")
+	if err != nil {
+		return err
+	}
+	return replace(path, temporary, content)
+}
+
+// replace writes content to a temporary file, syncs and closes it, and renames it to path. The temporary file is
+// removed where that fails.
+func replace(path string, temporary *os.File, content []byte) error {
+	_, err := temporary.Write(content)
+	if err == nil {
+		err = temporary.Sync()
+	}
+	if err = errors.Join(err, temporary.Close()); err == nil {
+		err = os.Rename(temporary.Name(), path)
+	}
+	if err != nil {
+		_ = os.Remove(temporary.Name()) // the first error is the one to return
+	}
+	return err
+}
+
+// syncDir makes the names in a directory durable.
+func syncDir(path string) error {
+	dir, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(dir.Sync(), dir.Close())
+}
--- /dev/null
+++ b/internal/atomicfile/atomicfile_test.go
@@ -0,0 +1,52 @@
+package atomicfile
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// TestWrite_ReplacesWholeFile checks both writers: the file has the new content and mode 0600, nothing else is left in
+// its folder, and a write that fails leaves the former content.
+func TestWrite_ReplacesWholeFile(t *testing.T) {
+	for name, write := range map[string]func(string, []byte) error{"Write": Write, "WriteShared": WriteShared} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			path := filepath.Join(dir, "state")
+			for _, content := range []string{"first, which is longer", "second"} {
+				if err := write(path, []byte(content)); err != nil {
+					t.Fatal(err)
+				}
+				raw, err := os.ReadFile(path)
+				if err != nil || string(raw) != content {
+					t.Fatalf("read %q, %v; want %q", raw, err, content)
+				}
+			}
+			info, err := os.Stat(path)
+			if err != nil || info.Mode().Perm() != 0o600 {
+				t.Errorf("mode %v, %v; want 0600", info.Mode(), err)
+			}
+			entries, err := os.ReadDir(dir)
+			if err != nil || len(entries) != 1 {
+				t.Errorf("the folder holds %v, %v; want the file alone", entries, err)
+			}
+			if err := write(filepath.Join(dir, "missing", "state"), nil); err == nil {
+				t.Error("written to a folder that does not exist")
+			}
+		})
+	}
+}
+
+// TestWrite_AfterCrash checks that the temporary file of a crashed write does no harm.
+func TestWrite_AfterCrash(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "state")
+	if err := os.WriteFile(path+".new", []byte("half of a much longer content"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := Write(path, []byte("whole")); err != nil {
+		t.Fatal(err)
+	}
+	if raw, err := os.ReadFile(path); err != nil || string(raw) != "whole" {
+		t.Errorf("read %q, %v", raw, err)
+	}
+}
--- a/internal/cli/alone.go
+++ b/internal/cli/alone.go
@@ -48,7 +48,8 @@
 		c, err = configOf(a.file)
 	}
 	if err == nil {
-		c.State = node.State(a.own.State)
+		saved := a.own.State
+		c.State = node.StateConfig{File: saved.File, Every: saved.Every, HalfLife: saved.Half, MaxAge: saved.Most}
 		c.Levels, err = ladderOf(a.own, &c)
 	}
 	return c, err
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -63,7 +63,7 @@
 	DrainMark string
 
 	// State is where the node keeps what it learns; the zero value keeps nothing.
-	State State
+	State StateConfig
 
 	// Levels is the ladder of reduced service; nil: full service always.
 	Levels *levels.Config
--- a/internal/node/drains_test.go
+++ b/internal/node/drains_test.go
@@ -41,7 +41,7 @@
 	memoryMB int64
 	known    registry.List
 	set      policy.Settings
-	state    State
+	state    StateConfig
 
 	mu    sync.Mutex
 	judge *judge.Judge
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,7 +17,7 @@
 	"cobaltward/body"
 	"cobaltward/discovery/disabled"
 	"cobaltward/discovery/registry"
-	"cobaltward/handover"
+	"cobaltward/hotrestart"
 	"cobaltward/internal/console"
 	"cobaltward/internal/door"
 	"cobaltward/middleware"
@@ -154,26 +154,26 @@
 	}
 
 	ctl := &control{name: c.Name, engine: engine, hold: held, tls: safe, intake: front, leave: c.leave(), mark: c.DrainMark}
-	var next *heir
+	var next *processGroup
 	brief := false
 	if c.Shared && c.Common != "" {
-		if next = inherit(c.Common, log); next != nil {
-			defer next.place.Leave()
-			next.engine, next.front, next.budget, next.held = engine, front, bodies.Budget, bodies.Budget.Most()
-			next.whole, next.memory, next.obey = handover.Limits{Clients: most, Servers: sockets - most}, c.Memory, ctl.obey
+		if next = joinProcessGroup(c.Common, log); next != nil {
+			defer next.process.Unregister()
+			next.engine, next.listener, next.budget, next.budgetBytes = engine, front, bodies.Budget, bodies.Budget.Most()
+			next.limits, next.setMemoryShare, next.setStandby = hotrestart.Limits{ClientConns: most, ServerConns: sockets - most}, c.Memory, ctl.obey
 			next.conns, _ = out.(interface{ SetMaxConns(n int) })
-			ctl.told = next.order
+			ctl.told = next.publishOrder
 		}
 		if brief = c.State.File == ""; brief {
-			c.State = State{File: filepath.Join(c.Common, heirFile), Every: heirState}
+			c.State = StateConfig{File: filepath.Join(c.Common, successorStateFile), Every: successorStateInterval}
 		}
 	}
-	state := &keeper{c: c.State, name: c.Name, engine: engine, brief: brief, log: log}
+	state := &stateKeeper{config: c.State, name: c.Name, engine: engine, successorOnly: brief, log: log}
 	if c.State.File != "" {
 		state.restore()
 	}
 	if way != nil {
-		state.mount(way)
+		state.register(way)
 		ctl.mount(way)
 		ctl.remembered()
 		way.Start()
@@ -197,7 +197,7 @@
 	// Who is let in finds a node that can serve; of a shared socket, the process before this one does so until then.
 	<-engine.Started()
 	if next != nil {
-		next.look() // what it has, and whether the node is in standby
+		next.coordinate() // what it has, and whether the node is in standby
 		parts.Go(func() { next.run(running) })
 	}
 	parts.Go(func() { failed <- front.Serve() })
@@ -216,9 +216,9 @@
 	if c.Shared {
 		// Who connects from now on is let in by the next process. Connections that are here end with their answers.
 		succeeded.Store(engine.Phase() == router.Serving)
-		state.hushed.Store(true)
+		state.paused.Store(true)
 		if next != nil {
-			next.ending.Store(true)
+			next.draining.Store(true)
 		}
 		front.CloseListener()
 		announce, leave = 0, announce
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -7,105 +7,112 @@
 	"log/slog"
 	"net/http"
 	"os"
-	"path/filepath"
 	"sync/atomic"
 	"time"
 
+	"cobaltward/internal/atomicfile"
 	"cobaltward/internal/door"
-	"cobaltward/knowledge"
+	"cobaltward/learnedstate"
 	"cobaltward/policy"
 	"cobaltward/router"
 )
 
-// State says where a node keeps what it has learned. The zero value keeps nothing.
-type State struct {
-	File  string
-	Every time.Duration // 0: 2s
-	Half  time.Duration // after which half of what was kept is believed; 0: as knowledge.Config
-	Most  time.Duration // beyond which none is; 0: as knowledge.Config
+// StateConfig says where a node keeps what it has learned. The zero value keeps nothing.
+type StateConfig struct {
+	File     string
+	Every    time.Duration // between snapshots; 0: 2 s
+	HalfLife time.Duration // as learnedstate.Config has it
+	MaxAge   time.Duration // as learnedstate.Config has it
 }
 
-const (
-	stateEvery = 2 * time.Second
-	lastState  = time.Second // for the last snapshot, at the end
-)
+const defaultStateInterval = 2 * time.Second
 
-// keeper keeps what a node learns in a file, and gives it to the node when it starts.
-type keeper struct {
-	c      State
-	name   string
-	engine *router.Router
-	brief  bool // it is for the next process of this node alone
-	log    *slog.Logger
-	failed bool        // the last write did: it is told of once
-	hushed atomic.Bool // another process keeps what is learned from now on
+// stateKeeper saves what a node learns to a file, and restores it when the node starts.
+type stateKeeper struct {
+	config        StateConfig
+	name          string // of the node
+	engine        *router.Router
+	successorOnly bool // the file is for the process that replaces this one, and for no later start
+	log           *slog.Logger
+	saveFailed    bool        // the last save did: it is logged once
+	paused        atomic.Bool // another process of the node saves from now on
 }
 
-// restore has the engine adopt what was kept. Nothing that is wrong with it does harm.
-func (k *keeper) restore() {
-	raw, err := os.ReadFile(k.c.File)
+// restore restores what was saved. A file that is missing or wrong leaves the engine as it is.
+func (k *stateKeeper) restore() {
+	raw, err := os.ReadFile(k.config.File)
 	if errors.Is(err, fs.ErrNotExist) {
 		return
 	}
 	if err == nil {
-		err = k.adopt(raw, false)
+		err = k.apply(raw)
 	}
 	if err != nil {
-		k.log.Warn("state: beginning without what was kept", "file", k.c.File, "err", err)
+		k.log.Warn("state: starting without the saved state", "file", k.config.File, "err", err)
 	}
 }
 
-// adopt has the engine adopt a snapshot; foreign: another node's.
-func (k *keeper) adopt(raw []byte, foreign bool) error {
-	s, err := knowledge.Decode(raw)
+// apply restores a snapshot of this node.
+func (k *stateKeeper) apply(raw []byte) error {
+	snapshot, err := learnedstate.Decode(raw)
 	if err != nil {
 		return err
 	}
-	var r knowledge.Report
-	if err := k.engine.RestoreState(func(prior func(string) (float64, policy.Time, bool)) (all policy.LearnedState) {
-		all, r = knowledge.Weigh(s, time.Now(), prior, knowledge.Config{Half: k.c.Half, Most: k.c.Most, Foreign: foreign, Brief: k.brief})
-		return all
-	}); err != nil {
+	config := learnedstate.Config{
+		HalfLife:      k.config.HalfLife,
+		MaxAge:        k.config.MaxAge,
+		SuccessorOnly: k.successorOnly,
+	}
+	var report learnedstate.Report
+	err = k.engine.RestoreState(func(initial func(string) (float64, policy.Time, bool)) policy.LearnedState {
+		var state policy.LearnedState
+		state, report = learnedstate.Decay(snapshot, time.Now(), initial, config)
+		return state
+	})
+	if err != nil {
 		return err
 	}
-	if r.Refused != "" {
-		return errors.New(r.Refused)
+	if report.Rejected != "" {
+		return errors.New(report.Rejected)
 	}
-	k.log.Info("state: taken over", "of", s.Node, "age", r.Age.Round(time.Millisecond), "weight", r.Weight, "servers", r.Servers, "ejected", r.Ejected,
-		"unknown", r.Unknown, "replaced", r.Replaced, "spared", r.Spared, "buckets", r.Buckets)
+	k.log.Info("state: restored", "of", snapshot.Node, "age", report.Age.Round(time.Millisecond),
+		"weight", report.Weight, "servers", report.Restored, "ejected", report.Ejected,
+		"not_listed", report.NotListed, "restarted", report.Restarted, "unejected", report.Unejected,
+		"buckets", report.Buckets)
 	return nil
 }
 
-// run keeps what the engine learns until ctx ends, and once more then.
-func (k *keeper) run(ctx context.Context) {
-	every := k.c.Every
-	if every == 0 {
-		every = stateEvery
-	}
-	tick := time.NewTicker(every)
-	defer tick.Stop()
+// run saves what the engine learns until ctx ends, and once more then.
+func (k *stateKeeper) run(ctx context.Context) {
+	interval := k.config.Every
+	if interval == 0 {
+		interval = defaultStateInterval
+	}
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
 	for {
 		select {
-		case <-tick.C:
-			k.keep()
+		case <-ticker.C:
+			k.save()
 		case <-ctx.Done():
-			k.keep()
+			k.save()
 			return
 		}
 	}
 }
 
-// snapshot is what the engine knows, as it is kept.
-func (k *keeper) snapshot() ([]byte, error) {
-	all, err := k.engine.ExportState()
+// snapshot returns what the engine has learned, in its stored form.
+func (k *stateKeeper) snapshot() ([]byte, error) {
+	state, err := k.engine.ExportState()
 	if err != nil {
 		return nil, err
 	}
-	return knowledge.Encode(knowledge.Snapshot{Node: k.name, At: time.Now(), Knowledge: all})
+	return learnedstate.Encode(learnedstate.Snapshot{Node: k.name, At: time.Now(), State: state})
 }
 
-func (k *keeper) keep() {
-	if k.hushed.Load() {
+// save replaces the file, unless another process does by now.
+func (k *stateKeeper) save() {
+	if k.paused.Load() {
 		return
 	}
 	raw, err := k.snapshot()
@@ -113,42 +120,23 @@
 		return
 	}
 	if err == nil {
-		err = replace(k.c.File, raw)
-	}
-	if err != nil && !k.failed {
-		k.log.Error("state: not kept", "file", k.c.File, "err", err)
+		err = atomicfile.WriteShared(k.config.File, raw)
 	}
-	k.failed = err != nil
-}
-
-// replace writes a file whole: a crash leaves the old one or the new one.
-func replace(path string, raw []byte) error {
-	f, err := os.CreateTemp(filepath.Dir(path), "."+filepath.Base(path)+"-*")
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(raw)
-	if err == nil {
-		err = f.Sync()
-	}
-	if err = errors.Join(err, f.Close()); err == nil {
-		err = os.Rename(f.Name(), path)
-	}
-	if err != nil {
-		_ = os.Remove(f.Name()) // the first error is the one to tell
+	if err != nil && !k.saveFailed {
+		k.log.Error("state: not saved", "file", k.config.File, "err", err)
 	}
-	return err
+	k.saveFailed = err != nil
 }
 
-// mount lets others see what the node has learned, and hand it what another has.
-func (k *keeper) mount(d *door.Door) {
-	d.Handle(http.MethodGet, "/knowledge", func(w http.ResponseWriter, _ *http.Request) {
+// register adds what the node has learned to the admin API.
+func (k *stateKeeper) register(api *door.Door) {
+	api.Handle(http.MethodGet, "/knowledge", func(w http.ResponseWriter, _ *http.Request) {
 		raw, err := k.snapshot()
 		if err != nil {
 			door.Fail(w, http.StatusConflict, err.Error())
 			return
 		}
 		w.Header().Set("Content-Type", "application/octet-stream")
-		_, _ = w.Write(raw) // whoever asked may have left
+		_, _ = w.Write(raw) // the client may have left
 	})
 }
--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -11,11 +11,11 @@
 
 	"cobaltward/internal/door"
 	"cobaltward/internal/testkit"
-	"cobaltward/knowledge"
+	"cobaltward/learnedstate"
 )
 
 // learned is what the node says that it knows.
-func (w *site) learned() (s knowledge.Snapshot) {
+func (w *site) learned() (s learnedstate.Snapshot) {
 	w.t.Helper()
 	c, base := door.Dial(w.sock, "", nil)
 	defer c.CloseIdleConnections()
@@ -26,7 +26,7 @@
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(resp.Body)
 	if err == nil {
-		s, err = knowledge.Decode(raw)
+		s, err = learnedstate.Decode(raw)
 	}
 	if err != nil {
 		w.t.Fatal(err)
@@ -38,15 +38,15 @@
 // file that is torn, foreign or gone does no harm.
 func TestStateOutlivesARestart(t *testing.T) {
 	w := newSite(t, 3)
-	w.state = State{File: filepath.Join(t.TempDir(), "state"), Every: 50 * time.Millisecond, Half: time.Hour}
+	w.state = StateConfig{File: filepath.Join(t.TempDir(), "state"), Every: 50 * time.Millisecond, HalfLife: time.Hour}
 	stop, ended := w.start()
-	fresh := w.learned().Knowledge.Servers[0].Threshold
+	fresh := w.learned().State.Servers[0].Threshold
 	ctx, end := context.WithCancel(t.Context())
 	all := w.clients(ctx, 24)
-	var before knowledge.Snapshot
+	var before learnedstate.Snapshot
 	testkit.Await(t, "a threshold that was learned", func() bool {
 		before = w.learned()
-		return math.Abs(before.Knowledge.Servers[0].Threshold-fresh) > 0.2
+		return math.Abs(before.State.Servers[0].Threshold-fresh) > 0.2
 	})
 	end()
 	all.Wait()
@@ -61,11 +61,11 @@
 	halt()
 	stop, ended = w.start()
 	after := w.learned()
-	if a, b := after.Knowledge.Servers[0].Threshold, before.Knowledge.Servers[0].Threshold; math.Abs(a-b) > math.Abs(b-fresh)/2 || b == fresh {
+	if a, b := after.State.Servers[0].Threshold, before.State.Servers[0].Threshold; math.Abs(a-b) > math.Abs(b-fresh)/2 || b == fresh {
 		t.Errorf("threshold %.2f after the restart, %.2f before, %.2f at first", a, b, fresh)
 	}
-	if len(after.Knowledge.Buckets) != len(before.Knowledge.Buckets) {
-		t.Errorf("%d buckets after the restart, %d before", len(after.Knowledge.Buckets), len(before.Knowledge.Buckets))
+	if len(after.State.Buckets) != len(before.State.Buckets) {
+		t.Errorf("%d buckets after the restart, %d before", len(after.State.Buckets), len(before.State.Buckets))
 	}
 	halt()
 	raw, err := os.ReadFile(w.state.File)
@@ -77,7 +77,7 @@
 			t.Fatal(err)
 		}
 		stop, ended = w.start()
-		if got := w.learned().Knowledge.Servers[0].Threshold; got != fresh {
+		if got := w.learned().State.Servers[0].Threshold; got != fresh {
 			t.Errorf("%s: threshold %.2f, want %.2f", name, got, fresh)
 		}
 		halt()
--- /dev/null
+++ b/internal/rundir/rundir.go
@@ -0,0 +1,147 @@
+// Package rundir is the directory through which the processes of one node know of each other while one replaces
+// another. Each process holds a lock on a file of its own, which the system releases with the process; beside it lies
+// its last report. One more file holds the order that stands. Readers find a file as it was or as it is, never a part.
+package rundir
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"cobaltward/hotrestart"
+)
+
+const (
+	prefix       = "wayhold-"
+	lockSuffix   = ".alive"
+	reportSuffix = ".report"
+	orderFile    = prefix + "order"
+	maxProcesses = 8 // that are looked at: more than a few are no replacement
+)
+
+// Process is this process's entry in the directory. It is not safe for concurrent use.
+type Process struct {
+	dir, name string
+	lock      *os.File
+}
+
+// Register makes this process known in the directory.
+func Register(dir string) (*Process, error) {
+	name := fmt.Sprintf("%s%d-%d", prefix, os.Getpid(), time.Now().UnixNano())
+	lock, err := os.OpenFile(filepath.Join(dir, name+lockSuffix), os.O_CREATE|os.O_EXCL|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("rundir: %w", err)
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = lock.Close() // the first error is the one to return
+		return nil, fmt.Errorf("rundir: %s: %w", lock.Name(), err)
+	}
+	return &Process{dir: dir, name: name, lock: lock}, nil
+}
+
+// Unregister removes this process's files and releases its lock.
+func (p *Process) Unregister() {
+	_ = os.Remove(p.reportPath()) // it may not be there
+	_ = os.Remove(p.lock.Name())
+	_ = p.lock.Close()
+}
+
+func (p *Process) reportPath() string { return filepath.Join(p.dir, p.name+reportSuffix) }
+
+// Others returns the newest reports of the other processes that live, by name, and removes what dead ones have left.
+// A process whose report can't be read is there with an empty one, and the error says why.
+func (p *Process) Others() (reports map[string]hotrestart.Report, problem error) {
+	locks, err := filepath.Glob(filepath.Join(p.dir, prefix+"*"+lockSuffix))
+	if err != nil {
+		return nil, err
+	}
+	reports = make(map[string]hotrestart.Report)
+	for _, lockPath := range locks {
+		base := strings.TrimSuffix(lockPath, lockSuffix)
+		name := filepath.Base(base)
+		if name == p.name || len(reports) >= maxProcesses {
+			continue
+		}
+		if !isAlive(lockPath) {
+			_ = os.Remove(base + reportSuffix) // it may not be there
+			_ = os.Remove(lockPath)
+			continue
+		}
+		report, err := readFile[hotrestart.Report](base + reportSuffix)
+		if err != nil && !errors.Is(err, fs.ErrNotExist) {
+			problem = err
+		}
+		reports[name] = report
+	}
+	return reports, problem
+}
+
+// isAlive reports whether the process that has made a lock file still holds the lock.
+func isAlive(lockPath string) bool {
+	file, err := os.OpenFile(lockPath, os.O_RDWR, 0)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = file.Close() }() // nothing was written
+	return errors.Is(syscall.Flock(int(file.Fd()), syscall.LOCK_SH|syscall.LOCK_NB), syscall.EWOULDBLOCK)
+}
+
+// WriteReport replaces this process's report.
+func (p *Process) WriteReport(report hotrestart.Report) error {
+	report.Version = hotrestart.Version
+	return replaceFile(p.reportPath(), report)
+}
+
+// Order returns the order that stands; the zero value where there is none.
+func (p *Process) Order() (hotrestart.Order, error) {
+	order, err := readFile[hotrestart.Order](filepath.Join(p.dir, orderFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		return order, nil
+	}
+	return order, err
+}
+
+// WriteOrder replaces the order that stands.
+func (p *Process) WriteOrder(order hotrestart.Order) error {
+	order.Version = hotrestart.Version
+	return replaceFile(filepath.Join(p.dir, orderFile), order)
+}
+
+// readFile reads a message from a file. Errors about its content name the file.
+func readFile[T hotrestart.Report | hotrestart.Order](path string) (message T, err error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return message, err
+	}
+	defer func() { _ = file.Close() }() // it was only read
+	raw, err := io.ReadAll(io.LimitReader(file, hotrestart.MaxSize+1))
+	if err != nil {
+		return message, err
+	}
+	message, err = hotrestart.Decode[T](raw)
+	if err != nil {
+		return message, fmt.Errorf("%s: %w", path, err)
+	}
+	return message, nil
+}
+
+// replaceFile replaces a file as a whole. It does not wait for the disk: the file need not outlive the machine.
+func replaceFile[T hotrestart.Report | hotrestart.Order](path string, message T) error {
+	raw, err := json.Marshal(message)
+	if err != nil {
+		return err
+	}
+	// The name holds the process id, so that a later process with the same id overwrites what a killed one has left.
+	temporary := fmt.Sprintf("%s.%d", path, os.Getpid())
+	if err := os.WriteFile(temporary, raw, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(temporary, path)
+}
--- a/internal/succession/stored_test.go
+++ b/internal/rundir/stored_test.go
@@ -1,4 +1,4 @@
-package succession
+package rundir
 
 import (
 	"bytes"
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"cobaltward/handover"
+	"cobaltward/hotrestart"
 )
 
 // TestRead_FilesOfEarlierVersion reads the files of two processes of one node that an earlier version has written, and
@@ -16,24 +16,24 @@
 func TestRead_FilesOfEarlierVersion(t *testing.T) {
 	dir := filepath.Join("testdata", "node")
 	moment := time.Date(2026, 12, 1, 8, 30, 0, 0, time.UTC)
-	for name, want := range map[string]handover.Report{
+	for name, want := range map[string]hotrestart.Report{
 		"wayhold-1001-1764570000000000001.report": {
-			Version: 1, At: moment, Taken: 1234567, Clients: 42, Servers: 17, Ending: true,
+			Version: 1, At: moment, Accepted: 1234567, ClientConns: 42, ServerConns: 17, Draining: true,
 		},
 		"wayhold-1002-1764570000000000002.report": {
-			Version: 1, At: moment.Add(100 * time.Millisecond), Taken: 89, Clients: 7, Servers: 3,
+			Version: 1, At: moment.Add(100 * time.Millisecond), Accepted: 89, ClientConns: 7, ServerConns: 3,
 		},
 	} {
 		t.Run(name, func(t *testing.T) { readStored(t, filepath.Join(dir, name), want) })
 	}
 	t.Run(orderFile, func(t *testing.T) {
-		readStored(t, filepath.Join(dir, orderFile), handover.Order{Version: 1, At: moment.Add(-time.Minute), Standby: true})
+		readStored(t, filepath.Join(dir, orderFile), hotrestart.Order{Version: 1, At: moment.Add(-time.Minute), Standby: true})
 	})
 }
 
-func readStored[T handover.Report | handover.Order](t *testing.T, path string, want T) {
+func readStored[T hotrestart.Report | hotrestart.Order](t *testing.T, path string, want T) {
 	t.Helper()
-	got, err := read[T](path)
+	got, err := readFile[T](path)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -60,11 +60,11 @@
 	if err := os.CopyFS(dir, os.DirFS(filepath.Join("testdata", "node"))); err != nil {
 		t.Fatal(err)
 	}
-	place, err := Take(dir)
+	place, err := Register(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer place.Leave()
+	defer place.Unregister()
 	others, err := place.Others()
 	if err != nil || len(others) != 0 {
 		t.Errorf("others %+v, %v; want none, since nobody holds their locks", others, err)
@@ -72,7 +72,7 @@
 	if order, err := place.Order(); err != nil || !order.Standby {
 		t.Errorf("order %+v, %v; want standby", order, err)
 	}
-	left, err := filepath.Glob(filepath.Join(dir, "*"+report))
+	left, err := filepath.Glob(filepath.Join(dir, "*"+reportSuffix))
 	if err != nil || len(left) != 0 {
 		t.Errorf("left behind: %v, %v", left, err)
 	}
--- a/knowledge/stored_test.go
+++ b/learnedstate/stored_test.go
@@ -1,4 +1,4 @@
-package knowledge
+package learnedstate
 
 import (
 	"bytes"
@@ -24,7 +24,7 @@
 	}
 	want := Snapshot{
 		Version: 1, Node: "node-1", At: time.Date(2026, 12, 1, 8, 30, 0, 0, time.UTC),
-		Knowledge: policy.LearnedState{
+		State: policy.LearnedState{
 			RateScale: 1.25, SharedThresholdScale: 2.5,
 			Servers: []policy.ServerState{
 				{Server: "s1", Threshold: 3.75, ThresholdReduced: true, Latency: 0.008, FaultRate: 0.02, FaultScore: 0.1},
--- a/policy/part_test.go
+++ b/policy/part_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"cobaltward/handover"
+	"cobaltward/hotrestart"
 )
 
 // twin is one node made of two processes, the second of which takes the place of the first: requests go to the second
@@ -13,7 +13,7 @@
 // goes to the second. alone leaves the first to itself.
 type twin struct {
 	a, b    *Balancer
-	sa, sb  handover.Splitter
+	sa, sb  hotrestart.Splitter
 	taken   [2]uint64
 	due     []twinOutcome
 	admits  int
@@ -69,7 +69,7 @@
 	const step = time.Millisecond
 	begin := 24 * time.Hour
 	w.a = start(begin, 1)
-	whole := handover.Limits{Clients: 10, Servers: 10}
+	whole := hotrestart.Limits{ClientConns: 10, ServerConns: 10}
 	for ms := range 6000 {
 		now := begin + Time(ms)*step
 		for len(w.due) > 0 && w.due[0].at <= now {
@@ -87,9 +87,9 @@
 			w.b.Restore(now, k)
 		}
 		if w.b != nil && ms%100 == 0 {
-			ra, rb := handover.Report{Taken: w.taken[0]}, handover.Report{Taken: w.taken[1]}
-			w.a.SetTrafficShare(now, w.sa.Split(ra, map[string]handover.Report{"b": rb}, whole).Part)
-			w.b.SetTrafficShare(now, w.sb.Split(rb, map[string]handover.Report{"a": ra}, whole).Part)
+			ra, rb := hotrestart.Report{Accepted: w.taken[0]}, hotrestart.Report{Accepted: w.taken[1]}
+			w.a.SetTrafficShare(now, w.sa.Split(ra, map[string]hotrestart.Report{"b": rb}, whole).Traffic)
+			w.b.SetTrafficShare(now, w.sb.Split(rb, map[string]hotrestart.Report{"a": ra}, whole).Traffic)
 		}
 		for n := ms*perSecond/1000 + 1; n <= (ms+1)*perSecond/1000; n++ {
 			to, i := w.a, 0
