--- a/internal/atomicfile/atomicfile.go
+++ b/internal/atomicfile/atomicfile.go
@@ -9,7 +9,7 @@
 )
 
 // Write replaces the file at path, with mode 0600, and returns once the content and the file's name are on the disk.
-// It goes by way of path.new, which a later call overwrites if a crash has left it: one process writes a path at a time.
+// It goes by way of path.new, which a later call overwrites if a crash has left it: only one process may write a path.
 func Write(path string, content []byte) error {
 	temporary, err := os.OpenFile(path+".new", os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
