--- a/fleet/agent/effect.go
+++ b/fleet/agent/effect.go
@@ -50,6 +50,7 @@
 		return response, a.reject(request, response)
 	case lease.Defer:
 		return response, ErrNotReady
+	case lease.Report: // the response has it
 	case lease.Execute, lease.VerifyFirst:
 		ctx := a.ctx
 		a.tasks.Go(func() { a.execute(ctx, request, decision == lease.VerifyFirst) })
--- a/fleet/rollingupdate/plan.go
+++ b/fleet/rollingupdate/plan.go
@@ -211,7 +211,7 @@
 	case current.done == len(p.nodes):
 		return []Action{{Operation: CloseJob, CloseReason: p.doneReason(), Detail: p.closeDetail("")}}
 	}
-	actions := append(current.actions, p.drainNext(current.fresh)...)
+	actions := slices.Concat(current.actions, p.drainNext(current.fresh))
 	if len(actions) == 0 && len(p.unavailable) > 0 { // too few nodes, or too little capacity, are left to go on
 		names := strings.Join(slices.Sorted(maps.Keys(p.unavailable)), " ")
 		return []Action{{Operation: CloseJob, CloseReason: fleet.ClosedStopped, Detail: names + " did not come back"}}
