Tests of the controller, of the client of a node, and of a small fleet in one process

The controller's decisions and the calls to a node's admin API were covered by the rig of processes alone. A cluster of one replica and agents beside nodes in memory now runs a rolling update, passes a revoked lease on, and disables servers, in one process.

--- /dev/null
+++ b/fleet/agent/nodeclient_test.go
@@ -0,0 +1,184 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cobaltward/internal/door"
+	"cobaltward/internal/testkit"
+)
+
+const nodeToken = "a token of the node"
+
+// adminAPI is the admin API of a node whose drain goes through states.
+type adminAPI struct {
+	mu       sync.Mutex
+	states   []string // of the drain, one per look at the status; the last one stays
+	disabled []string
+	calls    []string // that change something, with their bodies
+	reject   bool     // calls that change something
+}
+
+func (a *adminAPI) status(w http.ResponseWriter, _ *http.Request) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	state := a.states[0]
+	if len(a.states) > 1 {
+		a.states = a.states[1:]
+	}
+	drain := map[string]any{"state": state, "open_at_deadline": 3}
+	door.Reply(w, http.StatusOK, map[string]any{"drain": drain, "servers_drained_by_hand": a.disabled})
+}
+
+func (a *adminAPI) change(w http.ResponseWriter, r *http.Request) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		door.Fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	a.calls = append(a.calls, fmt.Sprintf("%s %s %s", r.Method, r.URL.Path, body))
+	if a.reject {
+		door.Fail(w, http.StatusConflict, "not now")
+		return
+	}
+	door.Reply(w, http.StatusOK, map[string]any{})
+}
+
+// serve returns a client of the API.
+func (a *adminAPI) serve(t *testing.T) *NodeClient {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/status", a.status)
+	mux.HandleFunc("GET /v1/servers", func(w http.ResponseWriter, _ *http.Request) {
+		door.Reply(w, http.StatusOK, map[string][]string{"z1": {"s1", "s2"}})
+	})
+	for _, path := range []string{"/v1/drain", "/v1/servers/{server}/drain"} {
+		mux.HandleFunc("POST "+path, a.change)
+		mux.HandleFunc("DELETE "+path, a.change)
+	}
+	client := NewNodeClient(testkit.HTTPServer(t, door.Guarded(mux, nodeToken).ServeHTTP), nodeToken)
+	t.Cleanup(client.client.HTTP.CloseIdleConnections)
+	return client
+}
+
+// checkCalls fails the test unless the API got calls, in order, that begin so.
+func (a *adminAPI) checkCalls(t *testing.T, want ...string) {
+	t.Helper()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !slices.EqualFunc(a.calls, want, strings.HasPrefix) {
+		t.Errorf("the calls are %q, want %q", a.calls, want)
+	}
+}
+
+func TestNodeClient_Drain(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		states []string
+		reject bool
+		calls  []string
+		want   string // in the error; empty: none
+	}{
+		{"drains", []string{"serving", "closing", "drained"}, false, []string{"POST /v1/drain"}, ""},
+		{"is closing already", []string{"closing", "drained"}, false, nil, ""},
+		{"passes its deadline", []string{"serving", "forced"}, false, []string{"POST /v1/drain"}, "with 3 requests open"},
+		{"is rejected", []string{"serving"}, true, []string{"POST /v1/drain"}, "not now"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			api := &adminAPI{states: test.states, reject: test.reject}
+			err := api.serve(t).Drain(t.Context(), time.Second, "patch")
+			if test.want == "" && err != nil || test.want != "" && !strings.Contains(fmt.Sprint(err), test.want) {
+				t.Errorf("error %v, want %q", err, test.want)
+			}
+			api.checkCalls(t, test.calls...)
+		})
+	}
+}
+
+func TestNodeClient_DrainSaysWhy(t *testing.T) {
+	api := &adminAPI{states: []string{"serving", "drained"}}
+	if err := api.serve(t).Drain(t.Context(), 90*time.Second, "round-1: kernel"); err != nil {
+		t.Fatal(err)
+	}
+	var body map[string]any
+	if err := json.Unmarshal([]byte(strings.TrimPrefix(api.calls[0], "POST /v1/drain ")), &body); err != nil {
+		t.Fatal(err)
+	}
+	if body["deadline"] != "1m30s" || body["who"] != "fleet" || body["reason"] != "round-1: kernel" {
+		t.Errorf("the request is %v", body)
+	}
+}
+
+func TestNodeClient_DrainEndsWithContext(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 2*pollInterval)
+	defer cancel()
+	api := &adminAPI{states: []string{"closing"}}
+	if err := api.serve(t).Drain(ctx, time.Second, "patch"); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("error %v, want %v", err, context.DeadlineExceeded)
+	}
+}
+
+func TestNodeClient_ResumeWaitsUntilServing(t *testing.T) {
+	api := &adminAPI{states: []string{"drained", "serving"}}
+	client := api.serve(t)
+	if err := client.Resume(t.Context(), "fleet"); err != nil {
+		t.Fatal(err)
+	}
+	api.checkCalls(t, "DELETE /v1/drain")
+	if !client.Serving(t.Context()) {
+		t.Error("the node does not serve")
+	}
+}
+
+func TestNodeClient_DisablesAndEnablesServers(t *testing.T) {
+	api := &adminAPI{states: []string{"serving"}}
+	client := api.serve(t)
+	if err := client.DisableServer(t.Context(), "s/1"); err != nil {
+		t.Error(err)
+	}
+	if err := client.EnableServer(t.Context(), "s/1"); err != nil {
+		t.Error(err)
+	}
+	api.checkCalls(t, "POST /v1/servers/s/1/drain", "DELETE /v1/servers/s/1/drain")
+	servers, err := client.ServersByZone(t.Context())
+	if err != nil || !slices.Equal(servers["z1"], []string{"s1", "s2"}) {
+		t.Errorf("the servers are %v, %v", servers, err)
+	}
+}
+
+// A server that is enabled already is no error; one that stays disabled is.
+func TestNodeClient_EnableServerThatIsRejected(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		disabled []string
+		want     error
+	}{
+		{"enabled already", nil, nil},
+		{"still disabled", []string{"s1"}, ErrRejected},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			api := &adminAPI{states: []string{"serving"}, disabled: test.disabled, reject: true}
+			if err := api.serve(t).EnableServer(t.Context(), "s1"); !errors.Is(err, test.want) {
+				t.Errorf("error %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
+func TestNodeClient_WithoutAnswerIsNotServing(t *testing.T) {
+	client := NewNodeClient("127.0.0.1:1", nodeToken)
+	if client.Serving(t.Context()) {
+		t.Error("a node that does not answer serves")
+	}
+}
--- /dev/null
+++ b/fleet/agent/runner_test.go
@@ -0,0 +1,202 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"cobaltward/fleet"
+	"cobaltward/fleet/consensus"
+	"cobaltward/internal/testkit"
+)
+
+// cluster is a consensus group of one replica, and agents beside nodes in memory, all in this process.
+type cluster struct {
+	t       *testing.T
+	replica *consensus.Replica
+	address string // of the replica
+	nodes   map[string]*fakeNode
+	runners map[string]*ControllerRunner // by node
+	ended   sync.WaitGroup
+	ctx     context.Context
+}
+
+func startCluster(t *testing.T, nodes ...string) *cluster {
+	t.Helper()
+	dir := t.TempDir()
+	bootstrap := func(persisted consensus.PersistentState) (consensus.PersistentState, error) {
+		return consensus.Bootstrap(fleet.Member{ID: persisted.ID, Name: "c1"}), nil
+	}
+	if err := consensus.RewriteStorage(dir, bootstrap); err != nil {
+		t.Fatal(err)
+	}
+	storage, err := consensus.OpenStorage(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := slog.New(slog.DiscardHandler)
+	replica, err := consensus.Start(consensus.Config{Name: "c1", Tick: 5 * time.Millisecond, Log: log}, storage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	group := &cluster{
+		t:       t,
+		replica: replica,
+		address: testkit.HTTPServer(t, replica.Handler().ServeHTTP),
+		nodes:   make(map[string]*fakeNode),
+		runners: make(map[string]*ControllerRunner),
+		ctx:     ctx,
+	}
+	t.Cleanup(func() {
+		cancel()
+		group.ended.Wait()
+		if err := replica.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	for _, name := range nodes {
+		group.startAgent(name)
+	}
+	group.await("all nodes to register", func(state *fleet.State) bool { return len(state.Nodes) == len(nodes) })
+	return group
+}
+
+// startAgent starts the agent of a node, which may hold the lease of rolling updates.
+func (c *cluster) startAgent(name string) {
+	c.t.Helper()
+	log := slog.New(slog.DiscardHandler)
+	mux := http.NewServeMux()
+	self := fleet.Node{
+		Name:           name,
+		Address:        testkit.HTTPServer(c.t, mux.ServeHTTP),
+		Capacity:       1,
+		LeaseCandidate: true,
+		Incarnation:    "run-1",
+	}
+	client := NewClient([]string{c.address}, nil, "", nil)
+	c.t.Cleanup(client.HTTP.CloseIdleConnections)
+	c.nodes[name] = &fakeNode{}
+	agent, err := New(Config{
+		Self:     self,
+		Dir:      c.t.TempDir(),
+		Commands: Commands{Patch: []string{"/bin/true"}, Verify: []string{"/bin/false"}},
+		Timeout:  testkit.Long,
+		Clock:    consensus.SystemClock(),
+		Log:      log,
+	}, c.nodes[name], client)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	agent.Mount(mux)
+	runner := NewControllerRunner(ControllerConfig{
+		Kind:          fleet.JobRollingUpdate,
+		Identity:      name + "/run-1",
+		Node:          name,
+		LeaseDuration: 500 * time.Millisecond,
+		Clock:         consensus.SystemClock(),
+		Log:           log,
+	}, client, agent.Watcher())
+	c.runners[name] = runner
+	c.ended.Go(func() { agent.Run(c.ctx) })
+	c.ended.Go(func() { runner.Run(c.ctx) })
+}
+
+func (c *cluster) await(what string, met func(*fleet.State) bool) {
+	c.t.Helper()
+	testkit.Await(c.t, what, func() bool { return met(c.replica.View().State) })
+}
+
+// propose proposes an entry that has to be accepted, once there is a leader.
+func (c *cluster) propose(entry fleet.Entry) {
+	c.t.Helper()
+	var result fleet.Result
+	var err error
+	testkit.Await(c.t, "a proposal", func() bool {
+		result, err = c.replica.Propose(c.ctx, entry)
+		return err == nil
+	})
+	if result.Err != nil {
+		c.t.Fatalf("%+v: %v", entry, result.Err)
+	}
+}
+
+// A rolling update goes over all nodes, each once. The holder of the lease steps down before its own node.
+func TestControllerRunner_RunsRollingUpdate(t *testing.T) {
+	names := []string{"n1", "n2", "n3"}
+	group := startCluster(t, names...)
+	group.propose(fleet.Entry{Kind: fleet.KindStartJob, JobID: "j", Spec: &fleet.JobSpec{
+		Kind:           fleet.JobRollingUpdate,
+		Nodes:          names,
+		MaxUnavailable: 1,
+		MinCapacity:    2,
+		MaxFailures:    1,
+		DrainTimeout:   time.Second,
+	}})
+	group.await("the job's end", func(state *fleet.State) bool { return !state.Jobs["j"].Open() })
+	job := group.replica.View().State.Jobs["j"]
+	if job.CloseReason != fleet.ClosedDone || job.Failures != 0 {
+		t.Errorf("the job is %+v", job)
+	}
+	for _, name := range names {
+		if drains := group.nodes[name].drains; drains != 1 {
+			t.Errorf("%s was drained %d times", name, drains)
+		}
+		for _, action := range []fleet.StepAction{fleet.ActionDrain, fleet.ActionPatch, fleet.ActionResume} {
+			key := fleet.StepKey{Node: name, Action: action}
+			if outcome := job.Steps[key].Outcome; outcome != fleet.OutcomeOK {
+				t.Errorf("%v ended with %q", key, outcome)
+			}
+		}
+	}
+}
+
+// A lease that is revoked passes to another process.
+func TestControllerRunner_LosesRevokedLease(t *testing.T) {
+	group := startCluster(t, "n1", "n2")
+	held := func(state *fleet.State) bool { return state.Leases[fleet.ResourceRollingUpdate].Holder != "" }
+	group.await("a holder", held)
+	former := group.replica.View().State.Leases[fleet.ResourceRollingUpdate]
+	group.propose(fleet.Entry{Kind: fleet.KindRevokeLease, Resource: fleet.ResourceRollingUpdate, RequestedBy: "ann"})
+	group.await("a newer lease", func(state *fleet.State) bool {
+		return held(state) && state.Leases[fleet.ResourceRollingUpdate].FencingToken > former.FencingToken
+	})
+	group.await("its holder to know", func(state *fleet.State) bool {
+		for name, runner := range group.runners {
+			if state.Leases[fleet.ResourceRollingUpdate].Holder == fmt.Sprintf("%s/run-1", name) {
+				return runner.HoldsLease()
+			}
+		}
+		return false
+	})
+}
+
+// Disable orders reach the nodes, and the replica hears where they are in force.
+func TestAgent_DisablesServersForTheFleet(t *testing.T) {
+	group := startCluster(t, "n1", "n2")
+	group.propose(disable("order", time.Now().Add(time.Hour), []string{"s1"}, nil))
+	testkit.Await(t, "the order to be in force", func() bool {
+		inForce := 0
+		for _, report := range group.replica.Status().Reports {
+			inForce += len(report.ActiveDisableOrders)
+		}
+		return inForce == 2
+	})
+	for _, node := range group.nodes {
+		checkDisabled(t, node, "s1")
+	}
+	order := &fleet.DisableOrder{ID: "order"}
+	group.propose(fleet.Entry{Kind: fleet.KindEnableServers, DisableOrder: order})
+	testkit.Await(t, "the servers to be enabled", func() bool {
+		enabled := true
+		for _, node := range group.nodes {
+			disabled, _ := node.DisabledServers(t.Context())
+			enabled = enabled && len(disabled) == 0
+		}
+		return enabled
+	})
+}
--- a/fleet/lease/receiver_test.go
+++ b/fleet/lease/receiver_test.go
@@ -52,15 +52,15 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{t: t, state: fleet.NewState(1)}
-	f.apply(fleet.Entry{Kind: fleet.KindStartJob, JobID: "j", Spec: &fleet.JobSpec{
+	setup := &fixture{t: t, state: fleet.NewState(1)}
+	setup.apply(fleet.Entry{Kind: fleet.KindStartJob, JobID: "j", Spec: &fleet.JobSpec{
 		Kind:           fleet.JobRollingUpdate,
 		Nodes:          []string{"n1"},
 		MaxUnavailable: 1,
 	}})
-	f.token = f.grant("h/1")
-	f.restart(ReceiverState{}, "run-1")
-	return f
+	setup.token = setup.grant("h/1")
+	setup.restart(ReceiverState{}, "run-1")
+	return setup
 }
 
 func (f *fixture) apply(entry fleet.Entry) fleet.Result {
@@ -123,88 +123,88 @@
 }
 
 func TestFencedReceiver_DefersUntilRegistered(t *testing.T) {
-	f := newFixture(t)
-	f.begin()
-	f.check(f.request(), Defer)
-	f.register("run-1")
-	f.check(f.request(), VerifyFirst) // begun before it was registered: an earlier process may have carried it out
+	setup := newFixture(t)
+	setup.begin()
+	setup.check(setup.request(), Defer)
+	setup.register("run-1")
+	setup.check(setup.request(), VerifyFirst) // begun before it was registered: an earlier process may have carried it out
 }
 
 func TestFencedReceiver_DefersUntilStepIsBegun(t *testing.T) {
-	f := newFixture(t)
-	f.register("run-1")
-	f.check(f.request(), Defer)
-	f.begin()
-	f.check(f.request(), Execute)
+	setup := newFixture(t)
+	setup.register("run-1")
+	setup.check(setup.request(), Defer)
+	setup.begin()
+	setup.check(setup.request(), Execute)
 }
 
 func TestFencedReceiver_ExecutesOnce(t *testing.T) {
-	f := newFixture(t)
-	f.register("run-1")
-	f.begin()
-	if response := f.check(f.request(), Execute); !response.Running || response.HighestToken != f.token {
+	setup := newFixture(t)
+	setup.register("run-1")
+	setup.begin()
+	if response := setup.check(setup.request(), Execute); !response.Running || response.HighestToken != setup.token {
 		t.Errorf("the first response is %+v", response)
 	}
-	if response := f.check(f.request(), Report); !response.Running {
+	if response := setup.check(setup.request(), Report); !response.Running {
 		t.Errorf("the response while it runs is %+v", response)
 	}
-	f.receiver.EffectLog.Finish(f.request().IdempotencyKey, fleet.OutcomeFailed, "why")
-	response := f.check(f.request(), Report)
+	setup.receiver.EffectLog.Finish(setup.request().IdempotencyKey, fleet.OutcomeFailed, "why")
+	response := setup.check(setup.request(), Report)
 	if response.Running || response.Outcome != fleet.OutcomeFailed || response.Detail != "why" {
 		t.Errorf("the response after it has ended is %+v", response)
 	}
 }
 
 func TestFencedReceiver_RejectsStaleTokens(t *testing.T) {
-	f := newFixture(t)
-	f.register("run-1")
-	f.begin()
-	stale := f.request()
-	f.apply(fleet.Entry{Kind: fleet.KindReleaseLease, Resource: stale.Resource, FencingToken: f.token})
-	f.token = f.grant("h/2")
-	if response := f.check(stale, Reject); response.HighestToken != f.token {
-		t.Errorf("the response is %+v, want the token %d that the log knows", response, f.token)
+	setup := newFixture(t)
+	setup.register("run-1")
+	setup.begin()
+	stale := setup.request()
+	setup.apply(fleet.Entry{Kind: fleet.KindReleaseLease, Resource: stale.Resource, FencingToken: setup.token})
+	setup.token = setup.grant("h/2")
+	if response := setup.check(stale, Reject); response.HighestToken != setup.token {
+		t.Errorf("the response is %+v, want the token %d that the log knows", response, setup.token)
 	}
 }
 
 func TestFencedReceiver_RejectsClosedJobs(t *testing.T) {
-	f := newFixture(t)
-	f.register("run-1")
-	f.begin()
-	f.apply(fleet.Entry{Kind: fleet.KindCloseJob, JobID: "j", FencingToken: f.token, Outcome: "stopped"})
-	f.check(f.request(), Reject)
+	setup := newFixture(t)
+	setup.register("run-1")
+	setup.begin()
+	setup.apply(fleet.Entry{Kind: fleet.KindCloseJob, JobID: "j", FencingToken: setup.token, Outcome: "stopped"})
+	setup.check(setup.request(), Reject)
 }
 
 func TestFencedReceiver_ReportsFinishedSteps(t *testing.T) {
-	f := newFixture(t)
-	f.register("run-1")
-	f.begin()
-	step := f.request().Step
-	f.apply(fleet.Entry{Kind: fleet.KindFinishStep, JobID: "j", Step: step, FencingToken: f.token, Outcome: "ok"})
-	if response := f.check(f.request(), Report); response.Outcome != fleet.OutcomeOK {
+	setup := newFixture(t)
+	setup.register("run-1")
+	setup.begin()
+	step := setup.request().Step
+	setup.apply(fleet.Entry{Kind: fleet.KindFinishStep, JobID: "j", Step: step, FencingToken: setup.token, Outcome: "ok"})
+	if response := setup.check(setup.request(), Report); response.Outcome != fleet.OutcomeOK {
 		t.Errorf("the response is %+v", response)
 	}
 }
 
 // What was running when the process ended is verified by the next one, once.
 func TestFencedReceiver_VerifiesInterruptedEffects(t *testing.T) {
-	f := newFixture(t)
-	f.register("run-1")
-	f.begin()
-	f.check(f.request(), Execute)
-	f.restart(f.receiver.ReceiverState, "run-2")
-	f.check(f.request(), Defer)
-	f.register("run-2")
-	f.check(f.request(), VerifyFirst)
-	f.check(f.request(), Report)
+	setup := newFixture(t)
+	setup.register("run-1")
+	setup.begin()
+	setup.check(setup.request(), Execute)
+	setup.restart(setup.receiver.ReceiverState, "run-2")
+	setup.check(setup.request(), Defer)
+	setup.register("run-2")
+	setup.check(setup.request(), VerifyFirst)
+	setup.check(setup.request(), Report)
 }
 
 // An effect that was decided on and whose record could not be stored was not carried out: it is decided on again.
 func TestFencedReceiver_RepeatsDecisionAfterSaveFailure(t *testing.T) {
-	f := newFixture(t)
-	f.register("run-1")
-	f.begin()
-	f.check(f.request(), Execute)
-	f.receiver.HandleSaveFailure(f.request().IdempotencyKey)
-	f.check(f.request(), VerifyFirst)
+	setup := newFixture(t)
+	setup.register("run-1")
+	setup.begin()
+	setup.check(setup.request(), Execute)
+	setup.receiver.HandleSaveFailure(setup.request().IdempotencyKey)
+	setup.check(setup.request(), VerifyFirst)
 }
