--- a/emulator/sim/node.go
+++ b/emulator/sim/node.go
@@ -207,8 +207,8 @@
 	w := n.w
 	s := w.byID[e.Server]
 	r := w.requests[e.Request.ID]
-	t := &try{n: n, e: e, server: s, request: r, id: e.Request.ID + "/" + string(rune('0'+e.N%10)), until: n.born + e.Until, key: e.Request.IdempotencyKey, class: e.Request.Class}
-	if e.N >= 10 {
+	t := &try{n: n, e: e, server: s, request: r, id: e.Request.ID + "/" + string(rune('0'+e.Number%10)), until: n.born + e.Deadline, key: e.Request.IdempotencyKey, class: e.Request.Class}
+	if e.Number >= 10 {
 		t.id += "+"
 	}
 	n.out[e] = t
@@ -408,11 +408,11 @@
 		return
 	}
 	t.sent = true
-	w.book.Attempt(w.now, t.e.N, t.server.spec.Zone != n.spec.Zone)
+	w.book.Attempt(w.now, t.e.Number, t.server.spec.Zone != n.spec.Zone)
 	if w.o.sent != nil {
 		w.o.sent(w.now, n.spec.Name, t.server.id)
 	}
-	w.judge.Sent(w.now, n.spec.Name, t.e.Request.ID, t.e.N, t.server.id)
+	w.judge.Sent(w.now, n.spec.Name, t.e.Request.ID, t.e.Number, t.server.id)
 	if t.blocked() {
 		t.stuck = true
 		return
@@ -452,7 +452,7 @@
 // turnedAway is the server's word that the request never ran.
 func (t *try) turnedAway() {
 	t.reply(func() {
-		t.n.w.judge.Proved(t.n.spec.Name, t.e.Request.ID, t.e.N)
+		t.n.w.judge.Proved(t.n.spec.Name, t.e.Request.ID, t.e.Number)
 		t.end(policy.Overloaded)
 	})
 }
--- a/internal/cli/ctl.go
+++ b/internal/cli/ctl.go
@@ -147,29 +147,29 @@
 			return err
 		}
 		out := c.OutOrStdout()
-		fmt.Fprintf(out, "level %d, %s: %s\ndemand %.2f, slow %.3f, held %.3f\n", st.Level, st.Name, st.Reason, st.Demand, st.Slow, st.Held)
-		if st.Dry {
+		fmt.Fprintf(out, "level %d, %s: %s\ndemand %.2f, slow %.3f, held %.3f\n", st.Level, st.Name, st.Reason, st.Demand, st.Slow, st.Queued)
+		if st.DryRun {
 			fmt.Fprintln(out, "a dry run: nothing is shed; what is counted would be")
 		}
-		if st.Most >= 0 {
-			fmt.Fprintf(out, "levels beyond %d are forbidden\n", st.Most)
+		if st.MaxLevel >= 0 {
+			fmt.Fprintf(out, "levels beyond %d are forbidden\n", st.MaxLevel)
 		}
-		if st.Trying {
+		if st.ExitProbing {
 			fmt.Fprintln(out, "its end is being tried: half of what it sheds is let in")
 		}
-		for _, l := range st.Lifts {
+		for _, l := range st.ExitConditions {
 			fmt.Fprintf(out, "ends with %s\n", l)
 		}
 		for _, cost := range []struct {
 			of string
 			by map[string]uint64
-		}{{"class", st.Shed}, {"tenant", st.ShedBy}} {
+		}{{"class", st.ShedByClass}, {"tenant", st.ShedByTenant}} {
 			for _, name := range slices.Sorted(maps.Keys(cost.by)) {
 				fmt.Fprintf(out, "shed of %s %s: %d\n", cost.of, cmp.Or(name, "(others)"), cost.by[name])
 			}
 		}
-		if st.Worth > 0 {
-			fmt.Fprintf(out, "worth shed: %.1f\n", st.Worth)
+		if st.ShedWeight > 0 {
+			fmt.Fprintf(out, "worth shed: %.1f\n", st.ShedWeight)
 		}
 		for _, e := range st.Events {
 			fmt.Fprintf(out, "  from %d to %d, %s: %s\n", e.From, e.To, e.Name, e.Reason)
@@ -408,7 +408,7 @@
 		fmt.Fprintf(t, "drain\tordered at %s by %q, until %s: %s\n", s.Drain.Began.Local().Format(time.TimeOnly), s.Drain.Who, s.Drain.Deadline.Local().Format(time.TimeOnly), s.Drain.Reason)
 	}
 	fmt.Fprintf(t, "now\t%s\n", progressLine(s))
-	fmt.Fprintf(t, "servers\t%d running, %d draining; list changed %d times, failed %d times\n", s.Servers["running"], s.Servers["draining"], s.List.Changes, s.List.Failures)
+	fmt.Fprintf(t, "servers\t%d running, %d draining; list changed %d times, failed %d times\n", s.Servers["running"], s.Servers["draining"], s.List.Updates, s.List.Failures)
 	if len(s.ByHand) > 0 {
 		fmt.Fprintf(t, "drained by hand\t%s\n", strings.Join(s.ByHand, " "))
 	}
--- a/internal/crossings/servers_test.go
+++ b/internal/crossings/servers_test.go
@@ -50,7 +50,7 @@
 				other := entry("s1", g.server("s1", nil), "up")
 				g.disc.say(append(c.says(g, addr), other)...)
 				g.sees("the news", func(s node.Status) bool {
-					return s.Servers["running"] == 1+strings.Count(c.sent, "s0") && s.List.Changed.Before(s.At.Add(-grace))
+					return s.Servers["running"] == 1+strings.Count(c.sent, "s0") && s.List.LastUpdate.Before(s.At.Add(-grace))
 				})
 				open()
 				one.want(http.StatusOK)
--- a/internal/expect/expect.go
+++ b/internal/expect/expect.go
@@ -270,7 +270,7 @@
 
 // Launch notes an attempt, which ends as the case says.
 func (w *world) Launch(t router.Attempt) {
-	if t.N == 0 {
+	if t.Number == 0 {
 		w.first = append(w.first, t.Server)
 	}
 	w.sent[w.zones[t.Server]]++
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -126,20 +126,20 @@
 func (c *control) look() Status {
 	st := c.engine.Stats()
 	s := Status{Version: 1, Name: c.name, At: time.Now(), Phase: st.Phase.String(), Drain: c.engine.DrainStatus(),
-		Requests: RequestStatus{ByClass: st.Open, OldestMs: st.Oldest.Milliseconds(), OldestLeft: st.Left.Milliseconds(), Held: st.Held,
-			Retrying: st.Retrying, Attempts: st.Out},
-		Servers: make(map[string]int), ByHand: c.hold.Held(), Untrusted: c.hold.Refused(), List: st.List, Answers: make(map[string]uint64), Attempts: st.Attempts}
-	for _, n := range st.Open {
+		Requests: RequestStatus{ByClass: st.OpenByClass, OldestMs: st.Oldest.Milliseconds(), OldestLeft: st.OldestRemaining.Milliseconds(), Held: st.Queued,
+			Retrying: st.Retrying, Attempts: st.AttemptsInFlight},
+		Servers: make(map[string]int), ByHand: c.hold.Held(), Untrusted: c.hold.Refused(), List: st.EndpointList, Answers: make(map[string]uint64), Attempts: st.Attempts}
+	for _, n := range st.OpenByClass {
 		s.Requests.Open += n
 	}
-	for state, n := range st.Servers {
+	for state, n := range st.EndpointsByAvailability {
 		s.Servers[[...]string{"running", "draining", "removed"}[state]] = n
 	}
 	for o, n := range st.Answers {
 		s.Answers[router.Outcome(o).String()] = n
 	}
-	s.Connections.Clients, s.Connections.Busy = c.engine.Clients()
-	s.Connections.Servers = st.Conns
+	s.Connections.Clients, s.Connections.Busy = c.engine.ClientConnections()
+	s.Connections.Servers = st.ServerConns
 	s.Connections.Parted, s.Connections.Crossed = c.intake.partings()
 	return s
 }
@@ -197,7 +197,7 @@
 	if !door.Read(w, r, &o) {
 		return
 	}
-	if err := c.engine.ForbidLevels(o.Level, o.Who, o.Reason); err != nil {
+	if err := c.engine.SetMaxLevel(o.Level, o.Who, o.Reason); err != nil {
 		door.Fail(w, http.StatusConflict, err.Error())
 		return
 	}
--- a/internal/node/desk.go
+++ b/internal/node/desk.go
@@ -61,13 +61,13 @@
 		page = append(strconv.AppendUint(append(page, '='), n, 10), '\n')
 	}
 	for _, c := range f.Classes {
-		line("success", c.Class, c.Success)
+		line("success", c.Class, c.Served)
 		line("busy", c.Class, c.Busy)
 		line("failure", c.Class, c.Failure)
 	}
-	line("backend_calls", "", f.Written)
-	line("inflight", "", uint64(max(0, f.Inflight)))
-	line("hosts_listed", "", uint64(max(0, f.Listed)))
-	line("hosts_down", "", uint64(max(0, f.Down)))
+	line("backend_calls", "", f.AttemptsWritten)
+	line("inflight", "", uint64(max(0, f.InFlight)))
+	line("hosts_listed", "", uint64(max(0, f.Endpoints)))
+	line("hosts_down", "", uint64(max(0, f.UnavailableEndpoints)))
 	return page
 }
--- a/internal/node/desk_test.go
+++ b/internal/node/desk_test.go
@@ -106,7 +106,7 @@
 			_, _ = engine.Do(t.Context(), router.Request{ID: fmt.Sprint("r", i), Class: "hladanie", Tenant: "t"})
 		})
 	}
-	testkit.Await(t, "the queue to be full", func() bool { return engine.Metrics().Inflight == 2000 })
+	testkit.Await(t, "the queue to be full", func() bool { return engine.Metrics().InFlight == 2000 })
 	for range 20 {
 		c, err := net.Dial("tcp", w.console)
 		if err != nil {
--- a/internal/node/heir.go
+++ b/internal/node/heir.go
@@ -50,9 +50,9 @@
 	others, err := h.place.Others()
 	h.tell(err)
 	f := h.engine.Metrics()
-	own := handover.Report{At: time.Now(), Ending: h.ending.Load(), Taken: uint64(max(0, f.Inflight))}
+	own := handover.Report{At: time.Now(), Ending: h.ending.Load(), Taken: uint64(max(0, f.InFlight))}
 	for _, c := range f.Classes {
-		own.Taken += c.Success + c.Busy + c.Failure
+		own.Taken += c.Served + c.Busy + c.Failure
 	}
 	own.Clients, _ = h.front.Connections()
 	own.Servers = h.engine.Conns()
--- a/internal/node/tls.go
+++ b/internal/node/tls.go
@@ -74,7 +74,7 @@
 	s := &secured{c: *c.TLS, log: log}
 	s.core = handshaking.NewCore(s.c.Share, int(math.Ceil(c.Cores)), func() bool {
 		e := s.engine.Load()
-		return e != nil && e.Inflight() > 0
+		return e != nil && e.InFlight() > 0
 	})
 	listener := func(l *Listener, alpn ...string) (*frontsecure.Layer, error) {
 		if l == nil {
--- a/membership/xds/scale_test.go
+++ b/membership/xds/scale_test.go
@@ -135,7 +135,7 @@
 		t.Fatal(err)
 	}
 	defer r.Close()
-	testkit.Await(t, "the servers", func() bool { return r.Stats().Servers[policy.Running] == len(app.addrs) })
+	testkit.Await(t, "the servers", func() bool { return r.Stats().EndpointsByAvailability[policy.Running] == len(app.addrs) })
 	ids := 0
 	phase := func(updates bool) time.Duration {
 		var took []time.Duration
--- a/membership/xds/script_test.go
+++ b/membership/xds/script_test.go
@@ -220,7 +220,7 @@
 		}
 		testkit.Await(t, "the part "+c.percent, func() bool {
 			st := r.Stats()
-			return st.Servers[policy.Running] == 1 && fmt.Sprintf("%.0f%%", 100*st.Drops["rooms"]) == c.percent
+			return st.EndpointsByAvailability[policy.Running] == 1 && fmt.Sprintf("%.0f%%", 100*st.Drops["rooms"]) == c.percent
 		})
 		before := r.Stats().Dropped
 		if got := served("bound", 200); got < c.least || got > c.most || int(r.Stats().Dropped-before) != 200-got {
--- a/membership/xds/xds_test.go
+++ b/membership/xds/xds_test.go
@@ -357,12 +357,12 @@
 	}
 	defer r.Close()
 	testkit.Await(t, "the stream", func() bool { return source.Status().Open })
-	if n := r.Stats().Servers[policy.Running]; n != 1 {
+	if n := r.Stats().EndpointsByAvailability[policy.Running]; n != 1 {
 		t.Errorf("%d servers before the control plane has told its own", n)
 	}
 	p.Mute(false)
-	testkit.Await(t, "the list", func() bool { return r.Stats().Pools["rooms"] == 2 })
-	if n := r.Stats().Servers[policy.Running]; n != 2 {
+	testkit.Await(t, "the list", func() bool { return r.Stats().EndpointsByPool["rooms"] == 2 })
+	if n := r.Stats().EndpointsByAvailability[policy.Running]; n != 2 {
 		t.Errorf("%d servers, want those of the control plane alone", n)
 	}
 }
@@ -426,7 +426,7 @@
 		t.Fatal(err)
 	}
 	defer r.Close()
-	testkit.Await(t, "the servers", func() bool { return r.Stats().Servers[policy.Running] == len(app.addrs) })
+	testkit.Await(t, "the servers", func() bool { return r.Stats().EndpointsByAvailability[policy.Running] == len(app.addrs) })
 	ctx, stop := context.WithCancel(t.Context())
 	var clients sync.WaitGroup
 	defer clients.Wait()
@@ -447,7 +447,7 @@
 		left := slices.DeleteFunc(slices.Clone(app.addrs), func(a string) bool { return a == gone })
 		told := time.Now()
 		set(left)
-		testkit.Await(t, "the removal", func() bool { return r.Stats().Servers[policy.Running] == len(left) })
+		testkit.Await(t, "the removal", func() bool { return r.Stats().EndpointsByAvailability[policy.Running] == len(left) })
 		time.Sleep(10 * time.Millisecond)
 		app.mu.Lock()
 		late := max(0, app.last[gone].Sub(told))
@@ -455,7 +455,7 @@
 		hist[late.Truncate(time.Millisecond)]++
 		app.mu.Unlock()
 		set(app.addrs)
-		testkit.Await(t, "its return", func() bool { return r.Stats().Servers[policy.Running] == len(app.addrs) })
+		testkit.Await(t, "its return", func() bool { return r.Stats().EndpointsByAvailability[policy.Running] == len(app.addrs) })
 	}
 	if worst > 500*time.Millisecond {
 		t.Errorf("a server got a request %v after its removal was told", worst)
--- a/middleware/middleware_test.go
+++ b/middleware/middleware_test.go
@@ -190,7 +190,7 @@
 	if rec.Code != 200 || rec.Body.String() != "served r2" || reached.Load() != 2 {
 		t.Errorf("the next: %d %q, %d reached", rec.Code, rec.Body, reached.Load())
 	}
-	if s := r.Stats(); s.Kept != 0 || s.Answers[router.Served] != 2 {
+	if s := r.Stats(); s.Retained != 0 || s.Answers[router.Served] != 2 {
 		t.Errorf("%+v", s)
 	}
 }
@@ -282,7 +282,7 @@
 	testkit.Receive(t, "the slow request", got)
 	leave()
 	testkit.Receive(t, "its end at the server", left)
-	testkit.Await(t, "the departure", func() bool { return r.Stats().Departed == 1 })
+	testkit.Await(t, "the departure", func() bool { return r.Stats().ClientsGone == 1 })
 }
 
 // A host's own retry middleware can't run a booking twice: the second try under the same id gets the
@@ -449,7 +449,7 @@
 	testkit.Receive(t, "the request", got)
 	leave()
 	ended.Wait()
-	testkit.Await(t, "the end of the attempt", func() bool { s := r.Stats(); return s.Out == 0 && s.Kept == 0 })
+	testkit.Await(t, "the end of the attempt", func() bool { s := r.Stats(); return s.AttemptsInFlight == 0 && s.Retained == 0 })
 }
 
 // A host whose threads are all taken, with garbage to collect: each request has one answer, no booking
@@ -497,7 +497,7 @@
 	}
 	clients.Wait()
 	spinning.Wait()
-	if s := r.Stats(); s.Lag.Max <= 0 || s.Kept != 0 || len(s.Open) != 0 {
+	if s := r.Stats(); s.Lag.Max <= 0 || s.Retained != 0 || len(s.OpenByClass) != 0 {
 		t.Errorf("%+v", s)
 	}
 	if codes[200].Load() == 0 {
@@ -564,7 +564,7 @@
 	}
 	close(stop)
 	clients.Wait()
-	if s := r.Stats(); s.Reloads != uint64(n) || s.Servers[policy.Running] != 2+n%3 || s.Kept != 0 {
+	if s := r.Stats(); s.Reloads != uint64(n) || s.EndpointsByAvailability[policy.Running] != 2+n%3 || s.Retained != 0 {
 		t.Errorf("%+v", s)
 	}
 	r.Close()
--- a/router/config.go
+++ b/router/config.go
@@ -46,15 +46,15 @@
 	return nil
 }
 
-func (c Config) maxOpen() int {
+func (c Config) maxInFlight() int {
 	if c.MaxInFlight == 0 {
 		return DefaultMaxInFlight
 	}
 	return c.MaxInFlight
 }
 
-// longest is the longest that any request may wait.
-func (c Config) longest() (d time.Duration) {
+// longestDeadline is the longestDeadline that any request may wait.
+func (c Config) longestDeadline() (d time.Duration) {
 	for _, class := range c.Settings.Classes {
 		d = max(d, class.Deadline)
 	}
@@ -69,8 +69,8 @@
 	transport      Transport
 	endpointSource EndpointSource
 	listeners      []Listener
-	leave          time.Duration
-	leaveSet       bool
+	drainDelay     time.Duration
+	drainDelaySet  bool
 	disabledGuards guards.Without
 	levels         *levels.Config
 }
@@ -92,7 +92,7 @@
 // WithDrainDelay sets for how long Drain goes on serving as before while Phase says Leaving, since those
 // who ask for readiness learn of it late. The default is 0.6 of the longest deadline, of 3 s at most.
 func WithDrainDelay(d time.Duration) Option {
-	return func(o *options) { o.leave, o.leaveSet = max(0, d), true }
+	return func(o *options) { o.drainDelay, o.drainDelaySet = max(0, d), true }
 }
 
 // WithoutGuards takes guards away, so that a rehearsal can show that its verdict finds out. Its parameter's
--- a/router/context.go
+++ b/router/context.go
@@ -13,12 +13,12 @@
 	deadline time.Time
 	sendBy   time.Time
 
-	mu    sync.Mutex
-	err   error
-	void  bool          // nothing may be written for it any more
-	done  chan struct{} // made when somebody asks
-	after func()        // what AfterFunc registered
-	nth   uint64        // registrations of it
+	mu           sync.Mutex
+	err          error
+	abandoned    bool          // nothing may be written for it any more
+	done         chan struct{} // made when somebody asks
+	afterFunc    func()        // what AfterFunc registered
+	registration uint64        // registrations of it
 }
 
 // closedChan is what Done returns for a context that had ended before anybody asked.
@@ -34,18 +34,18 @@
 	return c.deadline, true
 }
 
-// until moves the deadline: the body of the request has come.
-func (c *attemptContext) until(deadline time.Time) {
+// setDeadline moves the deadline: the body of the request has come.
+func (c *attemptContext) setDeadline(deadline time.Time) {
 	c.mu.Lock()
 	c.deadline = deadline
 	c.mu.Unlock()
 }
 
-// forbid has nothing written that is not written yet: the request has its answer, or its client has left. What was
+// abandon has nothing written that is not written yet: the request has its answer, or its client has left. What was
 // written goes on.
-func (c *attemptContext) forbid() {
+func (c *attemptContext) abandon() {
 	c.mu.Lock()
-	c.void = true
+	c.abandoned = true
 	c.mu.Unlock()
 }
 
@@ -53,7 +53,7 @@
 func (c *attemptContext) Abandoned() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.void
+	return c.abandoned
 }
 
 // SendBy is the moment from which on nothing may be written for the attempt, since its key may be forgotten
@@ -89,9 +89,9 @@
 		c.mu.Unlock()
 		go f()
 		return func() bool { return false }
-	case c.after != nil:
+	case c.afterFunc != nil:
 		c.mu.Unlock()
-		inner, cancel := context.WithCancel(plain{c})
+		inner, cancel := context.WithCancel(doneOnlyContext{c})
 		stop := context.AfterFunc(inner, f)
 		return func() bool {
 			stopped := stop()
@@ -99,36 +99,36 @@
 			return stopped
 		}
 	}
-	c.after = f
-	c.nth++
-	mine := c.nth
+	c.afterFunc = f
+	c.registration++
+	mine := c.registration
 	c.mu.Unlock()
 	return func() bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		// A context derived from this one may stop its function again, long after: that must not take out another's.
-		if c.after == nil || c.nth != mine {
+		if c.afterFunc == nil || c.registration != mine {
 			return false
 		}
-		c.after = nil
+		c.afterFunc = nil
 		return true
 	}
 }
 
-// plain hides AfterFunc, so that the standard library watches Done.
-type plain struct{ context.Context }
+// doneOnlyContext hides AfterFunc, so that the standard library watches Done.
+type doneOnlyContext struct{ context.Context }
 
-// end ends the context; the first reason holds. What AfterFunc registered runs in a goroutine of its
+// cancel ends the context; the first reason holds. What AfterFunc registered runs in a goroutine of its
 // own, since the loop waits for nobody.
-func (c *attemptContext) end(why error) {
+func (c *attemptContext) cancel(why error) {
 	c.mu.Lock()
 	if c.err != nil {
 		c.mu.Unlock()
 		return
 	}
 	c.err = why
-	f := c.after
-	c.after = nil
+	f := c.afterFunc
+	c.afterFunc = nil
 	if c.done != nil {
 		close(c.done)
 	}
--- a/router/context_test.go
+++ b/router/context_test.go
@@ -26,8 +26,8 @@
 			t.Error("what was stopped can be stopped again, or could not be")
 		}
 		done := c.Done()
-		c.end(context.DeadlineExceeded)
-		c.end(context.Canceled)
+		c.cancel(context.DeadlineExceeded)
+		c.cancel(context.Canceled)
 		<-done
 		<-c.Done()
 		<-child.Done()
@@ -44,7 +44,7 @@
 			t.Error("what is registered after the end did not run")
 		}
 		fresh := &attemptContext{}
-		fresh.end(context.Canceled)
+		fresh.cancel(context.Canceled)
 		<-fresh.Done()
 	})
 }
@@ -60,7 +60,7 @@
 			}
 		}
 		context.AfterFunc(c, func() { ran <- "kept" })
-		c.end(context.Canceled)
+		c.cancel(context.Canceled)
 		synctest.Wait()
 		if len(ran) != 1 || <-ran != "kept" {
 			t.Error("what was kept did not run alone")
@@ -81,7 +81,7 @@
 	if first() {
 		t.Error("stopped twice")
 	}
-	c.end(context.Canceled)
+	c.cancel(context.Canceled)
 	<-ran
 	if second() {
 		t.Error("stopped after it ran")
--- a/router/delivery.go
+++ b/router/delivery.go
@@ -7,33 +7,33 @@
 	"sync/atomic"
 )
 
-// delivery is a long answer on its way to who asked. It counts as served once all of it was read, and as failed
+// countedStream is a long answer on its way to who asked. It counts as served once all of it was read, and as failed
 // where it was closed before.
-type delivery struct {
+type countedStream struct {
 	Stream
-	tally *tally
-	class string
-	whole atomic.Bool
-	once  sync.Once
+	tally     *counters
+	class     string
+	complete  atomic.Bool
+	closeOnce sync.Once
 }
 
-func (d *delivery) Read(p []byte) (int, error) {
+func (d *countedStream) Read(p []byte) (int, error) {
 	n, err := d.Stream.Read(p)
 	if errors.Is(err, io.EOF) {
-		d.whole.Store(true)
+		d.complete.Store(true)
 	}
 	return n, err
 }
 
-func (d *delivery) Close() error {
+func (d *countedStream) Close() error {
 	err := d.Stream.Close()
-	d.once.Do(func() {
+	d.closeOnce.Do(func() {
 		o := Failed
-		if d.whole.Load() {
+		if d.complete.Load() {
 			o = Served
 		}
 		d.tally.count(d.class, o)
-		d.tally.inflight.Add(-1)
+		d.tally.inFlight.Add(-1)
 	})
 	return err
 }
--- a/router/drain.go
+++ b/router/drain.go
@@ -11,22 +11,22 @@
 )
 
 const (
-	lookEvery = 10 * time.Millisecond // at what is left, while a router closes
-	// withoutDeadline stands for the deadline of a drain whose context has none.
-	withoutDeadline = 24 * time.Hour
+	drainPollInterval = 10 * time.Millisecond // at what is left, while a router closes
+	// unboundedDrain stands for the deadline of a drain whose context has none.
+	unboundedDrain = 24 * time.Hour
 )
 
-// runner carries one drain out, in a goroutine of its own, from its start to its end or until it is taken back.
-type runner struct {
-	poke chan struct{} // the machine has changed
-	done chan struct{} // closed once the drain is over, or taken back
-	back atomic.Bool   // it was taken back: what it still has to say holds no more
+// drainRun carries one drain out, in a goroutine of its own, from its start to its end or until it is taken back.
+type drainRun struct {
+	wakeup    chan struct{} // the machine has changed
+	done      chan struct{} // closed once the drain is over, or taken back
+	cancelled atomic.Bool   // it was taken back: what it still has to say holds no more
 	// Of final drains: fronts that have not ended their intake for good. Under the router's mutex.
-	shutting int
-	shut     bool
-	ended    bool // the intake, in a way that can be taken back
-	fronts   sync.WaitGroup
-	stop     context.CancelFunc // of the fronts' shutdown
+	shuttingDown     int
+	shutdownStarted  bool
+	acceptingStopped bool // the intake, in a way that can be taken back
+	listeners        sync.WaitGroup
+	cancelShutdown   context.CancelFunc // of the fronts' shutdown
 }
 
 // Drain takes the router out for good. It is no longer ready at once, serves on as before for a while
@@ -34,12 +34,12 @@
 // nothing. Where ctx ends first, what is still open is answered: what may have run has failed, the rest is
 // refused; then Drain returns ctx's error. It can't be taken back, and takes over from a drain that was ordered
 // by StartDrain. Who calls it again waits for the same drain; the first one's ctx holds.
-func (r *Router) Drain(ctx context.Context) error { return r.DrainAfter(ctx, r.leave(), 0) }
+func (r *Router) Drain(ctx context.Context) error { return r.DrainAfter(ctx, r.drainDelay(), 0) }
 
 // DrainAfter is Drain with other times: for how long the router only says that it isn't ready, and for how long
 // it then still takes what comes while its answers end their connections.
 func (r *Router) DrainAfter(ctx context.Context, announce, leave time.Duration) error {
-	o := drain.Order{Announce: announce, Leave: leave, For: withoutDeadline, Reason: "the program is ending", Who: "program", Final: true}
+	o := drain.Order{Announce: announce, Leave: leave, For: unboundedDrain, Reason: "the program is ending", Who: "program", Final: true}
 	if end, ok := ctx.Deadline(); ok {
 		o.For = max(1, time.Until(end))
 	}
@@ -49,9 +49,9 @@
 		return err
 	}
 	for {
-		r.mu.Lock()
-		run, status := r.runner, r.machine.Status()
-		r.mu.Unlock()
+		r.drainMu.Lock()
+		run, status := r.drainRun, r.drainMachine.Status()
+		r.drainMu.Unlock()
 		if run == nil {
 			return ErrClosed
 		}
@@ -68,10 +68,10 @@
 			if !first {
 				return ctx.Err()
 			}
-			r.mu.Lock()
-			r.machine.Cut(time.Now())
-			r.mu.Unlock()
-			run.wake()
+			r.drainMu.Lock()
+			r.drainMachine.Cut(time.Now())
+			r.drainMu.Unlock()
+			run.notify()
 			<-run.done
 			if r.DrainStatus().State == drain.Drained { // it was through at that very moment
 				return nil
@@ -84,74 +84,74 @@
 // StartDrain begins a drain, or changes the one that goes on, as drain.Machine.Start says. It does not wait;
 // WatchDrain tells how it goes on. Order.Announce and Order.Leave of 0 skip those states.
 func (r *Router) StartDrain(o drain.Order) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.drainMu.Lock()
+	defer r.drainMu.Unlock()
 	if r.Phase() == Closed {
 		return ErrClosed
 	}
-	if err := r.machine.Start(time.Now(), o, r.counts()); err != nil {
+	if err := r.drainMachine.Start(time.Now(), o, r.openWork()); err != nil {
 		return err
 	}
-	if run := r.runner; run != nil && !run.isDone() {
-		run.wake()
+	if run := r.drainRun; run != nil && !run.isDone() {
+		run.notify()
 		return nil
 	}
-	run := &runner{poke: make(chan struct{}, 1), done: make(chan struct{})}
-	r.runner = run
-	r.carry(run)
-	r.parts.Go(func() { r.run(run) })
+	run := &drainRun{wakeup: make(chan struct{}, 1), done: make(chan struct{})}
+	r.drainRun = run
+	r.applyDrainState(run)
+	r.goroutines.Go(func() { r.runDrain(run) })
 	return nil
 }
 
 // CancelDrain takes a drain back: the router is ready at once, and its fronts that can let clients in again. An
 // error says that there is none to take back, or which front could not.
 func (r *Router) CancelDrain(who string) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.drainMu.Lock()
+	defer r.drainMu.Unlock()
 	if r.Phase() == Closed {
 		return ErrClosed
 	}
-	if err := r.machine.Cancel(time.Now(), who, r.counts()); err != nil {
+	if err := r.drainMachine.Cancel(time.Now(), who, r.openWork()); err != nil {
 		return err
 	}
-	run := r.runner
-	run.back.Store(true)
+	run := r.drainRun
+	run.cancelled.Store(true)
 	if !run.isDone() {
 		close(run.done)
 	}
 	r.loop.drained.Store(false) // the loop may be busy, and who takes a drain back waits for nobody
-	for _, p := range []Phase{Leaving, Closing, Drained} {
+	for _, p := range []Phase{Draining, Closing, Drained} {
 		r.phase.CompareAndSwap(uint32(p), uint32(Serving))
 	}
 	var err error
-	if run.ended {
-		for _, f := range r.fronts {
+	if run.acceptingStopped {
+		for _, f := range r.listeners {
 			if in, ok := f.(DrainableListener); ok {
 				err = errors.Join(err, in.ResumeAccepting())
 			}
 		}
 	}
-	run.wake()
+	run.notify()
 	return err
 }
 
 // DrainStatus tells of the drain that goes on, or of the one that is over.
 func (r *Router) DrainStatus() drain.Status {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.machine.Status()
+	r.drainMu.Lock()
+	defer r.drainMu.Unlock()
+	return r.drainMachine.Status()
 }
 
 // DrainEvents returns the events after the n-th that are kept.
 func (r *Router) DrainEvents(n uint64) []drain.Event {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append([]drain.Event(nil), r.machine.Events(n)...)
+	r.drainMu.Lock()
+	defer r.drainMu.Unlock()
+	return append([]drain.Event(nil), r.drainMachine.Events(n)...)
 }
 
-// Clients is the number of the fronts' connections, of those that tell, and of those with a request.
-func (r *Router) Clients() (open, busy int) {
-	for _, f := range r.fronts {
+// ClientConnections is the number of the fronts' connections, of those that tell, and of those with a request.
+func (r *Router) ClientConnections() (open, busy int) {
+	for _, f := range r.listeners {
 		if in, ok := f.(DrainableListener); ok {
 			o, b := in.Connections()
 			open, busy = open+o, busy+b
@@ -160,25 +160,25 @@
 	return open, busy
 }
 
-// counts is what is left of the work.
-func (r *Router) counts() drain.Counts {
-	c := drain.Counts{Open: int(r.loop.open.Load())}
-	if run := r.runner; run != nil && run.shut {
-		c.Busy = run.shutting
+// openWork is what is left of the work.
+func (r *Router) openWork() drain.Counts {
+	c := drain.Counts{Open: int(r.loop.openRequests.Load())}
+	if run := r.drainRun; run != nil && run.shutdownStarted {
+		c.Busy = run.shuttingDown
 	} else {
-		_, c.Busy = r.Clients()
+		_, c.Busy = r.ClientConnections()
 	}
 	return c
 }
 
-func (u *runner) wake() {
+func (u *drainRun) notify() {
 	select {
-	case u.poke <- struct{}{}:
+	case u.wakeup <- struct{}{}:
 	default:
 	}
 }
 
-func (u *runner) isDone() bool {
+func (u *drainRun) isDone() bool {
 	select {
 	case <-u.done:
 		return true
@@ -187,79 +187,79 @@
 	}
 }
 
-// run drives the machine until the drain is over, or taken back.
-func (r *Router) run(u *runner) {
-	defer u.fronts.Wait()
+// runDrain drives the machine until the drain is over, or taken back.
+func (r *Router) runDrain(u *drainRun) {
+	defer u.listeners.Wait()
 	wake := time.NewTimer(0)
 	defer wake.Stop()
 	for {
-		r.mu.Lock()
+		r.drainMu.Lock()
 		if u.isDone() {
-			r.mu.Unlock()
+			r.drainMu.Unlock()
 			return
 		}
-		r.machine.Step(time.Now(), r.counts())
-		over := r.carry(u)
-		at, _ := r.machine.Next()
-		if r.machine.Status().State == drain.Closing {
-			if soon := time.Now().Add(lookEvery); soon.Before(at) {
+		r.drainMachine.Step(time.Now(), r.openWork())
+		over := r.applyDrainState(u)
+		at, _ := r.drainMachine.Next()
+		if r.drainMachine.Status().State == drain.Closing {
+			if soon := time.Now().Add(drainPollInterval); soon.Before(at) {
 				at = soon
 			}
 		}
-		r.mu.Unlock()
+		r.drainMu.Unlock()
 		if over {
 			r.loop.send(finish{u})
-			r.mu.Lock()
+			r.drainMu.Lock()
 			if !u.isDone() { // else it was taken back meanwhile
 				close(u.done)
 			}
-			r.mu.Unlock()
+			r.drainMu.Unlock()
 			return
 		}
 		wake.Reset(time.Until(at))
 		select {
 		case <-wake.C:
-		case <-u.poke:
+		case <-u.wakeup:
 		case <-r.loop.done:
-			r.mu.Lock()
+			r.drainMu.Lock()
 			if !u.isDone() {
 				close(u.done)
 			}
-			r.mu.Unlock()
+			r.drainMu.Unlock()
 			return
 		}
 	}
 }
 
-// carry does what the machine's state asks for; true once the drain is over. The mutex is held.
-func (r *Router) carry(u *runner) (over bool) {
-	s := r.machine.Status()
+// applyDrainState does what the machine's state asks for; true once the drain is over. The mutex is held.
+func (r *Router) applyDrainState(u *drainRun) (over bool) {
+	s := r.drainMachine.Status()
 	switch s.State {
 	case drain.Announced:
-		r.advance(Leaving)
+		r.advance(Draining)
 	case drain.Leaving:
 		r.advance(Closing)
 	case drain.Closing:
 		r.advance(Closing)
-		r.endIntake(u, s)
+		r.stopListeners(u, s)
 	case drain.Drained, drain.Forced:
-		r.endIntake(u, s)
+		r.stopListeners(u, s)
 		r.loop.drained.Store(true)
 		r.advance(Drained)
-		if u.stop != nil {
-			u.stop()
+		if u.cancelShutdown != nil {
+			u.cancelShutdown()
 		}
 		return true
 	}
 	return false
 }
 
-// endIntake has the fronts let nothing in any more: for good where the drain is final.
-func (r *Router) endIntake(u *runner, s drain.Status) {
+// stopListeners has the fronts let nothing in any more: for good where the drain is final.
+func (r *Router) stopListeners(u *drainRun, s drain.Status) {
 	if !s.Final {
-		if !u.ended {
-			u.ended = true
-			for _, f := range r.fronts {
+		if !u.acceptingStopped {
+			u.acceptingStopped = true
+			for _, f := range r.listeners {
 				if in, ok := f.(DrainableListener); ok {
 					in.StopAccepting()
 				}
@@ -267,21 +267,21 @@
 		}
 		return
 	}
-	if u.shut {
+	if u.shutdownStarted {
 		return
 	}
-	u.shut, u.shutting = true, len(r.fronts)
+	u.shutdownStarted, u.shuttingDown = true, len(r.listeners)
 	ctx, stop := context.WithDeadline(context.Background(), s.Deadline)
-	u.stop = stop
-	for _, f := range r.fronts {
-		u.fronts.Go(func() {
+	u.cancelShutdown = stop
+	for _, f := range r.listeners {
+		u.listeners.Go(func() {
 			if err := f.Shutdown(ctx); err != nil && ctx.Err() == nil {
 				r.loop.log.Error("a front could not end its intake", "err", err)
 			}
-			r.mu.Lock()
-			u.shutting--
-			r.mu.Unlock()
-			u.wake()
+			r.drainMu.Lock()
+			u.shuttingDown--
+			r.drainMu.Unlock()
+			u.notify()
 		})
 	}
 }
--- a/router/example_test.go
+++ b/router/example_test.go
@@ -55,8 +55,10 @@
 
 // What is not taken is an error that names the field.
 func ExampleRouter_Do_invalid() {
-	r, err := router.New(router.Config{Settings: policy.Settings{Nodes: 1,
-		Classes: []policy.Class{{Name: "booking", Deadline: time.Second}}}}, router.WithTransport(echo{}))
+	r, err := router.New(router.Config{Settings: policy.Settings{
+		Nodes:   1,
+		Classes: []policy.Class{{Name: "booking", Deadline: time.Second}},
+	}}, router.WithTransport(echo{}))
 	if err != nil {
 		fmt.Println(err)
 		return
--- a/router/knowledge.go
+++ b/router/knowledge.go
@@ -9,8 +9,8 @@
 // errStateUnsupported says that the module keeps what it has learned to itself.
 var errStateUnsupported = errors.New("router: the module gives and takes no knowledge")
 
-// stateKeeper is what a module offers that gives and takes knowledge.
-type stateKeeper interface {
+// statefulBalancer is what a module offers that gives and takes knowledge.
+type statefulBalancer interface {
 	Export() policy.LearnedState
 	InitialThreshold(server string) (threshold float64, up policy.Time, ok bool)
 	Restore(now policy.Time, k policy.LearnedState)
@@ -21,35 +21,35 @@
 // how long the server's process runs.
 type StateAdjuster func(prior func(server string) (threshold float64, up policy.Time, ok bool)) policy.LearnedState
 
-// moduleOrder has something done with the module, in the loop.
-type moduleOrder struct {
-	do    func(stateKeeper, policy.Time)
+// balancerCommand has something done with the module, in the loop.
+type balancerCommand struct {
+	do    func(statefulBalancer, policy.Time)
 	reply chan error
 }
 
 // ExportState is what the module has learned by now.
 func (r *Router) ExportState() (k policy.LearnedState, err error) {
-	err = r.module(func(m stateKeeper, _ policy.Time) { k = m.Export() })
+	err = r.withBalancer(func(m statefulBalancer, _ policy.Time) { k = m.Export() })
 	return k, err
 }
 
 // RestoreState has the module take knowledge over, as weigh makes it.
 func (r *Router) RestoreState(weigh StateAdjuster) error {
-	return r.module(func(m stateKeeper, now policy.Time) { m.Restore(now, weigh(m.InitialThreshold)) })
+	return r.withBalancer(func(m statefulBalancer, now policy.Time) { m.Restore(now, weigh(m.InitialThreshold)) })
 }
 
 // SetTrafficShare says which part of the node's work comes to this process, from 0 to 1, where two processes are one node.
 func (r *Router) SetTrafficShare(part float64) error {
-	return r.module(func(m stateKeeper, now policy.Time) { m.SetTrafficShare(now, part) })
+	return r.withBalancer(func(m statefulBalancer, now policy.Time) { m.SetTrafficShare(now, part) })
 }
 
-func (r *Router) module(do func(stateKeeper, policy.Time)) error {
+func (r *Router) withBalancer(do func(statefulBalancer, policy.Time)) error {
 	reply := make(chan error, 1)
-	return r.ask(moduleOrder{do, reply}, reply)
+	return r.sendAndWait(balancerCommand{do, reply}, reply)
 }
 
-// ask hands the loop an event, and waits for what it says of it.
-func (r *Router) ask(ev any, reply <-chan error) error {
+// sendAndWait hands the loop an event, and waits for what it says of it.
+func (r *Router) sendAndWait(ev any, reply <-chan error) error {
 	if !r.loop.send(ev) {
 		return ErrClosed
 	}
@@ -61,8 +61,8 @@
 	}
 }
 
-func (l *loop) moduleOrder(o moduleOrder) error {
-	m, ok := l.module.(stateKeeper)
+func (l *loop) runBalancerCommand(o balancerCommand) error {
+	m, ok := l.balancer.(statefulBalancer)
 	if !ok {
 		return errStateUnsupported
 	}
@@ -72,12 +72,12 @@
 
 // ExportState is what the module has learned by now.
 func (s *Stepped) ExportState() (k policy.LearnedState, err error) {
-	err = s.l.moduleOrder(moduleOrder{do: func(m stateKeeper, _ policy.Time) { k = m.Export() }})
+	err = s.loop.runBalancerCommand(balancerCommand{do: func(m statefulBalancer, _ policy.Time) { k = m.Export() }})
 	return k, err
 }
 
 // RestoreState has the module take knowledge over, as weigh makes it. It is to be called once the first moment has been
 // told.
 func (s *Stepped) RestoreState(weigh StateAdjuster) error {
-	return s.l.moduleOrder(moduleOrder{do: func(m stateKeeper, now policy.Time) { m.Restore(now, weigh(m.InitialThreshold)) }})
+	return s.loop.runBalancerCommand(balancerCommand{do: func(m statefulBalancer, now policy.Time) { m.Restore(now, weigh(m.InitialThreshold)) }})
 }
--- a/router/levels_test.go
+++ b/router/levels_test.go
@@ -14,7 +14,7 @@
 // The ladder changes while the router runs: it comes, goes on by names, is refused whole, and goes.
 func TestSetLevels(t *testing.T) {
 	set := policy.Settings{Nodes: 1, Classes: []policy.Class{{Name: "read", LatencyObjective: time.Second, Deadline: 2 * time.Second, Idempotency: policy.Idempotent, PriorityWeight: 1}}}
-	r, err := New(Config{Settings: set}, WithTransport(&fake{}))
+	r, err := New(Config{Settings: set}, WithTransport(&fakeTransport{}))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -22,8 +22,10 @@
 	ladder := func(names ...string) *levels.Config {
 		c := &levels.Config{Classes: []levels.Class{{Name: "read"}}}
 		for i, n := range names {
-			c.Levels = append(c.Levels, levels.Level{Name: n, Enter: []levels.Condition{{Bound: 1.1 + 0.1*float64(i)}}, Exit: []levels.Condition{{Bound: 0.9}},
-				Measures: []levels.Measure{{Class: "read", Shed: 0.1 * float64(i+1)}}})
+			c.Levels = append(c.Levels, levels.Level{
+				Name: n, Enter: []levels.Condition{{Bound: 1.1 + 0.1*float64(i)}}, Exit: []levels.Condition{{Bound: 0.9}},
+				Measures: []levels.Measure{{Class: "read", Shed: 0.1 * float64(i+1)}},
+			})
 		}
 		return c
 	}
@@ -68,13 +70,19 @@
 // counted by class and tenant, others wait for less; in a dry run nothing changes but the count.
 func TestLevelsNarrow(t *testing.T) {
 	for _, dry := range []bool{false, true} {
-		set := policy.Settings{Nodes: 1, Capabilities: policy.Capabilities{RetryAfter: true, MaxRetryAfter: 10 * time.Second},
+		set := policy.Settings{
+			Nodes: 1, Capabilities: policy.Capabilities{RetryAfter: true, MaxRetryAfter: 10 * time.Second},
 			Tenants: []policy.Tenant{{Name: "t", Quota: 1e6, Share: 1}},
-			Classes: []policy.Class{{Name: "read", LatencyObjective: 10 * time.Second, Deadline: 20 * time.Second, Idempotency: policy.Idempotent, PriorityWeight: 2},
-				{Name: "held", LatencyObjective: 10 * time.Second, Deadline: 20 * time.Second, Idempotency: policy.Idempotent, PriorityWeight: 1}}}
-		c := levels.Config{Dry: dry, Classes: []levels.Class{{Name: "read"}, {Name: "held"}}, Levels: []levels.Level{{Name: "less", Enter: []levels.Condition{{Bound: 2}},
-			Exit: []levels.Condition{{Bound: 1}}, Measures: []levels.Measure{{Class: "read", Shed: 1}, {Class: "held", Hold: 20 * time.Millisecond}}}}}
-		r, err := New(Config{Settings: set}, WithTransport(&fake{}), WithLevels(c))
+			Classes: []policy.Class{
+				{Name: "read", LatencyObjective: 10 * time.Second, Deadline: 20 * time.Second, Idempotency: policy.Idempotent, PriorityWeight: 2},
+				{Name: "held", LatencyObjective: 10 * time.Second, Deadline: 20 * time.Second, Idempotency: policy.Idempotent, PriorityWeight: 1},
+			},
+		}
+		c := levels.Config{Dry: dry, Classes: []levels.Class{{Name: "read"}, {Name: "held"}}, Levels: []levels.Level{{
+			Name: "less", Enter: []levels.Condition{{Bound: 2}},
+			Exit: []levels.Condition{{Bound: 1}}, Measures: []levels.Measure{{Class: "read", Shed: 1}, {Class: "held", Hold: 20 * time.Millisecond}},
+		}}}
+		r, err := New(Config{Settings: set}, WithTransport(&fakeTransport{}), WithLevels(c))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -101,13 +109,13 @@
 			}
 		}
 		st, err := r.Level()
-		if err != nil || st.Shed["read"] != 20 || st.ShedBy["t"] != 10 || st.ShedBy[""] != 10 || st.Worth != 40 || len(st.Lifts) != 1 || st.Dry != dry {
+		if err != nil || st.ShedByClass["read"] != 20 || st.ShedByTenant["t"] != 10 || st.ShedByTenant[""] != 10 || st.ShedWeight != 40 || len(st.ExitConditions) != 1 || st.DryRun != dry {
 			t.Errorf("%+v, %v", st, err)
 		}
-		if err := r.ForbidLevels(0, "who", "why"); err != nil {
+		if err := r.SetMaxLevel(0, "who", "why"); err != nil {
 			t.Fatal(err)
 		}
-		if st, _ := r.Level(); st.Most != 0 || st.Level != 1 {
+		if st, _ := r.Level(); st.MaxLevel != 0 || st.Level != 1 {
 			t.Errorf("what was set by hand is taken back: %+v", st)
 		}
 		r.Close()
--- a/router/loop.go
+++ b/router/loop.go
@@ -24,19 +24,19 @@
 	eventBuffer = 1024
 	// answerMargin is how long before the client stops waiting the module's time is up, so that its
 	// answer still arrives; half of it later the backstop answers. Of short deadlines it is a part.
-	answerMargin     = 20 * time.Millisecond
-	answerMarginPart = 5
-	// keyMargin is how long before servers forget a key a repeat is written at the latest; of short windows
+	answerMargin        = 20 * time.Millisecond
+	answerMarginDivisor = 5
+	// dedupMargin is how long before servers forget a key a repeat is written at the latest; of short windows
 	// it is a part.
-	keyMargin     = 50 * time.Millisecond
-	keyMarginPart = 5
+	dedupMargin        = 50 * time.Millisecond
+	dedupMarginDivisor = 5
 	// What a body may take that passes through: a client may send so few bytes a second, and begin so late.
-	uploadRate    = 32 << 10
-	uploadLeast   = 5 * time.Second
-	longestUpload = 32 << 20
+	minUploadRate    = 32 << 10
+	minUploadTimeout = 5 * time.Second
+	maxTimedUpload   = 32 << 20
 
-	ownRetryAfter = time.Second // told to clients that the router refuses without the module
-	lagGain       = 0.05        // weight of one event in the mean lag
+	routerRetryAfter = time.Second // told to clients that the router refuses without the module
+	lagGain          = 0.05        // weight of one event in the mean lag
 )
 
 // attemptLauncher has attempts made. Its methods must not wait, nor call the loop.
@@ -50,79 +50,79 @@
 type loop struct {
 	clock          clock
 	log            *slog.Logger
-	module         guards.Module // the policy.Balancer
+	balancer       guards.Module // the policy.Balancer
 	launcher       attemptLauncher
 	disabledGuards guards.Without
 	config         Config
 	transport      Transport
 	endpointSource EndpointSource
 
-	events  chan any
-	changes chan EndpointUpdate // apart from events, and ahead of them: a drain must not wait behind requests
-	done    chan struct{}       // closed when the loop has ended
-	ready   chan struct{}       // closed when the known list is in
-
-	requests       map[string]*request
-	used           ids
-	drained        atomic.Bool  // nothing is taken, until the drain is taken back
-	pendingAnswers int          // requests without their answer
-	open           atomic.Int64 // the same, for others to read
-	timers         timers
-	skipped        []policy.Outcome // of attempts that were not made; told once all actions are done
-	attempts       sync.WaitGroup
-	inFlight       int // attempts that are out
-	stats          Stats
-	tally          tally
-	servers        map[string]listed // for Stats
-	drops          drops.Parts
-	members        []policy.Endpoint // memory for small changes
-	service        *service          // levels of reduced service; nil where there are none
-	ticking        bool              // a step on the ladder is due within a second
-}
-
-// listed is what Stats tells of a server.
-type listed struct {
-	state policy.Availability
-	pools []string
+	events          chan any
+	endpointUpdates chan EndpointUpdate // apart from events, and ahead of them: a drain must not wait behind requests
+	done            chan struct{}       // closed when the loop has ended
+	ready           chan struct{}       // closed when the known list is in
+
+	requests           map[string]*request
+	recentIDs          idHistory
+	drained            atomic.Bool  // nothing is taken, until the drain is taken back
+	pendingAnswers     int          // requests without their answer
+	openRequests       atomic.Int64 // the same, for others to read
+	timers             timerHeap
+	skippedOutcomes    []policy.Outcome // of attempts that were not made; told once all actions are done
+	attemptGoroutines  sync.WaitGroup
+	attemptsInFlight   int // attempts that are out
+	stats              Stats
+	counters           counters
+	endpoints          map[string]endpointSummary // for Stats
+	drops              drops.Parts
+	endpointBuffer     []policy.Endpoint // memory for small changes
+	degradation        *degradation      // levels of reduced service; nil where there are none
+	levelStepScheduled bool              // a step on the ladder is due within a second
+}
+
+// endpointSummary is what Stats tells of a server.
+type endpointSummary struct {
+	availability policy.Availability
+	pools        []string
 }
 
 // call is one request on its way from Do to the loop and back. It is not changed once the loop has it.
 type call struct {
-	req     Request
-	class   policy.Class // under which Do took it
-	entered policy.Time  // when Do was called
-	came    policy.Time  // when its last byte was read
-	waits   time.Duration
-	reply   chan Answer     // holds one, so the loop never waits for whoever asked
-	told    func(Answer)    // in place of reply; it must not call the loop
-	ctx     context.Context // the caller's; nil where its departure is told alone
-	gone    atomic.Bool     // nobody waits for reply any more
-	arrives bool            // its last byte has not come: its time counts from then; only the loop goes by it
+	req         Request
+	class       policy.Class // under which Do took it
+	submittedAt policy.Time  // when Do was called
+	receivedAt  policy.Time  // when its last byte was read
+	timeout     time.Duration
+	reply       chan Answer     // holds one, so the loop never waits for whoever asked
+	onAnswer    func(Answer)    // in place of reply; it must not call the loop
+	ctx         context.Context // the caller's; nil where its departure is told alone
+	abandoned   atomic.Bool     // nobody waits for reply any more
+	bodyPending bool            // its last byte has not come: its time counts from then; only the loop goes by it
 }
 
 // request is kept until it is answered and all its attempts are over.
 type request struct {
 	*call
-	allowed  policy.Capabilities // as they were when it was taken
-	deadline policy.Time
-	window   time.Duration // in which servers drop repeats of its key; 0 where it has none
-	backstop timer
-	ended    bool
-	attempts []*attempt
-	pending  int
+	capabilities    policy.Capabilities // as they were when it was taken
+	deadline        policy.Time
+	dedupWindow     time.Duration // in which servers drop repeats of its key; 0 where it has none
+	backstop        timer
+	finished        bool
+	attempts        []*attempt
+	pendingOutcomes int
 }
 
 type attempt struct {
-	r      *request
-	n      int
-	server string
-	sent   policy.Time
-	sendBy policy.Time // 0: there is none
-	ctx    attemptContext
-	late   timer // ends ctx
-	out    bool
-	notRun bool // it ended, and can't have run
-	result Result
+	request     *request
+	number      int
+	server      string
+	sentAt      policy.Time
+	sendBy      policy.Time // 0: there is none
+	ctx         attemptContext
+	timeout     timer // ends ctx
+	inFlight    bool
+	notExecuted bool // it ended, and can't have run
+	result      Result
 }
 
 // The events of the loop, beside Change. *call is an arrival, and *attempt the end of one.
@@ -137,13 +137,13 @@
 		reply  chan error
 	}
 	statsQuery  struct{ reply chan Stats }
-	finish      struct{ of *runner } // answer what is still open, unless the drain was taken back
-	ladderOrder struct {             // another ladder
+	finish      struct{ of *drainRun } // answer what is still open, unless the drain was taken back
+	ladderOrder struct {               // another ladder
 		config *levels.Config
 		reply  chan error
 	}
 	levelOrder struct {
-		do    func(*service, policy.Time) error
+		do    func(*degradation, policy.Time) error
 		reply chan error
 	}
 )
@@ -157,38 +157,40 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &loop{clock: ck, log: o.log, module: balancer, disabledGuards: o.disabledGuards, config: c, transport: o.transport,
-		endpointSource: o.endpointSource, events: make(chan any, eventBuffer), changes: make(chan EndpointUpdate, 1),
+	l := &loop{
+		clock: ck, log: o.log, balancer: balancer, disabledGuards: o.disabledGuards, config: c, transport: o.transport,
+		endpointSource: o.endpointSource, events: make(chan any, eventBuffer), endpointUpdates: make(chan EndpointUpdate, 1),
 		done: make(chan struct{}), ready: make(chan struct{}), requests: make(map[string]*request),
-		used: ids{seed: maphash.MakeSeed()}, servers: make(map[string]listed)}
-	l.launcher = spawner{l}
-	l.tally.adopt(c.Settings.Classes)
+		recentIDs: idHistory{seed: maphash.MakeSeed()}, endpoints: make(map[string]endpointSummary),
+	}
+	l.launcher = goroutineLauncher{l}
+	l.counters.addClasses(c.Settings.Classes)
 	if o.levels != nil {
-		if l.service, err = newService(*o.levels, c.Settings); err != nil {
+		if l.degradation, err = newDegradation(*o.levels, c.Settings); err != nil {
 			return nil, err
 		}
 	}
 	if o.disabledGuards.Wrap != nil {
-		l.module = o.disabledGuards.Wrap(balancer)
+		l.balancer = o.disabledGuards.Wrap(balancer)
 	}
 	return l, nil
 }
 
-// spawner has each attempt made in a goroutine of its own.
-type spawner struct{ l *loop }
+// goroutineLauncher has each attempt made in a goroutine of its own.
+type goroutineLauncher struct{ l *loop }
 
-func (s spawner) launch(a *attempt) {
-	s.l.attempts.Go(func() {
-		a.result = s.l.transport.Attempt(&a.ctx, a.server, &a.r.req)
+func (s goroutineLauncher) launch(a *attempt) {
+	s.l.attemptGoroutines.Go(func() {
+		a.result = s.l.transport.Attempt(&a.ctx, a.server, &a.request.req)
 		s.l.send(a)
 	})
 }
 
-func (spawner) cancelled(*attempt) {}
+func (goroutineLauncher) cancelled(*attempt) {}
 
-// callOff ends an attempt that is out.
-func (l *loop) callOff(a *attempt, why error) {
-	a.ctx.end(why)
+// cancelAttempt ends an attempt that is out.
+func (l *loop) cancelAttempt(a *attempt, why error) {
+	a.ctx.cancel(why)
 	l.launcher.cancelled(a)
 }
 
@@ -202,15 +204,15 @@
 	}
 }
 
-// changePart is how many entries of a change the loop takes in at a time: few enough for the module to
+// updateBatchSize is how many entries of a change the loop takes in at a time: few enough for the module to
 // put them into its order in place, and for requests to come in between.
-const changePart = 4
+const updateBatchSize = 4
 
-// tellChange hands the loop news of the servers. A large change comes in parts, servers that are open to
+// enqueueUpdate hands the loop news of the servers. A large change comes in parts, servers that are open to
 // new work first: at no moment are there fewer of them than before and after.
-func (l *loop) tellChange(c EndpointUpdate) {
+func (l *loop) enqueueUpdate(c EndpointUpdate) {
 	members := c.Endpoints
-	if c.Kind == policy.ListUpdate && len(members) > changePart {
+	if c.Kind == policy.ListUpdate && len(members) > updateBatchSize {
 		members = make([]Endpoint, 0, len(c.Endpoints))
 		for state := policy.Running; state <= policy.Removed; state++ {
 			for i := range c.Endpoints {
@@ -220,20 +222,20 @@
 			}
 		}
 		var rest pace.Pacer
-		for len(members) > changePart {
-			if !l.sendChange(EndpointUpdate{Kind: c.Kind, Endpoints: members[:changePart]}) {
+		for len(members) > updateBatchSize {
+			if !l.sendUpdate(EndpointUpdate{Kind: c.Kind, Endpoints: members[:updateBatchSize]}) {
 				return
 			}
-			members = members[changePart:]
+			members = members[updateBatchSize:]
 			rest.Pause()
 		}
 	}
-	l.sendChange(EndpointUpdate{Kind: c.Kind, Endpoints: members, Drops: c.Drops})
+	l.sendUpdate(EndpointUpdate{Kind: c.Kind, Endpoints: members, Drops: c.Drops})
 }
 
-func (l *loop) sendChange(c EndpointUpdate) bool {
+func (l *loop) sendUpdate(c EndpointUpdate) bool {
 	select {
-	case l.changes <- c:
+	case l.endpointUpdates <- c:
 		return true
 	case <-l.done:
 		return false
@@ -243,11 +245,11 @@
 // run handles events until ctx ends; then it answers what is open, calls off what is out and waits
 // for it. The list as last held comes before all else, as the module expects.
 func (l *loop) run(ctx context.Context) {
-	defer l.attempts.Wait()
-	defer l.callOffAll()
+	defer l.attemptGoroutines.Wait()
+	defer l.cancelAllAttempts()
 	defer close(l.done)
-	l.begin()
-	l.published()
+	l.restoreEndpoints()
+	l.publishEndpointCounts()
 	close(l.ready)
 	wake := time.NewTimer(0)
 	defer wake.Stop()
@@ -258,74 +260,74 @@
 			wake.Stop()
 		}
 		select {
-		case c := <-l.changes:
-			l.listed(c)
+		case c := <-l.endpointUpdates:
+			l.updateEndpoints(c)
 		case ev := <-l.events:
-			l.catchUp()
+			l.takePendingUpdate()
 			l.handle(ev)
 		case <-wake.C:
-			l.catchUp()
+			l.takePendingUpdate()
 		case <-ctx.Done():
-			l.finish()
+			l.answerOpenRequests()
 			l.stats = l.snapshot()
 			return
 		}
-		l.fire()
-		l.published()
+		l.fireTimers()
+		l.publishEndpointCounts()
 	}
 }
 
-// begin is what comes before all else.
-func (l *loop) begin() {
-	l.listed(EndpointUpdate{Kind: policy.ListRestored, Endpoints: l.config.Endpoints})
-	if l.service != nil {
-		l.eachSecond(l.clock.now())
+// restoreEndpoints is what comes before all else.
+func (l *loop) restoreEndpoints() {
+	l.updateEndpoints(EndpointUpdate{Kind: policy.ListRestored, Endpoints: l.config.Endpoints})
+	if l.degradation != nil {
+		l.scheduleLevelStep(l.clock.now())
 	}
 }
 
-// second takes a step on the ladder of levels, each second.
-func (l *loop) second(due policy.Time) {
-	if l.service == nil { // a reload has taken the levels away
-		l.ticking = false
+// stepLevels takes a step on the ladder of levels, each stepLevels.
+func (l *loop) stepLevels(due policy.Time) {
+	if l.degradation == nil { // a reload has taken the levels away
+		l.levelStepScheduled = false
 		return
 	}
-	if e, moved := l.service.step(due, l.requests); moved {
+	if e, moved := l.degradation.step(due, l.requests); moved {
 		l.log.Warn("level of service", "from", e.From, "to", e.To, "name", e.Name, "reason", e.Reason)
 	}
-	heap.Push(&l.timers, &timer{due: due + time.Second, second: true})
+	heap.Push(&l.timers, &timer{due: due + time.Second, levelStep: true})
 }
 
-// callOffAll ends all attempts that are out.
-func (l *loop) callOffAll() {
+// cancelAllAttempts ends all attempts that are out.
+func (l *loop) cancelAllAttempts() {
 	for _, r := range l.requests {
 		for _, a := range r.attempts {
-			if a.out {
-				l.callOff(a, context.Canceled)
+			if a.inFlight {
+				l.cancelAttempt(a, context.Canceled)
 			}
 		}
 	}
 }
 
-// catchUp takes in what membership has told by now. It guards the rule on drains where the host has
+// takePendingUpdate takes in what membership has told by now. It guards the rule on drains where the host has
 // kept the loop from running and requests have piled up ahead of the news.
-func (l *loop) catchUp() {
+func (l *loop) takePendingUpdate() {
 	select {
-	case c := <-l.changes:
-		l.listed(c)
+	case c := <-l.endpointUpdates:
+		l.updateEndpoints(c)
 	default:
 	}
 }
 
-// fire handles the timers that are due.
-func (l *loop) fire() {
+// fireTimers handles the timers that are due.
+func (l *loop) fireTimers() {
 	for now := l.clock.now(); len(l.timers) > 0 && l.timers[0].due <= now; {
 		t := heap.Pop(&l.timers).(*timer)
-		l.lag(now - t.due)
+		l.recordLag(now - t.due)
 		switch {
 		case t.attempt != nil:
-			l.callOff(t.attempt, context.DeadlineExceeded)
-		case t.second:
-			l.second(t.due)
+			l.cancelAttempt(t.attempt, context.DeadlineExceeded)
+		case t.levelStep:
+			l.stepLevels(t.due)
 		case t.backstop != nil:
 			if l.disabledGuards.Has(guards.Backstop) {
 				l.fail(t.backstop, Expired) // the module has said nothing
@@ -336,8 +338,8 @@
 	}
 }
 
-// lag notes how late the loop came to an event.
-func (l *loop) lag(d time.Duration) {
+// recordLag notes how late the loop came to an event.
+func (l *loop) recordLag(d time.Duration) {
 	d = max(0, d)
 	l.stats.Lag.Last = d
 	l.stats.Lag.Max = max(l.stats.Lag.Max, d)
@@ -347,62 +349,62 @@
 func (l *loop) handle(ev any) {
 	switch e := ev.(type) {
 	case *call:
-		l.arrive(e)
+		l.admit(e)
 	case departure:
 		// Another request may bear the id by now.
-		if r := l.requests[e.c.req.ID]; r != nil && r.call == e.c && !r.ended {
-			l.depart(r)
+		if r := l.requests[e.c.req.ID]; r != nil && r.call == e.c && !r.finished {
+			l.recordClientGone(r)
 			l.notify(policy.ClientGone{ID: r.req.ID})
-			l.drop(r)
+			l.forget(r)
 		}
 	case arrived:
-		l.arrived(e)
+		l.completeBody(e)
 	case *attempt:
-		l.end(e)
+		l.finishAttempt(e)
 	case reload:
 		e.reply <- l.reload(e.config)
 	case statsQuery:
 		e.reply <- l.snapshot()
-	case moduleOrder:
-		e.reply <- l.moduleOrder(e)
+	case balancerCommand:
+		e.reply <- l.runBalancerCommand(e)
 	case ladderOrder:
-		e.reply <- l.adopt(e.config)
+		e.reply <- l.reconfigureLevels(e.config)
 	case levelOrder:
-		if l.service == nil {
+		if l.degradation == nil {
 			e.reply <- ErrNoLevels
 		} else {
-			e.reply <- e.do(l.service, l.clock.now())
+			e.reply <- e.do(l.degradation, l.clock.now())
 		}
 	case finish:
-		if !e.of.back.Load() {
-			l.finish()
+		if !e.of.cancelled.Load() {
+			l.answerOpenRequests()
 		}
 	}
 }
 
-// left tells whether the caller has left. The news of it may be behind much else.
-func (c *call) left() bool { return c.gone.Load() || c.ctx != nil && c.ctx.Err() != nil }
+// clientGone tells whether the caller has clientGone. The news of it may be behind much else.
+func (c *call) clientGone() bool { return c.abandoned.Load() || c.ctx != nil && c.ctx.Err() != nil }
 
-// depart notes that nobody waits for r any more.
-func (l *loop) depart(r *request) {
-	l.settle(r)
-	l.stats.Departed++
+// recordClientGone notes that nobody waits for r any more.
+func (l *loop) recordClientGone(r *request) {
+	l.finishRequest(r)
+	l.stats.ClientsGone++
 }
 
-// finish answers what is open: what may have run has failed, and the rest is refused.
-func (l *loop) finish() {
+// answerOpenRequests answers what is open: what may have run has failed, and the rest is refused.
+func (l *loop) answerOpenRequests() {
 	open := make([]*request, 0, len(l.requests))
 	for _, r := range l.requests {
-		if !r.ended {
+		if !r.finished {
 			open = append(open, r)
 		}
 	}
 	// Oldest first, lest the order in which the module hears of them be that of a map.
 	slices.SortFunc(open, func(a, b *request) int {
-		return cmp.Or(cmp.Compare(a.entered, b.entered), strings.Compare(a.req.ID, b.req.ID))
+		return cmp.Or(cmp.Compare(a.submittedAt, b.submittedAt), strings.Compare(a.req.ID, b.req.ID))
 	})
 	for _, r := range open {
-		if r.ended {
+		if r.finished {
 			continue
 		}
 		outcome := Rejected
@@ -416,126 +418,128 @@
 // mayHaveRun tells whether an attempt is out, or over without proof that it never ran.
 func (r *request) mayHaveRun() bool {
 	for _, a := range r.attempts {
-		if !a.notRun {
+		if !a.notExecuted {
 			return true
 		}
 	}
 	return false
 }
 
-func (l *loop) arrive(c *call) {
+func (l *loop) admit(c *call) {
 	now := l.clock.now()
-	l.lag(now - c.entered)
-	if l.disabledGuards.Has(guards.Departure) && c.left() { // while it waited for its turn: nothing of it is taken
-		l.stats.Departed++
+	l.recordLag(now - c.submittedAt)
+	if l.disabledGuards.Has(guards.Departure) && c.clientGone() { // while it waited for its turn: nothing of it is taken
+		l.stats.ClientsGone++
 		return
 	}
 	// The module would wait for the first of an id and never answer this one; and what came under an
 	// id before may have run, also when it is over.
-	if (l.requests[c.req.ID] != nil || !l.used.add(c.req.ID, now)) && l.disabledGuards.Has(guards.FreshID) {
-		l.reply(c, Answer{Outcome: Conflict})
+	if (l.requests[c.req.ID] != nil || !l.recentIDs.add(c.req.ID, now)) && l.disabledGuards.Has(guards.FreshID) {
+		l.deliver(c, Answer{Outcome: Conflict})
 		return
 	}
-	if l.drained.Load() || l.pendingAnswers >= l.config.maxOpen() {
-		l.reply(c, Answer{Outcome: Overloaded, RetryAfter: comeBack(l.config.Settings.Capabilities)})
+	if l.drained.Load() || l.pendingAnswers >= l.config.maxInFlight() {
+		l.deliver(c, Answer{Outcome: Overloaded, RetryAfter: overloadRetryAfter(l.config.Settings.Capabilities)})
 		return
 	}
-	margin := min(answerMargin, c.waits/answerMarginPart)
+	margin := min(answerMargin, c.timeout/answerMarginDivisor)
 	if !l.disabledGuards.Has(guards.AnswerTime) {
 		margin = -time.Second
 	}
-	end := c.came + c.waits
-	if c.arrives {
-		end += uploadTime(c.req.Upload.Length())
+	end := c.receivedAt + c.timeout
+	if c.bodyPending {
+		end += uploadTimeout(c.req.Upload.Length())
 	}
-	r := &request{call: c, allowed: l.config.Settings.Capabilities, deadline: end - margin}
+	r := &request{call: c, capabilities: l.config.Settings.Capabilities, deadline: end - margin}
 	if now >= r.deadline { // the host kept the router from it: nothing may go out any more
-		l.reply(c, Answer{Outcome: Rejected})
+		l.deliver(c, Answer{Outcome: Rejected})
 		return
 	}
 	class := l.class(c.req.Class)
-	if class.Name != "" && !sameEffect(class, &c.class) { // a reload came between Do and this
-		l.reply(c, Answer{Outcome: Rejected})
+	if class.Name != "" && !sameIdempotency(class, &c.class) { // a reload came between Do and this
+		l.deliver(c, Answer{Outcome: Rejected})
 		return
 	}
 	if class.Idempotency == policy.IdempotencyKeyed {
-		r.window = class.DedupWindow
+		r.dedupWindow = class.DedupWindow
 	}
 	dropped := len(l.drops) > 0 && l.drops.Drops(class.Pool, c.req.ID)
 	if dropped {
 		l.stats.Dropped++
-	} else if l.service != nil && l.service.sheds(r, now) {
+	} else if l.degradation != nil && l.degradation.shouldShed(r, now) {
 		l.stats.Shed++
 		dropped = true
 	}
 	if dropped {
 		a := Answer{Outcome: Rejected}
-		if r.allowed.RetryAfter {
-			a.RetryAfter = shedRetry(c.req.ID, r.allowed.MaxRetryAfter)
+		if r.capabilities.RetryAfter {
+			a.RetryAfter = shedRetryAfter(c.req.ID, r.capabilities.MaxRetryAfter)
 		}
-		l.reply(c, a)
+		l.deliver(c, a)
 		return
 	}
 	l.requests[c.req.ID] = r
 	l.pendingAnswers++
-	l.open.Store(int64(l.pendingAnswers))
+	l.openRequests.Store(int64(l.pendingAnswers))
 	r.backstop = timer{due: end - margin/2, backstop: r}
 	heap.Push(&l.timers, &r.backstop)
-	ask := policy.Request{ID: c.req.ID, Class: c.req.Class, Tenant: c.req.Tenant, Key: c.req.Key,
-		ExpiresIn: r.deadline - now, CostHint: c.req.CostHint, Retry: c.req.IsRetry, BodyPending: c.arrives}
-	if l.service != nil {
-		ask.ZoneLocal, ask.MaxQueueTime = l.service.narrowed(r)
+	ask := policy.Request{
+		ID: c.req.ID, Class: c.req.Class, Tenant: c.req.Tenant, Key: c.req.Key,
+		ExpiresIn: r.deadline - now, CostHint: c.req.CostHint, Retry: c.req.IsRetry, BodyPending: c.bodyPending,
+	}
+	if l.degradation != nil {
+		ask.ZoneLocal, ask.MaxQueueTime = l.degradation.restrictions(r)
 	}
 	l.notify(ask)
 }
 
-// comeBack is what clients are told that the router refuses without the module: nothing where they are told nothing, and
+// overloadRetryAfter is what clients are told that the router refuses without the module: nothing where they are told nothing, and
 // no longer than they go by.
-func comeBack(a policy.Capabilities) time.Duration {
+func overloadRetryAfter(a policy.Capabilities) time.Duration {
 	switch {
 	case !a.RetryAfter:
 		return 0
 	case a.MaxRetryAfter > 0:
-		return min(ownRetryAfter, a.MaxRetryAfter)
+		return min(routerRetryAfter, a.MaxRetryAfter)
 	}
-	return ownRetryAfter
+	return routerRetryAfter
 }
 
-// uploadTime bounds how long a body of so many bytes may take; of unknown length it is the longest.
-func uploadTime(length int64) time.Duration {
-	if length < 0 || length > longestUpload {
-		length = longestUpload
+// uploadTimeout bounds how long a body of so many bytes may take; of unknown length it is the longest.
+func uploadTimeout(length int64) time.Duration {
+	if length < 0 || length > maxTimedUpload {
+		length = maxTimedUpload
 	}
-	return uploadLeast + time.Duration(length)*time.Second/uploadRate
+	return minUploadTimeout + time.Duration(length)*time.Second/minUploadRate
 }
 
-// arrived begins the time of a request whose body has passed through: the client counts from its last byte. Nothing
+// completeBody begins the time of a request whose body has passed through: the client counts from its last byte. Nothing
 // can have run before.
-func (l *loop) arrived(e arrived) {
+func (l *loop) completeBody(e arrived) {
 	r := l.requests[e.c.req.ID]
-	if r == nil || r.call != e.c || r.ended || !e.c.arrives {
+	if r == nil || r.call != e.c || r.finished || !e.c.bodyPending {
 		return
 	}
 	now := l.clock.now()
-	e.c.arrives = false
-	r.came = min(now, l.clock.since(e.at))
-	margin := min(answerMargin, r.waits/answerMarginPart)
-	end := r.came + r.waits
+	e.c.bodyPending = false
+	r.receivedAt = min(now, l.clock.policyTime(e.at))
+	margin := min(answerMargin, r.timeout/answerMarginDivisor)
+	end := r.receivedAt + r.timeout
 	r.deadline = end - margin
 	r.backstop.due = end - margin/2
-	heap.Fix(&l.timers, r.backstop.at)
+	heap.Fix(&l.timers, r.backstop.index)
 	for _, a := range r.attempts {
-		if a.out {
-			a.sent, a.late.due = now, r.deadline
-			a.ctx.until(l.clock.at(r.deadline))
-			heap.Fix(&l.timers, a.late.at)
+		if a.inFlight {
+			a.sentAt, a.timeout.due = now, r.deadline
+			a.ctx.setDeadline(l.clock.wallTime(r.deadline))
+			heap.Fix(&l.timers, a.timeout.index)
 		}
 	}
 	l.notify(policy.Request{ID: r.req.ID, Class: r.req.Class, Tenant: r.req.Tenant, Key: r.req.Key, ExpiresIn: r.deadline - now})
 }
 
-// sameEffect tells whether repeats of a request of either class are as harmless.
-func sameEffect(a, b *policy.Class) bool {
+// sameIdempotency tells whether repeats of a request of either class are as harmless.
+func sameIdempotency(a, b *policy.Class) bool {
 	return a.Idempotency == b.Idempotency && (a.Idempotency != policy.IdempotencyKeyed || a.DedupScope == b.DedupScope && a.DedupWindow == b.DedupWindow)
 }
 
@@ -549,94 +553,98 @@
 	return &policy.Class{} // a reload came between, and the module will not know it
 }
 
-func (l *loop) end(a *attempt) {
-	r, code := a.r, a.result.Code
-	if a.late.at >= 0 {
-		heap.Remove(&l.timers, a.late.at)
+func (l *loop) finishAttempt(a *attempt) {
+	r, code := a.request, a.result.Code
+	if a.timeout.index >= 0 {
+		heap.Remove(&l.timers, a.timeout.index)
 	}
-	a.ctx.end(context.Canceled)
-	a.out, a.notRun = false, code.NotExecuted()
-	r.pending--
-	l.inFlight--
-	if code == policy.OK && (!r.ended || !l.disabledGuards.Has(guards.OneAnswer)) {
+	a.ctx.cancel(context.Canceled)
+	a.inFlight, a.notExecuted = false, code.NotExecuted()
+	r.pendingOutcomes--
+	l.attemptsInFlight--
+	if code == policy.OK && (!r.finished || !l.disabledGuards.Has(guards.OneAnswer)) {
 		answer := a.result.Answer
 		answer.Outcome = Served
 		l.answer(r, answer)
 	} else if s := a.result.Answer.Stream; s != nil { // another copy was the first, or the caller has left
 		s.Close()
 	}
-	if l.service != nil && code == policy.OK {
-		l.service.worked(r, l.clock.now()-a.sent)
+	if l.degradation != nil && code == policy.OK {
+		l.degradation.recordServiceTime(r, l.clock.now()-a.sentAt)
+	}
+	o := policy.Outcome{
+		ID: r.req.ID, Server: a.server, Attempt: a.number, Code: code,
+		Latency: l.clock.now() - a.sentAt, Answered: r.finished, LoadReport: a.result.LoadReport, BodyConsumed: r.req.Upload != nil && r.req.Upload.Consumed(),
 	}
-	o := policy.Outcome{ID: r.req.ID, Server: a.server, Attempt: a.n, Code: code,
-		Latency: l.clock.now() - a.sent, Answered: r.ended, LoadReport: a.result.LoadReport, BodyConsumed: r.req.Upload != nil && r.req.Upload.Consumed()}
 	a.result = Result{}
 	l.notify(o)
-	l.drop(r)
+	l.forget(r)
 }
 
 // reload puts another configuration in force. What was taken before keeps the classes and the limits
 // that it was taken under; ids, open requests, timers and budgets go on.
 func (l *loop) reload(c Config) error {
-	actions, err := l.module.Reconfigure(l.clock.now(), c.Settings)
+	actions, err := l.balancer.Reconfigure(l.clock.now(), c.Settings)
 	if err != nil {
 		return err
 	}
 	l.config = c
-	l.tally.adopt(c.Settings.Classes)
-	if l.service != nil {
-		l.service.follow(c.Settings)
+	l.counters.addClasses(c.Settings.Classes)
+	if l.degradation != nil {
+		l.degradation.reconfigure(c.Settings)
 	}
 	l.execute(actions)
 	l.transport.Configure(c.Settings)
 	l.stats.Reloads++
 	if _, fixed := l.endpointSource.(StaticEndpoints); fixed {
-		l.listed(EndpointUpdate{Kind: policy.ListReplace, Endpoints: c.Endpoints})
+		l.updateEndpoints(EndpointUpdate{Kind: policy.ListReplace, Endpoints: c.Endpoints})
 	}
 	return nil
 }
 
-func (l *loop) listed(c EndpointUpdate) {
+func (l *loop) updateEndpoints(c EndpointUpdate) {
 	if c.Kind == policy.ListUnavailable {
-		l.stats.List.Failures++
+		l.stats.EndpointList.Failures++
 	} else {
 		l.transport.Update(c)
-		l.stats.List.Changes++
-		l.stats.List.Changed = time.Now()
-		l.note(c)
+		l.stats.EndpointList.Updates++
+		l.stats.EndpointList.LastUpdate = time.Now()
+		l.recordEndpoints(c)
 		if c.Drops != nil {
 			l.drops = c.Drops
 		}
 	}
-	members := l.members[:0]
+	members := l.endpointBuffer[:0]
 	for i := range c.Endpoints {
 		m := &c.Endpoints[i]
-		members = append(members, policy.Endpoint{Server: m.ID, Zone: m.Zone, Kind: m.Kind, Pools: m.Pools, Cell: m.Cell, Weight: m.Weight,
-			OnlineSince: l.clock.unix(m.Started), Availability: m.Availability})
+		members = append(members, policy.Endpoint{
+			Server: m.ID, Zone: m.Zone, Kind: m.Kind, Pools: m.Pools, Cell: m.Cell, Weight: m.Weight,
+			OnlineSince: l.clock.serverStart(m.Started), Availability: m.Availability,
+		})
 	}
 	l.notify(policy.EndpointList{Kind: c.Kind, Endpoints: members})
-	if cap(members) <= 4*changePart {
-		l.members = members
+	if cap(members) <= 4*updateBatchSize {
+		l.endpointBuffer = members
 	}
 }
 
-// note keeps what Stats tells of the servers.
-func (l *loop) note(c EndpointUpdate) {
+// recordEndpoints keeps what Stats tells of the servers.
+func (l *loop) recordEndpoints(c EndpointUpdate) {
 	if c.Kind != policy.ListUpdate {
-		clear(l.servers)
+		clear(l.endpoints)
 	}
 	for _, m := range c.Endpoints {
 		if m.Availability == policy.Removed {
-			delete(l.servers, m.ID)
+			delete(l.endpoints, m.ID)
 		} else {
-			l.servers[m.ID] = listed{m.Availability, m.Pools}
+			l.endpoints[m.ID] = endpointSummary{m.Availability, m.Pools}
 		}
 	}
 }
 
 // notify gives the module an event and carries out what it wants done.
 func (l *loop) notify(ev policy.Event) {
-	l.execute(l.module.Handle(l.clock.now(), ev))
+	l.execute(l.balancer.Handle(l.clock.now(), ev))
 }
 
 // execute carries out actions in order. Only then does the module hear of attempts that were not made:
@@ -644,29 +652,29 @@
 func (l *loop) execute(actions []policy.Action) {
 	for {
 		for _, a := range actions {
-			l.carryOut(a)
+			l.perform(a)
 		}
-		if len(l.skipped) == 0 {
+		if len(l.skippedOutcomes) == 0 {
 			return
 		}
-		o := l.skipped[0]
-		l.skipped = l.skipped[1:]
+		o := l.skippedOutcomes[0]
+		l.skippedOutcomes = l.skippedOutcomes[1:]
 		if r := l.requests[o.ID]; r != nil {
-			r.pending--
-			o.Answered = r.ended
-			defer l.drop(r)
+			r.pendingOutcomes--
+			o.Answered = r.finished
+			defer l.forget(r)
 		}
-		actions = l.module.Handle(l.clock.now(), o)
+		actions = l.balancer.Handle(l.clock.now(), o)
 	}
 }
 
-func (l *loop) carryOut(a policy.Action) {
+func (l *loop) perform(a policy.Action) {
 	switch a.Kind {
 	case policy.Send:
-		l.attempt(a)
+		l.startAttempt(a)
 	case policy.Reject:
 		if r := l.requests[a.ID]; r != nil {
-			l.refuse(r, a.Wait)
+			l.reject(r, a.Wait)
 		}
 	case policy.Fail:
 		if r := l.requests[a.ID]; r != nil {
@@ -675,11 +683,11 @@
 				outcome = Rejected
 			}
 			l.answer(r, Answer{Outcome: outcome})
-			l.drop(r)
+			l.forget(r)
 		}
 	case policy.Cancel:
-		if r := l.requests[a.ID]; r != nil && a.Attempt < len(r.attempts) && r.attempts[a.Attempt].out {
-			l.callOff(r.attempts[a.Attempt], context.Canceled)
+		if r := l.requests[a.ID]; r != nil && a.Attempt < len(r.attempts) && r.attempts[a.Attempt].inFlight {
+			l.cancelAttempt(r.attempts[a.Attempt], context.Canceled)
 		}
 	case policy.SetTimer:
 		heap.Push(&l.timers, &timer{due: l.clock.now() + a.Wait, token: a.Token})
@@ -694,25 +702,25 @@
 	}
 }
 
-// attempt sends a request out, unless it is too late or too often for that: then it is skipped.
-func (l *loop) attempt(a policy.Action) {
+// startAttempt sends a request out, unless it is too late or too often for that: then it is skipped.
+func (l *loop) startAttempt(a policy.Action) {
 	r, now := l.requests[a.ID], l.clock.now()
 	if r == nil {
 		l.log.Error("the module sends a request that is not open", "id", a.ID)
 		return
 	}
-	if !r.ended && l.disabledGuards.Has(guards.Departure) && r.left() {
-		l.depart(r)
+	if !r.finished && l.disabledGuards.Has(guards.Departure) && r.clientGone() {
+		l.recordClientGone(r)
 	}
-	at := &attempt{r: r, n: len(r.attempts), server: a.Server, sent: now}
+	at := &attempt{request: r, number: len(r.attempts), server: a.Server, sentAt: now}
 	by := r.sendBy()
 	r.attempts = append(r.attempts, at)
-	r.pending++
-	if r.ended && l.disabledGuards.Has(guards.AfterEnd) || now >= r.deadline || by > 0 && now >= by && l.disabledGuards.Has(guards.KeyWindow) || at.n >= max(1, r.allowed.MaxAttempts) ||
-		l.service != nil && l.service.spares(r, at.n) {
-		at.notRun = true
+	r.pendingOutcomes++
+	if r.finished && l.disabledGuards.Has(guards.AfterEnd) || now >= r.deadline || by > 0 && now >= by && l.disabledGuards.Has(guards.KeyWindow) || at.number >= max(1, r.capabilities.MaxAttempts) ||
+		l.degradation != nil && l.degradation.forbidsAttempt(r, at.number) {
+		at.notExecuted = true
 		l.stats.Skipped++
-		l.skipped = append(l.skipped, policy.Outcome{ID: a.ID, Server: a.Server, Attempt: at.n, Code: policy.Superseded})
+		l.skippedOutcomes = append(l.skippedOutcomes, policy.Outcome{ID: a.ID, Server: a.Server, Attempt: at.number, Code: policy.Superseded})
 		return
 	}
 	until := r.deadline
@@ -720,17 +728,17 @@
 		until = min(until, a.Until)
 	}
 	l.stats.Attempts++
-	if at.n > 0 {
-		l.stats.Repeats++
+	if at.number > 0 {
+		l.stats.Retries++
 	}
-	l.inFlight++
-	at.out = true
-	at.ctx.deadline = l.clock.at(until)
+	l.attemptsInFlight++
+	at.inFlight = true
+	at.ctx.deadline = l.clock.wallTime(until)
 	if by > 0 && l.disabledGuards.Has(guards.KeyWindow) {
-		at.sendBy, at.ctx.sendBy = by, l.clock.at(by)
+		at.sendBy, at.ctx.sendBy = by, l.clock.wallTime(by)
 	}
-	at.late = timer{due: until, attempt: at}
-	heap.Push(&l.timers, &at.late)
+	at.timeout = timer{due: until, attempt: at}
+	heap.Push(&l.timers, &at.timeout)
 	l.launcher.launch(at)
 }
 
@@ -738,54 +746,54 @@
 // counts from the first attempt that may have run, and the way to the next server may be longer than the way
 // to that one was. 0 where nothing may have run, or where it has no key.
 func (r *request) sendBy() policy.Time {
-	if r.window == 0 {
+	if r.dedupWindow == 0 {
 		return 0
 	}
 	for _, a := range r.attempts {
-		if !a.notRun {
-			return a.sent + r.window - min(keyMargin, r.window/keyMarginPart)
+		if !a.notExecuted {
+			return a.sentAt + r.dedupWindow - min(dedupMargin, r.dedupWindow/dedupMarginDivisor)
 		}
 	}
 	return 0
 }
 
-func (l *loop) refuse(r *request, wait time.Duration) {
-	if !r.allowed.RetryAfter {
+func (l *loop) reject(r *request, wait time.Duration) {
+	if !r.capabilities.RetryAfter {
 		wait = 0
 	}
 	l.answer(r, Answer{Outcome: Rejected, RetryAfter: max(0, wait)})
-	l.drop(r)
+	l.forget(r)
 }
 
 // answer gives the request its one answer; whatever comes later is not passed on.
 func (l *loop) answer(r *request, a Answer) {
-	if !r.ended {
-		if l.service != nil {
-			l.service.answered(r, a.Outcome, l.clock.now())
+	if !r.finished {
+		if l.degradation != nil {
+			l.degradation.recordAnswer(r, a.Outcome, l.clock.now())
 		}
-		l.settle(r)
-		l.reply(r.call, a)
+		l.finishRequest(r)
+		l.deliver(r.call, a)
 	} else if !l.disabledGuards.Has(guards.OneAnswer) {
-		l.reply(r.call, a)
+		l.deliver(r.call, a)
 	}
 }
 
-func (l *loop) reply(c *call, a Answer) {
+func (l *loop) deliver(c *call, a Answer) {
 	if a.Stream == nil { // else it counts when the stream has ended
-		l.tally.count(c.req.Class, a.Outcome)
+		l.counters.count(c.req.Class, a.Outcome)
 	}
-	if c.told != nil {
-		c.told(a)
+	if c.onAnswer != nil {
+		c.onAnswer(a)
 		return
 	}
 	c.reply <- a
-	if c.gone.Load() {
-		c.discard()
+	if c.abandoned.Load() {
+		c.discardAnswer()
 	}
 }
 
-// discard takes an answer that nobody waits for any more, if there is one: its stream holds a connection.
-func (c *call) discard() {
+// discardAnswer takes an answer that nobody waits for any more, if there is one: its stream holds a connection.
+func (c *call) discardAnswer() {
 	select {
 	case a := <-c.reply:
 		if a.Stream != nil {
@@ -799,27 +807,27 @@
 func (l *loop) fail(r *request, o Outcome) {
 	l.answer(r, Answer{Outcome: o})
 	l.notify(policy.ClientGone{ID: r.req.ID})
-	l.drop(r)
+	l.forget(r)
 }
 
-// settle marks r as answered, or given up by its client: the first to do so wins.
-func (l *loop) settle(r *request) {
-	r.ended = true
+// finishRequest marks r as answered, or given up by its client: the first to do so wins.
+func (l *loop) finishRequest(r *request) {
+	r.finished = true
 	for _, a := range r.attempts { // what waits for its connection needs no call-off, which the site may not allow
-		if a.out && l.disabledGuards.Has(guards.Departure) {
-			a.ctx.forbid()
+		if a.inFlight && l.disabledGuards.Has(guards.Departure) {
+			a.ctx.abandon()
 		}
 	}
 	l.pendingAnswers--
-	l.open.Store(int64(l.pendingAnswers))
-	if r.backstop.at >= 0 { // else it would keep the request until a deadline that may be far off
-		heap.Remove(&l.timers, r.backstop.at)
+	l.openRequests.Store(int64(l.pendingAnswers))
+	if r.backstop.index >= 0 { // else it would keep the request until a deadline that may be far off
+		heap.Remove(&l.timers, r.backstop.index)
 	}
 }
 
-// drop forgets a request that is answered and has no attempt out.
-func (l *loop) drop(r *request) {
-	if r.ended && r.pending == 0 && l.requests[r.req.ID] == r {
+// forget forgets a request that is answered and has no attempt out.
+func (l *loop) forget(r *request) {
+	if r.finished && r.pendingOutcomes == 0 && l.requests[r.req.ID] == r {
 		delete(l.requests, r.req.ID)
 	}
 }
--- a/router/loop_test.go
+++ b/router/loop_test.go
@@ -18,32 +18,34 @@
 )
 
 const (
-	ms   = time.Millisecond
-	long = 9 * time.Second // the deadline of every class; the bubbles' clocks make it cost nothing
+	ms            = time.Millisecond
+	classDeadline = 9 * time.Second // the deadline of every class; the bubbles' clocks make it cost nothing
 )
 
-// script is a module that answers each event as a test says, and keeps what it was told.
-type script struct {
-	mu     sync.Mutex
-	told   []policy.Event
-	answer func(policy.Time, policy.Event) []policy.Action
+// scriptedBalancer is a module that answers each event as a test says, and keeps what it was told.
+type scriptedBalancer struct {
+	mu       sync.Mutex
+	received []policy.Event
+	respond  func(policy.Time, policy.Event) []policy.Action
 }
 
-func (s *script) Handle(now policy.Time, ev policy.Event) []policy.Action {
+func (s *scriptedBalancer) Handle(now policy.Time, ev policy.Event) []policy.Action {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.told = append(s.told, ev)
-	return s.answer(now, ev)
+	s.received = append(s.received, ev)
+	return s.respond(now, ev)
 }
 
-func (s *script) Reconfigure(policy.Time, policy.Settings) ([]policy.Action, error) { return nil, nil }
+func (s *scriptedBalancer) Reconfigure(policy.Time, policy.Settings) ([]policy.Action, error) {
+	return nil, nil
+}
 
-// events lists what the module was told, in short words.
-func (s *script) events() []string {
+// eventNames lists what the module was told, in short words.
+func (s *scriptedBalancer) eventNames() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var all []string
-	for _, ev := range s.told {
+	for _, ev := range s.received {
 		switch e := ev.(type) {
 		case policy.EndpointList:
 			all = append(all, fmt.Sprintf("list %d", e.Kind))
@@ -60,60 +62,60 @@
 	return all
 }
 
-func (s *script) has(t *testing.T, want ...string) {
+func (s *scriptedBalancer) wantEvents(t *testing.T, want ...string) {
 	t.Helper()
 	synctest.Wait()
-	if got := s.events(); !reflect.DeepEqual(got, want) {
+	if got := s.eventNames(); !reflect.DeepEqual(got, want) {
 		t.Errorf("the module was told\n%q, want\n%q", got, want)
 	}
 }
 
-// fake is a transport whose attempts end as a test says. It keeps what reached it.
-type fake struct {
+// fakeTransport is a transport whose attempts end as a test says. It keeps what reached it.
+type fakeTransport struct {
 	attempt func(ctx context.Context, server string, r *Request) Result
 
 	mu      sync.Mutex
 	sent    []string // "id server"
-	changes []EndpointUpdate
+	updates []EndpointUpdate
 	closed  int
 
 	configured atomic.Int32
 }
 
-func (f *fake) Attempt(ctx context.Context, server string, r *Request) Result {
+func (f *fakeTransport) Attempt(ctx context.Context, server string, r *Request) Result {
 	f.mu.Lock()
 	f.sent = append(f.sent, r.ID+" "+server)
 	f.mu.Unlock()
 	return f.attempt(ctx, server, r)
 }
 
-func (f *fake) Update(c EndpointUpdate) {
+func (f *fakeTransport) Update(c EndpointUpdate) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.changes = append(f.changes, c)
+	f.updates = append(f.updates, c)
 }
 
-func (f *fake) Configure(policy.Settings) { f.configured.Add(1) }
-func (f *fake) CloseIdle(string)          {}
+func (f *fakeTransport) Configure(policy.Settings) { f.configured.Add(1) }
+func (f *fakeTransport) CloseIdle(string)          {}
 
-func (f *fake) Close() {
+func (f *fakeTransport) Close() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.closed++
 }
 
-func (f *fake) reached() []string {
+func (f *fakeTransport) attemptsMade() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return append([]string(nil), f.sent...)
 }
 
-// serves answers each attempt at once; hangs ends none before its context does.
-func serves(context.Context, string, *Request) Result {
+// serveAtOnce answers each attempt at once; hangs ends none before its context does.
+func serveAtOnce(context.Context, string, *Request) Result {
 	return Result{Code: policy.OK, Answer: Answer{Body: []byte("yes")}}
 }
 
-func hangs(ctx context.Context, _ string, _ *Request) Result {
+func hangUntilCancelled(ctx context.Context, _ string, _ *Request) Result {
 	<-ctx.Done()
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return Result{Code: policy.Cancelled}
@@ -122,11 +124,12 @@
 }
 
 func testConfig() Config {
-	return Config{MaxInFlight: 100, Endpoints: testMembers(1), Settings: policy.Settings{Nodes: 1, Zone: "a",
+	return Config{MaxInFlight: 100, Endpoints: testEndpoints(1), Settings: policy.Settings{
+		Nodes: 1, Zone: "a",
 		Classes: []policy.Class{
-			{Name: "read", LatencyObjective: 4 * time.Second, Deadline: long, Idempotency: policy.Idempotent},
-			{Name: "pay", LatencyObjective: 4 * time.Second, Deadline: long, Idempotency: policy.NonIdempotent},
-			{Name: "undo", LatencyObjective: 4 * time.Second, Deadline: long, Idempotency: policy.IdempotencyKeyed, DedupScope: policy.DedupAll, DedupWindow: 4 * time.Second},
+			{Name: "read", LatencyObjective: 4 * time.Second, Deadline: classDeadline, Idempotency: policy.Idempotent},
+			{Name: "pay", LatencyObjective: 4 * time.Second, Deadline: classDeadline, Idempotency: policy.NonIdempotent},
+			{Name: "undo", LatencyObjective: 4 * time.Second, Deadline: classDeadline, Idempotency: policy.IdempotencyKeyed, DedupScope: policy.DedupAll, DedupWindow: 4 * time.Second},
 		},
 		Tenants:      []policy.Tenant{{Name: "t", Quota: 100_000}},
 		Capabilities: policy.Capabilities{Cancel: true, MaxAttempts: 3, RetryAfter: true},
@@ -134,21 +137,21 @@
 	}}
 }
 
-func testMembers(n int) (all []Endpoint) {
+func testEndpoints(n int) (all []Endpoint) {
 	for i := range n {
 		all = append(all, Endpoint{ID: fmt.Sprint("s", i), Addr: fmt.Sprintf("127.0.0.1:%d", 9000+i), Zone: "a", Weight: 1})
 	}
 	return all
 }
 
-// newTest starts a router around a transport, and around a scripted module if answer is not nil. It is
+// newTestRouter starts a router around a transport, and around a scripted module if answer is not nil. It is
 // to be called inside a bubble, and is closed with the test.
-func newTest(t *testing.T, f *fake, answer func(policy.Time, policy.Event) []policy.Action, opts ...Option) (*Router, *script) {
+func newTestRouter(t *testing.T, f *fakeTransport, answer func(policy.Time, policy.Event) []policy.Action, opts ...Option) (*Router, *scriptedBalancer) {
 	t.Helper()
-	return newTestOf(t, testConfig(), f, answer, opts...)
+	return newTestRouterWithConfig(t, testConfig(), f, answer, opts...)
 }
 
-func newTestOf(t *testing.T, c Config, f *fake, answer func(policy.Time, policy.Event) []policy.Action, opts ...Option) (*Router, *script) {
+func newTestRouterWithConfig(t *testing.T, c Config, f *fakeTransport, answer func(policy.Time, policy.Event) []policy.Action, opts ...Option) (*Router, *scriptedBalancer) {
 	t.Helper()
 	o := options{log: slog.New(slog.DiscardHandler), endpointSource: StaticEndpoints{}, transport: f}
 	for _, set := range opts {
@@ -161,9 +164,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &script{answer: answer}
+	s := &scriptedBalancer{respond: answer}
 	if answer != nil {
-		l.module = s
+		l.balancer = s
 	}
 	r := start(l, c, o)
 	t.Cleanup(func() { r.Close() })
@@ -171,24 +174,26 @@
 	return r, s
 }
 
-func read(id string) Request { return Request{ID: id, Class: "read", Tenant: "t", Target: "/api"} }
+func readRequest(id string) Request {
+	return Request{ID: id, Class: "read", Tenant: "t", Target: "/api"}
+}
 
-type ending struct {
+type doResult struct {
 	Answer
 	err error
 }
 
-// begin calls Do in a goroutine.
-func begin(ctx context.Context, r *Router, req Request) chan ending {
-	done := make(chan ending, 1)
+// startDo calls Do in a goroutine.
+func startDo(ctx context.Context, r *Router, req Request) chan doResult {
+	done := make(chan doResult, 1)
 	go func() {
 		a, err := r.Do(ctx, req)
-		done <- ending{a, err}
+		done <- doResult{a, err}
 	}()
 	return done
 }
 
-func sends(id string, n int) (all []policy.Action) {
+func sendActions(id string, n int) (all []policy.Action) {
 	for range n {
 		all = append(all, policy.Action{Kind: policy.Send, ID: id, Server: "s0"})
 	}
@@ -199,7 +204,7 @@
 func sendOnce(_ policy.Time, ev policy.Event) []policy.Action {
 	switch e := ev.(type) {
 	case policy.Request:
-		return sends(e.ID, 1)
+		return sendActions(e.ID, 1)
 	case policy.Outcome:
 		return []policy.Action{{Kind: policy.Fail, ID: e.ID}}
 	case policy.ClientGone:
@@ -208,45 +213,45 @@
 	return nil
 }
 
-func silent(policy.Time, policy.Event) []policy.Action { return nil }
+func noActions(policy.Time, policy.Event) []policy.Action { return nil }
 
 // The restored list comes first, and the one outcome of a served request says that it has ended.
 func TestOrderOfEvents(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r, s := newTest(t, &fake{attempt: serves}, func(_ policy.Time, ev policy.Event) []policy.Action {
+		r, s := newTestRouter(t, &fakeTransport{attempt: serveAtOnce}, func(_ policy.Time, ev policy.Event) []policy.Action {
 			switch e := ev.(type) {
 			case policy.Request:
-				return sends(e.ID, 1)
+				return sendActions(e.ID, 1)
 			case policy.Outcome:
 				return []policy.Action{{Kind: policy.SetTimer, Token: 77, Wait: ms}}
 			}
 			return nil
 		})
-		a, err := r.Do(t.Context(), read("r1"))
+		a, err := r.Do(t.Context(), readRequest("r1"))
 		if err != nil || a.Outcome != Served || string(a.Body) != "yes" {
 			t.Errorf("answer %v %q, error %v", a.Outcome, a.Body, err)
 		}
 		time.Sleep(2 * ms)
-		s.has(t, "list 2", "request r1", "outcome r1 0 code 0 ended true", "timer 77")
+		s.wantEvents(t, "list 2", "request r1", "outcome r1 0 code 0 ended true", "timer 77")
 	})
 }
 
 // Attempts beyond the limit are not made, keep their numbers, and are told as skipped.
 func TestAttemptsBeyondTheLimitAreSkipped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fake{attempt: func(context.Context, string, *Request) Result { return Result{Code: policy.ServerError} }}
-		r, s := newTest(t, f, func(_ policy.Time, ev policy.Event) []policy.Action {
+		f := &fakeTransport{attempt: func(context.Context, string, *Request) Result { return Result{Code: policy.ServerError} }}
+		r, s := newTestRouter(t, f, func(_ policy.Time, ev policy.Event) []policy.Action {
 			if e, ok := ev.(policy.Request); ok {
-				return sends(e.ID, 4)
+				return sendActions(e.ID, 4)
 			}
 			return nil
 		})
-		begin(t.Context(), r, read("r1"))
+		startDo(t.Context(), r, readRequest("r1"))
 		synctest.Wait()
-		if got := s.events(); len(got) != 6 || got[2] != fmt.Sprintf("outcome r1 3 code %d ended false", policy.Superseded) {
+		if got := s.eventNames(); len(got) != 6 || got[2] != fmt.Sprintf("outcome r1 3 code %d ended false", policy.Superseded) {
 			t.Errorf("told %q", got)
 		}
-		if n := len(f.reached()); n != 3 {
+		if n := len(f.attemptsMade()); n != 3 {
 			t.Errorf("%d attempts were made, 3 are allowed", n)
 		}
 	})
@@ -255,24 +260,28 @@
 // After the final answer nothing goes out, and what was out still gets its outcome.
 func TestNothingGoesOutAfterTheAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fake{attempt: hangs}
-		r, s := newTest(t, f, func(_ policy.Time, ev policy.Event) []policy.Action {
+		f := &fakeTransport{attempt: hangUntilCancelled}
+		r, s := newTestRouter(t, f, func(_ policy.Time, ev policy.Event) []policy.Action {
 			switch e := ev.(type) {
 			case policy.Request:
-				return append(sends(e.ID, 1), policy.Action{Kind: policy.SetTimer, Token: 1, Wait: ms})
+				return append(sendActions(e.ID, 1), policy.Action{Kind: policy.SetTimer, Token: 1, Wait: ms})
 			case policy.Timer:
-				return []policy.Action{{Kind: policy.Fail, ID: "r1"}, {Kind: policy.Reject, ID: "r1"},
-					{Kind: policy.Send, ID: "r1", Server: "s0"}, {Kind: policy.Cancel, ID: "r1", Attempt: 0}}
+				return []policy.Action{
+					{Kind: policy.Fail, ID: "r1"},
+					{Kind: policy.Reject, ID: "r1"},
+					{Kind: policy.Send, ID: "r1", Server: "s0"},
+					{Kind: policy.Cancel, ID: "r1", Attempt: 0},
+				}
 			}
 			return nil
 		})
-		a, err := r.Do(t.Context(), read("r1"))
+		a, err := r.Do(t.Context(), readRequest("r1"))
 		if err != nil || a.Outcome != Failed {
 			t.Errorf("answer %v, error %v, want the first", a.Outcome, err)
 		}
-		s.has(t, "list 2", "request r1", "timer 1", fmt.Sprintf("outcome r1 1 code %d ended true", policy.Superseded),
+		s.wantEvents(t, "list 2", "request r1", "timer 1", fmt.Sprintf("outcome r1 1 code %d ended true", policy.Superseded),
 			fmt.Sprintf("outcome r1 0 code %d ended true", policy.Cancelled))
-		if n := len(f.reached()); n != 1 {
+		if n := len(f.attemptsMade()); n != 1 {
 			t.Errorf("%d attempts", n)
 		}
 	})
@@ -280,15 +289,15 @@
 
 func TestBackstopAnswersForASilentModule(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r, s := newTest(t, &fake{attempt: hangs}, silent)
+		r, s := newTestRouter(t, &fakeTransport{attempt: hangUntilCancelled}, noActions)
 		began := time.Now()
-		req := read("r1")
+		req := readRequest("r1")
 		req.Timeout = 200 * ms
 		a, err := r.Do(t.Context(), req)
 		if took := time.Since(began); err != nil || a.Outcome != Expired || took >= 200*ms || took < 180*ms {
 			t.Errorf("answer %v after %v, error %v", a.Outcome, took, err)
 		}
-		s.has(t, "list 2", "request r1", "lapsed r1")
+		s.wantEvents(t, "list 2", "request r1", "lapsed r1")
 	})
 }
 
@@ -296,12 +305,12 @@
 func TestTimeOutIsClippedToTheDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var until time.Duration
-		f := &fake{attempt: func(ctx context.Context, server string, r *Request) Result {
+		f := &fakeTransport{attempt: func(ctx context.Context, server string, r *Request) Result {
 			end, _ := ctx.Deadline()
 			until = time.Until(end)
-			return hangs(ctx, server, r)
+			return hangUntilCancelled(ctx, server, r)
 		}}
-		r, _ := newTest(t, f, func(now policy.Time, ev policy.Event) []policy.Action {
+		r, _ := newTestRouter(t, f, func(now policy.Time, ev policy.Event) []policy.Action {
 			switch e := ev.(type) {
 			case policy.Request:
 				return []policy.Action{{Kind: policy.Send, ID: e.ID, Server: "s0", Until: now + time.Hour}}
@@ -310,7 +319,7 @@
 			}
 			return nil
 		})
-		req := read("r1")
+		req := readRequest("r1")
 		req.Timeout = 2 * time.Second
 		if a, err := r.Do(t.Context(), req); err != nil || a.Outcome != Failed {
 			t.Errorf("answer %v, error %v", a.Outcome, err)
@@ -330,17 +339,17 @@
 	}{
 		"nothing":           {policy.Capabilities{MaxRetryAfter: time.Minute}, 0},
 		"for a while":       {policy.Capabilities{RetryAfter: true, MaxRetryAfter: 200 * time.Millisecond}, 200 * time.Millisecond},
-		"for longer":        {policy.Capabilities{RetryAfter: true, MaxRetryAfter: time.Minute}, ownRetryAfter},
-		"without any bound": {policy.Capabilities{RetryAfter: true}, ownRetryAfter},
+		"for longer":        {policy.Capabilities{RetryAfter: true, MaxRetryAfter: time.Minute}, routerRetryAfter},
+		"without any bound": {policy.Capabilities{RetryAfter: true}, routerRetryAfter},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				conf := testConfig()
 				conf.Settings.Capabilities, conf.MaxInFlight = c.allowed, 1
-				r, _ := newTestOf(t, conf, &fake{attempt: hangs}, silent)
-				begin(t.Context(), r, read("r1"))
+				r, _ := newTestRouterWithConfig(t, conf, &fakeTransport{attempt: hangUntilCancelled}, noActions)
+				startDo(t.Context(), r, readRequest("r1"))
 				synctest.Wait()
-				if a, err := r.Do(t.Context(), read("more")); err != nil || a.Outcome != Overloaded || a.RetryAfter != c.want {
+				if a, err := r.Do(t.Context(), readRequest("more")); err != nil || a.Outcome != Overloaded || a.RetryAfter != c.want {
 					t.Errorf("%v, retry after %v, error %v; want %v", a.Outcome, a.RetryAfter, err, c.want)
 				}
 			})
@@ -350,24 +359,24 @@
 
 func TestDuplicateAndSurplusRequestsAreAnsweredByTheRouter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r, s := newTest(t, &fake{attempt: hangs}, silent)
-		begin(t.Context(), r, read("r1"))
+		r, s := newTestRouter(t, &fakeTransport{attempt: hangUntilCancelled}, noActions)
+		startDo(t.Context(), r, readRequest("r1"))
 		synctest.Wait()
-		if a, err := r.Do(t.Context(), read("r1")); err != nil || a.Outcome != Conflict {
+		if a, err := r.Do(t.Context(), readRequest("r1")); err != nil || a.Outcome != Conflict {
 			t.Errorf("duplicate: %v, error %v", a.Outcome, err)
 		}
 		for i := 2; i <= 100; i++ {
-			begin(t.Context(), r, read(fmt.Sprint("r", i)))
+			startDo(t.Context(), r, readRequest(fmt.Sprint("r", i)))
 		}
 		synctest.Wait()
-		if a, err := r.Do(t.Context(), read("more")); err != nil || a.Outcome != Overloaded || a.RetryAfter <= 0 {
+		if a, err := r.Do(t.Context(), readRequest("more")); err != nil || a.Outcome != Overloaded || a.RetryAfter <= 0 {
 			t.Errorf("surplus: %v, retry after %v, error %v", a.Outcome, a.RetryAfter, err)
 		}
-		if n := len(s.events()); n != 1+100 {
+		if n := len(s.eventNames()); n != 1+100 {
 			t.Errorf("the module was told of %d events, want the list and 100 requests", n)
 		}
-		time.Sleep(long)
-		if a, err := r.Do(t.Context(), read("r1")); err != nil || a.Outcome != Conflict {
+		time.Sleep(classDeadline)
+		if a, err := r.Do(t.Context(), readRequest("r1")); err != nil || a.Outcome != Conflict {
 			t.Errorf("duplicate of one that is over: %v, error %v", a.Outcome, err)
 		}
 	})
@@ -376,14 +385,14 @@
 // What may have run has failed, and what has not is refused, each once.
 func TestCloseAnswersWhatIsOpen(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fake{attempt: hangs}
-		r, s := newTest(t, f, func(now policy.Time, ev policy.Event) []policy.Action {
+		f := &fakeTransport{attempt: hangUntilCancelled}
+		r, s := newTestRouter(t, f, func(now policy.Time, ev policy.Event) []policy.Action {
 			if e, ok := ev.(policy.Request); ok && e.ID == "held" {
 				return nil
 			}
 			return sendOnce(now, ev)
 		})
-		sent, held := begin(t.Context(), r, read("sent")), begin(t.Context(), r, read("held"))
+		sent, held := startDo(t.Context(), r, readRequest("sent")), startDo(t.Context(), r, readRequest("held"))
 		synctest.Wait()
 		if err := r.Close(); err != nil {
 			t.Error(err)
@@ -394,10 +403,10 @@
 		if e := <-held; e.err != nil || e.Outcome != Rejected {
 			t.Errorf("the one that was not: %v, error %v", e.Outcome, e.err)
 		}
-		if got := strings.Join(s.events(), ","); !strings.Contains(got, "lapsed sent") || !strings.Contains(got, "lapsed held") {
+		if got := strings.Join(s.eventNames(), ","); !strings.Contains(got, "lapsed sent") || !strings.Contains(got, "lapsed held") {
 			t.Errorf("told %s", got)
 		}
-		if _, err := r.Do(t.Context(), read("late")); !errors.Is(err, ErrClosed) {
+		if _, err := r.Do(t.Context(), readRequest("late")); !errors.Is(err, ErrClosed) {
 			t.Errorf("after Close: %v", err)
 		}
 		if err := r.Close(); err != nil || f.closed != 1 {
@@ -409,18 +418,18 @@
 // A request that is over leaves nothing behind, however far off its deadline was.
 func TestEndedRequestsAreForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r, _ := newTest(t, &fake{attempt: hangs}, func(_ policy.Time, ev policy.Event) []policy.Action {
+		r, _ := newTestRouter(t, &fakeTransport{attempt: hangUntilCancelled}, func(_ policy.Time, ev policy.Event) []policy.Action {
 			if e, ok := ev.(policy.Request); ok {
 				return []policy.Action{{Kind: policy.Reject, ID: e.ID}}
 			}
 			return nil
 		})
 		for i := range 50 {
-			if a, err := r.Do(t.Context(), read(fmt.Sprint("r", i))); err != nil || a.Outcome != Rejected {
+			if a, err := r.Do(t.Context(), readRequest(fmt.Sprint("r", i))); err != nil || a.Outcome != Rejected {
 				t.Fatalf("answer %v, error %v", a.Outcome, err)
 			}
 		}
-		if s := r.Stats(); s.Kept != 0 || s.Timers != 0 || len(s.Open) != 0 || s.Answers[Rejected] != 50 {
+		if s := r.Stats(); s.Retained != 0 || s.Timers != 0 || len(s.OpenByClass) != 0 || s.Answers[Rejected] != 50 {
 			t.Errorf("%+v", s)
 		}
 	})
@@ -429,16 +438,16 @@
 // The module hears that a caller has left, and can call its attempts off.
 func TestDepartureIsTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r, s := newTest(t, &fake{attempt: hangs}, sendOnce)
+		r, s := newTestRouter(t, &fakeTransport{attempt: hangUntilCancelled}, sendOnce)
 		ctx, leave := context.WithCancel(t.Context())
-		done := begin(ctx, r, read("r1"))
+		done := startDo(ctx, r, readRequest("r1"))
 		synctest.Wait()
 		leave()
 		if e := <-done; !errors.Is(e.err, context.Canceled) {
 			t.Errorf("got %v, error %v", e.Outcome, e.err)
 		}
-		s.has(t, "list 2", "request r1", "lapsed r1", fmt.Sprintf("outcome r1 0 code %d ended true", policy.Cancelled))
-		if s := r.Stats(); s.Departed != 1 || s.Kept != 0 || s.Out != 0 {
+		s.wantEvents(t, "list 2", "request r1", "lapsed r1", fmt.Sprintf("outcome r1 0 code %d ended true", policy.Cancelled))
+		if s := r.Stats(); s.ClientsGone != 1 || s.Retained != 0 || s.AttemptsInFlight != 0 {
 			t.Errorf("%+v", s)
 		}
 	})
@@ -454,35 +463,35 @@
 		1:                        0,
 		1<<53 - 1:                2 * timeOrigin,
 	} {
-		if got := c.unix(time.UnixMilli(ms)); got != want {
+		if got := c.serverStart(time.UnixMilli(ms)); got != want {
 			t.Errorf("%d: got %v, want %v", ms, got, want)
 		}
 	}
-	if got := c.unix(time.Time{}); got != 0 {
+	if got := c.serverStart(time.Time{}); got != 0 {
 		t.Errorf("long ago: got %v", got)
 	}
 }
 
 // Ids are remembered long enough for their copies, and not for ever.
 func TestIDsAreForgotten(t *testing.T) {
-	s := ids{seed: maphash.MakeSeed()}
+	s := idHistory{seed: maphash.MakeSeed()}
 	for i := range 20 {
-		now := timeOrigin + policy.Time(i)*idsFor
+		now := timeOrigin + policy.Time(i)*idRetention
 		if !s.add(fmt.Sprint("r", i), now) || s.add(fmt.Sprint("r", i), now) {
 			t.Fatal("a new id was taken for a known one, or a known one for new")
 		}
 		if i > 0 && s.add(fmt.Sprint("r", i-1), now) {
-			t.Errorf("r%d is forgotten within %v", i-1, idsFor)
+			t.Errorf("r%d is forgotten within %v", i-1, idRetention)
 		}
 	}
-	if len(s.now)+len(s.older) > 4 {
-		t.Errorf("%d and %d ids are kept", len(s.now), len(s.older))
+	if len(s.current)+len(s.previous) > 4 {
+		t.Errorf("%d and %d ids are kept", len(s.current), len(s.previous))
 	}
-	for i := range 4 * maxIDs {
-		s.add(fmt.Sprint("flood", i), timeOrigin+20*idsFor)
+	for i := range 4 * maxIDsPerGeneration {
+		s.add(fmt.Sprint("flood", i), timeOrigin+20*idRetention)
 	}
-	if len(s.now) > maxIDs || len(s.older) > maxIDs {
-		t.Errorf("%d and %d ids are kept of a flood", len(s.now), len(s.older))
+	if len(s.current) > maxIDsPerGeneration || len(s.previous) > maxIDsPerGeneration {
+		t.Errorf("%d and %d ids are kept of a flood", len(s.current), len(s.previous))
 	}
 }
 
@@ -492,26 +501,26 @@
 func TestNothingGoesOutOnceTheCallerHasLeft(t *testing.T) {
 	t.Run("in the queue", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			f, busy := &fake{attempt: serves}, make(chan struct{})
-			r, s := newTest(t, f, func(_ policy.Time, ev policy.Event) []policy.Action {
+			f, busy := &fakeTransport{attempt: serveAtOnce}, make(chan struct{})
+			r, s := newTestRouter(t, f, func(_ policy.Time, ev policy.Event) []policy.Action {
 				if e, ok := ev.(policy.Request); ok && e.ID == "r1" {
 					<-busy // the loop
 				}
 				return sendOnce(0, ev)
 			})
-			begin(t.Context(), r, read("r1"))
+			startDo(t.Context(), r, readRequest("r1"))
 			synctest.Wait()
 			ctx, leave := context.WithCancel(t.Context())
-			begin(ctx, r, read("r2"))
+			startDo(ctx, r, readRequest("r2"))
 			synctest.Wait()
 			leave()
 			synctest.Wait()
 			close(busy)
-			s.has(t, "list 2", "request r1", "outcome r1 0 code 0 ended true")
-			if got := f.reached(); len(got) != 1 {
+			s.wantEvents(t, "list 2", "request r1", "outcome r1 0 code 0 ended true")
+			if got := f.attemptsMade(); len(got) != 1 {
 				t.Errorf("sent %q", got)
 			}
-			if s := r.Stats(); s.Departed != 1 || s.Kept != 0 {
+			if s := r.Stats(); s.ClientsGone != 1 || s.Retained != 0 {
 				t.Errorf("%+v", s)
 			}
 		})
@@ -519,30 +528,30 @@
 	t.Run("between attempts", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			busy := make(chan struct{})
-			f := &fake{attempt: func(context.Context, string, *Request) Result { return Result{Code: policy.Overloaded} }}
-			r, s := newTest(t, f, func(_ policy.Time, ev policy.Event) []policy.Action {
+			f := &fakeTransport{attempt: func(context.Context, string, *Request) Result { return Result{Code: policy.Overloaded} }}
+			r, s := newTestRouter(t, f, func(_ policy.Time, ev policy.Event) []policy.Action {
 				switch e := ev.(type) {
 				case policy.Request:
-					return sends(e.ID, 1)
+					return sendActions(e.ID, 1)
 				case policy.Outcome:
 					if e.Attempt == 0 {
 						<-busy
-						return sends(e.ID, 1)
+						return sendActions(e.ID, 1)
 					}
 				}
 				return nil
 			})
 			ctx, leave := context.WithCancel(t.Context())
-			begin(ctx, r, read("r1"))
+			startDo(ctx, r, readRequest("r1"))
 			synctest.Wait()
 			leave()
 			synctest.Wait()
 			close(busy)
-			s.has(t, "list 2", "request r1", fmt.Sprintf("outcome r1 0 code %d ended false", policy.Overloaded), fmt.Sprintf("outcome r1 1 code %d ended true", policy.Superseded))
-			if got := f.reached(); len(got) != 1 {
+			s.wantEvents(t, "list 2", "request r1", fmt.Sprintf("outcome r1 0 code %d ended false", policy.Overloaded), fmt.Sprintf("outcome r1 1 code %d ended true", policy.Superseded))
+			if got := f.attemptsMade(); len(got) != 1 {
 				t.Errorf("sent %q", got)
 			}
-			if s := r.Stats(); s.Departed != 1 || s.Kept != 0 || s.Out != 0 {
+			if s := r.Stats(); s.ClientsGone != 1 || s.Retained != 0 || s.AttemptsInFlight != 0 {
 				t.Errorf("%+v", s)
 			}
 		})
@@ -552,19 +561,19 @@
 			synctest.Test(t, func(t *testing.T) {
 				up := make(chan struct{})
 				void := false
-				f := &fake{attempt: func(ctx context.Context, server string, r *Request) Result {
+				f := &fakeTransport{attempt: func(ctx context.Context, server string, r *Request) Result {
 					<-up
 					void = ctx.(interface{ Abandoned() bool }).Abandoned()
 					return Result{Code: policy.Superseded}
 				}}
-				r, _ := newTest(t, f, func(_ policy.Time, ev policy.Event) []policy.Action {
+				r, _ := newTestRouter(t, f, func(_ policy.Time, ev policy.Event) []policy.Action {
 					if e, ok := ev.(policy.Request); ok && by == "its answer is there" {
-						return append(sends(e.ID, 1), policy.Action{Kind: policy.Fail, ID: e.ID})
+						return append(sendActions(e.ID, 1), policy.Action{Kind: policy.Fail, ID: e.ID})
 					}
 					return sendOnce(0, ev)
 				})
 				ctx, leave := context.WithCancel(t.Context())
-				begin(ctx, r, read("r1"))
+				startDo(ctx, r, readRequest("r1"))
 				synctest.Wait()
 				leave()
 				synctest.Wait()
@@ -573,7 +582,7 @@
 				if !void {
 					t.Error("it may be written")
 				}
-				if s := r.Stats(); s.Kept != 0 || s.Out != 0 {
+				if s := r.Stats(); s.Retained != 0 || s.AttemptsInFlight != 0 {
 					t.Errorf("%+v", s)
 				}
 			})
--- a/router/request.go
+++ b/router/request.go
@@ -114,8 +114,8 @@
 
 func (e *InvalidError) Error() string { return "router: request: " + e.Field + ": " + e.Problem }
 
-// check says what is wrong with a request, whatever the settings.
-func (r *Request) check() error {
+// validate says what is wrong with a request, whatever the settings.
+func (r *Request) validate() error {
 	switch {
 	case !ValidID(r.ID):
 		return &InvalidError{"ID", "missing or malformed"}
--- a/router/router.go
+++ b/router/router.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	longestDrain = 3 * time.Second // no client waits longer once the router is told to stop
-	leavingPart  = 0.6             // of that, in which it still takes in what comes
+	maxDrainDelayBase = 3 * time.Second // no client waits longer once the router is told to stop
+	drainDelayShare   = 0.6             // of that, in which it still takes in what comes
 )
 
 // Phase is where a router stands between its start and its end.
@@ -25,9 +25,9 @@
 const (
 	Starting Phase = iota // the list as last held is not in force yet
 	Serving
-	Leaving // new clients should go elsewhere; those that are here are still served
-	Closing // fronts end their connections; what still comes is served
-	Drained // nothing is taken any more
+	Draining // new clients should go elsewhere; those that are here are still served
+	Closing  // fronts end their connections; what still comes is served
+	Drained  // nothing is taken any more
 	Closed
 )
 
@@ -38,26 +38,26 @@
 
 // Router routes requests to servers. Its methods may be called at once from many goroutines.
 type Router struct {
-	loop   *loop
-	leave  func() time.Duration
-	fronts []Listener
-	phase  atomic.Uint32
-	config atomic.Pointer[table]
+	loop       *loop
+	drainDelay func() time.Duration
+	listeners  []Listener
+	phase      atomic.Uint32
+	classes    atomic.Pointer[classTable]
 
-	stop   context.CancelFunc
-	parts  sync.WaitGroup
-	closed sync.Once
-	reload sync.Mutex // one at a time
+	stop       context.CancelFunc
+	goroutines sync.WaitGroup
+	closeOnce  sync.Once
+	reload     sync.Mutex // one at a time
 
-	mu      sync.Mutex
-	machine *drain.Machine
-	runner  *runner // of the drain that goes on, or of the one that is over
+	drainMu      sync.Mutex
+	drainMachine *drain.Machine
+	drainRun     *drainRun // of the drain that goes on, or of the one that is over
 }
 
-// table is what fronts ask of the configuration in force.
-type table struct {
-	classes map[string]policy.Class
-	longest time.Duration
+// classTable is what fronts ask of the configuration in force.
+type classTable struct {
+	classes         map[string]policy.Class
+	longestDeadline time.Duration
 }
 
 // New starts a router. Errors name the field of c that makes no sense.
@@ -80,38 +80,38 @@
 }
 
 func start(l *loop, c Config, o options) *Router {
-	r := &Router{loop: l, fronts: o.listeners, machine: drain.New(time.Now())}
-	r.leave = func() time.Duration {
-		if o.leaveSet {
-			return o.leave
+	r := &Router{loop: l, listeners: o.listeners, drainMachine: drain.New(time.Now())}
+	r.drainDelay = func() time.Duration {
+		if o.drainDelaySet {
+			return o.drainDelay
 		}
-		return time.Duration(leavingPart * float64(min(r.config.Load().longest, longestDrain)))
+		return time.Duration(drainDelayShare * float64(min(r.classes.Load().longestDeadline, maxDrainDelayBase)))
 	}
-	r.adopt(c)
+	r.publishClasses(c)
 	o.transport.Configure(c.Settings)
 	running, stop := context.WithCancel(context.Background())
 	r.stop = stop
-	r.parts.Go(func() { l.run(running) })
-	r.parts.Go(func() {
+	r.goroutines.Go(func() { l.run(running) })
+	r.goroutines.Go(func() {
 		<-l.ready
 		r.phase.CompareAndSwap(uint32(Starting), uint32(Serving))
-		o.endpointSource.Run(running, l.tellChange)
+		o.endpointSource.Run(running, l.enqueueUpdate)
 	})
 	return r
 }
 
-// adopt makes a configuration the one that fronts see.
-func (r *Router) adopt(c Config) {
-	t := &table{classes: make(map[string]policy.Class, len(c.Settings.Classes)), longest: c.longest()}
+// publishClasses makes a configuration the one that fronts see.
+func (r *Router) publishClasses(c Config) {
+	t := &classTable{classes: make(map[string]policy.Class, len(c.Settings.Classes)), longestDeadline: c.longestDeadline()}
 	for _, class := range c.Settings.Classes {
 		t.classes[class.Name] = class
 	}
-	r.config.Store(t)
+	r.classes.Store(t)
 }
 
 // Class returns a class of the configuration in force.
 func (r *Router) Class(name string) (policy.Class, bool) {
-	class, ok := r.config.Load().classes[name]
+	class, ok := r.classes.Load().classes[name]
 	return class, ok
 }
 
@@ -134,7 +134,7 @@
 // caller has left, in which case it may have run. Where ctx ended before Do was called, nothing ran.
 // No request waits longer than its class allows, nor beyond ctx's deadline.
 func (r *Router) Do(ctx context.Context, req Request) (Answer, error) {
-	if err := req.check(); err != nil {
+	if err := req.validate(); err != nil {
 		return Answer{}, err
 	}
 	class, ok := r.Class(req.Class)
@@ -155,40 +155,40 @@
 		return Answer{}, err
 	}
 	l := r.loop
-	l.tally.inflight.Add(1)
+	l.counters.inFlight.Add(1)
 	streams := false
 	defer func() {
 		if !streams {
-			l.tally.inflight.Add(-1)
+			l.counters.inFlight.Add(-1)
 		}
 	}()
 	take := func(a Answer) Answer {
 		if a.Stream != nil {
 			streams = true
-			a.Stream = &delivery{Stream: a.Stream, tally: &l.tally, class: req.Class}
+			a.Stream = &countedStream{Stream: a.Stream, tally: &l.counters, class: req.Class}
 		}
 		return a
 	}
 	switch r.Phase() {
 	case Drained:
-		l.tally.count(req.Class, Overloaded)
+		l.counters.count(req.Class, Overloaded)
 		return Answer{}, ErrDrained
 	case Closed:
 		return Answer{}, ErrClosed
 	}
-	c := &call{req: req, entered: l.clock.now(), class: class, waits: class.Deadline, ctx: ctx, reply: make(chan Answer, 1)}
-	c.came = c.entered
+	c := &call{req: req, submittedAt: l.clock.now(), class: class, timeout: class.Deadline, ctx: ctx, reply: make(chan Answer, 1)}
+	c.receivedAt = c.submittedAt
 	if !req.ReceivedAt.IsZero() {
-		c.came = min(c.entered, l.clock.since(req.ReceivedAt))
+		c.receivedAt = min(c.submittedAt, l.clock.policyTime(req.ReceivedAt))
 	}
 	if req.Timeout > 0 {
-		c.waits = min(c.waits, req.Timeout)
+		c.timeout = min(c.timeout, req.Timeout)
 	}
 	if end, ok := ctx.Deadline(); ok {
-		c.waits = min(c.waits, l.clock.since(end)-c.came)
+		c.timeout = min(c.timeout, l.clock.policyTime(end)-c.receivedAt)
 	}
 	if req.Upload != nil && !req.Upload.OnComplete(func(at time.Time) { l.send(arrived{c, at}) }) {
-		c.arrives = true
+		c.bodyPending = true
 	}
 	select {
 	case l.events <- c:
@@ -203,7 +203,7 @@
 	case <-ctx.Done():
 	case <-l.done:
 	}
-	c.gone.Store(true)
+	c.abandoned.Store(true)
 	left := ctx.Err() != nil && l.send(departure{c})
 	select {
 	case a := <-c.reply: // it was there in time
@@ -247,7 +247,7 @@
 	case <-r.loop.done:
 		return ErrClosed
 	}
-	r.adopt(c)
+	r.publishClasses(c)
 	return nil
 }
 
@@ -268,10 +268,10 @@
 // refused), attempts are called off, and Close returns when nothing of the router runs any more. It
 // closes the transport. Calling it again does nothing but wait.
 func (r *Router) Close() error {
-	r.closed.Do(func() {
+	r.closeOnce.Do(func() {
 		r.advance(Closed)
 		r.stop()
-		r.parts.Wait()
+		r.goroutines.Wait()
 		r.loop.transport.Close()
 	})
 	return nil
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -12,9 +12,9 @@
 	"testing/synctest"
 	"time"
 
-	"go.uber.org/goleak"
-
 	"cobaltward/policy"
+
+	"go.uber.org/goleak"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -24,36 +24,36 @@
 // lag is shown.
 func TestHostThatBlocksTheRouter(t *testing.T) {
 	for range 10 { // a choice among what is ready falls right by chance, but not each time
-		synctest.Test(t, blockedHost)
+		synctest.Test(t, testBlockedHost)
 	}
 }
 
-func blockedHost(t *testing.T) {
+func testBlockedHost(t *testing.T) {
 	var order []string
-	f := &fake{attempt: serves}
-	source := &told{changes: make(chan EndpointUpdate)}
+	f := &fakeTransport{attempt: serveAtOnce}
+	source := &fakeSource{changes: make(chan EndpointUpdate)}
 	var r *Router
-	r, s := newTest(t, f, func(_ policy.Time, ev policy.Event) []policy.Action {
+	r, s := newTestRouter(t, f, func(_ policy.Time, ev policy.Event) []policy.Action {
 		switch e := ev.(type) {
 		case policy.Request:
 			order = append(order, e.ID)
 			if e.ID == "stall" {
 				time.Sleep(300 * ms) // the loop stands still, as it does where no thread runs it
 			}
-			return sends(e.ID, 1)
+			return sendActions(e.ID, 1)
 		case policy.EndpointList:
 			order = append(order, "list")
 		}
 		return nil
 	}, WithEndpointSource(source))
-	first := begin(t.Context(), r, read("stall"))
+	first := startDo(t.Context(), r, readRequest("stall"))
 	synctest.Wait()
-	var late, patient []chan ending
+	var late, patient []chan doResult
 	for i := range 20 {
-		req := read(fmt.Sprint("late", i))
+		req := readRequest(fmt.Sprint("late", i))
 		req.Timeout = 100 * ms
-		late = append(late, begin(t.Context(), r, req))
-		patient = append(patient, begin(t.Context(), r, read(fmt.Sprint("patient", i))))
+		late = append(late, startDo(t.Context(), r, req))
+		patient = append(patient, startDo(t.Context(), r, readRequest(fmt.Sprint("patient", i))))
 	}
 	synctest.Wait()
 	go func() { source.changes <- EndpointUpdate{Kind: policy.ListUpdate} }()
@@ -67,7 +67,7 @@
 			t.Errorf("one that had time left: %v, error %v", e.Outcome, e.err)
 		}
 	}
-	for _, sent := range f.reached() {
+	for _, sent := range f.attemptsMade() {
 		if strings.HasPrefix(sent, "late") {
 			t.Errorf("%s went out after its time", sent)
 		}
@@ -79,17 +79,17 @@
 	if st.Lag.Max < 299*ms || st.Lag.Mean <= 0 {
 		t.Errorf("lag %+v, want 300 ms", st.Lag)
 	}
-	for _, ev := range s.events() {
+	for _, ev := range s.eventNames() {
 		if strings.Contains(ev, "late") {
 			t.Errorf("the module was told: %s", ev)
 		}
 	}
 }
 
-// told is a membership that tells what a test hands it.
-type told struct{ changes chan EndpointUpdate }
+// fakeSource is a membership that tells what a test hands it.
+type fakeSource struct{ changes chan EndpointUpdate }
 
-func (s *told) Run(ctx context.Context, tell func(EndpointUpdate)) {
+func (s *fakeSource) Run(ctx context.Context, tell func(EndpointUpdate)) {
 	for {
 		select {
 		case c := <-s.changes:
@@ -100,24 +100,24 @@
 	}
 }
 
-func (s *told) SetPolling(bool) {}
+func (s *fakeSource) SetPolling(bool) {}
 
-// ledger is a transport that keeps the rules' books: which attempts may have run, and what came of
+// ruleChecker is a transport that keeps the rules' books: which attempts may have run, and what came of
 // them. Ends are drawn from a seed.
-type ledger struct {
-	mu     sync.Mutex
-	rng    *rand.Rand
-	mayRun map[string]int // attempts of a request that may have run
-	broken []string
-	drains map[string]bool
+type ruleChecker struct {
+	mu               sync.Mutex
+	rng              *rand.Rand
+	possiblyExecuted map[string]int // attempts of a request that may have run
+	violations       []string
+	drains           map[string]bool
 }
 
-func (l *ledger) attempt(ctx context.Context, server string, r *Request) Result {
+func (l *ruleChecker) attempt(ctx context.Context, server string, r *Request) Result {
 	l.mu.Lock()
 	n := l.rng.Float64()
 	took := time.Duration(l.rng.IntN(20)) * ms
-	if r.Class == "pay" && l.mayRun[r.ID] > 0 {
-		l.broken = append(l.broken, r.ID+" was sent again though it may have run")
+	if r.Class == "pay" && l.possiblyExecuted[r.ID] > 0 {
+		l.violations = append(l.violations, r.ID+" was sent again though it may have run")
 	}
 	code := policy.OK
 	switch {
@@ -131,7 +131,7 @@
 		code = policy.ServerError
 	}
 	if !code.NotExecuted() {
-		l.mayRun[r.ID]++
+		l.possiblyExecuted[r.ID]++
 	}
 	l.mu.Unlock()
 	select {
@@ -147,10 +147,10 @@
 // the end with nothing left behind.
 func TestReloadsUnderLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		books := &ledger{rng: rand.New(rand.NewPCG(1, 2)), mayRun: make(map[string]int)}
+		books := &ruleChecker{rng: rand.New(rand.NewPCG(1, 2)), possiblyExecuted: make(map[string]int)}
 		c := testConfig()
-		c.Endpoints = testMembers(6)
-		r, _ := newTestOf(t, c, &fake{attempt: books.attempt}, nil)
+		c.Endpoints = testEndpoints(6)
+		r, _ := newTestRouterWithConfig(t, c, &fakeTransport{attempt: books.attempt}, nil)
 		var clients sync.WaitGroup
 		var answers [8]atomic.Int64
 		stop := make(chan struct{})
@@ -163,8 +163,10 @@
 					case <-time.After(5 * ms):
 					}
 					class := []string{"read", "pay", "undo"}[n%3]
-					a, err := r.Do(t.Context(), Request{ID: fmt.Sprint(i, "-", n), Class: class, Tenant: "t",
-						IdempotencyKey: "k", Target: "/"})
+					a, err := r.Do(t.Context(), Request{
+						ID: fmt.Sprint(i, "-", n), Class: class, Tenant: "t",
+						IdempotencyKey: "k", Target: "/",
+					})
 					if err != nil {
 						t.Errorf("%s: %v", class, err)
 						return
@@ -176,7 +178,7 @@
 		var newest Config
 		for i := range 200 {
 			newest = testConfig()
-			newest.Endpoints = testMembers(3 + i%4)
+			newest.Endpoints = testEndpoints(3 + i%4)
 			newest.MaxInFlight = 50 + i
 			newest.Settings.Classes[i%3].Deadline += time.Duration(i+1) * ms
 			newest.Settings.Capabilities.MaxAttempts = 1 + i%4
@@ -188,7 +190,7 @@
 		}
 		close(stop)
 		clients.Wait()
-		for _, b := range books.broken {
+		for _, b := range books.violations {
 			t.Error(b)
 		}
 		if served := answers[Served].Load(); served < 5_000 {
@@ -199,7 +201,7 @@
 		}
 		time.Sleep(time.Minute) // all timers that are the module's own have come due
 		s := r.Stats()
-		if s.Reloads != 200 || s.Kept != 0 || s.Out != 0 || len(s.Open) != 0 || s.Servers[policy.Running] != len(newest.Endpoints) {
+		if s.Reloads != 200 || s.Retained != 0 || s.AttemptsInFlight != 0 || len(s.OpenByClass) != 0 || s.EndpointsByAvailability[policy.Running] != len(newest.Endpoints) {
 			t.Errorf("left behind: %+v", s)
 		}
 		if s.Timers > 8 {
@@ -211,7 +213,7 @@
 // A bad configuration changes nothing, and the error names the field.
 func TestBadReloadsChangeNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r, _ := newTest(t, &fake{attempt: serves}, nil)
+		r, _ := newTestRouter(t, &fakeTransport{attempt: serveAtOnce}, nil)
 		for want, spoil := range map[string]func(*Config){
 			"MaxOpen":            func(c *Config) { c.MaxInFlight = -1 },
 			"Members[1].ID":      func(c *Config) { c.Endpoints = append(c.Endpoints, c.Endpoints[0]) },
@@ -229,7 +231,7 @@
 		if a, err := r.Do(t.Context(), Request{ID: "r", Class: "pay", Tenant: "t"}); err != nil || a.Outcome != Served {
 			t.Errorf("after bad reloads: %v, %v", a.Outcome, err)
 		}
-		if s := r.Stats(); s.Reloads != 0 || s.Servers[policy.Running] != 1 {
+		if s := r.Stats(); s.Reloads != 0 || s.EndpointsByAvailability[policy.Running] != 1 {
 			t.Errorf("%+v", s)
 		}
 	})
@@ -238,7 +240,7 @@
 // An id that was used before a reload stays used after it.
 func TestIDsStayUsedOverReloads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r, _ := newTest(t, &fake{attempt: serves}, nil)
+		r, _ := newTestRouter(t, &fakeTransport{attempt: serveAtOnce}, nil)
 		pay := Request{ID: "r", Class: "pay", Tenant: "t"}
 		if a, err := r.Do(t.Context(), pay); err != nil || a.Outcome != Served {
 			t.Fatal(a.Outcome, err)
@@ -258,12 +260,12 @@
 func TestReloadTakesAClassAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		release := make(chan struct{})
-		f := &fake{attempt: func(context.Context, string, *Request) Result {
+		f := &fakeTransport{attempt: func(context.Context, string, *Request) Result {
 			<-release
 			return Result{Code: policy.OK}
 		}}
-		r, _ := newTest(t, f, nil)
-		open := begin(t.Context(), r, Request{ID: "open", Class: "pay", Tenant: "t"})
+		r, _ := newTestRouter(t, f, nil)
+		open := startDo(t.Context(), r, Request{ID: "open", Class: "pay", Tenant: "t"})
 		synctest.Wait()
 		c := testConfig()
 		c.Settings.Classes = c.Settings.Classes[:1]
@@ -286,8 +288,8 @@
 
 func TestMalformedRequestsAreNotTaken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fake{attempt: serves}
-		r, _ := newTest(t, f, nil)
+		f := &fakeTransport{attempt: serveAtOnce}
+		r, _ := newTestRouter(t, f, nil)
 		for field, req := range map[string]Request{
 			"ID":             {Class: "read"},
 			"Class":          {ID: "a", Class: "other"},
@@ -300,7 +302,7 @@
 				t.Errorf("%s: got %v", field, err)
 			}
 		}
-		if n := len(f.reached()); n != 0 {
+		if n := len(f.attemptsMade()); n != 0 {
 			t.Errorf("%d attempts", n)
 		}
 	})
@@ -310,21 +312,21 @@
 // leaves it to its class.
 func TestContextsOfDo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fake{attempt: hangs}
-		r, _ := newTest(t, f, sendOnce)
+		f := &fakeTransport{attempt: hangUntilCancelled}
+		r, _ := newTestRouter(t, f, sendOnce)
 		over, cancel := context.WithCancel(t.Context())
 		cancel()
-		if _, err := r.Do(over, read("over")); !errors.Is(err, context.Canceled) || len(f.reached()) != 0 {
-			t.Errorf("ended: %v after %d attempts", err, len(f.reached()))
+		if _, err := r.Do(over, readRequest("over")); !errors.Is(err, context.Canceled) || len(f.attemptsMade()) != 0 {
+			t.Errorf("ended: %v after %d attempts", err, len(f.attemptsMade()))
 		}
 		short, cancel := context.WithTimeout(t.Context(), 300*ms)
 		defer cancel()
 		began := time.Now()
-		if a, err := r.Do(short, read("short")); err != nil || a.Outcome != Failed || time.Since(began) >= 300*ms {
+		if a, err := r.Do(short, readRequest("short")); err != nil || a.Outcome != Failed || time.Since(began) >= 300*ms {
 			t.Errorf("with a deadline: %v, %v after %v", a.Outcome, err, time.Since(began))
 		}
 		began = time.Now()
-		if a, err := r.Do(t.Context(), read("long")); err != nil || a.Outcome != Failed || time.Since(began) >= long {
+		if a, err := r.Do(t.Context(), readRequest("long")); err != nil || a.Outcome != Failed || time.Since(began) >= classDeadline {
 			t.Errorf("without: %v, %v after %v", a.Outcome, err, time.Since(began))
 		}
 	})
@@ -335,14 +337,14 @@
 func TestManyAtOnceAgainstTheBound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		release := make(chan struct{})
-		f := &fake{attempt: func(context.Context, string, *Request) Result {
+		f := &fakeTransport{attempt: func(context.Context, string, *Request) Result {
 			<-release
 			return Result{Code: policy.OK}
 		}}
 		c := testConfig()
-		r, _ := newTestOf(t, c, f, func(_ policy.Time, ev policy.Event) []policy.Action {
+		r, _ := newTestRouterWithConfig(t, c, f, func(_ policy.Time, ev policy.Event) []policy.Action {
 			if e, ok := ev.(policy.Request); ok {
-				return sends(e.ID, 1)
+				return sendActions(e.ID, 1)
 			}
 			return nil
 		})
@@ -350,7 +352,7 @@
 		var all sync.WaitGroup
 		for i := range 10_000 {
 			all.Go(func() {
-				a, err := r.Do(t.Context(), read(fmt.Sprint("r", i)))
+				a, err := r.Do(t.Context(), readRequest(fmt.Sprint("r", i)))
 				if err != nil {
 					t.Error(err)
 				}
@@ -358,8 +360,8 @@
 			})
 		}
 		synctest.Wait()
-		if s := r.Stats(); s.Open["read"] != 100 || s.Out != 100 {
-			t.Errorf("%d open, %d attempts out, want 100", s.Open["read"], s.Out)
+		if s := r.Stats(); s.OpenByClass["read"] != 100 || s.AttemptsInFlight != 100 {
+			t.Errorf("%d open, %d attempts out, want 100", s.OpenByClass["read"], s.AttemptsInFlight)
 		}
 		close(release)
 		all.Wait()
@@ -373,23 +375,23 @@
 func TestDrainInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		release := make(chan struct{})
-		f := &fake{attempt: func(context.Context, string, *Request) Result {
+		f := &fakeTransport{attempt: func(context.Context, string, *Request) Result {
 			<-release
 			return Result{Code: policy.OK}
 		}}
-		shut := &front{until: make(chan struct{})}
-		r, _ := newTest(t, f, nil, WithListener(shut), WithDrainDelay(time.Second))
-		open := begin(t.Context(), r, read("open"))
+		shut := &fakeListener{until: make(chan struct{})}
+		r, _ := newTestRouter(t, f, nil, WithListener(shut), WithDrainDelay(time.Second))
+		open := startDo(t.Context(), r, readRequest("open"))
 		synctest.Wait()
 		drained := make(chan error, 2)
 		for range 2 { // who asks again waits for the same
 			go func() { drained <- r.Drain(t.Context()) }()
 		}
 		time.Sleep(500 * ms)
-		if p := r.Phase(); p != Leaving || shut.called.Load() != 0 {
+		if p := r.Phase(); p != Draining || shut.called.Load() != 0 {
 			t.Errorf("phase %v, the front was told %d times", p, shut.called.Load())
 		}
-		late := begin(t.Context(), r, read("late"))
+		late := startDo(t.Context(), r, readRequest("late"))
 		time.Sleep(time.Second)
 		if p := r.Phase(); p != Closing || shut.called.Load() != 1 {
 			t.Errorf("phase %v, the front was told %d times", p, shut.called.Load())
@@ -405,12 +407,12 @@
 				t.Error(err)
 			}
 		}
-		for _, c := range []chan ending{open, late} {
+		for _, c := range []chan doResult{open, late} {
 			if e := <-c; e.err != nil || e.Outcome != Served {
 				t.Errorf("%v, %v", e.Outcome, e.err)
 			}
 		}
-		if _, err := r.Do(t.Context(), read("after")); !errors.Is(err, ErrDrained) {
+		if _, err := r.Do(t.Context(), readRequest("after")); !errors.Is(err, ErrDrained) {
 			t.Errorf("after the drain: %v", err)
 		}
 	})
@@ -419,13 +421,13 @@
 // Where the drain's time is up first, what is open is answered once: failed where it may have run.
 func TestDrainDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r, _ := newTest(t, &fake{attempt: hangs}, func(now policy.Time, ev policy.Event) []policy.Action {
+		r, _ := newTestRouter(t, &fakeTransport{attempt: hangUntilCancelled}, func(now policy.Time, ev policy.Event) []policy.Action {
 			if e, ok := ev.(policy.Request); ok && e.ID == "held" {
 				return nil
 			}
 			return sendOnce(now, ev)
 		}, WithDrainDelay(0))
-		sent, held := begin(t.Context(), r, read("sent")), begin(t.Context(), r, read("held"))
+		sent, held := startDo(t.Context(), r, readRequest("sent")), startDo(t.Context(), r, readRequest("held"))
 		synctest.Wait()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
@@ -439,18 +441,18 @@
 			t.Errorf("held: %v, %v", e.Outcome, e.err)
 		}
 		synctest.Wait()
-		if s := r.Stats(); s.Out != 0 || s.Kept != 0 || s.Phase != Drained {
+		if s := r.Stats(); s.AttemptsInFlight != 0 || s.Retained != 0 || s.Phase != Drained {
 			t.Errorf("%+v", s)
 		}
 	})
 }
 
-type front struct {
+type fakeListener struct {
 	called atomic.Int32
 	until  chan struct{}
 }
 
-func (f *front) Shutdown(ctx context.Context) error {
+func (f *fakeListener) Shutdown(ctx context.Context) error {
 	f.called.Add(1)
 	select {
 	case <-f.until:
@@ -464,15 +466,15 @@
 // its ids.
 func TestTwoRoutersDoNotDisturbEachOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		a, _ := newTest(t, &fake{attempt: serves}, nil)
-		b, _ := newTest(t, &fake{attempt: serves}, nil)
+		a, _ := newTestRouter(t, &fakeTransport{attempt: serveAtOnce}, nil)
+		b, _ := newTestRouter(t, &fakeTransport{attempt: serveAtOnce}, nil)
 		for _, r := range []*Router{a, b} {
-			if ans, err := r.Do(t.Context(), read("same")); err != nil || ans.Outcome != Served {
+			if ans, err := r.Do(t.Context(), readRequest("same")); err != nil || ans.Outcome != Served {
 				t.Errorf("%v, %v", ans.Outcome, err)
 			}
 		}
 		a.Close()
-		if ans, err := b.Do(t.Context(), read("next")); err != nil || ans.Outcome != Served {
+		if ans, err := b.Do(t.Context(), readRequest("next")); err != nil || ans.Outcome != Served {
 			t.Errorf("after the other's end: %v, %v", ans.Outcome, err)
 		}
 		if s := b.Stats(); s.Answers[Served] != 2 {
@@ -485,17 +487,17 @@
 func TestCloseUnderLoad(t *testing.T) {
 	for range 20 {
 		synctest.Test(t, func(t *testing.T) {
-			books := &ledger{rng: rand.New(rand.NewPCG(3, 4)), mayRun: make(map[string]int)}
+			books := &ruleChecker{rng: rand.New(rand.NewPCG(3, 4)), possiblyExecuted: make(map[string]int)}
 			c := testConfig()
-			c.Endpoints = testMembers(4)
-			r, _ := newTestOf(t, c, &fake{attempt: books.attempt}, nil)
+			c.Endpoints = testEndpoints(4)
+			r, _ := newTestRouterWithConfig(t, c, &fakeTransport{attempt: books.attempt}, nil)
 			var all sync.WaitGroup
 			for i := range 200 {
 				all.Go(func() {
 					time.Sleep(time.Duration(i%20) * ms)
 					ctx, cancel := context.WithTimeout(t.Context(), time.Duration(1+i%30)*ms)
 					defer cancel()
-					_, err := r.Do(ctx, read(fmt.Sprint("r", i)))
+					_, err := r.Do(ctx, readRequest(fmt.Sprint("r", i)))
 					if err != nil && !errors.Is(err, ErrClosed) && !errors.Is(err, context.DeadlineExceeded) {
 						t.Error(err)
 					}
@@ -506,7 +508,7 @@
 				t.Error(err)
 			}
 			all.Wait()
-			if s := r.Stats(); s.Phase != Closed || len(s.Open) != 0 {
+			if s := r.Stats(); s.Phase != Closed || len(s.OpenByClass) != 0 {
 				t.Errorf("%+v", s)
 			}
 		})
@@ -519,7 +521,7 @@
 	}
 	bad := testConfig()
 	bad.Settings.Classes[0].LatencyObjective = -1
-	if _, err := New(bad, WithTransport(&fake{attempt: serves})); err == nil || !strings.Contains(err.Error(), `class "read": aim`) {
+	if _, err := New(bad, WithTransport(&fakeTransport{attempt: serveAtOnce})); err == nil || !strings.Contains(err.Error(), `class "read": aim`) {
 		t.Errorf("got %v", err)
 	}
 }
@@ -528,8 +530,8 @@
 // to new work come before those that go.
 func TestLargeChangesComeInParts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, source := &fake{attempt: serves}, &told{changes: make(chan EndpointUpdate)}
-		r, _ := newTest(t, f, silent, WithEndpointSource(source))
+		f, source := &fakeTransport{attempt: serveAtOnce}, &fakeSource{changes: make(chan EndpointUpdate)}
+		r, _ := newTestRouter(t, f, noActions, WithEndpointSource(source))
 		var members []Endpoint
 		for i := range 100 {
 			m := Endpoint{ID: fmt.Sprint("n", i), Addr: fmt.Sprint("10.0.0.1:", i+1), Availability: policy.Availability(i % 3)}
@@ -538,8 +540,8 @@
 		source.changes <- EndpointUpdate{Kind: policy.ListUpdate, Endpoints: members}
 		synctest.Wait()
 		last, n := policy.Running, 0
-		for _, c := range f.changes[1:] {
-			if len(c.Endpoints) > changePart {
+		for _, c := range f.updates[1:] {
+			if len(c.Endpoints) > updateBatchSize {
 				t.Errorf("%d entries at once", len(c.Endpoints))
 			}
 			for _, m := range c.Endpoints {
@@ -552,8 +554,8 @@
 		if n != len(members) {
 			t.Errorf("%d entries", n)
 		}
-		if s := r.Stats(); s.Servers[policy.Running] != 34+1 || s.Servers[policy.Draining] != 33 {
-			t.Errorf("%v", s.Servers)
+		if s := r.Stats(); s.EndpointsByAvailability[policy.Running] != 34+1 || s.EndpointsByAvailability[policy.Draining] != 33 {
+			t.Errorf("%v", s.EndpointsByAvailability)
 		}
 	})
 }
