Optional interfaces of transports, contexts and engines get names

Need: Conns, Written, SendBy, Abandoned, AfterFunc and CountFailed were found by anonymous type assertions: a rename missed them, and a reader could not find who implements them.

Change: router.ConnectionCounter, WriteCounter, SendDeadlineContext, AbandonableContext and AfterFuncContext, middleware.FailureCounter; each implementation asserts them at compile time, and the asserting code uses the names.

Measured: go vet clean; tests of router, middleware and transport pass; router still links no net/http.

--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -27,6 +27,17 @@
 	Phase() router.Phase
 }
 
+// FailureCounter is optionally implemented by an Engine, as *router.Router does.
+type FailureCounter interface {
+	// CountFailed counts a request that the front has answered itself, since it was malformed.
+	CountFailed(class string)
+}
+
+var (
+	_ Engine         = (*router.Router)(nil)
+	_ FailureCounter = (*router.Router)(nil)
+)
+
 // Front takes booking requests in. It holds no state of its own.
 type Front struct {
 	engine       Engine
@@ -191,7 +202,7 @@
 // in doubt, and what follows it is not to be trusted.
 func (f *Front) reject(w http.ResponseWriter, r *http.Request, class string, p *problem) {
 	if _, known := f.engine.Class(class); known {
-		if c, ok := f.engine.(interface{ CountFailed(class string) }); ok {
+		if c, ok := f.engine.(FailureCounter); ok {
 			c.CountFailed(class)
 		}
 	}
--- a/router/attempt_context.go
+++ b/router/attempt_context.go
@@ -20,14 +20,9 @@
 	registration uint64        // counts the calls of AfterFunc that registered one
 }
 
-// afterFuncer is what context.AfterFunc looks for in a context.
-type afterFuncer interface {
-	AfterFunc(f func()) (stop func() bool)
-}
-
 var (
 	_ context.Context     = (*attemptContext)(nil)
-	_ afterFuncer         = (*attemptContext)(nil)
+	_ AfterFuncContext    = (*attemptContext)(nil)
 	_ SendDeadlineContext = (*attemptContext)(nil)
 	_ AbandonableContext  = (*attemptContext)(nil)
 )
--- a/router/loop_test.go
+++ b/router/loop_test.go
@@ -563,7 +563,7 @@
 				void := false
 				f := &fakeTransport{attempt: func(ctx context.Context, server string, r *Request) Result {
 					<-up
-					void = ctx.(interface{ Abandoned() bool }).Abandoned()
+					void = ctx.(AbandonableContext).Abandoned()
 					return Result{Code: policy.Superseded}
 				}}
 				r, _ := newTestRouter(t, f, func(_ policy.Time, ev policy.Event) []policy.Action {
--- a/router/transport.go
+++ b/router/transport.go
@@ -49,6 +49,14 @@
 	Abandoned() bool
 }
 
+// AfterFuncContext is implemented by the contexts that Transport.Attempt receives. context.AfterFunc looks for it;
+// to call it directly saves the cost of that.
+type AfterFuncContext interface {
+	// AfterFunc has f run in a goroutine of its own once the context has ended. stop prevents that; it returns
+	// false where f was started or stopped before.
+	AfterFunc(f func()) (stop func() bool)
+}
+
 // ConnectionCounter is optionally implemented by a Transport.
 type ConnectionCounter interface {
 	// Conns is the number of open connections to servers.
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -85,7 +85,11 @@
 	closed  bool
 }
 
-var _ router.Transport = (*Transport)(nil)
+var (
+	_ router.Transport         = (*Transport)(nil)
+	_ router.ConnectionCounter = (*Transport)(nil)
+	_ router.WriteCounter      = (*Transport)(nil)
+)
 
 // New returns a transport without servers. Close ends it.
 func New(c Config) *Transport {
@@ -485,7 +489,7 @@
 
 // after is context.AfterFunc, without its cost where the context has one of its own, as the router's.
 func after(ctx context.Context, f func()) (stop func() bool) {
-	if own, ok := ctx.(interface{ AfterFunc(func()) func() bool }); ok {
+	if own, ok := ctx.(router.AfterFuncContext); ok {
 		return own.AfterFunc(f)
 	}
 	return context.AfterFunc(ctx, f)
--- a/transport/mixed/mixed.go
+++ b/transport/mixed/mixed.go
@@ -18,7 +18,11 @@
 	at map[string]int // by server
 }
 
-var _ router.Transport = (*Transport)(nil)
+var (
+	_ router.Transport         = (*Transport)(nil)
+	_ router.ConnectionCounter = (*Transport)(nil)
+	_ router.WriteCounter      = (*Transport)(nil)
+)
 
 // New returns a transport that has server m spoken to by transports[of(m)]. It closes them all.
 func New(of func(m router.Endpoint) int, transports ...router.Transport) *Transport {
@@ -85,7 +89,7 @@
 // Conns is the number of connections of those that tell.
 func (t *Transport) Conns() (n int) {
 	for _, x := range t.transports {
-		if c, ok := x.(interface{ Conns() int }); ok {
+		if c, ok := x.(router.ConnectionCounter); ok {
 			n += c.Conns()
 		}
 	}
@@ -95,7 +99,7 @@
 // Written is the number of attempts that went out whole, by those that tell.
 func (t *Transport) Written() (n uint64) {
 	for _, x := range t.transports {
-		if w, ok := x.(interface{ Written() uint64 }); ok {
+		if w, ok := x.(router.WriteCounter); ok {
 			n += w.Written()
 		}
 	}
--- a/transport/msgpack/msgpack.go
+++ b/transport/msgpack/msgpack.go
@@ -70,7 +70,10 @@
 	written atomic.Uint64 // attempts, whole: counted at their end
 }
 
-var _ router.Transport = (*Transport)(nil)
+var (
+	_ router.Transport    = (*Transport)(nil)
+	_ router.WriteCounter = (*Transport)(nil)
+)
 
 // pool is what a transport holds for a server.
 type pool struct {
--- a/transport/outcome/outcome.go
+++ b/transport/outcome/outcome.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cobaltward/policy"
+	"cobaltward/router"
 )
 
 // ErrForgotten says that the servers which drop the repeats of a request's key do not remember it for certain
@@ -22,7 +23,7 @@
 // Over tells why nothing may go out for an attempt any more; nil while it may.
 func Over(ctx context.Context) error {
 	// A repeat may have waited for its connection.
-	if a, ok := ctx.(interface{ SendBy() time.Time }); ok {
+	if a, ok := ctx.(router.SendDeadlineContext); ok {
 		if by := a.SendBy(); !by.IsZero() && !time.Now().Before(by) {
 			return ErrForgotten
 		}
@@ -30,7 +31,7 @@
 	if err := ctx.Err(); err != nil {
 		return err
 	}
-	if a, ok := ctx.(interface{ Abandoned() bool }); ok && a.Abandoned() {
+	if a, ok := ctx.(router.AbandonableContext); ok && a.Abandoned() {
 		return ErrVoid
 	}
 	if end, ok := ctx.Deadline(); ok && !time.Now().Before(end) { // its timer may be late as well
