Tests of the engine: a file a subject, table tests, names that say what is checked

Tables run as subtests with a router each; invalid reloads are checked for the field of their ConfigError, the finished requests for nothing left behind.

--- a/router/attempt_context_test.go
+++ b/router/attempt_context_test.go
@@ -8,82 +8,87 @@
 	"time"
 )
 
-// The context of an attempt is one like any other: what waits on it in any way is told once.
-func TestAttemptContext(t *testing.T) {
+// An attempt's context is one like any other: what waits for its end in any way is notified once.
+func TestAttemptContext_BehavesAsContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := &attemptContext{deadline: time.Now().Add(time.Second)}
-		var _ context.Context = c
-		if end, ok := c.Deadline(); !ok || !end.Equal(c.deadline) || c.Err() != nil || c.Value(1) != nil {
-			t.Errorf("deadline %v %v, error %v", end, ok, c.Err())
+		ctx := &attemptContext{deadline: time.Now().Add(time.Second)}
+		if end, ok := ctx.Deadline(); !ok || !end.Equal(ctx.deadline) || ctx.Err() != nil || ctx.Value(1) != nil {
+			t.Errorf("deadline %v %v, error %v", end, ok, ctx.Err())
 		}
 		ran := make(chan string, 10)
-		stopFirst := context.AfterFunc(c, func() { ran <- "first" })
-		stopSecond := context.AfterFunc(c, func() { ran <- "second" })
-		stopped := context.AfterFunc(c, func() { ran <- "stopped" })
-		child, cancel := context.WithCancel(c)
+		stopFirst := context.AfterFunc(ctx, func() { ran <- "first" })
+		stopSecond := context.AfterFunc(ctx, func() { ran <- "second" })
+		stopThird := context.AfterFunc(ctx, func() { ran <- "stopped" })
+		child, cancel := context.WithCancel(ctx)
 		defer cancel()
-		if !stopped() || stopped() {
-			t.Error("what was stopped can be stopped again, or could not be")
+		if !stopThird() || stopThird() {
+			t.Error("a function could not be stopped, or twice")
 		}
-		done := c.Done()
-		c.cancel(context.DeadlineExceeded)
-		c.cancel(context.Canceled)
+		done := ctx.Done()
+		ctx.cancel(context.DeadlineExceeded)
+		ctx.cancel(context.Canceled)
 		<-done
-		<-c.Done()
+		<-ctx.Done()
 		<-child.Done()
 		synctest.Wait()
-		if !errors.Is(c.Err(), context.DeadlineExceeded) || !errors.Is(child.Err(), context.DeadlineExceeded) {
-			t.Errorf("errors %v and, of a child, %v", c.Err(), child.Err())
+		if !errors.Is(ctx.Err(), context.DeadlineExceeded) || !errors.Is(child.Err(), context.DeadlineExceeded) {
+			t.Errorf("errors %v and, of a child, %v", ctx.Err(), child.Err())
 		}
 		if len(ran) != 2 || stopFirst() || stopSecond() {
 			t.Errorf("%d functions ran", len(ran))
 		}
-		context.AfterFunc(c, func() { ran <- "late" })
+		context.AfterFunc(ctx, func() { ran <- "late" })
 		synctest.Wait()
 		if len(ran) != 3 {
-			t.Error("what is registered after the end did not run")
+			t.Error("a function registered after the end did not run")
 		}
-		fresh := &attemptContext{}
-		fresh.cancel(context.Canceled)
-		<-fresh.Done()
 	})
 }
 
-// A stopped function makes room for the next, as a dial does for its connection.
-func TestAttemptContextMakesRoom(t *testing.T) {
+// Done is closed also where the context ended before the first call.
+func TestAttemptContext_DoneAfterCancel(t *testing.T) {
+	ctx := new(attemptContext)
+	ctx.cancel(context.Canceled)
+	<-ctx.Done()
+}
+
+// Once a function is stopped the next can be registered, as for a dial and then for its connection.
+func TestAttemptContext_AfterFuncReplacesStopped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := &attemptContext{}
+		ctx := new(attemptContext)
 		ran := make(chan string, 10)
 		for range 3 {
-			if stop := context.AfterFunc(c, func() { ran <- "stopped" }); !stop() {
+			if stop := context.AfterFunc(ctx, func() { ran <- "stopped" }); !stop() {
 				t.Fatal("could not be stopped")
 			}
 		}
-		context.AfterFunc(c, func() { ran <- "kept" })
-		c.cancel(context.Canceled)
+		context.AfterFunc(ctx, func() { ran <- "kept" })
+		ctx.cancel(context.Canceled)
 		synctest.Wait()
 		if len(ran) != 1 || <-ran != "kept" {
-			t.Error("what was kept did not run alone")
+			t.Error("the function that was not stopped did not run alone")
 		}
 	})
 }
 
-// A derived context's timer and its cancel may both stop what it registered, the second of them when somebody else has
-// registered by then: that one's function stays.
-func TestStopTwice(t *testing.T) {
-	c := new(attemptContext)
-	first := c.AfterFunc(func() { t.Error("the first was stopped") })
-	if !first() {
-		t.Fatal("not stopped")
-	}
-	ran := make(chan struct{})
-	second := c.AfterFunc(func() { close(ran) })
-	if first() {
-		t.Error("stopped twice")
-	}
-	c.cancel(context.Canceled)
-	<-ran
-	if second() {
-		t.Error("stopped after it ran")
-	}
+// A derived context's timer and its cancel may both stop what it registered, the second of them when another
+// function is registered: that one stays.
+func TestAttemptContext_SecondStopKeepsOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := new(attemptContext)
+		stopFirst := ctx.AfterFunc(func() { t.Error("the first ran, though it was stopped") })
+		if !stopFirst() {
+			t.Fatal("not stopped")
+		}
+		ran := make(chan struct{})
+		stopSecond := ctx.AfterFunc(func() { close(ran) })
+		if stopFirst() {
+			t.Error("stopped twice")
+		}
+		ctx.cancel(context.Canceled)
+		<-ran
+		if stopSecond() {
+			t.Error("stopped after it ran")
+		}
+	})
 }
--- a/router/degradation_test.go
+++ b/router/degradation_test.go
@@ -11,113 +11,182 @@
 	"cobaltward/policy"
 )
 
-// The ladder changes while the router runs: it comes, goes on by names, is refused whole, and goes.
-func TestSetLevels(t *testing.T) {
-	set := policy.Settings{Nodes: 1, Classes: []policy.Class{{Name: "read", LatencyObjective: time.Second, Deadline: 2 * time.Second, Idempotency: policy.Idempotent, PriorityWeight: 1}}}
-	r, err := New(Config{Settings: set}, WithTransport(&fakeTransport{}))
+// newLevelsRouter starts a router in real time, which is closed with the test.
+func newLevelsRouter(t *testing.T, settings policy.Settings, opts ...Option) *Router {
+	t.Helper()
+	r, err := New(Config{Settings: settings}, append(opts, WithTransport(&fakeTransport{}))...)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer r.Close()
-	ladder := func(names ...string) *levels.Config {
-		c := &levels.Config{Classes: []levels.Class{{Name: "read"}}}
-		for i, n := range names {
-			c.Levels = append(c.Levels, levels.Level{
-				Name: n, Enter: []levels.Condition{{Bound: 1.1 + 0.1*float64(i)}}, Exit: []levels.Condition{{Bound: 0.9}},
-				Measures: []levels.Measure{{Class: "read", Shed: 0.1 * float64(i+1)}},
-			})
-		}
-		return c
+	t.Cleanup(func() { closeRouter(t, r) })
+	return r
+}
+
+// readLevels are levels of these names, each of which sheds a part of the class "read".
+func readLevels(names ...string) *levels.Config {
+	config := &levels.Config{Classes: []levels.Class{{Name: "read"}}}
+	for i, name := range names {
+		config.Levels = append(config.Levels, levels.Level{
+			Name:     name,
+			Enter:    []levels.Condition{{Bound: 1.1 + 0.1*float64(i)}},
+			Exit:     []levels.Condition{{Bound: 0.9}},
+			Measures: []levels.Measure{{Class: "read", Shed: 0.1 * float64(i+1)}},
+		})
 	}
-	at := func(level int, name string) {
-		t.Helper()
-		if st, err := r.Level(); err != nil || st.Level != level || st.Name != name {
-			t.Errorf("level %d, %s, %v; want %d, %s", st.Level, st.Name, err, level, name)
-		}
+	return config
+}
+
+func wantLevel(t *testing.T, r *Router, level int, name string) {
+	t.Helper()
+	status, err := r.Level()
+	if err != nil || status.Level != level || status.Name != name {
+		t.Errorf("level %d, %s, %v; want %d, %s", status.Level, status.Name, err, level, name)
 	}
+}
+
+func wantNoLevels(t *testing.T, r *Router) {
+	t.Helper()
 	if _, err := r.Level(); !errors.Is(err, ErrNoLevels) {
-		t.Errorf("got %v", err)
-	}
-	for i, step := range []struct {
-		ladder *levels.Config
-		hand   int // level to set before
-		level  int
-		name   string
-	}{{ladder("a", "b"), 0, 0, "full"}, {ladder("x", "a", "b"), 2, 3, "b"}, {ladder("x", "a"), 3, 2, "a"}, {ladder("y"), 2, 0, "full"}} {
-		if step.hand > 0 {
-			if err := r.SetLevel(step.hand, 0, "who", "why"); err != nil {
+		t.Errorf("got %v, want %v", err, ErrNoLevels)
+	}
+}
+
+// The levels change while the router runs: they are added, kept in force by their names, left as they are where the
+// new ones are invalid, and removed.
+func TestSetLevels_ReplacesLevels(t *testing.T) {
+	r := newLevelsRouter(t, policy.Settings{Nodes: 1, Classes: []policy.Class{{
+		Name:             "read",
+		LatencyObjective: time.Second,
+		Deadline:         2 * time.Second,
+		Idempotency:      policy.Idempotent,
+		PriorityWeight:   1,
+	}}})
+	wantNoLevels(t, r)
+	steps := []struct {
+		setBefore int // level to set by hand before; 0: none
+		levels    *levels.Config
+		wantLevel int
+		wantName  string
+	}{
+		{0, readLevels("a", "b"), 0, "full"},
+		{2, readLevels("x", "a", "b"), 3, "b"},
+		{3, readLevels("x", "a"), 2, "a"},
+		{2, readLevels("y"), 0, "full"},
+	}
+	for i, step := range steps {
+		if step.setBefore > 0 {
+			if err := r.SetLevel(step.setBefore, 0, "who", "why"); err != nil {
 				t.Fatal(err)
 			}
 		}
-		if err := r.SetLevels(step.ladder); err != nil {
-			t.Fatalf("%d: %v", i, err)
+		if err := r.SetLevels(step.levels); err != nil {
+			t.Fatalf("step %d: %v", i, err)
 		}
-		at(step.level, step.name)
+		wantLevel(t, r, step.wantLevel, step.wantName)
 	}
-	if err := r.SetLevels(ladder("z", "z")); err == nil {
-		t.Error("two levels of one name")
+	if err := r.SetLevels(readLevels("z", "z")); err == nil {
+		t.Error("two levels of one name were accepted")
 	}
-	at(0, "full")
+	wantLevel(t, r, 0, "full")
 	if err := r.SetLevels(nil); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := r.Level(); !errors.Is(err, ErrNoLevels) {
-		t.Errorf("got %v", err)
+	wantNoLevels(t, r)
+}
+
+// The measures of a level are applied: requests are shed with a spread Retry-After and counted by class and tenant,
+// others queue for less. In a dry run nothing changes but the counts.
+func TestLevels_ApplyMeasures(t *testing.T) {
+	for _, dryRun := range []bool{false, true} {
+		t.Run(fmt.Sprint("dry run ", dryRun), func(t *testing.T) { testLevelMeasures(t, dryRun) })
 	}
 }
 
-// What a level asks for reaches the module and the refused: the shed are told to come back apart from one another and are
-// counted by class and tenant, others wait for less; in a dry run nothing changes but the count.
-func TestLevelsNarrow(t *testing.T) {
-	for _, dry := range []bool{false, true} {
-		set := policy.Settings{
-			Nodes: 1, Capabilities: policy.Capabilities{RetryAfter: true, MaxRetryAfter: 10 * time.Second},
-			Tenants: []policy.Tenant{{Name: "t", Quota: 1e6, Share: 1}},
-			Classes: []policy.Class{
-				{Name: "read", LatencyObjective: 10 * time.Second, Deadline: 20 * time.Second, Idempotency: policy.Idempotent, PriorityWeight: 2},
-				{Name: "held", LatencyObjective: 10 * time.Second, Deadline: 20 * time.Second, Idempotency: policy.Idempotent, PriorityWeight: 1},
-			},
-		}
-		c := levels.Config{Dry: dry, Classes: []levels.Class{{Name: "read"}, {Name: "held"}}, Levels: []levels.Level{{
-			Name: "less", Enter: []levels.Condition{{Bound: 2}},
-			Exit: []levels.Condition{{Bound: 1}}, Measures: []levels.Measure{{Class: "read", Shed: 1}, {Class: "held", Hold: 20 * time.Millisecond}},
-		}}}
-		r, err := New(Config{Settings: set}, WithTransport(&fakeTransport{}), WithLevels(c))
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := r.SetLevel(1, 0, "who", "why"); err != nil {
-			t.Fatal(err)
-		}
-		again := make(map[time.Duration]bool)
-		for i := range 20 {
-			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-			a, err := r.Do(ctx, Request{ID: fmt.Sprint("r", i), Class: "read", Tenant: []string{"t", "other"}[i%2]})
-			cancel()
-			if shed := err == nil && a.Outcome == Rejected && a.RetryAfter >= time.Second && a.RetryAfter <= 5*time.Second; shed == dry {
-				t.Errorf("dry run %v: %+v, %v", dry, a, err)
-			}
-			again[a.RetryAfter] = true
-		}
-		if !dry {
-			if len(again) < 15 {
-				t.Errorf("20 that were shed are told to come back at %d moments", len(again))
-			}
-			// There is no server: it is held, and for less than the half of its aim that it would be.
-			if a, err := r.Do(t.Context(), Request{ID: "h", Class: "held", Tenant: "t"}); err != nil || a.Outcome != Rejected {
-				t.Errorf("%+v, %v", a, err)
-			}
-		}
-		st, err := r.Level()
-		if err != nil || st.ShedByClass["read"] != 20 || st.ShedByTenant["t"] != 10 || st.ShedByTenant[""] != 10 || st.ShedWeight != 40 || len(st.ExitConditions) != 1 || st.DryRun != dry {
-			t.Errorf("%+v, %v", st, err)
+func testLevelMeasures(t *testing.T, dryRun bool) {
+	r := newLevelsRouter(t, measuredSettings(), WithLevels(levels.Config{
+		Dry:     dryRun,
+		Classes: []levels.Class{{Name: "read"}, {Name: "held"}},
+		Levels: []levels.Level{{
+			Name:     "less",
+			Enter:    []levels.Condition{{Bound: 2}},
+			Exit:     []levels.Condition{{Bound: 1}},
+			Measures: []levels.Measure{{Class: "read", Shed: 1}, {Class: "held", Hold: 20 * ms}},
+		}},
+	}))
+	if err := r.SetLevel(1, 0, "who", "why"); err != nil {
+		t.Fatal(err)
+	}
+	retryAfters := make(map[time.Duration]bool)
+	for i := range 20 {
+		answer, err := doShortly(t, r, Request{
+			ID:     fmt.Sprint("r", i),
+			Class:  "read",
+			Tenant: []string{"t", "other"}[i%2],
+		})
+		if isShed(answer, err) == dryRun {
+			t.Errorf("%+v, %v", answer, err)
 		}
-		if err := r.SetMaxLevel(0, "who", "why"); err != nil {
-			t.Fatal(err)
+		retryAfters[answer.RetryAfter] = true
+	}
+	if !dryRun {
+		if len(retryAfters) < 15 {
+			t.Errorf("20 shed requests were given %d different Retry-After", len(retryAfters))
 		}
-		if st, _ := r.Level(); st.MaxLevel != 0 || st.Level != 1 {
-			t.Errorf("what was set by hand is taken back: %+v", st)
+		// There is no server: it queues, for less than the half of its latency objective that it would otherwise.
+		wantDo(t, r, Request{ID: "h", Class: "held", Tenant: "t"}, Rejected)
+	}
+	wantShedCounts(t, r, dryRun)
+	if err := r.SetMaxLevel(0, "who", "why"); err != nil {
+		t.Fatal(err)
+	}
+	if status, _ := r.Level(); status.MaxLevel != 0 || status.Level != 1 {
+		t.Errorf("a level that was set by hand has ended: %+v", status)
+	}
+}
+
+// measuredSettings have the classes "read" and "held".
+func measuredSettings() policy.Settings {
+	class := func(name string, weight float64) policy.Class {
+		return policy.Class{
+			Name:             name,
+			LatencyObjective: 10 * time.Second,
+			Deadline:         20 * time.Second,
+			Idempotency:      policy.Idempotent,
+			PriorityWeight:   weight,
 		}
-		r.Close()
+	}
+	return policy.Settings{
+		Nodes:        1,
+		Capabilities: policy.Capabilities{RetryAfter: true, MaxRetryAfter: 10 * time.Second},
+		Tenants:      []policy.Tenant{{Name: "t", Quota: 1e6, Share: 1}},
+		Classes:      []policy.Class{class("read", 2), class("held", 1)},
+	}
+}
+
+// doShortly calls Do with a context that ends after 50 ms.
+func doShortly(t *testing.T, r *Router, req Request) (Answer, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*ms)
+	defer cancel()
+	return r.Do(ctx, req)
+}
+
+// isShed reports whether a request was shed, with a Retry-After in its range.
+func isShed(answer Answer, err error) bool {
+	return err == nil && answer.Outcome == Rejected &&
+		answer.RetryAfter >= time.Second && answer.RetryAfter <= 5*time.Second
+}
+
+func wantShedCounts(t *testing.T, r *Router, dryRun bool) {
+	t.Helper()
+	status, err := r.Level()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if status.ShedByClass["read"] != 20 || status.ShedByTenant["t"] != 10 || status.ShedByTenant[""] != 10 {
+		t.Errorf("shed %v, %v; want 20 of read, 10 of each tenant", status.ShedByClass, status.ShedByTenant)
+	}
+	if status.ShedWeight != 40 || len(status.ExitConditions) != 1 || status.DryRun != dryRun {
+		t.Errorf("%+v", status)
 	}
 }
--- /dev/null
+++ b/router/do_test.go
@@ -0,0 +1,70 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// wantInvalid checks that an error is an *InvalidError of a field.
+func wantInvalid(t *testing.T, err error, field string) {
+	t.Helper()
+	var invalid *InvalidError
+	if !errors.As(err, &invalid) || invalid.Field != field {
+		t.Errorf("got %v, want an invalid %s", err, field)
+	}
+}
+
+func TestDo_RejectsInvalidRequests(t *testing.T) {
+	tests := map[string]Request{ // by the field that is invalid
+		"ID":             {Class: "read"},
+		"Class":          {ID: "a", Class: "other"},
+		"Tenant":         {ID: "a", Class: "read", Tenant: strings.Repeat("x", MaxNameLength+1)},
+		"Timeout":        {ID: "a", Class: "read", Timeout: -1},
+		"IdempotencyKey": {ID: "a", Class: "undo"},
+	}
+	for field, req := range tests {
+		t.Run(field, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				transport := &fakeTransport{attempt: serveAtOnce}
+				r, _ := newTestRouter(t, transport, nil)
+				_, err := r.Do(t.Context(), req)
+				wantInvalid(t, err, field)
+				transport.wantAttempts(t, 0)
+			})
+		})
+	}
+}
+
+// A request whose context has ended is not accepted; a context's deadline binds the request, and without one the
+// class does.
+func TestDo_HonoursContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		transport := &fakeTransport{attempt: hangUntilCancelled}
+		r, _ := newTestRouter(t, transport, sendOnce)
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		if _, err := r.Do(ended, readRequest("ended")); !errors.Is(err, context.Canceled) {
+			t.Errorf("with an ended context: %v", err)
+		}
+		transport.wantAttempts(t, 0)
+
+		short, cancel := context.WithTimeout(t.Context(), 300*ms)
+		defer cancel()
+		began := time.Now()
+		answer, err := r.Do(short, readRequest("short"))
+		wantOutcome(t, "with a deadline", answer, err, Failed)
+		if took := time.Since(began); took >= 300*ms {
+			t.Errorf("with a deadline: answered after %v", took)
+		}
+
+		began = time.Now()
+		wantDo(t, r, readRequest("long"), Failed)
+		if took := time.Since(began); took >= classDeadline {
+			t.Errorf("without a deadline: answered after %v", took)
+		}
+	})
+}
--- /dev/null
+++ b/router/drain_test.go
@@ -0,0 +1,75 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// wantDrainState checks the phase, and how often the listener was shut down.
+func wantDrainState(t *testing.T, r *Router, listener *fakeListener, phase Phase, shutdowns int32) {
+	t.Helper()
+	if got, n := r.Phase(), listener.shutdowns.Load(); got != phase || n != shutdowns {
+		t.Errorf("phase %v after %d shutdowns of the listener, want %v and %d", got, n, phase, shutdowns)
+	}
+}
+
+// A drain keeps serving, has its listeners stop accepting, and is over when the last request is.
+func TestDrain_PhasesInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		listener := &fakeListener{release: make(chan struct{})}
+		r, _ := newTestRouter(t, &fakeTransport{attempt: serveAfter(release)}, nil,
+			WithListener(listener), WithDrainDelay(time.Second))
+		open := startDo(t.Context(), r, readRequest("open"))
+		synctest.Wait()
+		drained := make(chan error, 2)
+		for range 2 { // a second call waits for the same drain
+			go func() { drained <- r.Drain(t.Context()) }()
+		}
+		time.Sleep(500 * ms)
+		wantDrainState(t, r, listener, Draining, 0)
+		late := startDo(t.Context(), r, readRequest("late"))
+		time.Sleep(time.Second)
+		wantDrainState(t, r, listener, Closing, 1)
+		close(listener.release)
+		synctest.Wait()
+		wantDrainState(t, r, listener, Closing, 1) // requests are open
+		close(release)
+		for range 2 {
+			if err := <-drained; err != nil {
+				t.Error(err)
+			}
+		}
+		wantResult(t, "open", open, Served)
+		wantResult(t, "late", late, Served)
+		if _, err := r.Do(t.Context(), readRequest("after")); !errors.Is(err, ErrDrained) {
+			t.Errorf("after the drain: %v", err)
+		}
+	})
+}
+
+// Where the drain's deadline comes first, open requests are answered once: as failed where they may have run.
+func TestDrain_DeadlineAnswersOpenRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, _ := newTestRouter(t, &fakeTransport{attempt: hangUntilCancelled}, sendOnceBut("queued"), WithDrainDelay(0))
+		sent := startDo(t.Context(), r, readRequest("sent"))
+		queued := startDo(t.Context(), r, readRequest("queued"))
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := r.Drain(ctx); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("Drain: %v", err)
+		}
+		wantResult(t, "sent", sent, Failed)
+		wantResult(t, "queued", queued, Rejected)
+		synctest.Wait()
+		stats := r.Stats()
+		wantNothingLeft(t, stats)
+		if stats.Phase != Drained {
+			t.Errorf("phase %v", stats.Phase)
+		}
+	})
+}
--- /dev/null
+++ b/router/reload_test.go
@@ -0,0 +1,184 @@
+package router
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cobaltward/policy"
+)
+
+// Twenty reloads a second for ten seconds, under load, with classes, tenants, limits and servers changing: each
+// request gets one answer, no booking runs twice, and the newest configuration holds at the end with nothing left
+// behind.
+func TestReload_UnderLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		checker := newRuleChecker(rand.NewPCG(1, 2))
+		config := testConfig()
+		config.Endpoints = testEndpoints(6)
+		r, _ := newTestRouterWithConfig(t, config, &fakeTransport{attempt: checker.attempt}, nil)
+		load := startLoad(t, r, 16)
+		var newest Config
+		for i := range 200 {
+			newest = changedConfig(i)
+			if err := r.Reload(newest); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(50 * ms)
+		}
+		load.stop()
+		for _, violation := range checker.violations {
+			t.Error(violation)
+		}
+		if served := load.answers[Served].Load(); served < 5_000 {
+			t.Errorf("%d served", served)
+		}
+		want := newest.Settings.Classes[1].Deadline
+		if class, _ := r.Class("pay"); class.Deadline != want {
+			t.Errorf("pay has the deadline %v, want the newest's %v", class.Deadline, want)
+		}
+		time.Sleep(time.Minute) // all timers that are the balancer's own have come due
+		stats := r.Stats()
+		wantNothingLeft(t, stats)
+		if stats.Reloads != 200 || stats.EndpointsByAvailability[policy.Running] != len(newest.Endpoints) {
+			t.Errorf("%+v", stats)
+		}
+		if stats.Timers > 8 {
+			t.Errorf("%d timers are left", stats.Timers)
+		}
+	})
+}
+
+// changedConfig is the i-th of the configurations of TestReload_UnderLoad.
+func changedConfig(i int) Config {
+	config := testConfig()
+	config.Endpoints = testEndpoints(3 + i%4)
+	config.MaxInFlight = 50 + i
+	config.Settings.Classes[i%3].Deadline += time.Duration(i+1) * ms
+	config.Settings.Capabilities.MaxAttempts = 1 + i%4
+	config.Settings.Tenants = []policy.Tenant{{Name: "t", Quota: float64(50_000 + i)}}
+	return config
+}
+
+// testLoad is clients that send requests of all classes, one each 5 ms, until they are stopped.
+type testLoad struct {
+	answers [len(outcomeNames)]atomic.Int64 // by Outcome
+	clients sync.WaitGroup
+	stopped chan struct{}
+}
+
+func startLoad(t *testing.T, r *Router, clients int) *testLoad {
+	t.Helper()
+	load := &testLoad{stopped: make(chan struct{})}
+	for i := range clients {
+		load.clients.Go(func() { load.run(t, r, i) })
+	}
+	return load
+}
+
+func (l *testLoad) run(t *testing.T, r *Router, client int) {
+	for n := 0; ; n++ {
+		select {
+		case <-l.stopped:
+			return
+		case <-time.After(5 * ms):
+		}
+		class := []string{"read", "pay", "undo"}[n%3]
+		id := fmt.Sprint(client, "-", n)
+		answer, err := r.Do(t.Context(), Request{ID: id, Class: class, Tenant: "t", IdempotencyKey: "k", Target: "/"})
+		if err != nil {
+			t.Errorf("%s: %v", class, err)
+			return
+		}
+		l.answers[answer.Outcome].Add(1)
+	}
+}
+
+func (l *testLoad) stop() {
+	close(l.stopped)
+	l.clients.Wait()
+}
+
+// An invalid configuration changes nothing, and the error names the field.
+func TestReload_InvalidConfigChangesNothing(t *testing.T) {
+	tests := map[string]struct {
+		field  string
+		want   string
+		change func(*Config)
+	}{
+		"negative bound": {"MaxInFlight", "MaxInFlight", func(c *Config) { c.MaxInFlight = -1 }},
+		"endpoint twice": {"Endpoints[1].ID", "Endpoints[1].ID", func(c *Config) {
+			c.Endpoints = append(c.Endpoints, c.Endpoints[0])
+		}},
+		"endpoint without address": {"Endpoints[0].Addr", "Endpoints[0].Addr", func(c *Config) {
+			c.Endpoints = []Endpoint{{ID: "x"}}
+		}},
+		"class without deadline": {"Settings", `class "pay"`, func(c *Config) { c.Settings.Classes[1].Deadline = 0 }},
+		"no classes":             {"Settings", "classes: there are", func(c *Config) { c.Settings.Classes = nil }},
+		"unknown node":           {"Settings", "node 7", func(c *Config) { c.Settings.Node = 7 }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, _ := newTestRouter(t, &fakeTransport{attempt: serveAtOnce}, nil)
+				config := testConfig()
+				test.change(&config)
+				err := r.Reload(config)
+				var invalid *ConfigError
+				if !errors.As(err, &invalid) || invalid.Field != test.field {
+					t.Errorf("got %v, want an error of %s", err, test.field)
+				} else if !strings.Contains(err.Error(), test.want) || strings.Contains(err.Error(), "\n") {
+					t.Errorf("got %v, want one line that names %s", err, test.want)
+				}
+				wantDo(t, r, Request{ID: "r", Class: "pay", Tenant: "t"}, Served)
+				if stats := r.Stats(); stats.Reloads != 0 || stats.EndpointsByAvailability[policy.Running] != 1 {
+					t.Errorf("%+v", stats)
+				}
+			})
+		})
+	}
+}
+
+// An ID that was used before a reload stays used after it.
+func TestReload_KeepsUsedIDs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, _ := newTestRouter(t, &fakeTransport{attempt: serveAtOnce}, nil)
+		pay := Request{ID: "r", Class: "pay", Tenant: "t"}
+		wantDo(t, r, pay, Served)
+		config := testConfig()
+		config.Settings.Classes[1].Deadline += ms
+		if err := r.Reload(config); err != nil {
+			t.Fatal(err)
+		}
+		wantDo(t, r, pay, Conflict)
+	})
+}
+
+// A class that a reload has removed is unknown to new requests, and its open requests end as they would.
+func TestReload_RemovesClass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		transport := &fakeTransport{attempt: serveAfter(release)}
+		r, _ := newTestRouter(t, transport, nil)
+		open := startDo(t.Context(), r, Request{ID: "open", Class: "pay", Tenant: "t"})
+		synctest.Wait()
+		config := testConfig()
+		config.Settings.Classes = config.Settings.Classes[:1]
+		if err := r.Reload(config); err != nil {
+			t.Fatal(err)
+		}
+		_, err := r.Do(t.Context(), Request{ID: "new", Class: "pay", Tenant: "t"})
+		wantInvalid(t, err, "Class")
+		close(release)
+		wantResult(t, "the open request", open, Served)
+		if n := transport.configured.Load(); n != 2 {
+			t.Errorf("the transport was configured %d times, want at the start and at the reload", n)
+		}
+	})
+}
--- /dev/null
+++ b/router/reply_test.go
@@ -0,0 +1,214 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cobaltward/policy"
+)
+
+// A finished request leaves nothing behind, however far off its deadline was.
+func TestRequest_ForgottenOnceFinished(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reject := func(_ policy.Time, ev policy.Event) []policy.Action {
+			if request, ok := ev.(policy.Request); ok {
+				return []policy.Action{{Kind: policy.Reject, ID: request.ID}}
+			}
+			return nil
+		}
+		r, _ := newTestRouter(t, &fakeTransport{attempt: hangUntilCancelled}, reject)
+		for i := range 50 {
+			wantDo(t, r, readRequest(fmt.Sprint("r", i)), Rejected)
+		}
+		stats := r.Stats()
+		wantNothingLeft(t, stats)
+		if stats.Timers != 0 || stats.Answers[Rejected] != 50 {
+			t.Errorf("%+v", stats)
+		}
+	})
+}
+
+// The balancer learns that a client has left, and can cancel its attempts.
+func TestClientGone_NotifiesBalancer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, balancer := newTestRouter(t, &fakeTransport{attempt: hangUntilCancelled}, sendOnce)
+		ctx, leave := context.WithCancel(t.Context())
+		done := startDo(ctx, r, readRequest("r1"))
+		synctest.Wait()
+		leave()
+		if result := <-done; !errors.Is(result.err, context.Canceled) {
+			t.Errorf("got %v, error %v", result.answer.Outcome, result.err)
+		}
+		balancer.wantEvents(t, "list 2", "request r1", "client gone r1", outcomeName("r1", 0, policy.Cancelled, true))
+		stats := r.Stats()
+		wantNothingLeft(t, stats)
+		if stats.ClientsGone != 1 {
+			t.Errorf("%+v", stats)
+		}
+	})
+}
+
+// The event that a client has left may be queued behind others. Its request is not admitted any more where it was
+// queued, gets no further attempt, and is not written where it waits for its connection, also where the settings
+// allow no cancellation.
+func TestClientGone_NothingIsSent(t *testing.T) {
+	t.Run("while queued", func(t *testing.T) { synctest.Test(t, testClientLeavesWhileQueued) })
+	t.Run("between attempts", func(t *testing.T) { synctest.Test(t, testClientLeavesBetweenAttempts) })
+	t.Run("while dialling, client gone", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) { testAbandonedWhileDialling(t, sendOnce) })
+	})
+	t.Run("while dialling, answered", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) { testAbandonedWhileDialling(t, sendAndFail) })
+	})
+}
+
+func testClientLeavesWhileQueued(t *testing.T) {
+	transport, resume := &fakeTransport{attempt: serveAtOnce}, make(chan struct{})
+	respond := func(now policy.Time, ev policy.Event) []policy.Action {
+		if request, ok := ev.(policy.Request); ok && request.ID == "r1" {
+			<-resume // the loop is busy until then
+		}
+		return sendOnce(now, ev)
+	}
+	r, balancer := newTestRouter(t, transport, respond)
+	startDo(t.Context(), r, readRequest("r1"))
+	synctest.Wait()
+	ctx, leave := context.WithCancel(t.Context())
+	startDo(ctx, r, readRequest("r2"))
+	synctest.Wait()
+	leave()
+	synctest.Wait()
+	close(resume)
+	balancer.wantEvents(t, "list 2", "request r1", outcomeName("r1", 0, policy.OK, true))
+	transport.wantAttempts(t, 1)
+	stats := r.Stats()
+	wantNothingLeft(t, stats)
+	if stats.ClientsGone != 1 {
+		t.Errorf("%+v", stats)
+	}
+}
+
+func testClientLeavesBetweenAttempts(t *testing.T) {
+	transport, resume := &fakeTransport{attempt: endWith(policy.Overloaded)}, make(chan struct{})
+	respond := func(_ policy.Time, ev policy.Event) []policy.Action {
+		switch ev := ev.(type) {
+		case policy.Request:
+			return sendActions(ev.ID, 1)
+		case policy.Outcome:
+			if ev.Attempt == 0 {
+				<-resume // the loop is busy until then
+				return sendActions(ev.ID, 1)
+			}
+		}
+		return nil
+	}
+	r, balancer := newTestRouter(t, transport, respond)
+	ctx, leave := context.WithCancel(t.Context())
+	startDo(ctx, r, readRequest("r1"))
+	synctest.Wait()
+	leave()
+	synctest.Wait()
+	close(resume)
+	balancer.wantEvents(t, "list 2", "request r1",
+		outcomeName("r1", 0, policy.Overloaded, false), outcomeName("r1", 1, policy.Superseded, true))
+	transport.wantAttempts(t, 1)
+	stats := r.Stats()
+	wantNothingLeft(t, stats)
+	if stats.ClientsGone != 1 {
+		t.Errorf("%+v", stats)
+	}
+}
+
+// sendAndFail is a respondFunc that answers each request as soon as it is sent.
+func sendAndFail(now policy.Time, ev policy.Event) []policy.Action {
+	if request, ok := ev.(policy.Request); ok {
+		return append(sendActions(request.ID, 1), policy.Action{Kind: policy.Fail, ID: request.ID})
+	}
+	return sendOnce(now, ev)
+}
+
+func testAbandonedWhileDialling(t *testing.T, respond respondFunc) {
+	connected := make(chan struct{})
+	abandoned := false
+	attempt := func(ctx context.Context, _ string, _ *Request) Result {
+		<-connected
+		abandoned = ctx.(AbandonableContext).Abandoned()
+		return Result{Code: policy.Superseded}
+	}
+	r, _ := newTestRouter(t, &fakeTransport{attempt: attempt}, respond)
+	ctx, leave := context.WithCancel(t.Context())
+	startDo(ctx, r, readRequest("r1"))
+	synctest.Wait()
+	leave()
+	synctest.Wait()
+	close(connected)
+	synctest.Wait()
+	if !abandoned {
+		t.Error("the attempt may still be written")
+	}
+	wantNothingLeft(t, r.Stats())
+}
+
+// What may have run has failed, and what has not is rejected, each once.
+func TestClose_AnswersOpenRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		transport := &fakeTransport{attempt: hangUntilCancelled}
+		r, balancer := newTestRouter(t, transport, sendOnceBut("queued"))
+		sent := startDo(t.Context(), r, readRequest("sent"))
+		queued := startDo(t.Context(), r, readRequest("queued"))
+		synctest.Wait()
+		closeRouter(t, r)
+		wantResult(t, "sent", sent, Failed)
+		wantResult(t, "queued", queued, Rejected)
+		names := balancer.eventNames()
+		if !slices.Contains(names, "client gone sent") || !slices.Contains(names, "client gone queued") {
+			t.Errorf("the balancer received %q", names)
+		}
+		if _, err := r.Do(t.Context(), readRequest("late")); !errors.Is(err, ErrClosed) {
+			t.Errorf("after Close: %v", err)
+		}
+		closeRouter(t, r)
+		if transport.closed != 1 {
+			t.Errorf("the transport was closed %d times", transport.closed)
+		}
+	})
+}
+
+// Close while requests come, leave and end: each call returns once, with an answer or an error.
+func TestClose_UnderLoad(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, testCloseUnderLoad)
+	}
+}
+
+func testCloseUnderLoad(t *testing.T) {
+	checker := newRuleChecker(rand.NewPCG(3, 4))
+	config := testConfig()
+	config.Endpoints = testEndpoints(4)
+	r, _ := newTestRouterWithConfig(t, config, &fakeTransport{attempt: checker.attempt}, nil)
+	var clients sync.WaitGroup
+	for i := range 200 {
+		clients.Go(func() {
+			time.Sleep(time.Duration(i%20) * ms)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Duration(1+i%30)*ms)
+			defer cancel()
+			_, err := r.Do(ctx, readRequest(fmt.Sprint("r", i)))
+			if err != nil && !errors.Is(err, ErrClosed) && !errors.Is(err, context.DeadlineExceeded) {
+				t.Error(err)
+			}
+		})
+	}
+	time.Sleep(10 * ms)
+	closeRouter(t, r)
+	clients.Wait()
+	if stats := r.Stats(); stats.Phase != Closed || len(stats.OpenByClass) != 0 {
+		t.Errorf("%+v", stats)
+	}
+}
