--- a/internal/node/hotrestart.go
+++ b/internal/node/hotrestart.go
@@ -87,9 +87,9 @@
 // report is what this process tells the others.
 func (g *processGroup) report() hotrestart.Report {
 	metrics := g.engine.Metrics()
-	accepted := uint64(max(0, metrics.Inflight))
+	accepted := uint64(max(0, metrics.InFlight))
 	for _, class := range metrics.Classes {
-		accepted += class.Success + class.Busy + class.Failure
+		accepted += class.Served + class.Busy + class.Failure
 	}
 	clientConns, _ := g.listener.Connections()
 	return hotrestart.Report{
--- /dev/null
+++ b/internal/node/wire_test.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"cobaltward/drain"
+	"cobaltward/levels"
+	"cobaltward/router"
+)
+
+// TestAdminAPI_JSONOfEarlierVersion compares what the admin API sends and takes, every field set, to what an earlier
+// version sent: names and order of the keys are the same to the byte.
+func TestAdminAPI_JSONOfEarlierVersion(t *testing.T) {
+	at := time.Date(2026, 12, 1, 8, 30, 0, 0, time.UTC)
+	for name, value := range map[string]any{
+		"status": Status{
+			Version: 1, Name: "n1", At: at, Phase: "closing",
+			Drain: drain.Status{
+				State: drain.Closing, Since: at, Began: at.Add(-time.Second), Deadline: at.Add(time.Minute),
+				Reason: "patch", Who: "ops", Final: true, Failed: 3,
+			},
+			Requests: RequestStatus{
+				Open: 5, ByClass: map[string]int{"read": 5}, OldestMs: 7, OldestLeft: 8, Held: 9, Retrying: 10, Attempts: 11,
+			},
+			Connections: ConnectionStatus{Clients: 12, Busy: 13, Servers: 14, Parted: 15, Crossed: 16},
+			Servers:     map[string]int{"running": 17},
+			ByHand:      []string{"s1"},
+			Untrusted:   []string{"s2"},
+			List:        router.EndpointListStats{Updates: 18, Failures: 19, LastUpdate: at},
+			Answers:     map[string]uint64{"served": 20},
+			Attempts:    21,
+		},
+		"level": router.LevelStatus{
+			Level: 1, Name: "lean", Reason: "demand", Demand: 1.5, Slow: 0.25, Queued: 0.125,
+			Events:         []levels.Event{{At: 5 * time.Second, From: 0, To: 1, Name: "lean", Reason: "demand"}},
+			ExitConditions: []string{"x"}, ExitProbing: true, MaxLevel: 2, DryRun: true,
+			ShedByClass: map[string]uint64{"read": 1}, ShedByTenant: map[string]uint64{"acme": 2}, ShedWeight: 2.5,
+		},
+		"drain-event": drain.Event{
+			N: 1, At: at, From: drain.Serving, To: drain.Announced, What: "started", Reason: "patch", Who: "ops",
+			Deadline: at.Add(time.Minute), Open: 4,
+		},
+		"drain-order": DrainOrder{Deadline: "30s", Reason: "patch", Who: "ops", Force: true},
+		"level-order": LevelOrder{Level: 1, For: "10m", Who: "ops", Reason: "load"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			want, err := os.ReadFile(filepath.Join("testdata", "wire", name+".json"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := json.MarshalIndent(value, "", "  ")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got = append(got, '\n'); !bytes.Equal(got, want) {
+				t.Errorf("sent %s, want %s", got, want)
+			}
+		})
+	}
+}
