--- a/discovery/merge/merge.go
+++ b/discovery/merge/merge.go
@@ -11,7 +11,7 @@
 	"sync"
 
 	"cobaltward/discovery"
-	"cobaltward/drops"
+	"cobaltward/dropoverload"
 	"cobaltward/policy"
 	"cobaltward/router"
 )
@@ -23,7 +23,7 @@
 	mu        sync.Mutex
 	servers   map[string]*mergedServer // by address
 	addresses []map[string]string      // by source: the address of each id that it lists
-	drops     []drops.Parts            // by source
+	drops     []dropoverload.Fractions // by source
 }
 
 var _ router.EndpointSource = (*Source)(nil)
@@ -33,7 +33,7 @@
 	s := &Source{
 		sources: sources,
 		servers: make(map[string]*mergedServer),
-		drops:   make([]drops.Parts, len(sources)),
+		drops:   make([]dropoverload.Fractions, len(sources)),
 	}
 	for range sources {
 		s.addresses = append(s.addresses, make(map[string]string))
@@ -84,7 +84,7 @@
 	merged := router.EndpointUpdate{Kind: policy.ListUpdate, Endpoints: s.changes(touched)}
 	if update.Drops != nil {
 		s.drops[source] = update.Drops
-		merged.Drops = drops.Join(s.drops...)
+		merged.Drops = dropoverload.Merge(s.drops...)
 	}
 	if len(merged.Endpoints) > 0 || merged.Drops != nil {
 		publish(merged)
--- a/discovery/xds/snapshot.go
+++ b/discovery/xds/snapshot.go
@@ -9,7 +9,7 @@
 	"cobaltward/discovery/xds/ads"
 	"cobaltward/discovery/xds/priority"
 	"cobaltward/discovery/xds/resource"
-	"cobaltward/drops"
+	"cobaltward/dropoverload"
 	"cobaltward/internal/pace"
 	"cobaltward/policy"
 	"cobaltward/router"
@@ -22,7 +22,7 @@
 	members  map[string]router.Endpoint // as told
 	listed   map[string][]listing       // by address, in the order of the clusters' names
 	told     bool
-	drops    drops.Parts // as told
+	drops    dropoverload.Fractions // as told
 	pace     pace.Pacer
 }
 
@@ -85,8 +85,8 @@
 const pauseEvery = 32
 
 // asked is what the clusters in force want dropped.
-func (b *book) asked() drops.Parts {
-	asked := make(drops.Parts)
+func (b *book) asked() dropoverload.Fractions {
+	asked := make(dropoverload.Fractions)
 	for name, e := range b.clusters {
 		if e.assignment.Drop > 0 {
 			asked[name] = e.assignment.Drop
@@ -100,7 +100,7 @@
 // otherwise.
 func (b *book) change(members []router.Endpoint) *router.EndpointUpdate {
 	c := &router.EndpointUpdate{Kind: policy.ListUpdate, Endpoints: members}
-	if asked := b.asked(); !asked.Same(b.drops) {
+	if asked := b.asked(); !asked.Equal(b.drops) {
 		b.drops, c.Drops = asked, asked
 	}
 	if len(members) == 0 && c.Drops == nil {
--- a/discovery/xds/xds.go
+++ b/discovery/xds/xds.go
@@ -17,7 +17,7 @@
 	"cobaltward/discovery/xds/ads"
 	"cobaltward/discovery/xds/resource"
 	"cobaltward/discovery/xds/xdspb"
-	"cobaltward/drops"
+	"cobaltward/dropoverload"
 	"cobaltward/keys"
 	"cobaltward/router"
 
@@ -450,7 +450,7 @@
 	Whole   bool
 	Types   [3]ads.Status // by ads.Type
 	Members []router.Endpoint
-	Drops   drops.Parts // of the requests of classes bound to a cluster, by cluster
+	Drops   dropoverload.Fractions // of the requests of classes bound to a cluster, by cluster
 	// Endpoints are those of all clusters, in order of cluster and address.
 	Endpoints []EndpointStatus
 }
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -22,18 +22,18 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			before := m.Status()
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
-			c = Counts{Open: rapid.IntRange(0, 2).Draw(t, "open"), Busy: rapid.IntRange(0, 1).Draw(t, "busy")}
+			c = Counts{OpenRequests: rapid.IntRange(0, 2).Draw(t, "open"), BusyConns: rapid.IntRange(0, 1).Draw(t, "busy")}
 			switch rapid.IntRange(0, 4).Draw(t, "what") {
 			case 0, 1:
 				o := Order{
-					Announce: time.Duration(rapid.IntRange(0, 2).Draw(t, "announce")) * time.Second, Leave: time.Duration(rapid.IntRange(0, 2).Draw(t, "leave")) * time.Second,
-					For: time.Duration(rapid.IntRange(0, 9).Draw(t, "for")) * time.Second, Final: rapid.IntRange(0, 4).Draw(t, "final") == 0, Force: rapid.Bool().Draw(t, "force"),
+					AnnounceFor: time.Duration(rapid.IntRange(0, 2).Draw(t, "announce")) * time.Second, LeaveFor: time.Duration(rapid.IntRange(0, 2).Draw(t, "leave")) * time.Second,
+					Timeout: time.Duration(rapid.IntRange(0, 9).Draw(t, "for")) * time.Second, Final: rapid.IntRange(0, 4).Draw(t, "final") == 0, Force: rapid.Bool().Draw(t, "force"),
 				}
 				err := m.Start(now, o, c)
 				after := m.Status()
-				switch busy := (*BusyError)(nil); {
-				case o.For == 0 && !errors.Is(err, ErrDeadline), before.State.Over() && o.For > 0 && !errors.Is(err, ErrOver),
-					before.State == Serving && o.For > 0 && (err != nil || after.State != Announced || !after.Deadline.Equal(now.Add(o.For))),
+				switch busy := (*InProgressError)(nil); {
+				case o.Timeout == 0 && !errors.Is(err, ErrInvalidTimeout), before.State.Done() && o.Timeout > 0 && !errors.Is(err, ErrDrained),
+					before.State == Serving && o.Timeout > 0 && (err != nil || after.State != Announced || !after.Deadline.Equal(now.Add(o.Timeout))),
 					errors.As(err, &busy) && (o.Final && !before.Final || before.State == Serving):
 					t.Fatalf("%+v, order %+v: %v, %+v", before, o, err, after)
 				}
@@ -52,13 +52,13 @@
 				switch {
 				case after.State < before.State:
 					t.Fatalf("back from %v to %v", before.State, after.State)
-				case before.State.Over() && after != before:
+				case before.State.Done() && after != before:
 					t.Fatalf("%+v is not the last: %+v", before, after)
-				case !before.State.Over() && before.State != Serving && !now.Before(before.Deadline) && after.State != Forced:
+				case !before.State.Done() && before.State != Serving && !now.Before(before.Deadline) && after.State != Forced:
 					t.Fatalf("%v at the deadline", after.State)
 				case after.State == Forced && before.State != Forced && now.Before(before.Deadline):
 					t.Fatal("forced before the deadline")
-				case after.State == Drained && before.State != Drained && (c.Open > 0 || c.Busy > 0):
+				case after.State == Drained && before.State != Drained && (c.OpenRequests > 0 || c.BusyConns > 0):
 					t.Fatalf("drained with %+v", c)
 				case after.State == Closing && c == Counts{}:
 					t.Fatal("nothing is left, and it is not drained")
@@ -69,10 +69,10 @@
 			}
 			deadline = m.Status().Deadline
 			for _, e := range m.Events(seen) {
-				if e.N != seen+1 || e.At.After(now) {
+				if e.Number != seen+1 || e.At.After(now) {
 					t.Fatalf("after event %d: %+v", seen, e)
 				}
-				seen = e.N
+				seen = e.Number
 			}
 			if s := m.Status().State; s != before.State && (len(m.events) == 0 || m.events[len(m.events)-1].To != s) {
 				t.Fatalf("no event of %v", s)
--- a/drops/drops.go
+++ b/dropoverload/dropoverload.go
@@ -1,22 +1,22 @@
 // Package drops decides which requests are turned away because whoever runs the servers has asked for a
 // part of a pool's requests to be dropped (Envoy's drop_overloads). It does no I/O and keeps no state: the
 // same id meets the same fate at every node.
-package drops
+package dropoverload
 
 import "math"
 
-// Parts are the parts of the requests to be dropped, 0 to 1, by pool.
-type Parts map[string]float64
+// Fractions are the parts of the requests to be dropped, 0 to 1, by pool.
+type Fractions map[string]float64
 
-// Drops tells whether the request of that id, of a class that is bound to pool, is to be dropped. Classes
+// ShouldDrop tells whether the request of that id, of a class that is bound to pool, is to be dropped. Classes
 // bound to no pool have none of it.
-func (p Parts) Drops(pool, id string) bool {
+func (p Fractions) ShouldDrop(pool, id string) bool {
 	part := p[pool]
 	return part > 0 && pool != "" && fraction(id) < part
 }
 
-// Same tells whether two tables say the same.
-func (p Parts) Same(q Parts) bool {
+// Equal tells whether two tables say the same.
+func (p Fractions) Equal(q Fractions) bool {
 	for pool, part := range p {
 		if q[pool] != part {
 			return false
@@ -30,9 +30,9 @@
 	return true
 }
 
-// Join is what several sources ask for together: of a pool that more than one speaks of, the most.
-func Join(all ...Parts) Parts {
-	joined := make(Parts)
+// Merge is what several sources ask for together: of a pool that more than one speaks of, the most.
+func Merge(all ...Fractions) Fractions {
+	joined := make(Fractions)
 	for _, p := range all {
 		for pool, part := range p {
 			joined[pool] = max(joined[pool], part)
--- a/drops/drops_test.go
+++ b/dropoverload/dropoverload_test.go
@@ -1,4 +1,4 @@
-package drops
+package dropoverload
 
 import (
 	"fmt"
@@ -15,18 +15,18 @@
 		part := rapid.Float64Range(0, 1).Draw(t, "part")
 		more := rapid.Float64Range(part, 1).Draw(t, "more")
 		prefix := rapid.StringMatching(`[a-z0-9]{0,12}`).Draw(t, "prefix")
-		p, q := Parts{"rooms": part}, Parts{"rooms": more}
+		p, q := Fractions{"rooms": part}, Fractions{"rooms": more}
 		const n = 4000
 		dropped := 0
 		for i := range n {
 			id := fmt.Sprint(prefix, i)
-			if p.Drops("rooms", id) {
+			if p.ShouldDrop("rooms", id) {
 				dropped++
-				if !q.Drops("rooms", id) {
+				if !q.ShouldDrop("rooms", id) {
 					t.Fatalf("%s is dropped at %v and not at %v", id, part, more)
 				}
 			}
-			if p.Drops("", id) || p.Drops("others", id) {
+			if p.ShouldDrop("", id) || p.ShouldDrop("others", id) {
 				t.Fatalf("%s of another pool, or none, is dropped", id)
 			}
 		}
@@ -37,8 +37,8 @@
 }
 
 func TestJoin(t *testing.T) {
-	got := Join(Parts{"a": 0.2, "b": 0.1}, nil, Parts{"a": 0.1, "c": 1})
-	if want := (Parts{"a": 0.2, "b": 0.1, "c": 1}); !got.Same(want) || got.Same(Parts{"a": 0.2}) || (Parts{}).Same(got) {
+	got := Merge(Fractions{"a": 0.2, "b": 0.1}, nil, Fractions{"a": 0.1, "c": 1})
+	if want := (Fractions{"a": 0.2, "b": 0.1, "c": 1}); !got.Equal(want) || got.Equal(Fractions{"a": 0.2}) || (Fractions{}).Equal(got) {
 		t.Errorf("%v, want %v", got, want)
 	}
 }
--- a/emulator/sim/levels_test.go
+++ b/emulator/sim/levels_test.go
@@ -12,11 +12,11 @@
 // ladder sheds what workspaces send beyond their shares, then searches.
 func ladder() *levels.Config {
 	over := func(bound float64) []levels.Condition {
-		return []levels.Condition{{Signal: levels.Demand, Bound: bound, For: 2 * time.Second}}
+		return []levels.Condition{{Signal: levels.Demand, Threshold: bound, For: 2 * time.Second}}
 	}
-	calm := []levels.Condition{{Signal: levels.Demand, Bound: 0.95, For: 10 * time.Second}}
-	return &levels.Config{Classes: []levels.Class{{Name: "hladanie"}, {Name: "rezervacia", Guarded: true}, {Name: "zrusenie"}}, Levels: []levels.Level{
-		{Name: "fewer searches", Enter: over(1.1), Exit: calm, Measures: []levels.Measure{{Class: "hladanie", Shed: 0.5, NoCopies: true}}},
+	calm := []levels.Condition{{Signal: levels.Demand, Threshold: 0.95, For: 10 * time.Second}}
+	return &levels.Config{Classes: []levels.Class{{Name: "hladanie"}, {Name: "rezervacia", ShedLast: true}, {Name: "zrusenie"}}, Levels: []levels.Level{
+		{Name: "fewer searches", Enter: over(1.1), Exit: calm, Measures: []levels.Measure{{Class: "hladanie", Shed: 0.5, NoHedging: true}}},
 		{Name: "bookings first", Enter: over(1.3), Exit: calm, Measures: []levels.Measure{{Class: "hladanie", Shed: 0.9}, {Class: "zrusenie", Shed: 0.4}}},
 	}}
 }
--- a/fleet/agent/nodeclient.go
+++ b/fleet/agent/nodeclient.go
@@ -81,8 +81,8 @@
 		switch {
 		case err != nil: // asked again
 		case status.Drain.State == drain.Forced:
-			return fmt.Errorf("the drain deadline passed with %d requests open; they were answered", status.Drain.Failed)
-		case status.Drain.State.Over():
+			return fmt.Errorf("the drain deadline passed with %d requests open; they were answered", status.Drain.OpenAtDeadline)
+		case status.Drain.State.Done():
 			return nil
 		case status.Drain.State == drain.Serving:
 			err := c.call(ctx, http.MethodPost, "/drain", order, new(node.Status))
--- a/internal/cli/ctl.go
+++ b/internal/cli/ctl.go
@@ -346,7 +346,7 @@
 				return err
 			}
 			if terminal {
-				fmt.Fprintf(out, "\r\x1b[K%s  %s: %s to %s, %d open %s\n", e.At.Local().Format(time.TimeOnly), e.What, e.From, e.To, e.Open, e.Reason)
+				fmt.Fprintf(out, "\r\x1b[K%s  %s: %s to %s, %d open %s\n", e.At.Local().Format(time.TimeOnly), e.Change, e.From, e.To, e.OpenRequests, e.Reason)
 			}
 		case "status":
 			var s node.Status
@@ -378,7 +378,7 @@
 	case drain.Drained:
 		return true, nil
 	case drain.Forced:
-		return true, statusError{fmt.Errorf("ctl: the deadline passed with %d requests open; they were answered", s.Drain.Failed), overdue}
+		return true, statusError{fmt.Errorf("ctl: the deadline passed with %d requests open; they were answered", s.Drain.OpenAtDeadline), overdue}
 	case drain.Serving:
 		return true, statusError{errors.New("ctl: the drain was taken back"), errDrainCancelled}
 	}
@@ -400,7 +400,7 @@
 			float64(s.Requests.OldestLeft)/1e3, s.Requests.Held, s.Requests.Retrying)
 	}
 	line += fmt.Sprintf("; connections: %d of clients, %d to servers", s.Connections.Clients, s.Connections.Servers)
-	if !s.Drain.Deadline.IsZero() && !s.Drain.State.Over() {
+	if !s.Drain.Deadline.IsZero() && !s.Drain.State.Done() {
 		line += fmt.Sprintf("; %.0f s until the deadline", max(0, s.Drain.Deadline.Sub(s.At).Seconds()))
 	}
 	return line
@@ -411,7 +411,7 @@
 	fmt.Fprintf(t, "node\t%s\n", s.Name)
 	fmt.Fprintf(t, "state\t%s\n", s.Drain.State)
 	if s.Drain.State != drain.Serving {
-		fmt.Fprintf(t, "drain\tordered at %s by %q, until %s: %s\n", s.Drain.Began.Local().Format(time.TimeOnly), s.Drain.Who, s.Drain.Deadline.Local().Format(time.TimeOnly), s.Drain.Reason)
+		fmt.Fprintf(t, "drain\tordered at %s by %q, until %s: %s\n", s.Drain.StartedAt.Local().Format(time.TimeOnly), s.Drain.RequestedBy, s.Drain.Deadline.Local().Format(time.TimeOnly), s.Drain.Reason)
 	}
 	fmt.Fprintf(t, "now\t%s\n", progressLine(s))
 	fmt.Fprintf(t, "servers\t%d running, %d draining; list changed %d times, failed %d times\n", s.Servers["running"], s.Servers["draining"], s.List.Updates, s.List.Failures)
--- a/internal/cli/init.go
+++ b/internal/cli/init.go
@@ -85,13 +85,13 @@
 			if m.Shed > 0 {
 				what += fmt.Sprintf(" shed %.4g", m.Shed)
 			}
-			if m.NoCopies {
+			if m.NoHedging {
 				what += " no copies"
 			}
-			if m.Attempts > 0 {
-				what += fmt.Sprintf(" %d attempts", m.Attempts)
+			if m.MaxAttempts > 0 {
+				what += fmt.Sprintf(" %d attempts", m.MaxAttempts)
 			}
-			if m.InShare {
+			if m.WithinQuota {
 				what += " in share"
 			}
 			measures = append(measures, what)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -154,19 +154,19 @@
 	if !door.Read(w, r, &body) {
 		return
 	}
-	o := drain.Order{Announce: c.leave, Leave: drainLeave, For: drainFor, Reason: body.Reason, Who: body.Who, Force: body.Force}
+	o := drain.Order{AnnounceFor: c.leave, LeaveFor: drainLeave, Timeout: drainFor, Reason: body.Reason, RequestedBy: body.Who, Force: body.Force}
 	if body.Deadline != "" {
 		d, err := time.ParseDuration(body.Deadline)
 		if err != nil || d <= 0 || d > longestOrder {
 			door.Fail(w, http.StatusBadRequest, `deadline: want a time of more than 0s and at most 24h, as in "30s"`)
 			return
 		}
-		o.For = d
+		o.Timeout = d
 	}
 	// Clients must have left before the end: what is announced for longer than there is time helps nobody.
-	o.Announce, o.Leave = min(o.Announce, o.For/4), min(o.Leave, o.For/4)
+	o.AnnounceFor, o.LeaveFor = min(o.AnnounceFor, o.Timeout/4), min(o.LeaveFor, o.Timeout/4)
 	err := c.start(o)
-	busy := (*drain.BusyError)(nil)
+	busy := (*drain.InProgressError)(nil)
 	switch {
 	case err == nil:
 		if c.mark != "" {
@@ -252,7 +252,7 @@
 	if err == nil {
 		c.unmark()
 	}
-	if c.told != nil && (err == nil || errors.Is(err, drain.ErrNoDrain)) {
+	if c.told != nil && (err == nil || errors.Is(err, drain.ErrNotDraining)) {
 		c.told(false)
 	}
 	return err
@@ -270,13 +270,13 @@
 // obey follows an order that another process of this node was given.
 func (c *control) obey(standby bool) error {
 	if !standby {
-		if err := c.engine.CancelDrain("another process of this node"); !errors.Is(err, drain.ErrNoDrain) {
+		if err := c.engine.CancelDrain("another process of this node"); !errors.Is(err, drain.ErrNotDraining) {
 			return err
 		}
 		return nil
 	}
-	err := c.engine.StartDrain(drain.Order{Announce: standbyAnnounce, Leave: standbyLeave, For: drainFor, Reason: "standby", Who: "another process of this node"})
-	if busy := (*drain.BusyError)(nil); errors.As(err, &busy) || errors.Is(err, drain.ErrOver) {
+	err := c.engine.StartDrain(drain.Order{AnnounceFor: standbyAnnounce, LeaveFor: standbyLeave, Timeout: drainFor, Reason: "standby", RequestedBy: "another process of this node"})
+	if busy := (*drain.InProgressError)(nil); errors.As(err, &busy) || errors.Is(err, drain.ErrDrained) {
 		return nil
 	}
 	return err
@@ -300,7 +300,7 @@
 	}
 	var o DrainOrder
 	_ = json.Unmarshal(raw, &o) // a torn file still says that a drain stood
-	_ = c.engine.StartDrain(drain.Order{For: drainFor, Reason: "drained before the restart: " + o.Reason, Who: o.Who})
+	_ = c.engine.StartDrain(drain.Order{Timeout: drainFor, Reason: "drained before the restart: " + o.Reason, RequestedBy: o.Who})
 }
 
 // watch sends what the drain comes to, and the status as it goes on.
@@ -308,10 +308,10 @@
 	var last uint64
 	d.Watch(w, r, watchEvery, func() (all []door.Event, more bool) {
 		for _, e := range c.engine.DrainEvents(last) {
-			if e.N > last+1 && last > 0 {
-				all = append(all, door.Event{Name: "lost", Data: e.N - last - 1})
+			if e.Number > last+1 && last > 0 {
+				all = append(all, door.Event{Name: "lost", Data: e.Number - last - 1})
 			}
-			last = e.N
+			last = e.Number
 			all = append(all, door.Event{Name: "drain", Data: e})
 		}
 		return append(all, door.Event{Name: "status", Data: c.now()}), true
--- a/internal/node/desk.go
+++ b/internal/node/desk.go
@@ -31,9 +31,9 @@
 
 // Standby begins to empty the node. It may be told again.
 func (d *desk) Standby() error {
-	err := d.order(drain.Order{Announce: standbyAnnounce, Leave: standbyLeave, For: drainFor, Reason: "standby", Who: "console"})
-	busy := (*drain.BusyError)(nil)
-	if errors.As(err, &busy) || errors.Is(err, drain.ErrOver) {
+	err := d.order(drain.Order{AnnounceFor: standbyAnnounce, LeaveFor: standbyLeave, Timeout: drainFor, Reason: "standby", RequestedBy: "console"})
+	busy := (*drain.InProgressError)(nil)
+	if errors.As(err, &busy) || errors.Is(err, drain.ErrDrained) {
 		if d.engine.DrainStatus().Final {
 			return drain.ErrFinal
 		}
@@ -44,7 +44,7 @@
 
 // Active has the node serve again. It may be told again.
 func (d *desk) Active() error {
-	if err := d.back("console"); !errors.Is(err, drain.ErrNoDrain) {
+	if err := d.back("console"); !errors.Is(err, drain.ErrNotDraining) {
 		return err
 	}
 	return nil
--- a/internal/node/desk_test.go
+++ b/internal/node/desk_test.go
@@ -160,7 +160,7 @@
 				}
 				draining = final
 			case 2: // the door's drain, through at once
-				if err := ctl.start(drain.Order{For: time.Minute, Who: "door"}); (err != nil) != draining {
+				if err := ctl.start(drain.Order{Timeout: time.Minute, RequestedBy: "door"}); (err != nil) != draining {
 					rt.Fatalf("the door's drain in %+v: %v", was, err)
 				}
 				draining = true
@@ -175,9 +175,9 @@
 				}
 			case 5:
 				if rapid.IntRange(0, 9).Draw(rt, "end") == 0 {
-					err := ctl.start(drain.Order{For: time.Minute, Final: true, Who: "program"})
+					err := ctl.start(drain.Order{Timeout: time.Minute, Final: true, RequestedBy: "program"})
 					// A drain that goes on may come to be through at any moment: then there is nothing left to begin.
-					if over := draining && errors.Is(err, drain.ErrOver); (err == nil) == final && !over {
+					if over := draining && errors.Is(err, drain.ErrDrained); (err == nil) == final && !over {
 						rt.Fatalf("the end in %+v: %v", was, err)
 					}
 					draining, final = true, true
--- a/internal/node/drains_test.go
+++ b/internal/node/drains_test.go
@@ -344,7 +344,7 @@
 		if how != "cancelled" {
 			for how != "SIGTERM" {
 				_, s := w.order(http.MethodGet, "/status", nil)
-				if s.Drain.State.Over() {
+				if s.Drain.State.Done() {
 					how += ", " + s.Drain.State.String()
 					break
 				}
--- a/internal/node/progress_test.go
+++ b/internal/node/progress_test.go
@@ -94,7 +94,7 @@
 			_, s = w.order(http.MethodGet, "/status", nil)
 			return s.Requests.Open <= left
 		})
-		if s.Requests.Open != left || s.Requests.ByClass["rezervacia"] != left || s.Requests.Attempts != left || s.Connections.Busy != left || s.Drain.State.Over() {
+		if s.Requests.Open != left || s.Requests.ByClass["rezervacia"] != left || s.Requests.Attempts != left || s.Connections.Busy != left || s.Drain.State.Done() {
 			t.Errorf("%d are at the server; the door says %+v, %+v, %v", left, s.Requests, s.Connections, s.Drain.State)
 		}
 		g.release()
--- a/internal/node/wire_test.go
+++ b/internal/node/wire_test.go
@@ -21,8 +21,8 @@
 		"status": Status{
 			Version: 1, Name: "n1", At: at, Phase: "closing",
 			Drain: drain.Status{
-				State: drain.Closing, Since: at, Began: at.Add(-time.Second), Deadline: at.Add(time.Minute),
-				Reason: "patch", Who: "ops", Final: true, Failed: 3,
+				State: drain.Closing, Since: at, StartedAt: at.Add(-time.Second), Deadline: at.Add(time.Minute),
+				Reason: "patch", RequestedBy: "ops", Final: true, OpenAtDeadline: 3,
 			},
 			Requests: RequestStatus{
 				Open: 5, ByClass: map[string]int{"read": 5}, OldestMs: 7, OldestLeft: 8, Held: 9, Retrying: 10, Attempts: 11,
@@ -42,8 +42,8 @@
 			ShedByClass: map[string]uint64{"read": 1}, ShedByTenant: map[string]uint64{"acme": 2}, ShedWeight: 2.5,
 		},
 		"drain-event": drain.Event{
-			N: 1, At: at, From: drain.Serving, To: drain.Announced, What: "started", Reason: "patch", Who: "ops",
-			Deadline: at.Add(time.Minute), Open: 4,
+			Number: 1, At: at, From: drain.Serving, To: drain.Announced, Change: "started", Reason: "patch", RequestedBy: "ops",
+			Deadline: at.Add(time.Minute), OpenRequests: 4,
 		},
 		"drain-order": DrainOrder{Deadline: "30s", Reason: "patch", Who: "ops", Force: true},
 		"level-order": LevelOrder{Level: 1, For: "10m", Who: "ops", Reason: "load"},
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -215,9 +215,9 @@
 	if len(f.Levels) == 0 {
 		return nil, nil
 	}
-	c := &levels.Config{Least: f.Service.Least, Dry: f.Service.DryRun}
+	c := &levels.Config{MinInterval: f.Service.Least, DryRun: f.Service.DryRun}
 	for _, k := range classes {
-		c.Classes = append(c.Classes, levels.Class{Name: k.Name, Guarded: slices.Contains(f.Service.Guarded, k.Name)})
+		c.Classes = append(c.Classes, levels.Class{Name: k.Name, ShedLast: slices.Contains(f.Service.Guarded, k.Name)})
 	}
 	for i, g := range f.Service.Guarded {
 		if !slices.ContainsFunc(classes, func(k policy.Class) bool { return k.Name == g }) {
@@ -227,8 +227,8 @@
 	conditions := func(all []Condition) (out []levels.Condition) {
 		for _, k := range all {
 			out = append(out, levels.Condition{
-				Class: k.Class, Bound: k.Bound, For: k.For,
-				Signal: map[string]levels.Signal{"demand": levels.Demand, "slow": levels.Slow, "held": levels.Held}[k.Signal],
+				Class: k.Class, Threshold: k.Bound, For: k.For,
+				Signal: map[string]levels.Signal{"demand": levels.Demand, "slow": levels.SlowAnswers, "held": levels.Queued}[k.Signal],
 			})
 		}
 		return out
@@ -236,16 +236,19 @@
 	for _, l := range f.Levels {
 		level := levels.Level{Name: l.Name, Enter: conditions(l.Enter), Exit: conditions(l.Exit)}
 		for _, m := range l.Measures {
-			level.Measures = append(level.Measures, levels.Measure(m))
+			level.Measures = append(level.Measures, levels.Measure{
+				Class: m.Class, Tenants: m.Tenants, Shed: m.Shed, NoHedging: m.NoCopies, MaxAttempts: m.Attempts,
+				WithinQuota: m.InShare, MaxQueueTime: m.Hold, ZoneLocal: m.OwnZone, FollowDemand: m.Follow,
+			})
 		}
 		c.Levels = append(c.Levels, level)
 	}
 	if _, err := levels.New(*c); err != nil {
-		var invalid *levels.Error
+		var invalid *levels.ConfigError
 		if !errors.As(err, &invalid) {
 			return nil, err
 		}
-		return nil, f.lines.Errorf(fmt.Sprintf("level[%d]", max(0, invalid.Level)), "%s", invalid.What)
+		return nil, f.lines.Errorf(fmt.Sprintf("level[%d]", max(0, invalid.Level)), "%s", invalid.Problem)
 	}
 	return c, nil
 }
--- a/levels/levels_test.go
+++ b/levels/levels_test.go
@@ -9,22 +9,22 @@
 	"testing"
 	"time"
 
-	"cobaltward/drops"
+	"cobaltward/dropoverload"
 
 	"pgregory.net/rapid"
 )
 
-var classes = []Class{{Name: "hladanie"}, {Name: "rezervacia", Guarded: true}, {Name: "zrusenie"}}
+var classes = []Class{{Name: "hladanie"}, {Name: "rezervacia", ShedLast: true}, {Name: "zrusenie"}}
 
 // ladder sheds searches first, then cancellations with them, and bookings never.
 func ladder() Config {
 	slow := func(bound float64, d time.Duration) []Condition {
-		return []Condition{{Signal: Slow, Bound: bound, For: d}}
+		return []Condition{{Signal: SlowAnswers, Threshold: bound, For: d}}
 	}
-	calm := []Condition{{Signal: Slow, Bound: 0.05, For: 10 * time.Second}}
+	calm := []Condition{{Signal: SlowAnswers, Threshold: 0.05, For: 10 * time.Second}}
 	return Config{Classes: classes, Levels: []Level{
-		{Name: "fewer searches", Enter: slow(0.15, 3*time.Second), Exit: calm, Measures: []Measure{{Class: "hladanie", Shed: 0.4, NoCopies: true}}},
-		{Name: "bookings first", Enter: slow(0.2, 3*time.Second), Exit: calm, Measures: []Measure{{Class: "hladanie", Shed: 0.8}, {Class: "zrusenie", Shed: 0.3, Attempts: 1}}},
+		{Name: "fewer searches", Enter: slow(0.15, 3*time.Second), Exit: calm, Measures: []Measure{{Class: "hladanie", Shed: 0.4, NoHedging: true}}},
+		{Name: "bookings first", Enter: slow(0.2, 3*time.Second), Exit: calm, Measures: []Measure{{Class: "hladanie", Shed: 0.8}, {Class: "zrusenie", Shed: 0.3, MaxAttempts: 1}}},
 	}}
 }
 
@@ -33,10 +33,10 @@
 type plant struct{ carries, backlog float64 }
 
 // second plays one second of load, in requests of each class, under a ladder; nil: without one.
-func (p *plant) second(l *Ladder, load map[string]float64, work map[string]float64) map[string]Second {
-	out, asked := make(map[string]Second), p.backlog
+func (p *plant) second(l *Controller, load map[string]float64, work map[string]float64) map[string]Window {
+	out, asked := make(map[string]Window), p.backlog
 	for _, c := range classes {
-		s := Second{Offered: load[c.Name], Work: work[c.Name]}
+		s := Window{Offered: load[c.Name], Work: work[c.Name]}
 		if l != nil {
 			s.Shed = s.Offered * l.Effect(c.Name, "t").Shed
 		}
@@ -60,7 +60,7 @@
 var work = map[string]float64{"hladanie": 1, "rezervacia": 1, "zrusenie": 1}
 
 // play plays seconds of a load, and returns the part of bookings and of all requests that were served in time.
-func play(l *Ladder, seconds int, of func(i int) (map[string]float64, map[string]float64)) (booked, all float64) {
+func play(l *Controller, seconds int, of func(i int) (map[string]float64, map[string]float64)) (booked, all float64) {
 	p := plant{carries: 100}
 	var onTime, offered, total, ever float64
 	for i := range seconds {
@@ -162,15 +162,15 @@
 			byHand := rapid.IntRange(0, 40).Draw(t, "hand") == 0
 			if byHand {
 				d := time.Duration(rapid.IntRange(1, 60).Draw(t, "for")) * time.Second
-				if err := l.Set(now, rapid.IntRange(0, 2).Draw(t, "level"), d, "x", "y"); err != nil {
+				if err := l.SetManual(now, rapid.IntRange(0, 2).Draw(t, "level"), d, "x", "y"); err != nil {
 					t.Fatal(err)
 				}
 				hand = now + d
 			} else {
-				s := make(map[string]Second)
+				s := make(map[string]Window)
 				for _, c := range classes {
 					n := rapid.Float64Range(0, 100).Draw(t, "n")
-					s[c.Name] = Second{Offered: n, Work: 1, OnTime: n * rapid.Float64Range(0, 1).Draw(t, "on time"), Late: n * rapid.Float64Range(0, 1).Draw(t, "late"), Open: n}
+					s[c.Name] = Window{Offered: n, Work: 1, OnTime: n * rapid.Float64Range(0, 1).Draw(t, "on time"), Late: n * rapid.Float64Range(0, 1).Draw(t, "late"), Open: n}
 				}
 				l.Step(now, s)
 			}
@@ -203,7 +203,7 @@
 }
 
 func TestErrors(t *testing.T) {
-	enter, exit := []Condition{{Signal: Slow, Bound: 0.2}}, []Condition{{Signal: Slow, Bound: 0.1}}
+	enter, exit := []Condition{{Signal: SlowAnswers, Threshold: 0.2}}, []Condition{{Signal: SlowAnswers, Threshold: 0.1}}
 	measure := []Measure{{Class: "hladanie", Shed: 0.5}}
 	good := Level{"a", enter, exit, measure}
 	change := func(f func(*Level)) []Level { l := good; f(&l); return []Level{l} }
@@ -214,14 +214,14 @@
 		"it is never left":                    change(func(l *Level) { l.Exit = nil }),
 		"it does nothing":                     change(func(l *Level) { l.Measures = nil }),
 		"want the exit below the entry":       change(func(l *Level) { l.Exit = enter }),
-		"there is no such class":              change(func(l *Level) { l.Enter = []Condition{{Class: "x", Bound: 1}} }),
+		"there is no such class":              change(func(l *Level) { l.Enter = []Condition{{Class: "x", Threshold: 1}} }),
 		`a measure for class "x"`:             change(func(l *Level) { l.Measures = []Measure{{Class: "x", Shed: 1}} }),
 		"shed: want 0 to 1":                   change(func(l *Level) { l.Measures = []Measure{{Class: "hladanie", Shed: 2}} }),
 		"the measure does nothing":            change(func(l *Level) { l.Measures = []Measure{{Class: "hladanie"}} }),
 		"0.5 of rezervacia, which is guarded": change(func(l *Level) {
 			l.Measures = []Measure{{Class: "rezervacia", Shed: 0.5}, {Class: "hladanie", Shed: 0.9}}
 		}),
-		"it can't be reached on its own": {good, {"b", []Condition{{Signal: Slow, Bound: 0.15}}, exit, measure}},
+		"it can't be reached on its own": {good, {"b", []Condition{{Signal: SlowAnswers, Threshold: 0.15}}, exit, measure}},
 	} {
 		if _, err := New(Config{Levels: all, Classes: classes}); err == nil || !strings.Contains(err.Error(), says) {
 			t.Errorf("%v, want %q", err, says)
@@ -239,10 +239,10 @@
 	names := []string{"a", "b", "c", "d"}
 	rapid.Check(t, func(rt *rapid.T) {
 		draw := func(what string) Config {
-			c := Config{Classes: []Class{{Name: "x"}}, Least: 30 * time.Second}
+			c := Config{Classes: []Class{{Name: "x"}}, MinInterval: 30 * time.Second}
 			for i, n := range rapid.Permutation(names).Draw(rt, what)[:rapid.IntRange(1, len(names)).Draw(rt, what+" levels")] {
 				c.Levels = append(c.Levels, Level{
-					Name: n, Enter: []Condition{{Signal: Demand, Bound: 1.1 + 0.1*float64(i)}}, Exit: []Condition{{Signal: Demand, Bound: 0.9}},
+					Name: n, Enter: []Condition{{Signal: Demand, Threshold: 1.1 + 0.1*float64(i)}}, Exit: []Condition{{Signal: Demand, Threshold: 0.9}},
 					Measures: []Measure{{Class: "x", Shed: 0.1 * float64(i+1)}},
 				})
 			}
@@ -260,7 +260,7 @@
 			switch rapid.IntRange(0, 9).Draw(rt, "what") {
 			case 0:
 				next := draw("next")
-				moved, err := l.Adopt(now, next)
+				moved, err := l.Reconfigure(now, next)
 				if err != nil {
 					if n, same, _ := l.Level(); n != before || same != name {
 						rt.Fatal("a ladder that was refused has changed the level")
@@ -279,7 +279,7 @@
 					last = now
 				}
 			case 1:
-				if err := l.Set(now, rapid.IntRange(0, len(c.Levels)).Draw(rt, "by hand"), 5*time.Second, "w", "y"); err != nil {
+				if err := l.SetManual(now, rapid.IntRange(0, len(c.Levels)).Draw(rt, "by hand"), 5*time.Second, "w", "y"); err != nil {
 					rt.Fatal(err)
 				}
 				if n, _, _ := l.Level(); n != before {
@@ -287,7 +287,7 @@
 				}
 			default:
 				work := rapid.Float64Range(0, 200).Draw(rt, "offered")
-				l.Step(now, map[string]Second{"x": {Offered: work, Work: 1, OnTime: min(work, 50), Late: max(0, work-50)}})
+				l.Step(now, map[string]Window{"x": {Offered: work, Work: 1, OnTime: min(work, 50), Late: max(0, work-50)}})
 				if n, _, _ := l.Level(); n != before {
 					if now-last < 30*time.Second {
 						rt.Fatalf("changed %v after the change before", now-last)
@@ -302,16 +302,16 @@
 // The way out is tried with half of what the level adds: where that brings the signal back over its bound, the level stays
 // without a change; and what is forbidden is not entered.
 func TestWayOutIsTried(t *testing.T) {
-	c := Config{Classes: []Class{{Name: "x"}}, Least: time.Second, Levels: []Level{{
-		Name: "less", Enter: []Condition{{Signal: Slow, Bound: 0.2}},
-		Exit: []Condition{{Signal: Slow, Bound: 0.1}}, Measures: []Measure{{Class: "x", Shed: 0.8}},
+	c := Config{Classes: []Class{{Name: "x"}}, MinInterval: time.Second, Levels: []Level{{
+		Name: "less", Enter: []Condition{{Signal: SlowAnswers, Threshold: 0.2}},
+		Exit: []Condition{{Signal: SlowAnswers, Threshold: 0.1}}, Measures: []Measure{{Class: "x", Shed: 0.8}},
 	}}}
 	for _, bears := range []bool{false, true} { // the half that is let in
 		l, err := New(c)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := l.Forbid(0, 0, "who", "why"); err != nil {
+		if err := l.SetMaxLevel(0, 0, "who", "why"); err != nil {
 			t.Fatal(err)
 		}
 		tried, left := 0, false
@@ -321,7 +321,7 @@
 				if n, _, _ := l.Level(); n != 0 {
 					t.Fatal("a level that is forbidden was entered")
 				}
-				if err := l.Forbid(now, -1, "who", "why"); err != nil {
+				if err := l.SetMaxLevel(now, -1, "who", "why"); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -329,9 +329,9 @@
 			if e := l.Effect("x", ""); e.Shed > 0.7 || bears && e.Shed > 0 || left {
 				late = 0
 			}
-			was := l.Probing()
-			l.Step(now, map[string]Second{"x": {Offered: 10, Work: 1, OnTime: 10 * (1 - late), Late: 10 * late}})
-			if l.Probing() && !was {
+			was := l.ExitProbing()
+			l.Step(now, map[string]Window{"x": {Offered: 10, Work: 1, OnTime: 10 * (1 - late), Late: 10 * late}})
+			if l.ExitProbing() && !was {
 				if tried++; l.Effect("x", "").Shed != 0.4 {
 					t.Errorf("sheds %v while its end is tried, want 0.4", l.Effect("x", "").Shed)
 				}
@@ -350,7 +350,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	if err := l.Set(0, 2, 0, "who", "why"); err != nil {
+	if err := l.SetManual(0, 2, 0, "who", "why"); err != nil {
 		b.Fatal(err)
 	}
 	b.ReportAllocs()
@@ -395,7 +395,7 @@
 	for tenant := range 20 {
 		in := 0
 		for i := range 2000 {
-			if drops.Fraction(fmt.Sprintf("t%d-%d", tenant, i)) >= 0.5 {
+			if dropoverload.Fraction(fmt.Sprintf("t%d-%d", tenant, i)) >= 0.5 {
 				in++
 			}
 		}
@@ -410,23 +410,23 @@
 // A measure that follows sheds what demand lacks, each second: nothing while servers carry all, never more than its most,
 // and the next one what is left.
 func TestFollow(t *testing.T) {
-	at := func(shed float64, class string) Measure { return Measure{Class: class, Shed: shed, Follow: true} }
+	at := func(shed float64, class string) Measure { return Measure{Class: class, Shed: shed, FollowDemand: true} }
 	c := Config{Classes: []Class{{Name: "a"}, {Name: "b"}}, Levels: []Level{
-		{Name: "one", Enter: []Condition{{Bound: 1.1}}, Exit: []Condition{{Bound: 0.5}}, Measures: []Measure{at(0.5, "a")}},
-		{Name: "two", Enter: []Condition{{Bound: 1.2}}, Exit: []Condition{{Bound: 0.5}}, Measures: []Measure{at(0.8, "a"), at(0.4, "b")}},
+		{Name: "one", Enter: []Condition{{Threshold: 1.1}}, Exit: []Condition{{Threshold: 0.5}}, Measures: []Measure{at(0.5, "a")}},
+		{Name: "two", Enter: []Condition{{Threshold: 1.2}}, Exit: []Condition{{Threshold: 0.5}}, Measures: []Measure{at(0.8, "a"), at(0.4, "b")}},
 	}}
 	l, err := New(c)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := l.Set(0, 2, 0, "who", "why"); err != nil {
+	if err := l.SetManual(0, 2, 0, "who", "why"); err != nil {
 		t.Fatal(err)
 	}
 	for _, x := range []struct{ total, a, b, shedA, shedB float64 }{
 		{0.9, 0.5, 0.4, 0, 0}, {1.2, 0.8, 0.4, 0.25, 0}, {1.5, 0.8, 0.7, 0.625, 0}, {1.7, 0.8, 0.9, 0.8, 0.06 / 0.9}, {3, 1, 2, 0.8, 0.4},
 	} {
-		l.figures = map[key]float64{{Demand, ""}: x.total, {Demand, "a"}: x.a, {Demand, "b"}: x.b}
-		l.share()
+		l.signals = map[signalKey]float64{{Demand, ""}: x.total, {Demand, "a"}: x.a, {Demand, "b"}: x.b}
+		l.updateShed()
 		if a, b := l.Effect("a", "").Shed, l.Effect("b", "").Shed; math.Abs(a-x.shedA) > 1e-9 || math.Abs(b-x.shedB) > 1e-9 {
 			t.Errorf("%+v: sheds %.3f and %.3f", x, a, b)
 		}
--- a/router/admission.go
+++ b/router/admission.go
@@ -79,7 +79,7 @@
 // shouldDrop reports whether a request is to be dropped, by the endpoint source's fractions or by the level
 // of service, and counts it then.
 func (l *loop) shouldDrop(r *request, class *policy.Class, now policy.Time) bool {
-	if len(l.drops) > 0 && l.drops.Drops(class.Pool, r.req.ID) {
+	if len(l.drops) > 0 && l.drops.ShouldDrop(class.Pool, r.req.ID) {
 		l.stats.Dropped++
 		return true
 	}
--- a/router/degradation.go
+++ b/router/degradation.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"cobaltward/drops"
+	"cobaltward/dropoverload"
 	"cobaltward/levels"
 	"cobaltward/policy"
 )
@@ -23,7 +23,7 @@
 // degradation measures what the levels of service depend on, and applies the measures of the level in force.
 // The loop owns it.
 type degradation struct {
-	controller   *levels.Ladder
+	controller   *levels.Controller
 	shedByClass  map[string]uint64
 	shedByTenant map[string]uint64 // by tenant that the settings list; the others under no name
 	shedWeight   float64           // sum of the priority weights of what was shed
@@ -33,7 +33,7 @@
 
 // classWindow is what is counted of a class within the current second.
 type classWindow struct {
-	levels.Second
+	levels.Window
 	latencyObjective time.Duration
 	priorityWeight   float64
 }
@@ -91,7 +91,7 @@
 	}
 	window := d.classes[class.Name]
 	if window == nil {
-		window = &classWindow{Second: levels.Second{Work: objective.Seconds()}}
+		window = &classWindow{Window: levels.Window{Work: objective.Seconds()}}
 	}
 	window.latencyObjective, window.priorityWeight = objective, class.PriorityWeight
 	return window
@@ -125,12 +125,12 @@
 	effect := d.effect(r)
 	within := d.withinQuota(r.req.Tenant, now)
 	// A shed client's retry under another ID would be drawn again, until it is admitted: retries are shed too.
-	drawn := effect.Shed > 0 && (r.req.IsRetry || drops.Fraction(r.req.ID) < effect.Shed)
-	if !drawn && (!effect.InShare || within) {
+	drawn := effect.Shed > 0 && (r.req.IsRetry || dropoverload.Fraction(r.req.ID) < effect.Shed)
+	if !drawn && (!effect.WithinQuota || within) {
 		return false
 	}
 	d.recordShed(r, window)
-	return !d.controller.Dry()
+	return !d.controller.DryRun()
 }
 
 func (d *degradation) recordShed(r *request, window *classWindow) {
@@ -147,7 +147,7 @@
 // shedRetryAfter spreads the Retry-After of shed requests over some seconds, by their IDs, so that they don't
 // come back together. limit bounds it; 0: no limit.
 func shedRetryAfter(id string, limit time.Duration) time.Duration {
-	spread := shedRetrySpread * drops.Fraction("again "+id) * float64(routerRetryAfter)
+	spread := shedRetrySpread * dropoverload.Fraction("again "+id) * float64(routerRetryAfter)
 	retryAfter := routerRetryAfter + time.Duration(spread)
 	if limit > 0 {
 		return min(retryAfter, limit)
@@ -163,23 +163,23 @@
 // restrictions is what the level in force asks of the balancer for a request: to stay in the node's zone, and
 // to queue for at most maxQueueTime, where that is above 0.
 func (d *degradation) restrictions(r *request) (zoneLocal bool, maxQueueTime time.Duration) {
-	if d.controller.Dry() {
+	if d.controller.DryRun() {
 		return false, 0
 	}
 	effect := d.effect(r)
-	return effect.OwnZone, effect.Hold
+	return effect.ZoneLocal, effect.MaxQueueTime
 }
 
 // forbidsAttempt reports whether the level in force forbids an attempt, by its number.
 func (d *degradation) forbidsAttempt(r *request, number int) bool {
-	if number == 0 || d.controller.Dry() {
+	if number == 0 || d.controller.DryRun() {
 		return false
 	}
 	effect := d.effect(r)
-	if effect.Attempts > 0 && number >= effect.Attempts {
+	if effect.MaxAttempts > 0 && number >= effect.MaxAttempts {
 		return true
 	}
-	return effect.NoCopies && r.hasAttemptInFlight() // it would be a hedged request
+	return effect.NoHedging && r.hasAttemptInFlight() // it would be a hedged request
 }
 
 // recordServiceTime records how long a request took at its server.
@@ -209,10 +209,10 @@
 // force, by event.
 func (d *degradation) step(now policy.Time, requests map[string]*request) (event levels.Event, changed bool) {
 	d.countOpen(requests)
-	seconds := make(map[string]levels.Second, len(d.classes))
+	seconds := make(map[string]levels.Window, len(d.classes))
 	for name, window := range d.classes {
-		seconds[name] = window.Second
-		window.Second = levels.Second{Work: window.Work}
+		seconds[name] = window.Window
+		window.Window = levels.Window{Work: window.Work}
 	}
 	before, _, _ := d.controller.Level()
 	d.controller.Step(now, seconds)
@@ -233,7 +233,7 @@
 		}
 		window.Open++
 		if len(r.attempts) == 0 {
-			window.Held++
+			window.Queued++
 		}
 	}
 }
--- a/router/degradation_test.go
+++ b/router/degradation_test.go
@@ -28,8 +28,8 @@
 	for i, name := range names {
 		config.Levels = append(config.Levels, levels.Level{
 			Name:     name,
-			Enter:    []levels.Condition{{Bound: 1.1 + 0.1*float64(i)}},
-			Exit:     []levels.Condition{{Bound: 0.9}},
+			Enter:    []levels.Condition{{Threshold: 1.1 + 0.1*float64(i)}},
+			Exit:     []levels.Condition{{Threshold: 0.9}},
 			Measures: []levels.Measure{{Class: "read", Shed: 0.1 * float64(i+1)}},
 		})
 	}
@@ -104,13 +104,13 @@
 
 func testLevelMeasures(t *testing.T, dryRun bool) {
 	r := newLevelsRouter(t, measuredSettings(), WithLevels(levels.Config{
-		Dry:     dryRun,
+		DryRun:  dryRun,
 		Classes: []levels.Class{{Name: "read"}, {Name: "held"}},
 		Levels: []levels.Level{{
 			Name:     "less",
-			Enter:    []levels.Condition{{Bound: 2}},
-			Exit:     []levels.Condition{{Bound: 1}},
-			Measures: []levels.Measure{{Class: "read", Shed: 1}, {Class: "held", Hold: 20 * ms}},
+			Enter:    []levels.Condition{{Threshold: 2}},
+			Exit:     []levels.Condition{{Threshold: 1}},
+			Measures: []levels.Measure{{Class: "read", Shed: 1}, {Class: "held", MaxQueueTime: 20 * ms}},
 		}},
 	}))
 	if err := r.SetLevel(1, 0, "who", "why"); err != nil {
--- a/router/drain.go
+++ b/router/drain.go
@@ -22,15 +22,15 @@
 // still accepts new requests while answers close their client connections.
 func (r *Router) DrainAfter(ctx context.Context, announce, leave time.Duration) error {
 	order := drain.Order{
-		Announce: announce,
-		Leave:    leave,
-		For:      unboundedDrain,
-		Reason:   "the program is ending",
-		Who:      "program",
-		Final:    true,
+		AnnounceFor: announce,
+		LeaveFor:    leave,
+		Timeout:     unboundedDrain,
+		Reason:      "the program is ending",
+		RequestedBy: "program",
+		Final:       true,
 	}
 	if end, ok := ctx.Deadline(); ok {
-		order.For = max(1, time.Until(end))
+		order.Timeout = max(1, time.Until(end))
 	}
 	err := r.StartDrain(order)
 	if err != nil && !inProgress(err) {
@@ -41,8 +41,8 @@
 
 // inProgress reports whether StartDrain has failed since another drain is in progress, or over.
 func inProgress(err error) bool {
-	var busy *drain.BusyError
-	return errors.As(err, &busy) || errors.Is(err, drain.ErrOver)
+	var busy *drain.InProgressError
+	return errors.As(err, &busy) || errors.Is(err, drain.ErrDrained)
 }
 
 // awaitDrain waits for the drain that is in progress. first says that the caller has started it: then the end of
@@ -56,7 +56,7 @@
 	}
 	select {
 	case <-run.done:
-		if r.Phase() == Closed && !status.State.Over() {
+		if r.Phase() == Closed && !status.State.Done() {
 			return ErrClosed
 		}
 		if first && r.DrainStatus().State == drain.Forced {
@@ -78,7 +78,7 @@
 // forceDrain moves the deadline of a drain to now, and waits for its end.
 func (r *Router) forceDrain(run *drainRun) {
 	r.drainMu.Lock()
-	r.drainMachine.Cut(time.Now())
+	r.drainMachine.ExpireNow(time.Now())
 	r.drainMu.Unlock()
 	run.notify()
 	<-run.done
--- a/router/drain_run.go
+++ b/router/drain_run.go
@@ -111,11 +111,11 @@
 
 // openWork is the work that is left. drainMu is held.
 func (r *Router) openWork() drain.Counts {
-	counts := drain.Counts{Open: int(r.loop.openRequests.Load())}
+	counts := drain.Counts{OpenRequests: int(r.loop.openRequests.Load())}
 	if run := r.drainRun; run != nil && run.shutdownStarted {
-		counts.Busy = run.shuttingDown
+		counts.BusyConns = run.shuttingDown
 	} else {
-		_, counts.Busy = r.ClientConnections()
+		_, counts.BusyConns = r.ClientConnections()
 	}
 	return counts
 }
--- a/router/endpoint.go
+++ b/router/endpoint.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"cobaltward/drops"
+	"cobaltward/dropoverload"
 	"cobaltward/policy"
 )
 
@@ -23,7 +23,7 @@
 	Endpoints []Endpoint // only read by the router
 	// Drops, where it is not nil, replaces the fractions of requests to drop, by pool. The router rejects
 	// them before the balancer sees them. It is only read.
-	Drops drops.Parts
+	Drops dropoverload.Fractions
 }
 
 // Endpoint is one server.
--- a/router/level_status.go
+++ b/router/level_status.go
@@ -43,7 +43,7 @@
 // It returns an error where there is no such level, ErrNoLevels or ErrClosed.
 func (r *Router) SetLevel(level int, d time.Duration, who, why string) error {
 	return r.withDegradation(func(deg *degradation, now policy.Time) error {
-		return deg.controller.Set(now, level, d, who, why)
+		return deg.controller.SetManual(now, level, d, who, why)
 	})
 }
 
@@ -57,14 +57,14 @@
 // It returns an error where there is no such level, ErrNoLevels or ErrClosed.
 func (r *Router) SetMaxLevel(level int, who, why string) error {
 	return r.withDegradation(func(d *degradation, now policy.Time) error {
-		return d.controller.Forbid(now, level, who, why)
+		return d.controller.SetMaxLevel(now, level, who, why)
 	})
 }
 
 // ReleaseLevel returns a level that was set by hand to its conditions. It returns ErrNoLevels or ErrClosed.
 func (r *Router) ReleaseLevel() error {
 	return r.withDegradation(func(d *degradation, _ policy.Time) error {
-		d.controller.Release()
+		d.controller.ReleaseManual()
 		return nil
 	})
 }
@@ -85,14 +85,14 @@
 		Level:          level,
 		Name:           name,
 		Reason:         reason,
-		Demand:         d.controller.Figure(levels.Demand, ""),
-		Slow:           d.controller.Figure(levels.Slow, ""),
-		Queued:         d.controller.Figure(levels.Held, ""),
+		Demand:         d.controller.Value(levels.Demand, ""),
+		Slow:           d.controller.Value(levels.SlowAnswers, ""),
+		Queued:         d.controller.Value(levels.Queued, ""),
 		Events:         append([]levels.Event(nil), d.controller.Events()...),
-		ExitConditions: d.controller.Lifts(),
-		ExitProbing:    d.controller.Probing(),
-		MaxLevel:       d.controller.Most(),
-		DryRun:         d.controller.Dry(),
+		ExitConditions: d.controller.ExitConditions(),
+		ExitProbing:    d.controller.ExitProbing(),
+		MaxLevel:       d.controller.MaxLevel(),
+		DryRun:         d.controller.DryRun(),
 		ShedByClass:    maps.Clone(d.shedByClass),
 		ShedByTenant:   maps.Clone(d.shedByTenant),
 		ShedWeight:     d.shedWeight,
@@ -114,7 +114,7 @@
 		l.scheduleLevelStep(l.clock.now())
 		return nil
 	}
-	changed, err := l.degradation.controller.Adopt(l.clock.now(), *config)
+	changed, err := l.degradation.controller.Reconfigure(l.clock.now(), *config)
 	if err != nil {
 		return err
 	}
--- a/router/loop.go
+++ b/router/loop.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"cobaltward/drops"
+	"cobaltward/dropoverload"
 	"cobaltward/internal/guards"
 	"cobaltward/policy"
 )
@@ -50,7 +50,7 @@
 	counters          counters
 
 	endpoints      map[string]endpointSummary // for Stats
-	drops          drops.Parts
+	drops          dropoverload.Fractions
 	endpointBuffer []policy.Endpoint // reused for small updates
 
 	degradation        *degradation // nil where there are no levels of service
--- a/router/stats.go
+++ b/router/stats.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"cobaltward/drops"
+	"cobaltward/dropoverload"
 	"cobaltward/policy"
 )
 
@@ -33,7 +33,7 @@
 	EndpointsByAvailability map[policy.Availability]int // listed now
 	EndpointsByPool         map[string]int              // listed now
 	EndpointList            EndpointListStats
-	Drops                   drops.Parts // drop fractions in force now; only read
+	Drops                   dropoverload.Fractions // drop fractions in force now; only read
 
 	Timers  int // pending now
 	Reloads uint64
--- a/tools/levelsbench/main.go
+++ b/tools/levelsbench/main.go
@@ -111,9 +111,9 @@
 
 // always is a ladder whose one level is entered at once, and stays.
 func always(part float64) *levels.Config {
-	return &levels.Config{Classes: []levels.Class{{Name: "hladanie"}, {Name: "rezervacia", Guarded: true}, {Name: "zrusenie"}}, Levels: []levels.Level{
+	return &levels.Config{Classes: []levels.Class{{Name: "hladanie"}, {Name: "rezervacia", ShedLast: true}, {Name: "zrusenie"}}, Levels: []levels.Level{
 		{
-			Name: "always", Enter: []levels.Condition{{Signal: levels.Demand, Bound: 0.02}}, Exit: []levels.Condition{{Signal: levels.Demand, Bound: 0.01}},
+			Name: "always", Enter: []levels.Condition{{Signal: levels.Demand, Threshold: 0.02}}, Exit: []levels.Condition{{Signal: levels.Demand, Threshold: 0.01}},
 			Measures: []levels.Measure{{Class: "hladanie", Shed: part}},
 		},
 	}}
