--- a/membership/file/file.go
+++ b/membership/file/file.go
@@ -1,5 +1,5 @@
 // Package file is a list of servers that is read from a file, and read again where it has changed. Source is a
-// router.Membership.
+// router.EndpointSource.
 package file
 
 import (
--- a/membership/hold/hold.go
+++ b/membership/hold/hold.go
@@ -1,6 +1,6 @@
 // Package hold takes servers out for one node alone, whatever the list says of them: what an operator has asked
 // for stays until he lifts it, and a server that can't prove who it is stays out until it does. Source is a
-// router.Membership round another.
+// router.EndpointSource round another.
 package hold
 
 import (
--- a/membership/merge/merge.go
+++ b/membership/merge/merge.go
@@ -1,4 +1,4 @@
-// Package merge makes one router.Membership of several. A server is known by its address: where two
+// Package merge makes one router.EndpointSource of several. A server is known by its address: where two
 // sources list it, it is one server under the id of the first that does. One that any source drains, or
 // has listed and taken away, gets nothing new: whoever is ahead of the others is right about that. What
 // a source says of a later process at the address begins anew.
--- a/membership/registry/registry.go
+++ b/membership/registry/registry.go
@@ -1,5 +1,5 @@
 // Package registry is wayhold's own discovery: it watches the list of servers over HTTP, in the
-// protocol's form. Source is a router.Membership.
+// protocol's form. Source is a router.EndpointSource.
 package registry
 
 import (
--- a/membership/xds/xds.go
+++ b/membership/xds/xds.go
@@ -1,5 +1,5 @@
 // Package xds takes the servers from an Envoy control plane: clusters and endpoints, xDS v3, over the
-// Aggregated Discovery Service. Source is a router.Membership. docs/xds.md is its page for operators.
+// Aggregated Discovery Service. Source is a router.EndpointSource. docs/xds.md is its page for operators.
 package xds
 
 import (
