--- a/front/msgpack/msgpack.go
+++ b/front/msgpack/msgpack.go
@@ -1,4 +1,4 @@
-// Package msgpack is a way in for requests over the protocol of docs/msgpack-rpc.md. It is a router.Front.
+// Package msgpack is a way in for requests over the protocol of docs/msgpack-rpc.md. It is a router.Listener.
 package msgpack
 
 import (
--- a/router/call.go
+++ b/router/call.go
@@ -8,8 +8,8 @@
 	"cobaltward/policy"
 )
 
-// call is one request on its way from Do to the loop and back. Only the loop uses it once it is submitted,
-// but for reply and abandoned.
+// call is one request on its way from Do to the loop and back. Once it is submitted only the loop uses it, but for
+// reply and abandoned.
 type call struct {
 	req         Request
 	class       policy.Class    // under which Do accepted it
@@ -18,7 +18,7 @@
 	timeout     time.Duration   // how long the client waits, from receivedAt on
 	reply       chan Answer     // buffered for the one answer: the loop never waits for the caller
 	onAnswer    func(Answer)    // replaces reply; it must not call the loop
-	ctx         context.Context // the caller's; nil where only the event clientLeft tells that it is gone
+	ctx         context.Context // the caller's; nil in a Stepped engine
 	abandoned   atomic.Bool     // nobody waits for reply any more
 	bodyPending bool            // the last byte has not come: the timeout counts from then
 }
@@ -38,7 +38,7 @@
 	}
 }
 
-// closeStream closes the stream of an answer that is not passed on, if it has one.
+// closeStream closes the stream of an answer that is not delivered, if it has one.
 func closeStream(answer Answer) {
 	if answer.Stream != nil {
 		_ = answer.Stream.Close() // nobody is left to hear of an error
--- a/router/do.go
+++ b/router/do.go
@@ -78,7 +78,7 @@
 	return eventLoop.await(ctx, call)
 }
 
-// newCall makes the call of a request that is submitted now.
+// newCall makes the call of a request that is submitted now. It runs in the caller's goroutine.
 func (l *loop) newCall(ctx context.Context, req *Request, class *policy.Class) *call {
 	now := l.clock.now()
 	call := &call{
@@ -105,7 +105,7 @@
 	return call
 }
 
-// await waits for the answer to a call that the loop has.
+// await waits for the answer to a call that was sent to the loop. It runs in the caller's goroutine.
 func (l *loop) await(ctx context.Context, c *call) (Answer, error) {
 	select {
 	case answer := <-c.reply:
--- a/router/drain_run.go
+++ b/router/drain_run.go
@@ -9,7 +9,7 @@
 	"cobaltward/drain"
 )
 
-// drainPollInterval is the time between two looks at the work that is left, while the router is closing.
+// drainPollInterval is how often the work that is left is counted while the router is closing.
 const drainPollInterval = 10 * time.Millisecond
 
 // drainRun is one drain, from its start until it is over or cancelled. A goroutine in Router.runDrain drives it;
@@ -32,7 +32,7 @@
 	return &drainRun{wakeup: make(chan struct{}, 1), done: make(chan struct{})}
 }
 
-// notify has runDrain look at the machine. It does not block.
+// notify has runDrain step the machine. It does not block.
 func (d *drainRun) notify() {
 	select {
 	case d.wakeup <- struct{}{}:
--- a/router/example_test.go
+++ b/router/example_test.go
@@ -21,6 +21,14 @@
 func (echo) CloseIdle(string)             {}
 func (echo) Close()                       {}
 
+// bookingConfig has one class, and no server.
+func bookingConfig() router.Config {
+	return router.Config{Settings: policy.Settings{
+		Nodes:   1,
+		Classes: []policy.Class{{Name: "booking", Deadline: time.Second}},
+	}}
+}
+
 // closeRouter closes a router at the end of an example.
 func closeRouter(r *router.Router) {
 	if err := r.Close(); err != nil {
@@ -68,11 +76,7 @@
 
 // An error names the field of an invalid request.
 func ExampleRouter_Do_invalid() {
-	config := router.Config{Settings: policy.Settings{
-		Nodes:   1,
-		Classes: []policy.Class{{Name: "booking", Deadline: time.Second}},
-	}}
-	r, err := router.New(config, router.WithTransport(echo{}))
+	r, err := router.New(bookingConfig(), router.WithTransport(echo{}))
 	if err != nil {
 		fmt.Println(err)
 		return
@@ -86,10 +90,7 @@
 
 // A reload of an invalid configuration changes nothing.
 func ExampleRouter_Reload() {
-	config := router.Config{Settings: policy.Settings{
-		Nodes:   1,
-		Classes: []policy.Class{{Name: "booking", Deadline: time.Second}},
-	}}
+	config := bookingConfig()
 	r, err := router.New(config, router.WithTransport(echo{}))
 	if err != nil {
 		fmt.Println(err)
--- a/router/reply.go
+++ b/router/reply.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// oldestFirst lists the open requests, lest the order in which the balancer learns of them be that of a map.
+// oldestFirst lists the open requests in an order that is always the same, as that of a map is not.
 func (l *loop) oldestFirst() []*request {
 	open := make([]*request, 0, len(l.requests))
 	for _, r := range l.requests {
--- a/router/reply_test.go
+++ b/router/reply_test.go
@@ -47,14 +47,30 @@
 			t.Errorf("got %v, error %v", result.answer.Outcome, result.err)
 		}
 		balancer.wantEvents(t, "list 2", "request r1", "client gone r1", outcomeName("r1", 0, policy.Cancelled, true))
-		stats := r.Stats()
-		wantNothingLeft(t, stats)
-		if stats.ClientsGone != 1 {
-			t.Errorf("%+v", stats)
-		}
+		wantOneClientGone(t, r)
 	})
 }
 
+// startAndLeave calls Do in a goroutine, and has its client leave once the bubble is idle.
+func startAndLeave(t *testing.T, r *Router, id string) {
+	t.Helper()
+	ctx, leave := context.WithCancel(t.Context())
+	startDo(ctx, r, readRequest(id))
+	synctest.Wait()
+	leave()
+	synctest.Wait()
+}
+
+// wantOneClientGone checks that one client is counted as gone, and that nothing of its request is left.
+func wantOneClientGone(t *testing.T, r *Router) {
+	t.Helper()
+	stats := r.Stats()
+	wantNothingLeft(t, stats)
+	if stats.ClientsGone != 1 {
+		t.Errorf("%+v", stats)
+	}
+}
+
 // The event that a client has left may be queued behind others. Its request is not admitted any more where it was
 // queued, gets no further attempt, and is not written where it waits for its connection, also where the settings
 // allow no cancellation.
@@ -80,19 +96,11 @@
 	r, balancer := newTestRouter(t, transport, respond)
 	startDo(t.Context(), r, readRequest("r1"))
 	synctest.Wait()
-	ctx, leave := context.WithCancel(t.Context())
-	startDo(ctx, r, readRequest("r2"))
-	synctest.Wait()
-	leave()
-	synctest.Wait()
+	startAndLeave(t, r, "r2")
 	close(resume)
 	balancer.wantEvents(t, "list 2", "request r1", outcomeName("r1", 0, policy.OK, true))
 	transport.wantAttempts(t, 1)
-	stats := r.Stats()
-	wantNothingLeft(t, stats)
-	if stats.ClientsGone != 1 {
-		t.Errorf("%+v", stats)
-	}
+	wantOneClientGone(t, r)
 }
 
 func testClientLeavesBetweenAttempts(t *testing.T) {
@@ -110,20 +118,12 @@
 		return nil
 	}
 	r, balancer := newTestRouter(t, transport, respond)
-	ctx, leave := context.WithCancel(t.Context())
-	startDo(ctx, r, readRequest("r1"))
-	synctest.Wait()
-	leave()
-	synctest.Wait()
+	startAndLeave(t, r, "r1")
 	close(resume)
 	balancer.wantEvents(t, "list 2", "request r1",
 		outcomeName("r1", 0, policy.Overloaded, false), outcomeName("r1", 1, policy.Superseded, true))
 	transport.wantAttempts(t, 1)
-	stats := r.Stats()
-	wantNothingLeft(t, stats)
-	if stats.ClientsGone != 1 {
-		t.Errorf("%+v", stats)
-	}
+	wantOneClientGone(t, r)
 }
 
 // sendAndFail is a respondFunc that answers each request as soon as it is sent.
@@ -143,11 +143,7 @@
 		return Result{Code: policy.Superseded}
 	}
 	r, _ := newTestRouter(t, &fakeTransport{attempt: attempt}, respond)
-	ctx, leave := context.WithCancel(t.Context())
-	startDo(ctx, r, readRequest("r1"))
-	synctest.Wait()
-	leave()
-	synctest.Wait()
+	startAndLeave(t, r, "r1")
 	close(connected)
 	synctest.Wait()
 	if !abandoned {
