Drain, levels and drop overload split by concern; changes of a drain have a type

Change: levels has files for configuration, check, controller, step, signals, effect and reconfiguration; drain for states, events, errors and the machine, with drain.Change for what an event reports (values as before); dropoverload names its constants, and a test holds its hash to the values of the build of before.

--- a/dropoverload/dropoverload.go
+++ b/dropoverload/dropoverload.go
@@ -1,57 +1,65 @@
-// Package drops decides which requests are turned away because whoever runs the servers has asked for a
-// part of a pool's requests to be dropped (Envoy's drop_overloads). It does no I/O and keeps no state: the
-// same id meets the same fate at every node.
+// Package dropoverload decides which requests are rejected because the control plane asks for a fraction of a pool's
+// requests to be dropped (Envoy's drop_overloads). It does no I/O and keeps no state: all nodes decide alike on a
+// request id.
 package dropoverload
 
 import "math"
 
-// Fractions are the parts of the requests to be dropped, 0 to 1, by pool.
+// Fractions are the fractions of requests that are to be dropped, 0 to 1, by pool.
 type Fractions map[string]float64
 
-// ShouldDrop tells whether the request of that id, of a class that is bound to pool, is to be dropped. Classes
-// bound to no pool have none of it.
-func (p Fractions) ShouldDrop(pool, id string) bool {
-	part := p[pool]
-	return part > 0 && pool != "" && fraction(id) < part
+// ShouldDrop reports whether to drop the request with an id, of a class that is bound to a pool. Requests of classes
+// that are bound to no pool, for which pool is empty, are never dropped.
+func (f Fractions) ShouldDrop(pool, id string) bool {
+	fraction := f[pool]
+	return fraction > 0 && pool != "" && Fraction(id) < fraction
 }
 
-// Equal tells whether two tables say the same.
-func (p Fractions) Equal(q Fractions) bool {
-	for pool, part := range p {
-		if q[pool] != part {
-			return false
-		}
-	}
-	for pool, part := range q {
-		if p[pool] != part {
+// Equal reports whether two tables have the same fractions. One of 0 is the same as none.
+func (f Fractions) Equal(other Fractions) bool {
+	return f.includes(other) && other.includes(f)
+}
+
+func (f Fractions) includes(other Fractions) bool {
+	for pool, fraction := range other {
+		if f[pool] != fraction {
 			return false
 		}
 	}
 	return true
 }
 
-// Merge is what several sources ask for together: of a pool that more than one speaks of, the most.
-func Merge(all ...Fractions) Fractions {
-	joined := make(Fractions)
-	for _, p := range all {
-		for pool, part := range p {
-			joined[pool] = max(joined[pool], part)
+// Merge returns what several sources ask for together: for each pool, the highest fraction.
+func Merge(sources ...Fractions) Fractions {
+	merged := make(Fractions)
+	for _, source := range sources {
+		for pool, fraction := range source {
+			merged[pool] = max(merged[pool], fraction)
 		}
 	}
-	return joined
+	return merged
 }
 
-// Fraction is where an id falls between 0 and 1: the same at every node.
-func Fraction(id string) float64 { return fraction(id) }
+// Parameters of 64-bit FNV-1a, and of the finalizer of MurmurHash3.
+const (
+	fnvOffset       = 14695981039346656037
+	fnvPrime        = 1099511628211
+	murmurFirst     = 0xff51afd7ed558ccd
+	murmurSecond    = 0xc4ceb9fe1a85ec53
+	murmurShift     = 33
+	mantissaBits    = 53
+	discardedOfHash = 64 - mantissaBits
+)
 
-// fraction spreads ids evenly over 0 to 1: FNV-1a, then the finalizer of MurmurHash3, for ids that count
-// up differ in their last bits only.
-func fraction(id string) float64 {
-	h := uint64(14695981039346656037)
+// Fraction maps a request id to [0, 1): evenly, and alike at every node. FNV-1a alone would not do, since ids that
+// count up differ in their last bits only.
+func Fraction(id string) float64 {
+	hash := uint64(fnvOffset)
 	for i := 0; i < len(id); i++ {
-		h = (h ^ uint64(id[i])) * 1099511628211
+		hash = (hash ^ uint64(id[i])) * fnvPrime
 	}
-	h = (h ^ h>>33) * 0xff51afd7ed558ccd
-	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
-	return math.Ldexp(float64((h^h>>33)>>11), -53)
+	hash = (hash ^ hash>>murmurShift) * murmurFirst
+	hash = (hash ^ hash>>murmurShift) * murmurSecond
+	hash ^= hash >> murmurShift
+	return math.Ldexp(float64(hash>>discardedOfHash), -mantissaBits)
 }
--- a/dropoverload/dropoverload_test.go
+++ b/dropoverload/dropoverload_test.go
@@ -8,37 +8,54 @@
 	"pgregory.net/rapid"
 )
 
-// Of many ids, the part that is asked for is dropped, and an id's fate is the same whenever it is asked
-// and grows no better as the part grows.
-func TestDropsThePart(t *testing.T) {
+// TestShouldDrop_DropsTheFraction checks that of many ids the fraction that is asked for is dropped, and that an id
+// which is dropped at a fraction is dropped at every higher one.
+func TestShouldDrop_DropsTheFraction(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		part := rapid.Float64Range(0, 1).Draw(t, "part")
-		more := rapid.Float64Range(part, 1).Draw(t, "more")
+		fraction := rapid.Float64Range(0, 1).Draw(t, "part")
+		higher := rapid.Float64Range(fraction, 1).Draw(t, "more")
 		prefix := rapid.StringMatching(`[a-z0-9]{0,12}`).Draw(t, "prefix")
-		p, q := Fractions{"rooms": part}, Fractions{"rooms": more}
-		const n = 4000
+		at, above := Fractions{"rooms": fraction}, Fractions{"rooms": higher}
+		const ids = 4000
 		dropped := 0
-		for i := range n {
+		for i := range ids {
 			id := fmt.Sprint(prefix, i)
-			if p.ShouldDrop("rooms", id) {
+			if at.ShouldDrop("rooms", id) {
 				dropped++
-				if !q.ShouldDrop("rooms", id) {
-					t.Fatalf("%s is dropped at %v and not at %v", id, part, more)
+				if !above.ShouldDrop("rooms", id) {
+					t.Fatalf("%s is dropped at %v and not at %v", id, fraction, higher)
 				}
 			}
-			if p.ShouldDrop("", id) || p.ShouldDrop("others", id) {
+			if at.ShouldDrop("", id) || at.ShouldDrop("others", id) {
 				t.Fatalf("%s of another pool, or none, is dropped", id)
 			}
 		}
-		if off := math.Abs(float64(dropped)/n - part); off > 5*math.Sqrt(0.25/n) {
-			t.Fatalf("%d of %d dropped, want the part %v", dropped, n, part)
+		if off := math.Abs(float64(dropped)/ids - fraction); off > 5*math.Sqrt(0.25/ids) {
+			t.Fatalf("%d of %d dropped, want the fraction %v", dropped, ids, fraction)
 		}
 	})
 }
 
-func TestJoin(t *testing.T) {
+// TestFraction_StableAcrossVersions holds the hash to the values of earlier versions: nodes of two versions drop the
+// same requests.
+func TestFraction_StableAcrossVersions(t *testing.T) {
+	for id, want := range map[string]float64{
+		"":    0.93676944839044,
+		"a":   0.5102945176565711,
+		"r-1": 0.24691820611219262,
+		"r-2": 0.6792227215271556,
+	} {
+		if got := Fraction(id); got != want {
+			t.Errorf("%q: %v, want %v", id, got, want)
+		}
+	}
+}
+
+// TestMerge_HighestFractionWins merges tables, and compares the result with equal and unequal ones.
+func TestMerge_HighestFractionWins(t *testing.T) {
 	got := Merge(Fractions{"a": 0.2, "b": 0.1}, nil, Fractions{"a": 0.1, "c": 1})
-	if want := (Fractions{"a": 0.2, "b": 0.1, "c": 1}); !got.Equal(want) || got.Equal(Fractions{"a": 0.2}) || (Fractions{}).Equal(got) {
+	want := Fractions{"a": 0.2, "b": 0.1, "c": 1}
+	if !got.Equal(want) || got.Equal(Fractions{"a": 0.2}) || (Fractions{}).Equal(got) {
 		t.Errorf("%v, want %v", got, want)
 	}
 }
--- a/levels/check.go
+++ b/levels/check.go
@@ -5,9 +5,9 @@
 	"slices"
 )
 
-// ConfigError names the level and what is wrong with it.
+// ConfigError says what is wrong with a configuration.
 type ConfigError struct {
-	Level   int // from 0 on, in the order of the configuration; -1 where none is to blame
+	Level   int // index in Config.Levels; -1 where no level is at fault
 	Problem string
 }
 
@@ -18,76 +18,154 @@
 	return fmt.Sprintf("level %d: %s", e.Level+1, e.Problem)
 }
 
-// check says what in a ladder makes no sense.
+// check returns the first thing that is wrong with a configuration, as a *ConfigError.
 func (c *Config) check() error {
 	names := make(map[string]bool)
 	shed := make(map[string]float64) // by class, of all tenants, so far
-	for i, l := range c.Levels {
-		bad := func(format string, args ...any) error { return &ConfigError{i, fmt.Sprintf(format, args...)} }
-		switch {
-		case l.Name == "" || l.Name == "full":
-			return bad("name: want one of its own, got %q", l.Name)
-		case names[l.Name]:
-			return bad("name: %q is there twice", l.Name)
-		case len(l.Enter) == 0:
-			return bad("it is never entered: there is no condition for it")
-		case len(l.Exit) == 0:
-			return bad("it is never left: there is no condition for it")
-		case len(l.Measures) == 0:
-			return bad("it does nothing: there is no measure")
+	for i := range c.Levels {
+		if err := c.checkLevel(i, names, shed); err != nil {
+			return &ConfigError{Level: i, Problem: err.Error()}
 		}
-		names[l.Name] = true
-		for _, set := range [][]Condition{l.Enter, l.Exit} {
-			for _, k := range set {
-				if k.Threshold < 0 || k.For < 0 {
-					return bad("%v: want a bound and a time of 0 or more", k)
-				}
-				if k.Class != "" && !slices.ContainsFunc(c.Classes, func(x Class) bool { return x.Name == k.Class }) {
-					return bad("%v: there is no such class", k)
-				}
-			}
+	}
+	return nil
+}
+
+// checkLevel checks a level; names and shed are of the levels before it, and of this one afterwards.
+func (c *Config) checkLevel(index int, names map[string]bool, shed map[string]float64) error {
+	level := &c.Levels[index]
+	if err := level.checkParts(names); err != nil {
+		return err
+	}
+	if err := c.checkConditions(level); err != nil {
+		return err
+	}
+	if err := level.checkExitBelowEntry(); err != nil {
+		return err
+	}
+	if err := c.checkReachable(index); err != nil {
+		return err
+	}
+	if err := c.checkMeasures(level, shed); err != nil {
+		return err
+	}
+	return c.checkShedLast(shed)
+}
+
+// checkParts checks that a level has a name of its own, conditions and measures.
+func (l *Level) checkParts(names map[string]bool) error {
+	switch {
+	case l.Name == "" || l.Name == fullServiceName:
+		return fmt.Errorf("name: want one of its own, got %q", l.Name)
+	case names[l.Name]:
+		return fmt.Errorf("name: %q is there twice", l.Name)
+	case len(l.Enter) == 0:
+		return fmt.Errorf("it is never entered: there is no condition for it")
+	case len(l.Exit) == 0:
+		return fmt.Errorf("it is never left: there is no condition for it")
+	case len(l.Measures) == 0:
+		return fmt.Errorf("it does nothing: there is no measure")
+	}
+	names[l.Name] = true
+	return nil
+}
+
+// checkConditions checks the values and the classes of a level's conditions.
+func (c *Config) checkConditions(level *Level) error {
+	for _, condition := range slices.Concat(level.Enter, level.Exit) {
+		if condition.Threshold < 0 || condition.For < 0 {
+			return fmt.Errorf("%v: want a bound and a time of 0 or more", condition)
 		}
-		for _, in := range l.Enter {
-			for _, out := range l.Exit {
-				if in.Signal == out.Signal && in.Class == out.Class && out.Threshold >= in.Threshold {
-					return bad("it is left below %.4g of %s and entered above %.4g: want the exit below the entry", out.Threshold, out.label(), in.Threshold)
-				}
-			}
+		if condition.Class != "" && !c.hasClass(condition.Class) {
+			return fmt.Errorf("%v: there is no such class", condition)
 		}
-		if i > 0 {
-			for _, in := range l.Enter {
-				for _, before := range c.Levels[i-1].Enter {
-					if in.Signal == before.Signal && in.Class == before.Class && in.Threshold < before.Threshold && in.For <= before.For {
-						return bad("it can't be reached on its own: the level before it is entered above %.4g of %s, later than this one above %.4g", before.Threshold, in.label(), in.Threshold)
-					}
-				}
+	}
+	return nil
+}
+
+func (c *Config) hasClass(name string) bool {
+	return slices.ContainsFunc(c.Classes, func(class Class) bool { return class.Name == name })
+}
+
+// sameSignal reports whether two conditions are about the same signal.
+func (c Condition) sameSignal(other Condition) bool {
+	return c.Signal == other.Signal && c.Class == other.Class
+}
+
+// checkExitBelowEntry checks that a level is not left above the threshold at which it is entered.
+func (l *Level) checkExitBelowEntry() error {
+	for _, enter := range l.Enter {
+		for _, exit := range l.Exit {
+			if enter.sameSignal(exit) && exit.Threshold >= enter.Threshold {
+				return fmt.Errorf("it is left below %.4g of %s and entered above %.4g: want the exit below the entry",
+					exit.Threshold, exit.label(), enter.Threshold)
 			}
 		}
-		for _, m := range l.Measures {
-			k := slices.IndexFunc(c.Classes, func(x Class) bool { return x.Name == m.Class })
-			switch {
-			case k < 0:
-				return bad("a measure for class %q, which there is not", m.Class)
-			case m.Shed < 0 || m.Shed > 1:
-				return bad("%s: shed: want 0 to 1, got %v", m.Class, m.Shed)
-			case m.FollowDemand && m.Shed == 0:
-				return bad("%s: follow: shed says how much it may shed at most", m.Class)
-			case m.MaxQueueTime < 0:
-				return bad("%s: hold: want 0 or more, got %v", m.Class, m.MaxQueueTime)
-			case m.MaxAttempts < 0:
-				return bad("%s: attempts: want 0 or more, got %d", m.Class, m.MaxAttempts)
-			case m.Shed == 0 && !m.NoHedging && m.MaxAttempts == 0 && !m.WithinQuota && m.MaxQueueTime == 0 && !m.ZoneLocal:
-				return bad("%s: the measure does nothing", m.Class)
-			}
-			if m.Tenants == nil {
-				shed[m.Class] = max(shed[m.Class], m.Shed)
+	}
+	return nil
+}
+
+// checkReachable checks that a level's conditions are not met before those of the level before it.
+func (c *Config) checkReachable(index int) error {
+	if index == 0 {
+		return nil
+	}
+	for _, enter := range c.Levels[index].Enter {
+		for _, before := range c.Levels[index-1].Enter {
+			if enter.sameSignal(before) && enter.Threshold < before.Threshold && enter.For <= before.For {
+				return fmt.Errorf("it can't be reached on its own: the level before it is entered above %.4g of %s, "+
+					"later than this one above %.4g", before.Threshold, enter.label(), enter.Threshold)
 			}
 		}
-		for _, g := range c.Classes {
-			for _, u := range c.Classes {
-				if g.ShedLast && !u.ShedLast && shed[g.Name] > shed[u.Name] {
-					return bad("it sheds %.4g of %s, which is guarded, and %.4g of %s, which is not", shed[g.Name], g.Name, shed[u.Name], u.Name)
-				}
+	}
+	return nil
+}
+
+// checkMeasures checks a level's measures, and adds what they shed.
+func (c *Config) checkMeasures(level *Level, shed map[string]float64) error {
+	for i := range level.Measures {
+		measure := &level.Measures[i]
+		if !c.hasClass(measure.Class) {
+			return fmt.Errorf("a measure for class %q, which there is not", measure.Class)
+		}
+		if err := measure.check(); err != nil {
+			return fmt.Errorf("%s: %w", measure.Class, err)
+		}
+		if measure.Tenants == nil {
+			shed[measure.Class] = max(shed[measure.Class], measure.Shed)
+		}
+	}
+	return nil
+}
+
+// check checks the values of a measure.
+func (m *Measure) check() error {
+	switch {
+	case m.Shed < 0 || m.Shed > 1:
+		return fmt.Errorf("shed: want 0 to 1, got %v", m.Shed)
+	case m.FollowDemand && m.Shed == 0:
+		return fmt.Errorf("follow: shed says how much it may shed at most")
+	case m.MaxQueueTime < 0:
+		return fmt.Errorf("hold: want 0 or more, got %v", m.MaxQueueTime)
+	case m.MaxAttempts < 0:
+		return fmt.Errorf("attempts: want 0 or more, got %d", m.MaxAttempts)
+	case m.isEmpty():
+		return fmt.Errorf("the measure does nothing")
+	}
+	return nil
+}
+
+// isEmpty reports whether a measure has no effect.
+func (m *Measure) isEmpty() bool {
+	return m.Shed == 0 && !m.NoHedging && m.MaxAttempts == 0 && !m.WithinQuota && m.MaxQueueTime == 0 && !m.ZoneLocal
+}
+
+// checkShedLast checks that no more is shed of a class that is to be shed last than of one that is not.
+func (c *Config) checkShedLast(shed map[string]float64) error {
+	for _, last := range c.Classes {
+		for _, other := range c.Classes {
+			if last.ShedLast && !other.ShedLast && shed[last.Name] > shed[other.Name] {
+				return fmt.Errorf("it sheds %.4g of %s, which is guarded, and %.4g of %s, which is not",
+					shed[last.Name], last.Name, shed[other.Name], other.Name)
 			}
 		}
 	}
--- /dev/null
+++ b/levels/effect.go
@@ -0,0 +1,61 @@
+package levels
+
+import (
+	"slices"
+	"time"
+)
+
+// Effect is what the level in force does to a request.
+type Effect struct {
+	Shed         float64 // the fraction of such requests that is rejected at once, 0 to 1
+	NoHedging    bool
+	MaxAttempts  int // 0: the level sets no limit
+	WithinQuota  bool
+	MaxQueueTime time.Duration // 0: the level sets no limit
+	ZoneLocal    bool
+}
+
+// Effect returns what the level in force does to requests of a class and a tenant. Of several measures the strictest
+// counts.
+func (c *Controller) Effect(class, tenant string) Effect {
+	var effect Effect
+	passed := 1.0 // fraction
+	for i := range c.level {
+		for j := range c.config.Levels[i].Measures {
+			measure := &c.config.Levels[i].Measures[j]
+			if !measure.appliesTo(class, tenant) {
+				continue
+			}
+			shed := c.shed[i][j]
+			probed := c.exitProbing && i == c.level-1
+			if probed && 1-shed < passed { // half of what it sheds beyond the levels before it
+				shed -= (shed - (1 - passed)) / 2
+			}
+			passed = min(passed, 1-shed)
+			effect.tighten(measure)
+		}
+	}
+	effect.Shed = 1 - passed
+	return effect
+}
+
+func (m *Measure) appliesTo(class, tenant string) bool {
+	return m.Class == class && (m.Tenants == nil || slices.Contains(m.Tenants, tenant))
+}
+
+// tighten adds the limits of a measure.
+func (e *Effect) tighten(measure *Measure) {
+	e.ZoneLocal = e.ZoneLocal || measure.ZoneLocal
+	e.NoHedging = e.NoHedging || measure.NoHedging
+	e.WithinQuota = e.WithinQuota || measure.WithinQuota
+	e.MaxQueueTime = lowerLimit(e.MaxQueueTime, measure.MaxQueueTime)
+	e.MaxAttempts = lowerLimit(e.MaxAttempts, measure.MaxAttempts)
+}
+
+// lowerLimit returns the lower of two limits, of which 0 or less is none.
+func lowerLimit[T int | time.Duration](current, limit T) T {
+	if limit > 0 && (current == 0 || limit < current) {
+		return limit
+	}
+	return current
+}
