--- /dev/null
+++ b/levels/reconfigure_test.go
@@ -0,0 +1,105 @@
+package levels
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// reconfigureTest drives a controller whose configuration changes.
+type reconfigureTest struct {
+	controller *Controller
+	config     Config
+	now        time.Duration
+	lastChange time.Duration
+}
+
+// TestReconfigure_KeepsLevel changes the configuration at any time: the level stays if the new configuration has one of
+// its name, else the nearest one before it is entered; nothing is shed that neither configuration sheds, and the time
+// between two changes is kept.
+func TestReconfigure_KeepsLevel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := drawConfig(t, "first")
+		controller, err := New(config)
+		if err != nil {
+			t.Skip(err)
+		}
+		test := &reconfigureTest{controller: controller, config: config, lastChange: -time.Hour}
+		for range rapid.IntRange(1, 60).Draw(t, "seconds") {
+			test.now += time.Second
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				test.reconfigure(t)
+			case 1:
+				test.setManual(t)
+			default:
+				test.step(t)
+			}
+		}
+	})
+}
+
+func drawConfig(t *rapid.T, label string) Config {
+	names := []string{"a", "b", "c", "d"}
+	config := Config{Classes: []Class{{Name: "x"}}, MinInterval: 30 * time.Second}
+	order := rapid.Permutation(names).Draw(t, label)
+	for i, name := range order[:rapid.IntRange(1, len(names)).Draw(t, label+" levels")] {
+		config.Levels = append(config.Levels, Level{
+			Name:     name,
+			Enter:    []Condition{{Signal: Demand, Threshold: 1.1 + 0.1*float64(i)}},
+			Exit:     []Condition{{Signal: Demand, Threshold: 0.9}},
+			Measures: []Measure{{Class: "x", Shed: 0.1 * float64(i+1)}},
+		})
+	}
+	return config
+}
+
+func (r *reconfigureTest) reconfigure(t *rapid.T) {
+	before, nameBefore, _ := r.controller.Level()
+	next := drawConfig(t, "next")
+	changed, err := r.controller.Reconfigure(r.now, next)
+	after, nameAfter, _ := r.controller.Level()
+	if err != nil {
+		if after != before || nameAfter != nameBefore {
+			t.Fatal("a configuration that was refused has changed the level")
+		}
+		return
+	}
+	want := 0
+	for level := before; level > 0 && want == 0; level-- {
+		want = next.levelOf(r.config.levelName(level))
+	}
+	if after != want || changed != (before > 0 && nameAfter != nameBefore) {
+		t.Fatalf("from %d, %s, to %d, %s; want %d; changed %v", before, nameBefore, after, nameAfter, want, changed)
+	}
+	r.config = next
+	if changed {
+		r.lastChange = r.now
+	}
+}
+
+func (r *reconfigureTest) setManual(t *rapid.T) {
+	before, _, _ := r.controller.Level()
+	level := rapid.IntRange(0, len(r.config.Levels)).Draw(t, "by hand")
+	if err := r.controller.SetManual(r.now, level, 5*time.Second, "w", "y"); err != nil {
+		t.Fatal(err)
+	}
+	if level != before {
+		r.lastChange = r.now
+	}
+}
+
+func (r *reconfigureTest) step(t *rapid.T) {
+	before, _, _ := r.controller.Level()
+	work := rapid.Float64Range(0, 200).Draw(t, "offered")
+	window := Window{Offered: work, Work: 1, OnTime: min(work, 50), Late: max(0, work-50)}
+	r.controller.Step(r.now, map[string]Window{"x": window})
+	if after, _, _ := r.controller.Level(); after == before {
+		return
+	}
+	if r.now-r.lastChange < 30*time.Second {
+		t.Fatalf("changed %v after the change before", r.now-r.lastChange)
+	}
+	r.lastChange = r.now
+}
--- /dev/null
+++ b/levels/simulation_test.go
@@ -0,0 +1,100 @@
+package levels
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+var testClasses = []Class{{Name: "hladanie"}, {Name: "rezervacia", ShedLast: true}, {Name: "zrusenie"}}
+
+// slowAbove is the condition that too many answers are slow.
+func slowAbove(threshold float64, duration time.Duration) []Condition {
+	return []Condition{{Signal: SlowAnswers, Threshold: threshold, For: duration}}
+}
+
+// testConfig sheds searches first, then cancellations with them, and bookings never.
+func testConfig() Config {
+	exit := slowAbove(0.05, 10*time.Second)
+	return Config{
+		Classes: testClasses,
+		Levels: []Level{
+			{
+				Name: "fewer searches", Enter: slowAbove(0.15, 3*time.Second), Exit: exit,
+				Measures: []Measure{{Class: "hladanie", Shed: 0.4, NoHedging: true}},
+			},
+			{
+				Name: "bookings first", Enter: slowAbove(0.2, 3*time.Second), Exit: exit,
+				Measures: []Measure{{Class: "hladanie", Shed: 0.8}, {Class: "zrusenie", Shed: 0.3, MaxAttempts: 1}},
+			},
+		},
+	}
+}
+
+func newController(t testing.TB, config Config) *Controller {
+	t.Helper()
+	controller, err := New(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return controller
+}
+
+// servers complete so much work a second in time: what is more is late, whichever class it is of, and leaves a backlog
+// that makes what follows late as well.
+type servers struct{ capacity, backlog float64 }
+
+// second plays one second of load, in requests of each class, under a controller; nil: without one.
+func (s *servers) second(controller *Controller, load, work map[string]float64) map[string]Window {
+	windows := make(map[string]Window)
+	demanded := s.backlog
+	for _, class := range testClasses {
+		window := Window{Offered: load[class.Name], Work: work[class.Name]}
+		if controller != nil {
+			window.Shed = window.Offered * controller.Effect(class.Name, "t").Shed
+		}
+		demanded += (window.Offered - window.Shed) * window.Work
+		windows[class.Name] = window
+	}
+	late := math.Max(0, 1-s.capacity/math.Max(demanded, 1e-9))
+	s.backlog = math.Min(math.Max(0, demanded-s.capacity), s.capacity) // deadlines bound it
+	for name, window := range windows {
+		passed := window.Offered - window.Shed
+		window.OnTime, window.Late, window.Open = passed*(1-late), passed*late, passed
+		windows[name] = window
+	}
+	return windows
+}
+
+// loadOf returns so many requests a second, by class.
+func loadOf(total float64) map[string]float64 {
+	return map[string]float64{"hladanie": total * 0.5, "rezervacia": total * 0.3, "zrusenie": total * 0.2}
+}
+
+var evenWork = map[string]float64{"hladanie": 1, "rezervacia": 1, "zrusenie": 1}
+
+// loadFunc returns the load and the work of a request in a second, by class.
+type loadFunc func(second int) (load, work map[string]float64)
+
+// play plays seconds of a load, and returns the fractions of bookings and of all requests that were served in time.
+func play(controller *Controller, seconds int, load loadFunc) (bookings, all float64) {
+	plant := servers{capacity: 100}
+	var bookingsOnTime, bookingsOffered, allOnTime, allOffered float64
+	for i := range seconds {
+		amount, work := load(i)
+		windows := plant.second(controller, amount, work)
+		for _, class := range testClasses {
+			window := windows[class.Name]
+			allOnTime += window.OnTime
+			allOffered += window.Offered
+			if class.Name == "rezervacia" {
+				bookingsOnTime += window.OnTime
+				bookingsOffered += window.Offered
+			}
+		}
+		if controller != nil {
+			controller.Step(time.Duration(i+1)*time.Second, windows)
+		}
+	}
+	return bookingsOnTime / bookingsOffered, allOnTime / allOffered
+}
