--- a/emulator/result/result.go
+++ b/emulator/result/result.go
@@ -298,7 +298,7 @@
 func (b *Book) Sample(views []policy.View) {
 	row := make([]Sample, 0, len(views))
 	for _, v := range views {
-		row = append(row, Sample{v.Server, v.Inflight, math.Round(v.Threshold*100) / 100, v.Ejected})
+		row = append(row, Sample{v.Server, v.InFlight, math.Round(v.Threshold*100) / 100, v.Ejected})
 	}
 	b.r.Samples = append(b.r.Samples, row)
 }
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -21,7 +21,7 @@
 	}
 	for server, n := range sent {
 		if n > requests*3/4 {
-			t.Errorf("%s got %d of %d requests; its walk has %d servers of its own", server, n, requests, b.ownUntil)
+			t.Errorf("%s got %d of %d requests; its walk has %d servers of its own", server, n, requests, b.subsetSize)
 		}
 	}
 }
@@ -33,7 +33,7 @@
 	const from = 10 * time.Second // all have room by then
 	slow := sentTo(t, b.Handle(from, ask("slow", "free")))
 	b.Handle(from+time.Second, outcome("slow", 0, slow, OK, time.Second))
-	part := b.limit(b.servers[slow])
+	part := b.effectiveThreshold(b.servers[slow])
 	for now := from + time.Second; now < from+3500*ms; now += 100 * ms {
 		id := fmt.Sprint(now)
 		server := sentTo(t, b.Handle(now, ask(id, "free")))
@@ -50,7 +50,7 @@
 	b := start(t, site(80), members(40))
 	server := sentTo(t, b.Handle(ms, ask("1", "free")))
 	b.Handle(ms, outcome("1", 0, server, OK, 0))
-	if c := b.crowding(b.servers[server]); !(c >= 0) {
+	if c := b.projectedLoad(b.servers[server]); !(c >= 0) {
 		t.Errorf("crowding %v", c)
 	}
 }
--- a/policy/index_test.go
+++ b/policy/index_test.go
@@ -25,7 +25,7 @@
 		}
 		quick, _ := New(set, 0, 7)
 		plain, _ := New(set, 0, 7)
-		plain.plain = true
+		plain.linearScan = true
 		most := rapid.SampledFrom([]int{10, 130, 400}).Draw(t, "servers")
 		now := 10 * time.Second
 		var out []Action // sends without their outcome
@@ -73,7 +73,7 @@
 					tell(EndpointList{Endpoints: all[rapid.IntRange(0, most/2).Draw(t, "from"):]})
 				}
 			case 2:
-				tell(Timer{Token: rapid.SampledFrom([]uint64{holdToken, watchToken, watchToken + 1}).Draw(t, "timer")})
+				tell(Timer{Token: rapid.SampledFrom([]uint64{queueTimerToken, firstClassTimerToken, firstClassTimerToken + 1}).Draw(t, "timer")})
 			case 3, 4, 5: // a burst: enough to fill servers up
 				for range rapid.IntRange(1, most/4+2).Draw(t, "burst") {
 					requests++
@@ -91,11 +91,11 @@
 				}
 			}
 		}
-		if quick.pool.ejected != plain.pool.ejected || quick.zoned != plain.zoned || quick.zones != plain.zones {
-			t.Fatalf("ejected %d and %d, zoned %d and %d", quick.pool.ejected, plain.pool.ejected, quick.zoned, plain.zoned)
+		if quick.pool.ejectedCount != plain.pool.ejectedCount || quick.localCount != plain.localCount || quick.zoneCount != plain.zoneCount {
+			t.Fatalf("ejected %d and %d, zoned %d and %d", quick.pool.ejectedCount, plain.pool.ejectedCount, quick.localCount, plain.localCount)
 		}
 		for i, s := range quick.order {
-			if p := plain.order[i]; s.Server != p.Server || s.own != p.own || s.threshold != p.threshold || s.safest != p.safest {
+			if p := plain.order[i]; s.Server != p.Server || s.inSubset != p.inSubset || s.threshold != p.threshold || s.probeIdempotency != p.probeIdempotency {
 				t.Fatalf("place %d: %+v, and by a list made anew %+v", i, s, p)
 			}
 		}
--- a/policy/knowledge.go
+++ b/policy/knowledge.go
@@ -41,18 +41,18 @@
 
 // Export shows what the balancer has learned, at the moment of its last event.
 func (b *Balancer) Export() LearnedState {
-	k := LearnedState{RateScale: b.pace, SharedThresholdScale: b.trust}
+	k := LearnedState{RateScale: b.rateScale, SharedThresholdScale: b.sharedThresholdScale}
 	for _, s := range b.servers {
 		if !s.inService() {
 			continue
 		}
-		e := ServerState{Server: s.Server, Threshold: s.threshold, ThresholdReduced: s.felt, Latency: s.latency, FaultRate: s.faults,
-			FaultScore: s.health.score, Ejected: s.health.out, Ejections: s.health.times}
+		e := ServerState{Server: s.Server, Threshold: s.threshold, ThresholdReduced: s.thresholdReduced, Latency: s.lastLatency, FaultRate: s.faultRatio,
+			FaultScore: s.health.faultScore, Ejected: s.health.ejected, Ejections: s.health.ejections}
 		if s.OnlineSince > 0 {
 			e.Uptime = max(1, b.now-s.OnlineSince)
 		}
 		if e.Ejected {
-			e.EjectedFor = s.health.until - b.now
+			e.EjectedFor = s.health.ejectedUntil - b.now
 		}
 		k.Servers = append(k.Servers, e)
 	}
@@ -76,33 +76,33 @@
 	if s.OnlineSince > 0 {
 		up = max(1, b.now-s.OnlineSince)
 	}
-	return b.start(s), up, true
+	return b.startThreshold(s), up, true
 }
 
 // Restore takes knowledge over as it is. Servers that are not in service, and buckets beyond their bound, are left out.
 func (b *Balancer) Restore(now Time, k LearnedState) {
 	b.now = max(now, b.now)
 	if k.RateScale > 0 {
-		b.pace = k.RateScale
+		b.rateScale = k.RateScale
 	}
 	if k.SharedThresholdScale >= 1 {
-		b.trust = min(trustMost, k.SharedThresholdScale)
+		b.sharedThresholdScale = min(maxSharedScale, k.SharedThresholdScale)
 	}
 	for _, e := range k.Servers {
 		s := b.servers[e.Server]
 		if !s.inService() {
 			continue
 		}
-		s.threshold, s.felt, s.latency, s.faults = e.Threshold, e.ThresholdReduced, e.Latency, e.FaultRate
+		s.threshold, s.thresholdReduced, s.lastLatency, s.faultRatio = e.Threshold, e.ThresholdReduced, e.Latency, e.FaultRate
 		ejected := 0
-		if e.Ejected != s.health.out {
+		if e.Ejected != s.health.ejected {
 			ejected = 1
 			if !e.Ejected {
 				ejected = -1
 			}
 		}
-		s.health = health{score: e.FaultScore, out: e.Ejected, until: b.now + e.EjectedFor, times: e.Ejections}
-		b.touch(s, ejected)
+		s.health = health{faultScore: e.FaultScore, ejected: e.Ejected, ejectedUntil: b.now + e.EjectedFor, ejections: e.Ejections}
+		b.updateIndex(s, ejected)
 	}
 	for _, e := range k.Buckets {
 		key := bucketKey{e.Tenant, e.Class}
--- a/policy/random_test.go
+++ b/policy/random_test.go
@@ -361,7 +361,7 @@
 	for range 3000 {
 		w.step()
 	}
-	if n := len(w.b.reqs); n > 600 {
+	if n := len(w.b.requests); n > 600 {
 		t.Errorf("%d requests kept", n)
 	}
 }
--- a/policy/reconfigure_test.go
+++ b/policy/reconfigure_test.go
@@ -60,18 +60,18 @@
 	swapped := reconfigurable()
 	swapped.Classes[0].Idempotency, swapped.Classes[1].Idempotency = NonIdempotent, Idempotent
 	reconfigured(t, b, 2*ms, swapped)
-	acts := handled(b, 3*ms, Outcome{ID: "pay", Server: b.reqs["pay"].attempts[0].server.Server, Code: Reset, Latency: ms})
+	acts := handled(b, 3*ms, Outcome{ID: "pay", Server: b.requests["pay"].attempts[0].server.Server, Code: Reset, Latency: ms})
 	if kinds(acts, Send) != 0 || kinds(acts, Fail) != 1 {
 		t.Errorf("a booking that may have run: %+v", acts)
 	}
-	acts = handled(b, 3*ms, Outcome{ID: "read", Server: b.reqs["read"].attempts[0].server.Server, Code: Reset, Latency: ms})
+	acts = handled(b, 3*ms, Outcome{ID: "read", Server: b.requests["read"].attempts[0].server.Server, Code: Reset, Latency: ms})
 	if kinds(acts, Send) != 1 {
 		t.Errorf("a search that was safe to repeat when it was taken: %+v", acts)
 	}
 	for _, r := range []string{"pay2", "read2"} { // those that come now go by the new rules
 		class := strings.TrimSuffix(r, "2")
 		handled(b, 4*ms, Request{ID: r, Class: class, Tenant: "t", ExpiresIn: time.Second})
-		acts := handled(b, 5*ms, Outcome{ID: r, Server: b.reqs[r].attempts[0].server.Server, Code: Reset, Latency: ms})
+		acts := handled(b, 5*ms, Outcome{ID: r, Server: b.requests[r].attempts[0].server.Server, Code: Reset, Latency: ms})
 		if want := map[string]int{"pay": 1, "read": 0}[class]; kinds(acts, Send) != want {
 			t.Errorf("%s: %+v, want %d sends", r, acts, want)
 		}
@@ -90,8 +90,8 @@
 		for i := range n {
 			id := fmt.Sprint("r", now, i)
 			handled(b, now, Request{ID: id, Class: "read", Tenant: "t", ExpiresIn: time.Second})
-			r := b.reqs[id]
-			for r != nil && !r.ended && len(r.attempts) < 2 && r.pending > 0 {
+			r := b.requests[id]
+			for r != nil && !r.answered && len(r.attempts) < 2 && r.pending > 0 {
 				a := len(r.attempts) - 1
 				acts := handled(b, now, Outcome{ID: id, Attempt: a, Server: r.attempts[a].server.Server, Code: Overloaded, Latency: ms})
 				retries += kinds(acts, Send)
@@ -156,7 +156,7 @@
 	b, _ := New(set, 0, 1)
 	b.Handle(0, oneAndTwo())
 	handled(b, ms, Request{ID: "r", Class: "read", Tenant: "t", ExpiresIn: time.Second})
-	first := b.reqs["r"].attempts[0].server.Server
+	first := b.requests["r"].attempts[0].server.Server
 	other := map[string]string{"one": "two", "two": "one"}[first]
 	next := reconfigurable()
 	next.Classes = next.Classes[1:]
@@ -222,7 +222,7 @@
 	}
 	same := b.classes["read"]
 	reconfigured(t, b, 0, reconfigurable())
-	if b.classes["read"] != same || len(b.retired) != 0 {
+	if b.classes["read"] != same || len(b.retiredClasses) != 0 {
 		t.Error("a class that is as it was has been replaced")
 	}
 	for i := range 200 {
@@ -231,12 +231,12 @@
 		now := Time(i) * ms
 		handled(b, now, Request{ID: fmt.Sprint(i), Class: "read", Tenant: "t", ExpiresIn: time.Second})
 		reconfigured(t, b, now, set)
-		server := b.reqs[fmt.Sprint(i)].attempts[0].server.Server
+		server := b.requests[fmt.Sprint(i)].attempts[0].server.Server
 		handled(b, now, Outcome{ID: fmt.Sprint(i), Server: server, Code: OK, Answered: true, Latency: ms})
 	}
 	reconfigured(t, b, time.Second, reconfigurable())
-	if len(b.retired) != 0 {
-		t.Errorf("%d classes of former settings are kept without a request", len(b.retired))
+	if len(b.retiredClasses) != 0 {
+		t.Errorf("%d classes of former settings are kept without a request", len(b.retiredClasses))
 	}
 }
 
@@ -249,7 +249,7 @@
 	acts := handled(b, ms, Request{ID: "r", Class: "read", Tenant: "t", ExpiresIn: time.Second})
 	var timer Action
 	for _, a := range acts {
-		if a.Kind == SetTimer && a.Token >= watchToken {
+		if a.Kind == SetTimer && a.Token >= firstClassTimerToken {
 			timer = a
 		}
 	}
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -132,18 +132,18 @@
 		b.Handle(3*ms, outcome(id, 1, s, OK, ms))
 	}
 	for _, id := range []string{"s01", "s04", "s07"} {
-		b.servers[id].health.score = 0.6
-		b.strike(b.servers[id], failWeight)
+		b.servers[id].health.faultScore = 0.6
+		b.recordFault(b.servers[id], failureWeight)
 	}
-	if b.ranked[0].open.ejected != 1 {
-		t.Errorf("%d of the class's 3 servers are ejected, want 1", b.ranked[0].open.ejected)
+	if b.activeClasses[0].eligible.ejectedCount != 1 {
+		t.Errorf("%d of the class's 3 servers are ejected, want 1", b.activeClasses[0].eligible.ejectedCount)
 	}
 	for id := range open {
 		b.Handle(4*ms, EndpointList{Kind: ListUpdate, Endpoints: []Endpoint{{Server: id, Zone: "a", Kind: "k1", Availability: Draining}}})
 	}
 	acts := slices.Clone(b.Handle(5*ms, ask("x", "free")))
-	for now := 6 * ms; now < 600*ms; now += holdPoll {
-		acts = append(acts, b.Handle(now, Timer{Token: holdToken})...)
+	for now := 6 * ms; now < 600*ms; now += queuePollInterval {
+		acts = append(acts, b.Handle(now, Timer{Token: queueTimerToken})...)
 	}
 	if len(of(acts, Send)) != 0 || len(of(acts, Reject)) != 1 {
 		t.Errorf("with its servers gone: got %+v, want one refusal and no send", acts)
@@ -167,23 +167,23 @@
 	if got := extras(ms, 0, 4); got > 4 { // two, and half of four
 		t.Errorf("%d further attempts for 4 requests, at most 4 allowed", got)
 	}
-	b.extra, b.took = nil, []Time{0, 1, 2, 3}
+	b.retries, b.accepted = nil, []Time{0, 1, 2, 3}
 	b.now = 500 * ms
 	for n := range 10 {
-		if may := b.mayRepeat(); may != (n < 3) { // on the safe side of the exact 4
+		if may := b.retryBudgetAllows(); may != (n < 3) { // on the safe side of the exact 4
 			t.Fatalf("after %d further attempts: may repeat %v", n, may)
 		}
-		if !b.mayRepeat() {
+		if !b.retryBudgetAllows() {
 			break
 		}
-		b.extra = append(b.extra, b.now)
+		b.retries = append(b.retries, b.now)
 	}
 	b.now = time.Second + 4 // the requests have left the window, the attempts have not
-	if b.mayRepeat() {
+	if b.retryBudgetAllows() {
 		t.Error("more than the least is allowed for requests that have left the window")
 	}
 	b.now = 2 * time.Second
-	if !b.mayRepeat() || len(b.extra)+len(b.took) != 0 {
+	if !b.retryBudgetAllows() || len(b.retries)+len(b.accepted) != 0 {
 		t.Error("the window was not emptied")
 	}
 }
@@ -242,7 +242,7 @@
 
 func TestFullBucketRefusesWithRetryAfter(t *testing.T) {
 	b := start(t, site(1), members(4))
-	b.set.Capabilities.RetryAfter = true
+	b.settings.Capabilities.RetryAfter = true
 	for i := 0; ; i++ {
 		r := ask(fmt.Sprint(i), "free")
 		r.Tenant = "u"
@@ -328,15 +328,15 @@
 	b := start(t, site(1), members(6))
 	s := b.servers["s00"]
 	b.eject(s)
-	now := s.health.until
+	now := s.health.ejectedUntil
 	if got := sentTo(t, b.Handle(now, ask("x", "free"))); got != "s00" {
 		t.Fatalf("trial went to %s", got)
 	}
 	b.Handle(now+100*ms, outcome("x", 0, "s00", Cancelled, 100*ms))
-	if s.health.trialOut {
+	if s.health.probeInFlight {
 		t.Error("the trial still counts as out")
 	}
-	now = s.health.until
+	now = s.health.ejectedUntil
 	if got := sentTo(t, b.Handle(now, ask("y", "free"))); got != "s00" {
 		t.Errorf("next trial went to %s, want s00", got)
 	}
@@ -347,7 +347,7 @@
 	b := start(t, site(1), members(6))
 	s := b.servers["s00"]
 	b.eject(s)
-	now := s.health.until
+	now := s.health.ejectedUntil
 	b.Handle(now, ask("x", "free"))
 	b.Handle(now+ms, outcome("x", 0, "s00", Overloaded, ms))
 	if got := sentTo(t, b.Handle(now+2*ms, ask("y", "free"))); got == "s00" {
@@ -360,29 +360,29 @@
 	b := start(t, site(1), members(6))
 	s := b.servers["s00"]
 	b.Handle(ms, ask("x", "once"))
-	s.lastDone = 100 * ms
+	s.lastAnswer = 100 * ms
 	b.Handle(600*ms, outcome("x", 0, "s00", TimedOut, 600*ms))
-	if s.health.score != 0 {
-		t.Errorf("score %v, want 0", s.health.score)
+	if s.health.faultScore != 0 {
+		t.Errorf("score %v, want 0", s.health.faultScore)
 	}
 }
 
 func TestRatesFollowRoom(t *testing.T) {
 	b := start(t, site(1), members(2))
 	for range 100 {
-		b.follow(false)
+		b.adjustRateScale(false)
 	}
-	if b.pace >= 0.5 || b.pace < paceLeast {
-		t.Errorf("after 100 choices without room the scale is %v", b.pace)
+	if b.rateScale >= 0.5 || b.rateScale < minRateScale {
+		t.Errorf("after 100 choices without room the scale is %v", b.rateScale)
 	}
-	was := b.pace
-	b.follow(true)
-	if b.pace != was {
+	was := b.rateScale
+	b.adjustRateScale(true)
+	if b.rateScale != was {
 		t.Error("the scale rose though no bucket refused")
 	}
-	b.refused = true
-	b.follow(true)
-	if b.pace <= was {
+	b.rateLimited = true
+	b.adjustRateScale(true)
+	if b.rateScale <= was {
 		t.Error("the scale did not rise though a bucket refused and there was room")
 	}
 }
@@ -391,14 +391,14 @@
 func TestHeldRequestMovesTheRatesOnce(t *testing.T) {
 	b := start(t, site(1), members(1))
 	s := b.order[0]
-	s.threshold, s.felt, s.inflight = 1, true, 3
+	s.threshold, s.thresholdReduced, s.inFlight = 1, true, 3
 	b.Handle(ms, ask("x", "free"))
-	was := b.pace
-	for now := 2 * ms; now < 80*ms; now += holdPoll {
-		b.Handle(now, Timer{Token: holdToken})
+	was := b.rateScale
+	for now := 2 * ms; now < 80*ms; now += queuePollInterval {
+		b.Handle(now, Timer{Token: queueTimerToken})
 	}
-	if len(b.held) != 1 || was >= 1 || b.pace != was {
-		t.Errorf("%d held, the scale went from %v to %v", len(b.held), was, b.pace)
+	if len(b.queued) != 1 || was >= 1 || b.rateScale != was {
+		t.Errorf("%d held, the scale went from %v to %v", len(b.queued), was, b.rateScale)
 	}
 }
 
@@ -411,7 +411,7 @@
 		set.Node, set.KeyAffinity = n, true
 		b := start(t, set, members(24))
 		firsts[b.order[0].Server] = true
-		homes[b.homes(&request{class: b.ranked[0], key: hash("acct/1")})[0].Server] = true
+		homes[b.stickyServers(&request{class: b.activeClasses[0], keyHash: hash("acct/1")})[0].Server] = true
 	}
 	if len(firsts) < 5 {
 		t.Errorf("6 nodes begin at only %d servers", len(firsts))
@@ -456,12 +456,12 @@
 	first := b.order[0].Server
 	b.Handle(ms, EndpointList{Kind: ListUpdate, Endpoints: []Endpoint{{Server: first, Zone: "a", Availability: Draining}}})
 	for _, s := range b.order {
-		if s.own && s.threshold < b.start(s) {
-			t.Errorf("%s is the node's own with a threshold of %v, want at least %v", s.Server, s.threshold, b.start(s))
+		if s.inSubset && s.threshold < b.startThreshold(s) {
+			t.Errorf("%s is the node's own with a threshold of %v, want at least %v", s.Server, s.threshold, b.startThreshold(s))
 		}
 	}
-	if b.order[0].Server == first || !b.order[0].own {
-		t.Errorf("walk begins at %s, own %v", b.order[0].Server, b.order[0].own)
+	if b.order[0].Server == first || !b.order[0].inSubset {
+		t.Errorf("walk begins at %s, own %v", b.order[0].Server, b.order[0].inSubset)
 	}
 }
 
@@ -470,30 +470,30 @@
 	b := start(t, site(12), members(12))
 	var others []*server
 	for _, s := range b.order {
-		if !s.own {
+		if !s.inSubset {
 			others = append(others, s)
 		}
 	}
 	learn := func(code Code, n int) {
 		for range n {
-			b.learn(others[0], b.ranked[0], code, ms)
+			b.updateThreshold(others[0], b.activeClasses[0], code, ms)
 		}
 	}
-	was := b.limit(others[1])
+	was := b.effectiveThreshold(others[1])
 	learn(OK, 40)
-	if b.limit(others[1]) <= was {
+	if b.effectiveThreshold(others[1]) <= was {
 		t.Error("good answers of one did not raise the limit of another")
 	}
-	raised := b.limit(others[1])
+	raised := b.effectiveThreshold(others[1])
 	learn(Overloaded, 10)
-	if b.limit(others[1]) < raised {
+	if b.effectiveThreshold(others[1]) < raised {
 		t.Error("full answers of one lowered the limit of another: they do no harm, the request goes elsewhere")
 	}
 	learn(TimedOut, 100)
-	if got := b.limit(others[1]); got != was {
+	if got := b.effectiveThreshold(others[1]); got != was {
 		t.Errorf("after many time-outs the limit is %v, want the %v of the start", got, was)
 	}
-	if own := b.order[0]; b.limit(own) != own.threshold {
+	if own := b.order[0]; b.effectiveThreshold(own) != own.threshold {
 		t.Error("the node's own servers are scaled too")
 	}
 }
@@ -504,34 +504,34 @@
 	b := start(t, site(1), members(2))
 	s := b.order[0]
 	for range 40 {
-		b.learn(s, b.ranked[0], Overloaded, ms)
-		b.judge(&attempt{server: s}, OK)
+		b.updateThreshold(s, b.activeClasses[0], Overloaded, ms)
+		b.updateHealth(&attempt{server: s}, OK)
 	}
-	if !b.shedEarly() {
+	if !b.serversShedLoad() {
 		t.Fatal("40 full answers and none late: not seen to shed early")
 	}
 	for _, s := range b.order {
-		s.inflight = 20
+		s.inFlight = 20
 	}
 	sentTo(t, b.Handle(ms, ask("x", "free")))
-	b.follow(false)
-	if b.pace != 1 {
-		t.Errorf("rates at %v of the shares", b.pace)
+	b.adjustRateScale(false)
+	if b.rateScale != 1 {
+		t.Errorf("rates at %v of the shares", b.rateScale)
 	}
 	for range 10 {
-		b.judge(&attempt{server: s}, Overloaded)
+		b.updateHealth(&attempt{server: s}, Overloaded)
 	}
-	if s.health.out {
+	if s.health.ejected {
 		t.Error("ejected for full answers")
 	}
 	for range 120 {
-		b.learn(s, b.ranked[0], TimedOut, ms)
+		b.updateThreshold(s, b.activeClasses[0], TimedOut, ms)
 	}
-	s.health.score = 0.4
+	s.health.faultScore = 0.4
 	for range 40 {
-		b.learn(s, b.ranked[0], Overloaded, ms) // of a hung server: they don't count
+		b.updateThreshold(s, b.activeClasses[0], Overloaded, ms) // of a hung server: they don't count
 	}
-	if b.shedEarly() {
+	if b.serversShedLoad() {
 		t.Error("still held to shed early after many time-outs")
 	}
 	if acts := b.Handle(2*ms, ask("y", "free")); len(of(acts, Send)) != 0 {
@@ -544,20 +544,20 @@
 	b := start(t, site(1), members(2))
 	grow := func() {
 		for range 200 {
-			b.refused = true
-			b.follow(true)
+			b.rateLimited = true
+			b.adjustRateScale(true)
 		}
 	}
 	grow()
-	if b.pace != paceMost {
-		t.Errorf("with good answers the scale is %v, want %v", b.pace, paceMost)
+	if b.rateScale != maxRateScale {
+		t.Errorf("with good answers the scale is %v, want %v", b.rateScale, maxRateScale)
 	}
 	for range 20 {
-		b.learn(b.order[0], b.ranked[0], TimedOut, ms)
+		b.updateThreshold(b.order[0], b.activeClasses[0], TimedOut, ms)
 	}
 	grow()
-	if b.pace > paceShare*(1+paceGrow) {
-		t.Errorf("with bad answers the scale is %v, want about %v", b.pace, paceShare)
+	if b.rateScale > cautiousRateScale*(1+rateScaleIncrease) {
+		t.Errorf("with bad answers the scale is %v, want about %v", b.rateScale, cautiousRateScale)
 	}
 }
 
@@ -588,8 +588,8 @@
 		}
 		try(50*ms, OK)
 	}
-	if s.health.score != 0 || s.health.out {
-		t.Errorf("the server has a score of %v", s.health.score)
+	if s.health.faultScore != 0 || s.health.ejected {
+		t.Errorf("the server has a score of %v", s.health.faultScore)
 	}
 	if try(900*ms, OK) != 1 {
 		t.Error("not closed before a send on a connection that was idle for as long as the lost ones")
@@ -608,7 +608,7 @@
 	for range 2 { // on a fresh connection now
 		try(50*ms, TimedOut)
 	}
-	if !s.health.out && s.health.score == 0 {
+	if !s.health.ejected && s.health.faultScore == 0 {
 		t.Error("a server silent on fresh connections isn't blamed")
 	}
 }
@@ -620,8 +620,8 @@
 		set := site(6)
 		set.Node, set.KeyAffinity = n, true
 		b := start(t, set, members(24))
-		homes := b.homes(&request{class: b.ranked[0], key: hash("acct/1")})
-		homes[0].health.out = true
+		homes := b.stickyServers(&request{class: b.activeClasses[0], keyHash: hash("acct/1")})
+		homes[0].health.ejected = true
 		r := ask("x", "free")
 		r.Key = "acct/1"
 		seen[sentTo(t, b.Handle(time.Second, r))] = true
@@ -640,13 +640,13 @@
 	s := b.order[0]
 	for range 30 {
 		for range 9 {
-			b.learn(s, b.ranked[0], Overloaded, ms)
+			b.updateThreshold(s, b.activeClasses[0], Overloaded, ms)
 		}
-		b.learn(s, b.ranked[0], TimedOut, ms)
-		b.learn(s, b.ranked[0], OK, ms)
-		s.health.score = 0
+		b.updateThreshold(s, b.activeClasses[0], TimedOut, ms)
+		b.updateThreshold(s, b.activeClasses[0], OK, ms)
+		s.health.faultScore = 0
 	}
-	if b.shedEarly() {
+	if b.serversShedLoad() {
 		t.Error("held to shed early though half of the other answers time out")
 	}
 }
@@ -658,9 +658,9 @@
 		b := start(t, site(1), members(4))
 		s := b.servers[sentTo(t, b.Handle(ms, ask("x", "free")))]
 		if !silent {
-			s.lastDone = 50 * ms
+			s.lastAnswer = 50 * ms
 		}
-		acts := b.Handle(240*ms, Timer{Token: watchToken})
+		acts := b.Handle(240*ms, Timer{Token: firstClassTimerToken})
 		if got := len(of(acts, Send)) == 1; got != silent {
 			t.Errorf("silent %v: second copy sent %v", silent, got)
 		}
@@ -673,12 +673,12 @@
 		set := site(1)
 		set.Rules.OverloadFactor, set.Rules.SlowStartShare, set.Rules.SlowStartWindow = multiple, 0.5, time.Hour
 		b := start(t, set, members(1))
-		b.done, b.doneAt, b.now = 100, time.Second, time.Second // a hundred answers a second at one server
+		b.completionRate, b.completionRateAt, b.now = 100, time.Second, time.Second // a hundred answers a second at one server
 		s := b.order[0]
 		s.OnlineSince = b.now
-		s.cold = coldBudget{last: b.now - 10*ms}
-		b.coldRoom(s)
-		if got, rate := s.cold.tokens, want*0.5*100*0.01; math.Abs(got-rate) > 0.01 {
+		s.slowStart = slowStartBucket{last: b.now - 10*ms}
+		b.hasSlowStartCapacity(s)
+		if got, rate := s.slowStart.tokens, want*0.5*100*0.01; math.Abs(got-rate) > 0.01 {
 			t.Errorf("multiple %v: %v requests in 10 ms, want %v", multiple, got, rate)
 		}
 	}
@@ -687,10 +687,10 @@
 // What all nodes together first trust a server with stays the same where nodes are few: four of each of
 // three nodes jam the first server in the order.
 func TestStartIsSharedByFewNodes(t *testing.T) {
-	for nodes := 1; nodes <= manyNodes; nodes++ {
+	for nodes := 1; nodes <= maxUnstaggeredNodes; nodes++ {
 		b := start(t, site(nodes), members(4))
-		if all := b.order[0].threshold * float64(nodes); math.Abs(all-startFew) > 1e-9 {
-			t.Errorf("%d nodes: %v attempts in all, want %v", nodes, all, startFew)
+		if all := b.order[0].threshold * float64(nodes); math.Abs(all-initialAmongFewNodes) > 1e-9 {
+			t.Errorf("%d nodes: %v attempts in all, want %v", nodes, all, initialAmongFewNodes)
 		}
 	}
 }
@@ -702,7 +702,7 @@
 	for n := range 8 {
 		set := site(8)
 		set.Node, set.Subscribe = n, true
-		within := 4 * askAgain
+		within := 4 * watchRetryDelay
 		if n >= 4 {
 			set.Rules.MaxPollInterval = 500 * ms
 			within = 4 * set.Rules.MaxPollInterval // after a failed call; beyond, the list counts as told
@@ -732,11 +732,11 @@
 func TestFullAnswersOfSuspectsDontCount(t *testing.T) {
 	for score, want := range map[float64]bool{0: true, 0.4: false} {
 		b := start(t, site(1), members(2))
-		b.order[0].health.score = score
+		b.order[0].health.faultScore = score
 		for range 40 {
-			b.learn(b.order[0], b.ranked[0], Overloaded, ms)
+			b.updateThreshold(b.order[0], b.activeClasses[0], Overloaded, ms)
 		}
-		if b.shedEarly() != want {
+		if b.serversShedLoad() != want {
 			t.Errorf("with a score of %v: sheds early %v, want %v", score, !want, want)
 		}
 	}
@@ -759,16 +759,16 @@
 		set.Rules.RetryBudget = c.budget
 		b := start(t, set, members(2))
 		if c.early {
-			b.fullPart = 1
+			b.overloadRatio = 1
 		}
 		r := &request{}
 		if c.ran {
-			r.ranOn = &attempt{}
+			r.mayHaveRun = &attempt{}
 		}
 		for range 20 {
-			b.charge(r)
+			b.chargeRetry(r)
 		}
-		if got := len(b.extra); got < c.want-1 || got > c.want {
+		if got := len(b.retries); got < c.want-1 || got > c.want {
 			t.Errorf("%+v: %d attempts booked", c, got)
 		}
 	}
@@ -779,8 +779,8 @@
 func TestFaultsThatAllHaveTellLittle(t *testing.T) {
 	try := func(b *Balancer, now Time, s *server, code Code) {
 		id := fmt.Sprint(now)
-		b.reqs[id] = &request{id: id, class: b.classes["once"], deadline: now + time.Second}
-		b.send(b.reqs[id], s, false)
+		b.requests[id] = &request{id: id, class: b.classes["once"], deadline: now + time.Second}
+		b.send(b.requests[id], s, false)
 		b.Handle(now+20*ms, outcome(id, 0, s.Server, code, 20*ms))
 	}
 	b := start(t, site(1), members(6))
@@ -793,7 +793,7 @@
 			code = Reset
 		}
 		try(b, now, b.order[i%6], code)
-		if n := b.ejected; n > 0 {
+		if n := b.ejectedCount; n > 0 {
 			t.Fatalf("%d ejected after %d outcomes", n, i)
 		}
 	}
@@ -804,22 +804,22 @@
 	}
 	b.eject(b.order[0]) // for once
 	now += 5 * time.Second
-	b.reqs["trial"] = &request{id: "trial", class: b.classes["free"], deadline: now + time.Second}
-	b.send(b.reqs["trial"], b.order[0], true)
+	b.requests["trial"] = &request{id: "trial", class: b.classes["free"], deadline: now + time.Second}
+	b.send(b.requests["trial"], b.order[0], true)
 	b.Handle(now, outcome("trial", 0, "s00", ConnectFailed, 0))
-	if h := b.order[0].health; !h.out || h.until != now+ejectFirst {
-		t.Errorf("a trial that failed by what all have alike puts the next off by %v", h.until-now)
+	if h := b.order[0].health; !h.ejected || h.ejectedUntil != now+baseEjectionTime {
+		t.Errorf("a trial that failed by what all have alike puts the next off by %v", h.ejectedUntil-now)
 	}
-	if b.bad > paceBad {
-		t.Errorf("%v of the answers count as bad", b.bad)
+	if b.badRatio > maxBadRatio {
+		t.Errorf("%v of the answers count as bad", b.badRatio)
 	}
 	bad := b.servers["s03"]
 	for range 10 {
 		now += 25 * ms
 		try(b, now, bad, ServerError)
 	}
-	if !bad.health.out {
-		t.Errorf("a server that always fails is not ejected; score %v", bad.health.score)
+	if !bad.health.ejected {
+		t.Errorf("a server that always fails is not ejected; score %v", bad.health.faultScore)
 	}
 
 	b = start(t, site(1), members(6))
@@ -833,7 +833,7 @@
 		now += 25 * ms
 		try(b, now, b.order[1], Reset)
 	}
-	if !b.order[1].health.out {
+	if !b.order[1].health.ejected {
 		t.Error("two faults in a row, and none at others: not ejected")
 	}
 }
@@ -845,8 +845,8 @@
 		b.Handle(Time(i)*10*ms, ask(fmt.Sprint(i), "free"))
 		b.Handle(Time(i)*10*ms, ClientGone{ID: fmt.Sprint(i)})
 	}
-	if n := len(b.took); n > 1100 {
-		t.Errorf("%d times kept for a span of %v", n, b.budget.Window)
+	if n := len(b.accepted); n > 1100 {
+		t.Errorf("%d times kept for a span of %v", n, b.retryBudget.Window)
 	}
 }
 
@@ -856,8 +856,8 @@
 	e := ask("x", "free")
 	e.ExpiresIn = 100 * ms // less than the class's aim
 	acts := b.Handle(ms, e)
-	for now := ms; now <= 51*ms; now += holdPoll {
-		acts = append(acts, b.Handle(now, Timer{Token: holdToken})...)
+	for now := ms; now <= 51*ms; now += queuePollInterval {
+		acts = append(acts, b.Handle(now, Timer{Token: queueTimerToken})...)
 	}
 	if len(of(acts, Reject)) != 1 {
 		t.Errorf("not refused within half of its time: %+v", acts)
--- a/policy/scale_test.go
+++ b/policy/scale_test.go
@@ -25,7 +25,7 @@
 	node.Handle(0, EndpointList{Endpoints: all})
 	for i := 0; i < busy; i++ {
 		s := node.order[i]
-		s.inflight = int(node.limit(s)) + 1
+		s.inFlight = int(node.effectiveThreshold(s)) + 1
 	}
 	return node
 }
@@ -47,7 +47,7 @@
 }
 
 func oneChange(b *testing.B, node *Balancer, n int, plain bool) {
-	node.plain = plain
+	node.linearScan = plain
 	m := Endpoint{Server: fmt.Sprintf("s%06d", n/2), Zone: "a", Weight: 1}
 	for i := range b.N {
 		m.Availability = Availability(i % 2)
@@ -67,7 +67,7 @@
 func BenchmarkRequestAmongBusy(b *testing.B) {
 	variants(b, []int{20, 1000, 10_000}, func(b *testing.B, n int, plain bool) {
 		node := fleet(b, n, n)
-		node.plain = plain
+		node.linearScan = plain
 		now := Time(0)
 		for i := range b.N {
 			now += time.Microsecond
@@ -79,8 +79,8 @@
 				}
 			}
 		}
-		if len(node.held) > 0 || len(node.reqs) > 0 {
-			b.Fatalf("%d held, %d open", len(node.held), len(node.reqs))
+		if len(node.queued) > 0 || len(node.requests) > 0 {
+			b.Fatalf("%d held, %d open", len(node.queued), len(node.requests))
 		}
 	})
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -13,84 +13,84 @@
 
 // Balancer is one node's decisions. It isn't safe for concurrent use. Make one with New.
 type Balancer struct {
-	set      Settings
-	now      Time
-	rng      *rand.Rand
-	out      []Action
-	classes  map[string]*class
-	tenants  map[string]Limit
-	ranked   []*class // in the order of the settings
-	retired  []*class // of former settings, with requests in hand
-	token    uint64   // of the next class's timer
-	other    *Limit   // for tenants without a quota; nil: no limit
-	buckets  map[bucketKey]*bucket
-	pace     float64 // scale of all bucket rates
-	portion  float64 // of the node's buckets that this process has, where another serves beside it
-	trust    float64 // scale of the thresholds of servers that other nodes mostly use
-	fullPart float64 // part of full answers among the bad ones lately
-	bad      float64 // part of bad answers lately
-	blame    float64 // part of its weight that an error or a reset has, as others have them too
-	lost     float64 // part of time-outs among all but full answers lately
-	refused  bool    // a bucket refused since the last choice
-	servers  map[string]*server
-	pool                    // all servers in service
-	zones    int            // zones that have servers
-	running  map[string]int // their number in each zone
-	ownUntil int            // servers of the order at the start of the own walk
-	plain    bool           // of tests: walk over all servers, and make the order anew each time
-	reqs     map[string]*request
-	held     []*request  // waiting for a usable server, oldest first
-	holding  bool        // the hold timer is set
-	budget   RetryBudget // of attempts beyond the first of each request
-	owed     float64     // part of an attempt not yet booked
-	took     []Time      // requests taken in the span of the budget of attempts, oldest first
-	extra    []Time      // attempts beyond a request's first in it
-	older    []Time      // those that have left it lately
-	done     float64     // answers a second, as of doneAt
-	doneAt   Time
-	silent   [6]float64 // part of sends unanswered, by how long the connection was idle, in octaves
+	settings             Settings
+	now                  Time
+	rng                  *rand.Rand
+	actions              []Action
+	classes              map[string]*class
+	tenantLimits         map[string]Limit
+	activeClasses        []*class // in the order of the settings
+	retiredClasses       []*class // of former settings, with requests in hand
+	nextTimerToken       uint64   // of the next class's timer
+	defaultLimit         *Limit   // for tenants without a quota; nil: no limit
+	buckets              map[bucketKey]*bucket
+	rateScale            float64 // scale of all bucket rates
+	trafficShare         float64 // of the node's buckets that this process has, where another serves beside it
+	sharedThresholdScale float64 // scale of the thresholds of servers that other nodes mostly use
+	overloadRatio        float64 // part of full answers among the bad ones lately
+	badRatio             float64 // part of bad answers lately
+	faultWeight          float64 // part of its weight that an error or a reset has, as others have them too
+	timeoutRatio         float64 // part of time-outs among all but full answers lately
+	rateLimited          bool    // a bucket refused since the last choice
+	servers              map[string]*server
+	pool                                // all servers in service
+	zoneCount            int            // zones that have servers
+	runningByZone        map[string]int // their number in each zone
+	subsetSize           int            // servers of the order at the start of the own walk
+	linearScan           bool           // of tests: walk over all servers, and make the order anew each time
+	requests             map[string]*request
+	queued               []*request  // waiting for a usable server, oldest first
+	queueTimerSet        bool        // the hold timer is set
+	retryBudget          RetryBudget // of attempts beyond the first of each request
+	retryDebt            float64     // part of an attempt not yet booked
+	accepted             []Time      // requests taken in the span of the budget of attempts, oldest first
+	retries              []Time      // attempts beyond a request's first in it
+	expiredRetries       []Time      // those that have left it lately
+	completionRate       float64     // answers a second, as of doneAt
+	completionRateAt     Time
+	unansweredRatio      [6]float64 // part of sends unanswered, by how long the connection was idle, in octaves
 }
 
 // pool is a set of servers in packing order: all of them, or those that a class is bound to.
 type pool struct {
-	class   *class       // that is bound to it
-	parts   [2][]*server // in id order: those of the own zone, and all others
-	turns   [2]int       // where the walk through each part begins
-	order   []*server    // own zone first, each part from its turn on
-	spare   []*server    // memory for the next order
-	zoned   int          // servers of order in the own zone
-	ejected int          // servers of order that are ejected
-	blocks  []block      // of order, where it is long
+	class        *class       // that is bound to it
+	partitions   [2][]*server // in id order: those of the own zone, and all others
+	offsets      [2]int       // where the walk through each part begins
+	order        []*server    // own zone first, each part from its turn on
+	spareOrder   []*server    // memory for the next order
+	localCount   int          // servers of order in the own zone
+	ejectedCount int          // servers of order that are ejected
+	blocks       []block      // of order, where it is long
 }
 
 // class is a request class with what was learned of it.
 type class struct {
 	Class
-	allowed Capabilities  // as the settings were that it came with
-	open    *pool         // the servers that it may be sent to
-	token   uint64        // of its timer; 0 for a class that is not in the settings
-	tail    time.Duration // estimate of a high quantile of its latency
-	watched []watch       // attempts to look at when they are slow, oldest first
-	armed   bool          // the timer for the head of watched is set
+	capabilities Capabilities  // as the settings were that it came with
+	eligible     *pool         // the servers that it may be sent to
+	timerToken   uint64        // of its timer; 0 for a class that is not in the settings
+	tailLatency  time.Duration // estimate of a high quantile of its latency
+	slowChecks   []slowCheck   // attempts to look at when they are slow, oldest first
+	slowTimerSet bool          // the timer for the head of watched is set
 }
 
 // server is one listed server as this node sees it.
 type server struct {
 	Endpoint
-	hash      uint64
-	safest    Idempotency // of the classes that it is open to: those give the trials
-	inflight  int         // this node's attempts out
-	threshold float64     // packing threshold, in attempts in flight
-	own       bool        // at the start of this node's own walk
-	felt      bool        // the threshold was cut at least once
-	mark      bool        // of fit
-	used      []Time      // when so many connections were last in use
-	lastSend  Time
-	lastDone  Time    // when it last answered anything
-	latency   float64 // of its last answer, in seconds
-	faults    float64 // part of errors and resets among its outcomes lately
-	health    health
-	cold      coldBudget
+	hashString         uint64
+	probeIdempotency   Idempotency // of the classes that it is open to: those give the trials
+	inFlight           int         // this node's attempts out
+	threshold          float64     // packing threshold, in attempts in flight
+	inSubset           bool        // at the start of this node's own walk
+	thresholdReduced   bool        // the threshold was cut at least once
+	inNewSubset        bool        // of fit
+	connectionLastUsed []Time      // when so many connections were last in use
+	lastSend           Time
+	lastAnswer         Time    // when it last answered anything
+	lastLatency        float64 // of its last answer, in seconds
+	faultRatio         float64 // part of errors and resets among its outcomes lately
+	health             health
+	slowStart          slowStartBucket
 }
 
 // inService tells whether s is listed and runs.
@@ -98,30 +98,30 @@
 
 // request is one client request until its answer is given and its attempts are over.
 type request struct {
-	id       string
-	class    *class
-	deadline Time
-	worthTo  Time   // later answers earn nothing
-	giveUp   Time   // when it is refused if still held
-	key      uint64 // hash of what the request is about; 0 for none
-	attempts []attempt
-	pending  int
-	ranOn    *attempt // the first attempt that may have run
-	ended    bool     // the final answer is given
-	stream   bool     // the answer has begun
-	held     bool     // it waited for a server at least once
-	arriving bool     // its last byte has not come yet
-	once     bool     // its body passes through: there can be no second copy
-	near     bool     // it is not to cross zones while this node's own has a server
+	id            string
+	class         *class
+	deadline      Time
+	valueDeadline Time   // later answers earn nothing
+	queueDeadline Time   // when it is refused if still held
+	keyHash       uint64 // hash of what the request is about; 0 for none
+	attempts      []attempt
+	pending       int
+	mayHaveRun    *attempt // the first attempt that may have run
+	answered      bool     // the final answer is given
+	streaming     bool     // the answer has begun
+	wasQueued     bool     // it waited for a server at least once
+	bodyPending   bool     // its last byte has not come yet
+	notReplayable bool     // its body passes through: there can be no second copy
+	zoneLocal     bool     // it is not to cross zones while this node's own has a server
 }
 
 type attempt struct {
-	server *server
-	sent   Time
-	over   bool
-	notRun bool // an outcome proved that it never ran
-	trial  bool
-	idle   int // octave of the time that its connection was idle; 0 for one in use
+	server      *server
+	sentAt      Time
+	done        bool
+	notExecuted bool // an outcome proved that it never ran
+	probe       bool
+	idleOctave  int // octave of the time that its connection was idle; 0 for one in use
 }
 
 type bucketKey struct{ tenant, class string }
@@ -132,39 +132,39 @@
 	last   Time
 }
 
-// watch is one attempt to look at when it has been out for long.
-type watch struct {
-	req     *request
+// slowCheck is one attempt to look at when it has been out for long.
+type slowCheck struct {
+	request *request
 	attempt int
 	due     Time
 }
 
 // health is the state of one server's circuit breaker.
 type health struct {
-	score    float64
-	out      bool // ejected, or half-open once until has passed
-	until    Time
-	times    int // ejections in a row
-	trials   int // good trials in a row
-	trialOut bool
+	faultScore    float64
+	ejected       bool // ejected, or half-open once until has passed
+	ejectedUntil  Time
+	ejections     int // ejections in a row
+	goodProbes    int // good trials in a row
+	probeInFlight bool
 }
 
-// coldBudget is a token bucket in fractions, which fills as fast as this node may send.
-type coldBudget struct {
+// slowStartBucket is a token bucket in fractions, which fills as fast as this node may send.
+type slowStartBucket struct {
 	tokens float64
 	last   Time
 }
 
-// track moves the part of hits lately by one more.
-func track(part *float64, gain float64, hit bool) {
+// updateRatio moves the part of hits lately by one more.
+func updateRatio(part *float64, gain float64, hit bool) {
 	*part -= gain * *part
 	if hit {
 		*part += gain
 	}
 }
 
-// since drops the times before from, which come first.
-func since(times []Time, from Time) []Time {
+// dropBefore drops the times before from, which come first.
+func dropBefore(times []Time, from Time) []Time {
 	for len(times) > 0 && times[0] < from {
 		times = times[1:]
 	}
@@ -178,31 +178,31 @@
 	return h.Sum64()
 }
 
-// seconds turns a number of seconds into a Duration.
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// durationFromSeconds turns a number of durationFromSeconds into a Duration.
+func durationFromSeconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// doneRate is how many answers a second came lately.
-func (b *Balancer) doneRate() float64 {
-	return b.done * math.Exp(-(b.now-b.doneAt).Seconds()/doneSpan.Seconds())
+// currentCompletionRate is how many answers a second came lately.
+func (b *Balancer) currentCompletionRate() float64 {
+	return b.completionRate * math.Exp(-(b.now-b.completionRateAt).Seconds()/completionRateWindow.Seconds())
 }
 
-// fault tells whether an attempt ended by an error, or by a connection that broke or never came up.
-func (c Code) fault() bool { return c == ServerError || c == Reset || c == ConnectFailed }
+// isFault tells whether an attempt ended by an error, or by a connection that broke or never came up.
+func (c Code) isFault() bool { return c == ServerError || c == Reset || c == ConnectFailed }
 
-// tried tells whether an attempt of r went to s.
-func (r *request) tried(s *server) bool {
+// hasAttemptedOn tells whether an attempt of r went to s.
+func (r *request) hasAttemptedOn(s *server) bool {
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.server == s })
 }
 
-// far tells whether r would cross zones to s, and is not to.
-func (b *Balancer) far(r *request, s *server) bool {
-	return r.near && s.Zone != b.set.Zone && b.running[b.set.Zone] > 0
+// leavesZone tells whether r would cross zones to s, and is not to.
+func (b *Balancer) leavesZone(r *request, s *server) bool {
+	return r.zoneLocal && s.Zone != b.settings.Zone && b.runningByZone[b.settings.Zone] > 0
 }
 
 // View is what this node has learned of a server.
 type View struct {
 	Server    string
-	Inflight  int // attempts of this node that are out
+	InFlight  int // attempts of this node that are out
 	Threshold float64
 	Ejected   bool
 }
@@ -212,7 +212,7 @@
 	var all []View
 	for _, s := range b.servers {
 		if s.inService() {
-			all = append(all, View{s.Server, s.inflight, s.threshold, s.health.out})
+			all = append(all, View{s.Server, s.inFlight, s.threshold, s.health.ejected})
 		}
 	}
 	slices.SortFunc(all, func(a, c View) int { return strings.Compare(a.Server, c.Server) })
@@ -220,10 +220,10 @@
 }
 
 // UnavailableEndpoints is the number of listed servers that get no ordinary work now: they drain, or are ejected.
-func (b *Balancer) UnavailableEndpoints() int { return len(b.servers) - len(b.order) + b.ejected }
+func (b *Balancer) UnavailableEndpoints() int { return len(b.servers) - len(b.order) + b.ejectedCount }
 
 // SetTrafficShare says which part of the node's work comes to this process, where two are one node: its part of the buckets.
 func (b *Balancer) SetTrafficShare(now Time, part float64) {
 	b.now = max(now, b.now)
-	b.portion = min(1, max(0, part))
+	b.trafficShare = min(1, max(0, part))
 }
