--- /dev/null
+++ b/policy/admission.go
@@ -0,0 +1,150 @@
+package policy
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	rateWindow         = time.Second  // of limits made from quotas; also the Retry-After of a quota of zero
+	burstSeconds       = 0.5          // of a quota's rate that its bucket holds: bursts within the quota
+	minBurst           = 3            // tokens, so that a small part of a quota still admits a few at once
+	maxBuckets         = 4096         // bound where clients name tenants freely; the rest share one bucket
+	refillCompensation = 1 / math.Ln2 // as whole-token refill passes only ln 2 of the rate of Poisson arrivals
+
+	rateScaleStep     = 0.02 // up or down at each selection: half of them may find no capacity
+	minRateScale      = 0.3  // below, traffic within its quota starves by faults that shedding can't mend
+	cautiousRateScale = 1.5  // above, only while few answers are bad
+	maxBadRatio       = 0.06 // of the answers, then
+	maxRateScale      = 3.0  // above, there is little value left to win
+)
+
+// refill adds the whole tokens of the time gone by, which resets the refill time, up to the burst.
+func (k *bucket) refill(now Time, perSecond float64, burst int64) {
+	added := math.Floor((now - k.lastRefill).Seconds() * perSecond)
+	if added >= 1 {
+		k.tokens, k.lastRefill = min(burst, k.tokens+int64(min(added, float64(burst)))), now
+	}
+}
+
+func (l Limit) perSecond() float64 {
+	if l.Window <= 0 {
+		return 0
+	}
+	return l.PerWindow / l.Window.Seconds()
+}
+
+// retryAfter is the wait, in whole seconds, that a rejected client is told.
+func (l Limit) retryAfter() time.Duration {
+	rate := l.perSecond()
+	if rate <= 0 {
+		return l.Window
+	}
+	return max(1, time.Duration(math.Ceil(min(1/rate, math.MaxInt32)))) * time.Second
+}
+
+func (b *Balancer) quotaLimit(quota float64) Limit {
+	rate := quota / float64(b.settings.Nodes) * refillCompensation // this node's part
+	burst := max(minBurst, int64(math.Ceil(rate*burstSeconds)))
+	return Limit{PerWindow: rate * rateWindow.Seconds(), Window: rateWindow, Burst: burst}
+}
+
+// resolveLimit resolves the layers: tenant's quota or default, override for the class, platform maximum.
+func (b *Balancer) resolveLimit(tenant, class string) (limit Limit, key bucketKey, ok bool) {
+	key.tenant = tenant
+	if override, found := b.settings.RateLimits.PerClass[class]; found {
+		key.class, limit, ok = class, override, true
+	} else if limit, ok = b.tenantLimits[tenant]; !ok && b.defaultLimit != nil {
+		limit, ok = *b.defaultLimit, true
+	}
+	if maximum := b.settings.RateLimits.Max; maximum > 0 {
+		limit.PerWindow, limit.Burst = min(limit.PerWindow, maximum), min(limit.Burst, int64(maximum))
+	}
+	return limit, key, ok
+}
+
+func (b *Balancer) admit(tenant, class string) (ok bool, retryAfter time.Duration) {
+	limit, key, limited := b.resolveLimit(tenant, class)
+	if !limited {
+		return true, 0
+	}
+	limit.PerWindow = limit.PerWindow * b.rateScale * b.trafficShare
+	limit.Burst = max(1, int64(math.Ceil(float64(limit.Burst)*b.trafficShare)))
+	if b.buckets[key] == nil && len(b.buckets) >= maxBuckets {
+		key = bucketKey{}
+	}
+	k := b.buckets[key]
+	if k == nil {
+		k = &bucket{tokens: limit.Burst, lastRefill: b.now}
+		b.buckets[key] = k
+	}
+	k.refill(b.now, limit.perSecond(), limit.Burst)
+	if k.tokens <= 0 {
+		b.rateLimited = true
+		return false, limit.retryAfter()
+	}
+	k.tokens--
+	return true, 0
+}
+
+func (b *Balancer) onRequest(event Request) {
+	r, known := b.requests[event.ID]
+	if known && !r.bodyPending {
+		return // a duplicate of a request in flight
+	}
+	if !known {
+		r = b.newRequest(event)
+	}
+	b.setDeadlines(r, event)
+	if known { // the last byte of its body has come: its attempts are timed from now on
+		for i := range r.attempts {
+			r.attempts[i].sentAt = b.now
+		}
+		b.scheduleSlowCheck(r)
+		return
+	}
+	b.requests[r.id] = r
+	b.accepted = append(dropBefore(b.accepted, b.now-b.retryBudget.Window+1), b.now)
+	if ok, retryAfter := b.admit(event.Tenant, event.Class); !ok {
+		b.reject(r, retryAfter)
+		return
+	}
+	b.dispatch(r)
+}
+
+func (b *Balancer) newRequest(e Request) *request {
+	r := &request{id: e.ID, class: b.classes[e.Class], notReplayable: e.BodyPending, zoneLocal: e.ZoneLocal}
+	if r.class == nil { // not in the settings: never repeated once it may have run
+		unknown := Class{LatencyObjective: e.ExpiresIn, LateWeightFraction: 1}
+		r.class = &class{Class: unknown, capabilities: b.settings.Capabilities, eligible: &b.pool}
+	}
+	if b.settings.KeyAffinity && e.Key != "" {
+		r.keyHash = hashString(e.Key)
+	}
+	return r
+}
+
+// setDeadlines bounds the attempts of r, and its time in the queue: late rejections cost clients time.
+func (b *Balancer) setDeadlines(r *request, e Request) {
+	r.deadline, r.bodyPending = b.now+e.ExpiresIn, e.BodyPending
+	objective := r.class.LatencyObjective + time.Duration(r.class.ObjectiveWorkFactor*float64(e.CostHint))
+	r.queueDeadline, r.valueDeadline = b.now+e.queueTime(min(objective, e.ExpiresIn)/2), r.deadline
+	if r.class.LateWeightFraction <= 0 {
+		r.valueDeadline = min(r.deadline, b.now+objective)
+	}
+}
+
+// adjustRateScale scales all bucket rates alike by whether the servers have capacity: else a slowdown of the
+// fleet sheds nothing, and a node that sees more than its even part of a quota rejects traffic within it.
+func (b *Balancer) adjustRateScale(hasCapacity bool) {
+	switch {
+	case !hasCapacity && b.rateScale <= 1 && b.serversShedLoad():
+	case !hasCapacity:
+		b.rateScale = max(minRateScale, b.rateScale*(1-rateScaleStep))
+	case b.rateScale > cautiousRateScale && b.badRatio > maxBadRatio:
+		b.rateScale *= 1 - rateScaleStep
+	case b.rateLimited && (b.rateScale < cautiousRateScale || b.badRatio < maxBadRatio):
+		b.rateScale = min(maxRateScale, b.rateScale*(1+rateScaleStep))
+	}
+	b.rateLimited = false
+}
--- /dev/null
+++ b/policy/endpoints.go
@@ -0,0 +1,157 @@
+package policy
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const watchRetryDelay = 2 * time.Second // mean wait before a failed watch is repeated, spread among nodes
+
+func (b *Balancer) watchEndpoints() { b.emit(Action{Kind: WatchEndpoints, On: true}) }
+
+func (b *Balancer) onEndpointList(list EndpointList) {
+	switch {
+	case list.Kind == ListUnavailable:
+		mean := min(watchRetryDelay, cmp.Or(2*b.settings.Rules.MaxPollInterval, watchRetryDelay))
+		wait := time.Duration((0.5 + b.rng.Float64()) * float64(mean))
+		b.emit(Action{Kind: SetTimer, Wait: wait, Token: endpointTimerToken})
+		return
+	case list.Kind == ListRestored && b.settings.Subscribe:
+		b.watchEndpoints()
+	}
+	if list.Kind != ListUpdate { // what a complete list lacks is removed
+		former := b.servers
+		b.servers = make(map[string]*server, len(list.Endpoints))
+		for _, endpoint := range list.Endpoints {
+			if s := former[endpoint.Server]; s != nil {
+				b.servers[endpoint.Server] = s
+			}
+		}
+	}
+	isSmall := len(list.Endpoints) <= maxIncrementalChanges && !b.linearScan
+	if list.Kind == ListUpdate && isSmall && b.runningByZone != nil {
+		b.applyChanges(list.Endpoints)
+	} else {
+		for _, endpoint := range list.Endpoints {
+			b.applyEndpoint(endpoint)
+		}
+		b.rebuildOrder()
+	}
+	b.dispatchQueued()
+}
+
+func (b *Balancer) applyEndpoint(entry Endpoint) {
+	if entry.Availability == Removed {
+		delete(b.servers, entry.Server)
+		return
+	}
+	s := b.servers[entry.Server]
+	if s == nil || s.OnlineSince != entry.OnlineSince { // new, or a new process: forget the old one
+		latency := b.settings.Classes[0].LatencyObjective.Seconds() / 4
+		s = &server{lastLatency: latency, nameHash: hashString(entry.Server)}
+		// A random part of a token, so that nodes that learn of it together don't all send at once.
+		s.slowStart = slowStartBucket{tokens: b.rng.Float64(), lastRefill: b.now}
+		b.servers[entry.Server] = s
+	}
+	s.Endpoint = entry
+}
+
+// rebuildOrder orders the servers in service: the own zone first, since crossing costs, then by id.
+func (b *Balancer) rebuildOrder() {
+	b.runningByZone = make(map[string]int)
+	for p := range b.pools {
+		p.partitions, p.ejectedCount = [2][]*server{}, 0
+	}
+	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
+		if s := b.servers[id]; s.inService() {
+			b.addServer(s)
+		}
+	}
+	b.updateOrder(nil)
+}
+
+func (b *Balancer) applyChanges(endpoints []Endpoint) {
+	added, changed := make([]*server, 0, maxIncrementalChanges), false
+	for _, entry := range endpoints {
+		former := b.servers[entry.Server]
+		wasInService := former.inService()
+		if wasInService && entry.Availability == Running && former.OnlineSince == entry.OnlineSince &&
+			former.Zone == entry.Zone && former.Kind == entry.Kind && slices.Equal(former.Pools, entry.Pools) {
+			former.Endpoint = entry // its weight and cell don't count in the order
+			continue
+		}
+		if wasInService {
+			b.removeServer(former)
+			added = slices.DeleteFunc(added, func(s *server) bool { return s == former })
+		}
+		b.applyEndpoint(entry)
+		s := b.servers[entry.Server]
+		if s.inService() {
+			b.addServer(s)
+			added = append(added, s)
+		}
+		changed = changed || wasInService || s.inService()
+	}
+	if changed {
+		b.updateOrder(added)
+	}
+}
+
+// updateOrder arranges the pools after servers were added, nil for all, or removed, and assigns the subset.
+func (b *Balancer) updateOrder(added []*server) {
+	b.forgetRetiredClasses()
+	formerSubset, coveredZone := b.order[:b.subsetSize], b.subsetSize == b.localCount
+	for p := range b.pools {
+		b.arrangePool(p)
+	}
+	b.zoneCount = len(b.runningByZone)
+	evenPart := (b.localCount*b.zoneCount + b.settings.Nodes - 1) / b.settings.Nodes
+	b.subsetSize = min(b.localCount, max(minSubsetSize, evenPart))
+	if b.settings.KeyAffinity { // the sticky servers of a key are the same for all nodes of a zone
+		b.subsetSize = b.localCount
+	}
+	if added == nil {
+		for i, s := range b.order {
+			b.assignSubset(s, i < b.subsetSize)
+		}
+		return
+	}
+	if !coveredZone || b.subsetSize < b.localCount { // else all of the zone were in it, and still are
+		b.replaceSubset(formerSubset)
+	}
+	position := func(s *server) int { i, _ := b.position(s); return i }
+	slices.SortFunc(added, func(x, y *server) int { return position(x) - position(y) })
+	for _, s := range added {
+		b.assignSubset(s, position(s) < b.subsetSize)
+	}
+}
+
+func (b *Balancer) replaceSubset(former []*server) {
+	subset := b.order[:b.subsetSize]
+	for _, s := range subset {
+		s.inNewSubset = true
+	}
+	for _, s := range former {
+		if !s.inNewSubset && b.servers[s.Server] == s && s.inService() { // a former process stays as it was
+			s.inSubset = false
+		}
+	}
+	for _, s := range subset {
+		s.inNewSubset = false
+		b.assignSubset(s, true)
+	}
+}
+
+func (b *Balancer) assignSubset(s *server, inSubset bool) {
+	wasInSubset := s.inSubset
+	s.inSubset = inSubset
+	if inSubset && !wasInSubset { // its former main user drains, died or moved on with the list
+		s.threshold = max(s.threshold, b.initialThreshold(s))
+	}
+	if s.threshold == 0 {
+		s.threshold = b.initialThreshold(s)
+		s.lastSend = b.now - durationFromSeconds(b.rng.Float64()*s.lastLatency/s.threshold)
+	}
+}
--- a/policy/index.go
+++ b/policy/index.go
@@ -6,26 +6,21 @@
 	"strings"
 )
 
-// What keeps the servers in packing order and finds one quickly among many. Both come to the very choices
-// that an order made anew and a walk over all servers would: TestIndexChangesNoDecision holds them against
-// one another.
-
+// The index selects the very servers that a walk over all would: see TestIndex_SelectsAsLinearScan.
 const (
-	blockSize             = 64  // servers that are looked at together
-	maxUnindexedServers   = 128 // servers up to which a walk costs less than the index
-	maxIncrementalChanges = 16  // entries of a change up to which the order is not made anew
-	roundingSlack         = 1e-9
+	blockSize             = 64   // servers that are summed up together
+	maxUnindexedServers   = 128  // up to which a walk costs less than the index
+	maxIncrementalChanges = 16   // entries of a change up to which the order is not rebuilt
+	roundingSlack         = 1e-9 // for what was computed in another order
 )
 
-// block is what a run of servers in packing order has at best, of those that are not ejected: first of the
-// node's own, then of shared ones, whose figures are without the trust, which moves for all at once.
+// block sums up a run of servers that are not ejected: first those of the subset, then shared ones.
 type block struct {
-	fresh         bool
+	fresh         bool       // the figures, which are without sharedThresholdScale, are up to date
 	load          [2]float64 // least attempts in flight over threshold
 	projectedLoad [2]float64 // the same with one attempt more
 }
 
-// blocksOf returns the blocks of a pool, or none where it is small.
 func (b *Balancer) blocksOf(p *pool) []block {
 	if len(p.order) <= maxUnindexedServers || b.linearScan {
 		return nil
@@ -36,19 +31,17 @@
 	return p.blocks
 }
 
-// blockServers is the servers of a block.
 func (p *pool) blockServers(i int) []*server {
 	return p.order[i*blockSize : min(len(p.order), (i+1)*blockSize)]
 }
 
-// refreshBlock brings a block up to date with its servers.
-func (b *Balancer) refreshBlock(k *block, run []*server) {
-	if k.fresh {
+func (b *Balancer) refreshBlock(summary *block, servers []*server) {
+	if summary.fresh {
 		return
 	}
 	none := [2]float64{math.Inf(1), math.Inf(1)}
-	*k = block{fresh: true, load: none, projectedLoad: none}
-	for _, s := range run {
+	*summary = block{fresh: true, load: none, projectedLoad: none}
+	for _, s := range servers {
 		if s.health.ejected {
 			continue
 		}
@@ -56,30 +49,28 @@
 		if b.isShared(s) {
 			i = 1
 		}
-		k.load[i] = min(k.load[i], float64(s.inFlight)/s.threshold)
-		k.projectedLoad[i] = min(k.projectedLoad[i], float64(s.inFlight+1)/s.threshold)
-		k.fresh = k.fresh && b.slowStartFraction(s) >= 1 // whether a cold one has room is only known by asking
+		summary.load[i] = min(summary.load[i], float64(s.inFlight)/s.threshold)
+		summary.projectedLoad[i] = min(summary.projectedLoad[i], float64(s.inFlight+1)/s.threshold)
+		summary.fresh = summary.fresh && b.slowStartFraction(s) >= 1 // else capacity changes with time
 	}
 }
 
-// canSkip tells whether no server of a block can have room, or be less crowded than so much. A block that
-// is not up to date is walked, which costs no more than to bring it up to date first.
-func (b *Balancer) canSkip(k *block, crowded float64) bool {
-	less := 1 - roundingSlack // for the rounding of what is multiplied by the trust
+// canSkip tells whether a block is known to have no server with capacity, or a load under leastLoad.
+func (b *Balancer) canSkip(k *block, leastLoad float64) bool {
+	margin := 1 - roundingSlack
 	if b.sharedThresholdScale == 1 {
-		less = 1
+		margin = 1
 	}
-	return k.fresh && k.load[0] >= 1 && k.load[1]*less >= b.sharedThresholdScale &&
-		min(k.projectedLoad[0], k.projectedLoad[1]/b.sharedThresholdScale*less) >= crowded // none at all is as crowded as can be
+	return k.fresh && k.load[0] >= 1 && k.load[1]*margin >= b.sharedThresholdScale &&
+		min(k.projectedLoad[0], k.projectedLoad[1]/b.sharedThresholdScale*margin) >= leastLoad
 }
 
-// pools goes through the pool of all servers and those that classes are bound to.
 func (b *Balancer) pools(yield func(*pool) bool) {
 	if !yield(&b.pool) {
 		return
 	}
-	for _, cs := range [...][]*class{b.activeClasses, b.retiredClasses} {
-		for _, c := range cs {
+	for _, classes := range [...][]*class{b.activeClasses, b.retiredClasses} {
+		for _, c := range classes {
 			if c.eligible != &b.pool && !yield(c.eligible) {
 				return
 			}
@@ -87,8 +78,7 @@
 	}
 }
 
-// updateIndex says that what a block holds of s may have changed, and whether s came to be ejected (1), or no
-// longer is (-1).
+// updateIndex marks the blocks that hold s as stale, and adds 1 to the count of ejected servers, or -1, or 0.
 func (b *Balancer) updateIndex(s *server, ejected int) {
 	for p := range b.pools {
 		if len(p.blocks) == 0 && ejected == 0 {
@@ -103,29 +93,26 @@
 	}
 }
 
-// position is where s stands in the order.
 func (p *pool) position(s *server) (int, bool) {
-	from := 0
-	for i, part := range p.partitions {
-		if at, ok := searchByID(part, s.Server); ok && part[at] == s {
+	start := 0
+	for i, partition := range p.partitions {
+		if at, ok := searchByID(partition, s.Server); ok && partition[at] == s {
 			if at -= p.offsets[i]; at < 0 {
-				at += len(part)
+				at += len(partition)
 			}
-			return from + at, true
+			return start + at, true
 		}
-		from += len(part)
+		start += len(partition)
 	}
 	return 0, false
 }
 
-// searchByID is the place of an id among servers in id order.
-func searchByID(part []*server, id string) (int, bool) {
-	return slices.BinarySearchFunc(part, id, func(s *server, id string) int {
+func searchByID(servers []*server, id string) (int, bool) {
+	return slices.BinarySearchFunc(servers, id, func(s *server, id string) int {
 		return strings.Compare(s.Server, id)
 	})
 }
 
-// partitionOf is the one of a pool's two that a zone's servers are in.
 func (b *Balancer) partitionOf(p *pool, zone string) *[]*server {
 	if zone == b.settings.Zone {
 		return &p.partitions[0]
@@ -133,33 +120,31 @@
 	return &p.partitions[1]
 }
 
-// addServer puts a server in service into the parts that it belongs to.
-func (b *Balancer) addServer(s *server) {
-	b.runningByZone[s.Zone]++
+func (b *Balancer) addServer(added *server) {
+	b.runningByZone[added.Zone]++
 	for p := range b.pools {
-		if p.class == nil || p.class.permits(s) {
-			part := b.partitionOf(p, s.Zone)
-			i, _ := searchByID(*part, s.Server)
-			*part = slices.Insert(*part, i, s)
-			if s.health.ejected {
+		if p.class == nil || p.class.permits(added) {
+			partition := b.partitionOf(p, added.Zone)
+			i, _ := searchByID(*partition, added.Server)
+			*partition = slices.Insert(*partition, i, added)
+			if added.health.ejected {
 				p.ejectedCount++
 			}
 		}
 	}
-	s.probeIdempotency = NonIdempotent
+	added.probeIdempotency = NonIdempotent
 	for _, c := range b.activeClasses {
-		if c.permits(s) {
-			s.probeIdempotency = max(s.probeIdempotency, c.Idempotency)
+		if c.permits(added) {
+			added.probeIdempotency = max(added.probeIdempotency, c.Idempotency)
 		}
 	}
 }
 
-// removeServer takes a server out of them.
 func (b *Balancer) removeServer(s *server) {
 	for p := range b.pools {
-		part := b.partitionOf(p, s.Zone)
-		if i, ok := searchByID(*part, s.Server); ok {
-			*part = slices.Delete(*part, i, i+1)
+		partition := b.partitionOf(p, s.Zone)
+		if i, ok := searchByID(*partition, s.Server); ok {
+			*partition = slices.Delete(*partition, i, i+1)
 			if s.health.ejected {
 				p.ejectedCount--
 			}
@@ -170,17 +155,16 @@
 	}
 }
 
-// arrangePool lays the parts of a pool out as its order, from where the walk through each begins. The former
-// order's memory is used again by the next call but one, so that a change among many allocates nothing.
+// arrangePool lays out the order of a pool in the memory of the last but one, so as to allocate nothing.
 func (b *Balancer) arrangePool(p *pool) {
 	next := p.spareOrder[:0]
-	for i, part := range p.partitions {
-		turn := b.walkOffset(len(part))
-		if p != &b.pool && len(part) > 0 {
-			turn, _ = searchByID(part, b.partitions[i][b.offsets[i]].Server)
+	for i, partition := range p.partitions {
+		offset := b.walkOffset(len(partition))
+		if p != &b.pool && len(partition) > 0 {
+			offset, _ = searchByID(partition, b.partitions[i][b.offsets[i]].Server)
 		}
-		next = append(append(next, part[turn:]...), part[:turn]...)
-		p.offsets[i] = turn
+		next = append(append(next, partition[offset:]...), partition[:offset]...)
+		p.offsets[i] = offset
 	}
 	p.spareOrder, p.order, p.localCount = p.order, next, len(p.partitions[0])
 	for i := range p.blocks {
--- a/policy/knowledge.go
+++ b/policy/knowledge.go
@@ -58,7 +58,7 @@
 	}
 	slices.SortFunc(k.Servers, func(a, c ServerState) int { return strings.Compare(a.Server, c.Server) })
 	for key, bucket := range b.buckets {
-		k.Buckets = append(k.Buckets, BucketState{key.tenant, key.class, bucket.tokens, b.now - bucket.last})
+		k.Buckets = append(k.Buckets, BucketState{key.tenant, key.class, bucket.tokens, b.now - bucket.lastRefill})
 	}
 	slices.SortFunc(k.Buckets, func(a, c BucketState) int {
 		return strings.Compare(a.Tenant+"\x00"+a.Class, c.Tenant+"\x00"+c.Class)
@@ -76,7 +76,7 @@
 	if s.OnlineSince > 0 {
 		up = max(1, b.now-s.OnlineSince)
 	}
-	return b.startThreshold(s), up, true
+	return b.initialThreshold(s), up, true
 }
 
 // Restore takes knowledge over as it is. Servers that are not in service, and buckets beyond their bound, are left out.
@@ -109,6 +109,6 @@
 		if b.buckets[key] == nil && len(b.buckets) >= maxBuckets {
 			continue
 		}
-		b.buckets[key] = &bucket{tokens: e.Tokens, last: b.now - e.Idle}
+		b.buckets[key] = &bucket{tokens: e.Tokens, lastRefill: b.now - e.Idle}
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -7,13 +7,13 @@
 
 func TestBucketRefillsInWholeTokens(t *testing.T) {
 	const ms = time.Millisecond
-	k := bucket{tokens: 0, last: 0}
+	k := bucket{tokens: 0, lastRefill: 0}
 	k.refill(599*ms, 1.667, 100)
-	if k.tokens != 0 || k.last != 0 {
+	if k.tokens != 0 || k.lastRefill != 0 {
 		t.Fatalf("under one token: got %+v, want nothing added and the refill time kept", k)
 	}
 	k.refill(1100*ms, 1.667, 100) // 1.83 tokens: one is added, the fraction is lost
-	if k.tokens != 1 || k.last != 1100*ms {
+	if k.tokens != 1 || k.lastRefill != 1100*ms {
 		t.Fatalf("1.83 tokens: got %+v, want one token and the refill time reset", k)
 	}
 	k.refill(time.Hour, 1.667, 100)
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -411,7 +411,7 @@
 		set.Node, set.KeyAffinity = n, true
 		b := start(t, set, members(24))
 		firsts[b.order[0].Server] = true
-		homes[b.stickyServers(&request{class: b.activeClasses[0], keyHash: hash("acct/1")})[0].Server] = true
+		homes[b.stickyServers(&request{class: b.activeClasses[0], keyHash: hashString("acct/1")})[0].Server] = true
 	}
 	if len(firsts) < 5 {
 		t.Errorf("6 nodes begin at only %d servers", len(firsts))
@@ -456,8 +456,8 @@
 	first := b.order[0].Server
 	b.Handle(ms, EndpointList{Kind: ListUpdate, Endpoints: []Endpoint{{Server: first, Zone: "a", Availability: Draining}}})
 	for _, s := range b.order {
-		if s.inSubset && s.threshold < b.startThreshold(s) {
-			t.Errorf("%s is the node's own with a threshold of %v, want at least %v", s.Server, s.threshold, b.startThreshold(s))
+		if s.inSubset && s.threshold < b.initialThreshold(s) {
+			t.Errorf("%s is the node's own with a threshold of %v, want at least %v", s.Server, s.threshold, b.initialThreshold(s))
 		}
 	}
 	if b.order[0].Server == first || !b.order[0].inSubset {
@@ -476,7 +476,7 @@
 	}
 	learn := func(code Code, n int) {
 		for range n {
-			b.updateThreshold(others[0], b.activeClasses[0], code, ms)
+			b.updateThreshold(others[0], b.activeClasses[0], Outcome{Code: code, Latency: ms})
 		}
 	}
 	was := b.effectiveThreshold(others[1])
@@ -504,7 +504,7 @@
 	b := start(t, site(1), members(2))
 	s := b.order[0]
 	for range 40 {
-		b.updateThreshold(s, b.activeClasses[0], Overloaded, ms)
+		b.updateThreshold(s, b.activeClasses[0], Outcome{Code: Overloaded, Latency: ms})
 		b.updateHealth(&attempt{server: s}, OK)
 	}
 	if !b.serversShedLoad() {
@@ -525,11 +525,11 @@
 		t.Error("ejected for full answers")
 	}
 	for range 120 {
-		b.updateThreshold(s, b.activeClasses[0], TimedOut, ms)
+		b.updateThreshold(s, b.activeClasses[0], Outcome{Code: TimedOut, Latency: ms})
 	}
 	s.health.faultScore = 0.4
 	for range 40 {
-		b.updateThreshold(s, b.activeClasses[0], Overloaded, ms) // of a hung server: they don't count
+		b.updateThreshold(s, b.activeClasses[0], Outcome{Code: Overloaded, Latency: ms}) // of a hung server: they don't count
 	}
 	if b.serversShedLoad() {
 		t.Error("still held to shed early after many time-outs")
@@ -553,10 +553,10 @@
 		t.Errorf("with good answers the scale is %v, want %v", b.rateScale, maxRateScale)
 	}
 	for range 20 {
-		b.updateThreshold(b.order[0], b.activeClasses[0], TimedOut, ms)
+		b.updateThreshold(b.order[0], b.activeClasses[0], Outcome{Code: TimedOut, Latency: ms})
 	}
 	grow()
-	if b.rateScale > cautiousRateScale*(1+rateScaleIncrease) {
+	if b.rateScale > cautiousRateScale*(1+rateScaleStep) {
 		t.Errorf("with bad answers the scale is %v, want about %v", b.rateScale, cautiousRateScale)
 	}
 }
@@ -620,7 +620,7 @@
 		set := site(6)
 		set.Node, set.KeyAffinity = n, true
 		b := start(t, set, members(24))
-		homes := b.stickyServers(&request{class: b.activeClasses[0], keyHash: hash("acct/1")})
+		homes := b.stickyServers(&request{class: b.activeClasses[0], keyHash: hashString("acct/1")})
 		homes[0].health.ejected = true
 		r := ask("x", "free")
 		r.Key = "acct/1"
@@ -640,10 +640,10 @@
 	s := b.order[0]
 	for range 30 {
 		for range 9 {
-			b.updateThreshold(s, b.activeClasses[0], Overloaded, ms)
+			b.updateThreshold(s, b.activeClasses[0], Outcome{Code: Overloaded, Latency: ms})
 		}
-		b.updateThreshold(s, b.activeClasses[0], TimedOut, ms)
-		b.updateThreshold(s, b.activeClasses[0], OK, ms)
+		b.updateThreshold(s, b.activeClasses[0], Outcome{Code: TimedOut, Latency: ms})
+		b.updateThreshold(s, b.activeClasses[0], Outcome{Code: OK, Latency: ms})
 		s.health.faultScore = 0
 	}
 	if b.serversShedLoad() {
@@ -676,7 +676,7 @@
 		b.completionRate, b.completionRateAt, b.now = 100, time.Second, time.Second // a hundred answers a second at one server
 		s := b.order[0]
 		s.OnlineSince = b.now
-		s.slowStart = slowStartBucket{last: b.now - 10*ms}
+		s.slowStart = slowStartBucket{lastRefill: b.now - 10*ms}
 		b.hasSlowStartCapacity(s)
 		if got, rate := s.slowStart.tokens, want*0.5*100*0.01; math.Abs(got-rate) > 0.01 {
 			t.Errorf("multiple %v: %v requests in 10 ms, want %v", multiple, got, rate)
@@ -734,7 +734,7 @@
 		b := start(t, site(1), members(2))
 		b.order[0].health.faultScore = score
 		for range 40 {
-			b.updateThreshold(b.order[0], b.activeClasses[0], Overloaded, ms)
+			b.updateThreshold(b.order[0], b.activeClasses[0], Outcome{Code: Overloaded, Latency: ms})
 		}
 		if b.serversShedLoad() != want {
 			t.Errorf("with a score of %v: sheds early %v, want %v", score, !want, want)
--- a/policy/state.go
+++ b/policy/state.go
@@ -77,7 +77,7 @@
 // server is one listed server as this node sees it.
 type server struct {
 	Endpoint
-	hashString         uint64
+	nameHash           uint64
 	probeIdempotency   Idempotency // of the classes that it is open to: those give the trials
 	inFlight           int         // this node's attempts out
 	threshold          float64     // packing threshold, in attempts in flight
@@ -128,8 +128,8 @@
 
 // bucket holds whole tokens and the time they were last added.
 type bucket struct {
-	tokens int64
-	last   Time
+	tokens     int64
+	lastRefill Time
 }
 
 // slowCheck is one attempt to look at when it has been out for long.
@@ -151,8 +151,8 @@
 
 // slowStartBucket is a token bucket in fractions, which fills as fast as this node may send.
 type slowStartBucket struct {
-	tokens float64
-	last   Time
+	tokens     float64
+	lastRefill Time
 }
 
 // updateRatio moves the part of hits lately by one more.
@@ -171,8 +171,8 @@
 	return times
 }
 
-// hash is the same at every node.
-func hash(text string) uint64 {
+// hashString is the same at every node.
+func hashString(text string) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(text))
 	return h.Sum64()
