Policy tests: a file for each concern, and names that say subject and condition

rules_test.go held the tests of every concern under names in words of its own. The tests are moved, not changed, beside the file they check; each is named TestSubject_Condition.

--- /dev/null
+++ b/policy/admission_test.go
@@ -0,0 +1,133 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func TestAdmission_RejectsOverQuotaWithRetryAfter(t *testing.T) {
+	b := start(t, site(1), members(4))
+	b.settings.Capabilities.RetryAfter = true
+	for i := 0; ; i++ {
+		r := ask(fmt.Sprint(i), "free")
+		r.Tenant = "u"
+		if ref := of(b.Handle(ms, r), Reject); len(ref) == 1 {
+			if i != 8 { // 10 a second / ln 2, half a second of burst
+				t.Errorf("refused after %d, want 8", i)
+			}
+			if ref[0].Wait != time.Second {
+				t.Errorf("retry-after %v, want 1 s", ref[0].Wait)
+			}
+			break
+		}
+	}
+}
+
+func TestAdmission_ClassOverrideHasOwnBucketAndMaximum(t *testing.T) {
+	set := site(1)
+	set.RateLimits = RateLimits{PerClass: map[string]Limit{"free": {PerWindow: 50, Window: time.Second, Burst: 50}}, Max: 2}
+	b := start(t, set, members(8))
+	refused := 0
+	for i := range 5 {
+		refused += len(of(b.Handle(ms, ask(fmt.Sprint("f", i), "free")), Reject))
+	}
+	if refused != 3 {
+		t.Errorf("refused %d of 5, want 3: the maximum cuts the burst to 2", refused)
+	}
+	if len(of(b.Handle(ms, ask("x", "once")), Reject)) != 0 {
+		t.Error("another class was refused by the override's bucket")
+	}
+}
+
+func TestRateScale_FollowsCapacity(t *testing.T) {
+	b := start(t, site(1), members(2))
+	for range 100 {
+		b.adjustRateScale(false)
+	}
+	if b.rateScale >= 0.5 || b.rateScale < minRateScale {
+		t.Errorf("after 100 choices without room the scale is %v", b.rateScale)
+	}
+	was := b.rateScale
+	b.adjustRateScale(true)
+	if b.rateScale != was {
+		t.Error("the scale rose though no bucket refused")
+	}
+	b.rateLimited = true
+	b.adjustRateScale(true)
+	if b.rateScale <= was {
+		t.Error("the scale did not rise though a bucket refused and there was room")
+	}
+}
+
+// A request that is held for long tells once that servers had no room, not at each look.
+func TestRateScale_QueuedRequestMovesItOnce(t *testing.T) {
+	b := start(t, site(1), members(1))
+	s := b.order[0]
+	s.threshold, s.thresholdReduced, s.inFlight = 1, true, 3
+	b.Handle(ms, ask("x", "free"))
+	was := b.rateScale
+	for now := 2 * ms; now < 80*ms; now += queuePollInterval {
+		b.Handle(now, Timer{Token: queueTimerToken})
+	}
+	if len(b.queued) != 1 || was >= 1 || b.rateScale != was {
+		t.Errorf("%d held, the scale went from %v to %v", len(b.queued), was, b.rateScale)
+	}
+}
+
+// Traffic far beyond the shares passes only while next to no answer is bad: other nodes may lack the room.
+func TestRateScale_FarOverQuotasNeedsGoodAnswers(t *testing.T) {
+	b := start(t, site(1), members(2))
+	grow := func() {
+		for range 200 {
+			b.rateLimited = true
+			b.adjustRateScale(true)
+		}
+	}
+	grow()
+	if b.rateScale != maxRateScale {
+		t.Errorf("with good answers the scale is %v, want %v", b.rateScale, maxRateScale)
+	}
+	for range 20 {
+		b.updateThreshold(b.order[0], b.activeClasses[0], Outcome{Code: TimedOut, Latency: ms})
+	}
+	grow()
+	if b.rateScale > cautiousRateScale*(1+rateScaleStep) {
+		t.Errorf("with bad answers the scale is %v, want about %v", b.rateScale, cautiousRateScale)
+	}
+}
+
+func TestBucket_RefillsWholeTokens(t *testing.T) {
+	const ms = time.Millisecond
+	k := bucket{tokens: 0, lastRefill: 0}
+	k.refill(599*ms, 1.667, 100)
+	if k.tokens != 0 || k.lastRefill != 0 {
+		t.Fatalf("under one token: got %+v, want nothing added and the refill time kept", k)
+	}
+	k.refill(1100*ms, 1.667, 100) // 1.83 tokens: one is added, the fraction is lost
+	if k.tokens != 1 || k.lastRefill != 1100*ms {
+		t.Fatalf("1.83 tokens: got %+v, want one token and the refill time reset", k)
+	}
+	k.refill(time.Hour, 1.667, 100)
+	if k.tokens != 100 {
+		t.Fatalf("after an hour: got %d tokens, want the burst of 100", k.tokens)
+	}
+}
+
+func TestLimit_RetryAfter(t *testing.T) {
+	for _, c := range []struct {
+		limit Limit
+		want  time.Duration
+	}{
+		{Limit{PerWindow: 100, Window: time.Minute}, time.Second},
+		{Limit{PerWindow: 1, Window: time.Minute}, time.Minute},
+		{Limit{PerWindow: 2, Window: 5 * time.Second}, 3 * time.Second},
+		{Limit{PerWindow: 5000, Window: time.Second}, time.Second},
+		{Limit{PerWindow: 0, Window: 30 * time.Second}, 30 * time.Second},
+		{Limit{PerWindow: -1, Window: 30 * time.Second}, 30 * time.Second},
+	} {
+		if got := c.limit.retryAfter(); got != c.want {
+			t.Errorf("%+v: retry-after %v, want %v", c.limit, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/policy/helpers_test.go
@@ -0,0 +1,108 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// site is a small deployment with one class of each kind.
+func site(nodes int) Settings {
+	return Settings{
+		Nodes: nodes, Zone: "a",
+		Classes: []Class{
+			{Name: "free", LatencyObjective: 250 * ms, Deadline: 600 * ms, Idempotency: Idempotent},
+			{Name: "once", LatencyObjective: 250 * ms, Deadline: 600 * ms, LateWeightFraction: 0.2},
+			{Name: "all", LatencyObjective: 250 * ms, Deadline: 600 * ms, Idempotency: IdempotencyKeyed, DedupScope: DedupAll, DedupWindow: 300 * ms},
+			{Name: "zone", LatencyObjective: 250 * ms, Deadline: 600 * ms, Idempotency: IdempotencyKeyed, DedupScope: DedupZone, DedupWindow: 300 * ms},
+			{Name: "cell", LatencyObjective: 250 * ms, Deadline: 600 * ms, Idempotency: IdempotencyKeyed, DedupScope: DedupCell, DedupWindow: 300 * ms},
+		},
+		Tenants:      []Tenant{{Name: "t", Quota: 1000}, {Name: "u", Quota: 10}},
+		Capabilities: Capabilities{Cancel: true, Hedge: true, MaxAttempts: 4},
+		Rules: Rules{
+			DrainGrace: time.Second, SlowStartShare: 0.2, SlowStartWindow: 10 * time.Second,
+			OverloadFactor: 3, OverloadDuration: 2 * time.Second,
+		},
+	}
+}
+
+func members(n int) []Endpoint {
+	var list []Endpoint
+	for i := range n {
+		list = append(list, Endpoint{
+			Server: fmt.Sprintf("s%02d", i), Zone: []string{"a", "b"}[i%2],
+			Kind: fmt.Sprint("k", i%3), Cell: int64(i % 4), Weight: 1,
+		})
+	}
+	return list
+}
+
+func start(t *testing.T, set Settings, list []Endpoint) *Balancer {
+	t.Helper()
+	b, err := New(set, 0, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Handle(0, EndpointList{Kind: ListRestored, Endpoints: list})
+	return b
+}
+
+// of returns the actions of one kind.
+func of(acts []Action, kind ActionKind) []Action {
+	var out []Action
+	for _, a := range acts {
+		if a.Kind == kind {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func ask(id, class string) Request {
+	return Request{ID: id, Class: class, Tenant: "t", ExpiresIn: 600 * ms}
+}
+
+func sentTo(t *testing.T, acts []Action) string {
+	t.Helper()
+	s := of(acts, Send)
+	if len(s) != 1 {
+		t.Fatalf("want one send, got %+v", acts)
+	}
+	return s[0].Server
+}
+
+func outcome(id string, attempt int, server string, code Code, latency time.Duration) Outcome {
+	return Outcome{ID: id, Attempt: attempt, Server: server, Code: code, Latency: latency, Answered: code == OK}
+}
+
+func handled(b *Balancer, now Time, ev Event) []Action {
+	return append([]Action(nil), b.Handle(now, ev)...)
+}
+
+func reconfigurable() Settings {
+	return Settings{
+		Nodes: 1, Zone: "a",
+		Classes: []Class{
+			{Name: "read", LatencyObjective: 200 * ms, Deadline: time.Second, LateWeightFraction: 0.5, Idempotency: Idempotent},
+			{Name: "pay", LatencyObjective: 200 * ms, Deadline: time.Second, LateWeightFraction: 0.5, Idempotency: NonIdempotent},
+		},
+		Tenants:      []Tenant{{Name: "t", Quota: 1000}},
+		Capabilities: Capabilities{Cancel: true, MaxAttempts: 3},
+		Rules:        Rules{DrainGrace: 500 * ms},
+	}
+}
+
+func oneAndTwo() EndpointList {
+	return EndpointList{Endpoints: []Endpoint{{Server: "one", Zone: "a"}, {Server: "two", Zone: "a"}}}
+}
+
+func kinds(acts []Action, kind ActionKind) (n int) {
+	for _, a := range acts {
+		if a.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
--- a/policy/part_test.go
+++ b/policy/hot_restart_test.go
@@ -28,10 +28,12 @@
 }
 
 func twinSettings() Settings {
-	return Settings{Nodes: 1, Classes: []Class{{Name: "pay", LatencyObjective: time.Second, Deadline: 2 * time.Second, PriorityWeight: 1}},
+	return Settings{
+		Nodes: 1, Classes: []Class{{Name: "pay", LatencyObjective: time.Second, Deadline: 2 * time.Second, PriorityWeight: 1}},
 		Tenants:      []Tenant{{Name: "t", Quota: 100, Share: 0.5}, {Name: "u", Quota: 400, Share: 0.5}},
 		Capabilities: Capabilities{Cancel: true, RetryAfter: true, MaxAttempts: 3},
-		Rules:        Rules{DrainGrace: 500 * time.Millisecond, SlowStartShare: 0.34, SlowStartWindow: 8400 * time.Millisecond, OverloadFactor: 3, OverloadDuration: time.Second}}
+		Rules:        Rules{DrainGrace: 500 * time.Millisecond, SlowStartShare: 0.34, SlowStartWindow: 8400 * time.Millisecond, OverloadFactor: 3, OverloadDuration: time.Second},
+	}
 }
 
 func (w *twin) offer(now Time, to *Balancer, tenant string) {
@@ -104,7 +106,7 @@
 }
 
 // While one process takes the place of another, a tenant over its share passes hardly more than with one process.
-func TestBucketOfTwoProcesses(t *testing.T) {
+func TestTrafficShare_BucketsHoldOverTwoProcesses(t *testing.T) {
 	one, two := playTwin(t, 1000, "t", true), playTwin(t, 1000, "t", false)
 	t.Logf("%d of %d admitted by one process, %d by two", one.admits, one.arrived, two.admits)
 	if float64(two.admits) > 1.15*float64(one.admits) || two.admits < one.admits/2 {
@@ -113,7 +115,7 @@
 }
 
 // And a cold server gets from both together less than pushes it over: a warm one takes the mean rate of a server.
-func TestColdServerOfTwoProcesses(t *testing.T) {
+func TestTrafficShare_SlowStartHoldsOverTwoProcesses(t *testing.T) {
 	const perSecond = 400
 	set := twinSettings().Rules
 	for _, alone := range []bool{true, false} {
--- a/policy/index_test.go
+++ b/policy/index_test.go
@@ -11,7 +11,7 @@
 
 // The index and the small changes of the list choose as a walk over all servers and a list made anew
 // do: two nodes with one seed, one of them plain, are told the same and must want the same, always.
-func TestIndexChangesNoDecision(t *testing.T) {
+func TestIndex_SelectsAsLinearScan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		set := reconfigurable()
 		set.Tenants = nil
@@ -45,8 +45,10 @@
 			}
 		}
 		member := func(i int) Endpoint {
-			m := Endpoint{Server: fmt.Sprintf("s%04d", i), Zone: rapid.SampledFrom([]string{"a", "a", "b", "c"}).Draw(t, "zone"),
-				Kind: rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "kind"), Weight: 1}
+			m := Endpoint{
+				Server: fmt.Sprintf("s%04d", i), Zone: rapid.SampledFrom([]string{"a", "a", "b", "c"}).Draw(t, "zone"),
+				Kind: rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "kind"), Weight: 1,
+			}
 			if rapid.IntRange(0, 9).Draw(t, "young") == 0 {
 				m.OnlineSince = now - time.Second
 			}
@@ -77,8 +79,10 @@
 			case 3, 4, 5: // a burst: enough to fill servers up
 				for range rapid.IntRange(1, most/4+2).Draw(t, "burst") {
 					requests++
-					tell(Request{ID: fmt.Sprint("r", requests), Class: rapid.SampledFrom([]string{"read", "pay"}).Draw(t, "class"),
-						Tenant: "t", ExpiresIn: time.Second, Key: fmt.Sprint(requests % 7)})
+					tell(Request{
+						ID: fmt.Sprint("r", requests), Class: rapid.SampledFrom([]string{"read", "pay"}).Draw(t, "class"),
+						Tenant: "t", ExpiresIn: time.Second, Key: fmt.Sprint(requests % 7),
+					})
 				}
 			default:
 				for range min(len(out), rapid.IntRange(1, most/4+2).Draw(t, "outcomes")) {
@@ -86,8 +90,10 @@
 					a := out[i]
 					out = append(out[:i], out[i+1:]...)
 					code := rapid.SampledFrom([]Code{OK, OK, OK, OK, ServerError, Overloaded, TimedOut, ConnectFailed, Reset}).Draw(t, "code")
-					tell(Outcome{ID: a.ID, Attempt: a.Attempt, Server: a.Server, Code: code, Answered: code == OK,
-						Latency: time.Duration(rapid.IntRange(1, 300).Draw(t, "latency")) * ms})
+					tell(Outcome{
+						ID: a.ID, Attempt: a.Attempt, Server: a.Server, Code: code, Answered: code == OK,
+						Latency: time.Duration(rapid.IntRange(1, 300).Draw(t, "latency")) * ms,
+					})
 				}
 			}
 		}
--- a/policy/knowledge.go
+++ b/policy/knowledge.go
@@ -46,8 +46,10 @@
 		if !s.inService() {
 			continue
 		}
-		e := ServerState{Server: s.Server, Threshold: s.threshold, ThresholdReduced: s.thresholdReduced, Latency: s.lastLatency, FaultRate: s.faultRatio,
-			FaultScore: s.health.faultScore, Ejected: s.health.ejected, Ejections: s.health.ejections}
+		e := ServerState{
+			Server: s.Server, Threshold: s.threshold, ThresholdReduced: s.thresholdReduced, Latency: s.lastLatency, FaultRate: s.faultRatio,
+			FaultScore: s.health.faultScore, Ejected: s.health.ejected, Ejections: s.health.ejections,
+		}
 		if s.OnlineSince > 0 {
 			e.Uptime = max(1, b.now-s.OnlineSince)
 		}
--- /dev/null
+++ b/policy/placement_test.go
@@ -0,0 +1,78 @@
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// A bound class goes to its servers only, at every attempt, even when they are all out; then it is
+// held and refused in time. The cap on ejections holds for its few servers by themselves.
+func TestPlacement_HoldsForEveryAttempt(t *testing.T) {
+	set := site(1)
+	set.Classes[0].Kinds = []string{"k1"} // s01, s04, s07 of nine
+	b := start(t, set, members(9))
+	open := map[string]bool{"s01": true, "s04": true, "s07": true}
+	for i, code := range []Code{ServerError, Overloaded, ConnectFailed} {
+		id := fmt.Sprint(i)
+		s := sentTo(t, b.Handle(ms, ask(id, "free")))
+		if !open[s] {
+			t.Fatalf("sent to %s", s)
+		}
+		if s = sentTo(t, b.Handle(2*ms, outcome(id, 0, s, code, ms))); !open[s] {
+			t.Fatalf("sent again to %s", s)
+		}
+		b.Handle(3*ms, outcome(id, 1, s, OK, ms))
+	}
+	for _, id := range []string{"s01", "s04", "s07"} {
+		b.servers[id].health.faultScore = 0.6
+		b.recordFault(b.servers[id], failureWeight)
+	}
+	if b.activeClasses[0].eligible.ejectedCount != 1 {
+		t.Errorf("%d of the class's 3 servers are ejected, want 1", b.activeClasses[0].eligible.ejectedCount)
+	}
+	for id := range open {
+		b.Handle(4*ms, EndpointList{Kind: ListUpdate, Endpoints: []Endpoint{{Server: id, Zone: "a", Kind: "k1", Availability: Draining}}})
+	}
+	acts := slices.Clone(b.Handle(5*ms, ask("x", "free")))
+	for now := 6 * ms; now < 600*ms; now += queuePollInterval {
+		acts = append(acts, b.Handle(now, Timer{Token: queueTimerToken})...)
+	}
+	if len(of(acts, Send)) != 0 || len(of(acts, Reject)) != 1 {
+		t.Errorf("with its servers gone: got %+v, want one refusal and no send", acts)
+	}
+}
+
+// A class that is bound to a pool goes to servers of that pool and no other, however they change.
+func TestPlacement_PoolRestrictsClass(t *testing.T) {
+	set := reconfigurable()
+	set.Classes[0].Pool = "rooms"
+	b, err := New(set, 0, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := func(one, two []string) {
+		b.Handle(0, EndpointList{Endpoints: []Endpoint{{Server: "one", Zone: "a", Pools: one}, {Server: "two", Zone: "a", Pools: two}}})
+	}
+	to := func(id string) string {
+		for _, a := range handled(b, 0, Request{ID: id, Class: "read", Tenant: "t", ExpiresIn: time.Second}) {
+			if a.Kind == Send {
+				return a.Server
+			}
+		}
+		return ""
+	}
+	list(nil, []string{"other", "rooms"})
+	if s := to("r1"); s != "two" {
+		t.Errorf("sent to %q", s)
+	}
+	list([]string{"rooms"}, []string{"other"})
+	if s := to("r2"); s != "one" {
+		t.Errorf("sent to %q", s)
+	}
+	list(nil, []string{"other"})
+	if s := to("r3"); s != "" {
+		t.Errorf("sent to %q, which is not of the pool", s)
+	}
+}
--- a/policy/random_test.go
+++ b/policy/random_test.go
@@ -78,8 +78,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{t: t, rng: rng, set: set, b: b, list: map[string]Endpoint{}, told: map[string]Time{}, open: map[string]*play{},
-		faulty: []int{8, 20, 60}[seed/3%3], slowest: []int{300, 50}[seed/2%2], every: []int{1, 8}[seed/4%2]}
+	w := &world{
+		t: t, rng: rng, set: set, b: b, list: map[string]Endpoint{}, told: map[string]Time{}, open: map[string]*play{},
+		faulty: []int{8, 20, 60}[seed/3%3], slowest: []int{300, 50}[seed/2%2], every: []int{1, 8}[seed/4%2],
+	}
 	for _, m := range members(1 + rng.IntN(9)) {
 		if rng.IntN(4) == 0 {
 			m.OnlineSince = 1
@@ -285,8 +287,10 @@
 	if w.rng.IntN(10) > 0 {
 		c = w.set.Classes[w.rng.IntN(len(w.set.Classes))]
 	}
-	r := Request{ID: fmt.Sprint("r", w.ids), Class: c.Name, Tenant: []string{"t", "t", "u", "?", ""}[w.rng.IntN(5)],
-		ExpiresIn: time.Duration(1+w.rng.IntN(600)) * ms, Key: fmt.Sprint(w.rng.IntN(30))}
+	r := Request{
+		ID: fmt.Sprint("r", w.ids), Class: c.Name, Tenant: []string{"t", "t", "u", "?", ""}[w.rng.IntN(5)],
+		ExpiresIn: time.Duration(1+w.rng.IntN(600)) * ms, Key: fmt.Sprint(w.rng.IntN(30)),
+	}
 	p := &play{Request: r, class: c, deadline: w.now + r.ExpiresIn}
 	w.open[r.ID] = p
 	w.took = append(w.took, w.now)
@@ -330,7 +334,7 @@
 	w.event(EndpointList{Kind: ListReplace, Endpoints: w.members()})
 }
 
-func TestRandomStreamsKeepTheRules(t *testing.T) {
+func TestBalancer_KeepsInvariantsUnderRandomEvents(t *testing.T) {
 	for seed := range uint64(40) {
 		w := newWorld(t, seed)
 		for range 1500 {
@@ -342,7 +346,7 @@
 	}
 }
 
-func TestSameEventsSameActions(t *testing.T) {
+func TestBalancer_IsDeterministic(t *testing.T) {
 	run := func() []string {
 		w := newWorld(t, 12)
 		for range 800 {
@@ -356,7 +360,7 @@
 }
 
 // What is kept for a request goes once it is over.
-func TestNothingIsKeptForEver(t *testing.T) {
+func TestBalancer_ForgetsFinishedRequests(t *testing.T) {
 	w := newWorld(t, 4)
 	for range 3000 {
 		w.step()
--- a/policy/reconfigure_test.go
+++ b/policy/reconfigure_test.go
@@ -17,36 +17,9 @@
 	return append([]Action(nil), acts...)
 }
 
-func handled(b *Balancer, now Time, ev Event) []Action {
-	return append([]Action(nil), b.Handle(now, ev)...)
-}
-
-func reconfigurable() Settings {
-	return Settings{Nodes: 1, Zone: "a",
-		Classes: []Class{{Name: "read", LatencyObjective: 200 * ms, Deadline: time.Second, LateWeightFraction: 0.5, Idempotency: Idempotent},
-			{Name: "pay", LatencyObjective: 200 * ms, Deadline: time.Second, LateWeightFraction: 0.5, Idempotency: NonIdempotent}},
-		Tenants:      []Tenant{{Name: "t", Quota: 1000}},
-		Capabilities: Capabilities{Cancel: true, MaxAttempts: 3},
-		Rules:        Rules{DrainGrace: 500 * ms},
-	}
-}
-
-func oneAndTwo() EndpointList {
-	return EndpointList{Endpoints: []Endpoint{{Server: "one", Zone: "a"}, {Server: "two", Zone: "a"}}}
-}
-
-func kinds(acts []Action, kind ActionKind) (n int) {
-	for _, a := range acts {
-		if a.Kind == kind {
-			n++
-		}
-	}
-	return n
-}
-
 // A request ends under the rules that it was taken under, whatever its class is called or allowed by
 // then: one that must never run twice is not sent again though the class of its name may be.
-func TestRequestsKeepTheRulesTheyWereTakenUnder(t *testing.T) {
+func TestReconfigure_RequestsKeepTheirClass(t *testing.T) {
 	b, err := New(reconfigurable(), 0, 1)
 	if err != nil {
 		t.Fatal(err)
@@ -80,7 +53,7 @@
 
 // The budget of further attempts holds over both generations, also where the new one counts over a
 // longer span than the old one remembered.
-func TestAttemptBudgetHoldsOverReloads(t *testing.T) {
+func TestReconfigure_KeepsRetryBudget(t *testing.T) {
 	set := reconfigurable()
 	set.Rules.RetryBudget = &RetryBudget{MinRetries: 4.5, Window: time.Second}
 	b, _ := New(set, 0, 1)
@@ -127,7 +100,7 @@
 }
 
 // A cold server gets no fresh budget by a reload.
-func TestColdBudgetHoldsOverReloads(t *testing.T) {
+func TestReconfigure_KeepsSlowStartBudget(t *testing.T) {
 	sent := func(reloads bool) (n int) {
 		set := reconfigurable()
 		set.Rules.SlowStartShare, set.Rules.SlowStartWindow, set.Rules.OverloadFactor, set.Rules.OverloadDuration = 0.3, 10*time.Second, 3, time.Second
@@ -150,7 +123,7 @@
 }
 
 // A drain that comes after a reload binds what was taken before it, in a class bound to a zone as well.
-func TestDrainsBindRetiredClasses(t *testing.T) {
+func TestReconfigure_DrainingAppliesToRetiredClasses(t *testing.T) {
 	set := reconfigurable()
 	set.Classes[0].Zones = []string{"a"}
 	b, _ := New(set, 0, 1)
@@ -170,7 +143,7 @@
 
 // Buckets go on: what was used stays used, a lower burst cuts what is there, and a layer that is gone
 // leaves nothing behind.
-func TestBucketsGoOnOverReloads(t *testing.T) {
+func TestReconfigure_KeepsBuckets(t *testing.T) {
 	set := reconfigurable()
 	set.Tenants = []Tenant{{Name: "t", Quota: 0}}
 	set.RateLimits.Default = &Limit{PerWindow: 10, Window: time.Second, Burst: 100}
@@ -209,7 +182,7 @@
 }
 
 // Settings that make no sense change nothing, and classes without requests are not kept.
-func TestReconfigureChecksAndForgets(t *testing.T) {
+func TestReconfigure_RejectsInvalidAndForgetsRetiredClasses(t *testing.T) {
 	b, _ := New(reconfigurable(), 0, 1)
 	b.Handle(0, oneAndTwo())
 	bad := reconfigurable()
@@ -241,7 +214,7 @@
 }
 
 // The watch on slow attempts of a class goes on after its settings have gone: a second copy is sent.
-func TestSecondCopiesOfRetiredClasses(t *testing.T) {
+func TestReconfigure_HedgesRetiredClasses(t *testing.T) {
 	set := reconfigurable()
 	set.Capabilities.Hedge = true
 	b, _ := New(set, 0, 1)
@@ -264,36 +237,3 @@
 		t.Errorf("no second copy: %+v", acts)
 	}
 }
-
-// A class that is bound to a pool goes to servers of that pool and no other, however they change.
-func TestPoolsBindTheirClasses(t *testing.T) {
-	set := reconfigurable()
-	set.Classes[0].Pool = "rooms"
-	b, err := New(set, 0, 1)
-	if err != nil {
-		t.Fatal(err)
-	}
-	list := func(one, two []string) {
-		b.Handle(0, EndpointList{Endpoints: []Endpoint{{Server: "one", Zone: "a", Pools: one}, {Server: "two", Zone: "a", Pools: two}}})
-	}
-	to := func(id string) string {
-		for _, a := range handled(b, 0, Request{ID: id, Class: "read", Tenant: "t", ExpiresIn: time.Second}) {
-			if a.Kind == Send {
-				return a.Server
-			}
-		}
-		return ""
-	}
-	list(nil, []string{"other", "rooms"})
-	if s := to("r1"); s != "two" {
-		t.Errorf("sent to %q", s)
-	}
-	list([]string{"rooms"}, []string{"other"})
-	if s := to("r2"); s != "one" {
-		t.Errorf("sent to %q", s)
-	}
-	list(nil, []string{"other"})
-	if s := to("r3"); s != "" {
-		t.Errorf("sent to %q, which is not of the pool", s)
-	}
-}
--- a/policy/fleet_test.go
+++ b/policy/selection_test.go
@@ -2,14 +2,69 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 )
 
+func TestSelection_FillsOwnZoneInIDOrder(t *testing.T) {
+	b := start(t, site(1), members(4))
+	for _, s := range b.order {
+		s.threshold = 1
+	}
+	var got []string
+	for i := range 4 {
+		got = append(got, sentTo(t, b.Handle(ms, ask(fmt.Sprint(i), "free"))))
+	}
+	if want := []string{"s00", "s02", "s01", "s03"}; !reflect.DeepEqual(got, want) {
+		t.Errorf("with a threshold of one: sent to %v, want %v", got, want)
+	}
+}
+
+// Nodes begin their walks apart, and a key has one home for all nodes of a zone.
+func TestSelection_StaggersNodesAndSharesStickyServers(t *testing.T) {
+	firsts := map[string]bool{}
+	homes := map[string]bool{}
+	for n := range 6 {
+		set := site(6)
+		set.Node, set.KeyAffinity = n, true
+		b := start(t, set, members(24))
+		firsts[b.order[0].Server] = true
+		homes[b.stickyServers(&request{class: b.activeClasses[0], keyHash: hashString("acct/1")})[0].Server] = true
+	}
+	if len(firsts) < 5 {
+		t.Errorf("6 nodes begin at only %d servers", len(firsts))
+	}
+	if len(homes) != 1 {
+		t.Errorf("one key has %d homes", len(homes))
+	}
+}
+
+// A key's second home takes over in the same order at every node of a zone.
+func TestStickyServers_SecondTakesOverAtAllNodes(t *testing.T) {
+	seen := map[string]bool{}
+	for n := range 6 {
+		set := site(6)
+		set.Node, set.KeyAffinity = n, true
+		b := start(t, set, members(24))
+		homes := b.stickyServers(&request{class: b.activeClasses[0], keyHash: hashString("acct/1")})
+		homes[0].health.ejected = true
+		r := ask("x", "free")
+		r.Key = "acct/1"
+		seen[sentTo(t, b.Handle(time.Second, r))] = true
+		if homes[0] == homes[1] || homes[1] == homes[2] {
+			t.Error("a server is home twice")
+		}
+	}
+	if len(seen) != 1 {
+		t.Errorf("without its home the key goes to %d servers, want one", len(seen))
+	}
+}
+
 // Where nodes outnumber servers, none has a server of its own: each trusts several with its part of what all
 // nodes do, over time. Were it to trust the first of its walk with two attempts, that server would get all
 // that a node sends, times however many nodes begin there, while others stand idle.
-func TestNodesThatOutnumberServersSpreadOverThem(t *testing.T) {
+func TestSelection_SpreadsWhereNodesOutnumberServers(t *testing.T) {
 	const requests = 40
 	b := start(t, site(80), members(40))
 	sent := make(map[string]int)
@@ -28,7 +83,7 @@
 
 // A node that sends little to each of many servers must not need many answers to see that one has slowed
 // down: all nodes would go on filling it until each has had them.
-func TestSlowServerGetsLessFromTheFirstSlowAnswer(t *testing.T) {
+func TestSelection_SendsLessAfterFirstSlowAnswer(t *testing.T) {
 	b := start(t, site(80), members(40))
 	const from = 10 * time.Second // all have room by then
 	slow := sentTo(t, b.Handle(from, ask("slow", "free")))
@@ -46,7 +101,7 @@
 
 // An answer in no time at all, as a transport in memory gives, must not make a server's crowding no number: then
 // nothing would compare with it any more.
-func TestAnswerInNoTimeLeavesCrowdingANumber(t *testing.T) {
+func TestProjectedLoad_IsNumberAfterZeroLatency(t *testing.T) {
 	b := start(t, site(80), members(40))
 	server := sentTo(t, b.Handle(ms, ask("1", "free")))
 	b.Handle(ms, outcome("1", 0, server, OK, 0))
--- /dev/null
+++ b/policy/slow_start_test.go
@@ -0,0 +1,52 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+// A cold server gets a small part of what a warm one gets, over all nodes.
+func TestSlowStart_DoesNotOverloadServer(t *testing.T) {
+	list := members(8)
+	list[0].OnlineSince = 1000 * ms
+	const nodes = 8
+	sends, rate := 0, 0
+	for n := range nodes {
+		set := site(nodes)
+		set.Node = n
+		b := start(t, set, list)
+		for i := range 3000 {
+			now := 1000*ms + time.Duration(i)*ms
+			id := fmt.Sprint(i)
+			for _, a := range of(b.Handle(now, ask(id, "free")), Send) {
+				rate++
+				if a.Server == "s00" {
+					sends++
+				}
+				b.Handle(now, outcome(id, 0, a.Server, OK, ms))
+			}
+		}
+	}
+	if most := rate / len(list) / 2; sends > most || sends == 0 {
+		t.Errorf("%d of %d went to the cold server, want some but at most %d", sends, rate, most)
+	}
+}
+
+// The rate to a cold server leaves one multiple of its capacity to chance, whatever multiple is allowed.
+func TestSlowStart_RateLeavesMargin(t *testing.T) {
+	for multiple, want := range map[float64]float64{1: 0.35, 2: 0.7, 3: 1.4} {
+		set := site(1)
+		set.Rules.OverloadFactor, set.Rules.SlowStartShare, set.Rules.SlowStartWindow = multiple, 0.5, time.Hour
+		b := start(t, set, members(1))
+		b.completionRate, b.completionRateAt, b.now = 100, time.Second, time.Second // a hundred answers a second at one server
+		s := b.order[0]
+		s.OnlineSince = b.now
+		s.slowStart = slowStartBucket{lastRefill: b.now - 10*ms}
+		b.hasSlowStartCapacity(s)
+		if got, rate := s.slowStart.tokens, want*0.5*100*0.01; math.Abs(got-rate) > 0.01 {
+			t.Errorf("multiple %v: %v requests in 10 ms, want %v", multiple, got, rate)
+		}
+	}
+}
