Policy: a typed error for settings that make no sense

Callers could tell such an error by its text alone. SettingError carries the setting and the reason, and matches ErrInvalidSettings; the text is unchanged, so that operators and the simulator's adapter see what they did.

--- a/policy/settings.go
+++ b/policy/settings.go
@@ -6,76 +6,119 @@
 	"math"
 )
 
-// validate says which of the settings makes no sense, if one does.
-func validate(set Settings) error {
-	if len(set.Classes) == 0 {
-		return errors.New("classes: there are none")
+// ErrInvalidSettings is matched by every error that New and Reconfigure return.
+var ErrInvalidSettings = errors.New("invalid settings")
+
+// SettingError names the setting that makes no sense, and says why. The errors around it name the class,
+// the tenant or the group of settings that it belongs to.
+type SettingError struct {
+	Setting string
+	Reason  string
+}
+
+// Error returns the setting and the reason in one line.
+func (e *SettingError) Error() string { return e.Setting + ": " + e.Reason }
+
+// Unwrap makes the error match ErrInvalidSettings.
+func (e *SettingError) Unwrap() error { return ErrInvalidSettings }
+
+// validate returns a SettingError, wrapped in what it belongs to, for the first setting that makes no sense.
+func validate(settings Settings) error {
+	if len(settings.Classes) == 0 {
+		return &SettingError{"classes", "there are none"}
 	}
-	if set.Nodes < 1 || set.Node < 0 || set.Node >= set.Nodes {
-		return fmt.Errorf("node %d: outside the group of %d", set.Node, set.Nodes)
+	if settings.Nodes < 1 || settings.Node < 0 || settings.Node >= settings.Nodes {
+		reason := fmt.Sprintf("outside the group of %d", settings.Nodes)
+		return &SettingError{fmt.Sprintf("node %d", settings.Node), reason}
 	}
-	seen := make(map[string]bool)
-	for _, c := range set.Classes {
-		if err := validateClass(c); err != nil {
-			return fmt.Errorf("class %q: %w", c.Name, err)
-		}
-		if seen[c.Name] {
-			return fmt.Errorf("class %q: named twice", c.Name)
-		}
-		seen[c.Name] = true
+	if err := validateClasses(settings.Classes); err != nil {
+		return err
 	}
-	for _, t := range set.Tenants {
-		if err := firstError(notBelowZero("quota", t.Quota), notBelowZero("share", t.Share)); err != nil {
-			return fmt.Errorf("tenant %q: %w", t.Name, err)
+	for _, tenant := range settings.Tenants {
+		err := firstError(
+			validateNotNegative("quota", tenant.Quota),
+			validateNotNegative("share", tenant.Share),
+		)
+		if err != nil {
+			return fmt.Errorf("tenant %q: %w", tenant.Name, err)
 		}
 	}
-	if err := validateRules(set.Rules); err != nil {
+	if err := validateRules(settings.Rules); err != nil {
 		return fmt.Errorf("rules: %w", err)
 	}
-	a := set.Capabilities
-	err := firstError(notBelowZero("max attempts", float64(a.MaxAttempts)),
-		notBelowZero("max retry-after", a.MaxRetryAfter.Seconds()),
-		notBelowZero("connection idle time", a.ConnIdleTimeout.Seconds()))
-	if err != nil {
+	if err := validateCapabilities(settings.Capabilities); err != nil {
 		return fmt.Errorf("allowed: %w", err)
 	}
 	return nil
 }
 
-func validateClass(c Class) error {
-	if c.Deadline <= 0 {
-		return errors.New("deadline: missing or negative")
+func validateClasses(classes []Class) error {
+	seen := make(map[string]bool)
+	for _, class := range classes {
+		if err := validateClass(class); err != nil {
+			return fmt.Errorf("class %q: %w", class.Name, err)
+		}
+		if seen[class.Name] {
+			return &SettingError{fmt.Sprintf("class %q", class.Name), "named twice"}
+		}
+		seen[class.Name] = true
+	}
+	return nil
+}
+
+func validateClass(class Class) error {
+	if class.Deadline <= 0 {
+		return &SettingError{"deadline", "missing or negative"}
 	}
-	return firstError(notBelowZero("aim", c.LatencyObjective.Seconds()), notBelowZero("aim stretch", c.ObjectiveWorkFactor),
-		notBelowZero("window", c.DedupWindow.Seconds()), notBelowZero("late worth", c.LateWeightFraction),
-		notBelowZero("worth", c.PriorityWeight))
+	return firstError(
+		validateNotNegative("aim", class.LatencyObjective.Seconds()),
+		validateNotNegative("aim stretch", class.ObjectiveWorkFactor),
+		validateNotNegative("window", class.DedupWindow.Seconds()),
+		validateNotNegative("late worth", class.LateWeightFraction),
+		validateNotNegative("worth", class.PriorityWeight),
+	)
+}
+
+func validateCapabilities(capabilities Capabilities) error {
+	return firstError(
+		validateNotNegative("max attempts", float64(capabilities.MaxAttempts)),
+		validateNotNegative("max retry-after", capabilities.MaxRetryAfter.Seconds()),
+		validateNotNegative("connection idle time", capabilities.ConnIdleTimeout.Seconds()),
+	)
 }
 
-func validateRules(r Rules) error {
-	err := firstError(notBelowZero("answer grace", r.AnswerGrace.Seconds()),
-		notBelowZero("drain grace", r.DrainGrace.Seconds()), notBelowZero("cold share", r.SlowStartShare),
-		notBelowZero("cold for", r.SlowStartWindow.Seconds()), notBelowZero("fall multiple", r.OverloadFactor),
-		notBelowZero("fall for", r.OverloadDuration.Seconds()), notBelowZero("ask within", r.MaxPollInterval.Seconds()))
+func validateRules(rules Rules) error {
+	err := firstError(
+		validateNotNegative("answer grace", rules.AnswerGrace.Seconds()),
+		validateNotNegative("drain grace", rules.DrainGrace.Seconds()),
+		validateNotNegative("cold share", rules.SlowStartShare),
+		validateNotNegative("cold for", rules.SlowStartWindow.Seconds()),
+		validateNotNegative("fall multiple", rules.OverloadFactor),
+		validateNotNegative("fall for", rules.OverloadDuration.Seconds()),
+		validateNotNegative("ask within", rules.MaxPollInterval.Seconds()),
+	)
 	if err != nil {
 		return err
 	}
-	if r.SlowStartShare > 1 {
-		return fmt.Errorf("cold share: want at most 1, got %v", r.SlowStartShare)
+	if rules.SlowStartShare > 1 {
+		return &SettingError{"cold share", fmt.Sprintf("want at most 1, got %v", rules.SlowStartShare)}
 	}
-	if r.RetryBudget == nil {
+	if rules.RetryBudget == nil {
 		return nil
 	}
-	if r.RetryBudget.Window <= 0 {
-		return errors.New("attempt budget: span: missing or negative")
+	if rules.RetryBudget.Window <= 0 {
+		return &SettingError{"attempt budget: span", "missing or negative"}
 	}
-	return firstError(notBelowZero("attempt budget: least", r.RetryBudget.MinRetries),
-		notBelowZero("attempt budget: share", r.RetryBudget.RetryRatio))
+	return firstError(
+		validateNotNegative("attempt budget: least", rules.RetryBudget.MinRetries),
+		validateNotNegative("attempt budget: share", rules.RetryBudget.RetryRatio),
+	)
 }
 
-// notBelowZero names a field whose figure is negative, infinite or no number.
-func notBelowZero(field string, v float64) error {
-	if v < 0 || math.IsNaN(v) || math.IsInf(v, 0) {
-		return fmt.Errorf("%s: want a figure of 0 or more, got %v", field, v)
+// validateNotNegative returns an error for a figure that is negative, infinite or no number.
+func validateNotNegative(setting string, value float64) error {
+	if value < 0 || math.IsNaN(value) || math.IsInf(value, 0) {
+		return &SettingError{setting, fmt.Sprintf("want a figure of 0 or more, got %v", value)}
 	}
 	return nil
 }
