--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -191,22 +191,22 @@
 	}
 }
 
-func (b *Balancer) recordOutcome(r *request, a *attempt, outcome Outcome) {
-	target, code := a.server, outcome.Code
-	if a.probe {
+func (b *Balancer) recordOutcome(r *request, ended *attempt, outcome Outcome) {
+	target, code := ended.server, outcome.Code
+	if ended.probe {
 		target.health.probeInFlight = false
 	}
 	switch code {
 	case Superseded, Untrusted:
 		return
 	case Cancelled:
-		if !a.probe { // by this node itself; but a probe that a hedge had to stand in for has failed
+		if !ended.probe { // by this node itself; but a probe that a hedge outran has failed
 			return
 		}
 	case OK, ServerError, Overloaded:
 		target.lastAnswer = b.now
 	}
-	if code != ConnectFailed && b.lostStaleConnection(a, code == TimedOut || code == Reset) {
+	if code != ConnectFailed && b.lostStaleConnection(ended, code == TimedOut || code == Reset) {
 		return
 	}
 	b.updateThreshold(target, r.class, outcome)
@@ -218,7 +218,7 @@
 		b.completionRateAt = b.now
 		r.class.recordLatency(outcome.Latency)
 	}
-	b.updateHealth(a, code)
+	b.updateHealth(ended, code)
 }
 
 func (c *class) recordLatency(latency time.Duration) {
--- a/policy/outlier.go
+++ b/policy/outlier.go
@@ -14,26 +14,27 @@
 )
 
 func (b *Balancer) updateHealth(ended *attempt, code Code) {
-	target, h := ended.server, &ended.server.health
+	target, breaker := ended.server, &ended.server.health
 	switch {
-	case h.ejected && ended.probe && code == OK:
-		if h.goodProbes++; h.goodProbes >= probesToRecover {
-			*h, target.threshold = health{}, b.initialThreshold(target)
+	case breaker.ejected && ended.probe && code == OK:
+		if breaker.goodProbes++; breaker.goodProbes >= probesToRecover {
+			*breaker = health{}
+			target.threshold = b.initialThreshold(target)
 			b.updateIndex(target, -1)
 		}
-	case h.ejected && ended.probe: // overloaded too: ended hung server rejects what it has no capacity for
+	case breaker.ejected && ended.probe: // overloaded too: a hung server rejects what it has no capacity for
 		if code.isFault() && b.faultWeight < 1 { // it may be well, so its ejections don't grow longer
-			h.ejections = 0
+			breaker.ejections = 0
 		}
 		b.eject(target)
 	case code == OK:
-		h.faultScore -= failureWeight * b.faultWeight * h.faultScore
+		breaker.faultScore -= failureWeight * b.faultWeight * breaker.faultScore
 	case code == Overloaded && b.serversShedLoad():
 	case code == Overloaded:
 		b.recordFault(target, overloadWeight)
 	case code.isFault():
 		b.recordFault(target, failureWeight*b.faultWeight)
-	case target.lastAnswer < ended.sentAt: // ended server that answers others isn't hung
+	case target.lastAnswer < ended.sentAt: // a server that answers others isn't hung
 		b.recordFault(target, failureWeight)
 	}
 }
--- a/policy/threshold.go
+++ b/policy/threshold.go
@@ -57,23 +57,23 @@
 	return b.overloadRatio >= sheddingOverload && b.timeoutRatio < maxSheddingTimeouts
 }
 
-// updateThreshold moves the threshold of s by one outcome. Steps shrink with a threshold under one, so that
-// it settles where thresholdIncrease/(thresholdIncrease+slowDecrease) of the answers are slow, at any size.
-func (b *Balancer) updateThreshold(target *server, c *class, e Outcome) {
-	updateRatio(&target.faultRatio, faultRatioGain, e.Code.isFault())
-	step := b.thresholdStep(target, c, e)
+// updateThreshold moves the threshold of a server by one outcome. Steps shrink with thresholds under one:
+// each settles where thresholdIncrease/(thresholdIncrease+slowDecrease) of the answers are slow, at any size.
+func (b *Balancer) updateThreshold(target *server, c *class, outcome Outcome) {
+	updateRatio(&target.faultRatio, faultRatioGain, outcome.Code.isFault())
+	step := b.thresholdStep(target, c, outcome)
 	isBad := step <= -slowDecrease // not what all servers have alike
 
-	if isBad && (e.Code != Overloaded || target.health.faultScore < silenceWeight) { // hung servers overflow too
-		updateRatio(&b.overloadRatio, overloadRatioGain, e.Code == Overloaded)
+	if isBad && (outcome.Code != Overloaded || target.health.faultScore < silenceWeight) { // hung ones overflow
+		updateRatio(&b.overloadRatio, overloadRatioGain, outcome.Code == Overloaded)
 	}
 	updateRatio(&b.badRatio, answerRatioGain, isBad)
-	if e.Code != Overloaded {
-		updateRatio(&b.timeoutRatio, answerRatioGain, e.Code == TimedOut)
+	if outcome.Code != Overloaded {
+		updateRatio(&b.timeoutRatio, answerRatioGain, outcome.Code == TimedOut)
 	}
 	if b.isShared(target) && step > 0 {
 		b.sharedThresholdScale = min(maxSharedScale, b.sharedThresholdScale*(1+sharedScaleIncrease))
-	} else if b.isShared(target) && isBad && e.Code != Overloaded {
+	} else if b.isShared(target) && isBad && outcome.Code != Overloaded {
 		b.sharedThresholdScale = max(1, b.sharedThresholdScale*(1-sharedScaleDecrease))
 	}
 	target.thresholdReduced = target.thresholdReduced || isBad
