--- a/policy/admission_test.go
+++ b/policy/admission_test.go
@@ -7,14 +7,14 @@
 )
 
 func TestAdmission_RejectsOverQuotaWithRetryAfter(t *testing.T) {
-	b := start(t, site(1), members(4))
+	b := startBalancer(t, testSettings(1), testEndpoints(4))
 	b.settings.Capabilities.RetryAfter = true
 	for i := 0; ; i++ {
-		r := ask(fmt.Sprint(i), "free")
+		r := testRequest(fmt.Sprint(i), "idempotent")
 		r.Tenant = "u"
-		if ref := of(b.Handle(ms, r), Reject); len(ref) == 1 {
+		if ref := actionsOf(b.Handle(ms, r), Reject); len(ref) == 1 {
 			if i != 8 { // 10 a second / ln 2, half a second of burst
-				t.Errorf("refused after %d, want 8", i)
+				t.Errorf("rejected after %d, want 8", i)
 			}
 			if ref[0].Wait != time.Second {
 				t.Errorf("retry-after %v, want 1 s", ref[0].Wait)
@@ -25,59 +25,59 @@
 }
 
 func TestAdmission_ClassOverrideHasOwnBucketAndMaximum(t *testing.T) {
-	set := site(1)
-	set.RateLimits = RateLimits{PerClass: map[string]Limit{"free": {PerWindow: 50, Window: time.Second, Burst: 50}}, Max: 2}
-	b := start(t, set, members(8))
+	settings := testSettings(1)
+	settings.RateLimits = RateLimits{PerClass: map[string]Limit{"idempotent": {PerWindow: 50, Window: time.Second, Burst: 50}}, Max: 2}
+	b := startBalancer(t, settings, testEndpoints(8))
 	refused := 0
 	for i := range 5 {
-		refused += len(of(b.Handle(ms, ask(fmt.Sprint("f", i), "free")), Reject))
+		refused += len(actionsOf(b.Handle(ms, testRequest(fmt.Sprint("f", i), "idempotent")), Reject))
 	}
 	if refused != 3 {
-		t.Errorf("refused %d of 5, want 3: the maximum cuts the burst to 2", refused)
+		t.Errorf("rejected %d of 5, want 3: the maximum cuts the burst to 2", refused)
 	}
-	if len(of(b.Handle(ms, ask("x", "once")), Reject)) != 0 {
-		t.Error("another class was refused by the override's bucket")
+	if len(actionsOf(b.Handle(ms, testRequest("x", "single")), Reject)) != 0 {
+		t.Error("another class was rejected by the override's bucket")
 	}
 }
 
 func TestRateScale_FollowsCapacity(t *testing.T) {
-	b := start(t, site(1), members(2))
+	b := startBalancer(t, testSettings(1), testEndpoints(2))
 	for range 100 {
 		b.adjustRateScale(false)
 	}
 	if b.rateScale >= 0.5 || b.rateScale < minRateScale {
-		t.Errorf("after 100 choices without room the scale is %v", b.rateScale)
+		t.Errorf("after 100 choices without capacity the scale is %v", b.rateScale)
 	}
 	was := b.rateScale
 	b.adjustRateScale(true)
 	if b.rateScale != was {
-		t.Error("the scale rose though no bucket refused")
+		t.Error("the scale rose though no bucket rejected")
 	}
 	b.rateLimited = true
 	b.adjustRateScale(true)
 	if b.rateScale <= was {
-		t.Error("the scale did not rise though a bucket refused and there was room")
+		t.Error("the scale did not rise though a bucket rejected and there was capacity")
 	}
 }
 
-// A request that is held for long tells once that servers had no room, not at each look.
+// A request that is queued for long tells once that servers had no capacity, not at each look.
 func TestRateScale_QueuedRequestMovesItOnce(t *testing.T) {
-	b := start(t, site(1), members(1))
+	b := startBalancer(t, testSettings(1), testEndpoints(1))
 	s := b.order[0]
 	s.threshold, s.thresholdReduced, s.inFlight = 1, true, 3
-	b.Handle(ms, ask("x", "free"))
+	b.Handle(ms, testRequest("x", "idempotent"))
 	was := b.rateScale
 	for now := 2 * ms; now < 80*ms; now += queuePollInterval {
 		b.Handle(now, Timer{Token: queueTimerToken})
 	}
 	if len(b.queued) != 1 || was >= 1 || b.rateScale != was {
-		t.Errorf("%d held, the scale went from %v to %v", len(b.queued), was, b.rateScale)
+		t.Errorf("%d queued, the scale went from %v to %v", len(b.queued), was, b.rateScale)
 	}
 }
 
-// Traffic far beyond the shares passes only while next to no answer is bad: other nodes may lack the room.
+// Traffic far beyond the quotas passes only while next to no answer is bad: other nodes may lack capacity.
 func TestRateScale_FarOverQuotasNeedsGoodAnswers(t *testing.T) {
-	b := start(t, site(1), members(2))
+	b := startBalancer(t, testSettings(1), testEndpoints(2))
 	grow := func() {
 		for range 200 {
 			b.rateLimited = true
--- a/policy/benchmark_test.go
+++ b/policy/benchmark_test.go
@@ -6,15 +6,15 @@
 	"time"
 )
 
-// fleet is a node with n servers, of which the first busy are held at their thresholds. Its one class is
+// busyBalancer is a node with n servers, of which the first busy are held at their thresholds. Its one class is
 // bound to zones where these are named.
-func fleet(b testing.TB, n, busy int, zones ...string) *Balancer {
+func busyBalancer(b testing.TB, n, busy int, zones ...string) *Balancer {
 	b.Helper()
-	set := reconfigurable()
-	set.Tenants, set.Classes = nil, set.Classes[:1]
-	set.Classes[0].Zones = zones
-	set.Classes[0].Deadline = time.Hour
-	node, err := New(set, 0, 1)
+	settings := reconfigurableSettings()
+	settings.Tenants, settings.Classes = nil, settings.Classes[:1]
+	settings.Classes[0].Zones = zones
+	settings.Classes[0].Deadline = time.Hour
+	node, err := New(settings, 0, 1)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -30,8 +30,8 @@
 	return node
 }
 
-// variants runs a benchmark as the module works, and as it would by walking over all servers.
-func variants(b *testing.B, sizes []int, run func(b *testing.B, n int, plain bool)) {
+// runVariants runs a benchmark as the module works, and as it would by walking over all servers.
+func runVariants(b *testing.B, sizes []int, run func(b *testing.B, n int, plain bool)) {
 	for _, n := range sizes {
 		for _, plain := range []bool{false, true} {
 			b.Run(fmt.Sprintf("%d/plain=%v", n, plain), func(b *testing.B) { run(b, n, plain) })
@@ -41,8 +41,8 @@
 
 // BenchmarkOneChange is one server's drain or return in a list of many.
 func BenchmarkOneChange(b *testing.B) {
-	variants(b, []int{20, 100, 1000, 10_000, 100_000}, func(b *testing.B, n int, plain bool) {
-		oneChange(b, fleet(b, n, 0), n, plain)
+	runVariants(b, []int{20, 100, 1000, 10_000, 100_000}, func(b *testing.B, n int, plain bool) {
+		oneChange(b, busyBalancer(b, n, 0), n, plain)
 	})
 }
 
@@ -57,16 +57,16 @@
 
 // BenchmarkOneChangeBound is the same where a class is bound to a part of the servers, here all.
 func BenchmarkOneChangeBound(b *testing.B) {
-	variants(b, []int{1000, 10_000}, func(b *testing.B, n int, plain bool) {
-		oneChange(b, fleet(b, n, 0, "a"), n, plain)
+	runVariants(b, []int{1000, 10_000}, func(b *testing.B, n int, plain bool) {
+		oneChange(b, busyBalancer(b, n, 0, "a"), n, plain)
 	})
 }
 
 // BenchmarkRequestAmongBusy is a request and its end where all servers are over their thresholds, and
 // stay so: nothing is learnt.
 func BenchmarkRequestAmongBusy(b *testing.B) {
-	variants(b, []int{20, 1000, 10_000}, func(b *testing.B, n int, plain bool) {
-		node := fleet(b, n, n)
+	runVariants(b, []int{20, 1000, 10_000}, func(b *testing.B, n int, plain bool) {
+		node := busyBalancer(b, n, n)
 		node.linearScan = plain
 		now := Time(0)
 		for i := range b.N {
--- a/policy/connections_test.go
+++ b/policy/connections_test.go
@@ -10,14 +10,14 @@
 // Connections idle for as long as those that went unanswered are closed before a send; a server is not
 // blamed for what was lost on them. Short gaps, and a site whose sends all fail alike, change nothing.
 func TestConnections_StaleOnesAreClosedBeforeSend(t *testing.T) {
-	b := start(t, site(1), members(2))
+	b := startBalancer(t, testSettings(1), testEndpoints(2))
 	s, now := b.order[0], Time(0)
 	try := func(gap time.Duration, code Code) (closed int) {
 		now += gap
 		id := fmt.Sprint("r", now)
-		acts := slices.Clone(b.Handle(now, ask(id, "once")))
-		closed = len(of(acts, CloseIdle))
-		to := sentTo(t, acts)
+		acts := slices.Clone(b.Handle(now, testRequest(id, "single")))
+		closed = len(actionsOf(acts, CloseIdle))
+		to := sentServer(t, acts)
 		if to != s.Server {
 			t.Fatalf("sent to %s", to)
 		}
--- a/policy/endpoints_test.go
+++ b/policy/endpoints_test.go
@@ -8,8 +8,8 @@
 // When the list changes, the servers at the start of a node's walk change: new ones there must not keep
 // the small part that others' servers get, or a release leaves the node with nothing it may use.
 func TestSubset_NewServersGetItsThreshold(t *testing.T) {
-	list := members(12)
-	b := start(t, site(12), list)
+	list := testEndpoints(12)
+	b := startBalancer(t, testSettings(12), list)
 	first := b.order[0].Server
 	b.Handle(ms, EndpointList{Kind: ListUpdate, Endpoints: []Endpoint{{Server: first, Zone: "a", Availability: Draining}}})
 	for _, s := range b.order {
@@ -18,7 +18,7 @@
 		}
 	}
 	if b.order[0].Server == first || !b.order[0].inSubset {
-		t.Errorf("walk begins at %s, own %v", b.order[0].Server, b.order[0].inSubset)
+		t.Errorf("order starts at %s, own %v", b.order[0].Server, b.order[0].inSubset)
 	}
 }
 
@@ -27,26 +27,26 @@
 func TestEndpointList_FailedWatchIsRepeatedWithJitter(t *testing.T) {
 	waits := map[time.Duration]bool{}
 	for n := range 8 {
-		set := site(8)
-		set.Node, set.Subscribe = n, true
+		settings := testSettings(8)
+		settings.Node, settings.Subscribe = n, true
 		within := 4 * watchRetryDelay
 		if n >= 4 {
-			set.Rules.MaxPollInterval = 500 * ms
-			within = 4 * set.Rules.MaxPollInterval // after a failed call; beyond, the list counts as told
+			settings.Rules.MaxPollInterval = 500 * ms
+			within = 4 * settings.Rules.MaxPollInterval // after a failed call; beyond, the list counts as told
 		}
-		b, err := New(set, 0, 7)
+		b, err := New(settings, 0, 7)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if len(of(b.Handle(0, EndpointList{Kind: ListRestored}), WatchEndpoints)) != 1 {
+		if len(actionsOf(b.Handle(0, EndpointList{Kind: ListRestored}), WatchEndpoints)) != 1 {
 			t.Fatal("no subscription at the start")
 		}
-		timers := of(b.Handle(ms, EndpointList{Kind: ListUnavailable}), SetTimer)
+		timers := actionsOf(b.Handle(ms, EndpointList{Kind: ListUnavailable}), SetTimer)
 		if len(timers) != 1 || timers[0].Wait < within/8 || timers[0].Wait > within*3/4 {
 			t.Fatalf("after a failed call: %+v", timers)
 		}
 		waits[timers[0].Wait] = true
-		if len(of(b.Handle(timers[0].Wait+ms, Timer{Token: timers[0].Token}), WatchEndpoints)) != 1 {
+		if len(actionsOf(b.Handle(timers[0].Wait+ms, Timer{Token: timers[0].Token}), WatchEndpoints)) != 1 {
 			t.Error("not asked again")
 		}
 	}
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -8,16 +8,16 @@
 
 const ms = time.Millisecond
 
-// site is a small deployment with one class of each kind.
-func site(nodes int) Settings {
+// testSettings is a small deployment with one class of each kind.
+func testSettings(nodes int) Settings {
 	return Settings{
 		Nodes: nodes, Zone: "a",
 		Classes: []Class{
-			{Name: "free", LatencyObjective: 250 * ms, Deadline: 600 * ms, Idempotency: Idempotent},
-			{Name: "once", LatencyObjective: 250 * ms, Deadline: 600 * ms, LateWeightFraction: 0.2},
-			{Name: "all", LatencyObjective: 250 * ms, Deadline: 600 * ms, Idempotency: IdempotencyKeyed, DedupScope: DedupAll, DedupWindow: 300 * ms},
-			{Name: "zone", LatencyObjective: 250 * ms, Deadline: 600 * ms, Idempotency: IdempotencyKeyed, DedupScope: DedupZone, DedupWindow: 300 * ms},
-			{Name: "cell", LatencyObjective: 250 * ms, Deadline: 600 * ms, Idempotency: IdempotencyKeyed, DedupScope: DedupCell, DedupWindow: 300 * ms},
+			{Name: "idempotent", LatencyObjective: 250 * ms, Deadline: 600 * ms, Idempotency: Idempotent},
+			{Name: "single", LatencyObjective: 250 * ms, Deadline: 600 * ms, LateWeightFraction: 0.2},
+			{Name: "dedup-all", LatencyObjective: 250 * ms, Deadline: 600 * ms, Idempotency: IdempotencyKeyed, DedupScope: DedupAll, DedupWindow: 300 * ms},
+			{Name: "dedup-zone", LatencyObjective: 250 * ms, Deadline: 600 * ms, Idempotency: IdempotencyKeyed, DedupScope: DedupZone, DedupWindow: 300 * ms},
+			{Name: "dedup-cell", LatencyObjective: 250 * ms, Deadline: 600 * ms, Idempotency: IdempotencyKeyed, DedupScope: DedupCell, DedupWindow: 300 * ms},
 		},
 		Tenants:      []Tenant{{Name: "t", Quota: 1000}, {Name: "u", Quota: 10}},
 		Capabilities: Capabilities{Cancel: true, Hedge: true, MaxAttempts: 4},
@@ -28,7 +28,7 @@
 	}
 }
 
-func members(n int) []Endpoint {
+func testEndpoints(n int) []Endpoint {
 	var list []Endpoint
 	for i := range n {
 		list = append(list, Endpoint{
@@ -39,9 +39,9 @@
 	return list
 }
 
-func start(t *testing.T, set Settings, list []Endpoint) *Balancer {
+func startBalancer(t *testing.T, settings Settings, list []Endpoint) *Balancer {
 	t.Helper()
-	b, err := New(set, 0, 1)
+	b, err := New(settings, 0, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -49,8 +49,8 @@
 	return b
 }
 
-// of returns the actions of one kind.
-func of(acts []Action, kind ActionKind) []Action {
+// actionsOf returns the actions of one kind.
+func actionsOf(acts []Action, kind ActionKind) []Action {
 	var out []Action
 	for _, a := range acts {
 		if a.Kind == kind {
@@ -60,28 +60,28 @@
 	return out
 }
 
-func ask(id, class string) Request {
+func testRequest(id, class string) Request {
 	return Request{ID: id, Class: class, Tenant: "t", ExpiresIn: 600 * ms}
 }
 
-func sentTo(t *testing.T, acts []Action) string {
+func sentServer(t *testing.T, acts []Action) string {
 	t.Helper()
-	s := of(acts, Send)
+	s := actionsOf(acts, Send)
 	if len(s) != 1 {
 		t.Fatalf("want one send, got %+v", acts)
 	}
 	return s[0].Server
 }
 
-func outcome(id string, attempt int, server string, code Code, latency time.Duration) Outcome {
+func testOutcome(id string, attempt int, server string, code Code, latency time.Duration) Outcome {
 	return Outcome{ID: id, Attempt: attempt, Server: server, Code: code, Latency: latency, Answered: code == OK}
 }
 
-func handled(b *Balancer, now Time, ev Event) []Action {
+func handle(b *Balancer, now Time, ev Event) []Action {
 	return append([]Action(nil), b.Handle(now, ev)...)
 }
 
-func reconfigurable() Settings {
+func reconfigurableSettings() Settings {
 	return Settings{
 		Nodes: 1, Zone: "a",
 		Classes: []Class{
@@ -94,11 +94,11 @@
 	}
 }
 
-func oneAndTwo() EndpointList {
+func twoEndpoints() EndpointList {
 	return EndpointList{Endpoints: []Endpoint{{Server: "one", Zone: "a"}, {Server: "two", Zone: "a"}}}
 }
 
-func kinds(acts []Action, kind ActionKind) (n int) {
+func countActions(acts []Action, kind ActionKind) (n int) {
 	for _, a := range acts {
 		if a.Kind == kind {
 			n++
--- a/policy/hot_restart_test.go
+++ b/policy/hot_restart_test.go
@@ -8,136 +8,164 @@
 	"cobaltward/handover"
 )
 
-// twin is one node made of two processes, the second of which takes the place of the first: requests go to the second
-// in a part that grows from 0 to 1, both look at each other each 100 ms, and what the first has learned of its buckets
-// goes to the second. alone leaves the first to itself.
-type twin struct {
-	a, b    *Balancer
-	sa, sb  handover.Splitter
-	taken   [2]uint64
-	due     []twinOutcome
-	admits  int
-	toCold  []Time
-	arrived int
+const (
+	hotRestartOrigin = 24 * time.Hour // when a run begins
+	warmingOnline    = 2500           // ms of a run after which the server that warms up comes
+	replacementStart = 3000           // ms of a run after which the second process takes over
+)
+
+// hotRestart is one node made of two processes, the second of which replaces the first: requests go to the second
+// in a part that grows from 0 to 1, both see each other's reports each 100 ms, and the first hands its buckets
+// over. With alone, the first process is left to itself.
+type hotRestart struct {
+	alone     bool
+	processes [2]*Balancer
+	splitters [2]handover.Splitter
+	taken     [2]uint64
+	list      EndpointList
+	due       []dueOutcome
+	admitted  int // requests of tenant t
+	toWarming []Time
+	arrived   int
 }
 
-type twinOutcome struct {
-	at Time
-	by *Balancer
-	o  Outcome
+type dueOutcome struct {
+	at      Time
+	process *Balancer
+	outcome Outcome
 }
 
-func twinSettings() Settings {
+func hotRestartSettings() Settings {
 	return Settings{
-		Nodes: 1, Classes: []Class{{Name: "pay", LatencyObjective: time.Second, Deadline: 2 * time.Second, PriorityWeight: 1}},
+		Nodes:        1,
+		Classes:      []Class{{Name: "pay", LatencyObjective: time.Second, Deadline: 2 * time.Second, PriorityWeight: 1}},
 		Tenants:      []Tenant{{Name: "t", Quota: 100, Share: 0.5}, {Name: "u", Quota: 400, Share: 0.5}},
 		Capabilities: Capabilities{Cancel: true, RetryAfter: true, MaxAttempts: 3},
-		Rules:        Rules{DrainGrace: 500 * time.Millisecond, SlowStartShare: 0.34, SlowStartWindow: 8400 * time.Millisecond, OverloadFactor: 3, OverloadDuration: time.Second},
+		Rules: Rules{
+			DrainGrace: 500 * time.Millisecond, SlowStartShare: 0.34, SlowStartWindow: 8400 * time.Millisecond,
+			OverloadFactor: 3, OverloadDuration: time.Second,
+		},
 	}
 }
 
-func (w *twin) offer(now Time, to *Balancer, tenant string) {
-	w.arrived++
-	id := fmt.Sprint(w.arrived)
-	for _, a := range to.Handle(now, Request{ID: id, Class: "pay", Tenant: tenant, ExpiresIn: 2 * time.Second}) {
-		if a.Kind == Send {
-			if tenant == "t" {
-				w.admits++
-			}
-			if a.Server == "cold" {
-				w.toCold = append(w.toCold, now)
-			}
-			w.due = append(w.due, twinOutcome{now + 20*time.Millisecond, to, Outcome{ID: id, Server: a.Server, Code: OK, Latency: 20 * time.Millisecond}})
+func (h *hotRestart) offer(now Time, process *Balancer, tenant string) {
+	h.arrived++
+	id := fmt.Sprint(h.arrived)
+	request := Request{ID: id, Class: "pay", Tenant: tenant, ExpiresIn: 2 * time.Second}
+	for _, action := range process.Handle(now, request) {
+		if action.Kind != Send {
+			continue
 		}
+		if tenant == "t" {
+			h.admitted++
+		}
+		if action.Server == "a-warming" {
+			h.toWarming = append(h.toWarming, now)
+		}
+		const latency = 20 * time.Millisecond
+		outcome := Outcome{ID: id, Server: action.Server, Code: OK, Latency: latency}
+		h.due = append(h.due, dueOutcome{now + latency, process, outcome})
 	}
 }
 
-// play runs six seconds: the first process alone, a server that starts cold at 2.5 s, the replacement from 3 s on.
-func playTwin(t *testing.T, perSecond int, tenant string, alone bool) *twin {
+func (h *hotRestart) startProcess(t *testing.T, now Time, seed uint64) *Balancer {
 	t.Helper()
-	w := new(twin)
-	list := EndpointList{Kind: ListReplace}
-	for i := range 4 {
-		list.Endpoints = append(list.Endpoints, Endpoint{Server: fmt.Sprint("s", i), Weight: 1})
+	b, err := New(hotRestartSettings(), now, seed)
+	if err != nil {
+		t.Fatal(err)
 	}
-	start := func(now Time, seed uint64) *Balancer {
-		b, err := New(twinSettings(), now, seed)
-		if err != nil {
-			t.Fatal(err)
-		}
-		b.Handle(now, list)
-		return b
+	b.Handle(now, h.list)
+	return b
+}
+
+// runHotRestart plays six seconds: the first process alone, a server that warms up from 2.5 s on, the replacement
+// from 3 s on.
+func runHotRestart(t *testing.T, perSecond int, tenant string, alone bool) *hotRestart {
+	t.Helper()
+	h := &hotRestart{alone: alone, list: EndpointList{Kind: ListReplace}}
+	for i := range 4 {
+		h.list.Endpoints = append(h.list.Endpoints, Endpoint{Server: fmt.Sprint("s", i), Weight: 1})
 	}
-	const step = time.Millisecond
-	begin := 24 * time.Hour
-	w.a = start(begin, 1)
-	whole := handover.Limits{Clients: 10, Servers: 10}
-	for ms := range 6000 {
-		now := begin + Time(ms)*step
-		for len(w.due) > 0 && w.due[0].at <= now {
-			w.due[0].by.Handle(now, w.due[0].o)
-			w.due = w.due[1:]
-		}
-		switch {
-		case ms == 2500:
-			list.Endpoints = append(list.Endpoints, Endpoint{Server: "cold", Weight: 1, OnlineSince: now})
-			w.a.Handle(now, list)
-		case ms == 3000 && !alone:
-			w.b = start(now, 2)
-			k := w.a.Export()
-			k.RateScale, k.SharedThresholdScale, k.Servers = 1, 1, nil
-			w.b.Restore(now, k)
-		}
-		if w.b != nil && ms%100 == 0 {
-			ra, rb := handover.Report{Taken: w.taken[0]}, handover.Report{Taken: w.taken[1]}
-			w.a.SetTrafficShare(now, w.sa.Split(ra, map[string]handover.Report{"b": rb}, whole).Part)
-			w.b.SetTrafficShare(now, w.sb.Split(rb, map[string]handover.Report{"a": ra}, whole).Part)
-		}
-		for n := ms*perSecond/1000 + 1; n <= (ms+1)*perSecond/1000; n++ {
-			to, i := w.a, 0
-			if moved := (ms - 3000) / 10; w.b != nil && w.arrived*37%100 < moved {
-				to, i = w.b, 1
+	h.processes[0] = h.startProcess(t, hotRestartOrigin, 1)
+	for elapsed := range 6000 {
+		h.step(t, elapsed)
+		for n := elapsed*perSecond/1000 + 1; n <= (elapsed+1)*perSecond/1000; n++ {
+			i := 0
+			if moved := (elapsed - replacementStart) / 10; h.processes[1] != nil && h.arrived*37%100 < moved {
+				i = 1
 			}
-			w.taken[i]++
-			w.offer(now, to, tenant)
+			h.taken[i]++
+			h.offer(hotRestartOrigin+Time(elapsed)*ms, h.processes[i], tenant)
 		}
 	}
-	return w
+	return h
 }
 
-// While one process takes the place of another, a tenant over its share passes hardly more than with one process.
+// step hands in the outcomes that are due, and carries out what the run has for this millisecond.
+func (h *hotRestart) step(t *testing.T, elapsed int) {
+	t.Helper()
+	now := hotRestartOrigin + Time(elapsed)*ms
+	for len(h.due) > 0 && h.due[0].at <= now {
+		h.due[0].process.Handle(now, h.due[0].outcome)
+		h.due = h.due[1:]
+	}
+	switch {
+	case elapsed == warmingOnline:
+		warming := Endpoint{Server: "a-warming", Weight: 1, OnlineSince: now}
+		h.list.Endpoints = append(h.list.Endpoints, warming)
+		h.processes[0].Handle(now, h.list)
+	case elapsed == replacementStart && !h.alone:
+		h.processes[1] = h.startProcess(t, now, 2)
+		state := h.processes[0].Export()
+		state.RateScale, state.SharedThresholdScale, state.Servers = 1, 1, nil
+		h.processes[1].Restore(now, state)
+	}
+	if h.processes[1] != nil && elapsed%100 == 0 {
+		limits := handover.Limits{Clients: 10, Servers: 10}
+		first, second := handover.Report{Taken: h.taken[0]}, handover.Report{Taken: h.taken[1]}
+		share := h.splitters[0].Split(first, map[string]handover.Report{"b": second}, limits).Part
+		h.processes[0].SetTrafficShare(now, share)
+		share = h.splitters[1].Split(second, map[string]handover.Report{"a": first}, limits).Part
+		h.processes[1].SetTrafficShare(now, share)
+	}
+}
+
+// While one process replaces another, a tenant over its quota passes hardly more than with one process.
 func TestTrafficShare_BucketsHoldOverTwoProcesses(t *testing.T) {
-	one, two := playTwin(t, 1000, "t", true), playTwin(t, 1000, "t", false)
-	t.Logf("%d of %d admitted by one process, %d by two", one.admits, one.arrived, two.admits)
-	if float64(two.admits) > 1.15*float64(one.admits) || two.admits < one.admits/2 {
-		t.Errorf("%d admitted by one process, %d by two", one.admits, two.admits)
+	one, two := runHotRestart(t, 1000, "t", true), runHotRestart(t, 1000, "t", false)
+	t.Logf("%d of %d admitted by one process, %d by two", one.admitted, one.arrived, two.admitted)
+	if float64(two.admitted) > 1.15*float64(one.admitted) || two.admitted < one.admitted/2 {
+		t.Errorf("%d admitted by one process, %d by two", one.admitted, two.admitted)
 	}
 }
 
-// And a cold server gets from both together less than pushes it over: a warm one takes the mean rate of a server.
+// A server that warms up gets less from both together than overloads it: a warm one serves the mean rate.
 func TestTrafficShare_SlowStartHoldsOverTwoProcesses(t *testing.T) {
 	const perSecond = 400
-	set := twinSettings().Rules
+	rules := hotRestartSettings().Rules
 	for _, alone := range []bool{true, false} {
-		w := playTwin(t, perSecond, "u", alone)
-		if len(w.toCold) == 0 {
-			t.Fatal("nothing goes to the cold server")
-		}
-		most := 0.0
-		for i, from := range w.toCold {
-			n := 0
-			for _, at := range w.toCold[i:] {
-				if at < from+set.OverloadDuration {
-					n++
+		t.Run(fmt.Sprintf("alone=%v", alone), func(t *testing.T) {
+			run := runHotRestart(t, perSecond, "u", alone)
+			if len(run.toWarming) == 0 {
+				t.Fatal("nothing goes to the server that warms up")
+			}
+			highest := 0.0
+			for i, from := range run.toWarming {
+				sends := 0
+				for _, at := range run.toWarming[i:] {
+					if at < from+rules.OverloadDuration {
+						sends++
+					}
 				}
+				age := max(0, (from - hotRestartOrigin - warmingOnline*ms).Seconds())
+				fraction := rules.SlowStartShare + (1-rules.SlowStartShare)*age/rules.SlowStartWindow.Seconds()
+				capacity := fraction * perSecond / 5
+				highest = max(highest, float64(sends)/(capacity*rules.OverloadDuration.Seconds()))
 			}
-			age := max(0, (from - 24*time.Hour - 2500*time.Millisecond).Seconds())
-			capacity := (set.SlowStartShare + (1-set.SlowStartShare)*age/set.SlowStartWindow.Seconds()) * perSecond / 5
-			most = max(most, float64(n)/(capacity*set.OverloadDuration.Seconds()))
-		}
-		t.Logf("alone %v: %d to the cold server, %.2f of its capacity at most", alone, len(w.toCold), most)
-		if most > set.OverloadFactor {
-			t.Errorf("alone %v: %.2f of its capacity, %v push it over", alone, most, set.OverloadFactor)
-		}
+			t.Logf("%d to the server that warms up, %.2f of its capacity at most", len(run.toWarming), highest)
+			if highest > rules.OverloadFactor {
+				t.Errorf("%.2f of its capacity, %v overload it", highest, rules.OverloadFactor)
+			}
+		})
 	}
 }
--- a/policy/index_test.go
+++ b/policy/index_test.go
@@ -9,101 +9,150 @@
 	"pgregory.net/rapid"
 )
 
-// The index and the small changes of the list choose as a walk over all servers and a list made anew
-// do: two nodes with one seed, one of them plain, are told the same and must want the same, always.
+// indexComparison hands the same events to two nodes of one seed. Only one of them uses the index and small
+// changes of the order; both must return the same actions.
+type indexComparison struct {
+	t        *rapid.T
+	indexed  *Balancer
+	linear   *Balancer
+	now      Time
+	inFlight []Action // sends without their outcome
+	attempts map[string]int
+	requests int
+	servers  int
+}
+
 func TestIndex_SelectsAsLinearScan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		set := reconfigurable()
-		set.Tenants = nil
-		set.Nodes = rapid.SampledFrom([]int{1, 2, 3, 4, 9, 40}).Draw(t, "nodes")
-		set.Node = rapid.IntRange(0, set.Nodes-1).Draw(t, "node")
-		set.Capabilities.Hedge, set.Capabilities.MaxAttempts = true, 3
-		set.Rules.SlowStartShare, set.Rules.SlowStartWindow, set.Rules.OverloadFactor, set.Rules.OverloadDuration = 0.3, 5*time.Second, 3, time.Second
-		set.KeyAffinity = rapid.Bool().Draw(t, "keys")
-		if rapid.Bool().Draw(t, "bound") {
-			set.Classes[1].Kinds = []string{"k1"}
+		settings := drawIndexSettings(t)
+		indexed, _ := New(settings, 0, 7)
+		linear, _ := New(settings, 0, 7)
+		linear.linearScan = true
+		c := &indexComparison{
+			t: t, indexed: indexed, linear: linear, now: 10 * time.Second, attempts: make(map[string]int),
+			servers: rapid.SampledFrom([]int{10, 130, 400}).Draw(t, "servers"),
 		}
-		quick, _ := New(set, 0, 7)
-		plain, _ := New(set, 0, 7)
-		plain.linearScan = true
-		most := rapid.SampledFrom([]int{10, 130, 400}).Draw(t, "servers")
-		now := 10 * time.Second
-		var out []Action // sends without their outcome
-		attempts := make(map[string]int)
-		requests := 0
-		tell := func(ev Event) {
-			got, want := handled(quick, now, ev), handled(plain, now, ev)
-			if !reflect.DeepEqual(got, want) {
-				t.Fatalf("after %#v:\n%+v, and by a walk over all\n%+v", ev, got, want)
-			}
-			for _, a := range got {
-				if a.Kind == Send {
-					a.Attempt = attempts[a.ID]
-					attempts[a.ID]++
-					out = append(out, a)
-				}
-			}
+		endpoints := c.initialEndpoints()
+		c.handle(EndpointList{Endpoints: endpoints})
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			c.step(endpoints)
 		}
-		member := func(i int) Endpoint {
-			m := Endpoint{
-				Server: fmt.Sprintf("s%04d", i), Zone: rapid.SampledFrom([]string{"a", "a", "b", "c"}).Draw(t, "zone"),
-				Kind: rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "kind"), Weight: 1,
-			}
-			if rapid.IntRange(0, 9).Draw(t, "young") == 0 {
-				m.OnlineSince = now - time.Second
-			}
-			m.Availability = rapid.SampledFrom([]Availability{Running, Running, Running, Draining, Removed}).Draw(t, "state")
-			return m
+		c.compareOrder()
+	})
+}
+
+func drawIndexSettings(t *rapid.T) Settings {
+	settings := reconfigurableSettings()
+	settings.Tenants = nil
+	settings.Nodes = rapid.SampledFrom([]int{1, 2, 3, 4, 9, 40}).Draw(t, "nodes")
+	settings.Node = rapid.IntRange(0, settings.Nodes-1).Draw(t, "node")
+	settings.Capabilities.Hedge, settings.Capabilities.MaxAttempts = true, 3
+	settings.Rules.SlowStartShare, settings.Rules.SlowStartWindow = 0.3, 5*time.Second
+	settings.Rules.OverloadFactor, settings.Rules.OverloadDuration = 3, time.Second
+	settings.KeyAffinity = rapid.Bool().Draw(t, "keys")
+	if rapid.Bool().Draw(t, "bound") {
+		settings.Classes[1].Kinds = []string{"k1"}
+	}
+	return settings
+}
+
+func (c *indexComparison) initialEndpoints() []Endpoint {
+	var endpoints []Endpoint
+	for i := range c.servers {
+		endpoints = append(endpoints, Endpoint{
+			Server: fmt.Sprintf("s%04d", i), Zone: string("aabc"[i%4]), Kind: fmt.Sprint("k", 1+i%2), Weight: 1,
+		})
+	}
+	return endpoints
+}
+
+// handle hands an event to both nodes and compares what they want done.
+func (c *indexComparison) handle(event Event) {
+	got, want := handle(c.indexed, c.now, event), handle(c.linear, c.now, event)
+	if !reflect.DeepEqual(got, want) {
+		c.t.Fatalf("after %#v:\n%+v, and by a linear scan\n%+v", event, got, want)
+	}
+	for _, action := range got {
+		if action.Kind == Send {
+			action.Attempt = c.attempts[action.ID]
+			c.attempts[action.ID]++
+			c.inFlight = append(c.inFlight, action)
 		}
-		var all []Endpoint
-		for i := range most {
-			m := Endpoint{Server: fmt.Sprintf("s%04d", i), Zone: string("aabc"[i%4]), Kind: fmt.Sprint("k", 1+i%2), Weight: 1}
-			all = append(all, m)
+	}
+}
+
+func (c *indexComparison) step(endpoints []Endpoint) {
+	t := c.t
+	c.now += time.Duration(rapid.IntRange(0, 40).Draw(t, "ms")) * ms
+	switch rapid.IntRange(0, 9).Draw(t, "step") {
+	case 0:
+		var changes []Endpoint
+		for range rapid.IntRange(1, 4).Draw(t, "changes") {
+			changes = append(changes, c.drawEndpoint(rapid.IntRange(0, c.servers+5).Draw(t, "server")))
 		}
-		tell(EndpointList{Endpoints: all})
-		for range rapid.IntRange(1, 150).Draw(t, "steps") {
-			now += time.Duration(rapid.IntRange(0, 40).Draw(t, "ms")) * ms
-			switch rapid.IntRange(0, 9).Draw(t, "step") {
-			case 0:
-				var some []Endpoint
-				for range rapid.IntRange(1, 4).Draw(t, "changes") {
-					some = append(some, member(rapid.IntRange(0, most+5).Draw(t, "server")))
-				}
-				tell(EndpointList{Kind: ListUpdate, Endpoints: some})
-			case 1:
-				if rapid.IntRange(0, 9).Draw(t, "whole") == 0 {
-					tell(EndpointList{Endpoints: all[rapid.IntRange(0, most/2).Draw(t, "from"):]})
-				}
-			case 2:
-				tell(Timer{Token: rapid.SampledFrom([]uint64{queueTimerToken, firstClassTimerToken, firstClassTimerToken + 1}).Draw(t, "timer")})
-			case 3, 4, 5: // a burst: enough to fill servers up
-				for range rapid.IntRange(1, most/4+2).Draw(t, "burst") {
-					requests++
-					tell(Request{
-						ID: fmt.Sprint("r", requests), Class: rapid.SampledFrom([]string{"read", "pay"}).Draw(t, "class"),
-						Tenant: "t", ExpiresIn: time.Second, Key: fmt.Sprint(requests % 7),
-					})
-				}
-			default:
-				for range min(len(out), rapid.IntRange(1, most/4+2).Draw(t, "outcomes")) {
-					i := rapid.IntRange(0, len(out)-1).Draw(t, "which")
-					a := out[i]
-					out = append(out[:i], out[i+1:]...)
-					code := rapid.SampledFrom([]Code{OK, OK, OK, OK, ServerError, Overloaded, TimedOut, ConnectFailed, Reset}).Draw(t, "code")
-					tell(Outcome{
-						ID: a.ID, Attempt: a.Attempt, Server: a.Server, Code: code, Answered: code == OK,
-						Latency: time.Duration(rapid.IntRange(1, 300).Draw(t, "latency")) * ms,
-					})
-				}
-			}
+		c.handle(EndpointList{Kind: ListUpdate, Endpoints: changes})
+	case 1:
+		if rapid.IntRange(0, 9).Draw(t, "whole") == 0 {
+			c.handle(EndpointList{Endpoints: endpoints[rapid.IntRange(0, c.servers/2).Draw(t, "from"):]})
 		}
-		if quick.pool.ejectedCount != plain.pool.ejectedCount || quick.localCount != plain.localCount || quick.zoneCount != plain.zoneCount {
-			t.Fatalf("ejected %d and %d, zoned %d and %d", quick.pool.ejectedCount, plain.pool.ejectedCount, quick.localCount, plain.localCount)
+	case 2:
+		tokens := []uint64{queueTimerToken, firstClassTimerToken, firstClassTimerToken + 1}
+		c.handle(Timer{Token: rapid.SampledFrom(tokens).Draw(t, "timer")})
+	case 3, 4, 5: // a burst: enough to fill servers up
+		for range rapid.IntRange(1, c.servers/4+2).Draw(t, "burst") {
+			c.requests++
+			c.handle(Request{
+				ID: fmt.Sprint("r", c.requests), Class: rapid.SampledFrom([]string{"read", "pay"}).Draw(t, "class"),
+				Tenant: "t", ExpiresIn: time.Second, Key: fmt.Sprint(c.requests % 7),
+			})
 		}
-		for i, s := range quick.order {
-			if p := plain.order[i]; s.Server != p.Server || s.inSubset != p.inSubset || s.threshold != p.threshold || s.probeIdempotency != p.probeIdempotency {
-				t.Fatalf("place %d: %+v, and by a list made anew %+v", i, s, p)
-			}
+	default:
+		for range min(len(c.inFlight), rapid.IntRange(1, c.servers/4+2).Draw(t, "outcomes")) {
+			c.endAttempt()
 		}
+	}
+}
+
+func (c *indexComparison) drawEndpoint(i int) Endpoint {
+	t := c.t
+	endpoint := Endpoint{
+		Server: fmt.Sprintf("s%04d", i), Zone: rapid.SampledFrom([]string{"a", "a", "b", "c"}).Draw(t, "zone"),
+		Kind: rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "kind"), Weight: 1,
+	}
+	if rapid.IntRange(0, 9).Draw(t, "young") == 0 {
+		endpoint.OnlineSince = c.now - time.Second
+	}
+	states := []Availability{Running, Running, Running, Draining, Removed}
+	endpoint.Availability = rapid.SampledFrom(states).Draw(t, "state")
+	return endpoint
+}
+
+func (c *indexComparison) endAttempt() {
+	t := c.t
+	i := rapid.IntRange(0, len(c.inFlight)-1).Draw(t, "which")
+	sent := c.inFlight[i]
+	c.inFlight = append(c.inFlight[:i], c.inFlight[i+1:]...)
+	codes := []Code{OK, OK, OK, OK, ServerError, Overloaded, TimedOut, ConnectFailed, Reset}
+	code := rapid.SampledFrom(codes).Draw(t, "code")
+	c.handle(Outcome{
+		ID: sent.ID, Attempt: sent.Attempt, Server: sent.Server, Code: code, Answered: code == OK,
+		Latency: time.Duration(rapid.IntRange(1, 300).Draw(t, "latency")) * ms,
 	})
 }
+
+// compareOrder compares what the nodes hold: counts, and the state of each server in order.
+func (c *indexComparison) compareOrder() {
+	indexed, linear := c.indexed, c.linear
+	if indexed.ejectedCount != linear.ejectedCount || indexed.localCount != linear.localCount ||
+		indexed.zoneCount != linear.zoneCount {
+		c.t.Fatalf("ejected %d and %d, in the zone %d and %d, zones %d and %d", indexed.ejectedCount,
+			linear.ejectedCount, indexed.localCount, linear.localCount, indexed.zoneCount, linear.zoneCount)
+	}
+	for i, got := range indexed.order {
+		want := linear.order[i]
+		if got.Server != want.Server || got.inSubset != want.inSubset || got.threshold != want.threshold ||
+			got.probeIdempotency != want.probeIdempotency {
+			c.t.Fatalf("place %d: %+v, and by a rebuilt list %+v", i, got, want)
+		}
+	}
+}
--- a/policy/outlier_test.go
+++ b/policy/outlier_test.go
@@ -6,45 +6,45 @@
 	"time"
 )
 
-// A trial that its second copy outran must not block later trials.
+// A probe that its hedged request outran must not block later probes.
 func TestProbe_OutrunByHedgeIsRepeated(t *testing.T) {
-	b := start(t, site(1), members(6))
+	b := startBalancer(t, testSettings(1), testEndpoints(6))
 	s := b.servers["s00"]
 	b.eject(s)
 	now := s.health.ejectedUntil
-	if got := sentTo(t, b.Handle(now, ask("x", "free"))); got != "s00" {
-		t.Fatalf("trial went to %s", got)
+	if got := sentServer(t, b.Handle(now, testRequest("x", "idempotent"))); got != "s00" {
+		t.Fatalf("probe went to %s", got)
 	}
-	b.Handle(now+100*ms, outcome("x", 0, "s00", Cancelled, 100*ms))
+	b.Handle(now+100*ms, testOutcome("x", 0, "s00", Cancelled, 100*ms))
 	if s.health.probeInFlight {
-		t.Error("the trial still counts as out")
+		t.Error("the probe still counts as out")
 	}
 	now = s.health.ejectedUntil
-	if got := sentTo(t, b.Handle(now, ask("y", "free"))); got != "s00" {
-		t.Errorf("next trial went to %s, want s00", got)
+	if got := sentServer(t, b.Handle(now, testRequest("y", "idempotent"))); got != "s00" {
+		t.Errorf("next probe went to %s, want s00", got)
 	}
 }
 
-// A hung server that is full turns trials away at once: that must not invite the next trial.
+// A hung server that is full rejects probes at once: that must not invite the next probe.
 func TestProbe_OverloadPostponesNext(t *testing.T) {
-	b := start(t, site(1), members(6))
+	b := startBalancer(t, testSettings(1), testEndpoints(6))
 	s := b.servers["s00"]
 	b.eject(s)
 	now := s.health.ejectedUntil
-	b.Handle(now, ask("x", "free"))
-	b.Handle(now+ms, outcome("x", 0, "s00", Overloaded, ms))
-	if got := sentTo(t, b.Handle(now+2*ms, ask("y", "free"))); got == "s00" {
-		t.Error("tried again at once")
+	b.Handle(now, testRequest("x", "idempotent"))
+	b.Handle(now+ms, testOutcome("x", 0, "s00", Overloaded, ms))
+	if got := sentServer(t, b.Handle(now+2*ms, testRequest("y", "idempotent"))); got == "s00" {
+		t.Error("probed again at once")
 	}
 }
 
 // A slow request at a server that answers others is no sign of a hang.
 func TestOutlier_TimeoutAtAnsweringServerIsNoFault(t *testing.T) {
-	b := start(t, site(1), members(6))
+	b := startBalancer(t, testSettings(1), testEndpoints(6))
 	s := b.servers["s00"]
-	b.Handle(ms, ask("x", "once"))
+	b.Handle(ms, testRequest("x", "single"))
 	s.lastAnswer = 100 * ms
-	b.Handle(600*ms, outcome("x", 0, "s00", TimedOut, 600*ms))
+	b.Handle(600*ms, testOutcome("x", 0, "s00", TimedOut, 600*ms))
 	if s.health.faultScore != 0 {
 		t.Errorf("score %v, want 0", s.health.faultScore)
 	}
@@ -55,11 +55,11 @@
 func TestOutlier_CommonFaultsCountLess(t *testing.T) {
 	try := func(b *Balancer, now Time, s *server, code Code) {
 		id := fmt.Sprint(now)
-		b.requests[id] = &request{id: id, class: b.classes["once"], deadline: now + time.Second}
+		b.requests[id] = &request{id: id, class: b.classes["single"], deadline: now + time.Second}
 		b.send(b.requests[id], s, false)
-		b.Handle(now+20*ms, outcome(id, 0, s.Server, code, 20*ms))
+		b.Handle(now+20*ms, testOutcome(id, 0, s.Server, code, 20*ms))
 	}
-	b := start(t, site(1), members(6))
+	b := startBalancer(t, testSettings(1), testEndpoints(6))
 	first := b.servers["s00"].threshold
 	now := Time(0)
 	for i := range 1200 { // one in ten, and sometimes two in a row
@@ -80,11 +80,11 @@
 	}
 	b.eject(b.order[0]) // for once
 	now += 5 * time.Second
-	b.requests["trial"] = &request{id: "trial", class: b.classes["free"], deadline: now + time.Second}
+	b.requests["trial"] = &request{id: "trial", class: b.classes["idempotent"], deadline: now + time.Second}
 	b.send(b.requests["trial"], b.order[0], true)
-	b.Handle(now, outcome("trial", 0, "s00", ConnectFailed, 0))
+	b.Handle(now, testOutcome("trial", 0, "s00", ConnectFailed, 0))
 	if h := b.order[0].health; !h.ejected || h.ejectedUntil != now+baseEjectionTime {
-		t.Errorf("a trial that failed by what all have alike puts the next off by %v", h.ejectedUntil-now)
+		t.Errorf("a probe that failed by what all have alike puts the next off by %v", h.ejectedUntil-now)
 	}
 	if b.badRatio > maxBadRatio {
 		t.Errorf("%v of the answers count as bad", b.badRatio)
@@ -98,7 +98,7 @@
 		t.Errorf("a server that always fails is not ejected; score %v", bad.health.faultScore)
 	}
 
-	b = start(t, site(1), members(6))
+	b = startBalancer(t, testSettings(1), testEndpoints(6))
 	for range 5 {
 		for _, s := range b.order {
 			now += 25 * ms
--- a/policy/placement_test.go
+++ b/policy/placement_test.go
@@ -7,23 +7,23 @@
 	"time"
 )
 
-// A bound class goes to its servers only, at every attempt, even when they are all out; then it is
-// held and refused in time. The cap on ejections holds for its few servers by themselves.
+// A restricted class goes to its servers only, at every attempt, even when they are all out; then it is
+// held and rejected in time. The cap on ejections holds for its few servers by themselves.
 func TestPlacement_HoldsForEveryAttempt(t *testing.T) {
-	set := site(1)
-	set.Classes[0].Kinds = []string{"k1"} // s01, s04, s07 of nine
-	b := start(t, set, members(9))
+	settings := testSettings(1)
+	settings.Classes[0].Kinds = []string{"k1"} // s01, s04, s07 of nine
+	b := startBalancer(t, settings, testEndpoints(9))
 	open := map[string]bool{"s01": true, "s04": true, "s07": true}
 	for i, code := range []Code{ServerError, Overloaded, ConnectFailed} {
 		id := fmt.Sprint(i)
-		s := sentTo(t, b.Handle(ms, ask(id, "free")))
+		s := sentServer(t, b.Handle(ms, testRequest(id, "idempotent")))
 		if !open[s] {
 			t.Fatalf("sent to %s", s)
 		}
-		if s = sentTo(t, b.Handle(2*ms, outcome(id, 0, s, code, ms))); !open[s] {
+		if s = sentServer(t, b.Handle(2*ms, testOutcome(id, 0, s, code, ms))); !open[s] {
 			t.Fatalf("sent again to %s", s)
 		}
-		b.Handle(3*ms, outcome(id, 1, s, OK, ms))
+		b.Handle(3*ms, testOutcome(id, 1, s, OK, ms))
 	}
 	for _, id := range []string{"s01", "s04", "s07"} {
 		b.servers[id].health.faultScore = 0.6
@@ -35,20 +35,20 @@
 	for id := range open {
 		b.Handle(4*ms, EndpointList{Kind: ListUpdate, Endpoints: []Endpoint{{Server: id, Zone: "a", Kind: "k1", Availability: Draining}}})
 	}
-	acts := slices.Clone(b.Handle(5*ms, ask("x", "free")))
+	acts := slices.Clone(b.Handle(5*ms, testRequest("x", "idempotent")))
 	for now := 6 * ms; now < 600*ms; now += queuePollInterval {
 		acts = append(acts, b.Handle(now, Timer{Token: queueTimerToken})...)
 	}
-	if len(of(acts, Send)) != 0 || len(of(acts, Reject)) != 1 {
-		t.Errorf("with its servers gone: got %+v, want one refusal and no send", acts)
+	if len(actionsOf(acts, Send)) != 0 || len(actionsOf(acts, Reject)) != 1 {
+		t.Errorf("with its servers gone: got %+v, want one rejection and no send", acts)
 	}
 }
 
 // A class that is bound to a pool goes to servers of that pool and no other, however they change.
 func TestPlacement_PoolRestrictsClass(t *testing.T) {
-	set := reconfigurable()
-	set.Classes[0].Pool = "rooms"
-	b, err := New(set, 0, 1)
+	settings := reconfigurableSettings()
+	settings.Classes[0].Pool = "rooms"
+	b, err := New(settings, 0, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -56,7 +56,7 @@
 		b.Handle(0, EndpointList{Endpoints: []Endpoint{{Server: "one", Zone: "a", Pools: one}, {Server: "two", Zone: "a", Pools: two}}})
 	}
 	to := func(id string) string {
-		for _, a := range handled(b, 0, Request{ID: id, Class: "read", Tenant: "t", ExpiresIn: time.Second}) {
+		for _, a := range handle(b, 0, Request{ID: id, Class: "read", Tenant: "t", ExpiresIn: time.Second}) {
 			if a.Kind == Send {
 				return a.Server
 			}
--- a/policy/random_test.go
+++ b/policy/random_test.go
@@ -9,233 +9,269 @@
 	"time"
 )
 
-// world plays random legal events at one node and checks the rules that a node keeps alone: one final
-// answer in time, no forbidden repeat or refusal, no late send to a draining server, placement, and
-// the budget of attempts. It keeps its own books and shares no code with the module.
+// world plays random legal events at one node and checks the invariants that a node keeps alone: one final
+// answer in time, no forbidden retry or rejection, no late send to a draining server, placement, and
+// the retry budget. It counts by itself and shares no code with the module.
 type world struct {
-	t     *testing.T
-	rng   *rand.Rand
-	set   Settings
-	b     *Balancer
-	now   Time
-	list  map[string]Endpoint
-	told  map[string]Time // when a server was said to drain or be gone
-	open  map[string]*play
-	ids   int
-	tasks []task // outcomes, timers, probe results to come
-	log   []string
-	// One attempt in faulty/5 fails, all take up to slowest ms, and requests come every so often.
-	faulty, slowest, every int
+	t             *testing.T
+	rng           *rand.Rand
+	settings      Settings
+	balancer      *Balancer
+	now           Time
+	endpoints     map[string]Endpoint
+	drainingSince map[string]Time // when a server was listed as draining or removed
+	exchanges     map[string]*exchange
+	lastID        int
+	tasks         []task // outcomes, timers, probe results to come
+	log           []string
 
-	took  []Time // all requests taken
-	extra []Time // all attempts beyond a request's first
+	faultDivisor  int // 5 of so many attempts fail, at least
+	maxLatency    int // ms
+	arrivalPeriod int // steps between arrivals, on average
+
+	accepted []Time // all requests received
+	retries  []Time // all attempts beyond a request's first
 }
 
-type play struct {
+// exchange is a request as the client sees it.
+type exchange struct {
 	Request
 	class    Class
 	deadline Time
-	tries    []try
+	attempts []sentAttempt
 	ended    bool
 }
 
-type try struct {
-	server Endpoint
-	sent   Time
-	over   bool
-	notRun bool
+type sentAttempt struct {
+	server      Endpoint
+	sentAt      Time
+	done        bool
+	notExecuted bool
 }
 
 type task struct {
-	at Time
-	do func()
+	at  Time
+	run func()
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
+	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 1))
-	set := site([]int{1, 3, 12, 60}[seed%4])
-	set.Node = rng.IntN(set.Nodes)
-	set.Subscribe, set.KeyAffinity = seed%5 == 0, seed%3 == 0
-	set.Capabilities.Probe, set.LoadReportFields = seed%2 == 0, []string{"inflight"}
-	set.Capabilities.Cancel, set.Capabilities.Hedge = seed%7 != 0, seed%6 != 0
-	if seed%8 == 0 {
-		set.Tenants = nil
-	}
-	if seed%2 == 1 {
-		set.Rules.RetryBudget = &RetryBudget{MinRetries: float64(rng.IntN(3)), RetryRatio: 0.05, Window: 5 * time.Second}
-	}
-	for i := range set.Classes { // windows shorter than the time a request is worth another attempt
-		set.Classes[i].DedupWindow = time.Duration(20+rng.IntN(150)) * ms
-	}
-	switch seed % 3 {
-	case 1:
-		set.Classes[seed%5].Kinds = []string{"k1", "k2"}
-	case 2:
-		set.Classes[seed%5].Zones = []string{"b"}
-		set.Classes[(seed+1)%5].Kinds = []string{"k0"}
-	}
-	b, err := New(set, 0, seed)
+	settings := randomSettings(rng, seed)
+	b, err := New(settings, 0, seed)
 	if err != nil {
 		t.Fatal(err)
 	}
 	w := &world{
-		t: t, rng: rng, set: set, b: b, list: map[string]Endpoint{}, told: map[string]Time{}, open: map[string]*play{},
-		faulty: []int{8, 20, 60}[seed/3%3], slowest: []int{300, 50}[seed/2%2], every: []int{1, 8}[seed/4%2],
+		t: t, rng: rng, settings: settings, balancer: b,
+		endpoints: map[string]Endpoint{}, drainingSince: map[string]Time{}, exchanges: map[string]*exchange{},
+		faultDivisor:  []int{8, 20, 60}[seed/3%3],
+		maxLatency:    []int{300, 50}[seed/2%2],
+		arrivalPeriod: []int{1, 8}[seed/4%2],
 	}
-	for _, m := range members(1 + rng.IntN(9)) {
+	for _, endpoint := range testEndpoints(1 + rng.IntN(9)) {
 		if rng.IntN(4) == 0 {
-			m.OnlineSince = 1
+			endpoint.OnlineSince = 1
 		}
-		w.list[m.Server] = m
+		w.endpoints[endpoint.Server] = endpoint
 	}
-	w.event(EndpointList{Kind: ListRestored, Endpoints: w.members()})
+	w.handle(EndpointList{Kind: ListRestored, Endpoints: w.listed()})
 	return w
 }
 
-func (w *world) members() []Endpoint {
+// randomSettings is a deployment that differs with the seed.
+func randomSettings(rng *rand.Rand, seed uint64) Settings {
+	settings := testSettings([]int{1, 3, 12, 60}[seed%4])
+	settings.Node = rng.IntN(settings.Nodes)
+	settings.Subscribe, settings.KeyAffinity = seed%5 == 0, seed%3 == 0
+	settings.Capabilities.Probe, settings.LoadReportFields = seed%2 == 0, []string{"inflight"}
+	settings.Capabilities.Cancel, settings.Capabilities.Hedge = seed%7 != 0, seed%6 != 0
+	if seed%8 == 0 {
+		settings.Tenants = nil
+	}
+	if seed%2 == 1 {
+		settings.Rules.RetryBudget = &RetryBudget{MinRetries: float64(rng.IntN(3)), RetryRatio: 0.05, Window: 5 * time.Second}
+	}
+	for i := range settings.Classes { // windows shorter than the time a request is worth another attempt
+		settings.Classes[i].DedupWindow = time.Duration(20+rng.IntN(150)) * ms
+	}
+	switch seed % 3 {
+	case 1:
+		settings.Classes[seed%5].Kinds = []string{"k1", "k2"}
+	case 2:
+		settings.Classes[seed%5].Zones = []string{"b"}
+		settings.Classes[(seed+1)%5].Kinds = []string{"k0"}
+	}
+	return settings
+}
+
+func (w *world) listed() []Endpoint {
 	var out []Endpoint
 	for i := range 10 {
-		if m, ok := w.list[fmt.Sprintf("s%02d", i)]; ok {
+		if m, ok := w.endpoints[fmt.Sprintf("s%02d", i)]; ok {
 			out = append(out, m)
 		}
 	}
 	return out
 }
 
-func (w *world) later(d time.Duration, do func()) { w.tasks = append(w.tasks, task{w.now + d, do}) }
+func (w *world) schedule(wait time.Duration, run func()) {
+	w.tasks = append(w.tasks, task{w.now + wait, run})
+}
 
-func (w *world) event(ev Event) {
-	for _, a := range slices.Clone(w.b.Handle(w.now, ev)) {
+func (w *world) handle(event Event) {
+	for _, a := range slices.Clone(w.balancer.Handle(w.now, event)) {
 		w.log = append(w.log, fmt.Sprintf("%v %+v", w.now, a))
-		w.act(a)
+		w.carryOut(a)
 	}
 }
 
-func (w *world) act(a Action) {
-	p := w.open[a.ID]
-	switch a.Kind {
+func (w *world) carryOut(action Action) {
+	x := w.exchanges[action.ID]
+	switch action.Kind {
 	case Send:
-		w.send(p, a)
+		w.checkSend(x, action)
+		w.send(x, action)
 	case Reject, Fail:
-		w.answer(p, a)
+		w.checkAnswer(x, action)
 	case Cancel:
-		if !w.set.Capabilities.Cancel || a.Attempt >= len(p.tries) {
-			w.t.Errorf("cancel of an unknown attempt, or where it is not allowed: %+v", a)
+		if !w.settings.Capabilities.Cancel || action.Attempt >= len(x.attempts) {
+			w.t.Errorf("cancel of an unknown attempt, or where it is not allowed: %+v", action)
 		}
 	case SetTimer:
-		w.later(max(a.Wait, ms), func() { w.event(Timer{Token: a.Token}) })
+		w.schedule(max(action.Wait, ms), func() { w.handle(Timer{Token: action.Token}) })
 	case Probe:
-		code, load := OK, float64(w.rng.IntN(6))
-		if !w.set.Capabilities.Probe {
-			w.t.Errorf("probe where it is not allowed")
-		}
-		if w.rng.IntN(3) > 0 {
-			w.later(ms*time.Duration(w.rng.IntN(30)), func() {
-				w.event(ProbeResult{Server: a.Server, Code: code, LoadReport: []float64{load}})
-			})
-		}
+		w.probe(action.Server)
 	case WatchEndpoints:
 		if w.rng.IntN(2) == 0 {
-			w.later(ms, func() { w.event(EndpointList{Kind: ListUnavailable}) })
+			w.schedule(ms, func() { w.handle(EndpointList{Kind: ListUnavailable}) })
 		}
 	}
 }
 
-func (w *world) send(p *play, a Action) {
-	m, listed := w.list[a.Server]
-	if told, ok := w.told[a.Server]; ok && w.now > told+w.set.Rules.DrainGrace {
-		w.t.Errorf("%s drains since %v, sent to at %v", a.Server, told, w.now)
+func (w *world) probe(server string) {
+	load := float64(w.rng.IntN(6))
+	if !w.settings.Capabilities.Probe {
+		w.t.Errorf("probe where it is not allowed")
+	}
+	if w.rng.IntN(3) > 0 {
+		w.schedule(ms*time.Duration(w.rng.IntN(30)), func() {
+			w.handle(ProbeResult{Server: server, Code: OK, LoadReport: []float64{load}})
+		})
+	}
+}
+
+// checkSend checks that an attempt may be made, and may go to its server.
+func (w *world) checkSend(x *exchange, action Action) {
+	endpoint, listed := w.endpoints[action.Server]
+	if since, ok := w.drainingSince[action.Server]; ok && w.now > since+w.settings.Rules.DrainGrace {
+		w.t.Errorf("%s drains since %v, sent to at %v", action.Server, since, w.now)
 	}
-	if !listed && w.told[a.Server] == 0 {
-		w.t.Errorf("unknown server %q", a.Server)
+	if !listed && w.drainingSince[action.Server] == 0 {
+		w.t.Errorf("unknown server %q", action.Server)
 	}
-	if p == nil || p.ended || w.now >= p.deadline {
-		w.t.Fatalf("send after the end: %+v", a)
+	if x == nil || x.ended || w.now >= x.deadline {
+		w.t.Fatalf("send after the end: %+v", action)
 	}
+	w.checkRetry(x, endpoint, action)
+	if class := x.class; len(class.Kinds) > 0 && !slices.Contains(class.Kinds, endpoint.Kind) ||
+		len(class.Zones) > 0 && !slices.Contains(class.Zones, endpoint.Zone) {
+		w.t.Errorf("%s sent to %s of kind %s in zone %s", class.Name, action.Server, endpoint.Kind, endpoint.Zone)
+	}
+	if len(x.attempts) > 0 {
+		w.checkRetryBudget()
+	}
+}
+
+// checkRetry checks an attempt against those before it: none may run twice that must not, and there may be only
+// so many.
+func (w *world) checkRetry(x *exchange, endpoint Endpoint, action Action) {
 	pending := 0
-	for _, x := range p.tries {
-		if !x.over {
+	for _, former := range x.attempts {
+		if !former.done {
 			pending++
 		}
-		if x.notRun {
+		if former.notExecuted {
 			continue
 		}
-		switch p.class.Idempotency {
+		switch x.class.Idempotency {
 		case NonIdempotent:
-			w.t.Errorf("%s sent again though it may have run", p.class.Name)
+			w.t.Errorf("%s sent again though it may have run", x.class.Name)
 		case IdempotencyKeyed:
-			g := p.class.DedupScope
-			if w.now > x.sent+p.class.DedupWindow || g == DedupZone && m.Zone != x.server.Zone ||
-				g == DedupCell && m.Cell != x.server.Cell {
-				w.t.Errorf("%s sent again outside its group or window", p.class.Name)
+			scope := x.class.DedupScope
+			if w.now > former.sentAt+x.class.DedupWindow || scope == DedupZone && endpoint.Zone != former.server.Zone ||
+				scope == DedupCell && endpoint.Cell != former.server.Cell {
+				w.t.Errorf("%s sent again outside its scope or window", x.class.Name)
 			}
 		}
 	}
-	if pending > 0 && !w.set.Capabilities.Hedge || len(p.tries) >= w.set.Capabilities.MaxAttempts {
-		w.t.Errorf("a second copy or an attempt too many: %+v", a)
-	}
-	if c := p.class; len(c.Kinds) > 0 && !slices.Contains(c.Kinds, m.Kind) ||
-		len(c.Zones) > 0 && !slices.Contains(c.Zones, m.Zone) {
-		w.t.Errorf("%s sent to %s of kind %s in zone %s", c.Name, a.Server, m.Kind, m.Zone)
+	allowed := w.settings.Capabilities
+	if pending > 0 && !allowed.Hedge || len(x.attempts) >= allowed.MaxAttempts {
+		w.t.Errorf("a hedged request or an attempt too many: %+v", action)
 	}
-	if len(p.tries) > 0 {
-		w.ration()
-	}
-	n := len(p.tries)
-	p.tries = append(p.tries, try{server: m, sent: w.now})
-	until := p.deadline
-	if a.Until > 0 {
-		until = min(until, a.Until)
-	}
-	code, took := OK, time.Duration(w.rng.IntN(w.slowest))*ms
-	if w.rng.IntN(w.faulty) < 5 {
+}
+
+// send draws how an attempt will end, and schedules its outcome, sometimes twice.
+func (w *world) send(x *exchange, action Action) {
+	n := len(x.attempts)
+	x.attempts = append(x.attempts, sentAttempt{server: w.endpoints[action.Server], sentAt: w.now})
+	until := x.deadline
+	if action.Until > 0 {
+		until = min(until, action.Until)
+	}
+	code, latency := OK, time.Duration(w.rng.IntN(w.maxLatency))*ms
+	if w.rng.IntN(w.faultDivisor) < 5 {
 		code = []Code{ServerError, Overloaded, ConnectFailed, Reset, TimedOut}[w.rng.IntN(5)]
 	}
-	if code == TimedOut || w.now+took > until {
-		code, took = TimedOut, until-w.now
+	if code == TimedOut || w.now+latency > until {
+		code, latency = TimedOut, until-w.now
 	}
-	w.later(took, func() {
-		p.tries[n].over, p.tries[n].notRun = true, code.NotExecuted()
+	w.schedule(latency, func() {
+		x.attempts[n].done, x.attempts[n].notExecuted = true, code.NotExecuted()
 		if code == OK {
-			p.ended = true
+			x.ended = true
+		}
+		outcome := Outcome{
+			ID: x.ID, Attempt: n, Server: action.Server, Code: code, Latency: latency, Answered: x.ended,
 		}
-		ev := Outcome{ID: p.ID, Attempt: n, Server: a.Server, Code: code, Latency: took, Answered: p.ended}
-		w.event(ev)
+		w.handle(outcome)
 		if w.rng.IntN(20) == 0 {
-			w.event(ev) // twice
+			w.handle(outcome)
 		}
 	})
 }
 
-// ration checks the budget of attempts by its own count.
-func (w *world) ration() {
-	w.extra = append(w.extra, w.now)
-	q := w.set.Rules.RetryBudget
-	if q == nil {
+// checkRetryBudget checks the retry budget by its own count.
+func (w *world) checkRetryBudget() {
+	w.retries = append(w.retries, w.now)
+	budget := w.settings.Rules.RetryBudget
+	if budget == nil {
 		return
 	}
-	within := func(all []Time) (n int) {
-		for _, at := range all {
-			if at > w.now-q.Window {
+	within := func(times []Time) (n int) {
+		for _, at := range times {
+			if at > w.now-budget.Window {
 				n++
 			}
 		}
 		return n
 	}
-	if n, most := within(w.extra), q.MinRetries+q.RetryRatio*float64(within(w.took)); float64(n) > most {
-		w.t.Errorf("%d attempts beyond the first in %v, at most %v allowed", n, q.Window, most)
+	allowed := budget.MinRetries + budget.RetryRatio*float64(within(w.accepted))
+	if n := within(w.retries); float64(n) > allowed {
+		w.t.Errorf("%d attempts beyond the first in %v, at most %v allowed", n, budget.Window, allowed)
 	}
 }
 
-func (w *world) answer(p *play, a Action) {
-	if p == nil || p.ended {
-		w.t.Fatalf("answered twice: %+v", a)
-	}
-	p.ended = true
-	for _, x := range p.tries {
-		safe := p.class.Idempotency == Idempotent || p.class.Idempotency == IdempotencyKeyed && p.class.DedupScope == DedupAll
-		if a.Kind == Reject && !x.notRun && !safe {
-			w.t.Errorf("%s refused though it may have run", p.class.Name)
+func (w *world) checkAnswer(x *exchange, action Action) {
+	if x == nil || x.ended {
+		w.t.Fatalf("answered twice: %+v", action)
+	}
+	x.ended = true
+	mayRunTwice := x.class.Idempotency == Idempotent ||
+		x.class.Idempotency == IdempotencyKeyed && x.class.DedupScope == DedupAll
+	for _, sent := range x.attempts {
+		if action.Kind == Reject && !sent.notExecuted && !mayRunTwice {
+			w.t.Errorf("%s rejected though it may have run", x.class.Name)
 		}
 	}
 }
@@ -254,27 +290,27 @@
 			w.tasks = append(w.tasks, k)
 			continue
 		}
-		k.do()
+		k.run()
 	}
-	for id, p := range w.open { // order is irrelevant: only checked and dropped
+	for id, p := range w.exchanges { // order is irrelevant: only checked and dropped
 		if !p.ended && w.now > p.deadline+5*ms && !stall {
 			w.t.Fatalf("%s (%s) has no answer in time", id, p.class.Name)
 		}
 		if p.ended && w.now > p.deadline+time.Second {
-			delete(w.open, id)
+			delete(w.exchanges, id)
 		}
 	}
 	switch w.rng.IntN(60) {
 	case 0:
-		w.change()
+		w.changeEndpoints()
 	case 1:
-		w.event(Timer{Token: w.rng.Uint64()})
-		w.event(ClientGone{ID: "nobody"})
-		w.event(Outcome{ID: "nobody", Server: "nowhere"})
-		w.event(ProbeResult{Server: "nowhere"})
-		w.event(PeerMessage{From: 99, Body: "\x00"})
+		w.handle(Timer{Token: w.rng.Uint64()})
+		w.handle(ClientGone{ID: "nobody"})
+		w.handle(Outcome{ID: "nobody", Server: "nowhere"})
+		w.handle(ProbeResult{Server: "nowhere"})
+		w.handle(PeerMessage{From: 99, Body: "\x00"})
 	}
-	if w.rng.IntN(w.every) == 0 {
+	if w.rng.IntN(w.arrivalPeriod) == 0 {
 		for range w.rng.IntN(3) {
 			w.arrive()
 		}
@@ -282,67 +318,66 @@
 }
 
 func (w *world) arrive() {
-	w.ids++
+	w.lastID++
 	c := Class{Name: "stranger"}
 	if w.rng.IntN(10) > 0 {
-		c = w.set.Classes[w.rng.IntN(len(w.set.Classes))]
+		c = w.settings.Classes[w.rng.IntN(len(w.settings.Classes))]
 	}
 	r := Request{
-		ID: fmt.Sprint("r", w.ids), Class: c.Name, Tenant: []string{"t", "t", "u", "?", ""}[w.rng.IntN(5)],
+		ID: fmt.Sprint("r", w.lastID), Class: c.Name, Tenant: []string{"t", "t", "u", "?", ""}[w.rng.IntN(5)],
 		ExpiresIn: time.Duration(1+w.rng.IntN(600)) * ms, Key: fmt.Sprint(w.rng.IntN(30)),
 	}
-	p := &play{Request: r, class: c, deadline: w.now + r.ExpiresIn}
-	w.open[r.ID] = p
-	w.took = append(w.took, w.now)
-	w.event(r)
+	p := &exchange{Request: r, class: c, deadline: w.now + r.ExpiresIn}
+	w.exchanges[r.ID] = p
+	w.accepted = append(w.accepted, w.now)
+	w.handle(r)
 	if !p.ended && w.rng.IntN(40) == 0 {
-		w.later(ms, func() {
+		w.schedule(ms, func() {
 			if !p.ended {
 				p.ended = true
-				w.event(ClientGone{ID: r.ID})
+				w.handle(ClientGone{ID: r.ID})
 			}
 		})
 	}
 }
 
-// change drains, removes, restarts or adds a server, or sends the whole list.
-func (w *world) change() {
+// changeEndpoints drains, removes, restarts or adds a server, or sends the complete list.
+func (w *world) changeEndpoints() {
 	id := fmt.Sprintf("s%02d", w.rng.IntN(10))
-	m, listed := w.list[id]
+	endpoint, listed := w.endpoints[id]
 	switch {
 	case !listed:
-		m = members(10)[w.rng.IntN(10)]
-		m.OnlineSince = w.now
-		w.list[m.Server] = m
-		delete(w.told, m.Server)
+		endpoint = testEndpoints(10)[w.rng.IntN(10)]
+		endpoint.OnlineSince = w.now
+		w.endpoints[endpoint.Server] = endpoint
+		delete(w.drainingSince, endpoint.Server)
 	case w.rng.IntN(3) == 0:
-		m.OnlineSince, m.Availability = w.now, Running
-		w.list[id] = m
-		delete(w.told, id)
-	case m.Availability == Running:
-		m.Availability = Draining
-		w.list[id] = m
-		w.told[id] = w.now
+		endpoint.OnlineSince, endpoint.Availability = w.now, Running
+		w.endpoints[id] = endpoint
+		delete(w.drainingSince, id)
+	case endpoint.Availability == Running:
+		endpoint.Availability = Draining
+		w.endpoints[id] = endpoint
+		w.drainingSince[id] = w.now
 	default:
-		m.Availability = Removed
-		delete(w.list, id)
+		endpoint.Availability = Removed
+		delete(w.endpoints, id)
 	}
 	if w.rng.IntN(2) == 0 {
-		w.event(EndpointList{Kind: ListUpdate, Endpoints: []Endpoint{m}})
+		w.handle(EndpointList{Kind: ListUpdate, Endpoints: []Endpoint{endpoint}})
 		return
 	}
-	w.event(EndpointList{Kind: ListReplace, Endpoints: w.members()})
+	w.handle(EndpointList{Kind: ListReplace, Endpoints: w.listed()})
 }
 
 func TestBalancer_KeepsInvariantsUnderRandomEvents(t *testing.T) {
 	for seed := range uint64(40) {
-		w := newWorld(t, seed)
-		for range 1500 {
-			w.step()
-		}
-		if t.Failed() {
-			t.Fatalf("seed %d", seed)
-		}
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			w := newWorld(t, seed)
+			for range 1500 {
+				w.step()
+			}
+		})
 	}
 }
 
@@ -365,7 +400,7 @@
 	for range 3000 {
 		w.step()
 	}
-	if n := len(w.b.requests); n > 600 {
+	if n := len(w.balancer.requests); n > 600 {
 		t.Errorf("%d requests kept", n)
 	}
 }
--- a/policy/reconfigure_test.go
+++ b/policy/reconfigure_test.go
@@ -8,135 +8,135 @@
 )
 
 // reconfigured puts set in force and returns the actions, copied.
-func reconfigured(t *testing.T, b *Balancer, now Time, set Settings) []Action {
+func reconfigured(t *testing.T, b *Balancer, now Time, settings Settings) []Action {
 	t.Helper()
-	acts, err := b.Reconfigure(now, set)
+	acts, err := b.Reconfigure(now, settings)
 	if err != nil {
 		t.Fatal(err)
 	}
 	return append([]Action(nil), acts...)
 }
 
-// A request ends under the rules that it was taken under, whatever its class is called or allowed by
+// A request ends under the rules that it was accepted under, whatever its class is called or allowed by
 // then: one that must never run twice is not sent again though the class of its name may be.
 func TestReconfigure_RequestsKeepTheirClass(t *testing.T) {
-	b, err := New(reconfigurable(), 0, 1)
+	b, err := New(reconfigurableSettings(), 0, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.Handle(0, oneAndTwo())
+	b.Handle(0, twoEndpoints())
 	for _, class := range []string{"pay", "read"} {
-		if n := kinds(handled(b, ms, Request{ID: class, Class: class, Tenant: "t", ExpiresIn: time.Second}), Send); n != 1 {
+		if n := countActions(handle(b, ms, Request{ID: class, Class: class, Tenant: "t", ExpiresIn: time.Second}), Send); n != 1 {
 			t.Fatalf("%s: %d sends", class, n)
 		}
 	}
-	swapped := reconfigurable()
+	swapped := reconfigurableSettings()
 	swapped.Classes[0].Idempotency, swapped.Classes[1].Idempotency = NonIdempotent, Idempotent
 	reconfigured(t, b, 2*ms, swapped)
-	acts := handled(b, 3*ms, Outcome{ID: "pay", Server: b.requests["pay"].attempts[0].server.Server, Code: Reset, Latency: ms})
-	if kinds(acts, Send) != 0 || kinds(acts, Fail) != 1 {
+	acts := handle(b, 3*ms, Outcome{ID: "pay", Server: b.requests["pay"].attempts[0].server.Server, Code: Reset, Latency: ms})
+	if countActions(acts, Send) != 0 || countActions(acts, Fail) != 1 {
 		t.Errorf("a booking that may have run: %+v", acts)
 	}
-	acts = handled(b, 3*ms, Outcome{ID: "read", Server: b.requests["read"].attempts[0].server.Server, Code: Reset, Latency: ms})
-	if kinds(acts, Send) != 1 {
-		t.Errorf("a search that was safe to repeat when it was taken: %+v", acts)
+	acts = handle(b, 3*ms, Outcome{ID: "read", Server: b.requests["read"].attempts[0].server.Server, Code: Reset, Latency: ms})
+	if countActions(acts, Send) != 1 {
+		t.Errorf("a search that was safe to repeat when it was accepted: %+v", acts)
 	}
 	for _, r := range []string{"pay2", "read2"} { // those that come now go by the new rules
 		class := strings.TrimSuffix(r, "2")
-		handled(b, 4*ms, Request{ID: r, Class: class, Tenant: "t", ExpiresIn: time.Second})
-		acts := handled(b, 5*ms, Outcome{ID: r, Server: b.requests[r].attempts[0].server.Server, Code: Reset, Latency: ms})
-		if want := map[string]int{"pay": 1, "read": 0}[class]; kinds(acts, Send) != want {
+		handle(b, 4*ms, Request{ID: r, Class: class, Tenant: "t", ExpiresIn: time.Second})
+		acts := handle(b, 5*ms, Outcome{ID: r, Server: b.requests[r].attempts[0].server.Server, Code: Reset, Latency: ms})
+		if want := map[string]int{"pay": 1, "read": 0}[class]; countActions(acts, Send) != want {
 			t.Errorf("%s: %+v, want %d sends", r, acts, want)
 		}
 	}
 }
 
-// The budget of further attempts holds over both generations, also where the new one counts over a
+// The budget of retries holds over both generations, also where the new one counts over a
 // longer span than the old one remembered.
 func TestReconfigure_KeepsRetryBudget(t *testing.T) {
-	set := reconfigurable()
-	set.Rules.RetryBudget = &RetryBudget{MinRetries: 4.5, Window: time.Second}
-	b, _ := New(set, 0, 1)
-	b.Handle(0, oneAndTwo())
+	settings := reconfigurableSettings()
+	settings.Rules.RetryBudget = &RetryBudget{MinRetries: 4.5, Window: time.Second}
+	b, _ := New(settings, 0, 1)
+	b.Handle(0, twoEndpoints())
 	retries, now := 0, Time(0)
 	retry := func(n int) {
 		for i := range n {
 			id := fmt.Sprint("r", now, i)
-			handled(b, now, Request{ID: id, Class: "read", Tenant: "t", ExpiresIn: time.Second})
+			handle(b, now, Request{ID: id, Class: "read", Tenant: "t", ExpiresIn: time.Second})
 			r := b.requests[id]
 			for r != nil && !r.answered && len(r.attempts) < 2 && r.pending > 0 {
 				a := len(r.attempts) - 1
-				acts := handled(b, now, Outcome{ID: id, Attempt: a, Server: r.attempts[a].server.Server, Code: Overloaded, Latency: ms})
-				retries += kinds(acts, Send)
+				acts := handle(b, now, Outcome{ID: id, Attempt: a, Server: r.attempts[a].server.Server, Code: Overloaded, Latency: ms})
+				retries += countActions(acts, Send)
 			}
 			if r != nil && r.pending > 0 {
-				handled(b, now, Outcome{ID: id, Attempt: 1, Server: r.attempts[1].server.Server, Code: OK, Latency: ms, Answered: true})
+				handle(b, now, Outcome{ID: id, Attempt: 1, Server: r.attempts[1].server.Server, Code: OK, Latency: ms, Answered: true})
 			}
 		}
 	}
 	retry(10)
 	if retries != 4 {
-		t.Fatalf("%d further attempts under the old budget, want 4", retries)
+		t.Fatalf("%d retries under the old budget, want 4", retries)
 	}
-	reconfigured(t, b, now, set)
+	reconfigured(t, b, now, settings)
 	retry(10)
 	if retries != 4 {
-		t.Errorf("%d further attempts after a reload with the same budget, want 4", retries)
+		t.Errorf("%d retries after a reload with the same budget, want 4", retries)
 	}
 	now = 1500 * ms
 	retry(10) // the old span has passed
 	if retries != 8 {
-		t.Fatalf("%d further attempts in two spans, want 8", retries)
+		t.Fatalf("%d retries in two spans, want 8", retries)
 	}
 	now = 2900 * ms
 	retry(1) // by now the old budget has forgotten all but this one
-	longer := set
+	longer := settings
 	longer.Rules.RetryBudget = &RetryBudget{MinRetries: 9.5, Window: 10 * time.Second}
 	reconfigured(t, b, now, longer)
 	retry(10)
 	if retries != 9 {
-		t.Errorf("%d further attempts within the longer span, 9 are allowed", retries)
+		t.Errorf("%d retries within the longer span, 9 are allowed", retries)
 	}
 }
 
-// A cold server gets no fresh budget by a reload.
+// A server that warms up gets no fresh budget by a reload.
 func TestReconfigure_KeepsSlowStartBudget(t *testing.T) {
 	sent := func(reloads bool) (n int) {
-		set := reconfigurable()
-		set.Rules.SlowStartShare, set.Rules.SlowStartWindow, set.Rules.OverloadFactor, set.Rules.OverloadDuration = 0.3, 10*time.Second, 3, time.Second
-		b, _ := New(set, time.Hour, 1)
+		settings := reconfigurableSettings()
+		settings.Rules.SlowStartShare, settings.Rules.SlowStartWindow, settings.Rules.OverloadFactor, settings.Rules.OverloadDuration = 0.3, 10*time.Second, 3, time.Second
+		b, _ := New(settings, time.Hour, 1)
 		b.Handle(time.Hour, EndpointList{Endpoints: []Endpoint{{Server: "young", Zone: "a", OnlineSince: time.Hour - ms}}})
 		for i := range 200 {
 			now := time.Hour + Time(i)*ms
 			if reloads {
-				set.Classes[0].Deadline += ms
-				reconfigured(t, b, now, set)
+				settings.Classes[0].Deadline += ms
+				reconfigured(t, b, now, settings)
 			}
-			acts := handled(b, now, Request{ID: fmt.Sprint(i), Class: "read", Tenant: "t", ExpiresIn: time.Second})
-			n += kinds(acts, Send)
+			acts := handle(b, now, Request{ID: fmt.Sprint(i), Class: "read", Tenant: "t", ExpiresIn: time.Second})
+			n += countActions(acts, Send)
 		}
 		return n
 	}
 	if with, without := sent(true), sent(false); with > without {
-		t.Errorf("%d sends to a cold server with reloads, %d without", with, without)
+		t.Errorf("%d sends to a server that warms up with reloads, %d without", with, without)
 	}
 }
 
 // A drain that comes after a reload binds what was taken before it, in a class bound to a zone as well.
 func TestReconfigure_DrainingAppliesToRetiredClasses(t *testing.T) {
-	set := reconfigurable()
-	set.Classes[0].Zones = []string{"a"}
-	b, _ := New(set, 0, 1)
-	b.Handle(0, oneAndTwo())
-	handled(b, ms, Request{ID: "r", Class: "read", Tenant: "t", ExpiresIn: time.Second})
+	settings := reconfigurableSettings()
+	settings.Classes[0].Zones = []string{"a"}
+	b, _ := New(settings, 0, 1)
+	b.Handle(0, twoEndpoints())
+	handle(b, ms, Request{ID: "r", Class: "read", Tenant: "t", ExpiresIn: time.Second})
 	first := b.requests["r"].attempts[0].server.Server
 	other := map[string]string{"one": "two", "two": "one"}[first]
-	next := reconfigurable()
+	next := reconfigurableSettings()
 	next.Classes = next.Classes[1:]
 	reconfigured(t, b, 2*ms, next)
-	handled(b, 3*ms, EndpointList{Kind: ListUpdate, Endpoints: []Endpoint{{Server: other, Zone: "a", Availability: Draining}}})
-	acts := handled(b, 4*ms, Outcome{ID: "r", Server: first, Code: Reset, Latency: ms})
-	if kinds(acts, Send) != 0 {
+	handle(b, 3*ms, EndpointList{Kind: ListUpdate, Endpoints: []Endpoint{{Server: other, Zone: "a", Availability: Draining}}})
+	acts := handle(b, 4*ms, Outcome{ID: "r", Server: first, Code: Reset, Latency: ms})
+	if countActions(acts, Send) != 0 {
 		t.Errorf("sent to a server that drains: %+v", acts)
 	}
 }
@@ -144,12 +144,12 @@
 // Buckets go on: what was used stays used, a lower burst cuts what is there, and a layer that is gone
 // leaves nothing behind.
 func TestReconfigure_KeepsBuckets(t *testing.T) {
-	set := reconfigurable()
-	set.Tenants = []Tenant{{Name: "t", Quota: 0}}
-	set.RateLimits.Default = &Limit{PerWindow: 10, Window: time.Second, Burst: 100}
-	set.RateLimits.PerClass = map[string]Limit{"pay": {PerWindow: 1, Window: time.Second, Burst: 2}}
-	b, _ := New(set, 0, 1)
-	b.Handle(0, oneAndTwo())
+	settings := reconfigurableSettings()
+	settings.Tenants = []Tenant{{Name: "t", Quota: 0}}
+	settings.RateLimits.Default = &Limit{PerWindow: 10, Window: time.Second, Burst: 100}
+	settings.RateLimits.PerClass = map[string]Limit{"pay": {PerWindow: 1, Window: time.Second, Burst: 2}}
+	b, _ := New(settings, 0, 1)
+	b.Handle(0, twoEndpoints())
 	admitted := func(now Time, class, tenant string, n int) (ok int) {
 		b.now = now
 		for range n {
@@ -165,11 +165,11 @@
 	if n := admitted(0, "read", "x", 60); n != 60 {
 		t.Fatalf("%d of read", n)
 	}
-	reconfigured(t, b, 0, set)
+	reconfigured(t, b, 0, settings)
 	if n := admitted(0, "pay", "x", 5); n != 0 {
 		t.Errorf("%d of pay right after a reload: the burst was handed out again", n)
 	}
-	lower := set
+	lower := settings
 	lower.RateLimits.Default = &Limit{PerWindow: 10, Window: time.Second, Burst: 5}
 	lower.RateLimits.PerClass = nil
 	reconfigured(t, b, 0, lower)
@@ -183,9 +183,9 @@
 
 // Settings that make no sense change nothing, and classes without requests are not kept.
 func TestReconfigure_RejectsInvalidAndForgetsRetiredClasses(t *testing.T) {
-	b, _ := New(reconfigurable(), 0, 1)
-	b.Handle(0, oneAndTwo())
-	bad := reconfigurable()
+	b, _ := New(reconfigurableSettings(), 0, 1)
+	b.Handle(0, twoEndpoints())
+	bad := reconfigurableSettings()
 	bad.Classes[1].Deadline = -1
 	if _, err := b.Reconfigure(0, bad); err == nil || !strings.Contains(err.Error(), `class "pay": deadline`) {
 		t.Errorf("got %v", err)
@@ -194,32 +194,32 @@
 		t.Error("a bad configuration changed something")
 	}
 	same := b.classes["read"]
-	reconfigured(t, b, 0, reconfigurable())
+	reconfigured(t, b, 0, reconfigurableSettings())
 	if b.classes["read"] != same || len(b.retiredClasses) != 0 {
 		t.Error("a class that is as it was has been replaced")
 	}
 	for i := range 200 {
-		set := reconfigurable()
-		set.Classes[0].Deadline += Time(i+1) * ms
+		settings := reconfigurableSettings()
+		settings.Classes[0].Deadline += Time(i+1) * ms
 		now := Time(i) * ms
-		handled(b, now, Request{ID: fmt.Sprint(i), Class: "read", Tenant: "t", ExpiresIn: time.Second})
-		reconfigured(t, b, now, set)
+		handle(b, now, Request{ID: fmt.Sprint(i), Class: "read", Tenant: "t", ExpiresIn: time.Second})
+		reconfigured(t, b, now, settings)
 		server := b.requests[fmt.Sprint(i)].attempts[0].server.Server
-		handled(b, now, Outcome{ID: fmt.Sprint(i), Server: server, Code: OK, Answered: true, Latency: ms})
+		handle(b, now, Outcome{ID: fmt.Sprint(i), Server: server, Code: OK, Answered: true, Latency: ms})
 	}
-	reconfigured(t, b, time.Second, reconfigurable())
+	reconfigured(t, b, time.Second, reconfigurableSettings())
 	if len(b.retiredClasses) != 0 {
 		t.Errorf("%d classes of former settings are kept without a request", len(b.retiredClasses))
 	}
 }
 
-// The watch on slow attempts of a class goes on after its settings have gone: a second copy is sent.
+// The watch on slow attempts of a class goes on after its settings have gone: a hedged request is sent.
 func TestReconfigure_HedgesRetiredClasses(t *testing.T) {
-	set := reconfigurable()
-	set.Capabilities.Hedge = true
-	b, _ := New(set, 0, 1)
-	b.Handle(0, oneAndTwo())
-	acts := handled(b, ms, Request{ID: "r", Class: "read", Tenant: "t", ExpiresIn: time.Second})
+	settings := reconfigurableSettings()
+	settings.Capabilities.Hedge = true
+	b, _ := New(settings, 0, 1)
+	b.Handle(0, twoEndpoints())
+	acts := handle(b, ms, Request{ID: "r", Class: "read", Tenant: "t", ExpiresIn: time.Second})
 	var timer Action
 	for _, a := range acts {
 		if a.Kind == SetTimer && a.Token >= firstClassTimerToken {
@@ -229,11 +229,11 @@
 	if timer.Token == 0 {
 		t.Fatalf("no watch was set: %+v", acts)
 	}
-	next := set
-	next.Classes = append([]Class(nil), set.Classes...)
+	next := settings
+	next.Classes = append([]Class(nil), settings.Classes...)
 	next.Classes[0].LatencyObjective, next.Capabilities.Hedge = 100*ms, false
 	reconfigured(t, b, 2*ms, next)
-	if acts := handled(b, ms+timer.Wait, Timer{Token: timer.Token}); kinds(acts, Send) != 1 {
-		t.Errorf("no second copy: %+v", acts)
+	if acts := handle(b, ms+timer.Wait, Timer{Token: timer.Token}); countActions(acts, Send) != 1 {
+		t.Errorf("no hedged request: %+v", acts)
 	}
 }
--- a/policy/settings_test.go
+++ b/policy/settings_test.go
@@ -17,12 +17,12 @@
 		{"no classes", "classes", func(s *Settings) { s.Classes = nil }},
 		{"negative deadline", "deadline", func(s *Settings) { s.Classes[0].Deadline = -1 }},
 		{"no deadline", "deadline", func(s *Settings) { s.Classes[0].Deadline = 0 }},
-		{"negative objective", `class "once": aim`, func(s *Settings) { s.Classes[1].LatencyObjective = -1 }},
+		{"negative objective", `class "single": aim`, func(s *Settings) { s.Classes[1].LatencyObjective = -1 }},
 		{"objective by work", "aim stretch", func(s *Settings) { s.Classes[0].ObjectiveWorkFactor = nan }},
 		{"dedup window", "window", func(s *Settings) { s.Classes[2].DedupWindow = -1 }},
 		{"late weight", "late worth", func(s *Settings) { s.Classes[0].LateWeightFraction = -0.1 }},
 		{"infinite weight", "worth", func(s *Settings) { s.Classes[0].PriorityWeight = math.Inf(1) }},
-		{"duplicate class", "twice", func(s *Settings) { s.Classes[1].Name = "free" }},
+		{"duplicate class", "twice", func(s *Settings) { s.Classes[1].Name = "idempotent" }},
 		{"node out of range", "node 2", func(s *Settings) { s.Node = 2 }},
 		{"no nodes", "group of 0", func(s *Settings) { s.Nodes = 0 }},
 		{"negative quota", `tenant "t": quota`, func(s *Settings) { s.Tenants[0].Quota = -1 }},
@@ -47,7 +47,7 @@
 		{"idle timeout", "idle", func(s *Settings) { s.Capabilities.ConnIdleTimeout = -1 }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			settings := site(2)
+			settings := testSettings(2)
 			test.spoil(&settings)
 			_, err := New(settings, 0, 1)
 			if err == nil || !strings.Contains(err.Error(), test.want) {
--- a/policy/slow_start_test.go
+++ b/policy/slow_start_test.go
@@ -7,39 +7,39 @@
 	"time"
 )
 
-// A cold server gets a small part of what a warm one gets, over all nodes.
+// A server that warms up gets a small part of what a warm one gets, over all nodes.
 func TestSlowStart_DoesNotOverloadServer(t *testing.T) {
-	list := members(8)
+	list := testEndpoints(8)
 	list[0].OnlineSince = 1000 * ms
 	const nodes = 8
 	sends, rate := 0, 0
 	for n := range nodes {
-		set := site(nodes)
-		set.Node = n
-		b := start(t, set, list)
+		settings := testSettings(nodes)
+		settings.Node = n
+		b := startBalancer(t, settings, list)
 		for i := range 3000 {
 			now := 1000*ms + time.Duration(i)*ms
 			id := fmt.Sprint(i)
-			for _, a := range of(b.Handle(now, ask(id, "free")), Send) {
+			for _, a := range actionsOf(b.Handle(now, testRequest(id, "idempotent")), Send) {
 				rate++
 				if a.Server == "s00" {
 					sends++
 				}
-				b.Handle(now, outcome(id, 0, a.Server, OK, ms))
+				b.Handle(now, testOutcome(id, 0, a.Server, OK, ms))
 			}
 		}
 	}
 	if most := rate / len(list) / 2; sends > most || sends == 0 {
-		t.Errorf("%d of %d went to the cold server, want some but at most %d", sends, rate, most)
+		t.Errorf("%d of %d went to the server that warms up, want some but at most %d", sends, rate, most)
 	}
 }
 
-// The rate to a cold server leaves one multiple of its capacity to chance, whatever multiple is allowed.
+// The rate to a server that warms up leaves one multiple of its capacity to chance, whatever multiple is allowed.
 func TestSlowStart_RateLeavesMargin(t *testing.T) {
 	for multiple, want := range map[float64]float64{1: 0.35, 2: 0.7, 3: 1.4} {
-		set := site(1)
-		set.Rules.OverloadFactor, set.Rules.SlowStartShare, set.Rules.SlowStartWindow = multiple, 0.5, time.Hour
-		b := start(t, set, members(1))
+		settings := testSettings(1)
+		settings.Rules.OverloadFactor, settings.Rules.SlowStartShare, settings.Rules.SlowStartWindow = multiple, 0.5, time.Hour
+		b := startBalancer(t, settings, testEndpoints(1))
 		b.completionRate, b.completionRateAt, b.now = 100, time.Second, time.Second // a hundred answers a second at one server
 		s := b.order[0]
 		s.OnlineSince = b.now
--- a/policy/threshold_test.go
+++ b/policy/threshold_test.go
@@ -7,7 +7,7 @@
 
 // Servers that other nodes mostly use are learned of together: a node sees too little of each.
 func TestThreshold_SharedServersLearnTogether(t *testing.T) {
-	b := start(t, site(12), members(12))
+	b := startBalancer(t, testSettings(12), testEndpoints(12))
 	var others []*server
 	for _, s := range b.order {
 		if !s.inSubset {
@@ -27,7 +27,7 @@
 	raised := b.effectiveThreshold(others[1])
 	learn(Overloaded, 10)
 	if b.effectiveThreshold(others[1]) < raised {
-		t.Error("full answers of one lowered the limit of another: they do no harm, the request goes elsewhere")
+		t.Error("overload answers of one lowered the limit of another: they do no harm, the request goes elsewhere")
 	}
 	learn(TimedOut, 100)
 	if got := b.effectiveThreshold(others[1]); got != was {
@@ -38,31 +38,31 @@
 	}
 }
 
-// Where servers turn work away early, a full answer is cheap: nothing is refused unasked, the rates stay
-// at the shares and nobody is ejected for it. A late answer weighs against that, as does a hung server.
+// Where servers reject work early, a overload answer is cheap: nothing is rejected unasked, the rates stay
+// at the quotas and nobody is ejected for it. A late answer weighs against that, as does a hung server.
 func TestLoadShedding_SendsPastMaxLoad(t *testing.T) {
-	b := start(t, site(1), members(2))
+	b := startBalancer(t, testSettings(1), testEndpoints(2))
 	s := b.order[0]
 	for range 40 {
 		b.updateThreshold(s, b.activeClasses[0], Outcome{Code: Overloaded, Latency: ms})
 		b.updateHealth(&attempt{server: s}, OK)
 	}
 	if !b.serversShedLoad() {
-		t.Fatal("40 full answers and none late: not seen to shed early")
+		t.Fatal("40 overload answers and none late: not seen to shed load")
 	}
 	for _, s := range b.order {
 		s.inFlight = 20
 	}
-	sentTo(t, b.Handle(ms, ask("x", "free")))
+	sentServer(t, b.Handle(ms, testRequest("x", "idempotent")))
 	b.adjustRateScale(false)
 	if b.rateScale != 1 {
-		t.Errorf("rates at %v of the shares", b.rateScale)
+		t.Errorf("rates at %v of the quotas", b.rateScale)
 	}
 	for range 10 {
 		b.updateHealth(&attempt{server: s}, Overloaded)
 	}
 	if s.health.ejected {
-		t.Error("ejected for full answers")
+		t.Error("ejected for overload answers")
 	}
 	for range 120 {
 		b.updateThreshold(s, b.activeClasses[0], Outcome{Code: TimedOut, Latency: ms})
@@ -72,16 +72,16 @@
 		b.updateThreshold(s, b.activeClasses[0], Outcome{Code: Overloaded, Latency: ms}) // of a hung server: they don't count
 	}
 	if b.serversShedLoad() {
-		t.Error("still held to shed early after many time-outs")
+		t.Error("still seen to shed load after many time-outs")
 	}
-	if acts := b.Handle(2*ms, ask("y", "free")); len(of(acts, Send)) != 0 {
-		t.Error("sent past the crowd limit")
+	if acts := b.Handle(2*ms, testRequest("y", "idempotent")); len(actionsOf(acts, Send)) != 0 {
+		t.Error("sent past the maximum load")
 	}
 }
 
-// Full answers of servers that jam are no sign that they shed early: the others they give time out.
+// Overload answers of servers that jam are no sign that they shed load: the others they give time out.
 func TestLoadShedding_NotWhereAnswersTimeOut(t *testing.T) {
-	b := start(t, site(1), members(2))
+	b := startBalancer(t, testSettings(1), testEndpoints(2))
 	s := b.order[0]
 	for range 30 {
 		for range 9 {
@@ -92,31 +92,31 @@
 		s.health.faultScore = 0
 	}
 	if b.serversShedLoad() {
-		t.Error("held to shed early though half of the other answers time out")
+		t.Error("seen to shed load though half of the other answers time out")
 	}
 }
 
-// What all nodes together first trust a server with stays the same where nodes are few: four of each of
+// What all nodes together first threshold of a server with stays the same where nodes are few: four of each of
 // three nodes jam the first server in the order.
 func TestThreshold_InitialIsSharedByFewNodes(t *testing.T) {
 	for nodes := 1; nodes <= maxUnstaggeredNodes; nodes++ {
-		b := start(t, site(nodes), members(4))
+		b := startBalancer(t, testSettings(nodes), testEndpoints(4))
 		if all := b.order[0].threshold * float64(nodes); math.Abs(all-initialAmongFewNodes) > 1e-9 {
 			t.Errorf("%d nodes: %v attempts in all, want %v", nodes, all, initialAmongFewNodes)
 		}
 	}
 }
 
-// A hung server fills up: its full answers don't show that servers shed early.
+// A hung server fills up: its overload answers don't show that servers shed load.
 func TestLoadShedding_IgnoresOverloadOfSuspects(t *testing.T) {
 	for score, want := range map[float64]bool{0: true, 0.4: false} {
-		b := start(t, site(1), members(2))
+		b := startBalancer(t, testSettings(1), testEndpoints(2))
 		b.order[0].health.faultScore = score
 		for range 40 {
 			b.updateThreshold(b.order[0], b.activeClasses[0], Outcome{Code: Overloaded, Latency: ms})
 		}
 		if b.serversShedLoad() != want {
-			t.Errorf("with a score of %v: sheds early %v, want %v", score, !want, want)
+			t.Errorf("with a score of %v: sheds load %v, want %v", score, !want, want)
 		}
 	}
 }
