--- a/policy/admission_test.go
+++ b/policy/admission_test.go
@@ -12,12 +12,12 @@
 	for i := 0; ; i++ {
 		r := testRequest(fmt.Sprint(i), "idempotent")
 		r.Tenant = "u"
-		if ref := actionsOf(b.Handle(ms, r), Reject); len(ref) == 1 {
+		if rejects := actionsOf(b.Handle(ms, r), Reject); len(rejects) == 1 {
 			if i != 8 { // 10 a second / ln 2, half a second of burst
 				t.Errorf("rejected after %d, want 8", i)
 			}
-			if ref[0].Wait != time.Second {
-				t.Errorf("retry-after %v, want 1 s", ref[0].Wait)
+			if rejects[0].Wait != time.Second {
+				t.Errorf("retry-after %v, want 1 s", rejects[0].Wait)
 			}
 			break
 		}
@@ -26,14 +26,15 @@
 
 func TestAdmission_ClassOverrideHasOwnBucketAndMaximum(t *testing.T) {
 	settings := testSettings(1)
-	settings.RateLimits = RateLimits{PerClass: map[string]Limit{"idempotent": {PerWindow: 50, Window: time.Second, Burst: 50}}, Max: 2}
+	override := Limit{PerWindow: 50, Window: time.Second, Burst: 50}
+	settings.RateLimits = RateLimits{PerClass: map[string]Limit{"idempotent": override}, Max: 2}
 	b := startBalancer(t, settings, testEndpoints(8))
-	refused := 0
+	rejected := 0
 	for i := range 5 {
-		refused += len(actionsOf(b.Handle(ms, testRequest(fmt.Sprint("f", i), "idempotent")), Reject))
+		rejected += len(actionsOf(b.Handle(ms, testRequest(fmt.Sprint("f", i), "idempotent")), Reject))
 	}
-	if refused != 3 {
-		t.Errorf("rejected %d of 5, want 3: the maximum cuts the burst to 2", refused)
+	if rejected != 3 {
+		t.Errorf("rejected %d of 5, want 3: the maximum cuts the burst to 2", rejected)
 	}
 	if len(actionsOf(b.Handle(ms, testRequest("x", "single")), Reject)) != 0 {
 		t.Error("another class was rejected by the override's bucket")
@@ -98,7 +99,6 @@
 }
 
 func TestBucket_RefillsWholeTokens(t *testing.T) {
-	const ms = time.Millisecond
 	k := bucket{tokens: 0, lastRefill: 0}
 	k.refill(599*ms, 1.667, 100)
 	if k.tokens != 0 || k.lastRefill != 0 {
@@ -115,19 +115,22 @@
 }
 
 func TestLimit_RetryAfter(t *testing.T) {
-	for _, c := range []struct {
+	for _, test := range []struct {
+		name  string
 		limit Limit
 		want  time.Duration
 	}{
-		{Limit{PerWindow: 100, Window: time.Minute}, time.Second},
-		{Limit{PerWindow: 1, Window: time.Minute}, time.Minute},
-		{Limit{PerWindow: 2, Window: 5 * time.Second}, 3 * time.Second},
-		{Limit{PerWindow: 5000, Window: time.Second}, time.Second},
-		{Limit{PerWindow: 0, Window: 30 * time.Second}, 30 * time.Second},
-		{Limit{PerWindow: -1, Window: 30 * time.Second}, 30 * time.Second},
+		{"less than a second is rounded up", Limit{PerWindow: 100, Window: time.Minute}, time.Second},
+		{"one a minute", Limit{PerWindow: 1, Window: time.Minute}, time.Minute},
+		{"fractions are rounded up", Limit{PerWindow: 2, Window: 5 * time.Second}, 3 * time.Second},
+		{"many a second", Limit{PerWindow: 5000, Window: time.Second}, time.Second},
+		{"none", Limit{PerWindow: 0, Window: 30 * time.Second}, 30 * time.Second},
+		{"negative", Limit{PerWindow: -1, Window: 30 * time.Second}, 30 * time.Second},
 	} {
-		if got := c.limit.retryAfter(); got != c.want {
-			t.Errorf("%+v: retry-after %v, want %v", c.limit, got, c.want)
-		}
+		t.Run(test.name, func(t *testing.T) {
+			if got := test.limit.retryAfter(); got != test.want {
+				t.Errorf("%+v: retry-after %v, want %v", test.limit, got, test.want)
+			}
+		})
 	}
 }
--- a/policy/attempts_test.go
+++ b/policy/attempts_test.go
@@ -6,86 +6,101 @@
 	"time"
 )
 
-// What is not to cross zones goes to the node's own as long as it has a server, however full; what is to wait for less is
-// rejected then.
 func TestRequest_ZoneLocalAndMaxQueueTime(t *testing.T) {
-	b := startBalancer(t, testSettings(1), testEndpoints(4))
-	for _, s := range b.order {
-		s.threshold = 1
-	}
-	for i := range 4 {
-		r := testRequest(fmt.Sprint(i), "idempotent")
-		r.ZoneLocal = true
-		if acts := actionsOf(b.Handle(ms, r), Send); len(acts) > 1 || len(acts) == 1 && acts[0].Server != "s00" && acts[0].Server != "s02" {
-			t.Errorf("it crosses zones: %+v", acts)
+	t.Run("stays in its zone however full", func(t *testing.T) {
+		b := startBalancer(t, testSettings(1), testEndpoints(4))
+		for _, s := range b.order {
+			s.threshold = 1
 		}
-	}
-	far := testEndpoints(4)
-	b = startBalancer(t, testSettings(1), []Endpoint{far[1], far[3]})
-	r := testRequest("far", "idempotent")
-	if r.ZoneLocal = true; sentServer(t, b.Handle(ms, r)) != "s01" {
-		t.Error("a zone without a server keeps what is not to cross it")
-	}
-	for hold, want := range map[time.Duration]time.Duration{0: 125 * ms, 30 * ms: 30 * ms, time.Hour: 125 * ms} {
-		b = startBalancer(t, testSettings(1), nil)
-		r := testRequest("held", "idempotent")
-		r.MaxQueueTime = hold
-		acts, now := b.Handle(ms, r), Time(ms)
-		for len(actionsOf(acts, Reject))+len(actionsOf(acts, Fail)) == 0 && now < 600*ms {
-			now += 5 * ms
-			acts = nil
-			for token := range uint64(16) {
-				acts = append(acts, b.Handle(now, Timer{Token: token})...)
+		for i := range 4 {
+			r := testRequest(fmt.Sprint(i), "idempotent")
+			r.ZoneLocal = true
+			sends := actionsOf(b.Handle(ms, r), Send)
+			if len(sends) > 1 || len(sends) == 1 && sends[0].Server != "s00" && sends[0].Server != "s02" {
+				t.Errorf("it crosses zones: %+v", sends)
 			}
 		}
-		if waited := time.Duration(now - ms); waited < want-25*ms || waited > want+25*ms {
-			t.Errorf("to be queued for %v: rejected after %v, want %v", hold, waited, want)
+	})
+	t.Run("leaves a zone without a server", func(t *testing.T) {
+		endpoints := testEndpoints(4)
+		b := startBalancer(t, testSettings(1), []Endpoint{endpoints[1], endpoints[3]})
+		r := testRequest("far", "idempotent")
+		r.ZoneLocal = true
+		if server := sentServer(t, b.Handle(ms, r)); server != "s01" {
+			t.Errorf("sent to %s, want s01", server)
+		}
+	})
+	for maximum, want := range map[time.Duration]time.Duration{0: 125 * ms, 30 * ms: 30 * ms, time.Hour: 125 * ms} {
+		t.Run(fmt.Sprintf("queued for %v at most", maximum), func(t *testing.T) {
+			waited := queueTimeWithoutServer(t, maximum)
+			if waited < want-25*ms || waited > want+25*ms {
+				t.Errorf("rejected after %v, want %v", waited, want)
+			}
+		})
+	}
+}
+
+// queueTimeWithoutServer returns after how long a request is rejected where there is no server.
+func queueTimeWithoutServer(t *testing.T, maximum time.Duration) time.Duration {
+	t.Helper()
+	b := startBalancer(t, testSettings(1), nil)
+	r := testRequest("queued", "idempotent")
+	r.MaxQueueTime = maximum
+	acts, now := b.Handle(ms, r), ms
+	for len(actionsOf(acts, Reject))+len(actionsOf(acts, Fail)) == 0 && now < 600*ms {
+		now += 5 * ms
+		acts = nil
+		for token := range uint64(16) {
+			acts = append(acts, b.Handle(now, Timer{Token: token})...)
 		}
 	}
+	return now - ms
 }
 
 func TestRetry_FollowsIdempotency(t *testing.T) {
-	for _, c := range []struct {
+	for _, test := range []struct {
+		name       string
 		class      string
 		code       Code
 		after      time.Duration
-		resent     bool
+		retried    bool
 		sameZone   bool
 		sameCell   bool
-		mayRefuse  bool
-		wantAction ActionKind
+		wantAction ActionKind // where it is not retried
 	}{
-		{class: "idempotent", code: ServerError, resent: true},
-		{class: "single", code: ServerError, wantAction: Fail},
-		{class: "single", code: Reset, wantAction: Fail},
-		{class: "single", code: TimedOut, wantAction: Fail},
-		{class: "single", code: Overloaded, resent: true},
-		{class: "single", code: ConnectFailed, resent: true},
-		{class: "dedup-all", code: ServerError, resent: true},
-		{class: "dedup-zone", code: ServerError, resent: true, sameZone: true},
-		{class: "dedup-cell", code: ServerError, resent: true, sameCell: true},
-		{class: "dedup-all", code: ServerError, after: 301 * ms, wantAction: Reject},
-		{class: "dedup-zone", code: ServerError, after: 301 * ms, wantAction: Fail},
-		{class: "dedup-cell", code: ServerError, after: 301 * ms, wantAction: Fail},
+		{name: "idempotent after error", class: "idempotent", code: ServerError, retried: true},
+		{name: "single after error", class: "single", code: ServerError, wantAction: Fail},
+		{name: "single after reset", class: "single", code: Reset, wantAction: Fail},
+		{name: "single after time-out", class: "single", code: TimedOut, wantAction: Fail},
+		{name: "single after overload", class: "single", code: Overloaded, retried: true},
+		{name: "single after failed connect", class: "single", code: ConnectFailed, retried: true},
+		{name: "all drop duplicates", class: "dedup-all", code: ServerError, retried: true},
+		{name: "zone drops duplicates", class: "dedup-zone", code: ServerError, retried: true, sameZone: true},
+		{name: "cell drops duplicates", class: "dedup-cell", code: ServerError, retried: true, sameCell: true},
+		{name: "all, after the window", class: "dedup-all", code: ServerError, after: 301 * ms, wantAction: Reject},
+		{name: "zone, after the window", class: "dedup-zone", code: ServerError, after: 301 * ms, wantAction: Fail},
+		{name: "cell, after the window", class: "dedup-cell", code: ServerError, after: 301 * ms, wantAction: Fail},
 	} {
-		list := testEndpoints(8)
-		b := startBalancer(t, testSettings(1), list)
-		first := sentServer(t, b.Handle(ms, testRequest("x", c.class)))
-		acts := b.Handle(2*ms+c.after, testOutcome("x", 0, first, c.code, c.after))
-		if !c.resent {
-			if len(actionsOf(acts, Send)) != 0 || len(actionsOf(acts, c.wantAction)) != 1 {
-				t.Errorf("%s after %v at %v: got %+v", c.class, c.code, c.after, acts)
+		t.Run(test.name, func(t *testing.T) {
+			endpoints := testEndpoints(8)
+			b := startBalancer(t, testSettings(1), endpoints)
+			first := sentServer(t, b.Handle(ms, testRequest("x", test.class)))
+			acts := b.Handle(2*ms+test.after, testOutcome("x", 0, first, test.code, test.after))
+			if !test.retried {
+				if len(actionsOf(acts, Send)) != 0 || len(actionsOf(acts, test.wantAction)) != 1 {
+					t.Errorf("%s after %v at %v: got %+v", test.class, test.code, test.after, acts)
+				}
+				return
 			}
-			continue
-		}
-		second := sentServer(t, acts)
-		zone, cell := map[string]string{}, map[string]int64{}
-		for _, m := range list {
-			zone[m.Server], cell[m.Server] = m.Zone, m.Cell
-		}
-		if c.sameZone && zone[first] != zone[second] || c.sameCell && cell[first] != cell[second] {
-			t.Errorf("%s: first %s, then %s outside its group", c.class, first, second)
-		}
+			second := sentServer(t, acts)
+			zones, cells := map[string]string{}, map[string]int64{}
+			for _, endpoint := range endpoints {
+				zones[endpoint.Server], cells[endpoint.Server] = endpoint.Zone, endpoint.Cell
+			}
+			if test.sameZone && zones[first] != zones[second] || test.sameCell && cells[first] != cells[second] {
+				t.Errorf("%s: first %s, then %s outside its scope", test.class, first, second)
+			}
+		})
 	}
 }
 
@@ -93,24 +108,26 @@
 // request, and a copy would be as heavy elsewhere.
 func TestHedge_OnlyForSilentServers(t *testing.T) {
 	for _, silent := range []bool{true, false} {
-		b := startBalancer(t, testSettings(1), testEndpoints(4))
-		s := b.servers[sentServer(t, b.Handle(ms, testRequest("x", "idempotent")))]
-		if !silent {
-			s.lastAnswer = 50 * ms
-		}
-		acts := b.Handle(240*ms, Timer{Token: firstClassTimerToken})
-		if got := len(actionsOf(acts, Send)) == 1; got != silent {
-			t.Errorf("silent %v: hedged request sent %v", silent, got)
-		}
+		t.Run(fmt.Sprintf("silent=%v", silent), func(t *testing.T) {
+			b := startBalancer(t, testSettings(1), testEndpoints(4))
+			s := b.servers[sentServer(t, b.Handle(ms, testRequest("x", "idempotent")))]
+			if !silent {
+				s.lastAnswer = 50 * ms
+			}
+			acts := b.Handle(240*ms, Timer{Token: firstClassTimerToken})
+			if got := len(actionsOf(acts, Send)) == 1; got != silent {
+				t.Errorf("hedged request sent %v, want %v", got, silent)
+			}
+		})
 	}
 }
 
 // A client that is rejected still has half of its time to go elsewhere.
 func TestQueue_RejectsWithinHalfOfRequestTime(t *testing.T) {
 	b := startBalancer(t, testSettings(1), nil)
-	e := testRequest("x", "idempotent")
-	e.ExpiresIn = 100 * ms // less than the class's objective
-	acts := b.Handle(ms, e)
+	r := testRequest("x", "idempotent")
+	r.ExpiresIn = 100 * ms // less than the class's objective
+	acts := b.Handle(ms, r)
 	for now := ms; now <= 51*ms; now += queuePollInterval {
 		acts = append(acts, b.Handle(now, Timer{Token: queueTimerToken})...)
 	}
--- a/policy/benchmark_test.go
+++ b/policy/benchmark_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// busyBalancer is a node with n servers, of which the first busy are held at their thresholds. Its one class is
-// bound to zones where these are named.
+// busyBalancer is a node with n servers, of which the first busy are at their thresholds. Its one class is
+// restricted to zones where these are named.
 func busyBalancer(b testing.TB, n, busy int, zones ...string) *Balancer {
 	b.Helper()
 	settings := reconfigurableSettings()
@@ -31,23 +31,23 @@
 }
 
 // runVariants runs a benchmark as the module works, and as it would by walking over all servers.
-func runVariants(b *testing.B, sizes []int, run func(b *testing.B, n int, plain bool)) {
+func runVariants(b *testing.B, sizes []int, run func(b *testing.B, n int, linear bool)) {
 	for _, n := range sizes {
-		for _, plain := range []bool{false, true} {
-			b.Run(fmt.Sprintf("%d/plain=%v", n, plain), func(b *testing.B) { run(b, n, plain) })
+		for _, linear := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d/linear=%v", n, linear), func(b *testing.B) { run(b, n, linear) })
 		}
 	}
 }
 
 // BenchmarkOneChange is one server's drain or return in a list of many.
 func BenchmarkOneChange(b *testing.B) {
-	runVariants(b, []int{20, 100, 1000, 10_000, 100_000}, func(b *testing.B, n int, plain bool) {
-		oneChange(b, busyBalancer(b, n, 0), n, plain)
+	runVariants(b, []int{20, 100, 1000, 10_000, 100_000}, func(b *testing.B, n int, linear bool) {
+		oneChange(b, busyBalancer(b, n, 0), n, linear)
 	})
 }
 
-func oneChange(b *testing.B, node *Balancer, n int, plain bool) {
-	node.linearScan = plain
+func oneChange(b *testing.B, node *Balancer, n int, linear bool) {
+	node.linearScan = linear
 	m := Endpoint{Server: fmt.Sprintf("s%06d", n/2), Zone: "a", Weight: 1}
 	for i := range b.N {
 		m.Availability = Availability(i % 2)
@@ -55,19 +55,19 @@
 	}
 }
 
-// BenchmarkOneChangeBound is the same where a class is bound to a part of the servers, here all.
+// BenchmarkOneChangeBound is the same where a class is restricted to a part of the servers, here all.
 func BenchmarkOneChangeBound(b *testing.B) {
-	runVariants(b, []int{1000, 10_000}, func(b *testing.B, n int, plain bool) {
-		oneChange(b, busyBalancer(b, n, 0, "a"), n, plain)
+	runVariants(b, []int{1000, 10_000}, func(b *testing.B, n int, linear bool) {
+		oneChange(b, busyBalancer(b, n, 0, "a"), n, linear)
 	})
 }
 
 // BenchmarkRequestAmongBusy is a request and its end where all servers are over their thresholds, and
-// stay so: nothing is learnt.
+// stay so: nothing is learned.
 func BenchmarkRequestAmongBusy(b *testing.B) {
-	runVariants(b, []int{20, 1000, 10_000}, func(b *testing.B, n int, plain bool) {
+	runVariants(b, []int{20, 1000, 10_000}, func(b *testing.B, n int, linear bool) {
 		node := busyBalancer(b, n, n)
-		node.linearScan = plain
+		node.linearScan = linear
 		now := Time(0)
 		for i := range b.N {
 			now += time.Microsecond
@@ -80,7 +80,7 @@
 			}
 		}
 		if len(node.queued) > 0 || len(node.requests) > 0 {
-			b.Fatalf("%d held, %d open", len(node.queued), len(node.requests))
+			b.Fatalf("%d queued, %d open", len(node.queued), len(node.requests))
 		}
 	})
 }
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -7,13 +7,15 @@
 	"cobaltward/policy"
 )
 
-// A node's whole cycle: settings, the list of servers, a request, its outcomes, a timer. There is
-// nothing to close at the end: a Balancer that is dropped is gone.
+// A node's life: settings, the endpoint list, a request, its outcomes, a timer. There is nothing to close at the
+// end.
 func Example() {
 	const ms = time.Millisecond
 	b, err := policy.New(policy.Settings{
-		Nodes:        1,
-		Classes:      []policy.Class{{Name: "read", LatencyObjective: 200 * ms, Deadline: time.Second, Idempotency: policy.Idempotent}},
+		Nodes: 1,
+		Classes: []policy.Class{
+			{Name: "read", LatencyObjective: 200 * ms, Deadline: time.Second, Idempotency: policy.Idempotent},
+		},
 		Tenants:      []policy.Tenant{{Name: "acme", Quota: 50}},
 		Capabilities: policy.Capabilities{MaxAttempts: 2},
 	}, 0, 1)
@@ -28,7 +30,7 @@
 			case policy.Send:
 				fmt.Println("send", a.ID, "to", a.Server, "until", a.Until)
 			case policy.Reject:
-				fmt.Println("refuse", a.ID, "for", a.Wait)
+				fmt.Println("reject", a.ID, "for", a.Wait)
 			case policy.SetTimer: // hand policy.Timer{Token: a.Token} back after a.Wait
 			}
 		}
@@ -39,9 +41,11 @@
 	now += 100 * ms
 	carryOut(b.Handle(now, policy.Outcome{ID: "r1", Server: "one", Code: policy.ConnectFailed, Latency: 100 * ms}))
 	now += 20 * ms
-	carryOut(b.Handle(now, policy.Outcome{ID: "r1", Attempt: 1, Server: "two", Code: policy.OK, Latency: 20 * ms, Answered: true}))
+	carryOut(b.Handle(now, policy.Outcome{
+		ID: "r1", Attempt: 1, Server: "two", Code: policy.OK, Latency: 20 * ms, Answered: true,
+	}))
 
-	// Without a server in service a request is held, and refused while its client still waits.
+	// Without a server in service a request is queued, and rejected while its client still waits.
 	carryOut(b.Handle(now, policy.EndpointList{Kind: policy.ListReplace}))
 	carryOut(b.Handle(now, policy.Request{ID: "r2", Class: "read", Tenant: "acme", ExpiresIn: time.Second}))
 	for range 6 {
@@ -51,5 +55,5 @@
 	// Output:
 	// send r1 to one until 1.2s
 	// send r1 to two until 1.2s
-	// refuse r2 for 0s
+	// reject r2 for 0s
 }
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -15,9 +15,9 @@
 		Classes: []Class{
 			{Name: "idempotent", LatencyObjective: 250 * ms, Deadline: 600 * ms, Idempotency: Idempotent},
 			{Name: "single", LatencyObjective: 250 * ms, Deadline: 600 * ms, LateWeightFraction: 0.2},
-			{Name: "dedup-all", LatencyObjective: 250 * ms, Deadline: 600 * ms, Idempotency: IdempotencyKeyed, DedupScope: DedupAll, DedupWindow: 300 * ms},
-			{Name: "dedup-zone", LatencyObjective: 250 * ms, Deadline: 600 * ms, Idempotency: IdempotencyKeyed, DedupScope: DedupZone, DedupWindow: 300 * ms},
-			{Name: "dedup-cell", LatencyObjective: 250 * ms, Deadline: 600 * ms, Idempotency: IdempotencyKeyed, DedupScope: DedupCell, DedupWindow: 300 * ms},
+			keyedClass("dedup-all", DedupAll),
+			keyedClass("dedup-zone", DedupZone),
+			keyedClass("dedup-cell", DedupCell),
 		},
 		Tenants:      []Tenant{{Name: "t", Quota: 1000}, {Name: "u", Quota: 10}},
 		Capabilities: Capabilities{Cancel: true, Hedge: true, MaxAttempts: 4},
@@ -28,6 +28,14 @@
 	}
 }
 
+func keyedClass(name string, scope DedupScope) Class {
+	return Class{
+		Name: name, LatencyObjective: 250 * ms, Deadline: 600 * ms,
+		Idempotency: IdempotencyKeyed, DedupScope: scope, DedupWindow: 300 * ms,
+	}
+}
+
+// testEndpoints are servers in two zones in turn, of three kinds and four cells.
 func testEndpoints(n int) []Endpoint {
 	var list []Endpoint
 	for i := range n {
@@ -39,6 +47,7 @@
 	return list
 }
 
+// startBalancer returns a node that has its endpoint list.
 func startBalancer(t *testing.T, settings Settings, list []Endpoint) *Balancer {
 	t.Helper()
 	b, err := New(settings, 0, 1)
@@ -64,29 +73,39 @@
 	return Request{ID: id, Class: class, Tenant: "t", ExpiresIn: 600 * ms}
 }
 
+// sentServer returns the server of the only send.
 func sentServer(t *testing.T, acts []Action) string {
 	t.Helper()
-	s := actionsOf(acts, Send)
-	if len(s) != 1 {
+	sends := actionsOf(acts, Send)
+	if len(sends) != 1 {
 		t.Fatalf("want one send, got %+v", acts)
 	}
-	return s[0].Server
+	return sends[0].Server
 }
 
 func testOutcome(id string, attempt int, server string, code Code, latency time.Duration) Outcome {
 	return Outcome{ID: id, Attempt: attempt, Server: server, Code: code, Latency: latency, Answered: code == OK}
 }
 
-func handle(b *Balancer, now Time, ev Event) []Action {
-	return append([]Action(nil), b.Handle(now, ev)...)
+// handle returns a copy of the actions, which the next call would overwrite.
+func handle(b *Balancer, now Time, event Event) []Action {
+	return append([]Action(nil), b.Handle(now, event)...)
+}
+
+func lateClass(name string, idempotency Idempotency) Class {
+	return Class{
+		Name: name, LatencyObjective: 200 * ms, Deadline: time.Second, LateWeightFraction: 0.5,
+		Idempotency: idempotency,
+	}
 }
 
+// reconfigurableSettings are those of one node in one zone, without hedging.
 func reconfigurableSettings() Settings {
 	return Settings{
 		Nodes: 1, Zone: "a",
 		Classes: []Class{
-			{Name: "read", LatencyObjective: 200 * ms, Deadline: time.Second, LateWeightFraction: 0.5, Idempotency: Idempotent},
-			{Name: "pay", LatencyObjective: 200 * ms, Deadline: time.Second, LateWeightFraction: 0.5, Idempotency: NonIdempotent},
+			lateClass("read", Idempotent),
+			lateClass("pay", NonIdempotent),
 		},
 		Tenants:      []Tenant{{Name: "t", Quota: 1000}},
 		Capabilities: Capabilities{Cancel: true, MaxAttempts: 3},
--- a/policy/hot_restart_test.go
+++ b/policy/hot_restart_test.go
@@ -82,23 +82,23 @@
 // from 3 s on.
 func runHotRestart(t *testing.T, perSecond int, tenant string, alone bool) *hotRestart {
 	t.Helper()
-	h := &hotRestart{alone: alone, list: EndpointList{Kind: ListReplace}}
+	run := &hotRestart{alone: alone, list: EndpointList{Kind: ListReplace}}
 	for i := range 4 {
-		h.list.Endpoints = append(h.list.Endpoints, Endpoint{Server: fmt.Sprint("s", i), Weight: 1})
+		run.list.Endpoints = append(run.list.Endpoints, Endpoint{Server: fmt.Sprint("s", i), Weight: 1})
 	}
-	h.processes[0] = h.startProcess(t, hotRestartOrigin, 1)
+	run.processes[0] = run.startProcess(t, hotRestartOrigin, 1)
 	for elapsed := range 6000 {
-		h.step(t, elapsed)
+		run.step(t, elapsed)
 		for n := elapsed*perSecond/1000 + 1; n <= (elapsed+1)*perSecond/1000; n++ {
 			i := 0
-			if moved := (elapsed - replacementStart) / 10; h.processes[1] != nil && h.arrived*37%100 < moved {
+			if moved := (elapsed - replacementStart) / 10; run.processes[1] != nil && run.arrived*37%100 < moved {
 				i = 1
 			}
-			h.taken[i]++
-			h.offer(hotRestartOrigin+Time(elapsed)*ms, h.processes[i], tenant)
+			run.taken[i]++
+			run.offer(hotRestartOrigin+Time(elapsed)*ms, run.processes[i], tenant)
 		}
 	}
-	return h
+	return run
 }
 
 // step hands in the outcomes that are due, and carries out what the run has for this millisecond.
--- a/policy/outlier_test.go
+++ b/policy/outlier_test.go
@@ -50,66 +50,85 @@
 	}
 }
 
-// Faults that all servers have alike neither close thresholds nor eject; a server that has many more
-// is ejected all the same, and where others have none it takes two in a row.
-func TestOutlier_CommonFaultsCountLess(t *testing.T) {
-	try := func(b *Balancer, now Time, s *server, code Code) {
-		id := fmt.Sprint(now)
-		b.requests[id] = &request{id: id, class: b.classes["single"], deadline: now + time.Second}
-		b.send(b.requests[id], s, false)
-		b.Handle(now+20*ms, testOutcome(id, 0, s.Server, code, 20*ms))
-	}
-	b := startBalancer(t, testSettings(1), testEndpoints(6))
-	first := b.servers["s00"].threshold
-	now := Time(0)
-	for i := range 1200 { // one in ten, and sometimes two in a row
-		now += 25 * ms
+// attemptRunner makes attempts at servers of its choice, 25 ms apart.
+type attemptRunner struct {
+	balancer *Balancer
+	now      Time
+}
+
+func (r *attemptRunner) run(s *server, code Code) {
+	r.now += 25 * ms
+	id := fmt.Sprint(r.now)
+	r.send(id, "single", s, false)
+	r.balancer.Handle(r.now+20*ms, testOutcome(id, 0, s.Server, code, 20*ms))
+}
+
+func (r *attemptRunner) send(id, class string, s *server, probe bool) {
+	b := r.balancer
+	b.requests[id] = &request{id: id, class: b.classes[class], deadline: r.now + time.Second}
+	b.send(b.requests[id], s, probe)
+}
+
+// runCommonFaults has one attempt in ten fail at all servers alike, sometimes two in a row at one.
+func (r *attemptRunner) runCommonFaults(t *testing.T) {
+	t.Helper()
+	b := r.balancer
+	for i := range 1200 {
 		code := OK
 		if k := i / 6 % 20; k == 7 || k == 8 {
 			code = Reset
 		}
-		try(b, now, b.order[i%6], code)
-		if n := b.ejectedCount; n > 0 {
-			t.Fatalf("%d ejected after %d outcomes", n, i)
-		}
-	}
-	for _, s := range b.order {
-		if s.threshold < first/2 {
-			t.Errorf("%s: threshold %v, was %v", s.Server, s.threshold, first)
+		r.run(b.order[i%6], code)
+		if b.ejectedCount > 0 {
+			t.Fatalf("%d ejected after %d outcomes", b.ejectedCount, i)
 		}
 	}
-	b.eject(b.order[0]) // for once
-	now += 5 * time.Second
-	b.requests["trial"] = &request{id: "trial", class: b.classes["idempotent"], deadline: now + time.Second}
-	b.send(b.requests["trial"], b.order[0], true)
-	b.Handle(now, testOutcome("trial", 0, "s00", ConnectFailed, 0))
-	if h := b.order[0].health; !h.ejected || h.ejectedUntil != now+baseEjectionTime {
-		t.Errorf("a probe that failed by what all have alike puts the next off by %v", h.ejectedUntil-now)
-	}
-	if b.badRatio > maxBadRatio {
-		t.Errorf("%v of the answers count as bad", b.badRatio)
-	}
-	bad := b.servers["s03"]
-	for range 10 {
-		now += 25 * ms
-		try(b, now, bad, ServerError)
-	}
-	if !bad.health.ejected {
-		t.Errorf("a server that always fails is not ejected; score %v", bad.health.faultScore)
-	}
+}
 
-	b = startBalancer(t, testSettings(1), testEndpoints(6))
-	for range 5 {
+// Faults that all servers have alike neither close thresholds nor eject; a server that has many more
+// is ejected all the same, and where others have none it takes two in a row.
+func TestOutlier_CommonFaultsCountLess(t *testing.T) {
+	t.Run("common faults", func(t *testing.T) {
+		b := startBalancer(t, testSettings(1), testEndpoints(6))
+		initial := b.servers["s00"].threshold
+		runner := &attemptRunner{balancer: b}
+		runner.runCommonFaults(t)
 		for _, s := range b.order {
-			now += 25 * ms
-			try(b, now, s, OK)
+			if s.threshold < initial/2 {
+				t.Errorf("%s: threshold %v, was %v", s.Server, s.threshold, initial)
+			}
 		}
-	}
-	for range 2 {
-		now += 25 * ms
-		try(b, now, b.order[1], Reset)
-	}
-	if !b.order[1].health.ejected {
-		t.Error("two faults in a row, and none at others: not ejected")
-	}
+		b.eject(b.order[0])
+		runner.now += 5 * time.Second
+		runner.send("probe", "idempotent", b.order[0], true)
+		b.Handle(runner.now, testOutcome("probe", 0, "s00", ConnectFailed, 0))
+		if h := b.order[0].health; !h.ejected || h.ejectedUntil != runner.now+baseEjectionTime {
+			t.Errorf("a probe that failed by a common fault puts the next off by %v", h.ejectedUntil-runner.now)
+		}
+		if b.badRatio > maxBadRatio {
+			t.Errorf("%v of the answers count as bad", b.badRatio)
+		}
+		outlier := b.servers["s03"]
+		for range 10 {
+			runner.run(outlier, ServerError)
+		}
+		if !outlier.health.ejected {
+			t.Errorf("a server that always fails is not ejected; score %v", outlier.health.faultScore)
+		}
+	})
+	t.Run("no faults at others", func(t *testing.T) {
+		b := startBalancer(t, testSettings(1), testEndpoints(6))
+		runner := &attemptRunner{balancer: b, now: time.Minute}
+		for range 5 {
+			for _, s := range b.order {
+				runner.run(s, OK)
+			}
+		}
+		for range 2 {
+			runner.run(b.order[1], Reset)
+		}
+		if !b.order[1].health.ejected {
+			t.Error("two faults in a row, and none at others: not ejected")
+		}
+	})
 }
--- a/policy/placement_test.go
+++ b/policy/placement_test.go
@@ -7,20 +7,20 @@
 	"time"
 )
 
-// A restricted class goes to its servers only, at every attempt, even when they are all out; then it is
-// held and rejected in time. The cap on ejections holds for its few servers by themselves.
+// A restricted class goes to its servers only, at every attempt, even when they are all gone; then it is
+// queued and rejected in time. The cap on ejections holds for its few servers by themselves.
 func TestPlacement_HoldsForEveryAttempt(t *testing.T) {
 	settings := testSettings(1)
 	settings.Classes[0].Kinds = []string{"k1"} // s01, s04, s07 of nine
 	b := startBalancer(t, settings, testEndpoints(9))
-	open := map[string]bool{"s01": true, "s04": true, "s07": true}
+	eligible := map[string]bool{"s01": true, "s04": true, "s07": true}
 	for i, code := range []Code{ServerError, Overloaded, ConnectFailed} {
 		id := fmt.Sprint(i)
 		s := sentServer(t, b.Handle(ms, testRequest(id, "idempotent")))
-		if !open[s] {
+		if !eligible[s] {
 			t.Fatalf("sent to %s", s)
 		}
-		if s = sentServer(t, b.Handle(2*ms, testOutcome(id, 0, s, code, ms))); !open[s] {
+		if s = sentServer(t, b.Handle(2*ms, testOutcome(id, 0, s, code, ms))); !eligible[s] {
 			t.Fatalf("sent again to %s", s)
 		}
 		b.Handle(3*ms, testOutcome(id, 1, s, OK, ms))
@@ -32,8 +32,9 @@
 	if b.activeClasses[0].eligible.ejectedCount != 1 {
 		t.Errorf("%d of the class's 3 servers are ejected, want 1", b.activeClasses[0].eligible.ejectedCount)
 	}
-	for id := range open {
-		b.Handle(4*ms, EndpointList{Kind: ListUpdate, Endpoints: []Endpoint{{Server: id, Zone: "a", Kind: "k1", Availability: Draining}}})
+	for id := range eligible {
+		draining := Endpoint{Server: id, Zone: "a", Kind: "k1", Availability: Draining}
+		b.Handle(4*ms, EndpointList{Kind: ListUpdate, Endpoints: []Endpoint{draining}})
 	}
 	acts := slices.Clone(b.Handle(5*ms, testRequest("x", "idempotent")))
 	for now := 6 * ms; now < 600*ms; now += queuePollInterval {
@@ -44,7 +45,7 @@
 	}
 }
 
-// A class that is bound to a pool goes to servers of that pool and no other, however they change.
+// A class that is restricted to a pool goes to servers of that pool and no other, however they change.
 func TestPlacement_PoolRestrictsClass(t *testing.T) {
 	settings := reconfigurableSettings()
 	settings.Classes[0].Pool = "rooms"
@@ -53,7 +54,10 @@
 		t.Fatal(err)
 	}
 	list := func(one, two []string) {
-		b.Handle(0, EndpointList{Endpoints: []Endpoint{{Server: "one", Zone: "a", Pools: one}, {Server: "two", Zone: "a", Pools: two}}})
+		b.Handle(0, EndpointList{Endpoints: []Endpoint{
+			{Server: "one", Zone: "a", Pools: one},
+			{Server: "two", Zone: "a", Pools: two},
+		}})
 	}
 	to := func(id string) string {
 		for _, a := range handle(b, 0, Request{ID: id, Class: "read", Tenant: "t", ExpiresIn: time.Second}) {
--- a/policy/random_test.go
+++ b/policy/random_test.go
@@ -127,15 +127,15 @@
 }
 
 func (w *world) carryOut(action Action) {
-	x := w.exchanges[action.ID]
+	client := w.exchanges[action.ID]
 	switch action.Kind {
 	case Send:
-		w.checkSend(x, action)
-		w.send(x, action)
+		w.checkSend(client, action)
+		w.send(client, action)
 	case Reject, Fail:
-		w.checkAnswer(x, action)
+		w.checkAnswer(client, action)
 	case Cancel:
-		if !w.settings.Capabilities.Cancel || action.Attempt >= len(x.attempts) {
+		if !w.settings.Capabilities.Cancel || action.Attempt >= len(client.attempts) {
 			w.t.Errorf("cancel of an unknown attempt, or where it is not allowed: %+v", action)
 		}
 	case SetTimer:
@@ -162,7 +162,7 @@
 }
 
 // checkSend checks that an attempt may be made, and may go to its server.
-func (w *world) checkSend(x *exchange, action Action) {
+func (w *world) checkSend(client *exchange, action Action) {
 	endpoint, listed := w.endpoints[action.Server]
 	if since, ok := w.drainingSince[action.Server]; ok && w.now > since+w.settings.Rules.DrainGrace {
 		w.t.Errorf("%s drains since %v, sent to at %v", action.Server, since, w.now)
@@ -170,52 +170,52 @@
 	if !listed && w.drainingSince[action.Server] == 0 {
 		w.t.Errorf("unknown server %q", action.Server)
 	}
-	if x == nil || x.ended || w.now >= x.deadline {
+	if client == nil || client.ended || w.now >= client.deadline {
 		w.t.Fatalf("send after the end: %+v", action)
 	}
-	w.checkRetry(x, endpoint, action)
-	if class := x.class; len(class.Kinds) > 0 && !slices.Contains(class.Kinds, endpoint.Kind) ||
+	w.checkRetry(client, endpoint, action)
+	if class := client.class; len(class.Kinds) > 0 && !slices.Contains(class.Kinds, endpoint.Kind) ||
 		len(class.Zones) > 0 && !slices.Contains(class.Zones, endpoint.Zone) {
 		w.t.Errorf("%s sent to %s of kind %s in zone %s", class.Name, action.Server, endpoint.Kind, endpoint.Zone)
 	}
-	if len(x.attempts) > 0 {
+	if len(client.attempts) > 0 {
 		w.checkRetryBudget()
 	}
 }
 
 // checkRetry checks an attempt against those before it: none may run twice that must not, and there may be only
 // so many.
-func (w *world) checkRetry(x *exchange, endpoint Endpoint, action Action) {
+func (w *world) checkRetry(client *exchange, endpoint Endpoint, action Action) {
 	pending := 0
-	for _, former := range x.attempts {
+	for _, former := range client.attempts {
 		if !former.done {
 			pending++
 		}
 		if former.notExecuted {
 			continue
 		}
-		switch x.class.Idempotency {
+		switch client.class.Idempotency {
 		case NonIdempotent:
-			w.t.Errorf("%s sent again though it may have run", x.class.Name)
+			w.t.Errorf("%s sent again though it may have run", client.class.Name)
 		case IdempotencyKeyed:
-			scope := x.class.DedupScope
-			if w.now > former.sentAt+x.class.DedupWindow || scope == DedupZone && endpoint.Zone != former.server.Zone ||
+			scope := client.class.DedupScope
+			if w.now > former.sentAt+client.class.DedupWindow || scope == DedupZone && endpoint.Zone != former.server.Zone ||
 				scope == DedupCell && endpoint.Cell != former.server.Cell {
-				w.t.Errorf("%s sent again outside its scope or window", x.class.Name)
+				w.t.Errorf("%s sent again outside its scope or window", client.class.Name)
 			}
 		}
 	}
 	allowed := w.settings.Capabilities
-	if pending > 0 && !allowed.Hedge || len(x.attempts) >= allowed.MaxAttempts {
+	if pending > 0 && !allowed.Hedge || len(client.attempts) >= allowed.MaxAttempts {
 		w.t.Errorf("a hedged request or an attempt too many: %+v", action)
 	}
 }
 
 // send draws how an attempt will end, and schedules its outcome, sometimes twice.
-func (w *world) send(x *exchange, action Action) {
-	n := len(x.attempts)
-	x.attempts = append(x.attempts, sentAttempt{server: w.endpoints[action.Server], sentAt: w.now})
-	until := x.deadline
+func (w *world) send(client *exchange, action Action) {
+	n := len(client.attempts)
+	client.attempts = append(client.attempts, sentAttempt{server: w.endpoints[action.Server], sentAt: w.now})
+	until := client.deadline
 	if action.Until > 0 {
 		until = min(until, action.Until)
 	}
@@ -227,12 +227,12 @@
 		code, latency = TimedOut, until-w.now
 	}
 	w.schedule(latency, func() {
-		x.attempts[n].done, x.attempts[n].notExecuted = true, code.NotExecuted()
+		client.attempts[n].done, client.attempts[n].notExecuted = true, code.NotExecuted()
 		if code == OK {
-			x.ended = true
+			client.ended = true
 		}
 		outcome := Outcome{
-			ID: x.ID, Attempt: n, Server: action.Server, Code: code, Latency: latency, Answered: x.ended,
+			ID: client.ID, Attempt: n, Server: action.Server, Code: code, Latency: latency, Answered: client.ended,
 		}
 		w.handle(outcome)
 		if w.rng.IntN(20) == 0 {
@@ -262,16 +262,16 @@
 	}
 }
 
-func (w *world) checkAnswer(x *exchange, action Action) {
-	if x == nil || x.ended {
+func (w *world) checkAnswer(client *exchange, action Action) {
+	if client == nil || client.ended {
 		w.t.Fatalf("answered twice: %+v", action)
 	}
-	x.ended = true
-	mayRunTwice := x.class.Idempotency == Idempotent ||
-		x.class.Idempotency == IdempotencyKeyed && x.class.DedupScope == DedupAll
-	for _, sent := range x.attempts {
-		if action.Kind == Reject && !sent.notExecuted && !mayRunTwice {
-			w.t.Errorf("%s rejected though it may have run", x.class.Name)
+	client.ended = true
+	mayRunTwice := client.class.Idempotency == Idempotent ||
+		client.class.Idempotency == IdempotencyKeyed && client.class.DedupScope == DedupAll
+	for _, former := range client.attempts {
+		if action.Kind == Reject && !former.notExecuted && !mayRunTwice {
+			w.t.Errorf("%s rejected though it may have run", client.class.Name)
 		}
 	}
 }
--- a/policy/reconfigure_test.go
+++ b/policy/reconfigure_test.go
@@ -7,18 +7,26 @@
 	"time"
 )
 
-// reconfigured puts set in force and returns the actions, copied.
-func reconfigured(t *testing.T, b *Balancer, now Time, settings Settings) []Action {
+func reconfigure(t *testing.T, b *Balancer, now Time, settings Settings) {
 	t.Helper()
-	acts, err := b.Reconfigure(now, settings)
-	if err != nil {
+	if _, err := b.Reconfigure(now, settings); err != nil {
 		t.Fatal(err)
 	}
-	return append([]Action(nil), acts...)
 }
 
-// A request ends under the rules that it was accepted under, whatever its class is called or allowed by
-// then: one that must never run twice is not sent again though the class of its name may be.
+// requestOf is a request of tenant t that expires in a second.
+func requestOf(class, id string) Request {
+	return Request{ID: id, Class: class, Tenant: "t", ExpiresIn: time.Second}
+}
+
+// endAttempt hands in the outcome of an attempt at the server that it went to.
+func endAttempt(b *Balancer, now Time, id string, attempt int, code Code) []Action {
+	server := b.requests[id].attempts[attempt].server.Server
+	return handle(b, now, testOutcome(id, attempt, server, code, ms))
+}
+
+// A request keeps the settings of its class as they were when it was accepted: one that must never run twice is
+// not sent again though the class of its name now may be.
 func TestReconfigure_RequestsKeepTheirClass(t *testing.T) {
 	b, err := New(reconfigurableSettings(), 0, 1)
 	if err != nil {
@@ -26,25 +34,25 @@
 	}
 	b.Handle(0, twoEndpoints())
 	for _, class := range []string{"pay", "read"} {
-		if n := countActions(handle(b, ms, Request{ID: class, Class: class, Tenant: "t", ExpiresIn: time.Second}), Send); n != 1 {
+		if n := countActions(handle(b, ms, requestOf(class, class)), Send); n != 1 {
 			t.Fatalf("%s: %d sends", class, n)
 		}
 	}
 	swapped := reconfigurableSettings()
 	swapped.Classes[0].Idempotency, swapped.Classes[1].Idempotency = NonIdempotent, Idempotent
-	reconfigured(t, b, 2*ms, swapped)
-	acts := handle(b, 3*ms, Outcome{ID: "pay", Server: b.requests["pay"].attempts[0].server.Server, Code: Reset, Latency: ms})
+	reconfigure(t, b, 2*ms, swapped)
+	acts := endAttempt(b, 3*ms, "pay", 0, Reset)
 	if countActions(acts, Send) != 0 || countActions(acts, Fail) != 1 {
 		t.Errorf("a booking that may have run: %+v", acts)
 	}
-	acts = handle(b, 3*ms, Outcome{ID: "read", Server: b.requests["read"].attempts[0].server.Server, Code: Reset, Latency: ms})
+	acts = endAttempt(b, 3*ms, "read", 0, Reset)
 	if countActions(acts, Send) != 1 {
 		t.Errorf("a search that was safe to repeat when it was accepted: %+v", acts)
 	}
 	for _, r := range []string{"pay2", "read2"} { // those that come now go by the new rules
 		class := strings.TrimSuffix(r, "2")
-		handle(b, 4*ms, Request{ID: r, Class: class, Tenant: "t", ExpiresIn: time.Second})
-		acts := handle(b, 5*ms, Outcome{ID: r, Server: b.requests[r].attempts[0].server.Server, Code: Reset, Latency: ms})
+		handle(b, 4*ms, requestOf(class, r))
+		acts := endAttempt(b, 5*ms, r, 0, Reset)
 		if want := map[string]int{"pay": 1, "read": 0}[class]; countActions(acts, Send) != want {
 			t.Errorf("%s: %+v, want %d sends", r, acts, want)
 		}
@@ -62,15 +70,14 @@
 	retry := func(n int) {
 		for i := range n {
 			id := fmt.Sprint("r", now, i)
-			handle(b, now, Request{ID: id, Class: "read", Tenant: "t", ExpiresIn: time.Second})
+			handle(b, now, requestOf("read", id))
 			r := b.requests[id]
 			for r != nil && !r.answered && len(r.attempts) < 2 && r.pending > 0 {
-				a := len(r.attempts) - 1
-				acts := handle(b, now, Outcome{ID: id, Attempt: a, Server: r.attempts[a].server.Server, Code: Overloaded, Latency: ms})
+				acts := endAttempt(b, now, id, len(r.attempts)-1, Overloaded)
 				retries += countActions(acts, Send)
 			}
 			if r != nil && r.pending > 0 {
-				handle(b, now, Outcome{ID: id, Attempt: 1, Server: r.attempts[1].server.Server, Code: OK, Latency: ms, Answered: true})
+				endAttempt(b, now, id, 1, OK)
 			}
 		}
 	}
@@ -78,7 +85,7 @@
 	if retries != 4 {
 		t.Fatalf("%d retries under the old budget, want 4", retries)
 	}
-	reconfigured(t, b, now, settings)
+	reconfigure(t, b, now, settings)
 	retry(10)
 	if retries != 4 {
 		t.Errorf("%d retries after a reload with the same budget, want 4", retries)
@@ -92,7 +99,7 @@
 	retry(1) // by now the old budget has forgotten all but this one
 	longer := settings
 	longer.Rules.RetryBudget = &RetryBudget{MinRetries: 9.5, Window: 10 * time.Second}
-	reconfigured(t, b, now, longer)
+	reconfigure(t, b, now, longer)
 	retry(10)
 	if retries != 9 {
 		t.Errorf("%d retries within the longer span, 9 are allowed", retries)
@@ -103,16 +110,18 @@
 func TestReconfigure_KeepsSlowStartBudget(t *testing.T) {
 	sent := func(reloads bool) (n int) {
 		settings := reconfigurableSettings()
-		settings.Rules.SlowStartShare, settings.Rules.SlowStartWindow, settings.Rules.OverloadFactor, settings.Rules.OverloadDuration = 0.3, 10*time.Second, 3, time.Second
+		settings.Rules.SlowStartShare, settings.Rules.SlowStartWindow = 0.3, 10*time.Second
+		settings.Rules.OverloadFactor, settings.Rules.OverloadDuration = 3, time.Second
 		b, _ := New(settings, time.Hour, 1)
-		b.Handle(time.Hour, EndpointList{Endpoints: []Endpoint{{Server: "young", Zone: "a", OnlineSince: time.Hour - ms}}})
+		warming := Endpoint{Server: "warming", Zone: "a", OnlineSince: time.Hour - ms}
+		b.Handle(time.Hour, EndpointList{Endpoints: []Endpoint{warming}})
 		for i := range 200 {
 			now := time.Hour + Time(i)*ms
 			if reloads {
 				settings.Classes[0].Deadline += ms
-				reconfigured(t, b, now, settings)
+				reconfigure(t, b, now, settings)
 			}
-			acts := handle(b, now, Request{ID: fmt.Sprint(i), Class: "read", Tenant: "t", ExpiresIn: time.Second})
+			acts := handle(b, now, requestOf("read", fmt.Sprint(i)))
 			n += countActions(acts, Send)
 		}
 		return n
@@ -122,20 +131,21 @@
 	}
 }
 
-// A drain that comes after a reload binds what was taken before it, in a class bound to a zone as well.
+// A server that drains after a reload gets no retry of what was accepted before it, of a restricted class either.
 func TestReconfigure_DrainingAppliesToRetiredClasses(t *testing.T) {
 	settings := reconfigurableSettings()
 	settings.Classes[0].Zones = []string{"a"}
 	b, _ := New(settings, 0, 1)
 	b.Handle(0, twoEndpoints())
-	handle(b, ms, Request{ID: "r", Class: "read", Tenant: "t", ExpiresIn: time.Second})
+	handle(b, ms, requestOf("read", "r"))
 	first := b.requests["r"].attempts[0].server.Server
 	other := map[string]string{"one": "two", "two": "one"}[first]
 	next := reconfigurableSettings()
 	next.Classes = next.Classes[1:]
-	reconfigured(t, b, 2*ms, next)
-	handle(b, 3*ms, EndpointList{Kind: ListUpdate, Endpoints: []Endpoint{{Server: other, Zone: "a", Availability: Draining}}})
-	acts := handle(b, 4*ms, Outcome{ID: "r", Server: first, Code: Reset, Latency: ms})
+	reconfigure(t, b, 2*ms, next)
+	draining := Endpoint{Server: other, Zone: "a", Availability: Draining}
+	handle(b, 3*ms, EndpointList{Kind: ListUpdate, Endpoints: []Endpoint{draining}})
+	acts := endAttempt(b, 4*ms, "r", 0, Reset)
 	if countActions(acts, Send) != 0 {
 		t.Errorf("sent to a server that drains: %+v", acts)
 	}
@@ -165,14 +175,14 @@
 	if n := admitted(0, "read", "x", 60); n != 60 {
 		t.Fatalf("%d of read", n)
 	}
-	reconfigured(t, b, 0, settings)
+	reconfigure(t, b, 0, settings)
 	if n := admitted(0, "pay", "x", 5); n != 0 {
 		t.Errorf("%d of pay right after a reload: the burst was handed out again", n)
 	}
 	lower := settings
 	lower.RateLimits.Default = &Limit{PerWindow: 10, Window: time.Second, Burst: 5}
 	lower.RateLimits.PerClass = nil
-	reconfigured(t, b, 0, lower)
+	reconfigure(t, b, 0, lower)
 	if n := admitted(0, "read", "x", 60); n != 5 {
 		t.Errorf("%d of read under a burst of 5", n)
 	}
@@ -194,7 +204,7 @@
 		t.Error("a bad configuration changed something")
 	}
 	same := b.classes["read"]
-	reconfigured(t, b, 0, reconfigurableSettings())
+	reconfigure(t, b, 0, reconfigurableSettings())
 	if b.classes["read"] != same || len(b.retiredClasses) != 0 {
 		t.Error("a class that is as it was has been replaced")
 	}
@@ -202,24 +212,23 @@
 		settings := reconfigurableSettings()
 		settings.Classes[0].Deadline += Time(i+1) * ms
 		now := Time(i) * ms
-		handle(b, now, Request{ID: fmt.Sprint(i), Class: "read", Tenant: "t", ExpiresIn: time.Second})
-		reconfigured(t, b, now, settings)
-		server := b.requests[fmt.Sprint(i)].attempts[0].server.Server
-		handle(b, now, Outcome{ID: fmt.Sprint(i), Server: server, Code: OK, Answered: true, Latency: ms})
+		handle(b, now, requestOf("read", fmt.Sprint(i)))
+		reconfigure(t, b, now, settings)
+		endAttempt(b, now, fmt.Sprint(i), 0, OK)
 	}
-	reconfigured(t, b, time.Second, reconfigurableSettings())
+	reconfigure(t, b, time.Second, reconfigurableSettings())
 	if len(b.retiredClasses) != 0 {
 		t.Errorf("%d classes of former settings are kept without a request", len(b.retiredClasses))
 	}
 }
 
-// The watch on slow attempts of a class goes on after its settings have gone: a hedged request is sent.
+// Slow attempts of a class are still checked after its settings have gone: a hedged request is sent.
 func TestReconfigure_HedgesRetiredClasses(t *testing.T) {
 	settings := reconfigurableSettings()
 	settings.Capabilities.Hedge = true
 	b, _ := New(settings, 0, 1)
 	b.Handle(0, twoEndpoints())
-	acts := handle(b, ms, Request{ID: "r", Class: "read", Tenant: "t", ExpiresIn: time.Second})
+	acts := handle(b, ms, requestOf("read", "r"))
 	var timer Action
 	for _, a := range acts {
 		if a.Kind == SetTimer && a.Token >= firstClassTimerToken {
@@ -227,12 +236,12 @@
 		}
 	}
 	if timer.Token == 0 {
-		t.Fatalf("no watch was set: %+v", acts)
+		t.Fatalf("no timer for slow attempts was set: %+v", acts)
 	}
 	next := settings
 	next.Classes = append([]Class(nil), settings.Classes...)
 	next.Classes[0].LatencyObjective, next.Capabilities.Hedge = 100*ms, false
-	reconfigured(t, b, 2*ms, next)
+	reconfigure(t, b, 2*ms, next)
 	if acts := handle(b, ms+timer.Wait, Timer{Token: timer.Token}); countActions(acts, Send) != 1 {
 		t.Errorf("no hedged request: %+v", acts)
 	}
--- a/policy/retry_budget_test.go
+++ b/policy/retry_budget_test.go
@@ -12,7 +12,7 @@
 	settings := testSettings(1)
 	settings.Rules.RetryBudget = &RetryBudget{MinRetries: 2, RetryRatio: 0.5, Window: time.Second}
 	b := startBalancer(t, settings, testEndpoints(9))
-	extras := func(now Time, from, n int) (sent int) {
+	countRetries := func(now Time, from, n int) (sent int) {
 		for i := range n {
 			id := fmt.Sprint(from + i)
 			for _, a := range actionsOf(slices.Clone(b.Handle(now, testRequest(id, "idempotent"))), Send) {
@@ -21,7 +21,7 @@
 		}
 		return sent
 	}
-	if got := extras(ms, 0, 4); got > 4 { // two, and half of four
+	if got := countRetries(ms, 0, 4); got > 4 { // two, and half of four
 		t.Errorf("%d retries for 4 requests, at most 4 allowed", got)
 	}
 	b.retries, b.accepted = nil, []Time{0, 1, 2, 3}
@@ -45,35 +45,40 @@
 	}
 }
 
-// Offers after overload answers cost a part of a retry, but only where servers shed load, nothing
+// Retries after overload answers cost a part of one, but only where servers shed load, nothing
 // ran, and the site states no budget.
 func TestRetryBudget_ChargesLessWhereServersShedLoad(t *testing.T) {
-	for _, c := range []struct {
-		early, ran bool
-		budget     *RetryBudget
-		want       int
+	stated := &RetryBudget{MinRetries: 50, Window: time.Second}
+	for _, test := range []struct {
+		name     string
+		shedding bool
+		ran      bool
+		budget   *RetryBudget
+		want     int
 	}{
-		{early: true, want: 3}, // 20 times 0.15
-		{early: false, want: 20},
-		{early: true, ran: true, want: 20},
-		{early: true, budget: &RetryBudget{MinRetries: 50, Window: time.Second}, want: 20},
+		{name: "servers shed load", shedding: true, want: 3}, // 20 times 0.15
+		{name: "servers don't", shedding: false, want: 20},
+		{name: "it may have run", shedding: true, ran: true, want: 20},
+		{name: "a stated budget", shedding: true, budget: stated, want: 20},
 	} {
-		settings := testSettings(1)
-		settings.Rules.RetryBudget = c.budget
-		b := startBalancer(t, settings, testEndpoints(2))
-		if c.early {
-			b.overloadRatio = 1
-		}
-		r := &request{}
-		if c.ran {
-			r.mayHaveRun = &attempt{}
-		}
-		for range 20 {
-			b.chargeRetry(r)
-		}
-		if got := len(b.retries); got < c.want-1 || got > c.want {
-			t.Errorf("%+v: %d attempts charged", c, got)
-		}
+		t.Run(test.name, func(t *testing.T) {
+			settings := testSettings(1)
+			settings.Rules.RetryBudget = test.budget
+			b := startBalancer(t, settings, testEndpoints(2))
+			if test.shedding {
+				b.overloadRatio = 1
+			}
+			r := &request{}
+			if test.ran {
+				r.mayHaveRun = &attempt{}
+			}
+			for range 20 {
+				b.chargeRetry(r)
+			}
+			if got := len(b.retries); got < test.want-1 || got > test.want {
+				t.Errorf("%d retries charged, want %d", got, test.want)
+			}
+		})
 	}
 }
 
--- a/policy/selection_test.go
+++ b/policy/selection_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"reflect"
 	"testing"
 	"time"
@@ -21,22 +22,22 @@
 	}
 }
 
-// Nodes begin their walks apart, and a key has the same sticky server for all nodes of a zone.
+// Nodes start at different servers, and a key has the same sticky server for all nodes of a zone.
 func TestSelection_StaggersNodesAndSharesStickyServers(t *testing.T) {
 	firsts := map[string]bool{}
-	homes := map[string]bool{}
+	sticky := map[string]bool{}
 	for n := range 6 {
 		settings := testSettings(6)
 		settings.Node, settings.KeyAffinity = n, true
 		b := startBalancer(t, settings, testEndpoints(24))
 		firsts[b.order[0].Server] = true
-		homes[b.stickyServers(&request{class: b.activeClasses[0], keyHash: hashString("acct/1")})[0].Server] = true
+		sticky[b.stickyServers(&request{class: b.activeClasses[0], keyHash: hashString("acct/1")})[0].Server] = true
 	}
 	if len(firsts) < 5 {
 		t.Errorf("6 nodes begin at only %d servers", len(firsts))
 	}
-	if len(homes) != 1 {
-		t.Errorf("one key has %d sticky servers", len(homes))
+	if len(sticky) != 1 {
+		t.Errorf("one key has %d sticky servers", len(sticky))
 	}
 }
 
@@ -47,12 +48,12 @@
 		settings := testSettings(6)
 		settings.Node, settings.KeyAffinity = n, true
 		b := startBalancer(t, settings, testEndpoints(24))
-		homes := b.stickyServers(&request{class: b.activeClasses[0], keyHash: hashString("acct/1")})
-		homes[0].health.ejected = true
+		sticky := b.stickyServers(&request{class: b.activeClasses[0], keyHash: hashString("acct/1")})
+		sticky[0].health.ejected = true
 		r := testRequest("x", "idempotent")
 		r.Key = "acct/1"
 		seen[sentServer(t, b.Handle(time.Second, r))] = true
-		if homes[0] == homes[1] || homes[1] == homes[2] {
+		if sticky[0] == sticky[1] || sticky[1] == sticky[2] {
 			t.Error("a server is sticky twice")
 		}
 	}
@@ -61,9 +62,9 @@
 	}
 }
 
-// Where nodes outnumber servers, none has a server of its own: each trusts several with its part of what all
-// nodes do, over time. Were it to trust the first of its walk with two attempts, that server would get all
-// that a node sends, times however many nodes begin there, while others stand idle.
+// Where nodes outnumber servers, each sends several servers its part of what all nodes do, over time. Were the
+// first in its order to get two attempts at once, that server would get all that a node sends, times however
+// many nodes start there, while others stand idle.
 func TestSelection_SpreadsWhereNodesOutnumberServers(t *testing.T) {
 	const requests = 40
 	b := startBalancer(t, testSettings(80), testEndpoints(40))
@@ -76,7 +77,7 @@
 	}
 	for server, n := range sent {
 		if n > requests*3/4 {
-			t.Errorf("%s got %d of %d requests; its walk has %d servers of its own", server, n, requests, b.subsetSize)
+			t.Errorf("%s got %d of %d requests; its subset has %d servers", server, n, requests, b.subsetSize)
 		}
 	}
 }
@@ -93,19 +94,19 @@
 		id := fmt.Sprint(now)
 		server := sentServer(t, b.Handle(now, testRequest(id, "idempotent")))
 		if server == slow {
-			t.Fatalf("trusted with an attempt for %.2f of the time, which took 1s, and sent another after %v", part, now-from)
+			t.Fatalf("allowed an attempt for %.2f of the time, which took 1s, and sent another after %v", part, now-from)
 		}
 		b.Handle(now+20*ms, testOutcome(id, 0, server, OK, 20*ms))
 	}
 }
 
-// An answer in no time at all, as a transport in memory gives, must not make a server's crowding no number: then
+// An answer in no time at all, as a transport in memory gives, must not make a server's projected load NaN: then
 // nothing would compare with it any more.
 func TestProjectedLoad_IsNumberAfterZeroLatency(t *testing.T) {
 	b := startBalancer(t, testSettings(80), testEndpoints(40))
 	server := sentServer(t, b.Handle(ms, testRequest("1", "idempotent")))
 	b.Handle(ms, testOutcome("1", 0, server, OK, 0))
-	if c := b.projectedLoad(b.servers[server]); !(c >= 0) {
-		t.Errorf("crowding %v", c)
+	if load := b.projectedLoad(b.servers[server]); math.IsNaN(load) || load < 0 {
+		t.Errorf("projected load %v", load)
 	}
 }
--- a/policy/slow_start_test.go
+++ b/policy/slow_start_test.go
@@ -34,19 +34,23 @@
 	}
 }
 
-// The rate to a server that warms up leaves one multiple of its capacity to chance, whatever multiple is allowed.
+// The rate to a server that warms up leaves one multiple of its capacity to chance, whatever factor is allowed.
 func TestSlowStart_RateLeavesMargin(t *testing.T) {
-	for multiple, want := range map[float64]float64{1: 0.35, 2: 0.7, 3: 1.4} {
-		settings := testSettings(1)
-		settings.Rules.OverloadFactor, settings.Rules.SlowStartShare, settings.Rules.SlowStartWindow = multiple, 0.5, time.Hour
-		b := startBalancer(t, settings, testEndpoints(1))
-		b.completionRate, b.completionRateAt, b.now = 100, time.Second, time.Second // a hundred answers a second at one server
-		s := b.order[0]
-		s.OnlineSince = b.now
-		s.slowStart = slowStartBucket{lastRefill: b.now - 10*ms}
-		b.hasSlowStartCapacity(s)
-		if got, rate := s.slowStart.tokens, want*0.5*100*0.01; math.Abs(got-rate) > 0.01 {
-			t.Errorf("multiple %v: %v requests in 10 ms, want %v", multiple, got, rate)
-		}
+	for factor, want := range map[float64]float64{1: 0.35, 2: 0.7, 3: 1.4} {
+		t.Run(fmt.Sprintf("factor=%v", factor), func(t *testing.T) {
+			settings := testSettings(1)
+			settings.Rules.OverloadFactor = factor
+			settings.Rules.SlowStartShare, settings.Rules.SlowStartWindow = 0.5, time.Hour
+			b := startBalancer(t, settings, testEndpoints(1))
+			b.now = time.Second
+			b.completionRate, b.completionRateAt = 100, b.now // a hundred answers a second at one server
+			warming := b.order[0]
+			warming.OnlineSince = b.now
+			warming.slowStart = slowStartBucket{lastRefill: b.now - 10*ms}
+			b.hasSlowStartCapacity(warming)
+			if got, rate := warming.slowStart.tokens, want*0.5*100*0.01; math.Abs(got-rate) > 0.01 {
+				t.Errorf("%v requests in 10 ms, want %v", got, rate)
+			}
+		})
 	}
 }
--- a/policy/threshold_test.go
+++ b/policy/threshold_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"math"
 	"testing"
 )
@@ -38,14 +39,14 @@
 	}
 }
 
-// Where servers reject work early, a overload answer is cheap: nothing is rejected unasked, the rates stay
+// Where servers reject work early, an overload answer is cheap: nothing is rejected without an attempt, the rates stay
 // at the quotas and nobody is ejected for it. A late answer weighs against that, as does a hung server.
 func TestLoadShedding_SendsPastMaxLoad(t *testing.T) {
 	b := startBalancer(t, testSettings(1), testEndpoints(2))
-	s := b.order[0]
+	target := b.order[0]
 	for range 40 {
-		b.updateThreshold(s, b.activeClasses[0], Outcome{Code: Overloaded, Latency: ms})
-		b.updateHealth(&attempt{server: s}, OK)
+		b.updateThreshold(target, b.activeClasses[0], Outcome{Code: Overloaded, Latency: ms})
+		b.updateHealth(&attempt{server: target}, OK)
 	}
 	if !b.serversShedLoad() {
 		t.Fatal("40 overload answers and none late: not seen to shed load")
@@ -59,17 +60,18 @@
 		t.Errorf("rates at %v of the quotas", b.rateScale)
 	}
 	for range 10 {
-		b.updateHealth(&attempt{server: s}, Overloaded)
+		b.updateHealth(&attempt{server: target}, Overloaded)
 	}
-	if s.health.ejected {
+	if target.health.ejected {
 		t.Error("ejected for overload answers")
 	}
 	for range 120 {
-		b.updateThreshold(s, b.activeClasses[0], Outcome{Code: TimedOut, Latency: ms})
+		b.updateThreshold(target, b.activeClasses[0], Outcome{Code: TimedOut, Latency: ms})
 	}
-	s.health.faultScore = 0.4
+	target.health.faultScore = 0.4
 	for range 40 {
-		b.updateThreshold(s, b.activeClasses[0], Outcome{Code: Overloaded, Latency: ms}) // of a hung server: they don't count
+		// Of a hung server: they don't count.
+		b.updateThreshold(target, b.activeClasses[0], Outcome{Code: Overloaded, Latency: ms})
 	}
 	if b.serversShedLoad() {
 		t.Error("still seen to shed load after many time-outs")
@@ -96,27 +98,31 @@
 	}
 }
 
-// What all nodes together first threshold of a server with stays the same where nodes are few: four of each of
-// three nodes jam the first server in the order.
+// The first thresholds of a server add up to the same over all nodes where these are few: four attempts of each
+// of three nodes overload the first server in order.
 func TestThreshold_InitialIsSharedByFewNodes(t *testing.T) {
 	for nodes := 1; nodes <= maxUnstaggeredNodes; nodes++ {
-		b := startBalancer(t, testSettings(nodes), testEndpoints(4))
-		if all := b.order[0].threshold * float64(nodes); math.Abs(all-initialAmongFewNodes) > 1e-9 {
-			t.Errorf("%d nodes: %v attempts in all, want %v", nodes, all, initialAmongFewNodes)
-		}
+		t.Run(fmt.Sprintf("nodes=%d", nodes), func(t *testing.T) {
+			b := startBalancer(t, testSettings(nodes), testEndpoints(4))
+			if all := b.order[0].threshold * float64(nodes); math.Abs(all-initialAmongFewNodes) > 1e-9 {
+				t.Errorf("%v attempts in all, want %v", all, initialAmongFewNodes)
+			}
+		})
 	}
 }
 
 // A hung server fills up: its overload answers don't show that servers shed load.
 func TestLoadShedding_IgnoresOverloadOfSuspects(t *testing.T) {
 	for score, want := range map[float64]bool{0: true, 0.4: false} {
-		b := startBalancer(t, testSettings(1), testEndpoints(2))
-		b.order[0].health.faultScore = score
-		for range 40 {
-			b.updateThreshold(b.order[0], b.activeClasses[0], Outcome{Code: Overloaded, Latency: ms})
-		}
-		if b.serversShedLoad() != want {
-			t.Errorf("with a score of %v: sheds load %v, want %v", score, !want, want)
-		}
+		t.Run(fmt.Sprintf("score=%v", score), func(t *testing.T) {
+			b := startBalancer(t, testSettings(1), testEndpoints(2))
+			b.order[0].health.faultScore = score
+			for range 40 {
+				b.updateThreshold(b.order[0], b.activeClasses[0], Outcome{Code: Overloaded, Latency: ms})
+			}
+			if b.serversShedLoad() != want {
+				t.Errorf("sheds load %v, want %v", !want, want)
+			}
+		})
 	}
 }
