--- a/policy/admission.go
+++ b/policy/admission.go
@@ -73,17 +73,17 @@
 	if b.buckets[key] == nil && len(b.buckets) >= maxBuckets {
 		key = bucketKey{}
 	}
-	k := b.buckets[key]
-	if k == nil {
-		k = &bucket{tokens: limit.Burst, lastRefill: b.now}
-		b.buckets[key] = k
+	tokenBucket := b.buckets[key]
+	if tokenBucket == nil {
+		tokenBucket = &bucket{tokens: limit.Burst, lastRefill: b.now}
+		b.buckets[key] = tokenBucket
 	}
-	k.refill(b.now, limit.perSecond(), limit.Burst)
-	if k.tokens <= 0 {
+	tokenBucket.refill(b.now, limit.perSecond(), limit.Burst)
+	if tokenBucket.tokens <= 0 {
 		b.rateLimited = true
 		return false, limit.retryAfter()
 	}
-	k.tokens--
+	tokenBucket.tokens--
 	return true, 0
 }
 
--- a/policy/index.go
+++ b/policy/index.go
@@ -56,13 +56,13 @@
 }
 
 // canSkip tells whether a block is known to have no server with capacity, or a load under leastLoad.
-func (b *Balancer) canSkip(k *block, leastLoad float64) bool {
+func (b *Balancer) canSkip(summary *block, leastLoad float64) bool {
 	margin := 1 - roundingSlack
 	if b.sharedThresholdScale == 1 {
 		margin = 1
 	}
-	return k.fresh && k.load[0] >= 1 && k.load[1]*margin >= b.sharedThresholdScale &&
-		min(k.projectedLoad[0], k.projectedLoad[1]/b.sharedThresholdScale*margin) >= leastLoad
+	return summary.fresh && summary.load[0] >= 1 && summary.load[1]*margin >= b.sharedThresholdScale &&
+		min(summary.projectedLoad[0], summary.projectedLoad[1]/b.sharedThresholdScale*margin) >= leastLoad
 }
 
 func (b *Balancer) pools(yield func(*pool) bool) {
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -9,8 +9,8 @@
 	fnvPrime            = 1099511628211 // of the 64-bit FNV hash
 )
 
-// selectServer returns the first server in order that has capacity, else the least loaded; nil where none may
-// be used. If the threshold of that was never reduced, how much it can serve is unknown: it has capacity.
+// selectServer returns the first server in order that has capacity, else the least loaded one, if that is not
+// over maxProjectedLoad. It reports capacity too if that one's threshold was never reduced.
 func (b *Balancer) selectServer(r *request) (selected *server, hasCapacity bool) {
 	for _, s := range b.stickyServers(r) {
 		if s != nil && b.isUsable(r, s) && b.hasCapacity(s) {
@@ -65,7 +65,7 @@
 }
 
 // projectedLoad is the load of s with one attempt more. A threshold under one is the part of the time that an
-// attempt may be in flight: the next is due when the last one's latency was that part of the time since.
+// attempt may be in flight: the next is due once the last one's latency is no more than that part.
 func (b *Balancer) projectedLoad(s *server) float64 {
 	threshold := b.effectiveThreshold(s)
 	if s.inFlight == 0 && threshold < 1 {
--- a/policy/slow_start.go
+++ b/policy/slow_start.go
@@ -25,11 +25,11 @@
 	if fraction >= 1 {
 		return true
 	}
-	rules, k := &b.settings.Rules, &s.slowStart
+	rules, bucket := &b.settings.Rules, &s.slowStart
 	mean := b.currentCompletionRate() / float64(max(1, len(b.order)))
 	mean = max(mean, minSlowStartRate/float64(b.settings.Nodes))
 	rate := slowStartMargin * max(0.5, rules.OverloadFactor-1) * fraction * mean
 	burst := max(1, rate*rules.OverloadDuration.Seconds()/4)
-	k.tokens, k.lastRefill = min(burst, k.tokens+rate*(b.now-k.lastRefill).Seconds()), b.now
-	return k.tokens >= 1
+	bucket.tokens, bucket.lastRefill = min(burst, bucket.tokens+rate*(b.now-bucket.lastRefill).Seconds()), b.now
+	return bucket.tokens >= 1
 }
