--- a/policy/benchmark_test.go
+++ b/policy/benchmark_test.go
@@ -30,7 +30,7 @@
 	return node
 }
 
-// runVariants runs a benchmark as the module works, and as it would by walking over all servers.
+// runVariants runs a benchmark as the module works, and as it would by a scan of all servers.
 func runVariants(b *testing.B, sizes []int, run func(b *testing.B, n int, linear bool)) {
 	for _, n := range sizes {
 		for _, linear := range []bool{false, true} {
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -121,10 +121,9 @@
 	if !coveredZone || b.subsetSize < b.localCount { // else all of the zone were in it, and still are
 		b.replaceSubset(formerSubset)
 	}
-	position := func(s *server) int { i, _ := b.position(s); return i }
-	slices.SortFunc(added, func(x, y *server) int { return position(x) - position(y) })
+	slices.SortFunc(added, func(x, y *server) int { return b.position(x) - b.position(y) })
 	for _, s := range added {
-		b.assignSubset(s, position(s) < b.subsetSize)
+		b.assignSubset(s, b.position(s) < b.subsetSize)
 	}
 }
 
--- a/policy/index.go
+++ b/policy/index.go
@@ -6,10 +6,10 @@
 	"strings"
 )
 
-// The index selects the very servers that a walk over all would: see TestIndex_SelectsAsLinearScan.
+// The index selects the very servers that a scan of all would: see TestIndex_SelectsAsLinearScan.
 const (
 	blockSize             = 64   // servers that are summed up together
-	maxUnindexedServers   = 128  // up to which a walk costs less than the index
+	maxUnindexedServers   = 128  // up to which a scan costs less than the index
 	maxIncrementalChanges = 16   // entries of a change up to which the order is not rebuilt
 	roundingSlack         = 1e-9 // for what was computed in another order
 )
@@ -84,7 +84,7 @@
 		if len(p.blocks) == 0 && ejected == 0 {
 			continue
 		}
-		if at, ok := p.position(s); ok {
+		if at := p.position(s); at >= 0 {
 			p.ejectedCount += ejected
 			if i := at / blockSize; i < len(p.blocks) {
 				p.blocks[i].fresh = false
@@ -93,18 +93,18 @@
 	}
 }
 
-func (p *pool) position(s *server) (int, bool) {
+func (p *pool) position(s *server) int {
 	start := 0
 	for i, partition := range p.partitions {
 		if at, ok := searchByID(partition, s.Server); ok && partition[at] == s {
 			if at -= p.offsets[i]; at < 0 {
 				at += len(partition)
 			}
-			return start + at, true
+			return start + at
 		}
 		start += len(partition)
 	}
-	return 0, false
+	return -1
 }
 
 func searchByID(servers []*server, id string) (int, bool) {
@@ -159,7 +159,7 @@
 func (b *Balancer) arrangePool(p *pool) {
 	next := p.spareOrder[:0]
 	for i, partition := range p.partitions {
-		offset := b.walkOffset(len(partition))
+		offset := b.startOffset(len(partition))
 		if p != &b.pool && len(partition) > 0 {
 			offset, _ = searchByID(partition, b.partitions[i][b.offsets[i]].Server)
 		}
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -86,8 +86,8 @@
 func (b *Balancer) isStaggered() bool   { return b.settings.Nodes > maxUnstaggeredNodes }
 func (b *Balancer) isOutnumbered() bool { return b.settings.Nodes > len(b.order) }
 
-// walkOffset spreads many nodes over a partition: golden-ratio steps lie evenly whichever nodes share a zone.
-func (b *Balancer) walkOffset(servers int) int {
+// startOffset spreads nodes over a partition: golden-ratio steps lie evenly whichever nodes share a zone.
+func (b *Balancer) startOffset(servers int) int {
 	if !b.isStaggered() {
 		return 0
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -41,7 +41,7 @@
 	runningByZone map[string]int     // servers in service in each zone
 	zoneCount     int                // zones that have servers in service
 	subsetSize    int                // servers at the start of the order that are this node's subset
-	linearScan    bool               // of tests: walk over all servers, and rebuild the order each time
+	linearScan    bool               // of tests: scan all servers, and rebuild the order each time
 
 	requests      map[string]*request
 	queued        []*request // waiting for a usable server, oldest first
@@ -62,7 +62,7 @@
 type pool struct {
 	class        *class       // that is restricted to it; nil for all servers
 	partitions   [2][]*server // by id: those of the own zone, and all others
-	offsets      [2]int       // where the walk through each partition starts
+	offsets      [2]int       // where the order starts in each partition
 	order        []*server    // the partitions, each from its offset on
 	spareOrder   []*server    // memory for the next order
 	localCount   int          // servers of order in the own zone
--- a/policy/threshold.go
+++ b/policy/threshold.go
@@ -104,7 +104,8 @@
 			ratios = append(ratios, s.faultRatio)
 		}
 	}
-	if slices.Sort(ratios); len(ratios) > 0 {
+	slices.Sort(ratios)
+	if len(ratios) > 0 {
 		b.faultWeight = max(minFaultWeight, 1-ratios[(len(ratios)-1)/2]/commonFaultRatio)
 	}
 }
