--- /dev/null
+++ b/policy/placement_test.go
@@ -0,0 +1,82 @@
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// A restricted class goes to its servers only, at every attempt, even when they are all gone; then it is
+// queued and rejected in time. The cap on ejections holds for its few servers by themselves.
+func TestPlacement_HoldsForEveryAttempt(t *testing.T) {
+	settings := testSettings(1)
+	settings.Classes[0].Kinds = []string{"k1"} // s01, s04, s07 of nine
+	b := startBalancer(t, settings, testEndpoints(9))
+	eligible := map[string]bool{"s01": true, "s04": true, "s07": true}
+	for i, code := range []Code{ServerError, Overloaded, ConnectFailed} {
+		id := fmt.Sprint(i)
+		s := sentServer(t, b.Handle(ms, testRequest(id, "idempotent")))
+		if !eligible[s] {
+			t.Fatalf("sent to %s", s)
+		}
+		if s = sentServer(t, b.Handle(2*ms, testOutcome(id, 0, s, code, ms))); !eligible[s] {
+			t.Fatalf("sent again to %s", s)
+		}
+		b.Handle(3*ms, testOutcome(id, 1, s, OK, ms))
+	}
+	for _, id := range []string{"s01", "s04", "s07"} {
+		b.servers[id].health.faultScore = 0.6
+		b.recordFault(b.servers[id], failureWeight)
+	}
+	if b.activeClasses[0].eligible.ejectedCount != 1 {
+		t.Errorf("%d of the class's 3 servers are ejected, want 1", b.activeClasses[0].eligible.ejectedCount)
+	}
+	for id := range eligible {
+		draining := Endpoint{Server: id, Zone: "a", Kind: "k1", Availability: Draining}
+		b.Handle(4*ms, EndpointList{Kind: ListUpdate, Endpoints: []Endpoint{draining}})
+	}
+	acts := slices.Clone(b.Handle(5*ms, testRequest("x", "idempotent")))
+	for now := 6 * ms; now < 600*ms; now += queuePollInterval {
+		acts = append(acts, b.Handle(now, Timer{Token: queueTimerToken})...)
+	}
+	if len(actionsOf(acts, Send)) != 0 || len(actionsOf(acts, Reject)) != 1 {
+		t.Errorf("with its servers gone: got %+v, want one rejection and no send", acts)
+	}
+}
+
+// A class that is restricted to a pool goes to servers of that pool and no other, however they change.
+func TestPlacement_PoolRestrictsClass(t *testing.T) {
+	settings := reconfigurableSettings()
+	settings.Classes[0].Pool = "rooms"
+	b, err := New(settings, 0, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := func(one, two []string) {
+		b.Handle(0, EndpointList{Endpoints: []Endpoint{
+			{Server: "one", Zone: "a", Pools: one},
+			{Server: "two", Zone: "a", Pools: two},
+		}})
+	}
+	to := func(id string) string {
+		for _, a := range handle(b, 0, Request{ID: id, Class: "read", Tenant: "t", ExpiresIn: time.Second}) {
+			if a.Kind == Send {
+				return a.Server
+			}
+		}
+		return ""
+	}
+	list(nil, []string{"other", "rooms"})
+	if s := to("r1"); s != "two" {
+		t.Errorf("sent to %q", s)
+	}
+	list([]string{"rooms"}, []string{"other"})
+	if s := to("r2"); s != "one" {
+		t.Errorf("sent to %q", s)
+	}
+	list(nil, []string{"other"})
+	if s := to("r3"); s != "" {
+		t.Errorf("sent to %q, which is not of the pool", s)
+	}
+}
--- a/policy/reconfigure_test.go
+++ b/policy/reconfigure_test.go
@@ -7,176 +7,159 @@
 	"time"
 )
 
-// reconfigured puts set in force and returns the actions, copied.
-func reconfigured(t *testing.T, b *Balancer, now Time, set Settings) []Action {
+func reconfigure(t *testing.T, b *Balancer, now Time, settings Settings) {
 	t.Helper()
-	acts, err := b.Reconfigure(now, set)
-	if err != nil {
+	if _, err := b.Reconfigure(now, settings); err != nil {
 		t.Fatal(err)
 	}
-	return append([]Action(nil), acts...)
-}
-
-func handled(b *Balancer, now Time, ev Event) []Action {
-	return append([]Action(nil), b.Handle(now, ev)...)
 }
 
-func reconfigurable() Settings {
-	return Settings{Nodes: 1, Zone: "a",
-		Classes: []Class{{Name: "read", LatencyObjective: 200 * ms, Deadline: time.Second, LateWeightFraction: 0.5, Idempotency: Idempotent},
-			{Name: "pay", LatencyObjective: 200 * ms, Deadline: time.Second, LateWeightFraction: 0.5, Idempotency: NonIdempotent}},
-		Tenants:      []Tenant{{Name: "t", Quota: 1000}},
-		Capabilities: Capabilities{Cancel: true, MaxAttempts: 3},
-		Rules:        Rules{DrainGrace: 500 * ms},
-	}
+// requestOf is a request of tenant t that expires in a second.
+func requestOf(class, id string) Request {
+	return Request{ID: id, Class: class, Tenant: "t", ExpiresIn: time.Second}
 }
 
-func oneAndTwo() EndpointList {
-	return EndpointList{Endpoints: []Endpoint{{Server: "one", Zone: "a"}, {Server: "two", Zone: "a"}}}
+// endAttempt hands in the outcome of an attempt at the server that it went to.
+func endAttempt(b *Balancer, now Time, id string, attempt int, code Code) []Action {
+	server := b.requests[id].attempts[attempt].server.Server
+	return handle(b, now, testOutcome(id, attempt, server, code, ms))
 }
 
-func kinds(acts []Action, kind ActionKind) (n int) {
-	for _, a := range acts {
-		if a.Kind == kind {
-			n++
-		}
-	}
-	return n
-}
-
-// A request ends under the rules that it was taken under, whatever its class is called or allowed by
-// then: one that must never run twice is not sent again though the class of its name may be.
-func TestRequestsKeepTheRulesTheyWereTakenUnder(t *testing.T) {
-	b, err := New(reconfigurable(), 0, 1)
+// A request keeps the settings of its class as they were when it was accepted: one that must never run twice is
+// not sent again though the class of its name now may be.
+func TestReconfigure_RequestsKeepTheirClass(t *testing.T) {
+	b, err := New(reconfigurableSettings(), 0, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.Handle(0, oneAndTwo())
+	b.Handle(0, twoEndpoints())
 	for _, class := range []string{"pay", "read"} {
-		if n := kinds(handled(b, ms, Request{ID: class, Class: class, Tenant: "t", ExpiresIn: time.Second}), Send); n != 1 {
+		if n := countActions(handle(b, ms, requestOf(class, class)), Send); n != 1 {
 			t.Fatalf("%s: %d sends", class, n)
 		}
 	}
-	swapped := reconfigurable()
+	swapped := reconfigurableSettings()
 	swapped.Classes[0].Idempotency, swapped.Classes[1].Idempotency = NonIdempotent, Idempotent
-	reconfigured(t, b, 2*ms, swapped)
-	acts := handled(b, 3*ms, Outcome{ID: "pay", Server: b.reqs["pay"].attempts[0].server.Server, Code: Reset, Latency: ms})
-	if kinds(acts, Send) != 0 || kinds(acts, Fail) != 1 {
+	reconfigure(t, b, 2*ms, swapped)
+	acts := endAttempt(b, 3*ms, "pay", 0, Reset)
+	if countActions(acts, Send) != 0 || countActions(acts, Fail) != 1 {
 		t.Errorf("a booking that may have run: %+v", acts)
 	}
-	acts = handled(b, 3*ms, Outcome{ID: "read", Server: b.reqs["read"].attempts[0].server.Server, Code: Reset, Latency: ms})
-	if kinds(acts, Send) != 1 {
-		t.Errorf("a search that was safe to repeat when it was taken: %+v", acts)
+	acts = endAttempt(b, 3*ms, "read", 0, Reset)
+	if countActions(acts, Send) != 1 {
+		t.Errorf("a search that was safe to repeat when it was accepted: %+v", acts)
 	}
 	for _, r := range []string{"pay2", "read2"} { // those that come now go by the new rules
 		class := strings.TrimSuffix(r, "2")
-		handled(b, 4*ms, Request{ID: r, Class: class, Tenant: "t", ExpiresIn: time.Second})
-		acts := handled(b, 5*ms, Outcome{ID: r, Server: b.reqs[r].attempts[0].server.Server, Code: Reset, Latency: ms})
-		if want := map[string]int{"pay": 1, "read": 0}[class]; kinds(acts, Send) != want {
+		handle(b, 4*ms, requestOf(class, r))
+		acts := endAttempt(b, 5*ms, r, 0, Reset)
+		if want := map[string]int{"pay": 1, "read": 0}[class]; countActions(acts, Send) != want {
 			t.Errorf("%s: %+v, want %d sends", r, acts, want)
 		}
 	}
 }
 
-// The budget of further attempts holds over both generations, also where the new one counts over a
+// The budget of retries holds over both generations, also where the new one counts over a
 // longer span than the old one remembered.
-func TestAttemptBudgetHoldsOverReloads(t *testing.T) {
-	set := reconfigurable()
-	set.Rules.RetryBudget = &RetryBudget{MinRetries: 4.5, Window: time.Second}
-	b, _ := New(set, 0, 1)
-	b.Handle(0, oneAndTwo())
+func TestReconfigure_KeepsRetryBudget(t *testing.T) {
+	settings := reconfigurableSettings()
+	settings.Rules.RetryBudget = &RetryBudget{MinRetries: 4.5, Window: time.Second}
+	b, _ := New(settings, 0, 1)
+	b.Handle(0, twoEndpoints())
 	retries, now := 0, Time(0)
 	retry := func(n int) {
 		for i := range n {
 			id := fmt.Sprint("r", now, i)
-			handled(b, now, Request{ID: id, Class: "read", Tenant: "t", ExpiresIn: time.Second})
-			r := b.reqs[id]
-			for r != nil && !r.ended && len(r.attempts) < 2 && r.pending > 0 {
-				a := len(r.attempts) - 1
-				acts := handled(b, now, Outcome{ID: id, Attempt: a, Server: r.attempts[a].server.Server, Code: Overloaded, Latency: ms})
-				retries += kinds(acts, Send)
+			handle(b, now, requestOf("read", id))
+			r := b.requests[id]
+			for r != nil && !r.answered && len(r.attempts) < 2 && r.pending > 0 {
+				acts := endAttempt(b, now, id, len(r.attempts)-1, Overloaded)
+				retries += countActions(acts, Send)
 			}
 			if r != nil && r.pending > 0 {
-				handled(b, now, Outcome{ID: id, Attempt: 1, Server: r.attempts[1].server.Server, Code: OK, Latency: ms, Answered: true})
+				endAttempt(b, now, id, 1, OK)
 			}
 		}
 	}
 	retry(10)
 	if retries != 4 {
-		t.Fatalf("%d further attempts under the old budget, want 4", retries)
+		t.Fatalf("%d retries under the old budget, want 4", retries)
 	}
-	reconfigured(t, b, now, set)
+	reconfigure(t, b, now, settings)
 	retry(10)
 	if retries != 4 {
-		t.Errorf("%d further attempts after a reload with the same budget, want 4", retries)
+		t.Errorf("%d retries after a reload with the same budget, want 4", retries)
 	}
 	now = 1500 * ms
 	retry(10) // the old span has passed
 	if retries != 8 {
-		t.Fatalf("%d further attempts in two spans, want 8", retries)
+		t.Fatalf("%d retries in two spans, want 8", retries)
 	}
 	now = 2900 * ms
 	retry(1) // by now the old budget has forgotten all but this one
-	longer := set
+	longer := settings
 	longer.Rules.RetryBudget = &RetryBudget{MinRetries: 9.5, Window: 10 * time.Second}
-	reconfigured(t, b, now, longer)
+	reconfigure(t, b, now, longer)
 	retry(10)
 	if retries != 9 {
-		t.Errorf("%d further attempts within the longer span, 9 are allowed", retries)
+		t.Errorf("%d retries within the longer span, 9 are allowed", retries)
 	}
 }
 
-// A cold server gets no fresh budget by a reload.
-func TestColdBudgetHoldsOverReloads(t *testing.T) {
+// A server that warms up gets no fresh budget by a reload.
+func TestReconfigure_KeepsSlowStartBudget(t *testing.T) {
 	sent := func(reloads bool) (n int) {
-		set := reconfigurable()
-		set.Rules.SlowStartShare, set.Rules.SlowStartWindow, set.Rules.OverloadFactor, set.Rules.OverloadDuration = 0.3, 10*time.Second, 3, time.Second
-		b, _ := New(set, time.Hour, 1)
-		b.Handle(time.Hour, EndpointList{Endpoints: []Endpoint{{Server: "young", Zone: "a", OnlineSince: time.Hour - ms}}})
+		settings := reconfigurableSettings()
+		settings.Rules.SlowStartShare, settings.Rules.SlowStartWindow = 0.3, 10*time.Second
+		settings.Rules.OverloadFactor, settings.Rules.OverloadDuration = 3, time.Second
+		b, _ := New(settings, time.Hour, 1)
+		warming := Endpoint{Server: "warming", Zone: "a", OnlineSince: time.Hour - ms}
+		b.Handle(time.Hour, EndpointList{Endpoints: []Endpoint{warming}})
 		for i := range 200 {
 			now := time.Hour + Time(i)*ms
 			if reloads {
-				set.Classes[0].Deadline += ms
-				reconfigured(t, b, now, set)
+				settings.Classes[0].Deadline += ms
+				reconfigure(t, b, now, settings)
 			}
-			acts := handled(b, now, Request{ID: fmt.Sprint(i), Class: "read", Tenant: "t", ExpiresIn: time.Second})
-			n += kinds(acts, Send)
+			acts := handle(b, now, requestOf("read", fmt.Sprint(i)))
+			n += countActions(acts, Send)
 		}
 		return n
 	}
 	if with, without := sent(true), sent(false); with > without {
-		t.Errorf("%d sends to a cold server with reloads, %d without", with, without)
+		t.Errorf("%d sends to a server that warms up with reloads, %d without", with, without)
 	}
 }
 
-// A drain that comes after a reload binds what was taken before it, in a class bound to a zone as well.
-func TestDrainsBindRetiredClasses(t *testing.T) {
-	set := reconfigurable()
-	set.Classes[0].Zones = []string{"a"}
-	b, _ := New(set, 0, 1)
-	b.Handle(0, oneAndTwo())
-	handled(b, ms, Request{ID: "r", Class: "read", Tenant: "t", ExpiresIn: time.Second})
-	first := b.reqs["r"].attempts[0].server.Server
+// A server that drains after a reload gets no retry of what was accepted before it, of a restricted class either.
+func TestReconfigure_DrainingAppliesToRetiredClasses(t *testing.T) {
+	settings := reconfigurableSettings()
+	settings.Classes[0].Zones = []string{"a"}
+	b, _ := New(settings, 0, 1)
+	b.Handle(0, twoEndpoints())
+	handle(b, ms, requestOf("read", "r"))
+	first := b.requests["r"].attempts[0].server.Server
 	other := map[string]string{"one": "two", "two": "one"}[first]
-	next := reconfigurable()
+	next := reconfigurableSettings()
 	next.Classes = next.Classes[1:]
-	reconfigured(t, b, 2*ms, next)
-	handled(b, 3*ms, EndpointList{Kind: ListUpdate, Endpoints: []Endpoint{{Server: other, Zone: "a", Availability: Draining}}})
-	acts := handled(b, 4*ms, Outcome{ID: "r", Server: first, Code: Reset, Latency: ms})
-	if kinds(acts, Send) != 0 {
+	reconfigure(t, b, 2*ms, next)
+	draining := Endpoint{Server: other, Zone: "a", Availability: Draining}
+	handle(b, 3*ms, EndpointList{Kind: ListUpdate, Endpoints: []Endpoint{draining}})
+	acts := endAttempt(b, 4*ms, "r", 0, Reset)
+	if countActions(acts, Send) != 0 {
 		t.Errorf("sent to a server that drains: %+v", acts)
 	}
 }
 
 // Buckets go on: what was used stays used, a lower burst cuts what is there, and a layer that is gone
 // leaves nothing behind.
-func TestBucketsGoOnOverReloads(t *testing.T) {
-	set := reconfigurable()
-	set.Tenants = []Tenant{{Name: "t", Quota: 0}}
-	set.RateLimits.Default = &Limit{PerWindow: 10, Window: time.Second, Burst: 100}
-	set.RateLimits.PerClass = map[string]Limit{"pay": {PerWindow: 1, Window: time.Second, Burst: 2}}
-	b, _ := New(set, 0, 1)
-	b.Handle(0, oneAndTwo())
+func TestReconfigure_KeepsBuckets(t *testing.T) {
+	settings := reconfigurableSettings()
+	settings.Tenants = []Tenant{{Name: "t", Quota: 0}}
+	settings.RateLimits.Default = &Limit{PerWindow: 10, Window: time.Second, Burst: 100}
+	settings.RateLimits.PerClass = map[string]Limit{"pay": {PerWindow: 1, Window: time.Second, Burst: 2}}
+	b, _ := New(settings, 0, 1)
+	b.Handle(0, twoEndpoints())
 	admitted := func(now Time, class, tenant string, n int) (ok int) {
 		b.now = now
 		for range n {
@@ -192,14 +175,14 @@
 	if n := admitted(0, "read", "x", 60); n != 60 {
 		t.Fatalf("%d of read", n)
 	}
-	reconfigured(t, b, 0, set)
+	reconfigure(t, b, 0, settings)
 	if n := admitted(0, "pay", "x", 5); n != 0 {
 		t.Errorf("%d of pay right after a reload: the burst was handed out again", n)
 	}
-	lower := set
+	lower := settings
 	lower.RateLimits.Default = &Limit{PerWindow: 10, Window: time.Second, Burst: 5}
 	lower.RateLimits.PerClass = nil
-	reconfigured(t, b, 0, lower)
+	reconfigure(t, b, 0, lower)
 	if n := admitted(0, "read", "x", 60); n != 5 {
 		t.Errorf("%d of read under a burst of 5", n)
 	}
@@ -209,10 +192,10 @@
 }
 
 // Settings that make no sense change nothing, and classes without requests are not kept.
-func TestReconfigureChecksAndForgets(t *testing.T) {
-	b, _ := New(reconfigurable(), 0, 1)
-	b.Handle(0, oneAndTwo())
-	bad := reconfigurable()
+func TestReconfigure_RejectsInvalidAndForgetsRetiredClasses(t *testing.T) {
+	b, _ := New(reconfigurableSettings(), 0, 1)
+	b.Handle(0, twoEndpoints())
+	bad := reconfigurableSettings()
 	bad.Classes[1].Deadline = -1
 	if _, err := b.Reconfigure(0, bad); err == nil || !strings.Contains(err.Error(), `class "pay": deadline`) {
 		t.Errorf("got %v", err)
@@ -221,79 +204,45 @@
 		t.Error("a bad configuration changed something")
 	}
 	same := b.classes["read"]
-	reconfigured(t, b, 0, reconfigurable())
-	if b.classes["read"] != same || len(b.retired) != 0 {
+	reconfigure(t, b, 0, reconfigurableSettings())
+	if b.classes["read"] != same || len(b.retiredClasses) != 0 {
 		t.Error("a class that is as it was has been replaced")
 	}
 	for i := range 200 {
-		set := reconfigurable()
-		set.Classes[0].Deadline += Time(i+1) * ms
+		settings := reconfigurableSettings()
+		settings.Classes[0].Deadline += Time(i+1) * ms
 		now := Time(i) * ms
-		handled(b, now, Request{ID: fmt.Sprint(i), Class: "read", Tenant: "t", ExpiresIn: time.Second})
-		reconfigured(t, b, now, set)
-		server := b.reqs[fmt.Sprint(i)].attempts[0].server.Server
-		handled(b, now, Outcome{ID: fmt.Sprint(i), Server: server, Code: OK, Answered: true, Latency: ms})
+		handle(b, now, requestOf("read", fmt.Sprint(i)))
+		reconfigure(t, b, now, settings)
+		endAttempt(b, now, fmt.Sprint(i), 0, OK)
 	}
-	reconfigured(t, b, time.Second, reconfigurable())
-	if len(b.retired) != 0 {
-		t.Errorf("%d classes of former settings are kept without a request", len(b.retired))
+	reconfigure(t, b, time.Second, reconfigurableSettings())
+	if len(b.retiredClasses) != 0 {
+		t.Errorf("%d classes of former settings are kept without a request", len(b.retiredClasses))
 	}
 }
 
-// The watch on slow attempts of a class goes on after its settings have gone: a second copy is sent.
-func TestSecondCopiesOfRetiredClasses(t *testing.T) {
-	set := reconfigurable()
-	set.Capabilities.Hedge = true
-	b, _ := New(set, 0, 1)
-	b.Handle(0, oneAndTwo())
-	acts := handled(b, ms, Request{ID: "r", Class: "read", Tenant: "t", ExpiresIn: time.Second})
+// Slow attempts of a class are still checked after its settings have gone: a hedged request is sent.
+func TestReconfigure_HedgesRetiredClasses(t *testing.T) {
+	settings := reconfigurableSettings()
+	settings.Capabilities.Hedge = true
+	b, _ := New(settings, 0, 1)
+	b.Handle(0, twoEndpoints())
+	acts := handle(b, ms, requestOf("read", "r"))
 	var timer Action
 	for _, a := range acts {
-		if a.Kind == SetTimer && a.Token >= watchToken {
+		if a.Kind == SetTimer && a.Token >= firstClassTimerToken {
 			timer = a
 		}
 	}
 	if timer.Token == 0 {
-		t.Fatalf("no watch was set: %+v", acts)
+		t.Fatalf("no timer for slow attempts was set: %+v", acts)
 	}
-	next := set
-	next.Classes = append([]Class(nil), set.Classes...)
+	next := settings
+	next.Classes = append([]Class(nil), settings.Classes...)
 	next.Classes[0].LatencyObjective, next.Capabilities.Hedge = 100*ms, false
-	reconfigured(t, b, 2*ms, next)
-	if acts := handled(b, ms+timer.Wait, Timer{Token: timer.Token}); kinds(acts, Send) != 1 {
-		t.Errorf("no second copy: %+v", acts)
-	}
-}
-
-// A class that is bound to a pool goes to servers of that pool and no other, however they change.
-func TestPoolsBindTheirClasses(t *testing.T) {
-	set := reconfigurable()
-	set.Classes[0].Pool = "rooms"
-	b, err := New(set, 0, 1)
-	if err != nil {
-		t.Fatal(err)
-	}
-	list := func(one, two []string) {
-		b.Handle(0, EndpointList{Endpoints: []Endpoint{{Server: "one", Zone: "a", Pools: one}, {Server: "two", Zone: "a", Pools: two}}})
-	}
-	to := func(id string) string {
-		for _, a := range handled(b, 0, Request{ID: id, Class: "read", Tenant: "t", ExpiresIn: time.Second}) {
-			if a.Kind == Send {
-				return a.Server
-			}
-		}
-		return ""
-	}
-	list(nil, []string{"other", "rooms"})
-	if s := to("r1"); s != "two" {
-		t.Errorf("sent to %q", s)
-	}
-	list([]string{"rooms"}, []string{"other"})
-	if s := to("r2"); s != "one" {
-		t.Errorf("sent to %q", s)
-	}
-	list(nil, []string{"other"})
-	if s := to("r3"); s != "" {
-		t.Errorf("sent to %q, which is not of the pool", s)
+	reconfigure(t, b, 2*ms, next)
+	if acts := handle(b, ms+timer.Wait, Timer{Token: timer.Token}); countActions(acts, Send) != 1 {
+		t.Errorf("no hedged request: %+v", acts)
 	}
 }
--- /dev/null
+++ b/policy/slow_start_test.go
@@ -0,0 +1,56 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+// A server that warms up gets a small part of what a warm one gets, over all nodes.
+func TestSlowStart_DoesNotOverloadServer(t *testing.T) {
+	list := testEndpoints(8)
+	list[0].OnlineSince = 1000 * ms
+	const nodes = 8
+	sends, rate := 0, 0
+	for n := range nodes {
+		settings := testSettings(nodes)
+		settings.Node = n
+		b := startBalancer(t, settings, list)
+		for i := range 3000 {
+			now := 1000*ms + time.Duration(i)*ms
+			id := fmt.Sprint(i)
+			for _, a := range actionsOf(b.Handle(now, testRequest(id, "idempotent")), Send) {
+				rate++
+				if a.Server == "s00" {
+					sends++
+				}
+				b.Handle(now, testOutcome(id, 0, a.Server, OK, ms))
+			}
+		}
+	}
+	if most := rate / len(list) / 2; sends > most || sends == 0 {
+		t.Errorf("%d of %d went to the server that warms up, want some but at most %d", sends, rate, most)
+	}
+}
+
+// The rate to a server that warms up leaves one multiple of its capacity to chance, whatever factor is allowed.
+func TestSlowStart_RateLeavesMargin(t *testing.T) {
+	for factor, want := range map[float64]float64{1: 0.35, 2: 0.7, 3: 1.4} {
+		t.Run(fmt.Sprintf("factor=%v", factor), func(t *testing.T) {
+			settings := testSettings(1)
+			settings.Rules.OverloadFactor = factor
+			settings.Rules.SlowStartShare, settings.Rules.SlowStartWindow = 0.5, time.Hour
+			b := startBalancer(t, settings, testEndpoints(1))
+			b.now = time.Second
+			b.completionRate, b.completionRateAt = 100, b.now // a hundred answers a second at one server
+			warming := b.order[0]
+			warming.OnlineSince = b.now
+			warming.slowStart = slowStartBucket{lastRefill: b.now - 10*ms}
+			b.hasSlowStartCapacity(warming)
+			if got, rate := warming.slowStart.tokens, want*0.5*100*0.01; math.Abs(got-rate) > 0.01 {
+				t.Errorf("%v requests in 10 ms, want %v", got, rate)
+			}
+		})
+	}
+}
