Admin API and operations endpoint of the node: routes, status and drains apart, whole names

Need: control.go held routes, status, drains, levels and servers in one type named control, desk.go a second one.

Change: adminAPI with its routes in admin.go, the status in adminstatus.go, drains in admindrain.go; the operations endpoint in operations.go. Paths, JSON keys, statuses and texts as before (TestAdminAPI_JSONOfEarlierVersion, and the tests of drains, progress and standby).

--- a/emulator/processes/court.go
+++ b/emulator/processes/court.go
@@ -118,11 +118,11 @@
 	n.c.mu.Lock()
 	defer n.c.mu.Unlock()
 	n.settle()
-	return node.Status{Version: 1, Name: n.name, At: time.Now(), Drain: drain.Status{State: n.state}, ByHand: slices.Sorted(maps.Keys(n.held))}
+	return node.Status{Version: 1, Name: n.name, At: time.Now(), Drain: drain.Status{State: n.state}, DisabledServers: slices.Sorted(maps.Keys(n.held))}
 }
 
 func (n *standin) drain(w http.ResponseWriter, r *http.Request) {
-	var o node.DrainOrder
+	var o node.DrainRequest
 	if !door.Read(w, r, &o) {
 		return
 	}
@@ -137,14 +137,14 @@
 }
 
 func (n *standin) undrain(w http.ResponseWriter, r *http.Request) {
-	var o node.DrainOrder
+	var o node.DrainRequest
 	if !door.Read(w, r, &o) {
 		return
 	}
 	n.c.mu.Lock()
 	if n.state != drain.Serving {
 		n.state = drain.Serving
-		n.c.effect(n, "in", o.Who, "")
+		n.c.effect(n, "in", o.RequestedBy, "")
 	}
 	n.c.mu.Unlock()
 	door.Reply(w, http.StatusOK, n.status())
--- a/fleet/agent/nodeclient.go
+++ b/fleet/agent/nodeclient.go
@@ -75,7 +75,7 @@
 
 // Drain implements Node. A drain that is under way already, of an earlier request or of an operator, is waited for.
 func (c *NodeClient) Drain(ctx context.Context, deadline time.Duration, reason string) error {
-	order := node.DrainOrder{Deadline: deadline.String(), Who: requester, Reason: reason}
+	order := node.DrainRequest{Timeout: deadline.String(), RequestedBy: requester, Reason: reason}
 	for ctx.Err() == nil {
 		status, err := c.status(ctx)
 		switch {
@@ -104,7 +104,7 @@
 				return nil
 			}
 			// What came of it is seen by the next status.
-			_ = c.call(ctx, http.MethodDelete, "/drain", node.DrainOrder{Who: who}, new(node.Status))
+			_ = c.call(ctx, http.MethodDelete, "/drain", node.DrainRequest{RequestedBy: who}, new(node.Status))
 		}
 		pause(ctx)
 	}
@@ -141,7 +141,7 @@
 // DisabledServers implements Node.
 func (c *NodeClient) DisabledServers(ctx context.Context) ([]string, error) {
 	status, err := c.status(ctx)
-	return status.ByHand, err
+	return status.DisabledServers, err
 }
 
 // ServersByZone implements Node.
--- a/internal/cli/ctl.go
+++ b/internal/cli/ctl.go
@@ -94,11 +94,11 @@
 		return printStatus(c.OutOrStdout(), s)
 	}}
 	status.Flags().BoolVar(&asJSON, "json", false, "as the door tells it")
-	order := node.DrainOrder{Who: os.Getenv("USER")}
+	order := node.DrainRequest{RequestedBy: os.Getenv("USER")}
 	var deadline time.Duration
 	var wait bool
 	start := &cobra.Command{Use: "drain", Short: "Take the node out in order", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
-		order.Deadline = deadline.String()
+		order.Timeout = deadline.String()
 		var s node.Status
 		if _, err := t.call(http.MethodPost, "/drain", order, &s); err != nil {
 			return err
@@ -110,12 +110,12 @@
 	}}
 	start.Flags().DurationVar(&deadline, "deadline", 30*time.Second, "after which what is open is answered, and nothing is taken")
 	start.Flags().StringVar(&order.Reason, "reason", "", "for those who find the node drained")
-	start.Flags().StringVar(&order.Who, "who", order.Who, "who asks")
+	start.Flags().StringVar(&order.RequestedBy, "who", order.RequestedBy, "who asks")
 	start.Flags().BoolVar(&order.Force, "force", false, "shorten the deadline of a drain that goes on")
 	start.Flags().BoolVar(&wait, "wait", false, "show progress until the drain is over, or taken back")
 	undo := &cobra.Command{Use: "undrain", Short: "Take a drain back: the node serves again at once", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 		var s node.Status
-		if _, err := t.call(http.MethodDelete, "/drain", node.DrainOrder{Who: order.Who}, &s); err != nil {
+		if _, err := t.call(http.MethodDelete, "/drain", node.DrainRequest{RequestedBy: order.RequestedBy}, &s); err != nil {
 			return err
 		}
 		return printStatus(c.OutOrStdout(), s)
@@ -137,7 +137,7 @@
 			return err
 		}})
 	}
-	c.AddCommand(status, start, undo, watch, server, t.levelCommand(&order.Who))
+	c.AddCommand(status, start, undo, watch, server, t.levelCommand(&order.RequestedBy))
 	return c
 }
 
@@ -183,15 +183,15 @@
 		Use: "level", Short: "Print the level of service, and why it is in force", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return show(c, http.MethodGet, nil) },
 	}
-	var o node.LevelOrder
+	var o node.LevelRequest
 	var d time.Duration
 	set := &cobra.Command{Use: "set N", Short: "Put a level in force by hand: 0 is full service", Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
 		n, err := strconv.Atoi(args[0])
 		if err != nil {
 			return fmt.Errorf("ctl: want the number of a level, got %q", args[0])
 		}
-		if o.Level, o.Who = n, *who; d > 0 {
-			o.For = d.String()
+		if o.Level, o.RequestedBy = n, *who; d > 0 {
+			o.Duration = d.String()
 		}
 		return show(c, http.MethodPost, o)
 	}}
@@ -205,7 +205,7 @@
 		if err != nil {
 			return fmt.Errorf("ctl: want the number of a level or none, got %q", args[0])
 		}
-		o.Level, o.Who = n, *who
+		o.Level, o.RequestedBy = n, *who
 		return showAt(c, http.MethodPost, "/level/most", o)
 	}}
 	forbid.Flags().StringVar(&o.Reason, "reason", "", "for those who find it")
@@ -397,7 +397,7 @@
 	}
 	if s.Requests.Open > 0 {
 		line += fmt.Sprintf(", oldest %.1f s with %.1f s left, %d held, %d retrying", float64(s.Requests.OldestMs)/1e3,
-			float64(s.Requests.OldestLeft)/1e3, s.Requests.Held, s.Requests.Retrying)
+			float64(s.Requests.OldestRemainingMs)/1e3, s.Requests.Queued, s.Requests.Retrying)
 	}
 	line += fmt.Sprintf("; connections: %d of clients, %d to servers", s.Connections.Clients, s.Connections.Servers)
 	if !s.Drain.Deadline.IsZero() && !s.Drain.State.Done() {
@@ -414,12 +414,12 @@
 		fmt.Fprintf(t, "drain\tordered at %s by %q, until %s: %s\n", s.Drain.StartedAt.Local().Format(time.TimeOnly), s.Drain.RequestedBy, s.Drain.Deadline.Local().Format(time.TimeOnly), s.Drain.Reason)
 	}
 	fmt.Fprintf(t, "now\t%s\n", progressLine(s))
-	fmt.Fprintf(t, "servers\t%d running, %d draining; list changed %d times, failed %d times\n", s.Servers["running"], s.Servers["draining"], s.List.Updates, s.List.Failures)
-	if len(s.ByHand) > 0 {
-		fmt.Fprintf(t, "drained by hand\t%s\n", strings.Join(s.ByHand, " "))
+	fmt.Fprintf(t, "servers\t%d running, %d draining; list changed %d times, failed %d times\n", s.Servers["running"], s.Servers["draining"], s.EndpointList.Updates, s.EndpointList.Failures)
+	if len(s.DisabledServers) > 0 {
+		fmt.Fprintf(t, "drained by hand\t%s\n", strings.Join(s.DisabledServers, " "))
 	}
-	if len(s.Untrusted) > 0 {
-		fmt.Fprintf(t, "can't prove who they are\t%s (wayhold certs show)\n", strings.Join(s.Untrusted, " "))
+	if len(s.UntrustedServers) > 0 {
+		fmt.Fprintf(t, "can't prove who they are\t%s (wayhold certs show)\n", strings.Join(s.UntrustedServers, " "))
 	}
 	var answers []string
 	for name, n := range s.Answers {
@@ -429,6 +429,6 @@
 	}
 	slices.Sort(answers)
 	fmt.Fprintf(t, "answers\t%s\n", strings.Join(answers, ", "))
-	fmt.Fprintf(t, "closed for drains\t%d connections, crossed by %d requests\n", s.Connections.Parted, s.Connections.Crossed)
+	fmt.Fprintf(t, "closed for drains\t%d connections, crossed by %d requests\n", s.Connections.ClosedForDrain, s.Connections.RetriedByClients)
 	return t.Flush()
 }
--- a/internal/crossings/leave_test.go
+++ b/internal/crossings/leave_test.go
@@ -69,7 +69,7 @@
 			g.disc.say(entry("full", full, "up"))
 			c := g.client().write(text("gone", "pay", ""))
 			g.sees("the wait between two attempts", func(s node.Status) bool {
-				return len(g.times("gone")) == 1 && s.Requests.Held+s.Requests.Open > 0 && s.Requests.Attempts == 0
+				return len(g.times("gone")) == 1 && s.Requests.Queued+s.Requests.Open > 0 && s.Requests.AttemptsInFlight == 0
 			})
 			leave(c)
 			g.sees("that its client has left", idle)
@@ -94,7 +94,7 @@
 			g.conf.Known.Endpoints = append(g.conf.Known.Endpoints, known("s0", addr))
 			g.start()
 			c := g.client().write(text("gone", "pay", ""))
-			g.sees("the attempt", func(s node.Status) bool { return s.Requests.Attempts == 1 })
+			g.sees("the attempt", func(s node.Status) bool { return s.Requests.AttemptsInFlight == 1 })
 			c.reset()
 			g.sees("that the client has left", func(s node.Status) bool { return s.Requests.Open == 0 })
 			open()
@@ -237,7 +237,7 @@
 		c := g.client().write(text(fmt.Sprint("gone", n), []string{"read", "pay", "undo"}[n%3], ""))
 		n++
 		if n%40 == 0 {
-			g.sees("a request that waits", func(s node.Status) bool { return s.Requests.Held > cap(stayed) })
+			g.sees("a request that waits", func(s node.Status) bool { return s.Requests.Queued > cap(stayed) })
 		}
 		if n%2 == 0 {
 			c.reset()
--- a/internal/crossings/rig_test.go
+++ b/internal/crossings/rig_test.go
@@ -301,11 +301,11 @@
 }
 
 func held(n int) func(node.Status) bool {
-	return func(s node.Status) bool { return s.Requests.Held == n }
+	return func(s node.Status) bool { return s.Requests.Queued == n }
 }
 
 // idle says that nothing is open and no attempt is out.
-func idle(s node.Status) bool { return s.Requests.Open == 0 && s.Requests.Attempts == 0 }
+func idle(s node.Status) bool { return s.Requests.Open == 0 && s.Requests.AttemptsInFlight == 0 }
 
 // text is a request as a client sends it. headers are whole lines.
 func text(id, class, body string, headers ...string) string {
--- a/internal/crossings/servers_test.go
+++ b/internal/crossings/servers_test.go
@@ -42,7 +42,7 @@
 				g.conf.Known.Endpoints = append(g.conf.Known.Endpoints, known("s0", addr))
 				g.start()
 				one := g.client().write(text("one", class, ""))
-				g.sees("the attempt", func(s node.Status) bool { return s.Requests.Attempts == 1 })
+				g.sees("the attempt", func(s node.Status) bool { return s.Requests.AttemptsInFlight == 1 })
 				if name == "withdrawn" {
 					g.disc.say(entry("s0", addr, "draining"))
 					g.sees("the drain", func(s node.Status) bool { return s.Servers["draining"] == 1 })
@@ -50,7 +50,7 @@
 				other := entry("s1", g.server("s1", nil), "up")
 				g.disc.say(append(c.says(g, addr), other)...)
 				g.sees("the news", func(s node.Status) bool {
-					return s.Servers["running"] == 1+strings.Count(c.sent, "s0") && s.List.LastUpdate.Before(s.At.Add(-grace))
+					return s.Servers["running"] == 1+strings.Count(c.sent, "s0") && s.EndpointList.LastUpdate.Before(s.At.Add(-grace))
 				})
 				open()
 				one.want(http.StatusOK)
--- /dev/null
+++ b/internal/node/admin.go
@@ -0,0 +1,154 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"cobaltward/discovery/disabled"
+	"cobaltward/internal/door"
+	"cobaltward/router"
+)
+
+// eventInterval is how often the status is sent to who watches events.
+const eventInterval = 250 * time.Millisecond
+
+// adminAPI is what the admin API of a node shows and changes. Its methods are safe for concurrent use.
+type adminAPI struct {
+	name        string
+	engine      *router.Router
+	disabled    *disabled.Source
+	intake      *intake
+	announceFor time.Duration      // of a drain
+	tls         *secured           // nil: the node speaks no TLS
+	drainMark   string             // path of the file that exists while a drain on request does; empty: none
+	onStandby   func(standby bool) // tells other processes of this node; nil: there are none
+
+	mu         sync.Mutex
+	lastStatus Status
+	statusAt   time.Time
+}
+
+// register adds the node's paths to the admin API.
+func (a *adminAPI) register(api *door.Door) {
+	api.Handle(http.MethodGet, "/status", a.handleStatus)
+	api.Handle(http.MethodGet, "/events", func(w http.ResponseWriter, r *http.Request) { a.watchEvents(api, w, r) })
+	api.Handle(http.MethodPost, "/drain", a.handleDrain)
+	api.Handle(http.MethodDelete, "/drain", a.handleCancelDrain)
+	api.Handle(http.MethodGet, "/tls", a.handleTLS)
+	api.Handle(http.MethodGet, "/level", a.handleLevel)
+	api.Handle(http.MethodPost, "/level", a.handleSetLevel)
+	api.Handle(http.MethodDelete, "/level", a.handleReleaseLevel)
+	api.Handle(http.MethodPost, "/level/most", a.handleSetMaxLevel)
+	api.Handle(http.MethodGet, "/servers", a.handleServers)
+	api.Handle(http.MethodPost, "/servers/{id}/drain", a.handleDisable)
+	api.Handle(http.MethodDelete, "/servers/{id}/drain", a.handleEnable)
+}
+
+func (a *adminAPI) handleStatus(w http.ResponseWriter, _ *http.Request) {
+	door.Reply(w, http.StatusOK, a.currentStatus())
+}
+
+// watchEvents sends the events of drains, and the status again and again, until the client leaves.
+func (a *adminAPI) watchEvents(api *door.Door, w http.ResponseWriter, r *http.Request) {
+	var last uint64 // number of the last event that was sent
+	api.Watch(w, r, eventInterval, func() (events []door.Event, more bool) {
+		for _, event := range a.engine.DrainEvents(last) {
+			if event.Number > last+1 && last > 0 {
+				events = append(events, door.Event{Name: "lost", Data: event.Number - last - 1})
+			}
+			last = event.Number
+			events = append(events, door.Event{Name: "drain", Data: event})
+		}
+		return append(events, door.Event{Name: "status", Data: a.currentStatus()}), true
+	})
+}
+
+func (a *adminAPI) handleTLS(w http.ResponseWriter, _ *http.Request) {
+	if a.tls == nil {
+		door.Fail(w, http.StatusConflict, "this node speaks no TLS: its own file has no table [tls]")
+		return
+	}
+	door.Reply(w, http.StatusOK, a.tls.status())
+}
+
+// LevelRequest is the body of POST /v1/level and /v1/level/most.
+type LevelRequest struct {
+	Level       int    `json:"level"`
+	Duration    string `json:"for"` // as in "10m"; empty: until it is released
+	RequestedBy string `json:"who"`
+	Reason      string `json:"reason"`
+}
+
+func (a *adminAPI) handleLevel(w http.ResponseWriter, _ *http.Request) {
+	status, err := a.engine.Level()
+	if err != nil {
+		door.Fail(w, http.StatusConflict, err.Error())
+		return
+	}
+	door.Reply(w, http.StatusOK, status)
+}
+
+func (a *adminAPI) handleSetLevel(w http.ResponseWriter, r *http.Request) {
+	var request LevelRequest
+	if !door.Read(w, r, &request) {
+		return
+	}
+	var duration time.Duration
+	if request.Duration != "" {
+		var err error
+		if duration, err = parseOrderDuration(request.Duration); err != nil {
+			door.Fail(w, http.StatusBadRequest, fmt.Sprintf(`for: %v, as in "10m"`, err))
+			return
+		}
+	}
+	a.replyLevel(w, r, a.engine.SetLevel(request.Level, duration, request.RequestedBy, request.Reason))
+}
+
+// handleSetMaxLevel forbids the levels beyond one.
+func (a *adminAPI) handleSetMaxLevel(w http.ResponseWriter, r *http.Request) {
+	var request LevelRequest
+	if !door.Read(w, r, &request) {
+		return
+	}
+	a.replyLevel(w, r, a.engine.SetMaxLevel(request.Level, request.RequestedBy, request.Reason))
+}
+
+func (a *adminAPI) handleReleaseLevel(w http.ResponseWriter, r *http.Request) {
+	a.replyLevel(w, r, a.engine.ReleaseLevel())
+}
+
+// replyLevel answers a change of the level: with the level in force, or with why there was no change.
+func (a *adminAPI) replyLevel(w http.ResponseWriter, r *http.Request, err error) {
+	if err != nil {
+		door.Fail(w, http.StatusConflict, err.Error())
+		return
+	}
+	a.handleLevel(w, r)
+}
+
+func (a *adminAPI) handleServers(w http.ResponseWriter, _ *http.Request) {
+	door.Reply(w, http.StatusOK, a.disabled.ServersByZone())
+}
+
+func (a *adminAPI) handleDisable(w http.ResponseWriter, r *http.Request) {
+	a.replyDisabled(w, a.disabled.Disable(r.PathValue("id")))
+}
+
+func (a *adminAPI) handleEnable(w http.ResponseWriter, r *http.Request) {
+	a.replyDisabled(w, a.disabled.Enable(r.PathValue("id")))
+}
+
+// replyDisabled answers a change of the servers that are disabled at this node.
+func (a *adminAPI) replyDisabled(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, disabled.ErrUnknownServer):
+		door.Fail(w, http.StatusNotFound, err.Error())
+	case err != nil:
+		door.Fail(w, http.StatusConflict, err.Error())
+	default:
+		door.Reply(w, http.StatusOK, map[string][]string{"servers_drained_by_hand": a.disabled.Disabled()})
+	}
+}
--- a/internal/node/drains_test.go
+++ b/internal/node/drains_test.go
@@ -306,10 +306,10 @@
 			continue
 		}
 		deadline := []string{"400ms", "1s", "3s"}[rng.IntN(3)]
-		if code, s := w.order(http.MethodPost, "/drain", DrainOrder{Deadline: deadline, Who: "a", Reason: fmt.Sprint(n)}); code != http.StatusAccepted || s.Drain.State == drain.Serving {
+		if code, s := w.order(http.MethodPost, "/drain", DrainRequest{Timeout: deadline, RequestedBy: "a", Reason: fmt.Sprint(n)}); code != http.StatusAccepted || s.Drain.State == drain.Serving {
 			t.Fatalf("drain %d: %d %+v", n, code, s)
 		}
-		if code, _ := w.order(http.MethodPost, "/drain", DrainOrder{Deadline: "300ms", Who: "b"}); code != http.StatusConflict {
+		if code, _ := w.order(http.MethodPost, "/drain", DrainRequest{Timeout: "300ms", RequestedBy: "b"}); code != http.StatusConflict {
 			t.Errorf("a second operator was not told of the first: %d", code)
 		}
 		nap(0, 700)
@@ -322,7 +322,7 @@
 		how := ""
 		switch rng.IntN(4) {
 		case 0:
-			code, s := w.order(http.MethodDelete, "/drain", DrainOrder{Who: "a"})
+			code, s := w.order(http.MethodDelete, "/drain", DrainRequest{RequestedBy: "a"})
 			if how = "cancelled"; code == http.StatusConflict {
 				how = "too late to cancel"
 			} else if code != http.StatusOK || s.Drain.State != drain.Serving {
@@ -334,7 +334,7 @@
 			}
 		case 1:
 			how = "shortened"
-			w.order(http.MethodPost, "/drain", DrainOrder{Deadline: "50ms", Who: "b", Force: true})
+			w.order(http.MethodPost, "/drain", DrainRequest{Timeout: "50ms", RequestedBy: "b", Force: true})
 		case 2:
 			how = "SIGTERM"
 			stop()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -153,16 +153,16 @@
 		})
 	}
 
-	ctl := &control{name: c.Name, engine: engine, hold: held, tls: safe, intake: front, leave: c.leave(), mark: c.DrainMark}
+	ctl := &adminAPI{name: c.Name, engine: engine, disabled: held, tls: safe, intake: front, announceFor: c.leave(), drainMark: c.DrainMark}
 	var next *processGroup
 	brief := false
 	if c.Shared && c.Common != "" {
 		if next = joinProcessGroup(c.Common, log); next != nil {
 			defer next.process.Unregister()
 			next.engine, next.listener, next.budget, next.budgetBytes = engine, front, bodies.Budget, bodies.Budget.Most()
-			next.limits, next.setMemoryShare, next.setStandby = hotrestart.Limits{ClientConns: most, ServerConns: sockets - most}, c.Memory, ctl.obey
+			next.limits, next.setMemoryShare, next.setStandby = hotrestart.Limits{ClientConns: most, ServerConns: sockets - most}, c.Memory, ctl.setStandby
 			next.conns, _ = out.(interface{ SetMaxConns(n int) })
-			ctl.told = next.publishOrder
+			ctl.onStandby = next.publishOrder
 		}
 		if brief = c.State.File == ""; brief {
 			c.State = StateConfig{File: filepath.Join(c.Common, successorStateFile), Every: successorStateInterval}
@@ -174,12 +174,12 @@
 	}
 	if way != nil {
 		state.register(way)
-		ctl.mount(way)
-		ctl.remembered()
+		ctl.register(way)
+		ctl.restoreDrain()
 		way.Start()
 	}
 	if c.ConsoleListener != nil {
-		desk := &desk{engine: engine, order: ctl.start, back: ctl.back}
+		desk := &operations{engine: engine, startDrain: ctl.startDrain, cancelDrain: ctl.cancelDrain}
 		defer console.Serve(c.ConsoleListener, desk, log).Close()
 	}
 	running, stop := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/node/operations.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"errors"
+	"strconv"
+	"time"
+
+	"cobaltward/drain"
+	"cobaltward/router"
+)
+
+// The phases of a drain by the operations endpoint: clients that poll for readiness learn of it at once and stop new
+// connections 0.3 s later; all connections have to be gone 4 s after the call.
+const (
+	standbyAnnounceFor = 300 * time.Millisecond
+	standbyLeaveFor    = time.Second
+)
+
+// operations is what the operations endpoint shows and changes. Its methods do not block.
+type operations struct {
+	engine      *router.Router
+	startDrain  func(drain.Order) error
+	cancelDrain func(requestedBy string) error
+}
+
+// Serving reports whether this process can serve. In standby it can.
+func (o *operations) Serving() bool {
+	phase := o.engine.Phase()
+	return phase != router.Starting && phase != router.Closed
+}
+
+// Standby starts to drain the node. It may be called again.
+func (o *operations) Standby() error {
+	err := o.startDrain(drain.Order{
+		AnnounceFor: standbyAnnounceFor,
+		LeaveFor:    standbyLeaveFor,
+		Timeout:     defaultDrainTimeout,
+		Reason:      "standby",
+		RequestedBy: "console",
+	})
+	if !drainsAlready(err) {
+		return err
+	}
+	if o.engine.DrainStatus().Final {
+		return drain.ErrFinal
+	}
+	return nil
+}
+
+// Active has the node serve again. It may be called again.
+func (o *operations) Active() error {
+	err := o.cancelDrain("console")
+	if errors.Is(err, drain.ErrNotDraining) {
+		return nil
+	}
+	return err
+}
+
+// Figures appends the metrics to a page, one line each.
+func (o *operations) Figures(page []byte) []byte {
+	metrics := o.engine.Metrics()
+	for _, class := range metrics.Classes {
+		page = appendMetric(page, "success", class.Class, class.Served)
+		page = appendMetric(page, "busy", class.Class, class.Busy)
+		page = appendMetric(page, "failure", class.Class, class.Failure)
+	}
+	page = appendMetric(page, "backend_calls", "", metrics.AttemptsWritten)
+	page = appendMetric(page, "inflight", "", uint64(max(0, metrics.InFlight)))
+	page = appendMetric(page, "hosts_listed", "", uint64(max(0, metrics.Endpoints)))
+	return appendMetric(page, "hosts_down", "", uint64(max(0, metrics.UnavailableEndpoints)))
+}
+
+// appendMetric appends one line: name=value, or name.class=value.
+func appendMetric(page []byte, name, class string, value uint64) []byte {
+	page = append(page, name...)
+	if class != "" {
+		page = append(page, '.')
+		page = append(page, class...)
+	}
+	page = append(page, '=')
+	page = strconv.AppendUint(page, value, 10)
+	return append(page, '\n')
+}
--- a/internal/node/desk_test.go
+++ b/internal/node/operations_test.go
@@ -89,8 +89,8 @@
 		t.Fatal(err)
 	}
 	w.console = ln.Addr().String()
-	ctl := &control{engine: engine}
-	defer console.Serve(ln, &desk{engine: engine, order: ctl.start, back: ctl.back}, slog.New(slog.DiscardHandler)).Close()
+	ctl := &adminAPI{engine: engine}
+	defer console.Serve(ln, &operations{engine: engine, startDrain: ctl.startDrain, cancelDrain: ctl.cancelDrain}, slog.New(slog.DiscardHandler)).Close()
 	release, held := make(chan struct{}), make(chan struct{})
 	var all sync.WaitGroup
 	all.Go(func() {
@@ -143,8 +143,8 @@
 		for engine.Phase() != router.Serving {
 			time.Sleep(time.Millisecond)
 		}
-		ctl := &control{engine: engine}
-		d := &desk{engine: engine, order: ctl.start, back: ctl.back}
+		ctl := &adminAPI{engine: engine}
+		d := &operations{engine: engine, startDrain: ctl.startDrain, cancelDrain: ctl.cancelDrain}
 		draining, final := false, false
 		for range rapid.IntRange(1, 25).Draw(rt, "steps") {
 			was := engine.DrainStatus()
@@ -160,12 +160,12 @@
 				}
 				draining = final
 			case 2: // the door's drain, through at once
-				if err := ctl.start(drain.Order{Timeout: time.Minute, RequestedBy: "door"}); (err != nil) != draining {
+				if err := ctl.startDrain(drain.Order{Timeout: time.Minute, RequestedBy: "door"}); (err != nil) != draining {
 					rt.Fatalf("the door's drain in %+v: %v", was, err)
 				}
 				draining = true
 			case 3:
-				if err := ctl.back("door"); (err == nil) != (draining && !final) {
+				if err := ctl.cancelDrain("door"); (err == nil) != (draining && !final) {
 					rt.Fatalf("the door's way back in %+v: %v", was, err)
 				}
 				draining = final
@@ -175,7 +175,7 @@
 				}
 			case 5:
 				if rapid.IntRange(0, 9).Draw(rt, "end") == 0 {
-					err := ctl.start(drain.Order{Timeout: time.Minute, Final: true, RequestedBy: "program"})
+					err := ctl.startDrain(drain.Order{Timeout: time.Minute, Final: true, RequestedBy: "program"})
 					// A drain that goes on may come to be through at any moment: then there is nothing left to begin.
 					if over := draining && errors.Is(err, drain.ErrDrained); (err == nil) == final && !over {
 						rt.Fatalf("the end in %+v: %v", was, err)
--- a/internal/node/progress_test.go
+++ b/internal/node/progress_test.go
@@ -85,7 +85,7 @@
 		})
 	}
 	testkit.Await(t, "all requests at the server", func() bool { return g.held() == n })
-	if code, _ := w.order(http.MethodPost, "/drain", DrainOrder{Deadline: "1m"}); code != http.StatusAccepted {
+	if code, _ := w.order(http.MethodPost, "/drain", DrainRequest{Timeout: "1m"}); code != http.StatusAccepted {
 		t.Fatal(code)
 	}
 	for left := n; left > 0; left-- {
@@ -94,7 +94,7 @@
 			_, s = w.order(http.MethodGet, "/status", nil)
 			return s.Requests.Open <= left
 		})
-		if s.Requests.Open != left || s.Requests.ByClass["rezervacia"] != left || s.Requests.Attempts != left || s.Connections.Busy != left || s.Drain.State.Done() {
+		if s.Requests.Open != left || s.Requests.ByClass["rezervacia"] != left || s.Requests.AttemptsInFlight != left || s.Connections.Busy != left || s.Drain.State.Done() {
 			t.Errorf("%d are at the server; the door says %+v, %+v, %v", left, s.Requests, s.Connections, s.Drain.State)
 		}
 		g.release()
@@ -212,12 +212,12 @@
 			kept <- status
 		}()
 		testkit.Await(t, "the request at the server", func() bool { return g.held() == 1 })
-		w.order(http.MethodPost, "/drain", DrainOrder{Deadline: "20s"}) // announced for 150 ms, leaving for 1 s
+		w.order(http.MethodPost, "/drain", DrainRequest{Timeout: "20s"}) // announced for 150 ms, leaving for 1 s
 		testkit.Await(t, "the intake ended", func() bool {
 			_, s := w.order(http.MethodGet, "/status", nil)
 			return s.Drain.State == drain.Closing
 		})
-		if code, s := w.order(http.MethodDelete, "/drain", DrainOrder{Who: "x"}); code != http.StatusOK || s.Drain.State != drain.Serving {
+		if code, s := w.order(http.MethodDelete, "/drain", DrainRequest{RequestedBy: "x"}); code != http.StatusOK || s.Drain.State != drain.Serving {
 			t.Fatalf("round %d: %d %+v", round, code, s.Drain)
 		}
 		g.release()
@@ -254,13 +254,13 @@
 		time.Sleep(time.Second)
 		_, s := w.order(http.MethodGet, "/status", nil)
 		began := time.Now()
-		w.order(http.MethodPost, "/drain", DrainOrder{Deadline: "10s"})
+		w.order(http.MethodPost, "/drain", DrainRequest{Timeout: "10s"})
 		for s.Drain.State != drain.Drained {
 			_, s = w.order(http.MethodGet, "/status", nil)
 			time.Sleep(5 * time.Millisecond)
 		}
 		events := fmt.Sprint(time.Since(began).Round(time.Millisecond))
-		t.Logf("%d clients: drained %s after the order (150 ms announced, 1 s leaving); %d connections parted, %d requests crossed", n, events, s.Connections.Parted, s.Connections.Crossed)
+		t.Logf("%d clients: drained %s after the order (150 ms announced, 1 s leaving); %d connections parted, %d requests crossed", n, events, s.Connections.ClosedForDrain, s.Connections.RetriedByClients)
 		end()
 		all.Wait()
 		stop()
--- a/internal/node/wire_test.go
+++ b/internal/node/wire_test.go
@@ -24,16 +24,16 @@
 				State: drain.Closing, Since: at, StartedAt: at.Add(-time.Second), Deadline: at.Add(time.Minute),
 				Reason: "patch", RequestedBy: "ops", Final: true, OpenAtDeadline: 3,
 			},
-			Requests: RequestStatus{
-				Open: 5, ByClass: map[string]int{"read": 5}, OldestMs: 7, OldestLeft: 8, Held: 9, Retrying: 10, Attempts: 11,
+			Requests: RequestCounts{
+				Open: 5, ByClass: map[string]int{"read": 5}, OldestMs: 7, OldestRemainingMs: 8, Queued: 9, Retrying: 10, AttemptsInFlight: 11,
 			},
-			Connections: ConnectionStatus{Clients: 12, Busy: 13, Servers: 14, Parted: 15, Crossed: 16},
-			Servers:     map[string]int{"running": 17},
-			ByHand:      []string{"s1"},
-			Untrusted:   []string{"s2"},
-			List:        router.EndpointListStats{Updates: 18, Failures: 19, LastUpdate: at},
-			Answers:     map[string]uint64{"served": 20},
-			Attempts:    21,
+			Connections:      ConnectionCounts{Clients: 12, Busy: 13, Servers: 14, ClosedForDrain: 15, RetriedByClients: 16},
+			Servers:          map[string]int{"running": 17},
+			DisabledServers:  []string{"s1"},
+			UntrustedServers: []string{"s2"},
+			EndpointList:     router.EndpointListStats{Updates: 18, Failures: 19, LastUpdate: at},
+			Answers:          map[string]uint64{"served": 20},
+			Attempts:         21,
 		},
 		"level": router.LevelStatus{
 			Level: 1, Name: "lean", Reason: "demand", Demand: 1.5, Slow: 0.25, Queued: 0.125,
@@ -45,8 +45,8 @@
 			Number: 1, At: at, From: drain.Serving, To: drain.Announced, Change: "started", Reason: "patch", RequestedBy: "ops",
 			Deadline: at.Add(time.Minute), OpenRequests: 4,
 		},
-		"drain-order": DrainOrder{Deadline: "30s", Reason: "patch", Who: "ops", Force: true},
-		"level-order": LevelOrder{Level: 1, For: "10m", Who: "ops", Reason: "load"},
+		"drain-order": DrainRequest{Timeout: "30s", Reason: "patch", RequestedBy: "ops", Force: true},
+		"level-order": LevelRequest{Level: 1, Duration: "10m", RequestedBy: "ops", Reason: "load"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			want, err := os.ReadFile(filepath.Join("testdata", "wire", name+".json"))
