A body complete before its request is admitted no longer keeps the time of an upload

Cause: Upload.OnComplete may call back before Do has submitted the request; the loop handled bodyReceived first, found no such request and dropped it, so that the request kept the timeout of an upload of unknown length (17 min) in place of its own.

Change: the callback notes the moment in the call, and admission starts the timeout where it is there already.

--- a/router/admission.go
+++ b/router/admission.go
@@ -39,6 +39,7 @@
 		l.deliver(call, Answer{Outcome: Overloaded, RetryAfter: overloadRetryAfter(l.config.Settings.Capabilities)})
 		return
 	}
+	call.completeEarlyBody()
 	class := l.class(call.req.Class)
 	r := l.newRequest(call, class)
 	if now >= r.deadline || class.Name != "" && !sameIdempotency(class, &call.class) {
--- a/router/call.go
+++ b/router/call.go
@@ -21,6 +21,19 @@
 	ctx         context.Context // the caller's; nil in a Stepped engine
 	abandoned   atomic.Bool     // nobody waits for reply any more
 	bodyPending bool            // the last byte has not come: the timeout counts from then
+
+	// bodyReceivedAt is the policy.Time of an upload's last byte; 0 until then. Whoever reads the body sets it.
+	bodyReceivedAt atomic.Int64
+}
+
+// completeEarlyBody starts the timeout of a call whose last byte has come before the call was admitted: the event that
+// says so may be handled before the one that submits the call.
+func (c *call) completeEarlyBody() {
+	at := policy.Time(c.bodyReceivedAt.Load())
+	if c.bodyPending && at != 0 {
+		c.bodyPending = false
+		c.receivedAt = at
+	}
 }
 
 // clientGone reports whether the caller has left. The event that says so may still be queued.
--- a/router/do.go
+++ b/router/do.go
@@ -100,7 +100,10 @@
 		call.timeout = min(call.timeout, l.clock.policyTime(end)-call.receivedAt)
 	}
 	if req.Upload != nil {
-		call.bodyPending = !req.Upload.OnComplete(func(at time.Time) { l.send(bodyReceived{call, at}) })
+		call.bodyPending = !req.Upload.OnComplete(func(at time.Time) {
+			call.bodyReceivedAt.Store(int64(l.clock.policyTime(at)))
+			l.send(bodyReceived{call, at})
+		})
 	}
 	return call
 }
