--- a/emulator/sim/node.go
+++ b/emulator/sim/node.go
@@ -25,7 +25,7 @@
 	conns   int
 	idle    map[string][]*conn // by server, the last used at the end
 	out     map[router.Attempt]*try
-	kept    learnedstate.Snapshot         // what it last wrote down
+	kept    learnedstate.Snapshot      // what it last wrote down
 	rests   []rest                     // of connections, oldest first; those in use since are passed over
 	known   map[string]router.Endpoint // as last told
 	drained map[string]time.Duration   // since when it knows
