A drain on request reaches MessagePack-RPC clients again; both listeners are asserted

Change: its methods have the interface's names, and a compile-time assertion.

Tests of front/msgpack, internal/node, internal/cli and internal/pairs pass. All other optional interfaces of the tree were looked up: each has an assertion.

--- a/front/msgpack/msgpack.go
+++ b/front/msgpack/msgpack.go
@@ -219,8 +219,8 @@
 	}
 }
 
-// EndIntake ends the intake as Shutdown does, in a way that can be taken back, and waits for nothing.
-func (f *Front) EndIntake() {
+// StopAccepting ends the intake as Shutdown does, in a way that can be taken back, and waits for nothing.
+func (f *Front) StopAccepting() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.draining = true
@@ -233,17 +233,17 @@
 	f.room.Broadcast()
 }
 
-// ResumeIntake lets Serve be called again, with another listener. Clients that were told of the drain have
+// ResumeAccepting lets Serve be called again, with another listener. Clients that were told of the drain have
 // gone, or go with their last call.
-func (f *Front) ResumeIntake() error {
+func (f *Front) ResumeAccepting() error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.draining = false
 	return nil
 }
 
-// Clients is the number of connections, and of those of them with a call.
-func (f *Front) Clients() (open, busy int) {
+// Connections is the number of connections, and of those of them with a call.
+func (f *Front) Connections() (open, busy int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c := range f.conns {
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -24,7 +24,10 @@
 	closing chan struct{} // closed when the intake ends for good
 }
 
-var _ router.DrainableListener = (*intake)(nil)
+var (
+	_ router.DrainableListener = (*intake)(nil)
+	_ router.DrainableListener = (*rpcIntake)(nil)
+)
 
 func newIntake(server *http.Server, listener net.Listener, most int) *intake {
 	return &intake{server: server, clients: newClients(listener, most), closing: make(chan struct{})}
@@ -156,14 +159,14 @@
 	}
 }
 
-func (in *rpcIntake) EndIntake() {
+func (in *rpcIntake) StopAccepting() {
 	in.mu.Lock()
 	in.ln = nil
 	in.mu.Unlock()
-	in.Front.EndIntake()
+	in.Front.StopAccepting()
 }
 
-func (in *rpcIntake) ResumeIntake() error {
+func (in *rpcIntake) ResumeAccepting() error {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if in.ln != nil || in.ended {
@@ -174,7 +177,7 @@
 		return err
 	}
 	in.ln = in.wrap(ln)
-	_ = in.Front.ResumeIntake() // it has nothing to fail at
+	_ = in.Front.ResumeAccepting() // it has nothing to fail at
 	close(in.resumed)
 	in.resumed = make(chan struct{})
 	return nil
--- /dev/null
+++ b/internal/node/rpcdrain_test.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"cobaltward/internal/door"
+	"cobaltward/internal/testkit"
+)
+
+// TestDrainOnRequest_MessagePackClients drains a node on request while a MessagePack-RPC client is connected: the client
+// is counted, its idle connection is closed, and nobody can connect until the drain is cancelled.
+func TestDrainOnRequest_MessagePackClients(t *testing.T) {
+	const patience = 20 * time.Second
+	api := &site{t: t, sock: filepath.Join(t.TempDir(), "door.sock")}
+	listen := func() net.Listener {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return listener
+	}
+	rpc := listen()
+	config := Config{
+		Name: "n", Discovery: "127.0.0.1:9", Seed: 1, Sockets: 512, Settings: drainSettings(),
+		Door: door.Config{Socket: api.sock}, Msgpack: Msgpack{Listener: rpc},
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- Run(ctx, config, listen(), nil, slog.New(slog.DiscardHandler)) }()
+	t.Cleanup(func() {
+		stop()
+		if err := testkit.Receive(t, "the node's end", ended); err != nil {
+			t.Error(err)
+		}
+	})
+	dial := func() (net.Conn, error) { return net.DialTimeout("tcp", rpc.Addr().String(), patience) }
+	conn, err := dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	status := func() Status {
+		_, status := api.order(http.MethodGet, "/status", nil)
+		return status
+	}
+	testkit.Await(t, "the client to be counted", func() bool { return status().Connections.Clients == 1 })
+
+	if code, _ := api.order(http.MethodPost, "/drain", DrainRequest{Timeout: "4s"}); code != http.StatusAccepted {
+		t.Fatalf("the drain is answered with %d", code)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(patience))
+	if _, err := io.Copy(io.Discard, conn); err != nil {
+		t.Fatalf("the idle connection is not closed: %v", err)
+	}
+	testkit.Await(t, "the listener to be closed", func() bool {
+		again, err := dial()
+		if err == nil {
+			_ = again.Close()
+		}
+		return err != nil
+	})
+	if code, _ := api.order(http.MethodDelete, "/drain", DrainRequest{}); code != http.StatusOK {
+		t.Fatalf("cancelling is answered with %d", code)
+	}
+	testkit.Await(t, "the listener to be open again", func() bool {
+		again, err := dial()
+		if err == nil {
+			err = errors.Join(err, again.Close())
+		}
+		return err == nil
+	})
+}
