--- a/discovery/registry/watch.go
+++ b/discovery/registry/watch.go
@@ -13,18 +13,19 @@
 )
 
 const (
-	// watchTimeout is how long the registry may hold a call while nothing changes. The agent runs on the node's own
-	// machine, so that one which has fallen silent is noticed soon.
+	// watchTimeout is how long a registry that runs on the node's own machine may hold a call while nothing changes. It
+	// is short, so that one which has fallen silent is noticed soon.
 	watchTimeout = 5 * time.Second
-	// silenceTimeout is how long after watchTimeout a call counts as silent and is repeated. What a silent watch misses
-	// counts as known to the node 2 s after its wait is over, and the next call needs part of that.
+	// silenceTimeout is how long after watchTimeout a call counts as silent and is repeated. The site holds a node to a
+	// drain from 2 s after its watch should have ended, whether or not the node heard of it, and the next call needs
+	// part of that.
 	silenceTimeout = time.Second
 	// sharedWatchTimeout is the longest wait at a registry that serves all nodes; each call draws its own from half of
 	// it on. Nodes that start together would otherwise call together for ever, and overload the registry.
 	sharedWatchTimeout = 20 * time.Second
 	// sharedSilenceTimeout is how long the whole list is waited for there. The registry works through calls in turn,
-	// and one that is given up early has cost it as much. What such a call misses counts as known to the node 6 s after
-	// it fell silent, so the next one follows at once.
+	// and one that is given up early has cost it as much. The site holds a node to what such a call misses from 6 s
+	// after it fell silent, so that the next one follows at once.
 	sharedSilenceTimeout = 5 * time.Second
 
 	maxListSize = 8 << 20 // bytes of one answer
--- a/fleet/consensus/replica.go
+++ b/fleet/consensus/replica.go
@@ -34,8 +34,8 @@
 	maxInbox            = 1024 // messages that wait for the core; their senders repeat what is dropped
 	maxBatch            = 64   // proposals, or messages of one call, that are handled together
 	maxPendingProposals = 1024
-	maxWatchers         = 2048 // watch requests that wait for news
-	maxReports          = 10_000
+	maxWatchers         = 2048   // watch requests that wait for a change
+	maxReports          = 10_000 // agents whose last report is kept
 )
 
 // Replica runs one Core on its Storage and its links. Its methods may be called from several goroutines at once.
@@ -162,7 +162,8 @@
 	}
 }
 
-// processReady stores, sends and applies what the core has made.
+// processReady has each write batch of the core stored and applied, and its messages sent, in this order: no message may
+// precede the write.
 func (r *Replica) processReady() error {
 	for batch := r.core.Ready(); batch != nil; batch = r.core.Ready() {
 		if err := r.processBatch(batch); err != nil {
--- a/internal/node/hotrestart.go
+++ b/internal/node/hotrestart.go
@@ -148,7 +148,8 @@
 	}
 }
 
-// logOnce logs an error, unless it is the one that was logged last.
+// logOnce logs an error, unless it is the one that was logged last: an error that lasts is logged once, two that take
+// turns each time.
 func (g *processGroup) logOnce(err error) {
 	if err == nil || errors.Is(err, router.ErrClosed) || err.Error() == g.lastError {
 		return
--- a/levels/step.go
+++ b/levels/step.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// reentryWindow is the time after a level's end in which entering it again shows that it was left too early.
+	// reentryWindow is the time after a level's end in which entering it again shows that it was left too early: it then
+	// stays twice as long as the last time.
 	reentryWindow = 2 * time.Minute
+	// maxStayFactor bounds how long such a level stays, in minimum intervals.
 	maxStayFactor = 8
 	// exitProbeTime is how long half of what a level sheds is let through before the level ends: some seconds, so that
 	// the smoothed signals show it.
@@ -102,7 +104,8 @@
 	return reason, holds
 }
 
-// allHold reports whether each of the conditions of an exit has held for its time.
+// allHold reports whether each of the conditions of an exit has held for its time. The last one stands for all of them
+// in the reason.
 func (c *Controller) allHold(now time.Duration, conditions []Condition) (reason string, hold bool) {
 	hold = len(conditions) > 0
 	for _, condition := range conditions {
--- a/router/degradation.go
+++ b/router/degradation.go
@@ -12,7 +12,7 @@
 	// immediateRejection is how soon the balancer's rate limit rejects: what is rejected later has waited for
 	// a server.
 	immediateRejection = 10 * time.Millisecond
-	// shedRetrySpread is over how many times routerRetryAfter the Retry-After of shed requests is spread.
+	// shedRetrySpread spreads the Retry-After of shed requests: 1 to 1+shedRetrySpread times routerRetryAfter.
 	shedRetrySpread = 4
 	// serviceTimeGain is the weight of one answer in the mean service time of a class.
 	serviceTimeGain = 0.1
@@ -106,7 +106,8 @@
 	return bucket
 }
 
-// withinQuota reports whether a request is within its tenant's quota; tenants that nobody listed have none.
+// withinQuota takes a token of the tenant's quota, and reports whether there was one. A tenant that the settings do not
+// list has no quota: all that it sends is beyond it.
 func (d *degradation) withinQuota(tenant string, now policy.Time) bool {
 	bucket := d.quotas[tenant]
 	return bucket != nil && bucket.take(now)
@@ -116,7 +117,7 @@
 // counts.
 func (d *degradation) shouldShed(r *request, now policy.Time) bool {
 	window := d.classes[r.req.Class]
-	if window == nil { // of settings that a reload brought
+	if window == nil { // a reload has removed the class since Do
 		return false
 	}
 	if !r.req.IsRetry { // else what a level sheds would come back as more demand
--- a/router/loop.go
+++ b/router/loop.go
@@ -33,7 +33,7 @@
 	endpointSource EndpointSource
 
 	events          chan event
-	endpointUpdates chan EndpointUpdate // apart from events, and ahead of them: a drain must not wait behind requests
+	endpointUpdates chan EndpointUpdate // apart from events, and ahead of them: a drain waits behind no request
 	done            chan struct{}       // closed when the loop has ended
 	ready           chan struct{}       // closed when the last known endpoint list is in force
 
