--- a/fleet/consensus/replica.go
+++ b/fleet/consensus/replica.go
@@ -162,8 +162,8 @@
 	}
 }
 
-// processReady has each write batch of the core stored and applied, and its messages sent, in this order: no message may
-// precede the write.
+// processReady has each write batch of the core stored and applied, and its messages sent, in this order: no message
+// may precede the write.
 func (r *Replica) processReady() error {
 	for batch := r.core.Ready(); batch != nil; batch = r.core.Ready() {
 		if err := r.processBatch(batch); err != nil {
