--- a/cmd/wayhold-xds/main.go
+++ b/cmd/wayhold-xds/main.go
@@ -51,7 +51,7 @@
 // open makes the source of the control planes, or of the files.
 func open(x operator.XDS, secrets map[string]func(*keys.Set), log *slog.Logger) (router.EndpointSource, error) {
 	if len(x.Files) > 0 {
-		return xds.NewFiles(x.Files, log)
+		return xds.NewFileSource(x.Files, log)
 	}
 	c, err := bootstrap(x)
 	if err != nil {
@@ -70,6 +70,6 @@
 	if err != nil {
 		return xds.Config{}, fmt.Errorf("%s: %w", x.Bootstrap, err)
 	}
-	c.Delta, c.Dir = x.Delta, x.Dir
+	c.Delta, c.CacheDir = x.Delta, x.Dir
 	return c, nil
 }
--- a/cmd/wayhold-xds/main_test.go
+++ b/cmd/wayhold-xds/main_test.go
@@ -100,7 +100,7 @@
 }
 
 // files makes an operator's own file that names the control plane, with more of the table.
-func files(t testing.TB, p *standin.Plane, more string) (own string) {
+func files(t testing.TB, p *standin.ControlPlane, more string) (own string) {
 	t.Helper()
 	dir := t.TempDir()
 	boot := filepath.Join(dir, "bootstrap.json")
@@ -115,7 +115,7 @@
 	return own
 }
 
-func plane(t testing.TB, endpoints ...*xdspb.LbEndpoint) *standin.Plane {
+func plane(t testing.TB, endpoints ...*xdspb.LbEndpoint) *standin.ControlPlane {
 	t.Helper()
 	p, err := standin.Start("")
 	if err != nil {
--- a/cmd/wayhold-xds/xds.go
+++ b/cmd/wayhold-xds/xds.go
@@ -115,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	conf.Dir = "" // a look from outside neither begins with what a node has kept, nor writes there
+	conf.CacheDir = "" // a look from outside neither begins with what a node has kept, nor writes there
 	s, err := xds.New(conf)
 	if err != nil {
 		return err
@@ -133,14 +133,14 @@
 	defer tick.Stop()
 	for {
 		st := s.Status()
-		if st.Whole {
+		if st.Complete {
 			return nil
 		}
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
-			if st.Last != nil {
-				return fmt.Errorf("xds: the list is not whole; the last stream ended: %w", st.Last)
+			if st.LastError != nil {
+				return fmt.Errorf("xds: the list is not whole; the last stream ended: %w", st.LastError)
 			}
 			return errors.New("xds: the list is not whole")
 		}
@@ -150,23 +150,23 @@
 // write prints a status.
 func write(out io.Writer, st xds.Status) {
 	state := "closed"
-	if st.Open {
+	if st.Connected {
 		state = "open"
 	}
-	fmt.Fprintf(out, "control plane %s, stream %s for %v, list whole: %v\n", st.Server, state, time.Since(st.Since).Round(time.Millisecond), st.Whole)
+	fmt.Fprintf(out, "control plane %s, stream %s for %v, list whole: %v\n", st.Server, state, time.Since(st.Since).Round(time.Millisecond), st.Complete)
 	for t, name := range map[ads.Type]string{ads.Clusters: "clusters", ads.Endpoints: "endpoints", ads.Secrets: "secrets"} {
 		s := st.Types[t]
-		if t == ads.Secrets && len(s.Names) == 0 {
+		if t == ads.Secrets && len(s.ResourceNames) == 0 {
 			continue
 		}
-		fmt.Fprintf(out, "%s: version %q, %d held, age %v, ", name, s.Version, len(s.Held), age(s.Updated))
-		if s.Failure == "" {
+		fmt.Fprintf(out, "%s: version %q, %d held, age %v, ", name, s.Version, len(s.Versions), age(s.UpdatedAt))
+		if s.NACKReason == "" {
 			fmt.Fprintln(out, "acknowledged")
 		} else {
-			fmt.Fprintln(out, "refused:", s.Failure)
+			fmt.Fprintln(out, "refused:", s.NACKReason)
 		}
-		for _, refused := range slices.Sorted(maps.Keys(s.Refused)) {
-			fmt.Fprintf(out, "  %s: refused, the one before serves: %s\n", refused, s.Refused[refused])
+		for _, refused := range slices.Sorted(maps.Keys(s.Rejected)) {
+			fmt.Fprintf(out, "  %s: refused, the one before serves: %s\n", refused, s.Rejected[refused])
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(st.Drops)) {
@@ -174,7 +174,7 @@
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "cluster\tendpoint\tzone\tpriority\thealth\tused")
-	for _, e := range st.Endpoints {
+	for _, e := range st.EndpointStatuses {
 		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%s\n", e.Cluster, e.Addr, e.Zone, e.Priority, e.Health, e.Use)
 	}
 	_ = table.Flush() // fails as the lines above would
--- a/cmd/xds-standin/main.go
+++ b/cmd/xds-standin/main.go
@@ -63,7 +63,7 @@
 		}
 		defer in.Close()
 	}
-	script, err := standin.Parse(in)
+	script, err := standin.ParseScript(in)
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
@@ -87,7 +87,7 @@
 		}
 		w := bufio.NewWriter(f)
 		lines := json.NewEncoder(w)
-		p.Record(func(s standin.Seen) { _ = lines.Encode(s) }) // a failure is kept until Flush
+		p.OnRequest(func(s standin.RecordedRequest) { _ = lines.Encode(s) }) // a failure is kept until Flush
 		defer func() {
 			p.Stop()
 			err = errors.Join(err, w.Flush(), f.Close())
--- a/discovery/xds/ads/ads.go
+++ b/discovery/xds/ads/ads.go
@@ -17,12 +17,12 @@
 // Type is a type of resources.
 type Type uint8
 
-// The types that a router subscribes to, in the order in which a control plane should send them.
+// The numTypes that a router subscribes to, in the order in which a control plane should send them.
 const (
 	Clusters Type = iota
 	Endpoints
 	Secrets // certificates and authorities, by the names that the operator gives
-	types
+	numTypes
 )
 
 // Variant is a form of the protocol.
@@ -58,226 +58,226 @@
 // Request is one request that is to be sent.
 type Request struct {
 	Type    Type
-	Node    bool   // the first of a stream, which says who asks
+	IncludeNode    bool   // the first of a stream, which says who asks
 	Version string // SotW: last accepted
 	Nonce   string // of the response that it answers; "" where it answers none
-	Error   string // a NACK, with its reason
-	Names   []string
+	ErrorDetail   string // a NACK, with its reason
+	ResourceNames   []string
 	// Delta only. Names is then empty.
 	Subscribe, Unsubscribe []string
-	Initial                map[string]string // versions held, by name
+	InitialVersions                map[string]string // versions held, by name
 }
 
-// held is a resource that was accepted.
-type held struct {
+// acceptedResource is a resource that was accepted.
+type acceptedResource struct {
 	version string
 	value   any
-	expires time.Time // zero: never
+	expiresAt time.Time // zero: never
 }
 
 // subscription is what the machine knows of one type.
 type subscription struct {
 	version string // SotW: last accepted
 	nonce   string // of the last response on this stream
-	asked   bool   // on this stream
-	names   []string
-	held    map[string]held
+	requested   bool   // on this stream
+	resourceNames   []string
+	accepted    map[string]acceptedResource
 	absent  map[string]bool   // named, and known not to exist
-	refused map[string]string // reasons, by name; until it is accepted or gone
-	failure string            // why the last response was refused as a whole, or in part
-	updated time.Time
+	rejected map[string]string // reasons, by name; until it is accepted or gone
+	nackReason string            // why the last response was refused as a whole, or in part
+	updatedAt time.Time
 }
 
 // Machine is the state of one subscription to a control plane. It isn't safe for concurrent use.
 type Machine struct {
 	variant Variant
-	open    bool // a stream is there
-	first   bool // nothing was sent on it yet
-	subs    [types]subscription
-	applied map[string]Applied
+	connected    bool // a stream is there
+	nodeUnsent   bool // nothing was sent on it yet
+	subscriptions    [numTypes]subscription
+	applied map[string]AppliedCluster
 }
 
-// Applied is a cluster as it is in force.
-type Applied struct {
+// AppliedCluster is a cluster as it is in force.
+type AppliedCluster struct {
 	Cluster    *resource.Cluster
 	Assignment *resource.Assignment // nil while it has never come
 	Warming    bool                 // what the newest cluster wants has not come yet; what was before serves
-	Leaving    bool                 // it is in the newest list no more, and serves until that list is whole
+	PendingRemoval    bool                 // it is in the newest list no more, and serves until that list is whole
 }
 
 // New returns a machine that holds nothing, and will ask for these secrets.
 func New(v Variant, secrets ...string) *Machine {
-	m := &Machine{variant: v, applied: make(map[string]Applied)}
-	for t := range m.subs {
-		m.subs[t] = subscription{held: make(map[string]held), absent: make(map[string]bool), refused: make(map[string]string)}
+	m := &Machine{variant: v, applied: make(map[string]AppliedCluster)}
+	for t := range m.subscriptions {
+		m.subscriptions[t] = subscription{accepted: make(map[string]acceptedResource), absent: make(map[string]bool), rejected: make(map[string]string)}
 	}
-	m.subs[Secrets].names = slices.Sorted(slices.Values(secrets))
+	m.subscriptions[Secrets].resourceNames = slices.Sorted(slices.Values(secrets))
 	return m
 }
 
 // Connected says that a stream is open, and returns what is to be sent on it first.
 func (m *Machine) Connected() []Request {
-	m.open, m.first = true, true
-	for t := range m.subs {
-		m.subs[t].nonce, m.subs[t].asked = "", false
+	m.connected, m.nodeUnsent = true, true
+	for t := range m.subscriptions {
+		m.subscriptions[t].nonce, m.subscriptions[t].requested = "", false
 	}
-	out := []Request{m.ask(Clusters)}
-	if len(m.subs[Endpoints].names) > 0 {
-		out = append(out, m.ask(Endpoints))
+	out := []Request{m.initialRequest(Clusters)}
+	if len(m.subscriptions[Endpoints].resourceNames) > 0 {
+		out = append(out, m.initialRequest(Endpoints))
 	}
-	if len(m.subs[Secrets].names) > 0 {
-		out = append(out, m.ask(Secrets))
+	if len(m.subscriptions[Secrets].resourceNames) > 0 {
+		out = append(out, m.initialRequest(Secrets))
 	}
 	return out
 }
 
 // Disconnected says that the stream is gone. What is held stays.
-func (m *Machine) Disconnected() { m.open = false }
+func (m *Machine) Disconnected() { m.connected = false }
 
-// ask is the first request of a type on a stream.
-func (m *Machine) ask(t Type) Request {
-	s := &m.subs[t]
-	s.asked = true
-	r := Request{Type: t, Node: m.first}
-	m.first = false
+// initialRequest is the first request of a type on a stream.
+func (m *Machine) initialRequest(t Type) Request {
+	s := &m.subscriptions[t]
+	s.requested = true
+	r := Request{Type: t, IncludeNode: m.nodeUnsent}
+	m.nodeUnsent = false
 	if m.variant == SotW {
-		r.Version, r.Names = s.version, slices.Clone(s.names)
+		r.Version, r.ResourceNames = s.version, slices.Clone(s.resourceNames)
 		return r
 	}
-	r.Subscribe = slices.Clone(s.names)
-	if len(s.held) > 0 {
-		r.Initial = make(map[string]string, len(s.held))
-		for name, h := range s.held {
-			r.Initial[name] = h.version
+	r.Subscribe = slices.Clone(s.resourceNames)
+	if len(s.accepted) > 0 {
+		r.InitialVersions = make(map[string]string, len(s.accepted))
+		for name, h := range s.accepted {
+			r.InitialVersions[name] = h.version
 		}
 	}
 	return r
 }
 
-// Handle takes a response in at a time, and returns the requests that answer it. What it brought is in
-// force when Handle returns.
-func (m *Machine) Handle(now time.Time, r Response) []Request {
-	if !m.open || r.Type >= types {
+// HandleResponse takes a response in at a time, and returns the requests that answer it. What it brought is in
+// force when HandleResponse returns.
+func (m *Machine) HandleResponse(now time.Time, r Response) []Request {
+	if !m.connected || r.Type >= numTypes {
 		return nil
 	}
-	s := &m.subs[r.Type]
-	if !s.asked {
+	s := &m.subscriptions[r.Type]
+	if !s.requested {
 		return nil // nobody asked for it on this stream
 	}
-	s.nonce, s.failure = r.Nonce, ""
+	s.nonce, s.nackReason = r.Nonce, ""
 	if r.Err != nil {
-		s.failure = r.Err.Error()
+		s.nackReason = r.Err.Error()
 	} else {
-		m.take(now, s, r)
+		m.acceptResources(now, s, r)
 	}
-	ack := Request{Type: r.Type, Nonce: r.Nonce, Error: s.failure}
+	ack := Request{Type: r.Type, Nonce: r.Nonce, ErrorDetail: s.nackReason}
 	if m.variant == SotW {
-		if s.failure == "" {
+		if s.nackReason == "" {
 			s.version = r.Version
 		}
-		ack.Version, ack.Names = s.version, slices.Clone(s.names)
+		ack.Version, ack.ResourceNames = s.version, slices.Clone(s.resourceNames)
 	}
 	out := []Request{ack}
 	if r.Type == Clusters && r.Err == nil {
-		out = append(out, m.resubscribe()...)
+		out = append(out, m.updateEndpointSubscription()...)
 	}
-	m.apply()
+	m.recomputeApplied()
 	return out
 }
 
-// take puts the good resources of a response in force. A bad one keeps what it was before.
-func (m *Machine) take(now time.Time, s *subscription, r Response) {
-	s.updated = now
+// acceptResources puts the good resources of a response in force. A bad one keeps what it was before.
+func (m *Machine) acceptResources(now time.Time, s *subscription, r Response) {
+	s.updatedAt = now
 	named := make(map[string]bool, len(r.Resources))
 	for _, in := range r.Resources {
 		named[in.Name] = true
 		switch {
 		case in.Err != nil:
-			s.refused[in.Name] = in.Err.Error()
-			if s.failure == "" {
-				s.failure = in.Err.Error()
+			s.rejected[in.Name] = in.Err.Error()
+			if s.nackReason == "" {
+				s.nackReason = in.Err.Error()
 			}
 		case in.Value == nil: // a heartbeat
-			if h, ok := s.held[in.Name]; ok {
-				h.expires = expiry(now, in.TTL)
-				s.held[in.Name] = h
+			if h, ok := s.accepted[in.Name]; ok {
+				h.expiresAt = expiryTime(now, in.TTL)
+				s.accepted[in.Name] = h
 			}
 		default:
 			ttl := in.TTL
 			if a, ok := in.Value.(*resource.Assignment); ok && a.StaleAfter > 0 && (ttl <= 0 || a.StaleAfter < ttl) {
 				ttl = a.StaleAfter
 			}
-			s.held[in.Name] = held{in.Version, in.Value, expiry(now, ttl)}
-			delete(s.refused, in.Name)
+			s.accepted[in.Name] = acceptedResource{in.Version, in.Value, expiryTime(now, ttl)}
+			delete(s.rejected, in.Name)
 			delete(s.absent, in.Name)
 		}
 	}
 	for _, name := range r.Removed {
-		s.forget(name)
-		s.absent[name] = r.Type == Endpoints && slices.Contains(s.names, name)
+		s.remove(name)
+		s.absent[name] = r.Type == Endpoints && slices.Contains(s.resourceNames, name)
 	}
 	if m.variant == SotW && r.Type == Clusters { // what the whole list lacks is gone
-		for name := range s.held {
+		for name := range s.accepted {
 			if !named[name] {
-				s.forget(name)
+				s.remove(name)
 			}
 		}
-		for name := range s.refused {
+		for name := range s.rejected {
 			if !named[name] {
-				delete(s.refused, name)
+				delete(s.rejected, name)
 			}
 		}
 	}
 }
 
-func (s *subscription) forget(name string) {
-	delete(s.held, name)
-	delete(s.refused, name)
+func (s *subscription) remove(name string) {
+	delete(s.accepted, name)
+	delete(s.rejected, name)
 }
 
-func expiry(now time.Time, ttl time.Duration) time.Time {
+func expiryTime(now time.Time, ttl time.Duration) time.Time {
 	if ttl <= 0 {
 		return time.Time{}
 	}
 	return now.Add(ttl)
 }
 
-// resubscribe follows the clusters with what is asked of endpoints.
-func (m *Machine) resubscribe() []Request {
-	s := &m.subs[Endpoints]
+// updateEndpointSubscription follows the clusters with what is asked of endpoints.
+func (m *Machine) updateEndpointSubscription() []Request {
+	s := &m.subscriptions[Endpoints]
 	var want []string
-	for _, h := range m.subs[Clusters].held {
+	for _, h := range m.subscriptions[Clusters].accepted {
 		if c := h.value.(*resource.Cluster); c.EDS {
-			want = append(want, c.Service)
+			want = append(want, c.ServiceName)
 		}
 	}
 	slices.Sort(want)
 	want = slices.Compact(want)
-	if slices.Equal(want, s.names) {
+	if slices.Equal(want, s.resourceNames) {
 		return nil
 	}
-	old := s.names
-	s.names = want
+	old := s.resourceNames
+	s.resourceNames = want
 	for _, name := range old {
 		if !slices.Contains(want, name) { // what is in force of it stays in m.applied
-			s.forget(name)
+			s.remove(name)
 		}
 	}
 	maps.DeleteFunc(s.absent, func(name string, _ bool) bool { return !slices.Contains(want, name) })
-	if !s.asked {
-		return []Request{m.ask(Endpoints)}
+	if !s.requested {
+		return []Request{m.initialRequest(Endpoints)}
 	}
 	r := Request{Type: Endpoints}
 	if m.variant == SotW {
-		r.Version, r.Nonce, r.Names = s.version, s.nonce, slices.Clone(want)
+		r.Version, r.Nonce, r.ResourceNames = s.version, s.nonce, slices.Clone(want)
 		return []Request{r}
 	}
-	r.Subscribe, r.Unsubscribe = without(want, old), without(old, want)
+	r.Subscribe, r.Unsubscribe = difference(want, old), difference(old, want)
 	return []Request{r}
 }
 
-// without returns those of a that are not in b; both are sorted.
-func without(a, b []string) (rest []string) {
+// difference returns those of a that are not in b; both are sorted.
+func difference(a, b []string) (rest []string) {
 	for _, name := range a {
 		if _, found := slices.BinarySearch(b, name); !found {
 			rest = append(rest, name)
@@ -286,44 +286,44 @@
 	return rest
 }
 
-// Tick drops what has outlived its TTL, and reports whether anything changed; next is when to call it
+// ExpireResources drops what has outlived its TTL, and reports whether anything changed; next is when to call it
 // again, zero for never.
-func (m *Machine) Tick(now time.Time) (changed bool, next time.Time) {
-	for t := range m.subs {
-		s := &m.subs[t]
-		for name, h := range s.held {
+func (m *Machine) ExpireResources(now time.Time) (changed bool, next time.Time) {
+	for t := range m.subscriptions {
+		s := &m.subscriptions[t]
+		for name, h := range s.accepted {
 			switch {
-			case h.expires.IsZero():
-			case !now.Before(h.expires):
-				s.forget(name)
+			case h.expiresAt.IsZero():
+			case !now.Before(h.expiresAt):
+				s.remove(name)
 				s.absent[name] = Type(t) == Endpoints
 				changed = true
-			case next.IsZero() || h.expires.Before(next):
-				next = h.expires
+			case next.IsZero() || h.expiresAt.Before(next):
+				next = h.expiresAt
 			}
 		}
 	}
 	if changed {
-		m.apply()
+		m.recomputeApplied()
 	}
 	return changed, next
 }
 
-// apply works out what is in force: make before break. A cluster whose endpoints have not come serves
+// recomputeApplied works out what is in force: make before break. A cluster whose endpoints have not come serves
 // with those that it had; and while the newest list is not whole, clusters that it lacks go on serving
 // where without them nobody would.
-func (m *Machine) apply() {
-	next := make(map[string]Applied, len(m.applied))
+func (m *Machine) recomputeApplied() {
+	next := make(map[string]AppliedCluster, len(m.applied))
 	whole, some := true, false
-	for name, h := range m.subs[Clusters].held {
+	for name, h := range m.subscriptions[Clusters].accepted {
 		c := h.value.(*resource.Cluster)
-		a := Applied{Cluster: c, Assignment: c.Static}
+		a := AppliedCluster{Cluster: c, Assignment: c.Static}
 		if c.EDS {
-			eds := &m.subs[Endpoints]
-			if e, ok := eds.held[c.Service]; ok {
+			eds := &m.subscriptions[Endpoints]
+			if e, ok := eds.accepted[c.ServiceName]; ok {
 				a.Assignment = e.value.(*resource.Assignment)
-			} else if eds.absent[c.Service] {
-				a.Assignment = &resource.Assignment{Name: c.Service}
+			} else if eds.absent[c.ServiceName] {
+				a.Assignment = &resource.Assignment{Name: c.ServiceName}
 			} else {
 				a.Assignment, a.Warming, whole = m.applied[name].Assignment, true, false
 			}
@@ -334,7 +334,7 @@
 	if !whole && !some {
 		for name, a := range m.applied {
 			if _, listed := next[name]; !listed {
-				a.Leaving = true
+				a.PendingRemoval = true
 				next[name] = a
 			}
 		}
@@ -343,15 +343,15 @@
 }
 
 // Applied is what is in force, by the name of the cluster. It must not be changed.
-func (m *Machine) Applied() map[string]Applied { return m.applied }
+func (m *Machine) Applied() map[string]AppliedCluster { return m.applied }
 
-// Whole tells whether everything that the newest list of clusters names has come.
-func (m *Machine) Whole() bool {
-	if m.subs[Clusters].updated.IsZero() {
+// Complete tells whether everything that the newest list of clusters names has come.
+func (m *Machine) Complete() bool {
+	if m.subscriptions[Clusters].updatedAt.IsZero() {
 		return false
 	}
 	for _, a := range m.applied {
-		if a.Warming || a.Leaving {
+		if a.Warming || a.PendingRemoval {
 			return false
 		}
 	}
@@ -362,22 +362,22 @@
 type Status struct {
 	Version string
 	Nonce   string
-	Updated time.Time // the last response that could be read
-	Failure string    // why the last response was refused; "" where it was accepted
-	Refused map[string]string
-	Names   []string
-	Held    map[string]string // versions, by name
+	UpdatedAt time.Time // the last response that could be read
+	NACKReason string    // why the last response was refused; "" where it was accepted
+	Rejected map[string]string
+	ResourceNames   []string
+	Versions    map[string]string // versions, by name
 }
 
 // Status tells of one type.
 func (m *Machine) Status(t Type) Status {
-	s := &m.subs[t]
+	s := &m.subscriptions[t]
 	st := Status{
-		Version: s.version, Nonce: s.nonce, Updated: s.updated, Failure: s.failure,
-		Refused: maps.Clone(s.refused), Names: slices.Clone(s.names), Held: make(map[string]string, len(s.held)),
+		Version: s.version, Nonce: s.nonce, UpdatedAt: s.updatedAt, NACKReason: s.nackReason,
+		Rejected: maps.Clone(s.rejected), ResourceNames: slices.Clone(s.resourceNames), Versions: make(map[string]string, len(s.accepted)),
 	}
-	for name, h := range s.held {
-		st.Held[name] = h.version
+	for name, h := range s.accepted {
+		st.Versions[name] = h.version
 	}
 	return st
 }
--- a/discovery/xds/ads/ads_test.go
+++ b/discovery/xds/ads/ads_test.go
@@ -18,7 +18,7 @@
 var t0 = time.Unix(1_000_000, 0)
 
 func eds(name, service string) Resource {
-	return Resource{Name: name, Value: &resource.Cluster{Name: name, EDS: true, Service: service}}
+	return Resource{Name: name, Value: &resource.Cluster{Name: name, EDS: true, ServiceName: service}}
 }
 
 func endpoints(name string, addrs ...string) Resource {
@@ -64,33 +64,33 @@
 
 func TestSubscribesAndAcknowledgesSotW(t *testing.T) {
 	m := New(SotW)
-	if r := one(t, m.Connected()); r.Type != Clusters || !r.Node || r.Version != "" || r.Nonce != "" || len(r.Names) != 0 {
+	if r := one(t, m.Connected()); r.Type != Clusters || !r.IncludeNode || r.Version != "" || r.Nonce != "" || len(r.ResourceNames) != 0 {
 		t.Errorf("first request %+v", r)
 	}
-	rs := m.Handle(t0, Response{Type: Clusters, Version: "1", Nonce: "a", Resources: []Resource{eds("c", "s")}})
-	if len(rs) != 2 || rs[0].Version != "1" || rs[0].Nonce != "a" || rs[0].Error != "" || rs[0].Node ||
-		rs[1].Type != Endpoints || rs[1].Nonce != "" || !slices.Equal(rs[1].Names, []string{"s"}) {
+	rs := m.HandleResponse(t0, Response{Type: Clusters, Version: "1", Nonce: "a", Resources: []Resource{eds("c", "s")}})
+	if len(rs) != 2 || rs[0].Version != "1" || rs[0].Nonce != "a" || rs[0].ErrorDetail != "" || rs[0].IncludeNode ||
+		rs[1].Type != Endpoints || rs[1].Nonce != "" || !slices.Equal(rs[1].ResourceNames, []string{"s"}) {
 		t.Errorf("after the clusters: %+v", rs)
 	}
 	want(t, m, map[string]string{"c": "none yet"})
-	if m.Whole() {
+	if m.Complete() {
 		t.Error("whole without the endpoints")
 	}
-	r := one(t, m.Handle(t0, Response{Type: Endpoints, Version: "7", Nonce: "b", Resources: []Resource{endpoints("s", "1", "2")}}))
-	if r.Version != "7" || r.Nonce != "b" || !slices.Equal(r.Names, []string{"s"}) {
+	r := one(t, m.HandleResponse(t0, Response{Type: Endpoints, Version: "7", Nonce: "b", Resources: []Resource{endpoints("s", "1", "2")}}))
+	if r.Version != "7" || r.Nonce != "b" || !slices.Equal(r.ResourceNames, []string{"s"}) {
 		t.Errorf("acknowledged by %+v", r)
 	}
 	want(t, m, map[string]string{"c": "1 2"})
-	if !m.Whole() {
+	if !m.Complete() {
 		t.Error("not whole")
 	}
 	m.Disconnected()
 	want(t, m, map[string]string{"c": "1 2"}) // the last good list serves on
-	if got := m.Handle(t0, Response{Type: Clusters, Version: "2", Nonce: "late"}); got != nil {
+	if got := m.HandleResponse(t0, Response{Type: Clusters, Version: "2", Nonce: "late"}); got != nil {
 		t.Errorf("answered after the stream's end: %+v", got)
 	}
 	rs = m.Connected()
-	if len(rs) != 2 || rs[0].Version != "1" || rs[0].Nonce != "" || !rs[0].Node || rs[1].Version != "7" || rs[1].Nonce != "" || rs[1].Node {
+	if len(rs) != 2 || rs[0].Version != "1" || rs[0].Nonce != "" || !rs[0].IncludeNode || rs[1].Version != "7" || rs[1].Nonce != "" || rs[1].IncludeNode {
 		t.Errorf("on reconnection: %+v", rs)
 	}
 }
@@ -100,24 +100,24 @@
 	one(t, m.Connected())
 	c1, c2 := eds("c1", "s1"), eds("c2", "s2")
 	c1.Version, c2.Version = "v1", "v2"
-	rs := m.Handle(t0, Response{Type: Clusters, Nonce: "a", Resources: []Resource{c1, c2}})
+	rs := m.HandleResponse(t0, Response{Type: Clusters, Nonce: "a", Resources: []Resource{c1, c2}})
 	if len(rs) != 2 || rs[0].Nonce != "a" || !slices.Equal(rs[1].Subscribe, []string{"s1", "s2"}) {
 		t.Errorf("after the clusters: %+v", rs)
 	}
 	e1, e2 := endpoints("s1", "1"), endpoints("s2", "2")
 	e1.Version = "w1"
-	m.Handle(t0, Response{Type: Endpoints, Nonce: "b", Resources: []Resource{e1, e2}})
-	rs = m.Handle(t0, Response{Type: Clusters, Nonce: "c", Resources: []Resource{eds("c3", "s3")}, Removed: []string{"c2"}})
+	m.HandleResponse(t0, Response{Type: Endpoints, Nonce: "b", Resources: []Resource{e1, e2}})
+	rs = m.HandleResponse(t0, Response{Type: Clusters, Nonce: "c", Resources: []Resource{eds("c3", "s3")}, Removed: []string{"c2"}})
 	if len(rs) != 2 || !slices.Equal(rs[1].Subscribe, []string{"s3"}) || !slices.Equal(rs[1].Unsubscribe, []string{"s2"}) {
 		t.Errorf("after a change of clusters: %+v", rs)
 	}
 	want(t, m, map[string]string{"c1": "1", "c3": "none yet"})
-	m.Handle(t0, Response{Type: Endpoints, Nonce: "d", Removed: []string{"s1"}})
+	m.HandleResponse(t0, Response{Type: Endpoints, Nonce: "d", Removed: []string{"s1"}})
 	want(t, m, map[string]string{"c1": "", "c3": "none yet"})
-	m.Handle(t0, Response{Type: Endpoints, Nonce: "e", Resources: []Resource{e1}})
+	m.HandleResponse(t0, Response{Type: Endpoints, Nonce: "e", Resources: []Resource{e1}})
 	m.Disconnected()
 	rs = m.Connected()
-	if len(rs) != 2 || rs[0].Initial["c1"] != "v1" || len(rs[0].Initial) != 2 || rs[1].Initial["s1"] != "w1" ||
+	if len(rs) != 2 || rs[0].InitialVersions["c1"] != "v1" || len(rs[0].InitialVersions) != 2 || rs[1].InitialVersions["s1"] != "w1" ||
 		!slices.Equal(rs[1].Subscribe, []string{"s1", "s3"}) {
 		t.Errorf("on reconnection: %+v", rs)
 	}
@@ -128,25 +128,25 @@
 	for _, v := range []Variant{SotW, Delta} {
 		m := New(v)
 		m.Connected()
-		m.Handle(t0, Response{Type: Clusters, Version: "1", Nonce: "a", Resources: []Resource{eds("c", "s"), eds("d", "r")}})
-		m.Handle(t0, Response{Type: Endpoints, Version: "1", Nonce: "b", Resources: []Resource{endpoints("s", "1"), endpoints("r", "2")}})
-		r := one(t, m.Handle(t0, Response{Type: Endpoints, Version: "2", Nonce: "c", Resources: []Resource{
+		m.HandleResponse(t0, Response{Type: Clusters, Version: "1", Nonce: "a", Resources: []Resource{eds("c", "s"), eds("d", "r")}})
+		m.HandleResponse(t0, Response{Type: Endpoints, Version: "1", Nonce: "b", Resources: []Resource{endpoints("s", "1"), endpoints("r", "2")}})
+		r := one(t, m.HandleResponse(t0, Response{Type: Endpoints, Version: "2", Nonce: "c", Resources: []Resource{
 			{Name: "s", Err: errors.New("port 0")}, endpoints("r", "3"),
 		}}))
-		if r.Error != "port 0" || r.Nonce != "c" || v == SotW && r.Version != "1" {
+		if r.ErrorDetail != "port 0" || r.Nonce != "c" || v == SotW && r.Version != "1" {
 			t.Errorf("variant %d: refused by %+v", v, r)
 		}
 		want(t, m, map[string]string{"c": "1", "d": "3"})
-		if st := m.Status(Endpoints); st.Refused["s"] != "port 0" || st.Failure != "port 0" {
+		if st := m.Status(Endpoints); st.Rejected["s"] != "port 0" || st.NACKReason != "port 0" {
 			t.Errorf("status %+v", st)
 		}
-		r = one(t, m.Handle(t0, Response{Type: Clusters, Version: "2", Nonce: "d", Err: errors.New("not a response")}))
-		if r.Error != "not a response" {
+		r = one(t, m.HandleResponse(t0, Response{Type: Clusters, Version: "2", Nonce: "d", Err: errors.New("not a response")}))
+		if r.ErrorDetail != "not a response" {
 			t.Errorf("variant %d: a response that can't be read: %+v", v, r)
 		}
 		want(t, m, map[string]string{"c": "1", "d": "3"})
-		r = one(t, m.Handle(t0, Response{Type: Endpoints, Version: "3", Nonce: "e", Resources: []Resource{endpoints("s", "4")}}))
-		if st := m.Status(Endpoints); r.Error != "" || len(st.Refused) != 0 || st.Failure != "" {
+		r = one(t, m.HandleResponse(t0, Response{Type: Endpoints, Version: "3", Nonce: "e", Resources: []Resource{endpoints("s", "4")}}))
+		if st := m.Status(Endpoints); r.ErrorDetail != "" || len(st.Rejected) != 0 || st.NACKReason != "" {
 			t.Errorf("variant %d: after a good one: %+v, %+v", v, r, st)
 		}
 	}
@@ -158,22 +158,22 @@
 	for _, v := range []Variant{SotW, Delta} {
 		m := New(v)
 		m.Connected()
-		m.Handle(t0, Response{Type: Clusters, Version: "1", Nonce: "a", Resources: []Resource{eds("c", "s")}})
-		m.Handle(t0, Response{Type: Endpoints, Version: "1", Nonce: "b", Resources: []Resource{endpoints("s", "1")}})
-		m.Handle(t0, Response{Type: Clusters, Version: "2", Nonce: "c", Resources: []Resource{eds("c", "s2")}})
+		m.HandleResponse(t0, Response{Type: Clusters, Version: "1", Nonce: "a", Resources: []Resource{eds("c", "s")}})
+		m.HandleResponse(t0, Response{Type: Endpoints, Version: "1", Nonce: "b", Resources: []Resource{endpoints("s", "1")}})
+		m.HandleResponse(t0, Response{Type: Clusters, Version: "2", Nonce: "c", Resources: []Resource{eds("c", "s2")}})
 		want(t, m, map[string]string{"c": "1"})
-		m.Handle(t0, Response{Type: Endpoints, Version: "2", Nonce: "d", Resources: []Resource{endpoints("s2", "2")}})
+		m.HandleResponse(t0, Response{Type: Endpoints, Version: "2", Nonce: "d", Resources: []Resource{endpoints("s2", "2")}})
 		want(t, m, map[string]string{"c": "2"})
-		m.Handle(t0, Response{Type: Clusters, Version: "3", Nonce: "e", Resources: []Resource{eds("n", "s3")}, Removed: []string{"c"}})
+		m.HandleResponse(t0, Response{Type: Clusters, Version: "3", Nonce: "e", Resources: []Resource{eds("n", "s3")}, Removed: []string{"c"}})
 		want(t, m, map[string]string{"c": "2", "n": "none yet"})
-		if m.Whole() || !m.Applied()["c"].Leaving {
+		if m.Complete() || !m.Applied()["c"].PendingRemoval {
 			t.Errorf("variant %d: %+v", v, m.Applied())
 		}
-		m.Handle(t0, Response{Type: Endpoints, Version: "3", Nonce: "f", Resources: []Resource{endpoints("s3", "3")}})
+		m.HandleResponse(t0, Response{Type: Endpoints, Version: "3", Nonce: "f", Resources: []Resource{endpoints("s3", "3")}})
 		want(t, m, map[string]string{"n": "3"})
-		m.Handle(t0, Response{Type: Endpoints, Version: "4", Nonce: "g", Resources: []Resource{endpoints("s3")}})
+		m.HandleResponse(t0, Response{Type: Endpoints, Version: "4", Nonce: "g", Resources: []Resource{endpoints("s3")}})
 		want(t, m, map[string]string{"n": ""})
-		if !m.Whole() {
+		if !m.Complete() {
 			t.Errorf("variant %d: an empty list is a list", v)
 		}
 	}
@@ -183,10 +183,10 @@
 func TestVersionsAreNotCompared(t *testing.T) {
 	m := New(SotW)
 	m.Connected()
-	m.Handle(t0, Response{Type: Clusters, Version: "9", Nonce: "a", Resources: []Resource{eds("c", "s")}})
+	m.HandleResponse(t0, Response{Type: Clusters, Version: "9", Nonce: "a", Resources: []Resource{eds("c", "s")}})
 	for i, version := range []string{"9", "1", "1"} {
 		addr := fmt.Sprint(i)
-		m.Handle(t0, Response{Type: Endpoints, Version: version, Nonce: addr, Resources: []Resource{endpoints("s", addr)}})
+		m.HandleResponse(t0, Response{Type: Endpoints, Version: version, Nonce: addr, Resources: []Resource{endpoints("s", addr)}})
 		want(t, m, map[string]string{"c": addr})
 	}
 }
@@ -195,19 +195,19 @@
 func TestTTL(t *testing.T) {
 	m := New(Delta)
 	m.Connected()
-	m.Handle(t0, Response{Type: Clusters, Nonce: "a", Resources: []Resource{eds("c", "s")}})
+	m.HandleResponse(t0, Response{Type: Clusters, Nonce: "a", Resources: []Resource{eds("c", "s")}})
 	e := endpoints("s", "1")
 	e.TTL = 10 * time.Second
-	m.Handle(t0, Response{Type: Endpoints, Nonce: "b", Resources: []Resource{e}})
-	if changed, next := m.Tick(t0.Add(5 * time.Second)); changed || !next.Equal(t0.Add(10*time.Second)) {
+	m.HandleResponse(t0, Response{Type: Endpoints, Nonce: "b", Resources: []Resource{e}})
+	if changed, next := m.ExpireResources(t0.Add(5 * time.Second)); changed || !next.Equal(t0.Add(10*time.Second)) {
 		t.Errorf("changed %v, next %v", changed, next)
 	}
-	m.Handle(t0.Add(6*time.Second), Response{Type: Endpoints, Nonce: "c", Resources: []Resource{{Name: "s", TTL: 10 * time.Second}}})
-	if changed, _ := m.Tick(t0.Add(12 * time.Second)); changed {
+	m.HandleResponse(t0.Add(6*time.Second), Response{Type: Endpoints, Nonce: "c", Resources: []Resource{{Name: "s", TTL: 10 * time.Second}}})
+	if changed, _ := m.ExpireResources(t0.Add(12 * time.Second)); changed {
 		t.Error("gone though its heartbeat came")
 	}
 	want(t, m, map[string]string{"c": "1"})
-	if changed, next := m.Tick(t0.Add(16 * time.Second)); !changed || !next.IsZero() {
+	if changed, next := m.ExpireResources(t0.Add(16 * time.Second)); !changed || !next.IsZero() {
 		t.Errorf("changed %v, next %v", changed, next)
 	}
 	want(t, m, map[string]string{"c": ""})
@@ -218,11 +218,11 @@
 func TestNoncesEndWithTheirStream(t *testing.T) {
 	m := New(SotW)
 	m.Connected()
-	m.Handle(t0, Response{Type: Clusters, Version: "1", Nonce: "a", Resources: []Resource{eds("c", "s")}})
-	m.Handle(t0, Response{Type: Endpoints, Version: "1", Nonce: "b", Resources: []Resource{endpoints("s", "1")}})
+	m.HandleResponse(t0, Response{Type: Clusters, Version: "1", Nonce: "a", Resources: []Resource{eds("c", "s")}})
+	m.HandleResponse(t0, Response{Type: Endpoints, Version: "1", Nonce: "b", Resources: []Resource{endpoints("s", "1")}})
 	m.Disconnected()
 	m.Connected()
-	rs := m.Handle(t0, Response{Type: Clusters, Version: "2", Nonce: "c", Resources: []Resource{eds("c", "s2")}})
+	rs := m.HandleResponse(t0, Response{Type: Clusters, Version: "2", Nonce: "c", Resources: []Resource{eds("c", "s2")}})
 	if len(rs) != 2 || rs[1].Nonce != "" || rs[1].Version != "1" {
 		t.Errorf("on the new stream: %+v", rs)
 	}
@@ -231,15 +231,15 @@
 // What nobody asked for is neither taken nor answered.
 func TestUnaskedResponses(t *testing.T) {
 	m := New(SotW)
-	if got := m.Handle(t0, Response{Type: Clusters, Nonce: "a"}); got != nil {
+	if got := m.HandleResponse(t0, Response{Type: Clusters, Nonce: "a"}); got != nil {
 		t.Errorf("without a stream: %+v", got)
 	}
 	m.Connected()
-	if got := m.Handle(t0, Response{Type: Endpoints, Nonce: "a", Resources: []Resource{endpoints("s", "1")}}); got != nil {
+	if got := m.HandleResponse(t0, Response{Type: Endpoints, Nonce: "a", Resources: []Resource{endpoints("s", "1")}}); got != nil {
 		t.Errorf("endpoints before any cluster: %+v", got)
 	}
-	m.Handle(t0, Response{Type: Clusters, Nonce: "b", Resources: []Resource{eds("c", "s")}})
-	m.Handle(t0, Response{Type: Endpoints, Nonce: "c", Resources: []Resource{endpoints("other", "1")}})
+	m.HandleResponse(t0, Response{Type: Clusters, Nonce: "b", Resources: []Resource{eds("c", "s")}})
+	m.HandleResponse(t0, Response{Type: Endpoints, Nonce: "c", Resources: []Resource{endpoints("other", "1")}})
 	want(t, m, map[string]string{"c": "none yet"})
 }
 
@@ -255,7 +255,7 @@
 
 	// Of the client's stream.
 	names  map[string]bool
-	known  [types]map[string]int // versions that the client was sent
+	known  [numTypes]map[string]int // versions that the client was sent
 	nonce  int
 	inWire []Response
 }
@@ -279,14 +279,14 @@
 // connect begins a stream: what was on its way is lost.
 func (p *plane) connect() {
 	p.inWire, p.names = nil, make(map[string]bool)
-	p.known = [types]map[string]int{make(map[string]int), make(map[string]int)}
+	p.known = [numTypes]map[string]int{make(map[string]int), make(map[string]int)}
 }
 
 // hear takes a request in.
 func (p *plane) hear(r Request) {
 	if r.Type == Clusters {
 		if r.Nonce == "" {
-			for name, v := range r.Initial {
+			for name, v := range r.InitialVersions {
 				fmt.Sscan(v, ptr(p.known[Clusters], name))
 			}
 			p.sendClusters()
@@ -295,12 +295,12 @@
 	}
 	if p.variant == SotW {
 		clear(p.names)
-		for _, n := range r.Names {
+		for _, n := range r.ResourceNames {
 			p.names[n] = true
 		}
 		maps.DeleteFunc(p.known[Endpoints], func(n string, _ int) bool { return !p.names[n] })
 	} else {
-		for name, v := range r.Initial {
+		for name, v := range r.InitialVersions {
 			fmt.Sscan(v, ptr(p.known[Endpoints], name))
 		}
 		for _, n := range r.Unsubscribe {
@@ -402,7 +402,7 @@
 					some += len(a.Assignment.Endpoints)
 				}
 			}
-			hear(m.Handle(now, r))
+			hear(m.HandleResponse(now, r))
 			after := 0
 			for name, a := range m.Applied() {
 				if a.Assignment == nil {
@@ -417,7 +417,7 @@
 					t.Fatalf("cluster %s serves %q of %s, which was never a list", name, state, a.Assignment.Name)
 				}
 			}
-			if some > 0 && after == 0 && !m.Whole() {
+			if some > 0 && after == 0 && !m.Complete() {
 				// Only an empty list of endpoints, which is obeyed, may leave nobody.
 				for _, a := range m.Applied() {
 					if a.Assignment != nil {
@@ -490,8 +490,8 @@
 		for name, service := range p.clusters {
 			newest[name] = strings.Join(p.addrs[service], " ") + " "
 		}
-		if !reflect.DeepEqual(got, newest) || !m.Whole() {
-			t.Fatalf("at rest %v, whole %v, want %v", got, m.Whole(), newest)
+		if !reflect.DeepEqual(got, newest) || !m.Complete() {
+			t.Fatalf("at rest %v, whole %v, want %v", got, m.Complete(), newest)
 		}
 	})
 }
--- a/discovery/xds/bootstrap.go
+++ b/discovery/xds/bootstrap.go
@@ -46,7 +46,7 @@
 			switch creds.Type {
 			case "insecure":
 			case "tls":
-				roots, err := pool(ca)
+				roots, err := certPool(ca)
 				if err != nil {
 					return Config{}, err
 				}
@@ -64,15 +64,15 @@
 	}
 	if len(f.Node) > 0 {
 		if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(f.Node, c.Node); err != nil {
-			return Config{}, fmt.Errorf("bootstrap: node: %s", oneLine(err))
+			return Config{}, fmt.Errorf("bootstrap: node: %s", firstLine(err))
 		}
 	}
 	c.Node.UserAgentName = "wayhold"
 	return c, nil
 }
 
-// pool is the certificates that control planes are checked against; nil is the system's.
-func pool(ca string) (*x509.CertPool, error) {
+// certPool is the certificates that control planes are checked against; nil is the system's.
+func certPool(ca string) (*x509.CertPool, error) {
 	if ca == "" {
 		return nil, nil
 	}
--- a/discovery/xds/decode.go
+++ b/discovery/xds/decode.go
@@ -14,11 +14,11 @@
 	"google.golang.org/protobuf/types/known/anypb"
 )
 
-var urls = [...]string{ads.Clusters: resource.ClusterURL, ads.Endpoints: resource.AssignmentURL, ads.Secrets: resource.SecretURL}
+var typeURLs = [...]string{ads.Clusters: resource.ClusterURL, ads.Endpoints: resource.AssignmentURL, ads.Secrets: resource.SecretURL}
 
-// typeOf tells which type a URL names.
-func typeOf(url string) (ads.Type, bool) {
-	for t, u := range urls {
+// typeFromURL tells which type a URL names.
+func typeFromURL(url string) (ads.Type, bool) {
+	for t, u := range typeURLs {
 		if u == url {
 			return ads.Type(t), true
 		}
@@ -29,26 +29,26 @@
 // decodeSotW reads a response of the state of the world. A resource whose name can't be read makes the
 // whole unreadable: nobody could tell which one it leaves as it was.
 func decodeSotW(p *xdspb.DiscoveryResponse) (r ads.Response, ok bool) {
-	r.Type, ok = typeOf(p.GetTypeUrl())
+	r.Type, ok = typeFromURL(p.GetTypeUrl())
 	if !ok {
 		return r, false
 	}
 	r.Version, r.Nonce = p.GetVersionInfo(), p.GetNonce()
 	for i, any := range p.GetResources() {
-		in, err := decode(r.Type, any)
+		in, err := decodeResource(r.Type, any)
 		if err != nil {
 			r.Err = fmt.Errorf("resources[%d]: %w", i, err)
 			return r, true
 		}
 		r.Resources = append(r.Resources, in)
 	}
-	r.Err = twice(r.Resources)
+	r.Err = checkDuplicates(r.Resources)
 	return r, true
 }
 
 // decodeDelta reads an incremental response.
 func decodeDelta(p *xdspb.DeltaDiscoveryResponse) (r ads.Response, ok bool) {
-	r.Type, ok = typeOf(p.GetTypeUrl())
+	r.Type, ok = typeFromURL(p.GetTypeUrl())
 	if !ok {
 		return r, false
 	}
@@ -57,7 +57,7 @@
 		in := ads.Resource{Name: wrapped.GetName()}
 		if wrapped.GetResource() != nil {
 			var err error
-			if in, err = decode(r.Type, wrapped.GetResource()); err != nil {
+			if in, err = decodeResource(r.Type, wrapped.GetResource()); err != nil {
 				r.Err = fmt.Errorf("resources[%d]: %w", i, err)
 				return r, true
 			}
@@ -73,12 +73,12 @@
 		in.Version, in.TTL = wrapped.GetVersion(), wrapped.GetTtl().AsDuration()
 		r.Resources = append(r.Resources, in)
 	}
-	r.Err = twice(r.Resources)
+	r.Err = checkDuplicates(r.Resources)
 	return r, true
 }
 
-// twice tells of a name that a response holds more than once: which of the two holds, nobody knows.
-func twice(all []ads.Resource) error {
+// checkDuplicates tells of a name that a response holds more than once: which of the two holds, nobody knows.
+func checkDuplicates(all []ads.Resource) error {
 	seen := make(map[string]bool, len(all))
 	for _, r := range all {
 		if seen[r.Name] {
@@ -89,10 +89,10 @@
 	return nil
 }
 
-// decode reads one resource. One that is refused has its name and its reason.
-func decode(t ads.Type, any *anypb.Any) (ads.Resource, error) {
-	if any.GetTypeUrl() != urls[t] {
-		return ads.Resource{}, fmt.Errorf("type_url: want %s, got %q", urls[t], any.GetTypeUrl())
+// decodeResource reads one resource. One that is refused has its name and its reason.
+func decodeResource(t ads.Type, any *anypb.Any) (ads.Resource, error) {
+	if any.GetTypeUrl() != typeURLs[t] {
+		return ads.Resource{}, fmt.Errorf("type_url: want %s, got %q", typeURLs[t], any.GetTypeUrl())
 	}
 	if t == ads.Clusters {
 		var p xdspb.Cluster
@@ -135,10 +135,10 @@
 // encode turns the machine's requests into those of the wire.
 func encodeSotW(r ads.Request, node *xdspb.Node) *xdspb.DiscoveryRequest {
 	p := &xdspb.DiscoveryRequest{
-		VersionInfo: r.Version, ResourceNames: r.Names, TypeUrl: urls[r.Type],
-		ResponseNonce: r.Nonce, ErrorDetail: detail(r.Error),
+		VersionInfo: r.Version, ResourceNames: r.ResourceNames, TypeUrl: typeURLs[r.Type],
+		ResponseNonce: r.Nonce, ErrorDetail: errorDetail(r.ErrorDetail),
 	}
-	if r.Node {
+	if r.IncludeNode {
 		p.Node = node
 	}
 	return p
@@ -146,26 +146,26 @@
 
 func encodeDelta(r ads.Request, node *xdspb.Node) *xdspb.DeltaDiscoveryRequest {
 	p := &xdspb.DeltaDiscoveryRequest{
-		TypeUrl: urls[r.Type], ResourceNamesSubscribe: r.Subscribe,
-		ResourceNamesUnsubscribe: r.Unsubscribe, InitialResourceVersions: r.Initial, ResponseNonce: r.Nonce,
-		ErrorDetail: detail(r.Error),
+		TypeUrl: typeURLs[r.Type], ResourceNamesSubscribe: r.Subscribe,
+		ResourceNamesUnsubscribe: r.Unsubscribe, InitialResourceVersions: r.InitialVersions, ResponseNonce: r.Nonce,
+		ErrorDetail: errorDetail(r.ErrorDetail),
 	}
-	if r.Node {
+	if r.IncludeNode {
 		p.Node = node
 	}
 	return p
 }
 
-// maxDetail bounds what is told of a reason, in bytes.
-const maxDetail = 4096
+// maxErrorDetail bounds what is told of a reason, in bytes.
+const maxErrorDetail = 4096
 
-// detail is the reason of a NACK: google.rpc.Code INVALID_ARGUMENT.
-func detail(reason string) *xdspb.Status {
+// errorDetail is the reason of a NACK: google.rpc.Code INVALID_ARGUMENT.
+func errorDetail(reason string) *xdspb.Status {
 	if reason == "" {
 		return nil
 	}
-	if len(reason) > maxDetail {
-		reason = reason[:maxDetail]
+	if len(reason) > maxErrorDetail {
+		reason = reason[:maxErrorDetail]
 	}
 	return &xdspb.Status{Code: 3, Message: reason}
 }
--- a/discovery/xds/file_test.go
+++ b/discovery/xds/file_test.go
@@ -35,7 +35,7 @@
 		}
 		p.Resources = append(p.Resources, &anypb.Any{TypeUrl: url, Value: raw})
 	}
-	text, err := protojson.MarshalOptions{Resolver: resolver{protoregistry.GlobalTypes}}.Marshal(p)
+	text, err := protojson.MarshalOptions{Resolver: typeResolver{protoregistry.GlobalTypes}}.Marshal(p)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -93,7 +93,7 @@
 	clusters, endpoints := filepath.Join(dir, "cds.json"), filepath.Join(dir, "eds.json")
 	put(t, clusters, pack(t, cluster("rooms")))
 	put(t, endpoints, pack(t, assignment("rooms", "10.0.0.1:1")))
-	s, err := NewFiles([]string{clusters, endpoints}, nil)
+	s, err := NewFileSource([]string{clusters, endpoints}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -114,7 +114,7 @@
 		testkit.Await(t, want, func() bool {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			return s.refused != nil && strings.Contains(s.refused.Error(), want) && !strings.Contains(s.refused.Error(), "\n")
+			return s.readErr != nil && strings.Contains(s.readErr.Error(), want) && !strings.Contains(s.readErr.Error(), "\n")
 		})
 		if got := l.running(); got != "10.0.0.1:1" {
 			t.Errorf("%s: in force %q", want, got)
@@ -123,7 +123,7 @@
 	if err := os.Remove(endpoints); err != nil {
 		t.Fatal(err)
 	}
-	testkit.Await(t, "the loss to be noticed", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return os.IsNotExist(s.refused) })
+	testkit.Await(t, "the loss to be noticed", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return os.IsNotExist(s.readErr) })
 	put(t, endpoints, pack(t, assignment("rooms", "10.0.0.4:1")))
 	l.await(t, "10.0.0.4:1")
 }
@@ -132,33 +132,33 @@
 func TestTheListIsKept(t *testing.T) {
 	dir, p := t.TempDir(), plane(t)
 	p.Set(cluster("rooms"), assignment("rooms", "10.0.0.1:1", "10.0.0.2:1"))
-	_, l := run(t, Config{Servers: []Server{{Addr: p.Addr}}, Dir: dir})
+	_, l := run(t, Config{Servers: []Server{{Addr: p.Addr}}, CacheDir: dir})
 	l.await(t, "10.0.0.1:1 10.0.0.2:1")
-	testkit.Await(t, "the file", func() bool { k, err := load(dir); return err == nil && len(k.Clusters["rooms"].Endpoints) == 2 })
+	testkit.Await(t, "the file", func() bool { k, err := readCache(dir); return err == nil && len(k.Clusters["rooms"].Endpoints) == 2 })
 	other := plane(t)
-	other.Mute(true)
-	_, again := run(t, Config{Servers: []Server{{Addr: other.Addr}}, Dir: dir})
+	other.SetMuted(true)
+	_, again := run(t, Config{Servers: []Server{{Addr: other.Addr}}, CacheDir: dir})
 	again.await(t, "10.0.0.1:1 10.0.0.2:1")
 	other.Set(cluster("rooms"), assignment("rooms", "10.0.0.2:1"))
-	other.Mute(false)
+	other.SetMuted(false)
 	again.await(t, "10.0.0.2:1")
 }
 
 // A file that is torn, altered or foreign is refused, and does no harm.
 func TestKeptFilesThatAreRefused(t *testing.T) {
 	dir := t.TempDir()
-	if err := save(dir, kept{Saved: time.Now(), Clusters: map[string]*resource.Assignment{"rooms": {
+	if err := writeCache(dir, cachedList{Saved: time.Now(), Clusters: map[string]*resource.Assignment{"rooms": {
 		Name:      "rooms",
 		Endpoints: []resource.Endpoint{{Addr: "10.0.0.1:1", Health: resource.Healthy}},
 	}}}); err != nil {
 		t.Fatal(err)
 	}
-	path := filepath.Join(dir, keptName)
+	path := filepath.Join(dir, cacheFileName)
 	good, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := load(dir); err != nil {
+	if _, err := readCache(dir); err != nil {
 		t.Fatal(err)
 	}
 	for want, text := range map[string]string{
@@ -170,13 +170,13 @@
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := load(dir); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+		if _, err := readCache(dir); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("got %v, want one line with %q", err, want)
 		}
 	}
 	p := plane(t)
 	p.Set(cluster("rooms"), assignment("rooms", "10.0.0.5:1"))
-	_, l := run(t, Config{Servers: []Server{{Addr: p.Addr}}, Dir: dir})
+	_, l := run(t, Config{Servers: []Server{{Addr: p.Addr}}, CacheDir: dir})
 	l.await(t, "10.0.0.5:1")
 	left, err := filepath.Glob(filepath.Join(dir, "*"))
 	if err != nil || len(left) > 2 {
@@ -221,7 +221,7 @@
 			}
 			return
 		}
-		for _, m := range Members(r) {
+		for _, m := range EndpointsOf(r) {
 			if m.ID == "" || m.Addr == "" {
 				t.Errorf("%q: %+v", text, m)
 			}
--- a/discovery/xds/inode.go
+++ b/discovery/xds/inode.go
@@ -5,8 +5,8 @@
 	"syscall"
 )
 
-// inode tells a file from another that was put in its place.
-func inode(info fs.FileInfo) uint64 {
+// inodeOf tells a file from another that was put in its place.
+func inodeOf(info fs.FileInfo) uint64 {
 	if s, ok := info.Sys().(*syscall.Stat_t); ok {
 		return s.Ino
 	}
--- a/discovery/xds/priority/priority.go
+++ b/discovery/xds/priority/priority.go
@@ -9,15 +9,15 @@
 
 import "cobaltward/discovery/xds/resource"
 
-// enough allows for rounding: 5 of 7 healthy at a factor of 1.4 are all that is asked for.
-const enough = 1 - 1e-9
+// fullAvailability allows for rounding: 5 of 7 healthy at a factor of 1.4 are all that is asked for.
+const fullAvailability = 1 - 1e-9
 
-// Open tells of each endpoint whether new work may go to it.
+// Eligible tells of each endpoint whether new work may go to it.
 //
 // Levels are opened in order until their availability adds up to the whole. Degraded endpoints of open
 // levels are used only where the healthy ones of all levels do not come to that. Where nothing at all is
 // healthy or degraded, nothing is open: the control plane has said that none should be used.
-func Open(a *resource.Assignment) []bool {
+func Eligible(a *resource.Assignment) []bool {
 	type level struct{ all, healthy int }
 	var levels []level
 	for _, e := range a.Endpoints {
@@ -26,7 +26,7 @@
 		}
 		l := &levels[e.Priority]
 		l.all++
-		if usable(e.Health) {
+		if isHealthy(e.Health) {
 			l.healthy++
 		}
 	}
@@ -35,17 +35,17 @@
 		factor = 1
 	}
 	opened, sum := 0, 0.0
-	for ; opened < len(levels) && sum < enough; opened++ {
+	for ; opened < len(levels) && sum < fullAvailability; opened++ {
 		if l := levels[opened]; l.all > 0 {
 			sum += min(1, factor*float64(l.healthy)/float64(l.all))
 		}
 	}
 	open := make([]bool, len(a.Endpoints))
 	for i, e := range a.Endpoints {
-		open[i] = int(e.Priority) < opened && (usable(e.Health) || e.Health == resource.Degraded && sum < enough)
+		open[i] = int(e.Priority) < opened && (isHealthy(e.Health) || e.Health == resource.Degraded && sum < fullAvailability)
 	}
 	return open
 }
 
-// usable tells whether an endpoint counts as healthy: so does one that nobody has checked.
-func usable(h resource.Health) bool { return h == resource.Healthy || h == resource.Unknown }
+// isHealthy tells whether an endpoint counts as healthy: so does one that nobody has checked.
+func isHealthy(h resource.Health) bool { return h == resource.Healthy || h == resource.Unknown }
--- a/discovery/xds/priority/priority_test.go
+++ b/discovery/xds/priority/priority_test.go
@@ -46,7 +46,7 @@
 		{1.4, "GGG", "xxx"},
 		{1.4, "", ""},
 	} {
-		open := Open(assignment(c.factor, c.text))
+		open := Eligible(assignment(c.factor, c.text))
 		var got strings.Builder
 		i := 0
 		for _, r := range c.text {
@@ -69,11 +69,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		text := strings.Join(rapid.SliceOfN(rapid.StringOfN(rapid.SampledFrom([]rune("HKUTDG")), 1, 6, -1), 1, 4).Draw(t, "levels"), " ")
 		a := assignment(rapid.SampledFrom([]float64{1, 1.4, 2}).Draw(t, "factor"), text)
-		open := Open(a)
+		open := Eligible(a)
 		healthy, some := 0, false
 		for i, e := range a.Endpoints {
 			some = some || open[i]
-			if usable(e.Health) {
+			if isHealthy(e.Health) {
 				healthy++
 			} else if open[i] && e.Health != resource.Degraded {
 				t.Fatalf("%q: endpoint %d is open though it is %v", text, i, e.Health)
@@ -84,7 +84,7 @@
 		}
 		n := rapid.IntRange(0, len(a.Endpoints)-1).Draw(t, "recovers")
 		a.Endpoints[n].Health = resource.Healthy
-		for i, o := range Open(a) {
+		for i, o := range Eligible(a) {
 			if e := a.Endpoints[i]; open[i] && !o && e.Health != resource.Degraded && e.Priority <= a.Endpoints[n].Priority {
 				t.Fatalf("%q: endpoint %d closes as %d recovers", text, i, n)
 			}
--- a/discovery/xds/resource/decode.go
+++ b/discovery/xds/resource/decode.go
@@ -11,59 +11,59 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// pauseEvery is after how many endpoints the reader of a large assignment may be made to pause.
-const pauseEvery = 32
+// pauseInterval is after how many endpoints the reader of a large assignment may be made to pause.
+const pauseInterval = 32
 
-// errWire says that bytes are no message of the type that they are for.
-var errWire = errors.New("not a ClusterLoadAssignment")
+// errMalformed says that bytes are no message of the type that they are for.
+var errMalformed = errors.New("not a ClusterLoadAssignment")
 
 // DecodeAssignment reads the endpoints of a cluster from the wire, as ParseAssignment does. Endpoints of
 // the plainest form, which nearly all are, are read in place; for any other the generated reader judges
 // (FuzzResources holds the two against one another). Where the bytes are no message, the name is empty. pause,
 // where it is not nil, is called every few endpoints.
 func DecodeAssignment(raw []byte, pause func()) (name string, a *Assignment, err error) {
-	rest, localities, err := split(raw, 2)
+	rest, localities, err := extractField(raw, 2)
 	if err != nil {
 		return "", nil, err
 	}
 	var p xdspb.ClusterLoadAssignment
 	if proto.Unmarshal(rest, &p) != nil {
-		return "", nil, errWire
+		return "", nil, errMalformed
 	}
-	parts := make([]locality, len(localities))
+	parts := make([]rawLocality, len(localities))
 	for i, l := range localities {
-		head, endpoints, err := split(l, 2)
+		head, endpoints, err := extractField(l, 2)
 		if err != nil {
 			return "", nil, err
 		}
-		if proto.Unmarshal(head, &parts[i].head) != nil {
-			return "", nil, errWire
+		if proto.Unmarshal(head, &parts[i].message) != nil {
+			return "", nil, errMalformed
 		}
 		parts[i].endpoints = endpoints
 	}
-	a, err = build(&p, parts, pause)
-	if errors.Is(err, errWire) {
-		return "", nil, errWire
+	a, err = buildAssignment(&p, parts, pause)
+	if errors.Is(err, errMalformed) {
+		return "", nil, errMalformed
 	}
 	return p.GetClusterName(), a, err
 }
 
-// locality is one of an assignment's, its endpoints still as they came.
-type locality struct {
-	head      xdspb.LocalityLbEndpoints
+// rawLocality is one of an assignment's, its endpoints still as they came.
+type rawLocality struct {
+	message      xdspb.LocalityLbEndpoints
 	endpoints [][]byte
 }
 
-// split takes the occurrences of one field, which holds messages, out of a message.
-func split(raw []byte, field protowire.Number) (rest []byte, taken [][]byte, err error) {
+// extractField takes the occurrences of one field, which holds messages, out of a message.
+func extractField(raw []byte, field protowire.Number) (rest []byte, taken [][]byte, err error) {
 	for len(raw) > 0 {
 		num, typ, n := protowire.ConsumeTag(raw)
 		if n < 0 {
-			return nil, nil, errWire
+			return nil, nil, errMalformed
 		}
 		m := protowire.ConsumeFieldValue(num, typ, raw[n:])
 		if m < 0 {
-			return nil, nil, errWire
+			return nil, nil, errMalformed
 		}
 		if num == field && typ == protowire.BytesType {
 			v, _ := protowire.ConsumeBytes(raw[n:])
@@ -78,35 +78,35 @@
 
 // decodeEndpoint reads one endpoint; its error is told with the field.
 func decodeEndpoint(raw []byte) (e Endpoint, field string, err error) {
-	if e, ok := plainEndpoint(raw); ok {
+	if e, ok := decodeSimpleEndpoint(raw); ok {
 		return e, "", nil
 	}
 	var p xdspb.LbEndpoint
 	if proto.Unmarshal(raw, &p) != nil {
-		return e, "", errWire
+		return e, "", errMalformed
 	}
 	return parseEndpoint(&p)
 }
 
-// plainEndpoint reads an endpoint that has an IP address, a port, and at most its health and weight
+// decodeSimpleEndpoint reads an endpoint that has an IP address, a port, and at most its health and weight
 // beside it, each once. It reports false for all else, good or bad.
-func plainEndpoint(raw []byte) (e Endpoint, ok bool) {
+func decodeSimpleEndpoint(raw []byte) (e Endpoint, ok bool) {
 	var host, health, weight []byte
-	if !fields(raw, &host, &health, nil, &weight) {
+	if !decodeFields(raw, &host, &health, nil, &weight) {
 		return e, false
 	}
 	var addr, sock, ip, port []byte
-	if !fields(host, &addr) || !fields(addr, &sock) || !fields(sock, nil, &ip, &port) {
+	if !decodeFields(host, &addr) || !decodeFields(addr, &sock) || !decodeFields(sock, nil, &ip, &port) {
 		return e, false
 	}
 	at, err := netip.ParseAddr(string(ip))
-	n, ok := number(port)
+	n, ok := decodeVarint(port)
 	if err != nil || at.Zone() != "" || !ok || n == 0 || n > 65535 {
 		return e, false
 	}
 	e = Endpoint{Addr: netip.AddrPortFrom(at.Unmap(), uint16(n)).String(), Weight: 1}
 	if health != nil {
-		n, ok := number(health)
+		n, ok := decodeVarint(health)
 		if !ok || n > uint64(Degraded) {
 			return e, false
 		}
@@ -114,10 +114,10 @@
 	}
 	if weight != nil {
 		var value []byte
-		if !fields(weight, &value) {
+		if !decodeFields(weight, &value) {
 			return e, false
 		}
-		n, ok := number(value)
+		n, ok := decodeVarint(value)
 		if !ok || n == 0 || n > 1<<32-1 {
 			return e, false
 		}
@@ -126,9 +126,9 @@
 	return e, true
 }
 
-// fields takes the fields numbered from 1 on out of a message. It reports false where it has another, one
+// decodeFields takes the decodeFields numbered from 1 on out of a message. It reports false where it has another, one
 // for which there is nil, one twice, or one that is neither bytes nor a varint.
-func fields(raw []byte, to ...*[]byte) bool {
+func decodeFields(raw []byte, to ...*[]byte) bool {
 	for len(raw) > 0 {
 		num, typ, n := protowire.ConsumeTag(raw)
 		if n < 0 || int(num) > len(to) || to[num-1] == nil || *to[num-1] != nil {
@@ -160,22 +160,22 @@
 	return true
 }
 
-// number is a whole varint.
-func number(raw []byte) (uint64, bool) {
+// decodeVarint is a whole varint.
+func decodeVarint(raw []byte) (uint64, bool) {
 	v, n := protowire.ConsumeVarint(raw)
 	return v, n > 0 && n == len(raw)
 }
 
-// build puts an assignment together, or says by which endpoint and field the whole is refused.
-func build(p *xdspb.ClusterLoadAssignment, parts []locality, pause func()) (*Assignment, error) {
+// buildAssignment puts an assignment together, or says by which endpoint and field the whole is refused.
+func buildAssignment(p *xdspb.ClusterLoadAssignment, parts []rawLocality, pause func()) (*Assignment, error) {
 	if err := checkName("cluster_name", p.GetClusterName()); err != nil {
 		return nil, err
 	}
-	a := &Assignment{Name: p.GetClusterName(), Overprovisioning: defaultPercent / 100.0}
+	a := &Assignment{Name: p.GetClusterName(), Overprovisioning: defaultOverprovisioningPercent / 100.0}
 	fail := func(field string, err error) (*Assignment, error) {
 		return nil, fmt.Errorf("assignment %q: %s: %w", a.Name, field, err)
 	}
-	if err := a.policy(p.GetPolicy()); err != nil {
+	if err := a.applyPolicy(p.GetPolicy()); err != nil {
 		return fail("policy", err)
 	}
 	total := 0
@@ -189,7 +189,7 @@
 	seen := make(map[string]bool, total)
 	highest, used := uint32(0), make(map[uint32]bool)
 	for i := range parts {
-		l, at := &parts[i].head, fmt.Sprintf("endpoints[%d]", i)
+		l, at := &parts[i].message, fmt.Sprintf("endpoints[%d]", i)
 		if l.GetPriority() > maxPriority {
 			return fail(at+".priority", fmt.Errorf("want at most %d, got %d", maxPriority, l.GetPriority()))
 		}
@@ -197,7 +197,7 @@
 		// weighs servers, and zones come by its own order, so the weight of a locality is not read.
 		highest, used[l.GetPriority()] = max(highest, l.GetPriority()), true
 		for j, raw := range parts[i].endpoints {
-			if pause != nil && len(a.Endpoints)%pauseEvery == pauseEvery-1 {
+			if pause != nil && len(a.Endpoints)%pauseInterval == pauseInterval-1 {
 				pause()
 			}
 			e, field, err := decodeEndpoint(raw)
--- a/discovery/xds/resource/resource.go
+++ b/discovery/xds/resource/resource.go
@@ -20,15 +20,15 @@
 	AssignmentURL = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
 )
 
-// Namespace is that of the router's own keys in an endpoint's filter_metadata.
-const Namespace = "wayhold"
+// MetadataNamespace is that of the router's own keys in an endpoint's filter_metadata.
+const MetadataNamespace = "wayhold"
 
 const (
 	// MaxEndpoints bounds the endpoints of one assignment.
 	MaxEndpoints   = 200_000
-	maxName        = 512
+	maxNameLength        = 512
 	maxPriority    = 127
-	defaultPercent = 140 // overprovisioning factor, as Envoy has it
+	defaultOverprovisioningPercent = 140 // overprovisioning factor, as Envoy has it
 	maxMetadataInt = 1 << 53
 )
 
@@ -36,7 +36,7 @@
 type Cluster struct {
 	Name    string
 	EDS     bool
-	Service string
+	ServiceName string
 	Static  *Assignment
 }
 
@@ -92,12 +92,12 @@
 	}
 	switch p.GetType() {
 	case xdspb.Cluster_EDS:
-		c.EDS, c.Service = true, p.GetEdsClusterConfig().GetServiceName()
-		if c.Service == "" {
-			c.Service = c.Name
+		c.EDS, c.ServiceName = true, p.GetEdsClusterConfig().GetServiceName()
+		if c.ServiceName == "" {
+			c.ServiceName = c.Name
 		}
-		if len(c.Service) > maxName {
-			return bad("eds_cluster_config.service_name", "over %d bytes", maxName)
+		if len(c.ServiceName) > maxNameLength {
+			return bad("eds_cluster_config.service_name", "over %d bytes", maxNameLength)
 		}
 		if p.GetLoadAssignment() != nil {
 			return bad("load_assignment", "a cluster of type EDS has none")
@@ -124,14 +124,14 @@
 func ParseAssignment(p *xdspb.ClusterLoadAssignment) (*Assignment, error) {
 	raw, err := proto.Marshal(p)
 	if err != nil {
-		return nil, errWire
+		return nil, errMalformed
 	}
 	_, a, err := DecodeAssignment(raw, nil)
 	return a, err
 }
 
-// policy reads what holds for the whole assignment.
-func (a *Assignment) policy(p *xdspb.ClusterLoadAssignment_Policy) error {
+// applyPolicy reads what holds for the whole assignment.
+func (a *Assignment) applyPolicy(p *xdspb.ClusterLoadAssignment_Policy) error {
 	keep := 1.0
 	for i, d := range p.GetDropOverloads() {
 		of := map[xdspb.FractionalPercent_DenominatorType]float64{
@@ -204,8 +204,8 @@
 		return e, "health_status", fmt.Errorf("unknown: %d", lb.GetHealthStatus())
 	}
 	e.Health = Health(lb.GetHealthStatus())
-	for key, v := range lb.GetMetadata().GetFilterMetadata()[Namespace].GetFields() {
-		at := "metadata.filter_metadata." + Namespace + "." + key
+	for key, v := range lb.GetMetadata().GetFilterMetadata()[MetadataNamespace].GetFields() {
+		at := "metadata.filter_metadata." + MetadataNamespace + "." + key
 		switch key {
 		case "kind":
 			e.Kind = v.GetStringValue()
@@ -242,8 +242,8 @@
 	if name == "" {
 		return fmt.Errorf("%s: missing", field)
 	}
-	if len(name) > maxName {
-		return fmt.Errorf("%s: over %d bytes", field, maxName)
+	if len(name) > maxNameLength {
+		return fmt.Errorf("%s: over %d bytes", field, maxNameLength)
 	}
 	return nil
 }
--- a/discovery/xds/resource/resource_test.go
+++ b/discovery/xds/resource/resource_test.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	e.Metadata = &xdspb.Metadata{FilterMetadata: map[string]*structpb.Struct{Namespace: s}}
+	e.Metadata = &xdspb.Metadata{FilterMetadata: map[string]*structpb.Struct{MetadataNamespace: s}}
 }
 
 func TestReadsAnAssignment(t *testing.T) {
@@ -145,7 +145,7 @@
 	static := typed(xdspb.Cluster_STATIC)
 	static.LoadAssignment = good()
 	for want, p := range map[string]*xdspb.Cluster{"rooms": typed(xdspb.Cluster_EDS), "rooms-v2": named} {
-		if c, err := ParseCluster(p); err != nil || !c.EDS || c.Service != want || c.Static != nil {
+		if c, err := ParseCluster(p); err != nil || !c.EDS || c.ServiceName != want || c.Static != nil {
 			t.Errorf("%+v, %v", c, err)
 		}
 	}
@@ -189,11 +189,11 @@
 		if err == nil && (!whole || name != a.GetClusterName() || got.Name == "" || got.Drop < 0 || got.Drop > 1) {
 			t.Errorf("%q, %+v", name, got)
 		}
-		if whole && err != nil && errors.Is(err, errWire) {
+		if whole && err != nil && errors.Is(err, errMalformed) {
 			t.Errorf("%v of what the generated reader takes", err)
 		}
 		var e xdspb.LbEndpoint
-		if plain, ok := plainEndpoint(raw); ok {
+		if plain, ok := decodeSimpleEndpoint(raw); ok {
 			if err := proto.Unmarshal(raw, &e); err != nil {
 				t.Fatalf("%+v of what the generated reader refuses: %v", plain, err)
 			}
--- a/discovery/xds/resource/secret.go
+++ b/discovery/xds/resource/secret.go
@@ -18,11 +18,11 @@
 	source := "secret " + p.GetName()
 	switch t := p.GetType().(type) {
 	case *xdspb.Secret_TlsCertificate:
-		chain, err := inline("tls_certificate.certificate_chain", t.TlsCertificate.GetCertificateChain())
+		chain, err := inlineData("tls_certificate.certificate_chain", t.TlsCertificate.GetCertificateChain())
 		if err != nil {
 			return nil, err
 		}
-		key, err := inline("tls_certificate.private_key", t.TlsCertificate.GetPrivateKey())
+		key, err := inlineData("tls_certificate.private_key", t.TlsCertificate.GetPrivateKey())
 		if err != nil {
 			return nil, err
 		}
@@ -32,7 +32,7 @@
 		}
 		return keys.NewSet([]*keys.Pair{pair}, nil), nil
 	case *xdspb.Secret_ValidationContext:
-		raw, err := inline("validation_context.trusted_ca", t.ValidationContext.GetTrustedCa())
+		raw, err := inlineData("validation_context.trusted_ca", t.ValidationContext.GetTrustedCa())
 		if err != nil {
 			return nil, err
 		}
@@ -45,7 +45,7 @@
 	return nil, errors.New("type: want tls_certificate or validation_context")
 }
 
-func inline(field string, d *xdspb.DataSource) ([]byte, error) {
+func inlineData(field string, d *xdspb.DataSource) ([]byte, error) {
 	switch s := d.GetSpecifier().(type) {
 	case *xdspb.DataSource_InlineBytes:
 		return s.InlineBytes, nil
--- a/discovery/xds/scale_test.go
+++ b/discovery/xds/scale_test.go
@@ -45,27 +45,27 @@
 	for _, n := range []int{100, 1000, 10_000, 100_000} {
 		for _, each := range []int{n, 100} {
 			b.Run(fmt.Sprintf("endpoints=%d/cluster=%d", n, each), func(b *testing.B) {
-				m, book := ads.New(ads.Delta), newBook()
+				m, book := ads.New(ads.Delta), newSnapshot()
 				m.Connected()
 				clusters := ads.Response{Type: ads.Clusters}
 				first := &xdspb.DeltaDiscoveryResponse{TypeUrl: resource.AssignmentURL}
 				for i := range n / each {
 					name := fmt.Sprint("c", i)
-					clusters.Resources = append(clusters.Resources, ads.Resource{Name: name, Value: &resource.Cluster{Name: name, EDS: true, Service: name}})
+					clusters.Resources = append(clusters.Resources, ads.Resource{Name: name, Value: &resource.Cluster{Name: name, EDS: true, ServiceName: name}})
 					body := wire(b, name, each, 0, false)
 					if n != each { // apart from the other clusters
 						body = wireAt(b, name, each, i)
 					}
 					first.Resources = append(first.Resources, &xdspb.Resource{Name: name, Resource: body})
 				}
-				m.Handle(time.Unix(1, 0), clusters)
+				m.HandleResponse(time.Unix(1, 0), clusters)
 				apply := func(p *xdspb.DeltaDiscoveryResponse) int {
 					r, ok := decodeDelta(p)
 					if !ok || r.Err != nil {
 						b.Fatal(r.Err)
 					}
-					m.Handle(time.Unix(1, 0), r)
-					return len(book.update(m.Applied()))
+					m.HandleResponse(time.Unix(1, 0), r)
+					return len(book.apply(m.Applied()))
 				}
 				if got := apply(first); got != n {
 					b.Fatalf("%d servers, want %d", got, n)
--- a/discovery/xds/script_test.go
+++ b/discovery/xds/script_test.go
@@ -62,7 +62,7 @@
 				p := plane(t)
 				_, l := run(t, Config{Servers: []Server{{Addr: p.Addr}}, Delta: delta})
 				for i, part := range []string{c.first, c.then} {
-					s, err := standin.Parse(strings.NewReader(part))
+					s, err := standin.ParseScript(strings.NewReader(part))
 					if err == nil {
 						err = s.Run(t.Context(), p, io.Discard)
 					}
@@ -95,12 +95,12 @@
 		"expect acks 1":                    `want acks N, streams N, or nack TEXT, then "within TIME"`,
 		"stall servers":                    "want clusters, endpoints or nothing",
 	} {
-		if _, err := standin.Parse(strings.NewReader(text)); err == nil || !strings.Contains(err.Error(), want) {
+		if _, err := standin.ParseScript(strings.NewReader(text)); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: got %v, want %q", text, err, want)
 		}
 	}
 	p := plane(t)
-	s, err := standin.Parse(strings.NewReader("push\nexpect streams 1 within 10ms"))
+	s, err := standin.ParseScript(strings.NewReader("push\nexpect streams 1 within 10ms"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -170,12 +170,12 @@
 		}
 		s, l := run(t, c)
 		if want == 0 {
-			testkit.Await(t, "the refusal", func() bool { return s.Status().Last != nil })
-			if err := s.Status().Last.Error(); !strings.Contains(err, "certificate") {
+			testkit.Await(t, "the refusal", func() bool { return s.Status().LastError != nil })
+			if err := s.Status().LastError.Error(); !strings.Contains(err, "certificate") {
 				t.Errorf("refused for %s", err)
 			}
 		} else {
-			testkit.Await(t, "the whole list", func() bool { return s.Status().Whole })
+			testkit.Await(t, "the whole list", func() bool { return s.Status().Complete })
 		}
 		l.mu.Lock()
 		if len(l.members) != want {
@@ -222,7 +222,7 @@
 		percent     string
 		least, most int
 	}{{"0%", 200, 200}, {"30%", 100, 180}, {"100%", 0, 0}, {"0%", 200, 200}} {
-		s, err := standin.Parse(strings.NewReader("cluster rooms\nendpoints rooms " + app.addrs[0] + "\ndrop " + c.percent + "\npush"))
+		s, err := standin.ParseScript(strings.NewReader("cluster rooms\nendpoints rooms " + app.addrs[0] + "\ndrop " + c.percent + "\npush"))
 		if err == nil {
 			err = s.Run(t.Context(), p, io.Discard)
 		}
--- a/discovery/xds/secret_test.go
+++ b/discovery/xds/secret_test.go
@@ -43,7 +43,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		running.Go(func() { s.Run(ctx, func(router.EndpointUpdate) {}) })
-		testkit.Await(t, "the secrets", func() bool { return trust.Set().Pool != nil && own.Set().For("a") != nil && s.Status().Whole })
+		testkit.Await(t, "the secrets", func() bool { return trust.Set().Pool != nil && own.Set().For("a") != nil && s.Status().Complete })
 		first := trust.Set().Digest
 		p.Set(authorities("trust", append(ca.PEM(), next.PEM()...)))
 		testkit.Await(t, "another trust", func() bool { return trust.Set().Digest != first })
@@ -67,7 +67,7 @@
 		}
 		p.Remove(resource.SecretURL, "own")
 		p.Set(cluster("desks"), assignment("desks", "127.0.0.1:2"))
-		testkit.Await(t, "what came after", func() bool { return len(s.Status().Members) == 2 })
+		testkit.Await(t, "what came after", func() bool { return len(s.Status().Endpoints) == 2 })
 		if own.Set() != held {
 			t.Errorf("delta %v: what the control plane has taken away is gone", delta)
 		}
--- a/discovery/xds/snapshot.go
+++ b/discovery/xds/snapshot.go
@@ -15,42 +15,42 @@
 	"cobaltward/router"
 )
 
-// book keeps the servers that were told, so that each update tells what changed and no more. A server
+// snapshot keeps the servers that were told, so that each update tells what changed and no more. A server
 // is known by its address: it stays the same whichever clusters and localities list it.
-type book struct {
-	clusters map[string]entry
-	members  map[string]router.Endpoint // as told
-	listed   map[string][]listing       // by address, in the order of the clusters' names
-	told     bool
+type snapshot struct {
+	clusters map[string]clusterState
+	published  map[string]router.Endpoint // as told
+	listings   map[string][]clusterListing       // by address, in the order of the clusters' names
+	initialPublished     bool
 	drops    dropoverload.Fractions // as told
-	pace     pace.Pacer
+	pacer     pace.Pacer
 }
 
-// entry is a cluster as it was last looked at.
-type entry struct {
+// clusterState is a cluster as it was last looked at.
+type clusterState struct {
 	assignment *resource.Assignment
-	open       []bool // by endpoint
+	eligible       []bool // by endpoint
 }
 
-// listing is what one cluster says of a server.
-type listing struct {
+// clusterListing is what one cluster says of a server.
+type clusterListing struct {
 	cluster string
-	e       resource.Endpoint
-	open    bool
+	endpoint       resource.Endpoint
+	eligible    bool
 }
 
-func newBook() *book {
-	return &book{clusters: make(map[string]entry), members: make(map[string]router.Endpoint), listed: make(map[string][]listing)}
+func newSnapshot() *snapshot {
+	return &snapshot{clusters: make(map[string]clusterState), published: make(map[string]router.Endpoint), listings: make(map[string][]clusterListing)}
 }
 
-// update takes over what is in force, and returns the servers that changed; those that are gone are
+// apply takes over what is in force, and returns the servers that changed; those that are gone are
 // Removed. Clusters whose endpoints are as they were cost nothing, and of others those that changed.
-func (b *book) update(applied map[string]ads.Applied) []router.Endpoint {
+func (b *snapshot) apply(applied map[string]ads.AppliedCluster) []router.Endpoint {
 	touched := make(map[string]bool)
 	for name, old := range b.clusters {
 		if applied[name].Assignment == nil {
 			for _, e := range old.assignment.Endpoints {
-				b.unlist(name, e.Addr)
+				b.removeListing(name, e.Addr)
 				touched[e.Addr] = true
 			}
 			delete(b.clusters, name)
@@ -58,34 +58,34 @@
 	}
 	for name, a := range applied {
 		if old := b.clusters[name]; a.Assignment != nil && a.Assignment != old.assignment {
-			b.clusters[name] = b.list(name, old, a.Assignment, touched)
+			b.clusters[name] = b.applyAssignment(name, old, a.Assignment, touched)
 		}
 	}
 	var changed []router.Endpoint
 	for i, addr := range slices.Sorted(maps.Keys(touched)) { // ids are addresses
-		if i%pauseEvery == pauseEvery-1 {
-			b.pace.Pause()
+		if i%pauseInterval == pauseInterval-1 {
+			b.pacer.Pause()
 		}
-		old, had := b.members[addr]
-		m, has := b.member(addr)
+		old, had := b.published[addr]
+		m, has := b.mergeListings(addr)
 		switch {
 		case !has && had:
 			old.Availability = policy.Removed
 			changed = append(changed, old)
-			delete(b.members, addr)
+			delete(b.published, addr)
 		case has && (!had || !discovery.Equal(old, m)):
 			changed = append(changed, m)
-			b.members[addr] = m
+			b.published[addr] = m
 		}
 	}
 	return changed
 }
 
-// pauseEvery is after how many servers a large change may pause, as the reader of the resources does.
-const pauseEvery = 32
+// pauseInterval is after how many servers a large change may pause, as the reader of the resources does.
+const pauseInterval = 32
 
-// asked is what the clusters in force want dropped.
-func (b *book) asked() dropoverload.Fractions {
+// dropOverloads is what the clusters in force want dropped.
+func (b *snapshot) dropOverloads() dropoverload.Fractions {
 	asked := make(dropoverload.Fractions)
 	for name, e := range b.clusters {
 		if e.assignment.Drop > 0 {
@@ -95,36 +95,36 @@
 	return asked
 }
 
-// change is what to tell of the servers that changed, and of requests to be dropped; nil for nothing. The
+// endpointUpdate is what to tell of the servers that changed, and of requests to be dropped; nil for nothing. The
 // first takes the place of whatever list the router began with, which nobody would ever take away
 // otherwise.
-func (b *book) change(members []router.Endpoint) *router.EndpointUpdate {
+func (b *snapshot) endpointUpdate(members []router.Endpoint) *router.EndpointUpdate {
 	c := &router.EndpointUpdate{Kind: policy.ListUpdate, Endpoints: members}
-	if asked := b.asked(); !asked.Equal(b.drops) {
+	if asked := b.dropOverloads(); !asked.Equal(b.drops) {
 		b.drops, c.Drops = asked, asked
 	}
 	if len(members) == 0 && c.Drops == nil {
 		return nil
 	}
-	if !b.told && len(members) > 0 {
-		b.told, c.Kind = true, policy.ListReplace
+	if !b.initialPublished && len(members) > 0 {
+		b.initialPublished, c.Kind = true, policy.ListReplace
 	}
 	return c
 }
 
-// unlist takes away what a cluster says of the server at an address.
-func (b *book) unlist(name, addr string) {
-	left := slices.DeleteFunc(b.listed[addr], func(l listing) bool { return l.cluster == name })
+// removeListing takes away what a cluster says of the server at an address.
+func (b *snapshot) removeListing(name, addr string) {
+	left := slices.DeleteFunc(b.listings[addr], func(l clusterListing) bool { return l.cluster == name })
 	if len(left) == 0 {
-		delete(b.listed, addr)
+		delete(b.listings, addr)
 	} else {
-		b.listed[addr] = left
+		b.listings[addr] = left
 	}
 }
 
-// list takes over the endpoints of a cluster; old is what it had.
-func (b *book) list(name string, old entry, a *resource.Assignment, touched map[string]bool) entry {
-	next := entry{assignment: a, open: priority.Open(a)}
+// applyAssignment takes over the endpoints of a cluster; old is what it had.
+func (b *snapshot) applyAssignment(name string, old clusterState, a *resource.Assignment, touched map[string]bool) clusterState {
+	next := clusterState{assignment: a, eligible: priority.Eligible(a)}
 	var before []resource.Endpoint
 	if old.assignment != nil {
 		before = old.assignment.Endpoints
@@ -132,8 +132,8 @@
 	var places map[string]int // of those before, made where the order is another
 	still := make([]bool, len(before))
 	for i, e := range a.Endpoints {
-		if i%pauseEvery == pauseEvery-1 {
-			b.pace.Pause()
+		if i%pauseInterval == pauseInterval-1 {
+			b.pacer.Pause()
 		}
 		at, had := i, i < len(before) && before[i].Addr == e.Addr
 		if !had && len(before) > 0 {
@@ -147,51 +147,51 @@
 		}
 		if had {
 			still[at] = true
-			if before[at] == e && old.open[at] == next.open[i] {
+			if before[at] == e && old.eligible[at] == next.eligible[i] {
 				continue
 			}
-			b.unlist(name, e.Addr)
+			b.removeListing(name, e.Addr)
 		}
-		all := append(b.listed[e.Addr], listing{name, e, next.open[i]})
-		slices.SortFunc(all, func(x, y listing) int { return cmp.Compare(x.cluster, y.cluster) })
-		b.listed[e.Addr] = all
+		all := append(b.listings[e.Addr], clusterListing{name, e, next.eligible[i]})
+		slices.SortFunc(all, func(x, y clusterListing) int { return cmp.Compare(x.cluster, y.cluster) })
+		b.listings[e.Addr] = all
 		touched[e.Addr] = true
 	}
 	for j, e := range before {
-		if j%pauseEvery == pauseEvery-1 {
-			b.pace.Pause()
+		if j%pauseInterval == pauseInterval-1 {
+			b.pacer.Pause()
 		}
 		if !still[j] {
-			b.unlist(name, e.Addr)
+			b.removeListing(name, e.Addr)
 			touched[e.Addr] = true
 		}
 	}
 	return next
 }
 
-// member puts together what the clusters say of a server. It drains where any of them says so, or where
+// mergeListings puts together what the clusters say of a server. It drains where any of them says so, or where
 // it is unhealthy; where it is merely not needed in one cluster, another may still open it, and it is
 // then of that one's pool. It started when the latest of them says.
-func (b *book) member(addr string) (router.Endpoint, bool) {
-	all := b.listed[addr]
+func (b *snapshot) mergeListings(addr string) (router.Endpoint, bool) {
+	all := b.listings[addr]
 	if len(all) == 0 {
 		return router.Endpoint{}, false
 	}
-	first := all[0].e
+	first := all[0].endpoint
 	m := router.Endpoint{
 		ID: addr, Addr: addr, Zone: first.Zone, Kind: first.Kind, Cell: first.Cell, Weight: first.Weight,
 		Started: first.Started, Availability: policy.Draining,
 	}
 	barred := false
 	for _, l := range all {
-		if l.e.Started.After(m.Started) {
-			m.Started = l.e.Started
+		if l.endpoint.Started.After(m.Started) {
+			m.Started = l.endpoint.Started
 		}
-		switch l.e.Health {
+		switch l.endpoint.Health {
 		case resource.Draining, resource.Unhealthy, resource.Timeout:
 			barred = true
 		}
-		if l.open {
+		if l.eligible {
 			m.Availability = policy.Running
 			m.Pools = append(m.Pools, l.cluster)
 		}
@@ -202,32 +202,32 @@
 	return m, true
 }
 
-// whole is all that is told, in order of id.
-func (b *book) whole() []router.Endpoint {
-	all := make([]router.Endpoint, 0, len(b.members))
-	for _, m := range b.members {
+// endpoints is all that is told, in order of id.
+func (b *snapshot) endpoints() []router.Endpoint {
+	all := make([]router.Endpoint, 0, len(b.published))
+	for _, m := range b.published {
 		all = append(all, m)
 	}
 	slices.SortFunc(all, func(a, b router.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	return all
 }
 
-// endpoints tells of each endpoint of each cluster whether it is used, or why not.
-func (b *book) endpoints() (all []EndpointStatus) {
-	for addr, listed := range b.listed {
+// endpointStatuses tells of each endpoint of each cluster whether it is used, or why not.
+func (b *snapshot) endpointStatuses() (all []EndpointStatus) {
+	for addr, listed := range b.listings {
 		for _, l := range listed {
 			use := "yes"
 			switch {
-			case l.e.Health == resource.Draining || l.e.Health == resource.Unhealthy || l.e.Health == resource.Timeout:
-				use = "no: " + l.e.Health.String()
-			case b.members[addr].Availability == policy.Draining && l.open:
+			case l.endpoint.Health == resource.Draining || l.endpoint.Health == resource.Unhealthy || l.endpoint.Health == resource.Timeout:
+				use = "no: " + l.endpoint.Health.String()
+			case b.published[addr].Availability == policy.Draining && l.eligible:
 				use = "no: another cluster bars it"
-			case !l.open && l.e.Health == resource.Degraded:
+			case !l.eligible && l.endpoint.Health == resource.Degraded:
 				use = "no: enough others are healthy"
-			case !l.open:
+			case !l.eligible:
 				use = "no: a higher priority has enough"
 			}
-			all = append(all, EndpointStatus{l.cluster, l.e, use})
+			all = append(all, EndpointStatus{l.cluster, l.endpoint, use})
 		}
 	}
 	slices.SortFunc(all, func(x, y EndpointStatus) int {
--- a/discovery/xds/standin/script.go
+++ b/discovery/xds/standin/script.go
@@ -26,19 +26,19 @@
 type step struct {
 	line int
 	text string
-	do   func(r *run) error
+	do   func(r *scriptRun) error
 }
 
-// run is one run of a script.
-type run struct {
+// scriptRun is one scriptRun of a script.
+type scriptRun struct {
 	ctx    context.Context
-	p      *Plane
+	controlPlane      *ControlPlane
 	out    io.Writer
 	staged []proto.Message
 }
 
-// Parse reads a script: a step on a line, # begins a remark. Errors name the line.
-func Parse(in io.Reader) (*Script, error) {
+// ParseScript reads a script: a step on a line, # begins a remark. Errors name the line.
+func ParseScript(in io.Reader) (*Script, error) {
 	s := &Script{}
 	lines := bufio.NewScanner(in)
 	lines.Buffer(nil, 16<<20)
@@ -48,11 +48,11 @@
 		if len(words) == 0 {
 			continue
 		}
-		make, ok := verbs[words[0]]
+		make, ok := stepParsers[words[0]]
 		if !ok {
 			return nil, fmt.Errorf("line %d: %s: no such step", n, words[0])
 		}
-		do, err := make(args{words[1:], strings.TrimSpace(strings.TrimPrefix(strings.TrimSpace(text), words[0]))})
+		do, err := make(stepArgs{words[1:], strings.TrimSpace(strings.TrimPrefix(strings.TrimSpace(text), words[0]))})
 		if err != nil {
 			return nil, fmt.Errorf("line %d: %s: %w", n, words[0], err)
 		}
@@ -63,8 +63,8 @@
 
 // Run has p do what the script says, and tells what it does on out. An expectation that is not met ends
 // it, with an error that names the line. It may run at once with other uses of the plane.
-func (s *Script) Run(ctx context.Context, p *Plane, out io.Writer) error {
-	r := &run{ctx: ctx, p: p, out: out}
+func (s *Script) Run(ctx context.Context, p *ControlPlane, out io.Writer) error {
+	r := &scriptRun{ctx: ctx, controlPlane: p, out: out}
 	for _, st := range s.steps {
 		if err := ctx.Err(); err != nil {
 			return err
@@ -79,25 +79,25 @@
 	return nil
 }
 
-type args struct {
+type stepArgs struct {
 	words []string
 	text  string // all of them as they stand
 }
 
 // count says how many words a step takes.
-func (a args) count(least, most int, form string) error {
+func (a stepArgs) count(least, most int, form string) error {
 	if len(a.words) < least || len(a.words) > most {
 		return fmt.Errorf("want %s", form)
 	}
 	return nil
 }
 
-const many = 1 << 30
+const unlimited = 1 << 30
 
-// verbs makes the steps, by their first word.
-var verbs = map[string]func(a args) (func(*run) error, error){
-	"cluster": func(a args) (func(*run) error, error) {
-		return stage(a, 1, 2, "NAME [SERVICE]", func(a args) (proto.Message, error) {
+// stepParsers makes the steps, by their first word.
+var stepParsers = map[string]func(a stepArgs) (func(*scriptRun) error, error){
+	"cluster": func(a stepArgs) (func(*scriptRun) error, error) {
+		return parseStaged(a, 1, 2, "NAME [SERVICE]", func(a stepArgs) (proto.Message, error) {
 			c := &xdspb.Cluster{Name: a.words[0], ClusterDiscoveryType: &xdspb.Cluster_Type{Type: xdspb.Cluster_EDS}}
 			if len(a.words) == 2 {
 				c.EdsClusterConfig = &xdspb.Cluster_EdsClusterConfig{ServiceName: a.words[1]}
@@ -105,13 +105,13 @@
 			return c, nil
 		})
 	},
-	"endpoints": func(a args) (func(*run) error, error) {
-		return stage(a, 1, many, "CLUSTER [ADDRESS[/zone=Z,priority=N,weight=N,health=H,kind=K,cell=N,started=MS]] ...", func(a args) (proto.Message, error) {
-			return Assignment(a.words[0], a.words[1:])
+	"endpoints": func(a stepArgs) (func(*scriptRun) error, error) {
+		return parseStaged(a, 1, unlimited, "CLUSTER [ADDRESS[/zone=Z,priority=N,weight=N,health=H,kind=K,cell=N,started=MS]] ...", func(a stepArgs) (proto.Message, error) {
+			return ParseAssignment(a.words[0], a.words[1:])
 		})
 	},
-	"many": manyEndpoints,
-	"drop": func(a args) (func(*run) error, error) { // of the endpoints staged last
+	"many": parseMany,
+	"drop": func(a stepArgs) (func(*scriptRun) error, error) { // of the endpoints staged last
 		if err := a.count(1, 1, "PERCENT%"); err != nil {
 			return nil, err
 		}
@@ -119,7 +119,7 @@
 		if err != nil || n < 0 || n > 100 {
 			return nil, fmt.Errorf("want 0%% to 100%%, got %q", a.words[0])
 		}
-		return func(r *run) error {
+		return func(r *scriptRun) error {
 			for _, m := range slices.Backward(r.staged) {
 				if cla, ok := m.(*xdspb.ClusterLoadAssignment); ok {
 					cla.Policy = &xdspb.ClusterLoadAssignment_Policy{DropOverloads: []*xdspb.ClusterLoadAssignment_Policy_DropOverload{{
@@ -132,80 +132,80 @@
 			return fmt.Errorf("no endpoints are staged")
 		}, nil
 	},
-	"push": func(a args) (func(*run) error, error) {
-		return func(r *run) error {
+	"push": func(a stepArgs) (func(*scriptRun) error, error) {
+		return func(r *scriptRun) error {
 			at := time.Now()
-			r.p.Set(r.staged...)
+			r.controlPlane.Set(r.staged...)
 			r.staged = nil
 			_, err := fmt.Fprintln(r.out, "pushed", at.UnixNano())
 			return err
 		}, a.count(0, 0, "nothing behind it")
 	},
-	"withdraw": func(a args) (func(*run) error, error) {
+	"withdraw": func(a stepArgs) (func(*scriptRun) error, error) {
 		urls := map[string]string{"cluster": resource.ClusterURL, "endpoints": resource.AssignmentURL}
 		if len(a.words) != 2 || urls[a.words[0]] == "" {
 			return nil, fmt.Errorf("want cluster NAME or endpoints NAME")
 		}
-		return func(r *run) error { r.p.Remove(urls[a.words[0]], a.words[1]); return nil }, nil
+		return func(r *scriptRun) error { r.controlPlane.Remove(urls[a.words[0]], a.words[1]); return nil }, nil
 	},
-	"stall":  func(a args) (func(*run) error, error) { return mute(a, true) },
-	"answer": func(a args) (func(*run) error, error) { return mute(a, false) },
-	"close": func(a args) (func(*run) error, error) {
-		code, err := codeOf(a, codes.Unavailable)
-		return func(r *run) error { r.p.Close(code); return nil }, err
+	"stall":  func(a stepArgs) (func(*scriptRun) error, error) { return parseMute(a, true) },
+	"answer": func(a stepArgs) (func(*scriptRun) error, error) { return parseMute(a, false) },
+	"close": func(a stepArgs) (func(*scriptRun) error, error) {
+		code, err := parseCode(a, codes.Unavailable)
+		return func(r *scriptRun) error { r.controlPlane.CloseStreams(code); return nil }, err
 	},
-	"refuse": func(a args) (func(*run) error, error) {
-		code, err := codeOf(a, codes.Unavailable)
-		return func(r *run) error { r.p.Fail(code); return nil }, err
+	"refuse": func(a stepArgs) (func(*scriptRun) error, error) {
+		code, err := parseCode(a, codes.Unavailable)
+		return func(r *scriptRun) error { r.controlPlane.RejectStreams(code); return nil }, err
 	},
-	"accept": func(a args) (func(*run) error, error) {
-		return func(r *run) error { r.p.Fail(codes.OK); return nil }, a.count(0, 0, "nothing behind it")
+	"accept": func(a stepArgs) (func(*scriptRun) error, error) {
+		return func(r *scriptRun) error { r.controlPlane.RejectStreams(codes.OK); return nil }, a.count(0, 0, "nothing behind it")
 	},
-	"again": func(a args) (func(*run) error, error) {
-		return func(r *run) error { r.p.Again(); return nil }, a.count(0, 0, "nothing behind it")
+	"again": func(a stepArgs) (func(*scriptRun) error, error) {
+		return func(r *scriptRun) error { r.controlPlane.ResendLast(); return nil }, a.count(0, 0, "nothing behind it")
 	},
-	"order": func(a args) (func(*run) error, error) {
+	"order": func(a stepArgs) (func(*scriptRun) error, error) {
 		if len(a.words) != 1 || a.words[0] != "clusters-first" && a.words[0] != "endpoints-first" {
 			return nil, fmt.Errorf("want clusters-first or endpoints-first")
 		}
-		return func(r *run) error {
-			r.p.behave(func(b *behaviour) { b.backward = a.words[0] == "endpoints-first" })
+		return func(r *scriptRun) error {
+			r.controlPlane.changeFaults(func(b *faults) { b.endpointsFirst = a.words[0] == "endpoints-first" })
 			return nil
 		}, nil
 	},
-	"version": func(a args) (func(*run) error, error) {
-		return func(r *run) error { r.p.behave(func(b *behaviour) { b.version = a.text }); return nil }, a.count(0, 1, "a VERSION, or none for its own")
+	"version": func(a stepArgs) (func(*scriptRun) error, error) {
+		return func(r *scriptRun) error { r.controlPlane.changeFaults(func(b *faults) { b.shownVersion = a.text }); return nil }, a.count(0, 1, "a VERSION, or none for its own")
 	},
-	"nonce": func(a args) (func(*run) error, error) {
-		return func(r *run) error { r.p.behave(func(b *behaviour) { b.nonce = a.text }); return nil }, a.count(1, 1, "a NONCE")
+	"nonce": func(a stepArgs) (func(*scriptRun) error, error) {
+		return func(r *scriptRun) error { r.controlPlane.changeFaults(func(b *faults) { b.nextNonce = a.text }); return nil }, a.count(1, 1, "a NONCE")
 	},
-	"flood": flood,
-	"wait": func(a args) (func(*run) error, error) {
+	"flood": parseFlood,
+	"wait": func(a stepArgs) (func(*scriptRun) error, error) {
 		if err := a.count(1, 1, "a time, as 2s"); err != nil {
 			return nil, err
 		}
-		d, err := span(a.words[0])
-		return func(r *run) error { return r.sleep(d) }, err
+		d, err := parseDuration(a.words[0])
+		return func(r *scriptRun) error { return r.sleep(d) }, err
 	},
-	"expect": expect,
+	"expect": parseExpect,
 }
 
-// stage puts a resource aside until the next push, or says at once that it can't be made.
-func stage(a args, least, most int, form string, build func(args) (proto.Message, error)) (func(*run) error, error) {
+// parseStaged puts a resource aside until the next push, or says at once that it can't be made.
+func parseStaged(a stepArgs, least, most int, form string, build func(stepArgs) (proto.Message, error)) (func(*scriptRun) error, error) {
 	if err := a.count(least, most, form); err != nil {
 		return nil, err
 	}
 	if _, err := build(a); err != nil {
 		return nil, err
 	}
-	return func(r *run) error {
+	return func(r *scriptRun) error {
 		m, err := build(a)
 		r.staged = append(r.staged, m)
 		return err
 	}, nil
 }
 
-func mute(a args, on bool) (func(*run) error, error) {
+func parseMute(a stepArgs, on bool) (func(*scriptRun) error, error) {
 	types := map[string]string{"clusters": resource.ClusterURL, "endpoints": resource.AssignmentURL}
 	var of []string
 	for _, w := range a.words {
@@ -214,10 +214,10 @@
 		}
 		of = append(of, types[w])
 	}
-	return func(r *run) error { r.p.Mute(on, of...); return nil }, nil
+	return func(r *scriptRun) error { r.controlPlane.SetMuted(on, of...); return nil }, nil
 }
 
-func codeOf(a args, otherwise codes.Code) (code codes.Code, err error) {
+func parseCode(a stepArgs, otherwise codes.Code) (code codes.Code, err error) {
 	if len(a.words) == 0 {
 		return otherwise, nil
 	}
@@ -227,7 +227,7 @@
 	return code, nil
 }
 
-func span(s string) (time.Duration, error) {
+func parseDuration(s string) (time.Duration, error) {
 	d, err := time.ParseDuration(s)
 	if err != nil || d < 0 || d > time.Hour {
 		return 0, fmt.Errorf("want a time of at most 1h, as 2s, got %q", s)
@@ -235,7 +235,7 @@
 	return d, nil
 }
 
-func (r *run) sleep(d time.Duration) error {
+func (r *scriptRun) sleep(d time.Duration) error {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -246,9 +246,9 @@
 	}
 }
 
-// manyEndpoints stages so many addresses, from 10.0.0.0 on.
-func manyEndpoints(a args) (func(*run) error, error) {
-	return stage(a, 3, 4, "CLUSTER COUNT PORT [HEALTH]", func(a args) (proto.Message, error) {
+// parseMany stages so many addresses, from 10.0.0.0 on.
+func parseMany(a stepArgs) (func(*scriptRun) error, error) {
+	return parseStaged(a, 3, 4, "CLUSTER COUNT PORT [HEALTH]", func(a stepArgs) (proto.Message, error) {
 		count, err := strconv.Atoi(a.words[1])
 		if err != nil || count < 0 || count > 1<<20 {
 			return nil, fmt.Errorf("want a count of at most %d, got %q", 1<<20, a.words[1])
@@ -261,12 +261,12 @@
 		for i := range all {
 			all[i] = fmt.Sprintf("10.%d.%d.%d:%s%s", i>>16&255, i>>8&255, i&255, a.words[2], health)
 		}
-		return Assignment(a.words[0], all)
+		return ParseAssignment(a.words[0], all)
 	})
 }
 
-// flood replaces the endpoints of a cluster again and again, by others at every second turn.
-func flood(a args) (func(*run) error, error) {
+// parseFlood replaces the endpoints of a cluster again and again, by others at every second turn.
+func parseFlood(a stepArgs) (func(*scriptRun) error, error) {
 	if err := a.count(4, 5, "CLUSTER COUNT TIMES_A_SECOND FOR [HEALTH]"); err != nil {
 		return nil, err
 	}
@@ -274,18 +274,18 @@
 	if err != nil || rate < 1 || rate > 1000 {
 		return nil, fmt.Errorf("want 1 to 1000 times a second, got %q", a.words[2])
 	}
-	length, err := span(a.words[3])
+	length, err := parseDuration(a.words[3])
 	if err != nil {
 		return nil, err
 	}
-	var turns [2]func(*run) error
+	var turns [2]func(*scriptRun) error
 	for i, port := range []string{"1000", "1001"} {
 		words := append([]string{a.words[0], a.words[1], port}, a.words[4:]...)
-		if turns[i], err = manyEndpoints(args{words: words}); err != nil {
+		if turns[i], err = parseMany(stepArgs{words: words}); err != nil {
 			return nil, err
 		}
 	}
-	return func(r *run) error {
+	return func(r *scriptRun) error {
 		if len(r.staged) > 0 {
 			return fmt.Errorf("push what is staged first")
 		}
@@ -299,7 +299,7 @@
 		tick := time.NewTicker(time.Second / time.Duration(rate))
 		defer tick.Stop()
 		for i, end := 0, time.Now().Add(length); time.Now().Before(end); i++ {
-			r.p.Set(made[i%2])
+			r.controlPlane.Set(made[i%2])
 			select {
 			case <-tick.C:
 			case <-r.ctx.Done():
@@ -310,43 +310,43 @@
 	}, nil
 }
 
-// expect waits until something is true of what clients did.
-func expect(a args) (func(*run) error, error) {
+// parseExpect waits until something is true of what clients did.
+func parseExpect(a stepArgs) (func(*scriptRun) error, error) {
 	const form = `acks N, streams N, or nack TEXT, then "within TIME"`
 	what, within, ok := strings.Cut(a.text, " within ")
 	if !ok {
 		return nil, fmt.Errorf("want %s", form)
 	}
-	limit, err := span(strings.TrimSpace(within))
+	limit, err := parseDuration(strings.TrimSpace(within))
 	if err != nil {
 		return nil, err
 	}
 	kind, rest, _ := strings.Cut(strings.TrimSpace(what), " ")
 	rest = strings.TrimSpace(rest)
-	var met func(p *Plane) bool
+	var met func(p *ControlPlane) bool
 	n, err := strconv.ParseInt(rest, 10, 64)
 	switch {
 	case kind == "acks" && err == nil:
-		met = func(p *Plane) bool { return p.Acks.Load() >= n }
+		met = func(p *ControlPlane) bool { return p.Acks.Load() >= n }
 	case kind == "streams" && err == nil:
-		met = func(p *Plane) bool { return p.Streams.Load() >= n }
+		met = func(p *ControlPlane) bool { return p.Streams.Load() >= n }
 	case kind == "nack" && rest != "":
-		met = func(p *Plane) bool {
+		met = func(p *ControlPlane) bool {
 			return slices.ContainsFunc(p.Nacks(), func(reason string) bool { return strings.Contains(reason, rest) })
 		}
 	default:
 		return nil, fmt.Errorf("want %s", form)
 	}
-	return func(r *run) error {
-		if !r.p.Await(limit, met) {
-			return fmt.Errorf("not so: %d streams, %d acknowledged, refused for %q", r.p.Streams.Load(), r.p.Acks.Load(), r.p.Nacks())
+	return func(r *scriptRun) error {
+		if !r.controlPlane.Await(limit, met) {
+			return fmt.Errorf("not so: %d streams, %d acknowledged, refused for %q", r.controlPlane.Streams.Load(), r.controlPlane.Acks.Load(), r.controlPlane.Nacks())
 		}
 		return nil
 	}, nil
 }
 
-// Assignment makes a cluster's endpoints of texts.
-func Assignment(name string, texts []string) (*xdspb.ClusterLoadAssignment, error) {
+// ParseAssignment makes a cluster's endpoints of texts.
+func ParseAssignment(name string, texts []string) (*xdspb.ClusterLoadAssignment, error) {
 	cla := &xdspb.ClusterLoadAssignment{ClusterName: name}
 	type where struct {
 		zone     string
@@ -405,7 +405,7 @@
 			if err != nil {
 				return nil, err
 			}
-			e.Metadata = &xdspb.Metadata{FilterMetadata: map[string]*structpb.Struct{resource.Namespace: fields}}
+			e.Metadata = &xdspb.Metadata{FilterMetadata: map[string]*structpb.Struct{resource.MetadataNamespace: fields}}
 		}
 		l := places[w]
 		if l == nil {
--- a/discovery/xds/standin/standin.go
+++ b/discovery/xds/standin/standin.go
@@ -22,8 +22,8 @@
 	"google.golang.org/protobuf/types/known/anypb"
 )
 
-// Plane holds resources and serves them. Its methods may be called at once from many goroutines.
-type Plane struct {
+// ControlPlane holds resources and serves them. Its methods may be called at once from many goroutines.
+type ControlPlane struct {
 	Addr string
 
 	server *grpc.Server
@@ -31,31 +31,31 @@
 
 	mu      sync.Mutex
 	version int
-	all     map[string]map[string]versioned // by type URL and name
+	resources     map[string]map[string]versioned // by type URL and name
 	changed chan struct{}                   // closed at each change
 	nacks   []string
-	seen    []Seen
-	sink    func(Seen)
-	behaves behaviour
+	receiveRequests    []RecordedRequest
+	onRequest    func(RecordedRequest)
+	faults faults
 
 	Streams atomic.Int64 // begun
 	Acks    atomic.Int64
 }
 
-// behaviour is how a plane answers; the zero value is as it should be.
-type behaviour struct {
-	fail     codes.Code      // streams end with it
-	mute     map[string]bool // by type URL: nothing of it is sent
-	closed   int             // how often all streams were ended
-	closing  codes.Code      // and with what
-	again    int             // how often the last response was to be sent once more
-	backward bool            // endpoints before clusters
-	version  string          // shown in place of its own
-	nonce    string          // of the next response
+// faults is how a plane answers; the zero value is as it should be.
+type faults struct {
+	rejectCode     codes.Code      // streams end with it
+	muted     map[string]bool // by type URL: nothing of it is sent
+	closeCount   int             // how often all streams were ended
+	closeCode  codes.Code      // and with what
+	resendCount    int             // how often the last response was to be sent once more
+	endpointsFirst bool            // endpoints before clusters
+	shownVersion  string          // shown in place of its own
+	nextNonce    string          // of the next response
 }
 
-// Seen is one request that a client sent.
-type Seen struct {
+// RecordedRequest is one request that a client sent.
+type RecordedRequest struct {
 	At          time.Time
 	Stream      int64
 	Type        string
@@ -69,11 +69,11 @@
 	Error       string            `json:",omitempty"` // of a NACK
 }
 
-// maxSeen bounds the requests and the refusals that a plane remembers.
-const maxSeen = 10_000
+// maxRecorded bounds the requests and the refusals that a plane remembers.
+const maxRecorded = 10_000
 
-// started counts planes, so that each has versions of its own.
-var started atomic.Int64
+// startedCount counts planes, so that each has versions of its own.
+var startedCount atomic.Int64
 
 type versioned struct {
 	version int
@@ -81,7 +81,7 @@
 }
 
 // Start serves on loopback, or on addr where it is not empty.
-func Start(addr string, options ...grpc.ServerOption) (*Plane, error) {
+func Start(addr string, options ...grpc.ServerOption) (*ControlPlane, error) {
 	if addr == "" {
 		addr = "127.0.0.1:0"
 	}
@@ -91,9 +91,9 @@
 	}
 	// Versions of one plane are not those of another: in the incremental variant a client names what it
 	// holds, and a restarted plane that counts from one again would take other content for its own.
-	p := &Plane{
-		version: int(started.Add(1)) * 1_000_000, Addr: ln.Addr().String(), served: make(chan struct{}), changed: make(chan struct{}),
-		all:    map[string]map[string]versioned{resource.ClusterURL: {}, resource.AssignmentURL: {}, resource.SecretURL: {}},
+	p := &ControlPlane{
+		version: int(startedCount.Add(1)) * 1_000_000, Addr: ln.Addr().String(), served: make(chan struct{}), changed: make(chan struct{}),
+		resources:    map[string]map[string]versioned{resource.ClusterURL: {}, resource.AssignmentURL: {}, resource.SecretURL: {}},
 		server: grpc.NewServer(append(options, grpc.MaxSendMsgSize(256<<20))...),
 	}
 	p.server.RegisterService(&grpc.ServiceDesc{
@@ -118,13 +118,13 @@
 }
 
 // Stop ends it with all its streams.
-func (p *Plane) Stop() {
+func (p *ControlPlane) Stop() {
 	p.server.Stop()
 	<-p.served
 }
 
 // Set puts resources in force, all at once. Their type tells what they are.
-func (p *Plane) Set(all ...proto.Message) {
+func (p *ControlPlane) Set(all ...proto.Message) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.version++
@@ -144,119 +144,119 @@
 		if err != nil {
 			panic(err)
 		}
-		p.all[url][name] = versioned{p.version, &anypb.Any{TypeUrl: url, Value: body}}
+		p.resources[url][name] = versioned{p.version, &anypb.Any{TypeUrl: url, Value: body}}
 	}
 	p.notify()
 }
 
 // Remove takes a resource out of force.
-func (p *Plane) Remove(url, name string) {
+func (p *ControlPlane) Remove(url, name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.version++
-	delete(p.all[url], name)
+	delete(p.resources[url], name)
 	p.notify()
 }
 
-// Mute has it accept streams and answer nothing, or answer again; of the types named alone, or of all.
-func (p *Plane) Mute(on bool, types ...string) {
+// SetMuted has it accept streams and answer nothing, or answer again; of the types named alone, or of all.
+func (p *ControlPlane) SetMuted(on bool, types ...string) {
 	if len(types) == 0 {
 		types = []string{resource.ClusterURL, resource.AssignmentURL}
 	}
-	p.behave(func(b *behaviour) {
-		mute := maps.Clone(b.mute)
+	p.changeFaults(func(b *faults) {
+		mute := maps.Clone(b.muted)
 		if mute == nil {
 			mute = make(map[string]bool)
 		}
 		for _, t := range types {
 			mute[t] = on
 		}
-		b.mute = mute
+		b.muted = mute
 	})
 }
 
-// Fail has it end streams with a code; codes.OK ends that.
-func (p *Plane) Fail(code codes.Code) { p.behave(func(b *behaviour) { b.fail = code }) }
+// RejectStreams has it end streams with a code; codes.OK ends that.
+func (p *ControlPlane) RejectStreams(code codes.Code) { p.changeFaults(func(b *faults) { b.rejectCode = code }) }
 
-// Close ends the streams that are open, with a code.
-func (p *Plane) Close(code codes.Code) {
-	p.behave(func(b *behaviour) { b.closed, b.closing = b.closed+1, code })
+// CloseStreams ends the streams that are open, with a code.
+func (p *ControlPlane) CloseStreams(code codes.Code) {
+	p.changeFaults(func(b *faults) { b.closeCount, b.closeCode = b.closeCount+1, code })
 }
 
-// Again has every stream send its last response once more.
-func (p *Plane) Again() { p.behave(func(b *behaviour) { b.again++ }) }
+// ResendLast has every stream send its last response once more.
+func (p *ControlPlane) ResendLast() { p.changeFaults(func(b *faults) { b.resendCount++ }) }
 
-func (p *Plane) behave(change func(*behaviour)) {
+func (p *ControlPlane) changeFaults(change func(*faults)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	change(&p.behaves)
+	change(&p.faults)
 	p.notify()
 }
 
 // Nacks are the reasons that clients refused for.
-func (p *Plane) Nacks() []string {
+func (p *ControlPlane) Nacks() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.Clone(p.nacks)
 }
 
 // Requests are the last of those that clients sent.
-func (p *Plane) Requests() []Seen {
+func (p *ControlPlane) Requests() []RecordedRequest {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.Clone(p.seen)
+	return slices.Clone(p.receiveRequests)
 }
 
-// Record has every request handed to f, one after the other. f must not wait for the plane.
-func (p *Plane) Record(f func(Seen)) {
+// OnRequest has every request handed to f, one after the other. f must not wait for the plane.
+func (p *ControlPlane) OnRequest(f func(RecordedRequest)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sink = f
+	p.onRequest = f
 }
 
-func (p *Plane) notify() {
+func (p *ControlPlane) notify() {
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
-// now is how the plane behaves, and what tells of the next change.
-func (p *Plane) now() (behaviour, chan struct{}) {
+// currentFaults is how the plane behaves, and what tells of the next change.
+func (p *ControlPlane) currentFaults() (faults, chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.behaves, p.changed
+	return p.faults, p.changed
 }
 
-// hear notes a request.
-func (p *Plane) hear(r Seen) {
+// record notes a request.
+func (p *ControlPlane) record(r RecordedRequest) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.seen = append(p.seen[max(0, len(p.seen)+1-maxSeen):], r)
-	if p.sink != nil {
-		p.sink(r)
+	p.receiveRequests = append(p.receiveRequests[max(0, len(p.receiveRequests)+1-maxRecorded):], r)
+	if p.onRequest != nil {
+		p.onRequest(r)
 	}
 	if r.Error != "" {
-		p.nacks = append(p.nacks[max(0, len(p.nacks)+1-maxSeen):], r.Error)
+		p.nacks = append(p.nacks[max(0, len(p.nacks)+1-maxRecorded):], r.Error)
 	} else if r.Nonce != "" {
 		p.Acks.Add(1)
 	}
 }
 
 // requests passes on what a stream brings, until it ends.
-func requests(s grpc.ServerStream, delta bool) <-chan Seen {
-	out := make(chan Seen)
-	receive := func() (Seen, error) {
+func requests(s grpc.ServerStream, delta bool) <-chan RecordedRequest {
+	out := make(chan RecordedRequest)
+	receive := func() (RecordedRequest, error) {
 		var r xdspb.DiscoveryRequest
 		err := s.RecvMsg(&r)
-		return Seen{
+		return RecordedRequest{
 			Type: r.GetTypeUrl(), Nonce: r.GetResponseNonce(), Version: r.GetVersionInfo(), Names: r.GetResourceNames(),
 			Node: r.GetNode().GetId(), Error: r.GetErrorDetail().GetMessage(),
 		}, err
 	}
 	if delta {
-		receive = func() (Seen, error) {
+		receive = func() (RecordedRequest, error) {
 			var r xdspb.DeltaDiscoveryRequest
 			err := s.RecvMsg(&r)
-			return Seen{
+			return RecordedRequest{
 				Type: r.GetTypeUrl(), Nonce: r.GetResponseNonce(), Subscribe: r.GetResourceNamesSubscribe(),
 				Unsubscribe: r.GetResourceNamesUnsubscribe(), Initial: r.GetInitialResourceVersions(),
 				Node: r.GetNode().GetId(), Error: r.GetErrorDetail().GetMessage(),
@@ -282,40 +282,40 @@
 }
 
 // serve is one stream of either variant.
-func (p *Plane) serve(s grpc.ServerStream, delta bool) error {
+func (p *ControlPlane) serve(s grpc.ServerStream, delta bool) error {
 	id := p.Streams.Add(1)
 	subs := map[string]*subscription{resource.ClusterURL: {sent: make(map[string]int)}, resource.AssignmentURL: {sent: make(map[string]int)}, resource.SecretURL: {sent: make(map[string]int)}}
 	in, count, last := requests(s, delta), 0, make(map[string]string)
 	var before proto.Message
-	began, _ := p.now()
+	began, _ := p.currentFaults()
 	for {
-		b, changed := p.now()
+		b, changed := p.currentFaults()
 		switch {
-		case b.fail != codes.OK:
-			return status.Error(b.fail, "as the script has it")
-		case b.closed != began.closed:
-			return status.Error(b.closing, "as the script has it")
+		case b.rejectCode != codes.OK:
+			return status.Error(b.rejectCode, "as the script has it")
+		case b.closeCount != began.closeCount:
+			return status.Error(b.closeCode, "as the script has it")
 		}
-		if b.again != began.again && before != nil {
+		if b.resendCount != began.resendCount && before != nil {
 			if err := s.SendMsg(before); err != nil {
 				return err
 			}
 		}
-		began.again = b.again
+		began.resendCount = b.resendCount
 		order := []string{resource.ClusterURL, resource.AssignmentURL, resource.SecretURL}
-		if b.backward {
+		if b.endpointsFirst {
 			slices.Reverse(order)
 		}
 		for _, url := range order {
-			if b.mute[url] { // what it does not send is not sent, and goes out once it answers again
+			if b.muted[url] { // what it does not send is not sent, and goes out once it answers again
 				continue
 			}
-			r := p.lacking(url, subs[url], delta)
+			r := p.nextResponse(url, subs[url], delta)
 			if r == nil {
 				continue
 			}
 			count++
-			last[url] = p.label(r, fmt.Sprint(count))
+			last[url] = p.stampResponse(r, fmt.Sprint(count))
 			before = r
 			if err := s.SendMsg(r); err != nil {
 				return err
@@ -328,46 +328,46 @@
 				return nil
 			}
 			r.Stream = id
-			p.hear(r)
+			p.record(r)
 			sub := subs[r.Type]
 			if sub == nil || !delta && r.Nonce != "" && r.Nonce != last[r.Type] && r.Type == resource.ClusterURL {
 				continue // it is of a response before the last
 			}
-			sub.take(r, delta)
+			sub.update(r, delta)
 		}
 	}
 }
 
-// lacking is the response that a subscription lacks; nil where it lacks none.
-func (p *Plane) lacking(url string, sub *subscription, delta bool) proto.Message {
+// nextResponse is the response that a subscription lacks; nil where it lacks none.
+func (p *ControlPlane) nextResponse(url string, sub *subscription, delta bool) proto.Message {
 	if delta {
-		if r := p.part(url, sub); r != nil {
+		if r := p.deltaResponse(url, sub); r != nil {
 			return r
 		}
-	} else if r := p.whole(url, sub); r != nil {
+	} else if r := p.sotwResponse(url, sub); r != nil {
 		return r
 	}
 	return nil
 }
 
-// label gives a response its nonce, and the version that the plane is to show.
-func (p *Plane) label(m proto.Message, nonce string) string {
+// stampResponse gives a response its nonce, and the version that the plane is to show.
+func (p *ControlPlane) stampResponse(m proto.Message, nonce string) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b := &p.behaves
-	if b.nonce != "" {
-		nonce, b.nonce = b.nonce, ""
+	b := &p.faults
+	if b.nextNonce != "" {
+		nonce, b.nextNonce = b.nextNonce, ""
 	}
 	switch r := m.(type) {
 	case *xdspb.DiscoveryResponse:
 		r.Nonce = nonce
-		if b.version != "" {
-			r.VersionInfo = b.version
+		if b.shownVersion != "" {
+			r.VersionInfo = b.shownVersion
 		}
 	case *xdspb.DeltaDiscoveryResponse:
 		r.Nonce = nonce
-		if b.version != "" {
-			r.SystemVersionInfo = b.version
+		if b.shownVersion != "" {
+			r.SystemVersionInfo = b.shownVersion
 		}
 	}
 	return nonce
@@ -375,15 +375,15 @@
 
 // subscription is what a stream has asked for and been sent, of one type.
 type subscription struct {
-	asked bool
+	requested bool
 	names map[string]bool // nil: all
 	sent  map[string]int  // versions
-	whole int             // SotW: the version of the last response
+	responses int             // SotW: the version of the last response
 }
 
-// take follows what a request asks for.
-func (sub *subscription) take(r Seen, delta bool) {
-	sub.asked = true
+// update follows what a request asks for.
+func (sub *subscription) update(r RecordedRequest, delta bool) {
+	sub.requested = true
 	if r.Type == resource.AssignmentURL && (sub.names == nil || !delta) {
 		sub.names = make(map[string]bool)
 	}
@@ -407,17 +407,17 @@
 	}
 }
 
-// whole is the response of the state of the world that a subscription lacks; nil where it lacks none.
-func (p *Plane) whole(url string, sub *subscription) *xdspb.DiscoveryResponse {
+// sotwResponse is the response of the state of the world that a subscription lacks; nil where it lacks none.
+func (p *ControlPlane) sotwResponse(url string, sub *subscription) *xdspb.DiscoveryResponse {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !sub.asked {
+	if !sub.requested {
 		return nil
 	}
 	r := &xdspb.DiscoveryResponse{VersionInfo: fmt.Sprint(p.version), TypeUrl: url}
-	stale := url == resource.ClusterURL && sub.whole == 0
-	for _, name := range slices.Sorted(maps.Keys(p.all[url])) {
-		v := p.all[url][name]
+	stale := url == resource.ClusterURL && sub.responses == 0
+	for _, name := range slices.Sorted(maps.Keys(p.resources[url])) {
+		v := p.resources[url][name]
 		if sub.names != nil && !sub.names[name] {
 			continue
 		}
@@ -428,7 +428,7 @@
 		sub.sent[name] = v.version
 	}
 	for name := range sub.sent {
-		if _, ok := p.all[url][name]; !ok {
+		if _, ok := p.resources[url][name]; !ok {
 			delete(sub.sent, name)
 			stale = stale || url == resource.ClusterURL
 		}
@@ -436,27 +436,27 @@
 	if !stale {
 		return nil
 	}
-	sub.whole++
+	sub.responses++
 	return r
 }
 
-// part is the incremental response that a subscription lacks; nil where it lacks none.
-func (p *Plane) part(url string, sub *subscription) *xdspb.DeltaDiscoveryResponse {
+// deltaResponse is the incremental response that a subscription lacks; nil where it lacks none.
+func (p *ControlPlane) deltaResponse(url string, sub *subscription) *xdspb.DeltaDiscoveryResponse {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !sub.asked {
+	if !sub.requested {
 		return nil
 	}
 	r := &xdspb.DeltaDiscoveryResponse{SystemVersionInfo: fmt.Sprint(p.version), TypeUrl: url}
-	for _, name := range slices.Sorted(maps.Keys(p.all[url])) {
-		v := p.all[url][name]
+	for _, name := range slices.Sorted(maps.Keys(p.resources[url])) {
+		v := p.resources[url][name]
 		if (sub.names == nil || sub.names[name]) && sub.sent[name] != v.version {
 			r.Resources = append(r.Resources, &xdspb.Resource{Name: name, Version: fmt.Sprint(v.version), Resource: v.body})
 			sub.sent[name] = v.version
 		}
 	}
 	for name := range sub.sent {
-		if _, ok := p.all[url][name]; !ok {
+		if _, ok := p.resources[url][name]; !ok {
 			r.RemovedResources = append(r.RemovedResources, name)
 			delete(sub.sent, name)
 		}
@@ -468,7 +468,7 @@
 }
 
 // Await waits for a condition of the plane's.
-func (p *Plane) Await(within time.Duration, ok func(*Plane) bool) bool {
+func (p *ControlPlane) Await(within time.Duration, ok func(*ControlPlane) bool) bool {
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
 		if ok(p) {
 			return true
--- a/discovery/xds/stored_test.go
+++ b/discovery/xds/stored_test.go
@@ -15,11 +15,11 @@
 // same.
 func TestLoad_FileOfEarlierVersion(t *testing.T) {
 	stored := filepath.Join("testdata", "kept")
-	got, err := load(stored)
+	got, err := readCache(stored)
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := kept{
+	want := cachedList{
 		Saved: time.Date(2026, 12, 1, 8, 30, 0, 250e6, time.UTC),
 		Clusters: map[string]*resource.Assignment{
 			"rooms": {
@@ -42,14 +42,14 @@
 		t.Errorf("read %+v, want %+v", got, want)
 	}
 	dir := t.TempDir()
-	if err := save(dir, got); err != nil {
+	if err := writeCache(dir, got); err != nil {
 		t.Fatal(err)
 	}
-	raw, err := os.ReadFile(filepath.Join(stored, keptName))
+	raw, err := os.ReadFile(filepath.Join(stored, cacheFileName))
 	if err != nil {
 		t.Fatal(err)
 	}
-	again, err := os.ReadFile(filepath.Join(dir, keptName))
+	again, err := os.ReadFile(filepath.Join(dir, cacheFileName))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/discovery/xds/xds.go
+++ b/discovery/xds/xds.go
@@ -32,14 +32,14 @@
 	sotwMethod  = "/envoy.service.discovery.v3.AggregatedDiscoveryService/StreamAggregatedResources"
 	deltaMethod = "/envoy.service.discovery.v3.AggregatedDiscoveryService/DeltaAggregatedResources"
 
-	maxMessage    = 64 << 20         // bytes of one response
-	backoffFirst  = time.Second      // before the second try in a row, spread by half of it to either side
-	backoffMost   = 30 * time.Second // where tries go on failing
-	answerWithin  = 15 * time.Second // the first response of a stream; else the control plane only seems to be there
-	sendWithin    = 15 * time.Second // a request, towards a control plane that reads nothing
-	pingAfter     = 30 * time.Second // of silence
-	pongWithin    = 10 * time.Second
-	preferAgainIn = time.Minute // a control plane in use that is not the first choice is left for a better one
+	maxResponseSize    = 64 << 20         // bytes of one response
+	defaultBackoffBase  = time.Second      // before the second try in a row, spread by half of it to either side
+	defaultBackoffMax   = 30 * time.Second // where tries go on failing
+	defaultResponseTimeout  = 15 * time.Second // the first response of a stream; else the control plane only seems to be there
+	sendTimeout    = 15 * time.Second // a request, towards a control plane that reads nothing
+	keepaliveTime     = 30 * time.Second // of silence
+	keepaliveTimeout    = 10 * time.Second
+	defaultFailbackInterval = time.Minute // a control plane in use that is not the first choice is left for a better one
 )
 
 // Server is one control plane.
@@ -53,32 +53,32 @@
 	Servers []Server // in order of preference
 	Node    *xdspb.Node
 	Delta   bool // the incremental variant
-	// Dir, where it is not empty, is where the last whole list is kept, and where a start begins.
-	Dir string
+	// CacheDir, where it is not empty, is where the last whole list is kept, and where a start begins.
+	CacheDir string
 	Log *slog.Logger
 	// Secrets hear of the certificates and authorities of their names, each time that one is accepted. They must not wait.
 	// What goes from the control plane goes on here: the last good one holds.
 	Secrets map[string]func(*keys.Set)
 
 	// For tests: what the defaults above say otherwise.
-	backoffFirst, backoffMost, answerWithin, preferAgainIn time.Duration
+	backoffBase, backoffMax, responseTimeout, failbackInterval time.Duration
 }
 
 // Source takes the servers from control planes, of which it uses one at a time. What the last of them
 // made whole goes on serving whatever becomes of them.
 type Source struct {
-	c   Config
+	config   Config
 	log *slog.Logger
 
 	mu      sync.Mutex // over what Status reads; Run alone writes
 	machine *ads.Machine
-	book    *book
-	kept    kept // from Dir, until the first list is whole
-	keeper  *keeper
-	at      int // the server in use
-	open    bool
-	since   time.Time // the stream's state
-	last    error     // why the last stream ended
+	snapshot    *snapshot
+	cached    cachedList // from Dir, until the first list is whole
+	cacheWriter  *cacheWriter
+	serverIndex      int // the server in use
+	connected    bool
+	stateSince   time.Time // the stream's state
+	lastErr    error     // why the last stream ended
 }
 
 var _ router.EndpointSource = (*Source)(nil)
@@ -92,10 +92,10 @@
 		c.Log = slog.New(slog.DiscardHandler)
 	}
 	for _, d := range []struct{ field, value *time.Duration }{
-		{&c.backoffFirst, ptr(backoffFirst)},
-		{&c.backoffMost, ptr(backoffMost)},
-		{&c.answerWithin, ptr(answerWithin)},
-		{&c.preferAgainIn, ptr(preferAgainIn)},
+		{&c.backoffBase, ptr(defaultBackoffBase)},
+		{&c.backoffMax, ptr(defaultBackoffMax)},
+		{&c.responseTimeout, ptr(defaultResponseTimeout)},
+		{&c.failbackInterval, ptr(defaultFailbackInterval)},
 	} {
 		if *d.field == 0 {
 			*d.field = *d.value
@@ -105,13 +105,13 @@
 	if c.Delta {
 		v = ads.Delta
 	}
-	s := &Source{c: c, log: c.Log, machine: ads.New(v, slices.Collect(maps.Keys(c.Secrets))...), book: newBook(), since: time.Now()}
-	if c.Dir != "" {
-		s.keeper = &keeper{c.Dir, make(chan kept, 1)}
-		k, err := load(c.Dir)
+	s := &Source{config: c, log: c.Log, machine: ads.New(v, slices.Collect(maps.Keys(c.Secrets))...), snapshot: newSnapshot(), stateSince: time.Now()}
+	if c.CacheDir != "" {
+		s.cacheWriter = &cacheWriter{c.CacheDir, make(chan cachedList, 1)}
+		k, err := readCache(c.CacheDir)
 		switch {
 		case err == nil:
-			s.kept = k
+			s.cached = k
 			c.Log.Info("xds: beginning with the list that was kept", "clusters", len(k.Clusters), "age", time.Since(k.Saved).Round(time.Second))
 		case !errors.Is(err, fs.ErrNotExist):
 			c.Log.Error("xds: the list that was kept is refused", "err", err)
@@ -127,21 +127,21 @@
 
 // Run follows the control planes until ctx ends.
 func (s *Source) Run(ctx context.Context, tell func(router.EndpointUpdate)) {
-	if s.keeper != nil {
+	if s.cacheWriter != nil {
 		var writing sync.WaitGroup
 		writing.Go(func() {
-			s.keeper.run(func(err error) { s.log.Error("xds: the list could not be kept", "dir", s.c.Dir, "err", err) })
+			s.cacheWriter.run(func(err error) { s.log.Error("xds: the list could not be kept", "dir", s.config.CacheDir, "err", err) })
 		})
 		defer writing.Wait()
-		defer close(s.keeper.next)
+		defer close(s.cacheWriter.pending)
 	}
 	s.mu.Lock()
-	begin := s.changed()
+	begin := s.pendingUpdate()
 	s.mu.Unlock()
 	if begin != nil {
 		tell(*begin)
 	}
-	conns := make([]*grpc.ClientConn, len(s.c.Servers))
+	conns := make([]*grpc.ClientConn, len(s.config.Servers))
 	defer func() {
 		for _, c := range conns {
 			if c != nil {
@@ -154,40 +154,40 @@
 		conn := conns[at]
 		if conn == nil {
 			var err error
-			if conn, err = s.dial(s.c.Servers[at]); err != nil {
-				s.log.Error("xds: a control plane can't be called", "address", s.c.Servers[at].Addr, "err", err)
+			if conn, err = s.dial(s.config.Servers[at]); err != nil {
+				s.log.Error("xds: a control plane can't be called", "address", s.config.Servers[at].Addr, "err", err)
 			}
 			conns[at] = conn
 		}
 		answered, err := false, errors.New("it can't be called")
 		if conn != nil {
-			answered, err = s.follow(ctx, conn, conns[0], at, tell)
+			answered, err = s.runStream(ctx, conn, conns[0], at, tell)
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		s.closed(err)
+		s.streamEnded(err)
 		switch {
-		case errors.Is(err, errBetter):
+		case errors.Is(err, errPreferredAvailable):
 			at, failures = 0, 0
 			continue
 		case answered:
 			failures = 0
 		}
 		failures++
-		s.log.Warn("xds: the control plane is out of reach, keeping the last list", "address", s.c.Servers[at].Addr, "err", err, "tries", failures)
-		at = (at + 1) % len(s.c.Servers)
-		if at != 0 && failures < len(s.c.Servers) {
+		s.log.Warn("xds: the control plane is out of reach, keeping the last list", "address", s.config.Servers[at].Addr, "err", err, "tries", failures)
+		at = (at + 1) % len(s.config.Servers)
+		if at != 0 && failures < len(s.config.Servers) {
 			continue // the next in order of preference is asked at once
 		}
-		s.pause(ctx, failures)
+		s.waitBackoff(ctx, failures)
 	}
 }
 
-// pause waits before another round of tries. All who lost the same control plane must not come back
+// waitBackoff waits before another round of tries. All who lost the same control plane must not come back
 // together, so the wait is drawn from half to one and a half times what is due.
-func (s *Source) pause(ctx context.Context, failures int) {
-	t := time.NewTimer(backoff(s.c.backoffFirst, s.c.backoffMost, failures, rand.Float64()))
+func (s *Source) waitBackoff(ctx context.Context, failures int) {
+	t := time.NewTimer(backoff(s.config.backoffBase, s.config.backoffMax, failures, rand.Float64()))
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -211,14 +211,14 @@
 	}
 	return grpc.NewClient("passthrough:///"+to.Addr, grpc.WithTransportCredentials(creds),
 		grpc.WithNoProxy(), grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pongWithin}))
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxResponseSize)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}))
 }
 
 var (
-	errBetter = errors.New("a control plane of higher preference may be back")
-	errSilent = errors.New("it accepts, and does not answer")
-	errStuck  = errors.New("it does not read")
+	errPreferredAvailable = errors.New("a control plane of higher preference may be back")
+	errNoResponse = errors.New("it accepts, and does not answer")
+	errSendTimeout  = errors.New("it does not read")
 )
 
 // stream is one call of either variant.
@@ -259,22 +259,22 @@
 	}
 }
 
-// follow runs one stream to its end, and tells whether anything came on it.
-func (s *Source) follow(ctx context.Context, conn, preferred *grpc.ClientConn, at int, tell func(router.EndpointUpdate)) (answered bool, _ error) {
+// runStream runs one stream to its end, and tells whether anything came on it.
+func (s *Source) runStream(ctx context.Context, conn, preferred *grpc.ClientConn, at int, tell func(router.EndpointUpdate)) (answered bool, _ error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	desc, method := &grpc.StreamDesc{ServerStreams: true, ClientStreams: true}, sotwMethod
-	if s.c.Delta {
+	if s.config.Delta {
 		method = deltaMethod
 	}
 	// A control plane that accepts and never answers must not hold the source: there may be another.
-	silent := time.AfterFunc(s.c.answerWithin, func() { cancel(errSilent) })
+	silent := time.AfterFunc(s.config.responseTimeout, func() { cancel(errNoResponse) })
 	defer silent.Stop()
 	raw, err := conn.NewStream(ctx, desc, method)
 	if err != nil {
-		return false, because(ctx, err)
+		return false, streamError(ctx, err)
 	}
-	st := stream{raw, s.c.Delta, s.c.Node}
+	st := stream{raw, s.config.Delta, s.config.Node}
 	responses, failed := make(chan ads.Response), make(chan error, 1)
 	var receiving sync.WaitGroup
 	defer receiving.Wait()
@@ -295,14 +295,14 @@
 	})
 	s.mu.Lock()
 	first := s.machine.Connected()
-	s.at, s.open, s.since = at, true, time.Now()
+	s.serverIndex, s.connected, s.stateSince = at, true, time.Now()
 	s.mu.Unlock()
-	if err := sendAll(ctx, cancel, st, first); err != nil {
-		return false, because(ctx, err)
+	if err := sendRequests(ctx, cancel, st, first); err != nil {
+		return false, streamError(ctx, err)
 	}
 	var better <-chan time.Time
 	if at != 0 && preferred != nil {
-		t := time.NewTicker(s.c.preferAgainIn)
+		t := time.NewTicker(s.config.failbackInterval)
 		defer t.Stop()
 		better = t.C
 	}
@@ -313,22 +313,22 @@
 		case r := <-responses:
 			silent.Stop()
 			if !answered {
-				s.log.Info("xds: the control plane answers", "address", s.c.Servers[at].Addr)
+				s.log.Info("xds: the control plane answers", "address", s.config.Servers[at].Addr)
 			}
 			answered = true
-			requests, change, refused := s.take(r)
+			requests, change, refused := s.handleResponse(r)
 			if refused != "" {
-				s.log.Error("xds: refused", "type", urls[r.Type], "version", r.Version, "reason", refused)
+				s.log.Error("xds: refused", "type", typeURLs[r.Type], "version", r.Version, "reason", refused)
 			}
 			if change != nil {
 				tell(*change)
 			}
-			if err := sendAll(ctx, cancel, st, requests); err != nil {
-				return answered, because(ctx, err)
+			if err := sendRequests(ctx, cancel, st, requests); err != nil {
+				return answered, streamError(ctx, err)
 			}
 			expiry.Reset(0)
 		case <-expiry.C:
-			change, next := s.expire()
+			change, next := s.expireResources()
 			if change != nil {
 				s.log.Error("xds: resources were not renewed within their TTL", "servers", len(change.Endpoints))
 				tell(*change)
@@ -340,20 +340,20 @@
 			// A stream that works is not left for one that may not come up: until the preferred control
 			// plane is connected, drains would not be heard of from either.
 			if preferred.GetState() == connectivity.Ready {
-				return answered, errBetter
+				return answered, errPreferredAvailable
 			}
 			preferred.Connect()
 		case err := <-failed:
-			return answered, because(ctx, err)
+			return answered, streamError(ctx, err)
 		case <-ctx.Done():
-			return answered, because(ctx, ctx.Err())
+			return answered, streamError(ctx, ctx.Err())
 		}
 	}
 }
 
-// sendAll sends requests, and gives a control plane up that reads none of them.
-func sendAll(ctx context.Context, cancel context.CancelCauseFunc, st stream, requests []ads.Request) error {
-	stuck := time.AfterFunc(sendWithin, func() { cancel(errStuck) })
+// sendRequests sends requests, and gives a control plane up that reads none of them.
+func sendRequests(ctx context.Context, cancel context.CancelCauseFunc, st stream, requests []ads.Request) error {
+	stuck := time.AfterFunc(sendTimeout, func() { cancel(errSendTimeout) })
 	defer stuck.Stop()
 	for _, r := range requests {
 		if err := st.send(r); err != nil {
@@ -363,66 +363,66 @@
 	return nil
 }
 
-// because prefers the reason that this side has for a stream's end.
-func because(ctx context.Context, err error) error {
+// streamError prefers the reason that this side has for a stream's end.
+func streamError(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
 		return cause
 	}
 	return err
 }
 
-// take has the machine handle a response, and returns what to send, what to tell and what was refused.
-func (s *Source) take(r ads.Response) ([]ads.Request, *router.EndpointUpdate, string) {
+// handleResponse has the machine handle a response, and returns what to send, what to tell and what was refused.
+func (s *Source) handleResponse(r ads.Response) ([]ads.Request, *router.EndpointUpdate, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	requests := s.machine.Handle(time.Now(), r)
+	requests := s.machine.HandleResponse(time.Now(), r)
 	if r.Type == ads.Secrets && len(requests) > 0 && r.Err == nil {
 		for _, in := range r.Resources {
-			if set, ok := in.Value.(*keys.Set); ok && in.Err == nil && s.c.Secrets[in.Name] != nil {
-				s.c.Secrets[in.Name](set)
+			if set, ok := in.Value.(*keys.Set); ok && in.Err == nil && s.config.Secrets[in.Name] != nil {
+				s.config.Secrets[in.Name](set)
 				s.log.Info("xds: a new secret is in force", "name", in.Name)
 			}
 		}
 	}
 	refused := ""
 	if len(requests) > 0 {
-		refused = requests[0].Error
+		refused = requests[0].ErrorDetail
 	}
-	return requests, s.changed(), refused
+	return requests, s.pendingUpdate(), refused
 }
 
-// expire drops what has outlived its TTL.
-func (s *Source) expire() (*router.EndpointUpdate, time.Time) {
+// expireResources drops what has outlived its TTL.
+func (s *Source) expireResources() (*router.EndpointUpdate, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed, next := s.machine.Tick(time.Now())
+	changed, next := s.machine.ExpireResources(time.Now())
 	if !changed {
 		return nil, next
 	}
-	return s.changed(), next
+	return s.pendingUpdate(), next
 }
 
-// changed is what the servers' list lacks of what is in force; nil for nothing.
-func (s *Source) changed() *router.EndpointUpdate {
-	had := len(s.book.members) > 0
-	applied, whole := s.machine.Applied(), s.machine.Whole()
+// pendingUpdate is what the servers' list lacks of what is in force; nil for nothing.
+func (s *Source) pendingUpdate() *router.EndpointUpdate {
+	had := len(s.snapshot.published) > 0
+	applied, whole := s.machine.Applied(), s.machine.Complete()
 	if whole {
-		s.kept = kept{}
-	} else if len(s.kept.Clusters) > 0 {
-		applied = s.kept.under(applied)
+		s.cached = cachedList{}
+	} else if len(s.cached.Clusters) > 0 {
+		applied = s.cached.mergeUnder(applied)
 	}
-	change := s.book.change(s.book.update(applied))
+	change := s.snapshot.endpointUpdate(s.snapshot.apply(applied))
 	if change == nil {
 		return nil
 	}
-	if whole && s.keeper != nil {
-		k := kept{Saved: time.Now(), Clusters: make(map[string]*resource.Assignment, len(applied))}
+	if whole && s.cacheWriter != nil {
+		k := cachedList{Saved: time.Now(), Clusters: make(map[string]*resource.Assignment, len(applied))}
 		for name, a := range applied {
 			k.Clusters[name] = a.Assignment
 		}
-		s.keeper.offer(k)
+		s.cacheWriter.enqueue(k)
 	}
-	if had && len(s.book.members) == 0 {
+	if had && len(s.snapshot.published) == 0 {
 		s.log.Error("xds: the control plane has taken every server away")
 	}
 	switch {
@@ -434,25 +434,25 @@
 	return change
 }
 
-func (s *Source) closed(err error) {
+func (s *Source) streamEnded(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.machine.Disconnected()
-	s.open, s.last, s.since = false, err, time.Now()
+	s.connected, s.lastErr, s.stateSince = false, err, time.Now()
 }
 
 // Status is how a source stands.
 type Status struct {
 	Server  string // in use, or last tried
-	Open    bool
+	Connected    bool
 	Since   time.Time // of Open, or of its end
-	Last    error     // why the last stream ended
-	Whole   bool
+	LastError    error     // why the last stream ended
+	Complete   bool
 	Types   [3]ads.Status // by ads.Type
-	Members []router.Endpoint
+	Endpoints []router.Endpoint
 	Drops   dropoverload.Fractions // of the requests of classes bound to a cluster, by cluster
-	// Endpoints are those of all clusters, in order of cluster and address.
-	Endpoints []EndpointStatus
+	// EndpointStatuses are those of all clusters, in order of cluster and address.
+	EndpointStatuses []EndpointStatus
 }
 
 // EndpointStatus is an endpoint in a cluster, and whether it is used.
@@ -467,13 +467,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Status{
-		Server: s.c.Servers[s.at].Addr, Open: s.open, Since: s.since, Last: s.last, Whole: s.machine.Whole(),
+		Server: s.config.Servers[s.serverIndex].Addr, Connected: s.connected, Since: s.stateSince, LastError: s.lastErr, Complete: s.machine.Complete(),
 		Types:   [3]ads.Status{s.machine.Status(ads.Clusters), s.machine.Status(ads.Endpoints), s.machine.Status(ads.Secrets)},
-		Members: s.book.whole(), Drops: s.book.drops, Endpoints: s.book.endpoints(),
+		Endpoints: s.snapshot.endpoints(), Drops: s.snapshot.drops, EndpointStatuses: s.snapshot.endpointStatuses(),
 	}
 }
 
 // String is for logs.
 func (s Status) String() string {
-	return fmt.Sprintf("%s, open %v since %v, %d servers", s.Server, s.Open, s.Since.Format(time.RFC3339), len(s.Members))
+	return fmt.Sprintf("%s, open %v since %v, %d servers", s.Server, s.Connected, s.Since.Format(time.RFC3339), len(s.Endpoints))
 }
--- a/discovery/xds/xds_test.go
+++ b/discovery/xds/xds_test.go
@@ -61,7 +61,7 @@
 	return &xdspb.ClusterLoadAssignment{ClusterName: name, Endpoints: []*xdspb.LocalityLbEndpoints{l}}
 }
 
-func plane(t testing.TB) *standin.Plane {
+func plane(t testing.TB) *standin.ControlPlane {
 	t.Helper()
 	p, err := standin.Start("")
 	if err != nil {
@@ -116,8 +116,8 @@
 // run runs a source until the test ends.
 func run(t testing.TB, c Config) (*Source, *list) {
 	t.Helper()
-	if c.backoffFirst == 0 {
-		c.backoffFirst, c.backoffMost = 10*time.Millisecond, 50*time.Millisecond
+	if c.backoffBase == 0 {
+		c.backoffBase, c.backoffMax = 10*time.Millisecond, 50*time.Millisecond
 	}
 	c.Node = &xdspb.Node{Id: "test", Cluster: "tests"}
 	s, err := New(c)
@@ -157,8 +157,8 @@
 		p.Remove(resource.ClusterURL, "rooms")
 		l.await(t, "10.0.0.3:1 10.0.0.4:1")
 		st := s.Status()
-		if !st.Open || !st.Whole || st.Server != p.Addr || len(st.Members) != 2 || p.Acks.Load() == 0 || len(p.Nacks()) != 0 {
-			t.Errorf("%v, whole %v, %d acknowledged, refused %v", st, st.Whole, p.Acks.Load(), p.Nacks())
+		if !st.Connected || !st.Complete || st.Server != p.Addr || len(st.Endpoints) != 2 || p.Acks.Load() == 0 || len(p.Nacks()) != 0 {
+			t.Errorf("%v, whole %v, %d acknowledged, refused %v", st, st.Complete, p.Acks.Load(), p.Nacks())
 		}
 		p.Set(assignment("more"))
 		l.await(t, "") // an empty list may be a drain, and is obeyed
@@ -208,10 +208,10 @@
 		bad.Endpoints[0].LbEndpoints[311] = lbEndpoint("10.1.9.9:0")
 		p.Set(bad)
 		const want = `assignment "rooms": endpoints[0].lb_endpoints[311].endpoint.address.socket_address.port_value: want 1 to 65535, got 0`
-		if !p.Await(testkit.Long, func(p *standin.Plane) bool { return slices.Contains(p.Nacks(), want) }) {
+		if !p.Await(testkit.Long, func(p *standin.ControlPlane) bool { return slices.Contains(p.Nacks(), want) }) {
 			t.Errorf("refused for %q", p.Nacks())
 		}
-		if l.running() != "10.0.0.1:1" || s.Status().Types[1].Refused["rooms"] != want {
+		if l.running() != "10.0.0.1:1" || s.Status().Types[1].Rejected["rooms"] != want {
 			t.Errorf("in force %q, status %+v", l.running(), s.Status().Types[1])
 		}
 		p.Set(assignment("rooms", "10.0.0.2:1"))
@@ -230,29 +230,29 @@
 			t.Fatal(err)
 		}
 		p.Set(cluster("rooms"), assignment("rooms", "10.0.0.1:1", "10.0.0.2:1"))
-		s, l := run(t, Config{Servers: []Server{{Addr: p.Addr}}, Delta: delta, answerWithin: 50 * time.Millisecond})
+		s, l := run(t, Config{Servers: []Server{{Addr: p.Addr}}, Delta: delta, responseTimeout: 50 * time.Millisecond})
 		l.await(t, "10.0.0.1:1 10.0.0.2:1")
-		p.Fail(codes.ResourceExhausted)
+		p.RejectStreams(codes.ResourceExhausted)
 		testkit.Await(t, "several tries", func() bool { return p.Streams.Load() > 3 })
-		p.Fail(codes.OK)
-		testkit.Await(t, "the stream", func() bool { return s.Status().Open })
+		p.RejectStreams(codes.OK)
+		testkit.Await(t, "the stream", func() bool { return s.Status().Connected })
 		p.Stop() // and its connections end
-		testkit.Await(t, "the stream's end", func() bool { return !s.Status().Open })
-		if got := l.running(); got != "10.0.0.1:1 10.0.0.2:1" || s.Status().Last == nil {
-			t.Errorf("without a control plane: %q, last %v", got, s.Status().Last)
+		testkit.Await(t, "the stream's end", func() bool { return !s.Status().Connected })
+		if got := l.running(); got != "10.0.0.1:1 10.0.0.2:1" || s.Status().LastError == nil {
+			t.Errorf("without a control plane: %q, last %v", got, s.Status().LastError)
 		}
 		next, err := standin.Start(p.Addr)
 		if err != nil {
 			t.Skipf("the port is taken by now: %v", err)
 		}
 		defer next.Stop()
-		next.Mute(true) // it accepts, and answers nothing
+		next.SetMuted(true) // it accepts, and answers nothing
 		testkit.Await(t, "tries at the one that is mute", func() bool { return next.Streams.Load() >= 2 })
 		if got := l.running(); got != "10.0.0.1:1 10.0.0.2:1" {
 			t.Errorf("with a mute one: %q", got)
 		}
 		next.Set(cluster("rooms"), assignment("rooms", "10.0.0.2:1"))
-		next.Mute(false)
+		next.SetMuted(false)
 		l.await(t, "10.0.0.2:1")
 	})
 }
@@ -260,14 +260,14 @@
 // The second control plane serves while the first is away, and the first again once it is back.
 func TestFailoverAndReturn(t *testing.T) {
 	first, second := plane(t), plane(t)
-	first.Fail(codes.Unavailable)
+	first.RejectStreams(codes.Unavailable)
 	first.Set(cluster("rooms"), assignment("rooms", "10.0.0.1:1"))
 	second.Set(cluster("rooms"), assignment("rooms", "10.0.0.2:1"))
-	s, l := run(t, Config{Servers: []Server{{Addr: first.Addr}, {Addr: second.Addr}}, preferAgainIn: 100 * time.Millisecond})
+	s, l := run(t, Config{Servers: []Server{{Addr: first.Addr}, {Addr: second.Addr}}, failbackInterval: 100 * time.Millisecond})
 	l.await(t, "10.0.0.2:1")
 	testkit.Await(t, "another try at the first", func() bool { return first.Streams.Load() > 1 })
 	l.await(t, "10.0.0.2:1")
-	first.Fail(codes.OK)
+	first.RejectStreams(codes.OK)
 	l.await(t, "10.0.0.1:1")
 	if st := s.Status(); st.Server != first.Addr {
 		t.Errorf("in use: %s", st.Server)
@@ -282,7 +282,7 @@
 	second.Set(cluster("rooms"), assignment("rooms", "10.0.0.2:1"))
 	_, l := run(t, Config{
 		Servers:      []Server{{Addr: silent}, {Addr: second.Addr}},
-		answerWithin: 300 * time.Millisecond, preferAgainIn: 20 * time.Millisecond,
+		responseTimeout: 300 * time.Millisecond, failbackInterval: 20 * time.Millisecond,
 	})
 	l.await(t, "10.0.0.2:1")
 	time.Sleep(500 * time.Millisecond) // many times the wait before the preferred one is thought of again
@@ -295,10 +295,10 @@
 // tries in a busy loop.
 func TestReconnectionsAreSpread(t *testing.T) {
 	const clients, buckets = 200, 10
-	for failures, due := range map[int]time.Duration{1: backoffFirst, 4: 8 * backoffFirst, 50: backoffMost} {
+	for failures, due := range map[int]time.Duration{1: defaultBackoffBase, 4: 8 * defaultBackoffBase, 50: defaultBackoffMax} {
 		var hist [buckets]int
 		for i := range clients {
-			d := backoff(backoffFirst, backoffMost, failures, float64(i)/clients)
+			d := backoff(defaultBackoffBase, defaultBackoffMax, failures, float64(i)/clients)
 			if d < due/2 || d > due*3/2 {
 				t.Fatalf("after %d failures: %v, want around %v", failures, d, due)
 			}
@@ -323,7 +323,7 @@
 	changes := l.changes
 	l.mu.Unlock()
 	p.Set(assignment("rooms", "[fd00::1]:1", "10.0.0.1:1"))
-	if !p.Await(testkit.Long, func(p *standin.Plane) bool { return p.Acks.Load() >= 3 }) {
+	if !p.Await(testkit.Long, func(p *standin.ControlPlane) bool { return p.Acks.Load() >= 3 }) {
 		t.Fatal("not acknowledged")
 	}
 	l.mu.Lock()
@@ -337,7 +337,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	moved.Endpoints[0].LbEndpoints[0].Metadata = &xdspb.Metadata{FilterMetadata: map[string]*structpb.Struct{resource.Namespace: own}}
+	moved.Endpoints[0].LbEndpoints[0].Metadata = &xdspb.Metadata{FilterMetadata: map[string]*structpb.Struct{resource.MetadataNamespace: own}}
 	p.Set(assignment("rooms", "[fd00::1]:1"), moved)
 	testkit.Await(t, "the move", func() bool {
 		l.mu.Lock()
@@ -350,7 +350,7 @@
 // The list that a router begins with serves until the control plane has told its own, and is gone then.
 func TestTheFirstListTakesThePlaceOfTheOld(t *testing.T) {
 	p := plane(t)
-	p.Mute(true)
+	p.SetMuted(true)
 	p.Set(cluster("rooms"), assignment("rooms", "10.0.0.1:1", "10.0.0.2:1"))
 	source, err := New(Config{Servers: []Server{{Addr: p.Addr}}, Node: &xdspb.Node{Id: "first"}})
 	if err != nil {
@@ -365,11 +365,11 @@
 		t.Fatal(err)
 	}
 	defer r.Close()
-	testkit.Await(t, "the stream", func() bool { return source.Status().Open })
+	testkit.Await(t, "the stream", func() bool { return source.Status().Connected })
 	if n := r.Stats().EndpointsByAvailability[policy.Running]; n != 1 {
 		t.Errorf("%d servers before the control plane has told its own", n)
 	}
-	p.Mute(false)
+	p.SetMuted(false)
 	testkit.Await(t, "the list", func() bool { return r.Stats().EndpointsByPool["rooms"] == 2 })
 	if n := r.Stats().EndpointsByAvailability[policy.Running]; n != 2 {
 		t.Errorf("%d servers, want those of the control plane alone", n)
@@ -416,7 +416,7 @@
 	t.Run("file", func(t *testing.T) {
 		app, path := newSites(t, 4), filepath.Join(t.TempDir(), "eds.json")
 		put(t, path, pack(t, assignment("rooms", app.addrs...)))
-		source, err := NewFiles([]string{path}, nil)
+		source, err := NewFileSource([]string{path}, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/emulator/live/control/control.go
+++ b/emulator/live/control/control.go
@@ -18,7 +18,7 @@
 const cluster = "site"
 
 type plane struct {
-	plane     *standin.Plane
+	plane     *standin.ControlPlane
 	bootstrap string
 	told      func(id string, open bool)
 
@@ -96,7 +96,7 @@
 		texts = append(texts, text)
 	}
 	slices.Sort(texts)
-	cla, err := standin.Assignment(cluster, texts)
+	cla, err := standin.ParseAssignment(cluster, texts)
 	if err != nil {
 		panic("control: " + err.Error() + ": " + strings.Join(texts, " ")) // of addresses and figures made here
 	}
@@ -109,7 +109,7 @@
 	unsaid := a.unsaid
 	a.unsaid = nil
 	a.mu.Unlock()
-	a.plane.Mute(on)
+	a.plane.SetMuted(on)
 	for _, e := range unsaid {
 		a.Set(e)
 	}
