--- a/discovery/xds/ads/ads.go
+++ b/discovery/xds/ads/ads.go
@@ -17,12 +17,12 @@
 // Type is a type of resources.
 type Type uint8
 
-// The numTypes that a router subscribes to, in the order in which a control plane should send them.
+// The NumTypes that a router subscribes to, in the order in which a control plane should send them.
 const (
 	Clusters Type = iota
 	Endpoints
 	Secrets // certificates and authorities, by the names that the operator gives
-	numTypes
+	NumTypes
 )
 
 // Variant is a form of the protocol.
@@ -57,52 +57,52 @@
 
 // Request is one request that is to be sent.
 type Request struct {
-	Type    Type
-	IncludeNode    bool   // the first of a stream, which says who asks
-	Version string // SotW: last accepted
-	Nonce   string // of the response that it answers; "" where it answers none
+	Type          Type
+	IncludeNode   bool   // the first of a stream, which says who asks
+	Version       string // SotW: last accepted
+	Nonce         string // of the response that it answers; "" where it answers none
 	ErrorDetail   string // a NACK, with its reason
-	ResourceNames   []string
+	ResourceNames []string
 	// Delta only. Names is then empty.
 	Subscribe, Unsubscribe []string
-	InitialVersions                map[string]string // versions held, by name
+	InitialVersions        map[string]string // versions held, by name
 }
 
 // acceptedResource is a resource that was accepted.
 type acceptedResource struct {
-	version string
-	value   any
+	version   string
+	value     any
 	expiresAt time.Time // zero: never
 }
 
 // subscription is what the machine knows of one type.
 type subscription struct {
-	version string // SotW: last accepted
-	nonce   string // of the last response on this stream
-	requested   bool   // on this stream
-	resourceNames   []string
-	accepted    map[string]acceptedResource
-	absent  map[string]bool   // named, and known not to exist
-	rejected map[string]string // reasons, by name; until it is accepted or gone
-	nackReason string            // why the last response was refused as a whole, or in part
-	updatedAt time.Time
+	version       string // SotW: last accepted
+	nonce         string // of the last response on this stream
+	requested     bool   // on this stream
+	resourceNames []string
+	accepted      map[string]acceptedResource
+	absent        map[string]bool   // named, and known not to exist
+	rejected      map[string]string // reasons, by name; until it is accepted or gone
+	nackReason    string            // why the last response was refused as a whole, or in part
+	updatedAt     time.Time
 }
 
 // Machine is the state of one subscription to a control plane. It isn't safe for concurrent use.
 type Machine struct {
-	variant Variant
-	connected    bool // a stream is there
-	nodeUnsent   bool // nothing was sent on it yet
-	subscriptions    [numTypes]subscription
-	applied map[string]AppliedCluster
+	variant       Variant
+	connected     bool // a stream is there
+	nodeUnsent    bool // nothing was sent on it yet
+	subscriptions [NumTypes]subscription
+	applied       map[string]AppliedCluster
 }
 
 // AppliedCluster is a cluster as it is in force.
 type AppliedCluster struct {
-	Cluster    *resource.Cluster
-	Assignment *resource.Assignment // nil while it has never come
-	Warming    bool                 // what the newest cluster wants has not come yet; what was before serves
-	PendingRemoval    bool                 // it is in the newest list no more, and serves until that list is whole
+	Cluster        *resource.Cluster
+	Assignment     *resource.Assignment // nil while it has never come
+	Warming        bool                 // what the newest cluster wants has not come yet; what was before serves
+	PendingRemoval bool                 // it is in the newest list no more, and serves until that list is whole
 }
 
 // New returns a machine that holds nothing, and will ask for these secrets.
@@ -157,7 +157,7 @@
 // HandleResponse takes a response in at a time, and returns the requests that answer it. What it brought is in
 // force when HandleResponse returns.
 func (m *Machine) HandleResponse(now time.Time, r Response) []Request {
-	if !m.connected || r.Type >= numTypes {
+	if !m.connected || r.Type >= NumTypes {
 		return nil
 	}
 	s := &m.subscriptions[r.Type]
@@ -360,13 +360,13 @@
 
 // Status is what operators ask of a type.
 type Status struct {
-	Version string
-	Nonce   string
-	UpdatedAt time.Time // the last response that could be read
-	NACKReason string    // why the last response was refused; "" where it was accepted
-	Rejected map[string]string
-	ResourceNames   []string
-	Versions    map[string]string // versions, by name
+	Version       string
+	Nonce         string
+	UpdatedAt     time.Time // the last response that could be read
+	NACKReason    string    // why the last response was refused; "" where it was accepted
+	Rejected      map[string]string
+	ResourceNames []string
+	Versions      map[string]string // versions, by name
 }
 
 // Status tells of one type.
--- a/discovery/xds/ads/ads_test.go
+++ b/discovery/xds/ads/ads_test.go
@@ -255,7 +255,7 @@
 
 	// Of the client's stream.
 	names  map[string]bool
-	known  [numTypes]map[string]int // versions that the client was sent
+	known  [NumTypes]map[string]int // versions that the client was sent
 	nonce  int
 	inWire []Response
 }
@@ -279,7 +279,7 @@
 // connect begins a stream: what was on its way is lost.
 func (p *plane) connect() {
 	p.inWire, p.names = nil, make(map[string]bool)
-	p.known = [numTypes]map[string]int{make(map[string]int), make(map[string]int)}
+	p.known = [NumTypes]map[string]int{make(map[string]int), make(map[string]int)}
 }
 
 // hear takes a request in.
--- a/discovery/xds/bootstrap.go
+++ b/discovery/xds/bootstrap.go
@@ -15,74 +15,93 @@
 	"google.golang.org/protobuf/encoding/protojson"
 )
 
-// ParseBootstrap reads the standard bootstrap JSON, as gRPC clients do (gRFC A27): xds_servers, of which
-// the first with channel_creds that are known is not enough here: all are taken, in order of preference;
-// and node. What else it holds is for others. ca, where it is not empty, is a PEM file that certificates
-// of control planes are checked against; else the system's are.
-func ParseBootstrap(raw []byte, ca string) (Config, error) {
-	var f struct {
-		Servers []struct {
-			URI   string `json:"server_uri"`
-			Creds []struct {
-				Type string `json:"type"`
-			} `json:"channel_creds"`
-		} `json:"xds_servers"`
-		Node json.RawMessage `json:"node"`
-	}
-	if err := fields.Unmarshal(raw, &f); err != nil {
+// userAgent is how the node names itself to control planes.
+const userAgent = "wayhold"
+
+// Types of channel credentials that a bootstrap may name.
+const (
+	credentialsInsecure = "insecure"
+	credentialsTLS      = "tls"
+)
+
+// bootstrapJSON is the standard bootstrap file, as far as it is read.
+type bootstrapJSON struct {
+	Servers []serverJSON    `json:"xds_servers"`
+	Node    json.RawMessage `json:"node"`
+}
+
+// serverJSON is a control plane of a bootstrap file.
+type serverJSON struct {
+	URI         string            `json:"server_uri"`
+	Credentials []credentialsJSON `json:"channel_creds"`
+}
+
+type credentialsJSON struct {
+	Type string `json:"type"`
+}
+
+// ParseBootstrap reads the standard bootstrap JSON of gRPC clients (gRFC A27): xds_servers, all of them in order of
+// preference, each with the first of its channel_creds that is supported; and node. Other keys are ignored. caFile is
+// the PEM file of the authorities that certificates of control planes are verified against; where it is empty, the
+// system's are used. Errors name the key.
+func ParseBootstrap(raw []byte, caFile string) (Config, error) {
+	var parsed bootstrapJSON
+	if err := fields.Unmarshal(raw, &parsed); err != nil {
 		return Config{}, fmt.Errorf("bootstrap: %w", err)
 	}
-	if len(f.Servers) == 0 {
+	if len(parsed.Servers) == 0 {
 		return Config{}, errors.New("bootstrap: xds_servers: there are none")
 	}
-	c := Config{Node: &xdspb.Node{}}
-	for i, s := range f.Servers {
-		at := fmt.Sprintf("bootstrap: xds_servers[%d]", i)
-		if err := fields.CheckAddress(s.URI); err != nil {
-			return Config{}, fmt.Errorf("%s.server_uri: %w", at, err)
+	config := Config{Node: &xdspb.Node{}}
+	for i, entry := range parsed.Servers {
+		server, err := entry.server(fmt.Sprintf("bootstrap: xds_servers[%d]", i), caFile)
+		if err != nil {
+			return Config{}, err
 		}
-		to, known := Server{Addr: s.URI}, false
-		for _, creds := range s.Creds {
-			switch creds.Type {
-			case "insecure":
-			case "tls":
-				roots, err := certPool(ca)
-				if err != nil {
-					return Config{}, err
-				}
-				to.TLS = credentials.NewTLS(&tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12})
-			default:
-				continue // another that is known may follow
-			}
-			known = true
-			break
-		}
-		if !known {
-			return Config{}, fmt.Errorf("%s.channel_creds: want insecure or tls", at)
-		}
-		c.Servers = append(c.Servers, to)
+		config.Servers = append(config.Servers, server)
 	}
-	if len(f.Node) > 0 {
-		if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(f.Node, c.Node); err != nil {
+	if len(parsed.Node) > 0 {
+		if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(parsed.Node, config.Node); err != nil {
 			return Config{}, fmt.Errorf("bootstrap: node: %s", firstLine(err))
 		}
 	}
-	c.Node.UserAgentName = "wayhold"
-	return c, nil
+	config.Node.UserAgentName = userAgent
+	return config, nil
+}
+
+// server is the control plane of an entry; key is where the entry stands.
+func (s serverJSON) server(key, caFile string) (Server, error) {
+	if err := fields.CheckAddress(s.URI); err != nil {
+		return Server{}, fmt.Errorf("%s.server_uri: %w", key, err)
+	}
+	for _, creds := range s.Credentials {
+		switch creds.Type {
+		case credentialsInsecure:
+			return Server{Addr: s.URI}, nil
+		case credentialsTLS:
+			roots, err := certPool(caFile)
+			if err != nil {
+				return Server{}, err
+			}
+			config := &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}
+			return Server{Addr: s.URI, TLS: credentials.NewTLS(config)}, nil
+		}
+	}
+	return Server{}, fmt.Errorf("%s.channel_creds: want %s or %s", key, credentialsInsecure, credentialsTLS)
 }
 
-// certPool is the certificates that control planes are checked against; nil is the system's.
-func certPool(ca string) (*x509.CertPool, error) {
-	if ca == "" {
+// certPool is the authorities of a PEM file; nil, for those of the system, where no file is named.
+func certPool(caFile string) (*x509.CertPool, error) {
+	if caFile == "" {
 		return nil, nil
 	}
-	raw, err := os.ReadFile(ca)
+	raw, err := os.ReadFile(caFile)
 	if err != nil {
 		return nil, fmt.Errorf("ca_file: %w", err)
 	}
 	roots := x509.NewCertPool()
 	if !roots.AppendCertsFromPEM(raw) {
-		return nil, fmt.Errorf("ca_file: %s holds no certificate", ca)
+		return nil, fmt.Errorf("ca_file: %s holds no certificate", caFile)
 	}
 	return roots, nil
 }
--- a/discovery/xds/cache.go
+++ b/discovery/xds/cache.go
@@ -17,95 +17,123 @@
 )
 
 const (
-	cacheFileName    = "xds-last.json"
-	cacheFormat = "wayhold-xds 1" // of the file's form
-	maxCacheSize     = 256 << 20       // bytes
+	cacheFileName = "xds-last.json"
+	cacheFormat   = "wayhold-xds 1" // name and version of the file's format
+	maxCacheSize  = 256 << 20       // bytes
 )
 
-// cachedList is the last whole list as it lies on disk: a line with the form's version and a checksum of the
-// rest, then JSON.
+// cachedList is the last complete list as it is on disk: a line with the format and a checksum of the rest, then JSON.
+// The names of its fields, and those of resource.Assignment and resource.Endpoint, are keys of the file.
 type cachedList struct {
 	Saved    time.Time
 	Clusters map[string]*resource.Assignment
 }
 
-// writeCache writes the list, so that a reader finds the old one or the new one and never a part.
-func writeCache(dir string, k cachedList) error {
-	body, err := json.Marshal(k)
+// writeCache replaces the cached list atomically.
+func writeCache(dir string, list cachedList) error {
+	body, err := json.Marshal(list)
 	if err != nil {
 		return err
 	}
+	return atomicfile.Write(filepath.Join(dir, cacheFileName), append([]byte(cacheHeader(body)+"\n"), body...))
+}
+
+// cacheHeader is the first line of the file.
+func cacheHeader(body []byte) string {
 	sum := sha256.Sum256(body)
-	head := fmt.Sprintf("%s %s\n", cacheFormat, hex.EncodeToString(sum[:]))
-	return atomicfile.Write(filepath.Join(dir, cacheFileName), append([]byte(head), body...))
+	return cacheFormat + " " + hex.EncodeToString(sum[:])
 }
 
-// readCache reads the list that was saved last. One that is torn, altered or another's is refused.
-func readCache(dir string) (k cachedList, err error) {
-	f, err := os.Open(filepath.Join(dir, cacheFileName))
+// readCache reads the cached list. A file that is truncated, altered or of another format is an error.
+func readCache(dir string) (cachedList, error) {
+	path := filepath.Join(dir, cacheFileName)
+	raw, err := readLimited(path, maxCacheSize)
 	if err != nil {
-		return k, err
+		return cachedList{}, err
 	}
-	defer f.Close()
-	raw, err := io.ReadAll(io.LimitReader(f, maxCacheSize+1))
+	list, err := parseCache(raw)
 	if err != nil {
-		return k, err
+		return cachedList{}, fmt.Errorf("%s: %w", path, err)
 	}
-	if len(raw) > maxCacheSize {
-		return k, fmt.Errorf("%s: over %d bytes", f.Name(), maxCacheSize)
+	return list, nil
+}
+
+// parseCache reads the content of the file.
+func parseCache(raw []byte) (cachedList, error) {
+	header, body, _ := bytes.Cut(raw, []byte("\n"))
+	if !bytes.HasPrefix(header, []byte(cacheFormat+" ")) {
+		return cachedList{}, fmt.Errorf("not a list of this form")
 	}
-	head, body, _ := bytes.Cut(raw, []byte("\n"))
-	sum := sha256.Sum256(body)
-	switch want := cacheFormat + " " + hex.EncodeToString(sum[:]); {
-	case !bytes.HasPrefix(head, []byte(cacheFormat+" ")):
-		return k, fmt.Errorf("%s: not a list of this form", f.Name())
-	case string(head) != want:
-		return k, fmt.Errorf("%s: torn or altered: its checksum does not fit", f.Name())
+	if string(header) != cacheHeader(body) {
+		return cachedList{}, fmt.Errorf("torn or altered: its checksum does not fit")
 	}
-	if err := json.Unmarshal(body, &k); err != nil {
-		return k, fmt.Errorf("%s: %v", f.Name(), err)
+	var list cachedList
+	if err := json.Unmarshal(body, &list); err != nil {
+		return cachedList{}, err
 	}
-	for name, a := range k.Clusters {
-		if a == nil {
-			return cachedList{}, fmt.Errorf("%s: cluster %q: empty", f.Name(), name)
+	for name, assignment := range list.Clusters {
+		if assignment == nil {
+			return cachedList{}, fmt.Errorf("cluster %q: empty", name)
 		}
 	}
-	return k, nil
+	return list, nil
+}
+
+// readLimited reads a file of at most limit bytes. The error names the file.
+func readLimited(path string, limit int64) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := io.ReadAll(io.LimitReader(f, limit+1))
+	_ = f.Close() // it was only read
+	if err == nil && int64(len(raw)) > limit {
+		err = fmt.Errorf("over %d bytes", limit)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return raw, nil
 }
 
-// mergeUnder lays what was kept mergeUnder what is in force, where that has nothing yet.
-func (k cachedList) mergeUnder(applied map[string]ads.AppliedCluster) map[string]ads.AppliedCluster {
-	all := make(map[string]ads.AppliedCluster, len(applied)+len(k.Clusters))
-	for name, a := range k.Clusters {
-		all[name] = ads.AppliedCluster{Assignment: a, Warming: true}
+// mergeUnder is what is in force, completed by the cached assignments of clusters that have none yet.
+func (c cachedList) mergeUnder(applied map[string]ads.AppliedCluster) map[string]ads.AppliedCluster {
+	merged := make(map[string]ads.AppliedCluster, len(applied)+len(c.Clusters))
+	for name, assignment := range c.Clusters {
+		merged[name] = ads.AppliedCluster{Assignment: assignment, Warming: true}
 	}
-	for name, a := range applied {
-		if a.Assignment != nil || all[name].Assignment == nil {
-			all[name] = a
+	for name, cluster := range applied {
+		if cluster.Assignment != nil || merged[name].Assignment == nil {
+			merged[name] = cluster
 		}
 	}
-	return all
+	return merged
 }
 
-// cacheWriter writes lists to disk in a goroutine of its own, the newest only: a disk that stalls must not
-// hold up the news of a drain.
+// cacheWriter writes lists to disk in a goroutine of its own, so that a slow disk does not delay updates. Of several
+// lists that wait, only the newest is written.
 type cacheWriter struct {
-	dir  string
-	pending chan cachedList
+	dir     string
+	pending chan cachedList // holds the newest list; closed to end run
+}
+
+func newCacheWriter(dir string) *cacheWriter {
+	return &cacheWriter{dir: dir, pending: make(chan cachedList, 1)}
 }
 
-func (k *cacheWriter) enqueue(list cachedList) {
+// enqueue replaces the pending list. It must not be called from several goroutines at once.
+func (w *cacheWriter) enqueue(list cachedList) {
 	select {
-	case <-k.pending:
+	case <-w.pending:
 	default:
 	}
-	k.pending <- list
+	w.pending <- list
 }
 
-// run writes until next is closed.
-func (k *cacheWriter) run(failed func(error)) {
-	for list := range k.pending {
-		if err := writeCache(k.dir, list); err != nil {
+// run writes lists until pending is closed, and reports failures.
+func (w *cacheWriter) run(failed func(error)) {
+	for list := range w.pending {
+		if err := writeCache(w.dir, list); err != nil {
 			failed(err)
 		}
 	}
--- a/discovery/xds/decode.go
+++ b/discovery/xds/decode.go
@@ -14,73 +14,94 @@
 	"google.golang.org/protobuf/types/known/anypb"
 )
 
-var typeURLs = [...]string{ads.Clusters: resource.ClusterURL, ads.Endpoints: resource.AssignmentURL, ads.Secrets: resource.SecretURL}
+// typeURLs are the types as the wire names them.
+var typeURLs = [ads.NumTypes]string{
+	ads.Clusters:  resource.ClusterURL,
+	ads.Endpoints: resource.AssignmentURL,
+	ads.Secrets:   resource.SecretURL,
+}
+
+// Errors of resources whose name can't be read, for which their whole response is rejected.
+var (
+	errNotCluster  = errors.New("not a Cluster")
+	errNotSecret   = errors.New("not a Secret")
+	errNameMissing = errors.New("name: missing")
+)
 
-// typeFromURL tells which type a URL names.
-func typeFromURL(url string) (ads.Type, bool) {
-	for t, u := range typeURLs {
-		if u == url {
+// typeFromURL is the type that a URL names; ok is false for one that is not subscribed to.
+func typeFromURL(url string) (t ads.Type, ok bool) {
+	for t, known := range typeURLs {
+		if known == url {
 			return ads.Type(t), true
 		}
 	}
 	return 0, false
 }
 
-// decodeSotW reads a response of the state of the world. A resource whose name can't be read makes the
-// whole unreadable: nobody could tell which one it leaves as it was.
-func decodeSotW(p *xdspb.DiscoveryResponse) (r ads.Response, ok bool) {
-	r.Type, ok = typeFromURL(p.GetTypeUrl())
+// decodeSotW reads a response of the state-of-the-world variant; ok is false where its type is not known. A resource
+// whose name can't be read rejects the whole response, since it is unknown which resource it would leave unchanged.
+func decodeSotW(message *xdspb.DiscoveryResponse) (response ads.Response, ok bool) {
+	response.Type, ok = typeFromURL(message.GetTypeUrl())
 	if !ok {
-		return r, false
+		return response, false
 	}
-	r.Version, r.Nonce = p.GetVersionInfo(), p.GetNonce()
-	for i, any := range p.GetResources() {
-		in, err := decodeResource(r.Type, any)
+	response.Version, response.Nonce = message.GetVersionInfo(), message.GetNonce()
+	for i, packed := range message.GetResources() {
+		decoded, err := decodeResource(response.Type, packed)
 		if err != nil {
-			r.Err = fmt.Errorf("resources[%d]: %w", i, err)
-			return r, true
+			response.Err = fmt.Errorf("resources[%d]: %w", i, err)
+			return response, true
 		}
-		r.Resources = append(r.Resources, in)
+		response.Resources = append(response.Resources, decoded)
 	}
-	r.Err = checkDuplicates(r.Resources)
-	return r, true
+	response.Err = checkDuplicates(response.Resources)
+	return response, true
 }
 
-// decodeDelta reads an incremental response.
-func decodeDelta(p *xdspb.DeltaDiscoveryResponse) (r ads.Response, ok bool) {
-	r.Type, ok = typeFromURL(p.GetTypeUrl())
+// decodeDelta reads a response of the incremental variant; ok is false where its type is not known.
+func decodeDelta(message *xdspb.DeltaDiscoveryResponse) (response ads.Response, ok bool) {
+	response.Type, ok = typeFromURL(message.GetTypeUrl())
 	if !ok {
-		return r, false
-	}
-	r.Version, r.Nonce, r.Removed = p.GetSystemVersionInfo(), p.GetNonce(), p.GetRemovedResources()
-	for i, wrapped := range p.GetResources() {
-		in := ads.Resource{Name: wrapped.GetName()}
-		if wrapped.GetResource() != nil {
-			var err error
-			if in, err = decodeResource(r.Type, wrapped.GetResource()); err != nil {
-				r.Err = fmt.Errorf("resources[%d]: %w", i, err)
-				return r, true
-			}
-			if wrapped.GetName() != "" && wrapped.GetName() != in.Name {
-				r.Err = fmt.Errorf("resources[%d].name: %q holds %q", i, wrapped.GetName(), in.Name)
-				return r, true
-			}
+		return response, false
+	}
+	response.Version, response.Nonce = message.GetSystemVersionInfo(), message.GetNonce()
+	response.Removed = message.GetRemovedResources()
+	for i, wrapped := range message.GetResources() {
+		decoded, err := decodeWrapped(response.Type, wrapped, i)
+		if err != nil {
+			response.Err = err
+			return response, true
+		}
+		response.Resources = append(response.Resources, decoded)
+	}
+	response.Err = checkDuplicates(response.Resources)
+	return response, true
+}
+
+// decodeWrapped reads a resource of the incremental variant; one without a body is a heartbeat. index is its place in
+// the response, for errors.
+func decodeWrapped(t ads.Type, wrapped *xdspb.Resource, index int) (ads.Resource, error) {
+	decoded := ads.Resource{Name: wrapped.GetName()}
+	if wrapped.GetResource() != nil {
+		var err error
+		if decoded, err = decodeResource(t, wrapped.GetResource()); err != nil {
+			return decoded, fmt.Errorf("resources[%d]: %w", index, err)
 		}
-		if in.Name == "" {
-			r.Err = fmt.Errorf("resources[%d].name: missing", i)
-			return r, true
+		if wrapped.GetName() != "" && wrapped.GetName() != decoded.Name {
+			return decoded, fmt.Errorf("resources[%d].name: %q holds %q", index, wrapped.GetName(), decoded.Name)
 		}
-		in.Version, in.TTL = wrapped.GetVersion(), wrapped.GetTtl().AsDuration()
-		r.Resources = append(r.Resources, in)
 	}
-	r.Err = checkDuplicates(r.Resources)
-	return r, true
+	if decoded.Name == "" {
+		return decoded, fmt.Errorf("resources[%d].name: missing", index)
+	}
+	decoded.Version, decoded.TTL = wrapped.GetVersion(), wrapped.GetTtl().AsDuration()
+	return decoded, nil
 }
 
-// checkDuplicates tells of a name that a response holds more than once: which of the two holds, nobody knows.
-func checkDuplicates(all []ads.Resource) error {
-	seen := make(map[string]bool, len(all))
-	for _, r := range all {
+// checkDuplicates rejects resources of which two have the same name: it is unknown which of them holds.
+func checkDuplicates(resources []ads.Resource) error {
+	seen := make(map[string]bool, len(resources))
+	for _, r := range resources {
 		if seen[r.Name] {
 			return fmt.Errorf("resource %q is there twice", r.Name)
 		}
@@ -89,83 +110,59 @@
 	return nil
 }
 
-// decodeResource reads one resource. One that is refused has its name and its reason.
-func decodeResource(t ads.Type, any *anypb.Any) (ads.Resource, error) {
-	if any.GetTypeUrl() != typeURLs[t] {
-		return ads.Resource{}, fmt.Errorf("type_url: want %s, got %q", typeURLs[t], any.GetTypeUrl())
-	}
-	if t == ads.Clusters {
-		var p xdspb.Cluster
-		if err := proto.Unmarshal(any.GetValue(), &p); err != nil {
-			return ads.Resource{}, errors.New("not a Cluster")
-		}
-		if p.GetName() == "" {
-			return ads.Resource{}, errors.New("name: missing")
-		}
-		c, err := resource.ParseCluster(&p)
-		if err != nil {
-			return ads.Resource{Name: p.GetName(), Err: err}, nil
-		}
-		return ads.Resource{Name: c.Name, Value: c}, nil
-	}
-	if t == ads.Secrets {
-		var p xdspb.Secret
-		if err := proto.Unmarshal(any.GetValue(), &p); err != nil {
-			return ads.Resource{}, errors.New("not a Secret")
-		}
-		if p.GetName() == "" {
-			return ads.Resource{}, errors.New("name: missing")
-		}
-		set, err := resource.ParseSecret(&p, time.Now())
-		if err != nil {
-			return ads.Resource{Name: p.GetName(), Err: err}, nil
-		}
-		return ads.Resource{Name: p.GetName(), Value: set}, nil
+// decodeResource reads one resource. A rejected one has its name and, as Err, the reason; an error is returned only
+// where the name can't be read.
+func decodeResource(t ads.Type, packed *anypb.Any) (ads.Resource, error) {
+	if packed.GetTypeUrl() != typeURLs[t] {
+		return ads.Resource{}, fmt.Errorf("type_url: want %s, got %q", typeURLs[t], packed.GetTypeUrl())
+	}
+	switch t {
+	case ads.Clusters:
+		return decodeCluster(packed.GetValue())
+	case ads.Secrets:
+		return decodeSecret(packed.GetValue())
+	default:
+		return decodeAssignment(packed.GetValue())
 	}
-	name, a, err := resource.DecodeAssignment(any.GetValue(), new(pace.Pacer).Pause)
-	switch {
-	case err != nil && name == "":
-		return ads.Resource{}, err
-	case err != nil:
-		return ads.Resource{Name: name, Err: err}, nil
-	}
-	return ads.Resource{Name: name, Value: a}, nil
 }
 
-// encode turns the machine's requests into those of the wire.
-func encodeSotW(r ads.Request, node *xdspb.Node) *xdspb.DiscoveryRequest {
-	p := &xdspb.DiscoveryRequest{
-		VersionInfo: r.Version, ResourceNames: r.ResourceNames, TypeUrl: typeURLs[r.Type],
-		ResponseNonce: r.Nonce, ErrorDetail: errorDetail(r.ErrorDetail),
+func decodeCluster(raw []byte) (ads.Resource, error) {
+	var message xdspb.Cluster
+	if proto.Unmarshal(raw, &message) != nil {
+		return ads.Resource{}, errNotCluster
+	}
+	if message.GetName() == "" {
+		return ads.Resource{}, errNameMissing
 	}
-	if r.IncludeNode {
-		p.Node = node
+	cluster, err := resource.ParseCluster(&message)
+	if err != nil {
+		return ads.Resource{Name: message.GetName(), Err: err}, nil
 	}
-	return p
+	return ads.Resource{Name: cluster.Name, Value: cluster}, nil
 }
 
-func encodeDelta(r ads.Request, node *xdspb.Node) *xdspb.DeltaDiscoveryRequest {
-	p := &xdspb.DeltaDiscoveryRequest{
-		TypeUrl: typeURLs[r.Type], ResourceNamesSubscribe: r.Subscribe,
-		ResourceNamesUnsubscribe: r.Unsubscribe, InitialResourceVersions: r.InitialVersions, ResponseNonce: r.Nonce,
-		ErrorDetail: errorDetail(r.ErrorDetail),
+func decodeSecret(raw []byte) (ads.Resource, error) {
+	var message xdspb.Secret
+	if proto.Unmarshal(raw, &message) != nil {
+		return ads.Resource{}, errNotSecret
 	}
-	if r.IncludeNode {
-		p.Node = node
+	if message.GetName() == "" {
+		return ads.Resource{}, errNameMissing
 	}
-	return p
+	set, err := resource.ParseSecret(&message, time.Now())
+	if err != nil {
+		return ads.Resource{Name: message.GetName(), Err: err}, nil
+	}
+	return ads.Resource{Name: message.GetName(), Value: set}, nil
 }
 
-// maxErrorDetail bounds what is told of a reason, in bytes.
-const maxErrorDetail = 4096
-
-// errorDetail is the reason of a NACK: google.rpc.Code INVALID_ARGUMENT.
-func errorDetail(reason string) *xdspb.Status {
-	if reason == "" {
-		return nil
-	}
-	if len(reason) > maxErrorDetail {
-		reason = reason[:maxErrorDetail]
+func decodeAssignment(raw []byte) (ads.Resource, error) {
+	name, assignment, err := resource.DecodeAssignment(raw, new(pace.Pacer).Pause)
+	switch {
+	case err != nil && name == "":
+		return ads.Resource{}, err
+	case err != nil:
+		return ads.Resource{Name: name, Err: err}, nil
 	}
-	return &xdspb.Status{Code: 3, Message: reason}
+	return ads.Resource{Name: name, Value: assignment}, nil
 }
--- a/discovery/xds/file.go
+++ b/discovery/xds/file.go
@@ -1,16 +1,9 @@
 package xds
 
 import (
-	"bytes"
-	"context"
 	"errors"
 	"fmt"
-	"io"
-	"log/slog"
-	"os"
-	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"cobaltward/discovery/xds/ads"
@@ -24,14 +17,13 @@
 	"sigs.k8s.io/yaml"
 )
 
-const (
-	maxFileSize  = 64 << 20               // bytes
-	pollInterval = 100 * time.Millisecond // at the files: a drain in them must hold within its grace
-)
+// maxFileSize bounds a DiscoveryResponse file, in bytes.
+const maxFileSize = 64 << 20
 
-// typeResolver finds this package's types under the names of Envoy's, for Any in JSON.
+// typeResolver finds the messages of package xdspb by Envoy's type URLs, for Any in JSON.
 type typeResolver struct{ *protoregistry.Types }
 
+// FindMessageByURL implements the resolver of protojson.
 func (r typeResolver) FindMessageByURL(url string) (protoreflect.MessageType, error) {
 	switch url {
 	case resource.ClusterURL:
@@ -42,196 +34,126 @@
 	return r.Types.FindMessageByURL(url)
 }
 
-// FileResources are those of one DiscoveryResponse file.
+// FileResources are the resources of DiscoveryResponse files.
 type FileResources struct {
 	Clusters  []ads.Resource
 	Endpoints []ads.Resource
 }
 
-// ParseFile reads a DiscoveryResponse as JSON or YAML, as Envoy's path_config_source has it. All of it
-// must be good: the error names the resource and the field.
+// ParseFile reads a DiscoveryResponse in JSON or YAML, the format of Envoy's path_config_source. One invalid resource
+// makes the whole file invalid. Errors are one line that names the resource and the field.
 func ParseFile(text []byte) (FileResources, error) {
-	var out FileResources
 	raw, err := yaml.YAMLToJSONStrict(text) // JSON is YAML
 	if err != nil {
-		return out, fmt.Errorf("neither JSON nor YAML: %s", firstLine(err))
+		return FileResources{}, fmt.Errorf("neither JSON nor YAML: %s", firstLine(err))
 	}
-	var p xdspb.DiscoveryResponse
+	var message xdspb.DiscoveryResponse
 	options := protojson.UnmarshalOptions{DiscardUnknown: true, Resolver: typeResolver{protoregistry.GlobalTypes}}
-	if err := options.Unmarshal(raw, &p); err != nil {
-		return out, fmt.Errorf("not a DiscoveryResponse: %s", firstLine(err))
+	if err := options.Unmarshal(raw, &message); err != nil {
+		return FileResources{}, fmt.Errorf("not a DiscoveryResponse: %s", firstLine(err))
 	}
-	for i, any := range p.GetResources() {
-		t, ok := typeFromURL(any.GetTypeUrl())
+	var resources FileResources
+	for i, packed := range message.GetResources() {
+		t, ok := typeFromURL(packed.GetTypeUrl())
 		if !ok {
-			return out, fmt.Errorf("resources[%d]: %s is not taken", i, any.GetTypeUrl())
+			return FileResources{}, fmt.Errorf("resources[%d]: %s is not taken", i, packed.GetTypeUrl())
 		}
-		in, err := decodeResource(t, any)
-		if err = errors.Join(err, in.Err); err != nil {
-			return out, fmt.Errorf("resources[%d]: %s", i, firstLine(err))
+		decoded, err := decodeResource(t, packed)
+		if err = errors.Join(err, decoded.Err); err != nil {
+			return FileResources{}, fmt.Errorf("resources[%d]: %s", i, firstLine(err))
 		}
 		if t == ads.Clusters {
-			out.Clusters = append(out.Clusters, in)
+			resources.Clusters = append(resources.Clusters, decoded)
 		} else {
-			out.Endpoints = append(out.Endpoints, in)
+			resources.Endpoints = append(resources.Endpoints, decoded)
 		}
 	}
-	if err := errors.Join(checkDuplicates(out.Clusters), checkDuplicates(out.Endpoints)); err != nil {
+	if err := resources.checkDuplicates(); err != nil {
 		return FileResources{}, err
 	}
-	return out, nil
+	return resources, nil
 }
 
-func firstLine(err error) string {
-	s := strings.ReplaceAll(err.Error(), "\u00a0", " ") // protobuf varies its texts by it
-	s, _, _ = strings.Cut(s, "\n")
-	return s
+// CheckFiles reads files together, and returns the servers that they amount to, in order of id.
+func CheckFiles(paths []string) ([]router.Endpoint, error) {
+	resources, err := readFiles(paths)
+	if err != nil {
+		return nil, err
+	}
+	return EndpointsOf(resources), nil
+}
+
+// EndpointsOf is the servers that the resources of files amount to, in order of id.
+func EndpointsOf(resources FileResources) []router.Endpoint {
+	s := newSnapshot()
+	s.apply(resources.appliedClusters())
+	return s.endpoints()
 }
 
 // readFiles reads and checks files together.
 func readFiles(paths []string) (FileResources, error) {
 	var all FileResources
 	for _, path := range paths {
-		f, err := os.Open(path)
-		if err != nil {
-			return all, err
-		}
-		raw, err := io.ReadAll(io.LimitReader(f, maxFileSize+1))
-		_ = f.Close() // it was only read
-		if err == nil && len(raw) > maxFileSize {
-			err = fmt.Errorf("over %d bytes", maxFileSize)
-		}
+		raw, err := readLimited(path, maxFileSize)
 		if err != nil {
-			return all, fmt.Errorf("%s: %w", path, err)
+			return FileResources{}, err
 		}
-		r, err := ParseFile(raw)
+		resources, err := ParseFile(raw)
 		if err != nil {
-			return all, fmt.Errorf("%s: %w", path, err)
-		}
-		all.Clusters, all.Endpoints = append(all.Clusters, r.Clusters...), append(all.Endpoints, r.Endpoints...)
-	}
-	if err := errors.Join(checkDuplicates(all.Clusters), checkDuplicates(all.Endpoints)); err != nil {
-		return all, err
-	}
-	// Files without clusters speak for themselves: each assignment is one.
-	if len(all.Clusters) == 0 {
-		for _, e := range all.Endpoints {
-			all.Clusters = append(all.Clusters, ads.Resource{Name: e.Name, Value: &resource.Cluster{Name: e.Name, EDS: true, ServiceName: e.Name}})
+			return FileResources{}, fmt.Errorf("%s: %w", path, err)
 		}
+		all.Clusters = append(all.Clusters, resources.Clusters...)
+		all.Endpoints = append(all.Endpoints, resources.Endpoints...)
 	}
-	for _, c := range all.Clusters {
-		v := c.Value.(*resource.Cluster)
-		if v.EDS && !slices.ContainsFunc(all.Endpoints, func(e ads.Resource) bool { return e.Name == v.ServiceName }) {
-			return all, fmt.Errorf("cluster %q: no file has the endpoints of %q", c.Name, v.ServiceName)
-		}
+	if err := all.checkDuplicates(); err != nil {
+		return FileResources{}, err
 	}
-	return all, nil
+	all.addImpliedClusters()
+	return all, all.checkReferences()
 }
 
-// FileSource takes the servers from DiscoveryResponse files, for sites without a control plane. It
-// looks at them all the time, and puts what they say in force whole or not at all.
-type FileSource struct {
-	paths []string
-	log   *slog.Logger
-
-	mu      sync.Mutex
-	snapshot    *snapshot
-	readErr error // why the files as they are now are not in force
-	taken   time.Time
+func (r *FileResources) checkDuplicates() error {
+	return errors.Join(checkDuplicates(r.Clusters), checkDuplicates(r.Endpoints))
 }
 
-var _ router.EndpointSource = (*FileSource)(nil)
-
-// NewFileSource returns a source of the files; those that are bad at the start are an error.
-func NewFileSource(paths []string, log *slog.Logger) (*FileSource, error) {
-	if len(paths) == 0 {
-		return nil, errors.New("xds: no file is named")
+// addImpliedClusters makes a cluster of each assignment where the files name no cluster.
+func (r *FileResources) addImpliedClusters() {
+	if len(r.Clusters) > 0 {
+		return
 	}
-	if log == nil {
-		log = slog.New(slog.DiscardHandler)
+	for _, endpoints := range r.Endpoints {
+		cluster := &resource.Cluster{Name: endpoints.Name, EDS: true, ServiceName: endpoints.Name}
+		r.Clusters = append(r.Clusters, ads.Resource{Name: endpoints.Name, Value: cluster})
 	}
-	if _, err := readFiles(paths); err != nil {
-		return nil, fmt.Errorf("xds: %w", err)
-	}
-	return &FileSource{paths: paths, log: log, snapshot: newSnapshot()}, nil
 }
 
-// SetPolling has nothing to ask.
-func (s *FileSource) SetPolling(bool) {}
-
-// Run follows the files until ctx ends.
-func (s *FileSource) Run(ctx context.Context, tell func(router.EndpointUpdate)) {
-	tick := time.NewTicker(pollInterval)
-	defer tick.Stop()
-	var seen []byte
-	for {
-		if now := s.fileStamps(); !bytes.Equal(now, seen) {
-			seen = now
-			if c := s.reload(); c != nil {
-				tell(*c)
-			}
-		}
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
-		}
+// checkReferences rejects clusters whose endpoints are in none of the files.
+func (r *FileResources) checkReferences() error {
+	assignments := make(map[string]bool, len(r.Endpoints))
+	for _, endpoints := range r.Endpoints {
+		assignments[endpoints.Name] = true
 	}
-}
-
-// fileStamps changes whenever a file is replaced or written to.
-func (s *FileSource) fileStamps() []byte {
-	var b bytes.Buffer
-	for _, path := range s.paths {
-		info, err := os.Stat(path)
-		if err != nil {
-			fmt.Fprintln(&b, path, "missing")
-			continue
+	for _, c := range r.Clusters {
+		cluster := c.Value.(*resource.Cluster)
+		if cluster.EDS && !assignments[cluster.ServiceName] {
+			return fmt.Errorf("cluster %q: no file has the endpoints of %q", c.Name, cluster.ServiceName)
 		}
-		fmt.Fprintln(&b, path, info.Size(), info.ModTime().UnixNano(), inodeOf(info))
 	}
-	return b.Bytes()
+	return nil
 }
 
-// reload puts the files in force, if they are good.
-func (s *FileSource) reload() *router.EndpointUpdate {
-	r, err := readFiles(s.paths)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.readErr = err; err != nil {
-		s.log.Error("xds: the files are refused, keeping the last list", "err", err)
-		return nil
-	}
-	s.taken = time.Now()
-	had := len(s.snapshot.published) > 0
-	change := s.snapshot.endpointUpdate(s.snapshot.apply(appliedClusters(r)))
-	if had && len(s.snapshot.published) == 0 {
-		s.log.Error("xds: the files name no server any more")
-	}
-	return change
+// appliedClusters is the clusters in force once all of the resources have come.
+func (r *FileResources) appliedClusters() map[string]ads.AppliedCluster {
+	machine := ads.New(ads.SotW)
+	machine.Connected()
+	machine.HandleResponse(time.Now(), ads.Response{Type: ads.Clusters, Resources: r.Clusters})
+	machine.HandleResponse(time.Now(), ads.Response{Type: ads.Endpoints, Resources: r.Endpoints})
+	return machine.Applied()
 }
 
-// appliedClusters is what resources come to where all of them are there.
-func appliedClusters(r FileResources) map[string]ads.AppliedCluster {
-	m := ads.New(ads.SotW)
-	m.Connected()
-	m.HandleResponse(time.Now(), ads.Response{Type: ads.Clusters, Resources: r.Clusters})
-	m.HandleResponse(time.Now(), ads.Response{Type: ads.Endpoints, Resources: r.Endpoints})
-	return m.Applied()
-}
-
-// EndpointsOf are the servers that files come to, in order of id.
-func EndpointsOf(r FileResources) []router.Endpoint {
-	b := newSnapshot()
-	b.apply(appliedClusters(r))
-	return b.endpoints()
-}
-
-// CheckFiles reads files together, and returns the servers that they come to.
-func CheckFiles(paths []string) ([]router.Endpoint, error) {
-	r, err := readFiles(paths)
-	if err != nil {
-		return nil, err
-	}
-	return EndpointsOf(r), nil
+// firstLine is the first line of an error's text, without the non-breaking spaces by which protobuf varies its texts.
+func firstLine(err error) string {
+	text := strings.ReplaceAll(err.Error(), "\u00a0", " ")
+	text, _, _ = strings.Cut(text, "\n")
+	return text
 }
--- /dev/null
+++ b/discovery/xds/file_source.go
@@ -0,0 +1,107 @@
+package xds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"cobaltward/router"
+)
+
+// pollInterval is how often files are checked for changes. A drain written to a file takes effect that much later.
+const pollInterval = 100 * time.Millisecond
+
+var errNoFiles = errors.New("xds: no file is named")
+
+// FileSource is the endpoint source for DiscoveryResponse files, for sites without a control plane. It polls the
+// files, and puts what they hold in force only if all of them are valid.
+type FileSource struct {
+	paths []string
+	log   *slog.Logger
+
+	mu       sync.Mutex // guards what follows; only the goroutine of Run writes it
+	snapshot *snapshot
+	readErr  error // why the files as they are now are not in force
+}
+
+var _ router.EndpointSource = (*FileSource)(nil)
+
+// NewFileSource returns a source of the files. Files that are missing or invalid are an error here; later on they keep
+// the last list. A nil log logs nothing.
+func NewFileSource(paths []string, log *slog.Logger) (*FileSource, error) {
+	if len(paths) == 0 {
+		return nil, errNoFiles
+	}
+	if log == nil {
+		log = slog.New(slog.DiscardHandler)
+	}
+	if _, err := readFiles(paths); err != nil {
+		return nil, fmt.Errorf("xds: %w", err)
+	}
+	return &FileSource{paths: paths, log: log, snapshot: newSnapshot()}, nil
+}
+
+// SetPolling does nothing: changes of files are published without being asked for.
+func (s *FileSource) SetPolling(bool) {}
+
+// Run publishes the list, and each change of it, until ctx ends.
+func (s *FileSource) Run(ctx context.Context, publish func(router.EndpointUpdate)) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	var seen []fileStamp
+	for {
+		if now := s.fileStamps(); !slices.Equal(now, seen) {
+			seen = now
+			if update := s.reload(); update != nil {
+				publish(*update)
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// fileStamp distinguishes one state of a file from another.
+type fileStamp struct {
+	exists   bool
+	size     int64 // bytes
+	modified int64 // nanoseconds since 1970
+	inode    uint64
+}
+
+// fileStamps is the state of each file.
+func (s *FileSource) fileStamps() []fileStamp {
+	stamps := make([]fileStamp, len(s.paths))
+	for i, path := range s.paths {
+		if info, err := os.Stat(path); err == nil {
+			stamps[i] = fileStamp{true, info.Size(), info.ModTime().UnixNano(), inodeOf(info)}
+		}
+	}
+	return stamps
+}
+
+// reload reads the files and returns what has to be published; nil for nothing.
+func (s *FileSource) reload() *router.EndpointUpdate {
+	resources, err := readFiles(s.paths)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readErr = err
+	if err != nil {
+		s.log.Error("xds: the files are refused, keeping the last list", "err", err)
+		return nil
+	}
+	hadEndpoints := len(s.snapshot.published) > 0
+	update := s.snapshot.endpointUpdate(s.snapshot.apply(resources.appliedClusters()))
+	if hadEndpoints && len(s.snapshot.published) == 0 {
+		s.log.Error("xds: the files name no server any more")
+	}
+	return update
+}
--- a/discovery/xds/inode.go
+++ b/discovery/xds/inode.go
@@ -5,10 +5,10 @@
 	"syscall"
 )
 
-// inodeOf tells a file from another that was put in its place.
+// inodeOf is the file's inode number, by which a file that was renamed into place is noticed; 0 where there is none.
 func inodeOf(info fs.FileInfo) uint64 {
-	if s, ok := info.Sys().(*syscall.Stat_t); ok {
-		return s.Ino
+	if stat, ok := info.Sys().(*syscall.Stat_t); ok {
+		return stat.Ino
 	}
 	return 0
 }
--- a/discovery/xds/resource/decode.go
+++ b/discovery/xds/resource/decode.go
@@ -50,7 +50,7 @@
 
 // rawLocality is one of an assignment's, its endpoints still as they came.
 type rawLocality struct {
-	message      xdspb.LocalityLbEndpoints
+	message   xdspb.LocalityLbEndpoints
 	endpoints [][]byte
 }
 
--- a/discovery/xds/resource/resource.go
+++ b/discovery/xds/resource/resource.go
@@ -25,19 +25,19 @@
 
 const (
 	// MaxEndpoints bounds the endpoints of one assignment.
-	MaxEndpoints   = 200_000
-	maxNameLength        = 512
-	maxPriority    = 127
+	MaxEndpoints                   = 200_000
+	maxNameLength                  = 512
+	maxPriority                    = 127
 	defaultOverprovisioningPercent = 140 // overprovisioning factor, as Envoy has it
-	maxMetadataInt = 1 << 53
+	maxMetadataInt                 = 1 << 53
 )
 
 // Cluster is a cluster that can be used: its endpoints come by EDS, under the name Service, or with it.
 type Cluster struct {
-	Name    string
-	EDS     bool
+	Name        string
+	EDS         bool
 	ServiceName string
-	Static  *Assignment
+	Static      *Assignment
 }
 
 // Assignment is the endpoints of a cluster.
--- a/discovery/xds/snapshot.go
+++ b/discovery/xds/snapshot.go
@@ -15,223 +15,239 @@
 	"cobaltward/router"
 )
 
-// snapshot keeps the servers that were told, so that each update tells what changed and no more. A server
-// is known by its address: it stays the same whichever clusters and localities list it.
+// pauseInterval is after how many servers a large change may pause, as the decoder of assignments does.
+const pauseInterval = 32
+
+// snapshot is the list of servers as it was last published, so that each update holds only what has changed. A server
+// is identified by its address: it stays the same whichever clusters and localities list it. It is not safe for
+// concurrent use.
 type snapshot struct {
-	clusters map[string]clusterState
-	published  map[string]router.Endpoint // as told
-	listings   map[string][]clusterListing       // by address, in the order of the clusters' names
-	initialPublished     bool
-	drops    dropoverload.Fractions // as told
-	pacer     pace.Pacer
+	clusters         map[string]clusterState
+	published        map[string]router.Endpoint  // by address
+	listings         map[string][]clusterListing // by address, in order of the clusters' names
+	initialPublished bool                        // the first list of servers has been published
+	drops            dropoverload.Fractions      // as published
+	pacer            pace.Pacer
 }
 
-// clusterState is a cluster as it was last looked at.
+// clusterState is a cluster as it was last applied.
 type clusterState struct {
 	assignment *resource.Assignment
-	eligible       []bool // by endpoint
+	eligible   []bool // by index of the endpoint
 }
 
 // clusterListing is what one cluster says of a server.
 type clusterListing struct {
-	cluster string
-	endpoint       resource.Endpoint
-	eligible    bool
+	cluster  string
+	endpoint resource.Endpoint
+	eligible bool // for new work, by health and priority
+}
+
+// excluded reports whether the endpoint's health bars the server from new work in every cluster.
+func (l clusterListing) excluded() bool {
+	switch l.endpoint.Health {
+	case resource.Draining, resource.Unhealthy, resource.Timeout:
+		return true
+	default:
+		return false
+	}
 }
 
 func newSnapshot() *snapshot {
-	return &snapshot{clusters: make(map[string]clusterState), published: make(map[string]router.Endpoint), listings: make(map[string][]clusterListing)}
+	return &snapshot{
+		clusters:  make(map[string]clusterState),
+		published: make(map[string]router.Endpoint),
+		listings:  make(map[string][]clusterListing),
+	}
 }
 
-// apply takes over what is in force, and returns the servers that changed; those that are gone are
-// Removed. Clusters whose endpoints are as they were cost nothing, and of others those that changed.
-func (b *snapshot) apply(applied map[string]ads.AppliedCluster) []router.Endpoint {
-	touched := make(map[string]bool)
-	for name, old := range b.clusters {
+// apply takes over the clusters in force and returns the servers that have changed; those that are gone are Removed.
+// Clusters whose assignment is the same object cost nothing, and of others only the endpoints that differ.
+func (s *snapshot) apply(applied map[string]ads.AppliedCluster) []router.Endpoint {
+	touched := make(map[string]bool) // addresses
+	for name, former := range s.clusters {
 		if applied[name].Assignment == nil {
-			for _, e := range old.assignment.Endpoints {
-				b.removeListing(name, e.Addr)
-				touched[e.Addr] = true
+			for _, endpoint := range former.assignment.Endpoints {
+				s.removeListing(name, endpoint.Addr)
+				touched[endpoint.Addr] = true
 			}
-			delete(b.clusters, name)
+			delete(s.clusters, name)
 		}
 	}
-	for name, a := range applied {
-		if old := b.clusters[name]; a.Assignment != nil && a.Assignment != old.assignment {
-			b.clusters[name] = b.applyAssignment(name, old, a.Assignment, touched)
+	for name, cluster := range applied {
+		former := s.clusters[name]
+		if cluster.Assignment != nil && cluster.Assignment != former.assignment {
+			s.clusters[name] = s.applyAssignment(name, former, cluster.Assignment, touched)
 		}
 	}
+	return s.changes(touched)
+}
+
+// changes is what has to be published of the servers at the touched addresses, in order of address.
+func (s *snapshot) changes(touched map[string]bool) []router.Endpoint {
 	var changed []router.Endpoint
-	for i, addr := range slices.Sorted(maps.Keys(touched)) { // ids are addresses
-		if i%pauseInterval == pauseInterval-1 {
-			b.pacer.Pause()
-		}
-		old, had := b.published[addr]
-		m, has := b.mergeListings(addr)
+	for i, addr := range slices.Sorted(maps.Keys(touched)) {
+		s.pauseAt(i)
+		former, wasPublished := s.published[addr]
+		endpoint, listed := s.mergeListings(addr)
 		switch {
-		case !has && had:
-			old.Availability = policy.Removed
-			changed = append(changed, old)
-			delete(b.published, addr)
-		case has && (!had || !discovery.Equal(old, m)):
-			changed = append(changed, m)
-			b.published[addr] = m
+		case !listed && wasPublished:
+			former.Availability = policy.Removed
+			changed = append(changed, former)
+			delete(s.published, addr)
+		case listed && (!wasPublished || !discovery.Equal(former, endpoint)):
+			changed = append(changed, endpoint)
+			s.published[addr] = endpoint
 		}
 	}
 	return changed
 }
 
-// pauseInterval is after how many servers a large change may pause, as the reader of the resources does.
-const pauseInterval = 32
+// pauseAt lets other work run after every pauseInterval-th server.
+func (s *snapshot) pauseAt(i int) {
+	if i%pauseInterval == pauseInterval-1 {
+		s.pacer.Pause()
+	}
+}
 
-// dropOverloads is what the clusters in force want dropped.
-func (b *snapshot) dropOverloads() dropoverload.Fractions {
-	asked := make(dropoverload.Fractions)
-	for name, e := range b.clusters {
-		if e.assignment.Drop > 0 {
-			asked[name] = e.assignment.Drop
+// dropOverloads is the part of the requests that each cluster in force asks to be dropped.
+func (s *snapshot) dropOverloads() dropoverload.Fractions {
+	fractions := make(dropoverload.Fractions)
+	for name, cluster := range s.clusters {
+		if cluster.assignment.Drop > 0 {
+			fractions[name] = cluster.assignment.Drop
 		}
 	}
-	return asked
+	return fractions
 }
 
-// endpointUpdate is what to tell of the servers that changed, and of requests to be dropped; nil for nothing. The
-// first takes the place of whatever list the router began with, which nobody would ever take away
-// otherwise.
-func (b *snapshot) endpointUpdate(members []router.Endpoint) *router.EndpointUpdate {
-	c := &router.EndpointUpdate{Kind: policy.ListUpdate, Endpoints: members}
-	if asked := b.dropOverloads(); !asked.Equal(b.drops) {
-		b.drops, c.Drops = asked, asked
-	}
-	if len(members) == 0 && c.Drops == nil {
+// endpointUpdate is what to publish of the servers that have changed and of drop overloads; nil for nothing. The first
+// list of servers replaces the list that the router started with, which nothing else would ever remove.
+func (s *snapshot) endpointUpdate(changed []router.Endpoint) *router.EndpointUpdate {
+	update := &router.EndpointUpdate{Kind: policy.ListUpdate, Endpoints: changed}
+	if drops := s.dropOverloads(); !drops.Equal(s.drops) {
+		s.drops, update.Drops = drops, drops
+	}
+	if len(changed) == 0 && update.Drops == nil {
 		return nil
 	}
-	if !b.initialPublished && len(members) > 0 {
-		b.initialPublished, c.Kind = true, policy.ListReplace
+	if !s.initialPublished && len(changed) > 0 {
+		s.initialPublished, update.Kind = true, policy.ListReplace
 	}
-	return c
+	return update
 }
 
-// removeListing takes away what a cluster says of the server at an address.
-func (b *snapshot) removeListing(name, addr string) {
-	left := slices.DeleteFunc(b.listings[addr], func(l clusterListing) bool { return l.cluster == name })
-	if len(left) == 0 {
-		delete(b.listings, addr)
-	} else {
-		b.listings[addr] = left
-	}
+// formerEndpoints finds endpoints in the former assignment of a cluster.
+type formerEndpoints struct {
+	endpoints []resource.Endpoint
+	positions map[string]int // by address; built when the order of the new assignment first differs
 }
 
-// applyAssignment takes over the endpoints of a cluster; old is what it had.
-func (b *snapshot) applyAssignment(name string, old clusterState, a *resource.Assignment, touched map[string]bool) clusterState {
-	next := clusterState{assignment: a, eligible: priority.Eligible(a)}
-	var before []resource.Endpoint
-	if old.assignment != nil {
-		before = old.assignment.Endpoints
-	}
-	var places map[string]int // of those before, made where the order is another
-	still := make([]bool, len(before))
-	for i, e := range a.Endpoints {
-		if i%pauseInterval == pauseInterval-1 {
-			b.pacer.Pause()
-		}
-		at, had := i, i < len(before) && before[i].Addr == e.Addr
-		if !had && len(before) > 0 {
-			if places == nil {
-				places = make(map[string]int, len(before))
-				for j := range before {
-					places[before[j].Addr] = j
-				}
-			}
-			at, had = places[e.Addr]
+// position is where the endpoint with an address is; guess is tried first.
+func (f *formerEndpoints) position(addr string, guess int) (position int, found bool) {
+	if guess < len(f.endpoints) && f.endpoints[guess].Addr == addr {
+		return guess, true
+	}
+	if len(f.endpoints) == 0 {
+		return 0, false
+	}
+	if f.positions == nil {
+		f.positions = make(map[string]int, len(f.endpoints))
+		for i := range f.endpoints {
+			f.positions[f.endpoints[i].Addr] = i
 		}
+	}
+	position, found = f.positions[addr]
+	return position, found
+}
+
+// applyAssignment takes over the new assignment of a cluster, adds the addresses whose listings change to touched, and
+// returns the cluster's new state.
+func (s *snapshot) applyAssignment(
+	cluster string, former clusterState, assignment *resource.Assignment, touched map[string]bool,
+) clusterState {
+	next := clusterState{assignment: assignment, eligible: priority.Eligible(assignment)}
+	var before formerEndpoints
+	if former.assignment != nil {
+		before.endpoints = former.assignment.Endpoints
+	}
+	retained := make([]bool, len(before.endpoints))
+	for i, endpoint := range assignment.Endpoints {
+		s.pauseAt(i)
+		position, had := before.position(endpoint.Addr, i)
 		if had {
-			still[at] = true
-			if before[at] == e && old.eligible[at] == next.eligible[i] {
+			retained[position] = true
+			if before.endpoints[position] == endpoint && former.eligible[position] == next.eligible[i] {
 				continue
 			}
-			b.removeListing(name, e.Addr)
+			s.removeListing(cluster, endpoint.Addr)
 		}
-		all := append(b.listings[e.Addr], clusterListing{name, e, next.eligible[i]})
-		slices.SortFunc(all, func(x, y clusterListing) int { return cmp.Compare(x.cluster, y.cluster) })
-		b.listings[e.Addr] = all
-		touched[e.Addr] = true
-	}
-	for j, e := range before {
-		if j%pauseInterval == pauseInterval-1 {
-			b.pacer.Pause()
-		}
-		if !still[j] {
-			b.removeListing(name, e.Addr)
-			touched[e.Addr] = true
+		s.addListing(clusterListing{cluster, endpoint, next.eligible[i]})
+		touched[endpoint.Addr] = true
+	}
+	for i, endpoint := range before.endpoints {
+		s.pauseAt(i)
+		if !retained[i] {
+			s.removeListing(cluster, endpoint.Addr)
+			touched[endpoint.Addr] = true
 		}
 	}
 	return next
 }
 
-// mergeListings puts together what the clusters say of a server. It drains where any of them says so, or where
-// it is unhealthy; where it is merely not needed in one cluster, another may still open it, and it is
-// then of that one's pool. It started when the latest of them says.
-func (b *snapshot) mergeListings(addr string) (router.Endpoint, bool) {
-	all := b.listings[addr]
-	if len(all) == 0 {
+// addListing adds what a cluster says of a server that it has no listing of.
+func (s *snapshot) addListing(listing clusterListing) {
+	listings := append(s.listings[listing.endpoint.Addr], listing)
+	slices.SortFunc(listings, func(x, y clusterListing) int { return cmp.Compare(x.cluster, y.cluster) })
+	s.listings[listing.endpoint.Addr] = listings
+}
+
+// removeListing removes what a cluster says of the server at an address.
+func (s *snapshot) removeListing(cluster, addr string) {
+	rest := slices.DeleteFunc(s.listings[addr], func(l clusterListing) bool { return l.cluster == cluster })
+	if len(rest) == 0 {
+		delete(s.listings, addr)
+	} else {
+		s.listings[addr] = rest
+	}
+}
+
+// mergeListings is the server at an address as all clusters together have it, and whether any lists it. It is draining
+// where any of them says that it drains or is unhealthy. Where one merely does not need it, another may still use it;
+// it is then in the pool of that one alone. Its start time is the latest of all.
+func (s *snapshot) mergeListings(addr string) (router.Endpoint, bool) {
+	listings := s.listings[addr]
+	if len(listings) == 0 {
 		return router.Endpoint{}, false
 	}
-	first := all[0].endpoint
-	m := router.Endpoint{
+	first := listings[0].endpoint
+	merged := router.Endpoint{
 		ID: addr, Addr: addr, Zone: first.Zone, Kind: first.Kind, Cell: first.Cell, Weight: first.Weight,
 		Started: first.Started, Availability: policy.Draining,
 	}
-	barred := false
-	for _, l := range all {
-		if l.endpoint.Started.After(m.Started) {
-			m.Started = l.endpoint.Started
-		}
-		switch l.endpoint.Health {
-		case resource.Draining, resource.Unhealthy, resource.Timeout:
-			barred = true
+	excluded := false
+	for _, listing := range listings {
+		if listing.endpoint.Started.After(merged.Started) {
+			merged.Started = listing.endpoint.Started
 		}
-		if l.eligible {
-			m.Availability = policy.Running
-			m.Pools = append(m.Pools, l.cluster)
+		excluded = excluded || listing.excluded()
+		if listing.eligible {
+			merged.Availability = policy.Running
+			merged.Pools = append(merged.Pools, listing.cluster)
 		}
 	}
-	if barred {
-		m.Availability, m.Pools = policy.Draining, nil
-	}
-	return m, true
-}
-
-// endpoints is all that is told, in order of id.
-func (b *snapshot) endpoints() []router.Endpoint {
-	all := make([]router.Endpoint, 0, len(b.published))
-	for _, m := range b.published {
-		all = append(all, m)
+	if excluded {
+		merged.Availability, merged.Pools = policy.Draining, nil
 	}
-	slices.SortFunc(all, func(a, b router.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
-	return all
+	return merged, true
 }
 
-// endpointStatuses tells of each endpoint of each cluster whether it is used, or why not.
-func (b *snapshot) endpointStatuses() (all []EndpointStatus) {
-	for addr, listed := range b.listings {
-		for _, l := range listed {
-			use := "yes"
-			switch {
-			case l.endpoint.Health == resource.Draining || l.endpoint.Health == resource.Unhealthy || l.endpoint.Health == resource.Timeout:
-				use = "no: " + l.endpoint.Health.String()
-			case b.published[addr].Availability == policy.Draining && l.eligible:
-				use = "no: another cluster bars it"
-			case !l.eligible && l.endpoint.Health == resource.Degraded:
-				use = "no: enough others are healthy"
-			case !l.eligible:
-				use = "no: a higher priority has enough"
-			}
-			all = append(all, EndpointStatus{l.cluster, l.endpoint, use})
-		}
-	}
-	slices.SortFunc(all, func(x, y EndpointStatus) int {
-		return cmp.Or(cmp.Compare(x.Cluster, y.Cluster), cmp.Compare(x.Addr, y.Addr))
-	})
-	return all
+// endpoints is the whole list as published, in order of id.
+func (s *snapshot) endpoints() []router.Endpoint {
+	endpoints := make([]router.Endpoint, 0, len(s.published))
+	for _, endpoint := range s.published {
+		endpoints = append(endpoints, endpoint)
+	}
+	slices.SortFunc(endpoints, func(x, y router.Endpoint) int { return cmp.Compare(x.ID, y.ID) })
+	return endpoints
 }
--- a/discovery/xds/standin/script.go
+++ b/discovery/xds/standin/script.go
@@ -31,10 +31,10 @@
 
 // scriptRun is one scriptRun of a script.
 type scriptRun struct {
-	ctx    context.Context
-	controlPlane      *ControlPlane
-	out    io.Writer
-	staged []proto.Message
+	ctx          context.Context
+	controlPlane *ControlPlane
+	out          io.Writer
+	staged       []proto.Message
 }
 
 // ParseScript reads a script: a step on a line, # begins a remark. Errors name the line.
@@ -174,10 +174,16 @@
 		}, nil
 	},
 	"version": func(a stepArgs) (func(*scriptRun) error, error) {
-		return func(r *scriptRun) error { r.controlPlane.changeFaults(func(b *faults) { b.shownVersion = a.text }); return nil }, a.count(0, 1, "a VERSION, or none for its own")
+		return func(r *scriptRun) error {
+			r.controlPlane.changeFaults(func(b *faults) { b.shownVersion = a.text })
+			return nil
+		}, a.count(0, 1, "a VERSION, or none for its own")
 	},
 	"nonce": func(a stepArgs) (func(*scriptRun) error, error) {
-		return func(r *scriptRun) error { r.controlPlane.changeFaults(func(b *faults) { b.nextNonce = a.text }); return nil }, a.count(1, 1, "a NONCE")
+		return func(r *scriptRun) error {
+			r.controlPlane.changeFaults(func(b *faults) { b.nextNonce = a.text })
+			return nil
+		}, a.count(1, 1, "a NONCE")
 	},
 	"flood": parseFlood,
 	"wait": func(a stepArgs) (func(*scriptRun) error, error) {
--- a/discovery/xds/standin/standin.go
+++ b/discovery/xds/standin/standin.go
@@ -29,14 +29,14 @@
 	server *grpc.Server
 	served chan struct{}
 
-	mu      sync.Mutex
-	version int
-	resources     map[string]map[string]versioned // by type URL and name
-	changed chan struct{}                   // closed at each change
-	nacks   []string
-	receiveRequests    []RecordedRequest
-	onRequest    func(RecordedRequest)
-	faults faults
+	mu              sync.Mutex
+	version         int
+	resources       map[string]map[string]versioned // by type URL and name
+	changed         chan struct{}                   // closed at each change
+	nacks           []string
+	receiveRequests []RecordedRequest
+	onRequest       func(RecordedRequest)
+	faults          faults
 
 	Streams atomic.Int64 // begun
 	Acks    atomic.Int64
@@ -45,13 +45,13 @@
 // faults is how a plane answers; the zero value is as it should be.
 type faults struct {
 	rejectCode     codes.Code      // streams end with it
-	muted     map[string]bool // by type URL: nothing of it is sent
-	closeCount   int             // how often all streams were ended
-	closeCode  codes.Code      // and with what
+	muted          map[string]bool // by type URL: nothing of it is sent
+	closeCount     int             // how often all streams were ended
+	closeCode      codes.Code      // and with what
 	resendCount    int             // how often the last response was to be sent once more
 	endpointsFirst bool            // endpoints before clusters
-	shownVersion  string          // shown in place of its own
-	nextNonce    string          // of the next response
+	shownVersion   string          // shown in place of its own
+	nextNonce      string          // of the next response
 }
 
 // RecordedRequest is one request that a client sent.
@@ -93,8 +93,8 @@
 	// holds, and a restarted plane that counts from one again would take other content for its own.
 	p := &ControlPlane{
 		version: int(startedCount.Add(1)) * 1_000_000, Addr: ln.Addr().String(), served: make(chan struct{}), changed: make(chan struct{}),
-		resources:    map[string]map[string]versioned{resource.ClusterURL: {}, resource.AssignmentURL: {}, resource.SecretURL: {}},
-		server: grpc.NewServer(append(options, grpc.MaxSendMsgSize(256<<20))...),
+		resources: map[string]map[string]versioned{resource.ClusterURL: {}, resource.AssignmentURL: {}, resource.SecretURL: {}},
+		server:    grpc.NewServer(append(options, grpc.MaxSendMsgSize(256<<20))...),
 	}
 	p.server.RegisterService(&grpc.ServiceDesc{
 		ServiceName: "envoy.service.discovery.v3.AggregatedDiscoveryService",
@@ -176,7 +176,9 @@
 }
 
 // RejectStreams has it end streams with a code; codes.OK ends that.
-func (p *ControlPlane) RejectStreams(code codes.Code) { p.changeFaults(func(b *faults) { b.rejectCode = code }) }
+func (p *ControlPlane) RejectStreams(code codes.Code) {
+	p.changeFaults(func(b *faults) { b.rejectCode = code })
+}
 
 // CloseStreams ends the streams that are open, with a code.
 func (p *ControlPlane) CloseStreams(code codes.Code) {
@@ -376,8 +378,8 @@
 // subscription is what a stream has asked for and been sent, of one type.
 type subscription struct {
 	requested bool
-	names map[string]bool // nil: all
-	sent  map[string]int  // versions
+	names     map[string]bool // nil: all
+	sent      map[string]int  // versions
 	responses int             // SotW: the version of the last response
 }
 
--- /dev/null
+++ b/discovery/xds/stream.go
@@ -0,0 +1,227 @@
+package xds
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"cobaltward/discovery/xds/ads"
+	"cobaltward/discovery/xds/xdspb"
+	"cobaltward/router"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
+)
+
+const (
+	sotwMethod  = "/envoy.service.discovery.v3.AggregatedDiscoveryService/StreamAggregatedResources"
+	deltaMethod = "/envoy.service.discovery.v3.AggregatedDiscoveryService/DeltaAggregatedResources"
+
+	// sendTimeout is how long a control plane that reads nothing may block requests.
+	sendTimeout = 15 * time.Second
+)
+
+// Reasons for which this side ends a stream.
+var (
+	errPreferredAvailable = errors.New("a preferred control plane is available again")
+	errNoResponse         = errors.New("no response to the first request in time")
+	errSendTimeout        = errors.New("requests are not read in time")
+)
+
+// stream is one call of either variant of the protocol.
+type stream struct {
+	grpc.ClientStream
+	delta bool
+	node  *xdspb.Node
+}
+
+// openStream calls the control plane. The stream ends with ctx.
+func openStream(ctx context.Context, conn *grpc.ClientConn, delta bool, node *xdspb.Node) (stream, error) {
+	method := sotwMethod
+	if delta {
+		method = deltaMethod
+	}
+	call, err := conn.NewStream(ctx, &grpc.StreamDesc{ServerStreams: true, ClientStreams: true}, method)
+	return stream{call, delta, node}, err
+}
+
+func (s stream) send(request ads.Request) error {
+	if s.delta {
+		return s.SendMsg(encodeDelta(request, s.node))
+	}
+	return s.SendMsg(encodeSotW(request, s.node))
+}
+
+// receive returns the next response, passing over those of types that are never subscribed to.
+func (s stream) receive() (ads.Response, error) {
+	for {
+		response, known, err := s.receiveAny()
+		if err != nil || known {
+			return response, err
+		}
+	}
+}
+
+// receiveAny returns the next response, and whether its type is known.
+func (s stream) receiveAny() (response ads.Response, known bool, err error) {
+	if s.delta {
+		var message xdspb.DeltaDiscoveryResponse
+		if err := s.RecvMsg(&message); err != nil {
+			return ads.Response{}, false, err
+		}
+		response, known = decodeDelta(&message)
+		return response, known, nil
+	}
+	var message xdspb.DiscoveryResponse
+	if err := s.RecvMsg(&message); err != nil {
+		return ads.Response{}, false, err
+	}
+	response, known = decodeSotW(&message)
+	return response, known, nil
+}
+
+// receiveAll passes responses on until the stream fails, which is reported on failed, or ctx ends.
+func (s stream) receiveAll(ctx context.Context, responses chan<- ads.Response, failed chan<- error) {
+	for {
+		response, err := s.receive()
+		if err != nil {
+			failed <- err
+			return
+		}
+		select {
+		case responses <- response:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// streamError prefers the reason for which this side ended the stream to the error that followed from it.
+func streamError(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+// streamRun is one stream of a source from its opening to its end. Only the goroutine of Source.Run uses it.
+type streamRun struct {
+	source        *Source
+	stream        stream
+	cancel        context.CancelCauseFunc // ends the stream
+	serverIndex   int
+	preferred     *grpc.ClientConn // to the preferred server; nil where that is in use
+	publish       func(router.EndpointUpdate)
+	responseTimer *time.Timer // for the first response
+	expiryTimer   *time.Timer // for the next TTL
+	answered      bool        // a response has come
+}
+
+// runStream runs one stream to its end, and reports whether any response came on it. preferred is the connection to
+// the preferred control plane, nil where that is the one in use.
+func (s *Source) runStream(
+	ctx context.Context, conn, preferred *grpc.ClientConn, index int, publish func(router.EndpointUpdate),
+) (answered bool, _ error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	// A control plane that accepts streams and never answers must not hold the source: there may be another.
+	responseTimer := time.AfterFunc(s.config.responseTimeout, func() { cancel(errNoResponse) })
+	defer responseTimer.Stop()
+	opened, err := openStream(ctx, conn, s.config.Delta, s.config.Node)
+	if err != nil {
+		return false, streamError(ctx, err)
+	}
+	responses, failed := make(chan ads.Response), make(chan error, 1)
+	var receiving sync.WaitGroup
+	defer receiving.Wait()
+	defer cancel(nil) // ends the receiving goroutine
+	receiving.Go(func() { opened.receiveAll(ctx, responses, failed) })
+	run := &streamRun{
+		source: s, stream: opened, cancel: cancel, serverIndex: index, preferred: preferred, publish: publish,
+		responseTimer: responseTimer, expiryTimer: time.NewTimer(0),
+	}
+	defer run.expiryTimer.Stop()
+	if err := run.send(s.streamOpened(index)); err != nil {
+		return false, streamError(ctx, err)
+	}
+	err = run.loop(ctx, responses, failed)
+	return run.answered, streamError(ctx, err)
+}
+
+// loop handles the events of the stream until it ends.
+func (r *streamRun) loop(ctx context.Context, responses <-chan ads.Response, failed <-chan error) error {
+	var failback <-chan time.Time
+	if r.preferred != nil {
+		ticker := time.NewTicker(r.source.config.failbackInterval)
+		defer ticker.Stop()
+		failback = ticker.C
+	}
+	for {
+		select {
+		case response := <-responses:
+			if err := r.handle(response); err != nil {
+				return err
+			}
+		case <-r.expiryTimer.C:
+			r.expire()
+		case <-failback:
+			// A working stream is not left for a server that may not come up: until the preferred one is connected,
+			// drains would be learned of from neither.
+			if r.preferred.GetState() == connectivity.Ready {
+				return errPreferredAvailable
+			}
+			r.preferred.Connect()
+		case err := <-failed:
+			return err
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// handle puts a response in force and answers it.
+func (r *streamRun) handle(response ads.Response) error {
+	r.responseTimer.Stop()
+	if !r.answered {
+		r.source.log.Info("xds: connected to the control plane", "address", r.source.config.Servers[r.serverIndex].Addr)
+	}
+	r.answered = true
+	result := r.source.handleResponse(response)
+	if result.nackReason != "" {
+		r.source.log.Error("xds: refused",
+			"type", typeURLs[response.Type], "version", response.Version, "reason", result.nackReason)
+	}
+	if result.update != nil {
+		r.publish(*result.update)
+	}
+	if err := r.send(result.requests); err != nil {
+		return err
+	}
+	r.expiryTimer.Reset(0)
+	return nil
+}
+
+// expire removes what has outlived its TTL, and sets the timer for what comes next.
+func (r *streamRun) expire() {
+	update, next := r.source.expireResources()
+	if update != nil {
+		r.source.log.Error("xds: resources were not renewed within their TTL", "servers", len(update.Endpoints))
+		r.publish(*update)
+	}
+	if !next.IsZero() {
+		r.expiryTimer.Reset(time.Until(next))
+	}
+}
+
+// send sends requests. The stream is ended if the control plane does not read them within sendTimeout.
+func (r *streamRun) send(requests []ads.Request) error {
+	timer := time.AfterFunc(sendTimeout, func() { r.cancel(errSendTimeout) })
+	defer timer.Stop()
+	for _, request := range requests {
+		if err := r.stream.send(request); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/discovery/xds/xds_test.go
+++ b/discovery/xds/xds_test.go
@@ -281,7 +281,7 @@
 	second := plane(t)
 	second.Set(cluster("rooms"), assignment("rooms", "10.0.0.2:1"))
 	_, l := run(t, Config{
-		Servers:      []Server{{Addr: silent}, {Addr: second.Addr}},
+		Servers:         []Server{{Addr: silent}, {Addr: second.Addr}},
 		responseTimeout: 300 * time.Millisecond, failbackInterval: 20 * time.Millisecond,
 	})
 	l.await(t, "10.0.0.2:1")
