xds/ads, xds/priority: machine, subscription and clusters in force apart, one concern a function

A subscription now takes over, removes and expires its own resources; the machine tells types and variants apart; what is in force is derived in a file of its own. The levels of a priority count and weigh themselves. No decision changes: TestEndsInTheNewestList and the tests of package priority hold it.

go build and go vet of the module, go test of ./discovery/..., ./cmd/wayhold-xds and ./cmd/xds-standin pass.

--- /dev/null
+++ b/discovery/xds/ads/machine.go
@@ -0,0 +1,168 @@
+package ads
+
+import (
+	"slices"
+	"time"
+
+	"cobaltward/discovery/xds/resource"
+)
+
+// Machine is the state of the subscriptions to a control plane. It is not safe for concurrent use.
+type Machine struct {
+	variant       Variant
+	connected     bool // a stream is open
+	nodeUnsent    bool // nothing has been sent on it yet
+	subscriptions [NumTypes]subscription
+	applied       map[string]AppliedCluster // replaced as a whole, never changed
+}
+
+// New returns a machine without any resources. It will subscribe to all clusters, to their endpoints, and to the secrets
+// with these names.
+func New(variant Variant, secretNames ...string) *Machine {
+	m := &Machine{variant: variant, applied: make(map[string]AppliedCluster)}
+	for t := range m.subscriptions {
+		m.subscriptions[t] = newSubscription()
+	}
+	m.subscriptions[Secrets].resourceNames = slices.Sorted(slices.Values(secretNames))
+	return m
+}
+
+// Connected begins a new stream, and returns the requests to send on it first.
+func (m *Machine) Connected() []Request {
+	m.connected, m.nodeUnsent = true, true
+	for t := range m.subscriptions {
+		m.subscriptions[t].nonce, m.subscriptions[t].requested = "", false
+	}
+	requests := []Request{m.initialRequest(Clusters)}
+	for _, t := range []Type{Endpoints, Secrets} {
+		if len(m.subscriptions[t].resourceNames) > 0 {
+			requests = append(requests, m.initialRequest(t))
+		}
+	}
+	return requests
+}
+
+// Disconnected ends the stream. All resources stay in force.
+func (m *Machine) Disconnected() { m.connected = false }
+
+// initialRequest is the first request of a type on a stream.
+func (m *Machine) initialRequest(t Type) Request {
+	s := &m.subscriptions[t]
+	s.requested = true
+	request := Request{Type: t, IncludeNode: m.nodeUnsent}
+	m.nodeUnsent = false
+	if m.variant == SotW {
+		request.Version, request.ResourceNames = s.version, slices.Clone(s.resourceNames)
+		return request
+	}
+	request.Subscribe = slices.Clone(s.resourceNames)
+	request.InitialVersions = s.initialVersions()
+	return request
+}
+
+// HandleResponse puts the valid resources of a response in force and returns the requests that answer it: an ACK or a
+// NACK first, then changes of subscriptions. A response that was not asked for on this stream is ignored.
+func (m *Machine) HandleResponse(now time.Time, response Response) []Request {
+	if !m.connected || response.Type >= NumTypes {
+		return nil
+	}
+	s := &m.subscriptions[response.Type]
+	if !s.requested {
+		return nil
+	}
+	s.nonce, s.nackReason = response.Nonce, ""
+	if response.Err != nil {
+		s.nackReason = response.Err.Error()
+	} else {
+		m.acceptResources(now, s, response)
+	}
+	requests := []Request{m.answer(s, response)}
+	if response.Type == Clusters && response.Err == nil {
+		requests = append(requests, m.updateEndpointSubscription()...)
+	}
+	m.recomputeApplied()
+	return requests
+}
+
+// acceptResources takes over the valid resources of a response.
+func (m *Machine) acceptResources(now time.Time, s *subscription, response Response) {
+	s.updatedAt = now
+	for _, r := range response.Resources {
+		s.accept(now, r)
+	}
+	for _, name := range response.Removed {
+		s.remove(name)
+		s.absent[name] = response.Type == Endpoints && slices.Contains(s.resourceNames, name)
+	}
+	if m.variant == SotW && response.Type == Clusters { // the list has all clusters
+		s.removeUnlisted(response.Resources)
+	}
+}
+
+// answer is the ACK or NACK of a response that has been taken over.
+func (m *Machine) answer(s *subscription, response Response) Request {
+	request := Request{Type: response.Type, Nonce: response.Nonce, ErrorDetail: s.nackReason}
+	if m.variant == SotW {
+		if s.nackReason == "" {
+			s.version = response.Version
+		}
+		request.Version, request.ResourceNames = s.version, slices.Clone(s.resourceNames)
+	}
+	return request
+}
+
+// updateEndpointSubscription subscribes to the endpoints of the clusters as they are now. The assignments that are no
+// longer subscribed to stay in force where recomputeApplied still needs them.
+func (m *Machine) updateEndpointSubscription() []Request {
+	s := &m.subscriptions[Endpoints]
+	former, names := s.resourceNames, m.endpointNames()
+	if slices.Equal(names, former) {
+		return nil
+	}
+	s.setNames(names)
+	if !s.requested {
+		return []Request{m.initialRequest(Endpoints)}
+	}
+	request := Request{Type: Endpoints}
+	if m.variant == SotW {
+		request.Version, request.Nonce, request.ResourceNames = s.version, s.nonce, slices.Clone(names)
+	} else {
+		request.Subscribe, request.Unsubscribe = difference(names, former), difference(former, names)
+	}
+	return []Request{request}
+}
+
+// endpointNames is the sorted names of the assignments that the clusters get by EDS.
+func (m *Machine) endpointNames() []string {
+	var names []string
+	for _, accepted := range m.subscriptions[Clusters].accepted {
+		if cluster := accepted.value.(*resource.Cluster); cluster.EDS {
+			names = append(names, cluster.ServiceName)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// ExpireResources removes what has outlived its TTL, and reports whether there was any. next is when to call it again,
+// zero for never.
+func (m *Machine) ExpireResources(now time.Time) (changed bool, next time.Time) {
+	for t := range m.subscriptions {
+		s := &m.subscriptions[t]
+		expired, earliest := s.expire(now)
+		for _, name := range expired {
+			s.absent[name] = Type(t) == Endpoints
+			changed = true
+		}
+		if next.IsZero() || !earliest.IsZero() && earliest.Before(next) {
+			next = earliest
+		}
+	}
+	if changed {
+		m.recomputeApplied()
+	}
+	return changed, next
+}
+
+// Status is the state of the subscription to a type.
+func (m *Machine) Status(t Type) Status { return m.subscriptions[t].status() }
--- a/discovery/xds/priority/priority.go
+++ b/discovery/xds/priority/priority.go
@@ -1,51 +1,69 @@
-// Package priority decides which endpoints of a cluster are open to new work: a lower priority only
-// where those above it are without enough healthy servers. It does no I/O and keeps no state, so the
-// same endpoints always come to the same decision.
+// Package priority decides which endpoints of a cluster are eligible for new work: those of a lower priority level only
+// where the levels above have not enough healthy ones. It does no I/O and keeps no state: equal assignments get equal
+// decisions.
 //
-// It follows Envoy's priority levels (availability is the healthy part times the overprovisioning
-// factor), but opens whole levels in place of splitting traffic by percentages: how work is spread over
-// open servers is the module's to decide.
+// It follows Envoy's priority levels (the availability of a level is its healthy part times the overprovisioning
+// factor), but makes whole levels eligible in place of splitting traffic by percentages: the load balancer spreads work
+// over the eligible endpoints.
 package priority
 
 import "cobaltward/discovery/xds/resource"
 
-// fullAvailability allows for rounding: 5 of 7 healthy at a factor of 1.4 are all that is asked for.
+// fullAvailability allows for rounding: 5 of 7 healthy at a factor of 1.4 are full availability.
 const fullAvailability = 1 - 1e-9
 
-// Eligible tells of each endpoint whether new work may go to it.
+// level counts the endpoints of one priority level.
+type level struct{ all, healthy int }
+
+// availability is the part of all traffic that the level can take.
+func (l level) availability(overprovisioning float64) float64 {
+	if l.all == 0 {
+		return 0
+	}
+	return min(1, overprovisioning*float64(l.healthy)/float64(l.all))
+}
+
+// Eligible reports of each endpoint of an assignment, by its index, whether new work may go to it.
 //
-// Levels are opened in order until their availability adds up to the whole. Degraded endpoints of open
-// levels are used only where the healthy ones of all levels do not come to that. Where nothing at all is
-// healthy or degraded, nothing is open: the control plane has said that none should be used.
-func Eligible(a *resource.Assignment) []bool {
-	type level struct{ all, healthy int }
+// Levels are used in order until their availability adds up to full availability. Degraded endpoints of these levels
+// are eligible only where the healthy ones of all levels do not add up to that. Where nothing is healthy or degraded,
+// nothing is eligible: the control plane has said that none should be used.
+func Eligible(assignment *resource.Assignment) []bool {
+	overprovisioning := assignment.Overprovisioning
+	if overprovisioning <= 0 {
+		overprovisioning = 1
+	}
+	levels := countLevels(assignment.Endpoints)
+	used, total := 0, 0.0
+	for ; used < len(levels) && total < fullAvailability; used++ {
+		total += levels[used].availability(overprovisioning)
+	}
+	eligible := make([]bool, len(assignment.Endpoints))
+	for i := range assignment.Endpoints {
+		endpoint := &assignment.Endpoints[i]
+		degraded := endpoint.Health == resource.Degraded && total < fullAvailability
+		eligible[i] = int(endpoint.Priority) < used && (isHealthy(endpoint.Health) || degraded)
+	}
+	return eligible
+}
+
+// countLevels counts the endpoints of each level.
+func countLevels(endpoints []resource.Endpoint) []level {
 	var levels []level
-	for _, e := range a.Endpoints {
-		for int(e.Priority) >= len(levels) {
+	for i := range endpoints {
+		for int(endpoints[i].Priority) >= len(levels) {
 			levels = append(levels, level{})
 		}
-		l := &levels[e.Priority]
+		l := &levels[endpoints[i].Priority]
 		l.all++
-		if isHealthy(e.Health) {
+		if isHealthy(endpoints[i].Health) {
 			l.healthy++
 		}
 	}
-	factor := a.Overprovisioning
-	if factor <= 0 {
-		factor = 1
-	}
-	opened, sum := 0, 0.0
-	for ; opened < len(levels) && sum < fullAvailability; opened++ {
-		if l := levels[opened]; l.all > 0 {
-			sum += min(1, factor*float64(l.healthy)/float64(l.all))
-		}
-	}
-	open := make([]bool, len(a.Endpoints))
-	for i, e := range a.Endpoints {
-		open[i] = int(e.Priority) < opened && (isHealthy(e.Health) || e.Health == resource.Degraded && sum < fullAvailability)
-	}
-	return open
+	return levels
 }
 
-// isHealthy tells whether an endpoint counts as healthy: so does one that nobody has checked.
-func isHealthy(h resource.Health) bool { return h == resource.Healthy || h == resource.Unknown }
+// isHealthy reports whether an endpoint counts as healthy; one that nobody has checked does.
+func isHealthy(health resource.Health) bool {
+	return health == resource.Healthy || health == resource.Unknown
+}
