xds/resource: clusters, assignments, endpoints and metadata in files of their own, typed field errors

resource.go parsed and validated everything, with functions of 60 lines and more, and errors that went up as a text and a field name side by side. Now a fieldError has the field that is rejected, each message has its file, and a function reads one of them. TestRefusesAssignments and FuzzResources hold the rest.

--- /dev/null
+++ b/discovery/xds/resource/assignment.go
@@ -0,0 +1,200 @@
+package resource
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"cobaltward/discovery/xds/xdspb"
+
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// MaxEndpoints bounds the endpoints of one assignment.
+	MaxEndpoints = 200_000
+
+	maxPriority                    = 127
+	defaultOverprovisioningPercent = 140 // Envoy's default
+	percent                        = 100.0
+	// pauseInterval is after how many endpoints the decoder of a large assignment may pause.
+	pauseInterval = 32
+)
+
+// Assignment is the endpoints of a cluster. The names of its fields are keys of the cached list on disk.
+type Assignment struct {
+	Name             string
+	Endpoints        []Endpoint    // each address once
+	Drop             float64       // the part of requests to drop, 0 to 1
+	Overprovisioning float64       // factor by which healthy endpoints count more, as 1.4
+	StaleAfter       time.Duration // the assignment expires if it is not renewed in this time; 0: never
+}
+
+// ParseAssignment validates the endpoints of a cluster. One invalid endpoint rejects the whole assignment; the error
+// names it and its field.
+func ParseAssignment(message *xdspb.ClusterLoadAssignment) (*Assignment, error) {
+	raw, err := proto.Marshal(message)
+	if err != nil {
+		return nil, errMalformed
+	}
+	_, assignment, err := DecodeAssignment(raw, nil)
+	return assignment, err
+}
+
+// buildAssignment validates an assignment whose localities have been taken out of its message. pause, if not nil, is
+// called every pauseInterval endpoints.
+func buildAssignment(
+	message *xdspb.ClusterLoadAssignment, localities []rawLocality, pause func(),
+) (*Assignment, error) {
+	if err := checkName("cluster_name", message.GetClusterName()); err != nil {
+		return nil, err
+	}
+	builder := assignmentBuilder{
+		assignment: &Assignment{
+			Name:             message.GetClusterName(),
+			Overprovisioning: defaultOverprovisioningPercent / percent,
+		},
+	}
+	if err := builder.build(message, localities, pause); err != nil {
+		return nil, fmt.Errorf("assignment %q: %w", message.GetClusterName(), err)
+	}
+	return builder.assignment, nil
+}
+
+// assignmentBuilder collects the endpoints of an assignment.
+type assignmentBuilder struct {
+	assignment *Assignment
+	addresses  map[string]bool // of the endpoints so far
+}
+
+func (b *assignmentBuilder) build(
+	message *xdspb.ClusterLoadAssignment, localities []rawLocality, pause func(),
+) error {
+	if err := b.assignment.applyPolicy(message.GetPolicy()); err != nil {
+		return &fieldError{"policy", err}
+	}
+	total := 0
+	for i := range localities {
+		total += len(localities[i].endpoints)
+	}
+	if total > MaxEndpoints {
+		return rejectField("endpoints", "%d of them, %d are allowed", total, MaxEndpoints)
+	}
+	b.assignment.Endpoints = make([]Endpoint, 0, total)
+	b.addresses = make(map[string]bool, total)
+	for i := range localities {
+		if err := b.addLocality(i, &localities[i], pause); err != nil {
+			return err
+		}
+	}
+	return checkPriorities(localities)
+}
+
+// addLocality adds the endpoints of a locality. Its weight is not read: the load balancer weighs servers, and prefers
+// zones by rules of its own.
+func (b *assignmentBuilder) addLocality(index int, locality *rawLocality, pause func()) error {
+	priority := locality.message.GetPriority()
+	if priority > maxPriority {
+		return rejectField(fmt.Sprintf("endpoints[%d].priority", index), "want at most %d, got %d", maxPriority, priority)
+	}
+	zone := zoneOf(locality.message.GetLocality())
+	for i, raw := range locality.endpoints {
+		if pause != nil && len(b.assignment.Endpoints)%pauseInterval == pauseInterval-1 {
+			pause()
+		}
+		endpoint, err := decodeEndpoint(raw)
+		if err == nil && b.addresses[endpoint.Addr] {
+			err = rejectField("endpoint.address", "%s is there twice", endpoint.Addr)
+		}
+		if err != nil {
+			return endpointError(index, i, err)
+		}
+		b.addresses[endpoint.Addr] = true
+		endpoint.Zone, endpoint.Priority = zone, priority
+		b.assignment.Endpoints = append(b.assignment.Endpoints, endpoint)
+	}
+	return nil
+}
+
+// endpointError puts the place of an endpoint before the field that is rejected.
+func endpointError(locality, index int, err error) error {
+	place := fmt.Sprintf("endpoints[%d].lb_endpoints[%d].", locality, index)
+	var rejected *fieldError
+	if errors.As(err, &rejected) {
+		return &fieldError{place + rejected.field, rejected.err}
+	}
+	return &fieldError{place, err}
+}
+
+// checkPriorities rejects localities that skip a priority.
+func checkPriorities(localities []rawLocality) error {
+	highest, used := uint32(0), make(map[uint32]bool)
+	for i := range localities {
+		priority := localities[i].message.GetPriority()
+		highest, used[priority] = max(highest, priority), true
+	}
+	for priority := range highest {
+		if !used[priority] {
+			return rejectField("endpoints", "priority %d is missing, though there is %d", priority, highest)
+		}
+	}
+	return nil
+}
+
+// zoneOf is a locality's zone, or its region where it has no zone.
+func zoneOf(locality *xdspb.Locality) string {
+	if zone := locality.GetZone(); zone != "" {
+		return zone
+	}
+	return locality.GetRegion()
+}
+
+// applyPolicy reads what holds for the whole assignment.
+func (a *Assignment) applyPolicy(policy *xdspb.ClusterLoadAssignment_Policy) error {
+	drop, err := dropFraction(policy.GetDropOverloads())
+	if err != nil {
+		return err
+	}
+	a.Drop = drop
+	if factor := policy.GetOverprovisioningFactor(); factor != nil {
+		if factor.GetValue() == 0 {
+			return rejectField("overprovisioning_factor", "want above 0")
+		}
+		a.Overprovisioning = float64(factor.GetValue()) / percent
+	}
+	if staleAfter := policy.GetEndpointStaleAfter(); staleAfter != nil {
+		if err := staleAfter.CheckValid(); err != nil || staleAfter.AsDuration() <= 0 {
+			return rejectField("endpoint_stale_after", "want above 0")
+		}
+		a.StaleAfter = staleAfter.AsDuration()
+	}
+	return nil
+}
+
+// dropFraction is the part of requests that all categories together drop; each drops from what the others leave.
+func dropFraction(overloads []*xdspb.ClusterLoadAssignment_Policy_DropOverload) (float64, error) {
+	kept := 1.0
+	for i, overload := range overloads {
+		percentage := overload.GetDropPercentage()
+		denominator := denominatorOf(percentage.GetDenominator())
+		if denominator == 0 {
+			return 0, rejectField(fmt.Sprintf("drop_overloads[%d].drop_percentage.denominator", i), "unknown")
+		}
+		kept *= 1 - min(1, float64(percentage.GetNumerator())/denominator)
+	}
+	return 1 - kept, nil
+}
+
+// denominatorOf is the number that a denominator of the wire stands for; 0 for one that is not known.
+func denominatorOf(t xdspb.FractionalPercent_DenominatorType) float64 {
+	switch t {
+	case xdspb.FractionalPercent_HUNDRED:
+		return 100
+	case xdspb.FractionalPercent_TEN_THOUSAND:
+		return 10_000
+	case xdspb.FractionalPercent_MILLION:
+		return 1_000_000
+	default:
+		return 0
+	}
+}
--- a/discovery/xds/resource/decode.go
+++ b/discovery/xds/resource/decode.go
@@ -2,7 +2,7 @@
 
 import (
 	"errors"
-	"fmt"
+	"math"
 	"net/netip"
 
 	"cobaltward/discovery/xds/xdspb"
@@ -11,211 +11,182 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// pauseInterval is after how many endpoints the reader of a large assignment may be made to pause.
-const pauseInterval = 32
+// Field numbers of the messages that are taken apart on the wire.
+const (
+	assignmentEndpointsField protowire.Number = 2 // ClusterLoadAssignment.endpoints
+	localityEndpointsField   protowire.Number = 2 // LocalityLbEndpoints.lb_endpoints
+)
 
-// errMalformed says that bytes are no message of the type that they are for.
+// errMalformed says that bytes are no valid ClusterLoadAssignment on the wire.
 var errMalformed = errors.New("not a ClusterLoadAssignment")
 
-// DecodeAssignment reads the endpoints of a cluster from the wire, as ParseAssignment does. Endpoints of
-// the plainest form, which nearly all are, are read in place; for any other the generated reader judges
-// (FuzzResources holds the two against one another). Where the bytes are no message, the name is empty. pause,
-// where it is not nil, is called every few endpoints.
-func DecodeAssignment(raw []byte, pause func()) (name string, a *Assignment, err error) {
-	rest, localities, err := extractField(raw, 2)
+// rawLocality is a locality of an assignment whose endpoints are not decoded yet.
+type rawLocality struct {
+	message   xdspb.LocalityLbEndpoints // without lb_endpoints
+	endpoints [][]byte
+}
+
+// DecodeAssignment decodes and validates the endpoints of a cluster, as ParseAssignment does. Endpoints of the simplest
+// form, which nearly all have, are decoded in place; all others by the generated code, which FuzzResources holds to give
+// the same. name is empty where the bytes are no ClusterLoadAssignment. pause, if not nil, is called every few
+// endpoints.
+func DecodeAssignment(raw []byte, pause func()) (name string, assignment *Assignment, err error) {
+	rest, rawLocalities, err := extractField(raw, assignmentEndpointsField)
 	if err != nil {
 		return "", nil, err
 	}
-	var p xdspb.ClusterLoadAssignment
-	if proto.Unmarshal(rest, &p) != nil {
+	var message xdspb.ClusterLoadAssignment
+	if proto.Unmarshal(rest, &message) != nil {
 		return "", nil, errMalformed
 	}
-	parts := make([]rawLocality, len(localities))
-	for i, l := range localities {
-		head, endpoints, err := extractField(l, 2)
-		if err != nil {
+	localities := make([]rawLocality, len(rawLocalities))
+	for i, rawLocality := range rawLocalities {
+		if err := localities[i].decode(rawLocality); err != nil {
 			return "", nil, err
 		}
-		if proto.Unmarshal(head, &parts[i].message) != nil {
-			return "", nil, errMalformed
-		}
-		parts[i].endpoints = endpoints
 	}
-	a, err = buildAssignment(&p, parts, pause)
+	assignment, err = buildAssignment(&message, localities, pause)
 	if errors.Is(err, errMalformed) {
 		return "", nil, errMalformed
 	}
-	return p.GetClusterName(), a, err
+	return message.GetClusterName(), assignment, err
 }
 
-// rawLocality is one of an assignment's, its endpoints still as they came.
-type rawLocality struct {
-	message   xdspb.LocalityLbEndpoints
-	endpoints [][]byte
+// decode decodes a locality without its endpoints.
+func (l *rawLocality) decode(raw []byte) error {
+	rest, endpoints, err := extractField(raw, localityEndpointsField)
+	if err != nil {
+		return err
+	}
+	if proto.Unmarshal(rest, &l.message) != nil {
+		return errMalformed
+	}
+	l.endpoints = endpoints
+	return nil
 }
 
-// extractField takes the occurrences of one field, which holds messages, out of a message.
-func extractField(raw []byte, field protowire.Number) (rest []byte, taken [][]byte, err error) {
+// extractField takes the values of one field, which holds messages, out of a message. rest is the other fields.
+func extractField(raw []byte, field protowire.Number) (rest []byte, values [][]byte, err error) {
 	for len(raw) > 0 {
-		num, typ, n := protowire.ConsumeTag(raw)
-		if n < 0 {
+		number, wireType, tagLength := protowire.ConsumeTag(raw)
+		if tagLength < 0 {
 			return nil, nil, errMalformed
 		}
-		m := protowire.ConsumeFieldValue(num, typ, raw[n:])
-		if m < 0 {
+		valueLength := protowire.ConsumeFieldValue(number, wireType, raw[tagLength:])
+		if valueLength < 0 {
 			return nil, nil, errMalformed
 		}
-		if num == field && typ == protowire.BytesType {
-			v, _ := protowire.ConsumeBytes(raw[n:])
-			taken = append(taken, v)
+		if number == field && wireType == protowire.BytesType {
+			value, _ := protowire.ConsumeBytes(raw[tagLength:])
+			values = append(values, value)
 		} else {
-			rest = append(rest, raw[:n+m]...)
+			rest = append(rest, raw[:tagLength+valueLength]...)
 		}
-		raw = raw[n+m:]
+		raw = raw[tagLength+valueLength:]
 	}
-	return rest, taken, nil
+	return rest, values, nil
 }
 
-// decodeEndpoint reads one endpoint; its error is told with the field.
-func decodeEndpoint(raw []byte) (e Endpoint, field string, err error) {
-	if e, ok := decodeSimpleEndpoint(raw); ok {
-		return e, "", nil
+// decodeEndpoint decodes and validates one endpoint. An error is errMalformed or a *fieldError.
+func decodeEndpoint(raw []byte) (Endpoint, error) {
+	if endpoint, ok := decodeSimpleEndpoint(raw); ok {
+		return endpoint, nil
 	}
-	var p xdspb.LbEndpoint
-	if proto.Unmarshal(raw, &p) != nil {
-		return e, "", errMalformed
+	var message xdspb.LbEndpoint
+	if proto.Unmarshal(raw, &message) != nil {
+		return Endpoint{}, errMalformed
 	}
-	return parseEndpoint(&p)
+	return parseEndpoint(&message)
 }
 
-// decodeSimpleEndpoint reads an endpoint that has an IP address, a port, and at most its health and weight
-// beside it, each once. It reports false for all else, good or bad.
-func decodeSimpleEndpoint(raw []byte) (e Endpoint, ok bool) {
+// decodeSimpleEndpoint decodes an endpoint that has an IP address, a port and at most a health and a weight besides,
+// each once. ok is false for everything else, valid or not.
+func decodeSimpleEndpoint(raw []byte) (endpoint Endpoint, ok bool) {
 	var host, health, weight []byte
 	if !decodeFields(raw, &host, &health, nil, &weight) {
-		return e, false
+		return Endpoint{}, false
 	}
-	var addr, sock, ip, port []byte
-	if !decodeFields(host, &addr) || !decodeFields(addr, &sock) || !decodeFields(sock, nil, &ip, &port) {
-		return e, false
+	addr, ok := decodeSimpleAddress(host)
+	if !ok {
+		return Endpoint{}, false
 	}
-	at, err := netip.ParseAddr(string(ip))
-	n, ok := decodeVarint(port)
-	if err != nil || at.Zone() != "" || !ok || n == 0 || n > 65535 {
-		return e, false
-	}
-	e = Endpoint{Addr: netip.AddrPortFrom(at.Unmap(), uint16(n)).String(), Weight: 1}
+	endpoint = Endpoint{Addr: addr, Weight: 1}
 	if health != nil {
-		n, ok := decodeVarint(health)
-		if !ok || n > uint64(Degraded) {
-			return e, false
+		value, ok := decodeVarint(health)
+		if !ok || value > uint64(Degraded) {
+			return Endpoint{}, false
 		}
-		e.Health = Health(n)
+		endpoint.Health = Health(value)
 	}
 	if weight != nil {
-		var value []byte
-		if !decodeFields(weight, &value) {
-			return e, false
+		var wrapped []byte // in a UInt32Value
+		if !decodeFields(weight, &wrapped) {
+			return Endpoint{}, false
 		}
-		n, ok := decodeVarint(value)
-		if !ok || n == 0 || n > 1<<32-1 {
-			return e, false
+		value, ok := decodeVarint(wrapped)
+		if !ok || value == 0 || value > math.MaxUint32 {
+			return Endpoint{}, false
 		}
-		e.Weight = float64(n)
+		endpoint.Weight = float64(value)
 	}
-	return e, true
+	return endpoint, true
+}
+
+// decodeSimpleAddress decodes an Endpoint message that has an IP address and a port alone.
+func decodeSimpleAddress(raw []byte) (addr string, ok bool) {
+	var address, socket, ip, port []byte
+	if !decodeFields(raw, &address) || !decodeFields(address, &socket) || !decodeFields(socket, nil, &ip, &port) {
+		return "", false
+	}
+	parsed, err := netip.ParseAddr(string(ip))
+	number, ok := decodeVarint(port)
+	if err != nil || parsed.Zone() != "" || !ok || number == 0 || number > math.MaxUint16 {
+		return "", false
+	}
+	return netip.AddrPortFrom(parsed.Unmap(), uint16(number)).String(), true
 }
 
-// decodeFields takes the decodeFields numbered from 1 on out of a message. It reports false where it has another, one
-// for which there is nil, one twice, or one that is neither bytes nor a varint.
-func decodeFields(raw []byte, to ...*[]byte) bool {
+// decodeFields decodes the fields of a message, numbered from 1 on, each into its target. It reports false for a field
+// beyond the targets or with a nil target, a field that is there twice or empty, and one that is neither bytes nor a
+// varint.
+func decodeFields(raw []byte, targets ...*[]byte) bool {
 	for len(raw) > 0 {
-		num, typ, n := protowire.ConsumeTag(raw)
-		if n < 0 || int(num) > len(to) || to[num-1] == nil || *to[num-1] != nil {
+		number, wireType, n := protowire.ConsumeTag(raw)
+		if n < 0 || int(number) > len(targets) || targets[number-1] == nil || *targets[number-1] != nil {
 			return false
 		}
-		raw = raw[n:]
-		var value []byte
-		switch typ {
-		case protowire.BytesType:
-			v, n := protowire.ConsumeBytes(raw)
-			if n < 0 {
-				return false
-			}
-			value, raw = v, raw[n:]
-		case protowire.VarintType:
-			_, n := protowire.ConsumeVarint(raw)
-			if n < 0 {
-				return false
-			}
-			value, raw = raw[:n], raw[n:]
-		default:
+		value, rest, ok := consumeValue(raw[n:], wireType)
+		if !ok || len(value) == 0 { // the generated code takes an empty field for a missing one
 			return false
 		}
-		if len(value) == 0 {
-			return false // as if it were not there: the generated reader judges
-		}
-		*to[num-1] = value
+		*targets[number-1] = value
+		raw = rest
 	}
 	return true
 }
 
-// decodeVarint is a whole varint.
-func decodeVarint(raw []byte) (uint64, bool) {
-	v, n := protowire.ConsumeVarint(raw)
-	return v, n > 0 && n == len(raw)
-}
-
-// buildAssignment puts an assignment together, or says by which endpoint and field the whole is refused.
-func buildAssignment(p *xdspb.ClusterLoadAssignment, parts []rawLocality, pause func()) (*Assignment, error) {
-	if err := checkName("cluster_name", p.GetClusterName()); err != nil {
-		return nil, err
-	}
-	a := &Assignment{Name: p.GetClusterName(), Overprovisioning: defaultOverprovisioningPercent / 100.0}
-	fail := func(field string, err error) (*Assignment, error) {
-		return nil, fmt.Errorf("assignment %q: %s: %w", a.Name, field, err)
-	}
-	if err := a.applyPolicy(p.GetPolicy()); err != nil {
-		return fail("policy", err)
-	}
-	total := 0
-	for i := range parts {
-		total += len(parts[i].endpoints)
-	}
-	if total > MaxEndpoints {
-		return fail("endpoints", fmt.Errorf("%d of them, %d are allowed", total, MaxEndpoints))
-	}
-	a.Endpoints = make([]Endpoint, 0, total)
-	seen := make(map[string]bool, total)
-	highest, used := uint32(0), make(map[uint32]bool)
-	for i := range parts {
-		l, at := &parts[i].message, fmt.Sprintf("endpoints[%d]", i)
-		if l.GetPriority() > maxPriority {
-			return fail(at+".priority", fmt.Errorf("want at most %d, got %d", maxPriority, l.GetPriority()))
-		}
-		// Envoy leaves a locality without a weight out where localities are weighed; here the module
-		// weighs servers, and zones come by its own order, so the weight of a locality is not read.
-		highest, used[l.GetPriority()] = max(highest, l.GetPriority()), true
-		for j, raw := range parts[i].endpoints {
-			if pause != nil && len(a.Endpoints)%pauseInterval == pauseInterval-1 {
-				pause()
-			}
-			e, field, err := decodeEndpoint(raw)
-			if err != nil {
-				return fail(fmt.Sprintf("%s.lb_endpoints[%d].%s", at, j, field), err)
-			}
-			if seen[e.Addr] {
-				return fail(fmt.Sprintf("%s.lb_endpoints[%d].endpoint.address", at, j), fmt.Errorf("%s is there twice", e.Addr))
-			}
-			seen[e.Addr] = true
-			e.Zone, e.Priority = zone(l.GetLocality()), l.GetPriority()
-			a.Endpoints = append(a.Endpoints, e)
+// consumeValue splits a message into the value that it begins with, bytes or a varint, and the rest.
+func consumeValue(raw []byte, wireType protowire.Type) (value, rest []byte, ok bool) {
+	switch wireType {
+	case protowire.BytesType:
+		value, n := protowire.ConsumeBytes(raw)
+		if n < 0 {
+			return nil, nil, false
 		}
-	}
-	for n := range highest {
-		if !used[n] {
-			return fail("endpoints", fmt.Errorf("priority %d is missing, though there is %d", n, highest))
+		return value, raw[n:], true
+	case protowire.VarintType:
+		_, n := protowire.ConsumeVarint(raw)
+		if n < 0 {
+			return nil, nil, false
 		}
+		return raw[:n], raw[n:], true
+	default:
+		return nil, nil, false
 	}
-	return a, nil
+}
+
+// decodeVarint decodes bytes that are exactly one varint.
+func decodeVarint(raw []byte) (value uint64, ok bool) {
+	value, n := protowire.ConsumeVarint(raw)
+	return value, n > 0 && n == len(raw)
 }
--- /dev/null
+++ b/discovery/xds/resource/metadata.go
@@ -0,0 +1,48 @@
+package resource
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/types/known/structpb"
+)
+
+// maxMetadataInt bounds numbers of metadata: larger ones are not exact as the doubles that the wire has.
+const maxMetadataInt = 1 << 53
+
+func parseKind(value *structpb.Value) (string, error) {
+	if value.GetStringValue() == "" {
+		return "", errors.New("want a text")
+	}
+	return value.GetStringValue(), nil
+}
+
+func parseCell(value *structpb.Value) (int64, error) {
+	number := value.GetNumberValue()
+	if number != math.Trunc(number) || math.Abs(number) >= maxMetadataInt {
+		return 0, fmt.Errorf("want a whole number, got %v", value.AsInterface())
+	}
+	return int64(number), nil
+}
+
+// parseStarted reads a start time in Unix milliseconds, a number or, since large ones may be written so, a text. 0 is
+// the zero time.
+func parseStarted(value *structpb.Value) (time.Time, error) {
+	number := value.GetNumberValue()
+	if text := value.GetStringValue(); text != "" {
+		var err error
+		if number, err = strconv.ParseFloat(text, 64); err != nil {
+			return time.Time{}, fmt.Errorf("want Unix milliseconds, got %q", text)
+		}
+	}
+	if !(number >= 0 && number < maxMetadataInt) { // also for NaN
+		return time.Time{}, fmt.Errorf("want Unix milliseconds, got %v", value.AsInterface())
+	}
+	if number == 0 {
+		return time.Time{}, nil
+	}
+	return time.UnixMilli(int64(number)), nil
+}
--- a/discovery/xds/resource/resource_test.go
+++ b/discovery/xds/resource/resource_test.go
@@ -197,7 +197,7 @@
 			if err := proto.Unmarshal(raw, &e); err != nil {
 				t.Fatalf("%+v of what the generated reader refuses: %v", plain, err)
 			}
-			if want, _, err := parseEndpoint(&e); err != nil || plain != want {
+			if want, err := parseEndpoint(&e); err != nil || plain != want {
 				t.Errorf("%+v, and by the generated reader %+v, %v", plain, want, err)
 			}
 		}
