xds/standin: faults, records, streams, subscriptions and steps apart, one function a step

Now each has its file; a stream is a clientStream whose steps are methods; each step of a script has a parser of its own that checks its arguments once and returns an action, which gets its context as an argument. Scripts, their errors, the JSON of recorded requests and what is on the wire stay as they were.

go build and go vet of the module, go test of ./discovery/..., ./cmd/wayhold-xds, ./cmd/xds-standin and ./emulator/live/... pass.

--- /dev/null
+++ b/discovery/xds/standin/stream.go
@@ -0,0 +1,140 @@
+package standin
+
+import (
+	"slices"
+	"strconv"
+
+	"cobaltward/discovery/xds/resource"
+	"cobaltward/discovery/xds/xdspb"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+)
+
+// scriptedEnd is the message with which streams end that a fault ends.
+const scriptedEnd = "as the script has it"
+
+// typeOrder is the order in which the types should be sent.
+var typeOrder = []string{resource.ClusterURL, resource.AssignmentURL, resource.SecretURL}
+
+// clientStream is one stream of either variant. Only the goroutine of serve uses it.
+type clientStream struct {
+	grpc.ServerStream
+	controlPlane  *ControlPlane
+	delta         bool
+	subscriptions map[string]*subscription // by type URL
+	responses     int                      // sent so far
+	lastNonces    map[string]string        // of the last response, by type URL
+	lastResponse  proto.Message
+	closeCount    int // of the faults when the stream began
+	resendCount   int // of the faults as last obeyed
+}
+
+// serve serves one stream until the client or a fault ends it.
+func (p *ControlPlane) serve(stream grpc.ServerStream, delta bool) error {
+	id := p.Streams.Add(1)
+	requests := receiveRequests(stream, delta)
+	initial, _ := p.currentFaults()
+	s := &clientStream{
+		ServerStream: stream, controlPlane: p, delta: delta,
+		subscriptions: make(map[string]*subscription), lastNonces: make(map[string]string),
+		closeCount: initial.closeCount, resendCount: initial.resendCount,
+	}
+	for _, url := range typeOrder {
+		s.subscriptions[url] = &subscription{sent: make(map[string]int)}
+	}
+	for {
+		current, changed := p.currentFaults()
+		if err := s.respond(current); err != nil {
+			return err
+		}
+		select {
+		case <-changed:
+		case request, ok := <-requests:
+			if !ok {
+				return nil
+			}
+			request.Stream = id
+			p.record(request)
+			s.handleRequest(request)
+		}
+	}
+}
+
+// respond sends what the client lacks, under the faults. An error ends the stream.
+func (s *clientStream) respond(current faults) error {
+	if current.rejectCode != codes.OK {
+		return status.Error(current.rejectCode, scriptedEnd)
+	}
+	if current.closeCount != s.closeCount {
+		return status.Error(current.closeCode, scriptedEnd)
+	}
+	if current.resendCount != s.resendCount && s.lastResponse != nil {
+		if err := s.SendMsg(s.lastResponse); err != nil {
+			return err
+		}
+	}
+	s.resendCount = current.resendCount
+	order := slices.Clone(typeOrder)
+	if current.endpointsFirst {
+		slices.Reverse(order)
+	}
+	for _, url := range order {
+		if current.muted[url] { // follows once it is no longer muted
+			continue
+		}
+		if err := s.sendType(url); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sendType sends the response of a type that the client lacks, if any.
+func (s *clientStream) sendType(url string) error {
+	response := s.controlPlane.nextResponse(url, s.subscriptions[url], s.delta)
+	if response == nil {
+		return nil
+	}
+	s.responses++
+	s.lastNonces[url] = s.controlPlane.stampResponse(response, strconv.Itoa(s.responses))
+	s.lastResponse = response
+	return s.SendMsg(response)
+}
+
+// handleRequest takes over what a request subscribes to. An answer to a response before the last is ignored.
+func (s *clientStream) handleRequest(request RecordedRequest) {
+	subscribed := s.subscriptions[request.Type]
+	if subscribed == nil {
+		return
+	}
+	outdated := request.Nonce != "" && request.Nonce != s.lastNonces[request.Type]
+	if outdated && !s.delta && request.Type == resource.ClusterURL {
+		return
+	}
+	subscribed.update(request, s.delta)
+}
+
+// stampResponse sets the nonce of a response, and the version that a fault shows, and returns the nonce.
+func (p *ControlPlane) stampResponse(response proto.Message, nonce string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.nextNonce != "" {
+		nonce, p.faults.nextNonce = p.faults.nextNonce, ""
+	}
+	switch r := response.(type) {
+	case *xdspb.DiscoveryResponse:
+		r.Nonce = nonce
+		if p.faults.shownVersion != "" {
+			r.VersionInfo = p.faults.shownVersion
+		}
+	case *xdspb.DeltaDiscoveryResponse:
+		r.Nonce = nonce
+		if p.faults.shownVersion != "" {
+			r.SystemVersionInfo = p.faults.shownVersion
+		}
+	}
+	return nonce
+}
--- /dev/null
+++ b/discovery/xds/standin/subscription.go
@@ -0,0 +1,121 @@
+package standin
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+
+	"cobaltward/discovery/xds/resource"
+	"cobaltward/discovery/xds/xdspb"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// subscription is what a stream has subscribed to of one type, and what it has been sent.
+type subscription struct {
+	requested bool
+	names     map[string]bool // nil: all
+	sent      map[string]int  // versions, by name
+	responses int             // of the state of the world, so far
+}
+
+// update takes over what a request subscribes to.
+func (s *subscription) update(request RecordedRequest, delta bool) {
+	s.requested = true
+	if request.Type == resource.AssignmentURL && (s.names == nil || !delta) {
+		s.names = make(map[string]bool)
+	}
+	for _, name := range slices.Concat(request.Names, request.Subscribe) {
+		if s.names != nil {
+			s.names[name] = true
+		}
+	}
+	for _, name := range request.Unsubscribe {
+		delete(s.names, name)
+		delete(s.sent, name)
+	}
+	if !delta && s.names != nil {
+		maps.DeleteFunc(s.sent, func(name string, _ int) bool { return !s.names[name] })
+	}
+	for name, text := range request.Initial {
+		if version, err := strconv.Atoi(text); err == nil {
+			s.sent[name] = version
+		}
+	}
+}
+
+// includes reports whether a name is subscribed to.
+func (s *subscription) includes(name string) bool { return s.names == nil || s.names[name] }
+
+// nextResponse is the response that a subscription lacks; nil for none.
+func (p *ControlPlane) nextResponse(url string, s *subscription, delta bool) proto.Message {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !s.requested {
+		return nil
+	}
+	if delta {
+		if response := p.deltaResponse(url, s); response != nil {
+			return response
+		}
+	} else if response := p.sotwResponse(url, s); response != nil {
+		return response
+	}
+	return nil
+}
+
+// sotwResponse is the state-of-the-world response that a subscription lacks; nil for none. It has all clusters, and of
+// the other types what has changed. The lock is held.
+func (p *ControlPlane) sotwResponse(url string, s *subscription) *xdspb.DiscoveryResponse {
+	response := &xdspb.DiscoveryResponse{VersionInfo: strconv.Itoa(p.version), TypeUrl: url}
+	stale := url == resource.ClusterURL && s.responses == 0
+	for _, name := range slices.Sorted(maps.Keys(p.resources[url])) {
+		current := p.resources[url][name]
+		if !s.includes(name) {
+			continue
+		}
+		changed := s.sent[name] != current.version
+		if url == resource.ClusterURL || changed {
+			response.Resources = append(response.Resources, current.body)
+		}
+		stale = stale || changed
+		s.sent[name] = current.version
+	}
+	removed := p.forgetRemoved(url, s)
+	stale = stale || len(removed) > 0 && url == resource.ClusterURL
+	if !stale {
+		return nil
+	}
+	s.responses++
+	return response
+}
+
+// deltaResponse is the incremental response that a subscription lacks; nil for none. The lock is held.
+func (p *ControlPlane) deltaResponse(url string, s *subscription) *xdspb.DeltaDiscoveryResponse {
+	response := &xdspb.DeltaDiscoveryResponse{SystemVersionInfo: strconv.Itoa(p.version), TypeUrl: url}
+	for _, name := range slices.Sorted(maps.Keys(p.resources[url])) {
+		current := p.resources[url][name]
+		if s.includes(name) && s.sent[name] != current.version {
+			response.Resources = append(response.Resources,
+				&xdspb.Resource{Name: name, Version: strconv.Itoa(current.version), Resource: current.body})
+			s.sent[name] = current.version
+		}
+	}
+	response.RemovedResources = p.forgetRemoved(url, s)
+	if len(response.Resources)+len(response.RemovedResources) == 0 {
+		return nil
+	}
+	return response
+}
+
+// forgetRemoved forgets that resources have been sent that are no longer there, and returns their names.
+func (p *ControlPlane) forgetRemoved(url string, s *subscription) []string {
+	var removed []string
+	for name := range s.sent {
+		if _, ok := p.resources[url][name]; !ok {
+			removed = append(removed, name)
+			delete(s.sent, name)
+		}
+	}
+	return removed
+}
