--- a/discovery/xds/ads/ads_test.go
+++ b/discovery/xds/ads/ads_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"reflect"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -37,11 +38,7 @@
 			got[name] = "none yet"
 			continue
 		}
-		var addrs []string
-		for _, e := range a.Assignment.Endpoints {
-			addrs = append(addrs, e.Addr)
-		}
-		got[name] = strings.Join(addrs, " ")
+		got[name] = strings.Join(addresses(a.Assignment), " ")
 	}
 	return got
 }
@@ -62,160 +59,227 @@
 	return rs[0]
 }
 
-func TestSubscribesAndAcknowledgesSotW(t *testing.T) {
-	m := New(SotW)
-	if r := one(t, m.Connected()); r.Type != Clusters || !r.IncludeNode || r.Version != "" || r.Nonce != "" || len(r.ResourceNames) != 0 {
+func TestMachine_SubscribesAndAcknowledgesSotW(t *testing.T) {
+	machine := New(SotW)
+	if r := one(
+		t,
+		machine.Connected(),
+	); r.Type != Clusters || !r.IncludeNode || r.Version != "" || r.Nonce != "" ||
+		len(r.ResourceNames) != 0 {
 		t.Errorf("first request %+v", r)
 	}
-	rs := m.HandleResponse(t0, Response{Type: Clusters, Version: "1", Nonce: "a", Resources: []Resource{eds("c", "s")}})
+	rs := machine.HandleResponse(
+		t0,
+		Response{Type: Clusters, Version: "1", Nonce: "a", Resources: []Resource{eds("c", "s")}},
+	)
 	if len(rs) != 2 || rs[0].Version != "1" || rs[0].Nonce != "a" || rs[0].ErrorDetail != "" || rs[0].IncludeNode ||
 		rs[1].Type != Endpoints || rs[1].Nonce != "" || !slices.Equal(rs[1].ResourceNames, []string{"s"}) {
 		t.Errorf("after the clusters: %+v", rs)
 	}
-	want(t, m, map[string]string{"c": "none yet"})
-	if m.Complete() {
+	want(t, machine, map[string]string{"c": "none yet"})
+	if machine.Complete() {
 		t.Error("whole without the endpoints")
 	}
-	r := one(t, m.HandleResponse(t0, Response{Type: Endpoints, Version: "7", Nonce: "b", Resources: []Resource{endpoints("s", "1", "2")}}))
+	r := one(
+		t,
+		machine.HandleResponse(
+			t0,
+			Response{Type: Endpoints, Version: "7", Nonce: "b", Resources: []Resource{endpoints("s", "1", "2")}},
+		),
+	)
 	if r.Version != "7" || r.Nonce != "b" || !slices.Equal(r.ResourceNames, []string{"s"}) {
 		t.Errorf("acknowledged by %+v", r)
 	}
-	want(t, m, map[string]string{"c": "1 2"})
-	if !m.Complete() {
+	want(t, machine, map[string]string{"c": "1 2"})
+	if !machine.Complete() {
 		t.Error("not whole")
 	}
-	m.Disconnected()
-	want(t, m, map[string]string{"c": "1 2"}) // the last good list serves on
-	if got := m.HandleResponse(t0, Response{Type: Clusters, Version: "2", Nonce: "late"}); got != nil {
+	machine.Disconnected()
+	want(t, machine, map[string]string{"c": "1 2"}) // the last good list serves on
+	if got := machine.HandleResponse(t0, Response{Type: Clusters, Version: "2", Nonce: "late"}); got != nil {
 		t.Errorf("answered after the stream's end: %+v", got)
 	}
-	rs = m.Connected()
-	if len(rs) != 2 || rs[0].Version != "1" || rs[0].Nonce != "" || !rs[0].IncludeNode || rs[1].Version != "7" || rs[1].Nonce != "" || rs[1].IncludeNode {
+	rs = machine.Connected()
+	if len(rs) != 2 || rs[0].Version != "1" || rs[0].Nonce != "" || !rs[0].IncludeNode || rs[1].Version != "7" ||
+		rs[1].Nonce != "" ||
+		rs[1].IncludeNode {
 		t.Errorf("on reconnection: %+v", rs)
 	}
 }
 
-func TestSubscribesAndAcknowledgesDelta(t *testing.T) {
-	m := New(Delta)
-	one(t, m.Connected())
+func TestMachine_SubscribesAndAcknowledgesDelta(t *testing.T) {
+	machine := New(Delta)
+	one(t, machine.Connected())
 	c1, c2 := eds("c1", "s1"), eds("c2", "s2")
 	c1.Version, c2.Version = "v1", "v2"
-	rs := m.HandleResponse(t0, Response{Type: Clusters, Nonce: "a", Resources: []Resource{c1, c2}})
+	rs := machine.HandleResponse(t0, Response{Type: Clusters, Nonce: "a", Resources: []Resource{c1, c2}})
 	if len(rs) != 2 || rs[0].Nonce != "a" || !slices.Equal(rs[1].Subscribe, []string{"s1", "s2"}) {
 		t.Errorf("after the clusters: %+v", rs)
 	}
 	e1, e2 := endpoints("s1", "1"), endpoints("s2", "2")
 	e1.Version = "w1"
-	m.HandleResponse(t0, Response{Type: Endpoints, Nonce: "b", Resources: []Resource{e1, e2}})
-	rs = m.HandleResponse(t0, Response{Type: Clusters, Nonce: "c", Resources: []Resource{eds("c3", "s3")}, Removed: []string{"c2"}})
-	if len(rs) != 2 || !slices.Equal(rs[1].Subscribe, []string{"s3"}) || !slices.Equal(rs[1].Unsubscribe, []string{"s2"}) {
+	machine.HandleResponse(t0, Response{Type: Endpoints, Nonce: "b", Resources: []Resource{e1, e2}})
+	rs = machine.HandleResponse(
+		t0,
+		Response{Type: Clusters, Nonce: "c", Resources: []Resource{eds("c3", "s3")}, Removed: []string{"c2"}},
+	)
+	if len(rs) != 2 || !slices.Equal(rs[1].Subscribe, []string{"s3"}) ||
+		!slices.Equal(rs[1].Unsubscribe, []string{"s2"}) {
 		t.Errorf("after a change of clusters: %+v", rs)
 	}
-	want(t, m, map[string]string{"c1": "1", "c3": "none yet"})
-	m.HandleResponse(t0, Response{Type: Endpoints, Nonce: "d", Removed: []string{"s1"}})
-	want(t, m, map[string]string{"c1": "", "c3": "none yet"})
-	m.HandleResponse(t0, Response{Type: Endpoints, Nonce: "e", Resources: []Resource{e1}})
-	m.Disconnected()
-	rs = m.Connected()
-	if len(rs) != 2 || rs[0].InitialVersions["c1"] != "v1" || len(rs[0].InitialVersions) != 2 || rs[1].InitialVersions["s1"] != "w1" ||
+	want(t, machine, map[string]string{"c1": "1", "c3": "none yet"})
+	machine.HandleResponse(t0, Response{Type: Endpoints, Nonce: "d", Removed: []string{"s1"}})
+	want(t, machine, map[string]string{"c1": "", "c3": "none yet"})
+	machine.HandleResponse(t0, Response{Type: Endpoints, Nonce: "e", Resources: []Resource{e1}})
+	machine.Disconnected()
+	rs = machine.Connected()
+	if len(rs) != 2 || rs[0].InitialVersions["c1"] != "v1" || len(rs[0].InitialVersions) != 2 ||
+		rs[1].InitialVersions["s1"] != "w1" ||
 		!slices.Equal(rs[1].Subscribe, []string{"s1", "s3"}) {
 		t.Errorf("on reconnection: %+v", rs)
 	}
 }
 
 // A bad resource is refused and keeps what it was; the good ones beside it are in force.
-func TestRefusesWithTheReason(t *testing.T) {
-	for _, v := range []Variant{SotW, Delta} {
-		m := New(v)
-		m.Connected()
-		m.HandleResponse(t0, Response{Type: Clusters, Version: "1", Nonce: "a", Resources: []Resource{eds("c", "s"), eds("d", "r")}})
-		m.HandleResponse(t0, Response{Type: Endpoints, Version: "1", Nonce: "b", Resources: []Resource{endpoints("s", "1"), endpoints("r", "2")}})
-		r := one(t, m.HandleResponse(t0, Response{Type: Endpoints, Version: "2", Nonce: "c", Resources: []Resource{
+func TestMachine_NACKsInvalidResources(t *testing.T) {
+	for _, variant := range []Variant{SotW, Delta} {
+		machine := New(variant)
+		machine.Connected()
+		machine.HandleResponse(
+			t0,
+			Response{Type: Clusters, Version: "1", Nonce: "a", Resources: []Resource{eds("c", "s"), eds("d", "r")}},
+		)
+		machine.HandleResponse(
+			t0,
+			Response{
+				Type:      Endpoints,
+				Version:   "1",
+				Nonce:     "b",
+				Resources: []Resource{endpoints("s", "1"), endpoints("r", "2")},
+			},
+		)
+		r := one(t, machine.HandleResponse(t0, Response{Type: Endpoints, Version: "2", Nonce: "c", Resources: []Resource{
 			{Name: "s", Err: errors.New("port 0")}, endpoints("r", "3"),
 		}}))
-		if r.ErrorDetail != "port 0" || r.Nonce != "c" || v == SotW && r.Version != "1" {
-			t.Errorf("variant %d: refused by %+v", v, r)
+		if r.ErrorDetail != "port 0" || r.Nonce != "c" || variant == SotW && r.Version != "1" {
+			t.Errorf("variant %d: refused by %+v", variant, r)
 		}
-		want(t, m, map[string]string{"c": "1", "d": "3"})
-		if st := m.Status(Endpoints); st.Rejected["s"] != "port 0" || st.NACKReason != "port 0" {
+		want(t, machine, map[string]string{"c": "1", "d": "3"})
+		if st := machine.Status(Endpoints); st.Rejected["s"] != "port 0" || st.NACKReason != "port 0" {
 			t.Errorf("status %+v", st)
 		}
-		r = one(t, m.HandleResponse(t0, Response{Type: Clusters, Version: "2", Nonce: "d", Err: errors.New("not a response")}))
+		r = one(
+			t,
+			machine.HandleResponse(t0, Response{Type: Clusters, Version: "2", Nonce: "d", Err: errors.New("not a response")}),
+		)
 		if r.ErrorDetail != "not a response" {
-			t.Errorf("variant %d: a response that can't be read: %+v", v, r)
+			t.Errorf("variant %d: a response that can't be read: %+v", variant, r)
 		}
-		want(t, m, map[string]string{"c": "1", "d": "3"})
-		r = one(t, m.HandleResponse(t0, Response{Type: Endpoints, Version: "3", Nonce: "e", Resources: []Resource{endpoints("s", "4")}}))
-		if st := m.Status(Endpoints); r.ErrorDetail != "" || len(st.Rejected) != 0 || st.NACKReason != "" {
-			t.Errorf("variant %d: after a good one: %+v, %+v", v, r, st)
+		want(t, machine, map[string]string{"c": "1", "d": "3"})
+		r = one(
+			t,
+			machine.HandleResponse(
+				t0,
+				Response{Type: Endpoints, Version: "3", Nonce: "e", Resources: []Resource{endpoints("s", "4")}},
+			),
+		)
+		if st := machine.Status(Endpoints); r.ErrorDetail != "" || len(st.Rejected) != 0 || st.NACKReason != "" {
+			t.Errorf("variant %d: after a good one: %+v, %+v", variant, r, st)
 		}
 	}
 }
 
 // Make before break: a cluster that is replaced by another of its name, or by one of another name, goes
 // on serving until the endpoints of the new one are there; an empty list is obeyed.
-func TestMakeBeforeBreak(t *testing.T) {
-	for _, v := range []Variant{SotW, Delta} {
-		m := New(v)
-		m.Connected()
-		m.HandleResponse(t0, Response{Type: Clusters, Version: "1", Nonce: "a", Resources: []Resource{eds("c", "s")}})
-		m.HandleResponse(t0, Response{Type: Endpoints, Version: "1", Nonce: "b", Resources: []Resource{endpoints("s", "1")}})
-		m.HandleResponse(t0, Response{Type: Clusters, Version: "2", Nonce: "c", Resources: []Resource{eds("c", "s2")}})
-		want(t, m, map[string]string{"c": "1"})
-		m.HandleResponse(t0, Response{Type: Endpoints, Version: "2", Nonce: "d", Resources: []Resource{endpoints("s2", "2")}})
-		want(t, m, map[string]string{"c": "2"})
-		m.HandleResponse(t0, Response{Type: Clusters, Version: "3", Nonce: "e", Resources: []Resource{eds("n", "s3")}, Removed: []string{"c"}})
-		want(t, m, map[string]string{"c": "2", "n": "none yet"})
-		if m.Complete() || !m.Applied()["c"].PendingRemoval {
-			t.Errorf("variant %d: %+v", v, m.Applied())
+func TestMachine_MakeBeforeBreak(t *testing.T) {
+	for _, variant := range []Variant{SotW, Delta} {
+		machine := New(variant)
+		machine.Connected()
+		machine.HandleResponse(t0, Response{Type: Clusters, Version: "1", Nonce: "a", Resources: []Resource{eds("c", "s")}})
+		machine.HandleResponse(
+			t0,
+			Response{Type: Endpoints, Version: "1", Nonce: "b", Resources: []Resource{endpoints("s", "1")}},
+		)
+		machine.HandleResponse(
+			t0,
+			Response{Type: Clusters, Version: "2", Nonce: "c", Resources: []Resource{eds("c", "s2")}},
+		)
+		want(t, machine, map[string]string{"c": "1"})
+		machine.HandleResponse(
+			t0,
+			Response{Type: Endpoints, Version: "2", Nonce: "d", Resources: []Resource{endpoints("s2", "2")}},
+		)
+		want(t, machine, map[string]string{"c": "2"})
+		machine.HandleResponse(
+			t0,
+			Response{Type: Clusters, Version: "3", Nonce: "e", Resources: []Resource{eds("n", "s3")}, Removed: []string{"c"}},
+		)
+		want(t, machine, map[string]string{"c": "2", "n": "none yet"})
+		if machine.Complete() || !machine.Applied()["c"].PendingRemoval {
+			t.Errorf("variant %d: %+v", variant, machine.Applied())
 		}
-		m.HandleResponse(t0, Response{Type: Endpoints, Version: "3", Nonce: "f", Resources: []Resource{endpoints("s3", "3")}})
-		want(t, m, map[string]string{"n": "3"})
-		m.HandleResponse(t0, Response{Type: Endpoints, Version: "4", Nonce: "g", Resources: []Resource{endpoints("s3")}})
-		want(t, m, map[string]string{"n": ""})
-		if !m.Complete() {
-			t.Errorf("variant %d: an empty list is a list", v)
+		machine.HandleResponse(
+			t0,
+			Response{Type: Endpoints, Version: "3", Nonce: "f", Resources: []Resource{endpoints("s3", "3")}},
+		)
+		want(t, machine, map[string]string{"n": "3"})
+		machine.HandleResponse(
+			t0,
+			Response{Type: Endpoints, Version: "4", Nonce: "g", Resources: []Resource{endpoints("s3")}},
+		)
+		want(t, machine, map[string]string{"n": ""})
+		if !machine.Complete() {
+			t.Errorf("variant %d: an empty list is a list", variant)
 		}
 	}
 }
 
 // Versions are the control plane's: one that goes back, or comes again with other content, is taken.
-func TestVersionsAreNotCompared(t *testing.T) {
+func TestMachine_VersionsAreNotCompared(t *testing.T) {
 	m := New(SotW)
 	m.Connected()
 	m.HandleResponse(t0, Response{Type: Clusters, Version: "9", Nonce: "a", Resources: []Resource{eds("c", "s")}})
 	for i, version := range []string{"9", "1", "1"} {
 		addr := fmt.Sprint(i)
-		m.HandleResponse(t0, Response{Type: Endpoints, Version: version, Nonce: addr, Resources: []Resource{endpoints("s", addr)}})
+		m.HandleResponse(
+			t0,
+			Response{Type: Endpoints, Version: version, Nonce: addr, Resources: []Resource{endpoints("s", addr)}},
+		)
 		want(t, m, map[string]string{"c": addr})
 	}
 }
 
 // What has a TTL goes when it is not renewed; a heartbeat renews it.
-func TestTTL(t *testing.T) {
-	m := New(Delta)
-	m.Connected()
-	m.HandleResponse(t0, Response{Type: Clusters, Nonce: "a", Resources: []Resource{eds("c", "s")}})
+func TestMachine_TTL(t *testing.T) {
+	machine := New(Delta)
+	machine.Connected()
+	machine.HandleResponse(t0, Response{Type: Clusters, Nonce: "a", Resources: []Resource{eds("c", "s")}})
 	e := endpoints("s", "1")
 	e.TTL = 10 * time.Second
-	m.HandleResponse(t0, Response{Type: Endpoints, Nonce: "b", Resources: []Resource{e}})
-	if changed, next := m.ExpireResources(t0.Add(5 * time.Second)); changed || !next.Equal(t0.Add(10*time.Second)) {
+	machine.HandleResponse(t0, Response{Type: Endpoints, Nonce: "b", Resources: []Resource{e}})
+	if changed, next := machine.ExpireResources(
+		t0.Add(5 * time.Second),
+	); changed ||
+		!next.Equal(t0.Add(10*time.Second)) {
 		t.Errorf("changed %v, next %v", changed, next)
 	}
-	m.HandleResponse(t0.Add(6*time.Second), Response{Type: Endpoints, Nonce: "c", Resources: []Resource{{Name: "s", TTL: 10 * time.Second}}})
-	if changed, _ := m.ExpireResources(t0.Add(12 * time.Second)); changed {
+	machine.HandleResponse(
+		t0.Add(6*time.Second),
+		Response{Type: Endpoints, Nonce: "c", Resources: []Resource{{Name: "s", TTL: 10 * time.Second}}},
+	)
+	if changed, _ := machine.ExpireResources(t0.Add(12 * time.Second)); changed {
 		t.Error("gone though its heartbeat came")
 	}
-	want(t, m, map[string]string{"c": "1"})
-	if changed, next := m.ExpireResources(t0.Add(16 * time.Second)); !changed || !next.IsZero() {
+	want(t, machine, map[string]string{"c": "1"})
+	if changed, next := machine.ExpireResources(t0.Add(16 * time.Second)); !changed || !next.IsZero() {
 		t.Errorf("changed %v, next %v", changed, next)
 	}
-	want(t, m, map[string]string{"c": ""})
+	want(t, machine, map[string]string{"c": ""})
 }
 
 // A nonce belongs to its stream: a request that follows the clusters on a new one carries none of the
 // old one's.
-func TestNoncesEndWithTheirStream(t *testing.T) {
+func TestMachine_NoncesEndWithTheirStream(t *testing.T) {
 	m := New(SotW)
 	m.Connected()
 	m.HandleResponse(t0, Response{Type: Clusters, Version: "1", Nonce: "a", Resources: []Resource{eds("c", "s")}})
@@ -229,13 +293,16 @@
 }
 
 // What nobody asked for is neither taken nor answered.
-func TestUnaskedResponses(t *testing.T) {
+func TestMachine_IgnoresUnrequestedResponses(t *testing.T) {
 	m := New(SotW)
 	if got := m.HandleResponse(t0, Response{Type: Clusters, Nonce: "a"}); got != nil {
 		t.Errorf("without a stream: %+v", got)
 	}
 	m.Connected()
-	if got := m.HandleResponse(t0, Response{Type: Endpoints, Nonce: "a", Resources: []Resource{endpoints("s", "1")}}); got != nil {
+	if got := m.HandleResponse(
+		t0,
+		Response{Type: Endpoints, Nonce: "a", Resources: []Resource{endpoints("s", "1")}},
+	); got != nil {
 		t.Errorf("endpoints before any cluster: %+v", got)
 	}
 	m.HandleResponse(t0, Response{Type: Clusters, Nonce: "b", Resources: []Resource{eds("c", "s")}})
@@ -286,9 +353,7 @@
 func (p *plane) hear(r Request) {
 	if r.Type == Clusters {
 		if r.Nonce == "" {
-			for name, v := range r.InitialVersions {
-				fmt.Sscan(v, ptr(p.known[Clusters], name))
-			}
+			p.setKnown(Clusters, r.InitialVersions)
 			p.sendClusters()
 		}
 		return
@@ -300,9 +365,7 @@
 		}
 		maps.DeleteFunc(p.known[Endpoints], func(n string, _ int) bool { return !p.names[n] })
 	} else {
-		for name, v := range r.InitialVersions {
-			fmt.Sscan(v, ptr(p.known[Endpoints], name))
-		}
+		p.setKnown(Endpoints, r.InitialVersions)
 		for _, n := range r.Unsubscribe {
 			delete(p.names, n)
 			delete(p.known[Endpoints], n)
@@ -314,19 +377,15 @@
 	p.sendEndpoints()
 }
 
-// ptr lets Sscan write into a map.
-func ptr(m map[string]int, key string) scanner { return scanner{m, key} }
-
-type scanner struct {
-	m   map[string]int
-	key string
-}
-
-func (s scanner) Scan(st fmt.ScanState, _ rune) error {
-	var v int
-	_, err := fmt.Fscan(st, &v)
-	s.m[s.key] = v
-	return err
+// setKnown notes the versions that a client says it holds.
+func (p *plane) setKnown(t Type, initial map[string]string) {
+	for name, text := range initial {
+		version, err := strconv.Atoi(text)
+		if err != nil {
+			panic(err)
+		}
+		p.known[t][name] = version
+	}
 }
 
 func (p *plane) post(r Response) {
@@ -376,122 +435,165 @@
 	}
 }
 
-// Random interleavings of changes, losses and reconnections end in the list that the control plane last
-// made whole; on the way no half of an assignment is ever in force, and nobody who was served is left
-// without servers while the newest list is not whole.
-func TestEndsInTheNewestList(t *testing.T) {
+// Random interleavings of changes, losses and reconnections end in the list that the control plane last completed; on
+// the way no half of an assignment is ever in force, and clusters with endpoints are not left without any while the
+// newest list is incomplete.
+func TestMachine_EndsInNewestList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		v := Variant(rapid.IntRange(0, 1).Draw(t, "variant"))
-		p, m := newPlane(v), New(v)
-		services := []string{"s0", "s1", "s2"}
-		for _, s := range services {
-			p.set(s, []string{s + "-first"})
-		}
-		now, connected := t0, false
-		hear := func(rs []Request) {
-			for _, r := range rs {
-				p.hear(r)
-			}
-		}
-		deliver := func() {
-			r := p.inWire[0]
-			p.inWire = p.inWire[1:]
-			before, some := m.Applied(), 0
-			for _, a := range before {
-				if a.Assignment != nil {
-					some += len(a.Assignment.Endpoints)
-				}
-			}
-			hear(m.HandleResponse(now, r))
-			after := 0
-			for name, a := range m.Applied() {
-				if a.Assignment == nil {
-					continue
-				}
-				after += len(a.Assignment.Endpoints)
-				var addrs []string
-				for _, e := range a.Assignment.Endpoints {
-					addrs = append(addrs, e.Addr)
-				}
-				if state := strings.Join(addrs, " "); !p.sentAll[a.Assignment.Name][state] {
-					t.Fatalf("cluster %s serves %q of %s, which was never a list", name, state, a.Assignment.Name)
-				}
-			}
-			if some > 0 && after == 0 && !m.Complete() {
-				// Only an empty list of endpoints, which is obeyed, may leave nobody.
-				for _, a := range m.Applied() {
-					if a.Assignment != nil {
-						return
-					}
-				}
-				t.Fatalf("nobody is served any more, and the newest list is not whole: %v", serves(m))
-			}
+		variant := Variant(rapid.IntRange(0, 1).Draw(t, "variant"))
+		run := &modelRun{T: t, plane: newPlane(variant), machine: New(variant), now: t0, services: []string{"s0", "s1", "s2"}}
+		for _, service := range run.services {
+			run.plane.set(service, []string{service + "-first"})
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			now = now.Add(time.Second)
-			switch rapid.IntRange(0, 6).Draw(t, "step") {
-			case 0: // endpoints change
-				s := rapid.SampledFrom(services).Draw(t, "service")
-				var addrs []string
-				for i := range rapid.IntRange(1, 3).Draw(t, "endpoints") {
-					addrs = append(addrs, fmt.Sprintf("%s-%d-%d", s, p.version, i))
-				}
-				p.set(s, addrs)
-				if connected {
-					p.sendEndpoints()
-				}
-			case 1: // clusters change
-				p.version++
-				name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "cluster")
-				if rapid.Bool().Draw(t, "removed") {
-					delete(p.clusters, name)
-				} else {
-					p.clusters[name] = rapid.SampledFrom(services).Draw(t, "of")
-				}
-				if connected {
-					p.sendClusters()
-				}
-			case 2:
-				m.Disconnected()
-				connected = false
-				p.inWire = nil
-			case 3:
-				if !connected {
-					p.connect()
-					connected = true
-					hear(m.Connected())
-				}
-			default:
-				if connected && len(p.inWire) > 0 {
-					deliver()
-				}
-			}
-		}
-		if !connected {
-			p.connect()
-			hear(m.Connected())
+			run.now = run.now.Add(time.Second)
+			run.step()
 		}
-		for n := 0; len(p.inWire) > 0; n++ {
+		run.connect()
+		for n := 0; len(run.plane.inWire) > 0; n++ {
 			if n > 1000 {
 				t.Fatal("the two never come to rest")
 			}
-			deliver()
+			run.deliver()
 		}
-		got := make(map[string]string)
-		for name, a := range m.Applied() {
-			if a.Assignment == nil {
-				t.Fatalf("cluster %s has nothing at rest", name)
-			}
-			for _, e := range a.Assignment.Endpoints {
-				got[name] += e.Addr + " "
-			}
+		run.checkAtRest()
+	})
+}
+
+// modelRun is a machine and the control plane that it subscribes to.
+type modelRun struct {
+	*rapid.T
+	plane     *plane
+	machine   *Machine
+	now       time.Time
+	connected bool
+	services  []string
+}
+
+// step does one thing at random.
+func (r *modelRun) step() {
+	switch rapid.IntRange(0, 6).Draw(r.T, "step") {
+	case 0:
+		r.changeEndpoints()
+	case 1:
+		r.changeClusters()
+	case 2:
+		r.machine.Disconnected()
+		r.connected = false
+		r.plane.inWire = nil
+	case 3:
+		r.connect()
+	default:
+		if r.connected && len(r.plane.inWire) > 0 {
+			r.deliver()
+		}
+	}
+}
+
+func (r *modelRun) changeEndpoints() {
+	service := rapid.SampledFrom(r.services).Draw(r.T, "service")
+	var addrs []string
+	for i := range rapid.IntRange(1, 3).Draw(r.T, "endpoints") {
+		addrs = append(addrs, fmt.Sprintf("%s-%d-%d", service, r.plane.version, i))
+	}
+	r.plane.set(service, addrs)
+	if r.connected {
+		r.plane.sendEndpoints()
+	}
+}
+
+func (r *modelRun) changeClusters() {
+	r.plane.version++
+	name := rapid.SampledFrom([]string{"a", "b"}).Draw(r.T, "cluster")
+	if rapid.Bool().Draw(r.T, "removed") {
+		delete(r.plane.clusters, name)
+	} else {
+		r.plane.clusters[name] = rapid.SampledFrom(r.services).Draw(r.T, "of")
+	}
+	if r.connected {
+		r.plane.sendClusters()
+	}
+}
+
+// connect opens a stream where there is none.
+func (r *modelRun) connect() {
+	if r.connected {
+		return
+	}
+	r.plane.connect()
+	r.connected = true
+	r.send(r.machine.Connected())
+}
+
+func (r *modelRun) send(requests []Request) {
+	for _, request := range requests {
+		r.plane.hear(request)
+	}
+}
+
+// deliver passes the next response on, and checks what is in force then.
+func (r *modelRun) deliver() {
+	response := r.plane.inWire[0]
+	r.plane.inWire = r.plane.inWire[1:]
+	before := countEndpoints(r.machine)
+	r.send(r.machine.HandleResponse(r.now, response))
+	for name, cluster := range r.machine.Applied() {
+		if cluster.Assignment == nil {
+			continue
 		}
-		newest := make(map[string]string)
-		for name, service := range p.clusters {
-			newest[name] = strings.Join(p.addrs[service], " ") + " "
+		state := strings.Join(addresses(cluster.Assignment), " ")
+		if !r.plane.sentAll[cluster.Assignment.Name][state] {
+			r.Fatalf("cluster %s serves %q of %s, which was never a list", name, state, cluster.Assignment.Name)
 		}
-		if !reflect.DeepEqual(got, newest) || !m.Complete() {
-			t.Fatalf("at rest %v, whole %v, want %v", got, m.Complete(), newest)
+	}
+	if before > 0 && countEndpoints(r.machine) == 0 && !r.machine.Complete() && !hasAssignment(r.machine) {
+		r.Fatalf("nobody is served any more, and the newest list is not complete: %v", serves(r.machine))
+	}
+}
+
+// hasAssignment reports whether any cluster has an assignment: only an empty one, which is obeyed, may leave nobody.
+func hasAssignment(m *Machine) bool {
+	for _, cluster := range m.Applied() {
+		if cluster.Assignment != nil {
+			return true
 		}
-	})
+	}
+	return false
+}
+
+func countEndpoints(m *Machine) (n int) {
+	for _, cluster := range m.Applied() {
+		if cluster.Assignment != nil {
+			n += len(cluster.Assignment.Endpoints)
+		}
+	}
+	return n
+}
+
+func addresses(assignment *resource.Assignment) []string {
+	var addrs []string
+	for _, endpoint := range assignment.Endpoints {
+		addrs = append(addrs, endpoint.Addr)
+	}
+	return addrs
+}
+
+// checkAtRest checks that what is in force is what the control plane has.
+func (r *modelRun) checkAtRest() {
+	got := make(map[string]string)
+	for name, cluster := range r.machine.Applied() {
+		if cluster.Assignment == nil {
+			r.Fatalf("cluster %s has nothing at rest", name)
+		}
+		for _, endpoint := range cluster.Assignment.Endpoints {
+			got[name] += endpoint.Addr + " "
+		}
+	}
+	newest := make(map[string]string)
+	for name, service := range r.plane.clusters {
+		newest[name] = strings.Join(r.plane.addrs[service], " ") + " "
+	}
+	if !reflect.DeepEqual(got, newest) || !r.machine.Complete() {
+		r.Fatalf("at rest %v, complete %v, want %v", got, r.machine.Complete(), newest)
+	}
 }
--- a/discovery/xds/file_test.go
+++ b/discovery/xds/file_test.go
@@ -20,8 +20,8 @@
 	"google.golang.org/protobuf/types/known/anypb"
 )
 
-// pack is resources as a file has them.
-func pack(t testing.TB, all ...proto.Message) string {
+// fileOf is resources as a file has them.
+func fileOf(t testing.TB, all ...proto.Message) string {
 	t.Helper()
 	p := &xdspb.DiscoveryResponse{VersionInfo: "1"}
 	for _, m := range all {
@@ -42,8 +42,8 @@
 	return string(text)
 }
 
-// put replaces a file whole, as Envoy asks of its users: by a rename.
-func put(t testing.TB, path, text string) {
+// replaceFile replaces a file atomically, as Envoy asks of its users: by a rename.
+func replaceFile(t testing.TB, path, text string) {
 	t.Helper()
 	if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
 		t.Fatal(err)
@@ -72,14 +72,16 @@
       health_status: DRAINING
 `
 
-func TestReadsYAML(t *testing.T) {
+func TestCheckFiles_YAML(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "all.yaml")
-	put(t, path, yamlFile)
+	replaceFile(t, path, yamlFile)
 	members, err := CheckFiles([]string{path})
 	if err != nil || len(members) != 2 {
 		t.Fatalf("%v, %v", members, err)
 	}
-	if m := members[0]; m.ID != "10.0.0.1:9000" || m.Zone != "nitra" || m.Kind != "usporny-4j" || m.Cell != 2 || m.Availability != 0 || m.Pools[0] != "rooms" {
+	if m := members[0]; m.ID != "10.0.0.1:9000" || m.Zone != "nitra" || m.Kind != "usporny-4j" || m.Cell != 2 ||
+		m.Availability != 0 ||
+		m.Pools[0] != "rooms" {
 		t.Errorf("%+v", m)
 	}
 	if m := members[1]; m.Availability != 1 {
@@ -88,56 +90,65 @@
 }
 
 // Files are put in force whole or not at all, and one that is bad is one line that names what is.
-func TestFilesAreTakenWhole(t *testing.T) {
+func TestFileSource_InvalidFileKeepsList(t *testing.T) {
 	dir := t.TempDir()
 	clusters, endpoints := filepath.Join(dir, "cds.json"), filepath.Join(dir, "eds.json")
-	put(t, clusters, pack(t, cluster("rooms")))
-	put(t, endpoints, pack(t, assignment("rooms", "10.0.0.1:1")))
-	s, err := NewFileSource([]string{clusters, endpoints}, nil)
+	replaceFile(t, clusters, fileOf(t, cluster("rooms")))
+	replaceFile(t, endpoints, fileOf(t, assignment("rooms", "10.0.0.1:1")))
+	source, err := NewFileSource([]string{clusters, endpoints}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &list{members: make(map[string]router.Endpoint)}
+	published := &publishedList{members: make(map[string]router.Endpoint)}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	go func() { s.Run(ctx, l.tell); close(ended) }()
+	go func() { source.Run(ctx, published.publish); close(ended) }()
 	defer func() { cancel(); testkit.Receive(t, "the end", ended) }()
-	l.await(t, "10.0.0.1:1")
+	published.await(t, "10.0.0.1:1")
 	for want, text := range map[string]string{
 		"neither JSON nor YAML":                "{",
 		"not a DiscoveryResponse":              `{"resources":3}`,
-		"port_value: want 1 to 65535, got 0":   pack(t, assignment("rooms", "10.0.0.2:1", "10.0.0.3:0")),
-		"is there twice":                       pack(t, assignment("rooms", "10.0.0.2:1"), assignment("rooms", "10.0.0.3:1")),
-		`no file has the endpoints of "rooms"`: pack(t, assignment("other", "10.0.0.2:1")),
+		"port_value: want 1 to 65535, got 0":   fileOf(t, assignment("rooms", "10.0.0.2:1", "10.0.0.3:0")),
+		"is there twice":                       fileOf(t, assignment("rooms", "10.0.0.2:1"), assignment("rooms", "10.0.0.3:1")),
+		`no file has the endpoints of "rooms"`: fileOf(t, assignment("other", "10.0.0.2:1")),
 	} {
-		put(t, endpoints, text)
+		replaceFile(t, endpoints, text)
 		testkit.Await(t, want, func() bool {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			return s.readErr != nil && strings.Contains(s.readErr.Error(), want) && !strings.Contains(s.readErr.Error(), "\n")
+			source.mu.Lock()
+			defer source.mu.Unlock()
+			return source.readErr != nil && strings.Contains(source.readErr.Error(), want) &&
+				!strings.Contains(source.readErr.Error(), "\n")
 		})
-		if got := l.running(); got != "10.0.0.1:1" {
+		if got := published.running(); got != "10.0.0.1:1" {
 			t.Errorf("%s: in force %q", want, got)
 		}
 	}
 	if err := os.Remove(endpoints); err != nil {
 		t.Fatal(err)
 	}
-	testkit.Await(t, "the loss to be noticed", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return os.IsNotExist(s.readErr) })
-	put(t, endpoints, pack(t, assignment("rooms", "10.0.0.4:1")))
-	l.await(t, "10.0.0.4:1")
+	testkit.Await(
+		t,
+		"the loss to be noticed",
+		func() bool { source.mu.Lock(); defer source.mu.Unlock(); return os.IsNotExist(source.readErr) },
+	)
+	replaceFile(t, endpoints, fileOf(t, assignment("rooms", "10.0.0.4:1")))
+	published.await(t, "10.0.0.4:1")
 }
 
 // What was kept serves after a restart without a control plane, and goes once the first list is whole.
-func TestTheListIsKept(t *testing.T) {
-	dir, p := t.TempDir(), plane(t)
-	p.Set(cluster("rooms"), assignment("rooms", "10.0.0.1:1", "10.0.0.2:1"))
-	_, l := run(t, Config{Servers: []Server{{Addr: p.Addr}}, CacheDir: dir})
-	l.await(t, "10.0.0.1:1 10.0.0.2:1")
-	testkit.Await(t, "the file", func() bool { k, err := readCache(dir); return err == nil && len(k.Clusters["rooms"].Endpoints) == 2 })
-	other := plane(t)
+func TestSource_StartsWithCachedList(t *testing.T) {
+	dir, controlPlane := t.TempDir(), startControlPlane(t)
+	controlPlane.Set(cluster("rooms"), assignment("rooms", "10.0.0.1:1", "10.0.0.2:1"))
+	_, published := runSource(t, Config{Servers: []Server{{Addr: controlPlane.Addr}}, CacheDir: dir})
+	published.await(t, "10.0.0.1:1 10.0.0.2:1")
+	testkit.Await(
+		t,
+		"the file",
+		func() bool { k, err := readCache(dir); return err == nil && len(k.Clusters["rooms"].Endpoints) == 2 },
+	)
+	other := startControlPlane(t)
 	other.SetMuted(true)
-	_, again := run(t, Config{Servers: []Server{{Addr: other.Addr}}, CacheDir: dir})
+	_, again := runSource(t, Config{Servers: []Server{{Addr: other.Addr}}, CacheDir: dir})
 	again.await(t, "10.0.0.1:1 10.0.0.2:1")
 	other.Set(cluster("rooms"), assignment("rooms", "10.0.0.2:1"))
 	other.SetMuted(false)
@@ -145,7 +156,7 @@
 }
 
 // A file that is torn, altered or foreign is refused, and does no harm.
-func TestKeptFilesThatAreRefused(t *testing.T) {
+func TestReadCache_RejectsInvalidFile(t *testing.T) {
 	dir := t.TempDir()
 	if err := writeCache(dir, cachedList{Saved: time.Now(), Clusters: map[string]*resource.Assignment{"rooms": {
 		Name:      "rooms",
@@ -170,26 +181,36 @@
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := readCache(dir); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+		if _, err := readCache(
+			dir,
+		); err == nil || !strings.Contains(err.Error(), want) ||
+			strings.Contains(err.Error(), "\n") {
 			t.Errorf("got %v, want one line with %q", err, want)
 		}
 	}
-	p := plane(t)
-	p.Set(cluster("rooms"), assignment("rooms", "10.0.0.5:1"))
-	_, l := run(t, Config{Servers: []Server{{Addr: p.Addr}}, CacheDir: dir})
-	l.await(t, "10.0.0.5:1")
+	controlPlane := startControlPlane(t)
+	controlPlane.Set(cluster("rooms"), assignment("rooms", "10.0.0.5:1"))
+	_, published := runSource(t, Config{Servers: []Server{{Addr: controlPlane.Addr}}, CacheDir: dir})
+	published.await(t, "10.0.0.5:1")
 	left, err := filepath.Glob(filepath.Join(dir, "*"))
 	if err != nil || len(left) > 2 {
 		t.Errorf("left behind: %v, %v", left, err)
 	}
 }
 
-func TestBootstrap(t *testing.T) {
-	c, err := ParseBootstrap([]byte(`{"xds_servers":[{"server_uri":"10.0.0.1:18000","channel_creds":[{"type":"google_default"},{"type":"insecure"}],"server_features":["xds_v3"]},
+func TestParseBootstrap(t *testing.T) {
+	c, err := ParseBootstrap(
+		[]byte(
+			`{"xds_servers":[{"server_uri":"10.0.0.1:18000","channel_creds":[{"type":"google_default"},{"type":"insecure"}],"server_features":["xds_v3"]},
 		{"server_uri":"[fd00::1]:18000","channel_creds":[{"type":"tls"}]}],
-		"node":{"id":"n1","cluster":"rooms","locality":{"zone":"nitra"},"metadata":{"a":"b"}},"authorities":{}}`), "")
-	if err != nil || len(c.Servers) != 2 || c.Servers[0].TLS != nil || c.Servers[1].TLS == nil || c.Node.GetId() != "n1" ||
-		c.Node.GetLocality().GetZone() != "nitra" || c.Node.GetMetadata().GetFields()["a"].GetStringValue() != "b" {
+		"node":{"id":"n1","cluster":"rooms","locality":{"zone":"nitra"},"metadata":{"a":"b"}},"authorities":{}}`,
+		),
+		"",
+	)
+	if err != nil || len(c.Servers) != 2 || c.Servers[0].TLS != nil || c.Servers[1].TLS == nil ||
+		c.Node.GetId() != "n1" ||
+		c.Node.GetLocality().GetZone() != "nitra" ||
+		c.Node.GetMetadata().GetFields()["a"].GetStringValue() != "b" {
 		t.Errorf("%+v, %v", c, err)
 	}
 	for want, text := range map[string]string{
@@ -199,11 +220,19 @@
 		"xds_servers": `{"xds_servers":3}`,
 		"node":        `{"xds_servers":[{"server_uri":"a:1","channel_creds":[{"type":"insecure"}]}],"node":{"id":3}}`,
 	} {
-		if _, err := ParseBootstrap([]byte(text), ""); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+		if _, err := ParseBootstrap(
+			[]byte(text),
+			"",
+		); err == nil || !strings.Contains(err.Error(), want) ||
+			strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: got %v", text, err)
 		}
 	}
-	if _, err := ParseBootstrap([]byte(`{"xds_servers":[{"server_uri":"a:1","channel_creds":[{"type":"tls"}]}]}`), filepath.Join(t.TempDir(), "none")); err == nil || !strings.Contains(err.Error(), "ca_file") {
+	if _, err := ParseBootstrap(
+		[]byte(`{"xds_servers":[{"server_uri":"a:1","channel_creds":[{"type":"tls"}]}]}`),
+		filepath.Join(t.TempDir(), "none"),
+	); err == nil ||
+		!strings.Contains(err.Error(), "ca_file") {
 		t.Errorf("got %v", err)
 	}
 }
@@ -211,7 +240,7 @@
 // No text panics the reader of files.
 func FuzzFile(f *testing.F) {
 	f.Add([]byte(yamlFile))
-	f.Add([]byte(pack(f, cluster("c"), assignment("c", "10.0.0.1:1"))))
+	f.Add([]byte(fileOf(f, cluster("c"), assignment("c", "10.0.0.1:1"))))
 	f.Add([]byte("resources: [&a {x: *a}]"))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		r, err := ParseFile(text)
--- a/discovery/xds/priority/priority_test.go
+++ b/discovery/xds/priority/priority_test.go
@@ -20,14 +20,17 @@
 				'H': resource.Healthy, 'K': resource.Unknown, 'U': resource.Unhealthy,
 				'T': resource.Timeout, 'D': resource.Draining, 'G': resource.Degraded,
 			}[c]
-			a.Endpoints = append(a.Endpoints, resource.Endpoint{Addr: fmt.Sprint(len(a.Endpoints)), Priority: uint32(p), Health: h})
+			a.Endpoints = append(
+				a.Endpoints,
+				resource.Endpoint{Addr: fmt.Sprint(len(a.Endpoints)), Priority: uint32(p), Health: h},
+			)
 		}
 	}
 	return a
 }
 
-func TestOpens(t *testing.T) {
-	for _, c := range []struct {
+func TestEligible(t *testing.T) {
+	for _, test := range []struct {
 		factor     float64
 		text, want string
 	}{
@@ -46,10 +49,10 @@
 		{1.4, "GGG", "xxx"},
 		{1.4, "", ""},
 	} {
-		open := Eligible(assignment(c.factor, c.text))
+		open := Eligible(assignment(test.factor, test.text))
 		var got strings.Builder
 		i := 0
-		for _, r := range c.text {
+		for _, r := range test.text {
 			if r == ' ' {
 				got.WriteByte(' ')
 				continue
@@ -57,21 +60,24 @@
 			got.WriteByte(map[bool]byte{true: 'x', false: '.'}[open[i]])
 			i++
 		}
-		if got.String() != c.want {
-			t.Errorf("%q at %v: %q, want %q", c.text, c.factor, got.String(), c.want)
+		if got.String() != test.want {
+			t.Errorf("%q at %v: %q, want %q", test.text, test.factor, got.String(), test.want)
 		}
 	}
 }
 
 // Whatever the endpoints: none that is unhealthy or drains is open; where any is healthy, one is; and
 // one that recovers never closes another of its own level or of a higher one.
-func TestHolds(t *testing.T) {
+func TestEligible_Properties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		text := strings.Join(rapid.SliceOfN(rapid.StringOfN(rapid.SampledFrom([]rune("HKUTDG")), 1, 6, -1), 1, 4).Draw(t, "levels"), " ")
-		a := assignment(rapid.SampledFrom([]float64{1, 1.4, 2}).Draw(t, "factor"), text)
-		open := Eligible(a)
+		text := strings.Join(
+			rapid.SliceOfN(rapid.StringOfN(rapid.SampledFrom([]rune("HKUTDG")), 1, 6, -1), 1, 4).Draw(t, "levels"),
+			" ",
+		)
+		cluster := assignment(rapid.SampledFrom([]float64{1, 1.4, 2}).Draw(t, "factor"), text)
+		open := Eligible(cluster)
 		healthy, some := 0, false
-		for i, e := range a.Endpoints {
+		for i, e := range cluster.Endpoints {
 			some = some || open[i]
 			if isHealthy(e.Health) {
 				healthy++
@@ -82,10 +88,11 @@
 		if healthy > 0 && !some {
 			t.Fatalf("%q: nobody is open", text)
 		}
-		n := rapid.IntRange(0, len(a.Endpoints)-1).Draw(t, "recovers")
-		a.Endpoints[n].Health = resource.Healthy
-		for i, o := range Eligible(a) {
-			if e := a.Endpoints[i]; open[i] && !o && e.Health != resource.Degraded && e.Priority <= a.Endpoints[n].Priority {
+		n := rapid.IntRange(0, len(cluster.Endpoints)-1).Draw(t, "recovers")
+		cluster.Endpoints[n].Health = resource.Healthy
+		for i, o := range Eligible(cluster) {
+			if e := cluster.Endpoints[i]; open[i] && !o && e.Health != resource.Degraded &&
+				e.Priority <= cluster.Endpoints[n].Priority {
 				t.Fatalf("%q: endpoint %d closes as %d recovers", text, i, n)
 			}
 		}
--- a/discovery/xds/resource/resource_test.go
+++ b/discovery/xds/resource/resource_test.go
@@ -21,13 +21,22 @@
 }
 
 func endpoint(host string, port uint32) *xdspb.LbEndpoint {
-	return &xdspb.LbEndpoint{HostIdentifier: &xdspb.LbEndpoint_Endpoint{Endpoint: &xdspb.Endpoint{Address: address(host, port)}}}
+	return &xdspb.LbEndpoint{
+		HostIdentifier: &xdspb.LbEndpoint_Endpoint{Endpoint: &xdspb.Endpoint{Address: address(host, port)}},
+	}
 }
 
 func good() *xdspb.ClusterLoadAssignment {
 	return &xdspb.ClusterLoadAssignment{ClusterName: "rooms", Endpoints: []*xdspb.LocalityLbEndpoints{
-		{Locality: &xdspb.Locality{Region: "sk", Zone: "nitra"}, LbEndpoints: []*xdspb.LbEndpoint{endpoint("10.0.0.1", 9000), endpoint("fd00::1", 9000)}},
-		{Locality: &xdspb.Locality{Region: "sk"}, Priority: 1, LbEndpoints: []*xdspb.LbEndpoint{endpoint("10.0.0.2", 9000)}},
+		{
+			Locality:    &xdspb.Locality{Region: "sk", Zone: "nitra"},
+			LbEndpoints: []*xdspb.LbEndpoint{endpoint("10.0.0.1", 9000), endpoint("fd00::1", 9000)},
+		},
+		{
+			Locality:    &xdspb.Locality{Region: "sk"},
+			Priority:    1,
+			LbEndpoints: []*xdspb.LbEndpoint{endpoint("10.0.0.2", 9000)},
+		},
 	}}
 }
 
@@ -41,7 +50,7 @@
 	e.Metadata = &xdspb.Metadata{FilterMetadata: map[string]*structpb.Struct{MetadataNamespace: s}}
 }
 
-func TestReadsAnAssignment(t *testing.T) {
+func TestParseAssignment(t *testing.T) {
 	p := good()
 	e := p.Endpoints[0].LbEndpoints[0]
 	own(t, e, map[string]any{"kind": "vykonny-4j", "cell": 3, "started_ms": "1700000000000"})
@@ -53,21 +62,31 @@
 			{DropPercentage: &xdspb.FractionalPercent{Numerator: 500_000, Denominator: xdspb.FractionalPercent_MILLION}},
 		},
 	}
-	a, err := ParseAssignment(p)
+	read, err := ParseAssignment(p)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if a.Name != "rooms" || a.Drop != 0.75 || a.Overprovisioning != 2 || a.StaleAfter != time.Minute || len(a.Endpoints) != 3 {
-		t.Errorf("%+v", a)
+	if read.Name != "rooms" || read.Drop != 0.75 || read.Overprovisioning != 2 || read.StaleAfter != time.Minute ||
+		len(read.Endpoints) != 3 {
+		t.Errorf("%+v", read)
+	}
+	want := Endpoint{
+		Addr:    "10.0.0.1:9000",
+		Zone:    "nitra",
+		Weight:  7,
+		Health:  Draining,
+		Kind:    "vykonny-4j",
+		Cell:    3,
+		Started: time.UnixMilli(1700000000000),
 	}
-	want := Endpoint{Addr: "10.0.0.1:9000", Zone: "nitra", Weight: 7, Health: Draining, Kind: "vykonny-4j", Cell: 3, Started: time.UnixMilli(1700000000000)}
-	if a.Endpoints[0] != want {
-		t.Errorf("%+v, want %+v", a.Endpoints[0], want)
+	if read.Endpoints[0] != want {
+		t.Errorf("%+v, want %+v", read.Endpoints[0], want)
 	}
-	if e := a.Endpoints[1]; e.Addr != "[fd00::1]:9000" || e.Weight != 1 || e.Health != Unknown || !e.Started.IsZero() {
+	if e := read.Endpoints[1]; e.Addr != "[fd00::1]:9000" || e.Weight != 1 || e.Health != Unknown ||
+		!e.Started.IsZero() {
 		t.Errorf("%+v", e)
 	}
-	if e := a.Endpoints[2]; e.Zone != "sk" || e.Priority != 1 {
+	if e := read.Endpoints[2]; e.Zone != "sk" || e.Priority != 1 {
 		t.Errorf("%+v", e)
 	}
 	plain, err := ParseAssignment(good())
@@ -77,7 +96,7 @@
 }
 
 // Each row of the mapping that refuses: the message names the endpoint and the field.
-func TestRefusesAssignments(t *testing.T) {
+func TestParseAssignment_RejectsInvalid(t *testing.T) {
 	first := func(p *xdspb.ClusterLoadAssignment) *xdspb.LbEndpoint { return p.Endpoints[0].LbEndpoints[0] }
 	socket := func(p *xdspb.ClusterLoadAssignment) *xdspb.SocketAddress {
 		return first(p).GetEndpoint().Address.GetSocketAddress()
@@ -136,7 +155,7 @@
 	}
 }
 
-func TestClusters(t *testing.T) {
+func TestParseCluster(t *testing.T) {
 	typed := func(d xdspb.Cluster_DiscoveryType) *xdspb.Cluster {
 		return &xdspb.Cluster{Name: "rooms", ClusterDiscoveryType: &xdspb.Cluster_Type{Type: d}}
 	}
--- a/discovery/xds/scale_test.go
+++ b/discovery/xds/scale_test.go
@@ -19,9 +19,9 @@
 	"google.golang.org/protobuf/types/known/anypb"
 )
 
-// wire is an assignment of n endpoints as bytes; the port tells versions apart, of the first endpoint
+// packedAssignment is an assignment of n endpoints as bytes; the port tells versions apart, of the first endpoint
 // alone or of all.
-func wire(b testing.TB, name string, n, port int, all bool) *anypb.Any {
+func packedAssignment(b testing.TB, name string, n, port int, all bool) *anypb.Any {
 	b.Helper()
 	var addrs []string
 	for i := range n {
@@ -44,53 +44,64 @@
 func BenchmarkUpdate(b *testing.B) {
 	for _, n := range []int{100, 1000, 10_000, 100_000} {
 		for _, each := range []int{n, 100} {
-			b.Run(fmt.Sprintf("endpoints=%d/cluster=%d", n, each), func(b *testing.B) {
-				m, book := ads.New(ads.Delta), newSnapshot()
-				m.Connected()
-				clusters := ads.Response{Type: ads.Clusters}
-				first := &xdspb.DeltaDiscoveryResponse{TypeUrl: resource.AssignmentURL}
-				for i := range n / each {
-					name := fmt.Sprint("c", i)
-					clusters.Resources = append(clusters.Resources, ads.Resource{Name: name, Value: &resource.Cluster{Name: name, EDS: true, ServiceName: name}})
-					body := wire(b, name, each, 0, false)
-					if n != each { // apart from the other clusters
-						body = wireAt(b, name, each, i)
-					}
-					first.Resources = append(first.Resources, &xdspb.Resource{Name: name, Resource: body})
-				}
-				m.HandleResponse(time.Unix(1, 0), clusters)
-				apply := func(p *xdspb.DeltaDiscoveryResponse) int {
-					r, ok := decodeDelta(p)
-					if !ok || r.Err != nil {
-						b.Fatal(r.Err)
-					}
-					m.HandleResponse(time.Unix(1, 0), r)
-					return len(book.apply(m.Applied()))
-				}
-				if got := apply(first); got != n {
-					b.Fatalf("%d servers, want %d", got, n)
-				}
-				var versions [2]*xdspb.DeltaDiscoveryResponse
-				for v := range versions {
-					versions[v] = &xdspb.DeltaDiscoveryResponse{
-						TypeUrl:   resource.AssignmentURL,
-						Resources: []*xdspb.Resource{{Name: "c0", Resource: wire(b, "c0", each, 1+v, false)}},
-					}
-				}
-				b.ReportAllocs()
-				b.ResetTimer()
-				for i := range b.N {
-					if got := apply(versions[i%2]); got < 1 || got > 2 && i > 0 {
-						b.Fatalf("%d changes for one", got)
-					}
-				}
-			})
+			b.Run(fmt.Sprintf("endpoints=%d/cluster=%d", n, each), func(b *testing.B) { benchmarkUpdate(b, n, each) })
 		}
 	}
 }
 
-// wireAt is the assignment of cluster i of many.
-func wireAt(b testing.TB, name string, n, i int) *anypb.Any {
+func benchmarkUpdate(b *testing.B, n, each int) {
+	machine, list := ads.New(ads.Delta), newSnapshot()
+	machine.Connected()
+	clusters, first := initialResponses(b, n, each)
+	machine.HandleResponse(time.Unix(1, 0), clusters)
+	apply := func(message *xdspb.DeltaDiscoveryResponse) int {
+		response, ok := decodeDelta(message)
+		if !ok || response.Err != nil {
+			b.Fatal(response.Err)
+		}
+		machine.HandleResponse(time.Unix(1, 0), response)
+		return len(list.apply(machine.Applied()))
+	}
+	if got := apply(first); got != n {
+		b.Fatalf("%d servers, want %d", got, n)
+	}
+	var versions [2]*xdspb.DeltaDiscoveryResponse
+	for v := range versions {
+		body := packedAssignment(b, "c0", each, 1+v, false)
+		versions[v] = &xdspb.DeltaDiscoveryResponse{
+			TypeUrl:   resource.AssignmentURL,
+			Resources: []*xdspb.Resource{{Name: "c0", Resource: body}},
+		}
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		if got := apply(versions[i%2]); got < 1 || got > 2 && i > 0 {
+			b.Fatalf("%d changes for one", got)
+		}
+	}
+}
+
+// initialResponses are the clusters, and n endpoints of which each cluster has so many.
+func initialResponses(b *testing.B, n, each int) (ads.Response, *xdspb.DeltaDiscoveryResponse) {
+	b.Helper()
+	clusters := ads.Response{Type: ads.Clusters}
+	endpoints := &xdspb.DeltaDiscoveryResponse{TypeUrl: resource.AssignmentURL}
+	for i := range n / each {
+		name := fmt.Sprint("c", i)
+		cluster := &resource.Cluster{Name: name, EDS: true, ServiceName: name}
+		clusters.Resources = append(clusters.Resources, ads.Resource{Name: name, Value: cluster})
+		body := packedAssignment(b, name, each, 0, false)
+		if n != each { // apart from the other clusters
+			body = packedAssignmentAt(b, name, each, i)
+		}
+		endpoints.Resources = append(endpoints.Resources, &xdspb.Resource{Name: name, Resource: body})
+	}
+	return clusters, endpoints
+}
+
+// packedAssignmentAt is the assignment of cluster i of many.
+func packedAssignmentAt(b testing.TB, name string, n, i int) *anypb.Any {
 	b.Helper()
 	var addrs []string
 	for j := range n {
@@ -104,13 +115,13 @@
 	return &anypb.Any{TypeUrl: resource.AssignmentURL, Value: raw}
 }
 
-// TestLatencyDuringAFlood sets the latency of requests during a flood of updates against that without, in
+// TestSource_LatencyDuringFlood sets the latency of requests during a flood of updates against that without, in
 // turns. It measures, and so runs only where FLOOD is set.
-func TestLatencyDuringAFlood(t *testing.T) {
+func TestSource_LatencyDuringFlood(t *testing.T) {
 	if os.Getenv("FLOOD") == "" {
 		t.Skip("a measurement: set FLOOD to run it")
 	}
-	p, app := plane(t), newSites(t, 4)
+	controlPlane, app := startControlPlane(t), newAppServers(t, 4)
 	// The endpoints of the flood drain, so that requests go to the real ones alone.
 	flood := func(i int) {
 		var addrs []string
@@ -121,50 +132,37 @@
 		for _, e := range a.Endpoints[0].LbEndpoints {
 			e.HealthStatus = xdspb.HealthStatus_DRAINING
 		}
-		p.Set(a)
+		controlPlane.Set(a)
 	}
-	p.Set(cluster("rooms"), cluster("flood"), assignment("rooms", app.addrs...))
+	controlPlane.Set(cluster("rooms"), cluster("flood"), assignment("rooms", app.addrs...))
 	flood(0)
-	source, err := New(Config{Servers: []Server{{Addr: p.Addr}}, Node: &xdspb.Node{Id: "flood"}, Delta: true})
+	source, err := New(Config{Servers: []Server{{Addr: controlPlane.Addr}}, Node: &xdspb.Node{Id: "flood"}, Delta: true})
 	if err != nil {
 		t.Fatal(err)
 	}
 	r, err := router.New(router.Config{Settings: policy.Settings{
-		Nodes: 1, Zone: "a",
-		Classes:      []policy.Class{{Name: "read", LatencyObjective: time.Second, Deadline: 3 * time.Second, Idempotency: policy.Idempotent}},
-		Capabilities: policy.Capabilities{MaxAttempts: 3}, Rules: policy.Rules{DrainGrace: 500 * time.Millisecond},
+		Nodes: 1,
+		Zone:  "a",
+		Classes: []policy.Class{
+			{Name: "read", LatencyObjective: time.Second, Deadline: 3 * time.Second, Idempotency: policy.Idempotent},
+		},
+		Capabilities: policy.Capabilities{MaxAttempts: 3},
+		Rules:        policy.Rules{DrainGrace: 500 * time.Millisecond},
 	}},
 		router.WithEndpointSource(source), router.WithTransport(http1.New(http1.Config{})))
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer r.Close()
-	testkit.Await(t, "the servers", func() bool { return r.Stats().EndpointsByAvailability[policy.Running] == len(app.addrs) })
-	ids := 0
-	phase := func(updates bool) time.Duration {
-		var took []time.Duration
-		next, n := time.Now(), 0
-		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
-			if updates && !time.Now().Before(next) {
-				n++
-				flood(n)
-				next = next.Add(50 * time.Millisecond) // 20,000 endpoints a second
-			}
-			ids++
-			began := time.Now()
-			if _, err := r.Do(t.Context(), router.Request{ID: fmt.Sprint(ids), Class: "read", Tenant: "t", Target: "/"}); err != nil {
-				t.Fatal(err)
-			}
-			took = append(took, time.Since(began))
-			time.Sleep(500 * time.Microsecond)
-		}
-		slices.Sort(took)
-		return took[len(took)*99/100]
-	}
+	t.Cleanup(func() { _ = r.Close() })
+	testkit.Await(
+		t,
+		"the servers",
+		func() bool { return r.Stats().EndpointsByAvailability[policy.Running] == len(app.addrs) },
+	)
 	var ratios []float64
 	for range 5 {
-		calm := phase(false)
-		busy := phase(true)
+		calm := latencyP99(t, r, nil)
+		busy := latencyP99(t, r, flood)
 		ratios = append(ratios, float64(busy)/float64(calm))
 		t.Logf("p99 %v without updates, %v with", calm, busy)
 	}
@@ -174,3 +172,27 @@
 		t.Errorf("the median ratio is %.2f, at most 1.2 is wanted", ratios[2])
 	}
 }
+
+// latencyP99 is the 99th percentile of the latency of requests during two seconds. flood, if not nil, is called twenty
+// times a second: 20,000 endpoints a second.
+func latencyP99(t *testing.T, r *router.Router, flood func(version int)) time.Duration {
+	t.Helper()
+	var took []time.Duration
+	next, version := time.Now(), 0
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
+		if flood != nil && !time.Now().Before(next) {
+			version++
+			flood(version)
+			next = next.Add(50 * time.Millisecond)
+		}
+		began := time.Now()
+		request := router.Request{ID: fmt.Sprint(began.UnixNano()), Class: "read", Tenant: "t", Target: "/"}
+		if _, err := r.Do(t.Context(), request); err != nil {
+			t.Fatal(err)
+		}
+		took = append(took, time.Since(began))
+		time.Sleep(500 * time.Microsecond)
+	}
+	slices.Sort(took)
+	return took[len(took)*99/100]
+}
--- a/discovery/xds/script_test.go
+++ b/discovery/xds/script_test.go
@@ -29,9 +29,9 @@
 // What control planes do wrong, as scripts of the stand-in. Between the two parts of a script the servers
 // in force are looked at, and again at its end; from the first list on a cluster that has servers is never
 // without unless the script says so.
-func TestScripts(t *testing.T) {
+func TestSource_ControlPlaneFaults(t *testing.T) {
 	const rooms = "cluster rooms\nendpoints rooms 10.0.0.1:1 10.0.0.2:1\npush\nexpect acks 2 within 20s\n"
-	for _, c := range []struct{ name, first, then, held, end string }{
+	for _, test := range []struct{ name, first, then, held, end string }{
 		{
 			"half of a change", rooms + "stall endpoints\ncluster more\nendpoints more 10.0.0.3:1\nendpoints rooms 10.0.0.2:1\npush\nexpect acks 3 within 20s",
 			"answer", "10.0.0.1:1 10.0.0.2:1", "10.0.0.2:1 10.0.0.3:1",
@@ -56,22 +56,22 @@
 			"withdraw cluster rooms", "10.0.0.2:1", "",
 		},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			both(t, func(t *testing.T, delta bool) {
+		t.Run(test.name, func(t *testing.T) {
+			forEachVariant(t, func(t *testing.T, delta bool) {
 				t.Parallel()
-				p := plane(t)
-				_, l := run(t, Config{Servers: []Server{{Addr: p.Addr}}, Delta: delta})
-				for i, part := range []string{c.first, c.then} {
+				controlPlane := startControlPlane(t)
+				_, published := runSource(t, Config{Servers: []Server{{Addr: controlPlane.Addr}}, Delta: delta})
+				for i, part := range []string{test.first, test.then} {
 					s, err := standin.ParseScript(strings.NewReader(part))
 					if err == nil {
-						err = s.Run(t.Context(), p, io.Discard)
+						err = s.Run(t.Context(), controlPlane, io.Discard)
 					}
 					if err != nil {
 						t.Fatal(err)
 					}
-					l.await(t, []string{c.held, c.end}[i])
+					published.await(t, []string{test.held, test.end}[i])
 				}
-				if seen := p.Requests(); len(seen) < 2 || seen[0].Node != "test" || seen[0].Stream != 1 {
+				if seen := controlPlane.Requests(); len(seen) < 2 || seen[0].Node != "test" || seen[0].Stream != 1 {
 					t.Errorf("the requests are not on record: %+v", seen)
 				}
 			})
@@ -81,7 +81,7 @@
 
 // What a script gets wrong is told with its line, before anything is served; an expectation that is not
 // met fails.
-func TestScriptsThatAreWrong(t *testing.T) {
+func TestParseScript_Errors(t *testing.T) {
 	for text, want := range map[string]string{
 		"push\npussh":                      "line 2: pussh: no such step",
 		"endpoints rooms host:1":           `line 1: endpoints: want IP:port, got "host:1"`,
@@ -99,12 +99,17 @@
 			t.Errorf("%q: got %v, want %q", text, err, want)
 		}
 	}
-	p := plane(t)
-	s, err := standin.ParseScript(strings.NewReader("push\nexpect streams 1 within 10ms"))
+	controlPlane := startControlPlane(t)
+	source, err := standin.ParseScript(strings.NewReader("push\nexpect streams 1 within 10ms"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := s.Run(t.Context(), p, io.Discard); err == nil || !strings.Contains(err.Error(), "line 2: expect streams 1 within 10ms: not so") {
+	if err := source.Run(
+		t.Context(),
+		controlPlane,
+		io.Discard,
+	); err == nil ||
+		!strings.Contains(err.Error(), "line 2: expect streams 1 within 10ms: not so") {
 		t.Errorf("got %v", err)
 	}
 }
@@ -117,8 +122,15 @@
 		t.Fatal(err)
 	}
 	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		SerialNumber: big.NewInt(1),
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{
+			net.IPv4(127, 0, 0, 1),
+		},
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
 	}
 	der, err := x509.CreateCertificate(rand.Reader, template, template, &k.PublicKey, k)
 	if err != nil {
@@ -139,18 +151,18 @@
 
 // Over TLS, an answer of 16 MB and more is taken whole. A control plane that the CA does not vouch for is
 // not believed.
-func TestTLSAndALargeAnswer(t *testing.T) {
+func TestSource_TLSAndLargeResponse(t *testing.T) {
 	cert, key := certificate(t)
 	other, _ := certificate(t)
 	creds, err := credentials.NewServerTLSFromFile(cert, key)
 	if err != nil {
 		t.Fatal(err)
 	}
-	p, err := standin.Start("", grpc.Creds(creds))
+	controlPlane, err := standin.Start("", grpc.Creds(creds))
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer p.Stop()
+	defer controlPlane.Stop()
 	// Hostnames, which the router does not read, make the answer large.
 	const n = 20_000
 	addrs := make([]string, n)
@@ -161,46 +173,60 @@
 	for _, e := range a.Endpoints[0].LbEndpoints {
 		e.GetEndpoint().Hostname = strings.Repeat("h", 900)
 	}
-	p.Set(cluster("rooms"), a)
-	boot := fmt.Sprintf(`{"xds_servers":[{"server_uri":%q,"channel_creds":[{"type":"tls"}]}],"node":{"id":"n"}}`, p.Addr)
+	controlPlane.Set(cluster("rooms"), a)
+	boot := fmt.Sprintf(
+		`{"xds_servers":[{"server_uri":%q,"channel_creds":[{"type":"tls"}]}],"node":{"id":"n"}}`,
+		controlPlane.Addr,
+	)
 	for ca, want := range map[string]int{cert: n, other: 0} {
 		c, err := ParseBootstrap([]byte(boot), ca)
 		if err != nil {
 			t.Fatal(err)
 		}
-		s, l := run(t, c)
+		source, published := runSource(t, c)
 		if want == 0 {
-			testkit.Await(t, "the refusal", func() bool { return s.Status().LastError != nil })
-			if err := s.Status().LastError.Error(); !strings.Contains(err, "certificate") {
+			testkit.Await(t, "the refusal", func() bool { return source.Status().LastError != nil })
+			if err := source.Status().LastError.Error(); !strings.Contains(err, "certificate") {
 				t.Errorf("refused for %s", err)
 			}
 		} else {
-			testkit.Await(t, "the whole list", func() bool { return s.Status().Complete })
+			testkit.Await(t, "the whole list", func() bool { return source.Status().Complete })
 		}
-		l.mu.Lock()
-		if len(l.members) != want {
-			t.Errorf("%d servers, want %d", len(l.members), want)
+		published.mu.Lock()
+		if len(published.members) != want {
+			t.Errorf("%d servers, want %d", len(published.members), want)
 		}
-		l.mu.Unlock()
+		published.mu.Unlock()
 	}
 }
 
 // drop_overloads: the part of the requests of classes that are bound to the cluster is refused and reaches
 // no server, others are none of its business, and all go through once it is withdrawn.
-func TestDropOverloads(t *testing.T) {
-	p, app := plane(t), newSites(t, 1)
-	source, err := New(Config{Servers: []Server{{Addr: p.Addr}}})
+func TestSource_DropOverloads(t *testing.T) {
+	controlPlane, app := startControlPlane(t), newAppServers(t, 1)
+	source, err := New(Config{Servers: []Server{{Addr: controlPlane.Addr}}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := router.New(router.Config{Settings: policy.Settings{Nodes: 1, Capabilities: policy.Capabilities{RetryAfter: true}, Classes: []policy.Class{
-		{Name: "bound", Deadline: 10 * time.Second, Idempotency: policy.Idempotent, Pool: "rooms"}, {Name: "free", Deadline: 10 * time.Second, Idempotency: policy.Idempotent},
-	}}},
-		router.WithEndpointSource(source), router.WithTransport(http1.New(http1.Config{})))
+	r, err := router.New(
+		router.Config{
+			Settings: policy.Settings{Nodes: 1, Capabilities: policy.Capabilities{RetryAfter: true}, Classes: []policy.Class{
+				{
+					Name:        "bound",
+					Deadline:    10 * time.Second,
+					Idempotency: policy.Idempotent,
+					Pool:        "rooms",
+				},
+				{Name: "free", Deadline: 10 * time.Second, Idempotency: policy.Idempotent},
+			}},
+		},
+		router.WithEndpointSource(source),
+		router.WithTransport(http1.New(http1.Config{})),
+	)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer r.Close()
+	t.Cleanup(func() { _ = r.Close() })
 	ids := 0
 	served := func(class string, n int) (got int) {
 		for range n {
@@ -218,27 +244,30 @@
 		}
 		return got
 	}
-	for _, c := range []struct {
+	for _, test := range []struct {
 		percent     string
 		least, most int
 	}{{"0%", 200, 200}, {"30%", 100, 180}, {"100%", 0, 0}, {"0%", 200, 200}} {
-		s, err := standin.ParseScript(strings.NewReader("cluster rooms\nendpoints rooms " + app.addrs[0] + "\ndrop " + c.percent + "\npush"))
+		s, err := standin.ParseScript(
+			strings.NewReader("cluster rooms\nendpoints rooms " + app.addrs[0] + "\ndrop " + test.percent + "\npush"),
+		)
 		if err == nil {
-			err = s.Run(t.Context(), p, io.Discard)
+			err = s.Run(t.Context(), controlPlane, io.Discard)
 		}
 		if err != nil {
 			t.Fatal(err)
 		}
-		testkit.Await(t, "the part "+c.percent, func() bool {
+		testkit.Await(t, "the part "+test.percent, func() bool {
 			st := r.Stats()
-			return st.EndpointsByAvailability[policy.Running] == 1 && fmt.Sprintf("%.0f%%", 100*st.Drops["rooms"]) == c.percent
+			return st.EndpointsByAvailability[policy.Running] == 1 &&
+				fmt.Sprintf("%.0f%%", 100*st.Drops["rooms"]) == test.percent
 		})
 		before := r.Stats().Dropped
-		if got := served("bound", 200); got < c.least || got > c.most || int(r.Stats().Dropped-before) != 200-got {
-			t.Errorf("%s: %d of 200 served, %d dropped", c.percent, got, r.Stats().Dropped-before)
+		if got := served("bound", 200); got < test.least || got > test.most || int(r.Stats().Dropped-before) != 200-got {
+			t.Errorf("%s: %d of 200 served, %d dropped", test.percent, got, r.Stats().Dropped-before)
 		}
 		if got := served("free", 50); got != 50 {
-			t.Errorf("%s: %d of 50 of another class served", c.percent, got)
+			t.Errorf("%s: %d of 50 of another class served", test.percent, got)
 		}
 	}
 }
--- a/discovery/xds/standin/standin.go
+++ b/discovery/xds/standin/standin.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &ControlPlane{
+	controlPlane := &ControlPlane{
 		Addr:    listener.Addr().String(),
 		server:  grpc.NewServer(append(options, grpc.MaxSendMsgSize(maxResponseSize))...),
 		served:  make(chan struct{}),
@@ -74,12 +74,12 @@
 		},
 		changed: make(chan struct{}),
 	}
-	p.server.RegisterService(p.serviceDesc(), p)
+	controlPlane.server.RegisterService(controlPlane.serviceDesc(), controlPlane)
 	go func() {
-		_ = p.server.Serve(listener) // ends with Stop
-		close(p.served)
+		_ = controlPlane.server.Serve(listener) // ends with Stop
+		close(controlPlane.served)
 	}()
-	return p, nil
+	return controlPlane, nil
 }
 
 func (p *ControlPlane) serviceDesc() *grpc.ServiceDesc {
--- a/discovery/xds/stored_test.go
+++ b/discovery/xds/stored_test.go
@@ -11,9 +11,10 @@
 	"cobaltward/discovery/xds/resource"
 )
 
-// TestLoad_FileOfEarlierVersion reads a list that an earlier version has kept, and writes it again: to the byte the
+// TestReadCache_FileOfEarlierVersion reads a list that an earlier version has kept, and writes it again: to the byte
+// the
 // same.
-func TestLoad_FileOfEarlierVersion(t *testing.T) {
+func TestReadCache_FileOfEarlierVersion(t *testing.T) {
 	stored := filepath.Join("testdata", "kept")
 	got, err := readCache(stored)
 	if err != nil {
--- a/discovery/xds/xds_test.go
+++ b/discovery/xds/xds_test.go
@@ -45,12 +45,14 @@
 	if _, err := fmt.Sscan(port, &n); err != nil {
 		panic(err)
 	}
-	return &xdspb.LbEndpoint{HostIdentifier: &xdspb.LbEndpoint_Endpoint{Endpoint: &xdspb.Endpoint{Address: &xdspb.Address{
-		Address: &xdspb.Address_SocketAddress{SocketAddress: &xdspb.SocketAddress{
-			Address:       host,
-			PortSpecifier: &xdspb.SocketAddress_PortValue{PortValue: n},
-		}},
-	}}}}
+	return &xdspb.LbEndpoint{
+		HostIdentifier: &xdspb.LbEndpoint_Endpoint{Endpoint: &xdspb.Endpoint{Address: &xdspb.Address{
+			Address: &xdspb.Address_SocketAddress{SocketAddress: &xdspb.SocketAddress{
+				Address:       host,
+				PortSpecifier: &xdspb.SocketAddress_PortValue{PortValue: n},
+			}},
+		}}},
+	}
 }
 
 func assignment(name string, addrs ...string) *xdspb.ClusterLoadAssignment {
@@ -61,7 +63,7 @@
 	return &xdspb.ClusterLoadAssignment{ClusterName: name, Endpoints: []*xdspb.LocalityLbEndpoints{l}}
 }
 
-func plane(t testing.TB) *standin.ControlPlane {
+func startControlPlane(t testing.TB) *standin.ControlPlane {
 	t.Helper()
 	p, err := standin.Start("")
 	if err != nil {
@@ -71,14 +73,14 @@
 	return p
 }
 
-// list keeps what a source tells, as the router would.
-type list struct {
+// publishedList is the list that a source has published, as a router would hold it.
+type publishedList struct {
 	mu      sync.Mutex
 	members map[string]router.Endpoint
 	changes int
 }
 
-func (l *list) tell(c router.EndpointUpdate) {
+func (l *publishedList) publish(c router.EndpointUpdate) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.changes++
@@ -95,7 +97,7 @@
 }
 
 // running lists the addresses that are open to new work.
-func (l *list) running() string {
+func (l *publishedList) running() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var all []string
@@ -108,13 +110,13 @@
 	return strings.Join(all, " ")
 }
 
-func (l *list) await(t testing.TB, want string) {
+func (l *publishedList) await(t testing.TB, want string) {
 	t.Helper()
 	testkit.Await(t, "the servers "+want, func() bool { return l.running() == want })
 }
 
-// run runs a source until the test ends.
-func run(t testing.TB, c Config) (*Source, *list) {
+// runSource runs a source until the test ends.
+func runSource(t testing.TB, c Config) (*Source, *publishedList) {
 	t.Helper()
 	if c.backoffBase == 0 {
 		c.backoffBase, c.backoffMax = 10*time.Millisecond, 50*time.Millisecond
@@ -124,167 +126,184 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &list{members: make(map[string]router.Endpoint)}
+	l := &publishedList{members: make(map[string]router.Endpoint)}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	go func() { s.Run(ctx, l.tell); close(ended) }()
+	go func() { s.Run(ctx, l.publish); close(ended) }()
 	t.Cleanup(func() { cancel(); testkit.Receive(t, "the source's end", ended) })
 	return s, l
 }
 
-// both runs a test in either variant.
-func both(t *testing.T, f func(t *testing.T, delta bool)) {
+// forEachVariant runs a test in either variant.
+func forEachVariant(t *testing.T, f func(t *testing.T, delta bool)) {
 	for _, delta := range []bool{false, true} {
 		t.Run(map[bool]string{false: "sotw", true: "delta"}[delta], func(t *testing.T) { f(t, delta) })
 	}
 }
 
-func TestFollowsAControlPlane(t *testing.T) {
-	both(t, func(t *testing.T, delta bool) {
-		p := plane(t)
-		p.Set(cluster("rooms"), assignment("rooms", "10.0.0.1:1", "10.0.0.2:1"))
-		s, l := run(t, Config{Servers: []Server{{Addr: p.Addr}}, Delta: delta})
-		l.await(t, "10.0.0.1:1 10.0.0.2:1")
-		p.Set(assignment("rooms", "10.0.0.2:1", "10.0.0.3:1"))
-		l.await(t, "10.0.0.2:1 10.0.0.3:1")
-		p.Set(cluster("more"), assignment("more", "10.0.0.3:1", "10.0.0.4:1"))
-		l.await(t, "10.0.0.2:1 10.0.0.3:1 10.0.0.4:1")
-		l.mu.Lock()
-		if m := l.members["10.0.0.3:1"]; !slices.Equal(m.Pools, []string{"more", "rooms"}) || m.Zone != "a" {
+func TestSource_PublishesChanges(t *testing.T) {
+	forEachVariant(t, func(t *testing.T, delta bool) {
+		controlPlane := startControlPlane(t)
+		controlPlane.Set(cluster("rooms"), assignment("rooms", "10.0.0.1:1", "10.0.0.2:1"))
+		source, published := runSource(t, Config{Servers: []Server{{Addr: controlPlane.Addr}}, Delta: delta})
+		published.await(t, "10.0.0.1:1 10.0.0.2:1")
+		controlPlane.Set(assignment("rooms", "10.0.0.2:1", "10.0.0.3:1"))
+		published.await(t, "10.0.0.2:1 10.0.0.3:1")
+		controlPlane.Set(cluster("more"), assignment("more", "10.0.0.3:1", "10.0.0.4:1"))
+		published.await(t, "10.0.0.2:1 10.0.0.3:1 10.0.0.4:1")
+		published.mu.Lock()
+		if m := published.members["10.0.0.3:1"]; !slices.Equal(m.Pools, []string{"more", "rooms"}) || m.Zone != "a" {
 			t.Errorf("a server of two clusters: %+v", m)
 		}
-		l.mu.Unlock()
-		p.Remove(resource.ClusterURL, "rooms")
-		l.await(t, "10.0.0.3:1 10.0.0.4:1")
-		st := s.Status()
-		if !st.Connected || !st.Complete || st.Server != p.Addr || len(st.Endpoints) != 2 || p.Acks.Load() == 0 || len(p.Nacks()) != 0 {
-			t.Errorf("%v, whole %v, %d acknowledged, refused %v", st, st.Complete, p.Acks.Load(), p.Nacks())
+		published.mu.Unlock()
+		controlPlane.Remove(resource.ClusterURL, "rooms")
+		published.await(t, "10.0.0.3:1 10.0.0.4:1")
+		st := source.Status()
+		if !st.Connected || !st.Complete || st.Server != controlPlane.Addr || len(st.Endpoints) != 2 ||
+			controlPlane.Acks.Load() == 0 ||
+			len(controlPlane.Nacks()) != 0 {
+			t.Errorf(
+				"%v, whole %v, %d acknowledged, refused %v",
+				st,
+				st.Complete,
+				controlPlane.Acks.Load(),
+				controlPlane.Nacks(),
+			)
 		}
-		p.Set(assignment("more"))
-		l.await(t, "") // an empty list may be a drain, and is obeyed
+		controlPlane.Set(assignment("more"))
+		published.await(t, "") // an empty list may be a drain, and is obeyed
 	})
 }
 
 // Draining, unhealthy and low-priority endpoints get nothing new, whichever cluster says so.
-func TestHealthAndPriorities(t *testing.T) {
-	p := plane(t)
-	a := assignment("rooms", "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1", "10.0.0.5:1")
+func TestSource_HealthAndPriorityDecideAvailability(t *testing.T) {
+	controlPlane := startControlPlane(t)
+	rooms := assignment("rooms", "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1", "10.0.0.5:1")
 	for i, h := range []xdspb.HealthStatus{
 		xdspb.HealthStatus_HEALTHY, xdspb.HealthStatus_HEALTHY, xdspb.HealthStatus_HEALTHY,
 		xdspb.HealthStatus_HEALTHY, xdspb.HealthStatus_DRAINING,
 	} {
-		a.Endpoints[0].LbEndpoints[i].HealthStatus = h
+		rooms.Endpoints[0].LbEndpoints[i].HealthStatus = h
 	}
 	spare := &xdspb.LocalityLbEndpoints{Priority: 1, LbEndpoints: []*xdspb.LbEndpoint{lbEndpoint("10.0.1.1:1")}}
-	a.Endpoints = append(a.Endpoints, spare)
-	p.Set(cluster("rooms"), a)
-	_, l := run(t, Config{Servers: []Server{{Addr: p.Addr}}})
-	l.await(t, "10.0.0.1:1 10.0.0.2:1 10.0.0.3:1 10.0.0.4:1")
-	for _, e := range a.Endpoints[0].LbEndpoints[1:] {
+	rooms.Endpoints = append(rooms.Endpoints, spare)
+	controlPlane.Set(cluster("rooms"), rooms)
+	_, published := runSource(t, Config{Servers: []Server{{Addr: controlPlane.Addr}}})
+	published.await(t, "10.0.0.1:1 10.0.0.2:1 10.0.0.3:1 10.0.0.4:1")
+	for _, e := range rooms.Endpoints[0].LbEndpoints[1:] {
 		e.HealthStatus = xdspb.HealthStatus_TIMEOUT
 	}
-	p.Set(a)
-	l.await(t, "10.0.0.1:1 10.0.1.1:1")
+	controlPlane.Set(rooms)
+	published.await(t, "10.0.0.1:1 10.0.1.1:1")
 	// Another cluster drains the one that is left here: any source's drain holds.
 	drained := assignment("other", "10.0.0.1:1")
 	drained.Endpoints[0].LbEndpoints[0].HealthStatus = xdspb.HealthStatus_DRAINING
-	p.Set(cluster("other"), drained)
-	l.await(t, "10.0.1.1:1")
+	controlPlane.Set(cluster("other"), drained)
+	published.await(t, "10.0.1.1:1")
 }
 
 // One bad endpoint among many: the resource is refused whole, with its endpoint and field, the old one
 // serves, and the stream goes on.
-func TestOneBadEndpointRefusesTheWhole(t *testing.T) {
-	both(t, func(t *testing.T, delta bool) {
-		p := plane(t)
-		p.Set(cluster("rooms"), assignment("rooms", "10.0.0.1:1"))
-		s, l := run(t, Config{Servers: []Server{{Addr: p.Addr}}, Delta: delta})
-		l.await(t, "10.0.0.1:1")
+func TestSource_InvalidEndpointRejectsAssignment(t *testing.T) {
+	forEachVariant(t, func(t *testing.T, delta bool) {
+		controlPlane := startControlPlane(t)
+		controlPlane.Set(cluster("rooms"), assignment("rooms", "10.0.0.1:1"))
+		source, published := runSource(t, Config{Servers: []Server{{Addr: controlPlane.Addr}}, Delta: delta})
+		published.await(t, "10.0.0.1:1")
 		var addrs []string
 		for i := range 500 {
 			addrs = append(addrs, fmt.Sprintf("10.1.%d.%d:1", i/200, i%200))
 		}
 		bad := assignment("rooms", addrs...)
 		bad.Endpoints[0].LbEndpoints[311] = lbEndpoint("10.1.9.9:0")
-		p.Set(bad)
+		controlPlane.Set(bad)
 		const want = `assignment "rooms": endpoints[0].lb_endpoints[311].endpoint.address.socket_address.port_value: want 1 to 65535, got 0`
-		if !p.Await(testkit.Long, func(p *standin.ControlPlane) bool { return slices.Contains(p.Nacks(), want) }) {
-			t.Errorf("refused for %q", p.Nacks())
+		if !controlPlane.Await(
+			testkit.Long,
+			func(controlPlane *standin.ControlPlane) bool { return slices.Contains(controlPlane.Nacks(), want) },
+		) {
+			t.Errorf("refused for %q", controlPlane.Nacks())
 		}
-		if l.running() != "10.0.0.1:1" || s.Status().Types[1].Rejected["rooms"] != want {
-			t.Errorf("in force %q, status %+v", l.running(), s.Status().Types[1])
+		if published.running() != "10.0.0.1:1" || source.Status().Types[1].Rejected["rooms"] != want {
+			t.Errorf("in force %q, status %+v", published.running(), source.Status().Types[1])
 		}
-		p.Set(assignment("rooms", "10.0.0.2:1"))
-		l.await(t, "10.0.0.2:1")
-		if p.Streams.Load() != 1 {
-			t.Errorf("%d streams", p.Streams.Load())
+		controlPlane.Set(assignment("rooms", "10.0.0.2:1"))
+		published.await(t, "10.0.0.2:1")
+		if controlPlane.Streams.Load() != 1 {
+			t.Errorf("%d streams", controlPlane.Streams.Load())
 		}
 	})
 }
 
 // Whatever the control plane does, the last list serves; when it is back, what has changed is told.
-func TestTheLastListServes(t *testing.T) {
-	both(t, func(t *testing.T, delta bool) {
-		p, err := standin.Start("")
+func TestSource_KeepsLastListWithoutControlPlane(t *testing.T) {
+	forEachVariant(t, func(t *testing.T, delta bool) {
+		controlPlane, err := standin.Start("")
 		if err != nil {
 			t.Fatal(err)
 		}
-		p.Set(cluster("rooms"), assignment("rooms", "10.0.0.1:1", "10.0.0.2:1"))
-		s, l := run(t, Config{Servers: []Server{{Addr: p.Addr}}, Delta: delta, responseTimeout: 50 * time.Millisecond})
-		l.await(t, "10.0.0.1:1 10.0.0.2:1")
-		p.RejectStreams(codes.ResourceExhausted)
-		testkit.Await(t, "several tries", func() bool { return p.Streams.Load() > 3 })
-		p.RejectStreams(codes.OK)
-		testkit.Await(t, "the stream", func() bool { return s.Status().Connected })
-		p.Stop() // and its connections end
-		testkit.Await(t, "the stream's end", func() bool { return !s.Status().Connected })
-		if got := l.running(); got != "10.0.0.1:1 10.0.0.2:1" || s.Status().LastError == nil {
-			t.Errorf("without a control plane: %q, last %v", got, s.Status().LastError)
+		controlPlane.Set(cluster("rooms"), assignment("rooms", "10.0.0.1:1", "10.0.0.2:1"))
+		source, published := runSource(
+			t,
+			Config{Servers: []Server{{Addr: controlPlane.Addr}}, Delta: delta, responseTimeout: 50 * time.Millisecond},
+		)
+		published.await(t, "10.0.0.1:1 10.0.0.2:1")
+		controlPlane.RejectStreams(codes.ResourceExhausted)
+		testkit.Await(t, "several tries", func() bool { return controlPlane.Streams.Load() > 3 })
+		controlPlane.RejectStreams(codes.OK)
+		testkit.Await(t, "the stream", func() bool { return source.Status().Connected })
+		controlPlane.Stop() // and its connections end
+		testkit.Await(t, "the stream's end", func() bool { return !source.Status().Connected })
+		if got := published.running(); got != "10.0.0.1:1 10.0.0.2:1" || source.Status().LastError == nil {
+			t.Errorf("without a control plane: %q, last %v", got, source.Status().LastError)
 		}
-		next, err := standin.Start(p.Addr)
+		next, err := standin.Start(controlPlane.Addr)
 		if err != nil {
 			t.Skipf("the port is taken by now: %v", err)
 		}
 		defer next.Stop()
 		next.SetMuted(true) // it accepts, and answers nothing
 		testkit.Await(t, "tries at the one that is mute", func() bool { return next.Streams.Load() >= 2 })
-		if got := l.running(); got != "10.0.0.1:1 10.0.0.2:1" {
+		if got := published.running(); got != "10.0.0.1:1 10.0.0.2:1" {
 			t.Errorf("with a mute one: %q", got)
 		}
 		next.Set(cluster("rooms"), assignment("rooms", "10.0.0.2:1"))
 		next.SetMuted(false)
-		l.await(t, "10.0.0.2:1")
+		published.await(t, "10.0.0.2:1")
 	})
 }
 
 // The second control plane serves while the first is away, and the first again once it is back.
-func TestFailoverAndReturn(t *testing.T) {
-	first, second := plane(t), plane(t)
+func TestSource_FailoverAndFailback(t *testing.T) {
+	first, second := startControlPlane(t), startControlPlane(t)
 	first.RejectStreams(codes.Unavailable)
 	first.Set(cluster("rooms"), assignment("rooms", "10.0.0.1:1"))
 	second.Set(cluster("rooms"), assignment("rooms", "10.0.0.2:1"))
-	s, l := run(t, Config{Servers: []Server{{Addr: first.Addr}, {Addr: second.Addr}}, failbackInterval: 100 * time.Millisecond})
-	l.await(t, "10.0.0.2:1")
+	source, published := runSource(
+		t,
+		Config{Servers: []Server{{Addr: first.Addr}, {Addr: second.Addr}}, failbackInterval: 100 * time.Millisecond},
+	)
+	published.await(t, "10.0.0.2:1")
 	testkit.Await(t, "another try at the first", func() bool { return first.Streams.Load() > 1 })
-	l.await(t, "10.0.0.2:1")
+	published.await(t, "10.0.0.2:1")
 	first.RejectStreams(codes.OK)
-	l.await(t, "10.0.0.1:1")
-	if st := s.Status(); st.Server != first.Addr {
+	published.await(t, "10.0.0.1:1")
+	if st := source.Status(); st.Server != first.Addr {
 		t.Errorf("in use: %s", st.Server)
 	}
 }
 
 // A stream that works is not left for a preferred control plane that accepts connections and says
 // nothing: meanwhile a drain would be heard of from neither.
-func TestAWorkingStreamIsNotLeftForASilentOne(t *testing.T) {
+func TestSource_NoFailbackToSilentServer(t *testing.T) {
 	silent := testkit.RawServer(t, func(_ net.Conn, in *bufio.Reader) { _, _ = io.Copy(io.Discard, in) })
-	second := plane(t)
+	second := startControlPlane(t)
 	second.Set(cluster("rooms"), assignment("rooms", "10.0.0.2:1"))
-	_, l := run(t, Config{
+	_, published := runSource(t, Config{
 		Servers:         []Server{{Addr: silent}, {Addr: second.Addr}},
 		responseTimeout: 300 * time.Millisecond, failbackInterval: 20 * time.Millisecond,
 	})
-	l.await(t, "10.0.0.2:1")
+	published.await(t, "10.0.0.2:1")
 	time.Sleep(500 * time.Millisecond) // many times the wait before the preferred one is thought of again
 	if n := second.Streams.Load(); n != 1 {
 		t.Errorf("%d streams to the one that works, want the first to stay", n)
@@ -293,7 +312,7 @@
 
 // Two hundred clients that lose a control plane together do not come back together, and none of them
 // tries in a busy loop.
-func TestReconnectionsAreSpread(t *testing.T) {
+func TestBackoff_SpreadsReconnections(t *testing.T) {
 	const clients, buckets = 200, 10
 	for failures, due := range map[int]time.Duration{1: defaultBackoffBase, 4: 8 * defaultBackoffBase, 50: defaultBackoffMax} {
 		var hist [buckets]int
@@ -314,45 +333,55 @@
 
 // A new process at an address is known by its start time, an address that moves between clusters and
 // zones stays the same server, and the order of a list is nothing.
-func TestServersKeepTheirIDs(t *testing.T) {
-	p := plane(t)
-	p.Set(cluster("rooms"), cluster("more"), assignment("rooms", "10.0.0.1:1", "[fd00::1]:1"), assignment("more"))
-	_, l := run(t, Config{Servers: []Server{{Addr: p.Addr}}, Delta: true})
-	l.await(t, "10.0.0.1:1 [fd00::1]:1")
-	l.mu.Lock()
-	changes := l.changes
-	l.mu.Unlock()
-	p.Set(assignment("rooms", "[fd00::1]:1", "10.0.0.1:1"))
-	if !p.Await(testkit.Long, func(p *standin.ControlPlane) bool { return p.Acks.Load() >= 3 }) {
+func TestSource_ServersKeepTheirIDs(t *testing.T) {
+	controlPlane := startControlPlane(t)
+	controlPlane.Set(
+		cluster("rooms"),
+		cluster("more"),
+		assignment("rooms", "10.0.0.1:1", "[fd00::1]:1"),
+		assignment("more"),
+	)
+	_, published := runSource(t, Config{Servers: []Server{{Addr: controlPlane.Addr}}, Delta: true})
+	published.await(t, "10.0.0.1:1 [fd00::1]:1")
+	published.mu.Lock()
+	changes := published.changes
+	published.mu.Unlock()
+	controlPlane.Set(assignment("rooms", "[fd00::1]:1", "10.0.0.1:1"))
+	if !controlPlane.Await(
+		testkit.Long,
+		func(controlPlane *standin.ControlPlane) bool { return controlPlane.Acks.Load() >= 3 },
+	) {
 		t.Fatal("not acknowledged")
 	}
-	l.mu.Lock()
-	if l.changes != changes {
+	published.mu.Lock()
+	if published.changes != changes {
 		t.Error("another order was told as a change")
 	}
-	l.mu.Unlock()
+	published.mu.Unlock()
 	moved := assignment("more", "10.0.0.1:1")
 	moved.Endpoints[0].Locality.Zone = "b"
 	own, err := structpb.NewStruct(map[string]any{"started_ms": 1700000000000})
 	if err != nil {
 		t.Fatal(err)
 	}
-	moved.Endpoints[0].LbEndpoints[0].Metadata = &xdspb.Metadata{FilterMetadata: map[string]*structpb.Struct{resource.MetadataNamespace: own}}
-	p.Set(assignment("rooms", "[fd00::1]:1"), moved)
+	moved.Endpoints[0].LbEndpoints[0].Metadata = &xdspb.Metadata{
+		FilterMetadata: map[string]*structpb.Struct{resource.MetadataNamespace: own},
+	}
+	controlPlane.Set(assignment("rooms", "[fd00::1]:1"), moved)
 	testkit.Await(t, "the move", func() bool {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		m := l.members["10.0.0.1:1"]
+		published.mu.Lock()
+		defer published.mu.Unlock()
+		m := published.members["10.0.0.1:1"]
 		return m.Zone == "b" && slices.Equal(m.Pools, []string{"more"}) && m.Started.Equal(time.UnixMilli(1700000000000))
 	})
 }
 
 // The list that a router begins with serves until the control plane has told its own, and is gone then.
-func TestTheFirstListTakesThePlaceOfTheOld(t *testing.T) {
-	p := plane(t)
-	p.SetMuted(true)
-	p.Set(cluster("rooms"), assignment("rooms", "10.0.0.1:1", "10.0.0.2:1"))
-	source, err := New(Config{Servers: []Server{{Addr: p.Addr}}, Node: &xdspb.Node{Id: "first"}})
+func TestSource_FirstListReplacesInitial(t *testing.T) {
+	controlPlane := startControlPlane(t)
+	controlPlane.SetMuted(true)
+	controlPlane.Set(cluster("rooms"), assignment("rooms", "10.0.0.1:1", "10.0.0.2:1"))
+	source, err := New(Config{Servers: []Server{{Addr: controlPlane.Addr}}, Node: &xdspb.Node{Id: "first"}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -364,27 +393,27 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer r.Close()
+	t.Cleanup(func() { _ = r.Close() })
 	testkit.Await(t, "the stream", func() bool { return source.Status().Connected })
 	if n := r.Stats().EndpointsByAvailability[policy.Running]; n != 1 {
 		t.Errorf("%d servers before the control plane has told its own", n)
 	}
-	p.SetMuted(false)
+	controlPlane.SetMuted(false)
 	testkit.Await(t, "the list", func() bool { return r.Stats().EndpointsByPool["rooms"] == 2 })
 	if n := r.Stats().EndpointsByAvailability[policy.Running]; n != 2 {
 		t.Errorf("%d servers, want those of the control plane alone", n)
 	}
 }
 
-// sites is app servers on loopback that note every request they get.
-type sites struct {
+// appServers is app servers on loopback that note every request they get.
+type appServers struct {
 	addrs []string
 	mu    sync.Mutex
 	last  map[string]time.Time // by address
 }
 
-func newSites(t testing.TB, n int) *sites {
-	s := &sites{last: make(map[string]time.Time)}
+func newAppServers(t testing.TB, n int) *appServers {
+	s := &appServers{last: make(map[string]time.Time)}
 	for range n {
 		var addr string
 		addr = testkit.HTTPServer(t, func(http.ResponseWriter, *http.Request) {
@@ -404,40 +433,64 @@
 	if more, err := strconv.Atoi(os.Getenv("REMOVALS")); err == nil && more > 0 {
 		n = more
 	}
-	both(t, func(t *testing.T, delta bool) {
-		p, app := plane(t), newSites(t, 4)
-		p.Set(cluster("rooms"), assignment("rooms", app.addrs...))
-		source, err := New(Config{Servers: []Server{{Addr: p.Addr}}, Node: &xdspb.Node{Id: "load"}, Delta: delta, Log: slog.New(slog.DiscardHandler)})
+	forEachVariant(t, func(t *testing.T, delta bool) {
+		controlPlane, app := startControlPlane(t), newAppServers(t, 4)
+		controlPlane.Set(cluster("rooms"), assignment("rooms", app.addrs...))
+		source, err := New(
+			Config{
+				Servers: []Server{{Addr: controlPlane.Addr}},
+				Node:    &xdspb.Node{Id: "load"},
+				Delta:   delta,
+				Log:     slog.New(slog.DiscardHandler),
+			},
+		)
 		if err != nil {
 			t.Fatal(err)
 		}
-		removals(t, source, app, func(addrs []string) { p.Set(assignment("rooms", addrs...)) }, n)
+		removals(t, source, app, func(addrs []string) { controlPlane.Set(assignment("rooms", addrs...)) }, n)
 	})
 	t.Run("file", func(t *testing.T) {
-		app, path := newSites(t, 4), filepath.Join(t.TempDir(), "eds.json")
-		put(t, path, pack(t, assignment("rooms", app.addrs...)))
+		app, path := newAppServers(t, 4), filepath.Join(t.TempDir(), "eds.json")
+		replaceFile(t, path, fileOf(t, assignment("rooms", app.addrs...)))
 		source, err := NewFileSource([]string{path}, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
-		removals(t, source, app, func(addrs []string) { put(t, path, pack(t, assignment("rooms", addrs...))) }, (n+5)/6)
+		removals(
+			t,
+			source,
+			app,
+			func(addrs []string) { replaceFile(t, path, fileOf(t, assignment("rooms", addrs...))) },
+			(n+5)/6,
+		)
 	})
 }
 
 // removals takes servers away and puts them back, n times, under load, and holds the last request to
 // each against the moment at which it was taken away.
-func removals(t *testing.T, source router.EndpointSource, app *sites, set func([]string), n int) {
+func removals(t *testing.T, source router.EndpointSource, app *appServers, set func([]string), n int) {
 	r, err := router.New(router.Config{Settings: policy.Settings{
-		Nodes: 1, Zone: "a",
-		Classes:      []policy.Class{{Name: "read", LatencyObjective: time.Second, Deadline: 3 * time.Second, Idempotency: policy.Idempotent}},
-		Capabilities: policy.Capabilities{Cancel: true, MaxAttempts: 3}, Rules: policy.Rules{DrainGrace: 500 * time.Millisecond},
+		Nodes: 1,
+		Zone:  "a",
+		Classes: []policy.Class{
+			{Name: "read", LatencyObjective: time.Second, Deadline: 3 * time.Second, Idempotency: policy.Idempotent},
+		},
+		Capabilities: policy.Capabilities{
+			Cancel:      true,
+			MaxAttempts: 3,
+		},
+		Rules: policy.Rules{DrainGrace: 500 * time.Millisecond},
 	}},
 		router.WithEndpointSource(source), router.WithTransport(http1.New(http1.Config{})))
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer r.Close()
-	testkit.Await(t, "the servers", func() bool { return r.Stats().EndpointsByAvailability[policy.Running] == len(app.addrs) })
+	t.Cleanup(func() { _ = r.Close() })
+	testkit.Await(
+		t,
+		"the servers",
+		func() bool { return r.Stats().EndpointsByAvailability[policy.Running] == len(app.addrs) },
+	)
 	ctx, stop := context.WithCancel(t.Context())
 	var clients sync.WaitGroup
 	defer clients.Wait()
@@ -445,7 +498,11 @@
 	for c := range 8 {
 		clients.Go(func() {
 			for i := 0; ctx.Err() == nil; i++ {
-				if _, err := r.Do(ctx, router.Request{ID: fmt.Sprint(c, "-", i), Class: "read", Tenant: "t", Target: "/"}); err != nil && ctx.Err() == nil {
+				if _, err := r.Do(
+					ctx,
+					router.Request{ID: fmt.Sprint(c, "-", i), Class: "read", Tenant: "t", Target: "/"},
+				); err != nil &&
+					ctx.Err() == nil {
 					t.Error(err)
 				}
 			}
@@ -458,7 +515,11 @@
 		left := slices.DeleteFunc(slices.Clone(app.addrs), func(a string) bool { return a == gone })
 		told := time.Now()
 		set(left)
-		testkit.Await(t, "the removal", func() bool { return r.Stats().EndpointsByAvailability[policy.Running] == len(left) })
+		testkit.Await(
+			t,
+			"the removal",
+			func() bool { return r.Stats().EndpointsByAvailability[policy.Running] == len(left) },
+		)
 		time.Sleep(10 * time.Millisecond)
 		app.mu.Lock()
 		late := max(0, app.last[gone].Sub(told))
@@ -466,7 +527,11 @@
 		hist[late.Truncate(time.Millisecond)]++
 		app.mu.Unlock()
 		set(app.addrs)
-		testkit.Await(t, "its return", func() bool { return r.Stats().EndpointsByAvailability[policy.Running] == len(app.addrs) })
+		testkit.Await(
+			t,
+			"its return",
+			func() bool { return r.Stats().EndpointsByAvailability[policy.Running] == len(app.addrs) },
+		)
 	}
 	if worst > 500*time.Millisecond {
 		t.Errorf("a server got a request %v after its removal was told", worst)
