--- a/discovery/xds/ads/ads_test.go
+++ b/discovery/xds/ads/ads_test.go
@@ -43,15 +43,15 @@
 	return got
 }
 
-func want(t *testing.T, m *Machine, what map[string]string) {
+func wantServed(t *testing.T, m *Machine, what map[string]string) {
 	t.Helper()
 	if got := serves(m); !maps.Equal(got, what) {
 		t.Errorf("in force: %v, want %v", got, what)
 	}
 }
 
-// one expects a single request.
-func one(t *testing.T, rs []Request) Request {
+// single expects a single request.
+func single(t *testing.T, rs []Request) Request {
 	t.Helper()
 	if len(rs) != 1 {
 		t.Fatalf("%d requests: %+v, want one", len(rs), rs)
@@ -61,7 +61,7 @@
 
 func TestMachine_SubscribesAndAcknowledgesSotW(t *testing.T) {
 	machine := New(SotW)
-	if r := one(
+	if r := single(
 		t,
 		machine.Connected(),
 	); r.Type != Clusters || !r.IncludeNode || r.Version != "" || r.Nonce != "" ||
@@ -76,11 +76,11 @@
 		rs[1].Type != Endpoints || rs[1].Nonce != "" || !slices.Equal(rs[1].ResourceNames, []string{"s"}) {
 		t.Errorf("after the clusters: %+v", rs)
 	}
-	want(t, machine, map[string]string{"c": "none yet"})
+	wantServed(t, machine, map[string]string{"c": "none yet"})
 	if machine.Complete() {
 		t.Error("whole without the endpoints")
 	}
-	r := one(
+	r := single(
 		t,
 		machine.HandleResponse(
 			t0,
@@ -90,12 +90,12 @@
 	if r.Version != "7" || r.Nonce != "b" || !slices.Equal(r.ResourceNames, []string{"s"}) {
 		t.Errorf("acknowledged by %+v", r)
 	}
-	want(t, machine, map[string]string{"c": "1 2"})
+	wantServed(t, machine, map[string]string{"c": "1 2"})
 	if !machine.Complete() {
 		t.Error("not whole")
 	}
 	machine.Disconnected()
-	want(t, machine, map[string]string{"c": "1 2"}) // the last good list serves on
+	wantServed(t, machine, map[string]string{"c": "1 2"}) // the last good list serves on
 	if got := machine.HandleResponse(t0, Response{Type: Clusters, Version: "2", Nonce: "late"}); got != nil {
 		t.Errorf("answered after the stream's end: %+v", got)
 	}
@@ -109,7 +109,7 @@
 
 func TestMachine_SubscribesAndAcknowledgesDelta(t *testing.T) {
 	machine := New(Delta)
-	one(t, machine.Connected())
+	single(t, machine.Connected())
 	c1, c2 := eds("c1", "s1"), eds("c2", "s2")
 	c1.Version, c2.Version = "v1", "v2"
 	rs := machine.HandleResponse(t0, Response{Type: Clusters, Nonce: "a", Resources: []Resource{c1, c2}})
@@ -127,9 +127,9 @@
 		!slices.Equal(rs[1].Unsubscribe, []string{"s2"}) {
 		t.Errorf("after a change of clusters: %+v", rs)
 	}
-	want(t, machine, map[string]string{"c1": "1", "c3": "none yet"})
+	wantServed(t, machine, map[string]string{"c1": "1", "c3": "none yet"})
 	machine.HandleResponse(t0, Response{Type: Endpoints, Nonce: "d", Removed: []string{"s1"}})
-	want(t, machine, map[string]string{"c1": "", "c3": "none yet"})
+	wantServed(t, machine, map[string]string{"c1": "", "c3": "none yet"})
 	machine.HandleResponse(t0, Response{Type: Endpoints, Nonce: "e", Resources: []Resource{e1}})
 	machine.Disconnected()
 	rs = machine.Connected()
@@ -158,25 +158,25 @@
 				Resources: []Resource{endpoints("s", "1"), endpoints("r", "2")},
 			},
 		)
-		r := one(t, machine.HandleResponse(t0, Response{Type: Endpoints, Version: "2", Nonce: "c", Resources: []Resource{
+		r := single(t, machine.HandleResponse(t0, Response{Type: Endpoints, Version: "2", Nonce: "c", Resources: []Resource{
 			{Name: "s", Err: errors.New("port 0")}, endpoints("r", "3"),
 		}}))
 		if r.ErrorDetail != "port 0" || r.Nonce != "c" || variant == SotW && r.Version != "1" {
 			t.Errorf("variant %d: refused by %+v", variant, r)
 		}
-		want(t, machine, map[string]string{"c": "1", "d": "3"})
+		wantServed(t, machine, map[string]string{"c": "1", "d": "3"})
 		if st := machine.Status(Endpoints); st.Rejected["s"] != "port 0" || st.NACKReason != "port 0" {
 			t.Errorf("status %+v", st)
 		}
-		r = one(
+		r = single(
 			t,
 			machine.HandleResponse(t0, Response{Type: Clusters, Version: "2", Nonce: "d", Err: errors.New("not a response")}),
 		)
 		if r.ErrorDetail != "not a response" {
 			t.Errorf("variant %d: a response that can't be read: %+v", variant, r)
 		}
-		want(t, machine, map[string]string{"c": "1", "d": "3"})
-		r = one(
+		wantServed(t, machine, map[string]string{"c": "1", "d": "3"})
+		r = single(
 			t,
 			machine.HandleResponse(
 				t0,
@@ -204,17 +204,17 @@
 			t0,
 			Response{Type: Clusters, Version: "2", Nonce: "c", Resources: []Resource{eds("c", "s2")}},
 		)
-		want(t, machine, map[string]string{"c": "1"})
+		wantServed(t, machine, map[string]string{"c": "1"})
 		machine.HandleResponse(
 			t0,
 			Response{Type: Endpoints, Version: "2", Nonce: "d", Resources: []Resource{endpoints("s2", "2")}},
 		)
-		want(t, machine, map[string]string{"c": "2"})
+		wantServed(t, machine, map[string]string{"c": "2"})
 		machine.HandleResponse(
 			t0,
 			Response{Type: Clusters, Version: "3", Nonce: "e", Resources: []Resource{eds("n", "s3")}, Removed: []string{"c"}},
 		)
-		want(t, machine, map[string]string{"c": "2", "n": "none yet"})
+		wantServed(t, machine, map[string]string{"c": "2", "n": "none yet"})
 		if machine.Complete() || !machine.Applied()["c"].PendingRemoval {
 			t.Errorf("variant %d: %+v", variant, machine.Applied())
 		}
@@ -222,12 +222,12 @@
 			t0,
 			Response{Type: Endpoints, Version: "3", Nonce: "f", Resources: []Resource{endpoints("s3", "3")}},
 		)
-		want(t, machine, map[string]string{"n": "3"})
+		wantServed(t, machine, map[string]string{"n": "3"})
 		machine.HandleResponse(
 			t0,
 			Response{Type: Endpoints, Version: "4", Nonce: "g", Resources: []Resource{endpoints("s3")}},
 		)
-		want(t, machine, map[string]string{"n": ""})
+		wantServed(t, machine, map[string]string{"n": ""})
 		if !machine.Complete() {
 			t.Errorf("variant %d: an empty list is a list", variant)
 		}
@@ -245,7 +245,7 @@
 			t0,
 			Response{Type: Endpoints, Version: version, Nonce: addr, Resources: []Resource{endpoints("s", addr)}},
 		)
-		want(t, machine, map[string]string{"c": addr})
+		wantServed(t, machine, map[string]string{"c": addr})
 	}
 }
 
@@ -270,11 +270,11 @@
 	if changed, _ := machine.ExpireResources(t0.Add(12 * time.Second)); changed {
 		t.Error("gone though its heartbeat came")
 	}
-	want(t, machine, map[string]string{"c": "1"})
+	wantServed(t, machine, map[string]string{"c": "1"})
 	if changed, next := machine.ExpireResources(t0.Add(16 * time.Second)); !changed || !next.IsZero() {
 		t.Errorf("changed %v, next %v", changed, next)
 	}
-	want(t, machine, map[string]string{"c": ""})
+	wantServed(t, machine, map[string]string{"c": ""})
 }
 
 // A nonce belongs to its stream: a request that follows the clusters on a new one carries none of the
@@ -313,7 +313,7 @@
 	}
 	machine.HandleResponse(t0, Response{Type: Clusters, Nonce: "b", Resources: []Resource{eds("c", "s")}})
 	machine.HandleResponse(t0, Response{Type: Endpoints, Nonce: "c", Resources: []Resource{endpoints("other", "1")}})
-	want(t, machine, map[string]string{"c": "none yet"})
+	wantServed(t, machine, map[string]string{"c": "none yet"})
 }
 
 // plane is a control plane as the specification has it, without a wire: it holds the newest list, and
@@ -324,39 +324,39 @@
 	clusters map[string]string          // name to service
 	addrs    map[string][]string        // by service
 	versions map[string]int             // of an assignment
-	sentAll  map[string]map[string]bool // every state that a service was ever in
+	everSent map[string]map[string]bool // every state that a service was ever in
 
 	// Of the client's stream.
-	names  map[string]bool
-	known  [NumTypes]map[string]int // versions that the client was sent
-	nonce  int
-	inWire []Response
+	names    map[string]bool
+	known    [NumTypes]map[string]int // versions that the client was sent
+	nonce    int
+	inFlight []Response
 }
 
 func newPlane(v Variant) *plane {
 	return &plane{
 		variant: v, clusters: make(map[string]string), addrs: make(map[string][]string), versions: make(map[string]int),
-		sentAll: make(map[string]map[string]bool),
+		everSent: make(map[string]map[string]bool),
 	}
 }
 
 func (p *plane) set(service string, addrs []string) {
 	p.version++
 	p.addrs[service], p.versions[service] = addrs, p.version
-	if p.sentAll[service] == nil {
-		p.sentAll[service] = make(map[string]bool)
+	if p.everSent[service] == nil {
+		p.everSent[service] = make(map[string]bool)
 	}
-	p.sentAll[service][strings.Join(addrs, " ")] = true
+	p.everSent[service][strings.Join(addrs, " ")] = true
 }
 
 // connect begins a stream: what was on its way is lost.
 func (p *plane) connect() {
-	p.inWire, p.names = nil, make(map[string]bool)
+	p.inFlight, p.names = nil, make(map[string]bool)
 	p.known = [NumTypes]map[string]int{make(map[string]int), make(map[string]int)}
 }
 
-// hear takes a request in.
-func (p *plane) hear(r Request) {
+// receive takes a request in.
+func (p *plane) receive(r Request) {
 	if r.Type == Clusters {
 		if r.Nonce == "" {
 			p.setKnown(Clusters, r.InitialVersions)
@@ -394,10 +394,10 @@
 	}
 }
 
-func (p *plane) post(r Response) {
+func (p *plane) enqueue(r Response) {
 	p.nonce++
 	r.Nonce, r.Version = fmt.Sprint(p.nonce), fmt.Sprint(p.version)
-	p.inWire = append(p.inWire, r)
+	p.inFlight = append(p.inFlight, r)
 }
 
 func (p *plane) sendClusters() {
@@ -418,7 +418,7 @@
 			p.known[Clusters][name] = p.version
 		}
 	}
-	p.post(r)
+	p.enqueue(r)
 }
 
 func (p *plane) sendEndpoints() {
@@ -437,7 +437,7 @@
 		}
 	}
 	if len(r.Resources)+len(r.Removed) > 0 {
-		p.post(r)
+		p.enqueue(r)
 	}
 }
 
@@ -456,7 +456,7 @@
 			run.step()
 		}
 		run.connect()
-		for n := 0; len(run.plane.inWire) > 0; n++ {
+		for n := 0; len(run.plane.inFlight) > 0; n++ {
 			if n > 1000 {
 				t.Fatal("the two never come to rest")
 			}
@@ -486,11 +486,11 @@
 	case 2:
 		r.machine.Disconnected()
 		r.connected = false
-		r.plane.inWire = nil
+		r.plane.inFlight = nil
 	case 3:
 		r.connect()
 	default:
-		if r.connected && len(r.plane.inWire) > 0 {
+		if r.connected && len(r.plane.inFlight) > 0 {
 			r.deliver()
 		}
 	}
@@ -533,14 +533,14 @@
 
 func (r *modelRun) send(requests []Request) {
 	for _, request := range requests {
-		r.plane.hear(request)
+		r.plane.receive(request)
 	}
 }
 
 // deliver passes the next response on, and checks what is in force then.
 func (r *modelRun) deliver() {
-	response := r.plane.inWire[0]
-	r.plane.inWire = r.plane.inWire[1:]
+	response := r.plane.inFlight[0]
+	r.plane.inFlight = r.plane.inFlight[1:]
 	before := countEndpoints(r.machine)
 	r.send(r.machine.HandleResponse(r.now, response))
 	for name, cluster := range r.machine.Applied() {
@@ -548,7 +548,7 @@
 			continue
 		}
 		state := strings.Join(addresses(cluster.Assignment), " ")
-		if !r.plane.sentAll[cluster.Assignment.Name][state] {
+		if !r.plane.everSent[cluster.Assignment.Name][state] {
 			r.Fatalf("cluster %s serves %q of %s, which was never a list", name, state, cluster.Assignment.Name)
 		}
 	}
--- a/discovery/xds/priority/priority_test.go
+++ b/discovery/xds/priority/priority_test.go
@@ -48,20 +48,22 @@
 		{1.4, "GGG", "xxx"},
 		{1.4, "", ""},
 	} {
-		open := Eligible(assignment(test.factor, test.text))
-		var got strings.Builder
-		i := 0
-		for _, r := range test.text {
-			if r == ' ' {
-				got.WriteByte(' ')
-				continue
+		t.Run(fmt.Sprintf("%q at %v", test.text, test.factor), func(t *testing.T) {
+			open := Eligible(assignment(test.factor, test.text))
+			var got strings.Builder
+			i := 0
+			for _, r := range test.text {
+				if r == ' ' {
+					got.WriteByte(' ')
+					continue
+				}
+				got.WriteByte(map[bool]byte{true: 'x', false: '.'}[open[i]])
+				i++
 			}
-			got.WriteByte(map[bool]byte{true: 'x', false: '.'}[open[i]])
-			i++
-		}
-		if got.String() != test.want {
-			t.Errorf("%q at %v: %q, want %q", test.text, test.factor, got.String(), test.want)
-		}
+			if got.String() != test.want {
+				t.Errorf("%q at %v: %q, want %q", test.text, test.factor, got.String(), test.want)
+			}
+		})
 	}
 }
 
--- a/discovery/xds/resource/resource_test.go
+++ b/discovery/xds/resource/resource_test.go
@@ -40,8 +40,8 @@
 	}}
 }
 
-// own puts keys into the router's own namespace of an endpoint's metadata.
-func own(t *testing.T, e *xdspb.LbEndpoint, keys map[string]any) {
+// setMetadata puts keys into the router's own namespace of an endpoint's metadata.
+func setMetadata(t *testing.T, e *xdspb.LbEndpoint, keys map[string]any) {
 	t.Helper()
 	s, err := structpb.NewStruct(keys)
 	if err != nil {
@@ -53,7 +53,7 @@
 func TestParseAssignment(t *testing.T) {
 	p := good()
 	e := p.Endpoints[0].LbEndpoints[0]
-	own(t, e, map[string]any{"kind": "vykonny-4j", "cell": 3, "started_ms": "1700000000000"})
+	setMetadata(t, e, map[string]any{"kind": "vykonny-4j", "cell": 3, "started_ms": "1700000000000"})
 	e.HealthStatus, e.LoadBalancingWeight = xdspb.HealthStatus_DRAINING, wrapperspb.UInt32(7)
 	p.Policy = &xdspb.ClusterLoadAssignment_Policy{
 		OverprovisioningFactor: wrapperspb.UInt32(200), EndpointStaleAfter: durationpb.New(time.Minute),
@@ -172,19 +172,19 @@
 			firstEndpoint(p).HealthStatus = 17
 		},
 		ownAt + "kindd: unknown key": func(p *xdspb.ClusterLoadAssignment) {
-			own(t, firstEndpoint(p), map[string]any{"kindd": "x"})
+			setMetadata(t, firstEndpoint(p), map[string]any{"kindd": "x"})
 		},
 		ownAt + "kind": func(p *xdspb.ClusterLoadAssignment) {
-			own(t, firstEndpoint(p), map[string]any{"kind": 3})
+			setMetadata(t, firstEndpoint(p), map[string]any{"kind": 3})
 		},
 		ownAt + "cell": func(p *xdspb.ClusterLoadAssignment) {
-			own(t, firstEndpoint(p), map[string]any{"cell": 1.5})
+			setMetadata(t, firstEndpoint(p), map[string]any{"cell": 1.5})
 		},
 		ownAt + "started_ms: want Unix": func(p *xdspb.ClusterLoadAssignment) {
-			own(t, firstEndpoint(p), map[string]any{"started_ms": -1})
+			setMetadata(t, firstEndpoint(p), map[string]any{"started_ms": -1})
 		},
 		ownAt + "started_ms": func(p *xdspb.ClusterLoadAssignment) {
-			own(t, firstEndpoint(p), map[string]any{"started_ms": "soon"})
+			setMetadata(t, firstEndpoint(p), map[string]any{"started_ms": "soon"})
 		},
 	})
 }
@@ -240,7 +240,7 @@
 	both, bare, spoilt := typed(xdspb.Cluster_EDS), typed(xdspb.Cluster_STATIC), typed(xdspb.Cluster_STATIC)
 	both.LoadAssignment, spoilt.LoadAssignment = good(), good()
 	spoilt.LoadAssignment.Endpoints[0].LbEndpoints[1] = endpoint("10.0.0.1", 0)
-	for want, p := range map[string]*xdspb.Cluster{
+	for want, cluster := range map[string]*xdspb.Cluster{
 		"name: missing":                      {},
 		"type: STRICT_DNS is refused":        typed(xdspb.Cluster_STRICT_DNS),
 		"type: LOGICAL_DNS is refused":       typed(xdspb.Cluster_LOGICAL_DNS),
@@ -252,9 +252,11 @@
 			ClusterType: &xdspb.Cluster_CustomClusterType{Name: "envoy.clusters.aggregate"},
 		}},
 	} {
-		if _, err := ParseCluster(p); err == nil || !strings.Contains(err.Error(), want) {
-			t.Errorf("got %v, want %q", err, want)
-		}
+		t.Run(want, func(t *testing.T) {
+			if _, err := ParseCluster(cluster); err == nil || !strings.Contains(err.Error(), want) {
+				t.Errorf("got %v, want %q", err, want)
+			}
+		})
 	}
 }
 
--- a/discovery/xds/script_test.go
+++ b/discovery/xds/script_test.go
@@ -167,9 +167,12 @@
 		"expect acks 1":                    `want acks N, streams N, or nack TEXT, then "within TIME"`,
 		"stall servers":                    "want clusters, endpoints or nothing",
 	} {
-		if _, err := standin.ParseScript(strings.NewReader(text)); err == nil || !strings.Contains(err.Error(), want) {
-			t.Errorf("%q: got %v, want %q", text, err, want)
-		}
+		t.Run(want, func(t *testing.T) {
+			_, err := standin.ParseScript(strings.NewReader(text))
+			if err == nil || !strings.Contains(err.Error(), want) {
+				t.Errorf("%q: got %v, want %q", text, err, want)
+			}
+		})
 	}
 	controlPlane := startControlPlane(t)
 	source, err := standin.ParseScript(strings.NewReader("push\nexpect streams 1 within 10ms"))
