--- a/discovery/xds/snapshot.go
+++ b/discovery/xds/snapshot.go
@@ -15,223 +15,239 @@
 	"cobaltward/router"
 )
 
-// book keeps the servers that were told, so that each update tells what changed and no more. A server
-// is known by its address: it stays the same whichever clusters and localities list it.
-type book struct {
-	clusters map[string]entry
-	members  map[string]router.Endpoint // as told
-	listed   map[string][]listing       // by address, in the order of the clusters' names
-	told     bool
-	drops    dropoverload.Fractions // as told
-	pace     pace.Pacer
-}
-
-// entry is a cluster as it was last looked at.
-type entry struct {
+// pauseInterval is after how many servers a large change may pause, as the decoder of assignments does.
+const pauseInterval = 32
+
+// snapshot is the list of servers as it was last published, so that each update holds only what has changed. A server
+// is identified by its address: it stays the same whichever clusters and localities list it. It is not safe for
+// concurrent use.
+type snapshot struct {
+	clusters         map[string]clusterState
+	published        map[string]router.Endpoint  // by address
+	listings         map[string][]clusterListing // by address, in order of the clusters' names
+	initialPublished bool                        // the first list of servers has been published
+	drops            dropoverload.Fractions      // as published
+	pacer            pace.Pacer
+}
+
+// clusterState is a cluster as it was last applied.
+type clusterState struct {
 	assignment *resource.Assignment
-	open       []bool // by endpoint
+	eligible   []bool // by index of the endpoint
 }
 
-// listing is what one cluster says of a server.
-type listing struct {
-	cluster string
-	e       resource.Endpoint
-	open    bool
+// clusterListing is what one cluster says of a server.
+type clusterListing struct {
+	cluster  string
+	endpoint resource.Endpoint
+	eligible bool // for new work, by health and priority
 }
 
-func newBook() *book {
-	return &book{clusters: make(map[string]entry), members: make(map[string]router.Endpoint), listed: make(map[string][]listing)}
+// excluded reports whether the endpoint's health bars the server from new work in every cluster.
+func (l clusterListing) excluded() bool {
+	switch l.endpoint.Health {
+	case resource.Draining, resource.Unhealthy, resource.Timeout:
+		return true
+	default:
+		return false
+	}
 }
 
-// update takes over what is in force, and returns the servers that changed; those that are gone are
-// Removed. Clusters whose endpoints are as they were cost nothing, and of others those that changed.
-func (b *book) update(applied map[string]ads.Applied) []router.Endpoint {
-	touched := make(map[string]bool)
-	for name, old := range b.clusters {
+func newSnapshot() *snapshot {
+	return &snapshot{
+		clusters:  make(map[string]clusterState),
+		published: make(map[string]router.Endpoint),
+		listings:  make(map[string][]clusterListing),
+	}
+}
+
+// apply takes over the clusters in force and returns the servers that have changed; those that are gone are Removed.
+// Clusters whose assignment is the same object cost nothing, and of others only the endpoints that differ.
+func (s *snapshot) apply(applied map[string]ads.AppliedCluster) []router.Endpoint {
+	touched := make(map[string]bool) // addresses
+	for name, former := range s.clusters {
 		if applied[name].Assignment == nil {
-			for _, e := range old.assignment.Endpoints {
-				b.unlist(name, e.Addr)
-				touched[e.Addr] = true
+			for _, endpoint := range former.assignment.Endpoints {
+				s.removeListing(name, endpoint.Addr)
+				touched[endpoint.Addr] = true
 			}
-			delete(b.clusters, name)
+			delete(s.clusters, name)
 		}
 	}
-	for name, a := range applied {
-		if old := b.clusters[name]; a.Assignment != nil && a.Assignment != old.assignment {
-			b.clusters[name] = b.list(name, old, a.Assignment, touched)
+	for name, cluster := range applied {
+		former := s.clusters[name]
+		if cluster.Assignment != nil && cluster.Assignment != former.assignment {
+			s.clusters[name] = s.applyAssignment(name, former, cluster.Assignment, touched)
 		}
 	}
+	return s.changes(touched)
+}
+
+// changes is what has to be published of the servers at the touched addresses, in order of address.
+func (s *snapshot) changes(touched map[string]bool) []router.Endpoint {
 	var changed []router.Endpoint
-	for i, addr := range slices.Sorted(maps.Keys(touched)) { // ids are addresses
-		if i%pauseEvery == pauseEvery-1 {
-			b.pace.Pause()
-		}
-		old, had := b.members[addr]
-		m, has := b.member(addr)
+	for i, addr := range slices.Sorted(maps.Keys(touched)) {
+		s.pauseAt(i)
+		former, wasPublished := s.published[addr]
+		endpoint, listed := s.mergeListings(addr)
 		switch {
-		case !has && had:
-			old.Availability = policy.Removed
-			changed = append(changed, old)
-			delete(b.members, addr)
-		case has && (!had || !discovery.Equal(old, m)):
-			changed = append(changed, m)
-			b.members[addr] = m
+		case !listed && wasPublished:
+			former.Availability = policy.Removed
+			changed = append(changed, former)
+			delete(s.published, addr)
+		case listed && (!wasPublished || !discovery.Equal(former, endpoint)):
+			changed = append(changed, endpoint)
+			s.published[addr] = endpoint
 		}
 	}
 	return changed
 }
 
-// pauseEvery is after how many servers a large change may pause, as the reader of the resources does.
-const pauseEvery = 32
+// pauseAt lets other work run after every pauseInterval-th server.
+func (s *snapshot) pauseAt(i int) {
+	if i%pauseInterval == pauseInterval-1 {
+		s.pacer.Pause()
+	}
+}
 
-// asked is what the clusters in force want dropped.
-func (b *book) asked() dropoverload.Fractions {
-	asked := make(dropoverload.Fractions)
-	for name, e := range b.clusters {
-		if e.assignment.Drop > 0 {
-			asked[name] = e.assignment.Drop
+// dropOverloads is the part of the requests that each cluster in force asks to be dropped.
+func (s *snapshot) dropOverloads() dropoverload.Fractions {
+	fractions := make(dropoverload.Fractions)
+	for name, cluster := range s.clusters {
+		if cluster.assignment.Drop > 0 {
+			fractions[name] = cluster.assignment.Drop
 		}
 	}
-	return asked
+	return fractions
 }
 
-// change is what to tell of the servers that changed, and of requests to be dropped; nil for nothing. The
-// first takes the place of whatever list the router began with, which nobody would ever take away
-// otherwise.
-func (b *book) change(members []router.Endpoint) *router.EndpointUpdate {
-	c := &router.EndpointUpdate{Kind: policy.ListUpdate, Endpoints: members}
-	if asked := b.asked(); !asked.Equal(b.drops) {
-		b.drops, c.Drops = asked, asked
-	}
-	if len(members) == 0 && c.Drops == nil {
+// endpointUpdate is what to publish of the servers that have changed and of drop overloads; nil for nothing. The first
+// list of servers replaces the list that the router started with, which nothing else would ever remove.
+func (s *snapshot) endpointUpdate(changed []router.Endpoint) *router.EndpointUpdate {
+	update := &router.EndpointUpdate{Kind: policy.ListUpdate, Endpoints: changed}
+	if drops := s.dropOverloads(); !drops.Equal(s.drops) {
+		s.drops, update.Drops = drops, drops
+	}
+	if len(changed) == 0 && update.Drops == nil {
 		return nil
 	}
-	if !b.told && len(members) > 0 {
-		b.told, c.Kind = true, policy.ListReplace
+	if !s.initialPublished && len(changed) > 0 {
+		s.initialPublished, update.Kind = true, policy.ListReplace
 	}
-	return c
+	return update
 }
 
-// unlist takes away what a cluster says of the server at an address.
-func (b *book) unlist(name, addr string) {
-	left := slices.DeleteFunc(b.listed[addr], func(l listing) bool { return l.cluster == name })
-	if len(left) == 0 {
-		delete(b.listed, addr)
-	} else {
-		b.listed[addr] = left
-	}
+// formerEndpoints finds endpoints in the former assignment of a cluster.
+type formerEndpoints struct {
+	endpoints []resource.Endpoint
+	positions map[string]int // by address; built when the order of the new assignment first differs
 }
 
-// list takes over the endpoints of a cluster; old is what it had.
-func (b *book) list(name string, old entry, a *resource.Assignment, touched map[string]bool) entry {
-	next := entry{assignment: a, open: priority.Open(a)}
-	var before []resource.Endpoint
-	if old.assignment != nil {
-		before = old.assignment.Endpoints
-	}
-	var places map[string]int // of those before, made where the order is another
-	still := make([]bool, len(before))
-	for i, e := range a.Endpoints {
-		if i%pauseEvery == pauseEvery-1 {
-			b.pace.Pause()
-		}
-		at, had := i, i < len(before) && before[i].Addr == e.Addr
-		if !had && len(before) > 0 {
-			if places == nil {
-				places = make(map[string]int, len(before))
-				for j := range before {
-					places[before[j].Addr] = j
-				}
-			}
-			at, had = places[e.Addr]
+// position is where the endpoint with an address is; guess is tried first.
+func (f *formerEndpoints) position(addr string, guess int) (position int, found bool) {
+	if guess < len(f.endpoints) && f.endpoints[guess].Addr == addr {
+		return guess, true
+	}
+	if len(f.endpoints) == 0 {
+		return 0, false
+	}
+	if f.positions == nil {
+		f.positions = make(map[string]int, len(f.endpoints))
+		for i := range f.endpoints {
+			f.positions[f.endpoints[i].Addr] = i
 		}
+	}
+	position, found = f.positions[addr]
+	return position, found
+}
+
+// applyAssignment takes over the new assignment of a cluster, adds the addresses whose listings change to touched, and
+// returns the cluster's new state.
+func (s *snapshot) applyAssignment(
+	cluster string, former clusterState, assignment *resource.Assignment, touched map[string]bool,
+) clusterState {
+	next := clusterState{assignment: assignment, eligible: priority.Eligible(assignment)}
+	var before formerEndpoints
+	if former.assignment != nil {
+		before.endpoints = former.assignment.Endpoints
+	}
+	retained := make([]bool, len(before.endpoints))
+	for i, endpoint := range assignment.Endpoints {
+		s.pauseAt(i)
+		position, had := before.position(endpoint.Addr, i)
 		if had {
-			still[at] = true
-			if before[at] == e && old.open[at] == next.open[i] {
+			retained[position] = true
+			if before.endpoints[position] == endpoint && former.eligible[position] == next.eligible[i] {
 				continue
 			}
-			b.unlist(name, e.Addr)
+			s.removeListing(cluster, endpoint.Addr)
 		}
-		all := append(b.listed[e.Addr], listing{name, e, next.open[i]})
-		slices.SortFunc(all, func(x, y listing) int { return cmp.Compare(x.cluster, y.cluster) })
-		b.listed[e.Addr] = all
-		touched[e.Addr] = true
-	}
-	for j, e := range before {
-		if j%pauseEvery == pauseEvery-1 {
-			b.pace.Pause()
-		}
-		if !still[j] {
-			b.unlist(name, e.Addr)
-			touched[e.Addr] = true
+		s.addListing(clusterListing{cluster, endpoint, next.eligible[i]})
+		touched[endpoint.Addr] = true
+	}
+	for i, endpoint := range before.endpoints {
+		s.pauseAt(i)
+		if !retained[i] {
+			s.removeListing(cluster, endpoint.Addr)
+			touched[endpoint.Addr] = true
 		}
 	}
 	return next
 }
 
-// member puts together what the clusters say of a server. It drains where any of them says so, or where
-// it is unhealthy; where it is merely not needed in one cluster, another may still open it, and it is
-// then of that one's pool. It started when the latest of them says.
-func (b *book) member(addr string) (router.Endpoint, bool) {
-	all := b.listed[addr]
-	if len(all) == 0 {
+// addListing adds what a cluster says of a server that it has no listing of.
+func (s *snapshot) addListing(listing clusterListing) {
+	listings := append(s.listings[listing.endpoint.Addr], listing)
+	slices.SortFunc(listings, func(x, y clusterListing) int { return cmp.Compare(x.cluster, y.cluster) })
+	s.listings[listing.endpoint.Addr] = listings
+}
+
+// removeListing removes what a cluster says of the server at an address.
+func (s *snapshot) removeListing(cluster, addr string) {
+	rest := slices.DeleteFunc(s.listings[addr], func(l clusterListing) bool { return l.cluster == cluster })
+	if len(rest) == 0 {
+		delete(s.listings, addr)
+	} else {
+		s.listings[addr] = rest
+	}
+}
+
+// mergeListings is the server at an address as all clusters together have it, and whether any lists it. It is draining
+// where any of them says that it drains or is unhealthy. Where one merely does not need it, another may still use it;
+// it is then in the pool of that one alone. Its start time is the latest of all.
+func (s *snapshot) mergeListings(addr string) (router.Endpoint, bool) {
+	listings := s.listings[addr]
+	if len(listings) == 0 {
 		return router.Endpoint{}, false
 	}
-	first := all[0].e
-	m := router.Endpoint{
+	first := listings[0].endpoint
+	merged := router.Endpoint{
 		ID: addr, Addr: addr, Zone: first.Zone, Kind: first.Kind, Cell: first.Cell, Weight: first.Weight,
 		Started: first.Started, Availability: policy.Draining,
 	}
-	barred := false
-	for _, l := range all {
-		if l.e.Started.After(m.Started) {
-			m.Started = l.e.Started
-		}
-		switch l.e.Health {
-		case resource.Draining, resource.Unhealthy, resource.Timeout:
-			barred = true
+	excluded := false
+	for _, listing := range listings {
+		if listing.endpoint.Started.After(merged.Started) {
+			merged.Started = listing.endpoint.Started
 		}
-		if l.open {
-			m.Availability = policy.Running
-			m.Pools = append(m.Pools, l.cluster)
+		excluded = excluded || listing.excluded()
+		if listing.eligible {
+			merged.Availability = policy.Running
+			merged.Pools = append(merged.Pools, listing.cluster)
 		}
 	}
-	if barred {
-		m.Availability, m.Pools = policy.Draining, nil
-	}
-	return m, true
-}
-
-// whole is all that is told, in order of id.
-func (b *book) whole() []router.Endpoint {
-	all := make([]router.Endpoint, 0, len(b.members))
-	for _, m := range b.members {
-		all = append(all, m)
+	if excluded {
+		merged.Availability, merged.Pools = policy.Draining, nil
 	}
-	slices.SortFunc(all, func(a, b router.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
-	return all
+	return merged, true
 }
 
-// endpoints tells of each endpoint of each cluster whether it is used, or why not.
-func (b *book) endpoints() (all []EndpointStatus) {
-	for addr, listed := range b.listed {
-		for _, l := range listed {
-			use := "yes"
-			switch {
-			case l.e.Health == resource.Draining || l.e.Health == resource.Unhealthy || l.e.Health == resource.Timeout:
-				use = "no: " + l.e.Health.String()
-			case b.members[addr].Availability == policy.Draining && l.open:
-				use = "no: another cluster bars it"
-			case !l.open && l.e.Health == resource.Degraded:
-				use = "no: enough others are healthy"
-			case !l.open:
-				use = "no: a higher priority has enough"
-			}
-			all = append(all, EndpointStatus{l.cluster, l.e, use})
-		}
-	}
-	slices.SortFunc(all, func(x, y EndpointStatus) int {
-		return cmp.Or(cmp.Compare(x.Cluster, y.Cluster), cmp.Compare(x.Addr, y.Addr))
-	})
-	return all
+// endpoints is the whole list as published, in order of id.
+func (s *snapshot) endpoints() []router.Endpoint {
+	endpoints := make([]router.Endpoint, 0, len(s.published))
+	for _, endpoint := range s.published {
+		endpoints = append(endpoints, endpoint)
+	}
+	slices.SortFunc(endpoints, func(x, y router.Endpoint) int { return cmp.Compare(x.ID, y.ID) })
+	return endpoints
 }
