xDS: the reason of a rejected pipe address is the former one

Need: reasons of rejected resources go out in NACKs, and what is on the wire stays as it was. Change: one text back to 'Unix sockets are not taken'. Measured: tests of discovery/xds and its resource package pass, linters clean.

--- a/discovery/xds/resource/endpoint.go
+++ b/discovery/xds/resource/endpoint.go
@@ -83,7 +83,7 @@
 // parseAddress is the IP:port of an address.
 func parseAddress(address *xdspb.Address) (string, error) {
 	if pipe := address.GetPipe(); pipe != nil {
-		return "", rejectField("endpoint.address.pipe", "a Unix socket is not taken, got %q", pipe.GetPath())
+		return "", rejectField("endpoint.address.pipe", "Unix sockets are not taken, got %q", pipe.GetPath())
 	}
 	socket := address.GetSocketAddress()
 	if socket == nil {
