Node: the transport's optional limit of connections is named and asserted

Change: connLimiter, with a compile-time assertion for transport/http1. No behaviour.

Measured: go vet ./... clean; go test ./internal/node passes.

--- a/internal/node/hotrestart.go
+++ b/internal/node/hotrestart.go
@@ -12,6 +12,7 @@
 	"cobaltward/hotrestart"
 	"cobaltward/internal/rundir"
 	"cobaltward/router"
+	"cobaltward/transport/http1"
 )
 
 const (
@@ -20,13 +21,18 @@
 	successorStateFile     = "wayhold-knowledge"
 )
 
+// connLimiter is a transport whose number of connections can be limited anew.
+type connLimiter interface{ SetMaxConns(n int) }
+
+var _ connLimiter = (*http1.Transport)(nil)
+
 // processGroup shares a node between this process and those before and after it, while the platform replaces one by
 // another under load. Its run and coordinate are called by one goroutine, publishOrder by any.
 type processGroup struct {
 	process        *rundir.Process
 	engine         *router.Router
 	listener       *intake
-	conns          interface{ SetMaxConns(n int) } // nil: the transport's limit is fixed
+	conns          connLimiter // nil: the transport's limit is fixed
 	budget         *body.Budget
 	budgetBytes    int64 // of a process that is alone
 	limits         hotrestart.Limits
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -161,7 +161,7 @@
 			defer next.process.Unregister()
 			next.engine, next.listener, next.budget, next.budgetBytes = engine, front, bodies.Budget, bodies.Budget.Most()
 			next.limits, next.setMemoryShare, next.setStandby = hotrestart.Limits{ClientConns: most, ServerConns: sockets - most}, c.Memory, ctl.setStandby
-			next.conns, _ = out.(interface{ SetMaxConns(n int) })
+			next.conns, _ = out.(connLimiter)
 			ctl.onStandby = next.publishOrder
 		}
 		if brief = c.State.File == ""; brief {
