--- a/emulator/concert/versions.go
+++ b/emulator/concert/versions.go
@@ -29,7 +29,7 @@
 func (p *process) act() {
 	w := p.w
 	p.rights = &rights{right: audit.Right{Length: rightLength, Guards: w.c.Rights}, seen: make(map[string]audit.Seen), since: make(map[string]time.Duration),
-		holder: owner.Holder{Work: fleet.Rollout, Name: fmt.Sprintf("%s/%d", p.name, p.life), Lease: lease, Guards: w.c.Guards}}
+		holder: owner.Holder{Work: fleet.JobRollout, Name: fmt.Sprintf("%s/%d", p.name, p.life), Lease: lease, Guards: w.c.Guards}}
 	p.every(100*ms, p.askRight)
 	p.every(actEvery, p.decide)
 	if p.index-w.c.Members < w.c.Owners {
@@ -40,7 +40,7 @@
 // askRight asks a member for a right to what the process should act on, as far as it knows.
 func (p *process) askRight() {
 	w := p.w
-	if p.state.Things[thing] == nil {
+	if p.state.Artifacts[thing] == nil {
 		return
 	}
 	asked, r := p.mono(), p.rights
@@ -86,7 +86,7 @@
 func (p *process) rollout() {
 	w, r := p.w, p.rights
 	asked := p.mono()
-	if o, held := p.state.Owners[fleet.Rollout]; !held || o.Holder == r.holder.Name || r.holder.Has() {
+	if o, held := p.state.Leases[fleet.JobRollout]; !held || o.Holder == r.holder.Name || r.holder.Has() {
 		if e, ok := r.holder.Ask(asked); ok {
 			p.propose(w.any(), e, func(res fleet.Result) {
 				if p.mono()-asked < lease/2 {
@@ -97,7 +97,7 @@
 	}
 	p.see()
 	t, ok := r.holder.Token(p.mono())
-	if j := p.state.Open(fleet.Rollout); ok && j != nil && p.state.Last[fleet.Rollout] == t {
+	if j := p.state.OpenJob(fleet.JobRollout); ok && j != nil && p.state.HighestTokens[fleet.JobRollout] == t {
 		if e, ok := audit.Next(j, p.state, t, r.seen, r.cleared, ""); ok {
 			p.propose(w.any(), e, func(fleet.Result) {})
 		}
@@ -111,7 +111,7 @@
 	w.send(p, m, func() {
 		v := m.clearer.Cleared(thing, m.mono())
 		w.reply(m, p, life, func() {
-			if v.At > r.cleared.At {
+			if v.Position > r.cleared.Position {
 				r.cleared = v
 			}
 		})
@@ -126,7 +126,7 @@
 	})
 	for _, f := range w.followers {
 		s := r.seen[f.name]
-		if p.state.Things[thing] == nil || s.Vector[thing] == p.state.Things[thing].Wanted(f.name) {
+		if p.state.Artifacts[thing] == nil || s.Vector[thing] == p.state.Artifacts[thing].DesiredVersion(f.name) {
 			delete(r.since, f.name)
 		} else if _, ok := r.since[f.name]; !ok {
 			r.since[f.name] = w.now
@@ -139,18 +139,18 @@
 
 // rollouts is the operator, who always has a next version.
 func (w *world) rollouts(s *fleet.State, lead *process) {
-	switch t := s.Things[thing]; {
+	switch t := s.Artifacts[thing]; {
 	case t == nil:
-		_ = lead.core.Propose(0, fleet.Entry{Kind: fleet.Offer, Thing: thing, Digest: "v0"}) // again, if need be
-	case s.Open(fleet.Rollout) == nil && !t.Two() && w.now < w.c.Length:
+		_ = lead.core.Propose(0, fleet.Entry{Kind: fleet.KindPublishVersion, Artifact: thing, Digest: "v0"}) // again, if need be
+	case s.OpenJob(fleet.JobRollout) == nil && !t.InTransition() && w.now < w.c.Length:
 		if w.roll == 0 || s.Jobs[fmt.Sprint("v", w.roll)] != nil {
 			w.roll++
 			w.res.Rollouts++
 		}
 		id := fmt.Sprint("v", w.roll)
-		_ = lead.core.Propose(0, fleet.Entry{Kind: fleet.Start, Job: id, Spec: &fleet.Spec{Kind: fleet.Rollout, Thing: thing, Digest: id, Lag: len(w.followers),
+		_ = lead.core.Propose(0, fleet.Entry{Kind: fleet.KindStartJob, JobID: id, Spec: &fleet.JobSpec{Kind: fleet.JobRollout, Artifact: thing, Digest: id, MaxStragglers: len(w.followers),
 			Stages: [][]string{{w.followers[0].name}, {w.followers[1].name, w.followers[2].name}}}})
-	case s.Open(fleet.Rollout) != nil && w.r.IntN(40) == 0 && w.now < w.c.Length:
-		_ = lead.core.Propose(0, fleet.Entry{Kind: fleet.Order, Job: s.Open(fleet.Rollout).ID, Order: fleet.Back})
+	case s.OpenJob(fleet.JobRollout) != nil && w.r.IntN(40) == 0 && w.now < w.c.Length:
+		_ = lead.core.Propose(0, fleet.Entry{Kind: fleet.KindControlJob, JobID: s.OpenJob(fleet.JobRollout).ID, Command: fleet.CommandRollBack})
 	}
 }
--- a/emulator/processes/child.go
+++ b/emulator/processes/child.go
@@ -129,16 +129,16 @@
 
 // Ask is one ask for ownership, as its process saw it. Times are of the machine's clock, in nanoseconds.
 type Ask struct {
-	N      uint64      `json:"n"`
-	Holder string      `json:"holder"`
-	Kind   fleet.Kind  `json:"kind"`
-	Work   string      `json:"work"`
-	Token  fleet.Token `json:"token"`
-	Called int64       `json:"called"`
-	Back   int64       `json:"back"` // 0: no answer came, or the process ended before
-	Known  bool        `json:"known"`
-	Got    fleet.Token `json:"got"`
-	Error  string      `json:"error"`
+	N      uint64             `json:"n"`
+	Holder string             `json:"holder"`
+	Kind   fleet.Kind         `json:"kind"`
+	Work   string             `json:"work"`
+	Token  fleet.FencingToken `json:"token"`
+	Called int64              `json:"called"`
+	Back   int64              `json:"back"` // 0: no answer came, or the process ended before
+	Known  bool               `json:"known"`
+	Got    fleet.FencingToken `json:"got"`
+	Error  string             `json:"error"`
 }
 
 // writer appends asks to a file, before they go out and once more with their answer.
@@ -159,11 +159,11 @@
 	return func(e fleet.Entry, holder string) func(fleet.Result, bool) {
 		mu.Lock()
 		n++
-		a := Ask{N: n, Holder: holder, Kind: e.Kind, Work: e.Work, Token: e.Token, Called: time.Now().UnixNano()}
+		a := Ask{N: n, Holder: holder, Kind: e.Kind, Work: e.Resource, Token: e.FencingToken, Called: time.Now().UnixNano()}
 		mu.Unlock()
 		line(a)
 		return func(r fleet.Result, known bool) {
-			if a.Back, a.Known, a.Got = time.Now().UnixNano(), known, r.Token; r.Err != nil {
+			if a.Back, a.Known, a.Got = time.Now().UnixNano(), known, r.FencingToken; r.Err != nil {
 				a.Error = r.Err.Error()
 			}
 			line(a)
--- a/fleet/council/core.go
+++ b/fleet/council/core.go
@@ -88,13 +88,13 @@
 
 // New makes a core from what its disk holds, which takes a snapshot after so many entries. now is of its monotonic clock.
 func New(saved Saved, guards owner.Guards, compactAfter int, now time.Duration, log raft.Logger) (*Core, error) {
-	c := &Core{id: saved.ID, keep: uint64(max(compactAfter/4, 1)), mem: raft.NewMemoryStorage(), state: fleet.New(0), conf: &pb.ConfState{}, now: now, lessor: owner.Lessor{Guards: guards}}
+	c := &Core{id: saved.ID, keep: uint64(max(compactAfter/4, 1)), mem: raft.NewMemoryStorage(), state: fleet.NewState(0), conf: &pb.ConfState{}, now: now, lessor: owner.Lessor{Guards: guards}}
 	applied := uint64(0)
 	if saved.Snapshot != nil {
 		if err := c.mem.ApplySnapshot(saved.Snapshot); err != nil {
 			return nil, err
 		}
-		s, err := fleet.Unmarshal(saved.Snapshot.GetData())
+		s, err := fleet.UnmarshalState(saved.Snapshot.GetData())
 		if err != nil {
 			return nil, err
 		}
@@ -122,7 +122,7 @@
 
 // First is what the disk of the first member of a new council holds.
 func First(m fleet.Member) Saved {
-	return whole(m, fleet.New(1).WithMembers(1, map[uint64]fleet.Member{m.ID: m}), 1, 1)
+	return whole(m, fleet.NewState(1).WithMembers(1, map[uint64]fleet.Member{m.ID: m}), 1, 1)
 }
 
 // Anew is what the disk of the one member holds with which an operator begins anew: all that this member knows, in
@@ -141,7 +141,7 @@
 			return Saved{}, err
 		}
 		for _, e := range entries {
-			if e.GetIndex() <= uint64(c.state.At) {
+			if e.GetIndex() <= uint64(c.state.Position) {
 				continue
 			}
 			if _, err := c.take(e); err != nil {
@@ -153,7 +153,7 @@
 	if saved.Hard != nil {
 		term = saved.Hard.GetTerm()
 	}
-	return whole(m, c.state.Anew(m), max(last, 1)+1, term+1), nil
+	return whole(m, c.state.NextEpoch(m), max(last, 1)+1, term+1), nil
 }
 
 func whole(m fleet.Member, s *fleet.State, at, term uint64) Saved {
@@ -195,7 +195,7 @@
 		return
 	}
 	leads := c.Leader() == c.id
-	for _, e := range c.state.Wanted(c.id, leads) {
+	for _, e := range c.state.FormatProposals(c.id, leads) {
 		_ = c.Propose(0, e) // asked for again
 	}
 	if !leads {
@@ -204,9 +204,9 @@
 	for _, e := range c.lessor.Due(now) {
 		_ = c.Propose(0, e)
 	}
-	for id, h := range c.state.Holds {
+	for id, h := range c.state.DisableOrders {
 		if !wall.Before(h.Until) {
-			_ = c.Propose(0, fleet.Entry{Kind: fleet.Lift, Hold: &fleet.HoldOrder{ID: id}})
+			_ = c.Propose(0, fleet.Entry{Kind: fleet.KindEnableServers, DisableOrder: &fleet.DisableOrder{ID: id}})
 		}
 	}
 	c.promote()
@@ -324,7 +324,7 @@
 		if err := c.mem.ApplySnapshot(w.Snapshot); err != nil {
 			return out, err
 		}
-		s, err := fleet.Unmarshal(w.Snapshot.GetData())
+		s, err := fleet.UnmarshalState(w.Snapshot.GetData())
 		if err != nil {
 			return out, err
 		}
@@ -349,7 +349,7 @@
 		c.reads = append(c.reads, read{binary.BigEndian.Uint64(r.RequestCtx), r.Index})
 	}
 	c.reads = slices.DeleteFunc(c.reads, func(r read) bool {
-		if r.at <= uint64(c.state.At) {
+		if r.at <= uint64(c.state.Position) {
 			out.Reads = append(out.Reads, r.id)
 			return true
 		}
@@ -358,7 +358,7 @@
 	c.lessor.Observe(c.state, c.now)
 	c.rn.Advance(w.ready)
 	// A member that is added can start from no snapshot that does not know it.
-	if at := uint64(c.state.At); at >= c.snapAt+4*c.keep || changed {
+	if at := uint64(c.state.Position); at >= c.snapAt+4*c.keep || changed {
 		snap, err := c.mem.CreateSnapshot(at, c.conf, c.state.Marshal())
 		if err != nil {
 			return out, err
@@ -382,12 +382,12 @@
 	case pb.EntryConfChange, pb.EntryConfChangeV2:
 		return c.takeChange(e, at)
 	}
-	a.Result.At = at
+	a.Result.Position = at
 	if len(e.GetData()) < idBytes { // of raft's own: a leader's first
 		next := *c.state
-		next.At = at
+		next.Position = at
 		c.state = &next
-		a.Entry = fleet.Entry{Kind: fleet.Renew}
+		a.Entry = fleet.Entry{Kind: fleet.KindRenewLease}
 		return a, nil
 	}
 	a.ID, a.Raw = binary.BigEndian.Uint64(e.GetData()), e.GetData()[idBytes:]
@@ -409,7 +409,7 @@
 		return a, err
 	}
 	c.conf = c.rn.ApplyConfChange(&cc)
-	a.Result.At = at
+	a.Result.Position = at
 	members := maps.Clone(c.state.Members)
 	var about change
 	if len(cc.GetContext()) > 0 {
--- a/fleet/council/member.go
+++ b/fleet/council/member.go
@@ -133,7 +133,7 @@
 		ended: make(chan struct{}), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true, TLSClientConfig: c.TLS}},
 		links: make(map[uint64]*link), watch: make(chan struct{}, mostWatch), waiting: make(map[uint64]chan fleet.Result),
 		news: make(chan struct{}), reports: make(map[string]Report)}
-	m.view = View{State: core.State(), From: core.State().At, Loud: core.State().At, Raft: core.Status()}
+	m.view = View{State: core.State(), From: core.State().Position, Loud: core.State().Position, Raft: core.Status()}
 	if m.scheme = "http://"; c.TLS != nil {
 		m.scheme = "https://"
 	}
@@ -269,22 +269,22 @@
 		if a.Raw == nil {
 			continue
 		}
-		v.Ring, v.Raw = append(v.Ring, a.Result.At), append(v.Raw, a.Raw)
-		if !a.Entry.Quiet() {
-			loud, v.Loud = true, a.Result.At
+		v.Ring, v.Raw = append(v.Ring, a.Result.Position), append(v.Raw, a.Raw)
+		if !a.Entry.Deferrable() {
+			loud, v.Loud = true, a.Result.Position
 			m.tell(a)
 		}
 	}
 	v.State = m.core.State()
 	if out.Restored { // no entries lead there that followers could take
-		v.Ring, v.Raw, v.From = nil, nil, v.State.At
+		v.Ring, v.Raw, v.From = nil, nil, v.State.Position
 	}
 	if n := len(v.Ring) - ringSize; n > ringSize/4 {
 		v.From = v.Ring[n-1]
 		v.Ring, v.Raw = slices.Clone(v.Ring[n:]), slices.Clone(v.Raw[n:])
 	}
 	if out.Restored {
-		v.Loud = v.State.At
+		v.Loud = v.State.Position
 	}
 	if loud {
 		close(m.news)
@@ -296,15 +296,15 @@
 func (m *Member) tell(a Applied) {
 	e := a.Entry
 	switch e.Kind {
-	case fleet.Speak, fleet.Renew, fleet.Join:
+	case fleet.KindAnnounceFormat, fleet.KindRenewLease, fleet.KindRegisterNode:
 		return
 	}
 	if a.Result.Err != nil {
-		m.c.Log.Debug("fleet: refused", "kind", e.Kind, "work", e.Work, "job", e.Job, "position", a.Result.At, "error", a.Result.Err)
+		m.c.Log.Debug("fleet: refused", "kind", e.Kind, "work", e.Resource, "job", e.JobID, "position", a.Result.Position, "error", a.Result.Err)
 		return
 	}
-	m.c.Log.Info("fleet: "+string(e.Kind), "position", a.Result.At, "work", e.Work, "holder", e.Holder, "job", e.Job, "step", e.Step.String(),
-		"token", max(e.Token, a.Result.Token), "outcome", e.Outcome, "who", e.Who, "reason", e.Reason)
+	m.c.Log.Info("fleet: "+string(e.Kind), "position", a.Result.Position, "work", e.Resource, "holder", e.Holder, "job", e.JobID, "step", e.Step.String(),
+		"token", max(e.FencingToken, a.Result.FencingToken), "outcome", e.Outcome, "who", e.RequestedBy, "reason", e.Reason)
 }
 
 // show keeps the status of the log for who asks, and logs who leads.
--- a/fleet/council/serve.go
+++ b/fleet/council/serve.go
@@ -51,9 +51,9 @@
 
 // Proposed is the answer to a proposal.
 type Proposed struct {
-	At    fleet.Position `json:"at,omitempty"`
-	Token fleet.Token    `json:"token,omitempty"`
-	Error string         `json:"error,omitempty"` // as the state has it
+	At    fleet.Position     `json:"at,omitempty"`
+	Token fleet.FencingToken `json:"token,omitempty"`
+	Error string             `json:"error,omitempty"` // as the state has it
 }
 
 // Status is what a member tells of the council.
@@ -141,7 +141,7 @@
 		return
 	}
 	switch e.Kind {
-	case fleet.Raise, fleet.Speak, fleet.Expire: // the council's own
+	case fleet.KindUpgradeFormat, fleet.KindAnnounceFormat, fleet.KindExpireLease: // the council's own
 		door.Fail(w, http.StatusForbidden, fmt.Sprintf("%q is for members alone", e.Kind))
 		return
 	}
@@ -154,7 +154,7 @@
 func (m *Member) answer(w http.ResponseWriter, res fleet.Result, err error) {
 	switch {
 	case err == nil:
-		p := Proposed{At: res.At, Token: res.Token}
+		p := Proposed{At: res.Position, Token: res.FencingToken}
 		if res.Err != nil {
 			p.Error = res.Err.Error()
 		}
@@ -257,7 +257,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	v := m.view
-	s := Status{Name: m.c.Name, ID: strconv.FormatUint(m.core.ID(), 16), Term: v.Raft.GetTerm(), At: v.State.At, State: v.State}
+	s := Status{Name: m.c.Name, ID: strconv.FormatUint(m.core.ID(), 16), Term: v.Raft.GetTerm(), At: v.State.Position, State: v.State}
 	_, s.Member = v.State.Members[m.core.ID()]
 	if v.Raft.Lead != 0 {
 		s.Leader, s.LeaderNow = strconv.FormatUint(v.Raft.Lead, 16), v.State.Members[v.Raft.Lead].Name
--- a/fleet/follow/client.go
+++ b/fleet/follow/client.go
@@ -94,7 +94,7 @@
 // results are the state's errors by their texts.
 var results = func() map[string]error {
 	m := make(map[string]error)
-	for _, err := range []error{fleet.ErrHeld, fleet.ErrLost, fleet.ErrUnknown, fleet.ErrThere, fleet.ErrVoid, fleet.ErrFull, fleet.ErrBad} {
+	for _, err := range []error{fleet.ErrConflict, fleet.ErrLeaseLost, fleet.ErrNotFound, fleet.ErrAlreadyExists, fleet.ErrFormatTooNew, fleet.ErrLimitExceeded, fleet.ErrInvalidEntry} {
 		m[err.Error()] = err
 	}
 	return m
@@ -109,7 +109,7 @@
 		c.good.CompareAndSwap(int64(i), int64(i+1)%int64(len(c.Council)))
 		return fleet.Result{}, err
 	}
-	r := fleet.Result{At: p.At, Token: p.Token}
+	r := fleet.Result{Position: p.At, FencingToken: p.Token}
 	if p.Error != "" {
 		if r.Err = results[p.Error]; r.Err == nil {
 			r.Err = errors.New(p.Error)
--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -35,7 +35,7 @@
 
 // NewFollower makes one that knows nothing yet.
 func NewFollower(c *Client, report func() council.Report, log *slog.Logger) *Follower {
-	return &Follower{client: c, report: report, log: log, wait: longPoll, state: fleet.New(0), news: make(chan struct{}), again: make(chan struct{}, 1)}
+	return &Follower{client: c, report: report, log: log, wait: longPoll, state: fleet.NewState(0), news: make(chan struct{}), again: make(chan struct{}, 1)}
 }
 
 // State is the newest state, and when a member last answered.
@@ -56,7 +56,7 @@
 func (f *Follower) Await(ctx context.Context, at fleet.Position) error {
 	for {
 		news := f.News()
-		if s, _ := f.State(); s.At >= at {
+		if s, _ := f.State(); s.Position >= at {
 			return nil
 		}
 		select {
@@ -103,7 +103,7 @@
 	}
 	s, _ := f.State()
 	q := council.Question{Report: f.report(), Wait: f.wait}
-	q.Epoch, q.At = s.Epoch, s.At
+	q.Epoch, q.At = s.Epoch, s.Position
 	ctx, stop := context.WithTimeout(ctx, f.wait+pollSlack)
 	defer stop()
 	told := make(chan bool, 1)
@@ -134,11 +134,11 @@
 // take goes on to what an answer leads to, never back; on says that it led on.
 func (f *Follower) take(from *fleet.State, a council.Answer) (on bool) {
 	next := from
-	if a.State != nil && a.State.Newer(from) {
+	if a.State != nil && a.State.NewerThan(from) {
 		next = a.State
 	} else if a.State == nil {
 		for _, e := range a.Entries {
-			if e.At <= next.At {
+			if e.At <= next.Position {
 				continue
 			}
 			s, _, err := next.Apply(e.At, e.Raw)
@@ -152,7 +152,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.heard = time.Now()
-	if next.Newer(f.state) {
+	if next.NewerThan(f.state) {
 		f.state = next
 		close(f.news)
 		f.news = make(chan struct{})
--- a/fleet/follow/steward.go
+++ b/fleet/follow/steward.go
@@ -104,7 +104,7 @@
 	token, has := s.s.Has()
 	s.mu.Unlock()
 	if has != had {
-		s.c.Log.Info("fleet: ownership", "work", s.c.Work, "holder", s.c.Name, "owns", has, "token", token, "position", r.At)
+		s.c.Log.Info("fleet: ownership", "work", s.c.Work, "holder", s.c.Name, "owns", has, "token", token, "position", r.Position)
 	}
 	s.owns.Store(has)
 	if answered != nil {
@@ -132,7 +132,7 @@
 	s.mu.Lock()
 	_, may := s.s.May(s.c.Clock.Mono())
 	s.mu.Unlock()
-	if !may || st.Open(s.c.Work) == nil {
+	if !may || st.OpenJob(s.c.Work) == nil {
 		return
 	}
 	v := s.look(ctx, st)
@@ -171,7 +171,7 @@
 			err := s.client.Call(ctx, http.MethodGet, n.Address, "/node", struct{}{}, &l)
 			mu.Lock()
 			defer mu.Unlock()
-			v.Nodes[name] = jobs.Node{Zone: n.Zone, Capacity: n.Capacity, CanOwn: n.Owns, Serving: err == nil && l.Name == name && l.Serving}
+			v.Nodes[name] = jobs.Node{Zone: n.Zone, Capacity: n.Capacity, CanOwn: n.LeaseCandidate, Serving: err == nil && l.Name == name && l.Serving}
 		})
 	}
 	asks.Wait()
@@ -224,6 +224,6 @@
 	lost := s.s.Wrote(r)
 	s.mu.Unlock()
 	if lost {
-		s.c.Log.Warn("fleet: the log refuses a step: the work is another's", "work", s.c.Work, "job", e.Job, "step", e.Step.String(), "token", e.Token)
+		s.c.Log.Warn("fleet: the log refuses a step: the work is another's", "work", s.c.Work, "job", e.JobID, "step", e.Step.String(), "token", e.FencingToken)
 	}
 }
--- a/fleet/jobs/round.go
+++ b/fleet/jobs/round.go
@@ -16,8 +16,8 @@
 )
 
 var (
-	forth = []string{fleet.Out, fleet.Patch, fleet.In}
-	back  = []string{fleet.BackOut, fleet.Revert, fleet.BackIn}
+	forth = []string{fleet.ActionDrain, fleet.ActionPatch, fleet.ActionResume}
+	back  = []string{fleet.ActionRollbackDrain, fleet.ActionRevert, fleet.ActionRollbackResume}
 )
 
 // Node is what can be seen of one.
@@ -59,24 +59,24 @@
 
 // Next is what the owner of a job does now. Steps that are under way stand among the actions each time.
 func Next(j *fleet.Job, v View) (all []Action) {
-	if j.Over != "" {
+	if j.CloseReason != "" {
 		return nil
 	}
-	r := round{j: j, v: v, away: j.Away(), steps: forth, nodes: j.Spec.Nodes}
-	if j.Order == fleet.Back {
+	r := round{j: j, v: v, away: j.UnavailableNodes(), steps: forth, nodes: j.Spec.Nodes}
+	if j.Command == fleet.CommandRollBack {
 		r.steps, r.nodes = back, nil
 		for _, name := range slices.Backward(j.Spec.Nodes) { // those that the patch has met, the last one first
-			if j.Steps[fleet.StepKey{Node: name, What: fleet.Patch}].Begun != 0 {
+			if j.Steps[fleet.StepKey{Node: name, Action: fleet.ActionPatch}].StartedAt != 0 {
 				r.nodes = append(r.nodes, name)
 			}
 		}
 	}
 	for key, s := range j.Steps { // what is in doubt stops all: an operator looks, and may order the way back
-		if s.Outcome == fleet.Doubt && slices.Contains(r.steps, key.What) {
+		if s.Outcome == fleet.OutcomeUnknown && slices.Contains(r.steps, key.Action) {
 			return []Action{{Do: Close, Over: "stopped", Detail: "in doubt: " + key.String() + ": " + s.Detail}}
 		}
 	}
-	if j.Order == fleet.Back {
+	if j.Command == fleet.CommandRollBack {
 		if all = r.settle(); len(all) > 0 {
 			return all
 		}
@@ -89,13 +89,13 @@
 func (r *round) settle() (all []Action) {
 	for _, node := range r.j.Spec.Nodes {
 		step := func(what string) fleet.Step { return r.step(node, what) }
-		if step(fleet.Out).Begun == 0 || step(fleet.In).Ended != 0 || step(fleet.BackOut).Begun != 0 {
+		if step(fleet.ActionDrain).StartedAt == 0 || step(fleet.ActionResume).FinishedAt != 0 || step(fleet.ActionRollbackDrain).StartedAt != 0 {
 			continue
 		}
-		next := Action{Do: Begin, Step: fleet.StepKey{Node: node, What: fleet.In}}
+		next := Action{Do: Begin, Step: fleet.StepKey{Node: node, Action: fleet.ActionResume}}
 		for _, what := range forth {
-			if s := step(what); s.Begun != 0 && s.Ended == 0 {
-				next = Action{Do: Ask, Step: fleet.StepKey{Node: node, What: what}, Again: s.Tries > 1}
+			if s := step(what); s.StartedAt != 0 && s.FinishedAt == 0 {
+				next = Action{Do: Ask, Step: fleet.StepKey{Node: node, Action: what}, Again: s.Attempts > 1}
 			}
 		}
 		all = append(all, next)
@@ -112,20 +112,20 @@
 }
 
 func (r *round) step(node, what string) fleet.Step {
-	return r.j.Steps[fleet.StepKey{Node: node, What: what}]
+	return r.j.Steps[fleet.StepKey{Node: node, Action: what}]
 }
 
 // stage is the step that a node is at: its number, len(steps) where it is through, and whether that has begun.
 func (r *round) stage(node string) (n int, begun bool) {
 	for i, what := range r.steps {
 		s := r.step(node, what)
-		if s.Ended == 0 {
-			return i, s.Begun != 0
+		if s.FinishedAt == 0 {
+			return i, s.StartedAt != 0
 		}
-		if s.Outcome != fleet.OK && i == 0 {
+		if s.Outcome != fleet.OutcomeOK && i == 0 {
 			i++ // what could not be taken out is not patched, only taken back
-			if in := r.step(node, r.steps[2]); in.Ended == 0 {
-				return 2, in.Begun != 0
+			if in := r.step(node, r.steps[2]); in.FinishedAt == 0 {
+				return 2, in.StartedAt != 0
 			}
 			return 3, false
 		}
@@ -134,14 +134,14 @@
 }
 
 func (r *round) next() (all []Action) {
-	stopping := r.j.Order == fleet.Abort || (r.j.Order != fleet.Back && r.j.Spec.Failures > 0 && r.j.Failures >= r.j.Spec.Failures)
+	stopping := r.j.Command == fleet.CommandAbort || (r.j.Command != fleet.CommandRollBack && r.j.Spec.MaxFailures > 0 && r.j.Failures >= r.j.Spec.MaxFailures)
 	lost := ""
 	for _, node := range r.nodes {
-		if s := r.step(node, r.steps[2]); s.Ended != 0 && s.Outcome != fleet.OK {
+		if s := r.step(node, r.steps[2]); s.FinishedAt != 0 && s.Outcome != fleet.OutcomeOK {
 			lost, stopping = node, true // it did not come back: no other goes
 		}
 	}
-	paused := r.j.Order == fleet.Pause
+	paused := r.j.Command == fleet.CommandPause
 	busy, through := 0, 0
 	var fresh []string
 	for _, node := range r.nodes {
@@ -151,15 +151,15 @@
 			through++
 		case begun:
 			busy++
-			key := fleet.StepKey{Node: node, What: r.steps[n]}
-			all = append(all, Action{Do: Ask, Step: key, Again: r.j.Steps[key].Tries > 1})
+			key := fleet.StepKey{Node: node, Action: r.steps[n]}
+			all = append(all, Action{Do: Ask, Step: key, Again: r.j.Steps[key].Attempts > 1})
 		case n == 0:
 			fresh = append(fresh, node)
 		case paused:
 			busy++
 		default: // what is out is not left out
 			busy++
-			all = append(all, Action{Do: Begin, Step: fleet.StepKey{Node: node, What: r.steps[n]}})
+			all = append(all, Action{Do: Begin, Step: fleet.StepKey{Node: node, Action: r.steps[n]}})
 		}
 	}
 	switch {
@@ -169,7 +169,7 @@
 		return []Action{{Do: Close, Over: r.why(lost), Detail: r.detail(lost)}}
 	case through == len(r.nodes):
 		over := "done"
-		if r.j.Order == fleet.Back {
+		if r.j.Command == fleet.CommandRollBack {
 			over = "back"
 		}
 		return []Action{{Do: Close, Over: over, Detail: r.detail("")}}
@@ -182,7 +182,7 @@
 }
 
 func (r *round) why(lost string) string {
-	if r.j.Order == fleet.Abort && lost == "" {
+	if r.j.Command == fleet.CommandAbort && lost == "" {
 		return "aborted"
 	}
 	return "stopped"
@@ -221,10 +221,10 @@
 	for _, node := range fresh {
 		n := r.v.Nodes[node]
 		if r.away[node] { // it did not come back on the way forth, and is out already
-			all = append(all, Action{Do: Begin, Step: fleet.StepKey{Node: node, What: r.steps[0]}})
+			all = append(all, Action{Do: Begin, Step: fleet.StepKey{Node: node, Action: r.steps[0]}})
 			continue
 		}
-		if len(r.away)+len(all) >= r.j.Spec.AtOnce || !n.Serving || serving-n.Capacity < r.j.Spec.Need {
+		if len(r.away)+len(all) >= r.j.Spec.MaxUnavailable || !n.Serving || serving-n.Capacity < r.j.Spec.MinCapacity {
 			continue
 		}
 		if node == r.v.Self {
@@ -235,7 +235,7 @@
 			}
 		}
 		serving -= n.Capacity
-		all = append(all, Action{Do: Begin, Step: fleet.StepKey{Node: node, What: r.steps[0]}})
+		all = append(all, Action{Do: Begin, Step: fleet.StepKey{Node: node, Action: r.steps[0]}})
 	}
 	return all
 }
--- a/fleet/jobs/steward.go
+++ b/fleet/jobs/steward.go
@@ -18,10 +18,10 @@
 	Node string // that is beside it
 
 	holder owner.Holder
-	token  fleet.Token     // the newest that it has had
-	since  fleet.Position  // the newest entry of its own: it decides by nothing older
-	away   time.Duration   // until when it leaves the work to others
-	asked  map[string]bool // keys of effects that it has asked for, of the job that goes on
+	token  fleet.FencingToken // the newest that it has had
+	since  fleet.Position     // the newest entry of its own: it decides by nothing older
+	away   time.Duration      // until when it leaves the work to others
+	asked  map[string]bool    // keys of effects that it has asked for, of the job that goes on
 }
 
 // NewSteward makes one; name is that of this run of the process.
@@ -32,11 +32,11 @@
 // Ask is what to propose now for the ownership's sake; ok is false where that is nothing. An owner that is asked to
 // step down does, and comes back after a while. Who waits for another's work to come free hears of it by the state.
 func (s *Steward) Ask(now time.Duration, st *fleet.State) (e fleet.Entry, ok bool) {
-	if o, there := st.Owners[s.Work]; there && o.Asked != "" && o.Holder == s.holder.Name && now >= s.away {
+	if o, there := st.Leases[s.Work]; there && o.StepDownRequestedBy != "" && o.Holder == s.holder.Name && now >= s.away {
 		s.leave(now)
 	}
 	s.holder.StepDown(now < s.away)
-	if o, there := st.Owners[s.Work]; there && o.Holder != s.holder.Name && !s.holder.Has() {
+	if o, there := st.Leases[s.Work]; there && o.Holder != s.holder.Name && !s.holder.Has() {
 		return e, false // it is another's, as far as is known here: the log is spared
 	}
 	return s.holder.Ask(now)
@@ -45,8 +45,8 @@
 // Answered tells what came of an ask that went out at asked; known is false where nobody can tell.
 func (s *Steward) Answered(asked, now time.Duration, e fleet.Entry, r fleet.Result, known bool) {
 	s.holder.Answered(asked, now, e, r, known)
-	if e.Kind == fleet.Acquire && known && r.Err == nil {
-		s.token, s.since = max(s.token, r.Token), max(s.since, r.At)
+	if e.Kind == fleet.KindGrantLease && known && r.Err == nil {
+		s.token, s.since = max(s.token, r.FencingToken), max(s.since, r.Position)
 	}
 }
 
@@ -56,10 +56,10 @@
 func (s *Steward) leave(now time.Duration) { s.away = now + awayLeases*s.holder.Lease }
 
 // Has tells whether it has the work as far as it knows, and its newest token.
-func (s *Steward) Has() (fleet.Token, bool) { return s.token, s.holder.Has() }
+func (s *Steward) Has() (fleet.FencingToken, bool) { return s.token, s.holder.Has() }
 
 // May tells whether it may act now, and under which token. It is asked again right before each effect.
-func (s *Steward) May(now time.Duration) (fleet.Token, bool) { return s.holder.Token(now) }
+func (s *Steward) May(now time.Duration) (fleet.FencingToken, bool) { return s.holder.Token(now) }
 
 // Act is one thing that a steward wants done: an entry proposed, or an effect asked for.
 type Act struct {
@@ -71,10 +71,10 @@
 // or has not seen its own newest entry come back.
 func (s *Steward) Next(now time.Duration, st *fleet.State, v View) (all []Act) {
 	t, ok := s.May(now)
-	if !ok || st.At < s.since || st.Last[s.Work] != t {
+	if !ok || st.Position < s.since || st.HighestTokens[s.Work] != t {
 		return nil
 	}
-	job := st.Open(s.Work)
+	job := st.OpenJob(s.Work)
 	if job == nil {
 		clear(s.asked)
 		return nil
@@ -85,12 +85,12 @@
 		case a.Do == StepDown:
 			s.leave(now)
 		case a.Do == Close:
-			all = append(all, Act{Entry: &fleet.Entry{Kind: fleet.Close, Job: job.ID, Token: t, Outcome: a.Over, Detail: a.Detail}})
-		case a.Do == Begin && !s.holder.Guards.Late, a.Do == Ask && job.Steps[a.Step].Token != t: // an earlier owner's is taken up in the log first
-			all = append(all, Act{Entry: &fleet.Entry{Kind: fleet.Begin, Job: job.ID, Step: a.Step, Token: t}})
+			all = append(all, Act{Entry: &fleet.Entry{Kind: fleet.KindCloseJob, JobID: job.ID, FencingToken: t, Outcome: a.Over, Detail: a.Detail}})
+		case a.Do == Begin && !s.holder.Guards.Late, a.Do == Ask && job.Steps[a.Step].FencingToken != t: // an earlier owner's is taken up in the log first
+			all = append(all, Act{Entry: &fleet.Entry{Kind: fleet.KindBeginStep, JobID: job.ID, Step: a.Step, FencingToken: t}})
 		default:
 			key := Key(job.ID, a.Step)
-			o := &owner.Order{Work: s.Work, Token: t, Job: job.ID, Step: a.Step, Key: key, Drain: job.Spec.Drain, Reason: job.ID + ": " + job.Reason,
+			o := &owner.Order{Work: s.Work, Token: t, Job: job.ID, Step: a.Step, Key: key, Drain: job.Spec.DrainTimeout, Reason: job.ID + ": " + job.Reason,
 				Again: a.Again || s.asked[key]} // whether the first ask came through, nobody may know
 			s.asked[key] = true
 			all = append(all, Act{Order: o})
@@ -101,8 +101,8 @@
 
 // Wrote tells what came of an entry of Next or Replied that was answered. It says whether the work is another's.
 func (s *Steward) Wrote(r fleet.Result) (lost bool) {
-	s.since = max(s.since, r.At)
-	return errors.Is(r.Err, fleet.ErrLost)
+	s.since = max(s.since, r.Position)
+	return errors.Is(r.Err, fleet.ErrLeaseLost)
 }
 
 // Replied is what to write down after a reply to an order.
@@ -111,7 +111,7 @@
 		return nil
 	}
 	if s.holder.Guards.Late {
-		all = append(all, fleet.Entry{Kind: fleet.Begin, Job: o.Job, Step: o.Step, Token: o.Token})
+		all = append(all, fleet.Entry{Kind: fleet.KindBeginStep, JobID: o.Job, Step: o.Step, FencingToken: o.Token})
 	}
-	return append(all, fleet.Entry{Kind: fleet.Done, Job: o.Job, Step: o.Step, Token: o.Token, Outcome: r.Outcome, Detail: r.Detail})
+	return append(all, fleet.Entry{Kind: fleet.KindFinishStep, JobID: o.Job, Step: o.Step, FencingToken: o.Token, Outcome: r.Outcome, Detail: r.Detail})
 }
--- a/fleet/owner/owner.go
+++ b/fleet/owner/owner.go
@@ -39,7 +39,7 @@
 }
 
 type lease struct {
-	token    fleet.Token
+	token    fleet.FencingToken
 	renewals uint64
 	since    time.Duration
 	length   time.Duration
@@ -51,13 +51,13 @@
 		l.seen = make(map[string]lease)
 	}
 	for work := range l.seen {
-		if _, ok := s.Owners[work]; !ok {
+		if _, ok := s.Leases[work]; !ok {
 			delete(l.seen, work)
 		}
 	}
-	for work, o := range s.Owners {
-		if v, ok := l.seen[work]; !ok || v.token != o.Token || v.renewals != o.Renewals {
-			l.seen[work] = lease{o.Token, o.Renewals, now, o.Lease}
+	for work, o := range s.Leases {
+		if v, ok := l.seen[work]; !ok || v.token != o.FencingToken || v.renewals != o.Renewals {
+			l.seen[work] = lease{o.FencingToken, o.Renewals, now, o.Duration}
 		}
 	}
 }
@@ -71,7 +71,7 @@
 			wait = v.length / 4
 		}
 		if now-v.since >= wait {
-			all = append(all, fleet.Entry{Kind: fleet.Expire, Work: work, Token: v.token, Seq: v.renewals})
+			all = append(all, fleet.Entry{Kind: fleet.KindExpireLease, Resource: work, FencingToken: v.token, Argument: v.renewals})
 		}
 	}
 	return all
@@ -84,14 +84,14 @@
 	Lease  time.Duration
 	Guards Guards
 
-	token  fleet.Token
+	token  fleet.FencingToken
 	until  time.Duration // it may act before this
 	asked  time.Duration // when the ask went out that is under way
 	flying bool
-	next   time.Duration // no ask before this
-	down   bool          // it steps down
-	past   fleet.Token   // the newest that it has had: an answer that comes late gives it back no older one
-	giving fleet.Token   // that it has given up: the council is told, and nothing is done under it any more
+	next   time.Duration      // no ask before this
+	down   bool               // it steps down
+	past   fleet.FencingToken // the newest that it has had: an answer that comes late gives it back no older one
+	giving fleet.FencingToken // that it has given up: the council is told, and nothing is done under it any more
 }
 
 // Ask is what to propose now; ok is false where nothing is to be asked.
@@ -111,12 +111,12 @@
 	h.asked, h.flying = now, true
 	switch {
 	case h.down:
-		return fleet.Entry{Kind: fleet.Release, Work: h.Work, Token: h.giving}, true
+		return fleet.Entry{Kind: fleet.KindReleaseLease, Resource: h.Work, FencingToken: h.giving}, true
 	case h.token == 0:
 		h.giving = 0
-		return fleet.Entry{Kind: fleet.Acquire, Work: h.Work, Holder: h.Name, Lease: h.Lease}, true
+		return fleet.Entry{Kind: fleet.KindGrantLease, Resource: h.Work, Holder: h.Name, LeaseDuration: h.Lease}, true
 	}
-	return fleet.Entry{Kind: fleet.Renew, Work: h.Work, Token: h.token}, true
+	return fleet.Entry{Kind: fleet.KindRenewLease, Resource: h.Work, FencingToken: h.token}, true
 }
 
 // Answered tells what came of an ask that went out at asked: r of the council, or known false where nobody can tell.
@@ -131,30 +131,30 @@
 	switch {
 	case !known:
 		h.next = max(h.next, now+h.Lease/20)
-	case e.Kind == fleet.Release: // done, or lost already
-		if e.Token == h.giving {
+	case e.Kind == fleet.KindReleaseLease: // done, or lost already
+		if e.FencingToken == h.giving {
 			h.giving = 0
 		}
-	case r.Err != nil && e.Kind == fleet.Acquire:
+	case r.Err != nil && e.Kind == fleet.KindGrantLease:
 		h.next = now + h.Lease/4
 	case r.Err != nil: // it has been lost, and it is known
-		if e.Token == h.token {
+		if e.FencingToken == h.token {
 			h.token = 0
 		}
 		h.next = now + h.Lease/10
-	case e.Kind == fleet.Acquire:
-		if r.Token > h.past && !h.down {
-			h.past, h.token, h.until = r.Token, r.Token, from+h.Lease
+	case e.Kind == fleet.KindGrantLease:
+		if r.FencingToken > h.past && !h.down {
+			h.past, h.token, h.until = r.FencingToken, r.FencingToken, from+h.Lease
 			h.next = asked + h.Lease/4
 		}
-	case e.Kind == fleet.Renew && e.Token == h.token:
+	case e.Kind == fleet.KindRenewLease && e.FencingToken == h.token:
 		h.until = max(h.until, from+h.Lease)
 		h.next = asked + h.Lease/4
 	}
 }
 
 // Token is the one to act under; ok is false where it must not act, or stops itself since little of the lease is left.
-func (h *Holder) Token(now time.Duration) (t fleet.Token, ok bool) {
+func (h *Holder) Token(now time.Duration) (t fleet.FencingToken, ok bool) {
 	if h.token == 0 || h.down || now >= h.until-h.Lease/10 {
 		return 0, false
 	}
--- a/fleet/owner/receiver.go
+++ b/fleet/owner/receiver.go
@@ -11,22 +11,22 @@
 
 // Order is an effect that an owner asks for.
 type Order struct {
-	Work   string        `json:"work"`
-	Token  fleet.Token   `json:"token"`
-	Job    string        `json:"job"`
-	Step   fleet.StepKey `json:"step"`
-	Key    string        `json:"key"`             // the same for all owners that ask for this step
-	Again  bool          `json:"again,omitempty"` // it may have been asked for before
-	Drain  time.Duration `json:"drain,omitempty"`
-	Reason string        `json:"reason,omitempty"`
+	Work   string             `json:"work"`
+	Token  fleet.FencingToken `json:"token"`
+	Job    string             `json:"job"`
+	Step   fleet.StepKey      `json:"step"`
+	Key    string             `json:"key"`             // the same for all owners that ask for this step
+	Again  bool               `json:"again,omitempty"` // it may have been asked for before
+	Drain  time.Duration      `json:"drain,omitempty"`
+	Reason string             `json:"reason,omitempty"`
 }
 
 // Reply is what became of it so far.
 type Reply struct {
-	Running bool        `json:"running,omitempty"`
-	Outcome string      `json:"outcome,omitempty"`
-	Detail  string      `json:"detail,omitempty"`
-	Seen    fleet.Token `json:"seen"` // the highest token of the work
+	Running bool               `json:"running,omitempty"`
+	Outcome string             `json:"outcome,omitempty"`
+	Detail  string             `json:"detail,omitempty"`
+	Seen    fleet.FencingToken `json:"seen"` // the highest token of the work
 }
 
 // Verdict is what a receiver does with an order.
@@ -73,8 +73,8 @@
 
 // Joined tells whether the process has seen its own Join; st is the state that it follows.
 func (r *Receiver) Joined(st *fleet.State) bool {
-	if r.joined == 0 && st.Nodes[r.node].Run == r.run {
-		r.joined = st.At
+	if r.joined == 0 && st.Nodes[r.node].Incarnation == r.run {
+		r.joined = st.Position
 	}
 	return r.joined != 0
 }
@@ -85,7 +85,7 @@
 	if !r.Joined(st) && !open {
 		return reply, Later, false
 	}
-	if newest := st.Last[o.Work]; newest > r.Gate.Seen[o.Work] {
+	if newest := st.HighestTokens[o.Work]; newest > r.Gate.Seen[o.Work] {
 		_, changed = r.Gate.Pass(o.Work, newest)
 	}
 	pass, raised := r.Gate.Pass(o.Work, o.Token)
@@ -115,14 +115,14 @@
 			return reply, Later, changed
 		}
 		switch step := j.Steps[o.Step]; {
-		case step.Begun == 0 && !r.Gate.Guards.Late: // the intent is in the log first
+		case step.StartedAt == 0 && !r.Gate.Guards.Late: // the intent is in the log first
 			return reply, Later, changed
-		case step.Ended != 0:
+		case step.FinishedAt != 0:
 			reply.Outcome, reply.Detail = step.Outcome, step.Detail
 			return reply, Tell, changed
-		case j.Over != "":
+		case j.CloseReason != "":
 			return reply, Refuse, changed
-		case step.Begun != 0 && step.Begun <= r.joined: // a process before this one may have had it
+		case step.StartedAt != 0 && step.StartedAt <= r.joined: // a process before this one may have had it
 			v = Look
 		}
 	}
@@ -142,13 +142,13 @@
 // Gate is what a receiver remembers: the highest token of each work that it has seen. It is on the disk before
 // anything is done under a token.
 type Gate struct {
-	Guards Guards                 `json:"-"`
-	Seen   map[string]fleet.Token `json:"seen"`
+	Guards Guards                        `json:"-"`
+	Seen   map[string]fleet.FencingToken `json:"seen"`
 }
 
 // Pass says whether an effect under a token may be done, and whether the gate has changed by it, so that it has to be
 // written down first.
-func (g *Gate) Pass(work string, t fleet.Token) (pass, changed bool) {
+func (g *Gate) Pass(work string, t fleet.FencingToken) (pass, changed bool) {
 	if t < g.Seen[work] {
 		return g.Guards.NoToken, false
 	}
@@ -156,7 +156,7 @@
 		return t != 0, false
 	}
 	if g.Seen == nil {
-		g.Seen = make(map[string]fleet.Token)
+		g.Seen = make(map[string]fleet.FencingToken)
 	}
 	g.Seen[work] = t
 	return true, true
@@ -170,18 +170,18 @@
 
 // Effect is one.
 type Effect struct {
-	N       uint64      `json:"n"` // 1, 2, ...: the older ones go first
-	Work    string      `json:"work"`
-	Token   fleet.Token `json:"token"` // the newest under which it was asked for
-	Running bool        `json:"running"`
-	Outcome string      `json:"outcome,omitempty"`
-	Detail  string      `json:"detail,omitempty"`
+	N       uint64             `json:"n"` // 1, 2, ...: the older ones go first
+	Work    string             `json:"work"`
+	Token   fleet.FencingToken `json:"token"` // the newest under which it was asked for
+	Running bool               `json:"running"`
+	Outcome string             `json:"outcome,omitempty"`
+	Detail  string             `json:"detail,omitempty"`
 }
 
 const mostEffects = 4096
 
 // Begin notes an effect that is about to be done.
-func (l *Ledger) Begin(key, work string, t fleet.Token) {
+func (l *Ledger) Begin(key, work string, t fleet.FencingToken) {
 	if l.Effects == nil {
 		l.Effects = make(map[string]Effect)
 	}
--- a/internal/fleetcli/cli.go
+++ b/internal/fleetcli/cli.go
@@ -93,14 +93,14 @@
 		serve("recover", "Begin anew on what this member has, once most others are lost for good; wants --reason", t.recover),
 		t.plain("status", "Print how the council, the owners, the jobs and the followers stand", cobra.NoArgs, t.status),
 		t.plain("owners", "Print who owns which work", cobra.NoArgs, t.owners),
-		t.plain("step-down WORK", "Ask the owner of a work to give it back", cobra.ExactArgs(1), t.owned(fleet.Ask)),
-		t.plain("push WORK", "Push the owner of a work out: its lease is not renewed any more", cobra.ExactArgs(1), t.owned(fleet.Push)),
+		t.plain("step-down WORK", "Ask the owner of a work to give it back", cobra.ExactArgs(1), t.owned(fleet.KindRequestStepDown)),
+		t.plain("push WORK", "Push the owner of a work out: its lease is not renewed any more", cobra.ExactArgs(1), t.owned(fleet.KindRevokeLease)),
 		t.waitCommand(), t.roundCommand(), t.holdCommand(), t.memberCommand(),
 		t.plain("forget NODE", "Expect a node back no more", cobra.ExactArgs(1), func(c *follow.Client, args []string) error {
-			return t.propose(c, fleet.Entry{Kind: fleet.Forget, Node: &fleet.Node{Name: args[0]}})
+			return t.propose(c, fleet.Entry{Kind: fleet.KindRemoveNode, Node: &fleet.Node{Name: args[0]}})
 		}),
 		t.plain("lift HOLD", "End a hold", cobra.ExactArgs(1), func(c *follow.Client, args []string) error {
-			return t.propose(c, fleet.Entry{Kind: fleet.Lift, Hold: &fleet.HoldOrder{ID: args[0]}})
+			return t.propose(c, fleet.Entry{Kind: fleet.KindEnableServers, DisableOrder: &fleet.DisableOrder{ID: args[0]}})
 		}),
 	)
 	return root
@@ -133,14 +133,14 @@
 
 func (t *tool) said(r fleet.Result) error {
 	if t.asJSON {
-		return json.NewEncoder(t.out).Encode(map[string]any{"position": r.At, "token": r.Token})
+		return json.NewEncoder(t.out).Encode(map[string]any{"position": r.Position, "token": r.FencingToken})
 	}
-	_, err := fmt.Fprintf(t.out, "agreed on at position %d\n", r.At)
+	_, err := fmt.Fprintf(t.out, "agreed on at position %d\n", r.Position)
 	return err
 }
 
 func (t *tool) put(c *follow.Client, e fleet.Entry) (r fleet.Result, err error) {
-	e.Who, e.Reason = t.who, t.reason
+	e.RequestedBy, e.Reason = t.who, t.reason
 	for range c.Council {
 		ctx, stop := context.WithTimeout(context.Background(), callFor)
 		r, err = c.Propose(ctx, e)
@@ -164,7 +164,7 @@
 	all := c.Statuses(ctx)
 	var s *fleet.State
 	for _, addr := range slices.Sorted(maps.Keys(all)) {
-		if st := all[addr].State; st != nil && (s == nil || st.Newer(s)) {
+		if st := all[addr].State; st != nil && (s == nil || st.NewerThan(s)) {
 			s = st
 		}
 	}
@@ -216,7 +216,7 @@
 			fmt.Fprintf(w, "member\t%s\t%s follows %s, position %d\n", addr, st.Name, st.LeaderNow, st.At)
 		}
 	}
-	fmt.Fprintf(w, "state\tposition %d, epoch %d, level %d\t%d nodes, %d holds\n", s.At, s.Epoch, s.Level, len(s.Nodes), len(s.Holds))
+	fmt.Fprintf(w, "state\tposition %d, epoch %d, level %d\t%d nodes, %d holds\n", s.Position, s.Epoch, s.FormatVersion, len(s.Nodes), len(s.DisableOrders))
 	t.listOwners(w, s)
 	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
 		fmt.Fprintf(w, "job\t%s\t%s\n", id, jobLine(s.Jobs[id]))
@@ -231,9 +231,9 @@
 		}
 		fmt.Fprintf(w, "node\t%s\tzone %s, %s; %s\n", name, n.Zone, n.Address, line)
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.Holds)) {
-		h := s.Holds[id]
-		fmt.Fprintf(w, "hold\t%s\t%s until %s by %s: %s\n", id, strings.Join(append(slices.Clone(h.Servers), h.Zones...), " "), h.Until.Local().Format(time.TimeOnly), h.Who, h.Reason)
+	for _, id := range slices.Sorted(maps.Keys(s.DisableOrders)) {
+		h := s.DisableOrders[id]
+		fmt.Fprintf(w, "hold\t%s\t%s until %s by %s: %s\n", id, strings.Join(append(slices.Clone(h.Servers), h.Zones...), " "), h.Until.Local().Format(time.TimeOnly), h.RequestedBy, h.Reason)
 	}
 	if err := w.Flush(); err != nil {
 		return err
@@ -252,14 +252,14 @@
 }
 
 func (t *tool) listOwners(w io.Writer, s *fleet.State) {
-	for _, work := range slices.Sorted(maps.Keys(s.Owners)) {
-		o := s.Owners[work]
-		line := fmt.Sprintf("%s, token %d, lease %v, %d renewals since position %d", o.Holder, o.Token, o.Lease, o.Renewals, o.Since)
-		if o.Asked != "" {
-			line += "; asked to step down by " + o.Asked
+	for _, work := range slices.Sorted(maps.Keys(s.Leases)) {
+		o := s.Leases[work]
+		line := fmt.Sprintf("%s, token %d, lease %v, %d renewals since position %d", o.Holder, o.FencingToken, o.Duration, o.Renewals, o.GrantedAt)
+		if o.StepDownRequestedBy != "" {
+			line += "; asked to step down by " + o.StepDownRequestedBy
 		}
-		if o.Pushed != "" {
-			line += "; pushed out by " + o.Pushed
+		if o.RevokedBy != "" {
+			line += "; pushed out by " + o.RevokedBy
 		}
 		fmt.Fprintf(w, "owner\t%s\t%s\n", work, line)
 	}
@@ -271,7 +271,7 @@
 		return err
 	}
 	if t.asJSON {
-		return json.NewEncoder(t.out).Encode(s.Owners)
+		return json.NewEncoder(t.out).Encode(s.Leases)
 	}
 	w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', 0)
 	t.listOwners(w, s)
@@ -279,15 +279,15 @@
 }
 
 func jobLine(j *fleet.Job) string {
-	through, away := 0, slices.Sorted(maps.Keys(j.Away()))
+	through, away := 0, slices.Sorted(maps.Keys(j.UnavailableNodes()))
 	for _, n := range j.Spec.Nodes {
-		if j.Steps[fleet.StepKey{Node: n, What: fleet.In}].Outcome == fleet.OK {
+		if j.Steps[fleet.StepKey{Node: n, Action: fleet.ActionResume}].Outcome == fleet.OutcomeOK {
 			through++
 		}
 	}
-	state := j.Order
-	if j.Over != "" {
-		state = j.Over
+	state := j.Command
+	if j.CloseReason != "" {
+		state = j.CloseReason
 	}
 	line := fmt.Sprintf("%s %s: %d of %d nodes through, %d steps failed", j.Spec.Kind, state, through, len(j.Spec.Nodes), j.Failures)
 	if len(away) > 0 {
@@ -301,10 +301,10 @@
 
 func (t *tool) owned(k fleet.Kind) func(*follow.Client, []string) error {
 	return func(c *follow.Client, args []string) error {
-		if k == fleet.Push && t.reason == "" {
+		if k == fleet.KindRevokeLease && t.reason == "" {
 			return errors.New("push: want a --reason: the next one on duty will ask")
 		}
-		return t.propose(c, fleet.Entry{Kind: k, Work: args[0]})
+		return t.propose(c, fleet.Entry{Kind: k, Resource: args[0]})
 	}
 }
 
@@ -341,7 +341,7 @@
 		}
 		return t.until(c, "all nodes at the position", func(all map[string]council.Status, s *fleet.State) (bool, string) {
 			if at == 0 {
-				at = s.At
+				at = s.Position
 			}
 			var behind []string
 			said := reports(all)
@@ -359,7 +359,7 @@
 
 func (t *tool) roundCommand() *cobra.Command {
 	c := &cobra.Command{Use: "round", Short: "Take nodes out one after another, hand each to the operator's command, take it back"}
-	spec := fleet.Spec{Kind: fleet.Round}
+	spec := fleet.JobSpec{Kind: fleet.JobRollingUpdate}
 	var id string
 	var wait bool
 	start := t.plain("start [NODE ...]", "Begin a round over nodes; none: all", cobra.ArbitraryArgs, func(c *follow.Client, args []string) error {
@@ -381,7 +381,7 @@
 		if id == "" {
 			id = "round-" + strconv.FormatInt(time.Now().Unix(), 10)
 		}
-		if err := t.propose(c, fleet.Entry{Kind: fleet.Start, Job: id, Spec: &spec}); err != nil {
+		if err := t.propose(c, fleet.Entry{Kind: fleet.KindStartJob, JobID: id, Spec: &spec}); err != nil {
 			return err
 		}
 		fmt.Fprintf(t.out, "%s: %d nodes\n", id, len(spec.Nodes))
@@ -393,22 +393,22 @@
 			if j == nil {
 				return false, id + " is not there yet"
 			}
-			return j.Over != "", jobLine(j)
+			return j.CloseReason != "", jobLine(j)
 		})
 	})
 	f := start.Flags()
-	f.IntVar(&spec.AtOnce, "at-once", 1, "so many nodes out at most")
-	f.Float64Var(&spec.Need, "need", 0, "capacity that has to serve at any time")
+	f.IntVar(&spec.MaxUnavailable, "at-once", 1, "so many nodes out at most")
+	f.Float64Var(&spec.MinCapacity, "need", 0, "capacity that has to serve at any time")
 	f.BoolVar(&spec.ByZone, "by-zone", false, "one zone after another")
-	f.IntVar(&spec.Failures, "failures", 1, "after so many failed steps the round stops by itself; 0: never")
-	f.DurationVar(&spec.Drain, "drain", 30*time.Second, "deadline of each drain")
+	f.IntVar(&spec.MaxFailures, "failures", 1, "after so many failed steps the round stops by itself; 0: never")
+	f.DurationVar(&spec.DrainTimeout, "drain", 30*time.Second, "deadline of each drain")
 	f.StringVar(&id, "id", "", "a name for the round")
 	f.BoolVar(&wait, "wait", false, "show progress until it is over")
 	f.DurationVar(&t.wait, "for", time.Hour, "how long to wait")
 	c.AddCommand(start)
-	for use, short := range map[string]string{fleet.Pause: "Begin nothing new", fleet.Go: "Go on", fleet.Abort: "Finish the nodes that are out, and end", fleet.Back: "Take the patch back, the last node first"} {
+	for use, short := range map[string]string{fleet.CommandPause: "Begin nothing new", fleet.CommandRun: "Go on", fleet.CommandAbort: "Finish the nodes that are out, and end", fleet.CommandRollBack: "Take the patch back, the last node first"} {
 		c.AddCommand(t.plain(use+" ROUND", short, cobra.ExactArgs(1), func(c *follow.Client, args []string) error {
-			return t.propose(c, fleet.Entry{Kind: fleet.Order, Job: args[0], Order: use})
+			return t.propose(c, fleet.Entry{Kind: fleet.KindControlJob, JobID: args[0], Command: use})
 		}))
 	}
 	return c
@@ -428,7 +428,7 @@
 		if id == "" {
 			id = "hold-" + strconv.FormatInt(time.Now().UnixMilli(), 10)
 		}
-		if err := t.propose(c, fleet.Entry{Kind: fleet.Hold, Hold: &fleet.HoldOrder{ID: id, Servers: args, Zones: inZones, Until: time.Now().Add(length)}}); err != nil {
+		if err := t.propose(c, fleet.Entry{Kind: fleet.KindDisableServers, DisableOrder: &fleet.DisableOrder{ID: id, Servers: args, Zones: inZones, Until: time.Now().Add(length)}}); err != nil {
 			return err
 		}
 		fmt.Fprintln(t.out, id)
@@ -465,7 +465,7 @@
 			stop()
 			switch {
 			case err == nil:
-				return t.said(fleet.Result{At: p.At})
+				return t.said(fleet.Result{Position: p.At})
 			case errors.Is(err, follow.ErrNo):
 				return exitError{err, statusRefuse}
 			}
--- a/internal/fleetcli/serve.go
+++ b/internal/fleetcli/serve.go
@@ -144,7 +144,7 @@
 	if err != nil {
 		return errors.Join(err, d.Close())
 	}
-	s.log.Info("fleet: a member of the council", "name", s.Name, "id", fmt.Sprintf("%x", m.ID()), "position", m.View().State.At)
+	s.log.Info("fleet: a member of the council", "name", s.Name, "id", fmt.Sprintf("%x", m.ID()), "position", m.View().State.Position)
 	if len(m.View().State.Members) == 0 {
 		s.log.Warn("fleet: this disk is empty: the member takes part once it is added: wayhold fleet member add", "name", s.Name, "address", s.Address)
 	}
@@ -188,7 +188,7 @@
 	if at == "" {
 		return errors.New("door: missing: a follower drives its node by its door")
 	}
-	self := fleet.Node{Name: s.Name, Zone: s.Zone, Address: s.Address, Capacity: s.Capacity, Owns: len(s.Owns) > 0, Run: run}
+	self := fleet.Node{Name: s.Name, Zone: s.Zone, Address: s.Address, Capacity: s.Capacity, LeaseCandidate: len(s.Owns) > 0, Incarnation: run}
 	client := follow.NewClient(s.Council, s.Via, s.token, s.outward())
 	defer client.HTTP.CloseIdleConnections()
 	a, err := follow.NewAgent(follow.AgentConfig{Self: self, Dir: s.Dir, Timeout: s.Timeout, Clock: clock(r), Guards: r.Guards, Log: s.log, Halt: r.Halt,
