--- a/cmd/wayhold-fleet/main.go
+++ b/cmd/wayhold-fleet/main.go
@@ -8,4 +8,4 @@
 	"cobaltward/internal/fleetcli"
 )
 
-func main() { os.Exit(fleetcli.Main(fleetcli.Rehearsal{})) }
+func main() { os.Exit(fleetcli.Main(fleetcli.TestHooks{})) }
--- a/emulator/concert/kept.go
+++ b/emulator/concert/kept.go
@@ -3,11 +3,11 @@
 import (
 	"encoding/json"
 
-	"cobaltward/fleet/owner"
+	"cobaltward/fleet/lease"
 )
 
 // encode is a receiver's memory as its disk has it.
-func encode(m owner.Memory) []byte {
+func encode(m lease.ReceiverState) []byte {
 	raw, err := json.Marshal(m)
 	if err != nil {
 		panic(err)
@@ -15,7 +15,7 @@
 	return raw
 }
 
-func decode(raw []byte, to *owner.Memory) {
+func decode(raw []byte, to *lease.ReceiverState) {
 	if err := json.Unmarshal(raw, to); err != nil {
 		panic(err)
 	}
--- a/emulator/concert/versions.go
+++ b/emulator/concert/versions.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"cobaltward/fleet"
-	"cobaltward/fleet/audit"
-	"cobaltward/fleet/owner"
+	"cobaltward/fleet/lease"
+	"cobaltward/fleet/rollout"
 )
 
 const (
@@ -18,9 +18,9 @@
 
 // rights is what a follower acts by, and what it knows of the others as the owner of rollouts.
 type rights struct {
-	right   audit.Right
-	holder  owner.Holder
-	seen    map[string]audit.Seen
+	right   rollout.VersionLease
+	holder  lease.Holder
+	seen    map[string]rollout.NodeStatus
 	since   map[string]time.Duration // since when a node lags
 	cleared fleet.Version
 }
@@ -28,8 +28,8 @@
 // act has a follower act by rights: it asks for them, decides requests while it has one, and may own rollouts.
 func (p *process) act() {
 	w := p.w
-	p.rights = &rights{right: audit.Right{Length: rightLength, Guards: w.c.Rights}, seen: make(map[string]audit.Seen), since: make(map[string]time.Duration),
-		holder: owner.Holder{Work: fleet.JobRollout, Name: fmt.Sprintf("%s/%d", p.name, p.life), Lease: lease, Guards: w.c.Guards}}
+	p.rights = &rights{right: rollout.VersionLease{Duration: rightLength, Unsafe: w.c.Rights}, seen: make(map[string]rollout.NodeStatus), since: make(map[string]time.Duration),
+		holder: lease.Holder{Resource: fleet.JobRollout, Identity: fmt.Sprintf("%s/%d", p.name, p.life), Duration: leaseDuration, Unsafe: w.c.Guards}}
 	p.every(100*ms, p.askRight)
 	p.every(actEvery, p.decide)
 	if p.index-w.c.Members < w.c.Owners {
@@ -44,7 +44,7 @@
 		return
 	}
 	asked, r := p.mono(), p.rights
-	v, ok := r.right.Ask(asked, audit.Wanted(p.state, p.name))
+	v, ok := r.right.NextRequest(asked, rollout.DesiredVersions(p.state, p.name))
 	if !ok {
 		return
 	}
@@ -53,8 +53,8 @@
 	id := w.asked<<1 | 1
 	w.send(p, to, func() {
 		to.reads[id] = func() {
-			granted := w.c.Rights.Behind || audit.Allows(to.core.State(), p.name, v)
-			w.reply(to, p, life, func() { r.right.Answered(asked, p.mono(), v, granted) })
+			granted := w.c.Rights.GrantAnyVersion || rollout.Allows(to.core.State(), p.name, v)
+			w.reply(to, p, life, func() { r.right.HandleResult(asked, p.mono(), v, granted) })
 		}
 		to.core.Read(id)
 		to.work()
@@ -64,7 +64,7 @@
 // decide is a request that the process decides, if it may: by then no more than two versions are acted on anywhere.
 func (p *process) decide() {
 	w := p.w
-	if _, ok := p.rights.right.May(p.mono()); !ok {
+	if _, ok := p.rights.right.Valid(p.mono()); !ok {
 		return
 	}
 	w.res.Acts++
@@ -73,7 +73,7 @@
 		if f.rights == nil || !f.up || f.stopped > w.now {
 			continue
 		}
-		if v, ok := f.rights.right.May(f.mono()); ok {
+		if v, ok := f.rights.right.Valid(f.mono()); ok {
 			versions[v[thing]] = f.name
 		}
 	}
@@ -86,19 +86,19 @@
 func (p *process) rollout() {
 	w, r := p.w, p.rights
 	asked := p.mono()
-	if o, held := p.state.Leases[fleet.JobRollout]; !held || o.Holder == r.holder.Name || r.holder.Has() {
-		if e, ok := r.holder.Ask(asked); ok {
+	if o, held := p.state.Leases[fleet.JobRollout]; !held || o.Holder == r.holder.Identity || r.holder.HoldsLease() {
+		if e, ok := r.holder.NextProposal(asked); ok {
 			p.propose(w.any(), e, func(res fleet.Result) {
-				if p.mono()-asked < lease/2 {
-					r.holder.Answered(asked, p.mono(), e, res, true)
+				if p.mono()-asked < leaseDuration/2 {
+					r.holder.HandleResult(asked, p.mono(), e, res, true)
 				}
 			})
 		}
 	}
 	p.see()
-	t, ok := r.holder.Token(p.mono())
+	t, ok := r.holder.FencingToken(p.mono())
 	if j := p.state.OpenJob(fleet.JobRollout); ok && j != nil && p.state.HighestTokens[fleet.JobRollout] == t {
-		if e, ok := audit.Next(j, p.state, t, r.seen, r.cleared, ""); ok {
+		if e, ok := rollout.Next(j, p.state, t, r.seen, r.cleared, ""); ok {
 			p.propose(w.any(), e, func(fleet.Result) {})
 		}
 	}
@@ -118,21 +118,21 @@
 	})
 	f := w.followers[w.r.IntN(len(w.followers))]
 	w.send(p, f, func() {
-		v, ok := f.rights.right.May(f.mono())
+		v, ok := f.rights.right.Valid(f.mono())
 		if !ok {
 			v = nil
 		}
-		w.reply(f, p, life, func() { r.seen[f.name] = audit.Seen{Vector: v} })
+		w.reply(f, p, life, func() { r.seen[f.name] = rollout.NodeStatus{Versions: v} })
 	})
 	for _, f := range w.followers {
 		s := r.seen[f.name]
-		if p.state.Artifacts[thing] == nil || s.Vector[thing] == p.state.Artifacts[thing].DesiredVersion(f.name) {
+		if p.state.Artifacts[thing] == nil || s.Versions[thing] == p.state.Artifacts[thing].DesiredVersion(f.name) {
 			delete(r.since, f.name)
 		} else if _, ok := r.since[f.name]; !ok {
 			r.since[f.name] = w.now
 		}
 		at, lags := r.since[f.name]
-		s.Late = lags && w.now-at > patience
+		s.Straggler = lags && w.now-at > patience
 		r.seen[f.name] = s
 	}
 }
--- a/emulator/processes/child.go
+++ b/emulator/processes/child.go
@@ -17,7 +17,7 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 
 	"cobaltward/fleet"
-	"cobaltward/fleet/council"
+	"cobaltward/fleet/consensus"
 	"cobaltward/internal/cli"
 	"cobaltward/internal/fleetcli"
 )
@@ -48,33 +48,33 @@
 	}
 	if role == "tool" {
 		os.Args = append([]string{"wayhold-fleet"}, strings.Split(os.Getenv(wordsEnv), "\n")...)
-		return fleetcli.Main(fleetcli.Rehearsal{}), true
+		return fleetcli.Main(fleetcli.TestHooks{}), true
 	}
 	os.Args = []string{"wayhold-fleet", role, "--config", os.Getenv("WAYHOLD_CONFIG")}
-	r := fleetcli.Rehearsal{Clock: lyingClock()}
+	r := fleetcli.TestHooks{Clock: lyingClock()}
 	for _, g := range strings.Fields(os.Getenv(withoutEnv)) {
 		switch g {
 		case "token":
-			r.Guards.NoToken = true
+			r.Unsafe.SkipFencing = true
 		case "wait":
-			r.Guards.NoWait = true
+			r.Unsafe.SkipExpiryDelay = true
 		case "asking":
-			r.Guards.FromAnswer = true
+			r.Unsafe.CountFromResponse = true
 		case "before":
-			r.Guards.Late = true
+			r.Unsafe.RecordIntentLate = true
 		}
 	}
 	if path := os.Getenv(syncEnv); path != "" {
-		r.Disk = func(d council.Disk) council.Disk { return &badDisk{d, path} }
+		r.Storage = func(d consensus.Storage) consensus.Storage { return &badDisk{d, path} }
 	}
 	if path := os.Getenv(historyEnv); path != "" {
-		r.Asking = writer(path)
+		r.ObserveProposal = writer(path)
 	}
 	return fleetcli.Main(r), true
 }
 
 // lyingClock jumps 10 s at SIGUSR1, and runs a tenth fast from one SIGUSR2 to the next.
-func lyingClock() council.Clock {
+func lyingClock() consensus.Clock {
 	var mu sync.Mutex
 	began := time.Now()
 	rate, base, from := 1.0, time.Duration(0), time.Duration(0)
@@ -102,29 +102,29 @@
 		defer mu.Unlock()
 		return mono()
 	}
-	return council.Clock{Mono: now, Wall: func() time.Time { return began.Add(now()) }}
+	return consensus.Clock{Monotonic: now, Wall: func() time.Time { return began.Add(now()) }}
 }
 
 // badDisk fails while a file is there.
 type badDisk struct {
-	council.Disk
+	consensus.Storage
 	path string
 }
 
 var errSync = errors.New("the rig has the disk fail: no space left on device")
 
-func (d *badDisk) Save(w *council.Work) error {
+func (d *badDisk) Save(w *consensus.WriteBatch) error {
 	if _, err := os.Stat(d.path); err == nil {
 		return errSync
 	}
-	return d.Disk.Save(w)
+	return d.Storage.Save(w)
 }
 
 func (d *badDisk) Compact(s *pb.Snapshot, first fleet.Position) error {
 	if _, err := os.Stat(d.path); err == nil {
 		return errSync
 	}
-	return d.Disk.Compact(s, first)
+	return d.Storage.Compact(s, first)
 }
 
 // Ask is one ask for ownership, as its process saw it. Times are of the machine's clock, in nanoseconds.
--- a/emulator/processes/measure.go
+++ b/emulator/processes/measure.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"cobaltward/fleet"
-	"cobaltward/fleet/follow"
+	"cobaltward/fleet/agent"
 )
 
 // What measurements do to a rig and read of it, beside scripts.
@@ -20,7 +20,7 @@
 func (g *Rig) State(ctx context.Context) (s *fleet.State, led bool) { return g.look(ctx) }
 
 // Client is one that no fault of links meets, with the addresses of now.
-func (g *Rig) Client() *follow.Client { return g.direct() }
+func (g *Rig) Client() *agent.Client { return g.direct() }
 
 // Address is that under which the processes know one another.
 func (g *Rig) Address(name string) string { return canonical(name) }
--- a/fleet/council/serve.go
+++ b/fleet/consensus/handler.go
@@ -1,4 +1,4 @@
-package council
+package consensus
 
 import (
 	"context"
@@ -25,53 +25,53 @@
 	addressHeader = "X-Fleet-Address"
 	epochHeader   = "X-Fleet-Epoch"
 
-	proposeFor = 5 * time.Second // that a proposal is waited for at most
-	mostWait   = 30 * time.Second
-	mostCall   = 64 << 10
+	proposeTimeout = 5 * time.Second // that a proposal is waited for at most
+	maxWatchWait   = 30 * time.Second
+	maxRequestBody = 64 << 10
 )
 
-// Question is what a follower asks for.
-type Question struct {
-	Report
+// WatchRequest is what a follower asks for.
+type WatchRequest struct {
+	AgentReport
 	Wait time.Duration `json:"wait"` // for something new
 }
 
-// Answer is what it gets: entries that lead on from where it is, or the whole state.
-type Answer struct {
-	Entries []Numbered   `json:"entries,omitempty"`
-	State   *fleet.State `json:"state,omitempty"`
-	Leader  bool         `json:"leader"` // the member has one
+// WatchResponse is what it gets: entries that lead on from where it is, or the whole state.
+type WatchResponse struct {
+	Entries   []LogEntry   `json:"entries,omitempty"`
+	State     *fleet.State `json:"state,omitempty"`
+	HasLeader bool         `json:"leader"` // the member has one
 }
 
-// Numbered is an entry with its place.
-type Numbered struct {
-	At  fleet.Position  `json:"at"`
-	Raw json.RawMessage `json:"raw"`
+// LogEntry is an entry with its place.
+type LogEntry struct {
+	Position fleet.Position  `json:"at"`
+	Raw      json.RawMessage `json:"raw"`
 }
 
-// Proposed is the answer to a proposal.
-type Proposed struct {
-	At    fleet.Position     `json:"at,omitempty"`
-	Token fleet.FencingToken `json:"token,omitempty"`
-	Error string             `json:"error,omitempty"` // as the state has it
+// ProposeResponse is the answer to a proposal.
+type ProposeResponse struct {
+	Position     fleet.Position     `json:"at,omitempty"`
+	FencingToken fleet.FencingToken `json:"token,omitempty"`
+	Error        string             `json:"error,omitempty"` // as the state has it
 }
 
 // Status is what a member tells of the council.
 type Status struct {
-	Name      string         `json:"name"`
-	ID        string         `json:"id"`
-	Member    bool           `json:"member"` // it has been added
-	Leader    string         `json:"leader"` // id; empty: there is none
-	LeaderNow string         `json:"leader_name"`
-	Silent    time.Duration  `json:"silent"` // since there was a leader
-	Term      uint64         `json:"term"`
-	At        fleet.Position `json:"at"`
-	State     *fleet.State   `json:"state"`
-	Reports   []Report       `json:"reports"`
+	Name          string         `json:"name"`
+	ID            string         `json:"id"`
+	IsMember      bool           `json:"member"` // it has been added
+	LeaderID      string         `json:"leader"` // id; empty: there is none
+	LeaderName    string         `json:"leader_name"`
+	LeaderlessFor time.Duration  `json:"silent"` // since there was a leader
+	Term          uint64         `json:"term"`
+	Position      fleet.Position `json:"at"`
+	State         *fleet.State   `json:"state"`
+	Reports       []AgentReport  `json:"reports"`
 }
 
-// MemberOrder is the body of a change of the council.
-type MemberOrder struct {
+// MembershipRequest is the body of a change of the council.
+type MembershipRequest struct {
 	Name    string `json:"name"`
 	Address string `json:"address,omitempty"`
 	ID      string `json:"id,omitempty"` // of its disk, in hexadecimal
@@ -79,19 +79,19 @@
 }
 
 // Handler answers members, followers and operators. Who bears no token is refused by whoever wraps it.
-func (m *Member) Handler() http.Handler {
+func (m *Replica) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/log", m.takeLog)
-	mux.HandleFunc("POST /v1/propose", m.takeProposal)
-	mux.HandleFunc("POST /v1/state", m.takeQuestion)
-	mux.HandleFunc("POST /v1/member", m.takeMember)
+	mux.HandleFunc("POST /v1/log", m.handleMessages)
+	mux.HandleFunc("POST /v1/propose", m.handlePropose)
+	mux.HandleFunc("POST /v1/state", m.handleWatch)
+	mux.HandleFunc("POST /v1/member", m.handleMembership)
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { door.Reply(w, http.StatusOK, m.Status()) })
 	return mux
 }
 
-// takeLog takes the messages of another member. They wait in a bounded queue; what finds no room is lost, and repeated.
-func (m *Member) takeLog(w http.ResponseWriter, r *http.Request) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
+// handleMessages takes the messages of another member. They wait in a bounded queue; what finds no room is lost, and repeated.
+func (m *Replica) handleMessages(w http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBody))
 	if err != nil {
 		door.Fail(w, http.StatusBadRequest, err.Error())
 		return
@@ -102,7 +102,7 @@
 		return
 	}
 	if id, err := strconv.ParseUint(r.Header.Get(fromHeader), 16, 64); err == nil {
-		m.addrs.Store(id, r.Header.Get(addressHeader))
+		m.learnedAddresses.Store(id, r.Header.Get(addressHeader))
 	}
 	for len(raw) > 0 {
 		n, used := binary.Uvarint(raw)
@@ -130,14 +130,14 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, to any) bool {
-	r.Body = http.MaxBytesReader(w, r.Body, mostCall)
+func readRequest(w http.ResponseWriter, r *http.Request, to any) bool {
+	r.Body = http.MaxBytesReader(w, r.Body, maxRequestBody)
 	return door.Read(w, r, to)
 }
 
-func (m *Member) takeProposal(w http.ResponseWriter, r *http.Request) {
+func (m *Replica) handlePropose(w http.ResponseWriter, r *http.Request) {
 	var e fleet.Entry
-	if !readBody(w, r, &e) {
+	if !readRequest(w, r, &e) {
 		return
 	}
 	switch e.Kind {
@@ -145,21 +145,21 @@
 		door.Fail(w, http.StatusForbidden, fmt.Sprintf("%q is for members alone", e.Kind))
 		return
 	}
-	ctx, stop := context.WithTimeout(r.Context(), proposeFor)
+	ctx, stop := context.WithTimeout(r.Context(), proposeTimeout)
 	defer stop()
 	res, err := m.Propose(ctx, e)
-	m.answer(w, res, err)
+	m.respond(w, res, err)
 }
 
-func (m *Member) answer(w http.ResponseWriter, res fleet.Result, err error) {
+func (m *Replica) respond(w http.ResponseWriter, res fleet.Result, err error) {
 	switch {
 	case err == nil:
-		p := Proposed{At: res.Position, Token: res.FencingToken}
+		p := ProposeResponse{Position: res.Position, FencingToken: res.FencingToken}
 		if res.Err != nil {
 			p.Error = res.Err.Error()
 		}
 		door.Reply(w, http.StatusOK, p)
-	case errors.As(err, new(ErrChange)):
+	case errors.As(err, new(MembershipError)):
 		door.Fail(w, http.StatusConflict, err.Error())
 	case errors.Is(err, ErrNoLeader):
 		door.Fail(w, http.StatusServiceUnavailable, err.Error())
@@ -168,33 +168,33 @@
 	}
 }
 
-// takeQuestion answers a follower: at once where there is something new, else when there is.
-func (m *Member) takeQuestion(w http.ResponseWriter, r *http.Request) {
-	var q Question
-	if !readBody(w, r, &q) {
+// handleWatch answers a follower: at once where there is something new, else when there is.
+func (m *Replica) handleWatch(w http.ResponseWriter, r *http.Request) {
+	var q WatchRequest
+	if !readRequest(w, r, &q) {
 		return
 	}
 	select {
-	case m.watch <- struct{}{}:
-		defer func() { <-m.watch }()
+	case m.watchers <- struct{}{}:
+		defer func() { <-m.watchers }()
 	default: // it comes again, to another member perhaps
 		w.Header().Set("Retry-After", "1")
 		door.Fail(w, http.StatusServiceUnavailable, "too many followers wait already")
 		return
 	}
-	end := time.NewTimer(min(q.Wait, mostWait))
+	end := time.NewTimer(min(q.Wait, maxWatchWait))
 	defer end.Stop()
 	for over := false; ; {
 		m.mu.Lock()
 		if q.Name != "" && (len(m.reports) < 10_000 || m.reports[q.Name].Name != "") {
-			q.Seen = time.Now()
-			m.reports[q.Name] = q.Report
+			q.SeenAt = time.Now()
+			m.reports[q.Name] = q.AgentReport
 		}
-		v, news := m.view, m.news
+		v, news := m.view, m.updated
 		m.mu.Unlock()
 		same := q.Epoch == v.State.Epoch
-		if over || !same || v.Loud > q.At {
-			door.Reply(w, http.StatusOK, answerTo(v, q.At, same))
+		if over || !same || v.NotifyPosition > q.Position {
+			door.Reply(w, http.StatusOK, watchResponse(v, q.Position, same))
 			return
 		}
 		select {
@@ -210,22 +210,22 @@
 	}
 }
 
-func answerTo(v View, at fleet.Position, same bool) Answer {
-	a := Answer{Leader: v.Raft.Lead != 0}
-	if !same || at < v.From {
+func watchResponse(v View, at fleet.Position, same bool) WatchResponse {
+	a := WatchResponse{HasLeader: v.Raft.Lead != 0}
+	if !same || at < v.RecentAfter {
 		a.State = v.State
 		return a
 	}
-	i, _ := slices.BinarySearch(v.Ring, at+1)
-	for ; i < len(v.Ring); i++ {
-		a.Entries = append(a.Entries, Numbered{v.Ring[i], v.Raw[i]})
+	i, _ := slices.BinarySearch(v.RecentPositions, at+1)
+	for ; i < len(v.RecentPositions); i++ {
+		a.Entries = append(a.Entries, LogEntry{v.RecentPositions[i], v.RecentEntries[i]})
 	}
 	return a
 }
 
-func (m *Member) takeMember(w http.ResponseWriter, r *http.Request) {
-	var o MemberOrder
-	if !readBody(w, r, &o) {
+func (m *Replica) handleMembership(w http.ResponseWriter, r *http.Request) {
+	var o MembershipRequest
+	if !readRequest(w, r, &o) {
 		return
 	}
 	mem := fleet.Member{Name: o.Name, Address: o.Address, Learner: !o.Remove}
@@ -246,23 +246,23 @@
 		door.Fail(w, http.StatusConflict, fmt.Sprintf("there is no member %q", o.Name))
 		return
 	}
-	ctx, stop := context.WithTimeout(r.Context(), proposeFor)
+	ctx, stop := context.WithTimeout(r.Context(), proposeTimeout)
 	defer stop()
-	res, err := m.Change(ctx, mem, o.Remove)
-	m.answer(w, res, err)
+	res, err := m.ChangeMembership(ctx, mem, o.Remove)
+	m.respond(w, res, err)
 }
 
 // Status is what the member tells of itself and of the council.
-func (m *Member) Status() Status {
+func (m *Replica) Status() Status {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	v := m.view
-	s := Status{Name: m.c.Name, ID: strconv.FormatUint(m.core.ID(), 16), Term: v.Raft.GetTerm(), At: v.State.Position, State: v.State}
-	_, s.Member = v.State.Members[m.core.ID()]
+	s := Status{Name: m.config.Name, ID: strconv.FormatUint(m.core.ID(), 16), Term: v.Raft.GetTerm(), Position: v.State.Position, State: v.State}
+	_, s.IsMember = v.State.Members[m.core.ID()]
 	if v.Raft.Lead != 0 {
-		s.Leader, s.LeaderNow = strconv.FormatUint(v.Raft.Lead, 16), v.State.Members[v.Raft.Lead].Name
+		s.LeaderID, s.LeaderName = strconv.FormatUint(v.Raft.Lead, 16), v.State.Members[v.Raft.Lead].Name
 	} else {
-		s.Silent = m.c.Clock.Mono() - v.Heard
+		s.LeaderlessFor = m.config.Clock.Monotonic() - v.LeaderSeen
 	}
 	for _, name := range slices.Sorted(maps.Keys(m.reports)) {
 		s.Reports = append(s.Reports, m.reports[name])
--- a/fleet/council/disk.go
+++ b/fleet/consensus/storage.go
@@ -1,4 +1,4 @@
-package council
+package consensus
 
 import (
 	"crypto/rand"
@@ -16,16 +16,16 @@
 	"cobaltward/fleet"
 )
 
-// Disk is where a member keeps what it has promised. Save returns once all of it is synced; after an error nobody
+// Storage is where a member keeps what it has promised. Save returns once all of it is synced; after an error nobody
 // can tell what is there, and the member ends.
-type Disk interface {
-	Load() (Saved, error)
-	Save(w *Work) error
+type Storage interface {
+	Load() (PersistentState, error)
+	Save(w *WriteBatch) error
 	Compact(snap *pb.Snapshot, first fleet.Position) error
 	Close() error
 }
 
-const diskFile = "council.db"
+const storageFile = "council.db"
 
 var (
 	metaBucket = []byte("meta")
@@ -35,15 +35,15 @@
 	snapKey    = []byte("snapshot")
 )
 
-type disk struct{ db *bbolt.DB }
+type boltStorage struct{ db *bbolt.DB }
 
-// OpenDisk opens the disk of a member in dir. Where there is none it makes one, with a new id. One process has it at
+// OpenStorage opens the disk of a member in dir. Where there is none it makes one, with a new id. One process has it at
 // a time.
-func OpenDisk(dir string) (Disk, error) {
+func OpenStorage(dir string) (Storage, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, err
 	}
-	path := filepath.Join(dir, diskFile)
+	path := filepath.Join(dir, storageFile)
 	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: time.Second, NoFreelistSync: true})
 	if errors.Is(err, bbolt.ErrTimeout) {
 		return nil, fmt.Errorf("%s: another process has it", path)
@@ -69,17 +69,17 @@
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("%s: %w", path, err), db.Close())
 	}
-	return &disk{db}, nil
+	return &boltStorage{db}, nil
 }
 
 // Load implements Disk.
-func (d *disk) Load() (s Saved, err error) {
+func (d *boltStorage) Load() (s PersistentState, err error) {
 	err = d.db.View(func(tx *bbolt.Tx) error {
 		meta := tx.Bucket(metaBucket)
 		s.ID = binary.BigEndian.Uint64(meta.Get(idKey))
 		if raw := meta.Get(hardKey); raw != nil {
-			s.Hard = new(pb.HardState)
-			if err := proto.Unmarshal(raw, s.Hard); err != nil {
+			s.HardState = new(pb.HardState)
+			if err := proto.Unmarshal(raw, s.HardState); err != nil {
 				return err
 			}
 		}
@@ -109,38 +109,38 @@
 func indexKey(i uint64) []byte { return binary.BigEndian.AppendUint64(nil, i) }
 
 // Save implements Disk.
-func (d *disk) Save(w *Work) error {
-	if w.Hard == nil && w.Snapshot == nil && len(w.Entries) == 0 {
+func (d *boltStorage) Save(w *WriteBatch) error {
+	if w.HardState == nil && w.Snapshot == nil && len(w.Entries) == 0 {
 		return nil
 	}
 	return d.db.Update(func(tx *bbolt.Tx) error {
 		meta, log := tx.Bucket(metaBucket), tx.Bucket(logBucket)
 		if w.Snapshot != nil {
-			if err := put(meta, snapKey, w.Snapshot); err != nil {
+			if err := putMessage(meta, snapKey, w.Snapshot); err != nil {
 				return err
 			}
-			if err := clear(log, 0, w.Snapshot.GetMetadata().GetIndex()); err != nil {
+			if err := deleteEntries(log, 0, w.Snapshot.GetMetadata().GetIndex()); err != nil {
 				return err
 			}
 		}
 		if len(w.Entries) > 0 {
-			if err := clear(log, w.Entries[0].GetIndex(), ^uint64(0)); err != nil { // what another leader had there
+			if err := deleteEntries(log, w.Entries[0].GetIndex(), ^uint64(0)); err != nil { // what another leader had there
 				return err
 			}
 		}
 		for _, e := range w.Entries {
-			if err := put(log, indexKey(e.GetIndex()), e); err != nil {
+			if err := putMessage(log, indexKey(e.GetIndex()), e); err != nil {
 				return err
 			}
 		}
-		if w.Hard != nil {
-			return put(meta, hardKey, w.Hard)
+		if w.HardState != nil {
+			return putMessage(meta, hardKey, w.HardState)
 		}
 		return nil
 	})
 }
 
-func put(b *bbolt.Bucket, key []byte, m proto.Message) error {
+func putMessage(b *bbolt.Bucket, key []byte, m proto.Message) error {
 	raw, err := proto.Marshal(m)
 	if err != nil {
 		return err
@@ -148,8 +148,8 @@
 	return b.Put(key, raw)
 }
 
-// clear removes the entries from one index to another.
-func clear(log *bbolt.Bucket, from, to uint64) error {
+// deleteEntries removes the entries from one index to another.
+func deleteEntries(log *bbolt.Bucket, from, to uint64) error {
 	var keys [][]byte // a cursor is not to be moved on by what it deletes
 	c := log.Cursor()
 	for k, _ := c.Seek(indexKey(from)); k != nil && binary.BigEndian.Uint64(k) <= to; k, _ = c.Next() {
@@ -164,25 +164,25 @@
 }
 
 // Compact implements Disk.
-func (d *disk) Compact(snap *pb.Snapshot, first fleet.Position) error {
+func (d *boltStorage) Compact(snap *pb.Snapshot, first fleet.Position) error {
 	return d.db.Update(func(tx *bbolt.Tx) error {
-		if err := put(tx.Bucket(metaBucket), snapKey, snap); err != nil {
+		if err := putMessage(tx.Bucket(metaBucket), snapKey, snap); err != nil {
 			return err
 		}
 		if first == 0 {
 			return nil
 		}
-		return clear(tx.Bucket(logBucket), 0, uint64(first)-1)
+		return deleteEntries(tx.Bucket(logBucket), 0, uint64(first)-1)
 	})
 }
 
 // Close implements Disk.
-func (d *disk) Close() error { return d.db.Close() }
+func (d *boltStorage) Close() error { return d.db.Close() }
 
-// Reset writes what a disk is to hold in place of all that it holds: for the first member of a council, and for one
+// RewriteStorage writes what a disk is to hold in place of all that it holds: for the first member of a council, and for one
 // with which an operator begins anew.
-func Reset(dir string, make func(Saved) (Saved, error)) (err error) {
-	d, err := OpenDisk(dir)
+func RewriteStorage(dir string, make func(PersistentState) (PersistentState, error)) (err error) {
+	d, err := OpenStorage(dir)
 	if err != nil {
 		return err
 	}
@@ -194,5 +194,5 @@
 	if saved, err = make(saved); err != nil {
 		return err
 	}
-	return d.Save(&Work{Hard: saved.Hard, Snapshot: saved.Snapshot})
+	return d.Save(&WriteBatch{HardState: saved.HardState, Snapshot: saved.Snapshot})
 }
--- a/internal/fleetcli/serve.go
+++ b/internal/fleetcli/serve.go
@@ -18,38 +18,38 @@
 	"time"
 
 	"cobaltward/fleet"
-	"cobaltward/fleet/council"
-	"cobaltward/fleet/follow"
-	"cobaltward/fleet/owner"
+	"cobaltward/fleet/agent"
+	"cobaltward/fleet/consensus"
+	"cobaltward/fleet/lease"
 	"cobaltward/internal/door"
 	"cobaltward/internal/operator"
 	"cobaltward/internal/site"
 	"cobaltward/keys"
 )
 
-// Rehearsal is what a rehearsal changes of a process: its clock, its disk, its guards, and where it stumbles. The zero
+// TestHooks is what a rehearsal changes of a process: its clock, its disk, its guards, and where it stumbles. The zero
 // value is the program as it is.
-type Rehearsal struct {
-	Clock  council.Clock
-	Disk   func(council.Disk) council.Disk
-	Guards owner.Guards
-	Halt   func(at string)
-	Asking func(e fleet.Entry, holder string) func(r fleet.Result, known bool)
+type TestHooks struct {
+	Clock           consensus.Clock
+	Storage         func(consensus.Storage) consensus.Storage
+	Unsafe          lease.UnsafeOptions
+	FailPoint       func(at string)
+	ObserveProposal func(e fleet.Entry, holder string) func(r fleet.Result, known bool)
 }
 
 const (
-	headTimeout = 5 * time.Second
-	idleTimeout = time.Minute
-	mostHeaders = 16 << 10
+	headTimeout    = 5 * time.Second
+	idleTimeout    = time.Minute
+	maxHeaderBytes = 16 << 10
 )
 
 // settings are a process's own file.
 type settings struct {
 	*site.Fleet
-	token string
-	links *links // nil: plain
-	door  operator.Door
-	log   *slog.Logger
+	token     string
+	tls       *mutualTLS // nil: plain
+	nodeAdmin operator.Door
+	log       *slog.Logger
 }
 
 func load(path string, logs *os.File) (*settings, error) {
@@ -67,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &settings{Fleet: f.Fleet, door: o.Door}
+	s := &settings{Fleet: f.Fleet, nodeAdmin: o.Door}
 	if s.token, err = operator.Token(f.Fleet.TokenFile); err != nil {
 		return nil, fmt.Errorf("%s: fleet.token_file: %w", path, err)
 	}
@@ -81,17 +81,17 @@
 		if err != nil {
 			return nil, fmt.Errorf("%s: fleet: %w", path, err)
 		}
-		s.links = &links{store: store, name: s.TLSName, log: s.log}
+		s.tls = &mutualTLS{store: store, serverName: s.TLSName, log: s.log}
 	}
 	return s, nil
 }
 
-// outward is how this process calls others.
-func (s *settings) outward() *tls.Config {
-	if s.links == nil {
+// clientTLS is how this process calls others.
+func (s *settings) clientTLS() *tls.Config {
+	if s.tls == nil {
 		return nil
 	}
-	return s.links.client()
+	return s.tls.client()
 }
 
 // serveHTTP answers on an address until ctx ends.
@@ -100,11 +100,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet.listen: %w", err)
 	}
-	if s.links != nil {
-		ln = tls.NewListener(ln, s.links.server())
-		go s.links.watch(ctx)
+	if s.tls != nil {
+		ln = tls.NewListener(ln, s.tls.server())
+		go s.tls.watch(ctx)
 	}
-	srv := &http.Server{Handler: door.Guarded(h, s.token), ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: mostHeaders,
+	srv := &http.Server{Handler: door.Guarded(h, s.token), ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug), BaseContext: func(net.Listener) context.Context { return ctx }}
 	done := make(chan struct{})
 	go func() {
@@ -118,29 +118,29 @@
 	}, nil
 }
 
-func interrupted() (context.Context, context.CancelFunc) {
+func signalContext() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 }
 
-func clock(r Rehearsal) council.Clock {
-	if r.Clock.Mono == nil {
-		return council.RealClock()
+func clock(r TestHooks) consensus.Clock {
+	if r.Clock.Monotonic == nil {
+		return consensus.SystemClock()
 	}
 	return r.Clock
 }
 
-// member runs a member of the council until SIGTERM.
-func member(s *settings, r Rehearsal) error {
-	ctx, stop := interrupted()
+// runReplica runs a member of the council until SIGTERM.
+func runReplica(s *settings, r TestHooks) error {
+	ctx, stop := signalContext()
 	defer stop()
-	d, err := council.OpenDisk(filepath.Join(s.Dir, "council"))
+	d, err := consensus.OpenStorage(filepath.Join(s.Dir, "council"))
 	if err != nil {
 		return err
 	}
-	if r.Disk != nil {
-		d = r.Disk(d)
+	if r.Storage != nil {
+		d = r.Storage(d)
 	}
-	m, err := council.Start(council.Config{Name: s.Name, Address: s.Address, Via: s.Via, Token: s.token, TLS: s.outward(), Tick: s.Tick, Clock: clock(r), Guards: r.Guards, Log: s.log}, d)
+	m, err := consensus.Start(consensus.Config{Name: s.Name, Address: s.Address, AddressOverrides: s.Via, AuthToken: s.token, TLS: s.clientTLS(), Tick: s.Tick, Clock: clock(r), Unsafe: r.Unsafe, Log: s.log}, d)
 	if err != nil {
 		return errors.Join(err, d.Close())
 	}
@@ -155,33 +155,33 @@
 	defer end()
 	select {
 	case <-ctx.Done():
-	case <-m.Ended():
+	case <-m.Done():
 	}
 	return m.Close()
 }
 
-// runName is a name that no other run of a process has.
-func runName() (string, error) {
+// newIncarnation is a name that no other run of a process has.
+func newIncarnation() (string, error) {
 	var b [8]byte
 	_, err := rand.Read(b[:])
 	return hex.EncodeToString(b[:]), err
 }
 
-// agent runs a follower beside a node, which owns work where its file says so, until SIGTERM.
-func agent(s *settings, r Rehearsal) error {
+// runAgent runs a follower beside a node, which owns work where its file says so, until SIGTERM.
+func runAgent(s *settings, r TestHooks) error {
 	if len(s.Council) == 0 {
 		return errors.New("fleet.council: missing: a follower asks its members")
 	}
-	ctx, stop := interrupted()
+	ctx, stop := signalContext()
 	defer stop()
-	run, err := runName()
+	run, err := newIncarnation()
 	if err != nil {
 		return err
 	}
-	at, token := s.door.Socket, ""
-	if at == "" && s.door.Listen != "" {
-		at = s.door.Listen
-		if token, err = operator.Token(s.door.TokenFile); err != nil {
+	at, token := s.nodeAdmin.Socket, ""
+	if at == "" && s.nodeAdmin.Listen != "" {
+		at = s.nodeAdmin.Listen
+		if token, err = operator.Token(s.nodeAdmin.TokenFile); err != nil {
 			return fmt.Errorf("door.token_file: %w", err)
 		}
 	}
@@ -189,10 +189,10 @@
 		return errors.New("door: missing: a follower drives its node by its door")
 	}
 	self := fleet.Node{Name: s.Name, Zone: s.Zone, Address: s.Address, Capacity: s.Capacity, LeaseCandidate: len(s.Owns) > 0, Incarnation: run}
-	client := follow.NewClient(s.Council, s.Via, s.token, s.outward())
+	client := agent.NewClient(s.Council, s.Via, s.token, s.clientTLS())
 	defer client.HTTP.CloseIdleConnections()
-	a, err := follow.NewAgent(follow.AgentConfig{Self: self, Dir: s.Dir, Timeout: s.Timeout, Clock: clock(r), Guards: r.Guards, Log: s.log, Halt: r.Halt,
-		Commands: follow.Commands{Patch: s.Patch, Look: s.Look, Revert: s.Revert}}, follow.NewDoor(at, token), client)
+	a, err := agent.New(agent.Config{Self: self, Dir: s.Dir, Timeout: s.Timeout, Clock: clock(r), Unsafe: r.Unsafe, Log: s.log, FailPoint: r.FailPoint,
+		Commands: agent.Commands{Patch: s.Patch, Verify: s.Look, Revert: s.Revert}}, agent.NewNodeClient(at, token), client)
 	if err != nil {
 		return err
 	}
@@ -209,14 +209,14 @@
 		defer close(done)
 		a.Run(ctx)
 	}()
-	var stewards []*follow.Steward
+	var stewards []*agent.ControllerRunner
 	var asking func(fleet.Entry) func(fleet.Result, bool)
-	if r.Asking != nil {
-		asking = func(e fleet.Entry) func(fleet.Result, bool) { return r.Asking(e, s.Name+"/"+run) }
+	if r.ObserveProposal != nil {
+		asking = func(e fleet.Entry) func(fleet.Result, bool) { return r.ObserveProposal(e, s.Name+"/"+run) }
 	}
 	for _, work := range s.Owns {
-		stewards = append(stewards, follow.NewSteward(follow.StewardConfig{Work: work, Name: s.Name + "/" + run, Node: s.Name, Lease: s.Lease, Clock: clock(r),
-			Guards: r.Guards, Log: s.log, Halt: r.Halt, Asking: asking}, client, a.Follower()))
+		stewards = append(stewards, agent.NewControllerRunner(agent.ControllerConfig{Resource: work, Identity: s.Name + "/" + run, Node: s.Name, LeaseDuration: s.Lease, Clock: clock(r),
+			Unsafe: r.Unsafe, Log: s.log, FailPoint: r.FailPoint, ObserveProposal: asking}, client, a.Watcher()))
 	}
 	ended := make(chan struct{})
 	for _, st := range stewards {
