--- a/emulator/concert/concert.go
+++ b/emulator/concert/concert.go
@@ -548,8 +548,8 @@
 func (p *process) carry(o lease.EffectRequest, look bool) {
 	w := p.w
 	took := func() time.Duration { return 20*ms + time.Duration(w.r.ExpFloat64()*float64(300*ms)) }
-	end := func(outcome string) {
-		p.mem.Effects.Finish(o.IdempotencyKey, outcome, "")
+	end := func(outcome fleet.StepOutcome) {
+		p.mem.EffectLog.Finish(o.IdempotencyKey, outcome, "")
 		p.keep()
 	}
 	w.at(took(), p, func() {
--- a/emulator/concert/versions.go
+++ b/emulator/concert/versions.go
@@ -29,7 +29,7 @@
 func (p *process) act() {
 	w := p.w
 	p.rights = &rights{right: rollout.VersionLease{Duration: rightLength, Unsafe: w.c.Rights}, seen: make(map[string]rollout.NodeStatus), since: make(map[string]time.Duration),
-		holder: lease.Holder{Resource: fleet.JobRollout, Identity: fmt.Sprintf("%s/%d", p.name, p.life), Duration: leaseDuration, Unsafe: w.c.Guards}}
+		holder: lease.Holder{Resource: fleet.ResourceRollout, Identity: fmt.Sprintf("%s/%d", p.name, p.life), Duration: leaseDuration, Unsafe: w.c.Guards}}
 	p.every(100*ms, p.askRight)
 	p.every(actEvery, p.decide)
 	if p.index-w.c.Members < w.c.Owners {
@@ -86,7 +86,7 @@
 func (p *process) rollout() {
 	w, r := p.w, p.rights
 	asked := p.mono()
-	if o, held := p.state.Leases[fleet.JobRollout]; !held || o.Holder == r.holder.Identity || r.holder.HoldsLease() {
+	if o, held := p.state.Leases[fleet.ResourceRollout]; !held || o.Holder == r.holder.Identity || r.holder.HoldsLease() {
 		if e, ok := r.holder.NextProposal(asked); ok {
 			p.propose(w.any(), e, func(res fleet.Result) {
 				if p.mono()-asked < leaseDuration/2 {
@@ -97,8 +97,8 @@
 	}
 	p.see()
 	t, ok := r.holder.FencingToken(p.mono())
-	if j := p.state.OpenJob(fleet.JobRollout); ok && j != nil && p.state.HighestTokens[fleet.JobRollout] == t {
-		if e, ok := rollout.Next(j, p.state, t, r.seen, r.cleared, ""); ok {
+	if j := p.state.OpenJob(fleet.JobRollout); ok && j != nil && p.state.HighestTokens[fleet.ResourceRollout] == t {
+		if e, ok := rollout.Next(j, p.state, t, rollout.View{Nodes: r.seen, Cleared: r.cleared}); ok {
 			p.propose(w.any(), e, func(fleet.Result) {})
 		}
 	}
--- a/fleet/agent/agent.go
+++ b/fleet/agent/agent.go
@@ -347,27 +347,27 @@
 // execute does an effect, and notes what came of it.
 func (a *Agent) execute(ctx context.Context, o lease.EffectRequest, look bool) {
 	if a.config.FailPoint != nil {
-		a.config.FailPoint("before " + o.Step.Action)
+		a.config.FailPoint("before " + string(o.Step.Action))
 	}
 	doCtx, stop := context.WithTimeout(ctx, a.config.Timeout)
 	defer stop()
 	outcome, detail := a.perform(doCtx, o, look)
 	if a.config.FailPoint != nil {
-		a.config.FailPoint("after " + o.Step.Action)
+		a.config.FailPoint("after " + string(o.Step.Action))
 	}
 	if ctx.Err() != nil {
 		return // the process ends: the next one looks
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.receiver.Effects.Finish(o.IdempotencyKey, outcome, detail)
+	a.receiver.EffectLog.Finish(o.IdempotencyKey, outcome, detail)
 	if err := a.save(); err != nil {
 		a.config.Log.Error("fleet: an outcome can't be remembered", "key", o.IdempotencyKey, "error", err)
 	}
 	a.config.Log.Info("fleet: an effect has ended", "key", o.IdempotencyKey, "token", o.FencingToken, "outcome", outcome, "detail", detail)
 }
 
-func (a *Agent) perform(ctx context.Context, o lease.EffectRequest, look bool) (outcome, detail string) {
+func (a *Agent) perform(ctx context.Context, o lease.EffectRequest, look bool) (outcome fleet.StepOutcome, detail string) {
 	var err error
 	switch o.Step.Action {
 	case fleet.ActionDrain, fleet.ActionRollbackDrain:
@@ -379,7 +379,7 @@
 	case fleet.ActionRevert:
 		return a.performCommand(ctx, o, a.config.Commands.Revert, look, 1)
 	default:
-		return fleet.OutcomeFailed, "this program knows no step " + o.Step.Action
+		return fleet.OutcomeFailed, "this program knows no step " + string(o.Step.Action)
 	}
 	if err != nil {
 		return fleet.OutcomeFailed, clip(err.Error())
@@ -389,11 +389,11 @@
 
 // performCommand runs a command of the operator's, which knows no tokens. Where it may have run already, look says: done is
 // its status where it has. What it can't tell is in doubt, and stays so.
-func (a *Agent) performCommand(ctx context.Context, o lease.EffectRequest, words []string, look bool, done int) (outcome, detail string) {
+func (a *Agent) performCommand(ctx context.Context, o lease.EffectRequest, words []string, look bool, done int) (outcome fleet.StepOutcome, detail string) {
 	if len(words) == 0 {
-		return fleet.OutcomeFailed, "no command is set for " + o.Step.Action
+		return fleet.OutcomeFailed, "no command is set for " + string(o.Step.Action)
 	}
-	env := []string{"WAYHOLD_NODE=" + a.config.Self.Name, "WAYHOLD_KEY=" + o.IdempotencyKey, fmt.Sprintf("WAYHOLD_TOKEN=%d", o.FencingToken), "WAYHOLD_STEP=" + o.Step.Action}
+	env := []string{"WAYHOLD_NODE=" + a.config.Self.Name, "WAYHOLD_KEY=" + o.IdempotencyKey, fmt.Sprintf("WAYHOLD_TOKEN=%d", o.FencingToken), "WAYHOLD_STEP=" + string(o.Step.Action)}
 	if look {
 		status, out, err := runCommand(ctx, a.config.Commands.Verify, env)
 		switch {
--- a/fleet/agent/controller.go
+++ b/fleet/agent/controller.go
@@ -24,7 +24,7 @@
 
 // ControllerConfig is what a process that may own work is told.
 type ControllerConfig struct {
-	Resource      string
+	Resource      fleet.JobKind
 	Identity      string // of this run
 	Node          string // that is beside it
 	LeaseDuration time.Duration
--- /dev/null
+++ b/fleet/disable.go
@@ -0,0 +1,39 @@
+package fleet
+
+import "time"
+
+// DisableOrder takes servers out of use at all nodes until a point in time.
+type DisableOrder struct {
+	ID      string   `json:"id"`
+	Servers []string `json:"servers,omitempty"`
+	// Zones disables all servers of these zones, too, as each node's endpoint list has them.
+	Zones []string `json:"zones,omitempty"`
+	// Until is when the order ends, by the wall clock of each process that carries it out.
+	Until       time.Time `json:"until"`
+	RequestedBy string    `json:"who,omitempty"`
+	Reason      string    `json:"reason,omitempty"`
+	Position    Position  `json:"at"` // of the entry that created it
+}
+
+func (s *State) applyDisableServers(entry Entry) error {
+	order := entry.DisableOrder
+	switch {
+	case order == nil || order.ID == "" || len(order.Servers)+len(order.Zones) == 0 || order.Until.IsZero():
+		return ErrInvalidEntry
+	case len(s.DisableOrders) >= maxDisableOrders:
+		return ErrLimitExceeded
+	case s.DisableOrders[order.ID] != nil:
+		return ErrAlreadyExists
+	}
+	order.Position, order.RequestedBy, order.Reason = s.Position, entry.RequestedBy, entry.Reason
+	s.DisableOrders = withKey(s.DisableOrders, order.ID, order)
+	return nil
+}
+
+func (s *State) applyEnableServers(entry Entry) error {
+	if entry.DisableOrder == nil || s.DisableOrders[entry.DisableOrder.ID] == nil {
+		return ErrNotFound
+	}
+	s.DisableOrders = withoutKey(s.DisableOrders, entry.DisableOrder.ID)
+	return nil
+}
--- a/fleet/internal/jsontest/jsontest.go
+++ b/fleet/internal/jsontest/jsontest.go
@@ -1,5 +1,5 @@
-// Package jsontest holds checks of stored and transmitted JSON that tests of several packages of the fleet need. It is
-// linked by tests only.
+// Package jsontest holds checks of stored and transmitted JSON that tests of several packages of the fleet need. It
+// is linked by tests only.
 package jsontest
 
 import (
--- a/fleet/lease/receiver.go
+++ b/fleet/lease/receiver.go
@@ -1,212 +1,140 @@
 package lease
 
-import (
-	"cmp"
-	"maps"
-	"slices"
-	"time"
+import "cobaltward/fleet"
 
-	"cobaltward/fleet"
-)
-
-// EffectRequest is an effect that an owner asks for.
-type EffectRequest struct {
-	Resource       string             `json:"work"`
-	FencingToken   fleet.FencingToken `json:"token"`
-	JobID          string             `json:"job"`
-	Step           fleet.StepKey      `json:"step"`
-	IdempotencyKey string             `json:"key"`             // the same for all owners that ask for this step
-	Retry          bool               `json:"again,omitempty"` // it may have been asked for before
-	DrainTimeout   time.Duration      `json:"drain,omitempty"`
-	Reason         string             `json:"reason,omitempty"`
-}
-
-// EffectResponse is what became of it so far.
-type EffectResponse struct {
-	Running      bool               `json:"running,omitempty"`
-	Outcome      string             `json:"outcome,omitempty"`
-	Detail       string             `json:"detail,omitempty"`
-	HighestToken fleet.FencingToken `json:"seen"` // the highest token of the work
-}
-
-// Decision is what a receiver does with an order.
+// Decision is what a receiver does with a request.
 type Decision uint8
 
-// The verdicts.
+// The decisions.
 const (
-	Reject      Decision = iota // the token is old, or the job is over
-	Defer                       // this process does not know enough yet: it is asked again
-	Report                      // it is done, or under way
-	Execute                     // it is to be done
-	VerifyFirst                 // it may have been done: look, and do it where it has not
+	Reject      Decision = iota // the fencing token is stale, or the job is closed
+	Defer                       // the receiver does not know enough yet: ask again
+	Report                      // the effect has ended, or is running
+	Execute                     // the effect is to be carried out
+	VerifyFirst                 // the effect may have been carried out: verify, and carry it out only if it was not
 )
 
-// ReceiverState is what a receiver keeps through a restart.
+// ReceiverState is what a receiver stores, so that it outlives the process.
 type ReceiverState struct {
 	Gate            FencingGate `json:"gate"`
-	Effects         EffectLog   `json:"ledger"`
-	DisabledServers []string    `json:"holds"` // servers that are held out for the fleet
+	EffectLog       EffectLog   `json:"ledger"`
+	DisabledServers []string    `json:"holds"` // at the node, on behalf of the fleet
 }
 
-// FencedReceiver decides which effects are done. Whenever it says that its memory has changed, that is on the disk before
-// anything is done or answered.
+// FencedReceiver decides which effects are carried out at a node. Whenever a method reports that the stored state has
+// changed, it has to be stored before anything is carried out or answered. It is not safe for concurrent use.
 //
-// A memory may be older than what the process before has done: a disk that was lost, or restored. So a process takes
-// nothing before it has seen its own Join in the log: every token granted, and every step ended, before it was started
-// is in the log before that, and is known then.
+// The stored state may be older than what an earlier process has done: a disk can be lost, or restored from a copy.
+// Therefore a process accepts nothing before it has seen its own registration in the log. Every token granted and
+// every step finished before the process was started precedes that entry, and is known by then.
 type FencedReceiver struct {
 	ReceiverState
-	node, incarnation string
-	registeredAt      fleet.Position  // where its own Join was seen; 0: not yet
-	unverified        map[string]bool // effects that were under way when an earlier process ended
+	node         string
+	incarnation  string
+	unsafe       UnsafeOptions
+	registeredAt fleet.Position  // where its own registration was seen; 0: not yet
+	unverified   map[string]bool // keys of effects that were running when an earlier process ended
 }
 
-// Restore makes a receiver of what an earlier process has kept. node and run are those of the Join of this process.
-func Restore(m ReceiverState, node, run string, g UnsafeOptions) *FencedReceiver {
-	r := &FencedReceiver{ReceiverState: m, node: node, incarnation: run, unverified: make(map[string]bool)}
-	r.Gate.Unsafe = g
-	for _, k := range r.Effects.interrupted() {
-		r.unverified[k] = true
+// Restore returns a receiver with the state that an earlier process has stored. node and incarnation are those with
+// which this process registers the node.
+func Restore(stored ReceiverState, node, incarnation string, unsafe UnsafeOptions) *FencedReceiver {
+	receiver := &FencedReceiver{
+		ReceiverState: stored,
+		node:          node,
+		incarnation:   incarnation,
+		unsafe:        unsafe,
+		unverified:    make(map[string]bool),
 	}
-	return r
+	for _, key := range receiver.EffectLog.interrupted() {
+		receiver.unverified[key] = true
+	}
+	return receiver
 }
 
-// Registered tells whether the process has seen its own Join; st is the state that it follows.
-func (r *FencedReceiver) Registered(st *fleet.State) bool {
-	if r.registeredAt == 0 && st.Nodes[r.node].Incarnation == r.incarnation {
-		r.registeredAt = st.Position
+// Registered reports whether the process has seen its own registration. state is the newest one it knows.
+func (r *FencedReceiver) Registered(state *fleet.State) bool {
+	if r.registeredAt == 0 && state.Nodes[r.node].Incarnation == r.incarnation {
+		r.registeredAt = state.Position
 	}
 	return r.registeredAt != 0
 }
 
-// Decide decides on an order. st is the state that the process follows; it may be behind.
-func (r *FencedReceiver) Decide(o EffectRequest, st *fleet.State) (reply EffectResponse, v Decision, changed bool) {
-	open := r.Gate.Unsafe.SkipFencing // a rehearsal: anything is let through
-	if !r.Registered(st) && !open {
-		return reply, Defer, false
-	}
-	if newest := st.HighestTokens[o.Resource]; newest > r.Gate.HighestTokens[o.Resource] {
-		_, changed = r.Gate.Admit(o.Resource, newest)
+// Decide decides on a request by the newest state that the process knows, which may be behind the log. changed
+// reports that the stored state has changed. A decision to Execute or VerifyFirst is recorded as a running effect.
+func (r *FencedReceiver) Decide(
+	request EffectRequest, state *fleet.State,
+) (response EffectResponse, decision Decision, changed bool) {
+	if !r.Registered(state) && !r.unsafe.SkipFencing {
+		return response, Defer, false
 	}
-	pass, raised := r.Gate.Admit(o.Resource, o.FencingToken)
-	changed = changed || raised
-	reply.HighestToken = r.Gate.HighestTokens[o.Resource]
-	if !pass {
-		return reply, Reject, changed
+	admitted, changed := r.admit(request, state)
+	response.HighestToken = r.Gate.HighestTokens[request.Resource]
+	if !admitted {
+		return response, Reject, changed
 	}
-	switch e, known := r.Effects.Effects[o.IdempotencyKey]; {
-	case known && !e.Running:
-		reply.Outcome, reply.Detail = e.Outcome, e.Detail
-		return reply, Report, changed
-	case known && !r.unverified[o.IdempotencyKey]:
-		reply.Running = true
-		return reply, Report, changed
+	unverified := r.unverified[request.IdempotencyKey]
+	if effect, known := r.EffectLog.Effects[request.IdempotencyKey]; known && (!effect.Running || !unverified) {
+		response.Running, response.Outcome, response.Detail = effect.Running, effect.Outcome, effect.Detail
+		return response, Report, changed
 	}
-	v = Execute
-	if r.unverified[o.IdempotencyKey] || o.Retry {
-		v = VerifyFirst
+	if !r.unsafe.SkipFencing {
+		decision = r.checkStep(request, state, &response)
+	} else {
+		decision = Execute
 	}
-	if !open {
-		j := st.Jobs[o.JobID]
-		if j == nil && r.Gate.Unsafe.RecordIntentLate {
-			j = &fleet.Job{}
-		}
-		if j == nil {
-			return reply, Defer, changed
-		}
-		switch step := j.Steps[o.Step]; {
-		case step.StartedAt == 0 && !r.Gate.Unsafe.RecordIntentLate: // the intent is in the log first
-			return reply, Defer, changed
-		case step.FinishedAt != 0:
-			reply.Outcome, reply.Detail = step.Outcome, step.Detail
-			return reply, Report, changed
-		case j.CloseReason != "":
-			return reply, Reject, changed
-		case step.StartedAt != 0 && step.StartedAt <= r.registeredAt: // a process before this one may have had it
-			v = VerifyFirst
-		}
+	switch {
+	case decision != Execute && decision != VerifyFirst:
+		return response, decision, changed
+	case unverified || request.Retry:
+		decision = VerifyFirst
 	}
-	r.Effects.Start(o.IdempotencyKey, o.Resource, o.FencingToken)
-	delete(r.unverified, o.IdempotencyKey)
-	reply.Running = true
-	return reply, v, true
+	r.EffectLog.Start(request.IdempotencyKey, request.Resource, request.FencingToken)
+	delete(r.unverified, request.IdempotencyKey)
+	response.Running = true
+	return response, decision, true
 }
 
-// MarkUnsaved tells that the memory could not be kept, so that an order that was to be done is not.
-func (r *FencedReceiver) MarkUnsaved(key string) {
-	if r.Effects.Effects[key].Running {
-		r.unverified[key] = true
+// admit passes the token of a request through the gate, after the highest one that the log knows of.
+func (r *FencedReceiver) admit(request EffectRequest, state *fleet.State) (admitted, changed bool) {
+	resource := request.Resource
+	_, raisedByLog := r.Gate.Admit(resource, state.HighestTokens[resource])
+	admitted, raised := r.Gate.Admit(resource, request.FencingToken)
+	if r.unsafe.SkipFencing && request.FencingToken < r.Gate.HighestTokens[resource] {
+		admitted = true
 	}
+	return admitted, raisedByLog || raised
 }
 
-// FencingGate is what a receiver remembers: the highest token of each work that it has seen. It is on the disk before
-// anything is done under a token.
-type FencingGate struct {
-	Unsafe        UnsafeOptions                 `json:"-"`
-	HighestTokens map[string]fleet.FencingToken `json:"seen"`
-}
-
-// Admit says whether an effect under a token may be done, and whether the gate has changed by it, so that it has to be
-// written down first.
-func (g *FencingGate) Admit(work string, t fleet.FencingToken) (pass, changed bool) {
-	if t < g.HighestTokens[work] {
-		return g.Unsafe.SkipFencing, false
-	}
-	if t == g.HighestTokens[work] {
-		return t != 0, false
-	}
-	if g.HighestTokens == nil {
-		g.HighestTokens = make(map[string]fleet.FencingToken)
-	}
-	g.HighestTokens[work] = t
-	return true, true
-}
-
-// EffectLog is what a receiver has done, by the key of each effect, so that a repeat gets the first one's outcome.
-type EffectLog struct {
-	Effects      map[string]Effect `json:"effects"`
-	LastSequence uint64            `json:"n"`
-}
-
-// Effect is one.
-type Effect struct {
-	Sequence     uint64             `json:"n"` // 1, 2, ...: the older ones go first
-	Resource     string             `json:"work"`
-	FencingToken fleet.FencingToken `json:"token"` // the newest under which it was asked for
-	Running      bool               `json:"running"`
-	Outcome      string             `json:"outcome,omitempty"`
-	Detail       string             `json:"detail,omitempty"`
-}
-
-const maxEffects = 4096
-
-// Start notes an effect that is about to be done.
-func (l *EffectLog) Start(key, work string, t fleet.FencingToken) {
-	if l.Effects == nil {
-		l.Effects = make(map[string]Effect)
+// checkStep holds a request against the log: the step has to be recorded as begun, and as not finished, in an open
+// job.
+func (r *FencedReceiver) checkStep(request EffectRequest, state *fleet.State, response *EffectResponse) Decision {
+	intentExpected := !r.unsafe.RecordIntentLate
+	job := state.Jobs[request.JobID]
+	if job == nil {
+		if intentExpected {
+			return Defer
+		}
+		job = &fleet.Job{}
 	}
-	l.LastSequence++
-	l.Effects[key] = Effect{Sequence: l.LastSequence, Resource: work, FencingToken: t, Running: true}
-	if len(l.Effects) > maxEffects {
-		oldest := slices.MinFunc(slices.Collect(maps.Keys(l.Effects)), func(a, b string) int { return cmp.Compare(l.Effects[a].Sequence, l.Effects[b].Sequence) })
-		delete(l.Effects, oldest)
+	step := job.Steps[request.Step]
+	switch {
+	case step.StartedAt == 0 && intentExpected:
+		return Defer
+	case step.FinishedAt != 0:
+		response.Outcome, response.Detail = step.Outcome, step.Detail
+		return Report
+	case !job.Open():
+		return Reject
+	case step.StartedAt != 0 && step.StartedAt <= r.registeredAt:
+		return VerifyFirst // an earlier process of this node may have carried it out
 	}
+	return Execute
 }
 
-// Finish notes what came of it.
-func (l *EffectLog) Finish(key, outcome, detail string) {
-	e := l.Effects[key]
-	e.Running, e.Outcome, e.Detail = false, outcome, detail
-	l.Effects[key] = e
-}
-
-// interrupted are the effects that were under way when the process ended: what came of them has to be looked at.
-func (l *EffectLog) interrupted() (keys []string) {
-	for k, e := range l.Effects {
-		if e.Running {
-			keys = append(keys, k)
-		}
+// MarkUnsaved records that the state could not be stored, so that an effect decided on was not carried out.
+func (r *FencedReceiver) MarkUnsaved(key string) {
+	if r.EffectLog.Effects[key].Running {
+		r.unverified[key] = true
 	}
-	slices.Sort(keys)
-	return keys
 }
--- a/fleet/rollingupdate/controller.go
+++ b/fleet/rollingupdate/controller.go
@@ -2,120 +2,171 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"cobaltward/fleet"
 	"cobaltward/fleet/lease"
 )
 
-// stepDownLeases is for how many leases a steward that gave its work to another leaves it to others.
+// stepDownLeases is for how many durations of its lease a controller that has stepped down leaves it to others.
 const stepDownLeases = 3
 
-// Controller is one process that wants a kind of work, and does it while it owns it: what the log says in, entries to
-// propose and effects to ask for out. Times are of the process's own monotonic clock.
+// Controller is one process that wants the lease of a kind of job, and runs the job while it has it: the state in,
+// entries to propose and effects to request out. Times are of the process's own monotonic clock. It is not safe for
+// concurrent use.
 type Controller struct {
-	Resource string
-	Node     string // that is beside it
+	kind fleet.JobKind
+	node string // beside the process
 
 	holder      lease.Holder
-	token       fleet.FencingToken // the newest that it has had
-	lastWritten fleet.Position     // the newest entry of its own: it decides by nothing older
-	awayUntil   time.Duration      // until when it leaves the work to others
-	requested   map[string]bool    // keys of effects that it has asked for, of the job that goes on
+	token       fleet.FencingToken // the newest one that it has had
+	lastWritten fleet.Position     // of its newest entry: it decides by no older state
+	awayUntil   time.Duration      // until then it leaves the lease to others
+	requested   map[string]bool    // idempotency keys of the effects of the open job that it has requested
 }
 
-// NewController makes one; name is that of this run of the process.
-func NewController(work, name, node string, duration time.Duration, g lease.UnsafeOptions) *Controller {
-	return &Controller{Resource: work, Node: node, holder: lease.Holder{Resource: work, Identity: name, Duration: duration, Unsafe: g}, requested: make(map[string]bool)}
+// NewController returns a controller. identity is that of this incarnation of the process (see fleet.Entry.Holder),
+// node the name of the node beside it, and duration that of the lease.
+func NewController(
+	kind fleet.JobKind, identity, node string, duration time.Duration, unsafe lease.UnsafeOptions,
+) *Controller {
+	return &Controller{
+		kind: kind,
+		node: node,
+		holder: lease.Holder{
+			Resource: kind.Resource(),
+			Identity: identity,
+			Duration: duration,
+			Unsafe:   unsafe,
+		},
+		requested: make(map[string]bool),
+	}
 }
 
-// NextProposal is what to propose now for the ownership's sake; ok is false where that is nothing. An owner that is asked to
-// step down does, and comes back after a while. Who waits for another's work to come free hears of it by the state.
-func (s *Controller) NextProposal(now time.Duration, st *fleet.State) (e fleet.Entry, ok bool) {
-	if o, there := st.Leases[s.Resource]; there && o.StepDownRequestedBy != "" && o.Holder == s.holder.Identity && now >= s.awayUntil {
-		s.stepDown(now)
+// NextProposal returns the entry to propose now for the sake of the lease; ok is false if there is none. A
+// controller that is asked to step down does, and competes for the lease again after a while. It proposes nothing
+// while the state names another holder: that the lease is free is seen by the state.
+func (c *Controller) NextProposal(now time.Duration, state *fleet.State) (entry fleet.Entry, ok bool) {
+	current, held := state.Leases[c.kind.Resource()]
+	mine := held && current.Holder == c.holder.Identity
+	if mine && current.StepDownRequestedBy != "" && now >= c.awayUntil {
+		c.stepDown(now)
 	}
-	s.holder.SetStepDown(now < s.awayUntil)
-	if o, there := st.Leases[s.Resource]; there && o.Holder != s.holder.Identity && !s.holder.HoldsLease() {
-		return e, false // it is another's, as far as is known here: the log is spared
+	c.holder.SetStepDown(now < c.awayUntil)
+	if held && !mine && !c.holder.HoldsLease() {
+		return entry, false
 	}
-	return s.holder.NextProposal(now)
+	return c.holder.NextProposal(now)
 }
 
-// HandleResult tells what came of an ask that went out at asked; known is false where nobody can tell.
-func (s *Controller) HandleResult(asked, now time.Duration, e fleet.Entry, r fleet.Result, known bool) {
-	s.holder.HandleResult(asked, now, e, r, known)
-	if e.Kind == fleet.KindGrantLease && known && r.Err == nil {
-		s.token, s.lastWritten = max(s.token, r.FencingToken), max(s.lastWritten, r.Position)
+// HandleResult records the outcome of an entry of NextProposal that was proposed at requestedAt. known is false where
+// the outcome is unknown.
+func (c *Controller) HandleResult(requestedAt, now time.Duration, entry fleet.Entry, result fleet.Result, known bool) {
+	c.holder.HandleResult(requestedAt, now, entry, result, known)
+	if entry.Kind == fleet.KindGrantLease && known && result.Err == nil {
+		c.token = max(c.token, result.FencingToken)
+		c.lastWritten = max(c.lastWritten, result.Position)
 	}
 }
 
-// Resign has it give the work back, for good.
-func (s *Controller) Resign() { s.awayUntil = 1<<63 - 1 }
+// Resign has the controller release the lease, and never ask for it again.
+func (c *Controller) Resign() { c.awayUntil = math.MaxInt64 }
 
-func (s *Controller) stepDown(now time.Duration) {
-	s.awayUntil = now + stepDownLeases*s.holder.Duration
+func (c *Controller) stepDown(now time.Duration) {
+	c.awayUntil = now + stepDownLeases*c.holder.Duration
 }
 
-// HoldsLease tells whether it has the work as far as it knows, and its newest token.
-func (s *Controller) HoldsLease() (fleet.FencingToken, bool) { return s.token, s.holder.HoldsLease() }
+// HoldsLease reports whether the process has the lease, as far as it knows, and the newest token that it has had.
+func (c *Controller) HoldsLease() (fleet.FencingToken, bool) { return c.token, c.holder.HoldsLease() }
 
-// FencingToken tells whether it may act now, and under which token. It is asked again right before each effect.
-func (s *Controller) FencingToken(now time.Duration) (fleet.FencingToken, bool) {
-	return s.holder.FencingToken(now)
+// FencingToken returns the token to act under now; ok is false where the process must not act. Callers ask again
+// right before each effect.
+func (c *Controller) FencingToken(now time.Duration) (token fleet.FencingToken, ok bool) {
+	return c.holder.FencingToken(now)
 }
 
-// Task is one thing that a steward wants done: an entry proposed, or an effect asked for.
+// Task is one thing that a controller wants done. One of its fields is set.
 type Task struct {
-	Entry   *fleet.Entry
-	Request *lease.EffectRequest
+	Entry   *fleet.Entry         // to propose
+	Request *lease.EffectRequest // to send to the node that its step names
 }
 
-// Next is what to do now, by a state and what can be seen of the nodes. It is nothing while this process may not act,
-// or has not seen its own newest entry come back.
-func (s *Controller) Next(now time.Duration, st *fleet.State, v ClusterView) (all []Task) {
-	t, ok := s.FencingToken(now)
-	if !ok || st.Position < s.lastWritten || st.HighestTokens[s.Resource] != t {
+// Next returns what to do now, by a state and by what can be seen of the nodes. It is nothing while the process must
+// not act, or while the state lacks the process's own newest entry.
+func (c *Controller) Next(now time.Duration, state *fleet.State, view ClusterView) []Task {
+	token, ok := c.FencingToken(now)
+	if !ok || state.Position < c.lastWritten || state.HighestTokens[c.kind.Resource()] != token {
 		return nil
 	}
-	job := st.OpenJob(s.Resource)
+	job := state.OpenJob(c.kind)
 	if job == nil {
-		clear(s.requested)
+		clear(c.requested)
 		return nil
 	}
-	v.Self = s.Node
-	for _, a := range Next(job, v) {
-		switch {
-		case a.Operation == ReleaseLease:
-			s.stepDown(now)
-		case a.Operation == CloseJob:
-			all = append(all, Task{Entry: &fleet.Entry{Kind: fleet.KindCloseJob, JobID: job.ID, FencingToken: t, Outcome: a.CloseReason, Detail: a.Detail}})
-		case a.Operation == StartStep && !s.holder.Unsafe.RecordIntentLate, a.Operation == RequestStep && job.Steps[a.Step].FencingToken != t: // an earlier owner's is taken up in the log first
-			all = append(all, Task{Entry: &fleet.Entry{Kind: fleet.KindBeginStep, JobID: job.ID, Step: a.Step, FencingToken: t}})
-		default:
-			key := IdempotencyKey(job.ID, a.Step)
-			o := &lease.EffectRequest{Resource: s.Resource, FencingToken: t, JobID: job.ID, Step: a.Step, IdempotencyKey: key, DrainTimeout: job.Spec.DrainTimeout, Reason: job.ID + ": " + job.Reason,
-				Retry: a.Retry || s.requested[key]} // whether the first ask came through, nobody may know
-			s.requested[key] = true
-			all = append(all, Task{Request: o})
+	view.Self = c.node
+	var tasks []Task
+	for _, action := range Next(job, view) {
+		if action.Operation == ReleaseLease {
+			c.stepDown(now)
+			continue
 		}
+		tasks = append(tasks, c.task(job, token, action))
+	}
+	return tasks
+}
+
+func (c *Controller) task(job *fleet.Job, token fleet.FencingToken, action Action) Task {
+	entry := fleet.Entry{JobID: job.ID, FencingToken: token}
+	// A step begun by an earlier holder is taken over in the log first.
+	takeOver := action.Operation == RequestStep && job.Steps[action.Step].FencingToken != token
+	begin := action.Operation == StartStep && !c.holder.Unsafe.RecordIntentLate
+	switch {
+	case action.Operation == CloseJob:
+		entry.Kind, entry.Outcome, entry.Detail = fleet.KindCloseJob, string(action.CloseReason), action.Detail
+		return Task{Entry: &entry}
+	case begin || takeOver:
+		entry.Kind, entry.Step = fleet.KindBeginStep, action.Step
+		return Task{Entry: &entry}
+	}
+	return Task{Request: c.request(job, token, action)}
+}
+
+func (c *Controller) request(job *fleet.Job, token fleet.FencingToken, action Action) *lease.EffectRequest {
+	key := IdempotencyKey(job.ID, action.Step)
+	request := &lease.EffectRequest{
+		Resource:       c.kind.Resource(),
+		FencingToken:   token,
+		JobID:          job.ID,
+		Step:           action.Step,
+		IdempotencyKey: key,
+		Retry:          action.Retry || c.requested[key], // nobody may know whether the first request arrived
+		DrainTimeout:   job.Spec.DrainTimeout,
+		Reason:         job.ID + ": " + job.Reason,
 	}
-	return all
+	c.requested[key] = true
+	return request
 }
 
-// HandleWrite tells what came of an entry of Next or Replied that was answered. It says whether the work is another's.
-func (s *Controller) HandleWrite(r fleet.Result) (lost bool) {
-	s.lastWritten = max(s.lastWritten, r.Position)
-	return errors.Is(r.Err, fleet.ErrLeaseLost)
+// HandleWrite records the outcome of an entry of Next or HandleResponse. It reports whether the lease is another's.
+func (c *Controller) HandleWrite(result fleet.Result) (leaseLost bool) {
+	c.lastWritten = max(c.lastWritten, result.Position)
+	return errors.Is(result.Err, fleet.ErrLeaseLost)
 }
 
-// HandleResponse is what to write down after a reply to an order.
-func (s *Controller) HandleResponse(o lease.EffectRequest, r lease.EffectResponse) (all []fleet.Entry) {
-	if r.Running || r.Outcome == "" {
+// HandleResponse returns the entries to propose after the response to a request: none while the effect has not ended.
+func (c *Controller) HandleResponse(request lease.EffectRequest, response lease.EffectResponse) []fleet.Entry {
+	if response.Running || response.Outcome == "" {
 		return nil
 	}
-	if s.holder.Unsafe.RecordIntentLate {
-		all = append(all, fleet.Entry{Kind: fleet.KindBeginStep, JobID: o.JobID, Step: o.Step, FencingToken: o.FencingToken})
+	entry := fleet.Entry{JobID: request.JobID, Step: request.Step, FencingToken: request.FencingToken}
+	var entries []fleet.Entry
+	if c.holder.Unsafe.RecordIntentLate {
+		begin := entry
+		begin.Kind = fleet.KindBeginStep
+		entries = append(entries, begin)
 	}
-	return append(all, fleet.Entry{Kind: fleet.KindFinishStep, JobID: o.JobID, Step: o.Step, FencingToken: o.FencingToken, Outcome: r.Outcome, Detail: r.Detail})
+	finish := entry
+	finish.Kind, finish.Outcome, finish.Detail = fleet.KindFinishStep, string(response.Outcome), response.Detail
+	return append(entries, finish)
 }
--- a/fleet/rollingupdate/plan.go
+++ b/fleet/rollingupdate/plan.go
@@ -1,12 +1,6 @@
-// Package rollingupdate decides the next steps of work on behalf of the fleet. It does no I/O and reads no clock: a job as the
-// log has it and what can be seen of the nodes in, actions out. Each step is written down before it is begun and after
-// it has ended, so that the next owner goes on where the last one was.
-//
-// A step may be asked of its node again under the same key: the node's follower answers with what came of the first.
 package rollingupdate
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -15,234 +9,252 @@
 	"cobaltward/fleet"
 )
 
-var (
-	rolloutSteps  = []string{fleet.ActionDrain, fleet.ActionPatch, fleet.ActionResume}
-	rollbackSteps = []string{fleet.ActionRollbackDrain, fleet.ActionRevert, fleet.ActionRollbackResume}
-)
-
-// NodeStatus is what can be seen of one.
+// NodeStatus is what can be seen of a node.
 type NodeStatus struct {
-	Zone           string
-	Capacity       float64
-	Serving        bool // its follower answers, and says that it serves
-	LeaseCandidate bool // its follower may own this work
+	Zone     string
+	Capacity float64 // in the unit of fleet.Node.Capacity
+	Serving  bool    // its agent answers, and says that the node serves
+	// LeaseCandidate says that its agent may hold the lease of rolling updates.
+	LeaseCandidate bool
 }
 
-// ClusterView is what the owner sees.
+// ClusterView is what the holder of the lease sees.
 type ClusterView struct {
-	Nodes map[string]NodeStatus
-	Self  string // the owner's own node
+	Nodes map[string]NodeStatus // by name
+	Self  string                // the name of the holder's own node
 }
 
 // Operation is what to do next.
 type Operation uint8
 
-// What there is to do.
+// The operations.
 const (
-	StartStep    Operation = iota // write down that a step begins; then ask for it
-	RequestStep                   // ask the node for a step that was begun; again, where the answer is out
-	CloseJob                      // write down that the job is over
-	ReleaseLease                  // give the work to another: the owner's own node is next
+	StartStep    Operation = iota // record that a step begins; then request it
+	RequestStep                   // request a step that was begun from its node, until its outcome is known
+	CloseJob                      // record that the job is closed
+	ReleaseLease                  // leave the lease to another process: the holder's own node is next
 )
 
 // Action is one thing to do.
 type Action struct {
 	Operation   Operation
-	Step        fleet.StepKey
-	Retry       bool   // of Ask: an earlier owner may have asked
-	CloseReason string // of Close
-	Detail      string
+	Step        fleet.StepKey // of StartStep and RequestStep
+	Retry       bool          // of RequestStep: an earlier holder may have requested it
+	CloseReason fleet.CloseReason
+	Detail      string // of CloseReason
+}
+
+// IdempotencyKey returns the key of a step's effect, the same for all holders.
+func IdempotencyKey(jobID string, step fleet.StepKey) string { return jobID + "/" + step.String() }
+
+// sequence is the three actions that a node goes through.
+type sequence struct{ drain, change, resume fleet.StepAction }
+
+var (
+	forward  = sequence{fleet.ActionDrain, fleet.ActionPatch, fleet.ActionResume}
+	rollback = sequence{fleet.ActionRollbackDrain, fleet.ActionRevert, fleet.ActionRollbackResume}
+)
+
+func (s sequence) actions() [3]fleet.StepAction {
+	return [3]fleet.StepAction{s.drain, s.change, s.resume}
 }
 
-// IdempotencyKey is the key of a step's effect, the same for all owners.
-func IdempotencyKey(job string, s fleet.StepKey) string { return job + "/" + s.String() }
+// planner holds what one call of Next decides by.
+type planner struct {
+	job         *fleet.Job
+	view        ClusterView
+	unavailable map[string]bool
+	sequence    sequence
+	nodes       []string // that go through the sequence, in order
+}
 
-// Next is what the owner of a job does now. Steps that are under way stand among the actions each time.
-func Next(j *fleet.Job, v ClusterView) (all []Action) {
-	if j.CloseReason != "" {
+// Next returns what the holder of the lease does now. Steps that are under way are among the actions each time.
+func Next(job *fleet.Job, view ClusterView) []Action {
+	if !job.Open() {
 		return nil
 	}
-	r := planner{j: j, v: v, away: j.UnavailableNodes(), steps: rolloutSteps, nodes: j.Spec.Nodes}
-	if j.Command == fleet.CommandRollBack {
-		r.steps, r.nodes = rollbackSteps, nil
-		for _, name := range slices.Backward(j.Spec.Nodes) { // those that the patch has met, the last one first
-			if j.Steps[fleet.StepKey{Node: name, Action: fleet.ActionPatch}].StartedAt != 0 {
-				r.nodes = append(r.nodes, name)
-			}
+	plan := newPlanner(job, view)
+	if action, stuck := plan.closeOnUnknownOutcome(); stuck {
+		return []Action{action}
+	}
+	if job.Command == fleet.CommandRollBack {
+		if actions := plan.finishForward(); len(actions) > 0 {
+			return actions
 		}
 	}
-	for key, s := range j.Steps { // what is in doubt stops all: an operator looks, and may order the way back
-		if s.Outcome == fleet.OutcomeUnknown && slices.Contains(r.steps, key.Action) {
-			return []Action{{Operation: CloseJob, CloseReason: "stopped", Detail: "in doubt: " + key.String() + ": " + s.Detail}}
+	return plan.next()
+}
+
+func newPlanner(job *fleet.Job, view ClusterView) *planner {
+	plan := &planner{
+		job:         job,
+		view:        view,
+		unavailable: job.UnavailableNodes(),
+		sequence:    forward,
+		nodes:       job.Spec.Nodes,
+	}
+	if job.Command != fleet.CommandRollBack {
+		return plan
+	}
+	plan.sequence, plan.nodes = rollback, nil
+	for _, node := range slices.Backward(job.Spec.Nodes) { // those that may be patched, the last one first
+		if plan.step(node, fleet.ActionPatch).StartedAt != 0 {
+			plan.nodes = append(plan.nodes, node)
 		}
 	}
-	if j.Command == fleet.CommandRollBack {
-		if all = r.settle(); len(all) > 0 {
-			return all
+	return plan
+}
+
+func (p *planner) step(node string, action fleet.StepAction) fleet.Step {
+	return p.job.Steps[fleet.StepKey{Node: node, Action: action}]
+}
+
+// closeOnUnknownOutcome closes the job if the outcome of one of its steps is unknown: an operator has to look, and
+// may then command the rollback.
+func (p *planner) closeOnUnknownOutcome() (action Action, found bool) {
+	actions := p.sequence.actions()
+	for key, step := range p.job.Steps {
+		if step.Outcome == fleet.OutcomeUnknown && slices.Contains(actions[:], key.Action) {
+			detail := "in doubt: " + key.String() + ": " + step.Detail
+			return Action{Operation: CloseJob, CloseReason: fleet.ClosedStopped, Detail: detail}, true
 		}
 	}
-	return r.next()
+	return action, false
 }
 
-// settle ends what is under way on the way forth before the way back begins: a step that was begun is waited for, and
-// its node is taken in.
-func (r *planner) settle() (all []Action) {
-	for _, node := range r.j.Spec.Nodes {
-		step := func(what string) fleet.Step { return r.step(node, what) }
-		if step(fleet.ActionDrain).StartedAt == 0 || step(fleet.ActionResume).FinishedAt != 0 || step(fleet.ActionRollbackDrain).StartedAt != 0 {
+// finishForward ends what is under way before the rollback begins: a step that was begun is waited for, and its node
+// is resumed.
+func (p *planner) finishForward() []Action {
+	var actions []Action
+	for _, node := range p.job.Spec.Nodes {
+		drained := p.step(node, forward.drain).StartedAt != 0
+		resumed := p.step(node, forward.resume).FinishedAt != 0
+		if !drained || resumed || p.step(node, rollback.drain).StartedAt != 0 {
 			continue
 		}
-		next := Action{Operation: StartStep, Step: fleet.StepKey{Node: node, Action: fleet.ActionResume}}
-		for _, what := range rolloutSteps {
-			if s := step(what); s.StartedAt != 0 && s.FinishedAt == 0 {
-				next = Action{Operation: RequestStep, Step: fleet.StepKey{Node: node, Action: what}, Retry: s.Attempts > 1}
+		next := startStep(node, forward.resume)
+		for _, action := range forward.actions() {
+			if step := p.step(node, action); step.StartedAt != 0 && step.FinishedAt == 0 {
+				next = p.requestStep(node, action)
 			}
 		}
-		all = append(all, next)
+		actions = append(actions, next)
 	}
-	return all
+	return actions
 }
 
-type planner struct {
-	j     *fleet.Job
-	v     ClusterView
-	away  map[string]bool
-	steps []string
-	nodes []string
+func startStep(node string, action fleet.StepAction) Action {
+	return Action{Operation: StartStep, Step: fleet.StepKey{Node: node, Action: action}}
 }
 
-func (r *planner) step(node, what string) fleet.Step {
-	return r.j.Steps[fleet.StepKey{Node: node, Action: what}]
+func (p *planner) requestStep(node string, action fleet.StepAction) Action {
+	key := fleet.StepKey{Node: node, Action: action}
+	return Action{Operation: RequestStep, Step: key, Retry: p.job.Steps[key].Attempts > 1}
 }
 
-// stage is the step that a node is at: its number, len(steps) where it is through, and whether that has begun.
-func (r *planner) stage(node string) (n int, begun bool) {
-	for i, what := range r.steps {
-		s := r.step(node, what)
-		if s.FinishedAt == 0 {
-			return i, s.StartedAt != 0
+// nextStep returns the first action of the sequence that a node has not finished, and whether it has begun; pending
+// is false where the node is through.
+func (p *planner) nextStep(node string) (action fleet.StepAction, begun, pending bool) {
+	for _, action := range p.sequence.actions() {
+		step := p.step(node, action)
+		if step.FinishedAt == 0 {
+			return action, step.StartedAt != 0, true
 		}
-		if s.Outcome != fleet.OutcomeOK && i == 0 {
-			i++ // what could not be taken out is not patched, only taken back
-			if in := r.step(node, r.steps[2]); in.FinishedAt == 0 {
-				return 2, in.StartedAt != 0
-			}
-			return 3, false
+		if action == p.sequence.drain && step.Outcome != fleet.OutcomeOK { // not patched, only resumed
+			resume := p.step(node, p.sequence.resume)
+			return p.sequence.resume, resume.StartedAt != 0, resume.FinishedAt == 0
 		}
 	}
-	return len(r.steps), false
+	return "", false, false
 }
 
-func (r *planner) next() (all []Action) {
-	stopping := r.j.Command == fleet.CommandAbort || (r.j.Command != fleet.CommandRollBack && r.j.Spec.MaxFailures > 0 && r.j.Failures >= r.j.Spec.MaxFailures)
-	lost := ""
-	for _, node := range r.nodes {
-		if s := r.step(node, r.steps[2]); s.FinishedAt != 0 && s.Outcome != fleet.OutcomeOK {
-			lost, stopping = node, true // it did not come back: no other goes
-		}
-	}
-	paused := r.j.Command == fleet.CommandPause
-	busy, through := 0, 0
-	var fresh []string
-	for _, node := range r.nodes {
-		n, begun := r.stage(node)
+// progress is how far the nodes of the plan are.
+type progress struct {
+	actions  []Action // for the nodes under way
+	underWay int
+	done     int
+	fresh    []string // not begun yet
+}
+
+func (p *planner) progress() progress {
+	var result progress
+	for _, node := range p.nodes {
+		action, begun, pending := p.nextStep(node)
 		switch {
-		case n == len(r.steps):
-			through++
+		case !pending:
+			result.done++
 		case begun:
-			busy++
-			key := fleet.StepKey{Node: node, Action: r.steps[n]}
-			all = append(all, Action{Operation: RequestStep, Step: key, Retry: r.j.Steps[key].Attempts > 1})
-		case n == 0:
-			fresh = append(fresh, node)
-		case paused:
-			busy++
-		default: // what is out is not left out
-			busy++
-			all = append(all, Action{Operation: StartStep, Step: fleet.StepKey{Node: node, Action: r.steps[n]}})
+			result.underWay++
+			result.actions = append(result.actions, p.requestStep(node, action))
+		case action == p.sequence.drain:
+			result.fresh = append(result.fresh, node)
+		case p.job.Command == fleet.CommandPause:
+			result.underWay++
+		default: // a drained node is not left drained
+			result.underWay++
+			result.actions = append(result.actions, startStep(node, action))
 		}
 	}
+	return result
+}
+
+func (p *planner) next() []Action {
+	lost := p.lostNode()
+	stopping := lost != "" || p.job.Command == fleet.CommandAbort || p.tooManyFailures()
+	paused := p.job.Command == fleet.CommandPause
+	current := p.progress()
 	switch {
-	case busy > 0 && (stopping || paused), paused:
-		return all
+	case paused, stopping && current.underWay > 0:
+		return current.actions
 	case stopping:
-		return []Action{{Operation: CloseJob, CloseReason: r.why(lost), Detail: r.detail(lost)}}
-	case through == len(r.nodes):
-		over := "done"
-		if r.j.Command == fleet.CommandRollBack {
-			over = "back"
-		}
-		return []Action{{Operation: CloseJob, CloseReason: over, Detail: r.detail("")}}
+		return []Action{{Operation: CloseJob, CloseReason: p.stopReason(lost), Detail: p.closeDetail(lost)}}
+	case current.done == len(p.nodes):
+		return []Action{{Operation: CloseJob, CloseReason: p.doneReason(), Detail: p.closeDetail("")}}
 	}
-	all = append(all, r.begin(fresh)...)
-	if len(all) == 0 && len(r.away) > 0 { // nodes that did not come back on the way forth leave no room, or too little capacity
-		return []Action{{Operation: CloseJob, CloseReason: "stopped", Detail: strings.Join(slices.Sorted(maps.Keys(r.away)), " ") + " did not come back"}}
+	actions := append(current.actions, p.drainNext(current.fresh)...)
+	if len(actions) == 0 && len(p.unavailable) > 0 { // too few nodes, or too little capacity, are left to go on
+		names := strings.Join(slices.Sorted(maps.Keys(p.unavailable)), " ")
+		return []Action{{Operation: CloseJob, CloseReason: fleet.ClosedStopped, Detail: names + " did not come back"}}
 	}
-	return all
+	return actions
 }
 
-func (r *planner) why(lost string) string {
-	if r.j.Command == fleet.CommandAbort && lost == "" {
-		return "aborted"
+// lostNode returns the last node that could not be resumed; empty if there is none. No other node may follow it.
+func (p *planner) lostNode() string {
+	lost := ""
+	for _, node := range p.nodes {
+		if resume := p.step(node, p.sequence.resume); resume.FinishedAt != 0 && resume.Outcome != fleet.OutcomeOK {
+			lost = node
+		}
 	}
-	return "stopped"
+	return lost
 }
 
-func (r *planner) detail(lost string) string {
-	if lost != "" {
-		return fmt.Sprintf("%s did not come back: %s", lost, r.step(lost, r.steps[2]).Detail)
-	}
-	if r.j.Failures > 0 {
-		return fmt.Sprintf("%d steps failed", r.j.Failures)
-	}
-	return ""
+func (p *planner) tooManyFailures() bool {
+	limit := p.job.Spec.MaxFailures
+	return p.job.Command != fleet.CommandRollBack && limit > 0 && p.job.Failures >= limit
 }
 
-// begin takes out what may go now: never more at once than the job allows, never so many that those which serve carry
-// less than is needed, one zone after another where it says so, and the owner's own node last, under another owner.
-func (r *planner) begin(fresh []string) (all []Action) {
-	zone := ""
-	if r.j.Spec.ByZone {
-		for _, node := range r.nodes {
-			if n, _ := r.stage(node); n < len(r.steps) {
-				zone = r.v.Nodes[node].Zone
-				break
-			}
-		}
-		fresh = slices.DeleteFunc(fresh, func(n string) bool { return r.v.Nodes[n].Zone != zone })
+func (p *planner) stopReason(lost string) fleet.CloseReason {
+	if p.job.Command == fleet.CommandAbort && lost == "" {
+		return fleet.ClosedAborted
 	}
-	serving := 0.0
-	for name, n := range r.v.Nodes {
-		if n.Serving && !r.away[name] {
-			serving += n.Capacity
-		}
-	}
-	slices.SortStableFunc(fresh, func(a, b string) int { return cmp.Compare(own(a, r.v.Self), own(b, r.v.Self)) })
-	for _, node := range fresh {
-		n := r.v.Nodes[node]
-		if r.away[node] { // it did not come back on the way forth, and is out already
-			all = append(all, Action{Operation: StartStep, Step: fleet.StepKey{Node: node, Action: r.steps[0]}})
-			continue
-		}
-		if len(r.away)+len(all) >= r.j.Spec.MaxUnavailable || !n.Serving || serving-n.Capacity < r.j.Spec.MinCapacity {
-			continue
-		}
-		if node == r.v.Self {
-			for name, o := range r.v.Nodes {
-				if name != node && o.LeaseCandidate && o.Serving {
-					return append(all, Action{Operation: ReleaseLease})
-				}
-			}
-		}
-		serving -= n.Capacity
-		all = append(all, Action{Operation: StartStep, Step: fleet.StepKey{Node: node, Action: r.steps[0]}})
+	return fleet.ClosedStopped
+}
+
+func (p *planner) doneReason() fleet.CloseReason {
+	if p.job.Command == fleet.CommandRollBack {
+		return fleet.ClosedRolledBack
 	}
-	return all
+	return fleet.ClosedDone
 }
 
-func own(node, self string) int {
-	if node == self {
-		return 1
+func (p *planner) closeDetail(lost string) string {
+	if lost != "" {
+		return fmt.Sprintf("%s did not come back: %s", lost, p.step(lost, p.sequence.resume).Detail)
+	}
+	if p.job.Failures > 0 {
+		return fmt.Sprintf("%d steps failed", p.job.Failures)
 	}
-	return 0
+	return ""
 }
--- /dev/null
+++ b/fleet/rollout/retirement.go
@@ -0,0 +1,51 @@
+package rollout
+
+import (
+	"time"
+
+	"cobaltward/fleet"
+	"cobaltward/fleet/lease"
+)
+
+// RetirementTracker tells when the last lease of a retired version has expired. Each member of the consensus group
+// has one, as it has a lease.ExpiryTracker: a new leader need not wait again for what it has seen retired itself. It
+// is not safe for concurrent use.
+type RetirementTracker struct {
+	LeaseDuration time.Duration // of version leases
+	Unsafe        UnsafeOptions
+	observed      map[string]retirement // by artifact
+}
+
+// retirement is a retired version, and when the tracker first saw it retired.
+type retirement struct {
+	version fleet.Version
+	seenAt  time.Duration
+}
+
+// Observe records the retired versions of a state. now is the time of the caller's monotonic clock.
+func (t *RetirementTracker) Observe(state *fleet.State, now time.Duration) {
+	if t.observed == nil {
+		t.observed = make(map[string]retirement)
+	}
+	for name, artifact := range state.Artifacts {
+		switch {
+		case artifact.Retiring == nil:
+			delete(t.observed, name)
+		case t.observed[name].version != *artifact.Retiring:
+			t.observed[name] = retirement{*artifact.Retiring, now}
+		}
+	}
+}
+
+// Cleared returns the retired version of an artifact on which no process acts any more. It is the zero Version while
+// a process may.
+func (t *RetirementTracker) Cleared(artifact string, now time.Duration) fleet.Version {
+	retired, ok := t.observed[artifact]
+	if !ok {
+		return fleet.Version{}
+	}
+	if !t.Unsafe.SkipRetirementDelay && now-retired.seenAt < lease.ExpiryDelay(t.LeaseDuration) {
+		return fleet.Version{}
+	}
+	return retired.version
+}
--- a/internal/fleetcli/cli.go
+++ b/internal/fleetcli/cli.go
@@ -285,9 +285,9 @@
 			through++
 		}
 	}
-	state := j.Command
+	state := string(j.Command)
 	if j.CloseReason != "" {
-		state = j.CloseReason
+		state = string(j.CloseReason)
 	}
 	line := fmt.Sprintf("%s %s: %d of %d nodes through, %d steps failed", j.Spec.Kind, state, through, len(j.Spec.Nodes), j.Failures)
 	if len(away) > 0 {
@@ -406,8 +406,8 @@
 	f.BoolVar(&wait, "wait", false, "show progress until it is over")
 	f.DurationVar(&t.wait, "for", time.Hour, "how long to wait")
 	c.AddCommand(start)
-	for use, short := range map[string]string{fleet.CommandPause: "Begin nothing new", fleet.CommandRun: "Go on", fleet.CommandAbort: "Finish the nodes that are out, and end", fleet.CommandRollBack: "Take the patch back, the last node first"} {
-		c.AddCommand(t.clientCommand(use+" ROUND", short, cobra.ExactArgs(1), func(c *agent.Client, args []string) error {
+	for use, short := range map[fleet.JobCommand]string{fleet.CommandPause: "Begin nothing new", fleet.CommandRun: "Go on", fleet.CommandAbort: "Finish the nodes that are out, and end", fleet.CommandRollBack: "Take the patch back, the last node first"} {
+		c.AddCommand(t.clientCommand(string(use)+" ROUND", short, cobra.ExactArgs(1), func(c *agent.Client, args []string) error {
 			return t.propose(c, fleet.Entry{Kind: fleet.KindControlJob, JobID: args[0], Command: use})
 		}))
 	}
--- a/tools/fleetbench/main.go
+++ b/tools/fleetbench/main.go
@@ -80,8 +80,8 @@
 		if s == nil {
 			return "", 0
 		}
-		name, _, _ := strings.Cut(s.Leases[fleet.JobRollingUpdate].Holder, "/")
-		return name, s.Leases[fleet.JobRollingUpdate].FencingToken
+		name, _, _ := strings.Cut(s.Leases[fleet.ResourceRollingUpdate].Holder, "/")
+		return name, s.Leases[fleet.ResourceRollingUpdate].FencingToken
 	}
 	for _, how := range []string{"killed", "stopped"} {
 		var all []time.Duration
