--- a/emulator/concert/concert.go
+++ b/emulator/concert/concert.go
@@ -3,8 +3,8 @@
 // same schedule.
 //
 // It stands in for processes that die, are stopped, or are cut off, for messages that are lost, late or repeated, and
-// for clocks that run apart by up to owner.Drift, or jump where the schedule says so. What it does not play: HTTP, the
-// file system, and goroutines; the rig of processes does.
+// for clocks that run apart by up to lease.MaxClockDrift, or jump where the schedule says so. What it does not play:
+// HTTP, the file system, and goroutines; the rig of processes does.
 package concert
 
 import (
@@ -69,9 +69,26 @@
 	for _, p := range []struct {
 		to   *int
 		from int
-	}{{&r.Effects, o.Effects}, {&r.Tokens, o.Tokens}, {&r.Late, o.Late}, {&r.Refused, o.Refused}, {&r.Rounds, o.Rounds}, {&r.Commits, o.Commits},
-		{&r.Crashes, o.Crashes}, {&r.Stops, o.Stops}, {&r.Cuts, o.Cuts}, {&r.Lost, o.Lost}, {&r.Repeated, o.Repeated}, {&r.Jumps, o.Jumps}, {&r.New, o.New}, {&r.Old, o.Old},
-		{&r.Wakes, o.Wakes}, {&r.Acts, o.Acts}, {&r.Rollouts, o.Rollouts}, {&r.Messages, o.Messages}} {
+	}{
+		{&r.Effects, o.Effects},
+		{&r.Tokens, o.Tokens},
+		{&r.Late, o.Late},
+		{&r.Refused, o.Refused},
+		{&r.Rounds, o.Rounds},
+		{&r.Commits, o.Commits},
+		{&r.Crashes, o.Crashes},
+		{&r.Stops, o.Stops},
+		{&r.Cuts, o.Cuts},
+		{&r.Lost, o.Lost},
+		{&r.Repeated, o.Repeated},
+		{&r.Jumps, o.Jumps},
+		{&r.New, o.New},
+		{&r.Old, o.Old},
+		{&r.Wakes, o.Wakes},
+		{&r.Acts, o.Acts},
+		{&r.Rollouts, o.Rollouts},
+		{&r.Messages, o.Messages},
+	} {
 		*p.to += p.from
 	}
 }
@@ -140,11 +157,10 @@
 
 // node is what a follower drives: it outlives it.
 type node struct {
-	name    string
-	out     bool
-	drained bool
-	newest  fleet.FencingToken
-	done    map[string]int
+	name   string
+	out    bool
+	newest fleet.FencingToken
+	done   map[string]int
 }
 
 // disk is what a member has synced, and what not yet.
--- a/emulator/concert/versions.go
+++ b/emulator/concert/versions.go
@@ -28,8 +28,10 @@
 // act has a follower act by rights: it asks for them, decides requests while it has one, and may own rollouts.
 func (p *process) act() {
 	w := p.w
-	p.rights = &rights{right: rollout.VersionLease{Duration: rightLength, Unsafe: w.c.Rights}, seen: make(map[string]rollout.NodeStatus), since: make(map[string]time.Duration),
-		holder: lease.Holder{Resource: fleet.ResourceRollout, Identity: fmt.Sprintf("%s/%d", p.name, p.life), Duration: leaseDuration, Unsafe: w.c.Guards}}
+	p.rights = &rights{
+		right: rollout.VersionLease{Duration: rightLength, Unsafe: w.c.Rights}, seen: make(map[string]rollout.NodeStatus), since: make(map[string]time.Duration),
+		holder: lease.Holder{Resource: fleet.ResourceRollout, Identity: fmt.Sprintf("%s/%d", p.name, p.life), Duration: leaseDuration, Unsafe: w.c.Guards},
+	}
 	p.every(100*ms, p.askRight)
 	p.every(actEvery, p.decide)
 	if p.index-w.c.Members < w.c.Owners {
@@ -148,8 +150,10 @@
 			w.res.Rollouts++
 		}
 		id := fmt.Sprint("v", w.roll)
-		_ = lead.core.Propose(0, fleet.Entry{Kind: fleet.KindStartJob, JobID: id, Spec: &fleet.JobSpec{Kind: fleet.JobRollout, Artifact: thing, Digest: id, MaxStragglers: len(w.followers),
-			Stages: [][]string{{w.followers[0].name}, {w.followers[1].name, w.followers[2].name}}}})
+		_ = lead.core.Propose(0, fleet.Entry{Kind: fleet.KindStartJob, JobID: id, Spec: &fleet.JobSpec{
+			Kind: fleet.JobRollout, Artifact: thing, Digest: id, MaxStragglers: len(w.followers),
+			Stages: [][]string{{w.followers[0].name}, {w.followers[1].name, w.followers[2].name}},
+		}})
 	case s.OpenJob(fleet.JobRollout) != nil && w.r.IntN(40) == 0 && w.now < w.c.Length:
 		_ = lead.core.Propose(0, fleet.Entry{Kind: fleet.KindControlJob, JobID: s.OpenJob(fleet.JobRollout).ID, Command: fleet.CommandRollBack})
 	}
--- a/emulator/processes/relay.go
+++ b/emulator/processes/relay.go
@@ -47,8 +47,10 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &relay{from: from, to: to, rig: g, addr: ln.Addr().String(), weather: make(map[int]weather), rnd: rand.New(rand.NewPCG(seed, 1)),
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 2 * time.Second, DisableCompression: true}}}
+	r := &relay{
+		from: from, to: to, rig: g, addr: ln.Addr().String(), weather: make(map[int]weather), rnd: rand.New(rand.NewPCG(seed, 1)),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 2 * time.Second, DisableCompression: true}},
+	}
 	r.server = &http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = r.server.Serve(ln) }() // ends with close
 	return r, nil
--- a/emulator/processes/rig.go
+++ b/emulator/processes/rig.go
@@ -96,14 +96,13 @@
 	dir  string
 	bad  string // while this file is there, its disk fails
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	exited  chan struct{}
-	addr    string
-	log     []string
-	stopped bool
-	faults  int        // that keep it down
-	life    sync.Mutex // of one start or end at a time
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+	addr   string
+	log    []string
+	faults int        // that keep it down
+	life   sync.Mutex // of one start or end at a time
 }
 
 func canonical(name string) string {
@@ -172,8 +171,10 @@
 
 // Start starts all that a script names, and plays none of its faults. Whoever calls it ends it with End.
 func Start(ctx context.Context, s *Script, o Options) (_ *Rig, err error) {
-	g := &Rig{s: s, o: o, procs: make(map[string]*proc), relays: make(map[[2]string]*relay), quit: make(chan struct{}), injected: make(map[string]int),
-		quiet: slog.New(slog.DiscardHandler)}
+	g := &Rig{
+		s: s, o: o, procs: make(map[string]*proc), relays: make(map[[2]string]*relay), quit: make(chan struct{}), injected: make(map[string]int),
+		quiet: slog.New(slog.DiscardHandler),
+	}
 	g.begins()
 	if g.dir, err = os.MkdirTemp("", "fleet"); err != nil {
 		return nil, err
--- a/emulator/processes/script.go
+++ b/emulator/processes/script.go
@@ -122,8 +122,10 @@
 // Draw is a script of mixed faults from a seed: the same for the same seed.
 func Draw(seed uint64, council, nodes int, length time.Duration) *Script {
 	r := rand.New(rand.NewPCG(seed, 0x77a7))
-	s := &Script{Title: fmt.Sprintf("drawn from seed %d", seed), Seed: seed, Council: council, Nodes: nodes, Lease: time.Second, Tick: 25 * time.Millisecond,
-		Length: length, AtOnce: 1 + r.IntN(2), Need: float64(nodes / 2)}
+	s := &Script{
+		Title: fmt.Sprintf("drawn from seed %d", seed), Seed: seed, Council: council, Nodes: nodes, Lease: time.Second, Tick: 25 * time.Millisecond,
+		Length: length, AtOnce: 1 + r.IntN(2), Need: float64(nodes / 2),
+	}
 	names := s.Names()
 	members, followers := names[:council], names[council:]
 	pick := func(from []string, most int) []string {
