Shutdown: first requests of connections accepted before it are served until the kill

Callers that connected within 0.4 s of SIGTERM (where clients are still routed here) and sent their first byte 60 to 300 ms later read the end of their connection or 503, with deadlines of 100 and 400 ms; over MessagePack-RPC the first call was answered overloaded; a drain on request did the same.

Cause: the drain counted only requests that had begun, and a connection without one was closed 0.1 s after its accept (firstRequestGrace, made for eviction), while the shutdown has until the longest deadline and 0.7 s. MessagePack-RPC connections were closed at the forced end of a drain ahead of their answers.

TestCloseIdle_RequestArrivesAfterwards ages its connection by the new grace; its check is the same.

--- a/internal/frontend/msgpack/conn.go
+++ b/internal/frontend/msgpack/conn.go
@@ -18,6 +18,11 @@
 	lingerTimeout = time.Second
 	// lateCallTimeout is how long calls that cross the drain notification are still answered.
 	lateCallTimeout = 200 * time.Millisecond
+	// drainFirstCallGrace is how long after its beginning a connection without any call is left open by a drain: the
+	// first call may be on its way.
+	drainFirstCallGrace = 2500 * time.Millisecond
+	// drainRecheckInterval is the time between looks whether a connection can be ended by a drain.
+	drainRecheckInterval = 100 * time.Millisecond
 )
 
 // conn is one client's connection. One goroutine reads, one writes, and each open call has one that waits for its
@@ -40,7 +45,9 @@
 	unwritten        int                           // answers, queued or being written
 	idleSince        time.Time                     // when the connection last had an open call
 	messageStartedAt time.Time                     // of an incomplete message; zero: there is none
+	openedAt         time.Time                     // the connection was accepted
 	callSeen         bool                          // a call has been received
+	answerWritten    bool                          // an answer has been written
 	lastReadAt       time.Time
 	notifications    []byte // not yet written
 	draining         bool
@@ -63,6 +70,7 @@
 		writerDone:  make(chan struct{}),
 		open:        make(map[uint32]context.CancelFunc),
 		idleSince:   time.Now(),
+		openedAt:    time.Now(),
 	}
 	c.arrival.Reset(earliest)
 	return c
@@ -79,6 +87,25 @@
 	return len(c.open)
 }
 
+// isBusy reports whether a call is open or an answer unwritten.
+func (c *conn) isBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.idle()
+}
+
+// firstCallPending reports whether the first call is not answered, and may be on its way.
+func (c *conn) firstCallPending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.answerWritten && (!c.idle() || c.awaitsFirstCall())
+}
+
+// awaitsFirstCall reports whether no call has come yet, and the first may be on its way. c.mu is held.
+func (c *conn) awaitsFirstCall() bool {
+	return !c.callSeen && !c.closing && !c.writeClosed && time.Since(c.openedAt) < drainFirstCallGrace
+}
+
 // evictableSince returns the time since which the connection has been idle; false if it may not be evicted. An overflow
 // connection may be evicted within a message that has stalled, but not while its first call may be arriving.
 func (c *conn) evictableSince() (time.Time, bool) {
@@ -128,8 +155,19 @@
 	if !c.draining {
 		c.notifications = msgpackrpc.AppendDrain(c.notifications)
 		c.draining, c.drainNotifiedAt = true, time.Now()
-		time.AfterFunc(lateCallTimeout, c.writeSignal.Notify)
+		time.AfterFunc(lateCallTimeout, c.recheckDrain)
 	}
 	c.mu.Unlock()
 	c.writeSignal.Notify()
 }
+
+// recheckDrain has the writer look whether the connection is finished, again later while its first call may come.
+func (c *conn) recheckDrain() {
+	c.mu.Lock()
+	awaiting := c.awaitsFirstCall()
+	c.mu.Unlock()
+	if awaiting {
+		time.AfterFunc(drainRecheckInterval, c.recheckDrain)
+	}
+	c.writeSignal.Notify()
+}
--- a/internal/frontend/msgpack/connread.go
+++ b/internal/frontend/msgpack/connread.go
@@ -86,7 +86,7 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	draining, ok := c.register(message.ID, cancel)
+	rejected, ok := c.register(message.ID, cancel)
 	if !ok {
 		cancel()
 		<-c.callSlots
@@ -96,7 +96,7 @@
 	req, reply := c.parseRequest(message, receivedAt)
 	switch {
 	case reply.Code != "":
-	case draining: // the call crossed the notification, and is not forwarded
+	case rejected: // the call crossed the notification, and is not forwarded
 		reply = msgpackrpc.Reply{Code: msgpackrpc.Overloaded, Text: "the node is draining"}
 	case c.server.rejectsOverflow(c):
 		reply = c.server.overloadedReply(req.Class)
@@ -115,16 +115,18 @@
 	return nil
 }
 
-// register adds an open call; ok is false if its id is in use.
-func (c *conn) register(id uint32, cancel context.CancelFunc) (draining, ok bool) {
+// register adds an open call; ok is false if its id is in use. rejected says that the call came after a drain had
+// begun; the first call of a connection is taken all the same.
+func (c *conn) register(id uint32, cancel context.CancelFunc) (rejected, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.open[id] != nil {
 		return false, false
 	}
 	c.open[id] = cancel
+	rejected = c.draining && c.callSeen
 	c.callSeen = true
-	return c.draining, true
+	return rejected, true
 }
 
 // finishCall queues the answer to an open call.
--- a/internal/frontend/msgpack/connwrite.go
+++ b/internal/frontend/msgpack/connwrite.go
@@ -58,6 +58,7 @@
 	}
 	c.mu.Lock()
 	c.unwritten -= answers
+	c.answerWritten = c.answerWritten || answers > 0
 	idle := c.idle()
 	if idle && c.messageStartedAt.IsZero() && !c.writeClosed { // the reader may be waiting without a deadline
 		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.config.IdleTimeout))
@@ -79,7 +80,10 @@
 	if !c.idle() || len(c.notifications) > 0 {
 		return false
 	}
-	return c.closing || c.draining && time.Since(c.drainNotifiedAt) >= lateCallTimeout
+	if c.closing {
+		return true
+	}
+	return c.draining && time.Since(c.drainNotifiedAt) >= lateCallTimeout && !c.awaitsFirstCall()
 }
 
 // closeWriteSide ends the sending, and gives the client some time to close its side.
--- a/internal/frontend/msgpack/server.go
+++ b/internal/frontend/msgpack/server.go
@@ -165,25 +165,48 @@
 	*counter++
 }
 
-// Connections returns the number of connections, and of those that have an open call.
+// Connections returns the number of connections, and of those that have an open call or an unwritten answer.
 func (s *Server) Connections() (open, busy int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for conn := range s.conns {
 		open++
-		if conn.openCalls() > 0 {
+		if conn.isBusy() {
 			busy++
 		}
 	}
 	return open, busy
 }
 
+// PendingFirstRequests returns the number of connections that have no answer yet, and whose first call is open or may be
+// on its way.
+func (s *Server) PendingFirstRequests() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pending := 0
+	for conn := range s.conns {
+		if conn.firstCallPending() {
+			pending++
+		}
+	}
+	return pending
+}
+
 // Shutdown stops accepting, as StopAccepting does, and returns when all connections have ended. When ctx ends first, it
 // closes the others, and returns ctx's error.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.StopAccepting()
+	err := s.AwaitEnd(ctx)
+	if err != nil {
+		s.Close()
+	}
+	return err
+}
+
+// AwaitEnd returns when all connections have ended, or with ctx's error. The server must have stopped accepting.
+func (s *Server) AwaitEnd(ctx context.Context) error {
 	ended := make(chan struct{})
-	go func() {
+	go func() { // ends at the latest with Close
 		s.serving.Wait()
 		close(ended)
 	}()
@@ -191,14 +214,13 @@
 	case <-ended:
 		return nil
 	case <-ctx.Done():
-		s.Close()
-		<-ended
 		return ctx.Err()
 	}
 }
 
 // StopAccepting closes the listeners and notifies clients of the drain, without waiting. Calls that are open are
-// answered, calls that arrive later are rejected, and each connection ends with its last answer.
+// answered, and each connection ends with its last answer. Calls that arrive later are rejected, except for the first
+// of a connection that had none: its client could not know of the drain.
 func (s *Server) StopAccepting() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -37,6 +37,8 @@
 	// Under the listener's mutex.
 	idleElement   *linked.Element // in clientListener.idle; nil while there is a request
 	requestSeen   bool            // bytes of a request have come
+	firstPending  bool            // counted in clientListener.firstPending
+	openedAt      time.Time       // since when a request can come: the accept, or the end of the TLS handshake
 	closed        bool            // it is out of clientListener.open
 	halfClosed    bool            // the node's side is closed: a request that comes now met the close
 	overflow      bool            // accepted without a slot: its requests are rejected while that is so
@@ -72,9 +74,20 @@
 	return ok && sockets.PeerClosed(c.TCPConn)
 }
 
-// awaitsFirstRequest reports whether the first request of a connection may be on its way.
-func (c *clientConn) awaitsFirstRequest() bool {
-	return !c.requestSeen && time.Since(c.acceptedAt) < firstRequestGrace
+// handshakeDone notes the end of the TLS handshake.
+func (c *clientConn) handshakeDone() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.openedAt = time.Now()
+	c.listener.slotFreed.Broadcast()
+}
+
+// isHandshaking reports whether the TLS handshake is not done.
+func (c *clientConn) isHandshaking() bool { return c.tls != nil && c.tls.Handshaking() }
+
+// awaitsFirstRequestLocked reports whether no request has come yet, and the connection is younger than grace.
+func (c *clientConn) awaitsFirstRequestLocked(grace time.Duration) bool {
+	return !c.requestSeen && time.Since(c.openedAt) < grace
 }
 
 // closeWriteSide closes the node's side, and gives the client closeHandshakeTimeout to close its own.
--- a/internal/node/clienteviction.go
+++ b/internal/node/clienteviction.go
@@ -17,8 +17,8 @@
 	stalledRequestAge = time.Second
 	// overflowStallTimeout takes the place of stalledRequestAge for overflow connections.
 	overflowStallTimeout = 2 * time.Millisecond
-	// firstRequestGrace protects a new connection from eviction and from a drain: its first request is on its way, and
-	// its client has no reason to expect a close.
+	// firstRequestGrace protects a new connection from eviction: its first request is on its way, and its client has no
+	// reason to expect a close.
 	firstRequestGrace = 100 * time.Millisecond
 	// rejectionWriteTimeout bounds the write of a rejection ahead of an eviction. The socket buffer has room for it.
 	rejectionWriteTimeout = 100 * time.Millisecond
@@ -31,7 +31,7 @@
 	for e := l.idle.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*clientConn)
 		handshaking := c.tls != nil && c.tls.Handshaking() && !c.tls.NothingReceived()
-		if handshaking || !includeNew && c.awaitsFirstRequest() || !sockets.IsIdle(c.TCPConn) {
+		if handshaking || !includeNew && c.awaitsFirstRequestLocked(firstRequestGrace) || !sockets.IsIdle(c.TCPConn) {
 			continue // in a handshake, new, or with a request that the close would fail
 		}
 		l.rejectEvictedLocked(c, !c.requestSeen)
--- a/internal/node/clientlistener.go
+++ b/internal/node/clientlistener.go
@@ -42,6 +42,9 @@
 	queueDrained     chan struct{} // closed when drainAcceptQueue has emptied the accept queue
 	shuttingDown     bool          // connections are closed as they become idle
 	recheckScheduled bool          // recheckIdle will run
+	// firstPending is the number of open connections whose first request is not answered; those accepted during a
+	// shutdown, or half closed, are not counted.
+	firstPending int
 
 	requestsDuringClose uint64 // requests that met the close of their connection; their clients send them again
 	closedIdle          uint64 // idle connections that were closed by a drain
@@ -80,6 +83,7 @@
 	}
 	conn.arrival.Reset(l.queueEmptyAt)
 	l.open++
+	conn.setFirstPendingLocked(!l.shuttingDown)
 	if l.tlsLayer != nil {
 		l.awaitHandshakeSlotLocked()
 	}
@@ -93,9 +97,10 @@
 
 // newConn returns a connection that was accepted now.
 func (l *clientListener) newConn(tcp *net.TCPConn) *clientConn {
-	c := &clientConn{TCPConn: tcp, listener: l, acceptedAt: time.Now(), stream: tcp}
+	now := time.Now()
+	c := &clientConn{TCPConn: tcp, listener: l, acceptedAt: now, openedAt: now, stream: tcp}
 	if l.tlsLayer != nil {
-		c.tls = l.tlsLayer.Wrap(tcp, l.handshakeDone)
+		c.tls = l.tlsLayer.Wrap(tcp, c.handshakeDone)
 		c.stream = c.tls
 	}
 	return c
@@ -140,6 +145,13 @@
 	return l.open, l.open - l.idle.Len()
 }
 
+// pendingFirstRequests returns firstPending.
+func (l *clientListener) pendingFirstRequests() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.firstPending
+}
+
 // idleCloseCounts returns the connections that a drain has closed, and the requests that met such a close.
 func (l *clientListener) idleCloseCounts() (closedIdle, requestsDuringClose uint64) {
 	l.mu.Lock()
--- a/internal/node/clientshutdown.go
+++ b/internal/node/clientshutdown.go
@@ -6,6 +6,13 @@
 	"cobaltward/internal/sockets"
 )
 
+// drainFirstRequestGrace is how long after its beginning a connection without any request is left open by a drain: the
+// first request may be on its way. net/http waits no longer for it at other times.
+const drainFirstRequestGrace = headerTimeout
+
+// drainRecheckInterval is the time between looks for connections that have been open for drainFirstRequestGrace.
+const drainRecheckInterval = 100 * time.Millisecond
+
 // acceptQueueDrainTimeout bounds the wait for connections that the kernel has accepted before the listener closes.
 const acceptQueueDrainTimeout = 20 * time.Millisecond
 
@@ -34,7 +41,7 @@
 	l.closeIdleAndUnlock()
 }
 
-// recheckIdle closes the connections that were within firstRequestGrace, unless cancelCloseIdle was called meanwhile.
+// recheckIdle closes the connections that were within drainFirstRequestGrace, unless cancelCloseIdle was called meanwhile.
 func (l *clientListener) recheckIdle() {
 	l.mu.Lock()
 	l.recheckScheduled = false
@@ -61,21 +68,22 @@
 	l.shuttingDown = false
 }
 
-// halfCloseIdleLocked marks the idle connections as half closed and returns them. Those within firstRequestGrace are
-// left to recheckIdle.
+// halfCloseIdleLocked marks the idle connections as half closed and returns them. Those without a request within
+// drainFirstRequestGrace are left to recheckIdle.
 func (l *clientListener) halfCloseIdleLocked() (idle []*clientConn) {
 	for e := l.idle.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*clientConn)
 		switch {
 		case c.halfClosed || !sockets.IsIdle(c.TCPConn):
-		case c.awaitsFirstRequest():
+		case c.isHandshaking(), c.awaitsFirstRequestLocked(drainFirstRequestGrace):
 			if !l.recheckScheduled {
 				l.recheckScheduled = true
-				time.AfterFunc(firstRequestGrace, l.recheckIdle)
+				time.AfterFunc(drainRecheckInterval, l.recheckIdle)
 			}
 		default:
 			idle = append(idle, c)
 			c.halfClosed = true
+			c.setFirstPendingLocked(false)
 		}
 	}
 	l.closedIdle += uint64(len(idle))
--- a/internal/node/clientshutdown_test.go
+++ b/internal/node/clientshutdown_test.go
@@ -37,7 +37,7 @@
 func TestCloseIdle_RequestArrivesAfterwards(t *testing.T) {
 	listener, client, conn := newClientPair(t)
 	listener.mu.Lock()
-	conn.acceptedAt = conn.acceptedAt.Add(-firstRequestGrace)
+	conn.openedAt = conn.openedAt.Add(-drainFirstRequestGrace)
 	if n := len(listener.halfCloseIdleLocked()); n != 1 {
 		t.Errorf("%d connections closed, want 1", n)
 	}
@@ -79,7 +79,7 @@
 		listener, client, conn := newClientPair(t)
 		listener.closeIdle()
 		if conn.halfClosed {
-			t.Error("closed without firstRequestGrace")
+			t.Error("closed without drainFirstRequestGrace")
 		}
 		sendRequestLine(t, client)
 		if n, err := conn.Read(make([]byte, 64)); n == 0 || err != nil {
@@ -91,7 +91,7 @@
 		listener.closeIdle()
 		_ = client.SetReadDeadline(time.Now().Add(testkit.MaxWait))
 		if _, err := client.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
-			t.Errorf("not closed after firstRequestGrace: %v", err)
+			t.Errorf("not closed after drainFirstRequestGrace: %v", err)
 		}
 		if open, busy := listener.connCounts(); open != 1 || busy != 0 {
 			t.Errorf("%d connections, %d busy", open, busy)
--- a/internal/node/clientslots.go
+++ b/internal/node/clientslots.go
@@ -68,13 +68,6 @@
 	return handshakes.AdmitClient(active, waiting, l.maxConns)
 }
 
-// handshakeDone notes the end of a handshake.
-func (l *clientListener) handshakeDone() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.slotFreed.Broadcast()
-}
-
 // mustReject reports whether a request that is about to be handed on must be rejected: its connection is an overflow
 // one and still without a slot, or was evicted just now, so that its client has been sent a rejection. A connection
 // whose request is handed on is not evicted before its answer.
--- a/internal/node/clientstate.go
+++ b/internal/node/clientstate.go
@@ -70,6 +70,7 @@
 // endRequestLocked notes that a request was answered, and reports whether the node's side is to be closed for a drain.
 func (c *clientConn) endRequestLocked() (mustClose bool) {
 	c.requestsDone++
+	c.setFirstPendingLocked(false)
 	if c.framing.Heads() > c.requestsDone { // the next request is in net/http's buffer, which the socket does not show
 		c.arrival.Advance()
 		return false
@@ -86,6 +87,19 @@
 	return true
 }
 
+// setFirstPendingLocked includes the connection in listener.firstPending, or excludes it.
+func (c *clientConn) setFirstPendingLocked(pending bool) {
+	if c.firstPending == pending {
+		return
+	}
+	c.firstPending = pending
+	if pending {
+		c.listener.firstPending++
+	} else {
+		c.listener.firstPending--
+	}
+}
+
 func (c *clientConn) markIdleLocked() {
 	c.idleElement = c.listener.idle.PushBack(c)
 	c.idle.Store(true)
@@ -105,6 +119,7 @@
 		c.idleElement = nil
 	}
 	delete(c.listener.partialRequests, c)
+	c.setFirstPendingLocked(false)
 	c.closed = true
 	c.listener.open--
 }
--- a/internal/node/httpserver.go
+++ b/internal/node/httpserver.go
@@ -24,7 +24,10 @@
 	done      chan struct{} // closed when Serve may return
 }
 
-var _ router.DrainableListener = (*httpServer)(nil)
+var (
+	_ router.DrainableListener    = (*httpServer)(nil)
+	_ router.FirstRequestListener = (*httpServer)(nil)
+)
 
 func newHTTPServer(server *http.Server, listener net.Listener, maxConns int) *httpServer {
 	return &httpServer{server: server, listener: newClientListener(listener, maxConns), done: make(chan struct{})}
@@ -61,6 +64,9 @@
 // Connections returns the number of connections, and of those with a request.
 func (s *httpServer) Connections() (open, busy int) { return s.listener.connCounts() }
 
+// PendingFirstRequests returns the number of connections that were accepted before a drain and have no response yet.
+func (s *httpServer) PendingFirstRequests() int { return s.listener.pendingFirstRequests() }
+
 // idleCloseCounts returns the connections that a drain has closed, and the requests that met such a close.
 func (s *httpServer) idleCloseCounts() (closedIdle, requestsDuringClose uint64) {
 	return s.listener.idleCloseCounts()
--- a/internal/node/rpcserver.go
+++ b/internal/node/rpcserver.go
@@ -32,7 +32,10 @@
 	resumed  chan struct{} // closed, and replaced, when the listener is opened again
 }
 
-var _ router.DrainableListener = (*rpcServer)(nil)
+var (
+	_ router.DrainableListener    = (*rpcServer)(nil)
+	_ router.FirstRequestListener = (*rpcServer)(nil)
+)
 
 func newRPCServer(listener net.Listener, wrapTLS func(net.Listener) net.Listener) *rpcServer {
 	return &rpcServer{
@@ -89,10 +92,28 @@
 	return nil
 }
 
-// Shutdown stops accepting, and waits for open calls until ctx ends.
+// Shutdown stops accepting, and waits until all connections have ended, or ctx ends. The connections that are left then
+// stay open until Close, so that the last answers can be written.
 func (s *rpcServer) Shutdown(ctx context.Context) error {
 	s.markClosed()
-	return s.Server.Shutdown(ctx)
+	s.Server.StopAccepting()
+	return s.Server.AwaitEnd(ctx)
+}
+
+// awaitAnswers waits until no call is open and no answer unwritten, or ctx ends.
+func (s *rpcServer) awaitAnswers(ctx context.Context) {
+	ticker := time.NewTicker(idleCloseInterval)
+	defer ticker.Stop()
+	for {
+		if _, busy := s.Connections(); busy == 0 {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // Close closes all connections.
--- a/internal/racetest/harness_test.go
+++ b/internal/racetest/harness_test.go
@@ -6,18 +6,23 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"sync"
 	"testing"
 	"time"
 
+	"cobaltward/certificates"
 	"cobaltward/discovery/registry"
 	"cobaltward/internal/adminapi"
 	"cobaltward/internal/node"
+	"cobaltward/internal/pki"
 	"cobaltward/internal/testkit"
 	"cobaltward/policy"
 	"cobaltward/router"
@@ -36,7 +41,8 @@
 	reloads   chan node.Config
 	terminate context.CancelFunc // acts on the node as SIGTERM does
 	exited    chan error
-	stopped   bool // the node's exit has been received
+	stopped   bool        // the node's exit has been received
+	clientTLS *tls.Config // nil: clients use plain HTTP
 
 	oldServer, newServer string // addresses of two servers, in tests of the endpoint list
 	trackedID            string // ID of the request that a termination test examines
@@ -118,6 +124,30 @@
 	return env
 }
 
+// useTLS has the node's clients use TLS. It is called before start.
+func (env *harness) useTLS() {
+	env.t.Helper()
+	authority := pki.NewAuthority("clients'")
+	pair := authority.Issue(pki.Leaf{Names: []string{"127.0.0.1"}})
+	dir := env.t.TempDir()
+	sources := certificates.Sources{Cert: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem")}
+	for path, text := range map[string][]byte{sources.Cert: pki.PEM(pair.Cert), sources.Key: pair.KeyPEM()} {
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			env.t.Fatal(err)
+		}
+	}
+	store, err := certificates.Open(sources, time.Now())
+	if err != nil {
+		env.t.Fatal(err)
+	}
+	env.config.TLS = &node.TLS{
+		Clients: &node.TLSListener{Certificates: store}, Stores: []*certificates.Store{store}, CheckInterval: time.Second,
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(authority.Cert)
+	env.clientTLS = &tls.Config{RootCAs: pool}
+}
+
 // shutdown terminates the node as SIGTERM does, and waits for its exit.
 func (env *harness) shutdown() {
 	if env.stopped {
@@ -138,7 +168,11 @@
 
 // isReady asks for readiness as a load balancer in front of the node does.
 func (env *harness) isReady() bool {
-	resp, err := oneShotClient.Get("http://" + env.addr + "/health/ready")
+	client, scheme := oneShotClient, "http://"
+	if env.clientTLS != nil {
+		client, scheme = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: env.clientTLS}}, "https://"
+	}
+	resp, err := client.Get(scheme + env.addr + "/health/ready")
 	if err != nil {
 		return false
 	}
--- a/internal/soak/clients_test.go
+++ b/internal/soak/clients_test.go
@@ -22,16 +22,17 @@
 // client sends requests one after another, keeps its connection as long as it can, and opens another while clients are
 // routed to the node.
 type client struct {
-	name     string
-	addr     string
-	rng      *rand.Rand
-	history  *history
-	longest  time.Duration // the longest deadline of its requests
-	routed   *atomic.Bool  // connections may be opened
-	ended    *atomic.Bool  // the node has ended
-	abandons float64       // part of its requests whose response it does not wait for
-	crowded  bool          // idle clients fill the node's descriptors
-	pause    time.Duration // longest between a response and the next request; 0: none
+	name       string
+	addr       string
+	rng        *rand.Rand
+	connectRNG *rand.Rand // of the pauses after a connect; apart, so that they change no other draw of a seed
+	history    *history
+	longest    time.Duration // the longest deadline of its requests
+	routed     *atomic.Bool  // connections may be opened
+	ended      *atomic.Bool  // the node has ended
+	abandons   float64       // part of its requests whose response it does not wait for
+	crowded    bool          // idle clients fill the node's descriptors
+	pause      time.Duration // longest between a response, or a connect, and the next request; 0: none
 }
 
 // run sends until the node has ended.
@@ -42,6 +43,9 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
+		if c.pause > 0 && c.connectRNG.IntN(2) == 0 {
+			time.Sleep(time.Duration(c.connectRNG.Int64N(int64(c.pause))))
+		}
 		for used := 0; c.exchange(conn, used, &n); used++ {
 			if c.pause > 0 {
 				time.Sleep(time.Duration(c.rng.Int64N(int64(c.pause))))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -89,8 +89,10 @@
 	abandonRates := []float64{0, 0.05, 0.2}
 	pauses := []time.Duration{0, 20 * time.Millisecond, 300 * time.Millisecond}
 	for i := range 6 + r.rng.IntN(24) {
+		clientSeed := r.rng.Uint64()
 		c := &client{
-			name: fmt.Sprint("c", i), addr: r.node.addr, rng: rand.New(rand.NewPCG(r.rng.Uint64(), 1)), history: r.history,
+			name: fmt.Sprint("c", i), addr: r.node.addr, history: r.history,
+			rng: rand.New(rand.NewPCG(clientSeed, 1)), connectRNG: rand.New(rand.NewPCG(clientSeed, 2)),
 			longest: r.longest, routed: &r.routed, ended: &r.ended, crowded: crowded,
 			abandons: abandonRates[r.rng.IntN(len(abandonRates))], pause: pauses[r.rng.IntN(len(pauses))],
 		}
--- a/router/drain.go
+++ b/router/drain.go
@@ -158,6 +158,17 @@
 	return open, busy
 }
 
+// pendingFirstRequests is the number of connections whose first request is in progress or may still come.
+func (r *Router) pendingFirstRequests() int {
+	pending := 0
+	for _, l := range r.listeners {
+		if first, ok := l.(FirstRequestListener); ok {
+			pending += first.PendingFirstRequests()
+		}
+	}
+	return pending
+}
+
 func (r *Router) drainableListeners() []DrainableListener {
 	var drainable []DrainableListener
 	for _, l := range r.listeners {
--- a/router/drain_run.go
+++ b/router/drain_run.go
@@ -116,6 +116,7 @@
 		counts.BusyConns = run.shuttingDown
 	} else {
 		_, counts.BusyConns = r.ClientConnections()
+		counts.BusyConns += r.pendingFirstRequests()
 	}
 	return counts
 }
--- a/router/listener.go
+++ b/router/listener.go
@@ -20,3 +20,12 @@
 	// Connections is the number of open client connections, and of those with a request in progress.
 	Connections() (open, busy int)
 }
+
+// FirstRequestListener is a Listener that knows of clients that have connected and may be about to send their first
+// request. A drain is not over while there are some: they could not know of it as they connected.
+type FirstRequestListener interface {
+	Listener
+	// PendingFirstRequests is the number of connections accepted before the drain, if there is one, that have had
+	// no response, and on which a first request is in progress or may still come.
+	PendingFirstRequests() int
+}
