A listener that closes serves its whole accept queue, however late the accept loop runs

Callers that had connected as the announcement of a shutdown ended read connection reset by peer; over MessagePack-RPC each one in the accept queue did.

Cause: emptying the queue had a time, 40 ms in all, in place of a state: Accept fails at its deadline whether or not a connection is queued, so a loop that did not run meanwhile left the queue to the close. The MessagePack-RPC server closed at once.

Why it works: at its deadline Accept asks the kernel whether a connection is queued and goes on until none is. The wait for that ends with the drain's context, not before.

--- a/internal/frontend/msgpack/server.go
+++ b/internal/frontend/msgpack/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -71,7 +72,7 @@
 	conns          map[*conn]bool
 	draining       bool
 	closed         bool
-	serving        sync.WaitGroup
+	serving        sync.WaitGroup // of the listeners and the connections
 	stats          Stats
 }
 
@@ -95,7 +96,20 @@
 	return server
 }
 
+// acceptQueueDrainTimeout is how long a listener that closes waits for another connection.
+const acceptQueueDrainTimeout = 20 * time.Millisecond
+
+// extendAcceptDeadline has Accept wait for acceptQueueDrainTimeout from now.
+func extendAcceptDeadline(ln net.Listener) error {
+	listener, ok := ln.(interface{ SetDeadline(t time.Time) error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return listener.SetDeadline(time.Now().Add(acceptQueueDrainTimeout))
+}
+
 // Serve accepts connections until Shutdown, StopAccepting or Close, and then returns ErrClosed. It closes the listener.
+// After StopAccepting it still serves the connections in the accept queue.
 func (s *Server) Serve(ln net.Listener) error {
 	ln = sockets.NewPersistentListener(ln, s.config.Log)
 	defer func() { _ = ln.Close() }()
@@ -108,6 +122,9 @@
 		began := time.Now()
 		nc, err := ln.Accept()
 		if err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) && sockets.HasQueuedConn(ln) && extendAcceptDeadline(ln) == nil {
+				continue // the system has accepted connections that a close would reset
+			}
 			if s.isStopped() {
 				return ErrClosed
 			}
@@ -131,13 +148,28 @@
 		return false
 	}
 	s.listeners[ln] = true
+	s.serving.Add(1)
 	return true
 }
 
+// removeListener closes a listener. With the last one of a drain the clients are notified.
 func (s *Server) removeListener(ln *net.Listener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	_ = (*ln).Close()
 	delete(s.listeners, ln)
+	s.notifyDrainLocked()
+	s.serving.Done()
+}
+
+// notifyDrainLocked notifies clients of a drain once no listener is open.
+func (s *Server) notifyDrainLocked() {
+	if !s.draining || len(s.listeners) > 0 {
+		return
+	}
+	for conn := range s.conns {
+		conn.drain()
+	}
 }
 
 func (s *Server) isStopped() bool {
@@ -178,8 +210,8 @@
 	return open, busy
 }
 
-// PendingFirstRequests returns the number of connections that have no answer yet, and whose first call is open or may be
-// on its way.
+// PendingFirstRequests returns the number of connections that have no answer yet, and whose first call is open or may
+// be on its way.
 func (s *Server) PendingFirstRequests() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -218,17 +250,19 @@
 	}
 }
 
-// StopAccepting closes the listeners and notifies clients of the drain, without waiting. Calls that are open are
-// answered, and each connection ends with its last answer. Calls that arrive later are rejected, except for the first
-// of a connection that had none: its client could not know of the drain.
+// StopAccepting has the listeners close, once their accept queues are empty, and then clients be notified of the drain.
+// It does not wait. Calls that are open are answered, and each connection ends with its last answer. Calls that arrive
+// later are rejected, except for the first of a connection that had none: its client could not know of the drain.
 func (s *Server) StopAccepting() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
-	s.closeListeners()
-	for conn := range s.conns {
-		conn.drain()
+	for ln := range s.listeners {
+		if extendAcceptDeadline(*ln) != nil {
+			_ = (*ln).Close()
+		}
 	}
+	s.notifyDrainLocked()
 	s.slotFreed.Broadcast()
 }
 
--- a/internal/frontend/msgpack/server_test.go
+++ b/internal/frontend/msgpack/server_test.go
@@ -314,6 +314,48 @@
 	}
 }
 
+// A client waits in the accept queue as the server stops accepting: its first call is answered.
+func TestStopAccepting_ServesQueuedConnections(t *testing.T) {
+	stub := &stubEngine{}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	held := &heldListener{TCPListener: ln.(*net.TCPListener), proceed: make(chan struct{})}
+	server := New(stub, Config{})
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(held) }()
+	client := dial(t, ln.Addr().String())
+	testkit.Await(t, "Serve to accept", held.called.Load)
+	server.StopAccepting()
+	time.Sleep(2 * acceptQueueDrainTimeout) // the accept loop does not run
+	close(held.proceed)
+	client.call(t, 1)
+	received := []string{client.next(), client.next()} // the notification may come before the answer or after it
+	if !slices.Contains(received, "1 r1") || !slices.Contains(received, "drain ") {
+		t.Errorf("got %q, want an answer and the notification of the drain", received)
+	}
+	client.expect(t, "EOF")
+	_ = client.Close()
+	if err := testkit.Receive(t, "the end", served); !errors.Is(err, ErrClosed) {
+		t.Error(err)
+	}
+	server.Close()
+}
+
+// heldListener accepts nothing until it may proceed.
+type heldListener struct {
+	*net.TCPListener
+	called  atomic.Bool
+	proceed chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	l.called.Store(true)
+	<-l.proceed
+	return l.TCPListener.Accept()
+}
+
 // When the context of a shutdown ends first, open connections are closed, and their calls cancelled.
 func TestShutdown_ClosesAtDeadline(t *testing.T) {
 	stub := &stubEngine{do: engineHeldUntil(make(chan struct{}))}
--- a/internal/frontend/msgpack/slots.go
+++ b/internal/frontend/msgpack/slots.go
@@ -28,7 +28,7 @@
 	s.waitingForSlot.Add(1) // before evict looks for idle connections, so that none becomes idle unnoticed
 	s.awaitSlot(conn, earliest)
 	s.waitingForSlot.Add(-1)
-	if s.draining || s.closed {
+	if s.closed {
 		return false
 	}
 	s.conns[conn] = true
--- a/internal/frontend/secure/terminator.go
+++ b/internal/frontend/secure/terminator.go
@@ -12,6 +12,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"cobaltward/certificates"
@@ -138,6 +139,24 @@
 	return conn, nil
 }
 
+// SetDeadline sets the deadline of Accept, as PersistentListener does.
+func (l *listener) SetDeadline(t time.Time) error {
+	inner, ok := l.Listener.(interface{ SetDeadline(t time.Time) error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return inner.SetDeadline(t)
+}
+
+// SyscallConn implements syscall.Conn, as PersistentListener does.
+func (l *listener) SyscallConn() (syscall.RawConn, error) {
+	inner, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return inner.SyscallConn()
+}
+
 // Stats counts handshakes.
 type Stats struct {
 	Full       handshakes.Histogram `json:"full"`
--- a/internal/node/clientlistener.go
+++ b/internal/node/clientlistener.go
@@ -67,12 +67,8 @@
 // Accept returns the next connection once there is a slot for it.
 func (l *clientListener) Accept() (net.Conn, error) {
 	began := time.Now()
-	tcp, err := l.Listener.Accept()
+	tcp, err := l.acceptQueued()
 	if err != nil {
-		if errors.Is(err, os.ErrDeadlineExceeded) && l.isClosed() { // the deadline of drainAcceptQueue
-			close(l.queueDrained) // net/http does not call Accept again
-			return nil, net.ErrClosed
-		}
 		return nil, err
 	}
 	conn := l.newConn(tcp.(*net.TCPConn))
@@ -95,6 +91,24 @@
 	return conn, nil
 }
 
+// acceptQueued returns the next connection in the accept queue. During drainAcceptQueue it fails once the queue is
+// empty.
+func (l *clientListener) acceptQueued() (net.Conn, error) {
+	for {
+		tcp, err := l.Listener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !l.isClosed() {
+			return tcp, err
+		}
+		if !sockets.HasQueuedConn(l.Listener) {
+			close(l.queueDrained) // net/http does not call Accept again
+			return nil, net.ErrClosed
+		}
+		if err := l.extendAcceptDeadline(); err != nil {
+			return nil, err
+		}
+	}
+}
+
 // newConn returns a connection that was accepted now.
 func (l *clientListener) newConn(tcp *net.TCPConn) *clientConn {
 	now := time.Now()
--- a/internal/node/clientshutdown.go
+++ b/internal/node/clientshutdown.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"cobaltward/internal/sockets"
@@ -13,25 +15,33 @@
 // drainRecheckInterval is the time between looks for connections that have been open for drainFirstRequestGrace.
 const drainRecheckInterval = 100 * time.Millisecond
 
-// acceptQueueDrainTimeout bounds the wait for connections that the kernel has accepted before the listener closes.
+// acceptQueueDrainTimeout is how long a listener that closes waits for another connection.
 const acceptQueueDrainTimeout = 20 * time.Millisecond
 
 // drainAcceptQueue accepts the connections in the accept queue and closes the listener, which would reset them with the
-// requests that they have sent. They are accepted beyond maxConns.
-func (l *clientListener) drainAcceptQueue() {
-	listener, ok := l.Listener.(interface{ SetDeadline(t time.Time) error })
-	if !ok || !l.markClosed() {
+// requests that they have sent. They are accepted beyond maxConns. It ends once the queue is empty, or with ctx.
+func (l *clientListener) drainAcceptQueue(ctx context.Context) {
+	if !l.markClosed() {
 		return
 	}
-	if listener.SetDeadline(time.Now().Add(acceptQueueDrainTimeout)) == nil {
+	if l.extendAcceptDeadline() == nil {
 		select {
 		case <-l.queueDrained:
-		case <-time.After(2 * acceptQueueDrainTimeout): // no Accept may be running
+		case <-ctx.Done(): // no Accept may be running
 		}
 	}
 	_ = l.Listener.Close()
 }
 
+// extendAcceptDeadline has Accept wait for acceptQueueDrainTimeout from now.
+func (l *clientListener) extendAcceptDeadline() error {
+	listener, ok := l.Listener.(interface{ SetDeadline(t time.Time) error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return listener.SetDeadline(time.Now().Add(acceptQueueDrainTimeout))
+}
+
 // closeIdle closes the node's side of the idle connections, and from now on of those that become idle. A connection
 // with bytes to read has a request and is not idle; requests that arrive behind the close are counted. The client's
 // own close ends the connection.
@@ -41,7 +51,8 @@
 	l.closeIdleAndUnlock()
 }
 
-// recheckIdle closes the connections that were within drainFirstRequestGrace, unless cancelCloseIdle was called meanwhile.
+// recheckIdle closes the connections that were within drainFirstRequestGrace, unless cancelCloseIdle was called
+// meanwhile.
 func (l *clientListener) recheckIdle() {
 	l.mu.Lock()
 	l.recheckScheduled = false
--- a/internal/node/clientshutdown_test.go
+++ b/internal/node/clientshutdown_test.go
@@ -142,7 +142,7 @@
 	drained := make(chan struct{})
 	go func() {
 		defer close(drained)
-		listener.drainAcceptQueue()
+		listener.drainAcceptQueue(t.Context())
 	}()
 	testkit.Await(t, "the listener to close", listener.isClosed)
 	conn, err := listener.Accept()
@@ -158,6 +158,32 @@
 	<-drained
 }
 
+// TestDrainAcceptQueue_AcceptLoopIsLate has clients wait in the accept queue as the listener closes, while nobody calls
+// Accept for a long time: none of them is reset.
+func TestDrainAcceptQueue_AcceptLoopIsLate(t *testing.T) {
+	const queued = 3
+	listener := newTestListener(t, 4)
+	for range queued {
+		dialClient(t, listener.Addr().String())
+	}
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		listener.drainAcceptQueue(t.Context())
+	}()
+	testkit.Await(t, "the listener to close", listener.isClosed)
+	time.Sleep(10 * acceptQueueDrainTimeout) // the accept loop does not run
+	for i := range queued {
+		if _, err := listener.Accept(); err != nil {
+			t.Fatalf("client %d is not accepted: %v", i, err)
+		}
+	}
+	if _, err := listener.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("another accept ends with %v", err)
+	}
+	<-drained
+}
+
 func sendRequestLine(t *testing.T, client net.Conn) {
 	t.Helper()
 	if _, err := io.WriteString(client, "GET / HTTP/1.1\r\n"); err != nil {
--- a/internal/node/httpserver.go
+++ b/internal/node/httpserver.go
@@ -52,11 +52,11 @@
 	return nil
 }
 
-// CloseListener stops accepting; accepted connections are served on. A shared listening socket stays open in the other
-// process: it is closed here, and not drained or shut down.
-func (s *httpServer) CloseListener() {
+// CloseListener stops accepting; accepted connections are served on. The accept queue is emptied before, until ctx
+// ends. A shared listening socket stays open in the other process: it is closed here, and not drained or shut down.
+func (s *httpServer) CloseListener(ctx context.Context) {
 	if !s.sharedSocket {
-		s.listener.drainAcceptQueue()
+		s.listener.drainAcceptQueue(ctx)
 	}
 	_ = s.listener.Close()
 }
@@ -75,7 +75,7 @@
 // Shutdown ends the service: it stops accepting, and closes connections as they become idle, until none is left or ctx
 // ends.
 func (s *httpServer) Shutdown(ctx context.Context) error {
-	s.CloseListener()
+	s.CloseListener(ctx)
 	ticker := time.NewTicker(idleCloseInterval)
 	defer ticker.Stop()
 	for open := 1; open > 0; {
--- a/internal/node/rpcserver.go
+++ b/internal/node/rpcserver.go
@@ -97,7 +97,7 @@
 func (s *rpcServer) Shutdown(ctx context.Context) error {
 	s.markClosed()
 	s.Server.StopAccepting()
-	return s.Server.AwaitEnd(ctx)
+	return s.AwaitEnd(ctx)
 }
 
 // awaitAnswers waits until no call is open and no answer unwritten, or ctx ends.
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -48,7 +48,7 @@
 	if n.processGroup != nil {
 		n.processGroup.draining.Store(true)
 	}
-	n.httpServer.CloseListener()
+	n.httpServer.CloseListener(context.Background()) // the socket is shared: nothing is waited for
 }
 
 // drain ends the service within the times. For announceFor the node only stops being ready and serves as before, since
--- a/internal/racetest/firstrequest_test.go
+++ b/internal/racetest/firstrequest_test.go
@@ -63,8 +63,8 @@
 	150 * time.Millisecond, 200 * time.Millisecond, 250 * time.Millisecond, 300 * time.Millisecond,
 }
 
-// Clients connect while they are routed to a node that ends, and send their first request some time later: it is served,
-// up to killMargin ahead of the earliest SIGKILL.
+// Clients connect while they are routed to a node that ends, and send their first request some time later: it is
+// served, up to killMargin ahead of the earliest SIGKILL.
 func TestFirstRequest_ServedUntilKill(t *testing.T) {
 	for name, ending := range firstRequestEndings {
 		for _, front := range []string{"HTTP", "TLS", "MessagePack-RPC"} {
--- a/internal/racetest/harness_test.go
+++ b/internal/racetest/harness_test.go
@@ -170,7 +170,8 @@
 func (env *harness) isReady() bool {
 	client, scheme := oneShotClient, "http://"
 	if env.clientTLS != nil {
-		client, scheme = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: env.clientTLS}}, "https://"
+		client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: env.clientTLS}}
+		scheme = "https://"
 	}
 	resp, err := client.Get(scheme + env.addr + "/health/ready")
 	if err != nil {
--- a/internal/sockets/listener.go
+++ b/internal/sockets/listener.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -80,6 +81,15 @@
 	return inner.SetDeadline(t)
 }
 
+// SyscallConn implements syscall.Conn. It returns errors.ErrUnsupported if the inner listener does not.
+func (l *PersistentListener) SyscallConn() (syscall.RawConn, error) {
+	inner, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return inner.SyscallConn()
+}
+
 func (l *PersistentListener) isClosed() bool {
 	select {
 	case <-l.closed:
