A pause of the process within accept no longer counts as an empty accept queue

Callers behind a crowd that had stopped within a body got no answer in time on a busy host (TestPartialBodies_DelayNoAnswer: 2 of 15 runs beside 16 busy loops on 6 cores).

Cause: connections may wait for a quarter of the shortest deadline, 300 ms at most, from when the accept queue was last empty, and an accept of more than 1 ms counted as proof of that. Beside load an accept with a queued connection takes 3 to 12 ms, and the 300 ms began again for all behind it.

Evidence: a trace of 14 runs, 5 failed: each has a second wait of 300 ms after an accept of 2.9 to 12 ms, with 6 to 40 connections still queued. Ruled out: the length of the queue (50 to 110 ms for 100 stalled connections), the write under the mutex (0.1 ms a client).

Why it works: sockets.AcceptQueue asks the kernel before each accept whether a connection is queued.

--- a/internal/frontend/msgpack/server.go
+++ b/internal/frontend/msgpack/server.go
@@ -117,12 +117,12 @@
 		return ErrClosed
 	}
 	defer s.removeListener(&ln)
-	var queueEmptyAt time.Time // connections accepted later cannot have arrived earlier
+	queue := sockets.NewAcceptQueue()
 	for {
-		began := time.Now()
-		nc, err := ln.Accept()
+		nc, err := queue.Accept(ln)
 		if err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) && sockets.HasQueuedConn(ln) && extendAcceptDeadline(ln) == nil {
+			queued, _ := sockets.HasQueuedConn(ln)
+			if errors.Is(err, os.ErrDeadlineExceeded) && queued && extendAcceptDeadline(ln) == nil {
 				continue // the system has accepted connections that a close would reset
 			}
 			if s.isStopped() {
@@ -130,10 +130,7 @@
 			}
 			return err
 		}
-		if now := time.Now(); queueEmptyAt.IsZero() || sockets.HadToWait(began, now) {
-			queueEmptyAt = now
-		}
-		if !s.admit(nc, queueEmptyAt) {
+		if !s.admit(nc, queue.EmptyAt()) {
 			_ = nc.Close()
 			return ErrClosed
 		}
--- a/internal/node/clientlistener.go
+++ b/internal/node/clientlistener.go
@@ -34,11 +34,9 @@
 	open      int         // connections, those in excess of maxConns included
 	idle      linked.List // of *clientConn: the connections without a request, longest idle first
 	// partialRequests holds the connections that have sent a part of a request that is not handed on yet.
-	partialRequests map[*clientConn]bool
-	closed          bool
-	// queueEmptyAt is when the accept queue was last known to be empty: connections accepted later cannot have arrived
-	// earlier.
-	queueEmptyAt     time.Time
+	partialRequests  map[*clientConn]bool
+	closed           bool
+	queue            sockets.AcceptQueue
 	queueDrained     chan struct{} // closed when drainAcceptQueue has emptied the accept queue
 	shuttingDown     bool          // connections are closed as they become idle
 	recheckScheduled bool          // recheckIdle will run
@@ -54,7 +52,7 @@
 // queueTimeout and retryAfter are set, connections wait in no queue and rejections have no Retry-After.
 func newClientListener(inner net.Listener, maxConns int) *clientListener {
 	listener := &clientListener{
-		Listener: inner, queueDrained: make(chan struct{}), queueEmptyAt: time.Now(),
+		Listener: inner, queue: sockets.NewAcceptQueue(), queueDrained: make(chan struct{}),
 		partialRequests: make(map[*clientConn]bool),
 	}
 	listener.queueTimeout = func() time.Duration { return 0 }
@@ -66,7 +64,6 @@
 
 // Accept returns the next connection once there is a slot for it.
 func (l *clientListener) Accept() (net.Conn, error) {
-	began := time.Now()
 	tcp, err := l.acceptQueued()
 	if err != nil {
 		return nil, err
@@ -74,10 +71,7 @@
 	conn := l.newConn(tcp.(*net.TCPConn))
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if sockets.HadToWait(began, conn.acceptedAt) {
-		l.queueEmptyAt = conn.acceptedAt
-	}
-	conn.arrival.Reset(l.queueEmptyAt)
+	conn.arrival.Reset(l.queue.EmptyAt())
 	l.open++
 	conn.setFirstPendingLocked(!l.shuttingDown)
 	if l.tlsLayer != nil {
@@ -95,11 +89,11 @@
 // empty.
 func (l *clientListener) acceptQueued() (net.Conn, error) {
 	for {
-		tcp, err := l.Listener.Accept()
+		tcp, err := l.queue.Accept(l.Listener)
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !l.isClosed() {
 			return tcp, err
 		}
-		if !sockets.HasQueuedConn(l.Listener) {
+		if queued, _ := sockets.HasQueuedConn(l.Listener); !queued {
 			close(l.queueDrained) // net/http does not call Accept again
 			return nil, net.ErrClosed
 		}
