The timer of a wait for a connection slot is no longer lost ahead of the wait

Callers in the accept queue could wait for the next change of another connection in place of 2 to 5 ms; nothing was seen of it alone.

Cause: the timer broadcast without the mutex, and one that fired before sync.Cond.Wait had begun was lost; a busy host pauses the process there for as long as the timer runs.

Why it works: the timer takes the mutex, which the waiter holds until its wait has begun. The other users of sync.Cond were read; each broadcasts with its mutex held.

--- a/internal/node/clientslots.go
+++ b/internal/node/clientslots.go
@@ -36,7 +36,11 @@
 
 // waitForSlotLocked waits for slotFreed, and no longer than timeout.
 func (l *clientListener) waitForSlotLocked(timeout time.Duration) {
-	timer := time.AfterFunc(timeout, l.slotFreed.Broadcast)
+	timer := time.AfterFunc(timeout, func() {
+		l.mu.Lock() // held until Wait has begun, which would miss a broadcast ahead of it
+		defer l.mu.Unlock()
+		l.slotFreed.Broadcast()
+	})
 	defer timer.Stop()
 	l.slotFreed.Wait()
 }
--- a/internal/node/clientslots_test.go
+++ b/internal/node/clientslots_test.go
@@ -43,6 +43,23 @@
 	}
 }
 
+// TestWaitForSlot_TimeoutAheadOfWait has the timer of a wait fire before the wait has begun, as on a busy host: the wait
+// ends all the same.
+func TestWaitForSlot_TimeoutAheadOfWait(t *testing.T) {
+	const rounds = 400_000 // in some of them the timer is first
+	listener := newTestListener(t, 1)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		listener.mu.Lock()
+		defer listener.mu.Unlock()
+		for range rounds {
+			listener.waitForSlotLocked(0)
+		}
+	}()
+	testkit.Receive(t, "the end of the waits", ended)
+}
+
 // TestPartialHeads_DelayNoAnswer fills the node's connections with clients that stop within a head. A client that
 // connects then gets its final answer in time.
 func TestPartialHeads_DelayNoAnswer(t *testing.T) {
