A request waits for a connection slot by its own age, not by that of the accept queue

Callers in a crowd got 503 a few milliseconds after they had come: 13 of 15 runs of TestConnectionLimit_FreesSlotsForNewClients failed beside 16 busy loops on 6 cores, in each up to 32 of 48 clients.

Cause: the wait that is bounded by 300 ms was the time since the accept queue was last empty, an upper bound only: with a queue that is never empty everybody looked that old.

Evidence: a trace of three runs: the 83 rejected requests were 8 to 120 ms old by the kernel's clock, the queue 300 to 503 ms.

Why it works: the kernel tells how long ago a silent connection was established, and when the last byte of a complete request came; whoever is behind connected later. What may come byte by byte, and TLS, count as before, so that TestPartialBodies, TestPartialHeads and TestBusyConnections hold. TestQueuedSince_CountsClientsOwnTime has the cases.

--- a/internal/frontend/framing/guard.go
+++ b/internal/frontend/framing/guard.go
@@ -118,6 +118,13 @@
 // InHead reports whether the next byte belongs to a head, or begins one.
 func (g *Guard) InHead() bool { return g.state == stateHead || g.state == stateHeadCR }
 
+// IsCompleteRequest reports whether the bytes are exactly one well-formed request with its body.
+func IsCompleteRequest(data []byte) bool {
+	var guard Guard
+	return guard.Check(data) == len(data) && guard.heads == 1 && guard.state == stateHead && !guard.hasRequestLine &&
+		len(guard.line) == 0
+}
+
 // Heads returns the number of complete heads.
 func (g *Guard) Heads() uint64 { return g.heads }
 
--- a/internal/node/clientslots.go
+++ b/internal/node/clientslots.go
@@ -15,7 +15,7 @@
 // accepted as overflow and their requests are rejected at once.
 func (l *clientListener) awaitSlotLocked(conn *clientConn) {
 	for l.open > l.maxConns && !l.closed {
-		timeout := l.queueTimeout() - time.Since(l.queue.EmptyAt())
+		timeout := l.queueTimeout() - time.Since(l.queuedSinceLocked(conn))
 		if l.evictIdleLocked(timeout <= 0) {
 			break
 		}
--- a/internal/node/clientslots_test.go
+++ b/internal/node/clientslots_test.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// TestWaitForSlot_TimeoutAheadOfWait has the timer of a wait fire before the wait has begun, as on a busy host: the wait
+// TestWaitForSlot_TimeoutAheadOfWait has the timer of a wait fire before the wait has begun, as on a busy host: it
 // ends all the same.
 func TestWaitForSlot_TimeoutAheadOfWait(t *testing.T) {
 	const rounds = 400_000 // in some of them the timer is first
--- /dev/null
+++ b/internal/node/queueage_test.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"cobaltward/internal/sockets"
+	"cobaltward/internal/testkit"
+)
+
+// TestQueuedSince_CountsClientsOwnTime has clients wait in an accept queue that is never empty. A client whose request
+// has just come complete, or that has just connected, has lost no time yet; one that may send byte by byte counts as
+// old as the queue, so that it holds up nobody behind it.
+func TestQueuedSince_CountsClientsOwnTime(t *testing.T) {
+	const (
+		queueAge   = 300 * time.Millisecond
+		resolution = 30 * time.Millisecond // of the kernel's clock
+		request    = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"
+	)
+	for _, test := range []struct {
+		name, sent string
+		connected  bool // just before it is accepted
+		wantOld    bool
+	}{
+		{name: "complete request", sent: request},
+		{name: "just connected", connected: true},
+		{name: "connected long ago", wantOld: true},
+		{name: "part of a head", sent: request[:10], wantOld: true},
+		{name: "part of a body", sent: request[:len(request)-1], wantOld: true},
+		{name: "part of a next request", sent: request + "G", wantOld: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			listener := newTestListener(t, 4)
+			dialClient(t, listener.Addr().String()) // the queue is not empty from here on
+			client := dialClient(t, listener.Addr().String())
+			if test.connected {
+				if _, err := listener.Accept(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			time.Sleep(queueAge)
+			if test.connected {
+				client = dialClient(t, listener.Addr().String())
+			}
+			_, _ = io.WriteString(client, test.sent)
+			if _, err := listener.Accept(); err != nil {
+				t.Fatal(err)
+			}
+			accepted, err := listener.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			conn := accepted.(*clientConn)
+			if test.sent != "" {
+				testkit.Await(t, "the bytes", func() bool { return !sockets.IsIdle(conn.TCPConn) })
+			}
+			listener.mu.Lock()
+			age := time.Since(listener.queuedSinceLocked(conn))
+			listener.mu.Unlock()
+			if isOld := age > queueAge-resolution; isOld != test.wantOld {
+				t.Errorf("waits since %v ago, want old: %v", age, test.wantOld)
+			}
+		})
+	}
+}
--- a/internal/sockets/queue.go
+++ b/internal/sockets/queue.go
@@ -28,7 +28,8 @@
 	return queued, known && err == nil
 }
 
-// AcceptQueue determines how old the connections in a listener's accept queue can be. It is not safe for concurrent use.
+// AcceptQueue determines how old the connections in a listener's accept queue can be. It is not safe for concurrent
+// use.
 type AcceptQueue struct {
 	emptyAt time.Time
 }
