A rejection is withheld while an attempt of its request is being written

Cause: the check that an attempt is not abandoned and the write were two steps, and the process can rest between them for any time.

--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -23,7 +23,7 @@
 	sent     time.Time // its last byte was written
 	closedAt time.Time // its client has closed the connection; zero: it has not
 	attempts []attemptRecord
-	rejected bool
+	rejected time.Time // its rejection was read; zero: none was
 }
 
 // attemptRecord is one attempt that a server has received.
@@ -72,8 +72,8 @@
 }
 
 // recordAttempt records that a server has received a request completely, with a deadline, and returns the number of the
-// attempt.
-func (h *history) recordAttempt(id string, deadline time.Duration) (number int) {
+// attempt. unread is how long before that the kernel had its last byte.
+func (h *history) recordAttempt(id string, deadline, unread time.Duration) (number int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now, r := time.Now(), h.requests[id]
@@ -88,8 +88,9 @@
 	if !r.closedAt.IsZero() && now.Sub(r.closedAt) > closeSlack {
 		h.violatef("%s: an attempt came %v after its client had disconnected", id, now.Sub(r.closedAt))
 	}
-	if r.rejected {
-		h.violatef("%s: an attempt came after it was rejected", id)
+	if !r.rejected.IsZero() {
+		h.violatef("%s (%s): an attempt came %v after it was rejected; its last byte had come %v before it was read",
+			id, r.class, now.Sub(r.rejected), unread)
 	}
 	if r.class == bookingClass && r.mayHaveRun() {
 		h.violatef("%s of a class that must not run twice: attempt %d", id, len(r.attempts))
@@ -126,7 +127,7 @@
 		h.violatef("%s: answered with %d, %v after its deadline", id, status, late)
 	}
 	if status == 429 || status == 503 {
-		r.rejected = true
+		r.rejected = time.Now()
 		if r.class == bookingClass && r.mayHaveRun() {
 			h.violatef("%s: rejected with %d, and may have run", id, status)
 		}
--- a/internal/soak/servers_test.go
+++ b/internal/soak/servers_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"cobaltward/internal/sockets"
 	"cobaltward/internal/testkit"
 )
 
@@ -44,7 +45,8 @@
 		}
 		id := request.Header.Get("X-Request-Id")
 		deadlineMs, _ := strconv.Atoi(request.Header.Get("X-Deadline-Ms")) // a missing deadline is not too long
-		attempt := s.history.recordAttempt(id, time.Duration(deadlineMs)*time.Millisecond)
+		unread, _ := sockets.SinceLastReceived(conn.(*net.TCPConn))        // 0 where the kernel does not tell
+		attempt := s.history.recordAttempt(id, time.Duration(deadlineMs)*time.Millisecond, unread)
 		if !s.answer(conn, in, id, attempt) {
 			return
 		}
--- a/msgpackrpc/mux/mux.go
+++ b/msgpackrpc/mux/mux.go
@@ -51,7 +51,7 @@
 type pendingCall struct {
 	id       uint32
 	frame    []byte
-	maySend  func() error // returns an error if the call must not be written; may be nil
+	guard    WriteGuard // nil: the call may always be written
 	state    callState
 	finished chan outcome // has capacity for one
 }
@@ -82,7 +82,29 @@
 // maySend, if not nil, is called just before the call is written, and prevents that by returning an error. The errors
 // are of type *NotSentError, *NoReplyError and *MalformedReplyError.
 func (c *Conn) Call(ctx context.Context, req *msgpackrpc.Call, maySend func() error) (msgpackrpc.Reply, error) {
-	call := &pendingCall{maySend: maySend, finished: make(chan outcome, 1)}
+	if maySend == nil {
+		return c.CallGuarded(ctx, req, nil)
+	}
+	return c.CallGuarded(ctx, req, sendCheck(maySend))
+}
+
+// WriteGuard is told of the write of a call. Its methods are called from the goroutine that writes.
+type WriteGuard interface {
+	// BeginWrite returns an error if the call must not be written. If it returns none, EndWrite follows once the call is
+	// written, or is not going to be.
+	BeginWrite() error
+	EndWrite()
+}
+
+// sendCheck is a WriteGuard that needs no EndWrite.
+type sendCheck func() error
+
+func (check sendCheck) BeginWrite() error { return check() }
+func (check sendCheck) EndWrite()         {}
+
+// CallGuarded is Call with a guard of the write; nil for none.
+func (c *Conn) CallGuarded(ctx context.Context, req *msgpackrpc.Call, guard WriteGuard) (msgpackrpc.Reply, error) {
+	call := &pendingCall{guard: guard, finished: make(chan outcome, 1)}
 	if err := c.enqueue(call, req); err != nil {
 		return msgpackrpc.Reply{}, &NotSentError{err}
 	}
--- a/msgpackrpc/mux/write.go
+++ b/msgpackrpc/mux/write.go
@@ -10,7 +10,17 @@
 type batch struct {
 	buf   []byte
 	calls []*pendingCall
-	ends  []int // of each call, in buf
+	ends  []int        // of each call, in buf
+	begun []WriteGuard // whose EndWrite is due
+}
+
+// endWrites tells the guards that the write is over.
+func (b *batch) endWrites() {
+	for i, guard := range b.begun {
+		guard.EndWrite()
+		b.begun[i] = nil
+	}
+	b.begun = b.begun[:0]
 }
 
 // write writes queued calls and notifications, in batches, until the connection is closed.
@@ -25,12 +35,14 @@
 		for {
 			c.assemble(&next)
 			if len(next.buf) == 0 {
+				next.endWrites()
 				if c.hasQueued() { // no call of the batch may be sent
 					continue
 				}
 				break
 			}
 			n, err := stream.WriteBatch(c.nc, next.buf, writeTimeout)
+			next.endWrites()
 			c.finishWrite(&next, n, err)
 			if err != nil {
 				return
@@ -49,7 +61,7 @@
 // assemble replaces the contents of a batch by what is queued. Calls that may not be sent any more are finished.
 func (c *Conn) assemble(next *batch) {
 	taken := c.dequeue(next.calls[:0])
-	forbidden := checkMaySend(taken)
+	forbidden := next.beginWrites(taken)
 	next.buf, next.calls, next.ends = next.buf[:0], taken[:0], next.ends[:0]
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -86,15 +98,16 @@
 	return taken
 }
 
-// checkMaySend returns the errors of the calls that may not be sent. Conn.mu must not be held, because maySend is
-// code of the caller.
-func checkMaySend(calls []*pendingCall) (forbidden map[*pendingCall]error) {
+// beginWrites returns the errors of the calls that may not be sent. Conn.mu must not be held, because guards are code
+// of the caller.
+func (b *batch) beginWrites(calls []*pendingCall) (forbidden map[*pendingCall]error) {
 	for _, call := range calls {
-		if call.maySend == nil {
+		if call.guard == nil {
 			continue
 		}
-		err := call.maySend()
+		err := call.guard.BeginWrite()
 		if err == nil {
+			b.begun = append(b.begun, call.guard)
 			continue
 		}
 		if forbidden == nil {
--- a/router/attempt_context.go
+++ b/router/attempt_context.go
@@ -15,6 +15,8 @@
 	mu           sync.Mutex // guards what follows, and deadline once the attempt is launched
 	err          error
 	abandoned    bool          // nothing may be written any more
+	writing      bool          // between BeginWrite and EndWrite
+	afterWrite   func()        // run by EndWrite; nil: nothing
 	done         chan struct{} // made by the first call of Done
 	afterFunc    func()        // registered by AfterFunc; nil where none is
 	registration uint64        // counts the calls of AfterFunc that registered one
@@ -25,6 +27,7 @@
 	_ AfterFuncContext    = (*attemptContext)(nil)
 	_ SendDeadlineContext = (*attemptContext)(nil)
 	_ AbandonableContext  = (*attemptContext)(nil)
+	_ WriteGuardContext   = (*attemptContext)(nil)
 )
 
 // closedChan is what Done returns for a context that ended before the first call.
@@ -63,6 +66,38 @@
 	return c.abandoned
 }
 
+// BeginWrite implements WriteGuardContext.
+func (c *attemptContext) BeginWrite() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.abandoned {
+		return false
+	}
+	c.writing = true
+	return true
+}
+
+// EndWrite implements WriteGuardContext.
+func (c *attemptContext) EndWrite() {
+	c.mu.Lock()
+	run := c.afterWrite
+	c.writing, c.afterWrite = false, nil
+	c.mu.Unlock()
+	if run != nil {
+		run()
+	}
+}
+
+// runAfterWrite has a function run once the write in progress has ended; false where there is none.
+func (c *attemptContext) runAfterWrite(run func()) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writing {
+		c.afterWrite = run
+	}
+	return c.writing
+}
+
 // SendBy implements SendDeadlineContext. Transports ask right before they write.
 func (c *attemptContext) SendBy() time.Time { return c.sendBy }
 
--- a/router/reply.go
+++ b/router/reply.go
@@ -17,7 +17,7 @@
 			l.degradation.recordAnswer(r, answer.Outcome, l.clock.now())
 		}
 		l.finishRequest(r)
-		l.deliver(r.call, answer)
+		l.deliverAfterWrites(r, answer)
 	} else if !l.enforced(safeguards.SingleAnswer) {
 		l.deliver(r.call, answer)
 	}
@@ -25,9 +25,19 @@
 
 // deliver counts an answer and passes it to the caller.
 func (l *loop) deliver(c *call, answer Answer) {
-	if answer.Stream == nil { // a streamed answer counts when its caller closes it
+	l.countAnswer(c, answer)
+	c.handOver(answer)
+}
+
+// countAnswer counts an answer, but for one that is streamed: it counts when its caller closes it.
+func (l *loop) countAnswer(c *call, answer Answer) {
+	if answer.Stream == nil {
 		l.counters.count(c.req.Class, answer.Outcome)
 	}
+}
+
+// handOver passes an answer to the caller. It does not block.
+func (c *call) handOver(answer Answer) {
 	if c.onAnswer != nil {
 		c.onAnswer(answer)
 		return
--- a/router/transport.go
+++ b/router/transport.go
@@ -49,6 +49,15 @@
 	Abandoned() bool
 }
 
+// WriteGuardContext is implemented by the contexts that Transport.Attempt receives. It makes one step of the decision
+// to write and the write: a rejection promises the client that no attempt begins after it.
+type WriteGuardContext interface {
+	// BeginWrite reports whether bytes of the attempt may be written. If so, EndWrite must follow once they are written,
+	// or are not going to be; until then a rejection of the request is withheld.
+	BeginWrite() bool
+	EndWrite()
+}
+
 // AfterFuncContext is implemented by the contexts that Transport.Attempt receives. context.AfterFunc looks for it;
 // to call it directly saves the cost of that.
 type AfterFuncContext interface {
--- a/transport/http1/roundtrip.go
+++ b/transport/http1/roundtrip.go
@@ -80,31 +80,36 @@
 		return router.Result{Code: policy.Superseded}, false, true // no server would accept it
 	}
 	// This goroutine may not have run for some time since the attempt was decided on.
-	if err := t.checkSendable(ctx, connection.server); err != nil {
+	if err := t.beginWrite(ctx, connection.server); err != nil {
 		reusable = errors.Is(err, errServerDraining) || errors.Is(err, outcome.ErrAbandoned)
 		return router.Result{Code: failureCode(ctx, err, false)}, false, reusable
 	}
 	if !connection.isTrusted(time.Now()) {
+		outcome.EndWrite(ctx)
 		return router.Result{Code: policy.Untrusted}, false, false
 	}
 	if r.Upload != nil {
+		outcome.EndWrite(ctx) // each part of a body has its own
 		failure, sent = t.upload(ctx, connection, out, r)
 		return failure, sent, false
 	}
-	if _, err := connection.Write(out.Bytes()); err != nil {
+	_, err := connection.Write(out.Bytes())
+	outcome.EndWrite(ctx)
+	if err != nil {
 		return router.Result{Code: failureCode(ctx, err, false)}, false, false
 	}
 	return router.Result{}, true, false
 }
 
-// checkSendable returns why nothing may be written to a server any more; nil if it may.
-func (t *Transport) checkSendable(ctx context.Context, s *server) error {
-	if err := outcome.CheckSendable(ctx); err != nil {
+// beginWrite returns why nothing may be written to a server any more; if it may, outcome.EndWrite must follow.
+func (t *Transport) beginWrite(ctx context.Context, s *server) error {
+	if err := outcome.BeginWrite(ctx); err != nil {
 		return err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s.WritesForbidden(t.drainWriteTime) {
+		outcome.EndWrite(ctx)
 		return errServerDraining
 	}
 	return nil
--- a/transport/http1/upload.go
+++ b/transport/http1/upload.go
@@ -13,6 +13,7 @@
 
 	"cobaltward/policy"
 	"cobaltward/router"
+	"cobaltward/transport/outcome"
 )
 
 const (
@@ -34,7 +35,12 @@
 	}
 	defer func() { _ = connection.SetWriteDeadline(time.Time{}) }()
 	_ = connection.SetWriteDeadline(time.Now().Add(stallTimeout))
-	if _, err := connection.Write(head.Bytes()); err != nil {
+	if err := outcome.BeginWrite(ctx); err != nil {
+		return router.Result{Code: failureCode(ctx, err, false)}, false
+	}
+	_, err = connection.Write(head.Bytes())
+	outcome.EndWrite(ctx)
+	if err != nil {
 		return earlyResponse(ctx, connection, err), false
 	}
 	return uploadBody(ctx, connection, body, r.Upload.Length())
@@ -61,7 +67,12 @@
 			return router.Result{Code: policy.Superseded}, false // the client disconnected, or the body is lost
 		}
 		_ = connection.SetWriteDeadline(time.Now().Add(stallTimeout))
-		if err := writeBodyChunk(connection, chunk[:n], chunked, isLast); err != nil {
+		if err := outcome.BeginWrite(ctx); err != nil {
+			return router.Result{Code: failureCode(ctx, err, false)}, false
+		}
+		err = writeBodyChunk(connection, chunk[:n], chunked, isLast)
+		outcome.EndWrite(ctx)
+		if err != nil {
 			return earlyResponse(ctx, connection, err), false
 		}
 		if isLast {
--- a/transport/msgpack/attempt.go
+++ b/transport/msgpack/attempt.go
@@ -44,7 +44,7 @@
 		if deadline, ok := ctx.Deadline(); ok {
 			call.Timeout = max(time.Millisecond, time.Until(deadline))
 		}
-		reply, err := conn.Call(ctx, &call, func() error { return t.checkSendable(ctx, srv, conn) })
+		reply, err := conn.CallGuarded(ctx, &call, attemptGuard{t, ctx, srv, conn})
 		t.release(conn)
 		if err == nil {
 			t.written.Add(1)
@@ -89,11 +89,31 @@
 	return outcome.FailureCode(ctx, isSent)
 }
 
-// checkSendable returns why nothing may be written to a server any more; nil if it may.
-func (t *Transport) checkSendable(ctx context.Context, srv *server, conn *pooledConn) error {
-	if err := outcome.CheckSendable(ctx); err != nil {
+// attemptGuard is the mux.WriteGuard of an attempt.
+type attemptGuard struct {
+	transport *Transport
+	ctx       context.Context // of the call that the guard belongs to
+	server    *server
+	conn      *pooledConn
+}
+
+// BeginWrite implements mux.WriteGuard.
+func (g attemptGuard) BeginWrite() error {
+	if err := outcome.BeginWrite(g.ctx); err != nil {
+		return err
+	}
+	if err := g.transport.checkServer(g.server, g.conn); err != nil {
+		outcome.EndWrite(g.ctx)
 		return err
 	}
+	return nil
+}
+
+// EndWrite implements mux.WriteGuard.
+func (g attemptGuard) EndWrite() { outcome.EndWrite(g.ctx) }
+
+// checkServer returns why nothing may be written to a server any more; nil if it may.
+func (t *Transport) checkServer(srv *server, conn *pooledConn) error {
 	if !conn.isTrusted() {
 		return errUntrusted
 	}
--- a/transport/outcome/outcome.go
+++ b/transport/outcome/outcome.go
@@ -41,6 +41,27 @@
 	return nil
 }
 
+// BeginWrite returns why an attempt may not be written; if it may, EndWrite must follow. Between the two the router
+// withholds a rejection of the request.
+func BeginWrite(ctx context.Context) error {
+	guard, ok := ctx.(router.WriteGuardContext)
+	if ok && !guard.BeginWrite() {
+		return ErrAbandoned
+	}
+	err := CheckSendable(ctx)
+	if ok && err != nil {
+		guard.EndWrite()
+	}
+	return err
+}
+
+// EndWrite follows a BeginWrite that returned no error.
+func EndWrite(ctx context.Context) {
+	if guard, ok := ctx.(router.WriteGuardContext); ok {
+		guard.EndWrite()
+	}
+}
+
 // FailureCode returns the outcome of an attempt that got no response. mayRun says that its last byte may have been
 // written: without that, the server cannot have run it, even if its deadline has passed.
 func FailureCode(ctx context.Context, mayRun bool) policy.Code {
