msgpackrpc/client: a call tells the node the time that is left, without that to connect

Callers over MessagePack-RPC whose call had to connect first waited in vain at the end: the node was told the call's whole time, and answered 20 ms ahead of an end that had come earlier for the client.

Cause: Call set its own deadline before it connected, and sent the time of the call as it was given.

Evidence: TestCall_TimeoutWithoutTimeToConnect: with 200 ms to connect the node was told 10 s of 10 s on the code before, 9.8 s now.

Why it works: the time is taken from the deadline after connecting, for each connection anew.

--- a/msgpackrpc/client/client.go
+++ b/msgpackrpc/client/client.go
@@ -51,19 +51,18 @@
 	if call.Timeout <= 0 {
 		call.Timeout = DefaultTimeout
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		call.Timeout = min(call.Timeout, time.Until(deadline))
-	}
-	if call.Timeout < time.Millisecond {
-		return msgpackrpc.Reply{}, &mux.NotSentError{Err: context.DeadlineExceeded}
-	}
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
+	deadline, _ := ctx.Deadline() // the earlier one of the context's and the call's
 	for {
 		conn, err := c.connect(ctx)
 		if err != nil {
 			return msgpackrpc.Reply{}, &mux.NotSentError{Err: err}
 		}
+		call.Timeout = time.Until(deadline) // connecting has taken some of it
+		if call.Timeout < time.Millisecond {
+			return msgpackrpc.Reply{}, &mux.NotSentError{Err: context.DeadlineExceeded}
+		}
 		reply, err := conn.Call(ctx, &call, nil)
 		var notSent *mux.NotSentError
 		if errors.As(err, &notSent) && errors.Is(err, mux.ErrRetired) && ctx.Err() == nil {
