A node ends with an error when one of its listeners fails for good

Callers of a listener that had failed for good were refused without an end: the process went on.

Cause: httpServer.Serve took a listener closed by net/http after a failure for one closed by the shutdown and waited for that; after a failure of MessagePack-RPC Run waited for an HTTP server that nothing closed.

Evidence: TestRun_ListenerFailsForGood: on the code before Run did not return within 30 s with either listener; it returns the error now.

Why it works: Serve waits only where the node itself closed the listener, and stopTasks closes the HTTP server, which does nothing after a shutdown.

--- a/internal/node/accept_test.go
+++ b/internal/node/accept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -78,6 +79,33 @@
 	}
 }
 
+// TestRun_ListenerFailsForGood has each listener for clients fail for good: Run returns its error.
+func TestRun_ListenerFailsForGood(t *testing.T) {
+	for _, failing := range []string{"HTTP", "MessagePack-RPC"} {
+		t.Run(failing, func(t *testing.T) {
+			http, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			rpc, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			broken := map[string]net.Listener{"HTTP": http, "MessagePack-RPC": rpc}[failing]
+			_ = broken.Close()
+			config := Config{
+				Name: "n", Discovery: "127.0.0.1:9", Seed: 1, MaxDescriptors: 512, Settings: drainSettings(),
+				Msgpack: Msgpack{Listener: rpc},
+			}
+			ended := make(chan error, 1)
+			go func() { ended <- Run(t.Context(), config, http, nil, slog.New(slog.DiscardHandler)) }()
+			if err := testkit.Receive(t, "the node's end", ended); !errors.Is(err, net.ErrClosed) {
+				t.Errorf("the node ended with %v", err)
+			}
+		})
+	}
+}
+
 // exchange sends a request over a new connection and returns the start of the answer, or the error's text.
 func exchange(to net.Listener, request string) string {
 	const timeout = 5 * time.Second
--- a/internal/node/httpserver.go
+++ b/internal/node/httpserver.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cobaltward/router"
@@ -20,6 +21,7 @@
 	listener     *clientListener
 	sharedSocket bool // another process has the listening socket as well, and accepts what this one does not
 
+	stopping  atomic.Bool // the listener was closed on purpose
 	closeOnce sync.Once
 	done      chan struct{} // closed when Serve may return
 }
@@ -36,7 +38,7 @@
 // Serve serves clients until Shutdown or Close.
 func (s *httpServer) Serve() error {
 	err := s.server.Serve(s.listener)
-	if s.listener.isClosed() { // accepted connections are still served
+	if s.stopping.Load() { // accepted connections are still served
 		<-s.done
 		return http.ErrServerClosed
 	}
@@ -55,6 +57,7 @@
 // CloseListener stops accepting; accepted connections are served on. The accept queue is emptied before, until ctx
 // ends. A shared listening socket stays open in the other process: it is closed here, and not drained or shut down.
 func (s *httpServer) CloseListener(ctx context.Context) {
+	s.stopping.Store(true)
 	if !s.sharedSocket {
 		s.listener.drainAcceptQueue(ctx)
 	}
@@ -95,6 +98,7 @@
 
 // Close ends the service and closes all connections.
 func (s *httpServer) Close() error {
+	s.stopping.Store(true)
 	s.finish()
 	return s.server.Close()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,9 +68,10 @@
 	serveErrors chan error // from the servers for clients; buffered for all of them
 }
 
-// stopTasks ends the goroutines that start has started, and waits for them. The HTTP server's goroutine ends with
-// shutdown.
+// stopTasks ends the goroutines that start has started, and waits for them. After shutdown the HTTP server is closed
+// already; after the failure of another server it is not.
 func (n *node) stopTasks() {
+	_ = n.httpServer.Close()
 	if n.rpcServer != nil {
 		n.rpcServer.Close()
 	}
