Tests say what a host did when they fail: pauses, attempts, times

Need: entries of KNOWN-RED.txt that fail only beside load could not say who was late. A failure in protocolmatrix now lists its attempts with code, start and duration, the longest pause of the host and of the engine; racetest and the script of conformance print the longest pause, the script the attempts and executions of a request, IdleConnectionsAreEvicted when its server was released. No check changes.

--- a/internal/conformance/connections_test.go
+++ b/internal/conformance/connections_test.go
@@ -87,6 +87,7 @@
 	config.MaxDescriptors = minDescriptors
 	node, _ := b.start(t, config)
 	slow := sendSlow(t, oneShotClient(), node)
+	sentAt := time.Now()
 	testkit.Receive(t, "the slow request", received)
 	var idle []net.Conn
 	for i := range 3 * maxClients {
@@ -105,8 +106,9 @@
 		t.Errorf("the connection idle for longest is still open: %v", err)
 	}
 	close(release)
+	releasedAfter := time.Since(sentAt)
 	if resp := testkit.Receive(t, "the slow response", slow); resp.status != 200 {
-		t.Errorf("the request that was open: %d", resp.status)
+		t.Errorf("the request that was open: %d; its server was released %v after it was sent", resp.status, releasedAfter)
 	}
 }
 
--- a/internal/conformance/script_test.go
+++ b/internal/conformance/script_test.go
@@ -258,6 +258,7 @@
 // testScript sends the script through a build, and returns the outcomes.
 func testScript(t *testing.T, b build) map[int]string {
 	t.Helper()
+	testkit.LogPausesOnFailure(t)
 	cluster, drain := newScriptedCluster(t), make(chan struct{})
 	config := testConfig(t, knownList(cluster.addrs...))
 	config.Discovery = cluster.discovery(drain)
@@ -268,7 +269,8 @@
 	defer cluster.mu.Unlock()
 	for i, req := range script() {
 		if got := outcomes[i]; got != req.want {
-			t.Errorf("request %d %s of %s: %s, want %s", i, req.id, req.class, got, req.want)
+			t.Errorf("request %d %s of %s: %s, want %s; %d attempts, executed %d times",
+				i, req.id, req.class, got, req.want, cluster.attempts[req.id], cluster.executions[req.id])
 		}
 		if n := cluster.executions[req.id]; req.class == "pay" && n > 1 {
 			t.Errorf("booking %s ran %d times", req.id, n)
--- a/internal/protocolmatrix/failures_test.go
+++ b/internal/protocolmatrix/failures_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"cobaltward/internal/testkit"
 	"cobaltward/msgpackrpc"
 )
 
@@ -141,7 +142,11 @@
 			}
 		}()
 	}
+	pause := testkit.MeasurePauses(t)
+	began := time.Now()
 	outcome := node.call(ctx, call)
+	t.Logf("%s after %v; longest pause of the host %v, of the engine %v; attempts:\n%s",
+		outcome, time.Since(began), pause(), node.maxLag(), node.attempts)
 	cancel()
 	return result{outcome, [2]int{apps[0].totalExecutions(), apps[1].totalExecutions()}}, node.maxLag()
 }
--- a/internal/protocolmatrix/pair_test.go
+++ b/internal/protocolmatrix/pair_test.go
@@ -65,8 +65,9 @@
 
 // runningNode is a node that runs until the test ends.
 type runningNode struct {
-	call   callFunc
-	router *router.Router
+	call     callFunc
+	router   *router.Router
+	attempts *attemptLog
 }
 
 // maxLag is the longest delay of the engine so far, because the host did not run it.
@@ -75,7 +76,7 @@
 // start runs a node before the servers until the test ends; its clients' connections are cut where cut is not nil.
 func (p protocolPair) start(t testing.TB, cut func() int, apps ...*appServer) runningNode {
 	t.Helper()
-	engine := p.newRouter(t, apps)
+	engine, attempts := p.newRouter(t, apps)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -83,13 +84,13 @@
 	ln = cutListener{ln, cut}
 	if p.frontend == "http" {
 		serveHTTPFrontend(t, engine, ln)
-		return runningNode{httpCaller(t, ln.Addr().String()), engine}
+		return runningNode{httpCaller(t, ln.Addr().String()), engine, attempts}
 	}
-	return runningNode{serveMsgpackFrontend(t, engine, ln), engine}
+	return runningNode{serveMsgpackFrontend(t, engine, ln), engine, attempts}
 }
 
-// newRouter returns an engine that is serving.
-func (p protocolPair) newRouter(t testing.TB, apps []*appServer) *router.Router {
+// newRouter returns an engine that is serving, with the log of its attempts.
+func (p protocolPair) newRouter(t testing.TB, apps []*appServer) (*router.Router, *attemptLog) {
 	t.Helper()
 	var endpoints []router.Endpoint
 	for i, app := range apps {
@@ -101,15 +102,15 @@
 	if p.tls {
 		clientTLS = enableTLS(t, apps)
 	}
-	transport := mixed.New(p.protocol, http1.New(http1.Config{TLS: clientTLS}),
-		msgpacktransport.New(msgpacktransport.Config{TLS: clientTLS}))
+	transport := newAttemptLog(mixed.New(p.protocol, http1.New(http1.Config{TLS: clientTLS}),
+		msgpacktransport.New(msgpacktransport.Config{TLS: clientTLS})))
 	engine, err := router.New(router.Config{Settings: settings(), Endpoints: endpoints}, router.WithTransport(transport))
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = engine.Close() })
 	testkit.Await(t, "the node", func() bool { return engine.Phase() == router.Serving })
-	return engine
+	return engine, transport
 }
 
 // settings has a retry budget that is never the reason for an outcome.
--- a/internal/racetest/harness_test.go
+++ b/internal/racetest/harness_test.go
@@ -83,6 +83,7 @@
 // newHarness returns a harness whose node has not been started; change may be nil.
 func newHarness(t *testing.T, change func(c *node.Config)) *harness {
 	env := &harness{t: t, reloads: make(chan node.Config, 1), exited: make(chan error, 1)}
+	testkit.LogPausesOnFailure(t)
 	env.discovery = newDiscoveryStub(t)
 	announceFor := time.Millisecond // termination tests remove it, and the daemon's own duration applies
 	env.config = node.Config{
--- a/internal/testkit/pauses.go
+++ b/internal/testkit/pauses.go
@@ -46,3 +46,14 @@
 		return maximum
 	}
 }
+
+// LogPausesOnFailure has a test that fails log how late goroutines of this process ran during it.
+func LogPausesOnFailure(t testing.TB) {
+	t.Helper()
+	longest := MeasurePauses(t)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("longest pause of the host: %v", longest())
+		}
+	})
+}
