A process that ends no longer removes the admin socket of its successor

Operators' ctl found no node after an overlap of two processes whose socket had been replaced.

Cause: at its end a process removed whatever file was at its socket's path.

Why it works: the path is removed only where it still names the file that this process made.

--- a/internal/adminapi/unixsocket.go
+++ b/internal/adminapi/unixsocket.go
@@ -26,15 +26,25 @@
 		return nil, err
 	}
 	listener.(*net.UnixListener).SetUnlinkOnClose(false)
-	if err = os.Chmod(temporary, 0o600); err == nil {
-		err = os.Rename(temporary, path)
-	}
+	file, err := publishSocket(temporary, path)
 	if err != nil {
 		_ = listener.Close() // the first error is returned
 		_ = os.Remove(temporary)
 		return nil, err
 	}
-	return &unlinkingListener{Listener: listener, path: path}, nil
+	return &unlinkingListener{Listener: listener, path: path, file: file}, nil
+}
+
+// publishSocket sets the mode of a socket, gives it its final name, and returns its file.
+func publishSocket(temporary, path string) (os.FileInfo, error) {
+	if err := os.Chmod(temporary, 0o600); err != nil {
+		return nil, err
+	}
+	file, err := os.Lstat(temporary)
+	if err != nil {
+		return nil, err
+	}
+	return file, os.Rename(temporary, path)
 }
 
 // removeStaleSocket removes a socket on which no process listens. Any other file at the path is an error.
@@ -61,10 +71,18 @@
 type unlinkingListener struct {
 	net.Listener
 	path   string
+	file   os.FileInfo // of the socket
 	unlink sync.Once
 }
 
 func (l *unlinkingListener) Close() error {
-	l.unlink.Do(func() { _ = os.Remove(l.path) }) // another process may have replaced it
+	l.unlink.Do(l.removeFile)
 	return l.Listener.Close()
 }
+
+// removeFile removes the socket's file, unless it is another process's by now.
+func (l *unlinkingListener) removeFile() {
+	if file, err := os.Lstat(l.path); err == nil && os.SameFile(file, l.file) {
+		_ = os.Remove(l.path)
+	}
+}
