A final drain is not over before its listeners have stopped

Cause: drain.Machine went from Announced to Drained in one step by counts taken before the listeners were told to stop, where all connections were in the accept queue at that instant; the drain's end cancelled the listeners' shutdown.

Why it works: each listener is work that is left until its Shutdown has returned.

--- a/internal/frontend/msgpack/server.go
+++ b/internal/frontend/msgpack/server.go
@@ -208,11 +208,14 @@
 }
 
 // PendingFirstRequests returns the number of connections that have no answer yet, and whose first call is open or may
-// be on its way.
+// be on its way. During a drain a listener counts as one while its accept queue may not be empty.
 func (s *Server) PendingFirstRequests() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	pending := 0
+	if s.draining {
+		pending = len(s.listeners)
+	}
 	for conn := range s.conns {
 		if conn.firstCallPending() {
 			pending++
--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -51,6 +51,24 @@
 	})
 }
 
+// A drain with no work that the router knows of waits for its listeners all the same: what the system has accepted for
+// them is served.
+func TestDrain_WaitsForListenersWithoutWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener := &fakeListener{release: make(chan struct{})}
+		r, _ := newTestRouter(t, &fakeTransport{attempt: serveAtOnce}, sendOnce, WithListener(listener), WithDrainDelay(ms))
+		drained := make(chan error, 1)
+		go func() { drained <- r.Drain(t.Context()) }()
+		time.Sleep(500 * ms)
+		wantDrainState(t, r, listener, Closing, 1)
+		wantDo(t, r, readRequest("late"), Served)
+		close(listener.release)
+		if err := <-drained; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // Where the drain's deadline comes first, open requests are answered once: as failed where they may have run.
 func TestDrain_DeadlineAnswersOpenRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
