--- a/handshakes/admission.go
+++ b/handshakes/admission.go
@@ -13,8 +13,8 @@
 
 // AdmitClient reports whether another client connection is accepted beside active handshakes, which compete for the
 // CPU, and waiting ones, which wait for their client, of maxConns connections. Distant and stalled clients thus block
-// nobody until there are many of them; further clients stay in the accept queue. crowded reports that a connection would
-// be accepted if there were fewer waiting handshakes.
+// nobody until there are many of them; further clients stay in the accept queue. crowded reports that a connection
+// would be accepted if there were fewer waiting handshakes.
 func AdmitClient(active, waiting, maxConns int) (admit, crowded bool) {
 	maxWaiting := max(maxActiveClients, int(maxWaitingFraction*float64(maxConns)))
 	hasCPU := active < maxActiveClients
--- a/router/drain_run.go
+++ b/router/drain_run.go
@@ -109,8 +109,8 @@
 	return next, over
 }
 
-// openWork is the work that is left. Of a final drain each listener is a part of it until its Shutdown has returned: the
-// system may have accepted connections that the listener has not seen. drainMu is held.
+// openWork is the work that is left. Of a final drain each listener is a part of it until its Shutdown has returned:
+// the system may have accepted connections that the listener has not seen. drainMu is held.
 func (r *Router) openWork() drain.Counts {
 	counts := drain.Counts{OpenRequests: int(r.loop.openRequests.Load())}
 	switch run := r.drainRun; {
