Behind http.TimeoutHandler nothing is forwarded that must not run twice

Callers saw 503 "too late" for a booking (class pay) that a server had received: the client sends it again.

Cause: the engine answers 20 ms ahead of the context's deadline. A process that is paused for longer lets http.TimeoutHandler see the deadline first; where answer and deadline are both there its select draws. Without a pause: an engine whose answers come 0.8 s late behind a timeout of 0.4 s brings it every time.

Nothing within that handler can claim the answer, so a wider margin would only make it rarer. A request of a class that is not idempotent is no longer forwarded where the context has a deadline and the innermost ResponseWriter does not flush: it gets a 503 ahead of any attempt. middleware.WithTimeout bounds the time in the middleware itself, and answers what may have run with a failure.

--- a/middleware/frontend.go
+++ b/middleware/frontend.go
@@ -48,6 +48,7 @@
 	isServing    func() bool
 	bodyTimeout  time.Duration // 0: the host's
 	writeTimeout time.Duration // 0: the host's
+	timeout      time.Duration // of a request; 0: the client's deadline alone
 	newID        func() string
 	bodyLimits   *body.Limits // nil: bodies are short, and read before they are handed on
 	disconnected func(context.Context) bool
@@ -85,6 +86,13 @@
 	return func(f *Frontend) { f.writeTimeout = timeout }
 }
 
+// WithTimeout bounds the time in which the router answers a booking request, from its last byte on; 0, the default,
+// leaves it to the client's deadline. It takes the place of an http.TimeoutHandler around the middleware, which may
+// answer 503 though the request has run: behind one, only requests of idempotent classes are forwarded.
+func WithTimeout(timeout time.Duration) Option {
+	return func(f *Frontend) { f.timeout = timeout }
+}
+
 // WithBodyLimits accepts bodies and answers of any length within the limits. The host has to check the framing of
 // requests: net/http takes the length from a transfer coding and ignores Content-Length, so that a request with both
 // must not get here.
--- a/middleware/handler_test.go
+++ b/middleware/handler_test.go
@@ -16,8 +16,10 @@
 
 	"cobaltward/internal/testkit"
 	"cobaltward/middleware"
+	"cobaltward/middleware/ginmw"
 	"cobaltward/router"
 
+	"github.com/gin-gonic/gin"
 	"github.com/go-chi/chi/v5"
 )
 
@@ -131,18 +133,112 @@
 	}
 }
 
+// lateEngine is the engine of a host that runs late: each answer comes after a pause.
+type lateEngine struct {
+	*router.Router
+	pause time.Duration
+}
+
+// Do implements middleware.Engine.
+func (e lateEngine) Do(ctx context.Context, req router.Request) (router.Answer, error) {
+	answer, err := e.Router.Do(ctx, req)
+	time.Sleep(e.pause)
+	return answer, err
+}
+
 // TestTimeoutHandler_NeverRejectsAcceptedRequest: http.TimeoutHandler answers 503 at its timeout, which would tell
-// the client of a request that may have run that a retry is harmless. The middleware knows that deadline, and answers
-// before.
+// the client of a request that may have run that a retry is harmless. However late the host runs, no request that must
+// not run twice reaches a server behind it, while an idempotent one does.
 func TestTimeoutHandler_NeverRejectsAcceptedRequest(t *testing.T) {
-	addr, received := newHungServer(t)
-	frontend := middleware.New(newRouter(t, addr))
 	const timeout = 400 * time.Millisecond
-	url := serve(t, http.TimeoutHandler(frontend.Handler(http.NotFoundHandler()), timeout, "too late"))
+	hosts := map[string]func(*middleware.Frontend) http.Handler{
+		"net/http": func(f *middleware.Frontend) http.Handler { return f.Handler(http.NotFoundHandler()) },
+		"gin": func(f *middleware.Frontend) http.Handler {
+			gin.SetMode(gin.ReleaseMode)
+			engine := gin.New()
+			engine.Use(ginmw.New(f))
+			return engine
+		},
+	}
+	for host, handler := range hosts {
+		for _, pause := range []time.Duration{0, 2 * timeout} {
+			for class, forwarded := range map[string]bool{"read": true, "pay": false, "undo": false} {
+				t.Run(fmt.Sprintf("%s/%s/late by %v", host, class, pause), func(t *testing.T) {
+					t.Parallel()
+					addr, received := newHungServer(t)
+					engine := newRouter(t, addr)
+					frontend := middleware.New(lateEngine{engine, pause})
+					url := serve(t, http.TimeoutHandler(handler(frontend), timeout, "too late"))
+					method, body := "POST", "sum"
+					if class == "read" {
+						method, body = "GET", ""
+					}
+					status, text := send(t, request(t, url+"/api", method, class, "r1", body, "Idempotency-Key", "k1"))
+					if forwarded {
+						testkit.Receive(t, "the request", received)
+						return
+					}
+					if attempts := engine.Stats().Attempts; attempts != 0 || status != http.StatusServiceUnavailable {
+						t.Errorf("%d %q after %d attempts, want 503 before any", status, text, attempts)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestWithTimeout_AnswersForwardedRequest: the timeout of the middleware itself answers a request that may have run
+// with a failure that promises nothing, also where the host runs late.
+func TestWithTimeout_AnswersForwardedRequest(t *testing.T) {
+	const timeout = 400 * time.Millisecond
+	for _, pause := range []time.Duration{0, 2 * timeout} {
+		t.Run(fmt.Sprint("late by ", pause), func(t *testing.T) {
+			t.Parallel()
+			addr, received := newHungServer(t)
+			frontend := middleware.New(lateEngine{newRouter(t, addr), pause}, middleware.WithTimeout(timeout))
+			url := serve(t, frontend.Handler(http.NotFoundHandler()))
+			status, body := send(t, request(t, url+"/api", "POST", "pay", "r1", "sum"))
+			testkit.Receive(t, "the request", received)
+			if status != http.StatusBadGateway && status != http.StatusGatewayTimeout {
+				t.Errorf("a request that may have run: %d %q, want a failure that promises nothing", status, body)
+			}
+		})
+	}
+}
+
+// TestHostDeadline_ForwardsWithoutTimeoutHandler: a deadline of the host's context alone rejects nothing, since no
+// handler answers in place of the middleware.
+func TestHostDeadline_ForwardsWithoutTimeoutHandler(t *testing.T) {
+	addr, received := newHungServer(t)
+	handler := middleware.New(newRouter(t, addr)).Handler(http.NotFoundHandler())
+	url := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), 400*time.Millisecond)
+		defer cancel()
+		handler.ServeHTTP(w, r.WithContext(ctx))
+	}))
 	status, body := send(t, request(t, url+"/api", "POST", "pay", "r1", "sum"))
 	testkit.Receive(t, "the request", received)
 	if status != http.StatusBadGateway && status != http.StatusGatewayTimeout {
-		t.Errorf("a request that may have run: %d %q, want a failure that promises nothing", status, body)
+		t.Errorf("%d %q, want a failure that promises nothing", status, body)
+	}
+}
+
+// TestRoundTrip_ClientDeadline: a caller whose own deadline passes gets an error, never a rejection.
+func TestRoundTrip_ClientDeadline(t *testing.T) {
+	addr, received := newHungServer(t)
+	engine := newRouter(t, addr)
+	const timeout = 400 * time.Millisecond
+	for _, pause := range []time.Duration{0, 2 * timeout} {
+		client := http.Client{Transport: middleware.New(lateEngine{engine, pause}).RoundTripper(), Timeout: timeout}
+		resp, err := client.Do(request(t, "http://app/api", "POST", "pay", fmt.Sprint("r-", pause), "sum"))
+		testkit.Receive(t, "the request", received)
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
+			t.Errorf("late by %v: a request that may have run: %d", pause, resp.StatusCode)
+		}
 	}
 }
 
--- /dev/null
+++ b/middleware/hosttimeout.go
@@ -0,0 +1,47 @@
+package middleware
+
+import (
+	"context"
+	"net/http"
+
+	"cobaltward/policy"
+	"cobaltward/router"
+)
+
+// hostTimeoutText is the answer to a request that is not forwarded because of a timeout of the host.
+const hostTimeoutText = "not forwarded: a timeout handler around the middleware could reject the request while it " +
+	"runs; use middleware.WithTimeout in its place"
+
+// hostMayAnswer reports whether a handler of the host may answer the request in place of the Frontend once the deadline
+// of its context has passed, as http.TimeoutHandler does with 503. Such a handler buffers the answer, so that the
+// innermost ResponseWriter does not flush. However early the Frontend answers, the host may be paused until the
+// deadline.
+func hostMayAnswer(w http.ResponseWriter, ctx context.Context) bool {
+	if _, bounded := ctx.Deadline(); !bounded {
+		return false
+	}
+	for {
+		wrapper, ok := w.(interface{ Unwrap() http.ResponseWriter })
+		if !ok {
+			break
+		}
+		w = wrapper.Unwrap()
+	}
+	_, flushes := w.(http.Flusher)
+	return !flushes
+}
+
+// mustNotRunTwice reports whether a rejection of a request that has run could have it run again: its class is not
+// idempotent.
+func (f *Frontend) mustNotRunTwice(class string) bool {
+	known, ok := f.engine.Class(class)
+	return !ok || known.Idempotency != policy.Idempotent
+}
+
+// rejectUnforwarded rejects a request that a timeout of the host could reject while it runs. Nothing of it was sent.
+func (f *Frontend) rejectUnforwarded(w http.ResponseWriter, class string) {
+	answer := f.overloadAnswer(class)
+	answer.Outcome = router.Overloaded
+	answer.ContentType, answer.Body = "text/plain; charset=utf-8", []byte(hostTimeoutText+"\n")
+	f.writeAnswer(w, answer)
+}
--- a/middleware/serve.go
+++ b/middleware/serve.go
@@ -28,6 +28,9 @@
 		f.rejectMalformed(w, r, req.Class, problem)
 		return
 	}
+	if f.timeout > 0 {
+		req.Timeout = min(req.Timeout, f.timeout)
+	}
 	ctx := r.Context()
 	if upload != nil {
 		defer upload.close()
@@ -39,6 +42,8 @@
 	case f.isOverflow(ctx):
 		w.Header().Set("Connection", "close")
 		f.writeAnswer(w, f.overloadAnswer(req.Class))
+	case f.mustNotRunTwice(req.Class) && hostMayAnswer(w, ctx):
+		f.rejectUnforwarded(w, req.Class)
 	default:
 		f.forward(ctx, w, r, req)
 	}
