A withheld rejection is in time, and a failure where the write does not end

Cause: maxWithheld knew no deadline, and its end gave the rejection all the same. Only attempts in flight were waited for: over MessagePack-RPC an ended attempt's frame may be half written on a shared connection. A router closed meanwhile returned ErrClosed, which says that nothing was accepted.

Now the event loop's own timer ends the wait after 0.2 s, and 10 ms ahead of the client's deadline at the latest, with a failure, which promises nothing; ended attempts' writes count; the loop's end ends all waits.

--- a/router/deadline.go
+++ b/router/deadline.go
@@ -94,5 +94,7 @@
 		l.cancelAttempt(t.attempt, context.DeadlineExceeded)
 	case levelStepTimer:
 		l.stepLevels(t.due)
+	case withheldTimer:
+		l.expireWithheld(t.withheld)
 	}
 }
--- a/router/loop.go
+++ b/router/loop.go
@@ -39,9 +39,10 @@
 
 	requests          map[string]*request
 	recentIDs         idHistory
-	drained           atomic.Bool  // no request is admitted, until the drain is cancelled
-	pendingAnswers    int          // requests without an answer
-	openRequests      atomic.Int64 // the same, for other goroutines to read
+	withheld          map[*withheldAnswer]struct{} // that were waiting for a write when they were given
+	drained           atomic.Bool                  // no request is admitted, until the drain is cancelled
+	pendingAnswers    int                          // requests without an answer
+	openRequests      atomic.Int64                 // the same, for other goroutines to read
 	timers            timerHeap
 	skippedOutcomes   []policy.Outcome // of attempts that were not made; for the balancer once all actions are done
 	attemptGoroutines sync.WaitGroup
@@ -80,6 +81,7 @@
 		done:            make(chan struct{}),
 		ready:           make(chan struct{}),
 		requests:        make(map[string]*request),
+		withheld:        make(map[*withheldAnswer]struct{}),
 		recentIDs:       idHistory{seed: maphash.MakeSeed()},
 		endpoints:       make(map[string]endpointSummary),
 	}
@@ -125,6 +127,7 @@
 		l.publishEndpointCounts()
 	}
 	l.answerOpenRequests()
+	l.expireAllWithheld()
 	l.stats = l.snapshot()
 }
 
--- a/router/reply.go
+++ b/router/reply.go
@@ -23,7 +23,7 @@
 	}
 }
 
-// deliver counts an answer and passes it to the caller.
+// deliver counts an answer and passes it to the caller. It is safe for concurrent use.
 func (l *loop) deliver(c *call, answer Answer) {
 	l.countAnswer(c, answer)
 	c.handOver(answer)
--- a/router/timer.go
+++ b/router/timer.go
@@ -14,6 +14,7 @@
 	backstopTimer                   // a request's: it has no answer yet
 	attemptTimer                    // an attempt's: its time is up
 	levelStepTimer                  // the next step of the levels of service
+	withheldTimer                   // a withheld answer's: it waits no longer
 )
 
 // timer is one timer of the loop.
@@ -24,6 +25,8 @@
 	request *request // of a backstopTimer
 	attempt *attempt // of an attemptTimer
 	index   int      // in the heap; -1 once it is out
+
+	withheld *withheldAnswer // of a withheldTimer
 }
 
 // timerHeap orders timers by their time. It implements heap.Interface.
--- a/router/withheld.go
+++ b/router/withheld.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"container/heap"
 	"sync"
 	"time"
 )
@@ -10,31 +11,56 @@
 
 // withheldAnswer is a rejection that waits until no attempt of its request is being written.
 type withheldAnswer struct {
-	call   *call
-	answer Answer
+	call    *call
+	answer  Answer
+	deliver func(*call, Answer) // safe for concurrent use
 
 	mu        sync.Mutex
 	writes    int // in progress
 	counting  bool
 	delivered bool
-	bound     *time.Timer // nil while no write is in progress
 }
 
 // deliverAfterWrites delivers the answer of a request that is finished. A rejection waits until no attempt is being
-// written; none begins after that, since the attempts are abandoned.
+// written; none begins after that, since the attempts are abandoned. Where a write has not ended in time, the answer is
+// a failure.
 func (l *loop) deliverAfterWrites(r *request, answer Answer) {
 	if answer.Outcome != Rejected && answer.Outcome != Overloaded {
 		l.deliver(r.call, answer)
 		return
 	}
-	l.countAnswer(r.call, answer)
-	withheld := &withheldAnswer{call: r.call, answer: answer, counting: true}
+	withheld := &withheldAnswer{call: r.call, answer: answer, deliver: l.deliver, counting: true}
 	for _, a := range r.attempts {
-		if a.inFlight {
-			withheld.await(&a.ctx)
-		}
+		withheld.await(&a.ctx) // also of an attempt that is over: a transport may write on a connection that is shared
+	}
+	if withheld.counted() {
+		l.expireLater(withheld, r)
+	}
+}
+
+// expireLater sets the timer of a withheld answer: maxWithheld ahead, and not after the time of the backstop, which
+// leaves the answer its way to the client.
+func (l *loop) expireLater(withheld *withheldAnswer, r *request) {
+	now := l.clock.now()
+	l.withheld[withheld] = struct{}{}
+	heap.Push(&l.timers, &timer{
+		kind:     withheldTimer,
+		due:      min(now+maxWithheld, max(now, r.backstop.due)),
+		withheld: withheld,
+	})
+}
+
+// expireWithheld ends the wait of an answer.
+func (l *loop) expireWithheld(withheld *withheldAnswer) {
+	delete(l.withheld, withheld)
+	withheld.expire()
+}
+
+// expireAllWithheld ends the waits of all answers, at the end of the loop.
+func (l *loop) expireAllWithheld() {
+	for withheld := range l.withheld {
+		l.expireWithheld(withheld)
 	}
-	withheld.counted()
 }
 
 // await has the answer wait for the write in progress of an attempt, if there is one.
@@ -47,16 +73,15 @@
 	}
 }
 
-// counted ends the counting of writes.
-func (w *withheldAnswer) counted() {
+// counted ends the counting of writes, and reports whether the answer has to wait for one.
+func (w *withheldAnswer) counted() (waits bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.counting = false
-	if w.writes > 0 {
-		w.bound = time.AfterFunc(maxWithheld, w.expire)
-		return
+	if w.writes == 0 {
+		w.deliverLocked()
 	}
-	w.deliverLocked()
+	return w.writes > 0
 }
 
 // writeEnded delivers the answer with the last write.
@@ -69,10 +94,12 @@
 	}
 }
 
-// expire delivers the answer though a write is in progress.
+// expire answers while a write is in progress: the server may yet get the rest of it, so that a rejection would promise
+// too much.
 func (w *withheldAnswer) expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.answer = Answer{Outcome: Failed}
 	w.deliverLocked()
 }
 
@@ -81,8 +108,5 @@
 		return
 	}
 	w.delivered = true
-	if w.bound != nil {
-		w.bound.Stop()
-	}
-	w.call.handOver(w.answer)
+	w.deliver(w.call, w.answer)
 }
