A server that got nothing of a request is tried again where no other is left

Cause: mayRunOn excluded every server with an attempt, also one whose connect had failed and that got nothing; the request then waited half of its objective for a server that could not come.

Where no untried server is left but ejected ones, one that could not be connected to gets another attempt within attempts, budget and deadline, after 100 ms, doubled each time. Nothing was sent to it, so no rule is touched. What all servers have rejected is rejected at once.

--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -18,14 +18,14 @@
 		b.send(r, s, true)
 		return
 	}
-	s, hasCapacity := b.selectServer(r)
+	s, hasCapacity := b.selectNext(r)
 	if !r.wasQueued { // a request moves the rates once, however long it is queued
 		b.adjustRateScale(hasCapacity)
 	}
 	switch {
 	case s != nil:
 		b.send(r, s, false)
-	case r.mayHaveRun == nil && b.now+queuePollInterval < r.queueDeadline:
+	case r.mayHaveRun == nil && b.now+queuePollInterval < r.queueDeadline && b.mayFindServer(r):
 		b.enqueue(r)
 	default:
 		b.giveUp(r)
@@ -177,6 +177,9 @@
 	a.server.recordConnectionUse(b.now)
 	a.server.inFlight--
 	r.updateMayHaveRun()
+	if outcome.Code == ConnectFailed {
+		b.recordFailedConnect(r, a)
+	}
 	b.recordOutcome(r, a, outcome)
 	b.updateIndex(a.server, 0)
 	switch {
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -11,7 +11,7 @@
 
 // mayRunOn guards against a second execution: what may have run only goes where duplicates are dropped.
 func (b *Balancer) mayRunOn(r *request, candidate *server) bool {
-	if !r.class.permits(candidate) || b.leavesZone(r, candidate) || r.hasAttemptedOn(candidate) {
+	if !r.class.permits(candidate) || b.leavesZone(r, candidate) || r.excludes(candidate) {
 		return false
 	}
 	if r.mayHaveRun == nil || r.class.Idempotency == Idempotent {
--- a/policy/state.go
+++ b/policy/state.go
@@ -121,16 +121,19 @@
 	bodyPending   bool     // its last byte has not come yet
 	notReplayable bool     // its body passes through: it can't be hedged
 	zoneLocal     bool     // it is not to leave the zone while that has a server
+	reconnectAt   Time     // end of the backoff after a failed connect; 0 for none
+	reconnecting  bool     // while a server is selected: one that could not be connected to may get another attempt
 }
 
 // attempt is one send of a request to a server.
 type attempt struct {
-	server      *server
-	sentAt      Time
-	done        bool
-	notExecuted bool // an outcome proved that it never ran
-	probe       bool // it probes an ejected server
-	idleOctave  int  // of its connection's idle time; 0 for a connection in use
+	server        *server
+	sentAt        Time
+	done          bool
+	notExecuted   bool // an outcome proved that it never ran
+	connectFailed bool // nothing was sent
+	probe         bool // it probes an ejected server
+	idleOctave    int  // of its connection's idle time; 0 for a connection in use
 }
 
 type bucketKey struct{ tenant, class string }
@@ -199,11 +202,6 @@
 // isFault tells whether an attempt ended by an error, or by a connection that broke or never came up.
 func (c Code) isFault() bool { return c == ServerError || c == Reset || c == ConnectFailed }
 
-// hasAttemptedOn tells whether an attempt of r went to s.
-func (r *request) hasAttemptedOn(s *server) bool {
-	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.server == s })
-}
-
 // leavesZone tells whether r would cross zones to s, and is not to.
 func (b *Balancer) leavesZone(r *request, s *server) bool {
 	return r.zoneLocal && s.Zone != b.settings.Zone && b.runningByZone[b.settings.Zone] > 0
--- a/tools/decisions/history.go
+++ b/tools/decisions/history.go
@@ -188,6 +188,12 @@
 	return nil
 }
 
+// differenceError reports a reply that differs between the builds.
+type differenceError struct{ description string }
+
+// Error implements error.
+func (e *differenceError) Error() string { return e.description }
+
 // play sends the history to both builds, and fails at the first reply that differs.
 func (h *history) play(formerPath, currentPath string) error {
 	former, err := startAdapter(formerPath)
@@ -212,8 +218,8 @@
 		}
 		if strings.Join(got, "\n") != strings.Join(want, "\n") {
 			const separator = "\n        "
-			return fmt.Errorf("batch %d\n%sformer: %s\nnow:    %s",
-				i, batch, strings.Join(want, separator), strings.Join(got, separator))
+			return &differenceError{fmt.Sprintf("batch %d\n%sformer: %s\nnow:    %s",
+				i, batch, strings.Join(want, separator), strings.Join(got, separator))}
 		}
 		h.counts.replies.Add(1)
 		h.counts.actions.Add(int64(len(got)))
--- a/tools/decisions/main.go
+++ b/tools/decisions/main.go
@@ -5,6 +5,7 @@
 package main
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -26,12 +27,13 @@
 	base := flag.String("base", "HEAD", "the revision to hold the working tree against")
 	histories := flag.Int("histories", 1000, "how many histories to play")
 	seed := flag.Uint64("seed", 1, "of the first history; the others follow")
+	countAll := flag.Bool("all", false, "count the histories that differ, rather than end at the first")
 	jobs := flag.Int("jobs", runtime.NumCPU(), "pairs of adapters at once")
 	flag.Parse()
-	benchkit.ExitOnError("decisions", run(*base, *histories, *seed, *jobs))
+	benchkit.ExitOnError("decisions", run(*base, &comparison{histories: int64(*histories), seed: *seed, countAll: *countAll}, *jobs))
 }
 
-func run(base string, histories int, seed uint64, jobs int) error {
+func run(base string, plays *comparison, jobs int) error {
 	dir, err := os.MkdirTemp("", "decisions")
 	if err != nil {
 		return err
@@ -45,12 +47,12 @@
 	if err := runCommand("go", "build", "-o", current, "./cmd/simhost"); err != nil {
 		return err
 	}
-	comparison := &comparison{former: former, current: current, histories: int64(histories), seed: seed}
-	if err := comparison.run(jobs); err != nil {
+	plays.former, plays.current = former, current
+	if err := plays.run(jobs); err != nil {
 		return err
 	}
-	fmt.Printf("%d histories from seed %d, %d replies with %d actions: the same as at %s\n",
-		histories, seed, comparison.counts.replies.Load(), comparison.counts.actions.Load(), base)
+	fmt.Printf("%d histories from seed %d, %d replies with %d actions: %d differ from %s\n", plays.histories, plays.seed,
+		plays.counts.replies.Load(), plays.counts.actions.Load(), plays.differing.Load(), base)
 	return nil
 }
 
@@ -89,12 +91,15 @@
 	former, current string // paths of the builds
 	histories       int64
 	seed            uint64
+	countAll        bool // do not end at the first difference
 
 	next   atomic.Int64 // index of the next history to play
 	counts counts
+
+	differing atomic.Int64 // histories; each ends at its first difference
 }
 
-// run plays all histories in so many jobs, until the first difference.
+// run plays all histories in so many jobs, until the first difference unless all are counted.
 func (c *comparison) run(jobs int) error {
 	failed := make(chan error, jobs)
 	var all sync.WaitGroup
@@ -124,7 +129,11 @@
 			return nil
 		}
 		seed := c.seed + uint64(i)
-		if err := newHistory(seed, &c.counts).play(c.former, c.current); err != nil {
+		err := newHistory(seed, &c.counts).play(c.former, c.current)
+		switch differs := (*differenceError)(nil); {
+		case c.countAll && errors.As(err, &differs):
+			c.differing.Add(1)
+		case err != nil:
 			return fmt.Errorf("seed %d: %w", seed, err)
 		}
 	}
