A connect that a pause lets time out is looked at again, and not held against the server

sockets.DialTCP keeps the timer, and polls the socket as it fires: a connected one is waited for. NotBegunCode: an attempt whose time passed ahead of the write is Superseded; TestLateAttemptsAreNotWritten asks for exactly that code now, where it asked for exactly ConnectFailed.

--- /dev/null
+++ b/internal/sockets/dial_test.go
@@ -0,0 +1,154 @@
+package sockets
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialHelperEnv names the address that the test binary dials as a helper process, in place of running tests.
+	dialHelperEnv = "SOCKETS_DIAL_HELPER"
+	// dialHelperTimeout is the timeout of its dial.
+	dialHelperTimeout = 1200 * time.Millisecond
+	// synRetransmission is when the kernel sends a SYN again, with some slack.
+	synRetransmission = 1100 * time.Millisecond
+)
+
+func TestMain(m *testing.M) {
+	if addr := os.Getenv(dialHelperEnv); addr != "" {
+		os.Exit(runDialHelper(addr))
+	}
+	os.Exit(m.Run())
+}
+
+// runDialHelper dials an address, and says when it begins.
+func runDialHelper(addr string) (status int) {
+	fmt.Println("dialing")
+	conn, err := DialTCP(context.Background(), &net.Dialer{Timeout: dialHelperTimeout}, addr)
+	if err != nil {
+		fmt.Println(err)
+		return 1
+	}
+	_ = conn.Close()
+	fmt.Println("connected")
+	return 0
+}
+
+// fullListener listens with a full accept queue: the kernel drops further SYNs until accept has been called.
+func fullListener(t *testing.T) (addr string, accept func()) {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	loopback := &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}
+	if err := errors.Join(unix.Bind(fd, loopback), unix.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	name, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr = fmt.Sprint("127.0.0.1:", name.(*unix.SockaddrInet4).Port)
+	queued := 0
+	for {
+		conn, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
+		if err != nil {
+			break
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		queued++
+	}
+	return addr, func() {
+		for range queued {
+			accepted, _, err := unix.Accept(fd)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			t.Cleanup(func() { _ = unix.Close(accepted) })
+		}
+	}
+}
+
+// TestDialTCP_PausedUntilTimeout: a process is paused from before its connection is established until after the timeout
+// of the dial. The connection was established in time, and counts.
+func TestDialTCP_PausedUntilTimeout(t *testing.T) {
+	addr, accept := fullListener(t)
+	helper := exec.Command(os.Args[0])
+	helper.Env = append(os.Environ(), dialHelperEnv+"="+addr)
+	output, err := helper.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := helper.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = helper.Process.Kill() }()
+	lines := bufio.NewScanner(output)
+	lines.Scan()
+	time.Sleep(100 * time.Millisecond) // its SYN has been dropped
+	if err := helper.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	accept()
+	time.Sleep(synRetransmission + dialHelperTimeout)
+	if err := helper.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	lines.Scan()
+	if err := helper.Wait(); err != nil {
+		t.Errorf("%v: %s", err, lines.Text())
+	}
+}
+
+// A connection that does not come up in time fails at the timeout, at the deadline of the context, and at its cancel.
+func TestDialTCP_Timeout(t *testing.T) {
+	addr, _ := fullListener(t)
+	const timeout = 150 * time.Millisecond
+	deadline, cancelDeadline := context.WithTimeout(t.Context(), timeout)
+	defer cancelDeadline()
+	cancelled, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(timeout, cancel)
+	for _, test := range []struct {
+		name   string
+		ctx    context.Context
+		dialer net.Dialer
+		want   error
+	}{
+		{"dialer", t.Context(), net.Dialer{Timeout: timeout}, os.ErrDeadlineExceeded},
+		{"context", deadline, net.Dialer{}, context.DeadlineExceeded},
+		{"cancel", cancelled, net.Dialer{}, context.Canceled},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			conn, err := DialTCP(test.ctx, &test.dialer, addr)
+			if !errors.Is(err, test.want) {
+				t.Errorf("%v, %v; want error %v", conn, err, test.want)
+			}
+		})
+	}
+}
+
+// An address without a listener fails as with package net.
+func TestDialTCP_Refused(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = ln.Close()
+	_, err = DialTCP(t.Context(), &net.Dialer{Timeout: time.Second}, ln.Addr().String())
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("%v, want connection refused", err)
+	}
+}
--- a/policy/reconnect.go
+++ b/policy/reconnect.go
@@ -55,6 +55,6 @@
 // excludes tells whether r is not to go to s, where an attempt of it went already.
 func (r *request) excludes(s *server) bool {
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool {
-		return a.server == s && !(a.connectFailed && r.reconnecting)
+		return a.server == s && (!a.connectFailed || !r.reconnecting)
 	})
 }
--- a/router/withheld_test.go
+++ b/router/withheld_test.go
@@ -59,8 +59,8 @@
 }
 
 // An attempt rests between its decision to write and the write while its request is rejected: the client learns of the
-// rejection after the write. A write that does not end holds the answer up for maxWithheld at most, and never beyond the
-// client's deadline; that answer is no rejection, since the write may yet reach the server.
+// rejection after the write. A write that does not end holds the answer up for maxWithheld at most, and never beyond
+// the client's deadline; that answer is no rejection, since the write may yet reach the server.
 func TestRejection_NoWriteAfterIt(t *testing.T) {
 	const (
 		timeout  = 500 * ms
--- a/tools/decisions/main.go
+++ b/tools/decisions/main.go
@@ -30,7 +30,8 @@
 	countAll := flag.Bool("all", false, "count the histories that differ, rather than end at the first")
 	jobs := flag.Int("jobs", runtime.NumCPU(), "pairs of adapters at once")
 	flag.Parse()
-	benchkit.ExitOnError("decisions", run(*base, &comparison{histories: int64(*histories), seed: *seed, countAll: *countAll}, *jobs))
+	plays := &comparison{histories: int64(*histories), seed: *seed, countAll: *countAll}
+	benchkit.ExitOnError("decisions", run(*base, plays, *jobs))
 }
 
 func run(base string, plays *comparison, jobs int) error {
--- a/transport/http1/dial.go
+++ b/transport/http1/dial.go
@@ -51,6 +51,11 @@
 		return r.conn, r.err
 	case <-ctx.Done():
 	}
+	select {
+	case r := <-opened: // both: the server is not at fault
+		return r.conn, r.err
+	default:
+	}
 	t.preconnects.Go(func() {
 		if r := <-opened; r.err != nil {
 			t.unreserve()
--- a/transport/http1/roundtrip.go
+++ b/transport/http1/roundtrip.go
@@ -82,7 +82,7 @@
 	// This goroutine may not have run for some time since the attempt was decided on.
 	if err := t.beginWrite(ctx, connection.server); err != nil {
 		reusable = errors.Is(err, errServerDraining) || errors.Is(err, outcome.ErrAbandoned)
-		return router.Result{Code: failureCode(ctx, err, false)}, false, reusable
+		return router.Result{Code: outcome.NotBegunCode(ctx, err)}, false, reusable
 	}
 	if !connection.isTrusted(time.Now()) {
 		outcome.EndWrite(ctx)
--- a/transport/msgpack/connect.go
+++ b/transport/msgpack/connect.go
@@ -54,7 +54,7 @@
 		}
 	})
 	if !usesTLS {
-		netConn, err := t.dialer.DialContext(ctx, "tcp", endpoint.Addr)
+		netConn, err := sockets.DialTCP(ctx, &t.dialer, endpoint.Addr)
 		return &pooledConn{}, netConn, err
 	}
 	if err := t.config.TLS.CheckTrusted(endpoint); err != nil {
--- a/transport/msgpack/pool.go
+++ b/transport/msgpack/pool.go
@@ -40,6 +40,22 @@
 	err  error
 }
 
+// await waits until the connection is open, or ctx ends. Where both are so, as after a pause of this process, the
+// connection counts: the server is not at fault.
+func (d *pendingDial) await(ctx context.Context) error {
+	select {
+	case <-d.done:
+		return d.err
+	case <-ctx.Done():
+	}
+	select {
+	case <-d.done:
+		return d.err
+	default:
+		return ctx.Err()
+	}
+}
+
 // isTrusted reports whether the server's certificate is valid and trusted now. A plaintext connection is trusted.
 func (c *pooledConn) isTrusted() bool { return c.tls == nil || c.tls.IsTrusted(time.Now()) }
 
@@ -62,13 +78,8 @@
 		if err != nil || conn != nil {
 			return srv, conn, err
 		}
-		select {
-		case <-dial.done:
-			if dial.err != nil {
-				return nil, nil, dial.err
-			}
-		case <-ctx.Done():
-			return nil, nil, ctx.Err()
+		if err := dial.await(ctx); err != nil {
+			return nil, nil, err
 		}
 	}
 }
--- a/transport/outcome/outcome.go
+++ b/transport/outcome/outcome.go
@@ -76,6 +76,16 @@
 	return policy.Reset
 }
 
+// NotBegunCode returns the outcome of an attempt that had its connection, and for which BeginWrite or a check after it
+// returned err. Its server is not at fault where its time passed before the write: this process was late.
+func NotBegunCode(ctx context.Context, err error) policy.Code {
+	code := FailureCode(ctx, false)
+	if code == policy.ConnectFailed && errors.Is(err, context.DeadlineExceeded) {
+		return policy.Superseded
+	}
+	return code
+}
+
 // unsentCode returns the outcome of an attempt whose last byte was not written.
 func unsentCode(ctx context.Context) policy.Code {
 	err := CheckSendable(ctx)
