The age of what waits unread is the kernel's, not that of a paused process or the queue

Pipelined requests and MessagePack-RPC calls behind a pause of the node's process looked younger than they were, and servers were told more time than the client had.

Of a slow read the kernel now says when the newest bytes came, of an accepted connection when it was established. A TLS client with exactly a ClientHello, an RPC client with exactly one message, count from their last byte.

--- a/internal/frontend/msgpack/connread.go
+++ b/internal/frontend/msgpack/connread.go
@@ -49,7 +49,11 @@
 	began := time.Now()
 	n, err := c.reader.Read(p)
 	now := time.Now()
-	c.arrival.RecordRead(began, now, n < len(p))
+	if tcp := tcpConn(c.nc); tcp != nil {
+		c.arrival.RecordReadFrom(tcp, began, now, n < len(p))
+	} else {
+		c.arrival.RecordRead(began, now, n < len(p))
+	}
 	c.mu.Lock()
 	c.lastReadAt = now // before these bytes can be taken for a stalled message
 	c.mu.Unlock()
--- a/internal/frontend/msgpack/slots.go
+++ b/internal/frontend/msgpack/slots.go
@@ -4,6 +4,7 @@
 	"net"
 	"time"
 
+	"cobaltward/internal/sockets"
 	"cobaltward/msgpackrpc"
 	"cobaltward/router"
 )
@@ -44,7 +45,7 @@
 		if s.evict() {
 			continue
 		}
-		remaining := s.queueTimeout() - time.Since(earliest)
+		remaining := s.queueTimeout() - time.Since(conn.waitingSince(earliest))
 		if remaining <= 0 && len(s.conns) < s.config.MaxConns+overflowConns {
 			conn.overflow = true
 			return
@@ -55,6 +56,18 @@
 	}
 }
 
+// waitingSince returns since when the client of an accepted connection has lost time. The connection did not arrive
+// before earliest.
+func (c *conn) waitingSince(earliest time.Time) time.Time {
+	switch nc := c.nc.(type) {
+	case *net.TCPConn:
+		return sockets.WaitingSince(nc, earliest, msgpackrpc.IsCompleteMessage)
+	case interface{ TCP() *net.TCPConn }:
+		return sockets.WaitingSince(nc.TCP(), earliest, sockets.IsClientHello)
+	}
+	return earliest
+}
+
 func (s *Server) queueTimeout() time.Duration {
 	if engine, ok := s.engine.(interface{ QueueTimeout() time.Duration }); ok {
 		return engine.QueueTimeout()
--- a/internal/node/clientlistener_test.go
+++ b/internal/node/clientlistener_test.go
@@ -31,6 +31,30 @@
 	return listener
 }
 
+// newTLSTestListener is newTestListener for clients that use TLS.
+func newTLSTestListener(t *testing.T, maxConns int) *clientListener {
+	t.Helper()
+	listener := newTestListener(t, maxConns)
+	var err error
+	if listener.tlsLayer, err = secure.New(secure.Config{Certificates: openTestCertificate(t)}); err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
+// acceptClientConn accepts a connection, with or without TLS.
+func acceptClientConn(t *testing.T, listener *clientListener) *clientConn {
+	t.Helper()
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if secured, ok := accepted.(*tlsClientConn); ok {
+		return secured.conn
+	}
+	return accepted.(*clientConn)
+}
+
 // connectClient has a client connect, and returns the two ends.
 func connectClient(t *testing.T, listener *clientListener) (client, conn net.Conn) {
 	t.Helper()
@@ -46,11 +70,7 @@
 // TestAccept_SparesSlowHandshakeWhileCoreIsBusy has clients connect by TLS while the core works on handshakes.
 // Closing a handshake that waits for its client would not let them in sooner, so none is closed.
 func TestAccept_SparesSlowHandshakeWhileCoreIsBusy(t *testing.T) {
-	listener := newTestListener(t, 100)
-	var err error
-	if listener.tlsLayer, err = secure.New(secure.Config{Certificates: openTestCertificate(t)}); err != nil {
-		t.Fatal(err)
-	}
+	listener := newTLSTestListener(t, 100)
 	accept := func() *clientConn {
 		_, conn := connectClient(t, listener)
 		return conn.(*tlsClientConn).conn
--- a/internal/node/clientread_test.go
+++ b/internal/node/clientread_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"cobaltward/internal/frontend/secure"
 	"cobaltward/internal/sockets"
 	"cobaltward/internal/testkit"
 )
@@ -56,12 +55,7 @@
 // openTLSClient returns a connection whose handshake is done.
 func openTLSClient(t *testing.T) (client, conn net.Conn, tcp *net.TCPConn) {
 	t.Helper()
-	listener := newTestListener(t, 4)
-	var err error
-	if listener.tlsLayer, err = secure.New(secure.Config{Certificates: openTestCertificate(t)}); err != nil {
-		t.Fatal(err)
-	}
-	plain, conn := connectClient(t, listener)
+	plain, conn := connectClient(t, newTLSTestListener(t, 4))
 	secured := tls.Client(plain, &tls.Config{InsecureSkipVerify: true})
 	handshake := make(chan error, 1)
 	go func() { handshake <- secured.Handshake() }()
--- a/internal/node/clientstate.go
+++ b/internal/node/clientstate.go
@@ -19,7 +19,7 @@
 func (c *clientConn) noteRequestBytes(readBegan time.Time, readAll bool) bool {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.arrival.RecordRead(readBegan, time.Now(), readAll)
+	c.arrival.RecordReadFrom(c.TCPConn, readBegan, time.Now(), readAll)
 	return c.noteRequestBytesLocked()
 }
 
--- a/internal/node/queueage_test.go
+++ b/internal/node/queueage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,10 +19,12 @@
 		resolution = 30 * time.Millisecond // of the kernel's clock
 		request    = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"
 	)
+	clientHello := "\x16\x03\x01\x00\xc8" + strings.Repeat("h", 200)
 	for _, test := range []struct {
 		name, sent string
 		connected  bool // just before it is accepted
 		wantOld    bool
+		tls        bool
 	}{
 		{name: "complete request", sent: request},
 		{name: "just connected", connected: true},
@@ -29,10 +32,18 @@
 		{name: "part of a head", sent: request[:10], wantOld: true},
 		{name: "part of a body", sent: request[:len(request)-1], wantOld: true},
 		{name: "part of a next request", sent: request + "G", wantOld: true},
+		{name: "TLS, ClientHello", tls: true, sent: clientHello},
+		{name: "TLS, part of a ClientHello", tls: true, sent: clientHello[:20], wantOld: true},
+		{name: "TLS, more than a ClientHello", tls: true, sent: clientHello + "x", wantOld: true},
+		{name: "TLS, connected long ago", tls: true, wantOld: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			listener := newTestListener(t, 4)
+			newListener := newTestListener
+			if test.tls {
+				newListener = newTLSTestListener
+			}
+			listener := newListener(t, 4)
 			dialClient(t, listener.Addr().String()) // the queue is not empty from here on
 			client := dialClient(t, listener.Addr().String())
 			if test.connected {
@@ -48,11 +59,7 @@
 			if _, err := listener.Accept(); err != nil {
 				t.Fatal(err)
 			}
-			accepted, err := listener.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
-			conn := accepted.(*clientConn)
+			conn := acceptClientConn(t, listener)
 			if test.sent != "" {
 				testkit.Await(t, "the bytes", func() bool { return !sockets.IsIdle(conn.TCPConn) })
 			}
--- a/internal/sockets/arrival.go
+++ b/internal/sockets/arrival.go
@@ -1,6 +1,9 @@
 package sockets
 
-import "time"
+import (
+	"net"
+	"time"
+)
 
 // maxImmediate is the longest duration of a system call that did not wait.
 const maxImmediate = time.Millisecond
@@ -41,6 +44,31 @@
 	}
 }
 
+// RecordReadFrom is RecordRead for a TCP connection. Of a read that took long it asks the kernel when the newest bytes
+// came: a pause of this process takes as long as a wait for the peer.
+func (a *Arrival) RecordReadFrom(conn *net.TCPConn, began, returned time.Time, all bool) {
+	if HadToWait(began, returned) {
+		if age, known := SinceLastReceived(conn); known {
+			a.recordSlowRead(began, returned, returned.Add(-age), all)
+			return
+		}
+	}
+	a.RecordRead(began, returned, all)
+}
+
+// recordSlowRead is RecordRead for a read that took long and whose newest bytes came at newest.
+func (a *Arrival) recordSlowRead(began, returned, newest time.Time, all bool) {
+	switch {
+	case newest.After(began): // it waited; since the bytes came, the process may have been paused
+		a.earliest = newest
+	case a.drainedAt.After(a.earliest): // the bytes had been there
+		a.earliest = a.drainedAt
+	}
+	if all {
+		a.drainedAt = returned
+	}
+}
+
 // RecordNextStart records that the first byte of the next request has arrived.
 func (a *Arrival) RecordNextStart(now time.Time) { a.nextStartedAt = now }
 
--- a/internal/sockets/arrival_test.go
+++ b/internal/sockets/arrival_test.go
@@ -37,6 +37,14 @@
 			a.RecordRead(at(10), at(40), true)
 			a.Advance()
 		}, 40},
+		{"waited for, then a pause of the process", func(a *Arrival) {
+			a.RecordRead(at(10), at(40), true)
+			a.recordSlowRead(at(40), at(300), at(100), true)
+		}, 100},
+		{"a pause of the process while it was unread", func(a *Arrival) {
+			a.RecordRead(at(10), at(40), true)
+			a.recordSlowRead(at(200), at(300), at(150), true)
+		}, 40},
 		{"after an idle time", func(a *Arrival) {
 			a.RecordRead(at(10), at(40), true)
 			a.Reset(at(800))
--- a/msgpackrpc/reader.go
+++ b/msgpackrpc/reader.go
@@ -1,6 +1,7 @@
 package msgpackrpc
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -97,3 +98,9 @@
 	}
 	return err
 }
+
+// IsCompleteMessage reports whether the bytes are exactly one message.
+func IsCompleteMessage(data []byte) bool {
+	message, err := NewReader(bytes.NewReader(data)).Next()
+	return err == nil && len(message) == len(data)
+}
