--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -21,6 +21,9 @@
 	parallel  = flag.Int("soak.together", 3, "how many runs at a time")
 )
 
+// pausedRuns is how many runs TestSoak_PausedNode does for each of -soak.seeds.
+const pausedRuns = 5
+
 // nodeEnv names the environment variable that makes this binary the node of a run.
 const nodeEnv = "WAYHOLD_SOAK_NODE"
 
@@ -41,14 +44,27 @@
 
 // TestSoak_KeepsOperatorsRules does one run for each seed.
 func TestSoak_KeepsOperatorsRules(t *testing.T) {
+	runSeeds(t, *seeds, func(*soakRun, uint64) {})
+}
+
+// TestSoak_PausedNode does one run for each seed whose node is stopped and continued again and again, as by a host that
+// is suspended. Servers and clients are not.
+func TestSoak_PausedNode(t *testing.T) {
+	runSeeds(t, pausedRuns**seeds, func(r *soakRun, seed uint64) { r.pauses = newPauseSchedule(seed) })
+}
+
+// runSeeds does so many runs, one for each seed, which configure may change first.
+func runSeeds(t *testing.T, runs int, configure func(r *soakRun, seed uint64)) {
 	limit := make(chan struct{}, *parallel)
-	for i := range *seeds {
+	for i := range runs {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
 			limit <- struct{}{}
 			defer func() { <-limit }()
-			newSoakRun(t, seed).execute()
+			run := newSoakRun(t, seed)
+			configure(run, seed)
+			run.execute()
 		})
 	}
 }
@@ -62,8 +78,9 @@
 	registry *registry
 	longest  time.Duration // the deadline of every class
 	node     *nodeProcess
-	routed   atomic.Bool // clients may open connections to the node
-	ended    atomic.Bool // the node has ended
+	pauses   *pauseSchedule // of the node; nil: none
+	routed   atomic.Bool    // clients may open connections to the node
+	ended    atomic.Bool    // the node has ended
 }
 
 func newSoakRun(t *testing.T, seed uint64) *soakRun {
@@ -80,7 +97,10 @@
 // execute starts the node, has clients use it, terminates it, kills it at the earliest moment, and reports violations.
 func (r *soakRun) execute() {
 	r.startNode()
-	var clients sync.WaitGroup
+	var clients, pausing sync.WaitGroup
+	if r.pauses != nil {
+		pausing.Go(func() { r.pauses.run(r.node) })
+	}
 	r.routed.Store(true)
 	crowded, closeIdle := r.rng.IntN(3) == 0, func() {}
 	if crowded {
@@ -102,6 +122,7 @@
 	r.terminate()
 	clients.Wait()
 	closeIdle()
+	pausing.Wait() // ends with the node
 	r.report()
 }
 
@@ -150,18 +171,21 @@
 
 // report fails the test for each violation of a rule, and shows the log of the node.
 func (r *soakRun) report() {
-	h := r.history
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	r.t.Logf("longest deadline %v: %v", r.longest, h.counts)
-	if len(h.violations) == 0 {
+	history := r.history
+	history.mu.Lock()
+	defer history.mu.Unlock()
+	r.t.Logf("longest deadline %v: %v", r.longest, history.counts)
+	if r.pauses != nil {
+		r.t.Logf("the node was paused %d times, for %v in all", r.pauses.count, r.pauses.total)
+	}
+	if len(history.violations) == 0 {
 		return
 	}
-	for _, violation := range h.violations[:min(len(h.violations), 10)] {
+	for _, violation := range history.violations[:min(len(history.violations), 10)] {
 		r.t.Error(violation)
 	}
 	log, _ := os.ReadFile(r.node.logPath) // without it the violations are still reported
-	r.t.Logf("%d violations; the node's log:\n%s", len(h.violations), log)
+	r.t.Logf("%d violations; the node's log:\n%s", len(history.violations), log)
 }
 
 // startNode starts this test's own binary as the node.
