--- a/internal/cli/certs_test.go
+++ b/internal/cli/certs_test.go
@@ -1,8 +1,13 @@
 package cli
 
 import (
+	"errors"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
+
+	"cobaltward/internal/pki"
 )
 
 func TestCertsCheck_Errors(t *testing.T) {
@@ -17,3 +22,20 @@
 		}
 	}
 }
+
+// Certificates that expire within the time end the command with its exit status and a text of its own, not with that of
+// a request that was not served.
+func TestCertsCheck_Expiring(t *testing.T) {
+	dir := t.TempDir()
+	leaf := pki.NewAuthority("front").Issue(pki.Leaf{Names: []string{"127.0.0.1"}})
+	cert, key := filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
+	for name, text := range map[string][]byte{cert: pki.PEM(leaf.Cert), key: leaf.KeyPEM()} {
+		if err := os.WriteFile(name, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_, err := run(t, "certs", "check", "--cert", cert, "--key", key, "--within", "876000h")
+	if !errors.Is(err, errExpiring) || strings.Contains(err.Error(), "served") {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/cli/exitstatus.go
+++ b/internal/cli/exitstatus.go
@@ -1,5 +1,7 @@
 package cli
 
+import "strconv"
+
 // exitStatusError is the exit status of a program whose scripts tell outcomes apart.
 type exitStatusError int
 
@@ -16,10 +18,15 @@
 )
 
 func (s exitStatusError) Error() string {
-	if s == errNotRun {
+	switch s {
+	case errNotRun:
 		return "not served; it has not run"
+	case errMayHaveRun:
+		return "not served; it may have run"
+	case errExpiring:
+		return "certificates expire soon"
 	}
-	return "not served; it may have run"
+	return "exit status " + strconv.Itoa(int(s))
 }
 
 // statusError is an error with an exit status.
