xdsbench rejects a number of rounds of which none is counted, rather than divide by zero

-rounds 1 divided by zero, since the first update at each size is not counted. Now one line says what is wanted. A tool for measurements, without tests; shown by a run with -rounds 1.

--- a/tools/xdsbench/main.go
+++ b/tools/xdsbench/main.go
@@ -18,6 +18,9 @@
 	"cobaltward/tools/internal/benchkit"
 )
 
+// minRounds is the least number of updates at each size.
+const minRounds = 2
+
 func main() {
 	flood := flag.Bool("flood", false, "measure the latency of requests during a flood")
 	sizes := flag.String("sizes", "", "numbers of endpoints to measure updates at")
@@ -31,6 +34,9 @@
 }
 
 func run(flood bool, sizes string, rounds int) error {
+	if rounds < minRounds {
+		return fmt.Errorf("-rounds: want %d or more, got %d: the first update is not counted", minRounds, rounds)
+	}
 	dir, err := os.MkdirTemp("", "xdsbench")
 	if err != nil {
 		return err
