DeadlineReader keeps its deadline in place, and looks only at one that has passed

net/http sets several read deadlines a request; each had cost an allocation. A deadline that another goroutine moves between the timeout and the last look is no longer taken for passed. Found by reading; tests of internal/sockets and the RPC front pass with -race.

--- a/internal/sockets/deadlinereader.go
+++ b/internal/sockets/deadlinereader.go
@@ -5,7 +5,7 @@
 	"io"
 	"net"
 	"os"
-	"sync/atomic"
+	"sync"
 	"syscall"
 	"time"
 
@@ -19,14 +19,11 @@
 type DeadlineReader struct {
 	tcp      *net.TCPConn
 	openedAt time.Time
-	deadline atomic.Pointer[readDeadline] // nil: none
-}
 
-// readDeadline is a deadline of a DeadlineReader.
-type readDeadline struct {
-	at       time.Time
-	passed   bool // the last look was taken; used by the reader alone
-	received int  // bytes that it found, and that are not read yet
+	mu       sync.Mutex
+	deadline time.Time // zero: none
+	passed   bool      // the last look at this deadline was taken
+	received int       // bytes that it found, and that are not read yet
 }
 
 // NewDeadlineReader returns a reader of a connection that was opened before. The connection's read deadline must be set
@@ -38,13 +35,11 @@
 // SetReadDeadline sets the deadline of Read; the zero time is none. A time before the connection was opened ends a Read
 // at once, without a last look, as net/http ends its reads in the background.
 func (r *DeadlineReader) SetReadDeadline(t time.Time) error {
-	current := r.deadline.Load()
-	switch {
-	case t.IsZero():
-		r.deadline.Store(nil)
-	case current == nil || !current.at.Equal(t):
-		r.deadline.Store(&readDeadline{at: t})
+	r.mu.Lock()
+	if !r.deadline.Equal(t) {
+		r.deadline, r.passed, r.received = t, false, 0
 	}
+	r.mu.Unlock()
 	return r.tcp.SetReadDeadline(t)
 }
 
@@ -60,21 +55,22 @@
 // LastLook reports whether bytes are left to be read that the kernel had received when the read deadline was found to
 // have passed. It is called by the reading goroutine, after a read that failed at the deadline.
 func (r *DeadlineReader) LastLook() bool {
-	deadline := r.deadline.Load()
-	if deadline == nil || deadline.at.Before(r.openedAt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.deadline.Before(r.openedAt) || r.deadline.After(time.Now()) { // the first is none, too; the second was set since
 		return false
 	}
-	if !deadline.passed {
-		deadline.passed, deadline.received = true, Unread(r.tcp)
+	if !r.passed {
+		r.passed, r.received = true, Unread(r.tcp)
 	}
-	return deadline.received > 0
+	return r.received > 0
 }
 
 // RecordRead says that n of the bytes of the last look were read by other means than Read.
 func (r *DeadlineReader) RecordRead(n int) {
-	if deadline := r.deadline.Load(); deadline != nil && deadline.passed {
-		deadline.received -= min(n, deadline.received)
-	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.received -= min(n, r.received)
 }
 
 // readReceived reads what the last look found; it returns timeoutErr if there is nothing.
@@ -83,20 +79,19 @@
 	if err != nil {
 		return 0, err
 	}
-	deadline := r.deadline.Load()
-	if deadline != nil {
-		buf = buf[:min(len(buf), deadline.received)]
-	}
+	r.mu.Lock()
+	buf = buf[:min(len(buf), r.received)]
+	r.mu.Unlock()
 	var readErr error
 	err = raw.Control(func(fd uintptr) { n, _, readErr = syscall.Recvfrom(int(fd), buf, syscall.MSG_DONTWAIT) })
 	switch {
 	case err != nil:
 		return 0, err
-	case errors.Is(readErr, syscall.EAGAIN) || errors.Is(readErr, syscall.EINTR):
+	case len(buf) == 0 || errors.Is(readErr, syscall.EAGAIN) || errors.Is(readErr, syscall.EINTR):
 		return 0, timeoutErr
 	case readErr != nil:
 		return 0, os.NewSyscallError("recvfrom", readErr)
-	case n == 0 && len(buf) > 0:
+	case n == 0:
 		return 0, io.EOF
 	}
 	r.RecordRead(n)
