--- a/internal/sockets/dial.go
+++ b/internal/sockets/dial.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -13,8 +14,14 @@
 	"golang.org/x/sys/unix"
 )
 
-// maxConnectedDelay bounds the time from which the kernel has a connection until its dial returns.
-const maxConnectedDelay = time.Second
+const (
+	// maxConnectedDelay bounds the time from which the kernel has a connection until its dial returns.
+	maxConnectedDelay = time.Second
+	// maxTimerDelay is by how much a timer is late in a process that runs.
+	maxTimerDelay = time.Millisecond
+	// minExtension is what a connect gets at least after a timeout that came late.
+	minExtension = 20 * time.Millisecond
+)
 
 // DialTCP opens a TCP connection as dialer.DialContext does. At a timeout, that of the dialer or the deadline of ctx,
 // it looks at the socket once more: package net gives up a connection that was established in time where the process
@@ -28,10 +35,11 @@
 	own.ControlContext = attempt.wrapControl(dialer)
 	own.Control = nil
 	if dialer.Timeout > 0 {
-		timer := time.AfterFunc(dialer.Timeout, func() { attempt.expire(os.ErrDeadlineExceeded) })
+		due := time.Now().Add(dialer.Timeout)
+		timer := time.AfterFunc(dialer.Timeout, func() { attempt.expire(os.ErrDeadlineExceeded, due) })
 		defer timer.Stop()
 	}
-	stop := context.AfterFunc(ctx, func() { attempt.end(ctx.Err()) })
+	stop := context.AfterFunc(ctx, func() { attempt.end(ctx) })
 	defer stop()
 	conn, err := own.DialContext(dialCtx, "tcp", addr)
 	defer attempt.stopBound()
@@ -54,7 +62,7 @@
 
 	mu      sync.Mutex
 	sockets []syscall.RawConn
-	bound   *time.Timer // nil: no timeout has found the socket connected
+	bound   *time.Timer // ends a connect that was given more time; nil: none was
 }
 
 type controlFunc = func(ctx context.Context, network, address string, socket syscall.RawConn) error
@@ -76,27 +84,42 @@
 }
 
 // end ends the attempt with ctx: at its deadline like a timeout, and at once where it was cancelled.
-func (a *connectAttempt) end(cause error) {
-	if errors.Is(cause, context.DeadlineExceeded) {
-		a.expire(cause)
+func (a *connectAttempt) end(ctx context.Context) {
+	due, hasDeadline := ctx.Deadline()
+	if hasDeadline && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		a.expire(ctx.Err(), due)
 		return
 	}
-	a.cancel(cause)
+	a.cancel(ctx.Err())
 }
 
-// expire ends the attempt at a timeout, unless a socket is connected: then the dial returns as soon as it runs.
-func (a *connectAttempt) expire(cause error) {
+// expire ends the attempt at a timeout that was due, unless a socket is connected: then the dial returns as soon as it
+// runs. For a timeout that comes late, as after a pause of the process, the attempt gets more time once: it may not have
+// sent its SYN yet.
+func (a *connectAttempt) expire(cause error, due time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, socket := range a.sockets {
-		if isConnected(socket) {
-			if a.bound == nil {
-				a.bound = time.AfterFunc(maxConnectedDelay, func() { a.cancel(cause) })
-			}
-			return
-		}
+	late := time.Since(due)
+	switch {
+	case a.bound != nil: // another timeout has extended the attempt
+	case slices.ContainsFunc(a.sockets, isConnected):
+		a.bound = time.AfterFunc(maxConnectedDelay, func() { a.cancel(cause) })
+	case late > maxTimerDelay:
+		a.bound = time.AfterFunc(max(late, minExtension), func() { a.expireExtended(cause) })
+	default:
+		a.cancel(cause)
+	}
+}
+
+// expireExtended is expire at the end of an extension.
+func (a *connectAttempt) expireExtended(cause error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !slices.ContainsFunc(a.sockets, isConnected) {
+		a.cancel(cause)
+		return
 	}
-	a.cancel(cause)
+	a.bound = time.AfterFunc(maxConnectedDelay, func() { a.cancel(cause) })
 }
 
 // stopBound releases the timer of expire.
--- a/internal/sockets/dial_test.go
+++ b/internal/sockets/dial_test.go
@@ -152,3 +152,21 @@
 		t.Errorf("%v, want connection refused", err)
 	}
 }
+
+// A timeout that comes late gives an attempt that has not begun to connect more time, once; one in time ends it.
+func TestConnectAttempt_LateTimeout(t *testing.T) {
+	for _, late := range []time.Duration{0, 5 * time.Millisecond} {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		attempt := &connectAttempt{cancel: cancel}
+		attempt.expire(os.ErrDeadlineExceeded, time.Now().Add(-late))
+		if ended := ctx.Err() != nil; ended != (late == 0) {
+			t.Errorf("late by %v: ended %v", late, ended)
+		}
+		attempt.expire(context.DeadlineExceeded, time.Now()) // that of the context, at the same time
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Minute):
+			t.Errorf("late by %v: no end", late)
+		}
+	}
+}
