--- a/internal/sockets/dial.go
+++ b/internal/sockets/dial.go
@@ -94,8 +94,8 @@
 }
 
 // expire ends the attempt at a timeout that was due, unless a socket is connected: then the dial returns as soon as it
-// runs. For a timeout that comes late, as after a pause of the process, the attempt gets more time once: it may not have
-// sent its SYN yet.
+// runs. For a timeout that comes late, as after a pause of the process, the attempt gets more time once: it may not
+// have sent its SYN yet.
 func (a *connectAttempt) expire(cause error, due time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
