--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -25,7 +25,7 @@
 	switch {
 	case s != nil:
 		b.send(r, s, false)
-	case r.mayHaveRun == nil && b.now+queuePollInterval < r.queueDeadline && b.mayFindServer(r):
+	case r.mayHaveRun == nil && b.now+queuePollInterval < r.queueDeadline:
 		b.enqueue(r)
 	default:
 		b.giveUp(r)
--- a/policy/reconnect.go
+++ b/policy/reconnect.go
@@ -30,16 +30,6 @@
 	})
 }
 
-// mayFindServer tells whether r, of which nothing may have run, can get a server by waiting: not where all have
-// rejected it.
-func (b *Balancer) mayFindServer(r *request) bool {
-	r.reconnecting = true
-	order := r.class.eligible.order
-	possible := len(order) == 0 || slices.ContainsFunc(order, func(s *server) bool { return b.mayRunOn(r, s) })
-	r.reconnecting = false
-	return possible
-}
-
 // recordFailedConnect starts the backoff before another attempt at a server that could not be connected to.
 func (b *Balancer) recordFailedConnect(r *request, failed *attempt) {
 	failed.connectFailed = true
