A new connection may be idle as long as one that has carried a request

What callers saw: EOF and no answer for a first request whose client had connected over 2.5 s before, uncounted; after 1 s: 200.

Cause: net/http runs ReadHeaderTimeout from the accept on a new connection, and from the first bytes on later ones. A client that was held up between its connect and its first byte for longer than the time for a head lost its request; one whose connection had carried a request had 15 s. The same 4 bytes of net/http's Peek gave later heads 15 s for their first three.

Now the connection itself bounds these times: idle ones, new ones included, have clientIdleTimeout, and a head has headerTimeout from its first byte to its last, also over TLS, where the first byte of a record counts. drainFirstRequestGrace keeps its value as a constant of its own: a drain takes as long as before.

--- a/handshakes/conn.go
+++ b/handshakes/conn.go
@@ -25,6 +25,8 @@
 	reader   *sockets.DeadlineReader
 	// AbortIfPeerCloses fails the handshake as soon as the peer has closed, and discards what it sent before.
 	AbortIfPeerCloses bool
+	// OnReceive, if it is not nil, is called after each blocking read beyond the handshake that returned bytes.
+	OnReceive func()
 
 	cpu            *CPUScheduler
 	task           Task
@@ -108,7 +110,11 @@
 	case c.inHandshake:
 		return c.readHandshake(p)
 	}
-	return c.reader.Read(p)
+	n, err := c.reader.Read(p)
+	if n > 0 && c.OnReceive != nil {
+		c.OnReceive()
+	}
+	return n, err
 }
 
 // SetDeadline implements net.Conn.
--- a/internal/frontend/secure/conn.go
+++ b/internal/frontend/secure/conn.go
@@ -18,6 +18,7 @@
 	terminator      *Terminator
 	tcp             *net.TCPConn
 	onHandshakeDone func()                          // may be nil
+	onReceive       func()                          // may be nil
 	transport       atomic.Pointer[handshakes.Conn] // between tls and tcp; nil before the handshake
 
 	handshakeMu sync.Mutex  // held during the handshake
@@ -32,6 +33,10 @@
 
 var _ net.Conn = (*Conn)(nil)
 
+// OnReceive has f called after each read beyond the handshake that returned bytes, whether or not they can be decrypted
+// yet. It must be called before the first Read.
+func (c *Conn) OnReceive(f func()) { c.onReceive = f }
+
 // Handshaking reports whether the handshake has neither succeeded nor failed, or has not begun.
 func (c *Conn) Handshaking() bool { return !c.done.Load() }
 
--- a/internal/frontend/secure/handshake.go
+++ b/internal/frontend/secure/handshake.go
@@ -52,6 +52,7 @@
 		term.countFailure(c.failureReason(err))
 		return io.EOF
 	}
+	transport.OnReceive = c.onReceive
 	state := conn.ConnectionState()
 	term.countSuccess(state.DidResume, elapsed, computeTime)
 	c.peerNames = certificateNames(state.PeerCertificates)
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -26,7 +26,7 @@
 
 const (
 	maxHeaderBytes    = 16 << 10
-	headerTimeout     = 2500 * time.Millisecond // for a request's head
+	headerTimeout     = 2500 * time.Millisecond // for a request's head, from its first byte
 	bodyTimeout       = 5 * time.Second         // for a request's body, beyond what a slow line needs for it
 	clientIdleTimeout = 15 * time.Second        // shorter when connections are scarce
 	writeTimeout      = 5 * time.Second         // for an answer to a client that does not read
@@ -107,9 +107,7 @@
 // buildHTTPServer makes the server for HTTP clients; its handler is set later.
 func (n *node) buildHTTPServer(listener net.Listener) {
 	server := &http.Server{
-		MaxHeaderBytes:               maxHeaderBytes,
-		ReadHeaderTimeout:            headerTimeout,
-		IdleTimeout:                  clientIdleTimeout,
+		MaxHeaderBytes:               maxHeaderBytes, // the listener's connections bound the times of heads and of idleness
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 		ConnContext:                  withClientConn,
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -31,9 +31,9 @@
 	malformedSent int    // bytes of malformedHead that were returned
 	requestsDone  uint64 // requests that were answered; changes between reads
 
-	acceptedAt    time.Time
-	idle          atomic.Bool               // idleElement is set; for the reader, which does not hold the mutex
-	closeDeadline atomic.Pointer[time.Time] // by which the client has to close its side; nil: it need not
+	acceptedAt time.Time
+	idle       atomic.Bool // idleElement is set; for the reader, which does not hold the mutex
+	deadline   readDeadline
 
 	// Under the listener's mutex.
 	idleElement   *linked.Element // in clientListener.idle; nil while there is a request
@@ -92,6 +92,7 @@
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.openedAt = time.Now()
+	c.deadline.beginIdle(c.listener.idleTimeout)
 	c.listener.slotFreed.Broadcast()
 }
 
@@ -106,15 +107,8 @@
 // closeWriteSide closes the node's side, and gives the client closeHandshakeTimeout to close its own.
 func (c *clientConn) closeWriteSide() {
 	_ = c.stream.CloseWrite() // fails where the client was first
-	deadline := time.Now().Add(closeHandshakeTimeout)
-	c.closeDeadline.Store(&deadline)
-	_ = c.stream.SetReadDeadline(deadline)
+	c.deadline.beginClose(time.Now().Add(closeHandshakeTimeout))
 }
 
-// SetReadDeadline bounds t by closeDeadline: net/http would grant a half-closed connection its idle timeout.
-func (c *clientConn) SetReadDeadline(t time.Time) error {
-	if deadline := c.closeDeadline.Load(); deadline != nil && (t.IsZero() || t.After(*deadline)) {
-		t = *deadline
-	}
-	return c.stream.SetReadDeadline(t)
-}
+// SetReadDeadline sets the deadline that applies where readDeadline has no earlier one.
+func (c *clientConn) SetReadDeadline(t time.Time) error { return c.deadline.request(t) }
--- /dev/null
+++ b/internal/node/clientdeadline.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"sync"
+	"time"
+)
+
+// readPhase is what a client's connection is read for.
+type readPhase int
+
+const (
+	phaseIdle readPhase = iota // for the first byte of a request
+	phaseHead                  // for the rest of a request's head
+	phaseOpen                  // for the body of a request, or while a request is answered
+)
+
+// readDeadline determines until when a client's connection is read. Idle connections, new ones included, have a time of
+// their own, and a head has one from its first byte. While a request is open, the deadline that net/http or a handler
+// has set applies. It is safe for concurrent use.
+type readDeadline struct {
+	set func(t time.Time) error // sets the deadline of the connection; does not block
+
+	mu        sync.Mutex
+	phase     readPhase
+	phaseEnd  time.Time // of phaseIdle and phaseHead
+	requested time.Time // by net/http or a handler; zero: none
+	closeBy   time.Time // by which the client has to close its side; zero: it need not
+	current   time.Time // as last set
+}
+
+// request sets the deadline that net/http or a handler wants; the zero time is none.
+func (d *readDeadline) request(t time.Time) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.requested = t
+	return d.updateLocked()
+}
+
+// beginIdle begins phaseIdle.
+func (d *readDeadline) beginIdle(timeout time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.phase, d.phaseEnd = phaseIdle, time.Now().Add(timeout)
+	_ = d.updateLocked()
+}
+
+// beginHead begins phaseHead, unless that has begun.
+func (d *readDeadline) beginHead(timeout time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.phase == phaseHead {
+		return
+	}
+	d.phase, d.phaseEnd = phaseHead, time.Now().Add(timeout)
+	_ = d.updateLocked()
+}
+
+// beginOpen begins phaseOpen.
+func (d *readDeadline) beginOpen() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.phase == phaseOpen {
+		return
+	}
+	d.phase, d.phaseEnd = phaseOpen, time.Time{}
+	_ = d.updateLocked()
+}
+
+// beginClose gives the client until t to close its side.
+func (d *readDeadline) beginClose(t time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closeBy = t
+	_ = d.updateLocked()
+}
+
+// updateLocked sets the earliest of the deadlines that apply. It returns an error only after a close.
+func (d *readDeadline) updateLocked() error {
+	deadline := earlierDeadline(earlierDeadline(d.requested, d.phaseEnd), d.closeBy)
+	if deadline.Equal(d.current) {
+		return nil
+	}
+	d.current = deadline
+	return d.set(deadline)
+}
+
+// earlierDeadline returns the earlier of two deadlines; the zero time is none.
+func earlierDeadline(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/internal/node/clientlistener.go
+++ b/internal/node/clientlistener.go
@@ -28,6 +28,9 @@
 	retryAfter func() time.Duration
 	tlsLayer   *secure.Terminator // nil: connections are plain TCP
 
+	idleTimeout time.Duration // of connections without a request
+	headTimeout time.Duration // from the first byte of a request's head to its last
+
 	mu        sync.Mutex
 	maxConns  int         // connections that are served
 	slotFreed sync.Cond   // signalled when an accepted connection may get a slot
@@ -54,7 +57,7 @@
 func newClientListener(inner net.Listener, maxConns int) *clientListener {
 	listener := &clientListener{
 		Listener: inner, queue: sockets.NewAcceptQueue(), queueDrained: make(chan struct{}),
-		partialRequests: make(map[*clientConn]bool),
+		partialRequests: make(map[*clientConn]bool), idleTimeout: clientIdleTimeout, headTimeout: headerTimeout,
 	}
 	listener.queueTimeout = func() time.Duration { return 0 }
 	listener.retryAfter = func() time.Duration { return 0 }
@@ -110,11 +113,13 @@
 	c := &clientConn{TCPConn: tcp, listener: l, acceptedAt: now, openedAt: now}
 	if l.tlsLayer != nil {
 		c.tls = l.tlsLayer.Wrap(tcp, c.handshakeDone)
+		c.tls.OnReceive(c.noteRecordBytes)
 		c.stream = c.tls
 	} else {
 		c.reader = sockets.NewDeadlineReader(tcp)
 		c.stream = plainStream{tcp, c.reader}
 	}
+	c.deadline.set = c.stream.SetReadDeadline
 	return c
 }
 
--- a/internal/node/clientread.go
+++ b/internal/node/clientread.go
@@ -36,7 +36,11 @@
 	if oneByteRead {
 		c.noteNextRequest()
 	}
-	if wellFormed := c.framing.Check(buf[:n]); wellFormed < n {
+	wellFormed := c.framing.Check(buf[:n])
+	if n > 0 {
+		c.limitHead()
+	}
+	if wellFormed < n {
 		if wellFormed == 0 {
 			return c.readMalformed(buf)
 		}
--- a/internal/node/clientshutdown.go
+++ b/internal/node/clientshutdown.go
@@ -9,8 +9,8 @@
 )
 
 // drainFirstRequestGrace is how long after its beginning a connection without any request is left open by a drain: the
-// first request may be on its way. net/http waits no longer for it at other times.
-const drainFirstRequestGrace = headerTimeout
+// first request may be on its way. A client that needs longer sees an orderly close.
+const drainFirstRequestGrace = 2500 * time.Millisecond
 
 // drainRecheckInterval is the time between looks for connections that have been open for drainFirstRequestGrace.
 const drainRecheckInterval = 100 * time.Millisecond
--- a/internal/node/clientstate.go
+++ b/internal/node/clientstate.go
@@ -14,6 +14,22 @@
 	c.arrival.RecordNextStart(time.Now())
 }
 
+// limitHead has the time for a head begin with its first byte, and end with its last. It is called after each read.
+func (c *clientConn) limitHead() {
+	if c.framing.InHead() && c.framing.Heads() == c.requestsDone {
+		c.deadline.beginHead(c.listener.headTimeout)
+	} else {
+		c.deadline.beginOpen()
+	}
+}
+
+// noteRecordBytes notes that bytes came over TLS, of which no request may be seen until their record is whole.
+func (c *clientConn) noteRecordBytes() {
+	if c.idle.Load() {
+		c.deadline.beginHead(c.listener.headTimeout)
+	}
+}
+
 // noteRequestBytes notes that a read returned bytes of a request. readBegan is when the read began, readAll whether
 // it took all that had come. It returns false if the node is closing the connection.
 func (c *clientConn) noteRequestBytes(readBegan time.Time, readAll bool) bool {
@@ -103,6 +119,7 @@
 func (c *clientConn) markIdleLocked() {
 	c.idleElement = c.listener.idle.PushBack(c)
 	c.idle.Store(true)
+	c.deadline.beginIdle(c.listener.idleTimeout)
 }
 
 func (c *clientConn) markBusyLocked() {
