The end of an idle connection is one step with its last look, and never a reset

What callers saw: a request that crossed the end of its idle connection (idle time, eviction) was reset over its unread bytes, or got EOF; nothing counted it.

Cause: the last look at the socket, the decision and the close were three steps. Bytes that came between them were unread as net/http closed the connection, which resets it and takes with it what the client has not read yet.

Now a connection that is idle at its deadline is ended under the listener's mutex by the look that finds nothing: what came before is served. Evicted connections, and heads whose time is over, end the same way. Those that linger hold no more descriptors than the overflow connections leave; the oldest is closed for a newer one. Ends that meet a request are counted once a connection, by cause: unanswered.idle_end, unanswered.evicted, unanswered.drain, and logged at debug level with age and unread bytes.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -119,6 +119,7 @@
 	}
 	n.httpServer = newHTTPServer(server, nodesockets.NewPersistentListener(listener, n.log), n.limits.clients)
 	n.httpServer.sharedSocket = n.config.SharedListener
+	n.httpServer.listener.log = n.log
 	n.httpServer.listener.tlsLayer = n.tls.clientListenerLayer()
 }
 
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -22,9 +22,8 @@
 type clientConn struct {
 	*net.TCPConn
 	listener *clientListener
-	stream   clientStream            // tls, or plainStream
-	reader   *sockets.DeadlineReader // of plain TCP; nil with TLS
-	tls      *secure.Conn            // nil: plain TCP
+	stream   clientStream // tls, or plainStream
+	tls      *secure.Conn // nil: plain TCP
 
 	// For one reader at a time, without the mutex.
 	framing       framing.Guard
@@ -41,7 +40,12 @@
 	firstPending  bool            // counted in clientListener.firstPending
 	openedAt      time.Time       // since when a request can come: the accept, or the end of the TLS handshake
 	closed        bool            // it is out of clientListener.open
-	halfClosed    bool            // the node's side is closed: a request that comes now met the close
+	halfClosed    bool            // the node is closing its side: a request that comes now met the close
+	endCause      endCause        // why the node ended the connection; endNone: it did not
+	bytesAfterEnd bool            // bytes that came after that are counted
+	mustLinger    bool            // Close lingers
+	lingers       bool            // Close has been called, and lingers
+	lingerElement *linked.Element // in clientListener.lingering
 	overflow      bool            // accepted without a slot: its requests are rejected while that is so
 	lastPartialAt time.Time       // when bytes came last of a request that is not handed on
 	arrival       sockets.Arrival
@@ -49,7 +53,7 @@
 
 // clientStream is how a client's connection is read and ended.
 type clientStream interface {
-	io.Reader
+	io.ReadCloser
 	CloseWrite() error
 	SetReadDeadline(t time.Time) error
 }
--- a/internal/node/clientdeadline.go
+++ b/internal/node/clientdeadline.go
@@ -25,6 +25,7 @@
 	phaseEnd  time.Time // of phaseIdle and phaseHead
 	requested time.Time // by net/http or a handler; zero: none
 	closeBy   time.Time // by which the client has to close its side; zero: it need not
+	final     time.Time // takes the place of all others; zero: it does not
 	current   time.Time // as last set
 }
 
@@ -74,9 +75,30 @@
 	_ = d.updateLocked()
 }
 
+// interrupt ends the read in progress, and fails those that follow.
+func (d *readDeadline) interrupt() { d.beginClose(time.Now()) }
+
+// setFinal has t alone apply from now on.
+func (d *readDeadline) setFinal(t time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.final = t
+	_ = d.updateLocked()
+}
+
+// withinHead reports whether a part of a head has been read.
+func (d *readDeadline) withinHead() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.phase == phaseHead
+}
+
 // updateLocked sets the earliest of the deadlines that apply. It returns an error only after a close.
 func (d *readDeadline) updateLocked() error {
 	deadline := earlierDeadline(earlierDeadline(d.requested, d.phaseEnd), d.closeBy)
+	if !d.final.IsZero() {
+		deadline = d.final
+	}
 	if deadline.Equal(d.current) {
 		return nil
 	}
--- a/internal/node/clienteviction.go
+++ b/internal/node/clienteviction.go
@@ -73,26 +73,32 @@
 		age := time.Since(c.acceptedAt)
 		if age > stalledHandshakeAge || c.tls.NothingReceived() && age > silentHandshakeAge {
 			c.forgetLocked()
-			_ = c.Close()
+			_ = c.stream.Close()
 			return true
 		}
 	}
 	return false
 }
 
-// rejectEvictedLocked closes a connection; the mutex is released meanwhile. If withRejection is set, a plain connection
-// is sent a 503 first, since the rest of its request may be on its way; a client that has an answer with Connection:
-// close would not read it. The rejection is written before the connection counts as closed, since its reader closes it
-// then.
+// rejectEvictedLocked has a connection linger; the mutex is released meanwhile. If withRejection is set, a plain
+// connection is sent a 503 first, since the rest of its request may be on its way; a client that has an answer with
+// Connection: close would not read it. The rejection is written before the connection counts as closed, since its
+// reader closes it then.
 func (l *clientListener) rejectEvictedLocked(c *clientConn, withRejection bool) {
-	if withRejection && c.tls == nil {
+	cause := endEvicted
+	if withRejection && c.tls == nil && !c.halfClosed {
+		cause = endRejected
 		_ = c.SetWriteDeadline(time.Now().Add(rejectionWriteTimeout))
 		_, _ = io.WriteString(c.TCPConn, l.rejectionResponse())
 	}
 	c.forgetLocked()
-	l.mu.Unlock() // Close waits for a Read in progress, which takes the mutex
-	_ = c.Close()
+	c.endLocked(cause)
+	l.lingering.add(c)
+	l.mu.Unlock()
+	_ = c.stream.CloseWrite()
+	c.deadline.interrupt() // its reader returns, and net/http closes the connection
 	l.mu.Lock()
+	l.trimLingeringLocked()
 }
 
 // rejectionResponse returns the response for the client of an evicted connection.
--- a/internal/node/clientidle_test.go
+++ b/internal/node/clientidle_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"cobaltward/internal/sockets"
 	"cobaltward/internal/testkit"
 )
 
@@ -87,3 +88,136 @@
 		})
 	}
 }
+
+// TestIdleEnd_RequestArrives has a request arrive about the end of a connection's idle time. What comes ahead of the
+// end is read. What comes after it is counted, and the client sees an orderly close: a reset could destroy an answer
+// that it has not read.
+func TestIdleEnd_RequestArrives(t *testing.T) {
+	const idleTimeout = 50 * ms
+	body := make([]byte, 256<<10)
+	for _, test := range []struct {
+		name         string
+		listen       func(t *testing.T, maxConns int) *clientListener
+		beforeEnd    bool
+		pause        time.Duration // of the node, between the end of the idle time and the close
+		wantIdleEnds uint64
+	}{
+		{"ahead of the end", newTestListener, true, 0, 0},
+		{"at once", newTestListener, false, 0, 1},
+		{"within a pause", newTestListener, false, 150 * ms, 1},
+		{"within a long pause", newTestListener, false, 3 * time.Second, 1},
+		{"ahead of the end, TLS", newTLSTestListener, true, 0, 0},
+		{"within a pause, TLS", newTLSTestListener, false, 150 * ms, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			listener := test.listen(t, 4)
+			listener.idleTimeout = idleTimeout
+			plain, conn := connectClient(t, listener)
+			client, tcp := plain, tcpOf(conn)
+			if listener.tlsLayer != nil {
+				client = handshakeOver(t, plain, conn)
+			}
+			if test.beforeEnd {
+				sendRequestLine(t, client)
+				testkit.Await(t, "the bytes", func() bool { return sockets.Unread(tcp) > 0 })
+				time.Sleep(2 * idleTimeout) // the node reads late
+			}
+			n, err := conn.Read(make([]byte, 64))
+			if read := n > 0 && err == nil; read != test.beforeEnd {
+				t.Fatalf("read %d bytes, %v", n, err)
+			}
+			if test.beforeEnd {
+				return
+			}
+			sent := make(chan struct{})
+			go func() {
+				defer close(sent)
+				sendRequestLine(t, client)
+				_, _ = client.Write(body) // may fail once the client's system has the close
+			}()
+			testkit.Await(t, "the bytes", func() bool { return sockets.Unread(tcp) > 0 })
+			time.Sleep(test.pause)
+			_ = conn.Close() // as net/http does
+			_ = client.SetReadDeadline(time.Now().Add(testkit.MaxWait))
+			if n, err := client.Read(make([]byte, 64)); n != 0 || !errors.Is(err, io.EOF) {
+				t.Errorf("the client reads %d bytes, %v, want an orderly close", n, err)
+			}
+			<-sent
+			_ = client.Close()
+			testkit.Await(t, "the end of the connection", func() bool { return listener.lingeringCount() == 0 })
+			if got := listener.unansweredCounts(); got != (unansweredCounts{idleEnds: test.wantIdleEnds}) {
+				t.Errorf("counted %+v", got)
+			}
+		})
+	}
+}
+
+// TestEviction_RequestArrivesAfterwards has a long request arrive after its idle connection was evicted: the client
+// sees an orderly close, and the connection is counted.
+func TestEviction_RequestArrivesAfterwards(t *testing.T) {
+	listener, client, conn := newClientPair(t)
+	conn.requestSeen = true // it has carried a request, and is sent no rejection
+	listener.mu.Lock()
+	evicted := listener.evictIdleLocked(true)
+	listener.mu.Unlock()
+	if !evicted {
+		t.Fatal("the connection is not evicted")
+	}
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		_, _ = client.Write(make([]byte, 256<<10))
+	}()
+	testkit.Await(t, "the bytes", func() bool { return sockets.Unread(conn.TCPConn) > 0 })
+	if n, err := conn.Read(make([]byte, 64)); n != 0 || err == nil {
+		t.Errorf("the request is read all the same: %d bytes, %v", n, err)
+	}
+	_ = conn.Close()
+	if n, err := client.Read(make([]byte, 64)); n != 0 || !errors.Is(err, io.EOF) {
+		t.Errorf("the client reads %d bytes, %v, want an orderly close", n, err)
+	}
+	<-sent
+	if got := listener.unansweredCounts(); got != (unansweredCounts{evictions: 1}) {
+		t.Errorf("counted %+v", got)
+	}
+}
+
+// TestLinger_Descriptors has more connections be evicted than may linger: they take no descriptor that the node lacks.
+func TestLinger_Descriptors(t *testing.T) {
+	const maxConns = 4
+	listener := newTestListener(t, maxConns)
+	listener.queueTimeout = func() time.Duration { return 0 }
+	for range 4 * (maxConns + overflowConns) {
+		connectClient(t, listener) // evicts one that has sent nothing, and whose client does not close it
+		listener.mu.Lock()
+		open, lingering := listener.open, listener.lingering.len()
+		listener.mu.Unlock()
+		if open > maxConns || open+lingering > maxConns+overflowConns {
+			t.Fatalf("%d connections open, and %d that linger", open, lingering)
+		}
+	}
+}
+
+// tcpOf returns the TCP connection of an accepted one.
+func tcpOf(conn net.Conn) *net.TCPConn {
+	if secured, ok := conn.(*tlsClientConn); ok {
+		return secured.conn.TCPConn
+	}
+	return conn.(*clientConn).TCPConn
+}
+
+// handshakeOver makes the handshake on both ends of a connection, without a byte of a request.
+func handshakeOver(t *testing.T, plain, conn net.Conn) net.Conn {
+	t.Helper()
+	client := tls.Client(plain, &tls.Config{InsecureSkipVerify: true})
+	done := make(chan error, 1)
+	go func() { done <- client.Handshake() }()
+	if _, err := conn.Write(nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := testkit.Receive(t, "the handshake", done); err != nil {
+		t.Fatal(err)
+	}
+	return client
+}
--- a/internal/node/clientlistener.go
+++ b/internal/node/clientlistener.go
@@ -3,6 +3,7 @@
 import (
 	linked "container/list"
 	"errors"
+	"log/slog"
 	"net"
 	"os"
 	"sync"
@@ -28,6 +29,7 @@
 	retryAfter func() time.Duration
 	tlsLayer   *secure.Terminator // nil: connections are plain TCP
 
+	log         *slog.Logger
 	idleTimeout time.Duration // of connections without a request
 	headTimeout time.Duration // from the first byte of a request's head to its last
 
@@ -42,7 +44,8 @@
 	queue            sockets.AcceptQueue
 	queueDrained     chan struct{} // closed when drainAcceptQueue has emptied the accept queue
 	shuttingDown     bool          // connections are closed as they become idle
-	recheckScheduled bool          // recheckIdle will run
+	lingering        lingeringConns
+	recheckScheduled bool // recheckIdle will run
 	// firstPending is the number of open connections whose first request is not answered; those accepted during a
 	// shutdown, or half closed, are not counted.
 	firstPending int
@@ -58,6 +61,7 @@
 	listener := &clientListener{
 		Listener: inner, queue: sockets.NewAcceptQueue(), queueDrained: make(chan struct{}),
 		partialRequests: make(map[*clientConn]bool), idleTimeout: clientIdleTimeout, headTimeout: headerTimeout,
+		log: slog.New(slog.DiscardHandler),
 	}
 	listener.queueTimeout = func() time.Duration { return 0 }
 	listener.retryAfter = func() time.Duration { return 0 }
@@ -77,6 +81,7 @@
 	defer l.mu.Unlock()
 	conn.arrival.Reset(l.queue.EmptyAt())
 	l.open++
+	l.trimLingeringLocked()
 	conn.setFirstPendingLocked(!l.shuttingDown)
 	if l.tlsLayer != nil {
 		l.awaitHandshakeSlotLocked()
@@ -116,8 +121,7 @@
 		c.tls.OnReceive(c.noteRecordBytes)
 		c.stream = c.tls
 	} else {
-		c.reader = sockets.NewDeadlineReader(tcp)
-		c.stream = plainStream{tcp, c.reader}
+		c.stream = plainStream{tcp, sockets.NewDeadlineReader(tcp)}
 	}
 	c.deadline.set = c.stream.SetReadDeadline
 	return c
--- a/internal/node/clientread.go
+++ b/internal/node/clientread.go
@@ -63,6 +63,9 @@
 	}
 	began := time.Now()
 	n, err = c.stream.Read(buf)
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.tls != nil && !c.endIdleTLS() {
+		n, err = c.stream.Read(buf)
+	}
 	return n, n > 0 && !c.noteRequestBytes(began, n < len(buf)), err
 }
 
@@ -72,10 +75,8 @@
 	if err != nil {
 		return 0, false, err
 	}
-	waited := false
-	read := func(fd uintptr) (done bool) {
-		c.listener.mu.Lock()
-		defer c.listener.mu.Unlock()
+	waited, done := false, false
+	read := func(fd uintptr) bool {
 		n, err = readRetryingInterrupts(int(fd), buf)
 		if errors.Is(err, syscall.EAGAIN) {
 			waited = true
@@ -89,11 +90,23 @@
 		closing = n > 0 && !c.noteRequestBytesLocked()
 		return true
 	}
-	waitErr := raw.Read(read)
-	if errors.Is(waitErr, os.ErrDeadlineExceeded) && c.reader.LastLook() {
+	waitErr := raw.Read(func(fd uintptr) bool {
+		c.listener.mu.Lock()
+		defer c.listener.mu.Unlock()
+		return read(fd)
+	})
+	if errors.Is(waitErr, os.ErrDeadlineExceeded) {
 		waited = false
-		waitErr = raw.Control(func(fd uintptr) { read(fd) })
-		c.reader.RecordRead(n)
+		lookErr := raw.Control(func(fd uintptr) {
+			c.listener.mu.Lock()
+			defer c.listener.mu.Unlock()
+			if done = read(fd); !done {
+				c.endIdleLocked()
+			}
+		})
+		if done || lookErr != nil {
+			waitErr = lookErr
+		}
 	}
 	switch {
 	case waitErr != nil: // the read deadline, or a close
@@ -107,6 +120,33 @@
 	return n, closing, nil
 }
 
+// endIdleLocked ends a connection that is idle at its read deadline. It is one step with a look that found no bytes:
+// those that come later are discarded and counted.
+func (c *clientConn) endIdleLocked() {
+	if c.halfClosed || c.closed {
+		return
+	}
+	c.halfClosed = true
+	c.setFirstPendingLocked(false)
+	c.endLocked(endIdle)
+}
+
+// endIdleTLS is endIdleLocked for a TLS connection, if that is idle. It returns false if bytes have come since the last
+// read: the read is then to be tried again.
+func (c *clientConn) endIdleTLS() (ended bool) {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	switch {
+	case c.idleElement == nil || c.deadline.withinHead():
+		return true
+	case !c.halfClosed && sockets.Unread(c.TCPConn) > 0:
+		c.deadline.beginHead(c.listener.headTimeout)
+		return false
+	}
+	c.endIdleLocked()
+	return true
+}
+
 // readRetryingInterrupts reads from a non-blocking descriptor.
 func readRetryingInterrupts(fd int, buf []byte) (int, error) {
 	for {
--- a/internal/node/clientshutdown.go
+++ b/internal/node/clientshutdown.go
@@ -93,7 +93,7 @@
 			}
 		default:
 			idle = append(idle, c)
-			c.halfClosed = true
+			c.halfClosed, c.endCause = true, endDrain
 			c.setFirstPendingLocked(false)
 		}
 	}
--- a/internal/node/clientstate.go
+++ b/internal/node/clientstate.go
@@ -43,7 +43,8 @@
 func (c *clientConn) noteRequestBytesLocked() bool {
 	l := c.listener
 	if c.halfClosed || c.closed {
-		l.requestsDuringClose++
+		c.mustLinger = true // more of the request may come
+		c.noteBytesAfterEndLocked()
 		return false
 	}
 	c.requestSeen = true
@@ -91,15 +92,14 @@
 		c.arrival.Advance()
 		return false
 	}
-	c.markIdleLocked()
 	c.arrival.Reset(time.Now())
-	l := c.listener
-	delete(l.partialRequests, c)
-	if !l.shuttingDown || c.halfClosed || !sockets.IsIdle(c.TCPConn) {
+	delete(c.listener.partialRequests, c)
+	c.markIdleLocked()
+	if !c.listener.shuttingDown || c.halfClosed || !sockets.IsIdle(c.TCPConn) {
 		return false
 	}
-	c.halfClosed = true
-	l.closedIdle++
+	c.halfClosed, c.endCause = true, endDrain
+	c.listener.closedIdle++
 	return true
 }
 
--- a/internal/node/httpserver.go
+++ b/internal/node/httpserver.go
@@ -91,6 +91,7 @@
 			return ctx.Err()
 		}
 		open, _ = s.listener.connCounts()
+		open += s.listener.lingeringCount()
 	}
 	s.finish()
 	return s.server.Shutdown(ctx)
@@ -100,7 +101,9 @@
 func (s *httpServer) Close() error {
 	s.stopping.Store(true)
 	s.finish()
-	return s.server.Close()
+	err := s.server.Close()
+	s.listener.closeLingering()
+	return err
 }
 
 // finish lets Serve return.
--- a/internal/node/operations.go
+++ b/internal/node/operations.go
@@ -71,7 +71,10 @@
 	page = appendMetric(page, "hosts_down", "", uint64(max(0, metrics.UnavailableEndpoints)))
 	unanswered := o.unanswered()
 	page = appendMetric(page, "unanswered", "timeout", unanswered.timeouts)
-	return appendMetric(page, "unanswered", "client_closed", unanswered.clientCloses)
+	page = appendMetric(page, "unanswered", "client_closed", unanswered.clientCloses)
+	page = appendMetric(page, "unanswered", "idle_end", unanswered.idleEnds)
+	page = appendMetric(page, "unanswered", "evicted", unanswered.evictions)
+	return appendMetric(page, "unanswered", "drain", unanswered.drains)
 }
 
 // appendMetric appends one line: name=value, or name.class=value.
--- a/internal/node/tlsclient.go
+++ b/internal/node/tlsclient.go
@@ -22,8 +22,8 @@
 // Write encrypts and writes p.
 func (c *tlsClientConn) Write(p []byte) (int, error) { return c.tls.Write(p) }
 
-// Close closes the connection.
-func (c *tlsClientConn) Close() error { return c.tls.Close() }
+// Close closes the connection, as clientConn does.
+func (c *tlsClientConn) Close() error { return c.conn.Close() }
 
 // CloseWrite closes the node's side.
 func (c *tlsClientConn) CloseWrite() error { return c.tls.CloseWrite() }
--- a/internal/sockets/deadlinereader.go
+++ b/internal/sockets/deadlinereader.go
@@ -46,15 +46,15 @@
 // Read reads from the connection.
 func (r *DeadlineReader) Read(p []byte) (int, error) {
 	n, err := r.tcp.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && r.LastLook() {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && r.lastLook() {
 		return r.readReceived(p, err)
 	}
 	return n, err
 }
 
-// LastLook reports whether bytes are left to be read that the kernel had received when the read deadline was found to
+// lastLook reports whether bytes are left to be read that the kernel had received when the read deadline was found to
 // have passed. It is called by the reading goroutine, after a read that failed at the deadline.
-func (r *DeadlineReader) LastLook() bool {
+func (r *DeadlineReader) lastLook() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.deadline.Before(r.openedAt) || r.deadline.After(time.Now()) { // the first is none, too; the second was set since
@@ -66,8 +66,8 @@
 	return r.received > 0
 }
 
-// RecordRead says that n of the bytes of the last look were read by other means than Read.
-func (r *DeadlineReader) RecordRead(n int) {
+// recordRead says that n of the bytes of the last look were read.
+func (r *DeadlineReader) recordRead(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.received -= min(n, r.received)
@@ -94,7 +94,7 @@
 	case n == 0:
 		return 0, io.EOF
 	}
-	r.RecordRead(n)
+	r.recordRead(n)
 	return n, nil
 }
 
