unanswered.timeout counts no request that was answered

What operators saw: unanswered.timeout is 1 after a single served request, also at rest. net/http ends its read in the background by a deadline in the past, ahead of the hand-over; that read error counted as one within a head, since the next byte would begin a head.

--- a/internal/node/clientidle_test.go
+++ b/internal/node/clientidle_test.go
@@ -199,6 +199,27 @@
 	}
 }
 
+// TestUnanswered_ServedRequestsAreNotCounted has net/http end its reads in the background, by a deadline in the past,
+// while requests are answered.
+func TestUnanswered_ServedRequestsAreNotCounted(t *testing.T) {
+	w := newTestNode(t, 1)
+	client := w.startWithClient()
+	for range 20 {
+		resp, err := w.get(t.Context(), client, "r")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+	metrics := w.metrics()
+	for _, cause := range []string{"timeout", "client_closed", "idle_end", "evicted", "drain"} {
+		if n, ok := metrics["unanswered."+cause]; n != 0 || !ok {
+			t.Errorf("unanswered.%s is %v, given: %v", cause, n, ok)
+		}
+	}
+}
+
 // tcpOf returns the TCP connection of an accepted one.
 func tcpOf(conn net.Conn) *net.TCPConn {
 	if secured, ok := conn.(*tlsClientConn); ok {
--- a/internal/node/unanswered.go
+++ b/internal/node/unanswered.go
@@ -66,7 +66,7 @@
 
 // noteReadError counts a connection whose request ends within its head. A request whose body ends early is answered.
 func (c *clientConn) noteReadError(err error) {
-	if !c.framing.InHead() {
+	if !c.deadline.withinHead() {
 		return
 	}
 	l := c.listener
@@ -74,7 +74,6 @@
 	defer l.mu.Unlock()
 	switch {
 	case c.closed || c.halfClosed: // counted by the cause of that
-	case !l.partialRequests[c]: // answered, or without a request
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.endLocked(endHeadTimeout)
 		c.countUnansweredLocked(endHeadTimeout)
