A connection is not idle while a part of the next request's head has been read

What callers could see: the beginning of a pipelined request that came with the one before it was read into net/http's buffer, where the socket does not show it. With the answer the connection counted as idle: a drain or an eviction closed it, and the request was lost; the rest of its head had the idle time instead of that for a head.

Now such a connection stays one with a part of a request. TestCloseIdle_PartOfNextHead failed before: closed by the drain.

--- a/internal/frontend/framing/guard.go
+++ b/internal/frontend/framing/guard.go
@@ -118,11 +118,15 @@
 // InHead reports whether the next byte belongs to a head, or begins one.
 func (g *Guard) InHead() bool { return g.state == stateHead || g.state == stateHeadCR }
 
+// WithinHead reports whether a part of a head has come, but not the rest.
+func (g *Guard) WithinHead() bool {
+	return g.state == stateHeadCR || g.state == stateHead && (g.hasRequestLine || len(g.line) > 0)
+}
+
 // IsCompleteRequest reports whether the bytes are exactly one well-formed request with its body.
 func IsCompleteRequest(data []byte) bool {
 	var guard Guard
-	return guard.Check(data) == len(data) && guard.heads == 1 && guard.state == stateHead && !guard.hasRequestLine &&
-		len(guard.line) == 0
+	return guard.Check(data) == len(data) && guard.heads == 1 && guard.InHead() && !guard.WithinHead()
 }
 
 // Heads returns the number of complete heads.
--- a/internal/node/clientshutdown_test.go
+++ b/internal/node/clientshutdown_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -190,3 +191,31 @@
 		t.Fatal(err)
 	}
 }
+
+// TestCloseIdle_PartOfNextHead has a request come with the beginning of the next one's head: after the first answer the
+// connection is not idle, and the rest of that head has the time for a head.
+func TestCloseIdle_PartOfNextHead(t *testing.T) {
+	listener, client, conn := newClientPair(t)
+	listener.headTimeout = 50 * ms
+	const request = "GET / HTTP/1.1\r\n\r\n"
+	if _, err := io.WriteString(client, request+request[:len(request)/2]); err != nil {
+		t.Fatal(err)
+	}
+	for !conn.framing.WithinHead() || conn.framing.Heads() < 1 {
+		if _, err := conn.Read(make([]byte, 64)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	listener.closeIdle()
+	conn.onStateChange(http.StateActive)
+	conn.onStateChange(http.StateIdle)
+	if _, busy := listener.connCounts(); busy != 1 || conn.halfClosed {
+		t.Errorf("%d busy, half closed: %v", busy, conn.halfClosed)
+	}
+	if _, err := conn.Read(make([]byte, 64)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the rest of the head is waited for until %v", err)
+	}
+	if got := listener.unansweredCounts(); got != (unansweredCounts{timeouts: 1}) {
+		t.Errorf("counted %+v", got)
+	}
+}
--- a/internal/node/clientstate.go
+++ b/internal/node/clientstate.go
@@ -93,6 +93,12 @@
 		return false
 	}
 	c.arrival.Reset(time.Now())
+	if c.framing.WithinHead() { // the beginning of the next request is in net/http's buffer
+		c.limitHead()
+		c.listener.partialRequests[c] = true
+		c.lastPartialAt = time.Now()
+		return false
+	}
 	delete(c.listener.partialRequests, c)
 	c.markIdleLocked()
 	if !c.listener.shuttingDown || c.halfClosed || !sockets.IsIdle(c.TCPConn) {
