Soak: clients that rest before their first request, the node paused in every second run

Such a connection may be closed only as the node ends, or for idle clients that fill the descriptors; a first request is lost unless its client has rested for the grace of a drain and sees an orderly close then.

--- a/internal/soak/clients_test.go
+++ b/internal/soak/clients_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -21,6 +22,9 @@
 	cancelClass  = "zrusenie"
 )
 
+// firstRequestGrace is how long after its connect a node that ends leaves a connection open without a request.
+const firstRequestGrace = 2500 * time.Millisecond
+
 // client sends requests one after another, keeps its connection as long as it can, and opens another while clients are
 // routed to the node.
 type client struct {
@@ -31,10 +35,14 @@
 	history    *history
 	longest    time.Duration // the longest deadline of its requests
 	routed     *atomic.Bool  // connections may be opened
+	stopping   *atomic.Bool  // the node is being terminated
 	ended      *atomic.Bool  // the node has ended
 	abandons   float64       // part of its requests whose response it does not wait for
 	crowded    bool          // idle clients fill the node's descriptors
 	pause      time.Duration // longest between a response, or a connect, and the next request; 0: none
+	rest       time.Duration // between the first connect and the first request
+	rested     bool          // the rest is over
+	restedConn net.Conn      // the connection of the rest
 }
 
 // run sends until the node has ended.
@@ -45,6 +53,10 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
+		if c.restBeforeFirstRequest(conn) {
+			_ = conn.Close()
+			continue
+		}
 		if c.pause > 0 && c.connectRNG.IntN(2) == 0 {
 			time.Sleep(time.Duration(c.connectRNG.Int64N(int64(c.pause))))
 		}
@@ -57,6 +69,29 @@
 	}
 }
 
+// restBeforeFirstRequest rests on the first connection, and reports whether the node has closed it meanwhile.
+func (c *client) restBeforeFirstRequest(conn net.Conn) (closed bool) {
+	if c.rest == 0 || c.rested {
+		return false
+	}
+	time.Sleep(c.rest)
+	c.rested = true
+	c.restedConn = conn
+	if !sockets.PeerClosed(conn.(*net.TCPConn)) {
+		return false
+	}
+	c.history.recordClosedAtRest(c.stopping.Load() || c.crowded, c.rest)
+	return true
+}
+
+// mayBeClosedUnread reports whether the node may have closed a connection without reading its request, which came as
+// the node closed it: one that was used before, or one on which its client has rested, as the node ends. The client has
+// to see an orderly close then.
+func (c *client) mayBeClosedUnread(conn net.Conn, used int, cause error) bool {
+	restedLong := c.restedConn == conn && c.rest >= firstRequestGrace
+	return used > 0 || restedLong && c.stopping.Load() && errors.Is(cause, io.ErrUnexpectedEOF)
+}
+
 // exchange sends one request and reads its response; false where the connection has ended.
 func (c *client) exchange(conn net.Conn, used int, n *int) bool {
 	if c.ended.Load() {
@@ -94,7 +129,7 @@
 		}
 	}
 	if err != nil {
-		c.history.recordNoResponse(id, used > 0, c.crowded, err)
+		c.history.recordNoResponse(id, c.mayBeClosedUnread(conn, used, err), c.crowded, err)
 		return false
 	}
 	unread, _ := sockets.SinceLastReceived(conn.(*net.TCPConn)) // 0 where the kernel does not tell
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -146,6 +146,16 @@
 	}
 }
 
+// recordClosedAtRest records that the node closed a connection whose client rested ahead of its first request.
+func (h *history) recordClosedAtRest(allowed bool, rest time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.counts["closed at rest"]++
+	if !allowed {
+		h.violatef("a connection was closed within %v of rest ahead of its first request", rest)
+	}
+}
+
 // recordNoResponse records that a connection ended without a response. A request that crosses the close of an idle
 // connection may be sent again, if no server has received it; one on a new connection is lost, unless idle clients fill
 // the descriptors: then new connections may be closed unread.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -19,6 +19,7 @@
 	firstSeed = flag.Uint64("soak.seed", 1, "the seed of the first run")
 	seeds     = flag.Int("soak.seeds", 6, "how many runs")
 	parallel  = flag.Int("soak.together", 3, "how many runs at a time")
+	longRest  = flag.Duration("soak.rest", 4*time.Second, "the longest rest of clients ahead of their first request")
 )
 
 // pausedRuns is how many runs TestSoak_PausedNode does for each of -soak.seeds.
@@ -53,6 +54,17 @@
 	runSeeds(t, pausedRuns**seeds, func(r *soakRun, seed uint64) { r.pauses = newPauseSchedule(seed) })
 }
 
+// TestSoak_RestingClients does one run for each seed with clients that connect and rest before their first request; the
+// node is paused in every second run.
+func TestSoak_RestingClients(t *testing.T) {
+	runSeeds(t, *seeds, func(r *soakRun, seed uint64) {
+		r.rest = *longRest
+		if seed%2 == 0 {
+			r.pauses = newPauseSchedule(seed)
+		}
+	})
+}
+
 // runSeeds does so many runs, one for each seed, which configure may change first.
 func runSeeds(t *testing.T, runs int, configure func(r *soakRun, seed uint64)) {
 	limit := make(chan struct{}, *parallel)
@@ -72,6 +84,7 @@
 // soakRun is one node with its servers and clients. All that it does is drawn from its seed.
 type soakRun struct {
 	t        *testing.T
+	seed     uint64
 	rng      *rand.Rand
 	history  *history
 	servers  []*server
@@ -79,13 +92,15 @@
 	longest  time.Duration // the deadline of every class
 	node     *nodeProcess
 	pauses   *pauseSchedule // of the node; nil: none
+	rest     time.Duration  // longest rest of resting clients; 0: there are none
 	routed   atomic.Bool    // clients may open connections to the node
+	stopping atomic.Bool    // the node is being terminated
 	ended    atomic.Bool    // the node has ended
 }
 
 func newSoakRun(t *testing.T, seed uint64) *soakRun {
 	t.Helper()
-	r := &soakRun{t: t, rng: rand.New(rand.NewPCG(seed, seed)), history: newHistory()}
+	r := &soakRun{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, seed)), history: newHistory()}
 	r.longest = time.Duration(150+r.rng.IntN(1350)) * time.Millisecond
 	for i := range 3 + r.rng.IntN(4) {
 		r.servers = append(r.servers, startServer(t, fmt.Sprint("s", i), r.history, []float64{0, 0.05, 0.3}[r.rng.IntN(3)]))
@@ -103,6 +118,10 @@
 	}
 	r.routed.Store(true)
 	crowded, closeIdle := r.rng.IntN(3) == 0, func() {}
+	if r.rest > 0 {
+		r.startRestingClients(&clients, crowded)
+		time.Sleep(r.rest - restOverlap)
+	}
 	if crowded {
 		closeIdle = openIdleConns(r.node.addr, 40+r.rng.IntN(80))
 	}
@@ -113,7 +132,7 @@
 		c := &client{
 			name: fmt.Sprint("c", i), addr: r.node.addr, history: r.history,
 			rng: rand.New(rand.NewPCG(clientSeed, 1)), connectRNG: rand.New(rand.NewPCG(clientSeed, 2)),
-			longest: r.longest, routed: &r.routed, ended: &r.ended, crowded: crowded,
+			longest: r.longest, routed: &r.routed, stopping: &r.stopping, ended: &r.ended, crowded: crowded,
 			abandons: abandonRates[r.rng.IntN(len(abandonRates))], pause: pauses[r.rng.IntN(len(pauses))],
 		}
 		clients.Go(c.run)
@@ -126,6 +145,28 @@
 	r.report()
 }
 
+// restOverlap is how long before the longest rest the other clients and the faults begin: the first requests of some
+// resting clients come as the node ends.
+const restOverlap = time.Second
+
+// startRestingClients starts clients that connect now and rest before their first request. Their draws are their own,
+// so that the rest of a run does the same with and without them.
+func (r *soakRun) startRestingClients(clients *sync.WaitGroup, crowded bool) {
+	const restingClients = 20
+	const stream = 4 // of the generators that are seeded by the run's seed
+	rng := rand.New(rand.NewPCG(r.seed, stream))
+	for i := range restingClients {
+		clientSeed := rng.Uint64()
+		c := &client{
+			name: fmt.Sprint("r", i), addr: r.node.addr, history: r.history,
+			rng: rand.New(rand.NewPCG(clientSeed, 1)), connectRNG: rand.New(rand.NewPCG(clientSeed, 2)),
+			longest: r.longest, routed: &r.routed, stopping: &r.stopping, ended: &r.ended, crowded: crowded,
+			pause: 300 * time.Millisecond, rest: time.Duration(rng.Int64N(int64(r.rest))),
+		}
+		clients.Go(c.run)
+	}
+}
+
 // injectFaults has servers hang and recover, the endpoint list change and the configuration be reloaded, for a while.
 func (r *soakRun) injectFaults(duration time.Duration) {
 	for end := time.Now().Add(duration); time.Now().Before(end); {
@@ -150,6 +191,7 @@
 		}
 	}
 	terminatedAt := time.Now()
+	r.stopping.Store(true)
 	r.node.signal(syscall.SIGTERM)
 	time.AfterFunc(clientsRoutedFor, func() { r.routed.Store(false) })
 	killAt := terminatedAt.Add(r.longest + killDelay)
@@ -188,10 +230,17 @@
 	r.t.Logf("%d violations; the node's log:\n%s", len(history.violations), log)
 }
 
+// restingDescriptors are added for runs with resting clients: none of these is evicted, unless idle clients fill the
+// node's descriptors.
+const restingDescriptors = 256
+
 // startNode starts this test's own binary as the node.
 func (r *soakRun) startNode() {
 	r.t.Helper()
 	descriptors := 64 + r.rng.IntN(4)*64
+	if r.rest > 0 {
+		descriptors += restingDescriptors
+	}
 	config := fmt.Sprintf(configFormat, r.registry.addr, descriptors, r.registry.list(), r.longest.Milliseconds())
 	r.node = startNode(r.t, exec.Command(os.Args[0]), config)
 }
