A needed slot comes first from connections that have never sent a request

A connection that has sent nothing used to end 2.5 s after its accept; it may be idle now as long as others. Clients that connect and send nothing would have outlasted the idle connections of clients that send, which had been idle for longer and were evicted for them. Silent connections of silentConnAge are evicted first, at the age at which they ended before.

TestEviction_SilentConnectionsFirst.

--- a/internal/node/clienteviction.go
+++ b/internal/node/clienteviction.go
@@ -20,24 +20,44 @@
 	// firstRequestGrace protects a new connection from eviction: its first request is on its way, and its client has no
 	// reason to expect a close.
 	firstRequestGrace = 100 * time.Millisecond
+	// silentConnAge is the age from which a connection that has never sent a request is evicted ahead of those that have:
+	// clients that connect and send nothing would outlast idle clients.
+	silentConnAge = 2500 * time.Millisecond
 	// rejectionWriteTimeout bounds the write of a rejection ahead of an eviction. The socket buffer has room for it.
 	rejectionWriteTimeout = 100 * time.Millisecond
 )
 
-// evictIdleLocked closes the connection that has been idle for longest, if there is one; the mutex is released
-// meanwhile. A handshake under way is not idle. A connection within firstRequestGrace is closed only if includeNew:
-// its client does not expect a close, and may not get an answer on its next connection either.
+// evictIdleLocked ends an idle connection, if there is one; the mutex is released meanwhile. Connections of
+// silentConnAge that have never sent a request go first, then the one that has been idle for longest. One within
+// firstRequestGrace is ended only if includeNew: its client does not expect a close, and may not get an answer on its
+// next connection either.
 func (l *clientListener) evictIdleLocked(includeNew bool) bool {
+	isSilent := func(c *clientConn) bool {
+		return !c.requestSeen && !c.awaitsFirstRequestLocked(silentConnAge)
+	}
+	isOldEnough := func(c *clientConn) bool {
+		return includeNew || !c.awaitsFirstRequestLocked(firstRequestGrace)
+	}
+	for _, isCandidate := range []func(*clientConn) bool{isSilent, isOldEnough} {
+		if c := l.longestIdleLocked(isCandidate); c != nil {
+			l.rejectEvictedLocked(c, !c.requestSeen)
+			return true
+		}
+	}
+	return false
+}
+
+// longestIdleLocked returns the candidate that has been idle for longest; nil if there is none. Connections in a
+// handshake, or with a request that has arrived, are none.
+func (l *clientListener) longestIdleLocked(isCandidate func(*clientConn) bool) *clientConn {
 	for e := l.idle.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*clientConn)
 		handshaking := c.tls != nil && c.tls.Handshaking() && !c.tls.NothingReceived()
-		if handshaking || !includeNew && c.awaitsFirstRequestLocked(firstRequestGrace) || !sockets.IsIdle(c.TCPConn) {
-			continue // in a handshake, new, or with a request that the close would fail
+		if !handshaking && isCandidate(c) && sockets.IsIdle(c.TCPConn) {
+			return c
 		}
-		l.rejectEvictedLocked(c, !c.requestSeen)
-		return true
 	}
-	return false
+	return nil
 }
 
 // evictStalledLocked closes the connection whose client has paused within a request for longest, and for longer than
--- a/internal/node/clientidle_test.go
+++ b/internal/node/clientidle_test.go
@@ -183,6 +183,32 @@
 	}
 }
 
+// TestEviction_SilentConnectionsFirst has a slot be needed while one connection rests that has carried a request, and a
+// newer one that never did: the latter is evicted, once it is old.
+func TestEviction_SilentConnectionsFirst(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		silentFor  time.Duration
+		wantSilent bool // is evicted
+	}{
+		{"old", silentConnAge, true},
+		{"new", silentConnAge / 2, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			listener, _, used := newClientPair(t)
+			_, accepted := connectClient(t, listener)
+			silent := accepted.(*clientConn)
+			listener.mu.Lock()
+			defer listener.mu.Unlock()
+			used.requestSeen = true
+			silent.openedAt = silent.openedAt.Add(-test.silentFor)
+			if !listener.evictIdleLocked(false) || silent.closed != test.wantSilent || used.closed == test.wantSilent {
+				t.Errorf("evicted: the silent one %v, the other %v", silent.closed, used.closed)
+			}
+		})
+	}
+}
+
 // TestLinger_Descriptors has more connections be evicted than may linger: they take no descriptor that the node lacks.
 func TestLinger_Descriptors(t *testing.T) {
 	const maxConns = 4
