A server may take longer for a long body than its client may rest within it

What callers saw: 504 for a request that a server executed, after 2.5 s for a body of over 16 KiB (10.5 s for 256 KiB), counted as neither success, failure nor busy.

Cause: body.Upload reads once more behind the end of a buffered body. pacedBody set a read deadline for that too, which takes the place of none, set by net/http as it begins to read in the background for a disconnect. At the deadline that read failed, and net/http cancelled the request. Behind the end pacedBody now answers io.EOF itself.

TestLongBody_ServerTakesLonger failed before, by length and chunked: 504 at 3.5 s.

--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -199,6 +199,36 @@
 	}
 }
 
+// TestLongBody_ServerTakesLonger has a server answer later after a body's last byte than a client may rest within the
+// body: the body has come, and its client waits.
+func TestLongBody_ServerTakesLonger(t *testing.T) {
+	const bodyStall = 2500 * time.Millisecond // middleware's, of a body of up to 64 KiB
+	for _, test := range []struct {
+		name   string
+		length int64
+	}{{"length", 20 << 10}, {"chunked", -1}} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestNode(t, 0)
+			w.memoryMB = 32
+			w.serveBy(func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				time.Sleep(bodyStall + time.Second)
+			})
+			client := w.startWithClient()
+			body := strings.NewReader(strings.Repeat("b", 20<<10))
+			resp, err := w.post(t.Context(), client, "rezervacia", "p1", body, test.length)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				t.Errorf("status %d, metrics %v", resp.StatusCode, w.metrics())
+			}
+		})
+	}
+}
+
 // watchHeap samples the heap until the returned function is called, which returns the largest sample in bytes.
 func watchHeap() (stop func() uint64) {
 	var largest uint64
--- a/middleware/pacedbody.go
+++ b/middleware/pacedbody.go
@@ -1,6 +1,7 @@
 package middleware
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -21,10 +22,15 @@
 	deadline time.Time
 	long     bool // over maxShortBody, or of unknown length
 	received int64
+	ended    bool // the end of the body was read
 }
 
-// Read reads from the client.
+// Read reads from the client. Behind the end of the body it sets no deadline: net/http reads on by then, to notice that
+// the client disconnects, and a deadline would cancel the request.
 func (b *pacedBody) Read(p []byte) (int, error) {
+	if b.ended {
+		return 0, io.EOF
+	}
 	readDeadline := time.Now().Add(b.stallTimeout())
 	if b.deadline.Before(readDeadline) {
 		readDeadline = b.deadline
@@ -32,6 +38,7 @@
 	_ = b.conn.SetReadDeadline(readDeadline) // fails only where there is no connection
 	n, err := b.Reader.Read(p)
 	b.received += int64(n)
+	b.ended = errors.Is(err, io.EOF)
 	return n, err
 }
 
