A connection that ends within a head is counted once

unanswered.timeout was 3 for one connection: net/http reads on after the timeout, and each read counted.

--- a/internal/node/unanswered.go
+++ b/internal/node/unanswered.go
@@ -72,19 +72,20 @@
 	l := c.listener
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	switch {
-	case c.closed || c.halfClosed: // counted by the cause of that
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.endLocked(endHeadTimeout)
-		c.countUnansweredLocked(endHeadTimeout)
-	default:
-		c.countUnansweredLocked(endClientClosed)
+	cause := endClientClosed
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		cause = endHeadTimeout
 	}
+	if c.closed || c.halfClosed || c.endCause == cause { // counted: net/http may read on after an error
+		return
+	}
+	c.endCause, c.mustLinger = cause, cause == endHeadTimeout
+	c.countUnansweredLocked(cause)
 }
 
 // noteBytesAfterEndLocked counts a connection on which bytes have come after the node ended it.
 func (c *clientConn) noteBytesAfterEndLocked() {
-	if c.bytesAfterEnd || c.endCause == endHeadTimeout {
+	if c.bytesAfterEnd || c.endCause == endHeadTimeout || c.endCause == endClientClosed {
 		return
 	}
 	c.bytesAfterEnd = true
