node: the end of a drain's time does not reset the HTTP accept queue

What callers saw: a client connected and wrote its request up to 0.4 s after SIGTERM, the process ran late, and the connection was reset 0.2 s and more before the earliest SIGKILL. Request lost.

Cause: when the time of the drain is over, drain looks once for first requests that are to come, and cancels the listeners' Shutdown if there are none. Connections in the accept queue were not counted. With a pause between the close of readiness and that look, or an accept loop that is late, the cancelled drainAcceptQueue closed the listener, and the system reset what was queued. The MessagePack-RPC server counts a listener that may have a queue.

Change: behind its time the drain waits for CloseListener to have emptied the queue, up to maxDrain (0.1 s ahead of the earliest SIGKILL), then for first requests as before. Where the listener is closed by then, the times are as before; an announcement that is configured to last longer than the drain now lasts up to maxDrain.

Not mended: a process that runs again only at maxDrain itself, 0.1 s ahead of the earliest SIGKILL.

--- a/internal/node/httpserver.go
+++ b/internal/node/httpserver.go
@@ -24,6 +24,9 @@
 	stopping  atomic.Bool // the listener was closed on purpose
 	closeOnce sync.Once
 	done      chan struct{} // closed when Serve may return
+
+	listenerCloseOnce sync.Once
+	listenerClosed    chan struct{} // closed by the first CloseListener, behind the accept queue
 }
 
 var (
@@ -32,7 +35,12 @@
 )
 
 func newHTTPServer(server *http.Server, listener net.Listener, maxConns int) *httpServer {
-	return &httpServer{server: server, listener: newClientListener(listener, maxConns), done: make(chan struct{})}
+	return &httpServer{
+		server:         server,
+		listener:       newClientListener(listener, maxConns),
+		done:           make(chan struct{}),
+		listenerClosed: make(chan struct{}),
+	}
 }
 
 // Serve serves clients until Shutdown or Close.
@@ -62,6 +70,15 @@
 		s.listener.drainAcceptQueue(ctx)
 	}
 	_ = s.listener.Close()
+	s.listenerCloseOnce.Do(func() { close(s.listenerClosed) })
+}
+
+// awaitListenerClose waits until CloseListener has emptied the accept queue and closed the listener, or ctx ends.
+func (s *httpServer) awaitListenerClose(ctx context.Context) {
+	select {
+	case <-s.listenerClosed:
+	case <-ctx.Done():
+	}
 }
 
 // Connections returns the number of connections, and of those with a request.
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -60,6 +60,7 @@
 	defer cancelDrain()
 	n.tasks.Go(func() {
 		if sleep(drainCtx, times.drain) {
+			n.httpServer.awaitListenerClose(drainCtx) // the end of the drain would reset its accept queue
 			n.awaitFirstRequests(drainCtx)
 			cancelDrain()
 		}
@@ -133,7 +134,9 @@
 
 // shutdownTimes are bounds of the phases of a shutdown, from its beginning.
 type shutdownTimes struct {
-	drain    time.Duration // the drain, unless first requests of accepted connections are to come or to be answered
+	// drain bounds the drain, unless the accept queue is not empty, or first requests of accepted connections are to
+	// come or to be answered.
+	drain    time.Duration
 	maxDrain time.Duration // the drain in any case
 	close    time.Duration // the close of the last connection
 }
