Reads within a request ask the kernel without the listener's mutex

A trace of TestLongBodies_HundredAtOnce beside load, without pauses, had 40 to 69 goroutines wait for the listener's one mutex, up to 2.5 s; its holders stood in a getsockopt of another connection's read, or grew the map of partial requests. The wait lay between the last look at a connection and its close, in which whole requests came and were discarded.

The times of a request's arrival have a mutex of the connection's own now, and the map its size from the start.

--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -33,6 +33,7 @@
 	acceptedAt time.Time
 	idle       atomic.Bool // idleElement is set; for the reader, which does not hold the mutex
 	deadline   readDeadline
+	arrival    requestArrival // of the current request
 
 	// Under the listener's mutex.
 	idleElement   *linked.Element // in clientListener.idle; nil while there is a request
@@ -48,7 +49,6 @@
 	lingerElement *linked.Element // in clientListener.lingering
 	overflow      bool            // accepted without a slot: its requests are rejected while that is so
 	lastPartialAt time.Time       // when bytes came last of a request that is not handed on
-	arrival       sockets.Arrival
 }
 
 // clientStream is how a client's connection is read and ended.
--- a/internal/node/clientlistener.go
+++ b/internal/node/clientlistener.go
@@ -60,8 +60,8 @@
 func newClientListener(inner net.Listener, maxConns int) *clientListener {
 	listener := &clientListener{
 		Listener: inner, queue: sockets.NewAcceptQueue(), queueDrained: make(chan struct{}),
-		partialRequests: make(map[*clientConn]bool), idleTimeout: clientIdleTimeout, headTimeout: headerTimeout,
-		log: slog.New(slog.DiscardHandler),
+		partialRequests: make(map[*clientConn]bool, maxConns+overflowConns),
+		idleTimeout:     clientIdleTimeout, headTimeout: headerTimeout, log: slog.New(slog.DiscardHandler),
 	}
 	listener.queueTimeout = func() time.Duration { return 0 }
 	listener.retryAfter = func() time.Duration { return 0 }
@@ -79,7 +79,7 @@
 	conn := l.newConn(tcp.(*net.TCPConn))
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	conn.arrival.Reset(l.queue.EmptyAt())
+	conn.arrival.reset(l.queue.EmptyAt())
 	l.open++
 	l.trimLingeringLocked()
 	conn.setFirstPendingLocked(!l.shuttingDown)
--- a/internal/node/clientread.go
+++ b/internal/node/clientread.go
@@ -34,7 +34,7 @@
 	// single byte, too, where net/http's buffer has no more space.
 	oneByteRead := len(buf) == 1 && n == 1 && c.framing.Heads() > c.requestsDone
 	if oneByteRead {
-		c.noteNextRequest()
+		c.arrival.recordNextStart()
 	}
 	wellFormed := c.framing.Check(buf[:n])
 	if n > 0 {
@@ -82,11 +82,7 @@
 			waited = true
 			return false
 		}
-		now := time.Now()
-		if waited {
-			c.arrival.Reset(now)
-		}
-		c.arrival.RecordRead(now, now, n < len(buf))
+		c.arrival.recordIdleRead(time.Now(), waited, n < len(buf))
 		closing = n > 0 && !c.noteRequestBytesLocked()
 		return true
 	}
--- a/internal/node/clientstate.go
+++ b/internal/node/clientstate.go
@@ -7,13 +7,6 @@
 	"cobaltward/internal/sockets"
 )
 
-// noteNextRequest notes that the first byte of the next request came while one is open.
-func (c *clientConn) noteNextRequest() {
-	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
-	c.arrival.RecordNextStart(time.Now())
-}
-
 // limitHead has the time for a head begin with its first byte, and end with its last. It is called after each read.
 func (c *clientConn) limitHead() {
 	if c.framing.InHead() && c.framing.Heads() == c.requestsDone {
@@ -33,9 +26,9 @@
 // noteRequestBytes notes that a read returned bytes of a request. readBegan is when the read began, readAll whether
 // it took all that had come. It returns false if the node is closing the connection.
 func (c *clientConn) noteRequestBytes(readBegan time.Time, readAll bool) bool {
+	c.arrival.recordRead(c.TCPConn, readBegan, readAll)
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.arrival.RecordReadFrom(c.TCPConn, readBegan, time.Now(), readAll)
 	return c.noteRequestBytesLocked()
 }
 
@@ -89,10 +82,10 @@
 	c.requestsDone++
 	c.setFirstPendingLocked(false)
 	if c.framing.Heads() > c.requestsDone { // the next request is in net/http's buffer, which the socket does not show
-		c.arrival.Advance()
+		c.arrival.advance()
 		return false
 	}
-	c.arrival.Reset(time.Now())
+	c.arrival.reset(time.Now())
 	if c.framing.WithinHead() { // the beginning of the next request is in net/http's buffer
 		c.limitHead()
 		c.listener.partialRequests[c] = true
