The time in which a client may rest within a chunked body runs from its last byte

What callers saw: 400 for a well-formed body in chunks whose client had rested for less than the 2.5 s that a client may rest; the same body with a Content-Length was served.

Cause: the read deadline was set once for each read of the body, which may take many reads of the connection: within a chunk net/http reads on until its caller's 16 KiB are full. The node's own connections now renew it with each read that returns bytes, by middleware.WithBodyPacer; other hosts have the deadline of whole reads as before.

TestLongBody_ChunkedClientRests: 400 before (trial without the option), served now.

--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -229,6 +229,34 @@
 	}
 }
 
+// TestLongBody_ChunkedClientRests has a client rest three times within one chunk, for less than it may rest within a
+// body, and for longer in all: the time runs from the last byte that came, as that of a body with a length.
+func TestLongBody_ChunkedClientRests(t *testing.T) {
+	const rest = 1500 * time.Millisecond
+	const part = 4 << 10
+	w := newTestNode(t, 0)
+	w.memoryMB = 32
+	w.serveBy(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	w.startWithClient()
+	conn, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-Id: r\r\nX-Class: rezervacia\r\nX-Tenant: t\r\n"+
+		"X-Deadline-Ms: 30000\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", 4*part)
+	for i := range 4 {
+		if i > 0 {
+			time.Sleep(rest)
+		}
+		_, _ = conn.Write(make([]byte, part))
+	}
+	_, _ = io.WriteString(conn, "\r\n0\r\n\r\n")
+	if status, err := readStatus(conn); status != http.StatusOK {
+		t.Errorf("status %d, %v", status, err)
+	}
+}
+
 // watchHeap samples the heap until the returned function is called, which returns the largest sample in bytes.
 func watchHeap() (stop func() uint64) {
 	var largest uint64
--- a/internal/node/clientdeadline.go
+++ b/internal/node/clientdeadline.go
@@ -24,6 +24,7 @@
 	phase     readPhase
 	phaseEnd  time.Time // of phaseIdle and phaseHead
 	requested time.Time // by net/http or a handler; zero: none
+	pace      bodyPace  // renews requested
 	closeBy   time.Time // by which the client has to close its side; zero: it need not
 	final     time.Time // takes the place of all others; zero: it does not
 	current   time.Time // as last set
@@ -33,10 +34,39 @@
 func (d *readDeadline) request(t time.Time) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.requested = t
+	d.requested, d.pace = t, bodyPace{}
 	return d.updateLocked()
 }
 
+// bodyPace bounds the time between two reads that return bytes of a body, up to a deadline for the whole. The zero
+// value bounds nothing.
+type bodyPace struct {
+	timeout  time.Duration
+	deadline time.Time
+}
+
+// paceBody takes the place of request for the reads of a body.
+func (d *readDeadline) paceBody(pace bodyPace) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pace = pace
+	d.renewLocked()
+}
+
+// noteBytes renews the time of a body's pace.
+func (d *readDeadline) noteBytes() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.pace.timeout > 0 {
+		d.renewLocked()
+	}
+}
+
+func (d *readDeadline) renewLocked() {
+	d.requested = earlierDeadline(time.Now().Add(d.pace.timeout), d.pace.deadline)
+	_ = d.updateLocked()
+}
+
 // beginIdle begins phaseIdle.
 func (d *readDeadline) beginIdle(timeout time.Duration) {
 	d.mu.Lock()
--- a/internal/node/clientstate.go
+++ b/internal/node/clientstate.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -13,9 +14,19 @@
 		c.deadline.beginHead(c.listener.headTimeout)
 	} else {
 		c.deadline.beginOpen()
+		c.deadline.noteBytes()
 	}
 }
 
+// paceBody is the middleware.BodyPacer of the node's own connections.
+func paceBody(ctx context.Context, timeout time.Duration, deadline time.Time) bool {
+	c, ok := ctx.Value(clientConnKey{}).(*clientConn)
+	if ok {
+		c.deadline.paceBody(bodyPace{timeout: timeout, deadline: deadline})
+	}
+	return ok
+}
+
 // noteRecordBytes notes that bytes came over TLS, of which no request may be seen until their record is whole.
 func (c *clientConn) noteRecordBytes() {
 	if c.idle.Load() {
--- a/middleware/frontend.go
+++ b/middleware/frontend.go
@@ -54,6 +54,7 @@
 	disconnected func(context.Context) bool
 	arrivalAge   func(context.Context) time.Duration
 	isOverflow   func(context.Context) bool
+	paceBody     BodyPacer // nil: the timeouts of bodies are those of whole reads
 }
 
 // Option changes a default of New.
@@ -118,6 +119,10 @@
 	return func(f *Frontend) { f.isOverflow = isOverflow }
 }
 
+// WithBodyPacer sets what bounds the reads of a request's body. By default a read deadline is set for each read of the
+// body, which of a body in chunks may take many reads of the connection.
+func WithBodyPacer(pace BodyPacer) Option { return func(f *Frontend) { f.paceBody = pace } }
+
 // Path matches requests at the path and below it.
 func Path(path string) func(*http.Request) bool {
 	below := strings.TrimSuffix(path, "/") + "/"
--- a/middleware/longbody.go
+++ b/middleware/longbody.go
@@ -89,7 +89,7 @@
 	newUpload := &upload{
 		request: r, conn: conn, disconnected: f.disconnected, arrivedAt: f.arrivedAt,
 		body: pacedBody{
-			Reader: r.Body, conn: conn, long: maxLength > maxShortBody,
+			Reader: r.Body, conn: conn, long: maxLength > maxShortBody, pace: f.bodyPacer(r),
 			deadline: time.Now().Add(f.bodyTimeout + time.Duration(maxLength)*time.Second/minUploadRate),
 		},
 	}
@@ -98,6 +98,16 @@
 	return newUpload
 }
 
+// bodyPacer returns the BodyPacer of a request's body; nil without one.
+func (f *Frontend) bodyPacer(r *http.Request) func(timeout time.Duration, deadline time.Time) bool {
+	if f.paceBody == nil {
+		return nil
+	}
+	return func(timeout time.Duration, deadline time.Time) bool {
+		return f.paceBody(r.Context(), timeout, deadline)
+	}
+}
+
 // close ends the upload. After an answer that came before the end of the body, the rest of the body is read: a close
 // with bytes unread would reset the connection before the client has read the answer.
 func (u *upload) close() {
--- a/middleware/pacedbody.go
+++ b/middleware/pacedbody.go
@@ -1,6 +1,7 @@
 package middleware
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -14,11 +15,16 @@
 	longBodyStallTimeout = 15 * time.Second
 )
 
+// BodyPacer bounds the reads of a request's body: until the deadline, and no longer than the timeout after the last
+// byte that came. It returns false if it cannot.
+type BodyPacer func(ctx context.Context, timeout time.Duration, deadline time.Time) bool
+
 // pacedBody reads a request's body within a deadline for the whole and a timeout for each read. The time between reads
 // counts for the deadline alone.
 type pacedBody struct {
 	io.Reader
 	conn     *http.ResponseController
+	pace     func(timeout time.Duration, deadline time.Time) bool // nil: the timeout is that of a whole Read
 	deadline time.Time
 	long     bool // over maxShortBody, or of unknown length
 	received int64
@@ -31,17 +37,26 @@
 	if b.ended {
 		return 0, io.EOF
 	}
-	readDeadline := time.Now().Add(b.stallTimeout())
-	if b.deadline.Before(readDeadline) {
-		readDeadline = b.deadline
-	}
-	_ = b.conn.SetReadDeadline(readDeadline) // fails only where there is no connection
+	b.setReadDeadline()
 	n, err := b.Reader.Read(p)
 	b.received += int64(n)
 	b.ended = errors.Is(err, io.EOF)
 	return n, err
 }
 
+// setReadDeadline bounds the next Read. Of a body in chunks it may take many reads of the connection.
+func (b *pacedBody) setReadDeadline() {
+	timeout := b.stallTimeout()
+	if b.pace != nil && b.pace(timeout, b.deadline) {
+		return
+	}
+	readDeadline := time.Now().Add(timeout)
+	if b.deadline.Before(readDeadline) {
+		readDeadline = b.deadline
+	}
+	_ = b.conn.SetReadDeadline(readDeadline) // fails only where there is no connection
+}
+
 // stallTimeout returns the timeout of the next read. The client of a long body may pause for as long as it would have
 // taken at minUploadRate for what it has sent.
 func (b *pacedBody) stallTimeout() time.Duration {
