Idle connections of HTTP clients are kept for two minutes

Most clients keep idle connections for 60 to 90 s. With 15 s it was the node that ended them, and each such end can cross a request. Slots are freed by need, so that the time bounds no descriptors; TCP keep-alive ends the connections of clients that are gone. MessagePack-RPC keeps the 15 s that its page names.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -28,7 +28,8 @@
 	maxHeaderBytes    = 16 << 10
 	headerTimeout     = 2500 * time.Millisecond // for a request's head, from its first byte
 	bodyTimeout       = 5 * time.Second         // for a request's body, beyond what a slow line needs for it
-	clientIdleTimeout = 15 * time.Second        // shorter when connections are scarce
+	clientIdleTimeout = 2 * time.Minute         // longer than clients keep idle connections; shorter when slots are scarce
+	rpcIdleTimeout    = 15 * time.Second        // of MessagePack-RPC; docs/msgpack-rpc.md names it
 	writeTimeout      = 5 * time.Second         // for an answer to a client that does not read
 	readyPath         = "/health/ready"
 )
@@ -216,7 +217,7 @@
 	return msgpackfront.New(n.engine, msgpackfront.Config{
 		MaxConns:       n.limits.msgpackClients,
 		MaxCalls:       n.config.Msgpack.MaxCallsPerConn,
-		IdleTimeout:    clientIdleTimeout,
+		IdleTimeout:    rpcIdleTimeout,
 		MessageTimeout: headerTimeout,
 		WriteTimeout:   writeTimeout,
 		Log:            n.log,
