A connection in its TLS handshake is evicted without lingering

It has no request that the close could reset, and its reader keeps the handshake's own deadline: it would have held one of the few descriptors of lingering connections for up to 2.5 s.

--- a/internal/node/clienteviction.go
+++ b/internal/node/clienteviction.go
@@ -104,19 +104,25 @@
 // connection is sent a 503 first, since the rest of its request may be on its way; a client that has an answer with
 // Connection: close would not read it. The rejection is written before the connection counts as closed, since its
 // reader closes it then.
-func (l *clientListener) rejectEvictedLocked(c *clientConn, withRejection bool) {
+func (l *clientListener) rejectEvictedLocked(conn *clientConn, withRejection bool) {
 	cause := endEvicted
-	if withRejection && c.tls == nil && !c.halfClosed {
+	if withRejection && conn.tls == nil && !conn.halfClosed {
 		cause = endRejected
-		_ = c.SetWriteDeadline(time.Now().Add(rejectionWriteTimeout))
-		_, _ = io.WriteString(c.TCPConn, l.rejectionResponse())
+		_ = conn.SetWriteDeadline(time.Now().Add(rejectionWriteTimeout))
+		_, _ = io.WriteString(conn.TCPConn, l.rejectionResponse())
 	}
-	c.forgetLocked()
-	c.endLocked(cause)
-	l.lingering.add(c)
+	conn.forgetLocked()
+	if conn.isHandshaking() { // it has no request
+		l.mu.Unlock()
+		_ = conn.stream.Close()
+		l.mu.Lock()
+		return
+	}
+	conn.endLocked(cause)
+	l.lingering.add(conn)
 	l.mu.Unlock()
-	_ = c.stream.CloseWrite()
-	c.deadline.interrupt() // its reader returns, and net/http closes the connection
+	_ = conn.stream.CloseWrite()
+	conn.deadline.interrupt() // its reader returns, and net/http closes the connection
 	l.mu.Lock()
 	l.trimLingeringLocked()
 }
