MessagePack-RPC front: an idle connection ends after a last look, without a reset

Callers whose call crossed the end of an idle connection saw a reset or an EOF, and nothing counted it: the reader's last look at the socket, the decision and the close were separate steps, and a close over unread bytes resets the connection. On a Unix socket a call that had come before a late reader looked was lost, too.

The decision is now taken under the connection's mutex together with a look at the socket. A call of which anything has arrived by then is read on and answered; the rest of the message has MessageTimeout. Otherwise the write side is closed and the connection read for lingerTimeout, as at a drain. What arrives there is discarded, not run (in a drain's linger, calls used to be taken without an answer), and counted once a connection in Stats.IdleEnds or Stats.DrainEnds. A connection that lingers holds no slot, and the total stays within MaxConns plus overflowConns: the oldest is closed outright beyond that.

Open: a TLS record of which the TLS layer has read only a part does not count as arrived.

The drain notification is not sent: it says of the whole server that it takes no calls (transport/msgpack holds that for 10 s), and TestIdleConnections and TestServe_EvictsIdleConnections have the end as the first thing that the client sees.

sockets.Unread takes any syscall.Conn, so that Unix sockets are looked at as well.

--- a/internal/frontend/msgpack/conn.go
+++ b/internal/frontend/msgpack/conn.go
@@ -55,7 +55,11 @@
 	draining         bool
 	drainNotifiedAt  time.Time
 	closing          bool // nothing more is read; the writer closes the write side once no call is open
-	writeClosed      bool
+	writeClosed      bool // nothing more is answered; what still arrives is discarded
+	endCause         endCause
+	lingerUntil      time.Time // the end of reading, once the write side is closed
+	closedOverUnread bool      // bytes had arrived as the server closed the connection
+	lossCounted      bool      // a call, or a part of one, came after writeClosed
 }
 
 // deadlineReader reads a connection.
@@ -142,7 +146,7 @@
 		c.finish(msgpackrpc.AppendError(nil, violation.Problem))
 		<-c.writerDone
 	} else { // the client has disconnected, which cancels its calls
-		c.countIncomplete(err)
+		c.countUnanswered(err)
 		c.closeSocket()
 		c.finish(nil)
 	}
@@ -153,13 +157,16 @@
 	c.server.release(c)
 }
 
-// countIncomplete counts the connection if its reading ended within a message, by err.
-func (c *conn) countIncomplete(err error) {
+// countUnanswered counts the connection if its reading ended, by err, within a message.
+func (c *conn) countUnanswered(err error) {
 	c.mu.Lock()
-	withinMessage := !c.messageStartedAt.IsZero()
+	ended := c.writeClosed
+	withinMessage := !c.messageStartedAt.IsZero() || c.closedOverUnread || ended && c.hasUnread()
 	c.mu.Unlock()
 	switch {
 	case !withinMessage:
+	case ended:
+		c.countLostCall()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.server.count(&c.server.stats.Timeouts)
 	default:
--- a/internal/frontend/msgpack/connread.go
+++ b/internal/frontend/msgpack/connread.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"time"
 
 	"cobaltward/internal/sockets"
@@ -25,15 +27,15 @@
 func (c *conn) setReadDeadline(partial bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.writeClosed {
-		return
-	}
 	switch {
 	case !partial:
 		c.messageStartedAt = time.Time{}
 	case c.messageStartedAt.IsZero():
 		c.messageStartedAt = time.Now()
 	}
+	if c.writeClosed {
+		return
+	}
 	deadline := time.Time{}
 	switch {
 	case partial:
@@ -44,8 +46,18 @@
 	_ = c.reader.SetReadDeadline(deadline) // fails only after a close
 }
 
-// Read reads from the client, and records when what it returns can have arrived at the earliest.
+// Read reads from the client. At a read deadline that does not end the connection it reads on.
 func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.readOnce(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.passDeadline() {
+			return n, err
+		}
+	}
+}
+
+// readOnce reads from the client, and records when what it returns can have arrived at the earliest.
+func (c *conn) readOnce(p []byte) (int, error) {
 	began := time.Now()
 	n, err := c.reader.Read(p)
 	now := time.Now()
@@ -90,17 +102,17 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	rejected, ok := c.register(message.ID, cancel)
-	if !ok {
+	admission := c.register(message.ID, cancel)
+	if admission == callDuplicate || admission == callLost {
 		cancel()
 		<-c.callSlots
-		return &msgpackrpc.ProtocolError{Problem: "duplicate msgid"}
+		return c.refuse(admission)
 	}
 	c.server.count(&c.server.stats.Calls)
 	req, reply := c.parseRequest(message, receivedAt)
 	switch {
 	case reply.Code != "":
-	case rejected: // the call crossed the notification, and is not forwarded
+	case admission == callRejected: // the call crossed the notification, and is not forwarded
 		reply = msgpackrpc.Reply{Code: msgpackrpc.Overloaded, Text: "the node is draining"}
 	case c.server.rejectsOverflow(c):
 		reply = c.server.overloadedReply(req.Class)
@@ -119,18 +131,44 @@
 	return nil
 }
 
-// register adds an open call; ok is false if its id is in use. rejected says that the call came after a drain had
-// begun; the first call of a connection is taken all the same.
-func (c *conn) register(id uint32, cancel context.CancelFunc) (rejected, ok bool) {
+// callAdmission is what becomes of a call that has arrived.
+type callAdmission uint8
+
+const (
+	callAdmitted  callAdmission = iota
+	callRejected                // it came after a drain had begun, and is answered
+	callDuplicate               // its id is in use
+	callLost                    // it came after the write side was closed: it cannot be answered, and is not run
+)
+
+// register adds an open call that is admitted or rejected. The first call of a connection is taken even after a drain
+// has begun.
+func (c *conn) register(id uint32, cancel context.CancelFunc) callAdmission {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.open[id] != nil {
-		return false, false
+	switch {
+	case c.writeClosed:
+		return callLost
+	case c.open[id] != nil:
+		return callDuplicate
 	}
 	c.open[id] = cancel
-	rejected = c.draining && c.callSeen
+	rejected := c.draining && c.callSeen
 	c.callSeen = true
-	return rejected, true
+	if rejected {
+		return callRejected
+	}
+	return callAdmitted
+}
+
+// refuse handles a call that is neither admitted nor answered. It returns an error if the client has violated the
+// protocol.
+func (c *conn) refuse(admission callAdmission) error {
+	if admission == callDuplicate {
+		return &msgpackrpc.ProtocolError{Problem: "duplicate msgid"}
+	}
+	c.countLostCall()
+	return nil
 }
 
 // finishCall queues the answer to an open call.
--- a/internal/frontend/msgpack/connwrite.go
+++ b/internal/frontend/msgpack/connwrite.go
@@ -29,8 +29,7 @@
 		if !c.flush(buf, answers) {
 			return
 		}
-		if c.isFinished() {
-			c.closeWriteSide()
+		if c.endIfFinished() {
 			return
 		}
 		buf = stream.Recycle(buf)
@@ -73,10 +72,19 @@
 	return err == nil
 }
 
-// isFinished reports whether nothing is left to write and the connection is to be closed.
-func (c *conn) isFinished() bool {
+// endIfFinished closes the write side if nothing is left to write and the connection is to be closed. It reports
+// whether the write side is closed.
+func (c *conn) endIfFinished() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.writeClosed && c.isFinished() {
+		c.closeWriteSide(endedByDrain)
+	}
+	return c.writeClosed
+}
+
+// isFinished reports whether nothing is left to write and the connection is to be closed. c.mu is held.
+func (c *conn) isFinished() bool {
 	if !c.idle() || len(c.notifications) > 0 {
 		return false
 	}
@@ -85,15 +93,3 @@
 	}
 	return c.draining && time.Since(c.drainNotifiedAt) >= lateCallTimeout && !c.awaitsFirstCall()
 }
-
-// closeWriteSide ends the sending, and gives the client some time to close its side.
-func (c *conn) closeWriteSide() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writeClosed = true
-	if half, ok := c.nc.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
-		_ = c.reader.SetReadDeadline(time.Now().Add(lingerTimeout))
-		return
-	}
-	c.closeSocket()
-}
--- a/internal/frontend/msgpack/server.go
+++ b/internal/frontend/msgpack/server.go
@@ -70,6 +70,7 @@
 	waitingForSlot atomic.Int32           // connections
 	listeners      map[*net.Listener]bool // by pointer, because a listener's type need not be comparable
 	conns          map[*conn]bool
+	lingering      []*conn // ended by the server, and read for lingerTimeout; without a slot, in order of their end
 	draining       bool
 	closed         bool
 	serving        sync.WaitGroup // of the listeners and the connections
@@ -78,12 +79,17 @@
 
 // Stats is what a server counts.
 type Stats struct {
-	Conns, Open    int    // connections and open calls at present
+	Conns, Open    int    // connections, also those that the server has ended, and open calls at present
 	Calls          uint64 // received
 	ProtocolErrors uint64 // connections closed because the client violated the protocol
 	Timeouts       uint64 // connections closed because the rest of a message did not come in time
 	Incomplete     uint64 // connections that their clients closed within a message
 	Evicted        uint64 // connections closed in favour of others: idle ones, and stalled ones beyond the limit
+
+	// Connections on which a call, or a part of one, arrived without an answer after they had been ended, by cause. A
+	// connection that is counted here is not counted in Timeouts or Incomplete.
+	IdleEnds  uint64 // after the idle timeout
+	DrainEnds uint64 // after the notification of a drain, and the time for calls that cross it
 }
 
 // New returns a server that passes calls to an engine.
@@ -182,7 +188,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	stats := s.stats
-	stats.Conns = len(s.conns)
+	stats.Conns = len(s.conns) + len(s.lingering)
 	for conn := range s.conns {
 		stats.Open += conn.openCalls()
 	}
@@ -200,6 +206,7 @@
 func (s *Server) Connections() (open, busy int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	open = len(s.lingering)
 	for conn := range s.conns {
 		open++
 		if conn.isBusy() {
@@ -285,6 +292,9 @@
 	for conn := range s.conns {
 		conn.closeSocket()
 	}
+	for _, conn := range s.lingering {
+		conn.closeSocket()
+	}
 	s.slotFreed.Broadcast()
 	s.mu.Unlock()
 	s.serving.Wait()
--- a/internal/frontend/msgpack/slots.go
+++ b/internal/frontend/msgpack/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"time"
 
 	"cobaltward/internal/sockets"
@@ -33,6 +34,7 @@
 		return false
 	}
 	s.conns[conn] = true
+	s.boundLingering()
 	s.serving.Go(conn.serve)
 	return true
 }
@@ -126,10 +128,35 @@
 	return true
 }
 
+// linger frees the slot of a connection that the server has ended, and that is still read.
+func (s *Server) linger(conn *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.conns[conn] {
+		return
+	}
+	delete(s.conns, conn)
+	s.lingering = append(s.lingering, conn)
+	s.boundLingering()
+	s.slotFreed.Broadcast()
+}
+
+// boundLingering closes the lingering connections that ended first, so that there are never more connections than with
+// all slots and overflowConns in use. s.mu is held.
+func (s *Server) boundLingering() {
+	for len(s.lingering) > 0 && len(s.conns)+len(s.lingering) > s.config.MaxConns+overflowConns {
+		s.lingering[0].closeLingering()
+		s.lingering = slices.Delete(s.lingering, 0, 1)
+	}
+}
+
 // release frees the slot of a connection that has ended.
 func (s *Server) release(conn *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
+	if i := slices.Index(s.lingering, conn); i >= 0 {
+		s.lingering = slices.Delete(s.lingering, i, i+1)
+	}
 	s.slotFreed.Broadcast()
 }
--- a/internal/sockets/deadlinereader.go
+++ b/internal/sockets/deadlinereader.go
@@ -99,7 +99,7 @@
 }
 
 // Unread returns the number of bytes of a connection that have arrived and are unread; 0 if the kernel does not tell.
-func Unread(c *net.TCPConn) int {
+func Unread(c syscall.Conn) int {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return 0
