MessagePack-RPC front: an eviction is an orderly end, and answers what has arrived

Callers whose call had arrived, or was arriving, on an idle connection that made room for another one saw a reset or an EOF: evict closed the socket at once. The connection's own state does not tell what the kernel holds, nor what the reader has just read and not handled.

evict now takes the connection that has been idle for longest with nothing unread, and one with unread bytes only if there is no other. Its slot is free at once, as before. The reader, woken by its deadline, ends the connection as at the end of its idle time: with a last look, the close of the write side, and lingerTimeout. A call that crosses the eviction is answered as overloaded, by the engine's own rejection; one that comes after the close is discarded, not run, and counted once a connection in Stats.EvictionEnds. A connection whose handshake is under way is closed at once, as before. An overflow connection that is evicted within a message in which its client has paused counts in EvictionEnds, instead of Incomplete. Descriptors are bounded as before: evicted and lingering connections use what is not used of the slots and overflowConns, and the oldest is closed outright beyond that; an answer that is lost by this is counted, too.

--- a/internal/frontend/msgpack/conn.go
+++ b/internal/frontend/msgpack/conn.go
@@ -56,10 +56,12 @@
 	drainNotifiedAt  time.Time
 	closing          bool // nothing more is read; the writer closes the write side once no call is open
 	writeClosed      bool // nothing more is answered; what still arrives is discarded
+	evicted          bool // the reader ends the connection as soon as it is idle
 	endCause         endCause
 	lingerUntil      time.Time // the end of reading, once the write side is closed
 	closedOverUnread bool      // bytes had arrived as the server closed the connection
-	lossCounted      bool      // a call, or a part of one, came after writeClosed
+	answersLost      bool      // a write of answers has failed
+	lossCounted      bool      // a call that met the end of the connection is counted
 }
 
 // deadlineReader reads a connection.
@@ -122,11 +124,15 @@
 	return !c.callSeen && !c.closing && !c.writeClosed && time.Since(c.openedAt) < drainFirstCallGrace
 }
 
-// evictableSince returns the time since which the connection has been idle; false if it may not be evicted. An overflow
-// connection may be evicted within a message that has stalled, but not while its first call may be arriving.
+// evictableSince returns the time since which the connection has been idle, zero if it has ended; false if it may not
+// be evicted. An overflow connection may be evicted within a message that has stalled, but not while its first call may
+// be arriving.
 func (c *conn) evictableSince() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.writeClosed {
+		return time.Time{}, true
+	}
 	if c.overflow && !c.callSeen && time.Since(c.idleSince) < firstCallGrace {
 		return time.Time{}, false
 	}
@@ -153,6 +159,7 @@
 	cancel()
 	c.calls.Wait()
 	<-c.writerDone
+	c.countLostAnswers()
 	c.closeSocket()
 	c.server.release(c)
 }
@@ -174,6 +181,16 @@
 	}
 }
 
+// countLostAnswers counts the connection if the server closed it before its last answers were written.
+func (c *conn) countLostAnswers() {
+	c.mu.Lock()
+	lost := c.writeClosed && (c.answersLost || len(c.queue) > 0)
+	c.mu.Unlock()
+	if lost {
+		c.countLostCall()
+	}
+}
+
 // finish has the writer send a last notification, which may be empty, and end once no call is open.
 func (c *conn) finish(notification []byte) {
 	c.mu.Lock()
--- a/internal/frontend/msgpack/connend.go
+++ b/internal/frontend/msgpack/connend.go
@@ -14,6 +14,7 @@
 	notEnded endCause = iota
 	endedIdle
 	endedByDrain
+	endedByEviction
 )
 
 // passDeadline is called by the reader at a read deadline. It reports whether the reader reads on: it does where the
@@ -41,18 +42,63 @@
 	switch {
 	case c.writeClosed:
 		return time.Now().Before(c.lingerUntil)
-	case !c.messageStartedAt.IsZero():
+	case c.messageTimedOut():
 		return false
 	case c.draining || !c.idle(): // the writer ends the connection, or sets the deadline
 		_ = c.reader.SetReadDeadline(time.Time{})
 	case c.hasUnread(): // since the read's last look; with TLS it may be a part of a record
-		_ = c.reader.SetReadDeadline(time.Now().Add(c.server.config.MessageTimeout))
+		_ = c.reader.SetReadDeadline(c.messageDeadline())
+	case c.evicted: // a message within which the client has paused is lost
+		c.closeWriteSide(endedByEviction)
 	default:
 		c.closeWriteSide(endedIdle)
 	}
 	return true
 }
 
+// idleDeadline is the end of an idle time that begins now. c.mu is held.
+func (c *conn) idleDeadline() time.Time {
+	if c.evicted {
+		return time.Now()
+	}
+	return time.Now().Add(c.server.config.IdleTimeout)
+}
+
+// messageDeadline is when the message must be complete that is being read, or begins now. c.mu is held.
+func (c *conn) messageDeadline() time.Time {
+	startedAt := c.messageStartedAt
+	if startedAt.IsZero() {
+		startedAt = time.Now()
+	}
+	return startedAt.Add(c.server.config.MessageTimeout)
+}
+
+// messageTimedOut reports whether a read deadline was that of a message. c.mu is held.
+func (c *conn) messageTimedOut() bool {
+	return !c.messageStartedAt.IsZero() && (!c.evicted || !time.Now().Before(c.messageDeadline()))
+}
+
+// evict has the reader end the connection as soon as it is idle: a call that has arrived is answered before. It returns
+// false if the connection has ended already.
+func (c *conn) evict() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeClosed {
+		return false
+	}
+	c.evicted, c.endCause = true, endedByEviction
+	handshake, ok := c.nc.(interface{ Handshaking() bool })
+	switch {
+	case ok && handshake.Handshaking(): // no call can have arrived
+		c.closeSocket()
+	case c.hasUnread():
+		_ = c.reader.SetReadDeadline(c.messageDeadline())
+	default:
+		_ = c.reader.SetReadDeadline(time.Now())
+	}
+	return true
+}
+
 // hasUnread reports whether bytes have arrived that are not read.
 func (c *conn) hasUnread() bool {
 	if tcp := tcpConn(c.nc); tcp != nil {
@@ -74,10 +120,10 @@
 	c.closeSocket()
 }
 
-// closeLingering closes a connection whose write side is closed, before the client has closed its side.
+// closeLingering closes a connection that has ended or is evicted, before the client has closed its side.
 func (c *conn) closeLingering() {
 	c.mu.Lock()
-	c.closedOverUnread = c.hasUnread()
+	c.writeClosed, c.closedOverUnread = true, c.hasUnread()
 	c.mu.Unlock()
 	c.closeSocket()
 }
@@ -96,8 +142,11 @@
 
 // endCounter returns the counter of connections whose calls met an end by cause.
 func (s *Stats) endCounter(cause endCause) *uint64 {
-	if cause == endedIdle {
+	switch cause {
+	case endedIdle:
 		return &s.IdleEnds
+	case endedByEviction:
+		return &s.EvictionEnds
 	}
 	return &s.DrainEnds
 }
--- a/internal/frontend/msgpack/connread.go
+++ b/internal/frontend/msgpack/connread.go
@@ -41,7 +41,7 @@
 	case partial:
 		deadline = c.messageStartedAt.Add(c.server.config.MessageTimeout)
 	case c.idle():
-		deadline = time.Now().Add(c.server.config.IdleTimeout)
+		deadline = c.idleDeadline()
 	}
 	_ = c.reader.SetReadDeadline(deadline) // fails only after a close
 }
@@ -112,6 +112,8 @@
 	req, reply := c.parseRequest(message, receivedAt)
 	switch {
 	case reply.Code != "":
+	case admission == callEvicted:
+		reply = c.server.overloadedReply(req.Class)
 	case admission == callRejected: // the call crossed the notification, and is not forwarded
 		reply = msgpackrpc.Reply{Code: msgpackrpc.Overloaded, Text: "the node is draining"}
 	case c.server.rejectsOverflow(c):
@@ -137,11 +139,12 @@
 const (
 	callAdmitted  callAdmission = iota
 	callRejected                // it came after a drain had begun, and is answered
+	callEvicted                 // it crossed the eviction of its connection, and is answered
 	callDuplicate               // its id is in use
 	callLost                    // it came after the write side was closed: it cannot be answered, and is not run
 )
 
-// register adds an open call that is admitted or rejected. The first call of a connection is taken even after a drain
+// register adds an open call that is run or answered. The first call of a connection is taken even after a drain
 // has begun.
 func (c *conn) register(id uint32, cancel context.CancelFunc) callAdmission {
 	c.mu.Lock()
@@ -153,9 +156,12 @@
 		return callDuplicate
 	}
 	c.open[id] = cancel
-	rejected := c.draining && c.callSeen
+	first := !c.callSeen
 	c.callSeen = true
-	if rejected {
+	switch {
+	case c.evicted:
+		return callEvicted
+	case c.draining && !first:
 		return callRejected
 	}
 	return callAdmitted
--- a/internal/frontend/msgpack/connwrite.go
+++ b/internal/frontend/msgpack/connwrite.go
@@ -58,9 +58,10 @@
 	c.mu.Lock()
 	c.unwritten -= answers
 	c.answerWritten = c.answerWritten || answers > 0
+	c.answersLost = c.answersLost || answers > 0 && err != nil
 	idle := c.idle()
 	if idle && c.messageStartedAt.IsZero() && !c.writeClosed { // the reader may be waiting without a deadline
-		_ = c.reader.SetReadDeadline(time.Now().Add(c.server.config.IdleTimeout))
+		_ = c.reader.SetReadDeadline(c.idleDeadline())
 	}
 	c.mu.Unlock()
 	if idle {
--- a/internal/frontend/msgpack/server.go
+++ b/internal/frontend/msgpack/server.go
@@ -70,7 +70,7 @@
 	waitingForSlot atomic.Int32           // connections
 	listeners      map[*net.Listener]bool // by pointer, because a listener's type need not be comparable
 	conns          map[*conn]bool
-	lingering      []*conn // ended by the server, and read for lingerTimeout; without a slot, in order of their end
+	lingering      []*conn // evicted, or ended by the server and read for lingerTimeout; without a slot, oldest first
 	draining       bool
 	closed         bool
 	serving        sync.WaitGroup // of the listeners and the connections
@@ -84,12 +84,13 @@
 	ProtocolErrors uint64 // connections closed because the client violated the protocol
 	Timeouts       uint64 // connections closed because the rest of a message did not come in time
 	Incomplete     uint64 // connections that their clients closed within a message
-	Evicted        uint64 // connections closed in favour of others: idle ones, and stalled ones beyond the limit
+	Evicted        uint64 // connections ended in favour of others: idle ones, and stalled ones beyond the limit
 
 	// Connections on which a call, or a part of one, arrived without an answer after they had been ended, by cause. A
 	// connection that is counted here is not counted in Timeouts or Incomplete.
-	IdleEnds  uint64 // after the idle timeout
-	DrainEnds uint64 // after the notification of a drain, and the time for calls that cross it
+	IdleEnds     uint64 // after the idle timeout
+	EvictionEnds uint64 // after the eviction, or as it began where the client had paused within a message
+	DrainEnds    uint64 // after the notification of a drain, and the time for calls that cross it
 }
 
 // New returns a server that passes calls to an engine.
--- a/internal/frontend/msgpack/slots.go
+++ b/internal/frontend/msgpack/slots.go
@@ -110,35 +110,52 @@
 	}
 }
 
-// evict closes the connection that has been idle for longest. It returns false if none is idle.
+// evict frees the slot of the connection that has been idle for longest. One on which something has arrived is evicted
+// only if there is no other. It returns false if none is idle. s.mu is held.
 func (s *Server) evict() bool {
-	var oldest *conn
-	var oldestIdleSince time.Time
-	for conn := range s.conns {
-		if at, ok := conn.evictableSince(); ok && (oldest == nil || at.Before(oldestIdleSince)) {
-			oldest, oldestIdleSince = conn, at
-		}
+	oldest := s.longestIdle(false)
+	if oldest == nil {
+		oldest = s.longestIdle(true)
 	}
 	if oldest == nil {
 		return false
 	}
-	s.stats.Evicted++
-	delete(s.conns, oldest)
-	oldest.closeSocket()
+	if oldest.evict() {
+		s.stats.Evicted++
+	}
+	s.freeSlot(oldest)
 	return true
 }
 
-// linger frees the slot of a connection that the server has ended, and that is still read.
+// longestIdle returns the connection that may be evicted and has been idle for longest; nil if there is none.
+// includeUnread includes those on which something has arrived that is not read. s.mu is held.
+func (s *Server) longestIdle(includeUnread bool) *conn {
+	var oldest *conn
+	var oldestIdleSince time.Time
+	for conn := range s.conns {
+		idleSince, ok := conn.evictableSince()
+		if ok && (oldest == nil || idleSince.Before(oldestIdleSince)) && (includeUnread || !conn.hasUnread()) {
+			oldest, oldestIdleSince = conn, idleSince
+		}
+	}
+	return oldest
+}
+
+// linger frees the slot of a connection that the server has ended, and that is still read, if it has one.
 func (s *Server) linger(conn *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.conns[conn] {
-		return
+	if s.conns[conn] {
+		s.freeSlot(conn)
+		s.slotFreed.Broadcast()
 	}
+}
+
+// freeSlot makes a connection that has ended, or is evicted, a lingering one. s.mu is held.
+func (s *Server) freeSlot(conn *conn) {
 	delete(s.conns, conn)
 	s.lingering = append(s.lingering, conn)
 	s.boundLingering()
-	s.slotFreed.Broadcast()
 }
 
 // boundLingering closes the lingering connections that ended first, so that there are never more connections than with
