--- a/internal/frontend/msgpack/slots.go
+++ b/internal/frontend/msgpack/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"time"
 
 	"cobaltward/internal/sockets"
@@ -33,6 +34,7 @@
 		return false
 	}
 	s.conns[conn] = true
+	s.boundLingering()
 	s.serving.Go(conn.serve)
 	return true
 }
@@ -108,22 +110,61 @@
 	}
 }
 
-// evict closes the connection that has been idle for longest. It returns false if none is idle.
+// evict frees the slot of the connection that has been idle for longest. One on which something has arrived is evicted
+// only if there is no other. It returns false if none is idle. s.mu is held.
 func (s *Server) evict() bool {
+	oldest := s.longestIdle(false)
+	if oldest == nil {
+		oldest = s.longestIdle(true)
+	}
+	if oldest == nil {
+		return false
+	}
+	if oldest.evict() {
+		s.stats.Evicted++
+	}
+	s.freeSlot(oldest)
+	return true
+}
+
+// longestIdle returns the connection that may be evicted and has been idle for longest; nil if there is none.
+// includeUnread includes those on which something has arrived that is not read. s.mu is held.
+func (s *Server) longestIdle(includeUnread bool) *conn {
 	var oldest *conn
 	var oldestIdleSince time.Time
 	for conn := range s.conns {
-		if at, ok := conn.evictableSince(); ok && (oldest == nil || at.Before(oldestIdleSince)) {
-			oldest, oldestIdleSince = conn, at
+		idleSince, ok := conn.evictableSince()
+		if ok && (oldest == nil || idleSince.Before(oldestIdleSince)) && (includeUnread || !conn.hasUnread()) {
+			oldest, oldestIdleSince = conn, idleSince
 		}
 	}
-	if oldest == nil {
-		return false
+	return oldest
+}
+
+// linger frees the slot of a connection that the server has ended, and that is still read, if it has one.
+func (s *Server) linger(conn *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns[conn] {
+		s.freeSlot(conn)
+		s.slotFreed.Broadcast()
+	}
+}
+
+// freeSlot makes a connection that has ended, or is evicted, a lingering one. s.mu is held.
+func (s *Server) freeSlot(conn *conn) {
+	delete(s.conns, conn)
+	s.lingering = append(s.lingering, conn)
+	s.boundLingering()
+}
+
+// boundLingering closes the lingering connections that ended first, so that there are never more connections than with
+// all slots and overflowConns in use. s.mu is held.
+func (s *Server) boundLingering() {
+	for len(s.lingering) > 0 && len(s.conns)+len(s.lingering) > s.config.MaxConns+overflowConns {
+		s.lingering[0].closeLingering()
+		s.lingering = slices.Delete(s.lingering, 0, 1)
 	}
-	s.stats.Evicted++
-	delete(s.conns, oldest)
-	oldest.closeSocket()
-	return true
 }
 
 // release frees the slot of a connection that has ended.
@@ -131,5 +172,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
+	if i := slices.Index(s.lingering, conn); i >= 0 {
+		s.lingering = slices.Delete(s.lingering, i, i+1)
+	}
 	s.slotFreed.Broadcast()
 }
