--- a/internal/node/unanswered.go
+++ b/internal/node/unanswered.go
@@ -114,7 +114,10 @@
 	counts := n.httpServer.listener.unansweredCounts()
 	if n.rpcServer != nil {
 		stats := n.rpcServer.Stats()
-		counts.add(unansweredCounts{timeouts: stats.Timeouts, clientCloses: stats.Incomplete})
+		counts.add(unansweredCounts{
+			timeouts: stats.Timeouts, clientCloses: stats.Incomplete,
+			idleEnds: stats.IdleEnds, evictions: stats.EvictionEnds, drains: stats.DrainEnds,
+		})
 	}
 	return counts
 }
