Evictions and idle deadlines cost the accept loop and the mutex less

The reader of an evicted connection closes the oldest now, and the deadline is set outside; accepting waits only beyond endingConns. In traces each rejected request had waited over 300 ms.

--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -93,10 +93,11 @@
 
 // handshakeDone notes the end of the TLS handshake.
 func (c *clientConn) handshakeDone() {
+	c.deadline.beginIdle(c.listener.idleTimeout)
+	c.deadline.apply()
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.openedAt = time.Now()
-	c.deadline.beginIdle(c.listener.idleTimeout)
 	c.listener.slotFreed.Broadcast()
 }
 
--- a/internal/node/clientdeadline.go
+++ b/internal/node/clientdeadline.go
@@ -67,11 +67,17 @@
 	_ = d.updateLocked()
 }
 
-// beginIdle begins phaseIdle.
+// beginIdle begins phaseIdle. Its deadline is set by the next call of apply or request.
 func (d *readDeadline) beginIdle(timeout time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.phase, d.phaseEnd = phaseIdle, time.Now().Add(timeout)
+}
+
+// apply sets the deadline of a phase that has begun.
+func (d *readDeadline) apply() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	_ = d.updateLocked()
 }
 
--- a/internal/node/clienteviction.go
+++ b/internal/node/clienteviction.go
@@ -124,7 +124,7 @@
 	_ = conn.stream.CloseWrite()
 	conn.deadline.interrupt() // its reader returns, and net/http closes the connection
 	l.mu.Lock()
-	l.trimLingeringLocked()
+	l.trimLingeringLocked(overflowConns + endingConns)
 }
 
 // rejectionResponse returns the response for the client of an evicted connection.
--- a/internal/node/clientlinger.go
+++ b/internal/node/clientlinger.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// endingConns is how many evicted connections may exist beyond overflowConns until their readers have noticed.
+// Accepting waits for none of them below that.
+const endingConns = 6
+
 // lingeringConns are connections that the node ends ahead of their clients: a close while bytes of a request are
 // unread, or on their way, would reset them, and their clients could not tell whether the request was lost. They linger
 // instead: the node's side is closed, and what arrives is discarded until the client has closed its own side, or
@@ -51,10 +55,10 @@
 	}
 }
 
-// trimLingeringLocked closes the connections that have lingered for longest while there are more connections than
-// descriptors for them; the mutex is released meanwhile.
-func (l *clientListener) trimLingeringLocked() {
-	for l.lingering.len() > 0 && l.open+l.lingering.len() > l.maxConns+overflowConns {
+// trimLingeringLocked closes the connections that have lingered for longest while there are more than maxConns and
+// excess connections; the mutex is released meanwhile.
+func (l *clientListener) trimLingeringLocked(excess int) {
+	for l.lingering.len() > 0 && l.open+l.lingering.len() > l.maxConns+excess {
 		l.closeOldestLingeringLocked()
 	}
 }
@@ -90,7 +94,7 @@
 		l.slotFreed.Signal()
 	}
 	l.lingering.add(c)
-	l.trimLingeringLocked()
+	l.trimLingeringLocked(overflowConns)
 	return true
 }
 
--- a/internal/node/clientlistener.go
+++ b/internal/node/clientlistener.go
@@ -81,13 +81,14 @@
 	defer l.mu.Unlock()
 	conn.arrival.reset(l.queue.EmptyAt())
 	l.open++
-	l.trimLingeringLocked()
+	l.trimLingeringLocked(overflowConns + endingConns)
 	conn.setFirstPendingLocked(!l.shuttingDown)
 	if l.tlsLayer != nil {
 		l.awaitHandshakeSlotLocked()
 	}
 	l.awaitSlotLocked(conn)
 	conn.markIdleLocked()
+	conn.deadline.apply()
 	if conn.tls != nil {
 		return &tlsClientConn{conn, conn.tls}, nil
 	}
--- a/internal/node/clientstate.go
+++ b/internal/node/clientstate.go
@@ -65,7 +65,9 @@
 
 // onStateChange follows net/http's state of the connection.
 func (c *clientConn) onStateChange(state http.ConnState) {
-	if c.trackState(state) {
+	mustClose := c.trackState(state)
+	c.deadline.apply()
+	if mustClose {
 		c.closeWriteSide()
 	}
 }
