adminapi: the client gives up idle connections after half of the server's time

What callers saw: a POST over a connection that had rested for about a minute, the server's idle timeout, could fail with EOF or a reset: http.Transport does not send a POST again once it is written. Cause: the client kept idle connections without a bound, so that the server always ended them.

--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -11,10 +11,16 @@
 // socketHost is the Host header of requests over a Unix socket. Servers ignore it.
 const socketHost = "door"
 
+// clientIdleTimeout is how long a client keeps an idle connection: well below the server's idleTimeout, whose end could
+// cross a POST, which http.Transport does not send again.
+const clientIdleTimeout = idleTimeout / 2
+
 // NewClient returns a client for the server at an address, and the URL with which paths begin. The address is the
 // path of a Unix socket, or IP:port with a token; over IP, tlsConfig is nil for plain HTTP.
 func NewClient(address, token string, tlsConfig *tls.Config) (client *http.Client, baseURL string) {
-	transport := &http.Transport{DisableCompression: true, TLSClientConfig: tlsConfig}
+	transport := &http.Transport{
+		DisableCompression: true, TLSClientConfig: tlsConfig, IdleConnTimeout: clientIdleTimeout,
+	}
 	baseURL = "http://" + address
 	if tlsConfig != nil {
 		baseURL = "https://" + address
