transport/http1: an attempt that wrote nothing does not renew a connection's idle time

What callers saw: a request on a connection that its server had kept idle for longer than the settings say, which ends as a reset: a non-idempotent request fails with it. Cause: release set lastUsed also where the attempt had ended before its write (abandoned, a draining server, fields that cannot be written, a preconnect that found an idle connection). The server counts the connection as idle all the while. Evidence: TestAbandonedAttemptKeepsIdleTime: abandoned attempts every 60 ms, settings of 600 ms: the next request was written on a connection that was idle for longer than that; now the pool gives it up after half. Why it works: lastUsed is set when a connection is opened and when a response ends, and release keeps the pool in its order, which takeIdle and closeOldestOfAll expect.

--- a/transport/http1/conn.go
+++ b/transport/http1/conn.go
@@ -13,7 +13,7 @@
 	tcp      *net.TCPConn
 	tls      *secure.Conn // nil: plaintext
 	server   *server
-	lastUsed time.Time
+	lastUsed time.Time // when it was opened, or its last response ended
 }
 
 func (c *conn) Read(p []byte) (int, error) {
--- a/transport/http1/dial.go
+++ b/transport/http1/dial.go
@@ -92,6 +92,7 @@
 	case opened.tls != nil:
 		opened.tcp = opened.tls.TCP()
 	}
+	opened.lastUsed = time.Now()
 	return opened, nil
 }
 
--- a/transport/http1/pool.go
+++ b/transport/http1/pool.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"slices"
 	"time"
 
 	"cobaltward/transport/servers"
@@ -112,15 +113,22 @@
 	return true
 }
 
-// release returns a connection to the pool if it can serve another request, and closes it otherwise.
-func (t *Transport) release(c *conn, id string, reusable bool) {
+// release returns a connection to the pool if it can serve another request, and closes it otherwise. An attempt that
+// wrote nothing leaves its place by lastUsed as it was: the server counts the connection as idle all the while.
+func (t *Transport) release(connection *conn, id string, reusable bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if reusable && t.servers.Get(id) == c.server {
-		c.lastUsed = time.Now()
-		c.server.State.idle = append(c.server.State.idle, c)
+	if reusable && t.servers.Get(id) == connection.server {
+		idle := connection.server.State.idle
+		at, _ := slices.BinarySearchFunc(idle, connection.lastUsed, func(other *conn, lastUsed time.Time) int {
+			if other.lastUsed.After(lastUsed) {
+				return 1
+			}
+			return -1
+		})
+		connection.server.State.idle = slices.Insert(idle, at, connection)
 		return
 	}
-	_ = c.Close()
+	_ = connection.Close()
 	t.openConns--
 }
--- a/transport/http1/pool_test.go
+++ b/transport/http1/pool_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -189,3 +191,55 @@
 		})
 	}
 }
+
+// TestAbandonedAttemptKeepsIdleTime has attempts end again and again before they write anything: the server counts the
+// connection as idle all the while, and so does the pool.
+func TestAbandonedAttemptKeepsIdleTime(t *testing.T) {
+	const serverIdleTimeout = 600 * time.Millisecond
+	var conns atomic.Int32
+	addr := testkit.RawServer(t, func(c net.Conn, r *bufio.Reader) {
+		conns.Add(1)
+		for testkit.ReadFullRequest(r) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	transport := testTransport(t, addr)
+	settings := testSettings()
+	settings.Capabilities.ConnIdleTimeout = serverIdleTimeout
+	transport.Configure(settings)
+	attempt(t, transport, testRequest(http.MethodGet, "r1", ""))
+	for usedAt := time.Now(); time.Since(usedAt) < serverIdleTimeout; {
+		time.Sleep(serverIdleTimeout / 10)
+		got := transport.Attempt(abandonedContext{t.Context()}, "s0", testRequest(http.MethodPost, "abandoned", ""))
+		if got.Code != policy.Superseded {
+			t.Fatalf("abandoned: code %v", got.Code)
+		}
+	}
+	time.Sleep(2 * reuseDelay)
+	if r := attempt(t, transport, testRequest(http.MethodPost, "r2", "")); r.Code != policy.OK {
+		t.Errorf("code %v", r.Code)
+	}
+	if conns.Load() == 1 {
+		t.Error("a request was written on a connection that was idle for longer than the server keeps one")
+	}
+}
+
+// abandonedContext is the context of an attempt whose request has its answer.
+type abandonedContext struct{ context.Context }
+
+func (abandonedContext) Abandoned() bool { return true }
+
+// TestReleaseKeepsOrder checks that the connections of a server stay in the order of their last use, whatever the order
+// in which they are released.
+func TestReleaseKeepsOrder(t *testing.T) {
+	transport := testTransport(t, "127.0.0.1:9")
+	srv := transport.servers.Get("s0")
+	began := time.Now()
+	for _, i := range []int{2, 0, 3, 1, 2} {
+		transport.release(&conn{server: srv, lastUsed: began.Add(time.Duration(i))}, "s0", true)
+	}
+	if !slices.IsSortedFunc(srv.State.idle, func(a, b *conn) int { return a.lastUsed.Compare(b.lastUsed) }) {
+		t.Error("not in order")
+	}
+	srv.State.idle = nil // they have no sockets
+}
--- a/transport/http1/roundtrip.go
+++ b/transport/http1/roundtrip.go
@@ -65,6 +65,7 @@
 	if err != nil {
 		return router.Result{Code: failureCode(ctx, err, true)}, false
 	}
+	connection.lastUsed = time.Now()
 	return t.resultOf(resp), !resp.head.closeAfter
 }
 
--- a/transport/http1/stream.go
+++ b/transport/http1/stream.go
@@ -63,6 +63,7 @@
 			s.closeAfter = s.closeAfter || s.in.Buffered() > 0
 			s.in.Reset(nil)
 			s.transport.readers.Put(s.in)
+			s.conn.lastUsed = time.Now()
 		}
 		s.transport.release(s.conn, s.serverID, complete && !s.closeAfter)
 	})
