--- a/handshakes/conn.go
+++ b/handshakes/conn.go
@@ -18,13 +18,16 @@
 
 // Conn is the TCP connection under a TLS connection. During the handshake, the computations between its reads run under
 // a CPUScheduler. After EndHandshake it only passes reads and writes on. As with crypto/tls, one goroutine may read
-// while another writes; HasReceived, IsComputing and DropBlockingWrites may be called at any time by any goroutine.
+// while another writes; HasReceived, WithinRecord, IsComputing and DropBlockingWrites may be called at any time by any
+// goroutine.
 type Conn struct {
 	net.Conn // its other methods
 	TCP      *net.TCPConn
 	reader   *sockets.DeadlineReader
 	// AbortIfPeerCloses fails the handshake as soon as the peer has closed, and discards what it sent before.
 	AbortIfPeerCloses bool
+	// TrackRecords has WithinRecord follow the records that blocking reads return.
+	TrackRecords bool
 	// OnReceive, if it is not nil, is called after each blocking read beyond the handshake that returned bytes.
 	OnReceive func()
 
@@ -38,6 +41,8 @@
 	handshakeBytes int       // received
 	computeTime    time.Duration
 
+	records           recordTracker // used by the reader only
+	withinRecord      atomic.Bool
 	readsNonBlocking  bool
 	writesNonBlocking atomic.Bool
 	received          atomic.Bool
@@ -111,12 +116,22 @@
 		return c.readHandshake(p)
 	}
 	n, err := c.reader.Read(p)
+	c.trackRecords(p[:n])
 	if n > 0 && c.OnReceive != nil {
 		c.OnReceive()
 	}
 	return n, err
 }
 
+// WithinRecord reports whether a part of a record has been read, but not the rest; false without TrackRecords.
+func (c *Conn) WithinRecord() bool { return c.withinRecord.Load() }
+
+func (c *Conn) trackRecords(received []byte) {
+	if c.TrackRecords && len(received) > 0 {
+		c.withinRecord.Store(c.records.advance(received))
+	}
+}
+
 // SetDeadline implements net.Conn.
 func (c *Conn) SetDeadline(t time.Time) error {
 	return errors.Join(c.SetReadDeadline(t), c.TCP.SetWriteDeadline(t))
@@ -128,6 +143,7 @@
 func (c *Conn) readHandshake(p []byte) (int, error) {
 	c.releaseCPU()
 	n, err := c.reader.Read(p)
+	c.trackRecords(p[:n])
 	c.received.Store(true)
 	c.handshakeBytes += n
 	if c.handshakeBytes > MaxHandshakeBytes {
--- /dev/null
+++ b/handshakes/records.go
@@ -0,0 +1,36 @@
+package handshakes
+
+import "encoding/binary"
+
+// Layout of the header of a TLS record.
+const (
+	recordHeaderSize   = 5
+	recordLengthOffset = 3
+)
+
+// recordTracker follows the records in a stream of TLS bytes.
+type recordTracker struct {
+	header     [recordHeaderSize]byte
+	headerSize int // bytes of the current header that have come
+	remaining  int // bytes of the current record's content that have not come
+}
+
+// advance takes the next bytes of the stream, and reports whether they end within a record.
+func (t *recordTracker) advance(data []byte) (within bool) {
+	for len(data) > 0 {
+		if t.remaining > 0 {
+			n := min(t.remaining, len(data))
+			t.remaining -= n
+			data = data[n:]
+			continue
+		}
+		n := copy(t.header[t.headerSize:], data)
+		t.headerSize += n
+		data = data[n:]
+		if t.headerSize == recordHeaderSize {
+			t.headerSize = 0
+			t.remaining = int(binary.BigEndian.Uint16(t.header[recordLengthOffset:]))
+		}
+	}
+	return t.headerSize > 0 || t.remaining > 0
+}
--- /dev/null
+++ b/handshakes/records_test.go
@@ -0,0 +1,19 @@
+package handshakes
+
+import "testing"
+
+// TestRecordTracker_AnyPieces has three records, one of them empty, come in pieces of each size: the stream is within a
+// record but at the end of one.
+func TestRecordTracker_AnyPieces(t *testing.T) {
+	stream := []byte{23, 3, 3, 0, 2, 'a', 'b', 21, 3, 3, 0, 0, 23, 3, 3, 0, 1, 'c'}
+	ends := map[int]bool{7: true, 12: true, 18: true}
+	for size := 1; size <= len(stream); size++ {
+		var tracker recordTracker
+		for at := 0; at < len(stream); at += size {
+			end := min(at+size, len(stream))
+			if within := tracker.advance(stream[at:end]); within == ends[end] {
+				t.Errorf("pieces of %d: within a record after %d bytes: %v", size, end, within)
+			}
+		}
+	}
+}
--- a/internal/frontend/secure/conn.go
+++ b/internal/frontend/secure/conn.go
@@ -53,6 +53,12 @@
 	return c.Handshaking() && (transport == nil || !transport.HasReceived())
 }
 
+// WithinRecord reports whether a part of a record has been read, but not the rest.
+func (c *Conn) WithinRecord() bool {
+	transport := c.transport.Load()
+	return transport != nil && transport.WithinRecord()
+}
+
 // PeerNames returns the names of the client's certificate: URIs, DNS names, then the common name. It returns nil if the
 // client has presented none, or the handshake is not done.
 func (c *Conn) PeerNames() []string {
--- a/internal/frontend/secure/handshake.go
+++ b/internal/frontend/secure/handshake.go
@@ -43,7 +43,7 @@
 	deadline := began.Add(term.config.Timeout)
 	transport := handshakes.NewConn(c.tcp, term.config.CPU, false, deadline, nil)
 	_ = transport.SetDeadline(deadline) // fails only after a close
-	transport.AbortIfPeerCloses = true
+	transport.AbortIfPeerCloses, transport.TrackRecords = true, true
 	c.transport.Store(transport)
 	conn := tls.Server(transport, term.tlsConfig)
 	err := conn.HandshakeContext(context.Background())
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -29,6 +29,7 @@
 	headerTimeout     = 2500 * time.Millisecond // for a request's head, from its first byte
 	bodyTimeout       = 5 * time.Second         // for a request's body, beyond what a slow line needs for it
 	clientIdleTimeout = 2 * time.Minute         // longer than clients keep idle connections; shorter when slots are scarce
+	newConnTimeout    = 15 * time.Second        // from the connect to the first request
 	rpcIdleTimeout    = 15 * time.Second        // of MessagePack-RPC; docs/msgpack-rpc.md names it
 	writeTimeout      = 5 * time.Second         // for an answer to a client that does not read
 	readyPath         = "/health/ready"
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -32,6 +32,7 @@
 
 	acceptedAt time.Time
 	idle       atomic.Bool // idleElement is set; for the reader, which does not hold the mutex
+	headLate   atomic.Bool // the rest of a head did not come in time
 	deadline   readDeadline
 	arrival    requestArrival // of the current request
 
@@ -93,7 +94,10 @@
 
 // handshakeDone notes the end of the TLS handshake.
 func (c *clientConn) handshakeDone() {
-	c.deadline.beginIdle(c.listener.idleTimeout)
+	c.deadline.beginIdle(min(newConnTimeout, c.listener.idleTimeout))
+	if c.tls.WithinRecord() { // with the end of the handshake
+		c.deadline.beginHead(c.listener.headTimeout)
+	}
 	c.deadline.apply()
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
@@ -104,6 +108,11 @@
 // isHandshaking reports whether the TLS handshake is not done.
 func (c *clientConn) isHandshaking() bool { return c.tls != nil && c.tls.Handshaking() }
 
+// hasUnread reports whether bytes have come that are not seen yet: they are unread, or their TLS record is not whole.
+func (c *clientConn) hasUnread() bool {
+	return !sockets.IsIdle(c.TCPConn) || c.tls != nil && c.tls.WithinRecord()
+}
+
 // awaitsFirstRequestLocked reports whether no request has come yet, and the connection is younger than grace.
 func (c *clientConn) awaitsFirstRequestLocked(grace time.Duration) bool {
 	return !c.requestSeen && time.Since(c.openedAt) < grace
@@ -115,5 +124,14 @@
 	c.deadline.beginClose(time.Now().Add(closeHandshakeTimeout))
 }
 
+// Write writes to the client. After a head that did not come in time it drops what net/http answers to a part of a
+// request line, which it takes for malformed.
+func (c *clientConn) Write(p []byte) (int, error) {
+	if c.headLate.Load() {
+		return len(p), nil
+	}
+	return c.TCPConn.Write(p)
+}
+
 // SetReadDeadline sets the deadline that applies where readDeadline has no earlier one.
 func (c *clientConn) SetReadDeadline(t time.Time) error { return c.deadline.request(t) }
--- a/internal/node/clientdeadline.go
+++ b/internal/node/clientdeadline.go
@@ -22,7 +22,7 @@
 
 	mu        sync.Mutex
 	phase     readPhase
-	phaseEnd  time.Time // of phaseIdle and phaseHead
+	phaseEnd  time.Time // of phaseIdle, phaseHead and the first read of a body in phaseOpen; zero: none
 	requested time.Time // by net/http or a handler; zero: none
 	pace      bodyPace  // renews requested
 	closeBy   time.Time // by which the client has to close its side; zero: it need not
@@ -35,6 +35,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.requested, d.pace = t, bodyPace{}
+	if !t.IsZero() {
+		d.endBodyBoundLocked()
+	}
 	return d.updateLocked()
 }
 
@@ -50,6 +53,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.pace = pace
+	d.endBodyBoundLocked()
 	d.renewLocked()
 }
 
@@ -92,17 +96,28 @@
 	_ = d.updateLocked()
 }
 
-// beginOpen begins phaseOpen.
-func (d *readDeadline) beginOpen() {
+// beginOpen begins phaseOpen, unless that has begun. withinBody says that a body is not whole: until a handler bounds
+// its reads, they are bounded by bodyTimeout.
+func (d *readDeadline) beginOpen(withinBody bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.phase == phaseOpen {
-		return
+	switch {
+	case !withinBody:
+		d.phaseEnd = time.Time{}
+	case d.phase != phaseOpen:
+		d.phaseEnd = time.Now().Add(bodyTimeout)
 	}
-	d.phase, d.phaseEnd = phaseOpen, time.Time{}
+	d.phase = phaseOpen
 	_ = d.updateLocked()
 }
 
+// endBodyBoundLocked has the handler's bounds of a body take the place of bodyTimeout.
+func (d *readDeadline) endBodyBoundLocked() {
+	if d.phase == phaseOpen {
+		d.phaseEnd = time.Time{}
+	}
+}
+
 // beginClose gives the client until t to close its side.
 func (d *readDeadline) beginClose(t time.Time) {
 	d.mu.Lock()
--- a/internal/node/clienteviction.go
+++ b/internal/node/clienteviction.go
@@ -4,7 +4,6 @@
 	"io"
 	"time"
 
-	"cobaltward/internal/sockets"
 	"cobaltward/middleware"
 )
 
@@ -53,7 +52,7 @@
 	for e := l.idle.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*clientConn)
 		handshaking := c.tls != nil && c.tls.Handshaking() && !c.tls.NothingReceived()
-		if !handshaking && isCandidate(c) && sockets.IsIdle(c.TCPConn) {
+		if !handshaking && isCandidate(c) && !c.hasUnread() {
 			return c
 		}
 	}
--- a/internal/node/clientlinger.go
+++ b/internal/node/clientlinger.go
@@ -3,6 +3,8 @@
 import (
 	linked "container/list"
 	"time"
+
+	"cobaltward/internal/sockets"
 )
 
 // endingConns is how many evicted connections may exist beyond overflowConns until their readers have noticed.
@@ -71,7 +73,8 @@
 	l.mu.Lock()
 }
 
-// Close closes the connection; one that the node ends ahead of its client lingers.
+// Close closes the connection. One that the node ends ahead of its client lingers, and one with unread bytes: a close
+// would reset it, and take an answer with it that the client has not read.
 func (c *clientConn) Close() error {
 	if !c.beginLinger() {
 		return c.stream.Close()
@@ -80,19 +83,20 @@
 	return nil
 }
 
-// beginLinger reports whether the connection is to linger now. It is then no longer one of those that are open.
+// beginLinger reports whether the connection is to linger now. It is no longer one of those that are open, and may be
+// evicted, in either case.
 func (c *clientConn) beginLinger() bool {
 	l := c.listener
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !c.mustLinger || c.lingers {
-		return false
-	}
-	c.lingers = true
 	if !c.closed {
 		c.forgetLocked()
 		l.slotFreed.Signal()
 	}
+	if c.lingers || !c.mustLinger && sockets.Unread(c.TCPConn) == 0 {
+		return false
+	}
+	c.lingers = true
 	l.lingering.add(c)
 	l.trimLingeringLocked(overflowConns)
 	return true
@@ -103,14 +107,15 @@
 	_ = c.stream.CloseWrite() // fails where the client was first
 	c.deadline.setFinal(time.Now().Add(closeHandshakeTimeout))
 	var buf [discardBufferSize]byte
-	for {
-		n, err := c.TCPConn.Read(buf[:])
+	for discarded := 0; discarded < maxDiscarded; {
+		n, err := c.stream.Read(buf[:]) // of TLS no alerts: a client may answer the node's with its own
 		if n > 0 {
 			c.noteBytesAfterEnd()
 		}
 		if err != nil {
 			break
 		}
+		discarded += n
 	}
 	_ = c.stream.Close()
 	c.listener.mu.Lock()
@@ -125,5 +130,7 @@
 	c.noteBytesAfterEndLocked()
 }
 
-// discardBufferSize is the size of a read of bytes that are discarded.
-const discardBufferSize = 4 << 10
+const (
+	discardBufferSize = 4 << 10   // of a read of bytes that are discarded
+	maxDiscarded      = 512 << 10 // bytes that are discarded of a connection
+)
--- a/internal/node/clientshutdown.go
+++ b/internal/node/clientshutdown.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"time"
-
-	"cobaltward/internal/sockets"
 )
 
 // drainFirstRequestGrace is how long after its beginning a connection without any request is left open by a drain: the
@@ -85,7 +83,7 @@
 	for e := l.idle.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*clientConn)
 		switch {
-		case c.halfClosed || !sockets.IsIdle(c.TCPConn):
+		case c.halfClosed || c.hasUnread():
 		case c.isHandshaking(), c.awaitsFirstRequestLocked(drainFirstRequestGrace):
 			if !l.recheckScheduled {
 				l.recheckScheduled = true
--- a/internal/node/clientstate.go
+++ b/internal/node/clientstate.go
@@ -4,8 +4,6 @@
 	"context"
 	"net/http"
 	"time"
-
-	"cobaltward/internal/sockets"
 )
 
 // limitHead has the time for a head begin with its first byte, and end with its last. It is called after each read.
@@ -13,7 +11,7 @@
 	if c.framing.InHead() && c.framing.Heads() == c.requestsDone {
 		c.deadline.beginHead(c.listener.headTimeout)
 	} else {
-		c.deadline.beginOpen()
+		c.deadline.beginOpen(!c.framing.InHead())
 		c.deadline.noteBytes()
 	}
 }
@@ -99,7 +97,8 @@
 		return false
 	}
 	c.arrival.reset(time.Now())
-	if c.framing.WithinHead() { // the beginning of the next request is in net/http's buffer
+	withinRecord := c.tls != nil && c.tls.WithinRecord()
+	if c.framing.WithinHead() || withinRecord { // the next request has begun, and the socket does not show it
 		c.limitHead()
 		c.listener.partialRequests[c] = true
 		c.lastPartialAt = time.Now()
@@ -107,7 +106,7 @@
 	}
 	delete(c.listener.partialRequests, c)
 	c.markIdleLocked()
-	if !c.listener.shuttingDown || c.halfClosed || !sockets.IsIdle(c.TCPConn) {
+	if !c.listener.shuttingDown || c.halfClosed || c.hasUnread() {
 		return false
 	}
 	c.halfClosed, c.endCause = true, endDrain
@@ -131,7 +130,11 @@
 func (c *clientConn) markIdleLocked() {
 	c.idleElement = c.listener.idle.PushBack(c)
 	c.idle.Store(true)
-	c.deadline.beginIdle(c.listener.idleTimeout)
+	timeout := c.listener.idleTimeout
+	if !c.requestSeen {
+		timeout = min(newConnTimeout, timeout)
+	}
+	c.deadline.beginIdle(timeout)
 }
 
 func (c *clientConn) markBusyLocked() {
--- a/internal/node/httpserver.go
+++ b/internal/node/httpserver.go
@@ -108,7 +108,6 @@
 			return ctx.Err()
 		}
 		open, _ = s.listener.connCounts()
-		open += s.listener.lingeringCount()
 	}
 	s.finish()
 	return s.server.Shutdown(ctx)
--- a/internal/node/tlsclient.go
+++ b/internal/node/tlsclient.go
@@ -19,8 +19,13 @@
 // Read reads decrypted bytes and follows the connection's requests.
 func (c *tlsClientConn) Read(p []byte) (int, error) { return c.conn.Read(p) }
 
-// Write encrypts and writes p.
-func (c *tlsClientConn) Write(p []byte) (int, error) { return c.tls.Write(p) }
+// Write encrypts and writes p, if clientConn would write it.
+func (c *tlsClientConn) Write(p []byte) (int, error) {
+	if c.conn.headLate.Load() {
+		return len(p), nil
+	}
+	return c.tls.Write(p)
+}
 
 // Close closes the connection, as clientConn does.
 func (c *tlsClientConn) Close() error { return c.conn.Close() }
--- a/internal/node/unanswered.go
+++ b/internal/node/unanswered.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"log/slog"
 	"os"
 	"time"
@@ -72,20 +73,32 @@
 	l := c.listener
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if errors.Is(err, io.EOF) && !c.framing.WithinHead() { // what came over TLS was the client's end
+		return
+	}
 	cause := endClientClosed
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		cause = endHeadTimeout
 	}
-	if c.closed || c.halfClosed || c.endCause == cause { // counted: net/http may read on after an error
+	switch {
+	case c.endCause == cause: // counted: net/http may read on after an error
+		return
+	case c.closed || c.halfClosed:
+		c.mustLinger = true // more may come
+		c.noteBytesAfterEndLocked()
 		return
 	}
 	c.endCause, c.mustLinger = cause, cause == endHeadTimeout
+	c.headLate.Store(cause == endHeadTimeout)
 	c.countUnansweredLocked(cause)
 }
 
 // noteBytesAfterEndLocked counts a connection on which bytes have come after the node ended it.
 func (c *clientConn) noteBytesAfterEndLocked() {
-	if c.bytesAfterEnd || c.endCause == endHeadTimeout || c.endCause == endClientClosed {
+	switch {
+	case c.bytesAfterEnd:
+		return
+	case c.endCause == endNone || c.endCause == endHeadTimeout || c.endCause == endClientClosed: // answered, or counted
 		return
 	}
 	c.bytesAfterEnd = true
