Test: the address of a replacement's console cannot be taken by another test

The test chooses a port, closes it, and starts a process that listens there; another package's test was given the port between the two, and answered the test's question for readiness in its place, so that the predecessor was ended with no successor. The address is now on a loopback IP of the test's own process; the checks are as they were.

The count of lingering connections moves to the tests, which alone use it.

--- a/internal/cli/hotrestart_test.go
+++ b/internal/cli/hotrestart_test.go
@@ -36,10 +36,12 @@
 	socket *os.File
 }
 
-// freeAddress returns an address at which nothing listens.
+// freeAddress returns an address at which nothing listens. Its IP address is one of this process alone: other tests
+// could be given a port of 127.0.0.1 between its choice and its use.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+pid/256%254, 1+pid%254))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/clientidle_test.go
+++ b/internal/node/clientidle_test.go
@@ -246,6 +246,13 @@
 	}
 }
 
+// lingeringCount returns the number of connections that linger.
+func (l *clientListener) lingeringCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lingering.len()
+}
+
 // tcpOf returns the TCP connection of an accepted one.
 func tcpOf(conn net.Conn) *net.TCPConn {
 	if secured, ok := conn.(*tlsClientConn); ok {
--- a/internal/node/clientlinger.go
+++ b/internal/node/clientlinger.go
@@ -41,13 +41,6 @@
 	return c
 }
 
-// lingeringCount returns the number of connections that linger.
-func (l *clientListener) lingeringCount() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.lingering.len()
-}
-
 // closeLingering closes all connections that linger.
 func (l *clientListener) closeLingering() {
 	l.mu.Lock()
