--- a/internal/frontend/msgpack/eviction_test.go
+++ b/internal/frontend/msgpack/eviction_test.go
@@ -206,13 +206,15 @@
 	testkit.Await(t, "the pause within the message", func() bool {
 		server.mu.Lock()
 		defer server.mu.Unlock()
-		evictable := server.longestIdle(false)
-		if evictable == nil {
-			return false
+		for conn := range server.conns {
+			conn.mu.Lock()
+			withinMessage := !conn.messageStartedAt.IsZero()
+			conn.mu.Unlock()
+			if withinMessage && server.longestIdle(false) == conn { // in this order: evictable for its pause
+				return true
+			}
 		}
-		evictable.mu.Lock()
-		defer evictable.mu.Unlock()
-		return !evictable.messageStartedAt.IsZero()
+		return false
 	})
 	last := dial(t, server.addr)
 	last.call(t, 2)
