The error for a body that broke off is complete once it is flushed

Cause: http.Error leaves the length to net/http, which takes chunks at a flush; the last chunk waits for the handler, which reads the rest of the body first, for up to DefaultBodyTimeout.

--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -437,8 +437,8 @@
 	}
 }
 
-// TestStalledBody_GetsErrorInTime has clients stop within a body and stay: each gets its error, or the close, within
-// 3 s, wherever it stops. A client that has sent a part of a body over 64 KiB may pause for as long as a slow client
+// TestStalledBody_GetsErrorInTime has clients stop within a body and stay: each gets its whole error, or the close,
+// within 3 s, wherever it stops. A client that has sent a part of a body over 64 KiB may pause for as long as a slow client
 // takes for that part: TestPacedBody_StallTimeout in middleware checks that time.
 func TestStalledBody_GetsErrorInTime(t *testing.T) {
 	const maxDelay = 3 * time.Second
@@ -456,10 +456,20 @@
 				_, _ = io.WriteString(conn, head+strings.Repeat("b", sent))
 				stopped := time.Now()
 				_ = conn.SetReadDeadline(stopped.Add(maxDelay))
-				if _, err := conn.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
-					t.Errorf("neither an answer nor a close %v after it stopped", time.Since(stopped))
+				if err := readAnswer(conn); errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Errorf("neither a whole answer nor a close %v after it stopped", time.Since(stopped))
 				}
 			})
 		}
 	}
 }
+
+// readAnswer reads an answer to its last byte.
+func readAnswer(conn net.Conn) error {
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return errors.Join(err, resp.Body.Close())
+}
--- a/middleware/serve.go
+++ b/middleware/serve.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"cobaltward/router"
@@ -142,7 +144,7 @@
 	if problem.allow != "" {
 		w.Header().Set("Allow", problem.allow)
 	}
-	http.Error(w, problem.text, problem.status)
+	writeError(w, problem)
 	if r.ContentLength == 0 {
 		return
 	}
@@ -154,6 +156,16 @@
 	_, _ = io.CopyN(io.Discard, r.Body, maxDiscardedBody)
 }
 
+// writeError writes an error whose length is known ahead of its end, so that it is complete once it is flushed.
+func writeError(w http.ResponseWriter, problem *requestError) {
+	header := w.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("X-Content-Type-Options", "nosniff")
+	header.Set("Content-Length", strconv.Itoa(len(problem.text)+len("\n")))
+	w.WriteHeader(problem.status)
+	_, _ = fmt.Fprintln(w, problem.text) // fails where the client has disconnected
+}
+
 // answerReadiness answers a readiness check.
 func (f *Frontend) answerReadiness(w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength != 0 { // net/http would wait for the body without a bound
