Pauses of the node do not count as a client's silence within a body

Cause: bodyStallTimeout, 2.5 s, ran by the clock alone, also while the node's process was stopped or had no core. As it ran again the time was over, and clients that were paused with it, or whose segments were lost meanwhile, had sent nothing yet.

Why it works: internal/pausedetector measures pauses while a body is read, and a read that has timed out goes on for as long as the node was paused in it.

--- a/internal/node/clientdeadline.go
+++ b/internal/node/clientdeadline.go
@@ -14,17 +14,27 @@
 	phaseOpen                  // for the body of a request, or while a request is answered
 )
 
+// pauseCounter measures for how long the node's process was paused, as pausedetector.Detector does.
+type pauseCounter interface {
+	// Begin begins a use, which End ends, and returns what Paused does.
+	Begin() time.Duration
+	End()
+	// Paused returns the sum of all pauses so far that were within a use.
+	Paused() time.Duration
+}
+
 // readDeadline determines until when a client's connection is read. Idle connections, new ones included, have a time of
 // their own, and a head has one from its first byte. While a request is open, the deadline that net/http or a handler
 // has set applies. It is safe for concurrent use.
 type readDeadline struct {
-	set func(t time.Time) error // sets the deadline of the connection; does not block
+	set    func(t time.Time) error // sets the deadline of the connection; does not block
+	pauses pauseCounter
 
 	mu        sync.Mutex
 	phase     readPhase
 	phaseEnd  time.Time // of phaseIdle, phaseHead and the first read of a body in phaseOpen; zero: none
-	requested time.Time // by net/http or a handler; zero: none
-	pace      bodyPace  // renews requested
+	requested time.Time // by net/http or a handler, or from pace; zero: none
+	pace      bodyPace
 	closeBy   time.Time // by which the client has to close its side; zero: it need not
 	final     time.Time // takes the place of all others; zero: it does not
 	current   time.Time // as last set
@@ -41,33 +51,59 @@
 	return d.updateLocked()
 }
 
-// bodyPace bounds the time between two reads that return bytes of a body, up to a deadline for the whole. The zero
-// value bounds nothing.
-type bodyPace struct {
-	timeout  time.Duration
-	deadline time.Time
-}
-
-// paceBody takes the place of request for the reads of a body.
-func (d *readDeadline) paceBody(pace bodyPace) {
+// paceBody takes the place of request for the reads of a body, from the next read on.
+func (d *readDeadline) paceBody(limits paceLimits) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.pace = pace
+	if !d.pace.active() {
+		d.pace.pausedBefore = d.pauses.Paused()
+	}
+	d.pace.paceLimits, d.pace.renew = limits, true
 	d.endBodyBoundLocked()
-	d.renewLocked()
 }
 
-// noteBytes renews the time of a body's pace.
+// noteBytes has the next read of a body begin its time anew.
 func (d *readDeadline) noteBytes() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.pace.timeout > 0 {
-		d.renewLocked()
+	d.pace.renew = true
+}
+
+// beginRead begins a read of the connection. It returns true if that is paced: endPacedRead has to follow.
+func (d *readDeadline) beginRead() (paced bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.pace.active() {
+		return false
+	}
+	paused := d.pauses.Begin()
+	if d.pace.renew {
+		d.pace.renew = false
+		d.pace.stallBegan, d.pace.pausedBeforeStall = time.Now(), paused
+		d.paceLocked(d.pace.stallBegan, paused)
+	}
+	return true
+}
+
+// endPacedRead ends a paced read.
+func (d *readDeadline) endPacedRead() { d.pauses.End() }
+
+// extendRead gives a paced read that has timed out the time for which the node was paused in it. It returns false if
+// there is none left.
+func (d *readDeadline) extendRead() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.pace.active() {
+		return false
 	}
+	now := time.Now()
+	d.paceLocked(now, d.pauses.Paused())
+	return d.current.After(now)
 }
 
-func (d *readDeadline) renewLocked() {
-	d.requested = earlierDeadline(time.Now().Add(d.pace.timeout), d.pace.deadline)
+// paceLocked sets the deadline of a paced read. paused is what pauses has counted so far.
+func (d *readDeadline) paceLocked(now time.Time, paused time.Duration) {
+	d.requested = d.pace.readDeadline(now, paused)
 	_ = d.updateLocked()
 }
 
--- a/internal/node/clientlistener.go
+++ b/internal/node/clientlistener.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cobaltward/internal/frontend/secure"
+	"cobaltward/internal/pausedetector"
 	"cobaltward/internal/sockets"
 )
 
@@ -32,6 +33,7 @@
 	log         *slog.Logger
 	idleTimeout time.Duration // of connections without a request
 	headTimeout time.Duration // from the first byte of a request's head to its last
+	pauses      pauseCounter  // of the node
 
 	mu        sync.Mutex
 	maxConns  int         // connections that are served
@@ -62,6 +64,7 @@
 		Listener: inner, queue: sockets.NewAcceptQueue(), queueDrained: make(chan struct{}),
 		partialRequests: make(map[*clientConn]bool, maxConns+overflowConns),
 		idleTimeout:     clientIdleTimeout, headTimeout: headerTimeout, log: slog.New(slog.DiscardHandler),
+		pauses: new(pausedetector.Detector),
 	}
 	listener.queueTimeout = func() time.Duration { return 0 }
 	listener.retryAfter = func() time.Duration { return 0 }
@@ -124,7 +127,7 @@
 	} else {
 		c.stream = plainStream{tcp, sockets.NewDeadlineReader(tcp)}
 	}
-	c.deadline.set = c.stream.SetReadDeadline
+	c.deadline.set, c.deadline.pauses = c.stream.SetReadDeadline, l.pauses
 	return c
 }
 
--- a/internal/node/clientlistener_test.go
+++ b/internal/node/clientlistener_test.go
@@ -49,6 +49,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return clientConnOf(accepted)
+}
+
+// clientConnOf returns the node's end of a connection that was accepted, with or without TLS.
+func clientConnOf(accepted net.Conn) *clientConn {
 	if secured, ok := accepted.(*tlsClientConn); ok {
 		return secured.conn
 	}
--- a/internal/node/clientread.go
+++ b/internal/node/clientread.go
@@ -62,13 +62,21 @@
 		return c.readIdle(buf)
 	}
 	began := time.Now()
+	if c.deadline.beginRead() {
+		defer c.deadline.endPacedRead()
+	}
 	n, err = c.stream.Read(buf)
-	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.tls != nil && !c.endIdleTLS() {
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.mayReadOn() {
 		n, err = c.stream.Read(buf)
 	}
 	return n, n > 0 && !c.noteRequestBytes(began, n < len(buf)), err
 }
 
+// mayReadOn reports whether a read that has timed out is to be tried again.
+func (c *clientConn) mayReadOn() bool {
+	return c.tls != nil && !c.endIdleTLS() || c.deadline.extendRead()
+}
+
 // readIdle is readStream for idle TCP connections.
 func (c *clientConn) readIdle(buf []byte) (n int, closing bool, err error) {
 	raw, err := c.SyscallConn()
--- a/internal/node/clientstate.go
+++ b/internal/node/clientstate.go
@@ -20,7 +20,7 @@
 func paceBody(ctx context.Context, timeout time.Duration, deadline time.Time) bool {
 	c, ok := ctx.Value(clientConnKey{}).(*clientConn)
 	if ok {
-		c.deadline.paceBody(bodyPace{timeout: timeout, deadline: deadline})
+		c.deadline.paceBody(paceLimits{timeout: timeout, deadline: deadline})
 	}
 	return ok
 }
--- /dev/null
+++ b/internal/node/pausednode_test.go
@@ -0,0 +1,240 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cobaltward/internal/testkit"
+	"cobaltward/router"
+)
+
+// pausableNodeEnv names the app server of the node that the test binary runs in place of tests, in a process that a
+// test can pause.
+const pausableNodeEnv = "NODE_TEST_PAUSABLE_NODE"
+
+func TestMain(m *testing.M) {
+	if server := os.Getenv(pausableNodeEnv); server != "" {
+		if err := runPausableNode(server); err != nil {
+			_, _ = fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// runPausableNode runs a node until the standard input ends. It prints the node's address.
+func runPausableNode(server string) error {
+	config := Config{Name: "n", Discovery: "127.0.0.1:9", Seed: 1, MaxDescriptors: 512, MemoryMB: 32}
+	config.Settings = drainSettings()
+	config.InitialList.Revision, config.InitialList.Full = 1, true
+	config.InitialList.Endpoints = []router.Endpoint{{ID: "s", Addr: server, Zone: "a", Kind: "k", Weight: 1}}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	go func() {
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		stop()
+	}()
+	fmt.Println(listener.Addr())
+	return Run(ctx, config, listener, nil, slog.New(slog.DiscardHandler))
+}
+
+// pausableNode is a node in a process of its own.
+type pausableNode struct {
+	t       *testing.T
+	addr    string
+	process *os.Process
+}
+
+// startPausableNode starts a node until the end of the test. Its server answers requests whose body has come.
+func startPausableNode(t *testing.T) *pausableNode {
+	t.Helper()
+	server := testkit.HTTPServer(t, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), pausableNodeEnv+"="+server)
+	command.Stderr = os.Stderr
+	input, err := command.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	output, err := command.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = command.Process.Signal(syscall.SIGCONT)
+		_ = input.Close()
+		killer := time.AfterFunc(testkit.MaxWait, func() { _ = command.Process.Kill() })
+		defer killer.Stop()
+		if err := command.Wait(); err != nil {
+			t.Errorf("the node: %v", err)
+		}
+	})
+	lines := bufio.NewScanner(output)
+	if !lines.Scan() {
+		t.Fatalf("no address from the node: %v", lines.Err())
+	}
+	return &pausableNode{t: t, addr: lines.Text(), process: command.Process}
+}
+
+// pause stops the node's process for the duration.
+func (n *pausableNode) pause(duration time.Duration) {
+	if err := n.process.Signal(syscall.SIGSTOP); err != nil {
+		n.t.Error(err)
+	}
+	time.Sleep(duration)
+	if err := n.process.Signal(syscall.SIGCONT); err != nil {
+		n.t.Error(err)
+	}
+}
+
+// awaitRunning waits until the node has answered a request, and so has looked at what was due during a pause.
+func (n *pausableNode) awaitRunning() {
+	n.t.Helper()
+	testkit.Await(n.t, "the node to run", func() bool {
+		resp, err := http.Get("http://" + n.addr + readyPath)
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return true
+	})
+}
+
+// beginUpload sends the head of a request, and waits until the node reads its body.
+func (n *pausableNode) beginUpload(id, framing string) *uploadClient {
+	n.t.Helper()
+	conn := dialClient(n.t, n.addr)
+	_, _ = fmt.Fprintf(conn, "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nX-Class: rezervacia\r\nX-Tenant: t\r\n"+
+		"X-Deadline-Ms: 30000\r\nExpect: 100-continue\r\n%s\r\n\r\n", id, framing)
+	answers := bufio.NewReader(conn)
+	client := &uploadClient{conn, answers}
+	if status, err := client.readStatus(); status != http.StatusContinue {
+		n.t.Fatalf("%s: status %d, %v, want 100", id, status, err)
+	}
+	return client
+}
+
+// uploadClient is a client that has sent the head of a request with a body.
+type uploadClient struct {
+	net.Conn
+	answers *bufio.Reader
+}
+
+// finish sends the body, and returns the answer's status.
+func (c *uploadClient) finish(body string) (status int, err error) {
+	_, _ = io.WriteString(c, body) // fails where the node has ended the connection
+	return c.readStatus()
+}
+
+// readStatus reads an answer.
+func (c *uploadClient) readStatus() (status int, err error) {
+	_ = c.SetReadDeadline(time.Now().Add(testkit.MaxWait))
+	resp, err := http.ReadResponse(c.answers, nil)
+	if err != nil {
+		return 0, err
+	}
+	return resp.StatusCode, resp.Body.Close()
+}
+
+// TestPausedNode_BodyAfterPause pauses a node for longer than a client may send nothing within a body. Its clients, as
+// if paused with it, send their bodies once it runs again: none of them has stopped.
+func TestPausedNode_BodyAfterPause(t *testing.T) {
+	const pause = 2600 * time.Millisecond // over middleware's bodyStallTimeout
+	const clients = 16
+	const size = 20 << 10
+	content := strings.Repeat("b", size)
+	for name, upload := range map[string]struct{ framing, body string }{
+		"short":   {"Content-Length: 9", "123456789"},
+		"length":  {fmt.Sprint("Content-Length: ", size), content},
+		"chunked": {"Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", size, content)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			node := startPausableNode(t)
+			uploads := make([]*uploadClient, clients)
+			for i := range uploads {
+				uploads[i] = node.beginUpload(fmt.Sprint("r", i), upload.framing)
+			}
+			node.pause(pause)
+			node.awaitRunning()
+			var finished sync.WaitGroup
+			for i, client := range uploads {
+				finished.Go(func() {
+					if status, err := client.finish(upload.body); status != http.StatusOK {
+						t.Errorf("client %d: status %d, %v", i, status, err)
+					}
+				})
+			}
+			finished.Wait()
+		})
+	}
+}
+
+// stalledClient sends a part of a body and stays. The returned channel gets the status of the answer.
+func (n *pausableNode) stalledClient() (answered chan int) {
+	n.t.Helper()
+	client := n.beginUpload("stalled", "Content-Length: 9")
+	answered = make(chan int, 1)
+	go func() {
+		status, _ := client.finish("1234")
+		answered <- status
+	}()
+	return answered
+}
+
+// maxStallDelay is how long a client that stops within a body may wait for its error.
+const maxStallDelay = 3 * time.Second
+
+// TestPausedNode_StalledClientWhileHeldUp holds a node up again and again for as long as deadlines have to allow for.
+// A client that stops within a body gets its error in time all the same.
+func TestPausedNode_StalledClientWhileHeldUp(t *testing.T) {
+	const hold, run = 150 * time.Millisecond, 500 * time.Millisecond
+	t.Parallel()
+	node := startPausableNode(t)
+	began := time.Now()
+	answered := node.stalledClient()
+	for {
+		select {
+		case status := <-answered:
+			if delay := time.Since(began); status != http.StatusBadRequest || delay > maxStallDelay {
+				t.Errorf("status %d after %v, want 400 within %v", status, delay, maxStallDelay)
+			}
+			return
+		case <-time.After(run):
+			node.pause(hold)
+		}
+	}
+}
+
+// TestPausedNode_StalledClientAfterPause pauses a node for so long that it runs when a client that has stopped within a
+// body is owed its error. The client gets it as soon after the pause as it would have without one.
+func TestPausedNode_StalledClientAfterPause(t *testing.T) {
+	t.Parallel()
+	node := startPausableNode(t)
+	answered := node.stalledClient()
+	node.pause(2600 * time.Millisecond)
+	resumed := time.Now()
+	status := testkit.Receive(t, "the error", answered)
+	if delay := time.Since(resumed); status != http.StatusBadRequest || delay > maxStallDelay {
+		t.Errorf("status %d after %v, want 400 within %v", status, delay, maxStallDelay)
+	}
+}
--- /dev/null
+++ b/internal/pausedetector/detector_test.go
@@ -0,0 +1,50 @@
+package pausedetector
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// A process that runs has no pauses, and looks at the clock only while somebody uses the detector.
+func TestDetector_NoPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var detector Detector
+		for range 2 {
+			detector.Begin()
+			detector.Begin()
+			time.Sleep(time.Second)
+			detector.End()
+			time.Sleep(time.Second)
+			detector.End()
+			if paused := detector.Paused(); paused != 0 {
+				t.Errorf("paused for %v", paused)
+			}
+			time.Sleep(interval)
+			synctest.Wait()
+			if detector.running {
+				t.Error("it looks at the clock for nobody")
+			}
+			time.Sleep(time.Hour)
+		}
+	})
+}
+
+// A look that is late is counted once, whether the timer or a caller comes first after the pause.
+func TestDetector_CountsLateLooks(t *testing.T) {
+	start := time.Now()
+	detector := Detector{running: true, due: start.Add(interval)}
+	for _, look := range []struct{ at, paused time.Duration }{
+		{interval / 2, 0},
+		{interval, 0},
+		{2*interval + maxTimerDelay, 0},
+		{3 * time.Second, 3*time.Second - 3*interval - maxTimerDelay},
+		{3*time.Second + interval/2, 3*time.Second - 3*interval - maxTimerDelay},
+		{3*time.Second + 2*interval, 3*time.Second - 2*interval - maxTimerDelay},
+	} {
+		detector.recordLocked(start.Add(look.at))
+		if detector.paused != look.paused {
+			t.Errorf("at %v: paused for %v, want %v", look.at, detector.paused, look.paused)
+		}
+	}
+}
