Pauses of the node do not count as a client's silence within a head

What callers saw: EOF without an answer for a request whose head came in parts, counted as unanswered.timeout.

Cause: as for bodies, the 2.5 s from a head's first byte to its last ran by the clock alone, also while the node was paused.

--- a/internal/node/clientdeadline.go
+++ b/internal/node/clientdeadline.go
@@ -14,15 +14,6 @@
 	phaseOpen                  // for the body of a request, or while a request is answered
 )
 
-// pauseCounter measures for how long the node's process was paused, as pausedetector.Detector does.
-type pauseCounter interface {
-	// Begin begins a use, which End ends, and returns what Paused does.
-	Begin() time.Duration
-	End()
-	// Paused returns the sum of all pauses so far that were within a use.
-	Paused() time.Duration
-}
-
 // readDeadline determines until when a client's connection is read. Idle connections, new ones included, have a time of
 // their own, and a head has one from its first byte. While a request is open, the deadline that net/http or a handler
 // has set applies. It is safe for concurrent use.
@@ -32,9 +23,12 @@
 
 	mu        sync.Mutex
 	phase     readPhase
-	phaseEnd  time.Time // of phaseIdle, phaseHead and the first read of a body in phaseOpen; zero: none
-	requested time.Time // by net/http or a handler, or from pace; zero: none
+	phaseEnd  time.Time     // of phaseIdle, phaseHead and the first read of a body in phaseOpen; zero: none
+	head      clientTimeout // of phaseHead
+	requested time.Time     // by net/http or a handler, or from pace; zero: none
 	pace      bodyPace
+	reading   bool      // between beginRead and endRead
+	watching  bool      // uses pauses
 	closeBy   time.Time // by which the client has to close its side; zero: it need not
 	final     time.Time // takes the place of all others; zero: it does not
 	current   time.Time // as last set
@@ -69,42 +63,60 @@
 	d.pace.renew = true
 }
 
-// beginRead begins a read of the connection. It returns true if that is paced: endPacedRead has to follow.
-func (d *readDeadline) beginRead() (paced bool) {
+// beginRead begins a read of the connection, which endRead ends.
+func (d *readDeadline) beginRead() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.pace.active() {
-		return false
+	d.reading = true
+	switch {
+	case d.phase == phaseHead:
+		d.watchPausesLocked()
+	case d.pace.active():
+		paused := d.watchPausesLocked()
+		now := time.Now()
+		d.pace.beginRead(now, paused)
+		d.requested = d.pace.readDeadline(now, paused)
+		_ = d.updateLocked()
 	}
-	paused := d.pauses.Begin()
-	if d.pace.renew {
-		d.pace.renew = false
-		d.pace.stallBegan, d.pace.pausedBeforeStall = time.Now(), paused
-		d.paceLocked(d.pace.stallBegan, paused)
+}
+
+// endRead ends a read.
+func (d *readDeadline) endRead() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reading = false
+	if d.watching {
+		d.watching = false
+		d.pauses.End()
 	}
-	return true
 }
 
-// endPacedRead ends a paced read.
-func (d *readDeadline) endPacedRead() { d.pauses.End() }
+// watchPausesLocked has pauses of the node counted until the end of the current read, if there is one. It returns the
+// sum of those before.
+func (d *readDeadline) watchPausesLocked() (paused time.Duration) {
+	if !d.reading || d.watching {
+		return d.pauses.Paused()
+	}
+	d.watching = true
+	return d.pauses.Begin()
+}
 
-// extendRead gives a paced read that has timed out the time for which the node was paused in it. It returns false if
-// there is none left.
+// extendRead gives a read within a request that has timed out the time for which the node was paused. It returns false
+// if there is none left.
 func (d *readDeadline) extendRead() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.pace.active() {
+	now, paused := time.Now(), d.pauses.Paused()
+	switch {
+	case d.phase == phaseHead:
+		d.phaseEnd = d.head.deadline(now, paused)
+	case d.pace.active():
+		d.requested = d.pace.readDeadline(now, paused)
+	default:
 		return false
 	}
-	now := time.Now()
-	d.paceLocked(now, d.pauses.Paused())
-	return d.current.After(now)
-}
-
-// paceLocked sets the deadline of a paced read. paused is what pauses has counted so far.
-func (d *readDeadline) paceLocked(now time.Time, paused time.Duration) {
-	d.requested = d.pace.readDeadline(now, paused)
 	_ = d.updateLocked()
+	return d.current.After(now)
 }
 
 // beginIdle begins phaseIdle. Its deadline is set by the next call of apply or request.
@@ -128,7 +140,10 @@
 	if d.phase == phaseHead {
 		return
 	}
-	d.phase, d.phaseEnd = phaseHead, time.Now().Add(timeout)
+	paused := d.watchPausesLocked()
+	now := time.Now()
+	d.phase, d.head = phaseHead, clientTimeout{began: now, pausedBefore: paused, timeout: timeout}
+	d.phaseEnd = d.head.deadline(now, paused)
 	_ = d.updateLocked()
 }
 
--- /dev/null
+++ b/internal/node/clientpauses_test.go
@@ -0,0 +1,154 @@
+package node
+
+import (
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cobaltward/internal/testkit"
+)
+
+// TestBodyPace_ReadDeadline: pauses of the node extend a read by as much, and by maxPauseCredit at most while the node
+// runs for half of the time or more.
+func TestBodyPace_ReadDeadline(t *testing.T) {
+	const timeout = 2500 * ms
+	began := time.Now()
+	for _, test := range []struct {
+		elapsed, paused, wholeBody, want time.Duration
+	}{
+		{0, 0, time.Minute, timeout},
+		{timeout, 0, time.Minute, timeout},
+		{timeout, 100 * ms, time.Minute, timeout + 100*ms},
+		{timeout, 600 * ms, time.Minute, timeout + maxPauseCredit},
+		{timeout, timeout / 2, time.Minute, timeout + maxPauseCredit},
+		{timeout, 2000 * ms, time.Minute, timeout + 2000*ms},
+		{time.Minute, 59 * time.Second, 2 * time.Minute, timeout + 59*time.Second},
+		{timeout, 100 * ms, timeout / 2, timeout/2 + 100*ms}, // the whole body has a deadline of its own
+	} {
+		limits := paceLimits{timeout: timeout, deadline: began.Add(test.wholeBody)}
+		body := bodyPace{paceLimits: limits, pausedBefore: time.Hour, renew: true}
+		body.beginRead(began, time.Hour)
+		got := body.readDeadline(began.Add(test.elapsed), time.Hour+test.paused)
+		if got := got.Sub(began); got != test.want {
+			t.Errorf("%+v: deadline after %v", test, got)
+		}
+	}
+}
+
+// fakePauses is the pauseCounter of a node that is paused for a part of the time.
+type fakePauses struct {
+	part float64
+	zero time.Time
+	uses atomic.Int64
+}
+
+func (p *fakePauses) Begin() time.Duration { p.uses.Add(1); return p.Paused() }
+
+func (p *fakePauses) End() { p.uses.Add(-1) }
+
+func (p *fakePauses) Paused() time.Duration {
+	return time.Duration(p.part * float64(time.Since(p.zero)))
+}
+
+// haltingConn calls halt within each write.
+type haltingConn struct {
+	net.Conn
+	halt func()
+}
+
+// Write implements net.Conn.
+func (c *haltingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p[:len(p)/2])
+	if err != nil {
+		return n, err
+	}
+	c.halt()
+	rest, err := c.Conn.Write(p[len(p)/2:])
+	return n + rest, err
+}
+
+// TestRead_NodePaused has a client halt within a head or a body, for longer than it may, while the node is mostly
+// paused: what it sends then is read, also where it halts within a TLS record. Where the node runs, the read fails.
+func TestRead_NodePaused(t *testing.T) {
+	const mostly = 0.99
+	for _, test := range []struct {
+		name       string
+		listen     func(t *testing.T, maxConns int) *clientListener
+		open       func(client net.Conn) net.Conn
+		withinBody bool
+		paused     float64 // the part of the time for which the node is paused
+	}{
+		{"head", newTestListener, plainClient, false, mostly},
+		{"head, TLS", newTLSTestListener, tlsClient, false, mostly},
+		{"head, node runs", newTestListener, plainClient, false, 0},
+		{"head, TLS, node runs", newTLSTestListener, tlsClient, false, 0},
+		{"body", newTestListener, plainClient, true, mostly},
+		{"body, TLS", newTLSTestListener, tlsClient, true, mostly},
+		{"body, node runs", newTestListener, plainClient, true, 0},
+		{"body, TLS, node runs", newTLSTestListener, tlsClient, true, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			listener := test.listen(t, 4)
+			pauses := &fakePauses{part: test.paused, zero: time.Now()}
+			listener.pauses = pauses
+			client, conn := connectClient(t, listener)
+			halting := &haltingConn{client, func() {}}
+			err := readFromHalting(t, listener, conn, halting, test.open(halting), test.withinBody)
+			if wantErr := test.paused == 0; (err != nil) != wantErr {
+				t.Errorf("read: %v", err)
+			}
+			if uses := pauses.uses.Load(); uses != 0 {
+				t.Errorf("%d uses of the pauses have no end", uses)
+			}
+		})
+	}
+}
+
+// readFromHalting reads a request whose client halts within its head or body for longer than it may. Its write within
+// halting is cut in two.
+func readFromHalting(
+	t *testing.T, listener *clientListener, conn net.Conn, halting *haltingConn, client net.Conn, withinBody bool,
+) error {
+	t.Helper()
+	const timeout, halt = 50 * ms, 500 * ms
+	const bodySize = 1000
+	listener.headTimeout = timeout
+	head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", bodySize)
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		if secured, ok := client.(*tls.Conn); ok {
+			_ = secured.Handshake()
+		}
+		if withinBody {
+			_, _ = io.WriteString(client, head)
+		}
+		halting.halt = func() { time.Sleep(halt) }
+		if !withinBody {
+			_, _ = io.WriteString(client, head)
+		}
+		_, _ = client.Write(make([]byte, bodySize))
+	}()
+	defer testkit.Receive(t, "the client's end", sent)
+	if _, err := io.ReadFull(conn, make([]byte, len(head))); err != nil {
+		return err
+	}
+	if !withinBody {
+		return nil
+	}
+	limits := paceLimits{timeout: timeout, deadline: time.Now().Add(time.Hour)}
+	clientConnOf(conn).deadline.paceBody(limits)
+	_, err := io.ReadFull(conn, make([]byte, bodySize))
+	return err
+}
+
+func plainClient(client net.Conn) net.Conn { return client }
+
+func tlsClient(client net.Conn) net.Conn {
+	return tls.Client(client, &tls.Config{InsecureSkipVerify: true})
+}
--- a/internal/node/clientread.go
+++ b/internal/node/clientread.go
@@ -62,9 +62,8 @@
 		return c.readIdle(buf)
 	}
 	began := time.Now()
-	if c.deadline.beginRead() {
-		defer c.deadline.endPacedRead()
-	}
+	c.deadline.beginRead()
+	defer c.deadline.endRead()
 	n, err = c.stream.Read(buf)
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.mayReadOn() {
 		n, err = c.stream.Read(buf)
--- a/internal/node/pausednode_test.go
+++ b/internal/node/pausednode_test.go
@@ -189,6 +189,33 @@
 	}
 }
 
+// TestPausedNode_HeadAfterPause is TestPausedNode_BodyAfterPause for clients within the head of a request.
+func TestPausedNode_HeadAfterPause(t *testing.T) {
+	const pause = 2600 * time.Millisecond // over headerTimeout
+	const clients = 16
+	nextRequest := func(client int) string { return nonIdempotentRequest(fmt.Sprint("b", client), time.Second) }
+	t.Parallel()
+	node := startPausableNode(t)
+	conns := make([]*uploadClient, clients)
+	for i := range conns {
+		conn := dialClient(t, node.addr)
+		conns[i] = &uploadClient{conn, bufio.NewReader(conn)}
+		// The part of a head is read with the request ahead of it.
+		first, next := nonIdempotentRequest(fmt.Sprint("a", i), time.Second), nextRequest(i)
+		if status, err := conns[i].finish(first + next[:len(next)/2]); status != http.StatusOK {
+			t.Fatalf("client %d, first request: status %d, %v", i, status, err)
+		}
+	}
+	node.pause(pause)
+	node.awaitRunning()
+	for i, conn := range conns {
+		next := nextRequest(i)
+		if status, err := conn.finish(next[len(next)/2:]); status != http.StatusOK {
+			t.Errorf("client %d: status %d, %v", i, status, err)
+		}
+	}
+}
+
 // stalledClient sends a part of a body and stays. The returned channel gets the status of the answer.
 func (n *pausableNode) stalledClient() (answered chan int) {
 	n.t.Helper()
