Names of what bounds the reads of a body: deadline setter in place of pacer

Pacing is another thing in TCP, and a withdrawn word. middleware.WithBodyPacer, not released yet, is WithBodyDeadlineSetter; pacedBody is timedBody, bodyPace is bodyReads.

--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -439,7 +439,7 @@
 
 // TestStalledBody_GetsErrorInTime has clients stop within a body and stay: each gets its whole error, or the close,
 // within 3 s, wherever it stops. A client that has sent a part of a body over 64 KiB may pause for as long as a slow
-// client takes for that part: TestPacedBody_StallTimeout in middleware checks that time.
+// client takes for that part: TestTimedBody_StallTimeout in middleware checks that time.
 func TestStalledBody_GetsErrorInTime(t *testing.T) {
 	const maxDelay = 3 * time.Second
 	for _, length := range []int{9, 20 << 10, 64 << 10, 1 << 20} {
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -202,7 +202,7 @@
 		middleware.WithBodyLimits(n.bodies),
 		middleware.WithDisconnectCheck(clientDisconnected),
 		middleware.WithArrivalAge(arrivalAge),
-		middleware.WithBodyPacer(paceBody),
+		middleware.WithBodyDeadlineSetter(setBodyDeadlines),
 		middleware.WithOverflow(mustReject),
 	)
 	if n.config.WrapHandler != nil {
--- a/internal/node/clientdeadline.go
+++ b/internal/node/clientdeadline.go
@@ -25,8 +25,8 @@
 	phase     readPhase
 	phaseEnd  time.Time     // of phaseIdle, phaseHead and the first read of a body in phaseOpen; zero: none
 	head      clientTimeout // of phaseHead
-	requested time.Time     // by net/http or a handler, or from pace; zero: none
-	pace      bodyPace
+	requested time.Time     // by net/http or a handler, or from body; zero: none
+	body      bodyReads
 	reading   bool      // between beginRead and endRead
 	watching  bool      // uses pauses
 	closeBy   time.Time // by which the client has to close its side; zero: it need not
@@ -38,21 +38,21 @@
 func (d *readDeadline) request(t time.Time) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.requested, d.pace = t, bodyPace{}
+	d.requested, d.body = t, bodyReads{}
 	if !t.IsZero() {
 		d.endBodyBoundLocked()
 	}
 	return d.updateLocked()
 }
 
-// paceBody takes the place of request for the reads of a body, from the next read on.
-func (d *readDeadline) paceBody(limits paceLimits) {
+// limitBody takes the place of request for the reads of a body, from the next read on.
+func (d *readDeadline) limitBody(limits bodyReadLimits) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.pace.active() {
-		d.pace.pausedBefore = d.pauses.Paused()
+	if !d.body.active() {
+		d.body.pausedBefore = d.pauses.Paused()
 	}
-	d.pace.paceLimits, d.pace.renew = limits, true
+	d.body.bodyReadLimits, d.body.renew = limits, true
 	d.endBodyBoundLocked()
 }
 
@@ -60,7 +60,7 @@
 func (d *readDeadline) noteBytes() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.pace.renew = true
+	d.body.renew = true
 }
 
 // beginRead begins a read of the connection, which endRead ends.
@@ -71,11 +71,11 @@
 	switch {
 	case d.phase == phaseHead:
 		d.watchPausesLocked()
-	case d.pace.active():
+	case d.body.active():
 		paused := d.watchPausesLocked()
 		now := time.Now()
-		d.pace.beginRead(now, paused)
-		d.requested = d.pace.readDeadline(now, paused)
+		d.body.beginRead(now, paused)
+		d.requested = d.body.readDeadline(now, paused)
 		_ = d.updateLocked()
 	}
 }
@@ -110,8 +110,8 @@
 	switch {
 	case d.phase == phaseHead:
 		d.phaseEnd = d.head.deadline(now, paused)
-	case d.pace.active():
-		d.requested = d.pace.readDeadline(now, paused)
+	case d.body.active():
+		d.requested = d.body.readDeadline(now, paused)
 	default:
 		return false
 	}
--- a/internal/node/clientpauses.go
+++ b/internal/node/clientpauses.go
@@ -32,25 +32,25 @@
 	return t.began.Add(t.timeout + credit)
 }
 
-// paceLimits bounds the reads of a request's body.
-type paceLimits struct {
+// bodyReadLimits bounds the reads of a request's body.
+type bodyReadLimits struct {
 	timeout  time.Duration // from byte to byte; 0: reads have no bound
 	deadline time.Time     // of the whole body
 }
 
-// bodyPace bounds the reads of a request's body. The zero value has no bounds.
-type bodyPace struct {
-	paceLimits
+// bodyReads bounds the reads of a request's body. The zero value has no bounds.
+type bodyReads struct {
+	bodyReadLimits
 	pausedBefore time.Duration // pauses of the node before the body was read
 	stall        clientTimeout // since the node reads without a byte
 	renew        bool          // the next read begins stall anew
 }
 
 // active reports whether reads have bounds.
-func (b *bodyPace) active() bool { return b.timeout > 0 }
+func (b *bodyReads) active() bool { return b.timeout > 0 }
 
 // beginRead begins a read. paused is the sum of the node's pauses until now.
-func (b *bodyPace) beginRead(now time.Time, paused time.Duration) {
+func (b *bodyReads) beginRead(now time.Time, paused time.Duration) {
 	if b.renew {
 		b.renew = false
 		b.stall = clientTimeout{began: now, pausedBefore: paused, timeout: b.timeout}
@@ -58,7 +58,7 @@
 }
 
 // readDeadline returns the deadline of the current read. paused is the sum of the node's pauses until now.
-func (b *bodyPace) readDeadline(now time.Time, paused time.Duration) time.Time {
+func (b *bodyReads) readDeadline(now time.Time, paused time.Duration) time.Time {
 	wholeBody := b.deadline.Add(paused - b.pausedBefore)
 	return earlierDeadline(b.stall.deadline(now, paused), wholeBody)
 }
--- a/internal/node/clientpauses_test.go
+++ b/internal/node/clientpauses_test.go
@@ -12,9 +12,9 @@
 	"cobaltward/internal/testkit"
 )
 
-// TestBodyPace_ReadDeadline: pauses of the node extend a read by as much, and by maxPauseCredit at most while the node
+// TestBodyReads_ReadDeadline: pauses of the node extend a read by as much, and by maxPauseCredit at most while the node
 // runs for half of the time or more.
-func TestBodyPace_ReadDeadline(t *testing.T) {
+func TestBodyReads_ReadDeadline(t *testing.T) {
 	const timeout = 2500 * ms
 	began := time.Now()
 	for _, test := range []struct {
@@ -29,8 +29,8 @@
 		{time.Minute, 59 * time.Second, 2 * time.Minute, timeout + 59*time.Second},
 		{timeout, 100 * ms, timeout / 2, timeout/2 + 100*ms}, // the whole body has a deadline of its own
 	} {
-		limits := paceLimits{timeout: timeout, deadline: began.Add(test.wholeBody)}
-		body := bodyPace{paceLimits: limits, pausedBefore: time.Hour, renew: true}
+		limits := bodyReadLimits{timeout: timeout, deadline: began.Add(test.wholeBody)}
+		body := bodyReads{bodyReadLimits: limits, pausedBefore: time.Hour, renew: true}
 		body.beginRead(began, time.Hour)
 		got := body.readDeadline(began.Add(test.elapsed), time.Hour+test.paused)
 		if got := got.Sub(began); got != test.want {
@@ -141,8 +141,8 @@
 	if !withinBody {
 		return nil
 	}
-	limits := paceLimits{timeout: timeout, deadline: time.Now().Add(time.Hour)}
-	clientConnOf(conn).deadline.paceBody(limits)
+	limits := bodyReadLimits{timeout: timeout, deadline: time.Now().Add(time.Hour)}
+	clientConnOf(conn).deadline.limitBody(limits)
 	_, err := io.ReadFull(conn, make([]byte, bodySize))
 	return err
 }
--- a/internal/node/clientstate.go
+++ b/internal/node/clientstate.go
@@ -16,11 +16,11 @@
 	}
 }
 
-// paceBody is the middleware.BodyPacer of the node's own connections.
-func paceBody(ctx context.Context, timeout time.Duration, deadline time.Time) bool {
+// setBodyDeadlines is the middleware.BodyDeadlineSetter of the node's own connections.
+func setBodyDeadlines(ctx context.Context, timeout time.Duration, deadline time.Time) bool {
 	c, ok := ctx.Value(clientConnKey{}).(*clientConn)
 	if ok {
-		c.deadline.paceBody(paceLimits{timeout: timeout, deadline: deadline})
+		c.deadline.limitBody(bodyReadLimits{timeout: timeout, deadline: deadline})
 	}
 	return ok
 }
--- a/internal/pausedetector/detector.go
+++ b/internal/pausedetector/detector.go
@@ -19,8 +19,8 @@
 type Detector struct {
 	mu      sync.Mutex
 	uses    int
-	timer   *time.Timer // calls look; nil: never used
-	running bool        // the timer will call look
+	timer   *time.Timer // calls tick; nil: never used
+	running bool        // the timer will call tick
 	due     time.Time   // of the next look
 	paused  time.Duration
 }
@@ -37,7 +37,7 @@
 	d.running = true
 	d.due = time.Now().Add(interval)
 	if d.timer == nil {
-		d.timer = time.AfterFunc(interval, d.look)
+		d.timer = time.AfterFunc(interval, d.tick)
 	} else {
 		d.timer.Reset(interval)
 	}
@@ -60,8 +60,8 @@
 	return d.paused
 }
 
-// look ends the looks once nobody uses them.
-func (d *Detector) look() {
+// tick looks at the clock. Without a use it is the last one.
+func (d *Detector) tick() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.recordLocked(time.Now())
--- a/internal/sockets/deadlinereader_test.go
+++ b/internal/sockets/deadlinereader_test.go
@@ -67,7 +67,7 @@
 		if i == 0 {
 			send(t, own, peer, ", and later")
 		}
-		_ = reader.SetReadDeadline(deadline) // as pacedBody sets it, once more
+		_ = reader.SetReadDeadline(deadline) // as timedBody sets it, once more
 	}
 	wantTimeout(t, reader)
 	_ = reader.SetReadDeadline(time.Now().Add(time.Minute))
--- a/middleware/frontend.go
+++ b/middleware/frontend.go
@@ -41,20 +41,20 @@
 
 // Frontend answers booking requests by an Engine. It has no state of its own, and is safe for concurrent use.
 type Frontend struct {
-	engine       Engine
-	matches      func(*http.Request) bool
-	extract      Extractors
-	readyPath    string // empty: readiness is not answered
-	isServing    func() bool
-	bodyTimeout  time.Duration // 0: the host's
-	writeTimeout time.Duration // 0: the host's
-	timeout      time.Duration // of a request; 0: the client's deadline alone
-	newID        func() string
-	bodyLimits   *body.Limits // nil: bodies are short, and read before they are handed on
-	disconnected func(context.Context) bool
-	arrivalAge   func(context.Context) time.Duration
-	isOverflow   func(context.Context) bool
-	paceBody     BodyPacer // nil: the timeouts of bodies are those of whole reads
+	engine           Engine
+	matches          func(*http.Request) bool
+	extract          Extractors
+	readyPath        string // empty: readiness is not answered
+	isServing        func() bool
+	bodyTimeout      time.Duration // 0: the host's
+	writeTimeout     time.Duration // 0: the host's
+	timeout          time.Duration // of a request; 0: the client's deadline alone
+	newID            func() string
+	bodyLimits       *body.Limits // nil: bodies are short, and read before they are handed on
+	disconnected     func(context.Context) bool
+	arrivalAge       func(context.Context) time.Duration
+	isOverflow       func(context.Context) bool
+	setBodyDeadlines BodyDeadlineSetter // nil: the timeouts of bodies are those of whole reads
 }
 
 // Option changes a default of New.
@@ -119,9 +119,11 @@
 	return func(f *Frontend) { f.isOverflow = isOverflow }
 }
 
-// WithBodyPacer sets what bounds the reads of a request's body. By default a read deadline is set for each read of the
-// body, which of a body in chunks may take many reads of the connection.
-func WithBodyPacer(pace BodyPacer) Option { return func(f *Frontend) { f.paceBody = pace } }
+// WithBodyDeadlineSetter sets what bounds the reads of a request's body. By default a read deadline is set for each
+// read of the body, which of a body in chunks may take many reads of the connection.
+func WithBodyDeadlineSetter(set BodyDeadlineSetter) Option {
+	return func(f *Frontend) { f.setBodyDeadlines = set }
+}
 
 // Path matches requests at the path and below it.
 func Path(path string) func(*http.Request) bool {
--- a/middleware/longbody.go
+++ b/middleware/longbody.go
@@ -25,7 +25,7 @@
 	*body.Upload
 	request      *http.Request
 	conn         *http.ResponseController
-	body         pacedBody
+	body         timedBody
 	disconnected func(context.Context) bool
 	arrivedAt    func(context.Context) time.Time
 	ctx          context.Context // the request's; also cancelled when the body breaks off
@@ -88,8 +88,8 @@
 	}
 	newUpload := &upload{
 		request: r, conn: conn, disconnected: f.disconnected, arrivedAt: f.arrivedAt,
-		body: pacedBody{
-			Reader: r.Body, conn: conn, long: maxLength > maxShortBody, pace: f.bodyPacer(r),
+		body: timedBody{
+			Reader: r.Body, conn: conn, long: maxLength > maxShortBody, setDeadlines: f.bodyDeadlineSetter(r),
 			deadline: time.Now().Add(f.bodyTimeout + time.Duration(maxLength)*time.Second/minUploadRate),
 		},
 	}
@@ -98,13 +98,13 @@
 	return newUpload
 }
 
-// bodyPacer returns the BodyPacer of a request's body; nil without one.
-func (f *Frontend) bodyPacer(r *http.Request) func(timeout time.Duration, deadline time.Time) bool {
-	if f.paceBody == nil {
+// bodyDeadlineSetter returns the BodyDeadlineSetter of a request's body; nil without one.
+func (f *Frontend) bodyDeadlineSetter(r *http.Request) func(timeout time.Duration, deadline time.Time) bool {
+	if f.setBodyDeadlines == nil {
 		return nil
 	}
 	return func(timeout time.Duration, deadline time.Time) bool {
-		return f.paceBody(r.Context(), timeout, deadline)
+		return f.setBodyDeadlines(r.Context(), timeout, deadline)
 	}
 }
 
--- a/middleware/serve.go
+++ b/middleware/serve.go
@@ -105,8 +105,8 @@
 		var source io.Reader = r.Body
 		if f.bodyTimeout > 0 {
 			conn := http.NewResponseController(w)
-			source = &pacedBody{
-				Reader: r.Body, conn: conn, pace: f.bodyPacer(r), deadline: time.Now().Add(f.bodyTimeout),
+			source = &timedBody{
+				Reader: r.Body, conn: conn, setDeadlines: f.bodyDeadlineSetter(r), deadline: time.Now().Add(f.bodyTimeout),
 			}
 		}
 		content, err := io.ReadAll(io.LimitReader(source, maxShortBody+1))
--- a/middleware/pacedbody.go
+++ b/middleware/timedbody.go
@@ -15,25 +15,25 @@
 	longBodyStallTimeout = 15 * time.Second
 )
 
-// BodyPacer bounds the reads of a request's body: until the deadline, and no longer than the timeout after the last
-// byte that came. It returns false if it cannot.
-type BodyPacer func(ctx context.Context, timeout time.Duration, deadline time.Time) bool
+// BodyDeadlineSetter bounds the reads of a request's body: until the deadline, and no longer than the timeout after the
+// last byte that came. It may leave out the time for which the process was paused. It returns false if it cannot.
+type BodyDeadlineSetter func(ctx context.Context, timeout time.Duration, deadline time.Time) bool
 
-// pacedBody reads a request's body within a deadline for the whole and a timeout for each read. The time between reads
+// timedBody reads a request's body within a deadline for the whole and a timeout for each read. The time between reads
 // counts for the deadline alone.
-type pacedBody struct {
+type timedBody struct {
 	io.Reader
-	conn     *http.ResponseController
-	pace     func(timeout time.Duration, deadline time.Time) bool // nil: the timeout is that of a whole Read
-	deadline time.Time
-	long     bool // over maxShortBody, or of unknown length
-	received int64
-	ended    bool // the end of the body was read
+	conn         *http.ResponseController
+	setDeadlines func(timeout time.Duration, deadline time.Time) bool // nil: the timeout is that of a whole Read
+	deadline     time.Time
+	long         bool // over maxShortBody, or of unknown length
+	received     int64
+	ended        bool // the end of the body was read
 }
 
 // Read reads from the client. Behind the end of the body it sets no deadline: net/http reads on by then, to notice that
 // the client disconnects, and a deadline would cancel the request.
-func (b *pacedBody) Read(p []byte) (int, error) {
+func (b *timedBody) Read(p []byte) (int, error) {
 	if b.ended {
 		return 0, io.EOF
 	}
@@ -45,9 +45,9 @@
 }
 
 // setReadDeadline bounds the next Read. Of a body in chunks it may take many reads of the connection.
-func (b *pacedBody) setReadDeadline() {
+func (b *timedBody) setReadDeadline() {
 	timeout := b.stallTimeout()
-	if b.pace != nil && b.pace(timeout, b.deadline) {
+	if b.setDeadlines != nil && b.setDeadlines(timeout, b.deadline) {
 		return
 	}
 	readDeadline := time.Now().Add(timeout)
@@ -59,7 +59,7 @@
 
 // stallTimeout returns the timeout of the next read. The client of a long body may pause for as long as it would have
 // taken at minUploadRate for what it has sent.
-func (b *pacedBody) stallTimeout() time.Duration {
+func (b *timedBody) stallTimeout() time.Duration {
 	if !b.long {
 		return bodyStallTimeout
 	}
--- a/middleware/pacedbody_test.go
+++ b/middleware/timedbody_test.go
@@ -5,15 +5,15 @@
 	"time"
 )
 
-// TestPacedBody_StallTimeout: what has arrived of a long body extends the timeout of the next read, within a bound.
-func TestPacedBody_StallTimeout(t *testing.T) {
+// TestTimedBody_StallTimeout: what has arrived of a long body extends the timeout of the next read, within a bound.
+func TestTimedBody_StallTimeout(t *testing.T) {
 	for received, want := range map[int64]time.Duration{
 		0:             bodyStallTimeout,
 		minUploadRate: bodyStallTimeout + time.Second,
 		maxShortBody:  bodyStallTimeout + 2*time.Second,
 		1 << 20:       longBodyStallTimeout,
 	} {
-		body := pacedBody{received: received}
+		body := timedBody{received: received}
 		if got := body.stallTimeout(); got != bodyStallTimeout {
 			t.Errorf("short: %v after %d bytes, want %v", got, received, bodyStallTimeout)
 		}
