Pauses of the node between the reads of a body do not count either

What callers saw: 504 for uploads whose clients had written all of them in time.

Cause: the whole body's time, 5 s and what the body takes at 32 KiB a second, was extended by pauses within reads alone: between reads, as while an upload waits for its server, nothing measured them. And a pause just as a time began could count for the client.

TestRead_NodePausedBetweenReads fails where pauses between reads are not counted, TestBeginClientTimeout_PauseAsItBegins with the order turned round.

Why it works: pauses are counted from the first read of a body to its end, and as long as a part of a head has been read; the count is taken ahead of the clock. beginRead and endRead need no pair any more.

--- a/internal/node/clientdeadline.go
+++ b/internal/node/clientdeadline.go
@@ -27,7 +27,7 @@
 	head      clientTimeout // of phaseHead
 	requested time.Time     // by net/http or a handler, or from body; zero: none
 	body      bodyReads
-	reading   bool      // between beginRead and endRead
+	ended     bool      // the connection is closed, or lingers
 	watching  bool      // uses pauses
 	closeBy   time.Time // by which the client has to close its side; zero: it need not
 	final     time.Time // takes the place of all others; zero: it does not
@@ -39,6 +39,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.requested, d.body = t, bodyReads{}
+	d.updateWatchLocked()
 	if !t.IsZero() {
 		d.endBodyBoundLocked()
 	}
@@ -49,10 +50,12 @@
 func (d *readDeadline) limitBody(limits bodyReadLimits) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.body.active() {
+	first := !d.body.active()
+	d.body.bodyReadLimits, d.body.renew = limits, true
+	d.updateWatchLocked()
+	if first {
 		d.body.pausedBefore = d.pauses.Paused()
 	}
-	d.body.bodyReadLimits, d.body.renew = limits, true
 	d.endBodyBoundLocked()
 }
 
@@ -63,42 +66,39 @@
 	d.body.renew = true
 }
 
-// beginRead begins a read of the connection, which endRead ends.
+// beginRead is called before each read of a connection that is not idle.
 func (d *readDeadline) beginRead() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.reading = true
-	switch {
-	case d.phase == phaseHead:
-		d.watchPausesLocked()
-	case d.body.active():
-		paused := d.watchPausesLocked()
-		now := time.Now()
-		d.body.beginRead(now, paused)
-		d.requested = d.body.readDeadline(now, paused)
-		_ = d.updateLocked()
+	if !d.body.active() {
+		return
 	}
+	if d.body.renew {
+		d.body.renew = false
+		d.body.stall = beginClientTimeout(d.body.timeout, d.pauses)
+	}
+	d.requested = d.body.readDeadline(time.Now(), d.pauses.Paused())
+	_ = d.updateLocked()
 }
 
-// endRead ends a read.
-func (d *readDeadline) endRead() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.reading = false
-	if d.watching {
-		d.watching = false
+// updateWatchLocked has pauses of the node counted while a head or a body is read.
+func (d *readDeadline) updateWatchLocked() {
+	wanted := !d.ended && (d.phase == phaseHead || d.body.active())
+	switch {
+	case wanted && !d.watching:
+		d.pauses.Begin()
+	case !wanted && d.watching:
 		d.pauses.End()
 	}
+	d.watching = wanted
 }
 
-// watchPausesLocked has pauses of the node counted until the end of the current read, if there is one. It returns the
-// sum of those before.
-func (d *readDeadline) watchPausesLocked() (paused time.Duration) {
-	if !d.reading || d.watching {
-		return d.pauses.Paused()
-	}
-	d.watching = true
-	return d.pauses.Begin()
+// end says that no more requests are read.
+func (d *readDeadline) end() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ended = true
+	d.updateWatchLocked()
 }
 
 // extendRead gives a read within a request that has timed out the time for which the node was paused. It returns false
@@ -124,6 +124,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.phase, d.phaseEnd = phaseIdle, time.Now().Add(timeout)
+	d.updateWatchLocked()
 }
 
 // apply sets the deadline of a phase that has begun.
@@ -140,10 +141,10 @@
 	if d.phase == phaseHead {
 		return
 	}
-	paused := d.watchPausesLocked()
-	now := time.Now()
-	d.phase, d.head = phaseHead, clientTimeout{began: now, pausedBefore: paused, timeout: timeout}
-	d.phaseEnd = d.head.deadline(now, paused)
+	d.phase = phaseHead
+	d.updateWatchLocked()
+	d.head = beginClientTimeout(timeout, d.pauses)
+	d.phaseEnd = d.head.deadline(time.Now(), d.pauses.Paused())
 	_ = d.updateLocked()
 }
 
@@ -159,6 +160,7 @@
 		d.phaseEnd = time.Now().Add(bodyTimeout)
 	}
 	d.phase = phaseOpen
+	d.updateWatchLocked()
 	_ = d.updateLocked()
 }
 
--- a/internal/node/clientpauses.go
+++ b/internal/node/clientpauses.go
@@ -8,8 +8,8 @@
 
 // pauseCounter measures for how long the node's process was paused, as pausedetector.Detector does.
 type pauseCounter interface {
-	// Begin begins a use, which End ends, and returns what Paused does.
-	Begin() time.Duration
+	// Begin begins a use, which End ends.
+	Begin()
 	End()
 	// Paused returns the sum of all pauses so far that were within a use.
 	Paused() time.Duration
@@ -23,6 +23,12 @@
 	timeout      time.Duration
 }
 
+// beginClientTimeout returns a clientTimeout that begins now.
+func beginClientTimeout(timeout time.Duration, pauses pauseCounter) clientTimeout {
+	pausedBefore := pauses.Paused() // ahead of began: a pause between the two is not the client's
+	return clientTimeout{began: time.Now(), pausedBefore: pausedBefore, timeout: timeout}
+}
+
 // deadline returns the end of the time. paused is the sum of the node's pauses until now.
 func (t *clientTimeout) deadline(now time.Time, paused time.Duration) time.Time {
 	credit := paused - t.pausedBefore
@@ -49,14 +55,6 @@
 // active reports whether reads have bounds.
 func (b *bodyReads) active() bool { return b.timeout > 0 }
 
-// beginRead begins a read. paused is the sum of the node's pauses until now.
-func (b *bodyReads) beginRead(now time.Time, paused time.Duration) {
-	if b.renew {
-		b.renew = false
-		b.stall = clientTimeout{began: now, pausedBefore: paused, timeout: b.timeout}
-	}
-}
-
 // readDeadline returns the deadline of the current read. paused is the sum of the node's pauses until now.
 func (b *bodyReads) readDeadline(now time.Time, paused time.Duration) time.Time {
 	wholeBody := b.deadline.Add(paused - b.pausedBefore)
--- a/internal/node/clientpauses_test.go
+++ b/internal/node/clientpauses_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"io"
 	"net"
-	"sync/atomic"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,8 +30,8 @@
 		{timeout, 100 * ms, timeout / 2, timeout/2 + 100*ms}, // the whole body has a deadline of its own
 	} {
 		limits := bodyReadLimits{timeout: timeout, deadline: began.Add(test.wholeBody)}
-		body := bodyReads{bodyReadLimits: limits, pausedBefore: time.Hour, renew: true}
-		body.beginRead(began, time.Hour)
+		stall := clientTimeout{began: began, pausedBefore: time.Hour, timeout: timeout}
+		body := bodyReads{bodyReadLimits: limits, pausedBefore: time.Hour, stall: stall}
 		got := body.readDeadline(began.Add(test.elapsed), time.Hour+test.paused)
 		if got := got.Sub(began); got != test.want {
 			t.Errorf("%+v: deadline after %v", test, got)
@@ -39,19 +39,55 @@
 	}
 }
 
-// fakePauses is the pauseCounter of a node that is paused for a part of the time.
+// fakePauses is the pauseCounter of a node that is paused for a part of the time. It counts while it is in use.
 type fakePauses struct {
 	part float64
-	zero time.Time
-	uses atomic.Int64
+
+	mu    sync.Mutex
+	uses  int
+	began time.Time // of the first of the present uses
+	used  time.Duration
 }
 
-func (p *fakePauses) Begin() time.Duration { p.uses.Add(1); return p.Paused() }
+// Begin implements pauseCounter.
+func (p *fakePauses) Begin() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.uses == 0 {
+		p.began = time.Now()
+	}
+	p.uses++
+}
 
-func (p *fakePauses) End() { p.uses.Add(-1) }
+// End implements pauseCounter.
+func (p *fakePauses) End() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.uses--
+	if p.uses == 0 {
+		p.used += time.Since(p.began)
+	}
+}
 
+// Paused implements pauseCounter.
 func (p *fakePauses) Paused() time.Duration {
-	return time.Duration(p.part * float64(time.Since(p.zero)))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	used := p.used
+	if p.uses > 0 {
+		used += time.Since(p.began)
+	}
+	return time.Duration(p.part * float64(used))
+}
+
+// requireUnused checks that all uses have ended.
+func (p *fakePauses) requireUnused(t *testing.T) {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.uses != 0 {
+		t.Errorf("%d uses of the pauses have no end", p.uses)
+	}
 }
 
 // haltingConn calls halt within each write.
@@ -94,7 +130,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			listener := test.listen(t, 4)
-			pauses := &fakePauses{part: test.paused, zero: time.Now()}
+			pauses := &fakePauses{part: test.paused}
 			listener.pauses = pauses
 			client, conn := connectClient(t, listener)
 			halting := &haltingConn{client, func() {}}
@@ -102,9 +138,8 @@
 			if wantErr := test.paused == 0; (err != nil) != wantErr {
 				t.Errorf("read: %v", err)
 			}
-			if uses := pauses.uses.Load(); uses != 0 {
-				t.Errorf("%d uses of the pauses have no end", uses)
-			}
+			_ = conn.Close()
+			pauses.requireUnused(t)
 		})
 	}
 }
@@ -147,6 +182,64 @@
 	return err
 }
 
+// TestRead_NodePausedBetweenReads has the node read no more of a body until its whole time is over by the clock, for
+// most of which the node is paused: the rest is read.
+func TestRead_NodePausedBetweenReads(t *testing.T) {
+	const deadline, wait = 200 * ms, 500 * ms
+	const bodySize = 1000
+	listener := newTestListener(t, 4)
+	pauses := &fakePauses{part: 0.99}
+	listener.pauses = pauses
+	client, conn := connectClient(t, listener)
+	head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", bodySize)
+	_, _ = io.WriteString(client, head)
+	if _, err := io.ReadFull(conn, make([]byte, len(head))); err != nil {
+		t.Fatal(err)
+	}
+	limits := bodyReadLimits{timeout: time.Minute, deadline: time.Now().Add(deadline)}
+	for range 2 {
+		clientConnOf(conn).deadline.limitBody(limits)
+		sent := make(chan struct{})
+		time.AfterFunc(deadline/2, func() { // behind the read's last look
+			defer close(sent)
+			_, _ = client.Write(make([]byte, bodySize/2))
+		})
+		if _, err := io.ReadFull(conn, make([]byte, bodySize/2)); err != nil {
+			t.Error(err)
+		}
+		testkit.Receive(t, "the client's write", sent)
+		time.Sleep(wait)
+	}
+	_ = conn.Close()
+	pauses.requireUnused(t)
+}
+
+// pausingCounter is the pauseCounter of a node that is paused within each call of Paused.
+type pausingCounter struct{ paused time.Duration }
+
+// Begin implements pauseCounter.
+func (p *pausingCounter) Begin() {}
+
+// End implements pauseCounter.
+func (p *pausingCounter) End() {}
+
+// Paused implements pauseCounter.
+func (p *pausingCounter) Paused() time.Duration {
+	const pause = 100 * ms
+	time.Sleep(pause)
+	p.paused += pause
+	return p.paused
+}
+
+// TestBeginClientTimeout_PauseAsItBegins has the node paused as a time begins, for longer than that: it is not over.
+func TestBeginClientTimeout_PauseAsItBegins(t *testing.T) {
+	var pauses pausingCounter
+	timeout := beginClientTimeout(50*ms, &pauses)
+	if deadline := timeout.deadline(time.Now(), pauses.paused); !deadline.After(time.Now()) {
+		t.Errorf("over %v ago as it began", time.Since(deadline))
+	}
+}
+
 func plainClient(client net.Conn) net.Conn { return client }
 
 func tlsClient(client net.Conn) net.Conn {
--- a/internal/node/clientread.go
+++ b/internal/node/clientread.go
@@ -63,7 +63,6 @@
 	}
 	began := time.Now()
 	c.deadline.beginRead()
-	defer c.deadline.endRead()
 	n, err = c.stream.Read(buf)
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.mayReadOn() {
 		n, err = c.stream.Read(buf)
--- a/internal/node/clientstate.go
+++ b/internal/node/clientstate.go
@@ -152,6 +152,7 @@
 	}
 	delete(c.listener.partialRequests, c)
 	c.setFirstPendingLocked(false)
+	c.deadline.end()
 	c.closed = true
 	c.listener.open--
 }
--- a/internal/pausedetector/detector.go
+++ b/internal/pausedetector/detector.go
@@ -25,14 +25,13 @@
 	paused  time.Duration
 }
 
-// Begin begins a use, which End ends, and returns what Paused does.
-func (d *Detector) Begin() (paused time.Duration) {
+// Begin begins a use, which End ends.
+func (d *Detector) Begin() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.uses++
 	if d.running {
-		d.recordLocked(time.Now())
-		return d.paused
+		return
 	}
 	d.running = true
 	d.due = time.Now().Add(interval)
@@ -41,7 +40,6 @@
 	} else {
 		d.timer.Reset(interval)
 	}
-	return d.paused
 }
 
 // End ends a use.
