Pauses of the node do not count as a server's silence within an upload

What callers saw: 503 for a long upload of which a server had a part.

Cause: a write that makes no progress for 15 s fails, by a write deadline. Within a pause of the node nothing is written, and package net looks at the deadline ahead of the socket. What has been passed on can't be sent again.

Why it works: writeStallGuard ends a write by a timer that leaves out pauses, and sets no deadline before.

--- a/transport/http1/transport.go
+++ b/transport/http1/transport.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"cobaltward/internal/pausedetector"
 	"cobaltward/policy"
 	"cobaltward/router"
 	"cobaltward/transport/secure"
@@ -54,6 +55,7 @@
 	ctx         context.Context // ends with the transport
 	cancel      context.CancelFunc
 	written     atomic.Uint64 // attempts that were written completely
+	pauses      pauseCounter
 
 	mu               sync.Mutex
 	servers          servers.Table[serverPool]
@@ -87,6 +89,7 @@
 		stop:        make(chan struct{}),
 		maxConns:    config.MaxConns,
 		idleTimeout: defaultServerIdleTimeout / 2,
+		pauses:      new(pausedetector.Detector),
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.servers = servers.New(t.removeServer)
--- a/transport/http1/upload.go
+++ b/transport/http1/upload.go
@@ -33,22 +33,24 @@
 	if err != nil {
 		return router.Result{Code: policy.Superseded}, false // the server is not at fault
 	}
-	defer func() { _ = connection.SetWriteDeadline(time.Time{}) }()
-	_ = connection.SetWriteDeadline(time.Now().Add(stallTimeout))
+	guard := newWriteStallGuard(connection, stallTimeout, t.pauses)
+	defer guard.stop()
 	if err := outcome.BeginWrite(ctx); err != nil {
 		return router.Result{Code: failureCode(ctx, err, false)}, false
 	}
+	guard.beginWrite()
 	_, err = connection.Write(head.Bytes())
+	guard.endWrite()
 	outcome.EndWrite(ctx)
 	if err != nil {
 		return earlyResponse(ctx, connection, err), false
 	}
-	return uploadBody(ctx, connection, body, r.Upload.Length())
+	return uploadBody(ctx, connection, guard, body, r.Upload.Length())
 }
 
 // uploadBody writes a body of a length, or in the chunked coding where that is negative.
 func uploadBody(
-	ctx context.Context, connection *conn, body io.Reader, length int64,
+	ctx context.Context, connection *conn, guard *writeStallGuard, body io.Reader, length int64,
 ) (failure router.Result, sent bool) {
 	chunked := length < 0
 	chunk := uploadChunks.Get().(*[uploadChunkSize]byte)
@@ -66,11 +68,12 @@
 		if err != nil && !isLast {
 			return router.Result{Code: policy.Superseded}, false // the client disconnected, or the body is lost
 		}
-		_ = connection.SetWriteDeadline(time.Now().Add(stallTimeout))
 		if err := outcome.BeginWrite(ctx); err != nil {
 			return router.Result{Code: failureCode(ctx, err, false)}, false
 		}
+		guard.beginWrite()
 		err = writeBodyChunk(connection, chunk[:n], chunked, isLast)
+		guard.endWrite()
 		outcome.EndWrite(ctx)
 		if err != nil {
 			return earlyResponse(ctx, connection, err), false
