--- a/review/rig/case_tls_second_copy.go
+++ b/review/rig/case_tls_second_copy.go
@@ -76,6 +76,15 @@
 	var members []object
 	ran := make(map[string][]string) // servers that have run each id
 	received, turnedAway, copies := 0, 0, 0
+	underway := make(map[net.Conn]chan struct{}) // closed when the second copy on a connection has arrived
+	awaitCopy := func(conn net.Conn) {
+		mu.Lock()
+		arrived := underway[conn]
+		mu.Unlock()
+		if arrived != nil {
+			<-arrived
+		}
+	}
 	for i := range 3 {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -95,23 +104,28 @@
 			}
 			mu.Unlock()
 			if turnAway {
+				awaitCopy(conn)
 				w.rec.printf("%s turns away %s, unrun", id, r.id)
 				answer := []byte("HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 				_, _ = conn.Write(answer)
 				if w.trouble {
 					// The copy belongs right behind the answer, when nothing else waits on the connection, and is late by
-					// copyDelay on its way. It stays ahead of every later answer, which takes tlsService or longer.
+					// copyDelay on its way. As on any connection, it stays ahead of every later answer.
+					arrived := make(chan struct{})
 					mu.Lock()
 					copies++
+					underway[conn] = arrived
 					mu.Unlock()
 					time.AfterFunc(copyDelay, func() {
 						w.rec.printf("%s: the second copy of that answer, to %s, arrives", id, r.id)
 						_, _ = conn.Write(answer)
+						close(arrived)
 					})
 				}
 				return
 			}
 			time.Sleep(tlsService)
+			awaitCopy(conn)
 			mu.Lock()
 			ran[r.id] = append(ran[r.id], id)
 			mu.Unlock()
