--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -9,4 +9,4 @@
   echo "could not run: build with the deploy file's command and review/build.sh first" | tee "$here/record.txt"
   exit 2
 fi
-exec "$root/review/bin/rig" short-length "$root" "$here/record.txt"
+exec "$root/review/bin/rig" split-messages "$root" "$here/record.txt"
--- a/review/rig/case_split_messages.go
+++ b/review/rig/case_split_messages.go
@@ -134,7 +134,7 @@
 	if err := os.WriteFile(own, fmt.Appendf(nil, "[msgpack]\nlisten = %q\n", rpcAddr), 0o600); err != nil {
 		return verdict{}, err
 	}
-	n, err := startNode(w.root, w.dir, platform.addr(), platform.list(), " --config "+own)
+	n, err := startNode(w.root, w.dir, platform.addr(), platform.list(), own)
 	if err != nil {
 		return verdict{}, err
 	}
--- a/review/rig/node.go
+++ b/review/rig/node.go
@@ -95,8 +95,9 @@
 	exited chan struct{}
 }
 
-// startNode starts a node and waits until it is ready. options is appended to the run command.
-func startNode(root, dir, discovery string, known object, options string) (*node, error) {
+// startNode starts a node with the run command and waits until it is ready. operatorFile names the operator's own
+// file; empty: there is none.
+func startNode(root, dir, discovery string, known object, operatorFile string) (*node, error) {
 	listen, err := freePort()
 	if err != nil {
 		return nil, err
@@ -128,10 +129,13 @@
 		return nil, err
 	}
 	n := &node{listen: listen, exited: make(chan struct{})}
-	n.cmd = exec.Command("/bin/sh", "-c", command+options)
+	n.cmd = exec.Command("/bin/sh", "-c", command)
 	n.cmd.Dir = root
 	n.cmd.Env = append(os.Environ(), "ROUTER_NAME=n1", "ROUTER_LISTEN="+listen, "ROUTER_DISCOVERY="+discovery,
 		"ROUTER_CONFIG="+path, "TMPDIR="+tmp)
+	if operatorFile != "" {
+		n.cmd.Env = append(n.cmd.Env, "WAYHOLD_CONFIG="+operatorFile)
+	}
 	n.cmd.Stdout, n.cmd.Stderr = log, log
 	if err := n.cmd.Start(); err != nil {
 		return nil, err
