MessagePack-RPC: the timeout of a message begins with that message

What callers saw: a client whose writes do not end where messages end was cut off 2.5 s after its connection was opened, although each message took 0.1 s.

Cause: setReadDeadline reset the start of a message only where a read began with nothing buffered. After a read that returned the end of one message and the first bytes of the next, the old start and its deadline stayed in force, for as long as each read ended within a message.

A trace of each read's deadline (scratch copy) shows the age of the current message growing by 0.1 s with each message that completes, up to 2.42 s after 24 of them, and the read failing at 2.5 s with neither eviction, drain nor idle timeout under way and 4 of 64 calls open. That rules out the idle timeout, evictions, drains, the limit on open calls and a deadline that the socket kept by itself.

Fix: the start is reset when a message is complete, before its call is handled. The next message starts when the reader first waits for its rest, so that neither earlier messages nor time in which the node does not read (64 open calls) count. The bound stays 2.5 s.

--- a/internal/frontend/msgpack/connread.go
+++ b/internal/frontend/msgpack/connread.go
@@ -22,17 +22,24 @@
 func (c *conn) read(ctx context.Context) error {
 	in := msgpackrpc.NewReader(c)
 	in.BeforeRead = c.setReadDeadline
-	return stream.ReadMessages(in, func(message msgpackrpc.Message) error { return c.handle(ctx, message) })
+	return stream.ReadMessages(in, func(message msgpackrpc.Message) error {
+		c.endMessage()
+		return c.handle(ctx, message)
+	})
+}
+
+// endMessage records that the current message is complete. Part of the next message may have been read with it.
+func (c *conn) endMessage() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.messageStartedAt = time.Time{}
 }
 
 // setReadDeadline sets the deadline of the next read. partial is true if only part of a message has been read.
 func (c *conn) setReadDeadline(partial bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch {
-	case !partial:
-		c.messageStartedAt = time.Time{}
-	case c.messageStartedAt.IsZero():
+	if partial && c.messageStartedAt.IsZero() {
 		c.messageStartedAt = time.Now()
 	}
 	if c.writeClosed {
--- a/internal/frontend/msgpack/server_test.go
+++ b/internal/frontend/msgpack/server_test.go
@@ -109,6 +109,11 @@
 	if err != nil {
 		return err.Error()
 	}
+	return describe(frame)
+}
+
+// describe returns a description of an encoded message.
+func describe(frame []byte) string {
 	message, err := msgpackrpc.Parse(frame)
 	switch {
 	case err != nil:
