MessagePack-RPC: a drain waits for the rest of a call that is arriving

What callers saw: EOF without an answer for a call of which a part had been sent at the drain notification, and whose rest came later than 0.2 s after it. A client may take 2 s for a message.

Cause: after lateCallTimeout the writer closed each connection without open calls. It did not consider a message of which a part had been read, nor the socket.

Fix: a drain waits for a message that began before the end of lateCallTimeout; MessageTimeout limits the wait, and later messages are not waited for. The reader closes the connection in one step with a look at the socket, as at the idle timeout.

--- a/internal/frontend/msgpack/conn.go
+++ b/internal/frontend/msgpack/conn.go
@@ -13,19 +13,9 @@
 	"cobaltward/msgpackrpc/stream"
 )
 
-const (
-	// lingerTimeout limits how long the server reads from a connection after closing its write side. Closing a
-	// connection with unread bytes resets it, and the client could lose the last answers.
-	lingerTimeout = time.Second
-	// lateCallTimeout is how long the server still answers calls after the drain notification. The client may have sent
-	// such calls before it received the notification.
-	lateCallTimeout = 200 * time.Millisecond
-	// drainFirstCallGrace is the time after accept during which a drain keeps a connection without calls open. The
-	// first call may be in transit.
-	drainFirstCallGrace = 2500 * time.Millisecond
-	// drainRecheckInterval is how often a drain checks whether a connection without calls can be closed.
-	drainRecheckInterval = 100 * time.Millisecond
-)
+// lingerTimeout limits how long the server reads from a connection after closing its write side. Closing a connection
+// with unread bytes resets it, and the client could lose the last answers.
+const lingerTimeout = time.Second
 
 // conn is a client's connection. One goroutine reads and another one writes. Each open call has a goroutine that
 // waits for the engine's answer.
@@ -47,7 +37,7 @@
 	queuedAnswers     []answer                      // answers to write; callSlots limits their number
 	unwrittenAnswers  int                           // number of answers that are queued or being written
 	idleSince         time.Time                     // end of the last open call, or time of the accept
-	messageStartedAt  time.Time                     // start of the incomplete message; zero: there is none
+	incoming          incomingMessage               // message of which a part has been read
 	openedAt          time.Time                     // time of the accept
 	callSeen          bool                          // whether a call has been received
 	answerWritten     bool                          // true from the first written answer on
@@ -55,9 +45,10 @@
 	notifications     []byte // encoded notifications that are not written yet
 	draining          bool
 	drainNotifiedAt   time.Time
-	closing           bool // whether message handling has ended; the writer closes the write side after the last answer
-	writeClosed       bool // whether the write side is closed; bytes that arrive are then discarded
-	evicted           bool // whether the reader must close the write side once the connection is idle
+	drainRecheck      *time.Timer // wakes the writer to check whether the drain is complete; nil: not draining
+	closing           bool        // whether message handling has ended; the writer closes the write side at the end
+	writeClosed       bool        // whether the write side is closed; bytes that arrive are then discarded
+	evicted           bool        // whether the reader must close the write side once the connection is idle
 	endCause          endCause
 	lingerUntil       time.Time // time at which reading ends after the write side was closed
 	closedWithUnread  bool      // whether the server closed the connection while bytes were unread
@@ -120,12 +111,6 @@
 	return !c.answerWritten && (!c.isIdle() || c.awaitsFirstCall())
 }
 
-// awaitsFirstCall reports whether no call has been received yet, but the first call may be in transit. The caller
-// holds c.mu.
-func (c *conn) awaitsFirstCall() bool {
-	return !c.callSeen && !c.closing && !c.writeClosed && time.Since(c.openedAt) < drainFirstCallGrace
-}
-
 // evictableSince returns the time since which the connection has been idle, and whether the connection may be
 // evicted. The time is zero if the write side is closed. An overflow connection may also be evicted if its client has
 // stalled in the middle of a message. An overflow connection may not be evicted during firstCallGrace, while its
@@ -140,7 +125,7 @@
 		return time.Time{}, false
 	}
 	stalled := c.overflow && time.Since(c.lastReadAt) >= firstCallGrace
-	withinMessage := !c.messageStartedAt.IsZero()
+	withinMessage := !c.incoming.begunAt.IsZero()
 	return c.idleSince, c.isIdle() && (!withinMessage || stalled)
 }
 
@@ -172,7 +157,7 @@
 func (c *conn) countIncompleteMessage(err error) {
 	c.mu.Lock()
 	ended := c.writeClosed
-	withinMessage := !c.messageStartedAt.IsZero() || c.closedWithUnread || ended && c.hasUnread()
+	withinMessage := !c.incoming.begunAt.IsZero() || c.closedWithUnread || ended && c.hasUnread()
 	c.mu.Unlock()
 	switch {
 	case !withinMessage:
@@ -203,27 +188,3 @@
 	c.mu.Unlock()
 	c.writeSignal.Notify()
 }
-
-// drain notifies the client that the connection accepts no new calls.
-func (c *conn) drain() {
-	c.mu.Lock()
-	if !c.draining {
-		c.notifications = msgpackrpc.AppendDrain(c.notifications)
-		c.draining, c.drainNotifiedAt = true, time.Now()
-		time.AfterFunc(lateCallTimeout, c.recheckDrain)
-	}
-	c.mu.Unlock()
-	c.writeSignal.Notify()
-}
-
-// recheckDrain makes the writer check whether a drain can close the connection. It repeats the check while the first
-// call may still arrive.
-func (c *conn) recheckDrain() {
-	c.mu.Lock()
-	awaiting := c.awaitsFirstCall()
-	c.mu.Unlock()
-	if awaiting {
-		time.AfterFunc(drainRecheckInterval, c.recheckDrain)
-	}
-	c.writeSignal.Notify()
-}
--- a/internal/frontend/msgpack/connend.go
+++ b/internal/frontend/msgpack/connend.go
@@ -35,9 +35,9 @@
 	return c.writeClosed
 }
 
-// endIfIdle closes the write side if the connection is idle and has no unread bytes. It holds c.mu while it checks
-// the socket and closes the write side, so no other goroutine can change the connection between the two steps.
-// endIfIdle returns whether the reader continues.
+// endIfIdle closes the write side if the connection is idle or its drain is complete, and there are no unread bytes. It
+// holds c.mu while it checks the socket and closes the write side, so no other goroutine can change the connection
+// between the two steps. endIfIdle returns whether the reader continues.
 func (c *conn) endIfIdle() (keepReading bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -46,10 +46,12 @@
 		return time.Now().Before(c.lingerUntil)
 	case c.messageTimedOut():
 		return false
-	case c.draining || !c.isIdle(): // the writer closes the connection or sets the next deadline
-		_ = c.reader.SetReadDeadline(time.Time{})
-	case c.hasUnread(): // bytes have arrived since the read failed; with TLS they may be part of a record
+	case c.isDrained():
+		c.closeWriteSide(endedByDrain)
+	case c.draining || !c.isIdle(): // the writer sets the next deadline
 		_ = c.reader.SetReadDeadline(c.messageDeadline())
+	case c.hasUnread(): // bytes have arrived since the read failed; with TLS they may be part of a record
+		_ = c.reader.SetReadDeadline(c.unreadDeadline())
 	case c.evicted: // an incomplete message is lost
 		c.closeWriteSide(endedByEviction)
 	default:
@@ -66,19 +68,13 @@
 	return time.Now().Add(c.server.config.IdleTimeout)
 }
 
-// messageDeadline returns the time by which the current message must be complete. If there is no current message, a
-// message is assumed to begin now. c.mu is held.
-func (c *conn) messageDeadline() time.Time {
-	startedAt := c.messageStartedAt
-	if startedAt.IsZero() {
-		startedAt = time.Now()
+// unreadDeadline returns the time by which a message must be complete of which the socket holds unread bytes. Unless
+// its timeout has started, the message is assumed to begin now. c.mu is held.
+func (c *conn) unreadDeadline() time.Time {
+	if deadline := c.messageDeadline(); !deadline.IsZero() {
+		return deadline
 	}
-	return startedAt.Add(c.server.config.MessageTimeout)
-}
-
-// messageTimedOut reports whether the read deadline that expired was the deadline of a message. c.mu is held.
-func (c *conn) messageTimedOut() bool {
-	return !c.messageStartedAt.IsZero() && (!c.evicted || !time.Now().Before(c.messageDeadline()))
+	return time.Now().Add(c.server.config.MessageTimeout)
 }
 
 // evict makes the reader close the connection once it is idle. A call that has already arrived is answered first.
@@ -90,18 +86,23 @@
 		return false
 	}
 	c.evicted, c.endCause = true, endedByEviction
-	handshake, ok := c.nc.(interface{ Handshaking() bool })
 	switch {
-	case ok && handshake.Handshaking(): // no call arrives before the handshake is done
+	case c.isHandshaking(): // no call arrives before the handshake is done
 		c.closeSocket()
 	case c.hasUnread():
-		_ = c.reader.SetReadDeadline(c.messageDeadline())
+		_ = c.reader.SetReadDeadline(c.unreadDeadline())
 	default:
 		_ = c.reader.SetReadDeadline(time.Now())
 	}
 	return true
 }
 
+// isHandshaking reports whether the TLS handshake is not done yet.
+func (c *conn) isHandshaking() bool {
+	handshake, ok := c.nc.(interface{ Handshaking() bool })
+	return ok && handshake.Handshaking()
+}
+
 // hasUnread reports whether the socket holds received bytes that have not been read.
 func (c *conn) hasUnread() bool {
 	if tcp := tcpConn(c.nc); tcp != nil {
--- a/internal/frontend/msgpack/connread.go
+++ b/internal/frontend/msgpack/connread.go
@@ -23,38 +23,11 @@
 	in := msgpackrpc.NewReader(c)
 	in.BeforeRead = c.setReadDeadline
 	return stream.ReadMessages(in, func(message msgpackrpc.Message) error {
-		c.endMessage()
+		c.endMessage(in.Buffered() > 0)
 		return c.handle(ctx, message)
 	})
 }
 
-// endMessage records that the current message is complete. Part of the next message may have been read with it.
-func (c *conn) endMessage() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.messageStartedAt = time.Time{}
-}
-
-// setReadDeadline sets the deadline of the next read. partial is true if only part of a message has been read.
-func (c *conn) setReadDeadline(partial bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if partial && c.messageStartedAt.IsZero() {
-		c.messageStartedAt = time.Now()
-	}
-	if c.writeClosed {
-		return
-	}
-	deadline := time.Time{}
-	switch {
-	case partial:
-		deadline = c.messageStartedAt.Add(c.server.config.MessageTimeout)
-	case c.isIdle():
-		deadline = c.idleDeadline()
-	}
-	_ = c.reader.SetReadDeadline(deadline) // fails only after a close
-}
-
 // Read reads from the client. It retries after a read deadline that does not end the connection.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
--- a/internal/frontend/msgpack/connwrite.go
+++ b/internal/frontend/msgpack/connwrite.go
@@ -61,7 +61,7 @@
 	c.answerWritten = c.answerWritten || answers > 0
 	c.answerWriteFailed = c.answerWriteFailed || answers > 0 && err != nil
 	idle := c.isIdle()
-	if idle && c.messageStartedAt.IsZero() && !c.writeClosed { // the reader may wait without a deadline
+	if idle && c.incoming.begunAt.IsZero() && !c.writeClosed { // the reader may wait without a deadline
 		_ = c.reader.SetReadDeadline(c.idleDeadline())
 	}
 	c.mu.Unlock()
@@ -74,23 +74,21 @@
 	return err == nil
 }
 
-// endIfFinished closes the write side if the connection is finished. It returns whether the write side is closed.
+// endIfFinished closes the write side if message handling has ended and nothing is left to write. If a drain is
+// complete, it makes the reader close the write side, because the reader can exclude that a call has arrived. It
+// returns whether the write side is closed.
 func (c *conn) endIfFinished() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.writeClosed && c.isFinished() {
+	switch {
+	case c.writeClosed || !c.isIdle() || len(c.notifications) > 0:
+	case c.closing, c.isDrained() && c.isHandshaking():
 		c.closeWriteSide(endedByDrain)
+	case c.draining:
+		if c.isDrained() {
+			_ = c.reader.SetReadDeadline(time.Now())
+		}
+		c.drainRecheck.Reset(drainRecheckInterval)
 	}
 	return c.writeClosed
 }
-
-// isFinished reports whether the connection should close and has nothing left to write. c.mu is held.
-func (c *conn) isFinished() bool {
-	if !c.isIdle() || len(c.notifications) > 0 {
-		return false
-	}
-	if c.closing {
-		return true
-	}
-	return c.draining && time.Since(c.drainNotifiedAt) >= lateCallTimeout && !c.awaitsFirstCall()
-}
--- a/internal/frontend/msgpack/eviction_test.go
+++ b/internal/frontend/msgpack/eviction_test.go
@@ -215,7 +215,7 @@
 		defer server.mu.Unlock()
 		for conn := range server.conns {
 			conn.mu.Lock()
-			withinMessage := !conn.messageStartedAt.IsZero()
+			withinMessage := !conn.incoming.begunAt.IsZero()
 			conn.mu.Unlock()
 			if withinMessage && server.longestIdle(false) == conn { // conn is evictable because its message has stalled
 				return true
--- a/internal/frontend/msgpack/idleend_test.go
+++ b/internal/frontend/msgpack/idleend_test.go
@@ -47,6 +47,12 @@
 
 func (c *hookedConn) TCP() *net.TCPConn { return c.tcp }
 
+// WithinRecord reports whether a TLS record has been read in part.
+func (c *hookedConn) WithinRecord() bool {
+	conn, ok := c.Conn.(*secure.Conn)
+	return ok && conn.WithinRecord()
+}
+
 // SetReadDeadline implements net.Conn. It ignores deadlines before the first read. On a busy machine, the idle
 // timeout could expire before the first call.
 func (c *hookedConn) SetReadDeadline(t time.Time) error {
--- a/internal/frontend/msgpack/messagetimeout_test.go
+++ b/internal/frontend/msgpack/messagetimeout_test.go
@@ -352,3 +352,36 @@
 		})
 	}
 }
+
+// TestDrain_EndsWithinMessageTimeout checks how long a drain keeps an idle connection whose client has begun a message.
+// It waits for the rest of the message for as long as the message may take, and not for messages that begin later than
+// lateCallTimeout after the notification.
+func TestDrain_EndsWithinMessageTimeout(t *testing.T) {
+	const calls = 20
+	frames := callFrames(calls)
+	for name, test := range map[string]struct {
+		pieces [][]byte
+		pause  time.Duration
+		want   time.Duration // time from the notification to the end of the connection
+	}{
+		"message stalls":    {[][]byte{slices.Concat(frames[0], frames[1][:20])}, 0, messageTimeout},
+		"messages continue": {cutMessages(frames, 20), 150 * time.Millisecond, 300 * time.Millisecond},
+		"no message":        {frames[:1], 0, lateCallTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				server := New(&stubEngine{}, Config{MessageTimeout: messageTimeout})
+				defer server.Close()
+				client := connectPipe(t, server)
+				client.send(test.pieces[:1], []time.Duration{test.pause})
+				notifiedAt := time.Now()
+				server.StopAccepting()
+				client.send(test.pieces[1:], slices.Repeat([]time.Duration{test.pause}, len(test.pieces)))
+				<-client.ended
+				if got := client.endedAt.Sub(notifiedAt); got < test.want || got > test.want+drainRecheckInterval {
+					t.Errorf("the connection ended after %v, want %v", got, test.want)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/frontend/msgpack/partialcall_test.go
@@ -0,0 +1,97 @@
+package msgpack
+
+import (
+	"crypto/tls"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"cobaltward/internal/testkit"
+	"cobaltward/msgpackrpc"
+)
+
+// heldConn is a client's connection. While hold is true, only the first half of each write is sent.
+type heldConn struct {
+	net.Conn
+	hold bool
+	held []byte // the second half of the last write
+}
+
+func (c *heldConn) Write(p []byte) (int, error) {
+	if !c.hold {
+		return c.Conn.Write(p)
+	}
+	c.held = append([]byte(nil), p[len(p)/2:]...)
+	_, err := c.Conn.Write(p[:len(p)/2])
+	return len(p), err
+}
+
+// partialCall is a call of which a client has sent a part. The server has read this part.
+type partialCall struct {
+	rawClient
+	sendRest func(t *testing.T)
+}
+
+// sendPartialCall connects a client to the server, and sends a part of its second call. If withinRecord is set, the
+// part ends within a TLS record.
+func (s *hookedServer) sendPartialCall(t *testing.T, conns <-chan *hookedConn, withinRecord bool) partialCall {
+	t.Helper()
+	held := &heldConn{Conn: dial(t, s.addr).Conn}
+	client := rawClient{held, msgpackrpc.NewReader(held)}
+	if s.roots != nil {
+		conn := tls.Client(held, &tls.Config{RootCAs: s.roots, ServerName: "node.example"})
+		client = rawClient{conn, msgpackrpc.NewReader(conn)}
+	}
+	client.call(t, 1)
+	client.expect(t, "1 r1")
+	conn := testkit.Receive(t, "the connection", conns)
+	frame := callFrames(2)[1]
+	send := func(t *testing.T, part []byte) {
+		if _, err := client.Write(part); err != nil {
+			t.Error(err)
+		}
+	}
+	if withinRecord {
+		held.hold = true
+		send(t, frame)
+		testkit.Await(t, "a part of a record", conn.WithinRecord)
+		return partialCall{client, func(t *testing.T) {
+			if _, err := held.Conn.Write(held.held); err != nil {
+				t.Error(err)
+			}
+		}}
+	}
+	send(t, frame[:20])
+	testkit.Await(t, "the read of the rest", func() bool { return conn.reads.Load() > 2 })
+	return partialCall{client, func(t *testing.T) { send(t, frame[20:]) }}
+}
+
+// testPartialCalls runs test with a call of which a part has been read, with and without TLS.
+func testPartialCalls(t *testing.T, config Config, test func(*testing.T, *hookedServer, partialCall)) {
+	t.Helper()
+	for _, cut := range []struct{ withTLS, withinRecord bool }{{false, false}, {true, false}} {
+		t.Run(fmt.Sprintf("TLS %v/within a record %v", cut.withTLS, cut.withinRecord), func(t *testing.T) {
+			conns := make(chan *hookedConn, 2)
+			server := startHookedServer(t, cut.withTLS, &stubEngine{}, config, func(c *hookedConn) { conns <- c })
+			test(t, server, server.sendPartialCall(t, conns, cut.withinRecord))
+		})
+	}
+}
+
+// TestDrain_AwaitsPartialCall guards against calls that get no answer because a drain closes their connection while
+// they arrive.
+func TestDrain_AwaitsPartialCall(t *testing.T) {
+	testPartialCalls(t, Config{}, func(t *testing.T, server *hookedServer, call partialCall) {
+		server.StopAccepting()
+		call.expect(t, "drain")
+		time.Sleep(2 * lateCallTimeout)
+		call.sendRest(t)
+		call.expect(t, "2 overloaded", "EOF")
+		_ = call.Close()
+		testkit.Await(t, "the end of the connection", func() bool { return server.Stats().Conns == 0 })
+		if stats := server.Stats(); stats.DrainEnds+stats.Timeouts+stats.Incomplete > 0 {
+			t.Errorf("%+v, want no lost call", stats)
+		}
+	})
+}
--- a/msgpackrpc/reader.go
+++ b/msgpackrpc/reader.go
@@ -62,6 +62,9 @@
 	}
 }
 
+// Buffered returns the number of bytes that have been read from the stream and that Next has not returned.
+func (r *Reader) Buffered() int { return r.end - r.begin }
+
 // discardReturned moves the bytes that Next has not returned to the start of the buffer. shift is the distance of the
 // move. A large buffer without such bytes is released.
 func (r *Reader) discardReturned() (shift int) {
