MessagePack-RPC over TLS: a part of a record counts when a connection ends

What callers saw: EOF without an answer for a call whose TLS record was arriving as its connection reached the idle timeout, was evicted or was drained.

Cause: the last look before an end asked only the kernel for unread bytes. A part of a record is in the buffer of crypto/tls, and not yet a part of a message.

Fix: hasUnread includes a record that has been read in part. The timeout of a message starts with that look, so that a client that stalls within a record is disconnected. If no data came of it, the timeout is cancelled and the connection ends as idle.

An eviction's waiting client in the test uses TLS where the server does.

--- a/internal/frontend/msgpack/conn.go
+++ b/internal/frontend/msgpack/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -157,7 +158,8 @@
 func (c *conn) countIncompleteMessage(err error) {
 	c.mu.Lock()
 	ended := c.writeClosed
-	withinMessage := !c.incoming.begunAt.IsZero() || c.closedWithUnread || ended && c.hasUnread()
+	withinMessage := !c.incoming.begunAt.IsZero() || c.closedWithUnread || ended && c.hasUnread() ||
+		!c.incoming.timeoutStart.IsZero() && !errors.Is(err, io.EOF)
 	c.mu.Unlock()
 	switch {
 	case !withinMessage:
--- a/internal/frontend/msgpack/connend.go
+++ b/internal/frontend/msgpack/connend.go
@@ -50,8 +50,8 @@
 		c.closeWriteSide(endedByDrain)
 	case c.draining || !c.isIdle(): // the writer sets the next deadline
 		_ = c.reader.SetReadDeadline(c.messageDeadline())
-	case c.hasUnread(): // bytes have arrived since the read failed; with TLS they may be part of a record
-		_ = c.reader.SetReadDeadline(c.unreadDeadline())
+	case c.hasUnread():
+		c.awaitUnread()
 	case c.evicted: // an incomplete message is lost
 		c.closeWriteSide(endedByEviction)
 	default:
@@ -68,13 +68,10 @@
 	return time.Now().Add(c.server.config.IdleTimeout)
 }
 
-// unreadDeadline returns the time by which a message must be complete of which the socket holds unread bytes. Unless
-// its timeout has started, the message is assumed to begin now. c.mu is held.
-func (c *conn) unreadDeadline() time.Time {
-	if deadline := c.messageDeadline(); !deadline.IsZero() {
-		return deadline
-	}
-	return time.Now().Add(c.server.config.MessageTimeout)
+// awaitUnread starts the timeout of the message of which hasUnread has found bytes. c.mu is held.
+func (c *conn) awaitUnread() {
+	c.incoming.beginTimeout(time.Now())
+	_ = c.reader.SetReadDeadline(c.messageDeadline())
 }
 
 // evict makes the reader close the connection once it is idle. A call that has already arrived is answered first.
@@ -90,7 +87,7 @@
 	case c.isHandshaking(): // no call arrives before the handshake is done
 		c.closeSocket()
 	case c.hasUnread():
-		_ = c.reader.SetReadDeadline(c.unreadDeadline())
+		c.awaitUnread()
 	default:
 		_ = c.reader.SetReadDeadline(time.Now())
 	}
@@ -103,8 +100,12 @@
 	return ok && handshake.Handshaking()
 }
 
-// hasUnread reports whether the socket holds received bytes that have not been read.
+// hasUnread reports whether bytes have arrived that Read has not returned. They are in the socket or, with TLS, part
+// of a record.
 func (c *conn) hasUnread() bool {
+	if c.withinRecord() {
+		return true
+	}
 	if tcp := tcpConn(c.nc); tcp != nil {
 		return sockets.Unread(tcp) > 0
 	}
@@ -112,6 +113,12 @@
 	return ok && sockets.Unread(socket) > 0
 }
 
+// withinRecord reports whether a TLS record has been read in part.
+func (c *conn) withinRecord() bool {
+	stream, ok := c.nc.(interface{ WithinRecord() bool })
+	return ok && stream.WithinRecord()
+}
+
 // closeWriteSide closes the write side, and gives the client lingerTimeout to close its side. All answers must have
 // been written. c.mu is held.
 func (c *conn) closeWriteSide(cause endCause) {
--- a/internal/frontend/msgpack/idleend_test.go
+++ b/internal/frontend/msgpack/idleend_test.go
@@ -213,16 +213,20 @@
 // dial connects a client, and waits for the answer to its first call.
 func (s *hookedServer) dial(t *testing.T) rawClient {
 	t.Helper()
-	client := dial(t, s.addr)
-	if s.roots != nil {
-		conn := tls.Client(client.Conn, &tls.Config{RootCAs: s.roots, ServerName: "node.example"})
-		client = rawClient{conn, msgpackrpc.NewReader(conn)}
-	}
+	client := s.clientOf(dial(t, s.addr).Conn)
 	client.call(t, 1)
 	client.expect(t, "1 r1")
 	return client
 }
 
+// clientOf returns a client on a connection to the server. If the server uses TLS, so does the client.
+func (s *hookedServer) clientOf(conn net.Conn) rawClient {
+	if s.roots != nil {
+		conn = tls.Client(conn, &tls.Config{RootCAs: s.roots, ServerName: "node.example"})
+	}
+	return rawClient{conn, msgpackrpc.NewReader(conn)}
+}
+
 // sendCall sends a call. It reports errors without ending the test, because hooks call it on other goroutines.
 func sendCall(t testing.TB, client rawClient, bodySize int) {
 	frame := msgpackrpc.AppendCall(nil, 2, &msgpackrpc.Call{
--- a/internal/frontend/msgpack/incoming.go
+++ b/internal/frontend/msgpack/incoming.go
@@ -24,11 +24,7 @@
 func (c *conn) setReadDeadline(partial bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if partial {
-		c.incoming.beginTimeout(time.Now())
-	} else {
-		c.incoming = incomingMessage{}
-	}
+	c.incoming.update(partial, time.Now())
 	if c.writeClosed {
 		return
 	}
@@ -39,11 +35,20 @@
 	_ = c.reader.SetReadDeadline(deadline) // fails only after a close
 }
 
-// beginTimeout starts the timeout of the message, unless it has started already.
-func (m *incomingMessage) beginTimeout(now time.Time) {
+// update records that the reader waits for more bytes. partial is true if a part of the message has been read.
+func (m *incomingMessage) update(partial bool, now time.Time) {
+	if !partial {
+		*m = incomingMessage{}
+		return
+	}
 	if m.begunAt.IsZero() {
 		m.begunAt = now
 	}
+	m.beginTimeout(now)
+}
+
+// beginTimeout starts the timeout of the message, unless it has started already.
+func (m *incomingMessage) beginTimeout(now time.Time) {
 	if m.timeoutStart.IsZero() {
 		m.timeoutStart = now
 	}
@@ -58,8 +63,16 @@
 	return c.incoming.timeoutStart.Add(c.server.config.MessageTimeout)
 }
 
-// messageTimedOut reports whether the timeout of the current message has expired. c.mu is held.
+// messageTimedOut reports whether the timeout of the current message has expired. If no part of a message has arrived,
+// it cancels the timeout instead: with TLS, the bytes for which it was started may not be data. c.mu is held.
 func (c *conn) messageTimedOut() bool {
 	deadline := c.messageDeadline()
-	return !deadline.IsZero() && !time.Now().Before(deadline)
+	if deadline.IsZero() || time.Now().Before(deadline) {
+		return false
+	}
+	if c.incoming.begunAt.IsZero() && !c.hasUnread() {
+		c.incoming = incomingMessage{}
+		return false
+	}
+	return true
 }
--- a/internal/frontend/msgpack/partialcall_test.go
+++ b/internal/frontend/msgpack/partialcall_test.go
@@ -1,14 +1,12 @@
 package msgpack
 
 import (
-	"crypto/tls"
 	"fmt"
 	"net"
 	"testing"
 	"time"
 
 	"cobaltward/internal/testkit"
-	"cobaltward/msgpackrpc"
 )
 
 // heldConn is a client's connection. While hold is true, only the first half of each write is sent.
@@ -38,11 +36,7 @@
 func (s *hookedServer) sendPartialCall(t *testing.T, conns <-chan *hookedConn, withinRecord bool) partialCall {
 	t.Helper()
 	held := &heldConn{Conn: dial(t, s.addr).Conn}
-	client := rawClient{held, msgpackrpc.NewReader(held)}
-	if s.roots != nil {
-		conn := tls.Client(held, &tls.Config{RootCAs: s.roots, ServerName: "node.example"})
-		client = rawClient{conn, msgpackrpc.NewReader(conn)}
-	}
+	client := s.clientOf(held)
 	client.call(t, 1)
 	client.expect(t, "1 r1")
 	conn := testkit.Receive(t, "the connection", conns)
@@ -57,6 +51,7 @@
 		send(t, frame)
 		testkit.Await(t, "a part of a record", conn.WithinRecord)
 		return partialCall{client, func(t *testing.T) {
+			held.hold = false
 			if _, err := held.Conn.Write(held.held); err != nil {
 				t.Error(err)
 			}
@@ -67,10 +62,11 @@
 	return partialCall{client, func(t *testing.T) { send(t, frame[20:]) }}
 }
 
-// testPartialCalls runs test with a call of which a part has been read, with and without TLS.
+// testPartialCalls runs test with a call of which a part has been read: a part of a message without TLS, a part of a
+// message that is a TLS record of its own, and a part of a TLS record.
 func testPartialCalls(t *testing.T, config Config, test func(*testing.T, *hookedServer, partialCall)) {
 	t.Helper()
-	for _, cut := range []struct{ withTLS, withinRecord bool }{{false, false}, {true, false}} {
+	for _, cut := range []struct{ withTLS, withinRecord bool }{{false, false}, {true, false}, {true, true}} {
 		t.Run(fmt.Sprintf("TLS %v/within a record %v", cut.withTLS, cut.withinRecord), func(t *testing.T) {
 			conns := make(chan *hookedConn, 2)
 			server := startHookedServer(t, cut.withTLS, &stubEngine{}, config, func(c *hookedConn) { conns <- c })
@@ -95,3 +91,60 @@
 		}
 	})
 }
+
+// TestIdleEnd_AwaitsPartialCall guards against calls that get no answer because their connection reaches the idle
+// timeout while they arrive.
+func TestIdleEnd_AwaitsPartialCall(t *testing.T) {
+	config := Config{IdleTimeout: 300 * time.Millisecond}
+	testPartialCalls(t, config, func(t *testing.T, server *hookedServer, call partialCall) {
+		time.Sleep(2 * config.IdleTimeout)
+		call.sendRest(t)
+		call.expect(t, "2 r2", "EOF")
+		_ = call.Close()
+		testkit.Await(t, "the end of the connection", func() bool { return server.Stats().Conns == 0 })
+		if stats := server.Stats(); stats.IdleEnds+stats.Timeouts+stats.Incomplete > 0 {
+			t.Errorf("%+v, want no lost call", stats)
+		}
+	})
+}
+
+// TestEvict_AwaitsPartialCall guards against calls that get no answer because their connection is evicted while they
+// arrive.
+func TestEvict_AwaitsPartialCall(t *testing.T) {
+	testPartialCalls(t, Config{MaxConns: 1}, func(t *testing.T, server *hookedServer, call partialCall) {
+		waiting := server.clientOf(dial(t, server.addr).Conn)
+		waiting.call(t, 1)
+		time.Sleep(2 * defaultQueueTimeout)
+		call.sendRest(t)
+		if got := call.next(); got != "2 overloaded" && got != "2 r2" {
+			t.Errorf("got %q, want an answer", got)
+		}
+		if stats := server.Stats(); stats.EvictionEnds+stats.Timeouts+stats.Incomplete > 0 {
+			t.Errorf("%+v, want no lost call", stats)
+		}
+	})
+}
+
+// TestPartialCall_StallEndsConnection checks that a connection ends, and is counted once, if the rest of a call does not
+// arrive within MessageTimeout. The connection reaches the idle timeout or is drained.
+func TestPartialCall_StallEndsConnection(t *testing.T) {
+	config := Config{IdleTimeout: 100 * time.Millisecond, MessageTimeout: 300 * time.Millisecond}
+	for _, drains := range []bool{false, true} {
+		t.Run(fmt.Sprint("drain ", drains), func(t *testing.T) {
+			testPartialCalls(t, config, func(t *testing.T, server *hookedServer, call partialCall) {
+				if drains {
+					server.StopAccepting()
+				}
+				testkit.Await(t, "the end of the connection", func() bool {
+					stats := server.Stats()
+					return stats.Timeouts+stats.DrainEnds == 1
+				})
+				_ = call.Close()
+				testkit.Await(t, "the release of the connection", func() bool { return server.Stats().Conns == 0 })
+				if stats := server.Stats(); stats.Timeouts+stats.DrainEnds != 1 || stats.Incomplete+stats.IdleEnds > 0 {
+					t.Errorf("%+v, want one timeout or end by the drain", stats)
+				}
+			})
+		})
+	}
+}
