--- a/internal/frontend/msgpack/partialcall_test.go
+++ b/internal/frontend/msgpack/partialcall_test.go
@@ -125,8 +125,8 @@
 	})
 }
 
-// TestPartialCall_StallEndsConnection checks that a connection ends, and is counted once, if the rest of a call does not
-// arrive within MessageTimeout. The connection reaches the idle timeout or is drained.
+// TestPartialCall_StallEndsConnection checks that a connection ends, and is counted once, if the rest of a call does
+// not arrive within MessageTimeout. The connection reaches the idle timeout or is drained.
 func TestPartialCall_StallEndsConnection(t *testing.T) {
 	config := Config{IdleTimeout: 100 * time.Millisecond, MessageTimeout: 300 * time.Millisecond}
 	for _, drains := range []bool{false, true} {
--- a/internal/protocolmatrix/pair_test.go
+++ b/internal/protocolmatrix/pair_test.go
@@ -79,12 +79,17 @@
 // after cut() bytes.
 func (p protocolPair) start(t testing.TB, cut func() int, apps ...*appServer) runningNode {
 	t.Helper()
-	engine, attempts := p.newRouter(t, apps)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	ln = cutListener{ln, cut}
+	return p.serve(t, cutListener{ln, cut}, apps)
+}
+
+// serve runs a node in front of the servers until the test ends. The node accepts clients from ln.
+func (p protocolPair) serve(t testing.TB, ln net.Listener, apps []*appServer) runningNode {
+	t.Helper()
+	engine, attempts := p.newRouter(t, apps)
 	if p.frontend == "http" {
 		serveHTTPFrontend(t, engine, ln)
 		return runningNode{httpCaller(t, ln.Addr().String()), engine, attempts}
