--- a/internal/frontend/msgpack/conn.go
+++ b/internal/frontend/msgpack/conn.go
@@ -38,7 +38,7 @@
 	queuedAnswers     []answer                      // answers to write; callSlots limits their number
 	unwrittenAnswers  int                           // number of answers that are queued or being written
 	idleSince         time.Time                     // end of the last open call, or time of the accept
-	incoming          incomingMessage               // message of which a part has been read
+	incoming          incomingMessage               // message that has been read in part
 	openedAt          time.Time                     // time of the accept
 	callSeen          bool                          // whether a call has been received
 	answerWritten     bool                          // true from the first written answer on
--- /dev/null
+++ b/internal/frontend/msgpack/conncalls.go
@@ -0,0 +1,161 @@
+package msgpack
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"cobaltward/internal/sockets"
+	"cobaltward/msgpackrpc"
+)
+
+// clientCheckInterval is how often the server checks whether a client with the maximum number of open calls has
+// disconnected.
+const clientCheckInterval = 50 * time.Millisecond
+
+// cancel cancels the open call with the msgid id, if there is one.
+func (c *conn) cancel(id uint32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if cancel := c.cancelFuncs[id]; cancel != nil {
+		cancel()
+	}
+}
+
+// startCall passes a call to the engine or answers it directly. If the client has the maximum number of open calls,
+// startCall blocks, and nothing more is read from the connection.
+func (c *conn) startCall(ctx context.Context, message msgpackrpc.Message) error {
+	receivedAt := c.arrivalTimes.Earliest()
+	if err := c.acquireCallSlot(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	admission := c.register(message.ID, cancel)
+	if admission == callDuplicate || admission == callTooLate {
+		cancel()
+		<-c.callSlots
+		return c.handleUnansweredCall(admission)
+	}
+	c.server.count(&c.server.stats.Calls)
+	req, reply := c.parseRequest(message, receivedAt)
+	switch {
+	case reply.Code != "":
+	case admission == callRejectedByEviction:
+		reply = c.server.overloadedReply(req.Class)
+	case admission == callRejectedByDrain: // the drain notification was sent before the call arrived
+		reply = msgpackrpc.Reply{Code: msgpackrpc.Overloaded, Text: "the node is draining"}
+	case c.server.rejectsOverflow(c):
+		reply = c.server.overloadedReply(req.Class)
+	default:
+		c.calls.Go(func() {
+			answer, err := c.server.engine.Do(ctx, req)
+			if err != nil && ctx.Err() != nil {
+				c.finishCancelled(message.ID)
+				return
+			}
+			c.finishCall(message.ID, ReplyFromAnswer(answer, err))
+		})
+		return nil
+	}
+	c.finishCall(message.ID, reply)
+	return nil
+}
+
+// callAdmission is the server's decision on a call that has arrived.
+type callAdmission uint8
+
+const (
+	callAdmitted           callAdmission = iota
+	callRejectedByDrain                  // a drain has begun: the answer is Overloaded
+	callRejectedByEviction               // the connection is being evicted: the answer is Overloaded
+	callDuplicate                        // protocol violation: the msgid is in use
+	callTooLate                          // the write side is closed: the call is neither run nor answered
+)
+
+// register decides how to treat the call with the msgid id. It adds the call to the open calls if the call will be
+// run or answered. A drain admits the first call of a connection, because the client could not know of the drain.
+func (c *conn) register(id uint32, cancel context.CancelFunc) callAdmission {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.writeClosed:
+		return callTooLate
+	case c.cancelFuncs[id] != nil:
+		return callDuplicate
+	}
+	c.cancelFuncs[id] = cancel
+	first := !c.callSeen
+	c.callSeen = true
+	switch {
+	case c.evicted:
+		return callRejectedByEviction
+	case c.draining && !first:
+		return callRejectedByDrain
+	}
+	return callAdmitted
+}
+
+// handleUnansweredCall handles a call that is neither run nor answered. It returns an error if the client violated
+// the protocol.
+func (c *conn) handleUnansweredCall(admission callAdmission) error {
+	if admission == callDuplicate {
+		return &msgpackrpc.ProtocolError{Problem: "duplicate msgid"}
+	}
+	c.countLostCall()
+	return nil
+}
+
+// finishCall ends the open call with the msgid id, and queues reply as its answer.
+func (c *conn) finishCall(id uint32, reply msgpackrpc.Reply) {
+	c.mu.Lock()
+	cancel := c.removeCall(id)
+	c.unwrittenAnswers++
+	c.queuedAnswers = append(c.queuedAnswers, answer{id, reply})
+	c.mu.Unlock()
+	cancel()
+	c.writeSignal.Notify()
+}
+
+// finishCancelled ends the open call with the msgid id. The call gets no answer, because the client no longer waits.
+func (c *conn) finishCancelled(id uint32) {
+	c.mu.Lock()
+	cancel := c.removeCall(id)
+	c.mu.Unlock()
+	cancel()
+	c.writeSignal.Notify() // the writer may be waiting for the last call to end
+	<-c.callSlots
+	c.server.connIdle()
+}
+
+// removeCall removes the open call with the msgid id, and returns its cancel function. c.mu is held.
+func (c *conn) removeCall(id uint32) context.CancelFunc {
+	cancel := c.cancelFuncs[id]
+	delete(c.cancelFuncs, id)
+	c.idleSince = time.Now()
+	return cancel
+}
+
+// acquireCallSlot blocks until the client may have another open call. While acquireCallSlot blocks, nothing is read
+// from the connection. acquireCallSlot therefore asks the kernel whether the client has disconnected. A call of a
+// disconnected client must not be forwarded.
+func (c *conn) acquireCallSlot() error {
+	select {
+	case c.callSlots <- struct{}{}:
+		return nil
+	default:
+	}
+	check := time.NewTicker(clientCheckInterval)
+	defer check.Stop()
+	for {
+		select {
+		case c.callSlots <- struct{}{}:
+			return nil
+		case <-c.writerDone: // no further answer can be written
+			return io.ErrClosedPipe
+		case <-check.C:
+			if tcp := tcpConn(c.nc); tcp != nil && sockets.PeerClosed(tcp) {
+				return io.EOF
+			}
+		}
+	}
+}
--- a/internal/frontend/msgpack/connend.go
+++ b/internal/frontend/msgpack/connend.go
@@ -68,7 +68,7 @@
 	return time.Now().Add(c.server.config.IdleTimeout)
 }
 
-// awaitUnread starts the timeout of the message of which hasUnread has found bytes. c.mu is held.
+// awaitUnread starts the timeout of a message after hasUnread has found bytes of it. c.mu is held.
 func (c *conn) awaitUnread() {
 	c.incoming.beginTimeout(time.Now())
 	_ = c.reader.SetReadDeadline(c.messageDeadline())
--- a/internal/frontend/msgpack/partialcall_test.go
+++ b/internal/frontend/msgpack/partialcall_test.go
@@ -25,7 +25,7 @@
 	return len(p), err
 }
 
-// partialCall is a call of which a client has sent a part. The server has read this part.
+// partialCall is a call that a client has sent in part. The server has read this part.
 type partialCall struct {
 	rawClient
 	sendRest func(t *testing.T)
@@ -62,7 +62,7 @@
 	return partialCall{client, func(t *testing.T) { send(t, frame[20:]) }}
 }
 
-// testPartialCalls runs test with a call of which a part has been read: a part of a message without TLS, a part of a
+// testPartialCalls runs test with a call that the server has read in part: a part of a message without TLS, a part of a
 // message that is a TLS record of its own, and a part of a TLS record.
 func testPartialCalls(t *testing.T, config Config, test func(*testing.T, *hookedServer, partialCall)) {
 	t.Helper()
@@ -75,6 +75,17 @@
 	}
 }
 
+// checkAnswered checks that the call gets the answer want before its connection ends, and that no call is lost.
+func (c partialCall) checkAnswered(t *testing.T, server *hookedServer, want string) {
+	t.Helper()
+	c.expect(t, want, "EOF")
+	_ = c.Close()
+	testkit.Await(t, "the end of the connection", func() bool { return server.Stats().Conns == 0 })
+	if stats := server.Stats(); stats.IdleEnds+stats.DrainEnds+stats.Timeouts+stats.Incomplete > 0 {
+		t.Errorf("%+v, want no lost call", stats)
+	}
+}
+
 // TestDrain_AwaitsPartialCall guards against calls that get no answer because a drain closes their connection while
 // they arrive.
 func TestDrain_AwaitsPartialCall(t *testing.T) {
@@ -83,12 +94,7 @@
 		call.expect(t, "drain")
 		time.Sleep(2 * lateCallTimeout)
 		call.sendRest(t)
-		call.expect(t, "2 overloaded", "EOF")
-		_ = call.Close()
-		testkit.Await(t, "the end of the connection", func() bool { return server.Stats().Conns == 0 })
-		if stats := server.Stats(); stats.DrainEnds+stats.Timeouts+stats.Incomplete > 0 {
-			t.Errorf("%+v, want no lost call", stats)
-		}
+		call.checkAnswered(t, server, "2 overloaded")
 	})
 }
 
@@ -99,12 +105,7 @@
 	testPartialCalls(t, config, func(t *testing.T, server *hookedServer, call partialCall) {
 		time.Sleep(2 * config.IdleTimeout)
 		call.sendRest(t)
-		call.expect(t, "2 r2", "EOF")
-		_ = call.Close()
-		testkit.Await(t, "the end of the connection", func() bool { return server.Stats().Conns == 0 })
-		if stats := server.Stats(); stats.IdleEnds+stats.Timeouts+stats.Incomplete > 0 {
-			t.Errorf("%+v, want no lost call", stats)
-		}
+		call.checkAnswered(t, server, "2 r2")
 	})
 }
 
--- a/internal/protocolmatrix/piecerelay_test.go
+++ b/internal/protocolmatrix/piecerelay_test.go
@@ -21,8 +21,8 @@
 )
 
 // startPieceRelay runs a relay to the address to until the test ends, and returns the address of the relay. The relay
-// holds back the last bytes of what it receives until more bytes follow. So its writes end within messages and, with
-// TLS, within records.
+// holds back the last bytes that it has received until more bytes follow. Its writes therefore end within messages and,
+// with TLS, within records.
 func startPieceRelay(t testing.TB, to string, randomInt func(n int) int) string {
 	t.Helper()
 	return testkit.RawServer(t, func(client net.Conn, _ *bufio.Reader) {
--- a/internal/protocolmatrix/pieces_test.go
+++ b/internal/protocolmatrix/pieces_test.go
@@ -15,9 +15,9 @@
 )
 
 // TestPieces_AllCallsAnswered guards against calls that are cut off because the writes of their peer do not end where
-// messages end. Relays on both sides of the node cut all bytes anew, so that almost every read of the node ends within
-// a message. The test lasts longer than any timeout of a message. The environment variable PIECES sets its duration in
-// seconds, SEED the seed of the pieces and pauses.
+// messages end. Relays on both sides of the node cut the stream within messages, so that almost every read of the node
+// ends within a message. The test lasts longer than any timeout of a message. The environment variable PIECES sets its
+// duration in seconds, SEED the seed of the pieces and pauses.
 func TestPieces_AllCallsAnswered(t *testing.T) {
 	duration, seed := 6*time.Second, uint64(1)
 	if n, err := strconv.Atoi(os.Getenv("PIECES")); err == nil && n > 0 {
