MessagePack-RPC: an eviction waits for a call that begins as it is decided

Change: such a call keeps the deadline of its message and is then rejected, as a call that arrives whole is. A read deadline that is not the message's own does not end a connection within a message. The tests of partial calls force the read deadline and wait for states instead of sleeping, so that a loaded machine does not change what they test.

--- a/internal/frontend/msgpack/connend.go
+++ b/internal/frontend/msgpack/connend.go
@@ -48,7 +48,7 @@
 		return false
 	case c.isDrained():
 		c.closeWriteSide(endedByDrain)
-	case c.draining || !c.isIdle(): // the writer sets the next deadline
+	case c.draining || !c.isIdle() || !c.incoming.begunAt.IsZero() && !c.evicted: // the deadline no longer applies
 		_ = c.reader.SetReadDeadline(c.messageDeadline())
 	case c.hasUnread():
 		c.awaitUnread()
@@ -75,7 +75,7 @@
 }
 
 // evict makes the reader close the connection once it is idle. A call that has already arrived is answered first.
-// evict returns false if the write side is already closed.
+// evict returns false if the write side is already closed. The mutex of the server is held.
 func (c *conn) evict() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -86,6 +86,7 @@
 	switch {
 	case c.isHandshaking(): // no call arrives before the handshake is done
 		c.closeSocket()
+	case !c.incoming.begunAt.IsZero() && !c.overflow: // the message has begun since the connection was chosen
 	case c.hasUnread():
 		c.awaitUnread()
 	default:
--- a/internal/frontend/msgpack/partialcall_test.go
+++ b/internal/frontend/msgpack/partialcall_test.go
@@ -28,9 +28,19 @@
 // partialCall is a call that a client has sent in part. The server has read this part.
 type partialCall struct {
 	rawClient
+	conn     *hookedConn // the server's side
 	sendRest func(t *testing.T)
 }
 
+// expireReadDeadline makes the current read of the server fail as at the idle timeout, and waits for the next read.
+func (c partialCall) expireReadDeadline(t *testing.T) {
+	reads := c.conn.reads.Load()
+	testkit.Await(t, "the next read", func() bool {
+		_ = c.conn.SetReadDeadline(time.Now())
+		return c.conn.reads.Load() > reads
+	})
+}
+
 // sendPartialCall connects a client to the server, and sends a part of its second call. If withinRecord is set, the
 // part ends within a TLS record.
 func (s *hookedServer) sendPartialCall(t *testing.T, conns <-chan *hookedConn, withinRecord bool) partialCall {
@@ -50,7 +60,7 @@
 		held.hold = true
 		send(t, frame)
 		testkit.Await(t, "a part of a record", conn.WithinRecord)
-		return partialCall{client, func(t *testing.T) {
+		return partialCall{client, conn, func(t *testing.T) {
 			held.hold = false
 			if _, err := held.Conn.Write(held.held); err != nil {
 				t.Error(err)
@@ -59,7 +69,7 @@
 	}
 	send(t, frame[:20])
 	testkit.Await(t, "the read of the rest", func() bool { return conn.reads.Load() > 2 })
-	return partialCall{client, func(t *testing.T) { send(t, frame[20:]) }}
+	return partialCall{client, conn, func(t *testing.T) { send(t, frame[20:]) }}
 }
 
 // testPartialCalls runs test with a call that the server has read in part: a part of a message without TLS, a part of a
@@ -75,10 +85,10 @@
 	}
 }
 
-// checkAnswered checks that the call gets the answer want before its connection ends, and that no call is lost.
-func (c partialCall) checkAnswered(t *testing.T, server *hookedServer, want string) {
+// checkAnswered checks that the client receives what want says, and that no call is lost.
+func (c partialCall) checkAnswered(t *testing.T, server *hookedServer, want ...string) {
 	t.Helper()
-	c.expect(t, want, "EOF")
+	c.expect(t, want...)
 	_ = c.Close()
 	testkit.Await(t, "the end of the connection", func() bool { return server.Stats().Conns == 0 })
 	if stats := server.Stats(); stats.IdleEnds+stats.DrainEnds+stats.Timeouts+stats.Incomplete > 0 {
@@ -89,21 +99,20 @@
 // TestDrain_AwaitsPartialCall guards against calls that get no answer because a drain closes their connection while
 // they arrive.
 func TestDrain_AwaitsPartialCall(t *testing.T) {
-	testPartialCalls(t, Config{}, func(t *testing.T, server *hookedServer, call partialCall) {
+	testPartialCalls(t, Config{MessageTimeout: time.Hour}, func(t *testing.T, server *hookedServer, call partialCall) {
 		server.StopAccepting()
 		call.expect(t, "drain")
 		time.Sleep(2 * lateCallTimeout)
 		call.sendRest(t)
-		call.checkAnswered(t, server, "2 overloaded")
+		call.checkAnswered(t, server, "2 overloaded", "EOF")
 	})
 }
 
 // TestIdleEnd_AwaitsPartialCall guards against calls that get no answer because their connection reaches the idle
 // timeout while they arrive.
 func TestIdleEnd_AwaitsPartialCall(t *testing.T) {
-	config := Config{IdleTimeout: 300 * time.Millisecond}
-	testPartialCalls(t, config, func(t *testing.T, server *hookedServer, call partialCall) {
-		time.Sleep(2 * config.IdleTimeout)
+	testPartialCalls(t, Config{MessageTimeout: time.Hour}, func(t *testing.T, server *hookedServer, call partialCall) {
+		call.expireReadDeadline(t)
 		call.sendRest(t)
 		call.checkAnswered(t, server, "2 r2")
 	})
@@ -112,10 +121,11 @@
 // TestEvict_AwaitsPartialCall guards against calls that get no answer because their connection is evicted while they
 // arrive.
 func TestEvict_AwaitsPartialCall(t *testing.T) {
-	testPartialCalls(t, Config{MaxConns: 1}, func(t *testing.T, server *hookedServer, call partialCall) {
+	config := Config{MaxConns: 1, MessageTimeout: time.Hour}
+	testPartialCalls(t, config, func(t *testing.T, server *hookedServer, call partialCall) {
 		waiting := server.clientOf(dial(t, server.addr).Conn)
 		waiting.call(t, 1)
-		time.Sleep(2 * defaultQueueTimeout)
+		waiting.expect(t, "1 ") // served after the eviction, or rejected on an overflow connection
 		call.sendRest(t)
 		if got := call.next(); got != "2 overloaded" && got != "2 r2" {
 			t.Errorf("got %q, want an answer", got)
@@ -129,12 +139,14 @@
 // TestPartialCall_StallEndsConnection checks that a connection ends, and is counted once, if the rest of a call does
 // not arrive within MessageTimeout. The connection reaches the idle timeout or is drained.
 func TestPartialCall_StallEndsConnection(t *testing.T) {
-	config := Config{IdleTimeout: 100 * time.Millisecond, MessageTimeout: 300 * time.Millisecond}
+	config := Config{MessageTimeout: 300 * time.Millisecond}
 	for _, drains := range []bool{false, true} {
 		t.Run(fmt.Sprint("drain ", drains), func(t *testing.T) {
 			testPartialCalls(t, config, func(t *testing.T, server *hookedServer, call partialCall) {
 				if drains {
 					server.StopAccepting()
+				} else {
+					call.expireReadDeadline(t)
 				}
 				testkit.Await(t, "the end of the connection", func() bool {
 					stats := server.Stats()
