router: an ID is in use until the last byte of a streamed answer

Cause: a request left the table of open requests with the first bytes of a streamed answer. From then on only the history of used IDs knew it, for 10 to 20 s from its admission, or less where over 32,768 IDs come. Evidence: a trace of each admission on a scratch copy. The request left the table after 0.12 to 0.15 s, its stream closed after 31 s; the copy at 3 s was found in the history, that at 25 s nowhere, the history having rotated at 10 and 20 s. Ruled out by it: an overflow (76 IDs), a copy that passes by the check, a reload.

Fix: a registry of IDs beside the loop. An ID is in use until Do returns or its stream is closed, or until a frontend releases its reservation, and is remembered for 10 to 20 s from then. IDs in use are not in the history, so that no flood displaces them. Stats().IDs counts both, and conflicts by kind.

TestIDHistory_BoundedRetention takes hashes, since the history no longer hashes; same bounds.

--- a/router/admission.go
+++ b/router/admission.go
@@ -39,7 +39,8 @@
 		l.stats.ClientsGone++
 		return
 	}
-	if l.isDuplicate(call.req.ID, now) {
+	call.reservation.admit()
+	if l.isRetained(call.req.ID) {
 		l.deliver(call, Answer{Outcome: Conflict})
 		return
 	}
@@ -63,11 +64,15 @@
 	l.notify(l.balancerRequest(r, now))
 }
 
-// isDuplicate reports whether the request ID id is in use or was used recently, and records id as used. Duplicates
-// must be rejected for two reasons. The balancer would never answer a second request with the ID of an open request,
-// and a recent request with the same ID may have run.
-func (l *loop) isDuplicate(id string, now policy.Time) bool {
-	return (l.requests[id] != nil || !l.recentIDs.add(id, now)) && l.enforced(safeguards.UniqueID)
+// isRetained reports whether the loop still has an earlier request with the ID id. An attempt may be in flight for
+// longer than the ID of its request is remembered.
+func (l *loop) isRetained(id string) bool {
+	return l.requests[id] != nil && l.enforced(safeguards.UniqueID)
+}
+
+// reserveID marks id as in use. It returns nil if the ID must not be used. It is safe for concurrent use.
+func (l *loop) reserveID(id string) *IDReservation {
+	return l.ids.reserve(id, l.enforced(safeguards.UniqueID))
 }
 
 // newRequest returns the request for c under the settings in force.
--- a/router/call.go
+++ b/router/call.go
@@ -13,6 +13,7 @@
 type call struct {
 	req         Request
 	class       policy.Class    // class under which Do accepted the request
+	reservation *IDReservation  // keeps the ID of req in use
 	submittedAt policy.Time     // time of the call of Do
 	receivedAt  policy.Time     // time when the last byte of the request was read
 	timeout     time.Duration   // time that the client waits, counted from receivedAt
--- a/router/do.go
+++ b/router/do.go
@@ -21,22 +21,52 @@
 	if err := ctx.Err(); err != nil {
 		return Answer{}, err
 	}
+	if err := r.checkPhase(req.Class); err != nil {
+		return Answer{}, err
+	}
+	if req.Reservation != nil {
+		return r.doReserved(ctx, &req, &class)
+	}
+	reservation := r.ReserveID(req.ID)
+	if reservation == nil {
+		return r.RejectDuplicate(req.Class), nil
+	}
+	req.Reservation = reservation
+	answer, err := r.doReserved(ctx, &req, &class)
+	if answer.Stream == nil {
+		reservation.Release()
+		return answer, err
+	}
+	answer.Stream = &reservedStream{answer.Stream, reservation}
+	return answer, err
+}
+
+// doReserved is Do for a request with a Reservation.
+func (r *Router) doReserved(ctx context.Context, req *Request, class *policy.Class) (Answer, error) {
 	counters := &r.loop.counters
-	counters.inFlight.Add(1)
-	streaming := false // a streamed answer is in flight until it is closed
-	defer func() {
-		if !streaming {
-			counters.inFlight.Add(-1)
-		}
-	}()
-	answer, err := r.submit(ctx, &req, &class)
+	if !req.Reservation.begin(req.ID, counters) {
+		return Answer{}, &InvalidError{"Reservation", "for another ID, released or used before"}
+	}
+	answer, err := r.submit(ctx, req, class)
 	if answer.Stream != nil {
-		streaming = true
 		answer.Stream = &countedStream{Stream: answer.Stream, counters: counters, class: req.Class}
 	}
 	return answer, err
 }
 
+// checkPhase returns an error if the router accepts no requests any more. It counts a request of class that is
+// rejected for a drain.
+func (r *Router) checkPhase(class string) error {
+	switch r.Phase() {
+	case Drained:
+		r.loop.counters.count(class, Overloaded)
+		return ErrDrained
+	case Closed:
+		return ErrClosed
+	}
+	return nil
+}
+
 // prepare validates req, sets its default method, and returns the class that applies to it.
 func (r *Router) prepare(req *Request) (policy.Class, error) {
 	if err := req.validate(); err != nil {
@@ -61,13 +91,6 @@
 // submit passes req to the loop and waits for the answer. The caller has validated req.
 func (r *Router) submit(ctx context.Context, req *Request, class *policy.Class) (Answer, error) {
 	eventLoop := r.loop
-	switch r.Phase() {
-	case Drained:
-		eventLoop.counters.count(req.Class, Overloaded)
-		return Answer{}, ErrDrained
-	case Closed:
-		return Answer{}, ErrClosed
-	}
 	call := eventLoop.newCall(ctx, req, class)
 	select {
 	case eventLoop.events <- requestSubmitted{call}:
@@ -86,6 +109,7 @@
 	call := &call{
 		req:         *req,
 		class:       *class,
+		reservation: req.Reservation,
 		submittedAt: now,
 		receivedAt:  now,
 		timeout:     class.Deadline,
--- a/router/id_history.go
+++ b/router/id_history.go
@@ -1,39 +1,63 @@
 package router
 
 import (
-	"hash/maphash"
 	"time"
 
 	"cobaltward/policy"
 )
 
 const (
-	// idRetention is the minimum time for which a request ID is remembered, unless too many IDs arrive.
+	// idRetention is the minimum time for which the ID of an ended request is remembered, unless too many IDs arrive.
 	idRetention = 10 * time.Second
 	// maxIDsPerGeneration limits the memory. Once the current generation holds this many IDs, the previous generation
 	// is dropped early.
 	maxIDsPerGeneration = 1 << 15
 )
 
-// idHistory remembers the ID of each recent request, for one to two times idRetention. It has two generations, and
-// drops the older generation as a whole. Its memory is therefore bounded, and it never searches for expired IDs. It
-// stores hashes of the IDs to save memory.
+// idHistory remembers the ID of each recently ended request, for one to two times idRetention. It has two
+// generations, and drops the older generation as a whole. Its memory is therefore bounded, and it never searches for
+// expired IDs. It stores hashes of the IDs to save memory.
 type idHistory struct {
-	seed              maphash.Seed
 	rotatedAt         policy.Time // start of the current generation
 	current, previous map[uint64]struct{}
 }
 
-// add remembers id. It returns false if id is remembered already.
-func (h *idHistory) add(id string, now policy.Time) bool {
-	if h.current == nil || now-h.rotatedAt >= idRetention || len(h.current) >= maxIDsPerGeneration {
-		h.previous = h.current
-		h.current = make(map[uint64]struct{})
-		h.rotatedAt = now
+// add remembers the ID with the given hash.
+func (h *idHistory) add(hash uint64, now policy.Time) {
+	h.expire(now)
+	if h.current == nil || len(h.current) >= maxIDsPerGeneration {
+		h.rotate(now)
 	}
-	hash := maphash.String(h.seed, id)
-	_, inCurrent := h.current[hash]
-	_, inPrevious := h.previous[hash]
 	h.current[hash] = struct{}{}
-	return !inCurrent && !inPrevious
+}
+
+// contains reports whether the ID with the given hash is remembered.
+func (h *idHistory) contains(hash uint64, now policy.Time) bool {
+	h.expire(now)
+	if _, ok := h.current[hash]; ok {
+		return true
+	}
+	_, ok := h.previous[hash]
+	return ok
+}
+
+// len returns the number of remembered IDs.
+func (h *idHistory) len() int { return len(h.current) + len(h.previous) }
+
+// expire drops the generations whose time has passed.
+func (h *idHistory) expire(now policy.Time) {
+	switch age := now - h.rotatedAt; {
+	case h.current == nil || age < idRetention:
+	case age < 2*idRetention:
+		h.rotate(now)
+	default:
+		h.current, h.previous = nil, nil
+	}
+}
+
+// rotate begins a new generation.
+func (h *idHistory) rotate(now policy.Time) {
+	h.previous = h.current
+	h.current = make(map[uint64]struct{})
+	h.rotatedAt = now
 }
--- a/router/id_history_test.go
+++ b/router/id_history_test.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"fmt"
-	"hash/maphash"
 	"testing"
 
 	"cobaltward/policy"
@@ -11,23 +9,42 @@
 // TestIDHistory_BoundedRetention checks that IDs are remembered for idRetention, and that the number of remembered
 // IDs is limited.
 func TestIDHistory_BoundedRetention(t *testing.T) {
-	history := idHistory{seed: maphash.MakeSeed()}
-	for i := range 20 {
+	var history idHistory
+	for i := range uint64(20) {
 		now := timeOrigin + policy.Time(i)*idRetention
-		if !history.add(fmt.Sprint("r", i), now) || history.add(fmt.Sprint("r", i), now) {
-			t.Fatal("a new ID was reported as known, or a known one as new")
+		if history.contains(i, now) {
+			t.Fatal("a new ID was reported as known")
 		}
-		if i > 0 && history.add(fmt.Sprint("r", i-1), now) {
+		history.add(i, now)
+		if !history.contains(i, now) {
+			t.Fatal("a known ID was reported as new")
+		}
+		if i > 0 && !history.contains(i-1, now) {
 			t.Errorf("r%d was forgotten within %v", i-1, idRetention)
 		}
 	}
-	if len(history.current)+len(history.previous) > 4 {
+	if history.len() > 4 {
 		t.Errorf("%d and %d IDs are kept, want at most 4 in all", len(history.current), len(history.previous))
 	}
-	for i := range 4 * maxIDsPerGeneration {
-		history.add(fmt.Sprint("flood", i), timeOrigin+20*idRetention)
+	for i := range uint64(4 * maxIDsPerGeneration) {
+		history.add(1000+i, timeOrigin+20*idRetention)
 	}
 	if len(history.current) > maxIDsPerGeneration || len(history.previous) > maxIDsPerGeneration {
 		t.Errorf("%d and %d IDs are kept after a flood of IDs", len(history.current), len(history.previous))
 	}
 }
+
+// TestIDHistory_ForgetsWithoutTraffic checks that an ID is forgotten after twice idRetention, even if no other ID has
+// arrived in the meantime.
+func TestIDHistory_ForgetsWithoutTraffic(t *testing.T) {
+	var history idHistory
+	history.add(1, timeOrigin)
+	if !history.contains(1, timeOrigin+idRetention) {
+		t.Errorf("forgotten within %v", idRetention)
+	}
+	history = idHistory{}
+	history.add(1, timeOrigin)
+	if history.contains(1, timeOrigin+2*idRetention) {
+		t.Errorf("still remembered after %v", 2*idRetention)
+	}
+}
--- /dev/null
+++ b/router/id_registry.go
@@ -0,0 +1,148 @@
+package router
+
+import (
+	"hash/maphash"
+	"sync"
+
+	"cobaltward/policy"
+)
+
+// idRegistry knows the request IDs that must not be accepted: the IDs of open requests, and the IDs of requests that
+// have ended recently. The policy would never answer a second request with the ID of an open request, and a request
+// with the ID of an earlier request may run twice. The methods are safe for concurrent use.
+type idRegistry struct {
+	seed maphash.Seed
+	now  func() policy.Time
+
+	mu     sync.Mutex
+	open   map[uint64]struct{} // hashes of the IDs in use; bounded by the number of open requests
+	recent idHistory
+	stats  IDStats
+}
+
+// IDStats holds the statistics of request IDs.
+type IDStats struct {
+	Open            int    // IDs in use now
+	Remembered      int    // IDs of ended requests that are remembered now
+	OpenConflicts   uint64 // requests rejected because their ID was in use
+	RecentConflicts uint64 // requests rejected because their ID was used recently
+}
+
+func newIDRegistry(now func() policy.Time) *idRegistry {
+	return &idRegistry{seed: maphash.MakeSeed(), now: now, open: make(map[uint64]struct{})}
+}
+
+// reserve marks id as in use. It returns nil if id is in use or was used recently, unless unique is false.
+func (r *idRegistry) reserve(id string, unique bool) *IDReservation {
+	hash := maphash.String(r.seed, id)
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if unique && !r.checkLocked(hash, now) {
+		return nil
+	}
+	r.open[hash] = struct{}{}
+	return &IDReservation{registry: r, id: id, hash: hash}
+}
+
+// checkLocked reports whether the ID with the given hash is free. It counts a conflict. r.mu is held.
+func (r *idRegistry) checkLocked(hash uint64, now policy.Time) bool {
+	if _, inUse := r.open[hash]; inUse {
+		r.stats.OpenConflicts++
+		return false
+	}
+	if r.recent.contains(hash, now) {
+		r.stats.RecentConflicts++
+		return false
+	}
+	return true
+}
+
+// snapshot returns the current statistics.
+func (r *idRegistry) snapshot() IDStats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	stats := r.stats
+	stats.Open, stats.Remembered = len(r.open), r.recent.len()
+	return stats
+}
+
+// IDReservation keeps a request ID in use from the arrival of the request's head until the last byte of the answer. It
+// is safe for concurrent use.
+type IDReservation struct {
+	registry *idRegistry
+	id       string
+	hash     uint64
+
+	// Guarded by registry.mu.
+	admitted bool // whether the request may run; the ID is then remembered after its release
+	released bool
+
+	// Guarded by registry.mu; set by begin.
+	inFlight *counters // counts the request as in flight until the release; nil: not passed to Do
+}
+
+// ReserveID marks id as in use. A Frontend calls it as soon as it knows the ID of a request, passes the reservation
+// to Do, and releases it after the last byte of the answer. ReserveID returns nil if id is in use, or was used by a
+// request that has ended recently. The request must then be answered with Conflict, see RejectDuplicate.
+func (r *Router) ReserveID(id string) *IDReservation { return r.loop.reserveID(id) }
+
+// RejectDuplicate counts a request of class whose ID ReserveID has not reserved, and returns the answer.
+func (r *Router) RejectDuplicate(class string) Answer {
+	r.loop.counters.count(class, Conflict)
+	return Answer{Outcome: Conflict}
+}
+
+// Release ends the use of the ID. If the request was admitted, the ID is remembered for some time. Otherwise the
+// client may send the request again. Calls after the first one do nothing, and neither does a call for nil.
+func (r *IDReservation) Release() {
+	if r == nil {
+		return
+	}
+	if counters := r.release(); counters != nil {
+		counters.inFlight.Add(-1)
+	}
+}
+
+// release does the part of Release that needs the registry. It returns the counters that count the request as in
+// flight, or nil.
+func (r *IDReservation) release() *counters {
+	registry := r.registry
+	now := registry.now()
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	if r.released {
+		return nil
+	}
+	r.released = true
+	delete(registry.open, r.hash)
+	if r.admitted {
+		registry.recent.add(r.hash, now)
+	}
+	return r.inFlight
+}
+
+// begin counts the request with the given ID as in flight until the release. It returns false if the reservation is
+// for another ID, was released, or was passed to Do before.
+func (r *IDReservation) begin(id string, counters *counters) bool {
+	r.registry.mu.Lock()
+	defer r.registry.mu.Unlock()
+	if r.id != id || r.released || r.inFlight != nil {
+		return false
+	}
+	r.inFlight = counters
+	counters.inFlight.Add(1)
+	return true
+}
+
+// admit records that the request may run. The caller of Do may have released the ID already.
+func (r *IDReservation) admit() {
+	registry := r.registry
+	now := registry.now()
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	r.admitted = true
+	if r.released {
+		registry.recent.add(r.hash, now)
+	}
+}
--- a/router/loop.go
+++ b/router/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/maphash"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -38,7 +37,7 @@
 	ready           chan struct{}       // closed when the last known endpoint list is in force
 
 	requests          map[string]*request
-	recentIDs         idHistory
+	ids               *idRegistry
 	withheld          map[*withheldAnswer]struct{} // rejections that wait for a write in progress
 	drained           atomic.Bool                  // whether admission has ended; false again if the drain is cancelled
 	pendingAnswers    int                          // requests without an answer
@@ -82,7 +81,7 @@
 		ready:           make(chan struct{}),
 		requests:        make(map[string]*request),
 		withheld:        make(map[*withheldAnswer]struct{}),
-		recentIDs:       idHistory{seed: maphash.MakeSeed()},
+		ids:             newIDRegistry(clk.now),
 		endpoints:       make(map[string]endpointSummary),
 	}
 	eventLoop.launcher = goroutineLauncher{eventLoop}
--- a/router/request.go
+++ b/router/request.go
@@ -22,6 +22,10 @@
 	// IdempotencyKey is the key by which servers detect duplicates. Classes with policy.IdempotencyKeyed require it.
 	IdempotencyKey string
 
+	// Reservation keeps ID in use until the caller releases it, which must be after the last byte of the answer. If it
+	// is nil, ID is in use until Do returns, or until Answer.Stream is closed.
+	Reservation *IDReservation
+
 	// ClassSnapshot is the class by which the caller has interpreted the request. nil means the class in force when Do
 	// is called. The request is rejected if the class in force at admission has another idempotency, because the
 	// request could be retried under other rules than the client expects.
--- a/router/stats.go
+++ b/router/stats.go
@@ -35,6 +35,7 @@
 	EndpointList            EndpointListStats
 	Drops                   dropoverload.Fractions // drop fractions now in force; must not be changed
 
+	IDs     IDStats
 	Timers  int // timers pending now
 	Reloads uint64
 	Lag     Lag
@@ -81,6 +82,7 @@
 	stats.AttemptsInFlight = l.attemptsInFlight
 	stats.ServerConns = serverConnections(l.transport)
 	stats.Retained = len(l.requests)
+	stats.IDs = l.ids.snapshot()
 	stats.Timers = len(l.timers)
 	stats.Drops = l.drops
 	l.countRequests(&stats)
--- a/router/stepped.go
+++ b/router/stepped.go
@@ -74,13 +74,23 @@
 	if err := req.validateKey(class); err != nil {
 		return err
 	}
+	reservation := s.loop.reserveID(req.ID)
+	if reservation == nil {
+		s.loop.counters.count(req.Class, Conflict)
+		answer(Answer{Outcome: Conflict})
+		return nil
+	}
 	c := &call{
 		req:         req,
 		class:       *class,
+		reservation: reservation,
 		submittedAt: s.now,
 		receivedAt:  s.now,
 		timeout:     class.Deadline,
-		onAnswer:    answer,
+		onAnswer: func(a Answer) {
+			reservation.Release()
+			answer(a)
+		},
 	}
 	if req.Timeout > 0 {
 		c.timeout = min(c.timeout, req.Timeout)
@@ -95,6 +105,7 @@
 	s.advanceTo(now)
 	if r := s.loop.requests[id]; r != nil {
 		s.loop.handleClientGone(r.call)
+		r.reservation.Release()
 	}
 }
 
--- a/router/stream.go
+++ b/router/stream.go
@@ -35,7 +35,19 @@
 			outcome = Served
 		}
 		s.counters.count(s.class, outcome)
-		s.counters.inFlight.Add(-1)
 	})
 	return err
 }
+
+// reservedStream releases the ID of a request when the caller closes the streamed answer.
+type reservedStream struct {
+	Stream
+	reservation *IDReservation
+}
+
+// Close closes the stream and releases the ID.
+func (s *reservedStream) Close() error {
+	err := s.Stream.Close()
+	s.reservation.Release()
+	return err
+}
--- a/router/support_test.go
+++ b/router/support_test.go
@@ -319,8 +319,8 @@
 // wantNothingLeft checks that no request or attempt is left.
 func wantNothingLeft(t *testing.T, stats Stats) {
 	t.Helper()
-	if stats.Retained != 0 || stats.AttemptsInFlight != 0 || len(stats.OpenByClass) != 0 {
-		t.Errorf("requests or attempts are left: %+v", stats)
+	if stats.Retained != 0 || stats.AttemptsInFlight != 0 || len(stats.OpenByClass) != 0 || stats.IDs.Open != 0 {
+		t.Errorf("requests, attempts or IDs in use are left: %+v", stats)
 	}
 }
 
