middleware: the ID of a request is in use once its head is read

Callers saw: a copy of a request whose body is still arriving was served, and the usual client got 409 at its last byte.

Cause: an ID was known only once the router had the request, which is when its body is buffered, as a whole or as far as memory allows.

Fix: the HTTP front reserves the ID after the head and releases it after the answer; it rejects a copy without waiting for its body. The ID of a request that the router never had is free at once.

--- a/middleware/frontend.go
+++ b/middleware/frontend.go
@@ -33,9 +33,19 @@
 	RejectOverloaded(class string) router.Answer
 }
 
+// IDReserver is an optional interface of an Engine. *router.Router implements it. Without it, the ID of a request is
+// known to be in use only during Engine.Do and while an answer is streamed.
+type IDReserver interface {
+	// ReserveID marks id as in use until the release of the reservation. It returns nil if the ID must not be used.
+	ReserveID(id string) *router.IDReservation
+	// RejectDuplicate counts a request of the class whose ID was not reserved, and returns the answer.
+	RejectDuplicate(class string) router.Answer
+}
+
 var (
 	_ Engine           = (*router.Router)(nil)
 	_ FailureCounter   = (*router.Router)(nil)
+	_ IDReserver       = (*router.Router)(nil)
 	_ OverloadRejecter = (*router.Router)(nil)
 )
 
--- a/middleware/serve.go
+++ b/middleware/serve.go
@@ -25,7 +25,25 @@
 		f.answerReadiness(w, r)
 		return
 	}
-	req, upload, problem := f.readRequest(w, r)
+	req, problem := f.parseHead(r)
+	if problem != nil {
+		f.rejectMalformed(w, r, req.Class, problem)
+		return
+	}
+	if reserver, ok := f.engine.(IDReserver); ok {
+		req.Reservation = reserver.ReserveID(req.ID)
+		if req.Reservation == nil {
+			f.rejectDuplicate(w, r, reserver.RejectDuplicate(req.Class))
+			return
+		}
+		defer req.Reservation.Release()
+	}
+	f.serveRequest(w, r, req)
+}
+
+// serveRequest reads the body of the request with the given head, and answers the request.
+func (f *Frontend) serveRequest(w http.ResponseWriter, r *http.Request, req router.Request) {
+	upload, problem := f.readRequestBody(w, r, &req)
 	if problem != nil {
 		f.rejectMalformed(w, r, req.Class, problem)
 		return
@@ -58,23 +76,19 @@
 	return r.ProtoAtLeast(1, 1) && (len(r.TransferEncoding) == 0 || f.bodyLimits != nil)
 }
 
-// readRequest reads the request's head. It also reads a short body to the end. The returned upload receives a long
-// body.
-func (f *Frontend) readRequest(w http.ResponseWriter, r *http.Request) (router.Request, *upload, *requestError) {
-	req, problem := f.parseHead(r)
-	if problem != nil {
-		return req, nil, problem
-	}
+// readRequestBody reads a short body to the end and stores it in req. The returned upload receives a long body.
+func (f *Frontend) readRequestBody(w http.ResponseWriter, r *http.Request, req *router.Request) (*upload, *requestError) {
 	req.AcceptsStream = f.bodyLimits != nil
 	if f.bodyLimits != nil && (r.ContentLength > maxInlineBody || r.ContentLength < 0) {
-		upload, problem := f.startUpload(w, r, &req)
-		return req, upload, problem
+		return f.startUpload(w, r, req)
 	}
-	return req, nil, f.readBody(w, r, &req)
+	return nil, f.readBody(w, r, req)
 }
 
-// forward passes the request to the engine and writes the answer.
+// forward passes the request to the engine and writes the answer. It releases the ID of the request after the answer,
+// because the caller may still discard the rest of a body.
 func (f *Frontend) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, req router.Request) {
+	defer req.Reservation.Release()
 	answer, err := f.engine.Do(ctx, req)
 	switch invalid := (*router.InvalidError)(nil); {
 	case err == nil:
@@ -145,6 +159,21 @@
 		w.Header().Set("Allow", problem.allow)
 	}
 	writeError(w, problem)
+	discardBody(w, r)
+}
+
+// rejectDuplicate writes answer to a request whose ID is in use or was used recently. It does not wait for a body,
+// and closes the connection if there is one.
+func (f *Frontend) rejectDuplicate(w http.ResponseWriter, r *http.Request, answer router.Answer) {
+	if r.ContentLength != 0 {
+		w.Header().Set("Connection", "close")
+	}
+	f.writeAnswer(w, answer)
+	discardBody(w, r)
+}
+
+// discardBody reads and discards the start of a body after the request was rejected.
+func discardBody(w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength == 0 {
 		return
 	}
