middleware: a request is open until its answer is sent, not only written

Callers saw: the copy of an open booking served, the booking run twice, where the client reads slowly (4 of 4 copies after 27 s on, answers of 24 MB and 3 MB). inflight was too low meanwhile.

Cause: a request ended with the last write, and the kernel takes megabytes that the client has not read.

Fix: after an answer that is streamed or has 4 KiB or more the front asks the kernel for unsent bytes and keeps the request open until there are none, the client has left, or it has read nothing for 15 s, which is the bound that each part of a stream has.

Still served: a copy 45 s after, with 6 MB in the client's own receive buffer, which the node can't see.

--- a/internal/node/requestid_test.go
+++ b/internal/node/requestid_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -84,3 +86,79 @@
 		})
 	}
 }
+
+// slowReadBuffer is the receive buffer of clients that read slowly, in bytes.
+const slowReadBuffer = 8 << 10
+
+// dialSlowReader connects a client whose kernel accepts few bytes that the client has not read.
+func dialSlowReader(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		controlErr := raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowReadBuffer)
+		})
+		if err != nil {
+			return err
+		}
+		return controlErr
+	}}
+	conn, err := dialer.DialContext(context.Background(), "tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// TestID_InUseWhileClientReads guards against a bad client that sends the ID of a request whose answer is written, but
+// not sent, because its client reads slowly. The request must be in flight until the answer is sent or the client
+// disconnects.
+func TestID_InUseWhileClientReads(t *testing.T) {
+	const long, short = 300 << 10, 60 << 10
+	for name, test := range map[string]struct {
+		size       int64
+		chunked    bool
+		disconnect bool
+	}{
+		"length":      {size: long},
+		"chunked":     {size: long, chunked: true},
+		"short":       {size: short},
+		"disconnects": {size: long, disconnect: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			node := newTestNode(t, 0)
+			var executions atomic.Int64
+			node.addServers(func(w http.ResponseWriter, _ *http.Request) {
+				executions.Add(1)
+				if !test.chunked {
+					w.Header().Set("Content-Length", fmt.Sprint(test.size))
+				}
+				_, _ = io.Copy(w, &patternReader{size: test.size})
+			})
+			node.startWithClient()
+			conn := dialSlowReader(t, node.addr)
+			_, _ = fmt.Fprintf(conn, bookingHead+"{}", "p1", 2)
+			testkit.Await(t, "the answer to be written", func() bool { return node.metrics()["success.rezervacia"] == 1 })
+			time.Sleep(5 * sentCheckInterval)
+			if inFlight := node.metrics()["inflight"]; inFlight != 1 {
+				t.Errorf("%d requests in flight while the client reads, want 1", inFlight)
+			}
+			if status := node.sendCopy("p1"); status != http.StatusConflict {
+				t.Errorf("copy of a request whose answer is being read: status %d, want 409", status)
+			}
+			if test.disconnect {
+				_ = conn.Close()
+			} else if status := responseStatus(t, conn); status != http.StatusOK {
+				t.Errorf("status %d, want 200", status)
+			}
+			testkit.Await(t, "the request to end", func() bool { return node.metrics()["inflight"] == 0 })
+			if executions.Load() != 1 {
+				t.Errorf("%d requests executed, want 1", executions.Load())
+			}
+		})
+	}
+}
+
+// sentCheckInterval is longer than the interval at which the node checks whether an answer is sent.
+const sentCheckInterval = 50 * time.Millisecond
--- a/internal/sockets/deadlinereader.go
+++ b/internal/sockets/deadlinereader.go
@@ -104,20 +104,28 @@
 
 // Unread returns the number of received but unread bytes of a connection. It returns 0 if the kernel does not report
 // the number.
-func Unread(c syscall.Conn) int {
+func Unread(c syscall.Conn) int { return queueLength(c, unix.SIOCINQ) }
+
+// Unsent returns the number of written bytes of a connection that the kernel has not sent yet, for example because the
+// peer does not read. It returns 0 if the kernel does not report the number or the connection is closed.
+func Unsent(c syscall.Conn) int { return queueLength(c, unix.SIOCOUTQNSD) }
+
+// queueLength returns the length of a queue of a connection, as reported by the ioctl request, or 0 if the request
+// fails.
+func queueLength(c syscall.Conn, request uint) int {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return 0
 	}
-	unread := 0
+	length := 0
 	err = raw.Control(func(fd uintptr) {
-		n, ioctlErr := unix.IoctlGetInt(int(fd), unix.SIOCINQ)
+		n, ioctlErr := unix.IoctlGetInt(int(fd), request)
 		if ioctlErr == nil {
-			unread = n
+			length = n
 		}
 	})
 	if err != nil {
 		return 0
 	}
-	return unread
+	return length
 }
--- a/middleware/frontend.go
+++ b/middleware/frontend.go
@@ -64,6 +64,7 @@
 	disconnected     func(context.Context) bool
 	arrivalAge       func(context.Context) time.Duration
 	isOverflow       func(context.Context) bool
+	unsentBytes      func(context.Context) int
 	setBodyDeadlines BodyDeadlineSetter // nil: each Read of a body sets a read deadline on the connection
 }
 
@@ -134,6 +135,14 @@
 	return func(f *Frontend) { f.isOverflow = isOverflow }
 }
 
+// WithUnsentBytes sets a function that returns how many bytes written to the client of a request the kernel has not
+// sent yet. The argument is the request's context. The Frontend keeps a request with a long answer open until the
+// number is 0 or the client stops reading. The function must not block. By default an answer counts as sent when it
+// is written.
+func WithUnsentBytes(unsent func(context.Context) int) Option {
+	return func(f *Frontend) { f.unsentBytes = unsent }
+}
+
 // WithBodyDeadlineSetter sets the function that limits the time of reads of a request's body. By default the Frontend
 // sets a read deadline for each Read of the body. For a chunked body, one Read may take many reads of the connection.
 func WithBodyDeadlineSetter(set BodyDeadlineSetter) Option {
@@ -158,6 +167,7 @@
 		disconnected: func(context.Context) bool { return false },
 		arrivalAge:   func(context.Context) time.Duration { return 0 },
 		isOverflow:   func(context.Context) bool { return false },
+		unsentBytes:  func(context.Context) int { return 0 },
 	}
 	for _, apply := range opts {
 		apply(frontend)
--- a/middleware/serve.go
+++ b/middleware/serve.go
@@ -93,6 +93,9 @@
 	switch invalid := (*router.InvalidError)(nil); {
 	case err == nil:
 		f.writeAnswer(w, answer)
+		if answer.Stream != nil || len(answer.Body) >= minFlushedAnswer {
+			f.awaitSent(r.Context(), http.NewResponseController(w))
+		}
 	case errors.As(err, &invalid):
 		f.rejectMalformed(w, r, req.Class, badRequest(invalid.Field+": "+invalid.Problem))
 	case errors.Is(err, router.ErrClosed) || errors.Is(err, router.ErrDrained): // the request was not accepted
