MessagePack-RPC: an ID is in use until the answer is written

A call ended for the router when its answer was queued; its ID was then known by the history alone, though the answer may wait for a client that does not read.

Fix: a call reserves its ID, and the writer releases it after the write or when the connection ends.

TestID_InUseUntilAnswerIsWritten, with connections without a buffer: before, no ID in use while two answers are unwritten; now both are, and free after the read, the disconnect or the write timeout.

--- a/internal/frontend/msgpack/conn.go
+++ b/internal/frontend/msgpack/conn.go
@@ -12,6 +12,7 @@
 	"cobaltward/internal/sockets"
 	"cobaltward/msgpackrpc"
 	"cobaltward/msgpackrpc/stream"
+	"cobaltward/router"
 )
 
 // lingerTimeout limits how long the server reads from a connection after closing its write side. Closing a connection
@@ -63,9 +64,11 @@
 	SetReadDeadline(t time.Time) error
 }
 
+// answer is the answer to a call.
 type answer struct {
-	msgid uint32
-	reply msgpackrpc.Reply
+	msgid       uint32
+	reply       msgpackrpc.Reply
+	reservation *router.IDReservation // released once the answer is written or dropped; may be nil
 }
 
 func newConn(server *Server, nc net.Conn, earliest time.Time) *conn {
@@ -149,6 +152,7 @@
 	c.calls.Wait()
 	<-c.writerDone
 	c.countLostAnswers()
+	c.releaseQueued()
 	c.closeSocket()
 	c.server.release(c)
 }
@@ -182,6 +186,13 @@
 	}
 }
 
+// releaseQueued releases the IDs of the calls whose answers were not written. The writer must have ended.
+func (c *conn) releaseQueued() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	releaseAnswers(c.queuedAnswers)
+}
+
 // finish makes the writer send notification, which may be empty, and close the write side once no call is open.
 func (c *conn) finish(notification []byte) {
 	c.mu.Lock()
--- a/internal/frontend/msgpack/conncalls.go
+++ b/internal/frontend/msgpack/conncalls.go
@@ -7,6 +7,7 @@
 
 	"cobaltward/internal/sockets"
 	"cobaltward/msgpackrpc"
+	"cobaltward/router"
 )
 
 // clientCheckInterval is how often the server checks whether a client with the maximum number of open calls has
@@ -47,20 +48,46 @@
 	case c.server.rejectsOverflow(c):
 		reply = c.server.overloadedReply(req.Class)
 	default:
-		c.calls.Go(func() {
-			answer, err := c.server.engine.Do(ctx, req)
-			if err != nil && ctx.Err() != nil {
-				c.finishCancelled(message.ID)
-				return
-			}
-			c.finishCall(message.ID, ReplyFromAnswer(answer, err))
-		})
-		return nil
+		if reply = c.reserveID(&req); reply.Code == "" {
+			c.calls.Go(func() { c.run(ctx, message.ID, req) })
+			return nil
+		}
 	}
-	c.finishCall(message.ID, reply)
+	c.finishCall(message.ID, reply, nil)
 	return nil
 }
 
+// idReserver is an optional interface of an Engine. *router.Router implements it.
+type idReserver interface {
+	ReserveID(id string) *router.IDReservation
+	RejectDuplicate(class string) router.Answer
+}
+
+// reserveID marks the ID of req as in use until its answer is written. If the ID must not be used, reserveID returns
+// the reply that rejects the call.
+func (c *conn) reserveID(req *router.Request) msgpackrpc.Reply {
+	reserver, ok := c.server.engine.(idReserver)
+	if !ok || !router.ValidID(req.ID) { // the engine rejects an invalid ID
+		return msgpackrpc.Reply{}
+	}
+	req.Reservation = reserver.ReserveID(req.ID)
+	if req.Reservation == nil {
+		return ReplyFromAnswer(reserver.RejectDuplicate(req.Class), nil)
+	}
+	return msgpackrpc.Reply{}
+}
+
+// run passes req, the call with the msgid id, to the engine, and ends the call.
+func (c *conn) run(ctx context.Context, id uint32, req router.Request) {
+	answer, err := c.server.engine.Do(ctx, req)
+	if err != nil && ctx.Err() != nil {
+		req.Reservation.Release()
+		c.finishCancelled(id)
+		return
+	}
+	c.finishCall(id, ReplyFromAnswer(answer, err), req.Reservation)
+}
+
 // callAdmission is the server's decision on a call that has arrived.
 type callAdmission uint8
 
@@ -105,12 +132,13 @@
 	return nil
 }
 
-// finishCall ends the open call with the msgid id, and queues reply as its answer.
-func (c *conn) finishCall(id uint32, reply msgpackrpc.Reply) {
+// finishCall ends the open call with the msgid id, and queues reply as its answer. The writer releases reservation
+// after the answer.
+func (c *conn) finishCall(id uint32, reply msgpackrpc.Reply, reservation *router.IDReservation) {
 	c.mu.Lock()
 	cancel := c.removeCall(id)
 	c.unwrittenAnswers++
-	c.queuedAnswers = append(c.queuedAnswers, answer{id, reply})
+	c.queuedAnswers = append(c.queuedAnswers, answer{id, reply, reservation})
 	c.mu.Unlock()
 	cancel()
 	c.writeSignal.Notify()
--- a/internal/frontend/msgpack/connwrite.go
+++ b/internal/frontend/msgpack/connwrite.go
@@ -14,19 +14,8 @@
 	var batch []answer
 	for range c.writeSignal {
 		buf, batch = c.takeQueued(buf, batch)
-		answers := 0 // number of answers in buf
-		for i := range batch {
-			buf = msgpackrpc.AppendReply(buf, batch[i].msgid, &batch[i].reply)
-			batch[i] = answer{} // release the body for garbage collection
-			answers++
-			if len(buf) >= stream.MaxBatch {
-				if !c.flush(buf, answers) {
-					return
-				}
-				buf, answers = buf[:0], 0
-			}
-		}
-		if !c.flush(buf, answers) {
+		var written bool
+		if buf, written = c.writeBatch(buf, batch); !written {
 			return
 		}
 		if c.endIfFinished() {
@@ -36,6 +25,32 @@
 	}
 }
 
+// writeBatch writes buf, which contains notifications, and batch. It returns buf for reuse, and false if a write fails.
+func (c *conn) writeBatch(buf []byte, batch []answer) ([]byte, bool) {
+	defer releaseAnswers(batch) // after a failure, also the answers that were not written
+	first := 0                  // index of the first answer in buf
+	for i := range batch {
+		buf = msgpackrpc.AppendReply(buf, batch[i].msgid, &batch[i].reply)
+		batch[i].reply = msgpackrpc.Reply{} // release the body for garbage collection
+		if len(buf) >= stream.MaxBatch {
+			if !c.flush(buf, i+1-first) {
+				return nil, false
+			}
+			releaseAnswers(batch[first : i+1])
+			buf, first = buf[:0], i+1
+		}
+	}
+	return buf, c.flush(buf, len(batch)-first)
+}
+
+// releaseAnswers releases the IDs of the calls with the given answers.
+func releaseAnswers(answers []answer) {
+	for i := range answers {
+		answers[i].reservation.Release()
+		answers[i].reservation = nil
+	}
+}
+
 // takeQueued removes and returns the queued notifications, encoded, and the queued answers. It reuses buf and batch.
 func (c *conn) takeQueued(buf []byte, batch []answer) ([]byte, []answer) {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/frontend/msgpack/requestid_test.go
@@ -0,0 +1,149 @@
+package msgpack
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cobaltward/internal/testkit"
+	"cobaltward/msgpackrpc"
+	"cobaltward/policy"
+	"cobaltward/router"
+)
+
+// reservingEngine is a stubEngine that reserves IDs.
+type reservingEngine struct {
+	stubEngine
+	ids      *router.Router
+	executed atomic.Int64 // number of calls that Do has answered
+}
+
+func (e *reservingEngine) Do(ctx context.Context, r router.Request) (router.Answer, error) {
+	defer e.executed.Add(1)
+	return e.stubEngine.Do(ctx, r)
+}
+
+func (e *reservingEngine) ReserveID(id string) *router.IDReservation { return e.ids.ReserveID(id) }
+
+func (e *reservingEngine) RejectDuplicate(class string) router.Answer { return e.ids.RejectDuplicate(class) }
+
+// inUse returns the number of IDs in use.
+func (e *reservingEngine) inUse() int { return e.ids.Stats().IDs.Open }
+
+// noTransport is a Transport that makes no attempts.
+type noTransport struct{ router.Transport }
+
+func (noTransport) Update(router.EndpointUpdate) {}
+func (noTransport) Configure(policy.Settings)    {}
+func (noTransport) Close()                       {}
+
+func newReservingEngine(
+	t *testing.T, do func(context.Context, router.Request) (router.Answer, error),
+) *reservingEngine {
+	t.Helper()
+	settings := policy.Settings{Nodes: 1, Classes: []policy.Class{{Name: "read", Deadline: time.Minute}}}
+	ids, err := router.New(router.Config{Settings: settings}, router.WithTransport(noTransport{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ids.Close() })
+	return &reservingEngine{stubEngine: stubEngine{do: do}, ids: ids}
+}
+
+// pipeListener is a listener whose connections have no buffer: a write waits until its peer reads.
+type pipeListener struct {
+	net.Listener // provides Addr
+	conns        chan net.Conn
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	conn, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+func (l *pipeListener) Close() error { return nil }
+
+// dialPipe connects a client.
+func (l *pipeListener) dialPipe(t *testing.T) rawClient {
+	t.Helper()
+	client, server := net.Pipe()
+	t.Cleanup(func() { _ = client.Close() })
+	_ = client.SetDeadline(time.Now().Add(testkit.MaxWait))
+	l.conns <- server
+	return rawClient{client, msgpackrpc.NewReader(client)}
+}
+
+func startPipeServer(t *testing.T, engine Engine, config Config) *pipeListener {
+	t.Helper()
+	listener := &pipeListener{conns: make(chan net.Conn)}
+	server := New(engine, config)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		server.StopAccepting()
+		close(listener.conns)
+		if err := testkit.Receive(t, "the return of Serve", served); !errors.Is(err, ErrClosed) {
+			t.Error(err)
+		}
+		server.Close()
+	})
+	return listener
+}
+
+// TestID_InUseUntilAnswerIsWritten guards against a second run of a call whose answer waits for a client that does not
+// read. The ID is in use until the answer is written, or can no longer be written.
+func TestID_InUseUntilAnswerIsWritten(t *testing.T) {
+	const writeTimeout = 300 * time.Millisecond
+	tests := map[string]struct {
+		config Config
+		end    func(t *testing.T, client rawClient)
+	}{
+		"client reads": {Config{}, func(t *testing.T, client rawClient) {
+			client.expect(t, " r", " r")
+		}},
+		"client disconnects": {Config{}, func(_ *testing.T, client rawClient) { _ = client.Close() }},
+		"write timeout":      {Config{WriteTimeout: writeTimeout}, func(*testing.T, rawClient) {}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			engine := newReservingEngine(t, nil)
+			listener := startPipeServer(t, engine, test.config)
+			client, other := listener.dialPipe(t), listener.dialPipe(t)
+			client.call(t, 1, 2) // the answers are written separately or together
+			testkit.Await(t, "the calls to be executed", func() bool {
+				return engine.executed.Load() == 2 && engine.open.Load() == 0
+			})
+			if test.config.WriteTimeout == 0 {
+				other.call(t, 1)
+				other.expect(t, "1 conflict")
+				if inUse := engine.inUse(); inUse != 2 {
+					t.Errorf("%d IDs in use while 2 answers are not written", inUse)
+				}
+			}
+			test.end(t, client)
+			testkit.Await(t, "the IDs to be free", func() bool { return engine.inUse() == 0 })
+		})
+	}
+}
+
+// TestID_FreeAfterCancel checks that the ID of a call that is cancelled is released.
+func TestID_FreeAfterCancel(t *testing.T) {
+	engine := newReservingEngine(t, answerAfter(nil))
+	listener := startPipeServer(t, engine, Config{})
+	client := listener.dialPipe(t)
+	client.call(t, 1)
+	testkit.Await(t, "the call", func() bool { return engine.open.Load() == 1 })
+	if inUse := engine.inUse(); inUse != 1 {
+		t.Errorf("%d IDs in use during a call, want 1", inUse)
+	}
+	if _, err := client.Write(msgpackrpc.AppendCancel(nil, 1)); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Await(t, "the ID to be free", func() bool { return engine.inUse() == 0 })
+}
--- a/internal/node/adminstatus.go
+++ b/internal/node/adminstatus.go
@@ -45,7 +45,7 @@
 
 // RequestIDCounts counts the IDs of requests, and the requests rejected because of their ID since the start.
 type RequestIDCounts struct {
-	InUse           int    `json:"in_use"`           // IDs of requests that have begun to arrive and are not fully answered
+	InUse           int    `json:"in_use"`           // IDs of requests that are arriving or not fully answered
 	Remembered      int    `json:"remembered"`       // IDs of requests that have ended recently
 	InUseConflicts  uint64 `json:"in_use_conflicts"` // requests whose ID was in use
 	RecentConflicts uint64 `json:"recent_conflicts"` // requests whose ID was used recently
--- a/middleware/sent_test.go
+++ b/middleware/sent_test.go
@@ -50,8 +50,12 @@
 		"sent at once":            {unsent: func(time.Duration) int { return 0 }},
 		"client reads slowly":     {unsent: func(e time.Duration) int { return 60 - second(e) }, want: time.Minute},
 		"client stalls":           {unsent: func(time.Duration) int { return 7 }, want: stalled},
-		"client reads and stalls": {unsent: func(e time.Duration) int { return 60 - min(9, second(e)) }, want: 9*time.Second + stalled},
-		"client disconnects":      {unsent: func(time.Duration) int { return 7 }, disconnect: 2 * time.Second, want: 2 * time.Second},
+		"client reads and stalls": {
+			unsent: func(e time.Duration) int { return 60 - min(9, second(e)) }, want: 9*time.Second + stalled,
+		},
+		"client disconnects": {
+			unsent: func(time.Duration) int { return 7 }, disconnect: 2 * time.Second, want: 2 * time.Second,
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/middleware/serve.go
+++ b/middleware/serve.go
@@ -77,7 +77,9 @@
 }
 
 // readRequestBody reads a short body to the end and stores it in req. The returned upload receives a long body.
-func (f *Frontend) readRequestBody(w http.ResponseWriter, r *http.Request, req *router.Request) (*upload, *requestError) {
+func (f *Frontend) readRequestBody(
+	w http.ResponseWriter, r *http.Request, req *router.Request,
+) (*upload, *requestError) {
 	req.AcceptsStream = f.bodyLimits != nil
 	if f.bodyLimits != nil && (r.ContentLength > maxInlineBody || r.ContentLength < 0) {
 		return f.startUpload(w, r, req)
--- a/router/stepped.go
+++ b/router/stepped.go
@@ -80,7 +80,7 @@
 		answer(Answer{Outcome: Conflict})
 		return nil
 	}
-	c := &call{
+	submitted := &call{
 		req:         req,
 		class:       *class,
 		reservation: reservation,
@@ -93,9 +93,9 @@
 		},
 	}
 	if req.Timeout > 0 {
-		c.timeout = min(c.timeout, req.Timeout)
+		submitted.timeout = min(submitted.timeout, req.Timeout)
 	}
-	s.loop.admit(c)
+	s.loop.admit(submitted)
 	return nil
 }
 
