--- a/internal/frontend/msgpack/requestid_test.go
+++ b/internal/frontend/msgpack/requestid_test.go
@@ -28,7 +28,9 @@
 
 func (e *reservingEngine) ReserveID(id string) *router.IDReservation { return e.ids.ReserveID(id) }
 
-func (e *reservingEngine) RejectDuplicate(class string) router.Answer { return e.ids.RejectDuplicate(class) }
+func (e *reservingEngine) RejectDuplicate(class string) router.Answer {
+	return e.ids.RejectDuplicate(class)
+}
 
 // inUse returns the number of IDs in use.
 func (e *reservingEngine) inUse() int { return e.ids.Stats().IDs.Open }
--- a/middleware/sent_test.go
+++ b/middleware/sent_test.go
@@ -47,9 +47,9 @@
 		disconnect time.Duration // time until the client disconnects; 0: it stays
 		want       time.Duration
 	}{
-		"sent at once":            {unsent: func(time.Duration) int { return 0 }},
-		"client reads slowly":     {unsent: func(e time.Duration) int { return 60 - second(e) }, want: time.Minute},
-		"client stalls":           {unsent: func(time.Duration) int { return 7 }, want: stalled},
+		"sent at once":        {unsent: func(time.Duration) int { return 0 }},
+		"client reads slowly": {unsent: func(e time.Duration) int { return 60 - second(e) }, want: time.Minute},
+		"client stalls":       {unsent: func(time.Duration) int { return 7 }, want: stalled},
 		"client reads and stalls": {
 			unsent: func(e time.Duration) int { return 60 - min(9, second(e)) }, want: 9*time.Second + stalled,
 		},
