Hot restart: both processes know the IDs that either has in use

Callers saw: the ID of an open booking, sent over a new connection while the process is replaced, was served by the other process, and ran twice.

Cause: the IDs in use were each process's own.

Fix: while a node has more than one process, each locks its IDs in use, a record lock on one byte of an empty file in the shared directory for each. Nothing is written, a process that dies unlocks, one that is alone locks nothing.

The share of the traffic is computed from Metrics.Accepted: requests in flight plus answers could fall since requests are in flight until sent.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,7 +86,7 @@
 		_ = n.operations.Close()
 	}
 	if n.processGroup != nil {
-		n.processGroup.process.Unregister()
+		n.processGroup.close()
 	}
 	if n.engine != nil {
 		_ = n.engine.Close()
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -13,6 +13,9 @@
 		n.state.restore()
 	}
 	n.startAdminServer()
+	if n.processGroup != nil {
+		n.processGroup.awaitPredecessor() // while the predecessor accepts the clients at the shared socket
+	}
 	n.startOperations()
 
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/rundir/idlocks.go
@@ -0,0 +1,119 @@
+package rundir
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"golang.org/x/sys/unix"
+)
+
+// idsFile is the file on which the processes of a node lock the request IDs in use. It stays empty.
+const idsFile = filePrefix + "ids"
+
+// markerOffset is the offset of the byte of a process's own lock file that it locks while it locks its IDs in use.
+const markerOffset = 0
+
+// IDLocks lets the processes of a node agree on the request IDs in use. A process holds a record lock of the kernel on
+// one byte of an empty file for each ID that it uses. The kernel releases the locks of a process that ends. Nothing is
+// written to the file. IDLocks implements router.IDLocker.
+type IDLocks struct{ file *os.File }
+
+// OpenIDLocks opens the locks of the node. The caller must close them.
+func (p *Process) OpenIDLocks() (*IDLocks, error) {
+	file, err := os.OpenFile(filepath.Join(p.dir, idsFile), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("rundir: %w", err)
+	}
+	return &IDLocks{file: file}, nil
+}
+
+// TryLock locks id. It returns false if another process has locked id. It returns true if the system cannot lock,
+// because a process that can't coordinate acts as a single process.
+func (l *IDLocks) TryLock(id string) bool {
+	err := setRecordLock(l.file, unix.F_WRLCK, idOffset(id))
+	return !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EACCES)
+}
+
+// Unlock unlocks id.
+func (l *IDLocks) Unlock(id string) {
+	_ = setRecordLock(l.file, unix.F_UNLCK, idOffset(id)) // fails only if the file is closed, which unlocks everything
+}
+
+// Close unlocks all IDs of this process.
+func (l *IDLocks) Close() { _ = l.file.Close() } // nothing was written
+
+// idOffset returns the offset of the byte that stands for id. Two IDs have the same offset with a probability of 2^-62.
+func idOffset(id string) int64 {
+	hash := sha256.Sum256([]byte(id))
+	return int64(binary.NativeEndian.Uint64(hash[:]) >> 2)
+}
+
+// MarkIDsLocked tells the other processes whether this process locks all its IDs in use.
+func (p *Process) MarkIDsLocked(locked bool) error {
+	kind := int16(unix.F_UNLCK)
+	if locked {
+		kind = unix.F_WRLCK
+	}
+	if err := setRecordLock(p.lock, kind, markerOffset); err != nil {
+		return fmt.Errorf("rundir: %s: %w", p.lock.Name(), err)
+	}
+	return nil
+}
+
+// OthersLockIDs reports whether all other running processes lock their IDs in use.
+func (p *Process) OthersLockIDs() bool {
+	locks, err := p.otherLockFiles()
+	if err != nil {
+		return false
+	}
+	for _, path := range locks {
+		if isAlive(path) && !isMarked(path) {
+			return false
+		}
+	}
+	return true
+}
+
+// otherLockFiles returns the paths of the lock files of other processes, which may have ended.
+func (p *Process) otherLockFiles() (paths []string, err error) {
+	locks, err := filepath.Glob(filepath.Join(p.dir, filePrefix+"*"+lockSuffix))
+	for _, path := range locks {
+		if strings.TrimSuffix(filepath.Base(path), lockSuffix) != p.name {
+			paths = append(paths, path)
+		}
+	}
+	return paths, err
+}
+
+// isMarked reports whether the process with the given lock file has called MarkIDsLocked.
+func isMarked(lockPath string) bool {
+	file, err := os.OpenFile(lockPath, os.O_RDWR, 0)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = file.Close() }() // closing a file that was not written loses nothing
+	lock := unix.Flock_t{Type: unix.F_WRLCK, Whence: io.SeekStart, Start: markerOffset, Len: 1}
+	err = unix.FcntlFlock(file.Fd(), unix.F_OFD_GETLK, &lock)
+	return err == nil && lock.Type != unix.F_UNLCK
+}
+
+// setRecordLock sets or removes a record lock on one byte of file. It does not wait for other locks.
+func setRecordLock(file *os.File, kind int16, offset int64) error {
+	raw, err := file.SyscallConn()
+	if err != nil {
+		return err
+	}
+	lock := unix.Flock_t{Type: kind, Whence: io.SeekStart, Start: offset, Len: 1}
+	var lockErr error
+	err = raw.Control(func(fd uintptr) { lockErr = unix.FcntlFlock(fd, unix.F_OFD_SETLK, &lock) })
+	if err != nil {
+		return err
+	}
+	return lockErr
+}
--- a/internal/rundir/rundir.go
+++ b/internal/rundir/rundir.go
@@ -61,7 +61,7 @@
 // files of processes that have ended. A process without a readable report has a zero report in the map. reportErr is
 // the error of one unreadable report.
 func (p *Process) Others() (reports map[string]hotrestart.Report, reportErr error) {
-	locks, err := filepath.Glob(filepath.Join(p.dir, filePrefix+"*"+lockSuffix))
+	locks, err := p.otherLockFiles()
 	if err != nil {
 		return nil, err
 	}
@@ -69,8 +69,8 @@
 	for _, lockPath := range locks {
 		base := strings.TrimSuffix(lockPath, lockSuffix)
 		name := filepath.Base(base)
-		if name == p.name || len(reports) >= maxProcesses {
-			continue
+		if len(reports) >= maxProcesses {
+			break
 		}
 		if !isAlive(lockPath) {
 			_ = os.Remove(base + reportSuffix) // the process may not have written a report
--- a/router/counters.go
+++ b/router/counters.go
@@ -17,6 +17,7 @@
 type counters struct {
 	mu                   sync.Mutex // held while classes are added
 	classes              atomic.Pointer[map[string]*classCounters]
+	accepted             atomic.Uint64
 	inFlight             atomic.Int64
 	endpoints            atomic.Int64
 	unavailableEndpoints atomic.Int64
--- a/router/id_registry.go
+++ b/router/id_registry.go
@@ -15,11 +15,20 @@
 	now  func() policy.Time
 
 	mu     sync.Mutex
-	open   map[uint64]struct{} // hashes of the IDs in use; bounded by the number of open requests
+	open   map[uint64]*IDReservation // IDs in use, by hash; bounded by the number of open requests
 	recent idHistory
+	locker IDLocker // nil: no other process uses IDs
 	stats  IDStats
 }
 
+// IDLocker lets several processes agree on the IDs in use. Its methods must not block. They are called one at a time.
+type IDLocker interface {
+	// TryLock locks id. It returns false if another process has locked id.
+	TryLock(id string) bool
+	// Unlock unlocks id, which may not be locked.
+	Unlock(id string)
+}
+
 // IDStats holds the statistics of request IDs.
 type IDStats struct {
 	Open            int    // IDs in use now
@@ -29,7 +38,7 @@
 }
 
 func newIDRegistry(now func() policy.Time) *idRegistry {
-	return &idRegistry{seed: maphash.MakeSeed(), now: now, open: make(map[uint64]struct{})}
+	return &idRegistry{seed: maphash.MakeSeed(), now: now, open: make(map[uint64]*IDReservation)}
 }
 
 // reserve marks id as in use. It returns nil if id is in use or was used recently, unless unique is false.
@@ -38,24 +47,45 @@
 	now := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if unique && !r.checkLocked(hash, now) {
+	if unique && !r.acquireLocked(id, hash, now) {
 		return nil
 	}
-	r.open[hash] = struct{}{}
-	return &IDReservation{registry: r, id: id, hash: hash}
+	reservation := &IDReservation{registry: r, id: id, hash: hash}
+	r.open[hash] = reservation
+	return reservation
 }
 
-// checkLocked reports whether the ID with the given hash is free. It counts a conflict. r.mu is held.
-func (r *idRegistry) checkLocked(hash uint64, now policy.Time) bool {
-	if _, inUse := r.open[hash]; inUse {
+// acquireLocked reports whether id, which has the given hash, is free in this process and in all others. It counts a
+// conflict. r.mu is held.
+func (r *idRegistry) acquireLocked(id string, hash uint64, now policy.Time) bool {
+	switch {
+	case r.open[hash] != nil:
 		r.stats.OpenConflicts++
-		return false
-	}
-	if r.recent.contains(hash, now) {
+	case r.recent.contains(hash, now):
 		r.stats.RecentConflicts++
-		return false
+	case r.locker != nil && !r.locker.TryLock(id):
+		r.stats.OpenConflicts++
+	default:
+		return true
+	}
+	return false
+}
+
+// share makes the registry lock all IDs in use with locker, now and later. If locker is nil, the registry unlocks
+// them.
+func (r *idRegistry) share(locker IDLocker) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	previous := r.locker
+	r.locker = locker
+	for _, reservation := range r.open {
+		if previous != nil {
+			previous.Unlock(reservation.id)
+		}
+		if locker != nil {
+			_ = locker.TryLock(reservation.id) // if another process has it locked, both have accepted it already
+		}
 	}
-	return true
 }
 
 // snapshot returns the current statistics.
@@ -87,6 +117,10 @@
 // request that has ended recently. The request must then be answered with Conflict, see RejectDuplicate.
 func (r *Router) ReserveID(id string) *IDReservation { return r.loop.reserveID(id) }
 
+// ShareIDs makes the router lock its IDs in use with locker, so that other processes don't accept requests with these
+// IDs, and this router none with theirs. IDs that are only remembered are not shared. A nil locker ends this.
+func (r *Router) ShareIDs(locker IDLocker) { r.loop.ids.share(locker) }
+
 // RejectDuplicate counts a request of class whose ID ReserveID has not reserved, and returns the answer.
 func (r *Router) RejectDuplicate(class string) Answer {
 	r.loop.counters.count(class, Conflict)
@@ -116,6 +150,9 @@
 	}
 	r.released = true
 	delete(registry.open, r.hash)
+	if registry.locker != nil {
+		registry.locker.Unlock(r.id)
+	}
 	if r.admitted {
 		registry.recent.add(r.hash, now)
 	}
@@ -131,6 +168,7 @@
 		return false
 	}
 	r.inFlight = counters
+	counters.accepted.Add(1)
 	counters.inFlight.Add(1)
 	return true
 }
--- a/router/id_registry_test.go
+++ b/router/id_registry_test.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -125,6 +126,9 @@
 		if stats := r.Stats(); stats.IDs.OpenConflicts != 3 || stats.IDs.RecentConflicts != 0 || r.InFlight() != 1 {
 			t.Errorf("conflicts %+v, %d in flight; want 3 with an ID in use, and 1 in flight", stats.IDs, r.InFlight())
 		}
+		if accepted := r.Metrics().Accepted; accepted != 2 {
+			t.Errorf("%d requests accepted, want 2 without the conflicts", accepted)
+		}
 		req.Reservation.Release()
 		req.Reservation.Release() // does nothing
 		wantFreed(t, r, req.ID)
@@ -177,3 +181,55 @@
 		close(release)
 	})
 }
+
+// sharedLocks is the set of locked IDs of several routers.
+type sharedLocks struct {
+	mu     sync.Mutex
+	owners map[string]*routerLocks // by ID
+}
+
+// routerLocks is the IDLocker of one router.
+type routerLocks struct{ shared *sharedLocks }
+
+func (l *routerLocks) TryLock(id string) bool {
+	l.shared.mu.Lock()
+	defer l.shared.mu.Unlock()
+	if owner := l.shared.owners[id]; owner != nil && owner != l {
+		return false
+	}
+	l.shared.owners[id] = l
+	return true
+}
+
+func (l *routerLocks) Unlock(id string) {
+	l.shared.mu.Lock()
+	defer l.shared.mu.Unlock()
+	if l.shared.owners[id] == l {
+		delete(l.shared.owners, id)
+	}
+}
+
+// TestShareIDs_ConflictAcrossRouters checks that a router rejects the IDs that another router has in use, including
+// those that were in use before the IDs were shared. IDs that are no longer in use or no longer shared are free.
+func TestShareIDs_ConflictAcrossRouters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared := &sharedLocks{owners: make(map[string]*routerLocks)}
+		first, _ := newTestRouter(t, &fakeTransport{attempt: serveStream}, sendOnce)
+		second, _ := newTestRouter(t, &fakeTransport{attempt: serveStream}, sendOnce)
+		early := startStream(t, first, "early")
+		first.ShareIDs(&routerLocks{shared})
+		second.ShareIDs(&routerLocks{shared})
+		late := startStream(t, first, "late")
+		wantDo(t, second, readRequest("early"), Conflict)
+		wantDo(t, second, readRequest("late"), Conflict)
+		closeStreamOf(t, early)
+		closeStreamOf(t, startStream(t, second, "early"))
+		wantDo(t, first, readRequest("early"), Conflict) // remembered by the first router itself
+		first.ShareIDs(nil)
+		closeStreamOf(t, startStream(t, second, "late"))
+		closeStreamOf(t, late)
+		if len(shared.owners) != 0 {
+			t.Errorf("IDs are still locked: %v", shared.owners)
+		}
+	})
+}
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -9,6 +9,7 @@
 // before the answer is not counted.
 type Metrics struct {
 	Classes              []ClassMetrics // all classes that the settings have or had, sorted by name
+	Accepted             uint64         // requests accepted since the start
 	InFlight             int            // requests accepted and not yet finished
 	Endpoints            int            // servers in the endpoint list
 	UnavailableEndpoints int            // servers in the endpoint list that the balancer avoids
@@ -39,6 +40,7 @@
 
 func (c *counters) metrics() Metrics {
 	metrics := Metrics{
+		Accepted:             c.accepted.Load(),
 		InFlight:             int(c.inFlight.Load()),
 		Endpoints:            int(c.endpoints.Load()),
 		UnavailableEndpoints: int(c.unavailableEndpoints.Load()),
