middleware: a client that reads slowly does not hold its handler

Streams have to drain as before.

Change: the handler returns, and the node's connection releases the ID once the kernel has sent the answer, the connection ends, or the next answer on it begins. The connection is idle as before, for evictions and drains.

TestUnsentBytes_KeepRequestOpen goes with the wait in the handler that it checked; TestSendCompletion_KeepsIDInUse and TestID_InUseWhileClientReads check when the ID is released.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -208,7 +208,7 @@
 		middleware.WithArrivalAge(arrivalAge),
 		middleware.WithBodyDeadlineSetter(setBodyDeadlines),
 		middleware.WithOverflow(mustReject),
-		middleware.WithUnsentBytes(unsentBytes),
+		middleware.WithSendCompletion(whenSent),
 	)
 	if n.config.WrapHandler != nil {
 		handler = n.config.WrapHandler(handler, readyPath)
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -35,6 +35,7 @@
 	headTimedOut atomic.Bool // whether the head timeout expired before the rest of a head arrived
 	deadline     readDeadline
 	arrival      requestArrival // arrival of the current request
+	sending      sendCompletion // answer that the kernel has not sent yet
 
 	// Guarded by the listener's mutex.
 	idleElement   *linked.Element // element in clientListener.idle; nil while a request is open
@@ -93,15 +94,6 @@
 	return ok && sockets.PeerClosed(c.TCPConn)
 }
 
-// unsentBytes returns the number of bytes written to the client of a request that the kernel has not sent yet.
-func unsentBytes(ctx context.Context) int {
-	c, ok := ctx.Value(clientConnKey{}).(*clientConn)
-	if !ok {
-		return 0
-	}
-	return sockets.Unsent(c.TCPConn)
-}
-
 // handshakeDone starts the idle timeout and the eviction grace. It is called at the end of the TLS handshake.
 func (c *clientConn) handshakeDone() {
 	c.deadline.beginIdle(min(newConnTimeout, c.listener.idleTimeout))
--- a/internal/node/requestid_test.go
+++ b/internal/node/requestid_test.go
@@ -140,7 +140,7 @@
 			conn := dialSlowReader(t, node.addr)
 			_, _ = fmt.Fprintf(conn, bookingHead+"{}", "p1", 2)
 			testkit.Await(t, "the answer to be written", func() bool { return node.metrics()["success.rezervacia"] == 1 })
-			time.Sleep(5 * sentCheckInterval)
+			time.Sleep(5 * sendCheckInterval)
 			if inFlight := node.metrics()["inflight"]; inFlight != 1 {
 				t.Errorf("%d requests in flight while the client reads, want 1", inFlight)
 			}
@@ -160,5 +160,37 @@
 	}
 }
 
-// sentCheckInterval is longer than the interval at which the node checks whether an answer is sent.
-const sentCheckInterval = 50 * time.Millisecond
+// TestShutdown_SlowReaderGetsWholeAnswer checks that a shutdown does not cut off an answer that is written and that its
+// client has not read, and that it does not wait for the client.
+func TestShutdown_SlowReaderGetsWholeAnswer(t *testing.T) {
+	const size = 300 << 10
+	for name, length := range map[string]string{"length": fmt.Sprint(size), "chunked": ""} {
+		t.Run(name, func(t *testing.T) {
+			node := newTestNode(t, 0)
+			node.addServers(func(w http.ResponseWriter, _ *http.Request) {
+				if length != "" {
+					w.Header().Set("Content-Length", length)
+				}
+				_, _ = io.Copy(w, &patternReader{size: size})
+			})
+			stop, ended := node.start()
+			conn := dialSlowReader(t, node.addr)
+			_, _ = fmt.Fprintf(conn, bookingHead+"{}", "p1", 2)
+			testkit.Await(t, "the answer to be written", func() bool { return node.metrics()["success.rezervacia"] == 1 })
+			http.DefaultClient.CloseIdleConnections() // used by the metrics method
+			stop()
+			if err := testkit.Receive(t, "the node's end", ended); err != nil {
+				t.Error(err)
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(testkit.MaxWait))
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = resp.Body.Close() }()
+			if err := checkPattern(resp.Body, size); err != nil || resp.StatusCode != http.StatusOK {
+				t.Errorf("status %d, body: %v", resp.StatusCode, err)
+			}
+		})
+	}
+}
--- a/middleware/answer.go
+++ b/middleware/answer.go
@@ -1,7 +1,6 @@
 package middleware
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -17,12 +16,9 @@
 // stop reading.
 const answerStallTimeout = 15 * time.Second
 
-// minFlushedAnswer is the minimum size of an answer that awaitSent flushes, in bytes. net/http buffers a shorter
-// answer until the handler returns.
-const minFlushedAnswer = 4 << 10
-
-// sentPollInterval is the interval between checks of whether the kernel has sent an answer.
-const sentPollInterval = 20 * time.Millisecond
+// minLongAnswer is the minimum size of an answer that may wait in the kernel for a slow client, in bytes. net/http
+// buffers a shorter answer until the handler returns, and the kernel sends it at once.
+const minLongAnswer = 4 << 10
 
 // streamBuffers holds the buffers for copying streamed answers.
 var streamBuffers = sync.Pool{New: func() any { return new([body.ChunkSize]byte) }}
@@ -122,28 +118,3 @@
 	}
 	return conn.Flush()
 }
-
-// awaitSent waits until the kernel has sent all bytes written to the client, the client has disconnected, or the
-// client has read nothing for answerStallTimeout. Until then the client has not received the last byte of its answer.
-func (f *Frontend) awaitSent(ctx context.Context, conn *http.ResponseController) {
-	if conn.Flush() != nil {
-		return // the client has disconnected
-	}
-	unsent := f.unsentBytes(ctx)
-	if unsent == 0 {
-		return
-	}
-	check := time.NewTicker(sentPollInterval)
-	defer check.Stop()
-	for stalledAt := time.Now().Add(answerStallTimeout); unsent > 0 && time.Now().Before(stalledAt); {
-		select {
-		case <-check.C:
-		case <-ctx.Done():
-			return
-		}
-		if now := f.unsentBytes(ctx); now != unsent {
-			unsent, stalledAt = now, time.Now().Add(answerStallTimeout)
-		}
-	}
-	_ = conn.SetWriteDeadline(time.Now().Add(answerStallTimeout)) // for the end of a chunked answer
-}
--- a/middleware/frontend.go
+++ b/middleware/frontend.go
@@ -64,7 +64,7 @@
 	disconnected     func(context.Context) bool
 	arrivalAge       func(context.Context) time.Duration
 	isOverflow       func(context.Context) bool
-	unsentBytes      func(context.Context) int
+	whenSent         func(ctx context.Context, done func())
 	setBodyDeadlines BodyDeadlineSetter // nil: each Read of a body sets a read deadline on the connection
 }
 
@@ -135,12 +135,12 @@
 	return func(f *Frontend) { f.isOverflow = isOverflow }
 }
 
-// WithUnsentBytes sets a function that returns how many bytes written to the client of a request the kernel has not
-// sent yet. The argument is the request's context. The Frontend keeps a request with a long answer open until the
-// number is 0 or the client stops reading. The function must not block. By default an answer counts as sent when it
-// is written.
-func WithUnsentBytes(unsent func(context.Context) int) Option {
-	return func(f *Frontend) { f.unsentBytes = unsent }
+// WithSendCompletion sets a function that calls done once the kernel has sent all bytes written to the client of a
+// request, or the client's connection has ended. The first argument is the request's context. The Frontend keeps the
+// ID of a request with a long answer in use until then, because a slow client may not have received the last byte. The
+// function must not block, and may call done after the request. By default an answer counts as sent when it is written.
+func WithSendCompletion(whenSent func(ctx context.Context, done func())) Option {
+	return func(f *Frontend) { f.whenSent = whenSent }
 }
 
 // WithBodyDeadlineSetter sets the function that limits the time of reads of a request's body. By default the Frontend
@@ -167,7 +167,7 @@
 		disconnected: func(context.Context) bool { return false },
 		arrivalAge:   func(context.Context) time.Duration { return 0 },
 		isOverflow:   func(context.Context) bool { return false },
-		unsentBytes:  func(context.Context) int { return 0 },
+		whenSent:     func(_ context.Context, done func()) { done() },
 	}
 	for _, apply := range opts {
 		apply(frontend)
--- a/middleware/serve.go
+++ b/middleware/serve.go
@@ -36,14 +36,14 @@
 			f.rejectDuplicate(w, r, reserver.RejectDuplicate(req.Class))
 			return
 		}
-		defer req.Reservation.Release()
+		defer func() { req.Reservation.Release() }() // unless forward has taken the reservation
 	}
-	f.serveRequest(w, r, req)
+	f.serveRequest(w, r, &req)
 }
 
 // serveRequest reads the body of the request with the given head, and answers the request.
-func (f *Frontend) serveRequest(w http.ResponseWriter, r *http.Request, req router.Request) {
-	upload, problem := f.readRequestBody(w, r, &req)
+func (f *Frontend) serveRequest(w http.ResponseWriter, r *http.Request, req *router.Request) {
+	upload, problem := f.readRequestBody(w, r, req)
 	if problem != nil {
 		f.rejectMalformed(w, r, req.Class, problem)
 		return
@@ -87,17 +87,13 @@
 	return nil, f.readBody(w, r, req)
 }
 
-// forward passes the request to the engine and writes the answer. It releases the ID of the request after the answer,
-// because the caller may still discard the rest of a body.
-func (f *Frontend) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, req router.Request) {
-	defer req.Reservation.Release()
-	answer, err := f.engine.Do(ctx, req)
+// forward passes the request to the engine and writes the answer. It takes the reservation of the request, and
+// releases it after the answer. The caller may still discard the rest of a body.
+func (f *Frontend) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, req *router.Request) {
+	answer, err := f.engine.Do(ctx, *req)
 	switch invalid := (*router.InvalidError)(nil); {
 	case err == nil:
 		f.writeAnswer(w, answer)
-		if answer.Stream != nil || len(answer.Body) >= minFlushedAnswer {
-			f.awaitSent(r.Context(), http.NewResponseController(w))
-		}
 	case errors.As(err, &invalid):
 		f.rejectMalformed(w, r, req.Class, badRequest(invalid.Field+": "+invalid.Problem))
 	case errors.Is(err, router.ErrClosed) || errors.Is(err, router.ErrDrained): // the request was not accepted
@@ -105,6 +101,14 @@
 	default: // the context has ended, usually by a disconnect: the answer must not be a success
 		f.writeAnswer(w, router.Answer{Outcome: router.Expired})
 	}
+	reservation := req.Reservation
+	req.Reservation = nil
+	if answer.Stream == nil && len(answer.Body) < minLongAnswer || reservation == nil {
+		reservation.Release()
+		return
+	}
+	_ = http.NewResponseController(w).Flush() // fails only if the client has disconnected
+	f.whenSent(r.Context(), reservation.Release)
 }
 
 // overloadAnswer returns the answer to a request of the class on an overflow connection.
