router: one wrapper of streams, and one clock read less for each request

Do released a streamed answer's ID in a wrapper around another; countedStream does both now. The loop passes its time on when it admits a request.

--- a/router/admission.go
+++ b/router/admission.go
@@ -39,7 +39,7 @@
 		l.stats.ClientsGone++
 		return
 	}
-	call.reservation.admit()
+	call.reservation.admit(now)
 	if l.isRetained(call.req.ID) {
 		l.deliver(call, Answer{Outcome: Conflict})
 		return
--- a/router/do.go
+++ b/router/do.go
@@ -24,33 +24,23 @@
 	if err := r.checkPhase(req.Class); err != nil {
 		return Answer{}, err
 	}
-	if req.Reservation != nil {
-		return r.doReserved(ctx, &req, &class)
+	var own *IDReservation // nil: the caller releases req.Reservation
+	if req.Reservation == nil {
+		if own = r.ReserveID(req.ID); own == nil {
+			return r.RejectDuplicate(req.Class), nil
+		}
+		req.Reservation = own
 	}
-	reservation := r.ReserveID(req.ID)
-	if reservation == nil {
-		return r.RejectDuplicate(req.Class), nil
-	}
-	req.Reservation = reservation
-	answer, err := r.doReserved(ctx, &req, &class)
-	if answer.Stream == nil {
-		reservation.Release()
-		return answer, err
-	}
-	answer.Stream = &reservedStream{answer.Stream, reservation}
-	return answer, err
-}
-
-// doReserved is Do for a request with a Reservation.
-func (r *Router) doReserved(ctx context.Context, req *Request, class *policy.Class) (Answer, error) {
 	counters := &r.loop.counters
 	if !req.Reservation.begin(req.ID, counters) {
 		return Answer{}, &InvalidError{"Reservation", "for another ID, released or used before"}
 	}
-	answer, err := r.submit(ctx, req, class)
-	if answer.Stream != nil {
-		answer.Stream = &countedStream{Stream: answer.Stream, counters: counters, class: req.Class}
+	answer, err := r.submit(ctx, &req, &class)
+	if answer.Stream == nil {
+		own.Release()
+		return answer, err
 	}
+	answer.Stream = &countedStream{Stream: answer.Stream, counters: counters, class: req.Class, reservation: own}
 	return answer, err
 }
 
--- a/router/id_registry.go
+++ b/router/id_registry.go
@@ -174,9 +174,8 @@
 }
 
 // admit records that the request may run. The caller of Do may have released the ID already.
-func (r *IDReservation) admit() {
+func (r *IDReservation) admit(now policy.Time) {
 	registry := r.registry
-	now := registry.now()
 	registry.mu.Lock()
 	defer registry.mu.Unlock()
 	r.admitted = true
--- a/router/id_registry_test.go
+++ b/router/id_registry_test.go
@@ -87,7 +87,7 @@
 func useIDs(r *Router, n int) {
 	for range n {
 		reservation := r.ReserveID(rand.Text())
-		reservation.admit()
+		reservation.admit(timeOrigin)
 		reservation.Release()
 	}
 }
--- a/router/stream.go
+++ b/router/stream.go
@@ -11,10 +11,11 @@
 // read all of it, and as failed otherwise.
 type countedStream struct {
 	Stream
-	counters  *counters
-	class     string
-	complete  atomic.Bool
-	closeOnce sync.Once
+	counters    *counters
+	class       string
+	reservation *IDReservation // released by Close; nil: the caller of Do releases it
+	complete    atomic.Bool
+	closeOnce   sync.Once
 }
 
 // Read reads from the stream, and records its end.
@@ -26,7 +27,7 @@
 	return n, err
 }
 
-// Close closes the stream. The first call counts the answer.
+// Close closes the stream. The first call counts the answer and ends the use of the ID.
 func (s *countedStream) Close() error {
 	err := s.Stream.Close()
 	s.closeOnce.Do(func() {
@@ -35,19 +36,7 @@
 			outcome = Served
 		}
 		s.counters.count(s.class, outcome)
+		s.reservation.Release()
 	})
 	return err
 }
-
-// reservedStream releases the ID of a request when the caller closes the streamed answer.
-type reservedStream struct {
-	Stream
-	reservation *IDReservation
-}
-
-// Close closes the stream and releases the ID.
-func (s *reservedStream) Close() error {
-	err := s.Stream.Close()
-	s.reservation.Release()
-	return err
-}
