router: a used ID is free 20 s after its request, also with few requests

Found by TestIDs_RandomHistories (random requests, copies and floods, in virtual time): a copy 20.8 s after the end of its request was rejected.

Cause: a generation of the history began with the first request after the one before was over, so that sparse requests stretched both to 30 s in all. Fix: generations begin at fixed times.

--- a/router/id_history.go
+++ b/router/id_history.go
@@ -44,20 +44,21 @@
 // len returns the number of remembered IDs.
 func (h *idHistory) len() int { return len(h.current) + len(h.previous) }
 
-// expire drops the generations whose time has passed.
+// expire drops the generations whose time has passed. Generations begin at fixed times, so that sparse requests do not
+// extend the time for which an ID is remembered.
 func (h *idHistory) expire(now policy.Time) {
 	switch age := now - h.rotatedAt; {
 	case h.current == nil || age < idRetention:
 	case age < 2*idRetention:
-		h.rotate(now)
+		h.rotate(h.rotatedAt + idRetention)
 	default:
 		h.current, h.previous = nil, nil
 	}
 }
 
-// rotate begins a new generation.
-func (h *idHistory) rotate(now policy.Time) {
+// rotate begins a new generation at the time at.
+func (h *idHistory) rotate(at policy.Time) {
 	h.previous = h.current
 	h.current = make(map[uint64]struct{})
-	h.rotatedAt = now
+	h.rotatedAt = at
 }
--- a/router/id_history_test.go
+++ b/router/id_history_test.go
@@ -34,17 +34,26 @@
 	}
 }
 
-// TestIDHistory_ForgetsWithoutTraffic checks that an ID is forgotten after twice idRetention, even if no other ID has
-// arrived in the meantime.
-func TestIDHistory_ForgetsWithoutTraffic(t *testing.T) {
-	var history idHistory
-	history.add(1, timeOrigin)
-	if !history.contains(1, timeOrigin+idRetention) {
-		t.Errorf("forgotten within %v", idRetention)
-	}
-	history = idHistory{}
-	history.add(1, timeOrigin)
-	if history.contains(1, timeOrigin+2*idRetention) {
-		t.Errorf("still remembered after %v", 2*idRetention)
+// TestIDHistory_ForgetsWithSparseTraffic checks that an ID is forgotten after twice idRetention, even if few other IDs
+// or none have arrived in the meantime.
+func TestIDHistory_ForgetsWithSparseTraffic(t *testing.T) {
+	for name, queries := range map[string][]policy.Time{
+		"none":             nil,
+		"at the retention": {idRetention},
+		"just before":      {2*idRetention - 1},
+		"two":              {idRetention - 1, 2*idRetention - 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var history idHistory
+			history.add(1, timeOrigin)
+			for _, at := range queries {
+				if !history.contains(1, timeOrigin+at) {
+					t.Errorf("forgotten after %v", at)
+				}
+			}
+			if history.contains(1, timeOrigin+2*idRetention) {
+				t.Errorf("still remembered after %v", 2*idRetention)
+			}
+		})
 	}
 }
--- a/router/id_registry_test.go
+++ b/router/id_registry_test.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"crypto/rand"
+	"fmt"
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -83,10 +84,13 @@
 	}
 }
 
+// nextOther numbers the IDs of useIDs.
+var nextOther atomic.Int64
+
 // useIDs makes n requests with new IDs begin and end. The requests do not pass the loop.
 func useIDs(r *Router, n int) {
 	for range n {
-		reservation := r.ReserveID(rand.Text())
+		reservation := r.ReserveID(fmt.Sprint("other", nextOther.Add(1)))
 		reservation.admit(timeOrigin)
 		reservation.Release()
 	}
