--- a/internal/node/hotrestart.go
+++ b/internal/node/hotrestart.go
@@ -112,7 +112,7 @@
 	} else {
 		g.engine.ShareIDs(nil)
 	}
-	g.logOnce(g.process.MarkIDsLocked(shared))
+	g.logOnce(g.process.SetIDsLocked(shared))
 }
 
 // awaitPredecessor waits until the other processes of the node lock their IDs in use. This process must not accept
--- a/internal/rundir/idlocks.go
+++ b/internal/rundir/idlocks.go
@@ -16,8 +16,8 @@
 // idsFile is the file on which the processes of a node lock the request IDs in use. It stays empty.
 const idsFile = filePrefix + "ids"
 
-// markerOffset is the offset of the byte of a process's own lock file that it locks while it locks its IDs in use.
-const markerOffset = 0
+// idsLockedOffset is the offset of the byte of its own lock file that a process locks while it locks its IDs in use.
+const idsLockedOffset = 0
 
 // IDLocks lets the processes of a node agree on the request IDs in use. A process holds a record lock of the kernel on
 // one byte of an empty file for each ID that it uses. The kernel releases the locks of a process that ends. Nothing is
@@ -54,13 +54,13 @@
 	return int64(binary.NativeEndian.Uint64(hash[:]) >> 2)
 }
 
-// MarkIDsLocked tells the other processes whether this process locks all its IDs in use.
-func (p *Process) MarkIDsLocked(locked bool) error {
+// SetIDsLocked tells the other processes whether this process locks all its IDs in use.
+func (p *Process) SetIDsLocked(locked bool) error {
 	kind := int16(unix.F_UNLCK)
 	if locked {
 		kind = unix.F_WRLCK
 	}
-	if err := setRecordLock(p.lock, kind, markerOffset); err != nil {
+	if err := setRecordLock(p.lock, kind, idsLockedOffset); err != nil {
 		return fmt.Errorf("rundir: %s: %w", p.lock.Name(), err)
 	}
 	return nil
@@ -73,7 +73,7 @@
 		return false
 	}
 	for _, path := range locks {
-		if isAlive(path) && !isMarked(path) {
+		if isAlive(path) && !hasIDsLocked(path) {
 			return false
 		}
 	}
@@ -91,14 +91,14 @@
 	return paths, err
 }
 
-// isMarked reports whether the process with the given lock file has called MarkIDsLocked.
-func isMarked(lockPath string) bool {
+// hasIDsLocked reports whether the process with the given lock file locks its IDs in use.
+func hasIDsLocked(lockPath string) bool {
 	file, err := os.OpenFile(lockPath, os.O_RDWR, 0)
 	if err != nil {
 		return false
 	}
 	defer func() { _ = file.Close() }() // closing a file that was not written loses nothing
-	lock := unix.Flock_t{Type: unix.F_WRLCK, Whence: io.SeekStart, Start: markerOffset, Len: 1}
+	lock := unix.Flock_t{Type: unix.F_WRLCK, Whence: io.SeekStart, Start: idsLockedOffset, Len: 1}
 	err = unix.FcntlFlock(file.Fd(), unix.F_OFD_GETLK, &lock)
 	return err == nil && lock.Type != unix.F_UNLCK
 }
