Hot restart: a process that is alone again goes on locking IDs for 2 s

Change: the mark goes first, the locks 2 s later if the process is still alone; a successor is seen within 0.1 s. The sharing has a file of its own.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -239,6 +239,7 @@
 	}
 	if group := joinProcessGroup(n.config.SharedDir, n.log); group != nil {
 		group.engine, group.listener = n.engine, n.httpServer
+		group.ids = newSharedIDs(group.process, n.engine, n.log)
 		group.budget, group.budgetBytes = n.bodies.Budget, n.bodies.Budget.Limit()
 		group.limits = hotrestart.Limits{ClientConns: n.limits.clients, ServerConns: n.limits.servers}
 		group.setMemoryShare, group.setStandby = n.config.SetMemoryShare, n.admin.setStandby
--- a/internal/node/hotrestart.go
+++ b/internal/node/hotrestart.go
@@ -17,8 +17,6 @@
 
 const (
 	coordinateInterval     = 100 * time.Millisecond // interval between exchanges of reports
-	idShareTimeout         = 500 * time.Millisecond // maximum wait for a predecessor to lock its IDs in use
-	idSharePollInterval    = 5 * time.Millisecond
 	successorStateInterval = 250 * time.Millisecond // interval between snapshots for the successor
 	successorStateFile     = "wayhold-knowledge"
 )
@@ -38,14 +36,13 @@
 	budget         *body.Budget
 	budgetBytes    int64 // limit of budget while this is the only process of the node
 	limits         hotrestart.Limits
-	idLocks        *rundir.IDLocks     // nil: request IDs can't be shared with other processes
+	ids            *sharedIDs
 	setMemoryShare func(share float64) // nil: the process's memory can't be limited
 	setStandby     func(standby bool) error
 	log            *slog.Logger
 
 	draining atomic.Bool // whether this process shuts down and accepts no connections
 
-	idsShared bool // whether the engine locks its IDs in use with idLocks
 	splitter  hotrestart.Splitter
 	share     hotrestart.Share
 	lastError string // last error logged by logOnce
@@ -66,11 +63,7 @@
 		log.Warn("hot restart: not registered, other processes of this node can't be seen", "err", err)
 		return nil
 	}
-	locks, err := process.OpenIDLocks()
-	if err != nil {
-		log.Warn("hot restart: request IDs are not shared with other processes", "err", err)
-	}
-	return &processGroup{process: process, idLocks: locks, log: log}
+	return &processGroup{process: process, log: log}
 }
 
 // run calls coordinate every coordinateInterval until ctx ends.
@@ -92,7 +85,7 @@
 func (g *processGroup) coordinate() {
 	others, err := g.process.Others()
 	g.logOnce(err)
-	g.shareIDs(len(others) > 0)
+	g.logOnce(g.ids.update(len(others) > 0, time.Now()))
 	own := g.report()
 	g.logOnce(g.process.WriteReport(own))
 	g.applyShare(g.splitter.Split(own, others, g.limits))
@@ -101,41 +94,9 @@
 	}
 }
 
-// shareIDs makes this process lock its IDs in use while the node has other processes.
-func (g *processGroup) shareIDs(shared bool) {
-	if g.idLocks == nil || shared == g.idsShared {
-		return
-	}
-	g.idsShared = shared
-	if shared {
-		g.engine.ShareIDs(g.idLocks)
-	} else {
-		g.engine.ShareIDs(nil)
-	}
-	g.logOnce(g.process.SetIDsLocked(shared))
-}
-
-// awaitPredecessor waits until the other processes of the node lock their IDs in use. This process must not accept
-// requests before that. It waits for idShareTimeout at most, because a process of an earlier version locks none.
-func (g *processGroup) awaitPredecessor() {
-	if g.idLocks == nil {
-		return
-	}
-	g.shareIDs(true) // coordinate ends it if this is the only process
-	for deadline := time.Now().Add(idShareTimeout); !g.process.OthersLockIDs(); time.Sleep(idSharePollInterval) {
-		if time.Now().After(deadline) {
-			g.log.Warn("hot restart: another process of this node does not share its request IDs")
-			return
-		}
-	}
-}
-
 // close ends the coordination with other processes.
 func (g *processGroup) close() {
-	if g.idLocks != nil {
-		g.engine.ShareIDs(nil)
-		g.idLocks.Close()
-	}
+	g.ids.close()
 	g.process.Unregister()
 }
 
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -14,7 +14,7 @@
 	}
 	n.startAdminServer()
 	if n.processGroup != nil {
-		n.processGroup.awaitPredecessor() // while the predecessor accepts the clients at the shared socket
+		n.processGroup.logOnce(n.processGroup.ids.awaitOthers()) // they accept the clients at the shared socket meanwhile
 	}
 	n.startOperations()
 
