--- a/middleware/serve.go
+++ b/middleware/serve.go
@@ -41,10 +41,12 @@
 	f.serveRequest(w, r, &req)
 }
 
-// serveRequest reads the body of the request with the given head, and answers the request.
+// serveRequest reads the body of the request with the given head, and answers the request. It releases the ID of a
+// request that is not forwarded before the answer, because the client may send the request again at once.
 func (f *Frontend) serveRequest(w http.ResponseWriter, r *http.Request, req *router.Request) {
 	upload, problem := f.readRequestBody(w, r, req)
 	if problem != nil {
+		req.Reservation.Release()
 		f.rejectMalformed(w, r, req.Class, problem)
 		return
 	}
@@ -58,11 +60,14 @@
 	}
 	switch {
 	case f.disconnected(ctx):
+		req.Reservation.Release()
 		f.writeAnswer(w, router.Answer{Outcome: router.Expired}) // not 200, because a proxy may still read the answer
 	case f.isOverflow(ctx):
+		req.Reservation.Release()
 		w.Header().Set("Connection", "close")
 		f.writeAnswer(w, f.overloadAnswer(req.Class))
 	case f.mustNotRunTwice(req.Class) && hostMayAnswer(w, ctx):
+		req.Reservation.Release()
 		f.rejectUnforwarded(w, req.Class)
 	default:
 		f.forward(ctx, w, r, req)
@@ -91,6 +96,9 @@
 // releases it after the answer. The caller may still discard the rest of a body.
 func (f *Frontend) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, req *router.Request) {
 	answer, err := f.engine.Do(ctx, *req)
+	if err != nil { // there is no answer that the client could still be reading
+		req.Reservation.Release()
+	}
 	switch invalid := (*router.InvalidError)(nil); {
 	case err == nil:
 		f.writeAnswer(w, answer)
