--- a/middleware/sent_test.go
+++ b/middleware/sent_test.go
@@ -37,10 +37,12 @@
 		"GET with a body": {method: http.MethodGet, class: "read", body: "x", want: 400},
 		"body too long":   {method: http.MethodPost, class: "pay", body: strings.Repeat("x", 65<<10), want: 413},
 		"overflow": {
-			method: http.MethodGet, class: "read", options: []middleware.Option{middleware.WithOverflow(always)}, want: 503,
+			method: http.MethodGet, class: "read", want: 503,
+			options: []middleware.Option{middleware.WithOverflow(always)},
 		},
 		"disconnected": {
-			method: http.MethodGet, class: "read", options: []middleware.Option{middleware.WithDisconnectCheck(always)}, want: 504,
+			method: http.MethodGet, class: "read", want: 504,
+			options: []middleware.Option{middleware.WithDisconnectCheck(always)},
 		},
 		"router is closed": {method: http.MethodGet, class: "read", closed: true, want: 503},
 	} {
