--- a/internal/frontend/msgpack/conncalls.go
+++ b/internal/frontend/msgpack/conncalls.go
@@ -80,7 +80,7 @@
 // run passes req, the call with the msgid id, to the engine, and ends the call.
 func (c *conn) run(ctx context.Context, id uint32, req router.Request) {
 	answer, err := c.server.engine.Do(ctx, req)
-	if err != nil { // there is no answer that the client could still be reading
+	if err != nil { // the client reads no answer of a server
 		req.Reservation.Release()
 	}
 	if err != nil && ctx.Err() != nil {
--- a/internal/node/sharedids.go
+++ b/internal/node/sharedids.go
@@ -12,8 +12,8 @@
 	// idShareTimeout limits the wait of a process that starts for its predecessor.
 	idShareTimeout      = 500 * time.Millisecond
 	idSharePollInterval = 5 * time.Millisecond
-	// idUnshareDelay is how long a process goes on locking IDs after it has announced the end. A process that has started
-	// just before the announcement is seen in that time.
+	// idUnshareDelay is how long a process continues to lock IDs after it has announced the end. In that time it sees a
+	// process that has started just before the announcement.
 	idUnshareDelay = 2 * time.Second
 )
 
--- a/middleware/serve.go
+++ b/middleware/serve.go
@@ -96,7 +96,7 @@
 // releases it after the answer. The caller may still discard the rest of a body.
 func (f *Frontend) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, req *router.Request) {
 	answer, err := f.engine.Do(ctx, *req)
-	if err != nil { // there is no answer that the client could still be reading
+	if err != nil { // the client reads no answer of a server
 		req.Reservation.Release()
 	}
 	switch invalid := (*router.InvalidError)(nil); {
--- a/router/do.go
+++ b/router/do.go
@@ -44,7 +44,7 @@
 	return answer, err
 }
 
-// checkPhase returns an error if the router accepts no requests any more. It counts a request of class that is
+// checkPhase returns an error if the router has stopped accepting requests. It counts a request of class that is
 // rejected for a drain.
 func (r *Router) checkPhase(class string) error {
 	switch r.Phase() {
--- a/router/id_model_test.go
+++ b/router/id_model_test.go
@@ -39,7 +39,7 @@
 	return request
 }
 
-// endsAt returns the time at which the ID is no longer in use.
+// endsAt returns the time at which the use of the ID ends.
 func (m *idModel) endsAt() time.Duration {
 	if m.aborted {
 		return m.start + m.body
