--- a/internal/node/adminstatus.go
+++ b/internal/node/adminstatus.go
@@ -22,7 +22,6 @@
 	Phase            string                   `json:"phase"`
 	Drain            drain.Status             `json:"drain"`
 	Requests         RequestCounts            `json:"requests"`
-	RequestIDs       RequestIDCounts          `json:"request_ids"`
 	Connections      ConnectionCounts         `json:"connections"`
 	Servers          map[string]int           `json:"servers"` // number of servers by availability
 	DisabledServers  []string                 `json:"servers_drained_by_hand"`
@@ -43,14 +42,6 @@
 	AttemptsInFlight  int            `json:"attempts_out"`
 }
 
-// RequestIDCounts counts the IDs of requests, and the requests rejected because of their ID since the start.
-type RequestIDCounts struct {
-	InUse           int    `json:"in_use"`           // IDs of requests that are arriving or not fully answered
-	Remembered      int    `json:"remembered"`       // IDs of requests that have ended recently
-	InUseConflicts  uint64 `json:"in_use_conflicts"` // requests whose ID was in use
-	RecentConflicts uint64 `json:"recent_conflicts"` // requests whose ID was used recently
-}
-
 // ConnectionCounts counts the node's connections.
 type ConnectionCounts struct {
 	Clients          int    `json:"clients"`
@@ -84,7 +75,6 @@
 		Phase:            stats.Phase.String(),
 		Drain:            a.engine.DrainStatus(),
 		Requests:         requestCounts(stats),
-		RequestIDs:       requestIDCounts(stats.IDs),
 		Connections:      a.connectionCounts(stats),
 		Servers:          serverCounts(stats),
 		DisabledServers:  a.disabled.Disabled(),
@@ -110,15 +100,6 @@
 	return counts
 }
 
-func requestIDCounts(ids router.IDStats) RequestIDCounts {
-	return RequestIDCounts{
-		InUse:           ids.Open,
-		Remembered:      ids.Remembered,
-		InUseConflicts:  ids.OpenConflicts,
-		RecentConflicts: ids.RecentConflicts,
-	}
-}
-
 func (a *adminAPI) connectionCounts(stats router.Stats) ConnectionCounts {
 	counts := ConnectionCounts{Servers: stats.ServerConns}
 	counts.Clients, counts.Busy = a.engine.ClientConnections()
--- a/internal/node/requestid_test.go
+++ b/internal/node/requestid_test.go
@@ -63,8 +63,7 @@
 				conn := dialClient(t, node.addr)
 				_, _ = fmt.Fprintf(conn, bookingHead+"x", id, test.size)
 				testkit.Await(t, "the head to be read", func() bool {
-					_, status := node.callAdmin(http.MethodGet, "/status", nil)
-					return status.RequestIDs.InUse == 1
+					return node.metrics()["request_ids.in_use"] == 1
 				})
 				return conn
 			}
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -11,6 +11,7 @@
 	Classes              []ClassMetrics // all classes that the settings have or had, sorted by name
 	Accepted             uint64         // requests accepted since the start
 	InFlight             int            // requests accepted and not yet finished
+	IDs                  IDStats        // request IDs in use and remembered
 	Endpoints            int            // servers in the endpoint list
 	UnavailableEndpoints int            // servers in the endpoint list that the balancer avoids
 	AttemptsWritten      uint64         // attempts written completely to servers; 0 if the transport does not count them
@@ -28,6 +29,7 @@
 func (r *Router) Metrics() Metrics {
 	metrics := r.loop.counters.metrics()
 	metrics.AttemptsWritten = attemptsWritten(r.loop.transport)
+	metrics.IDs = r.loop.ids.snapshot()
 	return metrics
 }
 
