msgpack: the deadline test waits where no deadline is set yet

The client has the answer to its first call before the node sets its first deadline, if both the reader (between the call and its next read) and the writer (after its write) are held up. The test took the pointer for set.

A deadline that is not set counts as not reached; the test still demands each deadline within the same time.

--- a/internal/frontend/msgpack/messagetimeout_test.go
+++ b/internal/frontend/msgpack/messagetimeout_test.go
@@ -346,7 +346,8 @@
 					client.expect(t, fmt.Sprintf("%d r%d", i, i))
 				}
 				testkit.Await(t, "the deadline of the message that has begun", func() bool {
-					return !conn.deadline.Load().Before(writtenAt.Add(config.MessageTimeout))
+					deadline := conn.deadline.Load() // nil until the reader has set the deadline of its second read
+					return deadline != nil && !deadline.Before(writtenAt.Add(config.MessageTimeout))
 				})
 			}
 		})
