msgpack: keep IDs in use until the kernel has sent the answers

What callers saw: a copy of a call was served, and the booking ran twice, while the call's client still read the answers.

Cause: as over HTTP, the ID was released after the write, and the kernel accepts some megabytes that the client has not read.

Fix: the queue of unsent answers moves from internal/node to internal/sockets and holds several writes of a connection, each with the count of acknowledged bytes at which the client's kernel has it. The writer asks it after writes of 4 KiB or more, and while earlier writes wait.

--- a/internal/frontend/msgpack/conn.go
+++ b/internal/frontend/msgpack/conn.go
@@ -29,6 +29,7 @@
 	writeSignal stream.Signal
 	writerDone  chan struct{}
 	calls       sync.WaitGroup
+	sendQueue   sockets.SendQueue // answers that the kernel has not sent yet
 
 	arrivalTimes sockets.Arrival // arrival times of the latest bytes; used only by the reading goroutine
 
@@ -68,7 +69,7 @@
 type answer struct {
 	msgid       uint32
 	reply       msgpackrpc.Reply
-	reservation *router.IDReservation // released once the answer is written or dropped; may be nil
+	reservation *router.IDReservation // released once the answer is sent or dropped; may be nil
 }
 
 func newConn(server *Server, nc net.Conn, earliest time.Time) *conn {
@@ -83,6 +84,7 @@
 		openedAt:    time.Now(),
 	}
 	client.reader = nc // a TLS connection needs no DeadlineReader to return bytes received before the deadline
+	client.sendQueue.Conn = tcpConn(nc)
 	if tcp, ok := nc.(*net.TCPConn); ok {
 		client.reader = sockets.NewDeadlineReader(tcp)
 	}
--- a/internal/frontend/msgpack/conncalls.go
+++ b/internal/frontend/msgpack/conncalls.go
@@ -63,7 +63,7 @@
 	RejectDuplicate(class string) router.Answer
 }
 
-// reserveID marks the ID of req as in use until its answer is written. If the ID must not be used, reserveID returns
+// reserveID marks the ID of req as in use until its answer is sent. If the ID must not be used, reserveID returns
 // the reply that rejects the call.
 func (c *conn) reserveID(req *router.Request) msgpackrpc.Reply {
 	reserver, ok := c.server.engine.(idReserver)
@@ -135,7 +135,7 @@
 }
 
 // finishCall ends the open call with the msgid id, and queues reply as its answer. The writer releases reservation
-// after the answer.
+// once the answer is sent.
 func (c *conn) finishCall(id uint32, reply msgpackrpc.Reply, reservation *router.IDReservation) {
 	c.mu.Lock()
 	cancel := c.removeCall(id)
--- a/internal/frontend/msgpack/connwrite.go
+++ b/internal/frontend/msgpack/connwrite.go
@@ -1,12 +1,17 @@
 package msgpack
 
 import (
+	"slices"
 	"time"
 
 	"cobaltward/msgpackrpc"
 	"cobaltward/msgpackrpc/stream"
 )
 
+// minLongWrite is the minimum size of a write that may wait in the kernel for a slow client, in bytes. The kernel sends
+// a shorter write at once unless earlier writes wait.
+const minLongWrite = 4 << 10
+
 // write writes notifications and answers in batches until the write side is closed or a write fails.
 func (c *conn) write() {
 	defer close(c.writerDone)
@@ -36,11 +41,27 @@
 			if !c.flush(buf, i+1-first) {
 				return nil, false
 			}
-			releaseAnswers(batch[first : i+1])
+			c.releaseWhenSent(batch[first:i+1], len(buf))
 			buf, first = buf[:0], i+1
 		}
 	}
-	return buf, c.flush(buf, len(batch)-first)
+	if !c.flush(buf, len(batch)-first) {
+		return nil, false
+	}
+	c.releaseWhenSent(batch[first:], len(buf))
+	return buf, true
+}
+
+// releaseWhenSent releases the IDs of the calls with the given answers once the kernel has sent the answers, which have
+// been written in one write of the given size. It clears answers.
+func (c *conn) releaseWhenSent(answers []answer, size int) {
+	if size < minLongWrite && !c.sendQueue.HasWaiting() {
+		releaseAnswers(answers)
+		return
+	}
+	unsent := slices.Clone(answers)
+	clear(answers)
+	c.sendQueue.WhenSent(func() { releaseAnswers(unsent) })
 }
 
 // releaseAnswers releases the IDs of the calls with the given answers.
--- a/internal/frontend/msgpack/hookedserver_test.go
+++ b/internal/frontend/msgpack/hookedserver_test.go
@@ -149,13 +149,21 @@
 
 func startHookedServer(
 	t *testing.T, withTLS bool, stub *stubEngine, config Config, prepare func(*hookedConn),
+) *hookedServer {
+	t.Helper()
+	return startHookedEngine(t, withTLS, writeEngine{stub}, config, prepare)
+}
+
+// startHookedEngine is startHookedServer for any engine.
+func startHookedEngine(
+	t *testing.T, withTLS bool, engine Engine, config Config, prepare func(*hookedConn),
 ) *hookedServer {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &hookedServer{Server: New(writeEngine{stub}, config), addr: ln.Addr().String()}
+	server := &hookedServer{Server: New(engine, config), addr: ln.Addr().String()}
 	listener := &hookedListener{Listener: ln, prepare: prepare}
 	if withTLS {
 		listener.terminator, server.roots = newTerminator(t)
--- a/internal/frontend/msgpack/requestid_test.go
+++ b/internal/frontend/msgpack/requestid_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"cobaltward/internal/sockets"
 	"cobaltward/internal/testkit"
 	"cobaltward/msgpackrpc"
 	"cobaltward/policy"
@@ -134,6 +136,50 @@
 	}
 }
 
+// TestID_InUseWhileClientReads guards against a second run of a call whose answer the node has written, but not sent,
+// because its client reads slowly. The IDs become free in the order of the answers.
+func TestID_InUseWhileClientReads(t *testing.T) {
+	const calls, answerSize = 5, 60 << 10
+	for _, withTLS := range []bool{false, true} {
+		t.Run(fmt.Sprint("TLS ", withTLS), func(t *testing.T) {
+			engine := newReservingEngine(t, func(context.Context, router.Request) (router.Answer, error) {
+				return router.Answer{Body: make([]byte, answerSize)}, nil
+			})
+			server := startHookedEngine(t, withTLS, engine, Config{}, func(*hookedConn) {})
+			client := server.clientOf(testkit.DialSlowReader(t, server.addr))
+			_ = client.SetDeadline(time.Now().Add(testkit.MaxWait))
+			for id := range uint32(calls) {
+				client.call(t, id)
+				testkit.Await(t, "the answer to be written", func() bool {
+					_, busy := server.Connections()
+					return engine.executed.Load() == int64(id)+1 && busy == 0
+				})
+			}
+			time.Sleep(5 * sockets.SendCheckInterval)
+			expectConflict := func(when string) {
+				t.Helper()
+				other := server.clientOf(dial(t, server.addr).Conn)
+				other.call(t, calls-1)
+				if got := other.next(); got != fmt.Sprint(calls-1, " conflict") {
+					t.Errorf("%s: a copy of the last call was answered with %.20q, want a conflict", when, got)
+				}
+			}
+			expectConflict("no answer is read")
+			before := engine.inUse()
+			client.expect(t, "0 ", "1 ")
+			testkit.Await(t, "the IDs of the answers that were read to be free", func() bool {
+				return engine.inUse() <= before-2 || engine.inUse() == 0
+			})
+			expectConflict("two answers are read")
+			client.expect(t, "2 ", "3 ", "4 ")
+			testkit.Await(t, "all IDs to be free", func() bool { return engine.inUse() == 0 })
+			if executed := engine.executed.Load(); executed != calls {
+				t.Errorf("%d calls executed, want %d", executed, calls)
+			}
+		})
+	}
+}
+
 // TestID_FreeAfterCancel checks that the ID of a call that is cancelled is released.
 func TestID_FreeAfterCancel(t *testing.T) {
 	engine := newReservingEngine(t, answerAfter(nil))
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -35,7 +35,7 @@
 	headTimedOut atomic.Bool // whether the head timeout expired before the rest of a head arrived
 	deadline     readDeadline
 	arrival      requestArrival // arrival of the current request
-	sending      sendCompletion // answer that the kernel has not sent yet
+	sendQueue    sockets.SendQueue
 
 	// Guarded by the listener's mutex.
 	idleElement   *linked.Element // element in clientListener.idle; nil while a request is open
@@ -94,6 +94,16 @@
 	return ok && sockets.PeerClosed(c.TCPConn)
 }
 
+// whenSent calls done once the kernel has sent all bytes written to the client of a request.
+func whenSent(ctx context.Context, done func()) {
+	c, ok := ctx.Value(clientConnKey{}).(*clientConn)
+	if !ok {
+		done()
+		return
+	}
+	c.sendQueue.WhenSent(done)
+}
+
 // handshakeDone starts the idle timeout and the eviction grace. It is called at the end of the TLS handshake.
 func (c *clientConn) handshakeDone() {
 	c.deadline.beginIdle(min(newConnTimeout, c.listener.idleTimeout))
--- a/internal/node/clientlistener.go
+++ b/internal/node/clientlistener.go
@@ -122,6 +122,7 @@
 func (l *clientListener) newConn(tcp *net.TCPConn) *clientConn {
 	now := time.Now()
 	c := &clientConn{TCPConn: tcp, listener: l, acceptedAt: now, openedAt: now}
+	c.sendQueue.Conn = tcp
 	if l.tlsLayer != nil {
 		c.tls = l.tlsLayer.Wrap(tcp, c.handshakeDone)
 		c.tls.OnReceive(c.recordTLSBytes)
--- a/internal/node/requestid_test.go
+++ b/internal/node/requestid_test.go
@@ -2,17 +2,16 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
+	"cobaltward/internal/sockets"
 	"cobaltward/internal/testkit"
 )
 
@@ -86,30 +85,6 @@
 	}
 }
 
-// slowReadBuffer is the receive buffer of clients that read slowly, in bytes.
-const slowReadBuffer = 8 << 10
-
-// dialSlowReader connects a client whose kernel accepts few bytes that the client has not read.
-func dialSlowReader(t *testing.T, addr string) net.Conn {
-	t.Helper()
-	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		var err error
-		controlErr := raw.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowReadBuffer)
-		})
-		if err != nil {
-			return err
-		}
-		return controlErr
-	}}
-	conn, err := dialer.DialContext(context.Background(), "tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = conn.Close() })
-	return conn
-}
-
 // TestID_InUseWhileClientReads guards against a bad client that sends the ID of a request whose answer is written, but
 // not sent, because its client reads slowly. The request must be in flight until the answer is sent or the client
 // disconnects.
@@ -136,10 +111,10 @@
 				_, _ = io.Copy(w, &patternReader{size: test.size})
 			})
 			node.startWithClient()
-			conn := dialSlowReader(t, node.addr)
+			conn := testkit.DialSlowReader(t, node.addr)
 			_, _ = fmt.Fprintf(conn, bookingHead+"{}", "p1", 2)
 			testkit.Await(t, "the answer to be written", func() bool { return node.metrics()["success.rezervacia"] == 1 })
-			time.Sleep(5 * sendCheckInterval)
+			time.Sleep(5 * sockets.SendCheckInterval)
 			if inFlight := node.metrics()["inflight"]; inFlight != 1 {
 				t.Errorf("%d requests in flight while the client reads, want 1", inFlight)
 			}
@@ -173,7 +148,7 @@
 				_, _ = io.Copy(w, &patternReader{size: size})
 			})
 			stop, ended := node.start()
-			conn := dialSlowReader(t, node.addr)
+			conn := testkit.DialSlowReader(t, node.addr)
 			_, _ = fmt.Fprintf(conn, bookingHead+"{}", "p1", 2)
 			testkit.Await(t, "the answer to be written", func() bool { return node.metrics()["success.rezervacia"] == 1 })
 			http.DefaultClient.CloseIdleConnections() // used by the metrics method
--- a/internal/sockets/sendqueue.go
+++ b/internal/sockets/sendqueue.go
@@ -1,69 +1,104 @@
-package node
+package sockets
 
 import (
-	"context"
+	"math"
 	"net"
 	"sync"
 	"time"
 
-	"cobaltward/internal/sockets"
+	"golang.org/x/sys/unix"
 )
 
-// sendCheckInterval is the interval between checks of whether the kernel has sent an answer.
-const sendCheckInterval = 20 * time.Millisecond
+// SendCheckInterval is the interval between checks of whether the kernel has sent the waiting writes.
+const SendCheckInterval = 20 * time.Millisecond
 
-// sendCompletion calls a function once the kernel has sent the last answer on a connection. The connection may be idle
-// meanwhile, and is evicted and closed as if the answer was sent. A closed connection counts as sent. sendCompletion
-// is safe for concurrent use.
-type sendCompletion struct {
-	mu    sync.Mutex
-	done  func()      // nil: no answer is being sent
-	check *time.Timer // runs while done is not nil
+// SendQueue calls functions once the kernel has sent what was written to a connection before. The kernel keeps written
+// bytes for a peer that reads slowly. Bytes that the peer's kernel has received count as sent, and so does everything
+// on a closed connection. SendQueue is safe for concurrent use.
+type SendQueue struct {
+	Conn *net.TCPConn // nil: every write counts as sent
+
+	mu      sync.Mutex
+	waiting []waitingWrite // oldest first; bounded by the size of the kernel's send buffer
+	check   *time.Timer    // runs while a write is waiting; nil: none has waited yet
+}
+
+// waitingWrite is a write whose last bytes the kernel has not sent.
+type waitingWrite struct {
+	end  uint64 // number of acknowledged bytes of the connection at which the peer has received the write
+	done func()
 }
 
-// whenSent is the function for middleware.WithSendCompletion. For other connections it calls done at once.
-func whenSent(ctx context.Context, done func()) {
-	c, ok := ctx.Value(clientConnKey{}).(*clientConn)
-	if !ok {
+// WhenSent calls done once all bytes that were written to the connection are sent, now or later on another goroutine.
+// done must not block, and must not use q.
+func (q *SendQueue) WhenSent(done func()) {
+	if q.Conn == nil {
 		done()
 		return
 	}
-	c.sending.begin(c.TCPConn, done)
-}
-
-// begin makes s call done once all bytes written to conn are sent. A client that has sent another request has received
-// the earlier answer, so s calls the earlier done at once.
-func (s *sendCompletion) begin(conn *net.TCPConn, done func()) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.endLocked()
-	if sockets.Unsent(conn) == 0 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if Unsent(q.Conn) == 0 {
+		q.complete(len(q.waiting))
 		done()
 		return
 	}
-	s.done = done
-	s.check = time.AfterFunc(sendCheckInterval, func() { s.recheck(conn) })
+	q.waiting = append(q.waiting, waitingWrite{end: writtenBytes(q.Conn), done: done})
+	switch {
+	case q.check == nil:
+		q.check = time.AfterFunc(SendCheckInterval, q.recheck)
+	case len(q.waiting) == 1:
+		q.check.Reset(SendCheckInterval)
+	}
 }
 
-// recheck ends the sending of an answer if all bytes are sent. Otherwise it schedules another check.
-func (s *sendCompletion) recheck(conn *net.TCPConn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case s.done == nil: // ended by the next answer
-	case sockets.Unsent(conn) > 0:
-		s.check.Reset(sendCheckInterval)
-	default:
-		s.endLocked()
+// HasWaiting reports whether the kernel had not sent all bytes when the queue last checked.
+func (q *SendQueue) HasWaiting() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiting) > 0
+}
+
+// recheck completes the writes that have been sent, and schedules another check if any are left.
+func (q *SendQueue) recheck() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.complete(q.sentWrites())
+	if len(q.waiting) > 0 {
+		q.check.Reset(SendCheckInterval)
 	}
 }
 
-// endLocked calls done, if there is one. s.mu is held.
-func (s *sendCompletion) endLocked() {
-	if s.done == nil {
-		return
+// sentWrites returns the number of waiting writes that have been sent. q.mu is held.
+func (q *SendQueue) sentWrites() int {
+	if Unsent(q.Conn) == 0 {
+		return len(q.waiting)
+	}
+	acknowledged, _ := acknowledgedBytes(q.Conn)
+	sent := 0
+	for sent < len(q.waiting) && q.waiting[sent].end <= acknowledged {
+		sent++
+	}
+	return sent
+}
+
+// complete calls the functions of the first n waiting writes, and removes these writes. q.mu is held.
+func (q *SendQueue) complete(n int) {
+	for i := range n {
+		q.waiting[i].done()
+	}
+	clear(q.waiting[:n])
+	q.waiting = q.waiting[n:]
+}
+
+// writtenBytes returns the number of bytes that have been written to a connection, as far as the kernel counts them in
+// acknowledgedBytes. The result may exceed the number by the bytes that the peer acknowledges meanwhile. If the kernel
+// does not report the number, writtenBytes returns the maximum.
+func writtenBytes(c *net.TCPConn) uint64 {
+	unacknowledged := queueLength(c, unix.SIOCOUTQ)
+	acknowledged, known := acknowledgedBytes(c)
+	if !known {
+		return math.MaxUint64
 	}
-	s.check.Stop()
-	s.done()
-	s.done = nil
+	return acknowledged + uint64(unacknowledged)
 }
--- a/internal/sockets/tcpinfo.go
+++ b/internal/sockets/tcpinfo.go
@@ -15,13 +15,14 @@
 	lastDataRecvSize    = 4
 	lastAckRecvOffset   = 56 // milliseconds since an acknowledgement was last received
 	lastAckRecvSize     = 4
+	bytesAckedOffset    = 120 // bytes that the peer has acknowledged
 	bytesReceivedOffset = 128
 	bytesReceivedSize   = 8
-	receiveTimesSize    = bytesReceivedOffset + bytesReceivedSize
+	tcpInfoSize         = bytesReceivedOffset + bytesReceivedSize
 )
 
 // tcpInfo is the beginning of a struct tcp_info.
-type tcpInfo [receiveTimesSize]byte
+type tcpInfo [tcpInfoSize]byte
 
 // read reads the first size bytes of the struct from the kernel. It returns false if the struct of the kernel is
 // shorter.
@@ -36,7 +37,7 @@
 // returns false if no bytes were received, or the kernel does not report the time. The resolution is a tick of the
 // kernel's clock, at most 10 ms.
 func SinceLastReceived(c *net.TCPConn) (time.Duration, bool) {
-	info, known := readReceiveTimes(c)
+	info, known := readTCPInfo(c)
 	if !known || !info.hasReceived() {
 		return 0, false
 	}
@@ -46,20 +47,27 @@
 // SinceConnect returns the time since an accepted connection was established. It returns false if the client has sent
 // any bytes, or the kernel does not report the time. The resolution is the same as that of SinceLastReceived.
 func SinceConnect(c *net.TCPConn) (time.Duration, bool) {
-	info, known := readReceiveTimes(c)
+	info, known := readTCPInfo(c)
 	if !known || info.hasReceived() {
 		return 0, false
 	}
 	return info.millisecondsAt(lastAckRecvOffset, lastAckRecvSize), true
 }
 
-// readReceiveTimes reads the part of tcp_info about received segments.
-func readReceiveTimes(c *net.TCPConn) (info tcpInfo, known bool) {
+// acknowledgedBytes returns the number of bytes of a connection that the peer has acknowledged. It returns false if the
+// kernel does not report the number.
+func acknowledgedBytes(c *net.TCPConn) (uint64, bool) {
+	info, known := readTCPInfo(c)
+	return binary.NativeEndian.Uint64(info[bytesAckedOffset:]), known
+}
+
+// readTCPInfo reads the beginning of the tcp_info of a connection.
+func readTCPInfo(c *net.TCPConn) (info tcpInfo, known bool) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return info, false
 	}
-	err = raw.Control(func(fd uintptr) { known = info.read(fd, receiveTimesSize) })
+	err = raw.Control(func(fd uintptr) { known = info.read(fd, tcpInfoSize) })
 	return info, known && err == nil
 }
 
