msgpack: only the IDs of long answers wait for the kernel

A client that does not read can have some 100,000 short answers in the kernel's send buffer, so the node's memory had no bound.

Change: the IDs of answers of 4 KiB or more wait, 1,000 of them in a send buffer of 4 MB; a shorter answer counts as ended once written, as over HTTP.

Evidence: TestID_UnsentAnswersBounded, three long and 1,000 short answers unread: 1,003 IDs in use before, at most three now.

--- a/internal/frontend/msgpack/conn.go
+++ b/internal/frontend/msgpack/conn.go
@@ -69,6 +69,7 @@
 type answer struct {
 	msgid       uint32
 	reply       msgpackrpc.Reply
+	size        int                   // encoded size in bytes; set when the answer is encoded
 	reservation *router.IDReservation // released once the answer is sent or dropped; may be nil
 }
 
--- a/internal/frontend/msgpack/conncalls.go
+++ b/internal/frontend/msgpack/conncalls.go
@@ -140,7 +140,7 @@
 	c.mu.Lock()
 	cancel := c.removeCall(id)
 	c.unwrittenAnswers++
-	c.queuedAnswers = append(c.queuedAnswers, answer{id, reply, reservation})
+	c.queuedAnswers = append(c.queuedAnswers, answer{msgid: id, reply: reply, reservation: reservation})
 	c.mu.Unlock()
 	cancel()
 	c.writeSignal.Notify()
--- a/internal/frontend/msgpack/connwrite.go
+++ b/internal/frontend/msgpack/connwrite.go
@@ -1,16 +1,16 @@
 package msgpack
 
 import (
-	"slices"
 	"time"
 
 	"cobaltward/msgpackrpc"
 	"cobaltward/msgpackrpc/stream"
+	"cobaltward/router"
 )
 
-// minLongWrite is the minimum size of a write that may wait in the kernel for a slow client, in bytes. The kernel sends
-// a shorter write at once unless earlier writes wait.
-const minLongWrite = 4 << 10
+// minLongAnswer is the minimum size of an answer whose ID stays in use until the kernel has sent the answer, in bytes.
+// It limits the memory: the kernel's send buffer holds few such answers of a client that does not read.
+const minLongAnswer = 4 << 10
 
 // write writes notifications and answers in batches until the write side is closed or a write fails.
 func (c *conn) write() {
@@ -35,33 +35,45 @@
 	defer releaseAnswers(batch) // after a failure, also the answers that were not written
 	first := 0                  // index of the first answer in buf
 	for i := range batch {
+		before := len(buf)
 		buf = msgpackrpc.AppendReply(buf, batch[i].msgid, &batch[i].reply)
+		batch[i].size = len(buf) - before
 		batch[i].reply = msgpackrpc.Reply{} // release the body for garbage collection
 		if len(buf) >= stream.MaxBatch {
 			if !c.flush(buf, i+1-first) {
 				return nil, false
 			}
-			c.releaseWhenSent(batch[first:i+1], len(buf))
+			c.releaseWhenSent(batch[first : i+1])
 			buf, first = buf[:0], i+1
 		}
 	}
 	if !c.flush(buf, len(batch)-first) {
 		return nil, false
 	}
-	c.releaseWhenSent(batch[first:], len(buf))
+	c.releaseWhenSent(batch[first:])
 	return buf, true
 }
 
-// releaseWhenSent releases the IDs of the calls with the given answers once the kernel has sent the answers, which have
-// been written in one write of the given size. It clears answers.
-func (c *conn) releaseWhenSent(answers []answer, size int) {
-	if size < minLongWrite && !c.sendQueue.HasWaiting() {
-		releaseAnswers(answers)
-		return
+// releaseWhenSent releases the IDs of the calls with the given answers, which have been written. The IDs of calls with
+// long answers are released once the kernel has sent the answers.
+func (c *conn) releaseWhenSent(answers []answer) {
+	var unsent []*router.IDReservation
+	for i := range answers {
+		if answers[i].size >= minLongAnswer {
+			unsent = append(unsent, answers[i].reservation)
+			answers[i].reservation = nil
+		}
+	}
+	releaseAnswers(answers)
+	if len(unsent) > 0 {
+		c.sendQueue.WhenSent(func() { releaseReservations(unsent) })
+	}
+}
+
+func releaseReservations(reservations []*router.IDReservation) {
+	for _, reservation := range reservations {
+		reservation.Release()
 	}
-	unsent := slices.Clone(answers)
-	clear(answers)
-	c.sendQueue.WhenSent(func() { releaseAnswers(unsent) })
 }
 
 // releaseAnswers releases the IDs of the calls with the given answers.
--- a/internal/frontend/msgpack/requestid_test.go
+++ b/internal/frontend/msgpack/requestid_test.go
@@ -180,6 +180,34 @@
 	}
 }
 
+// TestID_UnsentAnswersBounded guards against memory that a client without reads could fill: only the IDs of long
+// answers stay in use until the answers are sent.
+func TestID_UnsentAnswersBounded(t *testing.T) {
+	const longAnswers, shortAnswers = 3, 1000
+	var done atomic.Int64
+	engine := newReservingEngine(t, func(context.Context, router.Request) (router.Answer, error) {
+		if done.Add(1) <= longAnswers {
+			return router.Answer{Body: make([]byte, 60<<10)}, nil
+		}
+		return router.Answer{}, nil
+	})
+	server := startHookedEngine(t, false, engine, Config{}, func(*hookedConn) {})
+	client := server.clientOf(testkit.DialSlowReader(t, server.addr))
+	for id := range uint32(longAnswers + shortAnswers) {
+		client.call(t, id)
+		if id < longAnswers { // the long answers come first
+			testkit.Await(t, "the answer to a long call", func() bool { return done.Load() == int64(id)+1 })
+		}
+	}
+	testkit.Await(t, "the answers to be written", func() bool {
+		_, busy := server.Connections()
+		return done.Load() == longAnswers+shortAnswers && busy == 0
+	})
+	if inUse := engine.inUse(); inUse == 0 || inUse > longAnswers {
+		t.Errorf("%d IDs in use, want 1 to %d", inUse, longAnswers)
+	}
+}
+
 // TestID_FreeAfterCancel checks that the ID of a call that is cancelled is released.
 func TestID_FreeAfterCancel(t *testing.T) {
 	engine := newReservingEngine(t, answerAfter(nil))
--- a/internal/sockets/sendqueue.go
+++ b/internal/sockets/sendqueue.go
@@ -52,13 +52,6 @@
 	}
 }
 
-// HasWaiting reports whether the kernel had not sent all bytes when the queue last checked.
-func (q *SendQueue) HasWaiting() bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return len(q.waiting) > 0
-}
-
 // recheck completes the writes that have been sent, and schedules another check if any are left.
 func (q *SendQueue) recheck() {
 	q.mu.Lock()
