--- a/internal/frontend/msgpack/requestid_test.go
+++ b/internal/frontend/msgpack/requestid_test.go
@@ -206,6 +206,8 @@
 	if inUse := engine.inUse(); inUse == 0 || inUse > longAnswers {
 		t.Errorf("%d IDs in use, want 1 to %d", inUse, longAnswers)
 	}
+	_ = client.Close()
+	testkit.Await(t, "the IDs to be free after a disconnect", func() bool { return engine.inUse() == 0 })
 }
 
 // TestID_FreeAfterCancel checks that the ID of a call that is cancelled is released.
