--- a/internal/node/sharedids.go
+++ b/internal/node/sharedids.go
@@ -49,15 +49,11 @@
 		if !s.locking {
 			s.engine.ShareIDs(s.locks)
 		}
-		s.locking = true
-		err := s.process.SetIDsLocked(true)
-		s.announced = err == nil // otherwise the next update tries again
-		return err
+		s.locking, s.announced = true, true
+		return s.process.SetIDsLocked(true)
 	case !hasOthers && s.announced:
-		if err := s.process.SetIDsLocked(false); err != nil {
-			return err
-		}
 		s.announced, s.aloneSince = false, now
+		return s.process.SetIDsLocked(false)
 	case !hasOthers && s.locking && now.Sub(s.aloneSince) >= idUnshareDelay:
 		s.engine.ShareIDs(nil)
 		s.locking = false
@@ -71,14 +67,16 @@
 	if s == nil {
 		return nil
 	}
-	err := s.update(true, time.Now())
+	if err := s.update(true, time.Now()); err != nil {
+		return err
+	}
 	for deadline := time.Now().Add(idShareTimeout); !s.process.OthersLockIDs(); time.Sleep(idSharePollInterval) {
 		if time.Now().After(deadline) {
 			s.log.Warn("hot restart: another process of this node does not share its request IDs")
 			break
 		}
 	}
-	return err
+	return nil
 }
 
 // close unlocks the IDs.
