--- a/internal/cli/hotrestartunread_test.go
+++ b/internal/cli/hotrestartunread_test.go
@@ -34,8 +34,8 @@
 	return nil
 }
 
-// TestHotRestart_UnreadAnswer guards against a second run of a request whose client is still reading the answer when the
-// process that has written it ends: a copy of the request then reaches the successor, which must reject the ID.
+// TestHotRestart_UnreadAnswer guards against a second run of a request whose client is still reading the answer when
+// the process that has written it ends: a copy of the request then reaches the successor, which must reject the ID.
 func TestHotRestart_UnreadAnswer(t *testing.T) {
 	var executions atomic.Int64
 	node, address := newNodeUnderTest(t, testkit.HTTPServer(t, func(w http.ResponseWriter, _ *http.Request) {
@@ -52,6 +52,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer func() { _ = response.Body.Close() }()
 	received := make(chan error, 1)
 	go func() { received <- readSlowly(response.Body) }()
 	successor := node.start()
