--- a/review/rig2/world.go
+++ b/review/rig2/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -94,13 +95,13 @@
 	return p.out.String()
 }
 
-// start starts bin/NAME with the given arguments, by the shell as the deploy file does.
+// start starts bin/PROGRAM with the given arguments, by the command run of the deploy file with that program in place of
+// the node's.
 func (w *world) start(name string, env []string, program string, args ...string) *process {
-	path := filepath.Join(w.root, "bin", program)
-	if _, err := os.Stat(path); err != nil {
+	if _, err := os.Stat(filepath.Join(w.root, "bin", program)); err != nil {
 		w.fail("%s is not built: %v", program, err)
 	}
-	command := "trap '' HUP; exec bin/" + program
+	command := strings.Replace(w.deployRun(), "bin/wayhold", "bin/"+program, 1)
 	for _, arg := range args {
 		command += " '" + arg + "'"
 	}
@@ -124,6 +125,21 @@
 	return p
 }
 
+// deployRun returns the command run of the deploy file.
+func (w *world) deployRun() string {
+	raw, err := os.ReadFile(filepath.Join(w.root, "deploy", "balancer.toml"))
+	if err != nil {
+		w.fail("%v", err)
+	}
+	for _, line := range strings.Split(string(raw), "\n") {
+		if command, found := strings.CutPrefix(line, "run = \""); found {
+			return strings.TrimSuffix(command, "\"")
+		}
+	}
+	w.fail("deploy/balancer.toml has no run")
+	return ""
+}
+
 // kill ends the process at once, and waits for its end.
 func (p *process) kill() {
 	if p.ended() {
@@ -186,6 +202,7 @@
 type nodeConfig struct {
 	listen, discovery string
 	known             []member
+	cores             string // 1.0 if empty
 	program           string // bin/wayhold-xds if empty
 	own               string // the operator's own file
 }
@@ -203,28 +220,33 @@
 
 // startNode starts a node, and waits until it is ready.
 func (w *world) startNode(name string, config nodeConfig) *process {
+	p := w.startNodeUnready(name, config)
+	w.await(name+" is ready", 20*time.Second, func() bool {
+		if p.ended() {
+			w.noteOutput(p, "")
+			w.fail("%s has ended: %s", name, p.state)
+		}
+		return isReady(config.listen)
+	})
+	w.note("%s is ready at %s", name, config.listen)
+	return p
+}
+
+// startNodeUnready starts a node.
+func (w *world) startNodeUnready(name string, config nodeConfig) *process {
 	known, err := json.Marshal(list{Revision: 1, Complete: true, Members: config.known})
 	if err != nil {
 		w.fail("%v", err)
 	}
 	platform := w.writeFile(name+".json", fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
- "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`,
-		config.listen, config.discovery, known, settings))
+ "limits":{"cores":%s,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`,
+		config.listen, config.discovery, cmp.Or(config.cores, "1.0"), known, settings))
 	own := w.writeFile(name+".toml", config.own)
 	program := config.program
 	if program == "" {
 		program = "wayhold-xds"
 	}
-	p := w.start(name, []string{"ROUTER_CONFIG=" + platform}, program, "--config", own)
-	w.await(name+" is ready", 20*time.Second, func() bool {
-		if p.ended() {
-			w.noteOutput(p, "")
-			w.fail("%s has ended: %s", name, p.state)
-		}
-		return isReady(config.listen)
-	})
-	w.note("%s is ready at %s", name, config.listen)
-	return p
+	return w.start(name, []string{"ROUTER_CONFIG=" + platform, "WAYHOLD_CONFIG=" + own}, program)
 }
 
 func isReady(addr string) bool {
