--- a/review/rig2/case_restart.go
+++ b/review/rig2/case_restart.go
@@ -87,15 +87,18 @@
 	return written, answered
 }
 
-// drainedRestarts is the number of nodes that are patched, one after the other.
-const drainedRestarts = 10
+// Eight nodes are patched one after the other, in three rounds.
+const (
+	patchedNodes = 8
+	patchRounds  = 3
+)
 
 // drainedRestart: nodes are patched by the run-book of docs/drain.md: each is drained, stopped, started and put back to
-// work. Clients call it by MessagePack-RPC. The case ends at the first node that leaves calls without an answer.
+// work. Clients call it by MessagePack-RPC. The case ends with the first node that leaves calls without an answer.
 func drainedRestart(w *world) verdict {
 	s1 := w.newAppServer("s1", "127.0.0.2", 20*time.Millisecond)
-	for number := 1; number <= drainedRestarts; number++ {
-		if lost := w.patchNode(fmt.Sprintf("n%d", number), s1); lost > 0 {
+	for i := range patchedNodes * patchRounds {
+		if lost := w.patchNode(fmt.Sprintf("n%d-%d", i%patchedNodes+1, i/patchedNodes+1), s1); lost > 0 {
 			w.note("%d calls were written whole and never answered", lost)
 			return broken
 		}
@@ -129,7 +132,7 @@
 	if written, answered := w.calls(name+" before", rpc, 2, wait, patience); written != 2 || answered != 2 {
 		w.fail("calls are not answered before the drain")
 	}
-	if w.trouble && !ctl("drain", "--deadline", "4s", "--reason", "kernel", "--wait") {
+	if w.trouble && !ctl("drain", "--deadline", "2s", "--reason", "kernel", "--wait") {
 		w.fail("the drain failed")
 	}
 	_ = node.cmd.Process.Signal(syscall.SIGTERM)
