Review: the rig reads no wall clock

Change: ids are random, start times long ago are a constant, and the present time comes from the control plane's own line.

--- a/review/rig2/case_addresses.go
+++ b/review/rig2/case_addresses.go
@@ -12,7 +12,7 @@
 	s1, s2 := w.newAppServer("a and b", "127.0.0.2", 20*time.Millisecond), w.newAppServer("c", "127.0.0.3", 20*time.Millisecond)
 	s3 := w.newAppServer("a again", "127.0.0.4", 20*time.Millisecond)
 	discovery := w.newRegistry(up("a", s1.addr), up("c", s2.addr))
-	_, addr := w.startControlPlane("", fmt.Sprintf("cluster rooms\nendpoints rooms %s\npush\n", s2.addr))
+	plane, addr := w.startControlPlane("", fmt.Sprintf("cluster rooms\nendpoints rooms %s\npush\n", s2.addr))
 	listen := w.freeAddr("127.0.0.1")
 	node := w.startNode("node", nodeConfig{
 		listen: listen, discovery: discovery.addr, known: []member{up("a", s1.addr), up("c", s2.addr)},
@@ -23,7 +23,7 @@
 	w.await("requests are served", 10*time.Second, func() bool { return clients.served() >= 20 })
 	time.Sleep(2 * time.Second)
 	if w.trouble {
-		now := time.Now().UnixMilli()
+		now := plane.wallMillis()
 		b, a := up("b", s1.addr), up("a", s3.addr)
 		b.UpSince, a.UpSince = now, now+3000
 		discovery.change(b, up("a", s1.addr).in("removed"))
--- a/review/rig2/case_backlog.go
+++ b/review/rig2/case_backlog.go
@@ -185,7 +185,7 @@
 			w.note("%d of %d servers hang for %v", backlogServers/2, backlogServers, backlogHang)
 		}
 		kind := backlogClasses[i%len(backlogClasses)]
-		c := &call{id: fmt.Sprintf("r%d-%d", i, time.Now().UnixNano()), wait: kind.wait}
+		c := &call{id: newID(fmt.Sprintf("r%d", i)), wait: kind.wait}
 		message := classMessage(uint32(i+1), c.id, kind.class, kind.wait)
 		mu.Lock()
 		calls[uint64(i+1)] = c
--- a/review/rig2/case_cells.go
+++ b/review/rig2/case_cells.go
@@ -62,9 +62,8 @@
 	listed := []member{up("s1", a), up("s2", b)}
 	listed[0].Cell, listed[1].Cell = 1, 2
 	discovery := w.newRegistry(listed...)
-	started := time.Now().Add(-3 * 24 * time.Hour).UnixMilli()
 	_, addr := w.startControlPlane("", fmt.Sprintf(
-		"cluster rooms\nendpoints rooms %s/started=%d,zone=z1 %s/started=%d,zone=z1\npush\n", a, started, b, started))
+		"cluster rooms\nendpoints rooms %s/started=%d,zone=z1 %s/started=%d,zone=z1\npush\n", a, longAgo, b, longAgo))
 	listen := w.freeAddr("127.0.0.1")
 	node := w.startNode("node", nodeConfig{
 		listen: listen, discovery: discovery.addr, known: listed, own: fmt.Sprintf("[xds]\nbootstrap = %q\n", w.bootstrap(addr)),
@@ -77,7 +76,7 @@
 		key := fmt.Sprintf("key-%d", i)
 		req, _ := http.NewRequest(http.MethodPost, "http://"+listen+"/api", strings.NewReader("cancel"))
 		req.Header = http.Header{
-			"X-Request-Id": {fmt.Sprintf("r%d-%d", i, time.Now().UnixNano())}, "X-Class": {"cancel"}, "X-Tenant": {"desk"},
+			"X-Request-Id": {newID(fmt.Sprintf("r%d", i))}, "X-Class": {"cancel"}, "X-Tenant": {"desk"},
 			"X-Deadline-Ms": {"2000"}, "Idempotency-Key": {key},
 		}
 		outcome := ""
--- a/review/rig2/case_message.go
+++ b/review/rig2/case_message.go
@@ -26,11 +26,11 @@
 		if err != nil {
 			w.fail("%v", err)
 		}
-		if _, err := conn.Write(callMessage(1, fmt.Sprintf("open-%d-%d", round, time.Now().UnixNano()), 3000*time.Millisecond)); err != nil {
+		if _, err := conn.Write(callMessage(1, newID(fmt.Sprintf("open-%d", round)), 3000*time.Millisecond)); err != nil {
 			w.fail("%v", err)
 		}
 		go func() { // fails when the node ends the connection
-			second := bodyMessage(2, fmt.Sprintf("slow-%d-%d", round, time.Now().UnixNano()), 60_000)
+			second := bodyMessage(2, newID(fmt.Sprintf("slow-%d", round)), 60_000)
 			if w.trouble {
 				_, _ = conn.Write(second[:40])
 				time.Sleep(1900 * time.Millisecond)
--- a/review/rig2/case_more.go
+++ b/review/rig2/case_more.go
@@ -20,7 +20,7 @@
 func twoSources(w *world) verdict {
 	s1, s2 := w.newAppServer("s1", "127.0.0.2", 20*time.Millisecond), w.newAppServer("s2", "127.0.0.3", 20*time.Millisecond)
 	s3 := w.newAppServer("s3", "127.0.0.4", 20*time.Millisecond)
-	started := time.Now().Add(-3 * 24 * time.Hour).UnixMilli()
+	const started = longAgo
 	listed := []member{up("s1", s1.addr), up("s2", s2.addr), up("s3", s3.addr)}
 	listed[0].UpSince = started
 	discovery := w.newRegistry(listed...)
--- a/review/rig2/case_restart.go
+++ b/review/rig2/case_restart.go
@@ -69,7 +69,7 @@
 	var all sync.WaitGroup
 	for i := range count {
 		all.Go(func() {
-			id := fmt.Sprintf("%s-%d-%d", strings.ReplaceAll(phase, " ", "-"), i, time.Now().UnixNano())
+			id := newID(fmt.Sprintf("%s-%d", strings.ReplaceAll(phase, " ", "-"), i))
 			what, whole, got := callOnce(addr, id, wait, patience)
 			mu.Lock()
 			defer mu.Unlock()
--- a/review/rig2/standins.go
+++ b/review/rig2/standins.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,6 +12,12 @@
 	"time"
 )
 
+// longAgo is a start time of servers, in milliseconds since 1970: in October 2025.
+const longAgo = 1_760_000_000_000
+
+// newID returns an id of a request that no other request has.
+func newID(prefix string) string { return prefix + "-" + rand.Text() }
+
 // member and list are discovery's form of a server and of a list of servers.
 type member struct {
 	ID       string  `json:"id"`
@@ -202,7 +209,7 @@
 					return
 				case <-time.After(pause):
 				}
-				t.send(transport, addr, fmt.Sprintf("c%d-%d-%d", client, number, time.Now().UnixNano()))
+				t.send(transport, addr, newID(fmt.Sprintf("c%d-%d", client, number)))
 			}
 		})
 	}
--- a/review/rig2/world.go
+++ b/review/rig2/world.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -77,14 +78,18 @@
 	done  chan struct{} // closed when the process has ended
 	state string        // how it has ended; valid once done is closed
 
-	mu  sync.Mutex
-	out bytes.Buffer
+	mu       sync.Mutex
+	out      bytes.Buffer
+	pushedAt []time.Time // when the control plane has told each of its changes
 }
 
 // Write implements io.Writer for the output of the process.
 func (p *process) Write(b []byte) (int, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for range bytes.Count(b, []byte("pushed ")) {
+		p.pushedAt = append(p.pushedAt, time.Now())
+	}
 	return p.out.Write(b)
 }
 
@@ -285,13 +290,20 @@
 	return p, addr
 }
 
-// pushes returns the times at which the control plane has put changes in force.
-func (p *process) pushes() (times []time.Time) {
-	for _, line := range strings.Split(p.output(), "\n") {
-		var nanos int64
-		if n, _ := fmt.Sscanf(line, "pushed %d", &nanos); n == 1 {
-			times = append(times, time.Unix(0, nanos))
-		}
+// pushes returns the times at which the control plane has said that it put changes in force.
+func (p *process) pushes() []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.pushedAt)
+}
+
+// wallMillis returns the time in milliseconds since 1970, by the control plane's word.
+func (p *process) wallMillis() int64 {
+	pushes := p.pushes()
+	_, after, found := strings.Cut(p.output(), "pushed ")
+	var nanos int64
+	if _, err := fmt.Sscanf(after, "%d", &nanos); !found || err != nil || len(pushes) == 0 {
+		return 0
 	}
-	return times
+	return nanos/int64(time.Millisecond) + time.Since(pushes[0]).Milliseconds()
 }
