--- a/review/rig2/case_backlog.go
+++ b/review/rig2/case_backlog.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -203,10 +204,16 @@
 	defer mu.Unlock()
 	var late []time.Duration
 	written, missing, missingRan := 0, 0, 0
-	for _, c := range calls {
+	for _, msgid := range slices.Sorted(maps.Keys(calls)) {
+		c := calls[msgid]
 		if c.sent.IsZero() {
 			continue
 		}
+		answer := "no answer"
+		if !c.answered.IsZero() {
+			answer = fmt.Sprintf("answered at %.1f", w.at(c.answered))
+		}
+		w.note("call %s: waits %v, sent at %.1f, %s, ran: %v", c.id, c.wait, w.at(c.sent), answer, ran[c.id])
 		written++
 		switch over := c.answered.Sub(c.sent) - c.wait; {
 		case c.answered.IsZero():
--- a/review/rig2/case_cells.go
+++ b/review/rig2/case_cells.go
@@ -14,23 +14,30 @@
 	cases["lost-cells"] = lostCells
 }
 
-// keyedServer runs keyed requests. It drops repeats of a key that its own cell has seen. With reset set, it runs each
-// request and then resets the connection in place of an answer.
-func (w *world) keyedServer(name, host string, reset bool, ran func(server, key string)) string {
+// cell has the keys that its servers have seen.
+type cell struct {
+	mu   sync.Mutex
+	seen map[string]bool
+}
+
+// keyedServer runs keyed requests. It drops repeats of a key that its cell has seen. With resets set, it runs nine of ten
+// requests and then resets the connection in place of an answer.
+func (w *world) keyedServer(name, host string, resets bool, home *cell, ran func(server, key string)) string {
 	listener, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		w.fail("%v", err)
 	}
-	var mu sync.Mutex
-	seen := make(map[string]bool)
+	count := 0
 	go func() {
 		_ = http.Serve(listener, http.HandlerFunc(func(out http.ResponseWriter, req *http.Request) {
 			_, _ = io.Copy(io.Discard, req.Body)
 			key := req.Header.Get("Idempotency-Key")
-			mu.Lock()
-			repeat := seen[key]
-			seen[key] = true
-			mu.Unlock()
+			home.mu.Lock()
+			repeat := home.seen[key]
+			home.seen[key] = true
+			count++
+			reset := resets && count%10 != 0
+			home.mu.Unlock()
 			if !repeat {
 				ran(name, key)
 			}
@@ -48,7 +55,7 @@
 }
 
 // lostCells: a keyed class whose repeats are dropped within a cell. Discovery tells the cells; the control plane tells
-// when the servers started, and nothing of cells. The server of one cell runs requests and resets their connections.
+// when the servers started, and nothing of cells. One of six servers runs requests and resets nine in ten connections.
 func lostCells(w *world) verdict {
 	var mu sync.Mutex
 	runs := make(map[string][]string)
@@ -57,13 +64,19 @@
 		defer mu.Unlock()
 		runs[key] = append(runs[key], server)
 	}
-	a := w.keyedServer("s1", "127.0.0.2", w.trouble, ran)
-	b := w.keyedServer("s2", "127.0.0.3", false, ran)
-	listed := []member{up("s1", a), up("s2", b)}
-	listed[0].Cell, listed[1].Cell = 1, 2
+	cells := [2]*cell{{seen: make(map[string]bool)}, {seen: make(map[string]bool)}}
+	var listed []member
+	script := "cluster rooms\nendpoints rooms"
+	for i := range 6 {
+		name, number := fmt.Sprintf("s%d", i+1), i%2+1
+		m := up(name, w.keyedServer(name, fmt.Sprintf("127.0.0.%d", i+2), w.trouble && i == 0, cells[number-1], ran))
+		m.Cell = number
+		listed = append(listed, m)
+		script += fmt.Sprintf(" %s/started=%d,zone=z1", m.HostPort, longAgo)
+		w.note("server %s of cell %d at %s", name, number, m.HostPort)
+	}
 	discovery := w.newRegistry(listed...)
-	_, addr := w.startControlPlane("", fmt.Sprintf(
-		"cluster rooms\nendpoints rooms %s/started=%d,zone=z1 %s/started=%d,zone=z1\npush\n", a, longAgo, b, longAgo))
+	_, addr := w.startControlPlane("", script+"\npush\n")
 	listen := w.freeAddr("127.0.0.1")
 	node := w.startNode("node", nodeConfig{
 		listen: listen, discovery: discovery.addr, known: listed, own: fmt.Sprintf("[xds]\nbootstrap = %q\n", w.bootstrap(addr)),
@@ -72,7 +85,7 @@
 		return contains(node.output(), "xds: connected to the control plane")
 	})
 	time.Sleep(time.Second)
-	for i := range 40 {
+	for i := range 120 {
 		key := fmt.Sprintf("key-%d", i)
 		req, _ := http.NewRequest(http.MethodPost, "http://"+listen+"/api", strings.NewReader("cancel"))
 		req.Header = http.Header{
