An unknown cell or zone is no deduplication group

What callers saw: keyed requests of a class whose repeats are dropped within a cell (or a zone) ran twice, once at each of two servers, where no source told the cell (or zone) of the servers.

Cause: a cell that a source left out became the number 0 and a zone "", and mayRunOn compared them as if they had been told, so that all such servers passed for one group.

Change: policy.Cell has a value for unknown; the registry's list, the endpoints of xDS, files of servers and the simulator's lists leave it unknown where the cell is not told. A keyed request that may have run is retried only at a server that is known to share its group. 0 that is told stays a cell: the file of the kept xDS list has the new key ZeroCell for it, and is unchanged otherwise.

Tests changed: servers whose cell was left out stand for "cell 0" no longer. TestRetry_NotOnProcessStartedLater and TestDecode_EndpointLists now say the cell that they meant (0 on the wire is still cell 0); the random workload of policy has unknown cells and zones and its checker refuses retries there.

--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -13,7 +13,7 @@
 	started := time.UnixMilli(5000)
 	base := func() router.Endpoint {
 		return router.Endpoint{
-			ID: "s1", Addr: "127.0.0.1:9", Pools: []string{"rooms"}, Zone: "a", Kind: "big", Cell: 1, Weight: 2,
+			ID: "s1", Addr: "127.0.0.1:9", Pools: []string{"rooms"}, Zone: "a", Kind: "big", Cell: policy.NewCell(1), Weight: 2,
 			Started: started, Availability: policy.Running,
 		}
 	}
@@ -28,7 +28,7 @@
 		"pools":        func(e *router.Endpoint) { e.Pools = []string{"rooms", "mail"} },
 		"zone":         func(e *router.Endpoint) { e.Zone = "b" },
 		"kind":         func(e *router.Endpoint) { e.Kind = "small" },
-		"cell":         func(e *router.Endpoint) { e.Cell = 2 },
+		"cell":         func(e *router.Endpoint) { e.Cell = policy.NewCell(2) },
 		"weight":       func(e *router.Endpoint) { e.Weight = 1 },
 		"start":        func(e *router.Endpoint) { e.Started = started.Add(time.Millisecond) },
 		"availability": func(e *router.Endpoint) { e.Availability = policy.Draining },
--- a/discovery/registry/list.go
+++ b/discovery/registry/list.go
@@ -30,7 +30,7 @@
 	HostPort string   `json:"host_port"`
 	Locality string   `json:"locality"`
 	Flavor   string   `json:"flavor"`
-	Cell     int64    `json:"cell"`
+	Cell     *int64   `json:"cell"`
 	Phase    string   `json:"phase"`
 	Size     *float64 `json:"size"`
 	UpSince  float64  `json:"up_since_ms"`
@@ -85,8 +85,10 @@
 		}
 	}
 	endpoint := router.Endpoint{
-		ID: e.ID, Addr: e.HostPort, Zone: e.Locality, Kind: e.Flavor, Cell: e.Cell, Weight: 1,
-		Availability: availability,
+		ID: e.ID, Addr: e.HostPort, Zone: e.Locality, Kind: e.Flavor, Weight: 1, Availability: availability,
+	}
+	if e.Cell != nil {
+		endpoint.Cell = policy.NewCell(*e.Cell)
 	}
 	if e.UpSince > 0 {
 		endpoint.Started = time.UnixMilli(int64(e.UpSince))
--- a/discovery/registry/registry_test.go
+++ b/discovery/registry/registry_test.go
@@ -273,6 +273,20 @@
 	}
 }
 
+// TestParseList_CellNotSent guards against duplicate effects: a cell that the registry leaves out is unknown, and not
+// the cell with the number 0.
+func TestParseList_CellNotSent(t *testing.T) {
+	const server = `{"id":"a","phase":"up","host_port":"127.0.0.1:9"%s}`
+	for sent, want := range map[string]policy.Cell{
+		"": {}, `,"cell":null`: {}, `,"cell":0`: policy.NewCell(0), `,"cell":3`: policy.NewCell(3),
+	} {
+		list, err := ParseList([]byte(delta(1, fmt.Sprintf(server, sent))))
+		if err != nil || list.Endpoints[0].Cell != want {
+			t.Errorf("%q: got %+v and error %v, want cell %v", sent, list.Endpoints, err, want)
+		}
+	}
+}
+
 func TestParseList_ErrorsNameField(t *testing.T) {
 	for raw, want := range map[string]string{
 		`[]`:                      "array",
--- a/discovery/xds/file_test.go
+++ b/discovery/xds/file_test.go
@@ -12,6 +12,7 @@
 	"cobaltward/discovery/xds/resource"
 	"cobaltward/discovery/xds/xdspb"
 	"cobaltward/internal/testkit"
+	"cobaltward/policy"
 	"cobaltward/router"
 
 	"google.golang.org/protobuf/encoding/protojson"
@@ -79,9 +80,8 @@
 	if err != nil || len(members) != 2 {
 		t.Fatalf("got servers %v and error %v, want two servers", members, err)
 	}
-	if m := members[0]; m.ID != "10.0.0.1:9000" || m.Zone != "nitra" || m.Kind != "usporny-4j" || m.Cell != 2 ||
-		m.Availability != 0 ||
-		m.Pools[0] != "rooms" {
+	if m := members[0]; m.ID != "10.0.0.1:9000" || m.Zone != "nitra" || m.Kind != "usporny-4j" ||
+		m.Cell != policy.NewCell(2) || m.Availability != 0 || m.Pools[0] != "rooms" {
 		t.Errorf("unexpected first server %+v", m)
 	}
 	if m := members[1]; m.Availability != 1 {
--- a/discovery/xds/resource/endpoint.go
+++ b/discovery/xds/resource/endpoint.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cobaltward/discovery/xds/xdspb"
+	"cobaltward/policy"
 
 	"google.golang.org/protobuf/types/known/structpb"
 )
@@ -41,14 +42,23 @@
 
 // Endpoint is one server of a cluster. The field names are keys in the cached list on disk.
 type Endpoint struct {
-	Addr     string // IP:port
-	Zone     string
+	Addr     string  // IP:port
+	Zone     string  // empty: unknown
 	Priority uint32  // priority level; 0 is the highest
 	Weight   float64 // 1 if the control plane sends no weight
 	Health   Health
 	Kind     string
 	Cell     int64
 	Started  time.Time // zero: unknown, treated as long ago
+	ZeroCell bool      `json:",omitempty"` // whether the control plane sent cell 0; else a Cell of 0 is unknown
+}
+
+// KnownCell returns the cell of the endpoint. The cell is unknown if the control plane did not send it.
+func (e *Endpoint) KnownCell() policy.Cell {
+	if e.Cell == 0 && !e.ZeroCell {
+		return policy.Cell{}
+	}
+	return policy.NewCell(e.Cell)
 }
 
 // parseEndpoint validates one endpoint. The error is a *fieldError.
@@ -116,6 +126,7 @@
 		e.Kind, err = parseKind(value)
 	case metadataCell:
 		e.Cell, err = parseCell(value)
+		e.ZeroCell = err == nil && e.Cell == 0
 	case metadataStarted:
 		e.Started, err = parseStarted(value)
 	default:
--- a/discovery/xds/resource/resource_test.go
+++ b/discovery/xds/resource/resource_test.go
@@ -1,12 +1,14 @@
 package resource
 
 import (
+	"encoding/json"
 	"errors"
 	"strings"
 	"testing"
 	"time"
 
 	"cobaltward/discovery/xds/xdspb"
+	"cobaltward/policy"
 
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -95,6 +97,37 @@
 	}
 }
 
+// TestEndpoint_KnownCell guards against duplicate effects: a cell that the control plane leaves out is unknown, and not
+// the cell with the number 0. The same holds for cells in a cached list.
+func TestEndpoint_KnownCell(t *testing.T) {
+	for _, test := range []struct {
+		metadata map[string]any
+		want     policy.Cell
+	}{
+		{map[string]any{"kind": "k"}, policy.Cell{}},
+		{map[string]any{"cell": 0}, policy.NewCell(0)},
+		{map[string]any{"cell": 3}, policy.NewCell(3)},
+	} {
+		p := validAssignment()
+		setMetadata(t, firstEndpoint(p), test.metadata)
+		parsed, err := ParseAssignment(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw, err := json.Marshal(parsed.Endpoints[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		var cached Endpoint
+		if err := json.Unmarshal(raw, &cached); err != nil {
+			t.Fatal(err)
+		}
+		if got, gotCached := parsed.Endpoints[0].KnownCell(), cached.KnownCell(); got != test.want || gotCached != test.want {
+			t.Errorf("%v: got cell %v, and %v after caching, want %v", test.metadata, got, gotCached, test.want)
+		}
+	}
+}
+
 // Paths in an assignment: its first endpoint, that endpoint's socket address, and that endpoint's metadata under the
 // router's namespace.
 const (
--- a/discovery/xds/snapshot.go
+++ b/discovery/xds/snapshot.go
@@ -226,7 +226,7 @@
 	}
 	first := listings[0].endpoint
 	merged := router.Endpoint{
-		ID: addr, Addr: addr, Zone: first.Zone, Kind: first.Kind, Cell: first.Cell, Weight: first.Weight,
+		ID: addr, Addr: addr, Zone: first.Zone, Kind: first.Kind, Cell: first.KnownCell(), Weight: first.Weight,
 		Started: first.Started, Availability: policy.Draining,
 	}
 	excluded := false
--- a/emulator/sim/server.go
+++ b/emulator/sim/server.go
@@ -85,8 +85,8 @@
 // endpoint returns the server's entry in the endpoint list.
 func (s *server) endpoint(state policy.Availability) router.Endpoint {
 	endpoint := router.Endpoint{
-		ID: s.id, Addr: s.addr, Zone: s.spec.Zone, Kind: s.spec.Kind, Cell: s.spec.Cell, Weight: s.spec.Weight,
-		Availability: state,
+		ID: s.id, Addr: s.addr, Zone: s.spec.Zone, Kind: s.spec.Kind, Cell: policy.NewCell(s.spec.Cell),
+		Weight: s.spec.Weight, Availability: state,
 	}
 	if s.startedAt > 0 {
 		endpoint.Started = epoch.Add(s.startedAt)
--- a/internal/protocolmatrix/pair_test.go
+++ b/internal/protocolmatrix/pair_test.go
@@ -46,9 +46,14 @@
 	tls        bool                      // true if the node connects to servers with TLS
 }
 
-func overHTTP(router.Endpoint) int             { return 0 }
-func overMsgpack(router.Endpoint) int          { return 1 }
-func overOneOfEach(server router.Endpoint) int { return int(server.Cell % 2) }
+func overHTTP(router.Endpoint) int    { return 0 }
+func overMsgpack(router.Endpoint) int { return 1 }
+
+// overOneOfEach returns HTTP for servers of cells with an even number, and MessagePack-RPC for the others.
+func overOneOfEach(server router.Endpoint) int {
+	cell, _ := server.Cell.Number()
+	return int(cell % 2)
+}
 
 var protocolPairs = []protocolPair{
 	{"http to http", "http", overHTTP, false},
@@ -102,7 +107,7 @@
 	t.Helper()
 	var endpoints []router.Endpoint
 	for i, app := range apps {
-		endpoint := router.Endpoint{ID: fmt.Sprint("s", i), Zone: "a", Cell: int64(i), Weight: 1}
+		endpoint := router.Endpoint{ID: fmt.Sprint("s", i), Zone: "a", Cell: policy.NewCell(int64(i)), Weight: 1}
 		endpoint.Addr = []string{app.http, app.msgpack}[p.protocolOf(endpoint)]
 		endpoints = append(endpoints, endpoint)
 	}
--- a/internal/racetest/discovery_test.go
+++ b/internal/racetest/discovery_test.go
@@ -170,6 +170,6 @@
 func listEntry(id, addr, phase string) string { return formatEntry(endpoint(id, addr), phase) }
 
 func formatEntry(e router.Endpoint, phase string) string {
-	const format = `{"id":%q,"host_port":%q,"locality":%q,"flavor":%q,"cell":%d,"phase":%q,"size":1,"up_since_ms":0}`
+	const format = `{"id":%q,"host_port":%q,"locality":%q,"flavor":%q,"cell":%s,"phase":%q,"size":1,"up_since_ms":0}`
 	return fmt.Sprintf(format, e.ID, e.Addr, e.Zone, e.Kind, e.Cell, phase)
 }
--- a/internal/racetest/harness_test.go
+++ b/internal/racetest/harness_test.go
@@ -101,7 +101,7 @@
 
 // endpoint returns an endpoint with the given ID and address in zone a and cell 1.
 func endpoint(id, addr string) router.Endpoint {
-	return router.Endpoint{ID: id, Addr: addr, Zone: "a", Kind: "k", Cell: 1, Weight: 1}
+	return router.Endpoint{ID: id, Addr: addr, Zone: "a", Kind: "k", Cell: policy.NewCell(1), Weight: 1}
 }
 
 // addEndpoints appends endpoints to the node's initial list. It must be called before start.
--- a/internal/racetest/servers_test.go
+++ b/internal/racetest/servers_test.go
@@ -354,8 +354,8 @@
 func TestKeyedRetries_StayInDedupScope(t *testing.T) {
 	places := map[string]func(m *router.Endpoint){
 		"same cell":  func(*router.Endpoint) {},
-		"same zone":  func(m *router.Endpoint) { m.Cell = 2 },
-		"other zone": func(m *router.Endpoint) { m.Cell, m.Zone = 3, "b" },
+		"same zone":  func(m *router.Endpoint) { m.Cell = policy.NewCell(2) },
+		"other zone": func(m *router.Endpoint) { m.Cell, m.Zone = policy.NewCell(3), "b" },
 	}
 	scopes := map[string]struct {
 		scope  policy.DedupScope
--- a/internal/racetest/settings_test.go
+++ b/internal/racetest/settings_test.go
@@ -80,7 +80,7 @@
 		c.Settings.Classes = slices.Clone(c.Settings.Classes)
 	})
 	addr, other := env.startServer("s0", handler), endpoint("s1", env.startServer("s1", nil))
-	other.Cell = 2
+	other.Cell = policy.NewCell(2)
 	env.addEndpoints(endpoint("s0", addr), other)
 	if firstReaction != "served" { // list only s0, which then gets the first attempt
 		env.config.InitialList.Endpoints = env.config.InitialList.Endpoints[:1]
--- a/internal/simprotocol/endpoints.go
+++ b/internal/simprotocol/endpoints.go
@@ -61,7 +61,7 @@
 		endpoint.Weight = weight.GetFloat64()
 	}
 	if cell := args.optional(5, "cluster", fastjson.TypeNumber); cell != nil {
-		endpoint.Cell = cell.GetInt64()
+		endpoint.Cell = policy.NewCell(cell.GetInt64())
 	}
 	return endpoint, args.err
 }
--- a/internal/simprotocol/simprotocol_test.go
+++ b/internal/simprotocol/simprotocol_test.go
@@ -79,12 +79,12 @@
 	decode(t, &decoder, `["list",3,[[null,"Running",1,"k","a",0,"s1"],[6100.5,"Stopping",1.5,"k","b",7,"s2"],`+
 		`[0,"Deleted",1,"k","b",7,"s3",null,"more"]]]`)
 	list := []policy.Endpoint{
-		{Server: "s1", Zone: "a", Kind: "k", Weight: 1},
+		{Server: "s1", Zone: "a", Kind: "k", Cell: policy.NewCell(0), Weight: 1},
 		{
-			Server: "s2", Zone: "b", Kind: "k", Cell: 7, Weight: 1.5, OnlineSince: 6100*ms + 500*time.Microsecond,
-			Availability: policy.Draining,
+			Server: "s2", Zone: "b", Kind: "k", Cell: policy.NewCell(7), Weight: 1.5,
+			OnlineSince: 6100*ms + 500*time.Microsecond, Availability: policy.Draining,
 		},
-		{Server: "s3", Zone: "b", Kind: "k", Cell: 7, Weight: 1, Availability: policy.Removed},
+		{Server: "s3", Zone: "b", Kind: "k", Cell: policy.NewCell(7), Weight: 1, Availability: policy.Removed},
 	}
 	runDecodeTests(t, &decoder, []decodeTest{
 		{`["peersKnown",3,"restored",41,3]`, Line{
--- a/internal/standalone/server.go
+++ b/internal/standalone/server.go
@@ -17,7 +17,7 @@
 	Address  string   `toml:"address" need:"1"`
 	Zone     string   `toml:"zone"`
 	Kind     string   `toml:"kind"`
-	Cell     int64    `toml:"cell"`
+	Cell     *int64   `toml:"cell"`               // default: unknown
 	Weight   float64  `toml:"weight" min:"0.001"` // default: 1
 	Pools    []string `toml:"pools"`
 	Draining bool     `toml:"drain"`
@@ -79,10 +79,12 @@
 			Addr:   server.Address,
 			Zone:   server.Zone,
 			Kind:   server.Kind,
-			Cell:   server.Cell,
 			Weight: cmp.Or(server.Weight, 1),
 			Pools:  server.Pools,
 		}
+		if server.Cell != nil {
+			endpoint.Cell = policy.NewCell(*server.Cell)
+		}
 		if server.Draining {
 			endpoint.Availability = policy.Draining
 		}
--- a/policy/api.go
+++ b/policy/api.go
@@ -160,11 +160,11 @@
 
 // Endpoint is one entry of the endpoint list.
 type Endpoint struct {
-	Server      string // unique name
-	Zone        string
-	Kind        string
+	Server      string   // unique name
+	Zone        string   // empty: unknown
+	Kind        string   // empty: unknown
 	Pools       []string // pools that contain the server
-	Cell        int64    // ID of the group of servers that share a deduplication table, for DedupCell
+	Cell        Cell     // group of servers that share a deduplication table, for DedupCell
 	Weight      float64  // relative capacity; not used in decisions
 	OnlineSince Time     // start time of the process; 0: long ago
 	// SlowStartAt is the start time of slow start, by a clock that is never stepped; 0 means OnlineSince.
--- a/policy/attempts_test.go
+++ b/policy/attempts_test.go
@@ -95,7 +95,7 @@
 				return
 			}
 			second := sentServer(t, acts)
-			zones, cells := map[string]string{}, map[string]int64{}
+			zones, cells := map[string]string{}, map[string]Cell{}
 			for _, endpoint := range endpoints {
 				zones[endpoint.Server], cells[endpoint.Server] = endpoint.Zone, endpoint.Cell
 			}
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -41,7 +41,7 @@
 	for i := range n {
 		list = append(list, Endpoint{
 			Server: fmt.Sprintf("s%02d", i), Zone: []string{"a", "b"}[i%2],
-			Kind: fmt.Sprint("k", i%3), Cell: int64(i % 4), Weight: 1,
+			Kind: fmt.Sprint("k", i%3), Cell: NewCell(int64(i % 4)), Weight: 1,
 		})
 	}
 	return list
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -10,8 +10,8 @@
 }
 
 // mayRunOn reports whether r may be sent to candidate. If an earlier attempt may have been executed, a request that
-// is not idempotent may only be sent to a server that would discard the duplicate. A process that started after that
-// attempt may not know the key.
+// is not idempotent may only be sent to a server that is known to discard the duplicate. A process that started after
+// that attempt may not know the key.
 func (b *Balancer) mayRunOn(r *request, candidate *server) bool {
 	if !r.class.permits(candidate) || b.violatesZoneLocal(r, candidate) || r.excludes(candidate) {
 		return false
@@ -23,13 +23,7 @@
 		candidate.OnlineSince > r.firstMaybeExecuted.sentAt {
 		return false
 	}
-	switch r.class.DedupScope {
-	case DedupAll:
-		return true
-	case DedupZone:
-		return candidate.Zone == r.firstMaybeExecuted.server.Zone
-	}
-	return candidate.Cell == r.firstMaybeExecuted.server.Cell
+	return candidate.dedupGroup().shares(r.class.DedupScope, r.firstMaybeExecuted.server.dedupGroup())
 }
 
 // updateFirstMaybeExecuted recomputes firstMaybeExecuted. An attempt without an outcome may have been executed.
--- a/policy/random_test.go
+++ b/policy/random_test.go
@@ -73,6 +73,12 @@
 		if rng.IntN(4) == 0 {
 			endpoint.OnlineSince = 1
 		}
+		if rng.IntN(5) == 0 {
+			endpoint.Cell = Cell{}
+		}
+		if rng.IntN(5) == 0 {
+			endpoint.Zone = ""
+		}
 		w.endpoints[endpoint.Server] = endpoint
 	}
 	w.handle(EndpointList{Kind: ListRestored, Endpoints: w.listedEndpoints()})
@@ -200,8 +206,9 @@
 			w.t.Errorf("request of class %s sent again though it may have been executed", tracked.class.Name)
 		case IdempotencyKeyed:
 			scope := tracked.class.DedupScope
-			if w.now > former.sentAt+tracked.class.DedupWindow || scope == DedupZone && endpoint.Zone != former.server.Zone ||
-				scope == DedupCell && endpoint.Cell != former.server.Cell {
+			if w.now > former.sentAt+tracked.class.DedupWindow ||
+				scope == DedupZone && (endpoint.Zone == "" || endpoint.Zone != former.server.Zone) ||
+				scope == DedupCell && (!endpoint.Cell.Known() || endpoint.Cell != former.server.Cell) {
 				w.t.Errorf("request of class %s sent again outside its deduplication scope or window",
 					tracked.class.Name)
 			}
--- a/policy/takeover_test.go
+++ b/policy/takeover_test.go
@@ -12,7 +12,7 @@
 	for _, class := range []string{"dedup-all", "dedup-zone", "dedup-cell"} {
 		for _, later := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s/later=%v", class, later), func(t *testing.T) {
-				other := Endpoint{Server: "s04", Zone: "a", Kind: "k1", Weight: 1}
+				other := Endpoint{Server: "s04", Zone: "a", Kind: "k1", Cell: NewCell(0), Weight: 1}
 				settings := testSettings(1)
 				for i := range settings.Classes {
 					settings.Classes[i].Deadline, settings.Classes[i].DedupWindow = 3*time.Second, 4*time.Second
--- a/router/endpoint.go
+++ b/router/endpoint.go
@@ -33,12 +33,12 @@
 
 // Endpoint describes one server.
 type Endpoint struct {
-	ID           string   // stable across updates, and the same on every node
-	Addr         string   // host:port, or another form that the transport accepts
-	Pools        []string // pools that contain the server; nil: none
-	Zone         string
-	Kind         string
-	Cell         int64
+	ID           string      // stable across updates, and the same on every node
+	Addr         string      // host:port, or another form that the transport accepts
+	Pools        []string    // pools that contain the server; nil: none
+	Zone         string      // empty: unknown
+	Kind         string      // empty: unknown
+	Cell         policy.Cell // the zero value: unknown
 	Weight       float64
 	Started      time.Time // start of the server process; zero: long ago
 	Availability policy.Availability
--- a/transport/http1/takeover_test.go
+++ b/transport/http1/takeover_test.go
@@ -41,7 +41,7 @@
 					transport.Update(router.EndpointUpdate{Kind: policy.ListUpdate, Endpoints: started})
 					started[0].Availability = policy.Running
 				}
-				started[0].ID, started[0].Started, started[0].Cell = play.successor, time.Now(), 2
+				started[0].ID, started[0].Started, started[0].Cell = play.successor, time.Now(), policy.NewCell(2)
 				transport.Update(router.EndpointUpdate{Kind: policy.ListReplace, Endpoints: started})
 				return nil
 			}
--- a/transport/http1/transport_test.go
+++ b/transport/http1/transport_test.go
@@ -37,7 +37,9 @@
 
 func testEndpoints(addrs ...string) (all []router.Endpoint) {
 	for i, a := range addrs {
-		all = append(all, router.Endpoint{ID: fmt.Sprint("s", i), Addr: a, Zone: "a", Kind: "k", Cell: 1, Weight: 1})
+		all = append(all, router.Endpoint{
+			ID: fmt.Sprint("s", i), Addr: a, Zone: "a", Kind: "k", Cell: policy.NewCell(1), Weight: 1,
+		})
 	}
 	return all
 }
