--- a/discovery/merge/merge.go
+++ b/discovery/merge/merge.go
@@ -1,8 +1,11 @@
 // Package merge combines several endpoint sources into one. A server is identified by its address. If several sources
-// list the same address, they describe the same server, and its id comes from the first of these sources. If any
-// source drains or removes a server, the server gets no new work. The source that drains or removes the server is
-// assumed to have the newest data. Data about a later process at the same address replaces the data of the earlier
-// process.
+// list the same address, they describe the same server, and its id comes from the first of these sources. An attribute
+// that a source leaves out comes from the first source that reports it. If any source drains or removes a server, the
+// server gets no new work. The source that drains or removes the server is assumed to have the newest data.
+//
+// Reports about an earlier process at the address neither drain the current process nor say in which zone or cell it
+// is. A report is about an earlier process if its start time is earlier, or if the current process started after the
+// report was received. A report without a start time may be about any process that started before it was received.
 package merge
 
 import (
@@ -10,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"cobaltward/discovery"
 	"cobaltward/dropoverload"
@@ -77,11 +81,12 @@
 		return
 	}
 	touched := make(map[string]bool) // set of addresses whose servers may have changed
+	now := time.Now()
 	if update.Kind != policy.ListUpdate {
-		s.removeUnlisted(source, update.Endpoints, touched)
+		s.removeUnlisted(source, update.Endpoints, now, touched)
 	}
 	for _, endpoint := range update.Endpoints {
-		s.applyEndpoint(source, endpoint, touched)
+		s.applyEndpoint(source, endpoint, now, touched)
 	}
 	merged := router.EndpointUpdate{Kind: policy.ListUpdate, Endpoints: s.changes(touched)}
 	if update.Drops != nil {
@@ -95,25 +100,24 @@
 
 // removeUnlisted handles endpoints, a complete list of the source with the given index. If the source listed a server
 // earlier and endpoints does not contain the server, removeUnlisted marks the server as removed.
-func (s *Source) removeUnlisted(source int, endpoints []router.Endpoint, touched map[string]bool) {
+func (s *Source) removeUnlisted(source int, endpoints []router.Endpoint, now time.Time, touched map[string]bool) {
 	listed := make(map[string]bool, len(endpoints))
 	for _, endpoint := range endpoints {
 		listed[endpoint.Addr] = true
 	}
 	for addr, server := range s.servers {
-		report := &server.reports[source]
-		if report.known && report.endpoint.Availability != policy.Removed && !listed[addr] {
-			s.markRemoved(source, addr, touched)
+		if server.reports[source].isListed() && !listed[addr] {
+			s.markRemoved(source, addr, now, touched)
 		}
 	}
 }
 
 // applyEndpoint stores the data that a source reports about one endpoint.
-func (s *Source) applyEndpoint(source int, endpoint router.Endpoint, touched map[string]bool) {
+func (s *Source) applyEndpoint(source int, endpoint router.Endpoint, now time.Time, touched map[string]bool) {
 	removed := endpoint.Availability == policy.Removed
 	former, had := s.addresses[source][endpoint.ID]
 	if had && (removed || former != endpoint.Addr) { // the server was removed or has moved to another address
-		s.markRemoved(source, former, touched)
+		s.markRemoved(source, former, now, touched)
 	}
 	if removed {
 		return
@@ -124,16 +128,16 @@
 		server = &mergedServer{reports: make([]sourceReport, len(s.sources))}
 		s.servers[endpoint.Addr] = server
 	}
-	server.reports[source] = sourceReport{known: true, endpoint: endpoint}
+	server.reports[source].set(endpoint, now)
 	touched[endpoint.Addr] = true
 }
 
 // markRemoved records that a source no longer lists the server at an address.
-func (s *Source) markRemoved(source int, addr string, touched map[string]bool) {
-	endpoint := &s.servers[addr].reports[source].endpoint
-	endpoint.Availability = policy.Removed
-	if s.addresses[source][endpoint.ID] == addr {
-		delete(s.addresses[source], endpoint.ID)
+func (s *Source) markRemoved(source int, addr string, now time.Time, touched map[string]bool) {
+	report := &s.servers[addr].reports[source]
+	report.remove(now)
+	if id := report.endpoint.ID; s.addresses[source][id] == addr {
+		delete(s.addresses[source], id)
 	}
 	touched[addr] = true
 }
--- a/discovery/merge/merge_test.go
+++ b/discovery/merge/merge_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"cobaltward/policy"
@@ -96,22 +97,26 @@
 // TestSource_NewProcessResetsState checks that a new process at an address inherits neither the draining state nor
 // the start time of the old process.
 func TestSource_NewProcessResetsState(t *testing.T) {
-	view := newView(t)
-	view.apply(0, replace, newEndpoint("s1", "a:1", running))
-	view.apply(1, update, newEndpoint("x1", "a:1", draining))
-	view.assertPublished("s1@a:1 drains")
-	restarted := newEndpoint("s1", "a:1", running)
-	restarted.Started = time.UnixMilli(5000)
-	view.apply(0, update, restarted)
-	view.assertPublished("s1@a:1 runs")
-	if !view.endpoints["s1"].Started.Equal(restarted.Started) {
-		t.Errorf("the start time is not that of the new process: %+v", view.endpoints["s1"])
-	}
-	outdated := newEndpoint("x1", "a:1", running) // the second source still reports the old process
-	view.apply(1, update, outdated)
-	if view.assertPublished("s1@a:1 runs"); !view.endpoints["s1"].Started.Equal(restarted.Started) {
-		t.Errorf("the start time is not that of the new process: %+v", view.endpoints["s1"])
-	}
+	synctest.Test(t, func(t *testing.T) {
+		view := newView(t)
+		view.apply(0, replace, newEndpoint("s1", "a:1", running))
+		view.apply(1, update, newEndpoint("x1", "a:1", draining))
+		view.assertPublished("s1@a:1 drains")
+		time.Sleep(5 * time.Second)
+		restarted := newEndpoint("s1", "a:1", running)
+		restarted.Started = time.Now()
+		time.Sleep(time.Second)
+		view.apply(0, update, restarted)
+		view.assertPublished("s1@a:1 runs")
+		if !view.endpoints["s1"].Started.Equal(restarted.Started) {
+			t.Errorf("the start time is not that of the new process: %+v", view.endpoints["s1"])
+		}
+		outdated := newEndpoint("x1", "a:1", running) // the second source still reports the old process
+		view.apply(1, update, outdated)
+		if view.assertPublished("s1@a:1 runs"); !view.endpoints["s1"].Started.Equal(restarted.Started) {
+			t.Errorf("the start time is not that of the new process: %+v", view.endpoints["s1"])
+		}
+	})
 }
 
 // TestSource_ServerMoves checks that a server is no longer published at its old address after it moves to another
--- /dev/null
+++ b/discovery/merge/process_test.go
@@ -0,0 +1,143 @@
+package merge
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cobaltward/policy"
+	"cobaltward/router"
+)
+
+// bothOrders runs test once for each source that may come first. The test passes its sources through order.
+func bothOrders(t *testing.T, test func(t *testing.T, view *routerView, order func(source int) int)) {
+	for first := range 2 {
+		t.Run(fmt.Sprintf("first=%d", first), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				test(t, newView(t), func(source int) int { return (source + first) % 2 })
+			})
+		})
+	}
+}
+
+// only returns the published endpoint, which must be the only one.
+func (v *routerView) only() router.Endpoint {
+	v.t.Helper()
+	if len(v.endpoints) != 1 {
+		v.t.Fatalf("published %v, want one server", v.endpoints)
+	}
+	for _, endpoint := range v.endpoints {
+		return endpoint
+	}
+	panic("unreachable")
+}
+
+// TestSource_AttributesWithoutStart guards against keyed requests that run in two cells: the attributes that a source
+// reports without a start time must not be lost because another source reports the start.
+func TestSource_AttributesWithoutStart(t *testing.T) {
+	bothOrders(t, func(t *testing.T, view *routerView, order func(int) int) {
+		attributes, start := newEndpoint("s1", "a:1", running), newEndpoint("a:1", "a:1", running)
+		attributes.Zone, attributes.Kind, attributes.Cell = "z1", "big", policy.NewCell(1)
+		attributes.Pools, start.Pools = []string{"rooms"}, []string{"mail"}
+		start.Started = time.Now().Add(-time.Hour)
+		view.apply(order(0), replace, attributes)
+		view.apply(order(1), replace, start)
+		got := view.only()
+		if got.Zone != "z1" || got.Kind != "big" || got.Cell != policy.NewCell(1) || !got.Started.Equal(start.Started) ||
+			!slices.Equal(got.Pools, []string{"mail", "rooms"}) {
+			t.Errorf("published %+v, want the attributes of one source and the start of the other", got)
+		}
+	})
+}
+
+// TestSource_DrainWithoutStart guards against new work for a server that is draining or removed: the drain by a source
+// that reports no start time must be obeyed although another source reports the start, and the reverse.
+func TestSource_DrainWithoutStart(t *testing.T) {
+	for _, end := range []policy.Availability{draining, removed} {
+		for drainedBy := range 2 {
+			t.Run(fmt.Sprintf("availability=%d/by=%d", end, drainedBy), func(t *testing.T) {
+				bothOrders(t, func(t *testing.T, view *routerView, order func(int) int) {
+					reports := []router.Endpoint{newEndpoint("s1", "a:1", running), newEndpoint("x1", "a:1", running)}
+					reports[1].Started = time.Now().Add(-time.Hour)
+					view.apply(order(0), replace, reports[0])
+					view.apply(order(1), replace, reports[1])
+					time.Sleep(time.Second)
+					reports[drainedBy].Availability = end
+					view.apply(order(drainedBy), update, reports[drainedBy])
+					if got := view.only(); got.Availability != draining {
+						t.Errorf("published %+v, want it to drain", got)
+					}
+					time.Sleep(time.Second)
+					reports[drainedBy].Availability = running
+					view.apply(order(drainedBy), update, reports[drainedBy])
+					if got := view.only(); got.Availability != running {
+						t.Errorf("published %+v after its source listed it again, want it to run", got)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestSource_StartReportedLate guards against new work for a draining server: a start that a source reports after the
+// drain, but that was before the drain, does not end the drain of a source that reports no start times.
+func TestSource_StartReportedLate(t *testing.T) {
+	bothOrders(t, func(t *testing.T, view *routerView, order func(int) int) {
+		started := newEndpoint("x1", "a:1", running)
+		started.Started = time.Now().Add(-time.Second)
+		view.apply(order(0), replace, newEndpoint("s1", "a:1", draining))
+		time.Sleep(10 * time.Second)
+		view.apply(order(1), replace, started)
+		if got := view.only(); got.Availability != draining {
+			t.Errorf("published %+v, want it to drain", got)
+		}
+	})
+}
+
+// TestSource_StartTimesDiffer guards against new work for a draining server: two sources that report slightly different
+// start times report the same process.
+func TestSource_StartTimesDiffer(t *testing.T) {
+	bothOrders(t, func(t *testing.T, view *routerView, order func(int) int) {
+		earlier, later := newEndpoint("s1", "a:1", running), newEndpoint("x1", "a:1", running)
+		earlier.Started = time.Now().Add(-time.Minute)
+		later.Started = earlier.Started.Add(startTolerance)
+		earlier.Cell = policy.NewCell(1)
+		view.apply(order(0), replace, earlier)
+		view.apply(order(1), replace, later)
+		if got := view.only(); got.Cell != earlier.Cell || !got.Started.Equal(later.Started) {
+			t.Errorf("published %+v, want cell %v and the later start", got, earlier.Cell)
+		}
+		earlier.Availability = draining
+		view.apply(order(0), update, earlier)
+		if got := view.only(); got.Availability != draining {
+			t.Errorf("published %+v, want it to drain", got)
+		}
+	})
+}
+
+// TestSource_RestartReportedByOneSource guards against stale cells and lost pools: after a restart that one source
+// reports, the cell in an older report without a start is unknown until its source reports the server again. The server
+// keeps its id, its pools and its kind.
+func TestSource_RestartReportedByOneSource(t *testing.T) {
+	bothOrders(t, func(t *testing.T, view *routerView, order func(int) int) {
+		attributes, start := newEndpoint("s1", "a:1", running), newEndpoint("s1", "a:1", running)
+		attributes.Kind, attributes.Cell, attributes.Pools = "big", policy.NewCell(1), []string{"rooms"}
+		view.apply(order(0), replace, attributes)
+		view.apply(order(1), replace, start)
+		time.Sleep(time.Minute)
+		start.Started = time.Now()
+		time.Sleep(time.Second)
+		view.apply(order(1), update, start)
+		got := view.only()
+		if got.Cell.Known() || got.Kind != "big" || !slices.Equal(got.Pools, attributes.Pools) ||
+			got.Availability != running {
+			t.Errorf("published %+v after the restart, want an unknown cell and all else as before", got)
+		}
+		view.apply(order(0), update, attributes)
+		if got := view.only(); got.Cell != attributes.Cell {
+			t.Errorf("published %+v after another report, want cell %v", got, attributes.Cell)
+		}
+	})
+}
--- a/discovery/merge/server.go
+++ b/discovery/merge/server.go
@@ -4,10 +4,15 @@
 	"slices"
 	"time"
 
+	"cobaltward/discovery"
 	"cobaltward/policy"
 	"cobaltward/router"
 )
 
+// startTolerance is the maximum difference between the start times that two sources may report for one process. Sources
+// round the time, or record another moment of the start.
+const startTolerance = time.Second
+
 // mergedServer contains the reports of all sources about the server at one address.
 type mergedServer struct {
 	reports     []sourceReport  // one per source
@@ -18,36 +23,71 @@
 // sourceReport is the data that one source reports about a server. After the source has removed the server, the
 // report keeps the endpoint with Availability Removed.
 type sourceReport struct {
-	known    bool // whether the source has listed the server at least once
-	endpoint router.Endpoint
+	known           bool // whether the source has listed the server at least once
+	endpoint        router.Endpoint
+	receivedAt      time.Time // when the source last reported or removed the endpoint
+	startReceivedAt time.Time // when the source first reported the start time of the endpoint
+}
+
+// isListed reports whether the source lists the server.
+func (r *sourceReport) isListed() bool { return r.known && r.endpoint.Availability != policy.Removed }
+
+// set stores an endpoint that the source has reported at the given time.
+func (r *sourceReport) set(endpoint router.Endpoint, at time.Time) {
+	if !r.known || !r.endpoint.Started.Equal(endpoint.Started) {
+		r.startReceivedAt = at
+	}
+	r.known, r.endpoint, r.receivedAt = true, endpoint, at
+}
+
+// remove records that the source removed the server at the given time.
+func (r *sourceReport) remove(at time.Time) {
+	r.endpoint.Availability, r.receivedAt = policy.Removed, at
+}
+
+// isAboutEarlierProcess reports whether r certainly describes an earlier process than newest does. A report without a
+// start time may describe the newest process, unless that process started after the report was received. The order in
+// which the reports were received is compared as well, because a start time comes from another clock.
+func (r *sourceReport) isAboutEarlierProcess(newest *sourceReport) bool {
+	started := newest.endpoint.Started
+	if !r.endpoint.Started.IsZero() && started.Sub(r.endpoint.Started) > startTolerance {
+		return true
+	}
+	return started.After(r.receivedAt) && newest.startReceivedAt.After(r.receivedAt)
 }
 
 // merge combines the reports of all sources into one endpoint. listed is false if no source lists the server anymore.
+// The id and the weight come from the first source that lists the server.
 func (m *mergedServer) merge() (merged router.Endpoint, listed bool) {
-	latest := m.latestStart()
+	newest := m.newest()
+	if newest == nil {
+		return router.Endpoint{}, false
+	}
 	draining := false
+	var attributes discovery.Attributes
 	var pools []string
-	for _, report := range m.reports {
-		if !report.known || report.endpoint.Started.Before(latest) { // the report describes an earlier process
-			continue
+	for i := range m.reports {
+		report := &m.reports[i]
+		if report.isListed() {
+			if !listed {
+				merged, listed = report.endpoint, true
+			}
+			pools = append(pools, report.endpoint.Pools...)
 		}
-		if report.endpoint.Availability != policy.Running {
-			draining = true
+		if report.known && !report.isAboutEarlierProcess(newest) {
+			attributes.Add(&report.endpoint)
+			draining = draining || report.endpoint.Availability != policy.Running
 		}
-		if report.endpoint.Availability == policy.Removed {
-			continue
-		}
-		if !listed {
-			merged, listed = report.endpoint, true
-		}
-		pools = append(pools, report.endpoint.Pools...)
 	}
-	if !listed {
-		return router.Endpoint{}, false
+	for i := range m.reports {
+		if m.reports[i].isListed() {
+			attributes.AddEarlierProcess(&m.reports[i].endpoint)
+		}
 	}
+	attributes.SetOn(&merged)
 	slices.Sort(pools)
 	merged.Pools = slices.Compact(pools)
-	merged.Started = latest
+	merged.Started = newest.endpoint.Started
 	merged.Availability = policy.Running
 	if draining {
 		merged.Availability = policy.Draining
@@ -55,12 +95,15 @@
 	return merged, true
 }
 
-// latestStart returns the start time of the newest process that any source lists at the address.
-func (m *mergedServer) latestStart() (latest time.Time) {
-	for _, report := range m.reports {
-		if report.known && report.endpoint.Availability != policy.Removed && report.endpoint.Started.After(latest) {
-			latest = report.endpoint.Started
+// newest returns the report with the latest start time among the sources that list the server, or nil if no source
+// lists it.
+func (m *mergedServer) newest() *sourceReport {
+	var newest *sourceReport
+	for i := range m.reports {
+		report := &m.reports[i]
+		if report.isListed() && (newest == nil || report.endpoint.Started.After(newest.endpoint.Started)) {
+			newest = report
 		}
 	}
-	return latest
+	return newest
 }
