A retry goes by the group that the server had when the attempt was sent

Cause: mayRunOn compared the candidate with the current entry of the first server. setEndpoint overwrites that entry while the start time stays the same, for example where a name moves to another process and no source tells the start, or where a source that told the group is lost or corrected.

Change: an attempt keeps the group of its server at the time of sending (one pointer; the group is shared by all attempts and never changes). If the list later tells another group for the same entry, neither is trusted and the request is not retried.

--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -36,19 +36,20 @@
 	return len(r.attempts) >= max(1, r.class.capabilities.MaxAttempts) || b.now >= r.valueDeadline
 }
 
-func (b *Balancer) send(r *request, s *server, probe bool) {
+func (b *Balancer) send(r *request, target *server, probe bool) {
 	if len(r.attempts) > 0 {
 		b.chargeRetry(r)
 	}
-	idleOctave := b.prepareConnection(s)
-	b.emit(Action{Kind: Send, ID: r.id, Server: s.Server, Until: r.valueDeadline})
-	r.attempts = append(r.attempts, attempt{server: s, sentAt: b.now, probe: probe, idleOctave: idleOctave})
+	idleOctave := b.prepareConnection(target)
+	b.emit(Action{Kind: Send, ID: r.id, Server: target.Server, Until: r.valueDeadline})
+	sent := attempt{server: target, group: target.group, sentAt: b.now, probe: probe, idleOctave: idleOctave}
+	r.attempts = append(r.attempts, sent)
 	r.pending++
-	s.inFlight++
-	s.recordConnectionUse(b.now)
-	s.lastSend = b.now
-	s.slowStart.tokens--
-	b.updateIndex(s, 0)
+	target.inFlight++
+	target.recordConnectionUse(b.now)
+	target.lastSend = b.now
+	target.slowStart.tokens--
+	b.updateIndex(target, 0)
 	r.updateFirstMaybeExecuted()
 	b.scheduleSlowCheck(r)
 }
--- a/policy/cell.go
+++ b/policy/cell.go
@@ -26,24 +26,51 @@
 	return strconv.FormatInt(c.number, 10)
 }
 
-// dedupGroup contains what is known of the servers with which a server shares a deduplication table.
+// dedupGroup is the zone and the cell of a server process. They determine the servers with which the process shares a
+// deduplication table. A dedupGroup never changes.
 type dedupGroup struct {
 	zone string // empty: unknown
 	cell Cell
 }
 
-// dedupGroup returns what the endpoint list says about the deduplication group of the server.
-func (s *server) dedupGroup() dedupGroup { return dedupGroup{s.Zone, s.Cell} }
+// isKnown reports whether the part of the group that matters in scope is known.
+func (g *dedupGroup) isKnown(scope DedupScope) bool {
+	switch scope {
+	case DedupAll:
+		return true
+	case DedupZone:
+		return g.zone != ""
+	default:
+		return g.cell.known
+	}
+}
 
-// shares reports whether a server of group is known to discard duplicates of requests that a server of other has
-// executed. Unknown zones and unknown cells do not count as equal.
-func (group dedupGroup) shares(scope DedupScope, other dedupGroup) bool {
+// equal reports whether g and other agree in the part that matters in scope.
+func (g *dedupGroup) equal(scope DedupScope, other *dedupGroup) bool {
 	switch scope {
 	case DedupAll:
 		return true
 	case DedupZone:
-		return group.zone != "" && group.zone == other.zone
+		return g.zone == other.zone
 	default:
-		return group.cell.known && group.cell == other.cell
+		return g.cell == other.cell
+	}
+}
+
+// setEndpoint stores an entry of the endpoint list that describes the same process as s.
+func (s *server) setEndpoint(entry Endpoint) {
+	s.Endpoint = entry
+	if s.group == nil || s.group.zone != entry.Zone || s.group.cell != entry.Cell {
+		s.group = &dedupGroup{entry.Zone, entry.Cell}
+	}
+}
+
+// isDiscardedBy reports whether candidate is known to discard duplicates of the request if the attempt was executed.
+// The group of the server at the time of the attempt counts, because the list may now describe another process under
+// the server's name. If the list now says another group, it is not known which is right.
+func (a *attempt) isDiscardedBy(candidate *server, scope DedupScope) bool {
+	if current := a.server.group; current.isKnown(scope) && !current.equal(scope, a.group) {
+		return false
 	}
+	return a.group.isKnown(scope) && a.group.equal(scope, candidate.group)
 }
--- a/policy/cell_test.go
+++ b/policy/cell_test.go
@@ -39,3 +39,37 @@
 		})
 	}
 }
+
+// TestRetry_DedupGroupChanges guards against duplicate effects outside the group of the process that ran a request. The
+// list may move a server to another group while an attempt is in flight, for example because another process has taken
+// the server's name.
+func TestRetry_DedupGroupChanges(t *testing.T) {
+	one, two := Endpoint{Zone: "a", Cell: NewCell(1)}, Endpoint{Zone: "b", Cell: NewCell(2)}
+	for _, test := range []struct {
+		name                 string
+		sent, listed, second Endpoint // first server when the attempt is sent and when it fails, and second server
+		retried              bool
+	}{
+		{"second in the new group", one, two, two, false},
+		{"second in the former group", one, two, one, false},
+		{"group no longer known", one, Endpoint{}, one, true},
+		{"group no longer known, second elsewhere", one, Endpoint{}, two, false},
+		{"group known later", Endpoint{}, one, one, false},
+		{"unchanged", one, one, one, true},
+	} {
+		for _, class := range []string{"dedup-zone", "dedup-cell"} {
+			t.Run(test.name+"/"+class, func(t *testing.T) {
+				test.sent.Server, test.listed.Server, test.second.Server = "first", "first", "second"
+				b := startBalancer(t, testSettings(1), []Endpoint{test.sent})
+				if s := sentServer(t, b.Handle(ms, testRequest("x", class))); s != "first" {
+					t.Fatalf("the first attempt was sent to %s", s)
+				}
+				b.Handle(ms, EndpointList{Kind: ListUpdate, Endpoints: []Endpoint{test.listed, test.second}})
+				acts := b.Handle(2*ms, testOutcome("x", 0, "first", Reset, ms))
+				if sent := len(actionsOf(acts, Send)) == 1; sent != test.retried {
+					t.Errorf("retried: %v, want %v: %+v", sent, test.retried, acts)
+				}
+			})
+		}
+	}
+}
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -23,7 +23,7 @@
 		candidate.OnlineSince > r.firstMaybeExecuted.sentAt {
 		return false
 	}
-	return candidate.dedupGroup().shares(r.class.DedupScope, r.firstMaybeExecuted.server.dedupGroup())
+	return r.firstMaybeExecuted.isDiscardedBy(candidate, r.class.DedupScope)
 }
 
 // updateFirstMaybeExecuted recomputes firstMaybeExecuted. An attempt without an outcome may have been executed.
--- a/policy/random_test.go
+++ b/policy/random_test.go
@@ -364,6 +364,10 @@
 		endpoint.OnlineSince, endpoint.Availability = w.now, Running
 		w.endpoints[id] = endpoint
 		delete(w.drainingSince, id)
+	case w.rng.IntN(3) == 0: // the list names another group, for example of another process under the same name
+		other := testEndpoints(10)[w.rng.IntN(10)]
+		endpoint.Zone, endpoint.Cell = other.Zone, other.Cell
+		w.endpoints[id] = endpoint
 	case endpoint.Availability == Running:
 		endpoint.Availability = Draining
 		w.endpoints[id] = endpoint
--- a/policy/state.go
+++ b/policy/state.go
@@ -85,6 +85,7 @@
 // server is a listed server, with its load from this node and its learned state.
 type server struct {
 	Endpoint
+	group              *dedupGroup // of Endpoint; never nil
 	nameHash           uint64      // hash of the server's name, for sticky servers
 	probeIdempotency   Idempotency // highest Idempotency of its classes; only classes with this value probe it
 	inFlight           int         // this node's attempts in flight
@@ -128,6 +129,7 @@
 // attempt is one attempt of a request at a server.
 type attempt struct {
 	server        *server
+	group         *dedupGroup // of the server when the attempt was sent
 	sentAt        Time
 	done          bool
 	notExecuted   bool // the outcome proves that the server never executed the request
