Sources and clusters that contradict each other name no deduplication group

What callers saw: nothing was reported. Within one control plane there was also the fault of itself: the attributes of a server in several clusters were those of the first cluster by name, also where it left them out or described an earlier process.

Cause: merge and mergeListings each had a rule of its own for "the first".

Change: both use discovery.Attributes. Different cells make the cell conflicting, different zones make the zone uncertain: it still places requests, and no longer names a group. A cell told of an earlier process is not used; its zone is, as uncertain, where nobody tells the zone of the new one (before, the server fell out of its zone until then). A warning, one line an update, names the number of contradicted servers and one of them.

Evidence: on 3 of 4 cases of TestSnapshot_ClustersOfOneServer and both orders of TestSource_ContradictingGroups and TestSource_RestartReportedByOneSource (its zone is new) fail; now none.

--- a/cmd/wayhold-xds/main.go
+++ b/cmd/wayhold-xds/main.go
@@ -50,6 +50,7 @@
 		return source, nil
 	}
 	both := merge.New(platform, source)
+	both.Log = log
 	both.SetInitial(0, config.InitialList.Endpoints)
 	return both, nil
 }
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -16,6 +16,7 @@
 	return a.ID == b.ID &&
 		a.Addr == b.Addr &&
 		a.Zone == b.Zone &&
+		a.ZoneUncertain == b.ZoneUncertain &&
 		a.Kind == b.Kind &&
 		a.Cell == b.Cell &&
 		a.Weight == b.Weight &&
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -23,15 +23,16 @@
 		t.Error("endpoints that start at the same instant in different time zones are not equal")
 	}
 	for name, change := range map[string]func(*router.Endpoint){
-		"id":           func(e *router.Endpoint) { e.ID = "s2" },
-		"address":      func(e *router.Endpoint) { e.Addr = "127.0.0.1:10" },
-		"pools":        func(e *router.Endpoint) { e.Pools = []string{"rooms", "mail"} },
-		"zone":         func(e *router.Endpoint) { e.Zone = "b" },
-		"kind":         func(e *router.Endpoint) { e.Kind = "small" },
-		"cell":         func(e *router.Endpoint) { e.Cell = policy.NewCell(2) },
-		"weight":       func(e *router.Endpoint) { e.Weight = 1 },
-		"start":        func(e *router.Endpoint) { e.Started = started.Add(time.Millisecond) },
-		"availability": func(e *router.Endpoint) { e.Availability = policy.Draining },
+		"id":             func(e *router.Endpoint) { e.ID = "s2" },
+		"address":        func(e *router.Endpoint) { e.Addr = "127.0.0.1:10" },
+		"pools":          func(e *router.Endpoint) { e.Pools = []string{"rooms", "mail"} },
+		"zone":           func(e *router.Endpoint) { e.Zone = "b" },
+		"zone uncertain": func(e *router.Endpoint) { e.ZoneUncertain = true },
+		"kind":           func(e *router.Endpoint) { e.Kind = "small" },
+		"cell":           func(e *router.Endpoint) { e.Cell = policy.NewCell(2) },
+		"weight":         func(e *router.Endpoint) { e.Weight = 1 },
+		"start":          func(e *router.Endpoint) { e.Started = started.Add(time.Millisecond) },
+		"availability":   func(e *router.Endpoint) { e.Availability = policy.Draining },
 	} {
 		t.Run(name, func(t *testing.T) {
 			other := base()
--- a/discovery/merge/merge.go
+++ b/discovery/merge/merge.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 	"strings"
 	"sync"
@@ -23,6 +24,9 @@
 
 // Source merges several endpoint sources. Its methods are safe for concurrent use.
 type Source struct {
+	// Log receives a warning when sources contradict each other. It must be set before Run is called.
+	Log *slog.Logger
+
 	sources []router.EndpointSource
 
 	mu        sync.Mutex
@@ -36,6 +40,7 @@
 // New merges sources. If several sources list a server, the first of these sources determines its id.
 func New(sources ...router.EndpointSource) *Source {
 	s := &Source{
+		Log:     slog.New(slog.DiscardHandler),
 		sources: sources,
 		servers: make(map[string]*mergedServer),
 		drops:   make([]dropoverload.Fractions, len(sources)),
@@ -145,10 +150,14 @@
 // changes returns the endpoints to publish for the touched addresses. Removals come first, because the id of a
 // removed server may now belong to another server.
 func (s *Source) changes(touched map[string]bool) []router.Endpoint {
-	var removals, others []router.Endpoint
+	var removals, others, contradicted []router.Endpoint
 	for addr := range touched {
 		server := s.servers[addr]
+		wasContradicted := server.contradicted
 		endpoint, listed := server.merge()
+		if server.contradicted && !wasContradicted {
+			contradicted = append(contradicted, endpoint)
+		}
 		if server.isPublished && (!listed || endpoint.ID != server.published.ID) {
 			former := server.published
 			former.Availability = policy.Removed
@@ -164,7 +173,18 @@
 		}
 	}
 	byID := func(a, b router.Endpoint) int { return strings.Compare(a.ID, b.ID) }
+	s.logContradictions(contradicted)
 	slices.SortFunc(removals, byID)
 	slices.SortFunc(others, byID)
 	return append(removals, others...)
 }
+
+// logContradictions logs one line for the servers about which the sources have begun to contradict each other.
+func (s *Source) logContradictions(servers []router.Endpoint) {
+	if len(servers) == 0 {
+		return
+	}
+	first := servers[0]
+	s.Log.Warn("discovery: sources contradict each other, keyed requests that may have run there are not retried",
+		"servers", len(servers), "first", first.ID, "address", first.Addr, "zone", first.Zone, "cell", first.Cell.String())
+}
--- a/discovery/merge/process_test.go
+++ b/discovery/merge/process_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -102,7 +104,7 @@
 	bothOrders(t, func(t *testing.T, view *routerView, order func(int) int) {
 		earlier, later := newEndpoint("s1", "a:1", running), newEndpoint("x1", "a:1", running)
 		earlier.Started = time.Now().Add(-time.Minute)
-		later.Started = earlier.Started.Add(startTolerance)
+		later.Started = earlier.Started.Add(time.Second)
 		earlier.Cell = policy.NewCell(1)
 		view.apply(order(0), replace, earlier)
 		view.apply(order(1), replace, later)
@@ -123,7 +125,8 @@
 func TestSource_RestartReportedByOneSource(t *testing.T) {
 	bothOrders(t, func(t *testing.T, view *routerView, order func(int) int) {
 		attributes, start := newEndpoint("s1", "a:1", running), newEndpoint("s1", "a:1", running)
-		attributes.Kind, attributes.Cell, attributes.Pools = "big", policy.NewCell(1), []string{"rooms"}
+		attributes.Zone, attributes.Kind, attributes.Cell = "z1", "big", policy.NewCell(1)
+		attributes.Pools = []string{"rooms"}
 		view.apply(order(0), replace, attributes)
 		view.apply(order(1), replace, start)
 		time.Sleep(time.Minute)
@@ -131,13 +134,40 @@
 		time.Sleep(time.Second)
 		view.apply(order(1), update, start)
 		got := view.only()
-		if got.Cell.Known() || got.Kind != "big" || !slices.Equal(got.Pools, attributes.Pools) ||
-			got.Availability != running {
-			t.Errorf("published %+v after the restart, want an unknown cell and all else as before", got)
+		if got.Cell.Known() || got.Zone != "z1" || !got.ZoneUncertain || got.Kind != "big" ||
+			!slices.Equal(got.Pools, attributes.Pools) || got.Availability != running {
+			t.Errorf("published %+v after the restart, want an unknown cell, an uncertain zone, and all else as before", got)
 		}
 		view.apply(order(0), update, attributes)
-		if got := view.only(); got.Cell != attributes.Cell {
-			t.Errorf("published %+v after another report, want cell %v", got, attributes.Cell)
+		if got := view.only(); got.Cell != attributes.Cell || got.ZoneUncertain {
+			t.Errorf("published %+v after another report, want cell %v and a certain zone", got, attributes.Cell)
+		}
+	})
+}
+
+// TestSource_ContradictingGroups guards against keyed requests that run in two cells or zones: if sources contradict
+// each other about a process, none of them determines which servers discard duplicates.
+func TestSource_ContradictingGroups(t *testing.T) {
+	bothOrders(t, func(t *testing.T, view *routerView, order func(int) int) {
+		reports := []router.Endpoint{newEndpoint("s1", "a:1", running), newEndpoint("x1", "a:1", running)}
+		reports[0].Zone, reports[0].Cell = "z1", policy.NewCell(1)
+		reports[1].Zone, reports[1].Cell = "z2", policy.NewCell(0)
+		var log strings.Builder
+		view.source.Log = slog.New(slog.NewTextHandler(&log, nil))
+		view.apply(order(0), replace, reports[0])
+		view.apply(order(1), replace, reports[1])
+		view.apply(order(1), replace, reports[1])
+		if n := strings.Count(log.String(), "contradict"); n != 1 {
+			t.Errorf("%d lines about the contradiction, want one: %s", n, &log)
+		}
+		first := reports[order(0)]
+		if got := view.only(); got.Cell != policy.ConflictingCell || got.Zone != first.Zone || !got.ZoneUncertain {
+			t.Errorf("published %+v, want a conflicting cell and an uncertain zone %s", got, first.Zone)
+		}
+		reports[1].Zone, reports[1].Cell = reports[0].Zone, reports[0].Cell
+		view.apply(order(1), update, reports[1])
+		if got := view.only(); got.Cell != reports[0].Cell || got.Zone != "z1" || got.ZoneUncertain {
+			t.Errorf("published %+v once the sources agree, want cell 1 and zone z1", got)
 		}
 	})
 }
--- a/discovery/merge/server.go
+++ b/discovery/merge/server.go
@@ -9,15 +9,12 @@
 	"cobaltward/router"
 )
 
-// startTolerance is the maximum difference between the start times that two sources may report for one process. Sources
-// round the time, or record another moment of the start.
-const startTolerance = time.Second
-
 // mergedServer contains the reports of all sources about the server at one address.
 type mergedServer struct {
-	reports     []sourceReport  // one per source
-	published   router.Endpoint // endpoint as last published
-	isPublished bool            // whether the router has received the endpoint in published
+	reports      []sourceReport  // one per source
+	published    router.Endpoint // endpoint as last published
+	isPublished  bool            // whether the router has received the endpoint in published
+	contradicted bool            // whether the sources contradict each other about the zone or the cell, by the last merge
 }
 
 // sourceReport is the data that one source reports about a server. After the source has removed the server, the
@@ -50,7 +47,7 @@
 // which the reports were received is compared as well, because a start time comes from another clock.
 func (r *sourceReport) isAboutEarlierProcess(newest *sourceReport) bool {
 	started := newest.endpoint.Started
-	if !r.endpoint.Started.IsZero() && started.Sub(r.endpoint.Started) > startTolerance {
+	if discovery.IsEarlierProcess(r.endpoint.Started, started) {
 		return true
 	}
 	return started.After(r.receivedAt) && newest.startReceivedAt.After(r.receivedAt)
@@ -85,6 +82,7 @@
 		}
 	}
 	attributes.SetOn(&merged)
+	m.contradicted = attributes.Contradicted()
 	slices.Sort(pools)
 	merged.Pools = slices.Compact(pools)
 	merged.Started = newest.endpoint.Started
--- a/discovery/xds/resource/endpoint.go
+++ b/discovery/xds/resource/endpoint.go
@@ -47,10 +47,10 @@
 	Priority uint32  // priority level; 0 is the highest
 	Weight   float64 // 1 if the control plane sends no weight
 	Health   Health
+	ZeroCell bool `json:",omitempty"` // whether the control plane sent cell 0; else a Cell of 0 is unknown
 	Kind     string
 	Cell     int64
 	Started  time.Time // zero: unknown, treated as long ago
-	ZeroCell bool      `json:",omitempty"` // whether the control plane sent cell 0; else a Cell of 0 is unknown
 }
 
 // KnownCell returns the cell of the endpoint. The cell is unknown if the control plane did not send it.
--- a/discovery/xds/snapshot.go
+++ b/discovery/xds/snapshot.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"cobaltward/discovery"
 	"cobaltward/discovery/xds/ads"
@@ -45,7 +46,7 @@
 }
 
 // excluded reports whether the endpoint's health excludes the server from new work in all clusters.
-func (l clusterListing) excluded() bool {
+func (l *clusterListing) excluded() bool {
 	switch l.endpoint.Health {
 	case resource.Draining, resource.Unhealthy, resource.Timeout:
 		return true
@@ -54,6 +55,14 @@
 	}
 }
 
+// reported returns what the listing says about the process at the address.
+func (l *clusterListing) reported() router.Endpoint {
+	endpoint := &l.endpoint
+	return router.Endpoint{
+		Zone: endpoint.Zone, Kind: endpoint.Kind, Cell: endpoint.KnownCell(), Started: endpoint.Started,
+	}
+}
+
 func newSnapshot() *snapshot {
 	return &snapshot{
 		clusters:  make(map[string]clusterState),
@@ -218,26 +227,24 @@
 // mergeListings combines the listings of the server at an address, and reports whether any cluster lists the server.
 // The server is draining if any cluster marks it as draining or unhealthy. If the server is ineligible in a cluster
 // only because of its priority level, other clusters may still use the server. The pools of the server are the
-// clusters in which it is eligible. Its start time is the latest start time in the listings.
+// clusters in which it is eligible. Its start time is the latest start time in the listings. Its zone, kind and cell
+// come from the listings of that process.
 func (s *snapshot) mergeListings(addr string) (router.Endpoint, bool) {
 	listings := s.listings[addr]
 	if len(listings) == 0 {
 		return router.Endpoint{}, false
 	}
-	first := listings[0].endpoint
+	first := &listings[0].endpoint
 	merged := router.Endpoint{
-		ID: addr, Addr: addr, Zone: first.Zone, Kind: first.Kind, Cell: first.KnownCell(), Weight: first.Weight,
-		Started: first.Started, Availability: policy.Draining,
+		ID: addr, Addr: addr, Weight: first.Weight, Started: latestStart(listings), Availability: policy.Draining,
 	}
+	setAttributes(&merged, listings)
 	excluded := false
-	for _, listing := range listings {
-		if listing.endpoint.Started.After(merged.Started) {
-			merged.Started = listing.endpoint.Started
-		}
-		excluded = excluded || listing.excluded()
-		if listing.eligible {
+	for i := range listings {
+		excluded = excluded || listings[i].excluded()
+		if listings[i].eligible {
 			merged.Availability = policy.Running
-			merged.Pools = append(merged.Pools, listing.cluster)
+			merged.Pools = append(merged.Pools, listings[i].cluster)
 		}
 	}
 	if excluded {
@@ -246,6 +253,36 @@
 	return merged, true
 }
 
+// latestStart returns the latest start time in listings.
+func latestStart(listings []clusterListing) (latest time.Time) {
+	for i := range listings {
+		if started := listings[i].endpoint.Started; started.After(latest) {
+			latest = started
+		}
+	}
+	return latest
+}
+
+// setAttributes sets the zone, kind and cell of merged, which is the newest process in listings.
+func setAttributes(merged *router.Endpoint, listings []clusterListing) {
+	if len(listings) == 1 {
+		endpoint := &listings[0].endpoint
+		merged.Zone, merged.Kind, merged.Cell = endpoint.Zone, endpoint.Kind, endpoint.KnownCell()
+		return
+	}
+	var attributes discovery.Attributes
+	for i := range listings {
+		if reported := listings[i].reported(); !discovery.IsEarlierProcess(reported.Started, merged.Started) {
+			attributes.Add(&reported)
+		}
+	}
+	for i := range listings {
+		reported := listings[i].reported()
+		attributes.AddEarlierProcess(&reported)
+	}
+	attributes.SetOn(merged)
+}
+
 // endpoints returns the complete list as last published, sorted by id.
 func (s *snapshot) endpoints() []router.Endpoint {
 	endpoints := make([]router.Endpoint, 0, len(s.published))
--- a/policy/api.go
+++ b/policy/api.go
@@ -170,6 +170,9 @@
 	// SlowStartAt is the start time of slow start, by a clock that is never stepped; 0 means OnlineSince.
 	SlowStartAt  Time
 	Availability Availability
+	// ZoneUncertain is whether the process may be in another zone, because reports contradict each other or describe an
+	// earlier process. Zone is then used for placement, but not to find servers that discard duplicates.
+	ZoneUncertain bool
 }
 
 // Event is a Request, FirstByte, Outcome, ClientGone, Timer, EndpointList, ProbeResult or PeerMessage.
--- a/policy/cell.go
+++ b/policy/cell.go
@@ -3,27 +3,53 @@
 import "strconv"
 
 // Cell is a group of servers that share a deduplication table. The zero value is an unknown cell. Servers whose cell is
-// unknown are not known to share a table with any server.
+// unknown or conflicting are not known to share a table with any server.
 type Cell struct {
 	number int64
-	known  bool
+	state  cellState
 }
 
+type cellState uint8
+
+const (
+	cellUnknown cellState = iota
+	cellKnown
+	cellConflicting
+)
+
+// ConflictingCell is the cell of a server for which reports name different cells.
+var ConflictingCell = Cell{state: cellConflicting}
+
 // NewCell returns the cell with the given number. Every number is valid, including 0.
-func NewCell(number int64) Cell { return Cell{number, true} }
+func NewCell(number int64) Cell { return Cell{number, cellKnown} }
 
-// Number returns the number of the cell. known is false if the cell is unknown.
-func (c Cell) Number() (number int64, known bool) { return c.number, c.known }
+// Number returns the number of the cell. known is false if the cell is unknown or conflicting.
+func (c Cell) Number() (number int64, known bool) { return c.number, c.Known() }
 
 // Known reports whether the cell is known.
-func (c Cell) Known() bool { return c.known }
+func (c Cell) Known() bool { return c.state == cellKnown }
+
+// Merge combines c with the cell that another report names for the same process.
+func (c Cell) Merge(other Cell) Cell {
+	switch {
+	case c.state == cellUnknown:
+		return other
+	case other.state == cellUnknown || c == other:
+		return c
+	}
+	return ConflictingCell
+}
 
-// String returns the number of the cell, or "unknown".
+// String returns the number of the cell, "unknown" or "conflicting".
 func (c Cell) String() string {
-	if !c.known {
+	switch c.state {
+	case cellKnown:
+		return strconv.FormatInt(c.number, 10)
+	case cellConflicting:
+		return "conflicting"
+	default:
 		return "unknown"
 	}
-	return strconv.FormatInt(c.number, 10)
 }
 
 // dedupGroup is the zone and the cell of a server process. They determine the servers with which the process shares a
@@ -41,7 +67,7 @@
 	case DedupZone:
 		return g.zone != ""
 	default:
-		return g.cell.known
+		return g.cell.Known()
 	}
 }
 
@@ -60,8 +86,12 @@
 // setEndpoint stores an entry of the endpoint list that describes the same process as s.
 func (s *server) setEndpoint(entry Endpoint) {
 	s.Endpoint = entry
-	if s.group == nil || s.group.zone != entry.Zone || s.group.cell != entry.Cell {
-		s.group = &dedupGroup{entry.Zone, entry.Cell}
+	group := dedupGroup{entry.Zone, entry.Cell}
+	if entry.ZoneUncertain {
+		group.zone = ""
+	}
+	if s.group == nil || *s.group != group {
+		s.group = &group
 	}
 }
 
--- a/policy/cell_test.go
+++ b/policy/cell_test.go
@@ -20,6 +20,9 @@
 		{"second zone unknown", "dedup-zone", Endpoint{Zone: "a"}, Endpoint{}, false},
 		{"zones differ", "dedup-zone", Endpoint{Zone: "a"}, Endpoint{Zone: "b"}, false},
 		{"same zone", "dedup-zone", Endpoint{Zone: "b"}, Endpoint{Zone: "b"}, true},
+		{"first zone uncertain", "dedup-zone", Endpoint{Zone: "b", ZoneUncertain: true}, Endpoint{Zone: "b"}, false},
+		{"second zone uncertain", "dedup-zone", Endpoint{Zone: "b"}, Endpoint{Zone: "b", ZoneUncertain: true}, false},
+		{"cells conflicting", "dedup-cell", Endpoint{Cell: ConflictingCell}, Endpoint{Cell: ConflictingCell}, false},
 		{"all servers deduplicate", "dedup-all", Endpoint{}, Endpoint{}, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/router/endpoint.go
+++ b/router/endpoint.go
@@ -42,6 +42,9 @@
 	Weight       float64
 	Started      time.Time // start of the server process; zero: long ago
 	Availability policy.Availability
+	// ZoneUncertain is whether the process may be in another zone, because reports contradict each other or describe an
+	// earlier process. Zone is then used for placement, but not to find servers that discard duplicates.
+	ZoneUncertain bool
 }
 
 // StaticEndpoints is an EndpointSource that never publishes an update. Reload replaces the endpoint list.
--- a/router/endpoint_update.go
+++ b/router/endpoint_update.go
@@ -105,15 +105,16 @@
 func (l *loop) balancerEndpoint(endpoint *Endpoint) policy.Endpoint {
 	online := l.clock.serverStart(endpoint.Started)
 	return policy.Endpoint{
-		Server:       endpoint.ID,
-		Zone:         endpoint.Zone,
-		Kind:         endpoint.Kind,
-		Pools:        endpoint.Pools,
-		Cell:         endpoint.Cell,
-		Weight:       endpoint.Weight,
-		OnlineSince:  online,
-		SlowStartAt:  l.starts.slowStartSince(endpoint.ID, endpoint.Started, online, l.clock.now()),
-		Availability: endpoint.Availability,
+		Server:        endpoint.ID,
+		Zone:          endpoint.Zone,
+		ZoneUncertain: endpoint.ZoneUncertain,
+		Kind:          endpoint.Kind,
+		Pools:         endpoint.Pools,
+		Cell:          endpoint.Cell,
+		Weight:        endpoint.Weight,
+		OnlineSince:   online,
+		SlowStartAt:   l.starts.slowStartSince(endpoint.ID, endpoint.Started, online, l.clock.now()),
+		Availability:  endpoint.Availability,
 	}
 }
 
