xDS: a cell that is not a number is refused and does not pass for cell 0

What callers saw: nothing was reported. A start time that was a boolean or a list passed for "long ago", without slow start.

Cause: parseCell and parseStarted read GetNumberValue, which is 0 for every value of another kind.

Evidence: TestParseAssignment_RejectsNonNumericMetadata fails without the change in 14 of 16 cases (with null, which was among them at first), and TestEndpoint_KnownCell's text "3" was 0. All pass now.

--- a/discovery/xds/resource/endpoint.go
+++ b/discovery/xds/resource/endpoint.go
@@ -120,6 +120,10 @@
 // applyMetadata sets the option that key names in the router's own metadata. Unknown keys are rejected. If a
 // misspelled started_ms were ignored, a server that has just started would get its full load at once.
 func (e *Endpoint) applyMetadata(key string, value *structpb.Value) error {
+	_, isNull := value.GetKind().(*structpb.Value_NullValue)
+	if isNull && (key == metadataCell || key == metadataStarted) {
+		return nil // left out
+	}
 	var err error
 	switch key {
 	case metadataKind:
--- a/discovery/xds/resource/resource_test.go
+++ b/discovery/xds/resource/resource_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -105,8 +106,10 @@
 		want     policy.Cell
 	}{
 		{map[string]any{"kind": "k"}, policy.Cell{}},
+		{map[string]any{"cell": nil}, policy.Cell{}},
 		{map[string]any{"cell": 0}, policy.NewCell(0)},
 		{map[string]any{"cell": 3}, policy.NewCell(3)},
+		{map[string]any{"cell": "3"}, policy.NewCell(3)},
 	} {
 		p := validAssignment()
 		setMetadata(t, firstEndpoint(p), test.metadata)
@@ -226,6 +229,22 @@
 	})
 }
 
+// TestParseAssignment_RejectsNonNumericMetadata guards against duplicate effects and overloaded servers: a cell or a
+// start time that is not a number must not pass for cell 0 or for a server that started long ago.
+func TestParseAssignment_RejectsNonNumericMetadata(t *testing.T) {
+	for _, key := range []string{metadataCell, metadataStarted} {
+		for _, value := range []any{true, false, "", "x", []any{1}, map[string]any{"value": 1}, "NaN"} {
+			t.Run(fmt.Sprintf("%s=%v", key, value), func(t *testing.T) {
+				checkRejected(t, map[string]func(*xdspb.ClusterLoadAssignment){
+					metadataPath + key: func(p *xdspb.ClusterLoadAssignment) {
+						setMetadata(t, firstEndpoint(p), map[string]any{key: value})
+					},
+				})
+			})
+		}
+	}
+}
+
 // TestParseAssignment_RejectsInvalid checks that invalid options of an assignment or of its localities reject the
 // assignment.
 func TestParseAssignment_RejectsInvalid(t *testing.T) {
