No retry of a keyed request at a server that may have been restarted since

What callers saw: nothing was reported. A server of a control plane without started_ms that was restarted between two attempts (drained or taken away, and listed again) got the retry of a keyed request that may have run, although its new process need not know the key.

Change: StartUnknown says that no source tells the start. The retry is then given only to servers that have been listed as running since before the first attempt. The registry's 0 is a start long ago that is told, as the protocol says, and nothing changes there; the field left out is unknown.

Evidence: TestRetry_NotOnServerOfUnknownStart without the check: 6 of 9 cases fail; now none. A first form took every start of 0 for unknown; TestServerDrains_BeforeNextAttempt failed with it, rightly.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -22,5 +22,6 @@
 		a.Weight == b.Weight &&
 		a.Availability == b.Availability &&
 		a.Started.Equal(b.Started) &&
+		a.StartUnknown == b.StartUnknown &&
 		slices.Equal(a.Pools, b.Pools)
 }
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -32,6 +32,7 @@
 		"cell":           func(e *router.Endpoint) { e.Cell = policy.NewCell(2) },
 		"weight":         func(e *router.Endpoint) { e.Weight = 1 },
 		"start":          func(e *router.Endpoint) { e.Started = started.Add(time.Millisecond) },
+		"start unknown":  func(e *router.Endpoint) { e.StartUnknown = true },
 		"availability":   func(e *router.Endpoint) { e.Availability = policy.Draining },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/discovery/merge/process_test.go
+++ b/discovery/merge/process_test.go
@@ -171,3 +171,20 @@
 		}
 	})
 }
+
+// TestSource_StartUnknown guards against keyed retries at restarted servers: the start of a server is unknown only if
+// no source names it. A start long ago, which a source names as the zero time, is known.
+func TestSource_StartUnknown(t *testing.T) {
+	bothOrders(t, func(t *testing.T, view *routerView, order func(int) int) {
+		unknown, longAgo := newEndpoint("s1", "a:1", running), newEndpoint("x1", "a:1", running)
+		unknown.StartUnknown = true
+		view.apply(order(0), replace, unknown)
+		if got := view.only(); !got.StartUnknown {
+			t.Errorf("published %+v, want an unknown start", got)
+		}
+		view.apply(order(1), replace, longAgo)
+		if got := view.only(); got.StartUnknown || !got.Started.IsZero() {
+			t.Errorf("published %+v, want a start long ago", got)
+		}
+	})
+}
--- a/discovery/merge/server.go
+++ b/discovery/merge/server.go
@@ -42,6 +42,14 @@
 	r.endpoint.Availability, r.receivedAt = policy.Removed, at
 }
 
+// startsAfter reports whether r names a later start than other does.
+func (r *sourceReport) startsAfter(other *sourceReport) bool {
+	if r.endpoint.Started.Equal(other.endpoint.Started) {
+		return other.endpoint.StartUnknown && !r.endpoint.StartUnknown
+	}
+	return r.endpoint.Started.After(other.endpoint.Started)
+}
+
 // isAboutEarlierProcess reports whether r certainly describes an earlier process than newest does. A report without a
 // start time may describe the newest process, unless that process started after the report was received. The order in
 // which the reports were received is compared as well, because a start time comes from another clock.
@@ -86,6 +94,7 @@
 	slices.Sort(pools)
 	merged.Pools = slices.Compact(pools)
 	merged.Started = newest.endpoint.Started
+	merged.StartUnknown = newest.endpoint.StartUnknown
 	merged.Availability = policy.Running
 	if draining {
 		merged.Availability = policy.Draining
@@ -94,12 +103,12 @@
 }
 
 // newest returns the report with the latest start time among the sources that list the server, or nil if no source
-// lists it.
+// lists it. A start long ago counts as later than an unknown start.
 func (m *mergedServer) newest() *sourceReport {
 	var newest *sourceReport
 	for i := range m.reports {
 		report := &m.reports[i]
-		if report.isListed() && (newest == nil || report.endpoint.Started.After(newest.endpoint.Started)) {
+		if report.isListed() && (newest == nil || report.startsAfter(newest)) {
 			newest = report
 		}
 	}
--- a/discovery/registry/list.go
+++ b/discovery/registry/list.go
@@ -33,7 +33,7 @@
 	Cell     *int64   `json:"cell"`
 	Phase    string   `json:"phase"`
 	Size     *float64 `json:"size"`
-	UpSince  float64  `json:"up_since_ms"`
+	UpSince  *float64 `json:"up_since_ms"` // 0: long ago
 }
 
 // availabilities maps the registry's phases to availabilities.
@@ -76,7 +76,7 @@
 		return router.Endpoint{}, errors.New("id: missing")
 	case !known:
 		return router.Endpoint{}, fmt.Errorf("phase: unknown value %q", e.Phase)
-	case !(e.UpSince >= 0 && e.UpSince < maxUpSince): // this form also rejects NaN
+	case e.UpSince != nil && !(*e.UpSince >= 0 && *e.UpSince < maxUpSince): // this form also rejects NaN
 		return router.Endpoint{}, errors.New("up_since_ms: out of range")
 	}
 	if availability != policy.Removed {
@@ -90,8 +90,11 @@
 	if e.Cell != nil {
 		endpoint.Cell = policy.NewCell(*e.Cell)
 	}
-	if e.UpSince > 0 {
-		endpoint.Started = time.UnixMilli(int64(e.UpSince))
+	switch {
+	case e.UpSince == nil:
+		endpoint.StartUnknown = true
+	case *e.UpSince > 0:
+		endpoint.Started = time.UnixMilli(int64(*e.UpSince))
 	}
 	if e.Size != nil {
 		endpoint.Weight = *e.Size
--- a/discovery/registry/registry_test.go
+++ b/discovery/registry/registry_test.go
@@ -287,6 +287,18 @@
 	}
 }
 
+// TestParseList_StartNotSent guards against keyed retries at restarted servers: a start time that the registry leaves
+// out is unknown, and 0 is long ago.
+func TestParseList_StartNotSent(t *testing.T) {
+	const server = `{"id":"a","phase":"up","host_port":"127.0.0.1:9"%s}`
+	for sent, unknown := range map[string]bool{"": true, `,"up_since_ms":0`: false, `,"up_since_ms":1`: false} {
+		list, err := ParseList([]byte(delta(1, fmt.Sprintf(server, sent))))
+		if err != nil || list.Endpoints[0].StartUnknown != unknown {
+			t.Errorf("%q: got %+v and error %v, want an unknown start: %v", sent, list.Endpoints, err, unknown)
+		}
+	}
+}
+
 func TestParseList_ErrorsNameField(t *testing.T) {
 	for raw, want := range map[string]string{
 		`[]`:                      "array",
--- a/discovery/xds/resource/endpoint.go
+++ b/discovery/xds/resource/endpoint.go
@@ -50,7 +50,7 @@
 	ZeroCell bool `json:",omitempty"` // whether the control plane sent cell 0; else a Cell of 0 is unknown
 	Kind     string
 	Cell     int64
-	Started  time.Time // zero: unknown, treated as long ago
+	Started  time.Time // zero: unknown
 }
 
 // KnownCell returns the cell of the endpoint. The cell is unknown if the control plane did not send it.
--- a/discovery/xds/snapshot.go
+++ b/discovery/xds/snapshot.go
@@ -238,6 +238,7 @@
 	merged := router.Endpoint{
 		ID: addr, Addr: addr, Weight: first.Weight, Started: latestStart(listings), Availability: policy.Draining,
 	}
+	merged.StartUnknown = merged.Started.IsZero()
 	setAttributes(&merged, listings)
 	excluded := false
 	for i := range listings {
--- a/discovery/xds/snapshot_test.go
+++ b/discovery/xds/snapshot_test.go
@@ -58,7 +58,8 @@
 			}
 			got, want := changed[0], test.want
 			if got.Zone != want.Zone || got.ZoneUncertain != want.ZoneUncertain || got.Kind != want.Kind ||
-				got.Cell != want.Cell || !got.Started.Equal(want.Started) || len(got.Pools) != 2 {
+				got.Cell != want.Cell || !got.Started.Equal(want.Started) || got.StartUnknown != want.Started.IsZero() ||
+				len(got.Pools) != 2 {
 				t.Errorf("got %+v, want %+v in two pools", got, want)
 			}
 		})
--- a/internal/standalone/server.go
+++ b/internal/standalone/server.go
@@ -75,12 +75,13 @@
 	var endpoints []router.Endpoint
 	for i, server := range servers {
 		endpoint := router.Endpoint{
-			ID:     cmp.Or(server.ID, server.Address),
-			Addr:   server.Address,
-			Zone:   server.Zone,
-			Kind:   server.Kind,
-			Weight: cmp.Or(server.Weight, 1),
-			Pools:  server.Pools,
+			ID:           cmp.Or(server.ID, server.Address),
+			Addr:         server.Address,
+			Zone:         server.Zone,
+			Kind:         server.Kind,
+			Weight:       cmp.Or(server.Weight, 1),
+			Pools:        server.Pools,
+			StartUnknown: true,
 		}
 		if server.Cell != nil {
 			endpoint.Cell = policy.NewCell(*server.Cell)
--- a/policy/api.go
+++ b/policy/api.go
@@ -173,6 +173,9 @@
 	// ZoneUncertain is whether the process may be in another zone, because reports contradict each other or describe an
 	// earlier process. Zone is then used for placement, but not to find servers that discard duplicates.
 	ZoneUncertain bool
+	// StartUnknown is whether the start time of the process is unknown. Without a start time, the process otherwise
+	// started long ago.
+	StartUnknown bool
 }
 
 // Event is a Request, FirstByte, Outcome, ClientGone, Timer, EndpointList, ProbeResult or PeerMessage.
--- a/policy/cell.go
+++ b/policy/cell.go
@@ -84,7 +84,10 @@
 }
 
 // setEndpoint stores an entry of the endpoint list that describes the same process as s.
-func (s *server) setEndpoint(entry Endpoint) {
+func (s *server) setEndpoint(entry Endpoint, now Time) {
+	if isNew := s.group == nil; entry.Availability == Running && (isNew || s.Availability != Running) {
+		s.runningSince = now
+	}
 	s.Endpoint = entry
 	group := dedupGroup{entry.Zone, entry.Cell}
 	if entry.ZoneUncertain {
@@ -95,6 +98,13 @@
 	}
 }
 
+// mayHaveStartedAfter reports whether the process of s may have started after the given time. If the start time is
+// unknown, the process may have started until the list named it as running: a server may be restarted while it is
+// listed as draining, or not listed.
+func (s *server) mayHaveStartedAfter(at Time) bool {
+	return s.OnlineSince > at || s.StartUnknown && s.runningSince > at
+}
+
 // isDiscardedBy reports whether candidate is known to discard duplicates of the request if the attempt was executed.
 // The group of the server at the time of the attempt counts, because the list may now describe another process under
 // the server's name. If the list now says another group, it is not known which is right.
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -58,7 +58,7 @@
 		s.slowStart = slowStartBucket{tokens: b.rng.Float64(), lastRefill: b.now}
 		b.servers[entry.Server] = s
 	}
-	s.setEndpoint(entry)
+	s.setEndpoint(entry, b.now)
 }
 
 // rebuildOrder rebuilds all pools. Servers in this node's zone come first, because traffic between zones is costly.
@@ -84,7 +84,7 @@
 		wasInService := former.inService()
 		if wasInService && entry.Availability == Running && former.OnlineSince == entry.OnlineSince &&
 			former.Zone == entry.Zone && former.Kind == entry.Kind && slices.Equal(former.Pools, entry.Pools) {
-			former.setEndpoint(entry) // the other fields don't affect the order
+			former.setEndpoint(entry, b.now) // the other fields don't affect the order
 			continue
 		}
 		if wasInService {
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -20,7 +20,7 @@
 		return true
 	}
 	if r.class.Idempotency != IdempotencyKeyed || b.now >= r.firstMaybeExecuted.sentAt+r.class.DedupWindow ||
-		candidate.OnlineSince > r.firstMaybeExecuted.sentAt {
+		candidate.mayHaveStartedAfter(r.firstMaybeExecuted.sentAt) {
 		return false
 	}
 	return r.firstMaybeExecuted.isDiscardedBy(candidate, r.class.DedupScope)
--- a/policy/state.go
+++ b/policy/state.go
@@ -94,6 +94,7 @@
 	inSubset           bool        // the server is in this node's subset
 	inNewSubset        bool        // temporary mark used by replaceSubset
 	connectionLastUsed []Time      // element i: last time at which more than i connections were in use
+	runningSince       Time        // when the list last began to name the process as running
 	lastSend           Time
 	lastAnswer         Time    // time of the last answer, of any kind
 	lastLatency        float64 // latency of the last answer or time-out, in seconds
--- a/policy/takeover_test.go
+++ b/policy/takeover_test.go
@@ -38,3 +38,30 @@
 		}
 	}
 }
+
+// TestRetry_NotOnServerOfUnknownStart guards against a second run of a keyed request: a server of unknown start that
+// the list names as running only after the first attempt may have been restarted, and may then not know the key.
+func TestRetry_NotOnServerOfUnknownStart(t *testing.T) {
+	for _, class := range []string{"dedup-all", "dedup-zone", "dedup-cell"} {
+		for _, away := range []Availability{Running, Draining, Removed} {
+			t.Run(fmt.Sprintf("%s/away=%d", class, away), func(t *testing.T) {
+				endpoints := []Endpoint{
+					{Server: "first", Zone: "a", Cell: NewCell(1)},
+					{Server: "second", Zone: "a", Cell: NewCell(1), StartUnknown: true},
+				}
+				b := startBalancer(t, testSettings(1), endpoints[:1])
+				update := func(at Time, availability Availability) {
+					endpoints[1].Availability = availability
+					b.Handle(at, EndpointList{Kind: ListUpdate, Endpoints: endpoints[1:]})
+				}
+				update(ms, away)
+				first := sentServer(t, b.Handle(10*ms, testRequest("r", class)))
+				update(20*ms, Running)
+				acts := handle(b, 30*ms, testOutcome("r", 0, first, Reset, 20*ms))
+				if sent := len(actionsOf(acts, Send)) > 0; sent != (away == Running) {
+					t.Errorf("retried: %v, want %v: %+v", sent, away == Running, acts)
+				}
+			})
+		}
+	}
+}
--- a/router/endpoint.go
+++ b/router/endpoint.go
@@ -45,6 +45,9 @@
 	// ZoneUncertain is whether the process may be in another zone, because reports contradict each other or describe an
 	// earlier process. Zone is then used for placement, but not to find servers that discard duplicates.
 	ZoneUncertain bool
+	// StartUnknown is whether the start time of the process is unknown. Without a start time, the process otherwise
+	// started long ago.
+	StartUnknown bool
 }
 
 // StaticEndpoints is an EndpointSource that never publishes an update. Reload replaces the endpoint list.
--- a/router/endpoint_update.go
+++ b/router/endpoint_update.go
@@ -115,6 +115,7 @@
 		OnlineSince:   online,
 		SlowStartAt:   l.starts.slowStartSince(endpoint.ID, endpoint.Started, online, l.clock.now()),
 		Availability:  endpoint.Availability,
+		StartUnknown:  endpoint.StartUnknown,
 	}
 }
 
