A list that is only repeated does not say where a later process belongs

Cause: the control plane had reported a restart in another cell (a start, no cell). The registry, which names cells and no starts, came back after an outage and sent its old list once more. merge took the repeated entry for a new report, received after the start, and used its cell.

Change: the attributes of a report count from when its source last changed the entry or listed the server anew. A repeated drain counts from its last report, as before: it may mean the new process.

--- a/discovery/merge/model_test.go
+++ b/discovery/merge/model_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"cobaltward/discovery"
 	"cobaltward/policy"
 	"cobaltward/router"
 )
@@ -34,10 +35,11 @@
 	namesStart, namesZone, namesCell bool
 	delay                            time.Duration // by which its reports are late; 0 if it does not name start times
 	reachable                        bool
-	hidden                           map[string]bool    // addresses that it does not list
-	seen                             map[string]process // state of each address that it has reported last
-	listed                           map[string]int     // number of the process that it has listed last
-	forgotten                        map[string]bool    // addresses that no source has listed since its last report
+	hidden                           map[string]bool            // addresses that it does not list
+	seen                             map[string]process         // state of each address that it has reported last
+	entries                          map[string]router.Endpoint // entry of each address that it has sent last
+	listed                           map[string]int             // process at the last change of each entry
+	forgotten                        map[string]bool            // addresses no longer listed by any source since its report
 }
 
 // history is a random course of events at three addresses, with the servers that the merged source publishes. The first
@@ -85,7 +87,8 @@
 		o := &observer{
 			index: (first + i) % 3, namesStart: i == 0 || rng.IntN(2) == 0, reachable: true,
 			namesZone: rng.IntN(2) == 0, namesCell: rng.IntN(2) == 0,
-			hidden: make(map[string]bool), seen: make(map[string]process), listed: make(map[string]int),
+			hidden: make(map[string]bool), seen: make(map[string]process), entries: make(map[string]router.Endpoint),
+			listed:    make(map[string]int),
 			forgotten: make(map[string]bool),
 		}
 		if i > 0 && o.namesStart {
@@ -159,12 +162,17 @@
 		}
 		source.seen[addr] = current
 		if current.gone && (full || !wasListed) {
+			delete(source.entries, addr)
 			continue
 		}
-		if !current.gone {
-			source.listed[addr], source.forgotten[addr] = current.number, false
+		endpoint := source.endpoint(addr, current)
+		if isChanged := !discovery.Equal(endpoint, source.entries[addr]); isChanged && !current.gone {
+			source.listed[addr] = current.number
 		}
-		endpoints = append(endpoints, source.endpoint(addr, current))
+		if source.entries[addr] = endpoint; !current.gone {
+			source.forgotten[addr] = false
+		}
+		endpoints = append(endpoints, endpoint)
 	}
 	kind := update
 	if full {
--- a/discovery/merge/process_test.go
+++ b/discovery/merge/process_test.go
@@ -120,8 +120,8 @@
 }
 
 // TestSource_RestartReportedByOneSource guards against stale cells and lost pools: after a restart that one source
-// reports, the cell in an older report without a start is unknown until its source reports the server again. The server
-// keeps its id, its pools and its kind.
+// reports, the cell in an older report without a start is unknown, also if it is repeated, until its source lists the
+// server anew. The server keeps its id, its pools and its kind.
 func TestSource_RestartReportedByOneSource(t *testing.T) {
 	bothOrders(t, func(t *testing.T, view *routerView, order func(int) int) {
 		attributes, start := newEndpoint("s1", "a:1", running), newEndpoint("s1", "a:1", running)
@@ -138,9 +138,16 @@
 			!slices.Equal(got.Pools, attributes.Pools) || got.Availability != running {
 			t.Errorf("published %+v after the restart, want an unknown cell, an uncertain zone, and all else as before", got)
 		}
+		view.apply(order(0), replace, attributes)
+		if got := view.only(); got.Cell.Known() || !got.ZoneUncertain {
+			t.Errorf("published %+v after the list was repeated, want an unknown cell and an uncertain zone", got)
+		}
+		attributes.Availability = draining
+		view.apply(order(0), update, attributes)
+		attributes.Availability = running
 		view.apply(order(0), update, attributes)
 		if got := view.only(); got.Cell != attributes.Cell || got.ZoneUncertain {
-			t.Errorf("published %+v after another report, want cell %v and a certain zone", got, attributes.Cell)
+			t.Errorf("published %+v after it was listed anew, want cell %v and a certain zone", got, attributes.Cell)
 		}
 	})
 }
--- a/discovery/merge/server.go
+++ b/discovery/merge/server.go
@@ -22,8 +22,8 @@
 type sourceReport struct {
 	known           bool // whether the source has listed the server at least once
 	endpoint        router.Endpoint
-	receivedAt      time.Time // when the source last reported the endpoint
-	removedAt       time.Time // when the source removed the endpoint; before receivedAt if it is listed again
+	changedAt       time.Time // when the source first reported the endpoint as it is now, since it last listed it anew
+	confirmedAt     time.Time // when the source last reported or removed the endpoint
 	startReceivedAt time.Time // when the source first reported the start time of the endpoint
 }
 
@@ -35,12 +35,15 @@
 	if !r.known || !r.endpoint.Started.Equal(endpoint.Started) {
 		r.startReceivedAt = at
 	}
-	r.known, r.endpoint, r.receivedAt = true, endpoint, at
+	if !r.known || !discovery.Equal(r.endpoint, endpoint) {
+		r.changedAt = at
+	}
+	r.known, r.endpoint, r.confirmedAt = true, endpoint, at
 }
 
 // remove records that the source removed the server at the given time.
 func (r *sourceReport) remove(at time.Time) {
-	r.endpoint.Availability, r.removedAt = policy.Removed, at
+	r.endpoint.Availability, r.confirmedAt = policy.Removed, at
 }
 
 // startsAfter reports whether r names a later start than other does.
@@ -51,16 +54,16 @@
 	return r.endpoint.Started.After(other.endpoint.Started)
 }
 
-// drains reports whether the source has drained or removed the process that newest describes.
+// drains reports whether the source has drained or removed the process that newest describes. A drain that is reported
+// again counts from the last report.
 func (r *sourceReport) drains(newest *sourceReport) bool {
-	switch {
-	case !r.known || r.endpoint.Availability == policy.Running:
-		return false
-	case r.endpoint.Availability == policy.Removed:
-		return !r.isAboutEarlierProcess(newest, r.removedAt)
-	default:
-		return !r.isAboutEarlierProcess(newest, r.receivedAt)
-	}
+	return r.known && r.endpoint.Availability != policy.Running && !r.isAboutEarlierProcess(newest, r.confirmedAt)
+}
+
+// describes reports whether the attributes in r may be those of the process that newest describes. An unchanged report
+// counts from its first time: a source that repeats its list need not have noticed a new process.
+func (r *sourceReport) describes(newest *sourceReport) bool {
+	return r.known && !r.isAboutEarlierProcess(newest, r.changedAt)
 }
 
 // isAboutEarlierProcess reports whether the data that r received at the given time certainly describes an earlier
@@ -92,7 +95,7 @@
 			}
 			pools = append(pools, report.endpoint.Pools...)
 		}
-		if report.known && !report.isAboutEarlierProcess(newest, report.receivedAt) {
+		if report.describes(newest) {
 			attributes.Add(&report.endpoint)
 		}
 		draining = draining || report.drains(newest)
