--- a/discovery/merge/model_test.go
+++ b/discovery/merge/model_test.go
@@ -39,7 +39,7 @@
 	seen                             map[string]process         // state of each address that it has reported last
 	entries                          map[string]router.Endpoint // entry of each address that it has sent last
 	listed                           map[string]int             // process at the last change of each entry
-	forgotten                        map[string]bool            // addresses no longer listed by any source since its report
+	forgotten                        map[string]bool            // addresses that no source lists since its last report
 }
 
 // history is a random course of events at three addresses, with the servers that the merged source publishes. The first
