--- a/discovery/merge/merge.go
+++ b/discovery/merge/merge.go
@@ -90,8 +90,8 @@
 	if update.Kind != policy.ListUpdate {
 		s.removeUnlisted(source, update.Endpoints, now, touched)
 	}
-	for _, endpoint := range update.Endpoints {
-		s.applyEndpoint(source, endpoint, now, touched)
+	for i := range update.Endpoints {
+		s.applyEndpoint(source, &update.Endpoints[i], now, touched)
 	}
 	merged := router.EndpointUpdate{Kind: policy.ListUpdate, Endpoints: s.changes(touched)}
 	if update.Drops != nil {
@@ -118,7 +118,7 @@
 }
 
 // applyEndpoint stores the data that a source reports about one endpoint.
-func (s *Source) applyEndpoint(source int, endpoint router.Endpoint, now time.Time, touched map[string]bool) {
+func (s *Source) applyEndpoint(source int, endpoint *router.Endpoint, now time.Time, touched map[string]bool) {
 	removed := endpoint.Availability == policy.Removed
 	former, had := s.addresses[source][endpoint.ID]
 	if had && (removed || former != endpoint.Addr) { // the server was removed or has moved to another address
--- a/discovery/merge/server.go
+++ b/discovery/merge/server.go
@@ -31,14 +31,15 @@
 func (r *sourceReport) isListed() bool { return r.known && r.endpoint.Availability != policy.Removed }
 
 // set stores an endpoint that the source has reported at the given time.
-func (r *sourceReport) set(endpoint router.Endpoint, at time.Time) {
-	if !r.known || !r.endpoint.Started.Equal(endpoint.Started) {
+func (r *sourceReport) set(endpoint *router.Endpoint, at time.Time) {
+	isSameStart := r.known && r.endpoint.Started.Equal(endpoint.Started)
+	if !isSameStart {
 		r.startReceivedAt = at
 	}
-	if !r.known || !discovery.Equal(r.endpoint, endpoint) {
+	if !isSameStart || !discovery.Equal(r.endpoint, *endpoint) {
 		r.changedAt = at
 	}
-	r.known, r.endpoint, r.confirmedAt = true, endpoint, at
+	r.known, r.endpoint, r.confirmedAt = true, *endpoint, at
 }
 
 // remove records that the source removed the server at the given time.
@@ -84,7 +85,7 @@
 	if newest == nil {
 		return router.Endpoint{}, false
 	}
-	draining := false
+	draining, hasEarlier := false, false
 	var attributes discovery.Attributes
 	var pools []string
 	for i := range m.reports {
@@ -93,22 +94,21 @@
 			if !listed {
 				merged, listed = report.endpoint, true
 			}
-			pools = append(pools, report.endpoint.Pools...)
+			pools = unitePools(pools, report.endpoint.Pools)
 		}
-		if report.describes(newest) {
+		if report == newest || report.describes(newest) {
 			attributes.Add(&report.endpoint)
+		} else {
+			hasEarlier = true
 		}
 		draining = draining || report.drains(newest)
 	}
-	for i := range m.reports {
-		if m.reports[i].isListed() {
-			attributes.AddEarlierProcess(&m.reports[i].endpoint)
-		}
+	if hasEarlier {
+		m.addEarlierProcesses(&attributes)
 	}
 	attributes.SetOn(&merged)
 	m.contradicted = attributes.Contradicted()
-	slices.Sort(pools)
-	merged.Pools = slices.Compact(pools)
+	merged.Pools = pools
 	merged.Started = newest.endpoint.Started
 	merged.StartUnknown = newest.endpoint.StartUnknown
 	merged.Availability = policy.Running
@@ -118,6 +118,30 @@
 	return merged, true
 }
 
+// addEarlierProcesses adds the reports of the sources that list the server to attributes, as reports about an earlier
+// process. Those about the current process have been added before and change nothing.
+func (m *mergedServer) addEarlierProcesses(attributes *discovery.Attributes) {
+	for i := range m.reports {
+		if m.reports[i].isListed() {
+			attributes.AddEarlierProcess(&m.reports[i].endpoint)
+		}
+	}
+}
+
+// unitePools returns the sorted union of a and b, without duplicates. It does not change a or b, but may return one of
+// them.
+func unitePools(a, b []string) []string {
+	switch {
+	case len(b) == 0 || slices.Equal(a, b):
+		return a
+	case len(a) == 0 && len(b) == 1:
+		return b
+	}
+	united := slices.Concat(a, b)
+	slices.Sort(united)
+	return slices.Compact(united)
+}
+
 // newest returns the report with the latest start time among the sources that list the server, or nil if no source
 // lists it. A start long ago counts as later than an unknown start.
 func (m *mergedServer) newest() *sourceReport {
--- a/policy/cell.go
+++ b/policy/cell.go
@@ -94,7 +94,8 @@
 		group.zone = ""
 	}
 	if s.group == nil || *s.group != group {
-		s.group = &group
+		changed := group // a variable of its own, so that an unchanged group is not allocated
+		s.group = &changed
 	}
 }
 
