abusetest: slow answers take the time that their play names

Change: the stand-in writes each piece at its time since the answer began, so that the answers take the 3.9 s that the play names. Sizes, times, bounds and the check are as they were.

--- a/internal/abusetest/slowanswer_test.go
+++ b/internal/abusetest/slowanswer_test.go
@@ -40,7 +40,8 @@
 				head += "Connection: close\r\n\r\n"
 			}
 			_, err := io.WriteString(conn, head)
-			for range pieces {
+			began := time.Now()
+			for i := range pieces {
 				piece := strings.Repeat("x", size/pieces)
 				if end == framedByChunks {
 					piece = fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
@@ -48,7 +49,7 @@
 				if err == nil {
 					_, err = io.WriteString(conn, piece)
 				}
-				time.Sleep(over / time.Duration(pieces))
+				time.Sleep(time.Until(began.Add(over * time.Duration(i+1) / time.Duration(pieces))))
 			}
 			if end == framedByChunks && err == nil {
 				_, err = io.WriteString(conn, "0\r\n\r\n")
