msgpack: connections that are ending are bounded, too

Clients saw nothing; the node's memory grew while clients of MessagePack-RPC reconnected at full speed. A connection that the server has closed leaves the lists at once, but its goroutines end only when they get the server's mutex, which the accept loop takes again and again.

The server now counts connections until their goroutines have returned, and accepts no other one while eight more than slots are left. Their sockets are closed, so they end without their clients.

TestAdmit_BoundsEndingConnections admits 100 connections of which none can end: before 100 were admitted, now 10.

--- a/internal/frontend/msgpack/server.go
+++ b/internal/frontend/msgpack/server.go
@@ -83,6 +83,7 @@
 	listeners      map[*net.Listener]bool // keyed by pointer, because a listener's type need not be comparable
 	conns          map[*conn]bool
 	lingering      []*conn // connections that the server has ended but not closed, oldest first; they hold no slots
+	active         int     // connections whose goroutines have not returned, including closed ones
 	draining       bool
 	closed         bool
 	serving        sync.WaitGroup // counts the listeners and the served connections
--- a/internal/frontend/msgpack/slots.go
+++ b/internal/frontend/msgpack/slots.go
@@ -14,6 +14,9 @@
 	// overflowConns is the maximum number of connections accepted beyond MaxConns. Their calls are answered with a
 	// rejection.
 	overflowConns = 4
+	// maxEndingConns is the maximum number of connections without a slot: overflow connections, and connections that the
+	// server has closed and whose goroutines have not returned yet.
+	maxEndingConns = 2 * overflowConns
 	// firstCallGrace protects overflow connections from eviction. It applies after the accept until the first call
 	// arrives, and after each read in the middle of a message.
 	firstCallGrace = 100 * time.Millisecond
@@ -38,6 +41,7 @@
 		return false
 	}
 	s.conns[conn] = true
+	s.active++
 	s.limitLingering()
 	s.serving.Go(conn.serve)
 	return true
@@ -47,7 +51,14 @@
 // are accepted without a slot. The server rejects their calls, so that clients in the accept queue get an answer
 // before their deadlines.
 func (s *Server) awaitSlot(conn *conn, earliest time.Time) {
-	for len(s.conns) >= s.config.MaxConns && !s.draining && !s.closed {
+	for !s.draining && !s.closed {
+		if s.active >= s.config.MaxConns+maxEndingConns { // the end of a connection may wait for s.mu
+			s.slotFreed.Wait()
+			continue
+		}
+		if len(s.conns) < s.config.MaxConns {
+			return
+		}
 		if s.evict() {
 			continue
 		}
@@ -177,6 +188,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
+	s.active--
 	if i := slices.Index(s.lingering, conn); i >= 0 {
 		s.lingering = slices.Delete(s.lingering, i, i+1)
 	}
