A request's time begins when it arrived, also behind others on its connection

Callers saw answers later than their time where calls had waited unread. The time of a request counts from a lower bound of its arrival, which is the last moment at which nothing was unread. Two cases had the wrong moment:

- With TLS each record is returned by a read of its own, and each read shorter than its buffer passed for one that had emptied the connection.
The second of several waiting records thus seemed to arrive when it was read, and its call was given time that its caller no longer had. crypto/tls keeps complete records to itself; the connection under it now counts them.
- On a connection that is read steadily and is never empty, the moment stayed where it was, and calls seemed older and older: their answers were rejections although their callers still waited.
The end of what was unread at some time now moves it once that much has been read (one ioctl for each backlog).

--- a/handshakes/conn.go
+++ b/handshakes/conn.go
@@ -45,6 +45,9 @@
 
 	records           recordTracker // used only by the reading goroutine
 	withinRecord      atomic.Bool
+	bufferedRecords   atomic.Int32 // complete records that crypto/tls has read and not returned
+	lastReadFull      bool         // whether the last read filled its buffer; used only by the reading goroutine
+	bytesRead         uint64       // number of bytes read after the handshake; used only by the reading goroutine
 	readsNonBlocking  bool
 	writesNonBlocking atomic.Bool
 	received          atomic.Bool
@@ -72,6 +75,7 @@
 func (c *Conn) EndHandshake() (computeTime time.Duration) {
 	c.releaseCPU()
 	c.inHandshake, c.cancelled = false, nil
+	c.AllRecordsReturned() // the handshake has processed its records
 	return c.computeTime
 }
 
@@ -119,8 +123,11 @@
 	case c.inHandshake:
 		return c.readHandshake(p)
 	}
+	c.AllRecordsReturned() // crypto/tls reads only when it has no complete record
 	n, err := c.reader.Read(p)
 	c.trackRecords(p[:n])
+	c.lastReadFull = n == len(p)
+	c.bytesRead += uint64(n)
 	if n > 0 && c.OnReceive != nil {
 		c.OnReceive()
 	}
@@ -130,9 +137,33 @@
 // WithinRecord reports whether a TLS record has been read only in part. It is always false without TrackRecords.
 func (c *Conn) WithinRecord() bool { return c.withinRecord.Load() }
 
+// HasBufferedRecord reports whether a complete TLS record was read from the connection and not returned by the TLS
+// connection. It is always false without TrackRecords.
+func (c *Conn) HasBufferedRecord() bool { return c.bufferedRecords.Load() > 0 }
+
+// RecordReturned records that the TLS connection has returned the end of a record.
+func (c *Conn) RecordReturned() {
+	if c.bufferedRecords.Load() > 0 {
+		c.bufferedRecords.Add(-1)
+	}
+}
+
+// AllRecordsReturned records that the TLS connection has no complete record left. It returns none after an error.
+func (c *Conn) AllRecordsReturned() { c.bufferedRecords.Store(0) }
+
+// MayHaveMore reports whether the peer may have sent more than the TLS connection has returned, apart from an
+// incomplete record. The reading goroutine calls it after a read.
+func (c *Conn) MayHaveMore() bool { return c.lastReadFull || c.HasBufferedRecord() }
+
+// BytesRead returns the number of bytes read since the handshake. Only the reading goroutine may call it.
+func (c *Conn) BytesRead() uint64 { return c.bytesRead }
+
+// trackRecords tracks the records in received.
 func (c *Conn) trackRecords(received []byte) {
 	if c.TrackRecords && len(received) > 0 {
-		c.withinRecord.Store(c.records.advance(received))
+		completed, within := c.records.advance(received)
+		c.withinRecord.Store(within)
+		c.bufferedRecords.Store(int32(completed))
 	}
 }
 
--- a/handshakes/records.go
+++ b/handshakes/records.go
@@ -15,13 +15,17 @@
 	remaining  int // number of missing bytes of the current record's content
 }
 
-// advance processes the next bytes of the stream. It reports whether these bytes end within a record.
-func (t *recordTracker) advance(data []byte) (within bool) {
+// advance processes the next bytes of the stream. It returns the number of records that these bytes complete, and
+// whether these bytes end within a record.
+func (t *recordTracker) advance(data []byte) (completed int, within bool) {
 	for len(data) > 0 {
 		if t.remaining > 0 {
 			n := min(t.remaining, len(data))
 			t.remaining -= n
 			data = data[n:]
+			if t.remaining == 0 {
+				completed++
+			}
 			continue
 		}
 		n := copy(t.header[t.headerSize:], data)
@@ -30,7 +34,10 @@
 		if t.headerSize == recordHeaderSize {
 			t.headerSize = 0
 			t.remaining = int(binary.BigEndian.Uint16(t.header[recordLengthOffset:]))
+			if t.remaining == 0 {
+				completed++
+			}
 		}
 	}
-	return t.headerSize > 0 || t.remaining > 0
+	return completed, t.headerSize > 0 || t.remaining > 0
 }
--- a/internal/frontend/msgpack/conn.go
+++ b/internal/frontend/msgpack/conn.go
@@ -37,6 +37,7 @@
 	pace         *pacing.Conn
 	yielder      cpuyield.Yielder // between messages that have arrived together; used only by the reading goroutine
 	arrivalTimes sockets.Arrival  // arrival times of the latest bytes; used only by the reading goroutine
+	bytesRead    uint64           // number of bytes read from nc; used only by the reading goroutine
 
 	readingPaused atomic.Bool // whether the reader waits for a call slot or is paced, so that nothing is read
 
--- a/internal/frontend/msgpack/connend.go
+++ b/internal/frontend/msgpack/connend.go
@@ -101,17 +101,24 @@
 	return ok && handshake.Handshaking()
 }
 
-// hasUnread reports whether bytes have arrived that Read has not returned. They are in the socket or, with TLS, part
-// of a record.
+// hasUnread reports whether bytes have arrived that Read has not returned. They are in the socket or, with TLS, in
+// records that were read.
 func (c *conn) hasUnread() bool {
-	if c.withinRecord() {
+	if c.withinRecord() || c.hasBufferedRecord() {
 		return true
 	}
+	return c.unreadBytes() > 0
+}
+
+// unreadBytes returns the number of bytes that can be read from the socket.
+func (c *conn) unreadBytes() int {
 	if tcp := tcpConn(c.nc); tcp != nil {
-		return sockets.Unread(tcp) > 0
+		return sockets.Unread(tcp)
+	}
+	if socket, ok := c.nc.(syscall.Conn); ok { // a Unix socket
+		return sockets.Unread(socket)
 	}
-	socket, ok := c.nc.(syscall.Conn) // a Unix socket
-	return ok && sockets.Unread(socket) > 0
+	return 0
 }
 
 // withinRecord reports whether a TLS record has been read in part.
@@ -120,6 +127,12 @@
 	return ok && stream.WithinRecord()
 }
 
+// hasBufferedRecord reports whether a complete TLS record was received that Read has not returned.
+func (c *conn) hasBufferedRecord() bool {
+	stream, ok := c.nc.(interface{ HasBufferedRecord() bool })
+	return ok && stream.HasBufferedRecord()
+}
+
 // closeWriteSide closes the write side, and gives the client lingerTimeout to close its side. All answers must have
 // been written. c.mu is held.
 func (c *conn) closeWriteSide(cause endCause) {
--- a/internal/frontend/msgpack/connread.go
+++ b/internal/frontend/msgpack/connread.go
@@ -67,17 +67,38 @@
 	if now.Sub(began) >= minReadWait {
 		c.yielder = cpuyield.Yielder{}
 	}
-	if tcp := tcpConn(c.nc); tcp != nil {
-		c.arrivalTimes.RecordReadFrom(tcp, began, now, n < len(p))
-	} else {
-		c.arrivalTimes.RecordRead(began, now, n < len(p))
-	}
+	c.bytesRead += uint64(n)
+	c.recordArrival(began, now, c.hasReadAll(n, len(p)))
 	c.mu.Lock()
 	c.lastReadAt = now // set before evictableSince can treat these bytes as a stalled message
 	c.mu.Unlock()
 	return n, err
 }
 
+// recordArrival records the arrival time of bytes that were read. all reports whether nothing more had arrived.
+func (c *conn) recordArrival(began, now time.Time, all bool) {
+	tcp := tcpConn(c.nc)
+	if tcp != nil {
+		c.arrivalTimes.RecordReadFrom(tcp, began, now, all)
+	} else {
+		c.arrivalTimes.RecordRead(began, now, all)
+	}
+	if all || c.hasBufferedRecord() {
+		return
+	}
+	position := c.bytesRead
+	if stream, ok := c.nc.(interface{ BytesRead() uint64 }); ok { // TLS
+		position = stream.BytesRead()
+	}
+	c.arrivalTimes.RecordBacklog(now, position, c.unreadBytes)
+}
+
+// hasReadAll reports whether a read of n bytes into a buffer of size bytes returned all bytes that had arrived.
+func (c *conn) hasReadAll(n, size int) bool {
+	stream, ok := c.nc.(interface{ MayHaveMore() bool })
+	return n < size && !(ok && stream.MayHaveMore())
+}
+
 func (c *conn) handle(ctx context.Context, message msgpackrpc.Message) error {
 	switch message.Kind {
 	case msgpackrpc.Response:
--- a/internal/frontend/msgpack/hookedserver_test.go
+++ b/internal/frontend/msgpack/hookedserver_test.go
@@ -30,7 +30,9 @@
 	reads    atomic.Int32
 	writes   atomic.Int32
 	deadline atomic.Pointer[time.Time]
-	ending   sync.Once
+
+	bytesRead int // used only by the reading goroutine
+	ending    sync.Once
 
 	beforeIdleRead func() // called before the read that follows the first call
 	afterIdleRead  func() // called when the read that follows the first call has returned
@@ -51,6 +53,26 @@
 	return ok && conn.WithinRecord()
 }
 
+// HasBufferedRecord reports whether a complete TLS record was received that Read has not returned.
+func (c *hookedConn) HasBufferedRecord() bool {
+	conn, ok := c.Conn.(*secure.Conn)
+	return ok && conn.HasBufferedRecord()
+}
+
+// MayHaveMore reports whether the client may have sent more TLS records than Read has returned.
+func (c *hookedConn) MayHaveMore() bool {
+	conn, ok := c.Conn.(*secure.Conn)
+	return ok && conn.MayHaveMore()
+}
+
+// BytesRead returns the number of encrypted bytes read with TLS.
+func (c *hookedConn) BytesRead() uint64 {
+	if conn, ok := c.Conn.(*secure.Conn); ok {
+		return conn.BytesRead()
+	}
+	return uint64(c.bytesRead)
+}
+
 // SetReadDeadline implements net.Conn. It ignores deadlines before the first read. On a busy machine, the idle
 // timeout could expire before the first call.
 func (c *hookedConn) SetReadDeadline(t time.Time) error {
@@ -78,6 +100,7 @@
 		runHook(&c.beforeLingerRead)
 	}
 	n, err := c.reader.Read(p)
+	c.bytesRead += n
 	if isIdleRead {
 		runHook(&c.afterIdleRead)
 	}
@@ -143,8 +166,9 @@
 // hookedServer is a server whose connections have hooks, with or without TLS.
 type hookedServer struct {
 	*Server
-	addr  string
-	roots *x509.CertPool // nil: without TLS
+	network string
+	addr    string
+	roots   *x509.CertPool // nil: without TLS
 }
 
 func startHookedServer(
@@ -163,7 +187,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &hookedServer{Server: New(engine, config), addr: ln.Addr().String()}
+	server := &hookedServer{Server: New(engine, config), addr: ln.Addr().String(), network: "tcp"}
 	listener := &hookedListener{Listener: ln, prepare: prepare}
 	if withTLS {
 		listener.terminator, server.roots = newTerminator(t)
--- a/internal/frontend/secure/conn.go
+++ b/internal/frontend/secure/conn.go
@@ -59,6 +59,15 @@
 	return transport != nil && transport.WithinRecord()
 }
 
+// BytesRead returns the number of encrypted bytes read since the handshake. Only the reading goroutine may call it.
+func (c *Conn) BytesRead() uint64 {
+	transport := c.transport.Load()
+	if transport == nil {
+		return 0
+	}
+	return transport.BytesRead()
+}
+
 // PeerNames returns the names in the client's certificate: URIs, DNS names, then the common name. It returns nil if
 // the client presented no certificate or the handshake is not done.
 func (c *Conn) PeerNames() []string {
@@ -77,7 +86,27 @@
 	if err := c.ensureHandshake(); err != nil {
 		return 0, err
 	}
-	return c.tls.Read(p)
+	n, err := c.tls.Read(p)
+	switch {
+	case err != nil:
+		c.transport.Load().AllRecordsReturned()
+	case n < len(p): // a read returns bytes of one record
+		c.transport.Load().RecordReturned()
+	}
+	return n, err
+}
+
+// HasBufferedRecord reports whether a complete TLS record was received that Read has not returned.
+func (c *Conn) HasBufferedRecord() bool {
+	transport := c.transport.Load()
+	return transport != nil && transport.HasBufferedRecord()
+}
+
+// MayHaveMore reports whether the client may have sent more than Read has returned, apart from an incomplete record.
+// The reading goroutine calls it after Read.
+func (c *Conn) MayHaveMore() bool {
+	transport := c.transport.Load()
+	return transport != nil && transport.MayHaveMore()
 }
 
 // Write implements net.Conn. If the handshake failed, Write returns net.ErrClosed.
--- a/internal/node/clientread.go
+++ b/internal/node/clientread.go
@@ -67,7 +67,12 @@
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.shouldRetryRead() {
 		n, err = c.stream.Read(buf)
 	}
-	return n, n > 0 && !c.recordRequestBytes(began, n < len(buf)), err
+	return n, n > 0 && !c.recordRequestBytes(began, c.hasReadAll(n, len(buf))), err
+}
+
+// hasReadAll reports whether a read of n bytes into a buffer of size bytes returned all bytes that had arrived.
+func (c *clientConn) hasReadAll(n, size int) bool {
+	return n < size && (c.tls == nil || !c.tls.MayHaveMore())
 }
 
 // shouldRetryRead reports whether a timed-out read must be tried again. It ends a TLS connection that is idle at its
--- a/internal/sockets/arrival.go
+++ b/internal/sockets/arrival.go
@@ -19,17 +19,27 @@
 	earliest      time.Time // lower bound of the arrival time of the current request
 	nextStartedAt time.Time // time at which the first byte of the next request was seen; zero: not seen
 	pipelined     bool      // whether the current request was sent before the previous request was answered
-	emptiedAt     time.Time // time of the last read that returned all bytes received so far
+	emptiedAt     time.Time // time such that all bytes received before it were read
+	backlog       backlog
+}
+
+// backlog is the unread bytes of a connection at some time. The zero value means that none were seen.
+type backlog struct {
+	seenAt time.Time
+	end    uint64 // position of the end of these bytes in the stream
 }
 
 // Earliest returns a lower bound of the time at which the last byte of the current request arrived.
 func (a *Arrival) Earliest() time.Time { return a.earliest }
 
+// EmptiedAt returns a time such that all bytes received before it were read.
+func (a *Arrival) EmptiedAt() time.Time { return a.emptiedAt }
+
 // Pipelined reports whether the current request was sent before the previous request was answered.
 func (a *Arrival) Pipelined() bool { return a.pipelined }
 
 // Reset starts over with a new request. No byte of the new request can have arrived before earliest.
-func (a *Arrival) Reset(earliest time.Time) { *a = Arrival{earliest: earliest} }
+func (a *Arrival) Reset(earliest time.Time) { *a = Arrival{earliest: earliest, emptiedAt: earliest} }
 
 // RecordRead records a read of the current request. The read lasted from began to returned. all reports whether the
 // read returned all bytes that had arrived.
@@ -41,8 +51,21 @@
 		a.earliest = a.emptiedAt
 	}
 	if all {
-		a.emptiedAt = returned
+		a.emptiedAt, a.backlog = returned, backlog{}
+	}
+}
+
+// RecordBacklog records that not all bytes were read at now. position is the number of bytes read so far, and unread
+// returns the number of bytes that can be read. Without RecordBacklog, the bytes of a connection that is read steadily
+// and is never empty would seem to have arrived long ago.
+func (a *Arrival) RecordBacklog(now time.Time, position uint64, unread func() int) {
+	if !a.backlog.seenAt.IsZero() {
+		if position < a.backlog.end {
+			return
+		}
+		a.emptiedAt = a.backlog.seenAt
 	}
+	a.backlog = backlog{seenAt: now, end: position + uint64(unread())}
 }
 
 // RecordReadFrom is RecordRead for a TCP connection. During a long read, the read may have waited for the peer, or
@@ -67,7 +90,7 @@
 		a.earliest = a.emptiedAt
 	}
 	if all {
-		a.emptiedAt = returned
+		a.emptiedAt, a.backlog = returned, backlog{}
 	}
 }
 
--- a/internal/sockets/arrival_test.go
+++ b/internal/sockets/arrival_test.go
@@ -46,6 +46,12 @@
 			a.RecordRead(at(10), at(40), true)
 			a.recordSlowRead(at(200), at(300), at(150), true)
 		}, 40},
+		{"read steadily and never empty", func(a *Arrival) {
+			for i := range 5 { // 100 bytes a read, 300 unread
+				a.RecordRead(at(400+50*i), at(400+50*i), false)
+				a.RecordBacklog(at(400+50*i), uint64(100*(i+1)), func() int { return 300 })
+			}
+		}, 400},
 		{"after an idle time", func(a *Arrival) {
 			a.RecordRead(at(10), at(40), true)
 			a.Reset(at(800))
