msgpack: pacing lets no call wait unread for longer than 50 ms

Callers saw answers seconds late, or none before they left, once a connection had a backlog of calls that no server answers. Such calls are read at 100 a second.

A pause may now last as long as nothing that has arrived waits for more than 50 ms. Clients with one call at a time are paced as before. A client that writes at full speed without waiting is no longer slowed down by pacing, but by the sleeps between messages that have arrived together.

--- a/internal/frontend/msgpack/connread.go
+++ b/internal/frontend/msgpack/connread.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"cobaltward/internal/cpuyield"
-	"cobaltward/internal/sockets"
 	"cobaltward/msgpackrpc"
 	"cobaltward/msgpackrpc/stream"
 )
@@ -29,20 +28,19 @@
 	})
 }
 
-// awaitPace waits if the client has sent very many messages that no server answers.
+// maxReadPause is the maximum time for which the reader lets bytes wait for the sake of pacing. A cancel notification
+// may be among them, and no attempt may begin later than 100 ms after it.
+const maxReadPause = 50 * time.Millisecond
+
+// readLag returns an upper bound of the time for which bytes have been unread at now.
+func (c *conn) readLag(now time.Time) time.Duration { return now.Sub(c.arrivalTimes.EmptiedAt()) }
+
+// awaitPace waits if the client has sent very many messages that no server answers. Bytes that arrive meanwhile are
+// not unread for longer than maxReadPause.
 func (c *conn) awaitPace() {
-	delay := c.pace.Delay(time.Now())
-	if delay <= 0 {
-		return
-	}
-	c.readingPaused.Store(true)
-	defer c.readingPaused.Store(false)
-	tcp := tcpConn(c.nc)
-	for end := time.Now().Add(delay); time.Now().Before(end); {
-		if tcp != nil && sockets.PeerClosed(tcp) {
-			return // the next read ends the calls of the client
-		}
-		time.Sleep(min(clientCheckInterval, time.Until(end)))
+	now := time.Now()
+	if pause := maxReadPause - c.readLag(now); pause > 0 {
+		time.Sleep(c.pace.Delay(now, pause))
 	}
 }
 
--- a/internal/frontend/msgpack/fronts_test.go
+++ b/internal/frontend/msgpack/fronts_test.go
@@ -15,6 +15,9 @@
 // fronts are the kinds of listeners that a server may have.
 var fronts = []string{"TCP", "TLS", "Unix"}
 
+// maxLateness is the time after its deadline from which a request without an answer is lost.
+const maxLateness = 500 * time.Millisecond
+
 // startFront starts a server with a listener of the given kind.
 func startFront(t *testing.T, front string, engine Engine, config Config) *hookedServer {
 	t.Helper()
--- a/internal/frontend/pacing/pacing.go
+++ b/internal/frontend/pacing/pacing.go
@@ -16,8 +16,8 @@
 	// totalRate is the maximum number of local answers per second on all paced connections together. It bounds the share
 	// of the CPU that they use, however many they are.
 	totalRate = 2000
-	// maxDelay limits the delay of one request.
-	maxDelay = 250 * time.Millisecond
+	// MaxDelay limits the delay of one request.
+	MaxDelay = 250 * time.Millisecond
 )
 
 // Limiter is the rate limit that the paced connections of a node share. It is safe for concurrent use. The zero value
@@ -36,7 +36,7 @@
 		l.next = now
 	}
 	delay := l.next.Sub(now)
-	if delay < maxDelay {
+	if delay < MaxDelay {
 		l.next = l.next.Add(time.Second / totalRate)
 	}
 	l.delayed++
@@ -69,9 +69,9 @@
 	c.spent++
 }
 
-// Delay returns how long to wait at now before the next request of the connection is read. The time of the delay itself
-// allows no further answers, so that a connection stays paced while its client sends at full speed.
-func (c *Conn) Delay(now time.Time) time.Duration {
+// Delay returns how long to wait at now before the next request of the connection is read, at most limit. The time of
+// the delay itself allows no further answers, so that a connection stays paced while its client sends at full speed.
+func (c *Conn) Delay(now time.Time, limit time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if passed := now.Sub(c.refilledAt); passed > 0 {
@@ -84,7 +84,7 @@
 		return 0
 	}
 	own := time.Duration((c.spent - connBurst) / connRate * float64(time.Second))
-	delay := min(maxDelay, max(own, c.limiter.reserve(now)))
+	delay := min(limit, MaxDelay, max(own, c.limiter.reserve(now)))
 	c.spent, c.refilledAt = connBurst, now.Add(delay)
 	return delay
 }
--- a/internal/frontend/pacing/pacing_test.go
+++ b/internal/frontend/pacing/pacing_test.go
@@ -18,7 +18,7 @@
 			for !readyAt[i].After(now) && answers < 1_000_000 {
 				answers++
 				bucket.CountLocalAnswer()
-				readyAt[i] = now.Add(bucket.Delay(now))
+				readyAt[i] = now.Add(bucket.Delay(now, MaxDelay))
 				if readyAt[i].Equal(now) {
 					readyAt[i] = now.Add(100 * time.Microsecond) // the work for a request
 				}
@@ -34,7 +34,7 @@
 	const seconds = 10
 	for _, conns := range []int{1, 6, 100, 400} {
 		got := answersWithin(new(Limiter), conns, seconds*time.Second)
-		most := conns*(connBurst+1) + seconds*min(conns*connRate, totalRate) + int(seconds*time.Second/maxDelay)*conns
+		most := conns*(connBurst+1) + seconds*min(conns*connRate, totalRate) + int(seconds*time.Second/MaxDelay)*conns
 		if got > most {
 			t.Errorf("%d connections: %d local answers in %d s, want at most %d", conns, got, seconds, most)
 		}
@@ -50,7 +50,7 @@
 		conn.CountLocalAnswer()
 		now = now.Add(time.Second / connRate)
 		for range 10 { // answered by servers
-			if delay := conn.Delay(now); delay != 0 {
+			if delay := conn.Delay(now, MaxDelay); delay != 0 {
 				t.Fatalf("delayed by %v at %v", delay, now)
 			}
 		}
@@ -60,13 +60,15 @@
 	}
 }
 
-// TestDelay_Bounded checks that no single request waits longer than maxDelay.
+// TestDelay_Bounded checks that no single request waits longer than MaxDelay or the limit of the caller.
 func TestDelay_Bounded(t *testing.T) {
 	conn, now := new(Limiter).NewConn(), time.Unix(0, 0)
-	for range 100_000 {
-		conn.CountLocalAnswer()
-	}
-	if delay := conn.Delay(now); delay != maxDelay {
-		t.Errorf("delayed by %v, want %v", delay, maxDelay)
+	for _, limit := range []time.Duration{time.Millisecond, MaxDelay, time.Hour} {
+		for range 100_000 {
+			conn.CountLocalAnswer()
+		}
+		if delay, want := conn.Delay(now, limit), min(limit, MaxDelay); delay != want {
+			t.Errorf("limit %v: delayed by %v, want %v", limit, delay, want)
+		}
 	}
 }
--- a/internal/node/clientstate.go
+++ b/internal/node/clientstate.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"cobaltward/internal/frontend/pacing"
 )
 
 // updateReadPhase starts the timeout of a head at the first byte of the head and ends it at the last byte. It is
@@ -73,7 +75,7 @@
 	case mustClose:
 		c.closeWriteSide()
 	case state == http.StateIdle:
-		time.Sleep(c.pace.Delay(time.Now())) // net/http reads the next request after this call
+		time.Sleep(c.pace.Delay(time.Now(), pacing.MaxDelay)) // net/http reads the next request after this call
 	}
 }
 
