msgpack: calls behind the maximum of open ones are answered in time

The node read nothing more from such a connection: calls waited in the buffers of the sockets, no timer knew of them, and neither cancels nor the end of a Unix socket's client were read. With a Unix socket the reader waited even after the server was closed, so that Close never returned.

Reading now goes on. A call beyond the maximum waits in a queue of its connection, with its ID in use, for the engine's queue timeout and until half of its own time is over; then it gets `overloaded`, and so does what finds the queue full (512 calls; all queues together hold as many as may be open). The next free slot takes the oldest. A cancel, or the end of the client, takes a call out of the queue. Local answers need no slot any more; nothing is read while 128 of them are unwritten, so that the memory of a client that reads no answers stays bounded. No call is started while bytes may have been unread for more than 75 ms: they may hold its cancel. New metrics: calls.queued and calls.queue_timeouts.

--- a/internal/frontend/msgpack/conn.go
+++ b/internal/frontend/msgpack/conn.go
@@ -28,30 +28,35 @@
 	server      *Server
 	nc          net.Conn
 	reader      deadlineReader // reads from nc
-	callSlots   chan struct{}  // semaphore with one element for each open call and each unwritten answer
 	writeSignal stream.Signal
+	writeDone   stream.Signal // notified when answers were written
 	writerDone  chan struct{}
-	calls       sync.WaitGroup
+	running     sync.WaitGroup    // calls that were passed to the engine
 	sendQueue   sockets.SendQueue // answers that the kernel has not sent yet
 
 	pace         *pacing.Conn
-	yielder      cpuyield.Yielder // between messages that have arrived together; used only by the reading goroutine
-	arrivalTimes sockets.Arrival  // arrival times of the latest bytes; used only by the reading goroutine
-	bytesRead    uint64           // number of bytes read from nc; used only by the reading goroutine
-
-	readingPaused atomic.Bool // whether the reader waits for a call slot or is paced, so that nothing is read
+	yielder      cpuyield.Yielder   // between messages that have arrived together; used only by the reading goroutine
+	arrivalTimes sockets.Arrival    // arrival times of the latest bytes; used only by the reading goroutine
+	bytesRead    uint64             // number of bytes read from nc; used only by the reading goroutine
+	in           *msgpackrpc.Reader // used only by the reading goroutine
 
 	overflow bool // whether the connection was accepted beyond MaxConns; guarded by server.mu
 
 	mu                sync.Mutex
-	cancelFuncs       map[uint32]context.CancelFunc // cancel functions of the open calls, by msgid
-	queuedAnswers     []answer                      // answers to write; callSlots limits their number
-	unwrittenAnswers  int                           // number of answers that are queued or being written
-	idleSince         time.Time                     // end of the last open call, or time of the accept
-	incoming          incomingMessage               // message that has been read in part
-	openedAt          time.Time                     // time of the accept
-	callSeen          bool                          // whether a call has been received
-	answerWritten     bool                          // true from the first written answer on
+	open              map[uint32]*openCall // open calls, by msgid
+	handlingCall      bool                 // whether a call was read and is neither open nor answered yet
+	queue             []*openCall          // open calls that wait to be passed to the engine, oldest first
+	queueClosed       bool                 // whether no further call is passed to the engine
+	callSlotsInUse    int                  // number of calls that were passed to the engine and whose answers are unwritten
+	readBehind        bool                 // whether bytes may have been unread for longer than maxReadLag
+	queuedAnswers     []answer             // answers to write
+	unwrittenAnswers  int                  // number of answers that are queued or being written
+	unwrittenLocal    atomic.Int32         // number of unwritten answers to calls that were not passed to the engine
+	idleSince         time.Time            // end of the last open call, or time of the accept
+	incoming          incomingMessage      // message that has been read in part
+	openedAt          time.Time            // time of the accept
+	callSeen          bool                 // whether a call has been received
+	answerWritten     bool                 // true from the first written answer on
 	lastReadAt        time.Time
 	notifications     []byte // encoded notifications that are not written yet
 	draining          bool
@@ -87,10 +92,10 @@
 	client := &conn{
 		server:      server,
 		nc:          nc,
-		callSlots:   make(chan struct{}, server.config.MaxCalls),
 		writeSignal: stream.NewSignal(),
+		writeDone:   stream.NewSignal(),
 		writerDone:  make(chan struct{}),
-		cancelFuncs: make(map[uint32]context.CancelFunc),
+		open:        make(map[uint32]*openCall),
 		pace:        server.config.Pacing.NewConn(),
 		idleSince:   time.Now(),
 		openedAt:    time.Now(),
@@ -107,12 +112,13 @@
 func (c *conn) closeSocket() { _ = c.nc.Close() }
 
 // isIdle reports whether the connection has no open call and no unwritten answer. c.mu is held.
-func (c *conn) isIdle() bool { return len(c.cancelFuncs)+c.unwrittenAnswers == 0 }
+func (c *conn) isIdle() bool { return !c.handlingCall && len(c.open)+c.unwrittenAnswers == 0 }
 
+// openCalls returns the number of open calls that are not queued.
 func (c *conn) openCalls() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.cancelFuncs)
+	return len(c.open) - len(c.queue)
 }
 
 // isBusy reports whether the connection has an open call or an unwritten answer.
@@ -155,16 +161,19 @@
 	var violation *msgpackrpc.ProtocolError
 	if errors.As(err, &violation) { // open calls are still answered
 		c.server.count(&c.server.stats.ProtocolErrors)
+		c.endReading()
 		c.finish(msgpackrpc.AppendError(nil, violation.Problem))
 		<-c.writerDone
 	} else { // the client has disconnected or timed out: open calls are cancelled
+		c.closeQueue()
 		c.countIncompleteMessage(err)
 		c.closeSocket()
 		c.finish(nil)
 	}
+	c.closeQueue()
 	cancel()
-	c.calls.Wait()
 	<-c.writerDone
+	c.running.Wait()
 	c.countLostAnswers()
 	c.releaseQueued()
 	c.closeSocket()
--- a/internal/frontend/msgpack/conncalls.go
+++ b/internal/frontend/msgpack/conncalls.go
@@ -3,86 +3,121 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"time"
 
-	"cobaltward/internal/sockets"
 	"cobaltward/msgpackrpc"
 	"cobaltward/router"
 )
 
-// clientCheckInterval is how often the server checks whether a client with the maximum number of open calls has
-// disconnected.
-const clientCheckInterval = 50 * time.Millisecond
+// openCall is a call that has arrived and is neither answered nor cancelled.
+type openCall struct {
+	msgid      uint32
+	ctx        context.Context // ends when the call is cancelled or its connection ends
+	cancel     context.CancelFunc
+	req        router.Request
+	queueTimer *time.Timer // ends the time of the call in the queue; nil: the call was never queued
+}
+
+func newOpenCall(ctx context.Context, msgid uint32, req *router.Request) *openCall {
+	ctx, cancel := context.WithCancel(ctx)
+	return &openCall{msgid: msgid, ctx: ctx, cancel: cancel, req: *req}
+}
 
-// cancel cancels the open call with the msgid id, and reports whether there is one.
+// cancel cancels the open call with the msgid id, and reports whether there is one. A queued call is not started.
 func (c *conn) cancel(id uint32) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	cancel := c.cancelFuncs[id]
-	if cancel != nil {
-		cancel()
+	call := c.open[id]
+	if call == nil {
+		c.mu.Unlock()
+		return false
+	}
+	call.cancel()
+	wasQueued := c.dequeue(call)
+	if wasQueued {
+		c.discard(call)
 	}
-	return cancel != nil
+	c.mu.Unlock()
+	if wasQueued {
+		c.pace.CountLocalAnswer()
+		c.notifyCallEnded()
+	}
+	return true
 }
 
-// startCall passes a call to the engine or answers it directly. If the client has the maximum number of open calls,
-// startCall blocks, and nothing more is read from the connection.
+// startCall passes a call to the engine, queues it, or answers it directly.
 func (c *conn) startCall(ctx context.Context, message msgpackrpc.Message) error {
-	receivedAt := c.arrivalTimes.Earliest()
-	if err := c.acquireCallSlot(); err != nil {
-		return err
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	admission := c.register(message.ID, cancel)
+	admission := c.register(message.ID)
 	if admission == callDuplicate || admission == callTooLate {
-		cancel()
-		<-c.callSlots
 		return c.handleUnansweredCall(admission)
 	}
-	c.server.count(&c.server.stats.Calls)
-	req, reply := c.parseRequest(message, receivedAt)
+	c.server.calls.Add(1)
+	req, reply := c.parseRequest(message, c.arrivalTimes.Earliest())
+	if reply.Code == "" {
+		reply = c.admit(ctx, message.ID, &req, admission)
+	}
+	if reply.Code != "" {
+		c.answerLocally(answer{msgid: message.ID, reply: reply})
+	}
+	return nil
+}
+
+// admit starts or queues the call req with the given msgid, or returns the reply that rejects it.
+func (c *conn) admit(
+	ctx context.Context, msgid uint32, req *router.Request, admission callAdmission,
+) msgpackrpc.Reply {
 	switch {
-	case reply.Code != "":
 	case admission == callRejectedByEviction:
-		reply = c.server.overloadedReply(req.Class)
+		return c.server.overloadedReply(req.Class)
 	case admission == callRejectedByDrain: // the drain notification was sent before the call arrived
-		reply = msgpackrpc.Reply{Code: msgpackrpc.Overloaded, Text: "the node is draining"}
-	case c.server.rejectsOverflow(c), !c.server.admitCall(len(req.Body)):
-		reply = c.server.overloadedReply(req.Class)
-	default:
-		if reply = c.reserveID(&req); reply.Code == "" {
-			req.MayHaveLeft = c.mayHaveLeft
-			req.Body = bytes.Clone(req.Body) // the message is valid until the next one is read
-			c.calls.Go(func() { c.run(ctx, message.ID, req) })
-			return nil
-		}
-		c.server.releaseCall(len(req.Body))
+		return msgpackrpc.Reply{Code: msgpackrpc.Overloaded, Text: "the node is draining"}
+	case c.server.rejectsOverflow(c), !c.hasRoom(), !c.server.reserveBody(len(req.Body)):
+		return c.server.overloadedReply(req.Class)
 	}
-	c.pace.CountLocalAnswer()
-	c.finishCall(answer{msgid: message.ID, reply: reply})
-	return nil
+	if reply := c.reserveID(req); reply.Code != "" {
+		c.server.releaseBody(len(req.Body))
+		return reply
+	}
+	req.MayHaveLeft = c.mayHaveLeft
+	req.Body = bytes.Clone(req.Body) // the message is valid until the next one is read
+	call := newOpenCall(ctx, msgid, req)
+	if c.startOrQueue(call) {
+		return msgpackrpc.Reply{}
+	}
+	call.cancel()
+	c.releaseRequest(&call.req)
+	return c.server.overloadedReply(req.Class)
+}
+
+// releaseRequest releases the ID and the body of a call that was not passed to the engine.
+func (c *conn) releaseRequest(req *router.Request) {
+	req.Reservation.Release()
+	c.server.releaseBody(len(req.Body))
 }
 
-// admitCall counts another call with a body of bodySize bytes, unless the calls of all connections use the memory that
+// admitCall counts another call that is passed to the engine, unless the calls of all connections use the memory that
 // they may use. releaseCall must follow.
-func (s *Server) admitCall(bodySize int) bool {
+func (s *Server) admitCall() bool {
 	if s.totalCalls.Add(1) > int64(s.config.MaxTotalCalls) {
 		s.totalCalls.Add(-1)
 		return false
 	}
-	if s.config.Bodies != nil && !s.config.Bodies.Reserve(bodySize) {
-		s.totalCalls.Add(-1)
-		return false
-	}
 	return true
 }
 
-// releaseCall ends the count of a call that admitCall has admitted.
+// releaseCall ends the count of a call that admitCall has admitted, and releases its body.
 func (s *Server) releaseCall(bodySize int) {
 	s.totalCalls.Add(-1)
+	s.releaseBody(bodySize)
+}
+
+// reserveBody reserves memory for the body of a call. releaseBody or releaseCall must follow.
+func (s *Server) reserveBody(size int) bool {
+	return s.config.Bodies == nil || s.config.Bodies.Reserve(size)
+}
+
+func (s *Server) releaseBody(size int) {
 	if s.config.Bodies != nil {
-		s.config.Bodies.Release(bodySize)
+		s.config.Bodies.Release(size)
 	}
 }
 
@@ -106,22 +141,22 @@
 	return msgpackrpc.Reply{}
 }
 
-// run passes req, the call with the msgid id, to the engine, and ends the call.
-func (c *conn) run(ctx context.Context, id uint32, req router.Request) {
-	result, err := c.server.engine.Do(ctx, req)
+// run passes call to the engine, and ends it.
+func (c *conn) run(call *openCall) {
+	req := &call.req
+	result, err := c.server.engine.Do(call.ctx, *req)
 	if err != nil || result.Outcome != router.Served {
 		c.pace.CountLocalAnswer()
 	}
 	if err != nil { // the client reads no answer of a server
 		req.Reservation.Release()
 	}
-	if err != nil && ctx.Err() != nil {
-		c.finishCancelled(id)
-		c.server.releaseCall(len(req.Body))
+	if err != nil && call.ctx.Err() != nil {
+		c.finishCancelled(call)
 		return
 	}
-	c.finishCall(answer{
-		msgid: id, reply: ReplyFromAnswer(result, err), reservation: req.Reservation, admitted: true,
+	c.finishCall(call, answer{
+		msgid: call.msgid, reply: ReplyFromAnswer(result, err), reservation: req.Reservation, admitted: true,
 		bodySize: len(req.Body),
 	})
 }
@@ -137,18 +172,19 @@
 	callTooLate                          // the write side is closed: the call is neither run nor answered
 )
 
-// register decides how to treat the call with the msgid id. It adds the call to the open calls if the call will be
-// run or answered. A drain admits the first call of a connection, because the client could not know of the drain.
-func (c *conn) register(id uint32, cancel context.CancelFunc) callAdmission {
+// register decides how to treat a call with the msgid id. Until the call is started, queued or answered, the
+// connection is not idle. A drain admits the first call of a connection, because the client could not know of the
+// drain.
+func (c *conn) register(id uint32) callAdmission {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.writeClosed:
 		return callTooLate
-	case c.cancelFuncs[id] != nil:
+	case c.open[id] != nil:
 		return callDuplicate
 	}
-	c.cancelFuncs[id] = cancel
+	c.handlingCall = true
 	first := !c.callSeen
 	c.callSeen = true
 	switch {
@@ -170,71 +206,58 @@
 	return nil
 }
 
-// finishCall ends the open call that queued answers, and queues the answer. The writer releases its reservation once
+// finishCall ends call, which was passed to the engine, and queues its answer. The writer releases the reservation once
 // the answer is sent.
-func (c *conn) finishCall(queued answer) {
+func (c *conn) finishCall(call *openCall, queued answer) {
 	c.mu.Lock()
-	cancel := c.removeCall(queued.msgid)
-	c.unwrittenAnswers++
-	c.queuedAnswers = append(c.queuedAnswers, queued)
+	c.removeCall(call)
+	c.queueAnswer(queued)
+	c.mu.Unlock()
+	c.writeSignal.Notify()
+}
+
+// answerLocally queues the answer to a call that was registered, and neither started nor queued.
+func (c *conn) answerLocally(queued answer) {
+	c.pace.CountLocalAnswer()
+	c.mu.Lock()
+	c.handlingCall = false
+	c.idleSince = time.Now()
+	c.queueAnswer(queued)
 	c.mu.Unlock()
-	cancel()
 	c.writeSignal.Notify()
 }
 
-// finishCancelled ends the open call with the msgid id. The call gets no answer, because the client no longer waits.
-func (c *conn) finishCancelled(id uint32) {
+// queueAnswer queues an answer. c.mu is held.
+func (c *conn) queueAnswer(queued answer) {
+	if !queued.admitted {
+		c.unwrittenLocal.Add(1)
+	}
+	c.unwrittenAnswers++
+	c.queuedAnswers = append(c.queuedAnswers, queued)
+}
+
+// finishCancelled ends a call that was passed to the engine. The call gets no answer, because the client no longer
+// waits.
+func (c *conn) finishCancelled(call *openCall) {
+	c.server.releaseCall(len(call.req.Body))
 	c.mu.Lock()
-	cancel := c.removeCall(id)
+	c.removeCall(call)
+	c.callSlotsInUse--
+	c.startQueued()
 	c.mu.Unlock()
-	cancel()
-	c.writeSignal.Notify() // the writer may be waiting for the last call to end
-	<-c.callSlots
+	c.notifyCallEnded()
+}
+
+// notifyCallEnded tells the writer and the server that a call has ended without an answer. The writer may be waiting
+// for the last call, and the server for an idle connection.
+func (c *conn) notifyCallEnded() {
+	c.writeSignal.Notify()
 	c.server.connIdle()
 }
 
-// removeCall removes the open call with the msgid id, and returns its cancel function. c.mu is held.
-func (c *conn) removeCall(id uint32) context.CancelFunc {
-	cancel := c.cancelFuncs[id]
-	delete(c.cancelFuncs, id)
+// removeCall removes call from the open calls. c.mu is held.
+func (c *conn) removeCall(call *openCall) {
+	delete(c.open, call.msgid)
 	c.idleSince = time.Now()
-	return cancel
-}
-
-// acquireCallSlot blocks until the client may have another open call. While acquireCallSlot blocks, nothing is read
-// from the connection. acquireCallSlot therefore asks the kernel whether the client has disconnected. A call of a
-// disconnected client must not be forwarded.
-func (c *conn) acquireCallSlot() error {
-	select {
-	case c.callSlots <- struct{}{}:
-		return nil
-	default:
-	}
-	c.readingPaused.Store(true)
-	defer c.readingPaused.Store(false)
-	check := time.NewTicker(clientCheckInterval)
-	defer check.Stop()
-	tcp := tcpConn(c.nc)
-	for {
-		select {
-		case c.callSlots <- struct{}{}:
-			if tcp != nil && sockets.PeerClosed(tcp) { // the answer that freed the slot may have met a reset
-				<-c.callSlots
-				return io.EOF
-			}
-			return nil
-		case <-c.writerDone: // no further answer can be written
-			return io.ErrClosedPipe
-		case <-check.C:
-			if tcp != nil && sockets.PeerClosed(tcp) {
-				return io.EOF
-			}
-		}
-	}
-}
-
-// mayHaveLeft reports whether the client may have closed the connection unnoticed, because nothing is read from it.
-func (c *conn) mayHaveLeft() bool {
-	tcp := tcpConn(c.nc)
-	return tcp != nil && c.readingPaused.Load() && (sockets.PeerClosed(tcp) || sockets.MayHideClose(tcp))
+	call.cancel()
 }
--- a/internal/frontend/msgpack/connwrite.go
+++ b/internal/frontend/msgpack/connwrite.go
@@ -40,14 +40,14 @@
 		batch[i].size = len(buf) - before
 		batch[i].reply = msgpackrpc.Reply{} // release the body for garbage collection
 		if len(buf) >= stream.MaxBatch {
-			if !c.flush(buf, i+1-first) {
+			if !c.flush(buf, batch[first:i+1]) {
 				return nil, false
 			}
 			c.releaseWhenSent(batch[first : i+1])
 			buf, first = buf[:0], i+1
 		}
 	}
-	if !c.flush(buf, len(batch)-first) {
+	if !c.flush(buf, batch[first:]) {
 		return nil, false
 	}
 	c.releaseWhenSent(batch[first:])
@@ -98,25 +98,24 @@
 	return buf, batch
 }
 
-// flush writes buf, which contains the given number of answers, and frees their call slots. It returns false if the
-// write fails.
-func (c *conn) flush(buf []byte, answers int) bool {
+// flush writes buf, which contains answers, and frees their call slots. It returns false if the write fails.
+func (c *conn) flush(buf []byte, answers []answer) bool {
 	if len(buf) == 0 {
 		return true
 	}
 	_, err := stream.WriteBatch(c.nc, buf, c.server.config.WriteTimeout)
-	for range answers {
-		<-c.callSlots
+	if err != nil {
+		c.closeQueue()
 	}
 	c.mu.Lock()
-	c.unwrittenAnswers -= answers
-	c.answerWritten = c.answerWritten || answers > 0
-	c.answerWriteFailed = c.answerWriteFailed || answers > 0 && err != nil
+	c.recordWrite(answers, err)
+	c.startQueued()
 	idle := c.isIdle()
 	if idle && c.incoming.begunAt.IsZero() && !c.writeClosed { // the reader may wait without a deadline
 		_ = c.reader.SetReadDeadline(c.idleDeadline())
 	}
 	c.mu.Unlock()
+	c.writeDone.Notify()
 	if idle {
 		c.server.connIdle()
 	}
@@ -126,6 +125,20 @@
 	return err == nil
 }
 
+// recordWrite records the result of writing answers. c.mu is held.
+func (c *conn) recordWrite(answers []answer, err error) {
+	for i := range answers {
+		if answers[i].admitted {
+			c.callSlotsInUse--
+		} else {
+			c.unwrittenLocal.Add(-1)
+		}
+	}
+	c.unwrittenAnswers -= len(answers)
+	c.answerWritten = c.answerWritten || len(answers) > 0
+	c.answerWriteFailed = c.answerWriteFailed || len(answers) > 0 && err != nil
+}
+
 // endIfFinished closes the write side if message handling has ended and nothing is left to write. If a drain is
 // complete, it makes the reader close the write side, because the reader can exclude that a call has arrived. It
 // returns whether the write side is closed.
--- a/internal/frontend/msgpack/incoming.go
+++ b/internal/frontend/msgpack/incoming.go
@@ -24,7 +24,9 @@
 func (c *conn) setReadDeadline(partial bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.incoming.update(partial, time.Now())
+	now := time.Now()
+	c.endReadLag(now)
+	c.incoming.update(partial, now)
 	if c.writeClosed {
 		return
 	}
--- a/internal/frontend/msgpack/server.go
+++ b/internal/frontend/msgpack/server.go
@@ -80,6 +80,9 @@
 	slotFreed      sync.Cond              // signaled when a connection ends or becomes idle, or accepting stops
 	waitingForSlot atomic.Int32           // number of accepted connections that wait for a slot
 	totalCalls     atomic.Int64           // calls passed to the engine whose answers are not written yet
+	queuedCalls    atomic.Int64           // calls that wait to be passed to the engine
+	queueTimeouts  atomic.Uint64          // calls rejected at the end of their time in the queue
+	calls          atomic.Uint64          // calls received
 	listeners      map[*net.Listener]bool // keyed by pointer, because a listener's type need not be comparable
 	conns          map[*conn]bool
 	lingering      []*conn // connections that the server has ended but not closed, oldest first; they hold no slots
@@ -92,7 +95,9 @@
 
 // Stats holds the counters of a server.
 type Stats struct {
-	Conns, Open    int    // current connections, including lingering ones, and open calls
+	Conns, Open    int    // current connections, including lingering ones, and open calls that are not queued
+	Queued         int    // calls that wait to be passed to the engine
+	QueueTimeouts  uint64 // calls rejected at the end of their time in the queue
 	Calls          uint64 // calls received
 	ProtocolErrors uint64 // connections closed because the client violated the protocol
 	Timeouts       uint64 // connections closed because a message took longer than MessageTimeout
@@ -204,6 +209,9 @@
 	defer s.mu.Unlock()
 	stats := s.stats
 	stats.Conns = len(s.conns) + len(s.lingering)
+	stats.Calls = s.calls.Load()
+	stats.Queued = int(s.queuedCalls.Load())
+	stats.QueueTimeouts = s.queueTimeouts.Load()
 	for conn := range s.conns {
 		stats.Open += conn.openCalls()
 	}
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -28,6 +28,8 @@
 	bodies           uint64 // memory of buffered bodies, in bytes
 	clients, servers int    // open connections
 	delayedRequests  uint64 // requests delayed by pacing so far
+	queuedCalls      int    // MessagePack-RPC calls that wait because their clients have many open calls
+	queueTimeouts    uint64 // MessagePack-RPC calls rejected so far because they waited for too long
 }
 
 // resourceUsage returns the present use of resources.
@@ -35,7 +37,7 @@
 	samples := []metrics.Sample{{Name: runtimeTotalMemory}, {Name: runtimeReleasedMemory}}
 	metrics.Read(samples)
 	clients, _ := n.engine.ClientConnections()
-	return resourceUsage{
+	use := resourceUsage{
 		heap:            samples[0].Value.Uint64() - samples[1].Value.Uint64(),
 		heapLimit:       uint64(n.config.HeapLimit()),
 		bodies:          uint64(n.bodies.Budget.Used()),
@@ -43,6 +45,11 @@
 		servers:         n.engine.Conns(),
 		delayedRequests: n.pacing.Delayed(),
 	}
+	if n.rpcServer != nil {
+		stats := n.rpcServer.Stats()
+		use.queuedCalls, use.queueTimeouts = stats.Queued, stats.QueueTimeouts
+	}
+	return use
 }
 
 // appendResources appends the use of resources to the metrics.
@@ -50,7 +57,9 @@
 	page = appendMetric(page, "memory", "heap", use.heap)
 	page = appendMetric(page, "memory", "heap_limit", use.heapLimit)
 	page = appendMetric(page, "memory", "bodies", use.bodies)
-	return appendMetric(page, "paced", "", use.delayedRequests)
+	page = appendMetric(page, "paced", "", use.delayedRequests)
+	page = appendMetric(page, "calls", "queued", uint64(use.queuedCalls))
+	return appendMetric(page, "calls", "queue_timeouts", use.queueTimeouts)
 }
 
 // watchMemory logs a warning while the heap is close to its limit, until ctx ends. A process that the platform kills
--- a/internal/sockets/peerclosed.go
+++ b/internal/sockets/peerclosed.go
@@ -1,6 +1,11 @@
 package sockets
 
-import "net"
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
 
 // Numbers of TCP states in the kernel. In these states the peer has closed its side, or the whole connection is
 // closed.
@@ -14,7 +19,7 @@
 
 // PeerClosed reports whether the peer has closed its side of a connection or reset the connection, even if earlier
 // bytes are still unread. It does not block. It returns false if the kernel does not report the state.
-func PeerClosed(c *net.TCPConn) bool {
+func PeerClosed(c syscall.Conn) bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
@@ -42,12 +47,12 @@
 	return raw.Read(isClosedByPeer)
 }
 
-// isClosedByPeer reports whether the socket fd is in one of the TCP states listed above. A read would not detect that
-// the peer has closed its side, because unread bytes precede the end of the stream.
+// isClosedByPeer reports whether the socket fd is in one of the TCP states listed above, or is a Unix socket whose peer
+// has closed its side. A read would not detect that, because unread bytes precede the end of the stream.
 func isClosedByPeer(fd uintptr) bool {
 	var info tcpInfo
 	if !info.read(fd, stateSize) {
-		return false
+		return hangsUp(fd)
 	}
 	switch info[0] {
 	case tcpClose, tcpCloseWait, tcpLastAck, tcpClosing, tcpTimeWait:
@@ -55,3 +60,10 @@
 	}
 	return false
 }
+
+// hangsUp reports whether the peer of the socket fd has closed its side, as reported by poll.
+func hangsUp(fd uintptr) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n > 0
+}
