msgpack: a message that stalls no longer costs open calls their answers

Callers got no answer to calls that were open, and that servers ran, where a later message on their connection took longer than 2.5 s: the node closed the connection at once. After a protocol violation it did answer them, but read nothing more meanwhile, so that it did not notice the end of its client, began queued calls after it, and could reset the connection over unread bytes before the client had read the last answers.

In both cases the node now answers what is open before it ends the connection, and discards what arrives until then. The end of the client cancels the calls.

Before, TestMessageTimeout_OpenCallsAnswered got no answer to three calls, and TestProtocolViolation_ClientDisconnects waited for the end of the calls until its time was over.

--- a/internal/frontend/msgpack/conn.go
+++ b/internal/frontend/msgpack/conn.go
@@ -159,27 +159,55 @@
 	go c.write()
 	err := c.read(ctx)
 	var violation *msgpackrpc.ProtocolError
-	if errors.As(err, &violation) { // open calls are still answered
+	switch {
+	case errors.As(err, &violation):
 		c.server.count(&c.server.stats.ProtocolErrors)
-		c.endReading()
-		c.finish(msgpackrpc.AppendError(nil, violation.Problem))
-		<-c.writerDone
-	} else { // the client has disconnected or timed out: open calls are cancelled
+		c.answerOpenCalls(msgpackrpc.AppendError(nil, violation.Problem))
+	case errors.Is(err, os.ErrDeadlineExceeded) && !c.hasEnded():
+		c.countIncompleteMessage(err)
+		c.answerOpenCalls(nil)
+	default: // the client has disconnected: open calls are cancelled
 		c.closeQueue()
 		c.countIncompleteMessage(err)
 		c.closeSocket()
 		c.finish(nil)
 	}
 	c.closeQueue()
+	c.closeSocket()
 	cancel()
 	<-c.writerDone
 	c.running.Wait()
 	c.countLostAnswers()
 	c.releaseQueued()
-	c.closeSocket()
 	c.server.release(c)
 }
 
+// answerOpenCalls sends the client notification, which may be empty, and the answers of its open calls after message
+// handling has ended. It returns when the client has disconnected, or lingerTimeout after the last answer.
+func (c *conn) answerOpenCalls(notification []byte) {
+	c.in = nil // releases the buffer
+	c.endReading()
+	c.finish(notification)
+	buf := make([]byte, 4<<10)
+	for {
+		_, err := c.reader.Read(buf)
+		if err != nil && (!errors.Is(err, os.ErrDeadlineExceeded) || c.hasEnded()) {
+			return
+		}
+		c.clearReadDeadline()
+		c.yielder.YieldIfDue()
+	}
+}
+
+// clearReadDeadline removes the read deadline, unless the write side is closed.
+func (c *conn) clearReadDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.writeClosed {
+		_ = c.reader.SetReadDeadline(time.Time{})
+	}
+}
+
 // countIncompleteMessage counts the connection in the server's statistics if reading ended in the middle of a
 // message. err is the error that ended reading.
 func (c *conn) countIncompleteMessage(err error) {
--- a/internal/frontend/msgpack/messagetimeout_test.go
+++ b/internal/frontend/msgpack/messagetimeout_test.go
@@ -302,6 +302,56 @@
 	})
 }
 
+// TestMessageTimeout_OpenCallsAnswered guards against open calls that get no answer because a later message on their
+// connection stalls. The client may send the rest of the message, and other bytes, until it has the answers.
+func TestMessageTimeout_OpenCallsAnswered(t *testing.T) {
+	const calls = 3
+	for _, rest := range []bool{false, true} {
+		t.Run(fmt.Sprint("client continues ", rest), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engine := &patientEngine{stubEngine{do: serveAfter(2 * messageTimeout)}}
+				server := New(engine, Config{MaxCalls: calls - 1, MessageTimeout: messageTimeout}) // the last call is queued
+				defer server.Close()
+				client := connectPipe(t, server)
+				frames := callFrames(calls + 1)
+				client.send([][]byte{slices.Concat(frames[:calls]...), frames[calls][:20]}, make([]time.Duration, 2))
+				if rest {
+					time.Sleep(messageTimeout + messageTimeout/2)
+					client.send([][]byte{frames[calls][20:], frames[calls]}, make([]time.Duration, 2))
+				}
+				<-client.ended
+				client.checkAnswers(t, 1, calls, "")
+				synctest.Wait()
+				if stats := server.Stats(); stats.Timeouts != 1 || stats.Conns != 0 {
+					t.Errorf("%+v, want a timeout and no connection", stats)
+				}
+			})
+		})
+	}
+}
+
+// TestProtocolViolation_ClientDisconnects guards against calls that go on, or begin, after their client has violated
+// the protocol and disconnected.
+func TestProtocolViolation_ClientDisconnects(t *testing.T) {
+	for _, front := range fronts {
+		t.Run(front, func(t *testing.T) {
+			t.Parallel()
+			engine := newRecordingEngine(answerAfter(nil))
+			server := startFront(t, front, engine, Config{MaxCalls: 1})
+			client := server.connect(t)
+			client.call(t, 1, 2)
+			testkit.Await(t, "the first call", func() bool { return engine.hasBegun("r1") })
+			client.send(t, []byte{0x07})
+			client.expect(t, "error")
+			_ = client.Close()
+			testkit.Await(t, "the end of the calls", func() bool { return engine.open.Load() == 0 && server.Stats().Conns == 0 })
+			if engine.hasBegun("r2") {
+				t.Error("a queued call was begun after its client had disconnected")
+			}
+		})
+	}
+}
+
 // TestMessageTimeout_EvictedOverflowConnection guards against an eviction that treats a message as overdue because the
 // timeout has run on from earlier messages. The client of an overflow connection stalls within a message that has just
 // begun.
