--- a/internal/abusetest/servers_test.go
+++ b/internal/abusetest/servers_test.go
@@ -56,18 +56,21 @@
 type server struct {
 	addr        string
 	serviceTime time.Duration
+	hang        func() // called before a request is served; nil: no server hangs
 	// answerSize returns the length of the answer's body for the request with the given ID.
 	answerSize func(id string) int
 	chunked    bool // whether answers have the chunked coding
 
 	mu   sync.Mutex
-	runs map[string]int // by request ID
+	runs map[string]int       // by request ID
+	last map[string]time.Time // last arrival, by request ID
 }
 
 func startServer(t testing.TB, configure func(*server)) *server {
 	t.Helper()
 	s := &server{
 		serviceTime: 5 * time.Millisecond, answerSize: func(string) int { return 0 }, runs: make(map[string]int),
+		last: make(map[string]time.Time),
 	}
 	configure(s)
 	s.addr = testkit.RawServer(t, s.serve)
@@ -87,7 +90,11 @@
 		id := request.Header.Get("X-Request-Id")
 		s.mu.Lock()
 		s.runs[id]++
+		s.last[id] = time.Now()
 		s.mu.Unlock()
+		if s.hang != nil {
+			s.hang()
+		}
 		time.Sleep(s.serviceTime)
 		if s.answer(conn, s.answerSize(id)) != nil {
 			return
@@ -135,3 +142,10 @@
 	defer s.mu.Unlock()
 	return s.runs[id]
 }
+
+// lastArrival returns the time at which the request with the given ID last arrived; zero: never.
+func (s *server) lastArrival(id string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last[id]
+}
