msgpack: a new connection is not evicted before its first call can be read

Callers that connected while all connections were busy found them reset, their calls written whole and unread. A connection that had waited for a slot counted as idle for all of that wait, and one in its TLS handshake counted as idle, so that the next one accepted evicted it at once; the close met its unread call.

A connection is now idle from the moment in which it gets its slot, or from the end of its handshake, and is not evicted in the first 100 ms, nor in a handshake that is not late (0.25 s without a byte, 1 s else, as for HTTP). One whose unread bytes may be a call is not evicted before 100 ms, since reading goes on.

--- a/internal/frontend/msgpack/conn.go
+++ b/internal/frontend/msgpack/conn.go
@@ -54,7 +54,8 @@
 	unwrittenLocal    atomic.Int32         // number of unwritten answers to calls that were not passed to the engine
 	idleSince         time.Time            // end of the last open call, or time of the accept
 	incoming          incomingMessage      // message that has been read in part
-	openedAt          time.Time            // time of the accept
+	openedAt          time.Time            // time at which the connection got its slot
+	established       bool                 // whether evictableSince has seen the end of the TLS handshake; true without TLS
 	callSeen          bool                 // whether a call has been received
 	answerWritten     bool                 // true from the first written answer on
 	lastReadAt        time.Time
@@ -105,6 +106,7 @@
 	if tcp, ok := nc.(*net.TCPConn); ok {
 		client.reader = sockets.NewDeadlineReader(tcp)
 	}
+	client.established = !client.isHandshaking()
 	client.arrivalTimes.Reset(earliest)
 	return client
 }
@@ -137,15 +139,21 @@
 
 // evictableSince returns the time since which the connection has been idle, and whether the connection may be
 // evicted. The time is zero if the write side is closed. An overflow connection may also be evicted if its client has
-// stalled in the middle of a message. An overflow connection may not be evicted during firstCallGrace, while its
-// first call may be arriving.
+// stalled in the middle of a message. A connection may not be evicted during firstCallGrace, while its first call may be
+// arriving.
 func (c *conn) evictableSince() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.writeClosed {
 		return time.Time{}, true
 	}
-	if c.overflow && !c.callSeen && time.Since(c.idleSince) < firstCallGrace {
+	if c.isHandshaking() {
+		return c.openedAt, c.isHandshakeLate()
+	}
+	if !c.established {
+		c.established, c.idleSince = true, time.Now()
+	}
+	if !c.callSeen && time.Since(c.idleSince) < firstCallGrace {
 		return time.Time{}, false
 	}
 	stalled := c.overflow && time.Since(c.lastReadAt) >= firstCallGrace
@@ -153,6 +161,29 @@
 	return c.idleSince, c.isIdle() && (!withinMessage || stalled)
 }
 
+// isHandshakeLate reports whether the client is late with its TLS handshake. A handshake that waits for the CPU is not
+// late.
+func (c *conn) isHandshakeLate() bool {
+	handshake, ok := c.nc.(interface {
+		HandshakeOnCPU() bool
+		NothingReceived() bool
+	})
+	if !ok {
+		return true
+	}
+	age := time.Since(c.openedAt)
+	return !handshake.HandshakeOnCPU() &&
+		(age >= stalledHandshakeAge || handshake.NothingReceived() && age >= silentHandshakeAge)
+}
+
+// admitted records that the connection is served from now on.
+func (c *conn) admitted() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.openedAt = time.Now()
+	c.idleSince = c.openedAt
+}
+
 // serve handles the connection until it is closed.
 func (c *conn) serve() {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/frontend/msgpack/slots.go
+++ b/internal/frontend/msgpack/slots.go
@@ -17,9 +17,14 @@
 	// maxEndingConns is the maximum number of connections without a slot: overflow connections, and connections that the
 	// server has closed and whose goroutines have not returned yet.
 	maxEndingConns = 2 * overflowConns
-	// firstCallGrace protects overflow connections from eviction. It applies after the accept until the first call
-	// arrives, and after each read in the middle of a message.
+	// firstCallGrace protects connections from eviction. It applies after the accept until the first call arrives, and
+	// after each read in the middle of a message.
 	firstCallGrace = 100 * time.Millisecond
+	// silentHandshakeAge is the minimum age at which a connection without a byte of its TLS handshake may be evicted.
+	silentHandshakeAge = 250 * time.Millisecond
+	// stalledHandshakeAge is the minimum age at which a connection may be evicted while its TLS handshake waits for the
+	// client.
+	stalledHandshakeAge = time.Second
 	// slotRecheckInterval is the minimum interval between checks for a slot.
 	slotRecheckInterval = 5 * time.Millisecond
 	// defaultQueueTimeout is how long a connection waits for a slot if the engine does not have the method
@@ -40,6 +45,7 @@
 	if s.closed {
 		return false
 	}
+	conn.admitted()
 	s.conns[conn] = true
 	s.active++
 	s.limitLingering()
@@ -127,7 +133,8 @@
 }
 
 // evict frees the slot of the connection that has been idle for longest. It selects a connection with unread bytes
-// only if every idle connection has unread bytes. It returns false if no connection may be evicted. s.mu is held.
+// only if every idle connection has unread bytes, and if the rest of a message has not arrived for firstCallGrace. It
+// returns false if no connection may be evicted. s.mu is held.
 func (s *Server) evict() bool {
 	oldest := s.longestIdle(false)
 	if oldest == nil {
@@ -150,6 +157,7 @@
 	var oldestIdleSince time.Time
 	for conn := range s.conns {
 		idleSince, ok := conn.evictableSince()
+		ok = ok && (!includeUnread || time.Since(idleSince) >= firstCallGrace)
 		if ok && (oldest == nil || idleSince.Before(oldestIdleSince)) && (includeUnread || !conn.hasUnread()) {
 			oldest, oldestIdleSince = conn, idleSince
 		}
