--- a/internal/abusetest/hangingservers_test.go
+++ b/internal/abusetest/hangingservers_test.go
@@ -153,7 +153,7 @@
 }
 
 // TestCalls_ServersHang guards against calls that are answered late or never while servers hang again and again under
-// the calls of one MessagePack-RPC connection. Some calls are cancelled; in one case the node is told to end.
+// the calls of one MessagePack-RPC connection. Some calls are cancelled; in one case the node gets SIGTERM.
 func TestCalls_ServersHang(t *testing.T) {
 	for _, play := range []struct {
 		name        string
@@ -193,24 +193,24 @@
 				t.Fatal(err)
 			}
 			defer func() { _ = conn.Close() }()
-			c := &caller{
+			client := &caller{
 				conn: conn, random: rand.New(rand.NewPCG(*hangSeed, 0)), calls: make(map[uint32]*callRecord),
 				ended: make(chan struct{}),
 			}
-			go c.receive()
+			go client.receive()
 			if play.terminateAt > 0 {
 				time.AfterFunc(play.terminateAt, func() { _ = n.command.Process.Signal(syscall.SIGTERM) })
 			}
 			start := time.Now()
 			for number := uint32(0); time.Since(start) < callsFor; number++ {
 				time.Sleep(time.Until(start.Add(time.Duration(number) * time.Second / callRate)))
-				if !c.call(number) {
+				if !client.call(number) {
 					break
 				}
-				c.cancelSome(number)
+				client.cancelSome(number)
 			}
 			time.Sleep(defaultDeadline + lateAfter)
-			c.check(t, servers)
+			client.check(t, servers)
 		})
 	}
 }
--- a/internal/frontend/msgpack/callqueue_test.go
+++ b/internal/frontend/msgpack/callqueue_test.go
@@ -140,7 +140,13 @@
 			until   time.Duration
 			queued  int
 			timeout uint64
-		}{{0, 2, 0}, {49 * time.Millisecond, 2, 0}, {50 * time.Millisecond, 1, 1}, {299 * time.Millisecond, 1, 1}, {300 * time.Millisecond, 0, 2}} {
+		}{
+			{0, 2, 0},
+			{49 * time.Millisecond, 2, 0},
+			{50 * time.Millisecond, 1, 1},
+			{299 * time.Millisecond, 1, 1},
+			{300 * time.Millisecond, 0, 2},
+		} {
 			time.Sleep(time.Until(client.server.openedAt.Add(step.until)))
 			synctest.Wait()
 			if stats := server.Stats(); stats.Queued != step.queued || stats.QueueTimeouts != step.timeout {
--- a/internal/frontend/msgpack/conn.go
+++ b/internal/frontend/msgpack/conn.go
@@ -47,7 +47,7 @@
 	handlingCall      bool                 // whether a call was read and is neither open nor answered yet
 	queue             []*openCall          // open calls that wait to be passed to the engine, oldest first
 	queueClosed       bool                 // whether no further call is passed to the engine
-	callSlotsInUse    int                  // number of calls that were passed to the engine and whose answers are unwritten
+	callSlotsInUse    int                  // number of calls passed to the engine whose answers are unwritten
 	readBehind        bool                 // whether bytes may have been unread for longer than maxReadLag
 	queuedAnswers     []answer             // answers to write
 	unwrittenAnswers  int                  // number of answers that are queued or being written
@@ -55,7 +55,7 @@
 	idleSince         time.Time            // end of the last open call, or time of the accept
 	incoming          incomingMessage      // message that has been read in part
 	openedAt          time.Time            // time at which the connection got its slot
-	established       bool                 // whether evictableSince has seen the end of the TLS handshake; true without TLS
+	established       bool                 // whether the end of the TLS handshake was noticed; true without TLS
 	callSeen          bool                 // whether a call has been received
 	answerWritten     bool                 // true from the first written answer on
 	lastReadAt        time.Time
@@ -139,8 +139,8 @@
 
 // evictableSince returns the time since which the connection has been idle, and whether the connection may be
 // evicted. The time is zero if the write side is closed. An overflow connection may also be evicted if its client has
-// stalled in the middle of a message. A connection may not be evicted during firstCallGrace, while its first call may be
-// arriving.
+// stalled in the middle of a message. A connection may not be evicted during firstCallGrace, while its first call may
+// be arriving.
 func (c *conn) evictableSince() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/frontend/msgpack/fronts_test.go
+++ b/internal/frontend/msgpack/fronts_test.go
@@ -1,7 +1,6 @@
 package msgpack
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"path/filepath"
@@ -34,14 +33,7 @@
 		terminator, roots := newTerminator(t)
 		ln, server.roots = terminator.Listener(ln), roots
 	}
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(ln) }()
-	t.Cleanup(func() {
-		server.Close()
-		if err := testkit.Receive(t, "the return of Serve", served); !errors.Is(err, ErrClosed) {
-			t.Error(err)
-		}
-	})
+	serveUntilEnd(t, server.Server, ln)
 	return server
 }
 
--- a/internal/frontend/msgpack/hookedserver_test.go
+++ b/internal/frontend/msgpack/hookedserver_test.go
@@ -192,14 +192,7 @@
 	if withTLS {
 		listener.terminator, server.roots = newTerminator(t)
 	}
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
-	t.Cleanup(func() {
-		server.Close()
-		if err := testkit.Receive(t, "the return of Serve", served); !errors.Is(err, ErrClosed) {
-			t.Error(err)
-		}
-	})
+	serveUntilEnd(t, server.Server, listener)
 	return server
 }
 
--- a/internal/frontend/msgpack/server_test.go
+++ b/internal/frontend/msgpack/server_test.go
@@ -69,6 +69,12 @@
 		t.Fatal(err)
 	}
 	server := New(engine, config)
+	serveUntilEnd(t, server, ln)
+	return server, ln.Addr().String()
+}
+
+// serveUntilEnd serves ln until the test ends.
+func serveUntilEnd(t testing.TB, server *Server, ln net.Listener) {
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(ln) }()
 	t.Cleanup(func() {
@@ -77,7 +83,6 @@
 			t.Error(err)
 		}
 	})
-	return server, ln.Addr().String()
 }
 
 // rawClient is a client that sends and receives single messages.
