msgpack: connections that catch up share a quarter of the CPU

Since a paced connection lets nothing wait for more than 50 ms, clients that write at full speed are always behind and were not paced at all.

Connections with many local answers that are behind are now served in bursts of 0.2 ms, one burst each 0.8 ms for all of them together.

TestCatchUpDelay_SharesCPU has the bound in simulated time.

--- a/internal/abusetest/flood_test.go
+++ b/internal/abusetest/flood_test.go
@@ -163,26 +163,41 @@
 func TestFlood_OtherClientsAnswered(t *testing.T) {
 	for _, flood := range floods {
 		for _, front := range frontNames() {
-			t.Run(flood.name+"/"+front, func(t *testing.T) {
-				runParallel(t)
-				var servers []string
-				for range 3 {
-					servers = append(servers, startServer(t, func(*server) {}).addr)
-				}
-				n := startNode(t, nodeConfig{
-					memoryMB: smallMemoryMB, descriptors: maxDescriptors, servers: servers, deadline: 2 * time.Second,
-					tls: front == frontTLS, msgpack: true,
-				})
-				usual := startNeighbors(n, neighborDeadline, 50*time.Millisecond)
-				time.Sleep(500 * time.Millisecond)
-				group := startAbusers(*floodClients, func(client, round int, stop <-chan struct{}) {
-					flood.run(n, client, round, stop)
-				})
-				time.Sleep(*abuseFor)
-				n.checkMemory()
-				group.finish()
-				usual.finish(t)
-			})
+			t.Run(flood.name+"/"+front, func(t *testing.T) { testFlood(t, flood, front, *floodClients) })
 		}
 	}
 }
+
+// TestFlood_ManyCallers guards against many MessagePack-RPC clients at full speed that take the CPU from all others,
+// since their messages are not paced once they have waited.
+func TestFlood_ManyCallers(t *testing.T) {
+	const clients = 32 // as many connections as the node accepts
+	for _, flood := range floods {
+		if flood.msgpack {
+			t.Run(flood.name, func(t *testing.T) { testFlood(t, flood, frontHTTP, clients) })
+		}
+	}
+}
+
+// testFlood runs flood with the given number of clients.
+func testFlood(t *testing.T, flood flood, front string, clients int) {
+	t.Helper()
+	runParallel(t)
+	var servers []string
+	for range 3 {
+		servers = append(servers, startServer(t, func(*server) {}).addr)
+	}
+	n := startNode(t, nodeConfig{
+		memoryMB: smallMemoryMB, descriptors: maxDescriptors, servers: servers, deadline: 2 * time.Second,
+		tls: front == frontTLS, msgpack: true,
+	})
+	usual := startNeighbors(n, neighborDeadline, 50*time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
+	group := startAbusers(clients, func(client, round int, stop <-chan struct{}) {
+		flood.run(n, client, round, stop)
+	})
+	time.Sleep(*abuseFor)
+	n.checkMemory()
+	group.finish()
+	usual.finish(t)
+}
--- a/internal/frontend/msgpack/readlag.go
+++ b/internal/frontend/msgpack/readlag.go
@@ -56,12 +56,14 @@
 }
 
 // awaitPace waits if the client has sent very many messages that no server answers. Bytes that arrive meanwhile are
-// not unread for longer than maxReadPause.
+// not unread for longer than maxReadPause, apart from the time in which other connections catch up.
 func (c *conn) awaitPace() {
 	now := time.Now()
 	if pause := maxReadPause - c.readLag(now); pause > 0 {
 		time.Sleep(c.pace.Delay(now, pause))
+		return
 	}
+	time.Sleep(c.pace.CatchUpDelay(now))
 }
 
 // awaitWriter blocks while the client does not read its answers. Nothing is read from the client meanwhile, so
--- a/internal/frontend/pacing/pacing.go
+++ b/internal/frontend/pacing/pacing.go
@@ -18,6 +18,10 @@
 	totalRate = 2000
 	// MaxDelay limits the delay of one request.
 	MaxDelay = 250 * time.Millisecond
+	// catchUpBurst is how long a connection that catches up is served without a delay.
+	catchUpBurst = 200 * time.Microsecond
+	// catchUpShare is the share of the time in which connections that catch up are served, however many they are.
+	catchUpShare = 0.25
 )
 
 // Limiter is the rate limit that the paced connections of a node share. It is safe for concurrent use. The zero value
@@ -25,6 +29,7 @@
 type Limiter struct {
 	mu      sync.Mutex
 	next    time.Time // time from which the next local answer on a paced connection is allowed
+	burst   time.Time // time from which the next burst of a connection that catches up is allowed
 	delayed uint64
 }
 
@@ -43,6 +48,21 @@
 	return delay
 }
 
+// reserveBurst returns the time until the next burst of a connection that catches up is allowed, and reserves it.
+func (l *Limiter) reserveBurst(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.burst.Before(now) {
+		l.burst = now
+	}
+	delay := l.burst.Sub(now)
+	if delay >= MaxDelay {
+		return MaxDelay
+	}
+	l.burst = l.burst.Add(time.Duration(float64(catchUpBurst) / catchUpShare))
+	return delay
+}
+
 // Delayed returns the number of delays so far.
 func (l *Limiter) Delayed() uint64 {
 	l.mu.Lock()
@@ -57,6 +77,7 @@
 	mu         sync.Mutex
 	spent      float64 // local answers beyond those that connRate has allowed since the start of the connection
 	refilledAt time.Time
+	burstEnd   time.Time // end of the present burst while the connection catches up
 }
 
 // NewConn returns the token bucket of a connection that shares the limit of limiter.
@@ -74,12 +95,7 @@
 func (c *Conn) Delay(now time.Time, limit time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if passed := now.Sub(c.refilledAt); passed > 0 {
-		if !c.refilledAt.IsZero() {
-			c.spent = max(0, c.spent-passed.Seconds()*connRate)
-		}
-		c.refilledAt = now
-	}
+	c.refill(now)
 	if c.spent <= connBurst {
 		return 0
 	}
@@ -88,3 +104,29 @@
 	c.spent, c.refilledAt = connBurst, now.Add(delay)
 	return delay
 }
+
+// CatchUpDelay is Delay for a connection with requests that have waited for too long to be paced. Such connections are
+// served in turns, which leave the rest of the CPU to others.
+func (c *Conn) CatchUpDelay(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refill(now)
+	if c.spent <= connBurst || now.Before(c.burstEnd) {
+		return 0
+	}
+	delay := c.limiter.reserveBurst(now)
+	c.burstEnd = now.Add(delay + catchUpBurst)
+	return delay
+}
+
+// refill subtracts what connRate has allowed until now from the local answers. c.mu is held.
+func (c *Conn) refill(now time.Time) {
+	passed := now.Sub(c.refilledAt)
+	if passed <= 0 {
+		return
+	}
+	if !c.refilledAt.IsZero() {
+		c.spent = max(0, c.spent-passed.Seconds()*connRate)
+	}
+	c.refilledAt = now
+}
--- a/internal/frontend/pacing/pacing_test.go
+++ b/internal/frontend/pacing/pacing_test.go
@@ -1,6 +1,7 @@
 package pacing
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -72,3 +73,41 @@
 		}
 	}
 }
+
+// TestCatchUpDelay_SharesCPU checks that connections that catch up are served for their share of the time, however many
+// they are, that each of them is served, and that a connection without many local answers is not delayed.
+func TestCatchUpDelay_SharesCPU(t *testing.T) {
+	const step, steps = 20 * time.Microsecond, 20_000
+	for _, count := range []int{1, 8, 64} {
+		limiter, now := new(Limiter), time.Unix(0, 0)
+		conns, readyAt, served := make([]*Conn, count), make([]time.Time, count), make([]int, count)
+		for i := range conns {
+			conns[i] = limiter.NewConn()
+			for range 2 * steps {
+				conns[i].CountLocalAnswer()
+			}
+		}
+		total := 0
+		for range steps {
+			now = now.Add(step)
+			for i, conn := range conns {
+				if readyAt[i].After(now) {
+					continue
+				}
+				delay := conn.CatchUpDelay(now)
+				readyAt[i] = now.Add(delay)
+				if delay == 0 {
+					total++
+					served[i]++
+				}
+			}
+		}
+		// each burst may last for a step more than catchUpBurst
+		if most := int(1.2 * catchUpShare * steps); total > most || slices.Min(served) < total/count/2 {
+			t.Errorf("%d connections: served in %d of %d steps, want at most %d; each: %v", count, total, steps, most, served)
+		}
+		if delay := limiter.NewConn().CatchUpDelay(now); delay != 0 {
+			t.Errorf("a connection without local answers is delayed by %v", delay)
+		}
+	}
+}
