pacing: answers and bursts reserve their turns by one function

Need: the code that reserves a paced answer stood twice, once for bursts. Change: reserveTurn serves both; the share of the bursts is an interval.

--- a/internal/frontend/pacing/pacing.go
+++ b/internal/frontend/pacing/pacing.go
@@ -20,8 +20,9 @@
 	MaxDelay = 250 * time.Millisecond
 	// catchUpBurst is how long a connection that catches up is served without a delay.
 	catchUpBurst = 200 * time.Microsecond
-	// catchUpShare is the share of the time in which connections that catch up are served, however many they are.
-	catchUpShare = 0.25
+	// catchUpInterval is the time from one burst to the next of all connections that catch up. They are served for a
+	// quarter of the time, however many they are.
+	catchUpInterval = 4 * catchUpBurst
 )
 
 // Limiter is the rate limit that the paced connections of a node share. It is safe for concurrent use. The zero value
@@ -37,29 +38,28 @@
 func (l *Limiter) reserve(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.next.Before(now) {
-		l.next = now
-	}
-	delay := l.next.Sub(now)
-	if delay < MaxDelay {
-		l.next = l.next.Add(time.Second / totalRate)
-	}
 	l.delayed++
-	return delay
+	return reserveTurn(&l.next, now, time.Second/totalRate)
 }
 
 // reserveBurst returns the time until the next burst of a connection that catches up is allowed, and reserves it.
 func (l *Limiter) reserveBurst(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.burst.Before(now) {
-		l.burst = now
+	return reserveTurn(&l.burst, now, catchUpInterval)
+}
+
+// reserveTurn returns the time from now to *next, the next free turn, and moves *next on by interval. It reserves no
+// turn that is MaxDelay away or more.
+func reserveTurn(next *time.Time, now time.Time, interval time.Duration) time.Duration {
+	if next.Before(now) {
+		*next = now
 	}
-	delay := l.burst.Sub(now)
+	delay := next.Sub(now)
 	if delay >= MaxDelay {
 		return MaxDelay
 	}
-	l.burst = l.burst.Add(time.Duration(float64(catchUpBurst) / catchUpShare))
+	*next = next.Add(interval)
 	return delay
 }
 
