--- a/internal/frontend/msgpack/callqueue.go
+++ b/internal/frontend/msgpack/callqueue.go
@@ -13,16 +13,16 @@
 	maxQueueShare = 0.5
 )
 
-// hasRoom reports whether the client may have another call, open or queued.
-func (c *conn) hasRoom() bool {
+// hasCapacity reports whether the client may have another call, open or queued.
+func (c *conn) hasCapacity() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.mayStartCall() || len(c.queue) < maxQueuedCalls && !c.server.isQueueFull()
 }
 
 // startOrQueue passes call to the engine. The call is queued instead while the client has the maximum number of open
-// calls, or while the reader is behind: the rest of what has arrived may cancel the call. startOrQueue returns false if
-// the call must be rejected.
+// calls, or while the reader is behind: a cancel notification may be unread. startOrQueue returns false if the call
+// must be rejected.
 func (c *conn) startOrQueue(call *openCall) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/frontend/msgpack/callqueue_test.go
+++ b/internal/frontend/msgpack/callqueue_test.go
@@ -158,7 +158,7 @@
 	})
 }
 
-// TestQueue_IsBounded checks that the queues of all connections hold no more calls than the server may have open.
+// TestQueue_IsBounded checks that the queues of all connections hold at most as many calls as the server may have open.
 func TestQueue_IsBounded(t *testing.T) {
 	const maxTotal = 3
 	synctest.Test(t, func(t *testing.T) {
@@ -324,7 +324,7 @@
 }
 
 // TestCalls_RandomHistories checks, for random calls, cancels and durations, that each call that is not cancelled gets
-// one answer in time, that no call begins after its cancel, and that no more calls are open than allowed.
+// one answer in time, that no call begins after its cancel, and that the maximum of open calls is kept.
 func TestCalls_RandomHistories(t *testing.T) {
 	const seeds, calls = 40, 400
 	for seed := range uint64(seeds) {
--- a/internal/frontend/msgpack/conncalls.go
+++ b/internal/frontend/msgpack/conncalls.go
@@ -70,7 +70,7 @@
 		return c.server.overloadedReply(req.Class)
 	case admission == callRejectedByDrain: // the drain notification was sent before the call arrived
 		return msgpackrpc.Reply{Code: msgpackrpc.Overloaded, Text: "the node is draining"}
-	case c.server.rejectsOverflow(c), !c.hasRoom(), !c.server.reserveBody(len(req.Body)):
+	case c.server.rejectsOverflow(c), !c.hasCapacity(), !c.server.reserveBody(len(req.Body)):
 		return c.server.overloadedReply(req.Class)
 	}
 	if reply := c.reserveID(req); reply.Code != "" {
--- a/internal/frontend/msgpack/messagetimeout_test.go
+++ b/internal/frontend/msgpack/messagetimeout_test.go
@@ -330,8 +330,8 @@
 	}
 }
 
-// TestProtocolViolation_ClientDisconnects guards against calls that go on, or begin, after their client has violated
-// the protocol and disconnected.
+// TestProtocolViolation_ClientDisconnects guards against calls that continue, or begin, after their client has
+// violated the protocol and disconnected.
 func TestProtocolViolation_ClientDisconnects(t *testing.T) {
 	for _, front := range fronts {
 		t.Run(front, func(t *testing.T) {
--- a/internal/frontend/pacing/pacing.go
+++ b/internal/frontend/pacing/pacing.go
@@ -39,19 +39,19 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.delayed++
-	return reserveTurn(&l.next, now, time.Second/totalRate)
+	return reserveSlot(&l.next, now, time.Second/totalRate)
 }
 
 // reserveBurst returns the time until the next burst of a connection that catches up is allowed, and reserves it.
 func (l *Limiter) reserveBurst(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return reserveTurn(&l.burst, now, catchUpInterval)
+	return reserveSlot(&l.burst, now, catchUpInterval)
 }
 
-// reserveTurn returns the time from now to *next, the next free turn, and moves *next on by interval. It reserves no
-// turn that is MaxDelay away or more.
-func reserveTurn(next *time.Time, now time.Time, interval time.Duration) time.Duration {
+// reserveSlot returns the time from now to *next, the next free slot, and moves *next on by interval. It reserves no
+// slot that is MaxDelay away or more.
+func reserveSlot(next *time.Time, now time.Time, interval time.Duration) time.Duration {
 	if next.Before(now) {
 		*next = now
 	}
--- a/internal/frontend/pacing/pacing_test.go
+++ b/internal/frontend/pacing/pacing_test.go
@@ -103,7 +103,8 @@
 			}
 		}
 		// each burst may last for a step more than catchUpBurst
-		if most := int(1.2 * steps * float64(catchUpBurst) / float64(catchUpInterval)); total > most || slices.Min(served) < total/count/2 {
+		most := int(1.2 * steps * float64(catchUpBurst) / float64(catchUpInterval))
+		if total > most || slices.Min(served) < total/count/2 {
 			t.Errorf("%d connections: served in %d of %d steps, want at most %d; each: %v", count, total, steps, most, served)
 		}
 		if delay := limiter.NewConn().CatchUpDelay(now); delay != 0 {
