handshakes: time that the node takes makes no client late

A handshake made way for other clients 1 s after its accept, 0.25 s without a byte: also while its ClientHello lay unread or its computation waited for the CPU.

The client's time is now the sum of the reads that waited for it, up to the arrival of its bytes; unread bytes wait for the node. One function decides for HTTP and MessagePack-RPC, which had the same constants twice.

--- a/handshakes/admission.go
+++ b/handshakes/admission.go
@@ -10,6 +10,10 @@
 	maxWaitingFraction = 0.25
 	// SilentAfter is the time without a reply after which a client counts as distant or silent.
 	SilentAfter = 20 * time.Millisecond
+	// silentClientTimeout is the minimum age at which a connection may be ended without a byte of its handshake.
+	silentClientTimeout = 250 * time.Millisecond
+	// stalledClientTimeout is the minimum time for which a handshake has waited for its client before it may be ended.
+	stalledClientTimeout = time.Second
 )
 
 // AdmitClient reports whether another client connection may be accepted. active is the number of handshakes that
@@ -23,3 +27,14 @@
 	crowded = hasCPU && waiting >= maxWaiting
 	return hasCPU && !crowded, crowded
 }
+
+// IsClientLate reports whether a handshake that is waiting for its client may be ended in favor of another client.
+// silent reports whether the client has sent nothing. age is the time since its connection was accepted. waited is the
+// total time for which the handshake has waited for the client. The time that the server itself takes does not make a
+// client late.
+func IsClientLate(silent bool, age, waited time.Duration) bool {
+	if silent {
+		return age > silentClientTimeout
+	}
+	return waited > stalledClientTimeout
+}
--- a/handshakes/conn.go
+++ b/handshakes/conn.go
@@ -18,8 +18,8 @@
 
 // Conn is the TCP connection under a TLS connection. During the handshake, the computations between its reads run
 // under a CPUScheduler. After EndHandshake, Conn only passes on reads and writes. As with crypto/tls, one goroutine
-// may read while another goroutine writes. HasReceived, WithinRecord, IsComputing and DropBlockingWrites may be
-// called at any time by any goroutine.
+// may read while another goroutine writes. HasReceived, WithinRecord, IsComputing, PeerWait and DropBlockingWrites may
+// be called at any time by any goroutine.
 type Conn struct {
 	net.Conn // provides the methods that Conn does not define
 	TCP      *net.TCPConn
@@ -53,6 +53,7 @@
 	received          atomic.Bool
 	computing         atomic.Bool               // whether a handshake computation is queued or running
 	lastComputed      atomic.Pointer[time.Time] // end of the last computation; nil: none yet
+	peerWait          peerWait
 }
 
 // NewConn returns the connection of a handshake that starts now. urgent reports whether a request is waiting for the
@@ -92,6 +93,10 @@
 	return lastComputed != nil && time.Since(*lastComputed) < SilentAfter
 }
 
+// PeerWait returns how long the handshake has waited for its peer in total. It does not count the time during which
+// the handshake computes or waits for the CPU.
+func (c *Conn) PeerWait() time.Duration { return c.peerWait.total() }
+
 // BeginCompute waits until a computation of the handshake may run. A TLS client calls BeginCompute before its first
 // read, because the client generates its key share before that read.
 func (c *Conn) BeginCompute() error {
@@ -177,7 +182,7 @@
 
 func (c *Conn) readHandshake(p []byte) (int, error) {
 	c.releaseCPU()
-	n, err := c.reader.Read(p)
+	n, err := c.readFromPeer(p)
 	c.trackRecords(p[:n])
 	c.received.Store(true)
 	c.handshakeBytes += n
@@ -197,6 +202,15 @@
 	return n, nil
 }
 
+// readFromPeer reads from the connection, and counts the time for which the read waited for the peer.
+func (c *Conn) readFromPeer(p []byte) (int, error) {
+	began := time.Now()
+	c.peerWait.begin(began)
+	n, err := c.reader.Read(p)
+	c.peerWait.end(newestArrival(c.TCP, began, time.Now()))
+	return n, err
+}
+
 // Write writes to the connection. After DropBlockingWrites it never blocks.
 func (c *Conn) Write(p []byte) (int, error) {
 	if c.writesNonBlocking.Load() {
--- a/internal/frontend/msgpack/conn.go
+++ b/internal/frontend/msgpack/conn.go
@@ -161,19 +161,12 @@
 	return c.idleSince, c.isIdle() && (!withinMessage || stalled)
 }
 
-// isHandshakeLate reports whether the client is late with its TLS handshake. A handshake that waits for the CPU is not
-// late.
+// isHandshakeLate reports whether the client is late with its TLS handshake.
 func (c *conn) isHandshakeLate() bool {
 	handshake, ok := c.nc.(interface {
-		HandshakeOnCPU() bool
-		NothingReceived() bool
+		IsClientLate(acceptedAt time.Time) bool
 	})
-	if !ok {
-		return true
-	}
-	age := time.Since(c.openedAt)
-	return !handshake.HandshakeOnCPU() &&
-		(age >= stalledHandshakeAge || handshake.NothingReceived() && age >= silentHandshakeAge)
+	return !ok || handshake.IsClientLate(c.openedAt)
 }
 
 // admitted records that the connection is served from now on.
--- a/internal/frontend/msgpack/slots.go
+++ b/internal/frontend/msgpack/slots.go
@@ -20,11 +20,6 @@
 	// firstCallGrace protects connections from eviction. It applies after the accept until the first call arrives, and
 	// after each read in the middle of a message.
 	firstCallGrace = 100 * time.Millisecond
-	// silentHandshakeAge is the minimum age at which a connection without a byte of its TLS handshake may be evicted.
-	silentHandshakeAge = 250 * time.Millisecond
-	// stalledHandshakeAge is the minimum age at which a connection may be evicted while its TLS handshake waits for the
-	// client.
-	stalledHandshakeAge = time.Second
 	// slotRecheckInterval is the minimum interval between checks for a slot.
 	slotRecheckInterval = 5 * time.Millisecond
 	// defaultQueueTimeout is how long a connection waits for a slot if the engine does not have the method
--- a/internal/frontend/secure/conn.go
+++ b/internal/frontend/secure/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cobaltward/handshakes"
+	"cobaltward/internal/sockets"
 )
 
 // Conn is the server's side of a client's TLS connection. One goroutine may read while another goroutine writes. All
@@ -40,11 +41,27 @@
 // Handshaking reports whether the handshake has yet to end. It returns true even before the handshake begins.
 func (c *Conn) Handshaking() bool { return !c.done.Load() }
 
-// HandshakeOnCPU reports whether the handshake is waiting for the CPU, using the CPU, or has just used the CPU. If it
-// returns false, an unfinished handshake is waiting for the client.
+// HandshakeOnCPU reports whether the handshake is waiting for the CPU, using the CPU, or has just used the CPU. Bytes
+// that are unread wait for the CPU, too. If it returns false, an unfinished handshake is waiting for the client.
 func (c *Conn) HandshakeOnCPU() bool {
+	if !c.Handshaking() {
+		return false
+	}
 	transport := c.transport.Load()
-	return c.Handshaking() && transport != nil && transport.IsComputing()
+	return transport != nil && transport.IsComputing() || sockets.Unread(c.tcp) > 0
+}
+
+// IsClientLate reports whether the handshake is waiting for the client, and has waited for so long that the connection
+// may be evicted. acceptedAt is the time at which the connection was accepted.
+func (c *Conn) IsClientLate(acceptedAt time.Time) bool {
+	if !c.Handshaking() || c.HandshakeOnCPU() {
+		return false
+	}
+	var waited time.Duration
+	if transport := c.transport.Load(); transport != nil {
+		waited = transport.PeerWait()
+	}
+	return handshakes.IsClientLate(c.NothingReceived(), time.Since(acceptedAt), waited)
 }
 
 // NothingReceived reports whether the handshake is not done and no byte has been received from the client.
--- a/internal/node/clienteviction.go
+++ b/internal/node/clienteviction.go
@@ -8,11 +8,6 @@
 )
 
 const (
-	// silentHandshakeAge is the minimum age at which a connection without a byte of its TLS handshake may be evicted.
-	silentHandshakeAge = 250 * time.Millisecond
-	// stalledHandshakeAge is the minimum age at which a connection may be evicted while its TLS handshake waits for the
-	// client.
-	stalledHandshakeAge = time.Second
 	// stalledRequestAge is the minimum time between the last byte of an incomplete request and the eviction of its
 	// connection.
 	stalledRequestAge = time.Second
@@ -85,16 +80,11 @@
 }
 
 // evictHandshakeLocked closes the oldest connection in a TLS handshake whose client is late. It reports whether there
-// was such a connection. A client is late after silentHandshakeAge if it has sent nothing, and otherwise after
-// stalledHandshakeAge. Handshakes that wait for the CPU are skipped.
+// was such a connection.
 func (l *clientListener) evictHandshakeLocked() bool {
 	for e := l.idle.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*clientConn)
-		if !c.tls.Handshaking() || c.tls.HandshakeOnCPU() {
-			continue
-		}
-		age := time.Since(c.acceptedAt)
-		if age > stalledHandshakeAge || c.tls.NothingReceived() && age > silentHandshakeAge {
+		if c.tls.IsClientLate(c.acceptedAt) {
 			c.untrackLocked()
 			_ = c.stream.Close()
 			return true
