node: a handshake lasts until its end is recorded, for evictions

The end of a TLS handshake is visible before its time is recorded, which needs the mutex that a search for a connection to evict holds. In between, the connection passed for one as old as its accept, and could be evicted with its first request in transit. Found by reading.

--- a/internal/node/clienteviction.go
+++ b/internal/node/clienteviction.go
@@ -45,11 +45,12 @@
 }
 
 // longestIdleLocked returns the longest idle connection for which isCandidate returns true, or nil if there is none.
-// It skips connections with unread bytes, and connections in a TLS handshake of which bytes have arrived.
+// It skips connections with unread bytes, and connections in a TLS handshake of which bytes have arrived. A handshake
+// counts as in progress until openedAt is the time of its end.
 func (l *clientListener) longestIdleLocked(isCandidate func(*clientConn) bool) *clientConn {
 	for e := l.idle.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*clientConn)
-		handshaking := c.tls != nil && c.tls.Handshaking() && !c.tls.NothingReceived()
+		handshaking := c.tls != nil && !c.handshakeOver && !c.tls.NothingReceived()
 		if !handshaking && isCandidate(c) && !c.hasUnread() {
 			return c
 		}
--- a/internal/node/clienthandshake_test.go
+++ b/internal/node/clienthandshake_test.go
@@ -119,3 +119,21 @@
 		})
 	}
 }
+
+// TestEviction_SparesConnectionAtEndOfHandshake guards against the eviction of a connection whose TLS handshake has
+// just ended, for the age that it had before. The test holds the mutex, so that the search for a connection to evict
+// comes between the end of the handshake and the record of its time.
+func TestEviction_SparesConnectionAtEndOfHandshake(t *testing.T) {
+	listener := newTLSTestListener(t, 2)
+	answer := make(chan struct{})
+	conn := startGatedHandshakes(t, listener, 1, answer)[0]
+	listener.mu.Lock()
+	defer listener.mu.Unlock()
+	conn.openedAt = conn.openedAt.Add(-time.Minute)
+	serveHandshakes([]*clientConn{conn})
+	close(answer)
+	testkit.Await(t, "the end of the handshake", func() bool { return !conn.isHandshaking() })
+	if listener.evictIdleLocked(false) {
+		t.Error("the connection was evicted")
+	}
+}
