node: no eviction of a TLS connection within 20 ms of its handshake

Callers saw an end of file within 0.2 ms on new TLS connections beside a crowd. A connection that had waited for its slot for the queue timeout evicted any idle one, also one whose handshake had ended 7 us before (trace by ports). Over plain TCP the client then reads a rejection, over TLS nothing.

After the queue timeout a TLS connection without a request is now spared for 20 ms from its handshake; overflow connections are accepted meanwhile.

--- a/internal/node/clienteviction.go
+++ b/internal/node/clienteviction.go
@@ -4,6 +4,7 @@
 	"io"
 	"time"
 
+	"cobaltward/handshakes"
 	"cobaltward/middleware"
 )
 
@@ -16,6 +17,9 @@
 	// firstRequestGrace is the age up to which a new connection is protected from eviction. The first request may be
 	// in transit, and the client has no reason to expect that the node closes the connection.
 	firstRequestGrace = 100 * time.Millisecond
+	// tlsRequestGrace replaces firstRequestGrace for a TLS connection when another connection has waited too long for a
+	// slot. A nearby client has sent its first request by then.
+	tlsRequestGrace = handshakes.SilentAfter
 	// silentConnAge is the minimum age at which connections that have never sent a request are evicted before all
 	// others. Without this limit, clients that connect and send nothing would keep their slots longer than idle
 	// clients.
@@ -26,14 +30,21 @@
 
 // evictIdleLocked evicts an idle connection and reports whether there was one. It releases the mutex during the
 // eviction. Connections older than silentConnAge without any request come first, then the connection that has been
-// idle longest. Connections within firstRequestGrace are evicted only if includeNew is set. Their clients do not
-// expect a close, and may get no answer on the next connection either.
+// idle longest. Connections that await their first request are spared for firstRequestGrace, because their clients do
+// not expect a close, and may get no answer on the next connection either. If includeNew is set, only TLS connections
+// are spared, for tlsRequestGrace: the eviction of a plain connection is answered with a rejection.
 func (l *clientListener) evictIdleLocked(includeNew bool) bool {
 	isSilent := func(c *clientConn) bool {
 		return !c.requestSeen && !c.awaitsFirstRequestLocked(silentConnAge)
 	}
 	isOldEnough := func(c *clientConn) bool {
-		return includeNew || !c.awaitsFirstRequestLocked(firstRequestGrace)
+		switch {
+		case !includeNew:
+			return !c.awaitsFirstRequestLocked(firstRequestGrace)
+		case c.tls != nil:
+			return !c.awaitsFirstRequestLocked(tlsRequestGrace)
+		}
+		return true
 	}
 	for _, isCandidate := range []func(*clientConn) bool{isSilent, isOldEnough} {
 		if c := l.longestIdleLocked(isCandidate); c != nil {
--- a/internal/node/clienthandshake_test.go
+++ b/internal/node/clienthandshake_test.go
@@ -137,3 +137,43 @@
 		t.Error("the connection was evicted")
 	}
 }
+
+// TestEviction_SparesNewTLSConnections guards against the eviction of a connection right after its TLS handshake, with
+// its first request in transit. All slots are taken by new connections, and the next ones have waited for the queue
+// timeout. They become overflow connections. Beyond the maximum number of overflow connections, the next one waits for
+// the end of tlsRequestGrace.
+func TestEviction_SparesNewTLSConnections(t *testing.T) {
+	const maxConns = 2
+	listener := newTLSTestListener(t, maxConns)
+	listener.queueTimeout = func() time.Duration { return 0 }
+	answer := make(chan struct{})
+	close(answer)
+	var conns []*clientConn
+	for range maxConns + overflowConns {
+		conn := startGatedHandshakes(t, listener, 1, answer)[0]
+		serveHandshakes([]*clientConn{conn})
+		testkit.Await(t, "the end of the handshake", func() bool {
+			listener.mu.Lock()
+			defer listener.mu.Unlock()
+			conn.openedAt = time.Now().Add(testkit.MaxWait) // the connection remains new
+			return conn.handshakeOver
+		})
+		conns = append(conns, conn)
+	}
+	if closed := listener.countClosed(conns); closed > 0 {
+		t.Errorf("%d of %d new connections were evicted", closed, len(conns))
+	}
+	began := time.Now()
+	listener.mu.Lock()
+	for _, conn := range conns {
+		conn.openedAt = time.Now()
+	}
+	listener.mu.Unlock()
+	startGatedHandshakes(t, listener, 1, answer)
+	if elapsed := time.Since(began); elapsed < tlsRequestGrace {
+		t.Errorf("accepted after %v, want at least %v", elapsed, tlsRequestGrace)
+	}
+	if closed := listener.countClosed(conns); closed != 1 {
+		t.Errorf("%d connections were evicted for the next one, want 1", closed)
+	}
+}
