--- a/internal/abusetest/memory_test.go
+++ b/internal/abusetest/memory_test.go
@@ -81,23 +81,15 @@
 // slowReaderBuffer is the receive buffer of a client that reads slowly, in bytes.
 const slowReaderBuffer = 4 << 10
 
-// memoryAbuses are ways in which hundreds of clients can make a node use memory.
-var memoryAbuses = []struct {
+// memoryAbuse is a way in which hundreds of clients can make a node use memory.
+type memoryAbuse struct {
 	name   string
-	server func(*server)
+	server func(*server) // configures the servers; nil: usual servers
 	act    func(n *node, client, round int, stop <-chan struct{})
-}{
-	{name: "slow heads", act: func(n *node, client, round int, stop <-chan struct{}) {
-		withConn(n, 0, stop, func(conn net.Conn) {
-			head := requestHead(fmt.Sprintf("a%d-%d", client, round), bookingClass, time.Second)
-			for i := 0; len(head) < maxHead-300; i++ {
-				head += fmt.Sprintf("X-Long-%d: %s\r\n", i, strings.Repeat("v", 200))
-			}
-			if writeSlowly(conn, head, len(head)/20, 100*time.Millisecond, stop) {
-				awaitClose(conn, stop)
-			}
-		})
-	}},
+}
+
+var memoryAbuses = []memoryAbuse{
+	slowHeads,
 	{name: "many fields", act: func(n *node, client, round int, stop <-chan struct{}) {
 		withConn(n, 0, stop, func(conn net.Conn) {
 			head := requestHead(fmt.Sprintf("a%d-%d", client, round), bookingClass, time.Second)
@@ -126,6 +118,19 @@
 	{name: "slow readers of 2 MB in chunks", server: answersOf(2<<20, true), act: readSlowly},
 }
 
+// slowHeads is an abuse in which clients take seconds to write the head of a request.
+var slowHeads = memoryAbuse{name: "slow heads", act: func(n *node, client, round int, stop <-chan struct{}) {
+	withConn(n, 0, stop, func(conn net.Conn) {
+		head := requestHead(fmt.Sprintf("a%d-%d", client, round), bookingClass, time.Second)
+		for i := 0; len(head) < maxHead-300; i++ {
+			head += fmt.Sprintf("X-Long-%d: %s\r\n", i, strings.Repeat("v", 200))
+		}
+		if writeSlowly(conn, head, len(head)/20, 100*time.Millisecond, stop) {
+			awaitClose(conn, stop)
+		}
+	})
+}}
+
 // halfBody returns an abuse in which clients send half of a body of length bytes, and then stop.
 func halfBody(length int) func(n *node, client, round int, stop <-chan struct{}) {
 	half := strings.Repeat("x", length/2)
@@ -232,28 +237,35 @@
 func TestMemory_AbusiveClients(t *testing.T) {
 	for _, abuse := range memoryAbuses {
 		for _, front := range frontNames() {
-			t.Run(abuse.name+"/"+front, func(t *testing.T) {
-				runParallel(t)
-				var servers []string
-				for range 3 {
-					configure := abuse.server
-					if configure == nil {
-						configure = func(*server) {}
-					}
-					servers = append(servers, startServer(t, configure).addr)
-				}
-				n := startNode(t, nodeConfig{
-					memoryMB: *memoryLimit, descriptors: maxDescriptors, servers: servers, tls: front == frontTLS,
-				})
-				usual := startNeighbors(n, defaultDeadline, 100*time.Millisecond)
-				group := startAbusers(*abuseCount, func(client, round int, stop <-chan struct{}) {
-					abuse.act(n, client, round, stop)
-				})
-				time.Sleep(*abuseFor)
-				n.checkMemory()
-				group.finish()
-				usual.finish(t)
-			})
+			t.Run(abuse.name+"/"+front, func(t *testing.T) { testMemoryAbuse(t, abuse, front) })
 		}
 	}
 }
+
+// TestFirstRequest_BesideSlowHeadsByTLS guards against the eviction of a TLS connection right after its handshake.
+// While a crowd keeps all connections busy, the requests of other clients on new connections must be answered.
+func TestFirstRequest_BesideSlowHeadsByTLS(t *testing.T) { testMemoryAbuse(t, slowHeads, frontTLS) }
+
+// testMemoryAbuse plays an abuse over the protocol front beside usual clients.
+func testMemoryAbuse(t *testing.T, abuse memoryAbuse, front string) {
+	runParallel(t)
+	configure := abuse.server
+	if configure == nil {
+		configure = func(*server) {}
+	}
+	var servers []string
+	for range 3 {
+		servers = append(servers, startServer(t, configure).addr)
+	}
+	n := startNode(t, nodeConfig{
+		memoryMB: *memoryLimit, descriptors: maxDescriptors, servers: servers, tls: front == frontTLS,
+	})
+	usual := startNeighbors(n, defaultDeadline, 100*time.Millisecond)
+	group := startAbusers(*abuseCount, func(client, round int, stop <-chan struct{}) {
+		abuse.act(n, client, round, stop)
+	})
+	time.Sleep(*abuseFor)
+	n.checkMemory()
+	group.finish()
+	usual.finish(t)
+}
