abusetest: another port if a node's port was taken meanwhile

The harness finds a port free and closes it; 18 nodes and their clients take ports at the same time, and a node ends with `address already in use`.

The harness now starts such a node again with another port, five times at most, and a node that ends otherwise fails the test at once with its log.

--- a/internal/abusetest/node_test.go
+++ b/internal/abusetest/node_test.go
@@ -68,6 +68,9 @@
 
 const defaultDeadline = 3 * time.Second
 
+// maxStarts is the maximum number of attempts to start a node whose port another program has taken.
+const maxStarts = 5
+
 // node is a node process that runs until the test ends.
 type node struct {
 	t           testing.TB
@@ -87,14 +90,28 @@
 		t.Fatal(err)
 	}
 	dir := t.TempDir()
-	n := &node{t: t, config: config, logPath: filepath.Join(dir, "log"), exited: make(chan struct{})}
+	n := &node{t: t, config: config, logPath: filepath.Join(dir, "log")}
 	configPath := filepath.Join(dir, "config.json")
 	if err := os.WriteFile(configPath, n.configJSON(startRegistry(t, config.servers)), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	n.startProcess(binary, dir, configPath)
+	for starts := 1; !n.awaitListening(); starts++ {
+		if starts == maxStarts {
+			t.Fatalf("the node has exited:\n%s", n.log())
+		}
+		n.startProcess(binary, dir, configPath)
+	}
+	testkit.Await(t, "the node to be ready", func() bool { return n.ask(readyRequest) == nil })
+	return n
+}
+
+// startProcess starts the process of the node, with its files in dir.
+func (n *node) startProcess(binary, dir, configPath string) {
+	n.t.Helper()
 	log, err := os.Create(n.logPath)
 	if err != nil {
-		t.Fatal(err)
+		n.t.Fatal(err)
 	}
 	defer func() { _ = log.Close() }() // the process has its own copy of the descriptor
 	n.command = exec.Command(binary, "serve", "--config", n.writeOperatorFile(dir))
@@ -105,16 +122,29 @@
 		start = func() error { return startOnOneCore(n.command) }
 	}
 	if err := start(); err != nil {
-		t.Fatal(err)
+		n.t.Fatal(err)
 	}
+	command, exited := n.command, make(chan struct{})
+	n.exited = exited
 	go func() {
-		_ = n.command.Wait() // tests look at exited
-		close(n.exited)
+		_ = command.Wait() // tests look at exited
+		close(exited)
 	}()
-	t.Cleanup(n.kill)
-	testkit.Await(t, "the node to listen", n.readAddr)
-	testkit.Await(t, "the node to be ready", func() bool { return n.ask(readyRequest) == nil })
-	return n
+	n.t.Cleanup(n.kill)
+}
+
+// awaitListening waits until the node listens. It returns false if another program has taken the node's port since
+// freeAddr found it free.
+func (n *node) awaitListening() bool {
+	n.t.Helper()
+	testkit.Await(n.t, "the node to listen", func() bool { return n.readAddr() || !n.running() })
+	if n.running() || n.readAddr() {
+		return true
+	}
+	if !strings.Contains(n.log(), syscall.EADDRINUSE.Error()) {
+		n.t.Fatalf("the node has exited:\n%s", n.log())
+	}
+	return false
 }
 
 // startOnOneCore starts command on one of the cores that this process may use.
