sockets: one function for the arrival of a slow read; shared start of queue tests

handshakes had written again what sockets.Arrival does to tell a wait for the peer from one for the CPU: both use sockets.NewestArrival now. Three tests of msgpack that start a queue of calls alike share a function; their assertions are unchanged. clientConn.handshakeOver is established, as in msgpack.

--- a/handshakes/conn.go
+++ b/handshakes/conn.go
@@ -207,7 +207,12 @@
 	began := time.Now()
 	c.peerWait.begin(began)
 	n, err := c.reader.Read(p)
-	c.peerWait.end(newestArrival(c.TCP, began, time.Now()))
+	returned := time.Now()
+	newestAt, known := sockets.NewestArrival(c.TCP, began, returned)
+	if !known {
+		newestAt = returned
+	}
+	c.peerWait.end(newestAt)
 	return n, err
 }
 
--- a/handshakes/peerwait.go
+++ b/handshakes/peerwait.go
@@ -1,11 +1,8 @@
 package handshakes
 
 import (
-	"net"
 	"sync/atomic"
 	"time"
-
-	"cobaltward/internal/sockets"
 )
 
 // peerWait measures how long a handshake has waited for its peer in total. One goroutine calls begin and end. total
@@ -32,14 +29,3 @@
 	}
 	return total
 }
-
-// newestArrival returns the time at which the newest bytes of a connection arrived. A read of them lasted from began
-// to returned.
-func newestArrival(tcp *net.TCPConn, began, returned time.Time) time.Time {
-	if sockets.HadToWait(began, returned) {
-		if age, known := sockets.SinceLastReceived(tcp); known {
-			return returned.Add(-age)
-		}
-	}
-	return returned
-}
--- a/internal/frontend/msgpack/callqueue_test.go
+++ b/internal/frontend/msgpack/callqueue_test.go
@@ -77,17 +77,27 @@
 	return e.begun[id]
 }
 
+// startQueuedCalls starts a server, whose calls end only with their clients, and sends calls with the given IDs on a
+// connection. It returns when the first call has begun.
+func startQueuedCalls(
+	t *testing.T, front string, config Config, ids ...uint32,
+) (*recordingEngine, *hookedServer, rawClient) {
+	t.Helper()
+	engine := newRecordingEngine(answerAfter(nil))
+	server := startFront(t, front, engine, config)
+	client := server.connect(t)
+	client.call(t, ids...)
+	testkit.Await(t, "the first call", func() bool { return engine.hasBegun(fmt.Sprintf("r%d", ids[0])) })
+	return engine, server, client
+}
+
 // TestCancel_BehindOpenCalls guards against cancel notifications that are not read while the maximum number of calls is
 // open: an open call must end, and a call that waits must not begin after its cancel.
 func TestCancel_BehindOpenCalls(t *testing.T) {
 	for _, front := range fronts {
 		t.Run(front, func(t *testing.T) {
 			t.Parallel()
-			engine := newRecordingEngine(answerAfter(nil))
-			server := startFront(t, front, engine, Config{MaxCalls: 1})
-			client := server.connect(t)
-			client.call(t, 1, 2, 3)
-			testkit.Await(t, "the first call", func() bool { return engine.hasBegun("r1") })
+			engine, server, client := startQueuedCalls(t, front, Config{MaxCalls: 1}, 1, 2, 3)
 			client.send(t, msgpackrpc.AppendCancel(msgpackrpc.AppendCancel(nil, 2), 1))
 			testkit.Await(t, "the third call", func() bool { return engine.hasBegun("r3") })
 			if engine.hasBegun("r2") {
@@ -106,12 +116,9 @@
 	for _, front := range fronts {
 		t.Run(front, func(t *testing.T) {
 			t.Parallel()
-			engine := newRecordingEngine(answerAfter(nil))
 			budget := body.NewBudget(1 << 20)
-			server := startFront(t, front, engine, Config{MaxCalls: 1, Bodies: budget})
-			client := server.connect(t)
-			client.call(t, 1, 2, 3)
-			testkit.Await(t, "the calls", func() bool { return engine.hasBegun("r1") && server.Stats().Queued == 2 })
+			engine, server, client := startQueuedCalls(t, front, Config{MaxCalls: 1, Bodies: budget}, 1, 2, 3)
+			testkit.Await(t, "the queued calls", func() bool { return server.Stats().Queued == 2 })
 			_ = client.Close()
 			testkit.Await(t, "the end of the calls", func() bool {
 				stats := server.Stats()
--- a/internal/frontend/msgpack/messagetimeout_test.go
+++ b/internal/frontend/msgpack/messagetimeout_test.go
@@ -336,11 +336,7 @@
 	for _, front := range fronts {
 		t.Run(front, func(t *testing.T) {
 			t.Parallel()
-			engine := newRecordingEngine(answerAfter(nil))
-			server := startFront(t, front, engine, Config{MaxCalls: 1})
-			client := server.connect(t)
-			client.call(t, 1, 2)
-			testkit.Await(t, "the first call", func() bool { return engine.hasBegun("r1") })
+			engine, server, client := startQueuedCalls(t, front, Config{MaxCalls: 1}, 1, 2)
 			client.send(t, []byte{0x07})
 			client.expect(t, "error")
 			_ = client.Close()
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -44,7 +44,7 @@
 	requestSeen   bool            // whether bytes of a request have been read
 	firstPending  bool            // whether the connection is included in clientListener.firstPending
 	openedAt      time.Time       // time of the accept, or of the end of the TLS handshake
-	handshakeOver bool            // whether handshakeDone has set openedAt
+	established   bool            // whether openedAt is the time of the end of the TLS handshake
 	closed        bool            // whether the connection is no longer included in clientListener.open
 	halfClosed    bool            // whether the node closes its side; later requests are not served
 	endCause      endCause        // why the connection ended without an answer; endNone if it did not
@@ -139,7 +139,7 @@
 	c.deadline.apply()
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.openedAt, c.handshakeOver = time.Now(), true
+	c.openedAt, c.established = time.Now(), true
 	c.listener.slotFreed.Broadcast()
 }
 
--- a/internal/node/clienteviction.go
+++ b/internal/node/clienteviction.go
@@ -61,7 +61,7 @@
 func (l *clientListener) longestIdleLocked(isCandidate func(*clientConn) bool) *clientConn {
 	for e := l.idle.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*clientConn)
-		handshaking := c.tls != nil && !c.handshakeOver && !c.tls.NothingReceived()
+		handshaking := c.tls != nil && !c.established && !c.tls.NothingReceived()
 		if !handshaking && isCandidate(c) && !c.hasUnread() {
 			return c
 		}
--- a/internal/node/clienthandshake_test.go
+++ b/internal/node/clienthandshake_test.go
@@ -85,7 +85,7 @@
 // TestHandshakeEviction_SparesClientsThatWaitForTheNode guards against the end of a handshake for a delay of the node
 // itself. As many handshakes as may wait for their clients are a minute old, all of it spent by the node: it has not
 // read the ClientHello, or the computation of its answer waited for the CPU. Another client connects. It must wait
-// until the other handshakes go on.
+// until the other handshakes proceed.
 func TestHandshakeEviction_SparesClientsThatWaitForTheNode(t *testing.T) {
 	const maxHandshakes = 4
 	for _, name := range []string{"ClientHello unread", "CPU busy"} {
@@ -156,7 +156,7 @@
 			listener.mu.Lock()
 			defer listener.mu.Unlock()
 			conn.openedAt = time.Now().Add(testkit.MaxWait) // the connection remains new
-			return conn.handshakeOver
+			return conn.established
 		})
 		conns = append(conns, conn)
 	}
--- a/internal/node/clientidle_test.go
+++ b/internal/node/clientidle_test.go
@@ -116,7 +116,7 @@
 			plain, conn := connectClient(t, listener)
 			client, tcp := plain, tcpOf(conn)
 			if listener.tlsLayer != nil {
-				client = handshakeOver(t, plain, conn)
+				client = established(t, plain, conn)
 			}
 			if test.beforeEnd {
 				sendRequestLine(t, client)
@@ -264,9 +264,9 @@
 	return conn.(*clientConn).TCPConn
 }
 
-// handshakeOver performs the TLS handshake between both ends of a connection and returns the client's TLS connection.
+// established performs the TLS handshake between both ends of a connection and returns the client's TLS connection.
 // It sends no byte of a request.
-func handshakeOver(t *testing.T, plain, conn net.Conn) net.Conn {
+func established(t *testing.T, plain, conn net.Conn) net.Conn {
 	t.Helper()
 	client := tls.Client(plain, &tls.Config{InsecureSkipVerify: true})
 	done := make(chan error, 1)
--- a/internal/sockets/arrival.go
+++ b/internal/sockets/arrival.go
@@ -72,15 +72,23 @@
 // the process may have been paused. To distinguish these cases, RecordReadFrom asks the kernel when the newest bytes
 // arrived.
 func (a *Arrival) RecordReadFrom(conn *net.TCPConn, began, returned time.Time, all bool) {
-	if HadToWait(began, returned) {
-		if age, known := SinceLastReceived(conn); known {
-			a.recordSlowRead(began, returned, returned.Add(-age), all)
-			return
-		}
+	if newest, known := NewestArrival(conn, began, returned); known {
+		a.recordSlowRead(began, returned, newest, all)
+		return
 	}
 	a.RecordRead(began, returned, all)
 }
 
+// NewestArrival returns the time at which the newest bytes of a connection arrived, after a read that lasted from began
+// to returned. It returns false if the read did not have to wait, or the kernel does not report the time.
+func NewestArrival(conn *net.TCPConn, began, returned time.Time) (newest time.Time, known bool) {
+	if !HadToWait(began, returned) {
+		return time.Time{}, false
+	}
+	age, known := SinceLastReceived(conn)
+	return returned.Add(-age), known
+}
+
 // recordSlowRead is RecordRead for a long read. newest is the time at which the newest bytes arrived.
 func (a *Arrival) recordSlowRead(began, returned, newest time.Time, all bool) {
 	switch {
