node: an evicted connection with an unread upload ends at once

A node of 32 MB went beyond its memory when hundreds of clients sent half a body of 1 MB and reconnected: net/http keeps a connection with over 256 KiB of a body unread for half a second after the handler, and evicted connections do not count as open, so nothing bounded them (459 of 642 goroutines at the peak).

The handler of an evicted connection now aborts; the connection lingers by the node's own bound. TestEviction_EndsUnreadUpload fails without the abort: the fastest of five closed after 500 ms.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -223,7 +223,7 @@
 	if n.config.WrapHandler != nil {
 		handler = n.config.WrapHandler(handler, readyPath)
 	}
-	return handler
+	return abortEvicted(handler)
 }
 
 // isReady reports whether readiness checks succeed.
--- a/internal/node/clienteviction.go
+++ b/internal/node/clienteviction.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"cobaltward/handshakes"
@@ -141,3 +143,28 @@
 	}
 	return head + "\r\n"
 }
+
+// abortEvicted returns a handler that calls next and aborts if the connection was evicted meanwhile. Without the abort,
+// net/http would keep the connection and its goroutine for another half second if a long body is unread. Evicted
+// connections do not count as open, so nothing would bound their number.
+func abortEvicted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(w, r)
+		if wasEvicted(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
+	})
+}
+
+// wasEvicted reports whether the connection of a request was evicted. If so, Close lingers, because the client may
+// still be sending the rest of the request.
+func wasEvicted(ctx context.Context) bool {
+	c, ok := ctx.Value(clientConnKey{}).(*clientConn)
+	if !ok {
+		return false
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.mustLinger = c.mustLinger || c.closed
+	return c.closed
+}
--- a/internal/node/clienteviction_test.go
+++ b/internal/node/clienteviction_test.go
@@ -141,6 +141,45 @@
 	expectRejection(t, client)
 }
 
+// TestEviction_EndsUnreadUpload guards against evicted connections that pile up: net/http keeps a connection with a long
+// unread body for half a second after the handler, and evicted connections do not count as open. The client reads the
+// rejection before the close.
+func TestEviction_EndsUnreadUpload(t *testing.T) {
+	const uploads, netHTTPDelay = 5, 500 * time.Millisecond
+	listener := newTestListener(t, 4)
+	reading, closed := make(chan *clientConn, uploads), make(chan time.Time, uploads)
+	server := &http.Server{
+		ConnContext: withClientConn,
+		ConnState: func(_ net.Conn, state http.ConnState) {
+			if state == http.StateClosed {
+				closed <- time.Now()
+			}
+		},
+		Handler: abortEvicted(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			reading <- r.Context().Value(clientConnKey{}).(*clientConn)
+			_, _ = io.Copy(io.Discard, r.Body)
+		})),
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	fastest := testkit.MaxWait
+	for range uploads {
+		client := dialClient(t, listener.Addr().String())
+		_, _ = io.WriteString(client, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\nx")
+		conn := testkit.Receive(t, "the request", reading)
+		stallRequest(conn)
+		if !evictStalled(listener) {
+			t.Fatal("the connection is not evicted")
+		}
+		evictedAt := time.Now()
+		fastest = min(fastest, testkit.Receive(t, "the end of the connection", closed).Sub(evictedAt))
+		expectRejection(t, client)
+	}
+	if fastest >= netHTTPDelay {
+		t.Errorf("the fastest of %d evicted connections was closed %v after the eviction", uploads, fastest)
+	}
+}
+
 // recordRequestStart records that bytes of a request have arrived on the connection.
 func recordRequestStart(conn *clientConn) {
 	conn.listener.mu.Lock()
