--- a/internal/abusetest/hangingservers_test.go
+++ b/internal/abusetest/hangingservers_test.go
@@ -153,7 +153,7 @@
 }
 
 // TestCalls_ServersHang guards against calls that are answered late or never while servers hang again and again under
-// the calls of one MessagePack-RPC connection. Some calls are cancelled; in one case the node gets SIGTERM.
+// the calls of one MessagePack-RPC connection. Some calls are cancelled; in some cases the node gets SIGTERM.
 func TestCalls_ServersHang(t *testing.T) {
 	for _, play := range []struct {
 		name        string
@@ -165,6 +165,7 @@
 		{name: "half of the servers, TLS", hanging: 3, tls: true},
 		{name: "all servers", hanging: 6},
 		{name: "half of the servers, SIGTERM", hanging: 3, terminateAt: 3 * time.Second},
+		{name: "half of the servers, TLS, SIGTERM", hanging: 3, tls: true, terminateAt: 3 * time.Second},
 	} {
 		t.Run(play.name, func(t *testing.T) {
 			runParallel(t)
--- a/internal/abusetest/memory_test.go
+++ b/internal/abusetest/memory_test.go
@@ -1,6 +1,7 @@
 package abusetest
 
 import (
+	"bytes"
 	"errors"
 	"flag"
 	"fmt"
@@ -99,6 +100,14 @@
 			}
 		})
 	}},
+	{name: "heads over the limit", act: func(n *node, client, round int, stop <-chan struct{}) {
+		withConn(n, 0, stop, func(conn net.Conn) {
+			head := requestHead(fmt.Sprintf("a%d-%d", client, round), bookingClass, time.Second)
+			if _, err := io.WriteString(conn, head+manyFields(2*maxHead)); err == nil {
+				awaitClose(conn, stop)
+			}
+		})
+	}},
 	{name: "half a body of 16 KB", act: halfBody(16 << 10)},
 	{name: "half a body of 64 KB", act: halfBody(64 << 10)},
 	{name: "half a body of 1 MB", act: halfBody(1 << 20)},
@@ -131,15 +140,17 @@
 	})
 }}
 
-// halfBody returns an abuse in which clients send half of a body of length bytes, and then stop.
+// halfBody returns an abuse in which clients send half of a body of length bytes, and then stop. All clients send the
+// same memory: copies by the hundred would make the process of the clients late by seconds.
 func halfBody(length int) func(n *node, client, round int, stop <-chan struct{}) {
-	half := strings.Repeat("x", length/2)
+	half := bytes.Repeat([]byte("x"), length/2)
 	return func(n *node, client, round int, stop <-chan struct{}) {
 		withConn(n, 0, stop, func(conn net.Conn) {
 			head := requestHead(fmt.Sprintf("a%d-%d", client, round), bookingClass, time.Second)
-			text := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, length, half)
+			head += fmt.Sprintf("Content-Length: %d\r\n\r\n", length)
+			request := net.Buffers{[]byte(head), half}
 			_ = conn.SetWriteDeadline(time.Now().Add(*abuseFor))
-			if _, err := io.WriteString(conn, text); err == nil {
+			if _, err := request.WriteTo(conn); err == nil {
 				awaitClose(conn, stop)
 			}
 		})
