--- a/internal/frontend/msgpack/requestid_test.go
+++ b/internal/frontend/msgpack/requestid_test.go
@@ -19,10 +19,13 @@
 // reservingEngine is a stubEngine that reserves IDs.
 type reservingEngine struct {
 	stubEngine
-	ids      *router.Router
-	executed atomic.Int64 // number of calls that Do has answered
+	ids          *router.Router
+	queueTimeout time.Duration
+	executed     atomic.Int64 // number of calls that Do has answered
 }
 
+func (e *reservingEngine) QueueTimeout() time.Duration { return e.queueTimeout }
+
 func (e *reservingEngine) Do(ctx context.Context, r router.Request) (router.Answer, error) {
 	defer e.executed.Add(1)
 	return e.stubEngine.Do(ctx, r)
@@ -54,7 +57,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = ids.Close() })
-	return &reservingEngine{stubEngine: stubEngine{do: do}, ids: ids}
+	return &reservingEngine{stubEngine: stubEngine{do: do}, ids: ids, queueTimeout: time.Minute}
 }
 
 // pipeListener is a listener whose connections have no buffer: a write waits until its peer reads.
@@ -100,6 +103,44 @@
 	return listener
 }
 
+// TestID_InUseWhileQueued guards against a second run of a call that is queued behind open calls, because a copy of it
+// is accepted. The ID is free once the call has left the queue without being begun.
+func TestID_InUseWhileQueued(t *testing.T) {
+	tests := map[string]struct {
+		queueTimeout time.Duration
+		leave        func(t *testing.T, client rawClient)
+		open         int // calls that are still open then
+	}{
+		"cancel": {time.Minute, func(t *testing.T, client rawClient) {
+			client.send(t, msgpackrpc.AppendCancel(nil, 2))
+		}, 1},
+		"disconnect": {time.Minute, func(_ *testing.T, client rawClient) { _ = client.Close() }, 0},
+		"queue timeout": {100 * time.Millisecond, func(t *testing.T, client rawClient) {
+			client.expect(t, "2 overloaded")
+		}, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			engine := newReservingEngine(t, answerAfter(nil))
+			engine.queueTimeout = test.queueTimeout
+			listener := startPipeServer(t, engine, Config{MaxCalls: 1})
+			client, other := listener.dialPipe(t), listener.dialPipe(t)
+			client.call(t, 1)
+			testkit.Await(t, "the first call", func() bool { return engine.open.Load() == 1 })
+			client.call(t, 2)
+			if test.queueTimeout == time.Minute {
+				testkit.Await(t, "the ID of the queued call to be in use", func() bool { return engine.inUse() == 2 })
+				other.call(t, 2)
+				other.expect(t, "2 conflict")
+			}
+			test.leave(t, client)
+			testkit.Await(t, "the ID to be free", func() bool { return engine.inUse() == test.open })
+			other.call(t, 2)
+			testkit.Await(t, "the call to begin", func() bool { return engine.open.Load() == int64(test.open)+1 })
+		})
+	}
+}
+
 // TestID_InUseUntilAnswerIsWritten guards against a second run of a call whose answer waits for a client that does not
 // read. The ID is in use until the answer is written, or can no longer be written.
 func TestID_InUseUntilAnswerIsWritten(t *testing.T) {
