--- a/internal/node/clienteviction_test.go
+++ b/internal/node/clienteviction_test.go
@@ -141,9 +141,9 @@
 	expectRejection(t, client)
 }
 
-// TestEviction_EndsUnreadUpload guards against evicted connections that pile up: net/http keeps a connection with a long
-// unread body for half a second after the handler, and evicted connections do not count as open. The client reads the
-// rejection before the close.
+// TestEviction_EndsUnreadUpload guards against evicted connections that pile up: net/http keeps a connection with a
+// long unread body for half a second after the handler, and evicted connections do not count as open. The client reads
+// the rejection before the close.
 func TestEviction_EndsUnreadUpload(t *testing.T) {
 	const uploads, netHTTPDelay = 5, 500 * time.Millisecond
 	listener := newTestListener(t, 4)
